--- /dev/null
+++ b/allowance/doc.go
@@ -0,0 +1,3 @@
+// Package allowance divides the upper limit of each team among the worker
+// partitions so that the sum never exceeds the limit.
+package allowance
--- /dev/null
+++ b/caller/doc.go
@@ -0,0 +1,3 @@
+// Package caller serves the HTTP interface for callers: submit, wait, status,
+// cancel and result.
+package caller
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry talks gRPC to the other entry instances, as client and server.
+package entry
--- /dev/null
+++ b/errkind/errkind.go
@@ -0,0 +1,183 @@
+// Package errkind holds the closed list of error kinds and the one table from
+// a kind to what each peer is told: HTTP status, exit code, retry advice and
+// whether the work ran.
+package errkind
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Kind is the stable name of a kind of error. Callers may rely on it.
+type Kind string
+
+// The closed list of kinds.
+const (
+	InvalidRequest      Kind = "invalid_request"
+	RequestTooLarge     Kind = "request_too_large"
+	RequestTimeout      Kind = "request_timeout"
+	KeyMissing          Kind = "key_missing"
+	KeyRefused          Kind = "key_refused"
+	KeyWithdrawn        Kind = "key_withdrawn"
+	KeyStale            Kind = "key_stale"
+	UnknownTeam         Kind = "unknown_team"
+	UnknownService      Kind = "unknown_service"
+	UnknownClass        Kind = "unknown_class"
+	UnknownTask         Kind = "unknown_task"
+	NeverFits           Kind = "never_fits"
+	OverLimit           Kind = "over_limit"
+	QueueFull           Kind = "queue_full"
+	DeadlineExceeded    Kind = "deadline_exceeded"
+	IdempotencyConflict Kind = "idempotency_conflict"
+	RevisionConflict    Kind = "revision_conflict"
+	StoreUnavailable    Kind = "store_unavailable"
+	NoOwner             Kind = "no_owner"
+	Draining            Kind = "draining"
+	Cancelled           Kind = "cancelled"
+	TaskFailed          Kind = "task_failed"
+	WorkerLost          Kind = "worker_lost"
+	ResultTooLarge      Kind = "result_too_large"
+	ResultIncomplete    Kind = "result_incomplete"
+	OutcomeUnknown      Kind = "outcome_unknown"
+	NotAllowed          Kind = "not_allowed"
+	Internal            Kind = "internal"
+)
+
+// Fate says whether the work of a request ran.
+type Fate string
+
+// The fates that an answer states.
+const (
+	FateNotRun  Fate = "not_run" // proved not run, and will not run for this request
+	FateRun     Fate = "run"     // ran, at least in part
+	FateUnknown Fate = "unknown" // may have run; we will not repeat it
+)
+
+// Advice tells a caller what to do next.
+type Advice string
+
+// The advices.
+const (
+	AdviceDoNotRetry Advice = "do_not_retry" // the same request fails again
+	AdviceRetry      Advice = "retry"        // retry after the hint, any entry instance
+	AdviceAsk        Advice = "ask"          // ask for the status with the same idempotency key
+)
+
+// Answer is a row of the table.
+type Answer struct {
+	Status   int    // HTTP status
+	ExitCode int    // of mulberryctl
+	Advice   Advice // what the caller should do
+	Fate     Fate   // whether the work ran
+}
+
+var table = map[Kind]Answer{
+	InvalidRequest:      {400, 2, AdviceDoNotRetry, FateNotRun},
+	RequestTooLarge:     {413, 2, AdviceDoNotRetry, FateNotRun},
+	RequestTimeout:      {408, 3, AdviceRetry, FateNotRun},
+	KeyMissing:          {401, 4, AdviceDoNotRetry, FateNotRun},
+	KeyRefused:          {403, 4, AdviceDoNotRetry, FateNotRun},
+	KeyWithdrawn:        {403, 4, AdviceDoNotRetry, FateNotRun},
+	KeyStale:            {503, 3, AdviceRetry, FateNotRun},
+	UnknownTeam:         {404, 5, AdviceDoNotRetry, FateNotRun},
+	UnknownService:      {404, 5, AdviceDoNotRetry, FateNotRun},
+	UnknownClass:        {404, 5, AdviceDoNotRetry, FateNotRun},
+	UnknownTask:         {404, 5, AdviceDoNotRetry, FateUnknown},
+	NeverFits:           {422, 2, AdviceDoNotRetry, FateNotRun},
+	OverLimit:           {429, 3, AdviceRetry, FateNotRun},
+	QueueFull:           {429, 3, AdviceRetry, FateNotRun},
+	DeadlineExceeded:    {504, 3, AdviceRetry, FateNotRun},
+	IdempotencyConflict: {409, 6, AdviceDoNotRetry, FateNotRun},
+	RevisionConflict:    {409, 6, AdviceDoNotRetry, FateNotRun},
+	StoreUnavailable:    {503, 3, AdviceRetry, FateNotRun},
+	NoOwner:             {503, 3, AdviceRetry, FateNotRun},
+	Draining:            {503, 3, AdviceRetry, FateNotRun},
+	Cancelled:           {409, 7, AdviceDoNotRetry, FateNotRun},
+	TaskFailed:          {200, 1, AdviceDoNotRetry, FateRun},
+	WorkerLost:          {502, 8, AdviceDoNotRetry, FateUnknown},
+	ResultTooLarge:      {502, 8, AdviceDoNotRetry, FateRun},
+	ResultIncomplete:    {502, 8, AdviceAsk, FateRun},
+	OutcomeUnknown:      {504, 8, AdviceAsk, FateUnknown},
+	NotAllowed:          {405, 2, AdviceDoNotRetry, FateNotRun},
+	Internal:            {500, 9, AdviceAsk, FateUnknown},
+}
+
+// Kinds lists every kind in no particular order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(table))
+	for k := range table {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// AnswerFor returns the row of kind k. A kind outside the list is answered as
+// Internal, so that no unknown text is ever taken for "not run".
+func AnswerFor(k Kind) Answer {
+	if a, ok := table[k]; ok {
+		return a
+	}
+	return table[Internal]
+}
+
+// Error is an error that a peer is told.
+type Error struct {
+	Kind       Kind          `json:"kind"`
+	Message    string        `json:"message"`
+	Field      string        `json:"field,omitempty"`       // field at fault, where one is
+	Limit      string        `json:"limit,omitempty"`       // what is allowed, with its unit
+	RetryAfter time.Duration `json:"retry_after,omitempty"` // earliest useful retry
+	FateIs     Fate          `json:"fate,omitempty"`        // overrides the table where the fate is known better
+}
+
+// New returns an error of kind k.
+func New(k Kind, format string, args ...any) *Error {
+	return &Error{Kind: k, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the kind and the message.
+func (e *Error) Error() string {
+	if e.Field != "" {
+		return fmt.Sprintf("%s: %s: %s", e.Kind, e.Field, e.Message)
+	}
+	return fmt.Sprintf("%s: %s", e.Kind, e.Message)
+}
+
+// Fate returns whether the work ran, as far as is known.
+func (e *Error) Fate() Fate {
+	if e.FateIs != "" {
+		return e.FateIs
+	}
+	return AnswerFor(e.Kind).Fate
+}
+
+// WithField returns a copy of e that names the field at fault and its limit.
+func (e *Error) WithField(field, limit string) *Error {
+	c := *e
+	c.Field, c.Limit = field, limit
+	return &c
+}
+
+// WithRetryAfter returns a copy of e with a retry hint.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// WithFate returns a copy of e whose fate is f whatever the table says.
+func (e *Error) WithFate(f Fate) *Error {
+	c := *e
+	c.FateIs = f
+	return &c
+}
+
+// From returns the *Error in err's chain, or an Internal error for any other.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return New(Internal, "%s", err.Error())
+}
--- /dev/null
+++ b/instancelist/doc.go
@@ -0,0 +1,3 @@
+// Package instancelist reads the platform's lagging list of live and leaving
+// instances.
+package instancelist
--- /dev/null
+++ b/internal/importrule/doc.go
@@ -0,0 +1,2 @@
+// Package importrule holds the test that keeps decisions apart from peers.
+package importrule
--- /dev/null
+++ b/internal/importrule/importrule_test.go
@@ -0,0 +1,80 @@
+package importrule
+
+import (
+	"go/build"
+	"slices"
+	"strings"
+	"testing"
+)
+
+const module = "github.com/mulberrydrum/mulberrydrum/"
+
+// decisionPackages may not talk to anything or read a clock.
+var decisionPackages = []string{
+	"task", "errkind", "timeline", "oracle", "document", "keyring", "membership",
+	"ownership", "allowance", "ledger", "queue", "fairshare", "placement",
+	"quarantine", "control",
+}
+
+// peerPackages own the encoding towards one peer each.
+var peerPackages = []string{
+	"caller", "operator", "worker", "store", "instancelist", "entry", "client",
+}
+
+// TestDecisionPackagesImportNoPeer guards against a decision that depends on
+// an encoding or a connection, which could then not be tested alone.
+func TestDecisionPackagesImportNoPeer(t *testing.T) {
+	for _, name := range decisionPackages {
+		pkg, err := build.ImportDir("../../"+name, 0)
+		if _, missing := err.(*build.NoGoError); missing || strings.Contains(errText(err), "cannot find package") {
+			t.Errorf("decision package %s does not exist", name)
+			continue
+		}
+		if err != nil {
+			t.Errorf("read package %s: %v", name, err)
+			continue
+		}
+		for _, imported := range pkg.Imports {
+			if !isAllowedInDecision(imported) {
+				t.Errorf("decision package %s imports %s", name, imported)
+			}
+		}
+	}
+}
+
+func isAllowedInDecision(imported string) bool {
+	if local, ok := strings.CutPrefix(imported, module); ok {
+		return slices.Contains(decisionPackages, local)
+	}
+	for _, banned := range []string{"net", "os", "google.golang.org/", "syscall", "math/rand", "log"} {
+		if imported == banned || strings.HasPrefix(imported, strings.TrimSuffix(banned, "/")+"/") {
+			return imported == "math/rand/v2"
+		}
+	}
+	return true
+}
+
+// TestPeerPackagesImportNoOtherPeer guards against one peer's encoding leaking
+// into another peer's package.
+func TestPeerPackagesImportNoOtherPeer(t *testing.T) {
+	for _, name := range peerPackages {
+		pkg, err := build.ImportDir("../../"+name, 0)
+		if err != nil {
+			t.Errorf("read package %s: %v", name, err)
+			continue
+		}
+		for _, imported := range pkg.Imports {
+			local, ok := strings.CutPrefix(imported, module)
+			if ok && slices.Contains(peerPackages, local) {
+				t.Errorf("peer package %s imports peer package %s", name, local)
+			}
+		}
+	}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/quarantine/doc.go
@@ -0,0 +1,2 @@
+// Package quarantine tells bad workers from bad work by who fails where.
+package quarantine
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,3 @@
+// Package settings reads and checks the settings of a daemon, written in JSON
+// with comments.
+package settings
--- /dev/null
+++ b/timeline/event.go
@@ -0,0 +1,103 @@
+// Package timeline records what a process does as typed events in a bounded
+// ring and merges the rings of all processes into one order. It is what
+// operators read and the trace on which the oracle checks the invariants.
+package timeline
+
+import (
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// Type names what happened.
+type Type string
+
+// The types of events.
+const (
+	RequestAccepted   Type = "request_accepted"
+	RequestRefused    Type = "request_refused"
+	RequestAnswered   Type = "request_answered"
+	IntentCommitted   Type = "intent_committed"
+	TaskPlaced        Type = "task_placed" // sent to the owner of a partition
+	TaskQueued        Type = "task_queued"
+	TaskReserved      Type = "task_reserved"
+	TaskStartSent     Type = "task_start_sent"
+	TaskStarted       Type = "task_started"
+	TaskStartUnclear  Type = "task_start_unclear"
+	TaskNotRun        Type = "task_not_run"
+	TaskFinished      Type = "task_finished"
+	TaskStopped       Type = "task_stopped"
+	TaskCheckpointed  Type = "task_checkpointed"
+	TaskUnknown       Type = "task_unknown"
+	AnswerDropped     Type = "answer_dropped" // late or crossed, matched no attempt
+	OwnershipTaken    Type = "ownership_taken"
+	OwnershipLost     Type = "ownership_lost"
+	OwnershipReleased Type = "ownership_released"
+	PromiseGiven      Type = "promise_given"
+	AllowanceChanged  Type = "allowance_changed"
+	LimitInForce      Type = "limit_in_force"
+	KeyGranted        Type = "key_granted"
+	KeyWithdrawn      Type = "key_withdrawn"
+	KeyRefused        Type = "key_refused"
+	ConfigInForce     Type = "config_in_force"
+	WorkerLeaving     Type = "worker_leaving"
+	WorkerLost        Type = "worker_lost"
+	WorkerSetAside    Type = "worker_set_aside"
+	StoreDown         Type = "store_down"
+	StoreUp           Type = "store_up"
+	DrainStarted      Type = "drain_started"
+	ProcessStarted    Type = "process_started"
+	ProcessStopped    Type = "process_stopped"
+)
+
+// Event is one entry of a time line. Fields that do not apply are empty.
+type Event struct {
+	Instance    string          `json:"instance"`
+	Incarnation string          `json:"incarnation"`
+	Sequence    uint64          `json:"sequence"` // per incarnation, from 1, without gaps
+	Clock       Clock           `json:"clock"`
+	Type        Type            `json:"type"`
+	Team        task.Team       `json:"team,omitempty"`
+	Task        task.ID         `json:"task,omitempty"`
+	Attempt     uint32          `json:"attempt,omitempty"`
+	Worker      string          `json:"worker,omitempty"`
+	Partition   string          `json:"partition,omitempty"` // worker partition or request shard
+	Epoch       uint64          `json:"epoch,omitempty"`
+	Revision    int64           `json:"revision,omitempty"` // of the configuration
+	KeyID       string          `json:"key_id,omitempty"`
+	Kind        string          `json:"kind,omitempty"` // error kind, fate or kind of work
+	Size        *task.Resources `json:"size,omitempty"`
+	Detail      string          `json:"detail,omitempty"`
+}
+
+// Clock is a reading of a hybrid logical clock: wall time that never goes back
+// in one process, and a counter that orders events within one reading.
+type Clock struct {
+	Wall    time.Time `json:"wall"`
+	Logical uint32    `json:"logical"`
+}
+
+// Before reports whether c comes before o.
+func (c Clock) Before(o Clock) bool {
+	if !c.Wall.Equal(o.Wall) {
+		return c.Wall.Before(o.Wall)
+	}
+	return c.Logical < o.Logical
+}
+
+// Tick returns the reading that follows c at wall time now.
+func (c Clock) Tick(now time.Time) Clock {
+	if now.After(c.Wall) {
+		return Clock{Wall: now}
+	}
+	return Clock{Wall: c.Wall, Logical: c.Logical + 1}
+}
+
+// Receive returns the reading after a message that carries the reading o.
+func (c Clock) Receive(now time.Time, o Clock) Clock {
+	latest := c
+	if latest.Before(o) {
+		latest = o
+	}
+	return latest.Tick(now)
+}
