--- /dev/null
+++ b/control/home.go
@@ -0,0 +1,243 @@
+package control
+
+import (
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/ledger"
+	"github.com/mulberrydrum/mulberrydrum/membership"
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/timeline"
+)
+
+// home is the part of the state that answers for the jobs of its request shards.
+type home struct {
+	*outbox
+	cfg     *Config
+	ledger  *ledger.Ledger
+	routing *routing
+	chooser *chooser
+
+	calls   map[uint64]*jobCall           // waiting calls by token
+	waiters map[ledger.JobKey][]uint64    // tokens that wait for the end of a job
+	open    map[task.Attempt]*openAttempt // dispatched attempts without an end
+	idle    map[taskRef]*idleTask         // tasks that wait to be dispatched
+	batches map[string][]Placement        // to be sent at the end of this Apply, by partition
+	reports map[uint64]*reportCall        // reports that wait for a commit
+	nextID  uint64
+}
+
+// taskRef names one task of a job.
+type taskRef struct {
+	job   ledger.JobKey
+	index int
+}
+
+// jobCall is a caller that waits for a reply about a job.
+type jobCall struct {
+	job   ledger.JobKey
+	until time.Time // when to reply even if the job is not final; zero replies as soon as it is accepted
+}
+
+// openAttempt is an attempt that was sent, or is about to be sent, to an owner.
+type openAttempt struct {
+	ref       taskRef
+	partition string
+	phase     openPhase
+	askAt     time.Time // when to look the attempt up
+	asking    bool
+	deadline  time.Time // when to give up waiting for an answer; zero for none
+}
+
+type openPhase uint8
+
+const (
+	openCommitting openPhase = iota // the intent is not in the store yet
+	openSending                     // the placement is on its way
+	openPlaced                      // the owner has it
+	openUnclear                     // the owner may have it
+)
+
+// idleTask is a task without an open attempt.
+type idleTask struct {
+	tryAt time.Time
+	tries int
+	avoid []string // partitions that refused it
+}
+
+// reportCall is a report of an owner, of which some parts wait for a commit.
+type reportCall struct {
+	token    uint64
+	waiting  int
+	recorded []bool
+}
+
+func (h *home) shardOf(job ledger.JobKey) string { return ShardOf(job, h.cfg.RequestShards) }
+
+// submit accepts a job, or finds the earlier submission with the same key.
+func (h *home) submit(token uint64, req SubmitRequest) {
+	job := ledger.JobKey{Team: req.Spec.Team, Key: req.Spec.IdempotencyKey}
+	step := ledger.Step{Kind: ledger.StepAccepted, Job: job, Token: token}
+	record, isNew, err := h.ledger.Submit(h.shardOf(job), req.Spec, step)
+	if err != nil {
+		h.event(timeline.Event{Type: timeline.RequestRefused, Team: job.Team, Kind: string(err.Kind), Detail: job.Key})
+		h.reply(token, JobReply{Err: err})
+		return
+	}
+	h.calls[token] = &jobCall{job: job, until: h.now.Add(req.Wait)}
+	isDurable := req.Spec.Kind.IsDurable()
+	if isNew {
+		h.dispatchAll(job, record)
+	}
+	if !isDurable || (!isNew && !h.ledger.HasPending(h.shardOf(job))) {
+		if isNew {
+			h.event(timeline.Event{Type: timeline.RequestAccepted, Team: job.Team, Task: record.Tasks[0].ID, Kind: string(req.Spec.Kind)})
+		}
+		h.answerOrWait(token, record)
+	}
+}
+
+// query answers a call about a job that was submitted before.
+func (h *home) query(token uint64, req QueryRequest) {
+	shard := h.shardOf(req.Job)
+	if !h.ledger.IsActive(shard) {
+		h.reply(token, JobReply{Err: errkind.New(errkind.NoOwner, "shard %s has no active home here", shard).WithFate(errkind.FateUnknown)})
+		return
+	}
+	record, ok := h.ledger.Find(shard, req.Job)
+	if !ok {
+		h.reply(token, JobReply{Err: errkind.New(errkind.UnknownTask, "no job %s is recorded", req.Job)})
+		return
+	}
+	h.calls[token] = &jobCall{job: req.Job}
+	switch req.Op {
+	case QueryCancel:
+		h.cancel(token, req.Job)
+	case QueryWait:
+		h.calls[token].until = h.now.Add(req.Wait)
+		h.answerOrWait(token, record)
+	default:
+		h.answerOrWait(token, record)
+	}
+}
+
+// answerOrWait replies if the job is final or the caller does not wait.
+func (h *home) answerOrWait(token uint64, record *ledger.Record) {
+	call, ok := h.calls[token]
+	if !ok {
+		return
+	}
+	if record.IsFinal() || !h.now.Before(call.until) {
+		delete(h.calls, token)
+		h.answer(token, record)
+		return
+	}
+	h.waiters[call.job] = append(h.waiters[call.job], token)
+}
+
+func (h *home) answer(token uint64, record *ledger.Record) {
+	c := record.Clone()
+	h.reply(token, JobReply{Record: &c})
+}
+
+// cancel stops every task of a job that is not final.
+func (h *home) cancel(token uint64, job ledger.JobKey) {
+	shard := h.shardOf(job)
+	step := ledger.Step{Kind: ledger.StepAccepted, Job: job, Token: token}
+	open, waits, _ := h.ledger.Cancel(h.now, shard, job, step)
+	record, _ := h.ledger.Find(shard, job)
+	for i := range record.Tasks {
+		delete(h.idle, taskRef{job, i})
+	}
+	h.withdraw(job, record, open, errkind.Cancelled)
+	if !waits {
+		h.settle(job)
+		h.answerOrWait(token, record)
+	}
+}
+
+// withdraw asks the owners to take back or stop the open attempts of a job.
+func (h *home) withdraw(job ledger.JobKey, record *ledger.Record, indexes []int, reason errkind.Kind) {
+	byPartition := map[string][]task.Attempt{}
+	var order []string
+	for _, i := range indexes {
+		partition := record.Tasks[i].Partition
+		if _, seen := byPartition[partition]; !seen {
+			order = append(order, partition)
+		}
+		byPartition[partition] = append(byPartition[partition], record.AttemptOf(i))
+	}
+	for _, partition := range order {
+		if owner, _, ok := h.routing.ownerOf(partition); ok {
+			h.send(owner, WithdrawRequest{Attempts: byPartition[partition], Reason: reason})
+		}
+	}
+}
+
+// withdrawDone applies the attempts that an owner took back. A withdrawal that
+// failed is repeated when the attempt is looked up.
+func (h *home) withdrawDone(req WithdrawRequest, reply PeerReply, err error) {
+	if err != nil {
+		for _, a := range req.Attempts {
+			if o, ok := h.open[a]; ok {
+				o.phase = openUnclear
+				o.askAt = h.now.Add(h.cfg.RetryInterval)
+			}
+		}
+		return
+	}
+	for _, a := range reply.(WithdrawReply).NotRun {
+		h.finish(a, task.Outcome{Attempt: a, State: task.NotRun, Reason: string(req.Reason)}, 0)
+	}
+}
+
+// settle replies to every caller that waits for a job, if the job is final.
+func (h *home) settle(job ledger.JobKey) {
+	record, ok := h.ledger.Find(h.shardOf(job), job)
+	if !ok || !record.IsFinal() {
+		return
+	}
+	for _, token := range h.waiters[job] {
+		if _, waiting := h.calls[token]; waiting {
+			delete(h.calls, token)
+			h.answer(token, record)
+		}
+	}
+	delete(h.waiters, job)
+	h.event(timeline.Event{Type: timeline.RequestAnswered, Team: job.Team, Task: record.Tasks[0].ID, Kind: string(record.State())})
+	if !record.Spec.Kind.IsDurable() && record.State() == task.NotRun {
+		h.ledger.Forget(h.shardOf(job), job)
+	}
+}
+
+// forget drops a call whose caller has gone.
+func (h *home) forget(token uint64) { delete(h.calls, token) }
+
+// step continues work that waited for a commit.
+func (h *home) step(s ledger.Step) {
+	shard := h.shardOf(s.Job)
+	record, ok := h.ledger.Find(shard, s.Job)
+	if !ok {
+		return
+	}
+	switch s.Kind {
+	case ledger.StepAccepted:
+		h.event(timeline.Event{Type: timeline.RequestAccepted, Team: s.Job.Team, Task: record.Tasks[0].ID, Kind: string(record.Spec.Kind)})
+		h.settle(s.Job)
+		h.answerOrWait(s.Token, record)
+	case ledger.StepDispatch:
+		h.place(s.Job, record, s.Index)
+	case ledger.StepPermitted:
+		h.event(timeline.Event{Type: timeline.IntentCommitted, Team: s.Job.Team, Task: record.Tasks[s.Index].ID,
+			Attempt: record.Tasks[s.Index].Attempt, Worker: record.Tasks[s.Index].Worker})
+		h.reply(s.Token, PermitReply{Granted: !record.Cancelled})
+	case ledger.StepFinished:
+		h.settle(s.Job)
+		h.recorded(s.Token)
+	}
+}
+
+// send makes a call to another instance or to this one.
+func (h *home) send(to membership.Member, req PeerRequest) {
+	h.emit(Send{To: to, Request: req, Timeout: h.cfg.CallTimeout, SentAt: h.now})
+}
--- /dev/null
+++ b/control/peer.go
@@ -0,0 +1,224 @@
+package control
+
+import (
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/ledger"
+	"github.com/mulberrydrum/mulberrydrum/ownership"
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/timeline"
+)
+
+// PeerRequest is a message from one entry instance to another. Package entry
+// encodes it.
+type PeerRequest interface{ peerRequest() }
+
+// PeerReply answers a PeerRequest.
+type PeerReply interface{ peerReply() }
+
+// SubmitRequest asks the home of a job to accept it. Wait asks for the reply
+// when the job is final or its deadline has passed.
+type SubmitRequest struct {
+	Spec task.Spec
+	Wait time.Duration
+}
+
+// QueryOp is what a QueryRequest asks for.
+type QueryOp uint8
+
+// The operations on a known job.
+const (
+	QueryStatus QueryOp = iota
+	QueryWait
+	QueryCancel
+)
+
+// QueryRequest asks the home about a job that was submitted.
+type QueryRequest struct {
+	Op   QueryOp
+	Job  ledger.JobKey
+	Wait time.Duration
+}
+
+// JobReply is the state of a job, or why there is none.
+type JobReply struct {
+	Record *ledger.Record
+	Err    *errkind.Error
+}
+
+// Placement is one task sent to the owner of a partition.
+type Placement struct {
+	Attempt   task.Attempt
+	Job       ledger.JobKey
+	Index     int
+	Partition string
+	Epoch     uint64        // of the partition's owner as the home knows it
+	Age       time.Duration // since the job was submitted
+	Gang      int           // tasks that start together; 1 for none
+	Spec      task.Spec
+}
+
+// PlaceRequest asks the owner of partitions to run tasks.
+type PlaceRequest struct{ Placements []Placement }
+
+// PlaceReply says for each placement whether it waits at the owner. A nil entry
+// means that it does; otherwise the attempt was not run and will not be.
+type PlaceReply struct{ Refusals []*errkind.Error }
+
+// WithdrawRequest asks an owner to take back or stop attempts.
+type WithdrawRequest struct {
+	Attempts []task.Attempt
+	Reason   errkind.Kind
+}
+
+// WithdrawReply lists the attempts that were taken back and are proved not run.
+// The others end with a report.
+type WithdrawReply struct{ NotRun []task.Attempt }
+
+// LookupRequest asks the owner of a partition what became of attempts whose
+// fate the home does not know.
+type LookupRequest struct {
+	Partition string
+	Attempts  []LookupItem
+}
+
+// LookupItem is one attempt to look up.
+type LookupItem struct {
+	Attempt task.Attempt
+	Job     ledger.JobKey
+	Index   int
+	Once    bool   // may not be repeated
+	Worker  string // of at-most-once work that was permitted: the worker to ask
+	BootID  string // of that worker when the start was permitted
+}
+
+// LookupState is what an owner can say about an attempt.
+type LookupState uint8
+
+// The answers of a lookup.
+const (
+	LookupPending LookupState = iota // not known yet: ask again
+	LookupKnown                      // queued, running, or its end will be reported
+	LookupNotRun                     // proved not run, and will not run
+	LookupEnded                      // does not run any more; whether it ran is not known
+)
+
+// LookupReply answers for each attempt of the request.
+type LookupReply struct{ States []LookupState }
+
+// PermitRequest asks the home of at-most-once work whether an attempt may start
+// on a worker.
+type PermitRequest struct {
+	Attempt task.Attempt
+	Job     ledger.JobKey
+	Index   int
+	Worker  string
+	BootID  string // of the worker
+}
+
+// PermitReply says whether the start is recorded and may happen.
+type PermitReply struct{ Granted bool }
+
+// ReportRequest tells a home about its attempts.
+type ReportRequest struct{ Reports []AttemptReport }
+
+// AttemptReport is a start, if Outcome is nil, or the end of an attempt.
+type AttemptReport struct {
+	Attempt task.Attempt
+	Job     ledger.JobKey
+	Index   int
+	Worker  string
+	Outcome *task.Outcome
+}
+
+// ReportReply says for each report whether the home has recorded it. The owner
+// sends the others again.
+type ReportReply struct{ Recorded []bool }
+
+// PromiseRequest asks a successor not to take over units for a window.
+type PromiseRequest struct {
+	Owner    string // incarnation
+	Promisee ownership.Successor
+	Units    []PromiseUnit
+}
+
+// PromiseUnit is one partition or shard of a PromiseRequest.
+type PromiseUnit struct {
+	Unit  string
+	Epoch uint64
+}
+
+// PromiseReply says for each unit whether the promise is given.
+type PromiseReply struct {
+	From    ownership.Successor
+	Granted []bool
+}
+
+// DigestMessage is what instances tell each other at intervals.
+type DigestMessage struct {
+	Instance     string
+	Incarnation  string
+	Revision     int64         // highest configuration revision in force
+	StoreContact bool          // the store answered within the key freshness
+	Freshness    time.Duration // remaining freshness of keys
+	Partitions   []PartitionDigest
+	Usage        []TeamUsage
+	Wants        []task.Team // teams for which this owner lacks allowance
+	Clock        timeline.Clock
+}
+
+// PartitionDigest is the load of one partition.
+type PartitionDigest struct {
+	Partition string
+	Epoch     uint64
+	Free      task.Resources
+	Capacity  task.Resources
+	Queued    int
+	Ready     bool // its workers have reported since the owner took over
+}
+
+// TeamUsage is what a team runs at one owner.
+type TeamUsage struct {
+	Team task.Team
+	Size task.Resources
+}
+
+// FetchConfigRequest asks for the whole configuration that an instance holds.
+type FetchConfigRequest struct{}
+
+// FetchConfigReply is the configuration with the revision of each entry.
+type FetchConfigReply struct {
+	Revision int64
+	Entries  []ConfigEntry
+}
+
+// ConfigEntry is one key of the configuration below the watched prefix, as the
+// store holds it.
+type ConfigEntry struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	Deleted  bool
+}
+
+func (SubmitRequest) peerRequest()      {}
+func (QueryRequest) peerRequest()       {}
+func (PlaceRequest) peerRequest()       {}
+func (WithdrawRequest) peerRequest()    {}
+func (LookupRequest) peerRequest()      {}
+func (PermitRequest) peerRequest()      {}
+func (ReportRequest) peerRequest()      {}
+func (PromiseRequest) peerRequest()     {}
+func (DigestMessage) peerRequest()      {}
+func (FetchConfigRequest) peerRequest() {}
+
+func (JobReply) peerReply()         {}
+func (PlaceReply) peerReply()       {}
+func (WithdrawReply) peerReply()    {}
+func (LookupReply) peerReply()      {}
+func (PermitReply) peerReply()      {}
+func (ReportReply) peerReply()      {}
+func (PromiseReply) peerReply()     {}
+func (DigestMessage) peerReply()    {}
+func (FetchConfigReply) peerReply() {}
--- /dev/null
+++ b/control/routing.go
@@ -0,0 +1,128 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberrydrum/mulberrydrum/ledger"
+	"github.com/mulberrydrum/mulberrydrum/membership"
+	"github.com/mulberrydrum/mulberrydrum/ownership"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// ShardOf returns the name of the request shard of a job.
+func ShardOf(key ledger.JobKey, shards int) string {
+	hash := xxhash.New()
+	_, _ = hash.WriteString(string(key.Team))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.WriteString(key.Key)
+	return fmt.Sprintf("h/%d", hash.Sum64()%uint64(shards))
+}
+
+// PartitionOf returns the name of the worker partition of a rack.
+func PartitionOf(region, rack string, partitions int) string {
+	return fmt.Sprintf("w/%s/%d", region, xxhash.Sum64String(rack)%uint64(partitions))
+}
+
+// RegionOf returns the region of a worker partition.
+func RegionOf(partition string) string {
+	rest := partition[len("w/"):]
+	for i := len(rest) - 1; i >= 0; i-- {
+		if rest[i] == '/' {
+			return rest[:i]
+		}
+	}
+	return rest
+}
+
+// unitsOf returns the names of all worker partitions and request shards.
+func unitsOf(cfg *Config) (partitions, shards []string) {
+	for _, region := range cfg.Regions {
+		for n := range cfg.PartitionsPerRegion {
+			partitions = append(partitions, fmt.Sprintf("w/%s/%d", region, n))
+		}
+	}
+	for n := range cfg.RequestShards {
+		shards = append(shards, fmt.Sprintf("h/%d", n))
+	}
+	return partitions, shards
+}
+
+// routing is what this instance knows of the others: members, ownership
+// records and load.
+type routing struct {
+	members    map[string]membership.Member // by incarnation
+	records    map[string]ownership.Record  // by unit
+	digests    map[string]receivedDigest    // by instance
+	partitions map[string]partitionLoad
+}
+
+type receivedDigest struct {
+	message    DigestMessage
+	receivedAt time.Time
+}
+
+type partitionLoad struct {
+	digest     PartitionDigest
+	receivedAt time.Time
+}
+
+func newRouting() *routing {
+	return &routing{
+		members:    map[string]membership.Member{},
+		records:    map[string]ownership.Record{},
+		digests:    map[string]receivedDigest{},
+		partitions: map[string]partitionLoad{},
+	}
+}
+
+// ownerOf returns the recorded owner of a unit, if it is a known member.
+func (r *routing) ownerOf(unit string) (m membership.Member, epoch uint64, ok bool) {
+	record, ok := r.records[unit]
+	if !ok {
+		return membership.Member{}, 0, false
+	}
+	m, ok = r.members[record.Owner]
+	return m, record.Epoch, ok
+}
+
+func (r *routing) memberList() []membership.Member {
+	list := make([]membership.Member, 0, len(r.members))
+	for _, m := range r.members {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b membership.Member) int {
+		if a.Incarnation < b.Incarnation {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// observeDigest keeps the latest digest of an instance. A digest of a former
+// epoch does not replace that of a later one.
+func (r *routing) observeDigest(now time.Time, d DigestMessage) {
+	r.digests[d.Instance] = receivedDigest{message: d, receivedAt: now}
+	for _, p := range d.Partitions {
+		if known, ok := r.partitions[p.Partition]; ok && known.digest.Epoch > p.Epoch {
+			continue
+		}
+		r.partitions[p.Partition] = partitionLoad{digest: p, receivedAt: now}
+	}
+}
+
+// charge lowers the known free resources of a partition by what was just sent
+// there, so that a burst between two digests is spread.
+func (r *routing) charge(partition string, size task.Resources) {
+	load, ok := r.partitions[partition]
+	if !ok {
+		return
+	}
+	load.digest.Free = load.digest.Free.Sub(size)
+	load.digest.Queued++
+	r.partitions[partition] = load
+}
--- /dev/null
+++ b/control/schedule.go
@@ -0,0 +1,212 @@
+package control
+
+import (
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/placement"
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/timeline"
+)
+
+// lookAhead is how many waiting tasks of a team are tried when the first ones
+// do not fit. It lets small work pass a large task without a search of the
+// whole queue.
+const lookAhead = 8
+
+// schedule starts what can be started, neediest team first, until nothing more
+// fits.
+func (w *owner) schedule() {
+	w.expireQueued()
+	teams := w.queues.Teams()
+	for len(teams) > 0 {
+		w.shares.Order(w.now, teams)
+		placed := false
+		for i := 0; i < len(teams); {
+			if w.startNext(teams[i]) {
+				placed = true
+				break
+			}
+			teams = append(teams[:i], teams[i+1:]...)
+		}
+		if !placed {
+			return
+		}
+	}
+}
+
+// startNext starts the first waiting task of a team that fits. It reports
+// whether one was started.
+func (w *owner) startNext(team task.Team) bool {
+	for skip := range lookAhead {
+		entry := w.queues.Next(w.now, team, skip)
+		if entry == nil {
+			return false
+		}
+		a, ok := w.attempts[entry.Attempt]
+		if !ok {
+			w.queues.Remove(entry.Attempt)
+			return true
+		}
+		if a.placement.Gang > 1 {
+			if w.startGang(a) {
+				return true
+			}
+			continue
+		}
+		if worker, found := w.find(a); found && w.reserve(a, worker) {
+			w.begin(a)
+			return true
+		}
+	}
+	return false
+}
+
+func (w *owner) request(a *attempt) placement.Request {
+	req := placement.Request{Size: a.size, Partition: a.partition, Avoid: w.quarant.Avoid(a.class)}
+	if a.placement.Spec.Kind == task.LongLived {
+		req.SpreadKey = string(a.team) + "/" + string(a.placement.Spec.Service)
+	}
+	return req
+}
+
+// find returns a worker on which an attempt may be started now.
+func (w *owner) find(a *attempt) (string, bool) {
+	if !w.mayStart(a.partition) {
+		return "", false
+	}
+	return w.cluster.Find(w.request(a))
+}
+
+// mayStart reports whether this instance holds a partition and knows what all of
+// its workers run, without which the teams' limits could be exceeded.
+func (w *owner) mayStart(name string) bool {
+	part, ok := w.partitions[name]
+	if !ok || !part.ready {
+		return false
+	}
+	epoch, holds := w.holds(name)
+	return holds && epoch == part.epoch
+}
+
+// reserve takes allowance and room on a worker for an attempt, or neither.
+func (w *owner) reserve(a *attempt, worker string) bool {
+	if !w.allow.Acquire(w.now, a.team, a.partition, a.size) {
+		return false
+	}
+	if !w.cluster.Reserve(worker, a.id, a.size) {
+		w.allow.Return(w.now, a.team, a.partition, a.size)
+		return false
+	}
+	w.shares.Start(w.now, a.team, a.size)
+	a.worker = worker
+	w.event(timeline.Event{Type: timeline.TaskReserved, Team: a.team, Task: a.id.Task, Attempt: a.id.Number,
+		Worker: worker, Partition: a.partition, Epoch: w.epochOf(a.partition), Size: &a.size})
+	return true
+}
+
+// begin takes an attempt with a reservation out of its queue and starts it, or
+// asks its home for the permit first if it may not be repeated.
+func (w *owner) begin(a *attempt) {
+	w.queues.Remove(a.id)
+	w.queues.ObserveStart(w.now, a.team, a.placement.Age+w.now.Sub(a.queuedAt))
+	ws := w.workers[a.worker]
+	a.bootID = ws.bootID
+	if a.placement.Spec.Kind.MayRepeat() {
+		w.start(a, ws)
+		return
+	}
+	a.stage = stagePermit
+	a.lookupAt = w.now.Add(w.cfg.CallTimeout * 2)
+	w.askPermit(a)
+}
+
+func (w *owner) askPermit(a *attempt) {
+	home, _, ok := w.routing.ownerOf(ShardOf(a.job, w.cfg.RequestShards))
+	if !ok {
+		return
+	}
+	w.emit(Send{To: home, SentAt: w.now, Timeout: w.cfg.CallTimeout,
+		Request: PermitRequest{Attempt: a.id, Job: a.job, Index: a.index, Worker: a.worker, BootID: a.bootID}})
+}
+
+// permitDone starts at-most-once work whose worker is recorded. Without a clear
+// grant nothing is started: the attempt counts as not run.
+func (w *owner) permitDone(req PermitRequest, reply PeerReply, err error) {
+	a, ok := w.attempts[req.Attempt]
+	if !ok || a.stage != stagePermit {
+		return
+	}
+	ws := w.workers[a.worker]
+	if err == nil && reply.(PermitReply).Granted && ws != nil && ws.bootID == req.BootID && w.mayStart(a.partition) {
+		w.start(a, ws)
+		return
+	}
+	w.end(a, task.Outcome{State: task.NotRun, Reason: string(errkind.NoOwner)})
+	w.schedule()
+}
+
+// start sends an attempt to its worker. The validity is counted from the last
+// reading of the worker's clock, so that the message can never be accepted
+// later than this instance assumes.
+func (w *owner) start(a *attempt, ws *workerState) {
+	spec := &a.placement.Spec
+	a.stage = stageStarting
+	a.startedAt = w.now
+	a.startBy = ws.clock + w.now.Sub(ws.clockAt) + w.cfg.StartValidity
+	wait := w.cfg.CallTimeout / 2
+	if spec.Kind == task.Answer && !spec.Deadline.IsZero() {
+		wait = max(wait, spec.Deadline.Sub(w.now))
+	}
+	w.emit(StartTask{
+		Worker: a.worker, Address: ws.listed.Address, Partition: a.partition, Epoch: w.epochOf(a.partition),
+		Attempt: a.id, Job: a.job, Index: a.index, Team: a.team, Class: a.class, Size: a.size,
+		Command: spec.Command, Payload: spec.Payload, LongLived: spec.Kind == task.LongLived,
+		StartBy: a.startBy, LeaseUntil: ws.clock + w.cfg.TaskLease, Wait: wait,
+	})
+	w.event(timeline.Event{Type: timeline.TaskStartSent, Team: a.team, Task: a.id.Task, Attempt: a.id.Number,
+		Worker: a.worker, Partition: a.partition, Epoch: w.epochOf(a.partition), Size: &a.size, KeyID: spec.KeyID})
+}
+
+// startGang starts every member of a gang whose tasks have all arrived, or none.
+func (w *owner) startGang(a *attempt) bool {
+	members := w.gangOf(a)
+	if len(members) < a.placement.Gang || !w.mayStart(a.partition) {
+		return false
+	}
+	workers, ok := w.cluster.FindGang(w.request(a), len(members))
+	if !ok {
+		return false
+	}
+	for i, m := range members {
+		if !w.reserve(m, workers[i]) {
+			for _, reserved := range members[:i] {
+				w.release(reserved)
+				reserved.worker = ""
+			}
+			return false
+		}
+	}
+	for _, m := range members {
+		w.begin(m)
+	}
+	return true
+}
+
+// gangOf returns the waiting members of the gang of an attempt.
+func (w *owner) gangOf(a *attempt) []*attempt {
+	var members []*attempt
+	for _, m := range w.attempts {
+		if m.job == a.job && m.stage == stageQueued && m.partition == a.partition {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// expireQueued ends the waiting tasks whose deadline has passed.
+func (w *owner) expireQueued() {
+	for _, entry := range w.queues.Expired(w.now) {
+		if a, ok := w.attempts[entry.Attempt]; ok {
+			w.end(a, task.Outcome{State: task.NotRun, Reason: string(errkind.DeadlineExceeded)})
+		}
+	}
+}
--- /dev/null
+++ b/ledger/record.go
@@ -0,0 +1,112 @@
+package ledger
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// JobKey identifies a job: one submission of one team.
+type JobKey struct {
+	Team task.Team `json:"team"`
+	Key  string    `json:"key"` // idempotency key
+}
+
+// String returns team and idempotency key.
+func (k JobKey) String() string { return fmt.Sprintf("%s/%s", k.Team, k.Key) }
+
+// Record is what the home keeps of one job.
+type Record struct {
+	Spec       task.Spec    `json:"spec"`
+	Tasks      []TaskRecord `json:"tasks"`
+	Cancelled  bool         `json:"cancelled,omitempty"`
+	FinishedAt time.Time    `json:"finished_at,omitzero"` // wall clock; zero while a task is not final
+}
+
+// TaskRecord is the state of one task of a job.
+type TaskRecord struct {
+	ID        task.ID       `json:"id"`
+	State     task.State    `json:"state"`
+	Attempt   uint32        `json:"attempt"`             // latest attempt; 0 before the first
+	Partition string        `json:"partition,omitempty"` // where the latest attempt was sent
+	Worker    string        `json:"worker,omitempty"`    // of at-most-once work: the only worker that may have run it
+	BootID    string        `json:"boot_id,omitempty"`   // of that worker when the start was allowed
+	Permitted bool          `json:"permitted,omitempty"` // at-most-once work: the start was allowed
+	Outcome   *task.Outcome `json:"outcome,omitempty"`
+}
+
+// JobKey returns the identity of the job.
+func (r *Record) JobKey() JobKey { return JobKey{Team: r.Spec.Team, Key: r.Spec.IdempotencyKey} }
+
+// IsFinal reports whether every task of the job is final.
+func (r *Record) IsFinal() bool {
+	for i := range r.Tasks {
+		if !r.Tasks[i].State.IsFinal() {
+			return false
+		}
+	}
+	return true
+}
+
+// State returns the state of the job as a whole: that of its least advanced
+// task, or Unknown if any task is unknown.
+func (r *Record) State() task.State {
+	rank := map[task.State]int{task.Accepted: 0, task.Dispatched: 1, task.Running: 2, task.Unknown: 3, task.NotRun: 4, task.Finished: 5}
+	least := task.Finished
+	for i := range r.Tasks {
+		if rank[r.Tasks[i].State] < rank[least] {
+			least = r.Tasks[i].State
+		}
+	}
+	return least
+}
+
+// AttemptOf returns the latest attempt of task index.
+func (r *Record) AttemptOf(index int) task.Attempt {
+	t := &r.Tasks[index]
+	return task.Attempt{Task: t.ID, Number: t.Attempt}
+}
+
+// newRecord returns the record of a job none of whose tasks has an attempt. The
+// salt makes the task IDs of a memory-only job unique to this holder: a repeat
+// of such a job after its home was lost is another task.
+func newRecord(spec task.Spec, salt string) *Record {
+	r := &Record{Spec: spec, Tasks: make([]TaskRecord, max(1, spec.Count))}
+	for i := range r.Tasks {
+		id := fmt.Sprintf("%s/%s/%s/%d", spec.Team, spec.Service, spec.IdempotencyKey, i)
+		if !spec.Kind.IsDurable() {
+			id += "@" + salt
+		}
+		r.Tasks[i] = TaskRecord{ID: task.ID(id), State: task.Accepted}
+	}
+	return r
+}
+
+// ParseID returns the job and the index that a task ID was made of.
+func ParseID(id task.ID) (key JobKey, index int, ok bool) {
+	team, rest, found := strings.Cut(string(id), "/")
+	if !found {
+		return JobKey{}, 0, false
+	}
+	_, rest, found = strings.Cut(rest, "/")
+	last := strings.LastIndexByte(rest, '/')
+	if !found || last < 0 {
+		return JobKey{}, 0, false
+	}
+	number, _, _ := strings.Cut(rest[last+1:], "@")
+	index, err := strconv.Atoi(number)
+	if err != nil {
+		return JobKey{}, 0, false
+	}
+	return JobKey{Team: task.Team(team), Key: rest[:last]}, index, true
+}
+
+// Clone returns a deep copy that later changes of r do not reach.
+func (r *Record) Clone() Record {
+	c := *r
+	c.Tasks = append([]TaskRecord(nil), r.Tasks...)
+	return c
+}
--- /dev/null
+++ b/ledger/transition.go
@@ -0,0 +1,172 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// Dispatch gives a task its next attempt at a partition. For durable work the
+// attempt must not be sent before step is released; waits says so.
+func (l *Ledger) Dispatch(shardName string, key JobKey, index int, partition string, step Step) (a task.Attempt, waits, ok bool) {
+	s, r, t := l.task(shardName, key, index)
+	if t == nil || t.State != task.Accepted || r.Cancelled {
+		return task.Attempt{}, false, false
+	}
+	t.Attempt++
+	t.State = task.Dispatched
+	t.Partition = partition
+	t.Worker, t.BootID, t.Permitted = "", "", false
+	return r.AttemptOf(index), l.change(s, r, &step), true
+}
+
+// Permit records the one worker on which an at-most-once attempt may start.
+// It is refused if the attempt is not the latest, is already permitted
+// elsewhere, or was cancelled.
+func (l *Ledger) Permit(shardName string, key JobKey, index int, a task.Attempt, worker, bootID string, step Step) bool {
+	s, r, t := l.task(shardName, key, index)
+	if t == nil || r.Cancelled || t.State != task.Dispatched || r.AttemptOf(index) != a {
+		return false
+	}
+	if t.Permitted && (t.Worker != worker || t.BootID != bootID) {
+		return false
+	}
+	t.Worker, t.BootID, t.Permitted = worker, bootID, true
+	return l.change(s, r, &step)
+}
+
+// Started notes that an attempt runs on a worker. It is not stored: a new home
+// learns it again from the owner.
+func (l *Ledger) Started(shardName string, key JobKey, index int, a task.Attempt, worker string) bool {
+	_, r, t := l.task(shardName, key, index)
+	if t == nil || r.AttemptOf(index) != a || t.State != task.Dispatched {
+		return false
+	}
+	t.State = task.Running
+	t.Worker = worker
+	return true
+}
+
+// Verdict is what follows from the end of an attempt.
+type Verdict int
+
+// The verdicts.
+const (
+	Dropped Verdict = iota // matches no open attempt: late or crossed
+	Final                  // the task has its final state
+	Again                  // the task waits for another attempt
+)
+
+// Finish applies the end of an attempt. An outcome that matches no open attempt
+// is dropped. A late result of an attempt that was given up as unknown is still
+// accepted, since it tells the caller more than before.
+func (l *Ledger) Finish(now time.Time, shardName string, key JobKey, index int, o task.Outcome, step Step) (v Verdict, waits bool) {
+	s, r, t := l.task(shardName, key, index)
+	if t == nil || r.AttemptOf(index) != o.Attempt {
+		return Dropped, false
+	}
+	if t.State.IsFinal() && !(t.State == task.Unknown && o.State == task.Finished) {
+		return Dropped, false
+	}
+	if l.mayTryAgain(r, t, o) {
+		t.State = task.Accepted
+		t.Worker, t.BootID, t.Permitted = "", "", false
+		return Again, l.change(s, r, &step)
+	}
+	t.State = o.State
+	t.Worker = o.Worker
+	kept := o
+	t.Outcome = &kept
+	if r.IsFinal() {
+		r.FinishedAt = now
+	}
+	return Final, l.change(s, r, &step)
+}
+
+// mayTryAgain reports whether the end of an attempt leads to another one.
+func (l *Ledger) mayTryAgain(r *Record, t *TaskRecord, o task.Outcome) bool {
+	if r.Cancelled || t.State.IsFinal() {
+		return false
+	}
+	if r.Spec.Kind == task.LongLived {
+		return true
+	}
+	switch o.State {
+	case task.NotRun:
+		return !isDefinite(o.Reason) && (r.Spec.Kind.IsDurable() || t.Attempt < maxAnswerAttempts)
+	case task.Unknown:
+		return r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRepeat()
+	case task.Finished:
+		// Stopped by us because another member of its gang was lost.
+		return o.Reason == string(errkind.WorkerLost) && r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRepeat()
+	default:
+		return false
+	}
+}
+
+// maxAnswerAttempts bounds how often an answer that was not run is sent to
+// another partition before its caller is told.
+const maxAnswerAttempts = 3
+
+// isDefinite reports whether a task that was not run for this reason would not
+// be run by another attempt either.
+func isDefinite(reason string) bool {
+	switch errkind.Kind(reason) {
+	case errkind.DeadlineExceeded, errkind.KeyWithdrawn, errkind.Cancelled, errkind.NeverFits:
+		return true
+	default:
+		return false
+	}
+}
+
+// Cancel marks a job as cancelled. Tasks without an open attempt become NotRun
+// at once; the indexes of the others are returned, so that their owners are told.
+func (l *Ledger) Cancel(now time.Time, shardName string, key JobKey, step Step) (open []int, waits, ok bool) {
+	s, r, _ := l.task(shardName, key, 0)
+	if r == nil {
+		return nil, false, false
+	}
+	if r.IsFinal() {
+		return nil, false, true
+	}
+	r.Cancelled = true
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		switch {
+		case t.State == task.Accepted:
+			t.State = task.NotRun
+			t.Outcome = &task.Outcome{Attempt: r.AttemptOf(i), State: task.NotRun, Reason: string(errkind.Cancelled)}
+		case !t.State.IsFinal():
+			open = append(open, i)
+		}
+	}
+	if r.IsFinal() {
+		r.FinishedAt = now
+	}
+	return open, l.change(s, r, &step), true
+}
+
+// Forget removes the record of a memory-only job that was not run, so that a
+// repeat is tried afresh.
+func (l *Ledger) Forget(shardName string, key JobKey) {
+	s, ok := l.shards[shardName]
+	if !ok {
+		return
+	}
+	if r, found := s.records[key]; found && !r.Spec.Kind.IsDurable() {
+		delete(s.records, key)
+	}
+}
+
+func (l *Ledger) task(shardName string, key JobKey, index int) (*shard, *Record, *TaskRecord) {
+	s, ok := l.shards[shardName]
+	if !ok || s.phase != active {
+		return nil, nil, nil
+	}
+	r, ok := s.records[key]
+	if !ok || index < 0 || index >= len(r.Tasks) {
+		return nil, nil, nil
+	}
+	return s, r, &r.Tasks[index]
+}
