Add the store client, the instance list and their stand-ins

Usable by other processes from this commit on: get, list, commit, grant, keep alive, revoke and watch through store.Client against `standin store`, the list through instancelist.Client against `standin list`, and storetest.Memory for tests without a network.

Cause: every other part needs a store to run against.

Decisions: the state machine stands once, in storetest.Machine; Memory and the HTTP stand-in both use it. An unavailable reply proves "no effect" only with the message that the store sends before it proposes anything, since it uses the same status for proposals that timed out. A watch batch takes its revision from its events, because the header of a message may already be ahead of them.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,5 @@
-// Command standin is described in docs/design.md.
+// Command standin runs one of the stand-ins for the platform: its store or its
+// instance list. Faults are switched over HTTP while it runs.
 package main
 
 import (
@@ -8,6 +9,8 @@
 )
 
 type commands struct {
+	Store   storeCommand   `cmd:"" help:"Run the stand-in for the platform's store."`
+	List    listCommand    `cmd:"" help:"Run the stand-in for the instance list."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/instancelist/instancelist.go
@@ -0,0 +1,53 @@
+package instancelist
+
+import (
+	"context"
+	"errors"
+)
+
+// Role says what runs on an instance.
+type Role string
+
+// The roles.
+const (
+	RoleEntry  Role = "entry"
+	RoleWorker Role = "worker"
+)
+
+// State is the state of an instance as the platform shows it, with a lag.
+type State string
+
+// The states.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving" // planned to stop; gets no new work
+	StateGone    State = "gone"
+)
+
+// Instance is one machine of the deployment.
+type Instance struct {
+	Name          string `json:"name"`
+	Address       string `json:"address"` // numeric IP address and port
+	Role          Role   `json:"role"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	Rack          string `json:"rack"`
+	State         State  `json:"state"`
+}
+
+// Reply is the body of the reply to GET PathInstances.
+type Reply struct {
+	Instances []Instance `json:"instances"`
+}
+
+// PathInstances is where the platform serves its list.
+const PathInstances = "/v1/instances"
+
+// ErrUnavailable says that the list could not be read. Reading has no effect,
+// so that every failure is the same to the caller.
+var ErrUnavailable = errors.New("instance list unavailable")
+
+// Lister reads the list. The list lags behind the truth.
+type Lister interface {
+	List(ctx context.Context) ([]Instance, error)
+}
--- /dev/null
+++ b/standin/fault/fault.go
@@ -0,0 +1,168 @@
+// Package fault holds the table of fault switches that every stand-in consults
+// once for each call. Tests and the demo set it; over HTTP the stand-ins do so
+// for them.
+package fault
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Kind names what goes wrong.
+type Kind string
+
+// The kinds of faults.
+const (
+	Down        Kind = "down"         // the call is refused at once and not executed
+	Unreachable Kind = "unreachable"  // the call is accepted, never executed and never answered
+	Slow        Kind = "slow"         // the call is executed after a delay
+	ReplyLost   Kind = "reply_lost"   // the call is executed and the connection closed without a reply
+	SilentWatch Kind = "silent_watch" // the watch stays open and delivers nothing
+)
+
+// Kinds lists every kind.
+var Kinds = []Kind{Down, Unreachable, Slow, ReplyLost, SilentWatch}
+
+// CallWatch is the kind of call that a silent watch concerns.
+const CallWatch = "watch"
+
+// Fault is one switch. A zero field does not restrict it.
+type Fault struct {
+	Kind     Kind   `json:"kind"`
+	Call     string `json:"call,omitempty"`     // kind of call
+	Instance string `json:"instance,omitempty"` // calling instance
+	Count    int    `json:"count,omitempty"`    // for this number of calls only
+	DelayMS  int64  `json:"delay_ms,omitempty"` // of Slow
+}
+
+func (f Fault) matches(call, instance string) bool {
+	if f.Kind == SilentWatch && call != CallWatch {
+		return false
+	}
+	return (f.Call == "" || f.Call == call) && (f.Instance == "" || f.Instance == instance)
+}
+
+// Effect is what all matching faults together do to one call.
+type Effect struct {
+	Down        bool
+	Unreachable bool
+	Delay       time.Duration
+	ReplyLost   bool
+	Silent      bool
+}
+
+func (e *Effect) add(f Fault) {
+	switch f.Kind {
+	case Down:
+		e.Down = true
+	case Unreachable:
+		e.Unreachable = true
+	case Slow:
+		e.Delay += time.Duration(f.DelayMS) * time.Millisecond
+	case ReplyLost:
+		e.ReplyLost = true
+	case SilentWatch:
+		e.Silent = true
+	}
+}
+
+// Table is a set of faults and counts the calls. It is safe for concurrent use.
+type Table struct {
+	mu       sync.Mutex
+	faults   []Fault
+	received map[string]int64
+	changed  chan struct{} // closed and replaced by Set
+}
+
+// NewTable returns a table without faults.
+func NewTable() *Table {
+	return &Table{received: map[string]int64{}, changed: make(chan struct{})}
+}
+
+// Set replaces all faults. It changes nothing if one of them is invalid.
+func (t *Table) Set(faults ...Fault) error {
+	for i, f := range faults {
+		if err := check(f); err != nil {
+			return fmt.Errorf("fault %d: %w", i, err)
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = slices.Clone(faults)
+	close(t.changed)
+	t.changed = make(chan struct{})
+	return nil
+}
+
+func check(f Fault) error {
+	switch {
+	case !slices.Contains(Kinds, f.Kind):
+		return fmt.Errorf("unknown kind %q, known: %v", f.Kind, Kinds)
+	case f.Count < 0:
+		return fmt.Errorf("count is %d, less than 0", f.Count)
+	case f.Kind == Slow && f.DelayMS <= 0:
+		return fmt.Errorf("kind %q needs delay_ms above 0", f.Kind)
+	case f.Kind != Slow && f.DelayMS != 0:
+		return fmt.Errorf("kind %q takes no delay_ms", f.Kind)
+	case f.Kind == SilentWatch && f.Call != "" && f.Call != CallWatch:
+		return fmt.Errorf("kind %q concerns call %q, not %q", f.Kind, CallWatch, f.Call)
+	}
+	return nil
+}
+
+// Faults returns the faults that are set.
+func (t *Table) Faults() []Fault {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.faults)
+}
+
+// Take counts a call and returns what happens to it. Faults with a count lose
+// one, and disappear with the last.
+func (t *Table) Take(call, instance string) Effect {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.received[call]++
+	var effect Effect
+	kept := t.faults[:0]
+	for _, f := range t.faults {
+		if !f.matches(call, instance) {
+			kept = append(kept, f)
+			continue
+		}
+		effect.add(f)
+		if f.Count != 1 {
+			f.Count = max(0, f.Count-1)
+			kept = append(kept, f)
+		}
+	}
+	t.faults = kept
+	return effect
+}
+
+// Standing returns what the faults without a count do to a call that is open,
+// and a channel that is closed when the faults change.
+func (t *Table) Standing(call, instance string) (Effect, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var effect Effect
+	for _, f := range t.faults {
+		if f.Count == 0 && f.matches(call, instance) {
+			effect.add(f)
+		}
+	}
+	return effect, t.changed
+}
+
+// Received returns the number of calls by kind, whatever became of them.
+func (t *Table) Received() map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := make(map[string]int64, len(t.received))
+	for call, n := range t.received {
+		counts[call] = n
+	}
+	return counts
+}
--- /dev/null
+++ b/store/classify.go
@@ -0,0 +1,60 @@
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/mulberrydrum/mulberrydrum/store/wire"
+)
+
+// classifyTransportError decides whether a call without a reply may have had an
+// effect. Before a connection was obtained nothing can have been sent.
+func classifyTransportError(err error, connected bool) error {
+	if connected {
+		return fmt.Errorf("%w: %w", ErrUnclear, err)
+	}
+	return fmt.Errorf("%w: %w", ErrUnavailable, err)
+}
+
+// classifyReply turns a reply with a status other than 200 into an error.
+func classifyReply(response *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	if err != nil {
+		return fmt.Errorf("%w: status %d, read reply: %w", ErrUnclear, response.StatusCode, err)
+	}
+	var reply wire.ErrorReply
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return fmt.Errorf("%w: status %d without a reply of the gateway", ErrUnclear, response.StatusCode)
+	}
+	text := reply.Message
+	if text == "" {
+		text = reply.Error
+	}
+	return fmt.Errorf("%w: status %d: %s", classifyCode(reply.Code, text), response.StatusCode, text)
+}
+
+// classifyCode maps a gRPC status of the store to an error of this package.
+//
+// The code Unavailable alone proves nothing: the store also uses it for a
+// proposal that timed out or lost its leader, which may still be applied. Only
+// the message "no leader", sent before a proposal is made, proves that the call
+// had no effect. ResourceExhausted (too many requests, no space) is decided
+// before execution.
+func classifyCode(code int, message string) error {
+	switch {
+	case code == wire.CodeOutOfRange && message == wire.MessageCompacted:
+		return ErrCompacted
+	case code == wire.CodeNotFound && message == wire.MessageLeaseNotFound:
+		return ErrLeaseGone
+	case code == wire.CodeInvalidArgument:
+		return ErrRejected
+	case code == wire.CodeResourceExhausted:
+		return ErrUnavailable
+	case code == wire.CodeUnavailable && message == wire.MessageNoLeader:
+		return ErrUnavailable
+	default:
+		return ErrUnclear
+	}
+}
--- /dev/null
+++ b/store/lease.go
@@ -0,0 +1,66 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mulberrydrum/mulberrydrum/store/wire"
+)
+
+// Grant implements Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	var reply wire.LeaseReply
+	request := wire.LeaseRequest{TTL: WholeSeconds(ttl)}
+	if err := c.call(ctx, "grant lease", wire.PathGrant, request, &reply); err != nil {
+		return 0, err
+	}
+	if reply.ID == 0 {
+		return 0, eris.Wrap(fmt.Errorf("%w: reply has no lease", ErrUnclear), "grant lease")
+	}
+	return reply.ID, nil
+}
+
+// KeepAlive implements Store.
+func (c *Client) KeepAlive(ctx context.Context, lease int64) (time.Duration, error) {
+	var message wire.LeaseMessage
+	operation := fmt.Sprintf("keep lease %d alive", lease)
+	if err := c.call(ctx, operation, wire.PathKeepAlive, wire.LeaseRequest{ID: lease}, &message); err != nil {
+		return 0, err
+	}
+	if message.Error != nil {
+		return 0, eris.Wrap(streamError(message.Error), operation)
+	}
+	if message.Result == nil || message.Result.ID != lease {
+		return 0, eris.Wrap(fmt.Errorf("%w: reply is not about the lease", ErrUnclear), operation)
+	}
+	if message.Result.TTL <= 0 {
+		return 0, eris.Wrap(ErrLeaseGone, operation)
+	}
+	return time.Duration(message.Result.TTL) * time.Second, nil
+}
+
+// Revoke implements Store.
+func (c *Client) Revoke(ctx context.Context, lease int64) error {
+	var reply wire.LeaseReply
+	operation := fmt.Sprintf("revoke lease %d", lease)
+	if err := c.call(ctx, operation, wire.PathRevoke, wire.LeaseRequest{ID: lease}, &reply); err != nil {
+		return err
+	}
+	if reply.Header == nil {
+		return errNoHeader(operation)
+	}
+	return nil
+}
+
+// WholeSeconds rounds a time to live up to the store's unit. A longer lease only
+// delays a takeover, whereas a shorter one would end before its owner expects.
+func WholeSeconds(ttl time.Duration) int64 {
+	return max(1, int64((ttl+time.Second-1)/time.Second))
+}
+
+func streamError(e *wire.StreamError) error {
+	return fmt.Errorf("%w: stream ended: %s", classifyCode(e.GRPCCode, e.Message), e.Message)
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,99 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Errors that a caller of Store tells apart with errors.Is. Every error of a
+// Store matches exactly one of them, unless the caller's own context ended
+// before the call was sent.
+var (
+	// ErrUnavailable says that the call surely had no effect.
+	ErrUnavailable = errors.New("store unavailable, call had no effect")
+	// ErrUnclear says that the call may have had its effect.
+	ErrUnclear = errors.New("outcome of store call unclear")
+	// ErrRejected says that the store refused the call as invalid: it had no
+	// effect and the same call fails again.
+	ErrRejected = errors.New("store rejected the call")
+	// ErrCompacted says that the changes asked for are no longer in the store's
+	// history: the caller has to list again.
+	ErrCompacted = errors.New("revision compacted")
+	// ErrLeaseGone says that the lease has expired or was revoked.
+	ErrLeaseGone = errors.New("lease gone")
+	// ErrNoProgress says that a watch was silent for longer than its bound. The
+	// caller watches again from the revision after the last one delivered.
+	ErrNoProgress = errors.New("watch made no progress")
+)
+
+// KeyValue is one key as it was at some revision.
+type KeyValue struct {
+	Key         string
+	Value       []byte
+	ModRevision int64 // revision of the last change of the key
+	Lease       int64 // lease to which the key is attached; 0 for none
+}
+
+// Compare is a condition of a transaction on the last change of a key.
+type Compare struct {
+	Key         string
+	ModRevision int64 // 0: the key is absent
+}
+
+// Put sets one key.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease int64 // 0 for none
+}
+
+// Txn changes keys in one step if every compare holds. A key may occur only
+// once among its puts and deletes.
+type Txn struct {
+	Compares []Compare
+	Puts     []Put
+	Deletes  []string
+}
+
+// TxnResult is the definite outcome of a transaction.
+type TxnResult struct {
+	Succeeded bool
+	Revision  int64      // of the store after the transaction
+	Current   []KeyValue // the compared keys that exist, when not succeeded
+}
+
+// Change is one change of a key. A deleted key has no value.
+type Change struct {
+	KeyValue
+	Deleted bool
+}
+
+// WatchBatch holds all changes of one revision. Every change up to Revision has
+// been delivered. A batch without changes is a progress notice.
+type WatchBatch struct {
+	Revision int64
+	Changes  []Change
+}
+
+// Store is what the rest of the project knows of the platform's store. All
+// methods are safe for concurrent use and every call but Watch has a deadline.
+type Store interface {
+	// Get reads one key; the read is linearizable. revision is that of the store.
+	Get(ctx context.Context, key string) (kv KeyValue, found bool, revision int64, err error)
+	// List reads the keys with a prefix in ascending order, all as of revision.
+	List(ctx context.Context, prefix string) (kvs []KeyValue, revision int64, err error)
+	// Commit executes txn. A result means a definite outcome.
+	Commit(ctx context.Context, txn Txn) (TxnResult, error)
+	// Grant makes a lease. The time to live is rounded up to a whole second.
+	Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
+	// KeepAlive renews a lease, or returns ErrLeaseGone.
+	KeepAlive(ctx context.Context, lease int64) (ttl time.Duration, err error)
+	// Revoke ends a lease and deletes its keys.
+	Revoke(ctx context.Context, lease int64) error
+	// Watch delivers the changes of keys with a prefix from revision from, which
+	// is at least 1, in order of revision and without gaps. It blocks until ctx
+	// ends or the watch fails, and always returns an error. To go on, the caller
+	// watches again from the last revision delivered plus one.
+	Watch(ctx context.Context, prefix string, from int64, deliver func(WatchBatch)) error
+}
--- /dev/null
+++ b/store/storetest/calls.go
@@ -0,0 +1,79 @@
+package storetest
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/mulberrydrum/mulberrydrum/standin/fault"
+	"github.com/mulberrydrum/mulberrydrum/store"
+)
+
+// The kinds of calls, as faults and counters name them.
+const (
+	CallRange     = "range"
+	CallTxn       = "txn"
+	CallCompact   = "compact"
+	CallGrant     = "grant"
+	CallKeepAlive = "keepalive"
+	CallRevoke    = "revoke"
+	CallWatch     = fault.CallWatch
+)
+
+// errStoreDown ends an open watch when the store goes down.
+var errStoreDown = errors.New("store went down")
+
+// InterruptFor returns the Interrupt of a watch by an instance. silent says that
+// the watch was opened under a fault that silences it. The Interrupt ends the watch when the store goes down, and holds it without an end when the watch is
+// to be silent or the store unreachable. A silent stream stays silent when the
+// fault is cleared, since a lost connection does not come back either.
+func InterruptFor(ctx context.Context, faults *fault.Table, instance string, silent bool) Interrupt {
+	return func() (<-chan struct{}, error) {
+		standing, changed := faults.Standing(CallWatch, instance)
+		switch {
+		case standing.Down:
+			return nil, errStoreDown
+		case silent || standing.Silent || standing.Unreachable:
+			<-ctx.Done()
+			return nil, fmt.Errorf("silent watch ended: %w", context.Cause(ctx))
+		}
+		return changed, nil
+	}
+}
+
+// classifyWatch gives the end of a watch the error that the client would give.
+func classifyWatch(ctx context.Context, err error) error {
+	switch {
+	case errors.Is(err, store.ErrCompacted):
+		return err
+	case context.Cause(ctx) == store.ErrNoProgress:
+		return store.ErrNoProgress
+	default:
+		return fmt.Errorf("%w: %w", store.ErrUnclear, err)
+	}
+}
+
+// The copies keep a caller from changing what the machine holds.
+
+func copyOf(kv store.KeyValue) store.KeyValue {
+	kv.Value = bytes.Clone(kv.Value)
+	return kv
+}
+
+func copyAll(kvs []store.KeyValue) []store.KeyValue {
+	copies := make([]store.KeyValue, 0, len(kvs))
+	for _, kv := range kvs {
+		copies = append(copies, copyOf(kv))
+	}
+	return copies
+}
+
+func copyBatch(batch store.WatchBatch) store.WatchBatch {
+	changes := make([]store.Change, 0, len(batch.Changes))
+	for _, change := range batch.Changes {
+		change.KeyValue = copyOf(change.KeyValue)
+		changes = append(changes, change)
+	}
+	return store.WatchBatch{Revision: batch.Revision, Changes: changes}
+}
--- /dev/null
+++ b/store/storetest/engine.go
@@ -0,0 +1,125 @@
+package storetest
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/store"
+)
+
+// ProgressInterval is the time between two progress notices of an idle watch.
+const ProgressInterval = time.Second
+
+// batchesPerMessage bounds one message of a watch that catches up.
+const batchesPerMessage = 100
+
+// Engine runs a Machine for concurrent callers: it expires leases by the clock
+// of the process and wakes watches. It starts no goroutine, so that it also
+// works under testing/synctest.
+type Engine struct {
+	mu      sync.Mutex
+	machine *Machine
+	expiry  *time.Timer
+	changed chan struct{} // closed and replaced at each change
+}
+
+// NewEngine returns an engine with an empty machine.
+func NewEngine(limits Limits) *Engine {
+	return &Engine{machine: NewMachine(limits), changed: make(chan struct{})}
+}
+
+// Do runs f on the machine after the leases that have ended are gone. f must
+// not keep the machine.
+func (e *Engine) Do(f func(now time.Time, m *Machine)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	before := e.machine.Revision()
+	now := time.Now()
+	e.machine.Expire(now)
+	f(now, e.machine)
+	if e.machine.Revision() != before {
+		close(e.changed)
+		e.changed = make(chan struct{})
+	}
+	e.scheduleExpiry(now)
+}
+
+// scheduleExpiry sets the timer to the end of the next lease.
+func (e *Engine) scheduleExpiry(now time.Time) {
+	next, found := e.machine.NextExpiry()
+	switch {
+	case !found && e.expiry != nil:
+		e.expiry.Stop()
+	case found && e.expiry != nil:
+		e.expiry.Reset(next.Sub(now))
+	case found:
+		e.expiry = time.AfterFunc(next.Sub(now), func() { e.Do(func(time.Time, *Machine) {}) })
+	}
+}
+
+// Close stops the timer for leases.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.expiry != nil {
+		e.expiry.Stop()
+	}
+}
+
+// WatchMessage is a part of a watch. Without batches it is a progress notice.
+type WatchMessage struct {
+	Revision int64 // of the store when the message was made
+	Batches  []store.WatchBatch
+}
+
+// Watch passes the changes in a range to send until ctx ends, send returns an
+// error, or the history no longer reaches back far enough. interrupt is asked
+// before each message, and each time that its channel is closed.
+func (e *Engine) Watch(ctx context.Context, start, end string, from int64, interrupt Interrupt, send func(WatchMessage) error) error {
+	ticker := time.NewTicker(ProgressInterval)
+	defer ticker.Stop()
+	noticeDue := false
+	for {
+		signal, err := interrupt()
+		if err != nil {
+			return err
+		}
+		message, next, changed, err := e.since(start, end, from)
+		if err != nil {
+			return err
+		}
+		if len(message.Batches) > 0 || noticeDue && message.Revision >= from-1 {
+			if err := send(message); err != nil {
+				return err
+			}
+		}
+		noticeDue = false
+		from = next
+		if len(message.Batches) == batchesPerMessage {
+			continue // there may be more
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("watch ended: %w", context.Cause(ctx))
+		case <-changed:
+		case <-signal:
+		case <-ticker.C:
+			noticeDue = true
+		}
+	}
+}
+
+// Interrupt returns an error to end a watch, and otherwise a channel that is
+// closed when the answer may have changed.
+type Interrupt func() (<-chan struct{}, error)
+
+func (e *Engine) since(start, end string, from int64) (message WatchMessage, next int64, changed <-chan struct{}, err error) {
+	e.Do(func(_ time.Time, m *Machine) {
+		changed = e.changed // under the lock, so that no change is missed
+		message.Revision = m.Revision()
+		message.Batches, next, err = m.Since(start, end, from, batchesPerMessage)
+	})
+	return message, next, changed, err
+}
--- /dev/null
+++ b/store/storetest/machine.go
@@ -0,0 +1,268 @@
+// Package storetest holds the state machine of the stand-in for the platform's
+// store, and Memory, an implementation of store.Store for tests that needs no
+// network. The HTTP stand-in in package standin uses the same state machine.
+package storetest
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/store/wire"
+)
+
+// Limits bound what the machine accepts and keeps. Zero fields take defaults.
+type Limits struct {
+	ValueBytes       int // of one value
+	TxnBytes         int // of all keys and values of one transaction
+	HistoryRevisions int // revisions kept for watches
+	HistoryBytes     int // of the values kept for watches
+}
+
+// Defaults of Limits. The platform's store takes values up to 1 MB; the bound of
+// a transaction is the published default of the store's request size.
+const (
+	DefaultValueBytes       = 1 << 20
+	DefaultTxnBytes         = 3 << 19
+	DefaultHistoryRevisions = 10_000
+	DefaultHistoryBytes     = 64 << 20
+)
+
+// Machine is the store without a network: keys with revisions, leases and the
+// history of changes. It does not read the clock and is not safe for concurrent
+// use.
+type Machine struct {
+	limits       Limits
+	revision     int64
+	keys         map[string]store.KeyValue
+	leases       map[int64]*lease
+	lastLease    int64
+	history      []store.WatchBatch // ascending by revision
+	historyBytes int
+	compacted    int64 // highest revision that is no longer in history
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+	keys    map[string]struct{}
+}
+
+// NewMachine returns an empty store. Its revision is 1, as in the real one.
+func NewMachine(limits Limits) *Machine {
+	limits.ValueBytes = cmp.Or(limits.ValueBytes, DefaultValueBytes)
+	limits.TxnBytes = cmp.Or(limits.TxnBytes, DefaultTxnBytes)
+	limits.HistoryRevisions = cmp.Or(limits.HistoryRevisions, DefaultHistoryRevisions)
+	limits.HistoryBytes = cmp.Or(limits.HistoryBytes, DefaultHistoryBytes)
+	return &Machine{
+		limits:   limits,
+		revision: 1,
+		keys:     map[string]store.KeyValue{},
+		leases:   map[int64]*lease{},
+	}
+}
+
+// Revision returns the revision of the last change.
+func (m *Machine) Revision() int64 { return m.revision }
+
+// Get returns one key.
+func (m *Machine) Get(key string) (store.KeyValue, bool) {
+	kv, found := m.keys[key]
+	return kv, found
+}
+
+// Range returns the keys from start up to but not including end, in ascending
+// order. An end of one zero byte means all keys from start on.
+func (m *Machine) Range(start, end string) []store.KeyValue {
+	var kvs []store.KeyValue
+	for key, kv := range m.keys {
+		if inRange(key, start, end) {
+			kvs = append(kvs, kv)
+		}
+	}
+	slices.SortFunc(kvs, func(a, b store.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+	return kvs
+}
+
+func inRange(key, start, end string) bool {
+	return key >= start && (end == "\x00" || key < end)
+}
+
+// Commit executes txn. All its changes have one revision. A transaction that
+// changes nothing leaves the revision as it is.
+func (m *Machine) Commit(txn store.Txn) (store.TxnResult, error) {
+	if err := m.check(txn); err != nil {
+		return store.TxnResult{}, err
+	}
+	if !m.holds(txn.Compares) {
+		return store.TxnResult{Revision: m.revision, Current: m.current(txn.Compares)}, nil
+	}
+	for _, put := range txn.Puts {
+		if _, found := m.leases[put.Lease]; put.Lease != 0 && !found {
+			return store.TxnResult{}, fmt.Errorf("%w: lease %d", store.ErrLeaseGone, put.Lease)
+		}
+	}
+	var changes []store.Change
+	for _, put := range txn.Puts {
+		changes = append(changes, m.put(put))
+	}
+	changes = append(changes, m.deleteAll(txn.Deletes)...)
+	m.record(changes)
+	return store.TxnResult{Succeeded: true, Revision: m.revision}, nil
+}
+
+// check refuses what the real store refuses before it looks at any key.
+func (m *Machine) check(txn store.Txn) error {
+	total := 0
+	seen := map[string]struct{}{}
+	for _, compare := range txn.Compares {
+		total += len(compare.Key)
+	}
+	for _, put := range txn.Puts {
+		if len(put.Value) > m.limits.ValueBytes {
+			return fmt.Errorf("%w: %s: value of %q has %d bytes", store.ErrRejected, wire.MessageTooLarge, put.Key, len(put.Value))
+		}
+		total += len(put.Key) + len(put.Value)
+		if err := addKey(seen, put.Key); err != nil {
+			return err
+		}
+	}
+	for _, key := range txn.Deletes {
+		total += len(key)
+		if err := addKey(seen, key); err != nil {
+			return err
+		}
+	}
+	if total > m.limits.TxnBytes {
+		return fmt.Errorf("%w: %s: transaction has %d bytes", store.ErrRejected, wire.MessageTooLarge, total)
+	}
+	return nil
+}
+
+func addKey(seen map[string]struct{}, key string) error {
+	if key == "" {
+		return fmt.Errorf("%w: %s", store.ErrRejected, wire.MessageEmptyKey)
+	}
+	if _, found := seen[key]; found {
+		return fmt.Errorf("%w: %s: %q", store.ErrRejected, wire.MessageDuplicateKey, key)
+	}
+	seen[key] = struct{}{}
+	return nil
+}
+
+func (m *Machine) holds(compares []store.Compare) bool {
+	for _, compare := range compares {
+		if m.keys[compare.Key].ModRevision != compare.ModRevision {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Machine) current(compares []store.Compare) []store.KeyValue {
+	var kvs []store.KeyValue
+	for _, compare := range compares {
+		if kv, found := m.keys[compare.Key]; found {
+			kvs = append(kvs, kv)
+		}
+	}
+	return kvs
+}
+
+// put sets one key at the next revision, which record then takes.
+func (m *Machine) put(put store.Put) store.Change {
+	m.detach(put.Key)
+	kv := store.KeyValue{
+		Key:         put.Key,
+		Value:       slices.Clone(put.Value),
+		ModRevision: m.revision + 1,
+		Lease:       put.Lease,
+	}
+	m.keys[put.Key] = kv
+	if put.Lease != 0 {
+		m.leases[put.Lease].keys[put.Key] = struct{}{}
+	}
+	return store.Change{KeyValue: kv}
+}
+
+func (m *Machine) deleteAll(keys []string) []store.Change {
+	var changes []store.Change
+	for _, key := range keys {
+		if _, found := m.keys[key]; !found {
+			continue
+		}
+		m.detach(key)
+		delete(m.keys, key)
+		changes = append(changes, store.Change{
+			KeyValue: store.KeyValue{Key: key, ModRevision: m.revision + 1},
+			Deleted:  true,
+		})
+	}
+	return changes
+}
+
+func (m *Machine) detach(key string) {
+	if l, found := m.leases[m.keys[key].Lease]; found {
+		delete(l.keys, key)
+	}
+}
+
+// Grant makes a lease that expires ttl after now.
+func (m *Machine) Grant(now time.Time, ttl time.Duration) int64 {
+	m.lastLease++
+	m.leases[m.lastLease] = &lease{ttl: ttl, expires: now.Add(ttl), keys: map[string]struct{}{}}
+	return m.lastLease
+}
+
+// KeepAlive lets a lease start again at now. It reports whether it exists.
+func (m *Machine) KeepAlive(now time.Time, id int64) (time.Duration, bool) {
+	l, found := m.leases[id]
+	if !found {
+		return 0, false
+	}
+	l.expires = now.Add(l.ttl)
+	return l.ttl, true
+}
+
+// Revoke ends a lease and deletes its keys in one revision.
+func (m *Machine) Revoke(id int64) bool {
+	l, found := m.leases[id]
+	if !found {
+		return false
+	}
+	keys := slices.Sorted(maps.Keys(l.keys))
+	m.record(m.deleteAll(keys))
+	delete(m.leases, id)
+	return true
+}
+
+// Expire revokes the leases that have ended by now, in order of their end.
+func (m *Machine) Expire(now time.Time) {
+	var ended []int64
+	for id, l := range m.leases {
+		if !l.expires.After(now) {
+			ended = append(ended, id)
+		}
+	}
+	slices.SortFunc(ended, func(a, b int64) int {
+		return cmp.Or(m.leases[a].expires.Compare(m.leases[b].expires), cmp.Compare(a, b))
+	})
+	for _, id := range ended {
+		m.Revoke(id)
+	}
+}
+
+// NextExpiry returns when the next lease ends, if there is one.
+func (m *Machine) NextExpiry() (time.Time, bool) {
+	var next time.Time
+	for _, l := range m.leases {
+		if next.IsZero() || l.expires.Before(next) {
+			next = l.expires
+		}
+	}
+	return next, !next.IsZero()
+}
--- /dev/null
+++ b/store/storetest/memory.go
@@ -0,0 +1,123 @@
+package storetest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/standin/fault"
+	"github.com/mulberrydrum/mulberrydrum/store"
+)
+
+// Memory is a store in memory with fault switches. It starts no goroutine, and
+// all waiting is on timers, so that it is deterministic under testing/synctest.
+type Memory struct {
+	engine *Engine
+	faults *fault.Table
+	cfg    Config
+}
+
+// Config sets the bounds of a Memory. Zero fields take the defaults of the
+// client and of the machine.
+type Config struct {
+	Limits          Limits
+	CallTimeout     time.Duration
+	ProgressTimeout time.Duration
+}
+
+// NewMemory returns an empty store without faults.
+func NewMemory(cfg Config) *Memory {
+	if cfg.CallTimeout <= 0 {
+		cfg.CallTimeout = store.DefaultCallTimeout
+	}
+	if cfg.ProgressTimeout <= 0 {
+		cfg.ProgressTimeout = store.DefaultProgressTimeout
+	}
+	return &Memory{engine: NewEngine(cfg.Limits), faults: fault.NewTable(), cfg: cfg}
+}
+
+// Client returns the store as an instance sees it.
+func (m *Memory) Client(instance string) store.Store { return &client{memory: m, instance: instance} }
+
+// Faults returns the fault switches.
+func (m *Memory) Faults() *fault.Table { return m.faults }
+
+// Compact drops the history up to and including revision.
+func (m *Memory) Compact(revision int64) error {
+	var err error
+	m.engine.Do(func(_ time.Time, machine *Machine) { err = machine.Compact(revision) })
+	return err
+}
+
+// Close stops the timer for leases.
+func (m *Memory) Close() { m.engine.Close() }
+
+type client struct {
+	memory   *Memory
+	instance string
+}
+
+// errTimeout is the cause of a call that reached its deadline.
+var errTimeout = errors.New("call timed out")
+
+// call executes f as the faults say. A call that has timed out may still be
+// executed later, as a slow request in the real store.
+func (c *client) call(ctx context.Context, kind string, f func(time.Time, *Machine) error) error {
+	if err := context.Cause(ctx); err != nil {
+		return fmt.Errorf("%w: %s not sent: %w", store.ErrUnavailable, kind, err)
+	}
+	effect := c.memory.faults.Take(kind, c.instance)
+	if effect.Down {
+		return fmt.Errorf("%w: %s refused", store.ErrUnavailable, kind)
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, c.memory.cfg.CallTimeout, errTimeout)
+	defer cancel()
+	if effect.Unreachable {
+		<-ctx.Done()
+		return fmt.Errorf("%w: %s: %w", store.ErrUnclear, kind, context.Cause(ctx))
+	}
+	done := make(chan error, 1)
+	execute := func() {
+		c.memory.engine.Do(func(now time.Time, m *Machine) { done <- f(now, m) })
+	}
+	if effect.Delay == 0 {
+		execute()
+	} else {
+		time.AfterFunc(effect.Delay, execute)
+	}
+	select {
+	case err := <-done:
+		if effect.ReplyLost {
+			return fmt.Errorf("%w: %s: connection closed without a reply", store.ErrUnclear, kind)
+		}
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %s: %w", store.ErrUnclear, kind, context.Cause(ctx))
+	}
+}
+
+// read is what a call returns beside its error. Each call makes its own, so
+// that one which is executed after its deadline writes to nothing in use.
+type read struct {
+	kvs      []store.KeyValue
+	revision int64
+}
+
+func (c *client) readRange(ctx context.Context, start, end string) (read, error) {
+	result := make(chan read, 1)
+	err := c.call(ctx, CallRange, func(_ time.Time, m *Machine) error {
+		r := read{revision: m.Revision()}
+		if end != "" {
+			r.kvs = m.Range(start, end)
+		} else if kv, found := m.Get(start); found {
+			r.kvs = []store.KeyValue{kv}
+		}
+		result <- r
+		return nil
+	})
+	if err != nil {
+		return read{}, err
+	}
+	return <-result, nil
+}
--- /dev/null
+++ b/store/storetest/memory_calls.go
@@ -0,0 +1,144 @@
+package storetest
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/store/wire"
+)
+
+var _ store.Store = (*client)(nil)
+
+// Get implements store.Store.
+func (c *client) Get(ctx context.Context, key string) (store.KeyValue, bool, int64, error) {
+	r, err := c.readRange(ctx, key, "")
+	if err != nil {
+		return store.KeyValue{}, false, 0, eris.Wrapf(err, "get %q", key)
+	}
+	if len(r.kvs) == 0 {
+		return store.KeyValue{}, false, r.revision, nil
+	}
+	return copyOf(r.kvs[0]), true, r.revision, nil
+}
+
+// List implements store.Store.
+func (c *client) List(ctx context.Context, prefix string) ([]store.KeyValue, int64, error) {
+	r, err := c.readRange(ctx, string(wire.PrefixStart(prefix)), string(wire.PrefixEnd(prefix)))
+	if err != nil {
+		return nil, 0, eris.Wrapf(err, "list %q", prefix)
+	}
+	return copyAll(r.kvs), r.revision, nil
+}
+
+// Commit implements store.Store.
+func (c *client) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	result := make(chan store.TxnResult, 1)
+	err := c.call(ctx, CallTxn, func(_ time.Time, m *Machine) error {
+		r, err := m.Commit(txn)
+		result <- r
+		return err
+	})
+	if err != nil {
+		return store.TxnResult{}, eris.Wrap(err, "commit")
+	}
+	r := <-result
+	r.Current = copyAll(r.Current)
+	return r, nil
+}
+
+// Grant implements store.Store.
+func (c *client) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	id := make(chan int64, 1)
+	ttl = time.Duration(store.WholeSeconds(ttl)) * time.Second
+	err := c.call(ctx, CallGrant, func(now time.Time, m *Machine) error {
+		id <- m.Grant(now, ttl)
+		return nil
+	})
+	if err != nil {
+		return 0, eris.Wrap(err, "grant lease")
+	}
+	return <-id, nil
+}
+
+// KeepAlive implements store.Store.
+func (c *client) KeepAlive(ctx context.Context, lease int64) (time.Duration, error) {
+	ttl := make(chan time.Duration, 1)
+	err := c.call(ctx, CallKeepAlive, func(now time.Time, m *Machine) error {
+		left, found := m.KeepAlive(now, lease)
+		ttl <- left
+		return goneUnless(found)
+	})
+	if err != nil {
+		return 0, eris.Wrapf(err, "keep lease %d alive", lease)
+	}
+	return <-ttl, nil
+}
+
+// Revoke implements store.Store.
+func (c *client) Revoke(ctx context.Context, lease int64) error {
+	err := c.call(ctx, CallRevoke, func(_ time.Time, m *Machine) error {
+		return goneUnless(m.Revoke(lease))
+	})
+	return eris.Wrapf(err, "revoke lease %d", lease)
+}
+
+func goneUnless(found bool) error {
+	if found {
+		return nil
+	}
+	return store.ErrLeaseGone
+}
+
+// Watch implements store.Store.
+func (c *client) Watch(ctx context.Context, prefix string, from int64, deliver func(store.WatchBatch)) error {
+	operation := fmt.Sprintf("watch %q from %d", prefix, from)
+	if from < 1 {
+		return eris.Wrap(fmt.Errorf("%w: the first revision is 1", store.ErrRejected), operation)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(c.memory.cfg.ProgressTimeout, func() { cancel(store.ErrNoProgress) })
+	defer silence.Stop()
+	err := c.watch(ctx, prefix, from, func(message WatchMessage) error {
+		silence.Stop()
+		deliverAll(message, deliver)
+		silence.Reset(c.memory.cfg.ProgressTimeout)
+		return nil
+	})
+	return eris.Wrap(err, operation)
+}
+
+func deliverAll(message WatchMessage, deliver func(store.WatchBatch)) {
+	for _, batch := range message.Batches {
+		deliver(copyBatch(batch))
+	}
+	if len(message.Batches) == 0 {
+		deliver(store.WatchBatch{Revision: message.Revision})
+	}
+}
+
+// watch opens the watch as the faults say. Opening has no reply of its own, so
+// a lost reply is a stream that breaks at once.
+func (c *client) watch(ctx context.Context, prefix string, from int64, send func(WatchMessage) error) error {
+	effect := c.memory.faults.Take(CallWatch, c.instance)
+	if effect.Down {
+		return fmt.Errorf("%w: watch refused", store.ErrUnavailable)
+	}
+	if effect.Delay > 0 {
+		select {
+		case <-time.After(effect.Delay):
+		case <-ctx.Done():
+		}
+	}
+	if effect.ReplyLost {
+		return fmt.Errorf("%w: connection closed without a reply", store.ErrUnclear)
+	}
+	interrupt := InterruptFor(ctx, c.memory.faults, c.instance, effect.Silent || effect.Unreachable)
+	start, end := string(wire.PrefixStart(prefix)), string(wire.PrefixEnd(prefix))
+	err := c.memory.engine.Watch(ctx, start, end, from, interrupt, send)
+	return classifyWatch(ctx, err)
+}
