--- /dev/null
+++ b/api/document.go
@@ -0,0 +1,47 @@
+package api
+
+import (
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// Document is a document as an entry instance holds it. Service is empty for
+// the document of a whole team.
+type Document struct {
+	Team     task.Team    `json:"team"`
+	Service  task.Service `json:"service,omitempty"`
+	Revision int64        `json:"revision"`
+	By       string       `json:"by,omitempty"` // operator who made the last change
+	At       time.Time    `json:"at,omitzero"`
+	Source   string       `json:"source,omitempty"`   // left out of lists
+	InForce  bool         `json:"in_force,omitempty"` // every live member has this revision
+}
+
+// Documents is a list of documents.
+type Documents struct {
+	Documents []Document `json:"documents"`
+}
+
+// Change is one field that differs between two revisions.
+type Change struct {
+	Path   string `json:"path"`
+	Before string `json:"before,omitempty"` // JSON; empty when the field was added
+	After  string `json:"after,omitempty"`  // JSON; empty when the field was removed
+}
+
+// Diff is the difference between the document in force and another one.
+type Diff struct {
+	Revision int64    `json:"revision"` // of the document in force, 0 for none
+	Changes  []Change `json:"changes"`
+}
+
+// Conflict shows the change that came first to an operator whose change came
+// second.
+type Conflict struct {
+	Expected int64     `json:"expected"` // revision that the operator had seen
+	Revision int64     `json:"revision"` // revision in force
+	By       string    `json:"by,omitempty"`
+	At       time.Time `json:"at,omitzero"`
+	Changes  []Change  `json:"changes"` // made by the last change
+}
--- /dev/null
+++ b/caller/calls.go
@@ -0,0 +1,138 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+func (s *Server) submit(r *http.Request) (answer, error) {
+	secret, err := secretOf(r)
+	if err != nil {
+		return answer{}, err
+	}
+	wait, err := s.waitOf(r)
+	if err != nil {
+		return answer{}, err
+	}
+	body, err := s.readBody(r)
+	if err != nil {
+		return answer{}, err
+	}
+	request, err := decodeSubmit(body)
+	if err != nil {
+		return answer{}, err
+	}
+	deadline, err := s.deadlineOf(r, request.Deadline)
+	if err != nil {
+		return answer{}, err
+	}
+	spec := specOf(r, request)
+	spec.Deadline = deadline
+	spec.SubmittedAt = s.now()
+	ctx, cancel := s.bounded(r.Context(), deadline, wait)
+	defer cancel()
+	reply, err := s.backend.Submit(ctx, secret, spec, wait)
+	if err != nil {
+		return answer{}, err
+	}
+	return s.jobAnswer(JobID{spec.Team, spec.Service, spec.IdempotencyKey}, reply)
+}
+
+func (s *Server) status(r *http.Request) (answer, error) {
+	return s.onJob(r, func(c jobCall) (Reply, error) {
+		return s.backend.Status(c.ctx, c.secret, c.id)
+	})
+}
+
+func (s *Server) wait(r *http.Request) (answer, error) {
+	return s.onJob(r, func(c jobCall) (Reply, error) {
+		return s.backend.Wait(c.ctx, c.secret, c.id, c.wait)
+	})
+}
+
+func (s *Server) cancel(r *http.Request) (answer, error) {
+	return s.onJob(r, func(c jobCall) (Reply, error) {
+		return s.backend.Cancel(c.ctx, c.secret, c.id)
+	})
+}
+
+func (s *Server) onJob(r *http.Request, ask func(jobCall) (Reply, error)) (answer, error) {
+	call, cancel, err := s.jobCallOf(r)
+	if err != nil {
+		return answer{}, err
+	}
+	defer cancel()
+	reply, err := ask(call)
+	if err != nil {
+		return answer{}, err
+	}
+	return s.jobAnswer(call.id, reply)
+}
+
+// result answers with the result alone, so that it needs no encoding.
+func (s *Server) result(r *http.Request) (answer, error) {
+	call, cancel, err := s.jobCallOf(r)
+	if err != nil {
+		return answer{}, err
+	}
+	defer cancel()
+	index, err := indexOf(r)
+	if err != nil {
+		return answer{}, err
+	}
+	outcome, err := s.backend.Result(call.ctx, call.secret, call.id, index)
+	if err != nil {
+		return answer{}, err
+	}
+	if err := s.checkResult(outcome); err != nil {
+		return answer{}, err
+	}
+	header := http.Header{"Content-Type": {"application/octet-stream"}}
+	header.Set(api.HeaderTask, outcome.Attempt.String())
+	return answer{status: http.StatusOK, header: header, body: outcome.Result}, nil
+}
+
+// jobAnswer has the result of a job of one task in it, because the caller of
+// interactive work waits for nothing else.
+func (s *Server) jobAnswer(id JobID, reply Reply) (answer, error) {
+	job := api.Job{ID: id.String(), State: reply.State, Repeated: reply.Repeated, Tasks: []api.Task{}}
+	for _, state := range reply.Tasks {
+		t := api.Task{Index: state.Index, ID: state.ID, State: state.State, Attempt: state.Attempt}
+		if o := state.Outcome; o != nil {
+			if err := s.checkResult(*o); err != nil {
+				return answer{}, err
+			}
+			t.Attempt, t.ExitCode, t.Reason = o.Attempt.Number, o.ExitCode, o.Reason
+			t.Worker, t.RunTime, t.Digest = o.Worker, api.Duration(o.RunTime), o.Digest
+			t.ResultBytes = len(o.Result)
+			if len(reply.Tasks) == 1 {
+				t.Result = o.Result
+			}
+		}
+		job.Tasks = append(job.Tasks, t)
+	}
+	return jsonAnswer(job)
+}
+
+// checkResult refuses a result that is not the one that the worker reported.
+func (s *Server) checkResult(o task.Outcome) error {
+	if int64(len(o.Result)) > s.cfg.MaxResultBytes {
+		return errkind.New(errkind.ResultTooLarge, "the result has %d bytes", len(o.Result)).
+			WithField("result", strconv.FormatInt(s.cfg.MaxResultBytes, 10)+" bytes")
+	}
+	if len(o.Result) == 0 || o.Digest == "" {
+		return nil
+	}
+	if sum := sha256.Sum256(o.Result); hex.EncodeToString(sum[:]) != o.Digest {
+		return errkind.New(errkind.ResultIncomplete, "the result of %s has another digest than the worker stated", o.Attempt).
+			WithField("result", fmt.Sprintf("SHA-256 %s", o.Digest))
+	}
+	return nil
+}
--- /dev/null
+++ b/caller/decode.go
@@ -0,0 +1,100 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/jsonc"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// Bounds of a job that hold whatever its document says. They keep the product
+// of size and count far below the largest int64.
+const (
+	maxCount      = 100_000
+	maxAmount     = 1 << 40
+	maxRegions    = 16
+	maxClassBytes = 63
+)
+
+// decodeSubmit reads the body of a submission and refuses what no document
+// could allow.
+func decodeSubmit(body []byte) (api.SubmitRequest, error) {
+	request := api.SubmitRequest{Count: 1}
+	if _, faults := jsonc.Decode(body, &request, jsonc.WithoutComments); len(faults) > 0 {
+		first := faults[0]
+		field := first.Path
+		if field == "" {
+			field = "body"
+		}
+		return request, errkind.New(errkind.InvalidRequest, "line %d, column %d: %s", first.Line, first.Column, first.Message).
+			WithField(field, first.Allowed)
+	}
+	return request, checkSubmit(request)
+}
+
+func checkSubmit(request api.SubmitRequest) error {
+	if err := checkKey("idempotency_key", request.IdempotencyKey); err != nil {
+		return err
+	}
+	switch {
+	case request.Class == "" || len(request.Class) > maxClassBytes:
+		return invalid("class", "the class is empty or too long", "a class of the service, at most "+strconv.Itoa(maxClassBytes)+" characters")
+	case request.Count < 1 || request.Count > maxCount:
+		return invalid("count", "a job cannot have "+strconv.Itoa(request.Count)+" tasks", "1 to "+strconv.Itoa(maxCount))
+	case request.DeclaredRun < 0:
+		return invalid("declared_run", "the run time is negative", "0s or more")
+	case len(request.Regions) > maxRegions:
+		return invalid("regions", "there are too many regions", "at most "+strconv.Itoa(maxRegions))
+	case request.Size != nil && !isPossible(*request.Size):
+		return invalid("size", "an amount is negative or impossibly large", "0 to "+strconv.Itoa(maxAmount)+" of each resource")
+	}
+	return nil
+}
+
+func isPossible(size task.Resources) bool {
+	bound := task.Resources{CPUMilli: maxAmount, MemoryMB: maxAmount, Accelerators: maxAmount, Slots: maxAmount, Connections: maxAmount}
+	return !size.HasNegative() && size.Fits(bound)
+}
+
+func invalid(field, message, limit string) error {
+	return errkind.New(errkind.InvalidRequest, "%s", message).WithField(field, limit)
+}
+
+// specOf returns the job that request describes, with the fields that its
+// document decides left empty.
+func specOf(r *http.Request, request api.SubmitRequest) task.Spec {
+	spec := task.Spec{
+		Team:           task.Team(r.PathValue("team")),
+		Service:        task.Service(r.PathValue("service")),
+		Class:          request.Class,
+		IdempotencyKey: request.IdempotencyKey,
+		Count:          request.Count,
+		DeclaredRun:    time.Duration(request.DeclaredRun),
+		ReviewBy:       request.ReviewBy,
+		Regions:        request.Regions,
+		Payload:        request.Payload,
+		PayloadDigest:  digestOf(request),
+	}
+	if request.Size != nil {
+		spec.Size = *request.Size
+	}
+	return spec
+}
+
+// digestOf identifies the work that is asked for. The deadline is left out,
+// because a repeated submission of the same work has a later one.
+func digestOf(request api.SubmitRequest) string {
+	request.Deadline = time.Time{}
+	request.ReviewBy = request.ReviewBy.UTC()
+	// A SubmitRequest has only types that encoding/json can encode.
+	canonical, _ := json.Marshal(request)
+	sum := sha256.Sum256(canonical)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/caller/job.go
@@ -0,0 +1,36 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// jobCall is what every call about a known job has in common.
+type jobCall struct {
+	ctx    context.Context
+	secret string
+	id     JobID
+	wait   time.Duration
+}
+
+func (s *Server) jobCallOf(r *http.Request) (jobCall, context.CancelFunc, error) {
+	secret, err := secretOf(r)
+	if err != nil {
+		return jobCall{}, nil, err
+	}
+	id, err := jobOf(r)
+	if err != nil {
+		return jobCall{}, nil, err
+	}
+	wait, err := s.waitOf(r)
+	if err != nil {
+		return jobCall{}, nil, err
+	}
+	deadline, err := s.deadlineOf(r, time.Time{})
+	if err != nil {
+		return jobCall{}, nil, err
+	}
+	ctx, cancel := s.bounded(r.Context(), deadline, wait)
+	return jobCall{ctx: ctx, secret: secret, id: id, wait: wait}, cancel, nil
+}
--- /dev/null
+++ b/caller/server_test.go
@@ -0,0 +1,316 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// fakeBackend counts the submissions that reach it and answers them with reply
+// or err.
+type fakeBackend struct {
+	submitted int
+	spec      task.Spec
+	secret    string
+	deadline  time.Time
+	reply     Reply
+	outcome   task.Outcome
+	err       error
+}
+
+func (b *fakeBackend) Submit(ctx context.Context, secret string, spec task.Spec, _ time.Duration) (Reply, error) {
+	b.submitted++
+	b.spec, b.secret = spec, secret
+	b.deadline, _ = ctx.Deadline()
+	return b.reply, b.err
+}
+
+func (b *fakeBackend) Status(context.Context, string, JobID) (Reply, error) { return b.reply, b.err }
+
+func (b *fakeBackend) Wait(context.Context, string, JobID, time.Duration) (Reply, error) {
+	return b.reply, b.err
+}
+
+func (b *fakeBackend) Cancel(context.Context, string, JobID) (Reply, error) { return b.reply, b.err }
+
+func (b *fakeBackend) Result(context.Context, string, JobID, int) (task.Outcome, error) {
+	return b.outcome, b.err
+}
+
+func testConfig() Config {
+	return Config{
+		MaxRequestBytes:   1000,
+		MaxHeaderBytes:    8 << 10,
+		MaxResultBytes:    2000,
+		MaxWait:           time.Minute,
+		CallTimeout:       time.Second,
+		ReadHeaderTimeout: 300 * time.Millisecond,
+		ReadTimeout:       300 * time.Millisecond,
+		WriteTimeout:      time.Second,
+		IdleTimeout:       time.Second,
+	}
+}
+
+func serve(t *testing.T, backend Backend) (*Server, string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(testConfig(), backend)
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ln) }()
+	t.Cleanup(func() {
+		if err := server.Shutdown(context.Background()); err != nil {
+			t.Error(err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return server, ln.Addr().String()
+}
+
+// exchange sends raw bytes and returns the answer, or an error where the server
+// closed the connection without one.
+func exchange(t *testing.T, address, raw string) (*http.Response, []byte) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.WriteString(conn, raw); err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(raw, "X-Truncate") {
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, body
+}
+
+const submitPath = "/v1/teams/pipes/services/nozzles/requests"
+
+func post(path, body string, headers ...string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n%s\r\n%s",
+		path, len(body), joinHeaders(headers), body)
+}
+
+func get(path string, headers ...string) string {
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h\r\n%s\r\n", path, joinHeaders(headers))
+}
+
+func joinHeaders(headers []string) string {
+	var b strings.Builder
+	for _, h := range headers {
+		b.WriteString(h + "\r\n")
+	}
+	return b.String()
+}
+
+const goodBody = `{"idempotency_key":"k-1","class":"check"}`
+
+// TestBadInputChangesNothing guards against input that no backend should see,
+// and against an answer that does not name the field and what it may be.
+func TestBadInputChangesNothing(t *testing.T) {
+	cases := []struct {
+		name, raw, kind, field string
+	}{
+		{"body over the limit", post(submitPath, strings.Repeat("x", 1001)), "request_too_large", "body"},
+		{"chunked body over the limit", chunked(strings.Repeat(" ", 1001)), "request_too_large", "body"},
+		{"truncated body", "POST " + submitPath + " HTTP/1.1\r\nHost: h\r\nX-Truncate: 1\r\nContent-Length: 99\r\n\r\n{", "invalid_request", "body"},
+		{"slow sender", "POST " + submitPath + " HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n{", "request_timeout", "body"},
+		{"no JSON", post(submitPath, "{"), "invalid_request", "body"},
+		{"text after the value", post(submitPath, goodBody+"{}"), "invalid_request", "body"},
+		{"comment", post(submitPath, "/**/"+goodBody), "invalid_request", "body"},
+		{"unknown field", post(submitPath, `{"idempotency_key":"k","class":"c","colour":1}`), "invalid_request", "colour"},
+		{"field twice", post(submitPath, `{"idempotency_key":"k","class":"c","class":"d"}`), "invalid_request", "class"},
+		{"wrong type", post(submitPath, `{"idempotency_key":"k","class":7}`), "invalid_request", "class"},
+		{"no key", post(submitPath, `{"class":"c"}`), "invalid_request", "idempotency_key"},
+		{"key with a slash", post(submitPath, `{"idempotency_key":"a/b","class":"c"}`), "invalid_request", "idempotency_key"},
+		{"key of dots", post(submitPath, `{"idempotency_key":"..","class":"c"}`), "invalid_request", "idempotency_key"},
+		{"no class", post(submitPath, `{"idempotency_key":"k"}`), "invalid_request", "class"},
+		{"no tasks", post(submitPath, `{"idempotency_key":"k","class":"c","count":0}`), "invalid_request", "count"},
+		{"negative size", post(submitPath, `{"idempotency_key":"k","class":"c","size":{"slots":-1}}`), "invalid_request", "size"},
+		{"size beyond int64", post(submitPath, `{"idempotency_key":"k","class":"c","size":{"slots":9223372036854775808}}`), "invalid_request", "size.slots"},
+		{"impossible size", post(submitPath, `{"idempotency_key":"k","class":"c","size":{"slots":9223372036854775807}}`), "invalid_request", "size"},
+		{"wait over the limit", post(submitPath+"?wait=2m", goodBody), "invalid_request", "wait"},
+		{"key without bearer", post(submitPath, goodBody, "Authorization: Basic x"), "key_missing", "Authorization"},
+		{"timeout in words", post(submitPath, goodBody, "Mulberrydrum-Timeout: soon"), "invalid_request", "Mulberrydrum-Timeout"},
+		{"deadline in the past", post(submitPath, `{"idempotency_key":"k","class":"c","deadline":"2001-01-01T00:00:00Z"}`), "deadline_exceeded", "deadline"},
+		{"wrong method", get(submitPath), "not_allowed", "method"},
+		{"wrong path", get("/v2/teams"), "unknown_path", "path"},
+		{"negative index", get(submitPath + "/k/result?index=-1"), "invalid_request", "index"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			backend := &fakeBackend{err: errors.New("reached")}
+			_, address := serve(t, backend)
+			response, body := exchange(t, address, c.raw)
+			var reply api.ErrorReply
+			if err := json.Unmarshal(body, &reply); err != nil {
+				t.Fatalf("answer %q: %v", body, err)
+			}
+			e := reply.Error
+			if string(e.Kind) != c.kind || e.Field != c.field || e.Limit == "" || e.Fate != errkind.FateNotRun {
+				t.Errorf("error = %+v, want kind %s, field %s, a limit and fate not_run", e, c.kind, c.field)
+			}
+			if want := errkind.AnswerFor(e.Kind).Status; response.StatusCode != want {
+				t.Errorf("status = %d, want %d", response.StatusCode, want)
+			}
+			if backend.submitted != 0 {
+				t.Error("the backend was asked")
+			}
+		})
+	}
+}
+
+func chunked(body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", submitPath, len(body), body)
+}
+
+// TestSubmitPassesTheRequestOn guards against a field that is lost on the way
+// to the backend, and against the later of two deadlines being used.
+func TestSubmitPassesTheRequestOn(t *testing.T) {
+	backend := &fakeBackend{reply: Reply{State: task.Accepted}}
+	_, address := serve(t, backend)
+	before := time.Now()
+	body := `{"idempotency_key":"k","class":"check","count":3,"size":{"slots":2},"declared_run":"90s","payload":"aGk=","deadline":"2999-01-01T00:00:00Z"}`
+	response, answer := exchange(t, address, post(submitPath, body, "Authorization: Bearer s3", "Mulberrydrum-Timeout: 500ms"))
+	if response.StatusCode != http.StatusOK {
+		t.Fatalf("status %d: %s", response.StatusCode, answer)
+	}
+	s := backend.spec
+	if s.Team != "pipes" || s.Service != "nozzles" || s.Class != "check" || s.Count != 3 || s.Size.Slots != 2 ||
+		s.DeclaredRun != 90*time.Second || string(s.Payload) != "hi" || backend.secret != "s3" {
+		t.Errorf("spec = %+v, secret %q", s, backend.secret)
+	}
+	for _, got := range []time.Time{s.Deadline, backend.deadline} {
+		if left := got.Sub(before); left < 400*time.Millisecond || left > 900*time.Millisecond {
+			t.Errorf("deadline is %v after the call, want about 500ms", left)
+		}
+	}
+}
+
+// TestDigestIgnoresTheDeadline guards against a repeated submission being taken
+// for different work, and different work for a repeated submission.
+func TestDigestIgnoresTheDeadline(t *testing.T) {
+	digest := func(body string) string {
+		request, err := decodeSubmit([]byte(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return digestOf(request)
+	}
+	first := digest(`{"idempotency_key":"k","class":"c","payload":"aGk=","deadline":"2030-01-01T00:00:00Z"}`)
+	if digest(`{"class":"c", "payload":"aGk=", "idempotency_key":"k"}`) != first {
+		t.Error("a later deadline or another order of fields changes the digest")
+	}
+	if digest(`{"idempotency_key":"k","class":"c","payload":"aGo="}`) == first {
+		t.Error("another payload has the same digest")
+	}
+}
+
+// TestErrorsTellTheFate guards against an error of the backend, or a deadline
+// that passed in it, being answered as "not run".
+func TestErrorsTellTheFate(t *testing.T) {
+	cases := []struct {
+		err  error
+		kind errkind.Kind
+		fate errkind.Fate
+	}{
+		{errors.New("password=x"), errkind.Internal, errkind.FateUnknown},
+		{fmt.Errorf("submit: %w", context.DeadlineExceeded), errkind.OutcomeUnknown, errkind.FateUnknown},
+		{fmt.Errorf("submit: %w", errkind.New(errkind.QueueFull, "full").WithRetryAfter(1500*time.Millisecond)), errkind.QueueFull, errkind.FateNotRun},
+		{errkind.New(errkind.StoreUnavailable, "lost").WithFate(errkind.FateUnknown), errkind.StoreUnavailable, errkind.FateUnknown},
+	}
+	for _, c := range cases {
+		a := errorAnswer(c.err)
+		var reply api.ErrorReply
+		if err := json.Unmarshal(a.body, &reply); err != nil {
+			t.Fatal(err)
+		}
+		if reply.Error.Kind != c.kind || reply.Error.Fate != c.fate || strings.Contains(string(a.body), "password") {
+			t.Errorf("%v is answered as %s", c.err, a.body)
+		}
+		if reply.Error.RetryAfter != 0 && a.header.Get("Retry-After") != "2" {
+			t.Errorf("Retry-After = %q, want 2 (rounded up)", a.header.Get("Retry-After"))
+		}
+	}
+}
+
+// TestResultIsCompleteOrRefused guards against a result that is not the one
+// that the worker stated, and against an answer without length and digest.
+func TestResultIsCompleteOrRefused(t *testing.T) {
+	data := []byte("stress 41 MPa")
+	sum := sha256.Sum256(data)
+	good := task.Outcome{Attempt: task.Attempt{Task: "t", Number: 2}, State: task.Finished, Result: data, Digest: hex.EncodeToString(sum[:])}
+	backend := &fakeBackend{outcome: good}
+	server, address := serve(t, backend)
+	server.BeginDrain()
+	response, body := exchange(t, address, get(submitPath+"/k/result"))
+	if string(body) != string(data) || response.ContentLength != int64(len(data)) || !response.Close ||
+		response.Header.Get(api.HeaderTask) != "t#2" ||
+		response.Header.Get(api.HeaderDigest) != "sha-256=:"+base64.StdEncoding.EncodeToString(sum[:])+":" {
+		t.Errorf("answer %q with %v", body, response.Header)
+	}
+	backend.outcome.Result = data[:5]
+	response, _ = exchange(t, address, get(submitPath+"/k/result"))
+	if response.Header.Get(api.HeaderError) != string(errkind.ResultIncomplete) {
+		t.Errorf("a part of the result is answered with status %d", response.StatusCode)
+	}
+	backend.outcome.Result = make([]byte, 2001)
+	response, _ = exchange(t, address, get(submitPath+"/k/result"))
+	if response.Header.Get(api.HeaderError) != string(errkind.ResultTooLarge) {
+		t.Errorf("a result over the limit is answered with status %d", response.StatusCode)
+	}
+}
+
+// FuzzDecodeSubmit guards against a body that panics, or that is accepted with
+// values out of bounds.
+func FuzzDecodeSubmit(f *testing.F) {
+	f.Add([]byte(goodBody))
+	f.Add([]byte(`{"idempotency_key":"k","class":"c","size":{"slots":-1}}`))
+	f.Add([]byte(`{"idempotency_key":"\ud800","class":"c"}`))
+	f.Add([]byte(strings.Repeat("[", 5000)))
+	f.Add([]byte(`{"a":{"a":{"a":[null,"\"`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		request, err := decodeSubmit(body)
+		if err != nil {
+			if errkind.From(err).Kind != errkind.InvalidRequest {
+				t.Errorf("kind of %v", err)
+			}
+			return
+		}
+		if request.Count < 1 || request.Class == "" || (request.Size != nil && request.Size.HasNegative()) {
+			t.Errorf("accepted %+v", request)
+		}
+		if _, ok := ParseJobID(JobID{"t", "s", request.IdempotencyKey}.String()); !ok {
+			t.Errorf("key %q makes no job ID", request.IdempotencyKey)
+		}
+	})
+}
--- /dev/null
+++ b/client/caller.go
@@ -0,0 +1,86 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+)
+
+// Result is the result of one task.
+type Result struct {
+	Data    []byte
+	Attempt string // task and attempt
+}
+
+// Submit submits a job to a service of a team and waits up to wait for its end.
+func (c *Client) Submit(ctx context.Context, team, service string, request api.SubmitRequest, wait time.Duration) (api.Job, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return api.Job{}, errkind.New(errkind.InvalidRequest, "the request cannot be encoded: %v", err)
+	}
+	path := requestsPath(team, service) + waitQuery(wait)
+	return decode[api.Job](c.do(ctx, call{method: http.MethodPost, path: path, body: body}))
+}
+
+// Status returns the state of a job, named by <team>/<service>/<key>.
+func (c *Client) Status(ctx context.Context, job string) (api.Job, error) {
+	return c.onJob(ctx, http.MethodGet, job, "")
+}
+
+// Wait returns the state of a job when it is final or wait has passed.
+func (c *Client) Wait(ctx context.Context, job string, wait time.Duration) (api.Job, error) {
+	return c.onJob(ctx, http.MethodGet, job, "/wait"+waitQuery(wait))
+}
+
+// Cancel asks for the end of a job.
+func (c *Client) Cancel(ctx context.Context, job string) (api.Job, error) {
+	return c.onJob(ctx, http.MethodPost, job, "/cancel")
+}
+
+// Result returns the result of the task with this index in a job.
+func (c *Client) Result(ctx context.Context, job string, index int) (Result, error) {
+	path, err := jobPath(job)
+	if err != nil {
+		return Result{}, err
+	}
+	got, err := c.do(ctx, call{method: http.MethodGet, path: path + "/result?index=" + strconv.Itoa(index)})
+	if err != nil {
+		return Result{}, err
+	}
+	return Result{Data: got.body, Attempt: got.header.Get(api.HeaderTask)}, nil
+}
+
+func (c *Client) onJob(ctx context.Context, method, job, rest string) (api.Job, error) {
+	path, err := jobPath(job)
+	if err != nil {
+		return api.Job{}, err
+	}
+	return decode[api.Job](c.do(ctx, call{method: method, path: path + rest}))
+}
+
+func jobPath(job string) (string, error) {
+	parts := strings.Split(job, "/")
+	if len(parts) != 3 {
+		return "", errkind.New(errkind.InvalidRequest, "%q does not name a job", job).
+			WithField("job", "<team>/<service>/<idempotency key>")
+	}
+	return requestsPath(parts[0], parts[1]) + "/" + url.PathEscape(parts[2]), nil
+}
+
+func requestsPath(team, service string) string {
+	return "/v1/teams/" + url.PathEscape(team) + "/services/" + url.PathEscape(service) + "/requests"
+}
+
+func waitQuery(wait time.Duration) string {
+	if wait <= 0 {
+		return ""
+	}
+	return "?wait=" + wait.String()
+}
--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,129 @@
+package client
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+)
+
+// Config says whom to ask and as whom.
+type Config struct {
+	Addresses   []string      // host:port of entry instances; any of them answers any call
+	Secret      string        // of the key; empty for open queues
+	DialTimeout time.Duration // 2 s when zero
+	MaxBytes    int64         // longest answer that is read; 32 MiB when zero
+}
+
+const (
+	defaultDialTimeout = 2 * time.Second
+	defaultMaxBytes    = 32 << 20
+	maxAttempts        = 4
+	idleTimeout        = 5 * time.Second
+)
+
+// Client asks entry instances. It is safe for concurrent use.
+type Client struct {
+	cfg    Config
+	http   *http.Client
+	budget *budget
+	next   atomic.Uint64 // index of the address to ask, modulo their number
+	jitter func() float64
+	sleep  func(ctx context.Context, d time.Duration) error
+}
+
+// New returns a client that starts at a random address.
+func New(cfg Config) *Client {
+	if cfg.DialTimeout == 0 {
+		cfg.DialTimeout = defaultDialTimeout
+	}
+	if cfg.MaxBytes == 0 {
+		cfg.MaxBytes = defaultMaxBytes
+	}
+	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
+	c := &Client{
+		cfg:    cfg,
+		http:   &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout}},
+		budget: newBudget(),
+		jitter: rand.Float64,
+		sleep:  sleep,
+	}
+	c.next.Store(rand.Uint64N(1 << 32))
+	return c
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// call is one call, which may be sent several times.
+type call struct {
+	method string
+	path   string // with the query
+	body   []byte
+}
+
+// do sends k until it has an answer, or an error that a retry cannot help.
+func (c *Client) do(ctx context.Context, k call) (reply, error) {
+	if len(c.cfg.Addresses) == 0 {
+		return reply{}, errkind.New(errkind.InvalidRequest, "no address of an entry instance is given").WithField("server", "host:port")
+	}
+	c.budget.earn()
+	for attempt := 1; ; attempt++ {
+		got, err := c.once(ctx, c.address(), k)
+		if err == nil {
+			return got, nil
+		}
+		e := errkind.From(err)
+		if attempt == maxAttempts || !isRetryable(e) || !c.budget.spend() {
+			return reply{}, err
+		}
+		c.next.Add(1)
+		if c.sleep(ctx, c.delay(e, attempt)) != nil {
+			return reply{}, err
+		}
+	}
+}
+
+// isRetryable takes only what is known not to have run: a second try of
+// anything else could run the work twice.
+func isRetryable(e *errkind.Error) bool {
+	return e.Fate() == errkind.FateNotRun && errkind.AnswerFor(e.Kind).Advice == errkind.AdviceRetry
+}
+
+const (
+	firstDelay = 50 * time.Millisecond
+	maxDelay   = 2 * time.Second
+)
+
+// delay is the hint of the answer, or a growing delay without one, lengthened
+// by up to a half so that clients refused together do not return together.
+func (c *Client) delay(e *errkind.Error, attempt int) time.Duration {
+	d := e.RetryAfter
+	if d <= 0 {
+		d = min(firstDelay<<attempt, maxDelay)
+	}
+	return d + time.Duration(c.jitter()*float64(d)/2)
+}
+
+func (c *Client) address() string {
+	return c.cfg.Addresses[c.next.Load()%uint64(len(c.cfg.Addresses))]
+}
+
+// sleep waits for d, or returns at once where ctx ends before that.
+func sleep(ctx context.Context, d time.Duration) error {
+	if end, ok := ctx.Deadline(); ok && time.Until(end) < d {
+		return context.DeadlineExceeded
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,189 @@
+package client
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+func writeAnswer(w http.ResponseWriter, status int, v any) {
+	body, _ := json.Marshal(v)
+	sum := sha256.Sum256(body)
+	w.Header().Set(api.HeaderDigest, "sha-256=:"+base64.StdEncoding.EncodeToString(sum[:])+":")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+func writeError(w http.ResponseWriter, e *errkind.Error) {
+	w.Header().Set(api.HeaderError, string(e.Kind))
+	writeAnswer(w, errkind.AnswerFor(e.Kind).Status, api.ErrorReply{Error: api.ErrorFrom(e)})
+}
+
+// clientOf returns a client of a server that answers with h, and the delays
+// that the client waited for.
+func clientOf(t *testing.T, h http.HandlerFunc) (*Client, *[]time.Duration) {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	c := New(Config{Addresses: []string{strings.TrimPrefix(server.URL, "http://")}})
+	t.Cleanup(c.Close)
+	var delays []time.Duration
+	c.jitter = func() float64 { return 0.5 }
+	c.sleep = func(_ context.Context, d time.Duration) error {
+		delays = append(delays, d)
+		return nil
+	}
+	return c, &delays
+}
+
+func submit(c *Client) (api.Job, error) {
+	return c.Submit(context.Background(), "t", "s", api.SubmitRequest{IdempotencyKey: "k", Class: "c"}, 0)
+}
+
+// TestRetriesOnlyWhatDidNotRun guards against a second try of work that may
+// have run, for every kind of error.
+func TestRetriesOnlyWhatDidNotRun(t *testing.T) {
+	for _, kind := range errkind.Kinds() {
+		calls := 0
+		c, _ := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
+			calls++
+			if calls == 1 {
+				writeError(w, errkind.New(kind, "first try"))
+				return
+			}
+			writeAnswer(w, http.StatusOK, api.Job{State: task.Accepted})
+		})
+		_, err := submit(c)
+		row := errkind.AnswerFor(kind)
+		retried := row.Fate == errkind.FateNotRun && row.Advice == errkind.AdviceRetry
+		if retried != (calls == 2) || retried != (err == nil) {
+			t.Errorf("%s: %d calls, error %v", kind, calls, err)
+		}
+		if err != nil && errkind.From(err).Kind != kind {
+			t.Errorf("%s became %v", kind, err)
+		}
+	}
+}
+
+// TestFateOfTheInstanceWins guards against a retry by the table where the
+// instance knows better.
+func TestFateOfTheInstanceWins(t *testing.T) {
+	calls := 0
+	c, _ := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
+		calls++
+		writeError(w, errkind.New(errkind.StoreUnavailable, "reply lost").WithFate(errkind.FateUnknown))
+	})
+	if _, err := submit(c); errkind.From(err).Fate() != errkind.FateUnknown || calls != 1 {
+		t.Errorf("%d calls, error %v", calls, err)
+	}
+}
+
+// TestHintIsKeptAndJittered guards against a retry before the hint, and against
+// all clients returning at the same time.
+func TestHintIsKeptAndJittered(t *testing.T) {
+	c, delays := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
+		writeError(w, errkind.New(errkind.QueueFull, "full").WithRetryAfter(2*time.Second))
+	})
+	_, _ = submit(c)
+	if len(*delays) != maxAttempts-1 || (*delays)[0] != 2500*time.Millisecond {
+		t.Errorf("delays = %v", *delays)
+	}
+}
+
+// TestBudgetBoundsRetries guards against clients multiplying the load while
+// every call is refused.
+func TestBudgetBoundsRetries(t *testing.T) {
+	calls := 0
+	c, _ := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
+		calls++
+		writeError(w, errkind.New(errkind.QueueFull, "full"))
+	})
+	const asked = 100
+	for range asked {
+		_, _ = submit(c)
+	}
+	if most := asked + budgetMax + asked*budgetShare; float64(calls) > most {
+		t.Errorf("%d calls for %d, want at most %v", calls, asked, most)
+	}
+}
+
+// TestIncompleteAnswerIsNoResult guards against a part of an answer, or another
+// answer, being taken for the whole.
+func TestIncompleteAnswerIsNoResult(t *testing.T) {
+	damage := map[string]http.HandlerFunc{
+		"other digest": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(api.HeaderDigest, "sha-256=:AAAA:")
+			_, _ = w.Write([]byte(`{"state":"finished"}`))
+		},
+		"no digest": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"state":"finished"}`)) },
+		"no length": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(`{"state":`))
+			_ = http.NewResponseController(w).Flush()
+		},
+		"cut off": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "900")
+			_, _ = w.Write([]byte(`{"state":`))
+		},
+		"page of something in between": func(w http.ResponseWriter, _ *http.Request) {
+			writeAnswer(w, http.StatusBadGateway, "bad gateway")
+		},
+		"connection closed": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+	}
+	for name, h := range damage {
+		c, delays := clientOf(t, h)
+		_, err := submit(c)
+		if e := errkind.From(err); err == nil || e.Kind != errkind.OutcomeUnknown || len(*delays) > 0 {
+			t.Errorf("%s: submit: error %v after %d retries", name, err, len(*delays))
+		}
+		if _, err := c.Result(context.Background(), "t/s/k", 0); err == nil {
+			t.Errorf("%s: result: no error", name)
+		}
+	}
+}
+
+// TestRefusedConnectionMovesOn guards against a client that stays with an
+// instance that is gone.
+func TestRefusedConnectionMovesOn(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone := ln.Addr().String()
+	_ = ln.Close()
+	c, _ := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
+		writeAnswer(w, http.StatusOK, api.Job{State: task.Accepted})
+	})
+	c.cfg.Addresses = append([]string{gone}, c.cfg.Addresses...)
+	c.next.Store(0)
+	if _, err := submit(c); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestDeadlineTravels guards against an instance that works on for a caller
+// that has given up.
+func TestDeadlineTravels(t *testing.T) {
+	var left time.Duration
+	c, _ := clientOf(t, func(w http.ResponseWriter, r *http.Request) {
+		left, _ = time.ParseDuration(r.Header.Get(api.HeaderTimeout))
+		writeAnswer(w, http.StatusOK, api.Job{})
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if _, err := c.Status(ctx, "t/s/k"); err != nil || left < 50*time.Second || left > time.Minute {
+		t.Errorf("timeout header = %v, error %v", left, err)
+	}
+}
--- /dev/null
+++ b/client/exchange.go
@@ -0,0 +1,171 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+)
+
+// reply is a complete answer whose digest is right.
+type reply struct {
+	header http.Header
+	body   []byte
+}
+
+// Error is an error that an entry instance answered. Its chain has the
+// *errkind.Error; Detail has the faults or the conflict of a document too.
+type Error struct {
+	Detail api.Error
+}
+
+// Error returns the text of the kind, the field and the message.
+func (e *Error) Error() string { return e.typed().Error() }
+
+// Unwrap returns the error as errkind has it.
+func (e *Error) Unwrap() error { return e.typed() }
+
+func (e *Error) typed() *errkind.Error {
+	return &errkind.Error{
+		Kind:       e.Detail.Kind,
+		Message:    e.Detail.Message,
+		Field:      e.Detail.Field,
+		Limit:      e.Detail.Limit,
+		RetryAfter: time.Duration(e.Detail.RetryAfter),
+		FateIs:     e.Detail.Fate,
+	}
+}
+
+// once sends k to one address.
+func (c *Client) once(ctx context.Context, address string, k call) (reply, error) {
+	request, err := c.request(ctx, address, k)
+	if err != nil {
+		return reply{}, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return reply{}, sendError(ctx, k, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := c.readAnswer(response)
+	if err != nil {
+		return reply{}, answerError(k, err)
+	}
+	if response.Header.Get(api.HeaderError) != "" || response.StatusCode != http.StatusOK {
+		return reply{}, errorReply(k, response, body)
+	}
+	return reply{header: response.Header, body: body}, nil
+}
+
+func (c *Client) request(ctx context.Context, address string, k call) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, k.method, "http://"+address+k.path, bytes.NewReader(k.body))
+	if err != nil {
+		return nil, errkind.New(errkind.InvalidRequest, "the call cannot be sent: %v", err)
+	}
+	if c.cfg.Secret != "" {
+		request.Header.Set("Authorization", "Bearer "+c.cfg.Secret)
+	}
+	if end, ok := ctx.Deadline(); ok {
+		request.Header.Set(api.HeaderTimeout, time.Until(end).String())
+	}
+	if len(k.body) > 0 {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	return request, nil
+}
+
+var (
+	errTooLong   = errors.New("the answer is longer than this client reads")
+	errDigest    = errors.New("the answer has another digest than its header states")
+	errNoDigest  = errors.New("the answer has no digest")
+	errNoLength  = errors.New("the answer has no length")
+	errShortBody = errors.New("the answer is shorter than its header states")
+)
+
+// readAnswer reads the whole body and checks its length and digest.
+func (c *Client) readAnswer(response *http.Response) ([]byte, error) {
+	if response.ContentLength < 0 {
+		return nil, errNoLength
+	}
+	if response.ContentLength > c.cfg.MaxBytes {
+		return nil, errTooLong
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) != response.ContentLength {
+		return nil, errShortBody
+	}
+	return body, checkDigest(response.Header.Get(api.HeaderDigest), body)
+}
+
+func checkDigest(header string, body []byte) error {
+	if header == "" {
+		return errNoDigest
+	}
+	sum := sha256.Sum256(body)
+	if header != "sha-256=:"+base64.StdEncoding.EncodeToString(sum[:])+":" {
+		return errDigest
+	}
+	return nil
+}
+
+// sendError names the fate of a call without an answer. It is known only where
+// no connection was made, or where the call reads and so has nothing to run.
+func sendError(ctx context.Context, k call, err error) error {
+	var network *net.OpError
+	notSent := errors.As(err, &network) && network.Op == "dial"
+	switch {
+	case notSent && ctx.Err() == nil:
+		return errkind.New(errkind.Unreachable, "no connection: %v", err)
+	case ctx.Err() != nil && (notSent || k.isRead()):
+		return errkind.New(errkind.DeadlineExceeded, "the time for the call has passed")
+	case k.isRead():
+		return errkind.New(errkind.Unreachable, "no answer: %v", err)
+	}
+	return errkind.New(errkind.OutcomeUnknown, "the call was sent and no answer came: %v", err)
+}
+
+// answerError names the fate of a call whose answer is not complete.
+func answerError(k call, err error) error {
+	if k.isRead() {
+		return errkind.New(errkind.ResultIncomplete, "%v", err)
+	}
+	return errkind.New(errkind.OutcomeUnknown, "%v", err)
+}
+
+func (k call) isRead() bool { return k.method == http.MethodGet }
+
+// errorReply reads the body of an error answer. An answer that is none of ours
+// comes from something in between, and says nothing about the work.
+func errorReply(k call, response *http.Response, body []byte) error {
+	var decoded api.ErrorReply
+	if err := json.Unmarshal(body, &decoded); err != nil || decoded.Error.Kind == "" {
+		if k.isRead() {
+			return errkind.New(errkind.Unreachable, "the answer %s is not from an entry instance", response.Status)
+		}
+		return errkind.New(errkind.OutcomeUnknown, "the answer %s is not from an entry instance", response.Status)
+	}
+	return &Error{Detail: decoded.Error}
+}
+
+func decode[T any](got reply, err error) (T, error) {
+	var out T
+	if err != nil {
+		return out, err
+	}
+	if err := json.Unmarshal(got.body, &out); err != nil {
+		return out, errkind.New(errkind.ResultIncomplete, "the answer cannot be read: %v", err)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/cmd/mulberryctl/conflict.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+)
+
+// conflictLines shows the change that came first.
+func conflictLines(c api.Conflict) []string {
+	lines := []string{fmt.Sprintf("revision %d is in force, not %d; %s changed at %s:",
+		c.Revision, c.Expected, orNobody(c.By), c.At.Format(time.RFC3339))}
+	return append(lines, changeLines(c.Changes)...)
+}
+
+func changeLines(changes []api.Change) []string {
+	lines := make([]string, 0, len(changes))
+	for _, change := range changes {
+		lines = append(lines, fmt.Sprintf("%s: %s -> %s", change.Path, orNone(change.Before), orNone(change.After)))
+	}
+	return lines
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "(none)"
+	}
+	return s
+}
+
+func orNobody(s string) string {
+	if s == "" {
+		return "an unnamed operator"
+	}
+	return s
+}
--- /dev/null
+++ b/cmd/mulberryctl/environment.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/client"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+)
+
+// globals are the flags of every command.
+type globals struct {
+	Server   []string      `help:"Addresses (host:port) of entry instances for callers." env:"MULBERRYDRUM_SERVER" default:"127.0.0.1:7070"`
+	Operator []string      `help:"Addresses (host:port) of entry instances for operators." env:"MULBERRYDRUM_OPERATOR" default:"127.0.0.1:7071"`
+	KeyFile  string        `help:"File with the secret of the key. MULBERRYDRUM_KEY has the secret itself; there is no flag for it, since arguments are visible to every user of the machine." env:"MULBERRYDRUM_KEY_FILE"`
+	Output   string        `help:"Form of the output: ${enum}." enum:"text,json" default:"text"`
+	Timeout  time.Duration `help:"Time for the whole command, without the wait that it asks for." default:"15s"`
+}
+
+// environment is what a command runs in.
+type environment struct {
+	globals
+	ctx    context.Context
+	stdin  io.Reader
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// caller returns a client of the address for callers, and a context for a
+// command that waits for wait.
+func (e *environment) caller(wait time.Duration) (*client.Client, context.Context, context.CancelFunc, error) {
+	return e.client(e.Server, wait)
+}
+
+func (e *environment) client(addresses []string, wait time.Duration) (*client.Client, context.Context, context.CancelFunc, error) {
+	secret, err := e.secret()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, e.Timeout+wait)
+	return client.New(client.Config{Addresses: addresses, Secret: secret}), ctx, cancel, nil
+}
+
+func (e *environment) secret() (string, error) {
+	if e.KeyFile == "" {
+		return os.Getenv("MULBERRYDRUM_KEY"), nil
+	}
+	text, err := os.ReadFile(e.KeyFile)
+	if err != nil {
+		return "", errkind.New(errkind.KeyMissing, "the secret cannot be read: %v", err).WithField("key-file", "a readable file")
+	}
+	return strings.TrimSpace(string(text)), nil
+}
+
+// show prints v as JSON, or lines as text.
+func (e *environment) show(v any, lines ...string) error {
+	if e.Output == "json" {
+		encoder := json.NewEncoder(e.stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(v)
+	}
+	for _, line := range lines {
+		if _, err := fmt.Fprintln(e.stdout, line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// exitError ends the command with a code, after it has printed what there is.
+type exitError struct{ code int }
+
+// Error returns the code in words.
+func (e exitError) Error() string { return fmt.Sprintf("exit code %d", e.code) }
+
+// report prints err and returns the exit code of its kind.
+func (e *environment) report(err error) int {
+	var exit exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	detail := detailOf(err)
+	if e.Output == "json" {
+		encoder := json.NewEncoder(e.stderr)
+		encoder.SetIndent("", "  ")
+		_ = encoder.Encode(api.ErrorReply{Error: detail})
+	} else {
+		e.reportText(detail)
+	}
+	return errkind.AnswerFor(detail.Kind).ExitCode
+}
+
+func detailOf(err error) api.Error {
+	var answered *client.Error
+	if errors.As(err, &answered) {
+		return answered.Detail
+	}
+	return api.ErrorFrom(errkind.From(err))
+}
+
+func (e *environment) reportText(detail api.Error) {
+	line := func(format string, args ...any) { _, _ = fmt.Fprintf(e.stderr, format+"\n", args...) }
+	line("mulberryctl: %s: %s", detail.Kind, detail.Message)
+	if detail.Field != "" {
+		line("  field: %s", detail.Field)
+	}
+	if detail.Limit != "" {
+		line("  allowed: %s", detail.Limit)
+	}
+	if detail.RetryAfter > 0 {
+		line("  retry after: %s", time.Duration(detail.RetryAfter))
+	}
+	line("  work: %s, advice: %s", detail.Fate, detail.Advice)
+	for _, fault := range detail.Faults {
+		line("  %s", fault)
+	}
+	if detail.Conflict != nil {
+		for _, text := range conflictLines(*detail.Conflict) {
+			line("  %s", text)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/mulberryctl/job.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// showJob prints job and returns the error that its end stands for.
+func (e *environment) showJob(job api.Job) error {
+	if err := e.show(job, jobLines(job)...); err != nil {
+		return err
+	}
+	if code := jobExitCode(job); code != 0 {
+		return exitError{code}
+	}
+	return nil
+}
+
+func jobLines(job api.Job) []string {
+	lines := []string{fmt.Sprintf("%s\t%s", job.ID, job.State)}
+	if job.Repeated {
+		lines[0] += "\trepeated"
+	}
+	for _, t := range job.Tasks {
+		lines = append(lines, taskLine(t))
+		if len(t.Result) > 0 {
+			lines = append(lines, string(t.Result))
+		}
+	}
+	return lines
+}
+
+func taskLine(t api.Task) string {
+	line := fmt.Sprintf("  task %d\t%s\tattempt %d", t.Index, t.State, t.Attempt)
+	if t.State.IsFinal() {
+		line += fmt.Sprintf("\texit code %d\t%s", t.ExitCode, time.Duration(t.RunTime))
+	}
+	if t.Worker != "" {
+		line += "\ton " + t.Worker
+	}
+	if t.Reason != "" {
+		line += "\t" + t.Reason
+	}
+	return line
+}
+
+// jobExitCode is 0 while the job goes on, so that a script can tell a failure
+// from a wait that was too short by the printed state.
+func jobExitCode(job api.Job) int {
+	for _, t := range job.Tasks {
+		switch {
+		case !t.State.IsFinal():
+		case t.State == task.Unknown:
+			return errkind.AnswerFor(errkind.OutcomeUnknown).ExitCode
+		case t.Reason != "":
+			return errkind.AnswerFor(errkind.Kind(t.Reason)).ExitCode
+		case t.State == task.NotRun, t.ExitCode != 0:
+			return errkind.AnswerFor(errkind.TaskFailed).ExitCode
+		}
+	}
+	return 0
+}
--- a/cmd/mulberryctl/main.go
+++ b/cmd/mulberryctl/main.go
@@ -1,26 +1,58 @@
-// Command mulberryctl is described in docs/design.md.
+// Command mulberryctl is the command line of callers and operators. Every
+// command talks to entry instances only; config check talks to nobody.
 package main
 
 import (
-	"fmt"
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
 type commands struct {
+	globals
+
+	Submit  submitCommand  `cmd:"" help:"Submit a job to a service of a team."`
+	Status  statusCommand  `cmd:"" help:"Show the state of a job, or wait for its end."`
+	Cancel  cancelCommand  `cmd:"" help:"Ask for the end of a job."`
+	Result  resultCommand  `cmd:"" help:"Write the result of one task of a job."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
-type versionCommand struct{}
-
-// Run prints the version.
-func (versionCommand) Run() error {
-	_, err := fmt.Println("mulberryctl development")
-	return err
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
 }
 
-func main() {
+// run runs one command and returns its exit code.
+func run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
 	var cli commands
-	ctx := kong.Parse(&cli, kong.Name("mulberryctl"))
-	ctx.FatalIfErrorf(ctx.Run())
+	code, exited := 0, false
+	parser := kong.Must(&cli,
+		kong.Name("mulberryctl"),
+		kong.Description("Talks to the entry instances of a mulberrydrum cluster. Exit codes are those of the error table in docs/api.md."),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(c int) { code, exited = c, true }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	)
+	parsed, err := parser.Parse(args)
+	if exited {
+		return code
+	}
+	if err != nil {
+		parser.Errorf("%s", err)
+		return errkind.AnswerFor(errkind.InvalidRequest).ExitCode
+	}
+	env := &environment{ctx: ctx, globals: cli.globals, stdin: stdin, stdout: stdout, stderr: stderr}
+	if err := parsed.Run(env); err != nil {
+		return env.report(err)
+	}
+	return 0
 }
--- /dev/null
+++ b/cmd/mulberryctl/result.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"os"
+
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+)
+
+type resultCommand struct {
+	Job   string `arg:"" help:"Job, as <team>/<service>/<idempotency key>."`
+	Index int    `help:"Index of the task in the job." default:"0"`
+	To    string `help:"File to write; standard output by default." placeholder:"FILE"`
+}
+
+// Help shows how to use the command.
+func (resultCommand) Help() string {
+	return `Examples:
+  mulberryctl result leuven-pipes/nozzles/n-1042
+  mulberryctl result leuven-pipes/flexibility/run-77 --index 3 --to run-77-3.json
+
+The result is written as it came, whatever --output says. Nothing is written
+unless its length and digest are right.`
+}
+
+const resultFileMode = 0o600
+
+// Run writes the result.
+func (c resultCommand) Run(env *environment) error {
+	callers, ctx, cancel, err := env.caller(0)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	defer callers.Close()
+	result, err := callers.Result(ctx, c.Job, c.Index)
+	if err != nil {
+		return err
+	}
+	if c.To == "" {
+		_, err = env.stdout.Write(result.Data)
+		return err
+	}
+	if err := os.WriteFile(c.To, result.Data, resultFileMode); err != nil {
+		return errkind.New(errkind.InvalidRequest, "the result cannot be written: %v", err).WithField("to", "a writable file")
+	}
+	return nil
+}
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -41,6 +41,8 @@
 	ResultIncomplete    Kind = "result_incomplete"
 	OutcomeUnknown      Kind = "outcome_unknown"
 	NotAllowed          Kind = "not_allowed"
+	UnknownPath         Kind = "unknown_path"
+	Unreachable         Kind = "unreachable"
 	Internal            Kind = "internal"
 )
 
@@ -100,6 +102,8 @@
 	ResultIncomplete:    {502, 8, AdviceAsk, FateRun},
 	OutcomeUnknown:      {504, 8, AdviceAsk, FateUnknown},
 	NotAllowed:          {405, 2, AdviceDoNotRetry, FateNotRun},
+	UnknownPath:         {404, 2, AdviceDoNotRetry, FateNotRun},
+	Unreachable:         {503, 3, AdviceRetry, FateNotRun},
 	Internal:            {500, 9, AdviceAsk, FateUnknown},
 }
 
--- a/internal/importrule/importrule_test.go
+++ b/internal/importrule/importrule_test.go
@@ -13,7 +13,7 @@
 var decisionPackages = []string{
 	"task", "errkind", "timeline", "oracle", "document", "keyring", "membership",
 	"ownership", "allowance", "ledger", "queue", "fairshare", "placement",
-	"quarantine", "control",
+	"quarantine", "control", "jsonc", "api",
 }
 
 // peerPackages own the encoding towards one peer each.
--- /dev/null
+++ b/jsonc/decode.go
@@ -0,0 +1,229 @@
+package jsonc
+
+import (
+	"encoding"
+	"encoding/base64"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// Comments says whether a source text may have comments and trailing commas.
+type Comments bool
+
+// The two dialects.
+const (
+	WithComments    Comments = true
+	WithoutComments Comments = false
+)
+
+// Decode reads src into the struct that into points to. Unknown and duplicate
+// names, null and values of another type are faults; all of them are returned.
+// Durations are written as "9s", times as RFC 3339 and bytes as base64. Fields
+// that src does not name keep their value.
+func Decode(src []byte, into any, comments Comments) (*Positions, []Fault) {
+	d := decoder{positions: newPositions(src)}
+	if fault, ok := checkNesting(d.positions); !ok {
+		return d.positions, []Fault{fault}
+	}
+	root, err := hujson.Parse(src)
+	if err != nil {
+		return d.positions, []Fault{syntaxFault(d.positions, err)}
+	}
+	if comments == WithoutComments && !root.IsStandard() {
+		d.fault(0, "", "comments and trailing commas are not allowed here", "standard JSON")
+		return d.positions, d.faults
+	}
+	d.value(root, "", reflect.ValueOf(into).Elem())
+	return d.positions, d.faults
+}
+
+// syntaxFault takes the position out of an error of hujson, which states it
+// only in its text.
+func syntaxFault(p *Positions, err error) Fault {
+	text := strings.TrimPrefix(err.Error(), "hujson: ")
+	fault := Fault{Line: 1, Column: 1, Message: text, Allowed: "one JSON object"}
+	var line, column int
+	if n, _ := fmt.Sscanf(text, "line %d, column %d:", &line, &column); n != 2 {
+		return fault
+	}
+	_, message, _ := strings.Cut(text, ": ")
+	if strings.Contains(message, "parsing value: unexpected EOF") || strings.HasSuffix(message, "unexpected EOF") {
+		message = "the text ends before the value does"
+	}
+	fault.Line, fault.Column, fault.Message = line, column, message
+	return fault
+}
+
+type decoder struct {
+	positions *Positions
+	faults    []Fault
+}
+
+func (d *decoder) fault(offset int, path, message, allowed string) {
+	d.faults = append(d.faults, d.positions.faultAt(offset, path, message, allowed))
+}
+
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	bytesType    = reflect.TypeFor[[]byte]()
+)
+
+func (d *decoder) value(v hujson.Value, path string, to reflect.Value) {
+	d.positions.offsets[path] = v.StartOffset
+	if literal, ok := v.Value.(hujson.Literal); ok && literal.Kind() == 'n' {
+		d.fault(v.StartOffset, path, "null is not allowed", "leave the field out, or "+describe(to.Type()))
+		return
+	}
+	if text, ok := to.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.text(v, path, to.Type(), text)
+		return
+	}
+	switch {
+	case to.Type() == durationType:
+		d.duration(v, path, to)
+	case to.Type() == bytesType:
+		d.bytes(v, path, to)
+	case to.Kind() == reflect.Pointer:
+		to.Set(reflect.New(to.Type().Elem()))
+		d.value(v, path, to.Elem())
+	case to.Kind() == reflect.Struct:
+		d.object(v, path, to)
+	case to.Kind() == reflect.Slice:
+		d.array(v, path, to)
+	default:
+		d.scalar(v, path, to)
+	}
+}
+
+func (d *decoder) object(v hujson.Value, path string, to reflect.Value) {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.mismatch(v, path, to.Type())
+		return
+	}
+	fields, names := fieldsOf(to.Type())
+	seen := make(map[string]int)
+	for _, member := range object.Members {
+		name := member.Name.Value.(hujson.Literal).String()
+		at := fieldPath(path, name)
+		if first, twice := seen[name]; twice {
+			line, _ := lineColumn(d.positions.src, first)
+			d.fault(member.Name.StartOffset, at, fmt.Sprintf("the name stands twice, first on line %d", line), "each name once")
+			continue
+		}
+		seen[name] = member.Name.StartOffset
+		index, known := fields[name]
+		if !known {
+			d.fault(member.Name.StartOffset, at, "unknown field", strings.Join(names, ", "))
+			continue
+		}
+		d.value(member.Value, at, to.Field(index))
+	}
+}
+
+func (d *decoder) array(v hujson.Value, path string, to reflect.Value) {
+	array, ok := v.Value.(*hujson.Array)
+	if !ok {
+		d.mismatch(v, path, to.Type())
+		return
+	}
+	to.Set(reflect.MakeSlice(to.Type(), len(array.Elements), len(array.Elements)))
+	for i, element := range array.Elements {
+		d.value(element, fmt.Sprintf("%s[%d]", path, i), to.Index(i))
+	}
+}
+
+func (d *decoder) scalar(v hujson.Value, path string, to reflect.Value) {
+	literal, _ := v.Value.(hujson.Literal)
+	switch kind := literal.Kind(); {
+	case to.Kind() == reflect.String && kind == '"':
+		to.SetString(literal.String())
+	case to.Kind() == reflect.Bool && (kind == 't' || kind == 'f'):
+		to.SetBool(literal.Bool())
+	case to.CanInt() && kind == '0':
+		n, err := strconv.ParseInt(string(literal), 10, to.Type().Bits())
+		if err != nil {
+			d.mismatch(v, path, to.Type())
+			return
+		}
+		to.SetInt(n)
+	case to.CanFloat() && kind == '0':
+		f, err := strconv.ParseFloat(string(literal), 64)
+		if err != nil {
+			d.mismatch(v, path, to.Type())
+			return
+		}
+		to.SetFloat(f)
+	default:
+		d.mismatch(v, path, to.Type())
+	}
+}
+
+func (d *decoder) text(v hujson.Value, path string, t reflect.Type, to encoding.TextUnmarshaler) {
+	literal, ok := v.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '"' || to.UnmarshalText([]byte(literal.String())) != nil {
+		d.mismatch(v, path, t)
+	}
+}
+
+func (d *decoder) duration(v hujson.Value, path string, to reflect.Value) {
+	literal, ok := v.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '"' {
+		d.mismatch(v, path, durationType)
+		return
+	}
+	parsed, err := time.ParseDuration(literal.String())
+	if err != nil {
+		d.mismatch(v, path, durationType)
+		return
+	}
+	to.SetInt(int64(parsed))
+}
+
+func (d *decoder) bytes(v hujson.Value, path string, to reflect.Value) {
+	literal, ok := v.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '"' {
+		d.mismatch(v, path, bytesType)
+		return
+	}
+	decoded, err := base64.StdEncoding.DecodeString(literal.String())
+	if err != nil {
+		d.mismatch(v, path, bytesType)
+		return
+	}
+	to.SetBytes(decoded)
+}
+
+func (d *decoder) mismatch(v hujson.Value, path string, want reflect.Type) {
+	d.fault(v.StartOffset, path, "found "+describeValue(v), describe(want))
+}
+
+// fieldsOf returns the index of each field of struct type t by its name in
+// JSON, and the names in the order of the struct.
+func fieldsOf(t reflect.Type) (map[string]int, []string) {
+	index := make(map[string]int, t.NumField())
+	var names []string
+	for i := range t.NumField() {
+		name := FieldName(t.Field(i))
+		if name == "" {
+			continue
+		}
+		index[name] = i
+		names = append(names, name)
+	}
+	return index, names
+}
+
+// FieldName returns the name of f in JSON, or "" where f has none.
+func FieldName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	if name == "-" || !f.IsExported() {
+		return ""
+	}
+	return name
+}
--- /dev/null
+++ b/jsonc/describe.go
@@ -0,0 +1,72 @@
+package jsonc
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/tailscale/hujson"
+)
+
+// Described is a type that says in words which values it takes.
+type Described interface{ Describe() string }
+
+// describe says in words which values t takes.
+func describe(t reflect.Type) string {
+	if described, ok := reflect.New(t).Interface().(Described); ok {
+		return described.Describe()
+	}
+	switch {
+	case t == durationType:
+		return `a duration such as "9s" or "250ms"`
+	case t == reflect.TypeFor[time.Time]():
+		return `a time such as "2026-05-04T09:30:00Z"`
+	case t == bytesType:
+		return "bytes in base64"
+	}
+	switch t.Kind() {
+	case reflect.Pointer:
+		return describe(t.Elem())
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64, reflect.Float32:
+		return "a number"
+	case reflect.Slice:
+		return "an array, each element " + describe(t.Elem())
+	case reflect.Struct:
+		_, names := fieldsOf(t)
+		return "an object with " + strings.Join(names, ", ")
+	default:
+		return fmt.Sprintf("a whole number of at most %d bits", t.Bits())
+	}
+}
+
+// shownBytes bounds how much of a wrong value is repeated in a fault.
+const shownBytes = 40
+
+func describeValue(v hujson.Value) string {
+	switch value := v.Value.(type) {
+	case *hujson.Object:
+		return "an object"
+	case *hujson.Array:
+		return "an array"
+	case hujson.Literal:
+		return clip(string(value))
+	}
+	return "no value"
+}
+
+func clip(s string) string {
+	if len(s) <= shownBytes {
+		return s
+	}
+	end := shownBytes
+	for end > 0 && !utf8.RuneStart(s[end]) {
+		end--
+	}
+	return s[:end] + "..."
+}
