--- /dev/null
+++ b/cmd/standin/worker.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/standin"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// WorkerCommand serves stand-in workers, each on its own listener, and prints
+// one JSON line for each of them.
+type WorkerCommand struct {
+	Count          int           `help:"Number of workers." default:"1"`
+	Listen         string        `help:"Address of the first worker; with a port other than 0 the ports follow each other." default:"127.0.0.1:0"`
+	Prefix         string        `help:"Names are the prefix and a number from 1." default:"worker-"`
+	Region         string        `help:"Region of the workers." default:"region-1"`
+	FailureDomain  string        `help:"Failure domain of the workers." default:"domain-1"`
+	RackSize       int           `help:"Workers to a rack." default:"8"`
+	RackPrefix     string        `help:"Racks are the prefix and a number from 1." default:"rack-"`
+	CPU            int64         `help:"Cores of each worker." default:"32"`
+	MemoryMB       int64         `help:"Memory of each worker in MB." name:"memory-mb" default:"131072"`
+	Accelerators   int64         `help:"Accelerators of each worker." default:"0"`
+	Slots          int64         `help:"Slots of each worker." default:"8"`
+	Connections    int64         `help:"Connections of each worker." default:"64"`
+	UsageLag       time.Duration `help:"Age of the usage in reports." default:"5s"`
+	IgnoreEpoch    bool          `help:"Do not reject lower epochs."`
+	IgnoreValidity bool          `help:"Do not check boot, start_by and leases."`
+}
+
+// workerLine is what is printed of one worker.
+type workerLine struct {
+	Name          string `json:"name"`
+	Address       string `json:"address"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	Rack          string `json:"rack"`
+}
+
+// Run serves until the process is interrupted.
+func (c *WorkerCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	failed := make(chan error, c.Count)
+	for i := range c.Count {
+		line, err := c.serveOne(i, failed)
+		if err != nil {
+			return err
+		}
+		if err := json.NewEncoder(os.Stdout).Encode(line); err != nil {
+			return fmt.Errorf("print worker: %w", err)
+		}
+	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+// serveOne starts worker number i.
+func (c *WorkerCommand) serveOne(i int, failed chan<- error) (workerLine, error) {
+	address, err := nthAddress(c.Listen, i)
+	if err != nil {
+		return workerLine{}, err
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return workerLine{}, fmt.Errorf("listen for worker %d: %w", i+1, err)
+	}
+	line := workerLine{
+		Name:          fmt.Sprintf("%s%d", c.Prefix, i+1),
+		Address:       listener.Addr().String(),
+		Region:        c.Region,
+		FailureDomain: c.FailureDomain,
+		Rack:          fmt.Sprintf("%s%d", c.RackPrefix, i/max(c.RackSize, 1)+1),
+	}
+	w := standin.NewWorker(c.config(line.Name))
+	server := &http.Server{Handler: w.Handler(), IdleTimeout: standin.WorkerIdleTimeout}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- fmt.Errorf("serve %s: %w", line.Name, err)
+		}
+	}()
+	return line, nil
+}
+
+func (c *WorkerCommand) config(name string) standin.WorkerConfig {
+	return standin.WorkerConfig{
+		Name: name,
+		Capacity: task.Resources{
+			CPUMilli: c.CPU * 1000, MemoryMB: c.MemoryMB, Accelerators: c.Accelerators,
+			Slots: c.Slots, Connections: c.Connections,
+		},
+		UsageLag:       c.UsageLag,
+		IgnoreEpoch:    c.IgnoreEpoch,
+		IgnoreValidity: c.IgnoreValidity,
+	}
+}
+
+// nthAddress adds n to the port of listen unless it is 0.
+func nthAddress(listen string, n int) (string, error) {
+	address, err := net.ResolveTCPAddr("tcp", listen)
+	if err != nil {
+		return "", fmt.Errorf("listen address: %w", err)
+	}
+	if address.Port != 0 {
+		address.Port += n
+	}
+	return address.String(), nil
+}
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,255 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/oracle"
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/worker"
+)
+
+// WorkerConfig describes a stand-in worker. IgnoreEpoch and IgnoreValidity
+// model workers that do not check epochs, or neither start_by, leases nor boot.
+type WorkerConfig struct {
+	Name           string
+	Capacity       task.Resources
+	UsageLag       time.Duration // age of the usage in reports
+	IgnoreEpoch    bool
+	IgnoreValidity bool
+}
+
+// errNoReply means that the worker gives no reply: the connection is lost or
+// silent. Whether the call had an effect is not known to its caller.
+var errNoReply = errors.New("the worker does not reply")
+
+// Worker is a stand-in worker. One goroutine owns its state; calls and changes
+// of faults are functions sent to that goroutine.
+type Worker struct {
+	config  WorkerConfig
+	calls   chan func(now time.Time)
+	control chan func(now time.Time)
+	closed  chan struct{}
+	close   sync.Once
+
+	// Owned by the loop.
+	machine *machine
+	ledger  oracle.WorkerLedger
+	boots   int
+	faults  faults
+}
+
+// NewWorker starts a worker. Close ends it.
+func NewWorker(config WorkerConfig) *Worker {
+	w := &Worker{
+		config:  config,
+		calls:   make(chan func(time.Time)),
+		control: make(chan func(time.Time)),
+		closed:  make(chan struct{}),
+		ledger:  oracle.WorkerLedger{Worker: config.Name, Capacity: config.Capacity},
+	}
+	w.boot(time.Now())
+	go w.loop()
+	return w
+}
+
+// Close ends the loop and every call in progress.
+func (w *Worker) Close() { w.close.Do(func() { close(w.closed) }) }
+
+func (w *Worker) boot(now time.Time) {
+	w.boots++
+	w.machine = newMachine(now, w.config, w.boots, &w.ledger)
+}
+
+// loop runs calls and ends tasks. While frozen it accepts only control
+// functions, so calls wait in the order in which they came.
+func (w *Worker) loop() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		calls, expired := w.calls, timer.C
+		if w.faults.frozen {
+			calls, expired = nil, nil
+		} else {
+			w.setTimer(timer)
+		}
+		select {
+		case <-w.closed:
+			return
+		case f := <-w.control:
+			f(time.Now())
+		case f := <-calls:
+			now := time.Now()
+			w.machine.advance(now)
+			f(now)
+		case <-expired:
+			w.machine.advance(time.Now())
+		}
+	}
+}
+
+func (w *Worker) setTimer(timer *time.Timer) {
+	next := w.machine.next()
+	if next.IsZero() {
+		timer.Stop()
+		return
+	}
+	timer.Reset(time.Until(next))
+}
+
+// do runs f on the loop. It waits as long as the worker is frozen, whether or
+// not the caller still waits: a request that has arrived stays in the socket
+// buffer of a worker when its sender gives up.
+func (w *Worker) do(f func(now time.Time)) error { return w.send(w.calls, f) }
+
+// manage runs f on the loop even while the worker is frozen.
+func (w *Worker) manage(f func(now time.Time)) error { return w.send(w.control, f) }
+
+func (w *Worker) send(to chan func(time.Time), f func(now time.Time)) error {
+	done := make(chan struct{})
+	wrapped := func(now time.Time) {
+		f(now)
+		close(done)
+	}
+	select {
+	case to <- wrapped:
+	case <-w.closed:
+		return errNoReply
+	}
+	<-done // the loop runs every function that it has taken
+	return nil
+}
+
+// serve runs one call with the faults that apply to its kind. f returns the
+// rejection of the call, if any.
+func (w *Worker) serve(ctx context.Context, kind Call, f func(now time.Time) *worker.Rejection) error {
+	if err := w.enter(ctx, kind); err != nil {
+		return err
+	}
+	var rejection *worker.Rejection
+	var reply faultsAfter
+	err := w.do(func(now time.Time) {
+		rejection = f(now)
+		reply = w.faults.after(kind)
+	})
+	if err != nil {
+		return err
+	}
+	if err := w.leave(ctx, reply); err != nil {
+		return err
+	}
+	if rejection != nil {
+		return rejection
+	}
+	return nil
+}
+
+// Sync serves worker.API.
+func (w *Worker) Sync(ctx context.Context, req worker.SyncRequest) (reply worker.SyncReply, err error) {
+	err = w.serve(ctx, CallSync, func(now time.Time) (rejection *worker.Rejection) {
+		reply, rejection = w.machine.sync(now, req)
+		return rejection
+	})
+	return reply, err
+}
+
+// Start serves worker.API. It waits for the end of the task up to req.Wait.
+func (w *Worker) Start(ctx context.Context, req worker.StartRequest) (reply worker.StartReply, err error) {
+	var started *record
+	var bootID string
+	err = w.serve(ctx, CallStart, func(now time.Time) (rejection *worker.Rejection) {
+		started, rejection = w.machine.start(now, req)
+		reply, bootID = w.machine.startReply(now, started), w.machine.bootID
+		return rejection
+	})
+	if err != nil || reply.Outcome != nil || started == nil || req.Wait <= 0 {
+		return reply, err
+	}
+	if err := w.await(ctx, started, req.Wait); err != nil {
+		return worker.StartReply{}, err
+	}
+	rebooted := false
+	err = w.do(func(now time.Time) {
+		rebooted = w.machine.bootID != bootID
+		reply = w.machine.startReply(now, started)
+	})
+	if rebooted {
+		return worker.StartReply{}, errNoReply
+	}
+	return reply, err
+}
+
+// await waits until the task has ended, or for the given time.
+func (w *Worker) await(ctx context.Context, r *record, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-r.ended:
+	case <-timer.C:
+	case <-ctx.Done():
+		return errNoReply
+	case <-w.closed:
+		return errNoReply
+	}
+	return nil
+}
+
+// Lookup serves worker.API.
+func (w *Worker) Lookup(ctx context.Context, a task.Attempt) (reply worker.LookupReply, err error) {
+	err = w.serve(ctx, CallLookup, func(now time.Time) *worker.Rejection {
+		reply = w.machine.lookup(now, a)
+		return nil
+	})
+	return reply, err
+}
+
+// Stop serves worker.API.
+func (w *Worker) Stop(ctx context.Context, req worker.StopRequest) (reply worker.LookupReply, err error) {
+	err = w.serve(ctx, CallStop, func(now time.Time) (rejection *worker.Rejection) {
+		reply, rejection = w.machine.stop(now, req)
+		return rejection
+	})
+	return reply, err
+}
+
+// Checkpoint serves worker.API.
+func (w *Worker) Checkpoint(ctx context.Context, req worker.CheckpointRequest) (reply worker.LookupReply, err error) {
+	err = w.serve(ctx, CallCheckpoint, func(now time.Time) (rejection *worker.Rejection) {
+		reply, rejection = w.machine.checkpoint(now, req)
+		return rejection
+	})
+	return reply, err
+}
+
+// Throttle serves worker.API.
+func (w *Worker) Throttle(ctx context.Context, req worker.ThrottleRequest) (reply worker.LookupReply, err error) {
+	err = w.serve(ctx, CallThrottle, func(now time.Time) (rejection *worker.Rejection) {
+		reply, rejection = w.machine.throttle(now, req)
+		return rejection
+	})
+	return reply, err
+}
+
+// Result returns the result of a finished attempt and its digest.
+func (w *Worker) Result(ctx context.Context, a task.Attempt) (result []byte, digest string, err error) {
+	err = w.serve(ctx, CallResult, func(now time.Time) (rejection *worker.Rejection) {
+		result, digest, rejection = w.machine.result(now, a)
+		return rejection
+	})
+	return result, digest, err
+}
+
+// Ledger returns a copy of everything the worker ever ran.
+func (w *Worker) Ledger() (ledger oracle.WorkerLedger, err error) {
+	err = w.manage(func(now time.Time) {
+		if !w.faults.frozen {
+			w.machine.advance(now)
+		}
+		ledger = w.ledger
+		ledger.Runs = append([]oracle.Run(nil), w.ledger.Runs...)
+		ledger.FrozenPeriods = append([]oracle.Period(nil), w.ledger.FrozenPeriods...)
+	})
+	return ledger, err
+}
--- /dev/null
+++ b/standin/worker_calls.go
@@ -0,0 +1,232 @@
+package standin
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/oracle"
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/worker"
+)
+
+// start runs a new attempt. An attempt that is known already is returned as it
+// is: rejecting it would claim that it did not run.
+func (m *machine) start(now time.Time, req worker.StartRequest) (*record, *worker.Rejection) {
+	if r := m.records[req.Attempt]; r != nil {
+		return r, nil
+	}
+	if t, ok := m.tombstones[req.Attempt]; ok && t.ran {
+		return nil, nil
+	}
+	work, rejection := m.admit(now, req)
+	if rejection != nil {
+		return nil, rejection
+	}
+	r := &record{
+		report: worker.TaskReport{
+			Attempt: req.Attempt, Team: req.Team, Class: req.Class, Size: req.Size,
+			State: worker.Running, Home: req.Home, LeaseUntil: req.LeaseUntil,
+		},
+		result: work.result, exit: work.exit, startedAt: now, startBy: req.StartBy,
+		run: len(m.ledger.Runs), ended: make(chan struct{}),
+	}
+	if !work.forever {
+		r.endsAt = now.Add(work.lasts)
+	}
+	m.used = m.used.Add(req.Size)
+	m.records[req.Attempt] = r
+	m.running[req.Attempt] = r
+	m.touch(r)
+	m.ledger.Runs = append(m.ledger.Runs, oracle.Run{
+		Worker: m.config.Name, BootID: m.bootID, Attempt: req.Attempt, Team: req.Team,
+		Class: req.Class, Size: req.Size, Owner: req.Owner, Epoch: req.Epoch,
+		Start: wall(now), State: string(worker.Running), PayloadDigest: worker.Digest(req.Payload),
+	})
+	m.advance(now)
+	return r, nil
+}
+
+// admit decides whether a start is valid and fits.
+func (m *machine) admit(now time.Time, req worker.StartRequest) (command, *worker.Rejection) {
+	if req.Attempt.Task == "" || req.Attempt.Number == 0 || req.Size.HasNegative() {
+		return command{}, m.reject(now, worker.ReasonInvalid, "attempt or size is not valid")
+	}
+	work, err := parseCommand(req.Command, req.Attempt, req.Payload)
+	if err != nil {
+		return command{}, m.reject(now, worker.ReasonInvalid, "%v", err)
+	}
+	if m.failTasks {
+		work = command{exit: 1}
+	}
+	if rejection := m.checkValidity(now, req); rejection != nil {
+		return command{}, rejection
+	}
+	if rejection := m.checkEpoch(now, req.Epoch); rejection != nil {
+		return command{}, rejection
+	}
+	if _, stopped := m.tombstones[req.Attempt]; stopped {
+		return command{}, m.reject(now, worker.ReasonCancelled, "stopped before its start")
+	}
+	if free := m.config.Capacity.Sub(m.used); !req.Size.Fits(free) {
+		m.ledger.OverCapacity++
+		return command{}, m.reject(now, worker.ReasonCapacity, "free are %s, needed are %s", free, req.Size)
+	}
+	return work, nil
+}
+
+func (m *machine) checkValidity(now time.Time, req worker.StartRequest) *worker.Rejection {
+	clock := m.clock(now)
+	switch {
+	case m.config.IgnoreValidity:
+		return nil
+	case req.BootID != m.bootID:
+		return m.reject(now, worker.ReasonBoot, "the start is for boot %q", req.BootID)
+	case clock > req.StartBy:
+		return m.reject(now, worker.ReasonLate, "the start was valid until %s", req.StartBy)
+	case clock >= req.LeaseUntil:
+		return m.reject(now, worker.ReasonLate, "the lease ended at %s", req.LeaseUntil)
+	}
+	return nil
+}
+
+// checkEpoch rejects a lower epoch than the highest seen and remembers a higher.
+func (m *machine) checkEpoch(now time.Time, epoch uint64) *worker.Rejection {
+	if epoch < m.epoch && !m.config.IgnoreEpoch {
+		return m.reject(now, worker.ReasonEpoch, "epoch %d is below %d", epoch, m.epoch)
+	}
+	m.epoch = max(m.epoch, epoch)
+	return nil
+}
+
+func (m *machine) reject(now time.Time, reason worker.Reason, format string, args ...any) *worker.Rejection {
+	return &worker.Rejection{
+		Reason: reason, Message: fmt.Sprintf(format, args...),
+		Clock: m.clock(now), BootID: m.bootID,
+	}
+}
+
+// startReply describes a started attempt; a nil record is one that was
+// acknowledged before.
+func (m *machine) startReply(now time.Time, r *record) worker.StartReply {
+	reply := worker.StartReply{Started: true, Clock: m.clock(now), BootID: m.bootID}
+	if r == nil || r.report.Outcome == nil {
+		return reply
+	}
+	outcome := *r.report.Outcome
+	reply.ResultBytes = r.report.ResultBytes
+	if reply.ResultBytes <= worker.InlineResultBytes {
+		outcome.Result = r.result
+	}
+	reply.Outcome = &outcome
+	return reply
+}
+
+// sync renews leases, forgets acknowledged attempts and reports.
+func (m *machine) sync(now time.Time, req worker.SyncRequest) (worker.SyncReply, *worker.Rejection) {
+	if rejection := m.checkEpoch(now, req.Epoch); rejection != nil {
+		return worker.SyncReply{}, rejection
+	}
+	sameBoot := req.BootID == m.bootID
+	if sameBoot {
+		m.renew(req.LeaseUntil)
+		m.acknowledge(req.Acknowledge)
+	}
+	m.measure(now)
+	full := req.Full || !sameBoot || req.After > m.sequence
+	return worker.SyncReply{
+		Worker: m.config.Name, BootID: m.bootID, Clock: m.clock(now), Sequence: m.sequence, Full: full,
+		Capacity: m.config.Capacity, Leaving: m.leaving, Tasks: m.reports(full, req.After),
+	}, nil
+}
+
+func (m *machine) renew(until time.Duration) {
+	for _, r := range m.running {
+		r.report.LeaseUntil = max(r.report.LeaseUntil, until)
+	}
+}
+
+func (m *machine) acknowledge(attempts []task.Attempt) {
+	for _, a := range attempts {
+		r := m.records[a]
+		if r == nil || r.report.State == worker.Running {
+			continue
+		}
+		delete(m.records, a)
+		m.tombstones[a] = tombstone{until: r.startBy, ran: true}
+	}
+}
+
+// reports lists the attempts that changed after the given sequence, or all, in
+// the order of their changes.
+func (m *machine) reports(full bool, after uint64) []worker.TaskReport {
+	var changed []*record
+	for _, r := range m.records {
+		if full || r.changed > after {
+			changed = append(changed, r)
+		}
+	}
+	slices.SortFunc(changed, func(a, b *record) int { return cmp.Compare(a.changed, b.changed) })
+	reports := make([]worker.TaskReport, 0, len(changed))
+	for _, r := range changed {
+		reports = append(reports, r.report)
+	}
+	return reports
+}
+
+// lookup describes one attempt.
+func (m *machine) lookup(now time.Time, a task.Attempt) worker.LookupReply {
+	reply := worker.LookupReply{Clock: m.clock(now), BootID: m.bootID}
+	if r := m.records[a]; r != nil {
+		reply.Known, reply.Report = true, r.report
+	}
+	return reply
+}
+
+// stop ends a running attempt, or leaves a tombstone for one that has not come.
+func (m *machine) stop(now time.Time, req worker.StopRequest) (worker.LookupReply, *worker.Rejection) {
+	if rejection := m.checkEpoch(now, req.Epoch); rejection != nil {
+		return worker.LookupReply{}, rejection
+	}
+	r := m.records[req.Attempt]
+	if r == nil {
+		m.bury(req)
+		return m.lookup(now, req.Attempt), nil
+	}
+	if r.report.State == worker.Running {
+		m.end(now, r, worker.Stopped, string(errkind.Cancelled))
+	}
+	return m.lookup(now, req.Attempt), nil
+}
+
+// bury leaves a tombstone. A start for another boot needs none.
+func (m *machine) bury(req worker.StopRequest) {
+	t, known := m.tombstones[req.Attempt]
+	if req.BootID != m.bootID && !m.config.IgnoreValidity || known && t.ran {
+		return
+	}
+	t.until = max(t.until, req.StartBy)
+	m.tombstones[req.Attempt] = t
+}
+
+// checkpoint saves the state of a running attempt and ends it.
+func (m *machine) checkpoint(now time.Time, req worker.CheckpointRequest) (worker.LookupReply, *worker.Rejection) {
+	if rejection := m.checkEpoch(now, req.Epoch); rejection != nil {
+		return worker.LookupReply{}, rejection
+	}
+	if r := m.running[req.Attempt]; r != nil {
+		m.end(now, r, worker.Checkpointed, string(errkind.Cancelled))
+	}
+	return m.lookup(now, req.Attempt), nil
+}
+
+// result returns the result of a finished attempt.
+func (m *machine) result(now time.Time, a task.Attempt) ([]byte, string, *worker.Rejection) {
+	r := m.records[a]
+	if r == nil || r.report.Outcome == nil {
+		return nil, "", m.reject(now, worker.ReasonState, "attempt %s has no result here", a)
+	}
+	return r.result, r.report.Outcome.Digest, nil
+}
--- /dev/null
+++ b/standin/worker_http.go
@@ -0,0 +1,151 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/worker"
+)
+
+// maxWorkerRequestBytes bounds the body of a request to a worker.
+const maxWorkerRequestBytes = 4 << 20
+
+// WorkerIdleTimeout is after how long a worker closes an idle connection.
+const WorkerIdleTimeout = 5 * time.Second
+
+// Handler serves the worker protocol, the ledger and the fault switches.
+func (w *Worker) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/sync", func(rw http.ResponseWriter, r *http.Request) {
+		req, ok := decode[worker.SyncRequest](rw, r)
+		if !ok {
+			return
+		}
+		reply, err := w.Sync(r.Context(), req)
+		respond(rw, reply, err)
+	})
+	mux.HandleFunc("POST /v1/tasks", func(rw http.ResponseWriter, r *http.Request) {
+		req, ok := decode[worker.StartRequest](rw, r)
+		if !ok {
+			return
+		}
+		reply, err := w.Start(r.Context(), req)
+		respond(rw, reply, err)
+	})
+	mux.HandleFunc("GET /v1/tasks/{task}/{attempt}", onAttempt(func(rw http.ResponseWriter, r *http.Request, a task.Attempt) {
+		reply, err := w.Lookup(r.Context(), a)
+		respond(rw, reply, err)
+	}))
+	mux.HandleFunc("GET /v1/tasks/{task}/{attempt}/result", onAttempt(w.serveResult))
+	mux.HandleFunc("POST /v1/tasks/{task}/{attempt}/stop", onAttempt(func(rw http.ResponseWriter, r *http.Request, a task.Attempt) {
+		req, ok := decode[worker.StopRequest](rw, r)
+		if !ok {
+			return
+		}
+		req.Attempt = a
+		reply, err := w.Stop(r.Context(), req)
+		respond(rw, reply, err)
+	}))
+	mux.HandleFunc("POST /v1/tasks/{task}/{attempt}/checkpoint", onAttempt(func(rw http.ResponseWriter, r *http.Request, a task.Attempt) {
+		req, ok := decode[worker.CheckpointRequest](rw, r)
+		if !ok {
+			return
+		}
+		req.Attempt = a
+		reply, err := w.Checkpoint(r.Context(), req)
+		respond(rw, reply, err)
+	}))
+	mux.HandleFunc("POST /v1/tasks/{task}/{attempt}/throttle", onAttempt(func(rw http.ResponseWriter, r *http.Request, a task.Attempt) {
+		req, ok := decode[worker.ThrottleRequest](rw, r)
+		if !ok {
+			return
+		}
+		req.Attempt = a
+		reply, err := w.Throttle(r.Context(), req)
+		respond(rw, reply, err)
+	}))
+	mux.HandleFunc("GET /ledger", func(rw http.ResponseWriter, r *http.Request) {
+		ledger, err := w.Ledger()
+		respond(rw, ledger, err)
+	})
+	mux.HandleFunc("POST /faults", func(rw http.ResponseWriter, r *http.Request) {
+		req, ok := decode[WorkerFaults](rw, r)
+		if !ok {
+			return
+		}
+		respond(rw, struct{}{}, w.SetFaults(req))
+	})
+	return mux
+}
+
+func (w *Worker) serveResult(rw http.ResponseWriter, r *http.Request, a task.Attempt) {
+	result, digest, err := w.Result(r.Context(), a)
+	if err != nil {
+		respond(rw, nil, err)
+		return
+	}
+	rw.Header().Set("Content-Type", "application/octet-stream")
+	rw.Header().Set("Content-Length", strconv.Itoa(len(result)))
+	rw.Header().Set(worker.DigestHeader, digest)
+	rw.Write(result)
+}
+
+// onAttempt reads the attempt from the path.
+func onAttempt(f func(http.ResponseWriter, *http.Request, task.Attempt)) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		number, err := strconv.ParseUint(r.PathValue("attempt"), 10, 32)
+		if err != nil {
+			invalid(rw, fmt.Errorf("attempt number: %w", err))
+			return
+		}
+		f(rw, r, task.Attempt{Task: task.ID(r.PathValue("task")), Number: uint32(number)})
+	}
+}
+
+// decode reads the whole body before it returns, so that a request that is cut
+// short has no effect.
+func decode[T any](rw http.ResponseWriter, r *http.Request) (value T, ok bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxWorkerRequestBytes))
+	if err == nil {
+		err = json.Unmarshal(body, &value)
+	}
+	if err != nil {
+		invalid(rw, err)
+		return value, false
+	}
+	return value, true
+}
+
+func invalid(rw http.ResponseWriter, err error) {
+	write(rw, http.StatusBadRequest, &worker.Rejection{Reason: worker.ReasonInvalid, Message: err.Error()})
+}
+
+// respond writes the reply, or the rejection, or closes the connection.
+func respond(rw http.ResponseWriter, reply any, err error) {
+	var rejection *worker.Rejection
+	switch {
+	case err == nil:
+		write(rw, http.StatusOK, reply)
+	case errors.As(err, &rejection):
+		write(rw, http.StatusConflict, rejection)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func write(rw http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	rw.WriteHeader(status)
+	rw.Write(body)
+}
--- /dev/null
+++ b/standin/worker_local.go
@@ -0,0 +1,164 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/worker"
+)
+
+var errRefused = errors.New("connection refused")
+
+// LocalWorkers is worker.API to workers in the same process, without a network.
+// It makes the same promises about errors and deadlines as worker.Client.
+type LocalWorkers struct {
+	// CallTimeout bounds each call; zero is worker.DefaultCallTimeout.
+	CallTimeout time.Duration
+	// MaxResultBytes bounds results; zero is worker.DefaultMaxResultBytes.
+	MaxResultBytes int64
+
+	mu        sync.RWMutex
+	byAddress map[worker.Address]*Worker
+}
+
+var _ worker.API = (*LocalWorkers)(nil)
+
+// NewLocalWorkers returns an API to the given workers.
+func NewLocalWorkers(byAddress map[worker.Address]*Worker) *LocalWorkers {
+	return &LocalWorkers{
+		CallTimeout:    worker.DefaultCallTimeout,
+		MaxResultBytes: worker.DefaultMaxResultBytes,
+		byAddress:      maps.Clone(byAddress),
+	}
+}
+
+// Set puts a worker at an address, or makes the address refuse connections if
+// w is nil.
+func (l *LocalWorkers) Set(address worker.Address, w *Worker) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.byAddress == nil {
+		l.byAddress = make(map[worker.Address]*Worker)
+	}
+	l.byAddress[address] = w
+}
+
+func (l *LocalWorkers) at(address worker.Address) *Worker {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.byAddress[address]
+}
+
+// exchange makes one call. The worker goes on with it after the caller has
+// given up, as with a request that has been sent.
+func exchange[T any](ctx context.Context, l *LocalWorkers, operation string, to worker.Address, wait time.Duration,
+	f func(context.Context, *Worker) (T, error)) (T, error) {
+	var none T
+	w := l.at(to)
+	if w == nil {
+		return none, worker.NotRun(operation, errRefused)
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.CallTimeout+wait)
+	defer cancel()
+	type answer struct {
+		reply T
+		err   error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		reply, err := f(ctx, w)
+		answers <- answer{reply, err}
+	}()
+	select {
+	case a := <-answers:
+		return a.reply, classify(operation, a.err)
+	case <-ctx.Done():
+		return none, worker.Unclear(operation, ctx.Err())
+	}
+}
+
+func classify(operation string, err error) error {
+	var rejection *worker.Rejection
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &rejection):
+		return rejection
+	}
+	return worker.Unclear(operation, err)
+}
+
+// Sync implements worker.API.
+func (l *LocalWorkers) Sync(ctx context.Context, to worker.Address, req worker.SyncRequest) (worker.SyncReply, error) {
+	return exchange(ctx, l, "sync", to, 0, func(ctx context.Context, w *Worker) (worker.SyncReply, error) {
+		return w.Sync(ctx, req)
+	})
+}
+
+// Start implements worker.API.
+func (l *LocalWorkers) Start(ctx context.Context, to worker.Address, req worker.StartRequest, check func() error) (worker.StartReply, error) {
+	if check != nil {
+		if err := check(); err != nil {
+			return worker.StartReply{}, worker.NotRun("start", err)
+		}
+	}
+	return exchange(ctx, l, "start", to, req.Wait, func(ctx context.Context, w *Worker) (worker.StartReply, error) {
+		return w.Start(ctx, req)
+	})
+}
+
+// Lookup implements worker.API.
+func (l *LocalWorkers) Lookup(ctx context.Context, at worker.Address, a task.Attempt) (worker.LookupReply, error) {
+	return exchange(ctx, l, "lookup", at, 0, func(ctx context.Context, w *Worker) (worker.LookupReply, error) {
+		return w.Lookup(ctx, a)
+	})
+}
+
+// Result implements worker.API.
+func (l *LocalWorkers) Result(ctx context.Context, from worker.Address, req worker.ResultRequest, dst io.Writer) error {
+	type body struct {
+		result []byte
+		digest string
+	}
+	got, err := exchange(ctx, l, "result", from, 0, func(ctx context.Context, w *Worker) (body, error) {
+		result, digest, err := w.Result(ctx, req.Attempt)
+		return body{result, digest}, err
+	})
+	if err != nil {
+		return err
+	}
+	if req.Digest == "" {
+		req.Bytes, req.Digest = int64(len(got.result)), got.digest
+	}
+	if err := worker.CopyResult(dst, bytes.NewReader(got.result), req, l.MaxResultBytes); err != nil {
+		return worker.Unclear("result", err)
+	}
+	return nil
+}
+
+// Stop implements worker.API.
+func (l *LocalWorkers) Stop(ctx context.Context, to worker.Address, req worker.StopRequest) (worker.LookupReply, error) {
+	return exchange(ctx, l, "stop", to, 0, func(ctx context.Context, w *Worker) (worker.LookupReply, error) {
+		return w.Stop(ctx, req)
+	})
+}
+
+// Checkpoint implements worker.API.
+func (l *LocalWorkers) Checkpoint(ctx context.Context, to worker.Address, req worker.CheckpointRequest) (worker.LookupReply, error) {
+	return exchange(ctx, l, "checkpoint", to, 0, func(ctx context.Context, w *Worker) (worker.LookupReply, error) {
+		return w.Checkpoint(ctx, req)
+	})
+}
+
+// Throttle implements worker.API.
+func (l *LocalWorkers) Throttle(ctx context.Context, to worker.Address, req worker.ThrottleRequest) (worker.LookupReply, error) {
+	return exchange(ctx, l, "throttle", to, 0, func(ctx context.Context, w *Worker) (worker.LookupReply, error) {
+		return w.Throttle(ctx, req)
+	})
+}
--- /dev/null
+++ b/standin/worker_test.go
@@ -0,0 +1,156 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/worker"
+)
+
+var testCapacity = task.Resources{CPUMilli: 4000, MemoryMB: 4096, Slots: 4, Connections: 64}
+
+const testAddress worker.Address = "worker-1:1"
+
+func testConfig() WorkerConfig {
+	return WorkerConfig{Name: "worker-1", Capacity: testCapacity, UsageLag: 5 * time.Second}
+}
+
+// startFor returns a start that is valid for 3 s with a lease of 30 s.
+func startFor(t testing.TB, api worker.API, at worker.Address, id task.ID, command string) worker.StartRequest {
+	t.Helper()
+	report, err := api.Sync(t.Context(), at, worker.SyncRequest{Owner: "o", Epoch: 1, Full: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return worker.StartRequest{
+		Attempt: task.Attempt{Task: id, Number: 1}, Team: "team-a", Class: "c", Home: "h",
+		Owner: "o", Epoch: 1, BootID: report.BootID,
+		StartBy: report.Clock + 3*time.Second, LeaseUntil: report.Clock + 30*time.Second,
+		Size:    task.Resources{CPUMilli: 1000, MemoryMB: 1024, Slots: 1},
+		Command: command, Payload: []byte("payload of " + string(id)),
+	}
+}
+
+// serveHTTP serves w over HTTP and returns a client and the address.
+func serveHTTP(t testing.TB, w *Worker, config worker.Config) (*worker.Client, worker.Address) {
+	t.Helper()
+	server := httptest.NewUnstartedServer(w.Handler())
+	server.Config.IdleTimeout = WorkerIdleTimeout
+	server.Start()
+	client := worker.NewClient(config)
+	t.Cleanup(func() {
+		w.Close()
+		client.Close()
+		server.Close()
+	})
+	return client, worker.Address(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// TestPathOverHTTP guards against a field that is lost in the encoding: it
+// runs a task from start to acknowledgement with every call.
+func TestPathOverHTTP(t *testing.T) {
+	w := NewWorker(testConfig())
+	api, at := serveHTTP(t, w, worker.Config{})
+	testPath(t, api, at)
+}
+
+// TestPathInProcess guards against the in-process path differing from HTTP.
+func TestPathInProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWorker(testConfig())
+		defer w.Close()
+		testPath(t, NewLocalWorkers(map[worker.Address]*Worker{testAddress: w}), testAddress)
+	})
+}
+
+func testPath(t *testing.T, api worker.API, at worker.Address) {
+	ctx := t.Context()
+	echo := startFor(t, api, at, "task/with slash", "echo")
+	echo.Wait = time.Second
+	started, err := api.Start(ctx, at, echo, nil)
+	if err != nil || started.Outcome == nil || !bytes.Equal(started.Outcome.Result, echo.Payload) {
+		t.Fatalf("start of echo: %+v, %v", started, err)
+	}
+	if again, err := api.Start(ctx, at, echo, nil); err != nil || again.Outcome == nil {
+		t.Errorf("second start of a known attempt: %+v, %v", again, err)
+	}
+	var whole bytes.Buffer
+	want := worker.ResultRequest{Attempt: echo.Attempt, Bytes: int64(len(echo.Payload)), Digest: started.Outcome.Digest}
+	if err := api.Result(ctx, at, want, &whole); err != nil || !bytes.Equal(whole.Bytes(), echo.Payload) {
+		t.Errorf("result: %q, %v", whole.Bytes(), err)
+	}
+	long := startFor(t, api, at, "long", "run")
+	if reply, err := api.Start(ctx, at, long, nil); err != nil || reply.Outcome != nil {
+		t.Fatalf("start of run: %+v, %v", reply, err)
+	}
+	throttle := worker.ThrottleRequest{Attempt: long.Attempt, Epoch: 1, Limit: task.Resources{CPUMilli: 10}}
+	if reply, err := api.Throttle(ctx, at, throttle); err != nil || !reply.Known {
+		t.Errorf("throttle: %+v, %v", reply, err)
+	}
+	report, err := api.Sync(ctx, at, worker.SyncRequest{Epoch: 1, BootID: long.BootID})
+	if err != nil || len(report.Tasks) != 2 || report.Capacity != testCapacity {
+		t.Fatalf("report: %+v, %v", report, err)
+	}
+	stopped, err := api.Stop(ctx, at, worker.StopRequest{Attempt: long.Attempt, Epoch: 1})
+	if err != nil || stopped.Report.State != worker.Stopped {
+		t.Errorf("stop: %+v, %v", stopped, err)
+	}
+	saved, err := api.Checkpoint(ctx, at, worker.CheckpointRequest{Attempt: long.Attempt, Epoch: 1})
+	if err != nil || saved.Report.State != worker.Stopped {
+		t.Errorf("checkpoint of a stopped attempt: %+v, %v", saved, err)
+	}
+	report, err = api.Sync(ctx, at, worker.SyncRequest{
+		Epoch: 1, BootID: long.BootID, After: report.Sequence, Acknowledge: []task.Attempt{echo.Attempt},
+	})
+	if err != nil || report.Full || len(report.Tasks) != 1 || report.Tasks[0].Attempt != long.Attempt {
+		t.Errorf("delta report: %+v, %v", report, err)
+	}
+	if reply, err := api.Lookup(ctx, at, echo.Attempt); err != nil || reply.Known {
+		t.Errorf("lookup of an acknowledged attempt: %+v, %v", reply, err)
+	}
+}
+
+// TestStartCheck guards against a start that is written after the term of its
+// owner has ended.
+func TestStartCheck(t *testing.T) {
+	w := NewWorker(testConfig())
+	api, at := serveHTTP(t, w, worker.Config{})
+	ended := errors.New("term has ended")
+	for name, allowed := range map[string]int{"before the call": 0, "in Write": 1} {
+		req := startFor(t, api, at, task.ID(name), "echo")
+		calls := 0
+		_, err := api.Start(t.Context(), at, req, func() error {
+			calls++
+			if calls > allowed {
+				return ended
+			}
+			return nil
+		})
+		if !errors.Is(err, worker.ErrNotRun) || !errors.Is(err, ended) {
+			t.Errorf("check fails %s: error %v", name, err)
+		}
+		if reply, err := api.Lookup(context.Background(), at, req.Attempt); err != nil || reply.Known {
+			t.Errorf("check fails %s: lookup %+v, %v", name, reply, err)
+		}
+	}
+}
+
+// TestRefusedDial guards against a dial error being taken for an open outcome.
+func TestRefusedDial(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	at := worker.Address(strings.TrimPrefix(server.URL, "http://"))
+	server.Close()
+	client := worker.NewClient(worker.Config{})
+	_, err := client.Start(t.Context(), at, worker.StartRequest{}, nil)
+	if !errors.Is(err, worker.ErrNotRun) || errors.Is(err, worker.ErrUnclear) {
+		t.Errorf("error = %v, want ErrNotRun", err)
+	}
+}
--- /dev/null
+++ b/worker/client.go
@@ -0,0 +1,169 @@
+package worker
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// Defaults of Config.
+const (
+	DefaultConnections        = 16
+	DefaultControlConnections = 2
+	DefaultCallTimeout        = 2 * time.Second
+	DefaultDialTimeout        = time.Second
+	DefaultResultTimeout      = 30 * time.Second
+	DefaultMaxResultBytes     = 16 << 20
+	DefaultMaxReplyBytes      = 8 << 20
+	// DefaultIdleTimeout is below the 5 s after which workers close idle
+	// connections, so that a call seldom meets a connection being closed.
+	DefaultIdleTimeout = 4 * time.Second
+)
+
+// Config bounds what a Client uses. Zero fields take their default.
+type Config struct {
+	Connections        int // per worker, for starts and results
+	ControlConnections int // per worker, for all other calls, which starts must not hold up
+	CallTimeout        time.Duration
+	DialTimeout        time.Duration
+	ResultTimeout      time.Duration
+	IdleTimeout        time.Duration
+	MaxResultBytes     int64
+	MaxReplyBytes      int64
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Connections, DefaultConnections)
+	setDefault(&c.ControlConnections, DefaultControlConnections)
+	setDefault(&c.CallTimeout, DefaultCallTimeout)
+	setDefault(&c.DialTimeout, DefaultDialTimeout)
+	setDefault(&c.ResultTimeout, DefaultResultTimeout)
+	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&c.MaxResultBytes, DefaultMaxResultBytes)
+	setDefault(&c.MaxReplyBytes, DefaultMaxReplyBytes)
+	return c
+}
+
+func setDefault[T int | int64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// Client speaks the worker protocol over HTTP/1.1. It is safe for concurrent
+// use. It never repeats a call that changes anything; net/http may repeat a
+// lookup or the fetch of a result on a new connection.
+type Client struct {
+	config  Config
+	traffic *http.Transport
+	control *http.Transport
+}
+
+var _ API = (*Client)(nil)
+
+// NewClient returns a Client with the bounds of config.
+func NewClient(config Config) *Client {
+	c := &Client{config: config.withDefaults()}
+	c.traffic = c.newTransport(c.config.Connections)
+	c.control = c.newTransport(c.config.ControlConnections)
+	return c
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.traffic.CloseIdleConnections()
+	c.control.CloseIdleConnections()
+}
+
+func (c *Client) newTransport(connections int) *http.Transport {
+	return &http.Transport{
+		DialContext:         c.dial,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     c.config.IdleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: c.config.DialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &checkedConn{Conn: conn}, nil
+}
+
+// Sync implements API.
+func (c *Client) Sync(ctx context.Context, to Address, req SyncRequest) (SyncReply, error) {
+	var reply SyncReply
+	err := c.exchange(ctx, c.control, call{
+		operation: "sync " + string(to), method: http.MethodPost, to: to, path: "/v1/sync",
+		timeout: c.config.CallTimeout, request: req, reply: &reply,
+	})
+	return reply, err
+}
+
+// Start implements API.
+func (c *Client) Start(ctx context.Context, to Address, req StartRequest, check func() error) (StartReply, error) {
+	operation := fmt.Sprintf("start %s on %s", req.Attempt, to)
+	var reply StartReply
+	err := c.exchange(ctx, c.traffic, call{
+		operation: operation, method: http.MethodPost, to: to, path: "/v1/tasks",
+		timeout: c.config.CallTimeout + req.Wait, request: req, reply: &reply, check: check,
+	})
+	if err != nil {
+		return StartReply{}, err
+	}
+	if err := verifyStart(req, reply); err != nil {
+		return StartReply{}, Unclear(operation, err)
+	}
+	return reply, nil
+}
+
+// Lookup implements API.
+func (c *Client) Lookup(ctx context.Context, at Address, a task.Attempt) (LookupReply, error) {
+	return c.onAttempt(ctx, http.MethodGet, at, a, "", nil)
+}
+
+// Stop implements API.
+func (c *Client) Stop(ctx context.Context, to Address, req StopRequest) (LookupReply, error) {
+	return c.onAttempt(ctx, http.MethodPost, to, req.Attempt, "/stop", req)
+}
+
+// Checkpoint implements API.
+func (c *Client) Checkpoint(ctx context.Context, to Address, req CheckpointRequest) (LookupReply, error) {
+	return c.onAttempt(ctx, http.MethodPost, to, req.Attempt, "/checkpoint", req)
+}
+
+// Throttle implements API.
+func (c *Client) Throttle(ctx context.Context, to Address, req ThrottleRequest) (LookupReply, error) {
+	return c.onAttempt(ctx, http.MethodPost, to, req.Attempt, "/throttle", req)
+}
+
+// onAttempt calls a path below that of attempt a.
+func (c *Client) onAttempt(ctx context.Context, method string, to Address, a task.Attempt, verb string, req any) (LookupReply, error) {
+	var reply LookupReply
+	operation := fmt.Sprintf("%s %s%s on %s", method, a, verb, to)
+	err := c.exchange(ctx, c.control, call{
+		operation: operation, method: method, to: to, path: attemptPath(a) + verb,
+		timeout: c.config.CallTimeout, request: req, reply: &reply,
+	})
+	if err != nil {
+		return LookupReply{}, err
+	}
+	if reply.Known && reply.Report.Attempt != a {
+		return LookupReply{}, Unclear(operation, fmt.Errorf("%w: reply is about %s", ErrIncomplete, reply.Report.Attempt))
+	}
+	return reply, nil
+}
+
+func attemptPath(a task.Attempt) string {
+	return "/v1/tasks/" + url.PathEscape(string(a.Task)) + "/" + strconv.FormatUint(uint64(a.Number), 10)
+}
--- /dev/null
+++ b/worker/conn.go
@@ -0,0 +1,67 @@
+package worker
+
+import (
+	"errors"
+	"net"
+	"sync"
+)
+
+var errSealed = errors.New("the call that used this connection has ended")
+
+// checkedConn is a connection that asks for permission before each write and
+// knows whether a call has written anything. HTTP/1.1 carries one call at a
+// time on a connection.
+type checkedConn struct {
+	net.Conn
+
+	mu     sync.Mutex
+	check  func() error
+	wrote  bool
+	sealed bool
+}
+
+// begin assigns the connection to a call. A sealed connection stays sealed.
+func (c *checkedConn) begin(check func() error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.check = check
+	c.wrote = false
+}
+
+// seal prevents all further writes and reports whether the present call may
+// have written anything. It does not wait for a write in progress.
+func (c *checkedConn) seal() (wrote bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.wrote
+}
+
+// Write asks the check of the present call, then writes.
+func (c *checkedConn) Write(b []byte) (int, error) {
+	if err := c.permit(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *checkedConn) permit() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return errSealed
+	}
+	if c.check != nil {
+		if err := c.check(); err != nil {
+			return &checkError{err}
+		}
+	}
+	c.wrote = true
+	return nil
+}
+
+// checkError marks an error as coming from the check of a start.
+type checkError struct{ err error }
+
+func (e *checkError) Error() string { return "check before write: " + e.err.Error() }
+func (e *checkError) Unwrap() error { return e.err }
--- /dev/null
+++ b/worker/errors.go
@@ -0,0 +1,54 @@
+package worker
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Classes of errors. Every error of an API call wraps exactly one of the first
+// two; the others add why a result was not delivered.
+var (
+	// ErrNotRun means that the call surely had no effect on the worker.
+	ErrNotRun = errors.New("not run")
+	// ErrUnclear means that the call may have had an effect.
+	ErrUnclear = errors.New("outcome unclear")
+	// ErrTooLarge means that a reply is larger than the limit.
+	ErrTooLarge = errors.New("reply too large")
+	// ErrIncomplete means that a result has another length or digest than
+	// was announced, or belongs to another attempt.
+	ErrIncomplete = errors.New("result incomplete")
+)
+
+// Rejection is a worker's statement that it did not do what was asked. It is
+// both an error and the body of the reply.
+type Rejection struct {
+	Reason  Reason        `json:"reason"`
+	Message string        `json:"message"`
+	Clock   time.Duration `json:"clock_ns"`
+	BootID  string        `json:"boot_id"`
+}
+
+// Error returns the reason and the message.
+func (r *Rejection) Error() string {
+	return fmt.Sprintf("rejected by the worker: %s: %s", r.Reason, r.Message)
+}
+
+// Is makes every rejection an ErrNotRun.
+func (r *Rejection) Is(target error) bool { return target == ErrNotRun }
+
+// IsRejected reports whether err holds a rejection for the given reason.
+func IsRejected(err error, reason Reason) bool {
+	var r *Rejection
+	return errors.As(err, &r) && r.Reason == reason
+}
+
+// NotRun returns err marked as ErrNotRun.
+func NotRun(operation string, err error) error {
+	return fmt.Errorf("%s: %w: %w", operation, ErrNotRun, err)
+}
+
+// Unclear returns err marked as ErrUnclear.
+func Unclear(operation string, err error) error {
+	return fmt.Errorf("%s: %w: %w", operation, ErrUnclear, err)
+}
--- /dev/null
+++ b/worker/exchange.go
@@ -0,0 +1,155 @@
+package worker
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// call is one exchange with a worker.
+type call struct {
+	operation string
+	method    string
+	to        Address
+	path      string
+	timeout   time.Duration
+	request   any // encoded as JSON; nil for no body
+	reply     any // decoded from JSON
+	check     func() error
+}
+
+// exchange makes one call and decodes its reply.
+func (c *Client) exchange(ctx context.Context, transport *http.Transport, x call) error {
+	ctx, cancel := context.WithTimeout(ctx, x.timeout)
+	defer cancel()
+	resp, err := c.send(ctx, transport, x)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := readLimited(resp.Body, c.config.MaxReplyBytes)
+	if err != nil {
+		return Unclear(x.operation, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return statusError(x.operation, resp.StatusCode, body)
+	}
+	if err := json.Unmarshal(body, x.reply); err != nil {
+		return Unclear(x.operation, fmt.Errorf("decode reply: %w", err))
+	}
+	return nil
+}
+
+// send writes the request and returns the response with its body unread.
+func (c *Client) send(ctx context.Context, transport *http.Transport, x call) (*http.Response, error) {
+	var conn atomic.Pointer[checkedConn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		got := info.Conn.(*checkedConn)
+		got.begin(x.check)
+		conn.Store(got)
+	}}
+	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), x)
+	if err != nil {
+		return nil, NotRun(x.operation, err)
+	}
+	if x.check != nil {
+		if err := x.check(); err != nil {
+			return nil, NotRun(x.operation, &checkError{err})
+		}
+	}
+	resp, err := transport.RoundTrip(req)
+	if err == nil {
+		return resp, nil
+	}
+	if used := conn.Load(); used != nil && used.seal() {
+		return nil, Unclear(x.operation, err)
+	}
+	return nil, NotRun(x.operation, err)
+}
+
+// newRequest builds the request. GetBody stays nil: without it, net/http
+// cannot repeat a request that has a body.
+func newRequest(ctx context.Context, x call) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, x.method, "http://"+string(x.to)+x.path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	if x.request == nil {
+		return req, nil
+	}
+	body, err := json.Marshal(x.request)
+	if err != nil {
+		return nil, fmt.Errorf("encode request: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.ContentLength = int64(len(body))
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	return req, nil
+}
+
+// statusError classifies a reply other than 200. Only a rejection that the
+// worker spelled out counts as ErrNotRun.
+func statusError(operation string, status int, body []byte) error {
+	var rejection Rejection
+	err := json.Unmarshal(body, &rejection)
+	if err == nil && rejection.Reason != "" && status >= 400 && status < 500 {
+		return fmt.Errorf("%s: %w", operation, &rejection)
+	}
+	return Unclear(operation, fmt.Errorf("status %d: %.200q", status, body))
+}
+
+// readLimited reads all of r, or fails with ErrTooLarge beyond limit bytes.
+func readLimited(r io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("read reply: %w", err)
+	}
+	if int64(len(body)) > limit {
+		return nil, fmt.Errorf("%w: more than %d bytes", ErrTooLarge, limit)
+	}
+	return body, nil
+}
+
+// verifyStart checks that the reply belongs to the request and that a result
+// in it is whole.
+func verifyStart(req StartRequest, reply StartReply) error {
+	if !reply.Started {
+		return fmt.Errorf("%w: reply neither starts nor rejects", ErrIncomplete)
+	}
+	if reply.Outcome == nil {
+		return nil
+	}
+	if reply.Outcome.Attempt != req.Attempt {
+		return fmt.Errorf("%w: reply is about %s", ErrIncomplete, reply.Outcome.Attempt)
+	}
+	if reply.ResultBytes > InlineResultBytes {
+		return nil
+	}
+	return verifyResult(*reply.Outcome, reply.ResultBytes)
+}
+
+func verifyResult(o task.Outcome, length int64) error {
+	if int64(len(o.Result)) != length {
+		return fmt.Errorf("%w: %d bytes instead of %d", ErrIncomplete, len(o.Result), length)
+	}
+	if got := Digest(o.Result); got != o.Digest {
+		return fmt.Errorf("%w: digest %s instead of %s", ErrIncomplete, got, o.Digest)
+	}
+	return nil
+}
+
+// Digest returns the SHA-256 digest of b in hex, as results carry it.
+func Digest(b []byte) string {
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/worker/result.go
@@ -0,0 +1,72 @@
+package worker
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// DigestHeader carries the SHA-256 digest of a result in hex.
+const DigestHeader = "Result-Sha256"
+
+// Result implements API. The bytes are written to dst as they arrive, so dst
+// holds a part of the result if an error is returned.
+func (c *Client) Result(ctx context.Context, from Address, req ResultRequest, dst io.Writer) error {
+	x := call{
+		operation: fmt.Sprintf("result of %s from %s", req.Attempt, from),
+		method:    http.MethodGet, to: from, path: attemptPath(req.Attempt) + "/result",
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.config.ResultTimeout)
+	defer cancel()
+	resp, err := c.send(ctx, c.traffic, x)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		body, _ := readLimited(resp.Body, c.config.MaxReplyBytes)
+		return statusError(x.operation, resp.StatusCode, body)
+	}
+	if resp.ContentLength < 0 {
+		return Unclear(x.operation, fmt.Errorf("%w: the reply states no length", ErrIncomplete))
+	}
+	announced := ResultRequest{Attempt: req.Attempt, Bytes: resp.ContentLength, Digest: resp.Header.Get(DigestHeader)}
+	if req.Digest == "" {
+		req = announced
+	}
+	if announced != req {
+		return Unclear(x.operation, fmt.Errorf("%w: the worker announces %d bytes with digest %q instead of %d with %q",
+			ErrIncomplete, announced.Bytes, announced.Digest, req.Bytes, req.Digest))
+	}
+	if err := CopyResult(dst, resp.Body, req, c.config.MaxResultBytes); err != nil {
+		return Unclear(x.operation, err)
+	}
+	return nil
+}
+
+// CopyResult copies a result from src to dst and checks it against the length
+// and digest in want, and the length against limit.
+func CopyResult(dst io.Writer, src io.Reader, want ResultRequest, limit int64) error {
+	if want.Bytes > limit {
+		return fmt.Errorf("%w: %d bytes, allowed are %d", ErrTooLarge, want.Bytes, limit)
+	}
+	hash := sha256.New()
+	n, err := io.Copy(io.MultiWriter(dst, hash), io.LimitReader(src, want.Bytes+1))
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		return fmt.Errorf("%w: %d bytes instead of %d", ErrIncomplete, n, want.Bytes)
+	}
+	if err != nil {
+		return fmt.Errorf("copy result: %w", err)
+	}
+	if n != want.Bytes {
+		return fmt.Errorf("%w: %d bytes instead of %d", ErrIncomplete, n, want.Bytes)
+	}
+	if got := hex.EncodeToString(hash.Sum(nil)); got != want.Digest {
+		return fmt.Errorf("%w: digest %s instead of %s", ErrIncomplete, got, want.Digest)
+	}
+	return nil
+}
