--- a/control/effect.go
+++ b/control/effect.go
@@ -45,6 +45,7 @@
 	Command    string
 	Payload    []byte
 	LongLived  bool
+	BootID     string        // of the worker; its clock starts at zero with each boot
 	StartBy    time.Duration // in the worker's clock
 	LeaseUntil time.Duration // in the worker's clock
 	Wait       time.Duration // how long the worker may hold the exchange open for the result
@@ -57,6 +58,7 @@
 	Address     string
 	Partition   string
 	Epoch       uint64
+	BootID      string        // of the worker
 	LeaseUntil  time.Duration // in the worker's clock; 0 renews nothing
 	Acknowledge []task.Attempt
 	After       uint64
@@ -85,6 +87,7 @@
 	Worker  string
 	Address string
 	Epoch   uint64
+	BootID  string
 	Attempt task.Attempt
 	Reason  errkind.Kind
 	// Checkpoint asks for a checkpoint before the stop.
--- a/control/home.go
+++ b/control/home.go
@@ -76,7 +76,7 @@
 
 // submit accepts a job, or finds the earlier submission with the same key.
 func (h *home) submit(token uint64, req SubmitRequest) {
-	job := ledger.JobKey{Team: req.Spec.Team, Key: req.Spec.IdempotencyKey}
+	job := ledger.KeyOf(&req.Spec)
 	step := ledger.Step{Kind: ledger.StepAccepted, Job: job, Token: token}
 	record, isNew, err := h.ledger.Submit(h.shardOf(job), req.Spec, step)
 	if err != nil {
--- a/control/owner.go
+++ b/control/owner.go
@@ -237,7 +237,8 @@
 		return
 	}
 	a.stopAt = w.now.Add(w.cfg.CallTimeout)
-	w.emit(StopTask{Worker: a.worker, Address: ws.listed.Address, Epoch: w.epochOf(a.partition), Attempt: a.id, Reason: reason, RefuseUntil: a.startBy})
+	w.emit(StopTask{Worker: a.worker, Address: ws.listed.Address, Epoch: w.epochOf(a.partition),
+		BootID: a.bootID, Attempt: a.id, Reason: reason, RefuseUntil: a.startBy})
 }
 
 func (w *owner) epochOf(name string) uint64 {
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -160,7 +160,7 @@
 		Worker: a.worker, Address: ws.listed.Address, Partition: a.partition, Epoch: w.epochOf(a.partition),
 		Attempt: a.id, Job: a.job, Index: a.index, Team: a.team, Class: a.class, Size: a.size,
 		Command: spec.Command, Payload: spec.Payload, LongLived: spec.Kind == task.LongLived,
-		StartBy: a.startBy, LeaseUntil: ws.clock + w.cfg.TaskLease, Wait: wait,
+		BootID: ws.bootID, StartBy: a.startBy, LeaseUntil: ws.clock + w.cfg.TaskLease, Wait: wait,
 	})
 	w.event(timeline.Event{Type: timeline.TaskStartSent, Team: a.team, Task: a.id.Task, Attempt: a.id.Number,
 		Worker: a.worker, Partition: a.partition, Epoch: w.epochOf(a.partition), Size: &a.size, KeyID: spec.KeyID})
--- a/control/workers.go
+++ b/control/workers.go
@@ -117,7 +117,7 @@
 		Acknowledge: slices.Clone(ws.acks[:min(len(ws.acks), maxAcknowledge)]),
 	}
 	if !ws.clockAt.IsZero() {
-		sync.LeaseUntil = ws.clock + w.cfg.TaskLease
+		sync.BootID, sync.LeaseUntil = ws.bootID, ws.clock+w.cfg.TaskLease
 	}
 	w.emit(sync)
 }
--- a/entry/encode.go
+++ b/entry/encode.go
@@ -46,11 +46,11 @@
 }
 
 func encodeJob(j ledger.JobKey) *entrypb.Job {
-	return &entrypb.Job{Team: string(j.Team), Key: j.Key}
+	return &entrypb.Job{Team: string(j.Team), Service: string(j.Service), Key: j.Key}
 }
 
 func decodeJob(j *entrypb.Job) ledger.JobKey {
-	return ledger.JobKey{Team: task.Team(j.GetTeam()), Key: j.GetKey()}
+	return ledger.JobKey{Team: task.Team(j.GetTeam()), Service: task.Service(j.GetService()), Key: j.GetKey()}
 }
 
 func encodeSpec(s *task.Spec) *entrypb.Spec {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -141,7 +141,7 @@
 	if !ok || s.phase != active {
 		return nil, false, errkind.New(errkind.NoOwner, "shard %s has no active home here", shardName)
 	}
-	key := JobKey{Team: spec.Team, Key: spec.IdempotencyKey}
+	key := KeyOf(&spec)
 	if first, found := s.records[key]; found {
 		return l.repeat(s, first, spec, step)
 	}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -9,14 +9,20 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// JobKey identifies a job: one submission of one team.
+// JobKey identifies a job: one submission to one service of a team.
 type JobKey struct {
-	Team task.Team `json:"team"`
-	Key  string    `json:"key"` // idempotency key
+	Team    task.Team    `json:"team"`
+	Service task.Service `json:"service"`
+	Key     string       `json:"key"` // idempotency key
 }
 
-// String returns team and idempotency key.
-func (k JobKey) String() string { return fmt.Sprintf("%s/%s", k.Team, k.Key) }
+// KeyOf returns the identity of the job that a specification describes.
+func KeyOf(spec *task.Spec) JobKey {
+	return JobKey{Team: spec.Team, Service: spec.Service, Key: spec.IdempotencyKey}
+}
+
+// String returns <team>/<service>/<idempotency key>.
+func (k JobKey) String() string { return fmt.Sprintf("%s/%s/%s", k.Team, k.Service, k.Key) }
 
 // Record is what the home keeps of one job.
 type Record struct {
@@ -39,7 +45,7 @@
 }
 
 // JobKey returns the identity of the job.
-func (r *Record) JobKey() JobKey { return JobKey{Team: r.Spec.Team, Key: r.Spec.IdempotencyKey} }
+func (r *Record) JobKey() JobKey { return KeyOf(&r.Spec) }
 
 // IsFinal reports whether every task of the job is final.
 func (r *Record) IsFinal() bool {
@@ -91,7 +97,7 @@
 	if !found {
 		return JobKey{}, 0, false
 	}
-	_, rest, found = strings.Cut(rest, "/")
+	service, rest, found := strings.Cut(rest, "/")
 	last := strings.LastIndexByte(rest, '/')
 	if !found || last < 0 {
 		return JobKey{}, 0, false
@@ -101,7 +107,7 @@
 	if err != nil {
 		return JobKey{}, 0, false
 	}
-	return JobKey{Team: task.Team(team), Key: rest[:last]}, index, true
+	return JobKey{Team: task.Team(team), Service: task.Service(service), Key: rest[:last]}, index, true
 }
 
 // Clone returns a deep copy that later changes of r do not reach.
