--- /dev/null
+++ b/timeline/merge.go
@@ -0,0 +1,72 @@
+package timeline
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+)
+
+// Merge returns the events of all lines in one order that keeps the order of
+// each process and places a message's receipt after its sending. An event that
+// is in several lines appears once.
+func Merge(lines ...[]Event) []Event {
+	merged := slices.Concat(lines...)
+	slices.SortFunc(merged, compare)
+	return slices.CompactFunc(merged, func(a, b Event) bool {
+		return a.Sequence == b.Sequence && a.Incarnation == b.Incarnation && a.Instance == b.Instance
+	})
+}
+
+func compare(a, b Event) int {
+	return cmp.Or(
+		a.Clock.Wall.Compare(b.Clock.Wall),
+		cmp.Compare(a.Clock.Logical, b.Clock.Logical),
+		cmp.Compare(a.Instance, b.Instance),
+		cmp.Compare(a.Incarnation, b.Incarnation),
+		cmp.Compare(a.Sequence, b.Sequence),
+	)
+}
+
+// renderLayout shows wall time in UTC with milliseconds.
+const renderLayout = "2006-01-02T15:04:05.000Z"
+
+// Render writes one line of text for each event.
+func Render(w io.Writer, events []Event) error {
+	for _, e := range events {
+		if _, err := fmt.Fprintln(w, e.String()); err != nil {
+			return fmt.Errorf("write time line: %w", err)
+		}
+	}
+	return nil
+}
+
+// String returns the event as one line of text without a newline.
+func (e Event) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s+%d %s/%s#%d %s", e.Clock.Wall.UTC().Format(renderLayout), e.Clock.Logical,
+		e.Instance, e.Incarnation, e.Sequence, e.Type)
+	field(&b, "team", e.Team, e.Team != "")
+	field(&b, "task", e.Task, e.Task != "")
+	field(&b, "attempt", e.Attempt, e.Attempt != 0)
+	field(&b, "worker", e.Worker, e.Worker != "")
+	field(&b, "partition", e.Partition, e.Partition != "")
+	field(&b, "epoch", e.Epoch, e.Epoch != 0)
+	field(&b, "revision", e.Revision, e.Revision != 0)
+	field(&b, "key", e.KeyID, e.KeyID != "")
+	field(&b, "kind", e.Kind, e.Kind != "")
+	if e.Size != nil {
+		fmt.Fprintf(&b, " size=[%s]", e.Size)
+	}
+	if e.Detail != "" {
+		fmt.Fprintf(&b, " %q", e.Detail)
+	}
+	return b.String()
+}
+
+func field(b *strings.Builder, name string, value any, present bool) {
+	if present {
+		fmt.Fprintf(b, " %s=%v", name, value)
+	}
+}
