--- /dev/null
+++ b/fairshare/shares_test.go
@@ -0,0 +1,115 @@
+package fairshare
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"pgregory.net/rapid"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	total = task.Resources{CPUMilli: 100_000, MemoryMB: 100_000, Accelerators: 10, Slots: 100, Connections: 1000}
+)
+
+func newShares(halfLife time.Duration) *Shares {
+	s := New(Config{HalfLife: halfLife})
+	s.SetTotal(total)
+	return s
+}
+
+// TestDominantResourceDecides guards against a team that fills one resource
+// being taken for a small one because it uses little of the others.
+func TestDominantResourceDecides(t *testing.T) {
+	s := newShares(0)
+	s.Start(start, "accelerated", task.Resources{Accelerators: 5})
+	s.Start(start, "processors", task.Resources{CPUMilli: 40_000, MemoryMB: 40_000, Slots: 40})
+	got := s.Order(start, []task.Team{"accelerated", "processors", "idle"})
+	if want := []task.Team{"idle", "processors", "accelerated"}; !slices.Equal(got, want) {
+		t.Errorf("order = %v, want %v", got, want)
+	}
+}
+
+// TestWeightsDivideTheCluster guards against weights being ignored: a cluster
+// that is filled in the order of need is divided in proportion to them.
+func TestWeightsDivideTheCluster(t *testing.T) {
+	s := newShares(0)
+	teams := []task.Team{"one", "two", "five"}
+	s.SetWeight("two", 2)
+	s.SetWeight("five", 5)
+	now := start
+	for range 80 {
+		now = now.Add(time.Second)
+		s.Start(now, s.Order(now, teams)[0], task.Resources{Slots: 1})
+	}
+	for team, want := range map[task.Team]float64{"one": 0.1, "two": 0.2, "five": 0.5} {
+		got := s.ShareOf(now, team)
+		if math.Abs(got.Current-want) > 0.021 || math.Abs(got.Entitled-want/0.8) > 1e-9 {
+			t.Errorf("share of %s = %+v, want about %v", team, got, want)
+		}
+	}
+}
+
+// TestUsageDecaysByHalf guards against past usage being forgotten at once or
+// never.
+func TestUsageDecaysByHalf(t *testing.T) {
+	s := newShares(time.Minute)
+	size := task.Resources{CPUMilli: 80_000}
+	s.Start(start, "a", size)
+	grown := start.Add(time.Minute)
+	if got := s.ShareOf(grown, "a").Decayed; math.Abs(got-0.4) > 1e-9 {
+		t.Errorf("decayed share after one half-life of use = %v, want 0.4", got)
+	}
+	s.Finish(grown, "a", size)
+	if got := s.ShareOf(grown.Add(time.Minute), "a"); math.Abs(got.Decayed-0.2) > 1e-9 || got.Current != 0 {
+		t.Errorf("share one half-life after the use = %+v, want 0.2 decayed", got)
+	}
+	got := s.Order(grown.Add(time.Minute), []task.Team{"a", "b"})
+	if got[0] != "b" {
+		t.Errorf("order = %v, want the team without past usage first", got)
+	}
+}
+
+// TestRemoteUsageCounts guards against an owner that sees its own part only.
+func TestRemoteUsageCounts(t *testing.T) {
+	s := newShares(0)
+	s.Start(start, "local", task.Resources{Slots: 10})
+	s.SetRemote(start, "remote", task.Resources{Slots: 20})
+	if got := s.Order(start, []task.Team{"remote", "local"}); got[0] != "local" {
+		t.Errorf("order = %v", got)
+	}
+	s.SetRemote(start, "remote", task.Resources{})
+	if got := s.Order(start, []task.Team{"local", "remote"}); got[0] != "remote" {
+		t.Errorf("order after the remote usage ended = %v", got)
+	}
+}
+
+// TestReorderEqualsOrder guards against the cheap repair of the order after a
+// start differing from sorting again.
+func TestReorderEqualsOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newShares(time.Minute)
+		var teams []task.Team
+		for i := range rapid.IntRange(1, 30).Draw(t, "teams") {
+			team := task.Team(fmt.Sprintf("t%02d", i))
+			teams = append(teams, team)
+			s.SetWeight(team, rapid.Float64Range(0.5, 4).Draw(t, "weight"))
+			s.SetRemote(start, team, task.Resources{Slots: rapid.Int64Range(0, 20).Draw(t, "slots")})
+		}
+		now := start.Add(time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "elapsed")))
+		s.Order(now, teams)
+		for range 20 {
+			size := task.Resources{CPUMilli: rapid.Int64Range(0, 30_000).Draw(t, "cpu")}
+			s.Start(now, teams[0], size)
+			s.Reorder(now, teams)
+			want := s.Order(now, slices.Clone(teams))
+			if !slices.Equal(teams, want) {
+				t.Fatalf("Reorder = %v, Order = %v", teams, want)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,248 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"pgregory.net/rapid"
+)
+
+func drawSize(t *rapid.T) task.Resources {
+	return task.Resources{
+		CPUMilli:     rapid.Int64Range(0, 9000).Draw(t, "cpu"),
+		MemoryMB:     rapid.Int64Range(0, 40000).Draw(t, "memory"),
+		Accelerators: rapid.Int64Range(0, 2).Draw(t, "accelerators"),
+		Slots:        rapid.Int64Range(0, 2).Draw(t, "slots"),
+		Connections:  rapid.Int64Range(0, 9).Draw(t, "connections"),
+	}
+}
+
+func drawNode(t *rapid.T, name string) Node {
+	domain := rapid.IntRange(0, 2).Draw(t, "domain")
+	return Node{
+		Name:          name,
+		Rack:          fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "rack")),
+		FailureDomain: fmt.Sprint("d", domain),
+		Region:        fmt.Sprint("r", domain%2),
+		Partition:     fmt.Sprint("p", rapid.IntRange(0, 2).Draw(t, "partition")),
+		Capacity: task.Resources{
+			CPUMilli:     rapid.SampledFrom([]int64{8000, 9001, 32000}).Draw(t, "cpu capacity"),
+			MemoryMB:     rapid.SampledFrom([]int64{32768, 131072}).Draw(t, "memory capacity"),
+			Accelerators: rapid.Int64Range(0, 4).Draw(t, "accelerator capacity"),
+			Slots:        8,
+			Connections:  64,
+		},
+		Schedulable: rapid.IntRange(0, 9).Draw(t, "schedulable") > 0,
+	}
+}
+
+func drawRequest(t *rapid.T, nodes int) Request {
+	req := Request{
+		Size:      drawSize(t),
+		Partition: rapid.SampledFrom([]string{"", "", "p0", "p1", "none"}).Draw(t, "partition"),
+		Region:    rapid.SampledFrom([]string{"", "r0", "r1", "none"}).Draw(t, "region"),
+		SpreadKey: rapid.SampledFrom([]string{"", "s", "u"}).Draw(t, "spread key"),
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "avoided") {
+		req.Avoid = append(req.Avoid, nodeName(rapid.IntRange(0, nodes).Draw(t, "avoid")))
+	}
+	return req
+}
+
+func nodeName(i int) string { return fmt.Sprintf("n%03d", i) }
+
+// TestFindEqualsScan guards against the index choosing another node than a
+// plain scan over all nodes, or none where the scan finds one, after any
+// sequence of changes.
+func TestFindEqualsScan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 150).Draw(t, "nodes")
+		c := NewCluster()
+		n := &naive{nodes: map[string]*naiveNode{}, holds: map[task.Attempt]naiveHold{}}
+		for i := range nodes {
+			x := drawNode(t, nodeName(i))
+			c.Upsert(x)
+			n.nodes[x.Name] = &naiveNode{Node: x, slot: c.byName[x.Name]}
+		}
+		next := 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			step(t, c, n, nodes, &next)
+			checkTotals(t, c, n)
+			req := drawRequest(t, nodes)
+			got, ok := c.Find(req)
+			want, wantOK := n.find(req)
+			if got != want || ok != wantOK {
+				t.Fatalf("Find(%+v) = %q, %v; the scan finds %q, %v", req, got, ok, want, wantOK)
+			}
+		}
+	})
+}
+
+func step(t *rapid.T, c *Cluster, n *naive, nodes int, next *int) {
+	name := nodeName(rapid.IntRange(0, nodes-1).Draw(t, "node"))
+	size := drawSize(t)
+	a := task.Attempt{Task: task.ID(fmt.Sprint("t", *next)), Number: 1}
+	switch rapid.IntRange(0, 6).Draw(t, "step") {
+	case 0, 1:
+		*next++
+		free := n.free(name)
+		want := size.Fits(free) && !free.HasNegative()
+		if got := c.Reserve(name, a, size); got != want {
+			t.Fatalf("Reserve(%s, %v) = %v with %v free", name, size, got, free)
+		}
+		if want {
+			n.hold(c, name, a, size, rapid.SampledFrom([]string{"", "s", "u"}).Draw(t, "key"))
+		}
+	case 2:
+		*next++
+		c.Assume(name, a, size)
+		n.hold(c, name, a, size, "")
+	case 3:
+		old := task.Attempt{Task: task.ID(fmt.Sprint("t", rapid.IntRange(0, *next).Draw(t, "release"))), Number: 1}
+		h, held := n.holds[old]
+		gotName, gotSize, ok := c.Release(old)
+		if ok != held || gotName != h.name || gotSize != h.size {
+			t.Fatalf("Release = %q, %v, %v; held %+v, %v", gotName, gotSize, ok, h, held)
+		}
+		delete(n.holds, old)
+	case 4:
+		x := drawNode(t, name)
+		c.Upsert(x)
+		n.nodes[name].Node = x
+	case 5:
+		n.nodes[name].penalty = rapid.IntRange(0, MaxPenalty).Draw(t, "penalty")
+		c.SetPenalty(name, n.nodes[name].penalty)
+	case 6:
+		removeAndReturn(t, c, n, name)
+	}
+}
+
+// removeAndReturn takes a node out and back in; what it held stays held.
+func removeAndReturn(t *rapid.T, c *Cluster, n *naive, name string) {
+	x := n.nodes[name]
+	c.Remove(name)
+	if c.Reserve(name, task.Attempt{Task: "never"}, task.Resources{}) {
+		t.Fatalf("reserved on the removed node %s", name)
+	}
+	c.Upsert(x.Node)
+	x.slot = c.byName[name]
+	x.penalty = int(c.nodes[x.slot].penalty)
+}
+
+func (n *naive) hold(c *Cluster, name string, a task.Attempt, size task.Resources, key string) {
+	x := n.nodes[name]
+	c.SetSpread(a, key)
+	n.holds[a] = naiveHold{name, size, key, rackKey{x.Region, x.FailureDomain, x.Rack}, x.FailureDomain}
+}
+
+func checkTotals(t *rapid.T, c *Cluster, n *naive) {
+	var free, capacity task.Resources
+	for name, x := range n.nodes {
+		if !x.Schedulable {
+			continue
+		}
+		capacity = capacity.Add(x.Capacity)
+		if f := n.free(name); !f.HasNegative() {
+			free = free.Add(f)
+		}
+	}
+	if c.Free() != free || c.Capacity() != capacity {
+		t.Fatalf("Free = %v, want %v; Capacity = %v, want %v", c.Free(), free, c.Capacity(), capacity)
+	}
+}
+
+// TestGangIsAllOrNothing guards against a gang that has room being refused, one
+// without room being placed in part, and Find's state changing under it.
+func TestGangIsAllOrNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 20).Draw(t, "nodes")
+		c := NewCluster()
+		for i := range nodes {
+			c.Upsert(drawNode(t, nodeName(i)))
+		}
+		req := drawRequest(t, nodes)
+		req.Size.Slots = rapid.Int64Range(1, 3).Draw(t, "slots of a member")
+		count := rapid.IntRange(1, 40).Draw(t, "members")
+		before := c.Free()
+		names, ok := c.FindGang(req, count)
+		if c.Free() != before || len(c.spreads) != 0 {
+			t.Fatal("FindGang changed the cluster")
+		}
+		if want := roomFor(c, req) >= int64(count); ok != want {
+			t.Fatalf("FindGang of %d = %v, want %v", count, ok, want)
+		}
+		if ok && len(names) != count {
+			t.Fatalf("%d names for %d members", len(names), count)
+		}
+		for i, name := range names {
+			if ok && !c.Reserve(name, task.Attempt{Task: "g", Number: uint32(i + 1)}, req.Size) {
+				t.Fatalf("member %d does not fit on %s", i, name)
+			}
+		}
+	})
+}
+
+func roomFor(c *Cluster, req Request) int64 {
+	room := int64(0)
+	for i := range c.nodes {
+		x := &c.nodes[i]
+		avoided := false
+		for _, name := range req.Avoid {
+			avoided = avoided || name == x.Name
+		}
+		if !x.Schedulable || avoided || req.Partition != "" && req.Partition != x.Partition {
+			continue
+		}
+		for n := int64(1); req.Size.Scale(n).Fits(x.Capacity); n++ {
+			room++
+		}
+	}
+	return room
+}
+
+// TestOverCommittedNodeIsLeftAlone guards against work being added to a node
+// whose reported tasks exceed its capacity, even where the task needs nothing
+// of the resource that is short.
+func TestOverCommittedNodeIsLeftAlone(t *testing.T) {
+	c := NewCluster()
+	c.Upsert(Node{Name: "n", Capacity: task.Resources{CPUMilli: 1000, MemoryMB: 100}, Schedulable: true})
+	a := task.Attempt{Task: "reported", Number: 1}
+	c.Assume("n", a, task.Resources{MemoryMB: 200})
+	small := task.Resources{CPUMilli: 1}
+	if _, ok := c.Find(Request{Size: small}); ok {
+		t.Error("found an over-committed node")
+	}
+	if c.Reserve("n", task.Attempt{Task: "x", Number: 1}, small) {
+		t.Error("reserved on an over-committed node")
+	}
+	c.Release(a)
+	if name, ok := c.Find(Request{Size: small}); !ok || name != "n" {
+		t.Error("the node was not found after it fitted again")
+	}
+}
+
+// TestRemovedNodeKeepsItsAttempts guards against a worker that comes back being
+// committed twice for tasks that it still runs.
+func TestRemovedNodeKeepsItsAttempts(t *testing.T) {
+	c := NewCluster()
+	x := Node{Name: "n", Capacity: task.Resources{CPUMilli: 1000}, Schedulable: true}
+	c.Upsert(x)
+	a := task.Attempt{Task: "a", Number: 1}
+	c.Reserve("n", a, task.Resources{CPUMilli: 600})
+	c.Remove("n")
+	if _, ok := c.Find(Request{}); ok {
+		t.Error("found a removed node")
+	}
+	c.Upsert(x)
+	if _, ok := c.Find(Request{Size: task.Resources{CPUMilli: 600}}); ok {
+		t.Error("the attempt was forgotten")
+	}
+	c.Remove("n")
+	if name, _, ok := c.Release(a); !ok || name != "n" {
+		t.Errorf("Release = %q, %v", name, ok)
+	}
+	if len(c.byName) != 0 {
+		t.Error("the removed node was kept after its last attempt")
+	}
+}
--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,208 @@
+package queue
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func entry(id string, urgency task.Urgency) Entry {
+	return Entry{Attempt: task.Attempt{Task: task.ID(id), Number: 1}, Team: "a", Service: "s", Class: "c", Urgency: urgency}
+}
+
+func order(q *Queues, now time.Time) []string {
+	var ids []string
+	for i := 0; ; i++ {
+		e := q.Next(now, "a", i)
+		if e == nil {
+			return ids
+		}
+		ids = append(ids, string(e.Attempt.Task))
+	}
+}
+
+func mustPush(t *testing.T, q *Queues, now time.Time, e Entry) {
+	t.Helper()
+	if err := q.Push(now, e); err != nil {
+		t.Fatalf("Push(%v): %v", e.Attempt, err)
+	}
+}
+
+func checkOrder(t *testing.T, q *Queues, now time.Time, want ...string) {
+	t.Helper()
+	if got := order(q, now); !slices.Equal(got, want) {
+		t.Errorf("order = %v, want %v", got, want)
+	}
+}
+
+// TestOrderWithinTeam guards against the order of section 6.9 being lost.
+func TestOrderWithinTeam(t *testing.T) {
+	q := New(Config{})
+	late, soon := entry("late", task.Normal), entry("soon", task.Normal)
+	late.Deadline, soon.Deadline = start.Add(time.Hour), start.Add(time.Minute)
+	for _, e := range []Entry{
+		entry("background", task.Background), entry("normal 1", task.Normal), late, soon,
+		entry("urgent 1", task.Urgent), entry("normal 2", task.Normal), entry("urgent 2", task.Urgent),
+	} {
+		mustPush(t, q, start, e)
+	}
+	checkOrder(t, q, start, "urgent 1", "urgent 2", "soon", "late", "normal 1", "normal 2", "background")
+}
+
+// TestBackgroundAges guards against background work waiting for ever behind
+// normal work.
+func TestBackgroundAges(t *testing.T) {
+	q := New(Config{BackgroundLag: time.Minute})
+	mustPush(t, q, start, entry("background", task.Background))
+	mustPush(t, q, start.Add(59*time.Second), entry("before", task.Normal))
+	mustPush(t, q, start.Add(61*time.Second), entry("after", task.Normal))
+	checkOrder(t, q, start.Add(61*time.Second), "before", "background", "after")
+}
+
+// TestAgedWorkPassesUrgentWorkNowAndThen guards against normal work starving
+// under a stream of urgent work, and against a long backlog delaying every
+// urgent request.
+func TestAgedWorkPassesUrgentWorkNowAndThen(t *testing.T) {
+	q := New(Config{AgeLimit: time.Minute, AgedEvery: 4})
+	mustPush(t, q, start, entry("old 1", task.Normal))
+	mustPush(t, q, start, entry("old 2", task.Normal))
+	now := start.Add(2 * time.Minute)
+	for i := range 8 {
+		mustPush(t, q, now, entry(fmt.Sprint("u", i), task.Urgent))
+	}
+	var started []string
+	for range 8 {
+		e := *q.Peek(now, "a")
+		q.Remove(e.Attempt)
+		q.ObserveStart(now, "a", now.Sub(e.EnqueuedAt))
+		started = append(started, string(e.Attempt.Task))
+	}
+	want := []string{"u0", "u1", "u2", "old 1", "u3", "u4", "u5", "old 2"}
+	if !slices.Equal(started, want) {
+		t.Errorf("started %v, want %v", started, want)
+	}
+}
+
+// TestWorkStartsBeforeItsReview guards against a long run that starts too late
+// to finish by its review, as judged by the learned and not the declared time.
+func TestWorkStartsBeforeItsReview(t *testing.T) {
+	q := New(Config{ReviewLead: time.Minute, Safety: 2})
+	for range 10 {
+		q.ObserveRun("a", "s", "c", time.Hour)
+	}
+	long := entry("long", task.Background)
+	long.ReviewBy, long.DeclaredRun = start.Add(4*time.Hour), time.Minute
+	mustPush(t, q, start, entry("urgent", task.Urgent))
+	mustPush(t, q, start, long)
+	latest := q.LatestStart(long)
+	if run := long.ReviewBy.Sub(latest); run < 2*time.Hour || run > 3*time.Hour {
+		t.Fatalf("latest start %v before the review, want twice the learned hour", run)
+	}
+	checkOrder(t, q, latest.Add(-time.Minute-1), "urgent", "long")
+	mustPush(t, q, latest, entry("urgent later", task.Urgent))
+	checkOrder(t, q, latest, "urgent", "long", "urgent later")
+}
+
+// TestFullQueueRefuses guards against one team's flood taking memory without
+// bound or the place of another team.
+func TestFullQueueRefuses(t *testing.T) {
+	q := New(Config{Limit: 3, Rand: rand.New(rand.NewPCG(1, 2))})
+	for i := range 3 {
+		mustPush(t, q, start, entry(fmt.Sprint(i), task.Normal))
+	}
+	err := q.Push(start, entry("more", task.Urgent))
+	if err == nil || err.Kind != errkind.QueueFull || err.Fate() != errkind.FateNotRun || err.RetryAfter <= 0 {
+		t.Fatalf("err = %v, want %s with a retry hint", err, errkind.QueueFull)
+	}
+	mustPush(t, q, start, entry("0", task.Normal)) // waits already
+	other := entry("other", task.Normal)
+	other.Team = "b"
+	mustPush(t, q, start, other)
+	if got := q.Teams(); !slices.Equal(got, []task.Team{"a", "b"}) || q.Len("a") != 3 {
+		t.Errorf("teams %v, %d entries of a", got, q.Len("a"))
+	}
+}
+
+// TestHopelessDeadlineIsRefused guards against work being accepted that is
+// known to start too late, and against work being refused that would not wait.
+func TestHopelessDeadlineIsRefused(t *testing.T) {
+	q := New(Config{})
+	now := start
+	for i := range 20 {
+		mustPush(t, q, now, entry(fmt.Sprint(i), task.Urgent))
+	}
+	for i := range 10 {
+		now = now.Add(10 * time.Second)
+		q.Remove(task.Attempt{Task: task.ID(fmt.Sprint(i)), Number: 1})
+		q.ObserveStart(now, "a", now.Sub(start))
+	}
+	hopeless := entry("hopeless", task.Normal)
+	hopeless.Deadline = now.Add(100 * time.Second) // 10 urgent entries at 10 s are ahead
+	err := q.Push(now, hopeless)
+	if err == nil || err.Kind != errkind.DeadlineExceeded || err.Fate() != errkind.FateNotRun || err.RetryAfter <= 0 {
+		t.Fatalf("err = %v, want %s with a retry hint", err, errkind.DeadlineExceeded)
+	}
+	possible := hopeless
+	possible.Deadline = now.Add(111 * time.Second)
+	mustPush(t, q, now, possible)
+	q.RemoveTeam("a")
+	hopeless.Deadline = now.Add(time.Millisecond)
+	mustPush(t, q, now, hopeless) // nothing is ahead of it
+	late := entry("late", task.Normal)
+	late.Deadline = now
+	if err := q.Push(now, late); err == nil || err.Kind != errkind.DeadlineExceeded {
+		t.Errorf("err = %v for a deadline that has come", err)
+	}
+}
+
+// TestExpiredAreRemoved guards against work being started after its deadline.
+func TestExpiredAreRemoved(t *testing.T) {
+	q := New(Config{})
+	for i := range 4 {
+		e := entry(fmt.Sprint(i), task.Urgencies[i%2])
+		e.Deadline = start.Add(time.Duration(i+1) * time.Second)
+		mustPush(t, q, start, e)
+	}
+	got := q.Expired(start.Add(2*time.Second + 1))
+	if len(got) != 2 || got[0].Attempt.Task != "0" || got[1].Attempt.Task != "1" {
+		t.Errorf("expired = %v", got)
+	}
+	checkOrder(t, q, start, "2", "3")
+}
+
+// TestRunTimesAreLearned guards against declared run times being believed, old
+// runs deciding for ever, and the state growing with every class name.
+func TestRunTimesAreLearned(t *testing.T) {
+	q := New(Config{RunQuantile: 0.9, Profiles: 2})
+	if _, learned := q.ExpectedRun("a", "s", "c"); learned {
+		t.Error("predicted without a run")
+	}
+	for i := range 1000 {
+		d := time.Second
+		if i%5 == 0 {
+			d = time.Minute
+		}
+		q.ObserveRun("a", "s", "c", d)
+	}
+	if d, _ := q.ExpectedRun("a", "s", "c"); d < time.Minute || d > 90*time.Second {
+		t.Errorf("expected run = %v, want a minute rounded up by a bucket", d)
+	}
+	for range 500 {
+		q.ObserveRun("a", "s", "c", time.Second)
+	}
+	if d, _ := q.ExpectedRun("a", "s", "c"); d > 2*time.Second {
+		t.Errorf("expected run = %v after runs of a second", d)
+	}
+	q.ObserveRun("a", "s", "d", time.Second)
+	q.ObserveRun("a", "s", "e", time.Second)
+	if n := len(q.profiles.byKey); n != 2 {
+		t.Errorf("%d profiles kept, limit 2", n)
+	}
+}
