--- /dev/null
+++ b/control/configuration.go
@@ -0,0 +1,171 @@
+package control
+
+import (
+	"fmt"
+
+	"github.com/mulberrydrum/mulberrydrum/document"
+	"github.com/mulberrydrum/mulberrydrum/keyring"
+	"github.com/mulberrydrum/mulberrydrum/membership"
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/timeline"
+)
+
+// DocumentKey names a document. The service is empty for a team's document.
+type DocumentKey struct {
+	Team    task.Team
+	Service task.Service
+}
+
+// HeldDocument is a document with the revision at which it is in force here.
+type HeldDocument struct {
+	document.Document
+	Revision int64
+}
+
+// configuration is what this process knows below the watched prefix. No entry
+// ever goes back to a lower revision.
+type configuration struct {
+	entries   map[string]ConfigChange // by key, deleted ones included
+	documents map[DocumentKey]HeldDocument
+	ring      *keyring.Ring
+	applied   int64 // every change up to here has been applied
+	expected  int64 // the store's revision at the last read
+}
+
+func newConfiguration() *configuration {
+	return &configuration{entries: map[string]ConfigChange{}, documents: map[DocumentKey]HeldDocument{}, ring: keyring.NewRing()}
+}
+
+// isNewer reports whether a change is newer than what is known of its key.
+func (c *configuration) isNewer(change ConfigChange) bool {
+	known, ok := c.entries[change.Entry.Key]
+	return !ok || known.Entry.Revision < change.Entry.Revision
+}
+
+// fetch returns everything for a process that cannot read the store.
+func (c *configuration) fetch() FetchConfigReply {
+	reply := FetchConfigReply{Revision: c.applied}
+	for _, change := range c.entries {
+		reply.Entries = append(reply.Entries, change.Entry)
+	}
+	return reply
+}
+
+func (c *configuration) isWithdrawn(team task.Team, keyID string) bool {
+	return keyID != "" && c.ring.Snapshot(noLimit).IsWithdrawn(team, keyID)
+}
+
+// setDocument keeps the map of earlier snapshots unchanged.
+func (c *configuration) setDocument(key DocumentKey, held *HeldDocument) {
+	next := make(map[DocumentKey]HeldDocument, len(c.documents)+1)
+	for k, d := range c.documents {
+		next[k] = d
+	}
+	if held == nil {
+		delete(next, key)
+	} else {
+		next[key] = *held
+	}
+	c.documents = next
+}
+
+// configChanged applies changes in the order of their revisions.
+func (s *State) configChanged(e ConfigChanged) {
+	s.changed = true
+	seen := make(map[string]bool, len(e.Changes))
+	for _, change := range e.Changes {
+		seen[change.Entry.Key] = true
+		if s.config.isNewer(change) {
+			s.applyChange(change)
+		}
+	}
+	if e.Complete {
+		s.deleteAbsent(seen, e.Revision)
+	}
+	if e.FromPeer {
+		return // a peer's state proves nothing about what the store holds now
+	}
+	s.config.applied = max(s.config.applied, e.Revision)
+	s.ownership.ObserveMembers(s.now, s.routing.memberList(), true)
+	s.ownership.ObserveThrough(s.now, e.Revision)
+	s.freshness.ApplyThrough(e.Revision)
+}
+
+// deleteAbsent deletes the known keys that a complete list does not have.
+func (s *State) deleteAbsent(seen map[string]bool, revision int64) {
+	for key, known := range s.config.entries {
+		if seen[key] || known.Entry.Deleted || known.Entry.Revision > revision {
+			continue
+		}
+		s.applyChange(ConfigChange{Entry: ConfigEntry{Key: key, Revision: revision, Deleted: true}})
+	}
+}
+
+func (s *State) applyChange(change ConfigChange) {
+	previous := s.config.entries[change.Entry.Key]
+	s.config.entries[change.Entry.Key] = change
+	if change.Err != nil {
+		s.event(timeline.Event{Type: timeline.ConfigInForce, Revision: change.Entry.Revision, Kind: "unreadable", Detail: fmt.Sprintf("%s: %v", change.Entry.Key, change.Err)})
+		return
+	}
+	switch {
+	case change.Document != nil:
+		s.documentChanged(change.Entry.Revision, change.Document)
+	case change.Key != nil:
+		s.keyChanged(*change.Key)
+	case change.Member != nil:
+		s.memberChanged(previous.Member, change.Member)
+	case change.Record != nil:
+		s.routing.records[change.Record.Unit] = *change.Record
+		s.ownership.Observe(s.now, *change.Record)
+	case change.Allowance != nil:
+		s.owner.allow.Observe(s.now, *change.Allowance)
+	case change.Entry.Deleted:
+		s.entryDeleted(previous, change.Entry.Revision)
+	}
+}
+
+func (s *State) documentChanged(revision int64, d *document.Document) {
+	key := DocumentKey{Team: d.Team, Service: d.Service}
+	s.config.setDocument(key, &HeldDocument{Document: *d, Revision: revision})
+	s.event(timeline.Event{Type: timeline.ConfigInForce, Team: d.Team, Revision: revision, Detail: string(d.Service)})
+	if d.IsTeam() {
+		s.owner.shares.SetWeight(d.Team, d.Share)
+		s.owner.setLimit(d.Team, d.Limit)
+	}
+}
+
+func (s *State) keyChanged(k keyring.Key) {
+	if !s.config.ring.Apply(k) {
+		return
+	}
+	kind := timeline.KeyGranted
+	if k.Withdrawn {
+		kind = timeline.KeyWithdrawn
+		s.owner.keyWithdrawn(k.Team, k.ID)
+		s.home.keyWithdrawn(k.Team, k.ID)
+	}
+	s.event(timeline.Event{Type: kind, Team: k.Team, KeyID: k.ID, Revision: k.Revision})
+}
+
+func (s *State) memberChanged(previous, m *membership.Member) {
+	if previous != nil && previous.Incarnation != m.Incarnation {
+		delete(s.routing.members, previous.Incarnation)
+	}
+	s.routing.members[m.Incarnation] = *m
+}
+
+func (s *State) entryDeleted(previous ConfigChange, revision int64) {
+	switch {
+	case previous.Member != nil:
+		delete(s.routing.members, previous.Member.Incarnation)
+	case previous.Document != nil:
+		d := previous.Document
+		s.config.setDocument(DocumentKey{Team: d.Team, Service: d.Service}, nil)
+	case previous.Key != nil:
+		k := *previous.Key
+		s.config.ring.Remove(k.Team, k.ID, revision)
+		s.owner.keyWithdrawn(k.Team, k.ID)
+		s.home.keyWithdrawn(k.Team, k.ID)
+	}
+}
--- a/control/effect.go
+++ b/control/effect.go
@@ -103,6 +103,12 @@
 // RenewLease keeps the lease alive and reads the store's revision.
 type RenewLease struct{ Lease int64 }
 
+// WriteMember writes the member record again under the lease.
+type WriteMember struct {
+	Member membership.Member
+	Lease  int64
+}
+
 // ReadShard reads the value of a request shard.
 type ReadShard struct{ Shard string }
 
@@ -110,10 +116,7 @@
 type CommitLedger struct{ Writes []ledger.Write }
 
 // WriteOwnership compares and swaps an ownership record.
-type WriteOwnership struct {
-	Record   ownership.Record
-	Revision int64 // compared; 0 for an absent record
-}
+type WriteOwnership struct{ Write ownership.Write }
 
 // WriteAllowances compares and swaps allowance records in one transaction.
 type WriteAllowances struct{ Writes []allowance.Write }
@@ -134,6 +137,7 @@
 func (StopTask) effect()        {}
 func (GrantLease) effect()      {}
 func (RenewLease) effect()      {}
+func (WriteMember) effect()     {}
 func (ReadShard) effect()       {}
 func (CommitLedger) effect()    {}
 func (WriteOwnership) effect()  {}
--- a/control/event.go
+++ b/control/event.go
@@ -105,21 +105,22 @@
 	Data  []byte
 }
 
-// KeepAliveDone is the end of a RenewLease. Revision is that of the store at a
-// linearizable read which was sent after SentAt; 0 if there was none.
+// KeepAliveDone is the end of a RenewLease.
 type KeepAliveDone struct {
-	SentAt   time.Time
-	Lease    int64
-	Err      error
-	Gone     bool // the store does not know the lease any more
-	Revision int64
+	SentAt     time.Time
+	Lease      int64
+	Err        error
+	Gone       bool // the store does not know the lease any more
+	ReadSentAt time.Time
+	Revision   int64 // of the store at the read; 0 if the read failed
 }
 
 // LeaseGranted is the end of a GrantLease.
 type LeaseGranted struct {
-	SentAt time.Time
-	Lease  int64
-	Err    error
+	SentAt   time.Time
+	Lease    int64
+	Revision int64 // of the store when the member record was written
+	Err      error
 }
 
 // ConfigChanged delivers changes below the watched prefix, in order.
@@ -144,9 +145,9 @@
 
 // InstancesListed delivers the platform's instance list.
 type InstancesListed struct {
+	SentAt  time.Time
 	Workers []ListedWorker
-	Gone    []string // names of entry instances that the list shows as gone
-	Entries []string // names of live entry instances
+	Entries []membership.Member // entry instances that are not gone; only names and places are set
 }
 
 // ListedWorker is one worker of the instance list.
@@ -173,18 +174,14 @@
 
 // OwnershipDone is the end of a WriteOwnership.
 type OwnershipDone struct {
-	Write    WriteOwnership
-	Result   ownership.WriteResult
-	Revision int64
-	Current  *ownership.Record // on conflict: what the store holds
+	Unit   string
+	Result ownership.WriteResult
 }
 
 // AllowanceDone is the end of a WriteAllowances.
 type AllowanceDone struct {
-	Writes   []allowance.Write
-	Result   allowance.WriteResult
-	Revision int64
-	Current  []allowance.Record
+	Writes []allowance.Write
+	Result allowance.WriteResult
 }
 
 // DrainRequested starts a planned stop.
--- a/control/owner.go
+++ b/control/owner.go
@@ -18,14 +18,15 @@
 // partitions.
 type owner struct {
 	*outbox
-	cfg     *Config
-	routing *routing
-	cluster *placement.Cluster
-	shares  *fairshare.Shares
-	queues  *queue.Queues
-	quarant *quarantine.Quarantine
-	allow   *allowance.Table
-	holds   func(unit string) (epoch uint64, ok bool)
+	cfg       *Config
+	routing   *routing
+	cluster   *placement.Cluster
+	shares    *fairshare.Shares
+	queues    *queue.Queues
+	monitor   *quarantine.Monitor
+	allow     *allowance.Table
+	holds     func(unit string) (epoch uint64, ok bool)
+	withdrawn func(team task.Team, keyID string) bool
 
 	partitions map[string]*partition
 	workers    map[string]*workerState
@@ -49,6 +50,7 @@
 	clock     time.Duration // of the worker at its last report
 	clockAt   time.Time     // when that report was received
 	sequence  uint64
+	capacity  task.Resources
 	rebuilt   bool      // a full report came late enough after the owner took over
 	leaseEnd  time.Time // no lease granted so far lasts longer
 	syncing   bool
@@ -241,6 +243,15 @@
 		BootID: a.bootID, Attempt: a.id, Reason: reason, RefuseUntil: a.startBy})
 }
 
+func (w *owner) entryOf(a *attempt) queue.Entry {
+	spec := &a.placement.Spec
+	return queue.Entry{
+		Attempt: a.id, Team: spec.Team, Service: spec.Service, Class: spec.Class, Kind: spec.Kind, Urgency: spec.Urgency,
+		Size: spec.Size, DeclaredRun: spec.DeclaredRun, Deadline: spec.Deadline, ReviewBy: spec.ReviewBy,
+		KeyID: spec.KeyID, Partition: a.partition, EnqueuedAt: w.now,
+	}
+}
+
 func (w *owner) epochOf(name string) uint64 {
 	if p, ok := w.partitions[name]; ok {
 		return p.epoch
--- a/control/ownerwork.go
+++ b/control/ownerwork.go
@@ -2,9 +2,9 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/quarantine"
 	"github.com/mulberrydrum/mulberrydrum/task"
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
@@ -17,7 +17,7 @@
 	}
 	switch {
 	case e.Result == StartNotRun:
-		w.quarant.StartFailed(w.now, a.worker, a.class)
+		w.judge(a, false)
 		w.end(a, task.Outcome{State: task.NotRun, Reason: string(errkind.NoOwner)})
 		w.schedule()
 	case e.Result == StartUnclear:
@@ -51,7 +51,9 @@
 	if a.stopping != "" && outcome.Reason != "" {
 		outcome.Reason = string(a.stopping)
 	}
-	w.quarant.Finished(w.now, a.worker, a.class, string(a.job.Key), outcome.Succeeded())
+	if a.stopping == "" {
+		w.judge(a, outcome.Succeeded())
+	}
 	w.event(timeline.Event{Type: timeline.TaskFinished, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Worker: a.worker, Kind: outcome.Reason})
 	w.end(a, outcome)
 	w.schedule()
@@ -217,6 +219,16 @@
 	}
 }
 
-func sinceBoot(ws *workerState, now time.Time) time.Duration {
-	return ws.clock + now.Sub(ws.clockAt)
+// judge takes the end of an attempt into account when workers are compared.
+func (w *owner) judge(a *attempt, succeeded bool) {
+	w.monitor.Observe(w.now, quarantine.Outcome{
+		Worker:    a.worker,
+		Class:     quarantine.Class{Team: a.team, Service: a.job.Service, Name: a.class},
+		Job:       a.id.Task,
+		Succeeded: succeeded,
+	})
+	w.cluster.SetPenalty(a.worker, w.monitor.Penalty(w.now, a.worker))
+	if ws, ok := w.workers[a.worker]; ok {
+		w.setSchedulable(ws)
+	}
 }
--- a/control/peer.go
+++ b/control/peer.go
@@ -166,6 +166,10 @@
 	Usage        []TeamUsage
 	Wants        []task.Team // teams for which this owner lacks allowance
 	Clock        timeline.Clock
+	// AskNoCommit, in a request during a store outage, asks the other not to
+	// commit a configuration change for a window; NoCommit is the answer.
+	AskNoCommit bool
+	NoCommit    bool
 }
 
 // PartitionDigest is the load of one partition.
@@ -202,6 +206,19 @@
 	Deleted  bool
 }
 
+// BeginConfigCommit asks, within this process, whether a configuration change
+// may be committed now. EndConfigCommit must follow if it may.
+type BeginConfigCommit struct{}
+
+// ConfigCommitReply answers BeginConfigCommit.
+type ConfigCommitReply struct{ Allowed bool }
+
+// EndConfigCommit says that the outcome of a commit is known.
+type EndConfigCommit struct{}
+
+func (BeginConfigCommit) peerRequest()  {}
+func (EndConfigCommit) peerRequest()    {}
+func (ConfigCommitReply) peerReply()    {}
 func (SubmitRequest) peerRequest()      {}
 func (QueryRequest) peerRequest()       {}
 func (PlaceRequest) peerRequest()       {}
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -61,7 +61,7 @@
 }
 
 func (w *owner) request(a *attempt) placement.Request {
-	req := placement.Request{Size: a.size, Partition: a.partition, Avoid: w.quarant.Avoid(a.class)}
+	req := placement.Request{Size: a.size, Partition: a.partition}
 	if a.placement.Spec.Kind == task.LongLived {
 		req.SpreadKey = string(a.team) + "/" + string(a.placement.Spec.Service)
 	}
@@ -97,6 +97,7 @@
 		return false
 	}
 	w.shares.Start(w.now, a.team, a.size)
+	w.cluster.SetSpread(a.id, w.request(a).SpreadKey)
 	a.worker = worker
 	w.event(timeline.Event{Type: timeline.TaskReserved, Team: a.team, Task: a.id.Task, Attempt: a.id.Number,
 		Worker: worker, Partition: a.partition, Epoch: w.epochOf(a.partition), Size: &a.size})
--- a/control/workers.go
+++ b/control/workers.go
@@ -87,14 +87,17 @@
 	w.setSchedulable(ws)
 }
 
+// setSchedulable tells the cluster whether a worker may get new tasks.
 func (w *owner) setSchedulable(ws *workerState) {
-	l := ws.listed
-	node, ok := w.cluster.Node(l.Name)
-	if !ok {
+	if ws.clockAt.IsZero() {
 		return
 	}
-	node.Schedulable = ws.rebuilt && !ws.leaving && ws.failures < silentReports
-	w.cluster.Upsert(node)
+	l := ws.listed
+	w.cluster.Upsert(placement.Node{
+		Name: l.Name, Rack: l.Rack, FailureDomain: l.FailureDomain, Region: l.Region,
+		Partition: ws.partition, Capacity: ws.capacity,
+		Schedulable: ws.rebuilt && !ws.leaving && ws.failures < silentReports && !w.monitor.IsQuarantined(l.Name),
+	})
 }
 
 // silentReports is how many reports in a row may fail before a worker gets no
@@ -164,7 +167,8 @@
 	if firstReport {
 		ws.syncAt = w.now // the leases could not be renewed without a reading of the clock
 	}
-	w.upsertNode(ws, r.Capacity)
+	ws.capacity = r.Capacity
+	w.monitor.AddWorker(ws.listed.Name, ws.partition)
 	for _, t := range r.Tasks {
 		w.takeTask(ws, t)
 	}
@@ -186,14 +190,6 @@
 	return part.gainedAt.Add(w.cfg.atLeast(w.cfg.StartValidity))
 }
 
-func (w *owner) upsertNode(ws *workerState, capacity task.Resources) {
-	l := ws.listed
-	w.cluster.Upsert(placement.Node{
-		Name: l.Name, Rack: l.Rack, FailureDomain: l.FailureDomain, Region: l.Region,
-		Partition: ws.partition, Capacity: capacity, Schedulable: ws.rebuilt && !ws.leaving,
-	})
-}
-
 // takeTask applies one line of a report. An attempt that this owner does not
 // know was started by a former one and is adopted.
 func (w *owner) takeTask(ws *workerState, r TaskReport) {
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -146,6 +146,7 @@
 
 func encodeDigest(d control.DigestMessage) *entrypb.Digest {
 	out := &entrypb.Digest{Instance: d.Instance, Incarnation: d.Incarnation, Revision: d.Revision, StoreContact: d.StoreContact,
+		AskNoCommit: d.AskNoCommit, NoCommit: d.NoCommit,
 		Freshness: durationpb.New(d.Freshness), Clock: &entrypb.Clock{WallNs: d.Clock.Wall.UnixNano(), Logical: d.Clock.Logical}}
 	for _, p := range d.Partitions {
 		out.Partitions = append(out.Partitions, &entrypb.PartitionDigest{Partition: p.Partition, Epoch: p.Epoch, Free: encodeResources(p.Free),
@@ -162,6 +163,7 @@
 
 func decodeDigest(d *entrypb.Digest) control.DigestMessage {
 	out := control.DigestMessage{Instance: d.GetInstance(), Incarnation: d.GetIncarnation(), Revision: d.GetRevision(), StoreContact: d.GetStoreContact(),
+		AskNoCommit: d.GetAskNoCommit(), NoCommit: d.GetNoCommit(),
 		Freshness: d.GetFreshness().AsDuration(), Clock: timeline.Clock{Wall: time.Unix(0, d.GetClock().GetWallNs()), Logical: d.GetClock().GetLogical()}}
 	for _, p := range d.GetPartitions() {
 		out.Partitions = append(out.Partitions, control.PartitionDigest{Partition: p.GetPartition(), Epoch: p.GetEpoch(), Free: decodeResources(p.GetFree()),
