--- /dev/null
+++ b/ownership/record.go
@@ -0,0 +1,109 @@
+package ownership
+
+import "github.com/mulberrydrum/mulberrydrum/membership"
+
+// Record says who owns a unit. It is kept in the store and never deleted.
+type Record struct {
+	Unit          string      `json:"unit"`
+	Owner         string      `json:"owner"`          // incarnation
+	OwnerInstance string      `json:"owner_instance"` // instance of that incarnation
+	Epoch         uint64      `json:"epoch"`          // grows by one with each change of owner
+	Successors    []Successor `json:"successors,omitempty"`
+	Revision      int64       `json:"-"` // of the store; 0 if there is no record
+}
+
+// Successor names the incarnation that may take a unit over, and its instance.
+type Successor struct {
+	Instance    string `json:"instance"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Action is something that a Table asks its caller to do or to know.
+type Action interface{ action() }
+
+// Write asks for one transaction that replaces the record of a unit. The
+// transaction succeeds only if the record's last revision is Expect (0: absent)
+// and the member key of every instance in AbsentMembers is absent. The caller
+// reports every Write with exactly one WriteDone.
+type Write struct {
+	Record        Record
+	Expect        int64
+	AbsentMembers []string
+	Reason        Reason
+}
+
+// AskPromise asks for a promise of each of the successors for one window. The
+// caller reads its clock before it sends and passes that time to PromiseReplied.
+type AskPromise struct {
+	Unit       string
+	Owner      string
+	Epoch      uint64
+	Successors []Successor
+}
+
+// Gained says that this process may act for the unit from now on.
+type Gained struct {
+	Unit     string
+	Epoch    uint64
+	Revision int64 // of the record, for compares in other transactions
+}
+
+// Renewed says that the record of a held unit has a new revision and still names
+// this process under the same epoch. Compares on the record use it from now on.
+type Renewed struct {
+	Unit     string
+	Revision int64
+}
+
+// Lost says that this process may no longer act for the unit.
+type Lost struct {
+	Unit   string
+	Epoch  uint64
+	Reason Reason
+}
+
+func (Write) action()      {}
+func (AskPromise) action() {}
+func (Gained) action()     {}
+func (Renewed) action()    {}
+func (Lost) action()       {}
+
+// Reason says why a record is written or a unit is lost.
+type Reason string
+
+// The reasons.
+const (
+	ReasonClaim      Reason = "claim"      // there was no record
+	ReasonTakeover   Reason = "takeover"   // by a named successor
+	ReasonRestart    Reason = "restart"    // by a new incarnation on the owner's or a successor's instance
+	ReasonAllGone    Reason = "all_gone"   // owner and successors are gone from store and instance list
+	ReasonForced     Reason = "forced"     // an operator stated that they are gone
+	ReasonSuccessors Reason = "successors" // the owner renews its list of successors
+	ReasonMove       Reason = "move"       // handover to the preferred member
+	ReasonRelease    Reason = "release"    // handover by an owner that stops
+	ReasonFence      Reason = "fence"      // same content, so that an unclear write cannot take effect
+	ReasonTermEnded  Reason = "term_ended" // neither store nor successors confirmed in time
+	ReasonTaken      Reason = "taken"      // the record names another owner or epoch
+)
+
+// Outcome is the end of a Write.
+type Outcome int
+
+// The outcomes.
+const (
+	Succeeded Outcome = iota + 1
+	Conflict          // a compare failed
+	Unclear           // the write may take effect, also later
+	NoEffect          // the write did not and will not take effect
+)
+
+// WriteResult reports the end of a Write.
+type WriteResult struct {
+	Outcome  Outcome
+	Revision int64   // of the record, when succeeded
+	Current  *Record // as the store returned it with a conflict; nil if it returned none
+}
+
+func successorOf(m membership.Member) Successor {
+	return Successor{Instance: m.Instance, Incarnation: m.Incarnation}
+}
--- /dev/null
+++ b/ownership/table_test.go
@@ -0,0 +1,56 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/membership"
+)
+
+func at(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
+
+func member(instance, incarnation string) membership.Member {
+	return membership.Member{Instance: instance, Incarnation: incarnation, Region: "r", FailureDomain: instance}
+}
+
+// attachedTable returns a table that has a lease since the start and knows the
+// members and that no record exists.
+func attachedTable(self membership.Member, members ...membership.Member) *Table {
+	t := New(DefaultConfig([]string{"h/0"}), self, at(0))
+	t.Attached(at(0), at(0), 10)
+	t.ObserveMembers(at(0), append(members, self), true)
+	t.ObserveThrough(at(0), 10)
+	return t
+}
+
+func only[A Action](actions []Action) (found []A) {
+	for _, a := range actions {
+		if typed, ok := a.(A); ok {
+			found = append(found, typed)
+		}
+	}
+	return found
+}
+
+// TestFirstClaim guards against a unit that nobody owns when no record exists,
+// and against holding it before the store has confirmed the claim.
+func TestFirstClaim(t *testing.T) {
+	table := attachedTable(member("a", "a1"))
+	writes := only[Write](table.Tick(at(2 * time.Second)))
+	if len(writes) != 1 || writes[0].Expect != 0 || writes[0].Record.Epoch != 1 {
+		t.Fatalf("claim: %+v", writes)
+	}
+	if _, ok := table.Holds(at(2*time.Second), "h/0"); ok {
+		t.Fatal("held before the claim was confirmed")
+	}
+	table.WriteDone(at(2*time.Second), "h/0", WriteResult{Outcome: Succeeded, Revision: 11})
+	if gained := only[Gained](table.Tick(at(2 * time.Second))); len(gained) != 1 || gained[0].Revision != 11 {
+		t.Fatalf("gained: %+v", gained)
+	}
+	if _, ok := table.Holds(at(8800*time.Millisecond), "h/0"); !ok {
+		t.Fatal("not held within the term")
+	}
+	if _, ok := table.Holds(at(8810*time.Millisecond), "h/0"); ok {
+		t.Fatal("held after the shortened term")
+	}
+}
