--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -68,23 +69,35 @@
 	}
 }
 
+// Counters counts calls by kind.
+type Counters struct {
+	Received map[string]int64 `json:"received"` // whatever became of them
+	Executed map[string]int64 `json:"executed"`
+}
+
 // Table is a set of faults and counts the calls. It is safe for concurrent use.
 type Table struct {
+	calls    []string
 	mu       sync.Mutex
 	faults   []Fault
-	received map[string]int64
+	counters Counters
 	changed  chan struct{} // closed and replaced by Set
 }
 
-// NewTable returns a table without faults.
-func NewTable() *Table {
-	return &Table{received: map[string]int64{}, changed: make(chan struct{})}
+// NewTable returns a table without faults for a peer that has the given kinds
+// of calls.
+func NewTable(calls ...string) *Table {
+	return &Table{
+		calls:    calls,
+		counters: Counters{Received: map[string]int64{}, Executed: map[string]int64{}},
+		changed:  make(chan struct{}),
+	}
 }
 
 // Set replaces all faults. It changes nothing if one of them is invalid.
 func (t *Table) Set(faults ...Fault) error {
 	for i, f := range faults {
-		if err := check(f); err != nil {
+		if err := t.check(f); err != nil {
 			return fmt.Errorf("fault %d: %w", i, err)
 		}
 	}
@@ -96,16 +109,20 @@
 	return nil
 }
 
-func check(f Fault) error {
+func (t *Table) check(f Fault) error {
 	switch {
 	case !slices.Contains(Kinds, f.Kind):
 		return fmt.Errorf("unknown kind %q, known: %v", f.Kind, Kinds)
+	case f.Call != "" && !slices.Contains(t.calls, f.Call):
+		return fmt.Errorf("unknown call %q, known: %v", f.Call, t.calls)
 	case f.Count < 0:
 		return fmt.Errorf("count is %d, less than 0", f.Count)
 	case f.Kind == Slow && f.DelayMS <= 0:
 		return fmt.Errorf("kind %q needs delay_ms above 0", f.Kind)
 	case f.Kind != Slow && f.DelayMS != 0:
 		return fmt.Errorf("kind %q takes no delay_ms", f.Kind)
+	case f.Kind == SilentWatch && !slices.Contains(t.calls, CallWatch):
+		return fmt.Errorf("kind %q needs a peer with call %q", f.Kind, CallWatch)
 	case f.Kind == SilentWatch && f.Call != "" && f.Call != CallWatch:
 		return fmt.Errorf("kind %q concerns call %q, not %q", f.Kind, CallWatch, f.Call)
 	}
@@ -124,7 +141,7 @@
 func (t *Table) Take(call, instance string) Effect {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.received[call]++
+	t.counters.Received[call]++
 	var effect Effect
 	kept := t.faults[:0]
 	for _, f := range t.faults {
@@ -156,13 +173,19 @@
 	return effect, t.changed
 }
 
-// Received returns the number of calls by kind, whatever became of them.
-func (t *Table) Received() map[string]int64 {
+// CountExecuted counts a call of which the effect takes place.
+func (t *Table) CountExecuted(call string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counters.Executed[call]++
+}
+
+// Counters returns the calls so far.
+func (t *Table) Counters() Counters {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	counts := make(map[string]int64, len(t.received))
-	for call, n := range t.received {
-		counts[call] = n
+	return Counters{
+		Received: maps.Clone(t.counters.Received),
+		Executed: maps.Clone(t.counters.Executed),
 	}
-	return counts
 }
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -14,6 +14,9 @@
 // all of them, GET shows them.
 const PathFaults = "/faults"
 
+// PathCounters is where every stand-in shows its calls by kind.
+const PathCounters = "/counters"
+
 // maxControlBytes bounds the body of a request to a switch.
 const maxControlBytes = 1 << 20
 
@@ -22,8 +25,11 @@
 	Faults []fault.Fault `json:"faults"`
 }
 
-// handleFaults adds PathFaults to mux.
+// handleFaults adds PathFaults and PathCounters to mux.
 func handleFaults(mux *http.ServeMux, table *fault.Table) {
+	mux.HandleFunc("GET "+PathCounters, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, table.Counters())
+	})
 	mux.HandleFunc("GET "+PathFaults, func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, FaultList{Faults: table.Faults()})
 	})
@@ -45,7 +51,10 @@
 func withFaults(table *fault.Table, call string, refuse func(http.ResponseWriter), next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		effect := table.Take(call, r.Header.Get(wire.HeaderInstance))
-		applyEffect(w, r, effect, refuse, next)
+		applyEffect(w, r, effect, refuse, func(w http.ResponseWriter, r *http.Request) {
+			table.CountExecuted(call)
+			next(w, r)
+		})
 	}
 }
 
--- a/standin/list.go
+++ b/standin/list.go
@@ -47,7 +47,7 @@
 func NewList(lag time.Duration, instances ...instancelist.Instance) *List {
 	l := &List{
 		mux:      http.NewServeMux(),
-		faults:   fault.NewTable(),
+		faults:   fault.NewTable(CallList),
 		lag:      lag,
 		versions: []version{{instances: append([]instancelist.Instance{}, instances...)}},
 	}
@@ -56,9 +56,6 @@
 	l.mux.HandleFunc("PUT "+pathInstance, l.doPut)
 	l.mux.HandleFunc("DELETE "+pathInstance, l.doDelete)
 	l.mux.HandleFunc("POST "+PathLag, l.doLag)
-	l.mux.HandleFunc("GET "+PathCounters, func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, http.StatusOK, Counters{Received: l.faults.Received()})
-	})
 	handleFaults(l.mux, l.faults)
 	return l
 }
--- a/standin/store.go
+++ b/standin/store.go
@@ -4,9 +4,7 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"maps"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/standin/fault"
@@ -15,37 +13,24 @@
 	"github.com/mulberrydrum/mulberrydrum/store/wire"
 )
 
-// PathCounters shows the calls of a stand-in by kind.
-const PathCounters = "/counters"
-
 // maxStoreRequestBytes bounds a request before it is decoded. Base64 makes the
 // largest transaction a third longer.
 const maxStoreRequestBytes = 4 << 20
 
-// Counters counts the calls of a stand-in by kind.
-type Counters struct {
-	Received map[string]int64 `json:"received"` // whatever became of them
-	Executed map[string]int64 `json:"executed"`
-}
-
 // Store is the stand-in for the platform's store: the HTTP/JSON gateway over a
 // state machine in memory.
 type Store struct {
 	mux    *http.ServeMux
 	engine *storetest.Engine
 	faults *fault.Table
-
-	mu       sync.Mutex
-	executed map[string]int64
 }
 
 // NewStore returns an empty store without faults.
 func NewStore(limits storetest.Limits) *Store {
 	s := &Store{
-		mux:      http.NewServeMux(),
-		engine:   storetest.NewEngine(limits),
-		faults:   fault.NewTable(),
-		executed: map[string]int64{},
+		mux:    http.NewServeMux(),
+		engine: storetest.NewEngine(limits),
+		faults: fault.NewTable(storetest.Calls...),
 	}
 	s.handle(wire.PathRange, storetest.CallRange, s.doRange)
 	s.handle(wire.PathTxn, storetest.CallTxn, s.doTxn)
@@ -55,9 +40,6 @@
 	s.handle(wire.PathRevoke, storetest.CallRevoke, s.doRevoke)
 	s.handle(wire.PathWatch, storetest.CallWatch, s.doWatch)
 	handleFaults(s.mux, s.faults)
-	s.mux.HandleFunc("GET "+PathCounters, func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, http.StatusOK, s.Counters())
-	})
 	return s
 }
 
@@ -70,13 +52,6 @@
 // Faults returns the fault switches, for tests in the same process.
 func (s *Store) Faults() *fault.Table { return s.faults }
 
-// Counters returns the calls by kind.
-func (s *Store) Counters() Counters {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return Counters{Received: s.faults.Received(), Executed: maps.Clone(s.executed)}
-}
-
 // handle adds a call of the gateway. The body is read before the faults act, so
 // that a call of which only a part has arrived is never executed.
 func (s *Store) handle(path, call string, next func(http.ResponseWriter, *http.Request, gatewayCall)) {
@@ -88,7 +63,7 @@
 		}
 		effect := s.faults.Take(call, r.Header.Get(wire.HeaderInstance))
 		applyEffect(w, r, effect, refuseAsStore, func(w http.ResponseWriter, r *http.Request) {
-			s.countExecuted(call)
+			s.faults.CountExecuted(call)
 			next(w, r, gatewayCall{body: body, silent: effect.Silent})
 		})
 	})
@@ -100,12 +75,6 @@
 	silent bool // a watch that delivers nothing
 }
 
-func (s *Store) countExecuted(call string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.executed[call]++
-}
-
 func (s *Store) doRange(w http.ResponseWriter, _ *http.Request, call gatewayCall) {
 	var request wire.RangeRequest
 	if !decodeStore(w, call.body, &request) {
--- a/store/classify.go
+++ b/store/classify.go
@@ -37,11 +37,11 @@
 
 // classifyCode maps a gRPC status of the store to an error of this package.
 //
-// The code Unavailable alone proves nothing: the store also uses it for a
-// proposal that timed out or lost its leader, which may still be applied. Only
-// the message "no leader", sent before a proposal is made, proves that the call
-// had no effect. ResourceExhausted (too many requests, no space) is decided
-// before execution.
+// A code alone proves little. The store uses Unavailable also for a proposal
+// that timed out or lost its leader, which may still be applied, and the gateway
+// uses ResourceExhausted also for a reply that is too long for it. Only messages
+// that the store sends without applying anything prove that the call had no
+// effect.
 func classifyCode(code int, message string) error {
 	switch {
 	case code == wire.CodeOutOfRange && message == wire.MessageCompacted:
@@ -50,7 +50,7 @@
 		return ErrLeaseGone
 	case code == wire.CodeInvalidArgument:
 		return ErrRejected
-	case code == wire.CodeResourceExhausted:
+	case code == wire.CodeResourceExhausted && (message == wire.MessageTooMany || message == wire.MessageNoSpace):
 		return ErrUnavailable
 	case code == wire.CodeUnavailable && message == wire.MessageNoLeader:
 		return ErrUnavailable
--- a/store/store.go
+++ b/store/store.go
@@ -7,8 +7,7 @@
 )
 
 // Errors that a caller of Store tells apart with errors.Is. Every error of a
-// Store matches exactly one of them, unless the caller's own context ended
-// before the call was sent.
+// Store matches exactly one of them.
 var (
 	// ErrUnavailable says that the call surely had no effect.
 	ErrUnavailable = errors.New("store unavailable, call had no effect")
--- a/store/storetest/calls.go
+++ b/store/storetest/calls.go
@@ -21,6 +21,9 @@
 	CallWatch     = fault.CallWatch
 )
 
+// Calls lists every kind of call.
+var Calls = []string{CallRange, CallTxn, CallCompact, CallGrant, CallKeepAlive, CallRevoke, CallWatch}
+
 // errStoreDown ends an open watch when the store goes down.
 var errStoreDown = errors.New("store went down")
 
--- a/store/storetest/engine.go
+++ b/store/storetest/engine.go
@@ -82,6 +82,9 @@
 	defer ticker.Stop()
 	noticeDue := false
 	for {
+		if ctx.Err() != nil {
+			return fmt.Errorf("watch ended: %w", context.Cause(ctx))
+		}
 		signal, err := interrupt()
 		if err != nil {
 			return err
@@ -102,7 +105,6 @@
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("watch ended: %w", context.Cause(ctx))
 		case <-changed:
 		case <-signal:
 		case <-ticker.C:
--- a/store/storetest/memory.go
+++ b/store/storetest/memory.go
@@ -34,7 +34,7 @@
 	if cfg.ProgressTimeout <= 0 {
 		cfg.ProgressTimeout = store.DefaultProgressTimeout
 	}
-	return &Memory{engine: NewEngine(cfg.Limits), faults: fault.NewTable(), cfg: cfg}
+	return &Memory{engine: NewEngine(cfg.Limits), faults: fault.NewTable(Calls...), cfg: cfg}
 }
 
 // Client returns the store as an instance sees it.
@@ -79,6 +79,7 @@
 	}
 	done := make(chan error, 1)
 	execute := func() {
+		c.memory.faults.CountExecuted(kind)
 		c.memory.engine.Do(func(now time.Time, m *Machine) { done <- f(now, m) })
 	}
 	if effect.Delay == 0 {
--- a/store/storetest/memory_calls.go
+++ b/store/storetest/memory_calls.go
@@ -125,20 +125,32 @@
 // a lost reply is a stream that breaks at once.
 func (c *client) watch(ctx context.Context, prefix string, from int64, send func(WatchMessage) error) error {
 	effect := c.memory.faults.Take(CallWatch, c.instance)
-	if effect.Down {
+	switch {
+	case effect.Down:
 		return fmt.Errorf("%w: watch refused", store.ErrUnavailable)
+	case effect.Unreachable:
+		<-ctx.Done()
+	case effect.Delay > 0:
+		waitFor(ctx, effect.Delay)
 	}
-	if effect.Delay > 0 {
-		select {
-		case <-time.After(effect.Delay):
-		case <-ctx.Done():
-		}
+	if ctx.Err() != nil {
+		return classifyWatch(ctx, context.Cause(ctx))
 	}
+	c.memory.faults.CountExecuted(CallWatch)
 	if effect.ReplyLost {
 		return fmt.Errorf("%w: connection closed without a reply", store.ErrUnclear)
 	}
-	interrupt := InterruptFor(ctx, c.memory.faults, c.instance, effect.Silent || effect.Unreachable)
+	interrupt := InterruptFor(ctx, c.memory.faults, c.instance, effect.Silent)
 	start, end := string(wire.PrefixStart(prefix)), string(wire.PrefixEnd(prefix))
 	err := c.memory.engine.Watch(ctx, start, end, from, interrupt, send)
 	return classifyWatch(ctx, err)
 }
+
+func waitFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/store/wire/wire.go
+++ b/store/wire/wire.go
@@ -194,6 +194,8 @@
 	MessageDuplicateKey  = "etcdserver: duplicate key given in txn request"
 	MessageEmptyKey      = "etcdserver: key is not provided"
 	MessageNoLeader      = "etcdserver: no leader"
+	MessageTooMany       = "etcdserver: too many requests"
+	MessageNoSpace       = "etcdserver: mvcc: database space exceeded"
 )
 
 // PrefixEnd returns the range end that covers every key with the prefix: the
