--- a/oracle/ledger.go
+++ b/oracle/ledger.go
@@ -1,6 +1,7 @@
 package oracle
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/task"
@@ -9,12 +10,12 @@
 // WorkerLedger is a worker's own record of everything it ever ran. It is the
 // evidence against which the time line of the entry instances is checked.
 type WorkerLedger struct {
-	Worker        string         `json:"worker"`
-	Capacity      task.Resources `json:"capacity"`
-	OverCapacity  int            `json:"over_capacity"` // starts rejected because they did not fit
-	LeavingSince  time.Time      `json:"leaving_since"` // zero while not leaving
-	Runs          []Run          `json:"runs"`
-	FrozenPeriods []Period       `json:"frozen_periods,omitempty"`
+	Worker       string         `json:"worker"`
+	Capacity     task.Resources `json:"capacity"`
+	Runs         []Run          `json:"runs"`
+	OverCapacity []Refused      `json:"over_capacity,omitempty"` // starts rejected because they did not fit
+	Leaving      []Period       `json:"leaving,omitempty"`       // when it reported that it is leaving
+	Frozen       []Period       `json:"frozen,omitempty"`
 }
 
 // Run is one attempt that a worker ran, by the worker's wall clock.
@@ -35,8 +36,31 @@
 	ResultBytes   int64          `json:"result_bytes,omitempty"`
 }
 
+// String describes the run in one line.
+func (r Run) String() string {
+	return fmt.Sprintf("%s on %s (boot %s, epoch %d) team=%s [%s] from %s to %s: %s", r.Attempt, r.Worker, r.BootID,
+		r.Epoch, r.Team, r.Size, instant(r.Start), instant(r.End), r.State)
+}
+
+// Refused is a start that a worker rejected because it did not fit.
+type Refused struct {
+	Attempt task.Attempt   `json:"attempt"`
+	Size    task.Resources `json:"size"`
+	Used    task.Resources `json:"used"`
+	Epoch   uint64         `json:"epoch"`
+	At      time.Time      `json:"at"`
+}
+
 // Period is a span of wall-clock time. End is zero while it lasts.
 type Period struct {
 	Start time.Time `json:"start"`
 	End   time.Time `json:"end"`
 }
+
+// instant renders a time, or "now" for the open end of a span.
+func instant(t time.Time) string {
+	if t.IsZero() {
+		return "now"
+	}
+	return t.UTC().Format("15:04:05.000000")
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -248,8 +249,10 @@
 			w.machine.advance(now)
 		}
 		ledger = w.ledger
-		ledger.Runs = append([]oracle.Run(nil), w.ledger.Runs...)
-		ledger.FrozenPeriods = append([]oracle.Period(nil), w.ledger.FrozenPeriods...)
+		ledger.Runs = slices.Clone(w.ledger.Runs)
+		ledger.OverCapacity = slices.Clone(w.ledger.OverCapacity)
+		ledger.Leaving = slices.Clone(w.ledger.Leaving)
+		ledger.Frozen = slices.Clone(w.ledger.Frozen)
 	})
 	return ledger, err
 }
--- a/standin/worker_calls.go
+++ b/standin/worker_calls.go
@@ -71,7 +71,9 @@
 		return command{}, m.reject(now, worker.ReasonCancelled, "stopped before its start")
 	}
 	if free := m.config.Capacity.Sub(m.used); !req.Size.Fits(free) {
-		m.ledger.OverCapacity++
+		m.ledger.OverCapacity = append(m.ledger.OverCapacity, oracle.Refused{
+			Attempt: req.Attempt, Size: req.Size, Used: m.used, Epoch: req.Epoch, At: wall(now),
+		})
 		return command{}, m.reject(now, worker.ReasonCapacity, "free are %s, needed are %s", free, req.Size)
 	}
 	return work, nil
--- a/standin/worker_faults.go
+++ b/standin/worker_faults.go
@@ -100,16 +100,29 @@
 // setFrozen freezes the worker or lets it go on. Leases that ended meanwhile
 // are enforced before any call that waited.
 func (w *Worker) setFrozen(now time.Time, frozen bool) {
-	if frozen == w.faults.frozen {
-		return
-	}
 	w.faults.frozen = frozen
-	if frozen {
-		w.ledger.FrozenPeriods = append(w.ledger.FrozenPeriods, oracle.Period{Start: wall(now)})
-		return
+	w.ledger.Frozen = mark(w.ledger.Frozen, now, frozen)
+	if !frozen {
+		w.machine.advance(now)
 	}
-	w.ledger.FrozenPeriods[len(w.ledger.FrozenPeriods)-1].End = wall(now)
-	w.machine.advance(now)
+}
+
+func (w *Worker) setLeaving(now time.Time, leaving bool) {
+	w.machine.leaving = leaving
+	w.ledger.Leaving = mark(w.ledger.Leaving, now, leaving)
+}
+
+// mark opens or closes the last period as on says.
+func mark(periods []oracle.Period, now time.Time, on bool) []oracle.Period {
+	last := len(periods) - 1
+	open := last >= 0 && periods[last].End.IsZero()
+	switch {
+	case on && !open:
+		return append(periods, oracle.Period{Start: wall(now)})
+	case !on && open:
+		periods[last].End = wall(now)
+	}
+	return periods
 }
 
 // reboot drops everything but the ledger. The switches stay as they are.
@@ -121,16 +134,6 @@
 	w.machine.leaving, w.machine.failTasks = before.leaving, before.failTasks
 }
 
-func (w *Worker) setLeaving(now time.Time, leaving bool) {
-	w.machine.leaving = leaving
-	switch {
-	case !leaving:
-		w.ledger.LeavingSince = time.Time{}
-	case w.ledger.LeavingSince.IsZero():
-		w.ledger.LeavingSince = wall(now)
-	}
-}
-
 // enter applies the faults before the effect of a call.
 func (w *Worker) enter(ctx context.Context, kind Call) error {
 	var slow time.Duration
