--- /dev/null
+++ b/standin/worker_faults_test.go
@@ -0,0 +1,257 @@
+package standin
+
+import (
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/worker"
+)
+
+// subject is a worker with one finished and one running task, and the call
+// that is exercised.
+type subject struct {
+	w          *Worker
+	api        worker.API
+	at         worker.Address
+	boot       string
+	clock      time.Duration
+	done, busy task.Attempt
+}
+
+var fresh = task.Attempt{Task: "fresh", Number: 1}
+
+func newSubject(t *testing.T, w *Worker, api worker.API, at worker.Address) *subject {
+	t.Helper()
+	s := &subject{w: w, api: api, at: at}
+	for command, a := range map[string]*task.Attempt{"echo": &s.done, "run": &s.busy} {
+		local := NewLocalWorkers(map[worker.Address]*Worker{at: w})
+		req := startFor(t, local, at, task.ID(command), command)
+		if _, err := local.Start(t.Context(), at, req, nil); err != nil {
+			t.Fatal(err)
+		}
+		*a, s.boot, s.clock = req.Attempt, req.BootID, req.StartBy-3*time.Second
+	}
+	return s
+}
+
+// call makes one call of the given kind.
+func (s *subject) call(t *testing.T, kind Call) error {
+	ctx := t.Context()
+	var err error
+	switch kind {
+	case CallSync:
+		_, err = s.api.Sync(ctx, s.at, worker.SyncRequest{Epoch: 1, BootID: s.boot, Acknowledge: []task.Attempt{s.done}})
+	case CallStart:
+		_, err = s.api.Start(ctx, s.at, worker.StartRequest{
+			Attempt: fresh, Epoch: 1, BootID: s.boot, Command: "run",
+			StartBy: s.clock + 3*time.Second, LeaseUntil: s.clock + 30*time.Second,
+		}, func() error { return nil })
+	case CallLookup:
+		_, err = s.api.Lookup(ctx, s.at, s.busy)
+	case CallResult:
+		err = s.api.Result(ctx, s.at, worker.ResultRequest{Attempt: s.done}, io.Discard)
+	case CallStop:
+		_, err = s.api.Stop(ctx, s.at, worker.StopRequest{Attempt: s.busy, Epoch: 1})
+	case CallCheckpoint:
+		_, err = s.api.Checkpoint(ctx, s.at, worker.CheckpointRequest{Attempt: s.busy, Epoch: 1})
+	case CallThrottle:
+		_, err = s.api.Throttle(ctx, s.at, worker.ThrottleRequest{Attempt: s.busy, Epoch: 1, Limit: task.Resources{CPUMilli: 1}})
+	}
+	return err
+}
+
+// hasEffect reports whether the call has changed the worker.
+func (s *subject) hasEffect(kind Call) (effect bool) {
+	_ = s.w.manage(func(time.Time) {
+		m := s.w.machine
+		switch kind {
+		case CallSync:
+			effect = m.records[s.done] == nil
+		case CallStart:
+			effect = m.records[fresh] != nil
+		case CallStop:
+			effect = m.records[s.busy].report.State == worker.Stopped
+		case CallCheckpoint:
+			effect = m.records[s.busy].report.State == worker.Checkpointed
+		case CallThrottle:
+			effect = m.records[s.busy].throttle.limit.CPUMilli == 1
+		}
+	})
+	return effect
+}
+
+// faultCase is a fault, what the caller must be told and what must have
+// happened when the fault is over.
+type faultCase struct {
+	name   string
+	faults WorkerFaults
+	lasts  time.Duration // the fault is cleared this long after the call
+	want   error
+	effect bool
+	late   bool // a start arrives after start_by and must have no effect
+}
+
+var faultCases = []faultCase{
+	{name: "none", effect: true},
+	{name: "slow within the deadline", faults: WorkerFaults{SlowMS: new(int64(50))}, effect: true},
+	{name: "slow beyond the deadline", faults: WorkerFaults{SlowMS: new(int64(600))}, lasts: 700 * time.Millisecond, want: worker.ErrUnclear, effect: true},
+	{name: "frozen", faults: WorkerFaults{Freeze: new(true)}, want: worker.ErrUnclear, effect: true},
+	{name: "frozen until start_by has passed", faults: WorkerFaults{Freeze: new(true)}, lasts: 3 * time.Second, want: worker.ErrUnclear, effect: true, late: true},
+	{name: "silent", faults: WorkerFaults{Silent: new(true)}, want: worker.ErrUnclear},
+	{name: "silent after the effect", faults: WorkerFaults{SilentAfter: new(true)}, want: worker.ErrUnclear, effect: true},
+	{name: "reply dropped", faults: WorkerFaults{DropReplies: new(1)}, want: worker.ErrUnclear, effect: true},
+}
+
+var noFaults = WorkerFaults{
+	Freeze: new(false), Silent: new(false), SilentAfter: new(false), DropReplies: new(0), SlowMS: new(int64(0)),
+}
+
+// timeout is long where a reply is expected, so that a busy machine does not
+// change the verdict.
+func (c faultCase) timeout() time.Duration {
+	if c.want == nil {
+		return 20 * time.Second
+	}
+	return 300 * time.Millisecond
+}
+
+// run makes the call under the fault, clears it and checks what happened.
+func (c faultCase) run(t *testing.T, s *subject, kind Call) {
+	if err := s.w.SetFaults(c.faults); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.call(t, kind); !errors.Is(err, c.want) {
+		t.Errorf("error = %v, want %v", err, c.want)
+	}
+	time.Sleep(c.lasts)
+	if err := s.w.SetFaults(noFaults); err != nil {
+		t.Fatal(err)
+	}
+	want := c.effect && kind != CallLookup && kind != CallResult && !(c.late && kind == CallStart)
+	for tries := 0; want && !s.hasEffect(kind) && tries < 1000; tries++ {
+		time.Sleep(10 * time.Millisecond) // the request may still be on its way in the worker
+	}
+	if got := s.hasEffect(kind); got != want {
+		t.Errorf("effect = %v, want %v", got, want)
+	}
+}
+
+// TestFaultTableOverHTTP guards against an error that claims more than is known:
+// every fault with every kind of call over real connections.
+func TestFaultTableOverHTTP(t *testing.T) {
+	for _, c := range faultCases {
+		for _, kind := range Calls {
+			t.Run(c.name+"/"+string(kind), func(t *testing.T) {
+				t.Parallel()
+				w := NewWorker(testConfig())
+				client, at := serveHTTP(t, w, worker.Config{CallTimeout: c.timeout(), ResultTimeout: c.timeout()})
+				c.run(t, newSubject(t, w, client, at), kind)
+			})
+		}
+	}
+}
+
+// TestFaultTableInProcess guards against the in-process workers failing in
+// other ways than real ones.
+func TestFaultTableInProcess(t *testing.T) {
+	for _, c := range faultCases {
+		for _, kind := range Calls {
+			t.Run(c.name+"/"+string(kind), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := NewWorker(testConfig())
+					defer w.Close()
+					local := NewLocalWorkers(map[worker.Address]*Worker{testAddress: w})
+					local.CallTimeout = c.timeout()
+					c.run(t, newSubject(t, w, local, testAddress), kind)
+				})
+			})
+		}
+	}
+}
+
+// TestRefusedAndRebooted guards against "unclear" where it is known that
+// nothing ran, and against a start that is valid again after a reboot because
+// the worker's clock restarts.
+func TestRefusedAndRebooted(t *testing.T) {
+	for _, kind := range Calls {
+		synctest.Test(t, func(t *testing.T) {
+			w := NewWorker(testConfig())
+			defer w.Close()
+			local := NewLocalWorkers(map[worker.Address]*Worker{testAddress: w})
+			s := newSubject(t, w, local, testAddress)
+			local.Set(testAddress, nil)
+			if err := s.call(t, kind); !errors.Is(err, worker.ErrNotRun) {
+				t.Errorf("%s refused: error = %v, want ErrNotRun", kind, err)
+			}
+			local.Set(testAddress, w)
+			if err := w.SetFaults(WorkerFaults{Reboot: true}); err != nil {
+				t.Fatal(err)
+			}
+			err := s.call(t, kind)
+			wantErr := kind == CallStart || kind == CallResult
+			if errors.Is(err, worker.ErrNotRun) != wantErr || !wantErr && err != nil {
+				t.Errorf("%s after a reboot: error = %v", kind, err)
+			}
+			ledger, err := w.Ledger()
+			if err != nil || len(ledger.Runs) != 2 || ledger.Runs[0].End.IsZero() || ledger.Runs[1].End.IsZero() {
+				t.Errorf("%s: ledger after a reboot: %+v, %v", kind, ledger, err)
+			}
+		})
+	}
+}
+
+// TestReportsUnderFaults guards against faults of the tasks that do not show in
+// reports: failing tasks, leaving, usage with its lag, and the end of a lease.
+func TestReportsUnderFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWorker(testConfig())
+		defer w.Close()
+		api := NewLocalWorkers(map[worker.Address]*Worker{testAddress: w})
+		s := newSubject(t, w, api, testAddress)
+		sync := func() worker.SyncReply {
+			reply, err := api.Sync(t.Context(), testAddress, worker.SyncRequest{Epoch: 1, Full: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return reply
+		}
+		reportOf := func(a task.Attempt) (found worker.TaskReport) {
+			for _, r := range sync().Tasks {
+				if r.Attempt == a {
+					found = r
+				}
+			}
+			return found
+		}
+		if err := w.SetFaults(WorkerFaults{FailTasks: new(true), Leaving: new(true)}); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.call(t, CallStart); err != nil || !sync().Leaving {
+			t.Errorf("start on a leaving worker: %v", err)
+		}
+		if r := reportOf(fresh); r.Outcome == nil || r.Outcome.ExitCode != 1 {
+			t.Errorf("task that fails at once: %+v", r)
+		}
+		if r := reportOf(s.busy); !r.Usage.IsZero() {
+			t.Errorf("usage before the lag has passed: %v", r.Usage)
+		}
+		time.Sleep(6 * time.Second)
+		if r := reportOf(s.busy); r.Usage.CPUMilli != 750 {
+			t.Errorf("usage after the lag: %v", r.Usage)
+		}
+		if err := w.SetFaults(WorkerFaults{Freeze: new(true)}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(30 * time.Second)
+		if err := w.SetFaults(noFaults); err != nil {
+			t.Fatal(err)
+		}
+		if r := reportOf(s.busy); r.State != worker.Stopped || r.Outcome.RunTime != 30*time.Second {
+			t.Errorf("lease that ended while frozen: %+v", r)
+		}
+	})
+}
