Test the worker client against faulty replies and connections

Cause: the client's word that nothing ran is what a truthful rejection rests on.

Covered: results cut short, altered, of the wrong length or too large; replies that are no proof; starts that net/http could repeat; connections after a timeout; the bound on connections; and each write under the check of a start.

--- /dev/null
+++ b/worker/client_test.go
@@ -0,0 +1,260 @@
+package worker
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+var attempt = task.Attempt{Task: "t", Number: 1}
+
+// serve returns a client and the address of a worker that handler stands for.
+func serve(t *testing.T, config Config, handler http.HandlerFunc) (*Client, Address) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	client := NewClient(config)
+	t.Cleanup(func() {
+		client.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return client, Address(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// TestResultIsWhole guards against a result that is cut short, altered, of
+// another attempt or too large being taken for whole.
+func TestResultIsWhole(t *testing.T) {
+	const body = "0123456789"
+	digest := Digest([]byte(body))
+	for _, test := range []struct {
+		name           string
+		length, digest string
+		send           string
+		ask            ResultRequest
+		want           error
+	}{
+		{"whole", "10", digest, body, ResultRequest{Bytes: 10, Digest: digest}, nil},
+		{"whole, nothing known before", "10", digest, body, ResultRequest{}, nil},
+		{"cut short", "10", digest, body[:7], ResultRequest{}, ErrIncomplete},
+		{"altered", "10", digest, "0123456780", ResultRequest{}, ErrIncomplete},
+		{"no digest", "10", "", body, ResultRequest{}, ErrIncomplete},
+		{"no length", "", digest, body, ResultRequest{}, ErrIncomplete},
+		{"other length than reported", "10", digest, body, ResultRequest{Bytes: 9, Digest: digest}, ErrIncomplete},
+		{"other digest than reported", "10", digest, body, ResultRequest{Bytes: 10, Digest: Digest(nil)}, ErrIncomplete},
+		{"too large", "21", Digest(make([]byte, 21)), string(make([]byte, 21)), ResultRequest{}, ErrTooLarge},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			client, at := serve(t, Config{MaxResultBytes: 20}, func(rw http.ResponseWriter, r *http.Request) {
+				if test.length != "" {
+					rw.Header().Set("Content-Length", test.length)
+				}
+				rw.Header().Set(DigestHeader, test.digest)
+				rw.WriteHeader(http.StatusOK)
+				rw.(http.Flusher).Flush()
+				io.WriteString(rw, test.send)
+			})
+			test.ask.Attempt = attempt
+			var got bytes.Buffer
+			err := client.Result(t.Context(), at, test.ask, &got)
+			if !errors.Is(err, test.want) || err == nil && got.String() != body {
+				t.Errorf("%q, error %v, want %v", got.String(), err, test.want)
+			}
+			if err != nil && !errors.Is(err, ErrUnclear) {
+				t.Errorf("error %v is not ErrUnclear", err)
+			}
+		})
+	}
+}
+
+// TestStartReplies guards against a reply that proves nothing being taken for
+// "not run" or for the outcome of this start.
+func TestStartReplies(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		status int
+		body   string
+		want   error
+	}{
+		{"started", 200, `{"started":true}`, nil},
+		{"rejected", 409, `{"reason":"over_capacity"}`, ErrNotRun},
+		{"status without a reason", 409, `{}`, ErrUnclear},
+		{"rejection cut short", 409, `{"reason":"over_capa`, ErrUnclear},
+		{"fault of the worker", 500, `{"reason":"over_capacity"}`, ErrUnclear},
+		{"text of another server", 404, `404 page not found`, ErrUnclear},
+		{"neither started nor rejected", 200, `{}`, ErrUnclear},
+		{"no JSON", 200, `started`, ErrUnclear},
+		{"outcome of another attempt", 200, `{"started":true,"outcome":{"attempt":{"task":"t","attempt":2}}}`, ErrIncomplete},
+		{"result without its digest", 200, `{"started":true,"result_bytes":1,"outcome":{"attempt":{"task":"t","attempt":1},"result":"YQ=="}}`, ErrIncomplete},
+		{"larger than the limit", 200, `{"started":true` + strings.Repeat(" ", 400) + `}`, ErrTooLarge},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			client, at := serve(t, Config{MaxReplyBytes: 300}, func(rw http.ResponseWriter, r *http.Request) {
+				rw.WriteHeader(test.status)
+				io.WriteString(rw, test.body)
+			})
+			_, err := client.Start(t.Context(), at, StartRequest{Attempt: attempt}, nil)
+			if !errors.Is(err, test.want) {
+				t.Errorf("error %v, want %v", err, test.want)
+			}
+			if err != nil && errors.Is(err, ErrNotRun) == errors.Is(err, ErrUnclear) {
+				t.Errorf("error %v is not of exactly one class", err)
+			}
+		})
+	}
+}
+
+// TestStartIsNeverRepeated guards against net/http sending a start again after
+// a reused connection was closed in the middle of it.
+func TestStartIsNeverRepeated(t *testing.T) {
+	var starts atomic.Int32
+	client, at := serve(t, Config{}, func(rw http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		if starts.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		io.WriteString(rw, `{"started":true}`)
+	})
+	if _, err := client.Start(t.Context(), at, StartRequest{}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Start(t.Context(), at, StartRequest{}, nil); !errors.Is(err, ErrUnclear) {
+		t.Errorf("error %v, want ErrUnclear", err)
+	}
+	if got := starts.Load(); got != 2 {
+		t.Errorf("the worker received %d starts, want 2", got)
+	}
+}
+
+// TestTimedOutConnectionIsNotUsedAgain guards against a late reply being read
+// as the reply to the next call.
+func TestTimedOutConnectionIsNotUsedAgain(t *testing.T) {
+	var connections sync.Map
+	var calls atomic.Int32
+	client, at := serve(t, Config{CallTimeout: 300 * time.Millisecond, Connections: 1}, func(rw http.ResponseWriter, r *http.Request) {
+		connections.Store(r.RemoteAddr, true)
+		io.Copy(io.Discard, r.Body)
+		if calls.Add(1) == 1 {
+			<-r.Context().Done()
+			return
+		}
+		io.WriteString(rw, `{"started":true}`)
+	})
+	_, err := client.Start(t.Context(), at, StartRequest{}, nil)
+	if !errors.Is(err, ErrUnclear) || !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("error %v, want ErrUnclear by the deadline", err)
+	}
+	for range 2 {
+		if _, err := client.Start(t.Context(), at, StartRequest{Wait: 10 * time.Second}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if used := size(&connections); used != 2 {
+		t.Errorf("%d connections for a timed-out call and two others, want 2", used)
+	}
+}
+
+func size(m *sync.Map) (n int) {
+	m.Range(func(any, any) bool { n++; return true })
+	return n
+}
+
+// TestConnectionBound guards against more connections to a worker than the
+// setting allows, and against starts that wait holding up other calls.
+func TestConnectionBound(t *testing.T) {
+	release := make(chan struct{})
+	var open, most atomic.Int32
+	var connections sync.Map
+	client, at := serve(t, Config{Connections: 3, ControlConnections: 1}, func(rw http.ResponseWriter, r *http.Request) {
+		connections.Store(r.RemoteAddr, true)
+		if r.URL.Path == "/v1/tasks" {
+			now := open.Add(1)
+			for m := most.Load(); now > m && !most.CompareAndSwap(m, now); m = most.Load() {
+			}
+			<-release
+			open.Add(-1)
+		}
+		io.WriteString(rw, `{"started":true}`)
+	})
+	var starts sync.WaitGroup
+	for range 12 {
+		starts.Go(func() {
+			if _, err := client.Start(context.Background(), at, StartRequest{Wait: time.Minute}, nil); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	for open.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := client.Sync(t.Context(), at, SyncRequest{}); err != nil {
+		t.Errorf("sync while all connections for starts are in use: %v", err)
+	}
+	close(release)
+	starts.Wait()
+	if used := size(&connections); most.Load() > 3 || used > 4 {
+		t.Errorf("%d starts at once, %d connections; want at most 3 and 4", most.Load(), used)
+	}
+}
+
+// recordingConn counts the bytes written.
+type recordingConn struct {
+	net.Conn
+	written int
+}
+
+func (c *recordingConn) Write(b []byte) (int, error) {
+	c.written += len(b)
+	return len(b), nil
+}
+
+// TestConnectionAsksBeforeEachWrite guards against bytes that leave after the
+// check has failed, or after the caller was told that nothing had left.
+func TestConnectionAsksBeforeEachWrite(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		allowed int // writes before the check fails
+		seal    int // write before which the connection is sealed, -1 for none
+		written int
+		unclear bool
+	}{
+		{"check holds", 9, -1, 3, true},
+		{"check fails at once", 0, -1, 0, false},
+		{"check fails in the middle", 2, -1, 2, true},
+		{"call ended before the first write", 9, 0, 0, false},
+		{"call ended in the middle", 9, 1, 1, true},
+	} {
+		below := &recordingConn{}
+		conn := &checkedConn{Conn: below}
+		calls := 0
+		conn.begin(func() error {
+			if calls++; calls > test.allowed {
+				return errors.New("term has ended")
+			}
+			return nil
+		})
+		for i := range 3 {
+			if i == test.seal {
+				conn.seal()
+			}
+			conn.Write([]byte("x"))
+		}
+		if wrote := conn.seal(); wrote != test.unclear || below.written != test.written {
+			t.Errorf("%s: %d bytes written, reported %v", test.name, below.written, wrote)
+		}
+		conn.begin(nil)
+		if _, err := conn.Write([]byte("x")); !errors.Is(err, errSealed) {
+			t.Errorf("%s: a sealed connection is used again: %v", test.name, err)
+		}
+	}
+}
