--- a/control/configuration.go
+++ b/control/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/document"
 	"github.com/mulberrydrum/mulberrydrum/keyring"
@@ -16,6 +17,12 @@
 	Service task.Service
 }
 
+// KeyName names a key.
+type KeyName struct {
+	Team task.Team
+	ID   string
+}
+
 // HeldDocument is a document with the revision at which it is in force here.
 type HeldDocument struct {
 	document.Document
@@ -28,12 +35,15 @@
 	entries   map[string]ConfigChange // by key, deleted ones included
 	documents map[DocumentKey]HeldDocument
 	ring      *keyring.Ring
-	applied   int64 // every change up to here has been applied
-	expected  int64 // the store's revision at the last read
+	withdrawn map[KeyName]bool
+	applied   int64     // every change up to here has been applied
+	expected  int64     // the store's revision at the last read
+	fetchedAt time.Time // when a peer was last asked for its configuration
 }
 
 func newConfiguration() *configuration {
-	return &configuration{entries: map[string]ConfigChange{}, documents: map[DocumentKey]HeldDocument{}, ring: keyring.NewRing()}
+	return &configuration{entries: map[string]ConfigChange{}, documents: map[DocumentKey]HeldDocument{}, ring: keyring.NewRing(),
+		withdrawn: map[KeyName]bool{}}
 }
 
 // isNewer reports whether a change is newer than what is known of its key.
@@ -51,8 +61,10 @@
 	return reply
 }
 
+// isWithdrawn reports whether work that was accepted under a key has to end. An
+// unknown key does not count: this process may not have read it yet.
 func (c *configuration) isWithdrawn(team task.Team, keyID string) bool {
-	return keyID != "" && c.ring.Snapshot(noLimit).IsWithdrawn(team, keyID)
+	return c.withdrawn[KeyName{team, keyID}]
 }
 
 // setDocument keeps the map of earlier snapshots unchanged.
@@ -82,12 +94,10 @@
 	if e.Complete {
 		s.deleteAbsent(seen, e.Revision)
 	}
-	if e.FromPeer {
-		return // a peer's state proves nothing about what the store holds now
-	}
 	s.config.applied = max(s.config.applied, e.Revision)
 	s.ownership.ObserveMembers(s.now, s.routing.memberList(), true)
 	s.ownership.ObserveThrough(s.now, e.Revision)
+	s.owner.allow.ObserveThrough(e.Revision)
 	s.freshness.ApplyThrough(e.Revision)
 }
 
@@ -131,7 +141,7 @@
 	s.event(timeline.Event{Type: timeline.ConfigInForce, Team: d.Team, Revision: revision, Detail: string(d.Service)})
 	if d.IsTeam() {
 		s.owner.shares.SetWeight(d.Team, d.Share)
-		s.owner.setLimit(d.Team, d.Limit)
+		s.owner.setLimit(d.Team, d.Limit, revision)
 	}
 }
 
@@ -142,8 +152,7 @@
 	kind := timeline.KeyGranted
 	if k.Withdrawn {
 		kind = timeline.KeyWithdrawn
-		s.owner.keyWithdrawn(k.Team, k.ID)
-		s.home.keyWithdrawn(k.Team, k.ID)
+		s.endWorkOf(KeyName{k.Team, k.ID})
 	}
 	s.event(timeline.Event{Type: kind, Team: k.Team, KeyID: k.ID, Revision: k.Revision})
 }
@@ -165,7 +174,13 @@
 	case previous.Key != nil:
 		k := *previous.Key
 		s.config.ring.Remove(k.Team, k.ID, revision)
-		s.owner.keyWithdrawn(k.Team, k.ID)
-		s.home.keyWithdrawn(k.Team, k.ID)
+		s.endWorkOf(KeyName{k.Team, k.ID})
 	}
 }
+
+// endWorkOf ends the work that was accepted under a key which is withdrawn now.
+func (s *State) endWorkOf(key KeyName) {
+	s.config.withdrawn[key] = true
+	s.owner.keyWithdrawn(key)
+	s.home.keyWithdrawn(key)
+}
--- a/control/event.go
+++ b/control/event.go
@@ -127,7 +127,6 @@
 type ConfigChanged struct {
 	Revision int64
 	Complete bool // the changes are everything that exists: absent keys are deleted
-	FromPeer bool
 	Changes  []ConfigChange
 }
 
--- a/control/home.go
+++ b/control/home.go
@@ -143,16 +143,26 @@
 // cancel stops every task of a job that is not final.
 func (h *home) cancel(token uint64, job ledger.JobKey) {
 	shard := h.shardOf(job)
-	step := ledger.Step{Kind: ledger.StepAccepted, Job: job, Token: token}
-	open, waits, _ := h.ledger.Cancel(h.now, shard, job, step)
 	record, _ := h.ledger.Find(shard, job)
+	h.end(record, errkind.Cancelled)
+	if !h.ledger.HasPending(shard) {
+		h.answerOrWait(token, record)
+		return
+	}
+	h.ledger.After(shard, ledger.Step{Kind: ledger.StepAccepted, Job: job, Token: token})
+}
+
+// end cancels a job for a reason and asks the owners of its open attempts to
+// take them back or stop them.
+func (h *home) end(record *ledger.Record, reason errkind.Kind) {
+	job := record.JobKey()
+	open, waits, _ := h.ledger.Cancel(h.now, h.shardOf(job), job, reason, ledger.Step{Kind: ledger.StepFinished, Job: job})
 	for i := range record.Tasks {
 		delete(h.idle, taskRef{job, i})
 	}
-	h.withdraw(job, record, open, errkind.Cancelled)
+	h.withdraw(job, record, open, reason)
 	if !waits {
 		h.settle(job)
-		h.answerOrWait(token, record)
 	}
 }
 
--- /dev/null
+++ b/control/loop.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+)
+
+// queueLength bounds the events that wait for the control goroutine. A sender
+// waits when it is full, which slows traffic down and not control.
+const queueLength = 4096
+
+// Loop owns a State: the goroutine in Run is the only one that touches it.
+type Loop struct {
+	state    *State
+	events   chan Event
+	snapshot atomic.Pointer[Snapshot]
+	execute  func(Effect)
+	tick     time.Duration
+
+	tokens atomic.Uint64
+	calls  sync.Map // waiting calls: token to chan PeerReply
+
+	applyTime metrics.Histogram
+}
+
+// NewLoop returns a loop for a state. Effects other than replies are passed to
+// execute, which must not block.
+func NewLoop(state *State, tick time.Duration, registry metrics.Registry, execute func(Effect)) *Loop {
+	l := &Loop{state: state, events: make(chan Event, queueLength), execute: execute, tick: tick}
+	l.applyTime = metrics.NewRegisteredHistogram("control.apply_ns", registry, metrics.NewExpDecaySample(1028, 0.015))
+	l.snapshot.Store(state.Snapshot())
+	return l
+}
+
+// Snapshot returns the latest snapshot.
+func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
+
+// Post sends an event to the control goroutine. It gives up when ctx ends.
+func (l *Loop) Post(ctx context.Context, e Event) error {
+	select {
+	case l.events <- e:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Call sends a request to the control goroutine and waits for the reply.
+func (l *Loop) Call(ctx context.Context, from string, request PeerRequest) (PeerReply, error) {
+	token := l.tokens.Add(1)
+	replies := make(chan PeerReply, 1)
+	l.calls.Store(token, replies)
+	defer l.calls.Delete(token)
+	if err := l.Post(ctx, PeerCall{Token: token, From: from, Request: request}); err != nil {
+		return nil, errkind.New(errkind.QueueFull, "the control queue of this instance is full")
+	}
+	select {
+	case reply := <-replies:
+		return reply, nil
+	case <-ctx.Done():
+		l.forget(token)
+		return nil, ctx.Err()
+	}
+}
+
+// forget drops a call without waiting for room in the queue: the state also
+// drops calls when their wait ends.
+func (l *Loop) forget(token uint64) {
+	select {
+	case l.events <- Forget{Token: token}:
+	default:
+	}
+}
+
+// Run applies events until ctx ends.
+func (l *Loop) Run(ctx context.Context) error {
+	ticker := time.NewTicker(l.tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case e := <-l.events:
+			l.apply(e)
+		case <-ticker.C:
+			l.apply(Tick{})
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (l *Loop) apply(e Event) {
+	started := time.Now()
+	effects := l.state.Apply(started, e)
+	// The snapshot is published first, so that an effect never runs with an
+	// older term than the one under which it was decided.
+	if l.state.TakeChanged() {
+		l.snapshot.Store(l.state.Snapshot())
+	}
+	for _, effect := range effects {
+		if reply, ok := effect.(Reply); ok {
+			l.deliver(reply)
+			continue
+		}
+		l.execute(effect)
+	}
+	l.applyTime.Update(int64(time.Since(started)))
+}
+
+func (l *Loop) deliver(r Reply) {
+	if waiting, ok := l.calls.LoadAndDelete(r.Token); ok {
+		waiting.(chan PeerReply) <- r.Reply
+	}
+}
--- /dev/null
+++ b/control/overview.go
@@ -0,0 +1,84 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/allowance"
+	"github.com/mulberrydrum/mulberrydrum/fairshare"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// OverviewRequest asks, within this process, for what operators see of it.
+type OverviewRequest struct{}
+
+// Overview is what operators see of one instance.
+type Overview struct {
+	Workers []WorkerView
+	Teams   []TeamView
+}
+
+// WorkerView is one worker of an owned partition.
+type WorkerView struct {
+	Name, Address, Region, FailureDomain, Rack, Partition string
+	Usable, Leaving, Quarantined                          bool
+	Silent                                                int // reports in a row that failed
+	LastReport                                            time.Time
+	Capacity, Free                                        task.Resources
+	Running                                               int
+}
+
+// TeamView is the position of a team at this owner and in the fleet.
+type TeamView struct {
+	Team      task.Team
+	Share     fairshare.Share
+	Queued    int
+	Allowance allowance.Record // in the fleet
+}
+
+func (OverviewRequest) peerRequest() {}
+func (Overview) peerReply()          {}
+
+func (s *State) overview() Overview {
+	return Overview{Workers: s.owner.workerViews(), Teams: s.teamViews()}
+}
+
+func (w *owner) workerViews() []WorkerView {
+	running := map[string]int{}
+	for _, a := range w.attempts {
+		if isOnWorker(a.stage) {
+			running[a.worker]++
+		}
+	}
+	var views []WorkerView
+	for _, ws := range w.workers {
+		if _, owned := w.partitions[ws.partition]; !owned {
+			continue
+		}
+		l := ws.listed
+		free, _ := w.cluster.FreeOn(l.Name)
+		views = append(views, WorkerView{
+			Name: l.Name, Address: l.Address, Region: l.Region, FailureDomain: l.FailureDomain, Rack: l.Rack, Partition: ws.partition,
+			Usable: w.isUsable(ws), Leaving: ws.leaving, Quarantined: w.monitor.IsQuarantined(l.Name), Silent: ws.failures,
+			LastReport: ws.clockAt, Capacity: ws.capacity, Free: free, Running: running[l.Name],
+		})
+	}
+	slices.SortFunc(views, func(a, b WorkerView) int { return cmp.Compare(a.Name, b.Name) })
+	return views
+}
+
+func (s *State) teamViews() []TeamView {
+	var views []TeamView
+	for key := range s.config.documents {
+		if key.Service != "" {
+			continue
+		}
+		record, _ := s.owner.allow.Record(key.Team)
+		views = append(views, TeamView{
+			Team: key.Team, Share: s.owner.shares.ShareOf(s.now, key.Team), Queued: s.owner.queues.Len(key.Team), Allowance: record,
+		})
+	}
+	slices.SortFunc(views, func(a, b TeamView) int { return cmp.Compare(a.Team, b.Team) })
+	return views
+}
--- a/control/owner.go
+++ b/control/owner.go
@@ -18,15 +18,16 @@
 // partitions.
 type owner struct {
 	*outbox
-	cfg       *Config
-	routing   *routing
-	cluster   *placement.Cluster
-	shares    *fairshare.Shares
-	queues    *queue.Queues
-	monitor   *quarantine.Monitor
-	allow     *allowance.Table
-	holds     func(unit string) (epoch uint64, ok bool)
-	withdrawn func(team task.Team, keyID string) bool
+	cfg         *Config
+	routing     *routing
+	cluster     *placement.Cluster
+	shares      *fairshare.Shares
+	queues      *queue.Queues
+	monitor     *quarantine.Monitor
+	allow       *allowance.Table
+	holds       func(unit string) (epoch uint64, ok bool)
+	withdrawn   func(team task.Team, keyID string) bool
+	remoteTeams map[task.Team]task.Resources // used at the other owners
 
 	partitions map[string]*partition
 	workers    map[string]*workerState
--- a/control/ownerwork.go
+++ b/control/ownerwork.go
@@ -72,6 +72,7 @@
 	}
 	w.sendReports()
 	w.schedule()
+	w.wantAllowance()
 	for id, until := range w.tombstones {
 		if w.now.After(until) {
 			delete(w.tombstones, id)
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -76,11 +76,12 @@
 	return w.cluster.Find(w.request(a))
 }
 
-// mayStart reports whether this instance holds a partition and knows what all of
-// its workers run, without which the teams' limits could be exceeded.
+// mayStart reports whether this instance holds a partition. Workers that have
+// not reported are out of service, and the allowance counts as used until all
+// have, so that starts need not wait for the slowest worker.
 func (w *owner) mayStart(name string) bool {
 	part, ok := w.partitions[name]
-	if !ok || !part.ready {
+	if !ok {
 		return false
 	}
 	epoch, holds := w.holds(name)
--- /dev/null
+++ b/control/snapshot.go
@@ -0,0 +1,129 @@
+package control
+
+import (
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/keyring"
+	"github.com/mulberrydrum/mulberrydrum/ledger"
+	"github.com/mulberrydrum/mulberrydrum/membership"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// Snapshot is what traffic goroutines read of the control state. It never
+// changes after it was published.
+type Snapshot struct {
+	Self         membership.Member
+	Members      []membership.Member // sorted by incarnation
+	Homes        map[string]Route    // by request shard
+	Terms        map[string]Term     // by unit that this process holds
+	Documents    map[DocumentKey]HeldDocument
+	Keys         *keyring.Snapshot
+	Revision     int64            // every configuration change up to here is in force
+	MemberSeen   map[string]int64 // revision in force at each instance, as its last digest said
+	StoreContact bool
+	Draining     bool
+	Ready        bool // has a lease or has taken part in the exchange
+	Shards       int
+}
+
+// Route is the owner of a unit.
+type Route struct {
+	Member membership.Member
+	Epoch  uint64
+}
+
+// Term is until when this process may act for a unit.
+type Term struct {
+	Epoch uint64
+	End   time.Time
+}
+
+// Snapshot builds the snapshot of the present state.
+func (s *State) Snapshot() *Snapshot {
+	partitions, shards := unitsOf(&s.cfg)
+	snap := &Snapshot{
+		Self: s.self, Members: s.routing.memberList(), Homes: make(map[string]Route, len(shards)),
+		Terms: map[string]Term{}, Documents: s.config.documents, Keys: s.config.ring.Snapshot(s.freshness.Until()),
+		Revision: s.config.applied, MemberSeen: map[string]int64{}, StoreContact: s.hasStoreContact(), Draining: s.drain.started,
+		Ready: s.members.lease != 0 && !s.drain.started && s.config.applied > 0, Shards: s.cfg.RequestShards,
+	}
+	for _, shard := range shards {
+		if m, epoch, ok := s.routing.ownerOf(shard); ok {
+			snap.Homes[shard] = Route{Member: m, Epoch: epoch}
+		}
+	}
+	for _, unit := range append(partitions, shards...) {
+		if epoch, ok := s.ownership.Holds(s.now, unit); ok {
+			snap.Terms[unit] = Term{Epoch: epoch, End: s.ownership.TermEnd(unit)}
+		}
+	}
+	for instance, d := range s.routing.digests {
+		snap.MemberSeen[instance] = d.message.Revision
+	}
+	return snap
+}
+
+// TakeChanged reports whether the snapshot differs from the one built last, and
+// resets that.
+func (s *State) TakeChanged() bool {
+	changed := s.changed
+	s.changed = false
+	return changed
+}
+
+// HomeOf returns the home of a job.
+func (s *Snapshot) HomeOf(job ledger.JobKey) (Route, bool) {
+	route, ok := s.Homes[ShardOf(job, s.Shards)]
+	return route, ok
+}
+
+// Holds reports whether this process may act for a unit under an epoch at time
+// now. It is checked once more before a start is written.
+func (s *Snapshot) Holds(now time.Time, unit string, epoch uint64) bool {
+	term, ok := s.Terms[unit]
+	return ok && term.Epoch == epoch && now.Before(term.End)
+}
+
+// Authorize checks the key that came with a call for a job of a service.
+func (s *Snapshot) Authorize(now time.Time, team task.Team, service task.Service, secret string) (HeldDocument, keyring.Key, *errkind.Error) {
+	held, ok := s.Documents[DocumentKey{team, service}]
+	if !ok {
+		return HeldDocument{}, keyring.Key{}, s.unknown(team, service)
+	}
+	if held.Open {
+		return held, keyring.Key{}, nil
+	}
+	if secret == "" {
+		return HeldDocument{}, keyring.Key{}, errkind.New(errkind.KeyMissing, "service %s/%s needs a key", team, service)
+	}
+	key, err := s.Keys.Admit(now, team, keyring.DigestOf(secret))
+	if err != nil {
+		return HeldDocument{}, keyring.Key{}, err
+	}
+	return held, key, nil
+}
+
+// Admit checks a submission and completes it with what its document decides.
+func (s *Snapshot) Admit(now time.Time, secret string, spec task.Spec) (task.Spec, *errkind.Error) {
+	held, key, err := s.Authorize(now, spec.Team, spec.Service, secret)
+	if err != nil {
+		return task.Spec{}, err
+	}
+	complete, err := held.Complete(spec, string(key.Role))
+	if err != nil {
+		return task.Spec{}, err
+	}
+	complete.KeyID = key.ID
+	return complete, nil
+}
+
+// unknown says which part of a service's name is not known.
+func (s *Snapshot) unknown(team task.Team, service task.Service) *errkind.Error {
+	for key := range s.Documents {
+		if key.Team == team {
+			return errkind.New(errkind.UnknownService, "team %s has no service %s", team, service)
+		}
+	}
+	return errkind.New(errkind.UnknownTeam, "there is no team %s", team)
+}
--- a/control/state.go
+++ b/control/state.go
@@ -77,8 +77,8 @@
 	s.owner = &owner{
 		outbox: &s.outbox, cfg: &s.cfg, routing: s.routing, cluster: placement.NewCluster(), shares: fairshare.New(parts.Fairshare),
 		queues: queue.New(parts.Queue), monitor: quarantine.New(parts.Quarantine), allow: allow,
-		holds:     func(unit string) (uint64, bool) { return s.ownership.Holds(s.now, unit) },
-		withdrawn: s.config.isWithdrawn,
+		holds:      func(unit string) (uint64, bool) { return s.ownership.Holds(s.now, unit) },
+		withdrawn:  s.config.isWithdrawn,
 		partitions: map[string]*partition{}, workers: map[string]*workerState{}, attempts: map[task.Attempt]*attempt{},
 		tombstones: map[task.Attempt]time.Time{}, outgoing: map[task.Attempt]*outgoingReport{},
 	}
--- a/control/units.go
+++ b/control/units.go
@@ -27,6 +27,9 @@
 				addPromise(asks, successor, a)
 			}
 		case ownership.Renewed:
+			if isPartition(a.Unit) {
+				s.owner.allow.Own(a.Unit, a.Revision)
+			}
 		}
 	}
 	for _, member := range s.routing.memberList() {
@@ -73,7 +76,7 @@
 	s.changed = true
 	s.event(timeline.Event{Type: timeline.OwnershipTaken, Partition: a.Unit, Epoch: a.Epoch, Revision: a.Revision})
 	if isPartition(a.Unit) {
-		s.owner.gain(a.Unit, a.Epoch)
+		s.owner.gain(a.Unit, a.Epoch, a.Revision)
 		return
 	}
 	s.home.ledger.Open(a.Unit, a.Epoch)
--- a/control/workers.go
+++ b/control/workers.go
@@ -12,10 +12,10 @@
 
 // gain starts owning a partition. None of its workers is used before it has
 // reported everything it runs.
-func (w *owner) gain(name string, epoch uint64) {
+func (w *owner) gain(name string, epoch uint64, revision int64) {
 	w.lose(name)
 	w.partitions[name] = &partition{epoch: epoch, gainedAt: w.now}
-	w.allow.Own(name)
+	w.allow.Own(name, revision)
 	for _, ws := range w.workers {
 		if ws.partition == name {
 			w.resetWorker(ws)
@@ -96,10 +96,15 @@
 	w.cluster.Upsert(placement.Node{
 		Name: l.Name, Rack: l.Rack, FailureDomain: l.FailureDomain, Region: l.Region,
 		Partition: ws.partition, Capacity: ws.capacity,
-		Schedulable: ws.rebuilt && !ws.leaving && ws.failures < silentReports && !w.monitor.IsQuarantined(l.Name),
+		Schedulable: w.isUsable(ws),
 	})
 }
 
+// isUsable reports whether a worker may get new tasks.
+func (w *owner) isUsable(ws *workerState) bool {
+	return ws.rebuilt && !ws.leaving && !ws.listed.Gone && ws.failures < silentReports && !w.monitor.IsQuarantined(ws.listed.Name)
+}
+
 // silentReports is how many reports in a row may fail before a worker gets no
 // new tasks.
 const silentReports = 2
@@ -276,6 +281,34 @@
 	}
 }
 
+// setLimit takes over the upper limit of a team; nil is no limit.
+func (w *owner) setLimit(team task.Team, limit *task.Resources, revision int64) {
+	var amounts task.Resources
+	if limit != nil {
+		amounts = *limit
+	}
+	w.allow.SetLimit(w.now, team, amounts, revision)
+}
+
+// wantAllowance notes what the waiting tasks need, so that one transaction
+// covers them.
+func (w *owner) wantAllowance() {
+	type need struct {
+		team      task.Team
+		partition string
+	}
+	needs := map[need]task.Resources{}
+	for _, a := range w.attempts {
+		if a.stage == stageQueued {
+			n := need{a.team, a.partition}
+			needs[n] = needs[n].Add(a.size)
+		}
+	}
+	for n, total := range needs {
+		w.allow.Want(w.now, n.team, n.partition, total)
+	}
+}
+
 // markReady notes the partitions of which everything that runs is known: each
 // worker has reported, or cannot run anything any more.
 func (w *owner) markReady() {
@@ -291,6 +324,7 @@
 		}
 		if ready && w.hasWorkers(name) {
 			part.ready = true
+			w.allow.Rebuilt(name)
 		}
 	}
 }
--- /dev/null
+++ b/daemon/callers.go
@@ -0,0 +1,201 @@
+package daemon
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/caller"
+	"github.com/mulberrydrum/mulberrydrum/control"
+	"github.com/mulberrydrum/mulberrydrum/entry"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/ledger"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// callerBackend decides callers' requests: it checks the key against the
+// snapshot and passes the request to its home.
+type callerBackend struct{ *Daemon }
+
+const (
+	// homeRetry is the pause before a request is sent to its home again after
+	// one that surely had no effect, for example while a home moves.
+	homeRetry = 100 * time.Millisecond
+	// homeTries bounds that, so that a caller hears soon of a lasting fault. It
+	// covers a planned handover, which takes less than a second.
+	homeTries = 20
+	// waitMargin is what the call to the home may take besides the wait.
+	waitMargin = 2 * time.Second
+)
+
+// Submit admits a job and sends it to its home.
+func (b *callerBackend) Submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (caller.Reply, error) {
+	complete, refusal := b.loop.Snapshot().Admit(time.Now(), secret, spec)
+	if refusal != nil {
+		return caller.Reply{}, refusal
+	}
+	if complete.Kind == task.Answer {
+		wait = b.answerWait(&complete, wait)
+	}
+	complete.PayloadDigest = requestDigest(&complete)
+	record, err := b.toHome(ctx, ledger.KeyOf(&complete), control.SubmitRequest{Spec: complete, Wait: wait}, wait)
+	if err != nil {
+		return caller.Reply{}, err
+	}
+	if err := answerError(record); err != nil {
+		return caller.Reply{}, err
+	}
+	return replyOf(record), nil
+}
+
+// answerWait gives an answer a deadline, and has its caller wait until then.
+func (b *callerBackend) answerWait(spec *task.Spec, wait time.Duration) time.Duration {
+	if spec.Deadline.IsZero() {
+		spec.Deadline = spec.SubmittedAt.Add(max(wait, b.cfg.AnswerTimeout))
+	}
+	return time.Until(spec.Deadline) + 2*b.cfg.Control.AnswerGrace
+}
+
+// requestDigest tells two requests under one idempotency key apart. What a
+// caller changes when it tries again, such as the deadline, is left out.
+func requestDigest(spec *task.Spec) string {
+	body, err := json.Marshal(struct {
+		Class    string
+		Size     task.Resources
+		Count    int
+		Declared time.Duration
+		ReviewBy time.Time
+		Payload  []byte
+	}{spec.Class, spec.Size, spec.Count, spec.DeclaredRun, spec.ReviewBy, spec.Payload})
+	if err != nil {
+		return ""
+	}
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+// Status returns the state of a job.
+func (b *callerBackend) Status(ctx context.Context, secret string, id caller.JobID) (caller.Reply, error) {
+	return b.query(ctx, secret, id, control.QueryStatus, 0)
+}
+
+// Wait returns the state of a job when it is final or wait has passed.
+func (b *callerBackend) Wait(ctx context.Context, secret string, id caller.JobID, wait time.Duration) (caller.Reply, error) {
+	return b.query(ctx, secret, id, control.QueryWait, wait)
+}
+
+// Cancel ends a job.
+func (b *callerBackend) Cancel(ctx context.Context, secret string, id caller.JobID) (caller.Reply, error) {
+	return b.query(ctx, secret, id, control.QueryCancel, 0)
+}
+
+// Result returns the outcome of one task with its result.
+func (b *callerBackend) Result(ctx context.Context, secret string, id caller.JobID, index int) (task.Outcome, error) {
+	reply, err := b.query(ctx, secret, id, control.QueryStatus, 0)
+	if err != nil {
+		return task.Outcome{}, err
+	}
+	if index < 0 || index >= len(reply.Tasks) {
+		return task.Outcome{}, errkind.New(errkind.UnknownTask, "job %s has no task %d", id, index)
+	}
+	t := reply.Tasks[index]
+	if t.Outcome == nil {
+		return task.Outcome{}, errkind.New(errkind.ResultIncomplete, "task %s is %s", t.ID, t.State).WithFate(errkind.FateUnknown)
+	}
+	return *t.Outcome, nil
+}
+
+func (b *callerBackend) query(ctx context.Context, secret string, id caller.JobID, op control.QueryOp, wait time.Duration) (caller.Reply, error) {
+	if _, _, refusal := b.loop.Snapshot().Authorize(time.Now(), id.Team, id.Service, secret); refusal != nil {
+		return caller.Reply{}, refusal
+	}
+	job := ledger.JobKey{Team: id.Team, Service: id.Service, Key: id.Key}
+	record, err := b.toHome(ctx, job, control.QueryRequest{Op: op, Job: job, Wait: wait}, wait)
+	if err != nil {
+		return caller.Reply{}, err
+	}
+	return replyOf(record), nil
+}
+
+// toHome sends a request to the home of a job. It is sent again only while it
+// surely had no effect.
+func (b *callerBackend) toHome(ctx context.Context, job ledger.JobKey, request control.PeerRequest, wait time.Duration) (*ledger.Record, error) {
+	var last error = errkind.New(errkind.NoOwner, "job %s has no home at present", job).WithRetryAfter(time.Second)
+	for range homeTries {
+		route, ok := b.loop.Snapshot().HomeOf(job)
+		if ok {
+			record, err := b.callHome(ctx, route, request, wait)
+			if err == nil || !isRetried(err) {
+				return record, err
+			}
+			last = err
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		pause(ctx, homeRetry)
+	}
+	return nil, last
+}
+
+// isRetried reports whether a request had no effect because its home has moved.
+func isRetried(err error) bool {
+	e := errkind.From(err)
+	return e.Kind == errkind.NoOwner && e.Fate() == errkind.FateNotRun
+}
+
+func (b *callerBackend) callHome(ctx context.Context, route control.Route, request control.PeerRequest, wait time.Duration) (*ledger.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, max(wait, 0)+waitMargin)
+	defer cancel()
+	reply, err := b.callMember(ctx, control.Send{To: route.Member, Request: request})
+	switch {
+	case errors.Is(err, entry.ErrNotSent):
+		return nil, errkind.New(errkind.NoOwner, "the home of the request cannot be reached").WithRetryAfter(time.Second)
+	case err != nil:
+		return nil, errkind.New(errkind.OutcomeUnknown, "the home of the request did not answer; ask with the same idempotency key").WithRetryAfter(time.Second)
+	}
+	job := reply.(control.JobReply)
+	if job.Err != nil {
+		return nil, job.Err
+	}
+	return job.Record, nil
+}
+
+// answerError turns the end of an answer that has no result into the error that
+// its caller is told.
+func answerError(record *ledger.Record) error {
+	if record.Spec.Kind != task.Answer {
+		return nil
+	}
+	for i := range record.Tasks {
+		t := &record.Tasks[i]
+		switch {
+		case t.State == task.NotRun:
+			return errkind.New(reasonOf(t), "the request was not run").WithFate(errkind.FateNotRun).WithRetryAfter(time.Second)
+		case t.State == task.Unknown:
+			return errkind.New(errkind.OutcomeUnknown, "it is not known whether the request was run").WithFate(errkind.FateUnknown)
+		case !t.State.IsFinal():
+			return errkind.New(errkind.OutcomeUnknown, "the request was not answered by its deadline").WithFate(errkind.FateUnknown)
+		}
+	}
+	return nil
+}
+
+func reasonOf(t *ledger.TaskRecord) errkind.Kind {
+	if t.Outcome == nil || t.Outcome.Reason == "" {
+		return errkind.NoOwner
+	}
+	return errkind.Kind(t.Outcome.Reason)
+}
+
+func replyOf(record *ledger.Record) caller.Reply {
+	reply := caller.Reply{State: record.State(), Tasks: make([]caller.TaskState, len(record.Tasks))}
+	for i := range record.Tasks {
+		t := &record.Tasks[i]
+		reply.Tasks[i] = caller.TaskState{Index: i, ID: t.ID, State: t.State, Attempt: t.Attempt, Outcome: t.Outcome}
+	}
+	return reply
+}
--- /dev/null
+++ b/daemon/config.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/caller"
+	"github.com/mulberrydrum/mulberrydrum/control"
+	"github.com/mulberrydrum/mulberrydrum/membership"
+	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/worker"
+)
+
+// Config is what a daemon needs besides its peers' clients.
+type Config struct {
+	Self            membership.Member // the incarnation is set at the start
+	CallerAddress   string
+	OperatorAddress string
+	EntryAddress    string // on which the other instances call
+
+	Control control.Config
+	Parts   control.Parts
+	Caller  caller.Config
+	Store   store.Config
+	Worker  worker.Config
+
+	ListAddress    string
+	ListInterval   time.Duration // between two reads of the instance list
+	Tick           time.Duration // of the control loop
+	AnswerTimeout  time.Duration // deadline of an answer whose caller gives none
+	DrainTimeout   time.Duration // longest planned stop
+	Linger         time.Duration // callers are served for this long after the handover
+	TimelineEvents int           // events kept
+	Seed           uint64        // of random choices; 0 for one from the clock
+}
+
+// Defaults of Config.
+const (
+	DefaultListInterval   = time.Second
+	DefaultTick           = 20 * time.Millisecond
+	DefaultAnswerTimeout  = 10 * time.Second
+	DefaultDrainTimeout   = 30 * time.Second
+	DefaultLinger         = 2 * time.Second
+	DefaultTimelineEvents = 65536
+)
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,162 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"github.com/mulberrydrum/mulberrydrum/caller"
+	"github.com/mulberrydrum/mulberrydrum/control"
+	"github.com/mulberrydrum/mulberrydrum/entry"
+	"github.com/mulberrydrum/mulberrydrum/instancelist"
+	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/timeline"
+	"github.com/mulberrydrum/mulberrydrum/worker"
+)
+
+// Daemon is one entry instance.
+type Daemon struct {
+	cfg      Config
+	log      *log.Logger
+	loop     *control.Loop
+	recorder *timeline.Recorder
+	registry metrics.Registry
+
+	store   store.Store
+	list    instancelist.Lister
+	workers worker.API
+	peers   *entry.Client
+
+	callers   *caller.Server
+	operators *http.Server
+	entries   *grpc.Server
+	listeners listeners
+
+	resync  chan struct{} // asks the watch for a complete read
+	drained chan struct{} // closed when nothing is held any more
+	effects context.Context
+	stop    context.CancelFunc
+}
+
+// listeners are open before the daemon registers itself, so that nobody is sent
+// to an address that does not listen.
+type listeners struct{ caller, operator, entry net.Listener }
+
+// New opens the listeners and builds the daemon. Addresses with port 0 are
+// replaced by the ones that were opened.
+func New(cfg Config, logger *log.Logger) (*Daemon, error) {
+	d := &Daemon{cfg: cfg, log: logger, registry: metrics.NewRegistry(), resync: make(chan struct{}, 1), drained: make(chan struct{})}
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	self := cfg.Self
+	self.Incarnation = fmt.Sprintf("%s-%x", self.Instance, now.UnixNano())
+	self.Address = d.listeners.entry.Addr().String()
+	d.cfg.Self = self
+	seed := cfg.Seed
+	if seed == 0 {
+		seed = uint64(now.UnixNano())
+	}
+	d.recorder = timeline.NewRecorder(self.Instance, self.Incarnation, cfg.TimelineEvents)
+	d.store = store.NewClient(cfg.Store)
+	d.list = instancelist.NewClient(instancelist.Config{Address: cfg.ListAddress, Instance: self.Instance})
+	d.workers = worker.NewClient(cfg.Worker)
+	d.peers = entry.NewClient(self)
+	state := control.New(now, cfg.Control, cfg.Parts, self, d.recorder, rand.New(rand.NewPCG(seed, 0)))
+	d.loop = control.NewLoop(state, cfg.Tick, d.registry, d.execute)
+	d.callers = caller.NewServer(cfg.Caller, &callerBackend{d})
+	d.entries = entry.NewServer(&peerHandler{d})
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	open := func(address string) net.Listener {
+		if err != nil {
+			return nil
+		}
+		var l net.Listener
+		l, err = net.Listen("tcp", address)
+		return l
+	}
+	d.listeners.caller = open(d.cfg.CallerAddress)
+	d.listeners.operator = open(d.cfg.OperatorAddress)
+	d.listeners.entry = open(d.cfg.EntryAddress)
+	return eris.Wrap(err, "open listeners")
+}
+
+// CallerAddress returns the address on which callers are served.
+func (d *Daemon) CallerAddress() string { return d.listeners.caller.Addr().String() }
+
+// OperatorAddress returns the address on which operators are served.
+func (d *Daemon) OperatorAddress() string { return d.listeners.operator.Addr().String() }
+
+// Run serves until ctx ends, then stops without cutting off a request: it hands
+// over what it holds, finishes what is in flight, and closes.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d.effects, d.stop = background, cancel
+	group, background := errgroup.WithContext(background)
+	group.Go(func() error { return d.loop.Run(background) })
+	group.Go(func() error { return d.watchConfig(background) })
+	group.Go(func() error { return d.pollInstances(background) })
+	group.Go(func() error { return d.callers.Serve(d.listeners.caller) })
+	group.Go(func() error { return d.entries.Serve(d.listeners.entry) })
+	group.Go(func() error { return d.serveOperators() })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			d.shutdown()
+		case <-background.Done():
+		}
+		cancel()
+		return nil
+	})
+	d.log.Info("serving", "instance", d.cfg.Self.Instance, "incarnation", d.cfg.Self.Incarnation,
+		"callers", d.CallerAddress(), "operators", d.OperatorAddress(), "entries", d.cfg.Self.Address)
+	return group.Wait()
+}
+
+// shutdown is the planned stop. Callers are served until everything is handed
+// over, so that a request that arrives meanwhile reaches its home elsewhere.
+func (d *Daemon) shutdown() {
+	d.log.Info("draining", "timeout", d.cfg.DrainTimeout)
+	d.callers.BeginDrain()
+	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.DrainTimeout)
+	defer cancel()
+	if err := d.loop.Post(ctx, control.DrainRequested{}); err == nil {
+		select {
+		case <-d.drained:
+			d.log.Info("handed over")
+		case <-ctx.Done():
+			d.log.Warn("stopping with units still held", "after", d.cfg.DrainTimeout)
+		}
+	}
+	d.linger(ctx)
+	if err := d.callers.Shutdown(ctx); err != nil {
+		d.log.Warn("calls were cut off", "err", err)
+	}
+	d.stopOperators()
+	d.entries.GracefulStop()
+	d.peers.Close()
+}
+
+// linger keeps callers' connections open for a while after the handover: the
+// balancer may still send requests, and a request that is on its way when an
+// idle connection closes would be lost.
+func (d *Daemon) linger(ctx context.Context) {
+	select {
+	case <-time.After(d.cfg.Linger):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/daemon/execute.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/mulberrydrum/mulberrydrum/control"
+)
+
+// execute carries out an effect on a goroutine of its own. Its number is bounded
+// by the state: an effect is repeated only after its end was delivered.
+func (d *Daemon) execute(effect control.Effect) {
+	ctx := d.effects
+	switch e := effect.(type) {
+	case control.Resync:
+		d.requestResync()
+	case control.Drained:
+		close(d.drained)
+	case control.Send:
+		go d.send(ctx, e)
+	case control.StartTask:
+		go d.startTask(ctx, e)
+	case control.SyncWorker:
+		go d.syncWorker(ctx, e)
+	case control.LookupTask:
+		go d.lookupTask(ctx, e)
+	case control.FetchResult:
+		go d.fetchResult(ctx, e)
+	case control.StopTask:
+		go d.stopTask(ctx, e)
+	default:
+		go d.callStore(ctx, effect)
+	}
+}
+
+// callStore carries out the effects that are calls to the store.
+func (d *Daemon) callStore(ctx context.Context, effect control.Effect) {
+	switch e := effect.(type) {
+	case control.GrantLease:
+		d.post(ctx, d.grantLease(ctx, e))
+	case control.RenewLease:
+		d.post(ctx, d.renewLease(ctx, e))
+	case control.WriteMember:
+		d.writeMember(ctx, e)
+	case control.ReadShard:
+		d.post(ctx, d.readShard(ctx, e))
+	case control.CommitLedger:
+		d.post(ctx, d.commitLedger(ctx, e))
+	case control.WriteOwnership:
+		d.post(ctx, d.writeOwnership(ctx, e))
+	case control.WriteAllowances:
+		d.post(ctx, d.writeAllowances(ctx, e))
+	default:
+		d.log.Error("no way to carry out an effect", "type", effect)
+	}
+}
+
+// post delivers an event to the control loop. It fails only when the daemon ends.
+func (d *Daemon) post(ctx context.Context, e control.Event) {
+	_ = d.loop.Post(ctx, e)
+}
+
+// send calls another instance, or the control loop itself if the call is to
+// this one.
+func (d *Daemon) send(ctx context.Context, e control.Send) {
+	callCtx, cancel := context.WithTimeout(ctx, e.Timeout)
+	defer cancel()
+	reply, err := d.callMember(callCtx, e)
+	if fetched, ok := reply.(control.FetchConfigReply); ok && err == nil {
+		d.post(ctx, configFrom(fetched))
+		return
+	}
+	d.post(ctx, control.PeerDone{Send: e, Reply: reply, Err: err})
+}
+
+func (d *Daemon) callMember(ctx context.Context, e control.Send) (control.PeerReply, error) {
+	if e.To.Incarnation == d.cfg.Self.Incarnation {
+		return d.loop.Call(ctx, d.cfg.Self.Instance, e.Request)
+	}
+	return d.peers.Call(ctx, e.To, e.Request)
+}
--- /dev/null
+++ b/daemon/storecalls.go
@@ -0,0 +1,210 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/allowance"
+	"github.com/mulberrydrum/mulberrydrum/control"
+	"github.com/mulberrydrum/mulberrydrum/ledger"
+	"github.com/mulberrydrum/mulberrydrum/ownership"
+	"github.com/mulberrydrum/mulberrydrum/store"
+)
+
+// fate is what became of a transaction, which the decision packages each name
+// in their own type.
+type fate int
+
+const (
+	stored fate = iota
+	conflict
+	unclear
+	noEffect
+)
+
+var (
+	ledgerResults     = map[fate]ledger.Result{stored: ledger.Stored, conflict: ledger.Conflict, unclear: ledger.Unclear, noEffect: ledger.NoEffect}
+	ownershipOutcomes = map[fate]ownership.Outcome{stored: ownership.Succeeded, conflict: ownership.Conflict, unclear: ownership.Unclear, noEffect: ownership.NoEffect}
+	allowanceOutcomes = map[fate]allowance.Outcome{stored: allowance.Succeeded, conflict: allowance.Conflict, unclear: allowance.Unclear, noEffect: allowance.NoEffect}
+)
+
+// commit executes a transaction and says what became of it.
+func (d *Daemon) commit(ctx context.Context, txn store.Txn) (store.TxnResult, fate) {
+	result, err := d.store.Commit(ctx, txn)
+	switch {
+	case err == nil && result.Succeeded:
+		return result, stored
+	case err == nil:
+		return result, conflict
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrRejected):
+		d.log.Debug("commit had no effect", "err", err)
+		return result, noEffect
+	default:
+		d.log.Debug("commit is unclear", "err", err)
+		return result, unclear
+	}
+}
+
+func currentOf(result store.TxnResult, key string) (store.KeyValue, bool) {
+	for _, kv := range result.Current {
+		if kv.Key == key {
+			return kv, true
+		}
+	}
+	return store.KeyValue{}, false
+}
+
+// grantLease asks for a lease and registers this instance under it.
+func (d *Daemon) grantLease(ctx context.Context, e control.GrantLease) control.LeaseGranted {
+	done := control.LeaseGranted{SentAt: time.Now()}
+	done.Lease, done.Err = d.store.Grant(ctx, d.cfg.Control.StoreLeaseTTL)
+	if done.Err != nil {
+		return done
+	}
+	put, err := memberPut(e.Member.Instance, e.Member, done.Lease)
+	if err != nil {
+		done.Err = err
+		return done
+	}
+	result, err := d.store.Commit(ctx, store.Txn{Puts: []store.Put{put}})
+	done.Revision, done.Err = result.Revision, err
+	return done
+}
+
+func memberPut(instance string, member any, lease int64) (store.Put, error) {
+	value, err := store.Encode(member)
+	return store.Put{Key: store.MemberKey(instance), Value: value, Lease: lease}, err
+}
+
+func (d *Daemon) writeMember(ctx context.Context, e control.WriteMember) {
+	put, err := memberPut(e.Member.Instance, e.Member, e.Lease)
+	if err == nil {
+		_, err = d.store.Commit(ctx, store.Txn{Puts: []store.Put{put}})
+	}
+	if err != nil {
+		d.log.Warn("member record was not written", "err", err)
+	}
+}
+
+// renewLease keeps the lease alive, then reads the revision of the store.
+func (d *Daemon) renewLease(ctx context.Context, e control.RenewLease) control.KeepAliveDone {
+	done := control.KeepAliveDone{SentAt: time.Now(), Lease: e.Lease}
+	_, done.Err = d.store.KeepAlive(ctx, e.Lease)
+	if done.Err != nil {
+		done.Gone = errors.Is(done.Err, store.ErrLeaseGone)
+		return done
+	}
+	done.ReadSentAt = time.Now()
+	_, _, revision, err := d.store.Get(ctx, store.MemberKey(d.cfg.Self.Instance))
+	if err == nil {
+		done.Revision = revision
+	}
+	return done
+}
+
+func (d *Daemon) readShard(ctx context.Context, e control.ReadShard) control.ShardRead {
+	kv, found, _, err := d.store.Get(ctx, store.RecordsKey(e.Shard))
+	if err != nil || !found {
+		return control.ShardRead{Shard: e.Shard, Err: err}
+	}
+	return shardRead(e.Shard, kv)
+}
+
+func shardRead(shard string, kv store.KeyValue) control.ShardRead {
+	value, err := store.DecodeRecords(kv.Value)
+	return control.ShardRead{Shard: shard, Err: err, Value: value, Revision: kv.ModRevision}
+}
+
+func (d *Daemon) commitLedger(ctx context.Context, e control.CommitLedger) control.LedgerDone {
+	done := control.LedgerDone{Writes: e.Writes, Result: ledger.NoEffect}
+	var txn store.Txn
+	for _, w := range e.Writes {
+		value, err := store.Encode(w.Value)
+		if err != nil {
+			d.log.Error("request records cannot be encoded", "shard", w.Shard, "err", err)
+			return done
+		}
+		key := store.RecordsKey(w.Shard)
+		txn.Compares = append(txn.Compares, store.Compare{Key: key, ModRevision: w.Revision})
+		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
+	}
+	result, f := d.commit(ctx, txn)
+	done.Result, done.Revision = ledgerResults[f], result.Revision
+	if f != conflict {
+		return done
+	}
+	for _, w := range e.Writes {
+		read := control.ShardRead{Shard: w.Shard}
+		if kv, ok := currentOf(result, store.RecordsKey(w.Shard)); ok {
+			read = shardRead(w.Shard, kv)
+		}
+		done.Current = append(done.Current, read)
+	}
+	return done
+}
+
+func (d *Daemon) writeOwnership(ctx context.Context, e control.WriteOwnership) control.OwnershipDone {
+	w := e.Write
+	done := control.OwnershipDone{Unit: w.Record.Unit, Result: ownership.WriteResult{Outcome: ownership.NoEffect}}
+	value, err := store.Encode(w.Record)
+	if err != nil {
+		d.log.Error("ownership record cannot be encoded", "unit", w.Record.Unit, "err", err)
+		return done
+	}
+	key := store.OwnershipKey(w.Record.Unit)
+	txn := store.Txn{Compares: []store.Compare{{Key: key, ModRevision: w.Expect}}, Puts: []store.Put{{Key: key, Value: value}}}
+	for _, instance := range w.AbsentMembers {
+		txn.Compares = append(txn.Compares, store.Compare{Key: store.MemberKey(instance)})
+	}
+	result, f := d.commit(ctx, txn)
+	done.Result = ownership.WriteResult{Outcome: ownershipOutcomes[f], Revision: result.Revision}
+	if kv, ok := currentOf(result, key); ok && f == conflict {
+		if current, err := store.DecodeOwnership(kv.Value, kv.ModRevision); err == nil {
+			done.Result.Current = current
+		}
+	}
+	return done
+}
+
+func (d *Daemon) writeAllowances(ctx context.Context, e control.WriteAllowances) control.AllowanceDone {
+	done := control.AllowanceDone{Writes: e.Writes, Result: allowance.WriteResult{Outcome: allowance.NoEffect}}
+	var txn store.Txn
+	owners := map[string]int64{}
+	for _, w := range e.Writes {
+		value, err := store.Encode(w.Record)
+		if err != nil {
+			d.log.Error("allowance record cannot be encoded", "team", w.Record.Team, "err", err)
+			return done
+		}
+		key := store.AllowanceKey(string(w.Record.Team))
+		txn.Compares = append(txn.Compares, store.Compare{Key: key, ModRevision: w.Expect})
+		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
+		for partition, revision := range w.Owners {
+			owners[partition] = revision
+		}
+	}
+	for partition, revision := range owners {
+		txn.Compares = append(txn.Compares, store.Compare{Key: store.OwnershipKey(partition), ModRevision: revision})
+	}
+	result, f := d.commit(ctx, txn)
+	done.Result = allowance.WriteResult{Outcome: allowanceOutcomes[f], Revision: result.Revision}
+	if f == conflict {
+		done.Result.Current = currentAllowances(result, e.Writes)
+	}
+	return done
+}
+
+func currentAllowances(result store.TxnResult, writes []allowance.Write) []allowance.Record {
+	var current []allowance.Record
+	for _, w := range writes {
+		kv, ok := currentOf(result, store.AllowanceKey(string(w.Record.Team)))
+		if !ok {
+			continue
+		}
+		if record, err := store.DecodeAllowance(kv.Value, kv.ModRevision); err == nil {
+			current = append(current, *record)
+		}
+	}
+	return current
+}
--- /dev/null
+++ b/daemon/watch.go
@@ -0,0 +1,160 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/control"
+	"github.com/mulberrydrum/mulberrydrum/instancelist"
+	"github.com/mulberrydrum/mulberrydrum/membership"
+	"github.com/mulberrydrum/mulberrydrum/store"
+)
+
+const (
+	// watchRetry is the pause before the configuration is read again after a
+	// failure. Every instance reads it after an outage, so it is not shorter.
+	watchRetry = 500 * time.Millisecond
+	// peerFetchAfter is how many failed reads in a row at the start lead to
+	// reading the configuration from another instance.
+	peerFetchAfter = 3
+)
+
+func (d *Daemon) requestResync() {
+	select {
+	case d.resync <- struct{}{}:
+	default:
+	}
+}
+
+// watchConfig keeps the control state informed of everything below the
+// configuration prefix: a complete list first, then changes in order.
+func (d *Daemon) watchConfig(ctx context.Context) error {
+	failures := 0
+	for ctx.Err() == nil {
+		revision, err := d.listConfig(ctx)
+		if err == nil {
+			failures = 0
+			d.follow(ctx, revision)
+			continue
+		}
+		failures++
+		d.log.Debug("configuration was not read", "err", err)
+		if failures == peerFetchAfter {
+			d.fetchFromPeers(ctx)
+		}
+		pause(ctx, watchRetry)
+	}
+	return nil
+}
+
+func (d *Daemon) listConfig(ctx context.Context) (revision int64, err error) {
+	kvs, revision, err := d.store.List(ctx, store.ConfigPrefix)
+	if err != nil {
+		return 0, err
+	}
+	changes := make([]control.ConfigChange, len(kvs))
+	for i, kv := range kvs {
+		changes[i] = store.DecodeConfig(control.ConfigEntry{Key: kv.Key, Value: kv.Value, Revision: kv.ModRevision})
+	}
+	d.post(ctx, control.ConfigChanged{Revision: revision, Complete: true, Changes: changes})
+	return revision, nil
+}
+
+// follow delivers changes until the watch has to start from a list again. A
+// watch that fails otherwise goes on after the last revision delivered.
+func (d *Daemon) follow(ctx context.Context, revision int64) {
+	for ctx.Err() == nil {
+		watchCtx, cancel := context.WithCancel(ctx)
+		resynced := make(chan struct{})
+		go func() {
+			defer close(resynced)
+			select {
+			case <-d.resync:
+				cancel()
+			case <-watchCtx.Done():
+			}
+		}()
+		err := d.store.Watch(watchCtx, store.ConfigPrefix, revision+1, func(b store.WatchBatch) {
+			revision = b.Revision
+			d.deliver(ctx, b)
+		})
+		cancel()
+		<-resynced
+		if errors.Is(err, store.ErrCompacted) || errors.Is(err, context.Canceled) {
+			return
+		}
+		d.log.Debug("watch ended", "revision", revision, "err", err)
+		pause(ctx, watchRetry)
+	}
+}
+
+func (d *Daemon) deliver(ctx context.Context, b store.WatchBatch) {
+	changes := make([]control.ConfigChange, len(b.Changes))
+	for i, c := range b.Changes {
+		changes[i] = store.DecodeConfig(control.ConfigEntry{Key: c.Key, Value: c.Value, Revision: c.ModRevision, Deleted: c.Deleted})
+	}
+	d.post(ctx, control.ConfigChanged{Revision: b.Revision, Changes: changes})
+}
+
+// fetchFromPeers reads the configuration of the other instances when this one
+// has started while the store is down.
+func (d *Daemon) fetchFromPeers(ctx context.Context) {
+	instances, err := d.list.List(ctx)
+	if err != nil {
+		d.log.Warn("started without store and instance list", "err", err)
+		return
+	}
+	for _, i := range instances {
+		if i.Role != instancelist.RoleEntry || i.Name == d.cfg.Self.Instance || i.State == instancelist.StateGone {
+			continue
+		}
+		to := membership.Member{Instance: i.Name, Address: i.Address, Region: i.Region, FailureDomain: i.FailureDomain}
+		d.send(ctx, control.Send{To: to, Request: control.FetchConfigRequest{}, Timeout: d.cfg.Control.CallTimeout, SentAt: time.Now()})
+	}
+}
+
+func configFrom(r control.FetchConfigReply) control.ConfigChanged {
+	changes := make([]control.ConfigChange, len(r.Entries))
+	for i, e := range r.Entries {
+		changes[i] = store.DecodeConfig(e)
+	}
+	return control.ConfigChanged{Revision: r.Revision, Complete: true, Changes: changes}
+}
+
+// pollInstances delivers the platform's instance list at intervals.
+func (d *Daemon) pollInstances(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sentAt := time.Now()
+		instances, err := d.list.List(ctx)
+		if err != nil {
+			d.log.Debug("instance list was not read", "err", err)
+		} else {
+			d.post(ctx, listed(sentAt, instances))
+		}
+		pause(ctx, d.cfg.ListInterval)
+	}
+	return nil
+}
+
+func listed(sentAt time.Time, instances []instancelist.Instance) control.InstancesListed {
+	e := control.InstancesListed{SentAt: sentAt}
+	for _, i := range instances {
+		isGone := i.State == instancelist.StateGone
+		switch {
+		case i.Role == instancelist.RoleWorker:
+			e.Workers = append(e.Workers, control.ListedWorker{Name: i.Name, Address: i.Address, Region: i.Region, FailureDomain: i.FailureDomain,
+				Rack: i.Rack, Leaving: i.State == instancelist.StateLeaving, Gone: isGone})
+		case !isGone:
+			e.Entries = append(e.Entries, membership.Member{Instance: i.Name, Address: i.Address, Region: i.Region, FailureDomain: i.FailureDomain})
+		}
+	}
+	return e
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/daemon/workercalls.go
@@ -0,0 +1,87 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/control"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/worker"
+)
+
+// startTask starts an attempt. The term is checked with the latest snapshot when
+// the request is written, however long this goroutine was held up before.
+func (d *Daemon) startTask(ctx context.Context, e control.StartTask) {
+	check := func() error {
+		if !d.loop.Snapshot().Holds(time.Now(), e.Partition, e.Epoch) {
+			return errkind.New(errkind.NoOwner, "the term for %s has ended", e.Partition)
+		}
+		return nil
+	}
+	reply, err := d.workers.Start(ctx, worker.Address(e.Address), worker.StartRequest{
+		Attempt: e.Attempt, Team: e.Team, Class: e.Class, Owner: d.cfg.Self.Incarnation, Epoch: e.Epoch, BootID: e.BootID,
+		StartBy: e.StartBy, LeaseUntil: e.LeaseUntil, Wait: e.Wait, Size: e.Size, Command: e.Command, Payload: e.Payload, LongLived: e.LongLived,
+	}, check)
+	done := control.StartDone{Start: e, Clock: reply.Clock, BootID: reply.BootID}
+	switch {
+	case err == nil:
+		done.Outcome = reply.Outcome
+		if reply.Outcome != nil && reply.ResultBytes != int64(len(reply.Outcome.Result)) {
+			done.Outcome = nil // the next report has it, and the result is fetched
+		}
+	case errors.Is(err, worker.ErrNotRun):
+		done.Result, done.Detail = control.StartNotRun, err.Error()
+	default:
+		done.Result, done.Detail = control.StartUnclear, err.Error()
+	}
+	d.post(ctx, done)
+}
+
+func (d *Daemon) syncWorker(ctx context.Context, e control.SyncWorker) {
+	done := control.SyncDone{Sync: e, SentAt: time.Now()}
+	reply, err := d.workers.Sync(ctx, worker.Address(e.Address), worker.SyncRequest{
+		Owner: d.cfg.Self.Incarnation, Epoch: e.Epoch, BootID: e.BootID, LeaseUntil: e.LeaseUntil,
+		Acknowledge: e.Acknowledge, After: e.After, Full: e.Full,
+	})
+	done.Err = err
+	if err == nil {
+		done.Reply = control.WorkerReport{BootID: reply.BootID, Clock: reply.Clock, Sequence: reply.Sequence, Full: reply.Full,
+			Capacity: reply.Capacity, Leaving: reply.Leaving}
+		for _, t := range reply.Tasks {
+			done.Reply.Tasks = append(done.Reply.Tasks, taskReport(t))
+		}
+	}
+	d.post(ctx, done)
+}
+
+func taskReport(t worker.TaskReport) control.TaskReport {
+	return control.TaskReport{Attempt: t.Attempt, Team: t.Team, Class: t.Class, Size: t.Size, Usage: t.Usage, Outcome: t.Outcome, ResultBytes: t.ResultBytes}
+}
+
+func (d *Daemon) lookupTask(ctx context.Context, e control.LookupTask) {
+	reply, err := d.workers.Lookup(ctx, worker.Address(e.Address), e.Attempt)
+	d.post(ctx, control.LookupDone{Lookup: e, Err: err, Known: reply.Known, Clock: reply.Clock, BootID: reply.BootID, Report: taskReport(reply.Report)})
+}
+
+func (d *Daemon) fetchResult(ctx context.Context, e control.FetchResult) {
+	var data bytes.Buffer
+	err := d.workers.Result(ctx, worker.Address(e.Address), worker.ResultRequest{Attempt: e.Attempt, Bytes: e.Bytes, Digest: e.Digest}, &data)
+	d.post(ctx, control.ResultDone{Fetch: e, Err: err, Data: data.Bytes()})
+}
+
+// stopTask asks for a stop. Its effect is seen in the next report, and the
+// state asks again without one.
+func (d *Daemon) stopTask(ctx context.Context, e control.StopTask) {
+	var err error
+	if e.Checkpoint {
+		_, err = d.workers.Checkpoint(ctx, worker.Address(e.Address), worker.CheckpointRequest{Attempt: e.Attempt, Owner: d.cfg.Self.Incarnation, Epoch: e.Epoch})
+	} else {
+		_, err = d.workers.Stop(ctx, worker.Address(e.Address), worker.StopRequest{Attempt: e.Attempt, Owner: d.cfg.Self.Incarnation,
+			Epoch: e.Epoch, BootID: e.BootID, StartBy: e.RefuseUntil})
+	}
+	if err != nil {
+		d.log.Debug("stop failed", "attempt", e.Attempt, "worker", e.Worker, "err", err)
+	}
+}
--- a/ledger/transition.go
+++ b/ledger/transition.go
@@ -122,7 +122,7 @@
 
 // Cancel marks a job as cancelled. Tasks without an open attempt become NotRun
 // at once; the indexes of the others are returned, so that their owners are told.
-func (l *Ledger) Cancel(now time.Time, shardName string, key JobKey, step Step) (open []int, waits, ok bool) {
+func (l *Ledger) Cancel(now time.Time, shardName string, key JobKey, reason errkind.Kind, step Step) (open []int, waits, ok bool) {
 	s, r, _ := l.task(shardName, key, 0)
 	if r == nil {
 		return nil, false, false
@@ -136,7 +136,7 @@
 		switch {
 		case t.State == task.Accepted:
 			t.State = task.NotRun
-			t.Outcome = &task.Outcome{Attempt: r.AttemptOf(i), State: task.NotRun, Reason: string(errkind.Cancelled)}
+			t.Outcome = &task.Outcome{Attempt: r.AttemptOf(i), State: task.NotRun, Reason: string(reason)}
 		case !t.State.IsFinal():
 			open = append(open, i)
 		}
@@ -147,6 +147,13 @@
 	return open, l.change(s, r, &step), true
 }
 
+// After has step released once every change made so far is in the store.
+func (l *Ledger) After(shardName string, step Step) {
+	if s, ok := l.shards[shardName]; ok {
+		s.after(step)
+	}
+}
+
 // Forget removes the record of a memory-only job that was not run, so that a
 // repeat is tried afresh.
 func (l *Ledger) Forget(shardName string, key JobKey) {
--- /dev/null
+++ b/store/codec.go
@@ -0,0 +1,116 @@
+package store
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mulberrydrum/mulberrydrum/allowance"
+	"github.com/mulberrydrum/mulberrydrum/control"
+	"github.com/mulberrydrum/mulberrydrum/document"
+	"github.com/mulberrydrum/mulberrydrum/keyring"
+	"github.com/mulberrydrum/mulberrydrum/ledger"
+	"github.com/mulberrydrum/mulberrydrum/membership"
+	"github.com/mulberrydrum/mulberrydrum/ownership"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// Encode returns the form in which a record is stored.
+func Encode(record any) ([]byte, error) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return nil, eris.Wrapf(err, "encode %T", record)
+	}
+	return value, nil
+}
+
+func decode[T any](value []byte) (*T, error) {
+	record := new(T)
+	if err := json.Unmarshal(value, record); err != nil {
+		return nil, eris.Wrapf(err, "decode %T", record)
+	}
+	return record, nil
+}
+
+// DecodeConfig returns what an entry below ConfigPrefix says. A value that
+// cannot be read is returned with its error, so that its revision still counts.
+func DecodeConfig(entry control.ConfigEntry) control.ConfigChange {
+	change := control.ConfigChange{Entry: entry}
+	if entry.Deleted {
+		return change
+	}
+	switch {
+	case strings.HasPrefix(entry.Key, documentPrefix):
+		change.Document, change.Err = decodeDocument(entry)
+	case strings.HasPrefix(entry.Key, keyPrefix):
+		change.Key, change.Err = decodeKey(entry)
+	case strings.HasPrefix(entry.Key, memberPrefix):
+		change.Member, change.Err = decode[membership.Member](entry.Value)
+	case strings.HasPrefix(entry.Key, ownershipPrefix):
+		change.Record, change.Err = DecodeOwnership(entry.Value, entry.Revision)
+	case strings.HasPrefix(entry.Key, allowancePrefix):
+		change.Allowance, change.Err = DecodeAllowance(entry.Value, entry.Revision)
+	default:
+		change.Err = eris.Errorf("key %s is of no known kind", entry.Key)
+	}
+	return change
+}
+
+func decodeDocument(entry control.ConfigEntry) (*document.Document, error) {
+	record, err := decode[document.Record](entry.Value)
+	if err != nil {
+		return nil, err
+	}
+	parsed, faults := document.Parse([]byte(record.Source))
+	if len(faults) > 0 {
+		return nil, eris.Errorf("%d faults, first: %v", len(faults), faults[0])
+	}
+	team, service := splitPair(entry.Key, documentPrefix)
+	if parsed.Team != task.Team(team) || parsed.Service != task.Service(service) {
+		return nil, eris.Errorf("document of %s/%s is stored under %s", parsed.Team, parsed.Service, entry.Key)
+	}
+	return &parsed, nil
+}
+
+func decodeKey(entry control.ConfigEntry) (*keyring.Key, error) {
+	key, err := decode[keyring.Key](entry.Value)
+	if err != nil {
+		return nil, err
+	}
+	team, id := splitPair(entry.Key, keyPrefix)
+	key.Team, key.ID, key.Revision = task.Team(team), id, entry.Revision
+	return key, nil
+}
+
+// DecodeDocument returns a document as it is stored.
+func DecodeDocument(value []byte) (*document.Record, error) { return decode[document.Record](value) }
+
+// DecodeOwnership returns an ownership record at its revision.
+func DecodeOwnership(value []byte, revision int64) (*ownership.Record, error) {
+	record, err := decode[ownership.Record](value)
+	if err != nil {
+		return nil, err
+	}
+	record.Revision = revision
+	return record, nil
+}
+
+// DecodeAllowance returns the division of a team's limit at its revision.
+func DecodeAllowance(value []byte, revision int64) (*allowance.Record, error) {
+	record, err := decode[allowance.Record](value)
+	if err != nil {
+		return nil, err
+	}
+	record.Revision = revision
+	return record, nil
+}
+
+// DecodeRecords returns the request records of a shard.
+func DecodeRecords(value []byte) (ledger.ShardValue, error) {
+	records, err := decode[ledger.ShardValue](value)
+	if err != nil {
+		return ledger.ShardValue{}, err
+	}
+	return *records, nil
+}
--- /dev/null
+++ b/store/layout.go
@@ -0,0 +1,39 @@
+package store
+
+import "strings"
+
+// Prefixes of the keys below the project's own root. Everything below
+// ConfigPrefix is covered by one watch; request records are not watched.
+const (
+	ConfigPrefix    = "c/"
+	documentPrefix  = ConfigPrefix + "doc/"
+	keyPrefix       = ConfigPrefix + "key/"
+	memberPrefix    = ConfigPrefix + "member/"
+	ownershipPrefix = ConfigPrefix + "own/"
+	allowancePrefix = ConfigPrefix + "allow/"
+	recordsPrefix   = "j/"
+)
+
+// DocumentKey returns the key of a document; service is empty for a team's.
+func DocumentKey(team, service string) string { return documentPrefix + team + "/" + service }
+
+// KeyKey returns the key of one of a team's keys.
+func KeyKey(team, id string) string { return keyPrefix + team + "/" + id }
+
+// MemberKey returns the key of the member record of an instance.
+func MemberKey(instance string) string { return memberPrefix + instance }
+
+// OwnershipKey returns the key of the ownership record of a unit.
+func OwnershipKey(unit string) string { return ownershipPrefix + unit }
+
+// AllowanceKey returns the key of the division of a team's limit.
+func AllowanceKey(team string) string { return allowancePrefix + team }
+
+// RecordsKey returns the key of the request records of a shard.
+func RecordsKey(shard string) string { return recordsPrefix + shard }
+
+// splitPair returns the two parts of what follows a prefix.
+func splitPair(key, prefix string) (first, second string) {
+	first, second, _ = strings.Cut(strings.TrimPrefix(key, prefix), "/")
+	return first, second
+}
