Add documents, settings, config check and the examples

Cause: operators need one document per team and service and settings that are checked as a whole, each fault with line, column and what is allowed.

Decided: a limit names every resource, because one that is left out could mean none or no limit. An amount that a submission leaves out is the class's. The stored record keeps the replaced source, so that a conflict can show the other change without a read of old revisions, which store.Store does not offer.

Ruled out: checking settings only after they decode without a fault; one mistake then hides the others, so both checks share jsonc.Checker.

--- a/cmd/mulberryctl/main.go
+++ b/cmd/mulberryctl/main.go
@@ -21,6 +21,7 @@
 	Status  statusCommand  `cmd:"" help:"Show the state of a job, or wait for its end."`
 	Cancel  cancelCommand  `cmd:"" help:"Ask for the end of a job."`
 	Result  resultCommand  `cmd:"" help:"Write the result of one task of a job."`
+	Config  configCommand  `cmd:"" help:"Work with configuration files."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/document/document_test.go
@@ -0,0 +1,197 @@
+package document
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/jsonc"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+const goodClass = `{"name": "check", "kind": "durable", "size": {"slots": 1}, "max_run": "5m", "command": "check"}`
+
+func service(fields string) string {
+	return `{"team": "pipes", "service": "nozzles", ` + fields + `}`
+}
+
+// TestFaults guards against a document that is accepted though it cannot be
+// obeyed, and against a fault that does not name its field.
+func TestFaults(t *testing.T) {
+	class := func(old, replacement string) string {
+		return service(`"classes": [` + strings.Replace(goodClass, old, replacement, 1) + `]`)
+	}
+	const team = `{"team": "pipes", "limit": {"cpu_milli": 1, "memory_mb": 1, "accelerators": 0, "slots": 1, "connections": 1}`
+	cases := []struct{ name, src, path string }{
+		{"no team", `{"service": "a", "classes": [` + goodClass + `]}`, "team"},
+		{"team in capitals", `{"team": "Pipes", "service": "a", "classes": [` + goodClass + `]}`, "team"},
+		{"empty service", `{"team": "pipes", "service": "", "classes": [` + goodClass + `]}`, "service"},
+		{"share of a service", service(`"share": 2, "classes": [` + goodClass + `]`), "share"},
+		{"limit of a service", service(`"limit": {"slots": 1}, "classes": [` + goodClass + `]`), "limit"},
+		{"classes of a team", team + `, "classes": []}`, "classes"},
+		{"share of zero", team + `, "share": 0}`, "share"},
+		{"negative share", team + `, "share": -1}`, "share"},
+		{"no limit", `{"team": "pipes"}`, "limit"},
+		{"limit without connections", strings.Replace(team, `, "connections": 1`, "", 1) + `}`, "limit.connections"},
+		{"negative limit", strings.Replace(team, `"slots": 1`, `"slots": -1`, 1) + `}`, "limit.slots"},
+		{"no classes", service(`"classes": []`), "classes"},
+		{"class name twice", service(`"classes": [` + goodClass + `, ` + goodClass + `]`), "classes[1].name"},
+		{"unknown kind", class("durable", "eternal"), "classes[0].kind"},
+		{"no kind", class(`"kind": "durable",`, ""), "classes[0].kind"},
+		{"unknown urgency", class(`"size"`, `"urgency": "asap", "size"`), "classes[0].urgency"},
+		{"no size", class(`"size": {"slots": 1},`, ""), "classes[0].size"},
+		{"size of connections only", class(`"slots": 1`, `"connections": 1`), "classes[0].size"},
+		{"size beyond any fleet", class(`"slots": 1`, `"slots": 9000000000000000000`), "classes[0].size.slots"},
+		{"max_size below size", class(`"max_run"`, `"max_size": {"cpu_milli": 5}, "max_run"`), "classes[0].max_size.slots"},
+		{"no max_run", class(`"max_run": "5m",`, ""), "classes[0].max_run"},
+		{"max_run of a service", class("durable", "service"), "classes[0].max_run"},
+		{"answer that takes an hour", strings.Replace(class("durable", "answer"), "5m", "1h", 1), "classes[0].max_run"},
+		{"gang of one", class("durable", "gang"), "classes[0].max_count"},
+		{"no command", class(`"command": "check"`, `"command": ""`), "classes[0].command"},
+		{"role on an open queue", service(`"open": true, "classes": [` + strings.Replace(goodClass, `"max_run"`, `"may_submit": ["ops"], "max_run"`, 1) + `]`), "classes[0].may_submit"},
+		{"region twice", service(`"regions": ["a", "a"], "classes": [` + goodClass + `]`), "regions[1]"},
+		{"unknown weigh", service(`"weigh": "luck", "classes": [` + goodClass + `]`), "weigh"},
+		{"negative wait", service(`"cross_region_wait": "-1s", "classes": [` + goodClass + `]`), "cross_region_wait"},
+		{"queue limit of zero", service(`"queue_limit": 0, "classes": [` + goodClass + `]`), "queue_limit"},
+		{"too long", strings.Repeat(" ", MaxBytes+1), ""},
+	}
+	for _, c := range cases {
+		_, faults := Parse([]byte(c.src))
+		if len(faults) != 1 || faults[0].Path != c.path || faults[0].Line < 1 || faults[0].Column < 1 || faults[0].Allowed == "" {
+			t.Errorf("%s: faults = %v, want one at %q", c.name, faults, c.path)
+		}
+	}
+	for _, good := range []string{team + `}`, service(`"classes": [` + goodClass + `]`)} {
+		if _, faults := Parse([]byte(good)); len(faults) > 0 {
+			t.Errorf("%s: %v", good, faults)
+		}
+	}
+}
+
+func mustParse(t interface{ Fatalf(string, ...any) }, src string) Document {
+	d, faults := Parse([]byte(src))
+	if len(faults) > 0 {
+		t.Fatalf("%s: %v", src, faults)
+	}
+	return d
+}
+
+// TestDiff guards against a change that is not shown, and against order and
+// written-out defaults being shown as changes.
+func TestDiff(t *testing.T) {
+	second := strings.Replace(goodClass, `"check"`, `"span"`, 1)
+	before := mustParse(t, service(`"classes": [`+goodClass+`, `+second+`]`))
+	same := mustParse(t, service(`"weigh": "waiting_and_share", "classes": [`+second+`, `+goodClass+`]`))
+	if changes := Diff(before, same); len(changes) > 0 {
+		t.Errorf("changes = %v, want none", changes)
+	}
+	third := strings.Replace(goodClass, "5m", "6m", 1)
+	after := mustParse(t, service(`"open": true, "classes": [`+third+`]`))
+	changes := Diff(before, after)
+	got := map[string]Change{}
+	for _, c := range changes {
+		got[c.Path] = c
+	}
+	if got["classes[check].max_run"] != (Change{"classes[check].max_run", `"5m0s"`, `"6m0s"`}) ||
+		got["open"] != (Change{"open", "", "true"}) ||
+		got["classes[span].kind"] != (Change{"classes[span].kind", `"durable"`, ""}) {
+		t.Errorf("changes = %v", changes)
+	}
+}
+
+// TestDiffAgreesWithMarshal compares Diff with a naive version: two documents
+// differ exactly when their JSON does.
+func TestDiffAgreesWithMarshal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(label string) Document {
+			d := Document{Team: "pipes", Service: "nozzles", Open: rapid.Bool().Draw(t, label), QueueLimit: rapid.IntRange(0, 2).Draw(t, label)}
+			for _, name := range []string{"a", "b"}[:rapid.IntRange(0, 2).Draw(t, label)] {
+				d.Classes = append(d.Classes, Class{Name: name, MaxRun: time.Duration(rapid.IntRange(0, 2).Draw(t, label)) * time.Second})
+			}
+			return d
+		}
+		before, after := draw("before"), draw("after")
+		old, _ := jsonc.Marshal(before)
+		now, _ := jsonc.Marshal(after)
+		if differ := len(Diff(before, after)) > 0; differ != (string(old) != string(now)) {
+			t.Fatalf("Diff says %v for\n%s\n%s", differ, old, now)
+		}
+	})
+}
+
+// TestComplete guards against work that the document does not allow, and
+// against amounts that a submission leaves out being zero.
+func TestComplete(t *testing.T) {
+	d := mustParse(t, service(`"regions": ["north", "south"], "classes": [{"name": "check", "kind": "durable",
+		"size": {"slots": 1, "memory_mb": 64}, "max_size": {"slots": 4, "memory_mb": 128}, "max_count": 3,
+		"max_run": "5m", "command": "check", "may_submit": ["engineer"]}]`))
+	good := task.Spec{Class: "check", Size: task.Resources{Slots: 4}, Count: 3, DeclaredRun: time.Minute, Regions: []string{"south"}}
+	spec, err := d.Complete(good, "engineer")
+	if err != nil || spec.Kind != task.Durable || spec.Urgency != task.Normal || spec.Command != "check" ||
+		spec.Size != (task.Resources{Slots: 4, MemoryMB: 64}) {
+		t.Errorf("spec = %+v, error %v", spec, err)
+	}
+	cases := []struct {
+		name   string
+		change func(*task.Spec)
+		kind   errkind.Kind
+		field  string
+	}{
+		{"class", func(s *task.Spec) { s.Class = "other" }, errkind.UnknownClass, "class"},
+		{"size", func(s *task.Spec) { s.Size.MemoryMB = 129 }, errkind.InvalidRequest, "size.memory_mb"},
+		{"accelerator", func(s *task.Spec) { s.Size.Accelerators = 1 }, errkind.InvalidRequest, "size.accelerators"},
+		{"negative size", func(s *task.Spec) { s.Size.Slots = -1 }, errkind.InvalidRequest, "size.slots"},
+		{"count", func(s *task.Spec) { s.Count = 4 }, errkind.InvalidRequest, "count"},
+		{"run", func(s *task.Spec) { s.DeclaredRun = time.Hour }, errkind.InvalidRequest, "declared_run"},
+		{"region", func(s *task.Spec) { s.Regions = []string{"east"} }, errkind.InvalidRequest, "regions"},
+	}
+	for _, c := range cases {
+		bad := good
+		c.change(&bad)
+		_, err := d.Complete(bad, "engineer")
+		if err == nil || err.Kind != c.kind || err.Field != c.field || err.Limit == "" {
+			t.Errorf("%s: error = %v", c.name, err)
+		}
+	}
+	if _, err := d.Complete(good, "clerk"); err == nil || err.Kind != errkind.KeyRefused {
+		t.Errorf("wrong role: error = %v", err)
+	}
+}
+
+// TestLastChange guards against a conflict that shows something else than what
+// the other operator changed.
+func TestLastChange(t *testing.T) {
+	r := Record{
+		Previous: service(`"classes": [` + goodClass + `]`),
+		Source:   service(`"queue_limit": 7, "classes": [` + goodClass + `]`),
+	}
+	if changes := r.LastChange(); len(changes) != 1 || changes[0] != (Change{"queue_limit", "", "7"}) {
+		t.Errorf("changes = %v", changes)
+	}
+}
+
+// FuzzParse guards against a panic, and against an accepted document that is
+// refused after it was printed.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(service(`"classes": [` + goodClass + `]`)))
+	f.Add([]byte(`{"team": "a", "limit": {}}`))
+	f.Add([]byte(`{"team": "a", "service": 1, "classes": [{"name": 1}, null, {"size": {"slots": -1}}]}`))
+	f.Add([]byte("{\"team\": \"\xff\", // x\n}"))
+	f.Fuzz(func(t *testing.T, src []byte) {
+		d, faults := Parse(src)
+		if len(faults) > 0 {
+			return
+		}
+		printed, err := jsonc.Marshal(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, faults := Parse(printed)
+		if len(faults) > 0 || len(Diff(d, again)) > 0 {
+			t.Errorf("%s: %v, %v", printed, faults, Diff(d, again))
+		}
+	})
+}
--- a/jsonc/decode.go
+++ b/jsonc/decode.go
@@ -38,6 +38,7 @@
 		d.fault(0, "", "comments and trailing commas are not allowed here", "standard JSON")
 		return d.positions, d.faults
 	}
+	_, d.positions.isObject = root.Value.(*hujson.Object)
 	d.value(root, "", reflect.ValueOf(into).Elem())
 	return d.positions, d.faults
 }
--- a/jsonc/fault.go
+++ b/jsonc/fault.go
@@ -32,14 +32,19 @@
 
 // Positions knows where each value of a source text starts.
 type Positions struct {
-	src     []byte
-	offsets map[string]int
+	src      []byte
+	offsets  map[string]int
+	isObject bool
 }
 
 func newPositions(src []byte) *Positions {
 	return &Positions{src: src, offsets: map[string]int{"": 0}}
 }
 
+// IsObject reports whether the source text holds an object, so that its fields
+// can be checked.
+func (p *Positions) IsObject() bool { return p.isObject }
+
 // Has reports whether the source text has a value at path.
 func (p *Positions) Has(path string) bool {
 	_, ok := p.offsets[path]
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,128 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/document"
+	"github.com/mulberrydrum/mulberrydrum/jsonc"
+)
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+// checker checks decoded settings.
+type checker struct{ *jsonc.Checker }
+
+// fields checks each field by itself.
+func (c checker) fields(s Settings) {
+	v := reflect.ValueOf(s)
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		path := jsonc.FieldName(field)
+		if _, hasDefault := field.Tag.Lookup("default"); !hasDefault && !c.Has(path) {
+			c.Add(path, "the field is missing", field.Tag.Get("doc"))
+			continue
+		}
+		c.bounds(path, field, v.Field(i))
+	}
+	c.names(s)
+	c.addresses(s)
+	c.Require(slices.Contains(logLevels, s.LogLevel), "log_level", fmt.Sprintf("%q is not known", s.LogLevel), strings.Join(logLevels, ", "))
+	for i, digest := range s.OperatorKeyDigests {
+		c.Require(isDigest(digest), fmt.Sprintf("operator_key_digests[%d]", i), "the digest cannot be read", "64 hexadecimal digits, a-f in lower case")
+	}
+}
+
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+func isDigest(s string) bool {
+	decoded, err := hex.DecodeString(s)
+	return err == nil && len(decoded) == 32 && s == strings.ToLower(s)
+}
+
+// bounds checks a number or duration against the tags min and max.
+func (c checker) bounds(path string, field reflect.StructField, v reflect.Value) {
+	least, bounded := field.Tag.Lookup("min")
+	if !bounded {
+		return
+	}
+	low, high := reflect.New(v.Type()).Elem(), reflect.New(v.Type()).Elem()
+	setText(low, least)
+	setText(high, field.Tag.Get("max"))
+	outside := false
+	if v.CanInt() {
+		outside = v.Int() < low.Int() || v.Int() > high.Int()
+	} else {
+		outside = v.Float() < low.Float() || v.Float() > high.Float()
+	}
+	if outside {
+		c.Add(path, fmt.Sprintf("the value is %v", v.Interface()), least+" to "+field.Tag.Get("max"))
+	}
+}
+
+func (c checker) names(s Settings) {
+	for _, name := range []struct{ path, value string }{
+		{"instance", s.Instance}, {"region", s.Region}, {"failure_domain", s.FailureDomain},
+	} {
+		if c.Has(name.path) {
+			c.Require(document.IsName(name.value), name.path, fmt.Sprintf("%q is not a name", name.value), document.NameRule)
+		}
+	}
+	if !c.Has("regions") {
+		return
+	}
+	c.Require(len(s.Regions) > 0, "regions", "there is no region", "at least one region")
+	for i, region := range s.Regions {
+		path := fmt.Sprintf("regions[%d]", i)
+		c.Require(document.IsName(region), path, fmt.Sprintf("%q is not a name", region), document.NameRule)
+		c.Require(!slices.Contains(s.Regions[:i], region), path, fmt.Sprintf("%q stands twice", region), "each region once")
+	}
+	if c.Has("region") {
+		c.Require(slices.Contains(s.Regions, s.Region), "region", fmt.Sprintf("%q is not in regions", s.Region), strings.Join(s.Regions, ", "))
+	}
+}
+
+const addressRule = `a numeric address with a port, such as "10.1.0.7:7070"`
+
+func (c checker) addresses(s Settings) {
+	seen := make(map[string]string)
+	for _, a := range []struct{ path, value string }{
+		{"caller_address", s.CallerAddress}, {"operator_address", s.OperatorAddress}, {"entry_address", s.EntryAddress},
+	} {
+		if !c.Has(a.path) {
+			continue
+		}
+		c.address(a.path, a.value)
+		c.Require(seen[a.value] == "", a.path, fmt.Sprintf("the address is that of %s", seen[a.value]), "an address of its own")
+		seen[a.value] = a.path
+	}
+	if entry, err := netip.ParseAddrPort(s.EntryAddress); err == nil {
+		c.Require(!entry.Addr().IsUnspecified(), "entry_address", "other instances cannot reach this address", "an address of this instance")
+	}
+	if c.Has("instance_list_endpoint") {
+		c.address("instance_list_endpoint", s.InstanceListEndpoint)
+	}
+	if c.Has("store_endpoints") {
+		c.Require(len(s.StoreEndpoints) > 0, "store_endpoints", "there is no endpoint", "at least one endpoint")
+	}
+	for i, endpoint := range s.StoreEndpoints {
+		c.address(fmt.Sprintf("store_endpoints[%d]", i), endpoint)
+	}
+	if operator, err := netip.ParseAddrPort(s.OperatorAddress); err == nil && len(s.OperatorKeyDigests) == 0 {
+		c.Require(operator.Addr().IsLoopback(), "operator_address",
+			"operators are answered without a key on an address that other machines reach",
+			"a loopback address, or at least one of operator_key_digests")
+	}
+}
+
+// address demands a numeric address: names would need a resolver, which may
+// fail or answer differently on two instances.
+func (c checker) address(path, value string) {
+	parsed, err := netip.ParseAddrPort(value)
+	c.Require(err == nil && parsed.Port() != 0, path, fmt.Sprintf("%q is not an address", value), addressRule)
+}
--- /dev/null
+++ b/settings/rules.go
@@ -0,0 +1,71 @@
+package settings
+
+import (
+	"fmt"
+	"time"
+)
+
+// rules checks the fields that bound each other.
+func (c checker) rules(s Settings) {
+	c.leaseRules(s)
+	c.workerRules(s)
+	c.sizeRules(s)
+	c.Require(s.DigestInterval <= s.DigestIntervalCross, "digest_interval_cross_region",
+		fmt.Sprintf("%s is less than digest_interval", s.DigestIntervalCross),
+		fmt.Sprintf("%s or more (digest_interval)", s.DigestInterval))
+	c.Require(s.AllowanceInterval <= s.AllowanceIdle, "allowance_idle",
+		fmt.Sprintf("%s is less than allowance_interval", s.AllowanceIdle),
+		fmt.Sprintf("%s or more (allowance_interval)", s.AllowanceInterval))
+	c.Require(s.ReadHeaderTimeout <= s.ReadTimeout, "read_timeout",
+		fmt.Sprintf("%s is less than read_header_timeout", s.ReadTimeout),
+		fmt.Sprintf("%s or more (read_header_timeout)", s.ReadHeaderTimeout))
+}
+
+// leaseRules keeps one late keepalive from ending the term, and freshness from
+// ending between two confirmations.
+func (c checker) leaseRules(s Settings) {
+	c.Require(s.KeepaliveInterval < s.StoreLeaseTTL/2, "keepalive_interval",
+		fmt.Sprintf("%s leaves no room for a second keepalive in store_lease_ttl", s.KeepaliveInterval),
+		fmt.Sprintf("less than %s (half of store_lease_ttl)", s.StoreLeaseTTL/2))
+	c.Require(s.StoreCallTimeout <= s.KeepaliveInterval, "store_call_timeout",
+		fmt.Sprintf("a keepalive of %s would overlap the next one", s.StoreCallTimeout),
+		fmt.Sprintf("at most %s (keepalive_interval)", s.KeepaliveInterval))
+	c.Require(s.KeepaliveInterval < s.KeyFreshness, "key_freshness",
+		fmt.Sprintf("%s ends before the next keepalive confirms it", s.KeyFreshness),
+		fmt.Sprintf("more than %s (keepalive_interval), at most 10s", s.KeepaliveInterval))
+	c.Require(s.ClockMargin < s.PromiseWindow/2, "clock_margin",
+		fmt.Sprintf("%s takes most of promise_window", s.ClockMargin),
+		fmt.Sprintf("less than %s (half of promise_window)", s.PromiseWindow/2))
+}
+
+// workerRules keeps a change of owner from ending tasks, and starts from being
+// refused because the last report is old.
+func (c checker) workerRules(s Settings) {
+	takeover := s.StoreLeaseTTL + s.PromiseWindow + s.ClockMargin + time.Duration(s.ClockDrift*float64(s.StoreLeaseTTL+s.PromiseWindow))
+	c.Require(s.TaskLease > takeover, "task_lease",
+		fmt.Sprintf("%s ends before an ordinary takeover does", s.TaskLease),
+		fmt.Sprintf("more than %s (store_lease_ttl, promise_window and drift)", takeover))
+	c.Require(s.StartValidity > s.WorkerSyncInterval, "start_validity",
+		fmt.Sprintf("%s ends before the next sync", s.StartValidity),
+		fmt.Sprintf("more than %s (worker_sync_interval)", s.WorkerSyncInterval))
+	const syncsInLease = 3
+	c.Require(s.TaskLease >= syncsInLease*s.WorkerSyncInterval, "worker_sync_interval",
+		fmt.Sprintf("%s leaves less than %d syncs in task_lease", s.WorkerSyncInterval, syncsInLease),
+		fmt.Sprintf("at most %s (a third of task_lease)", s.TaskLease/syncsInLease))
+}
+
+// sizeRules keeps a value that was accepted from being too large one step later.
+func (c checker) sizeRules(s Settings) {
+	c.Require(s.MaxDurableRequestBytes <= s.MaxRequestBytes, "max_durable_request_bytes",
+		fmt.Sprintf("%d is more than max_request_bytes", s.MaxDurableRequestBytes),
+		fmt.Sprintf("at most %d (max_request_bytes)", s.MaxRequestBytes))
+	c.Require(s.MaxDurableRequestBytes <= s.MaxShardBytes/2, "max_durable_request_bytes",
+		fmt.Sprintf("%d could fill a request shard", s.MaxDurableRequestBytes),
+		fmt.Sprintf("at most %d (half of max_shard_bytes)", s.MaxShardBytes/2))
+	c.Require(s.MaxShardBytes <= s.LedgerTxnBytes, "ledger_txn_bytes",
+		fmt.Sprintf("%d is less than max_shard_bytes, so a full shard could not be written", s.LedgerTxnBytes),
+		fmt.Sprintf("%d or more (max_shard_bytes)", s.MaxShardBytes))
+	c.Require(s.StreamResultBytes <= s.MaxResultBytes, "stream_result_bytes",
+		fmt.Sprintf("%d is more than max_result_bytes", s.StreamResultBytes),
+		fmt.Sprintf("at most %d (max_result_bytes)", s.MaxResultBytes))
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,117 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `{"instance": "a", "region": "north", "failure_domain": "n1", "regions": ["north", "south"],
+"caller_address": "127.0.0.1:1", "operator_address": "127.0.0.1:2", "entry_address": "127.0.0.1:3",
+"store_endpoints": ["127.0.0.1:4"], "instance_list_endpoint": "127.0.0.1:5"`
+
+// TestFaults guards against settings that contradict each other or that no
+// instance can run with.
+func TestFaults(t *testing.T) {
+	digest := strings.Repeat("0f", 32)
+	cases := []struct{ name, src, path string }{
+		{"no instance", strings.Replace(good, `"instance": "a", `, "", 1), "instance"},
+		{"region outside", strings.Replace(good, `"region": "north"`, `"region": "east"`, 1), "region"},
+		{"region twice", strings.Replace(good, `"south"`, `"north"`, 1), "regions[1]"},
+		{"host name", strings.Replace(good, "127.0.0.1:3", "localhost:3", 1), "entry_address"},
+		{"port 0", strings.Replace(good, "127.0.0.1:4", "127.0.0.1:0", 1), "store_endpoints[0]"},
+		{"address twice", strings.Replace(good, "127.0.0.1:3", "127.0.0.1:2", 1), "entry_address"},
+		{"entry address of no instance", strings.Replace(good, "127.0.0.1:3", "0.0.0.0:3", 1), "entry_address"},
+		{"operators without a key", strings.Replace(good, "127.0.0.1:2", "10.0.0.1:2", 1), "operator_address"},
+		{"short digest", good + `, "operator_key_digests": ["0f"]`, "operator_key_digests[0]"},
+		{"log level", good + `, "log_level": "loud"`, "log_level"},
+		{"unknown field", good + `, "store_ttl": "9s"`, "store_ttl"},
+		{"bound", good + `, "key_freshness": "11s"`, "key_freshness"},
+		{"negative", good + `, "clock_drift": -0.1`, "clock_drift"},
+		{"no unit", good + `, "task_lease": 30`, "task_lease"},
+		{"keepalive of half the lease", good + `, "store_lease_ttl": "6s"`, "keepalive_interval"},
+		{"slow store call", good + `, "store_call_timeout": "4s"`, "store_call_timeout"},
+		{"freshness below keepalive", good + `, "key_freshness": "3s"`, "key_freshness"},
+		{"lease below takeover", good + `, "task_lease": "14s"`, "task_lease"},
+		{"start refused before the next sync", good + `, "worker_sync_interval": "3s"`, "start_validity"},
+		{"margin takes the window", good + `, "clock_margin": "2500ms"`, "clock_margin"},
+		{"few syncs in a lease", good + `, "worker_sync_interval": "11s", "start_validity": "12s"`, "worker_sync_interval"},
+		{"durable above request", good + `, "max_request_bytes": 60000`, "max_durable_request_bytes"},
+		{"shard above transaction", good + `, "max_shard_bytes": 800000`, "ledger_txn_bytes"},
+		{"stream above result", good + `, "max_result_bytes": 200000`, "stream_result_bytes"},
+		{"cross-region digests more often", good + `, "digest_interval": "6s"`, "digest_interval_cross_region"},
+		{"allowance", good + `, "allowance_interval": "6s"`, "allowance_idle"},
+		{"read timeout", good + `, "read_header_timeout": "11s"`, "read_timeout"},
+	}
+	for _, c := range cases {
+		_, faults := Parse([]byte(c.src + "}"))
+		if len(faults) != 1 || faults[0].Path != c.path || faults[0].Allowed == "" {
+			t.Errorf("%s: faults = %v, want one at %s", c.name, faults, c.path)
+		}
+	}
+	if _, faults := Parse([]byte(good + `, "operator_key_digests": ["` + digest + `"]}`)); len(faults) > 0 {
+		t.Errorf("good settings: %v", faults)
+	}
+}
+
+// TestDefaultsAreThoseOfTheDesign guards against a default that differs from
+// section 7 of the design page.
+func TestDefaultsAreThoseOfTheDesign(t *testing.T) {
+	s := Default()
+	got := []any{s.StoreLeaseTTL, s.KeepaliveInterval, s.PromiseWindow, s.ClockDrift, s.ClockMargin, s.TaskLease, s.StartValidity,
+		s.WorkerSyncInterval, s.KeyFreshness, s.ListLag, s.LedgerFlushInterval, s.ResultRetention, s.DrainTimeout, s.QueueLimitPerTeam,
+		s.DigestInterval, s.DigestIntervalCross, s.AllowanceIdle, s.AllowanceInterval, s.MaxResultBytes, s.MaxRequestBytes,
+		s.MaxDurableRequestBytes, s.LedgerTxnBytes}
+	const second = time.Second
+	want := []any{9 * second, 3 * second, 5 * second, 0.01, second / 10, 30 * second, 3 * second,
+		second, 5 * second, 10 * second, second / 50, 600 * second, 30 * second, 1000,
+		second, 5 * second, 5 * second, second, int64(16 << 20), int64(1 << 20),
+		int64(64 << 10), int64(768 << 10)}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("defaults = %v, want %v", got, want)
+	}
+}
+
+// TestPrintedSettingsAreRead guards against settings that are printed in a form
+// that the daemon refuses.
+func TestPrintedSettingsAreRead(t *testing.T) {
+	s, faults := Parse([]byte(good + `, "store_lease_ttl": "7s"}`))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	text, err := s.JSON()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, faults := Parse(text)
+	if len(faults) > 0 || !reflect.DeepEqual(s, again) || !strings.Contains(string(text), `"store_lease_ttl": "7s"`) {
+		t.Errorf("printed %s: %v", text, faults)
+	}
+}
+
+// TestLoadNamesTheFile guards against a fault that does not say in which file
+// it is.
+func TestLoadNamesTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.jsonc")
+	if err := os.WriteFile(path, []byte(good+",\n\"log_level\": 1, \"pprof\": 2}"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := Load(path)
+	if err == nil || !strings.HasPrefix(err.Error(), path+":4:14: log_level: ") || strings.Count(err.Error(), path) != 2 {
+		t.Errorf("error = %v", err)
+	}
+}
+
+// TestReferencePage guards against a page that differs from the settings.
+func TestReferencePage(t *testing.T) {
+	page, err := os.ReadFile("../docs/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), Reference()) {
+		t.Errorf("docs/settings.md does not contain this table:\n%s", Reference())
+	}
+}
