--- a/jsonc/decode_test.go
+++ b/jsonc/decode_test.go
@@ -16,16 +16,16 @@
 }
 
 type outer struct {
-	Name   string        `json:"name"`
-	Wait   time.Duration `json:"wait"`
-	Share  float64       `json:"share"`
-	Open   bool          `json:"open"`
-	Data   []byte        `json:"data"`
-	At     time.Time     `json:"at"`
-	Inner  inner         `json:"inner"`
-	Maybe  *inner        `json:"maybe,omitempty"`
-	Many   []inner       `json:"many"`
-	hidden int
+	Name  string        `json:"name"`
+	Wait  time.Duration `json:"wait"`
+	Share float64       `json:"share"`
+	Open  bool          `json:"open"`
+	Data  []byte        `json:"data"`
+	At    time.Time     `json:"at"`
+	Inner inner         `json:"inner"`
+	Maybe *inner        `json:"maybe,omitempty"`
+	Many  []inner       `json:"many"`
+	Plain int
 }
 
 // TestFaultsHavePositions guards against a fault without its line and column,
@@ -34,7 +34,7 @@
 	cases := []struct{ name, src, want string }{
 		{"unknown field", "{\n  \"nam\": 1}", "2:3: nam: unknown field; allowed: name, wait, share, open, data, at, inner, maybe, many"},
 		{"other case", `{"Name": "a"}`, "1:2: Name: unknown field"},
-		{"field without a tag", `{"hidden": 1}`, "1:2: hidden: unknown field"},
+		{"field without a tag", `{"Plain": 1}`, "1:2: Plain: unknown field"},
 		{"duplicate name", "{\"name\":\"a\",\n\"name\":\"b\"}", "2:1: name: the name stands twice, first on line 1; allowed: each name once"},
 		{"duplicate name by escape", `{"name":"a","n\u0061me":"b"}`, "1:13: name: the name stands twice"},
 		{"null", `{"name": null}`, "1:10: name: null is not allowed; allowed: leave the field out, or a string"},
