--- /dev/null
+++ b/standin/worker_bench_test.go
@@ -0,0 +1,102 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/worker"
+)
+
+// BenchmarkStart compares Start with a bare HTTP exchange that sends and
+// receives as many bytes. The two alternate, so that both meet the same load of
+// the machine.
+func BenchmarkStart(b *testing.B) {
+	for _, payload := range []int{0, 16 << 10, 128 << 10} {
+		b.Run(fmt.Sprintf("payload=%dKB", payload>>10), func(b *testing.B) { benchmarkStart(b, payload) })
+	}
+}
+
+func benchmarkStart(b *testing.B, payload int) {
+	w := NewWorker(testConfig())
+	api, at := serveHTTP(b, w, worker.Config{})
+	request := startFor(b, api, at, "t", "echo")
+	request.StartBy, request.LeaseUntil = time.Hour, 2*time.Hour
+	request.Payload = make([]byte, payload)
+	request.Wait = time.Second
+	check := func() error { return nil }
+	bare := newBareExchange(b, w, request)
+	var started, exchanged []time.Duration
+	var number uint32
+	for b.Loop() {
+		number++
+		request.Attempt.Number = number
+		started = append(started, timed(func() {
+			if _, err := api.Start(b.Context(), at, request, check); err != nil {
+				b.Fatal(err)
+			}
+		}))
+		exchanged = append(exchanged, timed(bare))
+		acknowledge(b, w, request)
+	}
+	b.ReportMetric(0, "ns/op") // the loop holds more than a start
+	for name, samples := range map[string][]time.Duration{"start": started, "bare": exchanged} {
+		slices.Sort(samples)
+		b.ReportMetric(float64(samples[len(samples)/2].Nanoseconds())/1e3, name+"-p50-us")
+		b.ReportMetric(float64(samples[len(samples)*99/100].Nanoseconds())/1e3, name+"-p99-us")
+	}
+}
+
+// newBareExchange returns an exchange of the same number of bytes as a start
+// of request and its reply.
+func newBareExchange(b *testing.B, w *Worker, request worker.StartRequest) func() {
+	b.Helper()
+	body, err := json.Marshal(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	reply, err := w.Start(b.Context(), request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	acknowledge(b, w, request)
+	answer, err := json.Marshal(reply)
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		rw.Write(answer)
+	}))
+	b.Cleanup(server.Close)
+	client := server.Client()
+	return func() {
+		resp, err := client.Post(server.URL, "application/json", bytes.NewReader(body))
+		if err != nil {
+			b.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+}
+
+func acknowledge(b *testing.B, w *Worker, request worker.StartRequest) {
+	_, err := w.Sync(b.Context(), worker.SyncRequest{Epoch: 1, BootID: request.BootID, Acknowledge: []task.Attempt{request.Attempt}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	_ = w.manage(func(time.Time) { clear(w.machine.tombstones) }) // start_by is an hour away
+}
+
+func timed(f func()) time.Duration {
+	start := time.Now()
+	f()
+	return time.Since(start)
+}
