Run the whole path: 8 entry instances, store, list and workers

A request goes from a caller through any instance to its home, to the owner of a partition, to a worker and back. Seen in one process with the stand-ins: a lookup, a durable job, an at-most-once job and an answer of 3 MB all return their whole result.

Cause found on the way: an answer above 256 KB waited up to one sync interval (842 ms) because its result was fetched only after the next report. It is now fetched as soon as the start reply names it.

--- a/caller/server.go
+++ b/caller/server.go
@@ -63,6 +63,9 @@
 // Shutdown waits for the calls that are being answered and closes the rest.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
+// Abort cuts every connection.
+func (s *Server) Abort() { _ = s.http.Close() }
+
 const jobPath = "/v1/teams/{team}/services/{service}/requests"
 
 // Handler returns the handler of every call.
--- a/cmd/mulberryd/main.go
+++ b/cmd/mulberryd/main.go
@@ -1,26 +1,74 @@
-// Command mulberryd is described in docs/design.md.
+// Command mulberryd runs one entry instance: front end for callers and
+// operators, home of requests, and owner of workers.
 package main
 
 import (
+	"context"
 	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/charmbracelet/log"
+
+	"github.com/mulberrydrum/mulberrydrum/daemon"
+	"github.com/mulberrydrum/mulberrydrum/settings"
 )
 
 type commands struct {
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Settings    string `arg:"" help:"Settings file, JSON with comments." type:"existingfile"`
+	PrintConfig bool   `help:"Print the settings in force, with their defaults, and exit."`
 }
 
-type versionCommand struct{}
+const description = `Run one entry instance.
 
-// Run prints the version.
-func (versionCommand) Run() error {
-	_, err := fmt.Println("mulberryd development")
-	return err
-}
+Example:
+  mulberryd examples/leuvenstress/settings.jsonc
+
+SIGTERM and SIGINT start a planned stop: what is owned is handed over, requests
+in flight are finished, then the process ends.`
 
 func main() {
 	var cli commands
-	ctx := kong.Parse(&cli, kong.Name("mulberryd"))
-	ctx.FatalIfErrorf(ctx.Run())
+	ctx := kong.Parse(&cli, kong.Name("mulberryd"), kong.Description(description))
+	ctx.FatalIfErrorf(cli.run())
+}
+
+func (c *commands) run() error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	if c.PrintConfig {
+		return printSettings(s)
+	}
+	logger, err := newLogger(s.LogLevel)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(daemon.FromSettings(s), logger)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return d.Run(ctx)
+}
+
+func printSettings(s settings.Settings) error {
+	text, err := s.JSON()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Println(string(text))
+	return err
+}
+
+func newLogger(level string) (*log.Logger, error) {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	return log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, Level: parsed}), nil
 }
--- a/control/event.go
+++ b/control/event.go
@@ -43,8 +43,10 @@
 	Result StartResult
 	Clock  time.Duration // of the worker, when it replied
 	BootID string
-	// Outcome is set when the task finished within the wait.
-	Outcome *task.Outcome
+	// Outcome is set when the task finished within the wait. Its result is left
+	// out, and to be fetched, if it does not have ResultBytes.
+	Outcome     *task.Outcome
+	ResultBytes int64
 	Detail  string // why the result is not StartRunning
 }
 
--- a/control/ownerwork.go
+++ b/control/ownerwork.go
@@ -24,11 +24,8 @@
 		a.stage = stageUnclear
 		a.lookupAt = w.now
 		w.event(timeline.Event{Type: timeline.TaskStartUnclear, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Worker: a.worker, Detail: e.Detail})
-	case e.Outcome != nil:
-		w.running(a)
-		w.ended(a, *e.Outcome)
 	default:
-		w.running(a)
+		w.apply(a, TaskReport{Attempt: a.id, Outcome: e.Outcome, ResultBytes: e.ResultBytes})
 	}
 }
 
@@ -124,7 +121,7 @@
 	if r.Outcome == nil || a.stage != stageRunning {
 		return
 	}
-	if r.ResultBytes == 0 {
+	if r.ResultBytes == int64(len(r.Outcome.Result)) {
 		w.ended(a, *r.Outcome)
 		return
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -36,7 +36,6 @@
 	peers   *entry.Client
 
 	callers   *caller.Server
-	operators *http.Server
 	entries   *grpc.Server
 	listeners listeners
 
@@ -73,6 +72,7 @@
 	d.peers = entry.NewClient(self)
 	state := control.New(now, cfg.Control, cfg.Parts, self, d.recorder, rand.New(rand.NewPCG(seed, 0)))
 	d.loop = control.NewLoop(state, cfg.Tick, d.registry, d.execute)
+	d.effects, d.stop = context.WithCancel(context.Background())
 	d.callers = caller.NewServer(cfg.Caller, &callerBackend{d})
 	d.entries = entry.NewServer(&peerHandler{d})
 	return d, nil
@@ -100,26 +100,41 @@
 // OperatorAddress returns the address on which operators are served.
 func (d *Daemon) OperatorAddress() string { return d.listeners.operator.Addr().String() }
 
+// EntryAddress returns the address on which the other instances call.
+func (d *Daemon) EntryAddress() string { return d.listeners.entry.Addr().String() }
+
+// Events returns the time line of this process.
+func (d *Daemon) Events() []timeline.Event { return d.recorder.Events(timeline.Filter{}) }
+
+// Snapshot returns what the traffic of this process reads of the control state.
+func (d *Daemon) Snapshot() *control.Snapshot { return d.loop.Snapshot() }
+
+// Abort ends the daemon at once, as if the process had died: nothing is handed
+// over and connections are cut.
+func (d *Daemon) Abort() {
+	d.stop()
+	d.callers.Abort()
+	d.entries.Stop()
+	d.peers.Close()
+}
+
 // Run serves until ctx ends, then stops without cutting off a request: it hands
 // over what it holds, finishes what is in flight, and closes.
 func (d *Daemon) Run(ctx context.Context) error {
-	background, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	d.effects, d.stop = background, cancel
-	group, background := errgroup.WithContext(background)
+	defer d.stop()
+	group, background := errgroup.WithContext(d.effects)
 	group.Go(func() error { return d.loop.Run(background) })
 	group.Go(func() error { return d.watchConfig(background) })
 	group.Go(func() error { return d.pollInstances(background) })
 	group.Go(func() error { return d.callers.Serve(d.listeners.caller) })
 	group.Go(func() error { return d.entries.Serve(d.listeners.entry) })
-	group.Go(func() error { return d.serveOperators() })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
 			d.shutdown()
 		case <-background.Done():
 		}
-		cancel()
+		d.stop()
 		return nil
 	})
 	d.log.Info("serving", "instance", d.cfg.Self.Instance, "incarnation", d.cfg.Self.Incarnation,
@@ -146,7 +161,6 @@
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.log.Warn("calls were cut off", "err", err)
 	}
-	d.stopOperators()
 	d.entries.GracefulStop()
 	d.peers.Close()
 }
--- /dev/null
+++ b/daemon/fromsettings.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"github.com/mulberrydrum/mulberrydrum/caller"
+	"github.com/mulberrydrum/mulberrydrum/control"
+	"github.com/mulberrydrum/mulberrydrum/membership"
+	"github.com/mulberrydrum/mulberrydrum/settings"
+	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/worker"
+)
+
+// FromSettings returns the configuration that settings describe.
+func FromSettings(s settings.Settings) Config {
+	cfg := Config{
+		Self:          membership.Member{Instance: s.Instance, Region: s.Region, FailureDomain: s.FailureDomain},
+		CallerAddress: s.CallerAddress, OperatorAddress: s.OperatorAddress, EntryAddress: s.EntryAddress,
+		Control:     controlConfig(s),
+		Caller:      callerConfig(s),
+		Store:       store.Config{Address: s.StoreEndpoints[0], Instance: s.Instance, CallTimeout: s.StoreCallTimeout},
+		Worker:      worker.Config{CallTimeout: s.WorkerCallTimeout, MaxResultBytes: s.MaxResultBytes},
+		ListAddress: s.InstanceListEndpoint, ListInterval: s.ListInterval,
+		Tick: DefaultTick, AnswerTimeout: s.CallTimeout, DrainTimeout: s.DrainTimeout, Linger: DefaultLinger,
+		TimelineEvents: s.TimelineEvents,
+	}
+	cfg.Parts = parts(s, cfg.Control)
+	return cfg
+}
+
+func controlConfig(s settings.Settings) control.Config {
+	cfg := control.DefaultConfig(s.Regions...)
+	cfg.RequestShards, cfg.PartitionsPerRegion = s.RequestShards, s.WorkerPartitions
+	cfg.TaskLease, cfg.StartValidity, cfg.SyncInterval = s.TaskLease, s.StartValidity, s.WorkerSyncInterval
+	cfg.ClockDrift, cfg.ClockMargin = s.ClockDrift, s.ClockMargin
+	cfg.CallTimeout = s.EntryCallTimeout
+	cfg.KeepAliveInterval, cfg.StoreLeaseTTL, cfg.KeyFreshness = s.KeepaliveInterval, s.StoreLeaseTTL, s.KeyFreshness
+	cfg.DigestInterval, cfg.FarDigestInterval = s.DigestInterval, s.DigestIntervalCross
+	cfg.DigestLifetime = 3 * s.DigestIntervalCross
+	cfg.MaxDrainingAnswers = s.DrainTimeout * 2 / 3
+	return cfg
+}
+
+func parts(s settings.Settings, cfg control.Config) control.Parts {
+	p := control.DefaultParts(cfg)
+	p.Ownership.LeaseTTL, p.Ownership.KeepAliveInterval, p.Ownership.PromiseWindow = s.StoreLeaseTTL, s.KeepaliveInterval, s.PromiseWindow
+	p.Ownership.ClockDrift, p.Ownership.ClockMargin, p.Ownership.ListLag = s.ClockDrift, s.ClockMargin, s.ListLag
+	p.Keyring.Freshness, p.Keyring.ListLag = s.KeyFreshness, s.ListLag
+	p.Keyring.ClockDrift, p.Keyring.ClockMargin = s.ClockDrift, s.ClockMargin
+	p.Allowance.Idle, p.Allowance.Interval = s.AllowanceIdle, s.AllowanceInterval
+	p.Ledger.FlushInterval, p.Ledger.TxnBytes, p.Ledger.ShardBytes = s.LedgerFlushInterval, int(s.LedgerTxnBytes), int(s.MaxShardBytes)
+	p.Ledger.ResultRetention = s.ResultRetention
+	p.Queue.Limit = s.QueueLimitPerTeam
+	p.Fairshare.HalfLife = s.FairShareHalfLife
+	p.Quarantine.MaxFraction = s.QuarantineShare
+	return p
+}
+
+func callerConfig(s settings.Settings) caller.Config {
+	return caller.Config{
+		MaxRequestBytes: s.MaxRequestBytes, MaxHeaderBytes: s.MaxHeaderBytes, MaxResultBytes: s.MaxResultBytes, MaxWait: s.MaxWait,
+		CallTimeout: s.CallTimeout, ReadHeaderTimeout: s.ReadHeaderTimeout, ReadTimeout: s.ReadTimeout,
+		WriteTimeout: s.WriteTimeout, IdleTimeout: s.IdleTimeout,
+	}
+}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -20,5 +20,5 @@
 
 // Timeline returns the events of this process.
 func (h *peerHandler) Timeline(_ context.Context, taskID task.ID, team task.Team, since time.Time) ([]byte, error) {
-	return json.Marshal(h.recorder.Events(timeline.Filter{Task: taskID, Team: team, Since: since}))
+	return json.Marshal(h.recorder.Events(timeline.Filter{Task: taskID, Team: team, From: since}))
 }
--- a/daemon/workercalls.go
+++ b/daemon/workercalls.go
@@ -27,10 +27,7 @@
 	done := control.StartDone{Start: e, Clock: reply.Clock, BootID: reply.BootID}
 	switch {
 	case err == nil:
-		done.Outcome = reply.Outcome
-		if reply.Outcome != nil && reply.ResultBytes != int64(len(reply.Outcome.Result)) {
-			done.Outcome = nil // the next report has it, and the result is fetched
-		}
+		done.Outcome, done.ResultBytes = reply.Outcome, reply.ResultBytes
 	case errors.Is(err, worker.ErrNotRun):
 		done.Result, done.Detail = control.StartNotRun, err.Error()
 	default:
--- /dev/null
+++ b/demo/cluster.go
@@ -0,0 +1,234 @@
+package demo
+
+import (
+	"context"
+	"embed"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/mulberrydrum/mulberrydrum/daemon"
+	"github.com/mulberrydrum/mulberrydrum/document"
+	"github.com/mulberrydrum/mulberrydrum/instancelist"
+	"github.com/mulberrydrum/mulberrydrum/keyring"
+	"github.com/mulberrydrum/mulberrydrum/oracle"
+	"github.com/mulberrydrum/mulberrydrum/settings"
+	"github.com/mulberrydrum/mulberrydrum/standin"
+	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/store/storetest"
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/timeline"
+)
+
+//go:embed documents
+var documents embed.FS
+
+// Size of the deployment: that of today's users.
+const (
+	entryInstances = 8
+	workers        = 48
+	rackSize       = 8
+)
+
+var regions = []string{"flanders", "wallonia", "brussels"}
+
+// Cluster is a whole deployment in this process.
+type Cluster struct {
+	Entries []*Entry
+	Workers []*Worker
+	Store   *standin.Store
+	List    *standin.List
+
+	logger    *log.Logger
+	storeAddr string
+	listAddr  string
+	closers   []func()
+}
+
+// Entry is one entry instance.
+type Entry struct {
+	*daemon.Daemon
+	Name string
+	stop context.CancelFunc
+	done chan error
+}
+
+// Worker is one stand-in worker.
+type Worker struct {
+	*standin.Worker
+	Instance instancelist.Instance
+}
+
+// Start starts the stand-ins and the entry instances, and stores the documents
+// and keys of the demo.
+func Start(logger *log.Logger) (*Cluster, error) {
+	c := &Cluster{logger: logger, Store: standin.NewStore(storetest.Limits{}), List: standin.NewList(0)}
+	c.closers = append(c.closers, c.Store.Close)
+	var err error
+	if c.storeAddr, err = c.serve(standin.NewServer(c.Store)); err != nil {
+		return nil, err
+	}
+	if c.listAddr, err = c.serve(standin.NewServer(c.List)); err != nil {
+		return nil, err
+	}
+	if err := c.startWorkers(); err != nil {
+		return nil, err
+	}
+	if err := c.storeConfiguration(); err != nil {
+		return nil, err
+	}
+	for i := range entryInstances {
+		if _, err := c.StartEntry(i); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// serve serves on a loopback port until the cluster is closed.
+func (c *Cluster) serve(server *http.Server) (address string, err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "open a loopback port")
+	}
+	go func() { _ = server.Serve(listener) }()
+	c.closers = append(c.closers, func() { _ = server.Close() })
+	return listener.Addr().String(), nil
+}
+
+func (c *Cluster) startWorkers() error {
+	var list []instancelist.Instance
+	for i := range workers {
+		name := fmt.Sprintf("worker-%d", i)
+		w := standin.NewWorker(standin.WorkerConfig{Name: name, UsageLag: 5 * time.Second,
+			Capacity: task.Resources{CPUMilli: 32000, MemoryMB: 131072, Slots: 8, Connections: 64}})
+		address, err := c.serve(&http.Server{Handler: w.Handler(), IdleTimeout: standin.WorkerIdleTimeout})
+		if err != nil {
+			return err
+		}
+		rack := i / rackSize
+		instance := instancelist.Instance{Name: name, Address: address, Role: instancelist.RoleWorker, Region: regions[rack%len(regions)],
+			FailureDomain: fmt.Sprintf("domain-%d", rack%6), Rack: fmt.Sprintf("rack-%d", rack), State: instancelist.StateLive}
+		c.Workers = append(c.Workers, &Worker{Worker: w, Instance: instance})
+		c.closers = append(c.closers, w.Close)
+		list = append(list, instance)
+	}
+	c.List.Replace(time.Now(), list)
+	return nil
+}
+
+// Settings returns the settings of entry instance i.
+func (c *Cluster) Settings(i int) settings.Settings {
+	s := settings.Default()
+	s.Instance = fmt.Sprintf("entry-%d", i)
+	s.Regions = regions
+	s.Region = regions[i%len(regions)]
+	s.FailureDomain = fmt.Sprintf("domain-%d", i%6)
+	s.CallerAddress, s.OperatorAddress, s.EntryAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.StoreEndpoints = []string{c.storeAddr}
+	s.InstanceListEndpoint = c.listAddr
+	s.WorkerPartitions = 2
+	return s
+}
+
+// StartEntry starts entry instance i and lists it.
+func (c *Cluster) StartEntry(i int) (*Entry, error) {
+	cfg := daemon.FromSettings(c.Settings(i))
+	d, err := daemon.New(cfg, c.logger)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Entry{Daemon: d, Name: cfg.Self.Instance, stop: stop, done: make(chan error, 1)}
+	go func() { e.done <- d.Run(ctx) }()
+	c.List.Put(time.Now(), instancelist.Instance{Name: e.Name, Address: d.EntryAddress(), Role: instancelist.RoleEntry,
+		Region: cfg.Self.Region, FailureDomain: cfg.Self.FailureDomain, State: instancelist.StateLive})
+	c.Entries = append(c.Entries, e)
+	return e, nil
+}
+
+// Stop stops an entry instance as planned and returns when it has ended.
+func (e *Entry) Stop() error {
+	e.stop()
+	return <-e.done
+}
+
+// Close ends everything.
+func (c *Cluster) Close() {
+	for _, e := range c.Entries {
+		e.Abort()
+	}
+	for _, e := range c.Entries {
+		e.stop()
+	}
+	for i := len(c.closers) - 1; i >= 0; i-- {
+		c.closers[i]()
+	}
+}
+
+// Secrets of the demo's keys, by team.
+var Secrets = map[task.Team]string{"leuven": "leuven-demo-secret", "estrie": "estrie-demo-secret"}
+
+// storeConfiguration writes what operators would have applied.
+func (c *Cluster) storeConfiguration() error {
+	client := store.NewClient(store.Config{Address: c.storeAddr, Instance: "demo"})
+	defer client.Close()
+	var txn store.Txn
+	entries, err := documents.ReadDir("documents")
+	if err != nil {
+		return eris.Wrap(err, "read the documents of the demo")
+	}
+	for _, entry := range entries {
+		put, err := documentPut(entry.Name())
+		if err != nil {
+			return err
+		}
+		txn.Puts = append(txn.Puts, put)
+	}
+	for team, secret := range Secrets {
+		value, err := json.Marshal(keyring.Key{ID: "demo", Team: team, Digest: keyring.DigestOf(secret)})
+		if err != nil {
+			return eris.Wrap(err, "encode key")
+		}
+		txn.Puts = append(txn.Puts, store.Put{Key: store.KeyKey(string(team), "demo"), Value: value})
+	}
+	_, err = client.Commit(context.Background(), txn)
+	return eris.Wrap(err, "store the configuration of the demo")
+}
+
+func documentPut(name string) (store.Put, error) {
+	source, err := documents.ReadFile("documents/" + name)
+	if err != nil {
+		return store.Put{}, eris.Wrap(err, "read document")
+	}
+	parsed, faults := document.Parse(source)
+	if len(faults) > 0 {
+		return store.Put{}, eris.Errorf("%s: %v", name, faults)
+	}
+	value, err := store.Encode(document.Record{Source: string(source), By: "demo", At: time.Now(), WriteID: name})
+	return store.Put{Key: store.DocumentKey(string(parsed.Team), string(parsed.Service)), Value: value}, err
+}
+
+// Trace returns what the oracle needs: the time lines of all processes and the
+// ledgers of all workers.
+func (c *Cluster) Trace() (oracle.Trace, error) {
+	trace := oracle.Trace{Bounds: oracle.DefaultBounds, InProgress: map[task.ID]bool{}}
+	var lines [][]timeline.Event
+	for _, e := range c.Entries {
+		lines = append(lines, e.Events())
+	}
+	trace.Events = timeline.Merge(lines...)
+	for _, w := range c.Workers {
+		ledger, err := w.Ledger()
+		if err != nil {
+			return trace, eris.Wrapf(err, "read the ledger of %s", w.Instance.Name)
+		}
+		trace.Workers = append(trace.Workers, ledger)
+	}
+	return trace, nil
+}
