--- /dev/null
+++ b/standin/watch_test.go
@@ -0,0 +1,174 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/standin/fault"
+	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/store/storetest"
+)
+
+const markerKey = "c/marker"
+
+// follower rebuilds the keys from a watch, as a process does that keeps its
+// configuration up to date.
+type follower struct {
+	keys   map[string]string
+	last   atomic.Int64
+	faulty []string
+}
+
+func (f *follower) deliver(batch store.WatchBatch) {
+	last := f.last.Load()
+	if batch.Revision < last || batch.Revision == last && len(batch.Changes) > 0 {
+		f.faulty = append(f.faulty, fmt.Sprintf("revision %d after %d", batch.Revision, last))
+	}
+	for _, change := range batch.Changes {
+		if change.Deleted {
+			delete(f.keys, change.Key)
+		} else {
+			f.keys[change.Key] = string(change.Value)
+		}
+	}
+	f.last.Store(batch.Revision)
+}
+
+// run watches until the marker has arrived and tells ends why each watch ended.
+func (f *follower) run(ctx context.Context, s store.Store, ends chan<- error) {
+	defer close(ends)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for ctx.Err() == nil {
+		err := s.Watch(ctx, "c/", f.last.Load()+1, func(batch store.WatchBatch) {
+			f.deliver(batch)
+			if _, found := f.keys[markerKey]; found {
+				cancel()
+			}
+		})
+		ends <- err
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestWatchUnderFaults guards against a watch that skips, repeats or reorders
+// changes when it breaks, is refused or falls silent and is opened again after
+// the last revision, while the keys change all the time.
+func TestWatchUnderFaults(t *testing.T) {
+	t.Parallel()
+	s := NewStore(storetest.Limits{})
+	server := httptest.NewServer(s)
+	address := server.Listener.Addr().String()
+	writer := store.NewClient(store.Config{Address: address, Instance: "writer"})
+	reader := store.NewClient(store.Config{Address: address, Instance: "reader", ProgressTimeout: 1500 * time.Millisecond})
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		s.Close()
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	f := follower{keys: map[string]string{}}
+	ends := make(chan error, 10_000) // more than the watch can end in a minute
+	go f.run(ctx, reader, ends)
+
+	random := rand.New(rand.NewPCG(1, 2))
+	written := map[string]string{}
+	phases := []struct {
+		kind fault.Kind
+		want error
+	}{
+		{fault.Down, store.ErrUnavailable},
+		{fault.ReplyLost, store.ErrUnclear}, // at once: it concerns only a watch that is being opened
+		{"", nil},
+		{fault.SilentWatch, store.ErrNoProgress},
+		{"", nil},
+		{fault.Unreachable, store.ErrNoProgress},
+		{"", nil},
+	}
+	for _, phase := range phases {
+		if phase.kind == "" {
+			if err := s.Faults().Set(); err != nil {
+				t.Fatal(err)
+			}
+			catchUp(ctx, t, &f, commitRandom(t, writer, random, written), ends)
+			continue
+		}
+		if err := s.Faults().Set(fault.Fault{Kind: phase.kind, Instance: "reader"}); err != nil {
+			t.Fatal(err)
+		}
+		commitUntil(t, writer, random, written, ends, phase.want)
+	}
+	written[markerKey] = "end"
+	if _, err := writer.Commit(ctx, store.Txn{Puts: []store.Put{{Key: markerKey, Value: []byte("end")}}}); err != nil {
+		t.Fatal(err)
+	}
+	for range ends { // until the marker has arrived or the minute is over
+	}
+	if len(f.faulty) > 0 {
+		t.Errorf("order: %v", f.faulty)
+	}
+	if !maps.Equal(f.keys, written) {
+		t.Errorf("the watch led to %v, written was %v", f.keys, written)
+	}
+}
+
+// catchUp waits until f has seen revision and drops the ends up to then.
+func catchUp(ctx context.Context, t *testing.T, f *follower, revision int64, ends <-chan error) {
+	t.Helper()
+	for f.last.Load() < revision {
+		if ctx.Err() != nil {
+			t.Fatalf("the watch is at revision %d, not at %d", f.last.Load(), revision)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	for len(ends) > 0 {
+		<-ends
+	}
+}
+
+// commitUntil keeps changing keys until a watch has ended with want.
+func commitUntil(t *testing.T, writer store.Store, random *rand.Rand, written map[string]string, ends <-chan error, want error) {
+	t.Helper()
+	for {
+		select {
+		case err, running := <-ends:
+			if !running {
+				t.Fatalf("the watch stopped before it ended with %v", want)
+			}
+			if errors.Is(err, want) {
+				return
+			}
+		default:
+			commitRandom(t, writer, random, written)
+		}
+	}
+}
+
+// commitRandom puts some keys and deletes another in one transaction.
+func commitRandom(t *testing.T, writer store.Store, random *rand.Rand, written map[string]string) int64 {
+	t.Helper()
+	var txn store.Txn
+	for i, n := range random.Perm(20)[:3] {
+		key, value := fmt.Sprint("c/", n), fmt.Sprint(random.Int())
+		if i == 0 {
+			txn.Deletes = append(txn.Deletes, key)
+			delete(written, key)
+			continue
+		}
+		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: []byte(value)})
+		written[key] = value
+	}
+	result, err := writer.Commit(t.Context(), txn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result.Revision
+}
