--- /dev/null
+++ b/placement/alloc_test.go
@@ -0,0 +1,29 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// TestDecisionAllocatesNothing guards against garbage collection at 6,200
+// decisions a second.
+func TestDecisionAllocatesNothing(t *testing.T) {
+	c := newFleet(500)
+	fillFleet(c, "half", rand.New(rand.NewPCG(1, 2)))
+	attempts := make([]task.Attempt, 64)
+	for i := range attempts {
+		attempts[i] = task.Attempt{Task: task.ID(fmt.Sprint("new-", i)), Number: 1}
+		decide(c, attempts, i)
+	}
+	i := 0
+	allocations := testing.AllocsPerRun(1000, func() {
+		decide(c, attempts, i)
+		i++
+	})
+	if allocations != 0 {
+		t.Errorf("%v allocations per decision", allocations)
+	}
+}
--- a/placement/bitmap.go
+++ b/placement/bitmap.go
@@ -18,6 +18,13 @@
 	b.clear(slot)
 }
 
+// add puts the nodes of another set into b.
+func (b bitmap) add(other bitmap) {
+	for w, value := range other {
+		b[w] |= value
+	}
+}
+
 // grown returns b extended to the given number of words.
 func (b bitmap) grown(words int) bitmap {
 	if len(b) >= words {
--- a/placement/cluster.go
+++ b/placement/cluster.go
@@ -36,8 +36,9 @@
 
 type rackKey struct{ region, domain, rack string }
 
+// rack is the slots of the nodes in one rack.
 type rack struct {
-	number int32
+	domain int // number of its failure domain
 	slots  []int32
 }
 
@@ -58,6 +59,7 @@
 	partitions map[string]*group
 	regions    map[string]*group
 	domains    map[string]*group
+	domainList []*group // the failure domains by number
 	racks      map[rackKey]*rack
 	spreads    map[string]*spread
 	capacities map[task.Resources]int // nodes by capacity
@@ -182,7 +184,7 @@
 	x := &c.nodes[slot]
 	c.groupOf(c.partitions, x.Partition).members.set(slot)
 	c.groupOf(c.regions, x.Region).members.set(slot)
-	x.domain = c.groupOf(c.domains, x.FailureDomain)
+	x.domain = c.domainOf(x.FailureDomain)
 	x.domain.members.set(slot)
 	x.rack = c.rackOf(x)
 	x.rack.slots = append(x.rack.slots, slot)
@@ -216,11 +218,19 @@
 	return g
 }
 
+func (c *Cluster) domainOf(name string) *group {
+	g := c.groupOf(c.domains, name)
+	if g.number == len(c.domainList) {
+		c.domainList = append(c.domainList, g)
+	}
+	return g
+}
+
 func (c *Cluster) rackOf(x *node) *rack {
 	key := rackKey{x.Region, x.FailureDomain, x.Rack}
 	r, known := c.racks[key]
 	if !known {
-		r = &rack{number: int32(len(c.racks))}
+		r = &rack{domain: x.domain.number}
 		c.racks[key] = r
 	}
 	return r
@@ -253,8 +263,8 @@
 	var e entry
 	e.eligible = x.Schedulable && !x.removed && !x.free.HasNegative()
 	if e.eligible {
-		for r, amount := range amounts(&x.free) {
-			e.levels[r] = levelOf(amount)
+		for r, units := range inUnits(&x.free) {
+			e.levels[r] = levelOf(units)
 		}
 		e.score = scoreOf(&x.free)
 		e.penalty = x.penalty
--- a/placement/find.go
+++ b/placement/find.go
@@ -31,99 +31,7 @@
 	c.preferRegion(req.Region)
 	c.preferUnpenalised()
 	c.preferSpread(req.SpreadKey)
-	return c.tightest()
-}
-
-// filter leaves the nodes that may be chosen and have room.
-func (c *Cluster) filter(req *Request) bool {
-	if req.Size.HasNegative() || !c.startFrom(req.Partition) {
-		return false
-	}
-	size := amounts(&req.Size)
-	var edges [resourceCount]edge
-	edgeCount := 0
-	for r, amount := range size {
-		if amount == 0 {
-			continue
-		}
-		level := int(levelOf(amount))
-		if level >= len(c.index.levels[r]) {
-			return false
-		}
-		c.intersect(c.index.levels[r][level])
-		if !isLevelStart(amount) {
-			edges[edgeCount] = c.edgeOf(r, level)
-			edgeCount++
-		}
-	}
-	if edgeCount > 0 {
-		c.dropShort(req.Size, edges[:edgeCount])
-	}
-	for _, name := range req.Avoid {
-		if slot, known := c.byName[name]; known {
-			c.search.found.clear(slot)
-		}
-	}
-	return c.search.compact()
-}
-
-// startFrom sets the result to the eligible nodes of a partition.
-func (c *Cluster) startFrom(partition string) bool {
-	s := &c.search
-	s.active = s.active[:0]
-	members := c.index.eligible
-	if partition != "" {
-		g, known := c.partitions[partition]
-		if !known {
-			return false
-		}
-		members = g.members
-	}
-	for w, eligible := range c.index.eligible {
-		s.found[w] = eligible & members[w]
-		if s.found[w] != 0 {
-			s.active = append(s.active, int32(w))
-		}
-	}
-	return len(s.active) > 0
-}
-
-func (c *Cluster) intersect(set bitmap) {
-	for _, w := range c.search.active {
-		c.search.found[w] &= set[w]
-	}
-}
-
-// edge is the level that a requested amount shares with smaller amounts: nodes
-// at the level may lack room, nodes above it do not.
-type edge struct{ at, above bitmap }
-
-func (c *Cluster) edgeOf(r, level int) edge {
-	e := edge{at: c.index.levels[r][level]}
-	if level+1 < len(c.index.levels[r]) {
-		e.above = c.index.levels[r][level+1]
-	}
-	return e
-}
-
-// dropShort compares exactly on the nodes that are on the edge of a level.
-func (c *Cluster) dropShort(size task.Resources, edges []edge) {
-	for _, w := range c.search.active {
-		doubtful := uint64(0)
-		for i := range edges {
-			above := uint64(0)
-			if edges[i].above != nil {
-				above = edges[i].above[w]
-			}
-			doubtful |= edges[i].at[w] &^ above
-		}
-		for doubtful &= c.search.found[w]; doubtful != 0; doubtful &= doubtful - 1 {
-			slot := slotOf(w, doubtful)
-			if !size.Fits(c.nodes[slot].free) {
-				c.search.found.clear(slot)
-			}
-		}
-	}
+	return c.search.lowest(c.index.score[:])
 }
 
 func (c *Cluster) preferRegion(region string) {
@@ -136,21 +44,11 @@
 }
 
 func (c *Cluster) preferUnpenalised() {
-	if c.index.penalised == 0 {
-		return
-	}
 	for b := penaltyBits - 1; b >= 0; b-- {
-		c.search.drop(c.index.penalty[b])
-	}
-}
-
-// tightest returns the node of the result with the lowest score and, among
-// equals, the lowest slot.
-func (c *Cluster) tightest() int32 {
-	for b := scoreBits - 1; b >= 0; b-- {
-		c.search.drop(c.index.score[b])
+		if c.index.penalty[b].count > 0 {
+			c.search.drop(c.index.penalty[b].members)
+		}
 	}
-	return c.search.first()
 }
 
 // preferSpread leaves the failure domains, and in them the racks, with the
@@ -159,76 +57,69 @@
 	if key == "" {
 		return
 	}
-	s, known := c.spreads[key]
-	if !known {
-		return
+	if s, known := c.spreads[key]; known {
+		c.preferRacks(s, c.preferDomains(s))
 	}
-	c.preferDomains(s)
-	c.preferRacks(s)
 }
 
-func (c *Cluster) preferDomains(s *spread) {
+// preferDomains returns the number of attempts in the domains that it leaves.
+func (c *Cluster) preferDomains(s *spread) int32 {
 	fewest := int32(-1)
-	for _, g := range c.domains {
+	for _, g := range c.domainList {
 		count := s.inDomain(g.number)
 		if (fewest < 0 || count < fewest) && c.search.meets(g.members) {
 			fewest = count
 		}
 	}
-	for _, g := range c.domains {
-		if s.inDomain(g.number) != fewest {
-			c.search.remove(g.members)
+	clear(c.search.kept)
+	for _, g := range c.domainList {
+		if s.inDomain(g.number) == fewest {
+			c.search.kept.add(g.members)
 		}
 	}
-	c.search.compact()
+	c.search.keep(c.search.kept)
+	return fewest
 }
 
 // preferRacks first tries the racks without attempts, which is a matter of
-// clearing the nodes of the counted racks. Only if none of those has room does
-// it count, over the few nodes that are left.
-func (c *Cluster) preferRacks(s *spread) {
-	if c.dropRacksAbove(s, 0) {
+// clearing the nodes of the counted racks. If none of those has room, only
+// counted racks are left, and the fewest attempts are found among them. Racks
+// of the domains that were left out need no look.
+func (c *Cluster) preferRacks(s *spread, inDomain int32) {
+	if inDomain == 0 || c.dropRacksAbove(s, inDomain, 0) {
 		return
 	}
 	fewest := int32(-1)
-	for _, w := range c.search.active {
-		for rest := c.search.found[w]; rest != 0; rest &= rest - 1 {
-			count := s.racks[c.nodes[slotOf(w, rest)].rack]
-			if fewest < 0 || count < fewest {
-				fewest = count
-			}
+	for i := range s.racks {
+		r := &s.racks[i]
+		if (fewest < 0 || r.count < fewest) && c.anyFound(r.rack.slots) {
+			fewest = r.count
 		}
 	}
-	c.dropRacksAbove(s, fewest)
+	c.dropRacksAbove(s, inDomain, fewest)
 }
 
 // dropRacksAbove leaves the racks with at most count attempts if any are in
 // the result, and reports whether it did.
-func (c *Cluster) dropRacksAbove(s *spread, count int32) bool {
+func (c *Cluster) dropRacksAbove(s *spread, inDomain, count int32) bool {
 	copy(c.search.kept, c.search.found)
-	for r, n := range s.racks {
-		if n <= count {
+	for i := range s.racks {
+		r := &s.racks[i]
+		if r.count <= count || s.inDomain(r.rack.domain) != inDomain {
 			continue
 		}
-		for _, slot := range r.slots {
+		for _, slot := range r.rack.slots {
 			c.search.kept.clear(slot)
 		}
 	}
 	return c.search.keep(c.search.kept)
 }
 
-// meets reports whether a set has a node of the result.
-func (s *search) meets(set bitmap) bool {
-	for _, w := range s.active {
-		if s.found[w]&set[w] != 0 {
+func (c *Cluster) anyFound(slots []int32) bool {
+	for _, slot := range slots {
+		if c.search.has(slot) {
 			return true
 		}
 	}
 	return false
 }
-
-func (s *search) remove(set bitmap) {
-	for _, w := range s.active {
-		s.found[w] &^= set[w]
-	}
-}
--- a/placement/index.go
+++ b/placement/index.go
@@ -9,6 +9,13 @@
 // resourceCount is the number of resources in task.Resources.
 const resourceCount = 5
 
+// Levels count processors and memory in these units, which keeps a change on a
+// nearly full node from moving it across the many levels of tiny amounts.
+const (
+	cpuLevelUnit    = 50  // thousandths of a processor
+	memoryLevelUnit = 128 // megabytes
+)
+
 // mantissaBits is the precision of a level. With 3 bits, amounts below 16 have
 // a level of their own and larger ones share it with amounts within 12.5%.
 const mantissaBits = 3
@@ -47,12 +54,17 @@
 // whose free amount of resource r is at level k or above; the planes hold one
 // bit each of every node's score and penalty.
 type index struct {
-	words     int
-	eligible  bitmap
-	levels    [resourceCount][]bitmap
-	score     [scoreBits]bitmap
-	penalty   [penaltyBits]bitmap
-	penalised int // nodes with a penalty
+	words    int
+	eligible bitmap
+	levels   [resourceCount][]bitmap
+	score    [scoreBits]plane
+	penalty  [penaltyBits]plane
+}
+
+// plane is one bit of a number that every node has.
+type plane struct {
+	members bitmap // nodes whose number has the bit
+	count   int    // of them
 }
 
 func (x *index) grow(words int) {
@@ -64,10 +76,10 @@
 		}
 	}
 	for b := range x.score {
-		x.score[b] = x.score[b].grown(words)
+		x.score[b].members = x.score[b].members.grown(words)
 	}
 	for b := range x.penalty {
-		x.penalty[b] = x.penalty[b].grown(words)
+		x.penalty[b].members = x.penalty[b].members.grown(words)
 	}
 }
 
@@ -80,10 +92,7 @@
 		x.moveLevel(r, slot, old.levels[r], e.levels[r])
 	}
 	movePlanes(x.score[:], slot, old.score, e.score)
-	if old.penalty != e.penalty {
-		movePlanes(x.penalty[:], slot, uint32(old.penalty), uint32(e.penalty))
-		x.penalised += sign(e.penalty) - sign(old.penalty)
-	}
+	movePlanes(x.penalty[:], slot, uint32(old.penalty), uint32(e.penalty))
 }
 
 func (x *index) moveLevel(r int, slot int32, old, level int16) {
@@ -98,32 +107,40 @@
 	}
 }
 
-func movePlanes(planes []bitmap, slot int32, old, value uint32) {
+func movePlanes(planes []plane, slot int32, old, value uint32) {
 	for changed := old ^ value; changed != 0; changed &= changed - 1 {
 		b := bits.TrailingZeros32(changed)
-		planes[b].put(slot, value&(1<<b) != 0)
+		if value&(1<<b) != 0 {
+			planes[b].members.set(slot)
+			planes[b].count++
+		} else {
+			planes[b].members.clear(slot)
+			planes[b].count--
+		}
 	}
 }
 
-func sign(n uint8) int {
-	if n > 0 {
-		return 1
+// inUnits returns the amounts in the units of levels, rounded down.
+func inUnits(r *task.Resources) [resourceCount]int64 {
+	return [resourceCount]int64{
+		r.CPUMilli / cpuLevelUnit, r.MemoryMB / memoryLevelUnit, r.Accelerators, r.Slots, r.Connections,
 	}
-	return 0
 }
 
-// levelOf returns the level of an amount; it never falls as the amount grows.
-func levelOf(amount int64) int16 {
-	if amount <= 0 {
-		return 0
-	}
-	shift := max(bits.Len64(uint64(amount))-mantissaBits-1, 0)
-	return int16(shift<<mantissaBits) + int16(amount>>shift)
+// levelOf returns the level of an amount in units; it never falls as the amount
+// grows.
+func levelOf(units int64) int16 {
+	shift := levelShift(units)
+	return int16(shift<<mantissaBits) + int16(units>>shift)
+}
+
+// isLevelStart reports whether no smaller amount in units has the same level.
+func isLevelStart(units int64) bool {
+	return units&(1<<levelShift(units)-1) == 0
 }
 
-// isLevelStart reports whether no smaller amount has the level of this one.
-func isLevelStart(amount int64) bool {
-	return levelOf(amount-1) != levelOf(amount)
+func levelShift(units int64) int {
+	return max(bits.Len64(uint64(units))-mantissaBits-1, 0)
 }
 
 // scoreOf returns the score of free amounts, none of which is below zero.
@@ -139,3 +156,9 @@
 func amounts(r *task.Resources) [resourceCount]int64 {
 	return [resourceCount]int64{r.CPUMilli, r.MemoryMB, r.Accelerators, r.Slots, r.Connections}
 }
+
+// fillsUnits tells for each resource whether an amount is a whole number of
+// the units of levels.
+func fillsUnits(r *task.Resources) [resourceCount]bool {
+	return [resourceCount]bool{r.CPUMilli%cpuLevelUnit == 0, r.MemoryMB%memoryLevelUnit == 0, true, true, true}
+}
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -5,7 +5,12 @@
 	key     string
 	total   int
 	domains []int32 // by number of the failure domain
-	racks   map[*rack]int32
+	racks   []rackCount
+}
+
+type rackCount struct {
+	rack  *rack
+	count int32
 }
 
 // mark records where an attempt was counted, since its node may move.
@@ -18,7 +23,7 @@
 func (c *Cluster) spreadOf(key string) *spread {
 	s, known := c.spreads[key]
 	if !known {
-		s = &spread{key: key, racks: map[*rack]int32{}}
+		s = &spread{key: key}
 		c.spreads[key] = s
 	}
 	return s
@@ -37,23 +42,40 @@
 		s.domains = append(s.domains, 0)
 	}
 	s.domains[m.domain]++
-	s.racks[m.rack]++
 	s.total++
+	if i := s.indexOf(m.rack); i >= 0 {
+		s.racks[i].count++
+		return
+	}
+	s.racks = append(s.racks, rackCount{m.rack, 1})
 }
 
 func (c *Cluster) unmark(m *mark) {
 	s := m.spread
 	s.domains[m.domain]--
-	s.racks[m.rack]--
-	if s.racks[m.rack] == 0 {
-		delete(s.racks, m.rack)
-	}
 	s.total--
+	i := s.indexOf(m.rack)
+	s.racks[i].count--
+	if s.racks[i].count == 0 {
+		last := len(s.racks) - 1
+		s.racks[i] = s.racks[last]
+		s.racks = s.racks[:last]
+	}
 	if s.total == 0 {
 		delete(c.spreads, s.key)
 	}
 }
 
+// indexOf returns the place of a rack in the counts, or -1.
+func (s *spread) indexOf(r *rack) int {
+	for i := range s.racks {
+		if s.racks[i].rack == r {
+			return i
+		}
+	}
+	return -1
+}
+
 func (s *spread) inDomain(number int) int32 {
 	if number >= len(s.domains) {
 		return 0
