Grow the sets of placement by a cache line

Sets doubled in size, so that a search at 8,200 workers went over 256 words instead of 136, and their addresses competed for the same cache lines when a node changed its levels.

--- a/placement/cluster.go
+++ b/placement/cluster.go
@@ -165,11 +165,16 @@
 	c.nodes = append(c.nodes, node{})
 	c.byName[name] = slot
 	if len(c.nodes) > c.index.words*wordBits {
-		c.grow(max(1, 2*c.index.words))
+		c.grow(c.index.words + growWords)
 	}
 	return slot
 }
 
+// growWords is the most words by which the sets grow, a cache line. Doubling
+// would make each search go over up to twice the words it needs, and sets of a
+// power of 2 in size compete for the same lines of the cache.
+const growWords = 8
+
 func (c *Cluster) grow(words int) {
 	c.index.grow(words)
 	c.search.grow(words)
