--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,5 @@
-// Command standin runs one of the stand-ins for the platform: its store or its
-// instance list. Faults are switched over HTTP while it runs.
+// Command standin runs one of the stand-ins for the platform: its store, its
+// instance list or workers. Faults are switched over HTTP while it runs.
 package main
 
 import (
@@ -11,6 +11,7 @@
 type commands struct {
 	Store   storeCommand   `cmd:"" help:"Run the stand-in for the platform's store."`
 	List    listCommand    `cmd:"" help:"Run the stand-in for the instance list."`
+	Worker  WorkerCommand  `cmd:"" help:"Run stand-in workers."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- a/control/event.go
+++ b/control/event.go
@@ -47,7 +47,7 @@
 	// out, and to be fetched, if it does not have ResultBytes.
 	Outcome     *task.Outcome
 	ResultBytes int64
-	Detail  string // why the result is not StartRunning
+	Detail      string // why the result is not StartRunning
 }
 
 // StartResult is what became of a start.
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"embed"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -79,7 +78,7 @@
 	if err := c.startWorkers(); err != nil {
 		return nil, err
 	}
-	if err := c.storeConfiguration(); err != nil {
+	if err := StoreConfiguration(context.Background(), c.storeAddr); err != nil {
 		return nil, err
 	}
 	for i := range entryInstances {
@@ -174,9 +173,10 @@
 // Secrets of the demo's keys, by team.
 var Secrets = map[task.Team]string{"leuven": "leuven-demo-secret", "estrie": "estrie-demo-secret"}
 
-// storeConfiguration writes what operators would have applied.
-func (c *Cluster) storeConfiguration() error {
-	client := store.NewClient(store.Config{Address: c.storeAddr, Instance: "demo"})
+// StoreConfiguration writes what operators would have applied: the documents
+// and keys of the demo.
+func StoreConfiguration(ctx context.Context, storeAddress string) error {
+	client := store.NewClient(store.Config{Address: storeAddress, Instance: "demo"})
 	defer client.Close()
 	var txn store.Txn
 	entries, err := documents.ReadDir("documents")
@@ -191,13 +191,13 @@
 		txn.Puts = append(txn.Puts, put)
 	}
 	for team, secret := range Secrets {
-		value, err := json.Marshal(keyring.Key{ID: "demo", Team: team, Digest: keyring.DigestOf(secret)})
+		value, err := store.Encode(keyring.Key{ID: "demo", Team: team, Digest: keyring.DigestOf(secret)})
 		if err != nil {
-			return eris.Wrap(err, "encode key")
+			return err
 		}
 		txn.Puts = append(txn.Puts, store.Put{Key: store.KeyKey(string(team), "demo"), Value: value})
 	}
-	_, err = client.Commit(context.Background(), txn)
+	_, err = client.Commit(ctx, txn)
 	return eris.Wrap(err, "store the configuration of the demo")
 }
 
--- /dev/null
+++ b/endtoend/path_test.go
@@ -0,0 +1,88 @@
+package endtoend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/client"
+	"github.com/mulberrydrum/mulberrydrum/demo"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/internal/processtest"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+const answerBound = 10 * time.Second // of a request in a deployment that is starting
+
+func callerOf(c *processtest.Cluster, team task.Team) *client.Client {
+	var addresses []string
+	for _, e := range c.Entries {
+		addresses = append(addresses, e.Settings.CallerAddress)
+	}
+	return client.New(client.Config{Addresses: addresses, Secret: demo.Secrets[team]})
+}
+
+// TestPath guards against a kind of work that does not get through the separate
+// processes, or whose outcome is not the one that its caller is promised.
+func TestPath(t *testing.T) {
+	c := processtest.Start(t, processtest.Options{Entries: 4, Workers: 4, Regions: []string{"flanders", "wallonia"}})
+	caller := callerOf(c, "leuven")
+	awaitService(t, c, caller)
+	cases := []struct {
+		class  string
+		count  int
+		result int // bytes
+		exit   int
+	}{
+		{class: "span-lookup", count: 1, result: 5},
+		{class: "big-lookup", count: 1, result: 3000000},
+		{class: "nozzle-check", count: 1, result: 5},
+		{class: "nozzle-check", count: 6, result: 5},
+		{class: "stress-report", count: 1, result: 5},
+		{class: "failing-report", count: 1, exit: 3},
+		{class: "flexibility-run", count: 3, result: 5},
+		{class: "water-hammer", count: 3, result: 5},
+	}
+	for i, tc := range cases {
+		t.Run(fmt.Sprintf("%s-%d", tc.class, tc.count), func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*answerBound)
+			defer cancel()
+			job, err := caller.Submit(ctx, "leuven", "piping", api.SubmitRequest{IdempotencyKey: fmt.Sprintf("k%d", i), Class: tc.class, Count: tc.count, Payload: []byte("hello")}, answerBound)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if job.State != task.Finished || len(job.Tasks) != tc.count {
+				t.Fatalf("job is %s with %d tasks, want finished with %d", job.State, len(job.Tasks), tc.count)
+			}
+			for _, got := range job.Tasks {
+				if got.ExitCode != tc.exit || got.ResultBytes != tc.result && tc.exit == 0 {
+					t.Errorf("task %d: exit %d with %d bytes, want exit %d with %d", got.Index, got.ExitCode, got.ResultBytes, tc.exit, tc.result)
+				}
+			}
+		})
+	}
+	t.Run("wrong key", func(t *testing.T) {
+		_, err := callerOf(c, "estrie").Submit(t.Context(), "leuven", "piping", api.SubmitRequest{IdempotencyKey: "x", Class: "span-lookup"}, answerBound)
+		var refusal *errkind.Error
+		if !errors.As(err, &refusal) || refusal.Kind != errkind.KeyRefused || refusal.Fate() != errkind.FateNotRun {
+			t.Errorf("key of another team: %v, want %s", err, errkind.KeyRefused)
+		}
+	})
+}
+
+// awaitService returns when a request is answered, which is once the workers
+// have owners.
+func awaitService(t *testing.T, c *processtest.Cluster, caller *client.Client) {
+	t.Helper()
+	n := 0
+	c.Eventually(30*time.Second, "answer a request", func() bool {
+		n++
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := caller.Submit(ctx, "leuven", "piping", api.SubmitRequest{IdempotencyKey: fmt.Sprintf("start-%d", n), Class: "span-lookup"}, time.Second)
+		return err == nil
+	})
+}
--- a/standin/list_test.go
+++ b/standin/list_test.go
@@ -13,7 +13,7 @@
 	"github.com/mulberrydrum/mulberrydrum/standin/fault"
 )
 
-func worker(name string, state instancelist.State) instancelist.Instance {
+func listedWorker(name string, state instancelist.State) instancelist.Instance {
 	return instancelist.Instance{Name: name, Role: instancelist.RoleWorker, State: state}
 }
 
@@ -21,11 +21,11 @@
 // passed, or skips to an older one.
 func TestListLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		list := NewList(10*time.Second, worker("w1", instancelist.StateLive))
+		list := NewList(10*time.Second, listedWorker("w1", instancelist.StateLive))
 		stateNow := func() instancelist.State { return list.Visible(time.Now())[0].State }
-		list.Put(time.Now(), worker("w1", instancelist.StateLeaving))
+		list.Put(time.Now(), listedWorker("w1", instancelist.StateLeaving))
 		time.Sleep(4 * time.Second)
-		list.Put(time.Now(), worker("w1", instancelist.StateGone))
+		list.Put(time.Now(), listedWorker("w1", instancelist.StateGone))
 		want := []instancelist.State{instancelist.StateLive, instancelist.StateLeaving, instancelist.StateGone}
 		for i, wait := range []time.Duration{6*time.Second - 1, 1, 4 * time.Second} {
 			time.Sleep(wait)
@@ -39,7 +39,7 @@
 // TestListUnderFaults guards against a list call without a deadline, and
 // against a failure that looks like a list without instances.
 func TestListUnderFaults(t *testing.T) {
-	list := NewList(0, worker("w1", instancelist.StateLive))
+	list := NewList(0, listedWorker("w1", instancelist.StateLive))
 	server := httptest.NewServer(list)
 	defer server.Close()
 	defer server.CloseClientConnections()
@@ -67,7 +67,7 @@
 // TestSwitchesOverHTTP guards against switches that only work from inside the
 // process: the demo and the end-to-end tests set them over HTTP.
 func TestSwitchesOverHTTP(t *testing.T) {
-	list := NewList(time.Hour, worker("w1", instancelist.StateLive))
+	list := NewList(time.Hour, listedWorker("w1", instancelist.StateLive))
 	server := httptest.NewServer(list)
 	defer server.Close()
 	steps := []struct {
