--- a/caller/calls.go
+++ b/caller/calls.go
@@ -9,105 +9,109 @@
 
 	"github.com/mulberrydrum/mulberrydrum/api"
 	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/httpjson"
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-func (s *Server) submit(r *http.Request) (answer, error) {
-	secret, err := secretOf(r)
+func (s *Server) submit(r *http.Request) (httpjson.Answer, error) {
+	secret, err := httpjson.Secret(r)
 	if err != nil {
-		return answer{}, err
+		return httpjson.Answer{}, err
 	}
-	wait, err := s.waitOf(r)
+	wait, err := httpjson.Wait(r, s.cfg.MaxWait)
 	if err != nil {
-		return answer{}, err
+		return httpjson.Answer{}, err
 	}
-	body, err := s.readBody(r)
+	body, err := s.ReadBody(r)
 	if err != nil {
-		return answer{}, err
+		return httpjson.Answer{}, err
 	}
 	request, err := decodeSubmit(body)
 	if err != nil {
-		return answer{}, err
+		return httpjson.Answer{}, err
 	}
 	deadline, err := s.deadlineOf(r, request.Deadline)
 	if err != nil {
-		return answer{}, err
+		return httpjson.Answer{}, err
 	}
 	spec := specOf(r, request)
+	if err := checkNames(spec.Team, spec.Service); err != nil {
+		return httpjson.Answer{}, err
+	}
 	spec.Deadline = deadline
 	spec.SubmittedAt = s.now()
 	ctx, cancel := s.bounded(r.Context(), deadline, wait)
 	defer cancel()
 	reply, err := s.backend.Submit(ctx, secret, spec, wait)
 	if err != nil {
-		return answer{}, err
+		return httpjson.Answer{}, err
 	}
 	return s.jobAnswer(JobID{spec.Team, spec.Service, spec.IdempotencyKey}, reply)
 }
 
-func (s *Server) status(r *http.Request) (answer, error) {
+func (s *Server) status(r *http.Request) (httpjson.Answer, error) {
 	return s.onJob(r, func(c jobCall) (Reply, error) {
 		return s.backend.Status(c.ctx, c.secret, c.id)
 	})
 }
 
-func (s *Server) wait(r *http.Request) (answer, error) {
+func (s *Server) wait(r *http.Request) (httpjson.Answer, error) {
 	return s.onJob(r, func(c jobCall) (Reply, error) {
 		return s.backend.Wait(c.ctx, c.secret, c.id, c.wait)
 	})
 }
 
-func (s *Server) cancel(r *http.Request) (answer, error) {
+func (s *Server) cancel(r *http.Request) (httpjson.Answer, error) {
 	return s.onJob(r, func(c jobCall) (Reply, error) {
 		return s.backend.Cancel(c.ctx, c.secret, c.id)
 	})
 }
 
-func (s *Server) onJob(r *http.Request, ask func(jobCall) (Reply, error)) (answer, error) {
+func (s *Server) onJob(r *http.Request, ask func(jobCall) (Reply, error)) (httpjson.Answer, error) {
 	call, cancel, err := s.jobCallOf(r)
 	if err != nil {
-		return answer{}, err
+		return httpjson.Answer{}, err
 	}
 	defer cancel()
 	reply, err := ask(call)
 	if err != nil {
-		return answer{}, err
+		return httpjson.Answer{}, err
 	}
 	return s.jobAnswer(call.id, reply)
 }
 
 // result answers with the result alone, so that it needs no encoding.
-func (s *Server) result(r *http.Request) (answer, error) {
+func (s *Server) result(r *http.Request) (httpjson.Answer, error) {
 	call, cancel, err := s.jobCallOf(r)
 	if err != nil {
-		return answer{}, err
+		return httpjson.Answer{}, err
 	}
 	defer cancel()
 	index, err := indexOf(r)
 	if err != nil {
-		return answer{}, err
+		return httpjson.Answer{}, err
 	}
 	outcome, err := s.backend.Result(call.ctx, call.secret, call.id, index)
 	if err != nil {
-		return answer{}, err
+		return httpjson.Answer{}, err
 	}
 	if err := s.checkResult(outcome); err != nil {
-		return answer{}, err
+		return httpjson.Answer{}, err
 	}
 	header := http.Header{"Content-Type": {"application/octet-stream"}}
 	header.Set(api.HeaderTask, outcome.Attempt.String())
-	return answer{status: http.StatusOK, header: header, body: outcome.Result}, nil
+	return httpjson.Answer{Status: http.StatusOK, Header: header, Body: outcome.Result}, nil
 }
 
 // jobAnswer has the result of a job of one task in it, because the caller of
 // interactive work waits for nothing else.
-func (s *Server) jobAnswer(id JobID, reply Reply) (answer, error) {
+func (s *Server) jobAnswer(id JobID, reply Reply) (httpjson.Answer, error) {
 	job := api.Job{ID: id.String(), State: reply.State, Repeated: reply.Repeated, Tasks: []api.Task{}}
 	for _, state := range reply.Tasks {
 		t := api.Task{Index: state.Index, ID: state.ID, State: state.State, Attempt: state.Attempt}
 		if o := state.Outcome; o != nil {
 			if err := s.checkResult(*o); err != nil {
-				return answer{}, err
+				return httpjson.Answer{}, err
 			}
 			t.Attempt, t.ExitCode, t.Reason = o.Attempt.Number, o.ExitCode, o.Reason
 			t.Worker, t.RunTime, t.Digest = o.Worker, api.Duration(o.RunTime), o.Digest
@@ -118,7 +122,7 @@
 		}
 		job.Tasks = append(job.Tasks, t)
 	}
-	return jsonAnswer(job)
+	return httpjson.JSON(job)
 }
 
 // checkResult refuses a result that is not the one that the worker reported.
--- a/caller/decode.go
+++ b/caller/decode.go
@@ -10,7 +10,7 @@
 
 	"github.com/mulberrydrum/mulberrydrum/api"
 	"github.com/mulberrydrum/mulberrydrum/errkind"
-	"github.com/mulberrydrum/mulberrydrum/jsonc"
+	"github.com/mulberrydrum/mulberrydrum/httpjson"
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
@@ -27,14 +27,8 @@
 // could allow.
 func decodeSubmit(body []byte) (api.SubmitRequest, error) {
 	request := api.SubmitRequest{Count: 1}
-	if _, faults := jsonc.Decode(body, &request, jsonc.WithoutComments); len(faults) > 0 {
-		first := faults[0]
-		field := first.Path
-		if field == "" {
-			field = "body"
-		}
-		return request, errkind.New(errkind.InvalidRequest, "line %d, column %d: %s", first.Line, first.Column, first.Message).
-			WithField(field, first.Allowed)
+	if err := httpjson.Decode(body, &request); err != nil {
+		return request, err
 	}
 	return request, checkSubmit(request)
 }
--- a/caller/job.go
+++ b/caller/job.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/httpjson"
 )
 
 // jobCall is what every call about a known job has in common.
@@ -15,7 +17,7 @@
 }
 
 func (s *Server) jobCallOf(r *http.Request) (jobCall, context.CancelFunc, error) {
-	secret, err := secretOf(r)
+	secret, err := httpjson.Secret(r)
 	if err != nil {
 		return jobCall{}, nil, err
 	}
@@ -23,7 +25,7 @@
 	if err != nil {
 		return jobCall{}, nil, err
 	}
-	wait, err := s.waitOf(r)
+	wait, err := httpjson.Wait(r, s.cfg.MaxWait)
 	if err != nil {
 		return jobCall{}, nil, err
 	}
--- a/caller/read.go
+++ b/caller/read.go
@@ -2,59 +2,18 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/document"
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// readBody reads the whole body of r or says why it cannot.
-func (s *Server) readBody(r *http.Request) ([]byte, error) {
-	limit := fmt.Sprintf("%d bytes", s.cfg.MaxRequestBytes)
-	if r.ContentLength > s.cfg.MaxRequestBytes {
-		return nil, errkind.New(errkind.RequestTooLarge, "the body has %d bytes", r.ContentLength).WithField("body", limit)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, s.cfg.MaxRequestBytes))
-	var tooLarge *http.MaxBytesError
-	var network net.Error
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, errkind.New(errkind.RequestTooLarge, "the body is too large").WithField("body", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &network) && network.Timeout():
-		return nil, errkind.New(errkind.RequestTimeout, "the body was sent too slowly").WithField("body", s.cfg.ReadTimeout.String())
-	case errors.Is(err, io.ErrUnexpectedEOF):
-		return nil, errkind.New(errkind.InvalidRequest, "the body ends after %d bytes", len(body)).
-			WithField("body", fmt.Sprintf("%d bytes, as Content-Length states", r.ContentLength))
-	}
-	return nil, errkind.New(errkind.InvalidRequest, "the body cannot be read").WithField("body", limit)
-}
-
-const bearer = "Bearer "
-
-// secretOf returns the secret of the key that came with r, or "" without one.
-func secretOf(r *http.Request) (string, error) {
-	value := r.Header.Get("Authorization")
-	if value == "" {
-		return "", nil
-	}
-	secret, ok := strings.CutPrefix(value, bearer)
-	if !ok || secret == "" {
-		return "", errkind.New(errkind.KeyMissing, "the header has no bearer key").WithField("Authorization", "Bearer <secret>")
-	}
-	return secret, nil
-}
-
 // jobOf returns the job that the path of r names.
 func jobOf(r *http.Request) (JobID, error) {
 	id := JobID{
@@ -62,9 +21,24 @@
 		Service: task.Service(r.PathValue("service")),
 		Key:     r.PathValue("key"),
 	}
+	if err := checkNames(id.Team, id.Service); err != nil {
+		return id, err
+	}
 	return id, checkKey("key", id.Key)
 }
 
+// checkNames refuses names that no document can have, such as one with a slash,
+// which would make two jobs share an ID.
+func checkNames(team task.Team, service task.Service) error {
+	if !document.IsName(string(team)) {
+		return errkind.New(errkind.UnknownTeam, "there is no team %.80q", team).WithField("team", document.NameRule)
+	}
+	if !document.IsName(string(service)) {
+		return errkind.New(errkind.UnknownService, "there is no service %.80q", service).WithField("service", document.NameRule)
+	}
+	return nil
+}
+
 // maxKeyBytes bounds an idempotency key, which is kept with each record.
 const maxKeyBytes = 128
 
@@ -86,20 +60,6 @@
 	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || strings.ContainsRune("._-", c)
 }
 
-// waitOf returns the wait that the query of r asks for, 0 for none.
-func (s *Server) waitOf(r *http.Request) (time.Duration, error) {
-	text := r.URL.Query().Get("wait")
-	if text == "" {
-		return 0, nil
-	}
-	wait, err := time.ParseDuration(text)
-	if err != nil || wait < 0 || wait > s.cfg.MaxWait {
-		return 0, errkind.New(errkind.InvalidRequest, "the wait %.40q is not allowed", text).
-			WithField("wait", "0s to "+s.cfg.MaxWait.String())
-	}
-	return wait, nil
-}
-
 func indexOf(r *http.Request) (int, error) {
 	text := r.URL.Query().Get("index")
 	if text == "" {
--- a/cmd/mulberryctl/cancel.go
+++ b/cmd/mulberryctl/cancel.go
@@ -1,5 +1,11 @@
 package main
 
+import (
+	"context"
+
+	"github.com/mulberrydrum/mulberrydrum/client"
+)
+
 type cancelCommand struct {
 	Job string `arg:"" help:"Job, as <team>/<service>/<idempotency key>."`
 }
@@ -13,15 +19,11 @@
 // Run cancels the job and prints its state. A job that is cancelled is what
 // was asked for, so its end is no error here.
 func (c cancelCommand) Run(env *environment) error {
-	callers, ctx, cancel, err := env.caller(0)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	defer callers.Close()
-	job, err := callers.Cancel(ctx, c.Job)
-	if err != nil {
-		return err
-	}
-	return env.show(job, jobLines(job)...)
+	return env.asCaller(0, func(ctx context.Context, callers *client.Client) error {
+		job, err := callers.Cancel(ctx, c.Job)
+		if err != nil {
+			return err
+		}
+		return env.show(job, jobLines(job)...)
+	})
 }
--- a/cmd/mulberryctl/environment.go
+++ b/cmd/mulberryctl/environment.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"strings"
+	"text/tabwriter"
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/api"
@@ -33,19 +34,27 @@
 	stderr io.Writer
 }
 
-// caller returns a client of the address for callers, and a context for a
-// command that waits for wait.
-func (e *environment) caller(wait time.Duration) (*client.Client, context.Context, context.CancelFunc, error) {
-	return e.client(e.Server, wait)
+// asCaller runs ask with a client of the addresses for callers and a context for
+// a command that waits for wait.
+func (e *environment) asCaller(wait time.Duration, ask func(context.Context, *client.Client) error) error {
+	return e.ask(e.Server, wait, ask)
 }
 
-func (e *environment) client(addresses []string, wait time.Duration) (*client.Client, context.Context, context.CancelFunc, error) {
+// asOperator is like asCaller with the addresses for operators.
+func (e *environment) asOperator(wait time.Duration, ask func(context.Context, *client.Client) error) error {
+	return e.ask(e.Operator, wait, ask)
+}
+
+func (e *environment) ask(addresses []string, wait time.Duration, ask func(context.Context, *client.Client) error) error {
 	secret, err := e.secret()
 	if err != nil {
-		return nil, nil, nil, err
+		return err
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, e.Timeout+wait)
-	return client.New(client.Config{Addresses: addresses, Secret: secret}), ctx, cancel, nil
+	defer cancel()
+	c := client.New(client.Config{Addresses: addresses, Secret: secret})
+	defer c.Close()
+	return ask(ctx, c)
 }
 
 func (e *environment) secret() (string, error) {
@@ -59,19 +68,21 @@
 	return strings.TrimSpace(string(text)), nil
 }
 
-// show prints v as JSON, or lines as text.
+// show prints v as JSON, or lines as text with their columns aligned.
 func (e *environment) show(v any, lines ...string) error {
 	if e.Output == "json" {
 		encoder := json.NewEncoder(e.stdout)
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(v)
 	}
+	const padding = 2
+	table := tabwriter.NewWriter(e.stdout, 0, 0, padding, ' ', 0)
 	for _, line := range lines {
-		if _, err := fmt.Fprintln(e.stdout, line); err != nil {
+		if _, err := fmt.Fprintln(table, line); err != nil {
 			return err
 		}
 	}
-	return nil
+	return table.Flush()
 }
 
 // exitError ends the command with a code, after it has printed what there is.
--- /dev/null
+++ b/cmd/mulberryctl/get.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+
+	"github.com/mulberrydrum/mulberrydrum/client"
+)
+
+type getCommand struct {
+	Team    string `arg:"" optional:"" help:"Team; without it, all documents are listed."`
+	Service string `arg:"" optional:"" help:"Service; without it, the document of the whole team is shown."`
+}
+
+// Help shows how to use the command.
+func (getCommand) Help() string {
+	return `Examples:
+  mulberryctl get
+  mulberryctl get dijle-engineering
+  mulberryctl get dijle-engineering piping > piping.jsonc
+
+The first line of a document is its revision, which apply reads.`
+}
+
+// Run prints the document or the list.
+func (c getCommand) Run(env *environment) error {
+	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
+		if c.Team == "" {
+			return c.list(ctx, env, operators)
+		}
+		held, err := operators.Document(ctx, c.Team, c.Service)
+		if err != nil {
+			return err
+		}
+		if env.Output == "json" {
+			return env.show(held)
+		}
+		_, err = env.stdout.Write(withRevision(held))
+		return err
+	})
+}
+
+func (getCommand) list(ctx context.Context, env *environment, operators *client.Client) error {
+	list, err := operators.Documents(ctx)
+	if err != nil {
+		return err
+	}
+	lines := make([]string, len(list.Documents))
+	for i, d := range list.Documents {
+		lines[i] = documentLine(d)
+	}
+	return env.show(list, lines...)
+}
--- a/cmd/mulberryctl/job.go
+++ b/cmd/mulberryctl/job.go
@@ -14,6 +14,11 @@
 	if err := e.show(job, jobLines(job)...); err != nil {
 		return err
 	}
+	if e.Output == "text" && len(job.Tasks) == 1 {
+		if _, err := e.stdout.Write(job.Tasks[0].Result); err != nil {
+			return err
+		}
+	}
 	if code := jobExitCode(job); code != 0 {
 		return exitError{code}
 	}
@@ -27,9 +32,6 @@
 	}
 	for _, t := range job.Tasks {
 		lines = append(lines, taskLine(t))
-		if len(t.Result) > 0 {
-			lines = append(lines, string(t.Result))
-		}
 	}
 	return lines
 }
--- /dev/null
+++ b/cmd/mulberryctl/keys.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/client"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+type keysCommand struct {
+	Grant    keysGrantCommand    `cmd:"" help:"Make a key and print its secret, once."`
+	Withdraw keysWithdrawCommand `cmd:"" help:"End a key. It is refused everywhere within seconds, and its queued work is not run."`
+	List     keysListCommand     `cmd:"" help:"List keys, without their secrets."`
+}
+
+type keysGrantCommand struct {
+	Team string `arg:"" help:"Team that the key admits work for."`
+	Role string `help:"Role, for classes with may_submit."`
+	Note string `help:"Note for other operators."`
+}
+
+// Help shows how to use the command.
+func (keysGrantCommand) Help() string {
+	return `Example:
+  mulberryctl keys grant dijle-engineering --role responsible-engineer --note "report server"`
+}
+
+// Run makes the key.
+func (c keysGrantCommand) Run(env *environment) error {
+	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
+		granted, err := operators.GrantKey(ctx, api.GrantRequest{Team: task.Team(c.Team), Role: c.Role, Note: c.Note})
+		if err != nil {
+			return err
+		}
+		return env.show(granted, "id\t"+granted.ID, "secret\t"+granted.Secret)
+	})
+}
+
+type keysWithdrawCommand struct {
+	Team string `arg:"" help:"Team of the key."`
+	ID   string `arg:"" help:"ID of the key, as keys list shows it."`
+}
+
+// Help shows how to use the command.
+func (keysWithdrawCommand) Help() string {
+	return `Example:
+  mulberryctl keys withdraw dijle-engineering k-7f3a`
+}
+
+// Run ends the key.
+func (c keysWithdrawCommand) Run(env *environment) error {
+	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
+		key, err := operators.WithdrawKey(ctx, c.Team, c.ID)
+		if err != nil {
+			return err
+		}
+		return env.show(key, keyLine(key))
+	})
+}
+
+type keysListCommand struct {
+	Team string `arg:"" optional:"" help:"Team; all teams by default."`
+}
+
+// Help shows how to use the command.
+func (keysListCommand) Help() string {
+	return `Example:
+  mulberryctl keys list dijle-engineering`
+}
+
+// Run lists the keys.
+func (c keysListCommand) Run(env *environment) error {
+	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
+		list, err := operators.Keys(ctx, c.Team)
+		if err != nil {
+			return err
+		}
+		lines := []string{"TEAM\tID\tROLE\tGRANTED\tWITHDRAWN\tNOTE"}
+		for _, key := range list.Keys {
+			lines = append(lines, keyLine(key))
+		}
+		return env.show(list, lines...)
+	})
+}
+
+func keyLine(k api.Key) string {
+	return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s", k.Team, k.ID, orNone(k.Role), timeText(k.GrantedAt), timeText(k.WithdrawnAt), k.Note)
+}
+
+func timeText(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.Format(time.RFC3339)
+}
--- a/cmd/mulberryctl/main.go
+++ b/cmd/mulberryctl/main.go
@@ -17,12 +17,21 @@
 type commands struct {
 	globals
 
-	Submit  submitCommand  `cmd:"" help:"Submit a job to a service of a team."`
-	Status  statusCommand  `cmd:"" help:"Show the state of a job, or wait for its end."`
-	Cancel  cancelCommand  `cmd:"" help:"Ask for the end of a job."`
-	Result  resultCommand  `cmd:"" help:"Write the result of one task of a job."`
-	Config  configCommand  `cmd:"" help:"Work with configuration files."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Submit    submitCommand    `cmd:"" help:"Submit a job to a service of a team."`
+	Status    statusCommand    `cmd:"" help:"Show the state of a job, or wait for its end."`
+	Cancel    cancelCommand    `cmd:"" help:"Ask for the end of a job."`
+	Result    resultCommand    `cmd:"" help:"Write the result of one task of a job."`
+	Apply     applyCommand     `cmd:"" help:"Replace a document, if nobody else has changed it."`
+	Get       getCommand       `cmd:"" help:"Show a document, or list all documents."`
+	Diff      diffCommand      `cmd:"" help:"Compare a file with the document in force, field by field."`
+	Keys      keysCommand      `cmd:"" help:"Grant, withdraw and list the keys of teams."`
+	Drain     drainCommand     `cmd:"" help:"Take an entry instance or a worker out of service, or put it back."`
+	Workers   workersCommand   `cmd:"" help:"List the workers."`
+	Shares    sharesCommand    `cmd:"" help:"List what the teams use and may use."`
+	Timeline  timelineCommand  `cmd:"" help:"Show what all entry instances did, in one order."`
+	Ownership ownershipCommand `cmd:"" help:"Act on the ownership of worker partitions and request shards."`
+	Config    configCommand    `cmd:"" help:"Work with configuration files."`
+	Version   versionCommand   `cmd:"" help:"Print the version."`
 }
 
 func main() {
--- a/cmd/mulberryctl/result.go
+++ b/cmd/mulberryctl/result.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"context"
 	"os"
 
+	"github.com/mulberrydrum/mulberrydrum/client"
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
@@ -26,21 +28,21 @@
 
 // Run writes the result.
 func (c resultCommand) Run(env *environment) error {
-	callers, ctx, cancel, err := env.caller(0)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	defer callers.Close()
-	result, err := callers.Result(ctx, c.Job, c.Index)
-	if err != nil {
-		return err
-	}
+	return env.asCaller(0, func(ctx context.Context, callers *client.Client) error {
+		result, err := callers.Result(ctx, c.Job, c.Index)
+		if err != nil {
+			return err
+		}
+		return c.write(env, result.Data)
+	})
+}
+
+func (c resultCommand) write(env *environment, data []byte) error {
 	if c.To == "" {
-		_, err = env.stdout.Write(result.Data)
+		_, err := env.stdout.Write(data)
 		return err
 	}
-	if err := os.WriteFile(c.To, result.Data, resultFileMode); err != nil {
+	if err := os.WriteFile(c.To, data, resultFileMode); err != nil {
 		return errkind.New(errkind.InvalidRequest, "the result cannot be written: %v", err).WithField("to", "a writable file")
 	}
 	return nil
--- /dev/null
+++ b/cmd/mulberryctl/revision.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"regexp"
+	"strconv"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+)
+
+// revisionLine is the first line that get prints and apply reads, so that a file
+// that is edited for an hour is still compared with the revision it came from.
+var revisionLine = regexp.MustCompile(`^// mulberryctl revision ([0-9]{1,18})\r?\n`)
+
+func withRevision(d api.Document) []byte {
+	source := bytes.TrimRight([]byte(d.Source), "\n")
+	return fmt.Appendf(nil, "// mulberryctl revision %d\n%s\n", d.Revision, source)
+}
+
+// splitRevision returns source without its revision line, and the revision.
+func splitRevision(source []byte) (rest []byte, revision int64, ok bool) {
+	match := revisionLine.FindSubmatch(source)
+	if match == nil {
+		return source, 0, false
+	}
+	revision, err := strconv.ParseInt(string(match[1]), 10, 64)
+	return source[len(match[0]):], revision, err == nil
+}
--- a/cmd/mulberryctl/status.go
+++ b/cmd/mulberryctl/status.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"context"
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/client"
 )
 
 type statusCommand struct {
@@ -20,20 +22,18 @@
 
 // Run prints the state of the job.
 func (c statusCommand) Run(env *environment) error {
-	callers, ctx, cancel, err := env.caller(c.Wait)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	defer callers.Close()
-	var job api.Job
+	return env.asCaller(c.Wait, func(ctx context.Context, callers *client.Client) error {
+		job, err := c.ask(ctx, callers)
+		if err != nil {
+			return err
+		}
+		return env.showJob(job)
+	})
+}
+
+func (c statusCommand) ask(ctx context.Context, callers *client.Client) (api.Job, error) {
 	if c.Wait > 0 {
-		job, err = callers.Wait(ctx, c.Job, c.Wait)
-	} else {
-		job, err = callers.Status(ctx, c.Job)
-	}
-	if err != nil {
-		return err
+		return callers.Wait(ctx, c.Job, c.Wait)
 	}
-	return env.showJob(job)
+	return callers.Status(ctx, c.Job)
 }
--- a/cmd/mulberryctl/submit.go
+++ b/cmd/mulberryctl/submit.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"crypto/rand"
 	"fmt"
 	"io"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/client"
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
@@ -45,17 +47,13 @@
 	if err != nil {
 		return err
 	}
-	callers, ctx, cancel, err := env.caller(c.Wait)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	defer callers.Close()
-	job, err := callers.Submit(ctx, c.Team, c.Service, request, c.Wait)
-	if err != nil {
-		return err
-	}
-	return env.showJob(job)
+	return env.asCaller(c.Wait, func(ctx context.Context, callers *client.Client) error {
+		job, err := callers.Submit(ctx, c.Team, c.Service, request, c.Wait)
+		if err != nil {
+			return err
+		}
+		return env.showJob(job)
+	})
 }
 
 func (c submitCommand) request(env *environment) (api.SubmitRequest, error) {
--- /dev/null
+++ b/httpjson/answer.go
@@ -0,0 +1,102 @@
+package httpjson
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+)
+
+// Answer is a complete answer, ready to be written.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// JSON answers with v.
+func JSON(v any) (Answer, error) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return Answer{}, err
+	}
+	return Answer{
+		Status: http.StatusOK,
+		Header: http.Header{"Content-Type": {"application/json"}},
+		Body:   append(body, '\n'),
+	}, nil
+}
+
+// Detailed is an error that tells a peer more than its kind, such as the faults
+// of a document.
+type Detailed interface {
+	error
+	AddDetail(*api.Error)
+}
+
+// Error answers err by the table of errkind.
+func Error(err error) Answer {
+	e := typed(err)
+	told := api.ErrorFrom(e)
+	var detailed Detailed
+	if errors.As(err, &detailed) {
+		detailed.AddDetail(&told)
+	}
+	a, encodeErr := JSON(api.ErrorReply{Error: told})
+	if encodeErr != nil {
+		return Answer{Status: http.StatusInternalServerError}
+	}
+	a.Status = errkind.AnswerFor(e.Kind).Status
+	a.Header.Set(api.HeaderError, string(e.Kind))
+	if e.RetryAfter > 0 {
+		a.Header.Set("Retry-After", strconv.Itoa(wholeSeconds(e.RetryAfter)))
+	}
+	return a
+}
+
+// typed gives an error without a kind the kind that claims least. A deadline
+// that passed inside a backend leaves the outcome open, since the work may have
+// been sent on by then. The text of other errors may hold what peers should not
+// read, so it is left out.
+func typed(err error) *errkind.Error {
+	var e *errkind.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return errkind.New(errkind.OutcomeUnknown, "no answer before the deadline of the call")
+	}
+	return errkind.New(errkind.Internal, "internal error")
+}
+
+// wholeSeconds rounds up, since Retry-After has no smaller unit and an earlier
+// retry is useless.
+func wholeSeconds(d time.Duration) int {
+	return int((d + time.Second - 1) / time.Second)
+}
+
+// write sends a with its length and digest, so that the peer can tell a complete
+// answer from a part of one.
+func (s *Server) write(w http.ResponseWriter, a Answer) {
+	// Fails only for connections without deadlines, such as those of tests.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.limits.WriteTimeout))
+	for name, values := range a.Header {
+		w.Header()[name] = values
+	}
+	sum := sha256.Sum256(a.Body)
+	w.Header().Set(api.HeaderDigest, "sha-256=:"+base64.StdEncoding.EncodeToString(sum[:])+":")
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.WriteHeader(a.Status)
+	// A peer that has gone needs no answer; it asks again.
+	_, _ = w.Write(a.Body)
+}
--- /dev/null
+++ b/httpjson/read.go
@@ -0,0 +1,91 @@
+package httpjson
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/jsonc"
+)
+
+// ReadBody reads the whole body of r or says why it cannot.
+func (s *Server) ReadBody(r *http.Request) ([]byte, error) {
+	limit := fmt.Sprintf("%d bytes", s.limits.MaxRequestBytes)
+	if r.ContentLength > s.limits.MaxRequestBytes {
+		return nil, errkind.New(errkind.RequestTooLarge, "the body has %d bytes", r.ContentLength).WithField("body", limit)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, s.limits.MaxRequestBytes))
+	var tooLarge *http.MaxBytesError
+	var network net.Error
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, errkind.New(errkind.RequestTooLarge, "the body is too large").WithField("body", limit)
+	case errors.As(err, &network) && network.Timeout():
+		return nil, errkind.New(errkind.RequestTimeout, "the body was sent too slowly").WithField("body", s.limits.ReadTimeout.String())
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, errkind.New(errkind.InvalidRequest, "the body ends after %d bytes", len(body)).
+			WithField("body", fmt.Sprintf("%d bytes, as Content-Length states", r.ContentLength))
+	}
+	return nil, errkind.New(errkind.InvalidRequest, "the body cannot be read").WithField("body", limit)
+}
+
+// ReadJSON reads the body of r, standard JSON, into the struct that into points
+// to.
+func (s *Server) ReadJSON(r *http.Request, into any) error {
+	body, err := s.ReadBody(r)
+	if err != nil {
+		return err
+	}
+	return Decode(body, into)
+}
+
+// Decode reads body, standard JSON, into the struct that into points to. The
+// error names the first field at fault.
+func Decode(body []byte, into any) error {
+	_, faults := jsonc.Decode(body, into, jsonc.WithoutComments)
+	if len(faults) == 0 {
+		return nil
+	}
+	first := faults[0]
+	field := first.Path
+	if field == "" {
+		field = "body"
+	}
+	return errkind.New(errkind.InvalidRequest, "line %d, column %d: %s", first.Line, first.Column, first.Message).
+		WithField(field, first.Allowed)
+}
+
+const bearer = "Bearer "
+
+// Secret returns the secret of the key that came with r, or "" without one.
+func Secret(r *http.Request) (string, error) {
+	value := r.Header.Get("Authorization")
+	if value == "" {
+		return "", nil
+	}
+	secret, ok := strings.CutPrefix(value, bearer)
+	if !ok || secret == "" {
+		return "", errkind.New(errkind.KeyMissing, "the header has no bearer key").WithField("Authorization", "Bearer <secret>")
+	}
+	return secret, nil
+}
+
+// Wait returns the duration in the query parameter wait of r, 0 for none.
+func Wait(r *http.Request, most time.Duration) (time.Duration, error) {
+	text := r.URL.Query().Get("wait")
+	if text == "" {
+		return 0, nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 || wait > most {
+		return 0, errkind.New(errkind.InvalidRequest, "the wait %.40q is not allowed", text).WithField("wait", "0s to "+most.String())
+	}
+	return wait, nil
+}
--- /dev/null
+++ b/operator/conflict.go
@@ -0,0 +1,68 @@
+package operator
+
+import (
+	"fmt"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/document"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/jsonc"
+)
+
+// Conflict is the error of a change that came after another one.
+type Conflict struct {
+	Expected int64
+	Current  Held // Revision is 0 where there is no document
+}
+
+// Error returns both revisions.
+func (c *Conflict) Error() string { return c.typed().Error() }
+
+// Unwrap returns the error of kind revision_conflict.
+func (c *Conflict) Unwrap() error { return c.typed() }
+
+func (c *Conflict) typed() *errkind.Error {
+	return errkind.New(errkind.RevisionConflict, "revision %d is in force, not %d", c.Current.Revision, c.Expected).
+		WithField("expect", fmt.Sprintf("%d, after a look at the other change", c.Current.Revision))
+}
+
+// AddDetail shows the change that came first.
+func (c *Conflict) AddDetail(told *api.Error) {
+	told.Conflict = &api.Conflict{
+		Expected: c.Expected,
+		Revision: c.Current.Revision,
+		By:       c.Current.Record.By,
+		At:       c.Current.Record.At,
+		Changes:  changesOf(c.Current.Record.LastChange()),
+	}
+}
+
+func changesOf(changes []document.Change) []api.Change {
+	shown := make([]api.Change, len(changes))
+	for i, c := range changes {
+		shown[i] = api.Change(c)
+	}
+	return shown
+}
+
+// faulty is the error of a document with faults.
+type faulty struct{ faults []jsonc.Fault }
+
+// Error returns the first fault.
+func (f *faulty) Error() string { return f.typed().Error() }
+
+// Unwrap returns the error of kind invalid_request.
+func (f *faulty) Unwrap() error { return f.typed() }
+
+func (f *faulty) typed() *errkind.Error {
+	first := f.faults[0]
+	field := first.Path
+	if field == "" {
+		field = "body"
+	}
+	return errkind.New(errkind.InvalidRequest, "the document has %d faults, first at line %d, column %d: %s",
+		len(f.faults), first.Line, first.Column, first.Message).WithField(field, first.Allowed)
+}
+
+// AddDetail lists every fault.
+func (f *faulty) AddDetail(told *api.Error) { told.Faults = f.faults }
--- /dev/null
+++ b/operator/documents.go
@@ -0,0 +1,133 @@
+package operator
+
+import (
+	"strconv"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/document"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/httpjson"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+func (s *Server) listDocuments(c call) (httpjson.Answer, error) {
+	held, err := s.backend.List(c.ctx)
+	if err != nil {
+		return httpjson.Answer{}, err
+	}
+	list := api.Documents{Documents: make([]api.Document, len(held))}
+	for i, h := range held {
+		list.Documents[i] = shown(h)
+		list.Documents[i].Source = ""
+	}
+	return httpjson.JSON(list)
+}
+
+func (s *Server) getDocument(c call) (httpjson.Answer, error) {
+	ref, err := refOf(c)
+	if err != nil {
+		return httpjson.Answer{}, err
+	}
+	held, err := s.backend.Get(c.ctx, ref)
+	if err != nil {
+		return httpjson.Answer{}, err
+	}
+	return httpjson.JSON(shown(held))
+}
+
+func (s *Server) applyDocument(c call) (httpjson.Answer, error) {
+	expected, err := expectedOf(c)
+	if err != nil {
+		return httpjson.Answer{}, err
+	}
+	ref, source, _, err := s.candidate(c)
+	if err != nil {
+		return httpjson.Answer{}, err
+	}
+	held, err := s.backend.Apply(c.ctx, Change{Ref: ref, Source: source, By: c.by, Expected: expected, Wait: c.wait})
+	if err != nil {
+		return httpjson.Answer{}, err
+	}
+	return httpjson.JSON(shown(held))
+}
+
+// diffDocument compares a document that an operator sends with the one in
+// force. A document that is not there counts as empty.
+func (s *Server) diffDocument(c call) (httpjson.Answer, error) {
+	ref, _, candidate, err := s.candidate(c)
+	if err != nil {
+		return httpjson.Answer{}, err
+	}
+	held, err := s.backend.Get(c.ctx, ref)
+	if err != nil && !isMissing(err) {
+		return httpjson.Answer{}, err
+	}
+	current, _ := document.Parse([]byte(held.Record.Source))
+	return httpjson.JSON(api.Diff{Revision: held.Revision, Changes: changesOf(document.Diff(current, candidate))})
+}
+
+func isMissing(err error) bool {
+	kind := errkind.From(err).Kind
+	return kind == errkind.UnknownTeam || kind == errkind.UnknownService
+}
+
+// candidate reads and checks the document in the body, which has to be the one
+// that the path names.
+func (s *Server) candidate(c call) (Ref, string, document.Document, error) {
+	ref, err := refOf(c)
+	if err != nil {
+		return ref, "", document.Document{}, err
+	}
+	body, err := s.ReadBody(c.Request)
+	if err != nil {
+		return ref, "", document.Document{}, err
+	}
+	parsed, faults := document.Parse(body)
+	if len(faults) > 0 {
+		return ref, "", parsed, &faulty{faults}
+	}
+	if parsed.Team != ref.Team {
+		return ref, "", parsed, errkind.New(errkind.InvalidRequest, "the document is that of team %s", parsed.Team).
+			WithField("team", string(ref.Team)+", as in the path")
+	}
+	if parsed.Service != ref.Service {
+		return ref, "", parsed, errkind.New(errkind.InvalidRequest, "the document is that of service %q", parsed.Service).
+			WithField("service", strconv.Quote(string(ref.Service))+", as in the path")
+	}
+	return ref, string(body), parsed, nil
+}
+
+func refOf(c call) (Ref, error) {
+	ref := Ref{Team: task.Team(c.PathValue("team")), Service: task.Service(c.PathValue("service"))}
+	if !document.IsName(string(ref.Team)) {
+		return ref, errkind.New(errkind.UnknownTeam, "there is no team %.80q", ref.Team).WithField("team", document.NameRule)
+	}
+	if ref.Service != "" && !document.IsName(string(ref.Service)) {
+		return ref, errkind.New(errkind.UnknownService, "there is no service %.80q", ref.Service).WithField("service", document.NameRule)
+	}
+	return ref, nil
+}
+
+// expectedOf demands a revision, so that no change replaces one that its
+// operator has not seen.
+func expectedOf(c call) (int64, error) {
+	text := c.URL.Query().Get("expect")
+	expected, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || expected < 0 {
+		return 0, errkind.New(errkind.InvalidRequest, "the expected revision %.40q is not a revision", text).
+			WithField("expect", "the revision that get shows, 0 for a new document")
+	}
+	return expected, nil
+}
+
+func shown(h Held) api.Document {
+	return api.Document{
+		Team:     h.Ref.Team,
+		Service:  h.Ref.Service,
+		Revision: h.Revision,
+		By:       h.Record.By,
+		At:       h.Record.At,
+		Source:   h.Record.Source,
+		InForce:  h.InForce,
+	}
+}
--- /dev/null
+++ b/operator/keys.go
@@ -0,0 +1,65 @@
+package operator
+
+import (
+	"strconv"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/document"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/httpjson"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+const maxNoteBytes = 200
+
+func (s *Server) grantKey(c call) (httpjson.Answer, error) {
+	var request api.GrantRequest
+	if err := s.ReadJSON(c.Request, &request); err != nil {
+		return httpjson.Answer{}, err
+	}
+	if err := checkGrant(request); err != nil {
+		return httpjson.Answer{}, err
+	}
+	granted, err := s.backend.GrantKey(c.ctx, c.by, request)
+	if err != nil {
+		return httpjson.Answer{}, err
+	}
+	return httpjson.JSON(granted)
+}
+
+func checkGrant(request api.GrantRequest) error {
+	switch {
+	case !document.IsName(string(request.Team)):
+		return errkind.New(errkind.InvalidRequest, "%.80q is not a name", request.Team).WithField("team", document.NameRule)
+	case request.Role != "" && !document.IsName(request.Role):
+		return errkind.New(errkind.InvalidRequest, "%.80q is not a name", request.Role).WithField("role", document.NameRule)
+	case len(request.Note) > maxNoteBytes:
+		return errkind.New(errkind.InvalidRequest, "the note has %d bytes", len(request.Note)).
+			WithField("note", "at most "+strconv.Itoa(maxNoteBytes)+" bytes")
+	}
+	return nil
+}
+
+func (s *Server) withdrawKey(c call) (httpjson.Answer, error) {
+	ref, err := refOf(c)
+	if err != nil {
+		return httpjson.Answer{}, err
+	}
+	key, err := s.backend.WithdrawKey(c.ctx, c.by, ref.Team, c.PathValue("id"))
+	if err != nil {
+		return httpjson.Answer{}, err
+	}
+	return httpjson.JSON(key)
+}
+
+func (s *Server) listKeys(c call) (httpjson.Answer, error) {
+	team := c.URL.Query().Get("team")
+	if team != "" && !document.IsName(team) {
+		return httpjson.Answer{}, errkind.New(errkind.UnknownTeam, "there is no team %.80q", team).WithField("team", document.NameRule)
+	}
+	keys, err := s.backend.Keys(c.ctx, task.Team(team))
+	if err != nil {
+		return httpjson.Answer{}, err
+	}
+	return httpjson.JSON(api.Keys{Keys: keys})
+}
--- /dev/null
+++ b/operator/observe.go
@@ -0,0 +1,75 @@
+package operator
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/httpjson"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// Bounds of the events in one answer.
+const (
+	defaultEvents = 1000
+	maxEvents     = 10_000
+)
+
+func (s *Server) timeline(c call) (httpjson.Answer, error) {
+	filter, err := s.filterOf(c)
+	if err != nil {
+		return httpjson.Answer{}, err
+	}
+	merged, err := s.backend.Timeline(c.ctx, filter)
+	if err != nil {
+		return httpjson.Answer{}, err
+	}
+	return httpjson.JSON(merged)
+}
+
+func (s *Server) filterOf(c call) (Filter, error) {
+	query := c.URL.Query()
+	filter := Filter{Task: task.ID(query.Get("task")), Team: task.Team(query.Get("team")), Limit: defaultEvents}
+	if text := query.Get("limit"); text != "" {
+		limit, err := strconv.Atoi(text)
+		if err != nil || limit < 1 || limit > maxEvents {
+			return filter, errkind.New(errkind.InvalidRequest, "the limit %.40q is not allowed", text).
+				WithField("limit", "1 to "+strconv.Itoa(maxEvents)+" events")
+		}
+		filter.Limit = limit
+	}
+	since, err := s.sinceOf(query.Get("since"))
+	filter.Since = since
+	return filter, err
+}
+
+// sinceOf reads a time, or a duration before now.
+func (s *Server) sinceOf(text string) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	if ago, err := time.ParseDuration(text); err == nil && ago >= 0 {
+		return s.now().Add(-ago), nil
+	}
+	since, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return since, errkind.New(errkind.InvalidRequest, "the time %.40q cannot be read", text).
+			WithField("since", `a time such as 2026-05-04T09:30:00Z, or a duration before now such as 5m`)
+	}
+	return since, nil
+}
+
+// metrics shows the registry of this instance. Values that JSON cannot express,
+// such as the rate of a meter that has not ticked, are left out.
+func (s *Server) metrics(call) (httpjson.Answer, error) {
+	all := s.cfg.Metrics.GetAll()
+	for _, values := range all {
+		for name, value := range values {
+			if f, ok := value.(float64); ok && (math.IsNaN(f) || math.IsInf(f, 0)) {
+				delete(values, name)
+			}
+		}
+	}
+	return httpjson.JSON(all)
+}
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,119 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/mulberrydrum/mulberrydrum/httpjson"
+)
+
+// Config says who may call and how. Limits and the durations must be set.
+type Config struct {
+	Limits      httpjson.Limits
+	MaxWait     time.Duration // longest wait that an operator may ask for
+	CallTimeout time.Duration // for a call without a wait, and on top of a wait
+	Keys        []Key         // empty: every call is answered, for loopback addresses
+	Metrics     metrics.Registry
+	Pprof       bool // profiles show memory of the process, so they are off by default
+}
+
+// Server answers operators. Serve, BeginDrain and Shutdown are those of
+// httpjson.Server.
+type Server struct {
+	*httpjson.Server
+	cfg     Config
+	backend Backend
+	now     func() time.Time
+}
+
+const (
+	teamPath    = "/v1/documents/{team}"
+	servicePath = teamPath + "/services/{service}"
+)
+
+// NewServer returns a server that asks backend.
+func NewServer(cfg Config, backend Backend) *Server {
+	s := &Server{Server: httpjson.NewServer(cfg.Limits), cfg: cfg, backend: backend, now: time.Now}
+	s.Handle("/v1/documents", httpjson.Methods{"GET": s.as(s.listDocuments)})
+	for _, path := range []string{teamPath, servicePath} {
+		s.Handle(path, httpjson.Methods{"GET": s.as(s.getDocument), "PUT": s.as(s.applyDocument)})
+		s.Handle(path+"/diff", httpjson.Methods{"POST": s.as(s.diffDocument)})
+	}
+	s.Handle("/v1/keys", httpjson.Methods{"GET": s.as(s.listKeys), "POST": s.as(s.grantKey)})
+	s.Handle("/v1/keys/{team}/{id}", httpjson.Methods{"DELETE": s.as(s.withdrawKey)})
+	s.Handle("/v1/drain", httpjson.Methods{"POST": s.as(s.drain)})
+	s.Handle("/v1/ownership/force", httpjson.Methods{"POST": s.as(s.forceOwnership)})
+	s.Handle("/v1/workers", httpjson.Methods{"GET": s.as(s.workers)})
+	s.Handle("/v1/shares", httpjson.Methods{"GET": s.as(s.shares)})
+	s.Handle("/v1/members", httpjson.Methods{"GET": s.as(s.members)})
+	s.Handle("/v1/timeline", httpjson.Methods{"GET": s.as(s.timeline)})
+	s.Handle("/v1/metrics", httpjson.Methods{"GET": s.as(s.metrics)})
+	s.Handle("/healthz", httpjson.Methods{"GET": s.probe(backend.Healthy)})
+	s.Handle("/readyz", httpjson.Methods{"GET": s.probe(backend.Ready)})
+	if cfg.Pprof {
+		s.handlePprof()
+	}
+	return s
+}
+
+// call is one call of an operator whose key was checked.
+type call struct {
+	ctx  context.Context
+	by   string // name of the operator
+	wait time.Duration
+	*http.Request
+}
+
+// as turns h into a handler that checks the key first and bounds the call.
+func (s *Server) as(h func(call) (httpjson.Answer, error)) httpjson.Handler {
+	return func(r *http.Request) (httpjson.Answer, error) {
+		by, err := s.operatorOf(r)
+		if err != nil {
+			return httpjson.Answer{}, err
+		}
+		wait, err := httpjson.Wait(r, s.cfg.MaxWait)
+		if err != nil {
+			return httpjson.Answer{}, err
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), wait+s.cfg.CallTimeout)
+		defer cancel()
+		return h(call{ctx: ctx, by: by, wait: wait, Request: r})
+	}
+}
+
+// probe answers without a key, because the platform's balancer has none.
+func (s *Server) probe(check func(context.Context) error) httpjson.Handler {
+	return func(r *http.Request) (httpjson.Answer, error) {
+		ctx, cancel := context.WithTimeout(r.Context(), s.cfg.CallTimeout)
+		defer cancel()
+		if err := check(ctx); err != nil {
+			return httpjson.Answer{}, err
+		}
+		return httpjson.JSON(map[string]string{"state": "ok"})
+	}
+}
+
+// handlePprof adds the profiles by hand: importing net/http/pprof adds them to
+// the default multiplexer only, which this server does not use.
+func (s *Server) handlePprof() {
+	pages := map[string]http.HandlerFunc{
+		"/debug/pprof/":        pprof.Index,
+		"/debug/pprof/cmdline": pprof.Cmdline,
+		"/debug/pprof/profile": pprof.Profile,
+		"/debug/pprof/symbol":  pprof.Symbol,
+		"/debug/pprof/trace":   pprof.Trace,
+	}
+	for path, page := range pages {
+		s.HandleRaw(path, func(w http.ResponseWriter, r *http.Request) {
+			if _, err := s.operatorOf(r); err != nil {
+				http.Error(w, err.Error(), http.StatusForbidden)
+				return
+			}
+			page(w, r)
+		})
+	}
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -33,8 +33,16 @@
 	c.names(s)
 	c.addresses(s)
 	c.Require(slices.Contains(logLevels, s.LogLevel), "log_level", fmt.Sprintf("%q is not known", s.LogLevel), strings.Join(logLevels, ", "))
-	for i, digest := range s.OperatorKeyDigests {
-		c.Require(isDigest(digest), fmt.Sprintf("operator_key_digests[%d]", i), "the digest cannot be read", "64 hexadecimal digits, a-f in lower case")
+	c.operatorKeys(s)
+}
+
+func (c checker) operatorKeys(s Settings) {
+	for i, key := range s.OperatorKeys {
+		path := fmt.Sprintf("operator_keys[%d]", i)
+		c.Require(document.IsName(key.Name), path+".name", fmt.Sprintf("%q is not a name", key.Name), document.NameRule)
+		c.Require(isDigest(key.Digest), path+".digest", "the digest cannot be read", "64 hexadecimal digits, a-f in lower case")
+		twice := slices.ContainsFunc(s.OperatorKeys[:i], func(k OperatorKey) bool { return k.Digest == key.Digest })
+		c.Require(!twice, path+".digest", "the digest stands twice", "a secret of its own for each operator")
 	}
 }
 
@@ -113,10 +121,10 @@
 	for i, endpoint := range s.StoreEndpoints {
 		c.address(fmt.Sprintf("store_endpoints[%d]", i), endpoint)
 	}
-	if operator, err := netip.ParseAddrPort(s.OperatorAddress); err == nil && len(s.OperatorKeyDigests) == 0 {
+	if operator, err := netip.ParseAddrPort(s.OperatorAddress); err == nil && len(s.OperatorKeys) == 0 {
 		c.Require(operator.Addr().IsLoopback(), "operator_address",
 			"operators are answered without a key on an address that other machines reach",
-			"a loopback address, or at least one of operator_key_digests")
+			"a loopback address, or at least one of operator_keys")
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,18 +5,18 @@
 // Settings are the settings of one daemon. The tags state what each field means,
 // its default and its bounds; a field without a default must be set.
 type Settings struct {
-	Instance             string   `json:"instance" doc:"name of this instance, as in the instance list"`
-	Region               string   `json:"region" doc:"region of this instance, one of regions"`
-	FailureDomain        string   `json:"failure_domain" doc:"failure domain of this instance"`
-	Regions              []string `json:"regions" doc:"every region of the deployment; the same on all instances"`
-	CallerAddress        string   `json:"caller_address" doc:"IP:PORT on which callers are answered"`
-	OperatorAddress      string   `json:"operator_address" doc:"IP:PORT on which operators are answered"`
-	EntryAddress         string   `json:"entry_address" doc:"IP:PORT at which the other entry instances reach this one"`
-	StoreEndpoints       []string `json:"store_endpoints" doc:"IP:PORT of each endpoint of the platform's store"`
-	InstanceListEndpoint string   `json:"instance_list_endpoint" doc:"IP:PORT of the platform's instance list"`
-	OperatorKeyDigests   []string `json:"operator_key_digests" default:"[]" doc:"SHA-256 digests, in hex, of the secrets of operators; may be empty where operator_address is a loopback address"`
-	LogLevel             string   `json:"log_level" default:"info" doc:"debug, info, warn or error"`
-	Pprof                bool     `json:"pprof" default:"false" doc:"serve /debug/pprof/ on operator_address"`
+	Instance             string        `json:"instance" doc:"name of this instance, as in the instance list"`
+	Region               string        `json:"region" doc:"region of this instance, one of regions"`
+	FailureDomain        string        `json:"failure_domain" doc:"failure domain of this instance"`
+	Regions              []string      `json:"regions" doc:"every region of the deployment; the same on all instances"`
+	CallerAddress        string        `json:"caller_address" doc:"IP:PORT on which callers are answered"`
+	OperatorAddress      string        `json:"operator_address" doc:"IP:PORT on which operators are answered"`
+	EntryAddress         string        `json:"entry_address" doc:"IP:PORT at which the other entry instances reach this one"`
+	StoreEndpoints       []string      `json:"store_endpoints" doc:"IP:PORT of each endpoint of the platform's store"`
+	InstanceListEndpoint string        `json:"instance_list_endpoint" doc:"IP:PORT of the platform's instance list"`
+	OperatorKeys         []OperatorKey `json:"operator_keys" default:"[]" doc:"operators, each with name and digest; may be empty where operator_address is a loopback address"`
+	LogLevel             string        `json:"log_level" default:"info" doc:"debug, info, warn or error"`
+	Pprof                bool          `json:"pprof" default:"false" doc:"serve /debug/pprof/ on operator_address"`
 
 	StoreLeaseTTL       time.Duration `json:"store_lease_ttl" default:"9s" min:"1s" max:"5m" doc:"TTL of the store lease to which the member key is attached"`
 	KeepaliveInterval   time.Duration `json:"keepalive_interval" default:"3s" min:"100ms" max:"1m" doc:"between two keepalives of the store lease; less than half of store_lease_ttl"`
@@ -66,3 +66,10 @@
 	WriteTimeout           time.Duration `json:"write_timeout" default:"10s" min:"100ms" max:"5m" doc:"a caller takes its answer in this time"`
 	IdleTimeout            time.Duration `json:"idle_timeout" default:"1m" min:"1s" max:"10m" doc:"a connection of a caller is closed when idle for this time"`
 }
+
+// OperatorKey admits one operator. The settings hold the digest only, so that
+// reading them does not let anybody act.
+type OperatorKey struct {
+	Name   string `json:"name"`   // recorded with each change
+	Digest string `json:"digest"` // SHA-256 of the secret, in hex
+}
