--- /dev/null
+++ b/cmd/mulberryctl/main_test.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/caller"
+	"github.com/mulberrydrum/mulberrydrum/document"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/httpjson"
+	"github.com/mulberrydrum/mulberrydrum/operator"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// callers answers every submission as finished with its payload, or with err.
+type callers struct {
+	caller.Backend
+	spec    task.Spec
+	outcome task.Outcome
+	err     error
+}
+
+func (b *callers) Submit(_ context.Context, secret string, spec task.Spec, _ time.Duration) (caller.Reply, error) {
+	if secret != "s3cret" {
+		return caller.Reply{}, errkind.New(errkind.KeyRefused, "no such key")
+	}
+	b.spec = spec
+	o := b.outcome
+	o.Result = spec.Payload
+	return caller.Reply{State: o.State, Tasks: []caller.TaskState{{ID: "t", State: o.State, Outcome: &o}}}, b.err
+}
+
+// operators keeps one document.
+type operators struct {
+	operator.Backend
+	held operator.Held
+}
+
+func (b *operators) Get(context.Context, operator.Ref) (operator.Held, error) {
+	if b.held.Revision == 0 {
+		return b.held, errkind.New(errkind.UnknownService, "no document")
+	}
+	return b.held, nil
+}
+
+func (b *operators) Apply(_ context.Context, c operator.Change) (operator.Held, error) {
+	if c.Expected != b.held.Revision {
+		return operator.Held{}, &operator.Conflict{Expected: c.Expected, Current: b.held}
+	}
+	b.held = operator.Held{Ref: c.Ref, Revision: b.held.Revision + 1, Record: document.Record{
+		Source: c.Source, Previous: b.held.Record.Source, By: c.By}}
+	return b.held, nil
+}
+
+func (b *operators) Ready(context.Context) error   { return nil }
+func (b *operators) Healthy(context.Context) error { return nil }
+
+type server interface {
+	Serve(net.Listener) error
+	Shutdown(context.Context) error
+}
+
+func start(t *testing.T, s server) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ln) }()
+	t.Cleanup(func() { _ = s.Shutdown(context.Background()); <-done })
+	return ln.Addr().String()
+}
+
+// command runs mulberryctl against two fake backends.
+type command func(stdin string, args ...string) (code int, stdout, stderr string)
+
+func commandOf(t *testing.T, forCallers caller.Backend, forOperators operator.Backend) command {
+	t.Helper()
+	limits := httpjson.Limits{
+		MaxRequestBytes: 1 << 20, MaxHeaderBytes: 8 << 10, ReadHeaderTimeout: time.Second,
+		ReadTimeout: time.Second, WriteTimeout: time.Second, IdleTimeout: time.Second,
+	}
+	callerAt := start(t, caller.NewServer(caller.Config{Limits: limits, MaxResultBytes: 1 << 20, MaxWait: time.Minute, CallTimeout: time.Second}, forCallers))
+	operatorAt := start(t, operator.NewServer(operator.Config{Limits: limits, MaxWait: time.Minute, CallTimeout: time.Second, Metrics: metrics.NewRegistry()}, forOperators))
+	t.Setenv("MULBERRYDRUM_KEY", "s3cret")
+	return func(stdin string, args ...string) (int, string, string) {
+		var out, errs bytes.Buffer
+		args = append(args, "--server", callerAt, "--operator", operatorAt)
+		code := run(context.Background(), args, strings.NewReader(stdin), &out, &errs)
+		return code, out.String(), errs.String()
+	}
+}
+
+// TestSubmitExitCodes guards against a script that takes a failure for a
+// success, or reads a result that is not the one of its job.
+func TestSubmitExitCodes(t *testing.T) {
+	finished := task.Outcome{State: task.Finished}
+	cases := []struct {
+		name    string
+		outcome task.Outcome
+		err     error
+		code    int
+	}{
+		{"success", finished, nil, 0},
+		{"failed", task.Outcome{State: task.Finished, ExitCode: 3}, nil, 1},
+		{"not run", task.Outcome{State: task.NotRun, Reason: string(errkind.KeyWithdrawn)}, nil, 4},
+		{"unknown", task.Outcome{State: task.Unknown, Reason: string(errkind.WorkerLost)}, nil, 8},
+		{"refused", finished, errkind.New(errkind.IdempotencyConflict, "other body"), 6},
+	}
+	for _, c := range cases {
+		run := commandOf(t, &callers{outcome: c.outcome, err: c.err}, &operators{})
+		code, stdout, stderr := run("span 4 m", "submit", "pipes", "supports", "span", "--payload", "-", "--wait", "2s", "--idempotency-key", "k")
+		if code != c.code {
+			t.Errorf("%s: exit code %d, want %d\n%s%s", c.name, code, c.code, stdout, stderr)
+		}
+		if c.err == nil && !strings.HasSuffix(stdout, "\nspan 4 m") {
+			t.Errorf("%s: output %q", c.name, stdout)
+		}
+		if c.err != nil && !strings.Contains(stderr, "idempotency_conflict") {
+			t.Errorf("%s: error output %q", c.name, stderr)
+		}
+	}
+}
+
+// TestSubmitFlags guards against a flag that does not reach the request.
+func TestSubmitFlags(t *testing.T) {
+	backend := &callers{outcome: task.Outcome{State: task.Finished}}
+	code, _, stderr := commandOf(t, backend, &operators{})("", "submit", "pipes", "flex", "run", "--count", "3", "--cpu-milli", "2000",
+		"--start-within", "1m", "--review-by", "2030-05-04T09:30:00Z", "--region", "north,south", "--declared-run", "90s")
+	s := backend.spec
+	if code != 0 || s.Count != 3 || s.Size.CPUMilli != 2000 || time.Until(s.Deadline) < 10*time.Second || s.ReviewBy.Year() != 2030 ||
+		len(s.Regions) != 2 || s.DeclaredRun != 90*time.Second || !strings.Contains(stderr, "idempotency key: "+s.IdempotencyKey) {
+		t.Errorf("exit code %d, spec %+v, %s", code, s, stderr)
+	}
+}
+
+// TestErrorsAsJSON guards against a script that cannot read why it failed.
+func TestErrorsAsJSON(t *testing.T) {
+	run := commandOf(t, &callers{}, &operators{})
+	t.Setenv("MULBERRYDRUM_KEY", "wrong")
+	code, _, stderr := run("", "submit", "pipes", "flex", "run", "--idempotency-key", "k", "--output", "json")
+	var reply api.ErrorReply
+	if err := json.Unmarshal([]byte(stderr), &reply); err != nil || reply.Error.Kind != errkind.KeyRefused || code != 4 {
+		t.Errorf("exit code %d, %s, %v", code, stderr, err)
+	}
+}
+
+const service1 = `{"team": "pipes", "service": "nozzles", "classes": [{"name": "a", "kind": "durable", "size": {"slots": 1}, "max_run": "5m", "command": "x"}]}`
+
+// TestApplyAfterAnotherOperator guards against a file that was read before the
+// other change replacing it.
+func TestApplyAfterAnotherOperator(t *testing.T) {
+	backend := &operators{}
+	run := commandOf(t, &callers{}, backend)
+	if code, _, stderr := run(service1, "apply", "-"); code != 0 {
+		t.Fatalf("first apply: exit code %d, %s", code, stderr)
+	}
+	_, edited, _ := run("", "get", "pipes", "nozzles")
+	if !strings.HasPrefix(edited, "// mulberryctl revision 1\n{") {
+		t.Fatalf("get printed %q", edited)
+	}
+	if code, _, stderr := run(strings.Replace(service1, "5m", "6m", 1), "apply", "-", "--expect", "1"); code != 0 {
+		t.Fatalf("apply of the other operator: exit code %d, %s", code, stderr)
+	}
+	code, _, stderr := run(strings.Replace(edited, "5m", "7m", 1), "apply", "-")
+	if code != 6 || !strings.Contains(stderr, `classes[a].max_run: "5m0s" -> "6m0s"`) || !strings.Contains(backend.held.Record.Source, "6m") {
+		t.Errorf("exit code %d, %s", code, stderr)
+	}
+	if code, out, _ := run(edited, "diff", "-"); code != 1 || !strings.Contains(out, `"6m0s" -> "5m0s"`) {
+		t.Errorf("diff: exit code %d, %s", code, out)
+	}
+}
+
+// TestConfigCheck guards against a fault without its position, and against
+// faults that do not fail a script.
+func TestConfigCheck(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	run := commandOf(t, &callers{}, &operators{})
+	good := write("good.jsonc", service1)
+	if code, out, _ := run("", "config", "check", good); code != 0 || out != "" {
+		t.Errorf("good document: exit code %d, %s", code, out)
+	}
+	for name, c := range map[string]struct{ text, want string }{
+		"document.jsonc": {"{\"team\": \"pipes\",\n \"limit\": 1}", ":2:11: limit: found 1; allowed: an object with cpu_milli"},
+		"settings.jsonc": {"{\"instance\": \"a\",\n \"task_lease\": \"x\"}", `:2:16: task_lease: found "x"; allowed: a duration`},
+		"other.jsonc":    {`{"colour": 1}`, ":1:1: the file is neither settings nor a document; allowed: "},
+		"broken.jsonc":   {"{\"team\":\n", ":2:1: the text ends before the value does"},
+	} {
+		path := write(name, c.text)
+		if code, out, _ := run("", "config", "check", good, path); code != 1 || !strings.Contains(out, path+c.want) {
+			t.Errorf("%s: exit code %d, %s", name, code, out)
+		}
+	}
+	if code, _, _ := run("", "config", "check", filepath.Join(dir, "none")); code != 1 {
+		t.Errorf("missing file: exit code %d", code)
+	}
+}
+
+// TestUsageErrors guards against a wrong command line that looks like another
+// failure.
+func TestUsageErrors(t *testing.T) {
+	run := commandOf(t, &callers{}, &operators{})
+	for _, args := range [][]string{{"drain"}, {"drain", "--worker", "a", "--instance", "b"}, {"fly"}, {"status", "a/b"}, {"ownership", "force", "w/x/1"}} {
+		if code, _, stderr := run("", args...); code != 2 || stderr == "" {
+			t.Errorf("%v: exit code %d, %q", args, code, stderr)
+		}
+	}
+}
--- a/errkind/errkind_test.go
+++ b/errkind/errkind_test.go
@@ -26,6 +26,9 @@
 		if a.Status == 0 || a.ExitCode == 0 || a.Advice == "" || a.Fate == "" {
 			t.Errorf("row of %q is incomplete: %+v", k, a)
 		}
+		if meanings[k] == "" {
+			t.Errorf("kind %q has no meaning in the reference", k)
+		}
 	}
 }
 
--- a/httpjson/server.go
+++ b/httpjson/server.go
@@ -68,6 +68,12 @@
 	}))
 }
 
+// Paths lists the paths that Handle added.
+func (s *Server) Paths() []string { return slices.Clone(s.paths) }
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
 // HandleRaw adds a path whose handler writes its own answers.
 func (s *Server) HandleRaw(path string, h http.HandlerFunc) { s.mux.HandleFunc(path, h) }
 
