--- /dev/null
+++ b/fairshare/bench_test.go
@@ -0,0 +1,48 @@
+package fairshare
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+func forEachTeams(b *testing.B, run func(b *testing.B, s *Shares, teams []task.Team)) {
+	for _, count := range []int{6, 97} {
+		b.Run(fmt.Sprintf("teams=%d", count), func(b *testing.B) {
+			s := newShares(0)
+			var teams []task.Team
+			for i := range count {
+				team := task.Team(fmt.Sprintf("team-%02d", i))
+				teams = append(teams, team)
+				s.SetWeight(team, float64(1+i%5))
+				s.Start(start, team, task.Resources{CPUMilli: int64(i * 100), Slots: 1})
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			run(b, s, teams)
+		})
+	}
+}
+
+// BenchmarkOrder sorts all teams after one start.
+func BenchmarkOrder(b *testing.B) {
+	forEachTeams(b, func(b *testing.B, s *Shares, teams []task.Team) {
+		for i := range b.N {
+			now := start.Add(time.Duration(i) * time.Millisecond)
+			s.Start(now, teams[0], task.Resources{Slots: 1})
+			s.Order(now, teams)
+		}
+	})
+}
+
+// BenchmarkReorder repairs the order after one start.
+func BenchmarkReorder(b *testing.B) {
+	forEachTeams(b, func(b *testing.B, s *Shares, teams []task.Team) {
+		for range b.N {
+			s.Start(start, teams[0], task.Resources{Slots: 1})
+			s.Reorder(start, teams)
+		}
+	})
+}
--- a/fairshare/shares.go
+++ b/fairshare/shares.go
@@ -12,6 +12,11 @@
 // DefaultHalfLife is the half-life of past usage if Config gives none.
 const DefaultHalfLife = 10 * time.Minute
 
+// needTick is how long the key of a team that neither starts nor finishes
+// anything is kept. Decay changes it by 0.01% in that time at the default
+// half-life.
+const needTick = 100 * time.Millisecond
+
 // Config configures Shares.
 type Config struct {
 	HalfLife time.Duration // time after which past usage counts half
@@ -40,6 +45,8 @@
 	remote    task.Resources
 	decayed   vector
 	decayedAt time.Time
+	need      float64   // key of the order
+	needAt    time.Time // when it was computed; zero after a change
 }
 
 // vector is an amount of each resource that teams compete for.
@@ -67,16 +74,26 @@
 	u := s.usageOf(team)
 	s.totalWeight += weight - u.weight
 	u.weight = weight
+	u.needAt = time.Time{}
 }
 
 // SetTotal sets the amounts of which shares are fractions.
-func (s *Shares) SetTotal(total task.Resources) { s.total = total }
+func (s *Shares) SetTotal(total task.Resources) {
+	if s.total == total {
+		return
+	}
+	s.total = total
+	for _, u := range s.teams {
+		u.needAt = time.Time{}
+	}
+}
 
 // Start adds to a team's own usage.
 func (s *Shares) Start(now time.Time, team task.Team, size task.Resources) {
 	u := s.usageOf(team)
 	s.decay(now, u)
 	u.own = u.own.Add(size)
+	u.needAt = time.Time{}
 }
 
 // Finish takes from a team's own usage.
@@ -84,6 +101,7 @@
 	u := s.usageOf(team)
 	s.decay(now, u)
 	u.own = u.own.Sub(size).Max(task.Resources{})
+	u.needAt = time.Time{}
 }
 
 // SetRemote sets what a team uses at all other owners.
@@ -91,6 +109,7 @@
 	u := s.usageOf(team)
 	s.decay(now, u)
 	u.remote = size.Max(task.Resources{})
+	u.needAt = time.Time{}
 }
 
 // Order sorts teams in place, the one furthest below its share first, and
@@ -136,12 +155,17 @@
 	}
 }
 
-// need is the key of the order, lower for a team further below its share. The
-// present share makes the order react at once to what is started; the decayed
-// share remembers who used more than its share a while ago.
+// need returns the key of the order, lower for a team further below its share.
+// The present share makes the order react at once to what is started; the
+// decayed share remembers who used more than its share a while ago.
 func (s *Shares) need(now time.Time, u *usage) float64 {
+	if !u.needAt.IsZero() && now.Sub(u.needAt) < needTick {
+		return u.need
+	}
 	s.decay(now, u)
-	return (u.used().DominantShare(s.total) + u.decayed.dominantShare(s.total)) / u.weight
+	u.need = (u.used().DominantShare(s.total) + u.decayed.dominantShare(s.total)) / u.weight
+	u.needAt = now
+	return u.need
 }
 
 // decay moves the decayed usage of a team towards its present usage.
--- a/queue/admit.go
+++ b/queue/admit.go
@@ -41,13 +41,19 @@
 	d.lastProgress = now
 }
 
-// expected returns the interval to reckon with at now. A queue in which nothing
-// starts is not expected to go faster than it has lately.
-func (d *drain) expected(now time.Time) time.Duration {
+// stalled returns for how long nothing has started.
+func (d *drain) stalled(now time.Time) time.Duration {
 	if d.lastProgress.IsZero() {
-		return d.interval
+		return 0
 	}
-	return max(d.interval, now.Sub(d.lastProgress))
+	return now.Sub(d.lastProgress)
+}
+
+// waitBehind returns the expected wait behind a number of entries. The first
+// start is expected to take as long again as nothing has started, so that a
+// stalled queue is noticed although it yields no intervals.
+func (d *drain) waitBehind(now time.Time, ahead int) time.Duration {
+	return max(d.interval, d.stalled(now)) + time.Duration(ahead)*d.interval
 }
 
 // ObserveStart learns the rate at which a team's queue drains. Control calls it
@@ -63,9 +69,10 @@
 }
 
 // ExpectedWait returns how long an entry would wait if it were pushed now. It
-// is zero as long as nothing waits or nothing was learned.
+// is zero as long as nothing waits.
 func (q *Queues) ExpectedWait(now time.Time, e Entry) time.Duration {
 	t := q.queueOf(e.Team)
+	q.promote(now, t)
 	if e.EnqueuedAt.IsZero() {
 		e.EnqueuedAt = now
 	}
@@ -80,13 +87,13 @@
 	for k := range it.tier {
 		ahead += len(t.tiers[k].items)
 	}
-	return time.Duration(ahead+1) * t.drain.expected(now)
+	return t.drain.waitBehind(now, ahead)
 }
 
 // admit refuses an entry that has no room or no chance.
 func (q *Queues) admit(now time.Time, t *teamQueue, it *item) *errkind.Error {
 	if waiting := t.len(); waiting >= q.cfg.Limit {
-		wait := time.Duration(retryDrainPart * float64(waiting) * float64(t.drain.expected(now)))
+		wait := t.drain.waitBehind(now, int(retryDrainPart*float64(waiting)))
 		return errkind.New(errkind.QueueFull, "the queue of team %s holds %d requests, its limit", it.Team, waiting).
 			WithRetryAfter(q.retryAfter(wait))
 	}
@@ -97,9 +104,8 @@
 		return errkind.New(errkind.DeadlineExceeded, "the deadline passed %v ago", -left).
 			WithRetryAfter(q.retryAfter(0))
 	}
-	wait := q.expectedWait(now, t, it)
 	left := it.Deadline.Sub(now)
-	if wait > left {
+	if wait := q.expectedWait(now, t, it); wait > left {
 		return errkind.New(errkind.DeadlineExceeded, "the expected wait of %v exceeds the %v to the deadline", wait, left).
 			WithRetryAfter(q.retryAfter(wait - left))
 	}
--- /dev/null
+++ b/queue/bench_test.go
@@ -0,0 +1,80 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// newBusy returns queues of a number of teams that are filled to the limit but
+// for one entry each, and the attempts in them.
+func newBusy(teams int) (*Queues, []Entry) {
+	q := New(Config{})
+	var entries []Entry
+	for i := range teams * (DefaultLimit - 1) {
+		e := Entry{
+			Attempt:    task.Attempt{Task: task.ID(fmt.Sprint("task-", i)), Number: 1},
+			Team:       task.Team(fmt.Sprintf("team-%02d", i%teams)),
+			Service:    "service",
+			Class:      "class",
+			Urgency:    task.Urgencies[i/teams%3],
+			KeyID:      fmt.Sprint("key-", i/teams%4),
+			EnqueuedAt: start.Add(time.Duration(i) * time.Millisecond),
+		}
+		if i%2 == 0 {
+			e.Deadline = start.Add(time.Hour + time.Duration(i)*time.Millisecond)
+		}
+		q.Push(start, e)
+		entries = append(entries, e)
+	}
+	return q, entries
+}
+
+func forEachTeams(b *testing.B, run func(b *testing.B, q *Queues, entries []Entry)) {
+	for _, teams := range []int{6, 97} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			q, entries := newBusy(teams)
+			b.ReportAllocs()
+			b.ResetTimer()
+			run(b, q, entries)
+		})
+	}
+}
+
+// BenchmarkPeek is a look at the first entry of a full queue.
+func BenchmarkPeek(b *testing.B) {
+	forEachTeams(b, func(b *testing.B, q *Queues, entries []Entry) {
+		for i := range b.N {
+			q.Peek(start, entries[i%len(entries)].Team)
+		}
+	})
+}
+
+// BenchmarkRemovePush cancels one entry of a full queue and adds it again.
+func BenchmarkRemovePush(b *testing.B) {
+	forEachTeams(b, func(b *testing.B, q *Queues, entries []Entry) {
+		for i := range b.N {
+			e := entries[i%len(entries)]
+			q.Remove(e.Attempt)
+			q.Push(start, e)
+		}
+	})
+}
+
+// BenchmarkCancelWave removes a quarter of one full queue by key; the entries
+// are pushed again outside the measured time.
+func BenchmarkCancelWave(b *testing.B) {
+	forEachTeams(b, func(b *testing.B, q *Queues, _ []Entry) {
+		for range b.N {
+			removed := q.RemoveKey("team-00", "key-1")
+			b.StopTimer()
+			for _, e := range removed {
+				q.Push(start, e)
+			}
+			b.StartTimer()
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(DefaultLimit/4), "ns/entry")
+	})
+}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -206,3 +206,25 @@
 		t.Errorf("%d profiles kept, limit 2", n)
 	}
 }
+
+// TestExpectedWaitCountsDueReviews guards against ExpectedWait and Push
+// disagreeing about work that has just become due for its review and now
+// stands ahead of urgent work.
+func TestExpectedWaitCountsDueReviews(t *testing.T) {
+	q := New(Config{ReviewLead: 10 * time.Second})
+	due := entry("due", task.Normal)
+	due.ReviewBy = start.Add(11 * time.Second)
+	mustPush(t, q, start, due)
+	mustPush(t, q, start, entry("first", task.Urgent))
+	now := start.Add(2 * time.Second)
+	q.Remove(task.Attempt{Task: "first", Number: 1})
+	q.ObserveStart(now, "a", time.Second)
+	urgent := entry("urgent", task.Urgent)
+	urgent.Deadline = now.Add(3 * time.Second)
+	if wait := q.ExpectedWait(now, urgent); wait != 4*time.Second {
+		t.Errorf("expected wait = %v, want two intervals of 2 s", wait)
+	}
+	if err := q.Push(now, urgent); err == nil || err.Kind != errkind.DeadlineExceeded {
+		t.Errorf("err = %v", err)
+	}
+}
