Send payloads and inline results as raw bytes after the JSON

Cause: with base64 in the JSON, a start with 128 KB each way took 6.1 ms at p50 against 0.38 ms for a bare exchange; half of the samples were in json.Unmarshal.

Property tests draw from a fixed seed unless one is given, so that the verdict is the same in every run.

--- a/standin/worker_machine_test.go
+++ b/standin/worker_machine_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"flag"
 	"slices"
 	"testing"
 	"time"
@@ -150,6 +151,7 @@
 // worker and its definition, in answers, states, free capacity and in a view
 // that is kept from delta reports alone.
 func TestMachineAgainstNaive(t *testing.T) {
+	fixSeed(t)
 	rapid.Check(t, func(t *rapid.T) {
 		const capacity = 4
 		now := time.Unix(1000, 0)
@@ -244,6 +246,38 @@
 	})
 }
 
+// fixSeed makes rapid draw the same values in every run, unless the command
+// line names a seed.
+func fixSeed(t *testing.T) {
+	t.Helper()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		if err := seed.Value.Set("1"); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestExpiredTombstones guards against an attempt being judged by a stop or an
+// acknowledgement whose start_by has passed. Found by TestMachineAgainstNaive
+// with -rapid.seed=5539937583251006311 and -rapid.seed=3373189.
+func TestExpiredTombstones(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := newMachine(now, testConfig(), 1, &oracle.WorkerLedger{})
+	req := worker.StartRequest{
+		Attempt: task.Attempt{Task: "t", Number: 1}, BootID: m.bootID, Command: "echo", LeaseUntil: time.Hour,
+	}
+	m.stop(now, worker.StopRequest{Attempt: req.Attempt, BootID: m.bootID, StartBy: -time.Second})
+	if _, rejection := m.start(now, req); rejection != nil {
+		t.Errorf("start after a stop that is no longer valid: %v", rejection)
+	}
+	now = now.Add(time.Second)
+	m.advance(now)
+	m.sync(now, worker.SyncRequest{BootID: m.bootID, Acknowledge: []task.Attempt{req.Attempt}})
+	if _, rejection := m.start(now, req); reasonOf(rejection) != worker.ReasonLate {
+		t.Errorf("late start of an acknowledged attempt: %v", rejection)
+	}
+}
+
 // checkSame compares the whole state.
 func checkSame(t *rapid.T, m *machine, n *naive, now time.Time) {
 	if len(m.records) != len(n.tasks) {
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -1,6 +1,7 @@
 package timeline
 
 import (
+	"flag"
 	"slices"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 // TestRingKeepsLatest guards against a ring that grows without bound, or that
 // loses or reorders events when it wraps.
 func TestRingKeepsLatest(t *testing.T) {
+	fixSeed(t)
 	rapid.Check(t, func(t *rapid.T) {
 		capacity := rapid.IntRange(1, 9).Draw(t, "capacity")
 		count := rapid.IntRange(0, 40).Draw(t, "count")
@@ -39,6 +41,17 @@
 	})
 }
 
+// fixSeed makes rapid draw the same values in every run, unless the command
+// line names a seed.
+func fixSeed(t *testing.T) {
+	t.Helper()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		if err := seed.Value.Set("1"); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // TestReceiptComesAfterSending guards against a merged line in which an effect
 // precedes its cause because of differing wall clocks.
 func TestReceiptComesAfterSending(t *testing.T) {
--- a/worker/client.go
+++ b/worker/client.go
@@ -105,7 +105,7 @@
 	var reply SyncReply
 	err := c.exchange(ctx, c.control, call{
 		operation: "sync " + string(to), method: http.MethodPost, to: to, path: "/v1/sync",
-		timeout: c.config.CallTimeout, request: req, reply: &reply,
+		timeout: c.config.CallTimeout, request: asJSON(req), reply: intoJSON(&reply),
 	})
 	return reply, err
 }
@@ -116,7 +116,12 @@
 	var reply StartReply
 	err := c.exchange(ctx, c.traffic, call{
 		operation: operation, method: http.MethodPost, to: to, path: "/v1/tasks",
-		timeout: c.config.CallTimeout + req.Wait, request: req, reply: &reply, check: check,
+		timeout: c.config.CallTimeout + req.Wait, check: check,
+		request: func() (Frame, error) { return EncodeStart(req) },
+		reply: func(body []byte) (err error) {
+			reply, err = DecodeStartReply(body)
+			return err
+		},
 	})
 	if err != nil {
 		return StartReply{}, err
@@ -134,26 +139,26 @@
 
 // Stop implements API.
 func (c *Client) Stop(ctx context.Context, to Address, req StopRequest) (LookupReply, error) {
-	return c.onAttempt(ctx, http.MethodPost, to, req.Attempt, "/stop", req)
+	return c.onAttempt(ctx, http.MethodPost, to, req.Attempt, "/stop", asJSON(req))
 }
 
 // Checkpoint implements API.
 func (c *Client) Checkpoint(ctx context.Context, to Address, req CheckpointRequest) (LookupReply, error) {
-	return c.onAttempt(ctx, http.MethodPost, to, req.Attempt, "/checkpoint", req)
+	return c.onAttempt(ctx, http.MethodPost, to, req.Attempt, "/checkpoint", asJSON(req))
 }
 
 // Throttle implements API.
 func (c *Client) Throttle(ctx context.Context, to Address, req ThrottleRequest) (LookupReply, error) {
-	return c.onAttempt(ctx, http.MethodPost, to, req.Attempt, "/throttle", req)
+	return c.onAttempt(ctx, http.MethodPost, to, req.Attempt, "/throttle", asJSON(req))
 }
 
 // onAttempt calls a path below that of attempt a.
-func (c *Client) onAttempt(ctx context.Context, method string, to Address, a task.Attempt, verb string, req any) (LookupReply, error) {
+func (c *Client) onAttempt(ctx context.Context, method string, to Address, a task.Attempt, verb string, request func() (Frame, error)) (LookupReply, error) {
 	var reply LookupReply
 	operation := fmt.Sprintf("%s %s%s on %s", method, a, verb, to)
 	err := c.exchange(ctx, c.control, call{
 		operation: operation, method: method, to: to, path: attemptPath(a) + verb,
-		timeout: c.config.CallTimeout, request: req, reply: &reply,
+		timeout: c.config.CallTimeout, request: request, reply: intoJSON(&reply),
 	})
 	if err != nil {
 		return LookupReply{}, err
--- /dev/null
+++ b/worker/frame.go
@@ -0,0 +1,98 @@
+package worker
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+// A start and its reply are one line of JSON followed by the payload or result
+// as raw bytes. With the bytes inside of the JSON, in base64, a start with 128 KB
+// took 6.1 ms instead of 0.9 ms (BenchmarkStart, p50).
+
+// Frame is an encoded message: a line of JSON and the raw bytes after it.
+type Frame struct {
+	header []byte
+	tail   []byte
+}
+
+// NewFrame encodes header. The tail is not copied.
+func NewFrame(header any, tail []byte) (Frame, error) {
+	line, err := json.Marshal(header)
+	if err != nil {
+		return Frame{}, fmt.Errorf("encode message: %w", err)
+	}
+	if len(tail) > 0 {
+		line = append(line, '\n')
+	}
+	return Frame{header: line, tail: tail}, nil
+}
+
+// Len returns the number of bytes that Reader gives.
+func (f Frame) Len() int64 { return int64(len(f.header) + len(f.tail)) }
+
+// Reader returns the bytes of the message.
+func (f Frame) Reader() io.Reader {
+	if len(f.tail) == 0 {
+		return bytes.NewReader(f.header)
+	}
+	return io.MultiReader(bytes.NewReader(f.header), bytes.NewReader(f.tail))
+}
+
+// ParseFrame decodes the line of JSON into header and returns the bytes after
+// it, which alias body.
+func ParseFrame(body []byte, header any) (tail []byte, err error) {
+	line, tail, _ := bytes.Cut(body, []byte("\n"))
+	if err := json.Unmarshal(line, header); err != nil {
+		return nil, fmt.Errorf("decode message: %w", err)
+	}
+	return tail, nil
+}
+
+// EncodeStart returns the message for a start.
+func EncodeStart(req StartRequest) (Frame, error) {
+	req.PayloadBytes = int64(len(req.Payload))
+	return NewFrame(req, req.Payload)
+}
+
+// DecodeStart is the inverse of EncodeStart. A payload that is not whole is an
+// error.
+func DecodeStart(body []byte) (StartRequest, error) {
+	var req StartRequest
+	tail, err := ParseFrame(body, &req)
+	if err != nil {
+		return StartRequest{}, err
+	}
+	if int64(len(tail)) != req.PayloadBytes {
+		return StartRequest{}, fmt.Errorf("%w: payload of %d bytes instead of %d", ErrIncomplete, len(tail), req.PayloadBytes)
+	}
+	req.Payload = tail
+	return req, nil
+}
+
+// EncodeStartReply returns the message for the reply to a start.
+func EncodeStartReply(reply StartReply) (Frame, error) {
+	if reply.Outcome == nil || len(reply.Outcome.Result) == 0 {
+		return NewFrame(reply, nil)
+	}
+	outcome := *reply.Outcome
+	outcome.Result = nil
+	tail := reply.Outcome.Result
+	reply.Outcome = &outcome
+	return NewFrame(reply, tail)
+}
+
+// DecodeStartReply is the inverse of EncodeStartReply. Whether a result in it
+// is whole is checked by verifyStart.
+func DecodeStartReply(body []byte) (StartReply, error) {
+	var reply StartReply
+	tail, err := ParseFrame(body, &reply)
+	if err != nil {
+		return StartReply{}, err
+	}
+	if reply.Outcome != nil && len(tail) > 0 {
+		reply.Outcome.Result = tail
+	}
+	return reply, nil
+}
--- a/worker/types.go
+++ b/worker/types.go
@@ -115,8 +115,10 @@
 	Wait       time.Duration  `json:"wait_ns,omitempty"` // how long the reply may wait for the outcome
 	Size       task.Resources `json:"size"`
 	Command    string         `json:"command"`
-	Payload    []byte         `json:"payload,omitempty"`
 	LongLived  bool           `json:"long_lived,omitempty"`
+
+	Payload      []byte `json:"-"`                       // follows the JSON as raw bytes
+	PayloadBytes int64  `json:"payload_bytes,omitempty"` // set by EncodeStart
 }
 
 // InlineResultBytes is the largest result that a start reply carries. Larger
