Count the bytes sent to and received from each worker

Cause: the users measure the control cost of each node, which has to be counted where the bytes leave, headers included.

The counters are compared in a test with what the other end of the connections saw. Forget drops the counters of a worker that is gone. Replies of known length are read into one buffer.

--- a/worker/client.go
+++ b/worker/client.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
@@ -36,6 +38,7 @@
 	IdleTimeout        time.Duration
 	MaxResultBytes     int64
 	MaxReplyBytes      int64
+	Registry           metrics.Registry // where bytes are counted for each worker; nil for nowhere
 }
 
 func (c Config) withDefaults() Config {
@@ -97,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &checkedConn{Conn: conn}, nil
+	return &checkedConn{Conn: conn, traffic: countersFor(c.config.Registry, Address(address))}, nil
 }
 
 // Sync implements API.
--- a/worker/client_test.go
+++ b/worker/client_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
@@ -208,6 +210,66 @@
 	}
 }
 
+// TestTrafficIsCounted guards against control traffic that the metrics miss:
+// the counters are compared with what the other end saw.
+func TestTrafficIsCounted(t *testing.T) {
+	registry := metrics.NewRegistry()
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(rw, `{"started":true}`)
+	}))
+	listener := &countingListener{Listener: server.Listener}
+	server.Listener = listener
+	server.Start()
+	client := NewClient(Config{Registry: registry})
+	at := Address(strings.TrimPrefix(server.URL, "http://"))
+	for i := range 3 {
+		if _, err := client.Start(t.Context(), at, StartRequest{Payload: make([]byte, 1000*i)}, nil); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := client.Sync(t.Context(), at, SyncRequest{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	client.Close()
+	server.Close()
+	sent, received := client.Traffic(at)
+	if sent < 3000 || sent != listener.received.Load() || received != listener.sent.Load() {
+		t.Errorf("sent %d, received %d; the other end received %d, sent %d",
+			sent, received, listener.received.Load(), listener.sent.Load())
+	}
+	client.Forget(at)
+	registry.Each(func(name string, _ any) { t.Errorf("counter %s is left", name) })
+}
+
+// countingListener counts the bytes of all its connections.
+type countingListener struct {
+	net.Listener
+	sent, received atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &countingConn{conn, l}, err
+}
+
+type countingConn struct {
+	net.Conn
+	listener *countingListener
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.listener.received.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.listener.sent.Add(int64(n))
+	return n, err
+}
+
 // recordingConn counts the bytes written.
 type recordingConn struct {
 	net.Conn
@@ -236,7 +298,7 @@
 		{"call ended in the middle", 9, 1, 1, true},
 	} {
 		below := &recordingConn{}
-		conn := &checkedConn{Conn: below}
+		conn := &checkedConn{Conn: below, traffic: countersFor(nil, "")}
 		calls := 0
 		conn.begin(func() error {
 			if calls++; calls > test.allowed {
--- a/worker/conn.go
+++ b/worker/conn.go
@@ -13,6 +13,7 @@
 // time on a connection.
 type checkedConn struct {
 	net.Conn
+	traffic counters
 
 	mu     sync.Mutex
 	check  func() error
@@ -42,7 +43,16 @@
 	if err := c.permit(); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.traffic.sent.Inc(int64(n))
+	return n, err
+}
+
+// Read counts the bytes received.
+func (c *checkedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.received.Inc(int64(n))
+	return n, err
 }
 
 func (c *checkedConn) permit() error {
--- a/worker/exchange.go
+++ b/worker/exchange.go
@@ -36,7 +36,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	body, err := readLimited(resp.Body, c.config.MaxReplyBytes)
+	body, err := readLimited(resp, c.config.MaxReplyBytes)
 	if err != nil {
 		return Unclear(x.operation, err)
 	}
@@ -120,9 +120,19 @@
 	return Unclear(operation, fmt.Errorf("status %d: %.200q", status, body))
 }
 
-// readLimited reads all of r, or fails with ErrTooLarge beyond limit bytes.
-func readLimited(r io.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+// readLimited reads the whole body, or fails with ErrTooLarge beyond limit bytes.
+func readLimited(resp *http.Response, limit int64) ([]byte, error) {
+	if resp.ContentLength > limit {
+		return nil, fmt.Errorf("%w: %d bytes, allowed are %d", ErrTooLarge, resp.ContentLength, limit)
+	}
+	if resp.ContentLength >= 0 {
+		body := make([]byte, resp.ContentLength)
+		if _, err := io.ReadFull(resp.Body, body); err != nil {
+			return nil, fmt.Errorf("read reply: %w", err)
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, fmt.Errorf("read reply: %w", err)
 	}
--- /dev/null
+++ b/worker/metrics.go
@@ -0,0 +1,41 @@
+package worker
+
+import "github.com/rcrowley/go-metrics"
+
+// Names of the counters of one worker: the prefix, its address and a suffix.
+const (
+	metricPrefix   = "worker."
+	sentSuffix     = ".sent_bytes"
+	receivedSuffix = ".received_bytes"
+)
+
+// counters count the bytes on the connections to one worker, HTTP headers
+// included.
+type counters struct{ sent, received metrics.Counter }
+
+func countersFor(registry metrics.Registry, address Address) counters {
+	if registry == nil {
+		return counters{metrics.NilCounter{}, metrics.NilCounter{}}
+	}
+	return counters{
+		sent:     metrics.GetOrRegisterCounter(metricPrefix+string(address)+sentSuffix, registry),
+		received: metrics.GetOrRegisterCounter(metricPrefix+string(address)+receivedSuffix, registry),
+	}
+}
+
+// Traffic returns the bytes sent to a worker and received from it since its
+// counters were made.
+func (c *Client) Traffic(address Address) (sent, received int64) {
+	traffic := countersFor(c.config.Registry, address)
+	return traffic.sent.Count(), traffic.received.Count()
+}
+
+// Forget drops the counters of a worker that is gone. Without it, the registry
+// grows with every replaced worker.
+func (c *Client) Forget(address Address) {
+	if c.config.Registry == nil {
+		return
+	}
+	c.config.Registry.Unregister(metricPrefix + string(address) + sentSuffix)
+	c.config.Registry.Unregister(metricPrefix + string(address) + receivedSuffix)
+}
--- a/worker/result.go
+++ b/worker/result.go
@@ -28,7 +28,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		body, _ := readLimited(resp.Body, c.config.MaxReplyBytes)
+		body, _ := readLimited(resp, c.config.MaxReplyBytes)
 		return statusError(x.operation, resp.StatusCode, body)
 	}
 	if resp.ContentLength < 0 {
