--- a/cmd/standin/worker.go
+++ b/cmd/standin/worker.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -49,13 +50,19 @@
 func (c *WorkerCommand) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	return c.serve(ctx, os.Stdout)
+}
+
+// serve starts the workers, prints their lines to out and waits for ctx.
+func (c *WorkerCommand) serve(ctx context.Context, out io.Writer) error {
 	failed := make(chan error, c.Count)
 	for i := range c.Count {
-		line, err := c.serveOne(i, failed)
+		line, stop, err := c.serveOne(i, failed)
 		if err != nil {
 			return err
 		}
-		if err := json.NewEncoder(os.Stdout).Encode(line); err != nil {
+		defer stop()
+		if err := json.NewEncoder(out).Encode(line); err != nil {
 			return fmt.Errorf("print worker: %w", err)
 		}
 	}
@@ -68,16 +75,16 @@
 }
 
 // serveOne starts worker number i.
-func (c *WorkerCommand) serveOne(i int, failed chan<- error) (workerLine, error) {
+func (c *WorkerCommand) serveOne(i int, failed chan<- error) (line workerLine, stop func(), err error) {
 	address, err := nthAddress(c.Listen, i)
 	if err != nil {
-		return workerLine{}, err
+		return workerLine{}, nil, err
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return workerLine{}, fmt.Errorf("listen for worker %d: %w", i+1, err)
+		return workerLine{}, nil, fmt.Errorf("listen for worker %d: %w", i+1, err)
 	}
-	line := workerLine{
+	line = workerLine{
 		Name:          fmt.Sprintf("%s%d", c.Prefix, i+1),
 		Address:       listener.Addr().String(),
 		Region:        c.Region,
@@ -91,7 +98,11 @@
 			failed <- fmt.Errorf("serve %s: %w", line.Name, err)
 		}
 	}()
-	return line, nil
+	stop = func() {
+		w.Close()
+		server.Close()
+	}
+	return line, stop, nil
 }
 
 func (c *WorkerCommand) config(name string) standin.WorkerConfig {
