Serve operators: documents, keys, drains, workers, shares, time line

A document and the division of its team's limit change in one transaction. A write whose reply was lost is recognised by its id. A drain is an entry of the configuration, so that it outlives the instance that was asked.

--- a/control/configuration.go
+++ b/control/configuration.go
@@ -130,6 +130,8 @@
 		s.ownership.Observe(s.now, *change.Record)
 	case change.Allowance != nil:
 		s.owner.allow.Observe(s.now, *change.Allowance)
+	case change.Drain != "":
+		s.drainOrdered(change.Drain)
 	case change.Entry.Deleted:
 		s.entryDeleted(previous, change.Entry.Revision)
 	}
@@ -168,6 +170,8 @@
 	switch {
 	case previous.Member != nil:
 		delete(s.routing.members, previous.Member.Incarnation)
+	case previous.Drain != "":
+		s.owner.setDrained(previous.Drain, false)
 	case previous.Document != nil:
 		d := previous.Document
 		s.config.setDocument(DocumentKey{Team: d.Team, Service: d.Service}, nil)
@@ -178,6 +182,16 @@
 	}
 }
 
+// drainOrdered starts the drain that an operator asked for, of this instance or
+// of a worker.
+func (s *State) drainOrdered(name string) {
+	if name == s.self.Instance {
+		s.startDrain()
+		return
+	}
+	s.owner.setDrained(name, true)
+}
+
 // endWorkOf ends the work that was accepted under a key which is withdrawn now.
 func (s *State) endWorkOf(key KeyName) {
 	s.config.withdrawn[key] = true
--- a/control/event.go
+++ b/control/event.go
@@ -141,7 +141,8 @@
 	Member    *membership.Member
 	Record    *ownership.Record
 	Allowance *allowance.Record
-	Err       error // why the value cannot be read
+	Drain     string // name of an entry instance or worker that drains
+	Err       error  // why the value cannot be read
 }
 
 // InstancesListed delivers the platform's instance list.
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -8,7 +8,6 @@
 	"github.com/mulberrydrum/mulberrydrum/keyring"
 	"github.com/mulberrydrum/mulberrydrum/membership"
 	"github.com/mulberrydrum/mulberrydrum/task"
-	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
 // exchange is when this process sent its digest to each of the others, and the
@@ -218,52 +217,3 @@
 	slices.SortFunc(list, func(a, b TeamUsage) int { return cmp.Compare(a.Team, b.Team) })
 	return list
 }
-
-// drainState is how far a planned stop has come.
-type drainState struct {
-	started  bool
-	since    time.Time
-	finished bool
-}
-
-// startDrain begins a planned stop: the member record says so, and every unit
-// is handed over.
-func (s *State) startDrain() {
-	if s.drain.started {
-		return
-	}
-	s.drain = drainState{started: true, since: s.now}
-	s.self.Draining = true
-	s.changed = true
-	s.event(timeline.Event{Type: timeline.DrainStarted})
-	if s.members.lease != 0 {
-		s.emit(WriteMember{Member: s.self, Lease: s.members.lease})
-	}
-}
-
-// continueDrain hands over what is still held once no call of a caller waits
-// here. Without store contact nothing can be handed over and the process keeps
-// its units until it is stopped.
-func (s *State) continueDrain() {
-	if !s.drain.started || s.drain.finished {
-		return
-	}
-	if len(s.home.calls) > 0 && s.now.Sub(s.drain.since) < s.cfg.MaxDrainingAnswers {
-		return
-	}
-	held := 0
-	partitions, shards := unitsOf(&s.cfg)
-	for _, unit := range append(partitions, shards...) {
-		if _, ok := s.ownership.Holds(s.now, unit); ok {
-			held++
-			if s.home.ledger.HasPending(unit) {
-				continue
-			}
-			s.ownership.Release(s.now, unit)
-		}
-	}
-	if held == 0 {
-		s.drain.finished = true
-		s.emit(Drained{})
-	}
-}
--- a/control/overview.go
+++ b/control/overview.go
@@ -15,25 +15,42 @@
 
 // Overview is what operators see of one instance.
 type Overview struct {
-	Workers []WorkerView
-	Teams   []TeamView
+	Instance string
+	Units    []string // held, sorted
+	Workers  []WorkerView
+	Teams    []TeamView
 }
 
 // WorkerView is one worker of an owned partition.
 type WorkerView struct {
 	Name, Address, Region, FailureDomain, Rack, Partition string
-	Usable, Leaving, Quarantined                          bool
+	Usable, Leaving, Drained, Quarantined                 bool
 	Silent                                                int // reports in a row that failed
 	LastReport                                            time.Time
 	Capacity, Free                                        task.Resources
 	Running                                               int
 }
 
+// heldUnits lists the units for which this process may act.
+func (s *State) heldUnits() []string {
+	var held []string
+	partitions, shards := unitsOf(&s.cfg)
+	for _, unit := range append(partitions, shards...) {
+		if _, ok := s.ownership.Holds(s.now, unit); ok {
+			held = append(held, unit)
+		}
+	}
+	slices.Sort(held)
+	return held
+}
+
 // TeamView is the position of a team at this owner and in the fleet.
 type TeamView struct {
 	Team      task.Team
 	Share     fairshare.Share
+	Weight    float64
 	Queued    int
+	Running   task.Resources   // at this owner
 	Allowance allowance.Record // in the fleet
 }
 
@@ -41,7 +58,7 @@
 func (Overview) peerReply()          {}
 
 func (s *State) overview() Overview {
-	return Overview{Workers: s.owner.workerViews(), Teams: s.teamViews()}
+	return Overview{Instance: s.self.Instance, Units: s.heldUnits(), Workers: s.owner.workerViews(), Teams: s.teamViews()}
 }
 
 func (w *owner) workerViews() []WorkerView {
@@ -60,7 +77,7 @@
 		free, _ := w.cluster.FreeOn(l.Name)
 		views = append(views, WorkerView{
 			Name: l.Name, Address: l.Address, Region: l.Region, FailureDomain: l.FailureDomain, Rack: l.Rack, Partition: ws.partition,
-			Usable: w.isUsable(ws), Leaving: ws.leaving, Quarantined: w.monitor.IsQuarantined(l.Name), Silent: ws.failures,
+			Usable: w.isUsable(ws), Leaving: ws.leaving, Drained: w.drained[l.Name], Quarantined: w.monitor.IsQuarantined(l.Name), Silent: ws.failures,
 			LastReport: ws.clockAt, Capacity: ws.capacity, Free: free, Running: running[l.Name],
 		})
 	}
@@ -69,14 +86,18 @@
 }
 
 func (s *State) teamViews() []TeamView {
+	running := map[task.Team]task.Resources{}
+	for _, u := range s.owner.usage() {
+		running[u.Team] = u.Size
+	}
 	var views []TeamView
-	for key := range s.config.documents {
+	for key, held := range s.config.documents {
 		if key.Service != "" {
 			continue
 		}
 		record, _ := s.owner.allow.Record(key.Team)
 		views = append(views, TeamView{
-			Team: key.Team, Share: s.owner.shares.ShareOf(s.now, key.Team), Queued: s.owner.queues.Len(key.Team), Allowance: record,
+			Team: key.Team, Weight: held.Share, Running: running[key.Team], Share: s.owner.shares.ShareOf(s.now, key.Team), Queued: s.owner.queues.Len(key.Team), Allowance: record,
 		})
 	}
 	slices.SortFunc(views, func(a, b TeamView) int { return cmp.Compare(a.Team, b.Team) })
--- a/control/owner.go
+++ b/control/owner.go
@@ -32,6 +32,8 @@
 	partitions map[string]*partition
 	workers    map[string]*workerState
 	attempts   map[task.Attempt]*attempt
+	draining   bool
+	drained    map[string]bool            // workers that an operator drains
 	tombstones map[task.Attempt]time.Time // refused for good, until the time given
 	outgoing   map[task.Attempt]*outgoingReport
 }
@@ -127,6 +129,9 @@
 	if _, refused := w.tombstones[p.Attempt]; refused {
 		return errkind.New(errkind.Cancelled, "attempt %s was withdrawn before", p.Attempt)
 	}
+	if w.draining {
+		return errkind.New(errkind.Draining, "this owner is draining")
+	}
 	part, owned := w.partitions[p.Partition]
 	epoch, holds := w.holds(p.Partition)
 	if !owned || !holds || epoch != p.Epoch || part.epoch != epoch {
--- a/control/state.go
+++ b/control/state.go
@@ -80,7 +80,7 @@
 		holds:      func(unit string) (uint64, bool) { return s.ownership.Holds(s.now, unit) },
 		withdrawn:  s.config.isWithdrawn,
 		partitions: map[string]*partition{}, workers: map[string]*workerState{}, attempts: map[task.Attempt]*attempt{},
-		tombstones: map[task.Attempt]time.Time{}, outgoing: map[task.Attempt]*outgoingReport{},
+		drained: map[string]bool{}, tombstones: map[task.Attempt]time.Time{}, outgoing: map[task.Attempt]*outgoingReport{},
 	}
 	s.event(timeline.Event{Type: timeline.ProcessStarted})
 	return s
--- a/control/workers.go
+++ b/control/workers.go
@@ -77,6 +77,19 @@
 	}
 }
 
+// setDrained follows an operator's order to drain a worker, or the end of it.
+func (w *owner) setDrained(name string, drained bool) {
+	if drained {
+		w.drained[name] = true
+		w.event(timeline.Event{Type: timeline.WorkerLeaving, Worker: name, Detail: "drained by an operator"})
+	} else {
+		delete(w.drained, name)
+	}
+	if ws, ok := w.workers[name]; ok {
+		w.setSchedulable(ws)
+	}
+}
+
 // leave keeps new tasks away from a worker. Its tasks finish.
 func (w *owner) leave(ws *workerState) {
 	if ws.leaving {
@@ -102,7 +115,7 @@
 
 // isUsable reports whether a worker may get new tasks.
 func (w *owner) isUsable(ws *workerState) bool {
-	return ws.rebuilt && !ws.leaving && !ws.listed.Gone && ws.failures < silentReports && !w.monitor.IsQuarantined(ws.listed.Name)
+	return ws.rebuilt && !ws.leaving && !w.drained[ws.listed.Name] && !ws.listed.Gone && ws.failures < silentReports && !w.monitor.IsQuarantined(ws.listed.Name)
 }
 
 // silentReports is how many reports in a row may fail before a worker gets no
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -6,6 +6,7 @@
 	"github.com/mulberrydrum/mulberrydrum/caller"
 	"github.com/mulberrydrum/mulberrydrum/control"
 	"github.com/mulberrydrum/mulberrydrum/membership"
+	"github.com/mulberrydrum/mulberrydrum/operator"
 	"github.com/mulberrydrum/mulberrydrum/store"
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
@@ -17,11 +18,12 @@
 	OperatorAddress string
 	EntryAddress    string // on which the other instances call
 
-	Control control.Config
-	Parts   control.Parts
-	Caller  caller.Config
-	Store   store.Config
-	Worker  worker.Config
+	Control  control.Config
+	Parts    control.Parts
+	Caller   caller.Config
+	Operator operator.Config
+	Store    store.Config
+	Worker   worker.Config
 
 	ListAddress    string
 	ListInterval   time.Duration // between two reads of the instance list
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/mulberrydrum/mulberrydrum/control"
 	"github.com/mulberrydrum/mulberrydrum/entry"
 	"github.com/mulberrydrum/mulberrydrum/instancelist"
+	"github.com/mulberrydrum/mulberrydrum/operator"
 	"github.com/mulberrydrum/mulberrydrum/store"
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 	"github.com/mulberrydrum/mulberrydrum/worker"
@@ -36,6 +37,7 @@
 	peers   *entry.Client
 
 	callers   *caller.Server
+	operators *operator.Server
 	entries   *grpc.Server
 	listeners listeners
 
@@ -74,6 +76,8 @@
 	d.loop = control.NewLoop(state, cfg.Tick, d.registry, d.execute)
 	d.effects, d.stop = context.WithCancel(context.Background())
 	d.callers = caller.NewServer(cfg.Caller, &callerBackend{d})
+	cfg.Operator.Metrics = d.registry
+	d.operators = operator.NewServer(cfg.Operator, &operatorBackend{d})
 	d.entries = entry.NewServer(&peerHandler{d})
 	return d, nil
 }
@@ -114,6 +118,7 @@
 func (d *Daemon) Abort() {
 	d.stop()
 	d.callers.Abort()
+	d.operators.Abort()
 	d.entries.Stop()
 	d.peers.Close()
 }
@@ -127,6 +132,7 @@
 	group.Go(func() error { return d.watchConfig(background) })
 	group.Go(func() error { return d.pollInstances(background) })
 	group.Go(func() error { return d.callers.Serve(d.listeners.caller) })
+	group.Go(func() error { return d.operators.Serve(d.listeners.operator) })
 	group.Go(func() error { return d.entries.Serve(d.listeners.entry) })
 	group.Go(func() error {
 		select {
@@ -161,6 +167,7 @@
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.log.Warn("calls were cut off", "err", err)
 	}
+	_ = d.operators.Shutdown(ctx)
 	d.entries.GracefulStop()
 	d.peers.Close()
 }
--- /dev/null
+++ b/daemon/documents.go
@@ -0,0 +1,154 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"strings"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/allowance"
+	"github.com/mulberrydrum/mulberrydrum/document"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/operator"
+	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// applyTries bounds how often a document is written again because the division
+// of the team's limit changed meanwhile.
+const applyTries = 5
+
+// Apply replaces a document if its revision is the expected one.
+func (b *operatorBackend) Apply(ctx context.Context, change operator.Change) (operator.Held, error) {
+	key := store.DocumentKey(string(change.Ref.Team), string(change.Ref.Service))
+	record := document.Record{Source: change.Source, PreviousRevision: change.Expected, By: change.By, At: time.Now().UTC(), WriteID: rand.Text()}
+	for range applyTries {
+		before, revision, err := b.readDocument(ctx, key)
+		if err != nil {
+			return operator.Held{}, err
+		}
+		if before.WriteID == record.WriteID {
+			return b.applied(ctx, change, record, revision) // an earlier try whose reply was lost
+		}
+		if revision != change.Expected {
+			return operator.Held{}, &operator.Conflict{Expected: change.Expected, Current: operator.Held{Ref: change.Ref, Record: before, Revision: revision}}
+		}
+		record.Previous = before.Source
+		result, f, err := b.writeDocument(ctx, key, change, record)
+		switch {
+		case err != nil:
+			return operator.Held{}, err
+		case f == stored:
+			return b.applied(ctx, change, record, result.Revision)
+		}
+	}
+	return operator.Held{}, errkind.New(errkind.OutcomeUnknown, "the store did not confirm the document; compare what is in force")
+}
+
+func (b *operatorBackend) applied(ctx context.Context, change operator.Change, record document.Record, revision int64) (operator.Held, error) {
+	held := operator.Held{Ref: change.Ref, Record: record, Revision: revision}
+	held.InForce = b.awaitInForce(ctx, revision, change.Wait)
+	return held, nil
+}
+
+// writeDocument writes a document, and with a team's document the division of
+// the team's limit, so that both change at once.
+func (b *operatorBackend) writeDocument(ctx context.Context, key string, change operator.Change, record document.Record) (store.TxnResult, fate, error) {
+	value, err := store.Encode(record)
+	if err != nil {
+		return store.TxnResult{}, noEffect, err
+	}
+	txn := store.Txn{Compares: []store.Compare{{Key: key, ModRevision: change.Expected}}, Puts: []store.Put{{Key: key, Value: value}}}
+	if parsed, _ := document.Parse([]byte(change.Source)); parsed.IsTeam() && parsed.Limit != nil {
+		if err := b.addLimit(ctx, &txn, parsed); err != nil {
+			return store.TxnResult{}, noEffect, err
+		}
+	}
+	return b.commitConfig(ctx, txn)
+}
+
+// addLimit adds the new limit of a team to a transaction. The revision that the
+// document will have is not known before the commit; that of the read is lower
+// and serves as a bound.
+func (b *operatorBackend) addLimit(ctx context.Context, txn *store.Txn, d document.Document) error {
+	key := store.AllowanceKey(string(d.Team))
+	kv, found, revision, err := b.store.Get(ctx, key)
+	if err != nil {
+		return storeError(err)
+	}
+	current := allowance.Record{Team: d.Team}
+	if found {
+		decoded, err := store.DecodeAllowance(kv.Value, kv.ModRevision)
+		if err != nil {
+			return err
+		}
+		current = *decoded
+	}
+	value, err := store.Encode(allowance.WithLimit(current, *d.Limit, revision))
+	if err != nil {
+		return err
+	}
+	txn.Compares = append(txn.Compares, store.Compare{Key: key, ModRevision: current.Revision})
+	txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
+	return nil
+}
+
+func storeError(err error) error {
+	return errkind.New(errkind.StoreUnavailable, "the store does not answer: %v", err).WithRetryAfter(time.Second)
+}
+
+func (b *operatorBackend) readDocument(ctx context.Context, key string) (document.Record, int64, error) {
+	kv, found, _, err := b.store.Get(ctx, key)
+	if err != nil {
+		return document.Record{}, 0, storeError(err)
+	}
+	if !found {
+		return document.Record{}, 0, nil
+	}
+	record, err := store.DecodeDocument(kv.Value)
+	if err != nil {
+		return document.Record{}, 0, err
+	}
+	return *record, kv.ModRevision, nil
+}
+
+// Get returns a document from the store.
+func (b *operatorBackend) Get(ctx context.Context, ref operator.Ref) (operator.Held, error) {
+	record, revision, err := b.readDocument(ctx, store.DocumentKey(string(ref.Team), string(ref.Service)))
+	if err != nil {
+		return operator.Held{}, err
+	}
+	if revision == 0 {
+		return operator.Held{}, b.missing(ref)
+	}
+	return operator.Held{Ref: ref, Record: record, Revision: revision, InForce: isInForce(b.loop.Snapshot(), revision)}, nil
+}
+
+func (b *operatorBackend) missing(ref operator.Ref) error {
+	for key := range b.loop.Snapshot().Documents {
+		if key.Team == ref.Team {
+			return errkind.New(errkind.UnknownService, "team %s has no document for service %q", ref.Team, ref.Service)
+		}
+	}
+	return errkind.New(errkind.UnknownTeam, "there is no document of team %s", ref.Team)
+}
+
+// List returns every document from the store.
+func (b *operatorBackend) List(ctx context.Context) ([]operator.Held, error) {
+	kvs, _, err := b.store.List(ctx, store.DocumentsPrefix())
+	if err != nil {
+		return nil, storeError(err)
+	}
+	snapshot := b.loop.Snapshot()
+	var list []operator.Held
+	for _, kv := range kvs {
+		record, err := store.DecodeDocument(kv.Value)
+		if err != nil {
+			continue
+		}
+		team, service, _ := strings.Cut(strings.TrimPrefix(kv.Key, store.DocumentsPrefix()), "/")
+		list = append(list, operator.Held{Ref: operator.Ref{Team: task.Team(team), Service: task.Service(service)}, Record: *record,
+			Revision: kv.ModRevision, InForce: isInForce(snapshot, kv.ModRevision)})
+	}
+	return list, nil
+}
--- a/daemon/fromsettings.go
+++ b/daemon/fromsettings.go
@@ -3,7 +3,9 @@
 import (
 	"github.com/mulberrydrum/mulberrydrum/caller"
 	"github.com/mulberrydrum/mulberrydrum/control"
+	"github.com/mulberrydrum/mulberrydrum/httpjson"
 	"github.com/mulberrydrum/mulberrydrum/membership"
+	"github.com/mulberrydrum/mulberrydrum/operator"
 	"github.com/mulberrydrum/mulberrydrum/settings"
 	"github.com/mulberrydrum/mulberrydrum/store"
 	"github.com/mulberrydrum/mulberrydrum/worker"
@@ -16,6 +18,7 @@
 		CallerAddress: s.CallerAddress, OperatorAddress: s.OperatorAddress, EntryAddress: s.EntryAddress,
 		Control:     controlConfig(s),
 		Caller:      callerConfig(s),
+		Operator:    operatorConfig(s),
 		Store:       store.Config{Address: s.StoreEndpoints[0], Instance: s.Instance, CallTimeout: s.StoreCallTimeout},
 		Worker:      worker.Config{CallTimeout: s.WorkerCallTimeout, MaxResultBytes: s.MaxResultBytes},
 		ListAddress: s.InstanceListEndpoint, ListInterval: s.ListInterval,
@@ -55,9 +58,20 @@
 }
 
 func callerConfig(s settings.Settings) caller.Config {
-	return caller.Config{
-		MaxRequestBytes: s.MaxRequestBytes, MaxHeaderBytes: s.MaxHeaderBytes, MaxResultBytes: s.MaxResultBytes, MaxWait: s.MaxWait,
-		CallTimeout: s.CallTimeout, ReadHeaderTimeout: s.ReadHeaderTimeout, ReadTimeout: s.ReadTimeout,
-		WriteTimeout: s.WriteTimeout, IdleTimeout: s.IdleTimeout,
+	return caller.Config{Limits: limits(s), MaxResultBytes: s.MaxResultBytes, MaxWait: s.MaxWait, CallTimeout: s.CallTimeout}
+}
+
+func operatorConfig(s settings.Settings) operator.Config {
+	cfg := operator.Config{Limits: limits(s), MaxWait: s.MaxWait, CallTimeout: s.CallTimeout, Pprof: s.Pprof}
+	for _, key := range s.OperatorKeys {
+		cfg.Keys = append(cfg.Keys, operator.Key(key))
+	}
+	return cfg
+}
+
+func limits(s settings.Settings) httpjson.Limits {
+	return httpjson.Limits{
+		MaxRequestBytes: s.MaxRequestBytes, MaxHeaderBytes: s.MaxHeaderBytes, ReadHeaderTimeout: s.ReadHeaderTimeout,
+		ReadTimeout: s.ReadTimeout, WriteTimeout: s.WriteTimeout, IdleTimeout: s.IdleTimeout,
 	}
 }
--- /dev/null
+++ b/daemon/keys.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"strings"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/keyring"
+	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// GrantKey makes a key. Its secret is returned and not kept.
+func (b *operatorBackend) GrantKey(ctx context.Context, by string, request api.GrantRequest) (api.GrantedKey, error) {
+	secret := "mk_" + rand.Text() + rand.Text()
+	granted := store.GrantedKey{
+		Key:  keyring.Key{ID: strings.ToLower(rand.Text()[:12]), Team: request.Team, Role: keyring.Role(request.Role), Digest: keyring.DigestOf(secret)},
+		Note: request.Note, GrantedBy: by, GrantedAt: time.Now().UTC(),
+	}
+	value, err := store.Encode(granted)
+	if err != nil {
+		return api.GrantedKey{}, err
+	}
+	key := store.KeyKey(string(granted.Team), granted.ID)
+	txn := store.Txn{Compares: []store.Compare{{Key: key}}, Puts: []store.Put{{Key: key, Value: value}}}
+	// An unclear grant is not repeated: its secret would be lost, and a key that
+	// nobody knows harms nobody.
+	if _, f, err := b.commitConfig(ctx, txn); err != nil || f != stored {
+		return api.GrantedKey{}, unclearChange(f, err)
+	}
+	return api.GrantedKey{Key: keyView(granted), Secret: secret}, nil
+}
+
+// WithdrawKey ends a key. The withdrawal is repeated until it is confirmed, since
+// repeating it changes nothing.
+func (b *operatorBackend) WithdrawKey(ctx context.Context, by string, team task.Team, id string) (api.Key, error) {
+	key := store.KeyKey(string(team), id)
+	for ctx.Err() == nil {
+		kv, found, _, err := b.store.Get(ctx, key)
+		if err != nil {
+			return api.Key{}, storeError(err)
+		}
+		if !found {
+			return api.Key{}, errkind.New(errkind.InvalidRequest, "team %s has no key %s", team, id).WithField("id", "a key of the list of keys")
+		}
+		granted, err := store.DecodeKey(kv.Key, kv.Value, kv.ModRevision)
+		if err != nil {
+			return api.Key{}, err
+		}
+		if granted.Withdrawn {
+			return keyView(*granted), nil
+		}
+		if err := b.markWithdrawn(ctx, key, *granted, by); err != nil {
+			return api.Key{}, err
+		}
+	}
+	return api.Key{}, errkind.New(errkind.OutcomeUnknown, "the store did not confirm the withdrawal; withdraw the key again")
+}
+
+func (b *operatorBackend) markWithdrawn(ctx context.Context, key string, granted store.GrantedKey, by string) error {
+	revision := granted.Revision
+	granted.Withdrawn, granted.WithdrawnBy, granted.WithdrawnAt = true, by, time.Now().UTC()
+	value, err := store.Encode(granted)
+	if err != nil {
+		return err
+	}
+	_, _, err = b.commitConfig(ctx, store.Txn{Compares: []store.Compare{{Key: key, ModRevision: revision}}, Puts: []store.Put{{Key: key, Value: value}}})
+	return err
+}
+
+// Keys lists the keys of a team, or of all teams.
+func (b *operatorBackend) Keys(ctx context.Context, team task.Team) ([]api.Key, error) {
+	kvs, _, err := b.store.List(ctx, store.KeysPrefix(string(team)))
+	if err != nil {
+		return nil, storeError(err)
+	}
+	var keys []api.Key
+	for _, kv := range kvs {
+		if granted, err := store.DecodeKey(kv.Key, kv.Value, kv.ModRevision); err == nil {
+			keys = append(keys, keyView(*granted))
+		}
+	}
+	return keys, nil
+}
+
+func keyView(k store.GrantedKey) api.Key {
+	return api.Key{ID: k.ID, Team: k.Team, Role: string(k.Role), Note: k.Note, GrantedBy: k.GrantedBy, GrantedAt: k.GrantedAt,
+		WithdrawnBy: k.WithdrawnBy, WithdrawnAt: k.WithdrawnAt}
+}
--- /dev/null
+++ b/daemon/operators.go
@@ -0,0 +1,153 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/control"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/membership"
+	"github.com/mulberrydrum/mulberrydrum/operator"
+	"github.com/mulberrydrum/mulberrydrum/store"
+)
+
+// operatorBackend decides operators' calls. Changes of the configuration are
+// written to the store by the instance that was asked.
+type operatorBackend struct{ *Daemon }
+
+// inForcePoll is how often a call that waits looks whether its change is in
+// force at every member.
+const inForcePoll = 50 * time.Millisecond
+
+// commitConfig executes a transaction on the configuration. It is refused while
+// this instance has promised others not to change it.
+func (b *operatorBackend) commitConfig(ctx context.Context, txn store.Txn) (store.TxnResult, fate, error) {
+	reply, err := b.loop.Call(ctx, b.cfg.Self.Instance, control.BeginConfigCommit{})
+	if err != nil {
+		return store.TxnResult{}, noEffect, err
+	}
+	if !reply.(control.ConfigCommitReply).Allowed {
+		return store.TxnResult{}, noEffect, errkind.New(errkind.StoreUnavailable,
+			"this instance may not change the configuration yet").WithRetryAfter(b.cfg.Control.KeyFreshness)
+	}
+	defer func() { _, _ = b.loop.Call(ctx, b.cfg.Self.Instance, control.EndConfigCommit{}) }()
+	result, f := b.commit(ctx, txn)
+	if f == noEffect {
+		return result, f, errkind.New(errkind.StoreUnavailable, "the store does not answer; nothing was changed").WithRetryAfter(time.Second)
+	}
+	return result, f, nil
+}
+
+// awaitInForce returns when every member has a revision in force, or false when
+// the wait is over first.
+func (b *operatorBackend) awaitInForce(ctx context.Context, revision int64, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for !isInForce(b.loop.Snapshot(), revision) {
+		if ctx.Err() != nil {
+			return false
+		}
+		pause(ctx, inForcePoll)
+	}
+	return true
+}
+
+func isInForce(s *control.Snapshot, revision int64) bool {
+	for _, m := range s.Members {
+		if s.MemberSeen[m.Instance] < revision {
+			return false
+		}
+	}
+	return s.Revision >= revision
+}
+
+// Drain starts or ends the drain of an entry instance or a worker.
+func (b *operatorBackend) Drain(ctx context.Context, by string, request api.DrainRequest) (api.Drain, error) {
+	name := request.Instance + request.Worker
+	txn := store.Txn{Deletes: []string{store.DrainKey(name)}}
+	if !request.Undo {
+		value, err := store.Encode(map[string]string{"by": by})
+		if err != nil {
+			return api.Drain{}, err
+		}
+		txn = store.Txn{Puts: []store.Put{{Key: store.DrainKey(name), Value: value}}}
+	}
+	if _, f, err := b.commitConfig(ctx, txn); err != nil || f != stored {
+		return api.Drain{}, unclearChange(f, err)
+	}
+	return b.drainState(ctx, name, !request.Undo), nil
+}
+
+func unclearChange(f fate, err error) error {
+	if err != nil {
+		return err
+	}
+	return errkind.New(errkind.OutcomeUnknown, "the store did not confirm the change; ask for the state and try again (%d)", f)
+}
+
+func (b *operatorBackend) drainState(ctx context.Context, name string, draining bool) api.Drain {
+	state := api.Drain{Name: name, Draining: draining}
+	overviews, _ := b.overviews(ctx)
+	for _, o := range overviews {
+		if o.Instance == name {
+			state.Units = len(o.Units)
+		}
+		for _, w := range o.Workers {
+			if w.Name == name {
+				state.Tasks = w.Running
+			}
+		}
+	}
+	return state
+}
+
+// ForceOwnership lets a member take over a unit whose owner and successors are
+// all gone.
+func (b *operatorBackend) ForceOwnership(ctx context.Context, by string, request api.ForceRequest) (api.Ownership, error) {
+	b.log.Warn("ownership forced", "unit", request.Unit, "by", by, "reason", request.Reason)
+	if err := b.loop.Post(ctx, control.OwnershipForced{Unit: request.Unit}); err != nil {
+		return api.Ownership{}, err
+	}
+	ownership := b.cfg.Parts.Ownership
+	return api.Ownership{Unit: request.Unit, Owner: b.cfg.Self.Instance,
+		After: api.Duration(ownership.ListLag + ownership.PromiseWindow + ownership.LeaseTTL)}, nil
+}
+
+// overviews asks every member for what it sees, and names those that did not
+// answer.
+func (b *operatorBackend) overviews(ctx context.Context) (found []control.Overview, missing []string) {
+	members := b.loop.Snapshot().Members
+	replies := make([]control.PeerReply, len(members))
+	b.eachMember(ctx, members, func(ctx context.Context, i int, m membership.Member) {
+		replies[i], _ = b.callMember(ctx, control.Send{To: m, Request: control.OverviewRequest{}})
+	})
+	for i, reply := range replies {
+		if o, ok := reply.(control.Overview); ok {
+			found = append(found, o)
+		} else {
+			missing = append(missing, members[i].Instance)
+		}
+	}
+	return found, missing
+}
+
+// Healthy returns an error where the control loop does not answer.
+func (b *operatorBackend) Healthy(ctx context.Context) error {
+	_, err := b.loop.Call(ctx, b.cfg.Self.Instance, control.OverviewRequest{})
+	return err
+}
+
+// Ready returns an error where this instance should get no calls.
+func (b *operatorBackend) Ready(context.Context) error {
+	s := b.loop.Snapshot()
+	switch {
+	case s.Draining:
+		return errkind.New(errkind.Draining, "this instance is draining")
+	case !s.Ready:
+		return errkind.New(errkind.NoOwner, "this instance has not joined yet")
+	}
+	return nil
+}
+
+var _ operator.Backend = (*operatorBackend)(nil)
--- a/entry/client.go
+++ b/entry/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"sync"
 	"time"
@@ -188,6 +189,14 @@
 	case control.FetchConfigRequest:
 		reply, err := client.FetchConfig(ctx, &entrypb.FetchConfigRequest{From: c.self})
 		return decodeConfig(reply), err
+	case control.OverviewRequest:
+		reply, err := client.Overview(ctx, &entrypb.OverviewRequest{From: c.self})
+		if err != nil {
+			return nil, err
+		}
+		var overview control.Overview
+		err = json.Unmarshal(reply.GetOverview(), &overview)
+		return overview, err
 	default:
 		return nil, status.Errorf(codes.Internal, "no encoding for %T", request)
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"google.golang.org/grpc"
@@ -128,3 +129,13 @@
 	}
 	return &entrypb.TimelineReply{Events: events}, nil
 }
+
+// Overview serves the instance that an operator asked.
+func (s *service) Overview(ctx context.Context, r *entrypb.OverviewRequest) (*entrypb.OverviewReply, error) {
+	reply, err := handle[control.Overview](ctx, s, r.GetFrom(), control.OverviewRequest{})
+	if err != nil {
+		return nil, err
+	}
+	encoded, err := json.Marshal(reply)
+	return &entrypb.OverviewReply{Overview: encoded}, err
+}
--- a/httpjson/server.go
+++ b/httpjson/server.go
@@ -108,3 +108,6 @@
 
 // Shutdown waits for the calls that are being answered and closes the rest.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// Abort cuts every connection.
+func (s *Server) Abort() { _ = s.http.Close() }
--- a/store/codec.go
+++ b/store/codec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -51,6 +52,8 @@
 		change.Record, change.Err = DecodeOwnership(entry.Value, entry.Revision)
 	case strings.HasPrefix(entry.Key, allowancePrefix):
 		change.Allowance, change.Err = DecodeAllowance(entry.Value, entry.Revision)
+	case strings.HasPrefix(entry.Key, drainPrefix):
+		change.Drain = strings.TrimPrefix(entry.Key, drainPrefix)
 	default:
 		change.Err = eris.Errorf("key %s is of no known kind", entry.Key)
 	}
@@ -74,13 +77,33 @@
 }
 
 func decodeKey(entry control.ConfigEntry) (*keyring.Key, error) {
-	key, err := decode[keyring.Key](entry.Value)
+	granted, err := DecodeKey(entry.Key, entry.Value, entry.Revision)
 	if err != nil {
 		return nil, err
 	}
-	team, id := splitPair(entry.Key, keyPrefix)
-	key.Team, key.ID, key.Revision = task.Team(team), id, entry.Revision
-	return key, nil
+	return &granted.Key, nil
+}
+
+// GrantedKey is a key as it is stored, with what operators want to know of it.
+type GrantedKey struct {
+	keyring.Key
+	Note        string    `json:"note,omitempty"`
+	GrantedBy   string    `json:"granted_by,omitempty"`
+	GrantedAt   time.Time `json:"granted_at,omitzero"`
+	WithdrawnBy string    `json:"withdrawn_by,omitempty"`
+	WithdrawnAt time.Time `json:"withdrawn_at,omitzero"`
+}
+
+// DecodeKey returns a granted key. Team and ID are those of the store's key, so
+// that a value cannot claim another team.
+func DecodeKey(storeKey string, value []byte, revision int64) (*GrantedKey, error) {
+	granted, err := decode[GrantedKey](value)
+	if err != nil {
+		return nil, err
+	}
+	team, id := splitPair(storeKey, keyPrefix)
+	granted.Team, granted.ID, granted.Revision = task.Team(team), id, revision
+	return granted, nil
 }
 
 // DecodeDocument returns a document as it is stored.
--- a/store/layout.go
+++ b/store/layout.go
@@ -11,6 +11,7 @@
 	memberPrefix    = ConfigPrefix + "member/"
 	ownershipPrefix = ConfigPrefix + "own/"
 	allowancePrefix = ConfigPrefix + "allow/"
+	drainPrefix     = ConfigPrefix + "drain/"
 	recordsPrefix   = "j/"
 )
 
@@ -29,6 +30,20 @@
 // AllowanceKey returns the key of the division of a team's limit.
 func AllowanceKey(team string) string { return allowancePrefix + team }
 
+// DrainKey returns the key that says that an entry instance or a worker drains.
+func DrainKey(name string) string { return drainPrefix + name }
+
+// KeysPrefix returns the prefix of the keys of a team, or of all teams.
+func KeysPrefix(team string) string {
+	if team == "" {
+		return keyPrefix
+	}
+	return keyPrefix + team + "/"
+}
+
+// DocumentsPrefix returns the prefix of all documents.
+func DocumentsPrefix() string { return documentPrefix }
+
 // RecordsKey returns the key of the request records of a shard.
 func RecordsKey(shard string) string { return recordsPrefix + shard }
 
