--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -18,7 +18,7 @@
 
 // callerBackend decides callers' requests: it checks the key against the
 // snapshot and passes the request to its home.
-type callerBackend struct{ *Daemon }
+type callerBackend struct{ *engine }
 
 const (
 	// homeRetry is the pause before a request is sent to its home again after
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
@@ -19,32 +17,17 @@
 	"github.com/mulberrydrum/mulberrydrum/instancelist"
 	"github.com/mulberrydrum/mulberrydrum/operator"
 	"github.com/mulberrydrum/mulberrydrum/store"
-	"github.com/mulberrydrum/mulberrydrum/timeline"
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// Daemon is one entry instance.
+// Daemon is one entry instance: an engine with the servers for callers,
+// operators and the other entry instances.
 type Daemon struct {
-	cfg      Config
-	log      *log.Logger
-	loop     *control.Loop
-	recorder *timeline.Recorder
-	registry metrics.Registry
-
-	store   store.Store
-	list    instancelist.Lister
-	workers worker.API
-	peers   *entry.Client
-
+	*engine
 	callers   *caller.Server
 	operators *operator.Server
 	entries   *grpc.Server
 	listeners listeners
-
-	resync  chan struct{} // asks the watch for a complete read
-	drained chan struct{} // closed when nothing is held any more
-	effects context.Context
-	stop    context.CancelFunc
 }
 
 // listeners are open before the daemon registers itself, so that nobody is sent
@@ -54,35 +37,26 @@
 // New opens the listeners and builds the daemon. Addresses with port 0 are
 // replaced by the ones that were opened.
 func New(cfg Config, logger *log.Logger) (*Daemon, error) {
-	d := &Daemon{cfg: cfg, log: logger, registry: metrics.NewRegistry(), resync: make(chan struct{}, 1), drained: make(chan struct{})}
-	if err := d.listen(); err != nil {
+	d := &Daemon{}
+	if err := d.listen(cfg); err != nil {
 		return nil, err
 	}
-	now := time.Now()
-	self := cfg.Self
-	self.Incarnation = fmt.Sprintf("%s-%x", self.Instance, now.UnixNano())
-	self.Address = d.listeners.entry.Addr().String()
-	d.cfg.Self = self
-	seed := cfg.Seed
-	if seed == 0 {
-		seed = uint64(now.UnixNano())
-	}
-	d.recorder = timeline.NewRecorder(self.Instance, self.Incarnation, cfg.TimelineEvents)
-	d.store = store.NewClient(cfg.Store)
-	d.list = instancelist.NewClient(instancelist.Config{Address: cfg.ListAddress, Instance: self.Instance})
-	d.workers = worker.NewClient(cfg.Worker)
-	d.peers = entry.NewClient(self)
-	state := control.New(now, cfg.Control, cfg.Parts, self, d.recorder, rand.New(rand.NewPCG(seed, 0)))
-	d.loop = control.NewLoop(state, cfg.Tick, d.registry, d.execute)
-	d.effects, d.stop = context.WithCancel(context.Background())
-	d.callers = caller.NewServer(cfg.Caller, &callerBackend{d})
+	cfg.Self.Incarnation = fmt.Sprintf("%s-%x", cfg.Self.Instance, time.Now().UnixNano())
+	cfg.Self.Address = d.listeners.entry.Addr().String()
+	d.engine = newEngine(cfg, logger, Clients{
+		Store:   store.NewClient(cfg.Store),
+		List:    instancelist.NewClient(instancelist.Config{Address: cfg.ListAddress, Instance: cfg.Self.Instance}),
+		Workers: worker.NewClient(cfg.Worker),
+		Entries: entry.NewClient(cfg.Self),
+	})
+	d.callers = caller.NewServer(cfg.Caller, &callerBackend{d.engine})
 	cfg.Operator.Metrics = d.registry
-	d.operators = operator.NewServer(cfg.Operator, &operatorBackend{d})
-	d.entries = entry.NewServer(&peerHandler{d})
+	d.operators = operator.NewServer(cfg.Operator, &operatorBackend{d.engine})
+	d.entries = entry.NewServer(&peerHandler{d.engine})
 	return d, nil
 }
 
-func (d *Daemon) listen() error {
+func (d *Daemon) listen(cfg Config) error {
 	var err error
 	open := func(address string) net.Listener {
 		if err != nil {
@@ -92,9 +66,9 @@
 		l, err = net.Listen("tcp", address)
 		return l
 	}
-	d.listeners.caller = open(d.cfg.CallerAddress)
-	d.listeners.operator = open(d.cfg.OperatorAddress)
-	d.listeners.entry = open(d.cfg.EntryAddress)
+	d.listeners.caller = open(cfg.CallerAddress)
+	d.listeners.operator = open(cfg.OperatorAddress)
+	d.listeners.entry = open(cfg.EntryAddress)
 	return eris.Wrap(err, "open listeners")
 }
 
@@ -107,12 +81,6 @@
 // EntryAddress returns the address on which the other instances call.
 func (d *Daemon) EntryAddress() string { return d.listeners.entry.Addr().String() }
 
-// Events returns the time line of this process.
-func (d *Daemon) Events() []timeline.Event { return d.recorder.Events(timeline.Filter{}) }
-
-// Snapshot returns what the traffic of this process reads of the control state.
-func (d *Daemon) Snapshot() *control.Snapshot { return d.loop.Snapshot() }
-
 // Abort ends the daemon at once, as if the process had died: nothing is handed
 // over and connections are cut.
 func (d *Daemon) Abort() {
@@ -120,7 +88,7 @@
 	d.callers.Abort()
 	d.operators.Abort()
 	d.entries.Stop()
-	d.peers.Close()
+	d.clients.Entries.Close()
 }
 
 // Run serves until ctx ends, then stops without cutting off a request: it hands
@@ -128,9 +96,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.stop()
 	group, background := errgroup.WithContext(d.effects)
-	group.Go(func() error { return d.loop.Run(background) })
-	group.Go(func() error { return d.watchConfig(background) })
-	group.Go(func() error { return d.pollInstances(background) })
+	group.Go(func() error { return d.engine.run(background) })
 	group.Go(func() error { return d.callers.Serve(d.listeners.caller) })
 	group.Go(func() error { return d.operators.Serve(d.listeners.operator) })
 	group.Go(func() error { return d.entries.Serve(d.listeners.entry) })
@@ -169,7 +135,7 @@
 	}
 	_ = d.operators.Shutdown(ctx)
 	d.entries.GracefulStop()
-	d.peers.Close()
+	d.clients.Entries.Close()
 }
 
 // linger keeps callers' connections open for a while after the handover: the
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -72,7 +72,7 @@
 // and serves as a bound.
 func (b *operatorBackend) addLimit(ctx context.Context, txn *store.Txn, d document.Document) error {
 	key := store.AllowanceKey(string(d.Team))
-	kv, found, revision, err := b.store.Get(ctx, key)
+	kv, found, revision, err := b.clients.Store.Get(ctx, key)
 	if err != nil {
 		return storeError(err)
 	}
@@ -98,7 +98,7 @@
 }
 
 func (b *operatorBackend) readDocument(ctx context.Context, key string) (document.Record, int64, error) {
-	kv, found, _, err := b.store.Get(ctx, key)
+	kv, found, _, err := b.clients.Store.Get(ctx, key)
 	if err != nil {
 		return document.Record{}, 0, storeError(err)
 	}
@@ -135,7 +135,7 @@
 
 // List returns every document from the store.
 func (b *operatorBackend) List(ctx context.Context) ([]operator.Held, error) {
-	kvs, _, err := b.store.List(ctx, store.DocumentsPrefix())
+	kvs, _, err := b.clients.Store.List(ctx, store.DocumentsPrefix())
 	if err != nil {
 		return nil, storeError(err)
 	}
--- /dev/null
+++ b/daemon/engine.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mulberrydrum/mulberrydrum/control"
+	"github.com/mulberrydrum/mulberrydrum/instancelist"
+	"github.com/mulberrydrum/mulberrydrum/membership"
+	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/timeline"
+	"github.com/mulberrydrum/mulberrydrum/worker"
+)
+
+// Clients reach the peers of an entry instance. Tests put fakes in their place.
+type Clients struct {
+	Store   store.Store
+	List    instancelist.Lister
+	Workers worker.API
+	Entries EntryCaller
+}
+
+// EntryCaller calls the other entry instances.
+type EntryCaller interface {
+	Call(ctx context.Context, to membership.Member, request control.PeerRequest) (control.PeerReply, error)
+	Timeline(ctx context.Context, to membership.Member, task, team string, since time.Time) ([]byte, error)
+	Close()
+}
+
+// engine is an entry instance without its servers: the control loop, and the
+// calls to other peers that it asks for.
+type engine struct {
+	cfg      Config
+	log      *log.Logger
+	loop     *control.Loop
+	recorder *timeline.Recorder
+	registry metrics.Registry
+	clients  Clients
+
+	// carryOut is execute, but for tests that hold effects up.
+	carryOut func(control.Effect)
+
+	resync  chan struct{} // asks the watch for a complete read
+	drained chan struct{} // closed when nothing is held any more
+	effects context.Context
+	stop    context.CancelFunc
+}
+
+func newEngine(cfg Config, logger *log.Logger, clients Clients) *engine {
+	now := time.Now()
+	seed := cfg.Seed
+	if seed == 0 {
+		seed = uint64(now.UnixNano())
+	}
+	d := &engine{cfg: cfg, log: logger, clients: clients, registry: metrics.NewRegistry(),
+		recorder: timeline.NewRecorder(cfg.Self.Instance, cfg.Self.Incarnation, cfg.TimelineEvents),
+		resync:   make(chan struct{}, 1), drained: make(chan struct{})}
+	state := control.New(now, cfg.Control, cfg.Parts, cfg.Self, d.recorder, rand.New(rand.NewPCG(seed, 0)))
+	d.carryOut = d.execute
+	d.loop = control.NewLoop(state, cfg.Tick, d.registry, func(e control.Effect) { d.carryOut(e) })
+	d.effects, d.stop = context.WithCancel(context.Background())
+	return d
+}
+
+// run applies events and keeps the control state informed until ctx ends.
+func (d *engine) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return d.loop.Run(ctx) })
+	group.Go(func() error { return d.watchConfig(ctx) })
+	group.Go(func() error { return d.pollInstances(ctx) })
+	return group.Wait()
+}
+
+// Events returns the time line of this process.
+func (d *engine) Events() []timeline.Event { return d.recorder.Events(timeline.Filter{}) }
+
+// Snapshot returns what the traffic of this process reads of the control state.
+func (d *engine) Snapshot() *control.Snapshot { return d.loop.Snapshot() }
--- a/daemon/execute.go
+++ b/daemon/execute.go
@@ -8,7 +8,7 @@
 
 // execute carries out an effect on a goroutine of its own. Its number is bounded
 // by the state: an effect is repeated only after its end was delivered.
-func (d *Daemon) execute(effect control.Effect) {
+func (d *engine) execute(effect control.Effect) {
 	ctx := d.effects
 	switch e := effect.(type) {
 	case control.Resync:
@@ -33,7 +33,7 @@
 }
 
 // callStore carries out the effects that are calls to the store.
-func (d *Daemon) callStore(ctx context.Context, effect control.Effect) {
+func (d *engine) callStore(ctx context.Context, effect control.Effect) {
 	switch e := effect.(type) {
 	case control.GrantLease:
 		d.post(ctx, d.grantLease(ctx, e))
@@ -55,13 +55,13 @@
 }
 
 // post delivers an event to the control loop. It fails only when the daemon ends.
-func (d *Daemon) post(ctx context.Context, e control.Event) {
+func (d *engine) post(ctx context.Context, e control.Event) {
 	_ = d.loop.Post(ctx, e)
 }
 
 // send calls another instance, or the control loop itself if the call is to
 // this one.
-func (d *Daemon) send(ctx context.Context, e control.Send) {
+func (d *engine) send(ctx context.Context, e control.Send) {
 	callCtx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
 	reply, err := d.callMember(callCtx, e)
@@ -72,9 +72,9 @@
 	d.post(ctx, control.PeerDone{Send: e, Reply: reply, Err: err})
 }
 
-func (d *Daemon) callMember(ctx context.Context, e control.Send) (control.PeerReply, error) {
+func (d *engine) callMember(ctx context.Context, e control.Send) (control.PeerReply, error) {
 	if e.To.Incarnation == d.cfg.Self.Incarnation {
 		return d.loop.Call(ctx, d.cfg.Self.Instance, e.Request)
 	}
-	return d.peers.Call(ctx, e.To, e.Request)
+	return d.clients.Entries.Call(ctx, e.To, e.Request)
 }
--- a/daemon/keys.go
+++ b/daemon/keys.go
@@ -39,7 +39,7 @@
 func (b *operatorBackend) WithdrawKey(ctx context.Context, by string, team task.Team, id string) (api.Key, error) {
 	key := store.KeyKey(string(team), id)
 	for ctx.Err() == nil {
-		kv, found, _, err := b.store.Get(ctx, key)
+		kv, found, _, err := b.clients.Store.Get(ctx, key)
 		if err != nil {
 			return api.Key{}, storeError(err)
 		}
@@ -73,7 +73,7 @@
 
 // Keys lists the keys of a team, or of all teams.
 func (b *operatorBackend) Keys(ctx context.Context, team task.Team) ([]api.Key, error) {
-	kvs, _, err := b.store.List(ctx, store.KeysPrefix(string(team)))
+	kvs, _, err := b.clients.Store.List(ctx, store.KeysPrefix(string(team)))
 	if err != nil {
 		return nil, storeError(err)
 	}
--- /dev/null
+++ b/daemon/matrix_test.go
@@ -0,0 +1,339 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/caller"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/oracle"
+	"github.com/mulberrydrum/mulberrydrum/standin"
+	"github.com/mulberrydrum/mulberrydrum/standin/fault"
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/timeline"
+)
+
+// steps are the messages and writes at which each fault strikes.
+var steps = []string{
+	"peer.SubmitRequest", "peer.PlaceRequest", "peer.WithdrawRequest", "peer.LookupRequest", "peer.PermitRequest",
+	"peer.ReportRequest", "peer.DigestMessage", "peer.PromiseRequest",
+	"worker.Start", "worker.StartChecked", "worker.Sync", "worker.Lookup", "worker.Stop",
+	"store.CommitRecords", "store.CommitOwnership", "store.CommitAllowance", "store.KeepAlive", "store.Get",
+}
+
+// strike is one kind of fault. It acts on the first call of its step, or on the
+// first after the call had its effect.
+type strike struct {
+	name  string
+	after bool // when the call had its effect
+	times int  // how many calls of the step it hits
+	act   func(w *world, c call) faultAction
+}
+
+const (
+	freezeTime = 25 * time.Second // longer than a takeover
+	outageTime = 30 * time.Second // of the store
+	restartIn  = 20 * time.Second // of a process that was killed
+	settleTime = 3 * time.Minute  // after which everything has its outcome
+)
+
+var strikes = []strike{
+	{name: "drop request", times: 1, act: func(*world, call) faultAction { return faultAction{drop: true} }},
+	{name: "drop reply", after: true, times: 1, act: func(*world, call) faultAction { return faultAction{drop: true} }},
+	{name: "drop reply twice", after: true, times: 2, act: func(*world, call) faultAction { return faultAction{drop: true} }},
+	{name: "delay", times: 1, act: func(*world, call) faultAction { return faultAction{delay: 4 * time.Second} }},
+	{name: "kill sender", times: 1, act: func(w *world, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
+	{name: "kill sender after effect", after: true, times: 1, act: func(w *world, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
+	{name: "kill receiver after effect", after: true, times: 1, act: func(w *world, c call) faultAction { w.killAndRestart(c.to); return faultAction{} }},
+	{name: "kill both", after: true, times: 1, act: func(w *world, c call) faultAction {
+		w.killAndRestart(c.from)
+		w.killAndRestart(c.to)
+		return faultAction{}
+	}},
+	{name: "freeze sender", times: 1, act: func(_ *world, c call) faultAction { c.from.freeze(freezeTime); return faultAction{} }},
+	{name: "freeze sender after effect", after: true, times: 1, act: func(_ *world, c call) faultAction { c.from.freeze(freezeTime); return faultAction{} }},
+	{name: "store down", times: 1, act: func(w *world, _ call) faultAction { w.storeDown(fault.Down); return faultAction{} }},
+	{name: "store silent", times: 1, act: func(w *world, _ call) faultAction { w.storeDown(fault.Unreachable); return faultAction{} }},
+	{name: "store replies lost", times: 1, act: func(w *world, _ call) faultAction { w.storeDown(fault.ReplyLost); return faultAction{} }},
+	{name: "worker frozen", times: 1, act: func(w *world, c call) faultAction { w.freezeWorker(c.worker); return faultAction{} }},
+	{name: "worker rebooted", after: true, times: 1, act: func(w *world, c call) faultAction { w.rebootWorker(c.worker); return faultAction{} }},
+}
+
+// applies reports whether a fault can strike a step at all.
+func (s strike) applies(step string) bool {
+	switch {
+	case strings.Contains(s.name, "receiver") || s.name == "kill both":
+		return strings.HasPrefix(step, "peer.")
+	case strings.HasPrefix(s.name, "worker"):
+		return strings.HasPrefix(step, "worker.")
+	case step == "worker.StartChecked":
+		return !s.after // there is no later moment at which it is seen
+	}
+	return true
+}
+
+// TestFaultMatrix guards against a request that is lost, doubled or answered
+// untruthfully when one fault strikes one step. It runs the decisions and the
+// daemon's calls in virtual time and lists the cells that no call reached.
+func TestFaultMatrix(t *testing.T) {
+	var mu sync.Mutex
+	var missed []string
+	cells := 0
+	t.Run("cells", func(t *testing.T) {
+		for _, step := range steps {
+			for _, s := range strikes {
+				if !s.applies(step) {
+					continue
+				}
+				cells++
+				name := step + "/" + s.name
+				t.Run(name, func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) {
+						if !runCell(t, step, s) {
+							mu.Lock()
+							missed = append(missed, name)
+							mu.Unlock()
+						}
+					})
+				})
+			}
+		}
+	})
+	t.Logf("%d cells, %d covered; not reached: %s", cells, cells-len(missed), strings.Join(missed, ", "))
+}
+
+// runCell runs the workload with one fault and checks every invariant. It
+// reports whether the fault struck.
+func runCell(t *testing.T, step string, s strike) (struck bool) {
+	w := newWorld(t, 3, 4)
+	defer w.close()
+	time.Sleep(10 * time.Second) // ownership is claimed
+	left := s.times
+	w.mu.Lock()
+	w.fault = func(c call) faultAction {
+		w.mu.Lock()
+		hit := left > 0 && c.step == step && c.returned == s.after && !c.from.dead
+		if hit {
+			left--
+		}
+		w.mu.Unlock()
+		if !hit {
+			return faultAction{}
+		}
+		return s.act(w, c)
+	}
+	w.mu.Unlock()
+	load := w.submitLoad()
+	time.Sleep(settleTime)
+	load.check(t)
+	w.checkOracle(load)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return left < s.times
+}
+
+func (w *world) killAndRestart(n *node) {
+	n.kill()
+	time.AfterFunc(restartIn, func() { w.startNode(n.index) })
+}
+
+func (w *world) storeDown(kind fault.Kind) {
+	_ = w.store.Faults().Set(fault.Fault{Kind: kind})
+	time.AfterFunc(outageTime, func() { _ = w.store.Faults().Set() })
+}
+
+func (w *world) freezeWorker(name string) {
+	frozen, thawed := true, false
+	go func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Freeze: &frozen}) }()
+	time.AfterFunc(freezeTime, func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Freeze: &thawed}) })
+}
+
+func (w *world) rebootWorker(name string) {
+	go func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Reboot: true}) }()
+}
+
+// job is one request of the load with what its caller was told.
+type job struct {
+	class    string
+	key      string
+	count    int
+	cancel   bool
+	mu       sync.Mutex
+	reply    caller.Reply
+	err      error
+	accepted bool // its caller was told that it is recorded
+}
+
+// load is the work of one cell.
+type load struct {
+	world *world
+	jobs  []*job
+	done  sync.WaitGroup
+}
+
+// submitLoad submits work of every kind through every instance.
+func (w *world) submitLoad() *load {
+	l := &load{world: w}
+	classes := []string{"lookup", "check", "report", "hammer", "tables", "lookup", "report", "check"}
+	for i, class := range classes {
+		j := &job{class: class, key: fmt.Sprintf("k%d", i), count: 1, cancel: i == len(classes)-1}
+		switch class {
+		case "check", "hammer":
+			j.count = 3
+		}
+		l.jobs = append(l.jobs, j)
+		l.done.Add(1)
+		go l.submit(j, i)
+	}
+	return l
+}
+
+// submit sends a job like a caller does: again under the same idempotency key,
+// through another instance, until it is told an outcome that ends the matter.
+func (l *load) submit(j *job, first int) {
+	defer l.done.Done()
+	for try := range 40 {
+		live := l.world.live()
+		if len(live) == 0 {
+			time.Sleep(time.Second)
+			continue
+		}
+		n := live[(first+try)%len(live)]
+		reply, err := l.once(n, j)
+		if n.isDead() {
+			err = errDropped // the connection broke with the process
+		}
+		j.mu.Lock()
+		j.reply, j.err = reply, err
+		j.accepted = j.accepted || err == nil
+		j.mu.Unlock()
+		if err == nil || j.class == "lookup" && errkind.From(err).Fate() == errkind.FateUnknown {
+			break
+		}
+		time.Sleep(time.Second)
+	}
+	if j.cancel {
+		time.Sleep(500 * time.Millisecond)
+		l.cancel(j)
+	}
+}
+
+func (l *load) once(n *node, j *job) (caller.Reply, error) {
+	n.wait()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	return (&callerBackend{n.engine}).Submit(ctx, worldSecret, task.Spec{Team: "leuven", Service: "piping", Class: j.class, IdempotencyKey: j.key,
+		Count: j.count, Payload: []byte(j.key), SubmittedAt: time.Now()}, 0)
+}
+
+func (l *load) cancel(j *job) {
+	for range 60 {
+		for _, n := range l.world.live() {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			_, err := (&callerBackend{n.engine}).Cancel(ctx, worldSecret, caller.JobID{Team: "leuven", Service: "piping", Key: j.key})
+			cancel()
+			if err == nil && !n.isDead() {
+				return
+			}
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// status asks every live instance until one knows the job.
+func (l *load) status(j *job) (caller.Reply, error) {
+	err := errors.New("no instance runs")
+	for range 10 {
+		for _, n := range l.world.live() {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			var reply caller.Reply
+			reply, err = (&callerBackend{n.engine}).Status(ctx, worldSecret, caller.JobID{Team: "leuven", Service: "piping", Key: j.key})
+			cancel()
+			if err == nil {
+				return reply, nil
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	return caller.Reply{}, err
+}
+
+// check compares the end of every job with what its kind promises.
+func (l *load) check(t *testing.T) {
+	l.done.Wait()
+	for _, j := range l.jobs {
+		if j.class == "lookup" {
+			l.checkLookup(t, j)
+			continue
+		}
+		if !j.accepted {
+			t.Errorf("%s %s was never accepted: %v", j.class, j.key, j.err)
+			continue
+		}
+		reply, err := l.status(j)
+		if err != nil {
+			t.Errorf("%s %s was accepted and is lost: %v", j.class, j.key, err)
+			continue
+		}
+		j.checkEnd(t, reply)
+	}
+}
+
+func (l *load) checkLookup(t *testing.T, j *job) {
+	if j.err == nil && j.reply.State != task.Finished {
+		t.Errorf("lookup %s was answered with state %s", j.key, j.reply.State)
+	}
+}
+
+func (j *job) checkEnd(t *testing.T, reply caller.Reply) {
+	for _, ts := range reply.Tasks {
+		switch {
+		case j.class == "tables":
+			if ts.State != task.Running {
+				t.Errorf("service %s is %s after attempt %d, want running", j.key, ts.State, ts.Attempt)
+			}
+		case j.cancel:
+			if !ts.State.IsFinal() {
+				t.Errorf("cancelled task %s is %s", ts.ID, ts.State)
+			}
+		case j.class == "report":
+			if ts.State != task.Finished && ts.State != task.Unknown {
+				t.Errorf("report %s is %s", ts.ID, ts.State)
+			}
+		case ts.State != task.Finished:
+			t.Errorf("%s task %s is %s after attempt %d, want finished", j.class, ts.ID, ts.State, ts.Attempt)
+		}
+	}
+}
+
+// checkOracle checks the invariants over all time lines and workers' ledgers.
+func (w *world) checkOracle(l *load) {
+	trace := w.trace()
+	for _, j := range l.jobs {
+		if reply, err := l.status(j); err == nil {
+			for _, ts := range reply.Tasks {
+				trace.InProgress[ts.ID] = !ts.State.IsFinal()
+			}
+		}
+	}
+	violations := oracle.Check(trace)
+	for i, v := range violations {
+		if i < 3 {
+			w.t.Errorf("%s", v)
+		}
+	}
+	if w.t.Failed() && testing.Verbose() {
+		for _, e := range trace.Events {
+			if e.Task != "" || e.Type == timeline.OwnershipTaken || e.Type == timeline.OwnershipLost {
+				w.t.Log(e)
+			}
+		}
+	}
+}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -14,7 +14,7 @@
 
 // operatorBackend decides operators' calls. Changes of the configuration are
 // written to the store by the instance that was asked.
-type operatorBackend struct{ *Daemon }
+type operatorBackend struct{ *engine }
 
 // inForcePoll is how often a call that waits looks whether its change is in
 // force at every member.
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -11,7 +11,7 @@
 )
 
 // peerHandler answers the other entry instances.
-type peerHandler struct{ *Daemon }
+type peerHandler struct{ *engine }
 
 // Handle passes a request to the control loop.
 func (h *peerHandler) Handle(ctx context.Context, from string, request control.PeerRequest) (control.PeerReply, error) {
--- a/daemon/storecalls.go
+++ b/daemon/storecalls.go
@@ -30,8 +30,8 @@
 )
 
 // commit executes a transaction and says what became of it.
-func (d *Daemon) commit(ctx context.Context, txn store.Txn) (store.TxnResult, fate) {
-	result, err := d.store.Commit(ctx, txn)
+func (d *engine) commit(ctx context.Context, txn store.Txn) (store.TxnResult, fate) {
+	result, err := d.clients.Store.Commit(ctx, txn)
 	switch {
 	case err == nil && result.Succeeded:
 		return result, stored
@@ -56,9 +56,9 @@
 }
 
 // grantLease asks for a lease and registers this instance under it.
-func (d *Daemon) grantLease(ctx context.Context, e control.GrantLease) control.LeaseGranted {
+func (d *engine) grantLease(ctx context.Context, e control.GrantLease) control.LeaseGranted {
 	done := control.LeaseGranted{SentAt: time.Now()}
-	done.Lease, done.Err = d.store.Grant(ctx, d.cfg.Control.StoreLeaseTTL)
+	done.Lease, done.Err = d.clients.Store.Grant(ctx, d.cfg.Control.StoreLeaseTTL)
 	if done.Err != nil {
 		return done
 	}
@@ -67,7 +67,7 @@
 		done.Err = err
 		return done
 	}
-	result, err := d.store.Commit(ctx, store.Txn{Puts: []store.Put{put}})
+	result, err := d.clients.Store.Commit(ctx, store.Txn{Puts: []store.Put{put}})
 	done.Revision, done.Err = result.Revision, err
 	return done
 }
@@ -77,10 +77,10 @@
 	return store.Put{Key: store.MemberKey(instance), Value: value, Lease: lease}, err
 }
 
-func (d *Daemon) writeMember(ctx context.Context, e control.WriteMember) {
+func (d *engine) writeMember(ctx context.Context, e control.WriteMember) {
 	put, err := memberPut(e.Member.Instance, e.Member, e.Lease)
 	if err == nil {
-		_, err = d.store.Commit(ctx, store.Txn{Puts: []store.Put{put}})
+		_, err = d.clients.Store.Commit(ctx, store.Txn{Puts: []store.Put{put}})
 	}
 	if err != nil {
 		d.log.Warn("member record was not written", "err", err)
@@ -88,23 +88,23 @@
 }
 
 // renewLease keeps the lease alive, then reads the revision of the store.
-func (d *Daemon) renewLease(ctx context.Context, e control.RenewLease) control.KeepAliveDone {
+func (d *engine) renewLease(ctx context.Context, e control.RenewLease) control.KeepAliveDone {
 	done := control.KeepAliveDone{SentAt: time.Now(), Lease: e.Lease}
-	_, done.Err = d.store.KeepAlive(ctx, e.Lease)
+	_, done.Err = d.clients.Store.KeepAlive(ctx, e.Lease)
 	if done.Err != nil {
 		done.Gone = errors.Is(done.Err, store.ErrLeaseGone)
 		return done
 	}
 	done.ReadSentAt = time.Now()
-	_, _, revision, err := d.store.Get(ctx, store.MemberKey(d.cfg.Self.Instance))
+	_, _, revision, err := d.clients.Store.Get(ctx, store.MemberKey(d.cfg.Self.Instance))
 	if err == nil {
 		done.Revision = revision
 	}
 	return done
 }
 
-func (d *Daemon) readShard(ctx context.Context, e control.ReadShard) control.ShardRead {
-	kv, found, _, err := d.store.Get(ctx, store.RecordsKey(e.Shard))
+func (d *engine) readShard(ctx context.Context, e control.ReadShard) control.ShardRead {
+	kv, found, _, err := d.clients.Store.Get(ctx, store.RecordsKey(e.Shard))
 	if err != nil || !found {
 		return control.ShardRead{Shard: e.Shard, Err: err}
 	}
@@ -116,7 +116,7 @@
 	return control.ShardRead{Shard: shard, Err: err, Value: value, Revision: kv.ModRevision}
 }
 
-func (d *Daemon) commitLedger(ctx context.Context, e control.CommitLedger) control.LedgerDone {
+func (d *engine) commitLedger(ctx context.Context, e control.CommitLedger) control.LedgerDone {
 	done := control.LedgerDone{Writes: e.Writes, Result: ledger.NoEffect}
 	var txn store.Txn
 	for _, w := range e.Writes {
@@ -144,7 +144,7 @@
 	return done
 }
 
-func (d *Daemon) writeOwnership(ctx context.Context, e control.WriteOwnership) control.OwnershipDone {
+func (d *engine) writeOwnership(ctx context.Context, e control.WriteOwnership) control.OwnershipDone {
 	w := e.Write
 	done := control.OwnershipDone{Unit: w.Record.Unit, Result: ownership.WriteResult{Outcome: ownership.NoEffect}}
 	value, err := store.Encode(w.Record)
@@ -167,7 +167,7 @@
 	return done
 }
 
-func (d *Daemon) writeAllowances(ctx context.Context, e control.WriteAllowances) control.AllowanceDone {
+func (d *engine) writeAllowances(ctx context.Context, e control.WriteAllowances) control.AllowanceDone {
 	done := control.AllowanceDone{Writes: e.Writes, Result: allowance.WriteResult{Outcome: allowance.NoEffect}}
 	var txn store.Txn
 	owners := map[string]int64{}
--- a/daemon/views.go
+++ b/daemon/views.go
@@ -113,7 +113,7 @@
 			lines[i] = b.recorder.Events(timeline.Filter{Task: filter.Task, Team: filter.Team, From: filter.Since})
 			return
 		}
-		events, err := b.peers.Timeline(ctx, m, string(filter.Task), string(filter.Team), filter.Since)
+		events, err := b.clients.Entries.Timeline(ctx, m, string(filter.Task), string(filter.Team), filter.Since)
 		failed[i] = err != nil || json.Unmarshal(events, &lines[i]) != nil
 	})
 	merged := api.Timeline{Events: timeline.Merge(lines...)}
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -20,7 +20,7 @@
 	peerFetchAfter = 3
 )
 
-func (d *Daemon) requestResync() {
+func (d *engine) requestResync() {
 	select {
 	case d.resync <- struct{}{}:
 	default:
@@ -29,7 +29,7 @@
 
 // watchConfig keeps the control state informed of everything below the
 // configuration prefix: a complete list first, then changes in order.
-func (d *Daemon) watchConfig(ctx context.Context) error {
+func (d *engine) watchConfig(ctx context.Context) error {
 	failures := 0
 	for ctx.Err() == nil {
 		revision, err := d.listConfig(ctx)
@@ -48,8 +48,8 @@
 	return nil
 }
 
-func (d *Daemon) listConfig(ctx context.Context) (revision int64, err error) {
-	kvs, revision, err := d.store.List(ctx, store.ConfigPrefix)
+func (d *engine) listConfig(ctx context.Context) (revision int64, err error) {
+	kvs, revision, err := d.clients.Store.List(ctx, store.ConfigPrefix)
 	if err != nil {
 		return 0, err
 	}
@@ -63,7 +63,7 @@
 
 // follow delivers changes until the watch has to start from a list again. A
 // watch that fails otherwise goes on after the last revision delivered.
-func (d *Daemon) follow(ctx context.Context, revision int64) {
+func (d *engine) follow(ctx context.Context, revision int64) {
 	for ctx.Err() == nil {
 		watchCtx, cancel := context.WithCancel(ctx)
 		resynced := make(chan struct{})
@@ -75,7 +75,7 @@
 			case <-watchCtx.Done():
 			}
 		}()
-		err := d.store.Watch(watchCtx, store.ConfigPrefix, revision+1, func(b store.WatchBatch) {
+		err := d.clients.Store.Watch(watchCtx, store.ConfigPrefix, revision+1, func(b store.WatchBatch) {
 			revision = b.Revision
 			d.deliver(ctx, b)
 		})
@@ -89,7 +89,7 @@
 	}
 }
 
-func (d *Daemon) deliver(ctx context.Context, b store.WatchBatch) {
+func (d *engine) deliver(ctx context.Context, b store.WatchBatch) {
 	changes := make([]control.ConfigChange, len(b.Changes))
 	for i, c := range b.Changes {
 		changes[i] = store.DecodeConfig(control.ConfigEntry{Key: c.Key, Value: c.Value, Revision: c.ModRevision, Deleted: c.Deleted})
@@ -99,8 +99,8 @@
 
 // fetchFromPeers reads the configuration of the other instances when this one
 // has started while the store is down.
-func (d *Daemon) fetchFromPeers(ctx context.Context) {
-	instances, err := d.list.List(ctx)
+func (d *engine) fetchFromPeers(ctx context.Context) {
+	instances, err := d.clients.List.List(ctx)
 	if err != nil {
 		d.log.Warn("started without store and instance list", "err", err)
 		return
@@ -123,10 +123,10 @@
 }
 
 // pollInstances delivers the platform's instance list at intervals.
-func (d *Daemon) pollInstances(ctx context.Context) error {
+func (d *engine) pollInstances(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sentAt := time.Now()
-		instances, err := d.list.List(ctx)
+		instances, err := d.clients.List.List(ctx)
 		if err != nil {
 			d.log.Debug("instance list was not read", "err", err)
 		} else {
--- a/daemon/workercalls.go
+++ b/daemon/workercalls.go
@@ -13,14 +13,14 @@
 
 // startTask starts an attempt. The term is checked with the latest snapshot when
 // the request is written, however long this goroutine was held up before.
-func (d *Daemon) startTask(ctx context.Context, e control.StartTask) {
+func (d *engine) startTask(ctx context.Context, e control.StartTask) {
 	check := func() error {
 		if !d.loop.Snapshot().Holds(time.Now(), e.Partition, e.Epoch) {
 			return errkind.New(errkind.NoOwner, "the term for %s has ended", e.Partition)
 		}
 		return nil
 	}
-	reply, err := d.workers.Start(ctx, worker.Address(e.Address), worker.StartRequest{
+	reply, err := d.clients.Workers.Start(ctx, worker.Address(e.Address), worker.StartRequest{
 		Attempt: e.Attempt, Team: e.Team, Class: e.Class, Owner: d.cfg.Self.Incarnation, Epoch: e.Epoch, BootID: e.BootID,
 		StartBy: e.StartBy, LeaseUntil: e.LeaseUntil, Wait: e.Wait, Size: e.Size, Command: e.Command, Payload: e.Payload, LongLived: e.LongLived,
 	}, check)
@@ -36,9 +36,9 @@
 	d.post(ctx, done)
 }
 
-func (d *Daemon) syncWorker(ctx context.Context, e control.SyncWorker) {
+func (d *engine) syncWorker(ctx context.Context, e control.SyncWorker) {
 	done := control.SyncDone{Sync: e, SentAt: time.Now()}
-	reply, err := d.workers.Sync(ctx, worker.Address(e.Address), worker.SyncRequest{
+	reply, err := d.clients.Workers.Sync(ctx, worker.Address(e.Address), worker.SyncRequest{
 		Owner: d.cfg.Self.Incarnation, Epoch: e.Epoch, BootID: e.BootID, LeaseUntil: e.LeaseUntil,
 		Acknowledge: e.Acknowledge, After: e.After, Full: e.Full,
 	})
@@ -57,25 +57,25 @@
 	return control.TaskReport{Attempt: t.Attempt, Team: t.Team, Class: t.Class, Size: t.Size, Usage: t.Usage, Outcome: t.Outcome, ResultBytes: t.ResultBytes}
 }
 
-func (d *Daemon) lookupTask(ctx context.Context, e control.LookupTask) {
-	reply, err := d.workers.Lookup(ctx, worker.Address(e.Address), e.Attempt)
+func (d *engine) lookupTask(ctx context.Context, e control.LookupTask) {
+	reply, err := d.clients.Workers.Lookup(ctx, worker.Address(e.Address), e.Attempt)
 	d.post(ctx, control.LookupDone{Lookup: e, Err: err, Known: reply.Known, Clock: reply.Clock, BootID: reply.BootID, Report: taskReport(reply.Report)})
 }
 
-func (d *Daemon) fetchResult(ctx context.Context, e control.FetchResult) {
+func (d *engine) fetchResult(ctx context.Context, e control.FetchResult) {
 	var data bytes.Buffer
-	err := d.workers.Result(ctx, worker.Address(e.Address), worker.ResultRequest{Attempt: e.Attempt, Bytes: e.Bytes, Digest: e.Digest}, &data)
+	err := d.clients.Workers.Result(ctx, worker.Address(e.Address), worker.ResultRequest{Attempt: e.Attempt, Bytes: e.Bytes, Digest: e.Digest}, &data)
 	d.post(ctx, control.ResultDone{Fetch: e, Err: err, Data: data.Bytes()})
 }
 
 // stopTask asks for a stop. Its effect is seen in the next report, and the
 // state asks again without one.
-func (d *Daemon) stopTask(ctx context.Context, e control.StopTask) {
+func (d *engine) stopTask(ctx context.Context, e control.StopTask) {
 	var err error
 	if e.Checkpoint {
-		_, err = d.workers.Checkpoint(ctx, worker.Address(e.Address), worker.CheckpointRequest{Attempt: e.Attempt, Owner: d.cfg.Self.Incarnation, Epoch: e.Epoch})
+		_, err = d.clients.Workers.Checkpoint(ctx, worker.Address(e.Address), worker.CheckpointRequest{Attempt: e.Attempt, Owner: d.cfg.Self.Incarnation, Epoch: e.Epoch})
 	} else {
-		_, err = d.workers.Stop(ctx, worker.Address(e.Address), worker.StopRequest{Attempt: e.Attempt, Owner: d.cfg.Self.Incarnation,
+		_, err = d.clients.Workers.Stop(ctx, worker.Address(e.Address), worker.StopRequest{Attempt: e.Attempt, Owner: d.cfg.Self.Incarnation,
 			Epoch: e.Epoch, BootID: e.BootID, StartBy: e.RefuseUntil})
 	}
 	if err != nil {
--- /dev/null
+++ b/daemon/world_test.go
@@ -0,0 +1,431 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/mulberrydrum/mulberrydrum/control"
+	"github.com/mulberrydrum/mulberrydrum/document"
+	"github.com/mulberrydrum/mulberrydrum/entry"
+	"github.com/mulberrydrum/mulberrydrum/instancelist"
+	"github.com/mulberrydrum/mulberrydrum/keyring"
+	"github.com/mulberrydrum/mulberrydrum/membership"
+	"github.com/mulberrydrum/mulberrydrum/oracle"
+	"github.com/mulberrydrum/mulberrydrum/settings"
+	"github.com/mulberrydrum/mulberrydrum/standin"
+	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/store/storetest"
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/timeline"
+	"github.com/mulberrydrum/mulberrydrum/worker"
+)
+
+// world is a small deployment with fakes at the interfaces. It runs in a
+// testing/synctest bubble: all time is virtual.
+type world struct {
+	t       *testing.T
+	store   *storetest.Memory
+	workers map[string]*standin.Worker
+	local   *standin.LocalWorkers
+	listing []instancelist.Instance
+
+	mu    sync.Mutex
+	nodes []*node // every process that ever ran
+	fault func(c call) faultAction
+}
+
+// node is one process of an entry instance.
+type node struct {
+	*engine
+	world  *world
+	index  int
+	dead   bool
+	frozen time.Time // calls wait until then
+}
+
+// call is one call at an interface, as faults see it.
+type call struct {
+	step     string // peer, worker or store call, such as "peer.Place"
+	from     *node
+	to       *node  // for calls between entry instances
+	worker   string // address, for calls to workers
+	returned bool   // the call has had its effect
+}
+
+// faultAction is what a fault does to a call.
+type faultAction struct {
+	drop  bool          // the call does not arrive, or its reply is lost
+	delay time.Duration // before the call goes on
+}
+
+var errDropped = errors.New("no reply")
+
+const worldRegion = "flanders"
+
+// newWorld starts entry instances and workers, and waits until every unit has an
+// owner.
+func newWorld(t *testing.T, instances, workers int) *world {
+	w := &world{t: t, store: storetest.NewMemory(storetest.Config{}), workers: map[string]*standin.Worker{}, local: standin.NewLocalWorkers(nil)}
+	for i := range workers {
+		name := fmt.Sprintf("worker-%d", i)
+		w.workers[name] = standin.NewWorker(standin.WorkerConfig{Name: name, UsageLag: 5 * time.Second,
+			Capacity: task.Resources{CPUMilli: 4000, MemoryMB: 8192, Slots: 4, Connections: 16}})
+		w.local.Set(worker.Address(name), w.workers[name])
+		w.listing = append(w.listing, instancelist.Instance{Name: name, Address: name, Role: instancelist.RoleWorker, Region: worldRegion,
+			FailureDomain: fmt.Sprintf("domain-%d", i), Rack: fmt.Sprintf("rack-%d", i), State: instancelist.StateLive})
+	}
+	w.configure()
+	for i := range instances {
+		w.startNode(i)
+	}
+	return w
+}
+
+const worldDocument = `{"team": "leuven", "service": "piping", "classes": [
+  {"name": "lookup", "kind": "answer", "urgency": "urgent", "size": {"cpu_milli": 500, "memory_mb": 512, "slots": 1}, "max_run": "5s", "command": "sleep:100ms"},
+  {"name": "check", "kind": "durable", "size": {"cpu_milli": 500, "memory_mb": 512, "slots": 1}, "max_count": 8, "max_run": "1m", "command": "sleep:2s"},
+  {"name": "report", "kind": "at_most_once", "size": {"cpu_milli": 500, "memory_mb": 512, "slots": 1}, "max_run": "1m", "command": "sleep:2s"},
+  {"name": "hammer", "kind": "gang", "size": {"cpu_milli": 500, "memory_mb": 512, "slots": 1}, "max_count": 4, "max_run": "1m", "command": "sleep:2s"},
+  {"name": "tables", "kind": "service", "size": {"cpu_milli": 500, "memory_mb": 512, "slots": 1}, "command": "run"}]}`
+
+const worldTeam = `{"team": "leuven", "share": 1, "limit": {"cpu_milli": 10000, "memory_mb": 0, "accelerators": 0, "slots": 12, "connections": 0}}`
+
+const worldSecret = "leuven-secret"
+
+func (w *world) configure() {
+	client := w.store.Client("test")
+	var txn store.Txn
+	for _, source := range []string{worldDocument, worldTeam} {
+		parsed, faults := document.Parse([]byte(source))
+		if len(faults) > 0 {
+			w.t.Fatalf("document: %v", faults)
+		}
+		value, _ := store.Encode(document.Record{Source: source, WriteID: source})
+		txn.Puts = append(txn.Puts, store.Put{Key: store.DocumentKey(string(parsed.Team), string(parsed.Service)), Value: value})
+	}
+	value, _ := store.Encode(keyring.Key{ID: "k1", Team: "leuven", Digest: keyring.DigestOf(worldSecret)})
+	txn.Puts = append(txn.Puts, store.Put{Key: store.KeyKey("leuven", "k1"), Value: value})
+	if _, err := client.Commit(w.t.Context(), txn); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// startNode starts a process of entry instance i.
+func (w *world) startNode(i int) *node {
+	s := settings.Default()
+	s.Instance, s.Region, s.FailureDomain = fmt.Sprintf("entry-%d", i), worldRegion, fmt.Sprintf("domain-%d", i)
+	s.Regions = []string{worldRegion}
+	s.StoreEndpoints = []string{"store"}
+	s.WorkerPartitions, s.RequestShards = 2, 4
+	cfg := FromSettings(s)
+	cfg.Seed = uint64(i + 1)
+	cfg.Tick = 50 * time.Millisecond
+	cfg.Self.Address = s.Instance
+	w.mu.Lock()
+	cfg.Self.Incarnation = fmt.Sprintf("%s-%d", s.Instance, len(w.nodes))
+	w.mu.Unlock()
+	n := &node{world: w, index: i}
+	n.engine = newEngine(cfg, log.New(io.Discard), Clients{
+		Store: &storeFake{Store: w.store.Client(s.Instance), node: n}, List: &listFake{n}, Workers: &workerFake{API: w.local, node: n}, Entries: &entryFake{n},
+	})
+	n.carryOut = func(e control.Effect) {
+		n.wait()
+		n.execute(e)
+	}
+	w.mu.Lock()
+	w.nodes = append(w.nodes, n)
+	w.mu.Unlock()
+	go func() { _ = n.run(n.effects) }()
+	return n
+}
+
+// kill ends a process at once.
+func (n *node) kill() {
+	n.world.mu.Lock()
+	n.dead = true
+	n.world.mu.Unlock()
+	n.stop()
+}
+
+// freeze keeps a process from doing anything for a while.
+func (n *node) freeze(d time.Duration) {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	n.frozen = time.Now().Add(d)
+}
+
+func (n *node) isDead() bool {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	return n.dead
+}
+
+// wait returns when the process is not frozen.
+func (n *node) wait() {
+	n.world.mu.Lock()
+	left := time.Until(n.frozen)
+	n.world.mu.Unlock()
+	if left > 0 {
+		time.Sleep(left)
+	}
+}
+
+// pass lets a call go on, or reports that it is lost. A process that has died
+// sends nothing.
+func (w *world) pass(ctx context.Context, c call) error {
+	w.mu.Lock()
+	hook := w.fault
+	w.mu.Unlock()
+	if hook != nil {
+		action := hook(c)
+		if action.drop {
+			<-ctx.Done()
+			return errDropped
+		}
+		time.Sleep(action.delay)
+	}
+	c.from.wait()
+	if c.from.isDead() {
+		return errDropped
+	}
+	return nil
+}
+
+// live returns the processes that run.
+func (w *world) live() []*node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var live []*node
+	for _, n := range w.nodes {
+		if !n.dead {
+			live = append(live, n)
+		}
+	}
+	return live
+}
+
+// close ends everything.
+func (w *world) close() {
+	for _, n := range w.live() {
+		n.kill()
+	}
+	for _, wk := range w.workers {
+		wk.Close()
+	}
+	w.store.Close()
+}
+
+func (w *world) trace() oracle.Trace {
+	trace := oracle.Trace{Bounds: oracle.DefaultBounds, InProgress: map[task.ID]bool{}}
+	var lines [][]timeline.Event
+	for _, n := range w.nodes {
+		lines = append(lines, n.Events())
+	}
+	trace.Events = timeline.Merge(lines...)
+	for _, wk := range w.workers {
+		ledger, err := wk.Ledger()
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		trace.Workers = append(trace.Workers, ledger)
+	}
+	return trace
+}
+
+// entryFake calls other processes directly.
+type entryFake struct{ *node }
+
+// Call passes a request to the control loop of the other process.
+func (f *entryFake) Call(ctx context.Context, to membership.Member, request control.PeerRequest) (control.PeerReply, error) {
+	target := f.world.at(to.Address)
+	if target == nil {
+		return nil, eris.Wrap(entry.ErrNotSent, "connection refused")
+	}
+	c := call{step: fmt.Sprintf("peer.%T", request)[len("peer.control."):], from: f.node, to: target}
+	c.step = "peer." + c.step
+	if err := f.world.pass(ctx, c); err != nil {
+		return nil, err
+	}
+	if target.isDead() {
+		return nil, eris.Wrap(entry.ErrNotSent, "connection refused")
+	}
+	target.wait()
+	reply, err := target.loop.Call(ctx, f.cfg.Self.Instance, request)
+	c.returned = true
+	if passErr := f.world.pass(ctx, c); passErr != nil {
+		return nil, passErr
+	}
+	return reply, err
+}
+
+// Timeline is not used by these tests.
+func (f *entryFake) Timeline(context.Context, membership.Member, string, string, time.Time) ([]byte, error) {
+	return nil, errDropped
+}
+
+// Close has nothing to close.
+func (f *entryFake) Close() {}
+
+// at returns the process that listens on an address.
+func (w *world) at(address string) *node {
+	for _, n := range w.live() {
+		if n.cfg.Self.Address == address {
+			return n
+		}
+	}
+	return nil
+}
+
+// workerFake passes calls to the stand-in workers.
+type workerFake struct {
+	worker.API
+	node *node
+}
+
+// through makes a call to a worker, which a fault may drop before or after its
+// effect.
+func through[T any](ctx context.Context, n *node, step string, to worker.Address, f func() (T, error)) (T, error) {
+	var none T
+	c := call{step: step, from: n, worker: string(to)}
+	if err := n.world.pass(ctx, c); err != nil {
+		return none, fmt.Errorf("%w: %w", worker.ErrUnclear, err)
+	}
+	reply, err := f()
+	c.returned = true
+	if passErr := n.world.pass(ctx, c); passErr != nil {
+		return none, fmt.Errorf("%w: %w", worker.ErrUnclear, passErr)
+	}
+	return reply, err
+}
+
+const workerFakeTimeout = 2 * time.Second
+
+// Start starts a task. A fault at worker.StartChecked comes after the check of
+// the term, as when a process is paused in mid-send.
+func (f *workerFake) Start(ctx context.Context, to worker.Address, req worker.StartRequest, check func() error) (worker.StartReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, req.Wait+workerFakeTimeout)
+	defer cancel()
+	return through(ctx, f.node, "worker.Start", to, func() (worker.StartReply, error) {
+		return f.API.Start(context.WithoutCancel(ctx), to, req, func() error {
+			if err := check(); err != nil {
+				return err
+			}
+			return f.node.world.pass(ctx, call{step: "worker.StartChecked", from: f.node, worker: string(to)})
+		})
+	})
+}
+
+// Sync renews leases.
+func (f *workerFake) Sync(ctx context.Context, to worker.Address, req worker.SyncRequest) (worker.SyncReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, workerFakeTimeout)
+	defer cancel()
+	return through(ctx, f.node, "worker.Sync", to, func() (worker.SyncReply, error) { return f.API.Sync(ctx, to, req) })
+}
+
+// Lookup asks for an attempt.
+func (f *workerFake) Lookup(ctx context.Context, to worker.Address, a task.Attempt) (worker.LookupReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, workerFakeTimeout)
+	defer cancel()
+	return through(ctx, f.node, "worker.Lookup", to, func() (worker.LookupReply, error) { return f.API.Lookup(ctx, to, a) })
+}
+
+// Stop stops an attempt.
+func (f *workerFake) Stop(ctx context.Context, to worker.Address, req worker.StopRequest) (worker.LookupReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, workerFakeTimeout)
+	defer cancel()
+	return through(ctx, f.node, "worker.Stop", to, func() (worker.LookupReply, error) { return f.API.Stop(ctx, to, req) })
+}
+
+// listFake is the instance list: everything lives, dead processes too, since
+// the list lags.
+type listFake struct{ *node }
+
+// List returns every instance.
+func (f *listFake) List(ctx context.Context) ([]instancelist.Instance, error) {
+	if err := f.world.pass(ctx, call{step: "list.List", from: f.node}); err != nil {
+		return nil, err
+	}
+	f.world.mu.Lock()
+	defer f.world.mu.Unlock()
+	list := append([]instancelist.Instance(nil), f.world.listing...)
+	for _, n := range f.world.nodes {
+		if !n.dead {
+			list = append(list, instancelist.Instance{Name: n.cfg.Self.Instance, Address: n.cfg.Self.Address, Role: instancelist.RoleEntry,
+				Region: n.cfg.Self.Region, FailureDomain: n.cfg.Self.FailureDomain, State: instancelist.StateLive})
+		}
+	}
+	return list, nil
+}
+
+// storeFake passes calls to the store in memory.
+type storeFake struct {
+	store.Store
+	node *node
+}
+
+func viaStore[T any](ctx context.Context, n *node, step string, f func() (T, error)) (T, error) {
+	var none T
+	ctx, cancel := context.WithTimeout(ctx, store.DefaultCallTimeout)
+	defer cancel()
+	if err := n.world.pass(ctx, call{step: step, from: n}); err != nil {
+		return none, fmt.Errorf("%w: %w", store.ErrUnclear, err)
+	}
+	result, err := f()
+	if passErr := n.world.pass(ctx, call{step: step, from: n, returned: true}); passErr != nil {
+		return none, fmt.Errorf("%w: %w", store.ErrUnclear, passErr)
+	}
+	return result, err
+}
+
+// Commit executes a transaction.
+func (f *storeFake) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	return viaStore(ctx, f.node, "store."+txnKind(txn), func() (store.TxnResult, error) { return f.Store.Commit(context.WithoutCancel(ctx), txn) })
+}
+
+// txnKind names what a transaction writes.
+func txnKind(txn store.Txn) string {
+	if len(txn.Puts) == 0 {
+		return "Delete"
+	}
+	kinds := map[byte]string{'o': "CommitOwnership", 'a': "CommitAllowance", 'm': "CommitMember"}
+	key := txn.Puts[0].Key
+	if key[0] == 'j' {
+		return "CommitRecords"
+	}
+	return kinds[key[len(store.ConfigPrefix)]]
+}
+
+// KeepAlive renews the lease.
+func (f *storeFake) KeepAlive(ctx context.Context, lease int64) (time.Duration, error) {
+	return viaStore(ctx, f.node, "store.KeepAlive", func() (time.Duration, error) { return f.Store.KeepAlive(ctx, lease) })
+}
+
+// Get reads a key.
+func (f *storeFake) Get(ctx context.Context, key string) (store.KeyValue, bool, int64, error) {
+	type got struct {
+		kv       store.KeyValue
+		found    bool
+		revision int64
+	}
+	g, err := viaStore(ctx, f.node, "store.Get", func() (got, error) {
+		kv, found, revision, err := f.Store.Get(ctx, key)
+		return got{kv, found, revision}, err
+	})
+	return g.kv, g.found, g.revision, err
+}
+
+// Watch delivers changes; a frozen process sees none.
+func (f *storeFake) Watch(ctx context.Context, prefix string, from int64, deliver func(store.WatchBatch)) error {
+	return f.Store.Watch(ctx, prefix, from, func(b store.WatchBatch) {
+		f.node.wait()
+		deliver(b)
+	})
+}
