Never state a job as not run of which a task ran; report a start again to a new home

Two faults that the fault matrix found. Cause 1: the state of a job ranked not_run after finished, so a cancelled job with one task stopped while running and two withdrawn was stated as not run. Cause 2: a home that took over looked a running attempt up and was told only that it is known, so a service stayed dispatched forever.

--- a/control/owner.go
+++ b/control/owner.go
@@ -193,9 +193,7 @@
 
 func (w *owner) lookupOne(name string, item LookupItem) LookupState {
 	if a, known := w.attempts[item.Attempt]; known {
-		if r, ok := w.outgoing[a.id]; ok {
-			r.sendAt = w.now
-		}
+		w.reportAgain(a)
 		return LookupKnown
 	}
 	part, owned := w.partitions[name]
@@ -217,6 +215,16 @@
 	return LookupEnded
 }
 
+// reportAgain tells a home that asks what it may have missed: a home that took
+// over does not know that an attempt runs.
+func (w *owner) reportAgain(a *attempt) {
+	if r, ok := w.outgoing[a.id]; ok {
+		r.sendAt = w.now
+	} else if a.stage == stageRunning {
+		w.outgoing[a.id] = &outgoingReport{report: w.reportOf(a, nil), sendAt: w.now}
+	}
+}
+
 // lookupOnce answers for at-most-once work that was permitted on one worker. It
 // is proved not run only by a report of the same boot that does not list it.
 func (w *owner) lookupOnce(item LookupItem) LookupState {
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -57,13 +57,16 @@
 	return true
 }
 
+// stateRank orders the states of tasks for the state of their job. NotRun comes
+// last, so that a job of which any task ran is never stated as not run.
+var stateRank = map[task.State]int{task.Accepted: 0, task.Dispatched: 1, task.Running: 2, task.Unknown: 3, task.Finished: 4, task.NotRun: 5}
+
 // State returns the state of the job as a whole: that of its least advanced
-// task, or Unknown if any task is unknown.
+// task. It is Unknown if any task is, and NotRun only if every task is.
 func (r *Record) State() task.State {
-	rank := map[task.State]int{task.Accepted: 0, task.Dispatched: 1, task.Running: 2, task.Unknown: 3, task.NotRun: 4, task.Finished: 5}
-	least := task.Finished
+	least := task.NotRun
 	for i := range r.Tasks {
-		if rank[r.Tasks[i].State] < rank[least] {
+		if stateRank[r.Tasks[i].State] < stateRank[least] {
 			least = r.Tasks[i].State
 		}
 	}
