Keep a task that may have run from ending as not run; start gangs whole

Cause 1: a durable task whose first attempt was lost with its worker and that was cancelled before the second one was stated as not run. The record now remembers that an attempt may have run. Cause 2: a gang of which some members had finished before another was lost waited for all of them and never started again. Cause 3: a gang without allowance reserved and released its members one by one in every round. Its allowance is now taken at once.

--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -106,7 +106,7 @@
 	h.routing.charge(t.Partition, record.Spec.Size)
 	gang := 1
 	if record.Spec.Kind == task.Gang {
-		gang = len(record.Tasks)
+		gang = waitingTasks(record)
 	}
 	h.batches[t.Partition] = append(h.batches[t.Partition], Placement{
 		Attempt: a, Job: job, Index: index, Partition: t.Partition, Epoch: epoch,
@@ -115,6 +115,18 @@
 	h.event(timeline.Event{Type: timeline.TaskPlaced, Team: job.Team, Task: a.Task, Attempt: a.Number, Partition: t.Partition, Epoch: epoch})
 }
 
+// waitingTasks returns how many tasks of a gang have not started. Those that
+// have finished before another member was lost do not start again.
+func waitingTasks(record *ledger.Record) int {
+	waiting := 0
+	for i := range record.Tasks {
+		if s := record.Tasks[i].State; s == task.Accepted || s == task.Dispatched {
+			waiting++
+		}
+	}
+	return waiting
+}
+
 // flush sends the placements that were collected, one call for each partition.
 func (h *home) flush() {
 	partitions := make([]string, 0, len(h.batches))
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -88,15 +88,23 @@
 	return holds && epoch == part.epoch
 }
 
-// reserve takes allowance and room on a worker for an attempt, or neither.
+// reserve takes allowance, and with it room on a worker, for an attempt.
 func (w *owner) reserve(a *attempt, worker string) bool {
 	if !w.allow.Acquire(w.now, a.team, a.partition, a.size) {
 		return false
 	}
-	if !w.cluster.Reserve(worker, a.id, a.size) {
+	if !w.hold(a, worker) {
 		w.allow.Return(w.now, a.team, a.partition, a.size)
 		return false
 	}
+	return true
+}
+
+// hold reserves room on a worker for an attempt whose allowance is taken.
+func (w *owner) hold(a *attempt, worker string) bool {
+	if !w.cluster.Reserve(worker, a.id, a.size) {
+		return false
+	}
 	w.shares.Start(w.now, a.team, a.size)
 	w.cluster.SetSpread(a.id, w.request(a).SpreadKey)
 	a.worker = worker
@@ -175,15 +183,12 @@
 		return false
 	}
 	workers, ok := w.cluster.FindGang(w.request(a), len(members))
-	if !ok {
+	if !ok || !w.allow.Acquire(w.now, a.team, a.partition, a.size.Scale(int64(len(members)))) {
 		return false
 	}
 	for i, m := range members {
-		if !w.reserve(m, workers[i]) {
-			for _, reserved := range members[:i] {
-				w.release(reserved)
-				reserved.worker = ""
-			}
+		if !w.hold(m, workers[i]) {
+			w.releaseGang(members, i)
 			return false
 		}
 	}
@@ -193,6 +198,17 @@
 	return true
 }
 
+// releaseGang gives back what a gang had taken of which only the first members
+// are held.
+func (w *owner) releaseGang(members []*attempt, held int) {
+	for _, m := range members[:held] {
+		w.release(m)
+	}
+	for _, m := range members[held:] {
+		w.allow.Return(w.now, m.team, m.partition, m.size)
+	}
+}
+
 // gangOf returns the waiting members of the gang of an attempt.
 func (w *owner) gangOf(a *attempt) []*attempt {
 	var members []*attempt
--- a/daemon/matrix_test.go
+++ b/daemon/matrix_test.go
@@ -44,9 +44,9 @@
 )
 
 var strikes = []strike{
-	{name: "drop request", times: 1, act: func(*world, call) faultAction { return faultAction{drop: true} }},
-	{name: "drop reply", after: true, times: 1, act: func(*world, call) faultAction { return faultAction{drop: true} }},
-	{name: "drop reply twice", after: true, times: 2, act: func(*world, call) faultAction { return faultAction{drop: true} }},
+	{name: "drop request", times: 1, act: dropCall},
+	{name: "drop reply", after: true, times: 1, act: dropCall},
+	{name: "drop reply twice", after: true, times: 2, act: dropCall},
 	{name: "delay", times: 1, act: func(*world, call) faultAction { return faultAction{delay: 4 * time.Second} }},
 	{name: "kill sender", times: 1, act: func(w *world, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
 	{name: "kill sender after effect", after: true, times: 1, act: func(w *world, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
@@ -78,6 +78,18 @@
 	return true
 }
 
+// preludes bring about the steps that an undisturbed run does not have: a
+// look-up follows a lost request, a promise an outage of the store, and a takeover
+// the death of an owner.
+var preludes = map[string]strike{
+	"peer.LookupRequest":    {name: "peer.PlaceRequest", times: 3, act: dropCall},
+	"worker.Lookup":         {name: "worker.Start", times: 3, act: dropCall},
+	"peer.PromiseRequest":   {name: "worker.Start", times: 1, act: func(w *world, _ call) faultAction { w.storeDown(fault.Down); return faultAction{} }},
+	"store.CommitOwnership": {name: "worker.Start", after: true, times: 1, act: func(w *world, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
+}
+
+func dropCall(*world, call) faultAction { return faultAction{drop: true} }
+
 // TestFaultMatrix guards against a request that is lost, doubled or answered
 // untruthfully when one fault strikes one step. It runs the decisions and the
 // daemon's calls in virtual time and lists the cells that no call reached.
@@ -115,28 +127,49 @@
 	w := newWorld(t, 3, 4)
 	defer w.close()
 	time.Sleep(10 * time.Second) // ownership is claimed
-	left := s.times
-	w.mu.Lock()
-	w.fault = func(c call) faultAction {
-		w.mu.Lock()
-		hit := left > 0 && c.step == step && c.returned == s.after && !c.from.dead
-		if hit {
-			left--
-		}
-		w.mu.Unlock()
-		if !hit {
-			return faultAction{}
-		}
-		return s.act(w, c)
+	faults := []*pendingStrike{{strike: s, step: step, left: s.times}}
+	if prelude, ok := preludes[step]; ok {
+		faults = append(faults, &pendingStrike{strike: prelude, step: prelude.name, left: prelude.times})
 	}
-	w.mu.Unlock()
+	w.setFaults(faults)
 	load := w.submitLoad()
 	time.Sleep(settleTime)
 	load.check(t)
 	w.checkOracle(load)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return left < s.times
+	return faults[0].left < s.times
+}
+
+// pendingStrike is a fault that waits for calls of its step.
+type pendingStrike struct {
+	strike
+	step string
+	left int
+}
+
+func (w *world) setFaults(faults []*pendingStrike) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fault = func(c call) faultAction {
+		for _, f := range faults {
+			if w.hits(f, c) {
+				return f.act(w, c)
+			}
+		}
+		return faultAction{}
+	}
+}
+
+// hits reports whether a fault strikes a call, and counts it.
+func (w *world) hits(f *pendingStrike, c call) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if f.left == 0 || c.step != f.step || c.returned != f.after || c.from.dead {
+		return false
+	}
+	f.left--
+	return true
 }
 
 func (w *world) killAndRestart(n *node) {
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -34,14 +34,15 @@
 
 // TaskRecord is the state of one task of a job.
 type TaskRecord struct {
-	ID        task.ID       `json:"id"`
-	State     task.State    `json:"state"`
-	Attempt   uint32        `json:"attempt"`             // latest attempt; 0 before the first
-	Partition string        `json:"partition,omitempty"` // where the latest attempt was sent
-	Worker    string        `json:"worker,omitempty"`    // of at-most-once work: the only worker that may have run it
-	BootID    string        `json:"boot_id,omitempty"`   // of that worker when the start was allowed
-	Permitted bool          `json:"permitted,omitempty"` // at-most-once work: the start was allowed
-	Outcome   *task.Outcome `json:"outcome,omitempty"`
+	ID         task.ID       `json:"id"`
+	State      task.State    `json:"state"`
+	Attempt    uint32        `json:"attempt"`                // latest attempt; 0 before the first
+	Partition  string        `json:"partition,omitempty"`    // where the latest attempt was sent
+	Worker     string        `json:"worker,omitempty"`       // of at-most-once work: the only worker that may have run it
+	BootID     string        `json:"boot_id,omitempty"`      // of that worker when the start was allowed
+	Permitted  bool          `json:"permitted,omitempty"`    // at-most-once work: the start was allowed
+	MayHaveRun bool          `json:"may_have_run,omitempty"` // an earlier attempt ran, or its fate is not known
+	Outcome    *task.Outcome `json:"outcome,omitempty"`
 }
 
 // JobKey returns the identity of the job.
--- a/ledger/transition.go
+++ b/ledger/transition.go
@@ -70,13 +70,15 @@
 		return Dropped, false
 	}
 	if l.mayTryAgain(r, t, o) {
+		t.MayHaveRun = t.MayHaveRun || o.State != task.NotRun
 		t.State = task.Accepted
 		t.Worker, t.BootID, t.Permitted = "", "", false
 		return Again, l.change(s, r, &step)
 	}
-	t.State = o.State
-	t.Worker = o.Worker
 	kept := o
+	kept.State = t.endState(o.State)
+	t.State = kept.State
+	t.Worker = o.Worker
 	t.Outcome = &kept
 	if r.IsFinal() {
 		r.FinishedAt = now
@@ -84,6 +86,15 @@
 	return Final, l.change(s, r, &step)
 }
 
+// endState returns the final state of a task whose last attempt ended in state s.
+// That the last attempt was not run says nothing about the earlier ones.
+func (t *TaskRecord) endState(s task.State) task.State {
+	if s == task.NotRun && t.MayHaveRun {
+		return task.Unknown
+	}
+	return s
+}
+
 // mayTryAgain reports whether the end of an attempt leads to another one.
 func (l *Ledger) mayTryAgain(r *Record, t *TaskRecord, o task.Outcome) bool {
 	if r.Cancelled || t.State.IsFinal() {
@@ -135,8 +146,8 @@
 		t := &r.Tasks[i]
 		switch {
 		case t.State == task.Accepted:
-			t.State = task.NotRun
-			t.Outcome = &task.Outcome{Attempt: r.AttemptOf(i), State: task.NotRun, Reason: string(reason)}
+			t.State = t.endState(task.NotRun)
+			t.Outcome = &task.Outcome{Attempt: r.AttemptOf(i), State: t.State, Reason: string(reason)}
 		case !t.State.IsFinal():
 			open = append(open, i)
 		}
