--- /dev/null
+++ b/ownership/model_test.go
@@ -0,0 +1,209 @@
+package ownership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/mulberrydrum/mulberrydrum/membership"
+)
+
+// recoveryBound is the time after the last fault in which every unit must have
+// an owner: the longest wait (owner and successors gone for good: list lag,
+// window and term), plus the delays of the model.
+const recoveryBound = 60 * time.Second
+
+// fault is one disturbance of a scenario.
+type fault struct {
+	Kind     string
+	At       time.Duration
+	Duration time.Duration
+	Node     int
+	Unit     string // of a held write; empty for any
+}
+
+type scenario struct {
+	Seed     uint64
+	Lateness float64
+	Loss     float64
+	Faults   []fault
+}
+
+var faultKinds = []string{"freeze", "crash", "outage", "cut", "region", "lag", "late", "lossy", "release", "gone", "hold", "slow"}
+
+var scenarios = rapid.Custom(func(t *rapid.T) scenario {
+	s := scenario{
+		Seed:     rapid.Uint64().Draw(t, "seed"),
+		Lateness: rapid.SampledFrom([]float64{0, 0, 0.02, 0.1}).Draw(t, "lateness"),
+		Loss:     rapid.SampledFrom([]float64{0, 0, 0.02, 0.1}).Draw(t, "loss"),
+	}
+	for range rapid.IntRange(1, 10).Draw(t, "faults") {
+		s.Faults = append(s.Faults, fault{
+			Kind:     rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+			At:       time.Duration(rapid.IntRange(0, 60_000).Draw(t, "at")) * time.Millisecond,
+			Duration: time.Duration(rapid.IntRange(100, 25_000).Draw(t, "duration")) * time.Millisecond,
+			Node:     rapid.IntRange(0, 4).Draw(t, "node"),
+		})
+	}
+	return s
+})
+
+// newWorld returns five nodes in two regions; the store is in the second. Clock
+// rates are at or within the stated drift.
+func newWorld(seed uint64, seeded faults) *world {
+	w := &world{tickEvery: 100 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 1)), faults: seeded, units: []string{"w/a/0", "h/0", "h/1"}}
+	w.store = modelStore{rate: w.clockRate(), records: map[string]Record{}, members: map[string]memberKey{}, leases: map[int64]time.Duration{}}
+	for i := range 5 {
+		region := "a"
+		if i >= 3 {
+			region = "b"
+		}
+		name := fmt.Sprintf("n%d", i)
+		n := &node{w: w, index: i, rate: w.clockRate(), skew: time.Duration(w.rng.Int64N(int64(time.Hour)))}
+		n.self = membership.Member{Instance: name, Region: region, FailureDomain: name}
+		w.nodes = append(w.nodes, n)
+		w.after(time.Duration(w.rng.Int64N(int64(2*time.Second))), n.start)
+	}
+	return w
+}
+
+func (w *world) clockRate() float64 {
+	return []float64{0.99, 1.01, 0.99 + 0.02*w.rng.Float64()}[w.rng.IntN(3)]
+}
+
+// apply starts a fault now and ends it after its duration.
+func (w *world) apply(f fault) {
+	n := w.nodes[f.Node]
+	switch f.Kind {
+	case "freeze":
+		n.frozenUntil = max(n.frozenUntil, w.now+f.Duration)
+	case "crash":
+		n.up = false
+		w.after(f.Duration, func() {
+			if !n.up && !n.removed {
+				n.start()
+			}
+		})
+	case "gone":
+		if w.live() > 2 {
+			n.up, n.removed = false, true
+		}
+	case "outage":
+		w.store.down = true
+		w.after(f.Duration, func() { w.store.down = false })
+	case "cut":
+		n.cutOff = true
+		w.after(f.Duration, func() { n.cutOff = false })
+	case "region":
+		w.cutRegion(true)
+		w.after(f.Duration, func() { w.cutRegion(false) })
+	case "lag":
+		n.watchLag = f.Duration
+		w.after(f.Duration, func() { n.watchLag = 0 })
+	case "slow":
+		n.slow = min(f.Duration, callTimeout-100*time.Millisecond)
+		w.after(f.Duration, func() { n.slow = 0 })
+	case "hold":
+		n.hold, n.holdUnit = f.Duration, f.Unit
+	case "late":
+		was := w.lateness
+		w.lateness = 0.5
+		w.after(f.Duration, func() { w.lateness = was })
+	case "lossy":
+		was := w.loss
+		w.loss = 0.5
+		w.after(f.Duration, func() { w.loss = was })
+	case "release":
+		if n.up {
+			for _, unit := range w.units {
+				n.table.Release(n.clock(), unit)
+			}
+		}
+	}
+}
+
+func (w *world) live() (count int) {
+	for _, n := range w.nodes {
+		if !n.removed {
+			count++
+		}
+	}
+	return count
+}
+
+func (w *world) cutRegion(cut bool) {
+	for _, n := range w.nodes {
+		if n.self.Region == "a" {
+			n.cutOff = cut
+		}
+	}
+}
+
+// heal ends every fault and starts what is not running.
+func (w *world) heal() {
+	w.store.down, w.lateness, w.loss = false, 0, 0
+	for _, n := range w.nodes {
+		n.cutOff, n.frozenUntil, n.watchLag, n.slow, n.hold = false, 0, 0, 0, 0
+		if !n.up && !n.removed {
+			n.start()
+		}
+	}
+}
+
+// run plays a scenario and returns the violated property, or "".
+func (s scenario) run(seeded faults) string {
+	w := newWorld(s.Seed, seeded)
+	w.lateness, w.loss = s.Lateness, s.Loss
+	end := 62 * time.Second
+	for _, f := range s.Faults {
+		w.after(f.At, func() { w.apply(f) })
+		end = max(end, f.At+f.Duration)
+	}
+	return w.finish(end)
+}
+
+// finish runs to the end of the faults, heals and checks the recovery.
+func (w *world) finish(end time.Duration) string {
+	w.runUntil(end)
+	w.heal()
+	w.runUntil(end + recoveryBound)
+	if w.violation != "" {
+		return w.violation
+	}
+	if units := w.unowned(); len(units) > 0 {
+		return fmt.Sprintf("%v without an owner %v after the last fault", units, recoveryBound)
+	}
+	return ""
+}
+
+// modelRuns returns the number of scenarios; MULBERRYDRUM_MODEL_RUNS asks for a
+// longer run.
+func modelRuns(normal int) int {
+	if n, err := strconv.Atoi(os.Getenv("MULBERRYDRUM_MODEL_RUNS")); err == nil {
+		return n
+	}
+	return normal
+}
+
+// TestOneHolderAtATime guards against two processes that act for one unit at
+// the same true time, and against a unit that stays without an owner.
+func TestOneHolderAtATime(t *testing.T) {
+	const parallel = 8
+	runs := modelRuns(320)
+	for part := range parallel {
+		t.Run(strconv.Itoa(part), func(t *testing.T) {
+			t.Parallel()
+			for seed := part; seed < runs; seed += parallel {
+				s := scenarios.Example(seed)
+				if problem := s.run(faults{}); problem != "" {
+					t.Fatalf("seed %d: %s\n%+v", seed, problem, s)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/ownership/modelnode_test.go
@@ -0,0 +1,306 @@
+package ownership
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/membership"
+)
+
+// callTimeout is when a node gives up a call, which may still take effect.
+const callTimeout = 2 * time.Second
+
+// node is one instance: a table, its clock and what the control loop would do.
+type node struct {
+	w           *world
+	index       int
+	self        membership.Member
+	table       *Table
+	starts      int
+	up          bool
+	removed     bool // gone for good, also from the instance list
+	frozenUntil time.Duration
+	cutOff      bool // from the store
+	rate        float64
+	skew        time.Duration
+	slow        time.Duration // added to every reply that the node receives
+	hold        time.Duration // added to the way of the next write of holdUnit
+	holdUnit    string        // empty for any
+
+	lease     int64
+	memberRev int64 // of the member key as last read
+	attaching bool
+	watched   int // position in the store's log
+	watchLag  time.Duration
+	members   map[string]membership.Member
+}
+
+func (n *node) clock() time.Time {
+	return time.Unix(0, 0).Add(n.skew + time.Duration(float64(n.w.now)*n.rate))
+}
+
+// start begins a new incarnation that knows nothing.
+func (n *node) start() {
+	n.starts++
+	n.up = true
+	n.self.Incarnation = fmt.Sprintf("%s.%d", n.self.Instance, n.starts)
+	n.table = New(modelConfig(n.w.units), n.self, n.clock())
+	n.table.faults = n.w.faults
+	n.lease, n.attaching, n.watched = 0, false, 0
+	n.members = make(map[string]membership.Member)
+	n.attach()
+	n.every(n.w.tickEvery, n.tick)
+	n.every(modelConfig(nil).KeepAliveInterval, n.keepAlive)
+	n.every(5*time.Second, n.readInstanceList)
+	n.watch()
+}
+
+func modelConfig(units []string) Config {
+	cfg := DefaultConfig(units)
+	cfg.MoveDelay = 5 * time.Second
+	return cfg
+}
+
+// later runs f on this incarnation, after any freeze.
+func (n *node) later(d time.Duration, f func()) {
+	starts := n.starts
+	n.w.after(d, func() { n.run(starts, f) })
+}
+
+func (n *node) run(starts int, f func()) {
+	if !n.up || n.starts != starts {
+		return
+	}
+	if n.w.now < n.frozenUntil {
+		n.w.after(n.frozenUntil-n.w.now, func() { n.run(starts, f) })
+		return
+	}
+	f()
+	n.w.check(n)
+}
+
+func (n *node) every(period time.Duration, f func()) {
+	n.later(period+time.Duration(n.w.rng.Int64N(int64(period/10))), func() {
+		f()
+		n.every(period, f)
+	})
+}
+
+// call sends op to the store. The reply runs on the node; failed runs instead
+// if the call was refused (unclear is false) or has not ended in time.
+func (n *node) call(name, unit string, op func() func(), failed func(unclear bool)) {
+	w, done := n.w, false
+	extra := n.takeHold(unit)
+	finish := func(d time.Duration, f func()) {
+		n.later(d, func() {
+			if !done {
+				done = true
+				f()
+				w.step(name+"/replied", n)
+			}
+		})
+	}
+	w.step(name+"/sent", n)
+	finish(callTimeout, func() { failed(true) })
+	n.later(0, func() {
+		if n.cutOff || w.rng.Float64() < w.loss {
+			return
+		}
+		w.after(w.delay()+extra, func() {
+			if w.store.down {
+				if w.rng.IntN(2) == 0 {
+					finish(w.delay(), func() { failed(false) })
+				}
+				return
+			}
+			w.store.expire(w.now)
+			reply := op()
+			w.step(name+"/executed", n)
+			if w.rng.Float64() >= w.loss && !n.cutOff {
+				finish(w.delay()+n.slow, reply)
+			}
+		})
+	})
+}
+
+func (n *node) takeHold(unit string) (d time.Duration) {
+	if unit != "" && (n.holdUnit == "" || n.holdUnit == unit) {
+		d, n.hold = n.hold, 0
+	}
+	return d
+}
+
+func (n *node) attach() {
+	if n.attaching {
+		return
+	}
+	n.attaching = true
+	sentAt, expect := n.clock(), n.memberRev
+	n.call("attach", "", func() func() {
+		s := &n.w.store
+		lease := int64(len(s.log)+1)*1000 + n.w.rng.Int64N(1000)
+		s.leases[lease] = 0
+		s.renew(n.w.now, lease, modelConfig(nil).LeaseTTL)
+		ok := s.putMember(n.self, lease, expect)
+		revision := s.members[n.self.Instance].revision
+		return func() {
+			n.attaching, n.memberRev = false, revision
+			if ok {
+				n.lease = lease
+				n.table.Attached(n.clock(), sentAt, revision)
+			}
+		}
+	}, func(bool) { n.attaching = false })
+}
+
+func (n *node) keepAlive() {
+	if n.lease == 0 {
+		n.attach()
+		return
+	}
+	sentAt, lease := n.clock(), n.lease
+	n.call("keepalive", "", func() func() {
+		s := &n.w.store
+		alive, revision, memberRev := s.renew(n.w.now, lease, modelConfig(nil).LeaseTTL), s.revision, s.members[n.self.Instance].revision
+		return func() {
+			if !alive {
+				n.lease, n.memberRev = 0, memberRev
+				n.table.StoreLost(n.clock())
+				n.attach()
+				return
+			}
+			n.table.KeepAliveDone(n.clock(), sentAt, nil)
+			n.table.ReadDone(n.clock(), sentAt, revision)
+		}
+	}, func(bool) { n.table.KeepAliveDone(n.clock(), sentAt, errors.New("no reply")) })
+}
+
+// watch delivers the changes of the store in order, each batch after a delay.
+func (n *node) watch() {
+	lag := n.w.tickEvery/4 + time.Duration(n.w.rng.Int64N(int64(n.w.tickEvery)))/2
+	starts := n.starts
+	n.w.after(lag, func() {
+		if !n.up || n.starts != starts {
+			return
+		}
+		if n.w.store.down || n.cutOff {
+			n.watch()
+			return
+		}
+		n.w.store.expire(n.w.now)
+		batch, revision := n.w.store.log[n.watched:], n.w.store.revision
+		n.later(n.watchLag+time.Millisecond, func() {
+			n.deliver(batch, revision)
+			n.watch()
+		})
+	})
+}
+
+func (n *node) deliver(batch []change, revision int64) {
+	n.watched += len(batch)
+	for _, c := range batch {
+		switch {
+		case c.record != nil:
+			n.table.Observe(n.clock(), *c.record)
+		case c.member != nil:
+			n.members[c.instance] = *c.member
+		default:
+			delete(n.members, c.instance)
+		}
+	}
+	list := make([]membership.Member, 0, len(n.members))
+	for _, other := range n.w.nodes {
+		if m, ok := n.members[other.self.Instance]; ok {
+			list = append(list, m)
+		}
+	}
+	n.table.ObserveMembers(n.clock(), list, true)
+	n.table.ObserveThrough(n.clock(), revision)
+	n.w.step("watch/delivered", n)
+}
+
+func (n *node) readInstanceList() {
+	var list []membership.Member
+	for _, other := range n.w.nodes {
+		if !other.removed {
+			list = append(list, other.self)
+		}
+	}
+	lag := time.Duration(n.w.rng.Int64N(int64(5 * time.Second)))
+	n.later(lag, func() { n.table.ObserveMembers(n.clock(), list, false) })
+}
+
+func (n *node) tick() {
+	for _, a := range n.table.Tick(n.clock()) {
+		switch a := a.(type) {
+		case Write:
+			n.w.step(string(a.Reason)+"/decided", n)
+			n.later(0, func() { n.write(a) })
+		case AskPromise:
+			for _, s := range a.Successors {
+				sentAt := n.clock()
+				n.w.step("promise/sent", n)
+				n.later(0, func() { n.ask(a, s, sentAt) })
+			}
+		case Gained:
+			n.w.step("gained", n)
+		case Lost:
+			n.w.step("lost", n)
+		}
+	}
+}
+
+func (n *node) write(a Write) {
+	n.call(string(a.Reason), a.Record.Unit, func() func() {
+		result := n.w.store.commit(a)
+		return func() { n.table.WriteDone(n.clock(), a.Record.Unit, result) }
+	}, func(unclear bool) {
+		outcome := NoEffect
+		if unclear {
+			outcome = Unclear
+		}
+		n.table.WriteDone(n.clock(), a.Record.Unit, WriteResult{Outcome: outcome})
+	})
+}
+
+// ask sends one request to the instance of a successor, where whatever
+// incarnation is up answers it.
+func (n *node) ask(a AskPromise, s Successor, sentAt time.Time) {
+	w := n.w
+	for _, m := range w.nodes {
+		if m.self.Instance != s.Instance || w.rng.Float64() < w.loss || w.isCut(n, m) {
+			continue
+		}
+		w.after(w.delay(), func() {
+			m.later(0, func() {
+				granted := m.table.PromiseRequested(m.clock(), a.Unit, a.Owner, a.Epoch, s.Incarnation)
+				w.step("promise/granted", m)
+				from := Successor{Instance: m.self.Instance, Incarnation: m.self.Incarnation}
+				if w.rng.Float64() < w.loss || w.isCut(n, m) {
+					return
+				}
+				n.later(w.delay()+n.slow, func() {
+					n.table.PromiseReplied(n.clock(), sentAt, a.Unit, from, granted)
+					w.step("promise/replied", n)
+				})
+			})
+		})
+	}
+}
+
+// isCut reports whether the two nodes cannot reach each other. Nodes that are
+// cut off from the store by a region cut are cut off from the other region too.
+func (w *world) isCut(a, b *node) bool {
+	return a.self.Region != b.self.Region && (a.regionCut() || b.regionCut())
+}
+
+// regionCut reports whether the whole region of the node is cut off.
+func (n *node) regionCut() bool {
+	for _, other := range n.w.nodes {
+		if other.self.Region == n.self.Region && !other.cutOff {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/ownership/modelworld_test.go
@@ -0,0 +1,189 @@
+package ownership
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/membership"
+)
+
+// world runs several tables against one naive store in true time. Every node
+// has its own clock, and every message has its own delay.
+type world struct {
+	now       time.Duration // true time
+	events    eventHeap
+	sequence  int
+	rng       *rand.Rand
+	store     modelStore
+	nodes     []*node
+	units     []string
+	faults    faults
+	tickEvery time.Duration
+	lateness  float64 // share of messages that arrive up to 20 s late
+	loss      float64 // share of messages that are lost
+	onStep    func(step string, n *node)
+	violation string
+}
+
+type event struct {
+	at       time.Duration
+	sequence int
+	run      func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].sequence < h[j].sequence
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.sequence++
+	heap.Push(&w.events, event{at: w.now + d, sequence: w.sequence, run: run})
+}
+
+// runUntil executes events up to the given true time or a violation.
+func (w *world) runUntil(end time.Duration) {
+	for len(w.events) > 0 && w.events[0].at <= end && w.violation == "" {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+func (w *world) step(name string, n *node) {
+	if w.onStep != nil {
+		w.onStep(name, n)
+	}
+}
+
+// delay returns the time that a message takes.
+func (w *world) delay() time.Duration {
+	if w.rng.Float64() < w.lateness {
+		return time.Duration(w.rng.Int64N(int64(20 * time.Second)))
+	}
+	return time.Millisecond + time.Duration(w.rng.Int64N(int64(w.tickEvery)))/8
+}
+
+// check compares what n holds with what every other table holds at the same
+// true time. An overlap can begin only in a call on the table that gains, so it
+// is enough to check after every call.
+func (w *world) check(n *node) {
+	for _, unit := range w.units {
+		epoch, ok := n.table.Holds(n.clock(), unit)
+		if !ok {
+			continue
+		}
+		for _, other := range w.nodes {
+			if other == n || !other.up {
+				continue
+			}
+			if otherEpoch, held := other.table.Holds(other.clock(), unit); held && w.violation == "" {
+				w.violation = fmt.Sprintf("at %v %s is held by %s (epoch %d) and %s (epoch %d)",
+					w.now, unit, n.self.Incarnation, epoch, other.self.Incarnation, otherEpoch)
+			}
+		}
+	}
+}
+
+// unowned lists the units that no live table holds.
+func (w *world) unowned() (units []string) {
+	for _, unit := range w.units {
+		held := false
+		for _, n := range w.nodes {
+			if n.up {
+				_, ok := n.table.Holds(n.clock(), unit)
+				held = held || ok
+			}
+		}
+		if !held {
+			units = append(units, unit)
+		}
+	}
+	return units
+}
+
+// modelStore executes each call at the moment of its arrival.
+type modelStore struct {
+	down     bool
+	rate     float64 // of the store's clock
+	revision int64
+	records  map[string]Record
+	members  map[string]memberKey
+	leases   map[int64]time.Duration // end in the store's clock
+	log      []change
+}
+
+type memberKey struct {
+	member   membership.Member
+	lease    int64
+	revision int64
+}
+
+type change struct {
+	record   *Record
+	instance string
+	member   *membership.Member // nil with an instance: the key is gone
+}
+
+func (s *modelStore) expire(now time.Duration) {
+	for instance, key := range s.members {
+		if end, ok := s.leases[key.lease]; !ok || float64(now)*s.rate >= float64(end) {
+			s.revision++
+			delete(s.members, instance)
+			s.log = append(s.log, change{instance: instance})
+		}
+	}
+	for lease, end := range s.leases {
+		if float64(now)*s.rate >= float64(end) {
+			delete(s.leases, lease)
+		}
+	}
+}
+
+func (s *modelStore) renew(now time.Duration, lease int64, ttl time.Duration) bool {
+	if _, ok := s.leases[lease]; !ok {
+		return false
+	}
+	s.leases[lease] = time.Duration(float64(now)*s.rate) + ttl
+	return true
+}
+
+func (s *modelStore) putMember(m membership.Member, lease, expect int64) bool {
+	if s.members[m.Instance].revision != expect {
+		return false
+	}
+	s.revision++
+	s.members[m.Instance] = memberKey{member: m, lease: lease, revision: s.revision}
+	s.log = append(s.log, change{instance: m.Instance, member: &m})
+	return true
+}
+
+func (s *modelStore) commit(a Write) WriteResult {
+	current := s.records[a.Record.Unit]
+	conflict := current.Revision != a.Expect
+	for _, instance := range a.AbsentMembers {
+		_, present := s.members[instance]
+		conflict = conflict || present
+	}
+	if conflict {
+		return WriteResult{Outcome: Conflict, Current: &current}
+	}
+	s.revision++
+	r := a.Record
+	r.Revision = s.revision
+	s.records[r.Unit] = r
+	s.log = append(s.log, change{record: &r})
+	return WriteResult{Outcome: Succeeded, Revision: s.revision}
+}
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -10,14 +10,14 @@
 // promises, because that write may take effect at any later time.
 func (t *Table) PromiseRequested(now time.Time, name, owner string, epoch uint64, successor string) (granted bool) {
 	u := t.byName[name]
-	if u == nil || successor != t.self.Incarnation {
+	if u == nil || successor != t.self.Incarnation && !t.faults.anyIncarnation {
 		return false
 	}
 	if u.isUnresolved() && !t.faults.promiseUnresolved {
 		return false
 	}
 	superseded := u.record.Epoch > epoch || u.record.Epoch == epoch && u.record.Owner != owner
-	if superseded && !t.faults.grantSuperseded {
+	if superseded {
 		return false
 	}
 	if t.mayRefuse(now, u, owner) {
@@ -125,5 +125,5 @@
 	if !u.promised || t.faults.skipWindowWait {
 		return true
 	}
-	return now.Sub(u.promisedAt) >= t.cfg.lengthen(t.cfg.PromiseWindow)
+	return now.Sub(u.promisedAt) >= t.waitOf(t.cfg.PromiseWindow)
 }
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -66,13 +66,12 @@
 type faults struct {
 	skipWindowWait      bool // take over without waiting for the own promise to lapse
 	promiseUnresolved   bool // promise in spite of an unresolved write
-	anyIncarnation      bool // count the promise of another incarnation of a successor's instance
-	noDriftMargin       bool // use the full TTL and window
+	anyIncarnation      bool // give and count promises for another incarnation of the instance
+	noDriftMargin       bool // count terms and waits without drift and margin
 	termFromReply       bool // count terms from the reply instead of from before the send
 	noMemberGuard       bool // take over without comparing the member key
-	trustOldRecord      bool // count a new lease before the records were observed again
+	trustOldRecord      bool // act under a new lease before the records were observed again
 	recordedOnly        bool // ask only the recorded successors while a new list is unresolved
-	grantSuperseded     bool // promise to an owner whose epoch is superseded
 	holdWhileHandedOver bool // keep the unit until the handover is confirmed
 	emptyListPromises   bool // treat an empty list of successors as having promised
 }
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -84,7 +84,7 @@
 
 // afterStart returns the reason once this process has been up for d.
 func (t *Table) afterStart(now time.Time, d time.Duration, reason Reason) Reason {
-	if now.Sub(t.startedAt) < t.cfg.lengthen(d) {
+	if now.Sub(t.startedAt) < t.waitOf(d) {
 		return ""
 	}
 	return reason
@@ -100,7 +100,7 @@
 		u.forced = false
 		return "", nil
 	}
-	wait := t.cfg.lengthen(t.cfg.ListLag + t.cfg.PromiseWindow + t.cfg.LeaseTTL)
+	wait := t.waitOf(t.cfg.ListLag + t.cfg.PromiseWindow + t.cfg.LeaseTTL)
 	if u.forced && now.Sub(u.forcedAt) >= wait {
 		return ReasonForced, instances
 	}
--- a/ownership/term.go
+++ b/ownership/term.go
@@ -6,6 +6,10 @@
 // given store revision. sentAt was read before the grant was sent. The store
 // term counts for units only when everything up to that revision has been
 // observed: between two leases another process may have taken a unit over.
+//
+// The member key must be written with a compare on its last revision. A delayed
+// write of an earlier lease could otherwise replace the key and take it away
+// when that lease ends, while this process renews the later one.
 func (t *Table) Attached(now, sentAt time.Time, revision int64) {
 	t.expire(now)
 	t.attached, t.attachRevision, t.storeFailing = true, revision, false
@@ -62,6 +66,13 @@
 	return t.cfg.shorten(d)
 }
 
+func (t *Table) waitOf(d time.Duration) time.Duration {
+	if t.faults.noDriftMargin {
+		return d
+	}
+	return t.cfg.lengthen(d)
+}
+
 func (t *Table) updateStoreEnd() {
 	t.storeEnd = time.Time{}
 	observed := t.seen >= t.attachRevision || t.faults.trustOldRecord
@@ -100,7 +111,8 @@
 	if u.held || !t.ownsRecord(u) || !now.Before(t.storeEnd) {
 		return
 	}
-	if u.needsRead || t.seen < u.needRevision || u.handingOver() {
+	isVerified := !u.needsRead && t.seen >= u.needRevision || t.faults.trustOldRecord
+	if !isVerified || u.handingOver() {
 		return
 	}
 	u.held = true
