Close gaps that deliberate faults in the code showed in the tests

Five were gaps: the flag that a reused connection has written, an outcome of another attempt with a matching digest, the check of a start in process, and two rare orders that 100 property checks do not meet (now 3,000, fixed seed). Two were code without effect and are removed: a second comparison of a result's length and a second enforcement of leases after a thaw.

--- a/standin/worker_faults.go
+++ b/standin/worker_faults.go
@@ -97,14 +97,11 @@
 	}
 }
 
-// setFrozen freezes the worker or lets it go on. Leases that ended meanwhile
-// are enforced before any call that waited.
+// setFrozen freezes the worker or lets it go on. The loop enforces leases that
+// ended meanwhile before it takes any call that waited.
 func (w *Worker) setFrozen(now time.Time, frozen bool) {
 	w.faults.frozen = frozen
 	w.ledger.Frozen = mark(w.ledger.Frozen, now, frozen)
-	if !frozen {
-		w.machine.advance(now)
-	}
 }
 
 func (w *Worker) setLeaving(now time.Time, leaving bool) {
--- a/standin/worker_machine_test.go
+++ b/standin/worker_machine_test.go
@@ -246,12 +246,16 @@
 	})
 }
 
-// fixSeed makes rapid draw the same values in every run, unless the command
-// line names a seed.
+// fixSeed makes rapid draw the same values in every run, and enough of them to
+// meet rare orders, unless the command line says otherwise.
 func fixSeed(t *testing.T) {
 	t.Helper()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		if err := seed.Value.Set("1"); err != nil {
+	for name, values := range map[string][2]string{"rapid.seed": {"0", "1"}, "rapid.checks": {"100", "3000"}} {
+		f := flag.Lookup(name)
+		if f.Value.String() != values[0] {
+			continue
+		}
+		if err := f.Value.Set(values[1]); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +16,8 @@
 
 var testCapacity = task.Resources{CPUMilli: 4000, MemoryMB: 4096, Slots: 4, Connections: 64}
 
+var errEnded = errors.New("term has ended")
+
 const testAddress worker.Address = "worker-1:1"
 
 func testConfig() WorkerConfig {
@@ -75,6 +76,13 @@
 	ctx := t.Context()
 	echo := startFor(t, api, at, "task/with slash", "echo")
 	echo.Wait = time.Second
+	_, err := api.Start(ctx, at, echo, func() error { return errEnded })
+	if !errors.Is(err, worker.ErrNotRun) || !errors.Is(err, errEnded) {
+		t.Errorf("start after the end of the term: %v", err)
+	}
+	if reply, err := api.Lookup(ctx, at, echo.Attempt); err != nil || reply.Known {
+		t.Errorf("lookup after the end of the term: %+v, %v", reply, err)
+	}
 	started, err := api.Start(ctx, at, echo, nil)
 	if err != nil || started.Outcome == nil || !bytes.Equal(started.Outcome.Result, echo.Payload) {
 		t.Fatalf("start of echo: %+v, %v", started, err)
@@ -87,6 +95,30 @@
 	if err := api.Result(ctx, at, want, &whole); err != nil || !bytes.Equal(whole.Bytes(), echo.Payload) {
 		t.Errorf("result: %q, %v", whole.Bytes(), err)
 	}
+	big := startFor(t, api, at, "big", "bytes:300000")
+	big.Wait = 10 * time.Second
+	started, err = api.Start(ctx, at, big, nil)
+	if err != nil || started.Outcome == nil || started.Outcome.Result != nil || started.ResultBytes != 300000 {
+		t.Fatalf("start with a result that is fetched: %+v, %v", started, err)
+	}
+	whole.Reset()
+	want = worker.ResultRequest{Attempt: big.Attempt, Bytes: 300000, Digest: started.Outcome.Digest}
+	if err := api.Result(ctx, at, want, &whole); err != nil || whole.Len() != 300000 {
+		t.Errorf("result of %d bytes, %v", whole.Len(), err)
+	}
+	slow := startFor(t, api, at, "slow", "sleep:30ms")
+	slow.Wait = 10 * time.Second
+	if started, err = api.Start(ctx, at, slow, nil); err != nil || started.Outcome == nil {
+		t.Errorf("start that waits for the end: %+v, %v", started, err)
+	}
+	if _, err := api.Sync(ctx, at, worker.SyncRequest{Epoch: 1, BootID: slow.BootID, Acknowledge: []task.Attempt{big.Attempt, slow.Attempt}}); err != nil {
+		t.Fatal(err)
+	}
+	large := startFor(t, api, at, "large", "run")
+	large.Size.Slots = testCapacity.Slots + 1
+	if _, err := api.Start(ctx, at, large, nil); !worker.IsRejected(err, worker.ReasonCapacity) || !errors.Is(err, worker.ErrNotRun) {
+		t.Errorf("start that does not fit: %v", err)
+	}
 	long := startFor(t, api, at, "long", "run")
 	if reply, err := api.Start(ctx, at, long, nil); err != nil || reply.Outcome != nil {
 		t.Fatalf("start of run: %+v, %v", reply, err)
@@ -118,28 +150,27 @@
 	}
 }
 
-// TestStartCheck guards against a start that is written after the term of its
-// owner has ended.
-func TestStartCheck(t *testing.T) {
+// TestStartCheckInWrite guards against a start that is written on a connection
+// that is in use already after the term of its owner has ended.
+func TestStartCheckInWrite(t *testing.T) {
 	w := NewWorker(testConfig())
 	api, at := serveHTTP(t, w, worker.Config{})
-	ended := errors.New("term has ended")
-	for name, allowed := range map[string]int{"before the call": 0, "in Write": 1} {
-		req := startFor(t, api, at, task.ID(name), "echo")
-		calls := 0
-		_, err := api.Start(t.Context(), at, req, func() error {
-			calls++
-			if calls > allowed {
-				return ended
-			}
-			return nil
-		})
-		if !errors.Is(err, worker.ErrNotRun) || !errors.Is(err, ended) {
-			t.Errorf("check fails %s: error %v", name, err)
-		}
-		if reply, err := api.Lookup(context.Background(), at, req.Attempt); err != nil || reply.Known {
-			t.Errorf("check fails %s: lookup %+v, %v", name, reply, err)
+	if _, err := api.Start(t.Context(), at, startFor(t, api, at, "first", "echo"), nil); err != nil {
+		t.Fatal(err)
+	}
+	req := startFor(t, api, at, "second", "echo")
+	calls := 0
+	_, err := api.Start(t.Context(), at, req, func() error {
+		if calls++; calls > 1 {
+			return errEnded
 		}
+		return nil
+	})
+	if !errors.Is(err, worker.ErrNotRun) || !errors.Is(err, errEnded) {
+		t.Errorf("error %v, want ErrNotRun", err)
+	}
+	if reply, err := api.Lookup(t.Context(), at, req.Attempt); err != nil || reply.Known {
+		t.Errorf("lookup %+v, %v", reply, err)
 	}
 }
 
--- a/worker/client_test.go
+++ b/worker/client_test.go
@@ -96,7 +96,7 @@
 		{"text of another server", 404, `404 page not found`, ErrUnclear},
 		{"neither started nor rejected", 200, `{}`, ErrUnclear},
 		{"no JSON", 200, `started`, ErrUnclear},
-		{"outcome of another attempt", 200, `{"started":true,"outcome":{"attempt":{"task":"t","attempt":2}}}`, ErrIncomplete},
+		{"outcome of another attempt", 200, `{"started":true,"outcome":{"attempt":{"task":"t","attempt":2},"digest":"` + Digest(nil) + `"}}`, ErrIncomplete},
 		{"result without its digest", 200, `{"started":true,"result_bytes":1,"outcome":{"attempt":{"task":"t","attempt":1}}}` + "\na", ErrIncomplete},
 		{"result cut short", 200, `{"started":true,"result_bytes":2,"outcome":{"attempt":{"task":"t","attempt":1},"digest":"` + Digest([]byte("a")) + `"}}` + "\na", ErrIncomplete},
 		{"larger than the limit", 200, `{"started":true` + strings.Repeat(" ", 400) + `}`, ErrTooLarge},
--- a/worker/result.go
+++ b/worker/result.go
@@ -31,16 +31,11 @@
 		body, _ := readLimited(resp, c.config.MaxReplyBytes)
 		return statusError(x.operation, resp.StatusCode, body)
 	}
-	if resp.ContentLength < 0 {
-		return Unclear(x.operation, fmt.Errorf("%w: the reply states no length", ErrIncomplete))
-	}
-	announced := ResultRequest{Attempt: req.Attempt, Bytes: resp.ContentLength, Digest: resp.Header.Get(DigestHeader)}
 	if req.Digest == "" {
-		req = announced
+		req.Bytes, req.Digest = resp.ContentLength, resp.Header.Get(DigestHeader)
 	}
-	if announced != req {
-		return Unclear(x.operation, fmt.Errorf("%w: the worker announces %d bytes with digest %q instead of %d with %q",
-			ErrIncomplete, announced.Bytes, announced.Digest, req.Bytes, req.Digest))
+	if req.Bytes < 0 {
+		return Unclear(x.operation, fmt.Errorf("%w: the reply states no length", ErrIncomplete))
 	}
 	if err := CopyResult(dst, resp.Body, req, c.config.MaxResultBytes); err != nil {
 		return Unclear(x.operation, err)
