--- a/standin/worker_bench_test.go
+++ b/standin/worker_bench_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/mulberrydrum/mulberrydrum/task"
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
@@ -98,6 +100,44 @@
 	_ = w.manage(func(time.Time) { clear(w.machine.tombstones) }) // start_by is an hour away
 }
 
+// BenchmarkTraffic measures the bytes on the connections to one worker for a
+// sync without changes, and for a start with its report and acknowledgement.
+func BenchmarkTraffic(b *testing.B) {
+	w := NewWorker(testConfig())
+	api, at := serveHTTP(b, w, worker.Config{Registry: metrics.NewRegistry()})
+	start := startFor(b, api, at, "7f3a9c0e51b24d68", "echo")
+	start.StartBy, start.LeaseUntil, start.Payload = time.Hour, 2*time.Hour, nil
+	sync := worker.SyncRequest{Owner: "entry-3/18ee069aa19f", Epoch: 1, BootID: start.BootID, LeaseUntil: time.Hour}
+	var idle, busy [2]int64
+	measure := func(sum *[2]int64, calls func() error) {
+		sent, received := api.Traffic(at)
+		if err := calls(); err != nil {
+			b.Fatal(err)
+		}
+		sentAfter, receivedAfter := api.Traffic(at)
+		sum[0], sum[1] = sum[0]+sentAfter-sent, sum[1]+receivedAfter-received
+	}
+	exchange := func() error {
+		reply, err := api.Sync(b.Context(), at, sync)
+		sync.After, sync.Acknowledge = reply.Sequence, nil
+		return err
+	}
+	for b.Loop() {
+		measure(&idle, exchange)
+		start.Attempt.Number++
+		measure(&busy, func() error {
+			_, err := api.Start(b.Context(), at, start, nil)
+			sync.Acknowledge = []task.Attempt{start.Attempt}
+			return err
+		})
+		measure(&busy, exchange)
+	}
+	for name, sum := range map[string][2]int64{"sync": idle, "start+sync": busy} {
+		b.ReportMetric(float64(sum[0])/float64(b.N), name+"-sent-B")
+		b.ReportMetric(float64(sum[1])/float64(b.N), name+"-received-B")
+	}
+}
+
 func timed(f func()) time.Duration {
 	start := time.Now()
 	f()
--- a/standin/worker_faults_test.go
+++ b/standin/worker_faults_test.go
@@ -255,3 +255,40 @@
 		}
 	})
 }
+
+// TestWorkersThatDoNotCheck guards against switches that change nothing, with
+// which experiments on such workers would show them as safe.
+func TestWorkersThatDoNotCheck(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		config WorkerConfig
+		edit   func(*worker.StartRequest)
+		want   worker.Reason // of a worker that checks
+	}{
+		{"lower epoch", WorkerConfig{IgnoreEpoch: true}, func(r *worker.StartRequest) { r.Epoch = 0 }, worker.ReasonEpoch},
+		{"after start_by", WorkerConfig{IgnoreValidity: true}, func(r *worker.StartRequest) { r.StartBy = -1 }, worker.ReasonLate},
+		{"after the lease", WorkerConfig{IgnoreValidity: true}, func(r *worker.StartRequest) { r.LeaseUntil = 0 }, worker.ReasonLate},
+		{"other boot", WorkerConfig{IgnoreValidity: true}, func(r *worker.StartRequest) { r.BootID = "x" }, worker.ReasonBoot},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			for _, config := range []WorkerConfig{{}, test.config} {
+				checks := config == WorkerConfig{}
+				config.Capacity = testCapacity
+				w := NewWorker(config)
+				defer w.Close()
+				api := NewLocalWorkers(map[worker.Address]*Worker{testAddress: w})
+				req := startFor(t, api, testAddress, "t", "run")
+				test.edit(&req)
+				_, err := api.Start(t.Context(), testAddress, req, nil)
+				if checks != worker.IsRejected(err, test.want) || !checks && err != nil {
+					t.Errorf("%s: checks %v: error %v", test.name, checks, err)
+				}
+				time.Sleep(time.Hour)
+				if reply, err := api.Lookup(t.Context(), testAddress, req.Attempt); err != nil ||
+					(reply.Report.State == worker.Running) != config.IgnoreValidity {
+					t.Errorf("%s: an hour later: %+v, %v", test.name, reply, err)
+				}
+			}
+		})
+	}
+}
--- a/worker/types.go
+++ b/worker/types.go
@@ -20,7 +20,8 @@
 	// Sync renews leases, acknowledges finished tasks and fetches a report.
 	Sync(context.Context, Address, SyncRequest) (SyncReply, error)
 	// Start starts a task. check is called immediately before bytes of the
-	// request are written; an error from it keeps them from being written.
+	// request are written, on any goroutine; an error from it keeps them from
+	// being written.
 	Start(ctx context.Context, to Address, req StartRequest, check func() error) (StartReply, error)
 	// Lookup asks what the worker knows of one attempt.
 	Lookup(context.Context, Address, task.Attempt) (LookupReply, error)
@@ -91,7 +92,7 @@
 	Team        task.Team      `json:"team"`
 	Class       string         `json:"class,omitempty"`
 	Size        task.Resources `json:"size"`
-	Usage       task.Resources `json:"usage"` // measured, and older than the report
+	Usage       task.Resources `json:"usage,omitzero"` // measured, and older than the report
 	State       TaskState      `json:"state"`
 	Home        string         `json:"home,omitempty"`
 	LeaseUntil  time.Duration  `json:"lease_until_ns,omitempty"`
@@ -142,7 +143,7 @@
 	Known  bool          `json:"known"`
 	Clock  time.Duration `json:"clock_ns"`
 	BootID string        `json:"boot_id"`
-	Report TaskReport    `json:"report"`
+	Report TaskReport    `json:"report,omitzero"`
 }
 
 // ResultRequest names a result and what the report said of it. Digest may be
