Take the ownership table and the ledger's scan out of the path of work

Cause: every event ran the ownership table over all units and sorted the names of all shards; a profile of the fault matrix had 50% of its time in Apply, 27% of it in the table. Both now run only for events that can matter to them.

--- a/control/exchange.go
+++ b/control/exchange.go
@@ -13,18 +13,27 @@
 // exchange is when this process sent its digest to each of the others, and the
 // outage round that is under way.
 type exchange struct {
-	sentAt map[string]time.Time // by incarnation
-	round  *keyring.OutageRound
-	asked  map[string]bool // incarnations whose statement for the round is missing
+	observedAt time.Time            // when this process last looked at its own load
+	sentAt     map[string]time.Time // by incarnation
+	round      *keyring.OutageRound
+	asked      map[string]bool // incarnations whose statement for the round is missing
 }
 
+// ownDigestInterval is how often this process renews what it knows of its own
+// load as a home. It is far shorter than the interval of the others' digests and
+// long against the cost of summing up its workers.
+const ownDigestInterval = 200 * time.Millisecond
+
 func newExchange() *exchange { return &exchange{sentAt: map[string]time.Time{}} }
 
 // exchangeDigests sends the digest to the members that are due. The reply has
 // the other's digest, so of two members only the one with the lower incarnation
 // sends, except to renew the freshness of its keys.
 func (s *State) exchangeDigests() {
-	s.routing.observeDigest(s.now, s.digest())
+	if s.now.Sub(s.exchange.observedAt) >= ownDigestInterval {
+		s.exchange.observedAt = s.now
+		s.routing.observeDigest(s.now, s.digest())
+	}
 	s.startOutageRound()
 	for _, m := range s.routing.memberList() {
 		if m.Incarnation == s.self.Incarnation || s.now.Before(s.exchange.sentAt[m.Incarnation].Add(s.digestInterval(m))) {
--- a/control/home.go
+++ b/control/home.go
@@ -18,13 +18,14 @@
 	routing *routing
 	chooser *chooser
 
-	calls   map[uint64]*jobCall           // waiting calls by token
-	waiters map[ledger.JobKey][]uint64    // tokens that wait for the end of a job
-	open    map[task.Attempt]*openAttempt // dispatched attempts without an end
-	idle    map[taskRef]*idleTask         // tasks that wait to be dispatched
-	batches map[string][]Placement        // to be sent at the end of this Apply, by partition
-	reports map[uint64]*reportCall        // reports that wait for a commit
-	nextID  uint64
+	calls     map[uint64]*jobCall           // waiting calls by token
+	waiters   map[ledger.JobKey][]uint64    // tokens that wait for the end of a job
+	open      map[task.Attempt]*openAttempt // dispatched attempts without an end
+	idle      map[taskRef]*idleTask         // tasks that wait to be dispatched
+	batches   map[string][]Placement        // to be sent at the end of this Apply, by partition
+	reports   map[uint64]*reportCall        // reports that wait for a commit
+	nextID    uint64
+	expiredAt time.Time
 }
 
 // taskRef names one task of a job.
--- a/control/homereport.go
+++ b/control/homereport.go
@@ -81,9 +81,16 @@
 	h.dispatchIdle()
 	h.askOwners()
 	h.endWaits()
-	h.ledger.Expire(h.now)
+	if h.now.Sub(h.expiredAt) >= expireInterval {
+		h.expiredAt = h.now
+		h.ledger.Expire(h.now)
+	}
 }
 
+// expireInterval is between two looks at every record for those past their
+// retention, which is minutes.
+const expireInterval = 5 * time.Second
+
 func (h *home) dispatchIdle() {
 	for ref, t := range h.idle {
 		if h.now.Before(t.tryAt) {
--- a/control/state.go
+++ b/control/state.go
@@ -92,12 +92,32 @@
 	s.now = now
 	s.effects = s.effects[:0]
 	s.apply(e)
-	s.actOnOwnership()
+	if concernsOwnership(e) {
+		s.actOnOwnership()
+	}
 	s.flushLedger()
 	s.home.flush()
 	return s.effects
 }
 
+// concernsOwnership reports whether an event may lead to an action of the
+// ownership table. Work, which is most of the events, does not: the end of a
+// term is seen by Holds, which is asked before every start.
+func concernsOwnership(e Event) bool {
+	switch e := e.(type) {
+	case Tick, LeaseGranted, KeepAliveDone, ConfigChanged, InstancesListed, OwnershipDone, OwnershipForced:
+		return true
+	case PeerCall:
+		_, isPromise := e.Request.(PromiseRequest)
+		return isPromise
+	case PeerDone:
+		_, isPromise := e.Send.Request.(PromiseRequest)
+		return isPromise
+	default:
+		return false
+	}
+}
+
 func (s *State) apply(e Event) {
 	switch e := e.(type) {
 	case Tick:
--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -28,9 +28,10 @@
 // one is in flight, or the flush interval has not passed. All writes go into one
 // transaction.
 func (l *Ledger) Plan(now time.Time) []Write {
-	if now.Sub(l.lastFlush) < l.cfg.FlushInterval || l.isCommitting() {
+	if !l.dirty || l.inFlight > 0 || now.Sub(l.lastFlush) < l.cfg.FlushInterval {
 		return nil
 	}
+	l.dirty = false
 	var writes []Write
 	bytes := 0
 	for _, name := range l.Shards() {
@@ -39,6 +40,7 @@
 			continue
 		}
 		if len(writes) > 0 && bytes+s.bytes > l.cfg.TxnBytes {
+			l.dirty = true
 			break
 		}
 		bytes += s.bytes
@@ -50,35 +52,14 @@
 	return writes
 }
 
-func (l *Ledger) isCommitting() bool {
-	for _, s := range l.shards {
-		if s.inFlight != nil {
-			return true
-		}
-	}
-	return false
-}
-
 func (l *Ledger) write(now time.Time, s *shard) Write {
 	l.writes++
 	id := fmt.Sprintf("%s.%d", l.holder, l.writes)
+	l.inFlight++
 	s.inFlight = &pendingWrite{writeID: id, sequence: s.sequence, sentAt: now}
 	return Write{Shard: s.name, Value: s.value(id), Revision: s.revision}
 }
 
-// NextFlush returns when Plan may return writes again, and whether any change waits.
-func (l *Ledger) NextFlush() (at time.Time, waits bool) {
-	if l.isCommitting() {
-		return time.Time{}, false
-	}
-	for _, s := range l.shards {
-		if s.phase != loading && s.isDirty() {
-			return l.lastFlush.Add(l.cfg.FlushInterval), true
-		}
-	}
-	return time.Time{}, false
-}
-
 // Committed applies a commit that succeeded at revision and returns the steps
 // that may go on now.
 func (l *Ledger) Committed(writes []Write, revision int64) []Step {
@@ -88,8 +69,9 @@
 		if s == nil {
 			continue
 		}
-		steps = append(steps, l.stored(s, s.inFlight.sequence, revision)...)
-		s.inFlight = nil
+		sequence := s.inFlight.sequence
+		l.landed(s)
+		steps = append(steps, l.stored(s, sequence, revision)...)
 	}
 	return steps
 }
@@ -116,10 +98,18 @@
 		if result == Unclear {
 			s.unclear = append(s.unclear, *s.inFlight)
 		}
-		s.inFlight = nil
+		l.landed(s)
 	}
 }
 
+// landed notes that the write of a shard is not in flight any more. What
+// changed meanwhile is written with the next commit.
+func (l *Ledger) landed(s *shard) {
+	s.inFlight = nil
+	l.inFlight--
+	l.dirty = true
+}
+
 // Conflicted applies a commit whose compare failed, given what the store holds
 // for one of its shards. An own earlier write whose reply was lost is adopted;
 // any other value means that another process is the home, and lost is true.
@@ -128,7 +118,7 @@
 	if s == nil {
 		return nil, false
 	}
-	s.inFlight = nil
+	l.landed(s)
 	if revision == s.revision {
 		return nil, false // another shard of the transaction conflicted
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -41,6 +41,8 @@
 	shards    map[string]*shard
 	lastFlush time.Time
 	writes    uint64
+	inFlight  int  // shards whose value is being written
+	dirty     bool // some shard may have changes that are not being written
 }
 
 // New returns a ledger without shards. The holder names this process and makes
@@ -62,6 +64,9 @@
 		return nil, nil
 	}
 	delete(l.shards, name)
+	if s.inFlight != nil {
+		l.inFlight--
+	}
 	for _, p := range s.steps {
 		steps = append(steps, p.step)
 	}
@@ -86,6 +91,7 @@
 	}
 	s.revision = revision
 	s.phase = fencing
+	l.dirty = true
 }
 
 // IsLoading reports whether the value of a shard is still to be read.
@@ -158,6 +164,7 @@
 	s.records[key] = r
 	if spec.Kind.IsDurable() {
 		s.bytes += size
+		l.dirty = true
 		s.sequence++
 		s.after(step)
 	}
@@ -186,14 +193,13 @@
 
 // change notes a change to a record; the step is released once it is stored.
 // It reports whether the step has to wait, which is false for memory-only work.
-func (l *Ledger) change(s *shard, r *Record, step *Step) (waits bool) {
+func (l *Ledger) change(s *shard, r *Record, step Step) (waits bool) {
 	if !r.Spec.Kind.IsDurable() {
 		return false
 	}
+	l.dirty = true
 	s.sequence++
-	if step != nil {
-		s.after(*step)
-	}
+	s.after(step)
 	return true
 }
 
--- a/ledger/transition.go
+++ b/ledger/transition.go
@@ -18,7 +18,7 @@
 	t.State = task.Dispatched
 	t.Partition = partition
 	t.Worker, t.BootID, t.Permitted = "", "", false
-	return r.AttemptOf(index), l.change(s, r, &step), true
+	return r.AttemptOf(index), l.change(s, r, step), true
 }
 
 // Permit records the one worker on which an at-most-once attempt may start.
@@ -33,7 +33,7 @@
 		return false
 	}
 	t.Worker, t.BootID, t.Permitted = worker, bootID, true
-	return l.change(s, r, &step)
+	return l.change(s, r, step)
 }
 
 // Started notes that an attempt runs on a worker. It is not stored: a new home
@@ -73,7 +73,7 @@
 		t.MayHaveRun = t.MayHaveRun || o.State != task.NotRun
 		t.State = task.Accepted
 		t.Worker, t.BootID, t.Permitted = "", "", false
-		return Again, l.change(s, r, &step)
+		return Again, l.change(s, r, step)
 	}
 	kept := o
 	kept.State = t.endState(o.State)
@@ -83,7 +83,7 @@
 	if r.IsFinal() {
 		r.FinishedAt = now
 	}
-	return Final, l.change(s, r, &step)
+	return Final, l.change(s, r, step)
 }
 
 // endState returns the final state of a task whose last attempt ended in state s.
@@ -155,7 +155,7 @@
 	if r.IsFinal() {
 		r.FinishedAt = now
 	}
-	return open, l.change(s, r, &step), true
+	return open, l.change(s, r, step), true
 }
 
 // After has step released once every change made so far is in the store.
