Check keys again at the home and before each start; record limits in the time line

Cause: a request admitted by a front end that then froze reached its home after the key was withdrawn, and an owner with a stale configuration started queued work under it. Home and owner now refuse or hold back work while they cannot confirm the key.

--- a/control/configuration.go
+++ b/control/configuration.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/mulberrydrum/mulberrydrum/allowance"
 	"github.com/mulberrydrum/mulberrydrum/document"
 	"github.com/mulberrydrum/mulberrydrum/keyring"
 	"github.com/mulberrydrum/mulberrydrum/membership"
@@ -63,9 +64,7 @@
 
 // isWithdrawn reports whether work that was accepted under a key has to end. An
 // unknown key does not count: this process may not have read it yet.
-func (c *configuration) isWithdrawn(team task.Team, keyID string) bool {
-	return c.withdrawn[KeyName{team, keyID}]
-}
+func (c *configuration) isWithdrawn(key KeyName) bool { return c.withdrawn[key] }
 
 // setDocument keeps the map of earlier snapshots unchanged.
 func (c *configuration) setDocument(key DocumentKey, held *HeldDocument) {
@@ -129,7 +128,7 @@
 		s.routing.records[change.Record.Unit] = *change.Record
 		s.ownership.Observe(s.now, *change.Record)
 	case change.Allowance != nil:
-		s.owner.allow.Observe(s.now, *change.Allowance)
+		s.allowanceChanged(previous.Allowance, change.Allowance)
 	case change.Drain != "":
 		s.drainOrdered(change.Drain)
 	case change.Entry.Deleted:
@@ -159,6 +158,13 @@
 	s.event(timeline.Event{Type: kind, Team: k.Team, KeyID: k.ID, Revision: k.Revision})
 }
 
+func (s *State) allowanceChanged(previous, r *allowance.Record) {
+	s.owner.allow.Observe(s.now, *r)
+	if previous == nil || previous.Limit != r.Limit {
+		s.event(timeline.Event{Type: timeline.LimitInForce, Team: r.Team, Revision: r.Revision, Size: &r.Limit})
+	}
+}
+
 func (s *State) memberChanged(previous, m *membership.Member) {
 	if previous != nil && previous.Incarnation != m.Incarnation {
 		delete(s.routing.members, previous.Incarnation)
--- a/control/home.go
+++ b/control/home.go
@@ -17,6 +17,7 @@
 	ledger  *ledger.Ledger
 	routing *routing
 	chooser *chooser
+	keys    keyChecks
 
 	calls     map[uint64]*jobCall           // waiting calls by token
 	waiters   map[ledger.JobKey][]uint64    // tokens that wait for the end of a job
@@ -28,6 +29,13 @@
 	expiredAt time.Time
 }
 
+// keyChecks is what home and owner ask about the key under which work was
+// accepted.
+type keyChecks struct {
+	withdrawn func(KeyName) bool
+	fresh     func() bool // whether a withdrawal would be known by now
+}
+
 // taskRef names one task of a job.
 type taskRef struct {
 	job   ledger.JobKey
@@ -78,11 +86,14 @@
 // submit accepts a job, or finds the earlier submission with the same key.
 func (h *home) submit(token uint64, req SubmitRequest) {
 	job := ledger.KeyOf(&req.Spec)
+	if err := h.checkKey(&req.Spec); err != nil {
+		h.refused(token, job, err)
+		return
+	}
 	step := ledger.Step{Kind: ledger.StepAccepted, Job: job, Token: token}
 	record, isNew, err := h.ledger.Submit(h.shardOf(job), req.Spec, step)
 	if err != nil {
-		h.event(timeline.Event{Type: timeline.RequestRefused, Team: job.Team, Kind: string(err.Kind), Detail: job.Key})
-		h.reply(token, JobReply{Err: err})
+		h.refused(token, job, err)
 		return
 	}
 	h.calls[token] = &jobCall{job: job, until: h.now.Add(req.Wait)}
@@ -92,12 +103,37 @@
 	}
 	if !isDurable || (!isNew && !h.ledger.HasPending(h.shardOf(job))) {
 		if isNew {
-			h.event(timeline.Event{Type: timeline.RequestAccepted, Team: job.Team, Task: record.Tasks[0].ID, Kind: string(req.Spec.Kind)})
+			h.accepted(record)
 		}
 		h.answerOrWait(token, record)
 	}
 }
 
+// checkKey looks at the key of a request again, which the front end admitted: the
+// request may have been held up on the way here for longer than a withdrawal takes.
+func (h *home) checkKey(spec *task.Spec) *errkind.Error {
+	switch {
+	case spec.KeyID == "":
+		return nil
+	case h.keys.withdrawn(KeyName{spec.Team, spec.KeyID}):
+		return errkind.New(errkind.KeyWithdrawn, "the key was withdrawn")
+	case !h.keys.fresh():
+		return errkind.New(errkind.KeyStale, "the home of the request cannot confirm its keys at present").WithRetryAfter(h.cfg.KeyFreshness)
+	default:
+		return nil
+	}
+}
+
+func (h *home) refused(token uint64, job ledger.JobKey, err *errkind.Error) {
+	h.event(timeline.Event{Type: timeline.RequestRefused, Team: job.Team, Kind: string(err.Kind), Detail: job.Key})
+	h.reply(token, JobReply{Err: err})
+}
+
+func (h *home) accepted(record *ledger.Record) {
+	h.event(timeline.Event{Type: timeline.RequestAccepted, Team: record.Spec.Team, Task: record.Tasks[0].ID,
+		Kind: string(record.Spec.Kind), KeyID: record.Spec.KeyID})
+}
+
 // query answers a call about a job that was submitted before.
 func (h *home) query(token uint64, req QueryRequest) {
 	shard := h.shardOf(req.Job)
@@ -233,7 +269,7 @@
 	}
 	switch s.Kind {
 	case ledger.StepAccepted:
-		h.event(timeline.Event{Type: timeline.RequestAccepted, Team: s.Job.Team, Task: record.Tasks[0].ID, Kind: string(record.Spec.Kind)})
+		h.accepted(record)
 		h.settle(s.Job)
 		h.answerOrWait(s.Token, record)
 	case ledger.StepDispatch:
--- a/control/owner.go
+++ b/control/owner.go
@@ -26,7 +26,7 @@
 	monitor     *quarantine.Monitor
 	allow       *allowance.Table
 	holds       func(unit string) (epoch uint64, ok bool)
-	withdrawn   func(team task.Team, keyID string) bool
+	keys        keyChecks
 	remoteTeams map[task.Team]task.Resources // used at the other owners
 
 	partitions map[string]*partition
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -70,7 +70,7 @@
 
 // find returns a worker on which an attempt may be started now.
 func (w *owner) find(a *attempt) (string, bool) {
-	if !w.mayStart(a.partition) {
+	if !w.mayStart(a.partition) || !w.isKeyGood(a) {
 		return "", false
 	}
 	return w.cluster.Find(w.request(a))
@@ -88,6 +88,13 @@
 	return holds && epoch == part.epoch
 }
 
+// isKeyGood reports whether an attempt may start under its key. While this
+// instance cannot tell whether the key was withdrawn, the attempt waits.
+func (w *owner) isKeyGood(a *attempt) bool {
+	key := KeyName{a.team, a.placement.Spec.KeyID}
+	return key.ID == "" || w.keys.fresh() && !w.keys.withdrawn(key)
+}
+
 // reserve takes allowance, and with it room on a worker, for an attempt.
 func (w *owner) reserve(a *attempt, worker string) bool {
 	if !w.allow.Acquire(w.now, a.team, a.partition, a.size) {
@@ -146,7 +153,7 @@
 		return
 	}
 	ws := w.workers[a.worker]
-	if err == nil && reply.(PermitReply).Granted && ws != nil && ws.bootID == req.BootID && w.mayStart(a.partition) {
+	if err == nil && reply.(PermitReply).Granted && ws != nil && ws.bootID == req.BootID && w.mayStart(a.partition) && w.isKeyGood(a) {
 		w.start(a, ws)
 		return
 	}
@@ -179,7 +186,7 @@
 // startGang starts every member of a gang whose tasks have all arrived, or none.
 func (w *owner) startGang(a *attempt) bool {
 	members := w.gangOf(a)
-	if len(members) < a.placement.Gang || !w.mayStart(a.partition) {
+	if len(members) < a.placement.Gang || !w.mayStart(a.partition) || !w.isKeyGood(a) {
 		return false
 	}
 	workers, ok := w.cluster.FindGang(w.request(a), len(members))
--- a/control/state.go
+++ b/control/state.go
@@ -68,7 +68,9 @@
 	s.members = &membershipState{lastContact: now}
 	s.exchange = newExchange()
 	allow := allowance.New(parts.Allowance)
+	keys := keyChecks{withdrawn: s.config.isWithdrawn, fresh: func() bool { return s.freshness.Remaining(s.now) > 0 }}
 	s.home = &home{
+		keys:   keys,
 		outbox: &s.outbox, cfg: &s.cfg, routing: s.routing, ledger: ledger.New(parts.Ledger, self.Incarnation),
 		chooser: &chooser{routing: s.routing, rng: rng, lifetime: cfg.DigestLifetime, region: self.Region},
 		calls:   map[uint64]*jobCall{}, waiters: map[ledger.JobKey][]uint64{}, open: map[task.Attempt]*openAttempt{},
@@ -78,7 +80,7 @@
 		outbox: &s.outbox, cfg: &s.cfg, routing: s.routing, cluster: placement.NewCluster(), shares: fairshare.New(parts.Fairshare),
 		queues: queue.New(parts.Queue), monitor: quarantine.New(parts.Quarantine), allow: allow,
 		holds:      func(unit string) (uint64, bool) { return s.ownership.Holds(s.now, unit) },
-		withdrawn:  s.config.isWithdrawn,
+		keys:       keys,
 		partitions: map[string]*partition{}, workers: map[string]*workerState{}, attempts: map[task.Attempt]*attempt{},
 		drained: map[string]bool{}, tombstones: map[task.Attempt]time.Time{}, outgoing: map[task.Attempt]*outgoingReport{},
 	}
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -191,11 +191,11 @@
 		txn.Puts = append(txn.Puts, put)
 	}
 	for team, secret := range Secrets {
-		value, err := store.Encode(keyring.Key{ID: "demo", Team: team, Digest: keyring.DigestOf(secret)})
+		value, err := store.Encode(keyring.Key{ID: "demo-" + string(team), Team: team, Digest: keyring.DigestOf(secret)})
 		if err != nil {
 			return err
 		}
-		txn.Puts = append(txn.Puts, store.Put{Key: store.KeyKey(string(team), "demo"), Value: value})
+		txn.Puts = append(txn.Puts, store.Put{Key: store.KeyKey(string(team), "demo-"+string(team)), Value: value})
 	}
 	_, err = client.Commit(ctx, txn)
 	return eris.Wrap(err, "store the configuration of the demo")
