--- a/control/owner.go
+++ b/control/owner.go
@@ -254,7 +254,7 @@
 	}
 	a.stopAt = w.now.Add(w.cfg.CallTimeout)
 	w.emit(StopTask{Worker: a.worker, Address: ws.listed.Address, Epoch: w.epochOf(a.partition),
-		BootID: a.bootID, Attempt: a.id, Reason: reason, RefuseUntil: a.startBy})
+		BootID: a.bootID, Attempt: a.id, Reason: reason, RefuseUntil: a.startBy, Checkpoint: a.stopping == errkind.OverLimit})
 }
 
 func (w *owner) entryOf(a *attempt) queue.Entry {
--- a/control/ownerwork.go
+++ b/control/ownerwork.go
@@ -70,6 +70,7 @@
 	w.sendReports()
 	w.schedule()
 	w.wantAllowance()
+	w.shedExcess()
 	for id, until := range w.tombstones {
 		if w.now.After(until) {
 			delete(w.tombstones, id)
--- a/control/workers.go
+++ b/control/workers.go
@@ -294,34 +294,6 @@
 	}
 }
 
-// setLimit takes over the upper limit of a team; nil is no limit.
-func (w *owner) setLimit(team task.Team, limit *task.Resources, revision int64) {
-	var amounts task.Resources
-	if limit != nil {
-		amounts = *limit
-	}
-	w.allow.SetLimit(w.now, team, amounts, revision)
-}
-
-// wantAllowance notes what the waiting tasks need, so that one transaction
-// covers them.
-func (w *owner) wantAllowance() {
-	type need struct {
-		team      task.Team
-		partition string
-	}
-	needs := map[need]task.Resources{}
-	for _, a := range w.attempts {
-		if a.stage == stageQueued {
-			n := need{a.team, a.partition}
-			needs[n] = needs[n].Add(a.size)
-		}
-	}
-	for n, total := range needs {
-		w.allow.Want(w.now, n.team, n.partition, total)
-	}
-}
-
 // markReady notes the partitions of which everything that runs is known: each
 // worker has reported, or cannot run anything any more.
 func (w *owner) markReady() {
--- a/daemon/matrix_test.go
+++ b/daemon/matrix_test.go
@@ -176,7 +176,14 @@
 
 func (w *world) killAndRestart(n *node) {
 	n.kill()
-	time.AfterFunc(restartIn, func() { w.startNode(n.index) })
+	time.AfterFunc(restartIn, func() {
+		w.mu.Lock()
+		ended := w.ended
+		w.mu.Unlock()
+		if !ended {
+			w.startNode(n.index)
+		}
+	})
 }
 
 func (w *world) storeDown(kind fault.Kind) {
--- /dev/null
+++ b/daemon/operations_test.go
@@ -0,0 +1,361 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/caller"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/instancelist"
+	"github.com/mulberrydrum/mulberrydrum/operator"
+	"github.com/mulberrydrum/mulberrydrum/standin/fault"
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/timeline"
+)
+
+// condition is what goes wrong while an operator's change takes effect. asked is
+// the instance that the operator talks to, other is another one.
+type condition struct {
+	name  string
+	apply func(w *world, asked, other *node)
+}
+
+const cutTime = time.Minute // that one instance is cut off from the store
+
+var conditions = []condition{
+	{"none", func(*world, *node, *node) {}},
+	{"other frozen", func(_ *world, _, other *node) { other.freeze(freezeTime) }},
+	{"other frozen shortly", func(_ *world, _, other *node) { other.freeze(4 * time.Second) }},
+	{"other cut off from the store", func(w *world, _, other *node) { w.storeFault(cutTime, fault.Fault{Kind: fault.Unreachable, Instance: other.cfg.Self.Instance}) }},
+	{"other's watch silent", func(w *world, _, other *node) { w.storeFault(cutTime, fault.Fault{Kind: fault.SilentWatch, Instance: other.cfg.Self.Instance}) }},
+	{"other killed", func(w *world, _, other *node) { w.killAndRestart(other) }},
+	{"store slow", func(w *world, _, _ *node) { w.storeFault(cutTime, fault.Fault{Kind: fault.Slow, DelayMS: 1500}) }},
+	{"replies of commits lost", func(w *world, asked, _ *node) {
+		w.storeFault(cutTime, fault.Fault{Kind: fault.ReplyLost, Call: "txn", Instance: asked.cfg.Self.Instance, Count: 2})
+	}},
+}
+
+func (w *world) storeFault(d time.Duration, f fault.Fault) {
+	if err := w.store.Faults().Set(f); err != nil {
+		w.t.Fatal(err)
+	}
+	time.AfterFunc(d, func() { _ = w.store.Faults().Set() })
+}
+
+// operation is a change that an operator or the platform makes under load.
+type operation struct {
+	name string
+	run  func(t *testing.T, w *world, asked, other *node, strike func())
+}
+
+var operations = []operation{
+	{"withdraw a key", withdrawKey},
+	{"lower a limit", lowerLimit},
+	{"apply a document", applyDocument},
+	{"two operators race", raceOperators},
+	{"drain an instance", drainInstance},
+	{"worker leaves", workerLeaves},
+}
+
+// TestOperationMatrix guards against a change that comes into force too late, in
+// part or not at all, or that takes work with it, when something fails meanwhile.
+func TestOperationMatrix(t *testing.T) {
+	for _, op := range operations {
+		for _, c := range conditions {
+			t.Run(op.name+"/"+c.name, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t, 3, 4)
+					defer w.close()
+					time.Sleep(15 * time.Second) // ownership is claimed and the list lag has passed
+					asked, other := w.nodes[0], w.nodes[1]
+					op.run(t, w, asked, other, func() { c.apply(w, asked, other) })
+					w.checkOracle(&load{world: w, jobs: w.jobs})
+				})
+			})
+		}
+	}
+	t.Logf("%d cells: %d operations under %d conditions", len(operations)*len(conditions), len(operations), len(conditions))
+}
+
+// submitAs submits a job of one task and returns what its caller is told.
+func (n *node) submitAs(class, key string) (caller.Reply, error) {
+	n.wait()
+	n.world.mu.Lock()
+	n.world.jobs = append(n.world.jobs, &job{class: class, key: key})
+	n.world.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	return (&callerBackend{n.engine}).Submit(ctx, worldSecret, task.Spec{Team: "leuven", Service: "piping", Class: class,
+		IdempotencyKey: key, Count: 1, Payload: []byte(key), SubmittedAt: time.Now()}, 0)
+}
+
+func (n *node) operator() *operatorBackend { return &operatorBackend{n.engine} }
+
+// until repeats an operator's call until it is confirmed.
+func until[T any](t *testing.T, n *node, what string, f func(context.Context) (T, error)) T {
+	t.Helper()
+	var err error
+	for range 60 {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		var result T
+		result, err = f(ctx)
+		cancel()
+		if err == nil {
+			return result
+		}
+		time.Sleep(time.Second)
+	}
+	t.Fatalf("%s through %s: %v", what, n.cfg.Self.Instance, err)
+	panic("unreachable")
+}
+
+// withdrawKey checks that no instance accepts work under a key later than the
+// freshness after the withdrawal was confirmed, and that its work ends.
+func withdrawKey(t *testing.T, w *world, asked, _ *node, strike func()) {
+	for i := range 20 {
+		if _, err := w.nodes[i%3].submitAs("check", fmt.Sprintf("w%d", i)); err != nil {
+			t.Fatalf("submit before the withdrawal: %v", err)
+		}
+	}
+	strike()
+	until(t, asked, "withdraw the key", func(ctx context.Context) (api.Key, error) {
+		return asked.operator().WithdrawKey(ctx, "test", "leuven", "k1")
+	})
+	confirmed := time.Now()
+	var accepted sync.Map
+	for round := 0; time.Since(confirmed) < 90*time.Second; round++ {
+		for _, n := range w.live() {
+			go func() {
+				n.wait()
+				at := time.Since(confirmed)
+				if _, err := n.submitAs("check", fmt.Sprintf("after-%d-%s", round, n.cfg.Self.Instance)); err == nil && at > w.nodes[0].cfg.Control.KeyFreshness {
+					accepted.Store(fmt.Sprintf("%s after %v", n.cfg.Self.Instance, at), true)
+				}
+			}()
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	accepted.Range(func(where, _ any) bool {
+		t.Errorf("a withdrawn key was accepted by %s", where)
+		return true
+	})
+	for name, wk := range w.workers {
+		ledger, err := wk.Ledger()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, run := range ledger.Runs {
+			if run.End.IsZero() {
+				t.Errorf("%s still runs %s under the withdrawn key", name, run.Attempt)
+			}
+		}
+	}
+}
+
+const lowLimit = `{"team": "leuven", "share": 1, "limit": {"cpu_milli": 10000, "memory_mb": 0, "accelerators": 0, "slots": 3, "connections": 0}}`
+
+// lowerLimit checks that a limit below what runs comes into force, and that the
+// team never has more running than the limit from then on (the oracle).
+func lowerLimit(t *testing.T, w *world, asked, _ *node, strike func()) {
+	for i := range 8 {
+		if _, err := w.nodes[i%3].submitAs("tables", fmt.Sprintf("s%d", i)); err != nil {
+			t.Fatalf("submit a service: %v", err)
+		}
+	}
+	time.Sleep(5 * time.Second)
+	if got := w.running(t); got != 8 {
+		t.Fatalf("%d services run before the change, want 8", got)
+	}
+	strike()
+	w.apply(t, asked, operator.Ref{Team: "leuven"}, lowLimit)
+	time.Sleep(3 * time.Minute)
+	if got := w.running(t); got != 3 {
+		t.Errorf("%d services run under a limit of 3", got)
+	}
+	inForce := 0
+	for _, e := range w.trace().Events {
+		if e.Type == timeline.LimitInForce && e.Size.Slots == 3 {
+			inForce++
+		}
+	}
+	if inForce == 0 {
+		t.Error("the lower limit never came into force")
+	}
+}
+
+// running counts the tasks that run on all workers.
+func (w *world) running(t *testing.T) int {
+	t.Helper()
+	count := 0
+	for _, wk := range w.workers {
+		ledger, err := wk.Ledger()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, run := range ledger.Runs {
+			if run.End.IsZero() {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// apply replaces a document, and reads the revision again after a conflict with
+// its own earlier try.
+func (w *world) apply(t *testing.T, n *node, ref operator.Ref, source string) operator.Held {
+	t.Helper()
+	return until(t, n, "apply a document", func(ctx context.Context) (operator.Held, error) {
+		held, err := n.operator().Get(ctx, ref)
+		if err != nil {
+			return operator.Held{}, err
+		}
+		if held.Record.Source == source {
+			return held, nil
+		}
+		return n.operator().Apply(ctx, operator.Change{Ref: ref, Source: source, By: "test", Expected: held.Revision})
+	})
+}
+
+// configBound is the time within which a change is in force everywhere. An
+// instance that cannot read the store learns of it from the others.
+const configBound = 11 * time.Second
+
+// applyDocument checks that a document is in force at every instance that runs
+// within the bound.
+func applyDocument(t *testing.T, w *world, asked, other *node, strike func()) {
+	strike()
+	source := strings.Replace(worldDocument, "sleep:2s", "sleep:3s", 1)
+	held := w.apply(t, asked, operator.Ref{Team: "leuven", Service: "piping"}, source)
+	confirmed := time.Now()
+	for time.Since(confirmed) < configBound {
+		time.Sleep(100 * time.Millisecond)
+	}
+	other.wait()
+	time.Sleep(configBound) // a frozen or restarted instance has the same time from its start
+	if n := w.at(other.cfg.Self.Address); n == nil {
+		time.Sleep(restartIn + configBound)
+	}
+	for _, n := range w.live() {
+		if got := n.Snapshot().Documents; got == nil || !hasRevision(n, held.Revision) {
+			t.Errorf("%s does not have revision %d in force %v after it was confirmed", n.cfg.Self.Incarnation, held.Revision, time.Since(confirmed))
+		}
+	}
+}
+
+func hasRevision(n *node, revision int64) bool {
+	for key, held := range n.Snapshot().Documents {
+		if key.Service == "piping" {
+			return held.Revision == revision
+		}
+	}
+	return false
+}
+
+// raceOperators checks that of two changes from the same revision one succeeds
+// and the other one is shown it.
+func raceOperators(t *testing.T, w *world, asked, other *node, strike func()) {
+	ref := operator.Ref{Team: "leuven", Service: "piping"}
+	first := until(t, asked, "read the document", func(ctx context.Context) (operator.Held, error) { return asked.operator().Get(ctx, ref) })
+	strike()
+	results := make([]error, 2)
+	var group sync.WaitGroup
+	for i, n := range []*node{asked, other} {
+		group.Go(func() {
+			n.wait()
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			_, results[i] = n.operator().Apply(ctx, operator.Change{Ref: ref, By: n.cfg.Self.Instance, Expected: first.Revision,
+				Source: strings.Replace(worldDocument, "sleep:2s", fmt.Sprintf("sleep:%ds", 4+i), 1)})
+		})
+	}
+	group.Wait()
+	succeeded := 0
+	for i, err := range results {
+		if err == nil {
+			succeeded++
+			continue
+		}
+		kind := errkind.From(err).Kind
+		if kind != errkind.RevisionConflict && kind != errkind.StoreUnavailable && kind != errkind.OutcomeUnknown {
+			t.Errorf("operator %d was told %v", i, err)
+		}
+	}
+	if succeeded > 1 {
+		t.Error("both operators were told that their change from the same revision succeeded")
+	}
+	now := until(t, w.nodes[2], "read the document", func(ctx context.Context) (operator.Held, error) { return w.nodes[2].operator().Get(ctx, ref) })
+	if succeeded == 1 && now.Record.PreviousRevision != first.Revision {
+		t.Errorf("the document in force replaced revision %d, want %d", now.Record.PreviousRevision, first.Revision)
+	}
+}
+
+// drainInstance checks that a planned stop under load fails no request that goes
+// to another instance, or to this one until it has drained.
+func drainInstance(t *testing.T, w *world, asked, other *node, strike func()) {
+	var failures sync.Map
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for i, n := range []*node{asked, w.nodes[2]} {
+		group.Go(func() {
+			for r := 0; ; r++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(300 * time.Millisecond):
+				}
+				if _, err := n.submitAs("lookup", fmt.Sprintf("d%d-%d", i, r)); err != nil {
+					failures.Store(fmt.Sprintf("%s request %d: %v", n.cfg.Self.Instance, r, err), errkind.From(err).Fate())
+				}
+			}
+		})
+	}
+	time.Sleep(3 * time.Second)
+	strike()
+	_ = asked.loop.Post(context.Background(), drainEvent)
+	select {
+	case <-asked.drained:
+	case <-time.After(90 * time.Second):
+		t.Errorf("%s still holds units %v after its drain began", asked.cfg.Self.Instance, 90*time.Second)
+	}
+	close(stop)
+	group.Wait()
+	if !other.frozenEver() && !other.isDead() {
+		failures.Range(func(what, fate any) bool {
+			t.Errorf("a request failed during a planned stop: %v (%v)", what, fate)
+			return true
+		})
+	}
+}
+
+// workerLeaves checks that a worker that the list shows as leaving gets no new
+// task after the bound; the oracle reads the start of each run.
+func workerLeaves(t *testing.T, w *world, asked, _ *node, strike func()) {
+	strike()
+	w.mu.Lock()
+	w.listing[0].State = instancelist.StateLeaving
+	w.mu.Unlock()
+	const bound = 3 * time.Second
+	left := time.Now().Add(bound)
+	for i := range 40 {
+		go func() { _, _ = w.nodes[2].submitAs("check", fmt.Sprintf("l%d", i)) }()
+		time.Sleep(500 * time.Millisecond)
+	}
+	time.Sleep(time.Minute)
+	ledger, err := w.workers["worker-0"].Ledger()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, run := range ledger.Runs {
+		if run.Start.After(left) {
+			t.Errorf("%s started on a worker %v after it was listed as leaving", run.Attempt, run.Start.Sub(left)+bound)
+		}
+	}
+}
--- a/daemon/world_test.go
+++ b/daemon/world_test.go
@@ -28,6 +28,8 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
+var drainEvent = control.DrainRequested{}
+
 // world is a small deployment with fakes at the interfaces. It runs in a
 // testing/synctest bubble: all time is virtual.
 type world struct {
@@ -40,6 +42,8 @@
 	mu    sync.Mutex
 	nodes []*node // every process that ever ran
 	fault func(c call) faultAction
+	jobs  []*job // submitted one by one
+	ended bool
 }
 
 // node is one process of an entry instance.
@@ -168,6 +172,13 @@
 	return n.dead
 }
 
+// frozenEver reports whether the process was frozen at any time.
+func (n *node) frozenEver() bool {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	return !n.frozen.IsZero()
+}
+
 // wait returns when the process is not frozen.
 func (n *node) wait() {
 	n.world.mu.Lock()
@@ -214,6 +225,9 @@
 
 // close ends everything.
 func (w *world) close() {
+	w.mu.Lock()
+	w.ended = true
+	w.mu.Unlock()
 	for _, n := range w.live() {
 		n.kill()
 	}
@@ -221,6 +235,7 @@
 		wk.Close()
 	}
 	w.store.Close()
+	time.Sleep(cutTime + freezeTime) // the goroutines that faults hold up end
 }
 
 func (w *world) trace() oracle.Trace {
--- a/ledger/transition.go
+++ b/ledger/transition.go
@@ -109,8 +109,7 @@
 	case task.Unknown:
 		return r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRepeat()
 	case task.Finished:
-		// Stopped by us because another member of its gang was lost.
-		return o.Reason == string(errkind.WorkerLost) && r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRepeat()
+		return isStoppedForLater(o.Reason) && r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRepeat()
 	default:
 		return false
 	}
@@ -120,6 +119,12 @@
 // another partition before its caller is told.
 const maxAnswerAttempts = 3
 
+// isStoppedForLater reports whether we stopped a task that should run again:
+// another member of its gang was lost, or its team was above its limit.
+func isStoppedForLater(reason string) bool {
+	return reason == string(errkind.WorkerLost) || reason == string(errkind.OverLimit)
+}
+
 // isDefinite reports whether a task that was not run for this reason would not
 // be run by another attempt either.
 func isDefinite(reason string) bool {
