Add a TCP relay that cuts, delays and silences connections

Cause: the fault switches of the stand-ins act on calls, not on connections, and stop at the process that serves them. Between entry instances there is no stand-in at all.

The calls of the fault matrix got an outer bound: a trial without the client's deadline had hung until the limit of the test run.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,6 @@
-// Command standin runs one of the stand-ins for the platform: its store or its
-// instance list. Faults are switched over HTTP while it runs.
+// Command standin runs one of the stand-ins for the platform, its store or its
+// instance list, or a relay that disturbs the connections between two processes.
+// Faults are switched over HTTP while it runs.
 package main
 
 import (
@@ -11,6 +12,7 @@
 type commands struct {
 	Store   storeCommand   `cmd:"" help:"Run the stand-in for the platform's store."`
 	List    listCommand    `cmd:"" help:"Run the stand-in for the instance list."`
+	Relay   relayCommand   `cmd:"" help:"Run a TCP relay that can cut, delay or silence connections."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- a/standin/matrix_test.go
+++ b/standin/matrix_test.go
@@ -177,7 +177,9 @@
 	before := m.faults.Counters()
 	started := time.Now()
 
-	err := call.do(t.Context(), m)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second) // ends a call without a deadline
+	defer cancel()
+	err := call.do(ctx, m)
 	took := time.Since(started)
 	want := f.wantCall
 	if call.kind == storetest.CallWatch {
