--- a/standin/relay_test.go
+++ b/standin/relay_test.go
@@ -274,13 +274,18 @@
 // path never does.
 func TestRelaySilentSideIsNotTold(t *testing.T) {
 	t.Parallel()
-	relay, client, server := rawRelay(t)
-	relay.Silence()
-	if _, err := client.Write([]byte("swallowed")); err != nil {
-		t.Fatal(err)
-	}
-	client.Close()
-	if n, open := readsFor(server, 300*time.Millisecond); n != 0 || !open {
-		t.Errorf("server read %d bytes, open %v; want none, open", n, open)
+	for _, linger := range []int{-1, 0} { // the client closes its side, or resets it
+		relay, client, server := rawRelay(t)
+		relay.Silence()
+		if _, err := client.Write([]byte("swallowed")); err != nil {
+			t.Fatal(err)
+		}
+		if err := client.(*net.TCPConn).SetLinger(linger); err != nil {
+			t.Fatal(err)
+		}
+		client.Close()
+		if n, open := readsFor(server, 300*time.Millisecond); n != 0 || !open {
+			t.Errorf("linger %d: server read %d bytes, open %v; want none, open", linger, n, open)
+		}
 	}
 }
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -172,6 +172,7 @@
 		{"notice goes back", []string{created, event(9, 5), notice(4)}, []int64{5}, ErrUnclear},
 		{"compacted", []string{created, `{"result":{"canceled":true,"compact_revision":"8"}}`}, nil, ErrCompacted},
 		{"canceled", []string{created, event(9, 5), `{"result":{"canceled":true}}`}, []int64{5}, ErrUnclear},
+		{"stream error of a newer gateway", []string{`{"error":{"code":14,"message":"etcdserver: no leader"}}`}, nil, ErrUnavailable},
 		{"stream error", []string{`{"error":{"grpc_code":14,"message":"etcdserver: no leader"}}`}, nil, ErrUnavailable},
 	}
 	for _, test := range tests {
--- a/store/lease.go
+++ b/store/lease.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -61,6 +62,9 @@
 	return max(1, int64((ttl+time.Second-1)/time.Second))
 }
 
+// streamError classifies the error that ends a stream. Newer gateways give the
+// gRPC status in the field code, older ones in grpc_code beside an HTTP status.
 func streamError(e *wire.StreamError) error {
-	return fmt.Errorf("%w: stream ended: %s", classifyCode(e.GRPCCode, e.Message), e.Message)
+	code := cmp.Or(e.GRPCCode, e.Code)
+	return fmt.Errorf("%w: stream ended: %s", classifyCode(code, e.Message), e.Message)
 }
--- a/store/store.go
+++ b/store/store.go
@@ -93,6 +93,6 @@
 	// Watch delivers the changes of keys with a prefix from revision from, which
 	// is at least 1, in order of revision and without gaps. It blocks until ctx
 	// ends or the watch fails, and always returns an error. To go on, the caller
-	// watches again from the last revision delivered plus one.
+	// waits a little and watches again from the last revision delivered plus one.
 	Watch(ctx context.Context, prefix string, from int64, deliver func(WatchBatch)) error
 }
