--- a/control/configuration.go
+++ b/control/configuration.go
@@ -53,11 +53,14 @@
 	return !ok || known.Entry.Revision < change.Entry.Revision
 }
 
-// fetch returns everything for a process that cannot read the store.
-func (c *configuration) fetch() FetchConfigReply {
-	reply := FetchConfigReply{Revision: c.applied}
+// fetch returns what changed after a revision for a process that cannot read the
+// store.
+func (c *configuration) fetch(after int64) FetchConfigReply {
+	reply := FetchConfigReply{After: after, Revision: c.applied}
 	for _, change := range c.entries {
-		reply.Entries = append(reply.Entries, change.Entry)
+		if change.Entry.Revision > after {
+			reply.Entries = append(reply.Entries, change.Entry)
+		}
 	}
 	return reply
 }
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -138,17 +138,17 @@
 		s.owner.allow.AskIdle(team)
 	}
 	s.shareUsage()
-	if d.Revision > s.config.applied && !s.hasStoreContact() {
+	if d.Revision > s.config.applied && !s.isFresh() {
 		s.fetchConfig(d)
 	}
 }
 
-// fetchConfig reads the configuration of a peer that has a later one, while the
-// store cannot be read.
+// fetchConfig reads what a peer has of later configuration. It is done before the
+// keys are too old, since a peer's freshness counts here only with its revision.
 func (s *State) fetchConfig(d DigestMessage) {
 	if m, ok := s.routing.members[d.Incarnation]; ok && s.config.fetchedAt.Add(s.cfg.CallTimeout).Before(s.now) {
 		s.config.fetchedAt = s.now
-		s.emit(Send{To: m, Request: FetchConfigRequest{}, Timeout: s.cfg.CallTimeout, SentAt: s.now})
+		s.emit(Send{To: m, Request: FetchConfigRequest{After: s.config.applied}, Timeout: s.cfg.CallTimeout, SentAt: s.now})
 	}
 }
 
--- a/control/peer.go
+++ b/control/peer.go
@@ -188,11 +188,13 @@
 	Size task.Resources
 }
 
-// FetchConfigRequest asks for the whole configuration that an instance holds.
-type FetchConfigRequest struct{}
+// FetchConfigRequest asks for the configuration that an instance holds, as far
+// as it changed after a revision; 0 asks for all of it.
+type FetchConfigRequest struct{ After int64 }
 
 // FetchConfigReply is the configuration with the revision of each entry.
 type FetchConfigReply struct {
+	After    int64 // of the request
 	Revision int64
 	Entries  []ConfigEntry
 }
--- a/control/state.go
+++ b/control/state.go
@@ -198,7 +198,7 @@
 	case DigestMessage:
 		s.digestReceived(e.Token, r)
 	case FetchConfigRequest:
-		s.reply(e.Token, s.config.fetch())
+		s.reply(e.Token, s.config.fetch(r.After))
 	case BeginConfigCommit:
 		s.reply(e.Token, ConfigCommitReply{Allowed: s.freshness.BeginCommit(s.now)})
 	case EndConfigCommit:
--- a/daemon/matrix_test.go
+++ b/daemon/matrix_test.go
@@ -24,7 +24,7 @@
 	"peer.SubmitRequest", "peer.PlaceRequest", "peer.WithdrawRequest", "peer.LookupRequest", "peer.PermitRequest",
 	"peer.ReportRequest", "peer.DigestMessage", "peer.PromiseRequest",
 	"worker.Start", "worker.StartChecked", "worker.Sync", "worker.Lookup", "worker.Stop",
-	"store.CommitRecords", "store.CommitOwnership", "store.CommitAllowance", "store.KeepAlive", "store.Get",
+	"store.CommitRecords", "store.CommitOwnership", "store.CommitAllowance", "store.KeepAlive", "store.Get", "store.LatestRevision",
 }
 
 // strike is one kind of fault. It acts on the first call of its step, or on the
--- a/daemon/storecalls.go
+++ b/daemon/storecalls.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// renewLease keeps the lease alive, then reads the revision of the store.
+// renewLease keeps the lease alive, then reads the revision of the latest change
+// of the configuration.
 func (d *engine) renewLease(ctx context.Context, e control.RenewLease) control.KeepAliveDone {
 	done := control.KeepAliveDone{SentAt: time.Now(), Lease: e.Lease}
 	_, done.Err = d.clients.Store.KeepAlive(ctx, e.Lease)
@@ -96,8 +97,7 @@
 		return done
 	}
 	done.ReadSentAt = time.Now()
-	_, _, revision, err := d.clients.Store.Get(ctx, store.MemberKey(d.cfg.Self.Instance))
-	if err == nil {
+	if revision, err := d.clients.Store.LatestRevision(ctx, store.ConfigPrefix); err == nil {
 		done.Revision = revision
 	}
 	return done
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -119,7 +119,7 @@
 	for i, e := range r.Entries {
 		changes[i] = store.DecodeConfig(e)
 	}
-	return control.ConfigChanged{Revision: r.Revision, Complete: true, Changes: changes}
+	return control.ConfigChanged{Revision: r.Revision, Complete: r.After == 0, Changes: changes}
 }
 
 // pollInstances delivers the platform's instance list at intervals.
--- a/daemon/world_test.go
+++ b/daemon/world_test.go
@@ -437,6 +437,11 @@
 	return g.kv, g.found, g.revision, err
 }
 
+// LatestRevision reads the revision of the latest change.
+func (f *storeFake) LatestRevision(ctx context.Context, prefix string) (int64, error) {
+	return viaStore(ctx, f.node, "store.LatestRevision", func() (int64, error) { return f.Store.LatestRevision(ctx, prefix) })
+}
+
 // Watch delivers changes; a frozen process sees none.
 func (f *storeFake) Watch(ctx context.Context, prefix string, from int64, deliver func(store.WatchBatch)) error {
 	return f.Store.Watch(ctx, prefix, from, func(b store.WatchBatch) {
--- a/entry/client.go
+++ b/entry/client.go
@@ -187,7 +187,7 @@
 		reply, err := client.Exchange(ctx, encodeDigest(r))
 		return decodeDigest(reply), err
 	case control.FetchConfigRequest:
-		reply, err := client.FetchConfig(ctx, &entrypb.FetchConfigRequest{From: c.self})
+		reply, err := client.FetchConfig(ctx, &entrypb.FetchConfigRequest{From: c.self, After: r.After})
 		return decodeConfig(reply), err
 	case control.OverviewRequest:
 		reply, err := client.Overview(ctx, &entrypb.OverviewRequest{From: c.self})
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -179,7 +179,7 @@
 }
 
 func encodeConfig(r control.FetchConfigReply) *entrypb.FetchConfigReply {
-	out := &entrypb.FetchConfigReply{Revision: r.Revision}
+	out := &entrypb.FetchConfigReply{After: r.After, Revision: r.Revision}
 	for _, e := range r.Entries {
 		out.Entries = append(out.Entries, &entrypb.ConfigEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 	}
@@ -187,7 +187,7 @@
 }
 
 func decodeConfig(r *entrypb.FetchConfigReply) control.FetchConfigReply {
-	out := control.FetchConfigReply{Revision: r.GetRevision()}
+	out := control.FetchConfigReply{After: r.GetAfter(), Revision: r.GetRevision()}
 	for _, e := range r.GetEntries() {
 		out.Entries = append(out.Entries, control.ConfigEntry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Deleted: e.GetDeleted()})
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -117,7 +117,7 @@
 
 // FetchConfig serves an instance that started while the store is down.
 func (s *service) FetchConfig(ctx context.Context, r *entrypb.FetchConfigRequest) (*entrypb.FetchConfigReply, error) {
-	reply, err := handle[control.FetchConfigReply](ctx, s, r.GetFrom(), control.FetchConfigRequest{})
+	reply, err := handle[control.FetchConfigReply](ctx, s, r.GetFrom(), control.FetchConfigRequest{After: r.GetAfter()})
 	return encodeConfig(reply), err
 }
 
--- a/standin/matrix_test.go
+++ b/standin/matrix_test.go
@@ -89,7 +89,7 @@
 
 // watchOnce watches until the first batch with a change.
 func watchOnce(ctx context.Context, m *matrixStore) error {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
 	delivered := false
 	err := m.client.Watch(ctx, "k/", 1, func(batch store.WatchBatch) {
@@ -177,7 +177,9 @@
 	before := m.faults.Counters()
 	started := time.Now()
 
-	err := call.do(t.Context(), m)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second) // ends a call without a deadline
+	defer cancel()
+	err := call.do(ctx, m)
 	took := time.Since(started)
 	want := f.wantCall
 	if call.kind == storetest.CallWatch {
--- a/standin/store.go
+++ b/standin/store.go
@@ -93,6 +93,12 @@
 		}
 		return reply
 	}
+	if request.SortTarget == wire.SortByRevision && request.SortOrder == wire.SortDescending && request.Limit == 1 {
+		if kv, found := m.Latest(string(request.Key), string(request.RangeEnd)); found {
+			reply.KVs = append(reply.KVs, toWire(kv))
+		}
+		return reply
+	}
 	for _, kv := range m.Range(string(request.Key), string(request.RangeEnd)) {
 		reply.KVs = append(reply.KVs, toWire(kv))
 	}
--- a/store/kv.go
+++ b/store/kv.go
@@ -26,6 +26,21 @@
 	return fromWire(reply.KVs[0]), true, reply.Header.Revision, nil
 }
 
+// LatestRevision implements Store.
+func (c *Client) LatestRevision(ctx context.Context, prefix string) (int64, error) {
+	var reply wire.RangeReply
+	operation := fmt.Sprintf("latest revision of %q", prefix)
+	request := wire.RangeRequest{Key: wire.PrefixStart(prefix), RangeEnd: wire.PrefixEnd(prefix), Limit: 1,
+		SortOrder: wire.SortDescending, SortTarget: wire.SortByRevision, KeysOnly: true}
+	if err := c.call(ctx, operation, wire.PathRange, request, &reply); err != nil {
+		return 0, err
+	}
+	if len(reply.KVs) == 0 {
+		return 0, nil
+	}
+	return fromWire(reply.KVs[0]).ModRevision, nil
+}
+
 // List implements Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]KeyValue, int64, error) {
 	var reply wire.RangeReply
--- a/store/store.go
+++ b/store/store.go
@@ -82,6 +82,10 @@
 	Get(ctx context.Context, key string) (kv KeyValue, found bool, revision int64, err error)
 	// List reads the keys with a prefix in ascending order, all as of revision.
 	List(ctx context.Context, prefix string) (kvs []KeyValue, revision int64, err error)
+	// LatestRevision reads the revision of the last change of any key that exists
+	// with a prefix, 0 if there is none; the read is linearizable. Deleted keys do
+	// not count.
+	LatestRevision(ctx context.Context, prefix string) (revision int64, err error)
 	// Commit executes txn. A result means a definite outcome.
 	Commit(ctx context.Context, txn Txn) (TxnResult, error)
 	// Grant makes a lease. The time to live is rounded up to a whole second.
@@ -93,6 +97,6 @@
 	// Watch delivers the changes of keys with a prefix from revision from, which
 	// is at least 1, in order of revision and without gaps. It blocks until ctx
 	// ends or the watch fails, and always returns an error. To go on, the caller
-	// watches again from the last revision delivered plus one.
+	// waits a little and watches again from the last revision delivered plus one.
 	Watch(ctx context.Context, prefix string, from int64, deliver func(WatchBatch)) error
 }
--- a/store/storetest/machine.go
+++ b/store/storetest/machine.go
@@ -88,6 +88,17 @@
 	return kvs
 }
 
+// Latest returns the key from start up to but not including end that was
+// changed last.
+func (m *Machine) Latest(start, end string) (latest store.KeyValue, found bool) {
+	for key, kv := range m.keys {
+		if inRange(key, start, end) && kv.ModRevision > latest.ModRevision {
+			latest, found = kv, true
+		}
+	}
+	return latest, found
+}
+
 func inRange(key, start, end string) bool {
 	return key >= start && (end == "\x00" || key < end)
 }
--- a/store/storetest/memory_calls.go
+++ b/store/storetest/memory_calls.go
@@ -25,6 +25,20 @@
 	return copyOf(r.kvs[0]), true, r.revision, nil
 }
 
+// LatestRevision implements store.Store.
+func (c *client) LatestRevision(ctx context.Context, prefix string) (int64, error) {
+	result := make(chan int64, 1)
+	err := c.call(ctx, CallRange, func(_ time.Time, m *Machine) error {
+		kv, _ := m.Latest(string(wire.PrefixStart(prefix)), string(wire.PrefixEnd(prefix)))
+		result <- kv.ModRevision
+		return nil
+	})
+	if err != nil {
+		return 0, eris.Wrapf(err, "latest revision of %q", prefix)
+	}
+	return <-result, nil
+}
+
 // List implements store.Store.
 func (c *client) List(ctx context.Context, prefix string) ([]store.KeyValue, int64, error) {
 	r, err := c.readRange(ctx, string(wire.PrefixStart(prefix)), string(wire.PrefixEnd(prefix)))
--- a/store/wire/wire.go
+++ b/store/wire/wire.go
@@ -34,10 +34,20 @@
 // RangeRequest reads the keys from Key up to but not including RangeEnd, or Key
 // alone if RangeEnd is empty.
 type RangeRequest struct {
-	Key      []byte `json:"key,omitempty"`
-	RangeEnd []byte `json:"range_end,omitempty"`
+	Key        []byte `json:"key,omitempty"`
+	RangeEnd   []byte `json:"range_end,omitempty"`
+	Limit      int64  `json:"limit,omitempty,string"` // most keys in the reply; 0 for all
+	SortOrder  string `json:"sort_order,omitempty"`
+	SortTarget string `json:"sort_target,omitempty"`
+	KeysOnly   bool   `json:"keys_only,omitempty"`
 }
 
+// Values of a RangeRequest that asks for the key that was changed last.
+const (
+	SortDescending = "DESCEND"
+	SortByRevision = "MOD"
+)
+
 // RangeReply is the reply to a RangeRequest.
 type RangeReply struct {
 	Header *Header    `json:"header,omitempty"`
