--- a/standin/faults.go
+++ b/standin/faults.go
@@ -65,7 +65,7 @@
 		refuse(w)
 		return
 	case effect.Unreachable:
-		holdOpen(r)
+		holdOpen(r) // does not return
 	}
 	time.Sleep(effect.Delay) // the call is executed even if the caller leaves meanwhile
 	if effect.ReplyLost {
--- a/store/storetest/calls.go
+++ b/store/storetest/calls.go
@@ -28,9 +28,10 @@
 var errStoreDown = errors.New("store went down")
 
 // InterruptFor returns the Interrupt of a watch by an instance. silent says that
-// the watch was opened under a fault that silences it. The Interrupt ends the watch when the store goes down, and holds it without an end when the watch is
-// to be silent or the store unreachable. A silent stream stays silent when the
-// fault is cleared, since a lost connection does not come back either.
+// the watch was opened under a fault that silences it. The Interrupt ends the
+// watch when the store goes down, and holds it when the watch is to be silent or
+// the store unreachable. A silent stream stays silent when the fault is cleared,
+// since a lost connection does not come back either.
 func InterruptFor(ctx context.Context, faults *fault.Table, instance string, silent bool) Interrupt {
 	return func() (<-chan struct{}, error) {
 		standing, changed := faults.Standing(CallWatch, instance)
