--- a/control/event.go
+++ b/control/event.go
@@ -107,14 +107,14 @@
 	Data  []byte
 }
 
-// KeepAliveDone is the end of a RenewLease.
+// KeepAliveDone is the end of a RenewLease. The read was sent at SentAt too and
+// counts by itself.
 type KeepAliveDone struct {
-	SentAt     time.Time
-	Lease      int64
-	Err        error
-	Gone       bool // the store does not know the lease any more
-	ReadSentAt time.Time
-	Revision   int64 // of the store at the read; 0 if the read failed
+	SentAt   time.Time
+	Lease    int64
+	Err      error
+	Gone     bool  // the store does not know the lease any more
+	Revision int64 // of the latest change of the configuration; 0 if the read failed
 }
 
 // LeaseGranted is the end of a GrantLease.
--- a/control/member.go
+++ b/control/member.go
@@ -54,6 +54,7 @@
 
 func (s *State) keepAliveDone(e KeepAliveDone) {
 	s.members.renewing = false
+	s.changed = true
 	s.contact(e.SentAt, e.Err)
 	if e.Gone {
 		s.members.lease = 0
@@ -64,14 +65,12 @@
 	s.ownership.KeepAliveDone(s.now, e.SentAt, e.Err)
 	if e.Err != nil {
 		s.members.renewAt = s.now.Add(s.cfg.RetryInterval)
-		return
 	}
 	if e.Revision > 0 {
-		s.ownership.ReadDone(s.now, e.ReadSentAt, e.Revision)
-		s.freshness.Confirmed(s.now, e.ReadSentAt, e.Revision)
+		s.ownership.ReadDone(s.now, e.SentAt, e.Revision)
+		s.freshness.Confirmed(s.now, e.SentAt, e.Revision)
 		s.checkWatch(e.Revision)
 	}
-	s.changed = true
 }
 
 // contact notes whether the store answers.
--- a/daemon/operations_test.go
+++ b/daemon/operations_test.go
@@ -32,8 +32,12 @@
 	{"none", func(*world, *node, *node) {}},
 	{"other frozen", func(_ *world, _, other *node) { other.freeze(freezeTime) }},
 	{"other frozen shortly", func(_ *world, _, other *node) { other.freeze(4 * time.Second) }},
-	{"other cut off from the store", func(w *world, _, other *node) { w.storeFault(cutTime, fault.Fault{Kind: fault.Unreachable, Instance: other.cfg.Self.Instance}) }},
-	{"other's watch silent", func(w *world, _, other *node) { w.storeFault(cutTime, fault.Fault{Kind: fault.SilentWatch, Instance: other.cfg.Self.Instance}) }},
+	{"other cut off from the store", func(w *world, _, other *node) {
+		w.storeFault(cutTime, fault.Fault{Kind: fault.Unreachable, Instance: other.cfg.Self.Instance})
+	}},
+	{"other's watch silent", func(w *world, _, other *node) {
+		w.storeFault(cutTime, fault.Fault{Kind: fault.SilentWatch, Instance: other.cfg.Self.Instance})
+	}},
 	{"other killed", func(w *world, _, other *node) { w.killAndRestart(other) }},
 	{"store slow", func(w *world, _, _ *node) { w.storeFault(cutTime, fault.Fault{Kind: fault.Slow, DelayMS: 1500}) }},
 	{"replies of commits lost", func(w *world, asked, _ *node) {
--- a/daemon/storecalls.go
+++ b/daemon/storecalls.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/mulberrydrum/mulberrydrum/allowance"
 	"github.com/mulberrydrum/mulberrydrum/control"
 	"github.com/mulberrydrum/mulberrydrum/ledger"
@@ -87,19 +89,22 @@
 	}
 }
 
-// renewLease keeps the lease alive, then reads the revision of the latest change
-// of the configuration.
+// renewLease keeps the lease alive and reads the revision of the latest change of
+// the configuration. Both calls go out at once, so that a slow store delays the
+// confirmation of the keys by one call only.
 func (d *engine) renewLease(ctx context.Context, e control.RenewLease) control.KeepAliveDone {
 	done := control.KeepAliveDone{SentAt: time.Now(), Lease: e.Lease}
-	_, done.Err = d.clients.Store.KeepAlive(ctx, e.Lease)
-	if done.Err != nil {
-		done.Gone = errors.Is(done.Err, store.ErrLeaseGone)
-		return done
-	}
-	done.ReadSentAt = time.Now()
-	if revision, err := d.clients.Store.LatestRevision(ctx, store.ConfigPrefix); err == nil {
+	var group errgroup.Group
+	group.Go(func() error {
+		_, done.Err = d.clients.Store.KeepAlive(ctx, e.Lease)
+		return nil
+	})
+	revision, err := d.clients.Store.LatestRevision(ctx, store.ConfigPrefix)
+	_ = group.Wait()
+	if err == nil {
 		done.Revision = revision
 	}
+	done.Gone = errors.Is(done.Err, store.ErrLeaseGone)
 	return done
 }
 
