Count what each check examines, and judge by the events that are recorded

Cause: a check on which a trace holds no evidence passes silently.

Report.Examined counts the facts that each check has judged and Unexamined lists the invariants without any. Work counts as not lost only when its home answered it or knows of it at the end: the end of an attempt at its owner is no proof. Starts under a key are judged by TaskStartSent as well, keys are named by team and identifier, and limits can be given with the trace.

Conclusion: the hand-made traces show for each check that it fails on a violation and counts it as examined.

--- a/oracle/control.go
+++ b/oracle/control.go
@@ -8,52 +8,88 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// checkKeyOfTeam reports work accepted under a key of another team.
-func checkKeyOfTeam(ix *index) []Violation {
-	granted := make(map[string]timeline.Event)
+// keyName names a key; teams may use the same identifier.
+type keyName struct {
+	team task.Team
+	id   string
+}
+
+// underKeys returns the events that show the use of a key: acceptances and
+// starts that name one.
+func (ix *index) underKeys() []timeline.Event {
+	var used []timeline.Event
+	for _, e := range ix.Events {
+		if e.KeyID != "" && (e.Type == timeline.RequestAccepted || e.Type == timeline.TaskStartSent) {
+			used = append(used, e)
+		}
+	}
+	return used
+}
+
+// checkKeyOfTeam reports work under a key that was granted to other teams only.
+func checkKeyOfTeam(ix *index, report *Report) {
+	granted := make(map[keyName]bool)
+	other := make(map[string]timeline.Event)
 	for _, e := range ix.byType[timeline.KeyGranted] {
-		granted[e.KeyID] = e
+		granted[keyName{e.Team, e.KeyID}] = true
+		other[e.KeyID] = e
 	}
-	var found []Violation
-	for _, e := range ix.byType[timeline.RequestAccepted] {
-		if key, known := granted[e.KeyID]; known && key.Team != e.Team {
-			found = append(found, Violation{
+	for _, e := range ix.underKeys() {
+		grant, known := other[e.KeyID]
+		if !known {
+			continue
+		}
+		report.examine(KeyOfTeam)
+		if !granted[keyName{e.Team, e.KeyID}] {
+			report.add(Violation{
 				Invariant: KeyOfTeam,
-				Message:   fmt.Sprintf("task %s of team %s was accepted under a key of team %s", e.Task, e.Team, key.Team),
-				Events:    []timeline.Event{key, e},
+				Message:   fmt.Sprintf("task %s of team %s used a key of team %s", e.Task, e.Team, grant.Team),
+				Events:    []timeline.Event{grant, e},
 			})
 		}
 	}
-	return found
 }
 
-// checkWithdrawnKeys reports acceptances and starts under a key that had been
-// withdrawn for longer than the bound.
-func checkWithdrawnKeys(ix *index) []Violation {
-	withdrawn := make(map[string]timeline.Event) // first withdrawal
+// withdrawals returns the first withdrawal of each key that was not granted
+// again later.
+func (ix *index) withdrawals() map[keyName]timeline.Event {
+	first := make(map[keyName]timeline.Event)
 	for _, e := range ix.byType[timeline.KeyWithdrawn] {
-		if _, seen := withdrawn[e.KeyID]; !seen {
-			withdrawn[e.KeyID] = e
+		name := keyName{e.Team, e.KeyID}
+		if _, seen := first[name]; !seen {
+			first[name] = e
+		}
+	}
+	for _, e := range ix.byType[timeline.KeyGranted] {
+		name := keyName{e.Team, e.KeyID}
+		if withdrawal, ok := first[name]; ok && e.Revision > withdrawal.Revision {
+			delete(first, name)
 		}
 	}
+	return first
+}
+
+// checkWithdrawnKeys reports acceptances and starts under a key that had been
+// withdrawn for longer than the bound.
+func checkWithdrawnKeys(ix *index, report *Report) {
+	withdrawn := ix.withdrawals()
 	bound := ix.Bounds.KeyWithdrawal + ix.Bounds.ClockSkew
-	var found []Violation
-	for _, e := range ix.byType[timeline.RequestAccepted] {
-		withdrawal, ok := withdrawn[e.KeyID]
-		if !ok || e.KeyID == "" {
+	for _, e := range ix.underKeys() {
+		withdrawal, ok := withdrawn[keyName{e.Team, e.KeyID}]
+		if !ok {
 			continue
 		}
+		report.examine(WithdrawnKey)
 		until := withdrawal.Clock.Wall.Add(bound)
 		late := startedAfter(ix.runsOf[e.Task], until)
 		if len(late) > 0 || e.Clock.Wall.After(until) {
-			found = append(found, Violation{
+			report.add(Violation{
 				Invariant: WithdrawnKey,
-				Message:   fmt.Sprintf("key %s was used for task %s after %s", e.KeyID, e.Task, instant(until)),
+				Message:   fmt.Sprintf("key %s of team %s was used for task %s after %s", e.KeyID, e.Team, e.Task, instant(until)),
 				Events:    []timeline.Event{withdrawal, e}, Runs: late,
 			})
 		}
 	}
-	return found
 }
 
 func startedAfter(runs []Run, limit time.Time) []Run {
@@ -68,7 +104,7 @@
 
 // checkLeaving reports starts on a worker that had been leaving for longer than
 // the bound, by its own ledger or by the first event that says so.
-func checkLeaving(ix *index) []Violation {
+func checkLeaving(ix *index, report *Report) {
 	events := make(map[string]timeline.Event) // first for each worker
 	for _, e := range ix.byType[timeline.WorkerLeaving] {
 		if _, seen := events[e.Worker]; !seen {
@@ -76,14 +112,14 @@
 		}
 	}
 	bound := ix.Bounds.Leaving + ix.Bounds.ClockSkew
-	var found []Violation
 	for _, w := range ix.Workers {
 		for _, p := range leavingPeriods(w, events[w.Worker]) {
+			report.examine(LeavingWorker)
 			for _, r := range startedAfter(w.Runs, p.Start.Add(bound)) {
 				if !p.End.IsZero() && r.Start.After(p.End) {
 					continue
 				}
-				found = append(found, Violation{
+				report.add(Violation{
 					Invariant: LeavingWorker,
 					Message:   fmt.Sprintf("%s started %s, leaving since %s", w.Worker, r.Attempt, instant(p.Start)),
 					Events:    ix.eventsOf(r.Attempt.Task), Runs: []Run{r},
@@ -91,7 +127,6 @@
 			}
 		}
 	}
-	return found
 }
 
 // leavingPeriods prefers the ledger: an event has no counterpart for a worker
@@ -104,18 +139,18 @@
 }
 
 // checkConfig reports configuration that went back in one process.
-func checkConfig(ix *index) []Violation {
+func checkConfig(ix *index, report *Report) {
 	type place struct {
 		process  process
 		team     task.Team
 		document string
 	}
 	last := make(map[place]timeline.Event)
-	var found []Violation
 	for _, e := range ix.byType[timeline.ConfigInForce] {
+		report.examine(ConfigRevisions)
 		at := place{processOf(e), e.Team, e.Detail}
 		if before, seen := last[at]; seen && e.Revision < before.Revision {
-			found = append(found, Violation{
+			report.add(Violation{
 				Invariant: ConfigRevisions,
 				Message: fmt.Sprintf("%s/%s went back from revision %d to %d", e.Instance, e.Incarnation,
 					before.Revision, e.Revision),
@@ -124,5 +159,4 @@
 		}
 		last[at] = e
 	}
-	return found
 }
--- a/oracle/oracle_test.go
+++ b/oracle/oracle_test.go
@@ -1,6 +1,7 @@
 package oracle
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -104,9 +105,9 @@
 		Trace{Workers: append(on(run("t", 1, 0, 0)), on(run("t", 2, 40, 41))...)},
 		Trace{Workers: append(on(run("t", 1, 0, 0)), on(run("u", 2, 40, 41))...)}},
 	{"at-most-once work repeated", AtMostOnce,
-		Trace{Events: line(accepted(0, "t", task.AtMostOnce), event(9, timeline.TaskUnknown, ofTask("t", 2, ""))),
+		Trace{Events: line(accepted(0, "t", task.AtMostOnce), event(9, timeline.RequestAnswered, ofTask("t", 0, "unknown"))),
 			Workers: on(run("t", 1, 1, 2), run("t", 2, 3, 4))},
-		Trace{Events: line(accepted(0, "t", task.Batch), event(9, timeline.TaskFinished, ofTask("t", 2, ""))),
+		Trace{Events: line(accepted(0, "t", task.Batch), event(9, timeline.RequestAnswered, ofTask("t", 0, "finished"))),
 			Workers: on(run("t", 1, 1, 2), run("t", 2, 3, 4))}},
 	{"attempt number used twice", AtMostOnce,
 		Trace{Workers: append(on(run("t", 1, 1, 2)), on(run("t", 1, 3, 4))...)},
@@ -114,11 +115,9 @@
 	{"durable work without an outcome", NeverLost,
 		Trace{Events: line(accepted(0, "t", task.Durable))},
 		Trace{Events: line(accepted(0, "t", task.Durable), accepted(0, "u", task.Answer)), InProgress: map[task.ID]bool{"t": true}}},
-	{"outcome of an earlier attempt only", NeverLost,
-		Trace{Events: line(accepted(0, "t", task.Batch), event(1, timeline.TaskPlaced, ofTask("t", 2, "")),
-			event(2, timeline.TaskFinished, ofTask("t", 1, "")))},
-		Trace{Events: line(accepted(0, "t", task.Batch), event(1, timeline.TaskPlaced, ofTask("t", 2, "")),
-			event(2, timeline.TaskFinished, ofTask("t", 2, "")))}},
+	{"end that only the owner knows", NeverLost,
+		Trace{Events: line(accepted(0, "t", task.Batch), event(2, timeline.TaskFinished, ofTask("t", 1, "")))},
+		Trace{Events: line(accepted(0, "t", task.Batch), event(2, timeline.RequestAnswered, ofTask("t", 0, "finished")))}},
 	{"not run by the answer", TrueNotRun,
 		Trace{Events: line(event(3, timeline.RequestAnswered, ofTask("t", 0, "not_run"))), Workers: on(run("t", 1, 5, 6))},
 		Trace{Events: line(event(3, timeline.RequestAnswered, ofTask("t", 0, "unknown"))), Workers: on(run("t", 1, 5, 6))}},
@@ -132,15 +131,21 @@
 	{"start above the limit", TeamLimit,
 		Trace{Events: line(limit(0, 1, 1)), Workers: append(on(run("t", 1, 1, 3)), on(run("u", 1, 2, 4))...)},
 		Trace{Events: line(limit(0, 1, 1), limit(1.5, 2, 2)), Workers: append(on(run("t", 1, 1, 3)), on(run("u", 1, 2, 4))...)}},
+	{"start above a limit given with the trace", TeamLimit,
+		Trace{Limits: map[task.Team]task.Resources{"a": {Slots: 1}}, Workers: on(run("t", 1, 1, 3), run("u", 1, 2, 4))},
+		Trace{Limits: map[task.Team]task.Resources{"a": {Slots: 1}}, Workers: on(run("t", 1, 1, 2), run("u", 1, 2, 4))}},
 	{"limit lowered below what runs", TeamLimit,
 		Trace{Events: line(limit(0, 1, 2), limit(2, 2, 1)), Workers: on(run("t", 1, 1, 3), run("u", 1, 1, 3))},
 		Trace{Events: line(limit(0, 1, 2), limit(2, 2, 1)), Workers: on(run("t", 1, 1, 3), run("u", 1, 1, 2))}},
 	{"key of another team", KeyOfTeam,
 		Trace{Events: line(key(0, timeline.KeyGranted, "b", ""), key(1, timeline.RequestAccepted, "a", "t"))},
-		Trace{Events: line(key(0, timeline.KeyGranted, "a", ""), key(1, timeline.RequestAccepted, "a", "t"))}},
+		Trace{Events: line(key(0, timeline.KeyGranted, "b", ""), key(0, timeline.KeyGranted, "a", ""), key(1, timeline.RequestAccepted, "a", "t"))}},
 	{"accepted under a withdrawn key", WithdrawnKey,
 		Trace{Events: line(key(0, timeline.KeyWithdrawn, "a", ""), key(10.1, timeline.RequestAccepted, "a", "t"))},
 		Trace{Events: line(key(0, timeline.KeyWithdrawn, "a", ""), key(9.9, timeline.RequestAccepted, "a", "t"))}},
+	{"start sent under a withdrawn key of the same name as another's", WithdrawnKey,
+		Trace{Events: line(key(0, timeline.KeyWithdrawn, "a", ""), key(11, timeline.TaskStartSent, "a", "t"))},
+		Trace{Events: line(key(0, timeline.KeyWithdrawn, "b", ""), key(11, timeline.TaskStartSent, "a", "t"))}},
 	{"started under a withdrawn key", WithdrawnKey,
 		Trace{Events: line(key(0, timeline.RequestAccepted, "a", "t"), key(1, timeline.KeyWithdrawn, "a", "")), Workers: on(run("t", 1, 11.1, 12))},
 		Trace{Events: line(key(0, timeline.RequestAccepted, "a", "t"), key(1, timeline.KeyWithdrawn, "a", "")), Workers: on(run("t", 1, 10.9, 12))}},
@@ -187,6 +192,9 @@
 			if len(found) == 0 {
 				t.Error("violation not reported")
 			}
+			if examined := Examine(test.violating); slices.Contains(examined.Unexamined(), test.invariant) {
+				t.Error("counted as not examined")
+			}
 			for _, v := range found {
 				if v.Invariant != test.invariant {
 					t.Errorf("reported as well: %s", v)
@@ -201,3 +209,11 @@
 		})
 	}
 }
+
+// TestUnexamined guards against an empty trace being taken for a proof.
+func TestUnexamined(t *testing.T) {
+	report := Examine(Trace{})
+	if got := report.Unexamined(); !slices.Equal(got, Invariants) {
+		t.Errorf("unexamined on an empty trace: %v", got)
+	}
+}
--- a/oracle/owners.go
+++ b/oracle/owners.go
@@ -14,14 +14,14 @@
 
 // checkOwners reports epochs that two processes took, and epochs that were
 // taken after a higher one.
-func checkOwners(ix *index) []Violation {
+func checkOwners(ix *index, report *Report) {
 	taken := make(map[unit]timeline.Event)
 	highest := make(map[string]timeline.Event)
-	var found []Violation
 	for _, e := range ix.byType[timeline.OwnershipTaken] {
+		report.examine(OwnershipEpochs)
 		u := unit{e.Partition, e.Epoch}
 		if before, seen := taken[u]; seen && processOf(before) != processOf(e) {
-			found = append(found, Violation{
+			report.add(Violation{
 				Invariant: OwnershipEpochs,
 				Message:   fmt.Sprintf("epoch %d of %s has two owners", e.Epoch, e.Partition),
 				Events:    []timeline.Event{before, e},
@@ -34,22 +34,20 @@
 			continue
 		}
 		if e.Clock.Wall.Sub(before.Clock.Wall) > ix.Bounds.ClockSkew {
-			found = append(found, Violation{
+			report.add(Violation{
 				Invariant: OwnershipEpochs,
 				Message:   fmt.Sprintf("epoch %d of %s was taken after epoch %d", e.Epoch, e.Partition, before.Epoch),
 				Events:    []timeline.Event{before, e},
 			})
 		}
 	}
-	return found
 }
 
 // checkActs reports decisions of an owner after another one had taken over, and
 // under an epoch that another process holds.
-func checkActs(ix *index) []Violation {
+func checkActs(ix *index, report *Report) {
 	highest := make(map[string]timeline.Event)
 	holder := make(map[unit]timeline.Event)
-	var found []Violation
 	for _, e := range ix.Events {
 		switch e.Type {
 		case timeline.OwnershipTaken:
@@ -61,17 +59,17 @@
 			if e.Partition == "" {
 				continue
 			}
+			report.examine(OwnershipEpochs)
 			owner, known := holder[unit{e.Partition, e.Epoch}]
 			if known && processOf(owner) != processOf(e) {
-				found = append(found, actViolation(e, owner, "is that of another process"))
+				report.add(actViolation(e, owner, "is that of another process"))
 			}
 			later := highest[e.Partition]
 			if later.Epoch > e.Epoch && e.Clock.Wall.Sub(later.Clock.Wall) > ix.Bounds.ClockSkew {
-				found = append(found, actViolation(e, later, "had been succeeded"))
+				report.add(actViolation(e, later, "had been succeeded"))
 			}
 		}
 	}
-	return found
 }
 
 func actViolation(act, owner timeline.Event, why string) Violation {
@@ -84,13 +82,13 @@
 
 // checkWorkerEpochs reports workers that ran a task of an earlier owner after
 // one of a later owner.
-func checkWorkerEpochs(ix *index) []Violation {
-	var found []Violation
+func checkWorkerEpochs(ix *index, report *Report) {
 	for _, w := range ix.Workers {
 		var highest Run
 		for _, r := range w.Runs {
+			report.examine(OwnershipEpochs)
 			if r.Epoch < highest.Epoch {
-				found = append(found, Violation{
+				report.add(Violation{
 					Invariant: OwnershipEpochs,
 					Message:   fmt.Sprintf("%s started %s under epoch %d after epoch %d", w.Worker, r.Attempt, r.Epoch, highest.Epoch),
 					Events:    ix.eventsOf(r.Attempt.Task), Runs: []Run{highest, r},
@@ -101,5 +99,4 @@
 			}
 		}
 	}
-	return found
 }
--- a/oracle/requests.go
+++ b/oracle/requests.go
@@ -9,95 +9,74 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// checkNeverLost reports durable work that was accepted, has no outcome and is
-// not in progress either.
-func checkNeverLost(ix *index) []Violation {
-	placed := make(map[task.ID]uint32) // highest attempt
-	for _, e := range ix.byType[timeline.TaskPlaced] {
-		placed[e.Task] = max(placed[e.Task], e.Attempt)
-	}
-	final := make(map[task.ID]bool)
-	for _, e := range ix.Events {
-		if isFinal(e, placed[e.Task]) {
-			final[e.Task] = true
-		}
+// checkNeverLost reports durable work that was accepted, was not answered and is
+// not known to its home at the end. The end of an attempt at its owner does not
+// count: the home may have lost it.
+func checkNeverLost(ix *index, report *Report) {
+	answered := make(map[task.ID]bool)
+	for _, e := range ix.byType[timeline.RequestAnswered] {
+		answered[e.Task] = true
 	}
-	var found []Violation
 	for _, e := range ix.byType[timeline.RequestAccepted] {
-		if ix.accepted[e.Task] != e || !task.Kind(e.Kind).IsDurable() || final[e.Task] || ix.InProgress[e.Task] {
+		if !task.Kind(e.Kind).IsDurable() || ix.accepted[e.Task] != e {
+			continue
+		}
+		report.examine(NeverLost)
+		if _, known := ix.InProgress[e.Task]; known || answered[e.Task] {
 			continue
 		}
-		found = append(found, Violation{
+		report.add(Violation{
 			Invariant: NeverLost,
-			Message:   fmt.Sprintf("task %s was accepted, has no outcome and is not in progress", e.Task),
+			Message:   fmt.Sprintf("task %s was accepted, was not answered and is not known to its home", e.Task),
 			Events:    ix.eventsOf(e.Task), Runs: ix.runsOf[e.Task],
 		})
 	}
-	return found
-}
-
-// isFinal reports whether e ends its task, of which attempt highest was placed
-// last. The end of an earlier attempt is not the end of the task.
-func isFinal(e timeline.Event, highest uint32) bool {
-	switch e.Type {
-	case timeline.RequestAnswered, timeline.TaskFinished, timeline.TaskUnknown:
-		return e.Attempt == 0 || e.Attempt >= highest
-	case timeline.TaskNotRun:
-		return e.Attempt == 0
-	}
-	return false
 }
 
 // checkNotRun reports work that ran although it was stated that it did not.
-func checkNotRun(ix *index) []Violation {
-	var found []Violation
+func checkNotRun(ix *index, report *Report) {
 	for _, e := range ix.Events {
-		runs := ix.runsAgainst(e)
-		if len(runs) == 0 {
+		if !ix.statesNotRun(e) {
 			continue
 		}
-		found = append(found, Violation{
-			Invariant: TrueNotRun,
-			Message:   fmt.Sprintf("task %s was stated as not run and ran", e.Task),
-			Events:    []timeline.Event{e}, Runs: runs,
+		report.examine(TrueNotRun)
+		runs := slices.DeleteFunc(slices.Clone(ix.runsOf[e.Task]), func(r Run) bool {
+			return e.Type == timeline.TaskNotRun && e.Attempt != 0 && e.Attempt != r.Attempt.Number
 		})
+		if len(runs) > 0 {
+			report.add(Violation{
+				Invariant: TrueNotRun,
+				Message:   fmt.Sprintf("task %s was stated as not run and ran", e.Task),
+				Events:    []timeline.Event{e}, Runs: runs,
+			})
+		}
 	}
-	return found
 }
 
-// runsAgainst returns the runs that contradict a statement of not run in e.
-func (ix *index) runsAgainst(e timeline.Event) []Run {
-	if e.Task == "" {
-		return nil
-	}
-	runs := ix.runsOf[e.Task]
-	switch e.Type {
-	case timeline.TaskNotRun:
-		if e.Attempt == 0 {
-			return runs
-		}
-		return slices.DeleteFunc(slices.Clone(runs), func(r Run) bool { return r.Attempt.Number != e.Attempt })
-	case timeline.RequestAnswered:
-		if e.Kind == string(errkind.FateNotRun) {
-			return runs
-		}
-	case timeline.RequestRefused:
+// statesNotRun reports whether e says of a task that it did not run.
+func (ix *index) statesNotRun(e timeline.Event) bool {
+	switch {
+	case e.Task == "":
+		return false
+	case e.Type == timeline.TaskNotRun:
+		return true
+	case e.Type == timeline.RequestAnswered:
+		return e.Kind == string(errkind.FateNotRun)
+	case e.Type == timeline.RequestRefused:
 		// A later submission with the same idempotency key may have been accepted.
 		_, accepted := ix.accepted[e.Task]
-		if !accepted && errkind.AnswerFor(errkind.Kind(e.Kind)).Fate == errkind.FateNotRun {
-			return runs
-		}
+		return !accepted && errkind.AnswerFor(errkind.Kind(e.Kind)).Fate == errkind.FateNotRun
 	}
-	return nil
+	return false
 }
 
 // checkAnswers reports answers that are not the result of a run of their own
 // request.
-func checkAnswers(ix *index) []Violation {
-	var found []Violation
+func checkAnswers(ix *index, report *Report) {
 	for _, a := range ix.Answers {
+		report.examine(WholeAnswer)
 		if !slices.ContainsFunc(ix.runsOf[a.Task], a.isOf) {
-			found = append(found, Violation{
+			report.add(Violation{
 				Invariant: WholeAnswer,
 				Message: fmt.Sprintf("the caller of %s received %d bytes with digest %s, which no run of its request gave",
 					a.Task, a.ResultBytes, a.ResultDigest),
@@ -106,18 +85,21 @@
 		}
 	}
 	for _, e := range ix.byType[timeline.RequestAnswered] {
+		if e.Detail == "" {
+			continue
+		}
+		report.examine(WholeAnswer)
 		given := func(r Run) bool {
 			return r.ResultDigest == e.Detail && (e.Attempt == 0 || e.Attempt == r.Attempt.Number)
 		}
-		if e.Detail != "" && !slices.ContainsFunc(ix.runsOf[e.Task], given) {
-			found = append(found, Violation{
+		if !slices.ContainsFunc(ix.runsOf[e.Task], given) {
+			report.add(Violation{
 				Invariant: WholeAnswer,
 				Message:   fmt.Sprintf("task %s was answered with a result that no run of it gave", e.Task),
 				Events:    []timeline.Event{e}, Runs: ix.runsOf[e.Task],
 			})
 		}
 	}
-	return found
 }
 
 // isOf reports whether a is the whole result of r and r ran the caller's payload.
--- a/oracle/runs.go
+++ b/oracle/runs.go
@@ -81,12 +81,12 @@
 }
 
 // checkCapacity reports workers that ran more than fits, or were asked to.
-func checkCapacity(ix *index) []Violation {
-	var found []Violation
+func checkCapacity(ix *index, report *Report) {
 	for _, w := range ix.Workers {
 		sweep(w.Runs, nil, func(at time.Time, used task.Resources, active func() []Run) {
+			report.examine(Capacity)
 			if !used.Fits(w.Capacity) {
-				found = append(found, Violation{
+				report.add(Violation{
 					Invariant: Capacity,
 					Message:   fmt.Sprintf("%s ran [%s] of [%s] at %s", w.Worker, used, w.Capacity, instant(at)),
 					Runs:      active(),
@@ -94,7 +94,8 @@
 			}
 		})
 		for _, r := range w.OverCapacity {
-			found = append(found, Violation{
+			report.examine(Capacity)
+			report.add(Violation{
 				Invariant: Capacity,
 				Message: fmt.Sprintf("%s was asked to start %s with [%s] beside [%s] of [%s] under epoch %d at %s",
 					w.Worker, r.Attempt, r.Size, r.Used, w.Capacity, r.Epoch, instant(r.At)),
@@ -102,7 +103,6 @@
 			})
 		}
 	}
-	return found
 }
 
 // eventsOf returns the events of one task.
@@ -117,14 +117,14 @@
 }
 
 // checkOnePlace reports runs of one task that overlap.
-func checkOnePlace(ix *index) []Violation {
-	var found []Violation
+func checkOnePlace(ix *index, report *Report) {
 	for _, id := range sortedKeys(ix.runsOf) {
 		runs := ix.runsOf[id]
 		for i, a := range runs {
+			report.examine(OnePlace)
 			for _, b := range runs[i+1:] {
 				if overlap(a, b) {
-					found = append(found, Violation{
+					report.add(Violation{
 						Invariant: OnePlace,
 						Message:   fmt.Sprintf("task %s ran twice at once", id),
 						Events:    ix.eventsOf(id), Runs: []Run{a, b},
@@ -133,7 +133,6 @@
 			}
 		}
 	}
-	return found
 }
 
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
@@ -149,12 +148,12 @@
 
 // checkAtMostOnce reports at-most-once tasks with several runs, and attempt
 // numbers that were used twice.
-func checkAtMostOnce(ix *index) []Violation {
-	var found []Violation
+func checkAtMostOnce(ix *index, report *Report) {
 	for _, id := range sortedKeys(ix.runsOf) {
 		runs := ix.runsOf[id]
 		if ix.accepted[id].Kind == string(task.AtMostOnce) && len(runs) > 1 {
-			found = append(found, Violation{
+			report.examine(AtMostOnce)
+			report.add(Violation{
 				Invariant: AtMostOnce,
 				Message:   fmt.Sprintf("task %s must not be repeated and ran %d times", id, len(runs)),
 				Events:    ix.eventsOf(id), Runs: runs,
@@ -163,8 +162,9 @@
 		}
 		byNumber := make(map[uint32]Run)
 		for _, r := range runs {
+			report.examine(AtMostOnce)
 			if before, used := byNumber[r.Attempt.Number]; used {
-				found = append(found, Violation{
+				report.add(Violation{
 					Invariant: AtMostOnce,
 					Message:   fmt.Sprintf("attempt %s ran twice", r.Attempt),
 					Events:    ix.eventsOf(id), Runs: []Run{before, r},
@@ -173,13 +173,11 @@
 			byNumber[r.Attempt.Number] = r
 		}
 	}
-	return found
 }
 
 // checkLimits reports instants at which a team had more running than its limit.
-func checkLimits(ix *index) []Violation {
-	limits := limitsOf(ix.byType[timeline.LimitInForce])
-	var found []Violation
+func checkLimits(ix *index, report *Report) {
+	limits := limitsOf(ix)
 	for _, team := range sortedKeys(limits) {
 		var runs []Run
 		for _, r := range ix.runs {
@@ -193,9 +191,10 @@
 			instants = append(instants, e.Clock.Wall.Add(2*ix.Bounds.ClockSkew))
 		}
 		sweep(runs, instants, func(at time.Time, used task.Resources, active func() []Run) {
+			report.examine(TeamLimit)
 			inForce := around(limits[team], at, ix.Bounds.ClockSkew)
 			if len(inForce) > 0 && !slices.ContainsFunc(inForce, func(e timeline.Event) bool { return within(used, e) }) {
-				found = append(found, Violation{
+				report.add(Violation{
 					Invariant: TeamLimit,
 					Message:   fmt.Sprintf("team %s had [%s] running at %s", team, used, instant(at)),
 					Events:    inForce, Runs: active(),
@@ -203,14 +202,16 @@
 			}
 		})
 	}
-	return found
 }
 
 // limitsOf returns the first event of each revision of each team's limit, in
-// the order of the clock.
-func limitsOf(events []timeline.Event) map[task.Team][]timeline.Event {
+// the order of the clock. The limits given with the trace come first.
+func limitsOf(ix *index) map[task.Team][]timeline.Event {
 	limits := make(map[task.Team][]timeline.Event)
-	for _, e := range events {
+	for team, size := range ix.Limits {
+		limits[team] = []timeline.Event{{Type: timeline.LimitInForce, Team: team, Size: &size}}
+	}
+	for _, e := range ix.byType[timeline.LimitInForce] {
 		known := slices.ContainsFunc(limits[e.Team], func(o timeline.Event) bool { return o.Revision == e.Revision })
 		if e.Size != nil && !known {
 			limits[e.Team] = append(limits[e.Team], e)
--- a/oracle/trace.go
+++ b/oracle/trace.go
@@ -12,11 +12,16 @@
 
 // Trace is what the checks read.
 type Trace struct {
-	Events     []timeline.Event // merged, see timeline.Merge
-	Workers    []WorkerLedger
-	Answers    []Answer         // as the callers received them
-	InProgress map[task.ID]bool // tasks without an outcome that their home still holds
-	Bounds     Bounds
+	Events  []timeline.Event // merged, see timeline.Merge
+	Workers []WorkerLedger
+	Answers []Answer // as the callers received them
+	// InProgress has an entry for each task that its home knows of when asked
+	// at the end: true while it has no outcome.
+	InProgress map[task.ID]bool
+	// Limits are in force during the whole trace, unless a LimitInForce event
+	// changes them.
+	Limits map[task.Team]task.Resources
+	Bounds Bounds
 }
 
 // Answer is a result as its caller received it.
@@ -62,6 +67,12 @@
 	OwnershipEpochs Invariant = "ownership without overlap"
 )
 
+// Invariants lists every invariant.
+var Invariants = []Invariant{
+	TraceComplete, Capacity, OnePlace, AtMostOnce, NeverLost, TrueNotRun, TeamLimit, KeyOfTeam, WithdrawnKey,
+	LeavingWorker, WholeAnswer, ConfigRevisions, OwnershipEpochs,
+}
+
 // Violation is one violation with the evidence for it.
 type Violation struct {
 	Invariant Invariant
@@ -83,22 +94,48 @@
 	return b.String()
 }
 
+// Report is the verdict on a trace.
+type Report struct {
+	Violations []Violation
+	// Examined counts the facts that each check has judged. A check without any
+	// says nothing about the trace.
+	Examined map[Invariant]int
+}
+
+func (r *Report) examine(i Invariant) { r.Examined[i]++ }
+
+func (r *Report) add(v Violation) { r.Violations = append(r.Violations, v) }
+
+// Unexamined lists the invariants on which the trace has no evidence.
+func (r *Report) Unexamined() []Invariant {
+	var missing []Invariant
+	for _, i := range Invariants {
+		if r.Examined[i] == 0 {
+			missing = append(missing, i)
+		}
+	}
+	return missing
+}
+
 // checks lists every check.
-var checks = []func(*index) []Violation{
+var checks = []func(*index, *Report){
 	checkComplete, checkCapacity, checkOnePlace, checkAtMostOnce, checkNeverLost, checkNotRun, checkLimits,
 	checkKeyOfTeam, checkWithdrawnKeys, checkLeaving, checkAnswers, checkConfig, checkOwners, checkActs, checkWorkerEpochs,
 }
 
-// Check returns every violation of every invariant.
-func Check(trace Trace) []Violation {
+// Examine makes every check.
+func Examine(trace Trace) Report {
 	ix := newIndex(trace)
-	var found []Violation
+	report := Report{Examined: make(map[Invariant]int)}
 	for _, check := range checks {
-		found = append(found, check(ix)...)
+		check(ix, &report)
 	}
-	return found
+	return report
 }
 
+// Check returns every violation of every invariant.
+func Check(trace Trace) []Violation { return Examine(trace).Violations }
+
 // index arranges a trace for the checks.
 type index struct {
 	Trace
@@ -138,13 +175,13 @@
 
 // checkComplete reports events that are missing from the time line, without
 // which the other checks could pass over a violation.
-func checkComplete(ix *index) []Violation {
+func checkComplete(ix *index, report *Report) {
 	last := make(map[process]timeline.Event)
-	var found []Violation
 	for _, e := range ix.Events {
+		report.examine(TraceComplete)
 		before := last[processOf(e)]
 		if e.Sequence != before.Sequence+1 {
-			found = append(found, Violation{
+			report.add(Violation{
 				Invariant: TraceComplete,
 				Message: fmt.Sprintf("%s/%s: event %d follows event %d", e.Instance, e.Incarnation,
 					e.Sequence, before.Sequence),
@@ -153,5 +190,4 @@
 		}
 		last[processOf(e)] = e
 	}
-	return found
 }
