Wrap errors with eris, as the store client does

Conclusion: classes and rejections are found through the wrapping as before; the tests are unchanged.

--- a/cmd/standin/worker.go
+++ b/cmd/standin/worker.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/mulberrydrum/mulberrydrum/standin"
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
@@ -63,7 +65,7 @@
 		}
 		defer stop()
 		if err := json.NewEncoder(out).Encode(line); err != nil {
-			return fmt.Errorf("print worker: %w", err)
+			return eris.Wrap(err, "print worker")
 		}
 	}
 	select {
@@ -82,7 +84,7 @@
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return workerLine{}, nil, fmt.Errorf("listen for worker %d: %w", i+1, err)
+		return workerLine{}, nil, eris.Wrapf(err, "listen for worker %d", i+1)
 	}
 	line = workerLine{
 		Name:          fmt.Sprintf("%s%d", c.Prefix, i+1),
@@ -95,7 +97,7 @@
 	server := &http.Server{Handler: w.Handler(), IdleTimeout: standin.WorkerIdleTimeout}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			failed <- fmt.Errorf("serve %s: %w", line.Name, err)
+			failed <- eris.Wrapf(err, "serve %s", line.Name)
 		}
 	}()
 	stop = func() {
@@ -122,7 +124,7 @@
 func nthAddress(listen string, n int) (string, error) {
 	address, err := net.ResolveTCPAddr("tcp", listen)
 	if err != nil {
-		return "", fmt.Errorf("listen address: %w", err)
+		return "", eris.Wrap(err, "listen address")
 	}
 	if address.Port != 0 {
 		address.Port += n
--- a/standin/worker_command.go
+++ b/standin/worker_command.go
@@ -2,11 +2,12 @@
 
 import (
 	"bytes"
-	"fmt"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
@@ -32,25 +33,25 @@
 	case "sleep":
 		lasts, err := time.ParseDuration(argument)
 		if err != nil || lasts < 0 {
-			return command{}, fmt.Errorf("command %q: want sleep:<duration>", text)
+			return command{}, eris.Errorf("command %q: want sleep:<duration>", text)
 		}
 		return command{lasts: lasts, result: payload}, nil
 	case "bytes":
 		n, err := strconv.Atoi(argument)
 		if err != nil || n < 0 || n > maxCommandBytes {
-			return command{}, fmt.Errorf("command %q: want bytes:<n> with n up to %d", text, maxCommandBytes)
+			return command{}, eris.Errorf("command %q: want bytes:<n> with n up to %d", text, maxCommandBytes)
 		}
 		return command{result: fill(a, n)}, nil
 	case "fail":
 		code, err := strconv.Atoi(argument)
 		if err != nil || code == 0 {
-			return command{}, fmt.Errorf("command %q: want fail:<exit code>", text)
+			return command{}, eris.Errorf("command %q: want fail:<exit code>", text)
 		}
 		return command{exit: code}, nil
 	case "run":
 		return command{forever: true}, nil
 	}
-	return command{}, fmt.Errorf("command %q: want echo, sleep, bytes, fail or run", text)
+	return command{}, eris.Errorf("command %q: want echo, sleep, bytes, fail or run", text)
 }
 
 // fill returns n bytes that differ from attempt to attempt, so that crossed
--- a/standin/worker_http.go
+++ b/standin/worker_http.go
@@ -3,12 +3,13 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/mulberrydrum/mulberrydrum/task"
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
@@ -111,7 +112,7 @@
 	return func(rw http.ResponseWriter, r *http.Request) {
 		number, err := strconv.ParseUint(r.PathValue("attempt"), 10, 32)
 		if err != nil {
-			invalid(rw, fmt.Errorf("attempt number: %w", err))
+			invalid(rw, eris.Wrap(err, "attempt number"))
 			return
 		}
 		f(rw, r, task.Attempt{Task: task.ID(r.PathValue("task")), Number: uint32(number)})
--- a/timeline/merge.go
+++ b/timeline/merge.go
@@ -6,6 +6,8 @@
 	"io"
 	"slices"
 	"strings"
+
+	"github.com/rotisserie/eris"
 )
 
 // Merge returns the events of all lines in one order that keeps the order of
@@ -36,7 +38,7 @@
 func Render(w io.Writer, events []Event) error {
 	for _, e := range events {
 		if _, err := fmt.Fprintln(w, e.String()); err != nil {
-			return fmt.Errorf("write time line: %w", err)
+			return eris.Wrap(err, "write time line")
 		}
 	}
 	return nil
--- a/worker/client.go
+++ b/worker/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
@@ -167,7 +168,7 @@
 		return LookupReply{}, err
 	}
 	if reply.Known && reply.Report.Attempt != a {
-		return LookupReply{}, Unclear(operation, fmt.Errorf("%w: reply is about %s", ErrIncomplete, reply.Report.Attempt))
+		return LookupReply{}, Unclear(operation, eris.Wrapf(ErrIncomplete, "reply is about %s", reply.Report.Attempt))
 	}
 	return reply, nil
 }
--- a/worker/errors.go
+++ b/worker/errors.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Classes of errors. Every error of an API call wraps exactly one of the first
@@ -45,10 +47,10 @@
 
 // NotRun returns err marked as ErrNotRun.
 func NotRun(operation string, err error) error {
-	return fmt.Errorf("%s: %w: %w", operation, ErrNotRun, err)
+	return eris.Wrap(fmt.Errorf("%w: %w", ErrNotRun, err), operation)
 }
 
 // Unclear returns err marked as ErrUnclear.
 func Unclear(operation string, err error) error {
-	return fmt.Errorf("%s: %w: %w", operation, ErrUnclear, err)
+	return eris.Wrap(fmt.Errorf("%w: %w", ErrUnclear, err), operation)
 }
--- a/worker/exchange.go
+++ b/worker/exchange.go
@@ -5,13 +5,14 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
@@ -94,7 +95,7 @@
 func newRequest(ctx context.Context, x call) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, x.method, "http://"+string(x.to)+x.path, nil)
 	if err != nil {
-		return nil, fmt.Errorf("build request: %w", err)
+		return nil, eris.Wrap(err, "build request")
 	}
 	if x.request == nil {
 		return req, nil
@@ -115,29 +116,29 @@
 	var rejection Rejection
 	err := json.Unmarshal(body, &rejection)
 	if err == nil && rejection.Reason != "" && status >= 400 && status < 500 {
-		return fmt.Errorf("%s: %w", operation, &rejection)
+		return eris.Wrap(&rejection, operation)
 	}
-	return Unclear(operation, fmt.Errorf("status %d: %.200q", status, body))
+	return Unclear(operation, eris.Errorf("status %d: %.200q", status, body))
 }
 
 // readLimited reads the whole body, or fails with ErrTooLarge beyond limit bytes.
 func readLimited(resp *http.Response, limit int64) ([]byte, error) {
 	if resp.ContentLength > limit {
-		return nil, fmt.Errorf("%w: %d bytes, allowed are %d", ErrTooLarge, resp.ContentLength, limit)
+		return nil, eris.Wrapf(ErrTooLarge, "%d bytes, allowed are %d", resp.ContentLength, limit)
 	}
 	if resp.ContentLength >= 0 {
 		body := make([]byte, resp.ContentLength)
 		if _, err := io.ReadFull(resp.Body, body); err != nil {
-			return nil, fmt.Errorf("read reply: %w", err)
+			return nil, eris.Wrap(err, "read reply")
 		}
 		return body, nil
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
-		return nil, fmt.Errorf("read reply: %w", err)
+		return nil, eris.Wrap(err, "read reply")
 	}
 	if int64(len(body)) > limit {
-		return nil, fmt.Errorf("%w: more than %d bytes", ErrTooLarge, limit)
+		return nil, eris.Wrapf(ErrTooLarge, "more than %d bytes", limit)
 	}
 	return body, nil
 }
@@ -146,13 +147,13 @@
 // in it is whole.
 func verifyStart(req StartRequest, reply StartReply) error {
 	if !reply.Started {
-		return fmt.Errorf("%w: reply neither starts nor rejects", ErrIncomplete)
+		return eris.Wrap(ErrIncomplete, "reply neither starts nor rejects")
 	}
 	if reply.Outcome == nil {
 		return nil
 	}
 	if reply.Outcome.Attempt != req.Attempt {
-		return fmt.Errorf("%w: reply is about %s", ErrIncomplete, reply.Outcome.Attempt)
+		return eris.Wrapf(ErrIncomplete, "reply is about %s", reply.Outcome.Attempt)
 	}
 	if reply.ResultBytes > InlineResultBytes {
 		return nil
@@ -162,10 +163,10 @@
 
 func verifyResult(o task.Outcome, length int64) error {
 	if int64(len(o.Result)) != length {
-		return fmt.Errorf("%w: %d bytes instead of %d", ErrIncomplete, len(o.Result), length)
+		return eris.Wrapf(ErrIncomplete, "%d bytes instead of %d", len(o.Result), length)
 	}
 	if got := Digest(o.Result); got != o.Digest {
-		return fmt.Errorf("%w: digest %s instead of %s", ErrIncomplete, got, o.Digest)
+		return eris.Wrapf(ErrIncomplete, "digest %s instead of %s", got, o.Digest)
 	}
 	return nil
 }
--- a/worker/frame.go
+++ b/worker/frame.go
@@ -3,8 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"io"
+
+	"github.com/rotisserie/eris"
 )
 
 // A start and its reply are one line of JSON followed by the payload or result
@@ -21,7 +22,7 @@
 func NewFrame(header any, tail []byte) (Frame, error) {
 	line, err := json.Marshal(header)
 	if err != nil {
-		return Frame{}, fmt.Errorf("encode message: %w", err)
+		return Frame{}, eris.Wrap(err, "encode message")
 	}
 	if len(tail) > 0 {
 		line = append(line, '\n')
@@ -45,7 +46,7 @@
 func ParseFrame(body []byte, header any) (tail []byte, err error) {
 	line, tail, _ := bytes.Cut(body, []byte("\n"))
 	if err := json.Unmarshal(line, header); err != nil {
-		return nil, fmt.Errorf("decode message: %w", err)
+		return nil, eris.Wrap(err, "decode message")
 	}
 	return tail, nil
 }
@@ -65,7 +66,7 @@
 		return StartRequest{}, err
 	}
 	if int64(len(tail)) != req.PayloadBytes {
-		return StartRequest{}, fmt.Errorf("%w: payload of %d bytes instead of %d", ErrIncomplete, len(tail), req.PayloadBytes)
+		return StartRequest{}, eris.Wrapf(ErrIncomplete, "payload of %d bytes instead of %d", len(tail), req.PayloadBytes)
 	}
 	req.Payload = tail
 	return req, nil
--- a/worker/result.go
+++ b/worker/result.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"github.com/rotisserie/eris"
 )
 
 // DigestHeader carries the SHA-256 digest of a result in hex.
@@ -35,7 +37,7 @@
 		req.Bytes, req.Digest = resp.ContentLength, resp.Header.Get(DigestHeader)
 	}
 	if req.Bytes < 0 {
-		return Unclear(x.operation, fmt.Errorf("%w: the reply states no length", ErrIncomplete))
+		return Unclear(x.operation, eris.Wrap(ErrIncomplete, "the reply states no length"))
 	}
 	if err := CopyResult(dst, resp.Body, req, c.config.MaxResultBytes); err != nil {
 		return Unclear(x.operation, err)
@@ -47,21 +49,21 @@
 // and digest in want, and the length against limit.
 func CopyResult(dst io.Writer, src io.Reader, want ResultRequest, limit int64) error {
 	if want.Bytes > limit {
-		return fmt.Errorf("%w: %d bytes, allowed are %d", ErrTooLarge, want.Bytes, limit)
+		return eris.Wrapf(ErrTooLarge, "%d bytes, allowed are %d", want.Bytes, limit)
 	}
 	hash := sha256.New()
 	n, err := io.Copy(io.MultiWriter(dst, hash), io.LimitReader(src, want.Bytes+1))
 	if errors.Is(err, io.ErrUnexpectedEOF) {
-		return fmt.Errorf("%w: %d bytes instead of %d", ErrIncomplete, n, want.Bytes)
+		return eris.Wrapf(ErrIncomplete, "%d bytes instead of %d", n, want.Bytes)
 	}
 	if err != nil {
-		return fmt.Errorf("copy result: %w", err)
+		return eris.Wrap(err, "copy result")
 	}
 	if n != want.Bytes {
-		return fmt.Errorf("%w: %d bytes instead of %d", ErrIncomplete, n, want.Bytes)
+		return eris.Wrapf(ErrIncomplete, "%d bytes instead of %d", n, want.Bytes)
 	}
 	if got := hex.EncodeToString(hash.Sum(nil)); got != want.Digest {
-		return fmt.Errorf("%w: digest %s instead of %s", ErrIncomplete, got, want.Digest)
+		return eris.Wrapf(ErrIncomplete, "digest %s instead of %s", got, want.Digest)
 	}
 	return nil
 }
