--- /dev/null
+++ b/timeline/recorder_bench_test.go
@@ -0,0 +1,41 @@
+package timeline
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// BenchmarkRecord measures how long the control goroutine is held up by Record
+// while operators read the time line all the time.
+func BenchmarkRecord(b *testing.B) {
+	r := NewRecorder("i", "1", 1<<16)
+	for range 1 << 16 {
+		r.Record(start, Event{Type: TaskStarted, Task: "t"})
+	}
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				r.Events(Filter{Task: "another"})
+			}
+		}
+	}()
+	var samples []time.Duration
+	for b.Loop() {
+		before := time.Now()
+		r.Record(before, Event{Type: TaskStarted, Task: "t"})
+		samples = append(samples, time.Since(before))
+	}
+	close(stop)
+	<-stopped
+	slices.Sort(samples)
+	for name, of := range map[string]int{"p50-us": 50, "p99-us": 99} {
+		b.ReportMetric(float64(samples[len(samples)*of/100].Nanoseconds())/1e3, name)
+	}
+	b.ReportMetric(float64(samples[len(samples)-1].Nanoseconds())/1e3, "max-us")
+}
