--- a/timeline/recorder.go
+++ b/timeline/recorder.go
@@ -78,35 +78,14 @@
 
 // Events returns the kept events that match, oldest first.
 func (r *Recorder) Events(filter Filter) []Event {
-	until := r.latest()
-	var found []Event
-	for next := uint64(1); next <= until; {
-		found, next = r.scan(filter, found, next)
-	}
-	return filter.limit(found)
-}
-
-func (r *Recorder) latest() uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.sequence
-}
-
-// scanChunk is how many events a reader looks at before it lets writers in. The
-// control goroutine records events and must not wait for a whole scan.
-const scanChunk = 256
-
-// scan appends the matching events of one chunk, which begins at the given
-// sequence number or the oldest event kept, and returns where the next begins.
-func (r *Recorder) scan(filter Filter, found []Event, from uint64) ([]Event, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	from = max(from, r.sequence-uint64(len(r.ring))+1)
-	until := min(from+scanChunk-1, r.sequence)
-	for sequence := from; sequence <= until; sequence++ {
-		if e := &r.ring[r.slot(sequence)]; filter.Matches(*e) {
-			found = append(found, *e)
+	oldest := r.sequence - uint64(len(r.ring)) + 1
+	var found []Event
+	for sequence := oldest; sequence <= r.sequence; sequence++ {
+		if e := r.ring[r.slot(sequence)]; filter.Matches(e) {
+			found = append(found, e)
 		}
 	}
-	return found, until + 1
+	return filter.limit(found)
 }
