--- a/ownership/config.go
+++ b/ownership/config.go
@@ -15,7 +15,7 @@
 	ClockDrift        float64       // largest deviation of a clock's rate from true time
 	ClockMargin       time.Duration // added to every wait and subtracted from every term
 	ListLag           time.Duration // largest age of what the instance list shows
-	MoveDelay         time.Duration // a member must have been live for this long before units move to it
+	MoveDelay         time.Duration // a member must have been live, and a unit held, for this long before the unit moves
 	MoveInterval      time.Duration // between two moves that one owner starts
 	ClaimDelay        time.Duration // after the start, before units without a record are claimed
 	RetryInterval     time.Duration // between two tries of a write that failed or is unclear
--- a/ownership/decide.go
+++ b/ownership/decide.go
@@ -84,10 +84,11 @@
 }
 
 // decideMove hands the unit over to its preferred member when that member has
-// been live for a while, which keeps a member that restarts repeatedly from
-// moving units back and forth.
+// been live and the unit held for a while. Otherwise a member that restarts
+// repeatedly, or an owner that has just taken over, would move units back and
+// forth, and each move costs the next owner a rebuild.
 func (t *Table) decideMove(now time.Time, u *unit) bool {
-	if now.Sub(t.lastMove) < t.cfg.MoveInterval {
+	if now.Sub(t.lastMove) < t.cfg.MoveInterval || !u.held || now.Sub(u.gainedAt) < t.cfg.MoveDelay {
 		return false
 	}
 	m, ok := membership.Preferred(u.name, t.memberList)
@@ -132,6 +133,9 @@
 			kept = append(kept, s)
 		}
 	}
+	if len(kept) == successorCount {
+		return kept
+	}
 	for _, m := range membership.Successors(t.self, u.name, t.memberList, successorCount+len(kept)) {
 		if len(kept) == successorCount {
 			break
@@ -140,9 +144,6 @@
 			kept = append(kept, s)
 		}
 	}
-	if len(kept) == 0 {
-		return nil
-	}
 	return kept
 }
 
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -43,6 +43,7 @@
 	record Record
 
 	held         bool      // Gained was reported and Lost was not
+	gainedAt     time.Time // of the last gain
 	lostAt       time.Time // of the last loss
 	needsRead    bool      // a linearizable read must follow the loss
 	needRevision int64     // what that read returned
--- a/ownership/term.go
+++ b/ownership/term.go
@@ -5,7 +5,8 @@
 // Attached reports a new lease under which the member key was written at the
 // given store revision. sentAt was read before the grant was sent. The store
 // term counts for units only when everything up to that revision has been
-// observed: between two leases another process may have taken a unit over.
+// observed: between two leases another process may have taken a unit over. The
+// write of the key also counts as a read (see ReadDone).
 //
 // The member key must be written with a compare on its last revision. A delayed
 // write of an earlier lease could otherwise replace the key and take it away
@@ -15,6 +16,7 @@
 	t.attached, t.attachRevision, t.storeFailing = true, revision, false
 	t.storeSent = t.termStart(now, sentAt)
 	t.updateStoreEnd()
+	t.ReadDone(now, sentAt, revision)
 }
 
 // KeepAliveDone reports a renewal of the lease that was sent at sentAt. An
@@ -115,6 +117,6 @@
 	if !isVerified || u.handingOver() {
 		return
 	}
-	u.held = true
+	u.held, u.gainedAt = true, now
 	t.queued = append(t.queued, Gained{Unit: u.name, Epoch: u.record.Epoch, Revision: u.record.Revision})
 }
