--- a/allowance/plan.go
+++ b/allowance/plan.go
@@ -83,6 +83,17 @@
 	owned   bool // next.Parts is a copy
 	changed bool
 	owners  map[string]int64
+	total   task.Resources // sum of next.Parts, once summed
+	summed  bool
+}
+
+// sum returns the sum of the parts, which is kept up to date by change, since
+// one plan may grant to many partitions.
+func (p *planner) sum() task.Resources {
+	if !p.summed {
+		p.total, p.summed = p.next.sum(), true
+	}
+	return p.total
 }
 
 func (p *planner) since(at time.Time) bool {
@@ -177,7 +188,7 @@
 // so that a growing team seldom waits for them.
 func (p *planner) grantBlock(name string, part *partition, one, need task.Resources) {
 	limit := bound(p.next.Limit)
-	free := positive(limit.Sub(p.next.sum()))
+	free := positive(limit.Sub(p.sum()))
 	if !one.Fits(free) {
 		p.team.starving = true
 		return
@@ -206,6 +217,7 @@
 	if amount.IsZero() {
 		delete(p.next.Parts, name)
 	}
+	p.total = p.total.Add(delta)
 	p.owners[name] = part.guard
 	p.changed = true
 }
--- a/allowance/table.go
+++ b/allowance/table.go
@@ -69,7 +69,6 @@
 	noOwnerGuard   bool // write without comparing the ownership records
 	staleRecord    bool // use a record older than the ownership
 	skipRebuild    bool // treat tasks of silent workers as ended
-	startPending   bool // start work while a lower limit is pending
 	untracked      bool // keep no amounts of resources without a limit
 }
 
@@ -175,7 +174,7 @@
 	if !t.isUsable(p) || !tm.loaded {
 		return false
 	}
-	if tm.record.HasPending && !t.faults.startPending {
+	if tm.record.HasPending {
 		return false
 	}
 	u := t.useOf(now, tm, partition)
--- /dev/null
+++ b/allowance/table_test.go
@@ -0,0 +1,118 @@
+package allowance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// TestPendingLimitStopsStarts guards against starts that keep the sum above a
+// lowered limit, and against a limit of an older document that comes back.
+func TestPendingLimitStopsStarts(t *testing.T) {
+	now, slots := time.Unix(1000, 0), func(n int64) task.Resources { return task.Resources{Slots: n} }
+	table := New(DefaultConfig())
+	table.Own("w/r/0", 5)
+	table.Rebuilt("w/r/0")
+	r := WithLimit(Record{Team: "a", Parts: map[string]task.Resources{"w/r/0": slots(8)}}, slots(10), 3)
+	r.Revision = 6
+	table.Observe(now, r)
+	table.ObserveThrough(6)
+	if !table.Acquire(now, "a", "w/r/0", slots(5)) {
+		t.Fatal("refused within the allowance")
+	}
+	lowered := WithLimit(r, slots(4), 7)
+	if !lowered.HasPending || lowered.Limit != slots(10) {
+		t.Fatalf("a limit below the parts is in force at once: %+v", lowered)
+	}
+	if old := WithLimit(lowered, slots(20), 6); old.Pending != slots(4) {
+		t.Fatalf("an older document replaced the limit: %+v", old)
+	}
+	lowered.Revision = 8
+	table.Observe(now, lowered)
+	if table.Acquire(now, "a", "w/r/0", slots(1)) {
+		t.Fatal("started while a lower limit is pending")
+	}
+	writes := table.Plan(now)
+	if len(writes) != 1 || writes[0].Record.Parts["w/r/0"] != slots(5) {
+		t.Fatalf("idle allowance was not returned at once: %+v", writes)
+	}
+	table.WriteDone(now, writes, WriteResult{Outcome: Succeeded, Revision: 9})
+	table.Return(now, "a", "w/r/0", slots(1))
+	writes = table.Plan(now.Add(time.Second))
+	if len(writes) != 1 || writes[0].Record.Limit != slots(4) || writes[0].Record.HasPending {
+		t.Fatalf("the limit is not in force at its amount: %+v", writes)
+	}
+}
+
+// TestConflictHalvesTransaction guards against a transaction over many teams
+// that fails again and again because one of the records changes each time.
+func TestConflictHalvesTransaction(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := newBenchTable(now, 8, 1)
+	for _, want := range []int{8, 4, 2, 1, 1} {
+		now = now.Add(time.Second)
+		table.demandAll(now)
+		writes := table.Plan(now)
+		if len(writes) != want {
+			t.Fatalf("%d teams in the transaction, want %d", len(writes), want)
+		}
+		table.WriteDone(now, writes, WriteResult{Outcome: Conflict})
+	}
+}
+
+// demandAll makes every team want more at every owned partition.
+func (t *Table) demandAll(now time.Time) {
+	for _, tm := range t.order {
+		for _, p := range t.owned {
+			t.Want(now, tm.name, p, task.Resources{Slots: 4, CPUMilli: 4000})
+		}
+	}
+}
+
+// newBenchTable returns a table that owns one of eight shares of the partitions.
+func newBenchTable(now time.Time, teams, partitions int) *Table {
+	t := New(DefaultConfig())
+	parts := map[string]task.Resources{}
+	for i := range partitions {
+		name := fmt.Sprintf("w/r/%d", i)
+		parts[name] = task.Resources{Slots: 4, CPUMilli: 4000}
+		if i%8 == 0 {
+			t.Own(name, 1)
+			t.Rebuilt(name)
+		}
+	}
+	t.ObserveThrough(2)
+	for i := range teams {
+		t.Observe(now, Record{Team: task.Team(fmt.Sprintf("team-%d", i)), Limit: task.Resources{Slots: 10000}, Parts: parts, Revision: 2})
+	}
+	for _, tm := range t.order {
+		for _, p := range t.owned {
+			t.Acquire(now, tm.name, p, parts[p])
+		}
+	}
+	return t
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, teams := range []int{6, 97} {
+		for _, partitions := range []int{12, 144} {
+			for _, due := range []bool{false, true} {
+				b.Run(fmt.Sprintf("teams=%d/partitions=%d/due=%v", teams, partitions, due), func(b *testing.B) {
+					now := time.Unix(1000, 0)
+					t := newBenchTable(now, teams, partitions)
+					t.cfg.Interval = 0
+					if due {
+						t.demandAll(now)
+					}
+					b.ReportAllocs()
+					for b.Loop() {
+						writes := t.Plan(now)
+						t.WriteDone(now, writes, WriteResult{Outcome: NoEffect})
+					}
+				})
+			}
+		}
+	}
+}
