Cut off no request in a planned stop while another instance fails

Units were handed to an instance that had just lost the store: the handover now goes only to one that has reached the store since the stop began. 3. A new home learned of a handover through its watch only: it is told. 4. Answers in memory were dropped with their shard: they stay with the process that has them, and owners report to that process.

--- a/control/configuration.go
+++ b/control/configuration.go
@@ -128,8 +128,7 @@
 	case change.Member != nil:
 		s.memberChanged(previous.Member, change.Member)
 	case change.Record != nil:
-		s.routing.records[change.Record.Unit] = *change.Record
-		s.ownership.Observe(s.now, *change.Record)
+		s.takeRecord(*change.Record)
 	case change.Allowance != nil:
 		s.allowanceChanged(previous.Allowance, change.Allowance)
 	case change.Drain != "":
--- a/control/drain.go
+++ b/control/drain.go
@@ -26,31 +26,43 @@
 	s.changed = true
 	s.event(timeline.Event{Type: timeline.DrainStarted})
 	s.owner.startDrain()
+	for _, m := range s.routing.members {
+		s.ownership.ObserveContact(m.Instance, false)
+	}
 	if s.members.lease != 0 {
 		s.emit(WriteMember{Member: s.self, Lease: s.members.lease})
 	}
 }
 
-// continueDrain hands over what is still held once no call of a caller waits
-// here. Without store contact nothing can be handed over and the process keeps
-// its units until it is stopped.
+// mayReceive reports whether units may be handed to the sender of a digest. For a
+// planned stop it must have reached the store since the stop began: an instance
+// that was cut off a moment ago does not know it yet, and could not serve them.
+func (s *State) mayReceive(d DigestMessage) bool {
+	if s.drain.started {
+		return d.ContactAge < s.now.Sub(s.drain.since)
+	}
+	return d.StoreContact
+}
+
+// continueDrain hands over what is held: request shards at once, since a call
+// that waits here is asked again at the next home, and worker partitions when no
+// home needs this owner any more. The stop is complete when the answers that only
+// this process knows of are given, too. Without store contact nothing can be
+// handed over, and the process keeps its units until it is stopped.
 func (s *State) continueDrain() {
 	if !s.drain.started || s.drain.finished {
 		return
 	}
-	if len(s.home.calls) > 0 && s.now.Sub(s.drain.since) < s.cfg.MaxDrainingAnswers {
-		return
-	}
-	if s.owner.isBusy() && s.now.Sub(s.drain.since) < s.cfg.MaxDrainingAnswers {
-		return
-	}
+	mayWait := s.now.Sub(s.drain.since) < s.cfg.MaxDrainingAnswers
 	held := s.heldUnits()
 	for _, unit := range held {
-		if !s.home.ledger.HasPending(unit) {
-			s.ownership.Release(s.now, unit)
+		if s.home.ledger.HasPending(unit) || isPartition(unit) && mayWait && s.owner.isBusy() {
+			continue
 		}
+		s.ownership.Release(s.now, unit)
 	}
-	if len(held) == 0 {
+	isWaited := mayWait && (len(s.home.calls) > 0 || s.home.ledger.VolatileOpen() > 0)
+	if len(held) == 0 && !isWaited {
 		s.drain.finished = true
 		s.emit(Drained{})
 	}
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		asks := s.exchange.asked[m.Incarnation]
-		if m.Incarnation < s.self.Incarnation && !asks && s.isFresh() {
+		if m.Incarnation < s.self.Incarnation && !asks && s.isFresh() && !s.drain.started {
 			continue
 		}
 		s.exchange.sentAt[m.Incarnation] = s.now
@@ -54,7 +54,7 @@
 func (s *State) isFresh() bool { return s.freshness.Remaining(s.now) > s.cfg.KeyFreshness/2 }
 
 func (s *State) digestInterval(m membership.Member) time.Duration {
-	if m.Region == s.self.Region || !s.isFresh() {
+	if m.Region == s.self.Region || !s.isFresh() || s.drain.started {
 		return s.cfg.DigestInterval
 	}
 	return s.cfg.FarDigestInterval
@@ -96,7 +96,7 @@
 func (s *State) digest() DigestMessage {
 	d := DigestMessage{
 		Instance: s.self.Instance, Incarnation: s.self.Incarnation, Revision: s.config.applied,
-		StoreContact: s.hasStoreContact(), Freshness: s.freshness.Remaining(s.now),
+		StoreContact: s.hasStoreContact(), ContactAge: s.now.Sub(s.members.lastContact), Freshness: s.freshness.Remaining(s.now),
 		Partitions: s.owner.partitionDigests(), Usage: s.owner.usage(), Wants: s.owner.allow.Starving(),
 		Clock: s.record.Now(s.now),
 	}
@@ -134,6 +134,7 @@
 func (s *State) takeDigest(d DigestMessage) {
 	s.record.Receive(s.now, d.Clock)
 	s.routing.observeDigest(s.now, d)
+	s.ownership.ObserveContact(d.Instance, s.mayReceive(d))
 	for _, team := range d.Wants {
 		s.owner.allow.AskIdle(team)
 	}
--- a/control/home.go
+++ b/control/home.go
@@ -137,11 +137,11 @@
 // query answers a call about a job that was submitted before.
 func (h *home) query(token uint64, req QueryRequest) {
 	shard := h.shardOf(req.Job)
-	if !h.ledger.IsActive(shard) {
+	record, ok := h.ledger.Find(shard, req.Job)
+	if !ok && !h.ledger.IsActive(shard) {
 		h.reply(token, JobReply{Err: errkind.New(errkind.NoOwner, "shard %s has no active home here", shard).WithFate(errkind.FateUnknown)})
 		return
 	}
-	record, ok := h.ledger.Find(shard, req.Job)
 	if !ok {
 		h.reply(token, JobReply{Err: errkind.New(errkind.UnknownTask, "no job %s is recorded", req.Job)})
 		return
@@ -253,7 +253,7 @@
 	delete(h.waiters, job)
 	h.event(timeline.Event{Type: timeline.RequestAnswered, Team: job.Team, Task: record.Tasks[0].ID, Kind: string(record.State())})
 	if !record.Spec.Kind.IsDurable() && record.State() == task.NotRun {
-		h.ledger.Forget(h.shardOf(job), job)
+		h.ledger.Forget(job)
 	}
 }
 
--- a/control/homereport.go
+++ b/control/homereport.go
@@ -17,7 +17,7 @@
 	call := &reportCall{token: token, recorded: make([]bool, len(req.Reports))}
 	h.reports[id] = call
 	for i, r := range req.Reports {
-		if !h.ledger.IsActive(h.shardOf(r.Job)) {
+		if _, isVolatile := ledger.HolderOf(r.Attempt.Task); !isVolatile && !h.ledger.IsActive(h.shardOf(r.Job)) {
 			continue
 		}
 		call.recorded[i] = true
--- a/control/ownerwork.go
+++ b/control/ownerwork.go
@@ -4,6 +4,8 @@
 	"slices"
 
 	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/ledger"
+	"github.com/mulberrydrum/mulberrydrum/membership"
 	"github.com/mulberrydrum/mulberrydrum/quarantine"
 	"github.com/mulberrydrum/mulberrydrum/task"
 	"github.com/mulberrydrum/mulberrydrum/timeline"
@@ -165,7 +167,7 @@
 		if o.sent || w.now.Before(o.sendAt) {
 			continue
 		}
-		home, _, ok := w.routing.ownerOf(ShardOf(o.report.Job, w.cfg.RequestShards))
+		home, ok := w.homeOf(id, o.report)
 		if !ok {
 			continue
 		}
@@ -177,6 +179,25 @@
 	}
 }
 
+// homeOf returns the process to which an attempt is reported: the home of its
+// job, or for a memory-only job the process that keeps it. If that has died,
+// nobody waits for the report.
+func (w *owner) homeOf(id task.Attempt, r AttemptReport) (membership.Member, bool) {
+	holder, isVolatile := ledger.HolderOf(id.Task)
+	if !isVolatile {
+		home, _, ok := w.routing.ownerOf(ShardOf(r.Job, w.cfg.RequestShards))
+		return home, ok
+	}
+	home, ok := w.routing.members[holder]
+	if !ok {
+		delete(w.outgoing, id)
+		if r.Outcome != nil {
+			w.acknowledge(id)
+		}
+	}
+	return home, ok
+}
+
 // reportDone drops what a home has recorded, and acknowledges ends to workers.
 func (w *owner) reportDone(req ReportRequest, reply PeerReply, err error) {
 	for i, r := range req.Reports {
--- a/control/peer.go
+++ b/control/peer.go
@@ -155,12 +155,20 @@
 	Granted []bool
 }
 
+// HandoverNotice tells the new owner of a unit about the record that makes it
+// the owner, which it would otherwise learn from its watch.
+type HandoverNotice struct{ Record ownership.Record }
+
+// HandoverReply says that the notice was taken.
+type HandoverReply struct{}
+
 // DigestMessage is what instances tell each other at intervals.
 type DigestMessage struct {
 	Instance     string
 	Incarnation  string
 	Revision     int64         // highest configuration revision in force
 	StoreContact bool          // the store answered within the key freshness
+	ContactAge   time.Duration // since the last call was sent that the store answered
 	Freshness    time.Duration // remaining freshness of keys
 	Partitions   []PartitionDigest
 	Usage        []TeamUsage
@@ -218,6 +226,8 @@
 // EndConfigCommit says that the outcome of a commit is known.
 type EndConfigCommit struct{}
 
+func (HandoverNotice) peerRequest()     {}
+func (HandoverReply) peerReply()        {}
 func (BeginConfigCommit) peerRequest()  {}
 func (EndConfigCommit) peerRequest()    {}
 func (ConfigCommitReply) peerReply()    {}
--- a/control/state.go
+++ b/control/state.go
@@ -111,7 +111,8 @@
 		return true
 	case PeerCall:
 		_, isPromise := e.Request.(PromiseRequest)
-		return isPromise
+		_, isHandover := e.Request.(HandoverNotice)
+		return isPromise || isHandover
 	case PeerDone:
 		_, isPromise := e.Send.Request.(PromiseRequest)
 		return isPromise
@@ -151,7 +152,7 @@
 	case LedgerDone:
 		s.ledgerDone(e)
 	case OwnershipDone:
-		s.ownership.WriteDone(s.now, e.Unit, e.Result)
+		s.ownershipDone(e)
 	case AllowanceDone:
 		s.owner.allow.WriteDone(s.now, e.Writes, e.Result)
 		s.owner.schedule()
@@ -197,6 +198,9 @@
 		s.promise(e.Token, r)
 	case DigestMessage:
 		s.digestReceived(e.Token, r)
+	case HandoverNotice:
+		s.takeRecord(r.Record)
+		s.reply(e.Token, HandoverReply{})
 	case FetchConfigRequest:
 		s.reply(e.Token, s.config.fetch(r.After))
 	case BeginConfigCommit:
@@ -228,7 +232,8 @@
 		s.promiseDone(e.Send, r, e.Reply, e.Err)
 	case DigestMessage:
 		s.digestDone(e)
-	case FetchConfigRequest:
-		// The daemon decodes fetched entries and delivers them as ConfigChanged.
+	case FetchConfigRequest, HandoverNotice:
+		// The daemon decodes fetched entries and delivers them as ConfigChanged. A
+		// notice that is lost is made up for by the watch.
 	}
 }
--- a/control/units.go
+++ b/control/units.go
@@ -72,6 +72,28 @@
 	s.changed = true
 }
 
+// ownershipDone applies the fate of a write. A new owner is told at once.
+func (s *State) ownershipDone(e OwnershipDone) {
+	s.ownership.WriteDone(s.now, e.Unit, e.Result)
+	record, ok := s.ownership.Record(e.Unit)
+	if !ok || e.Result.Outcome != ownership.Succeeded {
+		return
+	}
+	s.takeRecord(record)
+	if to, known := s.routing.members[record.Owner]; known && to.Incarnation != s.self.Incarnation {
+		s.emit(Send{To: to, Request: HandoverNotice{Record: record}, Timeout: s.cfg.CallTimeout, SentAt: s.now})
+	}
+}
+
+// takeRecord applies an ownership record that did not come through the watch.
+func (s *State) takeRecord(r ownership.Record) {
+	s.ownership.Observe(s.now, r)
+	if known, ok := s.routing.records[r.Unit]; !ok || known.Revision < r.Revision {
+		s.routing.records[r.Unit] = r
+		s.changed = true
+	}
+}
+
 func (s *State) gained(a ownership.Gained) {
 	s.changed = true
 	s.event(timeline.Event{Type: timeline.OwnershipTaken, Partition: a.Unit, Epoch: a.Epoch, Revision: a.Revision})
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -25,8 +25,9 @@
 	// one that surely had no effect, for example while a home moves.
 	homeRetry = 100 * time.Millisecond
 	// homeTries bounds that, so that a caller hears soon of a lasting fault. It
-	// covers a planned handover, which takes less than a second.
-	homeTries = 20
+	// covers a planned handover while one watch is silent, which is noticed
+	// after 3 s.
+	homeTries = 50
 	// waitMargin is what the call to the home may take besides the wait.
 	waitMargin = 2 * time.Second
 )
@@ -128,7 +129,7 @@
 		route, ok := b.loop.Snapshot().HomeOf(job)
 		if ok {
 			record, err := b.callHome(ctx, route, request, wait)
-			if err == nil || !isRetried(err) {
+			if err == nil || !isRetried(request, err) {
 				return record, err
 			}
 			last = err
@@ -141,10 +142,16 @@
 	return nil, last
 }
 
-// isRetried reports whether a request had no effect because its home has moved.
-func isRetried(err error) bool {
+// isRetried reports whether a request goes to the next home after its home has
+// moved: one that had no effect, or one that may be repeated because the record
+// of its job moves too.
+func isRetried(request control.PeerRequest, err error) bool {
 	e := errkind.From(err)
-	return e.Kind == errkind.NoOwner && e.Fate() == errkind.FateNotRun
+	if e.Kind != errkind.NoOwner {
+		return false
+	}
+	submit, isSubmit := request.(control.SubmitRequest)
+	return e.Fate() == errkind.FateNotRun || !isSubmit || submit.Spec.Kind.IsDurable()
 }
 
 func (b *callerBackend) callHome(ctx context.Context, route control.Route, request control.PeerRequest, wait time.Duration) (*ledger.Record, error) {
--- a/entry/client.go
+++ b/entry/client.go
@@ -183,6 +183,9 @@
 	case control.PromiseRequest:
 		reply, err := client.Promise(ctx, encodePromise(c.self, r))
 		return control.PromiseReply{From: decodeSuccessor(reply.GetFrom()), Granted: reply.GetGranted()}, err
+	case control.HandoverNotice:
+		_, err := client.Handover(ctx, encodeHandover(c.self, r.Record))
+		return control.HandoverReply{}, err
 	case control.DigestMessage:
 		reply, err := client.Exchange(ctx, encodeDigest(r))
 		return decodeDigest(reply), err
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -144,8 +144,24 @@
 	return ownership.Successor{Instance: s.GetInstance(), Incarnation: s.GetIncarnation()}
 }
 
+func encodeHandover(from string, r ownership.Record) *entrypb.HandoverNotice {
+	out := &entrypb.HandoverNotice{From: from, Unit: r.Unit, Owner: r.Owner, OwnerInstance: r.OwnerInstance, Epoch: r.Epoch, Revision: r.Revision}
+	for _, s := range r.Successors {
+		out.Successors = append(out.Successors, encodeSuccessor(s))
+	}
+	return out
+}
+
+func decodeHandover(r *entrypb.HandoverNotice) control.HandoverNotice {
+	out := ownership.Record{Unit: r.GetUnit(), Owner: r.GetOwner(), OwnerInstance: r.GetOwnerInstance(), Epoch: r.GetEpoch(), Revision: r.GetRevision()}
+	for _, s := range r.GetSuccessors() {
+		out.Successors = append(out.Successors, decodeSuccessor(s))
+	}
+	return control.HandoverNotice{Record: out}
+}
+
 func encodeDigest(d control.DigestMessage) *entrypb.Digest {
-	out := &entrypb.Digest{Instance: d.Instance, Incarnation: d.Incarnation, Revision: d.Revision, StoreContact: d.StoreContact,
+	out := &entrypb.Digest{Instance: d.Instance, Incarnation: d.Incarnation, Revision: d.Revision, StoreContact: d.StoreContact, ContactAge: durationpb.New(d.ContactAge),
 		AskNoCommit: d.AskNoCommit, NoCommit: d.NoCommit,
 		Freshness: durationpb.New(d.Freshness), Clock: &entrypb.Clock{WallNs: d.Clock.Wall.UnixNano(), Logical: d.Clock.Logical}}
 	for _, p := range d.Partitions {
@@ -162,7 +178,7 @@
 }
 
 func decodeDigest(d *entrypb.Digest) control.DigestMessage {
-	out := control.DigestMessage{Instance: d.GetInstance(), Incarnation: d.GetIncarnation(), Revision: d.GetRevision(), StoreContact: d.GetStoreContact(),
+	out := control.DigestMessage{Instance: d.GetInstance(), Incarnation: d.GetIncarnation(), Revision: d.GetRevision(), StoreContact: d.GetStoreContact(), ContactAge: d.GetContactAge().AsDuration(),
 		AskNoCommit: d.GetAskNoCommit(), NoCommit: d.GetNoCommit(),
 		Freshness: d.GetFreshness().AsDuration(), Clock: timeline.Clock{Wall: time.Unix(0, d.GetClock().GetWallNs()), Logical: d.GetClock().GetLogical()}}
 	for _, p := range d.GetPartitions() {
--- a/entry/server.go
+++ b/entry/server.go
@@ -109,6 +109,12 @@
 	return &entrypb.PromiseReply{From: encodeSuccessor(reply.From), Granted: reply.Granted}, err
 }
 
+// Handover serves the former owner of a unit.
+func (s *service) Handover(ctx context.Context, r *entrypb.HandoverNotice) (*entrypb.HandoverReply, error) {
+	_, err := handle[control.HandoverReply](ctx, s, r.GetFrom(), decodeHandover(r))
+	return &entrypb.HandoverReply{}, err
+}
+
 // Exchange serves every other instance.
 func (s *service) Exchange(ctx context.Context, r *entrypb.Digest) (*entrypb.Digest, error) {
 	reply, err := handle[control.DigestMessage](ctx, s, r.GetInstance(), decodeDigest(r))
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -39,6 +39,7 @@
 	cfg       Config
 	holder    string // incarnation of this process
 	shards    map[string]*shard
+	volatile  map[JobKey]*Record // memory-only jobs; they stay when their shard moves away
 	lastFlush time.Time
 	writes    uint64
 	inFlight  int  // shards whose value is being written
@@ -48,7 +49,7 @@
 // New returns a ledger without shards. The holder names this process and makes
 // the IDs of its writes unique.
 func New(cfg Config, holder string) *Ledger {
-	return &Ledger{cfg: cfg, holder: holder, shards: map[string]*shard{}}
+	return &Ledger{cfg: cfg, holder: holder, shards: map[string]*shard{}, volatile: map[JobKey]*Record{}}
 }
 
 // Open starts holding a shard. Its value has to be read and passed to Loaded.
@@ -57,7 +58,8 @@
 }
 
 // Close drops a shard that this process is no longer the home of. It returns
-// the steps and records that were not settled, so that waiting callers hear of it.
+// the steps and records that were not settled, so that waiting callers hear of
+// it. Memory-only jobs stay, since no other process knows of them.
 func (l *Ledger) Close(name string) (steps []Step, records []*Record) {
 	s, ok := l.shards[name]
 	if !ok {
@@ -116,7 +118,7 @@
 	return names
 }
 
-// Records returns the records of a shard in no particular order.
+// Records returns the durable records of a shard in no particular order.
 func (l *Ledger) Records(name string) []*Record {
 	s, ok := l.shards[name]
 	if !ok {
@@ -131,6 +133,9 @@
 
 // Find returns the record of a job.
 func (l *Ledger) Find(shardName string, key JobKey) (*Record, bool) {
+	if r, ok := l.volatile[key]; ok {
+		return r, true
+	}
 	s, ok := l.shards[shardName]
 	if !ok {
 		return nil, false
@@ -139,6 +144,17 @@
 	return r, ok
 }
 
+// VolatileOpen returns how many memory-only jobs are not final.
+func (l *Ledger) VolatileOpen() int {
+	open := 0
+	for _, r := range l.volatile {
+		if !r.IsFinal() {
+			open++
+		}
+	}
+	return open
+}
+
 // Submit records a job, or finds the record that an earlier submission with the
 // same idempotency key made. A durable job must not be dispatched before the
 // step that the caller passes is released.
@@ -148,7 +164,7 @@
 		return nil, false, errkind.New(errkind.NoOwner, "shard %s has no active home here", shardName)
 	}
 	key := KeyOf(&spec)
-	if first, found := s.records[key]; found {
+	if first, found := l.Find(shardName, key); found {
 		return l.repeat(s, first, spec, step)
 	}
 	if spec.Count > l.cfg.MaxTasks {
@@ -161,13 +177,15 @@
 	}
 	r = newRecord(spec, fmt.Sprintf("%s.%d", l.holder, l.writes))
 	l.writes++
-	s.records[key] = r
-	if spec.Kind.IsDurable() {
-		s.bytes += size
-		l.dirty = true
-		s.sequence++
-		s.after(step)
+	if !spec.Kind.IsDurable() {
+		l.volatile[key] = r
+		return r, true, nil
 	}
+	s.records[key] = r
+	s.bytes += size
+	l.dirty = true
+	s.sequence++
+	s.after(step)
 	return r, true, nil
 }
 
@@ -211,15 +229,21 @@
 // Expire drops final records older than the retention. The change is stored
 // with the next commit of the shard and does not cause one.
 func (l *Ledger) Expire(now time.Time) {
+	for key, r := range l.volatile {
+		if l.isExpired(now, r) {
+			delete(l.volatile, key)
+		}
+	}
 	for _, s := range l.shards {
 		for key, r := range s.records {
-			if r.FinishedAt.IsZero() || now.Sub(r.FinishedAt) < l.cfg.ResultRetention {
-				continue
-			}
-			delete(s.records, key)
-			if r.Spec.Kind.IsDurable() {
+			if l.isExpired(now, r) {
+				delete(s.records, key)
 				s.bytes -= l.sizeOf(&r.Spec)
 			}
 		}
 	}
 }
+
+func (l *Ledger) isExpired(now time.Time, r *Record) bool {
+	return !r.FinishedAt.IsZero() && now.Sub(r.FinishedAt) >= l.cfg.ResultRetention
+}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -114,6 +114,17 @@
 	return JobKey{Team: task.Team(team), Service: task.Service(service), Key: rest[:last]}, index, true
 }
 
+// HolderOf returns the process that keeps the record of a memory-only task, and
+// false for a durable task.
+func HolderOf(id task.ID) (incarnation string, ok bool) {
+	_, salt, found := strings.Cut(string(id), "@")
+	last := strings.LastIndexByte(salt, '.')
+	if !found || last < 0 {
+		return "", false
+	}
+	return salt[:last], true
+}
+
 // Clone returns a deep copy that later changes of r do not reach.
 func (r *Record) Clone() Record {
 	c := *r
--- a/ledger/transition.go
+++ b/ledger/transition.go
@@ -172,23 +172,17 @@
 
 // Forget removes the record of a memory-only job that was not run, so that a
 // repeat is tried afresh.
-func (l *Ledger) Forget(shardName string, key JobKey) {
-	s, ok := l.shards[shardName]
-	if !ok {
-		return
-	}
-	if r, found := s.records[key]; found && !r.Spec.Kind.IsDurable() {
-		delete(s.records, key)
-	}
-}
+func (l *Ledger) Forget(key JobKey) { delete(l.volatile, key) }
 
 func (l *Ledger) task(shardName string, key JobKey, index int) (*shard, *Record, *TaskRecord) {
-	s, ok := l.shards[shardName]
-	if !ok || s.phase != active {
-		return nil, nil, nil
+	s, r := l.shards[shardName], l.volatile[key]
+	if r == nil {
+		if s == nil || s.phase != active {
+			return nil, nil, nil
+		}
+		r = s.records[key]
 	}
-	r, ok := s.records[key]
-	if !ok || index < 0 || index >= len(r.Tasks) {
+	if r == nil || index < 0 || index >= len(r.Tasks) {
 		return nil, nil, nil
 	}
 	return s, r, &r.Tasks[index]
--- a/ownership/decide.go
+++ b/ownership/decide.go
@@ -58,8 +58,19 @@
 	t.write(u, r, nil, ReasonSuccessors)
 }
 
-// Release asks for a handover to the first successor that is live and not
-// draining. Without any such member the unit is kept.
+// ObserveContact notes whether an instance said last that it reaches the store.
+// An instance that does not would get units by a handover and could not serve
+// them, so it is given none. Instances of which nothing is known count as fit.
+func (t *Table) ObserveContact(instance string, hasContact bool) {
+	if hasContact {
+		delete(t.noContact, instance)
+	} else {
+		t.noContact[instance] = true
+	}
+}
+
+// Release asks for a handover to the first successor that is live, not draining
+// and in contact with the store. Without any such member the unit is kept.
 func (t *Table) Release(now time.Time, name string) {
 	u := t.byName[name]
 	if u == nil || !t.ownsRecord(u) {
@@ -70,13 +81,13 @@
 
 func (t *Table) release(now time.Time, u *unit) {
 	for _, s := range u.record.Successors {
-		if t.isPresent(s) && !t.members[s.Instance].Draining {
+		if t.isPresent(s) && !t.members[s.Instance].Draining && !t.noContact[s.Instance] {
 			t.handOver(now, u, t.members[s.Instance], ReasonRelease)
 			return
 		}
 	}
 	others := slices.DeleteFunc(slices.Clone(t.memberList), func(m membership.Member) bool {
-		return m.Instance == t.self.Instance
+		return m.Instance == t.self.Instance || t.noContact[m.Instance]
 	})
 	if m, ok := membership.Preferred(u.name, others); ok {
 		t.handOver(now, u, m, ReasonRelease)
@@ -95,7 +106,7 @@
 	if !ok || m.Instance == t.self.Instance {
 		return false
 	}
-	if now.Sub(t.memberSince[m.Incarnation]) < t.cfg.MoveDelay {
+	if t.noContact[m.Instance] || now.Sub(t.memberSince[m.Incarnation]) < t.cfg.MoveDelay {
 		return false
 	}
 	t.lastMove = now
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -20,6 +20,7 @@
 	members      map[string]membership.Member // by instance, as the store shows them
 	memberList   []membership.Member
 	memberSince  map[string]time.Time // incarnation: first observed in the present row of observations
+	noContact    map[string]bool      // by instance: it said that it does not reach the store
 	absentSince  map[string]time.Time // instance: not among the members since
 	membersKnown bool
 	listGone     map[string]time.Time // instance: missing from the instance list since
@@ -87,6 +88,7 @@
 		byName:      make(map[string]*unit, len(cfg.Units)),
 		members:     make(map[string]membership.Member),
 		memberSince: make(map[string]time.Time),
+		noContact:   map[string]bool{},
 		absentSince: make(map[string]time.Time),
 		listGone:    make(map[string]time.Time),
 		listed:      make(map[string]bool),
