Bound the control time of an owner with many blocked teams

Cause: every event tried every team with waiting work again, and every tick of 20 ms ran the ownership table and the allowance plan over all units and teams. A team is now tried again only when what it lacked may have become available, and the tables are looked at every 100 ms.

--- a/control/configuration.go
+++ b/control/configuration.go
@@ -162,6 +162,7 @@
 
 func (s *State) allowanceChanged(previous, r *allowance.Record) {
 	s.owner.allow.Observe(s.now, *r)
+	delete(s.owner.blocked, r.Team)
 	if previous == nil || previous.Limit != r.Limit {
 		s.event(timeline.Event{Type: timeline.LimitInForce, Team: r.Team, Revision: r.Revision, Size: &r.Limit})
 	}
--- a/control/limit.go
+++ b/control/limit.go
@@ -18,6 +18,16 @@
 	w.allow.SetLimit(w.now, team, amounts, revision)
 }
 
+// allowanceDone applies the fate of a transaction and tries the teams again that
+// lacked allowance.
+func (w *owner) allowanceDone(e AllowanceDone) {
+	w.allow.WriteDone(w.now, e.Writes, e.Result)
+	for _, write := range e.Writes {
+		delete(w.blocked, write.Record.Team)
+	}
+	w.schedule()
+}
+
 // wantAllowance notes what the waiting tasks need, so that one transaction
 // covers them.
 func (w *owner) wantAllowance() {
--- a/control/owner.go
+++ b/control/owner.go
@@ -32,10 +32,16 @@
 	partitions map[string]*partition
 	workers    map[string]*workerState
 	attempts   map[task.Attempt]*attempt
-	draining   bool
-	drained    map[string]bool            // workers that an operator drains
-	tombstones map[task.Attempt]time.Time // refused for good, until the time given
-	outgoing   map[task.Attempt]*outgoingReport
+	// blocked holds the teams none of whose first waiting tasks could be started,
+	// so that they are not tried again with every event. They are tried again when
+	// something that they lack may have become available.
+	blocked        map[task.Team]lack
+	unblockedAt    time.Time
+	lacksAllowance bool // an allowance was refused since the last plan
+	draining       bool
+	drained        map[string]bool            // workers that an operator drains
+	tombstones     map[task.Attempt]time.Time // refused for good, until the time given
+	outgoing       map[task.Attempt]*outgoingReport
 }
 
 // partition is a worker partition that this instance owns.
@@ -146,6 +152,7 @@
 		return err
 	}
 	w.attempts[p.Attempt] = a
+	delete(w.blocked, a.team)
 	w.event(timeline.Event{Type: timeline.TaskQueued, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Partition: a.partition, Epoch: epoch})
 	return nil
 }
@@ -278,6 +285,7 @@
 	if _, size, ok := w.cluster.Release(a.id); ok {
 		w.allow.Return(w.now, a.team, a.partition, size)
 		w.shares.Finish(w.now, a.team, size)
+		w.unblock(a.team)
 	}
 }
 
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"slices"
+	"time"
+
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 	"github.com/mulberrydrum/mulberrydrum/placement"
 	"github.com/mulberrydrum/mulberrydrum/task"
@@ -12,11 +15,43 @@
 // whole queue.
 const lookAhead = 8
 
+// lack says what the first waiting tasks of a team could not be started for.
+type lack uint8
+
+const (
+	lackRoom      lack = iota + 1 // on a worker
+	lackAllowance                 // of the team's limit
+)
+
+// unblockInterval bounds how long a team stays blocked by something that no
+// event tells of, such as keys that become fresh again.
+const unblockInterval = 200 * time.Millisecond
+
+// unblock has the teams tried again that the end of a task of one team may help:
+// that team, and every team that lacked room.
+func (w *owner) unblock(team task.Team) {
+	delete(w.blocked, team)
+	for other, lacks := range w.blocked {
+		if lacks == lackRoom {
+			delete(w.blocked, other)
+		}
+	}
+}
+
+// waitingTeams returns the teams with waiting tasks that are not blocked.
+func (w *owner) waitingTeams() []task.Team {
+	if w.now.Sub(w.unblockedAt) >= unblockInterval {
+		w.unblockedAt = w.now
+		clear(w.blocked)
+	}
+	return slices.DeleteFunc(w.queues.Teams(), func(t task.Team) bool { return w.blocked[t] != 0 })
+}
+
 // schedule starts what can be started, neediest team first, until nothing more
 // fits.
 func (w *owner) schedule() {
 	w.expireQueued()
-	teams := w.queues.Teams()
+	teams := w.waitingTeams()
 	for len(teams) > 0 {
 		w.shares.Order(w.now, teams)
 		placed := false
@@ -36,6 +71,7 @@
 // startNext starts the first waiting task of a team that fits. It reports
 // whether one was started.
 func (w *owner) startNext(team task.Team) bool {
+	w.blocked[team] = lackRoom
 	for skip := range lookAhead {
 		entry := w.queues.Next(w.now, team, skip)
 		if entry == nil {
@@ -44,22 +80,35 @@
 		a, ok := w.attempts[entry.Attempt]
 		if !ok {
 			w.queues.Remove(entry.Attempt)
+			delete(w.blocked, team)
 			return true
 		}
 		if a.placement.Gang > 1 {
 			if w.startGang(a) {
+				delete(w.blocked, team)
 				return true
 			}
 			continue
 		}
 		if worker, found := w.find(a); found && w.reserve(a, worker) {
 			w.begin(a)
+			delete(w.blocked, team)
 			return true
 		}
 	}
 	return false
 }
 
+// acquire takes allowance for tasks that have room on workers.
+func (w *owner) acquire(a *attempt, size task.Resources) bool {
+	if w.allow.Acquire(w.now, a.team, a.partition, size) {
+		return true
+	}
+	w.lacksAllowance = true
+	w.blocked[a.team] = lackAllowance
+	return false
+}
+
 func (w *owner) request(a *attempt) placement.Request {
 	req := placement.Request{Size: a.size, Partition: a.partition}
 	if a.placement.Spec.Kind == task.LongLived {
@@ -97,7 +146,7 @@
 
 // reserve takes allowance, and with it room on a worker, for an attempt.
 func (w *owner) reserve(a *attempt, worker string) bool {
-	if !w.allow.Acquire(w.now, a.team, a.partition, a.size) {
+	if !w.acquire(a, a.size) {
 		return false
 	}
 	if !w.hold(a, worker) {
@@ -190,7 +239,7 @@
 		return false
 	}
 	workers, ok := w.cluster.FindGang(w.request(a), len(members))
-	if !ok || !w.allow.Acquire(w.now, a.team, a.partition, a.size.Scale(int64(len(members)))) {
+	if !ok || !w.acquire(a, a.size.Scale(int64(len(members)))) {
 		return false
 	}
 	for i, m := range members {
--- a/control/state.go
+++ b/control/state.go
@@ -56,7 +56,9 @@
 	exchange  *exchange
 	drain     drainState
 
-	changed bool // a part of the snapshot has changed
+	slowTickAt time.Time
+	plannedAt  time.Time
+	changed    bool // a part of the snapshot has changed
 }
 
 // New returns the state of a process that has just started.
@@ -82,7 +84,7 @@
 		holds:      func(unit string) (uint64, bool) { return s.ownership.Holds(s.now, unit) },
 		keys:       keys,
 		partitions: map[string]*partition{}, workers: map[string]*workerState{}, attempts: map[task.Attempt]*attempt{},
-		drained: map[string]bool{}, tombstones: map[task.Attempt]time.Time{}, outgoing: map[task.Attempt]*outgoingReport{},
+		drained: map[string]bool{}, blocked: map[task.Team]lack{}, tombstones: map[task.Attempt]time.Time{}, outgoing: map[task.Attempt]*outgoingReport{},
 	}
 	s.event(timeline.Event{Type: timeline.ProcessStarted})
 	return s
@@ -94,7 +96,7 @@
 	s.now = now
 	s.effects = s.effects[:0]
 	s.apply(e)
-	if concernsOwnership(e) {
+	if _, isTick := e.(Tick); concernsOwnership(e) || isTick && s.isSlowTick() {
 		s.actOnOwnership()
 	}
 	s.flushLedger()
@@ -107,7 +109,7 @@
 // term is seen by Holds, which is asked before every start.
 func concernsOwnership(e Event) bool {
 	switch e := e.(type) {
-	case Tick, LeaseGranted, KeepAliveDone, ConfigChanged, InstancesListed, OwnershipDone, OwnershipForced:
+	case LeaseGranted, KeepAliveDone, ConfigChanged, InstancesListed, OwnershipDone, OwnershipForced:
 		return true
 	case PeerCall:
 		_, isPromise := e.Request.(PromiseRequest)
@@ -154,8 +156,7 @@
 	case OwnershipDone:
 		s.ownershipDone(e)
 	case AllowanceDone:
-		s.owner.allow.WriteDone(s.now, e.Writes, e.Result)
-		s.owner.schedule()
+		s.owner.allowanceDone(e)
 	case DrainRequested:
 		s.startDrain()
 	case OwnershipForced:
@@ -171,10 +172,33 @@
 	s.home.tick()
 	s.owner.tick()
 	s.exchangeDigests()
+	s.planAllowances()
+	s.continueDrain()
+}
+
+// slowTick is the interval of what looks at every unit or every team. Nothing of
+// it is needed sooner: a term is also checked before every start.
+const slowTick = 100 * time.Millisecond
+
+// isSlowTick reports whether the slow part of a tick is due.
+func (s *State) isSlowTick() bool {
+	if s.now.Sub(s.slowTickAt) < slowTick {
+		return false
+	}
+	s.slowTickAt = s.now
+	return true
+}
+
+// planAllowances asks for allowance that a start lacked, and returns what is idle.
+func (s *State) planAllowances() {
+	if !s.owner.lacksAllowance && s.now.Sub(s.plannedAt) < slowTick {
+		return
+	}
+	s.plannedAt = s.now
+	s.owner.lacksAllowance = false
 	if writes := s.owner.allow.Plan(s.now); len(writes) > 0 {
 		s.emit(WriteAllowances{Writes: writes})
 	}
-	s.continueDrain()
 }
 
 // peerCall answers a request of another instance, or of this process.
