--- a/keyring/freshness.go
+++ b/keyring/freshness.go
@@ -61,6 +61,7 @@
 
 	promisedUntil time.Time // no configuration commit before
 	committing    int       // configuration commits without a definite end
+	committed     int64     // highest revision that this process has committed
 }
 
 type confirmation struct {
@@ -73,8 +74,8 @@
 	ignoreRevision bool // count a confirmation before its changes are applied
 	fromReply      bool // count from the reply instead of from before the send
 	fullWindow     bool // take a peer's confirmation for a whole window
-	ignorePromises bool // commit in spite of promises
 	ignoreStart    bool // commit before the list lag has passed since the start
+	ownCommits     bool // leave out what this process has committed and not applied
 	anyMembers     bool // complete an outage round without all members
 	ignoreList     bool // complete an outage round in spite of newer instances
 }
@@ -137,7 +138,7 @@
 func (f *Freshness) OutageConfirmed(now time.Time, r *OutageRound) {
 	sentAt, revision, ok := r.result(f.faults)
 	if ok {
-		f.confirm(f.from(now, sentAt).Add(f.cfg.shorten(f.cfg.Freshness)), revision)
+		f.confirm(f.from(now, sentAt).Add(f.cfg.shorten(f.cfg.Freshness)), max(revision, f.Known()))
 	}
 }
 
@@ -183,7 +184,7 @@
 // within the list lag may be missing from the lists of others, who then do not
 // ask for its promise.
 func (f *Freshness) BeginCommit(now time.Time) bool {
-	if now.Before(f.promisedUntil) && !f.faults.ignorePromises {
+	if now.Before(f.promisedUntil) {
 		return false
 	}
 	if now.Sub(f.startedAt) < f.cfg.lengthen(f.cfg.ListLag) && !f.faults.ignoreStart {
@@ -193,5 +194,20 @@
 	return true
 }
 
-// EndCommit notes that the outcome of a commit is known.
-func (f *Freshness) EndCommit() { f.committing-- }
+// EndCommit notes that the outcome of a commit is known. revision is that of the
+// change, or 0 if it did not take effect. A commit whose outcome stays unclear
+// has no end, and this process promises nothing to others from then on.
+func (f *Freshness) EndCommit(revision int64) {
+	f.committing--
+	f.committed = max(f.committed, revision)
+}
+
+// Known returns the highest revision that this process has applied or committed.
+// It is what an OutageReply states: a change that this process has committed and
+// acknowledged binds the others even if no watch has shown it to anyone.
+func (f *Freshness) Known() int64 {
+	if f.faults.ownCommits {
+		return f.applied
+	}
+	return max(f.applied, f.committed)
+}
--- a/keyring/outage.go
+++ b/keyring/outage.go
@@ -9,7 +9,7 @@
 type OutageReply struct {
 	From     Peer
 	Promised bool  // it has no store contact and commits nothing for a window
-	Revision int64 // up to which it has applied changes
+	Revision int64 // the highest that it has applied or committed, see Freshness.Known
 }
 
 // OutageRound collects the statements of all members in a total outage of the
--- /dev/null
+++ b/keyring/ring_test.go
@@ -0,0 +1,91 @@
+package keyring
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestAdmit guards against a key that admits work for another team, without a
+// key, with stale data, or after its withdrawal.
+func TestAdmit(t *testing.T) {
+	r := NewRing()
+	r.Apply(Key{ID: "k1", Team: "a", Role: "operator", Digest: DigestOf("one"), Revision: 5})
+	r.Apply(Key{ID: "k2", Team: "a", Digest: DigestOf("two"), Revision: 6})
+	r.Apply(Key{ID: "k1", Team: "b", Digest: DigestOf("three"), Revision: 7})
+	r.Remove("a", "k2", 8)
+	snapshot := r.Snapshot(start.Add(time.Second))
+	for _, c := range []struct {
+		team   task.Team
+		secret string
+		after  time.Duration
+		want   errkind.Kind
+	}{
+		{"a", "one", 0, ""},
+		{"a", "one", time.Second, errkind.KeyStale},
+		{"a", "", 0, errkind.KeyMissing},
+		{"b", "one", 0, errkind.KeyRefused},
+		{"a", "three", 0, errkind.KeyRefused},
+		{"c", "one", 0, errkind.KeyRefused},
+		{"a", "two", 0, errkind.KeyWithdrawn},
+	} {
+		k, err := snapshot.Admit(start.Add(c.after), c.team, DigestOf(c.secret))
+		var got errkind.Kind
+		if err != nil {
+			got = err.Kind
+		}
+		if got != c.want {
+			t.Errorf("team %s, key %q: %v, want %v", c.team, c.secret, got, c.want)
+		}
+		if err == nil && k.Role != "operator" {
+			t.Errorf("the role was lost: %+v", k)
+		}
+	}
+}
+
+// TestOldStateRevivesNothing guards against a delayed message or an old list
+// that brings a withdrawn key back, and against a change of the ring that shows
+// in a snapshot that readers already have.
+func TestOldStateRevivesNothing(t *testing.T) {
+	key := Key{ID: "k", Team: "a", Digest: DigestOf("one"), Revision: 5}
+	r := NewRing()
+	r.Apply(key)
+	before := r.Snapshot(start)
+	r.ReplaceAll(nil, 9)
+	r.Apply(key)
+	r.ReplaceAll([]Key{key}, 7)
+	if !r.Snapshot(start).IsWithdrawn("a", "k") {
+		t.Error("an older state revived the key")
+	}
+	if before.IsWithdrawn("a", "k") {
+		t.Error("a snapshot changed after it was taken")
+	}
+	key.Revision = 10
+	r.Apply(key)
+	if r.Snapshot(start).IsWithdrawn("a", "k") {
+		t.Error("a key that was granted again stays withdrawn")
+	}
+}
+
+// TestPromiseDelaysCommit guards against a configuration commit within the
+// window of a promise, or soon after the start.
+func TestPromiseDelaysCommit(t *testing.T) {
+	f := NewFreshness(DefaultConfig(), start)
+	if f.BeginCommit(start.Add(10 * time.Second)) {
+		t.Error("committed within the list lag after the start")
+	}
+	now := start.Add(time.Minute)
+	if f.PromiseNoCommit(now, true) || !f.PromiseNoCommit(now, false) {
+		t.Error("a promise needs the absence of store contact and nothing else")
+	}
+	if f.BeginCommit(now.Add(5 * time.Second)) {
+		t.Error("committed within the window of a promise")
+	}
+	if !f.BeginCommit(now.Add(6*time.Second)) || f.PromiseNoCommit(now.Add(6*time.Second), false) {
+		t.Error("the commit was refused, or a promise was given during it")
+	}
+}
