--- a/membership/doc.go
+++ b/membership/doc.go
@@ -1,3 +1,5 @@
-// Package membership keeps the list of live entry instances and assigns worker
-// partitions and request shards to them with little movement.
+// Package membership describes the live entry instances and assigns worker
+// partitions and request shards to them by rendezvous hashing, so that one
+// instance that joins or leaves moves only its own units. Package ownership
+// calls it; the assignment alone gives nobody the right to act.
 package membership
--- a/ownership/table_test.go
+++ b/ownership/table_test.go
@@ -54,3 +54,27 @@
 		t.Fatal("held after the shortened term")
 	}
 }
+
+// TestForceIsRefusedWhileOneIsLive guards against an operator's statement that
+// takes a unit from an owner whose successor may still promise.
+func TestForceIsRefusedWhileOneIsLive(t *testing.T) {
+	successor := member("c", "c1")
+	table := attachedTable(member("a", "a1"), successor)
+	table.Observe(at(0), Record{Unit: "h/0", Owner: "b1", OwnerInstance: "b", Epoch: 4, Successors: []Successor{{"c", "c1"}}, Revision: 9})
+	if _, ok := table.Force(at(time.Second), "h/0"); ok {
+		t.Fatal("accepted while the successor is live")
+	}
+	table.ObserveMembers(at(2*time.Second), []membership.Member{member("a", "a1")}, true)
+	when, ok := table.Force(at(2*time.Second), "h/0")
+	if !ok || when.Sub(at(2*time.Second)) < 24*time.Second {
+		t.Fatalf("accepted %v, takeover at %v", ok, when)
+	}
+	table.KeepAliveDone(at(25*time.Second), at(25*time.Second), nil)
+	if writes := only[Write](table.Tick(at(26 * time.Second))); len(writes) != 0 {
+		t.Fatalf("taken over before the wait: %+v", writes)
+	}
+	writes := only[Write](table.Tick(when))
+	if len(writes) != 1 || writes[0].Reason != ReasonForced || len(writes[0].AbsentMembers) != 2 {
+		t.Fatalf("after the wait: %+v", writes)
+	}
+}
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -8,14 +8,38 @@
 )
 
 // Force records an operator's statement that the owner and the successors of
-// the unit are gone. The takeover follows after the same wait as for instances
-// that the instance list shows as gone, and only if the store shows none of them.
-func (t *Table) Force(now time.Time, name string) {
+// the unit are gone, and returns when this process will take over. It refuses
+// while the store shows one of them, and it is void as soon as one comes back.
+// The wait is the same as for instances that the instance list shows as gone.
+func (t *Table) Force(now time.Time, name string) (at time.Time, ok bool) {
 	u := t.byName[name]
-	if u == nil || u.record.Revision == 0 || u.forced {
-		return
+	if u == nil || u.record.Revision == 0 || !t.allAbsent(u.record) {
+		return time.Time{}, false
+	}
+	if !u.forced {
+		u.forced, u.forcedAt = true, now
+	}
+	return u.forcedAt.Add(t.allGoneWait()), true
+}
+
+// allGoneWait is the time after which an owner that is gone, and a successor
+// that is gone, can have neither a term nor a promise left.
+func (t *Table) allGoneWait() time.Duration {
+	return t.waitOf(t.cfg.ListLag + t.cfg.PromiseWindow + t.cfg.LeaseTTL)
+}
+
+// named returns the instances of the owner and the successors.
+func (r Record) named() []string {
+	instances := []string{r.OwnerInstance}
+	for _, s := range r.Successors {
+		instances = append(instances, s.Instance)
 	}
-	u.forced, u.forcedAt = true, now
+	return instances
+}
+
+// allAbsent reports whether the store shows neither the owner nor a successor.
+func (t *Table) allAbsent(r Record) bool {
+	return !slices.ContainsFunc(r.named(), func(i string) bool { return !t.isAbsent(i) })
 }
 
 // decideAsOther claims a unit without a record or takes one over.
@@ -92,15 +116,11 @@
 
 // allGoneReason covers a record whose owner and successors are all gone.
 func (t *Table) allGoneReason(now time.Time, u *unit) (Reason, []string) {
-	instances := []string{u.record.OwnerInstance}
-	for _, s := range u.record.Successors {
-		instances = append(instances, s.Instance)
-	}
-	if slices.ContainsFunc(instances, func(i string) bool { return !t.isAbsent(i) }) {
+	if !t.allAbsent(u.record) {
 		u.forced = false
 		return "", nil
 	}
-	wait := t.waitOf(t.cfg.ListLag + t.cfg.PromiseWindow + t.cfg.LeaseTTL)
+	wait, instances := t.allGoneWait(), u.record.named()
 	if u.forced && now.Sub(u.forcedAt) >= wait {
 		return ReasonForced, instances
 	}
