--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -49,10 +49,20 @@
 	start := t.termStart(now, sentAt)
 	if start.After(u.promises[from]) {
 		u.promises[from] = start
+		t.forgetLapsed(now, u)
 		t.updatePromiseEnd(u)
 	}
 }
 
+// forgetLapsed keeps the promises of former incarnations from piling up.
+func (t *Table) forgetLapsed(now time.Time, u *unit) {
+	for from, sentAt := range u.promises {
+		if now.Sub(sentAt) > t.cfg.PromiseWindow {
+			delete(u.promises, from)
+		}
+	}
+}
+
 // neededPromises returns all processes that could take over according to the
 // record in the store, which is the known one or one of an unresolved write.
 // It returns nothing if one of these lists is empty: then any member may take
--- a/ownership/seeded_test.go
+++ b/ownership/seeded_test.go
@@ -32,10 +32,10 @@
 	On string
 }
 
-func s(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 
 func do(kind string, node int, at, duration float64) trigger {
-	return trigger{fault: fault{Kind: kind, Node: node, At: s(at), Duration: s(duration), Unit: "w/a/0"}}
+	return trigger{fault: fault{Kind: kind, Node: node, At: seconds(at), Duration: seconds(duration), Unit: "w/a/0"}}
 }
 
 func on(step, kind string, node int, delay, duration float64) trigger {
--- a/ownership/table_test.go
+++ b/ownership/table_test.go
@@ -78,3 +78,26 @@
 		t.Fatalf("after the wait: %+v", writes)
 	}
 }
+
+// TestValidate guards against settings with which a term on a slow clock ends
+// after the lease in a store with a fast clock.
+func TestValidate(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Config)
+		valid  bool
+	}{
+		{"defaults", func(*Config) {}, true},
+		{"lease too long for the margin", func(c *Config) { c.LeaseTTL = 11 * time.Second }, false},
+		{"long lease with a larger margin", func(c *Config) { c.LeaseTTL, c.ClockMargin = 30*time.Second, 400*time.Millisecond }, true},
+		{"drift too large for the margin", func(c *Config) { c.ClockDrift = 0.02 }, false},
+		{"keepalive as long as the term", func(c *Config) { c.KeepAliveInterval = 9 * time.Second }, false},
+		{"no promise window", func(c *Config) { c.PromiseWindow = 0 }, false},
+	} {
+		cfg := DefaultConfig(nil)
+		c.change(&cfg)
+		if err := cfg.Validate(); (err == nil) != c.valid {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
