Add package load and mulberryctl load

Measures of the decision packages need one load for all policies. Package load generates open-loop arrivals of six kinds with heavy-tailed run times, wrong declared run times, bursts, a flood by one team and withdrawn keys, and runs queue, fairshare, placement and the baselines on it in virtual time.

--- /dev/null
+++ b/cmd/mulberryctl/load.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/load"
+)
+
+// loadCommand drives the decision packages with a generated load.
+type loadCommand struct {
+	Seed     uint64        `default:"1" help:"Seed of the load; equal seeds give equal loads."`
+	Teams    int           `default:"6" help:"Number of teams."`
+	Workers  int           `default:"50" help:"Number of workers."`
+	Duration time.Duration `default:"30m" help:"Virtual time to simulate."`
+	Policy   string        `default:"fair" enum:"fair,deficit,priority,fifo" help:"Policy to compare with fifo and priority (fair, deficit, priority, fifo)."`
+	Load     float64       `default:"0.9" help:"Offered work as a part of the capacity, without the flood."`
+	Output   string        `default:"table" enum:"table,json" help:"Form of the report (table, json)."`
+}
+
+// Run simulates the policy and the baselines and prints the comparison.
+func (c loadCommand) Run() error {
+	results, err := load.Compare(load.Config{
+		Seed: c.Seed, Teams: c.Teams, Workers: c.Workers, Duration: c.Duration, Policy: c.Policy, Load: c.Load,
+	})
+	if err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		return load.WriteJSON(os.Stdout, results)
+	}
+	return load.WriteTable(os.Stdout, results)
+}
--- a/cmd/mulberryctl/main.go
+++ b/cmd/mulberryctl/main.go
@@ -9,6 +9,7 @@
 
 type commands struct {
 	Version versionCommand `cmd:"" help:"Print the version."`
+	Load    loadCommand    `cmd:"" help:"Compare scheduling policies on a generated load in virtual time."`
 }
 
 type versionCommand struct{}
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,143 @@
+package load
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+func smallConfig(policy string) Config {
+	return Config{Seed: 1, Teams: 6, Workers: 16, Duration: 4 * time.Minute, Policy: policy}
+}
+
+func mustRun(t *testing.T, cfg Config) Result {
+	t.Helper()
+	r, err := Run(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestRunIsDeterministic guards against figures that cannot be repeated: equal
+// seeds give equal results but for the processor time.
+func TestRunIsDeterministic(t *testing.T) {
+	for _, policy := range Policies {
+		first, second := mustRun(t, smallConfig(policy)), mustRun(t, smallConfig(policy))
+		first.Cost, second.Cost = Cost{}, Cost{}
+		a, b := mustMarshal(t, first), mustMarshal(t, second)
+		if !bytes.Equal(a, b) {
+			t.Errorf("two runs of %s differ:\n%s\n%s", policy, a, b)
+		}
+	}
+}
+
+func mustMarshal(t *testing.T, r Result) []byte {
+	t.Helper()
+	out, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// TestLoadIsTheSameForAllPolicies guards against a comparison in which a policy
+// changes what arrives.
+func TestLoadIsTheSameForAllPolicies(t *testing.T) {
+	want := mustRun(t, smallConfig(FIFO))
+	for _, policy := range []string{Fair, Deficit, Priority} {
+		got := mustRun(t, smallConfig(policy))
+		for k := range want.Kinds {
+			if got.Kinds[k].Arrived != want.Kinds[k].Arrived {
+				t.Errorf("%s: %d %s jobs arrived, want %d", policy, got.Kinds[k].Arrived, want.Kinds[k].Kind, want.Kinds[k].Arrived)
+			}
+		}
+	}
+}
+
+// TestNothingIsLost guards against jobs that are neither started nor accounted
+// for otherwise, and against a start that exceeds the cluster.
+func TestNothingIsLost(t *testing.T) {
+	for _, policy := range Policies {
+		r := mustRun(t, smallConfig(policy))
+		if r.Packing.Fullest > 1 {
+			t.Errorf("%s uses %.3f of the cluster", policy, r.Packing.Fullest)
+		}
+		for _, k := range r.Kinds {
+			left := k.Arrived - k.Started - k.Refused - k.Late - k.Expired - k.Cancelled
+			if left < 0 || left > 6*1000 || k.Started == 0 {
+				t.Errorf("%s: %d %s jobs left over: %+v", policy, left, k.Kind, k)
+			}
+		}
+	}
+}
+
+// TestFairPolicyKeepsShares guards against a change of queue, fairshare or
+// placement that gives the flooding team the shares of the others.
+func TestFairPolicyKeepsShares(t *testing.T) {
+	cfg := smallConfig(Fair)
+	cfg.Duration = 15 * time.Minute
+	fair := mustRun(t, cfg)
+	cfg.Policy = FIFO
+	fifo := mustRun(t, cfg)
+	if fair.WorstError > 0.1 || fair.WorstError > fifo.WorstError {
+		t.Errorf("worst share error %.3f, first come first served %.3f", fair.WorstError, fifo.WorstError)
+	}
+}
+
+// TestDivideByWeight guards against a fair share that exceeds a demand or
+// leaves something over while a demand is open.
+func TestDivideByWeight(t *testing.T) {
+	teams := []team{{weight: 1}, {weight: 1}, {weight: 2}}
+	got := make([]float64, 3)
+	divide(0.8, []float64{0.1, 1, 1}, teams, got)
+	want := []float64{0.1, 0.7 / 3, 1.4 / 3}
+	for i := range want {
+		if diff := got[i] - want[i]; diff > 1e-9 || diff < -1e-9 {
+			t.Errorf("shares = %v, want %v", got, want)
+		}
+	}
+}
+
+// TestReportNamesEveryPolicyAndKind guards against rows missing in the reports.
+func TestReportNamesEveryPolicyAndKind(t *testing.T) {
+	cfg := smallConfig(Fair)
+	cfg.Duration = time.Minute
+	results, err := Compare(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var table, doc bytes.Buffer
+	if err := WriteTable(&table, results); err != nil {
+		t.Fatal(err)
+	}
+	if err := WriteJSON(&doc, results); err != nil {
+		t.Fatal(err)
+	}
+	for _, word := range []string{Fair, FIFO, Priority, "team-05", string(task.Gang)} {
+		if !strings.Contains(table.String(), word) || !strings.Contains(doc.String(), word) {
+			t.Errorf("%q is missing in a report", word)
+		}
+	}
+}
+
+// TestConfigIsValidated guards against a run that divides by zero or never ends.
+func TestConfigIsValidated(t *testing.T) {
+	for field, change := range map[string]func(*Config){
+		"teams":    func(c *Config) { c.Teams = 0 },
+		"workers":  func(c *Config) { c.Workers = -1 },
+		"duration": func(c *Config) { c.Duration = 0 },
+		"load":     func(c *Config) { c.Load = -1 },
+		"policy":   func(c *Config) { c.Policy = "random" },
+	} {
+		cfg := smallConfig(Fair)
+		change(&cfg)
+		if _, err := Run(cfg); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: err = %v", field, err)
+		}
+	}
+}
