--- a/quarantine/job.go
+++ b/quarantine/job.go
@@ -66,12 +66,12 @@
 	}
 }
 
-// failedElsewhere reports whether a job failed on a worker other than the named
-// one as well.
-func (js *jobs) failedElsewhere(id task.ID, worker string) bool {
+// failedElsewhere reports whether a job failed since a time on a worker other
+// than the named one as well.
+func (js *jobs) failedElsewhere(id task.ID, worker string, since time.Time) bool {
 	j, known := js.byID[id]
 	if !known {
 		return false
 	}
-	return slices.ContainsFunc(j.failures, func(f jobFailure) bool { return f.worker != worker })
+	return slices.ContainsFunc(j.failures, func(f jobFailure) bool { return f.worker != worker && !f.at.Before(since) })
 }
--- /dev/null
+++ b/quarantine/model_test.go
@@ -0,0 +1,163 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"pgregory.net/rapid"
+)
+
+// log judges workers and jobs by the definition, from all outcomes.
+type log struct {
+	outcomes []logged
+	window   time.Duration
+}
+
+type logged struct {
+	Outcome
+	at time.Time
+}
+
+// fresh returns the outcomes that count. The failures of a job before its
+// success anywhere are those of the workers.
+func (l *log) fresh(now time.Time) []logged {
+	var list []logged
+	for _, o := range l.outcomes {
+		if now.Sub(o.at) <= l.window {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// failedOn returns the workers on which a job failed since it last succeeded.
+func (l *log) failedOn(id task.ID) map[string]time.Time {
+	workers := map[string]time.Time{}
+	for _, o := range l.outcomes {
+		switch {
+		case o.Job != id:
+		case o.Succeeded:
+			clear(workers)
+		default:
+			workers[o.Worker] = o.at
+		}
+	}
+	return workers
+}
+
+func (l *log) isWorkerBad(now time.Time, worker string, minClasses int) bool {
+	classes := map[Class]bool{}
+	for i, o := range l.outcomes {
+		if o.Worker != worker || o.Succeeded || now.Sub(o.at) > l.window {
+			continue
+		}
+		if !l.failedElsewhere(now, o) && l.runsElsewhere(now, o) && !l.succeededHereAfter(i) {
+			classes[o.Class] = true
+		}
+	}
+	return len(classes) >= minClasses
+}
+
+func (l *log) failedElsewhere(now time.Time, failed logged) bool {
+	for worker, at := range l.failedOn(failed.Job) {
+		if worker != failed.Worker && now.Sub(at) <= l.window {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *log) runsElsewhere(now time.Time, failed logged) bool {
+	for _, o := range l.fresh(now) {
+		if o.Succeeded && o.Class == failed.Class && o.Worker != failed.Worker {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *log) succeededHereAfter(i int) bool {
+	for _, o := range l.outcomes[i+1:] {
+		if o.Succeeded && o.Class == l.outcomes[i].Class && o.Worker == l.outcomes[i].Worker {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *log) isJobBad(now time.Time, m *Monitor, id task.ID) bool {
+	count := 0
+	for worker, at := range l.failedOn(id) {
+		if now.Sub(at) > l.window || m.IsQuarantined(worker) {
+			continue
+		}
+		for _, o := range l.fresh(now) {
+			if o.Succeeded && o.Worker == worker {
+				count++
+				break
+			}
+		}
+	}
+	return count >= DefaultMinWorkers
+}
+
+// TestMonitorEqualsLog guards against bounded memory giving other verdicts than
+// all outcomes would, against the cap being exceeded, and against an outcome
+// being blamed on both the worker and the job.
+func TestMonitorEqualsLog(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		workers := rapid.IntRange(1, 12).Draw(t, "workers")
+		m := newMonitor(workers)
+		l := &log{window: DefaultWindow}
+		now := start
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(1+rapid.IntRange(0, 60).Draw(t, "seconds")) * time.Second)
+			o := drawOutcome(t, workers)
+			wasQuarantined := m.IsQuarantined(o.Worker)
+			l.outcomes = append(l.outcomes, logged{o, now})
+			v := m.Observe(now, o)
+			if want := !o.Succeeded && l.isJobBad(now, m, o.Job); !v.WorkerBad && v.JobBad != want {
+				t.Fatalf("JobBad of %s = %v, want %v", o.Job, v.JobBad, want)
+			}
+			bad := l.isWorkerBad(now, o.Worker, DefaultMinClasses)
+			if v.WorkerBad && (!bad || v.JobBad || wasQuarantined) {
+				t.Fatalf("worker %s was quarantined by %+v; bad %v", o.Worker, v, bad)
+			}
+			checkCap(t, m, workers)
+			if !o.Succeeded && bad && !v.JobBad && !m.IsQuarantined(o.Worker) && countQuarantined(m, workers) == 0 {
+				t.Fatalf("bad worker %s stays in service although no other is out", o.Worker)
+			}
+			for _, name := range m.ProbesDue(now) {
+				m.ProbeDone(now, name, false)
+			}
+		}
+	})
+}
+
+func drawOutcome(t *rapid.T, workers int) Outcome {
+	class := rapid.IntRange(0, 3).Draw(t, "class")
+	return Outcome{
+		Worker:    workerName(rapid.IntRange(0, workers-1).Draw(t, "worker")),
+		Class:     classNamed(fmt.Sprint("c", class)),
+		Job:       task.ID(fmt.Sprint("c", class, "-", rapid.IntRange(0, 2).Draw(t, "job"))),
+		Succeeded: rapid.Bool().Draw(t, "succeeded"),
+	}
+}
+
+func checkCap(t *rapid.T, m *Monitor, workers int) {
+	if n := countQuarantined(m, workers); n > max(1, (workers+9)/10) {
+		t.Fatalf("%d of %d workers in quarantine", n, workers)
+	}
+}
+
+func countQuarantined(m *Monitor, workers int) int {
+	n := 0
+	for i := range workers {
+		if m.IsQuarantined(workerName(i)) {
+			n++
+		}
+	}
+	return n
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -182,12 +182,13 @@
 	if !known {
 		return 0
 	}
+	since := now.Add(-m.cfg.Window)
 	penalty := 0
 	for _, f := range w.failures {
-		if m.isOld(now, f.at) || w.hasSucceededSince(f.class, f.at) || m.jobs.failedElsewhere(f.job, name) {
+		if m.isOld(now, f.at) || w.hasSucceededSince(f.class, f.at) || m.jobs.failedElsewhere(f.job, name, since) {
 			continue
 		}
-		runsElsewhere := m.classOf(f.class).runsElsewhere(name, now.Add(-m.cfg.Window))
+		runsElsewhere := m.classOf(f.class).runsElsewhere(name, since)
 		if runsElsewhere || f.at.After(w.lastSuccess) {
 			penalty++
 		}
@@ -217,12 +218,13 @@
 // isWorkerBad reports whether enough classes fail on a worker that run on
 // others. A failure of a job that failed elsewhere too is the job's own.
 func (m *Monitor) isWorkerBad(now time.Time, w *worker) bool {
+	since := now.Add(-m.cfg.Window)
 	var classes []Class
 	for _, f := range w.failures {
-		if m.isOld(now, f.at) || w.hasSucceededSince(f.class, f.at) || m.jobs.failedElsewhere(f.job, w.name) {
+		if m.isOld(now, f.at) || w.hasSucceededSince(f.class, f.at) || m.jobs.failedElsewhere(f.job, w.name, since) {
 			continue
 		}
-		if !m.classOf(f.class).runsElsewhere(w.name, now.Add(-m.cfg.Window)) {
+		if !m.classOf(f.class).runsElsewhere(w.name, since) {
 			continue
 		}
 		if !slices.Contains(classes, f.class) {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -173,3 +173,18 @@
 		m.Observe(start, Outcome{name, classNamed(c), task.ID(name + c), false})
 	}
 }
+
+// TestOldFailuresOfAJobExcuseNoWorker guards against a failure outside the
+// window being counted as long as the job keeps failing somewhere.
+func TestOldFailuresOfAJobExcuseNoWorker(t *testing.T) {
+	m := newMonitor(10)
+	m.Observe(start, Outcome{"w02", classNamed("x"), "job", false})
+	m.Observe(start.Add(DefaultWindow/2), Outcome{"w00", classNamed("x"), "job", false})
+	now := start.Add(DefaultWindow + time.Second)
+	for _, c := range []string{"x", "y"} {
+		m.Observe(now, Outcome{"w01", classNamed(c), task.ID(c + "-later"), true})
+	}
+	if v := m.Observe(now, Outcome{"w00", classNamed("y"), "other", false}); !v.WorkerBad {
+		t.Error("the worker is excused by a failure outside the window")
+	}
+}
