--- /dev/null
+++ b/load/bench_test.go
@@ -0,0 +1,37 @@
+package load
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkPolicies compares the policies on the same loads, one seed for each
+// iteration: worst share error, wait of the urgent requests of the teams that
+// do not flood, and processor time of a start.
+func BenchmarkPolicies(b *testing.B) {
+	for _, teams := range []int{6, 97} {
+		for _, policy := range Policies {
+			b.Run(fmt.Sprintf("teams=%d/%s", teams, policy), func(b *testing.B) {
+				var worst, p50, p99, cost float64
+				for i := range b.N {
+					r, err := Run(Config{
+						Seed: uint64(i + 1), Teams: teams, Workers: 50, Duration: 10 * time.Minute, Policy: policy,
+					})
+					if err != nil {
+						b.Fatal(err)
+					}
+					worst += r.WorstError
+					p50 += r.Others[0].P50.Seconds()
+					p99 += r.Others[0].P99.Seconds()
+					cost += float64(r.Cost.PerStart)
+				}
+				n := float64(b.N)
+				b.ReportMetric(worst/n, "worst-share-error")
+				b.ReportMetric(p50/n, "answer-p50-s")
+				b.ReportMetric(p99/n, "answer-p99-s")
+				b.ReportMetric(cost/n, "ns/start")
+			})
+		}
+	}
+}
