--- /dev/null
+++ b/queue/memory_test.go
@@ -0,0 +1,32 @@
+package queue
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// BenchmarkMemory reports the memory of a waiting entry, with the strings that
+// identify it.
+func BenchmarkMemory(b *testing.B) {
+	for _, teams := range []int{6, 30, 97} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			for range b.N {
+				before := heapInUse()
+				q, entries := newBusy(teams)
+				count := len(entries)
+				entries = nil
+				after := heapInUse()
+				b.ReportMetric(float64(after-before)/float64(count), "B/entry")
+				runtime.KeepAlive(q)
+			}
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
