Keep racks as words of the sets of placement

A choice with a spread key cleared the nodes of every counted rack one by one. The nodes of a rack mostly share one word, so a rack is now cleared in one or two steps.

--- a/placement/cluster.go
+++ b/placement/cluster.go
@@ -36,10 +36,10 @@
 
 type rackKey struct{ region, domain, rack string }
 
-// rack is the slots of the nodes in one rack.
+// rack is the nodes in one rack. Nodes of a rack mostly share a word.
 type rack struct {
-	domain int // number of its failure domain
-	slots  []int32
+	domain  int // number of its failure domain
+	members []candidate
 }
 
 // hold is what one attempt holds on a node.
@@ -192,7 +192,7 @@
 	x.domain = c.domainOf(x.FailureDomain)
 	x.domain.members.set(slot)
 	x.rack = c.rackOf(x)
-	x.rack.slots = append(x.rack.slots, slot)
+	x.rack.add(slot)
 	c.capacities[x.Capacity]++
 	if x.Schedulable {
 		c.capacity = c.capacity.Add(x.Capacity)
@@ -241,13 +241,23 @@
 	return r
 }
 
-func (r *rack) remove(slot int32) {
-	for i, s := range r.slots {
-		if s == slot {
-			r.slots = append(r.slots[:i], r.slots[i+1:]...)
+func (r *rack) add(slot int32) {
+	word, bit := slot/wordBits, uint64(1)<<(slot%wordBits)
+	for i := range r.members {
+		if r.members[i].word == word {
+			r.members[i].bits |= bit
 			return
 		}
 	}
+	r.members = append(r.members, candidate{bit, word})
+}
+
+func (r *rack) remove(slot int32) {
+	for i := range r.members {
+		if r.members[i].word == slot/wordBits {
+			r.members[i].bits &^= 1 << (slot % wordBits)
+		}
+	}
 }
 
 // forgetIfUnused frees the slot of a removed node on which nothing is held.
--- a/placement/find.go
+++ b/placement/find.go
@@ -92,7 +92,7 @@
 	fewest := int32(-1)
 	for i := range s.racks {
 		r := &s.racks[i]
-		if (fewest < 0 || r.count < fewest) && c.anyFound(r.rack.slots) {
+		if (fewest < 0 || r.count < fewest) && c.search.hasAny(r.rack.members) {
 			fewest = r.count
 		}
 	}
@@ -108,18 +108,9 @@
 		if r.count <= count || s.inDomain(r.rack.domain) != inDomain {
 			continue
 		}
-		for _, slot := range r.rack.slots {
-			c.search.kept.clear(slot)
+		for _, m := range r.rack.members {
+			c.search.kept[m.word] &^= m.bits
 		}
 	}
 	return c.search.keep(c.search.kept)
 }
-
-func (c *Cluster) anyFound(slots []int32) bool {
-	for _, slot := range slots {
-		if c.search.has(slot) {
-			return true
-		}
-	}
-	return false
-}
--- a/placement/search.go
+++ b/placement/search.go
@@ -10,7 +10,7 @@
 	trial      []candidate
 }
 
-// candidate is a word of the result with its bits.
+// candidate is a word of a set with its bits.
 type candidate struct {
 	bits uint64
 	word int32
@@ -78,9 +78,14 @@
 	return false
 }
 
-// has reports whether a node is in the result.
-func (s *search) has(slot int32) bool {
-	return s.found[slot/wordBits]&(1<<(slot%wordBits)) != 0
+// hasAny reports whether any of some nodes is in the result.
+func (s *search) hasAny(nodes []candidate) bool {
+	for _, c := range nodes {
+		if s.found[c.word]&c.bits != 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // denseHalvings is the number of times that the result is halved before most
