State a repeated submission as repeated

Cause: no code set Repeated in the answer to a submission, although the HTTP page promises it. TestRun of package demo, which follows, failed on it ("1 run, both with attempt 1, one repeated: false") before this change. Ruled out: a field in the gRPC reply. The record that comes back has the specification of the first submission, whose time differs.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -48,7 +48,10 @@
 	if err := answerError(record); err != nil {
 		return caller.Reply{}, err
 	}
-	return replyOf(record), nil
+	reply := replyOf(record)
+	// The record has the specification of the first submission.
+	reply.Repeated = !record.Spec.SubmittedAt.Equal(complete.SubmittedAt)
+	return reply, nil
 }
 
 // answerWait gives an answer a deadline, and has its caller wait until then.
