Add the demo: a deployment in one process with a mix of all work

mulberryctl demo starts 8 entry instances and the stand-ins, applies the documents and grants keys through the operators' interface, sends 21 requests and compares each outcome with the promise; then the oracle checks the merged time line and the workers' ledgers. It ends in 20 s at the latest. Ruled out: a demanded "unknown" for the exceeded deadline. Under load the work may not have started, and then "not run" is true too; both are checked against the ledgers.

--- a/cmd/mulberryctl/main.go
+++ b/cmd/mulberryctl/main.go
@@ -31,6 +31,7 @@
 	Timeline  timelineCommand  `cmd:"" help:"Show what all entry instances did, in one order."`
 	Ownership ownershipCommand `cmd:"" help:"Act on the ownership of worker partitions and request shards."`
 	Config    configCommand    `cmd:"" help:"Work with configuration files."`
+	Demo      demoCommand      `cmd:"" help:"Run a small deployment in this process and check what became of work of every kind."`
 	Version   versionCommand   `cmd:"" help:"Print the version."`
 }
 
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"embed"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,26 +11,22 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mulberrydrum/mulberrydrum/daemon"
-	"github.com/mulberrydrum/mulberrydrum/document"
 	"github.com/mulberrydrum/mulberrydrum/instancelist"
-	"github.com/mulberrydrum/mulberrydrum/keyring"
 	"github.com/mulberrydrum/mulberrydrum/oracle"
 	"github.com/mulberrydrum/mulberrydrum/settings"
 	"github.com/mulberrydrum/mulberrydrum/standin"
-	"github.com/mulberrydrum/mulberrydrum/store"
 	"github.com/mulberrydrum/mulberrydrum/store/storetest"
 	"github.com/mulberrydrum/mulberrydrum/task"
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-//go:embed documents
-var documents embed.FS
-
 // Size of the deployment: that of today's users.
 const (
 	entryInstances = 8
 	workers        = 48
 	rackSize       = 8
+
+	keyFreshness = 3 * time.Second // bound of a withdrawal
 )
 
 var regions = []string{"flanders", "wallonia", "brussels"}
@@ -63,30 +58,35 @@
 	Instance instancelist.Instance
 }
 
-// Start starts the stand-ins and the entry instances, and stores the documents
-// and keys of the demo.
+// Start starts the stand-ins and the entry instances, without any document or
+// key: an operator applies and grants them. Nothing is left running on an error.
 func Start(logger *log.Logger) (*Cluster, error) {
 	c := &Cluster{logger: logger, Store: standin.NewStore(storetest.Limits{}), List: standin.NewList(0)}
+	if err := c.start(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) start() error {
 	c.closers = append(c.closers, c.Store.Close)
 	var err error
 	if c.storeAddr, err = c.serve(standin.NewServer(c.Store)); err != nil {
-		return nil, err
+		return err
 	}
 	if c.listAddr, err = c.serve(standin.NewServer(c.List)); err != nil {
-		return nil, err
+		return err
 	}
 	if err := c.startWorkers(); err != nil {
-		return nil, err
-	}
-	if err := StoreConfiguration(context.Background(), c.storeAddr); err != nil {
-		return nil, err
+		return err
 	}
 	for i := range entryInstances {
 		if _, err := c.StartEntry(i); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return c, nil
+	return nil
 }
 
 // serve serves on a loopback port until the cluster is closed.
@@ -132,6 +132,14 @@
 	s.StoreEndpoints = []string{c.storeAddr}
 	s.InstanceListEndpoint = c.listAddr
 	s.WorkerPartitions = 2
+	// An instance changes the configuration only when it has run for list_lag and
+	// key_freshness. The stand-in list shows a change at once, and a shorter
+	// freshness takes 2 s off the demo.
+	s.ListLag = 0
+	s.KeyFreshness, s.KeepaliveInterval, s.StoreCallTimeout = keyFreshness, time.Second, time.Second
+	// Other regions learn at this interval what is in force here, and apply waits
+	// for it.
+	s.DigestIntervalCross = s.DigestInterval
 	return s
 }
 
@@ -170,50 +178,6 @@
 	}
 }
 
-// Secrets of the demo's keys, by team.
-var Secrets = map[task.Team]string{"leuven": "leuven-demo-secret", "estrie": "estrie-demo-secret"}
-
-// StoreConfiguration writes what operators would have applied: the documents
-// and keys of the demo.
-func StoreConfiguration(ctx context.Context, storeAddress string) error {
-	client := store.NewClient(store.Config{Address: storeAddress, Instance: "demo"})
-	defer client.Close()
-	var txn store.Txn
-	entries, err := documents.ReadDir("documents")
-	if err != nil {
-		return eris.Wrap(err, "read the documents of the demo")
-	}
-	for _, entry := range entries {
-		put, err := documentPut(entry.Name())
-		if err != nil {
-			return err
-		}
-		txn.Puts = append(txn.Puts, put)
-	}
-	for team, secret := range Secrets {
-		value, err := store.Encode(keyring.Key{ID: "demo", Team: team, Digest: keyring.DigestOf(secret)})
-		if err != nil {
-			return err
-		}
-		txn.Puts = append(txn.Puts, store.Put{Key: store.KeyKey(string(team), "demo"), Value: value})
-	}
-	_, err = client.Commit(ctx, txn)
-	return eris.Wrap(err, "store the configuration of the demo")
-}
-
-func documentPut(name string) (store.Put, error) {
-	source, err := documents.ReadFile("documents/" + name)
-	if err != nil {
-		return store.Put{}, eris.Wrap(err, "read document")
-	}
-	parsed, faults := document.Parse(source)
-	if len(faults) > 0 {
-		return store.Put{}, eris.Errorf("%s: %v", name, faults)
-	}
-	value, err := store.Encode(document.Record{Source: string(source), By: "demo", At: time.Now(), WriteID: name})
-	return store.Put{Key: store.DocumentKey(string(parsed.Team), string(parsed.Service)), Value: value}, err
-}
-
 // Trace returns what the oracle needs: the time lines of all processes and the
 // ledgers of all workers.
 func (c *Cluster) Trace() (oracle.Trace, error) {
--- /dev/null
+++ b/demo/configuration.go
@@ -0,0 +1,74 @@
+package demo
+
+import (
+	"context"
+	"embed"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mulberrydrum/mulberrydrum/document"
+	"github.com/mulberrydrum/mulberrydrum/keyring"
+	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+//go:embed documents
+var documents embed.FS
+
+// Secrets of the demo's keys, by team.
+var Secrets = map[task.Team]string{"leuven": "leuven-demo-secret", "estrie": "estrie-demo-secret"}
+
+// StoreConfiguration writes the documents and keys of the demo to a store, for
+// deployments whose operators are not under test.
+func StoreConfiguration(ctx context.Context, storeAddress string) error {
+	client := store.NewClient(store.Config{Address: storeAddress, Instance: "demo"})
+	defer client.Close()
+	var txn store.Txn
+	sources, err := readDocuments()
+	if err != nil {
+		return err
+	}
+	for _, d := range sources {
+		value, err := store.Encode(document.Record{Source: string(d.source), By: "demo", At: time.Now(), WriteID: d.name})
+		if err != nil {
+			return err
+		}
+		txn.Puts = append(txn.Puts, store.Put{Key: store.DocumentKey(d.team, d.service), Value: value})
+	}
+	for team, secret := range Secrets {
+		value, err := store.Encode(keyring.Key{ID: "demo", Team: team, Digest: keyring.DigestOf(secret)})
+		if err != nil {
+			return err
+		}
+		txn.Puts = append(txn.Puts, store.Put{Key: store.KeyKey(string(team), "demo"), Value: value})
+	}
+	_, err = client.Commit(ctx, txn)
+	return eris.Wrap(err, "store the configuration of the demo")
+}
+
+// sourceFile is a document of the demo.
+type sourceFile struct {
+	name, team, service string
+	source              []byte
+}
+
+func readDocuments() ([]sourceFile, error) {
+	entries, err := documents.ReadDir("documents")
+	if err != nil {
+		return nil, eris.Wrap(err, "read the documents of the demo")
+	}
+	var files []sourceFile
+	for _, entry := range entries {
+		source, err := documents.ReadFile("documents/" + entry.Name())
+		if err != nil {
+			return nil, eris.Wrap(err, "read document")
+		}
+		parsed, faults := document.Parse(source)
+		if len(faults) > 0 {
+			return nil, eris.Errorf("%s: %v", entry.Name(), faults)
+		}
+		files = append(files, sourceFile{entry.Name(), string(parsed.Team), string(parsed.Service), source})
+	}
+	return files, nil
+}
