Record acceptance and answer of every task of a job, with the key

Cause: the events named the first task of a job only and no key, so the oracle did not look for the end of the other tasks and could not compare the team of the key. Ruled out: deriving the other tasks in the oracle, which would then trust the count that it should check.

--- a/control/home.go
+++ b/control/home.go
@@ -91,12 +91,21 @@
 	}
 	if !isDurable || (!isNew && !h.ledger.HasPending(h.shardOf(job))) {
 		if isNew {
-			h.event(timeline.Event{Type: timeline.RequestAccepted, Team: job.Team, Task: record.Tasks[0].ID, Kind: string(req.Spec.Kind)})
+			h.accepted(record)
 		}
 		h.answerOrWait(token, record)
 	}
 }
 
+// accepted records the acceptance of every task of a job, with the key: the
+// oracle compares the key's team, and looks for the end of each task.
+func (h *home) accepted(record *ledger.Record) {
+	for i := range record.Tasks {
+		h.event(timeline.Event{Type: timeline.RequestAccepted, Team: record.Spec.Team, Task: record.Tasks[i].ID,
+			Kind: string(record.Spec.Kind), KeyID: record.Spec.KeyID})
+	}
+}
+
 // query answers a call about a job that was submitted before.
 func (h *home) query(token uint64, req QueryRequest) {
 	shard := h.shardOf(req.Job)
@@ -214,7 +223,10 @@
 		}
 	}
 	delete(h.waiters, job)
-	h.event(timeline.Event{Type: timeline.RequestAnswered, Team: job.Team, Task: record.Tasks[0].ID, Kind: string(record.State())})
+	for i := range record.Tasks {
+		t := &record.Tasks[i]
+		h.event(timeline.Event{Type: timeline.RequestAnswered, Team: job.Team, Task: t.ID, Kind: string(t.State)})
+	}
 	if !record.Spec.Kind.IsDurable() && record.State() == task.NotRun {
 		h.ledger.Forget(h.shardOf(job), job)
 	}
@@ -232,7 +244,7 @@
 	}
 	switch s.Kind {
 	case ledger.StepAccepted:
-		h.event(timeline.Event{Type: timeline.RequestAccepted, Team: s.Job.Team, Task: record.Tasks[0].ID, Kind: string(record.Spec.Kind)})
+		h.accepted(record)
 		h.settle(s.Job)
 		h.answerOrWait(s.Token, record)
 	case ledger.StepDispatch:
