--- a/cmd/mulberryctl/main.go
+++ b/cmd/mulberryctl/main.go
@@ -28,6 +28,8 @@
 	Drain     drainCommand     `cmd:"" help:"Take an entry instance or a worker out of service, or put it back."`
 	Workers   workersCommand   `cmd:"" help:"List the workers."`
 	Shares    sharesCommand    `cmd:"" help:"List what the teams use and may use."`
+	Members   membersCommand   `cmd:"" help:"List the live entry instances."`
+	Metrics   metricsCommand   `cmd:"" help:"Show the metrics of the entry instance that answers."`
 	Timeline  timelineCommand  `cmd:"" help:"Show what all entry instances did, in one order."`
 	Ownership ownershipCommand `cmd:"" help:"Act on the ownership of worker partitions and request shards."`
 	Config    configCommand    `cmd:"" help:"Work with configuration files."`
