Refuse the drain of a worker or instance that does not exist

Ruled out: refusing while a member does not answer; the name may be one of its workers. Undo takes any name, so that old entries can be removed.

--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/api"
@@ -65,6 +66,9 @@
 // Drain starts or ends the drain of an entry instance or a worker.
 func (b *operatorBackend) Drain(ctx context.Context, by string, request api.DrainRequest) (api.Drain, error) {
 	name := request.Instance + request.Worker
+	if err := b.checkDrain(ctx, request); err != nil {
+		return api.Drain{}, err
+	}
 	txn := store.Txn{Deletes: []string{store.DrainKey(name)}}
 	if !request.Undo {
 		value, err := store.Encode(map[string]string{"by": by})
@@ -79,6 +83,32 @@
 	return b.drainState(ctx, name, !request.Undo), nil
 }
 
+// checkDrain refuses a name that nothing has, since a drain of it would have no
+// effect and no end. While a member does not answer, any name may be one of its
+// workers.
+func (b *operatorBackend) checkDrain(ctx context.Context, request api.DrainRequest) error {
+	if request.Undo {
+		return nil
+	}
+	if request.Instance != "" {
+		isNamed := func(m membership.Member) bool { return m.Instance == request.Instance }
+		if slices.ContainsFunc(b.loop.Snapshot().Members, isNamed) {
+			return nil
+		}
+		return errkind.New(errkind.InvalidRequest, "there is no entry instance %s", request.Instance).WithField("instance", "one of the list of members")
+	}
+	overviews, missing := b.overviews(ctx)
+	for _, o := range overviews {
+		if slices.ContainsFunc(o.Workers, func(w control.WorkerView) bool { return w.Name == request.Worker }) {
+			return nil
+		}
+	}
+	if len(missing) > 0 {
+		return nil
+	}
+	return errkind.New(errkind.InvalidRequest, "there is no worker %s", request.Worker).WithField("worker", "one of the list of workers")
+}
+
 func unclearChange(f fate, err error) error {
 	if err != nil {
 		return err
