Add the metrics that those on call need

Cause: the registry had the time of an event and nothing else, so that a slow store, refused starts or a full allowance could not be told apart. Requests by kind and by error, waiting time by team, starts, reports that are sent again, store calls by outcome with their time, units held, refused allowance, bytes near, across regions, of digests and for each worker, events dropped from the ring, and the length of the control queue. Counters are recorded on traffic goroutines; what the control goroutine counts is one atomic store for each event. Counters of a worker end with its entry in the instance list, which Forget was made for and nothing called. Ruled out: a metric of waiting time by task class, whose number has no bound.

--- a/control/effect.go
+++ b/control/effect.go
@@ -49,6 +49,7 @@
 	StartBy    time.Duration // in the worker's clock
 	LeaseUntil time.Duration // in the worker's clock
 	Wait       time.Duration // how long the worker may hold the exchange open for the result
+	Waited     time.Duration // since the job was accepted, for the metric
 }
 
 // SyncWorker renews the leases on a worker and asks for its report; SyncDone is
--- a/control/loop.go
+++ b/control/loop.go
@@ -26,7 +26,8 @@
 	tokens atomic.Uint64
 	calls  sync.Map // waiting calls: token to chan PeerReply
 
-	applyTime metrics.Histogram
+	applyTime        metrics.Histogram
+	allowanceRefused atomic.Uint64
 }
 
 // NewLoop returns a loop for a state. Effects other than replies are passed to
@@ -41,6 +42,12 @@
 // Snapshot returns the latest snapshot.
 func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
 
+// Queued returns how many events wait for the control goroutine.
+func (l *Loop) Queued() int { return len(l.events) }
+
+// AllowanceRefused returns how often a task found no allowance of its team.
+func (l *Loop) AllowanceRefused() uint64 { return l.allowanceRefused.Load() }
+
 // Post sends an event to the control goroutine. It gives up when ctx ends.
 func (l *Loop) Post(ctx context.Context, e Event) error {
 	select {
@@ -109,6 +116,7 @@
 		}
 		l.execute(effect)
 	}
+	l.allowanceRefused.Store(l.state.owner.refusedAllowance)
 	l.applyTime.Update(int64(time.Since(started)))
 }
 
--- a/control/owner.go
+++ b/control/owner.go
@@ -36,6 +36,8 @@
 	drained    map[string]bool            // workers that an operator drains
 	tombstones map[task.Attempt]time.Time // refused for good, until the time given
 	outgoing   map[task.Attempt]*outgoingReport
+
+	refusedAllowance uint64 // for the metric
 }
 
 // partition is a worker partition that this instance owns.
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -90,7 +90,7 @@
 
 // reserve takes allowance, and with it room on a worker, for an attempt.
 func (w *owner) reserve(a *attempt, worker string) bool {
-	if !w.allow.Acquire(w.now, a.team, a.partition, a.size) {
+	if !w.acquire(a, a.size) {
 		return false
 	}
 	if !w.hold(a, worker) {
@@ -100,6 +100,15 @@
 	return true
 }
 
+// acquire takes allowance for an attempt, or for a gang of which it is one.
+func (w *owner) acquire(a *attempt, size task.Resources) bool {
+	ok := w.allow.Acquire(w.now, a.team, a.partition, size)
+	if !ok {
+		w.refusedAllowance++
+	}
+	return ok
+}
+
 // hold reserves room on a worker for an attempt whose allowance is taken.
 func (w *owner) hold(a *attempt, worker string) bool {
 	if !w.cluster.Reserve(worker, a.id, a.size) {
@@ -171,6 +180,7 @@
 		Attempt: a.id, Job: a.job, Index: a.index, Team: a.team, Class: a.class, Size: a.size,
 		Command: spec.Command, Payload: spec.Payload, LongLived: spec.Kind == task.LongLived,
 		BootID: ws.bootID, StartBy: a.startBy, LeaseUntil: ws.clock + w.cfg.TaskLease, Wait: wait,
+		Waited: a.placement.Age + w.now.Sub(a.queuedAt),
 	})
 	w.event(timeline.Event{Type: timeline.TaskStartSent, Team: a.team, Task: a.id.Task, Attempt: a.id.Number,
 		Worker: a.worker, Partition: a.partition, Epoch: w.epochOf(a.partition), Size: &a.size, KeyID: spec.KeyID})
@@ -183,7 +193,7 @@
 		return false
 	}
 	workers, ok := w.cluster.FindGang(w.request(a), len(members))
-	if !ok || !w.allow.Acquire(w.now, a.team, a.partition, a.size.Scale(int64(len(members)))) {
+	if !ok || !w.acquire(a, a.size.Scale(int64(len(members)))) {
 		return false
 	}
 	for i, m := range members {
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -33,9 +33,16 @@
 
 // Submit admits a job and sends it to its home.
 func (b *callerBackend) Submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (caller.Reply, error) {
+	kind, reply, err := b.submit(ctx, secret, spec, wait)
+	b.meters.request(kind, err)
+	return reply, err
+}
+
+// submit returns the kind of the work, which its document has, with the reply.
+func (b *callerBackend) submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (task.Kind, caller.Reply, error) {
 	complete, refusal := b.loop.Snapshot().Admit(time.Now(), secret, spec)
 	if refusal != nil {
-		return caller.Reply{}, refusal
+		return "", caller.Reply{}, refusal
 	}
 	if complete.Kind == task.Answer {
 		wait = b.answerWait(&complete, wait)
@@ -43,15 +50,15 @@
 	complete.PayloadDigest = requestDigest(&complete)
 	record, err := b.toHome(ctx, ledger.KeyOf(&complete), control.SubmitRequest{Spec: complete, Wait: wait}, wait)
 	if err != nil {
-		return caller.Reply{}, err
+		return complete.Kind, caller.Reply{}, err
 	}
 	if err := answerError(record); err != nil {
-		return caller.Reply{}, err
+		return complete.Kind, caller.Reply{}, err
 	}
 	reply := replyOf(record)
 	// The record has the specification of the first submission.
 	reply.Repeated = !record.Spec.SubmittedAt.Equal(complete.SubmittedAt)
-	return reply, nil
+	return complete.Kind, reply, nil
 }
 
 // answerWait gives an answer a deadline, and has its caller wait until then.
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/mulberrydrum/mulberrydrum/caller"
 	"github.com/mulberrydrum/mulberrydrum/control"
 	"github.com/mulberrydrum/mulberrydrum/membership"
@@ -26,13 +28,14 @@
 	Worker   worker.Config
 
 	ListAddress    string
-	ListInterval   time.Duration // between two reads of the instance list
-	Tick           time.Duration // of the control loop
-	AnswerTimeout  time.Duration // deadline of an answer whose caller gives none
-	DrainTimeout   time.Duration // longest planned stop
-	Linger         time.Duration // callers are served for this long after the handover
-	TimelineEvents int           // events kept
-	Seed           uint64        // of random choices; 0 for one from the clock
+	ListInterval   time.Duration    // between two reads of the instance list
+	Tick           time.Duration    // of the control loop
+	AnswerTimeout  time.Duration    // deadline of an answer whose caller gives none
+	DrainTimeout   time.Duration    // longest planned stop
+	Linger         time.Duration    // callers are served for this long after the handover
+	TimelineEvents int              // events kept
+	Registry       metrics.Registry // of metrics; nil for one of its own
+	Seed           uint64           // of random choices; 0 for one from the clock
 }
 
 // Defaults of Config.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
@@ -43,6 +44,8 @@
 	}
 	cfg.Self.Incarnation = fmt.Sprintf("%s-%x", cfg.Self.Instance, time.Now().UnixNano())
 	cfg.Self.Address = d.listeners.entry.Addr().String()
+	cfg.Registry = metrics.NewRegistry()
+	cfg.Worker.Registry = cfg.Registry
 	d.engine = newEngine(cfg, logger, Clients{
 		Store:   store.NewClient(cfg.Store),
 		List:    instancelist.NewClient(instancelist.Config{Address: cfg.ListAddress, Instance: cfg.Self.Instance}),
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -40,6 +40,7 @@
 	loop     *control.Loop
 	recorder *timeline.Recorder
 	registry metrics.Registry
+	meters   meters
 	clients  Clients
 
 	// carryOut is execute, but for tests that hold effects up.
@@ -57,12 +58,18 @@
 	if seed == 0 {
 		seed = uint64(now.UnixNano())
 	}
-	d := &engine{cfg: cfg, log: logger, clients: clients, registry: metrics.NewRegistry(),
+	registry := cfg.Registry
+	if registry == nil {
+		registry = metrics.NewRegistry()
+	}
+	clients.Store = meteredStore{clients.Store, meters{registry}}
+	d := &engine{cfg: cfg, log: logger, clients: clients, registry: registry, meters: meters{registry},
 		recorder: timeline.NewRecorder(cfg.Self.Instance, cfg.Self.Incarnation, cfg.TimelineEvents),
 		resync:   make(chan struct{}, 1), drained: make(chan struct{})}
 	state := control.New(now, cfg.Control, cfg.Parts, cfg.Self, d.recorder, rand.New(rand.NewPCG(seed, 0)))
 	d.carryOut = d.execute
 	d.loop = control.NewLoop(state, cfg.Tick, d.registry, func(e control.Effect) { d.carryOut(e) })
+	registerGauges(registry, d.loop, d.recorder, clients.Entries)
 	d.effects, d.stop = context.WithCancel(context.Background())
 	return d
 }
--- a/daemon/execute.go
+++ b/daemon/execute.go
@@ -65,6 +65,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
 	reply, err := d.callMember(callCtx, e)
+	if _, isReport := e.Request.(control.ReportRequest); isReport && err != nil {
+		d.meters.count(metricReportResent)
+	}
 	if fetched, ok := reply.(control.FetchConfigReply); ok && err == nil {
 		d.post(ctx, configFrom(fetched))
 		return
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -9,6 +9,7 @@
 	"github.com/mulberrydrum/mulberrydrum/instancelist"
 	"github.com/mulberrydrum/mulberrydrum/membership"
 	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
 const (
@@ -124,6 +125,7 @@
 
 // pollInstances delivers the platform's instance list at intervals.
 func (d *engine) pollInstances(ctx context.Context) error {
+	var known map[worker.Address]bool
 	for ctx.Err() == nil {
 		sentAt := time.Now()
 		instances, err := d.clients.List.List(ctx)
@@ -131,12 +133,33 @@
 			d.log.Debug("instance list was not read", "err", err)
 		} else {
 			d.post(ctx, listed(sentAt, instances))
+			known = d.forgetGone(known, instances)
 		}
 		pause(ctx, d.cfg.ListInterval)
 	}
 	return nil
 }
 
+// forgetGone drops the counters of workers that are in the list no more.
+func (d *engine) forgetGone(known map[worker.Address]bool, instances []instancelist.Instance) map[worker.Address]bool {
+	forgetter, ok := d.clients.Workers.(interface{ Forget(worker.Address) })
+	if !ok {
+		return nil
+	}
+	listed := map[worker.Address]bool{}
+	for _, i := range instances {
+		if i.Role == instancelist.RoleWorker && i.State != instancelist.StateGone {
+			listed[worker.Address(i.Address)] = true
+		}
+	}
+	for address := range known {
+		if !listed[address] {
+			forgetter.Forget(address)
+		}
+	}
+	return listed
+}
+
 func listed(sentAt time.Time, instances []instancelist.Instance) control.InstancesListed {
 	e := control.InstancesListed{SentAt: sentAt}
 	for _, i := range instances {
--- a/entry/client.go
+++ b/entry/client.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/mulberrydrum/mulberrydrum/control"
@@ -184,7 +185,9 @@
 		reply, err := client.Promise(ctx, encodePromise(c.self, r))
 		return control.PromiseReply{From: decodeSuccessor(reply.GetFrom()), Granted: reply.GetGranted()}, err
 	case control.DigestMessage:
-		reply, err := client.Exchange(ctx, encodeDigest(r))
+		message := encodeDigest(r)
+		reply, err := client.Exchange(ctx, message)
+		c.counter.digests.Add(int64(proto.Size(message) + proto.Size(reply)))
 		return decodeDigest(reply), err
 	case control.FetchConfigRequest:
 		reply, err := client.FetchConfig(ctx, &entrypb.FetchConfigRequest{From: c.self})
--- a/entry/dial.go
+++ b/entry/dial.go
@@ -25,6 +25,7 @@
 type byteCounter struct {
 	region       string
 	near, across atomic.Int64
+	digests      atomic.Int64 // of messages, without framing
 }
 
 func newByteCounter(region string) *byteCounter { return &byteCounter{region: region} }
@@ -56,6 +57,10 @@
 	return n, err
 }
 
+// DigestBytes returns the bytes of the state digests that were exchanged in
+// calls of this instance, sent and received.
+func (c *Client) DigestBytes() int64 { return c.counter.digests.Load() }
+
 // Bytes returns the bytes on connections that this instance opened, within its
 // region and to other regions.
 func (c *Client) Bytes() (near, across int64) {
