Read every setting, or remove it

Cause: nothing read stream_progress, list_timeout, max_durable_request_bytes, retry_budget, gang_reserve_timeout and stream_result_bytes, and the operators' server did not know the regions of the deployment, so that a document could name any. The first three and regions are wired; worker_connections is new, for a bound that could not be set. Removed: retry_budget (between instances a request is sent again only while it surely had no effect, for 2 s, and a budget would refuse requests during a planned handover), gang_reserve_timeout (gangs are placed within one owner) and stream_result_bytes (a result is one message). max_result_bytes ends at 16 MB, since a larger result did not fit into a message of 20 MB. stream_progress is 3 s, as it was in fact. The test of the rule between stream_result_bytes and max_result_bytes went with the rule.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/caller"
@@ -44,6 +45,9 @@
 	if refusal != nil {
 		return "", caller.Reply{}, refusal
 	}
+	if err := b.checkPayload(&complete); err != nil {
+		return complete.Kind, caller.Reply{}, err
+	}
 	if complete.Kind == task.Answer {
 		wait = b.answerWait(&complete, wait)
 	}
@@ -61,6 +65,15 @@
 	return complete.Kind, reply, nil
 }
 
+// checkPayload refuses a payload that would fill the record of a request shard.
+func (b *callerBackend) checkPayload(spec *task.Spec) error {
+	if n := int64(len(spec.Payload)); spec.Kind.IsDurable() && n > b.cfg.MaxDurableBytes {
+		return errkind.New(errkind.RequestTooLarge, "the payload of %s work has %d bytes", spec.Kind, n).
+			WithField("payload", fmt.Sprintf("at most %d bytes", b.cfg.MaxDurableBytes))
+	}
+	return nil
+}
+
 // answerWait gives an answer a deadline, and has its caller wait until then.
 func (b *callerBackend) answerWait(spec *task.Spec, wait time.Duration) time.Duration {
 	if spec.Deadline.IsZero() {
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -28,14 +28,18 @@
 	Worker   worker.Config
 
 	ListAddress    string
-	ListInterval   time.Duration    // between two reads of the instance list
-	Tick           time.Duration    // of the control loop
-	AnswerTimeout  time.Duration    // deadline of an answer whose caller gives none
-	DrainTimeout   time.Duration    // longest planned stop
-	Linger         time.Duration    // callers are served for this long after the handover
-	TimelineEvents int              // events kept
-	Registry       metrics.Registry // of metrics; nil for one of its own
-	Seed           uint64           // of random choices; 0 for one from the clock
+	ListInterval   time.Duration // between two reads of the instance list
+	ListTimeout    time.Duration // of one read of it
+	Tick           time.Duration // of the control loop
+	AnswerTimeout  time.Duration // deadline of an answer whose caller gives none
+	DrainTimeout   time.Duration // longest planned stop
+	Linger         time.Duration // callers are served for this long after the handover
+	TimelineEvents int           // events kept
+	// MaxDurableBytes bounds the payload of work that is kept in the store, whose
+	// values are bounded.
+	MaxDurableBytes int64
+	Registry        metrics.Registry // of metrics; nil for one of its own
+	Seed            uint64           // of random choices; 0 for one from the clock
 }
 
 // Defaults of Config.
--- a/daemon/fromsettings.go
+++ b/daemon/fromsettings.go
@@ -19,11 +19,11 @@
 		Control:     controlConfig(s),
 		Caller:      callerConfig(s),
 		Operator:    operatorConfig(s),
-		Store:       store.Config{Address: s.StoreEndpoints[0], Instance: s.Instance, CallTimeout: s.StoreCallTimeout},
-		Worker:      worker.Config{CallTimeout: s.WorkerCallTimeout, MaxResultBytes: s.MaxResultBytes},
-		ListAddress: s.InstanceListEndpoint, ListInterval: s.ListInterval,
+		Store:       store.Config{Address: s.StoreEndpoints[0], Instance: s.Instance, CallTimeout: s.StoreCallTimeout, ProgressTimeout: s.StreamProgress},
+		Worker:      worker.Config{CallTimeout: s.WorkerCallTimeout, MaxResultBytes: s.MaxResultBytes, Connections: s.WorkerConnections},
+		ListAddress: s.InstanceListEndpoint, ListInterval: s.ListInterval, ListTimeout: s.ListTimeout,
 		Tick: DefaultTick, AnswerTimeout: s.CallTimeout, DrainTimeout: s.DrainTimeout, Linger: DefaultLinger,
-		TimelineEvents: s.TimelineEvents,
+		TimelineEvents: s.TimelineEvents, MaxDurableBytes: s.MaxDurableRequestBytes,
 	}
 	cfg.Parts = parts(s, cfg.Control)
 	return cfg
@@ -62,7 +62,7 @@
 }
 
 func operatorConfig(s settings.Settings) operator.Config {
-	cfg := operator.Config{Limits: limits(s), MaxWait: s.MaxWait, CallTimeout: s.CallTimeout, Pprof: s.Pprof}
+	cfg := operator.Config{Limits: limits(s), MaxWait: s.MaxWait, CallTimeout: s.CallTimeout, Regions: s.Regions, Pprof: s.Pprof}
 	for _, key := range s.OperatorKeys {
 		cfg.Keys = append(cfg.Keys, operator.Key(key))
 	}
--- a/settings/rules.go
+++ b/settings/rules.go
@@ -65,7 +65,4 @@
 	c.Require(s.MaxShardBytes <= s.LedgerTxnBytes, "ledger_txn_bytes",
 		fmt.Sprintf("%d is less than max_shard_bytes, so a full shard could not be written", s.LedgerTxnBytes),
 		fmt.Sprintf("%d or more (max_shard_bytes)", s.MaxShardBytes))
-	c.Require(s.StreamResultBytes <= s.MaxResultBytes, "stream_result_bytes",
-		fmt.Sprintf("%d is more than max_result_bytes", s.StreamResultBytes),
-		fmt.Sprintf("at most %d (max_result_bytes)", s.MaxResultBytes))
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,7 +21,7 @@
 	StoreLeaseTTL       time.Duration `json:"store_lease_ttl" default:"9s" min:"1s" max:"5m" doc:"TTL of the store lease to which the member key is attached"`
 	KeepaliveInterval   time.Duration `json:"keepalive_interval" default:"3s" min:"100ms" max:"1m" doc:"between two keepalives of the store lease; less than half of store_lease_ttl"`
 	StoreCallTimeout    time.Duration `json:"store_call_timeout" default:"2s" min:"50ms" max:"1m" doc:"for one call to the store, except a watch"`
-	StreamProgress      time.Duration `json:"stream_progress" default:"2s" min:"100ms" max:"30s" doc:"a long-lived stream carries a message at least this often"`
+	StreamProgress      time.Duration `json:"stream_progress" default:"3s" min:"1s" max:"30s" doc:"a watch of the store that delivers nothing for this time is replaced; the store sends a notice every second"`
 	PromiseWindow       time.Duration `json:"promise_window" default:"5s" min:"500ms" max:"1m" doc:"time for which a successor promises not to take over"`
 	ClockDrift          float64       `json:"clock_drift" default:"0.01" min:"0" max:"0.1" doc:"fraction by which the rates of two monotonic clocks may differ"`
 	ClockMargin         time.Duration `json:"clock_margin" default:"100ms" min:"0s" max:"5s" doc:"subtracted from every term, besides clock_drift"`
@@ -32,7 +32,6 @@
 	DigestInterval      time.Duration `json:"digest_interval" default:"1s" min:"100ms" max:"1m" doc:"between two state digests to an entry instance of the same region"`
 	DigestIntervalCross time.Duration `json:"digest_interval_cross_region" default:"5s" min:"100ms" max:"5m" doc:"between two state digests to an entry instance of another region"`
 	EntryCallTimeout    time.Duration `json:"entry_call_timeout" default:"2s" min:"50ms" max:"1m" doc:"for one call to another entry instance that does not wait for work"`
-	RetryBudget         float64       `json:"retry_budget" default:"0.1" min:"0" max:"1" doc:"retries to one peer, as a fraction of the calls to it"`
 
 	WorkerPartitions   int           `json:"worker_partitions_per_region" default:"4" min:"1" max:"1024" doc:"worker partitions of each region; the same on all instances"`
 	RequestShards      int           `json:"request_shards" default:"64" min:"1" max:"4096" doc:"request shards of the deployment; the same on all instances"`
@@ -40,7 +39,7 @@
 	StartValidity      time.Duration `json:"start_validity" default:"3s" min:"200ms" max:"1m" doc:"time after a worker's last report in which it accepts a start"`
 	WorkerSyncInterval time.Duration `json:"worker_sync_interval" default:"1s" min:"50ms" max:"1m" doc:"between two syncs with a worker"`
 	WorkerCallTimeout  time.Duration `json:"worker_call_timeout" default:"2s" min:"50ms" max:"1m" doc:"for one call to a worker, on top of the wait for short work"`
-	GangReserveTimeout time.Duration `json:"gang_reserve_timeout" default:"2s" min:"100ms" max:"1m" doc:"time for which partitions are reserved for a gang that is not complete"`
+	WorkerConnections  int           `json:"worker_connections" default:"16" min:"1" max:"64" doc:"connections to one worker for starts and results; each start of short work holds one until its result"`
 	FairShareHalfLife  time.Duration `json:"fair_share_half_life" default:"10m" min:"1s" max:"720h" doc:"half-life of the usage that fairness counts"`
 	QuarantineShare    float64       `json:"quarantine_share" default:"0.1" min:"0" max:"0.5" doc:"largest fraction of the workers of a partition in quarantine"`
 	QueueLimitPerTeam  int           `json:"queue_limit_per_team" default:"1000" min:"1" max:"100000" doc:"waiting tasks of one team at one owner"`
@@ -56,8 +55,7 @@
 
 	MaxRequestBytes        int64         `json:"max_request_bytes" default:"1048576" min:"1024" max:"16777216" doc:"body of a submission, in bytes"`
 	MaxDurableRequestBytes int64         `json:"max_durable_request_bytes" default:"65536" min:"1024" max:"262144" doc:"payload of work that is kept in the store, in bytes"`
-	MaxResultBytes         int64         `json:"max_result_bytes" default:"16777216" min:"1024" max:"268435456" doc:"result of one task, in bytes"`
-	StreamResultBytes      int64         `json:"stream_result_bytes" default:"262144" min:"1024" max:"4194304" doc:"a result above this size is sent between entry instances in chunks"`
+	MaxResultBytes         int64         `json:"max_result_bytes" default:"16777216" min:"1024" max:"16777216" doc:"result of one task, in bytes; it crosses between entry instances in one message"`
 	MaxHeaderBytes         int           `json:"max_header_bytes" default:"16384" min:"4096" max:"1048576" doc:"request line and headers of a call, in bytes"`
 	MaxWait                time.Duration `json:"max_wait" default:"5m" min:"1s" max:"1h" doc:"longest wait that a caller may ask for"`
 	CallTimeout            time.Duration `json:"call_timeout" default:"10s" min:"100ms" max:"1m" doc:"for a call of a caller, on top of its wait"`
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -42,7 +42,6 @@
 		{"few syncs in a lease", good + `, "worker_sync_interval": "11s", "start_validity": "12s"`, "worker_sync_interval"},
 		{"durable above request", good + `, "max_request_bytes": 60000`, "max_durable_request_bytes"},
 		{"shard above transaction", good + `, "max_shard_bytes": 800000`, "ledger_txn_bytes"},
-		{"stream above result", good + `, "max_result_bytes": 200000`, "stream_result_bytes"},
 		{"cross-region digests more often", good + `, "digest_interval": "6s"`, "digest_interval_cross_region"},
 		{"allowance", good + `, "allowance_interval": "6s"`, "allowance_idle"},
 		{"read timeout", good + `, "read_header_timeout": "11s"`, "read_timeout"},
