Refuse the document of a service whose team has none

Cause: the document was applied, its work was accepted, and no owner started it: an owner without the team's limit grants no allowance. Nothing said why. Ruled out: to run such work without a limit, which would let a forgotten team document take the whole fleet. Conclusion: apply answers unknown_team until the team's document is there. TestLive checks it.

--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -22,6 +22,9 @@
 func (b *operatorBackend) Apply(ctx context.Context, change operator.Change) (operator.Held, error) {
 	key := store.DocumentKey(string(change.Ref.Team), string(change.Ref.Service))
 	record := document.Record{Source: change.Source, PreviousRevision: change.Expected, By: change.By, At: time.Now().UTC(), WriteID: rand.Text()}
+	if err := b.checkTeam(ctx, change.Ref); err != nil {
+		return operator.Held{}, err
+	}
 	for range applyTries {
 		before, revision, err := b.readDocument(ctx, key)
 		if err != nil {
@@ -45,6 +48,21 @@
 	return operator.Held{}, errkind.New(errkind.OutcomeUnknown, "the store did not confirm the document; compare what is in force")
 }
 
+// checkTeam refuses a service of a team that has no document: no owner starts
+// work of a team whose limit it does not know, so that the work would be
+// accepted and wait without end. No call removes a document, so that one that
+// was read stays.
+func (b *operatorBackend) checkTeam(ctx context.Context, ref operator.Ref) error {
+	if ref.Service == "" {
+		return nil
+	}
+	_, revision, err := b.readDocument(ctx, store.DocumentKey(string(ref.Team), ""))
+	if err == nil && revision == 0 {
+		return errkind.New(errkind.UnknownTeam, "team %s has no document", ref.Team).WithField("team", "a team whose document was applied before those of its services")
+	}
+	return err
+}
+
 func (b *operatorBackend) applied(ctx context.Context, change operator.Change, record document.Record, revision int64) (operator.Held, error) {
 	held := operator.Held{Ref: change.Ref, Record: record, Revision: revision}
 	held.InForce = b.awaitInForce(ctx, revision, change.Wait)
