--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -43,6 +44,8 @@
 	meters   meters
 	clients  Clients
 
+	storeDown atomic.Bool // as last logged
+
 	// carryOut is execute, but for tests that hold effects up.
 	carryOut func(control.Effect)
 
--- a/daemon/storecalls.go
+++ b/daemon/storecalls.go
@@ -58,6 +58,7 @@
 // grantLease asks for a lease and registers this instance under it.
 func (d *engine) grantLease(ctx context.Context, e control.GrantLease) control.LeaseGranted {
 	done := control.LeaseGranted{SentAt: time.Now()}
+	defer func() { d.logContact(done.Err) }()
 	done.Lease, done.Err = d.clients.Store.Grant(ctx, d.cfg.Control.StoreLeaseTTL)
 	if done.Err != nil {
 		return done
@@ -72,6 +73,16 @@
 	return done
 }
 
+// logContact logs the first failure in a row to reach the store, and its end.
+func (d *engine) logContact(err error) {
+	switch wasDown := d.storeDown.Swap(err != nil); {
+	case err != nil && !wasDown:
+		d.log.Warn("the store does not answer", "err", err)
+	case err == nil && wasDown:
+		d.log.Info("the store answers again")
+	}
+}
+
 func memberPut(instance string, member any, lease int64) (store.Put, error) {
 	value, err := store.Encode(member)
 	return store.Put{Key: store.MemberKey(instance), Value: value, Lease: lease}, err
@@ -91,6 +102,7 @@
 func (d *engine) renewLease(ctx context.Context, e control.RenewLease) control.KeepAliveDone {
 	done := control.KeepAliveDone{SentAt: time.Now(), Lease: e.Lease}
 	_, done.Err = d.clients.Store.KeepAlive(ctx, e.Lease)
+	d.logContact(done.Err)
 	if done.Err != nil {
 		done.Gone = errors.Is(done.Err, store.ErrLeaseGone)
 		return done
