--- a/cmd/mulberryctl/main.go
+++ b/cmd/mulberryctl/main.go
@@ -28,10 +28,13 @@
 	Drain     drainCommand     `cmd:"" help:"Take an entry instance or a worker out of service, or put it back."`
 	Workers   workersCommand   `cmd:"" help:"List the workers."`
 	Shares    sharesCommand    `cmd:"" help:"List what the teams use and may use."`
+	Members   membersCommand   `cmd:"" help:"List the live entry instances."`
+	Metrics   metricsCommand   `cmd:"" help:"Show the metrics of the entry instance that answers."`
 	Timeline  timelineCommand  `cmd:"" help:"Show what all entry instances did, in one order."`
 	Ownership ownershipCommand `cmd:"" help:"Act on the ownership of worker partitions and request shards."`
 	Config    configCommand    `cmd:"" help:"Work with configuration files."`
 	Load      loadCommand      `cmd:"" help:"Compare scheduling policies on a generated load in virtual time."`
+	Demo      demoCommand      `cmd:"" help:"Run a small deployment in this process and check what became of work of every kind."`
 	Version   versionCommand   `cmd:"" help:"Print the version."`
 }
 
--- a/control/home.go
+++ b/control/home.go
@@ -129,9 +129,13 @@
 	h.reply(token, JobReply{Err: err})
 }
 
+// accepted records the acceptance of every task of a job, with the key: the
+// oracle compares the key's team, and looks for the end of each task.
 func (h *home) accepted(record *ledger.Record) {
-	h.event(timeline.Event{Type: timeline.RequestAccepted, Team: record.Spec.Team, Task: record.Tasks[0].ID,
-		Kind: string(record.Spec.Kind), KeyID: record.Spec.KeyID})
+	for i := range record.Tasks {
+		h.event(timeline.Event{Type: timeline.RequestAccepted, Team: record.Spec.Team, Task: record.Tasks[i].ID,
+			Kind: string(record.Spec.Kind), KeyID: record.Spec.KeyID})
+	}
 }
 
 // query answers a call about a job that was submitted before.
@@ -251,7 +255,10 @@
 		}
 	}
 	delete(h.waiters, job)
-	h.event(timeline.Event{Type: timeline.RequestAnswered, Team: job.Team, Task: record.Tasks[0].ID, Kind: string(record.State())})
+	for i := range record.Tasks {
+		t := &record.Tasks[i]
+		h.event(timeline.Event{Type: timeline.RequestAnswered, Team: job.Team, Task: t.ID, Kind: string(t.State)})
+	}
 	if !record.Spec.Kind.IsDurable() && record.State() == task.NotRun {
 		h.ledger.Forget(job)
 	}
--- a/control/peer.go
+++ b/control/peer.go
@@ -217,14 +217,15 @@
 }
 
 // BeginConfigCommit asks, within this process, whether a configuration change
-// may be committed now. EndConfigCommit must follow if it may.
+// may be committed now. EndConfigCommit follows once the outcome is known.
 type BeginConfigCommit struct{}
 
 // ConfigCommitReply answers BeginConfigCommit.
 type ConfigCommitReply struct{ Allowed bool }
 
-// EndConfigCommit says that the outcome of a commit is known.
-type EndConfigCommit struct{}
+// EndConfigCommit says that the outcome of a commit is known. Revision is that of
+// the change, 0 if there was none.
+type EndConfigCommit struct{ Revision int64 }
 
 func (HandoverNotice) peerRequest()     {}
 func (HandoverReply) peerReply()        {}
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -104,6 +104,7 @@
 	if w.allow.Acquire(w.now, a.team, a.partition, size) {
 		return true
 	}
+	w.refusedAllowance++
 	w.lacksAllowance = true
 	w.blocked[a.team] = lackAllowance
 	return false
@@ -227,6 +228,7 @@
 		Attempt: a.id, Job: a.job, Index: a.index, Team: a.team, Class: a.class, Size: a.size,
 		Command: spec.Command, Payload: spec.Payload, LongLived: spec.Kind == task.LongLived,
 		BootID: ws.bootID, StartBy: a.startBy, LeaseUntil: ws.clock + w.cfg.TaskLease, Wait: wait,
+		Waited: a.placement.Age + w.now.Sub(a.queuedAt),
 	})
 	w.event(timeline.Event{Type: timeline.TaskStartSent, Team: a.team, Task: a.id.Task, Attempt: a.id.Number,
 		Worker: a.worker, Partition: a.partition, Epoch: w.epochOf(a.partition), Size: &a.size, KeyID: spec.KeyID})
--- a/control/state.go
+++ b/control/state.go
@@ -230,7 +230,7 @@
 	case BeginConfigCommit:
 		s.reply(e.Token, ConfigCommitReply{Allowed: s.freshness.BeginCommit(s.now)})
 	case EndConfigCommit:
-		s.freshness.EndCommit()
+		s.freshness.EndCommit(r.Revision)
 		s.reply(e.Token, ConfigCommitReply{Allowed: true})
 	case OverviewRequest:
 		s.reply(e.Token, s.overview())
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/caller"
@@ -34,9 +35,19 @@
 
 // Submit admits a job and sends it to its home.
 func (b *callerBackend) Submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (caller.Reply, error) {
+	kind, reply, err := b.submit(ctx, secret, spec, wait)
+	b.meters.request(kind, err)
+	return reply, err
+}
+
+// submit returns the kind of the work, which its document has, with the reply.
+func (b *callerBackend) submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (task.Kind, caller.Reply, error) {
 	complete, refusal := b.loop.Snapshot().Admit(time.Now(), secret, spec)
 	if refusal != nil {
-		return caller.Reply{}, refusal
+		return "", caller.Reply{}, refusal
+	}
+	if err := b.checkPayload(&complete); err != nil {
+		return complete.Kind, caller.Reply{}, err
 	}
 	if complete.Kind == task.Answer {
 		wait = b.answerWait(&complete, wait)
@@ -44,12 +55,24 @@
 	complete.PayloadDigest = requestDigest(&complete)
 	record, err := b.toHome(ctx, ledger.KeyOf(&complete), control.SubmitRequest{Spec: complete, Wait: wait}, wait)
 	if err != nil {
-		return caller.Reply{}, err
+		return complete.Kind, caller.Reply{}, err
 	}
 	if err := answerError(record); err != nil {
-		return caller.Reply{}, err
+		return complete.Kind, caller.Reply{}, err
 	}
-	return replyOf(record), nil
+	reply := replyOf(record)
+	// The record has the specification of the first submission.
+	reply.Repeated = !record.Spec.SubmittedAt.Equal(complete.SubmittedAt)
+	return complete.Kind, reply, nil
+}
+
+// checkPayload refuses a payload that would fill the record of a request shard.
+func (b *callerBackend) checkPayload(spec *task.Spec) error {
+	if n := int64(len(spec.Payload)); spec.Kind.IsDurable() && n > b.cfg.MaxDurableBytes {
+		return errkind.New(errkind.RequestTooLarge, "the payload of %s work has %d bytes", spec.Kind, n).
+			WithField("payload", fmt.Sprintf("at most %d bytes", b.cfg.MaxDurableBytes))
+	}
+	return nil
 }
 
 // answerWait gives an answer a deadline, and has its caller wait until then.
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/api"
@@ -31,14 +32,26 @@
 		return store.TxnResult{}, noEffect, errkind.New(errkind.StoreUnavailable,
 			"this instance may not change the configuration yet").WithRetryAfter(b.cfg.Control.KeyFreshness)
 	}
-	defer func() { _, _ = b.loop.Call(ctx, b.cfg.Self.Instance, control.EndConfigCommit{}) }()
 	result, f := b.commit(ctx, txn)
+	if f != unclear {
+		b.endCommit(ctx, result, f)
+	}
 	if f == noEffect {
 		return result, f, errkind.New(errkind.StoreUnavailable, "the store does not answer; nothing was changed").WithRetryAfter(time.Second)
 	}
 	return result, f, nil
 }
 
+// endCommit tells the control state how a commit ended. One whose outcome is
+// unclear has no end: it may take effect at any later time.
+func (b *operatorBackend) endCommit(ctx context.Context, result store.TxnResult, f fate) {
+	end := control.EndConfigCommit{}
+	if f == stored {
+		end.Revision = result.Revision
+	}
+	_, _ = b.loop.Call(context.WithoutCancel(ctx), b.cfg.Self.Instance, end)
+}
+
 // awaitInForce returns when every member has a revision in force, or false when
 // the wait is over first.
 func (b *operatorBackend) awaitInForce(ctx context.Context, revision int64, wait time.Duration) bool {
@@ -65,6 +78,9 @@
 // Drain starts or ends the drain of an entry instance or a worker.
 func (b *operatorBackend) Drain(ctx context.Context, by string, request api.DrainRequest) (api.Drain, error) {
 	name := request.Instance + request.Worker
+	if err := b.checkDrain(ctx, request); err != nil {
+		return api.Drain{}, err
+	}
 	txn := store.Txn{Deletes: []string{store.DrainKey(name)}}
 	if !request.Undo {
 		value, err := store.Encode(map[string]string{"by": by})
@@ -79,6 +95,32 @@
 	return b.drainState(ctx, name, !request.Undo), nil
 }
 
+// checkDrain refuses a name that nothing has, since a drain of it would have no
+// effect and no end. While a member does not answer, any name may be one of its
+// workers.
+func (b *operatorBackend) checkDrain(ctx context.Context, request api.DrainRequest) error {
+	if request.Undo {
+		return nil
+	}
+	if request.Instance != "" {
+		isNamed := func(m membership.Member) bool { return m.Instance == request.Instance }
+		if slices.ContainsFunc(b.loop.Snapshot().Members, isNamed) {
+			return nil
+		}
+		return errkind.New(errkind.InvalidRequest, "there is no entry instance %s", request.Instance).WithField("instance", "one of the list of members")
+	}
+	overviews, missing := b.overviews(ctx)
+	for _, o := range overviews {
+		if slices.ContainsFunc(o.Workers, func(w control.WorkerView) bool { return w.Name == request.Worker }) {
+			return nil
+		}
+	}
+	if len(missing) > 0 {
+		return nil
+	}
+	return errkind.New(errkind.InvalidRequest, "there is no worker %s", request.Worker).WithField("worker", "one of the list of workers")
+}
+
 func unclearChange(f fate, err error) error {
 	if err != nil {
 		return err
--- a/daemon/storecalls.go
+++ b/daemon/storecalls.go
@@ -60,6 +60,7 @@
 // grantLease asks for a lease and registers this instance under it.
 func (d *engine) grantLease(ctx context.Context, e control.GrantLease) control.LeaseGranted {
 	done := control.LeaseGranted{SentAt: time.Now()}
+	defer func() { d.logContact(done.Err) }()
 	done.Lease, done.Err = d.clients.Store.Grant(ctx, d.cfg.Control.StoreLeaseTTL)
 	if done.Err != nil {
 		return done
@@ -74,6 +75,16 @@
 	return done
 }
 
+// logContact logs the first failure in a row to reach the store, and its end.
+func (d *engine) logContact(err error) {
+	switch wasDown := d.storeDown.Swap(err != nil); {
+	case err != nil && !wasDown:
+		d.log.Warn("the store does not answer", "err", err)
+	case err == nil && wasDown:
+		d.log.Info("the store answers again")
+	}
+}
+
 func memberPut(instance string, member any, lease int64) (store.Put, error) {
 	value, err := store.Encode(member)
 	return store.Put{Key: store.MemberKey(instance), Value: value, Lease: lease}, err
@@ -101,6 +112,7 @@
 	})
 	revision, err := d.clients.Store.LatestRevision(ctx, store.ConfigPrefix)
 	_ = group.Wait()
+	d.logContact(done.Err)
 	if err == nil {
 		done.Revision = revision
 	}
--- a/entry/client.go
+++ b/entry/client.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/mulberrydrum/mulberrydrum/control"
@@ -187,7 +188,9 @@
 		_, err := client.Handover(ctx, encodeHandover(c.self, r.Record))
 		return control.HandoverReply{}, err
 	case control.DigestMessage:
-		reply, err := client.Exchange(ctx, encodeDigest(r))
+		message := encodeDigest(r)
+		reply, err := client.Exchange(ctx, message)
+		c.counter.digests.Add(int64(proto.Size(message) + proto.Size(reply)))
 		return decodeDigest(reply), err
 	case control.FetchConfigRequest:
 		reply, err := client.FetchConfig(ctx, &entrypb.FetchConfigRequest{From: c.self, After: r.After})
