Let an outage round of the instances complete

Cause: an instance entered its own statement into the round, which takes a statement of a process that it does not wait for as a refusal, so that no round was ever complete and keyed requests were refused (key_stale) from 5 s into any store outage on. An instance that cannot promise now starts no round. A reply to a digest that asked for no statement, or for that of an earlier round, is no longer counted: its promise, if any, ends too early.

Ruled out: a late instance list (read every second in the test), members that did not answer (all four ran).

--- a/control/exchange.go
+++ b/control/exchange.go
@@ -67,6 +67,9 @@
 	if s.exchange.round != nil && s.now.Sub(s.exchange.sentAt[self.Incarnation]) < s.cfg.DigestInterval {
 		return
 	}
+	if !s.freshness.PromiseNoCommit(s.now, false) {
+		return // a change of the configuration is on its way from here
+	}
 	s.exchange.sentAt[self.Incarnation] = s.now
 	s.exchange.round = keyring.NewOutageRound(s.now, self, peers)
 	s.exchange.asked = asked
@@ -75,7 +78,6 @@
 		names = append(names, m.Instance)
 	}
 	s.exchange.round.Listed(s.members.listedAt, names)
-	s.exchange.round.Reply(keyring.OutageReply{From: self, Promised: s.freshness.PromiseNoCommit(s.now, false), Revision: s.config.applied})
 	for incarnation, ask := range asked {
 		if ask {
 			delete(s.exchange.sentAt, incarnation) // due at once
@@ -110,7 +112,7 @@
 	reply := e.Reply.(DigestMessage)
 	s.takeDigest(reply)
 	s.freshness.PeerConfirmed(s.now, e.Send.SentAt, reply.Freshness, reply.Revision)
-	if s.exchange.round != nil && s.exchange.asked[reply.Incarnation] {
+	if s.isOfRound(e.Send) && s.exchange.asked[reply.Incarnation] {
 		s.exchange.asked[reply.Incarnation] = false
 		s.exchange.round.Reply(keyring.OutageReply{
 			From:     keyring.Peer{Instance: reply.Instance, Incarnation: reply.Incarnation},
@@ -121,6 +123,14 @@
 	s.changed = true
 }
 
+// isOfRound reports whether a digest asked for a statement for the outage round
+// that is under way. A promise that was given for an earlier round ends earlier,
+// and a digest that did not ask for one gets none.
+func (s *State) isOfRound(sent Send) bool {
+	asked := sent.Request.(DigestMessage).AskNoCommit
+	return asked && s.exchange.round != nil && !sent.SentAt.Before(s.exchange.sentAt[s.self.Incarnation])
+}
+
 // takeDigest applies what another instance says of itself.
 func (s *State) takeDigest(d DigestMessage) {
 	s.record.Receive(s.now, d.Clock)
