Refuse new durable work as not run while the store does not answer

A home refuses it now once its keepalive has failed. A repeat of a known job is still found.

The end-to-end package gains tests with real signals (kill, freeze, store outage, planned stop, key withdrawal, configuration, limits, workers) and the harness for them: an open-loop load, a collector of the time lines, and a verdict over the workers' ledgers and what callers were told.

--- a/control/home.go
+++ b/control/home.go
@@ -74,6 +74,22 @@
 
 func (h *home) shardOf(job ledger.JobKey) string { return ShardOf(job, h.cfg.RequestShards) }
 
+// submit refuses new durable work while the store does not answer: it could not
+// be recorded, and its caller would hear nothing until the store is back.
+func (s *State) submit(token uint64, req SubmitRequest) {
+	job := ledger.KeyOf(&req.Spec)
+	shard := s.home.shardOf(job)
+	_, isKnown := s.home.ledger.Find(shard, job)
+	if s.members.storeDown && req.Spec.Kind.IsDurable() && !isKnown && s.home.ledger.IsActive(shard) {
+		err := errkind.New(errkind.StoreUnavailable, "the store does not answer; durable work is not accepted at present").
+			WithFate(errkind.FateNotRun).WithRetryAfter(s.cfg.KeepAliveInterval)
+		s.event(timeline.Event{Type: timeline.RequestRefused, Team: job.Team, Kind: string(err.Kind), Detail: job.Key})
+		s.reply(token, JobReply{Err: err})
+		return
+	}
+	s.home.submit(token, req)
+}
+
 // submit accepts a job, or finds the earlier submission with the same key.
 func (h *home) submit(token uint64, req SubmitRequest) {
 	job := ledger.KeyOf(&req.Spec)
--- /dev/null
+++ b/endtoend/config_test.go
@@ -0,0 +1,143 @@
+package endtoend
+
+import (
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/client"
+	"github.com/mulberrydrum/mulberrydrum/demo"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/internal/processtest"
+	"github.com/mulberrydrum/mulberrydrum/standin/fault"
+	"github.com/mulberrydrum/mulberrydrum/store/storetest"
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/timeline"
+)
+
+// configBound is the time within which a change is in force everywhere.
+const configBound = 11 * time.Second
+
+// apply replaces text in a document, through one instance. An instance that has
+// just started may not change the configuration yet.
+func apply(t *testing.T, c *processtest.Cluster, e *processtest.Entry, service, old, new string) (api.Document, time.Time) {
+	t.Helper()
+	var applied api.Document
+	var began time.Time
+	c.Eventually(serviceBound, "apply a document", func() bool {
+		current, err := e.Operator.Document(t.Context(), "leuven", service)
+		if err != nil || !strings.Contains(current.Source, old) {
+			return false
+		}
+		began = time.Now()
+		applied, err = e.Operator.Apply(t.Context(), "leuven", service, []byte(strings.Replace(current.Source, old, new, 1)), current.Revision, configBound)
+		return err == nil
+	})
+	return applied, began
+}
+
+// TestConfiguration guards against a change that is not in force everywhere in
+// time or is undone, against two operators who both succeed, and against an
+// operator who is told of a conflict with a change of their own.
+func TestConfiguration(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 4, 6)
+	// The first change waits until the instance may change the configuration.
+	apply(t, c, c.Entries[0], "piping", `"max_run": "1h"`, `"max_run": "90m"`)
+	applied, began := apply(t, c, c.Entries[0], "piping", `"max_run": "90m"`, `"max_run": "2h"`)
+	if !applied.InForce {
+		t.Errorf("revision %d is not in force %v after the call", applied.Revision, time.Since(began))
+	}
+	events := c.Latest()
+	for _, e := range c.Entries {
+		seen, ok := processtest.First(events, time.Time{}, func(ev timeline.Event) bool {
+			return ev.Type == timeline.ConfigInForce && ev.Instance == e.Settings.Instance && ev.Revision == applied.Revision
+		})
+		if !ok || seen.Clock.Wall.Sub(began) > configBound {
+			t.Errorf("%s: revision %d in force: %v, after %v, want at most %v", e.Settings.Instance, applied.Revision, ok, seen.Clock.Wall.Sub(began), configBound)
+		}
+		t.Logf("%s: in force %v after the call", e.Settings.Instance, seen.Clock.Wall.Sub(began).Round(time.Millisecond))
+	}
+	race(t, c, applied)
+	c.SetStoreFaults(fault.Fault{Kind: fault.ReplyLost, Call: storetest.CallTxn, Count: 1, Instance: c.Entries[2].Settings.Instance})
+	lost, _ := apply(t, c, c.Entries[2], "piping", `"max_run": "5s"`, `"max_run": "6s"`)
+	if got, err := c.Entries[1].Operator.Document(t.Context(), "leuven", "piping"); err != nil || got.Revision != lost.Revision || !strings.Contains(got.Source, `"max_run": "6s"`) {
+		t.Errorf("after a lost reply revision %d is in force, want %d: %v", got.Revision, lost.Revision, err)
+	}
+	c.Check(t, nil)
+}
+
+// race has two operators change the same revision at once.
+func race(t *testing.T, c *processtest.Cluster, from api.Document) {
+	t.Helper()
+	current, err := c.Entries[0].Operator.Document(t.Context(), "leuven", "piping")
+	if err != nil || current.Revision != from.Revision {
+		t.Fatalf("document at revision %d, want %d: %v", current.Revision, from.Revision, err)
+	}
+	var group sync.WaitGroup
+	errs := make([]error, 2)
+	for i, run := range []string{"3h", "4h"} {
+		group.Go(func() {
+			source := strings.Replace(current.Source, `"max_run": "2h"`, `"max_run": "`+run+`"`, 1)
+			_, errs[i] = c.Entries[i].Operator.Apply(t.Context(), "leuven", "piping", []byte(source), current.Revision, 0)
+		})
+	}
+	group.Wait()
+	won, conflicts := 0, 0
+	for _, err := range errs {
+		var told *client.Error
+		switch {
+		case err == nil:
+			won++
+		case errors.As(err, &told) && told.Detail.Kind == errkind.RevisionConflict && told.Detail.Conflict != nil && len(told.Detail.Conflict.Changes) > 0:
+			conflicts++
+		default:
+			t.Errorf("an operator was told: %v", err)
+		}
+	}
+	if won != 1 || conflicts != 1 {
+		t.Errorf("of two operators %d succeeded and %d were shown the other's change, want one each: %v", won, conflicts, errs)
+	}
+}
+
+// TestLimitLowered guards against a team that starts work above a lower limit,
+// and against a limit that never comes into force.
+func TestLimitLowered(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 4, 6)
+	const jobs, lower = 20, 4
+	for range jobs {
+		submitLong(t, c, demo.Secrets["leuven"], "limit-"+time.Now().Format("150405.000000000"), "flexibility-run")
+	}
+	c.Eventually(serviceBound, "most of the jobs run", func() bool { return c.Running("leuven") > lower })
+	applied, began := apply(t, c, c.Entries[0], "", `"slots": 200`, `"slots": 4`)
+	var inForce time.Time
+	c.Eventually(settleBound, "the lower limit is in force", func() bool {
+		shares, err := c.Entries[1].Operator.Shares(t.Context())
+		for _, s := range shares.Shares {
+			if err == nil && s.Team == "leuven" && s.Pending == nil && s.Limit.Slots == lower {
+				inForce = time.Now()
+				return true
+			}
+		}
+		return false
+	})
+	for range jobs {
+		submitLong(t, c, demo.Secrets["leuven"], "after-"+time.Now().Format("150405.000000000"), "nozzle-check")
+	}
+	c.Eventually(settleBound, "all work ends", func() bool {
+		shares, err := c.Entries[1].Operator.Shares(t.Context())
+		for _, s := range shares.Shares {
+			if s.Team == "leuven" && (s.Waiting > 0 || s.Running.Slots > 0) {
+				return false
+			}
+		}
+		return err == nil && c.Running("leuven") == 0
+	})
+	t.Logf("the limit of revision %d was in force %v after it was applied", applied.Revision, inForce.Sub(began).Round(time.Millisecond))
+	c.Check(t, nil, timeline.Event{Instance: "operator", Incarnation: "1", Sequence: 1, Clock: timeline.Clock{Wall: inForce}, Type: timeline.LimitInForce,
+		Team: "leuven", Revision: applied.Revision, Size: &task.Resources{Slots: lower}})
+}
--- /dev/null
+++ b/endtoend/drain_test.go
@@ -0,0 +1,48 @@
+package endtoend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/demo"
+	"github.com/mulberrydrum/mulberrydrum/internal/processtest"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// drainBound is the setting drain_timeout, plus the end of the process.
+const drainBound = 30*time.Second + time.Second
+
+// TestRollingRestart guards against a planned stop that cuts off a request:
+// every instance in turn is asked to stop under load over kept-alive
+// connections, and is started again.
+func TestRollingRestart(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 4, 6)
+	mixed := startMixed(t, c)
+	answers := c.StartLoad(t, "answers", processtest.LoadOptions{Mix: processtest.Answers, Rate: 40, Secret: demo.Secrets["leuven"], Timeout: callTimeout})
+	settled(2 * time.Second)
+	for _, e := range c.Entries {
+		c.Collect(e)
+		began := time.Now()
+		if !e.Stop(drainBound) {
+			t.Fatalf("%s did not stop within %v", e.Settings.Instance, drainBound)
+		}
+		if e.ExitCode() != 0 {
+			t.Errorf("%s ended with exit code %d", e.Settings.Instance, e.ExitCode())
+		}
+		t.Logf("%s stopped within %v", e.Settings.Instance, time.Since(began).Round(time.Millisecond))
+		c.StartEntry(e)
+		settled(2 * time.Second)
+	}
+	told := append(answers.Settle(t, settleBound), mixed.Settle(t, settleBound)...)
+	for _, r := range told {
+		switch {
+		case r.Err != nil:
+			t.Errorf("%s %s through %s at %s after %v: %v", r.Class, r.Key, r.Entry, r.At.UTC().Format(time.TimeOnly), r.Took, r.Err)
+		case r.Job.State != task.Finished:
+			t.Errorf("%s %s ended as %s", r.Class, r.Key, r.Job.State)
+		}
+	}
+	c.Check(t, told)
+	t.Log(processtest.Summary(told))
+}
--- /dev/null
+++ b/endtoend/keys_test.go
@@ -0,0 +1,161 @@
+package endtoend
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/api"
+	"github.com/mulberrydrum/mulberrydrum/client"
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/internal/processtest"
+	"github.com/mulberrydrum/mulberrydrum/standin/fault"
+	"github.com/mulberrydrum/mulberrydrum/task"
+	"github.com/mulberrydrum/mulberrydrum/timeline"
+)
+
+// withdrawalBound is the setting key_freshness plus one second.
+const withdrawalBound = 5*time.Second + time.Second
+
+// grant makes a key through one instance. An instance that has just started may
+// not change the configuration yet.
+func grant(t *testing.T, c *processtest.Cluster, e *processtest.Entry) api.GrantedKey {
+	t.Helper()
+	var key api.GrantedKey
+	c.Eventually(serviceBound, "grant a key", func() bool {
+		var err error
+		key, err = e.Operator.GrantKey(t.Context(), api.GrantRequest{Team: "leuven"})
+		return err == nil
+	})
+	for _, other := range c.Entries {
+		c.Eventually(withdrawalBound, "key in force on "+other.Settings.Instance, func() bool { return admits(t.Context(), other, key.Secret, "granted") == nil })
+	}
+	return key
+}
+
+// admits asks one instance, once, for an answer under a key.
+func admits(ctx context.Context, e *processtest.Entry, secret, name string) error {
+	caller := client.New(client.Config{Addresses: []string{e.Settings.CallerAddress}, Secret: secret})
+	defer caller.Close()
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	request := api.SubmitRequest{IdempotencyKey: fmt.Sprintf("%s-%s-%d", name, e.Settings.Instance, time.Now().UnixNano()), Class: "span-lookup"}
+	_, err := caller.Submit(ctx, "leuven", "piping", request, 3*time.Second)
+	return err
+}
+
+// probe asks one instance under a key until the test ends, and returns the time
+// at which the last request that was answered had been sent.
+func probe(ctx context.Context, e *processtest.Entry, secret string) (last time.Time) {
+	for ctx.Err() == nil {
+		sent := time.Now()
+		if admits(ctx, e, secret, "probe") == nil {
+			last = sent
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return last
+}
+
+func submitLong(t *testing.T, c *processtest.Cluster, secret, key, class string) string {
+	t.Helper()
+	caller := client.New(client.Config{Addresses: []string{c.Entries[1].Settings.CallerAddress}, Secret: secret})
+	defer caller.Close()
+	if _, err := caller.Submit(t.Context(), "leuven", "piping", api.SubmitRequest{IdempotencyKey: key, Class: class, Payload: []byte(key)}, 0); err != nil {
+		t.Fatalf("submit %s: %v", class, err)
+	}
+	return "leuven/piping/" + key
+}
+
+// TestKeyWithdrawn guards against a withdrawn key that goes on working: on an
+// instance that is up, on one that was frozen, and on one that starts while the
+// store is down; and against work under it that goes on.
+func TestKeyWithdrawn(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 4, 6)
+	key := grant(t, c, c.Entries[0])
+	service := submitLong(t, c, key.Secret, "service", "span-tables")
+	caller := callerOf(c, "leuven")
+	c.Eventually(serviceBound, "the service runs", func() bool {
+		job, err := caller.Status(t.Context(), service)
+		return err == nil && job.State == task.Running
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	last := make([]chan time.Time, len(c.Entries))
+	frozen := c.Entries[3]
+	for i, e := range c.Entries {
+		last[i] = make(chan time.Time, 1)
+		go func() { last[i] <- probe(ctx, e, key.Secret) }()
+	}
+	settled(500 * time.Millisecond)
+	frozen.Freeze()
+	if _, err := c.Entries[0].Operator.WithdrawKey(t.Context(), "leuven", key.ID); err != nil {
+		t.Fatal(err)
+	}
+	withdrawnAt := time.Now()
+	settled(withdrawalBound + time.Second)
+	frozen.Resume()
+	settled(2 * time.Second)
+	cancel()
+	for i, e := range c.Entries {
+		after := (<-last[i]).Sub(withdrawnAt).Round(time.Millisecond)
+		t.Logf("%s: last request under the key was sent %v after its withdrawal", e.Settings.Instance, after)
+		if after > withdrawalBound {
+			t.Errorf("%s accepted the key %v after its withdrawal, want at most %v", e.Settings.Instance, after, withdrawalBound)
+		}
+	}
+	var job api.Job
+	c.Eventually(serviceBound, "the service under the key ends", func() bool {
+		var err error
+		job, err = caller.Status(t.Context(), service)
+		return err == nil && job.State.IsFinal()
+	})
+	if got := job.Tasks[0]; got.Reason != string(errkind.KeyWithdrawn) {
+		t.Errorf("the service ended as %s with reason %q, want reason %s", got.State, got.Reason, errkind.KeyWithdrawn)
+	}
+	for _, ledger := range c.Ledgers() {
+		for _, run := range ledger.Runs {
+			if run.Attempt.Task == job.Tasks[0].ID && run.End.IsZero() {
+				t.Errorf("the service still runs: %s", run)
+			}
+		}
+	}
+	for _, e := range c.Entries {
+		if seen, ok := processtest.First(c.Latest(), time.Time{}, func(ev timeline.Event) bool {
+			return ev.Type == timeline.KeyWithdrawn && ev.KeyID == key.ID && ev.Instance == e.Settings.Instance
+		}); ok {
+			t.Logf("%s knew of the withdrawal %v after it", e.Settings.Instance, seen.Clock.Wall.Sub(withdrawnAt).Round(time.Millisecond))
+		}
+	}
+	c.Check(t, nil)
+}
+
+// TestKeyWithdrawnBeforeOutage guards against an instance that is started while
+// the store is down and takes its keys from peers, one of which is withdrawn.
+func TestKeyWithdrawnBeforeOutage(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 4, 6)
+	key := grant(t, c, c.Entries[0])
+	started := c.Entries[3]
+	c.Collect(started)
+	started.Kill()
+	if _, err := c.Entries[0].Operator.WithdrawKey(t.Context(), "leuven", key.ID); err != nil {
+		t.Fatal(err)
+	}
+	withdrawnAt := time.Now()
+	c.SetStoreFaults(fault.Fault{Kind: fault.Down})
+	c.StartEntry(started)
+	for time.Since(withdrawnAt) < 2*withdrawalBound {
+		for _, e := range c.Entries {
+			sent := time.Now()
+			if admits(t.Context(), e, key.Secret, "late") == nil && sent.Sub(withdrawnAt) > withdrawalBound {
+				t.Fatalf("%s accepted the key %v after its withdrawal", e.Settings.Instance, sent.Sub(withdrawnAt))
+			}
+		}
+	}
+	c.SetStoreFaults()
+	awaitService(t, c, callerOf(c, "leuven"))
+	c.Check(t, nil)
+}
--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -14,22 +14,23 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/mulberrydrum/mulberrydrum/client"
 	"github.com/mulberrydrum/mulberrydrum/demo"
 	"github.com/mulberrydrum/mulberrydrum/instancelist"
-	"github.com/mulberrydrum/mulberrydrum/oracle"
 	"github.com/mulberrydrum/mulberrydrum/settings"
 )
 
 // Options describe the deployment. Adjust changes the settings of one instance.
 type Options struct {
-	Entries int
-	Workers int // per region
-	Regions []string
-	Adjust  func(i int, s *settings.Settings)
+	Entries         int
+	Workers         int  // per region
+	SeparateWorkers bool // each worker is a process of its own
+	Regions         []string
+	Adjust          func(i int, s *settings.Settings)
 }
 
 // Cluster is a deployment of processes. Everything ends with the test.
@@ -38,37 +39,64 @@
 	StoreAddr string
 	ListAddr  string
 	Workers   []instancelist.Instance
+	Store     *Process
 
-	t       *testing.T
-	dir     string
-	options Options
-	store   *Process
+	t         *testing.T
+	dir       string
+	host      string
+	options   Options
+	processes map[string]*Process // of workers, by the name of the worker
+	trace     *collector
 }
 
 // Entry is one entry instance. Its addresses stay the same over restarts.
 type Entry struct {
 	*Process
 	Settings settings.Settings
+	Operator *client.Client
 	path     string
 }
 
-// Process is one process that this test started.
-type Process struct {
-	cmd    *exec.Cmd
-	output *os.File
-	ended  chan struct{}
+// commands is the directory of the commands that Main has built.
+var commands string
+
+// Main builds the commands once, runs the tests of a package and returns the
+// exit code.
+func Main(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "processtest-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	build := exec.Command("go", "build", "-o", dir+"/", "github.com/mulberrydrum/mulberrydrum/cmd/mulberryd", "github.com/mulberrydrum/mulberrydrum/cmd/standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the commands: %v\n%s", err, out)
+		return 1
+	}
+	commands = dir
+	return m.Run()
 }
 
-// Start builds the commands and starts every process.
+// clusters counts the clusters of this process.
+var clusters atomic.Uint32
+
+// nextHost returns a loopback address of its own for each cluster. The kernel
+// gives 127.0.0.1 to outgoing connections, so that none of them can take the
+// port of an instance that is down for a while.
+func nextHost() string {
+	n := clusters.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, n/250, 1+n%250)
+}
+
+// Start starts every process. The package must run its tests with Main.
 func Start(t *testing.T, options Options) *Cluster {
 	t.Helper()
-	c := &Cluster{t: t, dir: t.TempDir(), options: options, StoreAddr: freeAddress(t), ListAddr: freeAddress(t)}
-	build := exec.Command("go", "build", "-o", c.dir+"/", "github.com/mulberrydrum/mulberrydrum/cmd/mulberryd", "github.com/mulberrydrum/mulberrydrum/cmd/standin")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build the commands: %v\n%s", err, out)
-	}
+	c := &Cluster{t: t, dir: t.TempDir(), host: nextHost(), options: options, processes: map[string]*Process{}}
+	c.StoreAddr, c.ListAddr = c.freeAddress(), c.freeAddress()
+	c.trace = newCollector()
 	t.Cleanup(func() { c.dumpOnFailure() })
-	c.store = c.start("store", "standin", "store", "--listen", c.StoreAddr)
+	c.Store = c.start("store", "standin", "store", "--listen", c.StoreAddr)
 	c.start("list", "standin", "list", "--listen", c.ListAddr)
 	c.await(c.StoreAddr)
 	c.await(c.ListAddr)
@@ -82,14 +110,15 @@
 	for i := range options.Entries {
 		c.addEntry(i)
 	}
+	c.trace.run(t, c.Entries)
 	return c
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func (c *Cluster) freeAddress() string {
+	c.t.Helper()
+	l, err := net.Listen("tcp", c.host+":0")
 	if err != nil {
-		t.Fatal(err)
+		c.t.Fatal(err)
 	}
 	defer l.Close()
 	return l.Addr().String()
@@ -102,7 +131,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	cmd := exec.Command(filepath.Join(c.dir, command), args...)
+	cmd := exec.Command(filepath.Join(commands, command), args...)
 	cmd.Stdout, cmd.Stderr = output, output
 	if err := cmd.Start(); err != nil {
 		c.t.Fatalf("start %s: %v", name, err)
@@ -142,16 +171,33 @@
 }
 
 func (c *Cluster) startWorkers(index int, region string) {
-	p := c.start("workers-"+region, "standin", "worker", "--count", fmt.Sprint(c.options.Workers), "--prefix", region+"-worker-",
-		"--region", region, "--failure-domain", fmt.Sprintf("domain-%d", index), "--rack-prefix", region+"-rack-", "--rack-size", "2")
+	if !c.options.SeparateWorkers {
+		c.startWorkerProcess(region+"-worker-", c.options.Workers, index, region)
+		return
+	}
+	for i := range c.options.Workers {
+		c.startWorkerProcess(fmt.Sprintf("%s-worker-%d-", region, i), 1, index, region)
+	}
+}
+
+// startWorkerProcess starts one process with a number of workers.
+func (c *Cluster) startWorkerProcess(prefix string, count, index int, region string) {
+	p := c.start("workers-"+prefix, "standin", "worker", "--count", fmt.Sprint(count), "--prefix", prefix, "--listen", c.host+":0",
+		"--region", region, "--failure-domain", fmt.Sprintf("domain-%d", index), "--rack-prefix", prefix+"rack-", "--rack-size", "2")
 	var found []instancelist.Instance
-	c.Eventually(10*time.Second, "workers of "+region, func() bool {
+	c.Eventually(10*time.Second, "workers "+prefix, func() bool {
 		found = readWorkers(p.output.Name())
-		return len(found) == c.options.Workers
+		return len(found) == count
 	})
+	for _, w := range found {
+		c.processes[w.Name] = p
+	}
 	c.Workers = append(c.Workers, found...)
 }
 
+// WorkerProcess returns the process in which a worker runs.
+func (c *Cluster) WorkerProcess(name string) *Process { return c.processes[name] }
+
 func readWorkers(path string) []instancelist.Instance {
 	file, err := os.Open(path)
 	if err != nil {
@@ -194,7 +240,7 @@
 	s.Regions = c.options.Regions
 	s.Region = c.options.Regions[i%len(c.options.Regions)]
 	s.FailureDomain = fmt.Sprintf("domain-%d", i)
-	s.CallerAddress, s.OperatorAddress, s.EntryAddress = freeAddress(c.t), freeAddress(c.t), freeAddress(c.t)
+	s.CallerAddress, s.OperatorAddress, s.EntryAddress = c.freeAddress(), c.freeAddress(), c.freeAddress()
 	s.StoreEndpoints = []string{c.StoreAddr}
 	s.InstanceListEndpoint = c.ListAddr
 	s.WorkerPartitions = 2
@@ -209,7 +255,8 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		c.t.Fatal(err)
 	}
-	e := &Entry{Settings: s, path: path}
+	e := &Entry{Settings: s, path: path, Operator: client.New(client.Config{Addresses: []string{s.OperatorAddress}})}
+	c.t.Cleanup(e.Operator.Close)
 	c.Entries = append(c.Entries, e)
 	c.StartEntry(e)
 }
@@ -218,9 +265,15 @@
 func (c *Cluster) StartEntry(e *Entry) {
 	e.Process = c.start(e.Settings.Instance, "mulberryd", e.path)
 	c.await(e.Settings.CallerAddress)
-	body, _ := json.Marshal(instancelist.Instance{Name: e.Settings.Instance, Address: e.Settings.EntryAddress, Role: instancelist.RoleEntry,
+	c.PutListed(instancelist.Instance{Name: e.Settings.Instance, Address: e.Settings.EntryAddress, Role: instancelist.RoleEntry,
 		Region: e.Settings.Region, FailureDomain: e.Settings.FailureDomain, State: instancelist.StateLive})
-	request, _ := http.NewRequest(http.MethodPut, "http://"+c.ListAddr+instancelist.PathInstances+"/"+e.Settings.Instance, strings.NewReader(string(body)))
+}
+
+// PutListed changes one instance in the instance list.
+func (c *Cluster) PutListed(instance instancelist.Instance) {
+	c.t.Helper()
+	body, _ := json.Marshal(instance)
+	request, _ := http.NewRequest(http.MethodPut, "http://"+c.ListAddr+instancelist.PathInstances+"/"+instance.Name, strings.NewReader(string(body)))
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		c.t.Fatal(err)
@@ -228,26 +281,6 @@
 	_ = response.Body.Close()
 }
 
-// Ledgers reads the ledgers of all workers.
-func (c *Cluster) Ledgers() []oracle.WorkerLedger {
-	c.t.Helper()
-	var ledgers []oracle.WorkerLedger
-	for _, w := range c.Workers {
-		response, err := http.Get("http://" + w.Address + "/ledger")
-		if err != nil {
-			c.t.Fatal(err)
-		}
-		var ledger oracle.WorkerLedger
-		err = json.NewDecoder(response.Body).Decode(&ledger)
-		_ = response.Body.Close()
-		if err != nil {
-			c.t.Fatalf("ledger of %s: %v", w.Name, err)
-		}
-		ledgers = append(ledgers, ledger)
-	}
-	return ledgers
-}
-
 // dumpOnFailure prints the end of every process's output if the test failed.
 func (c *Cluster) dumpOnFailure() {
 	if !c.t.Failed() {
@@ -256,33 +289,10 @@
 	const tail = 3000 // bytes of each output
 	paths, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
 	for _, path := range paths {
+		if strings.HasPrefix(filepath.Base(path), "workers-") {
+			continue // the addresses only
+		}
 		text, _ := os.ReadFile(path)
 		c.t.Logf("%s:\n%s", filepath.Base(path), text[max(0, len(text)-tail):])
 	}
 }
-
-// Kill ends the process at once and waits for its end.
-func (p *Process) Kill() {
-	_ = p.cmd.Process.Kill()
-	<-p.ended
-}
-
-// Stop asks for a planned stop and returns whether it ended within the bound.
-func (p *Process) Stop(bound time.Duration) bool {
-	_ = p.cmd.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-p.ended:
-		return true
-	case <-time.After(bound):
-		return false
-	}
-}
-
-// Freeze stops the process from running until Resume.
-func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
-
-// Resume lets a frozen process go on.
-func (p *Process) Resume() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
-
-// ExitCode returns the exit code of a process that has ended.
-func (p *Process) ExitCode() int { return p.cmd.ProcessState.ExitCode() }
