Keep answers through a planned handover

Cause: three faults that TestRollingRestart showed. (1) A home refused an answer at once when no partition had an owner that is ready, which is so for three to four seconds after each handover in a region whose partitions had one owner, and named deadline_exceeded as the reason, which callers do not retry. An answer now waits for a partition until its deadline, up to 1,000 of them at a home, and the true reason (no_owner) is told. (2) A draining owner still advertised its partitions, so that all attempts of an answer went to it in turn within 1 ms; it no longer does, and a home that is refused with draining closes the partition until the next digest. Partitions are handed over without waiting for the calls that wait at the same instance for them. (3) An instance that had not read the configuration yet answered unknown_team, which callers do not retry; it answers key_stale.

Ruled out: the queue's expected wait (no answer had reached a queue), expired terms (the time line shows holders throughout).

Not fixed: a partition takes no tasks for start_validity (3 s) and a sync after a planned handover too, although its former owner is known to have stopped.

--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -63,17 +63,26 @@
 }
 
 // postpone keeps a task for which no partition is available. A caller that waits
-// for an answer is told at once, so that it can try elsewhere.
+// for an answer is told once its deadline would pass: a change of owner leaves a
+// partition without one for seconds, and any other instance would ask this same
+// home. The bound keeps a flood of requests from filling the memory meanwhile.
 func (h *home) postpone(ref taskRef, record *ledger.Record, avoid []string, tries int) {
-	if !record.Spec.Kind.IsDurable() {
-		h.refuse(ref, record, errkind.NoOwner)
-		return
-	}
 	const maxShift = 5 // the longest pause is 32 retry intervals
 	pause := h.cfg.RetryInterval << min(tries, maxShift)
+	if !record.Spec.Kind.IsDurable() {
+		pause = h.cfg.RetryInterval
+		if len(h.idle) >= maxIdleForAnswers || !h.now.Add(pause).Before(record.Spec.Deadline) {
+			h.refuse(ref, record, errkind.NoOwner)
+			return
+		}
+	}
 	h.idle[ref] = &idleTask{tryAt: h.now.Add(pause), tries: tries + 1, avoid: avoid}
 }
 
+// maxIdleForAnswers is the number of tasks without a partition above which an
+// answer is refused at once.
+const maxIdleForAnswers = 1000
+
 // refuse ends a task of a memory-only job as not run.
 func (h *home) refuse(ref taskRef, record *ledger.Record, kind errkind.Kind) {
 	a := record.AttemptOf(ref.index)
@@ -84,7 +93,10 @@
 		if verdict != ledger.Again {
 			break
 		}
-		outcome.Reason = string(errkind.DeadlineExceeded)
+		outcome.Reason = string(errkind.DeadlineExceeded) // a reason that ends the task
+	}
+	if ended := record.Tasks[ref.index].Outcome; ended != nil {
+		ended.Reason = string(kind)
 	}
 	h.settle(ref.job)
 }
@@ -226,6 +238,9 @@
 	var avoid []string
 	if last != nil && outcome.State == task.NotRun {
 		avoid = []string{last.partition}
+		if outcome.Reason == string(errkind.Draining) {
+			h.routing.closed(last.partition)
+		}
 	}
 	if !record.Spec.Kind.IsDurable() {
 		h.dispatch(ref.job, record, ref.index, avoid, 0)
--- a/control/drain.go
+++ b/control/drain.go
@@ -31,24 +31,25 @@
 	}
 }
 
-// continueDrain hands over what is still held once no call of a caller waits
-// here. Without store contact nothing can be handed over and the process keeps
-// its units until it is stopped.
+// continueDrain hands over the partitions once no home needs this owner, and the
+// request shards once no call of a caller waits here. Neither waits for the
+// other: an answer may wait here for a partition that this process still holds.
+// Without store contact nothing can be handed over and the process keeps its
+// units until it is stopped.
 func (s *State) continueDrain() {
 	if !s.drain.started || s.drain.finished {
 		return
 	}
-	if len(s.home.calls) > 0 && s.now.Sub(s.drain.since) < s.cfg.MaxDrainingAnswers {
-		return
-	}
-	if s.owner.isBusy() && s.now.Sub(s.drain.since) < s.cfg.MaxDrainingAnswers {
-		return
-	}
+	inTime := s.now.Sub(s.drain.since) < s.cfg.MaxDrainingAnswers
+	keepShards := inTime && len(s.home.calls) > 0
+	keepPartitions := inTime && s.owner.isBusy()
 	held := s.heldUnits()
 	for _, unit := range held {
-		if !s.home.ledger.HasPending(unit) {
-			s.ownership.Release(s.now, unit)
+		_, isPartition := s.owner.partitions[unit]
+		if isPartition && keepPartitions || !isPartition && keepShards || s.home.ledger.HasPending(unit) {
+			continue
 		}
+		s.ownership.Release(s.now, unit)
 	}
 	if len(held) == 0 {
 		s.drain.finished = true
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -198,7 +198,7 @@
 		if !owned || !w.isUsable(ws) {
 			continue
 		}
-		d.Ready = true
+		d.Ready = !w.draining
 		d.Capacity = d.Capacity.Add(ws.capacity)
 		if free, known := w.cluster.FreeOn(ws.listed.Name); known {
 			d.Free = d.Free.Add(free)
--- a/control/routing.go
+++ b/control/routing.go
@@ -115,6 +115,15 @@
 	}
 }
 
+// closed notes that the owner of a partition takes no tasks, until its next
+// digest. Without it every attempt of a task could go to that owner in turn.
+func (r *routing) closed(partition string) {
+	if load, ok := r.partitions[partition]; ok {
+		load.digest.Ready = false
+		r.partitions[partition] = load
+	}
+}
+
 // charge lowers the known free resources of a partition by what was just sent
 // there, so that a burst between two digests is spread.
 func (r *routing) charge(partition string, size task.Resources) {
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -118,8 +118,12 @@
 	return complete, nil
 }
 
-// unknown says which part of a service's name is not known.
+// unknown says which part of a service's name is not known. A process that has
+// not read the configuration yet knows no names and cannot say that.
 func (s *Snapshot) unknown(team task.Team, service task.Service) *errkind.Error {
+	if s.Revision == 0 {
+		return errkind.New(errkind.KeyStale, "this instance has not read the configuration yet")
+	}
 	for key := range s.Documents {
 		if key.Team == team {
 			return errkind.New(errkind.UnknownService, "team %s has no service %s", team, service)
