--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,6 @@
-// Command standin runs one of the stand-ins for the platform: its store, its
-// instance list or workers. Faults are switched over HTTP while it runs.
+// Command standin runs one of the stand-ins for the platform (its store, its
+// instance list or workers), or a relay that disturbs the connections between two
+// processes. Faults are switched over HTTP while it runs.
 package main
 
 import (
@@ -12,6 +13,7 @@
 	Store   storeCommand   `cmd:"" help:"Run the stand-in for the platform's store."`
 	List    listCommand    `cmd:"" help:"Run the stand-in for the instance list."`
 	Worker  WorkerCommand  `cmd:"" help:"Run stand-in workers."`
+	Relay   relayCommand   `cmd:"" help:"Run a TCP relay that can cut, delay or silence connections."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -22,6 +22,7 @@
 	"github.com/mulberrydrum/mulberrydrum/demo"
 	"github.com/mulberrydrum/mulberrydrum/instancelist"
 	"github.com/mulberrydrum/mulberrydrum/settings"
+	"github.com/mulberrydrum/mulberrydrum/standin"
 )
 
 // Options describe the deployment. Adjust changes the settings of one instance.
@@ -29,6 +30,7 @@
 	Entries         int
 	Workers         int  // per region
 	SeparateWorkers bool // each worker is a process of its own
+	StoreRelays     bool // each instance reaches the store through a relay of its own
 	Regions         []string
 	Adjust          func(i int, s *settings.Settings)
 }
@@ -55,6 +57,7 @@
 	Settings settings.Settings
 	Operator *client.Client
 	path     string
+	switches string // address of the switches of the relay to the store
 }
 
 // commands is the directory of the commands that Main has built.
@@ -241,7 +244,11 @@
 	s.Region = c.options.Regions[i%len(c.options.Regions)]
 	s.FailureDomain = fmt.Sprintf("domain-%d", i)
 	s.CallerAddress, s.OperatorAddress, s.EntryAddress = c.freeAddress(), c.freeAddress(), c.freeAddress()
-	s.StoreEndpoints = []string{c.StoreAddr}
+	storeAddr, switches := c.StoreAddr, ""
+	if c.options.StoreRelays {
+		storeAddr, switches = c.startRelay(s.Instance)
+	}
+	s.StoreEndpoints = []string{storeAddr}
 	s.InstanceListEndpoint = c.ListAddr
 	s.WorkerPartitions = 2
 	if c.options.Adjust != nil {
@@ -255,12 +262,28 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		c.t.Fatal(err)
 	}
-	e := &Entry{Settings: s, path: path, Operator: client.New(client.Config{Addresses: []string{s.OperatorAddress}})}
+	e := &Entry{Settings: s, path: path, switches: switches, Operator: client.New(client.Config{Addresses: []string{s.OperatorAddress}})}
 	c.t.Cleanup(e.Operator.Close)
 	c.Entries = append(c.Entries, e)
 	c.StartEntry(e)
 }
 
+// startRelay starts a relay between an instance and the store.
+func (c *Cluster) startRelay(instance string) (address, switches string) {
+	address, switches = c.freeAddress(), c.freeAddress()
+	c.start("relay-"+instance, "standin", "relay", "--listen", address, "--target", c.StoreAddr, "--control", switches)
+	c.await(address)
+	c.await(switches)
+	return address, switches
+}
+
+// SilenceStore makes the present connections of an instance to the store silent.
+// New ones work.
+func (c *Cluster) SilenceStore(e *Entry) {
+	c.t.Helper()
+	c.Post("http://"+e.switches+standin.PathRelaySilence, "{}")
+}
+
 // StartEntry starts the process of an entry instance, again after it has ended.
 func (c *Cluster) StartEntry(e *Entry) {
 	e.Process = c.start(e.Settings.Instance, "mulberryd", e.path)
--- /dev/null
+++ b/standin/relay.go
@@ -0,0 +1,198 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Direction is a direction of traffic through a relay.
+type Direction string
+
+// The directions, and both of them for a cut.
+const (
+	ToServer Direction = "to_server"
+	ToClient Direction = "to_client"
+	Both     Direction = "both"
+)
+
+// RelayState is what a relay does to all its connections, present and new.
+//
+// A cut holds traffic back, as a network does that drops packets: the sender
+// tries again, so that what was held arrives when the cut ends, unless the
+// connection was reset meanwhile. New connections are accepted during a cut,
+// since a process cannot leave a connection request of the loopback unanswered.
+type RelayState struct {
+	Cut     Direction `json:"cut,omitempty"`
+	DelayMS int64     `json:"delay_ms,omitempty"` // of each direction
+}
+
+func (s RelayState) check() error {
+	if s.Cut != "" && !slices.Contains([]Direction{ToServer, ToClient, Both}, s.Cut) {
+		return fmt.Errorf("unknown direction %q", s.Cut)
+	}
+	if s.DelayMS < 0 {
+		return fmt.Errorf("delay_ms is %d, less than 0", s.DelayMS)
+	}
+	return nil
+}
+
+func (s RelayState) cuts(d Direction) bool { return s.Cut == d || s.Cut == Both }
+
+// relayDialTimeout bounds the connection to the server.
+const relayDialTimeout = 2 * time.Second
+
+// Relay passes TCP connections on to one server and disturbs them on demand.
+type Relay struct {
+	listener net.Listener
+	target   string
+	running  sync.WaitGroup
+	toServer atomic.Int64 // bytes passed on
+	toClient atomic.Int64
+
+	mu      sync.Mutex
+	state   RelayState
+	changed chan struct{} // closed and replaced by Set
+	links   map[*relayLink]struct{}
+	closed  bool
+}
+
+// NewRelay returns a relay from listener to the server at target.
+func NewRelay(listener net.Listener, target string) *Relay {
+	return &Relay{
+		listener: listener,
+		target:   target,
+		changed:  make(chan struct{}),
+		links:    map[*relayLink]struct{}{},
+	}
+}
+
+// Serve accepts connections until Close.
+func (r *Relay) Serve() error {
+	for {
+		conn, err := r.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return eris.Wrap(err, "accept connection for relay")
+		}
+		r.start(conn)
+	}
+}
+
+func (r *Relay) start(client net.Conn) {
+	link := newRelayLink(r, client)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		client.Close()
+		return
+	}
+	r.links[link] = struct{}{}
+	r.running.Go(func() {
+		link.run()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.links, link)
+	})
+}
+
+// Close stops the relay, closes its connections and waits until they are done.
+func (r *Relay) Close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.listener.Close()
+	r.Reset()
+	r.running.Wait()
+}
+
+// Set changes what happens to all connections.
+func (r *Relay) Set(state RelayState) error {
+	if err := state.check(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = state
+	close(r.changed)
+	r.changed = make(chan struct{})
+	return nil
+}
+
+func (r *Relay) current() (RelayState, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state, r.changed
+}
+
+// Silence lets the present connections fall silent for good: they stay open and
+// swallow everything. New connections work. It returns their number.
+func (r *Relay) Silence() int { return r.forEach((*relayLink).silence) }
+
+// Reset closes the present connections, with all that was held, and returns
+// their number.
+func (r *Relay) Reset() int { return r.forEach((*relayLink).close) }
+
+func (r *Relay) forEach(f func(*relayLink)) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for link := range r.links {
+		f(link)
+	}
+	return len(r.links)
+}
+
+// Connections returns the number of present connections.
+func (r *Relay) Connections() int { return r.forEach(func(*relayLink) {}) }
+
+// await blocks until traffic that arrived at some time may go on in a direction.
+// It returns false if the connection fell silent or was closed before.
+func (r *Relay) await(link *relayLink, direction Direction, arrived time.Time) bool {
+	for {
+		state, changed := r.current()
+		var due <-chan time.Time // nil during a cut
+		if !state.cuts(direction) {
+			wait := time.Until(arrived.Add(time.Duration(state.DelayMS) * time.Millisecond))
+			if wait <= 0 {
+				return !link.ended()
+			}
+			due = time.After(wait)
+		}
+		select {
+		case <-due:
+		case <-changed:
+		case <-link.silent:
+			return false
+		case <-link.closed:
+			return false
+		}
+	}
+}
+
+// dial connects to the server, not before the way there is free.
+func (r *Relay) dial(link *relayLink) (net.Conn, error) {
+	if !r.await(link, ToServer, time.Now()) {
+		return nil, net.ErrClosed
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), relayDialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", r.target)
+}
+
+func (r *Relay) count(direction Direction, bytes int) {
+	if direction == ToServer {
+		r.toServer.Add(int64(bytes))
+		return
+	}
+	r.toClient.Add(int64(bytes))
+}
--- /dev/null
+++ b/standin/relay_switch.go
@@ -0,0 +1,63 @@
+package standin
+
+import "net/http"
+
+// Paths of the switches of a relay.
+const (
+	PathRelay        = "/relay"         // GET shows the status, POST sets a RelayState
+	PathRelaySilence = "/relay/silence" // POST silences the present connections
+	PathRelayReset   = "/relay/reset"   // POST closes the present connections
+)
+
+// RelayStatus is the reply to GET PathRelay.
+type RelayStatus struct {
+	RelayState
+	Target        string `json:"target"`
+	Connections   int    `json:"connections"`
+	ToServerBytes int64  `json:"to_server_bytes"`
+	ToClientBytes int64  `json:"to_client_bytes"`
+}
+
+// RelayAffected is the reply to POST PathRelaySilence and PathRelayReset.
+type RelayAffected struct {
+	Connections int `json:"connections"`
+}
+
+// Status returns the state and the traffic so far.
+func (r *Relay) Status() RelayStatus {
+	state, _ := r.current()
+	return RelayStatus{
+		RelayState:    state,
+		Target:        r.target,
+		Connections:   r.Connections(),
+		ToServerBytes: r.toServer.Load(),
+		ToClientBytes: r.toClient.Load(),
+	}
+}
+
+// Switches returns the handler of the switches. It has to be served on another
+// port than the relay, or a cut would also cut the way to end it.
+func (r *Relay) Switches() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathRelay, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, r.Status())
+	})
+	mux.HandleFunc("POST "+PathRelay, func(w http.ResponseWriter, request *http.Request) {
+		var state RelayState
+		if !readControl(w, request, &state) {
+			return
+		}
+		if err := r.Set(state); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		writeJSON(w, http.StatusOK, r.Status())
+	})
+	mux.HandleFunc("POST "+PathRelaySilence, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, RelayAffected{Connections: r.Silence()})
+	})
+	mux.HandleFunc("POST "+PathRelayReset, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, RelayAffected{Connections: r.Reset()})
+	})
+	return mux
+}
