--- a/cmd/mulberryctl/load.go
+++ b/cmd/mulberryctl/load.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"os"
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/load"
@@ -15,19 +14,18 @@
 	Duration time.Duration `default:"30m" help:"Virtual time to simulate."`
 	Policy   string        `default:"fair" enum:"fair,deficit,priority,fifo" help:"Policy to compare with fifo and priority (fair, deficit, priority, fifo)."`
 	Load     float64       `default:"0.9" help:"Offered work as a part of the capacity, without the flood."`
-	Output   string        `default:"table" enum:"table,json" help:"Form of the report (table, json)."`
 }
 
 // Run simulates the policy and the baselines and prints the comparison.
-func (c loadCommand) Run() error {
+func (c loadCommand) Run(env *environment) error {
 	results, err := load.Compare(load.Config{
 		Seed: c.Seed, Teams: c.Teams, Workers: c.Workers, Duration: c.Duration, Policy: c.Policy, Load: c.Load,
 	})
 	if err != nil {
 		return err
 	}
-	if c.Output == "json" {
-		return load.WriteJSON(os.Stdout, results)
+	if env.Output == "json" {
+		return load.WriteJSON(env.stdout, results)
 	}
-	return load.WriteTable(os.Stdout, results)
+	return load.WriteTable(env.stdout, results)
 }
