Close gaps in the tests of placement, queue and fairshare

Find is compared with the scan in fleets of 1,300 workers too, whose sets have more words than the rapid test reaches. Retry hints are checked for their bounds and their spread.

Looking up the share of an unknown team made it known with weight 1, which took from what the others were entitled to (TestLookingChangesNoShare failed before); Forget drops a team that no longer exists.

--- a/fairshare/shares.go
+++ b/fairshare/shares.go
@@ -144,9 +144,23 @@
 	teams[i-1] = moved.team
 }
 
-// ShareOf returns the position of a team.
+// Forget drops a team that no longer exists. A team that still uses something
+// stays known until that has finished.
+func (s *Shares) Forget(team task.Team) {
+	u, known := s.teams[team]
+	if !known || !u.used().IsZero() {
+		return
+	}
+	s.totalWeight -= u.weight
+	delete(s.teams, team)
+}
+
+// ShareOf returns the position of a team, zero if the team is unknown.
 func (s *Shares) ShareOf(now time.Time, team task.Team) Share {
-	u := s.usageOf(team)
+	u, known := s.teams[team]
+	if !known {
+		return Share{}
+	}
 	s.decay(now, u)
 	return Share{
 		Current:  u.used().DominantShare(s.total),
--- a/fairshare/shares_test.go
+++ b/fairshare/shares_test.go
@@ -113,3 +113,24 @@
 		}
 	})
 }
+
+// TestLookingChangesNoShare guards against a question about an unknown or
+// forgotten team taking from what the others are entitled to.
+func TestLookingChangesNoShare(t *testing.T) {
+	s := newShares(0)
+	s.SetWeight("a", 2)
+	s.SetWeight("gone", 2)
+	s.Start(start, "gone", task.Resources{Slots: 1})
+	s.Forget("gone")
+	if got := s.ShareOf(start, "gone"); got.Current == 0 {
+		t.Error("a team was forgotten while it used something")
+	}
+	s.Finish(start, "gone", task.Resources{Slots: 1})
+	s.Forget("gone")
+	if got := s.ShareOf(start, "unknown"); got != (Share{}) {
+		t.Errorf("share of an unknown team = %+v", got)
+	}
+	if got := s.ShareOf(start, "a").Entitled; got != 1 {
+		t.Errorf("entitled share of the only team = %v", got)
+	}
+}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/mulberrydrum/mulberrydrum/task"
@@ -152,6 +153,32 @@
 	}
 }
 
+// TestFindEqualsScanInLargeFleets guards against a wrong choice that shows only
+// in sets of many words.
+func TestFindEqualsScanInLargeFleets(t *testing.T) {
+	for seed, fill := range fills {
+		random := rand.New(rand.NewPCG(uint64(seed), 1))
+		c := newFleet(1300)
+		fillFleet(c, fill, random)
+		for range 200 {
+			size := commonSizes[random.IntN(len(commonSizes))]
+			size.CPUMilli += random.Int64N(100)
+			free := make([]task.Resources, len(c.nodes))
+			for i := range c.nodes {
+				free[i] = c.nodes[i].free
+			}
+			want := scan(free, &size)
+			name, ok := c.Find(Request{Size: size})
+			if ok != (want >= 0) || ok && name != c.nodes[want].Name {
+				t.Fatalf("%s: Find(%v) = %q, %v; the scan finds slot %d", fill, size, name, ok, want)
+			}
+			if ok {
+				c.Reserve(name, task.Attempt{Task: task.ID(fmt.Sprint("x", len(c.holds))), Number: 1}, size)
+			}
+		}
+	}
+}
+
 // TestGangIsAllOrNothing guards against a gang that has room being refused, one
 // without room being placed in part, and Find's state changing under it.
 func TestGangIsAllOrNothing(t *testing.T) {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -228,3 +228,22 @@
 		t.Errorf("err = %v", err)
 	}
 }
+
+// TestRetryHintsAreSpread guards against refused callers all coming back at the
+// same moment, and against hints without bound.
+func TestRetryHintsAreSpread(t *testing.T) {
+	q := New(Config{Limit: 1, Rand: rand.New(rand.NewPCG(1, 2))})
+	mustPush(t, q, start, entry("waits", task.Normal))
+	now := start.Add(time.Hour) // nothing has started since
+	hints := map[time.Duration]bool{}
+	for range 20 {
+		err := q.Push(now, entry("refused", task.Normal))
+		if err == nil || err.RetryAfter < maxRetry/2 || err.RetryAfter > maxRetry*3/2 {
+			t.Fatalf("err = %v, want a hint of %v give or take a half", err, maxRetry)
+		}
+		hints[err.RetryAfter] = true
+	}
+	if len(hints) < 20 {
+		t.Errorf("%d different hints in 20 refusals", len(hints))
+	}
+}
