--- a/settings/settings.go
+++ b/settings/settings.go
@@ -43,8 +43,8 @@
 	FairShareHalfLife  time.Duration `json:"fair_share_half_life" default:"10m" min:"1s" max:"720h" doc:"half-life of the usage that fairness counts"`
 	QuarantineShare    float64       `json:"quarantine_share" default:"0.1" min:"0" max:"0.5" doc:"largest fraction of the workers of a partition in quarantine"`
 	QueueLimitPerTeam  int           `json:"queue_limit_per_team" default:"1000" min:"1" max:"100000" doc:"waiting tasks of one team at one owner"`
-	AllowanceInterval  time.Duration `json:"allowance_interval" default:"1s" min:"50ms" max:"1m" doc:"least time between two allowance transactions of an owner"`
-	AllowanceIdle      time.Duration `json:"allowance_idle" default:"5s" min:"100ms" max:"10m" doc:"allowance idle for this time is returned"`
+	AllowanceInterval  time.Duration `json:"allowance_interval" default:"250ms" min:"50ms" max:"1m" doc:"least time between two allowance transactions of an owner"`
+	AllowanceIdle      time.Duration `json:"allowance_idle" default:"30s" min:"100ms" max:"10m" doc:"allowance idle for this time is returned"`
 
 	LedgerFlushInterval time.Duration `json:"ledger_flush_interval" default:"20ms" min:"1ms" max:"5s" doc:"least time between two group commits of the process"`
 	LedgerTxnBytes      int64         `json:"ledger_txn_bytes" default:"786432" min:"65536" max:"1000000" doc:"values of one group commit, in bytes; below the largest call of the store"`
