Keep keys valid in a store outage that all members state

Cause: an outage round took the promise of the process itself like that of another member. A round expects none from itself, so that it counted as a refusal and no round ever confirmed the keys: all instances refused keyed work with key_stale after key_freshness. Without other members no reply came that could confirm either. Seen with three processes and the store stand-in down for 12 s. TestKeysInStoreOutage failed first ("1 instances: entry-0 refuses the key") and passes. Ruled out: to let OutageRound.Reply accept the process itself; a promise that is not given must keep the round from starting, which is clearer here.

--- a/control/exchange.go
+++ b/control/exchange.go
@@ -68,6 +68,10 @@
 		return
 	}
 	s.exchange.sentAt[self.Incarnation] = s.now
+	// The promise of this process counts as much as those of the others.
+	if !s.freshness.PromiseNoCommit(s.now, false) {
+		return
+	}
 	s.exchange.round = keyring.NewOutageRound(s.now, self, peers)
 	s.exchange.asked = asked
 	names := make([]string, 0, len(s.members.listed))
@@ -75,7 +79,8 @@
 		names = append(names, m.Instance)
 	}
 	s.exchange.round.Listed(s.members.listedAt, names)
-	s.exchange.round.Reply(keyring.OutageReply{From: self, Promised: s.freshness.PromiseNoCommit(s.now, false), Revision: s.config.applied})
+	s.freshness.OutageConfirmed(s.now, s.exchange.round) // complete at once without other members
+	s.changed = true
 	for incarnation, ask := range asked {
 		if ask {
 			delete(s.exchange.sentAt, incarnation) // due at once
