--- a/cmd/mulberryctl/drain.go
+++ b/cmd/mulberryctl/drain.go
@@ -11,7 +11,7 @@
 type drainCommand struct {
 	Instance string `help:"Entry instance that hands over what it owns and then stops." xor:"what" required:""`
 	Worker   string `help:"Worker that gets no more tasks." xor:"what" required:""`
-	Undo     bool   `help:"Put it back into service."`
+	Undo     bool   `help:"Put a worker back into service, or let the next process of an entry instance stay."`
 }
 
 // Help shows how to use the command.
