--- a/control/exchange.go
+++ b/control/exchange.go
@@ -87,6 +87,8 @@
 		names = append(names, m.Instance)
 	}
 	s.exchange.round.Listed(s.members.listedAt, names)
+	s.freshness.OutageConfirmed(s.now, s.exchange.round) // complete at once without other members
+	s.changed = true
 	for incarnation, ask := range asked {
 		if ask {
 			delete(s.exchange.sentAt, incarnation) // due at once
