--- a/endtoend/keys_test.go
+++ b/endtoend/keys_test.go
@@ -159,3 +159,58 @@
 	awaitService(t, c, callerOf(c, "leuven"))
 	c.Check(t, nil)
 }
+
+// TestWorkUnderWithdrawnKey guards against work that goes on after its key was
+// withdrawn, and against an end that is told wrongly: what waits is not run, and
+// what runs is stopped, at-most-once work too.
+func TestWorkUnderWithdrawnKey(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 3, 4)
+	apply(t, c, c.Entries[0], "piping", `"sleep:1500ms"`, `"sleep:2m"`)
+	applied, _ := apply(t, c, c.Entries[0], "piping", `"sleep:200ms"`, `"sleep:2m"`)
+	if !applied.InForce {
+		t.Fatal("the long commands are not in force")
+	}
+	key := grant(t, c, c.Entries[0])
+	caller := client.New(client.Config{Addresses: []string{c.Entries[1].Settings.CallerAddress}, Secret: key.Secret})
+	t.Cleanup(caller.Close)
+	const tasks = 30 // more than the workers have room for
+	report := submitLong(t, c, key.Secret, "report", "stress-report")
+	batch := api.SubmitRequest{IdempotencyKey: "batch", Class: "flexibility-run", Count: tasks, Payload: []byte("batch")}
+	if _, err := caller.Submit(t.Context(), "leuven", "piping", batch, 0); err != nil {
+		t.Fatal(err)
+	}
+	c.Eventually(serviceBound, "some of the work runs", func() bool { return c.Running("leuven") > tasks/3 })
+	settled(2 * time.Second)
+	if _, err := c.Entries[2].Operator.WithdrawKey(t.Context(), "leuven", key.ID); err != nil {
+		t.Fatal(err)
+	}
+	c.Eventually(withdrawalBound+taskLease, "no work under the key runs", func() bool { return c.Running("leuven") == 0 })
+	other := callerOf(c, "leuven")
+	ran := map[task.ID]bool{}
+	for _, ledger := range c.Ledgers() {
+		for _, run := range ledger.Runs {
+			ran[run.Attempt.Task] = true
+		}
+	}
+	counts := map[task.State]int{}
+	for _, id := range []string{report, "leuven/piping/batch"} {
+		var job api.Job
+		c.Eventually(serviceBound, "the end of "+id, func() bool {
+			var err error
+			job, err = other.Status(t.Context(), id)
+			return err == nil && job.State.IsFinal()
+		})
+		for _, got := range job.Tasks {
+			counts[got.State]++
+			if got.Reason != string(errkind.KeyWithdrawn) || ran[got.ID] != (got.State != task.NotRun) {
+				t.Errorf("task %s ended as %s with reason %q, and it ran: %v", got.ID, got.State, got.Reason, ran[got.ID])
+			}
+		}
+	}
+	t.Logf("work under the key ended as %v", counts)
+	if counts[task.NotRun] == 0 || counts[task.NotRun] >= tasks {
+		t.Errorf("%d of %d tasks were not run, want some and not all", counts[task.NotRun], tasks+1)
+	}
+	c.Check(t, nil)
+}
--- a/endtoend/kill_test.go
+++ b/endtoend/kill_test.go
@@ -1,7 +1,6 @@
 package endtoend
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -34,32 +33,35 @@
 	return units
 }
 
-// taken returns when the last of some units was taken after a time, by any of
-// the instances.
-func taken(events []timeline.Event, units []string, after time.Time) (last time.Time, complete bool) {
+// taken returns when the last of some units was taken after a time, and those
+// that were not.
+func taken(events []timeline.Event, units []string, after time.Time) (last time.Time, missing []string) {
 	for _, unit := range units {
 		e, ok := processtest.First(events, after, func(e timeline.Event) bool {
 			return e.Type == timeline.OwnershipTaken && e.Partition == unit
 		})
 		if !ok {
-			return last, false
+			missing = append(missing, unit)
 		}
 		if e.Clock.Wall.After(last) {
 			last = e.Clock.Wall
 		}
 	}
-	return last, true
+	return last, missing
 }
 
 // awaitTakeover returns how long units were without an owner.
 func awaitTakeover(t *testing.T, c *processtest.Cluster, units []string, since time.Time, bound time.Duration) time.Duration {
 	t.Helper()
 	var last time.Time
-	c.Eventually(bound+2*time.Second, fmt.Sprintf("new owners of %v", units), func() bool {
-		var complete bool
-		last, complete = taken(c.Events(), units, since)
-		return complete
-	})
+	var missing []string
+	deadline := since.Add(bound + 3*time.Second) // time to fetch the time line
+	for last, missing = taken(c.Events(), units, since); len(missing) > 0; last, missing = taken(c.Events(), units, since) {
+		if time.Now().After(deadline) {
+			t.Fatalf("no new owners of %v of %d units within %v", missing, len(units), bound)
+		}
+		settled(100 * time.Millisecond)
+	}
 	without := last.Sub(since)
 	if without > bound {
 		t.Errorf("units were without an owner for %v, want at most %v", without, bound)
@@ -70,6 +72,7 @@
 // TestKill guards against work that is lost, doubled or answered wrongly when
 // entry instances die under load, and against units that stay without an owner.
 func TestKill(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name  string
 		count int
@@ -117,6 +120,7 @@
 // pause longer than its term, and against a pause shorter than its term that
 // loses or doubles work.
 func TestFreeze(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name string
 		last time.Duration
--- a/endtoend/store_test.go
+++ b/endtoend/store_test.go
@@ -24,6 +24,7 @@
 // work, loses or doubles work, or has new durable work told anything but the
 // truth.
 func TestStoreOutage(t *testing.T) {
+	t.Parallel()
 	outages := []outage{
 		{"frozen", 30 * time.Second,
 			func(c *processtest.Cluster) { c.Store.Freeze() }, func(c *processtest.Cluster) { c.Store.Resume() }},
--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -92,9 +92,15 @@
 	return fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, n/250, 1+n%250)
 }
 
+// running bounds the clusters that run at once. With six to eleven processes
+// each, more of them would measure the machine instead of the scheduler.
+var running = make(chan struct{}, 8)
+
 // Start starts every process. The package must run its tests with Main.
 func Start(t *testing.T, options Options) *Cluster {
 	t.Helper()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
 	c := &Cluster{t: t, dir: t.TempDir(), host: nextHost(), options: options, processes: map[string]*Process{}}
 	c.StoreAddr, c.ListAddr = c.freeAddress(), c.freeAddress()
 	c.trace = newCollector()
