Tell callers only what the store holds

Cause: a caller, or the time line, was told of a cancellation that was not in the store yet; when the store was down and the home died, the next home ran the tasks that had been stated as not run. Replies now come from the value of the last commit, but for starts, which need no store.

--- a/control/home.go
+++ b/control/home.go
@@ -121,7 +121,7 @@
 		if isNew {
 			h.accepted(record)
 		}
-		h.answerOrWait(token, record)
+		h.answerOrWait(token, job)
 	}
 }
 
@@ -157,7 +157,7 @@
 // query answers a call about a job that was submitted before.
 func (h *home) query(token uint64, req QueryRequest) {
 	shard := h.shardOf(req.Job)
-	record, ok := h.ledger.Find(shard, req.Job)
+	_, ok := h.ledger.Find(shard, req.Job)
 	if !ok && !h.ledger.IsActive(shard) {
 		h.reply(token, JobReply{Err: errkind.New(errkind.NoOwner, "shard %s has no active home here", shard).WithFate(errkind.FateUnknown)})
 		return
@@ -172,29 +172,33 @@
 		h.cancel(token, req.Job)
 	case QueryWait:
 		h.calls[token].until = h.now.Add(req.Wait)
-		h.answerOrWait(token, record)
+		h.answerOrWait(token, req.Job)
 	default:
-		h.answerOrWait(token, record)
+		h.answerOrWait(token, req.Job)
 	}
 }
 
-// answerOrWait replies if the job is final or the caller does not wait.
-func (h *home) answerOrWait(token uint64, record *ledger.Record) {
+// answerOrWait replies if the job is final in the store or the caller does not
+// wait. A job that is not in the store yet is answered once it is.
+func (h *home) answerOrWait(token uint64, job ledger.JobKey) {
 	call, ok := h.calls[token]
 	if !ok {
 		return
 	}
-	if record.IsFinal() || !h.now.Before(call.until) {
-		delete(h.calls, token)
-		h.answer(token, record)
-		return
+	view, ok := h.ledger.View(h.shardOf(job), job)
+	switch {
+	case !ok:
+		h.ledger.After(h.shardOf(job), ledger.Step{Kind: ledger.StepAnswer, Job: job, Token: token})
+	case view.IsFinal() || !h.now.Before(call.until):
+		h.answer(token, view)
+	default:
+		h.waiters[job] = append(h.waiters[job], token)
 	}
-	h.waiters[call.job] = append(h.waiters[call.job], token)
 }
 
-func (h *home) answer(token uint64, record *ledger.Record) {
-	c := record.Clone()
-	h.reply(token, JobReply{Record: &c})
+func (h *home) answer(token uint64, view ledger.Record) {
+	delete(h.calls, token)
+	h.reply(token, JobReply{Record: &view})
 }
 
 // cancel stops every task of a job that is not final.
@@ -203,10 +207,10 @@
 	record, _ := h.ledger.Find(shard, job)
 	h.end(record, errkind.Cancelled)
 	if !h.ledger.HasPending(shard) {
-		h.answerOrWait(token, record)
+		h.answerOrWait(token, job)
 		return
 	}
-	h.ledger.After(shard, ledger.Step{Kind: ledger.StepAccepted, Job: job, Token: token})
+	h.ledger.After(shard, ledger.Step{Kind: ledger.StepAnswer, Job: job, Token: token})
 }
 
 // end cancels a job for a reason and asks the owners of its open attempts to
@@ -258,24 +262,24 @@
 	}
 }
 
-// settle replies to every caller that waits for a job, if the job is final.
+// settle replies to every caller that waits for a job, if the job is final in the
+// store.
 func (h *home) settle(job ledger.JobKey) {
-	record, ok := h.ledger.Find(h.shardOf(job), job)
-	if !ok || !record.IsFinal() {
+	view, ok := h.ledger.View(h.shardOf(job), job)
+	if !ok || !view.IsFinal() {
 		return
 	}
 	for _, token := range h.waiters[job] {
 		if _, waiting := h.calls[token]; waiting {
-			delete(h.calls, token)
-			h.answer(token, record)
+			h.answer(token, view)
 		}
 	}
 	delete(h.waiters, job)
-	for i := range record.Tasks {
-		t := &record.Tasks[i]
+	for i := range view.Tasks {
+		t := &view.Tasks[i]
 		h.event(timeline.Event{Type: timeline.RequestAnswered, Team: job.Team, Task: t.ID, Kind: string(t.State)})
 	}
-	if !record.Spec.Kind.IsDurable() && record.State() == task.NotRun {
+	if !view.Spec.Kind.IsDurable() && view.State() == task.NotRun {
 		h.ledger.Forget(job)
 	}
 }
@@ -294,7 +298,9 @@
 	case ledger.StepAccepted:
 		h.accepted(record)
 		h.settle(s.Job)
-		h.answerOrWait(s.Token, record)
+		h.answerOrWait(s.Token, s.Job)
+	case ledger.StepAnswer:
+		h.answerOrWait(s.Token, s.Job)
 	case ledger.StepDispatch:
 		h.place(s.Job, record, s.Index)
 	case ledger.StepPermitted:
--- a/control/homereport.go
+++ b/control/homereport.go
@@ -211,9 +211,10 @@
 				kept = append(kept, token)
 				continue
 			}
-			delete(h.calls, token)
-			if record, found := h.ledger.Find(h.shardOf(job), job); found {
-				h.answer(token, record)
+			if view, found := h.ledger.View(h.shardOf(job), job); found {
+				h.answer(token, view)
+			} else {
+				delete(h.calls, token)
 			}
 		}
 		if len(kept) == 0 {
@@ -289,7 +290,7 @@
 
 func (h *home) drop(s ledger.Step, lost *errkind.Error) {
 	switch s.Kind {
-	case ledger.StepAccepted:
+	case ledger.StepAccepted, ledger.StepAnswer:
 		if _, ok := h.calls[s.Token]; ok {
 			delete(h.calls, s.Token)
 			h.reply(s.Token, JobReply{Err: lost})
--- a/daemon/matrix_test.go
+++ b/daemon/matrix_test.go
@@ -86,6 +86,7 @@
 	"peer.LookupRequest":    {name: "peer.PlaceRequest", times: 3, act: dropCall},
 	"worker.Lookup":         {name: "worker.Start", times: 3, act: dropCall},
 	"peer.PromiseRequest":   {name: "worker.Start", times: 1, act: func(w *world, _ call) faultAction { w.storeDown(fault.Down); return faultAction{} }},
+	"store.Get":             {name: "worker.Start", after: true, times: 1, act: func(w *world, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
 	"store.CommitOwnership": {name: "worker.Start", after: true, times: 1, act: func(w *world, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
 }
 
--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -71,6 +71,7 @@
 		}
 		sequence := s.inFlight.sequence
 		l.landed(s)
+		s.setViews(w.Value.Records)
 		steps = append(steps, l.stored(s, sequence, revision)...)
 	}
 	return steps
@@ -126,6 +127,7 @@
 	if i < 0 {
 		return nil, true
 	}
+	s.setViews(current.Records)
 	return l.stored(s, s.unclear[i].sequence, revision), false
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -87,10 +87,11 @@
 		return
 	}
 	for i := range value.Records {
-		r := value.Records[i]
+		r := value.Records[i].Clone()
 		s.records[r.JobKey()] = &r
 		s.bytes += l.sizeOf(&r.Spec)
 	}
+	s.setViews(value.Records)
 	s.revision = revision
 	s.phase = fencing
 	l.dirty = true
@@ -144,6 +145,29 @@
 	return r, ok
 }
 
+// View returns the record of a job as callers may be told of it: as the store
+// holds it, since a later change could be lost with this process. That a task
+// has started needs no store and is shown at once. A job that is not in the store
+// yet has no view.
+func (l *Ledger) View(shardName string, key JobKey) (Record, bool) {
+	if r, ok := l.volatile[key]; ok {
+		return r.Clone(), true
+	}
+	s, ok := l.shards[shardName]
+	if !ok || s.views[key] == nil {
+		return Record{}, false
+	}
+	view := s.views[key].Clone()
+	live := s.records[key]
+	for i := range view.Tasks {
+		t := &view.Tasks[i]
+		if live != nil && live.Tasks[i].State == task.Running && t.State == task.Dispatched && t.Attempt == live.Tasks[i].Attempt {
+			t.State, t.Worker = task.Running, live.Tasks[i].Worker
+		}
+	}
+	return view, true
+}
+
 // VolatileOpen returns how many memory-only jobs are not final.
 func (l *Ledger) VolatileOpen() int {
 	open := 0
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -29,7 +29,8 @@
 	phase    phase
 	revision int64 // last revision of the value that this process knows
 	records  map[JobKey]*Record
-	bytes    int // approximate size of the durable records
+	views    map[JobKey]*Record // as they are in the store
+	bytes    int                // approximate size of the durable records
 
 	sequence  uint64 // of the latest change to a durable record
 	committed uint64 // every change up to here is in the store
@@ -55,6 +56,7 @@
 // The kinds of steps.
 const (
 	StepAccepted  StepKind = iota // tell the submitter; send the tasks to their owners
+	StepAnswer                    // tell a caller that asked what is in the store now
 	StepDispatch                  // send the latest attempt of a task to its partition
 	StepPermitted                 // let the owner start an at-most-once task
 	StepFinished                  // tell waiters; acknowledge to the owner
@@ -103,6 +105,14 @@
 	return v
 }
 
+// setViews notes what the store holds now.
+func (s *shard) setViews(records []Record) {
+	s.views = make(map[JobKey]*Record, len(records))
+	for i := range records {
+		s.views[records[i].JobKey()] = &records[i]
+	}
+}
+
 // isDirty reports whether a change is neither stored nor being written.
 func (s *shard) isDirty() bool {
 	return s.inFlight == nil && (s.committed < s.sequence || s.phase == fencing)
