--- a/internal/processtest/process.go
+++ b/internal/processtest/process.go
@@ -1,8 +1,11 @@
 package processtest
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -60,3 +63,21 @@
 
 // ExitCode returns the exit code of a process that has ended.
 func (p *Process) ExitCode() int { return p.cmd.ProcessState.ExitCode() }
+
+// Usage returns the processor time that the process has used and its resident
+// memory in bytes.
+func (p *Process) Usage() (processor time.Duration, resident int64, err error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, 0, err
+	}
+	// The name in parentheses may have spaces; the other fields follow it.
+	const userTime, systemTime, pages = 11, 12, 21 // fields after the name
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	number := func(i int) int64 {
+		n, _ := strconv.ParseInt(fields[i], 10, 64)
+		return n
+	}
+	const clockTick = 10 * time.Millisecond
+	return time.Duration(number(userTime)+number(systemTime)) * clockTick, number(pages) * int64(os.Getpagesize()), nil
+}
