Refuse durable work at once while the store does not answer

Ruled out: refusing repeated submissions too; a recorded job is found without the store. Open: work that arrives before the first keepalive has failed still waits.

--- a/control/state.go
+++ b/control/state.go
@@ -158,7 +158,7 @@
 func (s *State) peerCall(e PeerCall) {
 	switch r := e.Request.(type) {
 	case SubmitRequest:
-		s.home.submit(e.Token, r)
+		s.submit(e.Token, r)
 	case QueryRequest:
 		s.home.query(e.Token, r)
 	case PlaceRequest:
--- a/daemon/outage_test.go
+++ b/daemon/outage_test.go
@@ -5,8 +5,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/mulberrydrum/mulberrydrum/errkind"
 	"github.com/mulberrydrum/mulberrydrum/keyring"
 	"github.com/mulberrydrum/mulberrydrum/standin/fault"
+	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
 // TestKeysInStoreOutage guards against keys that are refused in a total outage
@@ -30,3 +32,36 @@
 		})
 	}
 }
+
+// TestDurableWorkInStoreOutage guards against a caller that waits for a commit
+// which cannot come, and against a repeated submission that is refused although
+// its first one is recorded.
+func TestDurableWorkInStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, 2)
+		defer w.close()
+		time.Sleep(20 * time.Second)
+		callers := &callerBackend{w.live()[0].engine}
+		submit := func(key string) error {
+			_, err := callers.Submit(t.Context(), worldSecret, task.Spec{Team: "leuven", Service: "piping", Class: "check",
+				IdempotencyKey: key, SubmittedAt: time.Now()}, 10*time.Second)
+			return err
+		}
+		if err := submit("before"); err != nil {
+			t.Fatal(err)
+		}
+		w.storeDown(fault.Down)
+		time.Sleep(10 * time.Second)
+		sentAt := time.Now()
+		err := submit("during")
+		if e := errkind.From(err); err == nil || e.Kind != errkind.StoreUnavailable || e.Fate() != errkind.FateNotRun {
+			t.Errorf("new work: %v, want %s", err, errkind.StoreUnavailable)
+		}
+		if waited := time.Since(sentAt); waited > time.Second {
+			t.Errorf("refused after %s", waited)
+		}
+		if err := submit("before"); err != nil {
+			t.Errorf("work that is recorded: %v", err)
+		}
+	})
+}
