--- a/internal/processtest/load.go
+++ b/internal/processtest/load.go
@@ -42,7 +42,6 @@
 type Told struct {
 	Work
 	Key   string // idempotency key and payload
-	Entry string // instance that the caller asked first
 	At    time.Time
 	Took  time.Duration
 	Job   api.Job // when Err is nil
@@ -63,14 +62,12 @@
 	Rate    int // requests a second
 	Secret  string
 	Timeout time.Duration // of one call
-	OneEach bool          // each caller knows one instance only
 }
 
 // Load is a running load.
 type Load struct {
 	options LoadOptions
 	clients []*client.Client
-	names   []string
 	mix     []Work
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
@@ -79,12 +76,16 @@
 	told []*Told
 }
 
-// StartLoad sends requests to all entry instances in turn until Stop.
+// StartLoad sends requests until Stop, through as many callers as there are entry
+// instances. Each caller begins with an instance at random and stays with it.
 func (c *Cluster) StartLoad(t *testing.T, name string, options LoadOptions) *Load {
 	l := &Load{options: options}
-	for i, e := range c.Entries {
-		l.clients = append(l.clients, client.New(client.Config{Addresses: c.addressesFrom(i, options.OneEach), Secret: options.Secret}))
-		l.names = append(l.names, e.Settings.Instance)
+	var addresses []string
+	for _, e := range c.Entries {
+		addresses = append(addresses, e.Settings.CallerAddress)
+	}
+	for range c.Entries {
+		l.clients = append(l.clients, client.New(client.Config{Addresses: addresses, Secret: options.Secret}))
 	}
 	for _, w := range options.Mix {
 		for range w.Weight {
@@ -98,14 +99,6 @@
 	return l
 }
 
-func (c *Cluster) addressesFrom(i int, one bool) []string {
-	addresses := []string{c.Entries[i].Settings.CallerAddress}
-	for n := 1; n < len(c.Entries) && !one; n++ {
-		addresses = append(addresses, c.Entries[(i+n)%len(c.Entries)].Settings.CallerAddress)
-	}
-	return addresses
-}
-
 // send starts a call at each tick. The order of the mix is that of a step that
 // has no common divisor with its length, so that kinds alternate.
 func (l *Load) send(ctx context.Context, name string) {
@@ -120,7 +113,7 @@
 		}
 		work := l.mix[n*step%len(l.mix)]
 		at := n % len(l.clients)
-		told := &Told{Work: work, Key: fmt.Sprintf("%s-%d", name, n), Entry: l.names[at]}
+		told := &Told{Work: work, Key: fmt.Sprintf("%s-%d", name, n)}
 		l.group.Go(func() { l.ask(l.clients[at], told) })
 	}
 }
--- a/internal/processtest/verdict.go
+++ b/internal/processtest/verdict.go
@@ -60,7 +60,7 @@
 	var faults []string
 	for _, r := range told {
 		if fault := r.contradiction(runs[r.Digest()]); fault != "" {
-			faults = append(faults, fmt.Sprintf("%s %s through %s: %s", r.Class, r.Key, r.Entry, fault))
+			faults = append(faults, fmt.Sprintf("%s %s: %s", r.Class, r.Key, fault))
 		}
 	}
 	for i, fault := range faults {
@@ -90,6 +90,8 @@
 			return fmt.Sprintf("task %s is finished and ran nowhere", got.ID)
 		case got.State == task.NotRun && ran:
 			return fmt.Sprintf("task %s is not run, and it ran: %v", got.ID, runs)
+		case got.State == task.NotRun && r.Kind.IsDurable():
+			return fmt.Sprintf("task %s was accepted, nobody cancelled it, and it is not run: %s", got.ID, got.Reason)
 		case got.State == task.Unknown && r.Kind.MayRepeat() && r.Kind.IsDurable():
 			return fmt.Sprintf("task %s may be repeated and ended as unknown: %v", got.ID, runs)
 		case got.State == task.Finished && got.ExitCode == 0 && got.Reason == "" && !r.isWhole(got.ResultBytes, got.Result):
