Close three gaps that the ownership model points out

The member record is written with a compare on its last revision: a late write under an earlier lease would have replaced it, and deleted it with that lease. 2. In an outage round a member states what it has committed, not only what it has applied. 3. A start is valid no longer than the term of its partition, so that one in flight at a handover is refused even by a worker that ignores epochs. The refusal of durable work in an outage, which stood twice, stands once now.

--- a/control/exchange.go
+++ b/control/exchange.go
@@ -112,6 +112,7 @@
 	reply := s.digest()
 	if d.AskNoCommit {
 		reply.NoCommit = s.freshness.PromiseNoCommit(s.now, s.hasStoreContact())
+		reply.Known = s.freshness.Known()
 	}
 	s.reply(token, reply)
 }
@@ -127,7 +128,7 @@
 		s.exchange.asked[reply.Incarnation] = false
 		s.exchange.round.Reply(keyring.OutageReply{
 			From:     keyring.Peer{Instance: reply.Instance, Incarnation: reply.Incarnation},
-			Promised: reply.NoCommit, Revision: reply.Revision,
+			Promised: reply.NoCommit, Revision: reply.Known,
 		})
 		s.freshness.OutageConfirmed(s.now, s.exchange.round)
 	}
--- a/control/member.go
+++ b/control/member.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/mulberrydrum/mulberrydrum/errkind"
-	"github.com/mulberrydrum/mulberrydrum/ledger"
 	"github.com/mulberrydrum/mulberrydrum/membership"
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
@@ -91,21 +89,6 @@
 	}
 }
 
-// submit passes a submission to the home. New durable work is refused while the
-// store is known not to answer, since its record could not be committed and its
-// caller would wait in vain. Work that is recorded already is found.
-func (s *State) submit(token uint64, r SubmitRequest) {
-	job := ledger.KeyOf(&r.Spec)
-	_, found := s.home.ledger.Find(s.home.shardOf(job), job)
-	if !r.Spec.Kind.IsDurable() || found || !s.members.storeDown {
-		s.home.submit(token, r)
-		return
-	}
-	err := errkind.New(errkind.StoreUnavailable, "the store does not answer, and %s work is recorded there first", r.Spec.Kind).WithRetryAfter(s.cfg.KeepAliveInterval)
-	s.event(timeline.Event{Type: timeline.RequestRefused, Team: job.Team, Kind: string(err.Kind), Detail: job.Key})
-	s.reply(token, JobReply{Err: err})
-}
-
 func (s *State) hasStoreContact() bool {
 	return !s.members.storeDown && s.now.Sub(s.members.lastContact) < s.cfg.KeyFreshness
 }
--- a/control/owner.go
+++ b/control/owner.go
@@ -26,6 +26,7 @@
 	monitor     *quarantine.Monitor
 	allow       *allowance.Table
 	holds       func(unit string) (epoch uint64, ok bool)
+	termEnd     func(unit string) time.Time
 	keys        keyChecks
 	remoteTeams map[task.Team]task.Resources // used at the other owners
 
--- a/control/peer.go
+++ b/control/peer.go
@@ -178,6 +178,7 @@
 	// commit a configuration change for a window; NoCommit is the answer.
 	AskNoCommit bool
 	NoCommit    bool
+	Known       int64 // with NoCommit: highest revision that is in force here or was committed from here
 }
 
 // PartitionDigest is the load of one partition.
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -218,7 +218,7 @@
 	spec := &a.placement.Spec
 	a.stage = stageStarting
 	a.startedAt = w.now
-	a.startBy = ws.clock + w.now.Sub(ws.clockAt) + w.cfg.StartValidity
+	a.startBy = ws.clock + w.now.Sub(ws.clockAt) + w.validity(a.partition)
 	wait := w.cfg.CallTimeout / 2
 	if spec.Kind == task.Answer && !spec.Deadline.IsZero() {
 		wait = max(wait, spec.Deadline.Sub(w.now))
@@ -234,6 +234,12 @@
 		Worker: a.worker, Partition: a.partition, Epoch: w.epochOf(a.partition), Size: &a.size, KeyID: spec.KeyID})
 }
 
+// validity returns how long a start may travel: no longer than the term of its
+// partition, after which another owner may act.
+func (w *owner) validity(partition string) time.Duration {
+	return max(0, min(w.cfg.StartValidity, w.termEnd(partition).Sub(w.now)))
+}
+
 // startGang starts every member of a gang whose tasks have all arrived, or none.
 func (w *owner) startGang(a *attempt) bool {
 	members := w.gangOf(a)
--- a/control/state.go
+++ b/control/state.go
@@ -82,6 +82,7 @@
 		outbox: &s.outbox, cfg: &s.cfg, routing: s.routing, cluster: placement.NewCluster(), shares: fairshare.New(parts.Fairshare),
 		queues: queue.New(parts.Queue), monitor: quarantine.New(parts.Quarantine), allow: allow,
 		holds:      func(unit string) (uint64, bool) { return s.ownership.Holds(s.now, unit) },
+		termEnd:    func(unit string) time.Time { return s.ownership.TermEnd(unit) },
 		keys:       keys,
 		partitions: map[string]*partition{}, workers: map[string]*workerState{}, attempts: map[task.Attempt]*attempt{},
 		drained: map[string]bool{}, blocked: map[task.Team]lack{}, tombstones: map[task.Attempt]time.Time{}, outgoing: map[task.Attempt]*outgoingReport{},
--- a/daemon/storecalls.go
+++ b/daemon/storecalls.go
@@ -5,11 +5,13 @@
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mulberrydrum/mulberrydrum/allowance"
 	"github.com/mulberrydrum/mulberrydrum/control"
 	"github.com/mulberrydrum/mulberrydrum/ledger"
+	"github.com/mulberrydrum/mulberrydrum/membership"
 	"github.com/mulberrydrum/mulberrydrum/ownership"
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
@@ -65,16 +67,36 @@
 	if done.Err != nil {
 		return done
 	}
-	put, err := memberPut(e.Member.Instance, e.Member, done.Lease)
-	if err != nil {
-		done.Err = err
-		return done
-	}
-	result, err := d.clients.Store.Commit(ctx, store.Txn{Puts: []store.Put{put}})
+	result, err := d.putMember(ctx, e.Member, done.Lease)
 	done.Revision, done.Err = result.Revision, err
 	return done
 }
 
+// putMember writes the member record with a compare on its last revision. Without
+// it, a write under an earlier lease that the store executes late would replace
+// the record, and delete it when that lease ends.
+func (d *engine) putMember(ctx context.Context, m membership.Member, lease int64) (store.TxnResult, error) {
+	key := store.MemberKey(m.Instance)
+	current, _, _, err := d.clients.Store.Get(ctx, key)
+	if err != nil {
+		return store.TxnResult{}, err
+	}
+	value, err := store.Encode(m)
+	if err != nil {
+		return store.TxnResult{}, err
+	}
+	result, err := d.clients.Store.Commit(ctx, store.Txn{
+		Compares: []store.Compare{{Key: key, ModRevision: current.ModRevision}},
+		Puts:     []store.Put{{Key: key, Value: value, Lease: lease}},
+	})
+	if err == nil && !result.Succeeded {
+		err = errMemberChanged
+	}
+	return result, err
+}
+
+var errMemberChanged = eris.New("the member record was written meanwhile")
+
 // logContact logs the first failure in a row to reach the store, and its end.
 func (d *engine) logContact(err error) {
 	switch wasDown := d.storeDown.Swap(err != nil); {
@@ -85,17 +107,8 @@
 	}
 }
 
-func memberPut(instance string, member any, lease int64) (store.Put, error) {
-	value, err := store.Encode(member)
-	return store.Put{Key: store.MemberKey(instance), Value: value, Lease: lease}, err
-}
-
 func (d *engine) writeMember(ctx context.Context, e control.WriteMember) {
-	put, err := memberPut(e.Member.Instance, e.Member, e.Lease)
-	if err == nil {
-		_, err = d.clients.Store.Commit(ctx, store.Txn{Puts: []store.Put{put}})
-	}
-	if err != nil {
+	if _, err := d.putMember(ctx, e.Member, e.Lease); err != nil {
 		d.log.Warn("member record was not written", "err", err)
 	}
 }
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -162,7 +162,7 @@
 
 func encodeDigest(d control.DigestMessage) *entrypb.Digest {
 	out := &entrypb.Digest{Instance: d.Instance, Incarnation: d.Incarnation, Revision: d.Revision, StoreContact: d.StoreContact, ContactAge: durationpb.New(d.ContactAge),
-		AskNoCommit: d.AskNoCommit, NoCommit: d.NoCommit,
+		AskNoCommit: d.AskNoCommit, NoCommit: d.NoCommit, Known: d.Known,
 		Freshness: durationpb.New(d.Freshness), Clock: &entrypb.Clock{WallNs: d.Clock.Wall.UnixNano(), Logical: d.Clock.Logical}}
 	for _, p := range d.Partitions {
 		out.Partitions = append(out.Partitions, &entrypb.PartitionDigest{Partition: p.Partition, Epoch: p.Epoch, Free: encodeResources(p.Free),
@@ -179,7 +179,7 @@
 
 func decodeDigest(d *entrypb.Digest) control.DigestMessage {
 	out := control.DigestMessage{Instance: d.GetInstance(), Incarnation: d.GetIncarnation(), Revision: d.GetRevision(), StoreContact: d.GetStoreContact(), ContactAge: d.GetContactAge().AsDuration(),
-		AskNoCommit: d.GetAskNoCommit(), NoCommit: d.GetNoCommit(),
+		AskNoCommit: d.GetAskNoCommit(), NoCommit: d.GetNoCommit(), Known: d.GetKnown(),
 		Freshness: d.GetFreshness().AsDuration(), Clock: timeline.Clock{Wall: time.Unix(0, d.GetClock().GetWallNs()), Logical: d.GetClock().GetLogical()}}
 	for _, p := range d.GetPartitions() {
 		out.Partitions = append(out.Partitions, control.PartitionDigest{Partition: p.GetPartition(), Epoch: p.GetEpoch(), Free: decodeResources(p.GetFree()),
