--- a/endtoend/keys_test.go
+++ b/endtoend/keys_test.go
@@ -45,12 +45,16 @@
 	return err
 }
 
-// probe asks one instance under a key until the test ends, and returns the time
-// at which the last request that was answered had been sent.
-func probe(ctx context.Context, e *processtest.Entry, secret string) (last time.Time) {
+// probe asks one instance under a key until the context ends, and returns the
+// time at which the last request that was answered had been sent. It closes
+// answered when the first one was.
+func probe(ctx context.Context, e *processtest.Entry, secret string, answered chan<- struct{}) (last time.Time) {
 	for ctx.Err() == nil {
 		sent := time.Now()
 		if admits(ctx, e, secret, "probe") == nil {
+			if last.IsZero() {
+				close(answered)
+			}
 			last = sent
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -84,12 +88,15 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	last := make([]chan time.Time, len(c.Entries))
+	answered := make([]chan struct{}, len(c.Entries))
 	frozen := c.Entries[3]
 	for i, e := range c.Entries {
-		last[i] = make(chan time.Time, 1)
-		go func() { last[i] <- probe(ctx, e, key.Secret) }()
+		last[i], answered[i] = make(chan time.Time, 1), make(chan struct{})
+		go func() { last[i] <- probe(ctx, e, key.Secret, answered[i]) }()
+	}
+	for _, first := range answered {
+		<-first
 	}
-	settled(500 * time.Millisecond)
 	frozen.Freeze()
 	if _, err := c.Entries[0].Operator.WithdrawKey(t.Context(), "leuven", key.ID); err != nil {
 		t.Fatal(err)
--- a/endtoend/measure_test.go
+++ b/endtoend/measure_test.go
@@ -96,7 +96,7 @@
 	units, frozenAt := unitsOf(c.Events(), frozen.Settings.Instance), time.Now()
 	frozen.Freeze()
 	f.add("seconds without an owner after a freeze", awaitTakeover(t, c, units, frozenAt, ordinaryBound).Seconds())
-	settled(time.Until(frozenAt.Add(25 * time.Second)))
+	settled(time.Until(frozenAt.Add(ordinaryBound)))
 	frozen.Resume()
 	settled(3 * time.Second)
 	finish(t, c, load)
@@ -116,11 +116,15 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	last := make([]time.Time, len(c.Entries))
+	answered := make([]chan struct{}, len(c.Entries))
 	var group sync.WaitGroup
 	for i, e := range c.Entries {
-		group.Go(func() { last[i] = probe(ctx, e, key.Secret) })
+		answered[i] = make(chan struct{})
+		group.Go(func() { last[i] = probe(ctx, e, key.Secret, answered[i]) })
+	}
+	for _, first := range answered {
+		<-first
 	}
-	settled(time.Second)
 	began := time.Now()
 	if _, err := c.Entries[0].Operator.WithdrawKey(t.Context(), "leuven", key.ID); err != nil {
 		t.Fatal(err)
--- a/endtoend/worker_test.go
+++ b/endtoend/worker_test.go
@@ -20,8 +20,7 @@
 	t.Parallel()
 	c := startCluster(t, 3, 4)
 	load := startMixed(t, c)
-	settled(3 * time.Second)
-	leaving := c.Workers[0]
+	leaving := busyWorker(c)
 	leaving.State = instancelist.StateLeaving
 	c.PutListed(leaving)
 	listedAt := time.Now()
@@ -46,6 +45,22 @@
 	}
 }
 
+// busyWorker returns the first worker that has run several tasks.
+func busyWorker(c *processtest.Cluster) instancelist.Instance {
+	const several = 5
+	var found instancelist.Instance
+	c.Eventually(serviceBound, "a worker has run several tasks", func() bool {
+		for i, ledger := range c.Ledgers() {
+			if len(ledger.Runs) >= several {
+				found = c.Workers[i]
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
 // TestWorkerKilled guards against repeatable work that is lost with a worker, or
 // that runs again before the lease of the lost attempt has ended.
 func TestWorkerKilled(t *testing.T) {
--- a/internal/processtest/trace.go
+++ b/internal/processtest/trace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -87,6 +88,9 @@
 	for _, event := range line.Events {
 		k.events[eventID{event.Instance, event.Incarnation, event.Sequence}] = event
 	}
+	if len(line.Events) == collectLimit {
+		return fmt.Errorf("more than %d events since %v, the oldest are missing", collectLimit, since)
+	}
 	k.since[e] = started.Add(-collectOverlap)
 	return nil
 }
