Probe workers in quarantine, and run failed durable work again elsewhere

Cause: nothing asked the quarantine for probes, so a worker that was set aside never came back; and a durable task that a bad worker failed had its last outcome after the first try. A worker whose probe is due gets one task that may be repeated, and a durable task is tried on up to three workers.

--- a/control/owner.go
+++ b/control/owner.go
@@ -38,6 +38,7 @@
 	// something that they lack may have become available.
 	blocked        map[task.Team]lack
 	unblockedAt    time.Time
+	reviewedAt     time.Time
 	lacksAllowance bool // an allowance was refused since the last plan
 	draining       bool
 	drained        map[string]bool            // workers that an operator drains
@@ -69,6 +70,7 @@
 	syncAt    time.Time
 	failures  int // reports in a row that failed
 	leaving   bool
+	probing   bool // in quarantine, and open for one task
 	acks      []task.Attempt
 }
 
@@ -99,6 +101,7 @@
 	worker    string
 	bootID    string
 	startBy   time.Duration // in the worker's clock
+	isProbe   bool          // of a worker in quarantine
 	queuedAt  time.Time
 	startedAt time.Time
 	outcome   task.Outcome // while its result is being read
--- a/control/ownerwork.go
+++ b/control/ownerwork.go
@@ -6,7 +6,6 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 	"github.com/mulberrydrum/mulberrydrum/ledger"
 	"github.com/mulberrydrum/mulberrydrum/membership"
-	"github.com/mulberrydrum/mulberrydrum/quarantine"
 	"github.com/mulberrydrum/mulberrydrum/task"
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
@@ -69,6 +68,7 @@
 	for _, a := range w.attempts {
 		w.attemptWhenDue(a)
 	}
+	w.review()
 	w.sendReports()
 	w.schedule()
 	w.wantAllowance()
@@ -238,17 +238,3 @@
 		}
 	}
 }
-
-// judge takes the end of an attempt into account when workers are compared.
-func (w *owner) judge(a *attempt, succeeded bool) {
-	w.monitor.Observe(w.now, quarantine.Outcome{
-		Worker:    a.worker,
-		Class:     quarantine.Class{Team: a.team, Service: a.job.Service, Name: a.class},
-		Job:       a.id.Task,
-		Succeeded: succeeded,
-	})
-	w.cluster.SetPenalty(a.worker, w.monitor.Penalty(w.now, a.worker))
-	if ws, ok := w.workers[a.worker]; ok {
-		w.setSchedulable(ws)
-	}
-}
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -112,6 +112,9 @@
 
 func (w *owner) request(a *attempt) placement.Request {
 	req := placement.Request{Size: a.size, Partition: a.partition}
+	if !a.placement.Spec.Kind.MayRepeat() {
+		req.Avoid = w.probing()
+	}
 	if a.placement.Spec.Kind == task.LongLived {
 		req.SpreadKey = string(a.team) + "/" + string(a.placement.Spec.Service)
 	}
@@ -162,9 +165,10 @@
 	if !w.cluster.Reserve(worker, a.id, a.size) {
 		return false
 	}
+	a.worker = worker
+	w.probeWith(a)
 	w.shares.Start(w.now, a.team, a.size)
 	w.cluster.SetSpread(a.id, w.request(a).SpreadKey)
-	a.worker = worker
 	w.event(timeline.Event{Type: timeline.TaskReserved, Team: a.team, Task: a.id.Task, Attempt: a.id.Number,
 		Worker: worker, Partition: a.partition, Epoch: w.epochOf(a.partition), Size: &a.size})
 	return true
--- a/control/workers.go
+++ b/control/workers.go
@@ -115,7 +115,8 @@
 
 // isUsable reports whether a worker may get new tasks.
 func (w *owner) isUsable(ws *workerState) bool {
-	return ws.rebuilt && !ws.leaving && !w.drained[ws.listed.Name] && !ws.listed.Gone && ws.failures < silentReports && !w.monitor.IsQuarantined(ws.listed.Name)
+	return ws.rebuilt && !ws.leaving && !w.drained[ws.listed.Name] && !ws.listed.Gone && ws.failures < silentReports &&
+		(ws.probing || !w.monitor.IsQuarantined(ws.listed.Name))
 }
 
 // silentReports is how many reports in a row may fail before a worker gets no
--- a/entry/encode.go
+++ b/entry/encode.go
@@ -116,7 +116,7 @@
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		tasks[i] = &entrypb.Task{Id: string(t.ID), State: string(t.State), Attempt: t.Attempt, Partition: t.Partition,
-			Worker: t.Worker, BootId: t.BootID, Permitted: t.Permitted, MayHaveRun: t.MayHaveRun, Outcome: encodeOutcome(t.Outcome)}
+			Worker: t.Worker, BootId: t.BootID, Permitted: t.Permitted, MayHaveRun: t.MayHaveRun, Failures: int32(t.Failures), Outcome: encodeOutcome(t.Outcome)}
 	}
 	return &entrypb.Record{Spec: encodeSpec(&r.Spec), Tasks: tasks, Cancelled: r.Cancelled, FinishedAt: encodeTime(r.FinishedAt)}
 }
@@ -128,7 +128,7 @@
 	tasks := make([]ledger.TaskRecord, len(r.GetTasks()))
 	for i, t := range r.GetTasks() {
 		tasks[i] = ledger.TaskRecord{ID: task.ID(t.GetId()), State: task.State(t.GetState()), Attempt: t.GetAttempt(), Partition: t.GetPartition(),
-			Worker: t.GetWorker(), BootID: t.GetBootId(), Permitted: t.GetPermitted(), MayHaveRun: t.GetMayHaveRun(), Outcome: decodeOutcome(t.GetOutcome())}
+			Worker: t.GetWorker(), BootID: t.GetBootId(), Permitted: t.GetPermitted(), MayHaveRun: t.GetMayHaveRun(), Failures: int(t.GetFailures()), Outcome: decodeOutcome(t.GetOutcome())}
 	}
 	return &ledger.Record{Spec: decodeSpec(r.GetSpec()), Tasks: tasks, Cancelled: r.GetCancelled(), FinishedAt: decodeTime(r.GetFinishedAt())}
 }
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -42,6 +42,7 @@
 	BootID     string        `json:"boot_id,omitempty"`      // of that worker when the start was allowed
 	Permitted  bool          `json:"permitted,omitempty"`    // at-most-once work: the start was allowed
 	MayHaveRun bool          `json:"may_have_run,omitempty"` // an earlier attempt ran, or its fate is not known
+	Failures   int           `json:"failures,omitempty"`     // attempts that ended with a failure
 	Outcome    *task.Outcome `json:"outcome,omitempty"`
 }
 
--- a/ledger/transition.go
+++ b/ledger/transition.go
@@ -71,6 +71,9 @@
 	}
 	if l.mayTryAgain(r, t, o) {
 		t.MayHaveRun = t.MayHaveRun || o.State != task.NotRun
+		if isFailure(o) {
+			t.Failures++
+		}
 		t.State = task.Accepted
 		t.Worker, t.BootID, t.Permitted = "", "", false
 		return Again, l.change(s, r, step)
@@ -109,7 +112,8 @@
 	case task.Unknown:
 		return r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRepeat()
 	case task.Finished:
-		return isStoppedForLater(o.Reason) && r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRepeat()
+		mayRepeat := r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRepeat()
+		return mayRepeat && (isStoppedForLater(o.Reason) || isFailure(o) && t.Failures+1 < maxFailures)
 	default:
 		return false
 	}
@@ -119,6 +123,15 @@
 // another partition before its caller is told.
 const maxAnswerAttempts = 3
 
+// maxFailures is after how many failures a durable task is given its last outcome.
+// A worker that fails everything it starts is found out and avoided meanwhile, so
+// that a task fails this often only if it is at fault itself.
+const maxFailures = 3
+
+func isFailure(o task.Outcome) bool {
+	return o.State == task.Finished && o.Reason == string(errkind.TaskFailed)
+}
+
 // isStoppedForLater reports whether we stopped a task that should run again:
 // another member of its gang was lost, or its team was above its limit.
 func isStoppedForLater(reason string) bool {
