Serve open connections until their callers close them in a planned stop

Cause: a stopping instance closed idle connections 2 s after its handover, while a caller keeps one for 5 s, so that a request on its way met a closed connection (EOF, outcome unknown). Ruled out: a longer pause with the listener open, which still closes connections that were just used. The listener is closed after the handover; open connections are served until they are closed by the other side, 8 s at most.

--- a/daemon/config.go
+++ b/daemon/config.go
@@ -33,7 +33,7 @@
 	Tick           time.Duration // of the control loop
 	AnswerTimeout  time.Duration // deadline of an answer whose caller gives none
 	DrainTimeout   time.Duration // longest planned stop
-	Linger         time.Duration // callers are served for this long after the handover
+	Linger         time.Duration // longest service of open connections of callers after the handover
 	TimelineEvents int           // events kept
 	// MaxDurableBytes bounds the payload of work that is kept in the store, whose
 	// values are bounded.
@@ -44,10 +44,12 @@
 
 // Defaults of Config.
 const (
-	DefaultListInterval   = time.Second
-	DefaultTick           = 20 * time.Millisecond
-	DefaultAnswerTimeout  = 10 * time.Second
-	DefaultDrainTimeout   = 30 * time.Second
-	DefaultLinger         = 2 * time.Second
+	DefaultListInterval  = time.Second
+	DefaultTick          = 20 * time.Millisecond
+	DefaultAnswerTimeout = 10 * time.Second
+	DefaultDrainTimeout  = 30 * time.Second
+	// DefaultLinger is longer than the 5 s for which our client keeps an idle
+	// connection.
+	DefaultLinger         = 8 * time.Second
 	DefaultTimelineEvents = 65536
 )
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -141,12 +141,12 @@
 	d.clients.Entries.Close()
 }
 
-// linger keeps callers' connections open for a while after the handover: the
-// balancer may still send requests, and a request that is on its way when an
-// idle connection closes would be lost.
+// linger accepts no more connections after the handover, and serves the open ones
+// until their callers have closed them. Every answer asks for that, and a caller
+// closes a connection that it has not used for a while.
 func (d *Daemon) linger(ctx context.Context) {
-	select {
-	case <-time.After(d.cfg.Linger):
-	case <-ctx.Done():
-	}
+	_ = d.listeners.caller.Close()
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.Linger)
+	defer cancel()
+	d.callers.AwaitNoConnection(ctx)
 }
--- a/httpjson/server.go
+++ b/httpjson/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,10 @@
 	http     *http.Server
 	paths    []string
 	draining atomic.Bool
+
+	mu    sync.Mutex
+	conns int           // open connections
+	none  chan struct{} // closed when there is none; nil while nobody waits
 }
 
 // NewServer returns a server that refuses every path.
@@ -47,6 +52,7 @@
 		ReadTimeout:       limits.ReadTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ConnState:         s.count,
 	}
 	s.mux.HandleFunc("/", s.answer(s.refusePath))
 	return s
@@ -92,15 +98,52 @@
 	}
 }
 
-// Serve answers connections of ln until Shutdown.
+// Serve answers connections of ln until Shutdown, or accepts no more of them
+// after ln was closed.
 func (s *Server) Serve(ln net.Listener) error {
 	err := s.http.Serve(ln)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
 
+// count keeps the number of open connections.
+func (s *Server) count(_ net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.conns++
+	case http.StateClosed, http.StateHijacked:
+		s.conns--
+	}
+	if s.conns == 0 && s.none != nil {
+		close(s.none)
+		s.none = nil
+	}
+}
+
+// AwaitNoConnection returns when every connection has been closed by its peer,
+// or ctx ends. Its caller has closed the listener and called BeginDrain. Closing
+// an idle connection from this side could cut off a request that is on its way.
+func (s *Server) AwaitNoConnection(ctx context.Context) {
+	s.mu.Lock()
+	if s.conns == 0 {
+		s.mu.Unlock()
+		return
+	}
+	if s.none == nil {
+		s.none = make(chan struct{})
+	}
+	none := s.none
+	s.mu.Unlock()
+	select {
+	case <-none:
+	case <-ctx.Done():
+	}
+}
+
 // BeginDrain makes every further answer ask its peer to close the connection.
 // Idle connections stay open: closing them would lose a request that is on its
 // way.
