Move waiting work to a partition that has room

The home takes attempts back that have waited for 3 s while nobody waits at another partition; one that has started meanwhile goes on. Ruled out: sending every task to several owners, which costs a reservation at each.

--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -184,6 +184,7 @@
 			h.finish(p.Attempt, task.Outcome{Attempt: p.Attempt, State: task.NotRun, Reason: string(kind)}, 0)
 		default:
 			o.phase = openPlaced
+			o.placedAt = h.now
 			o.askAt = h.now.Add(h.cfg.LookupInterval)
 		}
 	}
--- a/control/home.go
+++ b/control/home.go
@@ -19,14 +19,15 @@
 	chooser *chooser
 	keys    keyChecks
 
-	calls     map[uint64]*jobCall           // waiting calls by token
-	waiters   map[ledger.JobKey][]uint64    // tokens that wait for the end of a job
-	open      map[task.Attempt]*openAttempt // dispatched attempts without an end
-	idle      map[taskRef]*idleTask         // tasks that wait to be dispatched
-	batches   map[string][]Placement        // to be sent at the end of this Apply, by partition
-	reports   map[uint64]*reportCall        // reports that wait for a commit
-	nextID    uint64
-	expiredAt time.Time
+	calls        map[uint64]*jobCall           // waiting calls by token
+	waiters      map[ledger.JobKey][]uint64    // tokens that wait for the end of a job
+	open         map[task.Attempt]*openAttempt // dispatched attempts without an end
+	idle         map[taskRef]*idleTask         // tasks that wait to be dispatched
+	batches      map[string][]Placement        // to be sent at the end of this Apply, by partition
+	reports      map[uint64]*reportCall        // reports that wait for a commit
+	nextID       uint64
+	expiredAt    time.Time
+	rebalancedAt time.Time
 }
 
 // keyChecks is what home and owner ask about the key under which work was
@@ -53,6 +54,7 @@
 	ref       taskRef
 	partition string
 	phase     openPhase
+	placedAt  time.Time // when the owner took it; zero before, and once it has started
 	askAt     time.Time // when to look the attempt up
 	asking    bool
 	deadline  time.Time // when to give up waiting for an answer; zero for none
--- a/control/homereport.go
+++ b/control/homereport.go
@@ -39,6 +39,7 @@
 	}
 	if o, ok := h.open[r.Attempt]; ok {
 		o.phase = openPlaced
+		o.placedAt = time.Time{}
 		o.askAt = h.now.Add(h.cfg.LookupInterval)
 	}
 	h.event(timeline.Event{Type: timeline.TaskStarted, Team: r.Job.Team, Task: r.Attempt.Task, Attempt: r.Attempt.Number, Worker: r.Worker})
@@ -80,6 +81,7 @@
 // tick makes the calls that are due.
 func (h *home) tick() {
 	h.dispatchIdle()
+	h.rebalance()
 	h.askOwners()
 	h.endWaits()
 	if h.now.Sub(h.expiredAt) >= expireInterval {
--- a/control/peer.go
+++ b/control/peer.go
@@ -66,10 +66,12 @@
 // means that it does; otherwise the attempt was not run and will not be.
 type PlaceReply struct{ Refusals []*errkind.Error }
 
-// WithdrawRequest asks an owner to take back or stop attempts.
+// WithdrawRequest asks an owner to take back or stop attempts. With OnlyWaiting
+// an attempt that has left its queue goes on.
 type WithdrawRequest struct {
-	Attempts []task.Attempt
-	Reason   errkind.Kind
+	Attempts    []task.Attempt
+	Reason      errkind.Kind
+	OnlyWaiting bool
 }
 
 // WithdrawReply lists the attempts that were taken back and are proved not run.
--- /dev/null
+++ b/daemon/rebalance_test.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/control"
+	"github.com/mulberrydrum/mulberrydrum/standin"
+)
+
+// TestWaitingWorkMoves guards against work that waits at a full partition while
+// another one has room: with one partition out of service everything was sent to
+// the other one, and nothing of it moves when the first one comes back.
+func TestWaitingWorkMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, 4)
+		defer w.close()
+		time.Sleep(10 * time.Second)
+		w.setPartitionFrozen(t, "w/flanders/0", true)
+		time.Sleep(10 * time.Second)
+		const services = 12 // the team's limit, and more than one partition has room for
+		for i := range services {
+			if _, err := w.nodes[i%3].submitAs("tables", fmt.Sprintf("m%d", i)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		if got := w.running(t); got >= services {
+			t.Fatalf("%d services run while one partition is out of service", got)
+		}
+		w.setPartitionFrozen(t, "w/flanders/0", false)
+		const bound = 30 * time.Second // a few looks, of 2 s each, after its workers report again
+		time.Sleep(bound)
+		if got := w.running(t); got != services {
+			t.Errorf("%d of %d services run %v after both partitions have room", got, services, bound)
+		}
+		w.checkOracle(&load{world: w, jobs: w.jobs})
+	})
+}
+
+// setPartitionFrozen freezes every worker of a partition, or lets them go on.
+func (w *world) setPartitionFrozen(t *testing.T, partition string, frozen bool) {
+	t.Helper()
+	for _, listed := range w.listing {
+		if control.PartitionOf(listed.Region, listed.Rack, 2) != partition {
+			continue
+		}
+		if err := w.workers[listed.Name].SetFaults(standin.WorkerFaults{Freeze: &frozen}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/entry/client.go
+++ b/entry/client.go
@@ -170,7 +170,7 @@
 		reply, err := client.Place(ctx, encodePlace(c.self, r))
 		return decodePlaceReply(reply), err
 	case control.WithdrawRequest:
-		reply, err := client.Withdraw(ctx, &entrypb.WithdrawRequest{From: c.self, Attempts: encodeAttempts(r.Attempts), Reason: string(r.Reason)})
+		reply, err := client.Withdraw(ctx, &entrypb.WithdrawRequest{From: c.self, Attempts: encodeAttempts(r.Attempts), Reason: string(r.Reason), OnlyWaiting: r.OnlyWaiting})
 		return control.WithdrawReply{NotRun: decodeAttempts(reply.GetNotRun())}, err
 	case control.LookupRequest:
 		reply, err := client.Lookup(ctx, encodeLookup(c.self, r))
--- a/entry/server.go
+++ b/entry/server.go
@@ -80,7 +80,7 @@
 
 // Withdraw serves a home.
 func (s *service) Withdraw(ctx context.Context, r *entrypb.WithdrawRequest) (*entrypb.WithdrawReply, error) {
-	reply, err := handle[control.WithdrawReply](ctx, s, r.GetFrom(), control.WithdrawRequest{Attempts: decodeAttempts(r.GetAttempts()), Reason: errkind.Kind(r.GetReason())})
+	reply, err := handle[control.WithdrawReply](ctx, s, r.GetFrom(), control.WithdrawRequest{Attempts: decodeAttempts(r.GetAttempts()), Reason: errkind.Kind(r.GetReason()), OnlyWaiting: r.GetOnlyWaiting()})
 	return &entrypb.WithdrawReply{NotRun: encodeAttempts(reply.NotRun)}, err
 }
 
