Acknowledge the end of an attempt only once it is in the store

Cause: when the store was down, an owner reported an end again after its call timed out. The home knew it already, dropped the report and confirmed it, though its commit was still pending; the owner had the worker forget the attempt. A home that read the shard again found the attempt neither in the store nor on the worker, took it for not run, and a stress report ran twice. Ruled out: the look-up, whose proof holds as long as a worker forgets only what is stored.

--- a/control/homereport.go
+++ b/control/homereport.go
@@ -28,11 +28,22 @@
 		}
 		if h.finish(r.Attempt, *r.Outcome, id) {
 			call.waiting++
+		} else if h.isPending(r) {
+			call.recorded[i] = false
 		}
 	}
 	h.replyWhenRecorded(id)
 }
 
+// isPending reports whether the end of a durable attempt may be known here but not
+// in the store, as when an owner reports it again while the store is down. The
+// owner must not have the worker forget the attempt before it is stored: the next
+// home would find no trace of it and take it for not run.
+func (h *home) isPending(r AttemptReport) bool {
+	_, isVolatile := ledger.HolderOf(r.Attempt.Task)
+	return !isVolatile && h.ledger.HasPending(h.shardOf(r.Job))
+}
+
 func (h *home) started(r AttemptReport) {
 	if !h.ledger.Started(h.shardOf(r.Job), r.Job, r.Index, r.Attempt, r.Worker) {
 		return
