Show that the checks of the fault matrix can fail

With one mechanism taken away from every process at its interface, the oracle has to find a violation: stored records, look-ups after an unclear start, reports of running tasks, stated capacity, freshness of keys.

--- a/daemon/matrix_test.go
+++ b/daemon/matrix_test.go
@@ -384,13 +384,7 @@
 // checkOracle checks the invariants over all time lines and workers' ledgers.
 func (w *world) checkOracle(l *load) {
 	trace := w.trace()
-	for _, j := range l.jobs {
-		if reply, err := l.status(j); err == nil {
-			for _, ts := range reply.Tasks {
-				trace.InProgress[ts.ID] = !ts.State.IsFinal()
-			}
-		}
-	}
+	l.fillInProgress(&trace)
 	violations := oracle.Check(trace)
 	for i, v := range violations {
 		if i < 3 {
@@ -405,3 +399,14 @@
 		}
 	}
 }
+
+// fillInProgress notes the tasks that their homes know of and that have no end.
+func (l *load) fillInProgress(trace *oracle.Trace) {
+	for _, j := range l.jobs {
+		if reply, err := l.status(j); err == nil {
+			for _, ts := range reply.Tasks {
+				trace.InProgress[ts.ID] = !ts.State.IsFinal()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/daemon/sabotage_test.go
@@ -0,0 +1,178 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/oracle"
+	"github.com/mulberrydrum/mulberrydrum/standin/fault"
+	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/worker"
+)
+
+// sabotage takes one mechanism away from every process at its interface.
+type sabotage struct {
+	name    string
+	expect  []oracle.Invariant // at least one of them must be found violated
+	clients func(n *node, c Clients) Clients
+	run     func(w *world)
+}
+
+var sabotages = []sabotage{
+	{"records are not stored", []oracle.Invariant{oracle.AtMostOnce, oracle.NeverLost, oracle.TrueNotRun}, forgetRecords, func(w *world) {
+		for i := range 6 {
+			_, _ = w.nodes[0].submitAs("report", fmt.Sprintf("r%d", i))
+		}
+		time.Sleep(time.Second)
+		for _, n := range w.live() {
+			w.killAndRestart(n)
+		}
+		time.Sleep(restartIn + 40*time.Second)
+		for i := range 6 {
+			_, _ = w.live()[0].submitAs("report", fmt.Sprintf("r%d", i))
+		}
+		time.Sleep(30 * time.Second)
+	}},
+	{"an unclear start counts as not run", []oracle.Invariant{oracle.TrueNotRun, oracle.OnePlace, oracle.AtMostOnce}, denyStarts, func(w *world) {
+		for i := range 6 {
+			_, _ = w.nodes[0].submitAs("report", fmt.Sprintf("r%d", i))
+		}
+		time.Sleep(30 * time.Second)
+	}},
+	{"workers report nothing that runs", []oracle.Invariant{oracle.OnePlace}, hideTasks, func(w *world) {
+		for i := range 4 {
+			_, _ = w.nodes[0].submitAs("tables", fmt.Sprintf("t%d", i))
+		}
+		time.Sleep(90 * time.Second)
+	}},
+	{"workers state twice their capacity", []oracle.Invariant{oracle.Capacity}, doubleCapacity, func(w *world) {
+		for i := range 12 {
+			_, _ = w.nodes[i%3].submitAs("check", fmt.Sprintf("c%d", i))
+		}
+		time.Sleep(20 * time.Second)
+	}},
+	{"keys count as fresh without a read", []oracle.Invariant{oracle.WithdrawnKey}, assumeFresh, func(w *world) {
+		w.silencePeers()
+		_ = w.store.Faults().Set(fault.Fault{Kind: fault.SilentWatch, Instance: w.nodes[1].cfg.Self.Instance},
+			fault.Fault{Kind: fault.SilentWatch, Instance: w.nodes[2].cfg.Self.Instance})
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		_, _ = w.nodes[0].operator().WithdrawKey(ctx, "test", "leuven", "k1")
+		for i := range 40 {
+			_, _ = w.nodes[1+i%2].submitAs("check", fmt.Sprintf("c%d", i))
+			time.Sleep(time.Second)
+		}
+	}},
+}
+
+// silencePeers keeps the instances from telling each other of changes, which
+// would make up for what a sabotaged instance does not learn from the store.
+func (w *world) silencePeers() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fault = func(c call) faultAction {
+		switch c.step {
+		case "peer.DigestMessage", "peer.FetchConfigRequest", "peer.HandoverNotice":
+			return faultAction{drop: true}
+		}
+		return faultAction{}
+	}
+}
+
+// TestOracleFindsSabotage guards against a matrix whose checks cannot fail: with
+// each mechanism taken away the oracle must find a violation.
+func TestOracleFindsSabotage(t *testing.T) {
+	for _, s := range sabotages {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorldWith(t, 3, 4, s.clients)
+				defer w.close()
+				time.Sleep(15 * time.Second)
+				s.run(w)
+				trace := w.trace()
+				(&load{world: w, jobs: w.submitted()}).fillInProgress(&trace)
+				found := map[oracle.Invariant]int{}
+				for _, v := range oracle.Check(trace) {
+					found[v.Invariant]++
+				}
+				for _, invariant := range s.expect {
+					if found[invariant] > 0 {
+						return
+					}
+				}
+				t.Errorf("the oracle found %v, want one of %v", found, s.expect)
+			})
+		})
+	}
+}
+
+// forgetfulStore says that request records were stored, and stores nothing.
+type forgetfulStore struct{ store.Store }
+
+func forgetRecords(_ *node, c Clients) Clients {
+	c.Store = &forgetfulStore{c.Store}
+	return c
+}
+
+// Commit drops writes of request records.
+func (s *forgetfulStore) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	if txnKind(txn) == "CommitRecords" {
+		return store.TxnResult{Succeeded: true, Revision: 1}, nil
+	}
+	return s.Store.Commit(ctx, txn)
+}
+
+// denyingWorkers start tasks and say that they did not.
+type denyingWorkers struct{ worker.API }
+
+func denyStarts(_ *node, c Clients) Clients {
+	c.Workers = &denyingWorkers{c.Workers}
+	return c
+}
+
+// Start starts a task and denies it.
+func (d *denyingWorkers) Start(ctx context.Context, to worker.Address, req worker.StartRequest, check func() error) (worker.StartReply, error) {
+	if _, err := d.API.Start(ctx, to, req, check); err != nil {
+		return worker.StartReply{}, err
+	}
+	return worker.StartReply{}, worker.ErrNotRun
+}
+
+// changedReports lets a test change what workers report.
+type changedReports struct {
+	worker.API
+	change func(*worker.SyncReply)
+}
+
+// Sync changes the reply.
+func (r *changedReports) Sync(ctx context.Context, to worker.Address, req worker.SyncRequest) (worker.SyncReply, error) {
+	req.Full = true
+	reply, err := r.API.Sync(ctx, to, req)
+	r.change(&reply)
+	return reply, err
+}
+
+func hideTasks(_ *node, c Clients) Clients {
+	c.Workers = &changedReports{c.Workers, func(r *worker.SyncReply) { r.Tasks, r.Full = nil, true }}
+	return c
+}
+
+func doubleCapacity(_ *node, c Clients) Clients {
+	c.Workers = &changedReports{c.Workers, func(r *worker.SyncReply) { r.Capacity = r.Capacity.Scale(2) }}
+	return c
+}
+
+// credulousStore answers reads of the latest change by itself.
+type credulousStore struct{ store.Store }
+
+func assumeFresh(_ *node, c Clients) Clients {
+	c.Store = &credulousStore{c.Store}
+	return c
+}
+
+// LatestRevision says that nothing has changed.
+func (*credulousStore) LatestRevision(context.Context, string) (int64, error) { return 1, nil }
--- a/daemon/world_test.go
+++ b/daemon/world_test.go
@@ -39,11 +39,12 @@
 	local   *standin.LocalWorkers
 	listing []instancelist.Instance
 
-	mu    sync.Mutex
-	nodes []*node // every process that ever ran
-	fault func(c call) faultAction
-	jobs  []*job // submitted one by one
-	ended bool
+	mu      sync.Mutex
+	nodes   []*node // every process that ever ran
+	fault   func(c call) faultAction
+	jobs    []*job // submitted one by one
+	clients func(*node, Clients) Clients
+	ended   bool
 }
 
 // node is one process of an entry instance.
@@ -77,7 +78,12 @@
 // newWorld starts entry instances and workers, and waits until every unit has an
 // owner.
 func newWorld(t *testing.T, instances, workers int) *world {
-	w := &world{t: t, store: storetest.NewMemory(storetest.Config{}), workers: map[string]*standin.Worker{}, local: standin.NewLocalWorkers(nil)}
+	return newWorldWith(t, instances, workers, func(_ *node, c Clients) Clients { return c })
+}
+
+// newWorldWith is newWorld with changed clients of every process.
+func newWorldWith(t *testing.T, instances, workers int, clients func(*node, Clients) Clients) *world {
+	w := &world{t: t, clients: clients, store: storetest.NewMemory(storetest.Config{}), workers: map[string]*standin.Worker{}, local: standin.NewLocalWorkers(nil)}
 	for i := range workers {
 		name := fmt.Sprintf("worker-%d", i)
 		w.workers[name] = standin.NewWorker(standin.WorkerConfig{Name: name, UsageLag: 5 * time.Second,
@@ -137,9 +143,9 @@
 	cfg.Self.Incarnation = fmt.Sprintf("%s-%d", s.Instance, len(w.nodes))
 	w.mu.Unlock()
 	n := &node{world: w, index: i}
-	n.engine = newEngine(cfg, log.New(io.Discard), Clients{
+	n.engine = newEngine(cfg, log.New(io.Discard), w.clients(n, Clients{
 		Store: &storeFake{Store: w.store.Client(s.Instance), node: n}, List: &listFake{n}, Workers: &workerFake{API: w.local, node: n}, Entries: &entryFake{n},
-	})
+	}))
 	n.carryOut = func(e control.Effect) {
 		n.wait()
 		n.execute(e)
