--- a/control/judge.go
+++ b/control/judge.go
@@ -24,7 +24,7 @@
 		Succeeded: succeeded,
 	})
 	if verdict.WorkerBad {
-		w.setAside(a.worker)
+		w.quarantined(a.worker)
 	}
 	w.cluster.SetPenalty(a.worker, w.monitor.Penalty(w.now, a.worker))
 	if ws, ok := w.workers[a.worker]; ok {
@@ -32,8 +32,8 @@
 	}
 }
 
-func (w *owner) setAside(worker string) {
-	w.event(timeline.Event{Type: timeline.WorkerSetAside, Worker: worker})
+func (w *owner) quarantined(worker string) {
+	w.event(timeline.Event{Type: timeline.WorkerQuarantined, Worker: worker})
 	if ws, ok := w.workers[worker]; ok {
 		w.setSchedulable(ws)
 	}
@@ -47,7 +47,7 @@
 	}
 	w.reviewedAt = w.now
 	for _, name := range w.monitor.Review(w.now) {
-		w.setAside(name)
+		w.quarantined(name)
 	}
 	for _, name := range w.monitor.ProbesDue(w.now) {
 		if ws, ok := w.workers[name]; ok {
--- a/daemon/badworker_test.go
+++ b/daemon/badworker_test.go
@@ -12,8 +12,8 @@
 
 // workerLeaves checks that a worker that the list shows as leaving gets no new
 // task after the bound; the oracle reads the start of each run.
-func workerLeaves(t *testing.T, w *world, asked, _ *node, strike func()) {
-	strike()
+func workerLeaves(t *testing.T, w *deployment, asked, _ *node, injection func()) {
+	injection()
 	w.mu.Lock()
 	w.listing[0].State = instancelist.StateLeaving
 	w.mu.Unlock()
@@ -38,12 +38,12 @@
 // workerFails checks that durable work ends well though one worker fails every
 // task at once, that this worker gets few of them, and that it is used again once
 // it works.
-func workerFails(t *testing.T, w *world, _, _ *node, strike func()) {
+func workerFails(t *testing.T, w *deployment, _, _ *node, injection func()) {
 	failing := true
 	if err := w.workers["worker-0"].SetFaults(standin.WorkerFaults{FailTasks: &failing}); err != nil {
 		t.Fatal(err)
 	}
-	strike()
+	injection()
 	const jobs = 40
 	var group sync.WaitGroup
 	for i := range jobs {
@@ -60,7 +60,7 @@
 	}
 	group.Wait()
 	time.Sleep(2 * time.Minute)
-	l := &load{world: w}
+	l := &load{deployment: w}
 	for i := range jobs {
 		reply, err := l.status(&job{key: fmt.Sprintf("f%d", i)})
 		if err != nil {
--- a/daemon/world_test.go
+++ b/daemon/deployment_test.go
@@ -27,9 +27,9 @@
 
 var drainEvent = control.DrainRequested{}
 
-// world is a small deployment with fakes at the interfaces. It runs in a
+// deployment is a small deployment with fakes at the interfaces. It runs in a
 // testing/synctest bubble: all time is virtual.
-type world struct {
+type deployment struct {
 	t       *testing.T
 	store   *storetest.Memory
 	workers map[string]*standin.Worker
@@ -47,10 +47,10 @@
 // node is one process of an entry instance.
 type node struct {
 	*engine
-	world  *world
-	index  int
-	dead   bool
-	frozen time.Time // calls wait until then
+	deployment *deployment
+	index      int
+	dead       bool
+	frozen     time.Time // calls wait until then
 }
 
 // call is one call at an interface, as faults see it.
@@ -70,23 +70,23 @@
 
 var errDropped = errors.New("no reply")
 
-const worldRegion = "flanders"
+const testRegion = "flanders"
 
-// newWorld starts entry instances and workers, and waits until every unit has an
+// newDeployment starts entry instances and workers, and waits until every unit has an
 // owner.
-func newWorld(t *testing.T, instances, workers int) *world {
-	return newWorldWith(t, instances, workers, func(_ *node, c Clients) Clients { return c })
+func newDeployment(t *testing.T, instances, workers int) *deployment {
+	return newDeploymentWith(t, instances, workers, func(_ *node, c Clients) Clients { return c })
 }
 
-// newWorldWith is newWorld with changed clients of every process.
-func newWorldWith(t *testing.T, instances, workers int, clients func(*node, Clients) Clients) *world {
-	w := &world{t: t, clients: clients, store: storetest.NewMemory(storetest.Config{}), workers: map[string]*standin.Worker{}, local: standin.NewLocalWorkers(nil)}
+// newDeploymentWith is newDeployment with changed clients of every process.
+func newDeploymentWith(t *testing.T, instances, workers int, clients func(*node, Clients) Clients) *deployment {
+	w := &deployment{t: t, clients: clients, store: storetest.NewMemory(storetest.Config{}), workers: map[string]*standin.Worker{}, local: standin.NewLocalWorkers(nil)}
 	for i := range workers {
 		name := fmt.Sprintf("worker-%d", i)
 		w.workers[name] = standin.NewWorker(standin.WorkerConfig{Name: name, UsageLag: 5 * time.Second,
 			Capacity: task.Resources{CPUMilli: 4000, MemoryMB: 8192, Slots: 4, Connections: 16}})
 		w.local.Set(worker.Address(name), w.workers[name])
-		w.listing = append(w.listing, instancelist.Instance{Name: name, Address: name, Role: instancelist.RoleWorker, Region: worldRegion,
+		w.listing = append(w.listing, instancelist.Instance{Name: name, Address: name, Role: instancelist.RoleWorker, Region: testRegion,
 			FailureDomain: fmt.Sprintf("domain-%d", i), Rack: fmt.Sprintf("rack-%d", i), State: instancelist.StateLive})
 	}
 	w.configure()
@@ -96,21 +96,21 @@
 	return w
 }
 
-const worldDocument = `{"team": "leuven", "service": "piping", "classes": [
+const testDocument = `{"team": "leuven", "service": "piping", "classes": [
   {"name": "lookup", "kind": "answer", "urgency": "urgent", "size": {"cpu_milli": 500, "memory_mb": 512, "slots": 1}, "max_run": "5s", "command": "sleep:100ms"},
   {"name": "check", "kind": "durable", "size": {"cpu_milli": 500, "memory_mb": 512, "slots": 1}, "max_count": 8, "max_run": "1m", "command": "sleep:2s"},
   {"name": "report", "kind": "at_most_once", "size": {"cpu_milli": 500, "memory_mb": 512, "slots": 1}, "max_run": "1m", "command": "sleep:2s"},
   {"name": "hammer", "kind": "gang", "size": {"cpu_milli": 500, "memory_mb": 512, "slots": 1}, "max_count": 4, "max_run": "1m", "command": "sleep:2s"},
   {"name": "tables", "kind": "service", "size": {"cpu_milli": 500, "memory_mb": 512, "slots": 1}, "command": "run"}]}`
 
-const worldTeam = `{"team": "leuven", "share": 1, "limit": {"cpu_milli": 10000, "memory_mb": 0, "accelerators": 0, "slots": 12, "connections": 0}}`
+const testTeam = `{"team": "leuven", "share": 1, "limit": {"cpu_milli": 10000, "memory_mb": 0, "accelerators": 0, "slots": 12, "connections": 0}}`
 
-const worldSecret = "leuven-secret"
+const testSecret = "leuven-secret"
 
-func (w *world) configure() {
+func (w *deployment) configure() {
 	client := w.store.Client("test")
 	var txn store.Txn
-	for _, source := range []string{worldDocument, worldTeam} {
+	for _, source := range []string{testDocument, testTeam} {
 		parsed, faults := document.Parse([]byte(source))
 		if len(faults) > 0 {
 			w.t.Fatalf("document: %v", faults)
@@ -118,7 +118,7 @@
 		value, _ := store.Encode(document.Record{Source: source, WriteID: source})
 		txn.Puts = append(txn.Puts, store.Put{Key: store.DocumentKey(string(parsed.Team), string(parsed.Service)), Value: value})
 	}
-	value, _ := store.Encode(keyring.Key{ID: "k1", Team: "leuven", Digest: keyring.DigestOf(worldSecret)})
+	value, _ := store.Encode(keyring.Key{ID: "k1", Team: "leuven", Digest: keyring.DigestOf(testSecret)})
 	txn.Puts = append(txn.Puts, store.Put{Key: store.KeyKey("leuven", "k1"), Value: value})
 	if _, err := client.Commit(w.t.Context(), txn); err != nil {
 		w.t.Fatal(err)
@@ -126,10 +126,10 @@
 }
 
 // startNode starts a process of entry instance i.
-func (w *world) startNode(i int) *node {
+func (w *deployment) startNode(i int) *node {
 	s := settings.Default()
-	s.Instance, s.Region, s.FailureDomain = fmt.Sprintf("entry-%d", i), worldRegion, fmt.Sprintf("domain-%d", i)
-	s.Regions = []string{worldRegion}
+	s.Instance, s.Region, s.FailureDomain = fmt.Sprintf("entry-%d", i), testRegion, fmt.Sprintf("domain-%d", i)
+	s.Regions = []string{testRegion}
 	s.StoreEndpoints = []string{"store"}
 	s.WorkerPartitions, s.RequestShards = 2, 4
 	cfg := FromSettings(s)
@@ -139,7 +139,7 @@
 	w.mu.Lock()
 	cfg.Self.Incarnation = fmt.Sprintf("%s-%d", s.Instance, len(w.nodes))
 	w.mu.Unlock()
-	n := &node{world: w, index: i}
+	n := &node{deployment: w, index: i}
 	n.engine = newEngine(cfg, log.New(io.Discard), w.clients(n, Clients{
 		Store: &storeFake{Store: w.store.Client(s.Instance), node: n}, List: &listFake{n}, Workers: &workerFake{API: w.local, node: n}, Entries: &entryFake{n},
 	}))
@@ -156,37 +156,37 @@
 
 // kill ends a process at once.
 func (n *node) kill() {
-	n.world.mu.Lock()
+	n.deployment.mu.Lock()
 	n.dead = true
-	n.world.mu.Unlock()
+	n.deployment.mu.Unlock()
 	n.stop()
 }
 
 // freeze keeps a process from doing anything for a while.
 func (n *node) freeze(d time.Duration) {
-	n.world.mu.Lock()
-	defer n.world.mu.Unlock()
+	n.deployment.mu.Lock()
+	defer n.deployment.mu.Unlock()
 	n.frozen = time.Now().Add(d)
 }
 
 func (n *node) isDead() bool {
-	n.world.mu.Lock()
-	defer n.world.mu.Unlock()
+	n.deployment.mu.Lock()
+	defer n.deployment.mu.Unlock()
 	return n.dead
 }
 
 // frozenEver reports whether the process was frozen at any time.
 func (n *node) frozenEver() bool {
-	n.world.mu.Lock()
-	defer n.world.mu.Unlock()
+	n.deployment.mu.Lock()
+	defer n.deployment.mu.Unlock()
 	return !n.frozen.IsZero()
 }
 
 // wait returns when the process is not frozen.
 func (n *node) wait() {
-	n.world.mu.Lock()
+	n.deployment.mu.Lock()
 	left := time.Until(n.frozen)
-	n.world.mu.Unlock()
+	n.deployment.mu.Unlock()
 	if left > 0 {
 		time.Sleep(left)
 	}
@@ -194,7 +194,7 @@
 
 // pass lets a call go on, or reports that it is lost. A process that has died
 // sends nothing.
-func (w *world) pass(ctx context.Context, c call) error {
+func (w *deployment) pass(ctx context.Context, c call) error {
 	w.mu.Lock()
 	hook := w.fault
 	w.mu.Unlock()
@@ -214,7 +214,7 @@
 }
 
 // live returns the processes that run.
-func (w *world) live() []*node {
+func (w *deployment) live() []*node {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var live []*node
@@ -227,7 +227,7 @@
 }
 
 // close ends everything.
-func (w *world) close() {
+func (w *deployment) close() {
 	w.mu.Lock()
 	w.ended = true
 	w.mu.Unlock()
@@ -241,7 +241,7 @@
 	time.Sleep(cutTime + freezeTime) // the goroutines that faults hold up end
 }
 
-func (w *world) trace() oracle.Trace {
+func (w *deployment) trace() oracle.Trace {
 	trace := oracle.Trace{Bounds: oracle.DefaultBounds, InProgress: map[task.ID]bool{}}
 	var lines [][]timeline.Event
 	for _, n := range w.nodes {
@@ -259,7 +259,7 @@
 }
 
 // checkOracle checks the invariants over all time lines and workers' ledgers.
-func (w *world) checkOracle(l *load) {
+func (w *deployment) checkOracle(l *load) {
 	trace := w.trace()
 	l.fillInProgress(&trace)
 	violations := oracle.Check(trace)
--- a/daemon/fakes_test.go
+++ b/daemon/fakes_test.go
@@ -21,13 +21,13 @@
 
 // Call passes a request to the control loop of the other process.
 func (f *entryFake) Call(ctx context.Context, to membership.Member, request control.PeerRequest) (control.PeerReply, error) {
-	target := f.world.at(to.Address)
+	target := f.deployment.at(to.Address)
 	if target == nil {
 		return nil, eris.Wrap(entry.ErrNotSent, "connection refused")
 	}
 	c := call{step: fmt.Sprintf("peer.%T", request)[len("peer.control."):], from: f.node, to: target}
 	c.step = "peer." + c.step
-	if err := f.world.pass(ctx, c); err != nil {
+	if err := f.deployment.pass(ctx, c); err != nil {
 		return nil, err
 	}
 	if target.isDead() {
@@ -36,7 +36,7 @@
 	target.wait()
 	reply, err := target.loop.Call(ctx, f.cfg.Self.Instance, request)
 	c.returned = true
-	if passErr := f.world.pass(ctx, c); passErr != nil {
+	if passErr := f.deployment.pass(ctx, c); passErr != nil {
 		return nil, passErr
 	}
 	return reply, err
@@ -51,7 +51,7 @@
 func (f *entryFake) Close() {}
 
 // at returns the process that listens on an address.
-func (w *world) at(address string) *node {
+func (w *deployment) at(address string) *node {
 	for _, n := range w.live() {
 		if n.cfg.Self.Address == address {
 			return n
@@ -71,12 +71,12 @@
 func through[T any](ctx context.Context, n *node, step string, to worker.Address, f func() (T, error)) (T, error) {
 	var none T
 	c := call{step: step, from: n, worker: string(to)}
-	if err := n.world.pass(ctx, c); err != nil {
+	if err := n.deployment.pass(ctx, c); err != nil {
 		return none, fmt.Errorf("%w: %w", worker.ErrUnclear, err)
 	}
 	reply, err := f()
 	c.returned = true
-	if passErr := n.world.pass(ctx, c); passErr != nil {
+	if passErr := n.deployment.pass(ctx, c); passErr != nil {
 		return none, fmt.Errorf("%w: %w", worker.ErrUnclear, passErr)
 	}
 	return reply, err
@@ -94,7 +94,7 @@
 			if err := check(); err != nil {
 				return err
 			}
-			return f.node.world.pass(ctx, call{step: "worker.StartChecked", from: f.node, worker: string(to)})
+			return f.node.deployment.pass(ctx, call{step: "worker.StartChecked", from: f.node, worker: string(to)})
 		})
 	})
 }
@@ -126,13 +126,13 @@
 
 // List returns every instance.
 func (f *listFake) List(ctx context.Context) ([]instancelist.Instance, error) {
-	if err := f.world.pass(ctx, call{step: "list.List", from: f.node}); err != nil {
+	if err := f.deployment.pass(ctx, call{step: "list.List", from: f.node}); err != nil {
 		return nil, err
 	}
-	f.world.mu.Lock()
-	defer f.world.mu.Unlock()
-	list := append([]instancelist.Instance(nil), f.world.listing...)
-	for _, n := range f.world.nodes {
+	f.deployment.mu.Lock()
+	defer f.deployment.mu.Unlock()
+	list := append([]instancelist.Instance(nil), f.deployment.listing...)
+	for _, n := range f.deployment.nodes {
 		if !n.dead {
 			list = append(list, instancelist.Instance{Name: n.cfg.Self.Instance, Address: n.cfg.Self.Address, Role: instancelist.RoleEntry,
 				Region: n.cfg.Self.Region, FailureDomain: n.cfg.Self.FailureDomain, State: instancelist.StateLive})
@@ -151,11 +151,11 @@
 	var none T
 	ctx, cancel := context.WithTimeout(ctx, store.DefaultCallTimeout)
 	defer cancel()
-	if err := n.world.pass(ctx, call{step: step, from: n}); err != nil {
+	if err := n.deployment.pass(ctx, call{step: step, from: n}); err != nil {
 		return none, fmt.Errorf("%w: %w", store.ErrUnclear, err)
 	}
 	result, err := f()
-	if passErr := n.world.pass(ctx, call{step: step, from: n, returned: true}); passErr != nil {
+	if passErr := n.deployment.pass(ctx, call{step: step, from: n, returned: true}); passErr != nil {
 		return none, fmt.Errorf("%w: %w", store.ErrUnclear, passErr)
 	}
 	return result, err
--- a/daemon/matrix_test.go
+++ b/daemon/matrix_test.go
@@ -17,7 +17,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// steps are the messages and writes at which each fault strikes.
+// steps are the messages and writes at which each fault injections.
 var steps = []string{
 	"peer.SubmitRequest", "peer.PlaceRequest", "peer.WithdrawRequest", "peer.LookupRequest", "peer.PermitRequest",
 	"peer.ReportRequest", "peer.DigestMessage", "peer.PromiseRequest",
@@ -25,13 +25,13 @@
 	"store.CommitRecords", "store.CommitOwnership", "store.CommitAllowance", "store.KeepAlive", "store.Get", "store.LatestRevision",
 }
 
-// strike is one kind of fault. It acts on the first call of its step, or on the
+// injection is one kind of fault. It acts on the first call of its step, or on the
 // first after the call had its effect.
-type strike struct {
+type injection struct {
 	name  string
 	after bool // when the call had its effect
 	times int  // how many calls of the step it hits
-	act   func(w *world, c call) faultAction
+	act   func(w *deployment, c call) faultAction
 }
 
 const (
@@ -42,30 +42,30 @@
 	quietTime  = 45 * time.Second // after that, longer than any fault lasts
 )
 
-var strikes = []strike{
+var injections = []injection{
 	{name: "drop request", times: 1, act: dropCall},
 	{name: "drop reply", after: true, times: 1, act: dropCall},
 	{name: "drop reply twice", after: true, times: 2, act: dropCall},
-	{name: "delay", times: 1, act: func(*world, call) faultAction { return faultAction{delay: 4 * time.Second} }},
-	{name: "kill sender", times: 1, act: func(w *world, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
-	{name: "kill sender after effect", after: true, times: 1, act: func(w *world, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
-	{name: "kill receiver after effect", after: true, times: 1, act: func(w *world, c call) faultAction { w.killAndRestart(c.to); return faultAction{} }},
-	{name: "kill both", after: true, times: 1, act: func(w *world, c call) faultAction {
+	{name: "delay", times: 1, act: func(*deployment, call) faultAction { return faultAction{delay: 4 * time.Second} }},
+	{name: "kill sender", times: 1, act: func(w *deployment, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
+	{name: "kill sender after effect", after: true, times: 1, act: func(w *deployment, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
+	{name: "kill receiver after effect", after: true, times: 1, act: func(w *deployment, c call) faultAction { w.killAndRestart(c.to); return faultAction{} }},
+	{name: "kill both", after: true, times: 1, act: func(w *deployment, c call) faultAction {
 		w.killAndRestart(c.from)
 		w.killAndRestart(c.to)
 		return faultAction{}
 	}},
-	{name: "freeze sender", times: 1, act: func(_ *world, c call) faultAction { c.from.freeze(freezeTime); return faultAction{} }},
-	{name: "freeze sender after effect", after: true, times: 1, act: func(_ *world, c call) faultAction { c.from.freeze(freezeTime); return faultAction{} }},
-	{name: "store down", times: 1, act: func(w *world, _ call) faultAction { w.storeDown(fault.Down); return faultAction{} }},
-	{name: "store silent", times: 1, act: func(w *world, _ call) faultAction { w.storeDown(fault.Unreachable); return faultAction{} }},
-	{name: "store replies lost", times: 1, act: func(w *world, _ call) faultAction { w.storeDown(fault.ReplyLost); return faultAction{} }},
-	{name: "worker frozen", times: 1, act: func(w *world, c call) faultAction { w.freezeWorker(c.worker); return faultAction{} }},
-	{name: "worker rebooted", after: true, times: 1, act: func(w *world, c call) faultAction { w.rebootWorker(c.worker); return faultAction{} }},
+	{name: "freeze sender", times: 1, act: func(_ *deployment, c call) faultAction { c.from.freeze(freezeTime); return faultAction{} }},
+	{name: "freeze sender after effect", after: true, times: 1, act: func(_ *deployment, c call) faultAction { c.from.freeze(freezeTime); return faultAction{} }},
+	{name: "store down", times: 1, act: func(w *deployment, _ call) faultAction { w.storeDown(fault.Down); return faultAction{} }},
+	{name: "store silent", times: 1, act: func(w *deployment, _ call) faultAction { w.storeDown(fault.Unreachable); return faultAction{} }},
+	{name: "store replies lost", times: 1, act: func(w *deployment, _ call) faultAction { w.storeDown(fault.ReplyLost); return faultAction{} }},
+	{name: "worker frozen", times: 1, act: func(w *deployment, c call) faultAction { w.freezeWorker(c.worker); return faultAction{} }},
+	{name: "worker rebooted", after: true, times: 1, act: func(w *deployment, c call) faultAction { w.rebootWorker(c.worker); return faultAction{} }},
 }
 
-// applies reports whether a fault can strike a step at all.
-func (s strike) applies(step string) bool {
+// applies reports whether a fault can act on a step at all.
+func (s injection) applies(step string) bool {
 	switch {
 	case strings.Contains(s.name, "receiver") || s.name == "kill both":
 		return strings.HasPrefix(step, "peer.")
@@ -77,21 +77,21 @@
 	return true
 }
 
-// preludes bring about the steps that an undisturbed run does not have: a
+// setupFaults bring about the steps that an undisturbed run does not have: a
 // look-up follows a lost request, a promise an outage of the store, and a takeover
 // the death of an owner.
-var preludes = map[string]strike{
+var setupFaults = map[string]injection{
 	"peer.LookupRequest":    {name: "peer.PlaceRequest", times: 3, act: dropCall},
 	"worker.Lookup":         {name: "worker.Start", times: 3, act: dropCall},
-	"peer.PromiseRequest":   {name: "worker.Start", times: 1, act: func(w *world, _ call) faultAction { w.storeDown(fault.Down); return faultAction{} }},
-	"store.Get":             {name: "worker.Start", after: true, times: 1, act: func(w *world, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
-	"store.CommitOwnership": {name: "worker.Start", after: true, times: 1, act: func(w *world, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
+	"peer.PromiseRequest":   {name: "worker.Start", times: 1, act: func(w *deployment, _ call) faultAction { w.storeDown(fault.Down); return faultAction{} }},
+	"store.Get":             {name: "worker.Start", after: true, times: 1, act: func(w *deployment, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
+	"store.CommitOwnership": {name: "worker.Start", after: true, times: 1, act: func(w *deployment, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
 }
 
-func dropCall(*world, call) faultAction { return faultAction{drop: true} }
+func dropCall(*deployment, call) faultAction { return faultAction{drop: true} }
 
 // TestFaultMatrix guards against a request that is lost, doubled or answered
-// untruthfully when one fault strikes one step. It runs the decisions and the
+// untruthfully when one fault injections one step. It runs the decisions and the
 // daemon's calls in virtual time and lists the cells that no call reached.
 func TestFaultMatrix(t *testing.T) {
 	var mu sync.Mutex
@@ -99,7 +99,7 @@
 	cells := 0
 	t.Run("cells", func(t *testing.T) {
 		for _, step := range steps {
-			for _, s := range strikes {
+			for _, s := range injections {
 				if !s.applies(step) {
 					continue
 				}
@@ -122,14 +122,14 @@
 }
 
 // runCell runs the workload with one fault and checks every invariant. It
-// reports whether the fault struck.
-func runCell(t *testing.T, step string, s strike) (struck bool) {
-	w := newWorld(t, 3, 4)
+// reports whether the fault acted.
+func runCell(t *testing.T, step string, s injection) (struck bool) {
+	w := newDeployment(t, 3, 4)
 	defer w.close()
 	time.Sleep(10 * time.Second) // ownership is claimed
-	faults := []*pendingStrike{{strike: s, step: step, left: s.times}}
-	if prelude, ok := preludes[step]; ok {
-		faults = append(faults, &pendingStrike{strike: prelude, step: prelude.name, left: prelude.times})
+	faults := []*pendingInjection{{injection: s, step: step, left: s.times}}
+	if setup, ok := setupFaults[step]; ok {
+		faults = append(faults, &pendingInjection{injection: setup, step: setup.name, left: setup.times})
 	}
 	w.setFaults(faults)
 	load := w.submitLoad()
@@ -142,14 +142,14 @@
 	return faults[0].left < s.times
 }
 
-// pendingStrike is a fault that waits for calls of its step.
-type pendingStrike struct {
-	strike
+// pendingInjection is a fault that waits for calls of its step.
+type pendingInjection struct {
+	injection
 	step string
 	left int
 }
 
-func (w *world) setFaults(faults []*pendingStrike) {
+func (w *deployment) setFaults(faults []*pendingInjection) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.fault = func(c call) faultAction {
@@ -162,8 +162,8 @@
 	}
 }
 
-// hits reports whether a fault strikes a call, and counts it.
-func (w *world) hits(f *pendingStrike, c call) bool {
+// hits reports whether a fault injections a call, and counts it.
+func (w *deployment) hits(f *pendingInjection, c call) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if f.left == 0 || c.step != f.step || c.returned != f.after || c.from.dead {
@@ -173,7 +173,7 @@
 	return true
 }
 
-func (w *world) killAndRestart(n *node) {
+func (w *deployment) killAndRestart(n *node) {
 	n.kill()
 	time.AfterFunc(restartIn, func() {
 		w.mu.Lock()
@@ -185,18 +185,18 @@
 	})
 }
 
-func (w *world) storeDown(kind fault.Kind) {
+func (w *deployment) storeDown(kind fault.Kind) {
 	_ = w.store.Faults().Set(fault.Fault{Kind: kind})
 	time.AfterFunc(outageTime, func() { _ = w.store.Faults().Set() })
 }
 
-func (w *world) freezeWorker(name string) {
+func (w *deployment) freezeWorker(name string) {
 	frozen, thawed := true, false
 	go func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Freeze: &frozen}) }()
 	time.AfterFunc(freezeTime, func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Freeze: &thawed}) })
 }
 
-func (w *world) rebootWorker(name string) {
+func (w *deployment) rebootWorker(name string) {
 	go func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Reboot: true}) }()
 }
 
@@ -214,14 +214,14 @@
 
 // load is the work of one cell.
 type load struct {
-	world *world
-	jobs  []*job
-	done  sync.WaitGroup
+	deployment *deployment
+	jobs       []*job
+	done       sync.WaitGroup
 }
 
 // submitLoad submits work of every kind through every instance.
-func (w *world) submitLoad() *load {
-	l := &load{world: w}
+func (w *deployment) submitLoad() *load {
+	l := &load{deployment: w}
 	classes := []string{"lookup", "check", "report", "hammer", "tables", "lookup", "report", "check"}
 	for i, class := range classes {
 		j := &job{class: class, key: fmt.Sprintf("k%d", i), count: 1, cancel: i == len(classes)-1}
@@ -241,7 +241,7 @@
 func (l *load) submit(j *job, first int) {
 	defer l.done.Done()
 	for try := range 40 {
-		live := l.world.live()
+		live := l.deployment.live()
 		if len(live) == 0 {
 			time.Sleep(time.Second)
 			continue
@@ -270,15 +270,15 @@
 	n.wait()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	return (&callerBackend{n.engine}).Submit(ctx, worldSecret, task.Spec{Team: "leuven", Service: "piping", Class: j.class, IdempotencyKey: j.key,
+	return (&callerBackend{n.engine}).Submit(ctx, testSecret, task.Spec{Team: "leuven", Service: "piping", Class: j.class, IdempotencyKey: j.key,
 		Count: j.count, Payload: []byte(j.key), SubmittedAt: time.Now()}, 0)
 }
 
 func (l *load) cancel(j *job) {
 	for range 60 {
-		for _, n := range l.world.live() {
+		for _, n := range l.deployment.live() {
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-			_, err := (&callerBackend{n.engine}).Cancel(ctx, worldSecret, caller.JobID{Team: "leuven", Service: "piping", Key: j.key})
+			_, err := (&callerBackend{n.engine}).Cancel(ctx, testSecret, caller.JobID{Team: "leuven", Service: "piping", Key: j.key})
 			cancel()
 			if err == nil && !n.isDead() {
 				return
@@ -292,10 +292,10 @@
 func (l *load) status(j *job) (caller.Reply, error) {
 	err := errors.New("no instance runs")
 	for range 10 {
-		for _, n := range l.world.live() {
+		for _, n := range l.deployment.live() {
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			var reply caller.Reply
-			reply, err = (&callerBackend{n.engine}).Status(ctx, worldSecret, caller.JobID{Team: "leuven", Service: "piping", Key: j.key})
+			reply, err = (&callerBackend{n.engine}).Status(ctx, testSecret, caller.JobID{Team: "leuven", Service: "piping", Key: j.key})
 			cancel()
 			if err == nil {
 				return reply, nil
--- a/daemon/operations_test.go
+++ b/daemon/operations_test.go
@@ -23,29 +23,29 @@
 // the instance that the operator talks to, other is another one.
 type condition struct {
 	name  string
-	apply func(w *world, asked, other *node)
+	apply func(w *deployment, asked, other *node)
 }
 
 const cutTime = time.Minute // that one instance is cut off from the store
 
 var conditions = []condition{
-	{"none", func(*world, *node, *node) {}},
-	{"other frozen", func(_ *world, _, other *node) { other.freeze(freezeTime) }},
-	{"other frozen shortly", func(_ *world, _, other *node) { other.freeze(4 * time.Second) }},
-	{"other cut off from the store", func(w *world, _, other *node) {
+	{"none", func(*deployment, *node, *node) {}},
+	{"other frozen", func(_ *deployment, _, other *node) { other.freeze(freezeTime) }},
+	{"other frozen shortly", func(_ *deployment, _, other *node) { other.freeze(4 * time.Second) }},
+	{"other cut off from the store", func(w *deployment, _, other *node) {
 		w.storeFault(cutTime, fault.Fault{Kind: fault.Unreachable, Instance: other.cfg.Self.Instance})
 	}},
-	{"other's watch silent", func(w *world, _, other *node) {
+	{"other's watch silent", func(w *deployment, _, other *node) {
 		w.storeFault(cutTime, fault.Fault{Kind: fault.SilentWatch, Instance: other.cfg.Self.Instance})
 	}},
-	{"other killed", func(w *world, _, other *node) { w.killAndRestart(other) }},
-	{"store slow", func(w *world, _, _ *node) { w.storeFault(cutTime, fault.Fault{Kind: fault.Slow, DelayMS: 1500}) }},
-	{"replies of commits lost", func(w *world, asked, _ *node) {
+	{"other killed", func(w *deployment, _, other *node) { w.killAndRestart(other) }},
+	{"store slow", func(w *deployment, _, _ *node) { w.storeFault(cutTime, fault.Fault{Kind: fault.Slow, DelayMS: 1500}) }},
+	{"replies of commits lost", func(w *deployment, asked, _ *node) {
 		w.storeFault(cutTime, fault.Fault{Kind: fault.ReplyLost, Call: "txn", Instance: asked.cfg.Self.Instance, Count: 2})
 	}},
 }
 
-func (w *world) storeFault(d time.Duration, f fault.Fault) {
+func (w *deployment) storeFault(d time.Duration, f fault.Fault) {
 	if err := w.store.Faults().Set(f); err != nil {
 		w.t.Fatal(err)
 	}
@@ -55,7 +55,7 @@
 // operation is a change that an operator or the platform makes under load.
 type operation struct {
 	name string
-	run  func(t *testing.T, w *world, asked, other *node, strike func())
+	run  func(t *testing.T, w *deployment, asked, other *node, injection func())
 }
 
 var operations = []operation{
@@ -76,12 +76,12 @@
 			t.Run(op.name+"/"+c.name, func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
-					w := newWorld(t, 3, 4)
+					w := newDeployment(t, 3, 4)
 					defer w.close()
 					time.Sleep(15 * time.Second) // ownership is claimed and the list lag has passed
 					asked, other := w.nodes[0], w.nodes[1]
 					op.run(t, w, asked, other, func() { c.apply(w, asked, other) })
-					w.checkOracle(&load{world: w, jobs: w.submitted()})
+					w.checkOracle(&load{deployment: w, jobs: w.submitted()})
 				})
 			})
 		}
@@ -90,7 +90,7 @@
 }
 
 // submitted returns the jobs that were submitted one by one.
-func (w *world) submitted() []*job {
+func (w *deployment) submitted() []*job {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return slices.Clone(w.jobs)
@@ -99,12 +99,12 @@
 // submitAs submits a job of one task and returns what its caller is told.
 func (n *node) submitAs(class, key string) (caller.Reply, error) {
 	n.wait()
-	n.world.mu.Lock()
-	n.world.jobs = append(n.world.jobs, &job{class: class, key: key})
-	n.world.mu.Unlock()
+	n.deployment.mu.Lock()
+	n.deployment.jobs = append(n.deployment.jobs, &job{class: class, key: key})
+	n.deployment.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	return (&callerBackend{n.engine}).Submit(ctx, worldSecret, task.Spec{Team: "leuven", Service: "piping", Class: class,
+	return (&callerBackend{n.engine}).Submit(ctx, testSecret, task.Spec{Team: "leuven", Service: "piping", Class: class,
 		IdempotencyKey: key, Count: 1, Payload: []byte(key), SubmittedAt: time.Now()}, 0)
 }
 
@@ -130,13 +130,13 @@
 
 // withdrawKey checks that no instance accepts work under a key later than the
 // freshness after the withdrawal was confirmed, and that its work ends.
-func withdrawKey(t *testing.T, w *world, asked, _ *node, strike func()) {
+func withdrawKey(t *testing.T, w *deployment, asked, _ *node, injection func()) {
 	for i := range 20 {
 		if _, err := w.nodes[i%3].submitAs("check", fmt.Sprintf("w%d", i)); err != nil {
 			t.Fatalf("submit before the withdrawal: %v", err)
 		}
 	}
-	strike()
+	injection()
 	until(t, asked, "withdraw the key", func(ctx context.Context) (api.Key, error) {
 		return asked.operator().WithdrawKey(ctx, "test", "leuven", "k1")
 	})
@@ -175,7 +175,7 @@
 
 // lowerLimit checks that a limit below what runs comes into force, and that the
 // team never has more running than the limit from then on (the oracle).
-func lowerLimit(t *testing.T, w *world, asked, _ *node, strike func()) {
+func lowerLimit(t *testing.T, w *deployment, asked, _ *node, injection func()) {
 	for i := range 8 {
 		if _, err := w.nodes[i%3].submitAs("tables", fmt.Sprintf("s%d", i)); err != nil {
 			t.Fatalf("submit a service: %v", err)
@@ -185,7 +185,7 @@
 	if got := w.running(t); got != 8 {
 		t.Fatalf("%d services run before the change, want 8", got)
 	}
-	strike()
+	injection()
 	w.apply(t, asked, operator.Ref{Team: "leuven"}, lowLimit)
 	time.Sleep(3 * time.Minute)
 	if got := w.running(t); got != 3 {
@@ -203,7 +203,7 @@
 }
 
 // running counts the tasks that run on all workers.
-func (w *world) running(t *testing.T) int {
+func (w *deployment) running(t *testing.T) int {
 	t.Helper()
 	count := 0
 	for _, wk := range w.workers {
@@ -222,7 +222,7 @@
 
 // apply replaces a document, and reads the revision again after a conflict with
 // its own earlier try.
-func (w *world) apply(t *testing.T, n *node, ref operator.Ref, source string) operator.Held {
+func (w *deployment) apply(t *testing.T, n *node, ref operator.Ref, source string) operator.Held {
 	t.Helper()
 	return until(t, n, "apply a document", func(ctx context.Context) (operator.Held, error) {
 		held, err := n.operator().Get(ctx, ref)
@@ -242,9 +242,9 @@
 
 // applyDocument checks that a document is in force at every instance that runs
 // within the bound.
-func applyDocument(t *testing.T, w *world, asked, other *node, strike func()) {
-	strike()
-	source := strings.Replace(worldDocument, "sleep:2s", "sleep:3s", 1)
+func applyDocument(t *testing.T, w *deployment, asked, other *node, injection func()) {
+	injection()
+	source := strings.Replace(testDocument, "sleep:2s", "sleep:3s", 1)
 	held := w.apply(t, asked, operator.Ref{Team: "leuven", Service: "piping"}, source)
 	confirmed := time.Now()
 	for time.Since(confirmed) < configBound {
@@ -273,10 +273,10 @@
 
 // raceOperators checks that of two changes from the same revision one succeeds
 // and the other one is shown it.
-func raceOperators(t *testing.T, w *world, asked, other *node, strike func()) {
+func raceOperators(t *testing.T, w *deployment, asked, other *node, injection func()) {
 	ref := operator.Ref{Team: "leuven", Service: "piping"}
 	first := until(t, asked, "read the document", func(ctx context.Context) (operator.Held, error) { return asked.operator().Get(ctx, ref) })
-	strike()
+	injection()
 	results := make([]error, 2)
 	var group sync.WaitGroup
 	for i, n := range []*node{asked, other} {
@@ -285,7 +285,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
 			_, results[i] = n.operator().Apply(ctx, operator.Change{Ref: ref, By: n.cfg.Self.Instance, Expected: first.Revision,
-				Source: strings.Replace(worldDocument, "sleep:2s", fmt.Sprintf("sleep:%ds", 4+i), 1)})
+				Source: strings.Replace(testDocument, "sleep:2s", fmt.Sprintf("sleep:%ds", 4+i), 1)})
 		})
 	}
 	group.Wait()
@@ -311,7 +311,7 @@
 
 // drainInstance checks that a planned stop under load fails no request that goes
 // to another instance, or to this one until it has drained.
-func drainInstance(t *testing.T, w *world, asked, other *node, strike func()) {
+func drainInstance(t *testing.T, w *deployment, asked, other *node, injection func()) {
 	var failures sync.Map
 	stop := make(chan struct{})
 	var group sync.WaitGroup
@@ -330,7 +330,7 @@
 		})
 	}
 	time.Sleep(3 * time.Second)
-	strike()
+	injection()
 	_ = asked.loop.Post(context.Background(), drainEvent)
 	select {
 	case <-asked.drained:
--- a/daemon/outage_test.go
+++ b/daemon/outage_test.go
@@ -16,7 +16,7 @@
 func TestKeysInStoreOutage(t *testing.T) {
 	for _, instances := range []int{1, 3} {
 		synctest.Test(t, func(t *testing.T) {
-			w := newWorld(t, instances, 2)
+			w := newDeployment(t, instances, 2)
 			defer w.close()
 			time.Sleep(20 * time.Second) // until everything is owned
 			w.storeDown(fault.Down)
@@ -24,7 +24,7 @@
 			for range 10 {
 				time.Sleep(2 * time.Second)
 				for _, n := range w.live() {
-					if _, err := n.Snapshot().Keys.Admit(time.Now(), "leuven", keyring.DigestOf(worldSecret)); err != nil {
+					if _, err := n.Snapshot().Keys.Admit(time.Now(), "leuven", keyring.DigestOf(testSecret)); err != nil {
 						t.Fatalf("%d instances: %s refuses the key: %v", instances, n.cfg.Self.Instance, err)
 					}
 				}
@@ -38,12 +38,12 @@
 // its first one is recorded.
 func TestDurableWorkInStoreOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3, 2)
+		w := newDeployment(t, 3, 2)
 		defer w.close()
 		time.Sleep(20 * time.Second)
 		callers := &callerBackend{w.live()[0].engine}
 		submit := func(key string) error {
-			_, err := callers.Submit(t.Context(), worldSecret, task.Spec{Team: "leuven", Service: "piping", Class: "check",
+			_, err := callers.Submit(t.Context(), testSecret, task.Spec{Team: "leuven", Service: "piping", Class: "check",
 				IdempotencyKey: key, SubmittedAt: time.Now()}, 10*time.Second)
 			return err
 		}
--- a/daemon/rebalance_test.go
+++ b/daemon/rebalance_test.go
@@ -15,7 +15,7 @@
 // the other one, and nothing of it moves when the first one comes back.
 func TestWaitingWorkMoves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3, 4)
+		w := newDeployment(t, 3, 4)
 		defer w.close()
 		time.Sleep(10 * time.Second)
 		w.setPartitionFrozen(t, "w/flanders/0", true)
@@ -36,12 +36,12 @@
 		if got := w.running(t); got != services {
 			t.Errorf("%d of %d services run %v after both partitions have room", got, services, bound)
 		}
-		w.checkOracle(&load{world: w, jobs: w.submitted()})
+		w.checkOracle(&load{deployment: w, jobs: w.submitted()})
 	})
 }
 
 // setPartitionFrozen freezes every worker of a partition, or lets them go on.
-func (w *world) setPartitionFrozen(t *testing.T, partition string, frozen bool) {
+func (w *deployment) setPartitionFrozen(t *testing.T, partition string, frozen bool) {
 	t.Helper()
 	for _, listed := range w.listing {
 		if control.PartitionOf(listed.Region, listed.Rack, 2) != partition {
--- a/daemon/sabotage_test.go
+++ b/daemon/seededfault_test.go
@@ -13,16 +13,16 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// sabotage takes one mechanism away from every process at its interface.
-type sabotage struct {
+// seededFault takes one mechanism away from every process at its interface.
+type seededFault struct {
 	name    string
 	expect  []oracle.Invariant // at least one of them must be found violated
 	clients func(n *node, c Clients) Clients
-	run     func(w *world)
+	run     func(w *deployment)
 }
 
-var sabotages = []sabotage{
-	{"records are not stored", []oracle.Invariant{oracle.AtMostOnce, oracle.NeverLost, oracle.TrueNotRun}, forgetRecords, func(w *world) {
+var seededFaults = []seededFault{
+	{"records are not stored", []oracle.Invariant{oracle.AtMostOnce, oracle.NeverLost, oracle.TrueNotRun}, forgetRecords, func(w *deployment) {
 		for i := range 6 {
 			_, _ = w.nodes[0].submitAs("report", fmt.Sprintf("r%d", i))
 		}
@@ -36,25 +36,25 @@
 		}
 		time.Sleep(30 * time.Second)
 	}},
-	{"an unclear start counts as not run", []oracle.Invariant{oracle.TrueNotRun, oracle.OnePlace, oracle.AtMostOnce}, denyStarts, func(w *world) {
+	{"an unclear start counts as not run", []oracle.Invariant{oracle.TrueNotRun, oracle.OnePlace, oracle.AtMostOnce}, denyStarts, func(w *deployment) {
 		for i := range 6 {
 			_, _ = w.nodes[0].submitAs("report", fmt.Sprintf("r%d", i))
 		}
 		time.Sleep(30 * time.Second)
 	}},
-	{"workers report nothing that runs", []oracle.Invariant{oracle.OnePlace}, hideTasks, func(w *world) {
+	{"workers report nothing that runs", []oracle.Invariant{oracle.OnePlace}, hideTasks, func(w *deployment) {
 		for i := range 4 {
 			_, _ = w.nodes[0].submitAs("tables", fmt.Sprintf("t%d", i))
 		}
 		time.Sleep(90 * time.Second)
 	}},
-	{"workers state twice their capacity", []oracle.Invariant{oracle.Capacity}, doubleCapacity, func(w *world) {
+	{"workers state twice their capacity", []oracle.Invariant{oracle.Capacity}, doubleCapacity, func(w *deployment) {
 		for i := range 12 {
 			_, _ = w.nodes[i%3].submitAs("check", fmt.Sprintf("c%d", i))
 		}
 		time.Sleep(20 * time.Second)
 	}},
-	{"keys count as fresh without a read", []oracle.Invariant{oracle.WithdrawnKey}, assumeFresh, func(w *world) {
+	{"keys count as fresh without a read", []oracle.Invariant{oracle.WithdrawnKey}, assumeFresh, func(w *deployment) {
 		w.silencePeers()
 		_ = w.store.Faults().Set(fault.Fault{Kind: fault.SilentWatch, Instance: w.nodes[1].cfg.Self.Instance},
 			fault.Fault{Kind: fault.SilentWatch, Instance: w.nodes[2].cfg.Self.Instance})
@@ -69,8 +69,8 @@
 }
 
 // silencePeers keeps the instances from telling each other of changes, which
-// would make up for what a sabotaged instance does not learn from the store.
-func (w *world) silencePeers() {
+// would make up for what an instance with a seeded fault does not learn from the store.
+func (w *deployment) silencePeers() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.fault = func(c call) faultAction {
@@ -82,19 +82,19 @@
 	}
 }
 
-// TestOracleFindsSabotage guards against a matrix whose checks cannot fail: with
+// TestOracleFindsSeededFaults guards against a matrix whose checks cannot fail: with
 // each mechanism taken away the oracle must find a violation.
-func TestOracleFindsSabotage(t *testing.T) {
-	for _, s := range sabotages {
+func TestOracleFindsSeededFaults(t *testing.T) {
+	for _, s := range seededFaults {
 		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorldWith(t, 3, 4, s.clients)
+				w := newDeploymentWith(t, 3, 4, s.clients)
 				defer w.close()
 				time.Sleep(15 * time.Second)
 				s.run(w)
 				trace := w.trace()
-				(&load{world: w, jobs: w.submitted()}).fillInProgress(&trace)
+				(&load{deployment: w, jobs: w.submitted()}).fillInProgress(&trace)
 				found := map[oracle.Invariant]int{}
 				for _, v := range oracle.Check(trace) {
 					found[v.Invariant]++
@@ -110,32 +110,32 @@
 	}
 }
 
-// forgetfulStore says that request records were stored, and stores nothing.
-type forgetfulStore struct{ store.Store }
+// discardingStore says that request records were stored, and stores nothing.
+type discardingStore struct{ store.Store }
 
 func forgetRecords(_ *node, c Clients) Clients {
-	c.Store = &forgetfulStore{c.Store}
+	c.Store = &discardingStore{c.Store}
 	return c
 }
 
 // Commit drops writes of request records.
-func (s *forgetfulStore) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+func (s *discardingStore) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
 	if txnKind(txn) == "CommitRecords" {
 		return store.TxnResult{Succeeded: true, Revision: 1}, nil
 	}
 	return s.Store.Commit(ctx, txn)
 }
 
-// denyingWorkers start tasks and say that they did not.
-type denyingWorkers struct{ worker.API }
+// deniedStarts start tasks and say that they did not.
+type deniedStarts struct{ worker.API }
 
 func denyStarts(_ *node, c Clients) Clients {
-	c.Workers = &denyingWorkers{c.Workers}
+	c.Workers = &deniedStarts{c.Workers}
 	return c
 }
 
 // Start starts a task and denies it.
-func (d *denyingWorkers) Start(ctx context.Context, to worker.Address, req worker.StartRequest, check func() error) (worker.StartReply, error) {
+func (d *deniedStarts) Start(ctx context.Context, to worker.Address, req worker.StartRequest, check func() error) (worker.StartReply, error) {
 	if _, err := d.API.Start(ctx, to, req, check); err != nil {
 		return worker.StartReply{}, err
 	}
@@ -166,13 +166,13 @@
 	return c
 }
 
-// credulousStore answers reads of the latest change by itself.
-type credulousStore struct{ store.Store }
+// staleStore answers reads of the latest change by itself.
+type staleStore struct{ store.Store }
 
 func assumeFresh(_ *node, c Clients) Clients {
-	c.Store = &credulousStore{c.Store}
+	c.Store = &staleStore{c.Store}
 	return c
 }
 
 // LatestRevision says that nothing has changed.
-func (*credulousStore) LatestRevision(context.Context, string) (int64, error) { return 1, nil }
+func (*staleStore) LatestRevision(context.Context, string) (int64, error) { return 1, nil }
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -42,7 +42,7 @@
 	ConfigInForce     Type = "config_in_force"
 	WorkerLeaving     Type = "worker_leaving"
 	WorkerLost        Type = "worker_lost"
-	WorkerSetAside    Type = "worker_set_aside"
+	WorkerQuarantined Type = "worker_quarantined"
 	StoreDown         Type = "store_down"
 	StoreUp           Type = "store_up"
 	DrainStarted      Type = "drain_started"
