Report the end of a task at once; look at the clock every 50 ms

Cause: an owner sent its reports with the next tick of 20 ms, so that a lookup took 18.6 ms at the median against 0.58 ms straight at the worker (2,000 of each in one run of TestMeasureOverhead). Reports now leave with the event that they follow from, and the tick, which nothing waits for any more, is 50 ms: an idle instance used 1.9% of a core, most of it for ticks.

--- a/control/owner.go
+++ b/control/owner.go
@@ -39,6 +39,7 @@
 	blocked        map[task.Team]lack
 	unblockedAt    time.Time
 	reviewedAt     time.Time
+	reportsDue     bool // news for homes has not been sent
 	lacksAllowance bool // an allowance was refused since the last plan
 	draining       bool
 	drained        map[string]bool            // workers that an operator drains
@@ -235,6 +236,7 @@
 	if r, ok := w.outgoing[a.id]; ok {
 		r.sendAt = w.now
 	} else if a.stage == stageRunning {
+		w.reportsDue = true
 		w.outgoing[a.id] = &outgoingReport{report: w.reportOf(a, nil), sendAt: w.now}
 	}
 }
@@ -305,6 +307,7 @@
 	a.stage = stageEnded
 	outcome.Attempt = a.id
 	outcome.Worker = a.worker
+	w.reportsDue = true
 	w.outgoing[a.id] = &outgoingReport{report: w.reportOf(a, &outcome), sendAt: w.now, isEnd: true}
 	if outcome.State == task.Finished && outcome.RunTime > 0 {
 		w.queues.ObserveRun(a.team, a.placement.Spec.Service, a.class, outcome.RunTime)
--- a/control/ownerwork.go
+++ b/control/ownerwork.go
@@ -37,6 +37,7 @@
 	}
 	a.stage = stageRunning
 	w.event(timeline.Event{Type: timeline.TaskStarted, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Worker: a.worker, Size: &a.size})
+	w.reportsDue = true
 	w.outgoing[a.id] = &outgoingReport{report: w.reportOf(a, nil), sendAt: w.now}
 	if a.stopping != "" {
 		w.stop(a, a.stopping)
@@ -162,6 +163,7 @@
 
 // sendReports sends what homes have not confirmed, one call for each home.
 func (w *owner) sendReports() {
+	w.reportsDue = false
 	byHome := map[string][]AttemptReport{}
 	for id, o := range w.outgoing {
 		if o.sent || w.now.Before(o.sendAt) {
--- a/control/state.go
+++ b/control/state.go
@@ -100,6 +100,9 @@
 	if _, isTick := e.(Tick); concernsOwnership(e) || isTick && s.isSlowTick() {
 		s.actOnOwnership()
 	}
+	if s.owner.reportsDue {
+		s.owner.sendReports()
+	}
 	s.flushLedger()
 	s.home.flush()
 	return s.effects
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -45,7 +45,7 @@
 // Defaults of Config.
 const (
 	DefaultListInterval  = time.Second
-	DefaultTick          = 20 * time.Millisecond
+	DefaultTick          = 50 * time.Millisecond
 	DefaultAnswerTimeout = 10 * time.Second
 	DefaultDrainTimeout  = 30 * time.Second
 	// DefaultLinger is longer than the 5 s for which our client keeps an idle
