--- a/endtoend/capacity_test.go
+++ b/endtoend/capacity_test.go
@@ -198,7 +198,7 @@
 func TestMeasureRate(t *testing.T) {
 	needMeasure(t)
 	c := processtest.Start(t, processtest.Options{Entries: 8, Workers: 16, Regions: []string{"flanders", "wallonia", "brussels"}})
-	awaitService(t, c, callerOf(c, "estrie"))
+	awaitService(t, c, callerOf(c, "leuven"))
 	time.Sleep(10 * time.Second)
 	for _, callers := range []int{1, 4, 16, 64, 128} {
 		rate, refused := measureRate(t, c, callers)
