--- a/fairshare/main_test.go
+++ b/fairshare/main_test.go
@@ -1,15 +1,10 @@
 package fairshare
 
 import (
-	"flag"
+	"os"
 	"testing"
+
+	"github.com/mulberrydrum/mulberrydrum/internal/fixedseed"
 )
 
-// TestMain fixes the seed of the property tests, so that every run of the
-// checks gives the same verdict. The flag -rapid.seed still overrides it.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m)) }
--- a/internal/importrule/importrule_test.go
+++ b/internal/importrule/importrule_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"go/build"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -78,3 +80,33 @@
 	}
 	return err.Error()
 }
+
+// clockReaders are the files of decision packages that may read a clock: the
+// loop passes the time of each event to the state.
+var clockReaders = []string{"control/loop.go"}
+
+// TestDecisionPackagesReadNoClock guards against a decision that depends on the
+// time at which it happens to run, which virtual time could not reproduce.
+func TestDecisionPackagesReadNoClock(t *testing.T) {
+	for _, name := range decisionPackages {
+		files, err := filepath.Glob("../../" + name + "/*.go")
+		if err != nil || len(files) == 0 {
+			t.Errorf("package %s has no files: %v", name, err)
+		}
+		for _, file := range files {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			local := strings.TrimPrefix(file, "../../")
+			if strings.HasSuffix(file, "_test.go") || slices.Contains(clockReaders, local) {
+				continue
+			}
+			for _, call := range []string{"time.Now(", "time.Since(", "time.Until("} {
+				if strings.Contains(string(text), call) {
+					t.Errorf("%s calls %s)", local, call)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,184 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+const shardName = "h/0"
+
+// storeModel is the store as far as one shard value goes. A write whose fate is
+// unclear may take effect at any later time.
+type storeModel struct {
+	value    ShardValue
+	revision int64
+	late     []Write
+}
+
+func (m *storeModel) commit(w Write) bool {
+	if w.Revision != m.revision {
+		return false
+	}
+	m.revision++
+	m.value = w.Value
+	return true
+}
+
+func newHome(m *storeModel, holder string) *Ledger {
+	cfg := DefaultConfig()
+	cfg.FlushInterval = 0
+	l := New(cfg, holder)
+	l.Open(shardName, 1)
+	l.Loaded(shardName, m.value, m.revision)
+	return l
+}
+
+func durableSpec(key string) task.Spec {
+	return task.Spec{Team: "t", Service: "s", IdempotencyKey: key, Kind: task.AtMostOnce, Count: 1, PayloadDigest: "d"}
+}
+
+// TestCommittedIsNeverLost guards against a step that is released for a change
+// which a later reader of the store does not find, whatever becomes of the
+// writes and however late an unclear one takes effect.
+func TestCommittedIsNeverLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &storeModel{}
+		l := newHome(m, "e-1")
+		released := map[string]bool{}
+		now, jobs := time.Unix(0, 0), 0
+		release := func(steps []Step) {
+			for _, s := range steps {
+				released[s.Job.Key] = true
+			}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "rounds") {
+			now = now.Add(time.Second)
+			if rapid.Bool().Draw(t, "submit") && l.IsActive(shardName) {
+				spec := durableSpec(fmt.Sprint(jobs))
+				jobs++
+				if _, _, err := l.Submit(shardName, spec, Step{Job: KeyOf(&spec)}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for _, w := range l.Plan(now) {
+				switch rapid.SampledFrom([]string{"stored", "reply lost", "late", "no effect"}).Draw(t, "fate") {
+				case "stored":
+					if m.commit(w) {
+						release(l.Committed([]Write{w}, m.revision))
+						continue
+					}
+					steps, lost := l.Conflicted(w, m.value, m.revision)
+					release(steps)
+					if lost {
+						t.Fatal("the only home of the shard was told that another one has written")
+					}
+				case "reply lost":
+					m.commit(w)
+					l.Failed([]Write{w}, Unclear)
+				case "late":
+					m.late = append(m.late, w)
+					l.Failed([]Write{w}, Unclear)
+				default:
+					l.Failed([]Write{w}, NoEffect)
+				}
+			}
+			if len(m.late) > 0 && rapid.Bool().Draw(t, "late write takes effect") {
+				m.commit(m.late[0])
+				m.late = m.late[1:]
+			}
+		}
+		next := newHome(m, "e-2")
+		for key := range released {
+			if _, found := next.Find(shardName, JobKey{Team: "t", Service: "s", Key: key}); !found {
+				t.Fatalf("job %s was released and is not in the store", key)
+			}
+		}
+	})
+}
+
+// TestFormerHomeIsFenced guards against a former home that writes after the next
+// one has taken the shard over.
+func TestFormerHomeIsFenced(t *testing.T) {
+	m := &storeModel{}
+	former := newHome(m, "e-1")
+	first := former.Plan(time.Unix(1, 0))[0]
+	m.commit(first)
+	former.Committed([]Write{first}, m.revision)
+	spec := durableSpec("k")
+	if _, _, err := former.Submit(shardName, spec, Step{Job: KeyOf(&spec)}); err != nil {
+		t.Fatal(err)
+	}
+	delayed := former.Plan(time.Unix(2, 0))[0]
+
+	next := newHome(m, "e-2")
+	fence := next.Plan(time.Unix(3, 0))[0]
+	if !m.commit(fence) {
+		t.Fatal("the first write of the next home failed")
+	}
+	next.Committed([]Write{fence}, m.revision)
+	if m.commit(delayed) {
+		t.Error("a delayed write of the former home took effect")
+	}
+	if _, lost := former.Conflicted(delayed, m.value, m.revision); !lost {
+		t.Error("the former home did not notice that another one has written")
+	}
+}
+
+// TestPermitNamesOneWorker guards against an at-most-once attempt that is
+// permitted on two workers, or on two boots of one.
+func TestPermitNamesOneWorker(t *testing.T) {
+	m := &storeModel{}
+	l := newHome(m, "e-1")
+	w := l.Plan(time.Unix(1, 0))[0]
+	m.commit(w)
+	l.Committed([]Write{w}, m.revision)
+	spec := durableSpec("k")
+	key := KeyOf(&spec)
+	if _, _, err := l.Submit(shardName, spec, Step{Job: key}); err != nil {
+		t.Fatal(err)
+	}
+	a, _, ok := l.Dispatch(shardName, key, 0, "w/r/0", Step{Job: key})
+	if !ok {
+		t.Fatal("the task was not dispatched")
+	}
+	for _, c := range []struct {
+		worker, boot string
+		want         bool
+	}{{"w1", "b1", true}, {"w1", "b1", true}, {"w2", "b1", false}, {"w1", "b2", false}} {
+		if got := l.Permit(shardName, key, 0, a, c.worker, c.boot, Step{Job: key}); got != c.want {
+			t.Errorf("Permit on %s, boot %s = %v, want %v", c.worker, c.boot, got, c.want)
+		}
+	}
+	o := task.Outcome{Attempt: a, State: task.Unknown, Reason: string(errkind.WorkerLost)}
+	if verdict, _ := l.Finish(time.Unix(2, 0), shardName, key, 0, o, Step{Job: key}); verdict != Final {
+		t.Errorf("verdict on an unknown end = %v, want %v: it may not be repeated", verdict, Final)
+	}
+}
+
+// TestNotRunIsNeverSaidOfWhatMayHaveRun guards against a task that is stated as
+// not run because its last attempt was not, though an earlier one may have run.
+func TestNotRunIsNeverSaidOfWhatMayHaveRun(t *testing.T) {
+	m := &storeModel{}
+	l := newHome(m, "e-1")
+	w := l.Plan(time.Unix(1, 0))[0]
+	m.commit(w)
+	l.Committed([]Write{w}, m.revision)
+	spec := durableSpec("k")
+	spec.Kind = task.Durable
+	key := KeyOf(&spec)
+	if _, _, err := l.Submit(shardName, spec, Step{Job: key}); err != nil {
+		t.Fatal(err)
+	}
+	a, _, _ := l.Dispatch(shardName, key, 0, "w/r/0", Step{Job: key})
+	l.Finish(time.Unix(2, 0), shardName, key, 0, task.Outcome{Attempt: a, State: task.Unknown, Reason: string(errkind.WorkerLost)}, Step{Job: key})
+	l.Cancel(time.Unix(3, 0), shardName, key, errkind.Cancelled, Step{Job: key})
+	if r, _ := l.Find(shardName, key); r.Tasks[0].State != task.Unknown {
+		t.Errorf("state after an unclear attempt and a cancellation = %s, want %s", r.Tasks[0].State, task.Unknown)
+	}
+}
