Require that the matrices judge every invariant

The oracle's check of answers had nothing to read in any cell. Callers' replies are part of the trace now, and a matrix in which an invariant has no fact to judge fails.

--- a/daemon/deployment_test.go
+++ b/daemon/deployment_test.go
@@ -262,7 +262,10 @@
 func (w *deployment) checkOracle(l *load) {
 	trace := w.trace()
 	l.fillInProgress(&trace)
-	violations := oracle.Check(trace)
+	trace.Answers = l.answers()
+	report := oracle.Examine(trace)
+	w.examined(report)
+	violations := report.Violations
 	for i, v := range violations {
 		if i < 3 {
 			w.t.Errorf("%s", v)
@@ -287,3 +290,37 @@
 		}
 	}
 }
+
+// answers returns the results of one-task jobs as their callers received them.
+func (l *load) answers() []oracle.Answer {
+	var answers []oracle.Answer
+	for _, j := range l.jobs {
+		j.mu.Lock()
+		reply := j.reply
+		j.mu.Unlock()
+		if len(reply.Tasks) != 1 || reply.Tasks[0].Outcome == nil || reply.Tasks[0].Outcome.Result == nil {
+			continue
+		}
+		ts := reply.Tasks[0]
+		answers = append(answers, oracle.Answer{Task: ts.ID, Attempt: ts.Attempt, PayloadDigest: worker.Digest([]byte(j.key)),
+			ResultDigest: worker.Digest(ts.Outcome.Result), ResultBytes: int64(len(ts.Outcome.Result))})
+	}
+	return answers
+}
+
+// examinedFacts counts what the checks of all cells have judged.
+var examinedFacts struct {
+	mu    sync.Mutex
+	facts map[oracle.Invariant]int
+}
+
+func (w *deployment) examined(r oracle.Report) {
+	examinedFacts.mu.Lock()
+	defer examinedFacts.mu.Unlock()
+	if examinedFacts.facts == nil {
+		examinedFacts.facts = map[oracle.Invariant]int{}
+	}
+	for invariant, n := range r.Examined {
+		examinedFacts.facts[invariant] += n
+	}
+}
--- a/daemon/operations_test.go
+++ b/daemon/operations_test.go
@@ -14,6 +14,7 @@
 	"github.com/mulberrydrum/mulberrydrum/caller"
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 	"github.com/mulberrydrum/mulberrydrum/operator"
+	"github.com/mulberrydrum/mulberrydrum/oracle"
 	"github.com/mulberrydrum/mulberrydrum/standin/fault"
 	"github.com/mulberrydrum/mulberrydrum/task"
 	"github.com/mulberrydrum/mulberrydrum/timeline"
@@ -71,6 +72,16 @@
 // TestOperationMatrix guards against a change that comes into force too late, in
 // part or not at all, or that takes work with it, when something fails meanwhile.
 func TestOperationMatrix(t *testing.T) {
+	t.Run("cells", runOperations)
+	t.Logf("%d cells: %d operations under %d conditions", len(operations)*len(conditions), len(operations), len(conditions))
+	for _, invariant := range oracle.Invariants {
+		if examinedFacts.facts[invariant] == 0 {
+			t.Errorf("no cell had anything to judge for the invariant %q", invariant)
+		}
+	}
+}
+
+func runOperations(t *testing.T) {
 	for _, op := range operations {
 		for _, c := range conditions {
 			t.Run(op.name+"/"+c.name, func(t *testing.T) {
@@ -86,7 +97,6 @@
 			})
 		}
 	}
-	t.Logf("%d cells: %d operations under %d conditions", len(operations)*len(conditions), len(operations), len(conditions))
 }
 
 // submitted returns the jobs that were submitted one by one.
@@ -99,13 +109,18 @@
 // submitAs submits a job of one task and returns what its caller is told.
 func (n *node) submitAs(class, key string) (caller.Reply, error) {
 	n.wait()
+	j := &job{class: class, key: key}
 	n.deployment.mu.Lock()
-	n.deployment.jobs = append(n.deployment.jobs, &job{class: class, key: key})
+	n.deployment.jobs = append(n.deployment.jobs, j)
 	n.deployment.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	return (&callerBackend{n.engine}).Submit(ctx, testSecret, task.Spec{Team: "leuven", Service: "piping", Class: class,
+	reply, err := (&callerBackend{n.engine}).Submit(ctx, testSecret, task.Spec{Team: "leuven", Service: "piping", Class: class,
 		IdempotencyKey: key, Count: 1, Payload: []byte(key), SubmittedAt: time.Now()}, 0)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.reply, j.err = reply, err
+	return reply, err
 }
 
 func (n *node) operator() *operatorBackend { return &operatorBackend{n.engine} }
