Refuse an answer without a partition in one step

The home finished the task with changing reasons until the ledger gave it no other attempt, and then overwrote the reason. The ledger has a transition for it now.

--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -72,7 +72,7 @@
 	if !record.Spec.Kind.IsDurable() {
 		pause = h.cfg.RetryInterval
 		if len(h.idle) >= maxIdleForAnswers || !h.now.Add(pause).Before(record.Spec.Deadline) {
-			h.refuse(ref, record, errkind.NoOwner)
+			h.refuse(ref, errkind.NoOwner)
 			return
 		}
 	}
@@ -84,20 +84,8 @@
 const maxIdleForAnswers = 1000
 
 // refuse ends a task of a memory-only job as not run.
-func (h *home) refuse(ref taskRef, record *ledger.Record, kind errkind.Kind) {
-	a := record.AttemptOf(ref.index)
-	outcome := task.Outcome{Attempt: a, State: task.NotRun, Reason: string(kind)}
-	step := ledger.Step{Kind: ledger.StepFinished, Job: ref.job, Index: ref.index}
-	for {
-		verdict, _ := h.ledger.Finish(h.now, h.shardOf(ref.job), ref.job, ref.index, outcome, step)
-		if verdict != ledger.Again {
-			break
-		}
-		outcome.Reason = string(errkind.DeadlineExceeded) // a reason that ends the task
-	}
-	if ended := record.Tasks[ref.index].Outcome; ended != nil {
-		ended.Reason = string(kind)
-	}
+func (h *home) refuse(ref taskRef, kind errkind.Kind) {
+	h.ledger.Refuse(h.now, ref.job, ref.index, kind)
 	h.settle(ref.job)
 }
 
--- a/ledger/transition.go
+++ b/ledger/transition.go
@@ -176,6 +176,21 @@
 	return open, l.change(s, r, step), true
 }
 
+// Refuse ends a task of a memory-only job that has no open attempt, without
+// another one.
+func (l *Ledger) Refuse(now time.Time, key JobKey, index int, reason errkind.Kind) {
+	r, ok := l.volatile[key]
+	if !ok || r.Tasks[index].State != task.Accepted {
+		return
+	}
+	t := &r.Tasks[index]
+	t.State = t.endState(task.NotRun)
+	t.Outcome = &task.Outcome{Attempt: r.AttemptOf(index), State: t.State, Reason: string(reason)}
+	if r.IsFinal() {
+		r.FinishedAt = now
+	}
+}
+
 // After has step released once every change made so far is in the store.
 func (l *Ledger) After(shardName string, step Step) {
 	if s, ok := l.shards[shardName]; ok {
