--- a/endtoend/capacity_test.go
+++ b/endtoend/capacity_test.go
@@ -227,3 +227,30 @@
 	group.Wait()
 	return float64(done.Load()) / time.Since(started).Seconds(), failed.Load()
 }
+
+// TestMeasureStart prints how long an entry instance takes from the start of its
+// process until it accepts connections, and until it is ready.
+func TestMeasureStart(t *testing.T) {
+	needMeasure(t)
+	c := processtest.Start(t, processtest.Options{Entries: 3, Workers: 4, Regions: []string{"flanders", "wallonia", "brussels"}})
+	awaitService(t, c, callerOf(c, "leuven"))
+	var accepts, ready []float64
+	for range 5 {
+		e := c.Entries[0]
+		e.Kill()
+		started := time.Now()
+		c.StartEntry(e)
+		accepts = append(accepts, float64(time.Since(started).Milliseconds()))
+		c.Eventually(10*time.Second, "ready", func() bool {
+			response, err := http.Get("http://" + e.Settings.OperatorAddress + "/readyz")
+			if err != nil {
+				return false
+			}
+			defer response.Body.Close()
+			return response.StatusCode == http.StatusOK
+		})
+		ready = append(ready, float64(time.Since(started).Milliseconds()))
+		time.Sleep(time.Second)
+	}
+	t.Logf("ms after the start: accepts connections %s, ready %s", spread(accepts), spread(ready))
+}
