Remove a branch that cannot be taken, and correct three comments

Records that a closed shard returns are durable since answers stay with their process, so that the case of an answer that surely did not run could not occur there any more.

--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// pendingCall is the answer of this process to a call that it makes to itself.
+// nextToken numbers the calls that the state makes to itself.
 var nextToken uint64
 
 func (b *bench) answer(effect Effect) Event {
--- a/control/homereport.go
+++ b/control/homereport.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"slices"
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/errkind"
@@ -264,9 +263,8 @@
 	}
 }
 
-// closed drops the jobs of a shard that this instance is no longer the home of.
-// Callers are told that the outcome is unknown here, since the next home knows,
-// but for answers that wait for a partition: those did not run.
+// closed drops the durable jobs of a shard that this instance is no longer the
+// home of. Callers are told that the outcome is unknown here; the next home knows.
 func (h *home) closed(steps []ledger.Step, records []*ledger.Record) {
 	lost := errkind.New(errkind.NoOwner, "the home of the request has moved; ask again").
 		WithRetryAfter(time.Second).WithFate(errkind.FateUnknown)
@@ -275,14 +273,10 @@
 	}
 	for _, record := range records {
 		job := record.JobKey()
-		told := lost
-		if surelyNotRun(record) {
-			told = lost.WithFate(errkind.FateNotRun)
-		}
 		for _, token := range h.waiters[job] {
 			if _, ok := h.calls[token]; ok {
 				delete(h.calls, token)
-				h.reply(token, JobReply{Err: told})
+				h.reply(token, JobReply{Err: lost})
 			}
 		}
 		delete(h.waiters, job)
@@ -293,14 +287,6 @@
 	}
 }
 
-// surelyNotRun reports whether an answer waits for a partition and no earlier
-// attempt of it may have run.
-func surelyNotRun(record *ledger.Record) bool {
-	return !record.Spec.Kind.IsDurable() && !slices.ContainsFunc(record.Tasks, func(t ledger.TaskRecord) bool {
-		return t.State != task.Accepted || t.MayHaveRun
-	})
-}
-
 func (h *home) drop(s ledger.Step, lost *errkind.Error) {
 	switch s.Kind {
 	case ledger.StepAccepted, ledger.StepAnswer:
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -23,7 +23,7 @@
 	MemberSeen   map[string]int64 // revision in force at each instance, as its last digest said
 	StoreContact bool
 	Draining     bool
-	Ready        bool // has a lease or has taken part in the exchange
+	Ready        bool // has a lease and the configuration, and is not draining
 	Shards       int
 }
 
--- a/daemon/keys.go
+++ b/daemon/keys.go
@@ -29,7 +29,7 @@
 	// An unclear grant is not repeated: its secret would be lost, and a key that
 	// nobody knows harms nobody.
 	if _, f, err := b.commitConfig(ctx, txn); err != nil || f != stored {
-		return api.GrantedKey{}, unclearChange(f, err)
+		return api.GrantedKey{}, unclearChange(err)
 	}
 	return api.GrantedKey{Key: keyView(granted), Secret: secret}, nil
 }
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -90,7 +90,7 @@
 		txn = store.Txn{Puts: []store.Put{{Key: store.DrainKey(name), Value: value}}}
 	}
 	if _, f, err := b.commitConfig(ctx, txn); err != nil || f != stored {
-		return api.Drain{}, unclearChange(f, err)
+		return api.Drain{}, unclearChange(err)
 	}
 	return b.drainState(ctx, name, !request.Undo), nil
 }
@@ -121,11 +121,11 @@
 	return errkind.New(errkind.InvalidRequest, "there is no worker %s", request.Worker).WithField("worker", "one of the list of workers")
 }
 
-func unclearChange(f fate, err error) error {
+func unclearChange(err error) error {
 	if err != nil {
 		return err
 	}
-	return errkind.New(errkind.OutcomeUnknown, "the store did not confirm the change; ask for the state and try again (%d)", f)
+	return errkind.New(errkind.OutcomeUnknown, "the store did not confirm the change; ask for the state and try again")
 }
 
 func (b *operatorBackend) drainState(ctx context.Context, name string, draining bool) api.Drain {
