Judge workers by what says something of them; let names that left come back

A probe that was cancelled, withdrawn or lost had no end, so that no other one became due and the worker stayed in quarantine. 2. A worker that was once listed as leaving got no work again under that name; whether it leaves is now derived from the list and its own report. An owner that loses a partition forgets its verdicts on the workers.

--- a/control/judge.go
+++ b/control/judge.go
@@ -15,6 +15,7 @@
 // end of a probe decides whether its worker returns to service.
 func (w *owner) judge(a *attempt, succeeded bool) {
 	if a.isProbe {
+		a.isProbe = false
 		w.monitor.ProbeDone(w.now, a.worker, succeeded)
 	}
 	verdict := w.monitor.Observe(w.now, quarantine.Outcome{
@@ -69,6 +70,16 @@
 	w.setSchedulable(ws)
 }
 
+// endProbe ends a probe that said nothing of its worker. It counts as failed, so
+// that another one becomes due; without an end none would.
+func (w *owner) endProbe(a *attempt) {
+	if !a.isProbe {
+		return
+	}
+	a.isProbe = false
+	w.monitor.ProbeDone(w.now, a.worker, false)
+}
+
 // probing lists the workers that wait for a probe. Work that may not be repeated
 // is not used for that.
 func (w *owner) probing() []string {
--- a/control/overview.go
+++ b/control/overview.go
@@ -77,7 +77,7 @@
 		free, _ := w.cluster.FreeOn(l.Name)
 		views = append(views, WorkerView{
 			Name: l.Name, Address: l.Address, Region: l.Region, FailureDomain: l.FailureDomain, Rack: l.Rack, Partition: ws.partition,
-			Usable: w.isUsable(ws), Leaving: ws.leaving, Drained: w.drained[l.Name], Quarantined: w.monitor.IsQuarantined(l.Name), Silent: ws.failures,
+			Usable: w.isUsable(ws), Leaving: ws.isLeaving(), Drained: w.drained[l.Name], Quarantined: w.monitor.IsQuarantined(l.Name), Silent: ws.failures,
 			LastReport: ws.clockAt, Capacity: ws.capacity, Free: free, Running: running[l.Name],
 		})
 	}
--- a/control/owner.go
+++ b/control/owner.go
@@ -69,8 +69,8 @@
 	leaseEnd  time.Time // no lease granted so far lasts longer
 	syncing   bool
 	syncAt    time.Time
-	failures  int // reports in a row that failed
-	leaving   bool
+	failures  int  // reports in a row that failed
+	leaving   bool // by its own report
 	probing   bool // in quarantine, and open for one task
 	acks      []task.Attempt
 }
@@ -192,6 +192,7 @@
 
 // discard forgets an attempt that is proved not run, and refuses it from now on.
 func (w *owner) discard(a *attempt) {
+	w.endProbe(a)
 	delete(w.attempts, a.id)
 	w.tombstones[a.id] = w.now.Add(tombstoneLifetime)
 	w.event(timeline.Event{Type: timeline.TaskNotRun, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Partition: a.partition})
@@ -304,6 +305,7 @@
 		return
 	}
 	w.release(a)
+	w.endProbe(a)
 	a.stage = stageEnded
 	outcome.Attempt = a.id
 	outcome.Worker = a.worker
--- a/control/ownerwork.go
+++ b/control/ownerwork.go
@@ -18,7 +18,6 @@
 	}
 	switch {
 	case e.Result == StartNotRun:
-		w.judge(a, false)
 		w.end(a, task.Outcome{State: task.NotRun, Reason: string(errkind.NoOwner)})
 		w.schedule()
 	case e.Result == StartUnclear:
--- a/control/workers.go
+++ b/control/workers.go
@@ -52,8 +52,9 @@
 	w.allow.Disown(name)
 	for _, ws := range w.workers {
 		if ws.partition == name {
-			ws.rebuilt = false
+			ws.rebuilt, ws.probing = false, false
 			w.cluster.Remove(ws.listed.Name)
+			w.monitor.RemoveWorker(ws.listed.Name)
 		}
 	}
 }
@@ -66,14 +67,13 @@
 			ws = &workerState{}
 			w.workers[l.Name] = ws
 		}
+		wasLeaving := ws.isLeaving()
 		ws.listed = l
 		ws.partition = PartitionOf(l.Region, l.Rack, w.cfg.PartitionsPerRegion)
 		if !known {
 			w.resetWorker(ws)
 		}
-		if l.Leaving {
-			w.leave(ws)
-		}
+		w.observeLeaving(ws, wasLeaving)
 	}
 }
 
@@ -90,13 +90,18 @@
 	}
 }
 
-// leave keeps new tasks away from a worker. Its tasks finish.
-func (w *owner) leave(ws *workerState) {
-	if ws.leaving {
+// isLeaving reports whether the platform's list or the worker itself says that it
+// leaves. Both can take it back, since names are used again.
+func (ws *workerState) isLeaving() bool { return ws.listed.Leaving || ws.leaving }
+
+// observeLeaving keeps new tasks away from a worker that leaves. Its tasks finish.
+func (w *owner) observeLeaving(ws *workerState, wasLeaving bool) {
+	if ws.isLeaving() == wasLeaving {
 		return
 	}
-	ws.leaving = true
-	w.event(timeline.Event{Type: timeline.WorkerLeaving, Worker: ws.listed.Name, Partition: ws.partition})
+	if ws.isLeaving() {
+		w.event(timeline.Event{Type: timeline.WorkerLeaving, Worker: ws.listed.Name, Partition: ws.partition})
+	}
 	w.setSchedulable(ws)
 }
 
@@ -115,7 +120,7 @@
 
 // isUsable reports whether a worker may get new tasks.
 func (w *owner) isUsable(ws *workerState) bool {
-	return ws.rebuilt && !ws.leaving && !w.drained[ws.listed.Name] && !ws.listed.Gone && ws.failures < silentReports &&
+	return ws.rebuilt && !ws.isLeaving() && !w.drained[ws.listed.Name] && !ws.listed.Gone && ws.failures < silentReports &&
 		(ws.probing || !w.monitor.IsQuarantined(ws.listed.Name))
 }
 
@@ -180,9 +185,9 @@
 	firstReport := ws.clockAt.IsZero()
 	ws.bootID, ws.clock, ws.clockAt, ws.sequence = r.BootID, r.Clock, w.now, r.Sequence
 	ws.leaseEnd = w.now.Add(w.cfg.atLeast(w.cfg.TaskLease))
-	if r.Leaving {
-		w.leave(ws)
-	}
+	wasLeaving := ws.isLeaving()
+	ws.leaving = r.Leaving
+	w.observeLeaving(ws, wasLeaving)
 	if firstReport {
 		ws.syncAt = w.now // the leases could not be renewed without a reading of the clock
 	}
