--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -39,6 +39,16 @@
 	return l
 }
 
+// newActiveHome returns a home whose first write is stored.
+func newActiveHome() (*storeModel, *Ledger) {
+	m := &storeModel{}
+	l := newHome(m, "e-1")
+	w := l.Plan(time.Unix(1, 0))[0]
+	m.commit(w)
+	l.Committed([]Write{w}, m.revision)
+	return m, l
+}
+
 func durableSpec(key string) task.Spec {
 	return task.Spec{Team: "t", Service: "s", IdempotencyKey: key, Kind: task.AtMostOnce, Count: 1, PayloadDigest: "d"}
 }
@@ -105,11 +115,7 @@
 // TestFormerHomeIsFenced guards against a former home that writes after the next
 // one has taken the shard over.
 func TestFormerHomeIsFenced(t *testing.T) {
-	m := &storeModel{}
-	former := newHome(m, "e-1")
-	first := former.Plan(time.Unix(1, 0))[0]
-	m.commit(first)
-	former.Committed([]Write{first}, m.revision)
+	m, former := newActiveHome()
 	spec := durableSpec("k")
 	if _, _, err := former.Submit(shardName, spec, Step{Job: KeyOf(&spec)}); err != nil {
 		t.Fatal(err)
@@ -133,11 +139,7 @@
 // TestPermitNamesOneWorker guards against an at-most-once attempt that is
 // permitted on two workers, or on two boots of one.
 func TestPermitNamesOneWorker(t *testing.T) {
-	m := &storeModel{}
-	l := newHome(m, "e-1")
-	w := l.Plan(time.Unix(1, 0))[0]
-	m.commit(w)
-	l.Committed([]Write{w}, m.revision)
+	_, l := newActiveHome()
 	spec := durableSpec("k")
 	key := KeyOf(&spec)
 	if _, _, err := l.Submit(shardName, spec, Step{Job: key}); err != nil {
@@ -164,11 +166,7 @@
 // TestNotRunIsNeverSaidOfWhatMayHaveRun guards against a task that is stated as
 // not run because its last attempt was not, though an earlier one may have run.
 func TestNotRunIsNeverSaidOfWhatMayHaveRun(t *testing.T) {
-	m := &storeModel{}
-	l := newHome(m, "e-1")
-	w := l.Plan(time.Unix(1, 0))[0]
-	m.commit(w)
-	l.Committed([]Write{w}, m.revision)
+	_, l := newActiveHome()
 	spec := durableSpec("k")
 	spec.Kind = task.Durable
 	key := KeyOf(&spec)
