Bound what a placement pass costs; tell states by a view in every instance

Cause: after a takeover the control goroutine of the new owner fell behind. A pass looked at each waiting step and worker every 4 ms and counted claims anew for each comparison, and every look of a caller was a question to the owner. A flood of one team left 1,280 jobs waiting, and nothing was answered any more.

A pass now considers the 250 most urgent steps, is further apart the longer the queue is, and asks for advice only while a lane is free. Instances ask the owner every 100 ms for what has changed and answer callers from that. A team whose surplus waits is admitted at its rate only.

Ruled out: a deadlock of the control goroutine; a watchdog of 1.5 s on single events did not fire.

--- a/cell/event.go
+++ b/cell/event.go
@@ -62,8 +62,6 @@
 		Jobs      []Submission
 		Cancelled []job.ID
 	}
-	// Attached says that another instance is there and takes advice calls.
-	Attached struct{ Instance string }
 	// Scheduled brings the outcome of an effect of package schedule under an
 	// ownership.
 	Scheduled struct {
@@ -91,7 +89,6 @@
 func (Committed) isEvent()     {}
 func (DirectoryRead) isEvent() {}
 func (JobsSeen) isEvent()      {}
-func (Attached) isEvent()      {}
 func (Scheduled) isEvent()     {}
 func (Called) isEvent()        {}
 func (Forgotten) isEvent()     {}
@@ -125,8 +122,14 @@
 		Queue string // of the call; a job of another queue is not known to the caller
 		Team  string // whose key came with the call; empty where the queue is open
 	}
-	// Waiting asks how many jobs of a queue have not started.
-	Waiting struct{ Queue string }
+	// Follow says that an instance is there and takes advice calls, and asks for
+	// what has changed since it last did.
+	Follow struct {
+		Instance  string
+		Epoch     int64
+		Since     uint64
+		Submitted map[string]int // jobs handed to it since, by team
+	}
 )
 
 // Reply answers a question.
@@ -136,5 +139,5 @@
 	State    job.State
 	Team     string
 	Queue    string
-	Count    int
+	View     *schedule.View // answers Follow
 }
--- a/cell/state.go
+++ b/cell/state.go
@@ -144,10 +144,6 @@
 		}
 	case JobsSeen:
 		s.jobsSeen(e)
-	case Attached:
-		if s.core != nil {
-			s.core.SeeLane(e.Instance)
-		}
 	case Scheduled:
 		if s.core != nil && e.Owner == s.record {
 			s.scheduled(e.Event)
@@ -372,8 +368,13 @@
 		if isOthers := queue != q.Queue || (q.Team != "" && team != "" && team != q.Team); isOthers || !s.core.Cancel(q.Job, e.Token) {
 			s.emit(Answer{Token: e.Token, Reply: Reply{}})
 		}
-	case Waiting:
-		s.emit(Answer{Token: e.Token, Reply: Reply{Known: true, Count: s.core.Waiting(q.Queue)}})
+	case Follow:
+		s.core.SeeLane(q.Instance)
+		for team, n := range q.Submitted {
+			s.core.Submitted(team, n)
+		}
+		view := s.core.ViewSince(q.Epoch, q.Since)
+		s.emit(Answer{Token: e.Token, Reply: Reply{Known: true, View: &view}})
 	}
 }
 
--- a/entry/cell.go
+++ b/entry/cell.go
@@ -13,13 +13,13 @@
 	"github.com/mulberrydrum/mulberrydrum/entry/entrypb"
 	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/membership"
+	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
 
 // CellHandler answers the calls between the instances of a cell.
 type CellHandler interface {
-	// Attach notes that an instance is there and takes advice calls. It reports
-	// false if this instance is not the owner.
-	Attach(instance, address string) bool
+	// SeeInstance notes where an instance takes advice calls.
+	SeeInstance(instance, address string)
 	// Answer answers a question of package cell.
 	Answer(ctx context.Context, question any) (cell.Reply, error)
 	// AskAdvice calls the advice service.
@@ -41,9 +41,43 @@
 	handler CellHandler
 }
 
-// Attach serves the call of that name.
-func (s *cellService) Attach(_ context.Context, r *entrypb.AttachRequest) (*entrypb.AttachReply, error) {
-	return &entrypb.AttachReply{NotOwner: !s.handler.Attach(r.GetInstance(), r.GetAddress())}, nil
+// FollowOwner serves the call of that name.
+func (s *cellService) FollowOwner(ctx context.Context, r *entrypb.FollowRequest) (*entrypb.FollowReply, error) {
+	s.handler.SeeInstance(r.GetInstance(), r.GetAddress())
+	question := cell.Follow{Instance: r.GetInstance(), Epoch: r.GetEpoch(), Since: r.GetSince(), Submitted: make(map[string]int)}
+	for team, n := range r.GetSubmitted() {
+		question.Submitted[team] = int(n)
+	}
+	reply, err := s.handler.Answer(ctx, question)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	if reply.View == nil {
+		return &entrypb.FollowReply{NotOwner: true}, nil
+	}
+	return encodeView(reply.View), nil
+}
+
+func encodeView(v *schedule.View) *entrypb.FollowReply {
+	out := &entrypb.FollowReply{Epoch: v.Epoch, Sequence: v.Sequence, Full: v.Full, Admit: v.Admit, Waiting: make(map[string]int64)}
+	for _, c := range v.Changes {
+		out.Changes = append(out.Changes, &entrypb.JobStatus{Job: string(c.Job), State: string(c.State), Queue: c.Queue, Team: c.Team})
+	}
+	for queue, n := range v.Waiting {
+		out.Waiting[queue] = int64(n)
+	}
+	return out
+}
+
+func decodeView(r *entrypb.FollowReply) *schedule.View {
+	v := &schedule.View{Epoch: r.GetEpoch(), Sequence: r.GetSequence(), Full: r.GetFull(), Admit: r.GetAdmit(), Waiting: make(map[string]int)}
+	for _, c := range r.GetChanges() {
+		v.Changes = append(v.Changes, schedule.Status{Job: job.ID(c.GetJob()), State: job.State(c.GetState()), Queue: c.GetQueue(), Team: c.GetTeam()})
+	}
+	for queue, n := range r.GetWaiting() {
+		v.Waiting[queue] = int(n)
+	}
+	return v
 }
 
 // SubmitJob serves the call of that name.
@@ -65,11 +99,6 @@
 	return s.answer(ctx, cell.Cancel{Job: job.ID(r.GetJob()), Queue: r.GetQueue(), Team: r.GetTeam()})
 }
 
-// WaitingJobs serves the call of that name.
-func (s *cellService) WaitingJobs(ctx context.Context, r *entrypb.WaitingJobsRequest) (*entrypb.CellReply, error) {
-	return s.answer(ctx, cell.Waiting{Queue: r.GetQueue()})
-}
-
 func (s *cellService) answer(ctx context.Context, question any) (*entrypb.CellReply, error) {
 	reply, err := s.handler.Answer(ctx, question)
 	if err != nil {
@@ -77,7 +106,7 @@
 	}
 	return &entrypb.CellReply{
 		NotOwner: reply.NotOwner, Known: reply.Known, State: string(reply.State),
-		Team: reply.Team, Queue: reply.Queue, Count: int64(reply.Count),
+		Team: reply.Team, Queue: reply.Queue,
 	}, nil
 }
 
@@ -108,10 +137,18 @@
 	return reply, err
 }
 
-// Attach tells the owner at an address that this instance is there.
-func (c *Client) Attach(ctx context.Context, address, instance, self string) (isOwner bool, err error) {
-	reply, err := callCell(ctx, c, address, &entrypb.AttachRequest{Instance: instance, Address: self}, entrypb.CellClient.Attach)
-	return !reply.GetNotOwner(), err
+// FollowOwner tells the owner at an address that this instance is there, and
+// returns what has changed. A view of nil says that it is not the owner.
+func (c *Client) FollowOwner(ctx context.Context, address, self string, f cell.Follow) (*schedule.View, error) {
+	request := &entrypb.FollowRequest{Instance: f.Instance, Address: self, Epoch: f.Epoch, Since: f.Since, Submitted: make(map[string]int64)}
+	for team, n := range f.Submitted {
+		request.Submitted[team] = int64(n)
+	}
+	reply, err := callCell(ctx, c, address, request, entrypb.CellClient.FollowOwner)
+	if err != nil || reply.GetNotOwner() {
+		return nil, err
+	}
+	return decodeView(reply), nil
 }
 
 // Ask puts a question of package cell to the instance at an address.
@@ -129,15 +166,13 @@
 		reply, err = callCell(ctx, c, address, &entrypb.JobRequest{Job: string(q.Job)}, entrypb.CellClient.JobState)
 	case cell.Cancel:
 		reply, err = callCell(ctx, c, address, &entrypb.JobRequest{Job: string(q.Job), Queue: q.Queue, Team: q.Team}, entrypb.CellClient.CancelJob)
-	case cell.Waiting:
-		reply, err = callCell(ctx, c, address, &entrypb.WaitingJobsRequest{Queue: q.Queue}, entrypb.CellClient.WaitingJobs)
 	}
 	if err != nil {
 		return cell.Reply{}, err
 	}
 	return cell.Reply{
 		NotOwner: reply.GetNotOwner(), Known: reply.GetKnown(), State: job.State(reply.GetState()),
-		Team: reply.GetTeam(), Queue: reply.GetQueue(), Count: int(reply.GetCount()),
+		Team: reply.GetTeam(), Queue: reply.GetQueue(),
 	}, nil
 }
 
--- a/instance/accept.go
+++ b/instance/accept.go
@@ -29,6 +29,9 @@
 	// retryAfterStore is when a caller whose submission could not be recorded may
 	// come back, to any instance.
 	retryAfterStore = time.Second
+	// retryAfterSurplus is when a team that sends more than its share may come
+	// back: a burst lasts some seconds.
+	retryAfterSurplus = 2 * time.Second
 )
 
 // acceptance is one submission that waits to be recorded.
@@ -51,6 +54,10 @@
 		i.cfg.Journal.Event("refused", "job", string(j.ID), "why", "store_silent", "silent_ms", time.Since(s.HeardAt).Milliseconds())
 		return errkind.New(errkind.StoreUnavailable, "the store does not answer").WithRetryAfter(retryAfterStore)
 	}
+	if !i.view.admit(j.Team, time.Now()) {
+		i.cfg.Journal.Event("refused", "job", string(j.ID), "why", "team_rate", "team", j.Team)
+		return errkind.New(errkind.OverLimit, "team %s sends more jobs than its share while its jobs wait", j.Team).WithRetryAfter(retryAfterSurplus)
+	}
 	record, err := job.Encode(j)
 	if err != nil {
 		return err
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -62,7 +62,7 @@
 type Timing struct {
 	OwnershipTTL      time.Duration // of the lease of the ownership record
 	DirectoryInterval time.Duration // between looks at the directory, on the owner
-	AttachInterval    time.Duration // between reports to the owner
+	FollowInterval    time.Duration // between looks at what has changed at the owner
 	PeerTimeout       time.Duration // of a question to the owner
 	CancelTimeout     time.Duration // of a cancellation, which waits for a commit
 	OrderTimeout      time.Duration // of an order to a worker
@@ -77,12 +77,13 @@
 		OwnershipTTL: 1200 * time.Millisecond,
 		// A worker that leaves gets nothing new within 2.5 s of its notice.
 		DirectoryInterval: 700 * time.Millisecond,
-		AttachInterval:    800 * time.Millisecond,
-		PeerTimeout:       500 * time.Millisecond,
-		CancelTimeout:     1500 * time.Millisecond,
-		OrderTimeout:      700 * time.Millisecond,
-		AdviceTimeout:     3 * time.Second,
-		ResignTimeout:     800 * time.Millisecond,
+		// What callers see of a job is this old, and a region away.
+		FollowInterval: 100 * time.Millisecond,
+		PeerTimeout:    500 * time.Millisecond,
+		CancelTimeout:  1500 * time.Millisecond,
+		OrderTimeout:   700 * time.Millisecond,
+		AdviceTimeout:  3 * time.Second,
+		ResignTimeout:  800 * time.Millisecond,
 	}
 }
 
@@ -94,6 +95,8 @@
 	accepts chan *acceptance
 	lanes   sync.Map // instance name to address, of those that attached
 
+	view *ownerView
+
 	ctx        context.Context // of all effects
 	owned      context.Context // of effects as owner; set by the control goroutine
 	endOwned   context.CancelFunc
@@ -110,6 +113,7 @@
 		peers:    entry.NewClient(membership.Member{Instance: cfg.Name}),
 		accepts:  make(chan *acceptance, acceptQueueLength),
 		resigned: make(chan struct{}),
+		view:     newOwnerView(),
 	}
 	i.loop = cell.NewLoop(cell.New(cell.DefaultConfig(self)), cfg.Metrics, i.execute)
 	return i
@@ -134,7 +138,7 @@
 	})
 	group.Go(func() error { return i.followCatalog(ctx) })
 	group.Go(func() error { return i.followOwner(ctx) })
-	group.Go(func() error { return i.attachRegularly(ctx) })
+	group.Go(func() error { return i.followView(ctx) })
 	for range acceptors {
 		group.Go(func() error { return i.acceptRegularly(ctx) })
 	}
@@ -175,15 +179,8 @@
 		func(at time.Time) { i.loop.Post(ctx, cell.StoreHeard{At: at}) })
 }
 
-// Attach implements entry.CellHandler.
-func (i *Instance) Attach(name, address string) bool {
-	i.lanes.Store(name, address)
-	if !i.loop.Snapshot().IsOwner {
-		return false
-	}
-	i.loop.Post(i.ctx, cell.Attached{Instance: name})
-	return true
-}
+// SeeInstance implements entry.CellHandler.
+func (i *Instance) SeeInstance(name, address string) { i.lanes.Store(name, address) }
 
 // Answer implements entry.CellHandler.
 func (i *Instance) Answer(ctx context.Context, question any) (cell.Reply, error) {
@@ -195,31 +192,6 @@
 	return i.cfg.Advisor.Ask(ctx, step, workers)
 }
 
-// attachRegularly reports to the owner, which then asks for advice through this
-// instance.
-func (i *Instance) attachRegularly(ctx context.Context) error {
-	const whileUnknown = 50 * time.Millisecond // an owner is usually there within a second
-	for {
-		s := i.loop.Snapshot()
-		pause := whileUnknown
-		if s.OwnerFound && s.Owner.Instance != i.cfg.Name {
-			call, cancel := context.WithTimeout(ctx, i.cfg.Timing.PeerTimeout)
-			isOwner, err := i.peers.Attach(call, s.Owner.Address, i.cfg.Name, i.cfg.Listen)
-			cancel()
-			if err == nil && isOwner {
-				pause = i.cfg.Timing.AttachInterval
-			}
-		} else if s.OwnerFound {
-			pause = i.cfg.Timing.AttachInterval
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(pause):
-		}
-	}
-}
-
 // askOwner puts a question to the owner, here or at another instance.
 func (i *Instance) askOwner(ctx context.Context, timeout time.Duration, question any) (cell.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/instance/query.go
+++ b/instance/query.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/cell"
 	"github.com/mulberrydrum/mulberrydrum/errkind"
@@ -13,6 +14,9 @@
 // State returns the state of a job of a queue. team is the one whose key came
 // with the call, or empty where the queue is open.
 func (i *Instance) State(ctx context.Context, queue, team string, id job.ID) (job.State, error) {
+	if status, known := i.view.status(id, time.Now()); known {
+		return checkOwned(status.State, status.Queue, status.Team, queue, team, id)
+	}
 	reply, err := i.askOwner(ctx, i.cfg.Timing.PeerTimeout, cell.StateOf{Job: id})
 	if err != nil {
 		i.cfg.Journal.Event("owner did not answer", "job", string(id), "error", err)
@@ -116,10 +120,10 @@
 }
 
 // Waiting returns how many accepted jobs of a queue have not started.
-func (i *Instance) Waiting(ctx context.Context, queue string) (int, error) {
-	reply, err := i.askOwner(ctx, i.cfg.Timing.PeerTimeout, cell.Waiting{Queue: queue})
-	if err != nil || reply.NotOwner {
-		return 0, errkind.New(errkind.NoOwner, "the owner does not answer").WithRetryAfter(retryAfterStore)
+func (i *Instance) Waiting(queue string) (int, error) {
+	n, known := i.view.waitingIn(queue, time.Now())
+	if !known {
+		return 0, errkind.New(errkind.NoOwner, "the owner has not been heard lately").WithRetryAfter(retryAfterStore)
 	}
-	return reply.Count, nil
+	return n, nil
 }
--- /dev/null
+++ b/instance/view.go
@@ -0,0 +1,153 @@
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/cell"
+	"github.com/mulberrydrum/mulberrydrum/job"
+	"github.com/mulberrydrum/mulberrydrum/schedule"
+)
+
+const (
+	// viewAge is how old the owner's view may be to be told to callers as the
+	// present; they may be told counts that are two seconds old.
+	viewAge = 1500 * time.Millisecond
+	// endedKept is how long an ended job is answered from memory.
+	endedKept = 30 * time.Second
+	// sweepInterval separates looks for ended jobs to forget.
+	sweepInterval = 5 * time.Second
+)
+
+// ownerView is this instance's copy of what callers may know of the owner's
+// state. One goroutine follows the owner; callers' goroutines read.
+type ownerView struct {
+	mu        sync.RWMutex
+	epoch     int64
+	sequence  uint64
+	heardAt   time.Time
+	jobs      map[job.ID]seenStatus
+	waiting   map[string]int
+	share     map[string]float64 // part of a team's submissions to accept
+	submitted map[string]int     // jobs handed in since the last report, by team
+	sweptAt   time.Time
+}
+
+type seenStatus struct {
+	schedule.Status
+	at time.Time
+}
+
+func newOwnerView() *ownerView {
+	return &ownerView{jobs: make(map[job.ID]seenStatus), submitted: make(map[string]int)}
+}
+
+// take merges what the owner told.
+func (v *ownerView) take(view *schedule.View, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if view.Full {
+		v.dropOpen()
+	}
+	for _, s := range view.Changes {
+		if old, known := v.jobs[s.Job]; known && old.State.IsFinal() {
+			continue // an end is recorded and stays
+		}
+		v.jobs[s.Job] = seenStatus{Status: s, at: now}
+	}
+	v.epoch, v.sequence, v.heardAt = view.Epoch, view.Sequence, now
+	v.waiting, v.share = view.Waiting, view.Admit
+	v.sweep(now)
+}
+
+// dropOpen forgets the jobs that have not ended: another owner lists those that
+// it knows.
+func (v *ownerView) dropOpen() {
+	for id, s := range v.jobs {
+		if !s.State.IsFinal() {
+			delete(v.jobs, id)
+		}
+	}
+}
+
+func (v *ownerView) sweep(now time.Time) {
+	if now.Sub(v.sweptAt) < sweepInterval {
+		return
+	}
+	v.sweptAt = now
+	for id, s := range v.jobs {
+		if s.State.IsFinal() && now.Sub(s.at) > endedKept {
+			delete(v.jobs, id)
+		}
+	}
+}
+
+// status returns the state of a job, if it is known to be the present one.
+func (v *ownerView) status(id job.ID, now time.Time) (schedule.Status, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	s, known := v.jobs[id]
+	if !known || (!s.State.IsFinal() && now.Sub(v.heardAt) > viewAge) {
+		return schedule.Status{}, false
+	}
+	return s.Status, true
+}
+
+func (v *ownerView) waitingIn(queue string, now time.Time) (int, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.waiting[queue], now.Sub(v.heardAt) <= viewAge
+}
+
+// admit counts a submission and reports whether it should be accepted.
+func (v *ownerView) admit(team string, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.submitted[team]++
+	share, limited := v.share[team]
+	return !limited || now.Sub(v.heardAt) > viewAge || rand.Float64() < share
+}
+
+// report returns the question to the owner and begins a new count.
+func (v *ownerView) report(name string) cell.Follow {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	f := cell.Follow{Instance: name, Epoch: v.epoch, Since: v.sequence, Submitted: v.submitted}
+	v.submitted = make(map[string]int)
+	return f
+}
+
+// followView keeps the view up to date, from whichever instance is the owner.
+func (i *Instance) followView(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if view := i.askView(ctx); view != nil {
+			i.view.take(view, time.Now())
+		}
+		pause(ctx, i.cfg.Timing.FollowInterval)
+	}
+	return nil
+}
+
+func (i *Instance) askView(ctx context.Context) *schedule.View {
+	s := i.loop.Snapshot()
+	if !s.OwnerFound {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, i.cfg.Timing.PeerTimeout)
+	defer cancel()
+	question := i.view.report(i.cfg.Name)
+	if s.Owner.Instance == i.cfg.Name {
+		reply, err := i.loop.Ask(ctx, question)
+		if err != nil {
+			return nil // the control goroutine is behind; the next look comes soon
+		}
+		return reply.View
+	}
+	view, err := i.peers.FollowOwner(ctx, s.Owner.Address, i.cfg.Listen, question)
+	if err != nil {
+		i.cfg.Journal.Event("owner did not answer", "owner", s.Owner.Instance, "error", err)
+	}
+	return view
+}
--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -99,11 +99,14 @@
 		if s.advice.lane != nil || c.now.Before(s.advice.retryAt) {
 			continue
 		}
+		policy := c.catalog.Queue(s.job.Queue).Advice
+		if c.freeLane(policy.Base) == nil {
+			continue
+		}
 		named := c.workersToName(s, usable)
 		if len(named) == 0 {
 			continue
 		}
-		policy := c.catalog.Queue(s.job.Queue).Advice
 		takes := policy.Base + time.Duration(len(named))*policy.PerWorker
 		if l := c.freeLane(takes); l != nil {
 			c.ask(s, l, named, takes)
@@ -176,7 +179,7 @@
 	}
 	var names []string
 	for w, n := range counts {
-		w.claimed[s.key] = stepSize(s.spec).Scale(n)
+		w.claim(s.key, stepSize(s.spec).Scale(n))
 		names = append(names, w.ID)
 	}
 	slices.Sort(names)
@@ -185,7 +188,7 @@
 
 func (c *Core) dropClaims(s *stepState) {
 	for _, w := range c.workers {
-		delete(w.claimed, s.key)
+		w.dropClaim(s.key)
 	}
 }
 
--- a/schedule/commit.go
+++ b/schedule/commit.go
@@ -87,6 +87,7 @@
 		j.recorded = change.version
 		if change.Final != nil {
 			c.finals[j.ID] = *change.Final
+			c.changed(Status{Job: j.ID, State: j.state, Queue: j.Queue, Team: j.Team})
 			delete(c.jobs, j.ID)
 			for _, token := range j.cancels {
 				c.emit(Done{Token: token})
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -13,6 +13,7 @@
 	StopRetry       time.Duration // between orders to stop the same run
 	UnclearPatience time.Duration // wait for a report that shows an unclear start before it is stopped
 	PassInterval    time.Duration // least time between placement passes
+	PassEvery       time.Duration // longest time between passes, since tickets expire and rests end
 	CommitInterval  time.Duration // least time between commits
 	RunsPerEpoch    int           // run numbers that one owner may use for a task
 }
@@ -27,7 +28,10 @@
 		// An order crosses regions and back in 30 ms; ten times that is a lost one.
 		StopRetry:       300 * time.Millisecond,
 		UnclearPatience: 150 * time.Millisecond,
-		PassInterval:    4 * time.Millisecond,
+		// A tenth of the time that a start takes to arrive and be answered, so that
+		// it adds little; a pass over a long queue costs a millisecond.
+		PassInterval: 8 * time.Millisecond,
+		PassEvery:    40 * time.Millisecond,
 		// 40 commits a second are a tenth of the store's writes.
 		CommitInterval: 25 * time.Millisecond,
 		RunsPerEpoch:   10_000,
@@ -65,6 +69,10 @@
 	passDue    bool
 	stopping   bool
 
+	changes  []Status // latest changes that callers may see
+	sequence uint64   // of the last one
+	sweptAt  time.Time
+
 	effects []Effect
 	now     time.Time
 	wall    time.Time
@@ -103,7 +111,7 @@
 
 // Finish places what can be placed and returns the effects since Begin.
 func (c *Core) Finish() []Effect {
-	if c.passDue && c.now.Sub(c.lastPass) >= c.cfg.PassInterval && !c.stopping {
+	if c.passDue && c.now.Sub(c.lastPass) >= c.passInterval() && !c.stopping {
 		c.pass()
 	}
 	c.maybeCommit()
@@ -112,6 +120,13 @@
 	return out
 }
 
+// passInterval grows with the number of steps, whose order has to be found in
+// each pass.
+func (c *Core) passInterval() time.Duration {
+	const perStep = 20 * time.Microsecond // ten times what a step costs in a pass
+	return c.cfg.PassInterval + time.Duration(len(c.steps))*perStep
+}
+
 // SetCatalog puts a newer configuration in force.
 func (c *Core) SetCatalog(catalog *job.Catalog) {
 	c.catalog = catalog
@@ -132,7 +147,13 @@
 	}
 	c.startDueOccurrences()
 	c.dropSilentLanes()
-	c.passDue = true
+	if c.now.Sub(c.sweptAt) > finalsKept/10 {
+		c.sweptAt = c.now
+		c.forgetFinals()
+	}
+	if c.now.Sub(c.lastPass) >= c.cfg.PassEvery {
+		c.passDue = true
+	}
 }
 
 func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -100,6 +100,7 @@
 	if j.state == job.Pending {
 		c.waiting[j.Queue]++
 	}
+	c.changed(Status{Job: j.ID, State: j.state, Queue: j.Queue, Team: j.Team})
 	c.refreshPolicy(j)
 	j.objective = c.objectiveOf(j)
 	if inherited {
@@ -109,7 +110,14 @@
 	} else {
 		j.surplus = c.takeEntitlement(j.Team)
 	}
+	if j.surplus {
+		c.teamUsage(j.Team).surplusWaiting++
+	}
 	c.startDue(j)
+	if j.remaining == 0 {
+		// A former owner recorded the last task and not the end.
+		c.finish(j, job.Completed)
+	}
 	return j
 }
 
@@ -266,9 +274,7 @@
 	if j.state.IsFinal() {
 		return
 	}
-	if j.state == job.Pending {
-		c.waiting[j.Queue]--
-	}
+	c.noLongerPending(j)
 	j.state = state
 	for occurrence := range j.nextDue {
 		for i := range j.Steps {
@@ -324,12 +330,20 @@
 	return j.state, j.Team, j.Queue, true
 }
 
-// Waiting returns how many jobs of a queue have not started.
-func (c *Core) Waiting(queue string) int { return c.waiting[queue] }
-
 func (c *Core) markStarted(j *jobState) {
 	if j.state == job.Pending {
+		c.noLongerPending(j)
 		j.state = job.Running
-		c.waiting[j.Queue]--
+		c.changed(Status{Job: j.ID, State: j.state, Queue: j.Queue, Team: j.Team})
+	}
+}
+
+func (c *Core) noLongerPending(j *jobState) {
+	if j.state != job.Pending {
+		return
+	}
+	c.waiting[j.Queue]--
+	if j.surplus {
+		c.teamUsage(j.Team).surplusWaiting--
 	}
 }
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -95,9 +95,12 @@
 			cmp.Compare(a.step.key.Job, b.step.key.Job), cmp.Compare(a.step.key.Occurrence, b.step.key.Occurrence),
 			cmp.Compare(a.step.key.Step, b.step.key.Step))
 	})
-	out := make([]*stepState, len(list))
-	for i, r := range list {
-		out[i] = r.step
+	// The steps behind these could not start before the next pass: a step has
+	// three tasks and more, and the workers of a partition hold a few hundred.
+	const maxConsidered = 250
+	out := make([]*stepState, min(len(list), maxConsidered))
+	for i := range out {
+		out[i] = list[i].step
 	}
 	return out
 }
@@ -128,6 +131,10 @@
 	running   task.Resources
 	tokens    float64
 	refreshed time.Time
+
+	surplusWaiting int     // jobs beyond the team's rate that have not started
+	demand         float64 // jobs handed in a second
+	demandAt       time.Time
 }
 
 func (u *teamUsage) add(size task.Resources) { u.running = u.running.Add(size) }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -22,14 +22,26 @@
 // free returns the room that a step may use on a worker.
 func (w *worker) free(key job.StepKey) task.Resources {
 	room := w.Capacity.Sub(w.used)
-	for claimant, size := range w.claimed {
-		if claimant != key {
-			room = room.Sub(size)
-		}
+	if len(w.claimed) > 0 {
+		room = room.Sub(w.claimTotal).Add(w.claimed[key])
 	}
 	return room
 }
 
+// claim keeps room of a worker for a step.
+func (w *worker) claim(key job.StepKey, size task.Resources) {
+	w.dropClaim(key)
+	w.claimed[key] = size
+	w.claimTotal = w.claimTotal.Add(size)
+}
+
+func (w *worker) dropClaim(key job.StepKey) {
+	if size, ok := w.claimed[key]; ok {
+		delete(w.claimed, key)
+		w.claimTotal = w.claimTotal.Sub(size)
+	}
+}
+
 // isUsable reports whether a worker may get new work at all.
 func (c *Core) isUsable(w *worker) bool {
 	return w.listed && w.rostered && w.fenced && !w.silent && !w.Draining && w.strange == 0 &&
@@ -67,6 +79,9 @@
 	}
 	var unadvised []*stepState
 	for _, s := range c.waitingSteps() {
+		if s.spec.Gang && s.advice.lane != nil {
+			continue // the answer starts it, in the room that is kept for it
+		}
 		c.refreshPolicy(s.job)
 		if c.placeStep(s, usable) {
 			continue
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -11,14 +11,15 @@
 // worker is one worker as this owner knows it.
 type worker struct {
 	Worker
-	listed   bool // in the latest directory
-	rostered bool // the recorded roster names it, so that a new owner asks it what it runs
-	fenced   bool // this life has answered a hold of this owner
-	silent   bool // the last order had no answer
-	runs     map[job.TaskKey]*run
-	used     task.Resources
-	claimed  map[job.StepKey]task.Resources // room kept for gangs that ask for advice
-	strange  int                            // runs of unknown size that are being stopped
+	listed     bool // in the latest directory
+	rostered   bool // the recorded roster names it, so that a new owner asks it what it runs
+	fenced     bool // this life has answered a hold of this owner
+	silent     bool // the last order had no answer
+	runs       map[job.TaskKey]*run
+	used       task.Resources
+	claimed    map[job.StepKey]task.Resources // room kept for gangs that ask for advice
+	claimTotal task.Resources
+	strange    int // runs of unknown size that are being stopped
 
 	clock      time.Duration // last reading of the worker's clock
 	clockAt    time.Time     // when the reading arrived
