Let worker reports pass questions; compare steps by numbers; count a failed run once

Cause: with 1,000 jobs waiting the control goroutine fell behind again. Passes took most of its time, since each comparison formed all names, and questions of callers stood in the same queue as what workers had answered; callers whose view was old asked the owner, which made it slower still.

The record now has the run that was counted last.

--- a/cell/loop.go
+++ b/cell/loop.go
@@ -13,15 +13,20 @@
 // sender waits when it is full, which slows traffic down and not control.
 const eventQueueLength = 4096
 
+// callQueueLength bounds the questions that wait; their callers give up within
+// a second.
+const callQueueLength = 256
+
 // Loop owns a State: the goroutine in Run is the only one that touches it.
 type Loop struct {
 	state    *State
 	events   chan Event
+	calls    chan Event // questions, which wait while there are events
 	snapshot atomic.Pointer[Snapshot]
 	execute  func(Effect)
 
-	tokens atomic.Uint64
-	calls  sync.Map // waiting calls: token to chan Reply
+	tokens  atomic.Uint64
+	waiting sync.Map // callers that wait for a reply: token to chan Reply
 
 	applyTime metrics.Histogram
 }
@@ -34,7 +39,7 @@
 		sampleSize  = 1028
 		sampleDecay = 0.015
 	)
-	l := &Loop{state: state, events: make(chan Event, eventQueueLength), execute: execute}
+	l := &Loop{state: state, events: make(chan Event, eventQueueLength), calls: make(chan Event, callQueueLength), execute: execute}
 	l.applyTime = metrics.NewRegisteredHistogram("control.apply_us", registry, metrics.NewExpDecaySample(sampleSize, sampleDecay))
 	l.snapshot.Store(state.Snapshot())
 	return l
@@ -58,9 +63,13 @@
 func (l *Loop) Ask(ctx context.Context, question any) (Reply, error) {
 	token := l.tokens.Add(1)
 	replies := make(chan Reply, 1)
-	l.calls.Store(token, replies)
-	defer l.calls.Delete(token)
-	l.Post(ctx, Called{Token: token, Question: question})
+	l.waiting.Store(token, replies)
+	defer l.waiting.Delete(token)
+	select {
+	case l.calls <- Called{Token: token, Question: question}:
+	case <-ctx.Done():
+		return Reply{}, ctx.Err()
+	}
 	select {
 	case reply := <-replies:
 		return reply, nil
@@ -77,6 +86,12 @@
 		select {
 		case e := <-l.events:
 			l.apply(e)
+			l.drain()
+		case e := <-l.calls:
+			if _, wanted := l.waiting.Load(e.(Called).Token); wanted {
+				l.apply(e)
+			}
+			l.drain()
 		case <-timer.C:
 			l.apply(Tick{})
 			timer.Reset(l.tickInterval())
@@ -86,6 +101,19 @@
 	}
 }
 
+// drain applies the events that wait, before the next question: what workers and
+// the store have answered must not wait behind a flood of questions.
+func (l *Loop) drain() {
+	for {
+		select {
+		case e := <-l.events:
+			l.apply(e)
+		default:
+			return
+		}
+	}
+}
+
 // tickInterval is longer on an instance that only has to notice that it may take
 // over.
 func (l *Loop) tickInterval() time.Duration {
@@ -98,6 +126,7 @@
 func (l *Loop) apply(e Event) {
 	started := time.Now()
 	effects := l.state.Apply(started, started, e)
+	l.state.Took(time.Since(started))
 	// The snapshot is published first, so that no effect runs with an older view
 	// than the one under which it was decided.
 	if l.state.TakeChanged() {
@@ -114,7 +143,7 @@
 }
 
 func (l *Loop) deliver(a Answer) {
-	if waiting, ok := l.calls.LoadAndDelete(a.Token); ok {
+	if waiting, ok := l.waiting.LoadAndDelete(a.Token); ok {
 		waiting.(chan Reply) <- a.Reply
 	}
 }
--- a/cell/state.go
+++ b/cell/state.go
@@ -400,6 +400,14 @@
 	s.emit(Log{schedule.Decision{What: what, Fields: fields}})
 }
 
+// Took tells how long the last event took, so that work which can wait leaves
+// room for the next events.
+func (s *State) Took(d time.Duration) {
+	if s.core != nil {
+		s.core.Took(d)
+	}
+}
+
 // TakeChanged reports whether the snapshot has to be published again.
 func (s *State) TakeChanged() bool {
 	changed := s.changed
--- a/instance/accept.go
+++ b/instance/accept.go
@@ -138,6 +138,7 @@
 // accepted tells the caller and the owner that a job is durable. An owner that
 // cannot be told finds the job in the store.
 func (i *Instance) accepted(a *acceptance, revision int64) {
+	i.view.accepted(a.job, time.Now())
 	a.done <- nil
 	i.cfg.Journal.Event("accepted", "job", string(a.job.ID), "queue", a.job.Queue, "team", a.job.Team, "revision", revision)
 	go func() {
--- a/instance/query.go
+++ b/instance/query.go
@@ -14,7 +14,7 @@
 // State returns the state of a job of a queue. team is the one whose key came
 // with the call, or empty where the queue is open.
 func (i *Instance) State(ctx context.Context, queue, team string, id job.ID) (job.State, error) {
-	if status, known := i.view.status(id, time.Now()); known {
+	if status, known := i.view.status(id); known {
 		return checkOwned(status.State, status.Queue, status.Team, queue, team, id)
 	}
 	reply, err := i.askOwner(ctx, i.cfg.Timing.PeerTimeout, cell.StateOf{Job: id})
--- a/instance/view.go
+++ b/instance/view.go
@@ -49,7 +49,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if view.Full {
-		v.dropOpen()
+		v.dropOpen(now)
 	}
 	for _, s := range view.Changes {
 		if old, known := v.jobs[s.Job]; known && old.State.IsFinal() {
@@ -63,10 +63,10 @@
 }
 
 // dropOpen forgets the jobs that have not ended: another owner lists those that
-// it knows.
-func (v *ownerView) dropOpen() {
+// it knows. One that was accepted just now may not have reached it.
+func (v *ownerView) dropOpen(now time.Time) {
 	for id, s := range v.jobs {
-		if !s.State.IsFinal() {
+		if !s.State.IsFinal() && now.Sub(s.at) > viewAge {
 			delete(v.jobs, id)
 		}
 	}
@@ -84,15 +84,23 @@
 	}
 }
 
-// status returns the state of a job, if it is known to be the present one.
-func (v *ownerView) status(id job.ID, now time.Time) (schedule.Status, bool) {
+// status returns the last state that was heard of a job. While the owner is not
+// heard no job ends, so that an old state is still the best that is known, and
+// asking an owner that is behind would only delay it more.
+func (v *ownerView) status(id job.ID) (schedule.Status, bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	s, known := v.jobs[id]
-	if !known || (!s.State.IsFinal() && now.Sub(v.heardAt) > viewAge) {
-		return schedule.Status{}, false
+	return s.Status, known
+}
+
+// accepted notes a job that this instance has just accepted.
+func (v *ownerView) accepted(j *job.Job, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if _, known := v.jobs[j.ID]; !known {
+		v.jobs[j.ID] = seenStatus{Status: schedule.Status{Job: j.ID, State: job.Pending, Queue: j.Queue, Team: j.Team}, at: now}
 	}
-	return s.Status, true
 }
 
 func (v *ownerView) waitingIn(queue string, now time.Time) (int, bool) {
--- a/job/record.go
+++ b/job/record.go
@@ -9,9 +9,17 @@
 // Progress is what is recorded of an unfinished job: the tasks that succeeded
 // and the runs that failed. Everything else is learned again from the workers.
 type Progress struct {
-	Started bool             `json:"s,omitempty"`
-	Done    map[string][]int `json:"d,omitempty"` // indexes by "occurrence.step"
-	Failed  map[string]int   `json:"f,omitempty"` // failed runs by "occurrence.step.index", or "occurrence.step" for a gang
+	Started bool                `json:"s,omitempty"`
+	Done    map[string][]int    `json:"d,omitempty"` // indexes by "occurrence.step"
+	Failed  map[string]Failures `json:"f,omitempty"` // by "occurrence.step.index", or "occurrence.step" for a gang
+}
+
+// Failures counts the failed runs of a task or a gang. A worker lists an end
+// until it was confirmed, also to the next owner: the run number tells an end
+// that is counted already.
+type Failures struct {
+	Count int `json:"n"`
+	Last  int `json:"r"` // run that was counted last
 }
 
 // Final is what is kept of a finished job until callers may have forgotten it.
--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -150,6 +150,9 @@
 	return names
 }
 
+// isAdvised reports whether something was asked for a step, or is being asked.
+func (s *stepState) isAdvised() bool { return s.advice.lane != nil || len(s.advice.asked) > 0 }
+
 // isStillUseful reports whether tickets of a step would do if there were room,
 // so that asking about further workers is not worth a call.
 func (c *Core) isStillUseful(s *stepState) bool {
--- a/schedule/commit.go
+++ b/schedule/commit.go
@@ -65,7 +65,7 @@
 		final := job.Final{State: j.state, Queue: j.Queue, Team: j.Team, FinishedAt: c.wall}
 		return Change{Job: j.ID, Final: &final, version: j.version}
 	}
-	progress := job.Progress{Started: j.state == job.Running, Done: make(map[string][]int), Failed: make(map[string]int)}
+	progress := job.Progress{Started: j.state == job.Running, Done: make(map[string][]int), Failed: make(map[string]job.Failures)}
 	for k, v := range j.progress.Done {
 		progress.Done[k] = slices.Clone(v)
 	}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -66,6 +66,7 @@
 	rosterDue  bool
 	lastCommit time.Time
 	lastPass   time.Time
+	passTook   time.Duration // what the last pass took
 	passDue    bool
 	stopping   bool
 
@@ -124,7 +125,18 @@
 // each pass.
 func (c *Core) passInterval() time.Duration {
 	const perStep = 20 * time.Microsecond // ten times what a step costs in a pass
-	return c.cfg.PassInterval + time.Duration(len(c.steps))*perStep
+	return max(c.cfg.PassInterval+time.Duration(len(c.steps))*perStep, passRest*c.passTook)
+}
+
+// passRest is how many times the length of the last pass lies between passes, so
+// that they take a fifth of the processor at most.
+const passRest = 4
+
+// Took tells how long the last event took from Begin to the end of Finish.
+func (c *Core) Took(d time.Duration) {
+	if c.lastPass.Equal(c.now) {
+		c.passTook = d
+	}
 }
 
 // SetCatalog puts a newer configuration in force.
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -35,8 +35,8 @@
 	job     *jobState
 	spec    *job.Step
 	tasks   []taskState
-	left    int // tasks that have not succeeded
-	fails   int // failed runs of a gang
+	left    int          // tasks that have not succeeded
+	fails   job.Failures // of a gang
 	ready   bool
 	lastRun int // highest run number of a gang
 	advice  adviceState
@@ -48,7 +48,7 @@
 
 type taskState struct {
 	done       bool
-	fails      int
+	fails      job.Failures
 	lastRun    int
 	checkpoint string
 	run        *run
@@ -94,7 +94,7 @@
 		j.progress.Done = make(map[string][]int)
 	}
 	if j.progress.Failed == nil {
-		j.progress.Failed = make(map[string]int)
+		j.progress.Failed = make(map[string]job.Failures)
 	}
 	c.jobs[j.ID] = j
 	if j.state == job.Pending {
@@ -247,22 +247,23 @@
 
 // countFailure takes note of a failed run and reports whether the job has
 // failed with it. Long-lived tasks have no bound on their attempts.
-func (c *Core) countFailure(s *stepState, index int) bool {
+func (c *Core) countFailure(s *stepState, index, run int) bool {
 	if s.spec.LongLived {
 		return false
 	}
-	name, fails := progressKey(s.key), 0
-	if s.spec.Gang {
-		s.fails++
-		fails = s.fails
-	} else {
-		s.tasks[index].fails++
-		fails = s.tasks[index].fails
+	name, fails := progressKey(s.key), &s.fails
+	if !s.spec.Gang {
+		fails = &s.tasks[index].fails
 		name += "." + strconv.Itoa(index)
 	}
-	s.job.progress.Failed[name] = fails
+	if run <= fails.Last {
+		return false
+	}
+	fails.Count++
+	fails.Last = run
+	s.job.progress.Failed[name] = *fails
 	c.touch(s.job)
-	if s.job.attempts > 0 && fails >= s.job.attempts {
+	if s.job.attempts > 0 && fails.Count >= s.job.attempts {
 		c.finish(s.job, job.Failed)
 		return true
 	}
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -80,21 +80,13 @@
 
 // waitingSteps returns the steps that have tasks to place, most urgent first.
 func (c *Core) waitingSteps() []*stepState {
-	type ranked struct {
-		step *stepState
-		rank int
-	}
-	list := make([]ranked, 0, len(c.steps))
+	list := make([]rankedStep, 0, len(c.steps))
 	for _, s := range c.steps {
 		if s.ready && s.hasUnplaced() && !c.now.Before(s.retryAt) && !c.isHeldBack(s) {
-			list = append(list, ranked{s, c.rank(s)})
+			list = append(list, rankedStep{s, c.rank(s), s.urgent.UnixNano()})
 		}
 	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), a.step.urgent.Compare(b.step.urgent),
-			cmp.Compare(a.step.key.Job, b.step.key.Job), cmp.Compare(a.step.key.Occurrence, b.step.key.Occurrence),
-			cmp.Compare(a.step.key.Step, b.step.key.Step))
-	})
+	slices.SortFunc(list, compareRanked)
 	// The steps behind these could not start before the next pass: a step has
 	// three tasks and more, and the workers of a partition hold a few hundred.
 	const maxConsidered = 250
@@ -109,6 +101,25 @@
 // worker that has not told what it runs.
 func (c *Core) isHeldBack(s *stepState) bool { return s.job.inherited && len(c.unresolved) > 0 }
 
+type rankedStep struct {
+	step   *stepState
+	rank   int
+	urgent int64 // Unix nanoseconds, which compare fast
+}
+
+// compareRanked compares names only where the rest is equal: the queue is
+// sorted in every pass.
+func compareRanked(a, b rankedStep) int {
+	if a.rank != b.rank {
+		return cmp.Compare(a.rank, b.rank)
+	}
+	if a.urgent != b.urgent {
+		return cmp.Compare(a.urgent, b.urgent)
+	}
+	x, y := a.step.key, b.step.key
+	return compareTasks(job.TaskKey{StepKey: x}, job.TaskKey{StepKey: y})
+}
+
 func (s *stepState) hasUnplaced() bool {
 	if s.spec.Gang {
 		for i := range s.tasks {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -77,12 +77,20 @@
 			usable = append(usable, w)
 		}
 	}
+	most := largestRoom(usable)
 	var unadvised []*stepState
 	for _, s := range c.waitingSteps() {
 		if s.spec.Gang && s.advice.lane != nil {
 			continue // the answer starts it, in the room that is kept for it
 		}
 		c.refreshPolicy(s.job)
+		if !stepSize(s.spec).Fits(most) {
+			s.notes = "no_room"
+			if c.needsAdvice(s) && !s.isAdvised() {
+				unadvised = append(unadvised, s)
+			}
+			continue
+		}
 		if c.placeStep(s, usable) {
 			continue
 		}
@@ -93,6 +101,16 @@
 	c.seekAdvice(unadvised, usable)
 }
 
+// largestRoom returns the largest free amount of each resource on any worker. A
+// task that is larger fits nowhere, which settles most of a long queue at once.
+func largestRoom(usable []*worker) task.Resources {
+	var most task.Resources
+	for _, w := range usable {
+		most = most.Max(w.free(job.StepKey{}))
+	}
+	return most
+}
+
 // needsAdvice reports whether the queue of a step asks for tickets.
 func (c *Core) needsAdvice(s *stepState) bool {
 	q := c.catalog.Queue(s.job.Queue)
@@ -219,13 +237,19 @@
 // prefer reports whether a step does better on a than on b: on a worker where
 // it has not failed, near its data, then on the fullest one.
 func (c *Core) prefer(s *stepState, a, b *option) bool {
-	return cmp.Or(
-		cmp.Compare(s.away[a.worker.ID], s.away[b.worker.ID]),
-		cmp.Compare(a.worker.failStreak, b.worker.failStreak),
-		-cmp.Compare(nearness(s.spec, a.worker), nearness(s.spec, b.worker)),
-		cmp.Compare(a.worker.free(s.key).CPUMilli, b.worker.free(s.key).CPUMilli),
-		cmp.Compare(a.worker.ID, b.worker.ID),
-	) < 0
+	if x, y := s.away[a.worker.ID], s.away[b.worker.ID]; x != y {
+		return x < y
+	}
+	if x, y := a.worker.failStreak, b.worker.failStreak; x != y {
+		return x < y
+	}
+	if x, y := nearness(s.spec, a.worker), nearness(s.spec, b.worker); x != y {
+		return x > y
+	}
+	if x, y := a.worker.free(s.key).CPUMilli, b.worker.free(s.key).CPUMilli; x != y {
+		return x < y
+	}
+	return a.worker.ID < b.worker.ID
 }
 
 func nearness(s *job.Step, w *worker) int {
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -275,7 +275,7 @@
 		c.taskDone(s, e.Task.Index)
 		return
 	case e.How == EndedFailed:
-		if c.countFailure(s, e.Task.Index) {
+		if c.countFailure(s, e.Task.Index, e.Run) {
 			return
 		}
 		s.avoid(w.ID)
