--- a/instance/instance.go
+++ b/instance/instance.go
@@ -103,6 +103,9 @@
 	resigned   chan struct{} // closed when the ownership record is removed in a planned stop
 	resignOnce sync.Once
 	storeFails atomic.Int32 // commits of accepted jobs that failed in a row
+
+	troubleMu sync.Mutex
+	trouble   map[string]storeFailures // by call, for the log
 }
 
 // New returns an instance that does nothing until Run.
@@ -114,6 +117,7 @@
 		accepts:  make(chan *acceptance, acceptQueueLength),
 		resigned: make(chan struct{}),
 		view:     newOwnerView(),
+		trouble:  make(map[string]storeFailures),
 	}
 	i.loop = cell.NewLoop(cell.New(cell.DefaultConfig(self)), cfg.Metrics, i.execute)
 	return i
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -63,7 +63,30 @@
 	if err == nil || errors.Is(err, store.ErrNoProgress) {
 		return
 	}
-	i.cfg.Journal.Event("store call failed", "call", call, "error", err)
+	now := time.Now()
+	i.troubleMu.Lock()
+	t := i.trouble[call]
+	t.failures++
+	report := now.Sub(t.reportedAt) >= troubleInterval
+	failures := t.failures
+	if report {
+		t = storeFailures{reportedAt: now}
+	}
+	i.trouble[call] = t
+	i.troubleMu.Unlock()
+	if report {
+		i.cfg.Journal.Event("store call failed", "call", call, "failures", failures, "error", err)
+	}
+}
+
+// troubleInterval separates the lines on failures of the same call, of which an
+// outage brings many.
+const troubleInterval = 2 * time.Second
+
+// storeFailures counts the failures of one call since the last line on them.
+type storeFailures struct {
+	failures   int
+	reportedAt time.Time
 }
 
 // Bounds of the calls of a takeover.
--- a/job/record.go
+++ b/job/record.go
@@ -14,13 +14,10 @@
 	Failed  map[string]Failures `json:"f,omitempty"` // by "occurrence.step.index", or "occurrence.step" for a gang
 }
 
-// Failures counts the failed runs of a task or a gang. A worker lists an end
-// until it was confirmed, also to the next owner: the run number tells an end
-// that is counted already.
-type Failures struct {
-	Count int `json:"n"`
-	Last  int `json:"r"` // run that was counted last
-}
+// Failures are the numbers of the failed runs of a task or a gang. A worker lists
+// an end until it was confirmed, also to the next owner, and workers answer in
+// any order: only the set of runs tells which ends are counted already.
+type Failures []int
 
 // Final is what is kept of a finished job until callers may have forgotten it.
 type Final struct {
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -256,14 +257,13 @@
 		fails = &s.tasks[index].fails
 		name += "." + strconv.Itoa(index)
 	}
-	if run <= fails.Last {
+	if slices.Contains(*fails, run) {
 		return false
 	}
-	fails.Count++
-	fails.Last = run
+	*fails = append(slices.Clone(*fails), run)
 	s.job.progress.Failed[name] = *fails
 	c.touch(s.job)
-	if s.job.attempts > 0 && fails.Count >= s.job.attempts {
+	if s.job.attempts > 0 && len(*fails) >= s.job.attempts {
 		c.finish(s.job, job.Failed)
 		return true
 	}
