Wait for recorded ends in TestLimitLowered; a success is no refusal in the demo

Cause (TestLimitLowered): an owner reports the end of a task before its home has recorded it. The test stopped when nothing ran any more, a commit before the request_answered event, and the oracle then called the task lost. The trace of a failed run ends with task_finished at the home. No accepted job is lost; the test now waits until the home tells a recorded end for each of the 40 jobs, which a lost job would never reach.

Ruled out: a job that is lost between two attempts; both attempts are in the trace, the second one finished.

Cause (demo): isRefusal passed a nil error on when a request still succeeded after the withdrawal. The other callers of errkind.From have an error.

--- a/demo/mix.go
+++ b/demo/mix.go
@@ -201,7 +201,12 @@
 	}
 }
 
+// isRefusal reports whether err refuses a request with a kind. A request that
+// succeeded, with a nil error, was not refused.
 func isRefusal(err error, kind errkind.Kind) bool {
+	if err == nil {
+		return false
+	}
 	e := errkind.From(err)
 	return e.Kind == kind && e.Fate() == errkind.AnswerFor(kind).Fate
 }
--- a/demo/run_test.go
+++ b/demo/run_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/mulberrydrum/mulberrydrum/errkind"
 	"github.com/mulberrydrum/mulberrydrum/oracle"
 )
 
@@ -27,6 +28,14 @@
 	}
 }
 
+// TestAcceptedIsNoRefusal guards against a crash of the demo when a request
+// succeeds that should soon be refused.
+func TestAcceptedIsNoRefusal(t *testing.T) {
+	if isRefusal(nil, errkind.KeyWithdrawn) {
+		t.Error("a request that succeeded counts as refused")
+	}
+}
+
 // TestReportOK guards against a demo that succeeds with a broken promise, a
 // violation, or nothing to show.
 func TestReportOK(t *testing.T) {
--- a/endtoend/config_test.go
+++ b/endtoend/config_test.go
@@ -109,8 +109,9 @@
 	t.Parallel()
 	c := startCluster(t, 4, 6)
 	const jobs, lower = 20, 4
+	var accepted []string
 	for range jobs {
-		submitLong(t, c, demo.Secrets["leuven"], "limit-"+time.Now().Format("150405.000000000"), "flexibility-run")
+		accepted = append(accepted, submitLong(t, c, demo.Secrets["leuven"], "limit-"+time.Now().Format("150405.000000000"), "flexibility-run"))
 	}
 	c.Eventually(serviceBound, "most of the jobs run", func() bool { return c.Running("leuven") > lower })
 	applied, began := apply(t, c, c.Entries[0], "", `"slots": 200`, `"slots": 4`)
@@ -126,7 +127,7 @@
 		return false
 	})
 	for range jobs {
-		submitLong(t, c, demo.Secrets["leuven"], "after-"+time.Now().Format("150405.000000000"), "nozzle-check")
+		accepted = append(accepted, submitLong(t, c, demo.Secrets["leuven"], "after-"+time.Now().Format("150405.000000000"), "nozzle-check"))
 	}
 	c.Eventually(settleBound, "all work ends", func() bool {
 		shares, err := c.Entries[1].Operator.Shares(t.Context())
@@ -137,6 +138,15 @@
 		}
 		return err == nil && c.Running("leuven") == 0
 	})
+	// An owner reports the end of a task before its home has recorded it. Every
+	// accepted job has to be known to its home, with its end recorded.
+	caller := callerOf(c, "leuven")
+	for _, id := range accepted {
+		c.Eventually(settleBound, id+" has a recorded end", func() bool {
+			job, err := caller.Status(t.Context(), id)
+			return err == nil && job.State.IsFinal()
+		})
+	}
 	t.Logf("the limit of revision %d was in force %v after it was applied", applied.Revision, inForce.Sub(began).Round(time.Millisecond))
 	c.Check(t, nil, timeline.Event{Instance: "operator", Incarnation: "1", Sequence: 1, Clock: timeline.Clock{Wall: inForce}, Type: timeline.LimitInForce,
 		Team: "leuven", Revision: applied.Revision, Size: &task.Resources{Slots: lower}})
