Simulate the core with faults in virtual time; mend what that finds

Failures are forgotten after 4 s without a new one, and those of a step that has failed on another worker do not count.

The effects of the core no longer depend on the order of maps, so that a seed gives the same run.

--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -292,8 +292,7 @@
 		return
 	}
 	var claimed []*worker
-	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
-		w := c.workers[id]
+	for _, w := range c.sortedWorkers() {
 		if _, ok := w.claimed[s.key]; ok && c.isUsable(w) {
 			claimed = append(claimed, w)
 		}
--- a/schedule/commit.go
+++ b/schedule/commit.go
@@ -100,7 +100,7 @@
 			c.passDue = true
 		}
 	}
-	for _, w := range c.workers {
+	for _, w := range c.sortedWorkers() {
 		if len(w.pending) == 0 {
 			continue
 		}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -52,14 +52,17 @@
 	catalog *job.Catalog
 
 	jobs    map[job.ID]*jobState
+	timed   map[job.ID]*jobState       // that have occurrences to come
 	steps   map[job.StepKey]*stepState // that still have tasks to do
 	finals  map[job.ID]job.Final       // recorded in this epoch
 	waiting map[string]int             // pending jobs by queue
 	usage   map[string]*teamUsage
 
-	workers    map[string]*worker
-	lanes      map[string]*lane
-	unresolved map[string]time.Time // workers that a former owner may have left work on; until when
+	workers      map[string]*worker
+	ordered      []*worker // workers by ID; nil when it has to be made anew
+	lanes        map[string]*lane
+	gangsAdopted bool                 // members of gangs were taken over, perhaps not all
+	unresolved   map[string]time.Time // workers that a former owner may have left work on; until when
 
 	dirty      []*jobState // changed since their last commit, oldest first
 	committing bool
@@ -85,6 +88,7 @@
 	c := &Core{
 		cfg: cfg, epoch: epoch, catalog: catalog, now: now,
 		jobs:       make(map[job.ID]*jobState),
+		timed:      make(map[job.ID]*jobState),
 		steps:      make(map[job.StepKey]*stepState),
 		finals:     make(map[job.ID]job.Final),
 		waiting:    make(map[string]int),
@@ -154,7 +158,8 @@
 // Tick does what time alone makes due.
 func (c *Core) Tick() {
 	c.expireUnresolved()
-	for _, w := range c.workers {
+	c.breakPartialGangs()
+	for _, w := range c.sortedWorkers() {
 		c.tickWorker(w)
 	}
 	c.startDueOccurrences()
--- /dev/null
+++ b/schedule/faults_test.go
@@ -0,0 +1,176 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/job"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// randomJob draws a job like those of the deployments: small lookups, runs of
+// many tasks, gangs, and chains of steps.
+func (s *simulation) randomJob(n int) *job.Job {
+	j := &job.Job{ID: job.ID(fmt.Sprintf("%015x%x", n, s.rng.IntN(16))), Queue: "plain", Team: "blue", Spec: "work"}
+	if s.rng.IntN(2) == 0 {
+		j.Queue = "advised"
+	}
+	if s.rng.IntN(4) == 0 {
+		j.Team = "red"
+	}
+	if s.rng.IntN(12) == 0 {
+		j.Spec = "fail"
+	}
+	small := func(count int, cpu int64, d time.Duration) job.Step {
+		return job.Step{Count: count, Size: task.Resources{CPUMilli: cpu, MemoryMB: cpu * 3}, Estimate: d}
+	}
+	switch s.rng.IntN(5) {
+	case 0:
+		step := small(2+s.rng.IntN(6), 9_000, 2*time.Second)
+		step.Gang = true
+		if j.Team == "red" {
+			step.Count = 2 + s.rng.IntN(4) // within the limit of the team
+		}
+		j.Steps = []job.Step{step}
+	case 1:
+		first, second := small(4, 2_000, time.Second), small(3, 4_000, 500*time.Millisecond)
+		second.After = []int{0}
+		second.Gang = s.rng.IntN(2) == 0
+		j.Steps = []job.Step{first, second}
+	case 2:
+		step := small(10, 2_000, time.Second)
+		step.AntiAffinity = 2
+		j.Steps = []job.Step{step}
+	default:
+		j.Steps = []job.Step{small(1+s.rng.IntN(3), 2_800, 600*time.Millisecond)}
+	}
+	return j
+}
+
+// Faults of one kind each. They return when their effects on the simulation are
+// over.
+var simFaults = map[string]func(s *simulation) time.Duration{
+	"none": func(*simulation) time.Duration { return 0 },
+	"takeover": func(s *simulation) time.Duration {
+		s.takeOver()
+		return 0
+	},
+	"two takeovers": func(s *simulation) time.Duration {
+		s.takeOver()
+		s.after(150*time.Millisecond, s.takeOver)
+		return 0
+	},
+	"worker restarts": func(s *simulation) time.Duration {
+		s.crash("w01", time.Duration(s.rng.IntN(6000))*time.Millisecond)
+		return 6 * time.Second
+	},
+	"worker cut off": func(s *simulation) time.Duration {
+		w := s.workers["w02"]
+		w.gone = true
+		s.after(7*time.Second, func() { w.gone = false })
+		return 7 * time.Second
+	},
+	"worker cut off over a takeover": func(s *simulation) time.Duration {
+		w := s.workers["w02"]
+		w.gone = true
+		s.after(200*time.Millisecond, s.takeOver)
+		s.after(9*time.Second, func() { w.gone = false })
+		return 9 * time.Second
+	},
+	"orders lost": func(s *simulation) time.Duration {
+		s.loseOrders = 0.1
+		s.after(4*time.Second, func() { s.loseOrders = 0 })
+		return 5 * time.Second
+	},
+	"orders late": func(s *simulation) time.Duration {
+		s.loseOrders, s.late = 0.1, true
+		s.after(4*time.Second, func() { s.loseOrders = 0 })
+		return 15 * time.Second
+	},
+	"orders late over a takeover": func(s *simulation) time.Duration {
+		s.loseOrders, s.late = 0.1, true
+		s.after(2*time.Second, s.takeOver)
+		s.after(4*time.Second, func() { s.loseOrders = 0 })
+		return 15 * time.Second
+	},
+	"store down": func(s *simulation) time.Duration {
+		s.storeOff = true
+		s.after(4*time.Second, func() { s.storeOff = false })
+		return 4 * time.Second
+	},
+	"store down, then a takeover": func(s *simulation) time.Duration {
+		s.storeOff = true
+		s.after(4*time.Second, func() { s.storeOff = false; s.takeOver() })
+		return 4 * time.Second
+	},
+	"failing worker": func(s *simulation) time.Duration {
+		w := s.workers["w03"]
+		w.failAll = true
+		s.after(5*time.Second, func() { w.failAll = false })
+		return 5 * time.Second
+	},
+}
+
+// TestFaults guards against a task that runs twice, out of order, beyond a
+// capacity, a limit or its attempts, and against a job that never ends, with
+// each fault and with pairs of them at random times.
+func TestFaults(t *testing.T) {
+	names := make([]string, 0, len(simFaults))
+	for name := range simFaults {
+		names = append(names, name)
+	}
+	for _, name := range sorted(names) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(12) {
+				runFaults(t, seed, name)
+			}
+		})
+	}
+	t.Run("pairs", func(t *testing.T) {
+		t.Parallel()
+		for seed := range uint64(60) {
+			s := seed * 7919
+			runFaults(t, seed, sorted(names)[s%uint64(len(names))], sorted(names)[(s/13)%uint64(len(names))])
+		}
+	})
+}
+
+func sorted(names []string) []string {
+	out := append([]string(nil), names...)
+	for i := range out {
+		for k := i + 1; k < len(out); k++ {
+			if out[k] < out[i] {
+				out[i], out[k] = out[k], out[i]
+			}
+		}
+	}
+	return out
+}
+
+func runFaults(t *testing.T, seed uint64, names ...string) {
+	t.Helper()
+	const workers, jobs, spacing = 12, 120, 60 * time.Millisecond
+	s := newSimulation(t, seed, workers)
+	for i := range jobs {
+		s.after(time.Duration(i)*spacing, func() {
+			j := s.randomJob(i)
+			s.submit(j)
+			if s.rng.IntN(15) == 0 {
+				s.after(time.Duration(s.rng.IntN(1500))*time.Millisecond, func() { s.cancel(j.ID) })
+			}
+		})
+	}
+	for _, name := range names {
+		at := time.Duration(500+s.rng.IntN(6000)) * time.Millisecond
+		if name != "none" {
+			s.faults = append(s.faults, name)
+		}
+		s.after(at, func() { simFaults[name](s) })
+	}
+	s.finish(90 * time.Second)
+	if t.Failed() {
+		t.Fatalf("seed %d with %q", seed, names)
+	}
+}
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -115,6 +116,9 @@
 		c.teamUsage(j.Team).surplusWaiting++
 	}
 	c.startDue(j)
+	if j.nextDue < j.Occurrences() {
+		c.timed[j.ID] = j
+	}
 	if j.remaining == 0 {
 		// A former owner recorded the last task and not the end.
 		c.finish(j, job.Completed)
@@ -134,10 +138,12 @@
 
 // startDueOccurrences activates the occurrences whose time has come.
 func (c *Core) startDueOccurrences() {
-	for _, j := range c.jobs {
-		if j.nextDue < j.Occurrences() && !j.state.IsFinal() {
-			c.startDue(j)
+	for id, j := range c.timed {
+		if j.nextDue >= j.Occurrences() || j.state.IsFinal() {
+			delete(c.timed, id)
+			continue
 		}
+		c.startDue(j)
 	}
 }
 
@@ -286,7 +292,7 @@
 			}
 		}
 	}
-	for r := range j.runs {
+	for _, r := range slices.SortedFunc(maps.Keys(j.runs), func(a, b *run) int { return compareTasks(a.task, b.task) }) {
 		c.stop(r)
 	}
 	c.touch(j)
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -101,6 +102,13 @@
 // worker that has not told what it runs.
 func (c *Core) isHeldBack(s *stepState) bool { return s.job.inherited && len(c.unresolved) > 0 }
 
+// sortedSteps returns all steps that have tasks to do, by name.
+func (c *Core) sortedSteps() []*stepState {
+	return slices.SortedFunc(maps.Values(c.steps), func(a, b *stepState) int {
+		return compareTasks(job.TaskKey{StepKey: a.key}, job.TaskKey{StepKey: b.key})
+	})
+}
+
 type rankedStep struct {
 	step   *stepState
 	rank   int
@@ -186,20 +194,41 @@
 	return false
 }
 
+// unresolvedRoom is what tasks may take on workers that have not yet told a new
+// owner what they run. It counts against every team, since any may have it.
+func (c *Core) unresolvedRoom() task.Resources {
+	var room, largest task.Resources
+	for _, w := range c.workers {
+		largest = largest.Max(w.Capacity)
+		if w.strange > 0 {
+			// What is being stopped there is of a job that is not known any more.
+			room = room.Add(w.Capacity.Sub(w.used))
+		}
+	}
+	for id := range c.unresolved {
+		if w := c.workers[id]; w != nil {
+			room = room.Add(w.Capacity)
+		} else {
+			room = room.Add(largest)
+		}
+	}
+	return room
+}
+
 // allowance returns how many tasks of a size a team may start now.
 func (c *Core) allowance(team string, size task.Resources, most int) int {
 	t := c.catalog.Team(team)
 	if t == nil || t.Limit.IsZero() {
 		return most
 	}
-	u := c.teamUsage(team)
+	running := c.teamUsage(team).running.Add(c.unresolvedRoom())
 	bound := func(limit, running, each int64) {
 		if limit > 0 && each > 0 {
 			most = min(most, int(max(0, limit-running)/each))
 		}
 	}
-	bound(t.Limit.CPUMilli, u.running.CPUMilli, size.CPUMilli)
-	bound(t.Limit.MemoryMB, u.running.MemoryMB, size.MemoryMB)
-	bound(t.Limit.Accelerators, u.running.Accelerators, size.Accelerators)
+	bound(t.Limit.CPUMilli, running.CPUMilli, size.CPUMilli)
+	bound(t.Limit.MemoryMB, running.MemoryMB, size.MemoryMB)
+	bound(t.Limit.Accelerators, running.Accelerators, size.Accelerators)
 	return most
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/task"
@@ -56,9 +55,6 @@
 	return s.spec.Needs == "" || slices.Contains(w.Labels, s.spec.Needs)
 }
 
-// avoidFor is how long a task that failed on a worker prefers the others.
-const avoidFor = 3 * time.Second
-
 // avoid makes a step prefer other workers from now on.
 func (s *stepState) avoid(worker string) {
 	if s.away == nil {
@@ -67,13 +63,23 @@
 	s.away[worker]++
 }
 
+// failedElsewhere reports whether a run of the step has failed on another worker.
+func (s *stepState) failedElsewhere(worker string) bool {
+	for id := range s.away {
+		if id != worker {
+			return true
+		}
+	}
+	return false
+}
+
 // pass places what can be placed, the most urgent step first.
 func (c *Core) pass() {
 	c.lastPass = c.now
 	c.passDue = false
 	usable := make([]*worker, 0, len(c.workers))
-	for _, id := range slices.Sorted(maps.Keys(c.workers)) {
-		if w := c.workers[id]; c.isUsable(w) {
+	for _, w := range c.sortedWorkers() {
+		if c.isUsable(w) {
 			usable = append(usable, w)
 		}
 	}
@@ -147,7 +153,7 @@
 		if s.spec.AntiAffinity > 0 {
 			o.room = min(o.room, s.spec.AntiAffinity-s.tasksOn(w))
 		}
-		if w.failStreak >= failingStreak {
+		if c.isFailing(w) {
 			o.room = min(o.room, 1)
 		}
 		if o.room <= 0 {
@@ -240,8 +246,8 @@
 	if x, y := s.away[a.worker.ID], s.away[b.worker.ID]; x != y {
 		return x < y
 	}
-	if x, y := a.worker.failStreak, b.worker.failStreak; x != y {
-		return x < y
+	if x, y := c.isFailing(a.worker), c.isFailing(b.worker); x != y {
+		return y
 	}
 	if x, y := nearness(s.spec, a.worker), nearness(s.spec, b.worker); x != y {
 		return x > y
@@ -282,7 +288,7 @@
 // fewer it leaves half full. A gang that slows down when it is spread over racks
 // takes one rack if one holds it.
 func (c *Core) chooseGang(s *stepState, options []option) []option {
-	sound := slices.DeleteFunc(slices.Clone(options), func(o option) bool { return o.worker.failStreak >= failingStreak })
+	sound := slices.DeleteFunc(slices.Clone(options), func(o option) bool { return c.isFailing(o.worker) })
 	if s.spec.SameRack {
 		byRack := make(map[string][]option)
 		for _, o := range sound {
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -92,7 +92,7 @@
 	s.lastRun = max(s.lastRun, number)
 	s.job.runs[r] = struct{}{}
 	c.place(r)
-	if w.failStreak >= failingStreak && w.probing == nil {
+	if c.isFailing(w) && w.probing == nil {
 		w.probing = r
 	}
 	c.markStarted(s.job)
@@ -182,6 +182,33 @@
 	}
 }
 
+// breakPartialGangs stops the members of gangs that were taken over without the
+// others: these ended, or never started, under the former owner.
+func (c *Core) breakPartialGangs() {
+	if !c.gangsAdopted || len(c.unresolved) > 0 {
+		return
+	}
+	c.gangsAdopted = false
+	for _, s := range c.sortedSteps() {
+		if s.spec.Gang && !s.isWhole() {
+			c.breakGang(s)
+		}
+	}
+}
+
+// isWhole reports whether every member of a gang has the same run, or none has
+// one.
+func (s *stepState) isWhole() bool {
+	first := s.tasks[0].run
+	for i := range s.tasks {
+		r := s.tasks[i].run
+		if (r == nil) != (first == nil) || (r != nil && r.number != first.number) {
+			return false
+		}
+	}
+	return true
+}
+
 // stop orders the end of a run.
 func (c *Core) stop(r *run) {
 	if r.state == runStopping {
@@ -249,8 +276,8 @@
 		wasStopping = r.state == runStopping
 		c.release(r)
 	}
-	c.judgeWorker(w, r, e.How)
 	s := c.steps[e.Task.StepKey]
+	c.judgeWorker(w, s, e.How)
 	if s == nil || e.Task.Index >= len(s.tasks) {
 		return
 	}
@@ -330,15 +357,29 @@
 // failingRest is how long such a worker rests before its next task.
 const failingRest = 1500 * time.Millisecond
 
+// failingMemory is how long failures speak against a worker that was not tried
+// again. A gang cannot try a worker, and would otherwise never return to it.
+const failingMemory = 4 * time.Second
+
+// isFailing reports whether a worker fails whatever it is given.
+func (c *Core) isFailing(w *worker) bool {
+	return w.failStreak >= failingStreak && c.now.Sub(w.failedAt) < failingMemory
+}
+
 // judgeWorker tells a worker that fails everything from work that fails
-// everywhere: only an uninterrupted row of failures counts against a worker.
-func (c *Core) judgeWorker(w *worker, r *run, how Ending) {
+// everywhere: only an uninterrupted row of failures counts against a worker, and
+// the failure of a step that has failed on another worker does not.
+func (c *Core) judgeWorker(w *worker, s *stepState, how Ending) {
 	switch how {
 	case EndedDone:
 		w.failStreak = 0
 		w.restUntil = time.Time{}
 	case EndedFailed:
+		if s != nil && s.failedElsewhere(w.ID) {
+			return
+		}
 		w.failStreak++
+		w.failedAt = c.now
 		if w.failStreak >= failingStreak {
 			w.restUntil = c.now.Add(failingRest)
 			c.emit(Decision{What: "worker_failing", Fields: []any{"worker", w.ID, "streak", w.failStreak}})
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -32,6 +33,7 @@
 	pending    []pendingEnd
 	restUntil  time.Time // no starts before; after refusals and failures
 	failStreak int       // failed runs since the last that succeeded
+	failedAt   time.Time // when the last one was listed
 	probing    *run      // the one run by which a failing worker is tried again
 	progressAt time.Time // when a run last advanced
 }
@@ -53,6 +55,7 @@
 		if !known {
 			w = &worker{runs: make(map[job.TaskKey]*run), claimed: make(map[job.StepKey]task.Resources)}
 			c.workers[entry.ID] = w
+			c.ordered = nil
 			c.rosterDue = true
 			w.Worker = entry
 		} else if entry.Born >= w.Born {
@@ -65,12 +68,24 @@
 	c.passDue = true
 }
 
+// sortedWorkers returns the workers by ID, so that the same events always have
+// the same effects in the same order.
+func (c *Core) sortedWorkers() []*worker {
+	if c.ordered == nil {
+		for _, id := range slices.Sorted(maps.Keys(c.workers)) {
+			c.ordered = append(c.ordered, c.workers[id])
+		}
+	}
+	return c.ordered
+}
+
 // forgetUnlisted drops workers that are gone and on which nothing can run.
 func (c *Core) forgetUnlisted() {
 	for id, w := range c.workers {
 		_, unresolved := c.unresolved[id]
 		if !w.listed && len(w.runs) == 0 && !unresolved && !w.holding && c.leaseIsOver(w) {
 			delete(c.workers, id)
+			c.ordered = nil
 			c.rosterDue = true
 		}
 	}
@@ -134,7 +149,7 @@
 	if !w.holding && !c.now.Before(w.nextHold) {
 		c.hold(w)
 	}
-	for _, r := range w.runs {
+	for _, r := range runsOf(w) {
 		if r.stopDue(c.now, c.cfg) {
 			c.sendStop(r)
 		}
@@ -279,6 +294,9 @@
 		c.stop(r)
 		return
 	}
+	if s.spec.Gang {
+		c.gangsAdopted = true
+	}
 	t := &s.tasks[report.Task.Index]
 	t.run = r
 	t.lastRun = max(t.lastRun, report.Run)
