Let the lease of a silent worker end; confirm ends of a job with its record

A silent worker gets no renewal until it answers. TestFaults/worker_lost_for_good failed before.

Found by the simulation: the last failed run of one task ends the job, and the failures of its other tasks were then confirmed before the record of the job. Ends now wait while anything of their job is not recorded.

--- a/schedule/faults_test.go
+++ b/schedule/faults_test.go
@@ -71,6 +71,14 @@
 		s.after(7*time.Second, func() { w.gone = false })
 		return 7 * time.Second
 	},
+	"worker lost for good": func(s *simulation) time.Duration {
+		w := s.workers["w04"]
+		w.dead = true
+		for _, r := range w.sortedRuns() {
+			s.remove(r)
+		}
+		return 7 * time.Second
+	},
 	"worker cut off over a takeover": func(s *simulation) time.Duration {
 		w := s.workers["w02"]
 		w.gone = true
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -119,6 +119,9 @@
 	if j.nextDue < j.Occurrences() {
 		c.timed[j.ID] = j
 	}
+	if c.hasFailed(j) {
+		c.finish(j, job.Failed)
+	}
 	if j.remaining == 0 {
 		// A former owner recorded the last task and not the end.
 		c.finish(j, job.Completed)
@@ -126,6 +129,17 @@
 	return j
 }
 
+// hasFailed reports whether a task or a gang of a job has failed as often as its
+// queue allows, for a job whose record or whose queue says so from the start.
+func (c *Core) hasFailed(j *jobState) bool {
+	for _, fails := range j.progress.Failed {
+		if j.attempts > 0 && len(fails) >= j.attempts {
+			return true
+		}
+	}
+	return false
+}
+
 // refreshPolicy takes over what the catalog says of the job's queue. A queue
 // that was removed keeps its last policy for the jobs that it accepted.
 func (c *Core) refreshPolicy(j *jobState) {
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -37,9 +37,11 @@
 
 	// What an observer has seen of each task.
 	running   map[job.TaskKey]*simRun
-	done      map[job.TaskKey]bool // an end was confirmed
-	succeeded map[job.TaskKey]bool // an end was listed
-	failed    map[job.TaskKey]int
+	done      map[job.TaskKey]bool        // an end was confirmed
+	succeeded map[job.TaskKey]bool        // an end was listed
+	failed    map[job.TaskKey][]time.Time // ends that were confirmed
+	starts    map[job.TaskKey][]time.Time
+	history   map[job.TaskKey][]string // for the message of a failure
 	usage     map[string]task.Resources
 
 	loseOrders float64 // part of the orders whose answer is lost
@@ -62,6 +64,7 @@
 	runs     map[job.TaskKey]*simRun
 	stopped  map[job.TaskKey]int // highest run stopped or ended
 	ended    []EndReport
+	endedAt  []time.Time // by number
 	number   uint64
 	failAll  bool
 	waiting  func() // a hold that waits for an end
@@ -104,7 +107,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0),
 		records: map[job.ID]*record{}, finals: map[job.ID]job.Final{}, workers: map[string]*simWorker{},
 		jobs: map[job.ID]*job.Job{}, cancels: map[job.ID]time.Time{}, running: map[job.TaskKey]*simRun{},
-		done: map[job.TaskKey]bool{}, succeeded: map[job.TaskKey]bool{}, failed: map[job.TaskKey]int{}, usage: map[string]task.Resources{},
+		done: map[job.TaskKey]bool{}, succeeded: map[job.TaskKey]bool{}, failed: map[job.TaskKey][]time.Time{}, starts: map[job.TaskKey][]time.Time{}, history: map[job.TaskKey][]string{}, usage: map[string]task.Resources{},
 	}
 	policy := &job.AdvicePolicy{Base: 20 * time.Millisecond, PerWorker: time.Millisecond, Valid: simAdvice}
 	s.catalog = job.NewCatalog(1, 1, []job.Queue{
@@ -161,12 +164,28 @@
 		for _, id := range sortedIDs(s.records) {
 			r := s.records[id]
 			_, cancelled := s.cancels[id]
-			c.Inherit(Known{Job: r.job, Progress: r.progress, Cancelled: cancelled})
+			c.Inherit(Known{Job: r.job, Progress: s.reread(r.progress), Cancelled: cancelled})
 		}
 		c.Directory(s.listed())
 	})
 }
 
+// reread returns what a new owner decodes of a record.
+func (s *simulation) reread(p *job.Progress) *job.Progress {
+	if p == nil {
+		return nil
+	}
+	encoded, err := job.Encode(p)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	decoded, err := job.Decode[job.Progress](encoded)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return decoded
+}
+
 func sortedIDs[V any](m map[job.ID]V) []job.ID {
 	ids := make([]job.ID, 0, len(m))
 	for id := range m {
@@ -264,6 +283,7 @@
 				delete(s.records, change.Job)
 			} else {
 				s.records[change.Job].progress = change.Progress
+				s.note(job.TaskKey{StepKey: job.StepKey{Job: change.Job}}, "recorded %+v", *change.Progress)
 			}
 		}
 		if e.Roster != nil {
@@ -330,8 +350,15 @@
 		s.extend(w, h.LeaseEnd)
 	}
 	for _, e := range w.ended {
-		if e.Number <= h.Confirmed && e.How == EndedDone {
+		if e.Number > h.Confirmed {
+			continue
+		}
+		s.note(e.Task, "end %d of %s confirmed by owner %d", e.Number, w.ID, fence)
+		switch e.How {
+		case EndedDone:
 			s.done[e.Task] = true
+		case EndedFailed:
+			s.failed[e.Task] = append(s.failed[e.Task], w.endedAt[e.Number-1])
 		}
 	}
 	w.ended = slices.DeleteFunc(w.ended, func(e EndReport) bool { return e.Number <= h.Confirmed })
@@ -453,9 +480,8 @@
 	if at, cancelled := s.cancels[j.ID]; cancelled && s.now.Sub(at) > 3*time.Second && !s.late {
 		fault("its job was cancelled %s ago", s.now.Sub(at))
 	}
-	if s.failed[r.key] >= 3 {
-		fault("it has failed %d times", s.failed[r.key])
-	}
+	s.starts[r.key] = append(s.starts[r.key], s.now)
+	s.note(r.key, "run %d starts on %s", r.number, r.worker.ID)
 }
 
 func (s *simulation) end(r *simRun, how Ending) {
@@ -467,12 +493,11 @@
 	w.stopped[r.key] = max(w.stopped[r.key], r.number)
 	w.number++
 	w.ended = append(w.ended, EndReport{Number: w.number, Task: r.key, Run: r.number, How: how})
+	w.endedAt = append(w.endedAt, s.now)
+	s.note(r.key, "run %d %s as end %d of %s", r.number, how, w.number, w.ID)
 	if how == EndedDone {
 		s.succeeded[r.key] = true
 	}
-	if how == EndedFailed {
-		s.failed[r.key]++
-	}
 	if w.waiting != nil {
 		s.after(0, w.waiting)
 		w.waiting = nil
@@ -558,6 +583,7 @@
 // finish checks that every job ends, and as it must.
 func (s *simulation) finish(within time.Duration) {
 	s.run(within)
+	s.judgeAttempts()
 	for _, id := range sortedIDs(s.jobs) {
 		final, ended := s.finals[id]
 		want := job.Completed
@@ -575,6 +601,28 @@
 	}
 }
 
+// judgeAttempts checks that nothing started after as many failed runs as its
+// queue allows, of those whose ends were confirmed at any time.
+func (s *simulation) judgeAttempts() {
+	for key, starts := range s.starts {
+		for _, at := range starts {
+			before := 0
+			for _, failed := range s.failed[key] {
+				if failed.Before(at) {
+					before++
+				}
+			}
+			if before >= 3 {
+				s.t.Errorf("%s started at %s after %d failed runs: %s", key, at.Format("05.000"), before, strings.Join(s.history[key], "; "))
+			}
+		}
+	}
+}
+
+func (s *simulation) note(key job.TaskKey, format string, args ...any) {
+	s.history[key] = append(s.history[key], s.now.Format("05.000 ")+fmt.Sprintf(format, args...))
+}
+
 // mayFail reports whether a worker that fails everything may have used up the
 // attempts of a sound job.
 func (s *simulation) mayFail() bool {
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -164,7 +164,9 @@
 
 func (c *Core) hold(w *worker) {
 	h := Hold{Target: w.target(), Confirmed: w.confirmed}
-	if w.fenced {
+	// The lease of a worker that does not answer is left to end: a renewal that
+	// may have arrived would put off the moment from which its tasks are free.
+	if w.fenced && !w.silent {
 		h.LeaseEnd = c.leaseEnd(w)
 		if len(w.pending) == 0 {
 			h.Wait = c.cfg.HoldWait
@@ -223,12 +225,10 @@
 		}
 		w.processed = e.Number
 		j := c.jobs[e.Task.Job]
-		version := uint64(0)
-		if j != nil {
-			version = j.version
-		}
 		c.runEnded(w, e)
-		if j != nil && j.version != version {
+		// Also an end that changes nothing waits for the record of its job: the
+		// failure that ended the job may be lost, and this one with it.
+		if j != nil && j.recorded < j.version {
 			w.pending = append(w.pending, pendingEnd{number: e.Number, job: j, version: j.version})
 		}
 	}
