Send writes and orders again while their answers do not come

Cause: an answer that was lost cost the whole time-out. Conditions and run numbers make a second copy safe: at most one takes effect, and a worker refuses a copy behind an ended run. A refusal is not believed while an earlier copy may still be carried out. Reports wait 0.9 s instead of 1.5 s, and one that is lost is no proof that the worker is silent.

Ruled out: shorter time-outs of single tries, which a slow store (300 ms an answer) never meets.

--- a/instance/accept.go
+++ b/instance/accept.go
@@ -106,7 +106,7 @@
 func (i *Instance) record(ctx context.Context, batch []*acceptance) {
 	for len(batch) > 0 {
 		call, cancel := context.WithTimeout(ctx, acceptTimeout)
-		result, err := i.cfg.Store.Commit(call, acceptTxn(batch))
+		result, err := store.CommitHedged(call, i.cfg.Store, acceptTxn(batch), commitHedge)
 		cancel()
 		switch {
 		case err == nil && result.Succeeded:
--- a/instance/execute.go
+++ b/instance/execute.go
@@ -38,16 +38,20 @@
 	var outcome any
 	switch order := e.Effect.(type) {
 	case schedule.Hold:
-		call, cancel := context.WithTimeout(ctx, i.cfg.Timing.OrderTimeout+order.Wait)
+		call, cancel := context.WithTimeout(ctx, i.cfg.Timing.HoldMargin+order.Wait)
 		outcome = i.cfg.Workers.Hold(call, e.Fence, order)
 		cancel()
 	case schedule.Start:
 		call, cancel := context.WithTimeout(ctx, i.cfg.Timing.OrderTimeout)
-		outcome = schedule.StartDone{Start: order, Verdict: i.cfg.Workers.Start(call, e.Fence, order)}
+		outcome = schedule.StartDone{Start: order, Verdict: sendOrder(call, func(ctx context.Context) schedule.Verdict {
+			return i.cfg.Workers.Start(ctx, e.Fence, order)
+		})}
 		cancel()
 	case schedule.Stop:
 		call, cancel := context.WithTimeout(ctx, i.cfg.Timing.OrderTimeout)
-		outcome = schedule.StopDone{Stop: order, Verdict: i.cfg.Workers.Stop(call, e.Fence, order)}
+		outcome = schedule.StopDone{Stop: order, Verdict: sendOrder(call, func(ctx context.Context) schedule.Verdict {
+			return i.cfg.Workers.Stop(ctx, e.Fence, order)
+		})}
 		cancel()
 	case schedule.Ask:
 		outcome = i.ask(ctx, order)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -66,6 +66,7 @@
 	PeerTimeout       time.Duration // of a question to the owner
 	CancelTimeout     time.Duration // of a cancellation, which waits for a commit
 	OrderTimeout      time.Duration // of an order to a worker
+	HoldMargin        time.Duration // of a report, beyond the time that it may wait
 	AdviceTimeout     time.Duration // of a call for advice
 	ResignTimeout     time.Duration // of the removal of the ownership record
 }
@@ -82,8 +83,10 @@
 		PeerTimeout:    500 * time.Millisecond,
 		CancelTimeout:  1500 * time.Millisecond,
 		OrderTimeout:   700 * time.Millisecond,
-		AdviceTimeout:  3 * time.Second,
-		ResignTimeout:  800 * time.Millisecond,
+		// While a report is lost, no end on that worker is seen.
+		HoldMargin:    400 * time.Millisecond,
+		AdviceTimeout: 3 * time.Second,
+		ResignTimeout: 800 * time.Millisecond,
 	}
 }
 
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -200,7 +200,7 @@
 	}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
-		result, err := i.cfg.Store.Commit(call, txn)
+		result, err := store.CommitHedged(call, i.cfg.Store, txn, commitHedge)
 		cancel()
 		switch {
 		case err == nil && result.Succeeded:
@@ -284,6 +284,10 @@
 	}
 }
 
+// commitHedge sends a write again after several times what a store in another
+// region takes to answer, 30 ms.
+var commitHedge = store.Hedge{After: 160 * time.Millisecond, Most: 4}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/instance/resend.go
@@ -0,0 +1,59 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/schedule"
+)
+
+const (
+	// resendAfter is several times what a worker in another region takes to
+	// answer, 25 ms.
+	resendAfter = 140 * time.Millisecond
+	// maxOrders bounds the copies of an order that are under way.
+	maxOrders = 3
+)
+
+// sendOrder gives an order to a worker and gives it again while no answer comes.
+// Copies of an order have the same run number: a worker that has carried one out
+// accepts the next, and refuses those that arrive after the run has ended. A
+// refusal proves nothing while an earlier copy may still be carried out.
+func sendOrder(ctx context.Context, give func(context.Context) schedule.Verdict) schedule.Verdict {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	verdicts := make(chan schedule.Verdict, maxOrders)
+	underway, sent := 0, 0
+	send := func() {
+		underway++
+		sent++
+		go func() { verdicts <- give(ctx) }()
+	}
+	send()
+	again := time.NewTicker(resendAfter)
+	defer again.Stop()
+	unclear := false
+	for {
+		select {
+		case v := <-verdicts:
+			underway--
+			switch {
+			case v == schedule.Accepted || v == schedule.Fenced:
+				return v
+			case v == schedule.Unclear:
+				unclear = true
+			case underway == 0 && !unclear:
+				return v
+			default:
+				unclear = unclear || underway > 0
+			}
+			if underway == 0 {
+				return schedule.Unclear
+			}
+		case <-again.C:
+			if sent < maxOrders {
+				send()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/instance/resend_test.go
@@ -0,0 +1,57 @@
+package instance
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/schedule"
+)
+
+// TestSendOrder guards against a lost answer that delays a start by the whole
+// time-out, and against a refusal that is believed while an earlier copy of the
+// order may still be carried out.
+func TestSendOrder(t *testing.T) {
+	type try = func(context.Context) schedule.Verdict
+	lost := func(ctx context.Context) schedule.Verdict { <-ctx.Done(); return schedule.Unclear }
+	after := func(d time.Duration, v schedule.Verdict) try {
+		return func(ctx context.Context) schedule.Verdict {
+			select {
+			case <-time.After(d):
+				return v
+			case <-ctx.Done():
+				return schedule.Unclear
+			}
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		tries  []try
+		want   schedule.Verdict
+		within time.Duration
+	}{
+		{"accepted", []try{after(20*time.Millisecond, schedule.Accepted)}, schedule.Accepted, 20 * time.Millisecond},
+		{"refused", []try{after(20*time.Millisecond, schedule.NoRoom)}, schedule.NoRoom, 20 * time.Millisecond},
+		{"no connection", []try{after(20*time.Millisecond, schedule.NotSent)}, schedule.NotSent, 20 * time.Millisecond},
+		{"first answer lost", []try{lost, after(20*time.Millisecond, schedule.Accepted)}, schedule.Accepted, resendAfter + 20*time.Millisecond},
+		{"lost, then refused", []try{lost, after(20*time.Millisecond, schedule.TicketRejected), after(20*time.Millisecond, schedule.TicketRejected)}, schedule.Unclear, 700 * time.Millisecond},
+		{"lost, then fenced", []try{lost, after(20*time.Millisecond, schedule.Fenced)}, schedule.Fenced, resendAfter + 20*time.Millisecond},
+		{"silent", []try{lost, lost, lost}, schedule.Unclear, 700 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+				defer cancel()
+				var n atomic.Int32
+				began := time.Now()
+				v := sendOrder(ctx, func(ctx context.Context) schedule.Verdict { return c.tries[n.Add(1)-1](ctx) })
+				if took := time.Since(began); v != c.want || took != c.within {
+					t.Errorf("%s after %s, want %s after %s", v, took, c.want, c.within)
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -23,8 +23,9 @@
 	return Config{
 		// Twice the time that a takeover needs after a kill, so that running tasks
 		// outlive it; a lost worker costs no more than this.
-		Lease:    5 * time.Second,
-		HoldWait: 1500 * time.Millisecond,
+		Lease: 5 * time.Second,
+		// A report that is lost hides the ends on a worker for this long.
+		HoldWait: 900 * time.Millisecond,
 		// An order crosses regions and back in 30 ms; ten times that is a lost one.
 		StopRetry:       300 * time.Millisecond,
 		UnclearPatience: 150 * time.Millisecond,
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -65,6 +65,7 @@
 	stopped  map[job.TaskKey]int // highest run stopped or ended
 	ended    []EndReport
 	endedAt  []time.Time // by number
+	lapsedAt time.Time   // when it last had no lease
 	number   uint64
 	failAll  bool
 	waiting  func() // a hold that waits for an end
@@ -350,8 +351,8 @@
 		s.extend(w, h.LeaseEnd)
 	}
 	for _, e := range w.ended {
-		if e.Number > h.Confirmed {
-			continue
+		if e.Number > h.Confirmed || w.lapsedAt.After(w.endedAt[e.Number-1]) {
+			continue // an end from before a lapse of the lease does not count
 		}
 		s.note(e.Task, "end %d of %s confirmed by owner %d", e.Number, w.ID, fence)
 		switch e.How {
@@ -545,6 +546,7 @@
 		if w.leaseEnd.After(s.now) {
 			continue
 		}
+		w.lapsedAt = s.now
 		for _, r := range w.sortedRuns() {
 			s.end(r, EndedLapsed)
 		}
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -15,7 +15,8 @@
 	listed     bool // in the latest directory
 	rostered   bool // the recorded roster names it, so that a new owner asks it what it runs
 	fenced     bool // this life has answered a hold of this owner
-	silent     bool // the last order had no answer
+	silent     bool // it does not answer
+	misses     int  // reports in a row that did not come
 	runs       map[job.TaskKey]*run
 	used       task.Resources
 	claimed    map[job.StepKey]task.Resources // room kept for gangs that ask for advice
@@ -176,6 +177,13 @@
 	c.emit(h)
 }
 
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // retryHold is the wait before a worker that did not answer is asked again.
 const retryHold = 250 * time.Millisecond
 
@@ -191,15 +199,18 @@
 	}
 	w.holding = false
 	if e.Verdict != Accepted {
-		w.silent = true
-		w.nextHold = c.now.Add(retryHold)
+		// One lost report is no proof: the next one is asked for at once.
+		w.misses++
+		w.silent = w.silent || w.misses > 1 || e.Verdict != Unclear
+		w.nextHold = c.now.Add(time.Duration(w.misses-1) * retryHold)
+		w.nextHold = minTime(w.nextHold, c.now.Add(2*retryHold))
 		if e.Verdict == OtherLife {
 			w.fenced = false
 		}
 		return
 	}
 	c.changeLife(w, e.Born)
-	w.silent = false
+	w.silent, w.misses = false, 0
 	w.clock, w.clockAt = e.Clock, c.now
 	first := !w.fenced
 	w.fenced = true
