Commit in four lanes; read the records of a takeover at the same time

Four commits may now be under way, each with a sequence record of its own; a job waits for its last commit, so that records of one job are never out of order. Ended jobs take two entries instead of four. The fence serves as the epoch of run numbers, so that a new owner writes nothing but its ownership record, and its reads run side by side.

--- a/cell/effect.go
+++ b/cell/effect.go
@@ -21,8 +21,7 @@
 	CommitRecords struct {
 		Commit   schedule.Commit
 		Owner    int64
-		Epoch    int64
-		Sequence int64 // revision of the sequence record
+		Sequence int64 // revision of the sequence record of the lane
 	}
 	// Order is an effect of package schedule towards a worker or the advice
 	// service, under the fence of an ownership.
--- a/cell/event.go
+++ b/cell/event.go
@@ -52,7 +52,7 @@
 	Committed struct {
 		Commit   schedule.Commit
 		Owner    int64 // revision of the ownership record
-		Sequence int64 // new revision of the sequence record
+		Sequence int64 // new revision of the sequence record of the lane
 		Lost     bool  // another owner has taken over
 	}
 	// DirectoryRead brings the workers that exist.
@@ -102,12 +102,11 @@
 
 // Recovery is what a new owner reads before it acts.
 type Recovery struct {
-	Epoch    int64 // above that of every earlier owner
-	Sequence int64 // revision of the sequence record
-	ReadAt   int64 // store revision; every job recorded by then is among Jobs or has ended
-	Jobs     []schedule.Known
-	Roster   []string
-	Workers  []schedule.Worker
+	Sequences [schedule.CommitLanes]int64 // revisions of the sequence records
+	ReadAt    int64                       // store revision; every job recorded by then is among Jobs or has ended
+	Jobs      []schedule.Known
+	Roster    []string
+	Workers   []schedule.Worker
 }
 
 // Questions of Called, and their replies.
--- a/cell/state.go
+++ b/cell/state.go
@@ -85,16 +85,15 @@
 	ownerRevision int64
 	campaignAt    time.Time
 
-	role     role
-	record   int64 // revision of this instance's ownership record; the fence of its orders
-	lease    int64
-	sequence int64
-	epoch    int64
-	readAt   int64
-	renewAt  time.Time
-	tickAt   time.Time
-	core     *schedule.Core
-	early    []Submission // handed over while this instance reads the records
+	role      role
+	record    int64 // revision of this instance's ownership record; the fence of its orders
+	lease     int64
+	sequences [schedule.CommitLanes]int64 // revisions of the sequence records
+	readAt    int64
+	renewAt   time.Time
+	tickAt    time.Time
+	core      *schedule.Core
+	early     []Submission // handed over while this instance reads the records
 }
 
 // New returns the state of an instance that has just started.
@@ -255,8 +254,8 @@
 		return
 	}
 	r := e.State
-	s.role, s.epoch, s.sequence, s.readAt = owning, r.Epoch, r.Sequence, r.ReadAt
-	s.core = schedule.New(s.now, s.cfg.Schedule, r.Epoch, s.catalog, r.Roster)
+	s.role, s.sequences, s.readAt = owning, r.Sequences, r.ReadAt
+	s.core = schedule.New(s.now, s.cfg.Schedule, s.record, s.catalog, r.Roster)
 	s.core.Begin(s.now, s.wall)
 	if s.stopping {
 		s.core.StopPlacing()
@@ -271,7 +270,7 @@
 	s.early = nil
 	s.core.Directory(r.Workers)
 	s.changed = true
-	s.log("ownership_ready", "fence", s.record, "epoch", r.Epoch, "jobs", len(r.Jobs), "workers", len(r.Workers), "roster", len(r.Roster))
+	s.log("ownership_ready", "fence", s.record, "jobs", len(r.Jobs), "workers", len(r.Workers), "roster", len(r.Roster))
 }
 
 // acceptNew accepts a job that was recorded after this owner had read the
@@ -302,7 +301,7 @@
 		s.stepDown("commit_refused")
 		return
 	}
-	s.sequence = e.Sequence
+	s.sequences[e.Commit.Lane] = e.Sequence
 	s.core.CommitDone(schedule.CommitDone{Commit: e.Commit})
 }
 
@@ -387,7 +386,7 @@
 		case schedule.Done:
 			s.emit(Answer{Token: e.Token, Reply: Reply{Known: true, State: job.Cancelled}})
 		case schedule.Commit:
-			s.emit(CommitRecords{Commit: e, Owner: s.record, Epoch: s.epoch, Sequence: s.sequence})
+			s.emit(CommitRecords{Commit: e, Owner: s.record, Sequence: s.sequences[e.Lane]})
 		default:
 			s.emit(Order{Fence: s.record, Effect: e})
 		}
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -146,7 +146,7 @@
 func (i *Instance) recover(ctx context.Context, ownership int64) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, recoverTimeout)
-		r, err := i.readRecovery(call, ownership)
+		r, err := i.readRecovery(call)
 		cancel()
 		if err == nil {
 			i.loop.Post(ctx, cell.Recovered{Revision: ownership, State: r})
@@ -188,7 +188,7 @@
 // commit records a commit until its outcome is definite or the ownership ends.
 // The conditions let only one of several tries take effect.
 func (i *Instance) commit(ctx context.Context, e cell.CommitRecords) {
-	value, err := job.Encode(sequenceRecord{Epoch: e.Epoch, Owner: i.cfg.Incarnation, Commit: e.Sequence})
+	value, err := job.Encode(sequenceRecord{Owner: i.cfg.Incarnation, Follows: e.Sequence})
 	if err != nil {
 		i.cfg.Journal.Event("commit not encoded", "error", err)
 		return
@@ -224,7 +224,7 @@
 		switch kv.Key {
 		case keyOwner:
 			owned = kv.ModRevision == e.Owner
-		case keySequence:
+		case sequenceKey(e.Commit.Lane):
 			if string(kv.Value) == string(value) {
 				done.Sequence = kv.ModRevision
 			}
@@ -285,8 +285,8 @@
 }
 
 // commitHedge sends a write again after several times what a store in another
-// region takes to answer, 30 ms.
-var commitHedge = store.Hedge{After: 160 * time.Millisecond, Most: 4}
+// region takes to answer, 30 ms, and not before a slow one usually has.
+var commitHedge = store.Hedge{After: 220 * time.Millisecond, Most: 4}
 
 func pause(ctx context.Context, d time.Duration) {
 	select {
--- a/instance/records.go
+++ b/instance/records.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"strings"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/mulberrydrum/mulberrydrum/cell"
 	"github.com/mulberrydrum/mulberrydrum/job"
@@ -17,9 +19,9 @@
 // that the job is not known; all else is written by the owner, on the condition
 // that its ownership and sequence records are unchanged.
 const (
-	keyOwner       = "mulberrydrum/owner"    // who owns the partition; attached to the owner's lease
-	keySequence    = "mulberrydrum/sequence" // changes with every commit of an owner
-	keyRoster      = "mulberrydrum/roster"   // workers on which something may run
+	keyOwner       = "mulberrydrum/owner"     // who owns the partition; attached to the owner's lease
+	sequencePrefix = "mulberrydrum/sequence/" // one record for each lane; changes with every commit of the lane
+	keyRoster      = "mulberrydrum/roster"    // workers on which something may run
 	inboxPrefix    = "mulberrydrum/in/"
 	jobPrefix      = inboxPrefix + "job/"    // accepted jobs that have not ended
 	cancelPrefix   = inboxPrefix + "cancel/" // cancellations that no owner was there to take
@@ -27,6 +29,8 @@
 	finalPrefix    = "mulberrydrum/final/" // jobs that have ended
 )
 
+func sequenceKey(lane int) string { return sequencePrefix + strconv.Itoa(lane) }
+
 func jobKey(id job.ID) string      { return jobPrefix + string(id) }
 func cancelKey(id job.ID) string   { return cancelPrefix + string(id) }
 func progressKey(id job.ID) string { return progressPrefix + string(id) }
@@ -35,16 +39,15 @@
 // sequenceRecord tells apart the commits of all owners, so that one whose
 // answer was lost is recognised.
 type sequenceRecord struct {
-	Epoch  int64  `json:"epoch"`
-	Owner  string `json:"owner"` // incarnation
-	Commit int64  `json:"commit"`
+	Owner   string `json:"owner"`   // incarnation
+	Follows int64  `json:"follows"` // revision of the record before
 }
 
 // encodeCommit returns the transaction of a commit.
 func encodeCommit(e cell.CommitRecords, sequence []byte) (store.Txn, error) {
 	txn := store.Txn{
-		Compares: []store.Compare{{Key: keyOwner, ModRevision: e.Owner}, {Key: keySequence, ModRevision: e.Sequence}},
-		Puts:     []store.Put{{Key: keySequence, Value: sequence}},
+		Compares: []store.Compare{{Key: keyOwner, ModRevision: e.Owner}, {Key: sequenceKey(e.Commit.Lane), ModRevision: e.Sequence}},
+		Puts:     []store.Put{{Key: sequenceKey(e.Commit.Lane), Value: sequence}},
 	}
 	put := func(key string, record any) error {
 		value, err := job.Encode(record)
@@ -64,7 +67,13 @@
 			if err := put(finalKey(change.Job), change.Final); err != nil {
 				return txn, err
 			}
-			txn.Deletes = append(txn.Deletes, jobKey(change.Job), progressKey(change.Job), cancelKey(change.Job))
+			txn.Deletes = append(txn.Deletes, jobKey(change.Job))
+			if change.HadProgress {
+				txn.Deletes = append(txn.Deletes, progressKey(change.Job))
+			}
+			if change.MayBeCancelled {
+				txn.Deletes = append(txn.Deletes, cancelKey(change.Job))
+			}
 			continue
 		}
 		if err := put(progressKey(change.Job), change.Progress); err != nil {
@@ -74,61 +83,43 @@
 	return txn, nil
 }
 
-// readRecovery reads what a new owner needs. It writes the sequence record
-// first, which makes every unfinished commit of a former owner fail.
-func (i *Instance) readRecovery(ctx context.Context, ownership int64) (cell.Recovery, error) {
+// readRecovery reads what a new owner needs. No commit of a former owner can
+// follow: the ownership record that it names has changed. The reads are made at
+// the same time, since a slow store answers only a few in a row in a second.
+func (i *Instance) readRecovery(ctx context.Context) (cell.Recovery, error) {
 	r := cell.Recovery{}
-	sequence, found, _, err := i.cfg.Store.Get(ctx, keySequence)
-	if err != nil {
-		return r, eris.Wrap(err, "read the sequence record")
-	}
-	last := sequenceRecord{}
-	if found {
-		if err := json.Unmarshal(sequence.Value, &last); err != nil {
-			return r, eris.Wrap(err, "decode the sequence record")
-		}
-	}
-	r.Epoch = last.Epoch + 1
-	if last.Owner == i.cfg.Incarnation && last.Commit == 0 {
-		// An earlier try of this recovery whose answer was lost.
-		r.Epoch, r.Sequence = last.Epoch, sequence.ModRevision
-	} else if r.Sequence, err = i.beginEpoch(ctx, ownership, r.Epoch, sequence.ModRevision); err != nil {
-		return r, err
-	}
-	if err := i.readJobs(ctx, &r); err != nil {
-		return r, err
-	}
-	roster, found, _, err := i.cfg.Store.Get(ctx, keyRoster)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return i.readSequences(ctx, &r) })
+	group.Go(func() error { return i.readJobs(ctx, &r) })
+	group.Go(func() error { return i.readRoster(ctx, &r) })
+	group.Go(func() (err error) {
+		r.Workers, err = i.cfg.Directory.Workers(ctx)
+		return eris.Wrap(err, "read the directory of workers")
+	})
+	return r, group.Wait()
+}
+
+func (i *Instance) readSequences(ctx context.Context, r *cell.Recovery) error {
+	kvs, _, err := i.cfg.Store.List(ctx, sequencePrefix)
 	if err != nil {
-		return r, eris.Wrap(err, "read the roster")
+		return eris.Wrap(err, "read the sequence records")
 	}
-	if found {
-		if err := json.Unmarshal(roster.Value, &r.Roster); err != nil {
-			return r, eris.Wrap(err, "decode the roster")
+	for _, kv := range kvs {
+		lane, err := strconv.Atoi(strings.TrimPrefix(kv.Key, sequencePrefix))
+		if err != nil || lane < 0 || lane >= len(r.Sequences) {
+			return eris.Errorf("key %s does not name a lane", kv.Key)
 		}
+		r.Sequences[lane] = kv.ModRevision
 	}
-	if r.Workers, err = i.cfg.Directory.Workers(ctx); err != nil {
-		return r, eris.Wrap(err, "read the directory of workers")
-	}
-	return r, nil
+	return nil
 }
 
-func (i *Instance) beginEpoch(ctx context.Context, ownership, epoch, sequence int64) (int64, error) {
-	value, err := job.Encode(sequenceRecord{Epoch: epoch, Owner: i.cfg.Incarnation})
-	if err != nil {
-		return 0, err
-	}
-	result, err := i.cfg.Store.Commit(ctx, store.Txn{
-		Compares: []store.Compare{{Key: keyOwner, ModRevision: ownership}, {Key: keySequence, ModRevision: sequence}},
-		Puts:     []store.Put{{Key: keySequence, Value: value}},
-	})
-	if err != nil {
-		return 0, eris.Wrap(err, "begin an epoch")
-	}
-	if !result.Succeeded {
-		return 0, eris.New("begin an epoch: the ownership or the sequence record has changed")
+func (i *Instance) readRoster(ctx context.Context, r *cell.Recovery) error {
+	roster, found, _, err := i.cfg.Store.Get(ctx, keyRoster)
+	if err != nil || !found {
+		return eris.Wrap(err, "read the roster")
 	}
-	return result.Revision, nil
+	return eris.Wrap(json.Unmarshal(roster.Value, &r.Roster), "decode the roster")
 }
 
 func (i *Instance) readJobs(ctx context.Context, r *cell.Recovery) error {
@@ -137,6 +128,7 @@
 		return eris.Wrap(err, "list the jobs")
 	}
 	r.ReadAt = revision
+	// The progress is read after the jobs: a job without one has none.
 	progress, _, err := i.cfg.Store.List(ctx, progressPrefix)
 	if err != nil {
 		return eris.Wrap(err, "list the progress of jobs")
--- a/schedule/commit.go
+++ b/schedule/commit.go
@@ -11,46 +11,82 @@
 const (
 	maxCommitEntries = 28
 	progressEntries  = 1 // the progress record
-	finalEntries     = 4 // the final record; job, progress and cancellation are removed
+	finalEntries     = 2 // the final record; the job record is removed
 )
 
-// maybeCommit records what has changed, one transaction at a time. Jobs that
-// have ended go first, since callers wait for them.
+// CommitLanes is how many commits may be under way. A slow store answers five
+// times a second; with one commit of some ten jobs at a time the ends of a burst
+// would wait for it.
+const CommitLanes = 4
+
+// rosterLane is the lane of the roster, so that an older one never follows.
+const rosterLane = 0
+
+// maybeCommit records what has changed in a lane that is free. Jobs that have
+// ended go first, since callers wait for them.
 func (c *Core) maybeCommit() {
-	if c.committing || (len(c.dirty) == 0 && !c.rosterDue) || c.now.Sub(c.lastCommit) < c.cfg.CommitInterval {
+	if (len(c.dirty) == 0 && !c.rosterDue) || c.now.Sub(c.lastCommit) < c.cfg.CommitInterval {
 		return
 	}
-	var commit Commit
-	if c.rosterDue {
+	lane := slices.Index(c.busyLanes[:], false)
+	if lane < 0 {
+		return
+	}
+	commit := Commit{Lane: lane, Changes: c.takeChanges()}
+	if c.rosterDue && lane == rosterLane {
 		commit.Roster = c.roster()
 		c.rosterDue = false
 	}
+	if len(commit.Changes) == 0 && commit.Roster == nil {
+		return
+	}
+	c.busyLanes[lane] = true
+	c.lastCommit = c.now
+	c.emit(commit)
+}
+
+// takeChanges takes the changes of one commit. A job whose last commit is under
+// way waits for it, whatever the lane.
+func (c *Core) takeChanges() []Change {
 	slices.SortStableFunc(c.dirty, func(a, b *jobState) int {
 		return boolOrder(b.state.IsFinal()) - boolOrder(a.state.IsFinal())
 	})
+	var changes []Change
+	var left []*jobState
 	entries := 0
-	taken := 0
 	for _, j := range c.dirty {
-		need := progressEntries
-		if j.state.IsFinal() {
-			need = finalEntries
-		}
-		if entries+need > maxCommitEntries {
-			break
+		need := j.entries()
+		if j.committing || entries+need > maxCommitEntries {
+			left = append(left, j)
+			continue
 		}
 		entries += need
-		taken++
-		commit.Changes = append(commit.Changes, c.changeOf(j))
+		j.queued, j.committing = false, true
+		changes = append(changes, c.changeOf(j))
+		j.hasProgress = j.hasProgress || !j.state.IsFinal()
 	}
-	for _, j := range c.dirty[:taken] {
-		j.queued = false
+	c.dirty = left
+	return changes
+}
+
+// entries returns how many entries of a transaction the change of a job takes.
+func (j *jobState) entries() int {
+	if !j.state.IsFinal() {
+		return progressEntries
 	}
-	c.dirty = slices.Clone(c.dirty[taken:])
-	c.committing = true
-	c.lastCommit = c.now
-	c.emit(commit)
+	n := finalEntries
+	if j.hasProgress {
+		n++
+	}
+	if j.mayBeCancelled() {
+		n++
+	}
+	return n
 }
 
+// mayBeCancelled reports whether there may be a record of a cancellation.
+func (j *jobState) mayBeCancelled() bool { return j.inherited || j.state == job.Cancelled }
+
 func boolOrder(b bool) int {
 	if b {
 		return 1
@@ -63,7 +99,7 @@
 func (c *Core) changeOf(j *jobState) Change {
 	if j.state.IsFinal() {
 		final := job.Final{State: j.state, Queue: j.Queue, Team: j.Team, FinishedAt: c.wall}
-		return Change{Job: j.ID, Final: &final, version: j.version}
+		return Change{Job: j.ID, Final: &final, HadProgress: j.hasProgress, MayBeCancelled: j.mayBeCancelled(), version: j.version}
 	}
 	progress := job.Progress{Started: j.state == job.Running, Done: make(map[string][]int), Failed: make(map[string]job.Failures)}
 	for k, v := range j.progress.Done {
@@ -78,13 +114,14 @@
 // CommitDone takes note that a commit is durable: callers may see the ends, and
 // workers may forget them.
 func (c *Core) CommitDone(e CommitDone) {
-	c.committing = false
+	c.busyLanes[e.Commit.Lane] = false
 	for _, change := range e.Commit.Changes {
 		j := c.jobs[change.Job]
 		if j == nil {
 			continue
 		}
 		j.recorded = change.version
+		j.committing = false
 		if change.Final != nil {
 			c.finals[j.ID] = *change.Final
 			c.changed(Status{Job: j.ID, State: j.state, Queue: j.Queue, Team: j.Team})
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -65,8 +65,8 @@
 	gangsAdopted bool                 // members of gangs were taken over, perhaps not all
 	unresolved   map[string]time.Time // workers that a former owner may have left work on; until when
 
-	dirty      []*jobState // changed since their last commit, oldest first
-	committing bool
+	dirty      []*jobState       // changed since their last commit, oldest first
+	busyLanes  [CommitLanes]bool // a commit of the lane is under way
 	rosterDue  bool
 	lastCommit time.Time
 	lastPass   time.Time
@@ -154,7 +154,9 @@
 func (c *Core) StopPlacing() { c.stopping = true }
 
 // Idle reports whether nothing waits to be recorded.
-func (c *Core) Idle() bool { return !c.committing && len(c.dirty) == 0 }
+func (c *Core) Idle() bool {
+	return c.busyLanes == [CommitLanes]bool{} && len(c.dirty) == 0 && !c.rosterDue
+}
 
 // Tick does what time alone makes due.
 func (c *Core) Tick() {
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -20,15 +20,17 @@
 	surplus   bool          // beyond the rate to which its team is entitled
 	inherited bool          // known before this owner took over
 
-	state     job.State
-	remaining int // steps of all occurrences that have tasks to do
-	runs      map[*run]struct{}
-	progress  job.Progress
-	version   uint64 // rises with every change that must be recorded
-	recorded  uint64
-	queued    bool     // among Core.dirty
-	cancels   []uint64 // callers that wait for the record of the cancellation
-	nextDue   int      // first occurrence whose steps are not active
+	state       job.State
+	remaining   int // steps of all occurrences that have tasks to do
+	runs        map[*run]struct{}
+	progress    job.Progress
+	version     uint64 // rises with every change that must be recorded
+	recorded    uint64
+	queued      bool     // among Core.dirty
+	committing  bool     // a commit of it is under way
+	hasProgress bool     // a progress record may exist
+	cancels     []uint64 // callers that wait for the record of the cancellation
+	nextDue     int      // first occurrence whose steps are not active
 }
 
 // stepState is one step of one occurrence that has tasks to do.
@@ -88,6 +90,7 @@
 	j.remaining = len(j.Steps) * j.Occurrences()
 	if progress != nil {
 		j.progress = *progress
+		j.hasProgress = true
 		if progress.Started {
 			j.state = job.Running
 		}
--- a/schedule/message.go
+++ b/schedule/message.go
@@ -66,8 +66,11 @@
 	Workers []string
 }
 
-// Commit records changes in one transaction of the owner.
+// Commit records changes in one transaction of the owner. The commits of one lane
+// follow each other; those of different lanes are under way at the same time and
+// never change the same record.
 type Commit struct {
+	Lane    int // below CommitLanes
 	Changes []Change
 	Roster  []string // workers that may run something; nil if unchanged
 }
@@ -78,6 +81,10 @@
 	Progress *job.Progress
 	Final    *job.Final
 
+	// Records that are removed with a Final.
+	HadProgress    bool
+	MayBeCancelled bool
+
 	version uint64
 }
 
