Tell callers at once when the store does not confirm a job

After one round of tries without an answer the caller is told that the outcome is unknown; while a write is unanswered for 0.6 s further submissions are refused at once, truly not run, but for one in 250 ms that shows when the store is back.

--- a/instance/accept.go
+++ b/instance/accept.go
@@ -23,9 +23,14 @@
 	// acceptTimeout bounds one transaction; a slow store answers in 300 ms.
 	acceptTimeout = 800 * time.Millisecond
 	acceptRetry   = 40 * time.Millisecond
-	// storeSilence is how long the store may be silent before submissions are
-	// refused at once: none could be recorded in time.
-	storeSilence = 2500 * time.Millisecond
+	// watchSilence and writeSilence are how long nothing may be heard by the
+	// watches, and how long a write may be unanswered, before submissions are
+	// refused at once. A watch hears something every second, and what it hears may
+	// be a second old; a slow store answers a write in 300 ms.
+	watchSilence = 2500 * time.Millisecond
+	writeSilence = 600 * time.Millisecond
+	// probeInterval lets one submission through, which shows when the store is back.
+	probeInterval = 250 * time.Millisecond
 	// retryAfterStore is when a caller whose submission could not be recorded may
 	// come back, to any instance.
 	retryAfterStore = time.Second
@@ -36,11 +41,10 @@
 
 // acceptance is one submission that waits to be recorded.
 type acceptance struct {
-	ctx     context.Context
-	job     *job.Job
-	record  []byte
-	unclear bool // a write of it may have taken effect, or may yet
-	done    chan error
+	ctx    context.Context
+	job    *job.Job
+	record []byte
+	done   chan error
 }
 
 // Submit records a job and returns when it is durable, or was before. An error
@@ -50,8 +54,8 @@
 	if err := j.Check(); err != nil {
 		return errkind.New(errkind.InvalidRequest, "%v", err)
 	}
-	if s := i.loop.Snapshot(); time.Since(s.HeardAt) > storeSilence {
-		i.cfg.Journal.Event("refused", "job", string(j.ID), "why", "store_silent", "silent_ms", time.Since(s.HeardAt).Milliseconds())
+	if silent := i.storeSilentFor(time.Now()); silent > 0 && !i.mayProbe(time.Now()) {
+		i.cfg.Journal.Event("refused", "job", string(j.ID), "why", "store_silent", "silent_ms", silent.Milliseconds())
 		return errkind.New(errkind.StoreUnavailable, "the store does not answer").WithRetryAfter(retryAfterStore)
 	}
 	if !i.view.admit(j.Team, time.Now()) {
@@ -71,6 +75,25 @@
 	return <-a.done
 }
 
+// storeSilentFor returns how long the store has been silent, or 0 if it answers.
+func (i *Instance) storeSilentFor(now time.Time) time.Duration {
+	if heard := now.Sub(i.loop.Snapshot().HeardAt); heard > watchSilence {
+		return heard
+	}
+	if since := i.unanswered.Load(); since != 0 {
+		if waited := now.Sub(time.Unix(0, since)); waited > writeSilence {
+			return waited
+		}
+	}
+	return 0
+}
+
+// mayProbe reports whether a submission is let through to a silent store.
+func (i *Instance) mayProbe(now time.Time) bool {
+	last := i.probedAt.Load()
+	return now.Sub(time.Unix(0, last)) >= probeInterval && i.probedAt.CompareAndSwap(last, now.UnixNano())
+}
+
 // acceptRegularly records submissions, as many as there are in one transaction.
 func (i *Instance) acceptRegularly(ctx context.Context) error {
 	for {
@@ -105,9 +128,14 @@
 // caller's time is up.
 func (i *Instance) record(ctx context.Context, batch []*acceptance) {
 	for len(batch) > 0 {
+		began := time.Now()
+		i.unanswered.CompareAndSwap(0, began.UnixNano())
 		call, cancel := context.WithTimeout(ctx, acceptTimeout)
 		result, err := store.CommitHedged(call, i.cfg.Store, acceptTxn(batch), commitHedge)
 		cancel()
+		if !errors.Is(err, store.ErrUnclear) {
+			i.unanswered.Store(0)
+		}
 		switch {
 		case err == nil && result.Succeeded:
 			i.storeFails.Store(0)
@@ -184,18 +212,21 @@
 	i.accepted(a, kv.ModRevision)
 }
 
-// afterFailure answers those whose time is up after a failed write. Only a
-// submission of which no write can take effect any more was surely not accepted.
+// afterFailure answers after a failed write, and returns those for whom another
+// try is worth it. A submission of which a write may still take effect is told
+// so at once: its caller does better at another instance, where a repeat is
+// recognised. Only one of which no write can take effect was surely not accepted.
 func (i *Instance) afterFailure(ctx context.Context, batch []*acceptance, err error) []*acceptance {
 	fails := i.storeFails.Add(1)
+	unclear := errors.Is(err, store.ErrUnclear)
 	var rest []*acceptance
 	for _, a := range batch {
-		a.unclear = a.unclear || errors.Is(err, store.ErrUnclear)
-		const patience = 3 // failed writes in a row after which a caller does better elsewhere
+		const patience = 3 // refused writes in a row after which a caller does better elsewhere
 		switch {
-		case a.unclear && (a.ctx.Err() != nil || ctx.Err() != nil):
+		case unclear:
+			i.cfg.Journal.Event("unclear", "job", string(a.job.ID), "why", "store_silent", "failures", fails)
 			a.done <- errkind.New(errkind.OutcomeUnknown, "the store did not confirm the job in time")
-		case !a.unclear && (a.ctx.Err() != nil || ctx.Err() != nil || fails >= patience):
+		case a.ctx.Err() != nil || ctx.Err() != nil || fails >= patience:
 			i.cfg.Journal.Event("refused", "job", string(a.job.ID), "why", "store_failed", "failures", fails, "error", err)
 			a.done <- errkind.New(errkind.StoreUnavailable, "the store refuses writes").WithRetryAfter(retryAfterStore)
 		default:
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -106,6 +106,8 @@
 	resigned   chan struct{} // closed when the ownership record is removed in a planned stop
 	resignOnce sync.Once
 	storeFails atomic.Int32 // commits of accepted jobs that failed in a row
+	unanswered atomic.Int64 // when the first unanswered write of a job was sent, Unix nanoseconds; 0 if all were answered
+	probedAt   atomic.Int64 // when a submission was last let through to a silent store
 
 	troubleMu sync.Mutex
 	trouble   map[string]storeFailures // by call, for the log
