--- /dev/null
+++ b/cell/state_test.go
@@ -0,0 +1,198 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/job"
+	"github.com/mulberrydrum/mulberrydrum/schedule"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// bench drives a State by hand.
+type bench struct {
+	t     *testing.T
+	state *State
+	now   time.Time
+}
+
+var self = Owner{Instance: "e1", Incarnation: "p1", Address: "a1"}
+
+func newBench(t *testing.T) *bench {
+	return &bench{t: t, state: New(DefaultConfig(self)), now: time.Unix(1_700_000_000, 0)}
+}
+
+func catalog(version, revision int64) *job.Catalog {
+	return job.NewCatalog(version, revision, []job.Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2}}, []job.Service{{Name: "s"}}, nil)
+}
+
+func (b *bench) apply(e Event) []Effect {
+	b.now = b.now.Add(time.Millisecond)
+	return b.state.Apply(b.now, b.now, e)
+}
+
+func effect[E Effect](effects []Effect) (found E, ok bool) {
+	for _, e := range effects {
+		if match, is := e.(E); is {
+			return match, true
+		}
+	}
+	return found, false
+}
+
+// own makes the state the owner with the record of revision 10.
+func (b *bench) own(r Recovery) []Effect {
+	b.t.Helper()
+	b.apply(CatalogRead{catalog(1, 1)})
+	b.apply(OwnerSeen{Revision: 5})
+	b.now = b.now.Add(time.Second)
+	if _, ok := effect[Campaign](b.apply(Tick{})); !ok {
+		b.t.Fatal("no campaign although there is no owner")
+	}
+	if recover, ok := effect[Recover](b.apply(CampaignDone{Won: true, Revision: 10, Lease: 3})); !ok || recover.Owner != 10 {
+		b.t.Fatal("no recovery after a won campaign")
+	}
+	return b.apply(Recovered{Revision: 10, State: r})
+}
+
+func worker(id string) schedule.Worker {
+	return schedule.Worker{ID: id, Born: 1, Address: id, Service: "s", Capacity: task.Resources{CPUMilli: 1000, MemoryMB: 100}}
+}
+
+func submission(id job.ID, revision int64) Submission {
+	return Submission{Job: &job.Job{ID: id, Queue: "q", Steps: []job.Step{{Count: 1, Size: task.Resources{CPUMilli: 100}}}}, Revision: revision}
+}
+
+// TestCatalogNeverGoesBack guards against an older configuration that arrives
+// late, for example from a list that was read before a watch.
+func TestCatalogNeverGoesBack(t *testing.T) {
+	b := newBench(t)
+	b.apply(CatalogRead{catalog(7, 70)})
+	b.apply(CatalogRead{catalog(6, 60)})
+	if v := b.state.Snapshot().Catalog.Version; v != 7 {
+		t.Errorf("version %d is in force, want 7", v)
+	}
+}
+
+// TestCampaignOnlyWithoutOwner guards against a campaign beside a live owner, by
+// an instance that is stopping, and without a configuration.
+func TestCampaignOnlyWithoutOwner(t *testing.T) {
+	for name, events := range map[string][]Event{
+		"not known yet":    {CatalogRead{catalog(1, 1)}},
+		"another owner":    {CatalogRead{catalog(1, 1)}, OwnerSeen{Revision: 5}, OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}},
+		"old news":         {CatalogRead{catalog(1, 1)}, OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}, OwnerSeen{Revision: 5}},
+		"no configuration": {OwnerSeen{Revision: 5}},
+		"stopping":         {CatalogRead{catalog(1, 1)}, OwnerSeen{Revision: 5}, Stopping{}},
+	} {
+		b := newBench(t)
+		for _, e := range events {
+			b.apply(e)
+		}
+		b.now = b.now.Add(5 * time.Second)
+		if _, ok := effect[Campaign](b.apply(Tick{})); ok {
+			t.Errorf("%s: campaigned", name)
+		}
+	}
+}
+
+// TestStepDown guards against an owner that goes on after another one has taken
+// over, however it learns of it, and against news from before it won that makes
+// it give up.
+func TestStepDown(t *testing.T) {
+	hold := schedule.Hold{Target: schedule.Target{Worker: "w1"}}
+	for name, c := range map[string]struct {
+		event Event
+		ends  bool
+	}{
+		"fenced by a worker":    {Scheduled{Owner: 10, Event: schedule.HoldDone{Hold: hold, Verdict: schedule.Fenced}}, true},
+		"fenced under a former": {Scheduled{Owner: 9, Event: schedule.HoldDone{Hold: hold, Verdict: schedule.Fenced}}, false},
+		"lease gone":            {RenewDone{Lease: 3, Gone: true}, true},
+		"former lease gone":     {RenewDone{Lease: 2, Gone: true}, false},
+		"commit refused":        {Committed{Owner: 10, Lost: true}, true},
+		"another record":        {OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 12}, true},
+		"record removed":        {OwnerSeen{Revision: 11}, true},
+		"news of before":        {OwnerSeen{Revision: 9}, false},
+		"own record":            {OwnerSeen{Found: true, Owner: self, Revision: 10}, false},
+	} {
+		b := newBench(t)
+		b.own(Recovery{ReadAt: 20, Workers: []schedule.Worker{worker("w1")}})
+		abandon, ended := effect[Abandon](b.apply(c.event))
+		if ended != c.ends || b.state.Snapshot().IsOwner == c.ends {
+			t.Errorf("%s: ended %v, want %v", name, ended, c.ends)
+		}
+		if ended && abandon.Owner != 10 {
+			t.Errorf("%s: abandons %d", name, abandon.Owner)
+		}
+	}
+}
+
+// TestLateSubmission guards against a job that ran under a former owner and runs
+// again because the accepting instance tells the new one of it late.
+func TestLateSubmission(t *testing.T) {
+	b := newBench(t)
+	b.own(Recovery{ReadAt: 20})
+	for _, c := range []struct {
+		id       job.ID
+		revision int64
+		known    bool
+	}{{"00000000000000a1", 19, false}, {"00000000000000a2", 21, true}} {
+		b.apply(Called{Token: 1, Question: Submit{submission(c.id, c.revision)}})
+		answer, ok := effect[Answer](b.apply(Called{Token: 2, Question: StateOf{Job: c.id}}))
+		if !ok || answer.Reply.Known != c.known {
+			t.Errorf("job recorded at %d: known %v, want %v", c.revision, answer.Reply.Known, c.known)
+		}
+	}
+}
+
+// TestEarlySubmission guards against a job that is told to a new owner while it
+// reads the records and is then forgotten.
+func TestEarlySubmission(t *testing.T) {
+	b := newBench(t)
+	b.apply(CatalogRead{catalog(1, 1)})
+	b.apply(OwnerSeen{Revision: 5})
+	b.now = b.now.Add(time.Second)
+	b.apply(Tick{})
+	b.apply(CampaignDone{Won: true, Revision: 10, Lease: 3})
+	b.apply(Called{Token: 1, Question: Submit{submission("00000000000000a1", 25)}})
+	b.apply(Recovered{Revision: 10, State: Recovery{ReadAt: 20}})
+	if answer, _ := effect[Answer](b.apply(Called{Token: 2, Question: StateOf{Job: "00000000000000a1"}})); !answer.Reply.Known {
+		t.Error("the job is not known")
+	}
+}
+
+// TestPlannedStop guards against ownership that is given up before what has
+// ended is recorded, and against a stop that keeps it.
+func TestPlannedStop(t *testing.T) {
+	b := newBench(t)
+	effects := b.own(Recovery{ReadAt: 20, Workers: []schedule.Worker{worker("w1")}})
+	commit, ok := effect[CommitRecords](effects)
+	for !ok {
+		b.now = b.now.Add(30 * time.Millisecond)
+		commit, ok = effect[CommitRecords](b.apply(Tick{}))
+	}
+	if _, resigned := effect[Resign](b.apply(Stopping{})); resigned {
+		t.Error("resigned while a commit was under way")
+	}
+	if resign, resigned := effect[Resign](b.apply(Committed{Commit: commit.Commit, Owner: 10, Sequence: 21})); !resigned || resign.Lease != 3 {
+		t.Error("did not resign when everything was recorded")
+	}
+	if b.state.Snapshot().IsOwner {
+		t.Error("still the owner")
+	}
+}
+
+// TestKeysExpire guards against keys that are trusted by an instance that hears
+// nothing of the store.
+func TestKeysExpire(t *testing.T) {
+	b := newBench(t)
+	b.apply(StoreHeard{At: b.now})
+	s := b.state.Snapshot()
+	const withdrawn = 5 * time.Second // within which a key has to stop working
+	if until := s.FreshUntil.Sub(s.HeardAt); until <= 0 || until+time.Second > withdrawn {
+		t.Errorf("keys are trusted for %s after the store was heard", until)
+	}
+	b.apply(StoreHeard{At: s.HeardAt.Add(-time.Second)})
+	if b.state.Snapshot().HeardAt != s.HeardAt {
+		t.Error("an older reading moved the time back")
+	}
+}
--- a/cmd/mulberryctl/live_test.go
+++ b/cmd/mulberryctl/live_test.go
@@ -217,7 +217,7 @@
 // metricsPage guards against a metric that the page of operations lacks, and
 // against one on the page that does not exist.
 func (l *live) metricsPage() {
-	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	if err != nil {
 		l.Fatal(err)
 	}
@@ -239,12 +239,12 @@
 	}
 	for name := range found {
 		if !described[name] {
-			l.Errorf("docs/operations.md does not describe %s", name)
+			l.Errorf("docs/OPERATIONS.md does not describe %s", name)
 		}
 	}
 	for name := range described {
 		if !found[name] {
-			l.Errorf("docs/operations.md describes %s, which no instance has", name)
+			l.Errorf("docs/OPERATIONS.md describes %s, which no instance has", name)
 		}
 	}
 }
--- a/cmd/mulberryctl/metrics.go
+++ b/cmd/mulberryctl/metrics.go
@@ -22,7 +22,7 @@
   mulberryctl metrics store. --operator 127.0.0.1:7071
 
 The metrics are those of the one instance that answers, so name it with
---operator. docs/operations.md has each metric with its unit and normal range.`
+--operator. docs/OPERATIONS.md has each metric with its unit and normal range.`
 }
 
 // Run prints the metrics by name.
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -13,7 +13,7 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// Names of the metrics, with their units. docs/operations.md explains each.
+// Names of the metrics, with their units. docs/OPERATIONS.md explains each.
 const (
 	metricControlQueue     = "control.queue_events"
 	metricAllowanceRefused = "control.allowance_refused_count"
--- a/instance/accept.go
+++ b/instance/accept.go
@@ -51,6 +51,13 @@
 // that says "not run" is true: nothing of the job is recorded, and no write of
 // it is under way.
 func (i *Instance) Submit(ctx context.Context, j *job.Job) error {
+	began := time.Now()
+	err := i.submit(ctx, j)
+	i.meters.submitted(time.Since(began), err)
+	return err
+}
+
+func (i *Instance) submit(ctx context.Context, j *job.Job) error {
 	if err := j.Check(); err != nil {
 		return errkind.New(errkind.InvalidRequest, "%v", err)
 	}
--- a/instance/execute.go
+++ b/instance/execute.go
@@ -42,6 +42,7 @@
 		outcome = i.cfg.Workers.Hold(call, e.Fence, order)
 		cancel()
 	case schedule.Start:
+		i.meters.taskWait.Update(order.Waited.Milliseconds())
 		call, cancel := context.WithTimeout(ctx, i.cfg.Timing.OrderTimeout)
 		outcome = schedule.StartDone{Start: order, Verdict: sendOrder(call, func(ctx context.Context) schedule.Verdict {
 			return i.cfg.Workers.Start(ctx, e.Fence, order)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -109,6 +109,7 @@
 	unanswered atomic.Int64 // when the first unanswered write of a job was sent, Unix nanoseconds; 0 if all were answered
 	probedAt   atomic.Int64 // when a submission was last let through to a silent store
 
+	meters    meters
 	troubleMu sync.Mutex
 	trouble   map[string]storeFailures // by call, for the log
 }
@@ -123,6 +124,7 @@
 		resigned: make(chan struct{}),
 		view:     newOwnerView(),
 		trouble:  make(map[string]storeFailures),
+		meters:   newMeters(cfg.Metrics),
 	}
 	i.loop = cell.NewLoop(cell.New(cell.DefaultConfig(self)), cfg.Metrics, i.execute)
 	return i
--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -281,6 +281,7 @@
 			s.advice.tickets[id] = ticket{text: text, born: w.Born, till: c.now.Add(e.Valid)}
 		}
 	}
+	c.decide(s.key.Job, "advised", "step", s.key.String(), "named", len(e.Ask.Workers), "good", len(e.Tickets), "through", e.Ask.Lane, "valid_ms", e.Valid.Milliseconds())
 	c.placeClaimed(s)
 }
 
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -43,6 +43,7 @@
 	fails   job.Failures // of a gang
 	ready   bool
 	lastRun int // highest run number of a gang
+	placed  int // runs that were ordered
 	advice  adviceState
 	notes   string // why it waits, for the log and operators
 	urgent  time.Time
--- a/schedule/message.go
+++ b/schedule/message.go
@@ -50,6 +50,7 @@
 	Ticket     string // of the advice service; empty where the queue needs none
 	Checkpoint string
 	LeaseEnd   time.Duration // on the worker's clock
+	Waited     time.Duration // since the job arrived; for the metrics
 }
 
 // Stop orders the end of one run.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -133,10 +133,18 @@
 // placeStep starts what it can of a step and reports whether nothing is left.
 func (c *Core) placeStep(s *stepState, usable []*worker) bool {
 	options := c.options(s, usable, false)
+	before := s.placed
+	var all bool
 	if s.spec.Gang {
-		return c.placeGang(s, options)
+		all = c.placeGang(s, options)
+	} else {
+		all = c.placeTasks(s, options)
 	}
-	return c.placeTasks(s, options)
+	if n := s.placed - before; n > 0 {
+		c.decide(s.key.Job, "placed", "step", s.key.String(), "tasks", n, "of", len(s.tasks), "options", len(options),
+			"waited_ms", c.now.Sub(s.job.arrived).Milliseconds(), "slack_ms", s.urgent.Sub(c.now).Milliseconds(), "rank", c.rank(s))
+	}
+	return all
 }
 
 // options lists the workers that have room for a step and, where needed, a
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -89,6 +89,7 @@
 		team: s.job.Team, size: stepSize(s.spec), state: runStarting, startedAt: c.now, advancedAt: c.now,
 	}
 	t.run, t.lastRun = r, number
+	s.placed++
 	s.lastRun = max(s.lastRun, number)
 	s.job.runs[r] = struct{}{}
 	c.place(r)
@@ -102,7 +103,7 @@
 	}
 	c.emit(Start{
 		Target: w.target(), Task: r.task, Run: number, Spec: s.job.Spec, Ticket: ticket,
-		Checkpoint: checkpoint, LeaseEnd: c.leaseEnd(w),
+		Checkpoint: checkpoint, LeaseEnd: c.leaseEnd(w), Waited: c.now.Sub(s.job.arrived),
 	})
 }
 
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -72,14 +72,13 @@
 }
 
 type simRun struct {
-	key      job.TaskKey
-	number   int
-	worker   *simWorker
-	size     task.Resources
-	team     string
-	progress time.Duration
-	since    time.Time
-	over     bool
+	key    job.TaskKey
+	number int
+	worker *simWorker
+	size   task.Resources
+	team   string
+	since  time.Time
+	over   bool
 }
 
 type timer struct {
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -26,7 +26,6 @@
 	clock      time.Duration // last reading of the worker's clock
 	clockAt    time.Time     // when the reading arrived
 	maxLease   time.Duration // latest lease end that was sent, on the worker's clock
-	leaseSent  time.Time     // when maxLease was last raised
 	holding    bool          // a hold is under way
 	nextHold   time.Time
 	processed  uint64 // number of the last end that was processed
