--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -152,6 +152,7 @@
 			i.loop.Post(ctx, cell.Recovered{Revision: ownership, State: r})
 			go i.followInbox(ctx)
 			go i.readDirectory(ctx)
+			go i.sweepRegularly(ctx, ownership)
 			return
 		}
 		i.cfg.Journal.Event("recovery failed", "fence", ownership, "error", err)
