--- /dev/null
+++ b/schedule/simjudge_test.go
@@ -0,0 +1,115 @@
+package schedule
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/job"
+)
+
+// judgeStart checks what must hold whenever a task starts.
+func (s *simulation) judgeStart(r *simRun, j *job.Job) {
+	fault := func(format string, args ...any) {
+		s.t.Errorf("at %s: start of %s run %d on %s: %s", s.now.Format("05.000"), r.key, r.number, r.worker.ID, fmt.Sprintf(format, args...))
+	}
+	if other := s.running[r.key]; other != nil {
+		fault("runs already on %s as run %d", other.worker.ID, other.number)
+	}
+	if s.done[r.key] {
+		fault("its success was confirmed")
+	}
+	used := r.size
+	for _, o := range r.worker.runs {
+		used = used.Add(o.size)
+	}
+	if !used.Fits(r.worker.Capacity) {
+		fault("the worker holds %s of %s", used, r.worker.Capacity)
+	}
+	if limit := s.catalog.Team(j.Team).Limit; !limit.IsZero() && s.usage[j.Team].Add(r.size).CPUMilli > limit.CPUMilli {
+		fault("team %s has %s running", j.Team, s.usage[j.Team])
+	}
+	for _, earlier := range j.Steps[r.key.Step].After {
+		for i := range j.Steps[earlier].Count {
+			if key := (job.TaskKey{StepKey: job.StepKey{Job: j.ID, Step: earlier}, Index: i}); !s.succeeded[key] {
+				fault("%s has not succeeded", key)
+			}
+		}
+	}
+	if at, cancelled := s.cancels[j.ID]; cancelled && s.now.Sub(at) > 3*time.Second && !s.late {
+		fault("its job was cancelled %s ago", s.now.Sub(at))
+	}
+	s.starts[r.key] = append(s.starts[r.key], s.now)
+	s.note(r.key, "run %d starts on %s", r.number, r.worker.ID)
+}
+
+// finish checks that every job ends, and as it must.
+func (s *simulation) finish(within time.Duration) {
+	s.run(within)
+	s.judgeAttempts()
+	for _, id := range sortedIDs(s.jobs) {
+		final, ended := s.finals[id]
+		want := job.Completed
+		if strings.HasPrefix(s.jobs[id].Spec, "fail") {
+			want = job.Failed
+		}
+		_, cancelled := s.cancels[id]
+		switch {
+		case !ended:
+			s.t.Errorf("job %s has not ended: %s", id, s.core.describe(id))
+		case cancelled:
+		case final.State != want && !s.mayFail():
+			s.t.Errorf("job %s is %s, want %s", id, final.State, want)
+		}
+	}
+}
+
+// judgeAttempts checks that nothing started after as many failed runs as its
+// queue allows, of those whose ends were confirmed at any time.
+func (s *simulation) judgeAttempts() {
+	for key, starts := range s.starts {
+		for _, at := range starts {
+			before := 0
+			for _, failed := range s.failed[key] {
+				if failed.Before(at) {
+					before++
+				}
+			}
+			if before >= 3 {
+				s.t.Errorf("%s started at %s after %d failed runs: %s", key, at.Format("05.000"), before, strings.Join(s.history[key], "; "))
+			}
+		}
+	}
+}
+
+func (s *simulation) note(key job.TaskKey, format string, args ...any) {
+	s.history[key] = append(s.history[key], s.now.Format("05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// mayFail reports whether a worker that fails everything may have used up the
+// attempts of a sound job.
+func (s *simulation) mayFail() bool {
+	return slices.ContainsFunc(s.faults, func(f string) bool { return strings.HasPrefix(f, "fail") })
+}
+
+// describe tells what a job waits for.
+func (c *Core) describe(id job.ID) string {
+	j := c.jobs[id]
+	if j == nil {
+		return "unknown"
+	}
+	text := fmt.Sprintf("state %s, remaining %d, version %d, recorded %d, runs %d, unresolved %d;", j.state, j.remaining, j.version, j.recorded, len(j.runs), len(c.unresolved))
+	for _, s := range c.steps {
+		if s.job != j {
+			continue
+		}
+		text += fmt.Sprintf(" step %s ready %v left %d gang %v notes %q asked %d tickets %d lane %v;", s.key, s.ready, s.left, s.spec.Gang, s.notes, len(s.advice.asked), len(s.advice.tickets), s.advice.lane != nil)
+		for i := range s.tasks {
+			if r := s.tasks[i].run; r != nil {
+				text += fmt.Sprintf(" task %d run %d on %s state %d;", i, r.number, r.worker.ID, r.state)
+			}
+		}
+	}
+	return text
+}
