Write the operator's entries of the stand-ins in one place

Cause: the soak spelled the platform's configuration itself, outside platform/, and the tests of the path a second time. The stand-in of the store writes both now.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -88,12 +88,11 @@
 	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 2)), program: program, store: platformtest.NewStore(), jobs: map[string]*promised{}}
 	f.addrs.store = serve(t, f.store)
 	f.addrs.advice = serve(t, &platformtest.Advice{Valid: 2 * time.Second})
-	f.store.Put("op/config", []byte(`{"version":1,"routes":[{"name":"q","host":"`+host+`","prefix":"/q/","service":"calc","maxAttempts":3,"stretch":2,"targetDurationMs":1000,
-		"advice":{"decideMs":5,"eachMs":0.5,"validMs":2000}}],"services":[{"name":"calc"}],"tenants":[{"name":"red","weight":200,"apiKeys":["`+key+`"],"cap":{}}]}`))
+	f.store.Configure(1, "calc", []string{key}, platformtest.Queue{Name: "q", Host: host, Prefix: "/q/", Attempts: 3, Advised: true})
 	for i := range workers {
 		w := platformtest.NewWorker(fmt.Sprintf("i-%d", i))
 		f.workers = append(f.workers, w)
-		f.store.Put("servers/"+w.ID, w.Entry("calc", serve(t, w), "r1", "ready"))
+		f.store.Register(w, "calc", serve(t, w), "r1")
 	}
 	for i := range instances {
 		f.procs = append(f.procs, f.start(i))
