Name what the advice threshold says, and correct three comments

Found by reading: a comment named another constant, one told starts where runs are counted, and a variable was kept for nothing.

--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -8,7 +8,7 @@
 const (
 	// demandHalfLife smooths the rate at which a team hands in jobs.
 	demandHalfLife = time.Second
-	// backlogTasks is the number of surplus jobs of a team that may wait. More of
+	// maxSurplusWaiting is the number of surplus jobs of a team that may wait. More of
 	// them would only wait longer, and cost the owner time.
 	maxSurplusWaiting = 40
 	// leastAdmitted is let through even of a flood, so that its end is noticed.
--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -124,7 +124,7 @@
 			unknown = append(unknown, w)
 		}
 	}
-	if len(unknown) > 0 && !c.isStillUseful(s) {
+	if len(unknown) > 0 && !c.hasEnoughTickets(s) {
 		return c.namesOf(unknown)
 	}
 	options := c.options(s, usable, true)
@@ -153,9 +153,9 @@
 // isAdvised reports whether something was asked for a step, or is being asked.
 func (s *stepState) isAdvised() bool { return s.advice.lane != nil || len(s.advice.asked) > 0 }
 
-// isStillUseful reports whether tickets of a step would do if there were room,
-// so that asking about further workers is not worth a call.
-func (c *Core) isStillUseful(s *stepState) bool {
+// hasEnoughTickets reports whether so many workers may run a step that asking about
+// further ones is not worth a call.
+func (c *Core) hasEnoughTickets(s *stepState) bool {
 	const enough = 4 // usable workers; fewer are too few to wait for
 	return len(s.advice.tickets) >= enough
 }
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -48,7 +48,7 @@
 	notes   string // why it waits, for the log and operators
 	urgent  time.Time
 	retryAt time.Time
-	away    map[string]int // starts that failed, by worker
+	away    map[string]int // runs that failed or waited for their gang in vain, by worker
 }
 
 type taskState struct {
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -284,10 +284,9 @@
 // adopt takes over a run that this owner did not order, or stops it if its task
 // must not run there.
 func (c *Core) adopt(w *worker, report RunReport) {
-	if r, known := w.runs[report.Task]; known {
+	if _, known := w.runs[report.Task]; known {
 		// Another run of the task is on its way here, so that this one is old.
 		c.emit(Stop{Target: w.target(), Task: report.Task, Run: report.Run})
-		_ = r
 		return
 	}
 	r := &run{task: report.Task, number: report.Run, worker: w, state: runRunning, startedAt: c.now, confirmedAt: c.now, adopted: true}
