Ask about further workers while a wide step could not fit on those known

Cause: once four workers may run a step, nothing further was asked. TestWideGangAsksFurther failed before: 49 tickets of 100 workers, room for 245 tasks of 300, and no second call.

Workers that are gone or leave no longer count either.

--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -153,11 +153,25 @@
 // isAdvised reports whether something was asked for a step, or is being asked.
 func (s *stepState) isAdvised() bool { return s.advice.lane != nil || len(s.advice.asked) > 0 }
 
-// hasEnoughTickets reports whether so many workers may run a step that asking about
-// further ones is not worth a call.
+// hasEnoughTickets reports whether the workers that may run a step are enough to
+// wait for, so that asking about further ones is not worth a call: some choice
+// for small steps, and room for every task of a wide one if they were empty.
 func (c *Core) hasEnoughTickets(s *stepState) bool {
-	const enough = 4 // usable workers; fewer are too few to wait for
-	return len(s.advice.tickets) >= enough
+	const choice = 4 // workers; fewer are too few to wait for
+	size, room, known := stepSize(s.spec), 0, 0
+	for id := range s.advice.tickets {
+		w := c.workers[id]
+		if w == nil || !w.listed || w.Draining {
+			continue
+		}
+		fits := fitCount(size, w.Capacity, len(s.tasks))
+		if s.spec.AntiAffinity > 0 {
+			fits = min(fits, s.spec.AntiAffinity)
+		}
+		known++
+		room += fits
+	}
+	return known >= choice && room >= len(s.tasks)
 }
 
 // namesOf names the workers with the most room first: if a call cannot name
