Keep room for gangs until all of it is free

Cause: a gang was placed only if room for all members was free at one moment. Under load small tasks take each piece of room as it becomes free, so that wide gangs never start.

Ruled out: processor time of the owner (the same with --no-cpu), failing workers.

Change: a gang that does not fit plans from the expected ends of runs where and when it fits, and keeps that room; tasks that end before may use it. Tickets are renewed when the room is nearly free, further workers are asked about while it is not.

TestGangAmongSmallTasks and TestBackfill fail without the change.

--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
@@ -124,14 +123,13 @@
 			unknown = append(unknown, w)
 		}
 	}
+	if s.spec.Gang {
+		return c.gangWorkersToName(s, unknown, c.catalog.Queue(s.job.Queue).Advice)
+	}
 	if len(unknown) > 0 && !c.hasEnoughTickets(s) {
 		return c.namesOf(unknown)
 	}
 	options := c.options(s, usable, true)
-	if s.spec.Gang {
-		chosen := c.chooseGang(s, options)
-		return c.claimAndName(s, chosen)
-	}
 	slices.SortFunc(options, func(a, b option) int {
 		if c.prefer(s, &a, &b) {
 			return -1
@@ -178,7 +176,7 @@
 // all, these are the ones that would be chosen.
 func (c *Core) namesOf(list []*worker) []string {
 	slices.SortFunc(list, func(a, b *worker) int {
-		return cmp.Or(-cmp.Compare(a.free(job.StepKey{}).CPUMilli, b.free(job.StepKey{}).CPUMilli), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(-cmp.Compare(a.roomCPU(), b.roomCPU()), cmp.Compare(a.ID, b.ID))
 	})
 	names := make([]string, 0, min(len(list), maxNamed))
 	for _, w := range list[:min(len(list), maxNamed)] {
@@ -187,35 +185,6 @@
 	return names
 }
 
-// claimAndName keeps the room of a gang while its tickets are renewed. Without
-// that, small tasks take the room within the half second that the call lasts.
-func (c *Core) claimAndName(s *stepState, chosen []option) []string {
-	counts := make(map[*worker]int64)
-	for _, o := range chosen {
-		counts[o.worker]++
-	}
-	var names []string
-	for w, n := range counts {
-		w.claim(s.key, stepSize(s.spec).Scale(n))
-		names = append(names, w.ID)
-	}
-	slices.Sort(names)
-	return names
-}
-
-func (c *Core) dropClaims(s *stepState) {
-	for _, w := range c.workers {
-		w.dropClaim(s.key)
-	}
-}
-
-// dropAdvice forgets what was asked for a step that is over.
-func (c *Core) dropAdvice(s *stepState) {
-	if s.spec.Gang {
-		c.dropClaims(s)
-	}
-}
-
 // freeLane returns the lane that can take a call soonest, or nil if none should.
 // Long calls leave some lanes to short ones, which would wait behind them.
 func (c *Core) freeLane(takes time.Duration) *lane {
@@ -282,7 +251,6 @@
 	s.advice.lane = nil
 	if e.Failed {
 		s.advice.retryAt = c.now.Add(adviceRetry)
-		c.dropClaims(s)
 		return
 	}
 	for _, id := range e.Ask.Workers {
@@ -296,26 +264,21 @@
 		}
 	}
 	c.decide(s.key.Job, "advised", "step", s.key.String(), "named", len(e.Ask.Workers), "good", len(e.Tickets), "through", e.Ask.Lane, "valid_ms", e.Valid.Milliseconds())
-	c.placeClaimed(s)
+	if s.reserved != nil && s.hasUnplaced() && !c.stopping {
+		c.placeReserved(s)
+	}
 }
 
-// placeClaimed starts a gang whose tickets were renewed in the room that was
-// kept for it, before anything else can take it.
-func (c *Core) placeClaimed(s *stepState) {
-	if !s.spec.Gang || !s.hasUnplaced() || c.stopping {
-		c.dropClaims(s)
-		return
-	}
-	var claimed []*worker
+// placeReserved starts a gang whose tickets were renewed in the room that is
+// kept for it, before they expire.
+func (c *Core) placeReserved(s *stepState) {
+	var members []*worker
 	for _, w := range c.sortedWorkers() {
-		if _, ok := w.claimed[s.key]; ok && c.isUsable(w) {
-			claimed = append(claimed, w)
+		if _, ok := s.reserved.members[w]; ok && c.isUsable(w) {
+			members = append(members, w)
 		}
 	}
-	if len(claimed) > 0 {
-		c.placeStep(s, claimed)
-	}
-	c.dropClaims(s)
+	c.placeStep(s, members)
 }
 
 // Room returns the capacity of the workers that may get work, and what of it is
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -35,20 +35,21 @@
 
 // stepState is one step of one occurrence that has tasks to do.
 type stepState struct {
-	key     job.StepKey
-	job     *jobState
-	spec    *job.Step
-	tasks   []taskState
-	left    int          // tasks that have not succeeded
-	fails   job.Failures // of a gang
-	ready   bool
-	lastRun int // highest run number of a gang
-	placed  int // runs that were ordered
-	advice  adviceState
-	notes   string // why it waits, for the log and operators
-	urgent  time.Time
-	retryAt time.Time
-	away    map[string]int // runs that failed or waited for their gang in vain, by worker
+	key      job.StepKey
+	job      *jobState
+	spec     *job.Step
+	tasks    []taskState
+	left     int          // tasks that have not succeeded
+	fails    job.Failures // of a gang
+	ready    bool
+	lastRun  int // highest run number of a gang
+	placed   int // runs that were ordered
+	advice   adviceState
+	reserved *reservation // room that is kept for a gang; nil if none
+	notes    string       // why it waits, for the log and operators
+	urgent   time.Time
+	retryAt  time.Time
+	away     map[string]int // runs that failed or waited for their gang in vain, by worker
 }
 
 type taskState struct {
@@ -260,7 +261,7 @@
 
 func (c *Core) stepDone(s *stepState) {
 	j := s.job
-	c.dropAdvice(s)
+	c.dropReservation(s)
 	delete(c.steps, s.key)
 	j.remaining--
 	if j.remaining == 0 {
@@ -305,7 +306,7 @@
 		for i := range j.Steps {
 			key := job.StepKey{Job: j.ID, Occurrence: occurrence, Step: i}
 			if s, open := c.steps[key]; open {
-				c.dropAdvice(s)
+				c.dropReservation(s)
 				delete(c.steps, key)
 			}
 		}
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -69,16 +69,24 @@
 	age := c.now.Sub(s.job.arrived)
 	switch {
 	case s.job.Repeats == 0 && age > lateFactor*s.job.objective:
-		return 3
+		return rankWorthless
 	case s.job.surplus:
-		return 2
+		return rankSurplus
 	case c.now.After(s.urgent.Add(s.job.objective / 2)):
-		return 1
+		return rankLate
 	default:
-		return 0
+		return rankInTime
 	}
 }
 
+// Ranks of steps that wait, the first to be placed first.
+const (
+	rankInTime = iota
+	rankLate
+	rankSurplus   // of a team beyond its rate
+	rankWorthless // too late to be of use
+)
+
 // waitingSteps returns the steps that have tasks to place, most urgent first.
 func (c *Core) waitingSteps() []*stepState {
 	list := make([]rankedStep, 0, len(c.steps))
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -18,35 +18,15 @@
 	return size
 }
 
-// free returns the room that a step may use on a worker.
-func (w *worker) free(key job.StepKey) task.Resources {
-	room := w.Capacity.Sub(w.used)
-	if len(w.claimed) > 0 {
-		room = room.Sub(w.claimTotal).Add(w.claimed[key])
-	}
-	return room
-}
-
-// claim keeps room of a worker for a step.
-func (w *worker) claim(key job.StepKey, size task.Resources) {
-	w.dropClaim(key)
-	w.claimed[key] = size
-	w.claimTotal = w.claimTotal.Add(size)
-}
-
-func (w *worker) dropClaim(key job.StepKey) {
-	if size, ok := w.claimed[key]; ok {
-		delete(w.claimed, key)
-		w.claimTotal = w.claimTotal.Sub(size)
-	}
-}
-
 // isUsable reports whether a worker may get new work at all.
 func (c *Core) isUsable(w *worker) bool {
 	return w.listed && w.rostered && w.fenced && !w.silent && !w.Draining && w.strange == 0 &&
 		!c.now.Before(w.restUntil) && w.probing == nil
 }
 
+// roomCPU returns the processors of a worker that nothing uses.
+func (w *worker) roomCPU() int64 { return w.Capacity.CPUMilli - w.used.CPUMilli }
+
 // suits reports whether a worker could ever run a task of a step.
 func suits(w *worker, s *stepState) bool {
 	if w.Service != s.job.service || !stepSize(s.spec).Fits(w.Capacity) {
@@ -87,20 +67,19 @@
 	var unadvised []*stepState
 	for _, s := range c.waitingSteps() {
 		if s.spec.Gang && s.advice.lane != nil {
-			continue // the answer starts it, in the room that is kept for it
+			continue // the answer may start it, in the room that is kept for it
 		}
 		c.refreshPolicy(s.job)
-		if !stepSize(s.spec).Fits(most) {
+		fits := stepSize(s.spec).Fits(most)
+		if !fits {
 			s.notes = "no_room"
-			if c.needsAdvice(s) && !s.isAdvised() {
-				unadvised = append(unadvised, s)
-			}
+		} else if c.placeStep(s, usable) {
 			continue
 		}
-		if c.placeStep(s, usable) {
-			continue
+		if s.spec.Gang {
+			c.reserve(s, usable)
 		}
-		if c.needsAdvice(s) {
+		if c.needsAdvice(s) && (fits || s.spec.Gang || !s.isAdvised()) {
 			unadvised = append(unadvised, s)
 		}
 	}
@@ -112,7 +91,7 @@
 func largestRoom(usable []*worker) task.Resources {
 	var most task.Resources
 	for _, w := range usable {
-		most = most.Max(w.free(job.StepKey{}))
+		most = most.Max(w.Capacity.Sub(w.used))
 	}
 	return most
 }
@@ -157,7 +136,7 @@
 		if !suits(w, s) {
 			continue
 		}
-		o := option{worker: w, room: fitCount(size, w.free(s.key), len(s.tasks))}
+		o := option{worker: w, room: fitCount(size, w.free(s, c.now), len(s.tasks))}
 		if s.spec.AntiAffinity > 0 {
 			o.room = min(o.room, s.spec.AntiAffinity-s.tasksOn(w))
 		}
@@ -260,7 +239,7 @@
 	if x, y := nearness(s.spec, a.worker), nearness(s.spec, b.worker); x != y {
 		return x > y
 	}
-	if x, y := a.worker.free(s.key).CPUMilli, b.worker.free(s.key).CPUMilli; x != y {
+	if x, y := a.worker.roomCPU(), b.worker.roomCPU(); x != y {
 		return x < y
 	}
 	return a.worker.ID < b.worker.ID
@@ -284,6 +263,7 @@
 		s.notes = waitReason(len(options), 1)
 		return false
 	}
+	c.dropReservation(s)
 	number := c.nextRun(s.lastRun)
 	for i, o := range chosen {
 		c.start(s, i, o.worker, number, o.ticket)
@@ -317,7 +297,7 @@
 			cmp.Compare(s.away[a.worker.ID], s.away[b.worker.ID]),
 			-cmp.Compare(nearness(s.spec, a.worker), nearness(s.spec, b.worker)),
 			-cmp.Compare(a.room, b.room),
-			cmp.Compare(a.worker.free(s.key).CPUMilli, b.worker.free(s.key).CPUMilli),
+			cmp.Compare(a.worker.roomCPU(), b.worker.roomCPU()),
 			cmp.Compare(a.worker.ID, b.worker.ID),
 		)
 	})
--- /dev/null
+++ b/schedule/reserve.go
@@ -0,0 +1,287 @@
+package schedule
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/job"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// reservation keeps room on workers for a gang until all of it is free. It
+// answers a stream of small tasks: without it they take each piece of room as it
+// becomes free, and a gang that needs many pieces at once never starts.
+type reservation struct {
+	members   map[*worker]int // tasks of the gang on each worker
+	ready     time.Time       // when the last of the room should be free
+	plannedAt time.Time
+}
+
+// claim is room of a worker that is kept for a gang.
+type claim struct {
+	size  task.Resources
+	ready time.Time // when the gang should start; tasks that end before may use the room
+}
+
+const (
+	// replanInterval is how long a plan stands while its gang waits. Tasks end at
+	// other times than expected, a few on each worker in a second.
+	replanInterval = 250 * time.Millisecond
+	// maxReservedShare is the part of a service's processors that may be kept for
+	// gangs. What is kept is idle in part, so that the rest has to carry the load.
+	maxReservedShare = 0.5
+	// idleShare is the part of a service's processors below which room is also
+	// kept for gangs that are too late to be worth delaying others.
+	idleShare = 0.5
+	// backfillMargin stretches the estimate of a task that would use room kept for
+	// a gang: declared run times are far off, and a task that is late delays all
+	// members.
+	backfillMargin = 1.5
+	// leastPercent is the progress from which the end of a run is extrapolated.
+	leastPercent = 5
+	// unknownEnd is when a run of unknown length is taken to end.
+	unknownEnd = time.Second
+	// stopEnd is when a run that is being stopped is taken to end.
+	stopEnd = 500 * time.Millisecond
+	// askFurtherAfter is the wait for room that is long enough to ask about workers
+	// that were not named yet; a call takes about as long.
+	askFurtherAfter = time.Second
+	// renewLead is how long before its room is free the tickets of a gang are
+	// renewed, beyond the length of the call.
+	renewLead = 150 * time.Millisecond
+)
+
+// free returns the room that a task of a step may use on a worker if it starts
+// now. Room that is kept for a gang counts only for a task that ends in time.
+func (w *worker) free(s *stepState, now time.Time) task.Resources {
+	room := w.Capacity.Sub(w.used)
+	for key, kept := range w.claims {
+		if key != s.key && !s.endsBefore(kept.ready, now) {
+			room = room.Sub(kept.size)
+		}
+	}
+	return room
+}
+
+// endsBefore reports whether a task of the step that starts now should end by t.
+func (s *stepState) endsBefore(t, now time.Time) bool {
+	if s.spec.LongLived || s.spec.Estimate == 0 {
+		return false
+	}
+	return !now.Add(time.Duration(float64(s.spec.Estimate) * backfillMargin)).After(t)
+}
+
+// reserve plans where and when a gang that does not fit now can start, and keeps
+// the room. It gives up the room when no plan is possible or worth it.
+func (c *Core) reserve(s *stepState, usable []*worker) {
+	if r := s.reserved; r != nil && c.now.Sub(r.plannedAt) < replanInterval && c.allUsable(r) {
+		return
+	}
+	c.dropReservation(s)
+	size := stepSize(s.spec)
+	if c.allowance(s.job.Team, size, len(s.tasks)) < len(s.tasks) || !c.mayReserve(s, usable) {
+		return
+	}
+	slots := c.slots(s, usable)
+	if len(slots) < len(s.tasks) {
+		return
+	}
+	slices.SortFunc(slots, compareSlots)
+	r := &reservation{ready: slots[len(s.tasks)-1].at, plannedAt: c.now, members: chooseSlots(slots, len(s.tasks))}
+	for w, n := range r.members {
+		w.claims[s.key] = claim{size: size.Scale(int64(n)), ready: r.ready}
+	}
+	s.reserved = r
+}
+
+// chooseSlots takes n of the slots that are free when the n-th is, from as few
+// workers as possible. The slots are ordered by time.
+func chooseSlots(slots []slot, n int) map[*worker]int {
+	ready := slots[n-1].at
+	counts := make(map[*worker]int)
+	for _, sl := range slots {
+		if sl.at.After(ready) {
+			break
+		}
+		counts[sl.worker]++
+	}
+	order := slices.SortedFunc(maps.Keys(counts), func(a, b *worker) int {
+		return cmp.Or(-cmp.Compare(counts[a], counts[b]), cmp.Compare(a.ID, b.ID))
+	})
+	members := make(map[*worker]int)
+	for _, w := range order {
+		if n == 0 {
+			break
+		}
+		members[w] = min(n, counts[w])
+		n -= members[w]
+	}
+	return members
+}
+
+// slot is room for one member of a gang.
+type slot struct {
+	worker *worker
+	at     time.Time // when it should be free
+}
+
+func compareSlots(a, b slot) int {
+	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.worker.ID, b.worker.ID))
+}
+
+// slots lists the room for members of a gang on the workers that may run it.
+func (c *Core) slots(s *stepState, usable []*worker) []slot {
+	size, advised := stepSize(s.spec), c.needsAdvice(s)
+	var out []slot
+	for _, w := range usable {
+		if !suits(w, s) || c.isFailing(w) {
+			continue
+		}
+		if _, ok := s.advice.ticket(w, c.now, true); advised && !ok {
+			continue
+		}
+		most := len(s.tasks)
+		if s.spec.AntiAffinity > 0 {
+			most = min(most, s.spec.AntiAffinity)
+		}
+		out = c.appendSlots(out, w, s, size, most)
+	}
+	return out
+}
+
+// appendSlots adds the slots of one worker: those that are free now, then those
+// that become free as its runs end.
+func (c *Core) appendSlots(out []slot, w *worker, s *stepState, size task.Resources, most int) []slot {
+	room := w.free(s, c.now)
+	n := fitCount(size, room, most)
+	for range n {
+		out = append(out, slot{w, c.now})
+	}
+	if n == most {
+		return out
+	}
+	for _, e := range c.endsOn(w) {
+		room = room.Add(e.size)
+		for fits := fitCount(size, room, most); n < fits; n++ {
+			out = append(out, slot{w, e.at})
+		}
+	}
+	return out
+}
+
+// expectedEnd is when a run should end and what it gives back.
+type expectedEnd struct {
+	at   time.Time
+	size task.Resources
+}
+
+func (c *Core) endsOn(w *worker) []expectedEnd {
+	ends := make([]expectedEnd, 0, len(w.runs))
+	for _, r := range w.runs {
+		if at, ok := c.expectEnd(r); ok {
+			ends = append(ends, expectedEnd{at, r.size})
+		}
+	}
+	slices.SortFunc(ends, func(a, b expectedEnd) int { return a.at.Compare(b.at) })
+	return ends
+}
+
+// expectEnd extrapolates the end of a run from its progress, or else from the
+// caller's estimate. A long-lived run has no end.
+func (c *Core) expectEnd(r *run) (time.Time, bool) {
+	if r.state == runStopping {
+		return c.now.Add(stopEnd), true
+	}
+	if r.step == nil {
+		return c.now.Add(unknownEnd), true
+	}
+	if r.step.spec.LongLived {
+		return time.Time{}, false
+	}
+	rest := r.step.spec.Estimate - c.now.Sub(r.startedAt)
+	if worked := r.advancedAt.Sub(r.startedAt); r.percent >= leastPercent && !r.adopted {
+		whole := worked * 100 / time.Duration(r.percent)
+		rest = whole - c.now.Sub(r.startedAt)
+	}
+	return c.now.Add(max(rest, 0)), true
+}
+
+// mayReserve reports whether room may be kept for a gang: only a part of the
+// service at a time, and for gangs that nobody waits for any more only on a
+// service that has room to spare.
+func (c *Core) mayReserve(s *stepState, usable []*worker) bool {
+	var capacity, used, kept int64
+	for _, w := range usable {
+		if w.Service != s.job.service {
+			continue
+		}
+		capacity += w.Capacity.CPUMilli
+		used += w.used.CPUMilli
+		for _, k := range w.claims {
+			kept += k.size.CPUMilli
+		}
+	}
+	if c.rank(s) >= rankSurplus && float64(used) > idleShare*float64(capacity) {
+		return false
+	}
+	need := stepSize(s.spec).CPUMilli * int64(len(s.tasks))
+	return kept == 0 || float64(kept+need) <= maxReservedShare*float64(capacity)
+}
+
+func (c *Core) allUsable(r *reservation) bool {
+	for w := range r.members {
+		if !c.isUsable(w) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) dropReservation(s *stepState) {
+	if s.reserved == nil {
+		return
+	}
+	for w := range s.reserved.members {
+		delete(w.claims, s.key)
+	}
+	s.reserved = nil
+}
+
+// gangWorkersToName returns the workers about which a call is worth its time for
+// a gang: those on which room is kept once it is nearly free, or further ones
+// while the known ones have no room for long.
+func (c *Core) gangWorkersToName(s *stepState, unknown []*worker, policy *job.AdvicePolicy) []string {
+	r := s.reserved
+	if r == nil {
+		return c.namesOf(unknown)
+	}
+	wait := r.ready.Sub(c.now)
+	takes := policy.Base + time.Duration(len(r.members))*policy.PerWorker
+	if wait <= takes+renewLead && len(r.members) <= maxNamed {
+		return c.expiringTickets(s, c.now.Add(max(wait, 0)))
+	}
+	if wait > askFurtherAfter {
+		return c.namesOf(unknown)
+	}
+	return nil
+}
+
+// expiringTickets returns the reserved workers of a gang if a ticket of one of
+// them is not valid at t. All are named, so that the tickets last together.
+func (c *Core) expiringTickets(s *stepState, t time.Time) []string {
+	expiring := false
+	names := make([]string, 0, len(s.reserved.members))
+	for w := range s.reserved.members {
+		names = append(names, w.ID)
+		if _, valid := s.advice.ticket(w, t, false); !valid {
+			expiring = true
+		}
+	}
+	if !expiring {
+		return nil
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/schedule/reserve_test.go
@@ -0,0 +1,94 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/job"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// smallTasks hands in two small tasks at a time, so that they use about four
+// fifths of eight workers, for as long as given.
+func (s *simulation) smallTasks(queue string, lasting time.Duration) {
+	const every = 25 * time.Millisecond
+	for i := range int(lasting / every) {
+		s.pendingJobs++
+		s.after(time.Duration(i)*every, func() {
+			s.submit(&job.Job{ID: job.ID(fmt.Sprintf("%016x", 0xb000+i)), Queue: queue, Team: "blue", Spec: "work", Steps: []job.Step{{
+				Count: 2, Size: task.Resources{CPUMilli: 4_000, MemoryMB: 100}, Estimate: 500 * time.Millisecond,
+			}}})
+		})
+	}
+}
+
+// hasStarted reports whether every task of a job has started by now.
+func (s *simulation) hasStarted(id job.ID, tasks int) bool {
+	for i := range tasks {
+		if len(s.starts[job.TaskKey{StepKey: job.StepKey{Job: id}, Index: i}]) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// TestGangAmongSmallTasks guards against a gang that never starts because a
+// stream of small tasks takes each piece of room as it becomes free, with and
+// without advice, whose tickets expire while the gang waits.
+func TestGangAmongSmallTasks(t *testing.T) {
+	for _, queue := range []string{"plain", "advised"} {
+		t.Run(queue, func(t *testing.T) {
+			const (
+				stream = 20 * time.Second
+				wait   = 5 * time.Second // within which the gang is in time: its chain stretched by 2, and 1 s
+			)
+			s := newSimulation(t, 3, 8)
+			s.run(time.Second)
+			s.smallTasks(queue, stream)
+			s.run(3 * time.Second)
+			const id = "00000000000000a0"
+			s.submit(&job.Job{ID: id, Queue: queue, Team: "blue", Spec: "work", Steps: []job.Step{{
+				Count: 4, Gang: true, Size: task.Resources{CPUMilli: 28_000, MemoryMB: 100}, Estimate: 4 * time.Second,
+			}}})
+			s.run(wait)
+			if !s.hasStarted(id, 4) {
+				t.Errorf("the gang waits after %s: %s", wait, s.core.describe(id))
+			}
+			s.finish(stream)
+		})
+	}
+}
+
+// TestBackfill guards against room that stays idle while it is kept for a gang:
+// tasks that end before the gang can start use it.
+func TestBackfill(t *testing.T) {
+	s := newSimulation(t, 4, 1)
+	s.run(time.Second)
+	long := &job.Job{ID: "00000000000000c0", Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{{
+		Count: 1, Size: task.Resources{CPUMilli: 16_000}, Estimate: 6 * time.Second,
+	}}}
+	gang := &job.Job{ID: "00000000000000c1", Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{{
+		Count: 2, Gang: true, Size: task.Resources{CPUMilli: 16_000}, Estimate: time.Second,
+	}}}
+	short := &job.Job{ID: "00000000000000c2", Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{{
+		Count: 1, Size: task.Resources{CPUMilli: 8_000}, Estimate: time.Second,
+	}}}
+	tooLong := &job.Job{ID: "00000000000000c3", Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{{
+		Count: 1, Size: task.Resources{CPUMilli: 8_000}, Estimate: 10 * time.Second,
+	}}}
+	for _, j := range []*job.Job{long, gang, short, tooLong} {
+		s.submit(j)
+		s.run(300 * time.Millisecond)
+	}
+	if !s.hasStarted(long.ID, 1) || s.hasStarted(gang.ID, 1) {
+		t.Fatal("the gang should wait for the long task")
+	}
+	if !s.hasStarted(short.ID, 1) {
+		t.Error("a task that ends in time does not use the room that is kept")
+	}
+	if s.hasStarted(tooLong.ID, 1) {
+		t.Error("a task that ends too late uses the room that is kept")
+	}
+	s.finish(40 * time.Second)
+}
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -12,16 +12,15 @@
 // worker is one worker as this owner knows it.
 type worker struct {
 	Worker
-	listed     bool // in the latest directory
-	rostered   bool // the recorded roster names it, so that a new owner asks it what it runs
-	fenced     bool // this life has answered a hold of this owner
-	silent     bool // it does not answer
-	misses     int  // reports in a row that did not come
-	runs       map[job.TaskKey]*run
-	used       task.Resources
-	claimed    map[job.StepKey]task.Resources // room kept for gangs that ask for advice
-	claimTotal task.Resources
-	strange    int // runs of unknown size that are being stopped
+	listed   bool // in the latest directory
+	rostered bool // the recorded roster names it, so that a new owner asks it what it runs
+	fenced   bool // this life has answered a hold of this owner
+	silent   bool // it does not answer
+	misses   int  // reports in a row that did not come
+	runs     map[job.TaskKey]*run
+	used     task.Resources
+	claims   map[job.StepKey]claim // room kept for gangs
+	strange  int                   // runs of unknown size that are being stopped
 
 	clock      time.Duration // last reading of the worker's clock
 	clockAt    time.Time     // when the reading arrived
@@ -53,7 +52,7 @@
 	for _, entry := range listed {
 		w, known := c.workers[entry.ID]
 		if !known {
-			w = &worker{runs: make(map[job.TaskKey]*run), claimed: make(map[job.StepKey]task.Resources)}
+			w = &worker{runs: make(map[job.TaskKey]*run), claims: make(map[job.StepKey]claim)}
 			c.workers[entry.ID] = w
 			c.ordered = nil
 			c.rosterDue = true
