Keep the plan of a gang while it is nearly as good

Cause: every plan took the earliest room, so that it moved to other workers four times a second; the renewed tickets were of workers that the next plan left. A run past its estimate counted as about to end.

--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -45,6 +45,12 @@
 	unknownEnd = time.Second
 	// stopEnd is when a run that is being stopped is taken to end.
 	stopEnd = 500 * time.Millisecond
+	// worthMoving is how much earlier another plan has to be to replace one whose
+	// tickets may be renewed already; a renewal takes about as long.
+	worthMoving = 700 * time.Millisecond
+	// overrun is the part of its time so far that a run past its estimate is
+	// expected to take on top.
+	overrun = 0.25
 	// askFurtherAfter is the wait for room that is long enough to ask about workers
 	// that were not named yet; a call takes about as long.
 	askFurtherAfter = time.Second
@@ -79,6 +85,7 @@
 	if r := s.reserved; r != nil && c.now.Sub(r.plannedAt) < replanInterval && c.allUsable(r) {
 		return
 	}
+	former := s.reserved
 	c.dropReservation(s)
 	size := stepSize(s.spec)
 	if c.allowance(s.job.Team, size, len(s.tasks)) < len(s.tasks) || !c.mayReserve(s, usable) {
@@ -90,12 +97,36 @@
 	}
 	slices.SortFunc(slots, compareSlots)
 	r := &reservation{ready: slots[len(s.tasks)-1].at, plannedAt: c.now, members: chooseSlots(slots, len(s.tasks))}
+	if ready, ok := former.readyWith(slots); ok && ready.Sub(r.ready) < worthMoving {
+		r.members, r.ready = former.members, ready
+	}
 	for w, n := range r.members {
 		w.claims[s.key] = claim{size: size.Scale(int64(n)), ready: r.ready}
 	}
 	s.reserved = r
 }
 
+// readyWith returns when the members of an earlier plan have their room, by the
+// slots as they are now.
+func (r *reservation) readyWith(slots []slot) (ready time.Time, ok bool) {
+	if r == nil {
+		return ready, false
+	}
+	missing := maps.Clone(r.members)
+	for _, sl := range slots {
+		if missing[sl.worker] > 0 {
+			missing[sl.worker]--
+			ready = sl.at
+		}
+	}
+	for _, n := range missing {
+		if n > 0 {
+			return ready, false
+		}
+	}
+	return ready, true
+}
+
 // chooseSlots takes n of the slots that are free when the n-th is, from as few
 // workers as possible. The slots are ordered by time.
 func chooseSlots(slots []slot, n int) map[*worker]int {
@@ -200,10 +231,10 @@
 	if r.step.spec.LongLived {
 		return time.Time{}, false
 	}
-	rest := r.step.spec.Estimate - c.now.Sub(r.startedAt)
+	elapsed := c.now.Sub(r.startedAt)
+	rest := max(r.step.spec.Estimate-elapsed, time.Duration(overrun*float64(elapsed)))
 	if worked := r.advancedAt.Sub(r.startedAt); r.percent >= leastPercent && !r.adopted {
-		whole := worked * 100 / time.Duration(r.percent)
-		rest = whole - c.now.Sub(r.startedAt)
+		rest = worked*100/time.Duration(r.percent) - elapsed
 	}
 	return c.now.Add(max(rest, 0)), true
 }
