Foresee the ends of runs better; name as many workers as a gang needs

Cause: room was planned as free too early, so that tickets were renewed in vain (four times and more for a gang) and advice lanes were taken by calls of 100 workers.

Change: members of a gang are expected to end together, a task uses kept room only if three times its declared time is left, a call names as many workers as the gang needs times a choice, further ones are asked about only while lanes are spare. Why a gang waits is logged.

--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -127,7 +127,7 @@
 		return c.gangWorkersToName(s, unknown, c.catalog.Queue(s.job.Queue).Advice)
 	}
 	if len(unknown) > 0 && !c.hasEnoughTickets(s) {
-		return c.namesOf(unknown)
+		return c.namesOf(unknown, maxNamed)
 	}
 	options := c.options(s, usable, true)
 	slices.SortFunc(options, func(a, b option) int {
@@ -172,14 +172,15 @@
 	return known >= choice && room >= len(s.tasks)
 }
 
-// namesOf names the workers with the most room first: if a call cannot name
-// all, these are the ones that would be chosen.
-func (c *Core) namesOf(list []*worker) []string {
+// namesOf names at most so many workers, those with the most room first: if a
+// call cannot name all, these are the ones that would be chosen.
+func (c *Core) namesOf(list []*worker, most int) []string {
 	slices.SortFunc(list, func(a, b *worker) int {
 		return cmp.Or(-cmp.Compare(a.roomCPU(), b.roomCPU()), cmp.Compare(a.ID, b.ID))
 	})
-	names := make([]string, 0, min(len(list), maxNamed))
-	for _, w := range list[:min(len(list), maxNamed)] {
+	most = min(len(list), most, maxNamed)
+	names := make([]string, 0, most)
+	for _, w := range list[:most] {
 		names = append(names, w.ID)
 	}
 	return names
@@ -207,6 +208,39 @@
 	return best
 }
 
+// busyLanesShare returns the part of the lanes that has a call under way.
+func (c *Core) busyLanesShare() float64 {
+	busy := 0
+	for _, l := range c.lanes {
+		busy += min(l.inFlight, 1)
+	}
+	return float64(busy) / float64(max(1, len(c.lanes)))
+}
+
+const (
+	// firstGoodShare is taken before the first answer for a queue.
+	firstGoodShare = 0.4
+	// goodShareWeight is that of one answer: some twenty count.
+	goodShareWeight = 0.05
+	// leastGoodShare bounds what a row of bad answers makes of it.
+	leastGoodShare = 0.1
+)
+
+// goodShare returns the part of the named workers that may run a step of a queue,
+// as the answers so far tell.
+func (c *Core) goodShare(queue string) float64 {
+	if share, known := c.good[queue]; known {
+		return max(leastGoodShare, share)
+	}
+	return firstGoodShare
+}
+
+// observeGood takes in the answer about workers that were not named before.
+func (c *Core) observeGood(queue string, named, good int) {
+	share := c.goodShare(queue)
+	c.good[queue] = share + goodShareWeight*(float64(good)/float64(named)-share)
+}
+
 func (c *Core) laneTakes(l *lane, isLong bool) bool {
 	if c.now.Sub(l.seenAt) > laneSilence {
 		return false
@@ -253,6 +287,7 @@
 		s.advice.retryAt = c.now.Add(adviceRetry)
 		return
 	}
+	first := len(s.advice.asked) == 0
 	for _, id := range e.Ask.Workers {
 		w := c.workers[id]
 		if w == nil {
@@ -263,6 +298,9 @@
 			s.advice.tickets[id] = ticket{text: text, born: w.Born, till: c.now.Add(e.Valid)}
 		}
 	}
+	if first {
+		c.observeGood(s.job.Queue, len(e.Ask.Workers), len(e.Tickets))
+	}
 	c.decide(s.key.Job, "advised", "step", s.key.String(), "named", len(e.Ask.Workers), "good", len(e.Tickets), "through", e.Ask.Lane, "valid_ms", e.Valid.Milliseconds())
 	if s.reserved != nil && s.hasUnplaced() && !c.stopping {
 		c.placeReserved(s)
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -62,6 +62,7 @@
 	workers      map[string]*worker
 	ordered      []*worker // workers by ID; nil when it has to be made anew
 	lanes        map[string]*lane
+	good         map[string]float64   // part of the named workers that may run a step, by queue
 	gangsAdopted bool                 // members of gangs were taken over, perhaps not all
 	unresolved   map[string]time.Time // workers that a former owner may have left work on; until when
 
@@ -96,6 +97,7 @@
 		usage:      make(map[string]*teamUsage),
 		workers:    make(map[string]*worker),
 		lanes:      make(map[string]*lane),
+		good:       make(map[string]float64),
 		unresolved: make(map[string]time.Time),
 	}
 	// A former owner renews leases until the first worker refuses its orders,
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -36,9 +37,9 @@
 	// kept for gangs that are too late to be worth delaying others.
 	idleShare = 0.5
 	// backfillMargin stretches the estimate of a task that would use room kept for
-	// a gang: declared run times are far off, and a task that is late delays all
-	// members.
-	backfillMargin = 1.5
+	// a gang: one task in twenty takes three times the declared time, and a task
+	// that is late delays all members.
+	backfillMargin = 3
 	// leastPercent is the progress from which the end of a run is extrapolated.
 	leastPercent = 5
 	// unknownEnd is when a run of unknown length is taken to end.
@@ -54,6 +55,12 @@
 	// askFurtherAfter is the wait for room that is long enough to ask about workers
 	// that were not named yet; a call takes about as long.
 	askFurtherAfter = time.Second
+	// choiceFactor is how many times the workers that a gang needs should be known
+	// to choose from: at usual load a third of them has room soon.
+	choiceFactor = 8
+	// spareLanes is the part of the lanes in use below which further workers are
+	// asked about although those known will do.
+	spareLanes = 0.5
 	// renewLead is how long before its room is free the tickets of a gang are
 	// renewed, beyond the length of the call.
 	renewLead = 150 * time.Millisecond
@@ -88,11 +95,17 @@
 	former := s.reserved
 	c.dropReservation(s)
 	size := stepSize(s.spec)
-	if c.allowance(s.job.Team, size, len(s.tasks)) < len(s.tasks) || !c.mayReserve(s, usable) {
+	if c.allowance(s.job.Team, size, len(s.tasks)) < len(s.tasks) {
+		c.waits(s, "team_limit")
+		return
+	}
+	if !c.mayReserve(s, usable) {
+		c.waits(s, "reserved_share")
 		return
 	}
 	slots := c.slots(s, usable)
 	if len(slots) < len(s.tasks) {
+		c.waits(s, "few_workers", "slots", len(slots))
 		return
 	}
 	slices.SortFunc(slots, compareSlots)
@@ -104,6 +117,20 @@
 		w.claims[s.key] = claim{size: size.Scale(int64(n)), ready: r.ready}
 	}
 	s.reserved = r
+	c.waits(s, "reserved", "workers", len(r.members), "ready_ms", r.ready.Sub(c.now).Milliseconds())
+}
+
+// waitsInterval separates the lines on why a gang waits.
+const waitsInterval = time.Second
+
+// waits notes why a gang waits, for the log.
+func (c *Core) waits(s *stepState, why string, fields ...any) {
+	if c.now.Sub(s.notedAt) < waitsInterval {
+		return
+	}
+	s.notes, s.notedAt = why, c.now
+	c.decide(s.key.Job, "waits", append([]any{"step", s.key.String(), "why", why, "tasks", len(s.tasks), "rank", c.rank(s),
+		"slack_ms", s.urgent.Sub(c.now).Milliseconds()}, fields...)...)
 }
 
 // readyWith returns when the members of an earlier plan have their room, by the
@@ -231,12 +258,26 @@
 	if r.step.spec.LongLived {
 		return time.Time{}, false
 	}
+	if !r.step.spec.Gang {
+		return c.now.Add(max(0, c.restOf(r))), true
+	}
+	// The members of a gang end together.
+	rest := time.Duration(0)
+	for i := range r.step.tasks {
+		if member := r.step.tasks[i].run; member != nil {
+			rest = max(rest, c.restOf(member))
+		}
+	}
+	return c.now.Add(rest), true
+}
+
+// restOf returns how much longer a run should take, by itself.
+func (c *Core) restOf(r *run) time.Duration {
 	elapsed := c.now.Sub(r.startedAt)
-	rest := max(r.step.spec.Estimate-elapsed, time.Duration(overrun*float64(elapsed)))
 	if worked := r.advancedAt.Sub(r.startedAt); r.percent >= leastPercent && !r.adopted {
-		rest = worked*100/time.Duration(r.percent) - elapsed
+		return worked*100/time.Duration(r.percent) - elapsed
 	}
-	return c.now.Add(max(rest, 0)), true
+	return max(r.step.spec.Estimate-elapsed, time.Duration(overrun*float64(elapsed)))
 }
 
 // mayReserve reports whether room may be kept for a gang: only a part of the
@@ -286,19 +327,35 @@
 func (c *Core) gangWorkersToName(s *stepState, unknown []*worker, policy *job.AdvicePolicy) []string {
 	r := s.reserved
 	if r == nil {
-		return c.namesOf(unknown)
+		return c.namesOf(unknown, c.worthNaming(s))
 	}
 	wait := r.ready.Sub(c.now)
 	takes := policy.Base + time.Duration(len(r.members))*policy.PerWorker
 	if wait <= takes+renewLead && len(r.members) <= maxNamed {
 		return c.expiringTickets(s, c.now.Add(max(wait, 0)))
 	}
-	if wait > askFurtherAfter {
-		return c.namesOf(unknown)
+	if wait > askFurtherAfter && c.busyLanesShare() < spareLanes {
+		return c.namesOf(unknown, c.worthNaming(s))
 	}
 	return nil
 }
 
+// worthNaming returns how many workers a call for a gang should name: several
+// times as many as the gang needs if they were empty. A call takes longer for
+// each worker, and the service answers one call of an instance at a time.
+func (c *Core) worthNaming(s *stepState) int {
+	size := stepSize(s.spec)
+	perWorker := 1
+	for _, w := range c.sortedWorkers() {
+		perWorker = max(perWorker, fitCount(size, w.Capacity, len(s.tasks)))
+	}
+	if s.spec.AntiAffinity > 0 {
+		perWorker = min(perWorker, s.spec.AntiAffinity)
+	}
+	needed := float64(len(s.tasks)) / float64(perWorker)
+	return min(maxNamed, int(math.Ceil(needed*choiceFactor/c.goodShare(s.job.Queue))))
+}
+
 // expiringTickets returns the reserved workers of a gang if a ticket of one of
 // them is not valid at t. All are named, so that the tickets last together.
 func (c *Core) expiringTickets(s *stepState, t time.Time) []string {
