--- a/schedule/order.go
+++ b/schedule/order.go
@@ -58,6 +58,10 @@
 	return rest[from]
 }
 
+// priorityLead is how much later a step of the next less urgent queue counts. A
+// gang that is late already does not delay tasks of seconds that can be in time.
+const priorityLead = 4 * time.Second
+
 // lateFactor is how many objectives a job may take before it is worth nothing.
 const lateFactor = 3
 
@@ -92,7 +96,7 @@
 	list := make([]rankedStep, 0, len(c.steps))
 	for _, s := range c.steps {
 		if s.ready && s.hasUnplaced() && !c.now.Before(s.retryAt) && !c.isHeldBack(s) {
-			list = append(list, rankedStep{s, c.rank(s), s.urgent.UnixNano()})
+			list = append(list, rankedStep{s, c.rank(s), s.urgent.Add(time.Duration(s.job.priority) * priorityLead).UnixNano()})
 		}
 	}
 	slices.SortFunc(list, compareRanked)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -106,7 +106,8 @@
 type option struct {
 	worker *worker
 	ticket string
-	room   int // tasks of the step that fit
+	room   int  // tasks of the step that fit
+	kept   bool // the room is kept for a gang of a less urgent queue
 }
 
 // placeStep starts what it can of a step and reports whether nothing is left.
@@ -137,6 +138,10 @@
 			continue
 		}
 		o := option{worker: w, room: fitCount(size, w.free(s, c.now), len(s.tasks))}
+		if o.room == 0 && len(w.claims) > 0 {
+			o.room = fitCount(size, w.freeFirst(s, c.now), len(s.tasks))
+			o.kept = true
+		}
 		if s.spec.AntiAffinity > 0 {
 			o.room = min(o.room, s.spec.AntiAffinity-s.tasksOn(w))
 		}
@@ -228,7 +233,8 @@
 }
 
 // prefer reports whether a step does better on a than on b: on a worker where
-// it has not failed, near its data, then on the fullest one.
+// it has not failed, in room that is not kept for others, near its data, then on
+// the fullest one.
 func (c *Core) prefer(s *stepState, a, b *option) bool {
 	if x, y := s.away[a.worker.ID], s.away[b.worker.ID]; x != y {
 		return x < y
@@ -236,6 +242,9 @@
 	if x, y := c.isFailing(a.worker), c.isFailing(b.worker); x != y {
 		return y
 	}
+	if a.kept != b.kept {
+		return b.kept
+	}
 	if x, y := nearness(s.spec, a.worker), nearness(s.spec, b.worker); x != y {
 		return x > y
 	}
@@ -295,6 +304,7 @@
 	slices.SortFunc(options, func(a, b option) int {
 		return cmp.Or(
 			cmp.Compare(s.away[a.worker.ID], s.away[b.worker.ID]),
+			boolOrder(a.kept)-boolOrder(b.kept),
 			-cmp.Compare(nearness(s.spec, a.worker), nearness(s.spec, b.worker)),
 			-cmp.Compare(a.room, b.room),
 			cmp.Compare(a.worker.roomCPU(), b.worker.roomCPU()),
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -22,8 +22,9 @@
 
 // claim is room of a worker that is kept for a gang.
 type claim struct {
-	size  task.Resources
-	ready time.Time // when the gang should start; tasks that end before may use the room
+	size     task.Resources
+	ready    time.Time // when the gang should start; tasks that end before may use the room
+	priority int       // of the gang's queue
 }
 
 const (
@@ -78,6 +79,18 @@
 	return room
 }
 
+// freeFirst is free for a step that comes before gangs of less urgent queues and
+// takes room that is kept for them.
+func (w *worker) freeFirst(s *stepState, now time.Time) task.Resources {
+	room := w.Capacity.Sub(w.used)
+	for key, kept := range w.claims {
+		if key != s.key && kept.priority <= s.job.priority && !s.endsBefore(kept.ready, now) {
+			room = room.Sub(kept.size)
+		}
+	}
+	return room
+}
+
 // endsBefore reports whether a task of the step that starts now should end by t.
 func (s *stepState) endsBefore(t, now time.Time) bool {
 	if s.spec.LongLived || s.spec.Estimate == 0 {
@@ -114,7 +127,7 @@
 		r.members, r.ready = former.members, ready
 	}
 	for w, n := range r.members {
-		w.claims[s.key] = claim{size: size.Scale(int64(n)), ready: r.ready}
+		w.claims[s.key] = claim{size: size.Scale(int64(n)), ready: r.ready, priority: s.job.priority}
 	}
 	s.reserved = r
 	c.waits(s, "reserved", "workers", len(r.members), "ready_ms", r.ready.Sub(c.now).Milliseconds())
