Keep room for fewer gangs at a time; make passes over a backlog cheaper

With processor time a pass took 50 to 150 ms, so that there were four a second.

Change: a quarter of the cores is kept at most; while lanes are scarce tickets are renewed only when the room is there; a call names four times what a gang needs. At most eight plans a pass, ends of runs sorted once a pass, lanes and sums kept. A line every 2 s says what the owner has.

--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -78,6 +78,7 @@
 	if !known {
 		l = &lane{name: name}
 		c.lanes[name] = l
+		c.laneOrder = nil
 		c.passDue = true
 	}
 	l.seenAt = c.now
@@ -87,6 +88,7 @@
 	for name, l := range c.lanes {
 		if c.now.Sub(l.seenAt) > laneSilence && l.inFlight == 0 {
 			delete(c.lanes, name)
+			c.laneOrder = nil
 		}
 	}
 }
@@ -94,6 +96,9 @@
 // seekAdvice asks for the steps that have no usable ticket, in their order, as
 // far as lanes are free.
 func (c *Core) seekAdvice(steps []*stepState, usable []*worker) {
+	if c.freeLane(0) == nil {
+		return
+	}
 	for _, s := range steps {
 		if s.advice.lane != nil || c.now.Before(s.advice.retryAt) {
 			continue
@@ -117,17 +122,13 @@
 // about which nothing is known yet, or else those that would be chosen if their
 // tickets had not expired.
 func (c *Core) workersToName(s *stepState, usable []*worker) []string {
-	var unknown []*worker
-	for _, w := range usable {
-		if born, asked := s.advice.asked[w.ID]; suits(w, s) && (!asked || born != w.Born) {
-			unknown = append(unknown, w)
-		}
-	}
 	if s.spec.Gang {
-		return c.gangWorkersToName(s, unknown, c.catalog.Queue(s.job.Queue).Advice)
+		return c.gangWorkersToName(s, usable, c.catalog.Queue(s.job.Queue).Advice)
 	}
-	if len(unknown) > 0 && !c.hasEnoughTickets(s) {
-		return c.namesOf(unknown, maxNamed)
+	if !c.hasEnoughTickets(s) {
+		if unknown := s.unknown(usable); len(unknown) > 0 {
+			return c.namesOf(unknown, maxNamed)
+		}
 	}
 	options := c.options(s, usable, true)
 	slices.SortFunc(options, func(a, b option) int {
@@ -148,6 +149,17 @@
 	return names
 }
 
+// unknown returns the workers that suit a step and about which nothing was asked.
+func (s *stepState) unknown(usable []*worker) []*worker {
+	var unknown []*worker
+	for _, w := range usable {
+		if born, asked := s.advice.asked[w.ID]; (!asked || born != w.Born) && suits(w, s) {
+			unknown = append(unknown, w)
+		}
+	}
+	return unknown
+}
+
 // isAdvised reports whether something was asked for a step, or is being asked.
 func (s *stepState) isAdvised() bool { return s.advice.lane != nil || len(s.advice.asked) > 0 }
 
@@ -192,8 +204,7 @@
 	isLong := takes >= longCall
 	long := 0
 	var best *lane
-	for _, name := range slices.Sorted(maps.Keys(c.lanes)) {
-		l := c.lanes[name]
+	for _, l := range c.sortedLanes() {
 		long += min(l.long, 1)
 		if !c.laneTakes(l, isLong) {
 			continue
@@ -241,6 +252,16 @@
 	c.good[queue] = share + goodShareWeight*(float64(good)/float64(named)-share)
 }
 
+// sortedLanes returns the lanes by name.
+func (c *Core) sortedLanes() []*lane {
+	if c.laneOrder == nil {
+		for _, name := range slices.Sorted(maps.Keys(c.lanes)) {
+			c.laneOrder = append(c.laneOrder, c.lanes[name])
+		}
+	}
+	return c.laneOrder
+}
+
 func (c *Core) laneTakes(l *lane, isLong bool) bool {
 	if c.now.Sub(l.seenAt) > laneSilence {
 		return false
--- /dev/null
+++ b/schedule/bench_grown_test.go
@@ -0,0 +1,120 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/job"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// BenchmarkPassOverFullFleet measures a pass over a backlog that was advised, on
+// 350 workers that are full of runs: the state of an owner in a burst on a grown
+// deployment. A pass that takes longer than some milliseconds leaves room unused.
+func BenchmarkPassOverFullFleet(b *testing.B) {
+	for _, jobs := range []int{100, 400} {
+		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
+			c, now := fullFleet(jobs)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(replanInterval)
+				c.Begin(now, now)
+				freeLanes(c)
+				c.passDue, c.lastPass = true, time.Time{}
+				c.Finish()
+			}
+		})
+	}
+}
+
+func fullFleet(jobs int) (*Core, time.Time) {
+	c, now := backlog(0)
+	var workers []Worker
+	for i := range 350 {
+		workers = append(workers, Worker{ID: fmt.Sprintf("x%03d", i), Born: 1, Address: "a", Service: "s", Rack: fmt.Sprint("r", i/20), Capacity: task.Resources{CPUMilli: 32000, MemoryMB: 128 << 10}})
+	}
+	c.Directory(workers)
+	running := &job.Job{ID: "00000000000f0000", Queue: "open", Team: "t0", Steps: []job.Step{{Count: 350 * 8, Size: task.Resources{CPUMilli: 3700, MemoryMB: 12000}, Estimate: 3 * time.Second}}}
+	c.Accept(running)
+	s := c.steps[job.StepKey{Job: running.ID}]
+	for i, w := range c.sortedWorkers() {
+		w.fenced, w.rostered = true, true
+		if !w.listed {
+			continue
+		}
+		for k := range 8 - i%10/9 { // a tenth of the workers has room for one task
+			c.start(s, i%350*8+k, w, 1, "")
+		}
+	}
+	for i := range jobs {
+		j := &job.Job{ID: job.ID(fmt.Sprintf("%016x", i)), Queue: "gangs", Team: fmt.Sprint("t", i%20)}
+		j.Steps = []job.Step{{Count: 25, Size: task.Resources{CPUMilli: 3500, MemoryMB: 13000}, Estimate: 2 * time.Second}}
+		if i%4 == 0 {
+			j.Steps[0] = job.Step{Count: 20, Gang: true, Size: task.Resources{CPUMilli: 9000, MemoryMB: 18000}, Estimate: 4 * time.Second}
+		}
+		c.Accept(j)
+		advise(c, c.steps[job.StepKey{Job: j.ID}], i)
+	}
+	for i := range 35 {
+		c.SeeLane(fmt.Sprint("x", i))
+	}
+	c.effects = nil
+	return c, now
+}
+
+// freeLanes ends the calls for advice that are under way without an answer.
+func freeLanes(c *Core) {
+	for _, l := range c.lanes {
+		l.inFlight, l.long, l.seenAt = 0, 0, c.now
+	}
+	for _, s := range c.steps {
+		s.advice.lane = nil
+	}
+}
+
+// advise gives a step tickets for every third worker.
+func advise(c *Core, s *stepState, offset int) {
+	s.advice.asked, s.advice.tickets = make(map[string]int64), make(map[string]ticket)
+	for i, w := range c.sortedWorkers() {
+		s.advice.asked[w.ID] = w.Born
+		if (i+offset)%3 == 0 {
+			s.advice.tickets[w.ID] = ticket{text: "x", born: w.Born, till: c.now.Add(time.Second)}
+		}
+	}
+}
+
+// BenchmarkTickFullFleet measures what time alone costs the owner of 350 workers
+// with some 2,800 runs, a hundred times a second.
+func BenchmarkTickFullFleet(b *testing.B) {
+	c, now := fullFleet(400)
+	for _, w := range c.workers {
+		w.holding = true
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		c.Begin(now, now)
+		c.lastPass, c.summedAt = now, now
+		c.Tick()
+		c.effects = c.effects[:0]
+	}
+}
+
+// BenchmarkReportFullFleet measures one report of a worker with eight runs.
+func BenchmarkReportFullFleet(b *testing.B) {
+	c, now := fullFleet(400)
+	w := c.workers["x000"]
+	e := HoldDone{Hold: Hold{Target: w.target()}, Born: 1}
+	for _, r := range runsOf(w) {
+		e.Running = append(e.Running, RunReport{Task: r.task, Run: r.number, Percent: 10})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		c.Begin(now, now)
+		e.SentAt = now
+		c.HoldDone(e)
+		c.effects = c.effects[:0]
+	}
+}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -62,7 +62,11 @@
 	workers        map[string]*worker
 	ordered        []*worker // workers by ID; nil when it has to be made anew
 	lanes          map[string]*lane
+	laneOrder      []*lane               // lanes by name; nil when it has to be made anew
 	good           map[string]float64    // part of the named workers that may run a step, by queue
+	use            map[string]serviceUse // by service, as of the last pass
+	kept           map[string]int64      // thousandths of a core that are kept for gangs, by service
+	plans          int                   // of the present pass
 	gangsAdopted   bool                  // members of gangs were taken over, perhaps not all
 	unresolved     map[string]unresolved // workers that a former owner may have left work on
 	unresolvedOpen int                   // of these, those on which any task may run
@@ -74,6 +78,8 @@
 	lastCommit time.Time
 	lastPass   time.Time
 	passTook   time.Duration // what the last pass took
+	passes     int           // since the last summary
+	summedAt   time.Time
 	passDue    bool
 	stopping   bool
 
@@ -100,6 +106,8 @@
 		workers:    make(map[string]*worker),
 		lanes:      make(map[string]*lane),
 		good:       make(map[string]float64),
+		use:        make(map[string]serviceUse),
+		kept:       make(map[string]int64),
 		unresolved: make(map[string]unresolved),
 		heldSteps:  make(map[job.StepKey]int),
 	}
@@ -179,6 +187,30 @@
 	if c.now.Sub(c.lastPass) >= c.cfg.PassEvery {
 		c.passDue = true
 	}
+	if c.now.Sub(c.summedAt) >= summaryInterval {
+		c.summedAt = c.now
+		c.summarize()
+	}
+}
+
+// summaryInterval separates the lines on the state of the whole partition.
+const summaryInterval = 2 * time.Second
+
+// summarize logs what the owner has to do and with what.
+func (c *Core) summarize() {
+	if len(c.jobs) == 0 {
+		return
+	}
+	var capacity, used, kept int64
+	for service, u := range c.use {
+		capacity, used, kept = capacity+u.capacity, used+u.used, kept+c.kept[service]
+	}
+	c.emit(Decision{What: "partition", Fields: []any{
+		"jobs", len(c.jobs), "steps", len(c.steps), "workers", len(c.workers), "unresolved", len(c.unresolved),
+		"cores", capacity / 1000, "used", used / 1000, "kept", kept / 1000,
+		"lanes", len(c.lanes), "lanes_busy", c.busyLanesShare(), "pass_us", c.passTook.Microseconds(), "passes", c.passes,
+	}})
+	c.passes = 0
 }
 
 func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -63,6 +63,9 @@
 			usable = append(usable, w)
 		}
 	}
+	c.sumUse(usable)
+	c.plans = 0
+	c.passes++
 	most := largestRoom(usable)
 	var unadvised []*stepState
 	for _, s := range c.waitingSteps() {
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -28,12 +28,15 @@
 }
 
 const (
-	// replanInterval is how long a plan stands while its gang waits. Tasks end at
-	// other times than expected, a few on each worker in a second.
+	// replanInterval is how long a plan stands at least while its gang waits. Tasks
+	// end at other times than expected, a few on each worker in a second.
 	replanInterval = 250 * time.Millisecond
+	// plansPerPass bounds the plans of one pass, the most urgent first: a plan looks
+	// at every run of a hundred workers, and a pass should take some milliseconds.
+	plansPerPass = 8
 	// maxReservedShare is the part of a service's processors that may be kept for
 	// gangs. What is kept is idle in part, so that the rest has to carry the load.
-	maxReservedShare = 0.5
+	maxReservedShare = 0.25
 	// idleShare is the part of a service's processors below which room is also
 	// kept for gangs that are too late to be worth delaying others.
 	idleShare = 0.5
@@ -58,10 +61,13 @@
 	askFurtherAfter = time.Second
 	// choiceFactor is how many times the workers that a gang needs should be known
 	// to choose from: at usual load a third of them has room soon.
-	choiceFactor = 8
+	choiceFactor = 4
 	// spareLanes is the part of the lanes in use below which further workers are
 	// asked about although those known will do.
 	spareLanes = 0.5
+	// scarceLanes is the part of the lanes in use above which tickets are renewed
+	// only when the room is there.
+	scarceLanes = 0.7
 	// renewLead is how long before its room is free the tickets of a gang are
 	// renewed, beyond the length of the call.
 	renewLead = 150 * time.Millisecond
@@ -102,7 +108,7 @@
 // reserve plans where and when a gang that does not fit now can start, and keeps
 // the room. It gives up the room when no plan is possible or worth it.
 func (c *Core) reserve(s *stepState, usable []*worker) {
-	if r := s.reserved; r != nil && c.now.Sub(r.plannedAt) < replanInterval && c.allUsable(r) {
+	if r := s.reserved; r != nil && c.allUsable(r) && (c.plans >= plansPerPass || c.now.Sub(r.plannedAt) < replanInterval) {
 		return
 	}
 	former := s.reserved
@@ -112,10 +118,14 @@
 		c.waits(s, "team_limit")
 		return
 	}
-	if !c.mayReserve(s, usable) {
+	if !c.mayReserve(s) {
 		c.waits(s, "reserved_share")
 		return
 	}
+	if c.plans >= plansPerPass {
+		return
+	}
+	c.plans++
 	slots := c.slots(s, usable)
 	if len(slots) < len(s.tasks) {
 		c.waits(s, "few_workers", "slots", len(slots))
@@ -130,6 +140,7 @@
 		w.claims[s.key] = claim{size: size.Scale(int64(n)), ready: r.ready, priority: s.job.priority}
 	}
 	s.reserved = r
+	c.kept[s.job.service] += s.needCPU()
 	c.waits(s, "reserved", "workers", len(r.members), "ready_ms", r.ready.Sub(c.now).Milliseconds())
 }
 
@@ -248,14 +259,20 @@
 	size task.Resources
 }
 
+// endsOn returns the ends of the runs on a worker in their order. All plans of a
+// pass share them.
 func (c *Core) endsOn(w *worker) []expectedEnd {
-	ends := make([]expectedEnd, 0, len(w.runs))
+	if w.endsAt.Equal(c.now) {
+		return w.ends
+	}
+	ends := w.ends[:0]
 	for _, r := range w.runs {
 		if at, ok := c.expectEnd(r); ok {
 			ends = append(ends, expectedEnd{at, r.size})
 		}
 	}
 	slices.SortFunc(ends, func(a, b expectedEnd) int { return a.at.Compare(b.at) })
+	w.ends, w.endsAt = ends, c.now
 	return ends
 }
 
@@ -293,28 +310,34 @@
 	return max(r.step.spec.Estimate-elapsed, time.Duration(overrun*float64(elapsed)))
 }
 
+// serviceUse is what the usable workers of a service have.
+type serviceUse struct{ capacity, used int64 } // thousandths of a core
+
+// sumUse sums up the workers of each service for the plans of a pass.
+func (c *Core) sumUse(usable []*worker) {
+	clear(c.use)
+	for _, w := range usable {
+		u := c.use[w.Service]
+		u.capacity += w.Capacity.CPUMilli
+		u.used += w.used.CPUMilli
+		c.use[w.Service] = u
+	}
+}
+
 // mayReserve reports whether room may be kept for a gang: only a part of the
 // service at a time, and for gangs that nobody waits for any more only on a
 // service that has room to spare.
-func (c *Core) mayReserve(s *stepState, usable []*worker) bool {
-	var capacity, used, kept int64
-	for _, w := range usable {
-		if w.Service != s.job.service {
-			continue
-		}
-		capacity += w.Capacity.CPUMilli
-		used += w.used.CPUMilli
-		for _, k := range w.claims {
-			kept += k.size.CPUMilli
-		}
-	}
-	if c.rank(s) >= rankSurplus && float64(used) > idleShare*float64(capacity) {
+func (c *Core) mayReserve(s *stepState) bool {
+	u, kept := c.use[s.job.service], c.kept[s.job.service]
+	if c.rank(s) >= rankSurplus && float64(u.used) > idleShare*float64(u.capacity) {
 		return false
 	}
-	need := stepSize(s.spec).CPUMilli * int64(len(s.tasks))
-	return kept == 0 || float64(kept+need) <= maxReservedShare*float64(capacity)
+	return kept == 0 || float64(kept+s.needCPU()) <= maxReservedShare*float64(u.capacity)
 }
 
+// needCPU returns the processors of all tasks of a step.
+func (s *stepState) needCPU() int64 { return stepSize(s.spec).CPUMilli * int64(len(s.tasks)) }
+
 func (c *Core) allUsable(r *reservation) bool {
 	for w := range r.members {
 		if !c.isUsable(w) {
@@ -332,23 +355,27 @@
 		delete(w.claims, s.key)
 	}
 	s.reserved = nil
+	c.kept[s.job.service] -= s.needCPU()
 }
 
 // gangWorkersToName returns the workers about which a call is worth its time for
 // a gang: those on which room is kept once it is nearly free, or further ones
 // while the known ones have no room for long.
-func (c *Core) gangWorkersToName(s *stepState, unknown []*worker, policy *job.AdvicePolicy) []string {
+func (c *Core) gangWorkersToName(s *stepState, usable []*worker, policy *job.AdvicePolicy) []string {
 	r := s.reserved
 	if r == nil {
-		return c.namesOf(unknown, c.worthNaming(s))
+		return c.namesOf(s.unknown(usable), c.worthNaming(s))
 	}
 	wait := r.ready.Sub(c.now)
 	takes := policy.Base + time.Duration(len(r.members))*policy.PerWorker
+	if c.busyLanesShare() > scarceLanes {
+		takes = 0 // a renewal in vain would hold up others
+	}
 	if wait <= takes+renewLead && len(r.members) <= maxNamed {
 		return c.expiringTickets(s, c.now.Add(max(wait, 0)))
 	}
 	if wait > askFurtherAfter && c.busyLanesShare() < spareLanes {
-		return c.namesOf(unknown, c.worthNaming(s))
+		return c.namesOf(s.unknown(usable), c.worthNaming(s))
 	}
 	return nil
 }
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -22,7 +22,9 @@
 	runs     map[job.TaskKey]*run
 	used     task.Resources
 	claims   map[job.StepKey]claim // room kept for gangs
-	strange  int                   // runs of unknown size that are being stopped
+	ends     []expectedEnd         // of its runs, as of endsAt
+	endsAt   time.Time
+	strange  int // runs of unknown size that are being stopped
 
 	clock      time.Duration // last reading of the worker's clock
 	clockAt    time.Time     // when the reading arrived
