--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -16,6 +16,7 @@
 	asked   map[string]int64  // lives of workers that were named in a call
 	lane    *lane             // of the call under way
 	retryAt time.Time
+	till    time.Time // when the last of the tickets expires
 }
 
 type ticket struct {
@@ -316,6 +317,7 @@
 		}
 		s.advice.asked[id] = w.Born
 		if text, good := e.Tickets[id]; good {
+			s.advice.till = c.now.Add(e.Valid)
 			s.advice.tickets[id] = ticket{text: text, born: w.Born, till: c.now.Add(e.Valid)}
 		}
 	}
--- a/schedule/bench_grown_test.go
+++ b/schedule/bench_grown_test.go
@@ -80,6 +80,7 @@
 		s.advice.asked[w.ID] = w.Born
 		if (i+offset)%3 == 0 {
 			s.advice.tickets[w.ID] = ticket{text: "x", born: w.Born, till: c.now.Add(time.Second)}
+			s.advice.till = c.now.Add(time.Second)
 		}
 	}
 }
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -147,8 +147,8 @@
 }
 
 // passRest is how many times the length of the last pass lies between passes, so
-// that they take a fifth of the processor at most.
-const passRest = 4
+// that they take a third of the processor at most.
+const passRest = 2
 
 // Took tells how long the last event took from Begin to the end of Finish.
 func (c *Core) Took(d time.Duration) {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -74,9 +74,12 @@
 		}
 		c.refreshPolicy(s.job)
 		fits := stepSize(s.spec).Fits(most)
-		if !fits {
+		switch {
+		case !fits:
 			s.notes = "no_room"
-		} else if c.placeStep(s, usable) {
+		case c.needsAdvice(s) && c.now.Add(ticketMargin).After(s.advice.till):
+			s.notes = "no_ticket" // settles most of a backlog that waits for advice
+		case c.placeStep(s, usable):
 			continue
 		}
 		if s.spec.Gang {
