--- a/schedule/core.go
+++ b/schedule/core.go
@@ -62,15 +62,16 @@
 	workers        map[string]*worker
 	ordered        []*worker // workers by ID; nil when it has to be made anew
 	lanes          map[string]*lane
-	laneOrder      []*lane               // lanes by name; nil when it has to be made anew
-	good           map[string]float64    // part of the named workers that may run a step, by queue
-	use            map[string]serviceUse // by service, as of the last pass
-	kept           map[string]int64      // thousandths of a core that are kept for gangs, by service
-	plans          int                   // of the present pass
-	gangsAdopted   bool                  // members of gangs were taken over, perhaps not all
-	unresolved     map[string]unresolved // workers that a former owner may have left work on
-	unresolvedOpen int                   // of these, those on which any task may run
-	heldSteps      map[job.StepKey]int   // tasks of a step that may run on the others
+	laneOrder      []*lane                    // lanes by name; nil when it has to be made anew
+	good           map[string]float64         // part of the named workers that may run a step, by queue
+	use            map[string]serviceUse      // by service, as of the last pass
+	kept           map[string]int64           // thousandths of a core that are kept for gangs, by service
+	reserved       map[job.StepKey]*stepState // gangs for which room is kept
+	plans          int                        // of the present pass
+	gangsAdopted   bool                       // members of gangs were taken over, perhaps not all
+	unresolved     map[string]unresolved      // workers that a former owner may have left work on
+	unresolvedOpen int                        // of these, those on which any task may run
+	heldSteps      map[job.StepKey]int        // tasks of a step that may run on the others
 
 	dirty      []*jobState       // changed since their last commit, oldest first
 	busyLanes  [CommitLanes]bool // a commit of the lane is under way
@@ -108,6 +109,7 @@
 		good:       make(map[string]float64),
 		use:        make(map[string]serviceUse),
 		kept:       make(map[string]int64),
+		reserved:   make(map[job.StepKey]*stepState),
 		unresolved: make(map[string]unresolved),
 		heldSteps:  make(map[job.StepKey]int),
 	}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -65,6 +65,7 @@
 	}
 	c.sumUse(usable)
 	c.plans = 0
+	c.dropStalePlans()
 	c.passes++
 	most := largestRoom(usable)
 	var unadvised []*stepState
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -1,8 +1,6 @@
 package schedule
 
 import (
-	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -18,6 +16,8 @@
 	members   map[*worker]int // tasks of the gang on each worker
 	ready     time.Time       // when the last of the room should be free
 	plannedAt time.Time
+	service   string // whose workers these are; the queue may be routed elsewhere meanwhile
+	cpu       int64  // of all members, in thousandths of a core
 }
 
 // claim is room of a worker that is kept for a gang.
@@ -31,6 +31,9 @@
 	// replanInterval is how long a plan stands at least while its gang waits. Tasks
 	// end at other times than expected, a few on each worker in a second.
 	replanInterval = 250 * time.Millisecond
+	// stalePlan is the age at which a plan that was not made anew is given up. With
+	// plansPerPass a plan may wait for some passes, a few in a second at worst.
+	stalePlan = 2 * time.Second
 	// plansPerPass bounds the plans of one pass, the most urgent first: a plan looks
 	// at every run of a hundred workers, and a pass should take some milliseconds.
 	plansPerPass = 8
@@ -44,18 +47,9 @@
 	// a gang: one task in twenty takes three times the declared time, and a task
 	// that is late delays all members.
 	backfillMargin = 3
-	// leastPercent is the progress from which the end of a run is extrapolated.
-	leastPercent = 5
-	// unknownEnd is when a run of unknown length is taken to end.
-	unknownEnd = time.Second
-	// stopEnd is when a run that is being stopped is taken to end.
-	stopEnd = 500 * time.Millisecond
 	// worthMoving is how much earlier another plan has to be to replace one whose
 	// tickets may be renewed already; a renewal takes about as long.
 	worthMoving = 700 * time.Millisecond
-	// overrun is the part of its time so far that a run past its estimate is
-	// expected to take on top.
-	overrun = 0.25
 	// askFurtherAfter is the wait for room that is long enough to ask about workers
 	// that were not named yet; a call takes about as long.
 	askFurtherAfter = time.Second
@@ -76,21 +70,20 @@
 // free returns the room that a task of a step may use on a worker if it starts
 // now. Room that is kept for a gang counts only for a task that ends in time.
 func (w *worker) free(s *stepState, now time.Time) task.Resources {
-	room := w.Capacity.Sub(w.used)
-	for key, kept := range w.claims {
-		if key != s.key && !s.endsBefore(kept.ready, now) {
-			room = room.Sub(kept.size)
-		}
-	}
-	return room
+	return w.freeBeside(s, now, math.MaxInt)
 }
 
 // freeFirst is free for a step that comes before gangs of less urgent queues and
 // takes room that is kept for them.
 func (w *worker) freeFirst(s *stepState, now time.Time) task.Resources {
+	return w.freeBeside(s, now, s.job.priority)
+}
+
+// freeBeside leaves the room that is kept for gangs up to a priority.
+func (w *worker) freeBeside(s *stepState, now time.Time, priority int) task.Resources {
 	room := w.Capacity.Sub(w.used)
 	for key, kept := range w.claims {
-		if key != s.key && kept.priority <= s.job.priority && !s.endsBefore(kept.ready, now) {
+		if key != s.key && kept.priority <= priority && !s.endsBefore(kept.ready, now) {
 			room = room.Sub(kept.size)
 		}
 	}
@@ -132,7 +125,10 @@
 		return
 	}
 	slices.SortFunc(slots, compareSlots)
-	r := &reservation{ready: slots[len(s.tasks)-1].at, plannedAt: c.now, members: chooseSlots(slots, len(s.tasks))}
+	r := &reservation{
+		members: chooseSlots(slots, len(s.tasks)), ready: slots[len(s.tasks)-1].at, plannedAt: c.now,
+		service: s.job.service, cpu: s.needCPU(),
+	}
 	if ready, ok := former.readyWith(slots); ok && ready.Sub(r.ready) < worthMoving {
 		r.members, r.ready = former.members, ready
 	}
@@ -140,7 +136,8 @@
 		w.claims[s.key] = claim{size: size.Scale(int64(n)), ready: r.ready, priority: s.job.priority}
 	}
 	s.reserved = r
-	c.kept[s.job.service] += s.needCPU()
+	c.reserved[s.key] = s
+	c.kept[r.service] += r.cpu
 	c.waits(s, "reserved", "workers", len(r.members), "ready_ms", r.ready.Sub(c.now).Milliseconds())
 }
 
@@ -157,159 +154,6 @@
 		"slack_ms", s.urgent.Sub(c.now).Milliseconds()}, fields...)...)
 }
 
-// readyWith returns when the members of an earlier plan have their room, by the
-// slots as they are now.
-func (r *reservation) readyWith(slots []slot) (ready time.Time, ok bool) {
-	if r == nil {
-		return ready, false
-	}
-	missing := maps.Clone(r.members)
-	for _, sl := range slots {
-		if missing[sl.worker] > 0 {
-			missing[sl.worker]--
-			ready = sl.at
-		}
-	}
-	for _, n := range missing {
-		if n > 0 {
-			return ready, false
-		}
-	}
-	return ready, true
-}
-
-// chooseSlots takes n of the slots that are free when the n-th is, from as few
-// workers as possible. The slots are ordered by time.
-func chooseSlots(slots []slot, n int) map[*worker]int {
-	ready := slots[n-1].at
-	counts := make(map[*worker]int)
-	for _, sl := range slots {
-		if sl.at.After(ready) {
-			break
-		}
-		counts[sl.worker]++
-	}
-	order := slices.SortedFunc(maps.Keys(counts), func(a, b *worker) int {
-		return cmp.Or(-cmp.Compare(counts[a], counts[b]), cmp.Compare(a.ID, b.ID))
-	})
-	members := make(map[*worker]int)
-	for _, w := range order {
-		if n == 0 {
-			break
-		}
-		members[w] = min(n, counts[w])
-		n -= members[w]
-	}
-	return members
-}
-
-// slot is room for one member of a gang.
-type slot struct {
-	worker *worker
-	at     time.Time // when it should be free
-}
-
-func compareSlots(a, b slot) int {
-	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.worker.ID, b.worker.ID))
-}
-
-// slots lists the room for members of a gang on the workers that may run it.
-func (c *Core) slots(s *stepState, usable []*worker) []slot {
-	size, advised := stepSize(s.spec), c.needsAdvice(s)
-	var out []slot
-	for _, w := range usable {
-		if !suits(w, s) || c.isFailing(w) {
-			continue
-		}
-		if _, ok := s.advice.ticket(w, c.now, true); advised && !ok {
-			continue
-		}
-		most := len(s.tasks)
-		if s.spec.AntiAffinity > 0 {
-			most = min(most, s.spec.AntiAffinity)
-		}
-		out = c.appendSlots(out, w, s, size, most)
-	}
-	return out
-}
-
-// appendSlots adds the slots of one worker: those that are free now, then those
-// that become free as its runs end.
-func (c *Core) appendSlots(out []slot, w *worker, s *stepState, size task.Resources, most int) []slot {
-	room := w.free(s, c.now)
-	n := fitCount(size, room, most)
-	for range n {
-		out = append(out, slot{w, c.now})
-	}
-	if n == most {
-		return out
-	}
-	for _, e := range c.endsOn(w) {
-		room = room.Add(e.size)
-		for fits := fitCount(size, room, most); n < fits; n++ {
-			out = append(out, slot{w, e.at})
-		}
-	}
-	return out
-}
-
-// expectedEnd is when a run should end and what it gives back.
-type expectedEnd struct {
-	at   time.Time
-	size task.Resources
-}
-
-// endsOn returns the ends of the runs on a worker in their order. All plans of a
-// pass share them.
-func (c *Core) endsOn(w *worker) []expectedEnd {
-	if w.endsAt.Equal(c.now) {
-		return w.ends
-	}
-	ends := w.ends[:0]
-	for _, r := range w.runs {
-		if at, ok := c.expectEnd(r); ok {
-			ends = append(ends, expectedEnd{at, r.size})
-		}
-	}
-	slices.SortFunc(ends, func(a, b expectedEnd) int { return a.at.Compare(b.at) })
-	w.ends, w.endsAt = ends, c.now
-	return ends
-}
-
-// expectEnd extrapolates the end of a run from its progress, or else from the
-// caller's estimate. A long-lived run has no end.
-func (c *Core) expectEnd(r *run) (time.Time, bool) {
-	if r.state == runStopping {
-		return c.now.Add(stopEnd), true
-	}
-	if r.step == nil {
-		return c.now.Add(unknownEnd), true
-	}
-	if r.step.spec.LongLived {
-		return time.Time{}, false
-	}
-	if !r.step.spec.Gang {
-		return c.now.Add(max(0, c.restOf(r))), true
-	}
-	// The members of a gang end together.
-	rest := time.Duration(0)
-	for i := range r.step.tasks {
-		if member := r.step.tasks[i].run; member != nil {
-			rest = max(rest, c.restOf(member))
-		}
-	}
-	return c.now.Add(rest), true
-}
-
-// restOf returns how much longer a run should take, by itself.
-func (c *Core) restOf(r *run) time.Duration {
-	elapsed := c.now.Sub(r.startedAt)
-	if worked := r.advancedAt.Sub(r.startedAt); r.percent >= leastPercent && !r.adopted {
-		return worked*100/time.Duration(r.percent) - elapsed
-	}
-	return max(r.step.spec.Estimate-elapsed, time.Duration(overrun*float64(elapsed)))
-}
-
 // serviceUse is what the usable workers of a service have.
 type serviceUse struct{ capacity, used int64 } // thousandths of a core
 
@@ -347,6 +191,16 @@
 	return true
 }
 
+// dropStalePlans gives up room that is kept for gangs which the passes do not
+// reach any more, because more urgent steps fill them.
+func (c *Core) dropStalePlans() {
+	for _, s := range c.reserved {
+		if s.advice.lane == nil && c.now.Sub(s.reserved.plannedAt) > stalePlan {
+			c.dropReservation(s)
+		}
+	}
+}
+
 func (c *Core) dropReservation(s *stepState) {
 	if s.reserved == nil {
 		return
@@ -354,8 +208,9 @@
 	for w := range s.reserved.members {
 		delete(w.claims, s.key)
 	}
+	c.kept[s.reserved.service] -= s.reserved.cpu
 	s.reserved = nil
-	c.kept[s.job.service] -= s.needCPU()
+	delete(c.reserved, s.key)
 }
 
 // gangWorkersToName returns the workers about which a call is worth its time for
--- a/schedule/reserve_test.go
+++ b/schedule/reserve_test.go
@@ -92,3 +92,62 @@
 	}
 	s.finish(40 * time.Second)
 }
+
+// TestKeptRoomAfterRouteChange guards against room that counts as kept for ever,
+// so that no other gang gets any, because the queue of a waiting gang was routed
+// to another service.
+func TestKeptRoomAfterRouteChange(t *testing.T) {
+	s := newSimulation(t, 6, 2)
+	s.run(time.Second)
+	busy := &job.Job{ID: "00000000000000e0", Queue: "advised", Team: "blue", Spec: "work", Steps: []job.Step{{
+		Count: 2, AntiAffinity: 1, Size: task.Resources{CPUMilli: 20_000}, Estimate: 3 * time.Second,
+	}}}
+	gang := &job.Job{ID: "00000000000000e1", Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{{
+		Count: 2, Gang: true, Size: task.Resources{CPUMilli: 20_000}, Estimate: time.Second,
+	}}}
+	s.submit(busy)
+	s.run(500 * time.Millisecond)
+	s.submit(gang)
+	s.run(500 * time.Millisecond)
+	if s.core.kept["calc"] == 0 {
+		t.Fatal("no room is kept for the gang")
+	}
+	elsewhere := job.NewCatalog(2, 2, []job.Queue{
+		*s.catalog.Queue("advised"), {Name: "plain", Service: "other", MaxAttempts: 3, Stretch: 2, Target: time.Second},
+	}, []job.Service{{Name: "calc"}, {Name: "other"}}, nil)
+	s.input(func(c *Core) { c.SetCatalog(elsewhere) })
+	s.run(500 * time.Millisecond)
+	s.cancel(gang.ID)
+	s.run(500 * time.Millisecond)
+	for service, kept := range s.core.kept {
+		if kept != 0 {
+			t.Errorf("%d thousandths of a core of %s are kept for nothing", kept, service)
+		}
+	}
+}
+
+// TestStalePlan guards against room that stays idle for a gang which the passes
+// do not reach any more, because more urgent steps fill them.
+func TestStalePlan(t *testing.T) {
+	s := newSimulation(t, 7, 2)
+	s.run(time.Second)
+	busy := &job.Job{ID: "00000000000000f0", Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{{
+		Count: 2, AntiAffinity: 1, Size: task.Resources{CPUMilli: 20_000}, Estimate: 20 * time.Second,
+	}}}
+	gang := &job.Job{ID: "00000000000000f1", Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{{
+		Count: 2, Gang: true, Size: task.Resources{CPUMilli: 20_000}, Estimate: time.Second,
+	}}}
+	s.submit(busy)
+	s.run(500 * time.Millisecond)
+	s.submit(gang)
+	s.run(500 * time.Millisecond)
+	waiting := s.core.steps[job.StepKey{Job: gang.ID}]
+	if waiting.reserved == nil {
+		t.Fatal("no room is kept for the gang")
+	}
+	waiting.retryAt = s.now.Add(time.Hour) // no pass considers it
+	s.run(stalePlan + time.Second)
+	if waiting.reserved != nil || s.core.kept["calc"] != 0 {
+		t.Error("the room is still kept")
+	}
+}
