--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -54,7 +54,7 @@
 	// that were not named yet; a call takes about as long.
 	askFurtherAfter = time.Second
 	// choiceFactor is how many times the workers that a gang needs should be known
-	// to choose from: at usual load a third of them has room soon.
+	// to choose from. With more of them the calls take lanes from other steps.
 	choiceFactor = 4
 	// spareLanes is the part of the lanes in use below which further workers are
 	// asked about although those known will do.
@@ -182,6 +182,7 @@
 // needCPU returns the processors of all tasks of a step.
 func (s *stepState) needCPU() int64 { return stepSize(s.spec).CPUMilli * int64(len(s.tasks)) }
 
+// allUsable reports whether every worker of a plan may still get work.
 func (c *Core) allUsable(r *reservation) bool {
 	for w := range r.members {
 		if !c.isUsable(w) {
@@ -201,6 +202,7 @@
 	}
 }
 
+// dropReservation gives back the room that is kept for a gang.
 func (c *Core) dropReservation(s *stepState) {
 	if s.reserved == nil {
 		return
