Dispatch withdrawn gang members again, and refuse no task for good by mistake

That was decided only when a member ended to be tried again. If the last open member finished before its stop arrived, the rest stayed accepted for ever. - An owner refused a placement as never_fits while none of its workers had reported since it took the partition over. The home takes that for final, so an accepted durable job ended as not run. - An owner that had answered a look-up refuses a late placement of the same attempt as cancelled. The home took that for final too, if it read the refusal first.

Ruled out: stale keys on the instance that was frozen. The outcome, which the test prints now, was never_fits in the cells of the promise.

Change: any end of a gang member resumes the gang when none is open; never_fits is said only once every listed worker has reported, and what was queued until then is checked at that moment; cancelled is no longer final by itself, since a job that its caller cancelled is marked in its record.

The bench of package control iterated over a slice that the next Apply overwrites; it copies it now.

--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,6 +23,7 @@
 	now      time.Time
 	revision int64
 	self     membership.Member
+	dropped  func(Effect) bool // effects that are never carried out; nil for none
 }
 
 // newBench returns a state that owns every unit and has the given number of
@@ -59,7 +61,7 @@
 func (b *bench) apply(e Event) {
 	events := []Event{e}
 	for len(events) > 0 {
-		effects := b.state.Apply(b.now, events[0])
+		effects := slices.Clone(b.state.Apply(b.now, events[0])) // the next Apply uses the slice again
 		events = events[1:]
 		for _, effect := range effects {
 			if next := b.answer(effect); next != nil {
@@ -73,6 +75,9 @@
 var nextToken uint64
 
 func (b *bench) answer(effect Effect) Event {
+	if b.dropped != nil && b.dropped(effect) {
+		return nil
+	}
 	b.revision++
 	switch e := effect.(type) {
 	case GrantLease:
@@ -114,7 +119,7 @@
 func (b *bench) call(send Send) Event {
 	nextToken++
 	token := nextToken
-	for _, effect := range b.state.Apply(b.now, PeerCall{Token: token, Request: send.Request}) {
+	for _, effect := range slices.Clone(b.state.Apply(b.now, PeerCall{Token: token, Request: send.Request})) {
 		if reply, ok := effect.(Reply); ok && reply.Token == token {
 			defer b.apply(PeerDone{Send: send, Reply: reply.Reply})
 			continue
--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -200,6 +200,9 @@
 		h.tryAgain(taskRef{job, index}, record, o, outcome)
 		return waits
 	}
+	if record.Spec.Kind == task.Gang {
+		h.resumeGang(job, record)
+	}
 	if !waits {
 		h.settle(job)
 	}
@@ -242,14 +245,29 @@
 // withdrawGang takes the remaining members of a gang back after one of them
 // ended without running, and dispatches the gang again once none is open.
 func (h *home) withdrawGang(job ledger.JobKey, record *ledger.Record) {
+	if open := openMembers(record); len(open) > 0 {
+		h.withdraw(job, record, open, errkind.WorkerLost)
+		return
+	}
+	h.resumeGang(job, record)
+}
+
+// openMembers returns the tasks of a gang that have an open attempt.
+func openMembers(record *ledger.Record) []int {
 	var open []int
 	for i := range record.Tasks {
 		if s := record.Tasks[i].State; s == task.Dispatched || s == task.Running {
 			open = append(open, i)
 		}
 	}
-	if len(open) > 0 {
-		h.withdraw(job, record, open, errkind.WorkerLost)
+	return open
+}
+
+// resumeGang dispatches the members of a gang that were withdrawn, once no member
+// is open. The last open member may end for good: it can finish before its stop
+// arrives.
+func (h *home) resumeGang(job ledger.JobKey, record *ledger.Record) {
+	if record.Cancelled || len(openMembers(record)) > 0 {
 		return
 	}
 	for i := range record.Tasks {
--- a/control/owner.go
+++ b/control/owner.go
@@ -54,6 +54,7 @@
 	epoch    uint64
 	gainedAt time.Time
 	ready    bool
+	sized    bool // every listed worker has reported its capacity since gainedAt
 }
 
 // workerState is what the owner knows of one worker.
@@ -150,7 +151,7 @@
 	if !owned || !holds || epoch != p.Epoch || part.epoch != epoch {
 		return errkind.New(errkind.NoOwner, "partition %s is not owned here with epoch %d", p.Partition, p.Epoch)
 	}
-	if !w.cluster.EverFits(p.Spec.Size) {
+	if part.sized && !w.cluster.EverFits(p.Spec.Size) {
 		return errkind.New(errkind.NeverFits, "no worker of this owner has room for %s", p.Spec.Size)
 	}
 	a := &attempt{placement: p, id: p.Attempt, job: p.Job, index: p.Index, team: p.Spec.Team, class: p.Spec.Class,
--- a/control/ownerwork.go
+++ b/control/ownerwork.go
@@ -65,6 +65,7 @@
 		w.endSilent(ws)
 	}
 	w.markReady()
+	w.markSized()
 	for _, a := range w.attempts {
 		w.attemptWhenDue(a)
 	}
--- a/control/workers.go
+++ b/control/workers.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/mulberrydrum/mulberrydrum/errkind"
 	"github.com/mulberrydrum/mulberrydrum/ledger"
 	"github.com/mulberrydrum/mulberrydrum/placement"
 	"github.com/mulberrydrum/mulberrydrum/task"
@@ -320,6 +321,35 @@
 	}
 }
 
+// markSized notes the partitions whose workers have all reported their capacity,
+// and refuses what was queued before and is larger than any of them.
+func (w *owner) markSized() {
+	for name, part := range w.partitions {
+		if part.sized || !w.isSized(name) {
+			continue
+		}
+		part.sized = true
+		for _, a := range w.attempts {
+			if a.partition == name && a.stage == stageQueued && !w.cluster.EverFits(a.size) {
+				w.queues.Remove(a.id)
+				w.end(a, task.Outcome{State: task.NotRun, Reason: string(errkind.NeverFits)})
+			}
+		}
+	}
+}
+
+// isSized reports whether every listed worker of a partition has reported since
+// this instance took the partition over. Until then a task that fits none of the
+// workers known so far may fit another one.
+func (w *owner) isSized(name string) bool {
+	for _, ws := range w.workers {
+		if ws.partition == name && !ws.listed.Gone && !ws.rebuilt {
+			return false
+		}
+	}
+	return w.hasWorkers(name)
+}
+
 func (w *owner) hasWorkers(name string) bool {
 	for _, ws := range w.workers {
 		if ws.partition == name {
--- a/daemon/matrix_test.go
+++ b/daemon/matrix_test.go
@@ -374,7 +374,7 @@
 				t.Errorf("report %s is %s", ts.ID, ts.State)
 			}
 		case ts.State != task.Finished:
-			t.Errorf("%s task %s is %s after attempt %d, want finished", j.class, ts.ID, ts.State, ts.Attempt)
+			t.Errorf("%s task %s is %s after attempt %d, want finished; outcome %+v", j.class, ts.ID, ts.State, ts.Attempt, ts.Outcome)
 		}
 	}
 }
--- a/ledger/transition.go
+++ b/ledger/transition.go
@@ -139,10 +139,12 @@
 }
 
 // isDefinite reports whether a task that was not run for this reason would not
-// be run by another attempt either.
+// be run by another attempt either. Cancelled is not among them: an owner says so
+// of any attempt that was withdrawn or looked up before it arrived, and a job whose
+// caller cancelled it is marked in its record.
 func isDefinite(reason string) bool {
 	switch errkind.Kind(reason) {
-	case errkind.DeadlineExceeded, errkind.KeyWithdrawn, errkind.Cancelled, errkind.NeverFits:
+	case errkind.DeadlineExceeded, errkind.KeyWithdrawn, errkind.NeverFits:
 		return true
 	default:
 		return false
