Try waiting work of each partition, and return allowance within one owner

Cause: endtoend TestLimitLowered, listed as red, reproduced beside load with the new print of the open work: 20 tasks of a team wait for ever at one owner of two partitions, nothing runs. The first eight tasks in the order of the team belong to a partition without allowance; the look-ahead of eight ends there, so that the tasks of the other partition, which holds all of the limit, are never tried. That partition keeps its allowance, since work waits there. Idle allowance was returned early only for a partition of another owner, not for one of the same.

Ruled out: an allowance that is not given back (no task was running or stopping), a write that stays in flight, tasks too large for a worker.

Change: the look-ahead counts by partition; a partition that found nothing free asks the others of its owner as well. The end-to-end test prints what each instance says of the open work when it fails.

--- a/allowance/plan.go
+++ b/allowance/plan.go
@@ -37,6 +37,9 @@
 }
 
 func (t *Table) planTeam(now time.Time, tm *team) (Write, bool) {
+	// A partition of this owner that found nothing free the last time needs what
+	// the others do not use, as one of another owner does.
+	tm.askedIdle = tm.askedIdle || tm.starving
 	tm.starving = false
 	p := planner{table: t, now: now, team: tm, next: tm.record, owners: make(map[string]int64)}
 	p.next.Team = tm.name
--- a/allowance/table_test.go
+++ b/allowance/table_test.go
@@ -116,3 +116,31 @@
 		}
 	}
 }
+
+// TestIdleOfSameOwner guards against a partition that waits for the idle time
+// though another one of the same owner does not use its allowance.
+func TestIdleOfSameOwner(t *testing.T) {
+	now, slots := time.Unix(1000, 0), func(n int64) task.Resources { return task.Resources{Slots: n} }
+	table := New(DefaultConfig())
+	for _, name := range []string{"w/r/0", "w/r/1"} {
+		table.Own(name, 5)
+		table.Rebuilt(name)
+	}
+	table.Observe(now, Record{Team: "a", Limit: slots(4), LimitRevision: 3, Parts: map[string]task.Resources{"w/r/0": slots(4)}, Revision: 6})
+	table.ObserveThrough(6)
+	if !table.Acquire(now, "a", "w/r/0", slots(4)) {
+		t.Fatal("refused within the allowance")
+	}
+	table.Return(now, "a", "w/r/0", slots(4)) // idle from now on
+	revision, began := int64(6), now
+	for !table.Acquire(now, "a", "w/r/1", slots(1)) {
+		now = now.Add(time.Second)
+		if now.Sub(began) > 4*time.Second {
+			t.Fatal("no allowance after 4 s though all of it is idle at another partition")
+		}
+		if writes := table.Plan(now); len(writes) > 0 {
+			revision++
+			table.WriteDone(now, writes, WriteResult{Outcome: Succeeded, Revision: revision})
+		}
+	}
+}
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -10,9 +10,9 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// lookAhead is how many waiting tasks of a team are tried when the first ones
-// do not fit. It lets small work pass a large task without a search of the
-// whole queue.
+// lookAhead is how many waiting tasks of a team are tried at each partition when
+// the first ones do not fit. It lets small work pass a large task without a try of
+// the whole queue.
 const lookAhead = 8
 
 // lack says what the first waiting tasks of a team could not be started for.
@@ -72,11 +72,22 @@
 // whether one was started.
 func (w *owner) startNext(team task.Team) bool {
 	w.blocked[team] = lackRoom
-	for skip := range lookAhead {
+	tried := make(map[string]int, len(w.partitions))
+	full := 0 // partitions at which enough tasks were tried
+	for skip := 0; full < len(w.partitions); skip++ {
 		entry := w.queues.Next(w.now, team, skip)
 		if entry == nil {
 			return false
 		}
+		// Tasks that one partition cannot start do not keep those of the others
+		// from being tried: each has its own room and its own allowance.
+		if tried[entry.Partition] == lookAhead {
+			continue
+		}
+		tried[entry.Partition]++
+		if tried[entry.Partition] == lookAhead {
+			full++
+		}
 		a, ok := w.attempts[entry.Attempt]
 		if !ok {
 			w.queues.Remove(entry.Attempt)
--- a/endtoend/config_test.go
+++ b/endtoend/config_test.go
@@ -1,6 +1,7 @@
 package endtoend
 
 import (
+	"context"
 	"errors"
 	"strings"
 	"sync"
@@ -110,6 +111,11 @@
 	c := startCluster(t, 4, 6)
 	const jobs, lower = 20, 4
 	var accepted []string
+	t.Cleanup(func() {
+		if t.Failed() {
+			logOpenWork(t, c, accepted)
+		}
+	})
 	for range jobs {
 		accepted = append(accepted, submitLong(t, c, demo.Secrets["leuven"], "limit-"+time.Now().Format("150405.000000000"), "flexibility-run"))
 	}
@@ -151,3 +157,25 @@
 	c.Check(t, nil, timeline.Event{Instance: "operator", Incarnation: "1", Sequence: 1, Clock: timeline.Clock{Wall: inForce}, Type: timeline.LimitInForce,
 		Team: "leuven", Revision: applied.Revision, Size: &task.Resources{Slots: lower}})
 }
+
+// logOpenWork prints what each instance says of a team's work, and the jobs that
+// have no end.
+func logOpenWork(t *testing.T, c *processtest.Cluster, jobs []string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	for i, e := range c.Entries {
+		shares, err := e.Operator.Shares(ctx)
+		t.Logf("shares of instance %d: %+v, error %v", i, shares.Shares, err)
+	}
+	for _, id := range jobs {
+		if job, err := callerOf(c, "leuven").Status(ctx, id); err != nil || !job.State.IsFinal() {
+			t.Logf("%s: %+v, error %v", id, job, err)
+		}
+	}
+	for _, event := range c.Events() {
+		if event.Team == "leuven" {
+			t.Log(event)
+		}
+	}
+}
