Keep less room for gangs, and ask for no advice that cannot be used

Cause: on the grown deployments 70 to 75% of the cores were in use while hundreds of steps waited. A step whose team is at its limit was asked about 50 times a second, each time about other workers; gangs that get no room kept asked on; tasks of wide steps renewed one ticket at a time.

Ruled out: lanes as the only cause.

Change: an eighth of a service may be kept, a quarter for up to four gangs (an eighth of 48 workers holds two). A gang that needs more than an eighth keeps less urgent ones from keeping further room until it has its own. No calls for steps at their team's limit, nor for gangs that are known enough workers and may keep no room. A renewal for tasks names more workers, for half of its fixed length. The cause of waiting is a type, and a line is written when it changes. The line on the partition says how much of what is kept is idle.

--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -147,7 +147,31 @@
 		names = append(names, o.worker.ID)
 		room += o.room
 	}
-	return names
+	if room == 0 || room >= s.left {
+		return names
+	}
+	return c.nameMore(s, names, usable)
+}
+
+// moreNamed is the part of the fixed length of a call that may go to workers
+// without room at present. Their tickets are valid when a task ends there, which
+// saves a call for each end.
+const moreNamed = 0.5
+
+// nameMore adds workers that may run a step, those with the most room first.
+func (c *Core) nameMore(s *stepState, names []string, usable []*worker) []string {
+	policy := c.catalog.Queue(s.job.Queue).Advice
+	most := maxNamed
+	if policy.PerWorker > 0 {
+		most = min(most, len(names)+int(moreNamed*float64(policy.Base)/float64(policy.PerWorker)))
+	}
+	var more []*worker
+	for _, w := range usable {
+		if _, known := s.advice.ticket(w, c.now, true); known && suits(w, s) && !slices.Contains(names, w.ID) {
+			more = append(more, w)
+		}
+	}
+	return append(names, c.namesOf(more, max(0, most-len(names)))...)
 }
 
 // unknown returns the workers that suit a step and about which nothing was asked.
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/job"
+	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
 // Config has the durations and limits of a Core.
@@ -66,8 +67,11 @@
 	good           map[string]float64         // part of the named workers that may run a step, by queue
 	use            map[string]serviceUse      // by service, as of the last pass
 	kept           map[string]int64           // thousandths of a core that are kept for gangs, by service
+	widerWaits     map[string]bool            // services on which a gang that needs more than the share waits for kept room, in the present pass
 	reserved       map[job.StepKey]*stepState // gangs for which room is kept
 	plans          int                        // of the present pass
+	mayHoldSum     task.Resources             // see mayHold
+	mayHoldKnown   bool                       // mayHoldSum is that of the present event
 	gangsAdopted   bool                       // members of gangs were taken over, perhaps not all
 	unresolved     map[string]unresolved      // workers that a former owner may have left work on
 	unresolvedOpen int                        // of these, those on which any task may run
@@ -109,6 +113,7 @@
 		good:       make(map[string]float64),
 		use:        make(map[string]serviceUse),
 		kept:       make(map[string]int64),
+		widerWaits: make(map[string]bool),
 		reserved:   make(map[job.StepKey]*stepState),
 		unresolved: make(map[string]unresolved),
 		heldSteps:  make(map[job.StepKey]int),
@@ -128,7 +133,7 @@
 }
 
 // Begin starts the handling of an event at a monotonic and a wall-clock time.
-func (c *Core) Begin(now, wall time.Time) { c.now, c.wall = now, wall }
+func (c *Core) Begin(now, wall time.Time) { c.now, c.wall, c.mayHoldKnown = now, wall, false }
 
 // Finish places what can be placed and returns the effects since Begin.
 func (c *Core) Finish() []Effect {
@@ -209,12 +214,26 @@
 	}
 	c.emit(Decision{What: "partition", Fields: []any{
 		"jobs", len(c.jobs), "steps", len(c.steps), "workers", len(c.workers), "unresolved", len(c.unresolved),
-		"cores", capacity / 1000, "used", used / 1000, "kept", kept / 1000,
+		"cores", capacity / 1000, "used", used / 1000, "kept", kept / 1000, "kept_idle", c.keptIdle() / 1000,
 		"lanes", len(c.lanes), "lanes_busy", c.busyLanesShare(), "pass_us", c.passTook.Microseconds(), "passes", c.passes,
 	}})
 	c.passes = 0
 }
 
+// keptIdle returns the thousandths of a core that nothing uses and that are kept
+// for gangs.
+func (c *Core) keptIdle() int64 {
+	var idle int64
+	for _, w := range c.workers {
+		var claimed int64
+		for _, kept := range w.claims {
+			claimed += kept.size.CPUMilli
+		}
+		idle += max(0, min(claimed, w.roomCPU()))
+	}
+	return idle
+}
+
 func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
 
 func (c *Core) decide(id job.ID, what string, fields ...any) {
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -46,8 +46,9 @@
 	placed   int // runs that were ordered
 	advice   adviceState
 	reserved *reservation // room that is kept for a gang; nil if none
-	notes    string       // why it waits, for the log
-	notedAt  time.Time    // when that was last logged
+	wait     waitCause    // as of the last pass
+	noted    waitCause    // that was last logged
+	notedAt  time.Time    // when
 	urgent   time.Time
 	retryAt  time.Time
 	away     map[string]int // runs that failed or waited for their gang in vain, by worker
--- /dev/null
+++ b/schedule/lanes_test.go
@@ -0,0 +1,45 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/job"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// countAsks counts the calls for advice on a step from now on.
+func (s *simulation) countAsks(id job.ID) *int {
+	n := 0
+	s.asked = func(a Ask) {
+		if a.Step.Job == id {
+			n++
+		}
+	}
+	return &n
+}
+
+// TestNoAdviceAtLimit guards against a step that cannot start because of its
+// team's limit and takes the lanes of the advice service meanwhile: it was asked
+// about again and again.
+func TestNoAdviceAtLimit(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		s := newSimulation(t, 5, 48)
+		s.run(time.Second)
+		busy := &job.Job{ID: "00000000000000a0", Queue: "plain", Team: "red", Spec: "work", Steps: []job.Step{{
+			Count: 2, Size: task.Resources{CPUMilli: 30_000, MemoryMB: 100}, Estimate: 6 * time.Second,
+		}}}
+		s.submit(busy)
+		s.run(500 * time.Millisecond)
+		const id = "00000000000000a1"
+		asks := s.countAsks(id)
+		s.submit(&job.Job{ID: id, Queue: "advised", Team: "red", Spec: "work", Steps: []job.Step{{
+			Count: 2, Gang: gang, Size: task.Resources{CPUMilli: 20_000, MemoryMB: 100}, Estimate: time.Second,
+		}}})
+		s.run(4 * time.Second)
+		if *asks > 1 {
+			t.Errorf("gang %v: %d calls for advice on a step whose team is at its limit, want one at most", gang, *asks)
+		}
+		s.finish(20 * time.Second)
+	}
+}
--- a/schedule/message.go
+++ b/schedule/message.go
@@ -26,6 +26,8 @@
 	Worker  string
 	Born    int64 // 0 while the life is not known yet
 	Address string
+
+	FailureDomain string // empty if it is not known
 }
 
 // Effect is something to be carried out outside the control goroutine. Each
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -233,7 +233,7 @@
 	if t == nil || t.Limit.IsZero() {
 		return most
 	}
-	running := c.teamUsage(team).running.Add(c.unresolvedRoom())
+	running := c.teamUsage(team).running.Add(c.mayHold())
 	bound := func(limit, running, each int64) {
 		if limit > 0 && each > 0 {
 			most = min(most, int(max(0, limit-running)/each))
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -65,6 +65,7 @@
 	}
 	c.sumUse(usable)
 	c.plans = 0
+	clear(c.widerWaits)
 	c.dropStalePlans()
 	c.passes++
 	most := largestRoom(usable)
@@ -74,12 +75,18 @@
 			continue // the answer may start it, in the room that is kept for it
 		}
 		c.refreshPolicy(s.job)
+		if c.isAtLimit(s) {
+			// Its tickets would expire before a task of its team ends.
+			c.dropReservation(s)
+			c.waits(s, waitsForLimit)
+			continue
+		}
 		fits := stepSize(s.spec).Fits(most)
 		switch {
 		case !fits:
-			s.notes = "no_room"
+			s.wait = waitsForRoom
 		case c.needsAdvice(s) && c.now.Add(ticketMargin).After(s.advice.till):
-			s.notes = "no_ticket" // settles most of a backlog that waits for advice
+			s.wait = waitsForTicket // settles most of a backlog that waits for advice
 		case c.placeStep(s, usable):
 			continue
 		}
@@ -223,22 +230,11 @@
 		}
 	}
 	if !placed {
-		s.notes = waitReason(len(options), allowed)
+		s.wait = waitReason(len(options), allowed)
 	}
 	return placed
 }
 
-func waitReason(options, allowed int) string {
-	switch {
-	case allowed <= 0:
-		return "team_limit"
-	case options == 0:
-		return "no_worker"
-	default:
-		return "no_room"
-	}
-}
-
 // prefer reports whether a step does better on a than on b: on a worker where
 // it has not failed, in room that is not kept for others, near its data, then on
 // the fullest one.
@@ -271,12 +267,12 @@
 // placeGang starts all tasks of a gang or none.
 func (c *Core) placeGang(s *stepState, options []option) bool {
 	if c.allowance(s.job.Team, stepSize(s.spec), len(s.tasks)) < len(s.tasks) {
-		s.notes = "team_limit"
+		s.wait = waitsForLimit
 		return false
 	}
 	chosen := c.chooseGang(s, options)
 	if chosen == nil {
-		s.notes = waitReason(len(options), 1)
+		s.wait = waitReason(len(options), 1)
 		return false
 	}
 	c.dropReservation(s)
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -38,8 +38,13 @@
 	// at every run of a hundred workers, and a pass should take some milliseconds.
 	plansPerPass = 8
 	// maxReservedShare is the part of a service's processors that may be kept for
-	// gangs. What is kept is idle in part, so that the rest has to carry the load.
-	maxReservedShare = 0.25
+	// gangs. Three quarters of what is kept are idle in a backlog, so that the rest
+	// has to carry the load; with less of it wide gangs wait longer.
+	maxReservedShare = 0.12
+	// fewGangs may keep up to fewGangsShare: on a service of some 50 workers an
+	// eighth holds two gangs, and the next ones would not be prepared meanwhile.
+	fewGangs      = 4
+	fewGangsShare = 0.25
 	// idleShare is the part of a service's processors below which room is also
 	// kept for gangs that are too late to be worth delaying others.
 	idleShare = 0.5
@@ -107,21 +112,18 @@
 	former := s.reserved
 	c.dropReservation(s)
 	size := stepSize(s.spec)
-	if c.allowance(s.job.Team, size, len(s.tasks)) < len(s.tasks) {
-		c.waits(s, "team_limit")
-		return
-	}
 	if !c.mayReserve(s) {
-		c.waits(s, "reserved_share")
+		c.waits(s, waitsForShare)
 		return
 	}
 	if c.plans >= plansPerPass {
+		c.waits(s, waitsForPlan)
 		return
 	}
 	c.plans++
 	slots := c.slots(s, usable)
 	if len(slots) < len(s.tasks) {
-		c.waits(s, "few_workers", "slots", len(slots))
+		c.waits(s, waitsForFurther, "slots", len(slots))
 		return
 	}
 	slices.SortFunc(slots, compareSlots)
@@ -138,20 +140,7 @@
 	s.reserved = r
 	c.reserved[s.key] = s
 	c.kept[r.service] += r.cpu
-	c.waits(s, "reserved", "workers", len(r.members), "ready_ms", r.ready.Sub(c.now).Milliseconds())
-}
-
-// waitsInterval separates the lines on why a gang waits.
-const waitsInterval = time.Second
-
-// waits notes why a gang waits, for the log.
-func (c *Core) waits(s *stepState, why string, fields ...any) {
-	if c.now.Sub(s.notedAt) < waitsInterval {
-		return
-	}
-	s.notes, s.notedAt = why, c.now
-	c.decide(s.key.Job, "waits", append([]any{"step", s.key.String(), "why", why, "tasks", len(s.tasks), "rank", c.rank(s),
-		"slack_ms", s.urgent.Sub(c.now).Milliseconds()}, fields...)...)
+	c.waits(s, waitsForKept, "workers", len(r.members), "ready_ms", r.ready.Sub(c.now).Milliseconds())
 }
 
 // serviceUse is what the usable workers of a service have.
@@ -176,7 +165,30 @@
 	if c.rank(s) >= rankSurplus && float64(u.used) > idleShare*float64(u.capacity) {
 		return false
 	}
-	return kept == 0 || float64(kept+s.needCPU()) <= maxReservedShare*float64(u.capacity)
+	share := maxReservedShare
+	if c.reservedOn(s.job.service) < fewGangs {
+		share = fewGangsShare
+	}
+	if kept == 0 || !c.widerWaits[s.job.service] && float64(kept+s.needCPU()) <= share*float64(u.capacity) {
+		return true
+	}
+	if float64(s.needCPU()) > maxReservedShare*float64(u.capacity) {
+		// Less urgent gangs would keep room in turn, so that there is never enough
+		// left for this one.
+		c.widerWaits[s.job.service] = true
+	}
+	return false
+}
+
+// reservedOn returns for how many gangs of a service room is kept.
+func (c *Core) reservedOn(service string) int {
+	n := 0
+	for _, s := range c.reserved {
+		if s.reserved.service == service {
+			n++
+		}
+	}
+	return n
 }
 
 // needCPU returns the processors of all tasks of a step.
@@ -221,6 +233,9 @@
 func (c *Core) gangWorkersToName(s *stepState, usable []*worker, policy *job.AdvicePolicy) []string {
 	r := s.reserved
 	if r == nil {
+		if s.isAdvised() && s.wait != waitsForFurther {
+			return nil // enough is known for a plan; the lanes are for those that have one
+		}
 		return c.namesOf(s.unknown(usable), c.worthNaming(s))
 	}
 	wait := r.ready.Sub(c.now)
--- a/schedule/reserve_test.go
+++ b/schedule/reserve_test.go
@@ -151,3 +151,33 @@
 		t.Error("the room is still kept")
 	}
 }
+
+// TestGangBeyondShare guards against a gang that needs more than may be kept at a
+// time and never gets room, because less urgent gangs keep it in turn.
+func TestGangBeyondShare(t *testing.T) {
+	const (
+		stream = 30 * time.Second
+		every  = 40 * time.Millisecond
+		wait   = 20 * time.Second
+	)
+	s := newSimulation(t, 6, 48)
+	s.run(time.Second)
+	gang := func(id job.ID, tasks int, milli int64) *job.Job {
+		return &job.Job{ID: id, Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{{
+			Count: tasks, Gang: true, Size: task.Resources{CPUMilli: milli, MemoryMB: 100}, Estimate: time.Second,
+		}}}
+	}
+	// Gangs of two workers for a second, which use all of the 48 workers.
+	for i := range int(stream / every) {
+		s.pendingJobs++
+		s.after(time.Duration(i)*every, func() { s.submit(gang(job.ID(fmt.Sprintf("%016x", 0xd000+i)), 2, 28_000)) })
+	}
+	s.run(2 * time.Second)
+	const id = "00000000000000a0"
+	s.submit(gang(id, 12, 28_000))
+	s.run(wait)
+	if !s.hasStarted(id, 12) {
+		t.Errorf("the wide gang waits after %s: %s", wait, s.core.describe(id))
+	}
+	s.finish(stream)
+}
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -48,6 +48,7 @@
 	loseOrders float64 // part of the orders whose answer is lost
 	late       bool    // lost orders may be carried out late
 	faults     []string
+	asked      func(Ask) // sees each call for advice; nil for none
 }
 
 type record struct {
@@ -249,6 +250,9 @@
 	case Stop:
 		s.deliver(core, func() Verdict { return s.stop(fence, e) }, func(c *Core, v Verdict) { c.StopDone(StopDone{Stop: e, Verdict: v}) })
 	case Ask:
+		if s.asked != nil {
+			s.asked(e)
+		}
 		s.reply(core, 50*time.Millisecond, func(c *Core) {
 			tickets := map[string]string{}
 			for _, w := range e.Workers {
--- a/schedule/simjudge_test.go
+++ b/schedule/simjudge_test.go
@@ -115,7 +115,7 @@
 		if s.job != j {
 			continue
 		}
-		text += fmt.Sprintf(" step %s ready %v left %d gang %v notes %q asked %d tickets %d lane %v;", s.key, s.ready, s.left, s.spec.Gang, s.notes, len(s.advice.asked), len(s.advice.tickets), s.advice.lane != nil)
+		text += fmt.Sprintf(" step %s ready %v left %d gang %v notes %q asked %d tickets %d lane %v;", s.key, s.ready, s.left, s.spec.Gang, s.wait, len(s.advice.asked), len(s.advice.tickets), s.advice.lane != nil)
 		for i := range s.tasks {
 			if r := s.tasks[i].run; r != nil {
 				text += fmt.Sprintf(" task %d run %d on %s state %d;", i, r.number, r.worker.ID, r.state)
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -143,7 +143,7 @@
 }
 
 func (w *worker) target() Target {
-	return Target{Worker: w.ID, Born: w.Born, Address: w.Address}
+	return Target{Worker: w.ID, Born: w.Born, Address: w.Address, FailureDomain: w.FailureDomain}
 }
 
 // tickWorker sends the next hold, repeats stops and gives up what a silent
