Leave a sixth of the lanes to short calls; decline an ownership while stopping

Cause: long calls for advice could take all lanes but two.

Change: long calls leave at least a sixth of the lanes. An instance that is stopping gives up an ownership that it has just won, or is still recovering.

Test that fails first: TestStopDuringCampaign.

--- a/cell/state.go
+++ b/cell/state.go
@@ -163,9 +163,23 @@
 		if s.core != nil {
 			s.core.StopPlacing()
 		}
+		if s.role == recovering {
+			s.decline()
+		}
 	}
 }
 
+// decline gives up an ownership that was won as this instance is told to stop. To
+// hand over only after the records have been read would leave the others without
+// an owner for a second.
+func (s *State) decline() {
+	s.role = resigning
+	s.early = nil
+	s.log("ownership_declined", "fence", s.record, "why", "planned_stop")
+	s.emit(Resign{Owner: s.record, Lease: s.lease})
+	s.emit(Abandon{Owner: s.record})
+}
+
 // act does what the state and the time make due.
 func (s *State) act() {
 	switch s.role {
@@ -268,6 +282,10 @@
 		return
 	}
 	s.role, s.record, s.lease = recovering, e.Revision, e.Lease
+	if s.stopping {
+		s.decline()
+		return
+	}
 	s.ownerKnown, s.ownerFound, s.owner, s.ownerRevision = true, true, s.cfg.Self, e.Revision
 	s.renewAt = s.now
 	s.changed = true
--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -125,6 +125,34 @@
 	}
 }
 
+// TestStopDuringCampaign guards against an instance that is told to stop, wins its
+// campaign and keeps the others from having an owner until it has read the records.
+func TestStopDuringCampaign(t *testing.T) {
+	won := CampaignDone{Won: true, Revision: 10, Lease: 3}
+	for name, events := range map[string][]Event{
+		"before the answer": {Stopping{}, won},
+		"while it recovers": {won, Stopping{}},
+	} {
+		b := newBench(t)
+		b.apply(CatalogRead{catalog(1, 1)})
+		b.apply(OwnerSeen{Revision: 5})
+		b.now = b.now.Add(time.Second)
+		b.apply(Tick{})
+		b.apply(events[0])
+		effects := b.apply(events[1])
+		if resign, ok := effect[Resign](effects); !ok || resign.Lease != 3 {
+			t.Errorf("%s: the record is kept", name)
+		}
+		if _, ok := effect[Recover](effects); ok {
+			t.Errorf("%s: the records are read", name)
+		}
+		b.apply(Recovered{Revision: 10})
+		if b.state.Snapshot().IsOwner {
+			t.Errorf("%s: it becomes the owner", name)
+		}
+	}
+}
+
 // TestStepDown guards against an owner that goes on after another one has taken
 // over, however it learns of it, and against news from before it won that makes
 // it give up.
--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -65,8 +65,11 @@
 	// shortQueue is how far ahead a lane may be booked with short calls, so that
 	// the service does not wait for the next one.
 	shortQueue = 60 * time.Millisecond
-	// lanesForShort is how many lanes long calls leave to short ones.
+	// lanesForShort and shortShare are how many lanes long calls leave to short
+	// ones, at least and of all. On a grown deployment a hundred short calls a
+	// second take 22 ms each, and up to twice that in a burst.
 	lanesForShort = 2
+	shortShare    = 1.0 / 6
 	// maxNamed is the most workers that one call may name.
 	maxNamed = 100
 	// adviceRetry is the wait after a call that failed.
@@ -238,12 +241,18 @@
 			best = l
 		}
 	}
-	if isLong && long >= max(1, len(c.lanes)-lanesForShort) {
+	if isLong && long >= c.lanesForLong() {
 		return nil
 	}
 	return best
 }
 
+// lanesForLong returns how many lanes may have a long call under way.
+func (c *Core) lanesForLong() int {
+	n := len(c.lanes)
+	return max(1, n-max(lanesForShort, int(shortShare*float64(n))))
+}
+
 // busyLanesShare returns the part of the lanes that has a call under way.
 func (c *Core) busyLanesShare() float64 {
 	busy := 0
