Start gangs after a backlog: renew tickets while lanes are free

After the traffic 60 to 150 gangs waited while 30 to 50% of the cores and 80 to 95% of the lanes were free: tickets had expired in the backlog and were renewed only for the few gangs for which room is kept, an eighth of the service, and too late gangs kept none above half of its use.

Ruled out: a wide gang that holds up the others for good (each gang that waits for kept room alternates with the plans of the others in the log).

Change: half of what is free may be kept, if that is more, and too late gangs keep room up to three quarters of the use. While less than half of the lanes are busy, tickets are renewed for gangs without kept room that would fit on the workers known to run them; gangs that would not fit ask about further workers.

Test that fails first: TestGangsAfterBacklog.

--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -168,12 +168,7 @@
 	if policy.PerWorker > 0 {
 		most = min(most, len(names)+int(moreNamed*float64(policy.Base)/float64(policy.PerWorker)))
 	}
-	var more []*worker
-	for _, w := range usable {
-		if _, known := s.advice.ticket(w, c.now, true); known && suits(w, s) && !slices.Contains(names, w.ID) {
-			more = append(more, w)
-		}
-	}
+	more := slices.DeleteFunc(s.known(usable, c.now), func(w *worker) bool { return slices.Contains(names, w.ID) })
 	return append(names, c.namesOf(more, max(0, most-len(names)))...)
 }
 
@@ -188,6 +183,17 @@
 	return unknown
 }
 
+// known returns the workers that may run a step.
+func (s *stepState) known(usable []*worker, now time.Time) []*worker {
+	var known []*worker
+	for _, w := range usable {
+		if _, ok := s.advice.ticket(w, now, true); ok && suits(w, s) {
+			known = append(known, w)
+		}
+	}
+	return known
+}
+
 // isAdvised reports whether something was asked for a step, or is being asked.
 func (s *stepState) isAdvised() bool { return s.advice.lane != nil || len(s.advice.asked) > 0 }
 
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -45,9 +45,13 @@
 	// eighth holds two gangs, and the next ones would not be prepared meanwhile.
 	fewGangs      = 4
 	fewGangsShare = 0.25
-	// idleShare is the part of a service's processors below which room is also
-	// kept for gangs that are too late to be worth delaying others.
-	idleShare = 0.5
+	// freeShare is the part of what a service has free that may be kept for gangs,
+	// if that is more: room that others do not need costs nothing.
+	freeShare = 0.5
+	// idleShare is the part of a service's processors that may be in use while room
+	// is also kept for gangs that are too late to be worth delaying others. Half of
+	// a service has to be free, for seconds, before such a gang may be missed.
+	idleShare = 0.75
 	// backfillMargin stretches the estimate of a task that would use room kept for
 	// a gang: one task in twenty takes three times the declared time, and a task
 	// that is late delays all members.
@@ -162,14 +166,16 @@
 // service that has room to spare.
 func (c *Core) mayReserve(s *stepState) bool {
 	u, kept := c.use[s.job.service], c.kept[s.job.service]
-	if c.rank(s) >= rankSurplus && float64(u.used) > idleShare*float64(u.capacity) {
+	most := freeShare * float64(u.capacity-u.used)
+	switch {
+	case c.rank(s) < rankSurplus && c.reservedOn(s.job.service) < fewGangs:
+		most = max(most, fewGangsShare*float64(u.capacity))
+	case c.rank(s) < rankSurplus:
+		most = max(most, maxReservedShare*float64(u.capacity))
+	case float64(u.used) > idleShare*float64(u.capacity):
 		return false
 	}
-	share := maxReservedShare
-	if c.reservedOn(s.job.service) < fewGangs {
-		share = fewGangsShare
-	}
-	if kept == 0 || !c.widerWaits[s.job.service] && float64(kept+s.needCPU()) <= share*float64(u.capacity) {
+	if kept == 0 || !c.widerWaits[s.job.service] && float64(kept+s.needCPU()) <= most {
 		return true
 	}
 	if float64(s.needCPU()) > maxReservedShare*float64(u.capacity) {
@@ -233,8 +239,16 @@
 func (c *Core) gangWorkersToName(s *stepState, usable []*worker, policy *job.AdvicePolicy) []string {
 	r := s.reserved
 	if r == nil {
-		if s.isAdvised() && s.wait != waitsForFurther {
-			return nil // enough is known for a plan; the lanes are for those that have one
+		if !s.isAdvised() || s.wait == waitsForFurther {
+			return c.namesOf(s.unknown(usable), c.worthNaming(s))
+		}
+		// Enough is known for a plan. While lanes are free, tickets are renewed for
+		// gangs without one too if they would fit, and more is asked if they do not.
+		if c.busyLanesShare() >= spareLanes {
+			return nil
+		}
+		if known := s.known(usable, c.now); c.fitsOn(s, known) {
+			return c.namesOf(known, c.worthNaming(s))
 		}
 		return c.namesOf(s.unknown(usable), c.worthNaming(s))
 	}
@@ -252,6 +266,19 @@
 	return nil
 }
 
+// fitsOn reports whether all tasks of a gang fit on workers as they are now.
+func (c *Core) fitsOn(s *stepState, workers []*worker) bool {
+	size, room := stepSize(s.spec), 0
+	for _, w := range workers {
+		fits := fitCount(size, w.free(s, c.now), len(s.tasks))
+		if s.spec.AntiAffinity > 0 {
+			fits = min(fits, s.spec.AntiAffinity)
+		}
+		room += fits
+	}
+	return room >= len(s.tasks)
+}
+
 // worthNaming returns how many workers a call for a gang should name: several
 // times as many as the gang needs if they were empty. A call takes longer for
 // each worker, and the service answers one call of an instance at a time.
--- a/schedule/reserve_test.go
+++ b/schedule/reserve_test.go
@@ -181,3 +181,36 @@
 	}
 	s.finish(stream)
 }
+
+// TestGangsAfterBacklog guards against gangs that wait while the service is empty,
+// because their tickets have expired in the backlog and are renewed only for the
+// few gangs for which room is kept.
+func TestGangsAfterBacklog(t *testing.T) {
+	const (
+		gangs = 6
+		busy  = 5 * time.Second
+		wait  = 3 * time.Second // that a job may have nothing running while there is room
+	)
+	s := newSimulation(t, 7, 48)
+	s.adviceTakes = time.Second // of a call that names a hundred workers for a gang
+	for i := range 16 {
+		s.every(time.Second, func() { s.input(func(c *Core) { c.SeeLane(fmt.Sprint("more-", i)) }) })
+	}
+	s.run(2 * time.Second)
+	s.submit(&job.Job{ID: "00000000000000a0", Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{{
+		Count: 48, Size: task.Resources{CPUMilli: 32_000, MemoryMB: 100}, Estimate: busy,
+	}}})
+	s.run(time.Second)
+	for i := range gangs {
+		s.submit(&job.Job{ID: job.ID(fmt.Sprintf("%016x", 0xe000+i)), Queue: "advised", Team: "blue", Spec: "work", Steps: []job.Step{{
+			Count: 6, Gang: true, Size: task.Resources{CPUMilli: 28_000, MemoryMB: 100}, Estimate: 4 * time.Second,
+		}}})
+	}
+	s.run(busy - time.Second + wait)
+	for i := range gangs {
+		if id := job.ID(fmt.Sprintf("%016x", 0xe000+i)); !s.hasStarted(id, 6) {
+			t.Errorf("a gang waits %s after the service is empty: %s", wait, s.core.describe(id))
+		}
+	}
+	s.finish(30 * time.Second)
+}
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -49,6 +49,8 @@
 	late       bool    // lost orders may be carried out late
 	faults     []string
 	asked      func(Ask) // sees each call for advice; nil for none
+
+	adviceTakes time.Duration
 }
 
 type record struct {
@@ -106,7 +108,7 @@
 
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
 	s := &simulation{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0),
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0), adviceTakes: 50 * time.Millisecond,
 		records: map[job.ID]*record{}, finals: map[job.ID]job.Final{}, workers: map[string]*simWorker{},
 		jobs: map[job.ID]*job.Job{}, cancels: map[job.ID]time.Time{}, running: map[job.TaskKey]*simRun{},
 		done: map[job.TaskKey]bool{}, succeeded: map[job.TaskKey]bool{}, failed: map[job.TaskKey][]time.Time{}, starts: map[job.TaskKey][]time.Time{}, history: map[job.TaskKey][]string{}, usage: map[string]task.Resources{},
@@ -253,7 +255,7 @@
 		if s.asked != nil {
 			s.asked(e)
 		}
-		s.reply(core, 50*time.Millisecond, func(c *Core) {
+		s.reply(core, s.adviceTakes, func(c *Core) {
 			tickets := map[string]string{}
 			for _, w := range e.Workers {
 				if isGood(e.Step, w) {
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -120,8 +120,13 @@
 	for _, r := range w.runs {
 		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b *run) int { return compareTasks(a.task, b.task) })
-	return out
+	return sortRuns(out)
+}
+
+// sortRuns orders runs by their tasks, in place.
+func sortRuns(runs []*run) []*run {
+	slices.SortFunc(runs, func(a, b *run) int { return compareTasks(a.task, b.task) })
+	return runs
 }
 
 // leaseIsOver reports whether every lease that this owner may have given the
@@ -153,11 +158,15 @@
 		c.hold(w)
 	}
 	c.closeOrOpen(w)
-	for _, r := range runsOf(w) {
+	var due []*run
+	for _, r := range w.runs {
 		if r.stopDue(c.now, c.cfg) {
-			c.sendStop(r)
+			due = append(due, r)
 		}
 	}
+	for _, r := range sortRuns(due) {
+		c.sendStop(r)
+	}
 	if w.silent && len(w.runs) > 0 && c.leaseIsOver(w) {
 		for _, r := range runsOf(w) {
 			c.runLost(r, "lease_over")
