--- a/instance/relay.go
+++ b/instance/relay.go
@@ -14,7 +14,8 @@
 
 const (
 	// relaySilence is after how long without a sign of life a relay is taken for
-	// frozen or cut off. It is far above the 50 ms that a busy small instance takes.
+	// frozen or cut off. It is far above the 25 ms of a message to another region
+	// and back, so that a busy instance is not taken for a lost one.
 	relaySilence = 600 * time.Millisecond
 	// relayPing separates the requests for a sign of life.
 	relayPing = 200 * time.Millisecond
--- a/schedule/wait.go
+++ b/schedule/wait.go
@@ -12,8 +12,8 @@
 // The causes, as they stand in the log.
 const (
 	waitsForLimit   waitCause = "team_limit"     // its team runs as much as it may
-	waitsForRoom    waitCause = "no_room"        // on any worker that may run it
-	waitsForWorker  waitCause = "no_worker"      // none that may run it gets work at all
+	waitsForRoom    waitCause = "no_room"        // not enough on the workers that may run it
+	waitsForWorker  waitCause = "no_worker"      // none has both room and a ticket that is valid
 	waitsForTicket  waitCause = "no_ticket"      // all that it had have expired
 	waitsForShare   waitCause = "reserved_share" // as much is kept for gangs as may be
 	waitsForPlan    waitCause = "plans"          // more urgent gangs have had the plans of the pass
@@ -21,11 +21,11 @@
 	waitsForKept    waitCause = "reserved"       // room is kept, and not all of it is free
 )
 
-// waitsInterval separates the lines on a gang that goes on waiting for the same
-// cause. A backlog has hundreds of gangs.
+// waitsInterval separates the lines on a step that goes on waiting for the same
+// cause. A backlog has hundreds of them.
 const waitsInterval = 4 * time.Second
 
-// waits notes why a gang waits and logs it.
+// waits notes why a step waits and logs it.
 func (c *Core) waits(s *stepState, cause waitCause, fields ...any) {
 	s.wait = cause
 	if s.noted == cause && c.now.Sub(s.notedAt) < waitsInterval {
