--- a/entry/relay.go
+++ b/entry/relay.go
@@ -34,9 +34,9 @@
 }
 
 const (
-	// relayQueue bounds the orders, and the outcomes, that wait for the stream. A
-	// burst of starts brings some hundred for one relay.
-	relayQueue = 1024
+	// outcomeQueue bounds the outcomes that wait for the stream. Hundreds of
+	// starts at once are for a few relays.
+	outcomeQueue = 1024
 	// relayBatch bounds what shares a message.
 	relayBatch = 64
 )
@@ -66,7 +66,11 @@
 			if err != nil {
 				return endOf(err)
 			}
-			take(decodeRelayReply(reply))
+			outcomes, err := decodeRelayReply(reply)
+			if err != nil {
+				return err
+			}
+			take(outcomes)
 		}
 	})
 	return group.Wait()
@@ -107,7 +111,7 @@
 // RelayOrders serves the call of that name.
 func (s *cellService) RelayOrders(stream entrypb.Cell_RelayOrdersServer) error {
 	group, ctx := errgroup.WithContext(stream.Context())
-	outcomes := make(chan *RelayOutcome, relayQueue)
+	outcomes := make(chan *RelayOutcome, outcomeQueue)
 	group.Go(func() error {
 		return sendBatches(ctx, outcomes, func(batch []*RelayOutcome) error { return stream.Send(encodeRelayReply(batch)) })
 	})
@@ -123,8 +127,7 @@
 			for _, o := range request.GetOrders() {
 				order, err := decodeRelayOrder(o)
 				if err != nil {
-					deliver(ctx, outcomes, &RelayOutcome{ID: o.GetId(), Verdict: schedule.Invalid})
-					continue
+					return err // the owner logs it and gives its orders directly
 				}
 				go func() {
 					call, cancel := context.WithTimeout(ctx, order.Timeout)
@@ -226,30 +229,29 @@
 	return reply
 }
 
-// decodeRelayReply returns the outcomes of a message. One that names a task which
-// cannot be read is unclear as a whole: a report without it would say that the
-// task does not run.
-func decodeRelayReply(reply *entrypb.RelayReply) []RelayOutcome {
+// decodeRelayReply returns the outcomes of a message. A task whose name cannot be
+// read is an error: a report without it would say that the task does not run.
+func decodeRelayReply(reply *entrypb.RelayReply) ([]RelayOutcome, error) {
 	var outcomes []RelayOutcome
 	for _, o := range reply.GetOutcomes() {
 		out := RelayOutcome{ID: o.GetId(), Verdict: schedule.Verdict(o.GetVerdict()), Clock: milliseconds(o.GetClockMs()), Born: o.GetBorn()}
 		for _, r := range o.GetRunning() {
 			key, err := job.ParseTaskKey(r.GetTask())
 			if err != nil {
-				out.Verdict = schedule.Unclear
+				return nil, eris.Wrap(err, "report through a relay")
 			}
 			out.Running = append(out.Running, schedule.RunReport{Task: key, Run: int(r.GetRun()), Checkpoint: r.GetCheckpoint(), Percent: int(r.GetPercent())})
 		}
 		for _, e := range o.GetEnded() {
 			key, err := job.ParseTaskKey(e.GetTask())
 			if err != nil {
-				out.Verdict = schedule.Unclear
+				return nil, eris.Wrap(err, "report through a relay")
 			}
 			out.Ended = append(out.Ended, schedule.EndReport{Number: e.GetNumber(), Task: key, Run: int(e.GetRun()), How: schedule.Ending(e.GetHow()), Checkpoint: e.GetCheckpoint()})
 		}
 		outcomes = append(outcomes, out)
 	}
-	return outcomes
+	return outcomes, nil
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/httpjson/server_test.go
@@ -0,0 +1,49 @@
+package httpjson
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestHandlerOutlastsReadTimeout guards against a call that is cut, or whose
+// connection takes no further call, because its caller waits for longer than a
+// request may take to arrive.
+func TestHandlerOutlastsReadTimeout(t *testing.T) {
+	limits := Limits{MaxRequestBytes: 1000, MaxHeaderBytes: 1000, ReadHeaderTimeout: 100 * time.Millisecond,
+		ReadTimeout: 200 * time.Millisecond, WriteTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second}
+	s := NewServer(limits)
+	s.Handle("/wait", Methods{"POST": func(r *http.Request) (Answer, error) {
+		if _, err := s.ReadBody(r); err != nil {
+			return Answer{}, err
+		}
+		select {
+		case <-time.After(2 * limits.ReadTimeout):
+			return JSON("waited")
+		case <-r.Context().Done():
+			return Answer{}, r.Context().Err()
+		}
+	}})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(listener) }() // ends with Abort
+	defer s.Abort()
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	for call := range 2 {
+		response, err := client.Post("http://"+listener.Addr().String()+"/wait", "application/json", strings.NewReader("{}"))
+		if err != nil {
+			t.Fatalf("call %d: %v", call, err)
+		}
+		if response.StatusCode != http.StatusOK {
+			t.Errorf("call %d is answered with %s", call, response.Status)
+		}
+		if err := response.Body.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/instance/relay.go
+++ b/instance/relay.go
@@ -24,8 +24,8 @@
 	// peerSilence is after how long an instance that does not follow the owner any
 	// more is left out; it does so every 100 ms.
 	peerSilence = 2500 * time.Millisecond
-	// relayQueued bounds the orders that wait for the stream of one relay.
-	relayQueued = 512
+	// orderQueue bounds the orders that wait for the stream of one relay.
+	orderQueue = 512
 )
 
 // relays gives the orders of an owner to workers through the instances in the
@@ -128,14 +128,14 @@
 
 // stream uses an instance as a relay until its stream ends.
 func (r *relays) stream(ctx context.Context, p entry.Peer) error {
-	l := &relay{Peer: p, orders: make(chan *entry.RelayOrder, relayQueued), pending: make(map[uint64]chan *entry.RelayOutcome)}
+	l := &relay{Peer: p, orders: make(chan *entry.RelayOrder, orderQueue), pending: make(map[uint64]chan *entry.RelayOutcome)}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return r.open(ctx, p.Address, l.orders, l.take) })
 	group.Go(func() error { return l.watch(ctx) })
 	r.use(l, true)
 	err := group.Wait()
 	r.use(l, false)
-	l.lose()
+	l.close()
 	return err
 }
 
@@ -216,7 +216,7 @@
 	if outcome != nil {
 		return outcome.Verdict
 	}
-	return again(ctx, sent, func() schedule.Verdict { return r.direct.Start(ctx, fence, s) })
+	return giveDirectly(ctx, sent, func() schedule.Verdict { return r.direct.Start(ctx, fence, s) })
 }
 
 // Stop implements Workers.
@@ -225,12 +225,12 @@
 	if outcome != nil {
 		return outcome.Verdict
 	}
-	return again(ctx, sent, func() schedule.Verdict { return r.direct.Stop(ctx, fence, s) })
+	return giveDirectly(ctx, sent, func() schedule.Verdict { return r.direct.Stop(ctx, fence, s) })
 }
 
-// again gives an order directly after a relay did not take it or was lost with
+// giveDirectly gives an order after a relay did not take it or was lost with
 // it. A refusal then proves nothing, since the relay may still give the order.
-func again(ctx context.Context, sent bool, direct func() schedule.Verdict) schedule.Verdict {
+func giveDirectly(ctx context.Context, sent bool, direct func() schedule.Verdict) schedule.Verdict {
 	if sent && ctx.Err() != nil {
 		return schedule.Unclear
 	}
@@ -320,8 +320,8 @@
 	}
 }
 
-// lose gives up all orders and takes no further ones.
-func (l *relay) lose() {
+// close gives up all orders and takes no further ones.
+func (l *relay) close() {
 	l.giveUp()
 	l.mu.Lock()
 	defer l.mu.Unlock()
