--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -6,17 +6,18 @@
 )
 
 const (
-	// demandHalfLife smooths the rate at which a team hands in jobs.
+	// demandHalfLife is the half-life of the moving average of a team's submission rate.
 	demandHalfLife = time.Second
-	// maxSurplusWaiting is the number of surplus jobs of a team that may wait. More of
-	// them would only wait longer, and cost the owner time.
+	// maxSurplusWaiting is the number of pending surplus jobs above which a team's submissions are
+	// throttled. More of them would only wait longer and add load on the owner.
 	maxSurplusWaiting = 40
-	// leastAdmitted is let through even of a flood, so that its end is noticed.
-	leastAdmitted = 0.05
+	// minAdmitted is the share of submissions that is admitted even in overload, so that the end of
+	// the overload is detected.
+	minAdmitted = 0.05
 )
 
-// Submitted counts the jobs that an instance was handed for a team, accepted or
-// not, since it last reported.
+// Submitted adds n jobs to a team's demand: those submitted to an instance, accepted or rejected,
+// since its last report.
 func (c *Core) Submitted(team string, n int) {
 	u := c.teamUsage(team)
 	u.decayDemand(c.now)
@@ -24,16 +25,15 @@
 }
 
 func (u *teamUsage) decayDemand(now time.Time) {
-	if !u.demandAt.IsZero() {
-		u.demand *= math.Exp2(-now.Sub(u.demandAt).Seconds() / demandHalfLife.Seconds())
+	if !u.demandUpdatedAt.IsZero() {
+		u.demand *= math.Exp2(-now.Sub(u.demandUpdatedAt).Seconds() / demandHalfLife.Seconds())
 	}
-	u.demandAt = now
+	u.demandUpdatedAt = now
 }
 
-// admission returns the part of the submissions of each team that should be
-// accepted, for teams that send more than their rate while their surplus waits.
-// It answers one team that sends many times its usual: its surplus is refused at
-// once, and tasks of the others do not queue behind it.
+// admission returns the share of submissions to accept for each team that exceeds its rate while
+// its surplus jobs are pending. If one team submits many times its usual rate, its surplus is
+// rejected at once and does not delay the tasks of other teams.
 func (c *Core) admission() map[string]float64 {
 	out := make(map[string]float64)
 	for name, u := range c.usage {
@@ -43,7 +43,7 @@
 		}
 		u.decayDemand(c.now)
 		if u.demand > t.Weight {
-			out[name] = max(leastAdmitted, t.Weight/u.demand)
+			out[name] = max(minAdmitted, t.Weight/u.demand)
 		}
 	}
 	return out
--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -9,129 +9,129 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// adviceState is what the advice service has said of a step. Which workers may
-// run a step does not change; the tickets that prove it expire.
+// adviceState holds the replies of the advice service for a step. A worker that is eligible to run
+// a step stays eligible, but the ticket that proves it expires.
 type adviceState struct {
-	tickets map[string]ticket // by worker, also expired ones
-	asked   map[string]int64  // lives of workers that were named in a call
-	lane    *lane             // of the call under way
-	retryAt time.Time
-	till    time.Time // when the last of the tickets expires
+	tickets   map[string]ticket // by worker, including expired ones
+	asked     map[string]int64  // incarnation of each worker named in a call
+	proxy     *adviceProxy      // of the call in flight; nil if there is none
+	retryAt   time.Time
+	expiresAt time.Time // latest expiry of the tickets
 }
 
 type ticket struct {
-	text string
-	born int64
-	till time.Time
+	text      string
+	born      int64
+	expiresAt time.Time
 }
 
-// ticketMargin is the least time that a ticket must have left when a start is
-// sent: an order crosses regions in 12 ms and waits for a connection at times.
+// ticketMargin is the minimum remaining validity of a ticket when a start order is sent: an order
+// takes 12 ms across regions and sometimes waits for a connection.
 const ticketMargin = 120 * time.Millisecond
 
 func (a *adviceState) ticket(w *worker, now time.Time, anyAge bool) (string, bool) {
 	t, ok := a.tickets[w.ID]
-	if !ok || t.born != w.Born || (!anyAge && now.Add(ticketMargin).After(t.till)) {
+	if !ok || t.born != w.Born || (!anyAge && now.Add(ticketMargin).After(t.expiresAt)) {
 		return "", false
 	}
 	return t.text, true
 }
 
-// forget makes the ticket of a worker unusable without forgetting that the
-// worker may run the step.
-func (a *adviceState) forget(worker string) {
+// expireTicket invalidates the ticket of a worker but keeps the worker eligible for the step.
+func (a *adviceState) expireTicket(worker string) {
 	if t, ok := a.tickets[worker]; ok {
-		t.till = time.Time{}
+		t.expiresAt = time.Time{}
 		a.tickets[worker] = t
 	}
 }
 
-// lane is an instance through which the advice service can be asked. The
-// service serves one call of each instance at a time.
-type lane struct {
-	name     string
-	seenAt   time.Time
-	inFlight int
-	busyTill time.Time
-	long     int // calls under way that take long
+// adviceProxy is an instance that can call the advice service for this owner. The service processes
+// one call per instance at a time.
+type adviceProxy struct {
+	name       string
+	lastSeenAt time.Time
+	inFlight   int
+	busyUntil  time.Time
+	longCalls  int // long calls in flight
 }
 
 const (
-	// laneSilence is how long an instance may be silent before it is no longer
-	// used; it reports every second.
-	laneSilence = 2500 * time.Millisecond
-	// longCall is the length from which a call holds up the others of its lane.
-	longCall = 150 * time.Millisecond
-	// shortQueue is how far ahead a lane may be booked with short calls, so that
-	// the service does not wait for the next one.
-	shortQueue = 60 * time.Millisecond
-	// lanesForShort and shortShare are how many lanes long calls leave to short
-	// ones, at least and of all. On a grown deployment a hundred short calls a
-	// second take 22 ms each, and up to twice that in a burst.
-	lanesForShort = 2
-	shortShare    = 1.0 / 6
-	// maxNamed is the most workers that one call may name.
-	maxNamed = 100
-	// adviceRetry is the wait after a call that failed.
-	adviceRetry = 60 * time.Millisecond
+	// proxyTimeout is how long an instance may go without a report before it is no longer used;
+	// instances report every second.
+	proxyTimeout = 2500 * time.Millisecond
+	// longCallThreshold is the duration from which a call is long. It would block the calls that
+	// are queued behind it on the same proxy.
+	longCallThreshold = 150 * time.Millisecond
+	// maxShortCallBacklog is how much work of short calls may be queued on a proxy, so that the
+	// service is not idle between calls.
+	maxShortCallBacklog = 60 * time.Millisecond
+	// minShortCallProxies is the minimum number of proxies reserved for short calls, and
+	// shortCallProxyShare their share of all proxies. On a large deployment there are 100 short
+	// calls per second of 22 ms each, and up to twice that in a burst.
+	minShortCallProxies = 2
+	shortCallProxyShare = 1.0 / 6
+	// maxWorkersPerCall is the maximum number of workers that one call may name.
+	maxWorkersPerCall = 100
+	// adviceRetryDelay is the delay before a failed call is retried.
+	adviceRetryDelay = 60 * time.Millisecond
 )
 
-// SeeLane notes that an instance is there and can ask for advice.
+// SeeLane records that an instance is alive and can call the advice service.
 func (c *Core) SeeLane(name string) {
-	l, known := c.lanes[name]
+	proxy, known := c.proxies[name]
 	if !known {
-		l = &lane{name: name}
-		c.lanes[name] = l
-		c.laneOrder = nil
+		proxy = &adviceProxy{name: name}
+		c.proxies[name] = proxy
+		c.proxyOrder = nil
 		c.passDue = true
 	}
-	l.seenAt = c.now
+	proxy.lastSeenAt = c.now
 }
 
-func (c *Core) dropSilentLanes() {
-	for name, l := range c.lanes {
-		if c.now.Sub(l.seenAt) > laneSilence && l.inFlight == 0 {
-			delete(c.lanes, name)
-			c.laneOrder = nil
+func (c *Core) removeSilentProxies() {
+	for name, proxy := range c.proxies {
+		if c.now.Sub(proxy.lastSeenAt) > proxyTimeout && proxy.inFlight == 0 {
+			delete(c.proxies, name)
+			c.proxyOrder = nil
 		}
 	}
 }
 
-// seekAdvice asks for the steps that have no usable ticket, in their order, as
-// far as lanes are free.
-func (c *Core) seekAdvice(steps []*stepState, usable []*worker) {
-	if c.freeLane(0) == nil {
+// requestAdvice calls the advice service for the steps without a usable ticket, in the given order,
+// as long as proxies are available.
+func (c *Core) requestAdvice(steps []*stepState, usable []*worker) {
+	if c.selectProxy(0) == nil {
 		return
 	}
 	for _, s := range steps {
-		if s.advice.lane != nil || c.now.Before(s.advice.retryAt) {
+		if s.advice.proxy != nil || c.now.Before(s.advice.retryAt) {
 			continue
 		}
 		policy := c.catalog.Queue(s.job.Queue).Advice
-		if c.freeLane(policy.Base) == nil {
+		if c.selectProxy(policy.Base) == nil {
 			continue
 		}
-		named := c.workersToName(s, usable)
+		named := c.workersToAsk(s, usable)
 		if len(named) == 0 {
 			continue
 		}
-		takes := policy.Base + time.Duration(len(named))*policy.PerWorker
-		if l := c.freeLane(takes); l != nil {
-			c.ask(s, l, named, takes)
+		callDuration := policy.Base + time.Duration(len(named))*policy.PerWorker
+		if proxy := c.selectProxy(callDuration); proxy != nil {
+			c.callAdvice(s, proxy, named, callDuration)
 		}
 	}
 }
 
-// workersToName returns the workers about which a call is worth its time: those
-// about which nothing is known yet, or else those that would be chosen if their
-// tickets had not expired.
-func (c *Core) workersToName(s *stepState, usable []*worker) []string {
+// workersToAsk returns the workers that the next call for a step should name: those that were not
+// named before or, if enough are eligible, those that would be chosen if their tickets had not
+// expired. It returns none if a call is not worth its duration.
+func (c *Core) workersToAsk(s *stepState, usable []*worker) []string {
 	if s.spec.Gang {
-		return c.gangWorkersToName(s, usable, c.catalog.Queue(s.job.Queue).Advice)
+		return c.gangWorkersToAsk(s, usable, c.catalog.Queue(s.job.Queue).Advice)
 	}
 	if !c.hasEnoughTickets(s) {
-		if unknown := s.unknown(usable); len(unknown) > 0 {
-			return c.namesOf(unknown, maxNamed)
+		if unasked := s.unasked(usable); len(unasked) > 0 {
+			return c.idsByFreeCPU(unasked, maxWorkersPerCall)
 		}
 	}
 	options := c.options(s, usable, true)
@@ -142,67 +142,68 @@
 		return 1
 	})
 	var names []string
-	room := 0
+	capacity := 0
 	for _, o := range options {
-		if room >= s.left {
+		if capacity >= s.unfinishedTasks {
 			break
 		}
 		names = append(names, o.worker.ID)
-		room += o.room
+		capacity += o.taskCount
 	}
-	if room == 0 || room >= s.left {
+	if capacity == 0 || capacity >= s.unfinishedTasks {
 		return names
 	}
-	return c.nameMore(s, names, usable)
+	return c.addEligible(s, names, usable)
 }
 
-// moreNamed is the part of the fixed length of a call that may go to workers
-// without room at present. Their tickets are valid when a task ends there, which
-// saves a call for each end.
-const moreNamed = 0.5
+// extraWorkersShare limits the time that a call spends on workers without free capacity, as a share
+// of the call's fixed duration. Their tickets are then valid when a task ends on them, which saves
+// a call for each end.
+const extraWorkersShare = 0.5
 
-// nameMore adds workers that may run a step, those with the most room first.
-func (c *Core) nameMore(s *stepState, names []string, usable []*worker) []string {
+// addEligible adds eligible workers to names, those with the most free CPU first.
+func (c *Core) addEligible(s *stepState, names []string, usable []*worker) []string {
 	policy := c.catalog.Queue(s.job.Queue).Advice
-	most := maxNamed
+	limit := maxWorkersPerCall
 	if policy.PerWorker > 0 {
-		most = min(most, len(names)+int(moreNamed*float64(policy.Base)/float64(policy.PerWorker)))
+		limit = min(limit, len(names)+int(extraWorkersShare*float64(policy.Base)/float64(policy.PerWorker)))
 	}
-	more := slices.DeleteFunc(s.known(usable, c.now), func(w *worker) bool { return slices.Contains(names, w.ID) })
-	return append(names, c.namesOf(more, max(0, most-len(names)))...)
+	extra := slices.DeleteFunc(s.eligible(usable, c.now), func(w *worker) bool { return slices.Contains(names, w.ID) })
+	return append(names, c.idsByFreeCPU(extra, max(0, limit-len(names)))...)
 }
 
-// unknown returns the workers that suit a step and about which nothing was asked.
-func (s *stepState) unknown(usable []*worker) []*worker {
-	var unknown []*worker
+// unasked returns the workers that meet the requirements of a step and were not named in a call.
+func (s *stepState) unasked(usable []*worker) []*worker {
+	var unasked []*worker
 	for _, w := range usable {
-		if born, asked := s.advice.asked[w.ID]; (!asked || born != w.Born) && suits(w, s) {
-			unknown = append(unknown, w)
+		if born, asked := s.advice.asked[w.ID]; (!asked || born != w.Born) && meetsRequirements(w, s) {
+			unasked = append(unasked, w)
 		}
 	}
-	return unknown
+	return unasked
 }
 
-// known returns the workers that may run a step.
-func (s *stepState) known(usable []*worker, now time.Time) []*worker {
-	var known []*worker
+// eligible returns the workers that the advice service allows to run a step, including those whose
+// ticket has expired.
+func (s *stepState) eligible(usable []*worker, now time.Time) []*worker {
+	var eligible []*worker
 	for _, w := range usable {
-		if _, ok := s.advice.ticket(w, now, true); ok && suits(w, s) {
-			known = append(known, w)
+		if _, ok := s.advice.ticket(w, now, true); ok && meetsRequirements(w, s) {
+			eligible = append(eligible, w)
 		}
 	}
-	return known
+	return eligible
 }
 
-// isAdvised reports whether something was asked for a step, or is being asked.
-func (s *stepState) isAdvised() bool { return s.advice.lane != nil || len(s.advice.asked) > 0 }
+// hasAskedAdvice reports whether a call for a step has been answered or is in flight.
+func (s *stepState) hasAskedAdvice() bool { return s.advice.proxy != nil || len(s.advice.asked) > 0 }
 
-// hasEnoughTickets reports whether the workers that may run a step are enough to
-// wait for, so that asking about further ones is not worth a call: some choice
-// for small steps, and room for every task of a wide one if they were empty.
+// hasEnoughTickets reports whether enough workers are eligible for a step that a call about more of
+// them is not worthwhile: there is some choice, and all tasks of the step would fit on the eligible
+// workers if these were empty.
 func (c *Core) hasEnoughTickets(s *stepState) bool {
-	const choice = 4 // workers; fewer are too few to wait for
-	size, room, known := stepSize(s.spec), 0, 0
+	const minWorkers = 4 // workers; with fewer, waiting for one of them takes too long
+	size, capacity, eligible := taskSize(s.spec), 0, 0
 	for id := range s.advice.tickets {
 		w := c.workers[id]
 		if w == nil || !w.listed || w.Draining {
@@ -212,130 +213,132 @@
 		if s.spec.AntiAffinity > 0 {
 			fits = min(fits, s.spec.AntiAffinity)
 		}
-		known++
-		room += fits
+		eligible++
+		capacity += fits
 	}
-	return known >= choice && room >= len(s.tasks)
+	return eligible >= minWorkers && capacity >= len(s.tasks)
 }
 
-// namesOf names at most so many workers, those with the most room first: if a
-// call cannot name all, these are the ones that would be chosen.
-func (c *Core) namesOf(list []*worker, most int) []string {
-	slices.SortFunc(list, func(a, b *worker) int {
-		return cmp.Or(-cmp.Compare(a.roomCPU(), b.roomCPU()), cmp.Compare(a.ID, b.ID))
+// idsByFreeCPU returns the IDs of at most that many workers, those with the most free CPU first: if
+// a call cannot name all workers, these are the ones most likely to be chosen.
+func (c *Core) idsByFreeCPU(workers []*worker, limit int) []string {
+	slices.SortFunc(workers, func(a, b *worker) int {
+		return cmp.Or(-cmp.Compare(a.freeCPU(), b.freeCPU()), cmp.Compare(a.ID, b.ID))
 	})
-	most = min(len(list), most, maxNamed)
-	names := make([]string, 0, most)
-	for _, w := range list[:most] {
-		names = append(names, w.ID)
+	limit = min(len(workers), limit, maxWorkersPerCall)
+	ids := make([]string, 0, limit)
+	for _, w := range workers[:limit] {
+		ids = append(ids, w.ID)
 	}
-	return names
+	return ids
 }
 
-// freeLane returns the lane that can take a call soonest, or nil if none should.
-// Long calls leave some lanes to short ones, which would wait behind them.
-func (c *Core) freeLane(takes time.Duration) *lane {
-	isLong := takes >= longCall
-	long := 0
-	var best *lane
-	for _, l := range c.sortedLanes() {
-		long += min(l.long, 1)
-		if !c.laneTakes(l, isLong) {
+// selectProxy returns the proxy that can make a call soonest, or nil if none is available. Some
+// proxies are reserved for short calls, which would otherwise wait behind long ones.
+func (c *Core) selectProxy(callDuration time.Duration) *adviceProxy {
+	isLong := callDuration >= longCallThreshold
+	longCallProxies := 0
+	var best *adviceProxy
+	for _, proxy := range c.sortedProxies() {
+		longCallProxies += min(proxy.longCalls, 1)
+		if !c.canCall(proxy, isLong) {
 			continue
 		}
-		if best == nil || l.busyTill.Before(best.busyTill) {
-			best = l
+		if best == nil || proxy.busyUntil.Before(best.busyUntil) {
+			best = proxy
 		}
 	}
-	if isLong && long >= c.lanesForLong() {
+	if isLong && longCallProxies >= c.maxLongCallProxies() {
 		return nil
 	}
 	return best
 }
 
-// lanesForLong returns how many lanes may have a long call under way.
-func (c *Core) lanesForLong() int {
-	n := len(c.lanes)
-	return max(1, n-max(lanesForShort, int(shortShare*float64(n))))
+// maxLongCallProxies returns how many proxies may have a long call in flight.
+func (c *Core) maxLongCallProxies() int {
+	n := len(c.proxies)
+	return max(1, n-max(minShortCallProxies, int(shortCallProxyShare*float64(n))))
 }
 
-// busyLanesShare returns the part of the lanes that has a call under way.
-func (c *Core) busyLanesShare() float64 {
+// busyProxyShare returns the share of the proxies that have a call in flight.
+func (c *Core) busyProxyShare() float64 {
 	busy := 0
-	for _, l := range c.lanes {
-		busy += min(l.inFlight, 1)
+	for _, proxy := range c.proxies {
+		busy += min(proxy.inFlight, 1)
 	}
-	return float64(busy) / float64(max(1, len(c.lanes)))
+	return float64(busy) / float64(max(1, len(c.proxies)))
 }
 
 const (
-	// firstGoodShare is taken before the first answer for a queue.
-	firstGoodShare = 0.4
-	// goodShareWeight is that of one answer: some twenty count.
-	goodShareWeight = 0.05
-	// leastGoodShare bounds what a row of bad answers makes of it.
-	leastGoodShare = 0.1
+	// initialEligibleShare is assumed until the first reply for a queue.
+	initialEligibleShare = 0.4
+	// eligibleShareWeight is the weight of one reply in the moving average, which thus covers about
+	// twenty replies.
+	eligibleShareWeight = 0.05
+	// minEligibleShare is the lower bound of the estimate after a series of replies with few
+	// eligible workers.
+	minEligibleShare = 0.1
 )
 
-// goodShare returns the part of the named workers that may run a step of a queue,
-// as the answers so far tell.
-func (c *Core) goodShare(queue string) float64 {
-	if share, known := c.good[queue]; known {
-		return max(leastGoodShare, share)
+// eligibleShare estimates the share of the named workers that are eligible to run a step of a
+// queue, from the replies so far.
+func (c *Core) eligibleShare(queue string) float64 {
+	if share, known := c.eligibleShares[queue]; known {
+		return max(minEligibleShare, share)
 	}
-	return firstGoodShare
+	return initialEligibleShare
 }
 
-// observeGood takes in the answer about workers that were not named before.
-func (c *Core) observeGood(queue string, named, good int) {
-	share := c.goodShare(queue)
-	c.good[queue] = share + goodShareWeight*(float64(good)/float64(named)-share)
+// updateEligibleShare updates the estimate for a queue with the first reply for a step.
+func (c *Core) updateEligibleShare(queue string, named, eligible int) {
+	share := c.eligibleShare(queue)
+	c.eligibleShares[queue] = share + eligibleShareWeight*(float64(eligible)/float64(named)-share)
 }
 
-// sortedLanes returns the lanes by name.
-func (c *Core) sortedLanes() []*lane {
-	if c.laneOrder == nil {
-		for _, name := range slices.Sorted(maps.Keys(c.lanes)) {
-			c.laneOrder = append(c.laneOrder, c.lanes[name])
+// sortedProxies returns the proxies sorted by name.
+func (c *Core) sortedProxies() []*adviceProxy {
+	if c.proxyOrder == nil {
+		for _, name := range slices.Sorted(maps.Keys(c.proxies)) {
+			c.proxyOrder = append(c.proxyOrder, c.proxies[name])
 		}
 	}
-	return c.laneOrder
+	return c.proxyOrder
 }
 
-func (c *Core) laneTakes(l *lane, isLong bool) bool {
-	if c.now.Sub(l.seenAt) > laneSilence {
+func (c *Core) canCall(proxy *adviceProxy, isLong bool) bool {
+	if c.now.Sub(proxy.lastSeenAt) > proxyTimeout {
 		return false
 	}
 	if isLong {
-		return l.inFlight == 0
+		return proxy.inFlight == 0
 	}
-	return l.inFlight == 0 || (l.long == 0 && l.busyTill.Sub(c.now) < shortQueue)
+	return proxy.inFlight == 0 || (proxy.longCalls == 0 && proxy.busyUntil.Sub(c.now) < maxShortCallBacklog)
 }
 
-func (c *Core) ask(s *stepState, l *lane, named []string, takes time.Duration) {
-	s.advice.lane = l
+func (c *Core) callAdvice(s *stepState, proxy *adviceProxy, named []string, callDuration time.Duration) {
+	s.advice.proxy = proxy
 	if s.advice.asked == nil {
 		s.advice.asked = make(map[string]int64)
 		s.advice.tickets = make(map[string]ticket)
 	}
-	l.inFlight++
-	if takes >= longCall {
-		l.long++
+	proxy.inFlight++
+	if callDuration >= longCallThreshold {
+		proxy.longCalls++
 	}
-	if l.busyTill.Before(c.now) {
-		l.busyTill = c.now
+	if proxy.busyUntil.Before(c.now) {
+		proxy.busyUntil = c.now
 	}
-	l.busyTill = l.busyTill.Add(takes)
-	c.emit(Ask{Lane: l.name, Step: s.key, Workers: named})
+	proxy.busyUntil = proxy.busyUntil.Add(callDuration)
+	c.emit(Ask{Lane: proxy.name, Step: s.key, Workers: named})
 }
 
-// AskDone takes in an answer of the advice service.
+// AskDone handles the reply of the advice service.
 func (c *Core) AskDone(e AskDone) {
-	if l := c.lanes[e.Ask.Lane]; l != nil {
-		l.inFlight = max(0, l.inFlight-1)
-		if l.inFlight == 0 {
-			l.long = 0
-			l.busyTill = c.now
+	if proxy := c.proxies[e.Ask.Lane]; proxy != nil {
+		proxy.inFlight = max(0, proxy.inFlight-1)
+		if proxy.inFlight == 0 {
+			proxy.longCalls = 0
+			proxy.busyUntil = c.now
 		}
 	}
 	c.passDue = true
@@ -343,9 +346,9 @@
 	if s == nil {
 		return
 	}
-	s.advice.lane = nil
+	s.advice.proxy = nil
 	if e.Failed {
-		s.advice.retryAt = c.now.Add(adviceRetry)
+		s.advice.retryAt = c.now.Add(adviceRetryDelay)
 		return
 	}
 	first := len(s.advice.asked) == 0
@@ -355,34 +358,33 @@
 			continue
 		}
 		s.advice.asked[id] = w.Born
-		if text, good := e.Tickets[id]; good {
-			s.advice.till = c.now.Add(e.Valid)
-			s.advice.tickets[id] = ticket{text: text, born: w.Born, till: c.now.Add(e.Valid)}
+		if text, eligible := e.Tickets[id]; eligible {
+			s.advice.expiresAt = c.now.Add(e.Valid)
+			s.advice.tickets[id] = ticket{text: text, born: w.Born, expiresAt: c.now.Add(e.Valid)}
 		}
 	}
 	if first {
-		c.observeGood(s.job.Queue, len(e.Ask.Workers), len(e.Tickets))
+		c.updateEligibleShare(s.job.Queue, len(e.Ask.Workers), len(e.Tickets))
 	}
-	c.decide(s.key.Job, "advised", "step", s.key.String(), "named", len(e.Ask.Workers), "good", len(e.Tickets), "through", e.Ask.Lane, "valid_ms", e.Valid.Milliseconds())
-	if s.reserved != nil && s.hasUnplaced() && !c.stopping {
+	c.logDecision(s.key.Job, "advised", "step", s.key.String(), "named", len(e.Ask.Workers), "good", len(e.Tickets), "through", e.Ask.Lane, "valid_ms", e.Valid.Milliseconds())
+	if s.reservation != nil && s.hasUnplaced() && !c.stopping {
 		c.placeReserved(s)
 	}
 }
 
-// placeReserved starts a gang whose tickets were renewed in the room that is
-// kept for it, before they expire.
+// placeReserved tries to start a gang whose tickets were renewed on its reserved workers, before
+// the tickets expire.
 func (c *Core) placeReserved(s *stepState) {
 	var members []*worker
 	for _, w := range c.sortedWorkers() {
-		if _, ok := s.reserved.members[w]; ok && c.isUsable(w) {
+		if _, ok := s.reservation.members[w]; ok && c.isUsable(w) {
 			members = append(members, w)
 		}
 	}
 	c.placeStep(s, members)
 }
 
-// Room returns the capacity of the workers that may get work, and what of it is
-// in use.
+// Room returns the total and the used capacity of the workers that may get new work.
 func (c *Core) Room() (capacity, used task.Resources) {
 	for _, w := range c.workers {
 		if c.isUsable(w) {
--- a/schedule/bench_grown_test.go
+++ b/schedule/bench_grown_test.go
@@ -9,18 +9,18 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// BenchmarkPassOverFullFleet measures a pass over a backlog that was advised, on
-// 350 workers that are full of runs: the state of an owner in a burst on a grown
-// deployment. A pass that takes longer than some milliseconds leaves room unused.
+// BenchmarkPassOverFullFleet measures a pass over a backlog with valid tickets on 350 fully used
+// workers, as in a burst on a large deployment. A pass that takes longer than a few milliseconds
+// leaves capacity unused.
 func BenchmarkPassOverFullFleet(b *testing.B) {
 	for _, jobs := range []int{100, 400} {
 		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
-			c, now := fullFleet(jobs)
+			c, now := newFullFleet(jobs)
 			b.ReportAllocs()
 			for b.Loop() {
 				now = now.Add(replanInterval)
 				c.Begin(now, now)
-				freeLanes(c)
+				dropAdviceCalls(c)
 				c.passDue, c.lastPass = true, time.Time{}
 				c.Finish()
 			}
@@ -28,8 +28,8 @@
 	}
 }
 
-func fullFleet(jobs int) (*Core, time.Time) {
-	c, now := backlog(0)
+func newFullFleet(jobs int) (*Core, time.Time) {
+	c, now := newBacklog(0)
 	var workers []Worker
 	for i := range 350 {
 		workers = append(workers, Worker{ID: fmt.Sprintf("x%03d", i), Born: 1, Address: "a", Service: "s", Rack: fmt.Sprint("r", i/20), Capacity: task.Resources{CPUMilli: 32000, MemoryMB: 128 << 10}})
@@ -43,7 +43,7 @@
 		if !w.listed {
 			continue
 		}
-		for k := range 8 - i%10/9 { // a tenth of the workers has room for one task
+		for k := range 8 - i%10/9 { // a tenth of the workers have capacity for one more task
 			c.start(s, i%350*8+k, w, 1, "")
 		}
 	}
@@ -54,7 +54,7 @@
 			j.Steps[0] = job.Step{Count: 20, Gang: true, Size: task.Resources{CPUMilli: 9000, MemoryMB: 18000}, Estimate: 4 * time.Second}
 		}
 		c.Accept(j)
-		advise(c, c.steps[job.StepKey{Job: j.ID}], i)
+		grantTickets(c, c.steps[job.StepKey{Job: j.ID}], i)
 	}
 	for i := range 35 {
 		c.SeeLane(fmt.Sprint("x", i))
@@ -63,51 +63,51 @@
 	return c, now
 }
 
-// freeLanes ends the calls for advice that are under way without an answer.
-func freeLanes(c *Core) {
-	for _, l := range c.lanes {
-		l.inFlight, l.long, l.seenAt = 0, 0, c.now
+// dropAdviceCalls discards the advice calls in flight.
+func dropAdviceCalls(c *Core) {
+	for _, proxy := range c.proxies {
+		proxy.inFlight, proxy.longCalls, proxy.lastSeenAt = 0, 0, c.now
 	}
 	for _, s := range c.steps {
-		s.advice.lane = nil
+		s.advice.proxy = nil
 	}
 }
 
-// advise gives a step tickets for every third worker.
-func advise(c *Core, s *stepState, offset int) {
+// grantTickets gives a step tickets for every third worker.
+func grantTickets(c *Core, s *stepState, offset int) {
 	s.advice.asked, s.advice.tickets = make(map[string]int64), make(map[string]ticket)
 	for i, w := range c.sortedWorkers() {
 		s.advice.asked[w.ID] = w.Born
 		if (i+offset)%3 == 0 {
-			s.advice.tickets[w.ID] = ticket{text: "x", born: w.Born, till: c.now.Add(time.Second)}
-			s.advice.till = c.now.Add(time.Second)
+			s.advice.tickets[w.ID] = ticket{text: "x", born: w.Born, expiresAt: c.now.Add(time.Second)}
+			s.advice.expiresAt = c.now.Add(time.Second)
 		}
 	}
 }
 
-// BenchmarkTickFullFleet measures what time alone costs the owner of 350 workers
-// with some 2,800 runs, a hundred times a second.
+// BenchmarkTickFullFleet measures a tick with 350 workers and about 2,800 runs. An owner ticks 100
+// times per second.
 func BenchmarkTickFullFleet(b *testing.B) {
-	c, now := fullFleet(400)
+	c, now := newFullFleet(400)
 	for _, w := range c.workers {
-		w.holding = true
+		w.polling = true
 	}
 	b.ReportAllocs()
 	for b.Loop() {
 		now = now.Add(time.Millisecond)
 		c.Begin(now, now)
-		c.lastPass, c.summedAt = now, now
+		c.lastPass, c.summarizedAt = now, now
 		c.Tick()
 		c.effects = c.effects[:0]
 	}
 }
 
-// BenchmarkReportFullFleet measures one report of a worker with eight runs.
+// BenchmarkReportFullFleet measures the handling of one report of a worker with eight runs.
 func BenchmarkReportFullFleet(b *testing.B) {
-	c, now := fullFleet(400)
+	c, now := newFullFleet(400)
 	w := c.workers["x000"]
 	e := HoldDone{Hold: Hold{Target: w.target()}, Born: 1}
-	for _, r := range runsOf(w) {
+	for _, r := range sortedRunsOf(w) {
 		e.Running = append(e.Running, RunReport{Task: r.task, Run: r.number, Percent: 10})
 	}
 	b.ReportAllocs()
--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -9,12 +9,11 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// BenchmarkPassOverBacklog measures one pass over a long queue with full
-// workers: the state of an owner after a takeover in a flood.
+// BenchmarkPassOverBacklog measures one pass over a long queue, as after a takeover under overload.
 func BenchmarkPassOverBacklog(b *testing.B) {
 	for _, jobs := range []int{100, 1000, 4000} {
 		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
-			c, now := backlog(jobs)
+			c, now := newBacklog(jobs)
 			b.ReportAllocs()
 			for b.Loop() {
 				now = now.Add(c.passInterval())
@@ -26,9 +25,9 @@
 	}
 }
 
-// BenchmarkTick measures what time alone costs the owner.
+// BenchmarkTick measures a tick with a backlog of 1,000 jobs.
 func BenchmarkTick(b *testing.B) {
-	c, now := backlog(1000)
+	c, now := newBacklog(1000)
 	b.ReportAllocs()
 	for b.Loop() {
 		now = now.Add(time.Millisecond)
@@ -39,7 +38,7 @@
 	}
 }
 
-func backlog(jobs int) (*Core, time.Time) {
+func newBacklog(jobs int) (*Core, time.Time) {
 	now := time.Unix(1_000_000, 0)
 	queues := []job.Queue{
 		{Name: "gangs", Service: "s", MaxAttempts: 3, Stretch: 2, Target: time.Second, Advice: &job.AdvicePolicy{Base: 500 * time.Millisecond, PerWorker: 7 * time.Millisecond, Valid: 2 * time.Second}},
--- a/schedule/commit.go
+++ b/schedule/commit.go
@@ -6,50 +6,51 @@
 	"github.com/mulberrydrum/mulberrydrum/job"
 )
 
-// The store takes 32 entries in a transaction. The executor needs three of them
-// for the conditions of ownership, and one for the roster.
+// The store accepts 32 entries per transaction. The executor needs three of them for the ownership
+// conditions and one for the roster.
 const (
 	maxCommitEntries = 28
-	progressEntries  = 1 // the progress record
-	finalEntries     = 2 // the final record; the job record is removed
+	progressEntries  = 1 // writes the progress record
+	finalEntries     = 2 // writes the final record and deletes the job record
 )
 
-// CommitLanes is how many commits may be under way. A slow store answers five
-// times a second; with one commit of some ten jobs at a time the ends of a burst
-// would wait for it.
+// CommitLanes is the maximum number of concurrent commits, each in a commit stream of its own. A slow
+// store completes five transactions per second; with one commit of about ten jobs at a time, jobs
+// that end in a burst would queue up.
 const CommitLanes = 4
 
-// rosterLane is the lane of the roster, so that an older one never follows.
-const rosterLane = 0
+// rosterStream is the only commit stream that writes the roster, so that an older roster never
+// overwrites a newer one.
+const rosterStream = 0
 
-// maybeCommit records what has changed in a lane that is free. Jobs that have
-// ended go first, since callers wait for them.
+// maybeCommit commits pending changes if a commit stream is free. Jobs that have ended go first,
+// since callers wait for them.
 func (c *Core) maybeCommit() {
-	if (len(c.dirty) == 0 && !c.rosterDue) || c.now.Sub(c.lastCommit) < c.cfg.CommitInterval {
+	if (len(c.dirty) == 0 && !c.rosterDirty) || c.now.Sub(c.lastCommit) < c.cfg.CommitInterval {
 		return
 	}
-	lane := slices.Index(c.busyLanes[:], false)
-	if lane < 0 {
+	stream := slices.Index(c.busyStreams[:], false)
+	if stream < 0 {
 		return
 	}
-	commit := Commit{Lane: lane, Changes: c.takeChanges()}
-	if c.rosterDue && lane == rosterLane {
+	commit := Commit{Lane: stream, Changes: c.takeChanges()}
+	if c.rosterDirty && stream == rosterStream {
 		commit.Roster = c.roster()
-		c.rosterDue = false
+		c.rosterDirty = false
 	}
 	if len(commit.Changes) == 0 && commit.Roster == nil {
 		return
 	}
-	c.busyLanes[lane] = true
+	c.busyStreams[stream] = true
 	c.lastCommit = c.now
 	c.emit(commit)
 }
 
-// takeChanges takes the changes of one commit. A job whose last commit is under
-// way waits for it, whatever the lane.
+// takeChanges removes the changes of one commit from the dirty jobs. A job with a commit in flight
+// waits for that commit, whichever stream it is on.
 func (c *Core) takeChanges() []Change {
 	slices.SortStableFunc(c.dirty, func(a, b *jobState) int {
-		return boolOrder(b.state.IsFinal()) - boolOrder(a.state.IsFinal())
+		return boolToInt(b.state.IsFinal()) - boolToInt(a.state.IsFinal())
 	})
 	var changes []Change
 	var left []*jobState
@@ -61,7 +62,7 @@
 			continue
 		}
 		entries += need
-		j.queued, j.committing = false, true
+		j.inDirty, j.committing = false, true
 		changes = append(changes, c.changeOf(j))
 		j.hasProgress = j.hasProgress || !j.state.IsFinal()
 	}
@@ -69,7 +70,7 @@
 	return changes
 }
 
-// entries returns how many entries of a transaction the change of a job takes.
+// entries returns the number of transaction entries that the change of a job takes.
 func (j *jobState) entries() int {
 	if !j.state.IsFinal() {
 		return progressEntries
@@ -78,28 +79,28 @@
 	if j.hasProgress {
 		n++
 	}
-	if j.mayBeCancelled() {
+	if j.mayHaveCancelRecord() {
 		n++
 	}
 	return n
 }
 
-// mayBeCancelled reports whether there may be a record of a cancellation.
-func (j *jobState) mayBeCancelled() bool { return j.inherited || j.state == job.Cancelled }
+// mayHaveCancelRecord reports whether a cancellation record of the job may exist.
+func (j *jobState) mayHaveCancelRecord() bool { return j.inherited || j.state == job.Cancelled }
 
-func boolOrder(b bool) int {
+func boolToInt(b bool) int {
 	if b {
 		return 1
 	}
 	return 0
 }
 
-// changeOf returns the record of a job as it is now. The executor encodes it
-// later, so that nothing in it may be shared with the state.
+// changeOf returns a snapshot of a job's record. It is a deep copy because the executor encodes it
+// later, outside the control goroutine.
 func (c *Core) changeOf(j *jobState) Change {
 	if j.state.IsFinal() {
 		final := job.Final{State: j.state, Queue: j.Queue, Team: j.Team, FinishedAt: c.wall}
-		return Change{Job: j.ID, Final: &final, HadProgress: j.hasProgress, MayBeCancelled: j.mayBeCancelled(), version: j.version}
+		return Change{Job: j.ID, Final: &final, HadProgress: j.hasProgress, MayBeCancelled: j.mayHaveCancelRecord(), version: j.version}
 	}
 	progress := job.Progress{Started: j.state == job.Running, Done: make(map[string][]int), Failed: make(map[string]job.Failures)}
 	for k, v := range j.progress.Done {
@@ -111,22 +112,22 @@
 	return Change{Job: j.ID, Progress: &progress, version: j.version}
 }
 
-// CommitDone takes note that a commit is durable: callers may see the ends, and
-// workers may forget them.
+// CommitDone handles a durable commit: final states become visible to callers, and the ends are
+// confirmed to the workers.
 func (c *Core) CommitDone(e CommitDone) {
-	c.busyLanes[e.Commit.Lane] = false
+	c.busyStreams[e.Commit.Lane] = false
 	for _, change := range e.Commit.Changes {
 		j := c.jobs[change.Job]
 		if j == nil {
 			continue
 		}
-		j.recorded = change.version
+		j.recordedVersion = change.version
 		j.committing = false
 		if change.Final != nil {
 			c.finals[j.ID] = *change.Final
-			c.changed(Status{Job: j.ID, State: j.state, Queue: j.Queue, Team: j.Team})
+			c.publish(Status{Job: j.ID, State: j.state, Queue: j.Queue, Team: j.Team})
 			delete(c.jobs, j.ID)
-			for _, token := range j.cancels {
+			for _, token := range j.cancelTokens {
 				c.emit(Done{Token: token})
 			}
 		}
@@ -142,9 +143,9 @@
 			continue
 		}
 		c.advanceConfirmed(w)
-		if len(w.pending) == 0 && !w.holding {
-			w.nextHold = c.now
-			c.hold(w)
+		if len(w.pending) == 0 && !w.polling {
+			w.nextPoll = c.now
+			c.poll(w)
 		}
 	}
 }
--- a/schedule/doc.go
+++ b/schedule/doc.go
@@ -1,9 +1,8 @@
-// Package schedule decides what an owner does with the jobs of its partition:
-// which step is next, whom to ask for advice, which worker runs a task, what a
-// report of a worker means, and what has to be recorded before the worker may
-// forget it.
+// Package schedule contains the scheduling logic of a partition's owner: the order of the steps,
+// the calls to the advice service, the placement of tasks on workers, the handling of worker
+// reports, and what must be durable before a worker may discard the end of a run.
 //
-// A Core is pure. It reads no clock and makes no call: package cell passes it
-// the time and what the peers answered, and carries out the effects that it
-// returns. Only the control goroutine touches it.
+// A Core is a deterministic state machine. It reads no clock and performs no I/O: package cell
+// passes in the time and the replies of the peers and executes the effects that the Core returns.
+// A Core is not safe for concurrent use; only the control goroutine accesses it.
 package schedule
--- a/schedule/faults_test.go
+++ b/schedule/faults_test.go
@@ -9,8 +9,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// randomJob draws a job like those of the deployments: small lookups, runs of
-// many tasks, gangs, and chains of steps.
+// randomJob returns a random job of a kind that is common in deployments: small lookups, steps of
+// many tasks, gangs, and dependent steps.
 func (s *simulation) randomJob(n int) *job.Job {
 	j := &job.Job{ID: job.ID(fmt.Sprintf("%015x%x", n, s.rng.IntN(16))), Queue: "plain", Team: "blue", Spec: "work"}
 	if s.rng.IntN(2) == 0 {
@@ -48,8 +48,8 @@
 	return j
 }
 
-// Faults of one kind each. They return when their effects on the simulation are
-// over.
+// simFaults maps the name of a fault to a function that injects it and returns how long its effects
+// last.
 var simFaults = map[string]func(s *simulation) time.Duration{
 	"none": func(*simulation) time.Duration { return 0 },
 	"takeover": func(s *simulation) time.Duration {
@@ -62,69 +62,69 @@
 		return 0
 	},
 	"worker restarts": func(s *simulation) time.Duration {
-		s.crash("w01", time.Duration(s.rng.IntN(6000))*time.Millisecond)
+		s.restart("w01", time.Duration(s.rng.IntN(6000))*time.Millisecond)
 		return 6 * time.Second
 	},
 	"worker cut off": func(s *simulation) time.Duration {
 		w := s.workers["w02"]
-		w.gone = true
-		s.after(7*time.Second, func() { w.gone = false })
+		w.partitioned = true
+		s.after(7*time.Second, func() { w.partitioned = false })
 		return 7 * time.Second
 	},
 	"worker lost for good": func(s *simulation) time.Duration {
 		w := s.workers["w04"]
 		w.dead = true
 		for _, r := range w.sortedRuns() {
-			s.remove(r)
+			s.removeRun(r)
 		}
 		return 7 * time.Second
 	},
 	"worker cut off over a takeover": func(s *simulation) time.Duration {
 		w := s.workers["w02"]
-		w.gone = true
+		w.partitioned = true
 		s.after(200*time.Millisecond, s.takeOver)
-		s.after(9*time.Second, func() { w.gone = false })
+		s.after(9*time.Second, func() { w.partitioned = false })
 		return 9 * time.Second
 	},
 	"worker cut off for long before a takeover": func(s *simulation) time.Duration {
 		w := s.workers["w02"]
-		w.gone = true
+		w.partitioned = true
 		s.after(3*time.Second, s.takeOver)
-		s.after(9*time.Second, func() { w.gone = false })
+		s.after(9*time.Second, func() { w.partitioned = false })
 		return 9 * time.Second
 	},
 	"worker cut off over two takeovers": func(s *simulation) time.Duration {
 		w := s.workers["w02"]
-		w.gone = true
+		w.partitioned = true
 		s.after(3*time.Second, s.takeOver)
 		s.after(3500*time.Millisecond, s.takeOver)
-		s.after(9*time.Second, func() { w.gone = false })
+		s.after(9*time.Second, func() { w.partitioned = false })
 		return 9 * time.Second
 	},
 	"orders lost": func(s *simulation) time.Duration {
-		s.loseOrders = 0.1
-		s.after(4*time.Second, func() { s.loseOrders = 0 })
+		s.orderLossRate = 0.1
+		s.after(4*time.Second, func() { s.orderLossRate = 0 })
 		return 5 * time.Second
 	},
 	"orders late": func(s *simulation) time.Duration {
-		s.loseOrders, s.late = 0.1, true
-		s.after(4*time.Second, func() { s.loseOrders = 0 })
+		s.orderLossRate, s.lateOrders = 0.1, true
+		s.after(4*time.Second, func() { s.orderLossRate = 0 })
 		return 15 * time.Second
 	},
 	"orders late over a takeover": func(s *simulation) time.Duration {
-		s.loseOrders, s.late = 0.1, true
+		s.orderLossRate, s.lateOrders = 0.1, true
 		s.after(2*time.Second, s.takeOver)
-		s.after(4*time.Second, func() { s.loseOrders = 0 })
+		s.after(4*time.Second, func() { s.orderLossRate = 0 })
 		return 15 * time.Second
 	},
 	"store down": func(s *simulation) time.Duration {
-		s.storeOff = true
-		s.after(4*time.Second, func() { s.storeOff = false })
+		s.storeDown = true
+		s.after(4*time.Second, func() { s.storeDown = false })
 		return 4 * time.Second
 	},
 	"store down, then a takeover": func(s *simulation) time.Duration {
-		s.storeOff = true
-		s.after(4*time.Second, func() { s.storeOff = false; s.takeOver() })
+		s.storeDown = true
+		s.after(4*time.Second, func() { s.storeDown = false; s.takeOver() })
 		return 4 * time.Second
 	},
 	"failing worker": func(s *simulation) time.Duration {
@@ -135,15 +135,15 @@
 	},
 }
 
-// TestFaults guards against a task that runs twice, out of order, beyond a
-// capacity, a limit or its attempts, and against a job that never ends, with
-// each fault and with pairs of them at random times.
+// TestFaults checks that no task runs concurrently with itself, before its dependencies, or beyond a
+// worker's capacity, a team's limit or its attempts, and that every job ends. It injects each fault,
+// and random pairs of faults, at random times.
 func TestFaults(t *testing.T) {
 	names := make([]string, 0, len(simFaults))
 	for name := range simFaults {
 		names = append(names, name)
 	}
-	for _, name := range sorted(names) {
+	for _, name := range sortedStrings(names) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(12) {
@@ -155,12 +155,12 @@
 		t.Parallel()
 		for seed := range uint64(80) {
 			s := seed * 7919
-			runFaults(t, seed, sorted(names)[s%uint64(len(names))], sorted(names)[(s/13)%uint64(len(names))])
+			runFaults(t, seed, sortedStrings(names)[s%uint64(len(names))], sortedStrings(names)[(s/13)%uint64(len(names))])
 		}
 	})
 }
 
-func sorted(names []string) []string {
+func sortedStrings(names []string) []string {
 	out := append([]string(nil), names...)
 	for i := range out {
 		for k := i + 1; k < len(out); k++ {
@@ -199,12 +199,11 @@
 	}
 }
 
-// TestTakeoverBesideLostWorker guards against a new owner that holds back all
-// the work that it inherits until the leases of a worker are over which was lost
-// some time before.
+// TestTakeoverBesideLostWorker guards against a new owner that holds back all inherited work until
+// the leases of a worker expire that was lost some time before the takeover.
 func TestTakeoverBesideLostWorker(t *testing.T) {
 	const (
-		lostFor = 3200 * time.Millisecond // two reports are lost, and the leases have not ended
+		lostFor = 3200 * time.Millisecond // two reports are lost, and the leases have not expired
 		soon    = 500 * time.Millisecond  // a takeover needs a report of each worker
 	)
 	s := newSimulation(t, 5, 4)
@@ -215,19 +214,19 @@
 	s.submit(long)
 	s.run(500 * time.Millisecond)
 	lost := s.workers["w03"]
-	lost.gone = true // cut off; it runs on
+	lost.partitioned = true // partitioned; its runs continue
 	s.run(lostFor)
 	waiting := &job.Job{ID: "00000000000000d1", Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{{
 		Count: 3, Size: task.Resources{CPUMilli: 2_000}, Estimate: time.Second,
 	}}}
 	s.jobs[waiting.ID] = waiting
 	waiting.AcceptedAt = s.now
-	s.records[waiting.ID] = &record{job: waiting} // the former owner was not told of it
+	s.records[waiting.ID] = &record{job: waiting} // the former owner did not receive it
 	s.takeOver()
 	s.run(soon)
 	if !s.hasStarted(waiting.ID, 3) {
 		t.Errorf("inherited work waits %s after the takeover: %s", soon, s.core.describe(waiting.ID))
 	}
-	s.after(10*time.Second, func() { lost.gone = false })
+	s.after(10*time.Second, func() { lost.partitioned = false })
 	s.finish(60 * time.Second)
 }
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -9,75 +9,75 @@
 	"github.com/mulberrydrum/mulberrydrum/job"
 )
 
-// jobState is one unfinished job, or a finished one that is not recorded yet.
+// jobState is the state of a job until its final state is recorded.
 type jobState struct {
 	*job.Job
-	service   string // whose workers run it; the last one that the catalog named
+	service   string // whose workers run it, as last configured for the queue
 	priority  int
 	attempts  int
-	objective time.Duration // from arrival to completion
-	arrived   time.Time     // at this owner, monotonic
-	surplus   bool          // beyond the rate to which its team is entitled
-	inherited bool          // known before this owner took over
+	objective time.Duration // target time from arrival to completion
+	arrivedAt time.Time     // monotonic
+	surplus   bool          // exceeds the rate to which its team is entitled
+	inherited bool          // accepted before this owner took over
 
-	state       job.State
-	remaining   int // steps of all occurrences that have tasks to do
-	runs        map[*run]struct{}
-	progress    job.Progress
-	version     uint64 // rises with every change that must be recorded
-	recorded    uint64
-	queued      bool     // among Core.dirty
-	committing  bool     // a commit of it is under way
-	hasProgress bool     // a progress record may exist
-	cancels     []uint64 // callers that wait for the record of the cancellation
-	nextDue     int      // first occurrence whose steps are not active
+	state           job.State
+	remaining       int // unfinished steps of all occurrences
+	runs            map[*run]struct{}
+	progress        job.Progress
+	version         uint64   // increases with every change that must be recorded
+	recordedVersion uint64   // last version that is durable
+	inDirty         bool     // in Core.dirty
+	committing      bool     // a commit of the job is in flight
+	hasProgress     bool     // a progress record may exist
+	cancelTokens    []uint64 // tokens of callers that wait until the cancellation is recorded
+	nextOccurrence  int      // first occurrence that is not active yet
 }
 
-// stepState is one step of one occurrence that has tasks to do.
+// stepState is an unfinished step of one occurrence of a job.
 type stepState struct {
-	key      job.StepKey
-	job      *jobState
-	spec     *job.Step
-	tasks    []taskState
-	left     int          // tasks that have not succeeded
-	fails    job.Failures // of a gang
-	ready    bool
-	lastRun  int // highest run number of a gang
-	placed   int // runs that were ordered
-	advice   adviceState
-	reserved *reservation // room that is kept for a gang; nil if none
-	wait     waitCause    // as of the last pass
-	noted    waitCause    // that was last logged
-	notedAt  time.Time    // when
-	urgent   time.Time
-	retryAt  time.Time
-	away     map[string]int // runs that failed or waited for their gang in vain, by worker
+	key             job.StepKey
+	job             *jobState
+	spec            *job.Step
+	tasks           []taskState
+	unfinishedTasks int          // number of tasks that have not succeeded
+	failures        job.Failures // failed runs of a gang
+	ready           bool         // all steps that it depends on are done
+	lastRun         int          // highest run number
+	runsOrdered     int
+	advice          adviceState
+	reservation     *reservation // capacity reserved for a gang; nil if there is none
+	wait            waitCause    // cause of waiting as of the last pass
+	loggedWait      waitCause    // cause that was last logged
+	waitLoggedAt    time.Time    // when it was logged
+	latestStart     time.Time    // latest start at which the job meets its objective
+	retryAt         time.Time
+	avoided         map[string]int // number of runs that failed or timed out waiting for their gang, by worker
 }
 
 type taskState struct {
 	done       bool
-	fails      job.Failures
+	failures   job.Failures
 	lastRun    int
 	checkpoint string
 	run        *run
 }
 
-// Known is what a new owner reads of one unfinished job.
+// Known is the recorded state of an unfinished job that a new owner loads.
 type Known struct {
 	Job       *job.Job
 	Progress  *job.Progress // nil if none is recorded
 	Cancelled bool
 }
 
-// Inherit takes over a job of a former owner.
+// Inherit adds a job of a former owner.
 func (c *Core) Inherit(k Known) {
-	j := c.add(k.Job, k.Progress, true)
+	j := c.addJob(k.Job, k.Progress, true)
 	if k.Cancelled {
 		c.cancel(j, 0)
 	}
 }
 
-// Accept takes a new job that is recorded. A job that is known changes nothing.
+// Accept adds a new job that is already recorded. It is idempotent.
 func (c *Core) Accept(submitted *job.Job) {
 	if _, known := c.jobs[submitted.ID]; known {
 		return
@@ -85,12 +85,12 @@
 	if _, known := c.finals[submitted.ID]; known {
 		return
 	}
-	j := c.add(submitted, nil, false)
-	c.decide(j.ID, "queued", "queue", j.Queue, "team", j.Team, "steps", len(j.Steps), "surplus", j.surplus)
+	j := c.addJob(submitted, nil, false)
+	c.logDecision(j.ID, "queued", "queue", j.Queue, "team", j.Team, "steps", len(j.Steps), "surplus", j.surplus)
 }
 
-func (c *Core) add(submitted *job.Job, progress *job.Progress, inherited bool) *jobState {
-	j := &jobState{Job: submitted, arrived: c.now, state: job.Pending, inherited: inherited, runs: make(map[*run]struct{})}
+func (c *Core) addJob(submitted *job.Job, progress *job.Progress, inherited bool) *jobState {
+	j := &jobState{Job: submitted, arrivedAt: c.now, state: job.Pending, inherited: inherited, runs: make(map[*run]struct{})}
 	j.remaining = len(j.Steps) * j.Occurrences()
 	if progress != nil {
 		j.progress = *progress
@@ -107,48 +107,48 @@
 	}
 	c.jobs[j.ID] = j
 	if j.state == job.Pending {
-		c.waiting[j.Queue]++
+		c.pendingJobs[j.Queue]++
 	}
-	c.changed(Status{Job: j.ID, State: j.state, Queue: j.Queue, Team: j.Team})
+	c.publish(Status{Job: j.ID, State: j.state, Queue: j.Queue, Team: j.Team})
 	c.refreshPolicy(j)
 	j.objective = c.objectiveOf(j)
 	if inherited {
-		// The wall clocks of instances differ by little; an age below zero is one
-		// of a clock that runs ahead.
-		j.arrived = c.now.Add(-max(0, c.wall.Sub(j.AcceptedAt)))
+		// The wall clocks of instances differ slightly; the age is negative if the clock of the
+		// accepting instance is ahead.
+		j.arrivedAt = c.now.Add(-max(0, c.wall.Sub(j.AcceptedAt)))
 	} else {
 		j.surplus = c.takeEntitlement(j.Team)
 	}
 	if j.surplus {
 		c.teamUsage(j.Team).surplusWaiting++
 	}
-	c.startDue(j)
-	if j.nextDue < j.Occurrences() {
-		c.timed[j.ID] = j
+	c.activateDue(j)
+	if j.nextOccurrence < j.Occurrences() {
+		c.recurring[j.ID] = j
 	}
 	if c.hasFailed(j) {
 		c.finish(j, job.Failed)
 	}
 	if j.remaining == 0 {
-		// A former owner recorded the last task and not the end.
+		// The former owner recorded the last task but not the final state.
 		c.finish(j, job.Completed)
 	}
 	return j
 }
 
-// hasFailed reports whether a task or a gang of a job has failed as often as its
-// queue allows, for a job whose record or whose queue says so from the start.
+// hasFailed reports whether, by the recorded progress, a task or gang of a new or inherited job has
+// already used all attempts of its queue.
 func (c *Core) hasFailed(j *jobState) bool {
-	for _, fails := range j.progress.Failed {
-		if j.attempts > 0 && len(fails) >= j.attempts {
+	for _, failures := range j.progress.Failed {
+		if j.attempts > 0 && len(failures) >= j.attempts {
 			return true
 		}
 	}
 	return false
 }
 
-// refreshPolicy takes over what the catalog says of the job's queue. A queue
-// that was removed keeps its last policy for the jobs that it accepted.
+// refreshPolicy updates a job with the current configuration of its queue. If the queue was
+// removed, jobs that it accepted keep its last configuration.
 func (c *Core) refreshPolicy(j *jobState) {
 	q := c.catalog.Queue(j.Queue)
 	if q == nil {
@@ -157,37 +157,37 @@
 	j.service, j.priority, j.attempts = q.Service, q.Priority, q.MaxAttempts
 }
 
-// startDueOccurrences activates the occurrences whose time has come.
-func (c *Core) startDueOccurrences() {
-	for id, j := range c.timed {
-		if j.nextDue >= j.Occurrences() || j.state.IsFinal() {
-			delete(c.timed, id)
+// activateDueOccurrences activates the occurrences that are due.
+func (c *Core) activateDueOccurrences() {
+	for id, j := range c.recurring {
+		if j.nextOccurrence >= j.Occurrences() || j.state.IsFinal() {
+			delete(c.recurring, id)
 			continue
 		}
-		c.startDue(j)
+		c.activateDue(j)
 	}
 }
 
-func (c *Core) startDue(j *jobState) {
-	for j.nextDue < j.Occurrences() {
-		due := j.DueAt(j.nextDue)
+func (c *Core) activateDue(j *jobState) {
+	for j.nextOccurrence < j.Occurrences() {
+		due := j.DueAt(j.nextOccurrence)
 		if !due.IsZero() && c.wall.Before(due) {
 			return
 		}
-		c.activate(j, j.nextDue)
-		j.nextDue++
+		c.activate(j, j.nextOccurrence)
+		j.nextOccurrence++
 	}
 }
 
-// activate makes the steps of one occurrence schedulable.
+// activate creates the unfinished steps of an occurrence.
 func (c *Core) activate(j *jobState, occurrence int) {
 	for i := range j.Steps {
 		s := &stepState{
 			key: job.StepKey{Job: j.ID, Occurrence: occurrence, Step: i}, job: j, spec: &j.Steps[i],
-			tasks: make([]taskState, j.Steps[i].Count), left: j.Steps[i].Count,
+			tasks: make([]taskState, j.Steps[i].Count), unfinishedTasks: j.Steps[i].Count,
 		}
 		c.restore(s)
-		if s.left == 0 {
+		if s.unfinishedTasks == 0 {
 			j.remaining--
 			continue
 		}
@@ -203,12 +203,12 @@
 	for _, index := range s.job.progress.Done[name] {
 		if index < len(s.tasks) && !s.tasks[index].done {
 			s.tasks[index].done = true
-			s.left--
+			s.unfinishedTasks--
 		}
 	}
-	s.fails = s.job.progress.Failed[name]
+	s.failures = s.job.progress.Failed[name]
 	for i := range s.tasks {
-		s.tasks[i].fails = s.job.progress.Failed[name+"."+strconv.Itoa(i)]
+		s.tasks[i].failures = s.job.progress.Failed[name+"."+strconv.Itoa(i)]
 	}
 }
 
@@ -216,7 +216,7 @@
 	return strconv.Itoa(k.Occurrence) + "." + strconv.Itoa(k.Step)
 }
 
-// unlockSteps marks the steps of an occurrence whose earlier steps are done.
+// unlockSteps marks the steps of an occurrence as ready whose dependencies are done.
 func (c *Core) unlockSteps(j *jobState, occurrence int) {
 	for i := range j.Steps {
 		s, active := c.steps[job.StepKey{Job: j.ID, Occurrence: occurrence, Step: i}]
@@ -230,33 +230,33 @@
 			}
 		}
 		if s.ready {
-			s.urgent = c.latestStart(s)
+			s.latestStart = c.latestStart(s)
 			c.passDue = true
 		}
 	}
 }
 
-// touch marks a job whose record has changed.
-func (c *Core) touch(j *jobState) {
+// markDirty queues a job whose record has changed for the next commit.
+func (c *Core) markDirty(j *jobState) {
 	j.version++
-	if !j.queued {
-		j.queued = true
+	if !j.inDirty {
+		j.inDirty = true
 		c.dirty = append(c.dirty, j)
 	}
 }
 
-// taskDone takes note of a task that succeeded.
+// taskDone marks a task as succeeded.
 func (c *Core) taskDone(s *stepState, index int) {
 	t := &s.tasks[index]
 	if t.done {
 		return
 	}
 	t.done = true
-	s.left--
+	s.unfinishedTasks--
 	name := progressKey(s.key)
 	s.job.progress.Done[name] = append(s.job.progress.Done[name], index)
-	c.touch(s.job)
-	if s.left == 0 {
+	c.markDirty(s.job)
+	if s.unfinishedTasks == 0 {
 		c.stepDone(s)
 	}
 }
@@ -273,38 +273,38 @@
 	c.unlockSteps(j, s.key.Occurrence)
 }
 
-// countFailure takes note of a failed run and reports whether the job has
-// failed with it. Long-lived tasks have no bound on their attempts.
+// countFailure counts a failed run and reports whether the job has thereby failed. Long-lived tasks
+// have no limit on their attempts.
 func (c *Core) countFailure(s *stepState, index, run int) bool {
 	if s.spec.LongLived {
 		return false
 	}
-	name, fails := progressKey(s.key), &s.fails
+	name, failures := progressKey(s.key), &s.failures
 	if !s.spec.Gang {
-		fails = &s.tasks[index].fails
+		failures = &s.tasks[index].failures
 		name += "." + strconv.Itoa(index)
 	}
-	if slices.Contains(*fails, run) {
+	if slices.Contains(*failures, run) {
 		return false
 	}
-	*fails = append(slices.Clone(*fails), run)
-	s.job.progress.Failed[name] = *fails
-	c.touch(s.job)
-	if s.job.attempts > 0 && len(*fails) >= s.job.attempts {
+	*failures = append(slices.Clone(*failures), run)
+	s.job.progress.Failed[name] = *failures
+	c.markDirty(s.job)
+	if s.job.attempts > 0 && len(*failures) >= s.job.attempts {
 		c.finish(s.job, job.Failed)
 		return true
 	}
 	return false
 }
 
-// finish ends a job: nothing of it starts any more, and what runs is stopped.
+// finish sets the final state of a job, removes its steps and stops its runs.
 func (c *Core) finish(j *jobState, state job.State) {
 	if j.state.IsFinal() {
 		return
 	}
-	c.noLongerPending(j)
+	c.leavePending(j)
 	j.state = state
-	for occurrence := range j.nextDue {
+	for occurrence := range j.nextOccurrence {
 		for i := range j.Steps {
 			key := job.StepKey{Job: j.ID, Occurrence: occurrence, Step: i}
 			if s, open := c.steps[key]; open {
@@ -316,12 +316,12 @@
 	for _, r := range slices.SortedFunc(maps.Keys(j.runs), func(a, b *run) int { return compareTasks(a.task, b.task) }) {
 		c.stop(r)
 	}
-	c.touch(j)
-	c.decide(j.ID, string(state), "after_ms", c.now.Sub(j.arrived).Milliseconds(), "objective_ms", j.objective.Milliseconds())
+	c.markDirty(j)
+	c.logDecision(j.ID, string(state), "after_ms", c.now.Sub(j.arrivedAt).Milliseconds(), "objective_ms", j.objective.Milliseconds())
 }
 
-// Cancel cancels a job. Done with the token follows when that is recorded. It
-// reports false if the job is not known here.
+// Cancel cancels a job. A Done effect with the token follows once the final state is recorded. It
+// returns false if the job is unknown.
 func (c *Core) Cancel(id job.ID, token uint64) bool {
 	j, known := c.jobs[id]
 	if !known {
@@ -338,7 +338,7 @@
 func (c *Core) cancel(j *jobState, token uint64) {
 	c.finish(j, job.Cancelled)
 	if token != 0 {
-		j.cancels = append(j.cancels, token)
+		j.cancelTokens = append(j.cancelTokens, token)
 	}
 }
 
@@ -352,7 +352,7 @@
 		return "", "", "", false
 	}
 	if j.state.IsFinal() {
-		// The end is not recorded yet, so that a new owner would still run it.
+		// The final state is not recorded yet, so a new owner would still run the job.
 		return job.Running, j.Team, j.Queue, true
 	}
 	return j.state, j.Team, j.Queue, true
@@ -360,17 +360,17 @@
 
 func (c *Core) markStarted(j *jobState) {
 	if j.state == job.Pending {
-		c.noLongerPending(j)
+		c.leavePending(j)
 		j.state = job.Running
-		c.changed(Status{Job: j.ID, State: j.state, Queue: j.Queue, Team: j.Team})
+		c.publish(Status{Job: j.ID, State: j.state, Queue: j.Queue, Team: j.Team})
 	}
 }
 
-func (c *Core) noLongerPending(j *jobState) {
+func (c *Core) leavePending(j *jobState) {
 	if j.state != job.Pending {
 		return
 	}
-	c.waiting[j.Queue]--
+	c.pendingJobs[j.Queue]--
 	if j.surplus {
 		c.teamUsage(j.Team).surplusWaiting--
 	}
--- a/schedule/message.go
+++ b/schedule/message.go
@@ -7,10 +7,10 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Worker is what a worker says of itself in the directory.
+// Worker is the entry of a worker in the directory.
 type Worker struct {
 	ID            string
-	Born          int64 // start of this life; changes when the worker restarts under its ID
+	Born          int64 // incarnation; changes when the worker restarts under the same ID
 	Address       string
 	Service       string
 	FailureDomain string
@@ -18,70 +18,70 @@
 	Labels        []string
 	Capacity      task.Resources
 	Draining      bool
-	Remaining     time.Duration // least time left while draining
+	Remaining     time.Duration // minimum time left while draining
 }
 
-// Target says which life of which worker an order is for.
+// Target identifies the worker and the incarnation that an order is for.
 type Target struct {
 	Worker  string
-	Born    int64 // 0 while the life is not known yet
+	Born    int64 // 0 if the incarnation is not known yet
 	Address string
 
-	FailureDomain string // empty if it is not known
+	FailureDomain string // empty if unknown
 }
 
-// Effect is something to be carried out outside the control goroutine. Each
-// effect but Decision is answered by one event.
+// Effect is an action to be executed outside the control goroutine. Hold, Start, Stop, Ask and
+// Commit are each answered by one event.
 type Effect interface{ isEffect() }
 
-// Hold renews the lease of everything on a worker, confirms ends and asks for a
-// report.
+// Hold polls a worker for a report, renews the lease of all its runs and confirms recorded ends.
 type Hold struct {
 	Target
-	Confirmed uint64        // ends up to this number are recorded and may be forgotten
-	LeaseEnd  time.Duration // on the worker's clock; 0 renews nothing
-	Wait      time.Duration // the report may wait this long for an end
+	Confirmed uint64        // ends up to this number are recorded and may be discarded
+	LeaseEnd  time.Duration // on the worker's clock; 0 if the lease is not renewed
+	Wait      time.Duration // long-poll timeout: the worker may delay the report until a run ends
 }
 
-// Start orders one run of a task.
+// Start is an order to start one run of a task.
 type Start struct {
 	Target
 	Task       job.TaskKey
 	Run        int
 	Spec       string
-	Ticket     string // of the advice service; empty where the queue needs none
+	Ticket     string // of the advice service; empty if the queue needs none
 	Checkpoint string
 	LeaseEnd   time.Duration // on the worker's clock
 	Waited     time.Duration // since the job arrived; for the metrics
 }
 
-// Stop orders the end of one run.
+// Stop is an order to stop one run of a task.
 type Stop struct {
 	Target
 	Task job.TaskKey
 	Run  int
 }
 
-// Ask asks the advice service, through an instance, which workers may run a step.
+// Ask is a call to the advice service, made by the given instance, for the workers that are eligible
+// to run a step.
 type Ask struct {
 	Lane    string // instance that makes the call
 	Step    job.StepKey
 	Workers []string
 }
 
-// Commit records changes in one transaction of the owner. The commits of one lane
-// follow each other; those of different lanes are under way at the same time and
-// never change the same record.
+// Commit records changes in one transaction of the owner. Commits of the same stream are executed
+// one after the other. Commits of different streams run concurrently and never write the same
+// record.
 type Commit struct {
-	Lane    int // below CommitLanes
+	Lane    int // number of the commit stream, below CommitLanes
 	Changes []Change
-	Roster  []Rostered // workers that may run something; nil if unchanged
+	Roster  []Rostered // workers on which runs may exist; nil if unchanged
 }
 
-// Rostered says what a new owner has to expect on a worker.
+// Rostered is the roster entry of a worker: the runs that a new owner must expect there.
 type Rostered struct {
 	Worker string   `json:"w"`
-	Closed bool     `json:"c,omitempty"` // nothing but Tasks can run there
+	Closed bool     `json:"c,omitempty"` // only Tasks can run there
 	Tasks  []string `json:"t,omitempty"`
 }
 
@@ -91,22 +91,21 @@
 	Progress *job.Progress
 	Final    *job.Final
 
-	// Records that are removed with a Final.
+	// Which further records of the job may exist and are deleted together with a Final.
 	HadProgress    bool
 	MayBeCancelled bool
 
 	version uint64
 }
 
-// Decision is one line for the log: what was decided for a request, and from
-// what.
+// Decision is a log entry for a scheduling decision and the values that it is based on.
 type Decision struct {
 	Job    job.ID
 	What   string
 	Fields []any // alternating names and values
 }
 
-// Done tells a waiting caller that its cancellation is recorded.
+// Done reports to a waiting caller that its cancellation is recorded.
 type Done struct{ Token uint64 }
 
 func (Hold) isEffect()     {}
@@ -117,28 +116,27 @@
 func (Decision) isEffect() {}
 func (Done) isEffect()     {}
 
-// Verdict is what a worker answered to an order.
+// Verdict is the outcome of an order to a worker.
 type Verdict int
 
-// The verdicts.
 const (
-	Accepted       Verdict = iota // carried out, or it already was
-	NotSent                       // surely had no effect
-	Unclear                       // may have been carried out, or may be later
-	Fenced                        // a newer owner commands the worker
-	OtherLife                     // another life of the worker answered
-	Outdated                      // a run of that number or a higher one has ended there
-	LeaseOver                     // the lease had ended before the order arrived
-	NoRoom                        // the worker guards its capacity and has none
-	TicketRejected                // the ticket is not valid there any more
-	Unhealthy                     // the worker takes no orders; it did nothing
-	Invalid                       // the worker does not understand the order
+	Accepted       Verdict = iota // executed, now or before
+	NotSent                       // certainly had no effect
+	Unclear                       // may have been executed or may be executed later
+	Fenced                        // the worker has accepted orders of a newer owner
+	OtherLife                     // another incarnation of the worker answered
+	Outdated                      // a run of the task with this or a higher number has ended there
+	LeaseOver                     // the lease had expired before the order arrived
+	NoRoom                        // the worker enforces its capacity and has too little left
+	TicketRejected                // the ticket is no longer valid
+	Unhealthy                     // the worker rejects all orders; no effect
+	Invalid                       // the worker cannot parse the order
 )
 
 var verdictNames = [...]string{"accepted", "not_sent", "unclear", "fenced", "other_life", "outdated",
 	"lease_over", "no_room", "ticket_rejected", "unhealthy", "invalid"}
 
-// String returns the verdict as it stands in logs.
+// String returns the name of the verdict as used in logs.
 func (v Verdict) String() string { return verdictNames[v] }
 
 // StartDone answers Start.
@@ -158,25 +156,24 @@
 	Task       job.TaskKey
 	Run        int
 	Checkpoint string
-	Percent    int // of its work, or 100 for a long-lived task at work
+	Percent    int // progress, or 100 for a long-lived task that is serving
 }
 
-// Ending says how a run ended.
+// Ending is the reason why a run ended.
 type Ending string
 
-// The endings.
 const (
 	EndedDone    Ending = "done"
 	EndedFailed  Ending = "failed"
 	EndedStopped Ending = "stopped"
-	EndedLapsed  Ending = "lapsed" // its lease ended
+	EndedLapsed  Ending = "lapsed" // its lease expired
 	EndedBroken  Ending = "broken" // another member of its gang ended
-	EndedAlone   Ending = "alone"  // the other members of its gang did not arrive
+	EndedAlone   Ending = "alone"  // the other members of its gang did not start in time
 )
 
 // EndReport is one run that a worker lists as ended.
 type EndReport struct {
-	Number     uint64 // of the end, in this life of the worker
+	Number     uint64 // sequence number of the end in this incarnation of the worker
 	Task       job.TaskKey
 	Run        int
 	How        Ending
@@ -197,13 +194,13 @@
 // AskDone answers Ask.
 type AskDone struct {
 	Ask     Ask
-	Failed  bool              // no answer; LaneBusy or a lost call
-	Tickets map[string]string // by worker; a worker that is missing may not run the step
-	Valid   time.Duration     // how long the tickets may be used
+	Failed  bool              // the call failed or was lost
+	Tickets map[string]string // by worker; a worker without a ticket may not run the step
+	Valid   time.Duration     // validity of the tickets
 }
 
-// CommitDone answers Commit. Recorded is false if the transaction was refused
-// because the ownership has changed; the owner then stops.
+// CommitDone answers a Commit that is durable. There is none if the transaction was rejected because
+// the ownership has changed; the owner then stops.
 type CommitDone struct {
 	Commit Commit
 }
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -10,22 +10,22 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// objectiveOf returns how long a job may take and still be in time: its longest
-// chain of work, stretched, and the allowance of its queue.
+// objectiveOf returns the completion time within which a job is in time: its critical path times the
+// stretch factor of its queue, plus the fixed allowance of the queue.
 func (c *Core) objectiveOf(j *jobState) time.Duration {
 	stretch, target := 1.0, time.Duration(0)
 	if q := c.catalog.Queue(j.Queue); q != nil {
 		stretch, target = max(1, q.Stretch), q.Target
 	}
 	var longest time.Duration
-	for _, chain := range chains(j.Steps) {
+	for _, chain := range chainLengths(j.Steps) {
 		longest = max(longest, chain)
 	}
 	return time.Duration(float64(longest)*stretch) + target
 }
 
-// chains returns, for each step, the longest chain of estimates that ends with it.
-func chains(steps []job.Step) []time.Duration {
+// chainLengths returns, for each step, the length of the longest dependency chain that ends with it.
+func chainLengths(steps []job.Step) []time.Duration {
 	out := make([]time.Duration, len(steps))
 	for i := range steps {
 		for _, earlier := range steps[i].After {
@@ -36,9 +36,9 @@
 	return out
 }
 
-// latestStart returns when a step has to start for its job to be in time.
+// latestStart returns the latest start of a step with which its job meets its objective.
 func (c *Core) latestStart(s *stepState) time.Time {
-	begin := s.job.arrived
+	begin := s.job.arrivedAt
 	if s.job.Repeats > 0 {
 		// The monotonic time at which the occurrence was due.
 		begin = c.now.Add(-c.wall.Sub(s.job.DueAt(s.key.Occurrence)))
@@ -46,62 +46,63 @@
 	return begin.Add(s.job.objective - remainingChain(s.job.Steps, s.key.Step))
 }
 
-// remainingChain returns the longest chain of estimates that begins with a step.
+// remainingChain returns the length of the longest dependency chain that begins with a step.
 func remainingChain(steps []job.Step, from int) time.Duration {
-	rest := make([]time.Duration, len(steps))
+	lengths := make([]time.Duration, len(steps))
 	for i := len(steps) - 1; i >= from; i-- {
-		rest[i] += steps[i].Estimate
+		lengths[i] += steps[i].Estimate
 		for _, earlier := range steps[i].After {
-			rest[earlier] = max(rest[earlier], rest[i])
+			lengths[earlier] = max(lengths[earlier], lengths[i])
 		}
 	}
-	return rest[from]
+	return lengths[from]
 }
 
-// priorityLead is how much later a step of the next less urgent queue counts. A
-// gang that is late already does not delay tasks of seconds that can be in time.
-const priorityLead = 4 * time.Second
+// priorityPenalty is added to the latest start of a step for each priority level below the most
+// urgent one. A gang that is already late then does not delay tasks of a few seconds that can still
+// be in time.
+const priorityPenalty = 4 * time.Second
 
-// lateFactor is how many objectives a job may take before it is worth nothing.
-const lateFactor = 3
+// expiryFactor is the age of a job, as a multiple of its objective, beyond which its result is no
+// longer of use.
+const expiryFactor = 3
 
-// rank orders steps that wait. Work that can be in time goes before work that
-// cannot, entitled work before what a team sends beyond its rate, and then by
-// how soon it has to start. It answers a burst: without the first two terms the
-// backlog of the burst delays everything that follows it.
+// rank returns the primary sort key of waiting steps; steps of equal rank are ordered by latest
+// start. Steps that can be in time precede those that cannot, and entitled jobs precede jobs beyond
+// their team's rate. Otherwise, the backlog of a burst would delay everything submitted after it.
 func (c *Core) rank(s *stepState) int {
-	age := c.now.Sub(s.job.arrived)
+	age := c.now.Sub(s.job.arrivedAt)
 	switch {
-	case s.job.Repeats == 0 && age > lateFactor*s.job.objective:
-		return rankWorthless
+	case s.job.Repeats == 0 && age > expiryFactor*s.job.objective:
+		return rankExpired
 	case s.job.surplus:
 		return rankSurplus
-	case c.now.After(s.urgent.Add(s.job.objective / 2)):
+	case c.now.After(s.latestStart.Add(s.job.objective / 2)):
 		return rankLate
 	default:
 		return rankInTime
 	}
 }
 
-// Ranks of steps that wait, the first to be placed first.
+// Ranks of waiting steps, in the order of placement.
 const (
 	rankInTime = iota
 	rankLate
-	rankSurplus   // of a team beyond its rate
-	rankWorthless // too late to be of use
+	rankSurplus // beyond the rate of its team
+	rankExpired // too late to be of use
 )
 
-// waitingSteps returns the steps that have tasks to place, most urgent first.
+// waitingSteps returns the steps that have tasks to place, in the order of placement.
 func (c *Core) waitingSteps() []*stepState {
 	list := make([]rankedStep, 0, len(c.steps))
 	for _, s := range c.steps {
 		if s.ready && s.hasUnplaced() && !c.now.Before(s.retryAt) && !c.isHeldBack(s) {
-			list = append(list, rankedStep{s, c.rank(s), s.urgent.Add(time.Duration(s.job.priority) * priorityLead).UnixNano()})
+			list = append(list, rankedStep{s, c.rank(s), s.latestStart.Add(time.Duration(s.job.priority) * priorityPenalty).UnixNano()})
 		}
 	}
 	slices.SortFunc(list, compareRanked)
-	// The steps behind these could not start before the next pass: a step has
-	// three tasks and more, and the workers of a partition hold a few hundred.
+	// Further steps could not start before the next pass: a step has three or more tasks, and the
+	// workers of a partition hold a few hundred.
 	const maxConsidered = 250
 	out := make([]*stepState, min(len(list), maxConsidered))
 	for i := range out {
@@ -110,7 +111,7 @@
 	return out
 }
 
-// sortedSteps returns all steps that have tasks to do, by name.
+// sortedSteps returns all active steps, sorted by key.
 func (c *Core) sortedSteps() []*stepState {
 	return slices.SortedFunc(maps.Values(c.steps), func(a, b *stepState) int {
 		return compareTasks(job.TaskKey{StepKey: a.key}, job.TaskKey{StepKey: b.key})
@@ -118,19 +119,18 @@
 }
 
 type rankedStep struct {
-	step   *stepState
-	rank   int
-	urgent int64 // Unix nanoseconds, which compare fast
+	step        *stepState
+	rank        int
+	latestStart int64 // with the priority penalty, in Unix nanoseconds for fast comparison
 }
 
-// compareRanked compares names only where the rest is equal: the queue is
-// sorted in every pass.
+// compareRanked compares keys only as a tie-breaker, which keeps it fast: every pass sorts the queue.
 func compareRanked(a, b rankedStep) int {
 	if a.rank != b.rank {
 		return cmp.Compare(a.rank, b.rank)
 	}
-	if a.urgent != b.urgent {
-		return cmp.Compare(a.urgent, b.urgent)
+	if a.latestStart != b.latestStart {
+		return cmp.Compare(a.latestStart, b.latestStart)
 	}
 	x, y := a.step.key, b.step.key
 	return compareTasks(job.TaskKey{StepKey: x}, job.TaskKey{StepKey: y})
@@ -140,7 +140,7 @@
 	if s.spec.Gang {
 		for i := range s.tasks {
 			if s.tasks[i].run != nil {
-				return false // every member of the former run has to end first
+				return false // all members of the previous run must have ended
 			}
 		}
 		return true
@@ -153,15 +153,15 @@
 	return false
 }
 
-// teamUsage is what a team has running, and how many jobs it is entitled to.
+// teamUsage holds the resources that a team uses and the token bucket of its job rate.
 type teamUsage struct {
-	running   task.Resources
-	tokens    float64
-	refreshed time.Time
+	running    task.Resources // of its runs
+	tokens     float64
+	refilledAt time.Time // last refill of tokens
 
-	surplusWaiting int     // jobs beyond the team's rate that have not started
-	demand         float64 // jobs handed in a second
-	demandAt       time.Time
+	surplusWaiting  int     // pending jobs beyond the team's rate
+	demand          float64 // smoothed submission rate in jobs per second
+	demandUpdatedAt time.Time
 }
 
 func (u *teamUsage) add(size task.Resources) { u.running = u.running.Add(size) }
@@ -175,26 +175,25 @@
 	return u
 }
 
-// entitlementWindow is the burst that a team's rate of jobs allows, in seconds
-// of that rate.
-const entitlementWindow = 5.0
+// entitlementBurst is the burst size of a team's job rate, in seconds of that rate.
+const entitlementBurst = 5.0
 
-// takeEntitlement counts a job against its team's rate and reports whether the
-// job exceeds it. It answers a team that floods the queue: the surplus waits
-// behind what the other teams are entitled to.
+// takeEntitlement takes a token for a job from its team's bucket and reports whether the job exceeds
+// the team's rate. If a team floods the queue, its surplus jobs wait behind the entitled jobs of all
+// teams.
 func (c *Core) takeEntitlement(team string) (surplus bool) {
 	t := c.catalog.Team(team)
 	if t == nil || t.Weight <= 0 {
 		return false
 	}
 	u := c.teamUsage(team)
-	most := max(1, t.Weight*entitlementWindow)
-	if u.refreshed.IsZero() {
-		u.tokens = most
+	burst := max(1, t.Weight*entitlementBurst)
+	if u.refilledAt.IsZero() {
+		u.tokens = burst
 	} else {
-		u.tokens = min(most, u.tokens+t.Weight*c.now.Sub(u.refreshed).Seconds())
+		u.tokens = min(burst, u.tokens+t.Weight*c.now.Sub(u.refilledAt).Seconds())
 	}
-	u.refreshed = c.now
+	u.refilledAt = c.now
 	if u.tokens < 1 {
 		return true
 	}
@@ -202,45 +201,45 @@
 	return false
 }
 
-// unresolvedRoom is what tasks may take on workers that have not yet told a new
-// owner what they run. It counts against every team, since any may have it.
-func (c *Core) unresolvedRoom() task.Resources {
-	var room, largest task.Resources
+// sumUnresolvedUsage returns the resources that tasks may use on workers that have not yet reported
+// their runs to a new owner. It counts against the limit of every team, since the team is unknown.
+func (c *Core) sumUnresolvedUsage() task.Resources {
+	var usage, largest task.Resources
 	for _, w := range c.workers {
 		largest = largest.Max(w.Capacity)
-		if w.strange > 0 {
-			// What is being stopped there is of a job that is not known any more.
-			room = room.Add(w.Capacity.Sub(w.used))
+		if w.unsizedRuns > 0 {
+			// The runs that are being stopped there belong to unknown jobs.
+			usage = usage.Add(w.Capacity.Sub(w.used))
 		}
 	}
 	for id, u := range c.unresolved {
 		w := c.workers[id]
 		switch {
 		case u.closed:
-			room = room.Add(c.sizeOf(u.tasks))
+			usage = usage.Add(c.sizeOf(u.tasks))
 		case w != nil:
-			room = room.Add(w.Capacity)
+			usage = usage.Add(w.Capacity)
 		default:
-			room = room.Add(largest)
+			usage = usage.Add(largest)
 		}
 	}
-	return room
+	return usage
 }
 
-// allowance returns how many tasks of a size a team may start now.
-func (c *Core) allowance(team string, size task.Resources, most int) int {
+// allowance returns how many tasks of a size a team may start within its limit, at most maxTasks.
+func (c *Core) allowance(team string, size task.Resources, maxTasks int) int {
 	t := c.catalog.Team(team)
 	if t == nil || t.Limit.IsZero() {
-		return most
+		return maxTasks
 	}
-	running := c.teamUsage(team).running.Add(c.mayHold())
+	running := c.teamUsage(team).running.Add(c.unresolvedUsage())
 	bound := func(limit, running, each int64) {
 		if limit > 0 && each > 0 {
-			most = min(most, int(max(0, limit-running)/each))
+			maxTasks = min(maxTasks, int(max(0, limit-running)/each))
 		}
 	}
 	bound(t.Limit.CPUMilli, running.CPUMilli, size.CPUMilli)
 	bound(t.Limit.MemoryMB, running.MemoryMB, size.MemoryMB)
 	bound(t.Limit.Accelerators, running.Accelerators, size.Accelerators)
-	return most
+	return maxTasks
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -9,8 +9,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// stepSize returns what one task of a step takes of a worker.
-func stepSize(s *job.Step) task.Resources {
+// taskSize returns the resources that a task of a step takes on a worker.
+func taskSize(s *job.Step) task.Resources {
 	size := s.Size
 	if s.Fills {
 		size.CPUMilli = 0
@@ -18,34 +18,36 @@
 	return size
 }
 
-// isUsable reports whether a worker may get new work at all.
+// isUsable reports whether a worker may get new work.
 func (c *Core) isUsable(w *worker) bool {
-	return w.listed && w.rostered && w.fenced && !w.silent && !w.Draining && w.strange == 0 &&
-		!c.now.Before(w.restUntil) && w.probing == nil
+	return w.listed && w.rostered && w.fenced && !w.silent && !w.Draining && w.unsizedRuns == 0 &&
+		!c.now.Before(w.backoffUntil) && w.probe == nil
 }
 
-// roomCPU returns the processors of a worker that nothing uses.
-func (w *worker) roomCPU() int64 { return w.Capacity.CPUMilli - w.used.CPUMilli }
+// freeCPU returns the unused millicores of a worker.
+func (w *worker) freeCPU() int64 { return w.Capacity.CPUMilli - w.used.CPUMilli }
 
-// suits reports whether a worker could ever run a task of a step.
-func suits(w *worker, s *stepState) bool {
-	if w.Service != s.job.service || !stepSize(s.spec).Fits(w.Capacity) {
+// meetsRequirements reports whether a worker belongs to the service of a step, has the required
+// label and could hold a task of the step if it were empty.
+func meetsRequirements(w *worker, s *stepState) bool {
+	if w.Service != s.job.service || !taskSize(s.spec).Fits(w.Capacity) {
 		return false
 	}
 	return s.spec.Needs == "" || slices.Contains(w.Labels, s.spec.Needs)
 }
 
-// avoid makes a step prefer other workers from now on.
+// avoid makes a step prefer other workers for its next runs.
 func (s *stepState) avoid(worker string) {
-	if s.away == nil {
-		s.away = make(map[string]int)
+	if s.avoided == nil {
+		s.avoided = make(map[string]int)
 	}
-	s.away[worker]++
+	s.avoided[worker]++
 }
 
-// failedElsewhere reports whether a run of the step has failed on another worker.
+// failedElsewhere reports whether a run of the step has failed, or timed out waiting for its gang, on
+// another worker.
 func (s *stepState) failedElsewhere(worker string) bool {
-	for id := range s.away {
+	for id := range s.avoided {
 		if id != worker {
 			return true
 		}
@@ -53,8 +55,9 @@
 	return false
 }
 
-// pass places what can be placed, the most urgent step first.
-func (c *Core) pass() {
+// placementPass starts as many waiting tasks as possible, in the order of their steps, updates the
+// reservations for gangs and requests advice.
+func (c *Core) placementPass() {
 	c.lastPass = c.now
 	c.passDue = false
 	usable := make([]*worker, 0, len(c.workers))
@@ -63,106 +66,106 @@
 			usable = append(usable, w)
 		}
 	}
-	c.sumUse(usable)
-	c.plans = 0
-	clear(c.widerWaits)
+	c.sumServiceUsage(usable)
+	c.plansMade = 0
+	clear(c.oversizedGangWaits)
 	c.dropStalePlans()
 	c.passes++
-	most := largestRoom(usable)
+	maxFreeResources := maxFree(usable)
 	var unadvised []*stepState
 	for _, s := range c.waitingSteps() {
-		if s.spec.Gang && s.advice.lane != nil {
-			continue // the answer may start it, in the room that is kept for it
+		if s.spec.Gang && s.advice.proxy != nil {
+			continue // the reply may start it on its reserved workers
 		}
 		c.refreshPolicy(s.job)
 		if c.isAtLimit(s) {
-			// Its tickets would expire before a task of its team ends.
+			// Tickets for it would expire before a task of its team ends.
 			c.dropReservation(s)
-			c.waits(s, waitsForLimit)
+			c.recordWait(s, waitsForLimit)
 			continue
 		}
-		fits := stepSize(s.spec).Fits(most)
+		fits := taskSize(s.spec).Fits(maxFreeResources)
 		switch {
 		case !fits:
-			s.wait = waitsForRoom
-		case c.needsAdvice(s) && c.now.Add(ticketMargin).After(s.advice.till):
-			s.wait = waitsForTicket // settles most of a backlog that waits for advice
+			s.wait = waitsForCapacity
+		case c.needsAdvice(s) && c.now.Add(ticketMargin).After(s.advice.expiresAt):
+			s.wait = waitsForTicket // fast path for a backlog that waits for advice
 		case c.placeStep(s, usable):
 			continue
 		}
 		if s.spec.Gang {
 			c.reserve(s, usable)
 		}
-		if c.needsAdvice(s) && (fits || s.spec.Gang || !s.isAdvised()) {
+		if c.needsAdvice(s) && (fits || s.spec.Gang || !s.hasAskedAdvice()) {
 			unadvised = append(unadvised, s)
 		}
 	}
-	c.seekAdvice(unadvised, usable)
+	c.requestAdvice(unadvised, usable)
 }
 
-// largestRoom returns the largest free amount of each resource on any worker. A
-// task that is larger fits nowhere, which settles most of a long queue at once.
-func largestRoom(usable []*worker) task.Resources {
-	var most task.Resources
+// maxFree returns the maximum free amount of each resource over all workers. A task that is larger
+// fits nowhere, which is a fast check for most steps of a long queue.
+func maxFree(usable []*worker) task.Resources {
+	var largest task.Resources
 	for _, w := range usable {
-		most = most.Max(w.Capacity.Sub(w.used))
+		largest = largest.Max(w.Capacity.Sub(w.used))
 	}
-	return most
+	return largest
 }
 
-// needsAdvice reports whether the queue of a step asks for tickets.
+// needsAdvice reports whether the queue of a step requires tickets.
 func (c *Core) needsAdvice(s *stepState) bool {
 	q := c.catalog.Queue(s.job.Queue)
 	return q != nil && q.Advice != nil
 }
 
-// option is a worker on which a step may start tasks now.
+// option is a worker on which tasks of a step may start now.
 type option struct {
-	worker *worker
-	ticket string
-	room   int  // tasks of the step that fit
-	kept   bool // the room is kept for a gang of a less urgent queue
+	worker       *worker
+	ticket       string
+	taskCount    int  // number of tasks of the step that fit
+	usesReserved bool // they fit only in capacity reserved for gangs of less urgent queues
 }
 
-// placeStep starts what it can of a step and reports whether nothing is left.
+// placeStep starts as many tasks of a step as possible and reports whether none is left to start.
 func (c *Core) placeStep(s *stepState, usable []*worker) bool {
 	options := c.options(s, usable, false)
-	before := s.placed
+	before := s.runsOrdered
 	var all bool
 	if s.spec.Gang {
 		all = c.placeGang(s, options)
 	} else {
 		all = c.placeTasks(s, options)
 	}
-	if n := s.placed - before; n > 0 {
-		c.decide(s.key.Job, "placed", "step", s.key.String(), "tasks", n, "of", len(s.tasks), "options", len(options),
-			"waited_ms", c.now.Sub(s.job.arrived).Milliseconds(), "slack_ms", s.urgent.Sub(c.now).Milliseconds(), "rank", c.rank(s))
+	if n := s.runsOrdered - before; n > 0 {
+		c.logDecision(s.key.Job, "placed", "step", s.key.String(), "tasks", n, "of", len(s.tasks), "options", len(options),
+			"waited_ms", c.now.Sub(s.job.arrivedAt).Milliseconds(), "slack_ms", s.latestStart.Sub(c.now).Milliseconds(), "rank", c.rank(s))
 	}
 	return all
 }
 
-// options lists the workers that have room for a step and, where needed, a
-// ticket that is still valid. With anyTicket, one that has expired counts too.
+// options returns the workers that have capacity for a task of a step and, where required, a valid
+// ticket. With anyTicket, expired tickets count as well.
 func (c *Core) options(s *stepState, usable []*worker, anyTicket bool) []option {
 	advised := c.needsAdvice(s)
-	size := stepSize(s.spec)
+	size := taskSize(s.spec)
 	var out []option
 	for _, w := range usable {
-		if !suits(w, s) {
+		if !meetsRequirements(w, s) {
 			continue
 		}
-		o := option{worker: w, room: fitCount(size, w.free(s, c.now), len(s.tasks))}
-		if o.room == 0 && len(w.claims) > 0 {
-			o.room = fitCount(size, w.freeFirst(s, c.now), len(s.tasks))
-			o.kept = true
+		o := option{worker: w, taskCount: fitCount(size, w.free(s, c.now), len(s.tasks))}
+		if o.taskCount == 0 && len(w.claims) > 0 {
+			o.taskCount = fitCount(size, w.freeOverClaims(s, c.now), len(s.tasks))
+			o.usesReserved = true
 		}
 		if s.spec.AntiAffinity > 0 {
-			o.room = min(o.room, s.spec.AntiAffinity-s.tasksOn(w))
+			o.taskCount = min(o.taskCount, s.spec.AntiAffinity-s.tasksOn(w))
 		}
 		if c.isFailing(w) {
-			o.room = min(o.room, 1)
+			o.taskCount = min(o.taskCount, 1)
 		}
-		if o.room <= 0 {
+		if o.taskCount <= 0 {
 			continue
 		}
 		if advised {
@@ -177,17 +180,17 @@
 	return out
 }
 
-// fitCount returns how many tasks of a size fit into room, at most most.
-func fitCount(size, room task.Resources, most int) int {
-	bound := func(room, each int64) {
+// fitCount returns how many tasks of a size fit into the free resources, at most maxTasks.
+func fitCount(size, free task.Resources, maxTasks int) int {
+	bound := func(free, each int64) {
 		if each > 0 {
-			most = min(most, int(max(0, room)/each))
+			maxTasks = min(maxTasks, int(max(0, free)/each))
 		}
 	}
-	bound(room.CPUMilli, size.CPUMilli)
-	bound(room.MemoryMB, size.MemoryMB)
-	bound(room.Accelerators, size.Accelerators)
-	return most
+	bound(free.CPUMilli, size.CPUMilli)
+	bound(free.MemoryMB, size.MemoryMB)
+	bound(free.Accelerators, size.Accelerators)
+	return maxTasks
 }
 
 // tasksOn counts the tasks of a step on a worker.
@@ -201,10 +204,10 @@
 	return n
 }
 
-// placeTasks starts tasks that need not run together, each on the fullest
-// worker that holds it, so that whole workers stay free for gangs.
+// placeTasks starts the tasks of a step that is not a gang. It uses best fit: by preference, a task
+// goes to the fullest worker on which it fits, so that whole workers stay free for gangs.
 func (c *Core) placeTasks(s *stepState, options []option) bool {
-	size := stepSize(s.spec)
+	size := taskSize(s.spec)
 	allowed := c.allowance(s.job.Team, size, len(s.tasks))
 	placed := true
 	for i := range s.tasks {
@@ -213,7 +216,7 @@
 		}
 		best := -1
 		for k := range options {
-			if options[k].room > 0 && (best < 0 || c.prefer(s, &options[k], &options[best])) {
+			if options[k].taskCount > 0 && (best < 0 || c.prefer(s, &options[k], &options[best])) {
 				best = k
 			}
 		}
@@ -223,10 +226,10 @@
 		}
 		o := &options[best]
 		allowed--
-		o.room--
+		o.taskCount--
 		c.start(s, i, o.worker, c.nextRun(s.tasks[i].lastRun), o.ticket)
-		if o.worker.probing != nil {
-			o.room = 0
+		if o.worker.probe != nil {
+			o.taskCount = 0
 		}
 	}
 	if !placed {
@@ -235,29 +238,29 @@
 	return placed
 }
 
-// prefer reports whether a step does better on a than on b: on a worker where
-// it has not failed, in room that is not kept for others, near its data, then on
-// the fullest one.
+// prefer reports whether a is better for a step than b. The criteria are, in this order: fewer
+// failures of the step on the worker, a worker that is not failing, capacity that is not reserved,
+// affinity, the fullest worker, and the worker's ID.
 func (c *Core) prefer(s *stepState, a, b *option) bool {
-	if x, y := s.away[a.worker.ID], s.away[b.worker.ID]; x != y {
+	if x, y := s.avoided[a.worker.ID], s.avoided[b.worker.ID]; x != y {
 		return x < y
 	}
 	if x, y := c.isFailing(a.worker), c.isFailing(b.worker); x != y {
 		return y
 	}
-	if a.kept != b.kept {
-		return b.kept
+	if a.usesReserved != b.usesReserved {
+		return b.usesReserved
 	}
-	if x, y := nearness(s.spec, a.worker), nearness(s.spec, b.worker); x != y {
+	if x, y := affinityScore(s.spec, a.worker), affinityScore(s.spec, b.worker); x != y {
 		return x > y
 	}
-	if x, y := a.worker.roomCPU(), b.worker.roomCPU(); x != y {
+	if x, y := a.worker.freeCPU(), b.worker.freeCPU(); x != y {
 		return x < y
 	}
 	return a.worker.ID < b.worker.ID
 }
 
-func nearness(s *job.Step, w *worker) int {
+func affinityScore(s *job.Step, w *worker) int {
 	if s.Affinity != "" && slices.Contains(w.Labels, s.Affinity) {
 		return 1
 	}
@@ -266,7 +269,7 @@
 
 // placeGang starts all tasks of a gang or none.
 func (c *Core) placeGang(s *stepState, options []option) bool {
-	if c.allowance(s.job.Team, stepSize(s.spec), len(s.tasks)) < len(s.tasks) {
+	if c.allowance(s.job.Team, taskSize(s.spec), len(s.tasks)) < len(s.tasks) {
 		s.wait = waitsForLimit
 		return false
 	}
@@ -283,15 +286,14 @@
 	return true
 }
 
-// chooseGang returns an option for each task, or nil if they do not all fit.
-// Workers that hold many members go first: the fewer workers a gang needs, the
-// fewer it leaves half full. A gang that slows down when it is spread over racks
-// takes one rack if one holds it.
+// chooseGang returns an option for each task, or nil if they do not all fit. Workers that hold many
+// members are preferred: the fewer workers a gang uses, the fewer it leaves partly used. A gang that
+// slows down when spread over racks is placed on a single rack if possible.
 func (c *Core) chooseGang(s *stepState, options []option) []option {
-	sound := slices.DeleteFunc(slices.Clone(options), func(o option) bool { return c.isFailing(o.worker) })
+	healthy := slices.DeleteFunc(slices.Clone(options), func(o option) bool { return c.isFailing(o.worker) })
 	if s.spec.SameRack {
 		byRack := make(map[string][]option)
-		for _, o := range sound {
+		for _, o := range healthy {
 			byRack[o.worker.Rack] = append(byRack[o.worker.Rack], o)
 		}
 		for _, rack := range slices.Sorted(maps.Keys(byRack)) {
@@ -300,23 +302,23 @@
 			}
 		}
 	}
-	return c.fillGang(s, sound)
+	return c.fillGang(s, healthy)
 }
 
 func (c *Core) fillGang(s *stepState, options []option) []option {
 	slices.SortFunc(options, func(a, b option) int {
 		return cmp.Or(
-			cmp.Compare(s.away[a.worker.ID], s.away[b.worker.ID]),
-			boolOrder(a.kept)-boolOrder(b.kept),
-			-cmp.Compare(nearness(s.spec, a.worker), nearness(s.spec, b.worker)),
-			-cmp.Compare(a.room, b.room),
-			cmp.Compare(a.worker.roomCPU(), b.worker.roomCPU()),
+			cmp.Compare(s.avoided[a.worker.ID], s.avoided[b.worker.ID]),
+			boolToInt(a.usesReserved)-boolToInt(b.usesReserved),
+			-cmp.Compare(affinityScore(s.spec, a.worker), affinityScore(s.spec, b.worker)),
+			-cmp.Compare(a.taskCount, b.taskCount),
+			cmp.Compare(a.worker.freeCPU(), b.worker.freeCPU()),
 			cmp.Compare(a.worker.ID, b.worker.ID),
 		)
 	})
 	var chosen []option
 	for _, o := range options {
-		for range o.room {
+		for range o.taskCount {
 			if len(chosen) == len(s.tasks) {
 				return chosen
 			}
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -10,20 +10,21 @@
 )
 
 const (
-	// leastPercent is the progress from which the end of a run is extrapolated.
-	leastPercent = 5
-	// unknownEnd is when a run of unknown length is taken to end.
-	unknownEnd = time.Second
-	// stopEnd is when a run that is being stopped is taken to end.
-	stopEnd = 500 * time.Millisecond
-	// overrun is the part of its time so far that a run past its estimate is
-	// expected to take on top.
-	overrun = 0.25
+	// minProgressPercent is the minimum progress of a run for its end to be extrapolated.
+	minProgressPercent = 5
+	// unknownRunDuration is the assumed remaining time of a run whose step is unknown.
+	unknownRunDuration = time.Second
+	// stopDuration is the assumed remaining time of a run that is being stopped.
+	stopDuration = 500 * time.Millisecond
+	// overrunShare is the assumed remaining time of a run past its estimate, as a share of its
+	// elapsed time.
+	overrunShare = 0.25
 )
 
-// readyWith returns when the members of an earlier plan have their room, by the
-// slots as they are now.
-func (r *reservation) readyWith(slots []slot) (ready time.Time, ok bool) {
+// readyTime returns when the capacity for all members of an existing plan will be free according to
+// the current slots, which must be sorted by time. It returns false if there is no plan or the slots
+// do not cover it.
+func (r *reservation) readyTime(slots []slot) (ready time.Time, ok bool) {
 	if r == nil {
 		return ready, false
 	}
@@ -42,8 +43,8 @@
 	return ready, true
 }
 
-// chooseSlots takes n of the slots that are free when the n-th is, from as few
-// workers as possible. The slots are ordered by time.
+// chooseSlots chooses n of the slots that will be free by the time the n-th one is, on as few
+// workers as possible. The slots must be sorted by time.
 func chooseSlots(slots []slot, n int) map[*worker]int {
 	ready := slots[n-1].at
 	counts := make(map[*worker]int)
@@ -67,71 +68,71 @@
 	return members
 }
 
-// slot is room for one member of a gang.
+// slot is capacity for one member of a gang.
 type slot struct {
 	worker *worker
-	at     time.Time // when it should be free
+	at     time.Time // expected time at which it is free
 }
 
 func compareSlots(a, b slot) int {
 	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.worker.ID, b.worker.ID))
 }
 
-// slots lists the room for members of a gang on the workers that may run it.
+// slots returns the present and future capacity for members of a gang on the eligible workers.
 func (c *Core) slots(s *stepState, usable []*worker) []slot {
-	size, advised := stepSize(s.spec), c.needsAdvice(s)
+	size, advised := taskSize(s.spec), c.needsAdvice(s)
 	var out []slot
 	for _, w := range usable {
-		if !suits(w, s) || c.isFailing(w) {
+		if !meetsRequirements(w, s) || c.isFailing(w) {
 			continue
 		}
 		if _, ok := s.advice.ticket(w, c.now, true); advised && !ok {
 			continue
 		}
-		most := len(s.tasks)
+		maxTasks := len(s.tasks)
 		if s.spec.AntiAffinity > 0 {
-			most = min(most, s.spec.AntiAffinity)
+			maxTasks = min(maxTasks, s.spec.AntiAffinity)
 		}
-		out = c.appendSlots(out, w, s, size, most)
+		out = c.appendSlots(out, w, s, size, maxTasks)
 	}
 	return out
 }
 
-// appendSlots adds the slots of one worker: those that are free now, then those
-// that become free as its runs end.
-func (c *Core) appendSlots(out []slot, w *worker, s *stepState, size task.Resources, most int) []slot {
-	room := w.free(s, c.now)
-	n := fitCount(size, room, most)
+// appendSlots adds the slots of one worker: those that are free now, followed by those that become
+// free as its runs end.
+func (c *Core) appendSlots(out []slot, w *worker, s *stepState, size task.Resources, maxTasks int) []slot {
+	free := w.free(s, c.now)
+	n := fitCount(size, free, maxTasks)
 	for range n {
 		out = append(out, slot{w, c.now})
 	}
-	if n == most {
+	if n == maxTasks {
 		return out
 	}
-	for _, e := range c.endsOn(w) {
-		room = room.Add(e.size)
-		for fits := fitCount(size, room, most); n < fits; n++ {
+	for _, e := range c.expectedEnds(w) {
+		free = free.Add(e.size)
+		for fits := fitCount(size, free, maxTasks); n < fits; n++ {
 			out = append(out, slot{w, e.at})
 		}
 	}
 	return out
 }
 
-// expectedEnd is when a run should end and what it gives back.
+// expectedEnd is the expected end of a run and the resources that it releases.
 type expectedEnd struct {
 	at   time.Time
 	size task.Resources
 }
 
-// endsOn returns the ends of the runs on a worker in their order. All plans of a
-// pass share them.
-func (c *Core) endsOn(w *worker) []expectedEnd {
+// expectedEnds returns the expected ends of the runs on a worker, sorted by time. They are cached
+// for all plans of a pass.
+func (c *Core) expectedEnds(w *worker) []expectedEnd {
 	if w.endsAt.Equal(c.now) {
 		return w.ends
 	}
 	ends := w.ends[:0]
 	for _, r := range w.runs {
-		if at, ok := c.expectEnd(r); ok {
+		if at, ok := c.estimateEnd(r); ok {
 			ends = append(ends, expectedEnd{at, r.size})
 		}
 	}
@@ -140,36 +141,36 @@
 	return ends
 }
 
-// expectEnd extrapolates the end of a run from its progress, or else from the
-// caller's estimate. A long-lived run has no end.
-func (c *Core) expectEnd(r *run) (time.Time, bool) {
+// estimateEnd returns the expected end of a run, extrapolated from its progress or else based on the
+// caller's estimate. It returns false for a long-lived run.
+func (c *Core) estimateEnd(r *run) (time.Time, bool) {
 	if r.state == runStopping {
-		return c.now.Add(stopEnd), true
+		return c.now.Add(stopDuration), true
 	}
 	if r.step == nil {
-		return c.now.Add(unknownEnd), true
+		return c.now.Add(unknownRunDuration), true
 	}
 	if r.step.spec.LongLived {
 		return time.Time{}, false
 	}
 	if !r.step.spec.Gang {
-		return c.now.Add(max(0, c.restOf(r))), true
+		return c.now.Add(max(0, c.remainingTime(r))), true
 	}
 	// The members of a gang end together.
-	rest := time.Duration(0)
+	remaining := time.Duration(0)
 	for i := range r.step.tasks {
 		if member := r.step.tasks[i].run; member != nil {
-			rest = max(rest, c.restOf(member))
+			remaining = max(remaining, c.remainingTime(member))
 		}
 	}
-	return c.now.Add(rest), true
+	return c.now.Add(remaining), true
 }
 
-// restOf returns how much longer a run should take, by itself.
-func (c *Core) restOf(r *run) time.Duration {
+// remainingTime returns the expected remaining time of a run, regardless of its gang.
+func (c *Core) remainingTime(r *run) time.Duration {
 	elapsed := c.now.Sub(r.startedAt)
-	if worked := r.advancedAt.Sub(r.startedAt); r.percent >= leastPercent && !r.adopted {
+	if worked := r.progressedAt.Sub(r.startedAt); r.percent >= minProgressPercent && !r.adopted {
 		return worked*100/time.Duration(r.percent) - elapsed
 	}
-	return max(r.step.spec.Estimate-elapsed, time.Duration(overrun*float64(elapsed)))
+	return max(r.step.spec.Estimate-elapsed, time.Duration(overrunShare*float64(elapsed)))
 }
--- a/schedule/reserve_test.go
+++ b/schedule/reserve_test.go
@@ -9,11 +9,11 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// smallTasks hands in two small tasks at a time, so that they use about four
-// fifths of eight workers, for as long as given.
-func (s *simulation) smallTasks(queue string, lasting time.Duration) {
+// submitSmallTasks submits jobs of two small tasks for the given duration, which use about four
+// fifths of eight workers.
+func (s *simulation) submitSmallTasks(queue string, duration time.Duration) {
 	const every = 25 * time.Millisecond
-	for i := range int(lasting / every) {
+	for i := range int(duration / every) {
 		s.pendingJobs++
 		s.after(time.Duration(i)*every, func() {
 			s.submit(&job.Job{ID: job.ID(fmt.Sprintf("%016x", 0xb000+i)), Queue: queue, Team: "blue", Spec: "work", Steps: []job.Step{{
@@ -33,19 +33,19 @@
 	return true
 }
 
-// TestGangAmongSmallTasks guards against a gang that never starts because a
-// stream of small tasks takes each piece of room as it becomes free, with and
-// without advice, whose tickets expire while the gang waits.
+// TestGangAmongSmallTasks guards against starvation of a gang by a stream of small tasks that take
+// capacity as it becomes free. It runs with and without advice, since tickets expire while the gang
+// waits.
 func TestGangAmongSmallTasks(t *testing.T) {
 	for _, queue := range []string{"plain", "advised"} {
 		t.Run(queue, func(t *testing.T) {
 			const (
 				stream = 20 * time.Second
-				wait   = 5 * time.Second // within which the gang is in time: its chain stretched by 2, and 1 s
+				wait   = 5 * time.Second // wait with which the gang is in time: its objective is twice its 4 s estimate plus 1 s
 			)
 			s := newSimulation(t, 3, 8)
 			s.run(time.Second)
-			s.smallTasks(queue, stream)
+			s.submitSmallTasks(queue, stream)
 			s.run(3 * time.Second)
 			const id = "00000000000000a0"
 			s.submit(&job.Job{ID: id, Queue: queue, Team: "blue", Spec: "work", Steps: []job.Step{{
@@ -53,15 +53,15 @@
 			}}})
 			s.run(wait)
 			if !s.hasStarted(id, 4) {
-				t.Errorf("the gang waits after %s: %s", wait, s.core.describe(id))
+				t.Errorf("the gang has not started after %s: %s", wait, s.core.describe(id))
 			}
 			s.finish(stream)
 		})
 	}
 }
 
-// TestBackfill guards against room that stays idle while it is kept for a gang:
-// tasks that end before the gang can start use it.
+// TestBackfill guards against reserved capacity that stays idle: tasks that end before the gang can
+// start must use it, and longer ones must not.
 func TestBackfill(t *testing.T) {
 	s := newSimulation(t, 4, 1)
 	s.run(time.Second)
@@ -85,18 +85,17 @@
 		t.Fatal("the gang should wait for the long task")
 	}
 	if !s.hasStarted(short.ID, 1) {
-		t.Error("a task that ends in time does not use the room that is kept")
+		t.Error("a task that ends in time did not backfill the reserved capacity")
 	}
 	if s.hasStarted(tooLong.ID, 1) {
-		t.Error("a task that ends too late uses the room that is kept")
+		t.Error("a task that ends too late uses the reserved capacity")
 	}
 	s.finish(40 * time.Second)
 }
 
-// TestKeptRoomAfterRouteChange guards against room that counts as kept for ever,
-// so that no other gang gets any, because the queue of a waiting gang was routed
-// to another service.
-func TestKeptRoomAfterRouteChange(t *testing.T) {
+// TestKeptRoomAfterRouteChange guards against capacity that counts as reserved forever, which
+// prevents further reservations, after the queue of a waiting gang was routed to another service.
+func TestReservationAfterRouteChange(t *testing.T) {
 	s := newSimulation(t, 6, 2)
 	s.run(time.Second)
 	busy := &job.Job{ID: "00000000000000e0", Queue: "advised", Team: "blue", Spec: "work", Steps: []job.Step{{
@@ -109,8 +108,8 @@
 	s.run(500 * time.Millisecond)
 	s.submit(gang)
 	s.run(500 * time.Millisecond)
-	if s.core.kept["calc"] == 0 {
-		t.Fatal("no room is kept for the gang")
+	if s.core.reservedCPU["calc"] == 0 {
+		t.Fatal("no capacity is reserved for the gang")
 	}
 	elsewhere := job.NewCatalog(2, 2, []job.Queue{
 		*s.catalog.Queue("advised"), {Name: "plain", Service: "other", MaxAttempts: 3, Stretch: 2, Target: time.Second},
@@ -119,15 +118,15 @@
 	s.run(500 * time.Millisecond)
 	s.cancel(gang.ID)
 	s.run(500 * time.Millisecond)
-	for service, kept := range s.core.kept {
-		if kept != 0 {
-			t.Errorf("%d thousandths of a core of %s are kept for nothing", kept, service)
+	for service, reserved := range s.core.reservedCPU {
+		if reserved != 0 {
+			t.Errorf("%d millicores of %s are still reserved", reserved, service)
 		}
 	}
 }
 
-// TestStalePlan guards against room that stays idle for a gang which the passes
-// do not reach any more, because more urgent steps fill them.
+// TestStalePlan guards against capacity that stays reserved for a gang that the passes no longer
+// reach because they are full of more urgent steps.
 func TestStalePlan(t *testing.T) {
 	s := newSimulation(t, 7, 2)
 	s.run(time.Second)
@@ -142,18 +141,18 @@
 	s.submit(gang)
 	s.run(500 * time.Millisecond)
 	waiting := s.core.steps[job.StepKey{Job: gang.ID}]
-	if waiting.reserved == nil {
-		t.Fatal("no room is kept for the gang")
+	if waiting.reservation == nil {
+		t.Fatal("no capacity is reserved for the gang")
 	}
-	waiting.retryAt = s.now.Add(time.Hour) // no pass considers it
-	s.run(stalePlan + time.Second)
-	if waiting.reserved != nil || s.core.kept["calc"] != 0 {
-		t.Error("the room is still kept")
+	waiting.retryAt = s.now.Add(time.Hour) // excludes it from all passes
+	s.run(maxPlanAge + time.Second)
+	if waiting.reservation != nil || s.core.reservedCPU["calc"] != 0 {
+		t.Error("the capacity is still reserved")
 	}
 }
 
-// TestGangBeyondShare guards against a gang that needs more than may be kept at a
-// time and never gets room, because less urgent gangs keep it in turn.
+// TestGangBeyondShare guards against starvation of a gang that needs more than the maximum reserved
+// share, by less urgent gangs that hold reservations in turn.
 func TestGangBeyondShare(t *testing.T) {
 	const (
 		stream = 30 * time.Second
@@ -167,7 +166,7 @@
 			Count: tasks, Gang: true, Size: task.Resources{CPUMilli: milli, MemoryMB: 100}, Estimate: time.Second,
 		}}}
 	}
-	// Gangs of two workers for a second, which use all of the 48 workers.
+	// A stream of gangs that take two workers for a second each and use all of the 48 workers.
 	for i := range int(stream / every) {
 		s.pendingJobs++
 		s.after(time.Duration(i)*every, func() { s.submit(gang(job.ID(fmt.Sprintf("%016x", 0xd000+i)), 2, 28_000)) })
@@ -177,22 +176,21 @@
 	s.submit(gang(id, 12, 28_000))
 	s.run(wait)
 	if !s.hasStarted(id, 12) {
-		t.Errorf("the wide gang waits after %s: %s", wait, s.core.describe(id))
+		t.Errorf("the wide gang has not started after %s: %s", wait, s.core.describe(id))
 	}
 	s.finish(stream)
 }
 
-// TestGangsAfterBacklog guards against gangs that wait while the service is empty,
-// because their tickets have expired in the backlog and are renewed only for the
-// few gangs for which room is kept.
+// TestGangsAfterBacklog guards against gangs that wait on an idle service because their tickets have
+// expired during a backlog and are renewed only for the few gangs with a reservation.
 func TestGangsAfterBacklog(t *testing.T) {
 	const (
 		gangs = 6
 		busy  = 5 * time.Second
-		wait  = 3 * time.Second // that a job may have nothing running while there is room
+		wait  = 3 * time.Second // maximum time for which a job may have no running task while there is free capacity
 	)
 	s := newSimulation(t, 7, 48)
-	s.adviceTakes = time.Second // of a call that names a hundred workers for a gang
+	s.adviceLatency = time.Second // duration of a call for a gang that names 100 workers
 	for i := range 16 {
 		s.every(time.Second, func() { s.input(func(c *Core) { c.SeeLane(fmt.Sprint("more-", i)) }) })
 	}
@@ -209,7 +207,7 @@
 	s.run(busy - time.Second + wait)
 	for i := range gangs {
 		if id := job.ID(fmt.Sprintf("%016x", 0xe000+i)); !s.hasStarted(id, 6) {
-			t.Errorf("a gang waits %s after the service is empty: %s", wait, s.core.describe(id))
+			t.Errorf("a gang has not started %s after the service became idle: %s", wait, s.core.describe(id))
 		}
 	}
 	s.finish(30 * time.Second)
--- a/schedule/roster.go
+++ b/schedule/roster.go
@@ -10,25 +10,24 @@
 )
 
 const (
-	// closeAfter is how long a worker whose last order was not answered may be
-	// silent before the roster names what may run on it: most such workers answer
-	// the next report.
-	closeAfter = time.Second
-	// closeMisses is the number of reports in a row, without an answer, after which
-	// it does so at once.
-	closeMisses = 2
+	// closeDelay is how long a worker whose last order was not answered may be silent before the
+	// roster closes it and lists its runs: most such workers answer the next poll.
+	closeDelay = time.Second
+	// closeMissedReports is the number of consecutive missed reports after which a silent worker is
+	// closed without that delay.
+	closeMissedReports = 2
 )
 
-// unresolved is a worker on which a former owner may have left work.
-type unresolved struct {
-	until  time.Time // its leases have ended by then
-	closed bool      // nothing but tasks can run there
+// unresolvedWorker is a worker on which runs of a former owner may exist.
+type unresolvedWorker struct {
+	until  time.Time // its leases have expired by then
+	closed bool      // only tasks can run there
 	tasks  []job.TaskKey
 }
 
-// holdBack notes what may still run on a worker of a former owner.
-func (c *Core) holdBack(r Rostered, until time.Time) {
-	u := unresolved{until: until, closed: r.Closed}
+// addUnresolved records which tasks may still run on a worker of a former owner.
+func (c *Core) addUnresolved(r Rostered, until time.Time) {
+	u := unresolvedWorker{until: until, closed: r.Closed}
 	for _, name := range r.Tasks {
 		key, err := job.ParseTaskKey(name)
 		if err != nil {
@@ -42,65 +41,64 @@
 	c.countUnresolved(u, 1)
 }
 
-func (c *Core) countUnresolved(u unresolved, n int) {
+func (c *Core) countUnresolved(u unresolvedWorker, n int) {
 	if !u.closed {
 		c.unresolvedOpen += n
 		return
 	}
 	for _, key := range u.tasks {
-		c.heldSteps[key.StepKey] += n
+		c.heldBackTasks[key.StepKey] += n
 	}
 }
 
-// isHeldBack reports whether a task of an inherited step may still run on a
-// worker that has not told what it runs.
+// isHeldBack reports whether a task of an inherited step may still run on a worker that has not yet
+// reported its runs.
 func (c *Core) isHeldBack(s *stepState) bool {
-	return s.job.inherited && (c.unresolvedOpen > 0 || c.heldSteps[s.key] > 0)
+	return s.job.inherited && (c.unresolvedOpen > 0 || c.heldBackTasks[s.key] > 0)
 }
 
-// resolve notes that nothing unknown runs on a worker any more.
+// resolve marks a worker as free of runs that this owner does not know.
 func (c *Core) resolve(id string) {
 	if u, open := c.unresolved[id]; open {
 		delete(c.unresolved, id)
 		c.countUnresolved(u, -1)
 		c.passDue = true
-		c.rosterDue = c.rosterDue || u.closed // it gets work once the roster opens it
+		c.rosterDirty = c.rosterDirty || u.closed // it gets no work until a roster with the worker open is recorded
 	}
 }
 
-// expireUnresolved gives up on workers of a former owner whose leases are over.
+// expireUnresolved resolves the workers of a former owner whose leases have expired.
 func (c *Core) expireUnresolved() {
 	for id, u := range c.unresolved {
 		if c.now.After(u.until) {
 			c.emit(Decision{What: "former_lease_over", Fields: []any{"worker", id, "closed", u.closed, "tasks", len(u.tasks)}})
 			c.resolve(id)
-			c.rosterDue = true
+			c.rosterDirty = true
 		}
 	}
 }
 
-// closeOrOpen closes a worker that gets no work for some time. A successor then
-// holds back only the tasks that the roster names, and not every task that it
-// inherits, until the worker's leases are over. An open worker gets work only
-// once the roster says so.
-func (c *Core) closeOrOpen(w *worker) {
-	closing := w.Draining || !w.listed || (w.silent && (w.misses >= closeMisses || c.now.Sub(w.silentAt) > closeAfter))
+// updateClosed closes a worker that will get no work for some time, or reopens it. Until the leases
+// of a closed worker have expired, a successor holds back only the tasks listed in the roster instead
+// of all inherited tasks. A reopened worker gets no work until the roster that opens it is recorded.
+func (c *Core) updateClosed(w *worker) {
+	closing := w.Draining || !w.listed || (w.silent && (w.missedReports >= closeMissedReports || c.now.Sub(w.silentAt) > closeDelay))
 	if closing == w.closed {
 		return
 	}
 	w.closed = closing
 	w.rostered = false
-	c.rosterDue = true
+	c.rosterDirty = true
 }
 
-// fallSilent notes that a worker does not answer.
-func (w *worker) fallSilent(now time.Time) {
+// markSilent records that a worker does not answer.
+func (w *worker) markSilent(now time.Time) {
 	if !w.silent {
 		w.silent, w.silentAt = true, now
 	}
 }
 
-// roster lists the workers on which something may run.
+// roster returns the workers on which runs may exist.
 func (c *Core) roster() []Rostered {
 	out := make([]Rostered, 0, len(c.workers))
 	for id, w := range c.workers {
@@ -109,7 +107,7 @@
 			r = u.rostered(id)
 		}
 		if w.closed && r.Closed {
-			for _, running := range runsOf(w) {
+			for _, running := range sortedRunsOf(w) {
 				r.Tasks = append(r.Tasks, running.task.String())
 			}
 		}
@@ -124,7 +122,7 @@
 	return out
 }
 
-func (u unresolved) rostered(id string) Rostered {
+func (u unresolvedWorker) rostered(id string) Rostered {
 	r := Rostered{Worker: id, Closed: u.closed}
 	for _, key := range u.tasks {
 		r.Tasks = append(r.Tasks, key.String())
@@ -132,13 +130,12 @@
 	return r
 }
 
-// sizeOf returns what tasks take together. Tasks of jobs that are not known have
-// ended.
+// sizeOf returns the total resources of tasks. Tasks of unknown jobs count as ended.
 func (c *Core) sizeOf(tasks []job.TaskKey) task.Resources {
 	var sum task.Resources
 	for _, key := range tasks {
 		if j := c.jobs[key.Job]; j != nil && key.Step < len(j.Steps) {
-			sum = sum.Add(stepSize(&j.Steps[key.Step]))
+			sum = sum.Add(taskSize(&j.Steps[key.Step]))
 		}
 	}
 	return sum
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -8,35 +8,35 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// runState is how much is known of a run.
+// runState is the state of a run as known to this owner.
 type runState int
 
 const (
-	runStarting runState = iota // ordered, not answered
-	runUnclear                  // ordered, the answer was lost
+	runStarting runState = iota // ordered, not answered yet
+	runUnclear                  // ordered, but the answer was lost
 	runRunning
 	runStopping
 )
 
-// run is one ordered run of a task. It takes room on its worker until its end
-// is listed, or until it is proved that it never began.
+// run is an ordered run of a task. It takes capacity on its worker until the worker lists its end,
+// or until it is certain that it has ended or never started.
 type run struct {
 	task   job.TaskKey
 	number int
 	worker *worker
-	step   *stepState // nil for a run that is only to be stopped
+	step   *stepState // nil if the task is not active; the run is then only tracked until it ends
 	team   string
 	size   task.Resources
 	state  runState
 
-	adopted     bool // ordered by an earlier owner
-	strange     bool // of unknown size
-	startedAt   time.Time
-	confirmedAt time.Time // when the worker's acceptance arrived
-	stopSentAt  time.Time // last order to stop
-	stoppedAt   time.Time // when an order to stop was answered
-	percent     int
-	advancedAt  time.Time // when percent last rose
+	adopted        bool // ordered by a former owner
+	sizeUnknown    bool // counted in worker.unsizedRuns
+	startedAt      time.Time
+	answeredAt     time.Time // when the answer to the start order arrived
+	stopSentAt     time.Time // when the last stop order was sent
+	stopAnsweredAt time.Time // when a stop order was last answered
+	percent        int
+	progressedAt   time.Time // when percent last rose
 }
 
 func compareTasks(a, b job.TaskKey) int {
@@ -44,14 +44,14 @@
 		cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 }
 
-// place takes the room of a run on its worker and in its team's usage.
-func (c *Core) place(r *run) {
+// addRun adds a run to its worker and to the usage of the worker and the team.
+func (c *Core) addRun(r *run) {
 	r.worker.runs[r.task] = r
 	r.worker.used = r.worker.used.Add(r.size)
 	c.teamUsage(r.team).add(r.size)
 }
 
-// release gives back the room of a run and forgets it.
+// release removes a run and releases its resources.
 func (c *Core) release(r *run) {
 	w := r.worker
 	if w.runs[r.task] != r {
@@ -60,11 +60,11 @@
 	delete(w.runs, r.task)
 	w.used = w.used.Sub(r.size)
 	c.teamUsage(r.team).add(r.size.Scale(-1))
-	if r.strange {
-		w.strange = max(0, w.strange-1)
+	if r.sizeUnknown {
+		w.unsizedRuns = max(0, w.unsizedRuns-1)
 	}
-	if w.probing == r {
-		w.probing = nil
+	if w.probe == r {
+		w.probe = nil
 	}
 	if s := r.step; s != nil {
 		delete(s.job.runs, r)
@@ -75,26 +75,25 @@
 	c.passDue = true
 }
 
-// nextRun returns a run number above every one that was used for a task, or for
-// any task of a gang.
+// nextRun returns a run number higher than all that were used for a task, or for any task of a gang.
 func (c *Core) nextRun(last int) int {
 	return max(last, int(c.epoch)*c.cfg.RunsPerEpoch) + 1
 }
 
-// start orders a run of a task on a worker. Members of a gang share a number.
+// start orders a run of a task on a worker. The members of a gang share a run number.
 func (c *Core) start(s *stepState, index int, w *worker, number int, ticket string) {
 	t := &s.tasks[index]
 	r := &run{
 		task: job.TaskKey{StepKey: s.key, Index: index}, number: number, worker: w, step: s,
-		team: s.job.Team, size: stepSize(s.spec), state: runStarting, startedAt: c.now, advancedAt: c.now,
+		team: s.job.Team, size: taskSize(s.spec), state: runStarting, startedAt: c.now, progressedAt: c.now,
 	}
 	t.run, t.lastRun = r, number
-	s.placed++
+	s.runsOrdered++
 	s.lastRun = max(s.lastRun, number)
 	s.job.runs[r] = struct{}{}
-	c.place(r)
-	if c.isFailing(w) && w.probing == nil {
-		w.probing = r
+	c.addRun(r)
+	if c.isFailing(w) && w.probe == nil {
+		w.probe = r
 	}
 	c.markStarted(s.job)
 	checkpoint := t.checkpoint
@@ -103,11 +102,11 @@
 	}
 	c.emit(Start{
 		Target: w.target(), Task: r.task, Run: number, Spec: s.job.Spec, Ticket: ticket,
-		Checkpoint: checkpoint, LeaseEnd: c.leaseEnd(w), Waited: c.now.Sub(s.job.arrived),
+		Checkpoint: checkpoint, LeaseEnd: c.leaseEnd(w), Waited: c.now.Sub(s.job.arrivedAt),
 	})
 }
 
-// StartDone takes in the answer to an order to start.
+// StartDone handles the answer to a start order.
 func (c *Core) StartDone(e StartDone) {
 	w := c.workers[e.Start.Worker]
 	if w == nil {
@@ -118,64 +117,64 @@
 		return
 	}
 	if e.Verdict != Accepted {
-		c.decide(r.task.Job, "start_refused", "task", r.task.String(), "run", r.number, "worker", w.ID, "verdict", e.Verdict.String())
+		c.logDecision(r.task.Job, "start_refused", "task", r.task.String(), "run", r.number, "worker", w.ID, "verdict", e.Verdict.String())
 	}
 	switch e.Verdict {
 	case Accepted:
 		if r.state == runStarting {
 			c.runStarted(r)
 		}
-		r.confirmedAt = c.now
+		r.answeredAt = c.now
 	case Unclear:
-		w.fallSilent(c.now)
+		w.markSilent(c.now)
 		if r.state == runStarting {
 			r.state = runUnclear
-			r.confirmedAt = c.now
+			r.answeredAt = c.now
 		}
 	default:
-		c.restAfter(w, e.Verdict)
+		c.backOff(w, e.Verdict)
 		if e.Verdict == TicketRejected && r.step != nil {
-			r.step.advice.forget(w.ID)
+			r.step.advice.expireTicket(w.ID)
 		}
 		c.runRefused(r)
 	}
 }
 
-// restAfter keeps a worker that refuses orders from getting the next ones.
-func (c *Core) restAfter(w *worker, v Verdict) {
+// backOff keeps a worker that rejects orders from getting further ones for a while.
+func (c *Core) backOff(w *worker, v Verdict) {
 	const (
-		unhealthyRest = time.Second            // a sound worker takes orders again within one heartbeat
-		lostRest      = 300 * time.Millisecond // until the next report tells whether it answers
+		unhealthyBackoff = time.Second            // a healthy worker accepts orders again within one heartbeat
+		lostBackoff      = 300 * time.Millisecond // until the next report shows whether it answers
 	)
 	switch v {
 	case Unhealthy, NoRoom:
-		w.restUntil = c.now.Add(unhealthyRest)
+		w.backoffUntil = c.now.Add(unhealthyBackoff)
 	case NotSent, OtherLife:
-		w.fallSilent(c.now)
-		w.restUntil = c.now.Add(lostRest)
+		w.markSilent(c.now)
+		w.backoffUntil = c.now.Add(lostBackoff)
 	}
 }
 
-// runStarted notes that a worker has accepted a run.
+// runStarted handles a run that its worker has accepted or lists as running.
 func (c *Core) runStarted(r *run) {
 	if r.state != runStopping {
 		r.state = runRunning
 	}
-	r.confirmedAt = c.now
+	r.answeredAt = c.now
 }
 
-// runRefused handles a run that surely did not begin.
+// runRefused handles a run that certainly did not start.
 func (c *Core) runRefused(r *run) {
 	s := r.step
 	c.release(r)
 	if s != nil && s.spec.Gang {
-		c.breakGang(s)
+		c.stopGang(s)
 	}
 }
 
-// breakGang stops the members of a gang that are left, since they cannot
-// complete without those that are missing.
-func (c *Core) breakGang(s *stepState) {
+// stopGang stops the remaining members of a gang, since they cannot complete without the missing
+// ones.
+func (c *Core) stopGang(s *stepState) {
 	for i := range s.tasks {
 		if r := s.tasks[i].run; r != nil {
 			c.stop(r)
@@ -183,22 +182,21 @@
 	}
 }
 
-// breakPartialGangs stops the members of gangs that were taken over without the
-// others: these ended, or never started, under the former owner.
-func (c *Core) breakPartialGangs() {
+// stopPartialGangs stops the adopted members of gangs whose other members ended, or never started,
+// under the former owner.
+func (c *Core) stopPartialGangs() {
 	if !c.gangsAdopted || c.unresolvedOpen > 0 {
 		return
 	}
 	c.gangsAdopted = len(c.unresolved) > 0
 	for _, s := range c.sortedSteps() {
 		if s.spec.Gang && !s.isWhole() && !c.isHeldBack(s) {
-			c.breakGang(s)
+			c.stopGang(s)
 		}
 	}
 }
 
-// isWhole reports whether every member of a gang has the same run, or none has
-// one.
+// isWhole reports whether all members of a gang have the same run number or none has a run.
 func (s *stepState) isWhole() bool {
 	first := s.tasks[0].run
 	for i := range s.tasks {
@@ -210,7 +208,7 @@
 	return true
 }
 
-// stop orders the end of a run.
+// stop orders a run to stop, unless that was done before.
 func (c *Core) stop(r *run) {
 	if r.state == runStopping {
 		return
@@ -224,22 +222,22 @@
 	c.emit(Stop{Target: r.worker.target(), Task: r.task, Run: r.number})
 }
 
-// stopDue reports whether the order to stop has to be sent, or sent again.
+// stopDue reports whether a stop order must be sent or retried.
 func (r *run) stopDue(now time.Time, cfg Config) bool {
 	switch r.state {
 	case runUnclear:
-		if now.Sub(r.confirmedAt) < cfg.UnclearPatience {
+		if now.Sub(r.answeredAt) < cfg.UnclearPatience {
 			return false
 		}
 	case runStopping:
 	default:
 		return false
 	}
-	return r.stoppedAt.IsZero() && now.Sub(r.stopSentAt) >= cfg.StopRetry
+	return r.stopAnsweredAt.IsZero() && now.Sub(r.stopSentAt) >= cfg.StopRetry
 }
 
-// StopDone takes in the answer to an order to stop. Once it is answered, the
-// worker rejects the run if its start arrives late.
+// StopDone handles the answer to a stop order. A worker that has accepted it rejects the run if the
+// start order arrives later.
 func (c *Core) StopDone(e StopDone) {
 	w := c.workers[e.Stop.Worker]
 	if w == nil {
@@ -252,21 +250,22 @@
 	if r.state == runUnclear {
 		r.state = runStopping
 	}
-	r.stoppedAt = c.now
+	r.stopAnsweredAt = c.now
 }
 
-// runLost handles a run that has surely ended, or never began, without a listed
-// end: its worker restarted, its lease is over, or it was stopped in time.
+// runLost handles a run that has certainly ended or never started, although its end was not listed:
+// its worker has restarted or no longer lists it, its lease has expired, or it was stopped before it
+// started.
 func (c *Core) runLost(r *run, why string) {
 	s := r.step
-	c.decide(r.task.Job, "run_lost", "task", r.task.String(), "run", r.number, "worker", r.worker.ID, "why", why)
+	c.logDecision(r.task.Job, "run_lost", "task", r.task.String(), "run", r.number, "worker", r.worker.ID, "why", why)
 	c.release(r)
 	if s != nil && s.spec.Gang {
-		c.breakGang(s)
+		c.stopGang(s)
 	}
 }
 
-// runEnded takes note of an end that a worker lists.
+// runEnded handles an end that a worker lists.
 func (c *Core) runEnded(w *worker, e EndReport) {
 	r := w.runs[e.Task]
 	if r != nil && r.number != e.Run {
@@ -278,7 +277,7 @@
 		c.release(r)
 	}
 	s := c.steps[e.Task.StepKey]
-	c.judgeWorker(w, s, e.How)
+	c.updateFailStreak(w, s, e.How)
 	if s == nil || e.Task.Index >= len(s.tasks) {
 		return
 	}
@@ -286,10 +285,10 @@
 	t.lastRun = max(t.lastRun, e.Run)
 	s.lastRun = max(s.lastRun, e.Run)
 	if e.Checkpoint != "" {
-		s.keepCheckpoint(e.Task.Index, e.Checkpoint)
+		s.setCheckpoint(e.Task.Index, e.Checkpoint)
 	}
 	if e.How != EndedDone {
-		c.decide(s.key.Job, "run_ended", "task", e.Task.String(), "run", e.Run, "worker", w.ID, "how", string(e.How), "ordered", wasStopping)
+		c.logDecision(s.key.Job, "run_ended", "task", e.Task.String(), "run", e.Run, "worker", w.ID, "how", string(e.How), "ordered", wasStopping)
 	}
 	switch {
 	case s.spec.LongLived:
@@ -311,24 +310,24 @@
 		s.avoid(w.ID)
 	}
 	if s.spec.Gang {
-		c.breakGang(s)
+		c.stopGang(s)
 	}
 }
 
-// keepCheckpoint remembers the point from which a task resumes. All members of
-// a gang resume from the same one.
-func (s *stepState) keepCheckpoint(index int, checkpoint string) {
+// setCheckpoint sets the checkpoint from which a task resumes. All members of a gang resume from the
+// same one.
+func (s *stepState) setCheckpoint(index int, checkpoint string) {
 	if s.spec.Gang {
 		index = 0
 	}
 	s.tasks[index].checkpoint = checkpoint
 }
 
-// gangDone takes note of a gang: one member that ended well stands for all.
+// gangDone marks a gang as succeeded: the success of one member implies that of all.
 func (c *Core) gangDone(s *stepState) {
 	for i := range s.tasks {
 		if r := s.tasks[i].run; r != nil {
-			// The other members end by themselves at the same moment.
+			// The other members end at the same time without a stop order.
 			r.step = nil
 			delete(s.job.runs, r)
 			s.tasks[i].run = nil
@@ -339,50 +338,50 @@
 	}
 }
 
-// observe takes note of the progress of a run.
-func (r *run) observe(now time.Time, report RunReport) {
-	if report.Percent > r.percent || r.advancedAt.IsZero() {
+// recordProgress records the progress of a run from a report.
+func (r *run) recordProgress(now time.Time, report RunReport) {
+	if report.Percent > r.percent || r.progressedAt.IsZero() {
 		r.percent = report.Percent
-		r.advancedAt = now
+		r.progressedAt = now
 		r.worker.progressAt = now
 	}
 	if s := r.step; s != nil && report.Checkpoint != "" {
-		s.keepCheckpoint(r.task.Index, report.Checkpoint)
+		s.setCheckpoint(r.task.Index, report.Checkpoint)
 	}
 }
 
-// failingStreak is the number of failed runs in a row, of whatever jobs, after
-// which a worker gets one task at a time until one succeeds.
-const failingStreak = 2
+// failingThreshold is the number of consecutive failed runs, of any jobs, from which a worker gets
+// only one task at a time until one succeeds.
+const failingThreshold = 2
 
-// failingRest is how long such a worker rests before its next task.
-const failingRest = 1500 * time.Millisecond
+// failingBackoff is the delay before a failing worker gets its next task.
+const failingBackoff = 1500 * time.Millisecond
 
-// failingMemory is how long failures speak against a worker that was not tried
-// again. A gang cannot try a worker, and would otherwise never return to it.
-const failingMemory = 4 * time.Second
+// failingExpiry is how long a worker counts as failing after its last failure. Gangs are not placed
+// on failing workers and so cannot test them; without a limit they would never return to them.
+const failingExpiry = 4 * time.Second
 
-// isFailing reports whether a worker fails whatever it is given.
+// isFailing reports whether a worker has recently failed several runs in succession.
 func (c *Core) isFailing(w *worker) bool {
-	return w.failStreak >= failingStreak && c.now.Sub(w.failedAt) < failingMemory
+	return w.failStreak >= failingThreshold && c.now.Sub(w.failedAt) < failingExpiry
 }
 
-// judgeWorker tells a worker that fails everything from work that fails
-// everywhere: only an uninterrupted row of failures counts against a worker, and
-// the failure of a step that has failed on another worker does not.
-func (c *Core) judgeWorker(w *worker, s *stepState, how Ending) {
+// updateFailStreak counts consecutive failed runs of a worker. To distinguish a failing worker from
+// failing work, a success resets the count, and the failure of a step that has also failed on
+// another worker does not count.
+func (c *Core) updateFailStreak(w *worker, s *stepState, how Ending) {
 	switch how {
 	case EndedDone:
 		w.failStreak = 0
-		w.restUntil = time.Time{}
+		w.backoffUntil = time.Time{}
 	case EndedFailed:
 		if s != nil && s.failedElsewhere(w.ID) {
 			return
 		}
 		w.failStreak++
 		w.failedAt = c.now
-		if w.failStreak >= failingStreak {
-			w.restUntil = c.now.Add(failingRest)
+		if w.failStreak >= failingThreshold {
+			w.backoffUntil = c.now.Add(failingBackoff)
 			c.emit(Decision{What: "worker_failing", Fields: []any{"worker", w.ID, "streak", w.failStreak}})
 		}
 	}
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -14,16 +14,16 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// simulation runs a Core in virtual time against workers, a store and an advice
-// service that follow the rules of the real ones, with faults drawn from a seed.
-// It judges every start as an outside observer would.
+// simulation runs a Core in virtual time against simulated workers, a store and an advice service
+// with the semantics of the real ones. Faults are random but reproducible by a seed. Every start is
+// checked independently of the Core.
 type simulation struct {
-	t       *testing.T
-	rng     *rand.Rand
-	now     time.Time
-	queue   timers
-	order   int
-	catalog *job.Catalog
+	t          *testing.T
+	rng        *rand.Rand
+	now        time.Time
+	timers     timers
+	timerCount int
+	catalog    *job.Catalog
 
 	core        *Core
 	fence       int64
@@ -33,24 +33,24 @@
 	workers     map[string]*simWorker
 	jobs        map[job.ID]*job.Job
 	cancels     map[job.ID]time.Time
-	storeOff    bool
-	pendingJobs int // that a test will hand in later
+	storeDown   bool
+	pendingJobs int // jobs that a test will submit later
 
-	// What an observer has seen of each task.
+	// State of each task as observed from outside the Core.
 	running   map[job.TaskKey]*simRun
-	done      map[job.TaskKey]bool        // an end was confirmed
-	succeeded map[job.TaskKey]bool        // an end was listed
-	failed    map[job.TaskKey][]time.Time // ends that were confirmed
+	done      map[job.TaskKey]bool        // a successful end was confirmed
+	succeeded map[job.TaskKey]bool        // a successful end was listed
+	failed    map[job.TaskKey][]time.Time // times of failed ends that were confirmed
 	starts    map[job.TaskKey][]time.Time
-	history   map[job.TaskKey][]string // for the message of a failure
+	history   map[job.TaskKey][]string // events, for failure messages
 	usage     map[string]task.Resources
 
-	loseOrders float64 // part of the orders whose answer is lost
-	late       bool    // lost orders may be carried out late
-	faults     []string
-	asked      func(Ask) // sees each call for advice; nil for none
+	orderLossRate float64 // share of the orders whose answer is lost
+	lateOrders    bool    // lost orders may be executed late
+	faults        []string
+	onAsk         func(Ask) // called for each advice call; may be nil
 
-	adviceTakes time.Duration
+	adviceLatency time.Duration
 }
 
 type record struct {
@@ -60,19 +60,19 @@
 
 type simWorker struct {
 	Worker
-	gone     bool // cut off: no order arrives, runs go on
-	dead     bool
-	fence    int64
-	clock0   time.Time
-	leaseEnd time.Time
-	runs     map[job.TaskKey]*simRun
-	stopped  map[job.TaskKey]int // highest run stopped or ended
-	ended    []EndReport
-	endedAt  []time.Time // by number
-	lapsedAt time.Time   // when it last had no lease
-	number   uint64
-	failAll  bool
-	waiting  func() // a hold that waits for an end
+	partitioned    bool // no order arrives, but runs continue
+	dead           bool // not running and not listed
+	fence          int64
+	clockOrigin    time.Time
+	leaseEnd       time.Time
+	runs           map[job.TaskKey]*simRun
+	stopped        map[job.TaskKey]int // highest run number stopped or ended
+	ended          []EndReport
+	endedAt        []time.Time // by number
+	leaseExpiredAt time.Time   // when it last had no valid lease
+	number         uint64
+	failAll        bool
+	answerPoll     func() // answers a poll that waits for an end
 }
 
 type simRun struct {
@@ -82,7 +82,7 @@
 	size   task.Resources
 	team   string
 	since  time.Time
-	over   bool
+	ended  bool
 }
 
 type timer struct {
@@ -104,16 +104,16 @@
 func (q *timers) Push(x any)   { *q = append(*q, x.(timer)) }
 func (q *timers) Pop() any     { old := *q; x := old[len(old)-1]; *q = old[:len(old)-1]; return x }
 
-const simAdvice = 2 * time.Second
+const adviceValidity = 2 * time.Second
 
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
 	s := &simulation{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0), adviceTakes: 50 * time.Millisecond,
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0), adviceLatency: 50 * time.Millisecond,
 		records: map[job.ID]*record{}, finals: map[job.ID]job.Final{}, workers: map[string]*simWorker{},
 		jobs: map[job.ID]*job.Job{}, cancels: map[job.ID]time.Time{}, running: map[job.TaskKey]*simRun{},
 		done: map[job.TaskKey]bool{}, succeeded: map[job.TaskKey]bool{}, failed: map[job.TaskKey][]time.Time{}, starts: map[job.TaskKey][]time.Time{}, history: map[job.TaskKey][]string{}, usage: map[string]task.Resources{},
 	}
-	policy := &job.AdvicePolicy{Base: 20 * time.Millisecond, PerWorker: time.Millisecond, Valid: simAdvice}
+	policy := &job.AdvicePolicy{Base: 20 * time.Millisecond, PerWorker: time.Millisecond, Valid: adviceValidity}
 	s.catalog = job.NewCatalog(1, 1, []job.Queue{
 		{Name: "advised", Service: "calc", MaxAttempts: 3, Stretch: 2, Target: time.Second, Advice: policy},
 		{Name: "plain", Service: "calc", MaxAttempts: 3, Stretch: 2, Target: time.Second},
@@ -122,11 +122,11 @@
 	})
 	for i := range workers {
 		id := fmt.Sprintf("w%02d", i)
-		s.workers[id] = s.newLife(Worker{ID: id, Born: 1, Address: id, Service: "calc", Rack: fmt.Sprint("r", i/4),
+		s.workers[id] = s.newWorker(Worker{ID: id, Born: 1, Address: id, Service: "calc", Rack: fmt.Sprint("r", i/4),
 			Labels: []string{"a", fmt.Sprint("r", i/4)}, Capacity: task.Resources{CPUMilli: 32_000, MemoryMB: 128 << 10}})
 	}
 	s.every(10*time.Millisecond, func() { s.input(func(c *Core) { c.Tick() }) })
-	s.every(100*time.Millisecond, s.lapse)
+	s.every(100*time.Millisecond, s.expireLeases)
 	s.every(700*time.Millisecond, func() {
 		listed := s.listed()
 		s.input(func(c *Core) { c.Directory(listed) })
@@ -135,11 +135,11 @@
 	return s
 }
 
-func (s *simulation) newLife(w Worker) *simWorker {
-	return &simWorker{Worker: w, clock0: s.now.Add(-time.Hour), leaseEnd: s.now, runs: map[job.TaskKey]*simRun{}, stopped: map[job.TaskKey]int{}}
+func (s *simulation) newWorker(w Worker) *simWorker {
+	return &simWorker{Worker: w, clockOrigin: s.now.Add(-time.Hour), leaseEnd: s.now, runs: map[job.TaskKey]*simRun{}, stopped: map[job.TaskKey]int{}}
 }
 
-func (s *simulation) sorted() []*simWorker {
+func (s *simulation) sortedWorkers() []*simWorker {
 	return slices.SortedFunc(maps.Values(s.workers), func(a, b *simWorker) int { return strings.Compare(a.ID, b.ID) })
 }
 
@@ -158,7 +158,7 @@
 	return out
 }
 
-// takeOver replaces the owner by one that knows only what is recorded.
+// takeOver replaces the owner by a new one that loads the recorded state.
 func (s *simulation) takeOver() {
 	s.fence++
 	s.core = New(s.now, DefaultConfig(), s.fence, s.catalog, s.roster)
@@ -168,14 +168,14 @@
 		for _, id := range sortedIDs(s.records) {
 			r := s.records[id]
 			_, cancelled := s.cancels[id]
-			c.Inherit(Known{Job: r.job, Progress: s.reread(r.progress), Cancelled: cancelled})
+			c.Inherit(Known{Job: r.job, Progress: s.reencode(r.progress), Cancelled: cancelled})
 		}
 		c.Directory(s.listed())
 	})
 }
 
-// reread returns what a new owner decodes of a record.
-func (s *simulation) reread(p *job.Progress) *job.Progress {
+// reencode returns the progress as a new owner decodes it from the store.
+func (s *simulation) reencode(p *job.Progress) *job.Progress {
 	if p == nil {
 		return nil
 	}
@@ -200,8 +200,8 @@
 }
 
 func (s *simulation) after(d time.Duration, do func()) {
-	s.order++
-	heap.Push(&s.queue, timer{at: s.now.Add(d), order: s.order, do: do})
+	s.timerCount++
+	heap.Push(&s.timers, timer{at: s.now.Add(d), order: s.timerCount, do: do})
 }
 
 func (s *simulation) every(d time.Duration, do func()) {
@@ -210,15 +210,15 @@
 
 func (s *simulation) run(d time.Duration) {
 	end := s.now.Add(d)
-	for len(s.queue) > 0 && !s.queue[0].at.After(end) && !s.t.Failed() {
-		next := heap.Pop(&s.queue).(timer)
+	for len(s.timers) > 0 && !s.timers[0].at.After(end) && !s.t.Failed() {
+		next := heap.Pop(&s.timers).(timer)
 		s.now = next.at
 		next.do()
 	}
 	s.now = end
 }
 
-// input passes an event to the present owner and carries out what it decides.
+// input passes an event to the current owner and executes its effects.
 func (s *simulation) input(event func(*Core)) {
 	core, fence := s.core, s.fence
 	core.Begin(s.now, s.now)
@@ -226,11 +226,11 @@
 	core.SeeLane("i2")
 	event(core)
 	for _, e := range core.Finish() {
-		s.carryOut(core, fence, e)
+		s.execute(core, fence, e)
 	}
 }
 
-// reply passes an outcome to the core that asked, unless it was replaced.
+// reply passes an event to the given core after a delay, unless the core was replaced.
 func (s *simulation) reply(core *Core, d time.Duration, event func(*Core)) {
 	s.after(d, func() {
 		if s.core == core {
@@ -243,46 +243,46 @@
 	return time.Duration(1+s.rng.IntN(14)) * time.Millisecond
 }
 
-func (s *simulation) carryOut(core *Core, fence int64, e Effect) {
+func (s *simulation) execute(core *Core, fence int64, e Effect) {
 	switch e := e.(type) {
 	case Hold:
-		s.after(s.delay(), func() { s.hold(core, fence, e) })
+		s.after(s.delay(), func() { s.pollWorker(core, fence, e) })
 	case Start:
-		s.deliver(core, func() Verdict { return s.start(fence, e) }, func(c *Core, v Verdict) { c.StartDone(StartDone{Start: e, Verdict: v}) })
+		s.deliver(core, func() Verdict { return s.startRun(fence, e) }, func(c *Core, v Verdict) { c.StartDone(StartDone{Start: e, Verdict: v}) })
 	case Stop:
-		s.deliver(core, func() Verdict { return s.stop(fence, e) }, func(c *Core, v Verdict) { c.StopDone(StopDone{Stop: e, Verdict: v}) })
+		s.deliver(core, func() Verdict { return s.stopRun(fence, e) }, func(c *Core, v Verdict) { c.StopDone(StopDone{Stop: e, Verdict: v}) })
 	case Ask:
-		if s.asked != nil {
-			s.asked(e)
+		if s.onAsk != nil {
+			s.onAsk(e)
 		}
-		s.reply(core, s.adviceTakes, func(c *Core) {
+		s.reply(core, s.adviceLatency, func(c *Core) {
 			tickets := map[string]string{}
 			for _, w := range e.Workers {
-				if isGood(e.Step, w) {
+				if isEligible(e.Step, w) {
 					tickets[w] = fmt.Sprint(s.now.UnixNano())
 				}
 			}
-			c.AskDone(AskDone{Ask: e, Tickets: tickets, Valid: simAdvice})
+			c.AskDone(AskDone{Ask: e, Tickets: tickets, Valid: adviceValidity})
 		})
 	case Commit:
 		s.commit(core, e)
 	}
 }
 
-// isGood is what the advice service knows: about half of the workers may run a
-// step, always the same.
-func isGood(k job.StepKey, worker string) bool {
+// isEligible is the rule of the simulated advice service: a fixed half of the workers, approximately,
+// may run a step.
+func isEligible(k job.StepKey, worker string) bool {
 	return (len(worker)+int(worker[2])+int(k.Job[15]))%2 == 0
 }
 
 func (s *simulation) commit(core *Core, e Commit) {
-	if s.storeOff {
+	if s.storeDown {
 		s.after(50*time.Millisecond, func() { s.commit(core, e) })
 		return
 	}
 	s.after(20*time.Millisecond, func() {
 		if s.core != core {
-			return // the conditions of ownership fail
+			return // the ownership conditions fail
 		}
 		for _, change := range e.Changes {
 			if change.Final != nil {
@@ -290,7 +290,7 @@
 				delete(s.records, change.Job)
 			} else {
 				s.records[change.Job].progress = change.Progress
-				s.note(job.TaskKey{StepKey: job.StepKey{Job: change.Job}}, "recorded %+v", *change.Progress)
+				s.logEvent(job.TaskKey{StepKey: job.StepKey{Job: change.Job}}, "recorded %+v", *change.Progress)
 			}
 		}
 		if e.Roster != nil {
@@ -300,10 +300,11 @@
 	})
 }
 
-// deliver delivers an order, which may be lost, and its answer, which may be too.
+// deliver delivers an order and its answer. With probability orderLossRate the answer is lost, and
+// the order may be lost or, with lateOrders, delayed.
 func (s *simulation) deliver(core *Core, order func() Verdict, answer func(*Core, Verdict)) {
-	if s.rng.Float64() < s.loseOrders {
-		if s.late && s.rng.IntN(2) == 0 {
+	if s.rng.Float64() < s.orderLossRate {
+		if s.lateOrders && s.rng.IntN(2) == 0 {
 			s.after(time.Duration(2+s.rng.IntN(9))*time.Second, func() { order() })
 		} else if s.rng.IntN(2) == 0 {
 			s.after(s.delay(), func() { order() })
@@ -329,7 +330,7 @@
 	s.input(func(c *Core) { c.Accept(j) })
 }
 
-// cancel records a cancellation; a caller is told at once.
+// cancel records the cancellation of a job and passes it to the owner.
 func (s *simulation) cancel(id job.ID) {
 	if _, open := s.records[id]; open {
 		s.cancels[id] = s.now
--- a/schedule/simjudge_test.go
+++ b/schedule/simcheck_test.go
@@ -9,45 +9,45 @@
 	"github.com/mulberrydrum/mulberrydrum/job"
 )
 
-// judgeStart checks what must hold whenever a task starts.
-func (s *simulation) judgeStart(r *simRun, j *job.Job) {
-	fault := func(format string, args ...any) {
+// checkStart checks the invariants that must hold when a task starts.
+func (s *simulation) checkStart(r *simRun, j *job.Job) {
+	violation := func(format string, args ...any) {
 		s.t.Errorf("at %s: start of %s run %d on %s: %s", s.now.Format("05.000"), r.key, r.number, r.worker.ID, fmt.Sprintf(format, args...))
 	}
 	if other := s.running[r.key]; other != nil {
-		fault("runs already on %s as run %d", other.worker.ID, other.number)
+		violation("already running on %s as run %d", other.worker.ID, other.number)
 	}
 	if s.done[r.key] {
-		fault("its success was confirmed")
+		violation("the success of the task was already confirmed")
 	}
 	used := r.size
 	for _, o := range r.worker.runs {
 		used = used.Add(o.size)
 	}
 	if !used.Fits(r.worker.Capacity) {
-		fault("the worker holds %s of %s", used, r.worker.Capacity)
+		violation("the worker's runs use %s of its capacity of %s", used, r.worker.Capacity)
 	}
 	if limit := s.catalog.Team(j.Team).Limit; !limit.IsZero() && s.usage[j.Team].Add(r.size).CPUMilli > limit.CPUMilli {
-		fault("team %s has %s running", j.Team, s.usage[j.Team])
+		violation("team %s already uses %s", j.Team, s.usage[j.Team])
 	}
 	for _, earlier := range j.Steps[r.key.Step].After {
 		for i := range j.Steps[earlier].Count {
 			if key := (job.TaskKey{StepKey: job.StepKey{Job: j.ID, Step: earlier}, Index: i}); !s.succeeded[key] {
-				fault("%s has not succeeded", key)
+				violation("dependency %s has not succeeded", key)
 			}
 		}
 	}
-	if at, cancelled := s.cancels[j.ID]; cancelled && s.now.Sub(at) > 3*time.Second && !s.late {
-		fault("its job was cancelled %s ago", s.now.Sub(at))
+	if at, cancelled := s.cancels[j.ID]; cancelled && s.now.Sub(at) > 3*time.Second && !s.lateOrders {
+		violation("its job was cancelled %s ago", s.now.Sub(at))
 	}
 	s.starts[r.key] = append(s.starts[r.key], s.now)
-	s.note(r.key, "run %d starts on %s", r.number, r.worker.ID)
+	s.logEvent(r.key, "run %d starts on %s", r.number, r.worker.ID)
 }
 
-// finish checks that every job ends, and as it must.
+// finish runs the simulation until every job should have ended and checks the final states.
 func (s *simulation) finish(within time.Duration) {
 	s.runUntilEnded(within)
-	s.judgeAttempts()
+	s.checkAttempts()
 	for _, id := range sortedIDs(s.jobs) {
 		final, ended := s.finals[id]
 		want := job.Completed
@@ -65,10 +65,10 @@
 	}
 }
 
-// runUntilEnded runs until every job has ended, and then as long as an order that
-// was lost may still be carried out.
+// runUntilEnded runs until every job has ended, and then for as long as a lost order may still be
+// executed.
 func (s *simulation) runUntilEnded(within time.Duration) {
-	const latest = 15 * time.Second // an order is 11 s late at most, and the worker lists its end in its next report
+	const latest = 15 * time.Second // an order is at most 11 s late, and the worker lists its end in its next report
 	end := s.now.Add(within)
 	for s.now.Before(end) && (len(s.finals) < len(s.jobs) || s.pendingJobs > 0) && !s.t.Failed() {
 		s.run(time.Second)
@@ -76,9 +76,9 @@
 	s.run(latest)
 }
 
-// judgeAttempts checks that nothing started after as many failed runs as its
-// queue allows, of those whose ends were confirmed at any time.
-func (s *simulation) judgeAttempts() {
+// checkAttempts checks that no task started after as many failed runs as its queue allows, counting
+// those whose ends were confirmed at any time.
+func (s *simulation) checkAttempts() {
 	for key, starts := range s.starts {
 		for _, at := range starts {
 			before := 0
@@ -94,28 +94,28 @@
 	}
 }
 
-func (s *simulation) note(key job.TaskKey, format string, args ...any) {
+func (s *simulation) logEvent(key job.TaskKey, format string, args ...any) {
 	s.history[key] = append(s.history[key], s.now.Format("05.000 ")+fmt.Sprintf(format, args...))
 }
 
-// mayFail reports whether a worker that fails everything may have used up the
-// attempts of a sound job.
+// mayFail reports whether a failing worker may have used up the attempts of a job that should
+// succeed.
 func (s *simulation) mayFail() bool {
 	return slices.ContainsFunc(s.faults, func(f string) bool { return strings.HasPrefix(f, "fail") })
 }
 
-// describe tells what a job waits for.
+// describe returns the state of a job for failure messages.
 func (c *Core) describe(id job.ID) string {
 	j := c.jobs[id]
 	if j == nil {
 		return "unknown"
 	}
-	text := fmt.Sprintf("state %s, remaining %d, version %d, recorded %d, runs %d, unresolved %d;", j.state, j.remaining, j.version, j.recorded, len(j.runs), len(c.unresolved))
+	text := fmt.Sprintf("state %s, remaining %d, version %d, recorded %d, runs %d, unresolved %d;", j.state, j.remaining, j.version, j.recordedVersion, len(j.runs), len(c.unresolved))
 	for _, s := range c.steps {
 		if s.job != j {
 			continue
 		}
-		text += fmt.Sprintf(" step %s ready %v left %d gang %v notes %q asked %d tickets %d lane %v;", s.key, s.ready, s.left, s.spec.Gang, s.wait, len(s.advice.asked), len(s.advice.tickets), s.advice.lane != nil)
+		text += fmt.Sprintf(" step %s ready %v left %d gang %v wait %q asked %d tickets %d advice call %v;", s.key, s.ready, s.unfinishedTasks, s.spec.Gang, s.wait, len(s.advice.asked), len(s.advice.tickets), s.advice.proxy != nil)
 		for i := range s.tasks {
 			if r := s.tasks[i].run; r != nil {
 				text += fmt.Sprintf(" task %d run %d on %s state %d;", i, r.number, r.worker.ID, r.state)
--- a/schedule/lanes_test.go
+++ b/schedule/teamlimit_test.go
@@ -8,10 +8,10 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// countAsks counts the calls for advice on a step from now on.
+// countAsks counts the advice calls for a job from now on.
 func (s *simulation) countAsks(id job.ID) *int {
 	n := 0
-	s.asked = func(a Ask) {
+	s.onAsk = func(a Ask) {
 		if a.Step.Job == id {
 			n++
 		}
@@ -19,9 +19,8 @@
 	return &n
 }
 
-// TestNoAdviceAtLimit guards against a step that cannot start because of its
-// team's limit and takes the lanes of the advice service meanwhile: it was asked
-// about again and again.
+// TestNoAdviceAtLimit guards against repeated advice calls for a step that cannot start because its
+// team is at its limit. They would take advice proxies from other steps.
 func TestNoAdviceAtLimit(t *testing.T) {
 	for _, gang := range []bool{false, true} {
 		s := newSimulation(t, 5, 48)
@@ -38,7 +37,7 @@
 		}}})
 		s.run(4 * time.Second)
 		if *asks > 1 {
-			t.Errorf("gang %v: %d calls for advice on a step whose team is at its limit, want one at most", gang, *asks)
+			t.Errorf("gang %v: %d advice calls for a step whose team is at its limit, want at most 1", gang, *asks)
 		}
 		s.finish(20 * time.Second)
 	}
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -8,7 +8,7 @@
 	"github.com/mulberrydrum/mulberrydrum/job"
 )
 
-// Status is what every instance tells callers of a job.
+// Status is the state of a job as every instance reports it to callers.
 type Status struct {
 	Job   job.ID
 	State job.State
@@ -16,28 +16,28 @@
 	Team  string
 }
 
-// View is what every instance knows of the owner's state: the states that have
-// changed since the instance last asked, and what it should do with submissions.
+// View is the part of the owner's state that is replicated to every instance: the job states that
+// have changed since the instance last asked, and how it should handle submissions.
 type View struct {
 	Epoch    int64
 	Sequence uint64 // of the last change
-	Full     bool   // Changes holds every job, not only what has changed
+	Full     bool   // Changes holds all jobs, not only changed ones
 	Changes  []Status
-	Waiting  map[string]int     // jobs that have not started, by queue
-	Admit    map[string]float64 // part of a team's submissions to accept; 1 where it is missing
+	Waiting  map[string]int     // number of pending jobs, by queue
+	Admit    map[string]float64 // share of a team's submissions to accept; 1 if missing
 }
 
-// maxChanges bounds the changes that are kept for instances that ask rarely.
-// At 200 a second it covers more than half a minute; a slower instance gets
-// every job.
+// maxChanges is the minimum number of changes retained for instances that ask rarely; at most twice
+// as many are kept. At 200 changes per second it covers more than 30 s; an instance that is further
+// behind gets a full view.
 const maxChanges = 8192
 
-// finalsKept is how long ended jobs stay in the owner's memory. The store keeps
-// them as long as callers may ask.
-const finalsKept = 30 * time.Second
+// finalRetention is how long final states stay in the owner's memory. The store retains them for as
+// long as callers may ask for them.
+const finalRetention = 30 * time.Second
 
-// changed notes that callers may see another state of a job.
-func (c *Core) changed(s Status) {
+// publish makes a new state of a job visible to callers.
+func (c *Core) publish(s Status) {
 	c.changes = append(c.changes, s)
 	c.sequence++
 	if len(c.changes) > 2*maxChanges {
@@ -45,10 +45,11 @@
 	}
 }
 
-// ViewSince returns what has changed since a sequence of this epoch.
+// ViewSince returns the changes after the given sequence number, or a full view if the epoch differs
+// or those changes are no longer retained.
 func (c *Core) ViewSince(epoch int64, since uint64) View {
 	v := View{Epoch: c.epoch, Sequence: c.sequence, Waiting: make(map[string]int), Admit: c.admission()}
-	for queue, n := range c.waiting {
+	for queue, n := range c.pendingJobs {
 		if n > 0 {
 			v.Waiting[queue] = n
 		}
@@ -73,10 +74,10 @@
 	return v
 }
 
-// forgetFinals drops ended jobs that are old.
-func (c *Core) forgetFinals() {
+// evictFinals removes final states older than finalRetention.
+func (c *Core) evictFinals() {
 	for id, f := range c.finals {
-		if c.wall.Sub(f.FinishedAt) > finalsKept {
+		if c.wall.Sub(f.FinishedAt) > finalRetention {
 			delete(c.finals, id)
 		}
 	}
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -9,46 +9,46 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// worker is one worker as this owner knows it.
+// worker is the state of a worker as known to this owner.
 type worker struct {
 	Worker
-	listed   bool      // in the latest directory
-	rostered bool      // the recorded roster names it, so that a new owner asks it what it runs
-	closed   bool      // nothing starts on it, so that the roster can name all that may run
-	fenced   bool      // this life has answered a hold of this owner
-	silent   bool      // it does not answer
-	silentAt time.Time // since when
-	misses   int       // reports in a row that did not come
-	runs     map[job.TaskKey]*run
-	used     task.Resources
-	claims   map[job.StepKey]claim // room kept for gangs
-	ends     []expectedEnd         // of its runs, as of endsAt
-	endsAt   time.Time
-	strange  int // runs of unknown size that are being stopped
+	listed        bool      // in the latest directory
+	rostered      bool      // the recorded roster lists it as open, so that a new owner expects runs on it
+	closed        bool      // it gets no new runs, so that the roster can list all of its runs
+	fenced        bool      // this incarnation has answered a poll of this owner, so that it rejects former owners
+	silent        bool      // it does not answer
+	silentAt      time.Time // since when it does not answer
+	missedReports int       // consecutive missed reports
+	runs          map[job.TaskKey]*run
+	used          task.Resources
+	claims        map[job.StepKey]claim // capacity reserved for gangs
+	ends          []expectedEnd         // expected ends of its runs, cached as of endsAt
+	endsAt        time.Time
+	unsizedRuns   int // runs of unknown size that are being stopped
 
-	clock      time.Duration // last reading of the worker's clock
-	clockAt    time.Time     // when the reading arrived
-	maxLease   time.Duration // latest lease end that was sent, on the worker's clock
-	holding    bool          // a hold is under way
-	nextHold   time.Time
-	processed  uint64 // number of the last end that was processed
-	confirmed  uint64 // ends up to this number are recorded
-	pending    []pendingEnd
-	restUntil  time.Time // no starts before; after refusals and failures
-	failStreak int       // failed runs since the last that succeeded
-	failedAt   time.Time // when the last one was listed
-	probing    *run      // the one run by which a failing worker is tried again
-	progressAt time.Time // when a run last advanced
+	clock        time.Duration // last reading of the worker's clock
+	clockAt      time.Time     // when that reading arrived
+	maxLease     time.Duration // latest lease end sent, on the worker's clock
+	polling      bool          // a poll is in flight
+	nextPoll     time.Time
+	processed    uint64       // number of the last processed end
+	confirmed    uint64       // ends up to this number are recorded and may be discarded
+	pending      []pendingEnd // sorted by number
+	backoffUntil time.Time    // no starts before this time, after rejected orders and failed runs
+	failStreak   int          // consecutive failed runs
+	failedAt     time.Time    // when the last of these was listed
+	probe        *run         // only run on a failing worker, to test whether it has recovered
+	progressAt   time.Time    // when a run last made progress
 }
 
-// pendingEnd is an end that may be confirmed once a version of a job is recorded.
+// pendingEnd is an end that may be confirmed once the given version of its job is recorded.
 type pendingEnd struct {
 	number  uint64
 	job     *jobState
 	version uint64
 }
 
-// Directory replaces what is known of the workers that exist.
+// Directory replaces the list of existing workers.
 func (c *Core) Directory(listed []Worker) {
 	for _, w := range c.workers {
 		w.listed = false
@@ -58,45 +58,44 @@
 		if !known {
 			w = &worker{runs: make(map[job.TaskKey]*run), claims: make(map[job.StepKey]claim)}
 			c.workers[entry.ID] = w
-			c.ordered = nil
-			c.rosterDue = true
+			c.workerOrder = nil
+			c.rosterDirty = true
 			w.Worker = entry
 		} else if entry.Born >= w.Born {
-			c.changeLife(w, entry.Born)
+			c.updateIncarnation(w, entry.Born)
 			w.Worker = entry
 		}
 		w.listed = true
 	}
-	c.forgetUnlisted()
+	c.removeUnlisted()
 	c.passDue = true
 }
 
-// sortedWorkers returns the workers by ID, so that the same events always have
-// the same effects in the same order.
+// sortedWorkers returns the workers sorted by ID, so that the order of effects is deterministic.
 func (c *Core) sortedWorkers() []*worker {
-	if c.ordered == nil {
+	if c.workerOrder == nil {
 		for _, id := range slices.Sorted(maps.Keys(c.workers)) {
-			c.ordered = append(c.ordered, c.workers[id])
+			c.workerOrder = append(c.workerOrder, c.workers[id])
 		}
 	}
-	return c.ordered
+	return c.workerOrder
 }
 
-// forgetUnlisted drops workers that are gone and on which nothing can run.
-func (c *Core) forgetUnlisted() {
+// removeUnlisted removes workers that are no longer listed and on which no runs can exist.
+func (c *Core) removeUnlisted() {
 	for id, w := range c.workers {
 		_, unresolved := c.unresolved[id]
-		if !w.listed && len(w.runs) == 0 && !unresolved && !w.holding && c.leaseIsOver(w) {
+		if !w.listed && len(w.runs) == 0 && !unresolved && !w.polling && c.leaseExpired(w) {
 			delete(c.workers, id)
-			c.ordered = nil
-			c.rosterDue = true
+			c.workerOrder = nil
+			c.rosterDirty = true
 		}
 	}
 }
 
-// changeLife forgets what an earlier life of a worker ran. A worker that has
-// restarted runs nothing of before.
-func (c *Core) changeLife(w *worker, born int64) {
+// updateIncarnation discards the runs of a previous incarnation of a worker, since runs do not
+// survive a restart.
+func (c *Core) updateIncarnation(w *worker, born int64) {
 	if w.Born == 0 || born == w.Born || born == 0 {
 		if born != 0 {
 			w.Born = born
@@ -108,14 +107,14 @@
 	w.fenced = false
 	w.clock, w.clockAt, w.maxLease = 0, time.Time{}, 0
 	w.processed, w.confirmed, w.pending = 0, 0, nil
-	w.strange, w.failStreak, w.probing = 0, 0, nil
-	for _, r := range runsOf(w) {
+	w.unsizedRuns, w.failStreak, w.probe = 0, 0, nil
+	for _, r := range sortedRunsOf(w) {
 		c.runLost(r, "worker_restarted")
 	}
-	w.nextHold = c.now
+	w.nextPoll = c.now
 }
 
-func runsOf(w *worker) []*run {
+func sortedRunsOf(w *worker) []*run {
 	out := make([]*run, 0, len(w.runs))
 	for _, r := range w.runs {
 		out = append(out, r)
@@ -123,22 +122,22 @@
 	return sortRuns(out)
 }
 
-// sortRuns orders runs by their tasks, in place.
+// sortRuns sorts runs by task, in place.
 func sortRuns(runs []*run) []*run {
 	slices.SortFunc(runs, func(a, b *run) int { return compareTasks(a.task, b.task) })
 	return runs
 }
 
-// leaseIsOver reports whether every lease that this owner may have given the
-// worker has ended.
-func (c *Core) leaseIsOver(w *worker) bool {
+// leaseExpired reports whether every lease that this owner may have granted to the worker has
+// expired.
+func (c *Core) leaseExpired(w *worker) bool {
 	if w.maxLease == 0 {
 		return true
 	}
 	return c.now.After(w.clockAt.Add(scaleDrift(w.maxLease-w.clock) + leaseMargin))
 }
 
-// workerClock estimates the worker's clock from its last reading.
+// workerClock estimates the current time on the worker's clock from its last reading.
 func (c *Core) workerClock(w *worker) time.Duration { return w.clock + c.now.Sub(w.clockAt) }
 
 func (c *Core) leaseEnd(w *worker) time.Duration {
@@ -151,13 +150,13 @@
 	return Target{Worker: w.ID, Born: w.Born, Address: w.Address, FailureDomain: w.FailureDomain}
 }
 
-// tickWorker sends the next hold, repeats stops and gives up what a silent
-// worker ran once its lease has ended.
+// tickWorker sends the next poll, sends or retries stop orders, and marks the runs of a silent
+// worker as lost once its lease has expired.
 func (c *Core) tickWorker(w *worker) {
-	if !w.holding && !c.now.Before(w.nextHold) {
-		c.hold(w)
+	if !w.polling && !c.now.Before(w.nextPoll) {
+		c.poll(w)
 	}
-	c.closeOrOpen(w)
+	c.updateClosed(w)
 	var due []*run
 	for _, r := range w.runs {
 		if r.stopDue(c.now, c.cfg) {
@@ -167,26 +166,26 @@
 	for _, r := range sortRuns(due) {
 		c.sendStop(r)
 	}
-	if w.silent && len(w.runs) > 0 && c.leaseIsOver(w) {
-		for _, r := range runsOf(w) {
+	if w.silent && len(w.runs) > 0 && c.leaseExpired(w) {
+		for _, r := range sortedRunsOf(w) {
 			c.runLost(r, "lease_over")
 		}
-		w.strange = 0
+		w.unsizedRuns = 0
 	}
 }
 
-func (c *Core) hold(w *worker) {
-	h := Hold{Target: w.target(), Confirmed: w.confirmed}
-	// The lease of a worker that does not answer is left to end: a renewal that
-	// may have arrived would put off the moment from which its tasks are free.
+func (c *Core) poll(w *worker) {
+	order := Hold{Target: w.target(), Confirmed: w.confirmed}
+	// The lease of a worker that does not answer is not renewed: a renewal that may have arrived
+	// would delay the time from which its tasks can be restarted elsewhere.
 	if w.fenced && !w.silent {
-		h.LeaseEnd = c.leaseEnd(w)
+		order.LeaseEnd = c.leaseEnd(w)
 		if len(w.pending) == 0 {
-			h.Wait = c.cfg.HoldWait
+			order.Wait = c.cfg.HoldWait
 		}
 	}
-	w.holding = true
-	c.emit(h)
+	w.polling = true
+	c.emit(order)
 }
 
 func minTime(a, b time.Time) time.Time {
@@ -196,35 +195,36 @@
 	return b
 }
 
-// retryHold is the wait before a worker that did not answer is asked again.
-const retryHold = 250 * time.Millisecond
+// pollRetryDelay is the step of the backoff before a worker that did not answer is polled again.
+const pollRetryDelay = 250 * time.Millisecond
 
-// unrecordedHold is how soon a worker is asked again whose ends are not yet
-// recorded: its report would not wait for a new end.
-const unrecordedHold = 400 * time.Millisecond
+// unrecordedPollDelay is the delay before a worker is polled again whose ends are not recorded yet:
+// a poll without a long-poll timeout would return at once.
+const unrecordedPollDelay = 400 * time.Millisecond
 
-// HoldDone takes in a worker's report.
+// HoldDone handles a worker's report.
 func (c *Core) HoldDone(e HoldDone) {
 	w := c.workers[e.Hold.Worker]
 	if w == nil {
 		return
 	}
-	w.holding = false
+	w.polling = false
 	if e.Verdict != Accepted {
-		// One lost report is no proof: the next one is asked for at once.
-		w.misses++
-		if w.misses > 1 || e.Verdict != Unclear {
-			w.fallSilent(c.now)
+		// One lost report does not prove that the worker is silent; the next one is requested at
+		// once.
+		w.missedReports++
+		if w.missedReports > 1 || e.Verdict != Unclear {
+			w.markSilent(c.now)
 		}
-		w.nextHold = c.now.Add(time.Duration(w.misses-1) * retryHold)
-		w.nextHold = minTime(w.nextHold, c.now.Add(2*retryHold))
+		w.nextPoll = c.now.Add(time.Duration(w.missedReports-1) * pollRetryDelay)
+		w.nextPoll = minTime(w.nextPoll, c.now.Add(2*pollRetryDelay))
 		if e.Verdict == OtherLife {
 			w.fenced = false
 		}
 		return
 	}
-	c.changeLife(w, e.Born)
-	w.silent, w.misses = false, 0
+	c.updateIncarnation(w, e.Born)
+	w.silent, w.missedReports = false, 0
 	w.clock, w.clockAt = e.Clock, c.now
 	first := !w.fenced
 	w.fenced = true
@@ -234,15 +234,15 @@
 	c.advanceConfirmed(w)
 	switch {
 	case first || len(w.pending) == 0:
-		w.nextHold = c.now
-		c.hold(w)
+		w.nextPoll = c.now
+		c.poll(w)
 	default:
-		w.nextHold = c.now.Add(unrecordedHold)
+		w.nextPoll = c.now.Add(unrecordedPollDelay)
 	}
 	c.passDue = true
 }
 
-// processEnds takes note of the ends that are new.
+// processEnds handles the ends that were not processed before.
 func (c *Core) processEnds(w *worker, ends []EndReport) {
 	for _, e := range ends {
 		if e.Number <= w.processed {
@@ -251,15 +251,15 @@
 		w.processed = e.Number
 		j := c.jobs[e.Task.Job]
 		c.runEnded(w, e)
-		// Also an end that changes nothing waits for the record of its job: the
-		// failure that ended the job may be lost, and this one with it.
-		if j != nil && j.recorded < j.version {
+		// An end that changes nothing also waits until the current version of its job is recorded:
+		// the failure that ended the job may still be lost, and this end with it.
+		if j != nil && j.recordedVersion < j.version {
 			w.pending = append(w.pending, pendingEnd{number: e.Number, job: j, version: j.version})
 		}
 	}
 }
 
-// processRunning compares what a worker runs with what this owner believes.
+// processRunning reconciles the runs that a worker lists with the state of this owner.
 func (c *Core) processRunning(w *worker, e HoldDone) {
 	seen := make(map[job.TaskKey]int, len(e.Running))
 	for _, report := range e.Running {
@@ -269,52 +269,51 @@
 			c.adopt(w, report)
 			continue
 		}
-		r.observe(c.now, report)
+		r.recordProgress(c.now, report)
 		if r.state == runStarting || r.state == runUnclear {
 			c.runStarted(r)
 		}
 	}
-	for _, r := range runsOf(w) {
+	for _, r := range sortedRunsOf(w) {
 		if number, running := seen[r.task]; !running || number != r.number {
 			c.checkMissing(r, e.SentAt)
 		}
 	}
 }
 
-// checkMissing handles a run that a report does not list. The report proves
-// something only if it was asked for after the order was answered.
+// checkMissing handles a run that a report does not list. The report is conclusive only if it was
+// requested after the order was answered.
 func (c *Core) checkMissing(r *run, reportSentAt time.Time) {
 	switch r.state {
 	case runRunning:
-		if reportSentAt.After(r.confirmedAt) {
+		if reportSentAt.After(r.answeredAt) {
 			c.runLost(r, "not_listed")
 		}
 	case runStopping, runUnclear:
-		if !r.stoppedAt.IsZero() && reportSentAt.After(r.stoppedAt) {
+		if !r.stopAnsweredAt.IsZero() && reportSentAt.After(r.stopAnsweredAt) {
 			c.runLost(r, "stopped_before_start")
 		}
 	}
 }
 
-// adopt takes over a run that this owner did not order, or stops it if its task
-// must not run there.
+// adopt takes over a run that this owner did not order, or stops it if its task must not run there.
 func (c *Core) adopt(w *worker, report RunReport) {
 	if _, known := w.runs[report.Task]; known {
-		// Another run of the task is on its way here, so that this one is old.
+		// This owner has ordered another run of the task on this worker, so this one is obsolete.
 		c.emit(Stop{Target: w.target(), Task: report.Task, Run: report.Run})
 		return
 	}
-	r := &run{task: report.Task, number: report.Run, worker: w, state: runRunning, startedAt: c.now, confirmedAt: c.now, adopted: true}
+	r := &run{task: report.Task, number: report.Run, worker: w, state: runRunning, startedAt: c.now, answeredAt: c.now, adopted: true}
 	s := c.steps[report.Task.StepKey]
 	if s == nil || report.Task.Index >= len(s.tasks) || s.tasks[report.Task.Index].done || s.tasks[report.Task.Index].run != nil {
 		if j := c.jobs[report.Task.Job]; j != nil && report.Task.Step < len(j.Steps) {
 			r.size = j.Steps[report.Task.Step].Size
 			r.team = j.Team
 		} else {
-			w.strange++
-			r.strange = true
+			w.unsizedRuns++
+			r.sizeUnknown = true
 		}
-		c.place(r)
+		c.addRun(r)
 		c.stop(r)
 		return
 	}
@@ -325,17 +324,17 @@
 	t.run = r
 	t.lastRun = max(t.lastRun, report.Run)
 	s.lastRun = max(s.lastRun, report.Run)
-	r.step, r.size, r.team = s, stepSize(s.spec), s.job.Team
+	r.step, r.size, r.team = s, taskSize(s.spec), s.job.Team
 	s.job.runs[r] = struct{}{}
-	c.place(r)
-	r.observe(c.now, report)
+	c.addRun(r)
+	r.recordProgress(c.now, report)
 	c.markStarted(s.job)
-	c.decide(s.key.Job, "adopted", "task", report.Task.String(), "run", report.Run, "worker", w.ID)
+	c.logDecision(s.key.Job, "adopted", "task", report.Task.String(), "run", report.Run, "worker", w.ID)
 }
 
-// advanceConfirmed raises the number up to which ends may be forgotten.
+// advanceConfirmed advances the number up to which the worker may discard ends.
 func (c *Core) advanceConfirmed(w *worker) {
-	for len(w.pending) > 0 && w.pending[0].job.recorded >= w.pending[0].version {
+	for len(w.pending) > 0 && w.pending[0].job.recordedVersion >= w.pending[0].version {
 		w.pending = w.pending[1:]
 	}
 	if len(w.pending) > 0 {
