--- a/cell/doc.go
+++ b/cell/doc.go
@@ -2,8 +2,8 @@
 // that owns it: the configuration in force, who owns the partition, and, on the
 // owner, the scheduling core.
 //
-// State.Apply is a pure function of state, time and event. The Loop passes it
-// events from traffic goroutines one at a time, publishes an immutable Snapshot
-// and hands the effects to the executor in package instance, which makes all
-// calls and reports each outcome as an event.
+// State.Apply depends only on the state, the time and the event, and performs no
+// I/O. The Loop passes it events from traffic goroutines one at a time, publishes
+// an immutable Snapshot and hands the effects to the executor in package instance,
+// which makes all calls and reports each outcome as an event.
 package cell
--- a/cell/effect.go
+++ b/cell/effect.go
@@ -2,38 +2,39 @@
 
 import "github.com/mulberrydrum/mulberrydrum/schedule"
 
-// Effect is something that the executor carries out.
+// Effect is an action that the executor carries out.
 type Effect interface{ isEffect() }
 
 // Effects.
 type (
 	// Campaign tries to become the owner of a partition without one.
 	Campaign struct{}
-	// Recover reads what a new owner needs.
+	// Recover reads the stored state that a new owner starts from.
 	Recover struct{ Owner int64 }
-	// Renew keeps the lease of the ownership record.
+	// Renew renews the lease of the ownership record.
 	Renew struct{ Lease int64 }
 	// Resign removes the ownership record.
 	Resign struct{ Owner, Lease int64 }
-	// Abandon ends the calls that were made as owner.
+	// Abandon cancels all calls in flight that were made as owner.
 	Abandon struct{ Owner int64 }
-	// CommitRecords records a commit under the conditions of ownership.
+	// CommitRecords writes a commit in one transaction, on the condition that this
+	// instance is still the owner.
 	CommitRecords struct {
 		Commit   schedule.Commit
 		Owner    int64
 		Sequence int64 // revision of the sequence record of the lane
 	}
-	// RecordCores records the processors of this instance as the most of any.
+	// RecordCores stores this instance's core count as the highest of all instances.
 	RecordCores struct{ Cores float64 }
-	// Order is an effect of package schedule towards a worker or the advice
-	// service, under the fence of an ownership.
+	// Order is an effect of package schedule that calls a worker or the advice
+	// service. It carries the fencing token of the ownership that issued it.
 	Order struct {
 		Fence  int64
 		Effect schedule.Effect
 	}
-	// Log is one line about a decision.
+	// Log writes one log line about a decision.
 	Log struct{ schedule.Decision }
-	// Answer answers a question.
+	// Answer delivers the reply to a request.
 	Answer struct {
 		Token uint64
 		Reply Reply
--- a/cell/event.go
+++ b/cell/event.go
@@ -10,23 +10,23 @@
 // Event is something that happened outside the control goroutine.
 type Event interface{ isEvent() }
 
-// Owner is the record of who owns the partition.
+// Owner is the ownership record of the partition.
 type Owner struct {
 	Instance    string `json:"instance"`
-	Incarnation string `json:"incarnation"` // of the process, so that a restart is another owner
-	Address     string `json:"address"`     // of its server for other instances
+	Incarnation string `json:"incarnation"` // of the process, so that a restarted process is a different owner
+	Address     string `json:"address"`     // of its server for calls from other instances
 }
 
 // Events. The schedule events arrive wrapped in Scheduled.
 type (
-	// Tick lets time pass.
+	// Tick triggers the work that is due by time.
 	Tick struct{}
-	// CatalogRead brings a configuration.
+	// CatalogRead delivers a version of the configuration.
 	CatalogRead struct{ Catalog *job.Catalog }
-	// StoreHeard says that everything the store had acknowledged by At has been
-	// delivered to this instance.
+	// StoreHeard reports that every change which the store had acknowledged by At
+	// has been delivered to this instance.
 	StoreHeard struct{ At time.Time }
-	// OwnerSeen brings the ownership record as the store has it.
+	// OwnerSeen delivers the ownership record as read from the store.
 	OwnerSeen struct {
 		Found    bool
 		Owner    Owner
@@ -35,50 +35,50 @@
 		// recorded as its own; 0 before the first one.
 		MostCores float64
 	}
-	// CampaignDone answers Campaign.
+	// CampaignDone is the outcome of Campaign.
 	CampaignDone struct {
 		Won      bool
 		Revision int64 // of the ownership record
 		Lease    int64
 	}
-	// Recovered answers Recover.
+	// Recovered is the outcome of Recover.
 	Recovered struct {
 		Revision int64 // of the ownership record under which it was read
 		State    Recovery
 	}
-	// RenewDone answers Renew.
+	// RenewDone is the outcome of Renew.
 	RenewDone struct {
 		Lease int64
 		Gone  bool // the lease has ended
 	}
-	// Committed answers CommitRecords.
+	// Committed is the outcome of CommitRecords.
 	Committed struct {
 		Commit   schedule.Commit
 		Owner    int64 // revision of the ownership record
 		Sequence int64 // new revision of the sequence record of the lane
 		Lost     bool  // another owner has taken over
 	}
-	// DirectoryRead brings the workers that exist.
+	// DirectoryRead delivers the list of existing workers.
 	DirectoryRead struct{ Workers []schedule.Worker }
-	// JobsSeen brings jobs and cancellations from the store.
+	// JobsSeen delivers jobs and cancellations that were read from the store.
 	JobsSeen struct {
 		Jobs      []Submission
 		Cancelled []job.ID
 	}
-	// Scheduled brings the outcome of an effect of package schedule under an
-	// ownership.
+	// Scheduled delivers the outcome of an effect of package schedule that was
+	// issued under the ownership with revision Owner.
 	Scheduled struct {
 		Owner int64
 		Event any
 	}
-	// Called is a question that waits for a Reply with the token.
+	// Called delivers a request whose caller waits for a Reply with the token.
 	Called struct {
 		Token    uint64
 		Question any
 	}
-	// Forgotten says that nobody waits for a token any more.
+	// Forgotten reports that no caller waits for a token any more.
 	Forgotten struct{ Token uint64 }
-	// Stopping begins a planned stop.
+	// Stopping begins a graceful shutdown.
 	Stopping struct{}
 )
 
@@ -103,43 +103,44 @@
 	Revision int64
 }
 
-// Recovery is what a new owner reads before it acts.
+// Recovery is the stored state that a new owner reads before it schedules.
 type Recovery struct {
 	Sequences [schedule.CommitLanes]int64 // revisions of the sequence records
-	ReadAt    int64                       // store revision; every job recorded by then is among Jobs or has ended
+	ReadAt    int64                       // store revision; every job recorded up to it is among Jobs or has ended
 	Jobs      []schedule.Known
 	Roster    []schedule.Rostered
 	Workers   []schedule.Worker
 }
 
-// Questions of Called, and their replies.
+// Requests of Called, and their replies.
 type (
-	// Submit hands a recorded job to the owner. The reply is Reply{Known: true}.
+	// Submit passes a recorded job to the owner. The reply is Reply{Known: true}.
 	Submit struct{ Submission }
 	// StateOf asks for the state of a job.
 	StateOf struct{ Job job.ID }
-	// Cancel cancels a job; the reply follows when that is recorded.
+	// Cancel cancels a job; the reply is sent once the cancellation is recorded.
 	Cancel struct {
 		Job   job.ID
-		Queue string // of the call; a job of another queue is not known to the caller
-		Team  string // whose key came with the call; empty where the queue is open
+		Queue string // that the request addresses; a job of another queue is reported as unknown
+		Team  string // that the API key belongs to; empty if the queue is open
 	}
-	// Follow says that an instance is there and takes advice calls, and asks for
-	// what has changed since it last did.
+	// Follow is the periodic poll of an instance. It tells the owner that the
+	// instance is alive and can make advice calls, and requests the job changes
+	// since its last poll.
 	Follow struct {
 		Instance  string
 		Epoch     int64
 		Since     uint64
-		Submitted map[string]int // jobs handed to it since, by team
+		Submitted map[string]int // jobs submitted to the instance since then, by team
 	}
 )
 
-// Reply answers a question.
+// Reply is the response to a request.
 type Reply struct {
-	NotOwner bool // this instance cannot answer
+	NotOwner bool // only the owner can reply, and this instance is not it
 	Known    bool
 	State    job.State
 	Team     string
 	Queue    string
-	View     *schedule.View // answers Follow
+	View     *schedule.View // of Follow only
 }
--- a/cell/loop.go
+++ b/cell/loop.go
@@ -9,24 +9,24 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// eventQueueLength bounds the events that wait for the control goroutine. A
-// sender waits when it is full, which slows traffic down and not control.
+// eventQueueLength bounds the queue of the control goroutine. Senders block when it
+// is full, so that overload slows traffic down and not the control goroutine.
 const eventQueueLength = 4096
 
-// callQueueLength bounds the questions that wait; their callers give up within
-// a second.
+// callQueueLength bounds the waiting requests; their callers time out within a
+// second.
 const callQueueLength = 256
 
-// Loop owns a State: the goroutine in Run is the only one that touches it.
+// Loop owns a State: only the goroutine in Run accesses it.
 type Loop struct {
 	state    *State
 	events   chan Event
-	calls    chan Event // questions, which wait while there are events
+	calls    chan Event // requests, which have lower priority than events
 	snapshot atomic.Pointer[Snapshot]
 	execute  func(Effect)
 
 	tokens  atomic.Uint64
-	waiting sync.Map // callers that wait for a reply: token to chan Reply
+	waiting sync.Map // token to chan Reply, of the callers that wait for a reply
 
 	applyTime metrics.Histogram
 }
@@ -51,7 +51,7 @@
 // Queued returns how many events wait for the control goroutine.
 func (l *Loop) Queued() int { return len(l.events) }
 
-// Post sends an event to the control goroutine. It gives up when ctx ends.
+// Post sends an event to the control goroutine. The event is dropped if ctx ends first.
 func (l *Loop) Post(ctx context.Context, e Event) {
 	select {
 	case l.events <- e:
@@ -59,7 +59,7 @@
 	}
 }
 
-// Ask sends a question to the control goroutine and waits for the reply.
+// Ask sends a request to the control goroutine and waits for the reply.
 func (l *Loop) Ask(ctx context.Context, question any) (Reply, error) {
 	token := l.tokens.Add(1)
 	replies := make(chan Reply, 1)
@@ -101,8 +101,8 @@
 	}
 }
 
-// drain applies the events that wait, before the next question: what workers and
-// the store have answered must not wait behind a flood of questions.
+// drain applies all queued events before the next request, so that responses of
+// workers and the store are not delayed by a burst of requests.
 func (l *Loop) drain() {
 	for {
 		select {
@@ -114,8 +114,8 @@
 	}
 }
 
-// tickInterval is longer on an instance that only has to notice that it may take
-// over.
+// tickInterval returns the time until the next Tick. It is longer on a follower,
+// which only has to detect that it may campaign.
 func (l *Loop) tickInterval() time.Duration {
 	if l.Snapshot().IsOwner {
 		return l.state.cfg.TickInterval
@@ -127,8 +127,8 @@
 	started := time.Now()
 	effects := l.state.Apply(started, started, e)
 	l.state.Took(time.Since(started))
-	// The snapshot is published first, so that no effect runs with an older view
-	// than the one under which it was decided.
+	// The snapshot is published first, so that no effect runs against an older
+	// snapshot than the state that produced it.
 	if l.state.TakeChanged() {
 		l.snapshot.Store(l.state.Snapshot())
 	}
--- a/cell/state.go
+++ b/cell/state.go
@@ -11,55 +11,55 @@
 
 // Config configures a State.
 type Config struct {
-	Self          Owner         // this instance, as it would stand in the record
+	Self          Owner         // this instance's ownership record
 	RenewInterval time.Duration // between renewals of the ownership lease
-	TickInterval  time.Duration // between looks at what time makes due, on the owner
-	IdleTick      time.Duration // the same on other instances
-	CampaignStep  time.Duration // between the instances that may take over, so that one write is enough
-	CampaignSlots int
-	CampaignRetry time.Duration // before the next try of this instance
+	TickInterval  time.Duration // between ticks on the owner
+	IdleTick      time.Duration // between ticks on other instances
+	CampaignStep  time.Duration // length of a campaign slot, so that usually only one instance writes
+	CampaignSlots int           // number of slots that instances are spread over
+	CampaignRetry time.Duration // backoff after a lost campaign
 	Cores         float64       // processor cores of this instance, in fractions
-	SmallDelay    time.Duration // by which instances with fewer cores than others campaign later
-	Freshness     time.Duration // how long after the store was heard keys may be trusted
-	ReadyWithin   time.Duration // how long after the store was heard the instance takes new connections
+	SmallDelay    time.Duration // extra campaign delay of instances with fewer cores than others
+	Freshness     time.Duration // how long after the last store sync API keys are accepted
+	ReadyWithin   time.Duration // how long after the last store sync the instance is ready for new connections
 	Schedule      schedule.Config
 }
 
-// DefaultConfig returns the values that suit the platform's bounds.
+// DefaultConfig returns values that meet the platform's time limits.
 func DefaultConfig(self Owner, cores float64) Config {
 	return Config{
 		Self:  self,
 		Cores: cores,
-		// Four renewals fit into the ownership lease, so that three may be lost.
+		// Four renewals fit into the ownership lease, so that three may be lost in a row.
 		RenewInterval: 300 * time.Millisecond,
 		TickInterval:  10 * time.Millisecond,
 		IdleTick:      40 * time.Millisecond,
-		// A write in another region takes 30 ms.
+		// A write to another region takes 30 ms.
 		CampaignStep:  40 * time.Millisecond,
 		CampaignSlots: 8,
 		CampaignRetry: 400 * time.Millisecond,
-		// The larger instances have all had their turn by then, which takes
-		// CampaignSlots x CampaignStep, and a write.
+		// Longer than the slots of all larger instances (CampaignSlots x CampaignStep)
+		// and one write.
 		SmallDelay: 500 * time.Millisecond,
-		// Keys that are withdrawn have to stop working within 5 s; a watch that
-		// hears nothing is one second behind at most.
+		// Withdrawn keys must be rejected within 5 s, and a watch that receives
+		// nothing is at most one second behind.
 		Freshness:   3500 * time.Millisecond,
 		ReadyWithin: 3 * time.Second,
 		Schedule:    schedule.DefaultConfig(),
 	}
 }
 
-// Snapshot is what traffic goroutines read. It does not change.
+// Snapshot is the immutable copy of the control state that traffic goroutines read.
 type Snapshot struct {
 	Catalog    *job.Catalog // nil before the first configuration
-	HeardAt    time.Time    // the store has delivered everything up to then
-	FreshUntil time.Time    // keys may be trusted until then
+	HeardAt    time.Time    // every change acknowledged by the store up to then was delivered
+	FreshUntil time.Time    // API keys are accepted until then
 	ReadyUntil time.Time
 	Owner      Owner // zero if unknown
 	OwnerFound bool
-	IsOwner    bool // this instance is the owner and has read everything
+	IsOwner    bool // this instance is the owner and has completed recovery
 	Stopping   bool
-	Capacity   task.Resources // of the workers that may get work; on the owner
+	Capacity   task.Resources // of the workers that accept tasks; on the owner only
 	Used       task.Resources
 }
 
@@ -87,26 +87,26 @@
 
 	owner         Owner
 	ownerFound    bool
-	ownerKnown    bool // the record, or its absence, was seen
+	ownerKnown    bool // the record, or its absence, was read
 	ownerRevision int64
 	campaignAt    time.Time
-	mostCores     float64 // of any instance
+	mostCores     float64 // highest core count of any instance
 
 	role      role
-	record    int64 // revision of this instance's ownership record; the fence of its orders
+	record    int64 // revision of this instance's ownership record; the fencing token of its orders
 	lease     int64
 	sequences [schedule.CommitLanes]int64 // revisions of the sequence records
 	readAt    int64
 	renewAt   time.Time
 	tickAt    time.Time
 	core      *schedule.Core
-	early     []Submission // handed over while this instance reads the records
+	early     []Submission // received during recovery
 }
 
-// New returns the state of an instance that has just started.
+// New returns the initial state of an instance.
 func New(cfg Config) *State { return &State{cfg: cfg, changed: true} }
 
-// Apply takes in one event and returns what is to be carried out.
+// Apply processes one event and returns the effects to carry out.
 func (s *State) Apply(now, wall time.Time, e Event) []Effect {
 	s.now, s.wall = now, wall
 	if s.core != nil {
@@ -169,9 +169,9 @@
 	}
 }
 
-// decline gives up an ownership that was won as this instance is told to stop. To
-// hand over only after the records have been read would leave the others without
-// an owner for a second.
+// decline resigns an ownership that was won while this instance is shutting down.
+// Resigning only after recovery would leave the cluster without an owner for a
+// second.
 func (s *State) decline() {
 	s.role = resigning
 	s.early = nil
@@ -180,7 +180,7 @@
 	s.emit(Abandon{Owner: s.record})
 }
 
-// act does what the state and the time make due.
+// act performs the work that is due in the current state and at the current time.
 func (s *State) act() {
 	switch s.role {
 	case follower:
@@ -215,8 +215,8 @@
 	}
 }
 
-// ownerSeen follows the ownership record. Every record has a higher revision
-// than the one before, so that news that arrives late is told from news.
+// ownerSeen processes a reading of the ownership record. Every record has a higher
+// revision than the one before, so that stale readings are recognized and ignored.
 func (s *State) ownerSeen(e OwnerSeen) {
 	s.mostCores = max(s.mostCores, e.MostCores)
 	if s.cfg.Cores > s.mostCores {
@@ -240,8 +240,9 @@
 
 func (s *State) isMine() bool { return s.role == recovering || s.role == owning }
 
-// campaignDelay spreads the instances, in an order that differs from takeover
-// to takeover, so that most of them see the new record before they try.
+// campaignDelay spreads the instances over the campaign slots, in an order that
+// differs between takeovers, so that most of them observe the new record before
+// their slot.
 func (s *State) campaignDelay(revision int64) time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(s.cfg.Self.Instance)) // a hash never fails
@@ -253,13 +254,13 @@
 	return delay
 }
 
-// isSmall reports whether there is, or may be, an instance with clearly more
-// processors. An owner decides for all workers of the partition, which a small
-// instance cannot do at the pace of a large fleet.
+// isSmall reports whether there is, or may be, an instance with clearly more cores.
+// The owner schedules for all workers of the partition, and a small instance is too
+// slow for that in a large fleet.
 func (s *State) isSmall() bool {
-	const clearly = 0.9 // of the most cores
+	const clearly = 0.9 // fraction of the highest core count
 	if s.mostCores == 0 {
-		return s.cfg.Cores > 0 // nobody has recorded its size yet
+		return s.cfg.Cores > 0 // no instance has recorded its cores yet
 	}
 	return s.cfg.Cores < clearly*s.mostCores
 }
@@ -317,8 +318,8 @@
 	s.log("ownership_ready", "fence", s.record, "jobs", len(r.Jobs), "workers", len(r.Workers), "roster", len(r.Roster))
 }
 
-// acceptNew accepts a job that was recorded after this owner had read the
-// records. An earlier one that is not known has ended under a former owner.
+// acceptNew accepts a job that was recorded after the recovery of this owner. An
+// earlier job that is unknown has ended under a former owner.
 func (s *State) acceptNew(n Submission) {
 	if n.Revision > s.readAt {
 		s.core.Accept(n.Job)
@@ -375,7 +376,7 @@
 	s.role = follower
 	s.campaignAt = s.now.Add(s.cfg.CampaignRetry)
 	if s.ownerFound && s.owner == s.cfg.Self {
-		// What replaced the record is learned from the store.
+		// The watch delivers the record that replaced this one.
 		s.ownerKnown = false
 	}
 	s.dropCore(why)
@@ -421,7 +422,7 @@
 	}
 }
 
-// takeEffects wraps the effects of the core.
+// takeEffects converts the effects of the core to effects of this package.
 func (s *State) takeEffects() {
 	for _, e := range s.core.Finish() {
 		switch e := e.(type) {
@@ -443,8 +444,8 @@
 	s.emit(Log{schedule.Decision{What: what, Fields: fields}})
 }
 
-// Took tells how long the last event took, so that work which can wait leaves
-// room for the next events.
+// Took passes the processing time of the last event to the core, which defers
+// optional work to leave time for the next events.
 func (s *State) Took(d time.Duration) {
 	if s.core != nil {
 		s.core.Took(d)
@@ -458,7 +459,7 @@
 	return changed
 }
 
-// Snapshot returns what traffic goroutines may know.
+// Snapshot returns a copy of the control state for traffic goroutines.
 func (s *State) Snapshot() *Snapshot {
 	snapshot := &Snapshot{
 		Catalog: s.catalog, HeardAt: s.heardAt, Owner: s.owner, OwnerFound: s.ownerFound,
--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -9,7 +9,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// bench drives a State by hand.
+// bench applies events to a State with a simulated clock.
 type bench struct {
 	t     *testing.T
 	state *State
@@ -40,17 +40,17 @@
 	return found, false
 }
 
-// own makes the state the owner with the record of revision 10.
+// own makes the instance the owner, with an ownership record of revision 10.
 func (b *bench) own(r Recovery) []Effect {
 	b.t.Helper()
 	b.apply(CatalogRead{catalog(1, 1)})
 	b.apply(OwnerSeen{Revision: 5})
 	b.now = b.now.Add(time.Second)
 	if _, ok := effect[Campaign](b.apply(Tick{})); !ok {
-		b.t.Fatal("no campaign although there is no owner")
+		b.t.Fatal("no Campaign effect although there is no owner")
 	}
 	if recover, ok := effect[Recover](b.apply(CampaignDone{Won: true, Revision: 10, Lease: 3})); !ok || recover.Owner != 10 {
-		b.t.Fatal("no recovery after a won campaign")
+		b.t.Fatal("no Recover effect for revision 10 after a won campaign")
 	}
 	return b.apply(Recovered{Revision: 10, State: r})
 }
@@ -63,8 +63,8 @@
 	return Submission{Job: &job.Job{ID: id, Queue: "q", Steps: []job.Step{{Count: 1, Size: task.Resources{CPUMilli: 100}}}}, Revision: revision}
 }
 
-// TestCatalogNeverGoesBack guards against an older configuration that arrives
-// late, for example from a list that was read before a watch.
+// TestCatalogNeverGoesBack guards against a stale configuration that replaces a newer
+// one, for example a list result that arrives after watch events.
 func TestCatalogNeverGoesBack(t *testing.T) {
 	b := newBench(t)
 	b.apply(CatalogRead{catalog(7, 70)})
@@ -74,13 +74,13 @@
 	}
 }
 
-// TestCampaignOnlyWithoutOwner guards against a campaign beside a live owner, by
-// an instance that is stopping, and without a configuration.
+// TestCampaignOnlyWithoutOwner guards against a campaign while there is an owner, by
+// an instance that is shutting down, or without a configuration.
 func TestCampaignOnlyWithoutOwner(t *testing.T) {
 	for name, events := range map[string][]Event{
 		"not known yet":    {CatalogRead{catalog(1, 1)}},
 		"another owner":    {CatalogRead{catalog(1, 1)}, OwnerSeen{Revision: 5}, OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}},
-		"old news":         {CatalogRead{catalog(1, 1)}, OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}, OwnerSeen{Revision: 5}},
+		"stale reading":    {CatalogRead{catalog(1, 1)}, OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}, OwnerSeen{Revision: 5}},
 		"no configuration": {OwnerSeen{Revision: 5}},
 		"stopping":         {CatalogRead{catalog(1, 1)}, OwnerSeen{Revision: 5}, Stopping{}},
 	} {
@@ -90,13 +90,13 @@
 		}
 		b.now = b.now.Add(5 * time.Second)
 		if _, ok := effect[Campaign](b.apply(Tick{})); ok {
-			t.Errorf("%s: campaigned", name)
+			t.Errorf("%s: unexpected Campaign effect", name)
 		}
 	}
 }
 
-// TestSmallInstancesWait guards against a small instance that becomes the owner
-// while larger ones are there, and against one that never does.
+// TestSmallInstancesWait guards against a small instance that becomes the owner while
+// larger ones are available, and against a small instance that never campaigns.
 func TestSmallInstancesWait(t *testing.T) {
 	for name, c := range map[string]struct {
 		cores, most float64
@@ -112,26 +112,26 @@
 		b.apply(CatalogRead{catalog(1, 1)})
 		effects := b.apply(OwnerSeen{Revision: 5, MostCores: c.most})
 		if _, records := effect[RecordCores](effects); records != (c.cores > c.most) {
-			t.Errorf("%s: records its size %v", name, records)
+			t.Errorf("%s: RecordCores emitted: %v", name, records)
 		}
 		b.now = b.now.Add(time.Duration(b.state.cfg.CampaignSlots) * b.state.cfg.CampaignStep)
 		if _, campaigns := effect[Campaign](b.apply(Tick{})); campaigns == c.waits {
-			t.Errorf("%s: campaigns with the large instances %v", name, campaigns)
+			t.Errorf("%s: campaigns in the slots of the large instances: %v", name, campaigns)
 		}
 		b.now = b.now.Add(b.state.cfg.SmallDelay)
 		if _, campaigns := effect[Campaign](b.apply(Tick{})); campaigns != c.waits {
-			t.Errorf("%s: campaigns after them %v", name, campaigns)
+			t.Errorf("%s: campaigns after the slots of the large instances: %v", name, campaigns)
 		}
 	}
 }
 
-// TestStopDuringCampaign guards against an instance that is told to stop, wins its
-// campaign and keeps the others from having an owner until it has read the records.
+// TestStopDuringCampaign guards against an instance that wins its campaign during
+// shutdown and blocks a takeover by others until its recovery has ended.
 func TestStopDuringCampaign(t *testing.T) {
 	won := CampaignDone{Won: true, Revision: 10, Lease: 3}
 	for name, events := range map[string][]Event{
-		"before the answer": {Stopping{}, won},
-		"while it recovers": {won, Stopping{}},
+		"before the result": {Stopping{}, won},
+		"during recovery":   {won, Stopping{}},
 	} {
 		b := newBench(t)
 		b.apply(CatalogRead{catalog(1, 1)})
@@ -141,21 +141,21 @@
 		b.apply(events[0])
 		effects := b.apply(events[1])
 		if resign, ok := effect[Resign](effects); !ok || resign.Lease != 3 {
-			t.Errorf("%s: the record is kept", name)
+			t.Errorf("%s: ownership record was not resigned", name)
 		}
 		if _, ok := effect[Recover](effects); ok {
-			t.Errorf("%s: the records are read", name)
+			t.Errorf("%s: recovery was started", name)
 		}
 		b.apply(Recovered{Revision: 10})
 		if b.state.Snapshot().IsOwner {
-			t.Errorf("%s: it becomes the owner", name)
+			t.Errorf("%s: instance became the owner", name)
 		}
 	}
 }
 
-// TestStepDown guards against an owner that goes on after another one has taken
-// over, however it learns of it, and against news from before it won that makes
-// it give up.
+// TestStepDown guards against an owner that continues after another instance has taken
+// over, whichever way this is detected, and against stale events from before its
+// campaign that make it step down.
 func TestStepDown(t *testing.T) {
 	hold := schedule.Hold{Target: schedule.Target{Worker: "w1"}}
 	for name, c := range map[string]struct {
@@ -169,23 +169,23 @@
 		"commit refused":        {Committed{Owner: 10, Lost: true}, true},
 		"another record":        {OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 12}, true},
 		"record removed":        {OwnerSeen{Revision: 11}, true},
-		"news of before":        {OwnerSeen{Revision: 9}, false},
+		"stale reading":         {OwnerSeen{Revision: 9}, false},
 		"own record":            {OwnerSeen{Found: true, Owner: self, Revision: 10}, false},
 	} {
 		b := newBench(t)
 		b.own(Recovery{ReadAt: 20, Workers: []schedule.Worker{worker("w1")}})
 		abandon, ended := effect[Abandon](b.apply(c.event))
 		if ended != c.ends || b.state.Snapshot().IsOwner == c.ends {
-			t.Errorf("%s: ended %v, want %v", name, ended, c.ends)
+			t.Errorf("%s: ownership ended: %v, want %v", name, ended, c.ends)
 		}
 		if ended && abandon.Owner != 10 {
-			t.Errorf("%s: abandons %d", name, abandon.Owner)
+			t.Errorf("%s: Abandon for ownership %d, want 10", name, abandon.Owner)
 		}
 	}
 }
 
-// TestLateSubmission guards against a job that ran under a former owner and runs
-// again because the accepting instance tells the new one of it late.
+// TestLateSubmission guards against a job that ended under a former owner and runs
+// again because the accepting instance's submission reaches the new owner late.
 func TestLateSubmission(t *testing.T) {
 	b := newBench(t)
 	b.own(Recovery{ReadAt: 20})
@@ -202,8 +202,8 @@
 	}
 }
 
-// TestEarlySubmission guards against a job that is told to a new owner while it
-// reads the records and is then forgotten.
+// TestEarlySubmission guards against the loss of a job that is submitted to a new
+// owner during its recovery.
 func TestEarlySubmission(t *testing.T) {
 	b := newBench(t)
 	b.apply(CatalogRead{catalog(1, 1)})
@@ -214,12 +214,12 @@
 	b.apply(Called{Token: 1, Question: Submit{submission("00000000000000a1", 25)}})
 	b.apply(Recovered{Revision: 10, State: Recovery{ReadAt: 20}})
 	if answer, _ := effect[Answer](b.apply(Called{Token: 2, Question: StateOf{Job: "00000000000000a1"}})); !answer.Reply.Known {
-		t.Error("the job is not known")
+		t.Error("job submitted during recovery is unknown")
 	}
 }
 
-// TestPlannedStop guards against ownership that is given up before what has
-// ended is recorded, and against a stop that keeps it.
+// TestPlannedStop guards against a shutdown that resigns before all commits are done,
+// and against one that does not resign.
 func TestPlannedStop(t *testing.T) {
 	b := newBench(t)
 	effects := b.own(Recovery{ReadAt: 20, Workers: []schedule.Worker{worker("w1")}})
@@ -229,28 +229,28 @@
 		commit, ok = effect[CommitRecords](b.apply(Tick{}))
 	}
 	if _, resigned := effect[Resign](b.apply(Stopping{})); resigned {
-		t.Error("resigned while a commit was under way")
+		t.Error("resigned while a commit was in flight")
 	}
 	if resign, resigned := effect[Resign](b.apply(Committed{Commit: commit.Commit, Owner: 10, Sequence: 21})); !resigned || resign.Lease != 3 {
-		t.Error("did not resign when everything was recorded")
+		t.Error("did not resign after the last commit")
 	}
 	if b.state.Snapshot().IsOwner {
 		t.Error("still the owner")
 	}
 }
 
-// TestKeysExpire guards against keys that are trusted by an instance that hears
-// nothing of the store.
+// TestKeysExpire guards against an instance that keeps accepting API keys while it
+// receives nothing from the store.
 func TestKeysExpire(t *testing.T) {
 	b := newBench(t)
 	b.apply(StoreHeard{At: b.now})
 	s := b.state.Snapshot()
-	const withdrawn = 5 * time.Second // within which a key has to stop working
+	const withdrawn = 5 * time.Second // a withdrawn key must be rejected within this time
 	if until := s.FreshUntil.Sub(s.HeardAt); until <= 0 || until+time.Second > withdrawn {
-		t.Errorf("keys are trusted for %s after the store was heard", until)
+		t.Errorf("keys are accepted for %s after the last store sync", until)
 	}
 	b.apply(StoreHeard{At: s.HeardAt.Add(-time.Second)})
 	if b.state.Snapshot().HeardAt != s.HeardAt {
-		t.Error("an older reading moved the time back")
+		t.Error("an older StoreHeard moved HeardAt back")
 	}
 }
