--- a/instance/accept.go
+++ b/instance/accept.go
@@ -12,34 +12,35 @@
 )
 
 const (
-	// acceptQueueLength bounds the submissions that wait for a write.
+	// acceptQueueLength bounds the submissions that wait to be written.
 	acceptQueueLength = 512
-	// acceptors write at the same time, so that one silent connection to the
-	// store does not hold up every submission.
+	// submissionWriters is the number of concurrent writers, so that one stalled
+	// connection to the store does not block every submission.
 	acceptors = 3
-	// maxAccepted jobs share a transaction: each needs two conditions and one
-	// write of the 32 entries.
+	// maxBatch bounds the jobs of one transaction: each takes two conditions and one
+	// write of the 32 entries that a transaction may have.
 	maxAccepted = 10
-	// acceptTimeout bounds one transaction; a slow store answers in 300 ms.
+	// acceptTimeout bounds one transaction; a slow store answers within 300 ms.
 	acceptTimeout = 800 * time.Millisecond
 	acceptRetry   = 40 * time.Millisecond
-	// watchSilence and writeSilence are how long nothing may be heard by the
-	// watches, and how long a write may be unanswered, before submissions are
-	// refused at once. A watch hears something every second, and what it hears may
-	// be a second old; a slow store answers a write in 300 ms.
+	// After watchTimeout without data from the watches, or writeTimeout without a
+	// response to a write, submissions are rejected immediately. A watch receives
+	// data every second, which may itself be a second old; a slow store answers a
+	// write within 300 ms.
 	watchSilence = 2500 * time.Millisecond
 	writeSilence = 600 * time.Millisecond
-	// probeInterval lets one submission through, which shows when the store is back.
+	// probeInterval separates the submissions that are let through to an unresponsive
+	// store to detect its recovery.
 	probeInterval = 250 * time.Millisecond
-	// retryAfterStore is when a caller whose submission could not be recorded may
-	// come back, to any instance.
+	// retryAfterStore is the retry hint for a submission that could not be recorded;
+	// the caller may retry at any instance.
 	retryAfterStore = time.Second
-	// retryAfterSurplus is when a team that sends more than its share may come
-	// back: a burst lasts some seconds.
+	// retryAfterSurplus is the retry hint for a team that exceeds its share: a burst
+	// lasts some seconds.
 	retryAfterSurplus = 2 * time.Second
 )
 
-// acceptance is one submission that waits to be recorded.
+// pendingSubmission is a submission that waits to be recorded.
 type acceptance struct {
 	ctx    context.Context
 	job    *job.Job
@@ -47,9 +48,9 @@
 	done   chan error
 }
 
-// Submit records a job and returns when it is durable, or was before. An error
-// that says "not run" is true: nothing of the job is recorded, and no write of
-// it is under way.
+// Submit records a job and returns once it is durable, or if it already was. After an
+// error with the fate "not run", nothing of the job is recorded and no write of it is
+// in flight.
 func (i *Instance) Submit(ctx context.Context, j *job.Job) error {
 	began := time.Now()
 	err := i.submit(ctx, j)
@@ -67,7 +68,7 @@
 	}
 	if !i.view.admit(j.Team, time.Now()) {
 		i.cfg.Journal.Event("refused", "job", string(j.ID), "why", "team_rate", "team", j.Team)
-		return errkind.New(errkind.OverLimit, "team %s sends more jobs than its share while its jobs wait", j.Team).WithRetryAfter(retryAfterSurplus)
+		return errkind.New(errkind.OverLimit, "team %s exceeds its share of submissions while its jobs are waiting", j.Team).WithRetryAfter(retryAfterSurplus)
 	}
 	record, err := job.Encode(j)
 	if err != nil {
@@ -77,12 +78,12 @@
 	select {
 	case i.accepts <- a:
 	default:
-		return errkind.New(errkind.QueueFull, "too many submissions wait to be recorded").WithRetryAfter(retryAfterStore)
+		return errkind.New(errkind.QueueFull, "%d submissions are already waiting to be recorded", acceptQueueLength).WithRetryAfter(retryAfterStore)
 	}
 	return <-a.done
 }
 
-// storeSilentFor returns how long the store has been silent, or 0 if it answers.
+// storeSilentFor returns how long the store has not responded, or 0 if it responds.
 func (i *Instance) storeSilentFor(now time.Time) time.Duration {
 	if heard := now.Sub(i.loop.Snapshot().HeardAt); heard > watchSilence {
 		return heard
@@ -95,13 +96,13 @@
 	return 0
 }
 
-// mayProbe reports whether a submission is let through to a silent store.
+// mayProbe reports whether a submission is let through to an unresponsive store.
 func (i *Instance) mayProbe(now time.Time) bool {
 	last := i.probedAt.Load()
 	return now.Sub(time.Unix(0, last)) >= probeInterval && i.probedAt.CompareAndSwap(last, now.UnixNano())
 }
 
-// acceptRegularly records submissions, as many as there are in one transaction.
+// recordSubmissions records the waiting submissions in batches until ctx ends.
 func (i *Instance) acceptRegularly(ctx context.Context) error {
 	for {
 		select {
@@ -119,7 +120,7 @@
 		select {
 		case a := <-i.accepts:
 			if a.job.ID == first.job.ID {
-				// The same key may occur only once in a transaction.
+				// A transaction may contain each key only once.
 				i.accepts <- a
 				return batch
 			}
@@ -131,8 +132,8 @@
 	return batch
 }
 
-// record writes a batch until the fate of every submission is known or its
-// caller's time is up.
+// record writes a batch and retries until every submission is settled or its caller's
+// deadline has passed.
 func (i *Instance) record(ctx context.Context, batch []*acceptance) {
 	for len(batch) > 0 {
 		began := time.Now()
@@ -170,8 +171,8 @@
 	return txn
 }
 
-// accepted tells the caller and the owner that a job is durable. An owner that
-// cannot be told finds the job in the store.
+// confirmAccepted notifies the caller and the owner that a job is durable. An owner
+// that cannot be reached finds the job in the store.
 func (i *Instance) accepted(a *acceptance, revision int64) {
 	i.view.accepted(a.job, time.Now())
 	a.done <- nil
@@ -179,12 +180,13 @@
 	go func() {
 		question := cell.Submit{Submission: cell.Submission{Job: a.job, Revision: revision}}
 		if reply, err := i.askOwner(i.ctx, i.cfg.Timing.PeerTimeout, question); err != nil || reply.NotOwner {
-			i.cfg.Journal.Event("owner not told", "job", string(a.job.ID), "not_owner", reply.NotOwner, "error", err)
+			i.cfg.Journal.Event("owner was not notified of the job", "job", string(a.job.ID), "not_owner", reply.NotOwner, "error", err)
 		}
 	}()
 }
 
-// settleKnown answers the submissions whose job is known and returns the others.
+// resolveKnown replies to the submissions whose job is already recorded and returns
+// the others.
 func (i *Instance) settleKnown(batch []*acceptance, current []store.KeyValue) []*acceptance {
 	known := make(map[string]store.KeyValue, len(current))
 	for _, kv := range current {
@@ -203,39 +205,40 @@
 	return rest
 }
 
-// settleRepeat answers a submission whose job is recorded. The record may come
-// from an earlier try of this very submission whose answer was lost.
+// resolveRepeat replies to a submission whose job is already recorded. The record may
+// come from an earlier attempt of the same submission whose response was lost.
 func (i *Instance) settleRepeat(a *acceptance, kv store.KeyValue) {
 	first, err := job.Decode[job.Job](kv.Value)
 	if err != nil {
-		a.done <- errkind.New(errkind.Internal, "the record of the job cannot be read")
+		a.done <- errkind.New(errkind.Internal, "the stored record of job %s cannot be decoded", a.job.ID)
 		return
 	}
 	if !first.Same(a.job) {
 		i.cfg.Journal.Event("refused", "job", string(a.job.ID), "why", "other_body")
-		a.done <- errkind.New(errkind.IdempotencyConflict, "a job with this ID and another body was accepted before")
+		a.done <- errkind.New(errkind.IdempotencyConflict, "a job with ID %s and a different body was accepted before", a.job.ID)
 		return
 	}
 	i.accepted(a, kv.ModRevision)
 }
 
-// afterFailure answers after a failed write, and returns those for whom another
-// try is worth it. A submission of which a write may still take effect is told
-// so at once: its caller does better at another instance, where a repeat is
-// recognised. Only one of which no write can take effect was surely not accepted.
+// handleWriteFailure replies to submissions after a failed write and returns those
+// that should be retried. If the write may still take effect, the caller is told at
+// once that the outcome is unknown: it should retry at another instance, where
+// submissions are idempotent. A submission is reported as not accepted only if no
+// write of it can take effect.
 func (i *Instance) afterFailure(ctx context.Context, batch []*acceptance, err error) []*acceptance {
 	fails := i.storeFails.Add(1)
 	unclear := errors.Is(err, store.ErrUnclear)
 	var rest []*acceptance
 	for _, a := range batch {
-		const patience = 3 // refused writes in a row after which a caller does better elsewhere
+		const maxConsecutiveFailures = 3 // failed writes in a row after which the caller should retry at another instance
 		switch {
 		case unclear:
 			i.cfg.Journal.Event("unclear", "job", string(a.job.ID), "why", "store_silent", "failures", fails)
-			a.done <- errkind.New(errkind.OutcomeUnknown, "the store did not confirm the job in time")
-		case a.ctx.Err() != nil || ctx.Err() != nil || fails >= patience:
+			a.done <- errkind.New(errkind.OutcomeUnknown, "the store did not confirm the write of job %s in time", a.job.ID)
+		case a.ctx.Err() != nil || ctx.Err() != nil || fails >= maxConsecutiveFailures:
 			i.cfg.Journal.Event("refused", "job", string(a.job.ID), "why", "store_failed", "failures", fails, "error", err)
-			a.done <- errkind.New(errkind.StoreUnavailable, "the store refuses writes").WithRetryAfter(retryAfterStore)
+			a.done <- errkind.New(errkind.StoreUnavailable, "the write of job %s to the store failed", a.job.ID).WithRetryAfter(retryAfterStore)
 		default:
 			rest = append(rest, a)
 		}
--- a/instance/execute.go
+++ b/instance/execute.go
@@ -10,7 +10,7 @@
 )
 
 // execute carries out an effect. It runs on the control goroutine and does not
-// block: every call is made by a goroutine of its own.
+// block: each call runs in its own goroutine.
 func (i *Instance) execute(effect cell.Effect) {
 	switch e := effect.(type) {
 	case cell.Log:
@@ -38,7 +38,7 @@
 	}
 }
 
-// order makes one call to a worker or to the advice service.
+// executeOrder makes one call to a worker or to the advice service and posts its outcome.
 func (i *Instance) order(ctx context.Context, e cell.Order) {
 	var outcome any
 	switch order := e.Effect.(type) {
@@ -65,7 +65,7 @@
 	i.loop.Post(ctx, cell.Scheduled{Owner: e.Fence, Event: outcome})
 }
 
-// ask asks for advice, here or through another instance.
+// requestAdvice calls the advice service, directly or through another instance.
 func (i *Instance) ask(ctx context.Context, order schedule.Ask) schedule.AskDone {
 	ctx, cancel := context.WithTimeout(ctx, i.cfg.Timing.AdviceTimeout)
 	defer cancel()
@@ -76,7 +76,7 @@
 	} else if address, ok := i.relays.address(order.Lane); ok {
 		done.Tickets, done.Valid, err = i.peers.AskAdvice(ctx, address, order.Step.String(), order.Workers)
 	} else {
-		err = eris.New("the instance does not follow this owner any more")
+		err = eris.Errorf("instance %s no longer polls this owner", order.Lane)
 	}
 	if err != nil {
 		done.Failed = true
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,7 +19,7 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// Workers gives orders to workers. Each call ends when ctx does.
+// Workers sends orders to workers. Each call ends when ctx does.
 type Workers interface {
 	Hold(ctx context.Context, fence int64, h schedule.Hold) schedule.HoldDone
 	Start(ctx context.Context, fence int64, s schedule.Start) schedule.Verdict
@@ -31,19 +31,19 @@
 	Ask(ctx context.Context, step string, workers []string) (tickets map[string]string, valid time.Duration, err error)
 }
 
-// Directory lists the workers that exist.
+// Directory lists the existing workers.
 type Directory interface {
 	Workers(ctx context.Context) ([]schedule.Worker, error)
 }
 
-// Configuration follows the operators' configuration until ctx ends. It calls
-// changed for each newer version, and heard whenever it is certain that
-// everything acknowledged by then was delivered.
+// Configuration watches the operators' configuration until ctx ends. It calls changed
+// for each newer version, and heard with a time up to which every change acknowledged
+// by the store has been delivered.
 type Configuration interface {
 	Follow(ctx context.Context, changed func(*job.Catalog), heard func(at time.Time)) error
 }
 
-// Config has what an instance needs.
+// Config configures an Instance.
 type Config struct {
 	Name          string
 	FailureDomain string
@@ -63,29 +63,30 @@
 // Timing has the durations of an instance's calls.
 type Timing struct {
 	OwnershipTTL      time.Duration // of the lease of the ownership record
-	DirectoryInterval time.Duration // between looks at the directory, on the owner
-	FollowInterval    time.Duration // between looks at what has changed at the owner
-	PeerTimeout       time.Duration // of a question to the owner
+	DirectoryInterval time.Duration // between reads of the directory, on the owner
+	FollowInterval    time.Duration // between polls of the owner for changes
+	PeerTimeout       time.Duration // of a request to the owner
 	CancelTimeout     time.Duration // of a cancellation, which waits for a commit
 	OrderTimeout      time.Duration // of an order to a worker
-	HoldMargin        time.Duration // of a report, beyond the time that it may wait
+	HoldMargin        time.Duration // of a hold, on top of the time that the worker may hold its report back
 	AdviceTimeout     time.Duration // of a call for advice
 	ResignTimeout     time.Duration // of the removal of the ownership record
 }
 
-// DefaultTiming returns the values that suit the platform's bounds.
+// DefaultTiming returns values that meet the platform's time limits.
 func DefaultTiming() Timing {
 	return Timing{
-		// The shortest that leaves three renewals to be lost.
+		// The shortest TTL that tolerates three lost renewals.
 		OwnershipTTL: 1200 * time.Millisecond,
-		// A worker that leaves gets nothing new within 2.5 s of its notice.
+		// A leaving worker must receive no new tasks later than 2.5 s after its notice.
 		DirectoryInterval: 700 * time.Millisecond,
-		// What callers see of a job is this old, and a region away.
+		// The job status shown to callers lags by this interval and the latency to
+		// another region.
 		FollowInterval: 100 * time.Millisecond,
 		PeerTimeout:    500 * time.Millisecond,
 		CancelTimeout:  1500 * time.Millisecond,
 		OrderTimeout:   700 * time.Millisecond,
-		// While a report is lost, no end on that worker is seen.
+		// Until a lost report times out, no ended task of that worker is noticed.
 		HoldMargin:    400 * time.Millisecond,
 		AdviceTimeout: 3 * time.Second,
 		ResignTimeout: 800 * time.Millisecond,
@@ -103,20 +104,20 @@
 	view *ownerView
 
 	ctx        context.Context // of all effects
-	owned      context.Context // of effects as owner; set by the control goroutine
+	owned      context.Context // of effects of the current ownership; set by the control goroutine
 	endOwned   context.CancelFunc
-	resigned   chan struct{} // closed when the ownership record is removed in a planned stop
+	resigned   chan struct{} // closed when the ownership record was removed in a graceful shutdown
 	resignOnce sync.Once
-	storeFails atomic.Int32 // commits of accepted jobs that failed in a row
-	unanswered atomic.Int64 // when the first unanswered write of a job was sent, Unix nanoseconds; 0 if all were answered
-	probedAt   atomic.Int64 // when a submission was last let through to a silent store
+	storeFails atomic.Int32 // consecutive failed writes of submissions
+	unanswered atomic.Int64 // send time of the first unanswered write of a job, Unix nanoseconds; 0 if none
+	probedAt   atomic.Int64 // when a submission was last let through to an unresponsive store, Unix nanoseconds
 
 	meters    meters
 	troubleMu sync.Mutex
-	trouble   map[string]storeFailures // by call, for the log
+	trouble   map[string]storeFailures // by call, to limit log lines
 }
 
-// New returns an instance that does nothing until Run.
+// New returns an instance that is idle until Run.
 func New(cfg Config) *Instance {
 	self := cell.Owner{Instance: cfg.Name, Incarnation: cfg.Incarnation, Address: cfg.Listen}
 	i := &Instance{
@@ -133,7 +134,7 @@
 	return i
 }
 
-// Run serves until ctx ends. A planned stop is begun with Stop before.
+// Run serves until ctx ends. For a graceful shutdown, call Stop first.
 func (i *Instance) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", i.cfg.Listen)
 	if err != nil {
@@ -163,7 +164,7 @@
 	return nil
 }
 
-// Stop begins a planned stop: the instance hands over what it owns and takes no
+// Stop begins a graceful shutdown: the instance resigns its ownership and accepts no
 // new connections. It returns when another instance can take over.
 func (i *Instance) Stop(ctx context.Context) {
 	wasOwner := i.loop.Snapshot().IsOwner
@@ -177,11 +178,11 @@
 	}
 }
 
-// Snapshot returns the control state that traffic may know.
+// Snapshot returns the latest control state for traffic goroutines.
 func (i *Instance) Snapshot() *cell.Snapshot { return i.loop.Snapshot() }
 
-// Ready reports whether the instance takes new connections: it has a
-// configuration and is in touch with the store.
+// Ready reports whether the instance accepts new connections: it has a configuration,
+// was recently in sync with the store and is not shutting down.
 func (i *Instance) Ready() bool {
 	s := i.loop.Snapshot()
 	return s.Catalog != nil && !s.Stopping && time.Now().Before(s.ReadyUntil)
@@ -221,7 +222,7 @@
 	}
 }
 
-// askOwner puts a question to the owner, here or at another instance.
+// askOwner sends a request to the owner, which may be this instance or another.
 func (i *Instance) askOwner(ctx context.Context, timeout time.Duration, question any) (cell.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/instance/journal.go
+++ b/instance/journal.go
@@ -13,18 +13,18 @@
 )
 
 const (
-	// journalLength bounds the lines that wait to be written; a burst of two
-	// seconds at the highest rate that was seen fits.
+	// journalLength bounds the lines that wait to be written; it holds a burst of two
+	// seconds at the peak rate.
 	journalLength = 4096
-	// journalFlush is how long a line may wait. One write for many lines costs
-	// far less processor time than one for each.
+	// journalFlush bounds how long a line is buffered. One write for many lines takes
+	// far less processor time than one write for each.
 	journalFlush = 100 * time.Millisecond
-	// journalBuffer holds what is written at once.
+	// journalBuffer is the size of the write buffer in bytes.
 	journalBuffer = 64 << 10
 )
 
-// Journal writes one line for each decision. It never blocks: lines that find
-// no room are counted and dropped.
+// Journal writes one log line for each decision. It never blocks: when its queue is
+// full, lines are dropped and counted.
 type Journal struct {
 	lines   chan line
 	dropped metrics.Counter
@@ -49,7 +49,7 @@
 	return j
 }
 
-// Event records something that is not about one request.
+// Event records an event other than a decision of the control goroutine.
 func (j *Journal) Event(what string, fields ...any) { j.add(what, fields) }
 
 // Decision records a decision of the control goroutine.
@@ -69,7 +69,7 @@
 	}
 }
 
-// Run writes lines until ctx ends, and then those that wait.
+// Run writes lines until ctx ends, and then the remaining queued lines.
 func (j *Journal) Run(ctx context.Context) error {
 	flush := time.NewTimer(journalFlush)
 	flush.Stop()
@@ -85,7 +85,7 @@
 			}
 		case <-flush.C:
 			armed = false
-			_ = j.out.Flush() // nobody is left to tell when the log cannot be written
+			_ = j.out.Flush() // a failure to write the log cannot be reported anywhere
 		case <-ctx.Done():
 			j.drain()
 			return nil
--- a/instance/meters.go
+++ b/instance/meters.go
@@ -8,12 +8,12 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// meters counts what an instance does for callers. docs/OPERATIONS.md explains
-// each metric.
+// meters are the metrics of an instance's requests. docs/OPERATIONS.md describes each
+// metric.
 type meters struct {
 	registry   metrics.Registry
-	acceptTime metrics.Histogram // us, of submissions that were accepted
-	taskWait   metrics.Histogram // ms, from the arrival of a job to the order of a run
+	acceptTime metrics.Histogram // us, duration of accepted submissions
+	taskWait   metrics.Histogram // ms, from the arrival of a job to the start order of a task
 }
 
 func newMeters(registry metrics.Registry) meters {
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -11,7 +11,7 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// ownerFollower passes the ownership record on to the control goroutine.
+// ownerFollower posts the ownership record to the control goroutine.
 type ownerFollower struct {
 	ctx  context.Context
 	i    *Instance
@@ -27,8 +27,8 @@
 	f.i.loop.Post(f.ctx, f.last)
 }
 
-// Changed implements store.Follower. The last record is passed on with progress
-// notices too, for an instance that has forgotten it.
+// Changed implements store.Follower. The last record is posted on progress
+// notifications too, since the control state discards it when it steps down.
 func (f *ownerFollower) Changed(b store.WatchBatch) {
 	for _, change := range b.Changes {
 		f.take(change.KeyValue, change.Deleted)
@@ -49,7 +49,7 @@
 		return
 	}
 	if err := json.Unmarshal(kv.Value, &f.last.Owner); err != nil {
-		f.i.cfg.Journal.Event("ownership record unreadable", "error", err)
+		f.i.cfg.Journal.Event("ownership record cannot be decoded", "error", err)
 		return
 	}
 	f.last.Found = true
@@ -58,7 +58,7 @@
 func (f *ownerFollower) takeCores(kv store.KeyValue) {
 	var record coresRecord
 	if err := json.Unmarshal(kv.Value, &record); err != nil {
-		f.i.cfg.Journal.Event("record of cores unreadable", "error", err)
+		f.i.cfg.Journal.Event("core count record cannot be decoded", "error", err)
 		return
 	}
 	f.last.MostCores = record.Cores
@@ -68,30 +68,29 @@
 func (f *ownerFollower) Failed(err error) { f.i.storeTrouble("watch ownership", err) }
 
 func (i *Instance) followOwner(ctx context.Context) error {
-	_ = store.Follow(ctx, i.cfg.Store, keyOwner, &ownerFollower{ctx: ctx, i: i}) // ends with ctx only
+	_ = store.Follow(ctx, i.cfg.Store, keyOwner, &ownerFollower{ctx: ctx, i: i}) // returns only when ctx ends
 	return nil
 }
 
-// recordCores writes the processors of this instance unless another one has
-// written as many. A write that fails is tried again with the next look at the
-// ownership record.
+// recordCores writes the core count of this instance unless a count at least as high
+// is recorded. A failed write is retried at the next reading of the ownership record.
 func (i *Instance) recordCores(ctx context.Context, cores float64) {
 	call, cancel := context.WithTimeout(ctx, campaignTimeout)
 	defer cancel()
 	value, err := job.Encode(coresRecord{Cores: cores})
 	if err != nil {
-		i.cfg.Journal.Event("record of cores not encoded", "error", err)
+		i.cfg.Journal.Event("core count record cannot be encoded", "error", err)
 		return
 	}
 	kv, found, _, err := i.cfg.Store.Get(call, keyCores)
 	if err != nil {
-		i.storeTrouble("read the record of cores", err)
+		i.storeTrouble("read the core count record", err)
 		return
 	}
 	present := coresRecord{}
 	if found {
 		if err := json.Unmarshal(kv.Value, &present); err != nil {
-			i.cfg.Journal.Event("record of cores unreadable", "error", err)
+			i.cfg.Journal.Event("core count record cannot be decoded", "error", err)
 		}
 	}
 	if present.Cores >= cores {
@@ -101,7 +100,7 @@
 		Compares: []store.Compare{{Key: keyCores, ModRevision: kv.ModRevision}},
 		Puts:     []store.Put{{Key: keyCores, Value: value}},
 	})
-	i.storeTrouble("record cores", err)
+	i.storeTrouble("write the core count record", err)
 }
 
 func (i *Instance) storeTrouble(call string, err error) {
@@ -124,19 +123,19 @@
 	}
 }
 
-// troubleInterval separates the lines on failures of the same call, of which an
-// outage brings many.
+// storeFailureLogInterval limits the log lines on failures of the same call, which are
+// frequent during an outage.
 const troubleInterval = 2 * time.Second
 
-// storeFailures counts the failures of one call since the last line on them.
+// storeFailures counts the failures of one call since its last log line.
 type storeFailures struct {
 	failures   int
 	reportedAt time.Time
 }
 
-// Bounds of the calls of a takeover.
+// Timeouts and retry intervals of the store calls of an owner.
 const (
-	campaignTimeout = 1500 * time.Millisecond // an answer comes within 300 ms from a slow store
+	campaignTimeout = 1500 * time.Millisecond // a slow store answers within 300 ms
 	recoverTimeout  = 6 * time.Second
 	recoverRetry    = 60 * time.Millisecond
 	commitTimeout   = 1200 * time.Millisecond
@@ -156,7 +155,7 @@
 	}
 	self, err := job.Encode(cell.Owner{Instance: i.cfg.Name, Incarnation: i.cfg.Incarnation, Address: i.cfg.Listen})
 	if err != nil {
-		i.cfg.Journal.Event("ownership record not encoded", "error", err)
+		i.cfg.Journal.Event("ownership record cannot be encoded", "error", err)
 		return
 	}
 	done, err := i.cfg.Store.Commit(call, store.Txn{
@@ -171,7 +170,7 @@
 			result = cell.CampaignDone{Won: true, Revision: kv.ModRevision, Lease: lease}
 			return
 		}
-		// The write may still happen; its record ends with the lease.
+		// The write may still take effect; its record is removed with the lease.
 		i.revoke(ctx, lease)
 	default:
 		i.storeTrouble("campaign", err)
@@ -183,11 +182,11 @@
 	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), i.cfg.Timing.ResignTimeout)
 	defer cancel()
 	if err := i.cfg.Store.Revoke(call, lease); err != nil && !errors.Is(err, store.ErrLeaseGone) {
-		i.storeTrouble("end a lease", err)
+		i.storeTrouble("revoke a lease", err)
 	}
 }
 
-// recover reads the records until it succeeds or the ownership ends.
+// recover reads the stored state and retries until it succeeds or the ownership ends.
 func (i *Instance) recover(ctx context.Context, ownership int64) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, recoverTimeout)
@@ -205,8 +204,8 @@
 	}
 }
 
-// renew keeps the ownership lease. Renewals overlap, so that a lost one costs
-// no time.
+// renew renews the ownership lease. Renewals may overlap, so that a lost one does not
+// delay the next.
 func (i *Instance) renew(ctx context.Context, lease int64) {
 	call, cancel := context.WithTimeout(ctx, i.cfg.Timing.OwnershipTTL)
 	defer cancel()
@@ -220,8 +219,8 @@
 	}
 }
 
-// resign removes the ownership record, so that a successor need not wait for
-// the lease.
+// resign removes the ownership record by revoking its lease, so that a successor does
+// not have to wait until the lease expires.
 func (i *Instance) resign(e cell.Resign) {
 	i.revoke(i.ctx, e.Lease)
 	i.resignOnce.Do(func() {
@@ -231,17 +230,17 @@
 	})
 }
 
-// commit records a commit until its outcome is definite or the ownership ends.
-// The conditions let only one of several tries take effect.
+// commit writes a commit and retries until its outcome is definite or the ownership
+// ends. The conditions of the transaction ensure that at most one attempt takes effect.
 func (i *Instance) commit(ctx context.Context, e cell.CommitRecords) {
 	value, err := job.Encode(sequenceRecord{Owner: i.cfg.Incarnation, Follows: e.Sequence})
 	if err != nil {
-		i.cfg.Journal.Event("commit not encoded", "error", err)
+		i.cfg.Journal.Event("sequence record cannot be encoded", "error", err)
 		return
 	}
 	txn, err := encodeCommit(e, value)
 	if err != nil {
-		i.cfg.Journal.Event("commit not encoded", "error", err)
+		i.cfg.Journal.Event("commit cannot be encoded", "error", err)
 		return
 	}
 	for ctx.Err() == nil {
@@ -261,8 +260,8 @@
 	}
 }
 
-// judgeRefused tells a commit that had taken effect before from one that a newer
-// owner has made impossible.
+// classifyRefusedCommit distinguishes a commit that an earlier attempt has already
+// written from one that is invalid because another instance became the owner.
 func (i *Instance) judgeRefused(e cell.CommitRecords, current []store.KeyValue, value []byte) cell.Committed {
 	done := cell.Committed{Commit: e.Commit, Owner: e.Owner, Lost: true}
 	owned := false
@@ -280,7 +279,7 @@
 	return done
 }
 
-// inboxFollower passes new jobs and cancellations on to the control goroutine.
+// inboxFollower posts new jobs and cancellations to the control goroutine.
 type inboxFollower struct {
 	ctx context.Context
 	i   *Instance
@@ -310,12 +309,13 @@
 // Failed implements store.Follower.
 func (f *inboxFollower) Failed(err error) { f.i.storeTrouble("watch jobs", err) }
 
-// followInbox brings the jobs whose accepting instance could not tell the owner.
+// followInbox watches for jobs and cancellations that other instances recorded but could
+// not send to the owner.
 func (i *Instance) followInbox(ctx context.Context) {
-	_ = store.Follow(ctx, i.cfg.Store, inboxPrefix, &inboxFollower{ctx: ctx, i: i}) // ends with ctx only
+	_ = store.Follow(ctx, i.cfg.Store, inboxPrefix, &inboxFollower{ctx: ctx, i: i}) // returns only when ctx ends
 }
 
-// readDirectory looks at the directory of workers regularly.
+// readDirectory polls the directory of workers until ctx ends.
 func (i *Instance) readDirectory(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, i.cfg.Timing.DirectoryInterval)
@@ -330,8 +330,8 @@
 	}
 }
 
-// commitHedge sends a write again after several times what a store in another
-// region takes to answer, 30 ms, and not before a slow one usually has.
+// commitHedge repeats an unanswered write. Its delay is several times the 30 ms round
+// trip to a store in another region, and longer than a slow store usually takes.
 var commitHedge = store.Hedge{After: 220 * time.Millisecond, Most: 4}
 
 func pause(ctx context.Context, d time.Duration) {
--- a/instance/query.go
+++ b/instance/query.go
@@ -11,8 +11,8 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// State returns the state of a job of a queue. team is the one whose key came
-// with the call, or empty where the queue is open.
+// State returns the state of a job of a queue. team is the team that the API key
+// belongs to, or empty if the queue is open.
 func (i *Instance) State(ctx context.Context, queue, team string, id job.ID) (job.State, error) {
 	if status, known := i.view.status(id); known {
 		return checkOwned(status.State, status.Queue, status.Team, queue, team, id)
@@ -27,7 +27,7 @@
 	record, final, err := i.lookUp(ctx, id)
 	switch {
 	case err != nil:
-		return "", errkind.New(errkind.StoreUnavailable, "neither the owner nor the store answers").WithRetryAfter(retryAfterStore)
+		return "", errkind.New(errkind.StoreUnavailable, "neither the owner nor the store answered for job %s", id).WithRetryAfter(retryAfterStore)
 	case final != nil:
 		return checkOwned(final.State, final.Queue, final.Team, queue, team, id)
 	case record != nil:
@@ -41,7 +41,7 @@
 	return errkind.New(errkind.UnknownTask, "there is no job %s", id)
 }
 
-// checkOwned hides the jobs of other queues and teams.
+// checkVisible reports jobs of other queues and teams as unknown.
 func checkOwned(state job.State, jobQueue, jobTeam, queue, team string, id job.ID) (job.State, error) {
 	if jobQueue != queue || (team != "" && jobTeam != "" && jobTeam != team) {
 		return "", unknownJob(id)
@@ -49,8 +49,8 @@
 	return state, nil
 }
 
-// lookUp reads the records of a job. The record of the accepted job is read
-// first: a job that ends in between has its final record by then.
+// readJob reads the records of a job. The record of the accepted job is read first: if
+// the job ends between the two reads, the second one finds its final record.
 func (i *Instance) lookUp(ctx context.Context, id job.ID) (*cell.Submission, *job.Final, error) {
 	kv, found, _, err := i.cfg.Store.Get(ctx, jobKey(id))
 	if err != nil {
@@ -71,7 +71,7 @@
 	return nil, final, err
 }
 
-// Cancel cancels a job and returns when the cancellation, or another end, is
+// Cancel cancels a job and returns once the cancellation, or another final state, is
 // recorded.
 func (i *Instance) Cancel(ctx context.Context, queue, team string, id job.ID) error {
 	reply, err := i.askOwner(ctx, i.cfg.Timing.CancelTimeout, cell.Cancel{Job: id, Queue: queue, Team: team})
@@ -86,16 +86,16 @@
 		}
 		pause(ctx, acceptRetry)
 	}
-	return errkind.New(errkind.OutcomeUnknown, "the cancellation was not confirmed in time")
+	return errkind.New(errkind.OutcomeUnknown, "the cancellation of job %s was not confirmed in time", id)
 }
 
-// recordCancel writes a cancellation for the next owner to find. settled is
-// false if it has to be tried again.
+// recordCancel writes a cancellation that the owner, or the next one, reads from the
+// store. settled is false if the caller must retry.
 func (i *Instance) recordCancel(ctx context.Context, queue, team string, id job.ID) (settled bool, err error) {
 	record, final, err := i.lookUp(ctx, id)
 	switch {
 	case err != nil:
-		return false, nil // logged by the store client's caller when time is up
+		return false, nil // Cancel retries until its deadline
 	case final != nil:
 		_, err := checkOwned(final.State, final.Queue, final.Team, queue, team, id)
 		return true, err
@@ -123,7 +123,7 @@
 func (i *Instance) Waiting(queue string) (int, error) {
 	n, known := i.view.waitingIn(queue, time.Now())
 	if !known {
-		return 0, errkind.New(errkind.NoOwner, "the owner has not been heard lately").WithRetryAfter(retryAfterStore)
+		return 0, errkind.New(errkind.NoOwner, "no queue lengths were received from the owner within %s", viewAge).WithRetryAfter(retryAfterStore)
 	}
 	return n, nil
 }
--- a/instance/records.go
+++ b/instance/records.go
@@ -15,17 +15,17 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// Keys in the store. Every instance writes under inboxPrefix, on the condition
-// that the job is not known; all else is written by the owner, on the condition
+// Keys in the store. Every instance writes under inboxPrefix, on the condition that the
+// job is not yet recorded; everything else is written by the owner, on the condition
 // that its ownership and sequence records are unchanged.
 const (
-	keyOwner       = "mulberrydrum/owner"       // who owns the partition; attached to the owner's lease
-	keyCores       = "mulberrydrum/owner-cores" // most processor cores of any instance; watched together with the owner
+	keyOwner       = "mulberrydrum/owner"       // ownership record of the partition; attached to the owner's lease
+	keyCores       = "mulberrydrum/owner-cores" // highest core count of any instance; watched together with the owner
 	sequencePrefix = "mulberrydrum/sequence/"   // one record for each lane; changes with every commit of the lane
-	keyRoster      = "mulberrydrum/roster"      // workers on which something may run
+	keyRoster      = "mulberrydrum/roster"      // workers on which tasks may be running
 	inboxPrefix    = "mulberrydrum/in/"
 	jobPrefix      = inboxPrefix + "job/"    // accepted jobs that have not ended
-	cancelPrefix   = inboxPrefix + "cancel/" // cancellations that no owner was there to take
+	cancelPrefix   = inboxPrefix + "cancel/" // cancellations that were recorded while no owner responded
 	progressPrefix = "mulberrydrum/progress/"
 	finalPrefix    = "mulberrydrum/final/" // jobs that have ended
 )
@@ -37,14 +37,14 @@
 func progressKey(id job.ID) string { return progressPrefix + string(id) }
 func finalKey(id job.ID) string    { return finalPrefix + string(id) }
 
-// sequenceRecord tells apart the commits of all owners, so that one whose
-// answer was lost is recognised.
+// sequenceRecord identifies a commit uniquely among all owners, so that a retry
+// recognizes a commit whose response was lost.
 type sequenceRecord struct {
 	Owner   string `json:"owner"`   // incarnation
-	Follows int64  `json:"follows"` // revision of the record before
+	Follows int64  `json:"follows"` // revision of the previous record
 }
 
-// coresRecord tells how large the largest instance is.
+// coresRecord holds the core count of the largest instance.
 type coresRecord struct {
 	Cores float64 `json:"cores"`
 }
@@ -89,9 +89,10 @@
 	return txn, nil
 }
 
-// readRecovery reads what a new owner needs. No commit of a former owner can
-// follow: the ownership record that it names has changed. The reads are made at
-// the same time, since a slow store answers only a few in a row in a second.
+// readRecovery reads the state that a new owner starts from. No later commit of a
+// former owner can succeed, since the ownership record in its condition has changed. The
+// reads run concurrently, since a slow store answers only a few sequential reads in a
+// second.
 func (i *Instance) readRecovery(ctx context.Context) (cell.Recovery, error) {
 	r := cell.Recovery{}
 	group, ctx := errgroup.WithContext(ctx)
@@ -113,7 +114,7 @@
 	for _, kv := range kvs {
 		lane, err := strconv.Atoi(strings.TrimPrefix(kv.Key, sequencePrefix))
 		if err != nil || lane < 0 || lane >= len(r.Sequences) {
-			return eris.Errorf("key %s does not name a lane", kv.Key)
+			return eris.Errorf("key %s does not end in a commit lane from 0 to %d", kv.Key, len(r.Sequences)-1)
 		}
 		r.Sequences[lane] = kv.ModRevision
 	}
@@ -134,7 +135,7 @@
 		return eris.Wrap(err, "list the jobs")
 	}
 	r.ReadAt = revision
-	// The progress is read after the jobs: a job without one has none.
+	// Progress is read after the jobs, so that none is missed for a job in the list.
 	progress, _, err := i.cfg.Store.List(ctx, progressPrefix)
 	if err != nil {
 		return eris.Wrap(err, "list the progress of jobs")
@@ -158,8 +159,8 @@
 	return nil
 }
 
-// decodeInbox reads the records under inboxPrefix. A record that cannot be read
-// is left out: no instance of this version has written it.
+// decodeInbox decodes the records under inboxPrefix. A record that cannot be decoded is
+// skipped, since no instance of this version wrote it.
 func (i *Instance) decodeInbox(kvs []store.KeyValue) (jobs []cell.Submission, cancelled []job.ID) {
 	for _, kv := range kvs {
 		if id, ok := strings.CutPrefix(kv.Key, cancelPrefix); ok {
@@ -168,7 +169,7 @@
 		}
 		record, err := job.Decode[job.Job](kv.Value)
 		if err != nil {
-			i.cfg.Journal.Event("job record unreadable", "key", kv.Key, "error", err)
+			i.cfg.Journal.Event("job record cannot be decoded", "key", kv.Key, "error", err)
 			continue
 		}
 		jobs = append(jobs, cell.Submission{Job: record, Revision: kv.ModRevision})
--- a/instance/records_test.go
+++ b/instance/records_test.go
@@ -29,8 +29,8 @@
 	return result.Revision
 }
 
-// TestSweep guards against records that are kept for ever, and against the
-// removal of one that a caller may still ask for.
+// TestSweep guards against records that are never removed, and against the removal of
+// a record within its retention period.
 func TestSweep(t *testing.T) {
 	s := storetest.NewMemory(storetest.Config{}).Client("e1")
 	now := time.Now()
@@ -50,7 +50,7 @@
 	}
 	for key, want := range map[string]bool{finalKey("new"): true, jobKey("open"): true, cancelKey("open"): true, cancelKey("ended"): false, finalKey("old3"): false} {
 		if _, found, _, err := s.Get(t.Context(), key); found != want || err != nil {
-			t.Errorf("%s is there: %v, want %v (%v)", key, found, want, err)
+			t.Errorf("%s exists: %v, want %v (error %v)", key, found, want, err)
 		}
 	}
 }
@@ -60,9 +60,9 @@
 	return New(Config{Name: "e1", Incarnation: "p1", Store: s, Metrics: registry, Journal: NewJournal(io.Discard, registry), Timing: DefaultTiming(), Directory: noWorkers{}})
 }
 
-// TestCommitConditions guards against a commit of a former owner that takes
-// effect, against one that follows a newer one, and against one whose answer was
-// lost that is taken for another owner's.
+// TestCommitConditions guards against a commit of a former owner that takes effect,
+// against a late copy that takes effect after a newer commit, and against a commit whose
+// response was lost being classified as another owner's.
 func TestCommitConditions(t *testing.T) {
 	s := storetest.NewMemory(storetest.Config{}).Client("e1")
 	i := newInstance(s)
@@ -93,7 +93,7 @@
 	}
 	again := commit(e)
 	if done := i.judgeRefused(e, again.Current, value(e)); again.Succeeded || done.Lost || done.Sequence != first.Revision {
-		t.Errorf("the same commit again: %+v, judged %+v", again, done)
+		t.Errorf("repeated commit: %+v, classified as %+v", again, done)
 	}
 	next := e
 	next.Sequence = first.Revision
@@ -105,7 +105,7 @@
 		t.Error("a late copy of the first commit took effect")
 	}
 	if _, found, _, _ := s.Get(t.Context(), progressKey("a")); found {
-		t.Error("the progress of a job that has ended is left")
+		t.Error("the progress record of an ended job was not deleted")
 	}
 	mustPut(t, s, keyOwner, cell.Owner{Instance: "e2"})
 	former := next
@@ -113,7 +113,7 @@
 	former.Commit.Lane = 1
 	refused := commit(former)
 	if done := i.judgeRefused(former, refused.Current, value(former)); refused.Succeeded || !done.Lost {
-		t.Errorf("a former owner's commit: %+v, judged %+v", refused, done)
+		t.Errorf("commit of a former owner: %+v, classified as %+v", refused, done)
 	}
 }
 
--- a/instance/relay.go
+++ b/instance/relay.go
@@ -13,26 +13,26 @@
 )
 
 const (
-	// relaySilence is after how long without a sign of life a relay is taken for
-	// frozen or cut off. It is far above the 25 ms of a message to another region
-	// and back, so that a busy instance is not taken for a lost one.
+	// relayTimeout is the time without a message from a relay after which it is
+	// considered frozen or disconnected. It is far above the 25 ms round trip to another
+	// region, so that a busy instance is not mistaken for a lost one.
 	relaySilence = 600 * time.Millisecond
-	// relayPing separates the requests for a sign of life.
+	// relayPingInterval is the time between heartbeat requests.
 	relayPing = 200 * time.Millisecond
-	// relayRetry is the wait before a stream that has ended is opened again.
+	// relayReconnectDelay is the delay before an ended stream is reopened.
 	relayRetry = 500 * time.Millisecond
-	// peerSilence is after how long an instance that does not follow the owner any
-	// more is left out; it does so every 100 ms.
+	// peerTimeout is the time after the last poll of an instance at which it is removed;
+	// instances poll the owner every 100 ms.
 	peerSilence = 2500 * time.Millisecond
-	// orderQueue bounds the orders that wait for the stream of one relay.
+	// orderQueueLength bounds the orders that wait for the stream of one relay.
 	orderQueue = 512
 )
 
-// relays gives the orders of an owner to workers through the instances in the
-// workers' failure domains. An owner of hundreds of workers could not carry a
-// thousand HTTP calls a second beside its decisions, and small instances have
-// processors to spare; the way is no longer than the direct one. What a relay
-// does not answer goes to the worker directly.
+// relays sends an owner's orders to workers through the instances in the workers'
+// failure domains. An owner of hundreds of workers could not make a thousand HTTP calls a
+// second besides scheduling, while small instances have spare processor time, and the
+// path through a relay adds no distance. An order that a relay does not answer is sent
+// to the worker directly.
 type relays struct {
 	self   string
 	direct Workers
@@ -56,7 +56,7 @@
 
 	mu      sync.Mutex
 	nextID  uint64
-	pending map[uint64]chan *entry.RelayOutcome // closed without an outcome if the relay is lost
+	pending map[uint64]chan *entry.RelayOutcome // by order ID; closed without an outcome if the relay is lost
 	heardAt time.Time
 }
 
@@ -67,14 +67,14 @@
 	}
 }
 
-// see notes that an instance is there.
+// observePeer records that an instance is alive.
 func (r *relays) see(p entry.Peer, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.peers[p.Instance] = seenPeer{Peer: p, seenAt: now}
 }
 
-// address returns where an instance is reached.
+// address returns the address of an instance.
 func (r *relays) address(name string) (string, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -82,7 +82,7 @@
 	return p.Address, known
 }
 
-// run keeps a stream to every instance that follows this owner, until ctx ends.
+// run maintains a stream to every instance that polls this owner, until ctx ends.
 func (r *relays) run(ctx context.Context) {
 	started := make(map[string]bool)
 	for ctx.Err() == nil {
@@ -96,7 +96,7 @@
 	}
 }
 
-// present returns the instances that follow this owner.
+// livePeers returns the instances that poll this owner, and removes the others.
 func (r *relays) present(now time.Time) []entry.Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -111,7 +111,8 @@
 	return list
 }
 
-// keep opens the stream to an instance again and again while it is there.
+// maintainStream keeps the stream to an instance open, and reopens it while the instance
+// is alive.
 func (r *relays) keep(ctx context.Context, name string) {
 	for ctx.Err() == nil {
 		r.mu.RLock()
@@ -152,9 +153,9 @@
 	}
 }
 
-// choose returns the relay for a worker, or nil if there is none in its failure
-// domain. Each worker keeps its relay while that lives, so that few connections to
-// workers are needed.
+// selectRelay returns the relay for a worker, or nil if there is none in its failure
+// domain. Rendezvous hashing keeps each worker on the same relay while that is alive,
+// which limits the number of connections to workers.
 func (r *relays) choose(to schedule.Target, now time.Time) *relay {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -171,8 +172,8 @@
 	return best
 }
 
-// give passes an order to the relay of a worker. sent is false if the order
-// surely was not passed on; an outcome of nil says that the relay was lost.
+// send passes an order to the relay of a worker. sent is false if the order was
+// certainly not passed on; a nil outcome means that the relay was lost or ctx ended.
 func (r *relays) give(ctx context.Context, to schedule.Target, fence int64, order schedule.Effect) (outcome *entry.RelayOutcome, sent bool) {
 	now := time.Now()
 	l := r.choose(to, now)
@@ -193,8 +194,8 @@
 	}
 }
 
-// Hold implements Workers. A report that was lost with its relay is asked for
-// again: a hold that is carried out twice changes nothing.
+// Hold implements Workers. A hold whose relay was lost is sent directly, which is safe
+// because holds are idempotent.
 func (r *relays) Hold(ctx context.Context, fence int64, h schedule.Hold) schedule.HoldDone {
 	sentAt := time.Now()
 	outcome, _ := r.give(ctx, h.Target, fence, h)
@@ -228,8 +229,8 @@
 	return giveDirectly(ctx, sent, func() schedule.Verdict { return r.direct.Stop(ctx, fence, s) })
 }
 
-// giveDirectly gives an order after a relay did not take it or was lost with
-// it. A refusal then proves nothing, since the relay may still give the order.
+// sendDirectly sends an order that no relay took or whose relay was lost. If a relay was
+// lost, a refusal is inconclusive, since the relay may still deliver the order.
 func giveDirectly(ctx context.Context, sent bool, direct func() schedule.Verdict) schedule.Verdict {
 	if sent && ctx.Err() != nil {
 		return schedule.Unclear
@@ -241,7 +242,8 @@
 	return v
 }
 
-// enqueue passes an order to the stream.
+// enqueue queues an order for the stream; ok is false if the stream is closed or its
+// queue is full.
 func (l *relay) enqueue(o *entry.RelayOrder) (id uint64, answer <-chan *entry.RelayOutcome, ok bool) {
 	waiting := make(chan *entry.RelayOutcome, 1)
 	l.mu.Lock()
@@ -266,7 +268,7 @@
 	delete(l.pending, id)
 }
 
-// take passes outcomes to those who wait for them.
+// deliverOutcomes passes outcomes to the goroutines that wait for them.
 func (l *relay) take(outcomes []entry.RelayOutcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -285,13 +287,13 @@
 	return now.Sub(l.heardAt) <= relaySilence
 }
 
-// watch asks for signs of life, and gives up the orders of a silent relay until
-// it is heard again.
+// monitor requests heartbeats, and fails the pending orders of an unresponsive relay at
+// each interval until it responds again.
 func (l *relay) watch(ctx context.Context) error {
 	for {
 		select {
 		case l.orders <- nil:
-		default: // the stream is busy, or does not move
+		default: // the queue of the stream is full
 		}
 		pause(ctx, relayPing)
 		if ctx.Err() != nil {
@@ -303,7 +305,7 @@
 	}
 }
 
-// giveUp tells all who wait that no outcome comes.
+// failPending fails all pending orders without an outcome and drops the queued ones.
 func (l *relay) giveUp() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -313,14 +315,14 @@
 	}
 	for {
 		select {
-		case <-l.orders: // not sent yet; given another way by those who waited
+		case <-l.orders: // not sent yet; its waiting caller sends it directly
 		default:
 			return
 		}
 	}
 }
 
-// close gives up all orders and takes no further ones.
+// close fails all pending orders and accepts no further ones.
 func (l *relay) close() {
 	l.giveUp()
 	l.mu.Lock()
--- a/instance/relay_test.go
+++ b/instance/relay_test.go
@@ -12,7 +12,7 @@
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
 
-// fakeWorkers answers every order alike and counts them.
+// fakeWorkers answers every order with the same verdict and counts them.
 type fakeWorkers struct {
 	verdict schedule.Verdict
 	orders  int
@@ -33,10 +33,10 @@
 	return w.verdict
 }
 
-// fakeRelay is the far end of a stream.
+// fakeRelay is the remote end of a relay stream.
 type fakeRelay struct {
-	silent  atomic.Bool // answers nothing, not even a request for a sign of life
-	loses   bool        // answers no orders
+	silent  atomic.Bool // answers nothing, not even heartbeat requests
+	loses   bool        // answers heartbeat requests but no orders
 	ends    chan struct{}
 	orders  int
 	verdict schedule.Verdict
@@ -70,10 +70,9 @@
 	}
 }
 
-// TestRelays guards against an order that is lost, or a refusal that is believed
-// though the order may still be carried out, when the instance that gives it for
-// the owner is silent or ends, and against orders that take a long way for no
-// reason.
+// TestRelays guards against a lost order, and against a refusal that is taken as
+// conclusive although the order may still be carried out, when the relaying instance is
+// unresponsive or exits. It also guards against orders that are relayed without need.
 func TestRelays(t *testing.T) {
 	near := schedule.Target{Worker: "w1", FailureDomain: "near"}
 	const orderTime = 2 * time.Second
@@ -85,12 +84,12 @@
 		endsIn  time.Duration // of the relay, after the order; 0 for never
 		want    schedule.Verdict
 		relayed int
-		given   int // directly
+		given   int // orders sent directly
 		within  time.Duration
 	}{
 		{name: "through the relay", relay: &fakeRelay{verdict: schedule.NoRoom}, to: near, want: schedule.NoRoom, relayed: 1},
 		{name: "no relay in the domain", relay: &fakeRelay{}, to: schedule.Target{Worker: "w1", FailureDomain: "far"}, want: schedule.Accepted, given: 1},
-		{name: "silent from the start", relay: silentRelay(), to: near, want: schedule.Accepted, given: 1},
+		{name: "unresponsive from the start", relay: silentRelay(), to: near, want: schedule.Accepted, given: 1},
 		{name: "loses the order and ends", relay: &fakeRelay{loses: true}, to: near, endsIn: 100 * time.Millisecond, want: schedule.Accepted, relayed: 1, given: 1, within: 100 * time.Millisecond},
 		{name: "loses the order and ends, refused directly", relay: &fakeRelay{loses: true}, to: near, direct: schedule.NoRoom, endsIn: 100 * time.Millisecond, want: schedule.Unclear, relayed: 1, given: 1, within: 100 * time.Millisecond},
 		{name: "no answer from the worker", relay: &fakeRelay{loses: true}, to: near, want: schedule.Unclear, relayed: 1, within: orderTime},
@@ -115,7 +114,7 @@
 				began := time.Now()
 				v := r.Start(call, 1, schedule.Start{Target: c.to})
 				if took := time.Since(began); v != c.want || took != c.within || c.relay.orders != c.relayed || direct.orders != c.given {
-					t.Errorf("%s after %s, %d relayed, %d given directly; want %s after %s, %d, %d", v, took, c.relay.orders, direct.orders, c.want, c.within, c.relayed, c.given)
+					t.Errorf("%s after %s, %d relayed, %d sent directly; want %s after %s, %d, %d", v, took, c.relay.orders, direct.orders, c.want, c.within, c.relayed, c.given)
 				}
 				cancel()
 				synctest.Wait()
@@ -124,8 +123,8 @@
 	}
 }
 
-// TestRelayFallsSilent guards against reports that wait for a frozen instance
-// until their time is up.
+// TestRelayFallsSilent guards against a hold that waits for a frozen relay until its own
+// timeout.
 func TestRelayFallsSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		direct, far := &fakeWorkers{}, &fakeRelay{loses: true}
@@ -142,7 +141,7 @@
 		began := time.Now()
 		done := r.Hold(call, 1, schedule.Hold{Target: schedule.Target{Worker: "w1", FailureDomain: "near"}})
 		if took := time.Since(began); done.Verdict != schedule.Accepted || direct.orders != 1 || took > relaySilence+2*relayPing {
-			t.Errorf("%s after %s, %d given directly; want a report from the worker within %s", done.Verdict, took, direct.orders, relaySilence+2*relayPing)
+			t.Errorf("%s after %s, %d sent directly; want a report from the worker within %s", done.Verdict, took, direct.orders, relaySilence+2*relayPing)
 		}
 		cancel()
 		synctest.Wait()
--- a/instance/resend.go
+++ b/instance/resend.go
@@ -8,18 +8,17 @@
 )
 
 const (
-	// resendAfter is several times what a worker in another region takes to
-	// answer, 25 ms.
+	// resendAfter is several times the 25 ms in which a worker in another region
+	// answers.
 	resendAfter = 140 * time.Millisecond
-	// maxOrders bounds the copies of an order that are under way.
+	// maxOrderCopies bounds how often one order is sent.
 	maxOrders = 3
 )
 
-// sendOrder gives an order to a worker and gives it again, another way, while no
-// answer comes.
-// Copies of an order have the same run number: a worker that has carried one out
-// accepts the next, and refuses those that arrive after the run has ended. A
-// refusal proves nothing while an earlier copy may still be carried out.
+// sendOrder sends an order to a worker, and sends it again over another path while there
+// is no response. Copies of an order have the same run number: a worker that has carried
+// one out accepts further copies, and refuses those that arrive after the run has ended.
+// A refusal is inconclusive while an earlier copy may still be carried out.
 func sendOrder(ctx context.Context, give, giveAgain func(context.Context) schedule.Verdict) schedule.Verdict {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/instance/resend_test.go
+++ b/instance/resend_test.go
@@ -10,9 +10,9 @@
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
 
-// TestSendOrder guards against a lost answer that delays a start by the whole
-// time-out, and against a refusal that is believed while an earlier copy of the
-// order may still be carried out.
+// TestSendOrder guards against a lost response that delays a start by the whole timeout,
+// and against a refusal that is taken as conclusive while an earlier copy of the order
+// may still be carried out.
 func TestSendOrder(t *testing.T) {
 	type try = func(context.Context) schedule.Verdict
 	lost := func(ctx context.Context) schedule.Verdict { <-ctx.Done(); return schedule.Unclear }
@@ -35,10 +35,10 @@
 		{"accepted", []try{after(20*time.Millisecond, schedule.Accepted)}, schedule.Accepted, 20 * time.Millisecond},
 		{"refused", []try{after(20*time.Millisecond, schedule.NoRoom)}, schedule.NoRoom, 20 * time.Millisecond},
 		{"no connection", []try{after(20*time.Millisecond, schedule.NotSent)}, schedule.NotSent, 20 * time.Millisecond},
-		{"first answer lost", []try{lost, after(20*time.Millisecond, schedule.Accepted)}, schedule.Accepted, resendAfter + 20*time.Millisecond},
+		{"first response lost", []try{lost, after(20*time.Millisecond, schedule.Accepted)}, schedule.Accepted, resendAfter + 20*time.Millisecond},
 		{"lost, then refused", []try{lost, after(20*time.Millisecond, schedule.TicketRejected), after(20*time.Millisecond, schedule.TicketRejected)}, schedule.Unclear, 700 * time.Millisecond},
 		{"lost, then fenced", []try{lost, after(20*time.Millisecond, schedule.Fenced)}, schedule.Fenced, resendAfter + 20*time.Millisecond},
-		{"silent", []try{lost, lost, lost}, schedule.Unclear, 700 * time.Millisecond},
+		{"no response", []try{lost, lost, lost}, schedule.Unclear, 700 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/instance/sweep.go
+++ b/instance/sweep.go
@@ -10,19 +10,18 @@
 )
 
 const (
-	// finalRetention is how long callers may ask for a job that has ended; the
-	// platform asks for two minutes.
+	// finalRetention is how long the final state of an ended job is available to callers;
+	// the platform requires two minutes.
 	finalRetention = 10 * time.Minute
-	// retentionInterval separates looks for records that are too old. One look
-	// reads every final record, a few pages of the store.
+	// recordSweepInterval is the time between sweeps for expired records. A sweep reads
+	// every final record, a few pages of the store.
 	retentionInterval = 5 * time.Minute
 	// sweepBatch is the number of records that one transaction removes.
 	sweepBatch  = 30
 	sweepBudget = 30 * time.Second
 )
 
-// sweepRegularly removes records that nobody asks for any more, while this
-// instance is the owner.
+// sweepPeriodically removes expired records while this instance is the owner.
 func (i *Instance) sweepRegularly(ctx context.Context, ownership int64) {
 	for {
 		pause(ctx, retentionInterval)
@@ -32,12 +31,12 @@
 		call, cancel := context.WithTimeout(ctx, sweepBudget)
 		removed, err := sweepRecords(call, i.cfg.Store, ownership, time.Now())
 		cancel()
-		i.storeTrouble("remove old records", err)
-		i.cfg.Journal.Event("old records removed", "records", removed)
+		i.storeTrouble("remove expired records", err)
+		i.cfg.Journal.Event("expired records removed", "records", removed)
 	}
 }
 
-// sweepRecords removes final records that are older than their retention, and
+// sweepRecords removes final records that are older than finalRetention, and
 // cancellations whose job has ended. It returns how many it removed.
 func sweepRecords(ctx context.Context, s store.Store, ownership int64, now time.Time) (int, error) {
 	old, err := oldRecords(ctx, s, now)
@@ -66,7 +65,7 @@
 	for _, kv := range finals {
 		final, err := job.Decode[job.Final](kv.Value)
 		if err != nil || now.Sub(final.FinishedAt) > finalRetention {
-			old = append(old, kv.Key) // nobody can be answered from a record that cannot be read
+			old = append(old, kv.Key) // a record that cannot be decoded is of no use
 		}
 	}
 	inbox, _, err := s.List(ctx, inboxPrefix)
--- a/instance/view.go
+++ b/instance/view.go
@@ -13,17 +13,18 @@
 )
 
 const (
-	// viewAge is how old the owner's view may be to be told to callers as the
-	// present; they may be told counts that are two seconds old.
+	// maxViewAge is the age up to which the owner's view is reported to callers as
+	// current; callers may receive counts that are up to two seconds old.
 	viewAge = 1500 * time.Millisecond
-	// endedKept is how long an ended job is answered from memory.
+	// endedRetention is how long the state of an ended job is answered from memory.
 	endedKept = 30 * time.Second
-	// sweepInterval separates looks for ended jobs to forget.
+	// sweepInterval is the time between removals of expired ended jobs from memory.
 	sweepInterval = 5 * time.Second
 )
 
-// ownerView is this instance's copy of what callers may know of the owner's
-// state. One goroutine follows the owner; callers' goroutines read.
+// ownerView is this instance's cache of the owner's job states, queue lengths and
+// admission limits. One goroutine polls the owner and updates it; request goroutines
+// read it.
 type ownerView struct {
 	mu        sync.RWMutex
 	epoch     int64
@@ -31,8 +32,8 @@
 	heardAt   time.Time
 	jobs      map[job.ID]seenStatus
 	waiting   map[string]int
-	share     map[string]float64 // part of a team's submissions to accept
-	submitted map[string]int     // jobs handed in since the last report, by team
+	share     map[string]float64 // fraction of a team's submissions to admit
+	submitted map[string]int     // jobs submitted since the last poll, by team
 	sweptAt   time.Time
 }
 
@@ -45,7 +46,7 @@
 	return &ownerView{jobs: make(map[job.ID]seenStatus), submitted: make(map[string]int)}
 }
 
-// take merges what the owner told.
+// merge applies a view that was received from the owner.
 func (v *ownerView) take(view *schedule.View, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -54,7 +55,7 @@
 	}
 	for _, s := range view.Changes {
 		if old, known := v.jobs[s.Job]; known && old.State.IsFinal() {
-			continue // an end is recorded and stays
+			continue // a final state is recorded and does not change
 		}
 		v.jobs[s.Job] = seenStatus{Status: s, at: now}
 	}
@@ -63,8 +64,9 @@
 	v.sweep(now)
 }
 
-// dropOpen forgets the jobs that have not ended: another owner lists those that
-// it knows. One that was accepted just now may not have reached it.
+// dropUnfinished removes the jobs that have not ended before a full view is merged: a new
+// owner lists every job that is known to it. A job that was accepted within maxViewAge is
+// kept, since it may not have reached the owner yet.
 func (v *ownerView) dropOpen(now time.Time) {
 	for id, s := range v.jobs {
 		if !s.State.IsFinal() && now.Sub(s.at) > viewAge {
@@ -85,9 +87,9 @@
 	}
 }
 
-// status returns the last state that was heard of a job. While the owner is not
-// heard no job ends, so that an old state is still the best that is known, and
-// asking an owner that is behind would only delay it more.
+// status returns the last reported state of a job, however old it is. No job ends while
+// the owner is unreachable, so the cached state is still the best available, and querying
+// an overloaded owner would only delay it further.
 func (v *ownerView) status(id job.ID) (schedule.Status, bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
@@ -95,7 +97,7 @@
 	return s.Status, known
 }
 
-// accepted notes a job that this instance has just accepted.
+// addAccepted adds a job that this instance has just accepted.
 func (v *ownerView) accepted(j *job.Job, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -110,7 +112,7 @@
 	return v.waiting[queue], now.Sub(v.heardAt) <= viewAge
 }
 
-// admit counts a submission and reports whether it should be accepted.
+// admit counts a submission and reports whether it should be admitted.
 func (v *ownerView) admit(team string, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -119,7 +121,7 @@
 	return !limited || now.Sub(v.heardAt) > viewAge || rand.Float64() < share
 }
 
-// report returns the question to the owner and begins a new count.
+// nextPoll returns the next request to the owner and resets the submission counts.
 func (v *ownerView) report(name string) cell.Follow {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -128,7 +130,7 @@
 	return f
 }
 
-// followView keeps the view up to date, from whichever instance is the owner.
+// followView polls the current owner and updates the view until ctx ends.
 func (i *Instance) followView(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if view := i.askView(ctx); view != nil {
@@ -150,7 +152,7 @@
 	if s.Owner.Instance == i.cfg.Name {
 		reply, err := i.loop.Ask(ctx, question)
 		if err != nil {
-			return nil // the control goroutine is behind; the next look comes soon
+			return nil // the control goroutine is overloaded; the next poll follows soon
 		}
 		return reply.View
 	}
