job: describe queues, steps and records in the usual terms

Reword comments and the messages of invalid jobs.

Values added to messages: the negative interval; the requested resources; the estimate, anti-affinity limit and limit of unavailable tasks.

--- a/job/catalog.go
+++ b/job/catalog.go
@@ -8,24 +8,24 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// AdvicePolicy says that only some workers may run a step of a queue, and that
-// an advice service names them.
+// AdvicePolicy restricts the steps of a queue to the workers for which an advice service
+// issues tickets, and describes the cost of its calls.
 type AdvicePolicy struct {
-	Base      time.Duration // of one call
-	PerWorker time.Duration // on top, for each worker named in a call
-	Valid     time.Duration // how long a ticket may be used
+	Base      time.Duration // duration of one call
+	PerWorker time.Duration // additional duration for each worker named in a call
+	Valid     time.Duration // validity of a ticket
 }
 
-// Queue is one queue of the operators' configuration.
+// Queue is a queue in the operators' configuration.
 type Queue struct {
 	Name        string
 	Host        string
 	Prefix      string
 	Service     string // whose workers run the tasks
 	Priority    int    // 0 is the most urgent
-	MaxAttempts int    // failed runs of a task before its job fails
+	MaxAttempts int    // number of failed runs of a task after which its job fails
 	Stretch     float64
-	Target      time.Duration // allowance on top of the stretched run time
+	Target      time.Duration // allowance on top of the run time times Stretch
 	Advice      *AdvicePolicy // nil: every worker of the service may run the steps
 	Open        bool          // callers need no key
 }
@@ -33,29 +33,29 @@
 // Service is a pool of workers.
 type Service struct {
 	Name           string
-	GuardsCapacity bool // its workers refuse what does not fit
-	IsSpare        bool // its machines are off
+	GuardsCapacity bool // its workers reject tasks that exceed their capacity
+	IsSpare        bool // its machines are powered off
 }
 
-// Team is one customer with its keys, share and upper limit.
+// Team is a customer with its API keys, fair-share weight and resource limit.
 type Team struct {
 	Name   string
 	Weight float64
-	Limit  task.Resources // of what runs on all workers; 0 for no limit
+	Limit  task.Resources // of the running tasks on all workers; 0 for no limit
 	Keys   []KeyDigest
 }
 
-// KeyDigest is the SHA-256 of a key. Keys themselves are not kept.
+// KeyDigest is the SHA-256 digest of an API key. The keys themselves are not stored.
 type KeyDigest [sha256.Size]byte
 
-// DigestKey returns the digest under which a key is looked up.
+// DigestKey returns the digest of a key.
 func DigestKey(secret string) KeyDigest { return sha256.Sum256([]byte(secret)) }
 
-// Catalog is one version of the operators' configuration. It does not change.
+// Catalog is an immutable version of the operators' configuration.
 type Catalog struct {
 	Version      int64
 	Revision     int64 // of the store when it was read
-	MaxBodyBytes int64 // of one call of a caller
+	MaxBodyBytes int64 // of one caller request
 
 	queues   map[string]*Queue
 	byHost   map[string][]*Queue
@@ -64,8 +64,7 @@
 	keys     map[KeyDigest]*Team
 }
 
-// NewCatalog returns a catalog. Later entries with the name of an earlier one
-// replace it.
+// NewCatalog returns a catalog. An entry replaces an earlier one with the same name.
 func NewCatalog(version, revision int64, queues []Queue, services []Service, teams []Team) *Catalog {
 	c := &Catalog{
 		Version:  version,
@@ -94,7 +93,8 @@
 	return c
 }
 
-// Route finds the queue with the longest prefix of path at a host.
+// Route returns the queue of a host with the longest matching path prefix, and the rest
+// of the path.
 func (c *Catalog) Route(host, path string) (q *Queue, rest string, found bool) {
 	for _, candidate := range c.byHost[host] {
 		if strings.HasPrefix(path, candidate.Prefix) && (q == nil || len(candidate.Prefix) > len(q.Prefix)) {
--- a/job/job.go
+++ b/job/job.go
@@ -1,7 +1,6 @@
 package job
 
 import (
-	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -10,8 +9,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// ID names a job in the whole fleet. The caller chooses it, so that a repeated
-// submission has the same ID.
+// ID identifies a job across the whole fleet. The caller chooses it, which makes
+// submissions idempotent.
 type ID string
 
 // idLength is the length of an ID in hexadecimal digits.
@@ -30,27 +29,27 @@
 	return true
 }
 
-// Step is one stage of a job: a number of equal tasks.
+// Step is one stage of a job, consisting of identical tasks.
 type Step struct {
 	Count           int            `json:"n"`
 	Size            task.Resources `json:"r"`            // of each task
 	Estimate        time.Duration  `json:"e,omitempty"`  // run time that the caller expects
 	After           []int          `json:"a,omitempty"`  // steps whose tasks must all have succeeded
-	Gang            bool           `json:"g,omitempty"`  // tasks start together or not at all
+	Gang            bool           `json:"g,omitempty"`  // gang scheduling: tasks start together or not at all
 	SameRack        bool           `json:"sr,omitempty"` // tasks slow down when spread over racks
 	Needs           string         `json:"nl,omitempty"` // label that the worker must have
 	Affinity        string         `json:"af,omitempty"` // rack that holds the data
-	AntiAffinity    int            `json:"aa,omitempty"` // most tasks of the step on one worker; 0 for no limit
+	AntiAffinity    int            `json:"aa,omitempty"` // maximum tasks of the step on one worker; 0 for no limit
 	Checkpoints     bool           `json:"cp,omitempty"`
 	AllowDuplicates bool           `json:"ad,omitempty"`
-	LongLived       bool           `json:"ll,omitempty"` // restarted however its tasks end, until cancelled
-	Fills           bool           `json:"fi,omitempty"` // its processors do not count against a worker
-	Image           string         `json:"im,omitempty"` // what the tasks run; tasks of one image behave alike
-	Target          time.Duration  `json:"ta,omitempty"` // bound on the tail of response times of long-lived tasks
-	MaxUnavailable  int            `json:"mu,omitempty"` // tasks that the scheduler may take away at a time
+	LongLived       bool           `json:"ll,omitempty"` // tasks are restarted regardless of how they end, until the job is cancelled
+	Fills           bool           `json:"fi,omitempty"` // backfill: its CPU does not count against a worker's capacity
+	Image           string         `json:"im,omitempty"` // image that the tasks run; tasks of the same image behave alike
+	Target          time.Duration  `json:"ta,omitempty"` // upper bound on the tail latency of long-lived tasks
+	MaxUnavailable  int            `json:"mu,omitempty"` // maximum number of tasks that the scheduler may preempt at a time
 }
 
-// Job is accepted work. It does not change after it was accepted.
+// Job is an accepted job. It is immutable.
 type Job struct {
 	ID         ID            `json:"id"`
 	Queue      string        `json:"q"`
@@ -63,8 +62,8 @@
 	AcceptedAt time.Time     `json:"at"`           // wall clock of the accepting instance
 }
 
-// Bounds of a job. They keep one record far below the largest value that the
-// store takes and the owner's work for one job bounded.
+// Limits of a job. They keep its record far below the store's limit on values and bound
+// the owner's work for one job.
 const (
 	MaxSpecBytes   = 4000
 	MaxSteps       = 64
@@ -72,10 +71,10 @@
 	MaxOccurrences = 10_000
 )
 
-// Occurrences returns how often the steps run.
+// Occurrences returns how many times the steps run.
 func (j *Job) Occurrences() int { return max(1, j.Repeats) }
 
-// DueAt returns when an occurrence may start; zero for at once.
+// DueAt returns the earliest start time of an occurrence; zero for immediately.
 func (j *Job) DueAt(occurrence int) time.Time {
 	if j.Repeats == 0 {
 		return time.Time{}
@@ -83,8 +82,8 @@
 	return j.FirstAt.Add(time.Duration(occurrence) * j.Interval)
 }
 
-// Same reports whether two submissions ask for the same work, apart from when
-// they arrived.
+// Same reports whether two submissions request the same work, regardless of when they
+// were accepted.
 func (j *Job) Same(o *Job) bool {
 	if j.Queue != o.Queue || j.Team != o.Team || j.Spec != o.Spec || len(j.Steps) != len(o.Steps) {
 		return false
@@ -98,7 +97,7 @@
 	return j.Repeats == o.Repeats && j.FirstAt.Equal(o.FirstAt) && j.Interval == o.Interval
 }
 
-// Check returns what makes a job impossible to schedule, or nil.
+// Check validates the job. It returns the first violation, or nil.
 func (j *Job) Check() error {
 	if !j.ID.Valid() {
 		return fmt.Errorf("the job ID is not %d lower-case hexadecimal digits", idLength)
@@ -113,7 +112,7 @@
 		return fmt.Errorf("the job has %d occurrences, 0 to %d are allowed", j.Repeats, MaxOccurrences)
 	}
 	if j.Interval < 0 {
-		return errors.New("the interval between occurrences is negative")
+		return fmt.Errorf("the interval between occurrences is negative: %s", j.Interval)
 	}
 	total := 0
 	for i := range j.Steps {
@@ -133,37 +132,38 @@
 	case s.Count < 1 || s.Count > MaxTasks:
 		return fmt.Errorf("step %d has %d tasks, 1 to %d are allowed", index, s.Count, MaxTasks)
 	case s.Size.HasNegative():
-		return fmt.Errorf("step %d asks for a negative amount", index)
+		return fmt.Errorf("step %d requests a negative amount of a resource: %s", index, s.Size)
 	case s.Estimate < 0 || s.AntiAffinity < 0 || s.MaxUnavailable < 0:
-		return fmt.Errorf("step %d has a negative bound", index)
+		return fmt.Errorf("step %d has a negative run time estimate (%s), anti-affinity limit (%d) or limit of unavailable tasks (%d)",
+			index, s.Estimate, s.AntiAffinity, s.MaxUnavailable)
 	}
 	for _, earlier := range s.After {
 		if earlier < 0 || earlier >= index {
-			return fmt.Errorf("step %d waits for step %d, which is not an earlier one", index, earlier)
+			return fmt.Errorf("step %d depends on step %d, which is not an earlier step", index, earlier)
 		}
 	}
 	return nil
 }
 
-// StepKey names one step of one occurrence of a job.
+// StepKey identifies one step of one occurrence of a job.
 type StepKey struct {
 	Job        ID
 	Occurrence int
 	Step       int
 }
 
-// String returns the name as workers and the advice service know it.
+// String returns the name of the step that workers and the advice service use.
 func (k StepKey) String() string {
 	return string(k.Job) + "." + strconv.Itoa(k.Occurrence) + "." + strconv.Itoa(k.Step)
 }
 
-// TaskKey names one task.
+// TaskKey identifies one task.
 type TaskKey struct {
 	StepKey
 	Index int
 }
 
-// String returns the name as workers know it.
+// String returns the name of the task that workers use.
 func (k TaskKey) String() string { return k.StepKey.String() + "." + strconv.Itoa(k.Index) }
 
 // ParseTaskKey is the inverse of TaskKey.String.
@@ -176,14 +176,14 @@
 	for i, part := range parts[1:] {
 		n, err := strconv.Atoi(part)
 		if err != nil || n < 0 {
-			return TaskKey{}, fmt.Errorf("task name %q: %q is not a number", name, part)
+			return TaskKey{}, fmt.Errorf("task name %q: %q is not a non-negative integer", name, part)
 		}
 		numbers[i] = n
 	}
 	return TaskKey{StepKey: StepKey{Job: ID(parts[0]), Occurrence: numbers[0], Step: numbers[1]}, Index: numbers[2]}, nil
 }
 
-// State is the state of a job as callers see it.
+// State is the state of a job as reported to callers.
 type State string
 
 // The states of a job.
@@ -191,9 +191,9 @@
 	Pending   State = "pending"   // no task has started
 	Running   State = "running"   // a task has started
 	Completed State = "completed" // all tasks succeeded
-	Failed    State = "failed"    // a task or a gang failed as often as its queue allows
+	Failed    State = "failed"    // a task or a gang reached the maximum number of failed runs of its queue
 	Cancelled State = "cancelled"
 )
 
-// IsFinal reports whether a job in state s changes no more.
+// IsFinal reports whether s is a terminal state.
 func (s State) IsFinal() bool { return s == Completed || s == Failed || s == Cancelled }
--- a/job/record.go
+++ b/job/record.go
@@ -6,20 +6,20 @@
 	"time"
 )
 
-// Progress is what is recorded of an unfinished job: the tasks that succeeded
-// and the runs that failed. Everything else is learned again from the workers.
+// Progress is the record of an unfinished job: the tasks that succeeded and the runs that
+// failed. Everything else is recovered from the workers' reports.
 type Progress struct {
 	Started bool                `json:"s,omitempty"`
 	Done    map[string][]int    `json:"d,omitempty"` // indexes by "occurrence.step"
 	Failed  map[string]Failures `json:"f,omitempty"` // by "occurrence.step.index", or "occurrence.step" for a gang
 }
 
-// Failures are the numbers of the failed runs of a task or a gang. A worker lists
-// an end until it was confirmed, also to the next owner, and workers answer in
-// any order: only the set of runs tells which ends are counted already.
+// Failures are the numbers of the failed runs of a task or a gang. They are a set and not
+// a count, since a worker reports an ended run until it is acknowledged, also to the next
+// owner, and reports arrive in any order: the set shows which runs are already counted.
 type Failures []int
 
-// Final is what is kept of a finished job until callers may have forgotten it.
+// Final is the record of an ended job, kept until its retention period has passed.
 type Final struct {
 	State      State     `json:"st"`
 	Queue      string    `json:"q"`
@@ -27,7 +27,7 @@
 	FinishedAt time.Time `json:"at"` // wall clock of the owner
 }
 
-// Encode returns a record as it is stored.
+// Encode returns the stored form of a record.
 func Encode(record any) ([]byte, error) {
 	b, err := json.Marshal(record)
 	if err != nil {
@@ -36,7 +36,7 @@
 	return b, nil
 }
 
-// Decode reads a record that Encode wrote.
+// Decode decodes a record that was encoded by Encode.
 func Decode[T any](b []byte) (*T, error) {
 	record := new(T)
 	if err := json.Unmarshal(b, record); err != nil {
