--- a/task/doc.go
+++ b/task/doc.go
@@ -1,4 +1,4 @@
-// Package task defines the nouns that every other package shares: resources,
-// specifications of work, task and attempt identities, and outcomes. It holds
-// no policy and imports nothing of the project.
+// Package task defines the types that the other packages share: resources, job
+// specifications, task and attempt identities, and outcomes. It contains no policy and
+// imports no other package of this module.
 package task
--- a/task/resources.go
+++ b/task/resources.go
@@ -2,13 +2,13 @@
 
 import "fmt"
 
-// Resources is an amount of every resource that a worker offers.
+// Resources is an amount of each resource that a worker provides.
 type Resources struct {
-	CPUMilli     int64 `json:"cpu_milli,omitempty"`    // thousandths of a processor
-	MemoryMB     int64 `json:"memory_mb,omitempty"`    // megabytes of 2^20 bytes
+	CPUMilli     int64 `json:"cpu_milli,omitempty"`    // thousandths of a CPU core
+	MemoryMB     int64 `json:"memory_mb,omitempty"`    // units of 2^20 bytes
 	Accelerators int64 `json:"accelerators,omitempty"` // whole devices
-	Slots        int64 `json:"slots,omitempty"`        // tasks that run at once
-	Connections  int64 `json:"connections,omitempty"`  // connections a task may hold open
+	Slots        int64 `json:"slots,omitempty"`        // concurrently running tasks
+	Connections  int64 `json:"connections,omitempty"`  // open connections
 }
 
 // Add returns the sum of r and o.
@@ -22,7 +22,7 @@
 	}
 }
 
-// Sub returns r less o. The result may have negative amounts.
+// Sub returns r minus o. The result may have negative amounts.
 func (r Resources) Sub(o Resources) Resources {
 	return r.Add(o.Scale(-1))
 }
@@ -38,7 +38,7 @@
 	}
 }
 
-// Fits reports whether r is at most free in every resource.
+// Fits reports whether r is at most free for every resource.
 func (r Resources) Fits(free Resources) bool {
 	return r.CPUMilli <= free.CPUMilli &&
 		r.MemoryMB <= free.MemoryMB &&
@@ -77,9 +77,9 @@
 	return r.CPUMilli < 0 || r.MemoryMB < 0 || r.Accelerators < 0 || r.Slots < 0 || r.Connections < 0
 }
 
-// DominantShare returns the largest fraction that r takes of any resource in
-// total. Connections are left out: they bound a worker but are not a resource
-// that teams compete for.
+// DominantShare returns the largest fraction that r takes of any resource in total.
+// Connections are excluded: they limit a worker but are not a resource that teams compete
+// for.
 func (r Resources) DominantShare(total Resources) float64 {
 	share := 0.0
 	share = max(share, fraction(r.CPUMilli, total.CPUMilli))
@@ -96,7 +96,7 @@
 	return float64(part) / float64(whole)
 }
 
-// String lists the amounts in a fixed order.
+// String returns the amounts in a fixed order.
 func (r Resources) String() string {
 	return fmt.Sprintf("cpu=%dm mem=%dMB acc=%d slots=%d conns=%d",
 		r.CPUMilli, r.MemoryMB, r.Accelerators, r.Slots, r.Connections)
