errkind: reword the descriptions of the error kinds

Rename two tests after the failure that they guard against: TestUnknownOutcomesAreNotReportedAsNotRun and TestEveryKindIsComplete.

--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -1,6 +1,6 @@
-// Package errkind holds the closed list of error kinds and the one table from
-// a kind to what each peer is told: HTTP status, exit code, retry advice and
-// whether the work ran.
+// Package errkind defines the closed set of error kinds and maps each kind to the
+// response that peers receive: HTTP status, exit code, retry advice and whether the work
+// ran.
 package errkind
 
 import (
@@ -9,10 +9,10 @@
 	"time"
 )
 
-// Kind is the stable name of a kind of error. Callers may rely on it.
+// Kind is the stable name of an error kind. Callers may rely on it.
 type Kind string
 
-// The closed list of kinds.
+// The closed set of kinds.
 const (
 	InvalidRequest      Kind = "invalid_request"
 	RequestTooLarge     Kind = "request_too_large"
@@ -46,31 +46,31 @@
 	Internal            Kind = "internal"
 )
 
-// Fate says whether the work of a request ran.
+// Fate states whether the work of a request ran.
 type Fate string
 
-// The fates that an answer states.
+// The fates.
 const (
-	FateNotRun  Fate = "not_run" // proved not run, and will not run for this request
-	FateRun     Fate = "run"     // ran, at least in part
-	FateUnknown Fate = "unknown" // may have run; we will not repeat it
+	FateNotRun  Fate = "not_run" // proven not to have run, and will not run for this request
+	FateRun     Fate = "run"     // ran, at least partially
+	FateUnknown Fate = "unknown" // may have run; will not be retried by the platform
 )
 
-// Advice tells a caller what to do next.
+// Advice tells a caller how to react to an error.
 type Advice string
 
-// The advices.
+// The advice values.
 const (
-	AdviceDoNotRetry Advice = "do_not_retry" // the same request fails again
-	AdviceRetry      Advice = "retry"        // retry after the hint, any entry instance
-	AdviceAsk        Advice = "ask"          // ask for the status with the same idempotency key
+	AdviceDoNotRetry Advice = "do_not_retry" // the same request would fail again
+	AdviceRetry      Advice = "retry"        // retry after the retry hint, at any entry instance
+	AdviceAsk        Advice = "ask"          // query the status with the same idempotency key
 )
 
-// Answer is a row of the table.
+// Answer is the response to a kind of error.
 type Answer struct {
 	Status   int    // HTTP status
 	ExitCode int    // of mulberryctl
-	Advice   Advice // what the caller should do
+	Advice   Advice // how the caller should react
 	Fate     Fate   // whether the work ran
 }
 
@@ -116,8 +116,8 @@
 	return kinds
 }
 
-// AnswerFor returns the row of kind k. A kind outside the list is answered as
-// Internal, so that no unknown text is ever taken for "not run".
+// AnswerFor returns the response to kind k. A kind outside the set is treated as Internal,
+// so that an unknown kind is never reported as "not run".
 func AnswerFor(k Kind) Answer {
 	if a, ok := table[k]; ok {
 		return a
@@ -125,14 +125,14 @@
 	return table[Internal]
 }
 
-// Error is an error that a peer is told.
+// Error is an error that is reported to a peer.
 type Error struct {
 	Kind       Kind          `json:"kind"`
 	Message    string        `json:"message"`
-	Field      string        `json:"field,omitempty"`       // field at fault, where one is
-	Limit      string        `json:"limit,omitempty"`       // what is allowed, with its unit
-	RetryAfter time.Duration `json:"retry_after,omitempty"` // earliest useful retry
-	FateIs     Fate          `json:"fate,omitempty"`        // overrides the table where the fate is known better
+	Field      string        `json:"field,omitempty"`       // invalid field, if any
+	Limit      string        `json:"limit,omitempty"`       // allowed range or value, with its unit
+	RetryAfter time.Duration `json:"retry_after,omitempty"` // earliest time for a retry to be useful
+	FateIs     Fate          `json:"fate,omitempty"`        // overrides the fate of the kind if it is known more precisely
 }
 
 // New returns an error of kind k.
@@ -148,7 +148,7 @@
 	return fmt.Sprintf("%s: %s", e.Kind, e.Message)
 }
 
-// Fate returns whether the work ran, as far as is known.
+// Fate returns FateIs, or the fate of the kind if FateIs is empty.
 func (e *Error) Fate() Fate {
 	if e.FateIs != "" {
 		return e.FateIs
@@ -156,7 +156,7 @@
 	return AnswerFor(e.Kind).Fate
 }
 
-// WithField returns a copy of e that names the field at fault and its limit.
+// WithField returns a copy of e that names the invalid field and its limit.
 func (e *Error) WithField(field, limit string) *Error {
 	c := *e
 	c.Field, c.Limit = field, limit
@@ -170,7 +170,7 @@
 	return &c
 }
 
-// WithFate returns a copy of e whose fate is f whatever the table says.
+// WithFate returns a copy of e with fate f, overriding the fate of its kind.
 func (e *Error) WithFate(f Fate) *Error {
 	c := *e
 	c.FateIs = f
--- a/errkind/errkind_test.go
+++ b/errkind/errkind_test.go
@@ -6,12 +6,12 @@
 	"testing"
 )
 
-// TestFatesAreNeverOptimistic guards against an error outside the list, or one
-// whose outcome is open, being answered as "not run".
-func TestFatesAreNeverOptimistic(t *testing.T) {
+// TestUnknownOutcomesAreNotReportedAsNotRun guards against an unknown kind, or a kind with
+// an unknown outcome, being reported as "not run".
+func TestUnknownOutcomesAreNotReportedAsNotRun(t *testing.T) {
 	for _, k := range []Kind{"no_such_kind", Internal, OutcomeUnknown, WorkerLost, UnknownTask} {
 		if got := AnswerFor(k).Fate; got == FateNotRun {
-			t.Errorf("AnswerFor(%q).Fate = %q", k, got)
+			t.Errorf("AnswerFor(%q).Fate = %q, want another fate", k, got)
 		}
 	}
 	if got := From(errors.New("connection reset")).Fate(); got != FateUnknown {
@@ -19,20 +19,21 @@
 	}
 }
 
-// TestEveryRowIsComplete guards against a kind without a status or an exit code.
-func TestEveryRowIsComplete(t *testing.T) {
+// TestEveryKindIsComplete guards against a kind without a status, exit code, advice, fate
+// or description.
+func TestEveryKindIsComplete(t *testing.T) {
 	for _, k := range Kinds() {
 		a := AnswerFor(k)
 		if a.Status == 0 || a.ExitCode == 0 || a.Advice == "" || a.Fate == "" {
-			t.Errorf("row of %q is incomplete: %+v", k, a)
+			t.Errorf("response of kind %q is incomplete: %+v", k, a)
 		}
 		if meanings[k] == "" {
-			t.Errorf("kind %q has no meaning in the reference", k)
+			t.Errorf("kind %q has no description in the reference", k)
 		}
 	}
 }
 
-// TestFromFindsWrappedError guards against the kind being lost by wrapping.
+// TestFromFindsWrappedError guards against the loss of the kind of a wrapped error.
 func TestFromFindsWrappedError(t *testing.T) {
 	err := fmt.Errorf("submit: %w", New(QueueFull, "queue of team a is full"))
 	if got := From(err).Kind; got != QueueFull {
