cell: rename unexported names to the terms of the field

For example drain to applyQueued, act to runDueWork, decline to declineOwnership, early to earlySubmissions, heardAt to syncedAt, record to ownershipRevision, called to handleRequest and, in the tests, bench to harness and own to becomeOwner.

--- a/cell/loop.go
+++ b/cell/loop.go
@@ -13,20 +13,20 @@
 // is full, so that overload slows traffic down and not the control goroutine.
 const eventQueueLength = 4096
 
-// callQueueLength bounds the waiting requests; their callers time out within a
+// requestQueueLength bounds the waiting requests; their callers time out within a
 // second.
-const callQueueLength = 256
+const requestQueueLength = 256
 
 // Loop owns a State: only the goroutine in Run accesses it.
 type Loop struct {
 	state    *State
 	events   chan Event
-	calls    chan Event // requests, which have lower priority than events
+	requests chan Event // requests, which have lower priority than events
 	snapshot atomic.Pointer[Snapshot]
 	execute  func(Effect)
 
-	tokens  atomic.Uint64
-	waiting sync.Map // token to chan Reply, of the callers that wait for a reply
+	tokens         atomic.Uint64
+	waitingCallers sync.Map // token to chan Reply, of the callers that wait for a reply
 
 	applyTime metrics.Histogram
 }
@@ -39,7 +39,7 @@
 		sampleSize  = 1028
 		sampleDecay = 0.015
 	)
-	l := &Loop{state: state, events: make(chan Event, eventQueueLength), calls: make(chan Event, callQueueLength), execute: execute}
+	l := &Loop{state: state, events: make(chan Event, eventQueueLength), requests: make(chan Event, requestQueueLength), execute: execute}
 	l.applyTime = metrics.NewRegisteredHistogram("control.apply_us", registry, metrics.NewExpDecaySample(sampleSize, sampleDecay))
 	l.snapshot.Store(state.Snapshot())
 	return l
@@ -60,13 +60,13 @@
 }
 
 // Ask sends a request to the control goroutine and waits for the reply.
-func (l *Loop) Ask(ctx context.Context, question any) (Reply, error) {
+func (l *Loop) Ask(ctx context.Context, request any) (Reply, error) {
 	token := l.tokens.Add(1)
 	replies := make(chan Reply, 1)
-	l.waiting.Store(token, replies)
-	defer l.waiting.Delete(token)
+	l.waitingCallers.Store(token, replies)
+	defer l.waitingCallers.Delete(token)
 	select {
-	case l.calls <- Called{Token: token, Question: question}:
+	case l.requests <- Called{Token: token, Question: request}:
 	case <-ctx.Done():
 		return Reply{}, ctx.Err()
 	}
@@ -86,12 +86,12 @@
 		select {
 		case e := <-l.events:
 			l.apply(e)
-			l.drain()
-		case e := <-l.calls:
-			if _, wanted := l.waiting.Load(e.(Called).Token); wanted {
+			l.applyQueued()
+		case e := <-l.requests:
+			if _, wanted := l.waitingCallers.Load(e.(Called).Token); wanted {
 				l.apply(e)
 			}
-			l.drain()
+			l.applyQueued()
 		case <-timer.C:
 			l.apply(Tick{})
 			timer.Reset(l.tickInterval())
@@ -101,9 +101,9 @@
 	}
 }
 
-// drain applies all queued events before the next request, so that responses of
+// applyQueued applies all queued events before the next request, so that responses of
 // workers and the store are not delayed by a burst of requests.
-func (l *Loop) drain() {
+func (l *Loop) applyQueued() {
 	for {
 		select {
 		case e := <-l.events:
@@ -143,7 +143,7 @@
 }
 
 func (l *Loop) deliver(a Answer) {
-	if waiting, ok := l.waiting.LoadAndDelete(a.Token); ok {
-		waiting.(chan Reply) <- a.Reply
+	if replies, ok := l.waitingCallers.LoadAndDelete(a.Token); ok {
+		replies.(chan Reply) <- a.Reply
 	}
 }
--- a/cell/state.go
+++ b/cell/state.go
@@ -82,7 +82,7 @@
 	changed bool
 
 	catalog  *job.Catalog
-	heardAt  time.Time
+	syncedAt time.Time
 	stopping bool
 
 	owner         Owner
@@ -92,15 +92,15 @@
 	campaignAt    time.Time
 	mostCores     float64 // highest core count of any instance
 
-	role      role
-	record    int64 // revision of this instance's ownership record; the fencing token of its orders
-	lease     int64
-	sequences [schedule.CommitLanes]int64 // revisions of the sequence records
-	readAt    int64
-	renewAt   time.Time
-	tickAt    time.Time
-	core      *schedule.Core
-	early     []Submission // received during recovery
+	role              role
+	ownershipRevision int64 // revision of this instance's ownership record; the fencing token of its orders
+	lease             int64
+	sequences         [schedule.CommitLanes]int64 // revisions of the sequence records
+	recoveryRevision  int64
+	renewAt           time.Time
+	tickAt            time.Time
+	core              *schedule.Core
+	earlySubmissions  []Submission // received during recovery
 }
 
 // New returns the initial state of an instance.
@@ -113,9 +113,9 @@
 		s.core.Begin(now, wall)
 	}
 	s.apply(e)
-	s.act()
+	s.runDueWork()
 	if s.core != nil {
-		s.takeEffects()
+		s.collectCoreEffects()
 	}
 	out := s.effects
 	s.effects = nil
@@ -126,14 +126,14 @@
 	switch e := e.(type) {
 	case Tick:
 	case CatalogRead:
-		s.readCatalog(e.Catalog)
+		s.setCatalog(e.Catalog)
 	case StoreHeard:
-		if e.At.After(s.heardAt) {
-			s.heardAt = e.At
+		if e.At.After(s.syncedAt) {
+			s.syncedAt = e.At
 			s.changed = true
 		}
 	case OwnerSeen:
-		s.ownerSeen(e)
+		s.observeOwner(e)
 	case CampaignDone:
 		s.campaignDone(e)
 	case Recovered:
@@ -149,13 +149,13 @@
 			s.core.Directory(e.Workers)
 		}
 	case JobsSeen:
-		s.jobsSeen(e)
+		s.observeJobs(e)
 	case Scheduled:
-		if s.core != nil && e.Owner == s.record {
-			s.scheduled(e.Event)
+		if s.core != nil && e.Owner == s.ownershipRevision {
+			s.applyOutcome(e.Event)
 		}
 	case Called:
-		s.called(e)
+		s.handleRequest(e)
 	case Forgotten:
 	case Stopping:
 		s.stopping = true
@@ -164,24 +164,24 @@
 			s.core.StopPlacing()
 		}
 		if s.role == recovering {
-			s.decline()
+			s.declineOwnership()
 		}
 	}
 }
 
-// decline resigns an ownership that was won while this instance is shutting down.
+// declineOwnership resigns an ownership that was won while this instance is shutting down.
 // Resigning only after recovery would leave the cluster without an owner for a
 // second.
-func (s *State) decline() {
+func (s *State) declineOwnership() {
 	s.role = resigning
-	s.early = nil
-	s.log("ownership_declined", "fence", s.record, "why", "planned_stop")
-	s.emit(Resign{Owner: s.record, Lease: s.lease})
-	s.emit(Abandon{Owner: s.record})
+	s.earlySubmissions = nil
+	s.log("ownership_declined", "fence", s.ownershipRevision, "why", "planned_stop")
+	s.emit(Resign{Owner: s.ownershipRevision, Lease: s.lease})
+	s.emit(Abandon{Owner: s.ownershipRevision})
 }
 
-// act performs the work that is due in the current state and at the current time.
-func (s *State) act() {
+// runDueWork performs the work that is due in the current state and at the current time.
+func (s *State) runDueWork() {
 	switch s.role {
 	case follower:
 		s.maybeCampaign()
@@ -198,12 +198,12 @@
 	}
 	if s.stopping && s.role == owning && s.core.Idle() {
 		s.role = resigning
-		s.emit(Resign{Owner: s.record, Lease: s.lease})
+		s.emit(Resign{Owner: s.ownershipRevision, Lease: s.lease})
 		s.dropCore("planned_stop")
 	}
 }
 
-func (s *State) readCatalog(c *job.Catalog) {
+func (s *State) setCatalog(c *job.Catalog) {
 	if s.catalog != nil && c.Revision <= s.catalog.Revision {
 		return
 	}
@@ -215,9 +215,9 @@
 	}
 }
 
-// ownerSeen processes a reading of the ownership record. Every record has a higher
+// observeOwner processes a reading of the ownership record. Every record has a higher
 // revision than the one before, so that stale readings are recognized and ignored.
-func (s *State) ownerSeen(e OwnerSeen) {
+func (s *State) observeOwner(e OwnerSeen) {
 	s.mostCores = max(s.mostCores, e.MostCores)
 	if s.cfg.Cores > s.mostCores {
 		s.emit(RecordCores{Cores: s.cfg.Cores})
@@ -230,7 +230,7 @@
 	}
 	s.ownerKnown, s.ownerFound, s.owner, s.ownerRevision = true, e.Found, e.Owner, e.Revision
 	s.changed = true
-	if s.isMine() && e.Revision > s.record && (!e.Found || e.Owner != s.cfg.Self) {
+	if s.holdsOwnership() && e.Revision > s.ownershipRevision && (!e.Found || e.Owner != s.cfg.Self) {
 		s.stepDown("record_replaced")
 	}
 	if !e.Found {
@@ -238,16 +238,16 @@
 	}
 }
 
-func (s *State) isMine() bool { return s.role == recovering || s.role == owning }
+func (s *State) holdsOwnership() bool { return s.role == recovering || s.role == owning }
 
 // campaignDelay spreads the instances over the campaign slots, in an order that
 // differs between takeovers, so that most of them observe the new record before
 // their slot.
 func (s *State) campaignDelay(revision int64) time.Duration {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(s.cfg.Self.Instance)) // a hash never fails
-	_, _ = h.Write([]byte{byte(revision), byte(revision >> 8)})
-	delay := time.Duration(int(h.Sum32()>>4)%s.cfg.CampaignSlots) * s.cfg.CampaignStep
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(s.cfg.Self.Instance)) // a hash never fails
+	_, _ = hash.Write([]byte{byte(revision), byte(revision >> 8)})
+	delay := time.Duration(int(hash.Sum32()>>4)%s.cfg.CampaignSlots) * s.cfg.CampaignStep
 	if s.isSmall() {
 		delay += s.cfg.SmallDelay
 	}
@@ -258,11 +258,11 @@
 // The owner schedules for all workers of the partition, and a small instance is too
 // slow for that in a large fleet.
 func (s *State) isSmall() bool {
-	const clearly = 0.9 // fraction of the highest core count
+	const minCoreRatio = 0.9 // fraction of the highest core count
 	if s.mostCores == 0 {
 		return s.cfg.Cores > 0 // no instance has recorded its cores yet
 	}
-	return s.cfg.Cores < clearly*s.mostCores
+	return s.cfg.Cores < minCoreRatio*s.mostCores
 }
 
 func (s *State) maybeCampaign() {
@@ -282,9 +282,9 @@
 		s.campaignAt = s.now.Add(s.cfg.CampaignRetry)
 		return
 	}
-	s.role, s.record, s.lease = recovering, e.Revision, e.Lease
+	s.role, s.ownershipRevision, s.lease = recovering, e.Revision, e.Lease
 	if s.stopping {
-		s.decline()
+		s.declineOwnership()
 		return
 	}
 	s.ownerKnown, s.ownerFound, s.owner, s.ownerRevision = true, true, s.cfg.Self, e.Revision
@@ -295,43 +295,43 @@
 }
 
 func (s *State) recovered(e Recovered) {
-	if s.role != recovering || e.Revision != s.record {
+	if s.role != recovering || e.Revision != s.ownershipRevision {
 		return
 	}
-	r := e.State
-	s.role, s.sequences, s.readAt = owning, r.Sequences, r.ReadAt
-	s.core = schedule.New(s.now, s.cfg.Schedule, s.record, s.catalog, r.Roster)
+	recovery := e.State
+	s.role, s.sequences, s.recoveryRevision = owning, recovery.Sequences, recovery.ReadAt
+	s.core = schedule.New(s.now, s.cfg.Schedule, s.ownershipRevision, s.catalog, recovery.Roster)
 	s.core.Begin(s.now, s.wall)
 	if s.stopping {
 		s.core.StopPlacing()
 	}
 	s.core.SeeLane(s.cfg.Self.Instance)
-	for _, k := range r.Jobs {
-		s.core.Inherit(k)
+	for _, known := range recovery.Jobs {
+		s.core.Inherit(known)
 	}
-	for _, early := range s.early {
-		s.acceptNew(early)
+	for _, submitted := range s.earlySubmissions {
+		s.acceptNew(submitted)
 	}
-	s.early = nil
-	s.core.Directory(r.Workers)
+	s.earlySubmissions = nil
+	s.core.Directory(recovery.Workers)
 	s.changed = true
-	s.log("ownership_ready", "fence", s.record, "jobs", len(r.Jobs), "workers", len(r.Workers), "roster", len(r.Roster))
+	s.log("ownership_ready", "fence", s.ownershipRevision, "jobs", len(recovery.Jobs), "workers", len(recovery.Workers), "roster", len(recovery.Roster))
 }
 
 // acceptNew accepts a job that was recorded after the recovery of this owner. An
 // earlier job that is unknown has ended under a former owner.
-func (s *State) acceptNew(n Submission) {
-	if n.Revision > s.readAt {
-		s.core.Accept(n.Job)
+func (s *State) acceptNew(submitted Submission) {
+	if submitted.Revision > s.recoveryRevision {
+		s.core.Accept(submitted.Job)
 	}
 }
 
-func (s *State) jobsSeen(e JobsSeen) {
+func (s *State) observeJobs(e JobsSeen) {
 	if s.core == nil {
 		return
 	}
-	for _, n := range e.Jobs {
-		s.acceptNew(n)
+	for _, submitted := range e.Jobs {
+		s.acceptNew(submitted)
 	}
 	for _, id := range e.Cancelled {
 		s.core.Cancel(id, 0)
@@ -339,7 +339,7 @@
 }
 
 func (s *State) committed(e Committed) {
-	if s.core == nil || e.Owner != s.record {
+	if s.core == nil || e.Owner != s.ownershipRevision {
 		return
 	}
 	if e.Lost {
@@ -350,7 +350,7 @@
 	s.core.CommitDone(schedule.CommitDone{Commit: e.Commit})
 }
 
-func (s *State) scheduled(e any) {
+func (s *State) applyOutcome(e any) {
 	switch e := e.(type) {
 	case schedule.HoldDone:
 		if e.Verdict == schedule.Fenced {
@@ -371,59 +371,59 @@
 	}
 }
 
-func (s *State) stepDown(why string) {
-	s.emit(Resign{Owner: s.record, Lease: s.lease})
+func (s *State) stepDown(reason string) {
+	s.emit(Resign{Owner: s.ownershipRevision, Lease: s.lease})
 	s.role = follower
 	s.campaignAt = s.now.Add(s.cfg.CampaignRetry)
 	if s.ownerFound && s.owner == s.cfg.Self {
 		// The watch delivers the record that replaced this one.
 		s.ownerKnown = false
 	}
-	s.dropCore(why)
+	s.dropCore(reason)
 }
 
-func (s *State) dropCore(why string) {
-	s.log("ownership_ended", "fence", s.record, "why", why)
-	s.emit(Abandon{Owner: s.record})
+func (s *State) dropCore(reason string) {
+	s.log("ownership_ended", "fence", s.ownershipRevision, "why", reason)
+	s.emit(Abandon{Owner: s.ownershipRevision})
 	s.core = nil
-	s.early = nil
+	s.earlySubmissions = nil
 	s.changed = true
 }
 
-func (s *State) called(e Called) {
+func (s *State) handleRequest(e Called) {
 	if s.core == nil {
 		if submit, ok := e.Question.(Submit); ok && s.role == recovering {
-			s.early = append(s.early, submit.Submission)
+			s.earlySubmissions = append(s.earlySubmissions, submit.Submission)
 			s.emit(Answer{Token: e.Token, Reply: Reply{Known: true}})
 			return
 		}
 		s.emit(Answer{Token: e.Token, Reply: Reply{NotOwner: true}})
 		return
 	}
-	switch q := e.Question.(type) {
+	switch request := e.Question.(type) {
 	case Submit:
-		s.acceptNew(q.Submission)
+		s.acceptNew(request.Submission)
 		s.emit(Answer{Token: e.Token, Reply: Reply{Known: true}})
 	case StateOf:
-		state, team, queue, known := s.core.StateOf(q.Job)
+		state, team, queue, known := s.core.StateOf(request.Job)
 		s.emit(Answer{Token: e.Token, Reply: Reply{Known: known, State: state, Team: team, Queue: queue}})
 	case Cancel:
-		_, team, queue, _ := s.core.StateOf(q.Job)
-		if isOthers := queue != q.Queue || (q.Team != "" && team != "" && team != q.Team); isOthers || !s.core.Cancel(q.Job, e.Token) {
+		_, team, queue, _ := s.core.StateOf(request.Job)
+		if belongsToOther := queue != request.Queue || (request.Team != "" && team != "" && team != request.Team); belongsToOther || !s.core.Cancel(request.Job, e.Token) {
 			s.emit(Answer{Token: e.Token, Reply: Reply{}})
 		}
 	case Follow:
-		s.core.SeeLane(q.Instance)
-		for team, n := range q.Submitted {
-			s.core.Submitted(team, n)
+		s.core.SeeLane(request.Instance)
+		for team, count := range request.Submitted {
+			s.core.Submitted(team, count)
 		}
-		view := s.core.ViewSince(q.Epoch, q.Since)
+		view := s.core.ViewSince(request.Epoch, request.Since)
 		s.emit(Answer{Token: e.Token, Reply: Reply{Known: true, View: &view}})
 	}
 }
 
-// takeEffects converts the effects of the core to effects of this package.
-func (s *State) takeEffects() {
+// collectCoreEffects converts the effects of the core to effects of this package.
+func (s *State) collectCoreEffects() {
 	for _, e := range s.core.Finish() {
 		switch e := e.(type) {
 		case schedule.Decision:
@@ -431,17 +431,17 @@
 		case schedule.Done:
 			s.emit(Answer{Token: e.Token, Reply: Reply{Known: true, State: job.Cancelled}})
 		case schedule.Commit:
-			s.emit(CommitRecords{Commit: e, Owner: s.record, Sequence: s.sequences[e.Lane]})
+			s.emit(CommitRecords{Commit: e, Owner: s.ownershipRevision, Sequence: s.sequences[e.Lane]})
 		default:
-			s.emit(Order{Fence: s.record, Effect: e})
+			s.emit(Order{Fence: s.ownershipRevision, Effect: e})
 		}
 	}
 }
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
-func (s *State) log(what string, fields ...any) {
-	s.emit(Log{schedule.Decision{What: what, Fields: fields}})
+func (s *State) log(event string, fields ...any) {
+	s.emit(Log{schedule.Decision{What: event, Fields: fields}})
 }
 
 // Took passes the processing time of the last event to the core, which defers
@@ -462,12 +462,12 @@
 // Snapshot returns a copy of the control state for traffic goroutines.
 func (s *State) Snapshot() *Snapshot {
 	snapshot := &Snapshot{
-		Catalog: s.catalog, HeardAt: s.heardAt, Owner: s.owner, OwnerFound: s.ownerFound,
+		Catalog: s.catalog, HeardAt: s.syncedAt, Owner: s.owner, OwnerFound: s.ownerFound,
 		IsOwner: s.core != nil, Stopping: s.stopping,
 	}
-	if !s.heardAt.IsZero() {
-		snapshot.FreshUntil = s.heardAt.Add(s.cfg.Freshness)
-		snapshot.ReadyUntil = s.heardAt.Add(s.cfg.ReadyWithin)
+	if !s.syncedAt.IsZero() {
+		snapshot.FreshUntil = s.syncedAt.Add(s.cfg.Freshness)
+		snapshot.ReadyUntil = s.syncedAt.Add(s.cfg.ReadyWithin)
 	}
 	if s.core != nil {
 		snapshot.Capacity, snapshot.Used = s.core.Room()
--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -9,8 +9,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// bench applies events to a State with a simulated clock.
-type bench struct {
+// harness applies events to a State with a simulated clock.
+type harness struct {
 	t     *testing.T
 	state *State
 	now   time.Time
@@ -18,20 +18,20 @@
 
 var self = Owner{Instance: "e1", Incarnation: "p1", Address: "a1"}
 
-func newBench(t *testing.T) *bench {
-	return &bench{t: t, state: New(DefaultConfig(self, 0.4)), now: time.Unix(1_700_000_000, 0)}
+func newHarness(t *testing.T) *harness {
+	return &harness{t: t, state: New(DefaultConfig(self, 0.4)), now: time.Unix(1_700_000_000, 0)}
 }
 
 func catalog(version, revision int64) *job.Catalog {
 	return job.NewCatalog(version, revision, []job.Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2}}, []job.Service{{Name: "s"}}, nil)
 }
 
-func (b *bench) apply(e Event) []Effect {
-	b.now = b.now.Add(time.Millisecond)
-	return b.state.Apply(b.now, b.now, e)
+func (h *harness) apply(e Event) []Effect {
+	h.now = h.now.Add(time.Millisecond)
+	return h.state.Apply(h.now, h.now, e)
 }
 
-func effect[E Effect](effects []Effect) (found E, ok bool) {
+func findEffect[E Effect](effects []Effect) (found E, ok bool) {
 	for _, e := range effects {
 		if match, is := e.(E); is {
 			return match, true
@@ -40,19 +40,19 @@
 	return found, false
 }
 
-// own makes the instance the owner, with an ownership record of revision 10.
-func (b *bench) own(r Recovery) []Effect {
-	b.t.Helper()
-	b.apply(CatalogRead{catalog(1, 1)})
-	b.apply(OwnerSeen{Revision: 5})
-	b.now = b.now.Add(time.Second)
-	if _, ok := effect[Campaign](b.apply(Tick{})); !ok {
-		b.t.Fatal("no Campaign effect although there is no owner")
+// becomeOwner makes the instance the owner, with an ownership record of revision 10.
+func (h *harness) becomeOwner(recovery Recovery) []Effect {
+	h.t.Helper()
+	h.apply(CatalogRead{catalog(1, 1)})
+	h.apply(OwnerSeen{Revision: 5})
+	h.now = h.now.Add(time.Second)
+	if _, ok := findEffect[Campaign](h.apply(Tick{})); !ok {
+		h.t.Fatal("no Campaign effect although there is no owner")
 	}
-	if recover, ok := effect[Recover](b.apply(CampaignDone{Won: true, Revision: 10, Lease: 3})); !ok || recover.Owner != 10 {
-		b.t.Fatal("no Recover effect for revision 10 after a won campaign")
+	if recover, ok := findEffect[Recover](h.apply(CampaignDone{Won: true, Revision: 10, Lease: 3})); !ok || recover.Owner != 10 {
+		h.t.Fatal("no Recover effect for revision 10 after a won campaign")
 	}
-	return b.apply(Recovered{Revision: 10, State: r})
+	return h.apply(Recovered{Revision: 10, State: recovery})
 }
 
 func worker(id string) schedule.Worker {
@@ -66,10 +66,10 @@
 // TestCatalogNeverGoesBack guards against a stale configuration that replaces a newer
 // one, for example a list result that arrives after watch events.
 func TestCatalogNeverGoesBack(t *testing.T) {
-	b := newBench(t)
-	b.apply(CatalogRead{catalog(7, 70)})
-	b.apply(CatalogRead{catalog(6, 60)})
-	if v := b.state.Snapshot().Catalog.Version; v != 7 {
+	h := newHarness(t)
+	h.apply(CatalogRead{catalog(7, 70)})
+	h.apply(CatalogRead{catalog(6, 60)})
+	if v := h.state.Snapshot().Catalog.Version; v != 7 {
 		t.Errorf("version %d is in force, want 7", v)
 	}
 }
@@ -84,12 +84,12 @@
 		"no configuration": {OwnerSeen{Revision: 5}},
 		"stopping":         {CatalogRead{catalog(1, 1)}, OwnerSeen{Revision: 5}, Stopping{}},
 	} {
-		b := newBench(t)
+		h := newHarness(t)
 		for _, e := range events {
-			b.apply(e)
+			h.apply(e)
 		}
-		b.now = b.now.Add(5 * time.Second)
-		if _, ok := effect[Campaign](b.apply(Tick{})); ok {
+		h.now = h.now.Add(5 * time.Second)
+		if _, ok := findEffect[Campaign](h.apply(Tick{})); ok {
 			t.Errorf("%s: unexpected Campaign effect", name)
 		}
 	}
@@ -107,19 +107,19 @@
 		"sizes are not known":   {0.8, 0, true},
 		"own size is not known": {0, 0, false},
 	} {
-		b := newBench(t)
-		b.state.cfg.Cores = c.cores
-		b.apply(CatalogRead{catalog(1, 1)})
-		effects := b.apply(OwnerSeen{Revision: 5, MostCores: c.most})
-		if _, records := effect[RecordCores](effects); records != (c.cores > c.most) {
+		h := newHarness(t)
+		h.state.cfg.Cores = c.cores
+		h.apply(CatalogRead{catalog(1, 1)})
+		effects := h.apply(OwnerSeen{Revision: 5, MostCores: c.most})
+		if _, records := findEffect[RecordCores](effects); records != (c.cores > c.most) {
 			t.Errorf("%s: RecordCores emitted: %v", name, records)
 		}
-		b.now = b.now.Add(time.Duration(b.state.cfg.CampaignSlots) * b.state.cfg.CampaignStep)
-		if _, campaigns := effect[Campaign](b.apply(Tick{})); campaigns == c.waits {
+		h.now = h.now.Add(time.Duration(h.state.cfg.CampaignSlots) * h.state.cfg.CampaignStep)
+		if _, campaigns := findEffect[Campaign](h.apply(Tick{})); campaigns == c.waits {
 			t.Errorf("%s: campaigns in the slots of the large instances: %v", name, campaigns)
 		}
-		b.now = b.now.Add(b.state.cfg.SmallDelay)
-		if _, campaigns := effect[Campaign](b.apply(Tick{})); campaigns != c.waits {
+		h.now = h.now.Add(h.state.cfg.SmallDelay)
+		if _, campaigns := findEffect[Campaign](h.apply(Tick{})); campaigns != c.waits {
 			t.Errorf("%s: campaigns after the slots of the large instances: %v", name, campaigns)
 		}
 	}
@@ -133,21 +133,21 @@
 		"before the result": {Stopping{}, won},
 		"during recovery":   {won, Stopping{}},
 	} {
-		b := newBench(t)
-		b.apply(CatalogRead{catalog(1, 1)})
-		b.apply(OwnerSeen{Revision: 5})
-		b.now = b.now.Add(time.Second)
-		b.apply(Tick{})
-		b.apply(events[0])
-		effects := b.apply(events[1])
-		if resign, ok := effect[Resign](effects); !ok || resign.Lease != 3 {
+		h := newHarness(t)
+		h.apply(CatalogRead{catalog(1, 1)})
+		h.apply(OwnerSeen{Revision: 5})
+		h.now = h.now.Add(time.Second)
+		h.apply(Tick{})
+		h.apply(events[0])
+		effects := h.apply(events[1])
+		if resign, ok := findEffect[Resign](effects); !ok || resign.Lease != 3 {
 			t.Errorf("%s: ownership record was not resigned", name)
 		}
-		if _, ok := effect[Recover](effects); ok {
+		if _, ok := findEffect[Recover](effects); ok {
 			t.Errorf("%s: recovery was started", name)
 		}
-		b.apply(Recovered{Revision: 10})
-		if b.state.Snapshot().IsOwner {
+		h.apply(Recovered{Revision: 10})
+		if h.state.Snapshot().IsOwner {
 			t.Errorf("%s: instance became the owner", name)
 		}
 	}
@@ -172,10 +172,10 @@
 		"stale reading":         {OwnerSeen{Revision: 9}, false},
 		"own record":            {OwnerSeen{Found: true, Owner: self, Revision: 10}, false},
 	} {
-		b := newBench(t)
-		b.own(Recovery{ReadAt: 20, Workers: []schedule.Worker{worker("w1")}})
-		abandon, ended := effect[Abandon](b.apply(c.event))
-		if ended != c.ends || b.state.Snapshot().IsOwner == c.ends {
+		h := newHarness(t)
+		h.becomeOwner(Recovery{ReadAt: 20, Workers: []schedule.Worker{worker("w1")}})
+		abandon, ended := findEffect[Abandon](h.apply(c.event))
+		if ended != c.ends || h.state.Snapshot().IsOwner == c.ends {
 			t.Errorf("%s: ownership ended: %v, want %v", name, ended, c.ends)
 		}
 		if ended && abandon.Owner != 10 {
@@ -187,15 +187,15 @@
 // TestLateSubmission guards against a job that ended under a former owner and runs
 // again because the accepting instance's submission reaches the new owner late.
 func TestLateSubmission(t *testing.T) {
-	b := newBench(t)
-	b.own(Recovery{ReadAt: 20})
+	h := newHarness(t)
+	h.becomeOwner(Recovery{ReadAt: 20})
 	for _, c := range []struct {
 		id       job.ID
 		revision int64
 		known    bool
 	}{{"00000000000000a1", 19, false}, {"00000000000000a2", 21, true}} {
-		b.apply(Called{Token: 1, Question: Submit{submission(c.id, c.revision)}})
-		answer, ok := effect[Answer](b.apply(Called{Token: 2, Question: StateOf{Job: c.id}}))
+		h.apply(Called{Token: 1, Question: Submit{submission(c.id, c.revision)}})
+		answer, ok := findEffect[Answer](h.apply(Called{Token: 2, Question: StateOf{Job: c.id}}))
 		if !ok || answer.Reply.Known != c.known {
 			t.Errorf("job recorded at %d: known %v, want %v", c.revision, answer.Reply.Known, c.known)
 		}
@@ -205,15 +205,15 @@
 // TestEarlySubmission guards against the loss of a job that is submitted to a new
 // owner during its recovery.
 func TestEarlySubmission(t *testing.T) {
-	b := newBench(t)
-	b.apply(CatalogRead{catalog(1, 1)})
-	b.apply(OwnerSeen{Revision: 5})
-	b.now = b.now.Add(time.Second)
-	b.apply(Tick{})
-	b.apply(CampaignDone{Won: true, Revision: 10, Lease: 3})
-	b.apply(Called{Token: 1, Question: Submit{submission("00000000000000a1", 25)}})
-	b.apply(Recovered{Revision: 10, State: Recovery{ReadAt: 20}})
-	if answer, _ := effect[Answer](b.apply(Called{Token: 2, Question: StateOf{Job: "00000000000000a1"}})); !answer.Reply.Known {
+	h := newHarness(t)
+	h.apply(CatalogRead{catalog(1, 1)})
+	h.apply(OwnerSeen{Revision: 5})
+	h.now = h.now.Add(time.Second)
+	h.apply(Tick{})
+	h.apply(CampaignDone{Won: true, Revision: 10, Lease: 3})
+	h.apply(Called{Token: 1, Question: Submit{submission("00000000000000a1", 25)}})
+	h.apply(Recovered{Revision: 10, State: Recovery{ReadAt: 20}})
+	if answer, _ := findEffect[Answer](h.apply(Called{Token: 2, Question: StateOf{Job: "00000000000000a1"}})); !answer.Reply.Known {
 		t.Error("job submitted during recovery is unknown")
 	}
 }
@@ -221,20 +221,20 @@
 // TestPlannedStop guards against a shutdown that resigns before all commits are done,
 // and against one that does not resign.
 func TestPlannedStop(t *testing.T) {
-	b := newBench(t)
-	effects := b.own(Recovery{ReadAt: 20, Workers: []schedule.Worker{worker("w1")}})
-	commit, ok := effect[CommitRecords](effects)
+	h := newHarness(t)
+	effects := h.becomeOwner(Recovery{ReadAt: 20, Workers: []schedule.Worker{worker("w1")}})
+	commit, ok := findEffect[CommitRecords](effects)
 	for !ok {
-		b.now = b.now.Add(30 * time.Millisecond)
-		commit, ok = effect[CommitRecords](b.apply(Tick{}))
+		h.now = h.now.Add(30 * time.Millisecond)
+		commit, ok = findEffect[CommitRecords](h.apply(Tick{}))
 	}
-	if _, resigned := effect[Resign](b.apply(Stopping{})); resigned {
+	if _, resigned := findEffect[Resign](h.apply(Stopping{})); resigned {
 		t.Error("resigned while a commit was in flight")
 	}
-	if resign, resigned := effect[Resign](b.apply(Committed{Commit: commit.Commit, Owner: 10, Sequence: 21})); !resigned || resign.Lease != 3 {
+	if resign, resigned := findEffect[Resign](h.apply(Committed{Commit: commit.Commit, Owner: 10, Sequence: 21})); !resigned || resign.Lease != 3 {
 		t.Error("did not resign after the last commit")
 	}
-	if b.state.Snapshot().IsOwner {
+	if h.state.Snapshot().IsOwner {
 		t.Error("still the owner")
 	}
 }
@@ -242,15 +242,15 @@
 // TestKeysExpire guards against an instance that keeps accepting API keys while it
 // receives nothing from the store.
 func TestKeysExpire(t *testing.T) {
-	b := newBench(t)
-	b.apply(StoreHeard{At: b.now})
-	s := b.state.Snapshot()
+	h := newHarness(t)
+	h.apply(StoreHeard{At: h.now})
+	s := h.state.Snapshot()
 	const withdrawn = 5 * time.Second // a withdrawn key must be rejected within this time
 	if until := s.FreshUntil.Sub(s.HeardAt); until <= 0 || until+time.Second > withdrawn {
 		t.Errorf("keys are accepted for %s after the last store sync", until)
 	}
-	b.apply(StoreHeard{At: s.HeardAt.Add(-time.Second)})
-	if b.state.Snapshot().HeardAt != s.HeardAt {
+	h.apply(StoreHeard{At: s.HeardAt.Add(-time.Second)})
+	if h.state.Snapshot().HeardAt != s.HeardAt {
 		t.Error("an older StoreHeard moved HeardAt back")
 	}
 }
