--- a/instance/execute.go
+++ b/instance/execute.go
@@ -18,55 +18,55 @@
 	case cell.Campaign:
 		go i.campaign(i.ctx)
 	case cell.Recover:
-		i.owned, i.endOwned = context.WithCancel(i.ctx)
-		go i.recover(i.owned, e.Owner)
-		go i.relays.run(i.owned)
+		i.ownerCtx, i.cancelOwner = context.WithCancel(i.ctx)
+		go i.recover(i.ownerCtx, e.Owner)
+		go i.relays.run(i.ownerCtx)
 	case cell.Renew:
-		go i.renew(i.owned, e.Lease)
+		go i.renew(i.ownerCtx, e.Lease)
 	case cell.Resign:
 		go i.resign(e)
 	case cell.Abandon:
-		if i.endOwned != nil {
-			i.endOwned()
+		if i.cancelOwner != nil {
+			i.cancelOwner()
 		}
 	case cell.RecordCores:
 		go i.recordCores(i.ctx, e.Cores)
 	case cell.CommitRecords:
-		go i.commit(i.owned, e)
+		go i.commit(i.ownerCtx, e)
 	case cell.Order:
-		go i.order(i.owned, e)
+		go i.executeOrder(i.ownerCtx, e)
 	}
 }
 
 // executeOrder makes one call to a worker or to the advice service and posts its outcome.
-func (i *Instance) order(ctx context.Context, e cell.Order) {
+func (i *Instance) executeOrder(ctx context.Context, e cell.Order) {
 	var outcome any
 	switch order := e.Effect.(type) {
 	case schedule.Hold:
-		call, cancel := context.WithTimeout(ctx, i.cfg.Timing.HoldMargin+order.Wait)
-		outcome = i.relays.Hold(call, e.Fence, order)
+		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.HoldMargin+order.Wait)
+		outcome = i.relays.Hold(callCtx, e.Fence, order)
 		cancel()
 	case schedule.Start:
 		i.meters.taskWait.Update(order.Waited.Milliseconds())
-		call, cancel := context.WithTimeout(ctx, i.cfg.Timing.OrderTimeout)
-		outcome = schedule.StartDone{Start: order, Verdict: sendOrder(call,
+		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.OrderTimeout)
+		outcome = schedule.StartDone{Start: order, Verdict: sendOrder(callCtx,
 			func(ctx context.Context) schedule.Verdict { return i.relays.Start(ctx, e.Fence, order) },
 			func(ctx context.Context) schedule.Verdict { return i.cfg.Workers.Start(ctx, e.Fence, order) })}
 		cancel()
 	case schedule.Stop:
-		call, cancel := context.WithTimeout(ctx, i.cfg.Timing.OrderTimeout)
-		outcome = schedule.StopDone{Stop: order, Verdict: sendOrder(call,
+		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.OrderTimeout)
+		outcome = schedule.StopDone{Stop: order, Verdict: sendOrder(callCtx,
 			func(ctx context.Context) schedule.Verdict { return i.relays.Stop(ctx, e.Fence, order) },
 			func(ctx context.Context) schedule.Verdict { return i.cfg.Workers.Stop(ctx, e.Fence, order) })}
 		cancel()
 	case schedule.Ask:
-		outcome = i.ask(ctx, order)
+		outcome = i.requestAdvice(ctx, order)
 	}
 	i.loop.Post(ctx, cell.Scheduled{Owner: e.Fence, Event: outcome})
 }
 
 // requestAdvice calls the advice service, directly or through another instance.
-func (i *Instance) ask(ctx context.Context, order schedule.Ask) schedule.AskDone {
+func (i *Instance) requestAdvice(ctx context.Context, order schedule.Ask) schedule.AskDone {
 	ctx, cancel := context.WithTimeout(ctx, i.cfg.Timing.AdviceTimeout)
 	defer cancel()
 	done := schedule.AskDone{Ask: order}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -95,39 +95,39 @@
 
 // Instance is one entry instance.
 type Instance struct {
-	cfg     Config
-	loop    *cell.Loop
-	peers   *entry.Client
-	accepts chan *acceptance
-	relays  *relays
+	cfg         Config
+	loop        *cell.Loop
+	peers       *entry.Client
+	submissions chan *pendingSubmission
+	relays      *relays
 
 	view *ownerView
 
-	ctx        context.Context // of all effects
-	owned      context.Context // of effects of the current ownership; set by the control goroutine
-	endOwned   context.CancelFunc
-	resigned   chan struct{} // closed when the ownership record was removed in a graceful shutdown
-	resignOnce sync.Once
-	storeFails atomic.Int32 // consecutive failed writes of submissions
-	unanswered atomic.Int64 // send time of the first unanswered write of a job, Unix nanoseconds; 0 if none
-	probedAt   atomic.Int64 // when a submission was last let through to an unresponsive store, Unix nanoseconds
+	ctx             context.Context // of all effects
+	ownerCtx        context.Context // of effects of the current ownership; set by the control goroutine
+	cancelOwner     context.CancelFunc
+	resigned        chan struct{} // closed when the ownership record was removed in a graceful shutdown
+	resignOnce      sync.Once
+	writeFailures   atomic.Int32 // consecutive failed writes of submissions
+	unansweredSince atomic.Int64 // send time of the first unanswered write of a job, Unix nanoseconds; 0 if none
+	probedAt        atomic.Int64 // when a submission was last let through to an unresponsive store, Unix nanoseconds
 
-	meters    meters
-	troubleMu sync.Mutex
-	trouble   map[string]storeFailures // by call, to limit log lines
+	meters         meters
+	failuresMu     sync.Mutex
+	failuresByCall map[string]storeFailures // by call, to limit log lines
 }
 
 // New returns an instance that is idle until Run.
 func New(cfg Config) *Instance {
 	self := cell.Owner{Instance: cfg.Name, Incarnation: cfg.Incarnation, Address: cfg.Listen}
 	i := &Instance{
-		cfg:      cfg,
-		peers:    entry.NewClient(membership.Member{Instance: cfg.Name}),
-		accepts:  make(chan *acceptance, acceptQueueLength),
-		resigned: make(chan struct{}),
-		view:     newOwnerView(),
-		trouble:  make(map[string]storeFailures),
-		meters:   newMeters(cfg.Metrics),
+		cfg:            cfg,
+		peers:          entry.NewClient(membership.Member{Instance: cfg.Name}),
+		submissions:    make(chan *pendingSubmission, acceptQueueLength),
+		resigned:       make(chan struct{}),
+		view:           newOwnerView(),
+		failuresByCall: make(map[string]storeFailures),
+		meters:         newMeters(cfg.Metrics),
 	}
 	i.relays = newRelays(cfg.Name, cfg.Workers, i.peers, cfg.Journal.Event)
 	i.loop = cell.NewLoop(cell.New(cell.DefaultConfig(self, cfg.Cores)), cfg.Metrics, i.execute)
@@ -154,8 +154,8 @@
 	group.Go(func() error { return i.followCatalog(ctx) })
 	group.Go(func() error { return i.followOwner(ctx) })
 	group.Go(func() error { return i.followView(ctx) })
-	for range acceptors {
-		group.Go(func() error { return i.acceptRegularly(ctx) })
+	for range submissionWriters {
+		group.Go(func() error { return i.recordSubmissions(ctx) })
 	}
 	i.cfg.Journal.Event("instance started", "instance", i.cfg.Name, "incarnation", i.cfg.Incarnation)
 	if err := group.Wait(); err != nil && ctx.Err() == nil {
@@ -195,11 +195,11 @@
 }
 
 // SeeInstance implements entry.CellHandler.
-func (i *Instance) SeeInstance(p entry.Peer) { i.relays.see(p, time.Now()) }
+func (i *Instance) SeeInstance(p entry.Peer) { i.relays.observePeer(p, time.Now()) }
 
 // Answer implements entry.CellHandler.
-func (i *Instance) Answer(ctx context.Context, question any) (cell.Reply, error) {
-	return i.loop.Ask(ctx, question)
+func (i *Instance) Answer(ctx context.Context, request any) (cell.Reply, error) {
+	return i.loop.Ask(ctx, request)
 }
 
 // AskAdvice implements entry.CellHandler.
@@ -223,7 +223,7 @@
 }
 
 // askOwner sends a request to the owner, which may be this instance or another.
-func (i *Instance) askOwner(ctx context.Context, timeout time.Duration, question any) (cell.Reply, error) {
+func (i *Instance) askOwner(ctx context.Context, timeout time.Duration, request any) (cell.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s := i.loop.Snapshot()
@@ -231,8 +231,8 @@
 	case !s.OwnerFound:
 		return cell.Reply{NotOwner: true}, nil
 	case s.Owner.Instance == i.cfg.Name:
-		return i.loop.Ask(ctx, question)
+		return i.loop.Ask(ctx, request)
 	default:
-		return i.peers.Ask(ctx, s.Owner.Address, question)
+		return i.peers.Ask(ctx, s.Owner.Address, request)
 	}
 }
--- a/instance/journal.go
+++ b/instance/journal.go
@@ -13,14 +13,14 @@
 )
 
 const (
-	// journalLength bounds the lines that wait to be written; it holds a burst of two
+	// journalQueueLength bounds the lines that wait to be written; it holds a burst of two
 	// seconds at the peak rate.
-	journalLength = 4096
-	// journalFlush bounds how long a line is buffered. One write for many lines takes
+	journalQueueLength = 4096
+	// journalFlushInterval bounds how long a line is buffered. One write for many lines takes
 	// far less processor time than one write for each.
-	journalFlush = 100 * time.Millisecond
-	// journalBuffer is the size of the write buffer in bytes.
-	journalBuffer = 64 << 10
+	journalFlushInterval = 100 * time.Millisecond
+	// journalBufferSize is the size of the write buffer in bytes.
+	journalBufferSize = 64 << 10
 )
 
 // Journal writes one log line for each decision. It never blocks: when its queue is
@@ -34,23 +34,23 @@
 
 type line struct {
 	at     time.Time
-	what   string
+	event  string
 	fields []any
 }
 
 // NewJournal returns a journal that writes to w while Run runs.
 func NewJournal(w io.Writer, registry metrics.Registry) *Journal {
 	j := &Journal{
-		lines:   make(chan line, journalLength),
+		lines:   make(chan line, journalQueueLength),
 		dropped: metrics.NewRegisteredCounter("log.dropped_count", registry),
-		out:     bufio.NewWriterSize(w, journalBuffer),
+		out:     bufio.NewWriterSize(w, journalBufferSize),
 	}
 	j.logger = log.NewWithOptions(j.out, log.Options{Formatter: log.LogfmtFormatter})
 	return j
 }
 
 // Event records an event other than a decision of the control goroutine.
-func (j *Journal) Event(what string, fields ...any) { j.add(what, fields) }
+func (j *Journal) Event(event string, fields ...any) { j.enqueue(event, fields) }
 
 // Decision records a decision of the control goroutine.
 func (j *Journal) Decision(d schedule.Decision) {
@@ -58,12 +58,12 @@
 	if d.Job != "" {
 		fields = append([]any{"job", string(d.Job)}, fields...)
 	}
-	j.add(d.What, fields)
+	j.enqueue(d.What, fields)
 }
 
-func (j *Journal) add(what string, fields []any) {
+func (j *Journal) enqueue(event string, fields []any) {
 	select {
-	case j.lines <- line{at: time.Now(), what: what, fields: fields}:
+	case j.lines <- line{at: time.Now(), event: event, fields: fields}:
 	default:
 		j.dropped.Inc(1)
 	}
@@ -71,29 +71,29 @@
 
 // Run writes lines until ctx ends, and then the remaining queued lines.
 func (j *Journal) Run(ctx context.Context) error {
-	flush := time.NewTimer(journalFlush)
-	flush.Stop()
-	defer flush.Stop()
+	flushTimer := time.NewTimer(journalFlushInterval)
+	flushTimer.Stop()
+	defer flushTimer.Stop()
 	armed := false
 	for {
 		select {
 		case l := <-j.lines:
 			j.write(l)
 			if !armed {
-				flush.Reset(journalFlush)
+				flushTimer.Reset(journalFlushInterval)
 				armed = true
 			}
-		case <-flush.C:
+		case <-flushTimer.C:
 			armed = false
 			_ = j.out.Flush() // a failure to write the log cannot be reported anywhere
 		case <-ctx.Done():
-			j.drain()
+			j.writeQueued()
 			return nil
 		}
 	}
 }
 
-func (j *Journal) drain() {
+func (j *Journal) writeQueued() {
 	for {
 		select {
 		case l := <-j.lines:
@@ -107,5 +107,5 @@
 
 func (j *Journal) write(l line) {
 	fields := append([]any{"at", l.at.UTC().Format("15:04:05.000")}, l.fields...)
-	j.logger.Info(l.what, fields...)
+	j.logger.Info(l.event, fields...)
 }
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -13,33 +13,33 @@
 
 // ownerFollower posts the ownership record to the control goroutine.
 type ownerFollower struct {
-	ctx  context.Context
-	i    *Instance
-	last cell.OwnerSeen
+	ctx      context.Context
+	instance *Instance
+	last     cell.OwnerSeen
 }
 
 // Listed implements store.Follower.
 func (f *ownerFollower) Listed(kvs []store.KeyValue, revision int64) {
 	f.last = cell.OwnerSeen{Revision: revision, MostCores: f.last.MostCores}
 	for _, kv := range kvs {
-		f.take(kv, false)
+		f.applyRecord(kv, false)
 	}
-	f.i.loop.Post(f.ctx, f.last)
+	f.instance.loop.Post(f.ctx, f.last)
 }
 
 // Changed implements store.Follower. The last record is posted on progress
 // notifications too, since the control state discards it when it steps down.
 func (f *ownerFollower) Changed(b store.WatchBatch) {
 	for _, change := range b.Changes {
-		f.take(change.KeyValue, change.Deleted)
+		f.applyRecord(change.KeyValue, change.Deleted)
 	}
-	f.i.loop.Post(f.ctx, f.last)
+	f.instance.loop.Post(f.ctx, f.last)
 }
 
-func (f *ownerFollower) take(kv store.KeyValue, deleted bool) {
+func (f *ownerFollower) applyRecord(kv store.KeyValue, deleted bool) {
 	switch {
 	case kv.Key == keyCores && !deleted:
-		f.takeCores(kv)
+		f.applyCores(kv)
 		return
 	case kv.Key != keyOwner:
 		return
@@ -49,42 +49,42 @@
 		return
 	}
 	if err := json.Unmarshal(kv.Value, &f.last.Owner); err != nil {
-		f.i.cfg.Journal.Event("ownership record cannot be decoded", "error", err)
+		f.instance.cfg.Journal.Event("ownership record cannot be decoded", "error", err)
 		return
 	}
 	f.last.Found = true
 }
 
-func (f *ownerFollower) takeCores(kv store.KeyValue) {
+func (f *ownerFollower) applyCores(kv store.KeyValue) {
 	var record coresRecord
 	if err := json.Unmarshal(kv.Value, &record); err != nil {
-		f.i.cfg.Journal.Event("core count record cannot be decoded", "error", err)
+		f.instance.cfg.Journal.Event("core count record cannot be decoded", "error", err)
 		return
 	}
 	f.last.MostCores = record.Cores
 }
 
 // Failed implements store.Follower.
-func (f *ownerFollower) Failed(err error) { f.i.storeTrouble("watch ownership", err) }
+func (f *ownerFollower) Failed(err error) { f.instance.logStoreFailure("watch ownership", err) }
 
 func (i *Instance) followOwner(ctx context.Context) error {
-	_ = store.Follow(ctx, i.cfg.Store, keyOwner, &ownerFollower{ctx: ctx, i: i}) // returns only when ctx ends
+	_ = store.Follow(ctx, i.cfg.Store, keyOwner, &ownerFollower{ctx: ctx, instance: i}) // returns only when ctx ends
 	return nil
 }
 
 // recordCores writes the core count of this instance unless a count at least as high
 // is recorded. A failed write is retried at the next reading of the ownership record.
 func (i *Instance) recordCores(ctx context.Context, cores float64) {
-	call, cancel := context.WithTimeout(ctx, campaignTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, campaignTimeout)
 	defer cancel()
 	value, err := job.Encode(coresRecord{Cores: cores})
 	if err != nil {
 		i.cfg.Journal.Event("core count record cannot be encoded", "error", err)
 		return
 	}
-	kv, found, _, err := i.cfg.Store.Get(call, keyCores)
+	kv, found, _, err := i.cfg.Store.Get(callCtx, keyCores)
 	if err != nil {
-		i.storeTrouble("read the core count record", err)
+		i.logStoreFailure("read the core count record", err)
 		return
 	}
 	present := coresRecord{}
@@ -96,28 +96,28 @@
 	if present.Cores >= cores {
 		return
 	}
-	_, err = i.cfg.Store.Commit(call, store.Txn{
+	_, err = i.cfg.Store.Commit(callCtx, store.Txn{
 		Compares: []store.Compare{{Key: keyCores, ModRevision: kv.ModRevision}},
 		Puts:     []store.Put{{Key: keyCores, Value: value}},
 	})
-	i.storeTrouble("write the core count record", err)
+	i.logStoreFailure("write the core count record", err)
 }
 
-func (i *Instance) storeTrouble(call string, err error) {
+func (i *Instance) logStoreFailure(call string, err error) {
 	if err == nil || errors.Is(err, store.ErrNoProgress) {
 		return
 	}
 	now := time.Now()
-	i.troubleMu.Lock()
-	t := i.trouble[call]
-	t.failures++
-	report := now.Sub(t.reportedAt) >= troubleInterval
-	failures := t.failures
+	i.failuresMu.Lock()
+	entry := i.failuresByCall[call]
+	entry.failures++
+	report := now.Sub(entry.reportedAt) >= storeFailureLogInterval
+	failures := entry.failures
 	if report {
-		t = storeFailures{reportedAt: now}
+		entry = storeFailures{reportedAt: now}
 	}
-	i.trouble[call] = t
-	i.troubleMu.Unlock()
+	i.failuresByCall[call] = entry
+	i.failuresMu.Unlock()
 	if report {
 		i.cfg.Journal.Event("store call failed", "call", call, "failures", failures, "error", err)
 	}
@@ -125,7 +125,7 @@
 
 // storeFailureLogInterval limits the log lines on failures of the same call, which are
 // frequent during an outage.
-const troubleInterval = 2 * time.Second
+const storeFailureLogInterval = 2 * time.Second
 
 // storeFailures counts the failures of one call since its last log line.
 type storeFailures struct {
@@ -146,11 +146,11 @@
 func (i *Instance) campaign(ctx context.Context) {
 	result := cell.CampaignDone{}
 	defer func() { i.loop.Post(ctx, result) }()
-	call, cancel := context.WithTimeout(ctx, campaignTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, campaignTimeout)
 	defer cancel()
-	lease, err := i.cfg.Store.Grant(call, i.cfg.Timing.OwnershipTTL)
+	lease, err := i.cfg.Store.Grant(callCtx, i.cfg.Timing.OwnershipTTL)
 	if err != nil {
-		i.storeTrouble("grant a lease", err)
+		i.logStoreFailure("grant a lease", err)
 		return
 	}
 	self, err := job.Encode(cell.Owner{Instance: i.cfg.Name, Incarnation: i.cfg.Incarnation, Address: i.cfg.Listen})
@@ -158,7 +158,7 @@
 		i.cfg.Journal.Event("ownership record cannot be encoded", "error", err)
 		return
 	}
-	done, err := i.cfg.Store.Commit(call, store.Txn{
+	done, err := i.cfg.Store.Commit(callCtx, store.Txn{
 		Compares: []store.Compare{{Key: keyOwner}},
 		Puts:     []store.Put{{Key: keyOwner, Value: self, Lease: lease}},
 	})
@@ -166,56 +166,56 @@
 	case err == nil && done.Succeeded:
 		result = cell.CampaignDone{Won: true, Revision: done.Revision, Lease: lease}
 	case errors.Is(err, store.ErrUnclear):
-		if kv, found, _, err := i.cfg.Store.Get(call, keyOwner); err == nil && found && kv.Lease == lease {
+		if kv, found, _, err := i.cfg.Store.Get(callCtx, keyOwner); err == nil && found && kv.Lease == lease {
 			result = cell.CampaignDone{Won: true, Revision: kv.ModRevision, Lease: lease}
 			return
 		}
 		// The write may still take effect; its record is removed with the lease.
 		i.revoke(ctx, lease)
 	default:
-		i.storeTrouble("campaign", err)
+		i.logStoreFailure("campaign", err)
 		i.revoke(ctx, lease)
 	}
 }
 
 func (i *Instance) revoke(ctx context.Context, lease int64) {
-	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), i.cfg.Timing.ResignTimeout)
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), i.cfg.Timing.ResignTimeout)
 	defer cancel()
-	if err := i.cfg.Store.Revoke(call, lease); err != nil && !errors.Is(err, store.ErrLeaseGone) {
-		i.storeTrouble("revoke a lease", err)
+	if err := i.cfg.Store.Revoke(callCtx, lease); err != nil && !errors.Is(err, store.ErrLeaseGone) {
+		i.logStoreFailure("revoke a lease", err)
 	}
 }
 
 // recover reads the stored state and retries until it succeeds or the ownership ends.
 func (i *Instance) recover(ctx context.Context, ownership int64) {
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, recoverTimeout)
-		r, err := i.readRecovery(call)
+		callCtx, cancel := context.WithTimeout(ctx, recoverTimeout)
+		recovery, err := i.readRecovery(callCtx)
 		cancel()
 		if err == nil {
-			i.loop.Post(ctx, cell.Recovered{Revision: ownership, State: r})
+			i.loop.Post(ctx, cell.Recovered{Revision: ownership, State: recovery})
 			go i.followInbox(ctx)
 			go i.readDirectory(ctx)
-			go i.sweepRegularly(ctx, ownership)
+			go i.sweepPeriodically(ctx, ownership)
 			return
 		}
 		i.cfg.Journal.Event("recovery failed", "fence", ownership, "error", err)
-		pause(ctx, recoverRetry)
+		sleep(ctx, recoverRetry)
 	}
 }
 
 // renew renews the ownership lease. Renewals may overlap, so that a lost one does not
 // delay the next.
 func (i *Instance) renew(ctx context.Context, lease int64) {
-	call, cancel := context.WithTimeout(ctx, i.cfg.Timing.OwnershipTTL)
+	callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.OwnershipTTL)
 	defer cancel()
-	_, err := i.cfg.Store.KeepAlive(call, lease)
+	_, err := i.cfg.Store.KeepAlive(callCtx, lease)
 	if errors.Is(err, store.ErrLeaseGone) {
 		i.loop.Post(ctx, cell.RenewDone{Lease: lease, Gone: true})
 		return
 	}
 	if err != nil && ctx.Err() == nil {
-		i.storeTrouble("renew the ownership lease", err)
+		i.logStoreFailure("renew the ownership lease", err)
 	}
 }
 
@@ -244,25 +244,25 @@
 		return
 	}
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, commitTimeout)
-		result, err := store.CommitHedged(call, i.cfg.Store, txn, commitHedge)
+		callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
+		result, err := store.CommitHedged(callCtx, i.cfg.Store, txn, commitHedge)
 		cancel()
 		switch {
 		case err == nil && result.Succeeded:
 			i.loop.Post(ctx, cell.Committed{Commit: e.Commit, Owner: e.Owner, Sequence: result.Revision})
 			return
 		case err == nil:
-			i.loop.Post(ctx, i.judgeRefused(e, result.Current, value))
+			i.loop.Post(ctx, i.classifyRefusedCommit(e, result.Current, value))
 			return
 		}
-		i.storeTrouble("commit", err)
-		pause(ctx, commitRetry)
+		i.logStoreFailure("commit", err)
+		sleep(ctx, commitRetry)
 	}
 }
 
 // classifyRefusedCommit distinguishes a commit that an earlier attempt has already
 // written from one that is invalid because another instance became the owner.
-func (i *Instance) judgeRefused(e cell.CommitRecords, current []store.KeyValue, value []byte) cell.Committed {
+func (i *Instance) classifyRefusedCommit(e cell.CommitRecords, current []store.KeyValue, value []byte) cell.Committed {
 	done := cell.Committed{Commit: e.Commit, Owner: e.Owner, Lost: true}
 	owned := false
 	for _, kv := range current {
@@ -281,8 +281,8 @@
 
 // inboxFollower posts new jobs and cancellations to the control goroutine.
 type inboxFollower struct {
-	ctx context.Context
-	i   *Instance
+	ctx      context.Context
+	instance *Instance
 }
 
 // Listed implements store.Follower.
@@ -300,30 +300,30 @@
 }
 
 func (f *inboxFollower) post(kvs []store.KeyValue) {
-	jobs, cancelled := f.i.decodeInbox(kvs)
+	jobs, cancelled := f.instance.decodeInbox(kvs)
 	if len(jobs) > 0 || len(cancelled) > 0 {
-		f.i.loop.Post(f.ctx, cell.JobsSeen{Jobs: jobs, Cancelled: cancelled})
+		f.instance.loop.Post(f.ctx, cell.JobsSeen{Jobs: jobs, Cancelled: cancelled})
 	}
 }
 
 // Failed implements store.Follower.
-func (f *inboxFollower) Failed(err error) { f.i.storeTrouble("watch jobs", err) }
+func (f *inboxFollower) Failed(err error) { f.instance.logStoreFailure("watch jobs", err) }
 
 // followInbox watches for jobs and cancellations that other instances recorded but could
 // not send to the owner.
 func (i *Instance) followInbox(ctx context.Context) {
-	_ = store.Follow(ctx, i.cfg.Store, inboxPrefix, &inboxFollower{ctx: ctx, i: i}) // returns only when ctx ends
+	_ = store.Follow(ctx, i.cfg.Store, inboxPrefix, &inboxFollower{ctx: ctx, instance: i}) // returns only when ctx ends
 }
 
 // readDirectory polls the directory of workers until ctx ends.
 func (i *Instance) readDirectory(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, i.cfg.Timing.DirectoryInterval)
-		call, cancel := context.WithTimeout(ctx, i.cfg.Timing.PeerTimeout*2)
-		workers, err := i.cfg.Directory.Workers(call)
+		sleep(ctx, i.cfg.Timing.DirectoryInterval)
+		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.PeerTimeout*2)
+		workers, err := i.cfg.Directory.Workers(callCtx)
 		cancel()
 		if err != nil {
-			i.storeTrouble("read the directory of workers", err)
+			i.logStoreFailure("read the directory of workers", err)
 			continue
 		}
 		i.loop.Post(ctx, cell.DirectoryRead{Workers: workers})
@@ -334,7 +334,7 @@
 // trip to a store in another region, and longer than a slow store usually takes.
 var commitHedge = store.Hedge{After: 220 * time.Millisecond, Most: 4}
 
-func pause(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
--- a/instance/query.go
+++ b/instance/query.go
@@ -15,23 +15,23 @@
 // belongs to, or empty if the queue is open.
 func (i *Instance) State(ctx context.Context, queue, team string, id job.ID) (job.State, error) {
 	if status, known := i.view.status(id); known {
-		return checkOwned(status.State, status.Queue, status.Team, queue, team, id)
+		return checkVisible(status.State, status.Queue, status.Team, queue, team, id)
 	}
 	reply, err := i.askOwner(ctx, i.cfg.Timing.PeerTimeout, cell.StateOf{Job: id})
 	if err != nil {
 		i.cfg.Journal.Event("owner did not answer", "job", string(id), "error", err)
 	}
 	if err == nil && reply.Known {
-		return checkOwned(reply.State, reply.Queue, reply.Team, queue, team, id)
+		return checkVisible(reply.State, reply.Queue, reply.Team, queue, team, id)
 	}
-	record, final, err := i.lookUp(ctx, id)
+	record, final, err := i.readJob(ctx, id)
 	switch {
 	case err != nil:
 		return "", errkind.New(errkind.StoreUnavailable, "neither the owner nor the store answered for job %s", id).WithRetryAfter(retryAfterStore)
 	case final != nil:
-		return checkOwned(final.State, final.Queue, final.Team, queue, team, id)
+		return checkVisible(final.State, final.Queue, final.Team, queue, team, id)
 	case record != nil:
-		return checkOwned(job.Pending, record.Job.Queue, record.Job.Team, queue, team, id)
+		return checkVisible(job.Pending, record.Job.Queue, record.Job.Team, queue, team, id)
 	default:
 		return "", unknownJob(id)
 	}
@@ -42,7 +42,7 @@
 }
 
 // checkVisible reports jobs of other queues and teams as unknown.
-func checkOwned(state job.State, jobQueue, jobTeam, queue, team string, id job.ID) (job.State, error) {
+func checkVisible(state job.State, jobQueue, jobTeam, queue, team string, id job.ID) (job.State, error) {
 	if jobQueue != queue || (team != "" && jobTeam != "" && jobTeam != team) {
 		return "", unknownJob(id)
 	}
@@ -51,7 +51,7 @@
 
 // readJob reads the records of a job. The record of the accepted job is read first: if
 // the job ends between the two reads, the second one finds its final record.
-func (i *Instance) lookUp(ctx context.Context, id job.ID) (*cell.Submission, *job.Final, error) {
+func (i *Instance) readJob(ctx context.Context, id job.ID) (*cell.Submission, *job.Final, error) {
 	kv, found, _, err := i.cfg.Store.Get(ctx, jobKey(id))
 	if err != nil {
 		return nil, nil, err
@@ -84,7 +84,7 @@
 		if settled {
 			return err
 		}
-		pause(ctx, acceptRetry)
+		sleep(ctx, acceptRetry)
 	}
 	return errkind.New(errkind.OutcomeUnknown, "the cancellation of job %s was not confirmed in time", id)
 }
@@ -92,17 +92,17 @@
 // recordCancel writes a cancellation that the owner, or the next one, reads from the
 // store. settled is false if the caller must retry.
 func (i *Instance) recordCancel(ctx context.Context, queue, team string, id job.ID) (settled bool, err error) {
-	record, final, err := i.lookUp(ctx, id)
+	record, final, err := i.readJob(ctx, id)
 	switch {
 	case err != nil:
 		return false, nil // Cancel retries until its deadline
 	case final != nil:
-		_, err := checkOwned(final.State, final.Queue, final.Team, queue, team, id)
+		_, err := checkVisible(final.State, final.Queue, final.Team, queue, team, id)
 		return true, err
 	case record == nil:
 		return true, unknownJob(id)
 	}
-	if _, err := checkOwned(job.Pending, record.Job.Queue, record.Job.Team, queue, team, id); err != nil {
+	if _, err := checkVisible(job.Pending, record.Job.Queue, record.Job.Team, queue, team, id); err != nil {
 		return true, err
 	}
 	result, err := i.cfg.Store.Commit(ctx, store.Txn{
@@ -111,7 +111,7 @@
 	})
 	if err != nil || !result.Succeeded {
 		if err != nil && !errors.Is(err, store.ErrUnavailable) {
-			i.storeTrouble("record a cancellation", err)
+			i.logStoreFailure("record a cancellation", err)
 		}
 		return false, nil
 	}
@@ -121,9 +121,9 @@
 
 // Waiting returns how many accepted jobs of a queue have not started.
 func (i *Instance) Waiting(queue string) (int, error) {
-	n, known := i.view.waitingIn(queue, time.Now())
+	n, known := i.view.queueLength(queue, time.Now())
 	if !known {
-		return 0, errkind.New(errkind.NoOwner, "no queue lengths were received from the owner within %s", viewAge).WithRetryAfter(retryAfterStore)
+		return 0, errkind.New(errkind.NoOwner, "no queue lengths were received from the owner within %s", maxViewAge).WithRetryAfter(retryAfterStore)
 	}
 	return n, nil
 }
--- a/instance/records.go
+++ b/instance/records.go
@@ -94,67 +94,67 @@
 // reads run concurrently, since a slow store answers only a few sequential reads in a
 // second.
 func (i *Instance) readRecovery(ctx context.Context) (cell.Recovery, error) {
-	r := cell.Recovery{}
+	recovery := cell.Recovery{}
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return i.readSequences(ctx, &r) })
-	group.Go(func() error { return i.readJobs(ctx, &r) })
-	group.Go(func() error { return i.readRoster(ctx, &r) })
+	group.Go(func() error { return i.readSequences(ctx, &recovery) })
+	group.Go(func() error { return i.readJobs(ctx, &recovery) })
+	group.Go(func() error { return i.readRoster(ctx, &recovery) })
 	group.Go(func() (err error) {
-		r.Workers, err = i.cfg.Directory.Workers(ctx)
+		recovery.Workers, err = i.cfg.Directory.Workers(ctx)
 		return eris.Wrap(err, "read the directory of workers")
 	})
-	return r, group.Wait()
+	return recovery, group.Wait()
 }
 
-func (i *Instance) readSequences(ctx context.Context, r *cell.Recovery) error {
+func (i *Instance) readSequences(ctx context.Context, recovery *cell.Recovery) error {
 	kvs, _, err := i.cfg.Store.List(ctx, sequencePrefix)
 	if err != nil {
 		return eris.Wrap(err, "read the sequence records")
 	}
 	for _, kv := range kvs {
 		lane, err := strconv.Atoi(strings.TrimPrefix(kv.Key, sequencePrefix))
-		if err != nil || lane < 0 || lane >= len(r.Sequences) {
-			return eris.Errorf("key %s does not end in a commit lane from 0 to %d", kv.Key, len(r.Sequences)-1)
+		if err != nil || lane < 0 || lane >= len(recovery.Sequences) {
+			return eris.Errorf("key %s does not end in a commit lane from 0 to %d", kv.Key, len(recovery.Sequences)-1)
 		}
-		r.Sequences[lane] = kv.ModRevision
+		recovery.Sequences[lane] = kv.ModRevision
 	}
 	return nil
 }
 
-func (i *Instance) readRoster(ctx context.Context, r *cell.Recovery) error {
+func (i *Instance) readRoster(ctx context.Context, recovery *cell.Recovery) error {
 	roster, found, _, err := i.cfg.Store.Get(ctx, keyRoster)
 	if err != nil || !found {
 		return eris.Wrap(err, "read the roster")
 	}
-	return eris.Wrap(json.Unmarshal(roster.Value, &r.Roster), "decode the roster")
+	return eris.Wrap(json.Unmarshal(roster.Value, &recovery.Roster), "decode the roster")
 }
 
-func (i *Instance) readJobs(ctx context.Context, r *cell.Recovery) error {
+func (i *Instance) readJobs(ctx context.Context, recovery *cell.Recovery) error {
 	inbox, revision, err := i.cfg.Store.List(ctx, inboxPrefix)
 	if err != nil {
 		return eris.Wrap(err, "list the jobs")
 	}
-	r.ReadAt = revision
+	recovery.ReadAt = revision
 	// Progress is read after the jobs, so that none is missed for a job in the list.
 	progress, _, err := i.cfg.Store.List(ctx, progressPrefix)
 	if err != nil {
 		return eris.Wrap(err, "list the progress of jobs")
 	}
 	submissions, cancelled := i.decodeInbox(inbox)
-	byJob := make(map[job.ID]*job.Progress, len(progress))
+	progressByJob := make(map[job.ID]*job.Progress, len(progress))
 	for _, kv := range progress {
 		record, err := job.Decode[job.Progress](kv.Value)
 		if err != nil {
 			return eris.Wrapf(err, "key %s", kv.Key)
 		}
-		byJob[job.ID(strings.TrimPrefix(kv.Key, progressPrefix))] = record
+		progressByJob[job.ID(strings.TrimPrefix(kv.Key, progressPrefix))] = record
 	}
 	isCancelled := make(map[job.ID]bool, len(cancelled))
 	for _, id := range cancelled {
 		isCancelled[id] = true
 	}
-	for _, n := range submissions {
-		r.Jobs = append(r.Jobs, schedule.Known{Job: n.Job, Progress: byJob[n.Job.ID], Cancelled: isCancelled[n.Job.ID]})
+	for _, submission := range submissions {
+		recovery.Jobs = append(recovery.Jobs, schedule.Known{Job: submission.Job, Progress: progressByJob[submission.Job.ID], Cancelled: isCancelled[submission.Job.ID]})
 	}
 	return nil
 }
--- a/instance/records_test.go
+++ b/instance/records_test.go
@@ -34,7 +34,7 @@
 func TestSweep(t *testing.T) {
 	s := storetest.NewMemory(storetest.Config{}).Client("e1")
 	now := time.Now()
-	own := mustPut(t, s, keyOwner, cell.Owner{Instance: "e1"})
+	ownership := mustPut(t, s, keyOwner, cell.Owner{Instance: "e1"})
 	for i := range 70 {
 		mustPut(t, s, finalKey(job.ID(fmt.Sprintf("old%d", i))), job.Final{State: job.Completed, FinishedAt: now.Add(-finalRetention - time.Minute)})
 	}
@@ -42,10 +42,10 @@
 	mustPut(t, s, jobKey("open"), job.Job{ID: "open"})
 	mustPut(t, s, cancelKey("open"), struct{}{})
 	mustPut(t, s, cancelKey("ended"), struct{}{})
-	if removed, err := sweepRecords(t.Context(), s, own+1, now); removed != 0 || err != nil {
+	if removed, err := sweepRecords(t.Context(), s, ownership+1, now); removed != 0 || err != nil {
 		t.Errorf("a former owner removed %d records, %v", removed, err)
 	}
-	if removed, err := sweepRecords(t.Context(), s, own, now); removed != 71 || err != nil {
+	if removed, err := sweepRecords(t.Context(), s, ownership, now); removed != 71 || err != nil {
 		t.Errorf("removed %d records, %v; want 71", removed, err)
 	}
 	for key, want := range map[string]bool{finalKey("new"): true, jobKey("open"): true, cancelKey("open"): true, cancelKey("ended"): false, finalKey("old3"): false} {
@@ -57,7 +57,7 @@
 
 func newInstance(s store.Store) *Instance {
 	registry := metrics.NewRegistry()
-	return New(Config{Name: "e1", Incarnation: "p1", Store: s, Metrics: registry, Journal: NewJournal(io.Discard, registry), Timing: DefaultTiming(), Directory: noWorkers{}})
+	return New(Config{Name: "e1", Incarnation: "p1", Store: s, Metrics: registry, Journal: NewJournal(io.Discard, registry), Timing: DefaultTiming(), Directory: emptyDirectory{}})
 }
 
 // TestCommitConditions guards against a commit of a former owner that takes effect,
@@ -66,8 +66,8 @@
 func TestCommitConditions(t *testing.T) {
 	s := storetest.NewMemory(storetest.Config{}).Client("e1")
 	i := newInstance(s)
-	own := mustPut(t, s, keyOwner, cell.Owner{Instance: "e1"})
-	e := cell.CommitRecords{Owner: own, Commit: schedule.Commit{Lane: 2, Changes: []schedule.Change{{Job: "a", Progress: &job.Progress{Started: true}}}}}
+	ownership := mustPut(t, s, keyOwner, cell.Owner{Instance: "e1"})
+	e := cell.CommitRecords{Owner: ownership, Commit: schedule.Commit{Lane: 2, Changes: []schedule.Change{{Job: "a", Progress: &job.Progress{Started: true}}}}}
 	value := func(e cell.CommitRecords) []byte {
 		b, err := job.Encode(sequenceRecord{Owner: "p1", Follows: e.Sequence})
 		if err != nil {
@@ -92,7 +92,7 @@
 		t.Fatal("the first commit was refused")
 	}
 	again := commit(e)
-	if done := i.judgeRefused(e, again.Current, value(e)); again.Succeeded || done.Lost || done.Sequence != first.Revision {
+	if done := i.classifyRefusedCommit(e, again.Current, value(e)); again.Succeeded || done.Lost || done.Sequence != first.Revision {
 		t.Errorf("repeated commit: %+v, classified as %+v", again, done)
 	}
 	next := e
@@ -112,7 +112,7 @@
 	former.Sequence = 0
 	former.Commit.Lane = 1
 	refused := commit(former)
-	if done := i.judgeRefused(former, refused.Current, value(former)); refused.Succeeded || !done.Lost {
+	if done := i.classifyRefusedCommit(former, refused.Current, value(former)); refused.Succeeded || !done.Lost {
 		t.Errorf("commit of a former owner: %+v, classified as %+v", refused, done)
 	}
 }
@@ -140,7 +140,7 @@
 	}
 }
 
-type noWorkers struct{}
+type emptyDirectory struct{}
 
 // Workers implements Directory.
-func (noWorkers) Workers(context.Context) ([]schedule.Worker, error) { return nil, nil }
+func (emptyDirectory) Workers(context.Context) ([]schedule.Worker, error) { return nil, nil }
--- a/instance/relay_test.go
+++ b/instance/relay_test.go
@@ -35,16 +35,16 @@
 
 // fakeRelay is the remote end of a relay stream.
 type fakeRelay struct {
-	silent  atomic.Bool // answers nothing, not even heartbeat requests
-	loses   bool        // answers heartbeat requests but no orders
-	ends    chan struct{}
-	orders  int
-	verdict schedule.Verdict
+	unresponsive atomic.Bool // answers nothing, not even heartbeat requests
+	losesOrders  bool        // answers heartbeat requests but no orders
+	ends         chan struct{}
+	orders       int
+	verdict      schedule.Verdict
 }
 
-func silentRelay() *fakeRelay {
+func unresponsiveRelay() *fakeRelay {
 	f := &fakeRelay{}
-	f.silent.Store(true)
+	f.unresponsive.Store(true)
 	return f
 }
 
@@ -57,12 +57,12 @@
 			return context.Canceled
 		case o := <-orders:
 			switch {
-			case f.silent.Load():
+			case f.unresponsive.Load():
 			case o == nil:
 				take(nil)
 			default:
 				f.orders++
-				if !f.loses {
+				if !f.losesOrders {
 					take([]entry.RelayOutcome{{ID: o.ID, Verdict: f.verdict}})
 				}
 			}
@@ -75,46 +75,46 @@
 // unresponsive or exits. It also guards against orders that are relayed without need.
 func TestRelays(t *testing.T) {
 	near := schedule.Target{Worker: "w1", FailureDomain: "near"}
-	const orderTime = 2 * time.Second
+	const orderTimeout = 2 * time.Second
 	for _, c := range []struct {
-		name    string
-		relay   *fakeRelay
-		to      schedule.Target
-		direct  schedule.Verdict
-		endsIn  time.Duration // of the relay, after the order; 0 for never
-		want    schedule.Verdict
-		relayed int
-		given   int // orders sent directly
-		within  time.Duration
+		name         string
+		relay        *fakeRelay
+		to           schedule.Target
+		direct       schedule.Verdict
+		endsIn       time.Duration // of the relay, after the order; 0 for never
+		want         schedule.Verdict
+		relayed      int
+		directOrders int // orders sent to the worker without a relay
+		within       time.Duration
 	}{
 		{name: "through the relay", relay: &fakeRelay{verdict: schedule.NoRoom}, to: near, want: schedule.NoRoom, relayed: 1},
-		{name: "no relay in the domain", relay: &fakeRelay{}, to: schedule.Target{Worker: "w1", FailureDomain: "far"}, want: schedule.Accepted, given: 1},
-		{name: "unresponsive from the start", relay: silentRelay(), to: near, want: schedule.Accepted, given: 1},
-		{name: "loses the order and ends", relay: &fakeRelay{loses: true}, to: near, endsIn: 100 * time.Millisecond, want: schedule.Accepted, relayed: 1, given: 1, within: 100 * time.Millisecond},
-		{name: "loses the order and ends, refused directly", relay: &fakeRelay{loses: true}, to: near, direct: schedule.NoRoom, endsIn: 100 * time.Millisecond, want: schedule.Unclear, relayed: 1, given: 1, within: 100 * time.Millisecond},
-		{name: "no answer from the worker", relay: &fakeRelay{loses: true}, to: near, want: schedule.Unclear, relayed: 1, within: orderTime},
+		{name: "no relay in the domain", relay: &fakeRelay{}, to: schedule.Target{Worker: "w1", FailureDomain: "far"}, want: schedule.Accepted, directOrders: 1},
+		{name: "unresponsive from the start", relay: unresponsiveRelay(), to: near, want: schedule.Accepted, directOrders: 1},
+		{name: "loses the order and ends", relay: &fakeRelay{losesOrders: true}, to: near, endsIn: 100 * time.Millisecond, want: schedule.Accepted, relayed: 1, directOrders: 1, within: 100 * time.Millisecond},
+		{name: "loses the order and ends, refused directly", relay: &fakeRelay{losesOrders: true}, to: near, direct: schedule.NoRoom, endsIn: 100 * time.Millisecond, want: schedule.Unclear, relayed: 1, directOrders: 1, within: 100 * time.Millisecond},
+		{name: "no answer from the worker", relay: &fakeRelay{losesOrders: true}, to: near, want: schedule.Unclear, relayed: 1, within: orderTimeout},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				direct := &fakeWorkers{verdict: c.direct}
 				c.relay.ends = make(chan struct{})
 				r := newRelays("self", direct, entry.NewClient(membership.Member{Instance: "self"}), func(string, ...any) {})
-				r.open = c.relay.serve
+				r.openStream = c.relay.serve
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				go r.run(ctx)
-				r.see(entry.Peer{Instance: "self", FailureDomain: "near"}, time.Now())
-				r.see(entry.Peer{Instance: "other", FailureDomain: "near"}, time.Now())
-				time.Sleep(2*relayPing + time.Millisecond)
+				r.observePeer(entry.Peer{Instance: "self", FailureDomain: "near"}, time.Now())
+				r.observePeer(entry.Peer{Instance: "other", FailureDomain: "near"}, time.Now())
+				time.Sleep(2*relayPingInterval + time.Millisecond)
 				if c.endsIn > 0 {
 					time.AfterFunc(c.endsIn, func() { close(c.relay.ends) })
 				}
-				call, cancelCall := context.WithTimeout(ctx, orderTime)
+				call, cancelCall := context.WithTimeout(ctx, orderTimeout)
 				defer cancelCall()
 				began := time.Now()
 				v := r.Start(call, 1, schedule.Start{Target: c.to})
-				if took := time.Since(began); v != c.want || took != c.within || c.relay.orders != c.relayed || direct.orders != c.given {
-					t.Errorf("%s after %s, %d relayed, %d sent directly; want %s after %s, %d, %d", v, took, c.relay.orders, direct.orders, c.want, c.within, c.relayed, c.given)
+				if took := time.Since(began); v != c.want || took != c.within || c.relay.orders != c.relayed || direct.orders != c.directOrders {
+					t.Errorf("%s after %s, %d relayed, %d sent directly; want %s after %s, %d, %d", v, took, c.relay.orders, direct.orders, c.want, c.within, c.relayed, c.directOrders)
 				}
 				cancel()
 				synctest.Wait()
@@ -127,21 +127,21 @@
 // timeout.
 func TestRelayFallsSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		direct, far := &fakeWorkers{}, &fakeRelay{loses: true}
+		direct, remote := &fakeWorkers{}, &fakeRelay{losesOrders: true}
 		r := newRelays("self", direct, entry.NewClient(membership.Member{Instance: "self"}), func(string, ...any) {})
-		r.open = far.serve
+		r.openStream = remote.serve
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go r.run(ctx)
-		r.see(entry.Peer{Instance: "other", FailureDomain: "near"}, time.Now())
-		time.Sleep(2*relayPing + time.Millisecond)
-		time.AfterFunc(50*time.Millisecond, func() { far.silent.Store(true) })
+		r.observePeer(entry.Peer{Instance: "other", FailureDomain: "near"}, time.Now())
+		time.Sleep(2*relayPingInterval + time.Millisecond)
+		time.AfterFunc(50*time.Millisecond, func() { remote.unresponsive.Store(true) })
 		call, cancelCall := context.WithTimeout(ctx, 5*time.Second)
 		defer cancelCall()
 		began := time.Now()
 		done := r.Hold(call, 1, schedule.Hold{Target: schedule.Target{Worker: "w1", FailureDomain: "near"}})
-		if took := time.Since(began); done.Verdict != schedule.Accepted || direct.orders != 1 || took > relaySilence+2*relayPing {
-			t.Errorf("%s after %s, %d sent directly; want a report from the worker within %s", done.Verdict, took, direct.orders, relaySilence+2*relayPing)
+		if took := time.Since(began); done.Verdict != schedule.Accepted || direct.orders != 1 || took > relayTimeout+2*relayPingInterval {
+			t.Errorf("%s after %s, %d sent directly; want a report from the worker within %s", done.Verdict, took, direct.orders, relayTimeout+2*relayPingInterval)
 		}
 		cancel()
 		synctest.Wait()
--- a/instance/resend.go
+++ b/instance/resend.go
@@ -12,50 +12,50 @@
 	// answers.
 	resendAfter = 140 * time.Millisecond
 	// maxOrderCopies bounds how often one order is sent.
-	maxOrders = 3
+	maxOrderCopies = 3
 )
 
 // sendOrder sends an order to a worker, and sends it again over another path while there
 // is no response. Copies of an order have the same run number: a worker that has carried
 // one out accepts further copies, and refuses those that arrive after the run has ended.
 // A refusal is inconclusive while an earlier copy may still be carried out.
-func sendOrder(ctx context.Context, give, giveAgain func(context.Context) schedule.Verdict) schedule.Verdict {
+func sendOrder(ctx context.Context, sendFirst, resend func(context.Context) schedule.Verdict) schedule.Verdict {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	verdicts := make(chan schedule.Verdict, maxOrders)
-	underway, sent := 0, 0
+	verdicts := make(chan schedule.Verdict, maxOrderCopies)
+	inFlight, sent := 0, 0
 	send := func() {
-		way := give
+		attempt := sendFirst
 		if sent > 0 {
-			way = giveAgain
+			attempt = resend
 		}
-		underway++
+		inFlight++
 		sent++
-		go func() { verdicts <- way(ctx) }()
+		go func() { verdicts <- attempt(ctx) }()
 	}
 	send()
-	again := time.NewTicker(resendAfter)
-	defer again.Stop()
+	resendTicker := time.NewTicker(resendAfter)
+	defer resendTicker.Stop()
 	unclear := false
 	for {
 		select {
 		case v := <-verdicts:
-			underway--
+			inFlight--
 			switch {
 			case v == schedule.Accepted || v == schedule.Fenced:
 				return v
 			case v == schedule.Unclear:
 				unclear = true
-			case underway == 0 && !unclear:
+			case inFlight == 0 && !unclear:
 				return v
 			default:
-				unclear = unclear || underway > 0
+				unclear = unclear || inFlight > 0
 			}
-			if underway == 0 {
+			if inFlight == 0 {
 				return schedule.Unclear
 			}
-		case <-again.C:
-			if sent < maxOrders {
+		case <-resendTicker.C:
+			if sent < maxOrderCopies {
 				send()
 			}
 		}
--- a/instance/resend_test.go
+++ b/instance/resend_test.go
@@ -14,9 +14,9 @@
 // and against a refusal that is taken as conclusive while an earlier copy of the order
 // may still be carried out.
 func TestSendOrder(t *testing.T) {
-	type try = func(context.Context) schedule.Verdict
+	type attempt = func(context.Context) schedule.Verdict
 	lost := func(ctx context.Context) schedule.Verdict { <-ctx.Done(); return schedule.Unclear }
-	after := func(d time.Duration, v schedule.Verdict) try {
+	after := func(d time.Duration, v schedule.Verdict) attempt {
 		return func(ctx context.Context) schedule.Verdict {
 			select {
 			case <-time.After(d):
@@ -28,17 +28,17 @@
 	}
 	for _, c := range []struct {
 		name   string
-		tries  []try
+		tries  []attempt
 		want   schedule.Verdict
 		within time.Duration
 	}{
-		{"accepted", []try{after(20*time.Millisecond, schedule.Accepted)}, schedule.Accepted, 20 * time.Millisecond},
-		{"refused", []try{after(20*time.Millisecond, schedule.NoRoom)}, schedule.NoRoom, 20 * time.Millisecond},
-		{"no connection", []try{after(20*time.Millisecond, schedule.NotSent)}, schedule.NotSent, 20 * time.Millisecond},
-		{"first response lost", []try{lost, after(20*time.Millisecond, schedule.Accepted)}, schedule.Accepted, resendAfter + 20*time.Millisecond},
-		{"lost, then refused", []try{lost, after(20*time.Millisecond, schedule.TicketRejected), after(20*time.Millisecond, schedule.TicketRejected)}, schedule.Unclear, 700 * time.Millisecond},
-		{"lost, then fenced", []try{lost, after(20*time.Millisecond, schedule.Fenced)}, schedule.Fenced, resendAfter + 20*time.Millisecond},
-		{"no response", []try{lost, lost, lost}, schedule.Unclear, 700 * time.Millisecond},
+		{"accepted", []attempt{after(20*time.Millisecond, schedule.Accepted)}, schedule.Accepted, 20 * time.Millisecond},
+		{"refused", []attempt{after(20*time.Millisecond, schedule.NoRoom)}, schedule.NoRoom, 20 * time.Millisecond},
+		{"no connection", []attempt{after(20*time.Millisecond, schedule.NotSent)}, schedule.NotSent, 20 * time.Millisecond},
+		{"first response lost", []attempt{lost, after(20*time.Millisecond, schedule.Accepted)}, schedule.Accepted, resendAfter + 20*time.Millisecond},
+		{"lost, then refused", []attempt{lost, after(20*time.Millisecond, schedule.TicketRejected), after(20*time.Millisecond, schedule.TicketRejected)}, schedule.Unclear, 700 * time.Millisecond},
+		{"lost, then fenced", []attempt{lost, after(20*time.Millisecond, schedule.Fenced)}, schedule.Fenced, resendAfter + 20*time.Millisecond},
+		{"no response", []attempt{lost, lost, lost}, schedule.Unclear, 700 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/instance/sweep.go
+++ b/instance/sweep.go
@@ -15,23 +15,23 @@
 	finalRetention = 10 * time.Minute
 	// recordSweepInterval is the time between sweeps for expired records. A sweep reads
 	// every final record, a few pages of the store.
-	retentionInterval = 5 * time.Minute
+	recordSweepInterval = 5 * time.Minute
 	// sweepBatch is the number of records that one transaction removes.
-	sweepBatch  = 30
-	sweepBudget = 30 * time.Second
+	sweepBatch   = 30
+	sweepTimeout = 30 * time.Second
 )
 
 // sweepPeriodically removes expired records while this instance is the owner.
-func (i *Instance) sweepRegularly(ctx context.Context, ownership int64) {
+func (i *Instance) sweepPeriodically(ctx context.Context, ownership int64) {
 	for {
-		pause(ctx, retentionInterval)
+		sleep(ctx, recordSweepInterval)
 		if ctx.Err() != nil {
 			return
 		}
-		call, cancel := context.WithTimeout(ctx, sweepBudget)
-		removed, err := sweepRecords(call, i.cfg.Store, ownership, time.Now())
+		callCtx, cancel := context.WithTimeout(ctx, sweepTimeout)
+		removed, err := sweepRecords(callCtx, i.cfg.Store, ownership, time.Now())
 		cancel()
-		i.storeTrouble("remove expired records", err)
+		i.logStoreFailure("remove expired records", err)
 		i.cfg.Journal.Event("expired records removed", "records", removed)
 	}
 }
@@ -39,14 +39,14 @@
 // sweepRecords removes final records that are older than finalRetention, and
 // cancellations whose job has ended. It returns how many it removed.
 func sweepRecords(ctx context.Context, s store.Store, ownership int64, now time.Time) (int, error) {
-	old, err := oldRecords(ctx, s, now)
+	expired, err := expiredRecords(ctx, s, now)
 	if err != nil {
 		return 0, err
 	}
 	removed := 0
-	for len(old) > 0 {
-		batch := old[:min(len(old), sweepBatch)]
-		old = old[len(batch):]
+	for len(expired) > 0 {
+		batch := expired[:min(len(expired), sweepBatch)]
+		expired = expired[len(batch):]
 		result, err := s.Commit(ctx, store.Txn{Compares: []store.Compare{{Key: keyOwner, ModRevision: ownership}}, Deletes: batch})
 		if err != nil || !result.Succeeded {
 			return removed, err
@@ -56,8 +56,8 @@
 	return removed, nil
 }
 
-func oldRecords(ctx context.Context, s store.Store, now time.Time) ([]string, error) {
-	var old []string
+func expiredRecords(ctx context.Context, s store.Store, now time.Time) ([]string, error) {
+	var expired []string
 	finals, _, err := s.List(ctx, finalPrefix)
 	if err != nil {
 		return nil, err
@@ -65,7 +65,7 @@
 	for _, kv := range finals {
 		final, err := job.Decode[job.Final](kv.Value)
 		if err != nil || now.Sub(final.FinishedAt) > finalRetention {
-			old = append(old, kv.Key) // a record that cannot be decoded is of no use
+			expired = append(expired, kv.Key) // a record that cannot be decoded is of no use
 		}
 	}
 	inbox, _, err := s.List(ctx, inboxPrefix)
@@ -78,8 +78,8 @@
 	}
 	for _, kv := range inbox {
 		if id, ok := strings.CutPrefix(kv.Key, cancelPrefix); ok && !open[jobPrefix+id] {
-			old = append(old, kv.Key)
+			expired = append(expired, kv.Key)
 		}
 	}
-	return old, nil
+	return expired, nil
 }
