--- a/job/job.go
+++ b/job/job.go
@@ -84,17 +84,17 @@
 
 // Same reports whether two submissions request the same work, regardless of when they
 // were accepted.
-func (j *Job) Same(o *Job) bool {
-	if j.Queue != o.Queue || j.Team != o.Team || j.Spec != o.Spec || len(j.Steps) != len(o.Steps) {
+func (j *Job) Same(other *Job) bool {
+	if j.Queue != other.Queue || j.Team != other.Team || j.Spec != other.Spec || len(j.Steps) != len(other.Steps) {
 		return false
 	}
 	for i := range j.Steps {
-		a, b := &j.Steps[i], &o.Steps[i]
+		a, b := &j.Steps[i], &other.Steps[i]
 		if a.Count != b.Count || a.Size != b.Size || a.Estimate != b.Estimate {
 			return false
 		}
 	}
-	return j.Repeats == o.Repeats && j.FirstAt.Equal(o.FirstAt) && j.Interval == o.Interval
+	return j.Repeats == other.Repeats && j.FirstAt.Equal(other.FirstAt) && j.Interval == other.Interval
 }
 
 // Check validates the job. It returns the first violation, or nil.
@@ -114,15 +114,15 @@
 	if j.Interval < 0 {
 		return fmt.Errorf("the interval between occurrences is negative: %s", j.Interval)
 	}
-	total := 0
+	totalTasks := 0
 	for i := range j.Steps {
 		if err := j.Steps[i].check(i); err != nil {
 			return err
 		}
-		total += j.Steps[i].Count
+		totalTasks += j.Steps[i].Count
 	}
-	if total > MaxTasks {
-		return fmt.Errorf("the job has %d tasks, %d are allowed", total, MaxTasks)
+	if totalTasks > MaxTasks {
+		return fmt.Errorf("the job has %d tasks, %d are allowed", totalTasks, MaxTasks)
 	}
 	return nil
 }
