--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -74,7 +74,7 @@
 	Fate     Fate   // whether the work ran
 }
 
-var table = map[Kind]Answer{
+var responses = map[Kind]Answer{
 	InvalidRequest:      {400, 2, AdviceDoNotRetry, FateNotRun},
 	RequestTooLarge:     {413, 2, AdviceDoNotRetry, FateNotRun},
 	RequestTimeout:      {408, 3, AdviceRetry, FateNotRun},
@@ -109,8 +109,8 @@
 
 // Kinds lists every kind in no particular order.
 func Kinds() []Kind {
-	kinds := make([]Kind, 0, len(table))
-	for k := range table {
+	kinds := make([]Kind, 0, len(responses))
+	for k := range responses {
 		kinds = append(kinds, k)
 	}
 	return kinds
@@ -119,10 +119,10 @@
 // AnswerFor returns the response to kind k. A kind outside the set is treated as Internal,
 // so that an unknown kind is never reported as "not run".
 func AnswerFor(k Kind) Answer {
-	if a, ok := table[k]; ok {
+	if a, ok := responses[k]; ok {
 		return a
 	}
-	return table[Internal]
+	return responses[Internal]
 }
 
 // Error is an error that is reported to a peer.
--- a/errkind/errkind_test.go
+++ b/errkind/errkind_test.go
@@ -27,7 +27,7 @@
 		if a.Status == 0 || a.ExitCode == 0 || a.Advice == "" || a.Fate == "" {
 			t.Errorf("response of kind %q is incomplete: %+v", k, a)
 		}
-		if meanings[k] == "" {
+		if descriptions[k] == "" {
 			t.Errorf("kind %q has no description in the reference", k)
 		}
 	}
--- a/errkind/reference.go
+++ b/errkind/reference.go
@@ -7,7 +7,7 @@
 )
 
 // descriptions states when each kind is returned.
-var meanings = map[Kind]string{
+var descriptions = map[Kind]string{
 	InvalidRequest:      "a field is missing, unknown, duplicated or has an invalid value",
 	RequestTooLarge:     "the request body is larger than `max_request_bytes`",
 	RequestTimeout:      "the request body did not arrive within the read timeout",
@@ -48,7 +48,7 @@
 	b.WriteString("| kind | HTTP status | exit code | advice | work | when |\n| --- | --- | --- | --- | --- | --- |\n")
 	for _, k := range kinds {
 		a := AnswerFor(k)
-		fmt.Fprintf(&b, "| `%s` | %d | %d | %s | %s | %s |\n", k, a.Status, a.ExitCode, a.Advice, a.Fate, meanings[k])
+		fmt.Fprintf(&b, "| `%s` | %d | %d | %s | %s | %s |\n", k, a.Status, a.ExitCode, a.Advice, a.Fate, descriptions[k])
 	}
 	return b.String()
 }
