--- a/instance/accept.go
+++ b/instance/accept.go
@@ -231,7 +231,8 @@
 	unclear := errors.Is(err, store.ErrUnclear)
 	var rest []*pendingSubmission
 	for _, a := range batch {
-		const maxConsecutiveFailures = 3 // failed writes in a row after which the caller should retry at another instance
+		// After this many failed writes in a row the caller should retry at another instance.
+		const maxConsecutiveFailures = 3
 		switch {
 		case unclear:
 			i.cfg.Journal.Event("unclear", "job", string(a.job.ID), "why", "store_silent", "failures", failures)
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -261,7 +261,7 @@
 }
 
 // classifyRefusedCommit distinguishes a commit that an earlier attempt has already
-// written from one that is invalid because another instance became the owner.
+// written from one that is invalid because there is a newer owner.
 func (i *Instance) classifyRefusedCommit(e cell.CommitRecords, current []store.KeyValue, value []byte) cell.Committed {
 	done := cell.Committed{Commit: e.Commit, Owner: e.Owner, Lost: true}
 	owned := false
--- a/instance/relay.go
+++ b/instance/relay.go
@@ -36,8 +36,8 @@
 type relays struct {
 	self       string
 	direct     Workers
-	openStream func(ctx context.Context, address string, orders <-chan *entry.RelayOrder, take func([]entry.RelayOutcome)) error
-	logEvent   func(what string, fields ...any)
+	openStream func(ctx context.Context, address string, orders <-chan *entry.RelayOrder, deliver func([]entry.RelayOutcome)) error
+	logEvent   func(event string, fields ...any)
 
 	mu       sync.RWMutex
 	peers    map[string]knownPeer         // by name
--- a/instance/relay_test.go
+++ b/instance/relay_test.go
@@ -48,7 +48,7 @@
 	return f
 }
 
-func (f *fakeRelay) serve(ctx context.Context, _ string, orders <-chan *entry.RelayOrder, take func([]entry.RelayOutcome)) error {
+func (f *fakeRelay) serve(ctx context.Context, _ string, orders <-chan *entry.RelayOrder, deliver func([]entry.RelayOutcome)) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -59,11 +59,11 @@
 			switch {
 			case f.unresponsive.Load():
 			case o == nil:
-				take(nil)
+				deliver(nil)
 			default:
 				f.orders++
 				if !f.losesOrders {
-					take([]entry.RelayOutcome{{ID: o.ID, Verdict: f.verdict}})
+					deliver([]entry.RelayOutcome{{ID: o.ID, Verdict: f.verdict}})
 				}
 			}
 		}
