--- a/control/choose.go
+++ b/control/choose.go
@@ -8,19 +8,18 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// chooser picks the partition to which the home sends a task.
-type chooser struct {
-	routing  *routing
-	rng      *rand.Rand
-	lifetime time.Duration
-	region   string // of this instance: preferred where the request names none
+// partitionSelector selects the worker partition to which the home dispatches a task.
+type partitionSelector struct {
+	routing        *routing
+	rng            *rand.Rand
+	digestLifetime time.Duration
+	region         string // of this instance; preferred if the job names no regions
 }
 
-// choose returns a partition with a live owner for a task of the given size.
-// Partitions in avoid are taken only if no other has an owner. Requests stay in
-// the nearest allowed region that has free resources; if none has, they go
-// where the fewest tasks wait.
-func (c *chooser) choose(now time.Time, spec *task.Spec, avoid []string) (string, bool) {
+// selectPartition returns a partition with a live owner for a task with the given spec.
+// Partitions in avoid are used only if no other one qualifies. The task goes to the first allowed
+// region that has free capacity; if none has, it goes to a partition with a short queue.
+func (c *partitionSelector) selectPartition(now time.Time, spec *task.Spec, avoid []string) (string, bool) {
 	candidates := c.candidates(now, spec, avoid)
 	if len(candidates) == 0 && len(avoid) > 0 {
 		candidates = c.candidates(now, spec, nil)
@@ -33,18 +32,18 @@
 		need = spec.Size.Scale(int64(spec.Count))
 	}
 	for _, region := range c.regions(spec) {
-		if p, ok := c.freest(candidates, region, need); ok {
+		if p, ok := c.mostFree(candidates, region, need); ok {
 			return p, true
 		}
 	}
 	return c.leastQueued(candidates), true
 }
 
-// candidates returns the partitions that can be used, sorted by name.
-func (c *chooser) candidates(now time.Time, spec *task.Spec, avoid []string) []PartitionDigest {
+// candidates returns the digests of the eligible partitions, sorted by name.
+func (c *partitionSelector) candidates(now time.Time, spec *task.Spec, avoid []string) []PartitionDigest {
 	var found []PartitionDigest
-	for name, load := range c.routing.partitions {
-		if now.Sub(load.receivedAt) > c.lifetime || !load.digest.Ready || slices.Contains(avoid, name) {
+	for name, load := range c.routing.partitionLoads {
+		if now.Sub(load.receivedAt) > c.digestLifetime || !load.digest.Ready || slices.Contains(avoid, name) {
 			continue
 		}
 		if _, epoch, ok := c.routing.ownerOf(name); !ok || epoch != load.digest.Epoch {
@@ -67,13 +66,14 @@
 	return found
 }
 
-// regions returns the regions to try, nearest first.
-func (c *chooser) regions(spec *task.Spec) []string {
+// regions returns the regions to try in order of preference: those that the job names, or the
+// region of this instance and then all others.
+func (c *partitionSelector) regions(spec *task.Spec) []string {
 	if len(spec.Regions) > 0 {
 		return spec.Regions
 	}
 	regions := []string{c.region}
-	for name := range c.routing.partitions {
+	for name := range c.routing.partitionLoads {
 		if r := RegionOf(name); !slices.Contains(regions, r) {
 			regions = append(regions, r)
 		}
@@ -82,10 +82,10 @@
 	return regions
 }
 
-// freest compares two random partitions of a region in which need fits. Two
-// choices spread a burst nearly as well as the best of all, and do not send
-// every home to the same partition between two digests.
-func (c *chooser) freest(candidates []PartitionDigest, region string, need task.Resources) (string, bool) {
+// mostFree returns the one with more free capacity of two random partitions of a region in which
+// need fits. Two random choices spread a burst nearly as well as the best of all, and keep the
+// homes from all sending to the same partition between two digests.
+func (c *partitionSelector) mostFree(candidates []PartitionDigest, region string, need task.Resources) (string, bool) {
 	var fitting []PartitionDigest
 	for _, p := range candidates {
 		if RegionOf(p.Partition) == region && need.Fits(p.Free) && p.Queued == 0 {
@@ -103,9 +103,8 @@
 	return a.Partition, true
 }
 
-// leastQueued returns the partition with the fewest waiting tasks for its
-// capacity, of two random ones.
-func (c *chooser) leastQueued(candidates []PartitionDigest) string {
+// leastQueued returns the one with fewer queued tasks per slot of two random partitions.
+func (c *partitionSelector) leastQueued(candidates []PartitionDigest) string {
 	a := candidates[c.rng.IntN(len(candidates))]
 	b := candidates[c.rng.IntN(len(candidates))]
 	if float64(b.Queued)*float64(max(1, a.Capacity.Slots)) < float64(a.Queued)*float64(max(1, b.Capacity.Slots)) {
--- a/control/config.go
+++ b/control/config.go
@@ -2,32 +2,33 @@
 
 import "time"
 
-// Config holds the bounds of the control state. Settings fill it.
+// Config holds the limits, intervals and timeouts of the control state. It is filled from the
+// settings.
 type Config struct {
 	RequestShards       int
 	PartitionsPerRegion int
 	Regions             []string
 
-	TaskLease      time.Duration // how long a worker runs a task without renewal
-	StartValidity  time.Duration // how long a start may travel
-	SyncInterval   time.Duration // between two reports of a worker
-	ClockDrift     float64       // largest relative error of a clock
-	ClockMargin    time.Duration // largest absolute error besides the drift
+	TaskLease      time.Duration // how long a worker runs a task without lease renewal
+	StartValidity  time.Duration // how long a start order may be in transit
+	SyncInterval   time.Duration // between two syncs with a worker
+	ClockDrift     float64       // maximum relative clock error
+	ClockMargin    time.Duration // maximum absolute clock error in addition to the drift
 	CallTimeout    time.Duration // of a call to an entry instance
-	LookupInterval time.Duration // between two questions about an attempt with no news
-	RetryInterval  time.Duration // before a failed call is made again
-	AnswerGrace    time.Duration // after a deadline, for the report of what became of the task
+	LookupInterval time.Duration // between two lookups of an attempt without a status update
+	RetryInterval  time.Duration // before a failed call is retried
+	AnswerGrace    time.Duration // after the deadline of an answer, for the report of its outcome
 
 	KeepAliveInterval  time.Duration
 	StoreLeaseTTL      time.Duration
 	KeyFreshness       time.Duration
-	DigestInterval     time.Duration // in the region
+	DigestInterval     time.Duration // within a region
 	FarDigestInterval  time.Duration // across regions
-	DigestLifetime     time.Duration // how long a digest counts
-	MaxDrainingAnswers time.Duration // how long a planned stop waits for answers
+	DigestLifetime     time.Duration // how long a digest is valid
+	MaxDrainingAnswers time.Duration // how long a drain waits for pending answers
 }
 
-// DefaultConfig returns the defaults of the design page for one region.
+// DefaultConfig returns the defaults of the design page for the given regions.
 func DefaultConfig(regions ...string) Config {
 	return Config{
 		RequestShards:       64,
@@ -52,8 +53,8 @@
 	}
 }
 
-// atLeast returns a duration that has surely passed on any clock within the
-// drift once d plus the margin has passed on this one.
-func (c *Config) atLeast(d time.Duration) time.Duration {
+// withClockError extends d by the maximum clock error: once the result has passed on the local
+// clock, at least d has passed on any clock whose error is within ClockDrift and ClockMargin.
+func (c *Config) withClockError(d time.Duration) time.Duration {
 	return d + time.Duration(float64(d)*c.ClockDrift) + c.ClockMargin
 }
--- a/control/configuration.go
+++ b/control/configuration.go
@@ -12,51 +12,51 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// DocumentKey names a document. The service is empty for a team's document.
+// DocumentKey identifies a document. The service is empty for a team's document.
 type DocumentKey struct {
 	Team    task.Team
 	Service task.Service
 }
 
-// KeyName names a key.
+// KeyName identifies a key.
 type KeyName struct {
 	Team task.Team
 	ID   string
 }
 
-// HeldDocument is a document with the revision at which it is in force here.
+// HeldDocument is a document with the revision at which it came into force.
 type HeldDocument struct {
 	document.Document
 	Revision int64
 }
 
-// configuration is what this process knows below the watched prefix. No entry
-// ever goes back to a lower revision.
+// configuration is this process's copy of the keys below the watched prefix. An entry is never
+// replaced by one with a lower revision.
 type configuration struct {
-	entries   map[string]ConfigChange // by key, deleted ones included
-	documents map[DocumentKey]HeldDocument
-	ring      *keyring.Ring
-	withdrawn map[KeyName]bool
-	applied   int64     // every change up to here has been applied
-	expected  int64     // the store's revision at the last read
-	fetchedAt time.Time // when a peer was last asked for its configuration
+	entries         map[string]ConfigChange // by key, deleted ones included
+	documents       map[DocumentKey]HeldDocument
+	ring            *keyring.Ring
+	withdrawnKeys   map[KeyName]bool
+	appliedRevision int64     // every change up to this revision has been applied
+	storeRevision   int64     // the store's revision at the last read
+	fetchedAt       time.Time // when a peer was last asked for its configuration
 }
 
 func newConfiguration() *configuration {
 	return &configuration{entries: map[string]ConfigChange{}, documents: map[DocumentKey]HeldDocument{}, ring: keyring.NewRing(),
-		withdrawn: map[KeyName]bool{}}
+		withdrawnKeys: map[KeyName]bool{}}
 }
 
-// isNewer reports whether a change is newer than what is known of its key.
+// isNewer reports whether a change is newer than the present entry of its key.
 func (c *configuration) isNewer(change ConfigChange) bool {
 	known, ok := c.entries[change.Entry.Key]
 	return !ok || known.Entry.Revision < change.Entry.Revision
 }
 
-// fetch returns what changed after a revision for a process that cannot read the
-// store.
-func (c *configuration) fetch(after int64) FetchConfigReply {
-	reply := FetchConfigReply{After: after, Revision: c.applied}
+// changesAfter returns the entries that changed after a revision, for a process that cannot read
+// the store.
+func (c *configuration) changesAfter(after int64) FetchConfigReply {
+	reply := FetchConfigReply{After: after, Revision: c.appliedRevision}
 	for _, change := range c.entries {
 		if change.Entry.Revision > after {
 			reply.Entries = append(reply.Entries, change.Entry)
@@ -65,11 +65,12 @@
 	return reply
 }
 
-// isWithdrawn reports whether work that was accepted under a key has to end. An
-// unknown key does not count: this process may not have read it yet.
-func (c *configuration) isWithdrawn(key KeyName) bool { return c.withdrawn[key] }
+// isWithdrawn reports whether work that was accepted under a key has to be terminated. An unknown
+// key does not count as withdrawn: this process may not have read it yet.
+func (c *configuration) isWithdrawn(key KeyName) bool { return c.withdrawnKeys[key] }
 
-// setDocument keeps the map of earlier snapshots unchanged.
+// setDocument sets or deletes a document in a copy of the map, since published snapshots share the
+// present one.
 func (c *configuration) setDocument(key DocumentKey, held *HeldDocument) {
 	next := make(map[DocumentKey]HeldDocument, len(c.documents)+1)
 	for k, d := range c.documents {
@@ -83,9 +84,9 @@
 	c.documents = next
 }
 
-// configChanged applies changes in the order of their revisions.
+// configChanged applies, in order, the changes that are newer than the present entries.
 func (s *State) configChanged(e ConfigChanged) {
-	s.changed = true
+	s.snapshotChanged = true
 	seen := make(map[string]bool, len(e.Changes))
 	for _, change := range e.Changes {
 		seen[change.Entry.Key] = true
@@ -96,14 +97,14 @@
 	if e.Complete {
 		s.deleteAbsent(seen, e.Revision)
 	}
-	s.config.applied = max(s.config.applied, e.Revision)
+	s.config.appliedRevision = max(s.config.appliedRevision, e.Revision)
 	s.ownership.ObserveMembers(s.now, s.routing.memberList(), true)
 	s.ownership.ObserveThrough(s.now, e.Revision)
-	s.owner.allow.ObserveThrough(e.Revision)
+	s.owner.allowances.ObserveThrough(e.Revision)
 	s.freshness.ApplyThrough(e.Revision)
 }
 
-// deleteAbsent deletes the known keys that a complete list does not have.
+// deleteAbsent deletes the known keys that are absent from a complete list.
 func (s *State) deleteAbsent(seen map[string]bool, revision int64) {
 	for key, known := range s.config.entries {
 		if seen[key] || known.Entry.Deleted || known.Entry.Revision > revision {
@@ -117,7 +118,7 @@
 	previous := s.config.entries[change.Entry.Key]
 	s.config.entries[change.Entry.Key] = change
 	if change.Err != nil {
-		s.event(timeline.Event{Type: timeline.ConfigInForce, Revision: change.Entry.Revision, Kind: "unreadable", Detail: fmt.Sprintf("%s: %v", change.Entry.Key, change.Err)})
+		s.recordEvent(timeline.Event{Type: timeline.ConfigInForce, Revision: change.Entry.Revision, Kind: "unreadable", Detail: fmt.Sprintf("%s: %v", change.Entry.Key, change.Err)})
 		return
 	}
 	switch {
@@ -128,7 +129,7 @@
 	case change.Member != nil:
 		s.memberChanged(previous.Member, change.Member)
 	case change.Record != nil:
-		s.takeRecord(*change.Record)
+		s.applyOwnershipRecord(*change.Record)
 	case change.Allowance != nil:
 		s.allowanceChanged(previous.Allowance, change.Allowance)
 	case change.Drain != "":
@@ -141,7 +142,7 @@
 func (s *State) documentChanged(revision int64, d *document.Document) {
 	key := DocumentKey{Team: d.Team, Service: d.Service}
 	s.config.setDocument(key, &HeldDocument{Document: *d, Revision: revision})
-	s.event(timeline.Event{Type: timeline.ConfigInForce, Team: d.Team, Revision: revision, Detail: string(d.Service)})
+	s.recordEvent(timeline.Event{Type: timeline.ConfigInForce, Team: d.Team, Revision: revision, Detail: string(d.Service)})
 	if d.IsTeam() {
 		s.owner.shares.SetWeight(d.Team, d.Share)
 		s.owner.setLimit(d.Team, d.Limit, revision)
@@ -155,16 +156,16 @@
 	kind := timeline.KeyGranted
 	if k.Withdrawn {
 		kind = timeline.KeyWithdrawn
-		s.endWorkOf(KeyName{k.Team, k.ID})
+		s.terminateWorkUnder(KeyName{k.Team, k.ID})
 	}
-	s.event(timeline.Event{Type: kind, Team: k.Team, KeyID: k.ID, Revision: k.Revision})
+	s.recordEvent(timeline.Event{Type: kind, Team: k.Team, KeyID: k.ID, Revision: k.Revision})
 }
 
 func (s *State) allowanceChanged(previous, r *allowance.Record) {
-	s.owner.allow.Observe(s.now, *r)
+	s.owner.allowances.Observe(s.now, *r)
 	delete(s.owner.blocked, r.Team)
 	if previous == nil || previous.Limit != r.Limit {
-		s.event(timeline.Event{Type: timeline.LimitInForce, Team: r.Team, Revision: r.Revision, Size: &r.Limit})
+		s.recordEvent(timeline.Event{Type: timeline.LimitInForce, Team: r.Team, Revision: r.Revision, Size: &r.Limit})
 	}
 }
 
@@ -187,12 +188,11 @@
 	case previous.Key != nil:
 		k := *previous.Key
 		s.config.ring.Remove(k.Team, k.ID, revision)
-		s.endWorkOf(KeyName{k.Team, k.ID})
+		s.terminateWorkUnder(KeyName{k.Team, k.ID})
 	}
 }
 
-// drainOrdered starts the drain that an operator asked for, of this instance or
-// of a worker.
+// drainOrdered starts the drain of this instance or of a worker on an operator's order.
 func (s *State) drainOrdered(name string) {
 	if name == s.self.Instance {
 		s.startDrain()
@@ -201,9 +201,9 @@
 	s.owner.setDrained(name, true)
 }
 
-// endWorkOf ends the work that was accepted under a key which is withdrawn now.
-func (s *State) endWorkOf(key KeyName) {
-	s.config.withdrawn[key] = true
+// terminateWorkUnder marks a key as withdrawn and terminates the work that was accepted under it.
+func (s *State) terminateWorkUnder(key KeyName) {
+	s.config.withdrawnKeys[key] = true
 	s.owner.keyWithdrawn(key)
 	s.home.keyWithdrawn(key)
 }
--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -10,8 +10,8 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// dispatchAll sends every task of a job that has no open attempt to a partition.
-// The tasks of a gang go to one partition.
+// dispatchAll dispatches every task of a job that has no open attempt. The tasks of a gang all go
+// to one partition.
 func (h *home) dispatchAll(job ledger.JobKey, record *ledger.Record) {
 	for i := range record.Tasks {
 		if record.Tasks[i].State == task.Accepted {
@@ -20,13 +20,13 @@
 	}
 }
 
-// dispatch chooses a partition for a task and sends it there once the intent is
-// stored. Without a partition the task waits, or is refused if its caller does.
-func (h *home) dispatch(job ledger.JobKey, record *ledger.Record, index int, avoid []string, tries int) {
+// dispatch selects a partition for a task and sends the task there once the intent is stored.
+// Without an available partition the task is postponed or refused, see postpone.
+func (h *home) dispatch(job ledger.JobKey, record *ledger.Record, index int, avoid []string, retries int) {
 	ref := taskRef{job, index}
 	partition, ok := h.partitionFor(record, index, avoid)
 	if !ok {
-		h.postpone(ref, record, avoid, tries)
+		h.postpone(ref, record, avoid, retries)
 		return
 	}
 	shard := h.shardOf(job)
@@ -34,15 +34,15 @@
 	if !ok {
 		return
 	}
-	delete(h.idle, ref)
-	h.open[a] = &openAttempt{ref: ref, partition: partition, askAt: h.now.Add(h.cfg.LookupInterval), deadline: answerBy(record, h.cfg.AnswerGrace)}
+	delete(h.undispatched, ref)
+	h.openAttempts[a] = &openAttempt{ref: ref, partition: partition, lookupAt: h.now.Add(h.cfg.LookupInterval), deadline: answerDeadline(record, h.cfg.AnswerGrace)}
 	if !waits {
-		h.place(job, record, index)
+		h.batchPlacement(job, record, index)
 	}
 }
 
-// partitionFor returns where a task should go. The members of a gang follow the
-// first one.
+// partitionFor returns the partition for a task. The members of a gang go to the partition of the
+// first one that was dispatched.
 func (h *home) partitionFor(record *ledger.Record, index int, avoid []string) (string, bool) {
 	if record.Spec.Kind == task.Gang {
 		for i := range record.Tasks {
@@ -51,59 +51,61 @@
 			}
 		}
 	}
-	return h.chooser.choose(h.now, &record.Spec, avoid)
+	return h.selector.selectPartition(h.now, &record.Spec, avoid)
 }
 
-// answerBy returns when the caller of an answer has to be told at the latest.
-func answerBy(record *ledger.Record, grace time.Duration) time.Time {
+// answerDeadline returns the time by which the caller of an answer must have a reply; zero if
+// there is no such limit.
+func answerDeadline(record *ledger.Record, grace time.Duration) time.Time {
 	if record.Spec.Kind.IsDurable() || record.Spec.Deadline.IsZero() {
 		return time.Time{}
 	}
 	return record.Spec.Deadline.Add(grace)
 }
 
-// postpone keeps a task for which no partition is available. A caller that waits
-// for an answer is told once its deadline would pass: a change of owner leaves a
-// partition without one for seconds, and any other instance would ask this same
-// home. The bound keeps a flood of requests from filling the memory meanwhile.
-func (h *home) postpone(ref taskRef, record *ledger.Record, avoid []string, tries int) {
-	const maxShift = 5 // the longest pause is 32 retry intervals
-	pause := h.cfg.RetryInterval << min(tries, maxShift)
+// postpone schedules a retry for a task for which no partition is available, with exponential
+// backoff for durable work. An answer is retried, too, until its deadline would pass before the
+// next retry: a change of owner leaves a partition without an owner for seconds, and any other
+// instance would forward the request to this same home. maxUndispatchedForAnswers keeps a burst of
+// requests from exhausting the memory meanwhile.
+func (h *home) postpone(ref taskRef, record *ledger.Record, avoid []string, retries int) {
+	const maxShift = 5 // the backoff is at most 32 retry intervals
+	backoff := h.cfg.RetryInterval << min(retries, maxShift)
 	if !record.Spec.Kind.IsDurable() {
-		pause = h.cfg.RetryInterval
-		if len(h.idle) >= maxIdleForAnswers || !h.now.Add(pause).Before(record.Spec.Deadline) {
+		backoff = h.cfg.RetryInterval
+		if len(h.undispatched) >= maxUndispatchedForAnswers || !h.now.Add(backoff).Before(record.Spec.Deadline) {
 			h.refuse(ref, errkind.NoOwner)
 			return
 		}
 	}
-	h.idle[ref] = &idleTask{tryAt: h.now.Add(pause), tries: tries + 1, avoid: avoid}
+	h.undispatched[ref] = &undispatchedTask{retryAt: h.now.Add(backoff), retries: retries + 1, avoid: avoid}
 }
 
-// maxIdleForAnswers is the number of tasks without a partition above which an
-// answer is refused at once.
-const maxIdleForAnswers = 1000
+// maxUndispatchedForAnswers is the number of undispatched tasks from which on an answer without an
+// available partition is refused at once.
+const maxUndispatchedForAnswers = 1000
 
 // refuse ends a task of a memory-only job as not run.
 func (h *home) refuse(ref taskRef, kind errkind.Kind) {
 	h.ledger.Refuse(h.now, ref.job, ref.index, kind)
-	h.settle(ref.job)
+	h.completeIfFinal(ref.job)
 }
 
-// place adds the latest attempt of a task to the batch for its partition.
-func (h *home) place(job ledger.JobKey, record *ledger.Record, index int) {
+// batchPlacement adds the latest attempt of a task to the batch for its partition.
+func (h *home) batchPlacement(job ledger.JobKey, record *ledger.Record, index int) {
 	t := &record.Tasks[index]
 	a := record.AttemptOf(index)
-	o, ok := h.open[a]
-	if !ok || o.phase != openCommitting {
+	o, ok := h.openAttempts[a]
+	if !ok || o.phase != phaseCommitting {
 		return
 	}
 	if record.Cancelled {
 		h.finish(a, task.Outcome{Attempt: a, State: task.NotRun, Reason: string(errkind.Cancelled)}, 0)
 		return
 	}
-	o.phase = openSending
+	o.phase = phaseSending
 	_, epoch, _ := h.routing.ownerOf(t.Partition)
-	h.routing.charge(t.Partition, record.Spec.Size)
+	h.routing.deductPlacement(t.Partition, record.Spec.Size)
 	gang := 1
 	if record.Spec.Kind == task.Gang {
 		gang = waitingTasks(record)
@@ -112,11 +114,11 @@
 		Attempt: a, Job: job, Index: index, Partition: t.Partition, Epoch: epoch,
 		Age: h.now.Sub(record.Spec.SubmittedAt), Gang: gang, Spec: record.Spec,
 	})
-	h.event(timeline.Event{Type: timeline.TaskPlaced, Team: job.Team, Task: a.Task, Attempt: a.Number, Partition: t.Partition, Epoch: epoch})
+	h.recordEvent(timeline.Event{Type: timeline.TaskPlaced, Team: job.Team, Task: a.Task, Attempt: a.Number, Partition: t.Partition, Epoch: epoch})
 }
 
-// waitingTasks returns how many tasks of a gang have not started. Those that
-// have finished before another member was lost do not start again.
+// waitingTasks returns how many tasks of a gang have not started. Tasks that finished before
+// another member was lost are not started again.
 func waitingTasks(record *ledger.Record) int {
 	waiting := 0
 	for i := range record.Tasks {
@@ -127,8 +129,8 @@
 	return waiting
 }
 
-// flush sends the placements that were collected, one call for each partition.
-func (h *home) flush() {
+// flushPlacements sends the collected placements, with one call per partition.
+func (h *home) flushPlacements() {
 	partitions := make([]string, 0, len(h.batches))
 	for p := range h.batches {
 		partitions = append(partitions, p)
@@ -146,7 +148,7 @@
 	}
 }
 
-// refuseAll is the reply of a partition without owner: nothing was sent.
+// refuseAll returns the reply for a partition without an owner: none of the placements was sent.
 func refuseAll(placements []Placement) PlaceReply {
 	reply := PlaceReply{Refusals: make([]*errkind.Error, len(placements))}
 	for i := range placements {
@@ -155,31 +157,31 @@
 	return reply
 }
 
-// placeDone applies what an owner said of a batch. Without a reply, each
-// attempt is looked up later.
+// placeDone applies the reply of an owner to a batch of placements. Without a reply, each attempt
+// is looked up later.
 func (h *home) placeDone(req PlaceRequest, reply PeerReply, err error) {
 	for i, p := range req.Placements {
-		o, ok := h.open[p.Attempt]
-		if !ok || o.phase != openSending {
+		o, ok := h.openAttempts[p.Attempt]
+		if !ok || o.phase != phaseSending {
 			continue
 		}
 		switch {
 		case err != nil:
-			o.phase = openUnclear
-			o.askAt = h.now.Add(h.cfg.RetryInterval)
+			o.phase = phaseUnclear
+			o.lookupAt = h.now.Add(h.cfg.RetryInterval)
 		case reply.(PlaceReply).Refusals[i] != nil:
 			kind := reply.(PlaceReply).Refusals[i].Kind
 			h.finish(p.Attempt, task.Outcome{Attempt: p.Attempt, State: task.NotRun, Reason: string(kind)}, 0)
 		default:
-			o.phase = openPlaced
+			o.phase = phasePlaced
 			o.placedAt = h.now
-			o.askAt = h.now.Add(h.cfg.LookupInterval)
+			o.lookupAt = h.now.Add(h.cfg.LookupInterval)
 		}
 	}
 }
 
-// finish applies the end of an attempt and returns whether a report with the
-// given id has to wait for its commit.
+// finish applies the outcome of an attempt and returns whether the report with the given ID has to
+// wait for the commit of the outcome.
 func (h *home) finish(a task.Attempt, outcome task.Outcome, reportID uint64) (waits bool) {
 	job, index, ok := ledger.ParseID(a.Task)
 	if !ok {
@@ -189,27 +191,27 @@
 	step := ledger.Step{Kind: ledger.StepFinished, Job: job, Index: index, Token: reportID}
 	verdict, waits := h.ledger.Finish(h.now, shard, job, index, outcome, step)
 	if verdict == ledger.Dropped {
-		h.event(timeline.Event{Type: timeline.AnswerDropped, Team: job.Team, Task: a.Task, Attempt: a.Number, Worker: outcome.Worker})
+		h.recordEvent(timeline.Event{Type: timeline.AnswerDropped, Team: job.Team, Task: a.Task, Attempt: a.Number, Worker: outcome.Worker})
 		return false
 	}
-	o := h.open[a]
-	delete(h.open, a)
+	o := h.openAttempts[a]
+	delete(h.openAttempts, a)
 	record, _ := h.ledger.Find(shard, job)
-	h.event(timeline.Event{Type: endEvent(outcome.State), Team: job.Team, Task: a.Task, Attempt: a.Number, Worker: outcome.Worker, Kind: outcome.Reason})
+	h.recordEvent(timeline.Event{Type: outcomeEventType(outcome.State), Team: job.Team, Task: a.Task, Attempt: a.Number, Worker: outcome.Worker, Kind: outcome.Reason})
 	if verdict == ledger.Again {
-		h.tryAgain(taskRef{job, index}, record, o, outcome)
+		h.retry(taskRef{job, index}, record, o, outcome)
 		return waits
 	}
 	if record.Spec.Kind == task.Gang {
 		h.resumeGang(job, record)
 	}
 	if !waits {
-		h.settle(job)
+		h.completeIfFinal(job)
 	}
 	return waits
 }
 
-func endEvent(s task.State) timeline.Type {
+func outcomeEventType(s task.State) timeline.Type {
 	switch s {
 	case task.Finished:
 		return timeline.TaskFinished
@@ -220,9 +222,9 @@
 	}
 }
 
-// tryAgain dispatches the next attempt of a task, away from the partition that
-// refused the last one. A gang is dispatched again as a whole.
-func (h *home) tryAgain(ref taskRef, record *ledger.Record, last *openAttempt, outcome task.Outcome) {
+// retry dispatches the next attempt of a task and avoids the partition that refused the last one.
+// A gang is dispatched again as a whole.
+func (h *home) retry(ref taskRef, record *ledger.Record, last *openAttempt, outcome task.Outcome) {
 	if record.Spec.Kind == task.Gang {
 		h.withdrawGang(ref.job, record)
 		return
@@ -231,19 +233,19 @@
 	if last != nil && outcome.State == task.NotRun {
 		avoid = []string{last.partition}
 		if outcome.Reason == string(errkind.Draining) {
-			h.routing.closed(last.partition)
+			h.routing.markNotReady(last.partition)
 		}
 	}
 	if !record.Spec.Kind.IsDurable() {
 		h.dispatch(ref.job, record, ref.index, avoid, 0)
 		return
 	}
-	tries := int(record.Tasks[ref.index].Attempt)
-	h.idle[ref] = &idleTask{tryAt: h.now.Add(h.cfg.RetryInterval << min(tries, 5)), tries: tries, avoid: avoid}
+	retries := int(record.Tasks[ref.index].Attempt)
+	h.undispatched[ref] = &undispatchedTask{retryAt: h.now.Add(h.cfg.RetryInterval << min(retries, 5)), retries: retries, avoid: avoid}
 }
 
-// withdrawGang takes the remaining members of a gang back after one of them
-// ended without running, and dispatches the gang again once none is open.
+// withdrawGang withdraws the remaining members of a gang after one of them ended and has to be
+// retried, and dispatches the gang again once no member is open.
 func (h *home) withdrawGang(job ledger.JobKey, record *ledger.Record) {
 	if open := openMembers(record); len(open) > 0 {
 		h.withdraw(job, record, open, errkind.WorkerLost)
@@ -263,16 +265,16 @@
 	return open
 }
 
-// resumeGang dispatches the members of a gang that were withdrawn, once no member
-// is open. The last open member may end for good: it can finish before its stop
-// arrives.
+// resumeGang schedules the dispatch of the members of a gang that were withdrawn, once no member
+// is open. This also follows a final outcome of the last open member, which can finish before its
+// stop order arrives.
 func (h *home) resumeGang(job ledger.JobKey, record *ledger.Record) {
 	if record.Cancelled || len(openMembers(record)) > 0 {
 		return
 	}
 	for i := range record.Tasks {
 		if record.Tasks[i].State == task.Accepted {
-			h.idle[taskRef{job, i}] = &idleTask{tryAt: h.now.Add(h.cfg.RetryInterval << 2)}
+			h.undispatched[taskRef{job, i}] = &undispatchedTask{retryAt: h.now.Add(h.cfg.RetryInterval << 2)}
 		}
 	}
 }
--- a/control/effect.go
+++ b/control/effect.go
@@ -15,13 +15,13 @@
 // reply to a waiting call.
 type Effect interface{ effect() }
 
-// Reply ends the call with Token.
+// Reply answers the waiting call with Token.
 type Reply struct {
 	Token uint64
 	Reply PeerReply
 }
 
-// Send makes a call to an entry instance; PeerDone is its end.
+// Send calls an entry instance; PeerDone delivers the result.
 type Send struct {
 	To      membership.Member
 	Request PeerRequest
@@ -29,8 +29,8 @@
 	SentAt  time.Time
 }
 
-// StartTask starts an attempt on a worker; StartDone is its end. It must not be
-// written after the term of the partition has ended.
+// StartTask starts an attempt on a worker; StartDone delivers the result. It must not be written
+// to the connection after the term of the partition has ended.
 type StartTask struct {
 	Worker     string
 	Address    string
@@ -48,32 +48,32 @@
 	BootID     string        // of the worker; its clock starts at zero with each boot
 	StartBy    time.Duration // in the worker's clock
 	LeaseUntil time.Duration // in the worker's clock
-	Wait       time.Duration // how long the worker may hold the exchange open for the result
+	Wait       time.Duration // how long the worker may hold the call open for the result
 	Waited     time.Duration // since the job was accepted, for the metric
 }
 
-// SyncWorker renews the leases on a worker and asks for its report; SyncDone is
-// its end.
+// SyncWorker renews the task leases on a worker and requests its report; SyncDone delivers the
+// result.
 type SyncWorker struct {
 	Worker      string
 	Address     string
 	Partition   string
 	Epoch       uint64
 	BootID      string        // of the worker
-	LeaseUntil  time.Duration // in the worker's clock; 0 renews nothing
+	LeaseUntil  time.Duration // in the worker's clock; 0 does not renew
 	Acknowledge []task.Attempt
 	After       uint64
 	Full        bool
 }
 
-// LookupTask asks a worker about an attempt; LookupDone is its end.
+// LookupTask asks a worker for the state of an attempt; LookupDone delivers the result.
 type LookupTask struct {
 	Worker  string
 	Address string
 	Attempt task.Attempt
 }
 
-// FetchResult reads the result of a finished attempt; ResultDone is its end.
+// FetchResult reads the result of a finished attempt; ResultDone delivers it.
 type FetchResult struct {
 	Worker  string
 	Address string
@@ -82,8 +82,8 @@
 	Digest  string
 }
 
-// StopTask asks a worker to stop an attempt, or to refuse it should its start
-// arrive later. The end is seen in the next report.
+// StopTask orders a worker to stop an attempt, or to refuse its start if that arrives later. The
+// next report of the worker has the outcome.
 type StopTask struct {
 	Worker  string
 	Address string
@@ -93,8 +93,8 @@
 	Reason  errkind.Kind
 	// Checkpoint asks for a checkpoint before the stop.
 	Checkpoint bool
-	// RefuseUntil is the reading of the worker's clock until which a start of the
-	// attempt that arrives later is refused.
+	// RefuseUntil is the reading of the worker's clock until which a late start of the attempt is
+	// refused.
 	RefuseUntil time.Duration
 }
 
@@ -126,7 +126,8 @@
 // has fallen behind.
 type Resync struct{ Behind int64 }
 
-// Drained says that the planned stop may go on: nothing is owned or waiting.
+// Drained reports that the drain is complete and the planned stop may proceed: no unit is held and
+// no reply is waited for.
 type Drained struct{}
 
 func (Reply) effect()           {}
--- a/control/event.go
+++ b/control/event.go
@@ -15,52 +15,52 @@
 // Event is something that happened outside the control goroutine.
 type Event interface{ event() }
 
-// Tick lets time-outs take effect.
+// Tick is the periodic event on which timeouts are checked and due calls are made.
 type Tick struct{}
 
-// PeerCall is a request of another entry instance, or of a handler of this one.
-// The reply goes to Token.
+// PeerCall is a request of another entry instance, or of a handler of this one. Token identifies
+// the waiting call that gets the reply.
 type PeerCall struct {
 	Token   uint64
 	From    string // instance; empty for a handler of this process
 	Request PeerRequest
 }
 
-// Forget drops a call whose caller waits no more.
+// Forget cancels a waiting call whose caller has gone.
 type Forget struct{ Token uint64 }
 
-// PeerDone is the end of a Send. Err is set when there is no reply; the request
-// may still have had its effect.
+// PeerDone is the result of a Send. Err is set if there is no reply; the request may still have
+// taken effect.
 type PeerDone struct {
 	Send  Send
 	Reply PeerReply
 	Err   error
 }
 
-// StartDone is the end of a StartTask.
+// StartDone is the result of a StartTask.
 type StartDone struct {
 	Start  StartTask
 	Result StartResult
 	Clock  time.Duration // of the worker, when it replied
 	BootID string
-	// Outcome is set when the task finished within the wait. Its result is left
-	// out, and to be fetched, if it does not have ResultBytes.
+	// Outcome is set if the task finished within StartTask.Wait. If its result is not ResultBytes
+	// long, it was left out and has to be fetched.
 	Outcome     *task.Outcome
 	ResultBytes int64
 	Detail      string // why the result is not StartRunning
 }
 
-// StartResult is what became of a start.
+// StartResult is the result of a start order.
 type StartResult uint8
 
 // The results of a start.
 const (
 	StartRunning StartResult = iota
-	StartNotRun              // surely not started
+	StartNotRun              // certainly not started
 	StartUnclear             // may have started
 )
 
-// SyncDone is the end of a SyncWorker.
+// SyncDone is the result of a SyncWorker.
 type SyncDone struct {
 	Sync   SyncWorker
 	SentAt time.Time
@@ -68,7 +68,7 @@
 	Reply  WorkerReport
 }
 
-// WorkerReport is what a worker says of itself.
+// WorkerReport is the status report of a worker.
 type WorkerReport struct {
 	BootID   string
 	Clock    time.Duration // since its boot
@@ -79,7 +79,7 @@
 	Tasks    []TaskReport
 }
 
-// TaskReport is what a worker says of one attempt.
+// TaskReport is the status of one attempt, as its worker reports it.
 type TaskReport struct {
 	Attempt     task.Attempt
 	Team        task.Team
@@ -90,7 +90,7 @@
 	ResultBytes int64
 }
 
-// LookupDone is the end of a LookupTask.
+// LookupDone is the result of a LookupTask.
 type LookupDone struct {
 	Lookup LookupTask
 	Err    error
@@ -100,24 +100,24 @@
 	Report TaskReport
 }
 
-// ResultDone is the end of a FetchResult.
+// ResultDone is the result of a FetchResult.
 type ResultDone struct {
 	Fetch FetchResult
 	Err   error
 	Data  []byte
 }
 
-// KeepAliveDone is the end of a RenewLease. The read was sent at SentAt too and
-// counts by itself.
+// KeepAliveDone is the result of a RenewLease. Its read of the revision was sent at SentAt, too,
+// and is valid independently of Err.
 type KeepAliveDone struct {
 	SentAt   time.Time
 	Lease    int64
 	Err      error
-	Gone     bool  // the store does not know the lease any more
+	Gone     bool  // the lease no longer exists in the store
 	Revision int64 // of the latest change of the configuration; 0 if the read failed
 }
 
-// LeaseGranted is the end of a GrantLease.
+// LeaseGranted is the result of a GrantLease.
 type LeaseGranted struct {
 	SentAt   time.Time
 	Lease    int64
@@ -128,12 +128,12 @@
 // ConfigChanged delivers changes below the watched prefix, in order.
 type ConfigChanged struct {
 	Revision int64
-	Complete bool // the changes are everything that exists: absent keys are deleted
+	Complete bool // the changes list every existing key: absent keys are deleted
 	Changes  []ConfigChange
 }
 
-// ConfigChange is one decoded change. Exactly one of the pointers is set unless
-// it was deleted or cannot be read.
+// ConfigChange is one decoded change. Exactly one of Document, Key, Member, Record, Allowance and
+// Drain is set, unless the entry was deleted or cannot be decoded.
 type ConfigChange struct {
 	Entry     ConfigEntry
 	Document  *document.Document
@@ -142,14 +142,14 @@
 	Record    *ownership.Record
 	Allowance *allowance.Record
 	Drain     string // name of an entry instance or worker that drains
-	Err       error  // why the value cannot be read
+	Err       error  // why the value cannot be decoded
 }
 
 // InstancesListed delivers the platform's instance list.
 type InstancesListed struct {
 	SentAt  time.Time
 	Workers []ListedWorker
-	Entries []membership.Member // entry instances that are not gone; only names and places are set
+	Entries []membership.Member // entry instances that are not gone; only names and locations are set
 }
 
 // ListedWorker is one worker of the instance list.
@@ -158,7 +158,7 @@
 	Leaving, Gone                              bool
 }
 
-// ShardRead is the end of a ReadShard.
+// ShardRead is the result of a ReadShard.
 type ShardRead struct {
 	Shard    string
 	Err      error
@@ -166,21 +166,21 @@
 	Revision int64
 }
 
-// LedgerDone is the end of a CommitLedger.
+// LedgerDone is the result of a CommitLedger.
 type LedgerDone struct {
 	Writes   []ledger.Write
 	Result   ledger.Result
 	Revision int64
-	Current  []ShardRead // on conflict: what the store holds
+	Current  []ShardRead // on conflict: the present values in the store
 }
 
-// OwnershipDone is the end of a WriteOwnership.
+// OwnershipDone is the result of a WriteOwnership.
 type OwnershipDone struct {
 	Unit   string
 	Result ownership.WriteResult
 }
 
-// AllowanceDone is the end of a WriteAllowances.
+// AllowanceDone is the result of a WriteAllowances.
 type AllowanceDone struct {
 	Writes []allowance.Write
 	Result allowance.WriteResult
@@ -189,8 +189,8 @@
 // DrainRequested starts a planned stop.
 type DrainRequested struct{}
 
-// OwnershipForced lets this instance take a unit over whose owner and
-// successors are all gone, after the safety wait.
+// OwnershipForced lets this instance take over, after the safety wait, a unit whose owner and
+// successors are all gone.
 type OwnershipForced struct{ Unit string }
 
 func (Tick) event()            {}
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -10,28 +10,28 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// exchange is when this process sent its digest to each of the others, and the
-// outage round that is under way.
-type exchange struct {
-	observedAt time.Time            // when this process last looked at its own load
-	sentAt     map[string]time.Time // by incarnation
-	round      *keyring.OutageRound
-	asked      map[string]bool // incarnations whose statement for the round is missing
+// digestExchange records when this process sent its digest to each of the other members, and the
+// outage round in progress.
+type digestExchange struct {
+	ownDigestAt   time.Time            // when this process last recorded its own load
+	sentAt        map[string]time.Time // by incarnation
+	outageRound   *keyring.OutageRound
+	awaitingReply map[string]bool // by incarnation: whether the reply for the round is outstanding
 }
 
-// ownDigestInterval is how often this process renews what it knows of its own
-// load as a home. It is far shorter than the interval of the others' digests and
-// long against the cost of summing up its workers.
+// ownDigestInterval is how often this process updates its own load in its routing table. It is far
+// shorter than the interval of the others' digests, and long compared to the cost of adding up the
+// load of its workers.
 const ownDigestInterval = 200 * time.Millisecond
 
-func newExchange() *exchange { return &exchange{sentAt: map[string]time.Time{}} }
+func newDigestExchange() *digestExchange { return &digestExchange{sentAt: map[string]time.Time{}} }
 
-// exchangeDigests sends the digest to the members that are due. The reply has
-// the other's digest, so of two members only the one with the lower incarnation
-// sends, except to renew the freshness of its keys.
+// exchangeDigests sends the digest to the members that are due. The reply carries the other
+// member's digest, so of two members only the one with the lower incarnation sends, except to
+// renew the freshness of its keys, in an outage round and during a drain.
 func (s *State) exchangeDigests() {
-	if s.now.Sub(s.exchange.observedAt) >= ownDigestInterval {
-		s.exchange.observedAt = s.now
+	if s.now.Sub(s.exchange.ownDigestAt) >= ownDigestInterval {
+		s.exchange.ownDigestAt = s.now
 		s.routing.observeDigest(s.now, s.digest())
 	}
 	s.startOutageRound()
@@ -39,31 +39,31 @@
 		if m.Incarnation == s.self.Incarnation || s.now.Before(s.exchange.sentAt[m.Incarnation].Add(s.digestInterval(m))) {
 			continue
 		}
-		asks := s.exchange.asked[m.Incarnation]
-		if m.Incarnation < s.self.Incarnation && !asks && s.isFresh() && !s.drain.started {
+		askNoCommit := s.exchange.awaitingReply[m.Incarnation]
+		if m.Incarnation < s.self.Incarnation && !askNoCommit && s.areKeysFresh() && !s.drain.started {
 			continue
 		}
 		s.exchange.sentAt[m.Incarnation] = s.now
 		message := s.digest()
-		message.AskNoCommit = asks
+		message.AskNoCommit = askNoCommit
 		s.emit(Send{To: m, Request: message, Timeout: s.cfg.CallTimeout, SentAt: s.now})
 	}
 }
 
-// isFresh reports whether the keys need no confirmation by others yet.
-func (s *State) isFresh() bool { return s.freshness.Remaining(s.now) > s.cfg.KeyFreshness/2 }
+// areKeysFresh reports whether the keys need no confirmation by other members yet.
+func (s *State) areKeysFresh() bool { return s.freshness.Remaining(s.now) > s.cfg.KeyFreshness/2 }
 
 func (s *State) digestInterval(m membership.Member) time.Duration {
-	if m.Region == s.self.Region || !s.isFresh() || s.drain.started {
+	if m.Region == s.self.Region || !s.areKeysFresh() || s.drain.started {
 		return s.cfg.DigestInterval
 	}
 	return s.cfg.FarDigestInterval
 }
 
-// startOutageRound asks every member to commit no configuration change for a
-// while if the store answers nobody and the keys are about to be too old.
+// startOutageRound asks every member to commit no configuration change for a while. It does so if
+// the store does not answer this process and the keys are about to become stale.
 func (s *State) startOutageRound() {
-	if s.hasStoreContact() || s.isFresh() || s.members.listedAt.IsZero() {
+	if s.hasStoreContact() || s.areKeysFresh() || s.membership.listedAt.IsZero() {
 		return
 	}
 	peers := make([]keyring.Peer, 0, len(s.routing.members))
@@ -73,22 +73,22 @@
 		asked[m.Incarnation] = m.Incarnation != s.self.Incarnation
 	}
 	self := keyring.Peer{Instance: s.self.Instance, Incarnation: s.self.Incarnation}
-	if s.exchange.round != nil && s.now.Sub(s.exchange.sentAt[self.Incarnation]) < s.cfg.DigestInterval {
+	if s.exchange.outageRound != nil && s.now.Sub(s.exchange.sentAt[self.Incarnation]) < s.cfg.DigestInterval {
 		return
 	}
 	if !s.freshness.PromiseNoCommit(s.now, false) {
-		return // a change of the configuration is on its way from here
+		return // this process is committing a configuration change
 	}
 	s.exchange.sentAt[self.Incarnation] = s.now
-	s.exchange.round = keyring.NewOutageRound(s.now, self, peers)
-	s.exchange.asked = asked
-	names := make([]string, 0, len(s.members.listed))
-	for _, m := range s.members.listed {
+	s.exchange.outageRound = keyring.NewOutageRound(s.now, self, peers)
+	s.exchange.awaitingReply = asked
+	names := make([]string, 0, len(s.membership.listedEntries))
+	for _, m := range s.membership.listedEntries {
 		names = append(names, m.Instance)
 	}
-	s.exchange.round.Listed(s.members.listedAt, names)
-	s.freshness.OutageConfirmed(s.now, s.exchange.round) // complete at once without other members
-	s.changed = true
+	s.exchange.outageRound.Listed(s.membership.listedAt, names)
+	s.freshness.OutageConfirmed(s.now, s.exchange.outageRound) // without other members the round is complete at once
+	s.snapshotChanged = true
 	for incarnation, ask := range asked {
 		if ask {
 			delete(s.exchange.sentAt, incarnation) // due at once
@@ -96,19 +96,19 @@
 	}
 }
 
-// digest says how this process is loaded and what it has in force.
+// digest describes the load of this process and the configuration that it has in force.
 func (s *State) digest() DigestMessage {
 	d := DigestMessage{
-		Instance: s.self.Instance, Incarnation: s.self.Incarnation, Revision: s.config.applied,
-		StoreContact: s.hasStoreContact(), ContactAge: s.now.Sub(s.members.lastContact), Freshness: s.freshness.Remaining(s.now),
-		Partitions: s.owner.partitionDigests(), Usage: s.owner.usage(), Wants: s.owner.allow.Starving(),
-		Clock: s.record.Now(s.now),
+		Instance: s.self.Instance, Incarnation: s.self.Incarnation, Revision: s.config.appliedRevision,
+		StoreContact: s.hasStoreContact(), ContactAge: s.now.Sub(s.membership.lastContact), Freshness: s.freshness.Remaining(s.now),
+		Partitions: s.owner.partitionDigests(), Usage: s.owner.usage(), Wants: s.owner.allowances.Starving(),
+		Clock: s.recorder.Now(s.now),
 	}
 	return d
 }
 
 func (s *State) digestReceived(token uint64, d DigestMessage) {
-	s.takeDigest(d)
+	s.applyDigest(d)
 	reply := s.digest()
 	if d.AskNoCommit {
 		reply.NoCommit = s.freshness.PromiseNoCommit(s.now, s.hasStoreContact())
@@ -122,53 +122,53 @@
 		return
 	}
 	reply := e.Reply.(DigestMessage)
-	s.takeDigest(reply)
+	s.applyDigest(reply)
 	s.freshness.PeerConfirmed(s.now, e.Send.SentAt, reply.Freshness, reply.Revision)
-	if s.isOfRound(e.Send) && s.exchange.asked[reply.Incarnation] {
-		s.exchange.asked[reply.Incarnation] = false
-		s.exchange.round.Reply(keyring.OutageReply{
+	if s.isOfOutageRound(e.Send) && s.exchange.awaitingReply[reply.Incarnation] {
+		s.exchange.awaitingReply[reply.Incarnation] = false
+		s.exchange.outageRound.Reply(keyring.OutageReply{
 			From:     keyring.Peer{Instance: reply.Instance, Incarnation: reply.Incarnation},
 			Promised: reply.NoCommit, Revision: reply.Known,
 		})
-		s.freshness.OutageConfirmed(s.now, s.exchange.round)
+		s.freshness.OutageConfirmed(s.now, s.exchange.outageRound)
 	}
-	s.changed = true
+	s.snapshotChanged = true
 }
 
-// isOfRound reports whether a digest asked for a statement for the outage round
-// that is under way. A promise that was given for an earlier round ends earlier,
-// and a digest that did not ask for one gets none.
-func (s *State) isOfRound(sent Send) bool {
+// isOfOutageRound reports whether a digest asked for a promise for the outage round in progress. A
+// promise that was given for an earlier round expires earlier, and a digest that did not ask for
+// one gets none.
+func (s *State) isOfOutageRound(sent Send) bool {
 	asked := sent.Request.(DigestMessage).AskNoCommit
-	return asked && s.exchange.round != nil && !sent.SentAt.Before(s.exchange.sentAt[s.self.Incarnation])
+	return asked && s.exchange.outageRound != nil && !sent.SentAt.Before(s.exchange.sentAt[s.self.Incarnation])
 }
 
-// takeDigest applies what another instance says of itself.
-func (s *State) takeDigest(d DigestMessage) {
-	s.record.Receive(s.now, d.Clock)
+// applyDigest applies the digest of another instance.
+func (s *State) applyDigest(d DigestMessage) {
+	s.recorder.Receive(s.now, d.Clock)
 	s.routing.observeDigest(s.now, d)
-	s.ownership.ObserveContact(d.Instance, s.mayReceive(d))
+	s.ownership.ObserveContact(d.Instance, s.mayReceiveUnits(d))
 	for _, team := range d.Wants {
-		s.owner.allow.AskIdle(team)
+		s.owner.allowances.AskIdle(team)
 	}
-	s.shareUsage()
-	if d.Revision > s.config.applied && !s.isFresh() {
+	s.updateShares()
+	if d.Revision > s.config.appliedRevision && !s.areKeysFresh() {
 		s.fetchConfig(d)
 	}
 }
 
-// fetchConfig reads what a peer has of later configuration. It is done before the
-// keys are too old, since a peer's freshness counts here only with its revision.
+// fetchConfig fetches later configuration from a peer. This happens before the keys are stale,
+// since the freshness of a peer counts here only together with its revision.
 func (s *State) fetchConfig(d DigestMessage) {
 	if m, ok := s.routing.members[d.Incarnation]; ok && s.config.fetchedAt.Add(s.cfg.CallTimeout).Before(s.now) {
 		s.config.fetchedAt = s.now
-		s.emit(Send{To: m, Request: FetchConfigRequest{After: s.config.applied}, Timeout: s.cfg.CallTimeout, SentAt: s.now})
+		s.emit(Send{To: m, Request: FetchConfigRequest{After: s.config.appliedRevision}, Timeout: s.cfg.CallTimeout, SentAt: s.now})
 	}
 }
 
-// shareUsage tells the fair shares what the teams use at the other owners, and
-// how large the whole cluster is.
-func (s *State) shareUsage() {
+// updateShares passes the usage of each team at the other owners, and the total capacity of the
+// cluster, to the fair-share accounting.
+func (s *State) updateShares() {
 	remote := map[task.Team]task.Resources{}
 	for instance, d := range s.routing.digests {
 		if instance == s.self.Instance || s.now.Sub(d.receivedAt) > s.cfg.DigestLifetime {
@@ -188,7 +188,7 @@
 	}
 	s.owner.remoteTeams = remote
 	var total task.Resources
-	for _, load := range s.routing.partitions {
+	for _, load := range s.routing.partitionLoads {
 		total = total.Add(load.digest.Capacity)
 	}
 	s.owner.shares.SetTotal(total)
@@ -225,7 +225,7 @@
 	return list
 }
 
-// usage returns what each team runs at this owner.
+// usage returns the resources that each team uses at this owner.
 func (w *owner) usage() []TeamUsage {
 	sums := map[task.Team]task.Resources{}
 	for _, a := range w.attempts {
--- a/control/gang_test.go
+++ b/control/gang_test.go
@@ -12,50 +12,49 @@
 var gangSpec = task.Spec{Team: "team-0", Service: "s", Class: "c", Kind: task.Gang, Count: 3, IdempotencyKey: "gang",
 	Size: task.Resources{CPUMilli: 250, MemoryMB: 256, Slots: 1}}
 
-// submitGang submits a gang of three tasks and returns its key and the attempts
-// that its home has dispatched.
-func submitGang(t *testing.T, b *bench) (ledger.JobKey, []task.Attempt) {
+// submitGang submits a gang of three tasks and returns its key and the dispatched attempts.
+func submitGang(t *testing.T, h *harness) (ledger.JobKey, []task.Attempt) {
 	t.Helper()
 	spec := gangSpec
-	spec.SubmittedAt = b.now
+	spec.SubmittedAt = h.now
 	nextToken++
-	b.apply(PeerCall{Token: nextToken, Request: SubmitRequest{Spec: spec}})
+	h.apply(PeerCall{Token: nextToken, Request: SubmitRequest{Spec: spec}})
 	job := ledger.KeyOf(&spec)
-	record, ok := b.state.home.ledger.Find(b.state.home.shardOf(job), job)
+	record, ok := h.state.home.ledger.Find(h.state.home.shardOf(job), job)
 	if !ok {
-		t.Fatal("the gang is not recorded")
+		t.Fatalf("gang %s is not recorded", job)
 	}
 	var attempts []task.Attempt
 	for i := range record.Tasks {
 		if record.Tasks[i].State != task.Dispatched {
-			t.Fatalf("task %d is %s", i, record.Tasks[i].State)
+			t.Fatalf("state of task %d = %s, want %s", i, record.Tasks[i].State, task.Dispatched)
 		}
 		attempts = append(attempts, record.AttemptOf(i))
 	}
 	return job, attempts
 }
 
-// expectFinished lets time pass and checks that every task of a gang finishes.
-func expectFinished(t *testing.T, b *bench, job ledger.JobKey) {
+// expectFinished advances the clock by 30 s and checks that every task of a gang has finished.
+func expectFinished(t *testing.T, h *harness, job ledger.JobKey) {
 	t.Helper()
 	for range 1500 {
-		b.now = b.now.Add(20 * time.Millisecond)
-		b.apply(Tick{})
+		h.now = h.now.Add(20 * time.Millisecond)
+		h.apply(Tick{})
 	}
-	record, _ := b.state.home.ledger.Find(b.state.home.shardOf(job), job)
+	record, _ := h.state.home.ledger.Find(h.state.home.shardOf(job), job)
 	for i := range record.Tasks {
 		if ts := &record.Tasks[i]; ts.State != task.Finished {
-			t.Errorf("task %d is %s after attempt %d, want finished; outcome %+v", i, ts.State, ts.Attempt, ts.Outcome)
+			t.Errorf("state of task %d = %s after attempt %d, want finished; outcome %+v", i, ts.State, ts.Attempt, ts.Outcome)
 		}
 	}
 }
 
-// TestGangWithFinishedMember guards against a gang that never runs again when the
-// last member that was open finishes after another one was lost.
-func TestGangWithFinishedMember(t *testing.T) {
-	b := newBench(12, 4, 1)
+// TestGangResumesAfterMemberFinished guards against a gang that is never dispatched again because
+// its last open member finishes after another member was lost.
+func TestGangResumesAfterMemberFinished(t *testing.T) {
+	h := newHarness(12, 4, 1)
 	started := 0
-	b.dropped = func(e Effect) bool {
+	h.dropEffect = func(e Effect) bool {
 		start, ok := e.(StartTask)
 		if !ok || start.Attempt.Number > 1 {
 			return false
@@ -63,13 +62,13 @@
 		started++
 		return true
 	}
-	job, attempts := submitGang(t, b)
+	job, attempts := submitGang(t, h)
 	for range 500 {
-		b.now = b.now.Add(20 * time.Millisecond)
-		b.apply(Tick{})
+		h.now = h.now.Add(20 * time.Millisecond)
+		h.apply(Tick{})
 	}
 	if started != len(attempts) {
-		t.Fatalf("%d of %d members were started", started, len(attempts))
+		t.Fatalf("%d of %d gang members were started", started, len(attempts))
 	}
 	ends := []task.Outcome{
 		{State: task.Unknown, Reason: string(errkind.WorkerLost)},
@@ -79,18 +78,17 @@
 	for i, outcome := range ends {
 		outcome.Attempt = attempts[i]
 		nextToken++
-		b.apply(PeerCall{Token: nextToken, Request: ReportRequest{Reports: []AttemptReport{{Attempt: attempts[i], Job: job, Index: i, Outcome: &outcome}}}})
+		h.apply(PeerCall{Token: nextToken, Request: ReportRequest{Reports: []AttemptReport{{Attempt: attempts[i], Job: job, Index: i, Outcome: &outcome}}}})
 	}
-	expectFinished(t, b, job)
+	expectFinished(t, h, job)
 }
 
-// TestLatePlacementOfGang guards against accepted work that ends as not run
-// because its placement was held up and its owner had answered a look-up for it
-// before.
-func TestLatePlacementOfGang(t *testing.T) {
-	b := newBench(12, 4, 1)
+// TestGangPlacementAfterLookup guards against accepted work that ends as not run because its
+// placement was delayed and arrived after the owner had answered a lookup of it.
+func TestGangPlacementAfterLookup(t *testing.T) {
+	h := newHarness(12, 4, 1)
 	var late []Send
-	b.dropped = func(e Effect) bool {
+	h.dropEffect = func(e Effect) bool {
 		send, ok := e.(Send)
 		if !ok {
 			return false
@@ -101,7 +99,7 @@
 		}
 		return false
 	}
-	job, attempts := submitGang(t, b)
+	job, attempts := submitGang(t, h)
 	if len(late) != 1 {
 		t.Fatalf("%d placements were sent, want 1", len(late))
 	}
@@ -110,8 +108,8 @@
 		lookup.Attempts = append(lookup.Attempts, LookupItem{Attempt: a, Job: job, Index: i})
 	}
 	nextToken++
-	b.apply(PeerCall{Token: nextToken, Request: lookup}) // its reply is still on the way
-	b.dropped = nil
-	b.call(late[0])
-	expectFinished(t, b, job)
+	h.apply(PeerCall{Token: nextToken, Request: lookup}) // its reply is not delivered, as if still in transit
+	h.dropEffect = nil
+	h.callSelf(late[0])
+	expectFinished(t, h, job)
 }
--- a/control/homereport.go
+++ b/control/homereport.go
@@ -9,20 +9,20 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// report applies what an owner says of attempts. The reply tells the owner what
-// it need not report again, and comes after the commit of durable work.
+// report applies an owner's reports about attempts. The reply lists what the owner need not report
+// again, and comes after the commit of durable work.
 func (h *home) report(token uint64, req ReportRequest) {
-	h.nextID++
-	id := h.nextID
+	h.nextReportID++
+	id := h.nextReportID
 	call := &reportCall{token: token, recorded: make([]bool, len(req.Reports))}
-	h.reports[id] = call
+	h.reportCalls[id] = call
 	for i, r := range req.Reports {
 		if _, isVolatile := ledger.HolderOf(r.Attempt.Task); !isVolatile && !h.ledger.IsActive(h.shardOf(r.Job)) {
 			continue
 		}
 		call.recorded[i] = true
 		if r.Outcome == nil {
-			h.started(r)
+			h.attemptStarted(r)
 			continue
 		}
 		if h.finish(r.Attempt, *r.Outcome, id) {
@@ -34,30 +34,30 @@
 	h.replyWhenRecorded(id)
 }
 
-// isPending reports whether the end of a durable attempt may be known here but not
-// in the store, as when an owner reports it again while the store is down. The
-// owner must not have the worker forget the attempt before it is stored: the next
-// home would find no trace of it and take it for not run.
+// isPending reports whether the outcome of a durable attempt may be known here but not yet stored,
+// for example when an owner reports it again during a store outage. The owner must not acknowledge
+// the attempt to its worker before the outcome is stored: the next home would find no trace of the
+// attempt and treat it as not run.
 func (h *home) isPending(r AttemptReport) bool {
 	_, isVolatile := ledger.HolderOf(r.Attempt.Task)
 	return !isVolatile && h.ledger.HasPending(h.shardOf(r.Job))
 }
 
-func (h *home) started(r AttemptReport) {
+func (h *home) attemptStarted(r AttemptReport) {
 	if !h.ledger.Started(h.shardOf(r.Job), r.Job, r.Index, r.Attempt, r.Worker) {
 		return
 	}
-	if o, ok := h.open[r.Attempt]; ok {
-		o.phase = openPlaced
+	if o, ok := h.openAttempts[r.Attempt]; ok {
+		o.phase = phasePlaced
 		o.placedAt = time.Time{}
-		o.askAt = h.now.Add(h.cfg.LookupInterval)
+		o.lookupAt = h.now.Add(h.cfg.LookupInterval)
 	}
-	h.event(timeline.Event{Type: timeline.TaskStarted, Team: r.Job.Team, Task: r.Attempt.Task, Attempt: r.Attempt.Number, Worker: r.Worker})
+	h.recordEvent(timeline.Event{Type: timeline.TaskStarted, Team: r.Job.Team, Task: r.Attempt.Task, Attempt: r.Attempt.Number, Worker: r.Worker})
 }
 
-// recorded notes that one part of a report is in the store.
-func (h *home) recorded(id uint64) {
-	call, ok := h.reports[id]
+// partRecorded counts one part of a report as stored.
+func (h *home) partRecorded(id uint64) {
+	call, ok := h.reportCalls[id]
 	if !ok {
 		return
 	}
@@ -66,71 +66,71 @@
 }
 
 func (h *home) replyWhenRecorded(id uint64) {
-	call := h.reports[id]
+	call := h.reportCalls[id]
 	if call.waiting > 0 {
 		return
 	}
-	delete(h.reports, id)
+	delete(h.reportCalls, id)
 	h.reply(call.token, ReportReply{Recorded: call.recorded})
 }
 
-// permit answers an owner that wants to start at-most-once work. The grant is
-// sent after the worker is in the store.
+// permit answers an owner that requests to start at-most-once work. The permit is granted only
+// after the chosen worker is recorded in the store.
 func (h *home) permit(token uint64, req PermitRequest) {
 	step := ledger.Step{Kind: ledger.StepPermitted, Job: req.Job, Index: req.Index, Token: token}
 	if !h.ledger.Permit(h.shardOf(req.Job), req.Job, req.Index, req.Attempt, req.Worker, req.BootID, step) {
 		h.reply(token, PermitReply{})
 		return
 	}
-	if o, ok := h.open[req.Attempt]; ok {
-		o.phase = openPlaced
-		o.askAt = h.now.Add(h.cfg.LookupInterval)
+	if o, ok := h.openAttempts[req.Attempt]; ok {
+		o.phase = phasePlaced
+		o.lookupAt = h.now.Add(h.cfg.LookupInterval)
 	}
 }
 
-// tick makes the calls that are due.
+// tick makes the calls that are due, ends expired waits and removes expired records.
 func (h *home) tick() {
-	h.dispatchIdle()
+	h.dispatchDue()
 	h.rebalance()
-	h.askOwners()
-	h.endWaits()
+	h.lookUpOverdue()
+	h.expireWaits()
 	if h.now.Sub(h.expiredAt) >= expireInterval {
 		h.expiredAt = h.now
 		h.ledger.Expire(h.now)
 	}
 }
 
-// expireInterval is between two looks at every record for those past their
-// retention, which is minutes.
+// expireInterval is the interval between scans of all records for those past their retention,
+// which is minutes.
 const expireInterval = 5 * time.Second
 
-func (h *home) dispatchIdle() {
-	for ref, t := range h.idle {
-		if h.now.Before(t.tryAt) {
+func (h *home) dispatchDue() {
+	for ref, t := range h.undispatched {
+		if h.now.Before(t.retryAt) {
 			continue
 		}
-		delete(h.idle, ref)
+		delete(h.undispatched, ref)
 		if record, ok := h.ledger.Find(h.shardOf(ref.job), ref.job); ok && !record.Cancelled {
-			h.dispatch(ref.job, record, ref.index, t.avoid, t.tries)
+			h.dispatch(ref.job, record, ref.index, t.avoid, t.retries)
 		}
 	}
 }
 
-// askOwners looks up the attempts of which nothing was heard for too long, with
-// one call for each partition.
-func (h *home) askOwners() {
+// lookUpOverdue looks up the attempts that have had no status update for too long, with one call
+// per partition.
+func (h *home) lookUpOverdue() {
 	items := map[string][]LookupItem{}
-	for a, o := range h.open {
+	for a, o := range h.openAttempts {
 		if !o.deadline.IsZero() && h.now.After(o.deadline) {
-			h.giveUp(a, o)
+			h.expireAnswer(a, o)
 			continue
 		}
-		if o.asking || o.phase == openCommitting || h.now.Before(o.askAt) {
+		if o.lookingUp || o.phase == phaseCommitting || h.now.Before(o.lookupAt) {
 			continue
 		}
 		record, ok := h.ledger.Find(h.shardOf(o.ref.job), o.ref.job)
 		if !ok {
-			delete(h.open, a)
+			delete(h.openAttempts, a)
 			continue
 		}
 		t := &record.Tasks[o.ref.index]
@@ -141,55 +141,56 @@
 		items[o.partition] = append(items[o.partition], item)
 	}
 	for partition, list := range items {
-		h.ask(partition, list)
+		h.sendLookup(partition, list)
 	}
 }
 
-func (h *home) ask(partition string, items []LookupItem) {
+func (h *home) sendLookup(partition string, items []LookupItem) {
 	owner, _, ok := h.routing.ownerOf(partition)
 	for _, item := range items {
-		h.open[item.Attempt].asking = ok
-		h.open[item.Attempt].askAt = h.now.Add(h.cfg.RetryInterval)
+		h.openAttempts[item.Attempt].lookingUp = ok
+		h.openAttempts[item.Attempt].lookupAt = h.now.Add(h.cfg.RetryInterval)
 	}
 	if ok {
 		h.send(owner, LookupRequest{Partition: partition, Attempts: items})
 	}
 }
 
-// giveUp tells the caller of an answer that its deadline has passed without
-// news. The attempt is taken back; a late result still reaches the record.
-func (h *home) giveUp(a task.Attempt, o *openAttempt) {
+// expireAnswer ends an answer whose deadline has passed without a report with an unknown outcome,
+// so that its caller gets a reply. The attempt is withdrawn; a late result still reaches the
+// record.
+func (h *home) expireAnswer(a task.Attempt, o *openAttempt) {
 	record, ok := h.ledger.Find(h.shardOf(o.ref.job), o.ref.job)
 	if !ok {
-		delete(h.open, a)
+		delete(h.openAttempts, a)
 		return
 	}
 	h.withdraw(o.ref.job, record, []int{o.ref.index}, errkind.DeadlineExceeded)
 	h.finish(a, task.Outcome{Attempt: a, State: task.Unknown, Reason: string(errkind.OutcomeUnknown)}, 0)
 }
 
-// lookupDone applies what an owner knows of attempts.
+// lookupDone applies an owner's reply to a lookup of attempts.
 func (h *home) lookupDone(req LookupRequest, reply PeerReply, err error) {
 	for i, item := range req.Attempts {
-		o, ok := h.open[item.Attempt]
+		o, ok := h.openAttempts[item.Attempt]
 		if !ok {
 			continue
 		}
-		o.asking = false
+		o.lookingUp = false
 		if err != nil {
-			o.askAt = h.now.Add(h.cfg.RetryInterval)
+			o.lookupAt = h.now.Add(h.cfg.RetryInterval)
 			continue
 		}
-		h.apply(item, o, reply.(LookupReply).States[i])
+		h.applyLookup(item, o, reply.(LookupReply).States[i])
 	}
 }
 
-func (h *home) apply(item LookupItem, o *openAttempt, state LookupState) {
+func (h *home) applyLookup(item LookupItem, o *openAttempt, state LookupState) {
 	outcome := task.Outcome{Attempt: item.Attempt, Reason: string(errkind.WorkerLost), Worker: item.Worker}
 	switch state {
 	case LookupKnown:
-		o.phase = openPlaced
-		o.askAt = h.now.Add(h.cfg.LookupInterval)
+		o.phase = phasePlaced
+		o.lookupAt = h.now.Add(h.cfg.LookupInterval)
 		h.withdrawIfCancelled(item)
 	case LookupNotRun:
 		outcome.State = task.NotRun
@@ -198,7 +199,7 @@
 		outcome.State = task.Unknown
 		h.finish(item.Attempt, outcome, 0)
 	default:
-		o.askAt = h.now.Add(h.cfg.RetryInterval)
+		o.lookupAt = h.now.Add(h.cfg.RetryInterval)
 	}
 }
 
@@ -210,12 +211,12 @@
 	}
 }
 
-// endWaits replies to callers whose wait is over though the job is not final.
-func (h *home) endWaits() {
+// expireWaits replies to callers whose wait has expired before the job is final.
+func (h *home) expireWaits() {
 	for job, tokens := range h.waiters {
 		kept := tokens[:0]
 		for _, token := range tokens {
-			call, ok := h.calls[token]
+			call, ok := h.waitingCalls[token]
 			if !ok {
 				continue
 			}
@@ -226,7 +227,7 @@
 			if view, found := h.ledger.View(h.shardOf(job), job); found {
 				h.answer(token, view)
 			} else {
-				delete(h.calls, token)
+				delete(h.waitingCalls, token)
 			}
 		}
 		if len(kept) == 0 {
@@ -237,69 +238,69 @@
 	}
 }
 
-// opened resumes the jobs of a shard that became active. Every attempt that a
-// former home sent is looked up, never guessed.
-func (h *home) opened(shard string) {
+// shardOpened resumes the jobs of a shard that became active. The state of an attempt that a former
+// home dispatched is never assumed: each one is looked up.
+func (h *home) shardOpened(shard string) {
 	for _, record := range h.ledger.Records(shard) {
 		job := record.JobKey()
 		for i := range record.Tasks {
-			h.resume(taskRef{job, i}, record)
+			h.resumeTask(taskRef{job, i}, record)
 		}
 	}
 }
 
-func (h *home) resume(ref taskRef, record *ledger.Record) {
+func (h *home) resumeTask(ref taskRef, record *ledger.Record) {
 	t := &record.Tasks[ref.index]
 	switch {
 	case t.State.IsFinal():
 	case t.State == task.Accepted:
-		h.idle[ref] = &idleTask{tryAt: h.now}
+		h.undispatched[ref] = &undispatchedTask{retryAt: h.now}
 	default:
 		t.State = task.Dispatched
 		a := record.AttemptOf(ref.index)
-		if _, known := h.open[a]; !known {
-			h.open[a] = &openAttempt{ref: ref, partition: t.Partition, phase: openUnclear, askAt: h.now}
+		if _, known := h.openAttempts[a]; !known {
+			h.openAttempts[a] = &openAttempt{ref: ref, partition: t.Partition, phase: phaseUnclear, lookupAt: h.now}
 		}
 	}
 }
 
-// closed drops the durable jobs of a shard that this instance is no longer the
-// home of. Callers are told that the outcome is unknown here; the next home knows.
-func (h *home) closed(steps []ledger.Step, records []*ledger.Record) {
-	lost := errkind.New(errkind.NoOwner, "the home of the request has moved; ask again").
+// shardClosed drops the durable jobs of a shard that this instance is no longer the home of. Their
+// callers get an error that leaves the outcome open; the next home has the jobs.
+func (h *home) shardClosed(steps []ledger.Step, records []*ledger.Record) {
+	movedErr := errkind.New(errkind.NoOwner, "the home of the job has moved to another instance; retry the request").
 		WithRetryAfter(time.Second).WithFate(errkind.FateUnknown)
 	for _, s := range steps {
-		h.drop(s, lost)
+		h.failStep(s, movedErr)
 	}
 	for _, record := range records {
 		job := record.JobKey()
 		for _, token := range h.waiters[job] {
-			if _, ok := h.calls[token]; ok {
-				delete(h.calls, token)
-				h.reply(token, JobReply{Err: lost})
+			if _, ok := h.waitingCalls[token]; ok {
+				delete(h.waitingCalls, token)
+				h.reply(token, JobReply{Err: movedErr})
 			}
 		}
 		delete(h.waiters, job)
 		for i := range record.Tasks {
-			delete(h.open, record.AttemptOf(i))
-			delete(h.idle, taskRef{job, i})
+			delete(h.openAttempts, record.AttemptOf(i))
+			delete(h.undispatched, taskRef{job, i})
 		}
 	}
 }
 
-func (h *home) drop(s ledger.Step, lost *errkind.Error) {
+func (h *home) failStep(s ledger.Step, movedErr *errkind.Error) {
 	switch s.Kind {
 	case ledger.StepAccepted, ledger.StepAnswer:
-		if _, ok := h.calls[s.Token]; ok {
-			delete(h.calls, s.Token)
-			h.reply(s.Token, JobReply{Err: lost})
+		if _, ok := h.waitingCalls[s.Token]; ok {
+			delete(h.waitingCalls, s.Token)
+			h.reply(s.Token, JobReply{Err: movedErr})
 		}
 	case ledger.StepPermitted:
 		h.reply(s.Token, PermitReply{})
 	case ledger.StepFinished:
-		if call, ok := h.reports[s.Token]; ok {
+		if call, ok := h.reportCalls[s.Token]; ok {
 			clear(call.recorded)
-			h.recorded(s.Token)
+			h.partRecorded(s.Token)
 		}
 	}
 }
--- a/control/limit.go
+++ b/control/limit.go
@@ -9,28 +9,28 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// setLimit takes over the upper limit of a team; nil is no limit.
+// setLimit sets the upper limit of a team; nil means no limit.
 func (w *owner) setLimit(team task.Team, limit *task.Resources, revision int64) {
 	var amounts task.Resources
 	if limit != nil {
 		amounts = *limit
 	}
-	w.allow.SetLimit(w.now, team, amounts, revision)
+	w.allowances.SetLimit(w.now, team, amounts, revision)
 }
 
-// allowanceDone applies the fate of a transaction and tries the teams again that
-// lacked allowance.
+// allowanceDone applies the result of a transaction and retries the teams whose allowance it
+// concerns.
 func (w *owner) allowanceDone(e AllowanceDone) {
-	w.allow.WriteDone(w.now, e.Writes, e.Result)
+	w.allowances.WriteDone(w.now, e.Writes, e.Result)
 	for _, write := range e.Writes {
 		delete(w.blocked, write.Record.Team)
 	}
 	w.schedule()
 }
 
-// wantAllowance notes what the waiting tasks need, so that one transaction
-// covers them.
-func (w *owner) wantAllowance() {
+// requestAllowance registers what the queued tasks of each team and partition need in total, so
+// that one transaction covers them.
+func (w *owner) requestAllowance() {
 	type need struct {
 		team      task.Team
 		partition string
@@ -43,60 +43,59 @@
 		}
 	}
 	for n, total := range needs {
-		w.allow.Want(w.now, n.team, n.partition, total)
+		w.allowances.Want(w.now, n.team, n.partition, total)
 	}
 }
 
-// shedExcess stops work of teams whose limit was lowered below what runs, so
-// that the lower limit comes into force. Each partition sheds in proportion to
-// what it holds; only work that may be repeated is stopped.
-func (w *owner) shedExcess() {
-	for _, team := range w.runningTeams() {
-		record, ok := w.allow.Record(team)
+// preemptOverLimit preempts work of teams whose limit was lowered below what runs, so that the
+// lower limit comes into force. Each partition preempts in proportion to the allowance that it
+// holds; only work that may be repeated is preempted.
+func (w *owner) preemptOverLimit() {
+	for _, team := range w.activeTeams() {
+		record, ok := w.allowances.Record(team)
 		if !ok || !record.HasPending {
 			continue
 		}
 		for name := range w.partitions {
-			w.shed(team, name, excess(record, name, w.allow.InUse(w.now, team, name)))
+			w.preempt(team, name, excessUsage(record, name, w.allowances.InUse(w.now, team, name)))
 		}
 	}
 }
 
-// excess returns how much of what a partition uses is above its part of the
-// pending limit.
-func excess(r allowance.Record, partition string, used task.Resources) task.Resources {
+// excessUsage returns by how much the usage of a partition exceeds its part of the pending limit.
+func excessUsage(r allowance.Record, partition string, used task.Resources) task.Resources {
 	var total task.Resources
 	for _, part := range r.Parts {
 		total = total.Add(part)
 	}
 	part := r.Parts[partition]
 	return task.Resources{
-		CPUMilli:     above(used.CPUMilli, part.CPUMilli, total.CPUMilli, r.Pending.CPUMilli),
-		MemoryMB:     above(used.MemoryMB, part.MemoryMB, total.MemoryMB, r.Pending.MemoryMB),
-		Accelerators: above(used.Accelerators, part.Accelerators, total.Accelerators, r.Pending.Accelerators),
-		Slots:        above(used.Slots, part.Slots, total.Slots, r.Pending.Slots),
-		Connections:  above(used.Connections, part.Connections, total.Connections, r.Pending.Connections),
+		CPUMilli:     excessAmount(used.CPUMilli, part.CPUMilli, total.CPUMilli, r.Pending.CPUMilli),
+		MemoryMB:     excessAmount(used.MemoryMB, part.MemoryMB, total.MemoryMB, r.Pending.MemoryMB),
+		Accelerators: excessAmount(used.Accelerators, part.Accelerators, total.Accelerators, r.Pending.Accelerators),
+		Slots:        excessAmount(used.Slots, part.Slots, total.Slots, r.Pending.Slots),
+		Connections:  excessAmount(used.Connections, part.Connections, total.Connections, r.Pending.Connections),
 	}
 }
 
-// above returns by how much used exceeds the share of limit that belongs to part
-// of total. A limit of zero does not limit.
-func above(used, part, total, limit int64) int64 {
+// excessAmount returns by how much used exceeds the fraction part/total of limit, or 0 if total is
+// within limit. A limit of zero means no limit.
+func excessAmount(used, part, total, limit int64) int64 {
 	if limit == 0 || total <= limit {
 		return 0
 	}
 	return max(0, used-part*limit/total)
 }
 
-// shed stops the latest started attempts of a team at a partition until the
-// excess is covered by those that are being stopped.
-func (w *owner) shed(team task.Team, partition string, over task.Resources) {
-	if over.IsZero() {
+// preempt stops the most recently started attempts of a team at a partition until the attempts
+// that are being stopped cover the excess.
+func (w *owner) preempt(team task.Team, partition string, excess task.Resources) {
+	if excess.IsZero() {
 		return
 	}
 	var running []*attempt
 	for _, a := range w.attempts {
-		if a.team == team && a.partition == partition && a.stage == stageRunning && w.mayShed(a) {
+		if a.team == team && a.partition == partition && a.stage == stageRunning && w.isPreemptible(a) {
 			running = append(running, a)
 		}
 	}
@@ -104,27 +103,27 @@
 		return cmp.Or(b.startedAt.Compare(a.startedAt), cmp.Compare(a.id.Task, b.id.Task))
 	})
 	for _, a := range running {
-		if !hasPositive(over) {
+		if !hasPositive(excess) {
 			return
 		}
-		if a.stopping == "" {
+		if a.stopReason == "" {
 			w.stop(a, errkind.OverLimit)
 		}
-		over = over.Sub(a.size)
+		excess = excess.Sub(a.size)
 	}
 }
 
-// mayShed reports whether an attempt may be stopped and run again. Of an adopted
-// attempt the kind is not known, so it is left to end by itself.
-func (w *owner) mayShed(a *attempt) bool {
+// isPreemptible reports whether an attempt may be stopped and run again. The kind of an adopted
+// attempt is not known, so it is left to end by itself.
+func (w *owner) isPreemptible(a *attempt) bool {
 	kind := a.placement.Spec.Kind
 	return kind != "" && kind.IsDurable() && kind.MayRepeat()
 }
 
 func hasPositive(r task.Resources) bool { return !r.Max(task.Resources{}).IsZero() }
 
-// runningTeams lists the teams with attempts at this owner.
-func (w *owner) runningTeams() []task.Team {
+// activeTeams lists the teams with attempts at this owner.
+func (w *owner) activeTeams() []task.Team {
 	var teams []task.Team
 	for _, a := range w.attempts {
 		if !slices.Contains(teams, a.team) {
--- a/control/limit_test.go
+++ b/control/limit_test.go
@@ -8,12 +8,11 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// TestAllowanceOfSecondPartition guards against work that waits for ever at a
-// partition that has allowance, behind tasks of another partition of the same
-// owner that has none.
-func TestAllowanceOfSecondPartition(t *testing.T) {
-	b := newBench(96, 2, 1)
-	w := b.state.owner
+// TestBlockedPartitionDoesNotStarveAnother guards against work that waits forever at a partition
+// with allowance, behind tasks of another partition of the same owner without allowance.
+func TestBlockedPartitionDoesNotStarveAnother(t *testing.T) {
+	h := newHarness(96, 2, 1)
+	w := h.state.owner
 	const team = task.Team("team-0")
 	first, second := PartitionOf("r", "0", 2), ""
 	for name := range w.partitions {
@@ -23,10 +22,10 @@
 	}
 	four := gangSpec.Size.Scale(4)
 	limit := task.Resources{Slots: 4}
-	b.revision++
-	record := allowance.Record{Team: team, Limit: limit, LimitRevision: b.revision, Parts: map[string]task.Resources{second: four}, Revision: b.revision}
-	w.setLimit(team, &limit, b.revision)
-	b.apply(ConfigChanged{Revision: b.revision, Changes: []ConfigChange{{Entry: ConfigEntry{Key: "allow/team-0", Revision: b.revision}, Allowance: &record}}})
+	h.revision++
+	record := allowance.Record{Team: team, Limit: limit, LimitRevision: h.revision, Parts: map[string]task.Resources{second: four}, Revision: h.revision}
+	w.setLimit(team, &limit, h.revision)
+	h.apply(ConfigChanged{Revision: h.revision, Changes: []ConfigChange{{Entry: ConfigEntry{Key: "allow/team-0", Revision: h.revision}, Allowance: &record}}})
 	place := func(partition string, n int) {
 		for range n {
 			spec := gangSpec
@@ -37,7 +36,7 @@
 			}
 		}
 	}
-	place(first, 2*lookAhead)
+	place(first, 2*backfillDepth)
 	place(second, 2)
 	started := map[string]int{}
 	w.effects = nil
--- a/control/loop.go
+++ b/control/loop.go
@@ -11,8 +11,8 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// queueLength bounds the events that wait for the control goroutine. A sender
-// waits when it is full, which slows traffic down and not control.
+// queueLength is the capacity of the event queue of the control goroutine. A full queue blocks the
+// senders, which applies backpressure to traffic and does not delay control.
 const queueLength = 4096
 
 // Loop owns a State: the goroutine in Run is the only one that touches it.
@@ -45,10 +45,11 @@
 // Queued returns how many events wait for the control goroutine.
 func (l *Loop) Queued() int { return len(l.events) }
 
-// AllowanceRefused returns how often a task found no allowance of its team.
+// AllowanceRefused returns how often a start failed for lack of allowance of its team.
 func (l *Loop) AllowanceRefused() uint64 { return l.allowanceRefused.Load() }
 
-// Post sends an event to the control goroutine. It gives up when ctx ends.
+// Post sends an event to the control goroutine. It returns the error of ctx if ctx ends before the
+// event is queued.
 func (l *Loop) Post(ctx context.Context, e Event) error {
 	select {
 	case l.events <- e:
@@ -76,8 +77,8 @@
 	}
 }
 
-// forget drops a call without waiting for room in the queue: the state also
-// drops calls when their wait ends.
+// forget cancels a waiting call. It does not block on a full queue: the state also drops calls when
+// their wait expires.
 func (l *Loop) forget(token uint64) {
 	select {
 	case l.events <- Forget{Token: token}:
@@ -104,8 +105,8 @@
 func (l *Loop) apply(e Event) {
 	started := time.Now()
 	effects := l.state.Apply(started, e)
-	// The snapshot is published first, so that an effect never runs with an
-	// older term than the one under which it was decided.
+	// The snapshot is published before the effects are executed, so that an effect never runs
+	// under an older term than the one under which it was decided.
 	if l.state.TakeChanged() {
 		l.snapshot.Store(l.state.Snapshot())
 	}
@@ -116,7 +117,7 @@
 		}
 		l.execute(effect)
 	}
-	l.allowanceRefused.Store(l.state.owner.refusedAllowance)
+	l.allowanceRefused.Store(l.state.owner.allowanceRefusals)
 	l.applyTime.Update(int64(time.Since(started)))
 }
 
--- a/control/outbox.go
+++ b/control/outbox.go
@@ -6,16 +6,16 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// outbox collects what one Apply leads to. The parts of the state share it.
+// outbox collects the effects of one Apply. The parts of the state share it.
 type outbox struct {
-	now     time.Time
-	effects []Effect
-	record  *timeline.Recorder
+	now      time.Time
+	effects  []Effect
+	recorder *timeline.Recorder
 }
 
 func (o *outbox) emit(e Effect) { o.effects = append(o.effects, e) }
 
-func (o *outbox) event(e timeline.Event) { o.record.Record(o.now, e) }
+func (o *outbox) recordEvent(e timeline.Event) { o.recorder.Record(o.now, e) }
 
 func (o *outbox) reply(token uint64, r PeerReply) {
 	if token != 0 {
--- a/control/overview.go
+++ b/control/overview.go
@@ -10,10 +10,10 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// OverviewRequest asks, within this process, for what operators see of it.
+// OverviewRequest asks, within this process, for its Overview.
 type OverviewRequest struct{}
 
-// Overview is what operators see of one instance.
+// Overview is the state of one instance that is shown to operators.
 type Overview struct {
 	Instance string
 	Units    []string // held, sorted
@@ -25,7 +25,7 @@
 type WorkerView struct {
 	Name, Address, Region, FailureDomain, Rack, Partition string
 	Usable, Leaving, Drained, Quarantined                 bool
-	Silent                                                int // reports in a row that failed
+	Silent                                                int // consecutive failed syncs
 	LastReport                                            time.Time
 	Capacity, Free                                        task.Resources
 	Running                                               int
@@ -44,7 +44,7 @@
 	return held
 }
 
-// TeamView is the position of a team at this owner and in the fleet.
+// TeamView is the share, queue and usage of a team.
 type TeamView struct {
 	Team      task.Team
 	Share     fairshare.Share
@@ -77,7 +77,7 @@
 		free, _ := w.cluster.FreeOn(l.Name)
 		views = append(views, WorkerView{
 			Name: l.Name, Address: l.Address, Region: l.Region, FailureDomain: l.FailureDomain, Rack: l.Rack, Partition: ws.partition,
-			Usable: w.isUsable(ws), Leaving: ws.isLeaving(), Drained: w.drained[l.Name], Quarantined: w.monitor.IsQuarantined(l.Name), Silent: ws.failures,
+			Usable: w.isUsable(ws), Leaving: ws.isLeaving(), Drained: w.drainedWorkers[l.Name], Quarantined: w.monitor.IsQuarantined(l.Name), Silent: ws.failedSyncs,
 			LastReport: ws.clockAt, Capacity: ws.capacity, Free: free, Running: running[l.Name],
 		})
 	}
@@ -95,7 +95,7 @@
 		if key.Service != "" {
 			continue
 		}
-		record, _ := s.owner.allow.Record(key.Team)
+		record, _ := s.owner.allowances.Record(key.Team)
 		views = append(views, TeamView{
 			Team: key.Team, Weight: held.Share, Running: running[key.Team], Share: s.owner.shares.ShareOf(s.now, key.Team), Queued: s.owner.queues.Len(key.Team), Allowance: record,
 		})
--- a/control/owner.go
+++ b/control/owner.go
@@ -24,7 +24,7 @@
 	shares      *fairshare.Shares
 	queues      *queue.Queues
 	monitor     *quarantine.Monitor
-	allow       *allowance.Table
+	allowances  *allowance.Table
 	holds       func(unit string) (epoch uint64, ok bool)
 	termEnd     func(unit string) time.Time
 	keys        keyChecks
@@ -33,92 +33,92 @@
 	partitions map[string]*partition
 	workers    map[string]*workerState
 	attempts   map[task.Attempt]*attempt
-	// blocked holds the teams none of whose first waiting tasks could be started,
-	// so that they are not tried again with every event. They are tried again when
-	// something that they lack may have become available.
-	blocked        map[task.Team]lack
-	unblockedAt    time.Time
-	reviewedAt     time.Time
-	reportsDue     bool // news for homes has not been sent
-	lacksAllowance bool // an allowance was refused since the last plan
-	draining       bool
-	drained        map[string]bool            // workers that an operator drains
-	tombstones     map[task.Attempt]time.Time // refused for good, until the time given
-	outgoing       map[task.Attempt]*outgoingReport
+	// blocked holds the teams of which none of the first queued tasks could be started, so that
+	// they are not retried on every event. A team is retried when what it lacks may have become
+	// available.
+	blocked          map[task.Team]blockReason
+	unblockedAt      time.Time
+	reviewedAt       time.Time
+	reportsDue       bool // there are unsent reports to homes
+	allowancePlanDue bool // an allowance was refused since the last allowance plan
+	draining         bool
+	drainedWorkers   map[string]bool            // workers that are drained by an operator
+	tombstones       map[task.Attempt]time.Time // attempts to refuse, with the time after which the entry is removed
+	pendingReports   map[task.Attempt]*pendingReport
 
-	refusedAllowance uint64 // for the metric
+	allowanceRefusals uint64 // for the metric
 }
 
 // partition is a worker partition that this instance owns.
 type partition struct {
-	epoch    uint64
-	gainedAt time.Time
-	ready    bool
-	sized    bool // every listed worker has reported its capacity since gainedAt
+	epoch         uint64
+	acquiredAt    time.Time
+	ready         bool
+	capacityKnown bool // every listed worker has reported its capacity since acquiredAt
 }
 
-// workerState is what the owner knows of one worker.
+// workerState is the owner's view of one worker.
 type workerState struct {
-	listed    ListedWorker
-	partition string
-	bootID    string
-	clock     time.Duration // of the worker at its last report
-	clockAt   time.Time     // when that report was received
-	sequence  uint64
-	capacity  task.Resources
-	rebuilt   bool      // a full report came late enough after the owner took over
-	leaseEnd  time.Time // no lease granted so far lasts longer
-	syncing   bool
-	syncAt    time.Time
-	failures  int  // reports in a row that failed
-	leaving   bool // by its own report
-	probing   bool // in quarantine, and open for one task
-	acks      []task.Attempt
+	listed      ListedWorker
+	partition   string
+	bootID      string
+	clock       time.Duration // of the worker at its last report
+	clockAt     time.Time     // when that report was received
+	sequence    uint64
+	capacity    task.Resources
+	reconciled  bool      // a full report was requested after the last start of a former owner had expired
+	leaseEnd    time.Time // no lease granted so far lasts longer
+	syncing     bool
+	syncAt      time.Time
+	failedSyncs int  // consecutive failed syncs
+	leaving     bool // according to its own report
+	probing     bool // in quarantine, and open to one task as a probe
+	pendingAcks []task.Attempt
 }
 
-// stage is how far an attempt has come at its owner.
+// stage is the progress of an attempt at its owner.
 type stage uint8
 
 const (
-	stageQueued stage = iota
-	stagePermit       // waits for its home to record the worker
+	stageQueued         stage = iota
+	stageAwaitingPermit       // waits for its home to record the worker
 	stageStarting
-	stageUnclear // the start may have happened: being looked up
+	stageUnclear // the worker may have accepted the start; it is being looked up
 	stageRunning
-	stageFetching // finished, the result is being read
-	stageEnded    // has its outcome, which the home has not recorded yet
+	stageFetchingResult // finished, the result is being read
+	stageEnded          // has its outcome, which the home has not recorded yet
 )
 
 // attempt is one attempt at this owner.
 type attempt struct {
-	placement Placement
-	id        task.Attempt
-	job       ledger.JobKey
-	index     int
-	team      task.Team
-	class     string
-	size      task.Resources
-	partition string
-	stage     stage
-	worker    string
-	bootID    string
-	startBy   time.Duration // in the worker's clock
-	isProbe   bool          // of a worker in quarantine
-	queuedAt  time.Time
-	startedAt time.Time
-	outcome   task.Outcome // while its result is being read
-	lookupAt  time.Time
-	looking   bool
-	stopping  errkind.Kind // why a stop was asked for; empty if none was
-	stopAt    time.Time    // when to ask again
+	placement   Placement
+	id          task.Attempt
+	job         ledger.JobKey
+	index       int
+	team        task.Team
+	class       string
+	size        task.Resources
+	partition   string
+	stage       stage
+	worker      string
+	bootID      string
+	startBy     time.Duration // in the worker's clock
+	isProbe     bool          // of a worker in quarantine
+	queuedAt    time.Time
+	startedAt   time.Time
+	outcome     task.Outcome // while its result is being read
+	lookupAt    time.Time
+	lookingUp   bool
+	stopReason  errkind.Kind // why a stop was ordered; empty if none was
+	stopRetryAt time.Time    // when to repeat the stop order
 }
 
-// outgoingReport is news for a home that it has not confirmed.
-type outgoingReport struct {
-	report AttemptReport
-	sendAt time.Time
-	sent   bool
-	isEnd  bool
+// pendingReport is a report that its home has not confirmed.
+type pendingReport struct {
+	report  AttemptReport
+	sendAt  time.Time
+	sent    bool
+	isFinal bool
 }
 
 const tombstoneLifetime = 10 * time.Minute // longer than any call between instances can be delayed
@@ -141,18 +141,18 @@
 		return nil
 	}
 	if _, refused := w.tombstones[p.Attempt]; refused {
-		return errkind.New(errkind.Cancelled, "attempt %s was withdrawn before", p.Attempt)
+		return errkind.New(errkind.Cancelled, "attempt %s has already been withdrawn or refused", p.Attempt)
 	}
 	if w.draining {
-		return errkind.New(errkind.Draining, "this owner is draining")
+		return errkind.New(errkind.Draining, "the owner of partition %s is draining", p.Partition)
 	}
 	part, owned := w.partitions[p.Partition]
 	epoch, holds := w.holds(p.Partition)
 	if !owned || !holds || epoch != p.Epoch || part.epoch != epoch {
-		return errkind.New(errkind.NoOwner, "partition %s is not owned here with epoch %d", p.Partition, p.Epoch)
+		return errkind.New(errkind.NoOwner, "this instance does not own partition %s under epoch %d", p.Partition, p.Epoch)
 	}
-	if part.sized && !w.cluster.EverFits(p.Spec.Size) {
-		return errkind.New(errkind.NeverFits, "no worker of this owner has room for %s", p.Spec.Size)
+	if part.capacityKnown && !w.cluster.EverFits(p.Spec.Size) {
+		return errkind.New(errkind.NeverFits, "no worker of this owner is large enough for %s", p.Spec.Size)
 	}
 	a := &attempt{placement: p, id: p.Attempt, job: p.Job, index: p.Index, team: p.Spec.Team, class: p.Spec.Class,
 		size: p.Spec.Size, partition: p.Partition, queuedAt: w.now}
@@ -161,12 +161,12 @@
 	}
 	w.attempts[p.Attempt] = a
 	delete(w.blocked, a.team)
-	w.event(timeline.Event{Type: timeline.TaskQueued, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Partition: a.partition, Epoch: epoch})
+	w.recordEvent(timeline.Event{Type: timeline.TaskQueued, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Partition: a.partition, Epoch: epoch})
 	return nil
 }
 
-// withdraw takes attempts back. Those that wait are proved not run; those that
-// may run are asked to stop, and their end is reported.
+// withdraw removes attempts that are queued or await a permit, which proves that they have not run.
+// Attempts that may be running are stopped, and their outcome is reported.
 func (w *owner) withdraw(token uint64, req WithdrawRequest) {
 	var reply WithdrawReply
 	for _, id := range req.Attempts {
@@ -179,7 +179,7 @@
 			w.queues.Remove(id)
 			w.discard(a)
 			reply.NotRun = append(reply.NotRun, id)
-		case a.stage == stagePermit:
+		case a.stage == stageAwaitingPermit:
 			w.release(a)
 			w.discard(a)
 			reply.NotRun = append(reply.NotRun, id)
@@ -191,15 +191,15 @@
 	w.schedule()
 }
 
-// discard forgets an attempt that is proved not run, and refuses it from now on.
+// discard drops an attempt that is proved not run, and refuses it from now on.
 func (w *owner) discard(a *attempt) {
-	w.endProbe(a)
+	w.failProbe(a)
 	delete(w.attempts, a.id)
 	w.tombstones[a.id] = w.now.Add(tombstoneLifetime)
-	w.event(timeline.Event{Type: timeline.TaskNotRun, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Partition: a.partition})
+	w.recordEvent(timeline.Event{Type: timeline.TaskNotRun, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Partition: a.partition})
 }
 
-// lookup answers a home that does not know what became of its attempts.
+// lookup answers a home that has no current status of its attempts.
 func (w *owner) lookup(token uint64, req LookupRequest) {
 	reply := LookupReply{States: make([]LookupState, len(req.Attempts))}
 	for i, item := range req.Attempts {
@@ -210,7 +210,7 @@
 
 func (w *owner) lookupOne(name string, item LookupItem) LookupState {
 	if a, known := w.attempts[item.Attempt]; known {
-		w.reportAgain(a)
+		w.resendReport(a)
 		return LookupKnown
 	}
 	part, owned := w.partitions[name]
@@ -227,52 +227,52 @@
 	}
 	w.tombstones[item.Attempt] = w.now.Add(tombstoneLifetime)
 	if item.Once {
-		return w.lookupOnce(item)
+		return w.lookupAtMostOnce(item)
 	}
 	return LookupEnded
 }
 
-// reportAgain tells a home that asks what it may have missed: a home that took
-// over does not know that an attempt runs.
-func (w *owner) reportAgain(a *attempt) {
-	if r, ok := w.outgoing[a.id]; ok {
+// resendReport sends a report that the asking home may have missed: a home that took over has not
+// been told that an attempt is running.
+func (w *owner) resendReport(a *attempt) {
+	if r, ok := w.pendingReports[a.id]; ok {
 		r.sendAt = w.now
 	} else if a.stage == stageRunning {
 		w.reportsDue = true
-		w.outgoing[a.id] = &outgoingReport{report: w.reportOf(a, nil), sendAt: w.now}
+		w.pendingReports[a.id] = &pendingReport{report: w.reportOf(a, nil), sendAt: w.now}
 	}
 }
 
-// lookupOnce answers for at-most-once work that was permitted on one worker. It
-// is proved not run only by a report of the same boot that does not list it.
-func (w *owner) lookupOnce(item LookupItem) LookupState {
+// lookupAtMostOnce answers for at-most-once work that was permitted on one worker. Only a report of
+// the same boot that does not list the attempt proves that it has not run.
+func (w *owner) lookupAtMostOnce(item LookupItem) LookupState {
 	ws, ok := w.workers[item.Worker]
 	if !ok || ws.bootID != item.BootID {
 		return LookupEnded
 	}
-	if !ws.rebuilt {
+	if !ws.reconciled {
 		return LookupPending
 	}
 	return LookupNotRun
 }
 
-// stop asks the worker of an attempt to stop it. It is asked again until the
-// end is seen.
+// stop orders the worker of an attempt to stop it. The order is repeated until the attempt is
+// reported as ended.
 func (w *owner) stop(a *attempt, reason errkind.Kind) {
-	if a.stage == stageFetching || a.stage == stageEnded {
+	if a.stage == stageFetchingResult || a.stage == stageEnded {
 		return
 	}
-	if a.stopping == "" {
-		a.stopping = reason
-		w.event(timeline.Event{Type: timeline.TaskStopped, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Worker: a.worker, Kind: string(reason)})
+	if a.stopReason == "" {
+		a.stopReason = reason
+		w.recordEvent(timeline.Event{Type: timeline.TaskStopped, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Worker: a.worker, Kind: string(reason)})
 	}
 	ws, ok := w.workers[a.worker]
 	if !ok {
 		return
 	}
-	a.stopAt = w.now.Add(w.cfg.CallTimeout)
+	a.stopRetryAt = w.now.Add(w.cfg.CallTimeout)
 	w.emit(StopTask{Worker: a.worker, Address: ws.listed.Address, Epoch: w.epochOf(a.partition),
-		BootID: a.bootID, Attempt: a.id, Reason: reason, RefuseUntil: a.startBy, Checkpoint: a.stopping == errkind.OverLimit})
+		BootID: a.bootID, Attempt: a.id, Reason: reason, RefuseUntil: a.startBy, Checkpoint: a.stopReason == errkind.OverLimit})
 }
 
 func (w *owner) entryOf(a *attempt) queue.Entry {
@@ -291,27 +291,27 @@
 	return 0
 }
 
-// release gives back what an attempt had reserved.
+// release returns the worker capacity and the allowance that an attempt has reserved.
 func (w *owner) release(a *attempt) {
 	if _, size, ok := w.cluster.Release(a.id); ok {
-		w.allow.Return(w.now, a.team, a.partition, size)
+		w.allowances.Return(w.now, a.team, a.partition, size)
 		w.shares.Finish(w.now, a.team, size)
 		w.unblock(a.team)
 	}
 }
 
-// end sets the outcome of an attempt and queues the report to its home.
-func (w *owner) end(a *attempt, outcome task.Outcome) {
+// complete sets the outcome of an attempt and queues the report to its home.
+func (w *owner) complete(a *attempt, outcome task.Outcome) {
 	if a.stage == stageEnded {
 		return
 	}
 	w.release(a)
-	w.endProbe(a)
+	w.failProbe(a)
 	a.stage = stageEnded
 	outcome.Attempt = a.id
 	outcome.Worker = a.worker
 	w.reportsDue = true
-	w.outgoing[a.id] = &outgoingReport{report: w.reportOf(a, &outcome), sendAt: w.now, isEnd: true}
+	w.pendingReports[a.id] = &pendingReport{report: w.reportOf(a, &outcome), sendAt: w.now, isFinal: true}
 	if outcome.State == task.Finished && outcome.RunTime > 0 {
 		w.queues.ObserveRun(a.team, a.placement.Spec.Service, a.class, outcome.RunTime)
 	}
--- a/control/peer.go
+++ b/control/peer.go
@@ -10,38 +10,37 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// PeerRequest is a message from one entry instance to another. Package entry
-// encodes it.
+// PeerRequest is a request from one entry instance to another. Package entry encodes it.
 type PeerRequest interface{ peerRequest() }
 
 // PeerReply answers a PeerRequest.
 type PeerReply interface{ peerReply() }
 
-// SubmitRequest asks the home of a job to accept it. Wait asks for the reply
-// when the job is final or its deadline has passed.
+// SubmitRequest asks the home of a job to accept it. The reply comes when the job is final or Wait
+// has passed.
 type SubmitRequest struct {
 	Spec task.Spec
 	Wait time.Duration
 }
 
-// QueryOp is what a QueryRequest asks for.
+// QueryOp is the operation of a QueryRequest.
 type QueryOp uint8
 
-// The operations on a known job.
+// The operations on a submitted job.
 const (
 	QueryStatus QueryOp = iota
 	QueryWait
 	QueryCancel
 )
 
-// QueryRequest asks the home about a job that was submitted.
+// QueryRequest asks the home of a job for its state, or to cancel it.
 type QueryRequest struct {
 	Op   QueryOp
 	Job  ledger.JobKey
 	Wait time.Duration
 }
 
-// JobReply is the state of a job, or why there is none.
+// JobReply is the record of a job, or the error why there is none.
 type JobReply struct {
 	Record *ledger.Record
 	Err    *errkind.Error
@@ -53,7 +52,7 @@
 	Job       ledger.JobKey
 	Index     int
 	Partition string
-	Epoch     uint64        // of the partition's owner as the home knows it
+	Epoch     uint64        // of the partition's owner in the home's view
 	Age       time.Duration // since the job was submitted
 	Gang      int           // tasks that start together; 1 for none
 	Spec      task.Spec
@@ -62,24 +61,24 @@
 // PlaceRequest asks the owner of partitions to run tasks.
 type PlaceRequest struct{ Placements []Placement }
 
-// PlaceReply says for each placement whether it waits at the owner. A nil entry
-// means that it does; otherwise the attempt was not run and will not be.
+// PlaceReply says for each placement whether the owner has queued it. A nil entry means that it
+// has; otherwise the attempt was not run and will not be.
 type PlaceReply struct{ Refusals []*errkind.Error }
 
-// WithdrawRequest asks an owner to take back or stop attempts. With OnlyWaiting
-// an attempt that has left its queue goes on.
+// WithdrawRequest asks an owner to dequeue or stop attempts. With OnlyWaiting an attempt that has
+// left its queue continues.
 type WithdrawRequest struct {
 	Attempts    []task.Attempt
 	Reason      errkind.Kind
 	OnlyWaiting bool
 }
 
-// WithdrawReply lists the attempts that were taken back and are proved not run.
-// The others end with a report.
+// WithdrawReply lists the attempts that were removed and are proved not run. The others end with a
+// report.
 type WithdrawReply struct{ NotRun []task.Attempt }
 
-// LookupRequest asks the owner of a partition what became of attempts whose
-// fate the home does not know.
+// LookupRequest asks the owner of a partition for the state of attempts of which the home has no
+// current status.
 type LookupRequest struct {
 	Partition string
 	Attempts  []LookupItem
@@ -95,15 +94,15 @@
 	BootID  string // of that worker when the start was permitted
 }
 
-// LookupState is what an owner can say about an attempt.
+// LookupState is the state of an attempt as its owner can determine it.
 type LookupState uint8
 
-// The answers of a lookup.
+// The states of a looked-up attempt.
 const (
-	LookupPending LookupState = iota // not known yet: ask again
+	LookupPending LookupState = iota // not known yet: look up again
 	LookupKnown                      // queued, running, or its end will be reported
 	LookupNotRun                     // proved not run, and will not run
-	LookupEnded                      // does not run any more; whether it ran is not known
+	LookupEnded                      // not running any more; whether it ran is not known
 )
 
 // LookupReply answers for each attempt of the request.
@@ -122,7 +121,7 @@
 // PermitReply says whether the start is recorded and may happen.
 type PermitReply struct{ Granted bool }
 
-// ReportRequest tells a home about its attempts.
+// ReportRequest reports the start or end of attempts to their home.
 type ReportRequest struct{ Reports []AttemptReport }
 
 // AttemptReport is a start, if Outcome is nil, or the end of an attempt.
@@ -157,14 +156,15 @@
 	Granted []bool
 }
 
-// HandoverNotice tells the new owner of a unit about the record that makes it
-// the owner, which it would otherwise learn from its watch.
+// HandoverNotice delivers the ownership record to the new owner of a unit, which would otherwise
+// get it from its watch.
 type HandoverNotice struct{ Record ownership.Record }
 
-// HandoverReply says that the notice was taken.
+// HandoverReply confirms a HandoverNotice.
 type HandoverReply struct{}
 
-// DigestMessage is what instances tell each other at intervals.
+// DigestMessage describes the load and the configuration of an instance. Instances exchange it at
+// regular intervals.
 type DigestMessage struct {
 	Instance     string
 	Incarnation  string
@@ -176,11 +176,11 @@
 	Usage        []TeamUsage
 	Wants        []task.Team // teams for which this owner lacks allowance
 	Clock        timeline.Clock
-	// AskNoCommit, in a request during a store outage, asks the other not to
-	// commit a configuration change for a window; NoCommit is the answer.
+	// AskNoCommit, in a request during a store outage, asks the receiver not to commit a
+	// configuration change for a window; NoCommit in the reply grants it.
 	AskNoCommit bool
 	NoCommit    bool
-	Known       int64 // with NoCommit: highest revision that is in force here or was committed from here
+	Known       int64 // with NoCommit: highest revision that is in force at, or was committed by, the sender
 }
 
 // PartitionDigest is the load of one partition.
@@ -190,17 +190,17 @@
 	Free      task.Resources
 	Capacity  task.Resources
 	Queued    int
-	Ready     bool // its workers have reported since the owner took over
+	Ready     bool // the owner accepts tasks, and a worker is usable
 }
 
-// TeamUsage is what a team runs at one owner.
+// TeamUsage is the resources that a team uses at one owner.
 type TeamUsage struct {
 	Team task.Team
 	Size task.Resources
 }
 
-// FetchConfigRequest asks for the configuration that an instance holds, as far
-// as it changed after a revision; 0 asks for all of it.
+// FetchConfigRequest asks an instance for the configuration entries that changed after a revision;
+// 0 asks for all of them.
 type FetchConfigRequest struct{ After int64 }
 
 // FetchConfigReply is the configuration with the revision of each entry.
--- /dev/null
+++ b/control/quarantine.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/quarantine"
+	"github.com/mulberrydrum/mulberrydrum/timeline"
+)
+
+// reviewInterval is the interval between scans of all workers for those to quarantine or to probe.
+// The waits before a probe are far longer.
+const reviewInterval = time.Second
+
+// observeOutcome passes the outcome of an attempt to the monitor, which compares the failures of
+// workers. The outcome of a probe decides whether its worker returns to service.
+func (w *owner) observeOutcome(a *attempt, succeeded bool) {
+	if a.isProbe {
+		a.isProbe = false
+		w.monitor.ProbeDone(w.now, a.worker, succeeded)
+	}
+	verdict := w.monitor.Observe(w.now, quarantine.Outcome{
+		Worker:    a.worker,
+		Class:     quarantine.Class{Team: a.team, Service: a.job.Service, Name: a.class},
+		Job:       a.id.Task,
+		Succeeded: succeeded,
+	})
+	if verdict.WorkerBad {
+		w.workerQuarantined(a.worker)
+	}
+	w.cluster.SetPenalty(a.worker, w.monitor.Penalty(w.now, a.worker))
+	if ws, ok := w.workers[a.worker]; ok {
+		w.updateNode(ws)
+	}
+}
+
+func (w *owner) workerQuarantined(worker string) {
+	w.recordEvent(timeline.Event{Type: timeline.WorkerQuarantined, Worker: worker})
+	if ws, ok := w.workers[worker]; ok {
+		w.updateNode(ws)
+	}
+}
+
+// reviewWorkers quarantines the workers that were found bad while the quarantine cap was reached,
+// and opens each worker whose probe is due to one task.
+func (w *owner) reviewWorkers() {
+	if w.now.Sub(w.reviewedAt) < reviewInterval {
+		return
+	}
+	w.reviewedAt = w.now
+	for _, name := range w.monitor.Review(w.now) {
+		w.workerQuarantined(name)
+	}
+	for _, name := range w.monitor.ProbesDue(w.now) {
+		if ws, ok := w.workers[name]; ok {
+			ws.probing = true
+			w.updateNode(ws)
+		}
+	}
+}
+
+// startProbe makes an attempt the probe of the worker on which it was reserved, if that worker
+// awaits one. The worker gets no other task until the probe has ended.
+func (w *owner) startProbe(a *attempt) {
+	ws, ok := w.workers[a.worker]
+	if !ok || !ws.probing {
+		return
+	}
+	ws.probing = false
+	a.isProbe = true
+	w.updateNode(ws)
+}
+
+// failProbe ends a probe that was inconclusive about its worker. It counts as failed, so that
+// another one becomes due; a probe that never ends would block all later ones.
+func (w *owner) failProbe(a *attempt) {
+	if !a.isProbe {
+		return
+	}
+	a.isProbe = false
+	w.monitor.ProbeDone(w.now, a.worker, false)
+}
+
+// workersAwaitingProbe lists the workers that await a probe. Work that may not be repeated avoids
+// them.
+func (w *owner) workersAwaitingProbe() []string {
+	var names []string
+	for name, ws := range w.workers {
+		if ws.probing {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/control/rebalance.go
+++ b/control/rebalance.go
@@ -9,21 +9,20 @@
 )
 
 const (
-	// rebalanceInterval is between two looks at the attempts that wait. It is
-	// longer than the interval of digests, so that each look sees the effect of
-	// the one before.
+	// rebalanceInterval is the interval between scans of the queued attempts. It is longer than
+	// the digest interval within a region, so that each scan sees the effect of the previous one.
 	rebalanceInterval = 2 * time.Second
-	// rebalanceAfter is how long an attempt waits at one partition before it may
-	// go to another one. Shorter waits are the ordinary ones for allowance.
+	// rebalanceAfter is how long an attempt waits at one partition before it may be moved to
+	// another one. Shorter waits are normal: they are waits for allowance.
 	rebalanceAfter = 3 * time.Second
-	// rebalanceBatch bounds what moves to one partition at once, since other
-	// homes see the same free capacity.
+	// rebalanceBatch limits how many attempts one scan moves to a partition, since other homes
+	// see the same free capacity.
 	rebalanceBatch = 8
 )
 
-// rebalance takes attempts back that wait at one partition while another one has
-// room and nobody waits there. They are sent there with their next attempt; one
-// that has started meanwhile goes on.
+// rebalance withdraws queued attempts from a partition while another one has free capacity and an
+// empty queue. Their next attempts are dispatched there; an attempt that has started meanwhile
+// continues.
 func (h *home) rebalance() {
 	if h.now.Sub(h.rebalancedAt) < rebalanceInterval {
 		return
@@ -34,11 +33,11 @@
 		return
 	}
 	moves := map[string][]task.Attempt{}
-	for a, o := range h.open {
-		if o.phase != openPlaced || o.placedAt.IsZero() || h.now.Sub(o.placedAt) < rebalanceAfter {
+	for a, o := range h.openAttempts {
+		if o.phase != phasePlaced || o.placedAt.IsZero() || h.now.Sub(o.placedAt) < rebalanceAfter {
 			continue
 		}
-		if h.movesTo(free, o) {
+		if h.claimMove(free, o) {
 			o.placedAt = h.now
 			moves[o.partition] = append(moves[o.partition], a)
 		}
@@ -50,11 +49,11 @@
 	}
 }
 
-// idlePartitions returns the partitions with room where nobody waits, with how
-// many attempts may still be moved there.
+// idlePartitions returns the partitions with free slots and an empty queue, with how many attempts
+// may be moved to each.
 func (h *home) idlePartitions() map[string]int {
 	free := map[string]int{}
-	for name, load := range h.routing.partitions {
+	for name, load := range h.routing.partitionLoads {
 		if load.digest.Ready && load.digest.Queued == 0 && load.digest.Free.Slots > 0 && h.now.Sub(load.receivedAt) < h.cfg.DigestLifetime {
 			free[name] = int(min(load.digest.Free.Slots, rebalanceBatch))
 		}
@@ -62,23 +61,23 @@
 	return free
 }
 
-// maxMovedAnswer is the latest attempt of an answer that is moved: an answer has
-// few attempts, and the last one must not be spent on a move.
-const maxMovedAnswer = 1
+// maxMovedAnswerAttempt is the highest attempt number of an answer that is moved: an answer has few
+// attempts, and the last one must not be spent on a move.
+const maxMovedAnswerAttempt = 1
 
-// movesTo reports whether an attempt can go to an idle partition, and takes its
-// place there. Gangs stay, since their members have to meet at one partition.
-func (h *home) movesTo(free map[string]int, o *openAttempt) bool {
+// claimMove reports whether an attempt can be moved to an idle partition, and claims one of the
+// moves to it. Gangs are not moved, since all members have to be at one partition.
+func (h *home) claimMove(free map[string]int, o *openAttempt) bool {
 	record, ok := h.ledger.Find(h.shardOf(o.ref.job), o.ref.job)
 	if !ok || record.Spec.Kind == task.Gang || record.Cancelled {
 		return false
 	}
-	if !record.Spec.Kind.IsDurable() && record.Tasks[o.ref.index].Attempt > maxMovedAnswer {
+	if !record.Spec.Kind.IsDurable() && record.Tasks[o.ref.index].Attempt > maxMovedAnswerAttempt {
 		return false
 	}
-	for name, places := range free {
+	for name, movesLeft := range free {
 		isAllowed := len(record.Spec.Regions) == 0 || slices.Contains(record.Spec.Regions, RegionOf(name))
-		if name != o.partition && places > 0 && isAllowed && record.Spec.Size.Fits(h.routing.partitions[name].digest.Free) {
+		if name != o.partition && movesLeft > 0 && isAllowed && record.Spec.Size.Fits(h.routing.partitionLoads[name].digest.Free) {
 			free[name]--
 			return true
 		}
--- a/control/routing.go
+++ b/control/routing.go
@@ -51,13 +51,12 @@
 	return partitions, shards
 }
 
-// routing is what this instance knows of the others: members, ownership
-// records and load.
+// routing is this instance's view of the cluster: members, ownership records and load.
 type routing struct {
-	members    map[string]membership.Member // by incarnation
-	records    map[string]ownership.Record  // by unit
-	digests    map[string]receivedDigest    // by instance
-	partitions map[string]partitionLoad
+	members          map[string]membership.Member // by incarnation
+	ownershipRecords map[string]ownership.Record  // by unit
+	digests          map[string]receivedDigest    // by instance
+	partitionLoads   map[string]partitionLoad
 }
 
 type receivedDigest struct {
@@ -72,16 +71,16 @@
 
 func newRouting() *routing {
 	return &routing{
-		members:    map[string]membership.Member{},
-		records:    map[string]ownership.Record{},
-		digests:    map[string]receivedDigest{},
-		partitions: map[string]partitionLoad{},
+		members:          map[string]membership.Member{},
+		ownershipRecords: map[string]ownership.Record{},
+		digests:          map[string]receivedDigest{},
+		partitionLoads:   map[string]partitionLoad{},
 	}
 }
 
 // ownerOf returns the recorded owner of a unit, if it is a known member.
 func (r *routing) ownerOf(unit string) (m membership.Member, epoch uint64, ok bool) {
-	record, ok := r.records[unit]
+	record, ok := r.ownershipRecords[unit]
 	if !ok {
 		return membership.Member{}, 0, false
 	}
@@ -103,35 +102,35 @@
 	return list
 }
 
-// observeDigest keeps the latest digest of an instance. A digest of a former
-// epoch does not replace that of a later one.
+// observeDigest stores the latest digest of an instance. The load of a partition under an earlier
+// epoch does not replace that under a later one.
 func (r *routing) observeDigest(now time.Time, d DigestMessage) {
 	r.digests[d.Instance] = receivedDigest{message: d, receivedAt: now}
 	for _, p := range d.Partitions {
-		if known, ok := r.partitions[p.Partition]; ok && known.digest.Epoch > p.Epoch {
+		if known, ok := r.partitionLoads[p.Partition]; ok && known.digest.Epoch > p.Epoch {
 			continue
 		}
-		r.partitions[p.Partition] = partitionLoad{digest: p, receivedAt: now}
+		r.partitionLoads[p.Partition] = partitionLoad{digest: p, receivedAt: now}
 	}
 }
 
-// closed notes that the owner of a partition takes no tasks, until its next
-// digest. Without it every attempt of a task could go to that owner in turn.
-func (r *routing) closed(partition string) {
-	if load, ok := r.partitions[partition]; ok {
+// markNotReady excludes a partition, whose owner accepts no tasks, until its next digest. Otherwise
+// every attempt of a task could go to that owner in turn.
+func (r *routing) markNotReady(partition string) {
+	if load, ok := r.partitionLoads[partition]; ok {
 		load.digest.Ready = false
-		r.partitions[partition] = load
+		r.partitionLoads[partition] = load
 	}
 }
 
-// charge lowers the known free resources of a partition by what was just sent
-// there, so that a burst between two digests is spread.
-func (r *routing) charge(partition string, size task.Resources) {
-	load, ok := r.partitions[partition]
+// deductPlacement deducts a task that was just sent to a partition from the known free resources
+// of that partition, so that a burst between two digests is spread.
+func (r *routing) deductPlacement(partition string, size task.Resources) {
+	load, ok := r.partitionLoads[partition]
 	if !ok {
 		return
 	}
 	load.digest.Free = load.digest.Free.Sub(size)
 	load.digest.Queued++
-	r.partitions[partition] = load
+	r.partitionLoads[partition] = load
 }
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -8,11 +8,11 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// TestNeverFitsNeedsReports guards against accepted work that is refused for good
-// because its owner has just taken over and no worker has reported its capacity.
-func TestNeverFitsNeedsReports(t *testing.T) {
-	b := newBench(12, 4, 1)
-	w := b.state.owner
+// TestNeverFitsRequiresWorkerReports guards against accepted work that is refused permanently
+// because its owner has just taken over and no worker has reported its capacity yet.
+func TestNeverFitsRequiresWorkerReports(t *testing.T) {
+	h := newHarness(12, 4, 1)
+	w := h.state.owner
 	name := w.workers["w0"].partition
 	epoch := w.partitions[name].epoch
 	place := func(key string, cpu int64) *errkind.Error {
@@ -22,7 +22,7 @@
 	}
 	const tooLarge = 1_000_000
 	reported := map[task.ID]string{}
-	b.dropped = func(e Effect) bool {
+	h.dropEffect = func(e Effect) bool {
 		send, ok := e.(Send)
 		if !ok {
 			return false
@@ -37,7 +37,7 @@
 		return false
 	}
 	for other := range w.partitions {
-		w.gain(other, w.partitions[other].epoch, b.revision)
+		w.acquirePartition(other, w.partitions[other].epoch, h.revision)
 	}
 	if err := place("fits", 250); err != nil {
 		t.Errorf("refused before any worker has reported: %v", err)
@@ -46,13 +46,13 @@
 		t.Errorf("refused before any worker has reported: %v", err)
 	}
 	for range 200 {
-		b.now = b.now.Add(20 * time.Millisecond)
-		b.apply(Tick{})
+		h.now = h.now.Add(20 * time.Millisecond)
+		h.apply(Tick{})
 	}
 	if err := place("larger", tooLarge); err == nil || err.Kind != errkind.NeverFits {
-		t.Errorf("after all workers have reported, a task larger than each is answered with %v, want %s", err, errkind.NeverFits)
+		t.Errorf("admission of a task larger than every worker after all have reported: %v, want %s", err, errkind.NeverFits)
 	}
 	if reason := reported["team-0/s/large/0"]; reason != string(errkind.NeverFits) {
-		t.Errorf("the task that waited is reported with reason %q, want %s", reason, errkind.NeverFits)
+		t.Errorf("outcome reason of the queued oversized task = %q, want %s", reason, errkind.NeverFits)
 	}
 }
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -10,8 +10,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Snapshot is what traffic goroutines read of the control state. It never
-// changes after it was published.
+// Snapshot is the view of the control state that traffic goroutines read. It is immutable once it
+// is published.
 type Snapshot struct {
 	Self         membership.Member
 	Members      []membership.Member // sorted by incarnation
@@ -19,8 +19,8 @@
 	Terms        map[string]Term     // by unit that this process holds
 	Documents    map[DocumentKey]HeldDocument
 	Keys         *keyring.Snapshot
-	Revision     int64            // every configuration change up to here is in force
-	MemberSeen   map[string]int64 // revision in force at each instance, as its last digest said
+	Revision     int64            // every configuration change up to this revision is in force
+	MemberSeen   map[string]int64 // revision in force at each instance, from its last digest
 	StoreContact bool
 	Draining     bool
 	Ready        bool // has a lease and the configuration, and is not draining
@@ -33,20 +33,20 @@
 	Epoch  uint64
 }
 
-// Term is until when this process may act for a unit.
+// Term is the epoch under which and the time until which this process may act for a unit.
 type Term struct {
 	Epoch uint64
 	End   time.Time
 }
 
-// Snapshot builds the snapshot of the present state.
+// Snapshot builds a snapshot of the current state.
 func (s *State) Snapshot() *Snapshot {
 	partitions, shards := unitsOf(&s.cfg)
 	snap := &Snapshot{
 		Self: s.self, Members: s.routing.memberList(), Homes: make(map[string]Route, len(shards)),
 		Terms: map[string]Term{}, Documents: s.config.documents, Keys: s.config.ring.Snapshot(s.freshness.Until()),
-		Revision: s.config.applied, MemberSeen: map[string]int64{}, StoreContact: s.hasStoreContact(), Draining: s.drain.started,
-		Ready: s.members.lease != 0 && !s.drain.started && s.config.applied > 0, Shards: s.cfg.RequestShards,
+		Revision: s.config.appliedRevision, MemberSeen: map[string]int64{}, StoreContact: s.hasStoreContact(), Draining: s.drain.started,
+		Ready: s.membership.leaseID != 0 && !s.drain.started && s.config.appliedRevision > 0, Shards: s.cfg.RequestShards,
 	}
 	for _, shard := range shards {
 		if m, epoch, ok := s.routing.ownerOf(shard); ok {
@@ -64,11 +64,10 @@
 	return snap
 }
 
-// TakeChanged reports whether the snapshot differs from the one built last, and
-// resets that.
+// TakeChanged reports whether a part of the snapshot has changed since the last call.
 func (s *State) TakeChanged() bool {
-	changed := s.changed
-	s.changed = false
+	changed := s.snapshotChanged
+	s.snapshotChanged = false
 	return changed
 }
 
@@ -79,7 +78,7 @@
 }
 
 // Holds reports whether this process may act for a unit under an epoch at time
-// now. It is checked once more before a start is written.
+// now. The check is repeated right before a start is written to the connection.
 func (s *Snapshot) Holds(now time.Time, unit string, epoch uint64) bool {
 	term, ok := s.Terms[unit]
 	return ok && term.Epoch == epoch && now.Before(term.End)
@@ -89,7 +88,7 @@
 func (s *Snapshot) Authorize(now time.Time, team task.Team, service task.Service, secret string) (HeldDocument, keyring.Key, *errkind.Error) {
 	held, ok := s.Documents[DocumentKey{team, service}]
 	if !ok {
-		return HeldDocument{}, keyring.Key{}, s.unknown(team, service)
+		return HeldDocument{}, keyring.Key{}, s.unknownName(team, service)
 	}
 	if held.Open {
 		return held, keyring.Key{}, nil
@@ -104,7 +103,7 @@
 	return held, key, nil
 }
 
-// Admit checks a submission and completes it with what its document decides.
+// Admit checks a submission and completes it with the settings of its document.
 func (s *Snapshot) Admit(now time.Time, secret string, spec task.Spec) (task.Spec, *errkind.Error) {
 	held, key, err := s.Authorize(now, spec.Team, spec.Service, secret)
 	if err != nil {
@@ -118,9 +117,9 @@
 	return complete, nil
 }
 
-// unknown says which part of a service's name is not known. A process that has
-// not read the configuration yet knows no names and cannot say that.
-func (s *Snapshot) unknown(team task.Team, service task.Service) *errkind.Error {
+// unknownName returns the error for an unknown team or service. A process that has not read the
+// configuration yet cannot tell which names exist and reports a stale key instead.
+func (s *Snapshot) unknownName(team task.Team, service task.Service) *errkind.Error {
 	if s.Revision == 0 {
 		return errkind.New(errkind.KeyStale, "this instance has not read the configuration yet")
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -40,78 +40,78 @@
 	}
 }
 
-// State is the control state of one entry instance. Apply is its only way in;
-// it is not safe for concurrent use.
+// State is the control state of one entry instance. Only Apply changes it. It is not safe for
+// concurrent use.
 type State struct {
 	outbox
-	cfg       Config
-	self      membership.Member
-	routing   *routing
-	config    *configuration
-	members   *membershipState
-	ownership *ownership.Table
-	freshness *keyring.Freshness
-	home      *home
-	owner     *owner
-	exchange  *exchange
-	drain     drainState
+	cfg        Config
+	self       membership.Member
+	routing    *routing
+	config     *configuration
+	membership *membershipState
+	ownership  *ownership.Table
+	freshness  *keyring.Freshness
+	home       *home
+	owner      *owner
+	exchange   *digestExchange
+	drain      drainState
 
-	slowTickAt time.Time
-	plannedAt  time.Time
-	changed    bool // a part of the snapshot has changed
+	slowTickAt      time.Time
+	plannedAt       time.Time
+	snapshotChanged bool // a part of the snapshot has changed
 }
 
 // New returns the state of a process that has just started.
 func New(now time.Time, cfg Config, parts Parts, self membership.Member, recorder *timeline.Recorder, rng *rand.Rand) *State {
-	s := &State{cfg: cfg, self: self, outbox: outbox{now: now, record: recorder}, routing: newRouting(), changed: true}
+	s := &State{cfg: cfg, self: self, outbox: outbox{now: now, recorder: recorder}, routing: newRouting(), snapshotChanged: true}
 	s.ownership = ownership.New(parts.Ownership, self, now)
 	s.freshness = keyring.NewFreshness(parts.Keyring, now)
 	s.config = newConfiguration()
-	s.members = &membershipState{lastContact: now}
-	s.exchange = newExchange()
-	allow := allowance.New(parts.Allowance)
+	s.membership = &membershipState{lastContact: now}
+	s.exchange = newDigestExchange()
+	allowances := allowance.New(parts.Allowance)
 	keys := keyChecks{withdrawn: s.config.isWithdrawn, fresh: func() bool { return s.freshness.Remaining(s.now) > 0 }}
 	s.home = &home{
 		keys:   keys,
 		outbox: &s.outbox, cfg: &s.cfg, routing: s.routing, ledger: ledger.New(parts.Ledger, self.Incarnation),
-		chooser: &chooser{routing: s.routing, rng: rng, lifetime: cfg.DigestLifetime, region: self.Region},
-		calls:   map[uint64]*jobCall{}, waiters: map[ledger.JobKey][]uint64{}, open: map[task.Attempt]*openAttempt{},
-		idle: map[taskRef]*idleTask{}, batches: map[string][]Placement{}, reports: map[uint64]*reportCall{},
+		selector:     &partitionSelector{routing: s.routing, rng: rng, digestLifetime: cfg.DigestLifetime, region: self.Region},
+		waitingCalls: map[uint64]*jobCall{}, waiters: map[ledger.JobKey][]uint64{}, openAttempts: map[task.Attempt]*openAttempt{},
+		undispatched: map[taskRef]*undispatchedTask{}, batches: map[string][]Placement{}, reportCalls: map[uint64]*reportCall{},
 	}
 	s.owner = &owner{
 		outbox: &s.outbox, cfg: &s.cfg, routing: s.routing, cluster: placement.NewCluster(), shares: fairshare.New(parts.Fairshare),
-		queues: queue.New(parts.Queue), monitor: quarantine.New(parts.Quarantine), allow: allow,
+		queues: queue.New(parts.Queue), monitor: quarantine.New(parts.Quarantine), allowances: allowances,
 		holds:      func(unit string) (uint64, bool) { return s.ownership.Holds(s.now, unit) },
 		termEnd:    func(unit string) time.Time { return s.ownership.TermEnd(unit) },
 		keys:       keys,
 		partitions: map[string]*partition{}, workers: map[string]*workerState{}, attempts: map[task.Attempt]*attempt{},
-		drained: map[string]bool{}, blocked: map[task.Team]lack{}, tombstones: map[task.Attempt]time.Time{}, outgoing: map[task.Attempt]*outgoingReport{},
+		drainedWorkers: map[string]bool{}, blocked: map[task.Team]blockReason{}, tombstones: map[task.Attempt]time.Time{}, pendingReports: map[task.Attempt]*pendingReport{},
 	}
-	s.event(timeline.Event{Type: timeline.ProcessStarted})
+	s.recordEvent(timeline.Event{Type: timeline.ProcessStarted})
 	return s
 }
 
-// Apply applies one event at time now and returns what has to be done. The
-// slice is valid until the next call.
+// Apply applies one event at time now and returns the resulting effects. The slice is valid until
+// the next call.
 func (s *State) Apply(now time.Time, e Event) []Effect {
 	s.now = now
 	s.effects = s.effects[:0]
 	s.apply(e)
-	if _, isTick := e.(Tick); concernsOwnership(e) || isTick && s.isSlowTick() {
+	if _, isTick := e.(Tick); affectsOwnership(e) || isTick && s.isSlowTickDue() {
 		s.actOnOwnership()
 	}
 	if s.owner.reportsDue {
 		s.owner.sendReports()
 	}
 	s.flushLedger()
-	s.home.flush()
+	s.home.flushPlacements()
 	return s.effects
 }
 
-// concernsOwnership reports whether an event may lead to an action of the
-// ownership table. Work, which is most of the events, does not: the end of a
-// term is seen by Holds, which is asked before every start.
-func concernsOwnership(e Event) bool {
+// affectsOwnership reports whether an event may lead to an action of the ownership table. Events
+// about tasks, which are the most frequent ones, do not: the end of a term is detected by Holds,
+// which is called before every start.
+func affectsOwnership(e Event) bool {
 	switch e := e.(type) {
 	case LeaseGranted, KeepAliveDone, ConfigChanged, InstancesListed, OwnershipDone, OwnershipForced:
 		return true
@@ -170,7 +170,7 @@
 	}
 }
 
-// tick lets everything that waits for time take effect.
+// tick runs the periodic work of every part of the state.
 func (s *State) tick() {
 	s.renewLease()
 	s.home.tick()
@@ -180,27 +180,27 @@
 	s.continueDrain()
 }
 
-// slowTick is the interval of what looks at every unit or every team. Nothing of
-// it is needed sooner: a term is also checked before every start.
-const slowTick = 100 * time.Millisecond
+// slowTickInterval is the interval of the periodic work that scans every unit or every team. None
+// of it is needed sooner: a term is also checked before every start.
+const slowTickInterval = 100 * time.Millisecond
 
-// isSlowTick reports whether the slow part of a tick is due.
-func (s *State) isSlowTick() bool {
-	if s.now.Sub(s.slowTickAt) < slowTick {
+// isSlowTickDue reports whether the work of slowTickInterval is due.
+func (s *State) isSlowTickDue() bool {
+	if s.now.Sub(s.slowTickAt) < slowTickInterval {
 		return false
 	}
 	s.slowTickAt = s.now
 	return true
 }
 
-// planAllowances asks for allowance that a start lacked, and returns what is idle.
+// planAllowances requests allowance that a start lacked, and returns allowance that is idle.
 func (s *State) planAllowances() {
-	if !s.owner.lacksAllowance && s.now.Sub(s.plannedAt) < slowTick {
+	if !s.owner.allowancePlanDue && s.now.Sub(s.plannedAt) < slowTickInterval {
 		return
 	}
 	s.plannedAt = s.now
-	s.owner.lacksAllowance = false
-	if writes := s.owner.allow.Plan(s.now); len(writes) > 0 {
+	s.owner.allowancePlanDue = false
+	if writes := s.owner.allowances.Plan(s.now); len(writes) > 0 {
 		s.emit(WriteAllowances{Writes: writes})
 	}
 }
@@ -227,10 +227,10 @@
 	case DigestMessage:
 		s.digestReceived(e.Token, r)
 	case HandoverNotice:
-		s.takeRecord(r.Record)
+		s.applyOwnershipRecord(r.Record)
 		s.reply(e.Token, HandoverReply{})
 	case FetchConfigRequest:
-		s.reply(e.Token, s.config.fetch(r.After))
+		s.reply(e.Token, s.config.changesAfter(r.After))
 	case BeginConfigCommit:
 		s.reply(e.Token, ConfigCommitReply{Allowed: s.freshness.BeginCommit(s.now)})
 	case EndConfigCommit:
@@ -243,7 +243,7 @@
 	}
 }
 
-// peerDone applies the end of a call to another instance.
+// peerDone applies the result of a call to an entry instance.
 func (s *State) peerDone(e PeerDone) {
 	switch r := e.Send.Request.(type) {
 	case PlaceRequest:
@@ -261,7 +261,7 @@
 	case DigestMessage:
 		s.digestDone(e)
 	case FetchConfigRequest, HandoverNotice:
-		// The daemon decodes fetched entries and delivers them as ConfigChanged. A
-		// notice that is lost is made up for by the watch.
+		// The daemon decodes fetched entries and delivers them as ConfigChanged. The watch delivers
+		// the record of a lost notice.
 	}
 }
--- a/control/workers.go
+++ b/control/workers.go
@@ -11,12 +11,12 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// gain starts owning a partition. None of its workers is used before it has
-// reported everything it runs.
-func (w *owner) gain(name string, epoch uint64, revision int64) {
-	w.lose(name)
-	w.partitions[name] = &partition{epoch: epoch, gainedAt: w.now}
-	w.allow.Own(name, revision)
+// acquirePartition starts to own a partition. None of its workers is used before it has reported
+// everything that it runs.
+func (w *owner) acquirePartition(name string, epoch uint64, revision int64) {
+	w.dropPartition(name)
+	w.partitions[name] = &partition{epoch: epoch, acquiredAt: w.now}
+	w.allowances.Own(name, revision)
 	for _, ws := range w.workers {
 		if ws.partition == name {
 			w.resetWorker(ws)
@@ -25,14 +25,14 @@
 }
 
 func (w *owner) resetWorker(ws *workerState) {
-	ws.rebuilt, ws.syncing, ws.sequence = false, false, 0
+	ws.reconciled, ws.syncing, ws.sequence = false, false, 0
 	ws.syncAt = w.now
-	ws.acks = nil
-	ws.leaseEnd = w.now.Add(w.cfg.atLeast(w.cfg.TaskLease))
+	ws.pendingAcks = nil
+	ws.leaseEnd = w.now.Add(w.cfg.withClockError(w.cfg.TaskLease))
 }
 
-// lose stops owning a partition and forgets its attempts.
-func (w *owner) lose(name string) {
+// dropPartition stops owning a partition and drops its attempts.
+func (w *owner) dropPartition(name string) {
 	if _, owned := w.partitions[name]; !owned {
 		return
 	}
@@ -48,20 +48,20 @@
 			w.shares.Finish(w.now, a.team, size)
 		}
 		delete(w.attempts, id)
-		delete(w.outgoing, id)
+		delete(w.pendingReports, id)
 	}
-	w.allow.Disown(name)
+	w.allowances.Disown(name)
 	for _, ws := range w.workers {
 		if ws.partition == name {
-			ws.rebuilt, ws.probing = false, false
+			ws.reconciled, ws.probing = false, false
 			w.cluster.Remove(ws.listed.Name)
 			w.monitor.RemoveWorker(ws.listed.Name)
 		}
 	}
 }
 
-// listWorkers takes over the platform's list of workers.
-func (w *owner) listWorkers(list []ListedWorker) {
+// applyWorkerList applies the platform's list of workers.
+func (w *owner) applyWorkerList(list []ListedWorker) {
 	for _, l := range list {
 		ws, known := w.workers[l.Name]
 		if !known {
@@ -78,36 +78,37 @@
 	}
 }
 
-// setDrained follows an operator's order to drain a worker, or the end of it.
+// setDrained starts or ends the drain of a worker on an operator's order.
 func (w *owner) setDrained(name string, drained bool) {
 	if drained {
-		w.drained[name] = true
-		w.event(timeline.Event{Type: timeline.WorkerLeaving, Worker: name, Detail: "drained by an operator"})
+		w.drainedWorkers[name] = true
+		w.recordEvent(timeline.Event{Type: timeline.WorkerLeaving, Worker: name, Detail: "drained by an operator"})
 	} else {
-		delete(w.drained, name)
+		delete(w.drainedWorkers, name)
 	}
 	if ws, ok := w.workers[name]; ok {
-		w.setSchedulable(ws)
+		w.updateNode(ws)
 	}
 }
 
-// isLeaving reports whether the platform's list or the worker itself says that it
-// leaves. Both can take it back, since names are used again.
+// isLeaving reports whether the worker is leaving according to the platform's list or to its own
+// report. Both can be revoked, since names are reused.
 func (ws *workerState) isLeaving() bool { return ws.listed.Leaving || ws.leaving }
 
-// observeLeaving keeps new tasks away from a worker that leaves. Its tasks finish.
+// observeLeaving stops new tasks on a worker that is leaving now, or allows them again. Its present
+// tasks finish.
 func (w *owner) observeLeaving(ws *workerState, wasLeaving bool) {
 	if ws.isLeaving() == wasLeaving {
 		return
 	}
 	if ws.isLeaving() {
-		w.event(timeline.Event{Type: timeline.WorkerLeaving, Worker: ws.listed.Name, Partition: ws.partition})
+		w.recordEvent(timeline.Event{Type: timeline.WorkerLeaving, Worker: ws.listed.Name, Partition: ws.partition})
 	}
-	w.setSchedulable(ws)
+	w.updateNode(ws)
 }
 
-// setSchedulable tells the cluster whether a worker may get new tasks.
-func (w *owner) setSchedulable(ws *workerState) {
+// updateNode updates the placement node of a worker, including whether it may get new tasks.
+func (w *owner) updateNode(ws *workerState) {
 	if ws.clockAt.IsZero() {
 		return
 	}
@@ -121,15 +122,14 @@
 
 // isUsable reports whether a worker may get new tasks.
 func (w *owner) isUsable(ws *workerState) bool {
-	return ws.rebuilt && !ws.isLeaving() && !w.drained[ws.listed.Name] && !ws.listed.Gone && ws.failures < silentReports &&
+	return ws.reconciled && !ws.isLeaving() && !w.drainedWorkers[ws.listed.Name] && !ws.listed.Gone && ws.failedSyncs < maxFailedSyncs &&
 		(ws.probing || !w.monitor.IsQuarantined(ws.listed.Name))
 }
 
-// silentReports is how many reports in a row may fail before a worker gets no
-// new tasks.
-const silentReports = 2
+// maxFailedSyncs is the number of consecutive failed syncs from which on a worker gets no new tasks.
+const maxFailedSyncs = 2
 
-// syncWhenDue asks a worker of an owned partition for its report.
+// syncWhenDue syncs with a worker of an owned partition if that is due.
 func (w *owner) syncWhenDue(ws *workerState) {
 	part, owned := w.partitions[ws.partition]
 	if !owned || ws.syncing || ws.listed.Gone || w.now.Before(ws.syncAt) {
@@ -141,8 +141,8 @@
 	ws.syncing = true
 	sync := SyncWorker{
 		Worker: ws.listed.Name, Address: ws.listed.Address, Partition: ws.partition, Epoch: part.epoch,
-		After: ws.sequence, Full: !ws.rebuilt || ws.sequence == 0,
-		Acknowledge: slices.Clone(ws.acks[:min(len(ws.acks), maxAcknowledge)]),
+		After: ws.sequence, Full: !ws.reconciled || ws.sequence == 0,
+		Acknowledge: slices.Clone(ws.pendingAcks[:min(len(ws.pendingAcks), maxAcksPerSync)]),
 	}
 	if !ws.clockAt.IsZero() {
 		sync.BootID, sync.LeaseUntil = ws.bootID, ws.clock+w.cfg.TaskLease
@@ -150,10 +150,11 @@
 	w.emit(sync)
 }
 
-// maxAcknowledge bounds one report when a wave of cancellations ends many tasks.
-const maxAcknowledge = 500
+// maxAcksPerSync limits the acknowledgements of one sync, as after a burst of cancellations that
+// ends many tasks.
+const maxAcksPerSync = 500
 
-// syncDone applies the report of a worker.
+// syncDone applies the result of a sync with a worker.
 func (w *owner) syncDone(e SyncDone) {
 	ws, ok := w.workers[e.Sync.Worker]
 	part, owned := w.partitions[e.Sync.Partition]
@@ -163,66 +164,66 @@
 	ws.syncing = false
 	ws.syncAt = w.now.Add(w.cfg.SyncInterval)
 	if e.Err != nil {
-		ws.failures++
-		if ws.failures == silentReports {
-			w.setSchedulable(ws)
+		ws.failedSyncs++
+		if ws.failedSyncs == maxFailedSyncs {
+			w.updateNode(ws)
 		}
 		return
 	}
-	ws.failures = 0
-	w.acknowledged(ws, e.Sync.Acknowledge)
+	ws.failedSyncs = 0
+	w.removeAcks(ws, e.Sync.Acknowledge)
 	if ws.bootID != "" && ws.bootID != e.Reply.BootID {
-		w.rebooted(ws)
+		w.workerRebooted(ws)
 	}
-	w.takeReport(ws, part, e)
+	w.applyReport(ws, part, e)
 }
 
-func (w *owner) acknowledged(ws *workerState, done []task.Attempt) {
-	ws.acks = slices.DeleteFunc(ws.acks, func(a task.Attempt) bool { return slices.Contains(done, a) })
+func (w *owner) removeAcks(ws *workerState, done []task.Attempt) {
+	ws.pendingAcks = slices.DeleteFunc(ws.pendingAcks, func(a task.Attempt) bool { return slices.Contains(done, a) })
 }
 
-func (w *owner) takeReport(ws *workerState, part *partition, e SyncDone) {
+func (w *owner) applyReport(ws *workerState, part *partition, e SyncDone) {
 	r := e.Reply
 	firstReport := ws.clockAt.IsZero()
 	ws.bootID, ws.clock, ws.clockAt, ws.sequence = r.BootID, r.Clock, w.now, r.Sequence
-	ws.leaseEnd = w.now.Add(w.cfg.atLeast(w.cfg.TaskLease))
+	ws.leaseEnd = w.now.Add(w.cfg.withClockError(w.cfg.TaskLease))
 	wasLeaving := ws.isLeaving()
 	ws.leaving = r.Leaving
 	w.observeLeaving(ws, wasLeaving)
 	if firstReport {
-		ws.syncAt = w.now // the leases could not be renewed without a reading of the clock
+		ws.syncAt = w.now // leases could not be renewed without a reading of the worker's clock
 	}
 	ws.capacity = r.Capacity
 	w.monitor.AddWorker(ws.listed.Name, ws.partition)
 	for _, t := range r.Tasks {
-		w.takeTask(ws, t)
+		w.applyListedTask(ws, t)
 	}
 	if r.Full {
 		w.endMissing(ws, e)
-		if e.SentAt.After(w.settledAt(part)) && !ws.rebuilt {
-			ws.rebuilt = true
+		if e.SentAt.After(w.formerStartsExpireAt(part)) && !ws.reconciled {
+			ws.reconciled = true
 		}
 	}
-	w.setSchedulable(ws)
+	w.updateNode(ws)
 }
 
-// settledAt returns when no start of a former owner can be accepted any more. A
-// partition that had no owner before has none.
-func (w *owner) settledAt(part *partition) time.Time {
+// formerStartsExpireAt returns the time after which no start of a former owner can be accepted any
+// more. A partition in its first epoch has no former owner.
+func (w *owner) formerStartsExpireAt(part *partition) time.Time {
 	if part.epoch <= 1 {
-		return part.gainedAt.Add(-time.Nanosecond)
+		return part.acquiredAt.Add(-time.Nanosecond)
 	}
-	return part.gainedAt.Add(w.cfg.atLeast(w.cfg.StartValidity))
+	return part.acquiredAt.Add(w.cfg.withClockError(w.cfg.StartValidity))
 }
 
-// takeTask applies one line of a report. An attempt that this owner does not
-// know was started by a former one and is adopted.
-func (w *owner) takeTask(ws *workerState, r TaskReport) {
+// applyListedTask applies one task of a worker's report. An attempt that is unknown to this owner
+// was started by a former one and is adopted.
+func (w *owner) applyListedTask(ws *workerState, r TaskReport) {
 	a, known := w.attempts[r.Attempt]
 	if !known {
 		if _, ended := w.tombstones[r.Attempt]; ended && r.Outcome != nil {
-			if !slices.Contains(ws.acks, r.Attempt) {
-				ws.acks = append(ws.acks, r.Attempt)
+			if !slices.Contains(ws.pendingAcks, r.Attempt) {
+				ws.pendingAcks = append(ws.pendingAcks, r.Attempt)
 			}
 			return
 		}
@@ -234,7 +235,7 @@
 	if a.worker != ws.listed.Name {
 		return
 	}
-	w.apply(a, r)
+	w.applyTaskReport(a, r)
 }
 
 func (w *owner) adopt(ws *workerState, r TaskReport) *attempt {
@@ -247,14 +248,14 @@
 	w.attempts[a.id] = a
 	if r.Outcome == nil {
 		w.cluster.Assume(a.worker, a.id, a.size)
-		w.allow.Count(w.now, a.team, a.partition, a.size)
+		w.allowances.Count(w.now, a.team, a.partition, a.size)
 		w.shares.Start(w.now, a.team, a.size)
 	}
 	return a
 }
 
-// endMissing ends the attempts that a full report does not list though they had
-// been seen running before the report was asked for.
+// endMissing ends the running attempts that were started before a full report was requested and
+// that the report does not list.
 func (w *owner) endMissing(ws *workerState, e SyncDone) {
 	listed := make(map[task.Attempt]bool, len(e.Reply.Tasks))
 	for _, t := range e.Reply.Tasks {
@@ -262,88 +263,88 @@
 	}
 	for _, a := range w.attempts {
 		if a.worker == ws.listed.Name && a.stage == stageRunning && a.startedAt.Before(e.SentAt) && !listed[a.id] {
-			w.lost(a)
+			w.attemptLost(a)
 		}
 	}
 }
 
-// rebooted ends everything that ran on a worker before it started anew.
-func (w *owner) rebooted(ws *workerState) {
-	w.event(timeline.Event{Type: timeline.WorkerLost, Worker: ws.listed.Name, Partition: ws.partition, Detail: "rebooted"})
-	ws.acks = nil
+// workerRebooted ends every attempt that was on a worker before its reboot.
+func (w *owner) workerRebooted(ws *workerState) {
+	w.recordEvent(timeline.Event{Type: timeline.WorkerLost, Worker: ws.listed.Name, Partition: ws.partition, Detail: "rebooted"})
+	ws.pendingAcks = nil
 	ws.sequence = 0
 	for _, a := range w.attempts {
 		if a.worker == ws.listed.Name && isOnWorker(a.stage) {
-			w.lost(a)
+			w.attemptLost(a)
 		}
 	}
 }
 
 func isOnWorker(s stage) bool {
-	return s == stageStarting || s == stageUnclear || s == stageRunning || s == stageFetching
+	return s == stageStarting || s == stageUnclear || s == stageRunning || s == stageFetchingResult
 }
 
-// endSilent ends the attempts on a worker that has not reported for so long that
-// every lease it could have has ended.
-func (w *owner) endSilent(ws *workerState) {
-	if _, owned := w.partitions[ws.partition]; !owned || !w.now.After(ws.leaseEnd) || ws.failures == 0 {
+// endExpired ends the attempts on a worker that has not reported for so long that every task lease
+// it could hold has expired.
+func (w *owner) endExpired(ws *workerState) {
+	if _, owned := w.partitions[ws.partition]; !owned || !w.now.After(ws.leaseEnd) || ws.failedSyncs == 0 {
 		return
 	}
 	ended := 0
 	for _, a := range w.attempts {
 		if a.worker == ws.listed.Name && isOnWorker(a.stage) {
-			w.lost(a)
+			w.attemptLost(a)
 			ended++
 		}
 	}
 	if ended > 0 {
-		w.event(timeline.Event{Type: timeline.WorkerLost, Worker: ws.listed.Name, Partition: ws.partition, Detail: "silent"})
+		w.recordEvent(timeline.Event{Type: timeline.WorkerLost, Worker: ws.listed.Name, Partition: ws.partition, Detail: "silent"})
 	}
 }
 
-// markReady notes the partitions of which everything that runs is known: each
-// worker has reported, or cannot run anything any more.
+// markReady marks the partitions of which every running task is known: each worker has reported, or
+// cannot run anything any more.
 func (w *owner) markReady() {
 	for name, part := range w.partitions {
 		if part.ready {
 			continue
 		}
-		ready := w.now.After(w.settledAt(part))
+		ready := w.now.After(w.formerStartsExpireAt(part))
 		for _, ws := range w.workers {
-			if ws.partition == name && !ws.rebuilt && !ws.listed.Gone && !w.now.After(ws.leaseEnd) {
+			if ws.partition == name && !ws.reconciled && !ws.listed.Gone && !w.now.After(ws.leaseEnd) {
 				ready = false
 			}
 		}
 		if ready && w.hasWorkers(name) {
 			part.ready = true
-			w.allow.Rebuilt(name)
+			w.allowances.Rebuilt(name)
 		}
 	}
 }
 
-// markSized notes the partitions whose workers have all reported their capacity,
-// and refuses what was queued before and is larger than any of them.
-func (w *owner) markSized() {
+// markCapacityKnown marks the partitions whose workers have all reported their capacity, and ends
+// the tasks that were queued before and fit on none of them as not run.
+func (w *owner) markCapacityKnown() {
 	for name, part := range w.partitions {
-		if part.sized || !w.isSized(name) {
+		if part.capacityKnown || !w.haveAllReported(name) {
 			continue
 		}
-		part.sized = true
+		part.capacityKnown = true
 		for _, a := range w.attempts {
 			if a.partition == name && a.stage == stageQueued && !w.cluster.EverFits(a.size) {
 				w.queues.Remove(a.id)
-				w.end(a, task.Outcome{State: task.NotRun, Reason: string(errkind.NeverFits)})
+				w.complete(a, task.Outcome{State: task.NotRun, Reason: string(errkind.NeverFits)})
 			}
 		}
 	}
 }
 
-// isSized reports whether every listed worker of a partition has reported since
-// this instance took the partition over. Until then a task that fits none of the
-// workers known so far may fit another one.
-func (w *owner) isSized(name string) bool {
+// haveAllReported reports whether every listed worker of a partition has reported since this
+// instance took over the partition. Until then a task that fits on none of the workers that have
+// reported may fit on another one.
+func (w *owner) haveAllReported(name string) bool {
 	for _, ws := range w.workers {
-		if ws.partition == name && !ws.listed.Gone && !ws.rebuilt {
+		if ws.partition == name && !ws.listed.Gone && !ws.reconciled {
 			return false
 		}
 	}
