entry: describe calls between instances in the usual terms

Reword comments and error messages of the gRPC client, the server and the relay stream: keepalive pings, heartbeats, dead connections, batches.

All tests check the same as before.

The error for an order of unknown type now contains the type.

--- a/entry/cell.go
+++ b/entry/cell.go
@@ -16,31 +16,30 @@
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
 
-// CellHandler answers the calls between the instances of a cell.
+// CellHandler handles calls between the instances of a cell.
 type CellHandler interface {
-	// SeeInstance notes where an instance takes advice calls and orders.
+	// SeeInstance records the address at which an instance accepts advice calls and orders.
 	SeeInstance(p Peer)
-	// Answer answers a question of package cell.
+	// Answer handles a request type of package cell, such as cell.Follow or cell.Submit.
 	Answer(ctx context.Context, question any) (cell.Reply, error)
-	// AskAdvice calls the advice service.
+	// AskAdvice calls the advice service on behalf of the owner.
 	AskAdvice(ctx context.Context, step string, workers []string) (tickets map[string]string, valid time.Duration, err error)
-	// GiveOrder gives an order of the owner to a worker. The ID of the outcome is
-	// left out.
+	// GiveOrder sends an order of the owner to a worker. It leaves the ID of the outcome unset.
 	GiveOrder(ctx context.Context, o RelayOrder) RelayOutcome
 }
 
-// Peer is an instance as the others know it.
+// Peer describes an instance to other instances.
 type Peer struct {
 	Instance      string
 	Address       string
 	FailureDomain string
 }
 
-// NewCellServer returns a gRPC server that passes calls to handler.
+// NewCellServer returns a gRPC server that forwards calls to handler.
 func NewCellServer(handler CellHandler) *grpc.Server {
 	server := grpc.NewServer(
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval, PermitWithoutStream: true}),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveInterval, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	)
 	entrypb.RegisterCellServer(server, &cellService{handler: handler})
 	return server
@@ -51,14 +50,14 @@
 	handler CellHandler
 }
 
-// FollowOwner serves the call of that name.
+// FollowOwner implements entrypb.CellServer.
 func (s *cellService) FollowOwner(ctx context.Context, r *entrypb.FollowRequest) (*entrypb.FollowReply, error) {
 	s.handler.SeeInstance(Peer{Instance: r.GetInstance(), Address: r.GetAddress(), FailureDomain: r.GetFailureDomain()})
-	question := cell.Follow{Instance: r.GetInstance(), Epoch: r.GetEpoch(), Since: r.GetSince(), Submitted: make(map[string]int)}
+	request := cell.Follow{Instance: r.GetInstance(), Epoch: r.GetEpoch(), Since: r.GetSince(), Submitted: make(map[string]int)}
 	for team, n := range r.GetSubmitted() {
-		question.Submitted[team] = int(n)
+		request.Submitted[team] = int(n)
 	}
-	reply, err := s.handler.Answer(ctx, question)
+	reply, err := s.handler.Answer(ctx, request)
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
@@ -90,27 +89,27 @@
 	return v
 }
 
-// SubmitJob serves the call of that name.
+// SubmitJob implements entrypb.CellServer.
 func (s *cellService) SubmitJob(ctx context.Context, r *entrypb.SubmitJobRequest) (*entrypb.CellReply, error) {
 	record, err := job.Decode[job.Job](r.GetRecord())
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	return s.answer(ctx, cell.Submit{Submission: cell.Submission{Job: record, Revision: r.GetRevision()}})
+	return s.handleRequest(ctx, cell.Submit{Submission: cell.Submission{Job: record, Revision: r.GetRevision()}})
 }
 
-// JobState serves the call of that name.
+// JobState implements entrypb.CellServer.
 func (s *cellService) JobState(ctx context.Context, r *entrypb.JobRequest) (*entrypb.CellReply, error) {
-	return s.answer(ctx, cell.StateOf{Job: job.ID(r.GetJob())})
+	return s.handleRequest(ctx, cell.StateOf{Job: job.ID(r.GetJob())})
 }
 
-// CancelJob serves the call of that name.
+// CancelJob implements entrypb.CellServer.
 func (s *cellService) CancelJob(ctx context.Context, r *entrypb.JobRequest) (*entrypb.CellReply, error) {
-	return s.answer(ctx, cell.Cancel{Job: job.ID(r.GetJob()), Queue: r.GetQueue(), Team: r.GetTeam()})
+	return s.handleRequest(ctx, cell.Cancel{Job: job.ID(r.GetJob()), Queue: r.GetQueue(), Team: r.GetTeam()})
 }
 
-func (s *cellService) answer(ctx context.Context, question any) (*entrypb.CellReply, error) {
-	reply, err := s.handler.Answer(ctx, question)
+func (s *cellService) handleRequest(ctx context.Context, request any) (*entrypb.CellReply, error) {
+	reply, err := s.handler.Answer(ctx, request)
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
@@ -120,7 +119,7 @@
 	}, nil
 }
 
-// AskAdvice serves the call of that name.
+// AskAdvice implements entrypb.CellServer.
 func (s *cellService) AskAdvice(ctx context.Context, r *entrypb.AskAdviceRequest) (*entrypb.AskAdviceReply, error) {
 	tickets, valid, err := s.handler.AskAdvice(ctx, r.GetStep(), r.GetWorkers())
 	if err != nil {
@@ -133,22 +132,22 @@
 	return reply, nil
 }
 
-// callCell makes one call of the Cell service on the kept connection to an
-// instance, and replaces the connection if it has gone silent.
+// callCell makes one call of the Cell service on the shared connection to an instance, and replaces
+// the connection if it appears dead.
 func callCell[Q, R any](ctx context.Context, c *Client, address string, request Q,
 	call func(entrypb.CellClient, context.Context, Q, ...grpc.CallOption) (R, error)) (R, error) {
-	connected, err := c.connect(membership.Member{Address: address})
+	peerConn, err := c.connect(membership.Member{Address: address})
 	if err != nil {
-		var none R
-		return none, err
+		var zero R
+		return zero, err
 	}
-	reply, err := call(entrypb.NewCellClient(connected.conn), ctx, request)
-	c.observe(address, connected, err)
+	reply, err := call(entrypb.NewCellClient(peerConn.grpcConn), ctx, request)
+	c.recordResult(address, peerConn, err)
 	return reply, err
 }
 
-// FollowOwner tells the owner at an address that this instance is there, and
-// returns what has changed. A view of nil says that it is not the owner.
+// FollowOwner announces this instance to the owner at the given address and returns the owner's
+// view of what has changed. It returns a nil view if the instance there is not the owner.
 func (c *Client) FollowOwner(ctx context.Context, address string, self Peer, f cell.Follow) (*schedule.View, error) {
 	request := &entrypb.FollowRequest{
 		Instance: f.Instance, Address: self.Address, FailureDomain: self.FailureDomain,
@@ -164,11 +163,12 @@
 	return decodeView(reply), nil
 }
 
-// Ask puts a question of package cell to the instance at an address.
-func (c *Client) Ask(ctx context.Context, address string, question any) (cell.Reply, error) {
+// Ask sends a cell.Submit, cell.StateOf or cell.Cancel request to the instance at the given
+// address.
+func (c *Client) Ask(ctx context.Context, address string, request any) (cell.Reply, error) {
 	var reply *entrypb.CellReply
 	var err error
-	switch q := question.(type) {
+	switch q := request.(type) {
 	case cell.Submit:
 		var record []byte
 		if record, err = job.Encode(q.Job); err != nil {
@@ -189,7 +189,7 @@
 	}, nil
 }
 
-// AskAdvice makes the instance at an address call the advice service.
+// AskAdvice has the instance at the given address call the advice service.
 func (c *Client) AskAdvice(ctx context.Context, address, step string, workers []string) (map[string]string, time.Duration, error) {
 	reply, err := callCell(ctx, c, address, &entrypb.AskAdviceRequest{Step: step, Workers: workers}, entrypb.CellClient.AskAdvice)
 	if err != nil {
--- a/entry/client.go
+++ b/entry/client.go
@@ -21,18 +21,18 @@
 	"github.com/mulberrydrum/mulberrydrum/membership"
 )
 
-// ErrNotSent says that a call surely did not reach the other instance.
+// ErrNotSent reports that a call certainly did not reach the other instance.
 var ErrNotSent = eris.New("call was not sent")
 
 const (
-	// maxMessageBytes allows a result of the largest size with its record.
+	// maxMessageBytes fits a result of the maximum size together with its record.
 	maxMessageBytes = 20 << 20
-	// A connection on which nothing arrives for pingAfter is probed, and closed
-	// pingTimeout later. A silent connection is given up earlier by a call that
-	// times out.
-	pingAfter   = 10 * time.Second
-	pingTimeout = 3 * time.Second
-	dialTimeout = time.Second
+	// A connection that receives nothing for keepaliveTime is probed with a keepalive ping and
+	// closed if there is no response within keepaliveTimeout. Timed-out calls replace a dead
+	// connection earlier.
+	keepaliveTime    = 10 * time.Second
+	keepaliveTimeout = 3 * time.Second
+	dialTimeout      = time.Second
 )
 
 // Client calls the other entry instances. It is safe for concurrent use.
@@ -44,33 +44,33 @@
 	conns map[string]*connection // by address
 }
 
-// connection is one gRPC connection with the number of calls in a row that
-// timed out on it.
+// connection is a gRPC connection with the number of calls that timed out on it since the last
+// success.
 type connection struct {
-	conn     *grpc.ClientConn
-	mu       sync.Mutex
-	timeouts int
+	grpcConn             *grpc.ClientConn
+	mu                   sync.Mutex
+	timeoutsSinceSuccess int
 }
 
-// maxTimeouts is after how many timeouts in a row a connection is replaced. One
-// slow call is no proof; two without any success between them are acted on.
+// maxTimeouts is the number of timeouts, without a success in between, after which a connection is
+// replaced. A single timeout may be just a slow call.
 const maxTimeouts = 2
 
-// NewClient returns a client for calls of the instance self. Bytes to and from
-// instances of other regions are counted apart.
+// NewClient returns a client for calls by the instance self. Traffic with instances in other
+// regions is counted separately.
 func NewClient(self membership.Member) *Client {
 	return &Client{self: self.Instance, counter: newByteCounter(self.Region), conns: map[string]*connection{}}
 }
 
-// Call makes a call to another instance. The error wraps ErrNotSent if the call
-// surely had no effect there.
+// Call sends a request to another instance. The error wraps ErrNotSent if the call certainly had no
+// effect there.
 func (c *Client) Call(ctx context.Context, to membership.Member, request control.PeerRequest) (control.PeerReply, error) {
-	connected, err := c.connect(to)
+	peerConn, err := c.connect(to)
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotSent, "dial %s: %v", to.Address, err)
 	}
-	reply, err := c.invoke(ctx, entrypb.NewEntryClient(connected.conn), request)
-	c.observe(to.Address, connected, err)
+	reply, err := c.invoke(ctx, entrypb.NewEntryClient(peerConn.grpcConn), request)
+	c.recordResult(to.Address, peerConn, err)
 	if err == nil {
 		return reply, nil
 	}
@@ -80,14 +80,14 @@
 	return nil, eris.Wrapf(err, "call %s", to.Address)
 }
 
-// Timeline fetches the events of another instance, in the JSON form.
+// Timeline fetches timeline events of another instance, encoded as JSON.
 func (c *Client) Timeline(ctx context.Context, to membership.Member, task, team string, since time.Time) ([]byte, error) {
-	connected, err := c.connect(to)
+	peerConn, err := c.connect(to)
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotSent, "dial %s: %v", to.Address, err)
 	}
-	reply, err := entrypb.NewEntryClient(connected.conn).Timeline(ctx, &entrypb.TimelineRequest{Task: task, Team: team, Since: encodeTime(since)})
-	c.observe(to.Address, connected, err)
+	reply, err := entrypb.NewEntryClient(peerConn.grpcConn).Timeline(ctx, &entrypb.TimelineRequest{Task: task, Team: team, Since: encodeTime(since)})
+	c.recordResult(to.Address, peerConn, err)
 	if err != nil {
 		return nil, eris.Wrapf(err, "timeline of %s", to.Address)
 	}
@@ -98,8 +98,8 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for address, connected := range c.conns {
-		_ = connected.conn.Close()
+	for address, peerConn := range c.conns {
+		_ = peerConn.grpcConn.Close()
 		delete(c.conns, address)
 	}
 }
@@ -107,10 +107,10 @@
 func (c *Client) connect(to membership.Member) (*connection, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if connected, ok := c.conns[to.Address]; ok {
-		return connected, nil
+	if peerConn, ok := c.conns[to.Address]; ok {
+		return peerConn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+to.Address,
+	grpcConn, err := grpc.NewClient("passthrough:///"+to.Address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 			dialer := net.Dialer{Timeout: dialTimeout}
@@ -123,39 +123,39 @@
 		grpc.WithNoProxy(),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout, PermitWithoutStream: true}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true}),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: connectBackoff, MinConnectTimeout: dialTimeout}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 	)
 	if err != nil {
 		return nil, err
 	}
-	connected := &connection{conn: conn}
-	c.conns[to.Address] = connected
-	return connected, nil
+	peerConn := &connection{grpcConn: grpcConn}
+	c.conns[to.Address] = peerConn
+	return peerConn, nil
 }
 
-// observe replaces a connection on which calls only time out: it may have gone
-// silent while a new one would work.
-func (c *Client) observe(address string, connected *connection, err error) {
+// recordResult records the result of a call, and drops the connection after maxTimeouts timeouts
+// without a success in between: it may be dead although a new connection would work.
+func (c *Client) recordResult(address string, peerConn *connection, err error) {
 	code := status.Code(err)
-	connected.mu.Lock()
+	peerConn.mu.Lock()
 	if code == codes.DeadlineExceeded {
-		connected.timeouts++
+		peerConn.timeoutsSinceSuccess++
 	} else if err == nil {
-		connected.timeouts = 0
+		peerConn.timeoutsSinceSuccess = 0
 	}
-	replace := connected.timeouts >= maxTimeouts
-	connected.mu.Unlock()
+	replace := peerConn.timeoutsSinceSuccess >= maxTimeouts
+	peerConn.mu.Unlock()
 	if !replace {
 		return
 	}
 	c.mu.Lock()
-	if c.conns[address] == connected {
+	if c.conns[address] == peerConn {
 		delete(c.conns, address)
 	}
 	c.mu.Unlock()
-	_ = connected.conn.Close()
+	_ = peerConn.grpcConn.Close()
 }
 
 func (c *Client) invoke(ctx context.Context, client entrypb.EntryClient, request control.PeerRequest) (control.PeerReply, error) {
@@ -190,7 +190,7 @@
 	case control.DigestMessage:
 		message := encodeDigest(r)
 		reply, err := client.Exchange(ctx, message)
-		c.counter.digests.Add(int64(proto.Size(message) + proto.Size(reply)))
+		c.counter.digestBytes.Add(int64(proto.Size(message) + proto.Size(reply)))
 		return decodeDigest(reply), err
 	case control.FetchConfigRequest:
 		reply, err := client.FetchConfig(ctx, &entrypb.FetchConfigRequest{From: c.self, After: r.After})
@@ -204,6 +204,6 @@
 		err = json.Unmarshal(reply.GetOverview(), &overview)
 		return overview, err
 	default:
-		return nil, status.Errorf(codes.Internal, "no encoding for %T", request)
+		return nil, status.Errorf(codes.Internal, "request type %T has no encoding", request)
 	}
 }
--- a/entry/doc.go
+++ b/entry/doc.go
@@ -1,2 +1,2 @@
-// Package entry talks gRPC to the other entry instances, as client and server.
+// Package entry is the gRPC client and server for communication between entry instances.
 package entry
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -15,45 +15,45 @@
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
 
-// RelayOrder is an order to a worker that another instance gives.
+// RelayOrder is an order of the owner that another instance sends to a worker.
 type RelayOrder struct {
 	ID      uint64 // unique on its stream
 	Fence   int64
-	Timeout time.Duration   // from its arrival at the other instance
+	Timeout time.Duration   // starts when the order arrives at the other instance
 	Order   schedule.Effect // a Hold, Start or Stop
 }
 
-// RelayOutcome is what became of an order.
+// RelayOutcome is the result of a relayed order.
 type RelayOutcome struct {
 	ID      uint64
 	Verdict schedule.Verdict
-	Clock   time.Duration // of the worker; this and the rest are those of a report
+	Clock   time.Duration // reading of the worker's clock; this and the following fields are set for a Hold
 	Born    int64
 	Running []schedule.RunReport
 	Ended   []schedule.EndReport
 }
 
 const (
-	// outcomeQueue bounds the outcomes that wait for the stream. Hundreds of
-	// starts at once are for a few relays.
-	outcomeQueue = 1024
-	// relayBatch bounds what shares a message.
-	relayBatch = 64
+	// outcomeQueueSize bounds the outcomes that wait to be sent on the stream. A few relays may
+	// have to handle hundreds of starts at once.
+	outcomeQueueSize = 1024
+	// maxRelayBatch is the maximum number of orders or outcomes in one message.
+	maxRelayBatch = 64
 )
 
-// errStreamEnded ends the goroutines of a stream that its other end has closed.
-var errStreamEnded = eris.New("the stream has ended")
+// errStreamClosed ends the goroutines of a stream that the peer has closed.
+var errStreamClosed = eris.New("relay stream closed by the peer")
 
-// Relay runs a stream of orders to the instance at an address until ctx or the
-// stream ends. It sends what comes from orders, a sign of life for each nil, and
-// passes outcomes to take, which is called with nil for a sign of life.
-func (c *Client) Relay(ctx context.Context, address string, orders <-chan *RelayOrder, take func([]RelayOutcome)) error {
-	connected, err := c.connect(membership.Member{Address: address})
+// Relay runs a stream of orders to the instance at the given address until ctx is cancelled or the
+// stream ends. It sends the orders received from the channel, with a nil order as a heartbeat, and
+// passes the received outcomes to handleOutcomes, which is called with nil for a heartbeat.
+func (c *Client) Relay(ctx context.Context, address string, orders <-chan *RelayOrder, handleOutcomes func([]RelayOutcome)) error {
+	peerConn, err := c.connect(membership.Member{Address: address})
 	if err != nil {
 		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	stream, err := entrypb.NewCellClient(connected.conn).RelayOrders(ctx)
+	stream, err := entrypb.NewCellClient(peerConn.grpcConn).RelayOrders(ctx)
 	if err != nil {
 		return err
 	}
@@ -64,26 +64,27 @@
 		for {
 			reply, err := stream.Recv()
 			if err != nil {
-				return endOf(err)
+				return streamError(err)
 			}
 			outcomes, err := decodeRelayReply(reply)
 			if err != nil {
 				return err
 			}
-			take(outcomes)
+			handleOutcomes(outcomes)
 		}
 	})
 	return group.Wait()
 }
 
-func endOf(err error) error {
+func streamError(err error) error {
 	if errors.Is(err, io.EOF) {
-		return errStreamEnded
+		return errStreamClosed
 	}
 	return err
 }
 
-// sendBatches sends what comes from a channel, as much as there is at a time.
+// sendBatches sends the values of a channel in batches of those that are available, up to
+// maxRelayBatch each.
 func sendBatches[T any](ctx context.Context, from <-chan *T, send func([]*T) error) error {
 	for {
 		var batch []*T
@@ -94,7 +95,7 @@
 			batch = append(batch, first)
 		}
 	collect:
-		for len(batch) < relayBatch {
+		for len(batch) < maxRelayBatch {
 			select {
 			case next := <-from:
 				batch = append(batch, next)
@@ -103,15 +104,15 @@
 			}
 		}
 		if err := send(batch); err != nil {
-			return endOf(err)
+			return streamError(err)
 		}
 	}
 }
 
-// RelayOrders serves the call of that name.
+// RelayOrders implements entrypb.CellServer.
 func (s *cellService) RelayOrders(stream entrypb.Cell_RelayOrdersServer) error {
 	group, ctx := errgroup.WithContext(stream.Context())
-	outcomes := make(chan *RelayOutcome, outcomeQueue)
+	outcomes := make(chan *RelayOutcome, outcomeQueueSize)
 	group.Go(func() error {
 		return sendBatches(ctx, outcomes, func(batch []*RelayOutcome) error { return stream.Send(encodeRelayReply(batch)) })
 	})
@@ -119,33 +120,33 @@
 		for {
 			request, err := stream.Recv()
 			if err != nil {
-				return endOf(err)
+				return streamError(err)
 			}
 			if len(request.GetOrders()) == 0 {
-				deliver(ctx, outcomes, nil)
+				sendOrCancel(ctx, outcomes, nil)
 			}
 			for _, o := range request.GetOrders() {
 				order, err := decodeRelayOrder(o)
 				if err != nil {
-					return err // the owner logs it and gives its orders directly
+					return err // the owner logs the error and sends its orders directly
 				}
 				go func() {
 					call, cancel := context.WithTimeout(ctx, order.Timeout)
 					defer cancel()
 					outcome := s.handler.GiveOrder(call, order)
 					outcome.ID = order.ID
-					deliver(ctx, outcomes, &outcome)
+					sendOrCancel(ctx, outcomes, &outcome)
 				}()
 			}
 		}
 	})
-	if err := group.Wait(); !errors.Is(err, errStreamEnded) {
+	if err := group.Wait(); !errors.Is(err, errStreamClosed) {
 		return err
 	}
 	return nil
 }
 
-func deliver[T any](ctx context.Context, to chan<- *T, value *T) {
+func sendOrCancel[T any](ctx context.Context, to chan<- *T, value *T) {
 	select {
 	case to <- value:
 	case <-ctx.Done():
@@ -207,7 +208,7 @@
 		out.Order = schedule.Stop{Target: to, Task: key, Run: int(order.Stop.GetRun())}
 		return out, err
 	default:
-		return out, eris.New("the order is of no known kind")
+		return out, eris.Errorf("unknown order type %T", o.GetOrder())
 	}
 }
 
@@ -229,8 +230,8 @@
 	return reply
 }
 
-// decodeRelayReply returns the outcomes of a message. A task whose name cannot be
-// read is an error: a report without it would say that the task does not run.
+// decodeRelayReply decodes the outcomes of a message. An invalid task name makes the whole message
+// fail, since a report without that task would imply that the task is not running.
 func decodeRelayReply(reply *entrypb.RelayReply) ([]RelayOutcome, error) {
 	var outcomes []RelayOutcome
 	for _, o := range reply.GetOutcomes() {
@@ -238,14 +239,14 @@
 		for _, r := range o.GetRunning() {
 			key, err := job.ParseTaskKey(r.GetTask())
 			if err != nil {
-				return nil, eris.Wrap(err, "report through a relay")
+				return nil, eris.Wrap(err, "running task in a relayed report")
 			}
 			out.Running = append(out.Running, schedule.RunReport{Task: key, Run: int(r.GetRun()), Checkpoint: r.GetCheckpoint(), Percent: int(r.GetPercent())})
 		}
 		for _, e := range o.GetEnded() {
 			key, err := job.ParseTaskKey(e.GetTask())
 			if err != nil {
-				return nil, eris.Wrap(err, "report through a relay")
+				return nil, eris.Wrap(err, "ended task in a relayed report")
 			}
 			out.Ended = append(out.Ended, schedule.EndReport{Number: e.GetNumber(), Task: key, Run: int(e.GetRun()), How: schedule.Ending(e.GetHow()), Checkpoint: e.GetCheckpoint()})
 		}
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -12,21 +12,21 @@
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
 
-// orderHandler notes the orders that it is to give and answers with a sample.
-type orderHandler struct {
+// recordingHandler records the orders that it receives and returns a fixed outcome.
+type recordingHandler struct {
 	CellHandler
-	seen    chan RelayOrder
-	outcome RelayOutcome
+	received chan RelayOrder
+	outcome  RelayOutcome
 }
 
-func (h *orderHandler) GiveOrder(_ context.Context, o RelayOrder) RelayOutcome {
-	h.seen <- o
+func (h *recordingHandler) GiveOrder(_ context.Context, o RelayOrder) RelayOutcome {
+	h.received <- o
 	return h.outcome
 }
 
-// TestRelayCarriesEverything guards against a field of an order or of a report
-// that is lost on the way through another instance.
-func TestRelayCarriesEverything(t *testing.T) {
+// TestRelayPreservesAllFields guards against fields of orders or reports that are lost when they
+// are relayed through another instance.
+func TestRelayPreservesAllFields(t *testing.T) {
 	key := job.TaskKey{StepKey: job.StepKey{Job: "00000000000000a0", Occurrence: 1, Step: 2}, Index: 3}
 	to := schedule.Target{Worker: "w", Born: 4, Address: "a:1"}
 	orders := []RelayOrder{
@@ -34,7 +34,7 @@
 		{ID: 2, Fence: 2, Timeout: time.Second, Order: schedule.Start{Target: to, Task: key, Run: 8, Spec: "s", Ticket: "t", Checkpoint: "c", LeaseEnd: 9 * time.Second}},
 		{ID: 3, Fence: 2, Timeout: time.Second, Order: schedule.Stop{Target: to, Task: key, Run: 8}},
 	}
-	handler := &orderHandler{seen: make(chan RelayOrder, len(orders)), outcome: RelayOutcome{
+	handler := &recordingHandler{received: make(chan RelayOrder, len(orders)), outcome: RelayOutcome{
 		Verdict: schedule.Outdated, Clock: 10 * time.Second, Born: 11,
 		Running: []schedule.RunReport{{Task: key, Run: 12, Checkpoint: "c", Percent: 13}},
 		Ended:   []schedule.EndReport{{Number: 14, Task: key, Run: 15, How: schedule.EndedBroken, Checkpoint: "d"}},
@@ -51,11 +51,11 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	queue, outcomes := make(chan *RelayOrder, len(orders)), make(chan RelayOutcome, len(orders))
-	signs := make(chan struct{}, 1)
+	heartbeats := make(chan struct{}, 1)
 	go func() {
 		_ = client.Relay(ctx, listener.Addr().String(), queue, func(list []RelayOutcome) { // ends with ctx
 			if len(list) == 0 {
-				signs <- struct{}{}
+				heartbeats <- struct{}{}
 			}
 			for _, o := range list {
 				outcomes <- o
@@ -64,19 +64,19 @@
 	}()
 	for i := range orders {
 		queue <- &orders[i]
-		if seen := <-handler.seen; !reflect.DeepEqual(seen, orders[i]) {
-			t.Errorf("the other instance sees %+v, want %+v", seen, orders[i])
+		if seen := <-handler.received; !reflect.DeepEqual(seen, orders[i]) {
+			t.Errorf("the relay received %+v, want %+v", seen, orders[i])
 		}
 		want := handler.outcome
 		want.ID = orders[i].ID
 		if got := <-outcomes; !reflect.DeepEqual(got, want) {
-			t.Errorf("the outcome is %+v, want %+v", got, want)
+			t.Errorf("got outcome %+v, want %+v", got, want)
 		}
 	}
 	queue <- nil
 	select {
-	case <-signs:
+	case <-heartbeats:
 	case <-ctx.Done():
-		t.Error("no sign of life")
+		t.Error("no heartbeat received")
 	}
 }
--- a/entry/roundtrip_test.go
+++ b/entry/roundtrip_test.go
@@ -29,10 +29,9 @@
 	sampleSuccessor = ownership.Successor{Instance: "e", Incarnation: "e-1"}
 )
 
-// TestMessagesSurviveEncoding guards against a field that is added to a message
-// and left out of its encoding: each sample has every field set, and has to be
-// the same after a round trip.
-func TestMessagesSurviveEncoding(t *testing.T) {
+// TestMessageRoundTrip guards against a field that is added to a message but not to its
+// encoding: every field of each sample is set, and a round trip must not change the sample.
+func TestMessageRoundTrip(t *testing.T) {
 	place := control.PlaceRequest{Placements: []control.Placement{{Attempt: sampleAttempt, Job: sampleJob, Index: 1, Partition: "w/r/0", Epoch: 2,
 		Age: time.Second, Gang: 3, Spec: sampleSpec}}}
 	placeReply := control.PlaceReply{Refusals: []*errkind.Error{sampleError}}
@@ -61,7 +60,7 @@
 		{reply, decodeJobReply(encodeJobReply(reply))},
 	} {
 		if field := zeroField(reflect.ValueOf(c.sample)); field != "" {
-			t.Errorf("the sample of %T leaves %s unset, so that its encoding is not tested", c.sample, field)
+			t.Errorf("sample of %T does not set %s, so its encoding is not tested", c.sample, field)
 		}
 		if !reflect.DeepEqual(c.sample, c.decoded) {
 			t.Errorf("%T changed:\n sent     %+v\n received %+v", c.sample, c.sample, c.decoded)
@@ -69,7 +68,8 @@
 	}
 }
 
-// zeroField returns the name of a field without a value, at any depth.
+// zeroField returns the name of the first unset field at any depth (for an empty pointer or slice,
+// the name of its type), or the empty string.
 func zeroField(v reflect.Value) string {
 	switch v.Kind() {
 	case reflect.Pointer:
