--- a/ownership/bench_test.go
+++ b/ownership/bench_test.go
@@ -8,8 +8,8 @@
 	"github.com/mulberrydrum/mulberrydrum/membership"
 )
 
-// idleTable returns a table of one of the members that owns its share of the
-// units and has nothing to do.
+// idleTable returns the table of one of the members. It owns its share of the units
+// and has no action due.
 func idleTable(units, members int) (*Table, time.Time) {
 	var names []string
 	for i := range units {
--- a/ownership/config.go
+++ b/ownership/config.go
@@ -5,21 +5,21 @@
 	"time"
 )
 
-// Config holds the durations from which terms and waits follow. All processes
-// of a deployment must use the same values.
+// Config holds the durations from which ownership terms and takeover waits are
+// computed. All processes of a deployment must use the same values.
 type Config struct {
 	Units             []string      // every worker partition and request shard
-	LeaseTTL          time.Duration // of the lease that holds the member key
+	LeaseTTL          time.Duration // TTL of the lease to which the member key is attached
 	KeepAliveInterval time.Duration // between two renewals of that lease
-	PromiseWindow     time.Duration // for which a successor promises not to take over
+	PromiseWindow     time.Duration // time for which a successor promises not to take over
 	ClockDrift        float64       // largest deviation of a clock's rate from true time
 	ClockMargin       time.Duration // added to every wait and subtracted from every term
-	ListLag           time.Duration // largest age of what the instance list shows
+	ListLag           time.Duration // largest staleness of the instance list
 	MoveDelay         time.Duration // a member must have been live, and a unit held, for this long before the unit moves
 	MoveInterval      time.Duration // between two moves that one owner starts
-	ClaimDelay        time.Duration // after the start, before units without a record are claimed
-	RetryInterval     time.Duration // between two tries of a write that failed or is unclear
-	Stagger           time.Duration // by which each further successor delays its takeover
+	ClaimDelay        time.Duration // from the start of the process until it claims units without a record
+	RetryInterval     time.Duration // between two attempts of a write that failed or is indeterminate
+	Stagger           time.Duration // additional takeover delay of each further successor
 }
 
 // DefaultConfig returns the defaults of the design page for the given units.
@@ -40,22 +40,23 @@
 	}
 }
 
-// Validate reports settings with which a term could outlast the wait of those
-// who may take over.
+// Validate returns an error if a term could outlast the wait of the processes that
+// may take over.
 func (c Config) Validate() error {
 	if c.LeaseTTL <= 0 || c.PromiseWindow <= 0 || c.KeepAliveInterval <= 0 || c.RetryInterval <= 0 {
-		return fmt.Errorf("lease TTL, promise window, keepalive interval and retry interval must be positive")
+		return fmt.Errorf("lease TTL %v, promise window %v, keepalive interval %v and retry interval %v must be positive",
+			c.LeaseTTL, c.PromiseWindow, c.KeepAliveInterval, c.RetryInterval)
 	}
 	if c.ClockDrift < 0 || c.ClockDrift >= 0.5 {
-		return fmt.Errorf("clock drift %v is outside 0 to 0.5", c.ClockDrift)
+		return fmt.Errorf("clock drift %v is outside the range [0, 0.5)", c.ClockDrift)
 	}
-	if c.KeepAliveInterval >= c.shorten(c.LeaseTTL) {
-		return fmt.Errorf("keepalive interval %v leaves no term within the lease TTL %v", c.KeepAliveInterval, c.LeaseTTL)
+	if c.KeepAliveInterval >= c.minusClockError(c.LeaseTTL) {
+		return fmt.Errorf("keepalive interval %v is not below the term that lease TTL %v allows", c.KeepAliveInterval, c.LeaseTTL)
 	}
-	// The store does not lengthen the TTL for its own drift. A term counted by a
-	// clock that is slow by the drift must still end before the lease of a store
+	// The store does not extend the TTL by its own clock drift. A term measured by
+	// a clock that is slow by the drift must still end before the lease in a store
 	// whose clock is fast by the drift.
-	term := float64(c.shorten(c.LeaseTTL)) / (1 - c.ClockDrift)
+	term := float64(c.minusClockError(c.LeaseTTL)) / (1 - c.ClockDrift)
 	lease := float64(c.LeaseTTL) / (1 + c.ClockDrift)
 	if term > lease {
 		return fmt.Errorf("clock margin %v is too small for lease TTL %v and drift %v", c.ClockMargin, c.LeaseTTL, c.ClockDrift)
@@ -63,21 +64,24 @@
 	return nil
 }
 
-// shorten returns the part of d that a holder may use.
-func (c Config) shorten(d time.Duration) time.Duration {
+// minusClockError returns the part of d during which the holder of a lease or
+// promise may rely on it: d less the drift and the margin.
+func (c Config) minusClockError(d time.Duration) time.Duration {
 	return d - time.Duration(float64(d)*c.ClockDrift) - c.ClockMargin
 }
 
-// lengthen returns how long another process waits until d has passed for the
-// holder on any clock within the drift.
-func (c Config) lengthen(d time.Duration) time.Duration {
+// plusClockError returns how long another process must wait until d has passed on
+// the holder's clock, for any clock rate within the drift.
+func (c Config) plusClockError(d time.Duration) time.Duration {
 	return d + time.Duration(float64(d)*c.ClockDrift) + c.ClockMargin
 }
 
-// askAfter is the age of the last keepalive at which promises are requested. It
-// leaves the time of a whole promise window before the store term ends.
-func (c Config) askAfter() time.Duration { return c.KeepAliveInterval * 3 / 2 }
+// promiseRequestAge is the age of the last keepalive from which promises are
+// requested. With the default durations that is 4.5 s, which leaves 4.3 s of the store
+// term for the requests: nearly a promise window.
+func (c Config) promiseRequestAge() time.Duration { return c.KeepAliveInterval * 3 / 2 }
 
-// absenceGrace is how long a member key may be missing before it is taken as
-// more than the gap between the end of one lease and the start of the next.
-func (c Config) absenceGrace() time.Duration { return 2 * c.KeepAliveInterval }
+// absenceGracePeriod is how long a member key may be missing before its instance counts
+// as absent. A shorter absence can be the gap between the end of one lease and the
+// start of the next.
+func (c Config) absenceGracePeriod() time.Duration { return 2 * c.KeepAliveInterval }
--- a/ownership/decide.go
+++ b/ownership/decide.go
@@ -7,21 +7,21 @@
 	"github.com/mulberrydrum/mulberrydrum/membership"
 )
 
-// successorCount is how many successors an owner names.
+// successorCount is the number of successors in a record.
 const successorCount = 2
 
-// Tick returns what is to be done and to be known at time now. It is called
-// after every other call and at least every 100 ms; the caller must apply Lost
-// before it sends anything else.
+// Tick returns the actions that are due at time now. It is called after every
+// other call and at least every 100 ms. The caller must apply Lost before it sends
+// anything else.
 func (t *Table) Tick(now time.Time) []Action {
-	t.expire(now)
+	t.expireTerms(now)
 	for _, u := range t.units {
-		t.gain(now, u)
-		t.askPromises(now, u)
+		t.gainIfVerified(now, u)
+		t.requestPromises(now, u)
 		t.decide(now, u)
 	}
-	actions := t.queued
-	t.queued = nil
+	actions := t.queuedActions
+	t.queuedActions = nil
 	return actions
 }
 
@@ -31,14 +31,14 @@
 		t.retry(now, u)
 		return
 	}
-	if !t.hasContact(now) || !t.membersKnown || now.Before(u.retryAt) {
+	if !t.hasStoreContact(now) || !t.membersKnown || now.Before(u.retryAt) {
 		return
 	}
 	if t.ownsRecord(u) {
 		t.decideAsOwner(now, u)
 		return
 	}
-	t.decideAsOther(now, u)
+	t.decideAsNonOwner(now, u)
 }
 
 func (t *Table) decideAsOwner(now time.Time, u *unit) {
@@ -58,19 +58,20 @@
 	t.write(u, r, nil, ReasonSuccessors)
 }
 
-// ObserveContact notes whether an instance said last that it reaches the store.
-// An instance that does not would get units by a handover and could not serve
-// them, so it is given none. Instances of which nothing is known count as fit.
+// ObserveContact records whether the instance last reported contact with the
+// store. An instance without contact is not a handover destination, because it
+// could not serve the units. Instances without a report count as having contact.
 func (t *Table) ObserveContact(instance string, hasContact bool) {
 	if hasContact {
-		delete(t.noContact, instance)
+		delete(t.noStoreContact, instance)
 	} else {
-		t.noContact[instance] = true
+		t.noStoreContact[instance] = true
 	}
 }
 
-// Release asks for a handover to the first successor that is live, not draining
-// and in contact with the store. Without any such member the unit is kept.
+// Release requests a handover to the first successor that is live, not draining
+// and in contact with the store, or else to the preferred other member in contact
+// with the store. Without such a member this process keeps the unit.
 func (t *Table) Release(now time.Time, name string) {
 	u := t.byName[name]
 	if u == nil || !t.ownsRecord(u) {
@@ -81,50 +82,50 @@
 
 func (t *Table) release(now time.Time, u *unit) {
 	for _, s := range u.record.Successors {
-		if t.isPresent(s) && !t.members[s.Instance].Draining && !t.noContact[s.Instance] {
+		if t.isPresent(s) && !t.members[s.Instance].Draining && !t.noStoreContact[s.Instance] {
 			t.handOver(now, u, t.members[s.Instance], ReasonRelease)
 			return
 		}
 	}
 	others := slices.DeleteFunc(slices.Clone(t.memberList), func(m membership.Member) bool {
-		return m.Instance == t.self.Instance || t.noContact[m.Instance]
+		return m.Instance == t.self.Instance || t.noStoreContact[m.Instance]
 	})
 	if m, ok := membership.Preferred(u.name, others); ok {
 		t.handOver(now, u, m, ReasonRelease)
 	}
 }
 
-// decideMove hands the unit over to its preferred member when that member has
-// been live and the unit held for a while. Otherwise a member that restarts
-// repeatedly, or an owner that has just taken over, would move units back and
-// forth, and each move costs the next owner a rebuild.
+// decideMove hands the unit over to its preferred member once that member has been
+// live, and the unit held, for MoveDelay. Without the delay a member that restarts
+// repeatedly, or an owner that has just taken over, would cause units to move back
+// and forth, and after each move the next owner must rebuild its state.
 func (t *Table) decideMove(now time.Time, u *unit) bool {
-	if now.Sub(t.lastMove) < t.cfg.MoveInterval || !u.held || now.Sub(u.gainedAt) < t.cfg.MoveDelay {
+	if now.Sub(t.lastMoveAt) < t.cfg.MoveInterval || !u.held || now.Sub(u.gainedAt) < t.cfg.MoveDelay {
 		return false
 	}
 	m, ok := membership.Preferred(u.name, t.memberList)
 	if !ok || m.Instance == t.self.Instance {
 		return false
 	}
-	if t.noContact[m.Instance] || now.Sub(t.memberSince[m.Incarnation]) < t.cfg.MoveDelay {
+	if t.noStoreContact[m.Instance] || now.Sub(t.memberSince[m.Incarnation]) < t.cfg.MoveDelay {
 		return false
 	}
-	t.lastMove = now
+	t.lastMoveAt = now
 	t.handOver(now, u, m, ReasonMove)
 	return true
 }
 
-// handOver writes another owner into the record. This process stops acting
-// before the write is sent, since the write may take effect at any later time.
+// handOver writes another owner into the record. This process stops acting for the
+// unit before the write is sent, because the write may take effect at any later time.
 func (t *Table) handOver(now time.Time, u *unit, to membership.Member, reason Reason) {
-	if u.held && !t.faults.holdWhileHandedOver {
+	if u.held && !t.seededFaults.holdDuringHandover {
 		t.lose(now, u, reason)
 	}
 	r := t.recordFor(u, to)
 	t.write(u, r, nil, reason)
 }
 
-// recordFor returns the record with which the member becomes the next owner.
+// recordFor returns the record that makes the member the next owner.
 func (t *Table) recordFor(u *unit, owner membership.Member) Record {
 	r := Record{Unit: u.name, Owner: owner.Incarnation, OwnerInstance: owner.Instance, Epoch: u.record.Epoch + 1}
 	for _, m := range membership.Successors(owner, u.name, t.memberList, successorCount) {
@@ -133,14 +134,14 @@
 	return r
 }
 
-// renewedSuccessors keeps the successors that are still suitable, in their
-// order, and fills the list up. A member key that is missing for a short time
-// does not change the list: after an outage of the store all keys are missing
+// renewedSuccessors keeps the successors that are still suitable, in their order,
+// and adds others up to successorCount. A member key that is missing for a short
+// time does not change the list: after an outage of the store all keys are missing
 // until the processes have new leases.
 func (t *Table) renewedSuccessors(now time.Time, u *unit) []Successor {
 	var kept []Successor
 	for _, s := range u.record.Successors {
-		if t.isSuitable(now, s) {
+		if t.isSuitableSuccessor(now, s) {
 			kept = append(kept, s)
 		}
 	}
@@ -158,13 +159,14 @@
 	return kept
 }
 
-// isSuitable reports whether the successor stays in the list: it is live and
-// not draining, or missing for no longer than a renewal takes, and it is in the
-// owner's region unless the region offers too few members.
-func (t *Table) isSuitable(now time.Time, s Successor) bool {
+// isSuitable reports whether the successor stays in the list. It stays if its
+// member key has been absent for no longer than absenceGracePeriod, or if it is another
+// instance than the owner, live under the recorded incarnation, not draining, and
+// in the owner's region unless that region has too few members.
+func (t *Table) isSuitableSuccessor(now time.Time, s Successor) bool {
 	m, ok := t.members[s.Instance]
 	if !ok {
-		return t.absentFor(now, s.Instance) <= t.cfg.absenceGrace()
+		return t.absentDuration(now, s.Instance) <= t.cfg.absenceGracePeriod()
 	}
 	if m.Incarnation != s.Incarnation || m.Draining || m.Instance == t.self.Instance {
 		return false
--- a/ownership/matrix_test.go
+++ b/ownership/matrix_test.go
@@ -8,23 +8,23 @@
 	"time"
 )
 
-// matrixBases are scenarios that together reach every step of every protocol.
-var matrixBases = []directed{
+// baseScenarios together reach every step of every protocol.
+var baseScenarios = []directedScenario{
 	{rule: "release, takeover, outage", script: []trigger{
-		do("release", owner, 1, 0), do("crash", owner, 10, 25), do("outage", owner, 45, 20),
+		inject("release", owner, 1, 0), inject("crash", owner, 10, 25), inject("outage", owner, 45, 20),
 	}},
 	{rule: "fence", script: []trigger{
-		do("cut", owner, 0, 20), do("lag", second, 5, 60), do("hold", first, 15, 22),
-		on("takeover/sent", "cut", first, 0.01, 7),
+		inject("cut", owner, 0, 20), inject("lag", second, 5, 60), inject("hold", first, 15, 22),
+		injectOnStep("takeover/sent", "cut", first, 0.01, 7),
 	}},
 	{rule: "successor restarts", script: []trigger{
-		do("crash", owner, 0, 60), do("crash", first, 0.1, 5), do("crash", second, 0.2, 6),
+		inject("crash", owner, 0, 60), inject("crash", first, 0.1, 5), inject("crash", second, 0.2, 6),
 	}},
 	{rule: "force", script: []trigger{
-		do("crash", owner, 0, 70), do("crash", first, 0.1, 70), do("crash", second, 0.2, 70), do("force", 3, 25, 0),
+		inject("crash", owner, 0, 70), inject("crash", first, 0.1, 70), inject("crash", second, 0.2, 70), inject("force", 3, 25, 0),
 	}},
 	{rule: "all gone", script: []trigger{
-		do("gone", owner, 0, 0), do("gone", first, 0.1, 0), do("gone", second, 0.2, 0),
+		inject("gone", owner, 0, 0), inject("gone", first, 0.1, 0), inject("gone", second, 0.2, 0),
 	}},
 }
 
@@ -46,21 +46,21 @@
 	{Kind: "freeze", Duration: 25 * time.Second},
 	{Kind: "crash", Duration: 500 * time.Millisecond},
 	{Kind: "crash", Duration: 20 * time.Second},
-	{Kind: "cut", Duration: 50 * time.Millisecond}, // the reply or the request is lost
+	{Kind: "cut", Duration: 50 * time.Millisecond}, // loses the reply or the request
 	{Kind: "cut", Duration: 20 * time.Second},
 	{Kind: "isolate", Duration: 20 * time.Second},
 	{Kind: "region", Duration: 20 * time.Second},
 	{Kind: "outage", Duration: 20 * time.Second},
-	{Kind: "hold", Duration: 15 * time.Second}, // the next write arrives late
+	{Kind: "hold", Duration: 15 * time.Second}, // delays the next write
 	{Kind: "lag", Duration: 20 * time.Second},
 	{Kind: "slow", Duration: 20 * time.Second},
 	{Kind: "lossy", Duration: 10 * time.Second},
 }
 
-// at plays the base with f at the given occurrence of the step, on the node
-// that takes the step. It reports whether the step was reached so often.
-func (d directed) at(step string, occurrence int, f fault) (problem string, reached bool) {
-	w := newWorld(7, faults{})
+// playWithFault runs the scenario and injects f at the given occurrence of the step,
+// on the node that takes the step. It reports whether the occurrence was reached.
+func (d directedScenario) playWithFault(step string, occurrence int, f fault) (problem string, reached bool) {
+	w := newWorld(7, seededFaults{})
 	count := 0
 	w.onStep = func(name string, n *node) {
 		if name != step {
@@ -69,16 +69,16 @@
 		if count++; count == occurrence {
 			reached = true
 			f.Node = n.index
-			w.apply(f)
+			w.injectFault(f)
 		}
 	}
-	return d.playIn(w), reached
+	return d.playInWorld(w), reached
 }
 
-// TestFaultMatrix guards against a fault at some step of a protocol after which
-// two tables hold a unit or none does. It puts every fault at the first
-// occurrence of every step, and in longer runs at later ones too, in every
-// scenario that reaches the step.
+// TestFaultMatrix guards against a fault at some step of a protocol after which two
+// tables hold a unit, or none does. It injects every fault at the first occurrence
+// of every step, in the first base scenario that reaches the step. Long runs cover
+// later occurrences and all scenarios that reach the step.
 func TestFaultMatrix(t *testing.T) {
 	steps := matrixSteps()
 	var mutex sync.Mutex
@@ -89,7 +89,7 @@
 			t.Run(step, func(t *testing.T) {
 				t.Parallel()
 				for _, f := range matrixFaults {
-					n, problems := playCell(step, f)
+					n, problems := playMatrixCell(step, f)
 					mutex.Lock()
 					runs += n
 					if n > 0 {
@@ -113,9 +113,10 @@
 	}
 }
 
-// playCell plays the fault at the step in every base that reaches it.
-func playCell(step string, f fault) (runs int, problems []string) {
-	for _, base := range matrixBases {
+// playMatrixCell injects the fault at the step, in the first base scenario that reaches it
+// and in long runs in all.
+func playMatrixCell(step string, f fault) (runs int, problems []string) {
+	for _, base := range baseScenarios {
 		if runs > 0 && !isLongRun() {
 			break
 		}
@@ -123,7 +124,7 @@
 			if occurrence > 1 && !isLongRun() {
 				break
 			}
-			problem, reached := base.at(step, occurrence, f)
+			problem, reached := base.playWithFault(step, occurrence, f)
 			if !reached {
 				break
 			}
--- a/ownership/members.go
+++ b/ownership/members.go
@@ -7,8 +7,8 @@
 	"github.com/mulberrydrum/mulberrydrum/membership"
 )
 
-// ObserveMembers takes the complete list of members. With fromStore it is the
-// list of member keys in the store; otherwise it is the platform's instance
+// ObserveMembers applies a complete list of members. If fromStore is true, it is
+// the list of member keys in the store. Otherwise it is the platform's instance
 // list, of which only the instance names are used.
 func (t *Table) ObserveMembers(now time.Time, members []membership.Member, fromStore bool) {
 	if fromStore {
@@ -44,38 +44,39 @@
 	listed := make(map[string]bool, len(members))
 	for _, m := range members {
 		listed[m.Instance] = true
-		delete(t.listGone, m.Instance)
+		delete(t.unlistedSince, m.Instance)
 	}
 	for instance := range t.listed {
 		if !listed[instance] {
-			t.markListGone(now, instance)
+			t.markUnlisted(now, instance)
 		}
 	}
 	for _, u := range t.units {
-		t.markRecordGone(now, u.record, listed)
+		t.markRecordUnlisted(now, u.record, listed)
 	}
-	t.listed, t.listAt = listed, now
+	t.listed, t.listReadAt = listed, now
 }
 
-// markRecordGone starts the absence of instances that the list has never shown
-// to this process, because they were gone before it started.
-func (t *Table) markRecordGone(now time.Time, r Record, listed map[string]bool) {
+// markRecordUnlisted covers the instances named in a record that no list has shown
+// to this process, because they were gone before it started. Their absence counts
+// from now.
+func (t *Table) markRecordUnlisted(now time.Time, r Record, listed map[string]bool) {
 	if r.Revision == 0 {
 		return
 	}
 	if !listed[r.OwnerInstance] {
-		t.markListGone(now, r.OwnerInstance)
+		t.markUnlisted(now, r.OwnerInstance)
 	}
 	for _, s := range r.Successors {
 		if !listed[s.Instance] {
-			t.markListGone(now, s.Instance)
+			t.markUnlisted(now, s.Instance)
 		}
 	}
 }
 
-func (t *Table) markListGone(now time.Time, instance string) {
-	if _, known := t.listGone[instance]; !known {
-		t.listGone[instance] = now
+func (t *Table) markUnlisted(now time.Time, instance string) {
+	if _, known := t.unlistedSince[instance]; !known {
+		t.unlistedSince[instance] = now
 	}
 }
 
@@ -91,10 +92,9 @@
 	return t.membersKnown && !present
 }
 
-// absentFor returns for how long the store has shown no member key of the
-// instance. An instance that was never observed counts from the start of this
-// process.
-func (t *Table) absentFor(now time.Time, instance string) time.Duration {
+// absentDuration returns how long the store has shown no member key of the instance.
+// For an instance that was never observed this is the uptime of this process.
+func (t *Table) absentDuration(now time.Time, instance string) time.Duration {
 	if !t.isAbsent(instance) {
 		return 0
 	}
@@ -104,9 +104,9 @@
 	return now.Sub(t.startedAt)
 }
 
-// goneFromList reports whether the instance list has shown the instance as gone
-// for at least d, at every reading in that time.
-func (t *Table) goneFromList(instance string, d time.Duration) bool {
-	since, gone := t.listGone[instance]
-	return gone && t.listAt.Sub(since) >= d
+// isUnlistedFor reports whether the instance was missing from every instance list
+// read during at least d up to the latest one.
+func (t *Table) isUnlistedFor(instance string, d time.Duration) bool {
+	since, gone := t.unlistedSince[instance]
+	return gone && t.listReadAt.Sub(since) >= d
 }
--- a/ownership/model_test.go
+++ b/ownership/model_test.go
@@ -13,18 +13,18 @@
 	"github.com/mulberrydrum/mulberrydrum/membership"
 )
 
-// recoveryBound is the time after the last fault in which every unit must have
-// an owner: the longest wait (owner and successors gone for good: list lag,
-// window and term), plus the delays of the model.
+// recoveryBound is the time within which every unit must have an owner after the
+// last fault. It covers the longest wait (list lag, promise window and lease TTL,
+// when owner and successors are permanently gone) and the delays of the model.
 const recoveryBound = 60 * time.Second
 
-// fault is one disturbance of a scenario.
+// fault is one injected fault of a scenario.
 type fault struct {
 	Kind     string
 	At       time.Duration
 	Duration time.Duration
 	Node     int
-	Unit     string // of a held write; empty for any
+	Unit     string // of a delayed write; empty for any
 }
 
 type scenario struct {
@@ -54,8 +54,8 @@
 })
 
 // newWorld returns five nodes in two regions; the store is in the second. Clock
-// rates are at or within the stated drift.
-func newWorld(seed uint64, seeded faults) *world {
+// rates are at or within the configured drift.
+func newWorld(seed uint64, seeded seededFaults) *world {
 	w := &world{tickEvery: 100 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 1)), faults: seeded, units: []string{"w/a/0", "h/0", "h/1"}}
 	w.store = modelStore{rate: w.clockRate(), records: map[string]Record{}, members: map[string]memberKey{}, leases: map[int64]time.Duration{}}
 	for i := range 5 {
@@ -64,7 +64,7 @@
 			region = "b"
 		}
 		name := fmt.Sprintf("n%d", i)
-		n := &node{w: w, index: i, rate: w.clockRate(), skew: time.Duration(w.rng.Int64N(int64(time.Hour)))}
+		n := &node{w: w, index: i, rate: w.clockRate(), clockOffset: time.Duration(w.rng.Int64N(int64(time.Hour)))}
 		n.self = membership.Member{Instance: name, Region: region, FailureDomain: name}
 		w.nodes = append(w.nodes, n)
 		w.after(time.Duration(w.rng.Int64N(int64(2*time.Second))), n.start)
@@ -76,8 +76,8 @@
 	return []float64{0.99, 1.01, 0.99 + 0.02*w.rng.Float64()}[w.rng.IntN(3)]
 }
 
-// apply starts a fault now and ends it after its duration.
-func (w *world) apply(f fault) {
+// injectFault injects a fault now and ends it after its duration.
+func (w *world) injectFault(f fault) {
 	n := w.nodes[f.Node]
 	switch f.Kind {
 	case "freeze":
@@ -90,7 +90,7 @@
 			}
 		})
 	case "gone":
-		if w.live() > 2 {
+		if w.liveCount() > 2 {
 			n.up, n.removed = false, true
 		}
 	case "outage":
@@ -109,10 +109,10 @@
 		n.watchLag = f.Duration
 		w.after(f.Duration, func() { n.watchLag = 0 })
 	case "slow":
-		n.slow = min(f.Duration, callTimeout-100*time.Millisecond)
-		w.after(f.Duration, func() { n.slow = 0 })
+		n.replyDelay = min(f.Duration, callTimeout-100*time.Millisecond)
+		w.after(f.Duration, func() { n.replyDelay = 0 })
 	case "hold":
-		n.hold, n.holdUnit = f.Duration, f.Unit
+		n.nextWriteDelay, n.nextWriteUnit = f.Duration, f.Unit
 	case "late":
 		was := w.lateness
 		w.lateness = 0.5
@@ -134,7 +134,7 @@
 	}
 }
 
-func (w *world) live() (count int) {
+func (w *world) liveCount() (count int) {
 	for _, n := range w.nodes {
 		if !n.removed {
 			count++
@@ -151,45 +151,45 @@
 	}
 }
 
-// heal ends every fault and starts what is not running.
-func (w *world) heal() {
+// endFaults ends every fault and starts every node that is down and not removed.
+func (w *world) endFaults() {
 	w.store.down, w.lateness, w.loss = false, 0, 0
 	for _, n := range w.nodes {
-		n.cutOff, n.isolated, n.frozenUntil, n.watchLag, n.slow, n.hold = false, false, 0, 0, 0, 0
+		n.cutOff, n.isolated, n.frozenUntil, n.watchLag, n.replyDelay, n.nextWriteDelay = false, false, 0, 0, 0, 0
 		if !n.up && !n.removed {
 			n.start()
 		}
 	}
 }
 
-// run plays a scenario and returns the violated property, or "".
-func (s scenario) run(seeded faults) string {
+// run simulates the scenario and returns the violated property, or "".
+func (s scenario) run(seeded seededFaults) string {
 	w := newWorld(s.Seed, seeded)
 	w.lateness, w.loss = s.Lateness, s.Loss
 	end := 62 * time.Second
 	for _, f := range s.Faults {
-		w.after(f.At, func() { w.apply(f) })
+		w.after(f.At, func() { w.injectFault(f) })
 		end = max(end, f.At+f.Duration)
 	}
 	return w.finish(end)
 }
 
-// finish runs to the end of the faults, heals and checks the recovery.
+// finish runs until the given time, ends the faults and checks the recovery.
 func (w *world) finish(end time.Duration) string {
 	w.runUntil(end)
-	w.heal()
+	w.endFaults()
 	w.runUntil(end + recoveryBound)
 	if w.violation != "" {
 		return w.violation
 	}
-	if units := w.unowned(); len(units) > 0 {
+	if units := w.unheldUnits(); len(units) > 0 {
 		return fmt.Sprintf("%v without an owner %v after the last fault", units, recoveryBound)
 	}
 	return ""
 }
 
-// modelRuns returns the number of scenarios; MULBERRYDRUM_MODEL_RUNS asks for a
-// longer run.
+// modelRuns returns the number of scenarios. MULBERRYDRUM_MODEL_RUNS overrides it for
+// longer runs.
 func modelRuns(normal int) int {
 	if n, err := strconv.Atoi(os.Getenv("MULBERRYDRUM_MODEL_RUNS")); err == nil {
 		return n
@@ -199,8 +199,8 @@
 
 func isLongRun() bool { return os.Getenv("MULBERRYDRUM_MODEL_RUNS") != "" }
 
-// TestOneHolderAtATime guards against two processes that act for one unit at
-// the same true time, and against a unit that stays without an owner.
+// TestOneHolderAtATime guards against two processes that act for one unit at the same
+// true time, and against a unit that remains without an owner.
 func TestOneHolderAtATime(t *testing.T) {
 	const parallel = 8
 	runs := modelRuns(160)
@@ -209,7 +209,7 @@
 			t.Parallel()
 			for seed := part; seed < runs; seed += parallel {
 				s := scenarios.Example(seed)
-				if problem := s.run(faults{}); problem != "" {
+				if problem := s.run(seededFaults{}); problem != "" {
 					t.Fatalf("seed %d: %s\n%+v", seed, problem, s)
 				}
 			}
--- a/ownership/modelnode_test.go
+++ b/ownership/modelnode_test.go
@@ -8,47 +8,47 @@
 	"github.com/mulberrydrum/mulberrydrum/membership"
 )
 
-// callTimeout is when a node gives up a call, which may still take effect.
+// callTimeout is the timeout of a store call, which may still take effect afterwards.
 const callTimeout = 2 * time.Second
 
-// node is one instance: a table, its clock and what the control loop would do.
+// node simulates one instance: a table, its clock and the work of the control loop.
 type node struct {
-	w           *world
-	index       int
-	self        membership.Member
-	table       *Table
-	starts      int
-	up          bool
-	removed     bool // gone for good, also from the instance list
-	frozenUntil time.Duration
-	cutOff      bool // from the store
-	isolated    bool // from the other nodes
-	rate        float64
-	skew        time.Duration
-	slow        time.Duration // added to every reply that the node receives
-	hold        time.Duration // added to the way of the next write of holdUnit
-	holdUnit    string        // empty for any
+	w              *world
+	index          int
+	self           membership.Member
+	table          *Table
+	starts         int
+	up             bool
+	removed        bool // permanently, also from the instance list
+	frozenUntil    time.Duration
+	cutOff         bool // from the store
+	isolated       bool // from the other nodes
+	rate           float64
+	clockOffset    time.Duration
+	replyDelay     time.Duration // added to every reply that the node receives
+	nextWriteDelay time.Duration // delay of the next write of nextWriteUnit on its way to the store
+	nextWriteUnit  string        // empty for any
 
-	lease     int64
-	memberRev int64 // of the member key as last read
-	attaching bool
-	watched   int // position in the store's log
-	watchLag  time.Duration
-	members   map[string]membership.Member
+	lease            int64
+	memberRevision   int64 // last known revision of the member key
+	attaching        bool
+	deliveredChanges int // position in the store's log
+	watchLag         time.Duration
+	members          map[string]membership.Member
 }
 
 func (n *node) clock() time.Time {
-	return time.Unix(0, 0).Add(n.skew + time.Duration(float64(n.w.now)*n.rate))
+	return time.Unix(0, 0).Add(n.clockOffset + time.Duration(float64(n.w.now)*n.rate))
 }
 
-// start begins a new incarnation that knows nothing.
+// start begins a new incarnation with an empty state.
 func (n *node) start() {
 	n.starts++
 	n.up = true
 	n.self.Incarnation = fmt.Sprintf("%s.%d", n.self.Instance, n.starts)
 	n.table = New(modelConfig(n.w.units), n.self, n.clock())
-	n.table.faults = n.w.faults
-	n.lease, n.attaching, n.watched = 0, false, 0
+	n.table.seededFaults = n.w.faults
+	n.lease, n.attaching, n.deliveredChanges = 0, false, 0
 	n.members = make(map[string]membership.Member)
 	n.attach()
 	n.every(n.w.tickEvery, n.tick)
@@ -63,8 +63,8 @@
 	return cfg
 }
 
-// later runs f on this incarnation, after any freeze.
-func (n *node) later(d time.Duration, f func()) {
+// later runs f on this incarnation after d, or when a freeze has ended.
+func (n *node) runAfter(d time.Duration, f func()) {
 	starts := n.starts
 	n.w.after(d, func() { n.run(starts, f) })
 }
@@ -78,33 +78,34 @@
 		return
 	}
 	f()
-	n.w.check(n)
+	n.w.checkSingleHolder(n)
 }
 
 func (n *node) every(period time.Duration, f func()) {
-	n.later(period+time.Duration(n.w.rng.Int64N(int64(period/10))), func() {
+	n.runAfter(period+time.Duration(n.w.rng.Int64N(int64(period/10))), func() {
 		f()
 		n.every(period, f)
 	})
 }
 
-// call sends op to the store. The reply runs on the node; failed runs instead
-// if the call was refused (unclear is false) or has not ended in time.
-func (n *node) call(name, unit string, op func() func(), failed func(unclear bool)) {
+// call sends op to the store. The function that op returns handles the reply on the
+// node. failed runs instead if the call was rejected without effect (indeterminate is
+// false) or timed out (indeterminate is true).
+func (n *node) call(name, unit string, op func() func(), failed func(indeterminate bool)) {
 	w, done := n.w, false
-	extra := n.takeHold(unit)
+	extra := n.takeNextWriteDelay(unit)
 	finish := func(d time.Duration, f func()) {
-		n.later(d, func() {
+		n.runAfter(d, func() {
 			if !done {
 				done = true
 				f()
-				w.step(name+"/replied", n)
+				w.reportStep(name+"/replied", n)
 			}
 		})
 	}
-	w.step(name+"/sent", n)
+	w.reportStep(name+"/sent", n)
 	finish(callTimeout, func() { failed(true) })
-	n.later(0, func() {
+	n.runAfter(0, func() {
 		if n.cutOff || w.rng.Float64() < w.loss {
 			return
 		}
@@ -117,17 +118,17 @@
 			}
 			w.store.expire(w.now)
 			reply := op()
-			w.step(name+"/executed", n)
+			w.reportStep(name+"/executed", n)
 			if w.rng.Float64() >= w.loss && !n.cutOff {
-				finish(w.delay()+n.slow, reply)
+				finish(w.delay()+n.replyDelay, reply)
 			}
 		})
 	})
 }
 
-func (n *node) takeHold(unit string) (d time.Duration) {
-	if unit != "" && (n.holdUnit == "" || n.holdUnit == unit) {
-		d, n.hold = n.hold, 0
+func (n *node) takeNextWriteDelay(unit string) (d time.Duration) {
+	if unit != "" && (n.nextWriteUnit == "" || n.nextWriteUnit == unit) {
+		d, n.nextWriteDelay = n.nextWriteDelay, 0
 	}
 	return d
 }
@@ -137,7 +138,7 @@
 		return
 	}
 	n.attaching = true
-	sentAt, expect := n.clock(), n.memberRev
+	sentAt, expect := n.clock(), n.memberRevision
 	n.call("attach", "", func() func() {
 		s := &n.w.store
 		lease := int64(len(s.log)+1)*1000 + n.w.rng.Int64N(1000)
@@ -146,7 +147,7 @@
 		ok := s.putMember(n.self, lease, expect)
 		revision := s.members[n.self.Instance].revision
 		return func() {
-			n.attaching, n.memberRev = false, revision
+			n.attaching, n.memberRevision = false, revision
 			if ok {
 				n.lease = lease
 				n.table.Attached(n.clock(), sentAt, revision)
@@ -166,7 +167,7 @@
 		alive, revision, memberRev := s.renew(n.w.now, lease, modelConfig(nil).LeaseTTL), s.revision, s.members[n.self.Instance].revision
 		return func() {
 			if !alive {
-				n.lease, n.memberRev = 0, memberRev
+				n.lease, n.memberRevision = 0, memberRev
 				n.table.StoreLost(n.clock())
 				n.attach()
 				return
@@ -177,7 +178,7 @@
 	}, func(bool) { n.table.KeepAliveDone(n.clock(), sentAt, errors.New("no reply")) })
 }
 
-// watch delivers the changes of the store in order, each batch after a delay.
+// watch delivers the changes of the store in order, and each batch after a delay.
 func (n *node) watch() {
 	lag := n.w.tickEvery/4 + time.Duration(n.w.rng.Int64N(int64(n.w.tickEvery)))/2
 	starts := n.starts
@@ -190,8 +191,8 @@
 			return
 		}
 		n.w.store.expire(n.w.now)
-		batch, revision := n.w.store.log[n.watched:], n.w.store.revision
-		n.later(n.watchLag+time.Millisecond, func() {
+		batch, revision := n.w.store.log[n.deliveredChanges:], n.w.store.revision
+		n.runAfter(n.watchLag+time.Millisecond, func() {
 			n.deliver(batch, revision)
 			n.watch()
 		})
@@ -203,7 +204,7 @@
 		n.table.ObserveThrough(n.clock(), revision)
 		return
 	}
-	n.watched += len(batch)
+	n.deliveredChanges += len(batch)
 	for _, c := range batch {
 		switch {
 		case c.record != nil:
@@ -222,7 +223,7 @@
 	}
 	n.table.ObserveMembers(n.clock(), list, true)
 	n.table.ObserveThrough(n.clock(), revision)
-	n.w.step("watch/delivered", n)
+	n.w.reportStep("watch/delivered", n)
 }
 
 func (n *node) readInstanceList() {
@@ -233,25 +234,25 @@
 		}
 	}
 	lag := time.Duration(n.w.rng.Int64N(int64(5 * time.Second)))
-	n.later(lag, func() { n.table.ObserveMembers(n.clock(), list, false) })
+	n.runAfter(lag, func() { n.table.ObserveMembers(n.clock(), list, false) })
 }
 
 func (n *node) tick() {
 	for _, a := range n.table.Tick(n.clock()) {
 		switch a := a.(type) {
 		case Write:
-			n.w.step(string(a.Reason)+"/decided", n)
-			n.later(0, func() { n.write(a) })
+			n.w.reportStep(string(a.Reason)+"/decided", n)
+			n.runAfter(0, func() { n.write(a) })
 		case AskPromise:
 			for _, s := range a.Successors {
 				sentAt := n.clock()
-				n.w.step("promise/sent", n)
-				n.later(0, func() { n.ask(a, s, sentAt) })
+				n.w.reportStep("promise/sent", n)
+				n.runAfter(0, func() { n.requestPromise(a, s, sentAt) })
 			}
 		case Gained:
-			n.w.step("gained", n)
+			n.w.reportStep("gained", n)
 		case Lost:
-			n.w.step("lost", n)
+			n.w.reportStep("lost", n)
 		}
 	}
 }
@@ -260,34 +261,34 @@
 	n.call(string(a.Reason), a.Record.Unit, func() func() {
 		result := n.w.store.commit(a)
 		return func() { n.table.WriteDone(n.clock(), a.Record.Unit, result) }
-	}, func(unclear bool) {
+	}, func(indeterminate bool) {
 		outcome := NoEffect
-		if unclear {
+		if indeterminate {
 			outcome = Unclear
 		}
 		n.table.WriteDone(n.clock(), a.Record.Unit, WriteResult{Outcome: outcome})
 	})
 }
 
-// ask sends one request to the instance of a successor, where whatever
-// incarnation is up answers it.
-func (n *node) ask(a AskPromise, s Successor, sentAt time.Time) {
+// requestPromise sends one request to the instance of a successor. The incarnation
+// that runs there answers it.
+func (n *node) requestPromise(a AskPromise, s Successor, sentAt time.Time) {
 	w := n.w
 	for _, m := range w.nodes {
 		if m.self.Instance != s.Instance || w.rng.Float64() < w.loss || w.isCut(n, m) {
 			continue
 		}
 		w.after(w.delay(), func() {
-			m.later(0, func() {
+			m.runAfter(0, func() {
 				granted := m.table.PromiseRequested(m.clock(), a.Unit, a.Owner, a.Epoch, s.Incarnation)
-				w.step("promise/granted", m)
+				w.reportStep("promise/granted", m)
 				from := Successor{Instance: m.self.Instance, Incarnation: m.self.Incarnation}
 				if w.rng.Float64() < w.loss || w.isCut(n, m) {
 					return
 				}
-				n.later(w.delay()+n.slow, func() {
+				n.runAfter(w.delay()+n.replyDelay, func() {
 					n.table.PromiseReplied(n.clock(), sentAt, a.Unit, from, granted)
-					w.step("promise/replied", n)
+					w.reportStep("promise/replied", n)
 				})
 			})
 		})
--- a/ownership/modelworld_test.go
+++ b/ownership/modelworld_test.go
@@ -11,8 +11,8 @@
 	"github.com/mulberrydrum/mulberrydrum/membership"
 )
 
-// world runs several tables against one naive store in true time. Every node
-// has its own clock, and every message has its own delay.
+// world is a discrete-event simulation of several tables and one minimal store. Every
+// node has its own clock, and every message has its own delay.
 type world struct {
 	now       time.Duration // true time
 	events    eventHeap
@@ -21,10 +21,10 @@
 	store     modelStore
 	nodes     []*node
 	units     []string
-	faults    faults
+	faults    seededFaults
 	tickEvery time.Duration
-	lateness  float64 // share of messages that arrive up to 20 s late
-	loss      float64 // share of messages that are lost
+	lateness  float64 // fraction of messages that arrive up to 20 s late
+	loss      float64 // fraction of messages that are lost
 	onStep    func(step string, n *node)
 	violation string
 }
@@ -54,7 +54,7 @@
 	heap.Push(&w.events, event{at: w.now + d, sequence: w.sequence, run: run})
 }
 
-// runUntil executes events up to the given true time or a violation.
+// runUntil executes events up to the given true time or the first violation.
 func (w *world) runUntil(end time.Duration) {
 	for len(w.events) > 0 && w.events[0].at <= end && w.violation == "" {
 		e := heap.Pop(&w.events).(event)
@@ -64,13 +64,13 @@
 	w.now = end
 }
 
-func (w *world) step(name string, n *node) {
+func (w *world) reportStep(name string, n *node) {
 	if w.onStep != nil {
 		w.onStep(name, n)
 	}
 }
 
-// delay returns the time that a message takes.
+// delay returns the random transit time of a message.
 func (w *world) delay() time.Duration {
 	if w.rng.Float64() < w.lateness {
 		return time.Duration(w.rng.Int64N(int64(20 * time.Second)))
@@ -78,10 +78,10 @@
 	return time.Millisecond + time.Duration(w.rng.Int64N(int64(w.tickEvery)))/8
 }
 
-// check compares what n holds with what every other table holds at the same
-// true time. An overlap can begin only in a call on the table that gains, so it
-// is enough to check after every call.
-func (w *world) check(n *node) {
+// checkSingleHolder records a violation if n and another table hold the same unit at the same
+// true time. An overlap can begin only in a call on the table that gains the unit, so
+// a check after every call is sufficient.
+func (w *world) checkSingleHolder(n *node) {
 	for _, unit := range w.units {
 		epoch, ok := n.table.Holds(n.clock(), unit)
 		if !ok {
@@ -99,8 +99,8 @@
 	}
 }
 
-// unowned lists the units that no live table holds.
-func (w *world) unowned() (units []string) {
+// unheldUnits lists the units that no live table holds.
+func (w *world) unheldUnits() (units []string) {
 	for _, unit := range w.units {
 		held := false
 		for _, n := range w.nodes {
@@ -116,14 +116,14 @@
 	return units
 }
 
-// modelStore executes each call at the moment of its arrival.
+// modelStore executes each call when it arrives.
 type modelStore struct {
 	down     bool
 	rate     float64 // of the store's clock
 	revision int64
 	records  map[string]Record
 	members  map[string]memberKey
-	leases   map[int64]time.Duration // end in the store's clock
+	leases   map[int64]time.Duration // end of the lease on the store's clock
 	log      []change
 }
 
@@ -136,7 +136,7 @@
 type change struct {
 	record   *Record
 	instance string
-	member   *membership.Member // nil with an instance: the key is gone
+	member   *membership.Member // nil with an instance: the key was deleted
 }
 
 func (s *modelStore) expire(now time.Duration) {
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -2,12 +2,12 @@
 
 import "github.com/mulberrydrum/mulberrydrum/membership"
 
-// Record says who owns a unit. It is kept in the store and never deleted.
+// Record states the owner of a unit. It is kept in the store and never deleted.
 type Record struct {
 	Unit          string      `json:"unit"`
 	Owner         string      `json:"owner"`          // incarnation
 	OwnerInstance string      `json:"owner_instance"` // instance of that incarnation
-	Epoch         uint64      `json:"epoch"`          // grows by one with each change of owner
+	Epoch         uint64      `json:"epoch"`          // fencing token; incremented with each change of owner
 	Successors    []Successor `json:"successors,omitempty"`
 	Revision      int64       `json:"-"` // of the store; 0 if there is no record
 }
@@ -18,13 +18,13 @@
 	Incarnation string `json:"incarnation"`
 }
 
-// Action is something that a Table asks its caller to do or to know.
+// Action is an instruction or a notification of a Table to its caller.
 type Action interface{ action() }
 
-// Write asks for one transaction that replaces the record of a unit. The
+// Write requests one transaction that replaces the record of a unit. The
 // transaction succeeds only if the record's last revision is Expect (0: absent)
 // and the member key of every instance in AbsentMembers is absent. The caller
-// reports every Write with exactly one WriteDone.
+// answers each Write with exactly one call of WriteDone.
 type Write struct {
 	Record        Record
 	Expect        int64
@@ -32,8 +32,9 @@
 	Reason        Reason
 }
 
-// AskPromise asks for a promise of each of the successors for one window. The
-// caller reads its clock before it sends and passes that time to PromiseReplied.
+// AskPromise requests a promise from each of the successors for one promise window.
+// The caller reads its clock before it sends the requests and passes that time to
+// PromiseReplied.
 type AskPromise struct {
 	Unit       string
 	Owner      string
@@ -41,21 +42,22 @@
 	Successors []Successor
 }
 
-// Gained says that this process may act for the unit from now on.
+// Gained reports that this process may act for the unit from now on.
 type Gained struct {
 	Unit     string
 	Epoch    uint64
 	Revision int64 // of the record, for compares in other transactions
 }
 
-// Renewed says that the record of a held unit has a new revision and still names
-// this process under the same epoch. Compares on the record use it from now on.
+// Renewed reports that the record of a held unit has a new revision and still names
+// this process under the same epoch. Transactions that compare the record's revision
+// must use the new one from now on.
 type Renewed struct {
 	Unit     string
 	Revision int64
 }
 
-// Lost says that this process may no longer act for the unit.
+// Lost reports that this process may no longer act for the unit.
 type Lost struct {
 	Unit   string
 	Epoch  uint64
@@ -68,40 +70,38 @@
 func (Renewed) action()    {}
 func (Lost) action()       {}
 
-// Reason says why a record is written or a unit is lost.
+// Reason is why a record is written or a unit is lost.
 type Reason string
 
-// The reasons.
 const (
 	ReasonClaim      Reason = "claim"      // there was no record
 	ReasonTakeover   Reason = "takeover"   // by a named successor
 	ReasonRestart    Reason = "restart"    // by a new incarnation on the owner's or a successor's instance
 	ReasonAllGone    Reason = "all_gone"   // owner and successors are gone from store and instance list
-	ReasonForced     Reason = "forced"     // an operator stated that they are gone
-	ReasonSuccessors Reason = "successors" // the owner renews its list of successors
+	ReasonForced     Reason = "forced"     // an operator declared that they are gone
+	ReasonSuccessors Reason = "successors" // the owner updates its list of successors
 	ReasonMove       Reason = "move"       // handover to the preferred member
-	ReasonRelease    Reason = "release"    // handover by an owner that stops
-	ReasonFence      Reason = "fence"      // same content, so that an unclear write cannot take effect
-	ReasonTermEnded  Reason = "term_ended" // neither store nor successors confirmed in time
+	ReasonRelease    Reason = "release"    // handover by an owner that drains or stops
+	ReasonFence      Reason = "fence"      // rewrites the known content, so that an indeterminate write can no longer take effect
+	ReasonTermEnded  Reason = "term_ended" // neither the store nor all successors confirmed in time
 	ReasonTaken      Reason = "taken"      // the record names another owner or epoch
 )
 
-// Outcome is the end of a Write.
+// Outcome is the result of a Write.
 type Outcome int
 
-// The outcomes.
 const (
 	Succeeded Outcome = iota + 1
 	Conflict          // a compare failed
-	Unclear           // the write may take effect, also later
+	Unclear           // indeterminate: the write may have taken effect or may do so later
 	NoEffect          // the write did not and will not take effect
 )
 
-// WriteResult reports the end of a Write.
+// WriteResult reports the outcome of a Write.
 type WriteResult struct {
 	Outcome  Outcome
-	Revision int64   // of the record, when succeeded
-	Current  *Record // as the store returned it with a conflict; nil if it returned none
+	Revision int64   // of the record, if the write succeeded
+	Current  *Record // record that the store returned with a conflict; nil if it returned none
 }
 
 func successorOf(m membership.Member) Successor {
--- a/ownership/seeded_test.go
+++ b/ownership/seeded_test.go
@@ -7,132 +7,134 @@
 	"time"
 )
 
-// settled is when a directed scenario begins: every unit has its owner.
-const settled = 20 * time.Second
+// warmUp is the time after which a directed scenario begins: by then every unit has
+// its owner.
+const warmUp = 20 * time.Second
 
-// roles of a directed scenario, for the unit w/a/0.
+// Roles of the nodes in a directed scenario, for the unit w/a/0.
 const (
 	owner = iota
 	first // successor
 	second
 )
 
-// directed is a scenario in which one safety rule is all that prevents two
-// holders. Nodes are roles and times count from settled. A fault with On starts
-// when the node reaches that step for the first time, after the delay At.
-type directed struct {
-	rule   string
-	seeded faults
-	exact  bool // clocks at the limits of the drift, short delays
-	script []trigger
+// directedScenario is a scenario in which only one safety rule prevents two holders.
+// Nodes are given as roles, and times count from warmUp. A fault with OnStep starts after
+// the delay At when the node first reaches that step.
+type directedScenario struct {
+	rule          string
+	seeded        seededFaults
+	extremeClocks bool // clocks at the limits of the drift, short delays
+	script        []trigger
 }
 
 type trigger struct {
 	fault
-	On string
+	OnStep string
 }
 
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 
-func do(kind string, node int, at, duration float64) trigger {
+func inject(kind string, node int, at, duration float64) trigger {
 	return trigger{fault: fault{Kind: kind, Node: node, At: seconds(at), Duration: seconds(duration), Unit: "w/a/0"}}
 }
 
-func on(step, kind string, node int, delay, duration float64) trigger {
-	t := do(kind, node, delay, duration)
-	t.On = step
+func injectOnStep(step, kind string, node int, delay, duration float64) trigger {
+	t := inject(kind, node, delay, duration)
+	t.OnStep = step
 	return t
 }
 
-// heldTakeover lets the first successor decide to take over from an owner that
-// is cut off from the store. Its write arrives 22 s later. Meanwhile the owner
-// has a new lease, is cut off again and relies on promises, of the first
-// successor among others, which is cut off too.
-func heldTakeover(more ...trigger) []trigger {
+// delayedTakeover makes the first successor decide to take over from an owner that is
+// cut off from the store. The write has an added delay of 22 s. Meanwhile the owner
+// gets a new lease, is cut off again and relies on promises, among them that of the
+// first successor, which is cut off too.
+func delayedTakeover(more ...trigger) []trigger {
 	return append(more,
-		do("cut", owner, 0, 20), do("cut", owner, 27, 30),
-		do("lag", second, 5, 60), do("hold", first, 15, 22),
-		on("takeover/sent", "cut", first, 0.01, 50))
+		inject("cut", owner, 0, 20), inject("cut", owner, 27, 30),
+		inject("lag", second, 5, 60), inject("hold", first, 15, 22),
+		injectOnStep("takeover/sent", "cut", first, 0.01, 50))
 }
 
-var directedScenarios = []directed{
-	{rule: "window wait", seeded: faults{skipWindowWait: true},
-		script: []trigger{do("cut", owner, 0, 30)}},
-	{rule: "unresolved write blocks promises", seeded: faults{promiseUnresolved: true},
-		script: heldTakeover()},
-	{rule: "incarnation check", seeded: faults{anyIncarnation: true},
-		script: heldTakeover(on("takeover/sent", "crash", first, 0.02, 0.5))},
-	{rule: "drift margin of the store term", seeded: faults{noDriftMargin: true}, exact: true,
-		script: []trigger{do("isolate", owner, 0, 30)}},
-	{rule: "drift margin of the promise term", seeded: faults{noDriftMargin: true}, exact: true,
-		script: []trigger{do("cut", owner, 0, 30)}},
-	{rule: "term from before the send (keepalive)", seeded: faults{termFromReply: true},
-		script: []trigger{do("slow", owner, 0, 20), do("isolate", owner, 10, 20)}},
-	{rule: "term from before the send (promise)", seeded: faults{termFromReply: true},
-		script: []trigger{do("cut", owner, 0, 30), do("slow", owner, 5, 30)}},
-	{rule: "member key compare", seeded: faults{noMemberGuard: true},
-		script: []trigger{do("cut", owner, 0, 12), do("lag", first, 10, 30), do("lag", owner, 14, 20)}},
-	{rule: "observation after a new lease", seeded: faults{trustOldRecord: true},
-		script: []trigger{do("freeze", owner, 0, 20), do("lag", owner, 0, 40)}},
-	{rule: "promises of both lists", seeded: faults{recordedOnly: true},
-		script: []trigger{do("cut", second, 0, 40), on("successors/executed", "cut", owner, 0, 25)}},
-	{rule: "stop before handover", seeded: faults{holdWhileHandedOver: true},
-		script: []trigger{do("slow", owner, 0, 10), do("lag", owner, 0, 10), do("release", owner, 1, 0)}},
-	{rule: "empty list promises nothing", seeded: faults{emptyListPromises: true},
-		script: []trigger{do("crash", first, 0, 25), do("crash", second, 0, 25), do("crash", 3, 0, 25), do("crash", 4, 0, 25), do("cut", owner, 20, 30)}},
+var directedScenarios = []directedScenario{
+	{rule: "window wait", seeded: seededFaults{skipPromiseWindowWait: true},
+		script: []trigger{inject("cut", owner, 0, 30)}},
+	{rule: "unresolved write blocks promises", seeded: seededFaults{promiseWhileUnresolved: true},
+		script: delayedTakeover()},
+	{rule: "incarnation check", seeded: seededFaults{ignoreIncarnation: true},
+		script: delayedTakeover(injectOnStep("takeover/sent", "crash", first, 0.02, 0.5))},
+	{rule: "drift margin of the store term", seeded: seededFaults{noDriftMargin: true}, extremeClocks: true,
+		script: []trigger{inject("isolate", owner, 0, 30)}},
+	{rule: "drift margin of the promise term", seeded: seededFaults{noDriftMargin: true}, extremeClocks: true,
+		script: []trigger{inject("cut", owner, 0, 30)}},
+	{rule: "term from before the send (keepalive)", seeded: seededFaults{termFromReply: true},
+		script: []trigger{inject("slow", owner, 0, 20), inject("isolate", owner, 10, 20)}},
+	{rule: "term from before the send (promise)", seeded: seededFaults{termFromReply: true},
+		script: []trigger{inject("cut", owner, 0, 30), inject("slow", owner, 5, 30)}},
+	{rule: "member key compare", seeded: seededFaults{noMemberGuard: true},
+		script: []trigger{inject("cut", owner, 0, 12), inject("lag", first, 10, 30), inject("lag", owner, 14, 20)}},
+	{rule: "observation after a new lease", seeded: seededFaults{trustStaleRecord: true},
+		script: []trigger{inject("freeze", owner, 0, 20), inject("lag", owner, 0, 40)}},
+	{rule: "promises of both lists", seeded: seededFaults{requireOnlyRecorded: true},
+		script: []trigger{inject("cut", second, 0, 40), injectOnStep("successors/executed", "cut", owner, 0, 25)}},
+	{rule: "stop before handover", seeded: seededFaults{holdDuringHandover: true},
+		script: []trigger{inject("slow", owner, 0, 10), inject("lag", owner, 0, 10), inject("release", owner, 1, 0)}},
+	{rule: "empty list promises nothing", seeded: seededFaults{emptyListCountsAsPromise: true},
+		script: []trigger{inject("crash", first, 0, 25), inject("crash", second, 0, 25), inject("crash", 3, 0, 25), inject("crash", 4, 0, 25), inject("cut", owner, 20, 30)}},
 }
 
-// play runs a directed scenario and returns the violated property, or "".
-func (d directed) play(seed uint64, seeded faults) string {
-	return d.playIn(newWorld(seed, seeded))
+// play simulates the scenario and returns the violated property, or "".
+func (d directedScenario) play(seed uint64, seeded seededFaults) string {
+	return d.playInWorld(newWorld(seed, seeded))
 }
 
-func (d directed) playIn(w *world) string {
-	if d.exact {
+func (d directedScenario) playInWorld(w *world) string {
+	if d.extremeClocks {
 		w.tickEvery = 20 * time.Millisecond
 		w.store.rate = 1.01
 	}
-	w.runUntil(settled)
-	roles, ok := w.roles("w/a/0")
+	w.runUntil(warmUp)
+	roles, ok := w.nodesByRole("w/a/0")
 	if !ok {
-		return w.finish(settled + 25*time.Second) // a fault came before the first owner
+		return w.finish(warmUp + 25*time.Second) // an injected fault prevented the regular start
 	}
-	if d.exact {
+	if d.extremeClocks {
 		w.setRates(roles)
 	}
 	for _, tr := range d.script {
 		f := tr.fault
 		f.Node = roles[f.Node].index
-		if tr.On != "" {
-			w.trigger(tr.On, f)
+		if tr.OnStep != "" {
+			w.applyOnStep(tr.OnStep, f)
 			continue
 		}
-		w.after(f.At, func() { w.apply(f) })
+		w.after(f.At, func() { w.injectFault(f) })
 	}
 	end := 65 * time.Second
 	for _, tr := range d.script {
-		if tr.On == "" {
+		if tr.OnStep == "" {
 			end = max(end, tr.At+tr.Duration)
 		}
 	}
-	return w.finish(settled + end)
+	return w.finish(warmUp + end)
 }
 
-// setRates makes the owner's clock as slow as permitted and all others as fast.
+// setRates sets the owner's clock to the slowest rate within the drift and all others to
+// the fastest.
 func (w *world) setRates(roles []*node) {
 	for i, n := range roles {
 		rate := 1.01
 		if i == owner {
 			rate = 0.99
 		}
-		n.skew += time.Duration((n.rate - rate) * float64(w.now))
+		n.clockOffset += time.Duration((n.rate - rate) * float64(w.now))
 		n.rate = rate
 	}
 }
 
-// trigger applies the fault when its node reaches the step for the first time.
-// Without a delay it takes effect before the step's next message is sent.
-func (w *world) trigger(step string, f fault) {
+// applyOnStep applies the fault when its node first reaches the step. Without a delay
+// it takes effect before the step's next message is sent.
+func (w *world) applyOnStep(step string, f fault) {
 	previous, done := w.onStep, false
 	w.onStep = func(name string, n *node) {
 		if previous != nil {
@@ -141,16 +143,16 @@
 		if !done && name == step && n.index == f.Node {
 			done = true
 			if f.At == 0 {
-				w.apply(f)
+				w.injectFault(f)
 				return
 			}
-			w.after(f.At, func() { w.apply(f) })
+			w.after(f.At, func() { w.injectFault(f) })
 		}
 	}
 }
 
-// roles returns the owner of the unit, its successors and then the others.
-func (w *world) roles(unit string) ([]*node, bool) {
+// nodesByRole returns the owner of the unit, its successors and then the others.
+func (w *world) nodesByRole(unit string) ([]*node, bool) {
 	r := w.store.records[unit]
 	names := []string{r.Owner}
 	for _, s := range r.Successors {
@@ -172,20 +174,20 @@
 	return roles, len(names) == 3 && len(roles) == len(w.nodes)
 }
 
-// TestEachRuleIsNeeded guards against a checker that would not notice the
-// absence of a safety rule: with the rule the scenario passes, without it two
-// tables hold the unit.
+// TestEachRuleIsNeeded guards against a checker that does not detect the absence of a
+// safety rule: with the rule the scenario passes, and without it two tables hold the
+// unit.
 func TestEachRuleIsNeeded(t *testing.T) {
 	for _, d := range directedScenarios {
 		t.Run(d.rule, func(t *testing.T) {
 			t.Parallel()
 			found := 0
 			seeds := uint64(4)
-			if d.exact {
+			if d.extremeClocks {
 				seeds = 2 // short delays make these scenarios long
 			}
 			for seed := range seeds {
-				if problem := d.play(seed, faults{}); problem != "" {
+				if problem := d.play(seed, seededFaults{}); problem != "" {
 					t.Errorf("seed %d with the rule: %s", seed, problem)
 				}
 				problem := d.play(seed, d.seeded)
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -6,36 +6,36 @@
 	"github.com/mulberrydrum/mulberrydrum/membership"
 )
 
-// Table is the view of one process of all units. It is not safe for concurrent
-// use. Times are readings of the monotonic clock of the process.
+// Table is the ownership state of all units as one process observes it. It is not
+// safe for concurrent use. Times are readings of the monotonic clock of the process.
 type Table struct {
-	cfg       Config
-	self      membership.Member
-	startedAt time.Time
-	faults    faults
+	cfg          Config
+	self         membership.Member
+	startedAt    time.Time
+	seededFaults seededFaults
 
 	units  []*unit
 	byName map[string]*unit
 
-	members      map[string]membership.Member // by instance, as the store shows them
-	memberList   []membership.Member
-	memberSince  map[string]time.Time // incarnation: first observed in the present row of observations
-	noContact    map[string]bool      // by instance: it said that it does not reach the store
-	absentSince  map[string]time.Time // instance: not among the members since
-	membersKnown bool
-	listGone     map[string]time.Time // instance: missing from the instance list since
-	listed       map[string]bool
-	listAt       time.Time
-
-	attached       bool      // a lease with the member key exists as far as is known
-	attachRevision int64     // store revision at which the member key was written
-	seen           int64     // every change up to this store revision has been observed
-	storeSent      time.Time // before the last successful keepalive was sent
-	storeEnd       time.Time // end of the store term
-	storeFailing   bool      // the last keepalive failed
-
-	lastMove time.Time
-	queued   []Action // for the next Tick
+	members        map[string]membership.Member // by instance, as the store shows them
+	memberList     []membership.Member
+	memberSince    map[string]time.Time // by incarnation: start of its present uninterrupted presence
+	noStoreContact map[string]bool      // by instance: it last reported that it does not reach the store
+	absentSince    map[string]time.Time // by instance: since when the store shows no member key
+	membersKnown   bool
+	unlistedSince  map[string]time.Time // by instance: since when the instance list lacks it
+	listed         map[string]bool      // by instance: in the latest instance list
+	listReadAt     time.Time            // of the latest instance list
+
+	attached        bool      // Attached was called, and StoreLost was not called since
+	attachRevision  int64     // store revision at which the member key was written
+	seenRevision    int64     // every change up to this store revision has been observed
+	keepAliveSentAt time.Time // read before the last successful keepalive was sent
+	storeTermEnd    time.Time // end of the store term
+	keepAliveFailed bool      // the last keepalive failed
+
+	lastMoveAt    time.Time
+	queuedActions []Action // for the next Tick
 }
 
 // unit is the state of one worker partition or request shard.
@@ -43,58 +43,58 @@
 	name   string
 	record Record
 
-	held         bool      // Gained was reported and Lost was not
-	gainedAt     time.Time // of the last gain
-	lostAt       time.Time // of the last loss
-	needsRead    bool      // a linearizable read must follow the loss
-	needRevision int64     // what that read returned
+	held         bool      // a Gained was queued, and no Lost since
+	gainedAt     time.Time // time of the last Gained
+	lostAt       time.Time // time of the last Lost
+	needsRead    bool      // no linearizable read was sent since the loss
+	readRevision int64     // store revision that this read returned
 
-	promises   map[Successor]time.Time // to this process: before the request was sent
-	promiseEnd time.Time
-	askedAt    time.Time
+	receivedPromises    map[Successor]time.Time // value: time read before the request was sent
+	promiseTermEnd      time.Time               // end of the promise term
+	promisesRequestedAt time.Time               // last request of promises
 
-	promisedAt time.Time // by this process to any owner
-	promised   bool
+	promisedAt time.Time // last promise that this process gave to any owner
+	promised   bool      // promisedAt is set
 
-	pending   *pending
-	retryAt   time.Time
-	releasing bool
+	pending   *pendingWrite
+	retryAt   time.Time // earliest time of the next write
+	releasing bool      // Release was called for the present record's owner and epoch
 	forcedAt  time.Time
-	forced    bool
+	forced    bool // Force was accepted and is not void
 }
 
-// faults disables single safety rules. Only tests set it, to show that their
-// checks notice the absence of each rule.
-type faults struct {
-	skipWindowWait      bool // take over without waiting for the own promise to lapse
-	promiseUnresolved   bool // promise in spite of an unresolved write
-	anyIncarnation      bool // give and count promises for another incarnation of the instance
-	noDriftMargin       bool // count terms and waits without drift and margin
-	termFromReply       bool // count terms from the reply instead of from before the send
-	noMemberGuard       bool // take over without comparing the member key
-	trustOldRecord      bool // act under a new lease before the records were observed again
-	recordedOnly        bool // ask only the recorded successors while a new list is unresolved
-	holdWhileHandedOver bool // keep the unit until the handover is confirmed
-	emptyListPromises   bool // treat an empty list of successors as having promised
+// seededFaults disables single safety rules. Only tests set it, to show that their
+// checks detect the absence of each rule.
+type seededFaults struct {
+	skipPromiseWindowWait    bool // take over without waiting for this process's own promise to lapse
+	promiseWhileUnresolved   bool // give promises despite an unresolved write
+	ignoreIncarnation        bool // give and count promises for another incarnation of the instance
+	noDriftMargin            bool // compute terms and waits without drift and margin
+	termFromReply            bool // start terms at the reply instead of before the send
+	noMemberGuard            bool // take over without comparing the member key
+	trustStaleRecord         bool // act under a new lease before the records have been observed again
+	requireOnlyRecorded      bool // require only the recorded successors' promises while a write of a new list is unresolved
+	holdDuringHandover       bool // keep the unit until the handover is confirmed
+	emptyListCountsAsPromise bool // treat an empty list of successors as if all had promised
 }
 
-// New returns the table of a process that started at startedAt and knows
-// nothing of the records yet.
+// New returns the table of a process that started at startedAt and has not observed
+// any record yet.
 func New(cfg Config, self membership.Member, startedAt time.Time) *Table {
 	t := &Table{
-		cfg:         cfg,
-		self:        self,
-		startedAt:   startedAt,
-		byName:      make(map[string]*unit, len(cfg.Units)),
-		members:     make(map[string]membership.Member),
-		memberSince: make(map[string]time.Time),
-		noContact:   map[string]bool{},
-		absentSince: make(map[string]time.Time),
-		listGone:    make(map[string]time.Time),
-		listed:      make(map[string]bool),
+		cfg:            cfg,
+		self:           self,
+		startedAt:      startedAt,
+		byName:         make(map[string]*unit, len(cfg.Units)),
+		members:        make(map[string]membership.Member),
+		memberSince:    make(map[string]time.Time),
+		noStoreContact: map[string]bool{},
+		absentSince:    make(map[string]time.Time),
+		unlistedSince:  make(map[string]time.Time),
+		listed:         make(map[string]bool),
 	}
 	for _, name := range cfg.Units {
-		u := &unit{name: name, promises: make(map[Successor]time.Time)}
+		u := &unit{name: name, receivedPromises: make(map[Successor]time.Time)}
 		t.units = append(t.units, u)
 		t.byName[name] = u
 	}
@@ -108,7 +108,7 @@
 	if u == nil || !u.held {
 		return 0, false
 	}
-	if !now.Before(t.storeEnd) && !now.Before(u.promiseEnd) {
+	if !now.Before(t.storeTermEnd) && !now.Before(u.promiseTermEnd) {
 		return 0, false
 	}
 	return u.record.Epoch, true
@@ -125,14 +125,13 @@
 }
 
 func (t *Table) termEnd(u *unit) time.Time {
-	if u.promiseEnd.After(t.storeEnd) {
-		return u.promiseEnd
+	if u.promiseTermEnd.After(t.storeTermEnd) {
+		return u.promiseTermEnd
 	}
-	return t.storeEnd
+	return t.storeTermEnd
 }
 
-// Record returns the newest known record of the unit. Its revision is 0 if none
-// is known.
+// Record returns the newest known record of the unit, and whether one is known.
 func (t *Table) Record(name string) (Record, bool) {
 	u := t.byName[name]
 	if u == nil {
@@ -141,15 +140,15 @@
 	return u.record, u.record.Revision > 0
 }
 
-// Observe takes a record as read from the store. A record that is not newer
-// than the known one is ignored, so the order of watch batches, lists and
-// replies does not matter.
+// Observe applies a record that was read from the store. It ignores a record that
+// is not newer than the known one, so watch batches, lists and replies may arrive in
+// any order.
 func (t *Table) Observe(now time.Time, r Record) {
 	u := t.byName[r.Unit]
 	if u == nil || r.Revision <= u.record.Revision {
 		return
 	}
-	t.expire(now)
+	t.expireTerms(now)
 	changed := u.record.Owner != r.Owner || u.record.Epoch != r.Epoch
 	if changed && u.held {
 		t.lose(now, u, ReasonTaken)
@@ -158,22 +157,22 @@
 		u.releasing, u.forced = false, false
 	}
 	if u.held {
-		t.queued = append(t.queued, Renewed{Unit: u.name, Revision: r.Revision})
+		t.queuedActions = append(t.queuedActions, Renewed{Unit: u.name, Revision: r.Revision})
 	}
 	u.record = r
 	if u.pending != nil && r.Revision > u.pending.expect {
-		u.settlePending()
+		u.supersedePending()
 	}
-	t.updatePromiseEnd(u)
+	t.updatePromiseTermEnd(u)
 }
 
-// ObserveThrough states that every change of the store up to the revision has
-// been passed to Observe and ObserveMembers. It follows a complete list or a
-// watch batch, with or without changes.
+// ObserveThrough reports that every change of the store up to the revision has been
+// passed to Observe and ObserveMembers. It is called after a complete list or a
+// watch batch, also after one without changes.
 func (t *Table) ObserveThrough(now time.Time, revision int64) {
-	t.expire(now)
-	t.seen = max(t.seen, revision)
-	t.updateStoreEnd()
+	t.expireTerms(now)
+	t.seenRevision = max(t.seenRevision, revision)
+	t.updateStoreTermEnd()
 }
 
 func (t *Table) ownsRecord(u *unit) bool {
--- a/ownership/table_test.go
+++ b/ownership/table_test.go
@@ -13,8 +13,8 @@
 	return membership.Member{Instance: instance, Incarnation: incarnation, Region: "r", FailureDomain: instance}
 }
 
-// attachedTable returns a table that has a lease since the start and knows the
-// members and that no record exists.
+// attachedTable returns a table that has had a lease since its start and has observed
+// the members and a store without records.
 func attachedTable(self membership.Member, members ...membership.Member) *Table {
 	t := New(DefaultConfig([]string{"h/0"}), self, at(0))
 	t.Attached(at(0), at(0), 10)
@@ -23,7 +23,7 @@
 	return t
 }
 
-func only[A Action](actions []Action) (found []A) {
+func actionsOfType[A Action](actions []Action) (found []A) {
 	for _, a := range actions {
 		if typed, ok := a.(A); ok {
 			found = append(found, typed)
@@ -32,11 +32,11 @@
 	return found
 }
 
-// TestFirstClaim guards against a unit that nobody owns when no record exists,
-// and against holding it before the store has confirmed the claim.
+// TestFirstClaim guards against a unit that no process claims when it has no record,
+// and against holding the unit before the store has confirmed the claim.
 func TestFirstClaim(t *testing.T) {
 	table := attachedTable(member("a", "a1"))
-	writes := only[Write](table.Tick(at(2 * time.Second)))
+	writes := actionsOfType[Write](table.Tick(at(2 * time.Second)))
 	if len(writes) != 1 || writes[0].Expect != 0 || writes[0].Record.Epoch != 1 {
 		t.Fatalf("claim: %+v", writes)
 	}
@@ -44,7 +44,7 @@
 		t.Fatal("held before the claim was confirmed")
 	}
 	table.WriteDone(at(2*time.Second), "h/0", WriteResult{Outcome: Succeeded, Revision: 11})
-	if gained := only[Gained](table.Tick(at(2 * time.Second))); len(gained) != 1 || gained[0].Revision != 11 {
+	if gained := actionsOfType[Gained](table.Tick(at(2 * time.Second))); len(gained) != 1 || gained[0].Revision != 11 {
 		t.Fatalf("gained: %+v", gained)
 	}
 	if _, ok := table.Holds(at(8800*time.Millisecond), "h/0"); !ok {
@@ -55,9 +55,9 @@
 	}
 }
 
-// TestForceIsRefusedWhileOneIsLive guards against an operator's statement that
-// takes a unit from an owner whose successor may still promise.
-func TestForceIsRefusedWhileOneIsLive(t *testing.T) {
+// TestForceRefusedWhileSuccessorIsLive guards against a forced takeover from an owner
+// whose successor may still give promises.
+func TestForceRefusedWhileSuccessorIsLive(t *testing.T) {
 	successor := member("c", "c1")
 	table := attachedTable(member("a", "a1"), successor)
 	table.Observe(at(0), Record{Unit: "h/0", Owner: "b1", OwnerInstance: "b", Epoch: 4, Successors: []Successor{{"c", "c1"}}, Revision: 9})
@@ -70,10 +70,10 @@
 		t.Fatalf("accepted %v, takeover at %v", ok, when)
 	}
 	table.KeepAliveDone(at(25*time.Second), at(25*time.Second), nil)
-	if writes := only[Write](table.Tick(at(26 * time.Second))); len(writes) != 0 {
+	if writes := actionsOfType[Write](table.Tick(at(26 * time.Second))); len(writes) != 0 {
 		t.Fatalf("taken over before the wait: %+v", writes)
 	}
-	writes := only[Write](table.Tick(when))
+	writes := actionsOfType[Write](table.Tick(when))
 	if len(writes) != 1 || writes[0].Reason != ReasonForced || len(writes[0].AbsentMembers) != 2 {
 		t.Fatalf("after the wait: %+v", writes)
 	}
--- a/ownership/takeovertime_test.go
+++ b/ownership/takeovertime_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// TestTakeoverTimes guards against a unit that stays without an owner for
-// longer than docs/ownership.md states. It prints the times on that page.
+// TestTakeoverTimes guards against a unit that is without an owner for longer than
+// docs/ownership.md states. It logs the times that the page lists.
 func TestTakeoverTimes(t *testing.T) {
 	cfg := modelConfig(nil)
 	const delays = time.Second // watch, tick, store and stagger of the first successor
@@ -16,24 +16,24 @@
 		gap    time.Duration // longest time without an owner
 		until  time.Duration // longest time from the fault to the next owner
 	}{
-		{"planned release", []trigger{do("release", owner, 0, 0)}, delays, delays},
-		{"owner crashes", []trigger{do("crash", owner, 0, 300)}, cfg.lengthen(cfg.LeaseTTL) + delays, cfg.lengthen(cfg.LeaseTTL) + delays},
-		{"owner and first successor crash", []trigger{do("crash", owner, 0, 300), do("crash", first, 0, 300)},
-			cfg.lengthen(cfg.LeaseTTL) + cfg.Stagger + delays, cfg.lengthen(cfg.LeaseTTL) + cfg.Stagger + delays},
-		{"owner restarts in 1 s", []trigger{do("crash", owner, 0, 1)}, time.Second + cfg.lengthen(cfg.LeaseTTL) + delays, time.Second + cfg.lengthen(cfg.LeaseTTL) + delays},
-		{"owner cut off from all", []trigger{do("isolate", owner, 0, 300)}, cfg.KeepAliveInterval + delays, cfg.lengthen(cfg.LeaseTTL) + delays},
-		{"owner cut off from the store", []trigger{do("cut", owner, 0, 300)}, 2 * delays,
-			cfg.lengthen(cfg.LeaseTTL+cfg.PromiseWindow) + cfg.absenceGrace() + delays},
-		{"owner paused for 60 s", []trigger{do("freeze", owner, 0, 60)}, cfg.KeepAliveInterval + delays, cfg.lengthen(cfg.LeaseTTL) + delays},
-		{"owner and successors restart in 1 s", []trigger{do("crash", owner, 0, 1), do("crash", first, 0, 1), do("crash", second, 0, 1)},
-			time.Second + cfg.lengthen(cfg.LeaseTTL) + delays, time.Second + cfg.lengthen(cfg.LeaseTTL) + delays},
-		{"all instances restart in 1 s", []trigger{do("crash", 0, 0, 1), do("crash", 1, 0, 1), do("crash", 2, 0, 1), do("crash", 3, 0, 1), do("crash", 4, 0, 1)},
-			time.Second + cfg.lengthen(cfg.LeaseTTL) + delays, time.Second + cfg.lengthen(cfg.LeaseTTL) + delays},
-		{"only the successors come back", []trigger{do("crash", owner, 0, 300), do("crash", first, 0, 1), do("crash", second, 0, 1)},
-			time.Second + cfg.lengthen(cfg.PromiseWindow+cfg.LeaseTTL) + delays, time.Second + cfg.lengthen(cfg.PromiseWindow+cfg.LeaseTTL) + delays},
-		{"all three gone for good", []trigger{do("gone", owner, 0, 0), do("gone", first, 0, 0), do("gone", second, 0, 0)},
-			cfg.lengthen(cfg.ListLag+cfg.PromiseWindow+cfg.LeaseTTL) + 15*time.Second + delays, cfg.lengthen(cfg.ListLag+cfg.PromiseWindow+cfg.LeaseTTL) + 15*time.Second + delays},
-		{"store down for 60 s", []trigger{do("outage", owner, 0, 60)}, 0, 0},
+		{"planned release", []trigger{inject("release", owner, 0, 0)}, delays, delays},
+		{"owner crashes", []trigger{inject("crash", owner, 0, 300)}, cfg.plusClockError(cfg.LeaseTTL) + delays, cfg.plusClockError(cfg.LeaseTTL) + delays},
+		{"owner and first successor crash", []trigger{inject("crash", owner, 0, 300), inject("crash", first, 0, 300)},
+			cfg.plusClockError(cfg.LeaseTTL) + cfg.Stagger + delays, cfg.plusClockError(cfg.LeaseTTL) + cfg.Stagger + delays},
+		{"owner restarts in 1 s", []trigger{inject("crash", owner, 0, 1)}, time.Second + cfg.plusClockError(cfg.LeaseTTL) + delays, time.Second + cfg.plusClockError(cfg.LeaseTTL) + delays},
+		{"owner cut off from all", []trigger{inject("isolate", owner, 0, 300)}, cfg.KeepAliveInterval + delays, cfg.plusClockError(cfg.LeaseTTL) + delays},
+		{"owner cut off from the store", []trigger{inject("cut", owner, 0, 300)}, 2 * delays,
+			cfg.plusClockError(cfg.LeaseTTL+cfg.PromiseWindow) + cfg.absenceGracePeriod() + delays},
+		{"owner paused for 60 s", []trigger{inject("freeze", owner, 0, 60)}, cfg.KeepAliveInterval + delays, cfg.plusClockError(cfg.LeaseTTL) + delays},
+		{"owner and successors restart in 1 s", []trigger{inject("crash", owner, 0, 1), inject("crash", first, 0, 1), inject("crash", second, 0, 1)},
+			time.Second + cfg.plusClockError(cfg.LeaseTTL) + delays, time.Second + cfg.plusClockError(cfg.LeaseTTL) + delays},
+		{"all instances restart in 1 s", []trigger{inject("crash", 0, 0, 1), inject("crash", 1, 0, 1), inject("crash", 2, 0, 1), inject("crash", 3, 0, 1), inject("crash", 4, 0, 1)},
+			time.Second + cfg.plusClockError(cfg.LeaseTTL) + delays, time.Second + cfg.plusClockError(cfg.LeaseTTL) + delays},
+		{"only the successors come back", []trigger{inject("crash", owner, 0, 300), inject("crash", first, 0, 1), inject("crash", second, 0, 1)},
+			time.Second + cfg.plusClockError(cfg.PromiseWindow+cfg.LeaseTTL) + delays, time.Second + cfg.plusClockError(cfg.PromiseWindow+cfg.LeaseTTL) + delays},
+		{"all three gone for good", []trigger{inject("gone", owner, 0, 0), inject("gone", first, 0, 0), inject("gone", second, 0, 0)},
+			cfg.plusClockError(cfg.ListLag+cfg.PromiseWindow+cfg.LeaseTTL) + 15*time.Second + delays, cfg.plusClockError(cfg.ListLag+cfg.PromiseWindow+cfg.LeaseTTL) + 15*time.Second + delays},
+		{"store down for 60 s", []trigger{inject("outage", owner, 0, 60)}, 0, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -44,38 +44,38 @@
 			}
 			t.Logf("longest time without an owner %v (bound %v), from the fault to the next owner %v (bound %v)", longestGap, c.gap, longest, c.until)
 			if longestGap > c.gap || longest > c.until {
-				t.Error("longer than the bound")
+				t.Error("unit was without an owner, or the takeover took, longer than the bound")
 			}
 		})
 	}
 }
 
-// measureGap returns when the next incarnation held w/a/0 after the fault, and
-// for how long nobody did until then. It returns zeros if the owner keeps the
-// unit for 80 s.
+// measureGap returns the time from the fault until another incarnation holds w/a/0,
+// and for how much of it the unit had no holder. It returns zeros if the owner keeps
+// the unit for 80 s.
 func measureGap(t *testing.T, seed uint64, script []trigger) (gap, until time.Duration) {
 	const sample = 10 * time.Millisecond
-	w := newWorld(seed, faults{})
-	w.runUntil(settled)
-	roles, ok := w.roles("w/a/0")
+	w := newWorld(seed, seededFaults{})
+	w.runUntil(warmUp)
+	roles, ok := w.nodesByRole("w/a/0")
 	if !ok {
 		t.Fatal("no owner with two successors")
 	}
 	for _, tr := range script {
 		f := tr.fault
 		f.Node = roles[f.Node].index
-		w.apply(f)
+		w.injectFault(f)
 	}
 	w.units = []string{"w/a/0"}
 	former := roles[owner].self.Incarnation
-	for w.now < settled+80*time.Second && w.violation == "" {
+	for w.now < warmUp+80*time.Second && w.violation == "" {
 		w.runUntil(w.now + sample)
 		switch holder := w.holder("w/a/0"); holder {
 		case former:
 		case "":
 			gap += sample
 		default:
-			return gap, w.now - settled
+			return gap, w.now - warmUp
 		}
 	}
 	if w.violation != "" || gap > 0 {
--- a/ownership/term.go
+++ b/ownership/term.go
@@ -2,97 +2,99 @@
 
 import "time"
 
-// Attached reports a new lease under which the member key was written at the
-// given store revision. sentAt was read before the grant was sent. The store
-// term counts for units only when everything up to that revision has been
-// observed: between two leases another process may have taken a unit over. The
+// Attached reports a new lease, to which the member key was attached by a write at
+// the given store revision. sentAt was read before the grant was sent. The store
+// term starts to apply only when every change up to that revision has been observed,
+// because another process may have taken a unit over between the two leases. The
 // write of the key also counts as a read (see ReadDone).
 //
-// The member key must be written with a compare on its last revision. A delayed
-// write of an earlier lease could otherwise replace the key and take it away
-// when that lease ends, while this process renews the later one.
+// The member key must be written with a compare on its last revision. Otherwise a
+// delayed write under an earlier lease could replace the key, and the key would be
+// deleted when that lease ends, while this process renews the later one.
 func (t *Table) Attached(now, sentAt time.Time, revision int64) {
-	t.expire(now)
-	t.attached, t.attachRevision, t.storeFailing = true, revision, false
-	t.storeSent = t.termStart(now, sentAt)
-	t.updateStoreEnd()
+	t.expireTerms(now)
+	t.attached, t.attachRevision, t.keepAliveFailed = true, revision, false
+	t.keepAliveSentAt = t.termStart(now, sentAt)
+	t.updateStoreTermEnd()
 	t.ReadDone(now, sentAt, revision)
 }
 
-// KeepAliveDone reports a renewal of the lease that was sent at sentAt. An
-// error leaves the term as it is, since the lease lives on until its TTL ends.
+// KeepAliveDone reports a lease renewal that was sent at sentAt. An error does not
+// change the term, because the lease remains valid until its TTL ends.
 func (t *Table) KeepAliveDone(now, sentAt time.Time, err error) {
-	t.expire(now)
-	t.storeFailing = err != nil
+	t.expireTerms(now)
+	t.keepAliveFailed = err != nil
 	start := t.termStart(now, sentAt)
-	if err != nil || !t.attached || !start.After(t.storeSent) {
+	if err != nil || !t.attached || !start.After(t.keepAliveSentAt) {
 		return
 	}
-	t.storeSent = start
-	t.updateStoreEnd()
+	t.keepAliveSentAt = start
+	t.updateStoreTermEnd()
 }
 
 // StoreLost reports that the lease is gone, or that this process is about to
 // revoke it. The store term ends at once; a promise term continues.
 func (t *Table) StoreLost(now time.Time) {
-	t.attached, t.storeFailing = false, true
-	t.updateStoreEnd()
-	t.expire(now)
+	t.attached, t.keepAliveFailed = false, true
+	t.updateStoreTermEnd()
+	t.expireTerms(now)
 }
 
 // ReadDone reports a linearizable read of the store that was sent at sentAt and
-// returned the given revision. Units that were lost before sentAt can be held
-// again when everything up to that revision has been observed.
+// returned the given revision. Units that were lost before sentAt can be held again
+// once every change up to that revision has been observed.
 func (t *Table) ReadDone(now, sentAt time.Time, revision int64) {
-	t.expire(now)
+	t.expireTerms(now)
 	for _, u := range t.units {
 		if u.needsRead && !sentAt.Before(u.lostAt) {
-			u.needsRead, u.needRevision = false, revision
+			u.needsRead, u.readRevision = false, revision
 		}
 	}
 }
 
-// termStart counts terms from before the send, because the store or the
-// successor may have counted from any moment between the send and the reply.
+// termStart returns the time from which a term counts: before the request was sent,
+// because the store or the successor may have started its own count at any moment
+// between the request and the reply.
 func (t *Table) termStart(now, sentAt time.Time) time.Time {
-	if t.faults.termFromReply {
+	if t.seededFaults.termFromReply {
 		return now
 	}
 	return sentAt
 }
 
-func (t *Table) termOf(d time.Duration) time.Duration {
-	if t.faults.noDriftMargin {
+func (t *Table) holderTerm(d time.Duration) time.Duration {
+	if t.seededFaults.noDriftMargin {
 		return d
 	}
-	return t.cfg.shorten(d)
+	return t.cfg.minusClockError(d)
 }
 
-func (t *Table) waitOf(d time.Duration) time.Duration {
-	if t.faults.noDriftMargin {
+func (t *Table) takeoverWait(d time.Duration) time.Duration {
+	if t.seededFaults.noDriftMargin {
 		return d
 	}
-	return t.cfg.lengthen(d)
+	return t.cfg.plusClockError(d)
 }
 
-func (t *Table) updateStoreEnd() {
-	t.storeEnd = time.Time{}
-	observed := t.seen >= t.attachRevision || t.faults.trustOldRecord
+func (t *Table) updateStoreTermEnd() {
+	t.storeTermEnd = time.Time{}
+	observed := t.seenRevision >= t.attachRevision || t.seededFaults.trustStaleRecord
 	if t.attached && observed {
-		t.storeEnd = t.storeSent.Add(t.termOf(t.cfg.LeaseTTL))
+		t.storeTermEnd = t.keepAliveSentAt.Add(t.holderTerm(t.cfg.LeaseTTL))
 	}
 }
 
-// hasContact reports whether this process is within its store term, so that
-// what it observed is recent and its writes have a chance.
-func (t *Table) hasContact(now time.Time) bool {
-	return !t.storeFailing && now.Before(t.storeEnd)
+// hasStoreContact reports whether this process is within its store term and its last
+// keepalive succeeded. Only then are its observations recent and its writes likely
+// to succeed.
+func (t *Table) hasStoreContact(now time.Time) bool {
+	return !t.keepAliveFailed && now.Before(t.storeTermEnd)
 }
 
-// expire loses every unit whose term has ended. Every call that could extend a
-// term runs it first, so that a process that resumes from a pause reports the
-// loss even if the extension arrives before the next Tick.
-func (t *Table) expire(now time.Time) {
+// expireTerms marks every unit whose term has ended as lost. Every call that could extend
+// a term runs it first, so that a process that resumes from a pause reports the loss
+// even if the extension arrives before the next Tick.
+func (t *Table) expireTerms(now time.Time) {
 	for _, u := range t.units {
 		if u.held && !now.Before(t.termEnd(u)) {
 			t.lose(now, u, ReasonTermEnded)
@@ -103,20 +105,20 @@
 func (t *Table) lose(now time.Time, u *unit, reason Reason) {
 	u.held = false
 	u.lostAt, u.needsRead = now, true
-	t.queued = append(t.queued, Lost{Unit: u.name, Epoch: u.record.Epoch, Reason: reason})
+	t.queuedActions = append(t.queuedActions, Lost{Unit: u.name, Epoch: u.record.Epoch, Reason: reason})
 }
 
-// gain reports the unit as held if the record names this process, the store
-// term runs, and the record was read after the last loss. A promise term alone
-// extends what is held but gains nothing.
-func (t *Table) gain(now time.Time, u *unit) {
-	if u.held || !t.ownsRecord(u) || !now.Before(t.storeEnd) {
+// gainIfVerified marks the unit as held if the record names this process, the store term has
+// not ended, the record was read after the last loss, and no handover is pending. A
+// promise term extends the time for which a unit is held, but gains no unit.
+func (t *Table) gainIfVerified(now time.Time, u *unit) {
+	if u.held || !t.ownsRecord(u) || !now.Before(t.storeTermEnd) {
 		return
 	}
-	isVerified := !u.needsRead && t.seen >= u.needRevision || t.faults.trustOldRecord
-	if !isVerified || u.handingOver() {
+	isVerified := !u.needsRead && t.seenRevision >= u.readRevision || t.seededFaults.trustStaleRecord
+	if !isVerified || u.isHandingOver() {
 		return
 	}
 	u.held, u.gainedAt = true, now
-	t.queued = append(t.queued, Gained{Unit: u.name, Epoch: u.record.Epoch, Revision: u.record.Revision})
+	t.queuedActions = append(t.queuedActions, Gained{Unit: u.name, Epoch: u.record.Epoch, Revision: u.record.Revision})
 }
--- a/ownership/write.go
+++ b/ownership/write.go
@@ -2,33 +2,33 @@
 
 import "time"
 
-// pending is the one write of a unit that has no definite end yet.
-type pending struct {
-	record   Record // content that may take effect
-	expect   int64
-	guards   []string
-	reason   Reason
-	inFlight bool   // WriteDone has not come
-	unclear  bool   // some try may still take effect
-	settled  bool   // a newer revision was observed: no try can take effect any more
-	fence    bool   // tries rewrite the known record instead
-	sent     Record // content of the last try
+// pendingWrite is the one write of a unit that has no definite outcome yet.
+type pendingWrite struct {
+	record        Record   // content that may take effect
+	expect        int64    // compared revision of the record
+	guards        []string // instances whose member keys must be absent
+	reason        Reason
+	inFlight      bool   // an attempt was queued and WriteDone not yet called
+	indeterminate bool   // some attempt may still take effect
+	superseded    bool   // a newer revision was observed: no attempt can take effect any more
+	fence         bool   // attempts rewrite the known record instead of writing this one
+	lastAttempt   Record // content of the last attempt
 }
 
 // isUnresolved reports whether some write of this process may still take effect.
-func (u *unit) isUnresolved() bool { return u.pending != nil && !u.pending.settled }
+func (u *unit) isUnresolved() bool { return u.pending != nil && !u.pending.superseded }
 
-// handingOver reports whether an unresolved write of this process names another
+// isHandingOver reports whether an unresolved write of this process names another
 // owner.
-func (u *unit) handingOver() bool {
+func (u *unit) isHandingOver() bool {
 	return u.isUnresolved() && u.pending.record.Owner != u.record.Owner
 }
 
-// settlePending notes that the record has passed the compared revision. The
-// write stays known until its WriteDone, so that the completion is not taken
-// for that of a later write.
-func (u *unit) settlePending() {
-	u.pending.settled = true
+// supersedePending marks the pending write as superseded, because the record has
+// passed the compared revision. A write in flight is kept until its WriteDone, so
+// that its completion is not mistaken for that of a later write.
+func (u *unit) supersedePending() {
+	u.pending.superseded = true
 	if !u.pending.inFlight {
 		u.pending = nil
 	}
@@ -37,12 +37,12 @@
 // write starts a write of the unit's record.
 func (t *Table) write(u *unit, r Record, guards []string, reason Reason) {
 	r.Revision = 0
-	u.pending = &pending{record: r, expect: u.record.Revision, guards: guards, reason: reason}
+	u.pending = &pendingWrite{record: r, expect: u.record.Revision, guards: guards, reason: reason}
 	t.send(u)
-	t.updatePromiseEnd(u)
+	t.updatePromiseTermEnd(u)
 }
 
-// send queues one try of the pending write.
+// send queues one attempt of the pending write.
 func (t *Table) send(u *unit) {
 	p := u.pending
 	w := Write{Record: p.record, Expect: p.expect, AbsentMembers: p.guards, Reason: p.reason}
@@ -50,23 +50,23 @@
 		w = Write{Record: u.record, Expect: p.expect, Reason: ReasonFence}
 		w.Record.Revision = 0
 	}
-	p.inFlight, p.sent = true, w.Record
-	t.queued = append(t.queued, w)
+	p.inFlight, p.lastAttempt = true, w.Record
+	t.queuedActions = append(t.queuedActions, w)
 }
 
-// retry repeats an unclear write until a try or an observed revision settles
-// it. The repeated write has the same content or that of the known record, so
-// at most two contents are possible at any time.
+// retry repeats an indeterminate write until an attempt has a definite outcome or a
+// newer revision is observed. The repeated write has the same content or that of the
+// known record, so the record can have at most two contents at any time.
 func (t *Table) retry(now time.Time, u *unit) {
-	if u.pending.inFlight || now.Before(u.retryAt) || !t.hasContact(now) {
+	if u.pending.inFlight || now.Before(u.retryAt) || !t.hasStoreContact(now) {
 		return
 	}
 	t.send(u)
 }
 
-// WriteDone reports the end of the one write of the unit that is in flight.
+// WriteDone reports the outcome of the unit's write in flight.
 func (t *Table) WriteDone(now time.Time, name string, result WriteResult) {
-	t.expire(now)
+	t.expireTerms(now)
 	u := t.byName[name]
 	if u == nil || u.pending == nil || !u.pending.inFlight {
 		return
@@ -74,7 +74,7 @@
 	p := u.pending
 	p.inFlight = false
 	u.retryAt = now.Add(t.cfg.RetryInterval)
-	if p.settled {
+	if p.superseded {
 		u.pending = nil
 	}
 	switch result.Outcome {
@@ -83,38 +83,39 @@
 	case Conflict:
 		t.writeConflicted(now, u, p, result.Current)
 	case Unclear:
-		p.unclear = true
+		p.indeterminate = true
 	case NoEffect:
-		t.dropTry(u, p)
+		t.handleNoEffect(u, p)
 	}
-	t.updatePromiseEnd(u)
+	t.updatePromiseTermEnd(u)
 }
 
-func (t *Table) writeSucceeded(now time.Time, u *unit, p *pending, revision int64) {
-	r := p.sent
+func (t *Table) writeSucceeded(now time.Time, u *unit, p *pendingWrite, revision int64) {
+	r := p.lastAttempt
 	r.Revision = revision
 	u.retryAt = time.Time{}
 	u.pending = nil
 	t.Observe(now, r)
 }
 
-// writeConflicted handles a failed compare. If the record is still at the
-// compared revision, only a member key was in the way: an earlier unclear try
-// could succeed once that key is gone, so it is fenced.
-func (t *Table) writeConflicted(now time.Time, u *unit, p *pending, current *Record) {
+// writeConflicted handles a failed compare. If the record is still at the compared
+// revision, only the presence of a member key made it fail. An earlier indeterminate
+// attempt could succeed once that key is gone, so it must be fenced.
+func (t *Table) writeConflicted(now time.Time, u *unit, p *pendingWrite, current *Record) {
 	if current != nil {
 		t.Observe(now, *current)
 	}
-	t.dropTry(u, p)
+	t.handleNoEffect(u, p)
 }
 
-// dropTry forgets a write whose last try had no effect, unless an earlier try
-// was unclear.
-func (t *Table) dropTry(u *unit, p *pending) {
+// handleNoEffect drops a write whose last attempt had no effect. If an earlier attempt
+// is indeterminate, the write is kept; it is fenced if it has guards and the unit has a
+// record.
+func (t *Table) handleNoEffect(u *unit, p *pendingWrite) {
 	if u.pending == nil {
 		return
 	}
-	if !p.unclear {
+	if !p.indeterminate {
 		u.pending = nil
 		return
 	}
