ledger: describe commits, retries and fencing in the usual terms

Reword the package, function, field and test comments: idempotent submission, group commit, indeterminate write, fencing of the former home, permanent reasons and retries. Correct two comments: Clone is not a deep copy, and a cancelled task can end as Unknown.

Rename unexported identifiers: Ledger.stored, landed, holding, repeat, mayTryAgain and task (applyStored, clearInFlight, shardInFlight, submitRepeat, shouldRetry, findTask), shard.after and unclear (releaseAfterLatest, indeterminate), TaskRecord.endState (finalState), isStoppedForLater and isDefinite (isStoppedForRetry, isPermanent). TestNotRunIsNeverSaidOfWhatMayHaveRun becomes TestTaskThatMayHaveRunIsNotReportedNotRun.

Values added to messages of Submit: the requested number of tasks, and the used, maximum and requested bytes of a full shard.

--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -10,23 +10,22 @@
 type Write struct {
 	Shard    string
 	Value    ShardValue
-	Revision int64 // compared: the last revision of the value; 0 if absent
+	Revision int64 // expected current revision of the value; 0 if absent
 }
 
-// Result is the fate of a commit.
+// Result is the outcome of a commit.
 type Result int
 
-// The fates of a commit.
 const (
 	Stored   Result = iota
-	Conflict        // the compare failed: nothing was written
-	Unclear         // it may have been written, now or later
-	NoEffect        // surely not written
+	Conflict        // the compare failed and nothing was written
+	Unclear         // indeterminate: the values may have been written or may be written later
+	NoEffect        // the values were not and will not be written
 )
 
-// Plan returns the writes of the next group commit, or none if nothing changed,
-// one is in flight, or the flush interval has not passed. All writes go into one
-// transaction.
+// Plan returns the writes of the next group commit. It returns none if nothing
+// changed, a commit is in flight, or the flush interval has not passed. The caller
+// puts all writes into one transaction.
 func (l *Ledger) Plan(now time.Time) []Write {
 	if !l.dirty || l.inFlight > 0 || now.Sub(l.lastFlush) < l.cfg.FlushInterval {
 		return nil
@@ -60,79 +59,80 @@
 	return Write{Shard: s.name, Value: s.value(id), Revision: s.revision}
 }
 
-// Committed applies a commit that succeeded at revision and returns the steps
-// that may go on now.
+// Committed applies a commit that succeeded at revision and returns the steps that it
+// releases.
 func (l *Ledger) Committed(writes []Write, revision int64) []Step {
 	var steps []Step
 	for _, w := range writes {
-		s := l.holding(w)
+		s := l.shardInFlight(w)
 		if s == nil {
 			continue
 		}
 		sequence := s.inFlight.sequence
-		l.landed(s)
+		l.clearInFlight(s)
 		s.setViews(w.Value.Records)
-		steps = append(steps, l.stored(s, sequence, revision)...)
+		steps = append(steps, l.applyStored(s, sequence, revision)...)
 	}
 	return steps
 }
 
-// stored marks a write as being the value of the shard. Every earlier write
-// that was unclear can no longer happen, since its compare fails now.
-func (l *Ledger) stored(s *shard, sequence uint64, revision int64) []Step {
+// applyStored marks a write as the stored value of the shard. An earlier indeterminate
+// write can no longer take effect, because its compare fails now.
+func (l *Ledger) applyStored(s *shard, sequence uint64, revision int64) []Step {
 	s.revision = revision
-	s.unclear = nil
+	s.indeterminate = nil
 	if s.phase == fencing {
 		s.phase = active
 	}
 	return s.advance(sequence)
 }
 
-// Failed applies a commit that did not succeed or is unclear. The changes stay
-// to be written with the next commit.
+// Failed applies a commit that failed or is indeterminate. The next commit writes the
+// changes again.
 func (l *Ledger) Failed(writes []Write, result Result) {
 	for _, w := range writes {
-		s := l.holding(w)
+		s := l.shardInFlight(w)
 		if s == nil {
 			continue
 		}
 		if result == Unclear {
-			s.unclear = append(s.unclear, *s.inFlight)
+			s.indeterminate = append(s.indeterminate, *s.inFlight)
 		}
-		l.landed(s)
+		l.clearInFlight(s)
 	}
 }
 
-// landed notes that the write of a shard is not in flight any more. What
-// changed meanwhile is written with the next commit.
-func (l *Ledger) landed(s *shard) {
+// clearInFlight marks the write of a shard as no longer in flight. The next commit writes
+// what changed in the meantime.
+func (l *Ledger) clearInFlight(s *shard) {
 	s.inFlight = nil
 	l.inFlight--
 	l.dirty = true
 }
 
-// Conflicted applies a commit whose compare failed, given what the store holds
-// for one of its shards. An own earlier write whose reply was lost is adopted;
-// any other value means that another process is the home, and lost is true.
+// Conflicted applies a commit whose compare failed, given the stored value of one of
+// its shards. If this process wrote that value and the reply was lost, the value is
+// adopted. Any other new value means that another process is the home now, and lost
+// is true.
 func (l *Ledger) Conflicted(w Write, current ShardValue, revision int64) (steps []Step, lost bool) {
-	s := l.holding(w)
+	s := l.shardInFlight(w)
 	if s == nil {
 		return nil, false
 	}
-	l.landed(s)
+	l.clearInFlight(s)
 	if revision == s.revision {
-		return nil, false // another shard of the transaction conflicted
+		return nil, false // another shard of the transaction caused the conflict
 	}
-	i := slices.IndexFunc(s.unclear, func(p pendingWrite) bool { return p.writeID == current.WriteID })
+	i := slices.IndexFunc(s.indeterminate, func(p pendingWrite) bool { return p.writeID == current.WriteID })
 	if i < 0 {
 		return nil, true
 	}
 	s.setViews(current.Records)
-	return l.stored(s, s.unclear[i].sequence, revision), false
+	return l.applyStored(s, s.indeterminate[i].sequence, revision), false
 }
 
-// holding returns the shard that w belongs to, if w is its write in flight.
-func (l *Ledger) holding(w Write) *shard {
+// shardInFlight returns the shard of w if w is its write in flight, and nil otherwise.
+func (l *Ledger) shardInFlight(w Write) *shard {
 	s, ok := l.shards[w.Shard]
 	if !ok || s.inFlight == nil || s.inFlight.writeID != w.Value.WriteID {
 		return nil
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -9,18 +9,18 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Config bounds the ledger.
+// Config holds the limits of a ledger.
 type Config struct {
-	ResultRetention time.Duration // how long a finished job stays for repeats
-	FlushInterval   time.Duration // shortest time between two group commits
-	ShardBytes      int           // largest stored value of a shard
-	TxnBytes        int           // largest sum of the values of one commit
-	RecordOverhead  int           // bytes of a record besides its payload
+	ResultRetention time.Duration // how long the record of a finished job is kept for repeated submissions
+	FlushInterval   time.Duration // minimum time between two group commits
+	ShardBytes      int           // maximum size of a shard's stored value
+	TxnBytes        int           // maximum total size of the values of one commit
+	RecordOverhead  int           // size of a record without its payload and its tasks
 	InlineResult    int           // results up to this size are stored with the record
-	MaxTasks        int           // tasks of one job
+	MaxTasks        int           // maximum number of tasks of one job
 }
 
-// DefaultConfig returns the bounds of the design page.
+// DefaultConfig returns the default limits of the design page.
 func DefaultConfig() Config {
 	return Config{
 		ResultRetention: 10 * time.Minute,
@@ -33,33 +33,33 @@
 	}
 }
 
-// Ledger holds the shards whose home is this process. It is not safe for
-// concurrent use: the control goroutine owns it.
+// Ledger holds the request shards whose home is this process. It is not safe for
+// concurrent use: only the control goroutine uses it.
 type Ledger struct {
 	cfg       Config
 	holder    string // incarnation of this process
 	shards    map[string]*shard
-	volatile  map[JobKey]*Record // memory-only jobs; they stay when their shard moves away
+	volatile  map[JobKey]*Record // memory-only jobs; kept when their shard moves to another home
 	lastFlush time.Time
-	writes    uint64
-	inFlight  int  // shards whose value is being written
-	dirty     bool // some shard may have changes that are not being written
+	writes    uint64 // counter for unique write IDs and task ID salts
+	inFlight  int    // number of shards whose value is being written
+	dirty     bool   // some shard may have changes that are not being written
 }
 
-// New returns a ledger without shards. The holder names this process and makes
-// the IDs of its writes unique.
+// New returns a ledger without shards. The holder is the incarnation of this process;
+// it makes the IDs of its writes unique.
 func New(cfg Config, holder string) *Ledger {
 	return &Ledger{cfg: cfg, holder: holder, shards: map[string]*shard{}, volatile: map[JobKey]*Record{}}
 }
 
-// Open starts holding a shard. Its value has to be read and passed to Loaded.
+// Open adds a shard. The caller must read its value and pass it to Loaded.
 func (l *Ledger) Open(name string, epoch uint64) {
 	l.shards[name] = &shard{name: name, epoch: epoch, records: map[JobKey]*Record{}}
 }
 
-// Close drops a shard that this process is no longer the home of. It returns
-// the steps and records that were not settled, so that waiting callers hear of
-// it. Memory-only jobs stay, since no other process knows of them.
+// Close removes a shard of which this process is no longer the home. It returns the
+// steps that were not released and all durable records, so that the waiting callers
+// can be notified. Memory-only jobs are kept, because no other process has them.
 func (l *Ledger) Close(name string) (steps []Step, records []*Record) {
 	s, ok := l.shards[name]
 	if !ok {
@@ -78,9 +78,8 @@
 	return steps, records
 }
 
-// Loaded sets the value that the store holds for a shard. The shard becomes
-// active after its first write, which makes every later write of the former
-// home fail its compare.
+// Loaded sets the stored value of a shard. The shard becomes active after its first
+// write, which fences the former home: every later write of it fails its compare.
 func (l *Ledger) Loaded(name string, value ShardValue, revision int64) {
 	s, ok := l.shards[name]
 	if !ok || s.phase != loading {
@@ -97,19 +96,19 @@
 	l.dirty = true
 }
 
-// IsLoading reports whether the value of a shard is still to be read.
+// IsLoading reports whether the shard is held and its value has not been read yet.
 func (l *Ledger) IsLoading(name string) bool {
 	s, ok := l.shards[name]
 	return ok && s.phase == loading
 }
 
-// IsActive reports whether requests of the shard can be served.
+// IsActive reports whether this process can serve requests of the shard.
 func (l *Ledger) IsActive(name string) bool {
 	s, ok := l.shards[name]
 	return ok && s.phase == active
 }
 
-// Shards returns the names of the shards that are held, sorted.
+// Shards returns the sorted names of the held shards.
 func (l *Ledger) Shards() []string {
 	names := make([]string, 0, len(l.shards))
 	for name := range l.shards {
@@ -132,7 +131,7 @@
 	return records
 }
 
-// Find returns the record of a job.
+// Find returns the current record of a job, including changes that are not stored yet.
 func (l *Ledger) Find(shardName string, key JobKey) (*Record, bool) {
 	if r, ok := l.volatile[key]; ok {
 		return r, true
@@ -145,10 +144,10 @@
 	return r, ok
 }
 
-// View returns the record of a job as callers may be told of it: as the store
-// holds it, since a later change could be lost with this process. That a task
-// has started needs no store and is shown at once. A job that is not in the store
-// yet has no view.
+// View returns the record of a job as it may be shown to callers: in its stored state,
+// because a later change could be lost with this process. The start of a task is shown
+// at once, because it is not stored. A durable job that is not in the store yet has no
+// view.
 func (l *Ledger) View(shardName string, key JobKey) (Record, bool) {
 	if r, ok := l.volatile[key]; ok {
 		return r.Clone(), true
@@ -168,7 +167,7 @@
 	return view, true
 }
 
-// VolatileOpen returns how many memory-only jobs are not final.
+// VolatileOpen returns the number of memory-only jobs that are not final.
 func (l *Ledger) VolatileOpen() int {
 	open := 0
 	for _, r := range l.volatile {
@@ -179,9 +178,9 @@
 	return open
 }
 
-// Submit records a job, or finds the record that an earlier submission with the
-// same idempotency key made. A durable job must not be dispatched before the
-// step that the caller passes is released.
+// Submit records a job, or returns the record of an earlier submission with the same
+// idempotency key. The caller must not dispatch a durable job before the given step is
+// released.
 func (l *Ledger) Submit(shardName string, spec task.Spec, step Step) (r *Record, isNew bool, err *errkind.Error) {
 	s, ok := l.shards[shardName]
 	if !ok || s.phase != active {
@@ -189,15 +188,15 @@
 	}
 	key := KeyOf(&spec)
 	if first, found := l.Find(shardName, key); found {
-		return l.repeat(s, first, spec, step)
+		return l.submitRepeat(s, first, spec, step)
 	}
 	if spec.Count > l.cfg.MaxTasks {
-		return nil, false, errkind.New(errkind.InvalidRequest, "a job has at most %d tasks", l.cfg.MaxTasks).
+		return nil, false, errkind.New(errkind.InvalidRequest, "job has %d tasks, more than the maximum of %d", spec.Count, l.cfg.MaxTasks).
 			WithField("count", fmt.Sprintf("1 to %d", l.cfg.MaxTasks))
 	}
 	size := l.sizeOf(&spec)
 	if spec.Kind.IsDurable() && s.bytes+size > l.cfg.ShardBytes {
-		return nil, false, errkind.New(errkind.QueueFull, "request shard %s is full", shardName)
+		return nil, false, errkind.New(errkind.QueueFull, "request shard %s is full: %d of %d bytes used, %d more requested", shardName, s.bytes, l.cfg.ShardBytes, size)
 	}
 	r = newRecord(spec, fmt.Sprintf("%s.%d", l.holder, l.writes))
 	l.writes++
@@ -209,49 +208,52 @@
 	s.bytes += size
 	l.dirty = true
 	s.sequence++
-	s.after(step)
+	s.releaseAfterLatest(step)
 	return r, true, nil
 }
 
-// repeat answers a submission whose key is known. A repeat whose first
-// submission is not in the store yet waits for the same commit.
-func (l *Ledger) repeat(s *shard, first *Record, spec task.Spec, step Step) (*Record, bool, *errkind.Error) {
+// submitRepeat handles a submission whose idempotency key is known. If the shard has
+// changes that are not stored yet, a repeat of durable work waits for their commit,
+// because the first submission may be among them.
+func (l *Ledger) submitRepeat(s *shard, first *Record, spec task.Spec, step Step) (*Record, bool, *errkind.Error) {
 	if first.Spec.PayloadDigest != spec.PayloadDigest {
 		return nil, false, errkind.New(errkind.IdempotencyConflict,
 			"idempotency key %q was used for another request", spec.IdempotencyKey).WithField("idempotency_key", "one request for each key")
 	}
 	if first.Spec.Kind.IsDurable() && s.committed < s.sequence {
-		s.after(step)
+		s.releaseAfterLatest(step)
 		return first, false, nil
 	}
 	return first, false, nil
 }
 
-// HasPending reports whether the shard has changes that are not stored yet.
+// HasPending reports whether the shard has changes that are not in the store yet.
 func (l *Ledger) HasPending(shardName string) bool {
 	s, ok := l.shards[shardName]
 	return ok && s.committed < s.sequence
 }
 
-// change notes a change to a record; the step is released once it is stored.
-// It reports whether the step has to wait, which is false for memory-only work.
+// change registers a change to a record; the step is released once the change is
+// stored. It reports whether the step must wait, which is false for memory-only work.
 func (l *Ledger) change(s *shard, r *Record, step Step) (waits bool) {
 	if !r.Spec.Kind.IsDurable() {
 		return false
 	}
 	l.dirty = true
 	s.sequence++
-	s.after(step)
+	s.releaseAfterLatest(step)
 	return true
 }
 
+// sizeOf estimates the stored size of a job's record. The payload is base64-encoded in
+// JSON.
 func (l *Ledger) sizeOf(spec *task.Spec) int {
 	const bytesPerTask = 160
 	return len(spec.Payload)*4/3 + l.cfg.RecordOverhead + max(1, spec.Count)*bytesPerTask
 }
 
-// Expire drops final records older than the retention. The change is stored
-// with the next commit of the shard and does not cause one.
+// Expire deletes the records of jobs that finished longer ago than ResultRetention. The
+// deletion does not cause a commit; it is stored with the next commit of the shard.
 func (l *Ledger) Expire(now time.Time) {
 	for key, r := range l.volatile {
 		if l.isExpired(now, r) {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -13,12 +13,12 @@
 
 const shardName = "h/0"
 
-// storeModel is the store as far as one shard value goes. A write whose fate is
-// unclear may take effect at any later time.
+// storeModel models the stored value of one shard. A write with an indeterminate
+// outcome may take effect at any later time.
 type storeModel struct {
 	value    ShardValue
 	revision int64
-	late     []Write
+	delayed  []Write
 }
 
 func (m *storeModel) commit(w Write) bool {
@@ -39,7 +39,7 @@
 	return l
 }
 
-// newActiveHome returns a home whose first write is stored.
+// newActiveHome returns a home whose first write has been stored.
 func newActiveHome() (*storeModel, *Ledger) {
 	m := &storeModel{}
 	l := newHome(m, "e-1")
@@ -53,9 +53,9 @@
 	return task.Spec{Team: "t", Service: "s", IdempotencyKey: key, Kind: task.AtMostOnce, Count: 1, PayloadDigest: "d"}
 }
 
-// TestCommittedIsNeverLost guards against a step that is released for a change
-// which a later reader of the store does not find, whatever becomes of the
-// writes and however late an unclear one takes effect.
+// TestCommittedIsNeverLost guards against a step that is released for a change which a
+// later reader of the store does not find. It covers every outcome of a write, also
+// indeterminate writes that take effect late.
 func TestCommittedIsNeverLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &storeModel{}
@@ -86,34 +86,34 @@
 					steps, lost := l.Conflicted(w, m.value, m.revision)
 					release(steps)
 					if lost {
-						t.Fatal("the only home of the shard was told that another one has written")
+						t.Fatal("Conflicted reported another writer, but the shard has only one home")
 					}
 				case "reply lost":
 					m.commit(w)
 					l.Failed([]Write{w}, Unclear)
 				case "late":
-					m.late = append(m.late, w)
+					m.delayed = append(m.delayed, w)
 					l.Failed([]Write{w}, Unclear)
 				default:
 					l.Failed([]Write{w}, NoEffect)
 				}
 			}
-			if len(m.late) > 0 && rapid.Bool().Draw(t, "late write takes effect") {
-				m.commit(m.late[0])
-				m.late = m.late[1:]
+			if len(m.delayed) > 0 && rapid.Bool().Draw(t, "late write takes effect") {
+				m.commit(m.delayed[0])
+				m.delayed = m.delayed[1:]
 			}
 		}
 		next := newHome(m, "e-2")
 		for key := range released {
 			if _, found := next.Find(shardName, JobKey{Team: "t", Service: "s", Key: key}); !found {
-				t.Fatalf("job %s was released and is not in the store", key)
+				t.Fatalf("step of job %s was released, but the job is not in the store", key)
 			}
 		}
 	})
 }
 
-// TestFormerHomeIsFenced guards against a former home that writes after the next
-// one has taken the shard over.
+// TestFormerHomeIsFenced guards against a former home whose write takes effect after
+// the next home has taken the shard over.
 func TestFormerHomeIsFenced(t *testing.T) {
 	m, former := newActiveHome()
 	spec := durableSpec("k")
@@ -132,12 +132,12 @@
 		t.Error("a delayed write of the former home took effect")
 	}
 	if _, lost := former.Conflicted(delayed, m.value, m.revision); !lost {
-		t.Error("the former home did not notice that another one has written")
+		t.Error("the former home did not detect the write of the next home")
 	}
 }
 
-// TestPermitNamesOneWorker guards against an at-most-once attempt that is
-// permitted on two workers, or on two boots of one.
+// TestPermitNamesOneWorker guards against an at-most-once attempt that is permitted on
+// two workers or on two boots of one worker, and against its retry after an unknown end.
 func TestPermitNamesOneWorker(t *testing.T) {
 	_, l := newActiveHome()
 	spec := durableSpec("k")
@@ -159,13 +159,13 @@
 	}
 	o := task.Outcome{Attempt: a, State: task.Unknown, Reason: string(errkind.WorkerLost)}
 	if verdict, _ := l.Finish(time.Unix(2, 0), shardName, key, 0, o, Step{Job: key}); verdict != Final {
-		t.Errorf("verdict on an unknown end = %v, want %v: it may not be repeated", verdict, Final)
+		t.Errorf("verdict on an unknown end = %v, want %v: at-most-once work must not be retried", verdict, Final)
 	}
 }
 
-// TestNotRunIsNeverSaidOfWhatMayHaveRun guards against a task that is stated as
-// not run because its last attempt was not, though an earlier one may have run.
-func TestNotRunIsNeverSaidOfWhatMayHaveRun(t *testing.T) {
+// TestTaskThatMayHaveRunIsNotReportedNotRun guards against a task that is reported as
+// NotRun when its last attempt was not run but an earlier one may have been.
+func TestTaskThatMayHaveRunIsNotReportedNotRun(t *testing.T) {
 	_, l := newActiveHome()
 	spec := durableSpec("k")
 	spec.Kind = task.Durable
@@ -177,6 +177,6 @@
 	l.Finish(time.Unix(2, 0), shardName, key, 0, task.Outcome{Attempt: a, State: task.Unknown, Reason: string(errkind.WorkerLost)}, Step{Job: key})
 	l.Cancel(time.Unix(3, 0), shardName, key, errkind.Cancelled, Step{Job: key})
 	if r, _ := l.Find(shardName, key); r.Tasks[0].State != task.Unknown {
-		t.Errorf("state after an unclear attempt and a cancellation = %s, want %s", r.Tasks[0].State, task.Unknown)
+		t.Errorf("state after an attempt with unknown end and a cancellation = %s, want %s", r.Tasks[0].State, task.Unknown)
 	}
 }
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -24,7 +24,7 @@
 // String returns <team>/<service>/<idempotency key>.
 func (k JobKey) String() string { return fmt.Sprintf("%s/%s/%s", k.Team, k.Service, k.Key) }
 
-// Record is what the home keeps of one job.
+// Record is the state of one job, kept by its home.
 type Record struct {
 	Spec       task.Spec    `json:"spec"`
 	Tasks      []TaskRecord `json:"tasks"`
@@ -37,12 +37,12 @@
 	ID         task.ID       `json:"id"`
 	State      task.State    `json:"state"`
 	Attempt    uint32        `json:"attempt"`                // latest attempt; 0 before the first
-	Partition  string        `json:"partition,omitempty"`    // where the latest attempt was sent
-	Worker     string        `json:"worker,omitempty"`       // of at-most-once work: the only worker that may have run it
-	BootID     string        `json:"boot_id,omitempty"`      // of that worker when the start was allowed
-	Permitted  bool          `json:"permitted,omitempty"`    // at-most-once work: the start was allowed
-	MayHaveRun bool          `json:"may_have_run,omitempty"` // an earlier attempt ran, or its fate is not known
-	Failures   int           `json:"failures,omitempty"`     // attempts that ended with a failure
+	Partition  string        `json:"partition,omitempty"`    // to which the latest attempt was sent
+	Worker     string        `json:"worker,omitempty"`       // of the latest attempt; for at-most-once work the only one that may run it
+	BootID     string        `json:"boot_id,omitempty"`      // boot of that worker when the start was permitted
+	Permitted  bool          `json:"permitted,omitempty"`    // at-most-once work: the start was permitted
+	MayHaveRun bool          `json:"may_have_run,omitempty"` // an earlier attempt ran, or it is not known whether it ran
+	Failures   int           `json:"failures,omitempty"`     // number of attempts that failed
 	Outcome    *task.Outcome `json:"outcome,omitempty"`
 }
 
@@ -59,12 +59,13 @@
 	return true
 }
 
-// stateRank orders the states of tasks for the state of their job. NotRun comes
-// last, so that a job of which any task ran is never stated as not run.
+// stateRank orders the states of tasks to derive the state of their job. NotRun ranks
+// last, so that a job is not reported as NotRun if any of its tasks ran.
 var stateRank = map[task.State]int{task.Accepted: 0, task.Dispatched: 1, task.Running: 2, task.Unknown: 3, task.Finished: 4, task.NotRun: 5}
 
-// State returns the state of the job as a whole: that of its least advanced
-// task. It is Unknown if any task is, and NotRun only if every task is.
+// State returns the state of the job as a whole, which is that of its least advanced
+// task. Among final states, it is Unknown if any task is Unknown, and NotRun only if
+// every task is NotRun.
 func (r *Record) State() task.State {
 	least := task.NotRun
 	for i := range r.Tasks {
@@ -75,15 +76,15 @@
 	return least
 }
 
-// AttemptOf returns the latest attempt of task index.
+// AttemptOf returns the latest attempt of the task with the given index.
 func (r *Record) AttemptOf(index int) task.Attempt {
 	t := &r.Tasks[index]
 	return task.Attempt{Task: t.ID, Number: t.Attempt}
 }
 
-// newRecord returns the record of a job none of whose tasks has an attempt. The
-// salt makes the task IDs of a memory-only job unique to this holder: a repeat
-// of such a job after its home was lost is another task.
+// newRecord returns the record of a job whose tasks have no attempt yet. The salt makes
+// the task IDs of a memory-only job unique to this holder: when such a job is
+// submitted again after its home was lost, its tasks are different ones.
 func newRecord(spec task.Spec, salt string) *Record {
 	r := &Record{Spec: spec, Tasks: make([]TaskRecord, max(1, spec.Count))}
 	for i := range r.Tasks {
@@ -96,7 +97,7 @@
 	return r
 }
 
-// ParseID returns the job and the index that a task ID was made of.
+// ParseID returns the job and the index of the task with the given ID.
 func ParseID(id task.ID) (key JobKey, index int, ok bool) {
 	team, rest, found := strings.Cut(string(id), "/")
 	if !found {
@@ -115,8 +116,8 @@
 	return JobKey{Team: task.Team(team), Service: task.Service(service), Key: rest[:last]}, index, true
 }
 
-// HolderOf returns the process that keeps the record of a memory-only task, and
-// false for a durable task.
+// HolderOf returns the incarnation of the process that keeps the record of a
+// memory-only task. It returns false for a durable task.
 func HolderOf(id task.ID) (incarnation string, ok bool) {
 	_, salt, found := strings.Cut(string(id), "@")
 	last := strings.LastIndexByte(salt, '.')
@@ -126,7 +127,8 @@
 	return salt[:last], true
 }
 
-// Clone returns a deep copy that later changes of r do not reach.
+// Clone returns a copy that later changes of r do not affect. The copies share the
+// payload and the outcomes, which are never modified in place.
 func (r *Record) Clone() Record {
 	c := *r
 	c.Tasks = append([]TaskRecord(nil), r.Tasks...)
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -6,19 +6,19 @@
 	"time"
 )
 
-// ShardValue is what the store keeps of one request shard.
+// ShardValue is the stored value of one request shard.
 type ShardValue struct {
 	Epoch   uint64   `json:"epoch"`
-	WriteID string   `json:"write_id"` // recognises an own write whose reply was lost
+	WriteID string   `json:"write_id"` // identifies this process's own write if its reply was lost
 	Records []Record `json:"records"`
 }
 
-// phase is how far a shard has come since this process became its home.
+// phase is the progress of a shard towards serving requests at a new home.
 type phase int
 
 const (
 	loading phase = iota // the value is being read
-	fencing              // the first write, which fences the former home, is not confirmed
+	fencing              // the first write, which fences the former home, is not confirmed yet
 	active
 )
 
@@ -27,16 +27,16 @@
 	name     string
 	epoch    uint64
 	phase    phase
-	revision int64 // last revision of the value that this process knows
+	revision int64 // last known revision of the stored value
 	records  map[JobKey]*Record
-	views    map[JobKey]*Record // as they are in the store
-	bytes    int                // approximate size of the durable records
-
-	sequence  uint64 // of the latest change to a durable record
-	committed uint64 // every change up to here is in the store
-	inFlight  *pendingWrite
-	unclear   []pendingWrite // writes whose fate is not known yet
-	steps     []pendingStep  // in order of sequence
+	views    map[JobKey]*Record // records as last stored
+	bytes    int                // estimated size of the durable records
+
+	sequence      uint64 // of the latest change to a durable record
+	committed     uint64 // every change up to this sequence is in the store
+	inFlight      *pendingWrite
+	indeterminate []pendingWrite // writes that may still take effect
+	steps         []pendingStep  // in order of sequence
 }
 
 type pendingWrite struct {
@@ -50,28 +50,27 @@
 	step     Step
 }
 
-// StepKind says what may happen once a change is in the store.
+// StepKind is the kind of work that may be done once a change is in the store.
 type StepKind int
 
-// The kinds of steps.
 const (
-	StepAccepted  StepKind = iota // tell the submitter; send the tasks to their owners
-	StepAnswer                    // tell a caller that asked what is in the store now
+	StepAccepted  StepKind = iota // answer the submitter and send the tasks to their owners
+	StepAnswer                    // answer a caller with the stored state
 	StepDispatch                  // send the latest attempt of a task to its partition
-	StepPermitted                 // let the owner start an at-most-once task
-	StepFinished                  // tell waiters; acknowledge to the owner
+	StepPermitted                 // permit the owner to start an at-most-once task
+	StepFinished                  // answer the waiting calls and acknowledge the report of the owner
 )
 
-// Step is work that waited for a change to be in the store.
+// Step is work that must wait until a change is in the store.
 type Step struct {
 	Kind  StepKind
 	Job   JobKey
 	Index int    // of the task; unused for StepAccepted
-	Token uint64 // of the waiting call, where one waits
+	Token uint64 // of the waiting call, if any
 }
 
-// after queues step until the latest change of the shard is in the store.
-func (s *shard) after(step Step) {
+// releaseAfterLatest queues step until the latest change of the shard is in the store.
+func (s *shard) releaseAfterLatest(step Step) {
 	s.steps = append(s.steps, pendingStep{sequence: s.sequence, step: step})
 }
 
@@ -91,7 +90,7 @@
 	return released
 }
 
-// value returns what to store for the present state.
+// value returns the value to store for the current state.
 func (s *shard) value(writeID string) ShardValue {
 	v := ShardValue{Epoch: s.epoch, WriteID: writeID}
 	for _, r := range s.records {
@@ -105,7 +104,7 @@
 	return v
 }
 
-// setViews notes what the store holds now.
+// setViews replaces the views by the records that the store holds now.
 func (s *shard) setViews(records []Record) {
 	s.views = make(map[JobKey]*Record, len(records))
 	for i := range records {
--- a/ledger/transition.go
+++ b/ledger/transition.go
@@ -7,10 +7,11 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Dispatch gives a task its next attempt at a partition. For durable work the
-// attempt must not be sent before step is released; waits says so.
+// Dispatch creates the next attempt of a task, at the given partition. If waits is true,
+// which is the case for durable work, the attempt must not be sent before step is
+// released.
 func (l *Ledger) Dispatch(shardName string, key JobKey, index int, partition string, step Step) (a task.Attempt, waits, ok bool) {
-	s, r, t := l.task(shardName, key, index)
+	s, r, t := l.findTask(shardName, key, index)
 	if t == nil || t.State != task.Accepted || r.Cancelled {
 		return task.Attempt{}, false, false
 	}
@@ -21,11 +22,11 @@
 	return r.AttemptOf(index), l.change(s, r, step), true
 }
 
-// Permit records the one worker on which an at-most-once attempt may start.
-// It is refused if the attempt is not the latest, is already permitted
-// elsewhere, or was cancelled.
+// Permit records the one worker on which an at-most-once attempt may start. It returns
+// false if the attempt is not the latest, is not in state Dispatched, is already
+// permitted on another worker or boot, or if the job was cancelled.
 func (l *Ledger) Permit(shardName string, key JobKey, index int, a task.Attempt, worker, bootID string, step Step) bool {
-	s, r, t := l.task(shardName, key, index)
+	s, r, t := l.findTask(shardName, key, index)
 	if t == nil || r.Cancelled || t.State != task.Dispatched || r.AttemptOf(index) != a {
 		return false
 	}
@@ -36,10 +37,10 @@
 	return l.change(s, r, step)
 }
 
-// Started notes that an attempt runs on a worker. It is not stored: a new home
-// learns it again from the owner.
+// Started records that an attempt runs on a worker. This change is not stored: a new
+// home receives it again from the owner.
 func (l *Ledger) Started(shardName string, key JobKey, index int, a task.Attempt, worker string) bool {
-	_, r, t := l.task(shardName, key, index)
+	_, r, t := l.findTask(shardName, key, index)
 	if t == nil || r.AttemptOf(index) != a || t.State != task.Dispatched {
 		return false
 	}
@@ -48,28 +49,27 @@
 	return true
 }
 
-// Verdict is what follows from the end of an attempt.
+// Verdict is the consequence of the end of an attempt.
 type Verdict int
 
-// The verdicts.
 const (
-	Dropped Verdict = iota // matches no open attempt: late or crossed
+	Dropped Verdict = iota // the report is late or matches no open attempt
 	Final                  // the task has its final state
-	Again                  // the task waits for another attempt
+	Again                  // the task is retried with another attempt
 )
 
-// Finish applies the end of an attempt. An outcome that matches no open attempt
-// is dropped. A late result of an attempt that was given up as unknown is still
-// accepted, since it tells the caller more than before.
+// Finish applies the end of an attempt. An outcome that matches no open attempt is
+// dropped. A late result of an attempt that had ended as Unknown is still accepted,
+// because it gives the caller more information.
 func (l *Ledger) Finish(now time.Time, shardName string, key JobKey, index int, o task.Outcome, step Step) (v Verdict, waits bool) {
-	s, r, t := l.task(shardName, key, index)
+	s, r, t := l.findTask(shardName, key, index)
 	if t == nil || r.AttemptOf(index) != o.Attempt {
 		return Dropped, false
 	}
 	if t.State.IsFinal() && !(t.State == task.Unknown && o.State == task.Finished) {
 		return Dropped, false
 	}
-	if l.mayTryAgain(r, t, o) {
+	if l.shouldRetry(r, t, o) {
 		t.MayHaveRun = t.MayHaveRun || o.State != task.NotRun
 		if isFailure(o) {
 			t.Failures++
@@ -79,7 +79,7 @@
 		return Again, l.change(s, r, step)
 	}
 	kept := o
-	kept.State = t.endState(o.State)
+	kept.State = t.finalState(o.State)
 	t.State = kept.State
 	t.Worker = o.Worker
 	t.Outcome = &kept
@@ -89,17 +89,17 @@
 	return Final, l.change(s, r, step)
 }
 
-// endState returns the final state of a task whose last attempt ended in state s.
-// That the last attempt was not run says nothing about the earlier ones.
-func (t *TaskRecord) endState(s task.State) task.State {
+// finalState returns the final state of a task whose last attempt ended in state s. If
+// the last attempt was not run but an earlier one may have been, the state is Unknown.
+func (t *TaskRecord) finalState(s task.State) task.State {
 	if s == task.NotRun && t.MayHaveRun {
 		return task.Unknown
 	}
 	return s
 }
 
-// mayTryAgain reports whether the end of an attempt leads to another one.
-func (l *Ledger) mayTryAgain(r *Record, t *TaskRecord, o task.Outcome) bool {
+// shouldRetry reports whether another attempt follows the end of an attempt.
+func (l *Ledger) shouldRetry(r *Record, t *TaskRecord, o task.Outcome) bool {
 	if r.Cancelled || t.State.IsFinal() {
 		return false
 	}
@@ -108,41 +108,41 @@
 	}
 	switch o.State {
 	case task.NotRun:
-		return !isDefinite(o.Reason) && (r.Spec.Kind.IsDurable() || t.Attempt < maxAnswerAttempts)
+		return !isPermanent(o.Reason) && (r.Spec.Kind.IsDurable() || t.Attempt < maxAnswerAttempts)
 	case task.Unknown:
 		return r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRepeat()
 	case task.Finished:
 		mayRepeat := r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRepeat()
-		return mayRepeat && (isStoppedForLater(o.Reason) || isFailure(o) && t.Failures+1 < maxFailures)
+		return mayRepeat && (isStoppedForRetry(o.Reason) || isFailure(o) && t.Failures+1 < maxFailures)
 	default:
 		return false
 	}
 }
 
-// maxAnswerAttempts bounds how often an answer that was not run is sent to
-// another partition before its caller is told.
+// maxAnswerAttempts limits the attempts of an Answer task that is repeatedly not run. The
+// caller is notified when the last one was not run.
 const maxAnswerAttempts = 3
 
-// maxFailures is after how many failures a durable task is given its last outcome.
-// A worker that fails everything it starts is found out and avoided meanwhile, so
-// that a task fails this often only if it is at fault itself.
+// maxFailures is the number of failures after which a durable task is final. A worker
+// that fails every task it starts is quarantined in the meantime, so a task that fails
+// this often is itself the cause.
 const maxFailures = 3
 
 func isFailure(o task.Outcome) bool {
 	return o.State == task.Finished && o.Reason == string(errkind.TaskFailed)
 }
 
-// isStoppedForLater reports whether we stopped a task that should run again:
+// isStoppedForRetry reports whether the system stopped the task and it should run again:
 // another member of its gang was lost, or its team was above its limit.
-func isStoppedForLater(reason string) bool {
+func isStoppedForRetry(reason string) bool {
 	return reason == string(errkind.WorkerLost) || reason == string(errkind.OverLimit)
 }
 
-// isDefinite reports whether a task that was not run for this reason would not
-// be run by another attempt either. Cancelled is not among them: an owner says so
-// of any attempt that was withdrawn or looked up before it arrived, and a job whose
-// caller cancelled it is marked in its record.
-func isDefinite(reason string) bool {
+// isPermanent reports whether a task that was not run for this reason would not be run
+// by another attempt either. Cancelled is not permanent: an owner reports it for any attempt
+// that was withdrawn or looked up before it arrived, and a job that its caller cancelled
+// is marked in its record.
+func isPermanent(reason string) bool {
 	switch errkind.Kind(reason) {
 	case errkind.DeadlineExceeded, errkind.KeyWithdrawn, errkind.NeverFits:
 		return true
@@ -151,10 +151,11 @@
 	}
 }
 
-// Cancel marks a job as cancelled. Tasks without an open attempt become NotRun
-// at once; the indexes of the others are returned, so that their owners are told.
+// Cancel marks a job as cancelled. Tasks without an open attempt become final at once:
+// NotRun, or Unknown if an earlier attempt may have run. The indexes of the tasks with
+// an open attempt are returned, so that the caller can notify their owners.
 func (l *Ledger) Cancel(now time.Time, shardName string, key JobKey, reason errkind.Kind, step Step) (open []int, waits, ok bool) {
-	s, r, _ := l.task(shardName, key, 0)
+	s, r, _ := l.findTask(shardName, key, 0)
 	if r == nil {
 		return nil, false, false
 	}
@@ -166,7 +167,7 @@
 		t := &r.Tasks[i]
 		switch {
 		case t.State == task.Accepted:
-			t.State = t.endState(task.NotRun)
+			t.State = t.finalState(task.NotRun)
 			t.Outcome = &task.Outcome{Attempt: r.AttemptOf(i), State: t.State, Reason: string(reason)}
 		case !t.State.IsFinal():
 			open = append(open, i)
@@ -178,33 +179,33 @@
 	return open, l.change(s, r, step), true
 }
 
-// Refuse ends a task of a memory-only job that has no open attempt, without
-// another one.
+// Refuse makes a task of a memory-only job final without a further attempt. It has no
+// effect on a task with an open attempt.
 func (l *Ledger) Refuse(now time.Time, key JobKey, index int, reason errkind.Kind) {
 	r, ok := l.volatile[key]
 	if !ok || r.Tasks[index].State != task.Accepted {
 		return
 	}
 	t := &r.Tasks[index]
-	t.State = t.endState(task.NotRun)
+	t.State = t.finalState(task.NotRun)
 	t.Outcome = &task.Outcome{Attempt: r.AttemptOf(index), State: t.State, Reason: string(reason)}
 	if r.IsFinal() {
 		r.FinishedAt = now
 	}
 }
 
-// After has step released once every change made so far is in the store.
+// After queues step until every change made so far is in the store.
 func (l *Ledger) After(shardName string, step Step) {
 	if s, ok := l.shards[shardName]; ok {
-		s.after(step)
+		s.releaseAfterLatest(step)
 	}
 }
 
-// Forget removes the record of a memory-only job that was not run, so that a
-// repeat is tried afresh.
+// Forget removes the record of a memory-only job that was not run, so that a repeated
+// submission is handled as a new job.
 func (l *Ledger) Forget(key JobKey) { delete(l.volatile, key) }
 
-func (l *Ledger) task(shardName string, key JobKey, index int) (*shard, *Record, *TaskRecord) {
+func (l *Ledger) findTask(shardName string, key JobKey, index int) (*shard, *Record, *TaskRecord) {
 	s, r := l.shards[shardName], l.volatile[key]
 	if r == nil {
 		if s == nil || s.phase != active {
