allowance: describe grants, returns and demand in the usual terms

Reword the package, function, field and test comments: grant, return, demand, pending limit and indeterminate transaction.

--- a/allowance/model_test.go
+++ b/allowance/model_test.go
@@ -12,34 +12,35 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// model runs three tables against one naive store. Ownership of the partitions
-// is exclusive, as package ownership provides it; what runs is kept apart from
-// the tables, as the workers know it.
+// model simulates three tables and one minimal store. Ownership of the partitions is
+// exclusive, as package ownership guarantees. The model tracks the running tasks, as
+// the workers do, independently of the tables.
 type model struct {
-	rng        *rand.Rand
-	faults     faults
-	now        time.Time
-	revision   int64
-	records    map[task.Team]Record
-	ownership  map[string]int64 // revision of the ownership record
-	owner      map[string]int
-	log        []Record
-	tables     []*Table
-	watched    []int
-	inFlight   []*transaction
-	running    []*running
-	revisionOf int64 // of the newest document
-	covered    map[string]int
+	rng              *rand.Rand
+	faults           seededFaults
+	now              time.Time
+	revision         int64
+	records          map[task.Team]Record
+	ownership        map[string]int64 // revision of the ownership record
+	owner            map[string]int
+	log              []Record
+	tables           []*Table
+	deliveredRecords []int
+	inFlight         []*transaction
+	runningTasks     []*runningTask
+	documentRevision int64 // of the newest document
+	coverage         map[string]int
 }
 
-type running struct {
+type runningTask struct {
 	team      task.Team
 	partition string
 	size      task.Resources
-	known     bool // to the present owner
+	known     bool // reported to the present owner
 }
 
-// transaction is a Plan on its way. A table that was restarted gets no reply.
+// transaction is the result of a Plan that was sent to the store. A restarted table gets
+// no reply.
 type transaction struct {
 	table  *Table
 	writes []Write
@@ -49,15 +50,15 @@
 	modelTeams      = []task.Team{"a", "b"}
 	modelPartitions = []string{"w/r/0", "w/r/1", "w/r/2"}
 	writeKinds      = []string{"grant", "return", "settle", "fence"}
-	fates           = []string{"reply", "late", "reply lost", "request lost", "no effect"}
+	writeOutcomes   = []string{"reply", "late", "reply lost", "request lost", "no effect"}
 	modelLimits     = []task.Resources{{Slots: 6}, {Slots: 10}, {Slots: 16, CPUMilli: 9000}, {CPUMilli: 5000}, {}}
 )
 
-func newModel(seed uint64, seeded faults) *model {
+func newModel(seed uint64, seeded seededFaults) *model {
 	m := &model{
 		rng: rand.New(rand.NewPCG(seed, 2)), faults: seeded, now: time.Unix(1000, 0), revision: 1,
 		records: map[task.Team]Record{}, ownership: map[string]int64{}, owner: map[string]int{},
-		watched: make([]int, 3), covered: map[string]int{},
+		deliveredRecords: make([]int, 3), coverage: map[string]int{},
 	}
 	for range 3 {
 		m.tables = append(m.tables, m.newTable())
@@ -73,17 +74,17 @@
 
 func (m *model) newTable() *Table {
 	t := New(DefaultConfig())
-	t.faults = m.faults
+	t.seededFaults = m.faults
 	return t
 }
 
-func (m *model) put(r Record) {
+func (m *model) putRecord(r Record) {
 	r.Revision = m.revision
 	m.records[r.Team] = r
 	m.log = append(m.log, r)
 }
 
-// setLimit commits a random limit, as an operator's document does.
+// setLimit commits a random limit, as the commit of an operator's document does.
 func (m *model) setLimit(team task.Team) {
 	m.commitLimit(team, modelLimits[m.rng.IntN(len(modelLimits))])
 }
@@ -92,11 +93,11 @@
 	r := m.records[team]
 	r.Team = team
 	m.revision++
-	m.revisionOf++
-	m.put(WithLimit(r, limit, m.revisionOf))
+	m.documentRevision++
+	m.putRecord(WithLimit(r, limit, m.documentRevision))
 }
 
-// takeOver moves the partition: the former owner has stopped acting for it.
+// takeOver moves the partition to another process. The former owner disowns it first.
 func (m *model) takeOver(partition string, to int) {
 	if from, ok := m.owner[partition]; ok {
 		m.tables[from].Disown(partition)
@@ -104,17 +105,18 @@
 	m.revision++
 	m.ownership[partition], m.owner[partition] = m.revision, to
 	m.tables[to].Own(partition, m.revision)
-	for _, r := range m.running {
+	for _, r := range m.runningTasks {
 		if r.partition == partition {
 			r.known = false
 		}
 	}
 }
 
-// rebuild lets workers of the partition report; some stay silent.
+// rebuild reports the running tasks of the partition to its owner. A task is left out with
+// probability silent, and the rebuild is then incomplete.
 func (m *model) rebuild(partition string, silent float64) {
 	t, complete := m.tables[m.owner[partition]], true
-	for _, r := range m.running {
+	for _, r := range m.runningTasks {
 		if r.partition != partition || r.known {
 			continue
 		}
@@ -131,32 +133,32 @@
 }
 
 func (m *model) deliver(i int) {
-	for _, r := range m.log[m.watched[i]:] {
+	for _, r := range m.log[m.deliveredRecords[i]:] {
 		m.tables[i].Observe(m.now, r)
 	}
-	m.watched[i] = len(m.log)
+	m.deliveredRecords[i] = len(m.log)
 	m.tables[i].ObserveThrough(m.revision)
 }
 
-func (m *model) start() {
-	m.startOf(modelTeams[m.rng.IntN(2)], m.partition(), task.Resources{Slots: 1 + m.rng.Int64N(2), CPUMilli: 1000})
+func (m *model) startRandomTask() {
+	m.startTask(modelTeams[m.rng.IntN(2)], m.randomPartition(), task.Resources{Slots: 1 + m.rng.Int64N(2), CPUMilli: 1000})
 }
 
-func (m *model) startOf(team task.Team, p string, size task.Resources) {
+func (m *model) startTask(team task.Team, p string, size task.Resources) {
 	if m.tables[m.owner[p]].Acquire(m.now, team, p, size) {
-		m.running = append(m.running, &running{team: team, partition: p, size: size, known: true})
+		m.runningTasks = append(m.runningTasks, &runningTask{team: team, partition: p, size: size, known: true})
 	}
 }
 
-func (m *model) partition() string { return modelPartitions[m.rng.IntN(len(modelPartitions))] }
+func (m *model) randomPartition() string { return modelPartitions[m.rng.IntN(len(modelPartitions))] }
 
 func (m *model) finishOne() {
-	if len(m.running) == 0 {
+	if len(m.runningTasks) == 0 {
 		return
 	}
-	i := m.rng.IntN(len(m.running))
-	r := m.running[i]
-	m.running = slices.Delete(m.running, i, i+1)
+	i := m.rng.IntN(len(m.runningTasks))
+	r := m.runningTasks[i]
+	m.runningTasks = slices.Delete(m.runningTasks, i, i+1)
 	if r.known {
 		m.tables[m.owner[r.partition]].Return(m.now, r.team, r.partition, r.size)
 	}
@@ -178,23 +180,24 @@
 	}
 	m.revision++
 	for _, w := range x.writes {
-		m.put(w.Record)
+		m.putRecord(w.Record)
 	}
 	return WriteResult{Outcome: Succeeded, Revision: m.revision}
 }
 
-// plan sends a transaction with one of the fates that a store call can have.
-func (m *model) plan(i int, unreliable bool) {
+// plan executes Plan and ends its transaction with one of the outcomes that a store call
+// can have.
+func (m *model) planAndCommit(i int, unreliable bool) {
 	x := &transaction{table: m.tables[i], writes: m.tables[i].Plan(m.now)}
 	if len(x.writes) == 0 {
 		return
 	}
 	fate := "reply"
 	if unreliable {
-		fate = fates[m.rng.IntN(len(fates))]
+		fate = writeOutcomes[m.rng.IntN(len(writeOutcomes))]
 	}
 	for _, w := range x.writes {
-		m.covered[m.kindOf(w)+", "+fate]++
+		m.coverage[m.kindOf(w)+", "+fate]++
 	}
 	switch fate {
 	case "reply":
@@ -212,7 +215,7 @@
 	}
 }
 
-// kindOf names the protocol step that a write takes.
+// kindOf returns the protocol step that a write performs.
 func (m *model) kindOf(w Write) string {
 	current, next := m.records[w.Record.Team], w.Record
 	switch {
@@ -235,14 +238,14 @@
 	m.inFlight = slices.Delete(m.inFlight, i, i+1)
 }
 
-// restart replaces the table of a process; another one takes its partitions.
+// restart replaces the table of a process. Another process takes its partitions over.
 func (m *model) restart(i int) {
 	for _, p := range modelPartitions {
 		if m.owner[p] == i {
 			m.takeOver(p, (i+1+m.rng.IntN(2))%3)
 		}
 	}
-	m.tables[i], m.watched[i] = m.newTable(), 0
+	m.tables[i], m.deliveredRecords[i] = m.newTable(), 0
 }
 
 func (m *model) step() {
@@ -253,23 +256,23 @@
 	case n < 30:
 		m.deliver(i)
 	case n < 60:
-		m.start()
+		m.startRandomTask()
 	case n < 72:
 		m.finishOne()
 	case n < 86:
-		m.plan(i, true)
+		m.planAndCommit(i, true)
 	case n < 89:
 		m.executeLate()
 	case n < 93:
-		m.rebuild(m.partition(), 0.3)
+		m.rebuild(m.randomPartition(), 0.3)
 	case n < 95:
-		m.takeOver(m.partition(), i)
+		m.takeOver(m.randomPartition(), i)
 	case n < 96:
 		m.restart(i)
 	case n < 97:
 		m.tables[i].AskIdle(modelTeams[m.rng.IntN(2)])
 	case n < 98:
-		m.renewOwnership(m.partition())
+		m.renewOwnership(m.randomPartition())
 	default:
 		m.setLimit(modelTeams[m.rng.IntN(2)])
 	}
@@ -283,11 +286,11 @@
 	m.tables[m.owner[partition]].Own(partition, m.revision)
 }
 
-// problem compares what runs with the limit in force.
-func (m *model) problem() string {
+// problem returns a violation of a limit in force by the running tasks or the parts, or "".
+func (m *model) violation() string {
 	for _, team := range modelTeams {
 		var total task.Resources
-		for _, r := range m.running {
+		for _, r := range m.runningTasks {
 			if r.team == team {
 				total = total.Add(r.size)
 			}
@@ -303,16 +306,16 @@
 	return ""
 }
 
-// run plays steps with faults, then ends all work and checks that everything
-// returns within 20 s.
+// run executes random steps with faults, then ends all tasks and checks that all
+// allowance is returned within 20 s.
 func (m *model) run(steps int) string {
 	for n := range steps {
 		m.step()
-		if problem := m.problem(); problem != "" {
+		if problem := m.violation(); problem != "" {
 			return fmt.Sprintf("step %d: %s", n, problem)
 		}
 	}
-	for len(m.running) > 0 {
+	for len(m.runningTasks) > 0 {
 		m.finishOne()
 	}
 	for len(m.inFlight) > 0 {
@@ -322,14 +325,14 @@
 		m.now = m.now.Add(500 * time.Millisecond)
 		for i := range m.tables {
 			m.deliver(i)
-			m.plan(i, false)
+			m.planAndCommit(i, false)
 		}
 		for _, p := range modelPartitions {
 			m.rebuild(p, 0)
 		}
 	}
 	for team, r := range m.records {
-		if r.HasPending || !limited(r.sum(), r.Limit).IsZero() {
+		if r.HasPending || !onlyLimited(r.sum(), r.Limit).IsZero() {
 			return fmt.Sprintf("team %s still holds %v (pending %v) after 20 s without work", team, r.Parts, r.HasPending)
 		}
 	}
@@ -343,25 +346,25 @@
 	return normal
 }
 
-// TestNeverAboveLimit guards against more running work of a team than its limit
-// in force, and against allowance that is never returned.
+// TestNeverAboveLimit guards against a team whose running tasks exceed its limit in
+// force, and against allowance that is never returned.
 func TestNeverAboveLimit(t *testing.T) {
 	cells := map[string]int{}
 	for seed := range modelRuns(500) {
-		m := newModel(uint64(seed), faults{})
+		m := newModel(uint64(seed), seededFaults{})
 		if problem := m.run(600); problem != "" {
 			t.Fatalf("seed %d: %s", seed, problem)
 		}
-		for cell, n := range m.covered {
+		for cell, n := range m.coverage {
 			cells[cell] += n
 		}
 	}
 	for _, kind := range writeKinds {
-		for _, fate := range fates {
+		for _, fate := range writeOutcomes {
 			if cells[kind+", "+fate] == 0 {
-				t.Errorf("not covered: %s, %s", kind, fate)
+				t.Errorf("combination of write and outcome not covered: %s, %s", kind, fate)
 			}
 		}
 	}
-	t.Logf("fault matrix: %d writes x %d fates = %d cells, %d covered: %v", len(writeKinds), len(fates), len(writeKinds)*len(fates), len(cells), cells)
+	t.Logf("fault matrix: %d writes x %d fates = %d cells, %d covered: %v", len(writeKinds), len(writeOutcomes), len(writeKinds)*len(writeOutcomes), len(cells), cells)
 }
--- a/allowance/plan.go
+++ b/allowance/plan.go
@@ -6,26 +6,27 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// fallbackIntervals is how many intervals a process leaves to others to write a
-// change that any process could write, so that they do not all write it at once.
+// fallbackIntervals is the number of intervals for which a process delays a change that
+// any process could write. Another process usually writes it within that time, so that
+// not all of them write it at once.
 const fallbackIntervals = 2
 
-// Plan returns the records to write in one transaction, or nothing if none is
-// due. The caller reports them with exactly one WriteDone.
+// Plan returns the records to write in one transaction, or nothing if none is due. The
+// caller answers a non-empty result with exactly one call of WriteDone.
 func (t *Table) Plan(now time.Time) []Write {
-	if t.inFlight || now.Before(t.nextPlan) || t.seen == 0 {
+	if t.inFlight || now.Before(t.nextPlan) || t.seenRevision == 0 {
 		return nil
 	}
 	var writes []Write
 	for i := range t.order {
-		at := (t.first + i) % len(t.order)
+		at := (t.nextTeam + i) % len(t.order)
 		w, ok := t.planTeam(now, t.order[at])
 		if !ok {
 			continue
 		}
 		writes = append(writes, w)
 		if len(writes) == t.batchLimit {
-			t.first = (at + 1) % len(t.order)
+			t.nextTeam = (at + 1) % len(t.order)
 			break
 		}
 	}
@@ -37,9 +38,9 @@
 }
 
 func (t *Table) planTeam(now time.Time, tm *team) (Write, bool) {
-	// A partition of this owner that found nothing free the last time needs what
-	// the others do not use, as one of another owner does.
-	tm.askedIdle = tm.askedIdle || tm.starving
+	// A partition of this owner that could not be granted its need by the last plan
+	// needs the idle allowance of the others, like a partition of another owner.
+	tm.idleRequested = tm.idleRequested || tm.starving
 	tm.starving = false
 	p := planner{table: t, now: now, team: tm, next: tm.record, owners: make(map[string]int64)}
 	p.next.Team = tm.name
@@ -48,23 +49,24 @@
 		return Write{}, false
 	}
 	p.returnIdle()
-	p.settle()
+	p.applyPending()
 	p.grant()
-	tm.askedIdle = false
-	if !p.changed && !tm.unclear {
+	tm.idleRequested = false
+	if !p.changed && !tm.indeterminate {
 		return Write{}, false
 	}
 	p.next.Revision = 0
 	w := Write{Record: p.next, Expect: tm.record.Revision, Owners: p.owners}
-	tm.lower(w)
-	if t.faults.noOwnerGuard {
+	tm.lowerFloor(w)
+	if t.seededFaults.noOwnerGuard {
 		w.Owners = nil
 	}
 	return w, true
 }
 
-// lower notes that the write may replace the known record, from now on.
-func (tm *team) lower(w Write) {
+// lowerFloor lowers the floor to the amounts of the write, which may replace the known
+// record from now on.
+func (tm *team) lowerFloor(w Write) {
 	if tm.floor == nil {
 		tm.floor = make(map[string]task.Resources, len(w.Record.Parts))
 		for name, part := range w.Record.Parts {
@@ -79,19 +81,19 @@
 
 // planner builds the next record of one team.
 type planner struct {
-	table   *Table
-	now     time.Time
-	team    *team
-	next    Record
-	owned   bool // next.Parts is a copy
-	changed bool
-	owners  map[string]int64
-	total   task.Resources // sum of next.Parts, once summed
-	summed  bool
+	table       *Table
+	now         time.Time
+	team        *team
+	next        Record
+	partsCopied bool // next.Parts is a copy
+	changed     bool
+	owners      map[string]int64
+	total       task.Resources // sum of next.Parts; valid if summed is set
+	summed      bool
 }
 
-// sum returns the sum of the parts, which is kept up to date by change, since
-// one plan may grant to many partitions.
+// sum returns the sum of the parts. It is computed once and then updated by change,
+// because one plan may grant to many partitions.
 func (p *planner) sum() task.Resources {
 	if !p.summed {
 		p.total, p.summed = p.next.sum(), true
@@ -99,50 +101,50 @@
 	return p.total
 }
 
-func (p *planner) since(at time.Time) bool {
+func (p *planner) isOverdue(at time.Time) bool {
 	return p.now.Sub(at) >= fallbackIntervals*p.table.cfg.Interval
 }
 
-// applyLimit writes the limit of the newest document. A missing record is
-// created at once, since work of the team waits for it.
+// applyLimit applies the limit of the newest document. A missing record is created at
+// once, because tasks of the team wait for it.
 func (p *planner) applyLimit() {
 	tm := p.team
 	if tm.limitRevision <= tm.record.LimitRevision {
 		return
 	}
-	if tm.record.Revision == 0 || p.since(tm.limitSetAt) {
+	if tm.record.Revision == 0 || p.isOverdue(tm.limitSetAt) {
 		p.next = WithLimit(p.next, tm.limit, tm.limitRevision)
 		p.changed = true
 	}
 }
 
-// settle puts a pending limit in force when enough was returned.
-func (p *planner) settle() {
-	if !p.next.HasPending || !p.changed && !p.since(p.team.observedAt) {
+// applyPending puts a pending limit in force once enough allowance has been returned.
+func (p *planner) applyPending() {
+	if !p.next.HasPending || !p.changed && !p.isOverdue(p.team.observedAt) {
 		return
 	}
-	if p.next.settle() {
+	if p.next.applyPending() {
 		p.changed = true
 	}
 }
 
-// returnIdle returns what partitions do not use: at once while a lower limit is
-// pending or another owner lacks allowance, and otherwise what has been idle
-// for the idle time.
+// returnIdle returns the allowance that owned partitions do not use: at once while a
+// lower limit is pending or another partition lacks allowance, and otherwise after it
+// has been idle for Config.Idle.
 func (p *planner) returnIdle() {
 	t, tm := p.table, p.team
 	for _, name := range t.owned {
 		part := t.partitions[name]
-		if !t.isUsable(part) || !part.rebuilt && !t.faults.skipRebuild {
+		if !t.isUsable(part) || !part.rebuilt && !t.seededFaults.skipRebuild {
 			continue
 		}
 		held := t.held(tm, name)
 		if held.IsZero() {
 			continue
 		}
-		idle := positive(held.Sub(p.keep(t.useOf(p.now, tm, name), part)))
+		idle := nonNegative(held.Sub(p.amountToKeep(t.useOf(p.now, tm, name), part)))
 		if !p.next.HasPending {
-			idle = limited(idle, p.next.Limit)
+			idle = onlyLimited(idle, p.next.Limit)
 		}
 		if !idle.IsZero() {
 			p.change(name, part, idle.Scale(-1))
@@ -150,21 +152,21 @@
 	}
 }
 
-// keep returns the amount that stays with the partition.
-func (p *planner) keep(u *use, part *partition) task.Resources {
+// amountToKeep returns the amount that the partition keeps.
+func (p *planner) amountToKeep(u *use, part *partition) task.Resources {
 	t := p.table
 	if p.next.HasPending {
 		return t.used(part, u)
 	}
 	_, total := u.demand(p.now)
 	wanted := t.used(part, u).Add(total)
-	if p.team.askedIdle {
+	if p.team.idleRequested {
 		return wanted
 	}
 	return wanted.Max(u.peak(p.now, t.cfg.Idle))
 }
 
-// grant takes blocks for the partitions that lack allowance.
+// grant grants allowance to the owned partitions that need more.
 func (p *planner) grant() {
 	t, tm := p.table, p.team
 	if p.next.HasPending {
@@ -172,33 +174,33 @@
 	}
 	for _, name := range t.owned {
 		part := t.partitions[name]
-		if tm.use[name] == nil || !t.isUsable(part) {
+		if tm.useByPartition[name] == nil || !t.isUsable(part) {
 			continue
 		}
 		u := t.useOf(p.now, tm, name)
-		one, total := u.demand(p.now)
+		largest, total := u.demand(p.now)
 		short := t.used(part, u).Sub(p.next.Parts[name])
-		need := positive(short.Add(total))
+		need := nonNegative(short.Add(total))
 		if need.IsZero() {
 			continue
 		}
-		p.grantBlock(name, part, positive(short.Add(one)), need)
+		p.grantBlock(name, part, nonNegative(short.Add(largest)), need)
 	}
 }
 
-// grantBlock takes twice the need, at most a quarter of what is free, and at
-// least what the largest waiting task needs. Resources without a limit double,
-// so that a growing team seldom waits for them.
-func (p *planner) grantBlock(name string, part *partition, one, need task.Resources) {
-	limit := bound(p.next.Limit)
-	free := positive(limit.Sub(p.sum()))
-	if !one.Fits(free) {
+// grantBlock grants twice the need, but at most a quarter of the free amount, and at
+// least what the largest waiting task needs. The amounts of needed resources without a
+// limit at least double, so that a growing team rarely waits for them.
+func (p *planner) grantBlock(name string, part *partition, largest, need task.Resources) {
+	limit := withUnlimited(p.next.Limit)
+	free := nonNegative(limit.Sub(p.sum()))
+	if !largest.Fits(free) {
 		p.team.starving = true
 		return
 	}
-	block := need.Scale(2).Min(quarter(free).Max(one))
+	block := need.Scale(2).Min(quarter(free).Max(largest))
 	block = block.Max(unlimitedGrowth(p.next.Parts[name], need, p.next.Limit))
-	if limited(block, p.next.Limit).IsZero() && !limited(need, p.next.Limit).IsZero() {
+	if onlyLimited(block, p.next.Limit).IsZero() && !onlyLimited(need, p.next.Limit).IsZero() {
 		p.team.starving = true
 	}
 	if !block.IsZero() {
@@ -208,12 +210,12 @@
 
 // change adds delta to the amount of an owned partition in the next record.
 func (p *planner) change(name string, part *partition, delta task.Resources) {
-	if !p.owned {
+	if !p.partsCopied {
 		p.next = p.next.clone()
-		p.owned = true
+		p.partsCopied = true
 	}
-	if p.table.faults.untracked {
-		delta = limited(delta, p.next.Limit)
+	if p.table.seededFaults.ignoreUnlimited {
+		delta = onlyLimited(delta, p.next.Limit)
 	}
 	amount := p.next.Parts[name].Add(delta)
 	p.next.Parts[name] = amount
@@ -221,13 +223,13 @@
 		delete(p.next.Parts, name)
 	}
 	p.total = p.total.Add(delta)
-	p.owners[name] = part.guard
+	p.owners[name] = part.ownershipRevision
 	p.changed = true
 }
 
-// WriteDone reports the end of the transaction that Plan returned. A conflict
-// halves the number of teams in the next transaction, because one changed
-// record fails all of them.
+// WriteDone reports the outcome of the transaction that Plan returned. A conflict
+// halves the number of teams in the next transaction, because one changed record makes
+// the whole transaction fail.
 func (t *Table) WriteDone(now time.Time, writes []Write, result WriteResult) {
 	t.inFlight = false
 	for _, w := range writes {
@@ -237,9 +239,9 @@
 			w.Record.Revision = result.Revision
 			t.Observe(now, w.Record)
 		case Unclear:
-			tm.unclear = tm.floor != nil
+			tm.indeterminate = tm.floor != nil
 		default:
-			if !tm.unclear {
+			if !tm.indeterminate {
 				tm.floor = nil
 			}
 		}
--- a/allowance/record.go
+++ b/allowance/record.go
@@ -6,63 +6,63 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Record is the division of the upper limit of one team, as the store holds it.
-// Parts holds every resource, also those without a limit, so that a limit that
-// is set later is compared with what runs.
+// Record is the stored division of the resource limit of one team. Parts includes
+// resources without a limit, so that a limit that is set later is compared with the
+// resources in use.
 type Record struct {
 	Team          task.Team                 `json:"team"`
-	Limit         task.Resources            `json:"limit"`                 // in force; a zero amount means no limit on that resource
+	Limit         task.Resources            `json:"limit"`                 // in force; zero means that the resource has no limit
 	Pending       task.Resources            `json:"pending"`               // lower limit that is not in force yet
 	HasPending    bool                      `json:"has_pending,omitempty"` // whether Pending is set
-	LimitRevision int64                     `json:"limit_revision"`        // of the document that states the newest limit
+	LimitRevision int64                     `json:"limit_revision"`        // of the document that sets the newest limit
 	Parts         map[string]task.Resources `json:"parts,omitempty"`       // by worker partition
 	Revision      int64                     `json:"-"`                     // of the store; 0 if there is no record
 }
 
-// Write asks for a replacement of the record of one team. The transaction that
-// carries it succeeds only if the record's last revision is Expect (0: absent)
-// and the ownership record of each partition in Owners has the stated revision.
-// The latter keeps a former owner's delayed write from returning an allowance
-// that the next owner relies on.
+// Write requests the replacement of the record of one team. Its transaction succeeds
+// only if the record's last revision is Expect (0: absent) and the ownership record of
+// each partition in Owners has the given revision. The compare of the ownership records
+// prevents a delayed write of a former owner from returning an allowance on which the
+// next owner relies.
 type Write struct {
 	Record Record
 	Expect int64
 	Owners map[string]int64
 }
 
-// Outcome is the end of a transaction.
+// Outcome is the result of a transaction.
 type Outcome int
 
-// The outcomes.
 const (
 	Succeeded Outcome = iota + 1
 	Conflict          // a compare failed; nothing was written
-	Unclear           // the transaction may take effect, also later
+	Unclear           // indeterminate: the transaction may have taken effect or may do so later
 	NoEffect          // the transaction did not and will not take effect
 )
 
-// WriteResult reports the end of a transaction.
+// WriteResult reports the outcome of a transaction.
 type WriteResult struct {
 	Outcome  Outcome
-	Revision int64    // of the records, when succeeded
-	Current  []Record // as the store returned them with a conflict
+	Revision int64    // of the records, if the transaction succeeded
+	Current  []Record // records that the store returned with a conflict
 }
 
-// WithLimit returns the record that follows r when the document of the given
-// revision states the limit. A limit below what the partitions hold becomes
-// pending; an older document changes nothing.
+// WithLimit returns r with the limit that the document of the given revision sets. A
+// limit below the sum of the allowances becomes pending until enough is returned. A
+// document that is not newer than LimitRevision is ignored.
 func WithLimit(r Record, limit task.Resources, revision int64) Record {
 	if revision <= r.LimitRevision {
 		return r
 	}
 	r.LimitRevision = revision
 	r.Pending, r.HasPending = limit, true
-	r.settle()
+	r.applyPending()
 	return r
 }
 
-// settle puts a pending limit in force if the partitions hold no more than that.
-func (r *Record) settle() bool {
+// applyPending puts a pending limit in force if the sum of the allowances does not
+// exceed it. It reports whether it did.
+func (r *Record) applyPending() bool {
 	if !r.HasPending || !fitsLimit(r.sum(), r.Pending) {
 		return false
 	}
@@ -87,12 +87,12 @@
 	return c
 }
 
-// unlimited is the amount that stands for "no limit" in comparisons. It is far
-// above any fleet, and sums of it do not overflow.
+// unlimited represents "no limit" in comparisons. It is far above the capacity of any
+// fleet, and sums of such amounts do not overflow.
 const unlimited = int64(1) << 50
 
-// bound replaces the zero amounts of a limit by unlimited.
-func bound(limit task.Resources) task.Resources {
+// withUnlimited replaces the zero amounts of a limit by unlimited.
+func withUnlimited(limit task.Resources) task.Resources {
 	return task.Resources{
 		CPUMilli:     orUnlimited(limit.CPUMilli),
 		MemoryMB:     orUnlimited(limit.MemoryMB),
@@ -109,28 +109,28 @@
 	return n
 }
 
-// limited returns the amounts of r in the resources that have a limit.
-func limited(r, limit task.Resources) task.Resources {
+// onlyLimited returns r with zero amounts of the resources that have no limit.
+func onlyLimited(r, limit task.Resources) task.Resources {
 	return task.Resources{
-		CPUMilli:     ifLimited(r.CPUMilli, limit.CPUMilli),
-		MemoryMB:     ifLimited(r.MemoryMB, limit.MemoryMB),
-		Accelerators: ifLimited(r.Accelerators, limit.Accelerators),
-		Slots:        ifLimited(r.Slots, limit.Slots),
-		Connections:  ifLimited(r.Connections, limit.Connections),
+		CPUMilli:     amountIfLimited(r.CPUMilli, limit.CPUMilli),
+		MemoryMB:     amountIfLimited(r.MemoryMB, limit.MemoryMB),
+		Accelerators: amountIfLimited(r.Accelerators, limit.Accelerators),
+		Slots:        amountIfLimited(r.Slots, limit.Slots),
+		Connections:  amountIfLimited(r.Connections, limit.Connections),
 	}
 }
 
-func ifLimited(n, limit int64) int64 {
+func amountIfLimited(n, limit int64) int64 {
 	if limit == 0 {
 		return 0
 	}
 	return n
 }
 
-func fitsLimit(r, limit task.Resources) bool { return r.Fits(bound(limit)) }
+func fitsLimit(r, limit task.Resources) bool { return r.Fits(withUnlimited(limit)) }
 
 // positive replaces negative amounts by zero.
-func positive(r task.Resources) task.Resources { return r.Max(task.Resources{}) }
+func nonNegative(r task.Resources) task.Resources { return r.Max(task.Resources{}) }
 
 // quarter returns a quarter of each amount.
 func quarter(r task.Resources) task.Resources {
@@ -143,9 +143,9 @@
 	}
 }
 
-// unlimitedGrowth returns the amounts of r in the resources that have no limit
-// and of which something is needed.
+// unlimitedGrowth returns r with zero amounts of the resources that have a limit or are
+// not needed.
 func unlimitedGrowth(r, need, limit task.Resources) task.Resources {
-	open := r.Sub(limited(r, limit))
-	return limited(open, need)
+	open := r.Sub(onlyLimited(r, limit))
+	return onlyLimited(open, need)
 }
--- a/allowance/seeded_test.go
+++ b/allowance/seeded_test.go
@@ -8,15 +8,15 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// How the return of an idle allowance meets its further use.
+// Races between the return of an idle allowance and its further use.
 const (
-	lateReturn   = "late"   // it takes effect after the next owner has read the record
-	unseenReturn = "unseen" // the next owner's watch has not shown it yet
-	unclearReply = "reply"  // the partition stays, but the reply is lost
+	lateReturn   = "late"   // the return takes effect after the next owner has read the record
+	unseenReturn = "unseen" // the next owner's watch has not delivered the return yet
+	unclearReply = "reply"  // the owner does not change, but the reply is lost
 )
 
-// returnIdle lets the owner of a partition return what is idle there, uses the
-// whole former allowance, and then lets another partition take what is free.
+// returnIdle makes the owner of a partition return idle allowance, tries to use the
+// whole former allowance, and then makes another partition take the free amount.
 func (m *model) returnIdle(how string) string {
 	from, other, next := modelPartitions[0], modelPartitions[2], 1
 	if how == unclearReply {
@@ -28,9 +28,9 @@
 	m.tables[0].Rebuilt(from)
 	m.tables[2].Rebuilt(other)
 	m.deliver(0)
-	m.fill(from)
+	m.fillPartition(from)
 	m.deliver(1)
-	for len(m.running) > 3 {
+	for len(m.runningTasks) > 3 {
 		m.finishOne()
 	}
 	m.tables[0].AskIdle("a")
@@ -48,38 +48,38 @@
 	}
 	m.rebuild(from, 0)
 	for range 10 {
-		m.startOf("a", from, slot)
+		m.startTask("a", from, slot)
 	}
 	if how == lateReturn {
 		m.execute(returned)
 	}
 	m.deliver(2)
-	m.fill(other)
-	return m.problem()
+	m.fillPartition(other)
+	return m.violation()
 }
 
-// fill starts as much work of team a at the partition as it gets allowance for.
-func (m *model) fill(partition string) {
+// fillPartition starts as many tasks of team a at the partition as it gets allowance for.
+func (m *model) fillPartition(partition string) {
 	for range 40 {
 		m.now = m.now.Add(time.Second)
-		m.startOf("a", partition, task.Resources{Slots: 1})
-		m.plan(m.owner[partition], false)
+		m.startTask("a", partition, task.Resources{Slots: 1})
+		m.planAndCommit(m.owner[partition], false)
 	}
 }
 
-// TestReturnedAllowanceIsNotUsed guards against an allowance that is returned,
-// and used by its former or next holder too.
+// TestReturnedAllowanceIsNotUsed guards against an allowance that is returned and still
+// used by its former holder or by the next owner of the partition.
 func TestReturnedAllowanceIsNotUsed(t *testing.T) {
 	for _, c := range []struct {
 		rule   string
-		seeded faults
+		seeded seededFaults
 		how    string
 	}{
-		{"writes compare the ownership records", faults{noOwnerGuard: true}, lateReturn},
-		{"records must be as new as the ownership", faults{staleRecord: true}, unseenReturn},
-		{"what may have been returned is not used", faults{keepReturned: true}, unclearReply},
+		{"writes compare the ownership records", seededFaults{noOwnerGuard: true}, lateReturn},
+		{"records must be as new as the ownership", seededFaults{staleRecord: true}, unseenReturn},
+		{"what may have been returned is not used", seededFaults{useReturned: true}, unclearReply},
 	} {
-		if problem := newModel(1, faults{}).returnIdle(c.how); problem != "" {
+		if problem := newModel(1, seededFaults{}).returnIdle(c.how); problem != "" {
 			t.Errorf("with the rule %q: %s", c.rule, problem)
 		}
 		problem := newModel(1, c.seeded).returnIdle(c.how)
@@ -90,13 +90,13 @@
 	}
 }
 
-// TestCheckerFindsSeededFaults guards against a checker that would not notice
-// the absence of a safety rule.
+// TestCheckerFindsSeededFaults guards against a checker that does not detect the absence
+// of a safety rule.
 func TestCheckerFindsSeededFaults(t *testing.T) {
-	for name, seeded := range map[string]faults{
+	for name, seeded := range map[string]seededFaults{
 		"a grant counts only after a definite success":    {useUnconfirmed: true},
 		"tasks of silent workers count as running":        {skipRebuild: true},
-		"resources without a limit are counted all along": {untracked: true},
+		"resources without a limit are counted all along": {ignoreUnlimited: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(1000) {
--- a/allowance/table.go
+++ b/allowance/table.go
@@ -9,7 +9,7 @@
 
 // Config holds the intervals of a table.
 type Config struct {
-	Idle     time.Duration // unused for this long, an allowance is returned
+	Idle     time.Duration // how long an allowance is unused before it is returned
 	Interval time.Duration // between two transactions of one process
 }
 
@@ -21,62 +21,63 @@
 // Table holds the allowances of the worker partitions that one process owns. It
 // is not safe for concurrent use. Times are readings of the monotonic clock.
 type Table struct {
-	cfg    Config
-	faults faults
+	cfg          Config
+	seededFaults seededFaults
 
-	teams      map[task.Team]*team
-	order      []*team // by name; where Plan starts moves on
-	first      int
-	partitions map[string]*partition
-	owned      []string // names of partitions, sorted
-	seen       int64    // every change up to this store revision has been observed
+	teams        map[task.Team]*team
+	order        []*team // sorted by name
+	nextTeam     int     // index in order at which the next Plan starts
+	partitions   map[string]*partition
+	owned        []string // names of partitions, sorted
+	seenRevision int64    // every change up to this store revision has been observed
 
-	inFlight   bool // a transaction has not been reported with WriteDone
+	inFlight   bool // WriteDone was not yet called for the last transaction
 	nextPlan   time.Time
 	batchLimit int // teams in the next transaction
 }
 
 // partition is one worker partition that this process owns.
 type partition struct {
-	since   int64 // revision of the ownership record when it was gained
-	guard   int64 // latest revision of that record
-	rebuilt bool  // the running tasks of all workers are known
+	gainedRevision    int64 // revision of the ownership record when it was gained
+	ownershipRevision int64 // latest revision of that record
+	rebuilt           bool  // the running tasks of all workers are known
 }
 
-// team is what is known of one team.
+// team is the state of one team.
 type team struct {
-	name       task.Team
-	record     Record
-	loaded     bool // the record was observed, or its absence
-	observedAt time.Time
-	use        map[string]*use // by owned partition
+	name           task.Team
+	record         Record
+	loaded         bool // the record has been observed
+	observedAt     time.Time
+	useByPartition map[string]*use // by owned partition
 
-	limit         task.Resources // as the newest document states it
+	limit         task.Resources // of the newest document
 	limitRevision int64
 	limitSetAt    time.Time
 
-	floor       map[string]task.Resources // least amounts that unresolved writes leave
-	floorExpect int64                     // revision that these writes compare with
-	unclear     bool                      // one of them may take effect later
-	askedIdle   bool                      // another owner lacks allowance
-	starving    bool                      // this owner lacks allowance and nothing is free
+	floor         map[string]task.Resources // minimum amounts over the writes that may take effect; nil without such a write
+	floorExpect   int64                     // expected revision of these writes
+	indeterminate bool                      // one of them may take effect later
+	idleRequested bool                      // another partition lacks allowance, of this or another owner
+	starving      bool                      // this owner lacks allowance and the free amount is too small
 }
 
-// faults disables single safety rules. Only tests set it.
-type faults struct {
-	useUnconfirmed bool // use a grant before its write has a definite success
-	keepReturned   bool // use what an unresolved write may have returned
-	noOwnerGuard   bool // write without comparing the ownership records
-	staleRecord    bool // use a record older than the ownership
-	skipRebuild    bool // treat tasks of silent workers as ended
-	untracked      bool // keep no amounts of resources without a limit
+// seededFaults disables single safety rules. Only tests set it, to show that their checks
+// detect the absence of each rule.
+type seededFaults struct {
+	useUnconfirmed  bool // use a grant before its write is known to have succeeded
+	useReturned     bool // use allowance that an unresolved write may have returned
+	noOwnerGuard    bool // write without comparing the ownership records
+	staleRecord     bool // use a record older than the ownership
+	skipRebuild     bool // treat the tasks of workers without a report as ended
+	ignoreUnlimited bool // do not track resources without a limit
 }
 
-// maxBatch bounds the teams in one transaction, which keeps it below the limit
-// of operations that the store accepts.
+// maxBatch is the maximum number of teams in one transaction. It keeps the transaction
+// below the store's limit of operations.
 const maxBatch = 100
 
-// New returns a table that owns nothing.
+// New returns a table without partitions.
 func New(cfg Config) *Table {
 	return &Table{
 		cfg:        cfg,
@@ -90,7 +91,7 @@
 	if tm, ok := t.teams[name]; ok {
 		return tm
 	}
-	tm := &team{name: name, use: make(map[string]*use)}
+	tm := &team{name: name, useByPartition: make(map[string]*use)}
 	t.teams[name] = tm
 	t.order = append(t.order, tm)
 	slices.SortFunc(t.order, func(a, b *team) int {
@@ -102,8 +103,8 @@
 	return tm
 }
 
-// Observe takes a record as read from the store. A record that is not newer
-// than the known one is ignored.
+// Observe applies a record that was read from the store. It ignores a record that is
+// not newer than the known one.
 func (t *Table) Observe(now time.Time, r Record) {
 	tm := t.team(r.Team)
 	if r.Revision <= tm.record.Revision {
@@ -111,17 +112,17 @@
 	}
 	tm.record, tm.loaded, tm.observedAt = r, true, now
 	if r.Revision > tm.floorExpect {
-		tm.floor, tm.unclear = nil, false
+		tm.floor, tm.indeterminate = nil, false
 	}
 }
 
-// ObserveThrough states that every change of the store up to the revision has
-// been passed to Observe. It follows a complete list or a watch batch.
-func (t *Table) ObserveThrough(revision int64) { t.seen = max(t.seen, revision) }
+// ObserveThrough reports that every change of the store up to the revision has been
+// passed to Observe. It is called after a complete list or a watch batch.
+func (t *Table) ObserveThrough(revision int64) { t.seenRevision = max(t.seenRevision, revision) }
 
-// SetLimit takes the limit of a team as the document of the given revision
-// states it. The operator's commit of a document normally writes the allowance
-// record too (see WithLimit); Plan writes it if that did not happen.
+// SetLimit applies the limit that the document of the given revision sets for a team.
+// The transaction that commits a document normally also writes the allowance record
+// (see WithLimit). If it did not, Plan writes the record.
 func (t *Table) SetLimit(now time.Time, name task.Team, limit task.Resources, revision int64) {
 	tm := t.team(name)
 	if revision <= tm.limitRevision {
@@ -130,45 +131,47 @@
 	tm.limit, tm.limitRevision, tm.limitSetAt = limit, revision, now
 }
 
-// Own states that this process owns the partition, by an ownership record of
-// the given revision. A later call with a new revision of the same ownership
-// updates the revision that writes are compared with.
+// Own reports that this process owns the partition, with an ownership record of the
+// given revision. A later call for the same ownership updates the revision that writes
+// compare.
 func (t *Table) Own(name string, revision int64) {
 	if p, ok := t.partitions[name]; ok {
-		p.guard = max(p.guard, revision)
+		p.ownershipRevision = max(p.ownershipRevision, revision)
 		return
 	}
-	t.partitions[name] = &partition{since: revision, guard: revision}
+	t.partitions[name] = &partition{gainedRevision: revision, ownershipRevision: revision}
 	t.owned = append(t.owned, name)
 	slices.Sort(t.owned)
 }
 
-// Rebuilt states that every worker of the partition has reported its tasks
-// since the partition was gained, or that the leases of its tasks have ended.
-// Until then the whole allowance that the partition had counts as in use.
+// Rebuilt reports that, since the partition was gained, every worker of it has reported
+// its tasks or the leases of the worker's tasks have ended. Until then the whole
+// allowance that the partition held counts as in use.
 func (t *Table) Rebuilt(name string) {
 	if p := t.partitions[name]; p != nil {
 		p.rebuilt = true
 	}
 }
 
-// Disown states that this process does not own the partition any more.
+// Disown reports that this process no longer owns the partition.
 func (t *Table) Disown(name string) {
 	delete(t.partitions, name)
 	t.owned = slices.DeleteFunc(t.owned, func(o string) bool { return o == name })
 	for _, tm := range t.teams {
-		delete(tm.use, name)
+		delete(tm.useByPartition, name)
 	}
 }
 
-// isUsable reports whether the records are at least as new as the ownership. An
-// older record may show an allowance that the former owner has returned.
+// isUsable reports whether this process owns the partition and the records are at least
+// as new as the ownership. An older record may include an allowance that the former
+// owner has returned.
 func (t *Table) isUsable(p *partition) bool {
-	return p != nil && (t.seen >= p.since || t.faults.staleRecord)
+	return p != nil && (t.seenRevision >= p.gainedRevision || t.seededFaults.staleRecord)
 }
 
-// Acquire takes size from the partition's allowance for one start. On refusal
-// it notes the size as wanted, for the next Plan.
+// Acquire takes size from the partition's allowance for the start of one task. If the
+// available allowance is too small, Acquire returns false and records the demand for
+// the next Plan.
 func (t *Table) Acquire(now time.Time, name task.Team, partition string, size task.Resources) bool {
 	tm, p := t.team(name), t.partitions[partition]
 	if !t.isUsable(p) || !tm.loaded {
@@ -179,28 +182,28 @@
 	}
 	u := t.useOf(now, tm, partition)
 	compared := size
-	if t.faults.untracked {
-		compared = limited(size, tm.record.Limit)
+	if t.seededFaults.ignoreUnlimited {
+		compared = onlyLimited(size, tm.record.Limit)
 	}
 	if !compared.Fits(t.available(tm, partition, p, u)) {
-		u.want(now, size)
+		u.recordDemand(now, size)
 		return false
 	}
 	u.add(now, size, t.cfg.Idle)
 	return true
 }
 
-// Want notes how much the tasks of the team that wait at the partition need in
-// total, so that one transaction covers them.
+// Want records the total demand of the team's tasks that wait at the partition, so that
+// one transaction covers all of them.
 func (t *Table) Want(now time.Time, name task.Team, partition string, total task.Resources) {
 	if t.partitions[partition] == nil {
 		return
 	}
 	u := t.useOf(now, t.team(name), partition)
-	u.wanted, u.wantedAt = total, now
+	u.totalDemand, u.totalDemandAt = total, now
 }
 
-// Count takes size for a task that was found running. It is never refused.
+// Count adds the size of a task that was found running, also above the allowance.
 func (t *Table) Count(now time.Time, name task.Team, partition string, size task.Resources) {
 	if t.partitions[partition] == nil {
 		return
@@ -210,8 +213,7 @@
 	u.add(now, size, t.cfg.Idle)
 }
 
-// Return gives back the size of a task that has ended and that Acquire or Count
-// took.
+// Return releases the size that Acquire or Count took for a task that has ended.
 func (t *Table) Return(now time.Time, name task.Team, partition string, size task.Resources) {
 	if t.partitions[partition] == nil {
 		return
@@ -219,12 +221,12 @@
 	t.useOf(now, t.team(name), partition).add(now, size.Scale(-1), t.cfg.Idle)
 }
 
-// AskIdle notes that another owner lacks allowance of the team; idle amounts
-// are returned by the next Plan.
-func (t *Table) AskIdle(name task.Team) { t.team(name).askedIdle = true }
+// AskIdle records that another owner lacks allowance of the team. The next Plan returns
+// idle amounts.
+func (t *Table) AskIdle(name task.Team) { t.team(name).idleRequested = true }
 
-// Starving lists the teams for which this owner lacks allowance while nothing
-// is free, for the digest to the other owners.
+// Starving returns the teams for which this owner lacks allowance while the free amount
+// is too small. The digest reports them to the other owners.
 func (t *Table) Starving() []task.Team {
 	var names []task.Team
 	for _, tm := range t.order {
@@ -254,26 +256,26 @@
 	return tm.record, true
 }
 
-// held returns the amount that the partition surely holds: the least of the
-// known record and of every write that may have replaced it.
+// held returns the amount that the partition holds in any case: the minimum of the known
+// record and of every write that may have replaced it.
 func (t *Table) held(tm *team, partition string) task.Resources {
 	amount := tm.record.Parts[partition]
-	if tm.floor == nil || t.faults.keepReturned {
+	if tm.floor == nil || t.seededFaults.useReturned {
 		return amount
 	}
 	return amount.Min(tm.floor[partition])
 }
 
 func (t *Table) used(p *partition, u *use) task.Resources {
-	if p.rebuilt || t.faults.skipRebuild {
-		return u.net
+	if p.rebuilt || t.seededFaults.skipRebuild {
+		return u.inUse
 	}
-	return u.net.Add(positive(u.base.Sub(u.counted)))
+	return u.inUse.Add(nonNegative(u.allowanceAtGain.Sub(u.counted)))
 }
 
 func (t *Table) available(tm *team, name string, p *partition, u *use) task.Resources {
 	amount := t.held(tm, name)
-	if t.faults.useUnconfirmed && tm.floor != nil {
+	if t.seededFaults.useUnconfirmed && tm.floor != nil {
 		amount = amount.Max(tm.floor[name])
 	}
 	free := amount.Sub(t.used(p, u))
--- a/allowance/table_test.go
+++ b/allowance/table_test.go
@@ -8,8 +8,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// TestPendingLimitStopsStarts guards against starts that keep the sum above a
-// lowered limit, and against a limit of an older document that comes back.
+// TestPendingLimitStopsStarts guards against starts that keep the sum above a lowered
+// limit, and against an older document that replaces a newer limit.
 func TestPendingLimitStopsStarts(t *testing.T) {
 	now, slots := time.Unix(1000, 0), func(n int64) task.Resources { return task.Resources{Slots: n} }
 	table := New(DefaultConfig())
@@ -42,12 +42,12 @@
 	table.Return(now, "a", "w/r/0", slots(1))
 	writes = table.Plan(now.Add(time.Second))
 	if len(writes) != 1 || writes[0].Record.Limit != slots(4) || writes[0].Record.HasPending {
-		t.Fatalf("the limit is not in force at its amount: %+v", writes)
+		t.Fatalf("the pending limit is not in force though the parts equal it: %+v", writes)
 	}
 }
 
-// TestConflictHalvesTransaction guards against a transaction over many teams
-// that fails again and again because one of the records changes each time.
+// TestConflictHalvesTransaction guards against a transaction over many teams that
+// conflicts repeatedly because one of the records changes each time.
 func TestConflictHalvesTransaction(t *testing.T) {
 	now := time.Unix(1000, 0)
 	table := newBenchTable(now, 8, 1)
@@ -62,7 +62,7 @@
 	}
 }
 
-// demandAll makes every team want more at every owned partition.
+// demandAll announces a demand of every team at every owned partition.
 func (t *Table) demandAll(now time.Time) {
 	for _, tm := range t.order {
 		for _, p := range t.owned {
@@ -71,7 +71,7 @@
 	}
 }
 
-// newBenchTable returns a table that owns one of eight shares of the partitions.
+// newBenchTable returns a table that owns every eighth partition.
 func newBenchTable(now time.Time, teams, partitions int) *Table {
 	t := New(DefaultConfig())
 	parts := map[string]task.Resources{}
@@ -117,8 +117,8 @@
 	}
 }
 
-// TestIdleOfSameOwner guards against a partition that waits for the idle time
-// though another one of the same owner does not use its allowance.
+// TestIdleOfSameOwner guards against a partition that waits for Config.Idle although
+// another partition of the same owner has idle allowance.
 func TestIdleOfSameOwner(t *testing.T) {
 	now, slots := time.Unix(1000, 0), func(n int64) task.Resources { return task.Resources{Slots: n} }
 	table := New(DefaultConfig())
