--- a/placement/alloc_test.go
+++ b/placement/alloc_test.go
@@ -8,8 +8,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// TestDecisionAllocatesNothing guards against garbage collection at 6,200
-// decisions a second.
+// TestDecisionAllocatesNothing guards against heap allocations in a decision: at 6,200 decisions
+// a second they would cause frequent garbage collection.
 func TestDecisionAllocatesNothing(t *testing.T) {
 	c := newFleet(500)
 	fillFleet(c, "half", rand.New(rand.NewPCG(1, 2)))
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -10,8 +10,8 @@
 
 var fleetSizes = []int{50, 500, 8200}
 
-// fills are the states of a cluster in which a decision is measured.
-var fills = []string{"half", "full", "none"}
+// fillStates are the utilization states in which a decision is benchmarked.
+var fillStates = []string{"half", "full", "none"}
 
 var commonSizes = []task.Resources{
 	{CPUMilli: 250, MemoryMB: 512, Slots: 1, Connections: 1},
@@ -21,7 +21,7 @@
 	{CPUMilli: 4000, MemoryMB: 32768, Slots: 1, Accelerators: 1},
 }
 
-// newFleet returns a cluster of workers of which a third have accelerators.
+// newFleet returns a cluster in which a third of the workers have accelerators.
 func newFleet(workers int) *Cluster {
 	c := NewCluster()
 	for i := range workers {
@@ -43,8 +43,8 @@
 	return c
 }
 
-// fillFleet starts tasks until the fleet is as full as asked: at "half" and
-// "full" a decision has nodes to choose from, at "none" nothing fits.
+// fillFleet reserves tasks up to the given fill state: in "half" and "full" some nodes still have
+// capacity, in "none" no request fits.
 func fillFleet(c *Cluster, fill string, random *rand.Rand) {
 	started := 0
 	for i := range c.nodes {
@@ -63,7 +63,7 @@
 }
 
 func forEachFleet(b *testing.B, run func(b *testing.B, c *Cluster)) {
-	for _, fill := range fills {
+	for _, fill := range fillStates {
 		for _, workers := range fleetSizes {
 			b.Run(fmt.Sprintf("%s/workers=%d", fill, workers), func(b *testing.B) {
 				c := newFleet(workers)
@@ -76,7 +76,7 @@
 	}
 }
 
-// BenchmarkFind is one choice without a reservation.
+// BenchmarkFind measures one node selection without a reservation.
 func BenchmarkFind(b *testing.B) {
 	forEachFleet(b, func(b *testing.B, c *Cluster) {
 		for i := range b.N {
@@ -85,7 +85,7 @@
 	})
 }
 
-// BenchmarkScan is the same choice by a plain scan for the best fit.
+// BenchmarkScan measures the same selection by a linear best-fit scan.
 func BenchmarkScan(b *testing.B) {
 	forEachFleet(b, func(b *testing.B, c *Cluster) {
 		free := make([]task.Resources, len(c.nodes))
@@ -99,7 +99,7 @@
 	})
 }
 
-// scan is the baseline: the first node with the least left over.
+// scan is the linear baseline. It returns the first node with the least capacity left over.
 func scan(free []task.Resources, size *task.Resources) int {
 	best, bestScore := -1, uint32(0)
 	for i := range free {
@@ -113,8 +113,8 @@
 	return best
 }
 
-// BenchmarkDecision is a choice, its reservation and the release of an earlier
-// task, which keeps the fleet as full as it was.
+// BenchmarkDecision measures a selection, its reservation and the release of an earlier task,
+// which keeps utilization constant.
 func BenchmarkDecision(b *testing.B) {
 	forEachFleet(b, func(b *testing.B, c *Cluster) {
 		attempts := make([]task.Attempt, 256)
@@ -137,7 +137,7 @@
 	}
 }
 
-// BenchmarkFindSpread is a choice for a service with 100 running attempts.
+// BenchmarkFindSpread measures a selection for a service with 100 running attempts.
 func BenchmarkFindSpread(b *testing.B) {
 	forEachFleet(b, func(b *testing.B, c *Cluster) {
 		req := Request{Size: commonSizes[0], SpreadKey: "service"}
@@ -155,7 +155,7 @@
 	})
 }
 
-// BenchmarkFindGang is the choice for a gang of 16.
+// BenchmarkFindGang measures the selection for a gang of 16.
 func BenchmarkFindGang(b *testing.B) {
 	forEachFleet(b, func(b *testing.B, c *Cluster) {
 		for range b.N {
--- a/placement/cluster.go
+++ b/placement/cluster.go
@@ -12,23 +12,23 @@
 	Region        string
 	Partition     string
 	Capacity      task.Resources
-	Schedulable   bool // false while it leaves, is quarantined, or has not reported
+	Schedulable   bool // false while the worker drains, is quarantined, or has not reported
 }
 
-// node is a Node with its account.
+// node is a Node with its resource accounting.
 type node struct {
 	Node
-	free    task.Resources // below zero where Assume over-committed it
-	held    int            // attempts held
-	removed bool           // forgotten once nothing is held
-	penalty uint8
-	rack    *rack
-	domain  *group
-	indexed entry
-	counted task.Resources // what the node adds to Cluster.free
+	free             task.Resources // negative where Assume over-committed the node
+	reservationCount int            // number of reservations
+	removed          bool           // out of service; deleted with its last reservation
+	penalty          uint8
+	rack             *rack
+	domain           *group
+	indexed          indexEntry
+	freeCounted      task.Resources // part of Cluster.free
 }
 
-// group is the nodes that share a partition, region or failure domain.
+// group is the set of nodes in one partition, region or failure domain.
 type group struct {
 	number  int
 	members bitmap
@@ -36,76 +36,76 @@
 
 type rackKey struct{ region, domain, rack string }
 
-// rack is the nodes in one rack. Nodes of a rack mostly share a word.
+// rack is the set of nodes in one rack, kept as a few words because the slots of its nodes are
+// mostly adjacent.
 type rack struct {
 	domain  int // number of its failure domain
 	members []candidate
 }
 
-// hold is what one attempt holds on a node.
-type hold struct {
-	slot int32
-	size task.Resources
-	mark *mark // nil unless SetSpread was called
+// reservation is the capacity that one attempt holds on a node.
+type reservation struct {
+	slot   int32
+	size   task.Resources
+	spread *spreadLocation // nil unless SetSpread was called
 }
 
-// Cluster is the account of the workers of one owner. It is not safe for
+// Cluster tracks capacity and reservations of the workers of one owner. It is not safe for
 // concurrent use.
 type Cluster struct {
-	nodes      []node
-	byName     map[string]int32
-	vacant     []int32
-	holds      map[task.Attempt]hold
-	partitions map[string]*group
-	regions    map[string]*group
-	domains    map[string]*group
-	domainList []*group // the failure domains by number
-	racks      map[rackKey]*rack
-	spreads    map[string]*spread
-	capacities map[task.Resources]int // nodes by capacity
-	capacity   task.Resources         // of the schedulable nodes
-	free       task.Resources         // of the nodes that may be chosen
-	index      index
-	search     search
+	nodes        []node
+	byName       map[string]int32
+	vacantSlots  []int32
+	reservations map[task.Attempt]reservation
+	partitions   map[string]*group
+	regions      map[string]*group
+	domains      map[string]*group
+	domainList   []*group // failure domains by number
+	racks        map[rackKey]*rack
+	spreads      map[string]*spread
+	capacities   map[task.Resources]int // number of nodes by capacity
+	capacity     task.Resources         // total of the schedulable nodes
+	free         task.Resources         // total of the eligible nodes
+	index        index
+	search       search
 }
 
 // NewCluster returns a cluster without nodes.
 func NewCluster() *Cluster {
 	return &Cluster{
-		byName:     map[string]int32{},
-		holds:      map[task.Attempt]hold{},
-		partitions: map[string]*group{},
-		regions:    map[string]*group{},
-		domains:    map[string]*group{},
-		racks:      map[rackKey]*rack{},
-		spreads:    map[string]*spread{},
-		capacities: map[task.Resources]int{},
+		byName:       map[string]int32{},
+		reservations: map[task.Attempt]reservation{},
+		partitions:   map[string]*group{},
+		regions:      map[string]*group{},
+		domains:      map[string]*group{},
+		racks:        map[rackKey]*rack{},
+		spreads:      map[string]*spread{},
+		capacities:   map[task.Resources]int{},
 	}
 }
 
-// Upsert adds a node or changes the description of one. What is held on the
-// node stays held.
+// Upsert adds a node or updates its description. Reservations on the node are kept.
 func (c *Cluster) Upsert(n Node) {
 	slot, known := c.byName[n.Name]
 	if !known {
 		slot = c.newSlot(n.Name)
 	}
-	x := &c.nodes[slot]
-	if known && !x.removed && x.Node == n {
+	current := &c.nodes[slot]
+	if known && !current.removed && current.Node == n {
 		return
 	}
-	used := x.Capacity.Sub(x.free)
-	if known && !x.removed {
+	used := current.Capacity.Sub(current.free)
+	if known && !current.removed {
 		c.leaveGroups(slot)
 	}
-	x.Node, x.removed = n, false
-	x.free = n.Capacity.Sub(used)
+	current.Node, current.removed = n, false
+	current.free = n.Capacity.Sub(used)
 	c.joinGroups(slot)
-	c.refresh(slot)
+	c.updateIndex(slot)
 }
 
-// Remove takes a node out of service. Its attempts stay held until they are
-// released, so that a worker that comes back is not committed twice.
+// Remove takes a node out of service. Its reservations are kept until they are released, so that
+// the capacity in use on a worker that comes back is not allocated twice.
 func (c *Cluster) Remove(name string) {
 	slot, known := c.byName[name]
 	if !known || c.nodes[slot].removed {
@@ -113,22 +113,22 @@
 	}
 	c.leaveGroups(slot)
 	c.nodes[slot].removed = true
-	c.refresh(slot)
-	c.forgetIfUnused(slot)
+	c.updateIndex(slot)
+	c.deleteIfUnused(slot)
 }
 
-// SetPenalty makes a node a later choice: a node is chosen only if no node with
-// a lower penalty fits. Penalties range from 0 to MaxPenalty.
+// SetPenalty sets the penalty of a node, from 0 to MaxPenalty. A node is selected only if no node
+// with a lower penalty fits.
 func (c *Cluster) SetPenalty(name string, penalty int) {
 	slot, known := c.byName[name]
 	if !known {
 		return
 	}
 	c.nodes[slot].penalty = uint8(min(max(penalty, 0), MaxPenalty))
-	c.refresh(slot)
+	c.updateIndex(slot)
 }
 
-// EverFits reports whether some node, empty, has room for size.
+// EverFits reports whether size fits on some node that has no reservations.
 func (c *Cluster) EverFits(size task.Resources) bool {
 	for capacity := range c.capacities {
 		if size.Fits(capacity) {
@@ -138,14 +138,14 @@
 	return false
 }
 
-// Free returns what is free on the nodes that may be chosen.
+// Free returns the free capacity of all eligible nodes.
 func (c *Cluster) Free() task.Resources { return c.free }
 
 // Capacity returns the capacity of all schedulable nodes.
 func (c *Cluster) Capacity() task.Resources { return c.capacity }
 
-// FreeOn returns what is free on one node; amounts are below zero where the
-// node is over-committed.
+// FreeOn returns the free capacity of one node; amounts are negative where the node is
+// over-committed.
 func (c *Cluster) FreeOn(name string) (free task.Resources, known bool) {
 	slot, known := c.byName[name]
 	if !known || c.nodes[slot].removed {
@@ -155,9 +155,9 @@
 }
 
 func (c *Cluster) newSlot(name string) int32 {
-	if last := len(c.vacant) - 1; last >= 0 {
-		slot := c.vacant[last]
-		c.vacant = c.vacant[:last]
+	if last := len(c.vacantSlots) - 1; last >= 0 {
+		slot := c.vacantSlots[last]
+		c.vacantSlots = c.vacantSlots[:last]
 		c.byName[name] = slot
 		return slot
 	}
@@ -170,9 +170,9 @@
 	return slot
 }
 
-// growWords is the most words by which the sets grow, a cache line. Doubling
-// would make each search go over up to twice the words it needs, and sets of a
-// power of 2 in size compete for the same lines of the cache.
+// growWords is the number of words by which bitmaps grow, one cache line. With doubling, each
+// search would scan up to twice the words it needs, and bitmaps whose size is a power of 2 would
+// compete for the same cache lines.
 const growWords = 8
 
 func (c *Cluster) grow(words int) {
@@ -186,31 +186,31 @@
 }
 
 func (c *Cluster) joinGroups(slot int32) {
-	x := &c.nodes[slot]
-	c.groupOf(c.partitions, x.Partition).members.set(slot)
-	c.groupOf(c.regions, x.Region).members.set(slot)
-	x.domain = c.domainOf(x.FailureDomain)
-	x.domain.members.set(slot)
-	x.rack = c.rackOf(x)
-	x.rack.add(slot)
-	c.capacities[x.Capacity]++
-	if x.Schedulable {
-		c.capacity = c.capacity.Add(x.Capacity)
+	n := &c.nodes[slot]
+	c.groupOf(c.partitions, n.Partition).members.set(slot)
+	c.groupOf(c.regions, n.Region).members.set(slot)
+	n.domain = c.domainOf(n.FailureDomain)
+	n.domain.members.set(slot)
+	n.rack = c.rackOf(n)
+	n.rack.add(slot)
+	c.capacities[n.Capacity]++
+	if n.Schedulable {
+		c.capacity = c.capacity.Add(n.Capacity)
 	}
 }
 
 func (c *Cluster) leaveGroups(slot int32) {
-	x := &c.nodes[slot]
-	c.partitions[x.Partition].members.clear(slot)
-	c.regions[x.Region].members.clear(slot)
-	x.domain.members.clear(slot)
-	x.rack.remove(slot)
-	c.capacities[x.Capacity]--
-	if c.capacities[x.Capacity] == 0 {
-		delete(c.capacities, x.Capacity)
+	n := &c.nodes[slot]
+	c.partitions[n.Partition].members.clear(slot)
+	c.regions[n.Region].members.clear(slot)
+	n.domain.members.clear(slot)
+	n.rack.remove(slot)
+	c.capacities[n.Capacity]--
+	if c.capacities[n.Capacity] == 0 {
+		delete(c.capacities, n.Capacity)
 	}
-	if x.Schedulable {
-		c.capacity = c.capacity.Sub(x.Capacity)
+	if n.Schedulable {
+		c.capacity = c.capacity.Sub(n.Capacity)
 	}
 }
 
@@ -231,11 +231,11 @@
 	return g
 }
 
-func (c *Cluster) rackOf(x *node) *rack {
-	key := rackKey{x.Region, x.FailureDomain, x.Rack}
+func (c *Cluster) rackOf(n *node) *rack {
+	key := rackKey{n.Region, n.FailureDomain, n.Rack}
 	r, known := c.racks[key]
 	if !known {
-		r = &rack{domain: x.domain.number}
+		r = &rack{domain: n.domain.number}
 		c.racks[key] = r
 	}
 	return r
@@ -260,36 +260,36 @@
 	}
 }
 
-// forgetIfUnused frees the slot of a removed node on which nothing is held.
-func (c *Cluster) forgetIfUnused(slot int32) {
-	x := &c.nodes[slot]
-	if !x.removed || x.held > 0 {
+// deleteIfUnused deletes a removed node that has no reservations and frees its slot.
+func (c *Cluster) deleteIfUnused(slot int32) {
+	n := &c.nodes[slot]
+	if !n.removed || n.reservationCount > 0 {
 		return
 	}
-	delete(c.byName, x.Name)
-	*x = node{indexed: x.indexed, counted: x.counted}
-	c.refresh(slot)
-	c.vacant = append(c.vacant, slot)
+	delete(c.byName, n.Name)
+	*n = node{indexed: n.indexed, freeCounted: n.freeCounted}
+	c.updateIndex(slot)
+	c.vacantSlots = append(c.vacantSlots, slot)
 }
 
-// refresh brings the index in line with a node after any change of it.
-func (c *Cluster) refresh(slot int32) {
-	x := &c.nodes[slot]
-	var e entry
-	e.eligible = x.Schedulable && !x.removed && !x.free.HasNegative()
+// updateIndex updates the index and the free total after a change to a node.
+func (c *Cluster) updateIndex(slot int32) {
+	n := &c.nodes[slot]
+	var e indexEntry
+	e.eligible = n.Schedulable && !n.removed && !n.free.HasNegative()
 	if e.eligible {
-		for r, units := range inUnits(&x.free) {
+		for r, units := range inUnits(&n.free) {
 			e.levels[r] = levelOf(units)
 		}
-		e.score = scoreOf(&x.free)
-		e.penalty = x.penalty
+		e.score = scoreOf(&n.free)
+		e.penalty = n.penalty
 	}
-	c.index.replace(slot, &x.indexed, &e)
-	x.indexed = e
+	c.index.replace(slot, &n.indexed, &e)
+	n.indexed = e
 	var counted task.Resources
 	if e.eligible {
-		counted = x.free
+		counted = n.free
 	}
-	c.free = c.free.Add(counted.Sub(x.counted))
-	x.counted = counted
+	c.free = c.free.Add(counted.Sub(n.freeCounted))
+	n.freeCounted = counted
 }
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -1,5 +1,5 @@
-// Package placement chooses a worker for a task and keeps account of what is
-// reserved on each worker of one owner. A decision is made in separate steps:
-// filter the nodes that fit, narrow them by preference, take the tightest one,
-// and reserve. Package control calls it from the control goroutine only.
+// Package placement selects a worker for a task and tracks the reservations on the workers of one
+// owner. A decision has separate steps: filter the nodes with enough free capacity, narrow them by
+// preference, select the best fit, and reserve. Package control calls it from the control goroutine
+// only.
 package placement
--- a/placement/filter.go
+++ b/placement/filter.go
@@ -2,8 +2,8 @@
 
 import "github.com/mulberrydrum/mulberrydrum/task"
 
-// filter leaves the nodes that may be chosen and have room, and reports
-// whether there are any.
+// filter sets the search result to the eligible nodes that fit the request, and reports whether
+// there are any.
 func (c *Cluster) filter(req *Request) bool {
 	if req.Size.HasNegative() {
 		return false
@@ -27,11 +27,11 @@
 	return c.search.compact()
 }
 
-// filterLevels leaves the nodes with room for size.
+// filterLevels narrows the search result to the nodes on which size fits.
 func (c *Cluster) filterLevels(size *task.Resources) bool {
-	var edges [resourceCount]edge
-	edgeCount := 0
-	whole := fillsUnits(size)
+	var boundaries [resourceCount]boundary
+	boundaryCount := 0
+	whole := isWholeUnits(size)
 	for r, units := range inUnits(size) {
 		if units == 0 && whole[r] {
 			continue
@@ -44,43 +44,44 @@
 			c.search.intersect(c.index.levels[r][level])
 		}
 		if !whole[r] || !isLevelStart(units) {
-			edges[edgeCount] = c.edgeOf(r, level)
-			edgeCount++
+			boundaries[boundaryCount] = c.boundaryOf(r, level)
+			boundaryCount++
 		}
 	}
-	if edgeCount > 0 {
-		c.dropShort(size, edges[:edgeCount])
+	if boundaryCount > 0 {
+		c.dropInsufficient(size, boundaries[:boundaryCount])
 	}
 	return true
 }
 
-// edge is the level that a requested amount shares with smaller amounts: nodes
-// at the level may lack room, nodes above it do not.
-type edge struct{ at, above bitmap }
+// boundary is the level that a requested amount shares with smaller amounts. Nodes above the level
+// have enough of the resource; nodes at the level need an exact comparison.
+type boundary struct{ at, above bitmap }
 
-func (c *Cluster) edgeOf(r, level int) edge {
-	e := edge{at: c.index.eligible}
+func (c *Cluster) boundaryOf(r, level int) boundary {
+	b := boundary{at: c.index.eligible}
 	if level > 0 {
-		e.at = c.index.levels[r][level]
+		b.at = c.index.levels[r][level]
 	}
 	if level+1 < len(c.index.levels[r]) {
-		e.above = c.index.levels[r][level+1]
+		b.above = c.index.levels[r][level+1]
 	}
-	return e
+	return b
 }
 
-// dropShort compares exactly on the nodes that are on the edge of a level.
-func (c *Cluster) dropShort(size *task.Resources, edges []edge) {
+// dropInsufficient drops the nodes at a boundary level on which size does not fit, by an exact
+// comparison.
+func (c *Cluster) dropInsufficient(size *task.Resources, boundaries []boundary) {
 	for w, found := range c.search.found {
 		if found == 0 {
 			continue
 		}
-		doubtful := uint64(0)
-		for i := range edges {
-			doubtful |= edges[i].only(w)
+		unverified := uint64(0)
+		for i := range boundaries {
+			unverified |= boundaries[i].nodesAt(w)
 		}
-		for doubtful &= found; doubtful != 0; doubtful &= doubtful - 1 {
-			slot := slotOf(int32(w), doubtful)
+		for unverified &= found; unverified != 0; unverified &= unverified - 1 {
+			slot := slotOf(int32(w), unverified)
 			if !size.Fits(c.nodes[slot].free) {
 				c.search.found.clear(slot)
 			}
@@ -88,10 +89,10 @@
 	}
 }
 
-// only returns the bits of a word that are at the level and not above it.
-func (e *edge) only(word int) uint64 {
-	if e.above == nil {
-		return e.at[word]
+// nodesAt returns the nodes of one word that are at the level and not above it.
+func (b *boundary) nodesAt(word int) uint64 {
+	if b.above == nil {
+		return b.at[word]
 	}
-	return e.at[word] &^ e.above[word]
+	return b.at[word] &^ b.above[word]
 }
--- a/placement/find.go
+++ b/placement/find.go
@@ -2,20 +2,19 @@
 
 import "github.com/mulberrydrum/mulberrydrum/task"
 
-// Request asks for a node.
+// Request describes the node that a task needs.
 type Request struct {
 	Size      task.Resources
 	Partition string   // worker partition; empty for any
 	Region    string   // preferred region; empty for none
-	SpreadKey string   // attempts to spread over failure domains and racks
-	Avoid     []string // nodes that may not be chosen
+	SpreadKey string   // attempts with the same key are spread over failure domains and racks
+	Avoid     []string // nodes to exclude
 }
 
-// Find returns the node to use for a request. Among the nodes that fit it takes
-// those in the preferred region, then those with the lowest penalty, then the
-// failure domains and racks with the fewest attempts of the spread key, then
-// the lowest score, then the lowest slot. Each preference yields where no node
-// meets it. Find changes nothing; Reserve commits the choice.
+// Find selects a node for a request. Among the nodes that fit, it prefers in this order the
+// preferred region, the lowest penalty, the failure domains and then the racks with the fewest
+// attempts of the spread key, the lowest score, and the lowest slot. A preference that no remaining
+// node meets is ignored. Find changes no state; Reserve commits the selection.
 func (c *Cluster) Find(req Request) (name string, ok bool) {
 	slot := c.find(&req)
 	if slot < 0 {
@@ -29,7 +28,7 @@
 		return -1
 	}
 	c.preferRegion(req.Region)
-	c.preferUnpenalised()
+	c.preferLowPenalty()
 	c.preferSpread(req.SpreadKey)
 	return c.search.lowest(c.index.score[:])
 }
@@ -39,19 +38,19 @@
 		return
 	}
 	if g, known := c.regions[region]; known {
-		c.search.keep(g.members)
+		c.search.prefer(g.members)
 	}
 }
 
-func (c *Cluster) preferUnpenalised() {
+func (c *Cluster) preferLowPenalty() {
 	for b := penaltyBits - 1; b >= 0; b-- {
 		if c.index.penalty[b].count > 0 {
-			c.search.drop(c.index.penalty[b].members)
+			c.search.preferOutside(c.index.penalty[b].members)
 		}
 	}
 }
 
-// preferSpread leaves the failure domains, and in them the racks, with the
+// preferSpread narrows the result to the failure domains, and within them the racks, with the
 // fewest attempts of the key.
 func (c *Cluster) preferSpread(key string) {
 	if key == "" {
@@ -62,29 +61,30 @@
 	}
 }
 
-// preferDomains returns the number of attempts in the domains that it leaves.
+// preferDomains narrows the result to the failure domains with the fewest attempts and returns that
+// number.
 func (c *Cluster) preferDomains(s *spread) int32 {
 	fewest := int32(-1)
 	for _, g := range c.domainList {
 		count := s.inDomain(g.number)
-		if (fewest < 0 || count < fewest) && c.search.meets(g.members) {
+		if (fewest < 0 || count < fewest) && c.search.intersects(g.members) {
 			fewest = count
 		}
 	}
-	clear(c.search.kept)
+	clear(c.search.scratch)
 	for _, g := range c.domainList {
 		if s.inDomain(g.number) == fewest {
-			c.search.kept.add(g.members)
+			c.search.scratch.union(g.members)
 		}
 	}
-	c.search.keep(c.search.kept)
+	c.search.prefer(c.search.scratch)
 	return fewest
 }
 
-// preferRacks first tries the racks without attempts, which is a matter of
-// clearing the nodes of the counted racks. If none of those has room, only
-// counted racks are left, and the fewest attempts are found among them. Racks
-// of the domains that were left out need no look.
+// preferRacks narrows the result to the racks with the fewest attempts. It first tries the racks
+// without attempts by clearing the nodes of racks that have some. If none of those fits, only racks
+// with attempts are left, and the fewest attempts are found among them. Racks in other failure
+// domains are already excluded and are skipped.
 func (c *Cluster) preferRacks(s *spread, inDomain int32) {
 	if inDomain == 0 || c.dropRacksAbove(s, inDomain, 0) {
 		return
@@ -99,18 +99,18 @@
 	c.dropRacksAbove(s, inDomain, fewest)
 }
 
-// dropRacksAbove leaves the racks with at most count attempts if any are in
-// the result, and reports whether it did.
+// dropRacksAbove drops the racks with more than count attempts, unless nothing would be left, and
+// reports whether it did.
 func (c *Cluster) dropRacksAbove(s *spread, inDomain, count int32) bool {
-	copy(c.search.kept, c.search.found)
+	copy(c.search.scratch, c.search.found)
 	for i := range s.racks {
 		r := &s.racks[i]
 		if r.count <= count || s.inDomain(r.rack.domain) != inDomain {
 			continue
 		}
 		for _, m := range r.rack.members {
-			c.search.kept[m.word] &^= m.bits
+			c.search.scratch[m.word] &^= m.bits
 		}
 	}
-	return c.search.keep(c.search.kept)
+	return c.search.prefer(c.search.scratch)
 }
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -2,17 +2,16 @@
 
 import "math"
 
-// FindGang returns a node for each of count members of one size, all or
-// nothing. Nodes may appear more than once. Since the members are equal, the
-// number that fits on one node does not depend on the others, and taking nodes
-// one by one finds a place for every gang that has one. FindGang changes
-// nothing; the caller reserves each member.
+// FindGang selects a node for each of count members of equal size, or for none of them. A node may
+// appear more than once. Because the members are equal, the number that fits on one node does not
+// depend on the other nodes, so the greedy selection succeeds for every gang that fits. FindGang
+// changes no state; the caller reserves each member.
 func (c *Cluster) FindGang(req Request, count int) (names []string, ok bool) {
-	if count <= 0 || !c.hasRoomFor(&req, count) {
+	if count <= 0 || !c.hasCapacityFor(&req, count) {
 		return nil, false
 	}
 	slots := make([]int32, 0, count)
-	var marks []*mark
+	var locations []*spreadLocation
 	for len(slots) < count {
 		slot := c.find(&req)
 		if slot < 0 {
@@ -21,11 +20,11 @@
 		slots = append(slots, slot)
 		c.addFree(slot, req.Size.Scale(-1))
 		if req.SpreadKey != "" {
-			marks = append(marks, c.markOn(slot, req.SpreadKey))
+			locations = append(locations, c.addToSpread(slot, req.SpreadKey))
 		}
 	}
-	for _, m := range marks {
-		c.unmark(m)
+	for _, location := range locations {
+		c.removeFromSpread(location)
 	}
 	names = make([]string, len(slots))
 	for i, slot := range slots {
@@ -38,16 +37,16 @@
 	return names, true
 }
 
-// hasRoomFor reports whether count members fit, without choosing nodes.
-func (c *Cluster) hasRoomFor(req *Request, count int) bool {
+// hasCapacityFor reports whether count members fit, without selecting nodes.
+func (c *Cluster) hasCapacityFor(req *Request, count int) bool {
 	if !c.filter(req) {
 		return false
 	}
-	room := int64(0)
-	for _, w := range c.search.active {
-		for rest := c.search.found[w]; rest != 0; rest &= rest - 1 {
-			room += c.membersOn(slotOf(w, rest), req, int64(count))
-			if room >= int64(count) {
+	capacity := int64(0)
+	for _, w := range c.search.activeWords {
+		for remaining := c.search.found[w]; remaining != 0; remaining &= remaining - 1 {
+			capacity += c.membersOn(slotOf(w, remaining), req, int64(count))
+			if capacity >= int64(count) {
 				return true
 			}
 		}
--- a/placement/index.go
+++ b/placement/index.go
@@ -9,26 +9,25 @@
 // resourceCount is the number of resources in task.Resources.
 const resourceCount = 5
 
-// Levels count processors and memory in these units, which keeps a change on a
-// nearly full node from moving it across the many levels of tiny amounts.
+// Levels count CPU and memory in these units. With smaller units, each change on a nearly full node
+// would move it across many levels.
 const (
 	cpuLevelUnit    = 50  // thousandths of a processor
 	memoryLevelUnit = 128 // megabytes
 )
 
-// mantissaBits is the precision of a level. With 3 bits, amounts below 16 have
-// a level of their own and larger ones share it with amounts within 12.5%.
+// mantissaBits is the precision of a level. With 3 bits, each amount below 16 units has its own
+// level, and a larger amount shares its level with amounts within 12.5%.
 const mantissaBits = 3
 
-// The score of a node is the sum of its free amounts, each divided by the unit
-// below, so that the fitting node with the lowest score is the one with the
-// least left over: what the request takes is the same on every node. The units
-// are 1/256 of a common worker (32 cores, 128 GB, 8 slots, 64 connections); an
-// accelerator counts as four whole workers' worth of one resource, which keeps
-// other work off nodes with free accelerators.
+// The score of a node is the weighted sum of its free amounts. A request takes the same amount on
+// every node, so the fitting node with the lowest score is the best fit, with the least left over.
+// One point is 1/256 of a typical worker (32 cores, 128 GB, 8 slots, 64 connections). An
+// accelerator scores as much as one resource of four entire workers, which keeps other work off
+// nodes with free accelerators.
 const (
-	cpuUnit          = 125 // thousandths of a processor
-	memoryUnit       = 512 // megabytes
+	cpuScoreUnit     = 125 // thousandths of a processor
+	memoryScoreUnit  = 512 // megabytes
 	slotScore        = 32
 	connectionScore  = 4
 	acceleratorScore = 1024
@@ -36,78 +35,78 @@
 	maxScore         = 1<<scoreBits - 1
 )
 
-// penaltyBits is the width of a node's penalty.
+// penaltyBits is the width of a node's penalty in bits.
 const penaltyBits = 2
 
-// MaxPenalty is the highest penalty that SetPenalty takes.
+// MaxPenalty is the highest penalty that SetPenalty accepts.
 const MaxPenalty = 1<<penaltyBits - 1
 
-// entry is what the index holds for one node.
-type entry struct {
+// indexEntry is the indexed state of one node.
+type indexEntry struct {
 	eligible bool
 	levels   [resourceCount]int16
 	score    uint32
 	penalty  uint8
 }
 
-// index finds nodes by free amounts. A level set levels[r][k] holds the nodes
-// whose free amount of resource r is at level k or above; the planes hold one
-// bit each of every node's score and penalty.
+// index finds nodes by free capacity. levels[r][k] is the set of nodes whose free amount of
+// resource r is at level k or above. Scores and penalties are bit-sliced: each plane holds one bit
+// of the number of every node.
 type index struct {
 	words    int
 	eligible bitmap
 	levels   [resourceCount][]bitmap
-	score    [scoreBits]plane
-	penalty  [penaltyBits]plane
+	score    [scoreBits]bitPlane
+	penalty  [penaltyBits]bitPlane
 }
 
-// plane is one bit of a number that every node has.
-type plane struct {
-	members bitmap // nodes whose number has the bit
-	count   int    // of them
+// bitPlane holds one bit of a number that every node has.
+type bitPlane struct {
+	members bitmap // nodes whose number has the bit set
+	count   int    // of members
 }
 
-func (x *index) grow(words int) {
-	x.words = words
-	x.eligible = x.eligible.grown(words)
-	for r := range x.levels {
-		for k := range x.levels[r] {
-			x.levels[r][k] = x.levels[r][k].grown(words)
+func (idx *index) grow(words int) {
+	idx.words = words
+	idx.eligible = idx.eligible.grown(words)
+	for r := range idx.levels {
+		for k := range idx.levels[r] {
+			idx.levels[r][k] = idx.levels[r][k].grown(words)
 		}
 	}
-	for b := range x.score {
-		x.score[b].members = x.score[b].members.grown(words)
+	for b := range idx.score {
+		idx.score[b].members = idx.score[b].members.grown(words)
 	}
-	for b := range x.penalty {
-		x.penalty[b].members = x.penalty[b].members.grown(words)
+	for b := range idx.penalty {
+		idx.penalty[b].members = idx.penalty[b].members.grown(words)
 	}
 }
 
 // replace changes the entry of a slot from old to e.
-func (x *index) replace(slot int32, old, e *entry) {
+func (idx *index) replace(slot int32, old, e *indexEntry) {
 	if old.eligible != e.eligible {
-		x.eligible.put(slot, e.eligible)
+		idx.eligible.assign(slot, e.eligible)
 	}
 	for r := range e.levels {
-		x.moveLevel(r, slot, old.levels[r], e.levels[r])
+		idx.updateLevel(r, slot, old.levels[r], e.levels[r])
 	}
-	movePlanes(x.score[:], slot, old.score, e.score)
-	movePlanes(x.penalty[:], slot, uint32(old.penalty), uint32(e.penalty))
+	updatePlanes(idx.score[:], slot, old.score, e.score)
+	updatePlanes(idx.penalty[:], slot, uint32(old.penalty), uint32(e.penalty))
 }
 
-func (x *index) moveLevel(r int, slot int32, old, level int16) {
-	for int(level) >= len(x.levels[r]) {
-		x.levels[r] = append(x.levels[r], make(bitmap, x.words))
+func (idx *index) updateLevel(r int, slot int32, old, level int16) {
+	for int(level) >= len(idx.levels[r]) {
+		idx.levels[r] = append(idx.levels[r], make(bitmap, idx.words))
 	}
 	for k := old + 1; k <= level; k++ {
-		x.levels[r][k].set(slot)
+		idx.levels[r][k].set(slot)
 	}
 	for k := level + 1; k <= old; k++ {
-		x.levels[r][k].clear(slot)
+		idx.levels[r][k].clear(slot)
 	}
 }
 
-func movePlanes(planes []plane, slot int32, old, value uint32) {
+func updatePlanes(planes []bitPlane, slot int32, old, value uint32) {
 	for changed := old ^ value; changed != 0; changed &= changed - 1 {
 		b := bits.TrailingZeros32(changed)
 		if value&(1<<b) != 0 {
@@ -120,15 +119,14 @@
 	}
 }
 
-// inUnits returns the amounts in the units of levels, rounded down.
+// inUnits returns the amounts in level units, rounded down.
 func inUnits(r *task.Resources) [resourceCount]int64 {
 	return [resourceCount]int64{
 		r.CPUMilli / cpuLevelUnit, r.MemoryMB / memoryLevelUnit, r.Accelerators, r.Slots, r.Connections,
 	}
 }
 
-// levelOf returns the level of an amount in units; it never falls as the amount
-// grows.
+// levelOf returns the level of an amount in units. It is monotonic in the amount.
 func levelOf(units int64) int16 {
 	shift := levelShift(units)
 	return int16(shift<<mantissaBits) + int16(units>>shift)
@@ -143,10 +141,10 @@
 	return max(bits.Len64(uint64(units))-mantissaBits-1, 0)
 }
 
-// scoreOf returns the score of free amounts, none of which is below zero.
+// scoreOf returns the score of free amounts, none of which is negative.
 func scoreOf(free *task.Resources) uint32 {
-	score := free.CPUMilli/cpuUnit +
-		free.MemoryMB/memoryUnit +
+	score := free.CPUMilli/cpuScoreUnit +
+		free.MemoryMB/memoryScoreUnit +
 		free.Slots*slotScore +
 		free.Connections*connectionScore +
 		free.Accelerators*acceleratorScore
@@ -157,8 +155,7 @@
 	return [resourceCount]int64{r.CPUMilli, r.MemoryMB, r.Accelerators, r.Slots, r.Connections}
 }
 
-// fillsUnits tells for each resource whether an amount is a whole number of
-// the units of levels.
-func fillsUnits(r *task.Resources) [resourceCount]bool {
+// isWholeUnits reports for each resource whether the amount is a multiple of its level unit.
+func isWholeUnits(r *task.Resources) [resourceCount]bool {
 	return [resourceCount]bool{r.CPUMilli%cpuLevelUnit == 0, r.MemoryMB%memoryLevelUnit == 0, true, true, true}
 }
--- a/placement/memory_test.go
+++ b/placement/memory_test.go
@@ -7,8 +7,7 @@
 	"testing"
 )
 
-// BenchmarkMemory reports the memory of a cluster for each node, and for each
-// attempt held on it.
+// BenchmarkMemory reports the memory of a cluster per node and per reservation.
 func BenchmarkMemory(b *testing.B) {
 	for _, workers := range fleetSizes {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
@@ -19,7 +18,7 @@
 				fillFleet(c, "none", rand.New(rand.NewPCG(1, 2)))
 				full := heapInUse()
 				b.ReportMetric(float64(empty-before)/float64(workers), "B/node")
-				b.ReportMetric(float64(full-empty)/float64(len(c.holds)), "B/attempt")
+				b.ReportMetric(float64(full-empty)/float64(len(c.reservations)), "B/attempt")
 			}
 		})
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -53,26 +53,25 @@
 
 func nodeName(i int) string { return fmt.Sprintf("n%03d", i) }
 
-// TestFindEqualsScan guards against the index choosing another node than a
-// plain scan over all nodes, or none where the scan finds one, after any
-// sequence of changes.
+// TestFindEqualsScan guards against an index that, after some sequence of changes, selects a
+// different node than a linear scan, or none where the scan finds one.
 func TestFindEqualsScan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := rapid.IntRange(1, 150).Draw(t, "nodes")
 		c := NewCluster()
-		n := &naive{nodes: map[string]*naiveNode{}, holds: map[task.Attempt]naiveHold{}}
+		ref := &reference{nodes: map[string]*referenceNode{}, reservations: map[task.Attempt]referenceReservation{}}
 		for i := range nodes {
-			x := drawNode(t, nodeName(i))
-			c.Upsert(x)
-			n.nodes[x.Name] = &naiveNode{Node: x, slot: c.byName[x.Name]}
+			refNode := drawNode(t, nodeName(i))
+			c.Upsert(refNode)
+			ref.nodes[refNode.Name] = &referenceNode{Node: refNode, slot: c.byName[refNode.Name]}
 		}
 		next := 0
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			step(t, c, n, nodes, &next)
-			checkTotals(t, c, n)
+			applyRandomStep(t, c, ref, nodes, &next)
+			checkTotals(t, c, ref)
 			req := drawRequest(t, nodes)
 			got, ok := c.Find(req)
-			want, wantOK := n.find(req)
+			want, wantOK := ref.find(req)
 			if got != want || ok != wantOK {
 				t.Fatalf("Find(%+v) = %q, %v; the scan finds %q, %v", req, got, ok, want, wantOK)
 			}
@@ -80,71 +79,71 @@
 	})
 }
 
-func step(t *rapid.T, c *Cluster, n *naive, nodes int, next *int) {
+func applyRandomStep(t *rapid.T, c *Cluster, ref *reference, nodes int, next *int) {
 	name := nodeName(rapid.IntRange(0, nodes-1).Draw(t, "node"))
 	size := drawSize(t)
 	a := task.Attempt{Task: task.ID(fmt.Sprint("t", *next)), Number: 1}
 	switch rapid.IntRange(0, 6).Draw(t, "step") {
 	case 0, 1:
 		*next++
-		free := n.free(name)
+		free := ref.free(name)
 		want := size.Fits(free) && !free.HasNegative()
 		if got := c.Reserve(name, a, size); got != want {
 			t.Fatalf("Reserve(%s, %v) = %v with %v free", name, size, got, free)
 		}
 		if want {
-			n.hold(c, name, a, size, rapid.SampledFrom([]string{"", "s", "u"}).Draw(t, "key"))
+			ref.reserve(c, name, a, size, rapid.SampledFrom([]string{"", "s", "u"}).Draw(t, "key"))
 		}
 	case 2:
 		*next++
 		c.Assume(name, a, size)
-		n.hold(c, name, a, size, "")
+		ref.reserve(c, name, a, size, "")
 	case 3:
 		old := task.Attempt{Task: task.ID(fmt.Sprint("t", rapid.IntRange(0, *next).Draw(t, "release"))), Number: 1}
-		h, held := n.holds[old]
+		h, held := ref.reservations[old]
 		gotName, gotSize, ok := c.Release(old)
 		if ok != held || gotName != h.name || gotSize != h.size {
 			t.Fatalf("Release = %q, %v, %v; held %+v, %v", gotName, gotSize, ok, h, held)
 		}
-		delete(n.holds, old)
+		delete(ref.reservations, old)
 	case 4:
-		x := drawNode(t, name)
-		c.Upsert(x)
-		n.nodes[name].Node = x
+		refNode := drawNode(t, name)
+		c.Upsert(refNode)
+		ref.nodes[name].Node = refNode
 	case 5:
-		n.nodes[name].penalty = rapid.IntRange(0, MaxPenalty).Draw(t, "penalty")
-		c.SetPenalty(name, n.nodes[name].penalty)
+		ref.nodes[name].penalty = rapid.IntRange(0, MaxPenalty).Draw(t, "penalty")
+		c.SetPenalty(name, ref.nodes[name].penalty)
 	case 6:
-		removeAndReturn(t, c, n, name)
+		removeAndReAdd(t, c, ref, name)
 	}
 }
 
-// removeAndReturn takes a node out and back in; what it held stays held.
-func removeAndReturn(t *rapid.T, c *Cluster, n *naive, name string) {
-	x := n.nodes[name]
+// removeAndReAdd removes a node and adds it again; its reservations must be kept.
+func removeAndReAdd(t *rapid.T, c *Cluster, ref *reference, name string) {
+	refNode := ref.nodes[name]
 	c.Remove(name)
 	if c.Reserve(name, task.Attempt{Task: "never"}, task.Resources{}) {
 		t.Fatalf("reserved on the removed node %s", name)
 	}
-	c.Upsert(x.Node)
-	x.slot = c.byName[name]
-	x.penalty = int(c.nodes[x.slot].penalty)
+	c.Upsert(refNode.Node)
+	refNode.slot = c.byName[name]
+	refNode.penalty = int(c.nodes[refNode.slot].penalty)
 }
 
-func (n *naive) hold(c *Cluster, name string, a task.Attempt, size task.Resources, key string) {
-	x := n.nodes[name]
+func (r *reference) reserve(c *Cluster, name string, a task.Attempt, size task.Resources, key string) {
+	refNode := r.nodes[name]
 	c.SetSpread(a, key)
-	n.holds[a] = naiveHold{name, size, key, rackKey{x.Region, x.FailureDomain, x.Rack}, x.FailureDomain}
+	r.reservations[a] = referenceReservation{name, size, key, rackKey{refNode.Region, refNode.FailureDomain, refNode.Rack}, refNode.FailureDomain}
 }
 
-func checkTotals(t *rapid.T, c *Cluster, n *naive) {
+func checkTotals(t *rapid.T, c *Cluster, ref *reference) {
 	var free, capacity task.Resources
-	for name, x := range n.nodes {
-		if !x.Schedulable {
+	for name, refNode := range ref.nodes {
+		if !refNode.Schedulable {
 			continue
 		}
-		capacity = capacity.Add(x.Capacity)
-		if f := n.free(name); !f.HasNegative() {
+		capacity = capacity.Add(refNode.Capacity)
+		if f := ref.free(name); !f.HasNegative() {
 			free = free.Add(f)
 		}
 	}
@@ -153,10 +152,10 @@
 	}
 }
 
-// TestFindEqualsScanInLargeFleets guards against a wrong choice that shows only
-// in sets of many words.
+// TestFindEqualsScanInLargeFleets guards against a wrong selection that occurs only with bitmaps of
+// many words.
 func TestFindEqualsScanInLargeFleets(t *testing.T) {
-	for seed, fill := range fills {
+	for seed, fill := range fillStates {
 		random := rand.New(rand.NewPCG(uint64(seed), 1))
 		c := newFleet(1300)
 		fillFleet(c, fill, random)
@@ -173,14 +172,14 @@
 				t.Fatalf("%s: Find(%v) = %q, %v; the scan finds slot %d", fill, size, name, ok, want)
 			}
 			if ok {
-				c.Reserve(name, task.Attempt{Task: task.ID(fmt.Sprint("x", len(c.holds))), Number: 1}, size)
+				c.Reserve(name, task.Attempt{Task: task.ID(fmt.Sprint("x", len(c.reservations))), Number: 1}, size)
 			}
 		}
 	}
 }
 
-// TestGangIsAllOrNothing guards against a gang that has room being refused, one
-// without room being placed in part, and Find's state changing under it.
+// TestGangIsAllOrNothing guards against FindGang refusing a gang that fits, returning nodes for
+// only a part of one, or changing the state of the cluster.
 func TestGangIsAllOrNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := rapid.IntRange(1, 20).Draw(t, "nodes")
@@ -196,7 +195,7 @@
 		if c.Free() != before || len(c.spreads) != 0 {
 			t.Fatal("FindGang changed the cluster")
 		}
-		if want := roomFor(c, req) >= int64(count); ok != want {
+		if want := countFitting(c, req) >= int64(count); ok != want {
 			t.Fatalf("FindGang of %d = %v, want %v", count, ok, want)
 		}
 		if ok && len(names) != count {
@@ -210,8 +209,8 @@
 	})
 }
 
-func roomFor(c *Cluster, req Request) int64 {
-	room := int64(0)
+func countFitting(c *Cluster, req Request) int64 {
+	count := int64(0)
 	for i := range c.nodes {
 		x := &c.nodes[i]
 		avoided := false
@@ -222,16 +221,15 @@
 			continue
 		}
 		for n := int64(1); req.Size.Scale(n).Fits(x.Capacity); n++ {
-			room++
+			count++
 		}
 	}
-	return room
+	return count
 }
 
-// TestOverCommittedNodeIsLeftAlone guards against work being added to a node
-// whose reported tasks exceed its capacity, even where the task needs nothing
-// of the resource that is short.
-func TestOverCommittedNodeIsLeftAlone(t *testing.T) {
+// TestOverCommittedNodeGetsNoWork guards against placing work on a node whose reported tasks exceed
+// its capacity, even if the new task does not need the over-committed resource.
+func TestOverCommittedNodeGetsNoWork(t *testing.T) {
 	c := NewCluster()
 	c.Upsert(Node{Name: "n", Capacity: task.Resources{CPUMilli: 1000, MemoryMB: 100}, Schedulable: true})
 	a := task.Attempt{Task: "reported", Number: 1}
@@ -245,13 +243,13 @@
 	}
 	c.Release(a)
 	if name, ok := c.Find(Request{Size: small}); !ok || name != "n" {
-		t.Error("the node was not found after it fitted again")
+		t.Error("the node was not found after the over-commitment ended")
 	}
 }
 
-// TestRemovedNodeKeepsItsAttempts guards against a worker that comes back being
-// committed twice for tasks that it still runs.
-func TestRemovedNodeKeepsItsAttempts(t *testing.T) {
+// TestRemovedNodeKeepsReservations guards against allocating capacity twice on a worker that comes
+// back while it still runs tasks.
+func TestRemovedNodeKeepsReservations(t *testing.T) {
 	c := NewCluster()
 	x := Node{Name: "n", Capacity: task.Resources{CPUMilli: 1000}, Schedulable: true}
 	c.Upsert(x)
@@ -263,13 +261,13 @@
 	}
 	c.Upsert(x)
 	if _, ok := c.Find(Request{Size: task.Resources{CPUMilli: 600}}); ok {
-		t.Error("the attempt was forgotten")
+		t.Error("the reservation was lost when the node was removed")
 	}
 	c.Remove("n")
 	if name, _, ok := c.Release(a); !ok || name != "n" {
 		t.Errorf("Release = %q, %v", name, ok)
 	}
 	if len(c.byName) != 0 {
-		t.Error("the removed node was kept after its last attempt")
+		t.Error("the removed node was kept after the release of its last reservation")
 	}
 }
--- a/placement/search.go
+++ b/placement/search.go
@@ -1,16 +1,16 @@
 package placement
 
-// search is the working memory of one decision, kept so that a decision
-// allocates nothing. Active lists the words of found that have bits.
+// search holds the working buffers of one decision. They are reused, so that a decision does not
+// allocate. found is the search result; activeWords lists its nonzero words.
 type search struct {
-	found      bitmap
-	kept       bitmap
-	active     []int32
-	candidates []candidate
-	trial      []candidate
+	found             bitmap
+	scratch           bitmap
+	activeWords       []int32
+	candidates        []candidate
+	scratchCandidates []candidate
 }
 
-// candidate is a word of a set with its bits.
+// candidate is one word of a sparse set of nodes.
 type candidate struct {
 	bits uint64
 	word int32
@@ -18,13 +18,13 @@
 
 func (s *search) grow(words int) {
 	s.found = s.found.grown(words)
-	s.kept = s.kept.grown(words)
-	s.active = make([]int32, 0, words)
+	s.scratch = s.scratch.grown(words)
+	s.activeWords = make([]int32, 0, words)
 	s.candidates = make([]candidate, words)
-	s.trial = make([]candidate, words)
+	s.scratchCandidates = make([]candidate, words)
 }
 
-// intersect takes the nodes outside a set from the result.
+// intersect removes the nodes outside set from the result.
 func (s *search) intersect(set bitmap) {
 	found := s.found[:len(set)]
 	for w, value := range set {
@@ -32,45 +32,45 @@
 	}
 }
 
-// compact lists the words with bits and reports whether there are any.
+// compact lists the nonzero words of the result and reports whether there are any.
 func (s *search) compact() bool {
-	s.active = s.active[:0]
+	s.activeWords = s.activeWords[:0]
 	for w, value := range s.found {
 		if value != 0 {
-			s.active = append(s.active, int32(w))
+			s.activeWords = append(s.activeWords, int32(w))
 		}
 	}
-	return len(s.active) > 0
+	return len(s.activeWords) > 0
 }
 
-// keep narrows the result to the nodes of a set if any are in it, and reports
-// whether it did.
-func (s *search) keep(set bitmap) bool {
-	if !s.meets(set) {
+// prefer narrows the result to the nodes in set, unless nothing would be left, and reports whether
+// it did.
+func (s *search) prefer(set bitmap) bool {
+	if !s.intersects(set) {
 		return false
 	}
-	active := s.active[:0]
-	for _, w := range s.active {
+	active := s.activeWords[:0]
+	for _, w := range s.activeWords {
 		s.found[w] &= set[w]
 		if s.found[w] != 0 {
 			active = append(active, w)
 		}
 	}
-	s.active = active
+	s.activeWords = active
 	return true
 }
 
-// drop narrows the result to the nodes outside a set if any are.
-func (s *search) drop(set bitmap) {
-	for _, w := range s.active {
-		s.kept[w] = ^set[w]
+// preferOutside narrows the result to the nodes outside set, unless nothing would be left.
+func (s *search) preferOutside(set bitmap) {
+	for _, w := range s.activeWords {
+		s.scratch[w] = ^set[w]
 	}
-	s.keep(s.kept)
+	s.prefer(s.scratch)
 }
 
-// meets reports whether a set has a node of the result.
-func (s *search) meets(set bitmap) bool {
-	for _, w := range s.active {
+// intersects reports whether set and the result have a node in common.
+func (s *search) intersects(set bitmap) bool {
+	for _, w := range s.activeWords {
 		if s.found[w]&set[w] != 0 {
 			return true
 		}
@@ -78,7 +78,7 @@
 	return false
 }
 
-// hasAny reports whether any of some nodes is in the result.
+// hasAny reports whether any of the nodes is in the result.
 func (s *search) hasAny(nodes []candidate) bool {
 	for _, c := range nodes {
 		if s.found[c.word]&c.bits != 0 {
@@ -88,16 +88,15 @@
 	return false
 }
 
-// denseHalvings is the number of times that the result is halved before most
-// words of it are empty; a list of words is faster than all of them from then
-// on.
+// denseHalvings is the number of times that the result is halved before most of its words are
+// zero. From then on, a list of nonzero words is faster than a pass over all words.
 const denseHalvings = 6
 
-// lowest returns the slot with the lowest number in the planes, the highest
-// bit last, and the lowest slot among equals. Each plane halves the result or
-// leaves it, so that the cost does not depend on the values.
-func (s *search) lowest(planes []plane) int32 {
-	dense, other := s.found, s.kept
+// lowest returns the slot of the result whose number in the bit planes is the lowest, and the
+// lowest slot on a tie. planes is ordered from the lowest bit to the highest. Each plane either
+// halves the result or leaves it unchanged, so the cost does not depend on the values.
+func (s *search) lowest(planes []bitPlane) int32 {
+	dense, other := s.found, s.scratch
 	b := len(planes) - 1
 	for halvings := 0; b >= 0 && halvings < denseHalvings; b-- {
 		if planes[b].count == 0 {
@@ -111,9 +110,9 @@
 	return s.lowestSparse(dense, planes[:b+1])
 }
 
-// lowestSparse is lowest for a result with few words that have bits.
-func (s *search) lowestSparse(dense bitmap, planes []plane) int32 {
-	list, other := s.candidates, s.trial
+// lowestSparse is the variant of lowest for a result with few nonzero words.
+func (s *search) lowestSparse(dense bitmap, planes []bitPlane) int32 {
+	list, other := s.candidates, s.scratchCandidates
 	n := 0
 	for w, value := range dense {
 		if value != 0 {
@@ -125,7 +124,7 @@
 		if planes[b].count == 0 {
 			continue
 		}
-		kept := without(other, list[:n], planes[b].members)
+		kept := subtractSparse(other, list[:n], planes[b].members)
 		if kept > 0 {
 			list, other, n = other, list, kept
 		}
@@ -133,25 +132,25 @@
 	return slotOf(list[0].word, list[0].bits)
 }
 
-// subtract sets a set to the nodes of from outside out and reports whether
-// there are any.
-func subtract(to, from, out bitmap) bool {
-	to, out = to[:len(from)], out[:len(from)]
-	any := uint64(0)
+// subtract sets to to the nodes of from that are not in excluded, and reports whether there are
+// any.
+func subtract(to, from, excluded bitmap) bool {
+	to, excluded = to[:len(from)], excluded[:len(from)]
+	nonzero := uint64(0)
 	for w, value := range from {
-		value &^= out[w]
+		value &^= excluded[w]
 		to[w] = value
-		any |= value
+		nonzero |= value
 	}
-	return any != 0
+	return nonzero != 0
 }
 
-// without copies the candidates outside a set and returns the number of words
-// that have any.
-func without(to, from []candidate, set bitmap) int {
+// subtractSparse copies the candidates that are not in excluded and returns the number of nonzero
+// words.
+func subtractSparse(to, from []candidate, excluded bitmap) int {
 	n := 0
 	for _, c := range from {
-		bits := c.bits &^ set[c.word]
+		bits := c.bits &^ excluded[c.word]
 		if bits != 0 {
 			to[n] = candidate{bits, c.word}
 			n++
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -4,7 +4,7 @@
 type spread struct {
 	key     string
 	total   int
-	domains []int32 // by number of the failure domain
+	domains []int32 // by number of failure domain
 	racks   []rackCount
 }
 
@@ -13,8 +13,9 @@
 	count int32
 }
 
-// mark records where an attempt was counted, since its node may move.
-type mark struct {
+// spreadLocation records where an attempt is counted, because its node may move to another rack or
+// failure domain.
+type spreadLocation struct {
 	spread *spread
 	rack   *rack
 	domain int
@@ -29,15 +30,15 @@
 	return s
 }
 
-// markOn counts one attempt on a node.
-func (c *Cluster) markOn(slot int32, key string) *mark {
-	x := &c.nodes[slot]
-	m := &mark{spread: c.spreadOf(key), rack: x.rack, domain: x.domain.number}
+// addToSpread counts one attempt on a node under the spread key.
+func (c *Cluster) addToSpread(slot int32, key string) *spreadLocation {
+	n := &c.nodes[slot]
+	m := &spreadLocation{spread: c.spreadOf(key), rack: n.rack, domain: n.domain.number}
 	m.spread.add(m)
 	return m
 }
 
-func (s *spread) add(m *mark) {
+func (s *spread) add(m *spreadLocation) {
 	for m.domain >= len(s.domains) {
 		s.domains = append(s.domains, 0)
 	}
@@ -50,7 +51,7 @@
 	s.racks = append(s.racks, rackCount{m.rack, 1})
 }
 
-func (c *Cluster) unmark(m *mark) {
+func (c *Cluster) removeFromSpread(m *spreadLocation) {
 	s := m.spread
 	s.domains[m.domain]--
 	s.total--
@@ -66,7 +67,7 @@
 	}
 }
 
-// indexOf returns the place of a rack in the counts, or -1.
+// indexOf returns the index of a rack in the counts, or -1.
 func (s *spread) indexOf(r *rack) int {
 	for i := range s.racks {
 		if s.racks[i].rack == r {
