queue: describe admission control, aging and promotion in the usual terms

Reword doc comments: pending work, drain rate, run time estimates, starvation, retry jitter. "Review" is now described as the latest finish time ReviewBy and the promotion that it causes.

--- a/queue/admit.go
+++ b/queue/admit.go
@@ -8,26 +8,27 @@
 )
 
 const (
-	// drainWeight is the weight of a new interval between starts in its mean.
-	drainWeight = 0.1
-	// minRetry and maxRetry bound the retry hint.
+	// drainSmoothing is the weight of the newest interval between starts in their exponential moving
+	// average.
+	drainSmoothing = 0.1
+	// minRetry and maxRetry bound the retry-after hint before jitter.
 	minRetry = 100 * time.Millisecond
 	maxRetry = time.Minute
-	// retryDrainPart is the part of a full queue that should have started
-	// before a refused request comes back.
-	retryDrainPart = 0.1
+	// retryDrainFraction is the fraction of a full queue that is expected to start before a refused
+	// request is retried.
+	retryDrainFraction = 0.1
 )
 
-// drain measures how fast the queue of a team empties.
-type drain struct {
-	interval        time.Duration // mean time between starts while work waited
-	lastProgress    time.Time     // last start, or when the queue became busy
+// drainEstimator measures how fast the queue of a team drains.
+type drainEstimator struct {
+	interval        time.Duration // moving average of the time between starts while work waited
+	lastProgress    time.Time     // time of the last start, or when the queue last became non-empty
 	startsSinceAged int
 }
 
-func (d *drain) becameBusy(now time.Time) { d.lastProgress = now }
+func (d *drainEstimator) becameBusy(now time.Time) { d.lastProgress = now }
 
-func (d *drain) started(now time.Time) {
+func (d *drainEstimator) observeStart(now time.Time) {
 	if d.lastProgress.IsZero() {
 		d.lastProgress = now
 		return
@@ -36,31 +37,31 @@
 	if d.interval == 0 {
 		d.interval = gap
 	} else {
-		d.interval += time.Duration(drainWeight * float64(gap-d.interval))
+		d.interval += time.Duration(drainSmoothing * float64(gap-d.interval))
 	}
 	d.lastProgress = now
 }
 
-// stalled returns for how long nothing has started.
-func (d *drain) stalled(now time.Time) time.Duration {
+// stallTime returns the time since the last start.
+func (d *drainEstimator) stallTime(now time.Time) time.Duration {
 	if d.lastProgress.IsZero() {
 		return 0
 	}
 	return now.Sub(d.lastProgress)
 }
 
-// waitBehind returns the expected wait behind a number of entries. The first
-// start is expected to take as long again as nothing has started, so that a
-// stalled queue is noticed although it yields no intervals.
-func (d *drain) waitBehind(now time.Time, ahead int) time.Duration {
-	return max(d.interval, d.stalled(now)) + time.Duration(ahead)*d.interval
+// estimateWait returns the expected wait behind the given number of entries. The wait for the first
+// start is at least the time since the last one, so that the estimate grows for a stalled queue,
+// which adds no intervals to the average.
+func (d *drainEstimator) estimateWait(now time.Time, ahead int) time.Duration {
+	return max(d.interval, d.stallTime(now)) + time.Duration(ahead)*d.interval
 }
 
-// ObserveStart learns the rate at which a team's queue drains. Control calls it
-// for every task that it starts, with the time for which the task waited.
+// ObserveStart updates the drain rate of a team's queue. Package control calls it for every task
+// that it starts, with the time that the task waited.
 func (q *Queues) ObserveStart(now time.Time, team task.Team, waited time.Duration) {
 	d := &q.queueOf(team).drain
-	d.started(now)
+	d.observeStart(now)
 	if waited >= q.cfg.AgeLimit {
 		d.startsSinceAged = 0
 		return
@@ -68,8 +69,8 @@
 	d.startsSinceAged++
 }
 
-// ExpectedWait returns how long an entry would wait if it were pushed now. It
-// is zero as long as nothing waits.
+// ExpectedWait returns how long an entry would wait if it were pushed now. It is zero if the queue
+// of the team is empty.
 func (q *Queues) ExpectedWait(now time.Time, e Entry) time.Duration {
 	t := q.queueOf(e.Team)
 	q.promote(now, t)
@@ -87,13 +88,14 @@
 	for k := range it.tier {
 		ahead += len(t.tiers[k].items)
 	}
-	return t.drain.waitBehind(now, ahead)
+	return t.drain.estimateWait(now, ahead)
 }
 
-// admit refuses an entry that has no room or no chance.
+// admit refuses an entry if the queue is full or if the entry is not expected to start by its
+// deadline.
 func (q *Queues) admit(now time.Time, t *teamQueue, it *item) *errkind.Error {
 	if waiting := t.len(); waiting >= q.cfg.Limit {
-		wait := t.drain.waitBehind(now, int(retryDrainPart*float64(waiting)))
+		wait := t.drain.estimateWait(now, int(retryDrainFraction*float64(waiting)))
 		return errkind.New(errkind.QueueFull, "the queue of team %s holds %d requests, its limit", it.Team, waiting).
 			WithRetryAfter(q.retryAfter(wait))
 	}
@@ -112,8 +114,8 @@
 	return nil
 }
 
-// retryAfter spreads a hint over half to one and a half times the wait, so
-// that refused callers do not come back at the same moment.
+// retryAfter returns a retry hint with jitter, between 0.5 and 1.5 times the wait, so that refused
+// callers do not all retry at the same moment.
 func (q *Queues) retryAfter(wait time.Duration) time.Duration {
 	wait = min(max(wait, minRetry), maxRetry)
 	if q.cfg.Rand == nil {
@@ -122,13 +124,13 @@
 	return time.Duration((0.5 + q.cfg.Rand.Float64()) * float64(wait))
 }
 
-// ObserveRun learns the run time of one task.
+// ObserveRun adds the run time of one task to the profile of its class.
 func (q *Queues) ObserveRun(team task.Team, service task.Service, class string, d time.Duration) {
 	q.profiles.observe(profileKey{team, service, class}, d)
 }
 
-// ExpectedRun returns the learned run time of a class of work, and false if too
-// few runs were seen.
+// ExpectedRun returns the run time of a class of work as estimated from past runs, and false if
+// there were too few runs.
 func (q *Queues) ExpectedRun(team task.Team, service task.Service, class string) (time.Duration, bool) {
 	return q.profiles.quantile(profileKey{team, service, class})
 }
--- a/queue/bench_test.go
+++ b/queue/bench_test.go
@@ -8,9 +8,9 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// newBusy returns queues of a number of teams that are filled to the limit but
-// for one entry each, and the attempts in them.
-func newBusy(teams int) (*Queues, []Entry) {
+// newBusyQueues returns queues of the given number of teams, each one entry below its limit, and
+// their entries.
+func newBusyQueues(teams int) (*Queues, []Entry) {
 	q := New(Config{})
 	var entries []Entry
 	for i := range teams * (DefaultLimit - 1) {
@@ -35,7 +35,7 @@
 func forEachTeams(b *testing.B, run func(b *testing.B, q *Queues, entries []Entry)) {
 	for _, teams := range []int{6, 30, 97} {
 		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
-			q, entries := newBusy(teams)
+			q, entries := newBusyQueues(teams)
 			b.ReportAllocs()
 			b.ResetTimer()
 			run(b, q, entries)
@@ -43,7 +43,7 @@
 	}
 }
 
-// BenchmarkPeek is a look at the first entry of a full queue.
+// BenchmarkPeek measures Peek on a full queue.
 func BenchmarkPeek(b *testing.B) {
 	forEachTeams(b, func(b *testing.B, q *Queues, entries []Entry) {
 		for i := range b.N {
@@ -52,7 +52,7 @@
 	})
 }
 
-// BenchmarkRemovePush cancels one entry of a full queue and adds it again.
+// BenchmarkRemovePush measures the removal of one entry of a full queue and pushing it again.
 func BenchmarkRemovePush(b *testing.B) {
 	forEachTeams(b, func(b *testing.B, q *Queues, entries []Entry) {
 		for i := range b.N {
@@ -63,8 +63,8 @@
 	})
 }
 
-// BenchmarkCancelWave removes a quarter of one full queue by key; the entries
-// are pushed again outside the measured time.
+// BenchmarkCancelWave measures the removal of a quarter of a full queue by key. The entries are
+// pushed again outside the measured time.
 func BenchmarkCancelWave(b *testing.B) {
 	forEachTeams(b, func(b *testing.B, q *Queues, _ []Entry) {
 		for range b.N {
--- a/queue/doc.go
+++ b/queue/doc.go
@@ -1,5 +1,5 @@
-// Package queue holds the work that waits at the owner of a worker partition in
-// bounded queues, one for each team. It orders the work of a team, refuses
-// early what cannot start in time, and learns run times and start rates.
-// Package control calls it from the control goroutine only.
+// Package queue holds the pending work of a worker partition in bounded queues, one per team, at
+// the owner of the partition. It orders the work of a team, does admission control by queue length
+// and deadline, and estimates run times and drain rates. Package control calls it from the control
+// goroutine only.
 package queue
--- a/queue/entry.go
+++ b/queue/entry.go
@@ -7,8 +7,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Entry is one task that waits, with the fields of its specification that
-// decide the order.
+// Entry is one pending task, or one gang, with the fields of its specification that determine its
+// place in the order.
 type Entry struct {
 	Attempt     task.Attempt
 	Team        task.Team
@@ -17,51 +17,51 @@
 	Kind        task.Kind
 	Urgency     task.Urgency
 	Size        task.Resources
-	Count       int // tasks of the gang that wait under this entry; 0 or 1 for a single task
+	Count       int // number of gang members in this entry; 0 or 1 for a single task
 	DeclaredRun time.Duration
-	Deadline    time.Time // start by; zero for none
-	ReviewBy    time.Time // finish by; zero for none
+	Deadline    time.Time // latest start; zero for none
+	ReviewBy    time.Time // latest finish; zero for none
 	KeyID       string
 	Partition   string
 	Home        string
-	EnqueuedAt  time.Time // Push sets it to now if it is zero
+	EnqueuedAt  time.Time // set by Push to the current time if zero
 }
 
-// tier is one of the ordered parts of a team's queue.
+// tier is a priority class within a team's queue.
 type tier uint8
 
-// The tiers, in the order in which they are served.
+// Tiers in the order in which they are served.
 const (
-	tierUrgent   tier = iota // urgent work and work whose latest start is near
-	tierDeadline             // work with a deadline, the earliest first
-	tierRest                 // normal and background work
+	tierUrgent   tier = iota // urgent work, and work that is close to its latest start for ReviewBy
+	tierDeadline             // work with a deadline, earliest deadline first
+	tierNormal               // normal and background work
 	tierCount
 )
 
-// item is an Entry in its queue.
+// item is a queued Entry.
 type item struct {
 	Entry
-	tier     tier
-	at       time.Time // position in the tier
-	reviewAt time.Time // when the entry moves to tierUrgent; zero for never
-	sequence uint64    // order of arrival
+	tier      tier
+	position  time.Time // sort key within the tier
+	promoteAt time.Time // time of the promotion to tierUrgent; zero for none
+	sequence  uint64    // arrival order; breaks ties
 }
 
-// ordered is a list of items sorted by a time and then by arrival. Queues are
-// bounded, so moving the tail of a slice on insertion costs less than a tree.
-type ordered struct {
+// sortedItems is a slice of items sorted by a time and then by arrival. Queues are bounded, so
+// shifting the tail of a slice on insertion costs less than a tree.
+type sortedItems struct {
 	items []*item
-	time  func(*item) time.Time
+	key   func(*item) time.Time
 }
 
-func (o *ordered) insert(it *item) {
+func (o *sortedItems) insert(it *item) {
 	i := o.search(it)
 	o.items = append(o.items, nil)
 	copy(o.items[i+1:], o.items[i:])
 	o.items[i] = it
 }
 
-func (o *ordered) remove(it *item) {
+func (o *sortedItems) remove(it *item) {
 	i := o.search(it)
 	if i == len(o.items) || o.items[i] != it {
 		return
@@ -71,8 +71,8 @@
 	o.items = o.items[:len(o.items)-1]
 }
 
-// search returns the index of it, or the index at which it belongs.
-func (o *ordered) search(it *item) int {
+// search returns the index of it, or the index at which to insert it.
+func (o *sortedItems) search(it *item) int {
 	low, high := 0, len(o.items)
 	for low < high {
 		middle := int(uint(low+high) >> 1)
@@ -85,25 +85,25 @@
 	return low
 }
 
-func (o *ordered) compare(a, b *item) int {
-	if c := o.time(a).Compare(o.time(b)); c != 0 {
+func (o *sortedItems) compare(a, b *item) int {
+	if c := o.key(a).Compare(o.key(b)); c != 0 {
 		return c
 	}
 	return cmp.Compare(a.sequence, b.sequence)
 }
 
-func (o *ordered) first() *item {
+func (o *sortedItems) first() *item {
 	if len(o.items) == 0 {
 		return nil
 	}
 	return o.items[0]
 }
 
-// keep drops the items that a test refuses, in one pass.
-func (o *ordered) keep(test func(*item) bool) {
+// retain removes the items for which match returns false, in one pass.
+func (o *sortedItems) retain(match func(*item) bool) {
 	kept := o.items[:0]
 	for _, it := range o.items {
-		if test(it) {
+		if match(it) {
 			kept = append(kept, it)
 		}
 	}
@@ -111,6 +111,6 @@
 	o.items = kept
 }
 
-func byPosition(it *item) time.Time { return it.at }
-func byDeadline(it *item) time.Time { return it.Deadline }
-func byReview(it *item) time.Time   { return it.reviewAt }
+func byPosition(it *item) time.Time  { return it.position }
+func byDeadline(it *item) time.Time  { return it.Deadline }
+func byPromotion(it *item) time.Time { return it.promoteAt }
--- a/queue/memory_test.go
+++ b/queue/memory_test.go
@@ -6,14 +6,13 @@
 	"testing"
 )
 
-// BenchmarkMemory reports the memory of a waiting entry, with the strings that
-// identify it.
+// BenchmarkMemory reports the memory per queued entry, including its identifying strings.
 func BenchmarkMemory(b *testing.B) {
 	for _, teams := range []int{6, 30, 97} {
 		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
 			for range b.N {
 				before := heapInUse()
-				q, entries := newBusy(teams)
+				q, entries := newBusyQueues(teams)
 				count := len(entries)
 				entries = nil
 				after := heapInUse()
--- a/queue/model_test.go
+++ b/queue/model_test.go
@@ -12,22 +12,22 @@
 	"pgregory.net/rapid"
 )
 
-// model is a queue as a plain list that is sorted at every look.
+// model is a reference implementation of Queues: an unordered list that is sorted on every access.
 type model struct {
 	cfg     Config
 	entries []modelEntry
-	aged    map[task.Team]int // starts since the last aged one
+	aged    map[task.Team]int // starts since the last start of an aged entry
 	pushed  int
 }
 
 type modelEntry struct {
 	Entry
-	number int
-	latest time.Time // latest start, as learned when it was pushed
+	number      int
+	latestStart time.Time // latest start, estimated when the entry was pushed
 }
 
-func (m *model) place(now time.Time, e modelEntry) (tier int, at time.Time) {
-	review := e.latest.Add(-m.cfg.ReviewLead)
+func (m *model) tierAndPosition(now time.Time, e modelEntry) (tier int, position time.Time) {
+	review := e.latestStart.Add(-m.cfg.ReviewLead)
 	switch {
 	case e.Urgency == task.Urgent:
 		return 0, e.EnqueuedAt
@@ -49,12 +49,12 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b modelEntry) int {
-		tierA, atA := m.place(now, a)
-		tierB, atB := m.place(now, b)
+		tierA, atA := m.tierAndPosition(now, a)
+		tierB, atB := m.tierAndPosition(now, b)
 		return cmp.Or(cmp.Compare(tierA, tierB), atA.Compare(atB), cmp.Compare(a.number, b.number))
 	})
 	first := slices.IndexFunc(list, func(e modelEntry) bool {
-		tier, _ := m.place(now, e)
+		tier, _ := m.tierAndPosition(now, e)
 		return tier == 2
 	})
 	if first < 0 || m.aged[team] < m.cfg.AgedEvery-1 || now.Sub(list[first].EnqueuedAt) < m.cfg.AgeLimit {
@@ -64,10 +64,10 @@
 	return slices.Insert(slices.Delete(list, first, first+1), 0, aged)
 }
 
-func (m *model) removeIf(test func(modelEntry) bool) []task.Attempt {
+func (m *model) removeIf(match func(modelEntry) bool) []task.Attempt {
 	var removed []task.Attempt
 	m.entries = slices.DeleteFunc(m.entries, func(e modelEntry) bool {
-		if test(e) {
+		if match(e) {
 			removed = append(removed, e.Attempt)
 			return true
 		}
@@ -76,8 +76,8 @@
 	return removed
 }
 
-// TestQueuesEqualModel guards against an entry being lost, served twice or
-// served out of order after any sequence of calls.
+// TestQueuesEqualModel guards against an entry being lost, served twice or served out of order
+// after some sequence of calls.
 func TestQueuesEqualModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := Config{Limit: 12, BackgroundLag: 40 * time.Second, AgeLimit: time.Minute, AgedEvery: 3, ReviewLead: 10 * time.Second}
@@ -86,13 +86,13 @@
 		now := start
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
-			modelStep(t, q, m, now)
+			applyRandomStep(t, q, m, now)
 			compareWithModel(t, q, m, now)
 		}
 	})
 }
 
-func modelStep(t *rapid.T, q *Queues, m *model, now time.Time) {
+func applyRandomStep(t *rapid.T, q *Queues, m *model, now time.Time) {
 	team := rapid.SampledFrom([]task.Team{"a", "b"}).Draw(t, "team")
 	switch rapid.IntRange(0, 8).Draw(t, "step") {
 	default:
@@ -108,14 +108,14 @@
 	case 6:
 		key := rapid.SampledFrom([]string{"k", "l"}).Draw(t, "key")
 		want := m.removeIf(func(e modelEntry) bool { return e.Team == team && e.KeyID == key })
-		sameAttempts(t, "RemoveKey", q.RemoveKey(team, key), want)
+		checkSameAttempts(t, "RemoveKey", q.RemoveKey(team, key), want)
 	case 7:
 		want := m.removeIf(func(e modelEntry) bool { return !e.Deadline.IsZero() && e.Deadline.Before(now) })
-		sameAttempts(t, "Expired", q.Expired(now), want)
+		checkSameAttempts(t, "Expired", q.Expired(now), want)
 	case 8:
 		if rapid.IntRange(0, 4).Draw(t, "whole team") == 0 {
 			want := m.removeIf(func(e modelEntry) bool { return e.Team == team })
-			sameAttempts(t, "RemoveTeam", q.RemoveTeam(team), want)
+			checkSameAttempts(t, "RemoveTeam", q.RemoveTeam(team), want)
 		}
 	}
 }
@@ -187,7 +187,7 @@
 	}
 }
 
-func sameAttempts(t *rapid.T, name string, got []Entry, want []task.Attempt) {
+func checkSameAttempts(t *rapid.T, name string, got []Entry, want []task.Attempt) {
 	counts := map[task.Attempt]int{}
 	for _, e := range got {
 		counts[e.Attempt]++
--- a/queue/profile.go
+++ b/queue/profile.go
@@ -9,16 +9,16 @@
 )
 
 const (
-	// profileBuckets covers run times from 10 ms to 48 h; the bounds of a
-	// bucket differ by a factor of the square root of 2.
+	// profileBuckets covers run times from 10 ms to 48 h; the upper bounds of adjacent buckets differ
+	// by a factor of the square root of 2.
 	profileBuckets   = 49
 	shortestRun      = 10 * time.Millisecond
 	bucketsPerOctave = 2
-	// profileDecay is the weight that earlier runs keep with each new one, so
-	// that the last hundred or so decide.
+	// profileDecay is the factor by which each new run reduces the weight of earlier runs. With 0.99,
+	// the last hundred or so runs dominate.
 	profileDecay = 0.99
-	// profileMinimum is the number of runs below which nothing is predicted.
-	profileMinimum = 3
+	// profileMinRuns is the number of runs that a prediction needs.
+	profileMinRuns = 3
 )
 
 type profileKey struct {
@@ -27,50 +27,49 @@
 	class   string
 }
 
-// profile is a decayed histogram of run times.
+// profile is an exponentially decayed histogram of run times.
 type profile struct {
 	key     profileKey
 	buckets [profileBuckets]float64
-	weight  float64 // of the next run; grows instead of scaling every bucket down
+	weight  float64 // weight of the next run; it grows instead of every bucket being scaled down
 	total   float64
 	runs    int
 }
 
-// profiles keeps a bounded number of profiles and forgets the one that was not
-// observed for longest.
+// profiles is a bounded set of profiles that evicts the least recently observed one.
 type profiles struct {
-	limit    int
-	part     float64
-	byKey    map[profileKey]*list.Element
-	byRecent *list.List
+	limit         int
+	quantileLevel float64
+	byKey         map[profileKey]*list.Element
+	lru           *list.List
 }
 
 func newProfiles(limit int, quantile float64) *profiles {
 	return &profiles{
-		limit:    limit,
-		part:     min(quantile, 1),
-		byKey:    map[profileKey]*list.Element{},
-		byRecent: list.New(),
+		limit:         limit,
+		quantileLevel: min(quantile, 1),
+		byKey:         map[profileKey]*list.Element{},
+		lru:           list.New(),
 	}
 }
 
 func (p *profiles) observe(key profileKey, run time.Duration) {
 	element, known := p.byKey[key]
 	if !known {
-		element = p.byRecent.PushFront(&profile{key: key, weight: 1})
+		element = p.lru.PushFront(&profile{key: key, weight: 1})
 		p.byKey[key] = element
-		p.forget()
+		p.evictOldest()
 	}
-	p.byRecent.MoveToFront(element)
+	p.lru.MoveToFront(element)
 	element.Value.(*profile).add(run)
 }
 
-func (p *profiles) forget() {
+func (p *profiles) evictOldest() {
 	if len(p.byKey) <= p.limit {
 		return
 	}
-	oldest := p.byRecent.Back()
-	p.byRecent.Remove(oldest)
+	oldest := p.lru.Back()
+	p.lru.Remove(oldest)
 	delete(p.byKey, oldest.Value.(*profile).key)
 }
 
@@ -79,7 +78,7 @@
 	if !known {
 		return 0, false
 	}
-	return element.Value.(*profile).quantile(p.part)
+	return element.Value.(*profile).quantile(p.quantileLevel)
 }
 
 func (p *profile) add(run time.Duration) {
@@ -100,18 +99,18 @@
 	p.weight = 1
 }
 
-func (p *profile) quantile(part float64) (time.Duration, bool) {
-	if p.runs < profileMinimum {
+func (p *profile) quantile(level float64) (time.Duration, bool) {
+	if p.runs < profileMinRuns {
 		return 0, false
 	}
-	left := part * p.total
+	remaining := level * p.total
 	for i, weight := range p.buckets {
-		left -= weight
-		if left <= 0 {
-			return bucketEnd(i), true
+		remaining -= weight
+		if remaining <= 0 {
+			return bucketUpperBound(i), true
 		}
 	}
-	return bucketEnd(profileBuckets - 1), true
+	return bucketUpperBound(profileBuckets - 1), true
 }
 
 func bucketOf(run time.Duration) int {
@@ -122,7 +121,7 @@
 	return min(int(math.Ceil(octaves*bucketsPerOctave)), profileBuckets-1)
 }
 
-// bucketEnd returns the longest run time of a bucket.
-func bucketEnd(i int) time.Duration {
+// bucketUpperBound returns the longest run time of a bucket.
+func bucketUpperBound(i int) time.Duration {
 	return time.Duration(float64(shortestRun) * math.Exp2(float64(i)/bucketsPerOctave))
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -22,40 +22,39 @@
 
 // Config configures Queues. Zero values take the defaults.
 type Config struct {
-	Limit         int           // entries per team
-	BackgroundLag time.Duration // background work is ordered as normal work that came this much later
-	AgeLimit      time.Duration // wait after which normal and background work may pass urgent work
-	AgedEvery     int           // at most one start in this many is given to such aged work
-	ReviewLead    time.Duration // how long before its latest start work with a review goes first
-	Safety        float64       // factor on the learned run time for the latest start
-	RunQuantile   float64       // quantile of run times that is learned
-	Profiles      int           // bound on learned run times (team, service and class)
-	Rand          *rand.Rand    // jitter of retry hints; nil for none
+	Limit         int           // maximum number of entries per team
+	BackgroundLag time.Duration // delay added to the arrival time of background work
+	AgeLimit      time.Duration // wait after which normal and background work is aged
+	AgedEvery     int           // one start in AgedEvery may go to aged work before urgent work
+	ReviewLead    time.Duration // time before the latest start at which an entry is promoted
+	Safety        float64       // factor on the expected run time, see LatestStart
+	RunQuantile   float64       // quantile of past run times to use as the expected run time
+	Profiles      int           // maximum number of profiles (one per team, service and class)
+	Rand          *rand.Rand    // source of jitter for retry hints; nil for no jitter
 }
 
-// Queues holds the waiting work of one owner. It is not safe for concurrent
-// use.
+// Queues holds the pending work of one owner. It is not safe for concurrent use.
 type Queues struct {
-	cfg      Config
-	teams    map[task.Team]*teamQueue
-	names    []task.Team // teams with waiting work, sorted
-	listed   []task.Team // what Teams returned last
-	items    map[task.Attempt]*item
-	sequence uint64
-	profiles *profiles
+	cfg         Config
+	teams       map[task.Team]*teamQueue
+	activeTeams []task.Team // teams with pending work, sorted by name
+	teamsBuffer []task.Team // result buffer of Teams
+	items       map[task.Attempt]*item
+	sequence    uint64
+	profiles    *profiles
 }
 
 // teamQueue is the queue of one team.
 type teamQueue struct {
-	tiers     [tierCount]ordered
-	deadlines ordered // entries with a deadline
-	reviews   ordered // entries that still move to tierUrgent
-	drain     drain
+	tiers      [tierCount]sortedItems
+	deadlines  sortedItems // entries with a deadline
+	promotions sortedItems // entries that will be promoted to tierUrgent
+	drain      drainEstimator
 }
 
 // New returns empty queues.
 func New(cfg Config) *Queues {
-	cfg.complete()
+	cfg.setDefaults()
 	return &Queues{
 		cfg:      cfg,
 		teams:    map[task.Team]*teamQueue{},
@@ -64,7 +63,7 @@
 	}
 }
 
-func (c *Config) complete() {
+func (c *Config) setDefaults() {
 	setDefault(&c.Limit, DefaultLimit)
 	setDefault(&c.BackgroundLag, DefaultBackgroundLag)
 	setDefault(&c.AgeLimit, DefaultAgeLimit)
@@ -75,15 +74,15 @@
 	setDefault(&c.Profiles, DefaultProfiles)
 }
 
-func setDefault[T int | float64 | time.Duration](value *T, standard T) {
+func setDefault[T int | float64 | time.Duration](value *T, defaultValue T) {
 	if *value <= 0 {
-		*value = standard
+		*value = defaultValue
 	}
 }
 
-// Push adds an entry. It refuses one whose team has no room, and one that is
-// not expected to start by its deadline; both have not run. Pushing an attempt
-// that already waits changes nothing.
+// Push adds an entry. It refuses an entry if the queue of its team is full or if the entry is not
+// expected to start by its deadline; a refused entry has not run. Push is idempotent: an attempt
+// that is already queued is left as it is.
 func (q *Queues) Push(now time.Time, e Entry) *errkind.Error {
 	if _, waiting := q.items[e.Attempt]; waiting {
 		return nil
@@ -99,18 +98,18 @@
 	}
 	if t.len() == 0 {
 		t.drain.becameBusy(now)
-		q.addName(e.Team)
+		q.addActiveTeam(e.Team)
 	}
 	q.items[e.Attempt] = it
 	t.insert(it)
 	return nil
 }
 
-// Peek returns the entry of a team that is to start first, or nil.
+// Peek returns the first entry in the order of a team, or nil.
 func (q *Queues) Peek(now time.Time, team task.Team) *Entry { return q.Next(now, team, 0) }
 
-// Next returns the entry after skip others in the order of a team, or nil. The
-// entry belongs to the queue and is valid until it is removed.
+// Next returns the entry at index skip in the order of a team, or nil. The queue owns the entry;
+// the pointer is valid until the entry is removed.
 func (q *Queues) Next(now time.Time, team task.Team, skip int) *Entry {
 	t := q.teams[team]
 	if t == nil || skip < 0 {
@@ -126,7 +125,7 @@
 	}
 	for k := range t.tiers {
 		items := t.tiers[k].items
-		if aged != nil && tier(k) == tierRest {
+		if aged != nil && tier(k) == tierNormal {
 			items = items[1:]
 		}
 		if skip < len(items) {
@@ -137,47 +136,47 @@
 	return nil
 }
 
-// Remove takes one attempt out of its queue.
+// Remove removes one attempt from its queue.
 func (q *Queues) Remove(a task.Attempt) (Entry, bool) {
 	it, waiting := q.items[a]
 	if !waiting {
 		return Entry{}, false
 	}
-	q.take(it)
+	q.removeItem(it)
 	return it.Entry, true
 }
 
-// RemoveTeam takes out everything that a team has waiting.
+// RemoveTeam removes and returns all entries of a team.
 func (q *Queues) RemoveTeam(team task.Team) []Entry {
 	return q.removeIf(team, func(*item) bool { return true })
 }
 
-// RemoveKey takes out what a team has waiting under one key.
+// RemoveKey removes and returns the entries of a team that were submitted with one key.
 func (q *Queues) RemoveKey(team task.Team, keyID string) []Entry {
 	return q.removeIf(team, func(it *item) bool { return it.KeyID == keyID })
 }
 
-// Expired takes out and returns the entries that are past their deadline.
+// Expired removes and returns the entries whose deadline has passed.
 func (q *Queues) Expired(now time.Time) []Entry {
 	var expired []Entry
-	for i := len(q.names) - 1; i >= 0; i-- {
-		t := q.teams[q.names[i]]
+	for i := len(q.activeTeams) - 1; i >= 0; i-- {
+		t := q.teams[q.activeTeams[i]]
 		for it := t.deadlines.first(); it != nil && it.Deadline.Before(now); it = t.deadlines.first() {
-			q.take(it)
+			q.removeItem(it)
 			expired = append(expired, it.Entry)
 		}
 	}
 	return expired
 }
 
-// Teams returns the teams with waiting work, sorted by name. The caller may
-// reorder the slice; it is valid until the next call of Teams.
+// Teams returns the teams with pending work, sorted by name. The caller may reorder the slice; it is
+// valid until the next call of Teams.
 func (q *Queues) Teams() []task.Team {
-	q.listed = append(q.listed[:0], q.names...)
-	return q.listed
+	q.teamsBuffer = append(q.teamsBuffer[:0], q.activeTeams...)
+	return q.teamsBuffer
 }
 
-// Len returns the number of entries that a team has waiting.
+// Len returns the number of queued entries of a team.
 func (q *Queues) Len(team task.Team) int {
 	t := q.teams[team]
 	if t == nil {
@@ -186,12 +185,11 @@
 	return t.len()
 }
 
-// agedItem returns the oldest normal or background entry if it has waited
-// longer than the age limit and it is its turn. Only one start in AgedEvery is
-// given to aged work, since otherwise a long backlog would pass every urgent
-// request of its team.
+// agedItem returns the first normal or background entry if it has waited for at least AgeLimit and
+// an aged entry may be served next. Only one start in AgedEvery goes to aged work; otherwise a long
+// backlog would overtake every urgent request of its team.
 func (q *Queues) agedItem(now time.Time, t *teamQueue) *item {
-	it := t.tiers[tierRest].first()
+	it := t.tiers[tierNormal].first()
 	if it == nil || now.Sub(it.EnqueuedAt) < q.cfg.AgeLimit {
 		return nil
 	}
@@ -201,14 +199,14 @@
 	return it
 }
 
-// promote moves the entries whose latest start is near to the first tier.
+// promote moves the entries whose promotion time has come to tierUrgent.
 func (q *Queues) promote(now time.Time, t *teamQueue) {
-	for it := t.reviews.first(); it != nil && !it.reviewAt.After(now); it = t.reviews.first() {
-		t.reviews.remove(it)
+	for it := t.promotions.first(); it != nil && !it.promoteAt.After(now); it = t.promotions.first() {
+		t.promotions.remove(it)
 		t.tiers[it.tier].remove(it)
-		it.tier, it.at = tierUrgent, it.reviewAt
+		it.tier, it.position = tierUrgent, it.promoteAt
 		t.tiers[tierUrgent].insert(it)
-		it.reviewAt = time.Time{}
+		it.promoteAt = time.Time{}
 	}
 }
 
@@ -217,39 +215,40 @@
 	it := &item{Entry: e, sequence: q.sequence}
 	switch {
 	case e.Urgency == task.Urgent:
-		it.tier, it.at = tierUrgent, e.EnqueuedAt
+		it.tier, it.position = tierUrgent, e.EnqueuedAt
 	case !e.Deadline.IsZero():
-		it.tier, it.at = tierDeadline, e.Deadline
+		it.tier, it.position = tierDeadline, e.Deadline
 	case e.Urgency == task.Background:
-		it.tier, it.at = tierRest, e.EnqueuedAt.Add(q.cfg.BackgroundLag)
+		it.tier, it.position = tierNormal, e.EnqueuedAt.Add(q.cfg.BackgroundLag)
 	default:
-		it.tier, it.at = tierRest, e.EnqueuedAt
+		it.tier, it.position = tierNormal, e.EnqueuedAt
 	}
 	if !e.ReviewBy.IsZero() && it.tier != tierUrgent {
-		it.reviewAt = q.LatestStart(e).Add(-q.cfg.ReviewLead)
+		it.promoteAt = q.LatestStart(e).Add(-q.cfg.ReviewLead)
 	}
 	return it
 }
 
-// LatestStart returns when work with a review has to start: the learned run
-// time and a margin before the review.
+// LatestStart returns the time by which an entry has to start in order to finish by ReviewBy. It
+// allows for the run time estimated from past runs, or the declared one if there is no estimate,
+// multiplied by Config.Safety.
 func (q *Queues) LatestStart(e Entry) time.Time {
-	run, learned := q.ExpectedRun(e.Team, e.Service, e.Class)
-	if !learned {
-		run = e.DeclaredRun
+	expectedRun, estimated := q.ExpectedRun(e.Team, e.Service, e.Class)
+	if !estimated {
+		expectedRun = e.DeclaredRun
 	}
-	return e.ReviewBy.Add(-time.Duration(float64(run) * q.cfg.Safety))
+	return e.ReviewBy.Add(-time.Duration(float64(expectedRun) * q.cfg.Safety))
 }
 
 func (q *Queues) queueOf(team task.Team) *teamQueue {
 	t, known := q.teams[team]
 	if !known {
 		t = &teamQueue{
-			deadlines: ordered{time: byDeadline},
-			reviews:   ordered{time: byReview},
+			deadlines:  sortedItems{key: byDeadline},
+			promotions: sortedItems{key: byPromotion},
 		}
 		for k := range t.tiers {
-			t.tiers[k].time = byPosition
+			t.tiers[k].key = byPosition
 		}
 		q.teams[team] = t
 	}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -17,7 +17,7 @@
 	return Entry{Attempt: task.Attempt{Task: task.ID(id), Number: 1}, Team: "a", Service: "s", Class: "c", Urgency: urgency}
 }
 
-func order(q *Queues, now time.Time) []string {
+func listOrder(q *Queues, now time.Time) []string {
 	var ids []string
 	for i := 0; ; i++ {
 		e := q.Next(now, "a", i)
@@ -37,12 +37,13 @@
 
 func checkOrder(t *testing.T, q *Queues, now time.Time, want ...string) {
 	t.Helper()
-	if got := order(q, now); !slices.Equal(got, want) {
+	if got := listOrder(q, now); !slices.Equal(got, want) {
 		t.Errorf("order = %v, want %v", got, want)
 	}
 }
 
-// TestOrderWithinTeam guards against the order of section 6.9 being lost.
+// TestOrderWithinTeam guards against a wrong order within a team: urgent work first, then work with
+// a deadline, earliest first, then normal work, then background work.
 func TestOrderWithinTeam(t *testing.T) {
 	q := New(Config{})
 	late, soon := entry("late", task.Normal), entry("soon", task.Normal)
@@ -56,8 +57,7 @@
 	checkOrder(t, q, start, "urgent 1", "urgent 2", "soon", "late", "normal 1", "normal 2", "background")
 }
 
-// TestBackgroundAges guards against background work waiting for ever behind
-// normal work.
+// TestBackgroundAges guards against background work starving behind normal work.
 func TestBackgroundAges(t *testing.T) {
 	q := New(Config{BackgroundLag: time.Minute})
 	mustPush(t, q, start, entry("background", task.Background))
@@ -66,10 +66,9 @@
 	checkOrder(t, q, start.Add(61*time.Second), "before", "background", "after")
 }
 
-// TestAgedWorkPassesUrgentWorkNowAndThen guards against normal work starving
-// under a stream of urgent work, and against a long backlog delaying every
-// urgent request.
-func TestAgedWorkPassesUrgentWorkNowAndThen(t *testing.T) {
+// TestAgedWorkGetsOneStartInAgedEvery guards against normal work starving behind a stream of urgent
+// work, and against a long backlog of aged work delaying every urgent request.
+func TestAgedWorkGetsOneStartInAgedEvery(t *testing.T) {
 	q := New(Config{AgeLimit: time.Minute, AgedEvery: 4})
 	mustPush(t, q, start, entry("old 1", task.Normal))
 	mustPush(t, q, start, entry("old 2", task.Normal))
@@ -90,9 +89,9 @@
 	}
 }
 
-// TestWorkStartsBeforeItsReview guards against a long run that starts too late
-// to finish by its review, as judged by the learned and not the declared time.
-func TestWorkStartsBeforeItsReview(t *testing.T) {
+// TestWorkIsPromotedBeforeLatestStart guards against a long run that starts too late to finish by
+// ReviewBy. The run time estimated from past runs counts, not the declared one.
+func TestWorkIsPromotedBeforeLatestStart(t *testing.T) {
 	q := New(Config{ReviewLead: time.Minute, Safety: 2})
 	for range 10 {
 		q.ObserveRun("a", "s", "c", time.Hour)
@@ -103,15 +102,15 @@
 	mustPush(t, q, start, long)
 	latest := q.LatestStart(long)
 	if run := long.ReviewBy.Sub(latest); run < 2*time.Hour || run > 3*time.Hour {
-		t.Fatalf("latest start %v before the review, want twice the learned hour", run)
+		t.Fatalf("latest start %v before ReviewBy, want twice the observed run time of 1 h", run)
 	}
 	checkOrder(t, q, latest.Add(-time.Minute-1), "urgent", "long")
 	mustPush(t, q, latest, entry("urgent later", task.Urgent))
 	checkOrder(t, q, latest, "urgent", "long", "urgent later")
 }
 
-// TestFullQueueRefuses guards against one team's flood taking memory without
-// bound or the place of another team.
+// TestFullQueueRefuses guards against a flood of requests of one team that uses unbounded memory or
+// the queue capacity of another team.
 func TestFullQueueRefuses(t *testing.T) {
 	q := New(Config{Limit: 3, Rand: rand.New(rand.NewPCG(1, 2))})
 	for i := range 3 {
@@ -121,7 +120,7 @@
 	if err == nil || err.Kind != errkind.QueueFull || err.Fate() != errkind.FateNotRun || err.RetryAfter <= 0 {
 		t.Fatalf("err = %v, want %s with a retry hint", err, errkind.QueueFull)
 	}
-	mustPush(t, q, start, entry("0", task.Normal)) // waits already
+	mustPush(t, q, start, entry("0", task.Normal)) // already queued
 	other := entry("other", task.Normal)
 	other.Team = "b"
 	mustPush(t, q, start, other)
@@ -130,9 +129,9 @@
 	}
 }
 
-// TestHopelessDeadlineIsRefused guards against work being accepted that is
-// known to start too late, and against work being refused that would not wait.
-func TestHopelessDeadlineIsRefused(t *testing.T) {
+// TestUnreachableDeadlineIsRefused guards against accepting work that is not expected to start by
+// its deadline, and against refusing work that would not wait.
+func TestUnreachableDeadlineIsRefused(t *testing.T) {
 	q := New(Config{})
 	now := start
 	for i := range 20 {
@@ -143,18 +142,18 @@
 		q.Remove(task.Attempt{Task: task.ID(fmt.Sprint(i)), Number: 1})
 		q.ObserveStart(now, "a", now.Sub(start))
 	}
-	hopeless := entry("hopeless", task.Normal)
-	hopeless.Deadline = now.Add(100 * time.Second) // 10 urgent entries at 10 s are ahead
-	err := q.Push(now, hopeless)
+	unreachable := entry("unreachable", task.Normal)
+	unreachable.Deadline = now.Add(100 * time.Second) // 10 urgent entries at 10 s are ahead
+	err := q.Push(now, unreachable)
 	if err == nil || err.Kind != errkind.DeadlineExceeded || err.Fate() != errkind.FateNotRun || err.RetryAfter <= 0 {
 		t.Fatalf("err = %v, want %s with a retry hint", err, errkind.DeadlineExceeded)
 	}
-	possible := hopeless
-	possible.Deadline = now.Add(111 * time.Second)
-	mustPush(t, q, now, possible)
+	reachable := unreachable
+	reachable.Deadline = now.Add(111 * time.Second)
+	mustPush(t, q, now, reachable)
 	q.RemoveTeam("a")
-	hopeless.Deadline = now.Add(time.Millisecond)
-	mustPush(t, q, now, hopeless) // nothing is ahead of it
+	unreachable.Deadline = now.Add(time.Millisecond)
+	mustPush(t, q, now, unreachable) // the queue is empty
 	late := entry("late", task.Normal)
 	late.Deadline = now
 	if err := q.Push(now, late); err == nil || err.Kind != errkind.DeadlineExceeded {
@@ -177,12 +176,12 @@
 	checkOrder(t, q, start, "2", "3")
 }
 
-// TestRunTimesAreLearned guards against declared run times being believed, old
-// runs deciding for ever, and the state growing with every class name.
-func TestRunTimesAreLearned(t *testing.T) {
+// TestExpectedRunFollowsObservedRuns guards against estimates from declared run times, against old
+// runs dominating the estimate, and against unbounded growth with the number of class names.
+func TestExpectedRunFollowsObservedRuns(t *testing.T) {
 	q := New(Config{RunQuantile: 0.9, Profiles: 2})
-	if _, learned := q.ExpectedRun("a", "s", "c"); learned {
-		t.Error("predicted without a run")
+	if _, ok := q.ExpectedRun("a", "s", "c"); ok {
+		t.Error("ExpectedRun returned a prediction without any observed run")
 	}
 	for i := range 1000 {
 		d := time.Second
@@ -207,10 +206,9 @@
 	}
 }
 
-// TestExpectedWaitCountsDueReviews guards against ExpectedWait and Push
-// disagreeing about work that has just become due for its review and now
-// stands ahead of urgent work.
-func TestExpectedWaitCountsDueReviews(t *testing.T) {
+// TestExpectedWaitCountsDuePromotions guards against ExpectedWait and Push returning different
+// results when an entry has just become due for promotion and now precedes urgent work.
+func TestExpectedWaitCountsDuePromotions(t *testing.T) {
 	q := New(Config{ReviewLead: 10 * time.Second})
 	due := entry("due", task.Normal)
 	due.ReviewBy = start.Add(11 * time.Second)
@@ -229,9 +227,9 @@
 	}
 }
 
-// TestRetryHintsAreSpread guards against refused callers all coming back at the
-// same moment, and against hints without bound.
-func TestRetryHintsAreSpread(t *testing.T) {
+// TestRetryHintsAreJittered guards against refused callers all retrying at the same moment, and
+// against unbounded retry hints.
+func TestRetryHintsAreJittered(t *testing.T) {
 	q := New(Config{Limit: 1, Rand: rand.New(rand.NewPCG(1, 2))})
 	mustPush(t, q, start, entry("waits", task.Normal))
 	now := start.Add(time.Hour) // nothing has started since
--- a/queue/remove.go
+++ b/queue/remove.go
@@ -6,44 +6,44 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// take removes one item from every list that holds it.
-func (q *Queues) take(it *item) {
+// removeItem removes one item from every list that contains it.
+func (q *Queues) removeItem(it *item) {
 	t := q.teams[it.Team]
 	delete(q.items, it.Attempt)
 	t.tiers[it.tier].remove(it)
 	if !it.Deadline.IsZero() {
 		t.deadlines.remove(it)
 	}
-	if !it.reviewAt.IsZero() {
-		t.reviews.remove(it)
+	if !it.promoteAt.IsZero() {
+		t.promotions.remove(it)
 	}
 	if t.len() == 0 {
-		q.dropName(it.Team)
+		q.removeActiveTeam(it.Team)
 	}
 }
 
-// removeIf removes many items of a team in one pass over its lists, since
-// withdrawn keys and cancelled teams take out thousands at once.
-func (q *Queues) removeIf(team task.Team, test func(*item) bool) []Entry {
+// removeIf removes the matching items of a team in one pass over its lists, because the withdrawal
+// of a key or the cancellation of a team can remove thousands of items at once.
+func (q *Queues) removeIf(team task.Team, match func(*item) bool) []Entry {
 	t := q.teams[team]
 	if t == nil || t.len() == 0 {
 		return nil
 	}
 	var removed []Entry
-	stays := func(it *item) bool { return !test(it) }
+	unmatched := func(it *item) bool { return !match(it) }
 	for k := range t.tiers {
 		for _, it := range t.tiers[k].items {
-			if test(it) {
+			if match(it) {
 				removed = append(removed, it.Entry)
 				delete(q.items, it.Attempt)
 			}
 		}
-		t.tiers[k].keep(stays)
+		t.tiers[k].retain(unmatched)
 	}
-	t.deadlines.keep(stays)
-	t.reviews.keep(stays)
+	t.deadlines.retain(unmatched)
+	t.promotions.retain(unmatched)
 	if len(removed) > 0 && t.len() == 0 {
-		q.dropName(team)
+		q.removeActiveTeam(team)
 	}
 	return removed
 }
@@ -53,8 +53,8 @@
 	if !it.Deadline.IsZero() {
 		t.deadlines.insert(it)
 	}
-	if !it.reviewAt.IsZero() {
-		t.reviews.insert(it)
+	if !it.promoteAt.IsZero() {
+		t.promotions.insert(it)
 	}
 }
 
@@ -66,15 +66,15 @@
 	return n
 }
 
-func (q *Queues) addName(team task.Team) {
-	i, found := slices.BinarySearch(q.names, team)
+func (q *Queues) addActiveTeam(team task.Team) {
+	i, found := slices.BinarySearch(q.activeTeams, team)
 	if !found {
-		q.names = slices.Insert(q.names, i, team)
+		q.activeTeams = slices.Insert(q.activeTeams, i, team)
 	}
 }
 
-func (q *Queues) dropName(team task.Team) {
-	if i, found := slices.BinarySearch(q.names, team); found {
-		q.names = slices.Delete(q.names, i, i+1)
+func (q *Queues) removeActiveTeam(team task.Team) {
+	if i, found := slices.BinarySearch(q.activeTeams, team); found {
+		q.activeTeams = slices.Delete(q.activeTeams, i, i+1)
 	}
 }
