fairshare: describe weighted dominant shares in the usual terms

The sort key of a team was called its need, although a higher value means a later turn; it is now its weighted share.

Unexported renames, among them: need -> weightedShare, needTick -> weightedShareMaxAge, usage.need/needAt -> cachedShare/cachedShareAt, own -> local, ranked -> rankedTeam, keys -> sortBuffer, and two test names. The message of the order check in the model test follows.

--- a/fairshare/bench_test.go
+++ b/fairshare/bench_test.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// BenchmarkOrder sorts all teams after one start.
+// BenchmarkOrder measures sorting all teams after one start.
 func BenchmarkOrder(b *testing.B) {
 	forEachTeams(b, func(b *testing.B, s *Shares, teams []task.Team) {
 		for i := range b.N {
@@ -37,7 +37,7 @@
 	})
 }
 
-// BenchmarkReorder repairs the order after one start.
+// BenchmarkReorder measures the incremental reordering after one start.
 func BenchmarkReorder(b *testing.B) {
 	forEachTeams(b, func(b *testing.B, s *Shares, teams []task.Team) {
 		for range b.N {
--- a/fairshare/doc.go
+++ b/fairshare/doc.go
@@ -1,6 +1,5 @@
-// Package fairshare orders teams by how far their use of the cluster is from
-// the share that their weight entitles them to: the weighted dominant share
-// over processors, memory, accelerators and slots, of what they use now and of
-// what they used lately. Package control calls it from the control goroutine
-// only.
+// Package fairshare orders teams by weighted dominant resource fairness: by the sum of the dominant
+// shares, over CPU, memory, accelerators and slots, of their current usage and of their exponentially
+// decayed usage, divided by their weight. The team furthest below its entitlement comes first.
+// Package control calls it from the control goroutine only.
 package fairshare
--- a/fairshare/model_test.go
+++ b/fairshare/model_test.go
@@ -11,27 +11,27 @@
 	"pgregory.net/rapid"
 )
 
-// segment is a time in which the usage of a team did not change.
+// segment is an interval of constant usage of a team; it ends where the next one starts.
 type segment struct {
 	from time.Time
 	used task.Resources
 }
 
-// history computes shares from everything that ever happened.
+// history is a reference implementation that computes shares from the entire usage history.
 type history struct {
 	halfLife time.Duration
 	weights  map[task.Team]float64
-	own      map[task.Team]task.Resources
+	local    map[task.Team]task.Resources
 	remote   map[task.Team]task.Resources
 	segments map[task.Team][]segment
 }
 
-func (h *history) note(now time.Time, team task.Team) {
-	h.segments[team] = append(h.segments[team], segment{now, h.own[team].Add(h.remote[team])})
+func (h *history) record(now time.Time, team task.Team) {
+	h.segments[team] = append(h.segments[team], segment{now, h.local[team].Add(h.remote[team])})
 }
 
-// decayed integrates the usage with a weight that halves with each half-life
-// into the past.
+// decayed integrates the usage over time with a weight that halves with each half-life into the
+// past.
 func (h *history) decayed(now time.Time, team task.Team) float64 {
 	var sum [4]float64
 	for i, s := range h.segments[team] {
@@ -45,8 +45,8 @@
 		}
 	}
 	share := 0.0
-	for r, whole := range toVector(total) {
-		share = max(share, sum[r]/whole)
+	for r, capacity := range toVector(total) {
+		share = max(share, sum[r]/capacity)
 	}
 	return share
 }
@@ -55,19 +55,19 @@
 	return math.Exp2(-float64(now.Sub(at)) / float64(h.halfLife))
 }
 
-func (h *history) need(now time.Time, team task.Team) float64 {
-	current := h.own[team].Add(h.remote[team]).DominantShare(total)
+func (h *history) weightedShare(now time.Time, team task.Team) float64 {
+	current := h.local[team].Add(h.remote[team]).DominantShare(total)
 	return (current + h.decayed(now, team)) / h.weights[team]
 }
 
-// TestSharesEqualHistory guards against decayed usage that depends on how often
-// it is looked at, and against an order that differs from the definition.
+// TestSharesEqualHistory guards against decayed usage that depends on how often it is read, and
+// against an order that differs from the definition.
 func TestSharesEqualHistory(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		teams := []task.Team{"a", "b", "c", "d"}
 		h := &history{
 			halfLife: time.Duration(rapid.IntRange(1, 600).Draw(t, "half-life")) * time.Second,
-			weights:  map[task.Team]float64{}, own: map[task.Team]task.Resources{},
+			weights:  map[task.Team]float64{}, local: map[task.Team]task.Resources{},
 			remote: map[task.Team]task.Resources{}, segments: map[task.Team][]segment{},
 		}
 		s := newShares(h.halfLife)
@@ -77,14 +77,14 @@
 		}
 		now := start
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			now = now.Add(needTick * time.Duration(rapid.IntRange(0, 600).Draw(t, "ticks")))
-			usageStep(t, s, h, now, rapid.SampledFrom(teams).Draw(t, "team"))
+			now = now.Add(weightedShareMaxAge * time.Duration(rapid.IntRange(0, 600).Draw(t, "ticks")))
+			applyRandomStep(t, s, h, now, rapid.SampledFrom(teams).Draw(t, "team"))
 			compareWithHistory(t, s, h, now, teams)
 		}
 	})
 }
 
-func usageStep(t *rapid.T, s *Shares, h *history, now time.Time, team task.Team) {
+func applyRandomStep(t *rapid.T, s *Shares, h *history, now time.Time, team task.Team) {
 	size := task.Resources{
 		CPUMilli: rapid.Int64Range(0, 5000).Draw(t, "cpu"), Slots: rapid.Int64Range(0, 5).Draw(t, "slots"),
 		Accelerators: rapid.Int64Range(0, 1).Draw(t, "accelerators"),
@@ -92,16 +92,16 @@
 	switch rapid.IntRange(0, 3).Draw(t, "step") {
 	case 0, 1:
 		s.Start(now, team, size)
-		h.own[team] = h.own[team].Add(size)
+		h.local[team] = h.local[team].Add(size)
 	case 2:
-		size = size.Min(h.own[team])
+		size = size.Min(h.local[team])
 		s.Finish(now, team, size)
-		h.own[team] = h.own[team].Sub(size)
+		h.local[team] = h.local[team].Sub(size)
 	case 3:
 		s.SetRemote(now, team, size)
 		h.remote[team] = size
 	}
-	h.note(now, team)
+	h.record(now, team)
 }
 
 func compareWithHistory(t *rapid.T, s *Shares, h *history, now time.Time, teams []task.Team) {
@@ -113,9 +113,9 @@
 	}
 	order := s.Order(now, slices.Clone(teams))
 	for i := 1; i < len(order); i++ {
-		before, after := h.need(now, order[i-1]), h.need(now, order[i])
+		before, after := h.weightedShare(now, order[i-1]), h.weightedShare(now, order[i])
 		if c := cmp.Compare(before, after); c > 0 && before-after > 1e-9 {
-			t.Fatalf("%s with need %v comes before %s with %v", order[i-1], before, order[i], after)
+			t.Fatalf("%s with weighted share %v comes before %s with %v", order[i-1], before, order[i], after)
 		}
 	}
 }
--- a/fairshare/shares.go
+++ b/fairshare/shares.go
@@ -12,52 +12,51 @@
 // DefaultHalfLife is the half-life of past usage if Config gives none.
 const DefaultHalfLife = 10 * time.Minute
 
-// needTick is how long the key of a team that neither starts nor finishes
-// anything is kept. Decay changes it by 0.01% in that time at the default
-// half-life.
-const needTick = 100 * time.Millisecond
+// weightedShareMaxAge is how long the cached weighted share of a team without starts and finishes
+// is valid. At the default half-life, decay changes it by 0.01% in that time.
+const weightedShareMaxAge = 100 * time.Millisecond
 
 // Config configures Shares.
 type Config struct {
-	HalfLife time.Duration // time after which past usage counts half
+	HalfLife time.Duration // time in which the weight of past usage halves
 }
 
-// Share is the position of one team.
+// Share is the usage of one team relative to the cluster and its entitlement.
 type Share struct {
-	Current  float64 // dominant share of what the team uses now
-	Decayed  float64 // dominant share of its decayed usage
-	Entitled float64 // its weight over the weights of all teams
+	Current  float64 // dominant share of the current usage
+	Decayed  float64 // dominant share of the decayed usage
+	Entitled float64 // weight of the team divided by the weights of all teams
 }
 
-// Shares keeps the usage of teams. It is not safe for concurrent use.
+// Shares tracks the usage of teams. It is not safe for concurrent use.
 type Shares struct {
 	halfLife    time.Duration
 	total       task.Resources
 	teams       map[task.Team]*usage
 	totalWeight float64
-	keys        []ranked // working memory of Order
+	sortBuffer  []rankedTeam // reusable buffer of Order
 }
 
-// usage is the account of one team.
+// usage is the resource accounting of one team.
 type usage struct {
-	weight    float64
-	own       task.Resources
-	remote    task.Resources
-	decayed   vector
-	decayedAt time.Time
-	need      float64   // key of the order
-	needAt    time.Time // when it was computed; zero after a change
+	weight        float64
+	local         task.Resources
+	remote        task.Resources
+	decayed       vector
+	decayedAt     time.Time
+	cachedShare   float64   // cached sort key, see Shares.weightedShare
+	cachedShareAt time.Time // when cachedShare was computed; zero if the cache is invalid
 }
 
 // vector is an amount of each resource that teams compete for.
 type vector [4]float64
 
-type ranked struct {
-	team task.Team
-	need float64
+type rankedTeam struct {
+	team          task.Team
+	weightedShare float64
 }
 
-// New returns shares without teams.
+// New returns a Shares without teams.
 func New(cfg Config) *Shares {
 	if cfg.HalfLife <= 0 {
 		cfg.HalfLife = DefaultHalfLife
@@ -65,8 +64,8 @@
 	return &Shares{halfLife: cfg.HalfLife, teams: map[task.Team]*usage{}}
 }
 
-// SetWeight sets the weight of a team. Weights that are not above zero count
-// as 1, which is also the weight of a team that has none.
+// SetWeight sets the weight of a team. The default is 1; it also replaces a weight that is not
+// positive and finite.
 func (s *Shares) SetWeight(team task.Team, weight float64) {
 	if !(weight > 0) || math.IsInf(weight, 0) {
 		weight = 1
@@ -74,69 +73,69 @@
 	u := s.usageOf(team)
 	s.totalWeight += weight - u.weight
 	u.weight = weight
-	u.needAt = time.Time{}
+	u.cachedShareAt = time.Time{}
 }
 
-// SetTotal sets the amounts of which shares are fractions.
+// SetTotal sets the cluster capacity to which shares are relative.
 func (s *Shares) SetTotal(total task.Resources) {
 	if s.total == total {
 		return
 	}
 	s.total = total
 	for _, u := range s.teams {
-		u.needAt = time.Time{}
+		u.cachedShareAt = time.Time{}
 	}
 }
 
-// Start adds to a team's own usage.
+// Start adds size to a team's local usage.
 func (s *Shares) Start(now time.Time, team task.Team, size task.Resources) {
 	u := s.usageOf(team)
 	s.decay(now, u)
-	u.own = u.own.Add(size)
-	u.needAt = time.Time{}
+	u.local = u.local.Add(size)
+	u.cachedShareAt = time.Time{}
 }
 
-// Finish takes from a team's own usage.
+// Finish subtracts size from a team's local usage.
 func (s *Shares) Finish(now time.Time, team task.Team, size task.Resources) {
 	u := s.usageOf(team)
 	s.decay(now, u)
-	u.own = u.own.Sub(size).Max(task.Resources{})
-	u.needAt = time.Time{}
+	u.local = u.local.Sub(size).Max(task.Resources{})
+	u.cachedShareAt = time.Time{}
 }
 
-// SetRemote sets what a team uses at all other owners.
+// SetRemote sets the usage of a team at all other owners.
 func (s *Shares) SetRemote(now time.Time, team task.Team, size task.Resources) {
 	u := s.usageOf(team)
 	s.decay(now, u)
 	u.remote = size.Max(task.Resources{})
-	u.needAt = time.Time{}
+	u.cachedShareAt = time.Time{}
 }
 
-// Order sorts teams in place, the one furthest below its share first, and
-// returns them. Teams in equal need are ordered by name.
+// Order sorts teams in place by ascending weighted share, so that the team furthest below its
+// entitlement comes first, and returns them. Ties are ordered by name.
 func (s *Shares) Order(now time.Time, teams []task.Team) []task.Team {
-	s.keys = s.keys[:0]
+	s.sortBuffer = s.sortBuffer[:0]
 	for _, team := range teams {
-		s.keys = append(s.keys, ranked{team, s.need(now, s.usageOf(team))})
+		s.sortBuffer = append(s.sortBuffer, rankedTeam{team, s.weightedShare(now, s.usageOf(team))})
 	}
-	slices.SortFunc(s.keys, compareRanked)
-	for i := range s.keys {
-		teams[i] = s.keys[i].team
+	slices.SortFunc(s.sortBuffer, compareWeightedShare)
+	for i := range s.sortBuffer {
+		teams[i] = s.sortBuffer[i].team
 	}
 	return teams
 }
 
-// Reorder restores the order of teams after the usage of the first one has
-// grown, at a fraction of the cost of Order.
+// Reorder restores the order of teams after the usage of the first one has increased. It costs a
+// fraction of Order.
 func (s *Shares) Reorder(now time.Time, teams []task.Team) {
 	if len(teams) < 2 {
 		return
 	}
-	moved := ranked{teams[0], s.need(now, s.usageOf(teams[0]))}
+	moved := rankedTeam{teams[0], s.weightedShare(now, s.usageOf(teams[0]))}
 	i := 1
 	for ; i < len(teams); i++ {
-		next := ranked{teams[i], s.need(now, s.usageOf(teams[i]))}
-		if compareRanked(moved, next) <= 0 {
+		next := rankedTeam{teams[i], s.weightedShare(now, s.usageOf(teams[i]))}
+		if compareWeightedShare(moved, next) <= 0 {
 			break
 		}
 		teams[i-1] = teams[i]
@@ -144,8 +143,7 @@
 	teams[i-1] = moved.team
 }
 
-// Forget drops a team that no longer exists. A team that still uses something
-// stays known until that has finished.
+// Forget removes a team that no longer exists. It has no effect while the team still has usage.
 func (s *Shares) Forget(team task.Team) {
 	u, known := s.teams[team]
 	if !known || !u.used().IsZero() {
@@ -155,7 +153,7 @@
 	delete(s.teams, team)
 }
 
-// ShareOf returns the position of a team, zero if the team is unknown.
+// ShareOf returns the share of a team, or zero if the team is unknown.
 func (s *Shares) ShareOf(now time.Time, team task.Team) Share {
 	u, known := s.teams[team]
 	if !known {
@@ -169,22 +167,23 @@
 	}
 }
 
-// need returns the key of the order, lower for a team further below its share.
-// The present share makes the order react at once to what is started; the
-// decayed share remembers who used more than its share a while ago.
-func (s *Shares) need(now time.Time, u *usage) float64 {
-	if !u.needAt.IsZero() && now.Sub(u.needAt) < needTick {
-		return u.need
+// weightedShare returns the sort key of a team, lower for a team further below its entitlement. The
+// current share makes the order react immediately to starts; the decayed share accounts for teams
+// that exceeded their entitlement in the recent past.
+func (s *Shares) weightedShare(now time.Time, u *usage) float64 {
+	if !u.cachedShareAt.IsZero() && now.Sub(u.cachedShareAt) < weightedShareMaxAge {
+		return u.cachedShare
 	}
 	s.decay(now, u)
-	u.need = (u.used().DominantShare(s.total) + u.decayed.dominantShare(s.total)) / u.weight
-	u.needAt = now
-	return u.need
+	u.cachedShare = (u.used().DominantShare(s.total) + u.decayed.dominantShare(s.total)) / u.weight
+	u.cachedShareAt = now
+	return u.cachedShare
 }
 
-// decay moves the decayed usage of a team towards its present usage.
+// decay advances the decayed usage of a team to now. It approaches the current usage
+// exponentially.
 func (s *Shares) decay(now time.Time, u *usage) {
-	present := toVector(u.used())
+	current := toVector(u.used())
 	elapsed := now.Sub(u.decayedAt)
 	if u.decayedAt.IsZero() || elapsed <= 0 {
 		if u.decayedAt.IsZero() {
@@ -194,7 +193,7 @@
 	}
 	kept := math.Exp2(-float64(elapsed) / float64(s.halfLife))
 	for r := range u.decayed {
-		u.decayed[r] = present[r] + (u.decayed[r]-present[r])*kept
+		u.decayed[r] = current[r] + (u.decayed[r]-current[r])*kept
 	}
 	u.decayedAt = now
 }
@@ -209,7 +208,7 @@
 	return u
 }
 
-func (u *usage) used() task.Resources { return u.own.Add(u.remote) }
+func (u *usage) used() task.Resources { return u.local.Add(u.remote) }
 
 func toVector(r task.Resources) vector {
 	return vector{float64(r.CPUMilli), float64(r.MemoryMB), float64(r.Accelerators), float64(r.Slots)}
@@ -217,16 +216,16 @@
 
 func (v vector) dominantShare(total task.Resources) float64 {
 	share := 0.0
-	for r, whole := range toVector(total) {
-		if whole > 0 {
-			share = max(share, v[r]/whole)
+	for r, capacity := range toVector(total) {
+		if capacity > 0 {
+			share = max(share, v[r]/capacity)
 		}
 	}
 	return share
 }
 
-func compareRanked(a, b ranked) int {
-	if c := cmp.Compare(a.need, b.need); c != 0 {
+func compareWeightedShare(a, b rankedTeam) int {
+	if c := cmp.Compare(a.weightedShare, b.weightedShare); c != 0 {
 		return c
 	}
 	return cmp.Compare(a.team, b.team)
--- a/fairshare/shares_test.go
+++ b/fairshare/shares_test.go
@@ -22,8 +22,8 @@
 	return s
 }
 
-// TestDominantResourceDecides guards against a team that fills one resource
-// being taken for a small one because it uses little of the others.
+// TestDominantResourceDecides guards against underestimating a team that uses much of one resource
+// and little of the others.
 func TestDominantResourceDecides(t *testing.T) {
 	s := newShares(0)
 	s.Start(start, "accelerated", task.Resources{Accelerators: 5})
@@ -34,9 +34,9 @@
 	}
 }
 
-// TestWeightsDivideTheCluster guards against weights being ignored: a cluster
-// that is filled in the order of need is divided in proportion to them.
-func TestWeightsDivideTheCluster(t *testing.T) {
+// TestUsageIsProportionalToWeights guards against weights being ignored: if each start goes to the
+// first team in the order, usage becomes proportional to the weights.
+func TestUsageIsProportionalToWeights(t *testing.T) {
 	s := newShares(0)
 	teams := []task.Team{"one", "two", "five"}
 	s.SetWeight("two", 2)
@@ -54,8 +54,7 @@
 	}
 }
 
-// TestUsageDecaysByHalf guards against past usage being forgotten at once or
-// never.
+// TestUsageDecaysByHalf guards against past usage being discarded immediately or never decaying.
 func TestUsageDecaysByHalf(t *testing.T) {
 	s := newShares(time.Minute)
 	size := task.Resources{CPUMilli: 80_000}
@@ -74,7 +73,7 @@
 	}
 }
 
-// TestRemoteUsageCounts guards against an owner that sees its own part only.
+// TestRemoteUsageCounts guards against an owner that counts only the usage in its own partitions.
 func TestRemoteUsageCounts(t *testing.T) {
 	s := newShares(0)
 	s.Start(start, "local", task.Resources{Slots: 10})
@@ -88,8 +87,8 @@
 	}
 }
 
-// TestReorderEqualsOrder guards against the cheap repair of the order after a
-// start differing from sorting again.
+// TestReorderEqualsOrder guards against incremental reordering after a start giving a different
+// result than a full sort.
 func TestReorderEqualsOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newShares(time.Minute)
@@ -114,16 +113,16 @@
 	})
 }
 
-// TestLookingChangesNoShare guards against a question about an unknown or
-// forgotten team taking from what the others are entitled to.
-func TestLookingChangesNoShare(t *testing.T) {
+// TestShareOfHasNoSideEffects guards against a query for an unknown or removed team reducing the
+// entitlement of the others.
+func TestShareOfHasNoSideEffects(t *testing.T) {
 	s := newShares(0)
 	s.SetWeight("a", 2)
 	s.SetWeight("gone", 2)
 	s.Start(start, "gone", task.Resources{Slots: 1})
 	s.Forget("gone")
 	if got := s.ShareOf(start, "gone"); got.Current == 0 {
-		t.Error("a team was forgotten while it used something")
+		t.Error("a team was removed while it still had usage")
 	}
 	s.Finish(start, "gone", task.Resources{Slots: 1})
 	s.Forget("gone")
