quarantine: describe fault attribution, caps and probe backoff in the usual terms

Reword doc comments: faulty workers and jobs, failures attributed to one of them, cap, probe delay.

Unexported renames, among them: class -> classHistory, jobs -> jobHistory, job -> jobRecord, seen -> successRecord, the methods failed/succeeded -> recordFailure/recordSuccess, forget -> evict, the limits failuresKept/jobsKept/classesKept/classesLimit -> maxFailures/maxJobs/maxWorkerClasses/maxClasses, isOld -> isOutsideWindow, capOf -> quarantineCap, isWorkerBad -> isWorkerFaulty, and in tests log -> outcomeLog and six test names.

--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -23,7 +23,7 @@
 	}
 }
 
-// BenchmarkObserveSuccess is one ordinary outcome.
+// BenchmarkObserveSuccess measures Observe for a success.
 func BenchmarkObserveSuccess(b *testing.B) {
 	forEachFleet(b, func(b *testing.B, m *Monitor, workers int) {
 		o := Outcome{workerName(workers / 2), classNamed("x"), "job", true}
@@ -33,7 +33,7 @@
 	})
 }
 
-// BenchmarkObserveFailure is one failure on a worker that fails a lot.
+// BenchmarkObserveFailure measures Observe for a failure on a worker with many failures.
 func BenchmarkObserveFailure(b *testing.B) {
 	forEachFleet(b, func(b *testing.B, m *Monitor, workers int) {
 		jobs := make([]task.ID, 1000)
@@ -47,7 +47,7 @@
 	})
 }
 
-// BenchmarkReview is the look at all workers that is made once a second.
+// BenchmarkReview measures the check of all workers that runs once a second.
 func BenchmarkReview(b *testing.B) {
 	forEachFleet(b, func(b *testing.B, m *Monitor, _ int) {
 		for range b.N {
--- a/quarantine/class.go
+++ b/quarantine/class.go
@@ -2,53 +2,51 @@
 
 import "time"
 
-// classesLimit bounds the classes remembered, well above the classes that the
-// documents of 97 teams describe.
-const classesLimit = 4096
-
-// class remembers the last success of a class of work on two different
-// workers, which is enough to tell whether it runs on a worker other than a
-// given one.
-type class struct {
-	latest, other seen
+// maxClasses is the maximum number of classes that are tracked. It is well above the number of
+// classes in the documents of 97 teams.
+const maxClasses = 4096
+
+// classHistory holds the most recent successes of a class on two different workers. Two are enough
+// to decide whether the class succeeds on a worker other than a given one.
+type classHistory struct {
+	latest, latestOnOther successRecord
 }
 
-type seen struct {
+type successRecord struct {
 	worker string
 	at     time.Time
 }
 
-func (c *class) succeededOn(now time.Time, worker string) {
+func (c *classHistory) recordSuccess(now time.Time, worker string) {
 	if c.latest.worker != worker {
-		c.other = c.latest
+		c.latestOnOther = c.latest
 	}
-	c.latest = seen{worker, now}
+	c.latest = successRecord{worker, now}
 }
 
-// runsElsewhere reports whether the class succeeded since a time on a worker
-// other than the named one.
-func (c *class) runsElsewhere(worker string, since time.Time) bool {
+// runsElsewhere reports whether the class has succeeded on another worker since the given time.
+func (c *classHistory) runsElsewhere(worker string, since time.Time) bool {
 	found := c.latest
 	if found.worker == worker {
-		found = c.other
+		found = c.latestOnOther
 	}
 	return found.worker != "" && !found.at.Before(since)
 }
 
-func (m *Monitor) classOf(key Class) *class {
+func (m *Monitor) classOf(key Class) *classHistory {
 	c, known := m.classes[key]
 	if !known {
-		m.forgetClass()
-		c = &class{}
+		m.evictClass()
+		c = &classHistory{}
 		m.classes[key] = c
 	}
 	return c
 }
 
-// forgetClass makes room for one class by dropping the one whose last success
-// is the oldest.
-func (m *Monitor) forgetClass() {
-	if len(m.classes) < classesLimit {
+// evictClass makes room for one more class if the limit is reached. It evicts the class with the
+// oldest last success.
+func (m *Monitor) evictClass() {
+	if len(m.classes) < maxClasses {
 		return
 	}
 	var oldest Class
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -1,6 +1,6 @@
-// Package quarantine tells bad workers from bad work by who fails where. A
-// worker on which tasks of several classes fail that run elsewhere is put in
-// quarantine; a job that fails on several workers on which other work runs is
-// bad itself. Package control reports outcomes to it from the control
-// goroutine, and applies its verdicts and penalties to the placement.
+// Package quarantine distinguishes faulty workers from faulty jobs by correlating failures across
+// workers. A worker is quarantined if tasks of several classes fail on it that succeed on other
+// workers. A job is faulty if it fails on several workers on which other work succeeds. Package
+// control reports outcomes to it from the control goroutine, and applies its verdicts and penalties
+// to the placement.
 package quarantine
--- a/quarantine/job.go
+++ b/quarantine/job.go
@@ -8,15 +8,15 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// jobs remembers on which workers each job failed, for a bounded number of jobs.
-type jobs struct {
-	byID     map[task.ID]*job
-	byRecent *list.List // of *job, the one that failed last in front
+// jobHistory tracks on which workers each job failed, for a bounded number of jobs.
+type jobHistory struct {
+	byID map[task.ID]*jobRecord
+	lru  *list.List // of *jobRecord, most recent failure first
 }
 
-type job struct {
+type jobRecord struct {
 	id       task.ID
-	failures []jobFailure // the latest, one for each worker
+	failures []jobFailure // the latest failure on each worker, oldest first
 	element  *list.Element
 }
 
@@ -25,51 +25,51 @@
 	at     time.Time
 }
 
-func newJobs() jobs {
-	return jobs{byID: map[task.ID]*job{}, byRecent: list.New()}
+func newJobHistory() jobHistory {
+	return jobHistory{byID: map[task.ID]*jobRecord{}, lru: list.New()}
 }
 
-func (js *jobs) failed(now time.Time, o Outcome, window time.Duration) {
-	js.forget(now.Add(-window))
-	j, known := js.byID[o.Job]
+func (h *jobHistory) recordFailure(now time.Time, o Outcome, window time.Duration) {
+	h.evict(now.Add(-window))
+	j, known := h.byID[o.Job]
 	if !known {
-		j = &job{id: o.Job}
-		j.element = js.byRecent.PushFront(j)
-		js.byID[o.Job] = j
+		j = &jobRecord{id: o.Job}
+		j.element = h.lru.PushFront(j)
+		h.byID[o.Job] = j
 	}
-	js.byRecent.MoveToFront(j.element)
+	h.lru.MoveToFront(j.element)
 	j.failures = slices.DeleteFunc(j.failures, func(f jobFailure) bool { return f.worker == o.Worker })
-	if len(j.failures) == failuresKept {
+	if len(j.failures) == maxFailures {
 		j.failures = slices.Delete(j.failures, 0, 1)
 	}
 	j.failures = append(j.failures, jobFailure{o.Worker, now})
 }
 
-// succeeded clears a job: its failures were those of the workers.
-func (js *jobs) succeeded(id task.ID) {
-	if j, known := js.byID[id]; known {
-		js.byRecent.Remove(j.element)
-		delete(js.byID, id)
+// recordSuccess deletes the record of a job: after a success, its earlier failures are attributed to
+// the workers.
+func (h *jobHistory) recordSuccess(id task.ID) {
+	if j, known := h.byID[id]; known {
+		h.lru.Remove(j.element)
+		delete(h.byID, id)
 	}
 }
 
-// forget drops the jobs that failed last before a time, and the oldest ones if
-// there are too many.
-func (js *jobs) forget(before time.Time) {
-	for oldest := js.byRecent.Back(); oldest != nil; oldest = js.byRecent.Back() {
-		j := oldest.Value.(*job)
-		if len(js.byID) < jobsKept && !j.failures[len(j.failures)-1].at.Before(before) {
+// evict deletes the jobs whose last failure is older than the given time, and the least recently
+// failed ones while the limit is reached.
+func (h *jobHistory) evict(before time.Time) {
+	for oldest := h.lru.Back(); oldest != nil; oldest = h.lru.Back() {
+		j := oldest.Value.(*jobRecord)
+		if len(h.byID) < maxJobs && !j.failures[len(j.failures)-1].at.Before(before) {
 			return
 		}
-		js.byRecent.Remove(oldest)
-		delete(js.byID, j.id)
+		h.lru.Remove(oldest)
+		delete(h.byID, j.id)
 	}
 }
 
-// failedElsewhere reports whether a job failed since a time on a worker other
-// than the named one as well.
-func (js *jobs) failedElsewhere(id task.ID, worker string, since time.Time) bool {
-	j, known := js.byID[id]
+// failedElsewhere reports whether a job has also failed on another worker since the given time.
+func (h *jobHistory) failedElsewhere(id task.ID, worker string, since time.Time) bool {
+	j, known := h.byID[id]
 	if !known {
 		return false
 	}
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -9,21 +9,21 @@
 	"pgregory.net/rapid"
 )
 
-// log judges workers and jobs by the definition, from all outcomes.
-type log struct {
-	outcomes []logged
+// outcomeLog is a reference implementation of Monitor that computes verdicts from the entire list of
+// outcomes.
+type outcomeLog struct {
+	outcomes []loggedOutcome
 	window   time.Duration
 }
 
-type logged struct {
+type loggedOutcome struct {
 	Outcome
 	at time.Time
 }
 
-// fresh returns the outcomes that count. The failures of a job before its
-// success anywhere are those of the workers.
-func (l *log) fresh(now time.Time) []logged {
-	var list []logged
+// inWindow returns the outcomes within the window.
+func (l *outcomeLog) inWindow(now time.Time) []loggedOutcome {
+	var list []loggedOutcome
 	for _, o := range l.outcomes {
 		if now.Sub(o.at) <= l.window {
 			list = append(list, o)
@@ -32,8 +32,9 @@
 	return list
 }
 
-// failedOn returns the workers on which a job failed since it last succeeded.
-func (l *log) failedOn(id task.ID) map[string]time.Time {
+// failedOn returns the workers on which a job failed since its last success, with the time of the
+// last failure. Failures before a success of the job on any worker are attributed to the workers.
+func (l *outcomeLog) failedOn(id task.ID) map[string]time.Time {
 	workers := map[string]time.Time{}
 	for _, o := range l.outcomes {
 		switch {
@@ -47,20 +48,20 @@
 	return workers
 }
 
-func (l *log) isWorkerBad(now time.Time, worker string, minClasses int) bool {
+func (l *outcomeLog) isWorkerFaulty(now time.Time, worker string, minClasses int) bool {
 	classes := map[Class]bool{}
 	for i, o := range l.outcomes {
 		if o.Worker != worker || o.Succeeded || now.Sub(o.at) > l.window {
 			continue
 		}
-		if !l.failedElsewhere(now, o) && l.runsElsewhere(now, o) && !l.succeededHereAfter(i) {
+		if !l.failedElsewhere(now, o) && l.runsElsewhere(now, o) && !l.succeededOnWorkerAfter(i) {
 			classes[o.Class] = true
 		}
 	}
 	return len(classes) >= minClasses
 }
 
-func (l *log) failedElsewhere(now time.Time, failed logged) bool {
+func (l *outcomeLog) failedElsewhere(now time.Time, failed loggedOutcome) bool {
 	for worker, at := range l.failedOn(failed.Job) {
 		if worker != failed.Worker && now.Sub(at) <= l.window {
 			return true
@@ -69,8 +70,8 @@
 	return false
 }
 
-func (l *log) runsElsewhere(now time.Time, failed logged) bool {
-	for _, o := range l.fresh(now) {
+func (l *outcomeLog) runsElsewhere(now time.Time, failed loggedOutcome) bool {
+	for _, o := range l.inWindow(now) {
 		if o.Succeeded && o.Class == failed.Class && o.Worker != failed.Worker {
 			return true
 		}
@@ -78,7 +79,7 @@
 	return false
 }
 
-func (l *log) succeededHereAfter(i int) bool {
+func (l *outcomeLog) succeededOnWorkerAfter(i int) bool {
 	for _, o := range l.outcomes[i+1:] {
 		if o.Succeeded && o.Class == l.outcomes[i].Class && o.Worker == l.outcomes[i].Worker {
 			return true
@@ -87,13 +88,13 @@
 	return false
 }
 
-func (l *log) isJobBad(now time.Time, m *Monitor, id task.ID) bool {
+func (l *outcomeLog) isJobFaulty(now time.Time, m *Monitor, id task.ID) bool {
 	count := 0
 	for worker, at := range l.failedOn(id) {
 		if now.Sub(at) > l.window || m.IsQuarantined(worker) {
 			continue
 		}
-		for _, o := range l.fresh(now) {
+		for _, o := range l.inWindow(now) {
 			if o.Succeeded && o.Worker == worker {
 				count++
 				break
@@ -103,31 +104,31 @@
 	return count >= DefaultMinWorkers
 }
 
-// TestMonitorEqualsLog guards against bounded memory giving other verdicts than
-// all outcomes would, against the cap being exceeded, and against an outcome
-// being blamed on both the worker and the job.
+// TestMonitorEqualsLog guards against verdicts from the bounded history that differ from those from
+// all outcomes, against more quarantined workers than the cap allows, and against an outcome that is
+// attributed to both the worker and the job.
 func TestMonitorEqualsLog(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		workers := rapid.IntRange(1, 12).Draw(t, "workers")
 		m := newMonitor(workers)
-		l := &log{window: DefaultWindow}
+		l := &outcomeLog{window: DefaultWindow}
 		now := start
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(1+rapid.IntRange(0, 60).Draw(t, "seconds")) * time.Second)
 			o := drawOutcome(t, workers)
 			wasQuarantined := m.IsQuarantined(o.Worker)
-			l.outcomes = append(l.outcomes, logged{o, now})
+			l.outcomes = append(l.outcomes, loggedOutcome{o, now})
 			v := m.Observe(now, o)
-			if want := !o.Succeeded && l.isJobBad(now, m, o.Job); !v.WorkerBad && v.JobBad != want {
+			if want := !o.Succeeded && l.isJobFaulty(now, m, o.Job); !v.WorkerBad && v.JobBad != want {
 				t.Fatalf("JobBad of %s = %v, want %v", o.Job, v.JobBad, want)
 			}
-			bad := l.isWorkerBad(now, o.Worker, DefaultMinClasses)
-			if v.WorkerBad && (!bad || v.JobBad || wasQuarantined) {
-				t.Fatalf("worker %s was quarantined by %+v; bad %v", o.Worker, v, bad)
+			faulty := l.isWorkerFaulty(now, o.Worker, DefaultMinClasses)
+			if v.WorkerBad && (!faulty || v.JobBad || wasQuarantined) {
+				t.Fatalf("worker %s was quarantined by %+v; faulty in the reference: %v", o.Worker, v, faulty)
 			}
 			checkCap(t, m, workers)
-			if !o.Succeeded && bad && !v.JobBad && !m.IsQuarantined(o.Worker) && countQuarantined(m, workers) == 0 {
-				t.Fatalf("bad worker %s stays in service although no other is out", o.Worker)
+			if !o.Succeeded && faulty && !v.JobBad && !m.IsQuarantined(o.Worker) && countQuarantined(m, workers) == 0 {
+				t.Fatalf("faulty worker %s stays in service although no other worker is quarantined", o.Worker)
 			}
 			for _, name := range m.ProbesDue(now) {
 				m.ProbeDone(now, name, false)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -18,53 +18,53 @@
 	DefaultProbeLimit  = 10 * time.Minute
 )
 
-// MaxPenalty is the highest penalty of a worker, the one of package placement.
+// MaxPenalty is the highest penalty of a worker, equal to the limit in package placement.
 const MaxPenalty = 3
 
 const (
-	// failuresKept bounds the failures remembered for each worker and job.
-	failuresKept = 16
-	// jobsKept bounds the jobs remembered; the ones that failed longest ago go
-	// first.
-	jobsKept = 8192
+	// maxFailures is the maximum number of failures that are kept per worker and per job.
+	maxFailures = 16
+	// maxJobs is the maximum number of jobs that are tracked; the least recently failed ones are
+	// evicted first.
+	maxJobs = 8192
 )
 
 // Config configures a Monitor. Zero values take the defaults.
 type Config struct {
-	Window      time.Duration // how long an outcome counts
-	MinClasses  int           // classes that must fail on a worker and run elsewhere
+	Window      time.Duration // age up to which an outcome counts
+	MinClasses  int           // classes that must fail on a worker and succeed elsewhere
 	MinWorkers  int           // workers on which a job must fail
-	MaxFraction float64       // part of a partition that may be in quarantine
-	ProbeAfter  time.Duration // wait before the first probe; doubles with each that fails
-	ProbeLimit  time.Duration // longest wait between probes
+	MaxFraction float64       // fraction of a partition's workers that may be quarantined
+	ProbeAfter  time.Duration // delay before the first probe; doubles after each failed probe
+	ProbeLimit  time.Duration // maximum delay between probes
 }
 
-// Class names a kind of work whose tasks can be compared.
+// Class identifies a kind of work whose tasks are comparable.
 type Class struct {
 	Team    task.Team
 	Service task.Service
 	Name    string
 }
 
-// Outcome is the end of one attempt on a worker. Outcomes that say nothing
-// about the worker or the job, such as a cancellation, are not reported.
+// Outcome is the result of one attempt on a worker. Results that are evidence about neither the
+// worker nor the job, such as a cancellation, are not reported.
 type Outcome struct {
 	Worker    string
 	Class     Class
-	Job       task.ID // the same for every attempt and, for gangs, every member
+	Job       task.ID // the same for all attempts and, in a gang, for all members
 	Succeeded bool
 }
 
-// Monitor judges workers and jobs. It is not safe for concurrent use.
+// Monitor detects faulty workers and jobs. It is not safe for concurrent use.
 type Monitor struct {
 	cfg        Config
 	workers    map[string]*worker
 	partitions map[string]*partition
-	classes    map[Class]*class
-	jobs       jobs
+	classes    map[Class]*classHistory
+	jobs       jobHistory
 }
 
-// partition counts the workers that share a cap.
+// partition counts the workers of one worker partition, to which the quarantine cap applies.
 type partition struct {
 	workers     int
 	quarantined int
@@ -82,19 +82,19 @@
 		cfg:        cfg,
 		workers:    map[string]*worker{},
 		partitions: map[string]*partition{},
-		classes:    map[Class]*class{},
-		jobs:       newJobs(),
+		classes:    map[Class]*classHistory{},
+		jobs:       newJobHistory(),
 	}
 }
 
-func setDefault[T int | float64 | time.Duration](value *T, standard T) {
+func setDefault[T int | float64 | time.Duration](value *T, defaultValue T) {
 	if *value <= 0 {
-		*value = standard
+		*value = defaultValue
 	}
 }
 
-// AddWorker makes a worker known. It changes nothing if the worker is known in
-// the same partition.
+// AddWorker adds a worker. It is a no-op if the worker is already in the same partition. A worker
+// that moves to another partition loses its history.
 func (m *Monitor) AddWorker(name, partitionName string) {
 	if w, known := m.workers[name]; known {
 		if w.partition == m.partitionOf(partitionName) {
@@ -107,7 +107,7 @@
 	m.workers[name] = &worker{name: name, partition: p}
 }
 
-// RemoveWorker forgets a worker, for example because it was restarted.
+// RemoveWorker removes a worker and its history, for example because it was restarted.
 func (m *Monitor) RemoveWorker(name string) {
 	w, known := m.workers[name]
 	if !known {
@@ -120,13 +120,13 @@
 	delete(m.workers, name)
 }
 
-// Verdict says what an outcome proved.
+// Verdict is the conclusion from an outcome.
 type Verdict struct {
-	WorkerBad bool // the worker went into quarantine with this outcome
-	JobBad    bool // the job is at fault and is not worth another attempt
+	WorkerBad bool // the worker was quarantined because of this outcome
+	JobBad    bool // the job is faulty and should not be retried
 }
 
-// Observe takes one outcome into account.
+// Observe records one outcome. Outcomes on unknown workers are ignored.
 func (m *Monitor) Observe(now time.Time, o Outcome) Verdict {
 	w, known := m.workers[o.Worker]
 	if !known {
@@ -134,22 +134,22 @@
 	}
 	c := m.classOf(o.Class)
 	if o.Succeeded {
-		c.succeededOn(now, o.Worker)
-		w.succeeded(now, o)
-		m.jobs.succeeded(o.Job)
+		c.recordSuccess(now, o.Worker)
+		w.recordSuccess(now, o)
+		m.jobs.recordSuccess(o.Job)
 		return Verdict{}
 	}
-	w.failed(now, o)
-	m.jobs.failed(now, o, m.cfg.Window)
+	w.recordFailure(now, o)
+	m.jobs.recordFailure(now, o, m.cfg.Window)
 	verdict := Verdict{JobBad: m.IsJobBad(now, o.Job)}
-	if !verdict.JobBad && m.isWorkerBad(now, w) {
+	if !verdict.JobBad && m.isWorkerFaulty(now, w) {
 		verdict.WorkerBad = m.quarantine(now, w)
 	}
 	return verdict
 }
 
-// IsJobBad reports whether a job failed on enough workers on which other work
-// succeeds. Failures on workers in quarantine do not count against it.
+// IsJobBad reports whether a job failed on at least MinWorkers workers on which other work succeeds.
+// Failures on quarantined workers do not count.
 func (m *Monitor) IsJobBad(now time.Time, id task.ID) bool {
 	j, known := m.jobs.byID[id]
 	if !known {
@@ -158,10 +158,10 @@
 	counted := 0
 	for _, f := range j.failures {
 		w, known := m.workers[f.worker]
-		if !known || w.quarantined || m.isOld(now, f.at) {
+		if !known || w.quarantined || m.isOutsideWindow(now, f.at) {
 			continue
 		}
-		if !w.lastSuccess.IsZero() && !m.isOld(now, w.lastSuccess) {
+		if !w.lastSuccess.IsZero() && !m.isOutsideWindow(now, w.lastSuccess) {
 			counted++
 		}
 	}
@@ -174,9 +174,9 @@
 	return known && w.quarantined
 }
 
-// Penalty returns how much later than others a worker is to be chosen. It rises
-// with the first failures, since a worker that fails everything at once is
-// always free and would draw all the work.
+// Penalty returns the placement penalty of a worker. It rises with the first failures, before
+// quarantine, because a worker on which every task fails immediately always has free capacity and
+// would attract all the work.
 func (m *Monitor) Penalty(now time.Time, name string) int {
 	w, known := m.workers[name]
 	if !known {
@@ -185,7 +185,7 @@
 	since := now.Add(-m.cfg.Window)
 	penalty := 0
 	for _, f := range w.failures {
-		if m.isOld(now, f.at) || w.hasSucceededSince(f.class, f.at) || m.jobs.failedElsewhere(f.job, name, since) {
+		if m.isOutsideWindow(now, f.at) || w.succeededSince(f.class, f.at) || m.jobs.failedElsewhere(f.job, name, since) {
 			continue
 		}
 		runsElsewhere := m.classOf(f.class).runsElsewhere(name, since)
@@ -196,18 +196,18 @@
 	return min(penalty, MaxPenalty)
 }
 
-// Review puts workers into quarantine that were found bad while the cap was
-// reached, the worst first, and returns their names.
+// Review quarantines the workers that were found faulty while the cap was reached, those with the
+// most failures first, and returns their names.
 func (m *Monitor) Review(now time.Time) []string {
-	var bad []*worker
+	var faulty []*worker
 	for _, w := range m.workers {
-		if !w.quarantined && len(w.failures) > 0 && m.isWorkerBad(now, w) {
-			bad = append(bad, w)
+		if !w.quarantined && len(w.failures) > 0 && m.isWorkerFaulty(now, w) {
+			faulty = append(faulty, w)
 		}
 	}
-	slices.SortFunc(bad, worseFirst)
+	slices.SortFunc(faulty, compareFailureCount)
 	var names []string
-	for _, w := range bad {
+	for _, w := range faulty {
 		if m.quarantine(now, w) {
 			names = append(names, w.name)
 		}
@@ -215,13 +215,13 @@
 	return names
 }
 
-// isWorkerBad reports whether enough classes fail on a worker that run on
-// others. A failure of a job that failed elsewhere too is the job's own.
-func (m *Monitor) isWorkerBad(now time.Time, w *worker) bool {
+// isWorkerFaulty reports whether at least MinClasses classes fail on a worker that succeed on
+// others. The failure of a job that also failed elsewhere is attributed to the job.
+func (m *Monitor) isWorkerFaulty(now time.Time, w *worker) bool {
 	since := now.Add(-m.cfg.Window)
 	var classes []Class
 	for _, f := range w.failures {
-		if m.isOld(now, f.at) || w.hasSucceededSince(f.class, f.at) || m.jobs.failedElsewhere(f.job, w.name, since) {
+		if m.isOutsideWindow(now, f.at) || w.succeededSince(f.class, f.at) || m.jobs.failedElsewhere(f.job, w.name, since) {
 			continue
 		}
 		if !m.classOf(f.class).runsElsewhere(w.name, since) {
@@ -234,26 +234,25 @@
 	return len(classes) >= m.cfg.MinClasses
 }
 
-// quarantine takes a worker out of service unless the cap of its partition is
-// reached.
+// quarantine quarantines a worker unless the cap of its partition is reached.
 func (m *Monitor) quarantine(now time.Time, w *worker) bool {
-	if w.quarantined || w.partition.quarantined >= m.capOf(w.partition) {
+	if w.quarantined || w.partition.quarantined >= m.quarantineCap(w.partition) {
 		return false
 	}
 	w.quarantined = true
 	w.partition.quarantined++
-	w.probeWait = m.cfg.ProbeAfter
-	w.probeAt = now.Add(w.probeWait)
+	w.probeDelay = m.cfg.ProbeAfter
+	w.probeAt = now.Add(w.probeDelay)
 	return true
 }
 
-// capOf returns how many workers of a partition may be in quarantine. A small
-// partition may always lose one, or a bad worker there would never be stopped.
-func (m *Monitor) capOf(p *partition) int {
+// quarantineCap returns how many workers of a partition may be quarantined. It is at least 1, so
+// that a faulty worker in a small partition can be quarantined.
+func (m *Monitor) quarantineCap(p *partition) int {
 	return max(1, int(math.Ceil(m.cfg.MaxFraction*float64(p.workers))))
 }
 
-func (m *Monitor) isOld(now, at time.Time) bool { return now.Sub(at) > m.cfg.Window }
+func (m *Monitor) isOutsideWindow(now, at time.Time) bool { return now.Sub(at) > m.cfg.Window }
 
 func (m *Monitor) partitionOf(name string) *partition {
 	p, known := m.partitions[name]
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -23,9 +23,9 @@
 
 func workerName(i int) string { return fmt.Sprintf("w%02d", i) }
 
-// TestBadWorkerIsQuarantined guards against a worker that fails what runs on
-// the others staying in service.
-func TestBadWorkerIsQuarantined(t *testing.T) {
+// TestFaultyWorkerIsQuarantined guards against keeping a worker in service on which tasks fail that
+// succeed on other workers.
+func TestFaultyWorkerIsQuarantined(t *testing.T) {
 	m := newMonitor(10)
 	for _, c := range []string{"x", "y"} {
 		m.Observe(start, Outcome{"w01", classNamed(c), task.ID(c + "-good"), true})
@@ -40,9 +40,9 @@
 	}
 }
 
-// TestBadClassQuarantinesNoWorker guards against work that fails everywhere
-// taking workers out of service.
-func TestBadClassQuarantinesNoWorker(t *testing.T) {
+// TestFaultyClassQuarantinesNoWorker guards against quarantining workers because of work that fails
+// everywhere.
+func TestFaultyClassQuarantinesNoWorker(t *testing.T) {
 	m := newMonitor(10)
 	for i := range 10 {
 		m.Observe(start, Outcome{workerName(i), classNamed("good"), task.ID(fmt.Sprint("g", i)), true})
@@ -55,9 +55,9 @@
 	}
 }
 
-// TestBadJobIsFound guards against a job that fails everywhere being repeated
-// for ever, and against its failures being held against the workers.
-func TestBadJobIsFound(t *testing.T) {
+// TestFaultyJobIsDetected guards against endless retries of a job that fails everywhere, and against
+// attributing its failures to the workers.
+func TestFaultyJobIsDetected(t *testing.T) {
 	m := newMonitor(10)
 	for i := range 10 {
 		m.Observe(start, Outcome{workerName(i), classNamed("x"), task.ID(fmt.Sprint("g", i)), true})
@@ -72,12 +72,12 @@
 	}
 	v := m.Observe(later, Outcome{"w00", classNamed("y"), "other", false})
 	if v.WorkerBad {
-		t.Error("the failure of a bad job was held against the worker")
+		t.Error("the failure of a faulty job was attributed to the worker")
 	}
 }
 
-// TestQuarantineIsCapped guards against a common cause taking a whole partition
-// out of service, and against a small partition having no quarantine at all.
+// TestQuarantineIsCapped guards against a common-cause failure taking an entire partition out of
+// service, and against a cap of zero in a small partition.
 func TestQuarantineIsCapped(t *testing.T) {
 	for workers, want := range map[int]int{2: 1, 10: 1, 11: 2, 57: 6} {
 		m := newMonitor(workers)
@@ -106,11 +106,11 @@
 	}
 }
 
-// TestProbeReturnsWorker guards against a repaired worker staying out, and a
-// broken one coming back or being probed without pause.
+// TestProbeReturnsWorker guards against a repaired worker staying in quarantine, and against a
+// faulty one returning to service or being probed without backoff.
 func TestProbeReturnsWorker(t *testing.T) {
 	m := newMonitor(10)
-	badWorker(m, "w00")
+	makeFaulty(m, "w00")
 	if due := m.ProbesDue(start.Add(DefaultProbeAfter - 1)); len(due) != 0 {
 		t.Fatalf("probe due early: %v", due)
 	}
@@ -122,20 +122,20 @@
 		t.Fatalf("second probe while one runs: %v", due)
 	}
 	if m.ProbeDone(at, "w00", false) || len(m.ProbesDue(at.Add(DefaultProbeAfter))) != 0 {
-		t.Fatal("a failed probe returned the worker or did not lengthen the wait")
+		t.Fatal("a failed probe returned the worker to service or did not double the delay")
 	}
 	at = at.Add(2 * DefaultProbeAfter)
 	if due := m.ProbesDue(at); len(due) != 1 {
 		t.Fatalf("due = %v", due)
 	}
 	if !m.ProbeDone(at, "w00", true) || m.IsQuarantined("w00") || m.Penalty(at, "w00") != 0 {
-		t.Fatal("a succeeded probe did not return the worker")
+		t.Fatal("a successful probe did not return the worker to service")
 	}
 }
 
-// TestFastFailingWorkerIsPenalised guards against a worker that fails
-// everything at once drawing the work of the fleet before it is judged.
-func TestFastFailingWorkerIsPenalised(t *testing.T) {
+// TestFastFailingWorkerIsPenalized guards against a worker on which every task fails immediately
+// attracting the work of the fleet before it is quarantined.
+func TestFastFailingWorkerIsPenalized(t *testing.T) {
 	m := newMonitor(10)
 	for i := range 3 {
 		m.Observe(start, Outcome{"w00", classNamed("x"), task.ID(fmt.Sprint("j", i)), false})
@@ -152,12 +152,12 @@
 	}
 }
 
-// TestReviewQuarantinesWhenRoom guards against a worker found bad while the cap
-// was reached being forgotten.
-func TestReviewQuarantinesWhenRoom(t *testing.T) {
+// TestReviewQuarantinesBelowCap guards against a worker that was found faulty while the cap was
+// reached never being quarantined.
+func TestReviewQuarantinesBelowCap(t *testing.T) {
 	m := newMonitor(10)
-	badWorker(m, "w00")
-	badWorker(m, "w02")
+	makeFaulty(m, "w00")
+	makeFaulty(m, "w02")
 	if m.IsQuarantined("w02") {
 		t.Fatal("the cap was exceeded")
 	}
@@ -167,16 +167,16 @@
 	}
 }
 
-func badWorker(m *Monitor, name string) {
+func makeFaulty(m *Monitor, name string) {
 	for _, c := range []string{"x", "y"} {
 		m.Observe(start, Outcome{"w01", classNamed(c), task.ID(c + "-good"), true})
 		m.Observe(start, Outcome{name, classNamed(c), task.ID(name + c), false})
 	}
 }
 
-// TestOldFailuresOfAJobExcuseNoWorker guards against a failure outside the
-// window being counted as long as the job keeps failing somewhere.
-func TestOldFailuresOfAJobExcuseNoWorker(t *testing.T) {
+// TestJobFailuresOutsideWindowAreIgnored guards against counting a failure outside the window for as
+// long as the job has newer failures on other workers.
+func TestJobFailuresOutsideWindowAreIgnored(t *testing.T) {
 	m := newMonitor(10)
 	m.Observe(start, Outcome{"w02", classNamed("x"), "job", false})
 	m.Observe(start.Add(DefaultWindow/2), Outcome{"w00", classNamed("x"), "job", false})
@@ -185,6 +185,6 @@
 		m.Observe(now, Outcome{"w01", classNamed(c), task.ID(c + "-later"), true})
 	}
 	if v := m.Observe(now, Outcome{"w00", classNamed("y"), "other", false}); !v.WorkerBad {
-		t.Error("the worker is excused by a failure outside the window")
+		t.Error("a failure outside the window was attributed to the job instead of the worker")
 	}
 }
--- a/quarantine/worker.go
+++ b/quarantine/worker.go
@@ -8,20 +8,20 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// classesKept bounds the classes whose last success a worker remembers.
-const classesKept = 32
+// maxWorkerClasses is the maximum number of classes whose last success is kept per worker.
+const maxWorkerClasses = 32
 
-// worker is the record of one worker.
+// worker is the state of one worker.
 type worker struct {
 	name        string
 	partition   *partition
-	failures    []failure // the latest, one for each job
-	successes   []success // the latest, one for each class
+	failures    []failure // the latest failure of each job
+	successes   []success // the latest success of each class
 	lastSuccess time.Time
 	quarantined bool
 	probing     bool
 	probeAt     time.Time
-	probeWait   time.Duration
+	probeDelay  time.Duration
 }
 
 type failure struct {
@@ -35,15 +35,15 @@
 	at    time.Time
 }
 
-func (w *worker) failed(now time.Time, o Outcome) {
+func (w *worker) recordFailure(now time.Time, o Outcome) {
 	w.failures = slices.DeleteFunc(w.failures, func(f failure) bool { return f.job == o.Job })
-	if len(w.failures) == failuresKept {
+	if len(w.failures) == maxFailures {
 		w.failures = slices.Delete(w.failures, 0, 1)
 	}
 	w.failures = append(w.failures, failure{o.Class, o.Job, now})
 }
 
-func (w *worker) succeeded(now time.Time, o Outcome) {
+func (w *worker) recordSuccess(now time.Time, o Outcome) {
 	w.lastSuccess = now
 	for i := range w.successes {
 		if w.successes[i].class == o.Class {
@@ -51,16 +51,16 @@
 			return
 		}
 	}
-	if len(w.successes) == classesKept {
+	if len(w.successes) == maxWorkerClasses {
 		oldest := slices.IndexFunc(w.successes, func(s success) bool {
-			return s.at.Equal(slices.MinFunc(w.successes, earlier).at)
+			return s.at.Equal(slices.MinFunc(w.successes, compareTime).at)
 		})
 		w.successes = slices.Delete(w.successes, oldest, oldest+1)
 	}
 	w.successes = append(w.successes, success{o.Class, now})
 }
 
-func (w *worker) hasSucceededSince(c Class, at time.Time) bool {
+func (w *worker) succeededSince(c Class, at time.Time) bool {
 	for _, s := range w.successes {
 		if s.class == c {
 			return !s.at.Before(at)
@@ -69,17 +69,17 @@
 	return false
 }
 
-func earlier(a, b success) int { return a.at.Compare(b.at) }
+func compareTime(a, b success) int { return a.at.Compare(b.at) }
 
-func worseFirst(a, b *worker) int {
+func compareFailureCount(a, b *worker) int {
 	if c := cmp.Compare(len(b.failures), len(a.failures)); c != 0 {
 		return c
 	}
 	return cmp.Compare(a.name, b.name)
 }
 
-// ProbesDue returns the quarantined workers that are to run a probe task,
-// sorted by name. Each is due once, until ProbeDone.
+// ProbesDue returns the quarantined workers that have to run a probe task now, sorted by name. A
+// worker is not returned again until ProbeDone is called for it.
 func (m *Monitor) ProbesDue(now time.Time) []string {
 	var due []string
 	for _, w := range m.workers {
@@ -92,8 +92,8 @@
 	return due
 }
 
-// ProbeDone takes the outcome of a probe task and reports whether the worker
-// returned to service. After a failure the next probe waits twice as long.
+// ProbeDone records the outcome of a probe task and reports whether the worker returned to service.
+// A failure doubles the delay before the next probe, up to ProbeLimit.
 func (m *Monitor) ProbeDone(now time.Time, name string, succeeded bool) (returned bool) {
 	w, known := m.workers[name]
 	if !known || !w.quarantined {
@@ -101,8 +101,8 @@
 	}
 	w.probing = false
 	if !succeeded {
-		w.probeWait = min(2*w.probeWait, m.cfg.ProbeLimit)
-		w.probeAt = now.Add(w.probeWait)
+		w.probeDelay = min(2*w.probeDelay, m.cfg.ProbeLimit)
+		w.probeAt = now.Add(w.probeDelay)
 		return false
 	}
 	w.quarantined = false
