keyring: describe key freshness and outage rounds in the usual terms

Reword doc comments: freshness period, confirmations, commits in flight, staleness of the instance list. Key errors and the errors of Config.Validate are reworded; the one for a freshness that is too short now contains the clock drift and the clock margin.

Unexported renames, among them: Freshness.waiting -> pending, promisedUntil -> noCommitUntil, committing -> openCommits, committed -> lastCommitted, the fields of faults, id -> keyName, and in the model test world -> simulation, entry -> storeChange, disturb -> injectFault, ask -> request, cutOff/isolated -> storeCutOff/peersCutOff.

--- a/keyring/doc.go
+++ b/keyring/doc.go
@@ -1,5 +1,4 @@
-// Package keyring decides whether a key admits work for a team, and whether
-// what this process knows of the keys is fresh enough to decide at all. The
-// control state maintains a Ring and a Freshness; front ends read an immutable
-// Snapshot.
+// Package keyring authenticates the keys of teams, and refuses to do so when the key data of this
+// process may be stale. The control state maintains a Ring and a Freshness; front ends read an
+// immutable Snapshot.
 package keyring
--- a/keyring/freshness.go
+++ b/keyring/freshness.go
@@ -5,19 +5,19 @@
 	"time"
 )
 
-// Config holds the durations from which freshness follows.
+// Config holds the parameters of key freshness.
 type Config struct {
-	Freshness   time.Duration // within which a withdrawal takes effect everywhere
-	ListLag     time.Duration // largest age of what the instance list shows
-	ClockDrift  float64       // largest deviation of a clock's rate from true time
-	ClockMargin time.Duration // added to every wait and subtracted from every freshness
+	Freshness   time.Duration // maximum time until a withdrawal is in effect on every instance
+	ListLag     time.Duration // maximum staleness of the instance list
+	ClockDrift  float64       // maximum relative deviation of a clock's rate from true time
+	ClockMargin time.Duration // added to every wait and subtracted from every freshness period
 }
 
-// maxFreshness is the largest bound that the platform's users accept for the
-// time between the withdrawal of a key and its end on every instance.
+// maxFreshness is the longest time that the platform's users accept between the withdrawal of a key
+// and its rejection on every instance.
 const maxFreshness = 10 * time.Second
 
-// DefaultConfig returns the defaults of the design page.
+// DefaultConfig returns the default configuration that the design page specifies.
 func DefaultConfig() Config {
 	return Config{
 		Freshness:   5 * time.Second,
@@ -27,29 +27,32 @@
 	}
 }
 
-// Validate reports durations with which no key would be admitted, or one for
-// longer than permitted after its withdrawal.
+// Validate returns an error if no key could ever be admitted, or if a key could be admitted for
+// longer than maxFreshness after its withdrawal.
 func (c Config) Validate() error {
 	if c.Freshness > maxFreshness {
-		return fmt.Errorf("key freshness %v is above %v", c.Freshness, maxFreshness)
+		return fmt.Errorf("key freshness %v exceeds the maximum of %v", c.Freshness, maxFreshness)
 	}
 	if c.shorten(c.Freshness) <= 0 {
-		return fmt.Errorf("key freshness %v leaves nothing after drift and margin", c.Freshness)
+		return fmt.Errorf("key freshness %v is too short: nothing remains after a clock drift of %v and a clock margin of %v",
+			c.Freshness, c.ClockDrift, c.ClockMargin)
 	}
 	return nil
 }
 
+// shorten returns d reduced by clock drift and margin, for periods that must not be exceeded.
 func (c Config) shorten(d time.Duration) time.Duration {
 	return d - time.Duration(float64(d)*c.ClockDrift) - c.ClockMargin
 }
 
+// lengthen returns d extended by clock drift and margin, for waits that must not be too short.
 func (c Config) lengthen(d time.Duration) time.Duration {
 	return d + time.Duration(float64(d)*c.ClockDrift) + c.ClockMargin
 }
 
-// Freshness says until when the key data of this process may be relied on. A
-// confirmation counts once every change up to the revision that it states has
-// been applied. It is not safe for concurrent use.
+// Freshness tracks until when the key data of this process is guaranteed to be fresh. A confirmation
+// takes effect once all changes up to its revision have been applied. It is not safe for concurrent
+// use.
 type Freshness struct {
 	cfg       Config
 	startedAt time.Time
@@ -57,11 +60,11 @@
 
 	until   time.Time
 	applied int64
-	waiting []confirmation // for changes that are not applied yet, by revision
+	pending []confirmation // confirmations whose changes are not all applied yet, oldest first
 
-	promisedUntil time.Time // no configuration commit before
-	committing    int       // configuration commits without a definite end
-	committed     int64     // highest revision that this process has committed
+	noCommitUntil time.Time // no configuration commit before this time
+	openCommits   int       // configuration commits in flight or with an unknown outcome
+	lastCommitted int64     // highest revision that this process has committed
 }
 
 type confirmation struct {
@@ -69,145 +72,145 @@
 	revision int64
 }
 
-// faults disables single safety rules. Only tests set it.
+// faults disables individual safety rules. Only tests set it.
 type faults struct {
-	ignoreRevision bool // count a confirmation before its changes are applied
-	fromReply      bool // count from the reply instead of from before the send
-	fullWindow     bool // take a peer's confirmation for a whole window
-	ignoreStart    bool // commit before the list lag has passed since the start
-	ownCommits     bool // leave out what this process has committed and not applied
-	anyMembers     bool // complete an outage round without all members
-	ignoreList     bool // complete an outage round in spite of newer instances
+	ignoreRevision         bool // accept a confirmation before its changes are applied
+	startAtReply           bool // start the period at the reply instead of before the send
+	fullPeerPeriod         bool // extend a peer's confirmation to the full period
+	ignoreStartDelay       bool // commit within ListLag after process start
+	ignoreOwnCommits       bool // exclude own commits that are not applied yet
+	ignoreMissingReplies   bool // complete an outage round without replies of all members
+	ignoreUnknownInstances bool // complete an outage round although the list shows unknown instances
 }
 
-// maxWaiting bounds the confirmations that wait for changes. A process whose
-// watch is behind for longer than these keeps the newest.
-const maxWaiting = 8
+// maxPending is the maximum number of confirmations that wait for changes. If the watch falls behind
+// further, the oldest confirmations are dropped.
+const maxPending = 8
 
-// NewFreshness returns the freshness of a process that has confirmed nothing.
+// NewFreshness returns the Freshness of a process without any confirmation.
 func NewFreshness(cfg Config, startedAt time.Time) *Freshness {
 	return &Freshness{cfg: cfg, startedAt: startedAt}
 }
 
-// Until returns the time up to which the key data is fresh.
+// Until returns the time until which the key data is fresh.
 func (f *Freshness) Until() time.Time { return f.until }
 
-// Remaining returns for how long the key data is still fresh, as a peer is told.
+// Remaining returns how long the key data stays fresh, for a reply to a peer.
 func (f *Freshness) Remaining(now time.Time) time.Duration {
 	return max(0, f.until.Sub(now))
 }
 
-// Applied returns the revision up to which every change has been applied.
+// Applied returns the revision up to which all changes have been applied.
 func (f *Freshness) Applied() int64 { return f.applied }
 
-// ApplyThrough states that every change of the store up to the revision has
-// been applied to the ring.
+// ApplyThrough records that all changes of the store up to the revision have been applied to the
+// ring.
 func (f *Freshness) ApplyThrough(revision int64) {
 	f.applied = max(f.applied, revision)
-	keep := f.waiting[:0]
-	for _, c := range f.waiting {
+	keep := f.pending[:0]
+	for _, c := range f.pending {
 		if c.revision <= f.applied {
-			f.extend(c.until)
+			f.extendUntil(c.until)
 		} else {
 			keep = append(keep, c)
 		}
 	}
-	f.waiting = keep
+	f.pending = keep
 }
 
-// Confirmed takes a linearizable read of the store that was sent at sentAt and
-// returned the given revision.
+// Confirmed records a linearizable read of the store that was sent at sentAt and returned the given
+// revision.
 func (f *Freshness) Confirmed(now, sentAt time.Time, revision int64) {
-	f.confirm(f.from(now, sentAt).Add(f.cfg.shorten(f.cfg.Freshness)), revision)
+	f.addConfirmation(f.periodStart(now, sentAt).Add(f.cfg.shorten(f.cfg.Freshness)), revision)
 }
 
-// PeerConfirmed takes a peer's reply to a request that was sent at sentAt: its
-// own remaining freshness and the revision up to which it has applied changes.
-// Freshness passed on among peers never grows.
+// PeerConfirmed records a peer's reply to a request that was sent at sentAt: the peer's remaining
+// freshness and the revision up to which it has applied changes. Freshness never increases when it
+// is passed from peer to peer.
 func (f *Freshness) PeerConfirmed(now, sentAt time.Time, remaining time.Duration, revision int64) {
-	if f.faults.fullWindow {
+	if f.faults.fullPeerPeriod {
 		remaining = f.cfg.Freshness
 	}
 	if remaining <= 0 {
 		return
 	}
-	f.confirm(f.from(now, sentAt).Add(f.cfg.shorten(min(remaining, f.cfg.Freshness))), revision)
+	f.addConfirmation(f.periodStart(now, sentAt).Add(f.cfg.shorten(min(remaining, f.cfg.Freshness))), revision)
 }
 
-// OutageConfirmed takes a complete OutageRound.
+// OutageConfirmed records the result of an OutageRound. An incomplete round has no effect.
 func (f *Freshness) OutageConfirmed(now time.Time, r *OutageRound) {
 	sentAt, revision, ok := r.result(f.faults)
 	if ok {
-		f.confirm(f.from(now, sentAt).Add(f.cfg.shorten(f.cfg.Freshness)), max(revision, f.Known()))
+		f.addConfirmation(f.periodStart(now, sentAt).Add(f.cfg.shorten(f.cfg.Freshness)), max(revision, f.Known()))
 	}
 }
 
-func (f *Freshness) from(now, sentAt time.Time) time.Time {
-	if f.faults.fromReply {
+func (f *Freshness) periodStart(now, sentAt time.Time) time.Time {
+	if f.faults.startAtReply {
 		return now
 	}
 	return sentAt
 }
 
-func (f *Freshness) confirm(until time.Time, revision int64) {
+func (f *Freshness) addConfirmation(until time.Time, revision int64) {
 	if revision <= f.applied || f.faults.ignoreRevision {
-		f.extend(until)
+		f.extendUntil(until)
 		return
 	}
-	if len(f.waiting) == maxWaiting {
-		f.waiting = append(f.waiting[:0], f.waiting[1:]...)
+	if len(f.pending) == maxPending {
+		f.pending = append(f.pending[:0], f.pending[1:]...)
 	}
-	f.waiting = append(f.waiting, confirmation{until: until, revision: revision})
+	f.pending = append(f.pending, confirmation{until: until, revision: revision})
 }
 
-func (f *Freshness) extend(until time.Time) {
+func (f *Freshness) extendUntil(until time.Time) {
 	if until.After(f.until) {
 		f.until = until
 	}
 }
 
-// PromiseNoCommit answers a peer's outage round. It is granted only by a process
-// that has no contact with the store and no commit on its way.
+// PromiseNoCommit handles the request of a peer's outage round. It grants the promise only if this
+// process has no contact with the store and no commit in flight. After a grant, the process commits
+// no configuration change for one freshness period.
 func (f *Freshness) PromiseNoCommit(now time.Time, storeContact bool) (granted bool) {
-	if storeContact || f.committing > 0 {
+	if storeContact || f.openCommits > 0 {
 		return false
 	}
 	until := now.Add(f.cfg.lengthen(f.cfg.Freshness))
-	if until.After(f.promisedUntil) {
-		f.promisedUntil = until
+	if until.After(f.noCommitUntil) {
+		f.noCommitUntil = until
 	}
 	return true
 }
 
-// BeginCommit reports whether this process may commit a configuration change
-// now, and if so notes it as under way until EndCommit. A process that started
-// within the list lag may be missing from the lists of others, who then do not
-// ask for its promise.
+// BeginCommit reports whether this process may commit a configuration change now. If so, the commit
+// counts as in flight until EndCommit. A process must not commit within ListLag after its start:
+// it may be missing from the instance lists of others, which then do not request its promise.
 func (f *Freshness) BeginCommit(now time.Time) bool {
-	if now.Before(f.promisedUntil) {
+	if now.Before(f.noCommitUntil) {
 		return false
 	}
-	if now.Sub(f.startedAt) < f.cfg.lengthen(f.cfg.ListLag) && !f.faults.ignoreStart {
+	if now.Sub(f.startedAt) < f.cfg.lengthen(f.cfg.ListLag) && !f.faults.ignoreStartDelay {
 		return false
 	}
-	f.committing++
+	f.openCommits++
 	return true
 }
 
-// EndCommit notes that the outcome of a commit is known. revision is that of the
-// change, or 0 if it did not take effect. A commit whose outcome stays unclear
-// has no end, and this process promises nothing to others from then on.
+// EndCommit records the known outcome of a commit. revision is the revision of the change, or 0 if it
+// did not take effect. EndCommit is not called for a commit whose outcome stays unknown; from then
+// on, this process refuses every promise.
 func (f *Freshness) EndCommit(revision int64) {
-	f.committing--
-	f.committed = max(f.committed, revision)
+	f.openCommits--
+	f.lastCommitted = max(f.lastCommitted, revision)
 }
 
-// Known returns the highest revision that this process has applied or committed.
-// It is what an OutageReply states: a change that this process has committed and
-// acknowledged binds the others even if no watch has shown it to anyone.
+// Known returns the highest revision that this process has applied or committed, for an OutageReply.
+// A change that this process has committed and acknowledged is binding for all others, even if no
+// watch has delivered it yet.
 func (f *Freshness) Known() int64 {
-	if f.faults.ownCommits {
+	if f.faults.ignoreOwnCommits {
 		return f.applied
 	}
-	return max(f.applied, f.committed)
+	return max(f.applied, f.lastCommitted)
 }
--- a/keyring/model_test.go
+++ b/keyring/model_test.go
@@ -9,18 +9,18 @@
 	"time"
 )
 
-// world runs four processes with drifting clocks against one store that holds
-// one key. Messages are executed at their true time of arrival.
-type world struct {
-	rng     *rand.Rand
-	faults  faults
-	now     time.Duration // true time
-	queue   []message
-	nodes   []*node
-	down    bool // the store
-	log     []entry
-	ackedAt time.Duration // of the withdrawal; 0 before
-	covered map[string]int
+// simulation runs four processes with drifting clocks against one store that holds one key. Messages
+// are executed at their true time of arrival.
+type simulation struct {
+	rng       *rand.Rand
+	faults    faults
+	now       time.Duration // true time
+	queue     []message
+	nodes     []*node
+	storeDown bool // store outage
+	log       []storeChange
+	ackedAt   time.Duration // when the withdrawal was acknowledged; 0 before
+	coverage  map[string]int
 }
 
 type message struct {
@@ -28,15 +28,15 @@
 	run func()
 }
 
-// entry is a change in the store: the key withdrawn, or a member that joined.
-// Its revision is its position in the log, from 1.
-type entry struct {
+// storeChange is a change in the store: the withdrawal of the key, or a member that joined. Its
+// revision is its 1-based position in the log.
+type storeChange struct {
 	withdrawn bool
 	member    Peer
 }
 
 type node struct {
-	w           *world
+	sim         *simulation
 	peer        Peer
 	starts      int
 	startedAt   time.Duration
@@ -46,104 +46,104 @@
 	members     map[string]Peer
 	applied     int
 	frozenUntil time.Duration
-	cutOff      bool // from the store
-	isolated    bool // from the other processes
-	lag         time.Duration
-	contactAt   time.Duration // last reply of the store
+	storeCutOff bool          // partitioned from the store
+	peersCutOff bool          // partitioned from the other processes
+	watchLag    time.Duration // additional delay of the watch
+	contactAt   time.Duration // time of the last reply of the store
 }
 
 const modelTeam = "a"
 
 var modelSecret = DigestOf("secret")
 
-func newWorld(seed uint64, seeded faults) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 3)), faults: seeded, covered: map[string]int{}}
+func newSimulation(seed uint64, seeded faults) *simulation {
+	sim := &simulation{rng: rand.New(rand.NewPCG(seed, 3)), faults: seeded, coverage: map[string]int{}}
 	for i := range 4 {
-		n := &node{w: w, rate: []float64{0.99, 1.01}[w.rng.IntN(2)]}
+		n := &node{sim: sim, rate: []float64{0.99, 1.01}[sim.rng.IntN(2)]}
 		n.peer.Instance = fmt.Sprintf("n%d", i)
-		w.nodes = append(w.nodes, n)
-		if i < 3 || w.rng.IntN(2) == 0 {
+		sim.nodes = append(sim.nodes, n)
+		if i < 3 || sim.rng.IntN(2) == 0 {
 			n.start()
 		} else {
-			w.after(time.Duration(w.rng.Int64N(int64(60*time.Second))), n.start)
+			sim.after(time.Duration(sim.rng.Int64N(int64(60*time.Second))), n.start)
 		}
 	}
-	return w
+	return sim
 }
 
 func (n *node) clock() time.Time {
-	return time.Unix(0, 0).Add(time.Duration(float64(n.w.now) * n.rate))
+	return time.Unix(0, 0).Add(time.Duration(float64(n.sim.now) * n.rate))
 }
 
 func (n *node) start() {
 	n.starts++
 	n.peer.Incarnation = fmt.Sprintf("%s.%d", n.peer.Instance, n.starts)
 	n.ring, n.fresh = NewRing(), NewFreshness(DefaultConfig(), n.clock())
-	n.fresh.faults = n.w.faults
+	n.fresh.faults = n.sim.faults
 	n.ring.Apply(Key{ID: "k", Team: modelTeam, Digest: modelSecret, Revision: 0})
-	n.members, n.applied, n.startedAt = map[string]Peer{}, 0, n.w.now
+	n.members, n.applied, n.startedAt = map[string]Peer{}, 0, n.sim.now
 	n.callStore(func() func() {
-		n.w.log = append(n.w.log, entry{member: n.peer})
+		n.sim.log = append(n.sim.log, storeChange{member: n.peer})
 		return func() {}
 	})
 }
 
-func (w *world) after(d time.Duration, run func()) {
-	w.queue = append(w.queue, message{at: w.now + d, run: run})
+func (sim *simulation) after(d time.Duration, run func()) {
+	sim.queue = append(sim.queue, message{at: sim.now + d, run: run})
 }
 
-func (w *world) delay() time.Duration {
-	if w.rng.IntN(20) == 0 {
-		return time.Duration(w.rng.Int64N(int64(4 * time.Second)))
+func (sim *simulation) delay() time.Duration {
+	if sim.rng.IntN(20) == 0 {
+		return time.Duration(sim.rng.Int64N(int64(4 * time.Second)))
 	}
-	return time.Duration(1+w.rng.Int64N(30)) * time.Millisecond
+	return time.Duration(1+sim.rng.Int64N(30)) * time.Millisecond
 }
 
-// runUntil executes messages in the order of their arrival.
-func (w *world) runUntil(end time.Duration) {
+// runUntil executes the messages up to end in order of arrival.
+func (sim *simulation) runUntil(end time.Duration) {
 	for {
 		next := -1
-		for i, m := range w.queue {
-			if m.at <= end && (next < 0 || m.at < w.queue[next].at) {
+		for i, m := range sim.queue {
+			if m.at <= end && (next < 0 || m.at < sim.queue[next].at) {
 				next = i
 			}
 		}
 		if next < 0 {
-			w.now = end
+			sim.now = end
 			return
 		}
-		m := w.queue[next]
-		w.queue = append(w.queue[:next], w.queue[next+1:]...)
-		w.now = m.at
+		m := sim.queue[next]
+		sim.queue = append(sim.queue[:next], sim.queue[next+1:]...)
+		sim.now = m.at
 		m.run()
 	}
 }
 
-// later runs f on this incarnation after any freeze.
-func (n *node) later(d time.Duration, f func()) {
+// runAfter runs f on the node after d and after any freeze, unless the node was restarted since.
+func (n *node) runAfter(d time.Duration, f func()) {
 	starts := n.starts
 	var run func()
 	run = func() {
 		switch {
 		case n.starts != starts:
-		case n.w.now < n.frozenUntil:
-			n.w.after(n.frozenUntil-n.w.now, run)
+		case n.sim.now < n.frozenUntil:
+			n.sim.after(n.frozenUntil-n.sim.now, run)
 		default:
 			f()
 		}
 	}
-	n.w.after(d, run)
+	n.sim.after(d, run)
 }
 
-// callStore executes op at the store and its result on the node.
+// callStore runs op at the store and the function that it returns on the node.
 func (n *node) callStore(op func() func()) {
-	n.w.after(n.w.delay(), func() {
-		if n.w.down || n.cutOff {
+	n.sim.after(n.sim.delay(), func() {
+		if n.sim.storeDown || n.storeCutOff {
 			return
 		}
 		reply := op()
-		n.later(n.w.delay(), func() {
-			n.contactAt = n.w.now
+		n.runAfter(n.sim.delay(), func() {
+			n.contactAt = n.sim.now
 			reply()
 		})
 	})
@@ -152,17 +152,17 @@
 func (n *node) read() {
 	sentAt := n.clock()
 	n.callStore(func() func() {
-		revision := int64(len(n.w.log))
+		revision := int64(len(n.sim.log))
 		return func() { n.fresh.Confirmed(n.clock(), sentAt, revision) }
 	})
 }
 
 func (n *node) watch() {
-	if n.w.down || n.cutOff {
+	if n.sim.storeDown || n.storeCutOff {
 		return
 	}
-	seen := n.w.log
-	n.later(n.lag+n.w.delay(), func() {
+	seen := n.sim.log
+	n.runAfter(n.watchLag+n.sim.delay(), func() {
 		for ; n.applied < len(seen); n.applied++ {
 			if e := seen[n.applied]; e.withdrawn {
 				n.ring.Remove(modelTeam, "k", int64(n.applied+1))
@@ -174,72 +174,72 @@
 	})
 }
 
-// ask runs question on whatever incarnation of m is up and answer on n.
-func (n *node) ask(m *node, question func() func()) {
-	if n.isolated || m.isolated || m.starts == 0 {
+// request runs handler on the current incarnation of m and the function that it returns on n.
+func (n *node) request(m *node, handler func() func()) {
+	if n.peersCutOff || m.peersCutOff || m.starts == 0 {
 		return
 	}
-	n.w.after(n.w.delay(), func() {
-		m.later(0, func() {
-			answer := question()
-			if !n.isolated && !m.isolated {
-				n.later(n.w.delay(), answer)
+	n.sim.after(n.sim.delay(), func() {
+		m.runAfter(0, func() {
+			reply := handler()
+			if !n.peersCutOff && !m.peersCutOff {
+				n.runAfter(n.sim.delay(), reply)
 			}
 		})
 	})
 }
 
-func (n *node) askPeer(m *node) {
+func (n *node) requestFreshness(m *node) {
 	sentAt := n.clock()
-	n.ask(m, func() func() {
+	n.request(m, func() func() {
 		remaining, revision := m.fresh.Remaining(m.clock()), m.fresh.Applied()
 		return func() { n.fresh.PeerConfirmed(n.clock(), sentAt, remaining, revision) }
 	})
 }
 
-func (n *node) hasContact() bool { return n.w.now-n.contactAt < 1500*time.Millisecond }
+func (n *node) hasContact() bool { return n.sim.now-n.contactAt < 1500*time.Millisecond }
 
-// outageRound asks all known members and reads the instance list, which shows
-// instances up to the list lag late.
+// outageRound sends requests to all known members and reads the instance list, which shows new
+// instances with a delay of up to ListLag.
 func (n *node) outageRound() {
 	var members []Peer
-	for _, other := range n.w.nodes {
+	for _, other := range n.sim.nodes {
 		if m, ok := n.members[other.peer.Instance]; ok {
 			members = append(members, m)
 		}
 	}
 	sentAt := n.clock()
 	round := NewOutageRound(sentAt, n.peer, members)
-	for _, m := range n.w.nodes {
+	for _, m := range n.sim.nodes {
 		if _, known := n.members[m.peer.Instance]; m == n || !known {
 			continue
 		}
-		n.ask(m, func() func() {
+		n.request(m, func() func() {
 			reply := OutageReply{From: m.peer, Promised: m.fresh.PromiseNoCommit(m.clock(), m.hasContact()), Revision: m.fresh.Known()}
 			return func() {
 				round.Reply(reply)
-				n.complete(round)
+				n.completeRound(round)
 			}
 		})
 	}
-	lag := time.Duration(n.w.rng.Int64N(int64(DefaultConfig().ListLag)))
+	lag := time.Duration(n.sim.rng.Int64N(int64(DefaultConfig().ListLag)))
 	var listed []string
-	for _, m := range n.w.nodes {
-		if m.starts > 0 && (m.starts > 1 || m.startedAt+lag <= n.w.now) {
+	for _, m := range n.sim.nodes {
+		if m.starts > 0 && (m.starts > 1 || m.startedAt+lag <= n.sim.now) {
 			listed = append(listed, m.peer.Instance)
 		}
 	}
-	n.later(n.w.delay(), func() {
+	n.runAfter(n.sim.delay(), func() {
 		round.Listed(sentAt, listed)
-		n.complete(round)
+		n.completeRound(round)
 	})
 }
 
-func (n *node) complete(round *OutageRound) {
+func (n *node) completeRound(round *OutageRound) {
 	before := n.fresh.Until()
 	n.fresh.OutageConfirmed(n.clock(), round)
 	if n.fresh.Until().After(before) {
-		n.w.covered["outage confirmed"]++
+		n.sim.coverage["outage confirmed"]++
 	}
 }
 
@@ -249,37 +249,37 @@
 		return
 	}
 	n.callStore(func() func() {
-		n.w.log = append(n.w.log, entry{withdrawn: true})
-		revision := int64(len(n.w.log))
+		n.sim.log = append(n.sim.log, storeChange{withdrawn: true})
+		revision := int64(len(n.sim.log))
 		return func() {
 			n.fresh.EndCommit(revision)
 			n.ring.Remove(modelTeam, "k", revision)
-			if n.w.ackedAt == 0 {
-				n.w.ackedAt = n.w.now
-				n.w.covered["acknowledged"]++
+			if n.sim.ackedAt == 0 {
+				n.sim.ackedAt = n.sim.now
+				n.sim.coverage["acknowledged"]++
 			}
 		}
 	})
 }
 
-func (w *world) disturb() {
-	n := w.nodes[w.rng.IntN(4)]
-	d := time.Duration(w.rng.Int64N(int64(15 * time.Second)))
-	switch kind := []string{"freeze", "cut", "isolate", "lag", "outage", "outage", "restart"}[w.rng.IntN(7)]; kind {
+func (sim *simulation) injectFault() {
+	n := sim.nodes[sim.rng.IntN(4)]
+	d := time.Duration(sim.rng.Int64N(int64(15 * time.Second)))
+	switch kind := []string{"freeze", "cut", "isolate", "lag", "outage", "outage", "restart"}[sim.rng.IntN(7)]; kind {
 	case "freeze":
-		n.frozenUntil = w.now + d
+		n.frozenUntil = sim.now + d
 	case "cut":
-		n.cutOff = true
-		w.after(d, func() { n.cutOff = false })
+		n.storeCutOff = true
+		sim.after(d, func() { n.storeCutOff = false })
 	case "isolate":
-		n.isolated = true
-		w.after(d, func() { n.isolated = false })
+		n.peersCutOff = true
+		sim.after(d, func() { n.peersCutOff = false })
 	case "lag":
-		n.lag = d
-		w.after(d, func() { n.lag = 0 })
+		n.watchLag = d
+		sim.after(d, func() { n.watchLag = 0 })
 	case "outage":
-		w.down = true
-		w.after(2*d, func() { w.down = false })
+		sim.storeDown = true
+		sim.after(2*d, func() { sim.storeDown = false })
 	case "restart":
 		if n.starts > 0 {
 			n.start()
@@ -287,58 +287,58 @@
 	}
 }
 
-// run plays one scenario and returns a violation: an admission later than the
-// freshness bound after the withdrawal was acknowledged.
-func (w *world) run() string {
-	withdrawAt := time.Duration(12+w.rng.IntN(50)) * time.Second
-	for w.now < 90*time.Second {
-		w.runUntil(w.now + time.Duration(50+w.rng.Int64N(100))*time.Millisecond)
-		if w.rng.IntN(25) == 0 {
-			w.disturb()
+// run runs one random scenario and returns a violation, if any: an admission of the key later than
+// Freshness after its withdrawal was acknowledged.
+func (sim *simulation) run() string {
+	withdrawAt := time.Duration(12+sim.rng.IntN(50)) * time.Second
+	for sim.now < 90*time.Second {
+		sim.runUntil(sim.now + time.Duration(50+sim.rng.Int64N(100))*time.Millisecond)
+		if sim.rng.IntN(25) == 0 {
+			sim.injectFault()
 		}
-		for _, n := range w.nodes {
-			if n.starts == 0 || w.now < n.frozenUntil {
+		for _, n := range sim.nodes {
+			if n.starts == 0 || sim.now < n.frozenUntil {
 				continue
 			}
-			if problem := n.check(); problem != "" {
+			if problem := n.checkAdmission(); problem != "" {
 				return problem
 			}
-			n.act(withdrawAt)
+			n.randomAction(withdrawAt)
 		}
 	}
 	return ""
 }
 
-func (n *node) act(withdrawAt time.Duration) {
-	switch n.w.rng.IntN(8) {
+func (n *node) randomAction(withdrawAt time.Duration) {
+	switch n.sim.rng.IntN(8) {
 	case 0:
 		n.read()
 	case 1, 2:
 		n.watch()
 	case 3:
-		n.askPeer(n.w.nodes[n.w.rng.IntN(4)])
+		n.requestFreshness(n.sim.nodes[n.sim.rng.IntN(4)])
 	case 4:
 		if !n.hasContact() {
 			n.outageRound()
 		}
 	case 5:
-		if n.w.now >= withdrawAt && n.w.ackedAt == 0 {
+		if n.sim.now >= withdrawAt && n.sim.ackedAt == 0 {
 			n.withdraw()
 		}
 	}
 }
 
-func (n *node) check() string {
-	w := n.w
+func (n *node) checkAdmission() string {
+	sim := n.sim
 	_, err := n.ring.Snapshot(n.fresh.Until()).Admit(n.clock(), modelTeam, modelSecret)
 	if err == nil {
-		w.covered["admitted"]++
-		if w.ackedAt > 0 && w.now > w.ackedAt+DefaultConfig().Freshness {
-			return fmt.Sprintf("%s admits the key at %v, acknowledged as withdrawn at %v", n.peer.Incarnation, w.now, w.ackedAt)
+		sim.coverage["admitted"]++
+		if sim.ackedAt > 0 && sim.now > sim.ackedAt+DefaultConfig().Freshness {
+			return fmt.Sprintf("%s admits the key at %v, acknowledged as withdrawn at %v", n.peer.Incarnation, sim.now, sim.ackedAt)
 		}
 		return ""
 	}
-	w.covered[string(err.Kind)]++
+	sim.coverage[string(err.Kind)]++
 	return ""
 }
 
@@ -349,22 +349,22 @@
 	return normal
 }
 
-// TestWithdrawalTakesEffectInTime guards against a withdrawn key that some
-// process still accepts after the bound.
+// TestWithdrawalTakesEffectInTime guards against a process that admits a withdrawn key later than
+// Freshness after the withdrawal.
 func TestWithdrawalTakesEffectInTime(t *testing.T) {
-	covered := map[string]int{}
+	coverage := map[string]int{}
 	for seed := range modelRuns(400) {
-		w := newWorld(uint64(seed), faults{})
-		if problem := w.run(); problem != "" {
+		sim := newSimulation(uint64(seed), faults{})
+		if problem := sim.run(); problem != "" {
 			t.Fatalf("seed %d: %s", seed, problem)
 		}
-		for name, n := range w.covered {
-			covered[name] += n
+		for name, n := range sim.coverage {
+			coverage[name] += n
 		}
 	}
-	t.Logf("covered: %v", covered)
+	t.Logf("covered: %v", coverage)
 	for _, name := range []string{"admitted", "acknowledged", "outage confirmed", "key_stale", "key_withdrawn"} {
-		if covered[name] == 0 {
+		if coverage[name] == 0 {
 			t.Errorf("the model never reached: %s", name)
 		}
 	}
--- a/keyring/outage.go
+++ b/keyring/outage.go
@@ -2,73 +2,72 @@
 
 import "time"
 
-// Peer names one process among the members.
+// Peer identifies one process among the members.
 type Peer struct{ Instance, Incarnation string }
 
-// OutageReply is what a member states in a total outage of the store.
+// OutageReply is the reply of a member to an outage round.
 type OutageReply struct {
 	From     Peer
-	Promised bool  // it has no store contact and commits nothing for a window
-	Revision int64 // the highest that it has applied or committed, see Freshness.Known
+	Promised bool  // the member has no store contact and commits nothing for one freshness period
+	Revision int64 // the member's Freshness.Known
 }
 
-// OutageRound collects the statements of all members in a total outage of the
-// store. A round confirms the key data as of the time before its first request
-// and before the instance list was read.
+// OutageRound collects the replies of all members during a total outage of the store. It needs all
+// members, not a quorum. A complete round confirms the key data as of the time before its first
+// request was sent and before the read of the instance list was sent.
 type OutageRound struct {
-	sentAt   time.Time
-	missing  map[Peer]bool
-	known    map[string]bool // instances
-	revision int64
-	refused  bool
-	listedAt time.Time
-	listed   bool
-	newer    bool
+	sentAt        time.Time
+	awaited       map[Peer]bool
+	instances     map[string]bool // instance names of this process and of all members
+	revision      int64
+	refused       bool
+	listedAt      time.Time
+	listed        bool
+	unknownListed bool
 }
 
-// NewOutageRound starts a round at sentAt among the members of the last list
-// that the store gave. self is one of them.
+// NewOutageRound starts a round at sentAt. members is the last member list that the store returned;
+// it includes self.
 func NewOutageRound(sentAt time.Time, self Peer, members []Peer) *OutageRound {
-	r := &OutageRound{sentAt: sentAt, missing: make(map[Peer]bool), known: make(map[string]bool)}
-	r.known[self.Instance] = true
+	r := &OutageRound{sentAt: sentAt, awaited: make(map[Peer]bool), instances: make(map[string]bool)}
+	r.instances[self.Instance] = true
 	for _, m := range members {
-		r.known[m.Instance] = true
+		r.instances[m.Instance] = true
 		if m != self {
-			r.missing[m] = true
+			r.awaited[m] = true
 		}
 	}
 	return r
 }
 
-// Reply takes the statement of a member. A statement of another incarnation
-// counts as a refusal, since that process does not know what its predecessor
-// committed.
+// Reply records the reply of a member. A reply of another incarnation counts as a refusal, because
+// that process does not have the commits of its predecessor.
 func (r *OutageRound) Reply(reply OutageReply) {
-	if !reply.Promised || !r.missing[reply.From] {
+	if !reply.Promised || !r.awaited[reply.From] {
 		r.refused = true
 		return
 	}
-	delete(r.missing, reply.From)
+	delete(r.awaited, reply.From)
 	r.revision = max(r.revision, reply.Revision)
 }
 
-// Listed takes the entry instances that the instance list shows, in a read that
-// was sent at sentAt. An instance that is not a member may have joined and
-// committed a change that no member knows.
+// Listed records the entry instances in the instance list, from a read that was sent at sentAt. The
+// round fails if one is not a member: it may have joined and committed a change that no member has
+// received.
 func (r *OutageRound) Listed(sentAt time.Time, instances []string) {
 	r.listed, r.listedAt = true, sentAt
 	for _, i := range instances {
-		if !r.known[i] {
-			r.newer = true
+		if !r.instances[i] {
+			r.unknownListed = true
 		}
 	}
 }
 
-// result returns the time from which the round counts and the revision that
-// must be applied.
+// result returns the start of the freshness period, the revision that must be applied before the
+// round takes effect, and whether the round is complete.
 func (r *OutageRound) result(f faults) (time.Time, int64, bool) {
-	complete := len(r.missing) == 0 && !r.refused || f.anyMembers
-	complete = complete && (r.listed && !r.newer || f.ignoreList)
+	complete := len(r.awaited) == 0 && !r.refused || f.ignoreMissingReplies
+	complete = complete && (r.listed && !r.unknownListed || f.ignoreUnknownInstances)
 	sentAt := r.sentAt
 	if r.listed && r.listedAt.Before(sentAt) {
 		sentAt = r.listedAt
--- a/keyring/ring.go
+++ b/keyring/ring.go
@@ -14,49 +14,48 @@
 // Digest is the SHA-256 digest of a key. The key itself is never stored.
 type Digest [sha256.Size]byte
 
-// DigestOf returns the digest of a key as a caller presents it.
+// DigestOf returns the digest of the key that a caller presents.
 func DigestOf(secret string) Digest { return sha256.Sum256([]byte(secret)) }
 
 // emptyDigest is the digest of a request that carries no key.
 var emptyDigest = DigestOf("")
 
-// Role names what a key permits beyond submitting work. It is empty for most.
+// Role is a permission beyond submitting work. Most keys have none.
 type Role string
 
-// Key is one key of one team, as the store holds it.
+// Key is the stored record of one key of one team.
 type Key struct {
 	ID        string    `json:"id"`
 	Team      task.Team `json:"team"`
 	Role      Role      `json:"role,omitempty"`
 	Digest    Digest    `json:"digest"`
 	Withdrawn bool      `json:"withdrawn,omitempty"`
-	Revision  int64     `json:"-"` // of the store
+	Revision  int64     `json:"-"` // revision of the record in the store
 }
 
-// id names a key in the whole fleet.
-type id struct {
+// keyName identifies a key across all teams.
+type keyName struct {
 	team task.Team
-	key  string
+	id   string
 }
 
-// Ring holds the keys of all teams, with those that were withdrawn. It is not
-// safe for concurrent use; a Snapshot of it is.
+// Ring holds the keys of all teams, including withdrawn ones. It is not safe for concurrent use; a
+// Snapshot of it is.
 type Ring struct {
-	keys     map[id]Key
-	byTeam   map[task.Team][]Key // sorted by identifier; slices are replaced, never changed
+	keys     map[keyName]Key
+	byTeam   map[task.Team][]Key // sorted by ID; slices are replaced, never modified
 	snapshot *Snapshot
 }
 
 // NewRing returns a ring without keys.
 func NewRing() *Ring {
-	return &Ring{keys: make(map[id]Key), byTeam: make(map[task.Team][]Key)}
+	return &Ring{keys: make(map[keyName]Key), byTeam: make(map[task.Team][]Key)}
 }
 
-// Apply takes the state of a key at its revision. It reports whether that state
-// is newer than the known one; an older state has no effect, so a delayed
-// message cannot revive a withdrawn key.
+// Apply updates a key to the given state and reports whether that state is newer than the current
+// one. An older state has no effect, so a delayed message cannot revive a withdrawn key.
 func (r *Ring) Apply(k Key) bool {
-	name := id{team: k.Team, key: k.ID}
+	name := keyName{team: k.Team, id: k.ID}
 	known, ok := r.keys[name]
 	if ok && k.Revision <= known.Revision {
 		return false
@@ -66,32 +65,32 @@
 	return true
 }
 
-// Remove withdraws a key whose entry was deleted at the given revision. The key
-// stays known, so that an older state cannot revive it and callers that still
-// present it learn that it was withdrawn.
+// Remove marks a key as withdrawn whose record was deleted at the given revision. The key stays in
+// the ring, so that an older state cannot revive it and callers that still present it get the error
+// KeyWithdrawn.
 func (r *Ring) Remove(team task.Team, key string, revision int64) bool {
-	k := r.keys[id{team: team, key: key}]
+	k := r.keys[keyName{team: team, id: key}]
 	k.Team, k.ID, k.Withdrawn, k.Revision = team, key, true, revision
 	return r.Apply(k)
 }
 
-// ReplaceAll takes a complete list of keys as the store held it at the revision.
-// Known keys that are not in the list and are not newer count as withdrawn.
+// ReplaceAll applies the complete list of keys in the store at the revision. Keys of the ring that
+// are missing from the list and are not newer are marked as withdrawn.
 func (r *Ring) ReplaceAll(keys []Key, revision int64) {
-	listed := make(map[id]bool, len(keys))
+	listed := make(map[keyName]bool, len(keys))
 	for _, k := range keys {
-		listed[id{team: k.Team, key: k.ID}] = true
+		listed[keyName{team: k.Team, id: k.ID}] = true
 		r.Apply(k)
 	}
 	for name, k := range r.keys {
 		if !listed[name] && !k.Withdrawn && k.Revision <= revision {
-			r.Remove(name.team, name.key, revision)
+			r.Remove(name.team, name.id, revision)
 		}
 	}
 }
 
-// Keys returns the state of every key, with withdrawn ones, for a process that
-// was started during an outage.
+// Keys returns all keys, including withdrawn ones, for transfer to a process that was started during
+// a store outage.
 func (r *Ring) Keys() []Key {
 	return slices.Collect(maps.Values(r.keys))
 }
@@ -113,8 +112,8 @@
 	r.snapshot = nil
 }
 
-// Snapshot returns an immutable view of the ring that admits work until the
-// given time. Unchanged rings share their lists of keys.
+// Snapshot returns an immutable view of the ring that admits work until the given time. Snapshots of
+// an unchanged ring share their key lists.
 func (r *Ring) Snapshot(until time.Time) *Snapshot {
 	if r.snapshot == nil {
 		r.snapshot = &Snapshot{byTeam: maps.Clone(r.byTeam)}
@@ -131,19 +130,18 @@
 	until  time.Time
 }
 
-// Until returns the time up to which the snapshot admits work.
+// Until returns the time until which the snapshot admits work.
 func (s *Snapshot) Until() time.Time { return s.until }
 
-// Admit returns the key with the given digest if it is valid for the team. now
-// is a reading of the monotonic clock; a snapshot that is no longer fresh admits
-// nothing. Every key of the team is compared in constant time, so the duration
-// tells nothing about which key was close.
+// Admit returns the key with the given digest if it is valid for the team. now is a reading of the
+// monotonic clock; an expired snapshot admits nothing. All keys of the team are compared in constant
+// time, so that the duration reveals nothing about partial matches.
 func (s *Snapshot) Admit(now time.Time, team task.Team, digest Digest) (Key, *errkind.Error) {
 	if digest == (Digest{}) || digest == emptyDigest {
-		return Key{}, errkind.New(errkind.KeyMissing, "team %s accepts work only with a key", team)
+		return Key{}, errkind.New(errkind.KeyMissing, "requests of team %s require a key", team)
 	}
 	if !now.Before(s.until) {
-		return Key{}, errkind.New(errkind.KeyStale, "the key data of this instance is not confirmed at present")
+		return Key{}, errkind.New(errkind.KeyStale, "the key data of this instance is stale: it was not confirmed within the freshness period")
 	}
 	found, ok := Key{}, false
 	for _, k := range s.byTeam[team] {
@@ -161,8 +159,8 @@
 	return found, nil
 }
 
-// IsWithdrawn reports whether the key under which work was accepted has been
-// withdrawn since. An unknown key counts as withdrawn.
+// IsWithdrawn reports whether a key is withdrawn. It is used for work that was accepted with the key.
+// An unknown key counts as withdrawn.
 func (s *Snapshot) IsWithdrawn(team task.Team, key string) bool {
 	for _, k := range s.byTeam[team] {
 		if k.ID == key {
--- a/keyring/ring_test.go
+++ b/keyring/ring_test.go
@@ -10,8 +10,8 @@
 
 var start = time.Unix(1000, 0)
 
-// TestAdmit guards against a key that admits work for another team, without a
-// key, with stale data, or after its withdrawal.
+// TestAdmit guards against admitting work without a key, with a key of another team, with a withdrawn
+// key, or on stale key data.
 func TestAdmit(t *testing.T) {
 	r := NewRing()
 	r.Apply(Key{ID: "k1", Team: "a", Role: "operator", Digest: DigestOf("one"), Revision: 5})
@@ -42,15 +42,14 @@
 			t.Errorf("team %s, key %q: %v, want %v", c.team, c.secret, got, c.want)
 		}
 		if err == nil && k.Role != "operator" {
-			t.Errorf("the role was lost: %+v", k)
+			t.Errorf("role of the admitted key is not operator: %+v", k)
 		}
 	}
 }
 
-// TestOldStateRevivesNothing guards against a delayed message or an old list
-// that brings a withdrawn key back, and against a change of the ring that shows
-// in a snapshot that readers already have.
-func TestOldStateRevivesNothing(t *testing.T) {
+// TestStaleStateDoesNotReviveKeys guards against a delayed message or an old list reviving a
+// withdrawn key, and against a change to the ring modifying an existing snapshot.
+func TestStaleStateDoesNotReviveKeys(t *testing.T) {
 	key := Key{ID: "k", Team: "a", Digest: DigestOf("one"), Revision: 5}
 	r := NewRing()
 	r.Apply(key)
@@ -67,12 +66,12 @@
 	key.Revision = 10
 	r.Apply(key)
 	if r.Snapshot(start).IsWithdrawn("a", "k") {
-		t.Error("a key that was granted again stays withdrawn")
+		t.Error("a key that was granted again is still withdrawn")
 	}
 }
 
-// TestPromiseDelaysCommit guards against a configuration commit within the
-// window of a promise, or soon after the start.
+// TestPromiseDelaysCommit guards against a configuration commit within the freshness period of a
+// promise, or within ListLag after process start.
 func TestPromiseDelaysCommit(t *testing.T) {
 	f := NewFreshness(DefaultConfig(), start)
 	if f.BeginCommit(start.Add(10 * time.Second)) {
@@ -80,12 +79,12 @@
 	}
 	now := start.Add(time.Minute)
 	if f.PromiseNoCommit(now, true) || !f.PromiseNoCommit(now, false) {
-		t.Error("a promise needs the absence of store contact and nothing else")
+		t.Error("a promise was granted with store contact, or refused without it")
 	}
 	if f.BeginCommit(now.Add(5 * time.Second)) {
-		t.Error("committed within the window of a promise")
+		t.Error("committed within the freshness period of a promise")
 	}
 	if !f.BeginCommit(now.Add(6*time.Second)) || f.PromiseNoCommit(now.Add(6*time.Second), false) {
-		t.Error("the commit was refused, or a promise was given during it")
+		t.Error("the commit was refused, or a promise was granted during it")
 	}
 }
