--- a/daemon/badworker_test.go
+++ b/daemon/badworker_test.go
@@ -10,8 +10,7 @@
 	"github.com/mulberrydrum/mulberrydrum/standin"
 )
 
-// workerLeaves checks that a worker that the list shows as leaving gets no new
-// task after the bound; the oracle reads the start of each run.
+// workerLeaves checks that a worker that is listed as leaving gets no new task after the bound.
 func workerLeaves(t *testing.T, w *deployment, asked, _ *node, injection func()) {
 	injection()
 	w.mu.Lock()
@@ -35,9 +34,8 @@
 	}
 }
 
-// workerFails checks that durable work ends well though one worker fails every
-// task at once, that this worker gets few of them, and that it is used again once
-// it works.
+// workerFails checks that every job is accepted, and that none ends with an error, although one worker
+// fails every task immediately.
 func workerFails(t *testing.T, w *deployment, _, _ *node, injection func()) {
 	failing := true
 	if err := w.workers["worker-0"].SetFaults(standin.WorkerFaults{FailTasks: &failing}); err != nil {
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -17,19 +17,19 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// callerBackend decides callers' requests: it checks the key against the
-// snapshot and passes the request to its home.
+// callerBackend implements caller.Backend: it authorizes requests with the latest snapshot and
+// forwards them to the home of the job, the instance that owns the job's request shard.
 type callerBackend struct{ *engine }
 
 const (
-	// homeRetry is the pause before a request is sent to its home again after
-	// one that surely had no effect, for example while a home moves.
+	// homeRetry is the delay before a request that certainly had no effect is sent to its home again,
+	// for example during a change of ownership.
 	homeRetry = 100 * time.Millisecond
-	// homeTries bounds that, so that a caller hears soon of a lasting fault. It
-	// covers a planned handover while one watch is silent, which is noticed
+	// homeTries bounds the attempts, so that a permanent fault is reported to the caller without a
+	// long delay. The attempts cover a planned handover while one watch is silent, which is detected
 	// after 3 s.
 	homeTries = 50
-	// waitMargin is what the call to the home may take besides the wait.
+	// waitMargin is the time that a call to the home may take in addition to the caller's wait.
 	waitMargin = 2 * time.Second
 )
 
@@ -40,7 +40,7 @@
 	return reply, err
 }
 
-// submit returns the kind of the work, which its document has, with the reply.
+// submit returns the reply and the kind of the work, which is defined in its document.
 func (b *callerBackend) submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (task.Kind, caller.Reply, error) {
 	complete, refusal := b.loop.Snapshot().Admit(time.Now(), secret, spec)
 	if refusal != nil {
@@ -66,7 +66,7 @@
 	return complete.Kind, reply, nil
 }
 
-// checkPayload refuses a payload that would fill the record of a request shard.
+// checkPayload rejects a durable payload that is too large for the record of a request shard.
 func (b *callerBackend) checkPayload(spec *task.Spec) error {
 	if n := int64(len(spec.Payload)); spec.Kind.IsDurable() && n > b.cfg.MaxDurableBytes {
 		return errkind.New(errkind.RequestTooLarge, "the payload of %s work has %d bytes", spec.Kind, n).
@@ -75,7 +75,8 @@
 	return nil
 }
 
-// answerWait gives an answer a deadline, and has its caller wait until then.
+// answerWait sets the deadline of a request for an answer if it has none, and returns how long its
+// caller waits: until the deadline and twice the grace period.
 func (b *callerBackend) answerWait(spec *task.Spec, wait time.Duration) time.Duration {
 	if spec.Deadline.IsZero() {
 		spec.Deadline = spec.SubmittedAt.Add(max(wait, b.cfg.AnswerTimeout))
@@ -83,8 +84,8 @@
 	return time.Until(spec.Deadline) + 2*b.cfg.Control.AnswerGrace
 }
 
-// requestDigest tells two requests under one idempotency key apart. What a
-// caller changes when it tries again, such as the deadline, is left out.
+// requestDigest returns a digest that detects different requests with the same idempotency key. It
+// leaves out what changes when a caller retries, such as the deadline.
 func requestDigest(spec *task.Spec) string {
 	body, err := json.Marshal(struct {
 		Class    string
@@ -106,12 +107,12 @@
 	return b.query(ctx, secret, id, control.QueryStatus, 0)
 }
 
-// Wait returns the state of a job when it is final or wait has passed.
+// Wait returns the state of a job once it is final or wait has elapsed.
 func (b *callerBackend) Wait(ctx context.Context, secret string, id caller.JobID, wait time.Duration) (caller.Reply, error) {
 	return b.query(ctx, secret, id, control.QueryWait, wait)
 }
 
-// Cancel ends a job.
+// Cancel cancels a job.
 func (b *callerBackend) Cancel(ctx context.Context, secret string, id caller.JobID) (caller.Reply, error) {
 	return b.query(ctx, secret, id, control.QueryCancel, 0)
 }
@@ -144,8 +145,8 @@
 	return replyOf(record), nil
 }
 
-// toHome sends a request to the home of a job. It is sent again only while it
-// surely had no effect.
+// toHome sends a request to the home of a job. It retries while the job has no home, and after the
+// errors that isRetried accepts.
 func (b *callerBackend) toHome(ctx context.Context, job ledger.JobKey, request control.PeerRequest, wait time.Duration) (*ledger.Record, error) {
 	var last error = errkind.New(errkind.NoOwner, "job %s has no home at present", job).WithRetryAfter(time.Second)
 	for range homeTries {
@@ -165,9 +166,9 @@
 	return nil, last
 }
 
-// isRetried reports whether a request goes to the next home after its home has
-// moved: one that had no effect, or one that may be repeated because the record
-// of its job moves too.
+// isRetried reports whether a request is sent to the new home of its job after a change of ownership.
+// That holds for requests that had no effect, and for those that may be repeated because the record of
+// the job moves along.
 func isRetried(request control.PeerRequest, err error) bool {
 	e := errkind.From(err)
 	if e.Kind != errkind.NoOwner {
@@ -194,8 +195,8 @@
 	return job.Record, nil
 }
 
-// answerError turns the end of an answer that has no result into the error that
-// its caller is told.
+// answerError returns the error to report to the caller of a request for an answer that ended without
+// a result.
 func answerError(record *ledger.Record) error {
 	if record.Spec.Kind != task.Answer {
 		return nil
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -13,7 +13,7 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// Config is what a daemon needs besides its peers' clients.
+// Config configures a Daemon.
 type Config struct {
 	Self            membership.Member // the incarnation is set at the start
 	CallerAddress   string
@@ -29,17 +29,17 @@
 
 	ListAddress    string
 	ListInterval   time.Duration // between two reads of the instance list
-	ListTimeout    time.Duration // of one read of it
+	ListTimeout    time.Duration // of one read of the instance list
 	Tick           time.Duration // of the control loop
-	AnswerTimeout  time.Duration // deadline of an answer whose caller gives none
-	DrainTimeout   time.Duration // longest planned stop
-	Linger         time.Duration // longest service of open connections of callers after the handover
-	TimelineEvents int           // events kept
-	// MaxDurableBytes bounds the payload of work that is kept in the store, whose
-	// values are bounded.
+	AnswerTimeout  time.Duration // default deadline of a request for an answer
+	DrainTimeout   time.Duration // limit on the duration of a graceful shutdown
+	Linger         time.Duration // limit on serving open connections of callers after the handover
+	TimelineEvents int           // capacity of the timeline
+	// MaxDurableBytes bounds the payload of durable work. The payload is kept in the store, which
+	// limits the size of its values.
 	MaxDurableBytes int64
-	Registry        metrics.Registry // of metrics; nil for one of its own
-	Seed            uint64           // of random choices; 0 for one from the clock
+	Registry        metrics.Registry // of metrics; nil creates a new one
+	Seed            uint64           // of random choices; 0 derives one from the clock
 }
 
 // Defaults of Config.
@@ -48,8 +48,7 @@
 	DefaultTick          = 50 * time.Millisecond
 	DefaultAnswerTimeout = 10 * time.Second
 	DefaultDrainTimeout  = 30 * time.Second
-	// DefaultLinger is longer than the 5 s for which our client keeps an idle
-	// connection.
+	// DefaultLinger is longer than the 5 s for which the project's client keeps an idle connection.
 	DefaultLinger         = 8 * time.Second
 	DefaultTimelineEvents = 65536
 )
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,12 +31,12 @@
 	listeners listeners
 }
 
-// listeners are open before the daemon registers itself, so that nobody is sent
-// to an address that does not listen.
+// listeners are opened before the instance registers in the store, so that no client is directed to
+// an address that refuses connections.
 type listeners struct{ caller, operator, entry net.Listener }
 
-// New opens the listeners and builds the daemon. Addresses with port 0 are
-// replaced by the ones that were opened.
+// New opens the listeners and builds the daemon. Port 0 in an address selects a free port;
+// CallerAddress, OperatorAddress and EntryAddress return the addresses in use.
 func New(cfg Config, logger *log.Logger) (*Daemon, error) {
 	d := &Daemon{}
 	if err := d.listen(cfg); err != nil {
@@ -84,8 +84,8 @@
 // EntryAddress returns the address on which the other instances call.
 func (d *Daemon) EntryAddress() string { return d.listeners.entry.Addr().String() }
 
-// Abort ends the daemon at once, as if the process had died: nothing is handed
-// over and connections are cut.
+// Abort stops the daemon immediately, as a crash of the process would: it hands over no units and
+// closes all connections.
 func (d *Daemon) Abort() {
 	d.stop()
 	d.callers.Abort()
@@ -94,8 +94,8 @@
 	d.clients.Entries.Close()
 }
 
-// Run serves until ctx ends, then stops without cutting off a request: it hands
-// over what it holds, finishes what is in flight, and closes.
+// Run serves until ctx is done, then shuts down gracefully: it hands over its units, completes the
+// requests in flight and closes.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.stop()
 	group, background := errgroup.WithContext(d.effects)
@@ -117,8 +117,8 @@
 	return group.Wait()
 }
 
-// shutdown is the planned stop. Callers are served until everything is handed
-// over, so that a request that arrives meanwhile reaches its home elsewhere.
+// shutdown performs a graceful shutdown. Callers are served until all units are handed over, so that
+// requests that arrive meanwhile are forwarded to the new owner.
 func (d *Daemon) shutdown() {
 	d.log.Info("draining", "timeout", d.cfg.DrainTimeout)
 	d.callers.BeginDrain()
@@ -127,7 +127,7 @@
 	if err := d.loop.Post(ctx, control.DrainRequested{}); err == nil {
 		select {
 		case <-d.drained:
-			d.log.Info("handed over")
+			d.log.Info("all units handed over")
 		case <-ctx.Done():
 			d.log.Warn("stopping with units still held", "after", d.cfg.DrainTimeout)
 		}
@@ -141,9 +141,9 @@
 	d.clients.Entries.Close()
 }
 
-// linger accepts no more connections after the handover, and serves the open ones
-// until their callers have closed them. Every answer asks for that, and a caller
-// closes a connection that it has not used for a while.
+// linger closes the listener for callers after the handover and serves the open connections until
+// the callers have closed them. Every response asks the caller to close its connection, and callers
+// close idle connections after a while.
 func (d *Daemon) linger(ctx context.Context) {
 	_ = d.listeners.caller.Close()
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.Linger)
--- a/daemon/deployment_test.go
+++ b/daemon/deployment_test.go
@@ -27,8 +27,8 @@
 
 var drainEvent = control.DrainRequested{}
 
-// deployment is a small deployment with fakes at the interfaces. It runs in a
-// testing/synctest bubble: all time is virtual.
+// deployment is a small deployment with fakes at the interfaces to the peers. It runs in a
+// testing/synctest bubble, so that time is virtual.
 type deployment struct {
 	t       *testing.T
 	store   *storetest.Memory
@@ -37,9 +37,9 @@
 	listing []instancelist.Instance
 
 	mu      sync.Mutex
-	nodes   []*node // every process that ever ran
+	nodes   []*node // every process, also those that have ended
 	fault   func(c call) faultAction
-	jobs    []*job // submitted one by one
+	jobs    []*job // submitted by submitAs
 	clients func(*node, Clients) Clients
 	ended   bool
 }
@@ -50,35 +50,34 @@
 	deployment *deployment
 	index      int
 	dead       bool
-	frozen     time.Time // calls wait until then
+	frozen     time.Time // calls are delayed until then
 }
 
-// call is one call at an interface, as faults see it.
+// call describes one call at an interface to a fault.
 type call struct {
 	step     string // peer, worker or store call, such as "peer.Place"
 	from     *node
 	to       *node  // for calls between entry instances
 	worker   string // address, for calls to workers
-	returned bool   // the call has had its effect
+	returned bool   // the call has taken effect
 }
 
 // faultAction is what a fault does to a call.
 type faultAction struct {
 	drop  bool          // the call does not arrive, or its reply is lost
-	delay time.Duration // before the call goes on
+	delay time.Duration // before the call proceeds
 }
 
 var errDropped = errors.New("no reply")
 
 const testRegion = "flanders"
 
-// newDeployment starts entry instances and workers, and waits until every unit has an
-// owner.
+// newDeployment starts entry instances and workers. It does not wait until the units have owners.
 func newDeployment(t *testing.T, instances, workers int) *deployment {
 	return newDeploymentWith(t, instances, workers, func(_ *node, c Clients) Clients { return c })
 }
 
-// newDeploymentWith is newDeployment with changed clients of every process.
+// newDeploymentWith is newDeployment with a hook that changes the clients of every process.
 func newDeploymentWith(t *testing.T, instances, workers int, clients func(*node, Clients) Clients) *deployment {
 	w := &deployment{t: t, clients: clients, store: storetest.NewMemory(storetest.Config{}), workers: map[string]*standin.Worker{}, local: standin.NewLocalWorkers(nil)}
 	for i := range workers {
@@ -154,7 +153,7 @@
 	return n
 }
 
-// kill ends a process at once.
+// kill ends a process immediately.
 func (n *node) kill() {
 	n.deployment.mu.Lock()
 	n.dead = true
@@ -162,7 +161,7 @@
 	n.stop()
 }
 
-// freeze keeps a process from doing anything for a while.
+// freeze suspends a process for a duration, as if the machine had paused it.
 func (n *node) freeze(d time.Duration) {
 	n.deployment.mu.Lock()
 	defer n.deployment.mu.Unlock()
@@ -182,7 +181,7 @@
 	return !n.frozen.IsZero()
 }
 
-// wait returns when the process is not frozen.
+// wait blocks while the process is frozen.
 func (n *node) wait() {
 	n.deployment.mu.Lock()
 	left := time.Until(n.frozen)
@@ -192,8 +191,8 @@
 	}
 }
 
-// pass lets a call go on, or reports that it is lost. A process that has died
-// sends nothing.
+// pass applies the fault of the deployment to a call: it delays the call or returns an error if the
+// call is lost. Calls of a process that was killed are lost.
 func (w *deployment) pass(ctx context.Context, c call) error {
 	w.mu.Lock()
 	hook := w.fault
@@ -213,7 +212,7 @@
 	return nil
 }
 
-// live returns the processes that run.
+// live returns the running processes.
 func (w *deployment) live() []*node {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -226,7 +225,7 @@
 	return live
 }
 
-// close ends everything.
+// close stops all processes, workers and the store.
 func (w *deployment) close() {
 	w.mu.Lock()
 	w.ended = true
@@ -238,7 +237,7 @@
 		wk.Close()
 	}
 	w.store.Close()
-	time.Sleep(cutTime + freezeTime) // the goroutines that faults hold up end
+	time.Sleep(cutTime + freezeTime) // lets the goroutines end that faults delay
 }
 
 func (w *deployment) trace() oracle.Trace {
@@ -258,7 +257,8 @@
 	return trace
 }
 
-// checkOracle checks the invariants over all time lines and workers' ledgers.
+// checkOracle checks the invariants over the timelines of all processes and the ledgers of all
+// workers.
 func (w *deployment) checkOracle(l *load) {
 	trace := w.trace()
 	l.fillInProgress(&trace)
@@ -280,7 +280,7 @@
 	}
 }
 
-// fillInProgress notes the tasks that their homes know of and that have no end.
+// fillInProgress records for every task that its home reports whether it has not ended.
 func (l *load) fillInProgress(trace *oracle.Trace) {
 	for _, j := range l.jobs {
 		if reply, err := l.status(j); err == nil {
@@ -308,7 +308,7 @@
 	return answers
 }
 
-// examinedFacts counts what the checks of all cells have judged.
+// examinedFacts counts the facts that the oracle examined in all cells, by invariant.
 var examinedFacts struct {
 	mu    sync.Mutex
 	facts map[oracle.Invariant]int
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -14,8 +14,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// applyTries bounds how often a document is written again because the division
-// of the team's limit changed meanwhile.
+// applyTries bounds the attempts to write a document. A write is repeated when the division of the
+// team's limit changed concurrently or its outcome is unclear.
 const applyTries = 5
 
 // Apply replaces a document if its revision is the expected one.
@@ -31,7 +31,7 @@
 			return operator.Held{}, err
 		}
 		if before.WriteID == record.WriteID {
-			return b.applied(ctx, change, record, revision) // an earlier try whose reply was lost
+			return b.applied(ctx, change, record, revision) // an earlier attempt whose reply was lost
 		}
 		if revision != change.Expected {
 			return operator.Held{}, &operator.Conflict{Expected: change.Expected, Current: operator.Held{Ref: change.Ref, Record: before, Revision: revision}}
@@ -48,10 +48,9 @@
 	return operator.Held{}, errkind.New(errkind.OutcomeUnknown, "the store did not confirm the document; compare what is in force")
 }
 
-// checkTeam refuses a service of a team that has no document: no owner starts
-// work of a team whose limit it does not know, so that the work would be
-// accepted and wait without end. No call removes a document, so that one that
-// was read stays.
+// checkTeam rejects a service of a team that has no document: owners start no work of a team without
+// a known limit, so the work would be accepted and wait forever. No call removes a document, so one
+// that was read remains.
 func (b *operatorBackend) checkTeam(ctx context.Context, ref operator.Ref) error {
 	if ref.Service == "" {
 		return nil
@@ -69,8 +68,8 @@
 	return held, nil
 }
 
-// writeDocument writes a document, and with a team's document the division of
-// the team's limit, so that both change at once.
+// writeDocument writes a document. A team's document and the division of the team's limit change in
+// the same transaction.
 func (b *operatorBackend) writeDocument(ctx context.Context, key string, change operator.Change, record document.Record) (store.TxnResult, fate, error) {
 	value, err := store.Encode(record)
 	if err != nil {
@@ -85,9 +84,8 @@
 	return b.commitConfig(ctx, txn)
 }
 
-// addLimit adds the new limit of a team to a transaction. The revision that the
-// document will have is not known before the commit; that of the read is lower
-// and serves as a bound.
+// addLimit adds the new limit of a team to a transaction. The revision that the document will have is
+// not known before the commit; the store's revision at the read is lower and serves as a bound.
 func (b *operatorBackend) addLimit(ctx context.Context, txn *store.Txn, d document.Document) error {
 	key := store.AllowanceKey(string(d.Team))
 	kv, found, revision, err := b.clients.Store.Get(ctx, key)
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -18,7 +18,7 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// Clients reach the peers of an entry instance. Tests put fakes in their place.
+// Clients holds the clients for the peers of an entry instance. Tests replace them by fakes.
 type Clients struct {
 	Store   store.Store
 	List    instancelist.Lister
@@ -33,8 +33,7 @@
 	Close()
 }
 
-// engine is an entry instance without its servers: the control loop, and the
-// calls to other peers that it asks for.
+// engine is an entry instance without its servers: the control loop and the executor of its effects.
 type engine struct {
 	cfg      Config
 	log      *log.Logger
@@ -46,12 +45,12 @@
 
 	storeDown atomic.Bool // as last logged
 
-	// carryOut is execute, but for tests that hold effects up.
+	// carryOut is execute, except in tests that delay effects.
 	carryOut func(control.Effect)
 
-	resync  chan struct{} // asks the watch for a complete read
-	drained chan struct{} // closed when nothing is held any more
-	effects context.Context
+	resync  chan struct{}   // requests a complete list of the configuration
+	drained chan struct{}   // closed when no unit is held any more
+	effects context.Context // of all effects; canceled by stop
 	stop    context.CancelFunc
 }
 
@@ -77,7 +76,8 @@
 	return d
 }
 
-// run applies events and keeps the control state informed until ctx ends.
+// run runs the control loop, the configuration watch and the poll of the instance list until ctx is
+// done.
 func (d *engine) run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return d.loop.Run(ctx) })
@@ -86,8 +86,8 @@
 	return group.Wait()
 }
 
-// Events returns the time line of this process.
+// Events returns the timeline of this process.
 func (d *engine) Events() []timeline.Event { return d.recorder.Events(timeline.Filter{}) }
 
-// Snapshot returns what the traffic of this process reads of the control state.
+// Snapshot returns the latest snapshot of the control state, which the traffic goroutines read.
 func (d *engine) Snapshot() *control.Snapshot { return d.loop.Snapshot() }
--- a/daemon/execute.go
+++ b/daemon/execute.go
@@ -6,8 +6,8 @@
 	"github.com/mulberrydrum/mulberrydrum/control"
 )
 
-// execute carries out an effect on a goroutine of its own. Its number is bounded
-// by the state: an effect is repeated only after its end was delivered.
+// execute starts an effect, on a separate goroutine if it calls a peer. The control state bounds the
+// number of these goroutines: it repeats an effect only after it has received the result.
 func (d *engine) execute(effect control.Effect) {
 	ctx := d.effects
 	switch e := effect.(type) {
@@ -32,7 +32,7 @@
 	}
 }
 
-// callStore carries out the effects that are calls to the store.
+// callStore executes the effects that are calls to the store.
 func (d *engine) callStore(ctx context.Context, effect control.Effect) {
 	switch e := effect.(type) {
 	case control.GrantLease:
@@ -50,17 +50,16 @@
 	case control.WriteAllowances:
 		d.post(ctx, d.writeAllowances(ctx, e))
 	default:
-		d.log.Error("no way to carry out an effect", "type", effect)
+		d.log.Error("unknown effect type", "type", effect)
 	}
 }
 
-// post delivers an event to the control loop. It fails only when the daemon ends.
+// post delivers an event to the control loop. It fails only while the daemon stops.
 func (d *engine) post(ctx context.Context, e control.Event) {
 	_ = d.loop.Post(ctx, e)
 }
 
-// send calls another instance, or the control loop itself if the call is to
-// this one.
+// send calls another instance, or the local control loop if this instance is the receiver.
 func (d *engine) send(ctx context.Context, e control.Send) {
 	callCtx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
--- a/daemon/fakes_test.go
+++ b/daemon/fakes_test.go
@@ -16,7 +16,7 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// entryFake calls other processes directly.
+// entryFake calls the control loops of other processes directly.
 type entryFake struct{ *node }
 
 // Call passes a request to the control loop of the other process.
@@ -42,12 +42,12 @@
 	return reply, err
 }
 
-// Timeline is not used by these tests.
+// Timeline fails; these tests do not use it.
 func (f *entryFake) Timeline(context.Context, membership.Member, string, string, time.Time) ([]byte, error) {
 	return nil, errDropped
 }
 
-// Close has nothing to close.
+// Close implements EntryCaller.
 func (f *entryFake) Close() {}
 
 // at returns the process that listens on an address.
@@ -60,14 +60,13 @@
 	return nil
 }
 
-// workerFake passes calls to the stand-in workers.
+// workerFake forwards calls to the stand-in workers.
 type workerFake struct {
 	worker.API
 	node *node
 }
 
-// through makes a call to a worker, which a fault may drop before or after its
-// effect.
+// through executes a call to a worker. A fault may drop the call before or after its effect.
 func through[T any](ctx context.Context, n *node, step string, to worker.Address, f func() (T, error)) (T, error) {
 	var none T
 	c := call{step: step, from: n, worker: string(to)}
@@ -84,8 +83,8 @@
 
 const workerFakeTimeout = 2 * time.Second
 
-// Start starts a task. A fault at worker.StartChecked comes after the check of
-// the term, as when a process is paused in mid-send.
+// Start starts a task. A fault at worker.StartChecked acts after the check of the ownership term, as
+// if the process were paused while sending.
 func (f *workerFake) Start(ctx context.Context, to worker.Address, req worker.StartRequest, check func() error) (worker.StartReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, req.Wait+workerFakeTimeout)
 	defer cancel()
@@ -99,14 +98,14 @@
 	})
 }
 
-// Sync renews leases.
+// Sync renews task leases and returns a report.
 func (f *workerFake) Sync(ctx context.Context, to worker.Address, req worker.SyncRequest) (worker.SyncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, workerFakeTimeout)
 	defer cancel()
 	return through(ctx, f.node, "worker.Sync", to, func() (worker.SyncReply, error) { return f.API.Sync(ctx, to, req) })
 }
 
-// Lookup asks for an attempt.
+// Lookup returns the state of an attempt.
 func (f *workerFake) Lookup(ctx context.Context, to worker.Address, a task.Attempt) (worker.LookupReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, workerFakeTimeout)
 	defer cancel()
@@ -120,11 +119,10 @@
 	return through(ctx, f.node, "worker.Stop", to, func() (worker.LookupReply, error) { return f.API.Stop(ctx, to, req) })
 }
 
-// listFake is the instance list: everything lives, dead processes too, since
-// the list lags.
+// listFake is the instance list. It holds the listed workers and the processes that were not killed.
 type listFake struct{ *node }
 
-// List returns every instance.
+// List returns the instances, all processes as live.
 func (f *listFake) List(ctx context.Context) ([]instancelist.Instance, error) {
 	if err := f.deployment.pass(ctx, call{step: "list.List", from: f.node}); err != nil {
 		return nil, err
@@ -141,12 +139,13 @@
 	return list, nil
 }
 
-// storeFake passes calls to the store in memory.
+// storeFake forwards calls to the store in memory.
 type storeFake struct {
 	store.Store
 	node *node
 }
 
+// viaStore executes a call to the store. A fault may drop the call before or after its effect.
 func viaStore[T any](ctx context.Context, n *node, step string, f func() (T, error)) (T, error) {
 	var none T
 	ctx, cancel := context.WithTimeout(ctx, store.DefaultCallTimeout)
@@ -166,7 +165,7 @@
 	return viaStore(ctx, f.node, "store."+txnKind(txn), func() (store.TxnResult, error) { return f.Store.Commit(context.WithoutCancel(ctx), txn) })
 }
 
-// txnKind names what a transaction writes.
+// txnKind returns the name of the step that a transaction is, by the key of its first put.
 func txnKind(txn store.Txn) string {
 	if len(txn.Puts) == 0 {
 		return "Delete"
@@ -203,7 +202,7 @@
 	return viaStore(ctx, f.node, "store.LatestRevision", func() (int64, error) { return f.Store.LatestRevision(ctx, prefix) })
 }
 
-// Watch delivers changes; a frozen process sees none.
+// Watch delivers changes, but none while the process is frozen.
 func (f *storeFake) Watch(ctx context.Context, prefix string, from int64, deliver func(store.WatchBatch)) error {
 	return f.Store.Watch(ctx, prefix, from, func(b store.WatchBatch) {
 		f.node.wait()
--- a/daemon/fromsettings_test.go
+++ b/daemon/fromsettings_test.go
@@ -12,11 +12,10 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// readElsewhere are the settings that the command reads before the daemon.
+// readElsewhere holds the settings that the command reads itself, before it makes the daemon.
 var readElsewhere = map[string]bool{"log_level": true}
 
-// TestEverySettingIsRead guards against a setting that is documented and checked
-// and changes nothing.
+// TestEverySettingIsRead guards against a setting that is documented and validated but has no effect.
 func TestEverySettingIsRead(t *testing.T) {
 	base := settings.Default()
 	base.StoreEndpoints = []string{"127.0.0.1:1"}
@@ -56,8 +55,8 @@
 	}
 }
 
-// TestPayloadBound guards against a payload of durable work that fills its
-// request shard, and against the bound on answers, which are not stored.
+// TestPayloadBound guards against a durable payload that fills its request shard, and against
+// applying the bound to answers, which are not stored.
 func TestPayloadBound(t *testing.T) {
 	b := &callerBackend{&engine{cfg: Config{MaxDurableBytes: 10}}}
 	for _, tc := range []struct {
--- a/daemon/keys.go
+++ b/daemon/keys.go
@@ -13,7 +13,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// GrantKey makes a key. Its secret is returned and not kept.
+// GrantKey creates a key and returns its secret, of which only the digest is stored.
 func (b *operatorBackend) GrantKey(ctx context.Context, by string, request api.GrantRequest) (api.GrantedKey, error) {
 	secret := "mk_" + rand.Text() + rand.Text()
 	granted := store.GrantedKey{
@@ -26,16 +26,15 @@
 	}
 	key := store.KeyKey(string(granted.Team), granted.ID)
 	txn := store.Txn{Compares: []store.Compare{{Key: key}}, Puts: []store.Put{{Key: key, Value: value}}}
-	// An unclear grant is not repeated: its secret would be lost, and a key that
-	// nobody knows harms nobody.
+	// A grant whose outcome is unclear is not retried. Its secret is lost, so a key that was stored
+	// nevertheless cannot be used by anyone.
 	if _, f, err := b.commitConfig(ctx, txn); err != nil || f != stored {
 		return api.GrantedKey{}, unclearChange(err)
 	}
 	return api.GrantedKey{Key: keyView(granted), Secret: secret}, nil
 }
 
-// WithdrawKey ends a key. The withdrawal is repeated until it is confirmed, since
-// repeating it changes nothing.
+// WithdrawKey withdraws a key. The withdrawal is idempotent and is retried until it is confirmed.
 func (b *operatorBackend) WithdrawKey(ctx context.Context, by string, team task.Team, id string) (api.Key, error) {
 	key := store.KeyKey(string(team), id)
 	for ctx.Err() == nil {
--- a/daemon/matrix_test.go
+++ b/daemon/matrix_test.go
@@ -17,7 +17,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// steps are the messages and writes at which each fault injections.
+// steps are the messages and writes at which each fault is injected.
 var steps = []string{
 	"peer.SubmitRequest", "peer.PlaceRequest", "peer.WithdrawRequest", "peer.LookupRequest", "peer.PermitRequest",
 	"peer.ReportRequest", "peer.DigestMessage", "peer.PromiseRequest",
@@ -25,12 +25,12 @@
 	"store.CommitRecords", "store.CommitOwnership", "store.CommitAllowance", "store.KeepAlive", "store.Get", "store.LatestRevision",
 }
 
-// injection is one kind of fault. It acts on the first call of its step, or on the
-// first after the call had its effect.
+// injection is one kind of fault. It acts on the first calls of its step, either before or after the
+// call takes effect.
 type injection struct {
 	name  string
-	after bool // when the call had its effect
-	times int  // how many calls of the step it hits
+	after bool // act after the call has taken effect
+	times int  // number of calls of the step on which it acts
 	act   func(w *deployment, c call) faultAction
 }
 
@@ -38,7 +38,7 @@
 	freezeTime = 25 * time.Second // longer than a takeover
 	outageTime = 30 * time.Second // of the store
 	restartIn  = 20 * time.Second // of a process that was killed
-	settleTime = 3 * time.Minute  // within which everything has its outcome
+	settleTime = 3 * time.Minute  // within which every job must have its outcome
 	quietTime  = 45 * time.Second // after that, longer than any fault lasts
 )
 
@@ -72,14 +72,14 @@
 	case strings.HasPrefix(s.name, "worker"):
 		return strings.HasPrefix(step, "worker.")
 	case step == "worker.StartChecked":
-		return !s.after // there is no later moment at which it is seen
+		return !s.after // this step has no call after its effect
 	}
 	return true
 }
 
-// setupFaults bring about the steps that an undisturbed run does not have: a
-// look-up follows a lost request, a promise an outage of the store, and a takeover
-// the death of an owner.
+// setupFaults cause the steps that do not occur without a fault: a lookup follows a lost request, a
+// promise follows an outage of the store, and a takeover follows the crash of an owner. The name of
+// each is the step at which it acts.
 var setupFaults = map[string]injection{
 	"peer.LookupRequest":    {name: "peer.PlaceRequest", times: 3, act: dropCall},
 	"worker.Lookup":         {name: "worker.Start", times: 3, act: dropCall},
@@ -90,9 +90,9 @@
 
 func dropCall(*deployment, call) faultAction { return faultAction{drop: true} }
 
-// TestFaultMatrix guards against a request that is lost, doubled or answered
-// untruthfully when one fault injections one step. It runs the decisions and the
-// daemon's calls in virtual time and lists the cells that no call reached.
+// TestFaultMatrix guards against a request that is lost, executed twice or answered incorrectly when
+// one fault is injected at one step. It runs the control state and the daemon's calls in virtual time
+// and lists the cells whose step no call reached.
 func TestFaultMatrix(t *testing.T) {
 	var mu sync.Mutex
 	var missed []string
@@ -162,7 +162,7 @@
 	}
 }
 
-// hits reports whether a fault injections a call, and counts it.
+// hits reports whether a fault acts on a call, and counts it.
 func (w *deployment) hits(f *pendingInjection, c call) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -200,7 +200,7 @@
 	go func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Reboot: true}) }()
 }
 
-// job is one request of the load with what its caller was told.
+// job is one request of the load with the last reply to its caller.
 type job struct {
 	class    string
 	key      string
@@ -209,7 +209,7 @@
 	mu       sync.Mutex
 	reply    caller.Reply
 	err      error
-	accepted bool // its caller was told that it is recorded
+	accepted bool // a submission was confirmed to its caller
 }
 
 // load is the work of one cell.
@@ -236,8 +236,8 @@
 	return l
 }
 
-// submit sends a job like a caller does: again under the same idempotency key,
-// through another instance, until it is told an outcome that ends the matter.
+// submit sends a job as a caller does: it retries under the same idempotency key, through another
+// instance each time, until a submission succeeds or must not be repeated.
 func (l *load) submit(j *job, first int) {
 	defer l.done.Done()
 	for try := range 40 {
@@ -288,7 +288,7 @@
 	}
 }
 
-// status asks every live instance until one knows the job.
+// status asks the live instances until one returns the state of the job.
 func (l *load) status(j *job) (caller.Reply, error) {
 	err := errors.New("no instance runs")
 	for range 10 {
@@ -306,7 +306,7 @@
 	return caller.Reply{}, err
 }
 
-// awaitEnd returns when every job has its outcome, or the time for that is over.
+// awaitEnd waits until every job has its outcome, or settleTime has passed.
 func (l *load) awaitEnd() {
 	l.done.Wait()
 	for end := time.Now().Add(settleTime); time.Now().Before(end); time.Sleep(2 * time.Second) {
@@ -322,7 +322,7 @@
 	}
 }
 
-// hasEnded reports whether nothing more is expected of a job.
+// hasEnded reports whether a job is in its expected last state: running for a service, final otherwise.
 func (j *job) hasEnded(reply caller.Reply) bool {
 	for _, ts := range reply.Tasks {
 		if j.class == "tables" && ts.State != task.Running || j.class != "tables" && !ts.State.IsFinal() {
@@ -332,7 +332,7 @@
 	return true
 }
 
-// check compares the end of every job with what its kind promises.
+// check compares the last state of every job with the guarantees of its kind.
 func (l *load) check(t *testing.T) {
 	for _, j := range l.jobs {
 		if j.class == "lookup" {
@@ -345,7 +345,7 @@
 		}
 		reply, err := l.status(j)
 		if err != nil {
-			t.Errorf("%s %s was accepted and is lost: %v", j.class, j.key, err)
+			t.Errorf("%s %s was accepted but its state cannot be read: %v", j.class, j.key, err)
 			continue
 		}
 		j.checkEnd(t, reply)
--- a/daemon/meteredstore.go
+++ b/daemon/meteredstore.go
@@ -7,7 +7,7 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// meteredStore records every call to the store.
+// meteredStore records the outcome and the duration of every call to the store.
 type meteredStore struct {
 	store  store.Store
 	meters meters
@@ -57,8 +57,8 @@
 	return m.store.Revoke(ctx, lease)
 }
 
-// Watch implements store.Store. It is counted when it ends, and its time is how
-// long it lasted.
+// Watch implements store.Store. The call is counted when the watch ends; its duration is the life
+// time of the watch.
 func (m meteredStore) Watch(ctx context.Context, prefix string, from int64, deliver func(store.WatchBatch)) (err error) {
 	defer func(started time.Time) { m.meters.storeCall("watch", started, err) }(time.Now())
 	return m.store.Watch(ctx, prefix, from, deliver)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -18,9 +18,9 @@
 	metricControlQueue     = "control.queue_events"
 	metricAllowanceRefused = "control.allowance_refused_count"
 	metricUnitsHeld        = "control.units_held_count"
-	metricRequestKind      = "request.kind_count."  // and the kind of work
-	metricRequestError     = "request.error_count." // and the error kind
-	metricWait             = "task.wait_ms."        // and the team
+	metricRequestKind      = "request.kind_count."  // followed by the kind of work
+	metricRequestError     = "request.error_count." // followed by the error kind
+	metricWait             = "task.wait_ms."        // followed by the team
 	metricStartSent        = "task.start_sent_count"
 	metricStartNotRun      = "task.start_not_run_count"
 	metricStartUnclear     = "task.start_unclear_count"
@@ -28,20 +28,19 @@
 	metricNearBytes        = "entry.near_bytes"
 	metricCrossBytes       = "entry.cross_region_bytes"
 	metricDigestBytes      = "entry.digest_bytes"
-	metricStoreCalls       = "store.call_count." // and the call and its outcome
-	metricStoreTime        = "store.call_us."    // and the call
+	metricStoreCalls       = "store.call_count." // followed by the call and its outcome
+	metricStoreTime        = "store.call_us."    // followed by the call
 	metricEventsDropped    = "timeline.dropped_count"
 )
 
 const (
-	// Size and decay of the samples of histograms: go-metrics recommends these
-	// for the latest five minutes.
+	// Size and decay of histogram samples, as go-metrics recommends for a window of five minutes.
 	sampleSize  = 1028
 	sampleDecay = 0.015
 )
 
-// meters records what traffic goroutines see. Its metrics are atomic or have a
-// lock of their own that is held for one update.
+// meters records metrics from the traffic goroutines. Every metric is atomic or has its own lock,
+// which is held for one update only.
 type meters struct{ registry metrics.Registry }
 
 func (m meters) count(name string) {
@@ -55,7 +54,7 @@
 	histogram.(metrics.Histogram).Update(value)
 }
 
-// request counts a submission by the kind of its work, or by its error.
+// request counts a submission by its kind of work if it succeeded, and by its error kind otherwise.
 func (m meters) request(kind task.Kind, err error) {
 	if err != nil {
 		m.count(metricRequestError + string(errkind.From(err).Kind))
@@ -64,7 +63,7 @@
 	m.count(metricRequestKind + string(kind))
 }
 
-// start counts a start and how long the task waited for it.
+// start counts an attempt to start a task by its outcome and records the task's waiting time.
 func (m meters) start(done control.StartDone) {
 	m.count(metricStartSent)
 	switch done.Result {
@@ -77,8 +76,8 @@
 	}
 }
 
-// storeCall counts a call to the store by its outcome and takes its time. A
-// transaction whose comparison failed is a call that succeeded.
+// storeCall counts a call to the store by its outcome and records its duration. A transaction whose
+// comparison failed counts as a successful call.
 func (m meters) storeCall(call string, started time.Time, err error) {
 	m.count(metricStoreCalls + call + "." + storeOutcome(err))
 	m.observe(metricStoreTime+call, time.Since(started).Microseconds())
@@ -100,17 +99,17 @@
 	return "unclear"
 }
 
-// trafficCounter is an EntryCaller that counts bytes.
+// trafficCounter is implemented by an EntryCaller that counts bytes.
 type trafficCounter interface {
 	Bytes() (near, across int64)
 	DigestBytes() int64
 }
 
-// registerGauges registers what is read when an operator asks for it.
+// registerGauges registers the gauges that are evaluated when the metrics are read.
 func registerGauges(registry metrics.Registry, loop *control.Loop, recorder *timeline.Recorder, entries EntryCaller) {
 	gauge := func(name string, read func() int64) { _ = registry.Register(name, metrics.NewFunctionalGauge(read)) }
 	for _, name := range []string{metricStartSent, metricStartNotRun, metricStartUnclear, metricReportResent} {
-		metrics.GetOrRegisterCounter(name, registry) // shown as 0 before the first one
+		metrics.GetOrRegisterCounter(name, registry) // reported as 0 before the first event
 	}
 	gauge(metricControlQueue, func() int64 { return int64(loop.Queued()) })
 	gauge(metricAllowanceRefused, func() int64 { return int64(loop.AllowanceRefused()) })
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -13,8 +13,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// TestMeters guards against an outcome that is counted under another name than
-// the one that those on call look at.
+// TestMeters guards against an outcome that is counted under a name other than the documented one.
 func TestMeters(t *testing.T) {
 	m := meters{metrics.NewRegistry()}
 	m.request(task.Durable, nil)
@@ -46,7 +45,7 @@
 	}
 }
 
-// TestMeteredStore guards against a call to the store that passes the meter.
+// TestMeteredStore guards against a call to the store that is not counted.
 func TestMeteredStore(t *testing.T) {
 	m := meters{metrics.NewRegistry()}
 	s := meteredStore{storetest.NewMemory(storetest.Config{}).Client("entry-1"), m}
--- a/daemon/operations_test.go
+++ b/daemon/operations_test.go
@@ -20,14 +20,14 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// condition is what goes wrong while an operator's change takes effect. asked is
-// the instance that the operator talks to, other is another one.
+// condition is a fault during an operator's change. asked is the instance that the operator calls,
+// other is another instance.
 type condition struct {
 	name  string
 	apply func(w *deployment, asked, other *node)
 }
 
-const cutTime = time.Minute // that one instance is cut off from the store
+const cutTime = time.Minute // duration of a store fault under a condition
 
 var conditions = []condition{
 	{"none", func(*deployment, *node, *node) {}},
@@ -69,14 +69,14 @@
 	{"worker fails everything", workerFails},
 }
 
-// TestOperationMatrix guards against a change that comes into force too late, in
-// part or not at all, or that takes work with it, when something fails meanwhile.
+// TestOperationMatrix guards against a change that comes into force too late, in part or not at all,
+// or that loses work, when a fault occurs at the same time.
 func TestOperationMatrix(t *testing.T) {
 	t.Run("cells", runOperations)
 	t.Logf("%d cells: %d operations under %d conditions", len(operations)*len(conditions), len(operations), len(conditions))
 	for _, invariant := range oracle.Invariants {
 		if examinedFacts.facts[invariant] == 0 {
-			t.Errorf("no cell had anything to judge for the invariant %q", invariant)
+			t.Errorf("no cell examined any fact for the invariant %q", invariant)
 		}
 	}
 }
@@ -99,14 +99,14 @@
 	}
 }
 
-// submitted returns the jobs that were submitted one by one.
+// submitted returns the jobs that were submitted by submitAs.
 func (w *deployment) submitted() []*job {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return slices.Clone(w.jobs)
 }
 
-// submitAs submits a job of one task and returns what its caller is told.
+// submitAs submits a job of one task of a class and returns the reply.
 func (n *node) submitAs(class, key string) (caller.Reply, error) {
 	n.wait()
 	j := &job{class: class, key: key}
@@ -125,7 +125,7 @@
 
 func (n *node) operator() *operatorBackend { return &operatorBackend{n.engine} }
 
-// until repeats an operator's call until it is confirmed.
+// until retries an operator's call until it succeeds.
 func until[T any](t *testing.T, n *node, what string, f func(context.Context) (T, error)) T {
 	t.Helper()
 	var err error
@@ -143,8 +143,8 @@
 	panic("unreachable")
 }
 
-// withdrawKey checks that no instance accepts work under a key later than the
-// freshness after the withdrawal was confirmed, and that its work ends.
+// withdrawKey checks that no instance accepts work under a key once the freshness interval has passed
+// since the confirmed withdrawal, and that running work under the key ends.
 func withdrawKey(t *testing.T, w *deployment, asked, _ *node, injection func()) {
 	for i := range 20 {
 		if _, err := w.nodes[i%3].submitAs("check", fmt.Sprintf("w%d", i)); err != nil {
@@ -188,8 +188,8 @@
 
 const lowLimit = `{"team": "leuven", "share": 1, "limit": {"cpu_milli": 10000, "memory_mb": 0, "accelerators": 0, "slots": 3, "connections": 0}}`
 
-// lowerLimit checks that a limit below what runs comes into force, and that the
-// team never has more running than the limit from then on (the oracle).
+// lowerLimit checks that a limit below the current usage comes into force. The oracle checks that the
+// team's usage never exceeds the limit from then on.
 func lowerLimit(t *testing.T, w *deployment, asked, _ *node, injection func()) {
 	for i := range 8 {
 		if _, err := w.nodes[i%3].submitAs("tables", fmt.Sprintf("s%d", i)); err != nil {
@@ -217,7 +217,7 @@
 	}
 }
 
-// running counts the tasks that run on all workers.
+// running counts the running tasks of all workers.
 func (w *deployment) running(t *testing.T) int {
 	t.Helper()
 	count := 0
@@ -235,8 +235,8 @@
 	return count
 }
 
-// apply replaces a document, and reads the revision again after a conflict with
-// its own earlier try.
+// apply replaces a document. Each attempt reads the revision again, since an earlier attempt may have
+// succeeded.
 func (w *deployment) apply(t *testing.T, n *node, ref operator.Ref, source string) operator.Held {
 	t.Helper()
 	return until(t, n, "apply a document", func(ctx context.Context) (operator.Held, error) {
@@ -251,12 +251,11 @@
 	})
 }
 
-// configBound is the time within which a change is in force everywhere. An
-// instance that cannot read the store learns of it from the others.
+// configBound is the time within which a change must be in force everywhere. An instance that cannot
+// read the store receives the change from other instances.
 const configBound = 11 * time.Second
 
-// applyDocument checks that a document is in force at every instance that runs
-// within the bound.
+// applyDocument checks that a document is in force at every running instance within the bound.
 func applyDocument(t *testing.T, w *deployment, asked, other *node, injection func()) {
 	injection()
 	source := strings.Replace(testDocument, "sleep:2s", "sleep:3s", 1)
@@ -266,7 +265,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	other.wait()
-	time.Sleep(configBound) // a frozen or restarted instance has the same time from its start
+	time.Sleep(configBound) // a frozen or restarted instance has the same time from when it runs again
 	if n := w.at(other.cfg.Self.Address); n == nil {
 		time.Sleep(restartIn + configBound)
 	}
@@ -286,8 +285,8 @@
 	return false
 }
 
-// raceOperators checks that of two changes from the same revision one succeeds
-// and the other one is shown it.
+// raceOperators checks that at most one of two concurrent changes from the same revision succeeds, and
+// that the other one gets a conflict or an error of the store.
 func raceOperators(t *testing.T, w *deployment, asked, other *node, injection func()) {
 	ref := operator.Ref{Team: "leuven", Service: "piping"}
 	first := until(t, asked, "read the document", func(ctx context.Context) (operator.Held, error) { return asked.operator().Get(ctx, ref) })
@@ -312,11 +311,11 @@
 		}
 		kind := errkind.From(err).Kind
 		if kind != errkind.RevisionConflict && kind != errkind.StoreUnavailable && kind != errkind.OutcomeUnknown {
-			t.Errorf("operator %d was told %v", i, err)
+			t.Errorf("operator %d got error %v", i, err)
 		}
 	}
 	if succeeded > 1 {
-		t.Error("both operators were told that their change from the same revision succeeded")
+		t.Error("both concurrent changes from the same revision were reported as succeeded")
 	}
 	now := until(t, w.nodes[2], "read the document", func(ctx context.Context) (operator.Held, error) { return w.nodes[2].operator().Get(ctx, ref) })
 	if succeeded == 1 && now.Record.PreviousRevision != first.Revision {
@@ -324,8 +323,8 @@
 	}
 }
 
-// drainInstance checks that a planned stop under load fails no request that goes
-// to another instance, or to this one until it has drained.
+// drainInstance checks that a planned stop under load completes in time, and that meanwhile no request
+// fails, whether sent to the draining instance or to another one.
 func drainInstance(t *testing.T, w *deployment, asked, other *node, injection func()) {
 	var failures sync.Map
 	stop := make(chan struct{})
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -13,12 +13,12 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// operatorBackend decides operators' calls. Changes of the configuration are
-// written to the store by the instance that was asked.
+// operatorBackend implements operator.Backend. The instance that receives a change of the
+// configuration writes it to the store.
 type operatorBackend struct{ *engine }
 
-// inForcePoll is how often a call that waits looks whether its change is in
-// force at every member.
+// inForcePoll is the interval at which a waiting call checks whether its change is in force at every
+// member.
 const inForcePoll = 50 * time.Millisecond
 
 // commitConfig executes a transaction on the configuration. It is refused while
@@ -42,8 +42,8 @@
 	return result, f, nil
 }
 
-// endCommit tells the control state how a commit ended. One whose outcome is
-// unclear has no end: it may take effect at any later time.
+// endCommit reports the outcome of a commit to the control state. It is not called for a commit whose
+// outcome is unclear, since that may take effect at any later time.
 func (b *operatorBackend) endCommit(ctx context.Context, result store.TxnResult, f fate) {
 	end := control.EndConfigCommit{}
 	if f == stored {
@@ -52,8 +52,7 @@
 	_, _ = b.loop.Call(context.WithoutCancel(ctx), b.cfg.Self.Instance, end)
 }
 
-// awaitInForce returns when every member has a revision in force, or false when
-// the wait is over first.
+// awaitInForce waits until every member has a revision in force. It returns false on timeout.
 func (b *operatorBackend) awaitInForce(ctx context.Context, revision int64, wait time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -95,9 +94,9 @@
 	return b.drainState(ctx, name, !request.Undo), nil
 }
 
-// checkDrain refuses a name that nothing has, since a drain of it would have no
-// effect and no end. While a member does not answer, any name may be one of its
-// workers.
+// checkDrain rejects the name of an unknown instance or worker, whose drain would have no effect and
+// never complete. An unknown worker is accepted while a member does not answer, since it may be one of
+// that member's workers.
 func (b *operatorBackend) checkDrain(ctx context.Context, request api.DrainRequest) error {
 	if request.Undo {
 		return nil
@@ -156,7 +155,7 @@
 		After: api.Duration(ownership.ListLag + ownership.PromiseWindow + ownership.LeaseTTL)}, nil
 }
 
-// overviews asks every member for what it sees, and names those that did not
+// overviews requests the overview of every member and returns the names of the members that did not
 // answer.
 func (b *operatorBackend) overviews(ctx context.Context) (found []control.Overview, missing []string) {
 	members := b.loop.Snapshot().Members
@@ -174,13 +173,13 @@
 	return found, missing
 }
 
-// Healthy returns an error where the control loop does not answer.
+// Healthy returns an error if the control loop does not answer.
 func (b *operatorBackend) Healthy(ctx context.Context) error {
 	_, err := b.loop.Call(ctx, b.cfg.Self.Instance, control.OverviewRequest{})
 	return err
 }
 
-// Ready returns an error where this instance should get no calls.
+// Ready returns an error if this instance should receive no requests.
 func (b *operatorBackend) Ready(context.Context) error {
 	s := b.loop.Snapshot()
 	switch {
--- a/daemon/outage_test.go
+++ b/daemon/outage_test.go
@@ -11,16 +11,16 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// TestKeysInStoreOutage guards against keys that are refused in a total outage
-// of the store while the members reach each other and the instance list.
+// TestKeysInStoreOutage guards against keys that are refused during a total outage of the store
+// although the members reach each other and the instance list.
 func TestKeysInStoreOutage(t *testing.T) {
 	for _, instances := range []int{1, 3} {
 		synctest.Test(t, func(t *testing.T) {
 			w := newDeployment(t, instances, 2)
 			defer w.close()
-			time.Sleep(20 * time.Second) // until everything is owned
+			time.Sleep(20 * time.Second) // until every unit has an owner
 			w.storeDown(fault.Down)
-			// The answer after one freshness may rest on the store, later ones may not.
+			// Within one freshness interval the last read of the store may still count, later not.
 			for range 10 {
 				time.Sleep(2 * time.Second)
 				for _, n := range w.live() {
@@ -33,9 +33,8 @@
 	}
 }
 
-// TestDurableWorkInStoreOutage guards against a caller that waits for a commit
-// which cannot come, and against a repeated submission that is refused although
-// its first one is recorded.
+// TestDurableWorkInStoreOutage guards against a caller that waits for a commit which cannot succeed,
+// and against refusing a repeated submission whose first one is recorded.
 func TestDurableWorkInStoreOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newDeployment(t, 3, 2)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -10,7 +10,7 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// peerHandler answers the other entry instances.
+// peerHandler serves the calls of the other entry instances.
 type peerHandler struct{ *engine }
 
 // Handle passes a request to the control loop.
@@ -18,7 +18,7 @@
 	return h.loop.Call(ctx, from, request)
 }
 
-// Timeline returns the events of this process.
+// Timeline returns the events of this process as JSON.
 func (h *peerHandler) Timeline(_ context.Context, taskID task.ID, team task.Team, since time.Time) ([]byte, error) {
 	return json.Marshal(h.recorder.Events(timeline.Filter{Task: taskID, Team: team, From: since}))
 }
--- a/daemon/rebalance_test.go
+++ b/daemon/rebalance_test.go
@@ -10,9 +10,9 @@
 	"github.com/mulberrydrum/mulberrydrum/standin"
 )
 
-// TestWaitingWorkMoves guards against work that waits at a full partition while
-// another one has room: with one partition out of service everything was sent to
-// the other one, and nothing of it moves when the first one comes back.
+// TestWaitingWorkMoves guards against work that waits at a full partition while another one has free
+// capacity: while one partition is out of service, all work is sent to the other one, and it must move
+// when the first partition returns.
 func TestWaitingWorkMoves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newDeployment(t, 3, 4)
@@ -20,7 +20,7 @@
 		time.Sleep(10 * time.Second)
 		w.setPartitionFrozen(t, "w/flanders/0", true)
 		time.Sleep(10 * time.Second)
-		const services = 12 // the team's limit, and more than one partition has room for
+		const services = 12 // the team's limit, and more than the capacity of one partition
 		for i := range services {
 			if _, err := w.nodes[i%3].submitAs("tables", fmt.Sprintf("m%d", i)); err != nil {
 				t.Fatal(err)
@@ -31,7 +31,7 @@
 			t.Fatalf("%d services run while one partition is out of service", got)
 		}
 		w.setPartitionFrozen(t, "w/flanders/0", false)
-		const bound = 30 * time.Second // a few looks, of 2 s each, after its workers report again
+		const bound = 30 * time.Second // a few rebalancing rounds, 2 s apart, after the workers report again
 		time.Sleep(bound)
 		if got := w.running(t); got != services {
 			t.Errorf("%d of %d services run %v after both partitions have room", got, services, bound)
@@ -40,7 +40,7 @@
 	})
 }
 
-// setPartitionFrozen freezes every worker of a partition, or lets them go on.
+// setPartitionFrozen freezes or resumes every worker of a partition.
 func (w *deployment) setPartitionFrozen(t *testing.T, partition string, frozen bool) {
 	t.Helper()
 	for _, listed := range w.listing {
--- a/daemon/seededfault_test.go
+++ b/daemon/seededfault_test.go
@@ -13,10 +13,10 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// seededFault takes one mechanism away from every process at its interface.
+// seededFault disables one mechanism in every process by changing its clients.
 type seededFault struct {
 	name    string
-	expect  []oracle.Invariant // at least one of them must be found violated
+	expect  []oracle.Invariant // the oracle must find a violation of at least one
 	clients func(n *node, c Clients) Clients
 	run     func(w *deployment)
 }
@@ -68,8 +68,8 @@
 	}},
 }
 
-// silencePeers keeps the instances from telling each other of changes, which
-// would make up for what an instance with a seeded fault does not learn from the store.
+// silencePeers drops the messages by which instances exchange changes. They would otherwise deliver
+// what an instance with a seeded fault does not read from the store.
 func (w *deployment) silencePeers() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -82,8 +82,8 @@
 	}
 }
 
-// TestOracleFindsSeededFaults guards against a matrix whose checks cannot fail: with
-// each mechanism taken away the oracle must find a violation.
+// TestOracleFindsSeededFaults guards against a fault matrix whose checks cannot fail: with each
+// mechanism disabled, the oracle must find a violation.
 func TestOracleFindsSeededFaults(t *testing.T) {
 	for _, s := range seededFaults {
 		t.Run(s.name, func(t *testing.T) {
@@ -110,7 +110,7 @@
 	}
 }
 
-// discardingStore says that request records were stored, and stores nothing.
+// discardingStore confirms writes of request records without storing them.
 type discardingStore struct{ store.Store }
 
 func forgetRecords(_ *node, c Clients) Clients {
@@ -118,7 +118,7 @@
 	return c
 }
 
-// Commit drops writes of request records.
+// Commit confirms writes of request records without executing them.
 func (s *discardingStore) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
 	if txnKind(txn) == "CommitRecords" {
 		return store.TxnResult{Succeeded: true, Revision: 1}, nil
@@ -126,7 +126,7 @@
 	return s.Store.Commit(ctx, txn)
 }
 
-// deniedStarts start tasks and say that they did not.
+// deniedStarts starts tasks and reports that they were not run.
 type deniedStarts struct{ worker.API }
 
 func denyStarts(_ *node, c Clients) Clients {
@@ -134,7 +134,7 @@
 	return c
 }
 
-// Start starts a task and denies it.
+// Start starts a task and returns ErrNotRun.
 func (d *deniedStarts) Start(ctx context.Context, to worker.Address, req worker.StartRequest, check func() error) (worker.StartReply, error) {
 	if _, err := d.API.Start(ctx, to, req, check); err != nil {
 		return worker.StartReply{}, err
@@ -148,7 +148,7 @@
 	change func(*worker.SyncReply)
 }
 
-// Sync changes the reply.
+// Sync requests a full report and changes it.
 func (r *changedReports) Sync(ctx context.Context, to worker.Address, req worker.SyncRequest) (worker.SyncReply, error) {
 	req.Full = true
 	reply, err := r.API.Sync(ctx, to, req)
@@ -166,7 +166,7 @@
 	return c
 }
 
-// staleStore answers reads of the latest change by itself.
+// staleStore does not forward reads of the latest revision to the store.
 type staleStore struct{ store.Store }
 
 func assumeFresh(_ *node, c Clients) Clients {
@@ -174,5 +174,5 @@
 	return c
 }
 
-// LatestRevision says that nothing has changed.
+// LatestRevision returns 1, as if nothing had changed.
 func (*staleStore) LatestRevision(context.Context, string) (int64, error) { return 1, nil }
--- a/daemon/storecalls.go
+++ b/daemon/storecalls.go
@@ -16,8 +16,7 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// fate is what became of a transaction, which the decision packages each name
-// in their own type.
+// fate is the outcome of a transaction. Each decision package has its own type for it.
 type fate int
 
 const (
@@ -33,7 +32,7 @@
 	allowanceOutcomes = map[fate]allowance.Outcome{stored: allowance.Succeeded, conflict: allowance.Conflict, unclear: allowance.Unclear, noEffect: allowance.NoEffect}
 )
 
-// commit executes a transaction and says what became of it.
+// commit executes a transaction and classifies its outcome.
 func (d *engine) commit(ctx context.Context, txn store.Txn) (store.TxnResult, fate) {
 	result, err := d.clients.Store.Commit(ctx, txn)
 	switch {
@@ -45,7 +44,7 @@
 		d.log.Debug("commit had no effect", "err", err)
 		return result, noEffect
 	default:
-		d.log.Debug("commit is unclear", "err", err)
+		d.log.Debug("outcome of commit is unclear", "err", err)
 		return result, unclear
 	}
 }
@@ -59,7 +58,7 @@
 	return store.KeyValue{}, false
 }
 
-// grantLease asks for a lease and registers this instance under it.
+// grantLease obtains a lease and registers this instance under it.
 func (d *engine) grantLease(ctx context.Context, e control.GrantLease) control.LeaseGranted {
 	done := control.LeaseGranted{SentAt: time.Now()}
 	defer func() { d.logContact(done.Err) }()
@@ -72,9 +71,9 @@
 	return done
 }
 
-// putMember writes the member record with a compare on its last revision. Without
-// it, a write under an earlier lease that the store executes late would replace
-// the record, and delete it when that lease ends.
+// putMember writes the member record, with a compare on its last revision. Without the compare, a
+// delayed write under an earlier lease could replace the record, and the record would be deleted when
+// that lease expires.
 func (d *engine) putMember(ctx context.Context, m membership.Member, lease int64) (store.TxnResult, error) {
 	key := store.MemberKey(m.Instance)
 	current, _, _, err := d.clients.Store.Get(ctx, key)
@@ -95,9 +94,9 @@
 	return result, err
 }
 
-var errMemberChanged = eris.New("the member record was written meanwhile")
+var errMemberChanged = eris.New("member record was changed by a concurrent write")
 
-// logContact logs the first failure in a row to reach the store, and its end.
+// logContact logs the first of consecutive failures to reach the store, and the recovery.
 func (d *engine) logContact(err error) {
 	switch wasDown := d.storeDown.Swap(err != nil); {
 	case err != nil && !wasDown:
@@ -113,9 +112,9 @@
 	}
 }
 
-// renewLease keeps the lease alive and reads the revision of the latest change of
-// the configuration. Both calls go out at once, so that a slow store delays the
-// confirmation of the keys by one call only.
+// renewLease renews the lease and reads the revision of the latest change of the configuration. Both
+// calls are made concurrently, so that a slow store delays the confirmation that the keys are fresh by
+// one call only.
 func (d *engine) renewLease(ctx context.Context, e control.RenewLease) control.KeepAliveDone {
 	done := control.KeepAliveDone{SentAt: time.Now(), Lease: e.Lease}
 	var group errgroup.Group
--- a/daemon/views.go
+++ b/daemon/views.go
@@ -16,7 +16,7 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// eachMember calls f for every member at once and returns when all have ended.
+// eachMember calls f concurrently for every member and waits for all calls to return.
 func (b *operatorBackend) eachMember(ctx context.Context, members []membership.Member, f func(context.Context, int, membership.Member)) {
 	ctx, cancel := context.WithTimeout(ctx, b.cfg.Control.CallTimeout)
 	defer cancel()
@@ -27,7 +27,7 @@
 	group.Wait()
 }
 
-// Workers lists the workers as their owners see them.
+// Workers lists the workers with the state that their owners report.
 func (b *operatorBackend) Workers(ctx context.Context) ([]api.Worker, error) {
 	overviews, _ := b.overviews(ctx)
 	now := time.Now()
@@ -60,7 +60,7 @@
 	}
 }
 
-// Shares lists the teams with what they use in the whole fleet.
+// Shares lists the teams with their usage across all members.
 func (b *operatorBackend) Shares(ctx context.Context) ([]api.Share, error) {
 	overviews, _ := b.overviews(ctx)
 	byTeam := map[task.Team]*api.Share{}
@@ -103,7 +103,7 @@
 	return members, nil
 }
 
-// Timeline merges the time lines of all members.
+// Timeline merges the timelines of all members.
 func (b *operatorBackend) Timeline(ctx context.Context, filter operator.Filter) (api.Timeline, error) {
 	members := b.loop.Snapshot().Members
 	lines := make([][]timeline.Event, len(members))
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// watchRetry is the pause before the configuration is read again after a
-	// failure. Every instance reads it after an outage, so it is not shorter.
+	// watchRetry is the delay before the configuration is read again after a failure. All instances
+	// read it after an outage of the store; a shorter delay would add to that load.
 	watchRetry = 500 * time.Millisecond
-	// peerFetchAfter is how many failed reads in a row at the start lead to
-	// reading the configuration from another instance.
+	// peerFetchAfter is the number of consecutive failed reads after which the configuration is
+	// fetched from the other instances.
 	peerFetchAfter = 3
 )
 
@@ -28,8 +28,8 @@
 	}
 }
 
-// watchConfig keeps the control state informed of everything below the
-// configuration prefix: a complete list first, then changes in order.
+// watchConfig delivers everything below the configuration prefix to the control state: a complete
+// list first, then the changes in order.
 func (d *engine) watchConfig(ctx context.Context) error {
 	failures := 0
 	for ctx.Err() == nil {
@@ -40,7 +40,7 @@
 			continue
 		}
 		failures++
-		d.log.Debug("configuration was not read", "err", err)
+		d.log.Debug("reading the configuration failed", "err", err)
 		if failures == peerFetchAfter {
 			d.fetchFromPeers(ctx)
 		}
@@ -62,8 +62,8 @@
 	return revision, nil
 }
 
-// follow delivers changes until the watch has to start from a list again. A
-// watch that fails otherwise goes on after the last revision delivered.
+// follow delivers changes until the configuration has to be listed again. After any other failure of
+// the watch it resumes after the last revision delivered.
 func (d *engine) follow(ctx context.Context, revision int64) {
 	for ctx.Err() == nil {
 		watchCtx, cancel := context.WithCancel(ctx)
@@ -85,7 +85,7 @@
 		if errors.Is(err, store.ErrCompacted) || errors.Is(err, context.Canceled) {
 			return
 		}
-		d.log.Debug("watch ended", "revision", revision, "err", err)
+		d.log.Debug("configuration watch ended", "revision", revision, "err", err)
 		pause(ctx, watchRetry)
 	}
 }
@@ -98,8 +98,8 @@
 	d.post(ctx, control.ConfigChanged{Revision: b.Revision, Changes: changes})
 }
 
-// fetchFromPeers reads the configuration of the other instances when this one
-// has started while the store is down.
+// fetchFromPeers requests the configuration from the other entry instances while the store is
+// unavailable, for example when this instance has started during an outage.
 func (d *engine) fetchFromPeers(ctx context.Context) {
 	instances, err := d.clients.List.List(ctx)
 	if err != nil {
@@ -123,14 +123,14 @@
 	return control.ConfigChanged{Revision: r.Revision, Complete: r.After == 0, Changes: changes}
 }
 
-// pollInstances delivers the platform's instance list at intervals.
+// pollInstances reads the platform's instance list at intervals and posts it to the control loop.
 func (d *engine) pollInstances(ctx context.Context) error {
 	var known map[worker.Address]bool
 	for ctx.Err() == nil {
 		sentAt := time.Now()
 		instances, err := d.clients.List.List(ctx)
 		if err != nil {
-			d.log.Debug("instance list was not read", "err", err)
+			d.log.Debug("reading the instance list failed", "err", err)
 		} else {
 			d.post(ctx, listed(sentAt, instances))
 			known = d.forgetGone(known, instances)
@@ -140,7 +140,8 @@
 	return nil
 }
 
-// forgetGone drops the counters of workers that are in the list no more.
+// forgetGone drops the counters of the known workers that are no longer listed, and returns the
+// listed ones.
 func (d *engine) forgetGone(known map[worker.Address]bool, instances []instancelist.Instance) map[worker.Address]bool {
 	forgetter, ok := d.clients.Workers.(interface{ Forget(worker.Address) })
 	if !ok {
--- a/daemon/workercalls.go
+++ b/daemon/workercalls.go
@@ -11,8 +11,8 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// startTask starts an attempt. The term is checked with the latest snapshot when
-// the request is written, however long this goroutine was held up before.
+// startTask starts an attempt. The ownership term is checked against the latest snapshot when the
+// request is written, so that a delayed goroutine does not send under a term that has ended.
 func (d *engine) startTask(ctx context.Context, e control.StartTask) {
 	check := func() error {
 		if !d.loop.Snapshot().Holds(time.Now(), e.Partition, e.Epoch) {
@@ -69,8 +69,8 @@
 	d.post(ctx, control.ResultDone{Fetch: e, Err: err, Data: data.Bytes()})
 }
 
-// stopTask asks for a stop. Its effect is seen in the next report, and the
-// state asks again without one.
+// stopTask requests a stop or a checkpoint. The next report of the worker shows the effect; if it
+// does not, the control state repeats the request.
 func (d *engine) stopTask(ctx context.Context, e control.StopTask) {
 	var err error
 	if e.Checkpoint {
@@ -80,6 +80,6 @@
 			Epoch: e.Epoch, BootID: e.BootID, StartBy: e.RefuseUntil})
 	}
 	if err != nil {
-		d.log.Debug("stop failed", "attempt", e.Attempt, "worker", e.Worker, "err", err)
+		d.log.Debug("stop or checkpoint request failed", "attempt", e.Attempt, "worker", e.Worker, "err", err)
 	}
 }
