--- a/daemon/badworker_test.go
+++ b/daemon/badworker_test.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// workerFails checks that every job is accepted, and that none ends with an error, although one worker
-// fails every task immediately.
+// workerFails checks that every job is accepted, and that none ends with an error, although one
+// worker fails every task immediately.
 func workerFails(t *testing.T, w *deployment, _, _ *node, injection func()) {
 	failing := true
 	if err := w.workers["worker-0"].SetFaults(standin.WorkerFaults{FailTasks: &failing}); err != nil {
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -22,21 +22,21 @@
 type callerBackend struct{ *engine }
 
 const (
-	// homeRetry is the delay before a request that certainly had no effect is sent to its home again,
-	// for example during a change of ownership.
-	homeRetry = 100 * time.Millisecond
-	// homeTries bounds the attempts, so that a permanent fault is reported to the caller without a
-	// long delay. The attempts cover a planned handover while one watch is silent, which is detected
-	// after 3 s.
-	homeTries = 50
-	// waitMargin is the time that a call to the home may take in addition to the caller's wait.
-	waitMargin = 2 * time.Second
+	// homeRetryDelay is the delay before a request that certainly had no effect is sent to its home
+	// again, for example during a change of ownership.
+	homeRetryDelay = 100 * time.Millisecond
+	// maxHomeAttempts bounds the attempts, so that a permanent fault is reported to the caller
+	// without a long delay. The attempts cover a planned handover while one watch is silent, which
+	// is detected after 3 s.
+	maxHomeAttempts = 50
+	// homeCallMargin is the time that a call to the home may take in addition to the caller's wait.
+	homeCallMargin = 2 * time.Second
 )
 
 // Submit admits a job and sends it to its home.
 func (b *callerBackend) Submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (caller.Reply, error) {
 	kind, reply, err := b.submit(ctx, secret, spec, wait)
-	b.meters.request(kind, err)
+	b.meters.countRequest(kind, err)
 	return reply, err
 }
 
@@ -53,14 +53,14 @@
 		wait = b.answerWait(&complete, wait)
 	}
 	complete.PayloadDigest = requestDigest(&complete)
-	record, err := b.toHome(ctx, ledger.KeyOf(&complete), control.SubmitRequest{Spec: complete, Wait: wait}, wait)
+	record, err := b.callHomeWithRetry(ctx, ledger.KeyOf(&complete), control.SubmitRequest{Spec: complete, Wait: wait}, wait)
 	if err != nil {
 		return complete.Kind, caller.Reply{}, err
 	}
-	if err := answerError(record); err != nil {
+	if err := answerFailure(record); err != nil {
 		return complete.Kind, caller.Reply{}, err
 	}
-	reply := replyOf(record)
+	reply := toReply(record)
 	// The record has the specification of the first submission.
 	reply.Repeated = !record.Spec.SubmittedAt.Equal(complete.SubmittedAt)
 	return complete.Kind, reply, nil
@@ -138,37 +138,37 @@
 		return caller.Reply{}, refusal
 	}
 	job := ledger.JobKey{Team: id.Team, Service: id.Service, Key: id.Key}
-	record, err := b.toHome(ctx, job, control.QueryRequest{Op: op, Job: job, Wait: wait}, wait)
+	record, err := b.callHomeWithRetry(ctx, job, control.QueryRequest{Op: op, Job: job, Wait: wait}, wait)
 	if err != nil {
 		return caller.Reply{}, err
 	}
-	return replyOf(record), nil
+	return toReply(record), nil
 }
 
-// toHome sends a request to the home of a job. It retries while the job has no home, and after the
-// errors that isRetried accepts.
-func (b *callerBackend) toHome(ctx context.Context, job ledger.JobKey, request control.PeerRequest, wait time.Duration) (*ledger.Record, error) {
-	var last error = errkind.New(errkind.NoOwner, "job %s has no home at present", job).WithRetryAfter(time.Second)
-	for range homeTries {
+// callHomeWithRetry sends a request to the home of a job. It retries while the job has no home, and
+// after the errors that isRetried accepts.
+func (b *callerBackend) callHomeWithRetry(ctx context.Context, job ledger.JobKey, request control.PeerRequest, wait time.Duration) (*ledger.Record, error) {
+	var lastErr error = errkind.New(errkind.NoOwner, "job %s has no home at present", job).WithRetryAfter(time.Second)
+	for range maxHomeAttempts {
 		route, ok := b.loop.Snapshot().HomeOf(job)
 		if ok {
 			record, err := b.callHome(ctx, route, request, wait)
 			if err == nil || !isRetried(request, err) {
 				return record, err
 			}
-			last = err
+			lastErr = err
 		}
 		if ctx.Err() != nil {
 			break
 		}
-		pause(ctx, homeRetry)
+		pause(ctx, homeRetryDelay)
 	}
-	return nil, last
+	return nil, lastErr
 }
 
-// isRetried reports whether a request is sent to the new home of its job after a change of ownership.
-// That holds for requests that had no effect, and for those that may be repeated because the record of
-// the job moves along.
+// isRetried reports whether a request is sent to the new home of its job after a change of
+// ownership. That holds for requests that had no effect, and for those that may be repeated because
+// the record of the job moves along.
 func isRetried(request control.PeerRequest, err error) bool {
 	e := errkind.From(err)
 	if e.Kind != errkind.NoOwner {
@@ -179,7 +179,7 @@
 }
 
 func (b *callerBackend) callHome(ctx context.Context, route control.Route, request control.PeerRequest, wait time.Duration) (*ledger.Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, max(wait, 0)+waitMargin)
+	ctx, cancel := context.WithTimeout(ctx, max(wait, 0)+homeCallMargin)
 	defer cancel()
 	reply, err := b.callMember(ctx, control.Send{To: route.Member, Request: request})
 	switch {
@@ -195,9 +195,9 @@
 	return job.Record, nil
 }
 
-// answerError returns the error to report to the caller of a request for an answer that ended without
-// a result.
-func answerError(record *ledger.Record) error {
+// answerFailure returns the error to report to the caller of a request for an answer that ended
+// without a result.
+func answerFailure(record *ledger.Record) error {
 	if record.Spec.Kind != task.Answer {
 		return nil
 	}
@@ -205,7 +205,7 @@
 		t := &record.Tasks[i]
 		switch {
 		case t.State == task.NotRun:
-			return errkind.New(reasonOf(t), "the request was not run").WithFate(errkind.FateNotRun).WithRetryAfter(time.Second)
+			return errkind.New(failureKind(t), "the request was not run").WithFate(errkind.FateNotRun).WithRetryAfter(time.Second)
 		case t.State == task.Unknown:
 			return errkind.New(errkind.OutcomeUnknown, "it is not known whether the request was run").WithFate(errkind.FateUnknown)
 		case !t.State.IsFinal():
@@ -215,14 +215,14 @@
 	return nil
 }
 
-func reasonOf(t *ledger.TaskRecord) errkind.Kind {
+func failureKind(t *ledger.TaskRecord) errkind.Kind {
 	if t.Outcome == nil || t.Outcome.Reason == "" {
 		return errkind.NoOwner
 	}
 	return errkind.Kind(t.Outcome.Reason)
 }
 
-func replyOf(record *ledger.Record) caller.Reply {
+func toReply(record *ledger.Record) caller.Reply {
 	reply := caller.Reply{State: record.State(), Tasks: make([]caller.TaskState, len(record.Tasks))}
 	for i := range record.Tasks {
 		t := &record.Tasks[i]
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -98,7 +98,7 @@
 // requests in flight and closes.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.stop()
-	group, background := errgroup.WithContext(d.effects)
+	group, background := errgroup.WithContext(d.effectsCtx)
 	group.Go(func() error { return d.engine.run(background) })
 	group.Go(func() error { return d.callers.Serve(d.listeners.caller) })
 	group.Go(func() error { return d.operators.Serve(d.listeners.operator) })
@@ -132,7 +132,7 @@
 			d.log.Warn("stopping with units still held", "after", d.cfg.DrainTimeout)
 		}
 	}
-	d.linger(ctx)
+	d.drainConnections(ctx)
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.log.Warn("calls were cut off", "err", err)
 	}
@@ -141,10 +141,10 @@
 	d.clients.Entries.Close()
 }
 
-// linger closes the listener for callers after the handover and serves the open connections until
-// the callers have closed them. Every response asks the caller to close its connection, and callers
-// close idle connections after a while.
-func (d *Daemon) linger(ctx context.Context) {
+// drainConnections closes the listener for callers after the handover and serves the open
+// connections until the callers have closed them. Every response asks the caller to close its
+// connection, and callers close idle connections after a while.
+func (d *Daemon) drainConnections(ctx context.Context) {
 	_ = d.listeners.caller.Close()
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.Linger)
 	defer cancel()
--- a/daemon/deployment_test.go
+++ b/daemon/deployment_test.go
@@ -25,7 +25,7 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-var drainEvent = control.DrainRequested{}
+var drainRequest = control.DrainRequested{}
 
 // deployment is a small deployment with fakes at the interfaces to the peers. It runs in a
 // testing/synctest bubble, so that time is virtual.
@@ -142,14 +142,14 @@
 	n.engine = newEngine(cfg, log.New(io.Discard), w.clients(n, Clients{
 		Store: &storeFake{Store: w.store.Client(s.Instance), node: n}, List: &listFake{n}, Workers: &workerFake{API: w.local, node: n}, Entries: &entryFake{n},
 	}))
-	n.carryOut = func(e control.Effect) {
+	n.executor = func(e control.Effect) {
 		n.wait()
 		n.execute(e)
 	}
 	w.mu.Lock()
 	w.nodes = append(w.nodes, n)
 	w.mu.Unlock()
-	go func() { _ = n.run(n.effects) }()
+	go func() { _ = n.run(n.effectsCtx) }()
 	return n
 }
 
@@ -174,8 +174,8 @@
 	return n.dead
 }
 
-// frozenEver reports whether the process was frozen at any time.
-func (n *node) frozenEver() bool {
+// wasFrozen reports whether the process was frozen at any time.
+func (n *node) wasFrozen() bool {
 	n.deployment.mu.Lock()
 	defer n.deployment.mu.Unlock()
 	return !n.frozen.IsZero()
@@ -191,9 +191,9 @@
 	}
 }
 
-// pass applies the fault of the deployment to a call: it delays the call or returns an error if the
-// call is lost. Calls of a process that was killed are lost.
-func (w *deployment) pass(ctx context.Context, c call) error {
+// applyFault applies the fault of the deployment to a call: it delays the call or returns an error
+// if the call is lost. Calls of a process that was killed are lost.
+func (w *deployment) applyFault(ctx context.Context, c call) error {
 	w.mu.Lock()
 	hook := w.fault
 	w.mu.Unlock()
@@ -237,7 +237,7 @@
 		wk.Close()
 	}
 	w.store.Close()
-	time.Sleep(cutTime + freezeTime) // lets the goroutines end that faults delay
+	time.Sleep(faultTime + freezeDuration) // lets the goroutines end that faults delay
 }
 
 func (w *deployment) trace() oracle.Trace {
@@ -264,7 +264,7 @@
 	l.fillInProgress(&trace)
 	trace.Answers = l.answers()
 	report := oracle.Examine(trace)
-	w.examined(report)
+	w.countExamined(report)
 	violations := report.Violations
 	for i, v := range violations {
 		if i < 3 {
@@ -308,19 +308,19 @@
 	return answers
 }
 
-// examinedFacts counts the facts that the oracle examined in all cells, by invariant.
-var examinedFacts struct {
+// examinedTotals counts the facts that the oracle examined in all cells, by invariant.
+var examinedTotals struct {
 	mu    sync.Mutex
 	facts map[oracle.Invariant]int
 }
 
-func (w *deployment) examined(r oracle.Report) {
-	examinedFacts.mu.Lock()
-	defer examinedFacts.mu.Unlock()
-	if examinedFacts.facts == nil {
-		examinedFacts.facts = map[oracle.Invariant]int{}
+func (w *deployment) countExamined(r oracle.Report) {
+	examinedTotals.mu.Lock()
+	defer examinedTotals.mu.Unlock()
+	if examinedTotals.facts == nil {
+		examinedTotals.facts = map[oracle.Invariant]int{}
 	}
 	for invariant, n := range r.Examined {
-		examinedFacts.facts[invariant] += n
+		examinedTotals.facts[invariant] += n
 	}
 }
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -14,9 +14,9 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// applyTries bounds the attempts to write a document. A write is repeated when the division of the
-// team's limit changed concurrently or its outcome is unclear.
-const applyTries = 5
+// maxApplyAttempts bounds the attempts to write a document. A write is repeated when the division
+// of the team's limit changed concurrently or its outcome is unclear.
+const maxApplyAttempts = 5
 
 // Apply replaces a document if its revision is the expected one.
 func (b *operatorBackend) Apply(ctx context.Context, change operator.Change) (operator.Held, error) {
@@ -25,7 +25,7 @@
 	if err := b.checkTeam(ctx, change.Ref); err != nil {
 		return operator.Held{}, err
 	}
-	for range applyTries {
+	for range maxApplyAttempts {
 		before, revision, err := b.readDocument(ctx, key)
 		if err != nil {
 			return operator.Held{}, err
@@ -37,11 +37,11 @@
 			return operator.Held{}, &operator.Conflict{Expected: change.Expected, Current: operator.Held{Ref: change.Ref, Record: before, Revision: revision}}
 		}
 		record.Previous = before.Source
-		result, f, err := b.writeDocument(ctx, key, change, record)
+		result, outcome, err := b.writeDocument(ctx, key, change, record)
 		switch {
 		case err != nil:
 			return operator.Held{}, err
-		case f == stored:
+		case outcome == txnStored:
 			return b.applied(ctx, change, record, result.Revision)
 		}
 	}
@@ -70,22 +70,22 @@
 
 // writeDocument writes a document. A team's document and the division of the team's limit change in
 // the same transaction.
-func (b *operatorBackend) writeDocument(ctx context.Context, key string, change operator.Change, record document.Record) (store.TxnResult, fate, error) {
+func (b *operatorBackend) writeDocument(ctx context.Context, key string, change operator.Change, record document.Record) (store.TxnResult, txnOutcome, error) {
 	value, err := store.Encode(record)
 	if err != nil {
-		return store.TxnResult{}, noEffect, err
+		return store.TxnResult{}, txnNoEffect, err
 	}
 	txn := store.Txn{Compares: []store.Compare{{Key: key, ModRevision: change.Expected}}, Puts: []store.Put{{Key: key, Value: value}}}
 	if parsed, _ := document.Parse([]byte(change.Source)); parsed.IsTeam() && parsed.Limit != nil {
 		if err := b.addLimit(ctx, &txn, parsed); err != nil {
-			return store.TxnResult{}, noEffect, err
+			return store.TxnResult{}, txnNoEffect, err
 		}
 	}
 	return b.commitConfig(ctx, txn)
 }
 
-// addLimit adds the new limit of a team to a transaction. The revision that the document will have is
-// not known before the commit; the store's revision at the read is lower and serves as a bound.
+// addLimit adds the new limit of a team to a transaction. The revision that the document will have
+// is not known before the commit; the store's revision at the read is lower and serves as a bound.
 func (b *operatorBackend) addLimit(ctx context.Context, txn *store.Txn, d document.Document) error {
 	key := store.AllowanceKey(string(d.Team))
 	kv, found, revision, err := b.clients.Store.Get(ctx, key)
@@ -135,12 +135,12 @@
 		return operator.Held{}, err
 	}
 	if revision == 0 {
-		return operator.Held{}, b.missing(ref)
+		return operator.Held{}, b.notFoundError(ref)
 	}
 	return operator.Held{Ref: ref, Record: record, Revision: revision, InForce: isInForce(b.loop.Snapshot(), revision)}, nil
 }
 
-func (b *operatorBackend) missing(ref operator.Ref) error {
+func (b *operatorBackend) notFoundError(ref operator.Ref) error {
 	for key := range b.loop.Snapshot().Documents {
 		if key.Team == ref.Team {
 			return errkind.New(errkind.UnknownService, "team %s has no document for service %q", ref.Team, ref.Service)
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -45,13 +45,13 @@
 
 	storeDown atomic.Bool // as last logged
 
-	// carryOut is execute, except in tests that delay effects.
-	carryOut func(control.Effect)
+	// executor executes effects. It is the method execute, except in tests that delay effects.
+	executor func(control.Effect)
 
-	resync  chan struct{}   // requests a complete list of the configuration
-	drained chan struct{}   // closed when no unit is held any more
-	effects context.Context // of all effects; canceled by stop
-	stop    context.CancelFunc
+	resync     chan struct{}   // requests a complete list of the configuration
+	drained    chan struct{}   // closed when no unit is held any more
+	effectsCtx context.Context // of all effects; canceled by stop
+	stop       context.CancelFunc
 }
 
 func newEngine(cfg Config, logger *log.Logger, clients Clients) *engine {
@@ -69,10 +69,10 @@
 		recorder: timeline.NewRecorder(cfg.Self.Instance, cfg.Self.Incarnation, cfg.TimelineEvents),
 		resync:   make(chan struct{}, 1), drained: make(chan struct{})}
 	state := control.New(now, cfg.Control, cfg.Parts, cfg.Self, d.recorder, rand.New(rand.NewPCG(seed, 0)))
-	d.carryOut = d.execute
-	d.loop = control.NewLoop(state, cfg.Tick, d.registry, func(e control.Effect) { d.carryOut(e) })
+	d.executor = d.execute
+	d.loop = control.NewLoop(state, cfg.Tick, d.registry, func(e control.Effect) { d.executor(e) })
 	registerGauges(registry, d.loop, d.recorder, clients.Entries)
-	d.effects, d.stop = context.WithCancel(context.Background())
+	d.effectsCtx, d.stop = context.WithCancel(context.Background())
 	return d
 }
 
--- a/daemon/execute.go
+++ b/daemon/execute.go
@@ -9,7 +9,7 @@
 // execute starts an effect, on a separate goroutine if it calls a peer. The control state bounds the
 // number of these goroutines: it repeats an effect only after it has received the result.
 func (d *engine) execute(effect control.Effect) {
-	ctx := d.effects
+	ctx := d.effectsCtx
 	switch e := effect.(type) {
 	case control.Resync:
 		d.requestResync()
@@ -68,7 +68,7 @@
 		d.meters.count(metricReportResent)
 	}
 	if fetched, ok := reply.(control.FetchConfigReply); ok && err == nil {
-		d.post(ctx, configFrom(fetched))
+		d.post(ctx, toConfigChanged(fetched))
 		return
 	}
 	d.post(ctx, control.PeerDone{Send: e, Reply: reply, Err: err})
--- a/daemon/fakes_test.go
+++ b/daemon/fakes_test.go
@@ -21,13 +21,13 @@
 
 // Call passes a request to the control loop of the other process.
 func (f *entryFake) Call(ctx context.Context, to membership.Member, request control.PeerRequest) (control.PeerReply, error) {
-	target := f.deployment.at(to.Address)
+	target := f.deployment.nodeAt(to.Address)
 	if target == nil {
 		return nil, eris.Wrap(entry.ErrNotSent, "connection refused")
 	}
 	c := call{step: fmt.Sprintf("peer.%T", request)[len("peer.control."):], from: f.node, to: target}
 	c.step = "peer." + c.step
-	if err := f.deployment.pass(ctx, c); err != nil {
+	if err := f.deployment.applyFault(ctx, c); err != nil {
 		return nil, err
 	}
 	if target.isDead() {
@@ -36,7 +36,7 @@
 	target.wait()
 	reply, err := target.loop.Call(ctx, f.cfg.Self.Instance, request)
 	c.returned = true
-	if passErr := f.deployment.pass(ctx, c); passErr != nil {
+	if passErr := f.deployment.applyFault(ctx, c); passErr != nil {
 		return nil, passErr
 	}
 	return reply, err
@@ -50,8 +50,8 @@
 // Close implements EntryCaller.
 func (f *entryFake) Close() {}
 
-// at returns the process that listens on an address.
-func (w *deployment) at(address string) *node {
+// nodeAt returns the process that listens on an address.
+func (w *deployment) nodeAt(address string) *node {
 	for _, n := range w.live() {
 		if n.cfg.Self.Address == address {
 			return n
@@ -66,16 +66,17 @@
 	node *node
 }
 
-// through executes a call to a worker. A fault may drop the call before or after its effect.
-func through[T any](ctx context.Context, n *node, step string, to worker.Address, f func() (T, error)) (T, error) {
+// callWorkerWithFaults executes a call to a worker. A fault may drop the call before or after its
+// effect.
+func callWorkerWithFaults[T any](ctx context.Context, n *node, step string, to worker.Address, f func() (T, error)) (T, error) {
 	var none T
 	c := call{step: step, from: n, worker: string(to)}
-	if err := n.deployment.pass(ctx, c); err != nil {
+	if err := n.deployment.applyFault(ctx, c); err != nil {
 		return none, fmt.Errorf("%w: %w", worker.ErrUnclear, err)
 	}
 	reply, err := f()
 	c.returned = true
-	if passErr := n.deployment.pass(ctx, c); passErr != nil {
+	if passErr := n.deployment.applyFault(ctx, c); passErr != nil {
 		return none, fmt.Errorf("%w: %w", worker.ErrUnclear, passErr)
 	}
 	return reply, err
@@ -88,12 +89,12 @@
 func (f *workerFake) Start(ctx context.Context, to worker.Address, req worker.StartRequest, check func() error) (worker.StartReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, req.Wait+workerFakeTimeout)
 	defer cancel()
-	return through(ctx, f.node, "worker.Start", to, func() (worker.StartReply, error) {
+	return callWorkerWithFaults(ctx, f.node, "worker.Start", to, func() (worker.StartReply, error) {
 		return f.API.Start(context.WithoutCancel(ctx), to, req, func() error {
 			if err := check(); err != nil {
 				return err
 			}
-			return f.node.deployment.pass(ctx, call{step: "worker.StartChecked", from: f.node, worker: string(to)})
+			return f.node.deployment.applyFault(ctx, call{step: "worker.StartChecked", from: f.node, worker: string(to)})
 		})
 	})
 }
@@ -102,21 +103,21 @@
 func (f *workerFake) Sync(ctx context.Context, to worker.Address, req worker.SyncRequest) (worker.SyncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, workerFakeTimeout)
 	defer cancel()
-	return through(ctx, f.node, "worker.Sync", to, func() (worker.SyncReply, error) { return f.API.Sync(ctx, to, req) })
+	return callWorkerWithFaults(ctx, f.node, "worker.Sync", to, func() (worker.SyncReply, error) { return f.API.Sync(ctx, to, req) })
 }
 
 // Lookup returns the state of an attempt.
 func (f *workerFake) Lookup(ctx context.Context, to worker.Address, a task.Attempt) (worker.LookupReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, workerFakeTimeout)
 	defer cancel()
-	return through(ctx, f.node, "worker.Lookup", to, func() (worker.LookupReply, error) { return f.API.Lookup(ctx, to, a) })
+	return callWorkerWithFaults(ctx, f.node, "worker.Lookup", to, func() (worker.LookupReply, error) { return f.API.Lookup(ctx, to, a) })
 }
 
 // Stop stops an attempt.
 func (f *workerFake) Stop(ctx context.Context, to worker.Address, req worker.StopRequest) (worker.LookupReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, workerFakeTimeout)
 	defer cancel()
-	return through(ctx, f.node, "worker.Stop", to, func() (worker.LookupReply, error) { return f.API.Stop(ctx, to, req) })
+	return callWorkerWithFaults(ctx, f.node, "worker.Stop", to, func() (worker.LookupReply, error) { return f.API.Stop(ctx, to, req) })
 }
 
 // listFake is the instance list. It holds the listed workers and the processes that were not killed.
@@ -124,7 +125,7 @@
 
 // List returns the instances, all processes as live.
 func (f *listFake) List(ctx context.Context) ([]instancelist.Instance, error) {
-	if err := f.deployment.pass(ctx, call{step: "list.List", from: f.node}); err != nil {
+	if err := f.deployment.applyFault(ctx, call{step: "list.List", from: f.node}); err != nil {
 		return nil, err
 	}
 	f.deployment.mu.Lock()
@@ -145,16 +146,17 @@
 	node *node
 }
 
-// viaStore executes a call to the store. A fault may drop the call before or after its effect.
-func viaStore[T any](ctx context.Context, n *node, step string, f func() (T, error)) (T, error) {
+// callStoreWithFaults executes a call to the store. A fault may drop the call before or after its
+// effect.
+func callStoreWithFaults[T any](ctx context.Context, n *node, step string, f func() (T, error)) (T, error) {
 	var none T
 	ctx, cancel := context.WithTimeout(ctx, store.DefaultCallTimeout)
 	defer cancel()
-	if err := n.deployment.pass(ctx, call{step: step, from: n}); err != nil {
+	if err := n.deployment.applyFault(ctx, call{step: step, from: n}); err != nil {
 		return none, fmt.Errorf("%w: %w", store.ErrUnclear, err)
 	}
 	result, err := f()
-	if passErr := n.deployment.pass(ctx, call{step: step, from: n, returned: true}); passErr != nil {
+	if passErr := n.deployment.applyFault(ctx, call{step: step, from: n, returned: true}); passErr != nil {
 		return none, fmt.Errorf("%w: %w", store.ErrUnclear, passErr)
 	}
 	return result, err
@@ -162,7 +164,7 @@
 
 // Commit executes a transaction.
 func (f *storeFake) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
-	return viaStore(ctx, f.node, "store."+txnKind(txn), func() (store.TxnResult, error) { return f.Store.Commit(context.WithoutCancel(ctx), txn) })
+	return callStoreWithFaults(ctx, f.node, "store."+txnKind(txn), func() (store.TxnResult, error) { return f.Store.Commit(context.WithoutCancel(ctx), txn) })
 }
 
 // txnKind returns the name of the step that a transaction is, by the key of its first put.
@@ -180,7 +182,7 @@
 
 // KeepAlive renews the lease.
 func (f *storeFake) KeepAlive(ctx context.Context, lease int64) (time.Duration, error) {
-	return viaStore(ctx, f.node, "store.KeepAlive", func() (time.Duration, error) { return f.Store.KeepAlive(ctx, lease) })
+	return callStoreWithFaults(ctx, f.node, "store.KeepAlive", func() (time.Duration, error) { return f.Store.KeepAlive(ctx, lease) })
 }
 
 // Get reads a key.
@@ -190,7 +192,7 @@
 		found    bool
 		revision int64
 	}
-	g, err := viaStore(ctx, f.node, "store.Get", func() (got, error) {
+	g, err := callStoreWithFaults(ctx, f.node, "store.Get", func() (got, error) {
 		kv, found, revision, err := f.Store.Get(ctx, key)
 		return got{kv, found, revision}, err
 	})
@@ -199,7 +201,7 @@
 
 // LatestRevision reads the revision of the latest change.
 func (f *storeFake) LatestRevision(ctx context.Context, prefix string) (int64, error) {
-	return viaStore(ctx, f.node, "store.LatestRevision", func() (int64, error) { return f.Store.LatestRevision(ctx, prefix) })
+	return callStoreWithFaults(ctx, f.node, "store.LatestRevision", func() (int64, error) { return f.Store.LatestRevision(ctx, prefix) })
 }
 
 // Watch delivers changes, but none while the process is frozen.
--- a/daemon/fromsettings_test.go
+++ b/daemon/fromsettings_test.go
@@ -12,10 +12,12 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// readElsewhere holds the settings that the command reads itself, before it makes the daemon.
-var readElsewhere = map[string]bool{"log_level": true}
+// settingsReadByCommand holds the settings that the command reads itself, before it makes the
+// daemon.
+var settingsReadByCommand = map[string]bool{"log_level": true}
 
-// TestEverySettingIsRead guards against a setting that is documented and validated but has no effect.
+// TestEverySettingIsRead guards against a setting that is documented and validated but has no
+// effect.
 func TestEverySettingIsRead(t *testing.T) {
 	base := settings.Default()
 	base.StoreEndpoints = []string{"127.0.0.1:1"}
@@ -24,14 +26,14 @@
 	for i := range kind.NumField() {
 		name := jsonc.FieldName(kind.Field(i))
 		changed := base
-		change(t, reflect.ValueOf(&changed).Elem().Field(i))
-		if reflect.DeepEqual(before, FromSettings(changed)) && !readElsewhere[name] {
+		changeSetting(t, reflect.ValueOf(&changed).Elem().Field(i))
+		if reflect.DeepEqual(before, FromSettings(changed)) && !settingsReadByCommand[name] {
 			t.Errorf("setting %s changes nothing", name)
 		}
 	}
 }
 
-func change(t *testing.T, v reflect.Value) {
+func changeSetting(t *testing.T, v reflect.Value) {
 	t.Helper()
 	switch p := v.Addr().Interface().(type) {
 	case *string:
--- a/daemon/keys.go
+++ b/daemon/keys.go
@@ -28,8 +28,8 @@
 	txn := store.Txn{Compares: []store.Compare{{Key: key}}, Puts: []store.Put{{Key: key, Value: value}}}
 	// A grant whose outcome is unclear is not retried. Its secret is lost, so a key that was stored
 	// nevertheless cannot be used by anyone.
-	if _, f, err := b.commitConfig(ctx, txn); err != nil || f != stored {
-		return api.GrantedKey{}, unclearChange(err)
+	if _, outcome, err := b.commitConfig(ctx, txn); err != nil || outcome != txnStored {
+		return api.GrantedKey{}, changeError(err)
 	}
 	return api.GrantedKey{Key: keyView(granted), Secret: secret}, nil
 }
--- a/daemon/matrix_test.go
+++ b/daemon/matrix_test.go
@@ -35,11 +35,11 @@
 }
 
 const (
-	freezeTime = 25 * time.Second // longer than a takeover
-	outageTime = 30 * time.Second // of the store
-	restartIn  = 20 * time.Second // of a process that was killed
-	settleTime = 3 * time.Minute  // within which every job must have its outcome
-	quietTime  = 45 * time.Second // after that, longer than any fault lasts
+	freezeDuration = 25 * time.Second // longer than a takeover
+	outageDuration = 30 * time.Second // of the store
+	restartDelay   = 20 * time.Second // of a process that was killed
+	settleTimeout  = 3 * time.Minute  // within which every job must have its outcome
+	quietPeriod    = 45 * time.Second // after that, longer than any fault lasts
 )
 
 var injections = []injection{
@@ -55,8 +55,8 @@
 		w.killAndRestart(c.to)
 		return faultAction{}
 	}},
-	{name: "freeze sender", times: 1, act: func(_ *deployment, c call) faultAction { c.from.freeze(freezeTime); return faultAction{} }},
-	{name: "freeze sender after effect", after: true, times: 1, act: func(_ *deployment, c call) faultAction { c.from.freeze(freezeTime); return faultAction{} }},
+	{name: "freeze sender", times: 1, act: func(_ *deployment, c call) faultAction { c.from.freeze(freezeDuration); return faultAction{} }},
+	{name: "freeze sender after effect", after: true, times: 1, act: func(_ *deployment, c call) faultAction { c.from.freeze(freezeDuration); return faultAction{} }},
 	{name: "store down", times: 1, act: func(w *deployment, _ call) faultAction { w.storeDown(fault.Down); return faultAction{} }},
 	{name: "store silent", times: 1, act: func(w *deployment, _ call) faultAction { w.storeDown(fault.Unreachable); return faultAction{} }},
 	{name: "store replies lost", times: 1, act: func(w *deployment, _ call) faultAction { w.storeDown(fault.ReplyLost); return faultAction{} }},
@@ -90,9 +90,9 @@
 
 func dropCall(*deployment, call) faultAction { return faultAction{drop: true} }
 
-// TestFaultMatrix guards against a request that is lost, executed twice or answered incorrectly when
-// one fault is injected at one step. It runs the control state and the daemon's calls in virtual time
-// and lists the cells whose step no call reached.
+// TestFaultMatrix guards against a request that is lost, executed twice or answered incorrectly
+// when one fault is injected at one step. It runs the control state and the daemon's calls in
+// virtual time and lists the cells whose step no call reached.
 func TestFaultMatrix(t *testing.T) {
 	var mu sync.Mutex
 	var missed []string
@@ -123,30 +123,30 @@
 
 // runCell runs the workload with one fault and checks every invariant. It
 // reports whether the fault acted.
-func runCell(t *testing.T, step string, s injection) (struck bool) {
+func runCell(t *testing.T, step string, s injection) (injected bool) {
 	w := newDeployment(t, 3, 4)
 	defer w.close()
 	time.Sleep(10 * time.Second) // ownership is claimed
-	faults := []*pendingInjection{{injection: s, step: step, left: s.times}}
+	faults := []*pendingInjection{{injection: s, step: step, remaining: s.times}}
 	if setup, ok := setupFaults[step]; ok {
-		faults = append(faults, &pendingInjection{injection: setup, step: setup.name, left: setup.times})
+		faults = append(faults, &pendingInjection{injection: setup, step: setup.name, remaining: setup.times})
 	}
 	w.setFaults(faults)
 	load := w.submitLoad()
 	load.awaitEnd()
-	time.Sleep(quietTime)
+	time.Sleep(quietPeriod)
 	load.check(t)
 	w.checkOracle(load)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return faults[0].left < s.times
+	return faults[0].remaining < s.times
 }
 
 // pendingInjection is a fault that waits for calls of its step.
 type pendingInjection struct {
 	injection
-	step string
-	left int
+	step      string
+	remaining int
 }
 
 func (w *deployment) setFaults(faults []*pendingInjection) {
@@ -154,7 +154,7 @@
 	defer w.mu.Unlock()
 	w.fault = func(c call) faultAction {
 		for _, f := range faults {
-			if w.hits(f, c) {
+			if w.takeInjection(f, c) {
 				return f.act(w, c)
 			}
 		}
@@ -162,20 +162,20 @@
 	}
 }
 
-// hits reports whether a fault acts on a call, and counts it.
-func (w *deployment) hits(f *pendingInjection, c call) bool {
+// takeInjection reports whether a fault acts on a call, and counts it.
+func (w *deployment) takeInjection(f *pendingInjection, c call) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if f.left == 0 || c.step != f.step || c.returned != f.after || c.from.dead {
+	if f.remaining == 0 || c.step != f.step || c.returned != f.after || c.from.dead {
 		return false
 	}
-	f.left--
+	f.remaining--
 	return true
 }
 
 func (w *deployment) killAndRestart(n *node) {
 	n.kill()
-	time.AfterFunc(restartIn, func() {
+	time.AfterFunc(restartDelay, func() {
 		w.mu.Lock()
 		ended := w.ended
 		w.mu.Unlock()
@@ -187,13 +187,13 @@
 
 func (w *deployment) storeDown(kind fault.Kind) {
 	_ = w.store.Faults().Set(fault.Fault{Kind: kind})
-	time.AfterFunc(outageTime, func() { _ = w.store.Faults().Set() })
+	time.AfterFunc(outageDuration, func() { _ = w.store.Faults().Set() })
 }
 
 func (w *deployment) freezeWorker(name string) {
 	frozen, thawed := true, false
 	go func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Freeze: &frozen}) }()
-	time.AfterFunc(freezeTime, func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Freeze: &thawed}) })
+	time.AfterFunc(freezeDuration, func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Freeze: &thawed}) })
 }
 
 func (w *deployment) rebootWorker(name string) {
@@ -247,7 +247,7 @@
 			continue
 		}
 		n := live[(first+try)%len(live)]
-		reply, err := l.once(n, j)
+		reply, err := l.submitOnce(n, j)
 		if n.isDead() {
 			err = errDropped // the connection broke with the process
 		}
@@ -266,7 +266,7 @@
 	}
 }
 
-func (l *load) once(n *node, j *job) (caller.Reply, error) {
+func (l *load) submitOnce(n *node, j *job) (caller.Reply, error) {
 	n.wait()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
@@ -306,10 +306,10 @@
 	return caller.Reply{}, err
 }
 
-// awaitEnd waits until every job has its outcome, or settleTime has passed.
+// awaitEnd waits until every job has its outcome, or settleTimeout has passed.
 func (l *load) awaitEnd() {
 	l.done.Wait()
-	for end := time.Now().Add(settleTime); time.Now().Before(end); time.Sleep(2 * time.Second) {
+	for end := time.Now().Add(settleTimeout); time.Now().Before(end); time.Sleep(2 * time.Second) {
 		open := 0
 		for _, j := range l.jobs {
 			if reply, err := l.status(j); j.class != "lookup" && (err != nil || !j.hasEnded(reply)) {
@@ -322,7 +322,8 @@
 	}
 }
 
-// hasEnded reports whether a job is in its expected last state: running for a service, final otherwise.
+// hasEnded reports whether a job is in its expected last state: running for a service, final
+// otherwise.
 func (j *job) hasEnded(reply caller.Reply) bool {
 	for _, ts := range reply.Tasks {
 		if j.class == "tables" && ts.State != task.Running || j.class != "tables" && !ts.State.IsFinal() {
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -54,8 +54,9 @@
 	histogram.(metrics.Histogram).Update(value)
 }
 
-// request counts a submission by its kind of work if it succeeded, and by its error kind otherwise.
-func (m meters) request(kind task.Kind, err error) {
+// countRequest counts a submission by its kind of work if it succeeded, and by its error kind
+// otherwise.
+func (m meters) countRequest(kind task.Kind, err error) {
 	if err != nil {
 		m.count(metricRequestError + string(errkind.From(err).Kind))
 		return
@@ -63,8 +64,8 @@
 	m.count(metricRequestKind + string(kind))
 }
 
-// start counts an attempt to start a task by its outcome and records the task's waiting time.
-func (m meters) start(done control.StartDone) {
+// countStart counts an attempt to start a task by its outcome and records the task's waiting time.
+func (m meters) countStart(done control.StartDone) {
 	m.count(metricStartSent)
 	switch done.Result {
 	case control.StartNotRun:
@@ -76,9 +77,9 @@
 	}
 }
 
-// storeCall counts a call to the store by its outcome and records its duration. A transaction whose
-// comparison failed counts as a successful call.
-func (m meters) storeCall(call string, started time.Time, err error) {
+// recordStoreCall counts a call to the store by its outcome and records its duration. A transaction
+// whose comparison failed counts as a successful call.
+func (m meters) recordStoreCall(call string, started time.Time, err error) {
 	m.count(metricStoreCalls + call + "." + storeOutcome(err))
 	m.observe(metricStoreTime+call, time.Since(started).Microseconds())
 }
@@ -99,8 +100,8 @@
 	return "unclear"
 }
 
-// trafficCounter is implemented by an EntryCaller that counts bytes.
-type trafficCounter interface {
+// byteCounter is implemented by an EntryCaller that counts bytes.
+type byteCounter interface {
 	Bytes() (near, across int64)
 	DigestBytes() int64
 }
@@ -115,7 +116,7 @@
 	gauge(metricAllowanceRefused, func() int64 { return int64(loop.AllowanceRefused()) })
 	gauge(metricUnitsHeld, func() int64 { return unitsHeld(loop.Snapshot(), time.Now()) })
 	gauge(metricEventsDropped, func() int64 { return int64(recorder.Dropped()) })
-	if traffic, ok := entries.(trafficCounter); ok {
+	if traffic, ok := entries.(byteCounter); ok {
 		gauge(metricNearBytes, func() int64 { near, _ := traffic.Bytes(); return near })
 		gauge(metricCrossBytes, func() int64 { _, across := traffic.Bytes(); return across })
 		gauge(metricDigestBytes, traffic.DigestBytes)
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -16,14 +16,14 @@
 // TestMeters guards against an outcome that is counted under a name other than the documented one.
 func TestMeters(t *testing.T) {
 	m := meters{metrics.NewRegistry()}
-	m.request(task.Durable, nil)
-	m.request(task.Durable, errkind.New(errkind.QueueFull, "full"))
-	m.start(control.StartDone{Result: control.StartNotRun})
-	m.start(control.StartDone{Result: control.StartUnclear})
-	m.start(control.StartDone{Start: control.StartTask{Team: "leuven", Waited: 1500 * time.Millisecond}})
-	m.storeCall("get", time.Now(), store.ErrUnavailable)
-	m.storeCall("commit", time.Now(), nil)
-	m.storeCall("commit", time.Now(), store.ErrUnclear)
+	m.countRequest(task.Durable, nil)
+	m.countRequest(task.Durable, errkind.New(errkind.QueueFull, "full"))
+	m.countStart(control.StartDone{Result: control.StartNotRun})
+	m.countStart(control.StartDone{Result: control.StartUnclear})
+	m.countStart(control.StartDone{Start: control.StartTask{Team: "leuven", Waited: 1500 * time.Millisecond}})
+	m.recordStoreCall("get", time.Now(), store.ErrUnavailable)
+	m.recordStoreCall("commit", time.Now(), nil)
+	m.recordStoreCall("commit", time.Now(), store.ErrUnclear)
 	for name, want := range map[string]int64{
 		"request.kind_count.durable":       1,
 		"request.error_count.queue_full":   1,
--- a/daemon/operations_test.go
+++ b/daemon/operations_test.go
@@ -27,22 +27,22 @@
 	apply func(w *deployment, asked, other *node)
 }
 
-const cutTime = time.Minute // duration of a store fault under a condition
+const faultTime = time.Minute // duration of a store fault under a condition
 
 var conditions = []condition{
 	{"none", func(*deployment, *node, *node) {}},
-	{"other frozen", func(_ *deployment, _, other *node) { other.freeze(freezeTime) }},
+	{"other frozen", func(_ *deployment, _, other *node) { other.freeze(freezeDuration) }},
 	{"other frozen shortly", func(_ *deployment, _, other *node) { other.freeze(4 * time.Second) }},
 	{"other cut off from the store", func(w *deployment, _, other *node) {
-		w.storeFault(cutTime, fault.Fault{Kind: fault.Unreachable, Instance: other.cfg.Self.Instance})
+		w.storeFault(faultTime, fault.Fault{Kind: fault.Unreachable, Instance: other.cfg.Self.Instance})
 	}},
 	{"other's watch silent", func(w *deployment, _, other *node) {
-		w.storeFault(cutTime, fault.Fault{Kind: fault.SilentWatch, Instance: other.cfg.Self.Instance})
+		w.storeFault(faultTime, fault.Fault{Kind: fault.SilentWatch, Instance: other.cfg.Self.Instance})
 	}},
 	{"other killed", func(w *deployment, _, other *node) { w.killAndRestart(other) }},
-	{"store slow", func(w *deployment, _, _ *node) { w.storeFault(cutTime, fault.Fault{Kind: fault.Slow, DelayMS: 1500}) }},
+	{"store slow", func(w *deployment, _, _ *node) { w.storeFault(faultTime, fault.Fault{Kind: fault.Slow, DelayMS: 1500}) }},
 	{"replies of commits lost", func(w *deployment, asked, _ *node) {
-		w.storeFault(cutTime, fault.Fault{Kind: fault.ReplyLost, Call: "txn", Instance: asked.cfg.Self.Instance, Count: 2})
+		w.storeFault(faultTime, fault.Fault{Kind: fault.ReplyLost, Call: "txn", Instance: asked.cfg.Self.Instance, Count: 2})
 	}},
 }
 
@@ -75,7 +75,7 @@
 	t.Run("cells", runOperations)
 	t.Logf("%d cells: %d operations under %d conditions", len(operations)*len(conditions), len(operations), len(conditions))
 	for _, invariant := range oracle.Invariants {
-		if examinedFacts.facts[invariant] == 0 {
+		if examinedTotals.facts[invariant] == 0 {
 			t.Errorf("no cell examined any fact for the invariant %q", invariant)
 		}
 	}
@@ -125,8 +125,8 @@
 
 func (n *node) operator() *operatorBackend { return &operatorBackend{n.engine} }
 
-// until retries an operator's call until it succeeds.
-func until[T any](t *testing.T, n *node, what string, f func(context.Context) (T, error)) T {
+// retryUntilConfirmed retries an operator's call until it succeeds.
+func retryUntilConfirmed[T any](t *testing.T, n *node, what string, f func(context.Context) (T, error)) T {
 	t.Helper()
 	var err error
 	for range 60 {
@@ -143,8 +143,8 @@
 	panic("unreachable")
 }
 
-// withdrawKey checks that no instance accepts work under a key once the freshness interval has passed
-// since the confirmed withdrawal, and that running work under the key ends.
+// withdrawKey checks that no instance accepts work under a key once the freshness interval has
+// passed since the confirmed withdrawal, and that running work under the key ends.
 func withdrawKey(t *testing.T, w *deployment, asked, _ *node, injection func()) {
 	for i := range 20 {
 		if _, err := w.nodes[i%3].submitAs("check", fmt.Sprintf("w%d", i)); err != nil {
@@ -152,12 +152,12 @@
 		}
 	}
 	injection()
-	until(t, asked, "withdraw the key", func(ctx context.Context) (api.Key, error) {
+	retryUntilConfirmed(t, asked, "withdraw the key", func(ctx context.Context) (api.Key, error) {
 		return asked.operator().WithdrawKey(ctx, "test", "leuven", "k1")
 	})
 	confirmed := time.Now()
 	var accepted sync.Map
-	for round := 0; time.Since(confirmed) < cutTime+freezeTime; round++ {
+	for round := 0; time.Since(confirmed) < faultTime+freezeDuration; round++ {
 		for _, n := range w.live() {
 			go func() {
 				n.wait()
@@ -188,8 +188,8 @@
 
 const lowLimit = `{"team": "leuven", "share": 1, "limit": {"cpu_milli": 10000, "memory_mb": 0, "accelerators": 0, "slots": 3, "connections": 0}}`
 
-// lowerLimit checks that a limit below the current usage comes into force. The oracle checks that the
-// team's usage never exceeds the limit from then on.
+// lowerLimit checks that a limit below the current usage comes into force. The oracle checks that
+// the team's usage never exceeds the limit from then on.
 func lowerLimit(t *testing.T, w *deployment, asked, _ *node, injection func()) {
 	for i := range 8 {
 		if _, err := w.nodes[i%3].submitAs("tables", fmt.Sprintf("s%d", i)); err != nil {
@@ -235,11 +235,11 @@
 	return count
 }
 
-// apply replaces a document. Each attempt reads the revision again, since an earlier attempt may have
-// succeeded.
+// apply replaces a document. Each attempt reads the revision again, since an earlier attempt may
+// have succeeded.
 func (w *deployment) apply(t *testing.T, n *node, ref operator.Ref, source string) operator.Held {
 	t.Helper()
-	return until(t, n, "apply a document", func(ctx context.Context) (operator.Held, error) {
+	return retryUntilConfirmed(t, n, "apply a document", func(ctx context.Context) (operator.Held, error) {
 		held, err := n.operator().Get(ctx, ref)
 		if err != nil {
 			return operator.Held{}, err
@@ -266,8 +266,8 @@
 	}
 	other.wait()
 	time.Sleep(configBound) // a frozen or restarted instance has the same time from when it runs again
-	if n := w.at(other.cfg.Self.Address); n == nil {
-		time.Sleep(restartIn + configBound)
+	if n := w.nodeAt(other.cfg.Self.Address); n == nil {
+		time.Sleep(restartDelay + configBound)
 	}
 	for _, n := range w.live() {
 		if got := n.Snapshot().Documents; got == nil || !hasRevision(n, held.Revision) {
@@ -285,11 +285,11 @@
 	return false
 }
 
-// raceOperators checks that at most one of two concurrent changes from the same revision succeeds, and
-// that the other one gets a conflict or an error of the store.
+// raceOperators checks that at most one of two concurrent changes from the same revision succeeds,
+// and that the other one gets a conflict or an error of the store.
 func raceOperators(t *testing.T, w *deployment, asked, other *node, injection func()) {
 	ref := operator.Ref{Team: "leuven", Service: "piping"}
-	first := until(t, asked, "read the document", func(ctx context.Context) (operator.Held, error) { return asked.operator().Get(ctx, ref) })
+	first := retryUntilConfirmed(t, asked, "read the document", func(ctx context.Context) (operator.Held, error) { return asked.operator().Get(ctx, ref) })
 	injection()
 	results := make([]error, 2)
 	var group sync.WaitGroup
@@ -317,14 +317,14 @@
 	if succeeded > 1 {
 		t.Error("both concurrent changes from the same revision were reported as succeeded")
 	}
-	now := until(t, w.nodes[2], "read the document", func(ctx context.Context) (operator.Held, error) { return w.nodes[2].operator().Get(ctx, ref) })
+	now := retryUntilConfirmed(t, w.nodes[2], "read the document", func(ctx context.Context) (operator.Held, error) { return w.nodes[2].operator().Get(ctx, ref) })
 	if succeeded == 1 && now.Record.PreviousRevision != first.Revision {
 		t.Errorf("the document in force replaced revision %d, want %d", now.Record.PreviousRevision, first.Revision)
 	}
 }
 
-// drainInstance checks that a planned stop under load completes in time, and that meanwhile no request
-// fails, whether sent to the draining instance or to another one.
+// drainInstance checks that a planned stop under load completes in time, and that meanwhile no
+// request fails, whether sent to the draining instance or to another one.
 func drainInstance(t *testing.T, w *deployment, asked, other *node, injection func()) {
 	var failures sync.Map
 	stop := make(chan struct{})
@@ -345,7 +345,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	injection()
-	_ = asked.loop.Post(context.Background(), drainEvent)
+	_ = asked.loop.Post(context.Background(), drainRequest)
 	select {
 	case <-asked.drained:
 	case <-time.After(90 * time.Second):
@@ -353,7 +353,7 @@
 	}
 	close(stop)
 	group.Wait()
-	if !other.frozenEver() && !other.isDead() {
+	if !other.wasFrozen() && !other.isDead() {
 		failures.Range(func(what, fate any) bool {
 			t.Errorf("a request failed during a planned stop: %v (%v)", what, fate)
 			return true
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -17,36 +17,36 @@
 // configuration writes it to the store.
 type operatorBackend struct{ *engine }
 
-// inForcePoll is the interval at which a waiting call checks whether its change is in force at every
-// member.
-const inForcePoll = 50 * time.Millisecond
+// inForcePollInterval is the interval at which a waiting call checks whether its change is in force
+// at every member.
+const inForcePollInterval = 50 * time.Millisecond
 
 // commitConfig executes a transaction on the configuration. It is refused while
 // this instance has promised others not to change it.
-func (b *operatorBackend) commitConfig(ctx context.Context, txn store.Txn) (store.TxnResult, fate, error) {
+func (b *operatorBackend) commitConfig(ctx context.Context, txn store.Txn) (store.TxnResult, txnOutcome, error) {
 	reply, err := b.loop.Call(ctx, b.cfg.Self.Instance, control.BeginConfigCommit{})
 	if err != nil {
-		return store.TxnResult{}, noEffect, err
+		return store.TxnResult{}, txnNoEffect, err
 	}
 	if !reply.(control.ConfigCommitReply).Allowed {
-		return store.TxnResult{}, noEffect, errkind.New(errkind.StoreUnavailable,
+		return store.TxnResult{}, txnNoEffect, errkind.New(errkind.StoreUnavailable,
 			"this instance may not change the configuration yet").WithRetryAfter(b.cfg.Control.KeyFreshness)
 	}
-	result, f := b.commit(ctx, txn)
-	if f != unclear {
-		b.endCommit(ctx, result, f)
+	result, outcome := b.commit(ctx, txn)
+	if outcome != txnUnclear {
+		b.endCommit(ctx, result, outcome)
 	}
-	if f == noEffect {
-		return result, f, errkind.New(errkind.StoreUnavailable, "the store does not answer; nothing was changed").WithRetryAfter(time.Second)
+	if outcome == txnNoEffect {
+		return result, outcome, errkind.New(errkind.StoreUnavailable, "the store does not answer; nothing was changed").WithRetryAfter(time.Second)
 	}
-	return result, f, nil
+	return result, outcome, nil
 }
 
-// endCommit reports the outcome of a commit to the control state. It is not called for a commit whose
-// outcome is unclear, since that may take effect at any later time.
-func (b *operatorBackend) endCommit(ctx context.Context, result store.TxnResult, f fate) {
+// endCommit reports the outcome of a commit to the control state. It is not called for a commit
+// whose outcome is unclear, since that may take effect at any later time.
+func (b *operatorBackend) endCommit(ctx context.Context, result store.TxnResult, outcome txnOutcome) {
 	end := control.EndConfigCommit{}
-	if f == stored {
+	if outcome == txnStored {
 		end.Revision = result.Revision
 	}
 	_, _ = b.loop.Call(context.WithoutCancel(ctx), b.cfg.Self.Instance, end)
@@ -60,7 +60,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		pause(ctx, inForcePoll)
+		pause(ctx, inForcePollInterval)
 	}
 	return true
 }
@@ -88,15 +88,15 @@
 		}
 		txn = store.Txn{Puts: []store.Put{{Key: store.DrainKey(name), Value: value}}}
 	}
-	if _, f, err := b.commitConfig(ctx, txn); err != nil || f != stored {
-		return api.Drain{}, unclearChange(err)
+	if _, outcome, err := b.commitConfig(ctx, txn); err != nil || outcome != txnStored {
+		return api.Drain{}, changeError(err)
 	}
 	return b.drainState(ctx, name, !request.Undo), nil
 }
 
-// checkDrain rejects the name of an unknown instance or worker, whose drain would have no effect and
-// never complete. An unknown worker is accepted while a member does not answer, since it may be one of
-// that member's workers.
+// checkDrain rejects the name of an unknown instance or worker, whose drain would have no effect
+// and never complete. An unknown worker is accepted while a member does not answer, since it may be
+// one of that member's workers.
 func (b *operatorBackend) checkDrain(ctx context.Context, request api.DrainRequest) error {
 	if request.Undo {
 		return nil
@@ -108,7 +108,7 @@
 		}
 		return errkind.New(errkind.InvalidRequest, "there is no entry instance %s", request.Instance).WithField("instance", "one of the list of members")
 	}
-	overviews, missing := b.overviews(ctx)
+	overviews, missing := b.fetchOverviews(ctx)
 	for _, o := range overviews {
 		if slices.ContainsFunc(o.Workers, func(w control.WorkerView) bool { return w.Name == request.Worker }) {
 			return nil
@@ -120,7 +120,7 @@
 	return errkind.New(errkind.InvalidRequest, "there is no worker %s", request.Worker).WithField("worker", "one of the list of workers")
 }
 
-func unclearChange(err error) error {
+func changeError(err error) error {
 	if err != nil {
 		return err
 	}
@@ -129,7 +129,7 @@
 
 func (b *operatorBackend) drainState(ctx context.Context, name string, draining bool) api.Drain {
 	state := api.Drain{Name: name, Draining: draining}
-	overviews, _ := b.overviews(ctx)
+	overviews, _ := b.fetchOverviews(ctx)
 	for _, o := range overviews {
 		if o.Instance == name {
 			state.Units = len(o.Units)
@@ -155,12 +155,12 @@
 		After: api.Duration(ownership.ListLag + ownership.PromiseWindow + ownership.LeaseTTL)}, nil
 }
 
-// overviews requests the overview of every member and returns the names of the members that did not
-// answer.
-func (b *operatorBackend) overviews(ctx context.Context) (found []control.Overview, missing []string) {
+// fetchOverviews requests the overview of every member and returns the names of the members that
+// did not answer.
+func (b *operatorBackend) fetchOverviews(ctx context.Context) (found []control.Overview, missing []string) {
 	members := b.loop.Snapshot().Members
 	replies := make([]control.PeerReply, len(members))
-	b.eachMember(ctx, members, func(ctx context.Context, i int, m membership.Member) {
+	b.forEachMember(ctx, members, func(ctx context.Context, i int, m membership.Member) {
 		replies[i], _ = b.callMember(ctx, control.Send{To: m, Request: control.OverviewRequest{}})
 	})
 	for i, reply := range replies {
--- a/daemon/rebalance_test.go
+++ b/daemon/rebalance_test.go
@@ -10,9 +10,9 @@
 	"github.com/mulberrydrum/mulberrydrum/standin"
 )
 
-// TestWaitingWorkMoves guards against work that waits at a full partition while another one has free
-// capacity: while one partition is out of service, all work is sent to the other one, and it must move
-// when the first partition returns.
+// TestWaitingWorkMoves guards against work that waits at a full partition while another one has
+// free capacity: while one partition is out of service, all work is sent to the other one, and it
+// must move when the first partition returns.
 func TestWaitingWorkMoves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newDeployment(t, 3, 4)
--- a/daemon/seededfault_test.go
+++ b/daemon/seededfault_test.go
@@ -22,7 +22,7 @@
 }
 
 var seededFaults = []seededFault{
-	{"records are not stored", []oracle.Invariant{oracle.AtMostOnce, oracle.NeverLost, oracle.TrueNotRun}, forgetRecords, func(w *deployment) {
+	{"records are not stored", []oracle.Invariant{oracle.AtMostOnce, oracle.NeverLost, oracle.TrueNotRun}, discardRecords, func(w *deployment) {
 		for i := range 6 {
 			_, _ = w.nodes[0].submitAs("report", fmt.Sprintf("r%d", i))
 		}
@@ -30,13 +30,13 @@
 		for _, n := range w.live() {
 			w.killAndRestart(n)
 		}
-		time.Sleep(restartIn + 40*time.Second)
+		time.Sleep(restartDelay + 40*time.Second)
 		for i := range 6 {
 			_, _ = w.live()[0].submitAs("report", fmt.Sprintf("r%d", i))
 		}
 		time.Sleep(30 * time.Second)
 	}},
-	{"an unclear start counts as not run", []oracle.Invariant{oracle.TrueNotRun, oracle.OnePlace, oracle.AtMostOnce}, denyStarts, func(w *deployment) {
+	{"an unclear start counts as not run", []oracle.Invariant{oracle.TrueNotRun, oracle.OnePlace, oracle.AtMostOnce}, denyTaskStarts, func(w *deployment) {
 		for i := range 6 {
 			_, _ = w.nodes[0].submitAs("report", fmt.Sprintf("r%d", i))
 		}
@@ -113,7 +113,7 @@
 // discardingStore confirms writes of request records without storing them.
 type discardingStore struct{ store.Store }
 
-func forgetRecords(_ *node, c Clients) Clients {
+func discardRecords(_ *node, c Clients) Clients {
 	c.Store = &discardingStore{c.Store}
 	return c
 }
@@ -126,30 +126,30 @@
 	return s.Store.Commit(ctx, txn)
 }
 
-// deniedStarts starts tasks and reports that they were not run.
-type deniedStarts struct{ worker.API }
+// startDenyingWorkers starts tasks and reports that they were not run.
+type startDenyingWorkers struct{ worker.API }
 
-func denyStarts(_ *node, c Clients) Clients {
-	c.Workers = &deniedStarts{c.Workers}
+func denyTaskStarts(_ *node, c Clients) Clients {
+	c.Workers = &startDenyingWorkers{c.Workers}
 	return c
 }
 
 // Start starts a task and returns ErrNotRun.
-func (d *deniedStarts) Start(ctx context.Context, to worker.Address, req worker.StartRequest, check func() error) (worker.StartReply, error) {
+func (d *startDenyingWorkers) Start(ctx context.Context, to worker.Address, req worker.StartRequest, check func() error) (worker.StartReply, error) {
 	if _, err := d.API.Start(ctx, to, req, check); err != nil {
 		return worker.StartReply{}, err
 	}
 	return worker.StartReply{}, worker.ErrNotRun
 }
 
-// changedReports lets a test change what workers report.
-type changedReports struct {
+// reportChangingWorkers lets a test change what workers report.
+type reportChangingWorkers struct {
 	worker.API
 	change func(*worker.SyncReply)
 }
 
 // Sync requests a full report and changes it.
-func (r *changedReports) Sync(ctx context.Context, to worker.Address, req worker.SyncRequest) (worker.SyncReply, error) {
+func (r *reportChangingWorkers) Sync(ctx context.Context, to worker.Address, req worker.SyncRequest) (worker.SyncReply, error) {
 	req.Full = true
 	reply, err := r.API.Sync(ctx, to, req)
 	r.change(&reply)
@@ -157,12 +157,12 @@
 }
 
 func hideTasks(_ *node, c Clients) Clients {
-	c.Workers = &changedReports{c.Workers, func(r *worker.SyncReply) { r.Tasks, r.Full = nil, true }}
+	c.Workers = &reportChangingWorkers{c.Workers, func(r *worker.SyncReply) { r.Tasks, r.Full = nil, true }}
 	return c
 }
 
 func doubleCapacity(_ *node, c Clients) Clients {
-	c.Workers = &changedReports{c.Workers, func(r *worker.SyncReply) { r.Capacity = r.Capacity.Scale(2) }}
+	c.Workers = &reportChangingWorkers{c.Workers, func(r *worker.SyncReply) { r.Capacity = r.Capacity.Scale(2) }}
 	return c
 }
 
--- a/daemon/storecalls.go
+++ b/daemon/storecalls.go
@@ -16,40 +16,40 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// fate is the outcome of a transaction. Each decision package has its own type for it.
-type fate int
+// txnOutcome is the outcome of a transaction. Each decision package has its own type for it.
+type txnOutcome int
 
 const (
-	stored fate = iota
-	conflict
-	unclear
-	noEffect
+	txnStored txnOutcome = iota
+	txnConflict
+	txnUnclear
+	txnNoEffect
 )
 
 var (
-	ledgerResults     = map[fate]ledger.Result{stored: ledger.Stored, conflict: ledger.Conflict, unclear: ledger.Unclear, noEffect: ledger.NoEffect}
-	ownershipOutcomes = map[fate]ownership.Outcome{stored: ownership.Succeeded, conflict: ownership.Conflict, unclear: ownership.Unclear, noEffect: ownership.NoEffect}
-	allowanceOutcomes = map[fate]allowance.Outcome{stored: allowance.Succeeded, conflict: allowance.Conflict, unclear: allowance.Unclear, noEffect: allowance.NoEffect}
+	ledgerResults     = map[txnOutcome]ledger.Result{txnStored: ledger.Stored, txnConflict: ledger.Conflict, txnUnclear: ledger.Unclear, txnNoEffect: ledger.NoEffect}
+	ownershipOutcomes = map[txnOutcome]ownership.Outcome{txnStored: ownership.Succeeded, txnConflict: ownership.Conflict, txnUnclear: ownership.Unclear, txnNoEffect: ownership.NoEffect}
+	allowanceOutcomes = map[txnOutcome]allowance.Outcome{txnStored: allowance.Succeeded, txnConflict: allowance.Conflict, txnUnclear: allowance.Unclear, txnNoEffect: allowance.NoEffect}
 )
 
 // commit executes a transaction and classifies its outcome.
-func (d *engine) commit(ctx context.Context, txn store.Txn) (store.TxnResult, fate) {
+func (d *engine) commit(ctx context.Context, txn store.Txn) (store.TxnResult, txnOutcome) {
 	result, err := d.clients.Store.Commit(ctx, txn)
 	switch {
 	case err == nil && result.Succeeded:
-		return result, stored
+		return result, txnStored
 	case err == nil:
-		return result, conflict
+		return result, txnConflict
 	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrRejected):
 		d.log.Debug("commit had no effect", "err", err)
-		return result, noEffect
+		return result, txnNoEffect
 	default:
 		d.log.Debug("outcome of commit is unclear", "err", err)
-		return result, unclear
+		return result, txnUnclear
 	}
 }
 
-func currentOf(result store.TxnResult, key string) (store.KeyValue, bool) {
+func currentValue(result store.TxnResult, key string) (store.KeyValue, bool) {
 	for _, kv := range result.Current {
 		if kv.Key == key {
 			return kv, true
@@ -61,7 +61,7 @@
 // grantLease obtains a lease and registers this instance under it.
 func (d *engine) grantLease(ctx context.Context, e control.GrantLease) control.LeaseGranted {
 	done := control.LeaseGranted{SentAt: time.Now()}
-	defer func() { d.logContact(done.Err) }()
+	defer func() { d.logStoreAvailability(done.Err) }()
 	done.Lease, done.Err = d.clients.Store.Grant(ctx, d.cfg.Control.StoreLeaseTTL)
 	if done.Err != nil {
 		return done
@@ -72,8 +72,8 @@
 }
 
 // putMember writes the member record, with a compare on its last revision. Without the compare, a
-// delayed write under an earlier lease could replace the record, and the record would be deleted when
-// that lease expires.
+// delayed write under an earlier lease could replace the record, and the record would be deleted
+// when that lease expires.
 func (d *engine) putMember(ctx context.Context, m membership.Member, lease int64) (store.TxnResult, error) {
 	key := store.MemberKey(m.Instance)
 	current, _, _, err := d.clients.Store.Get(ctx, key)
@@ -89,15 +89,15 @@
 		Puts:     []store.Put{{Key: key, Value: value, Lease: lease}},
 	})
 	if err == nil && !result.Succeeded {
-		err = errMemberChanged
+		err = errMemberConflict
 	}
 	return result, err
 }
 
-var errMemberChanged = eris.New("member record was changed by a concurrent write")
+var errMemberConflict = eris.New("member record was changed by a concurrent write")
 
-// logContact logs the first of consecutive failures to reach the store, and the recovery.
-func (d *engine) logContact(err error) {
+// logStoreAvailability logs the first of consecutive failures to reach the store, and the recovery.
+func (d *engine) logStoreAvailability(err error) {
 	switch wasDown := d.storeDown.Swap(err != nil); {
 	case err != nil && !wasDown:
 		d.log.Warn("the store does not answer", "err", err)
@@ -112,9 +112,9 @@
 	}
 }
 
-// renewLease renews the lease and reads the revision of the latest change of the configuration. Both
-// calls are made concurrently, so that a slow store delays the confirmation that the keys are fresh by
-// one call only.
+// renewLease renews the lease and reads the revision of the latest change of the configuration.
+// Both calls are made concurrently, so that a slow store delays the confirmation that the keys are
+// fresh by one call only.
 func (d *engine) renewLease(ctx context.Context, e control.RenewLease) control.KeepAliveDone {
 	done := control.KeepAliveDone{SentAt: time.Now(), Lease: e.Lease}
 	var group errgroup.Group
@@ -124,7 +124,7 @@
 	})
 	revision, err := d.clients.Store.LatestRevision(ctx, store.ConfigPrefix)
 	_ = group.Wait()
-	d.logContact(done.Err)
+	d.logStoreAvailability(done.Err)
 	if err == nil {
 		done.Revision = revision
 	}
@@ -137,10 +137,10 @@
 	if err != nil || !found {
 		return control.ShardRead{Shard: e.Shard, Err: err}
 	}
-	return shardRead(e.Shard, kv)
+	return decodeShard(e.Shard, kv)
 }
 
-func shardRead(shard string, kv store.KeyValue) control.ShardRead {
+func decodeShard(shard string, kv store.KeyValue) control.ShardRead {
 	value, err := store.DecodeRecords(kv.Value)
 	return control.ShardRead{Shard: shard, Err: err, Value: value, Revision: kv.ModRevision}
 }
@@ -158,15 +158,15 @@
 		txn.Compares = append(txn.Compares, store.Compare{Key: key, ModRevision: w.Revision})
 		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
 	}
-	result, f := d.commit(ctx, txn)
-	done.Result, done.Revision = ledgerResults[f], result.Revision
-	if f != conflict {
+	result, outcome := d.commit(ctx, txn)
+	done.Result, done.Revision = ledgerResults[outcome], result.Revision
+	if outcome != txnConflict {
 		return done
 	}
 	for _, w := range e.Writes {
 		read := control.ShardRead{Shard: w.Shard}
-		if kv, ok := currentOf(result, store.RecordsKey(w.Shard)); ok {
-			read = shardRead(w.Shard, kv)
+		if kv, ok := currentValue(result, store.RecordsKey(w.Shard)); ok {
+			read = decodeShard(w.Shard, kv)
 		}
 		done.Current = append(done.Current, read)
 	}
@@ -186,9 +186,9 @@
 	for _, instance := range w.AbsentMembers {
 		txn.Compares = append(txn.Compares, store.Compare{Key: store.MemberKey(instance)})
 	}
-	result, f := d.commit(ctx, txn)
-	done.Result = ownership.WriteResult{Outcome: ownershipOutcomes[f], Revision: result.Revision}
-	if kv, ok := currentOf(result, key); ok && f == conflict {
+	result, outcome := d.commit(ctx, txn)
+	done.Result = ownership.WriteResult{Outcome: ownershipOutcomes[outcome], Revision: result.Revision}
+	if kv, ok := currentValue(result, key); ok && outcome == txnConflict {
 		if current, err := store.DecodeOwnership(kv.Value, kv.ModRevision); err == nil {
 			done.Result.Current = current
 		}
@@ -216,9 +216,9 @@
 	for partition, revision := range owners {
 		txn.Compares = append(txn.Compares, store.Compare{Key: store.OwnershipKey(partition), ModRevision: revision})
 	}
-	result, f := d.commit(ctx, txn)
-	done.Result = allowance.WriteResult{Outcome: allowanceOutcomes[f], Revision: result.Revision}
-	if f == conflict {
+	result, outcome := d.commit(ctx, txn)
+	done.Result = allowance.WriteResult{Outcome: allowanceOutcomes[outcome], Revision: result.Revision}
+	if outcome == txnConflict {
 		done.Result.Current = currentAllowances(result, e.Writes)
 	}
 	return done
@@ -227,7 +227,7 @@
 func currentAllowances(result store.TxnResult, writes []allowance.Write) []allowance.Record {
 	var current []allowance.Record
 	for _, w := range writes {
-		kv, ok := currentOf(result, store.AllowanceKey(string(w.Record.Team)))
+		kv, ok := currentValue(result, store.AllowanceKey(string(w.Record.Team)))
 		if !ok {
 			continue
 		}
--- a/daemon/views.go
+++ b/daemon/views.go
@@ -16,8 +16,8 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// eachMember calls f concurrently for every member and waits for all calls to return.
-func (b *operatorBackend) eachMember(ctx context.Context, members []membership.Member, f func(context.Context, int, membership.Member)) {
+// forEachMember calls f concurrently for every member and waits for all calls to return.
+func (b *operatorBackend) forEachMember(ctx context.Context, members []membership.Member, f func(context.Context, int, membership.Member)) {
 	ctx, cancel := context.WithTimeout(ctx, b.cfg.Control.CallTimeout)
 	defer cancel()
 	var group sync.WaitGroup
@@ -29,7 +29,7 @@
 
 // Workers lists the workers with the state that their owners report.
 func (b *operatorBackend) Workers(ctx context.Context) ([]api.Worker, error) {
-	overviews, _ := b.overviews(ctx)
+	overviews, _ := b.fetchOverviews(ctx)
 	now := time.Now()
 	var workers []api.Worker
 	for _, o := range overviews {
@@ -62,7 +62,7 @@
 
 // Shares lists the teams with their usage across all members.
 func (b *operatorBackend) Shares(ctx context.Context) ([]api.Share, error) {
-	overviews, _ := b.overviews(ctx)
+	overviews, _ := b.fetchOverviews(ctx)
 	byTeam := map[task.Team]*api.Share{}
 	for _, o := range overviews {
 		for _, t := range o.Teams {
@@ -90,7 +90,7 @@
 // Members lists the live entry instances.
 func (b *operatorBackend) Members(ctx context.Context) ([]api.Member, error) {
 	units := map[string][]string{}
-	overviews, _ := b.overviews(ctx)
+	overviews, _ := b.fetchOverviews(ctx)
 	for _, o := range overviews {
 		units[o.Instance] = o.Units
 	}
@@ -108,7 +108,7 @@
 	members := b.loop.Snapshot().Members
 	lines := make([][]timeline.Event, len(members))
 	failed := make([]bool, len(members))
-	b.eachMember(ctx, members, func(ctx context.Context, i int, m membership.Member) {
+	b.forEachMember(ctx, members, func(ctx context.Context, i int, m membership.Member) {
 		if m.Incarnation == b.cfg.Self.Incarnation {
 			lines[i] = b.recorder.Events(timeline.Filter{Task: filter.Task, Team: filter.Team, From: filter.Since})
 			return
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	// watchRetry is the delay before the configuration is read again after a failure. All instances
-	// read it after an outage of the store; a shorter delay would add to that load.
-	watchRetry = 500 * time.Millisecond
-	// peerFetchAfter is the number of consecutive failed reads after which the configuration is
+	// configRetryDelay is the delay before the configuration is read again after a failure. All
+	// instances read it after an outage of the store; a shorter delay would add to that load.
+	configRetryDelay = 500 * time.Millisecond
+	// peerFetchThreshold is the number of consecutive failed reads after which the configuration is
 	// fetched from the other instances.
-	peerFetchAfter = 3
+	peerFetchThreshold = 3
 )
 
 func (d *engine) requestResync() {
@@ -36,15 +36,15 @@
 		revision, err := d.listConfig(ctx)
 		if err == nil {
 			failures = 0
-			d.follow(ctx, revision)
+			d.followConfig(ctx, revision)
 			continue
 		}
 		failures++
 		d.log.Debug("reading the configuration failed", "err", err)
-		if failures == peerFetchAfter {
+		if failures == peerFetchThreshold {
 			d.fetchFromPeers(ctx)
 		}
-		pause(ctx, watchRetry)
+		pause(ctx, configRetryDelay)
 	}
 	return nil
 }
@@ -62,9 +62,9 @@
 	return revision, nil
 }
 
-// follow delivers changes until the configuration has to be listed again. After any other failure of
-// the watch it resumes after the last revision delivered.
-func (d *engine) follow(ctx context.Context, revision int64) {
+// followConfig delivers changes until the configuration has to be listed again. After any other
+// failure of the watch it resumes after the last revision delivered.
+func (d *engine) followConfig(ctx context.Context, revision int64) {
 	for ctx.Err() == nil {
 		watchCtx, cancel := context.WithCancel(ctx)
 		resynced := make(chan struct{})
@@ -78,7 +78,7 @@
 		}()
 		err := d.clients.Store.Watch(watchCtx, store.ConfigPrefix, revision+1, func(b store.WatchBatch) {
 			revision = b.Revision
-			d.deliver(ctx, b)
+			d.deliverBatch(ctx, b)
 		})
 		cancel()
 		<-resynced
@@ -86,11 +86,11 @@
 			return
 		}
 		d.log.Debug("configuration watch ended", "revision", revision, "err", err)
-		pause(ctx, watchRetry)
+		pause(ctx, configRetryDelay)
 	}
 }
 
-func (d *engine) deliver(ctx context.Context, b store.WatchBatch) {
+func (d *engine) deliverBatch(ctx context.Context, b store.WatchBatch) {
 	changes := make([]control.ConfigChange, len(b.Changes))
 	for i, c := range b.Changes {
 		changes[i] = store.DecodeConfig(control.ConfigEntry{Key: c.Key, Value: c.Value, Revision: c.ModRevision, Deleted: c.Deleted})
@@ -115,7 +115,7 @@
 	}
 }
 
-func configFrom(r control.FetchConfigReply) control.ConfigChanged {
+func toConfigChanged(r control.FetchConfigReply) control.ConfigChanged {
 	changes := make([]control.ConfigChange, len(r.Entries))
 	for i, e := range r.Entries {
 		changes[i] = store.DecodeConfig(e)
@@ -132,17 +132,17 @@
 		if err != nil {
 			d.log.Debug("reading the instance list failed", "err", err)
 		} else {
-			d.post(ctx, listed(sentAt, instances))
-			known = d.forgetGone(known, instances)
+			d.post(ctx, toInstancesListed(sentAt, instances))
+			known = d.dropUnlistedWorkers(known, instances)
 		}
 		pause(ctx, d.cfg.ListInterval)
 	}
 	return nil
 }
 
-// forgetGone drops the counters of the known workers that are no longer listed, and returns the
-// listed ones.
-func (d *engine) forgetGone(known map[worker.Address]bool, instances []instancelist.Instance) map[worker.Address]bool {
+// dropUnlistedWorkers drops the counters of the known workers that are no longer listed, and
+// returns the listed ones.
+func (d *engine) dropUnlistedWorkers(known map[worker.Address]bool, instances []instancelist.Instance) map[worker.Address]bool {
 	forgetter, ok := d.clients.Workers.(interface{ Forget(worker.Address) })
 	if !ok {
 		return nil
@@ -161,7 +161,7 @@
 	return listed
 }
 
-func listed(sentAt time.Time, instances []instancelist.Instance) control.InstancesListed {
+func toInstancesListed(sentAt time.Time, instances []instancelist.Instance) control.InstancesListed {
 	e := control.InstancesListed{SentAt: sentAt}
 	for _, i := range instances {
 		isGone := i.State == instancelist.StateGone
--- a/daemon/workercalls.go
+++ b/daemon/workercalls.go
@@ -33,7 +33,7 @@
 	default:
 		done.Result, done.Detail = control.StartUnclear, err.Error()
 	}
-	d.meters.start(done)
+	d.meters.countStart(done)
 	d.post(ctx, done)
 }
 
