store: state comments and errors in the usual terms

Reword the doc comments of the store client, its wire messages, the in-memory store and their tests. Correct the comment of Hedge.Most, which bounds all attempts.

--- a/store/classify.go
+++ b/store/classify.go
@@ -9,8 +9,8 @@
 	"github.com/mulberrydrum/mulberrydrum/store/wire"
 )
 
-// classifyTransportError decides whether a call without a reply may have had an
-// effect. Before a connection was obtained nothing can have been sent.
+// classifyTransportError classifies the error of a call without a reply. Unless a connection was
+// obtained, nothing was sent and the call had no effect.
 func classifyTransportError(err error, connected bool) error {
 	if connected {
 		return fmt.Errorf("%w: %w", ErrUnclear, err)
@@ -18,7 +18,7 @@
 	return fmt.Errorf("%w: %w", ErrUnavailable, err)
 }
 
-// classifyReply turns a reply with a status other than 200 into an error.
+// classifyReply returns the error for a reply with a status other than 200.
 func classifyReply(response *http.Response) error {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 	if err != nil {
@@ -26,7 +26,7 @@
 	}
 	var reply wire.ErrorReply
 	if err := json.Unmarshal(body, &reply); err != nil {
-		return fmt.Errorf("%w: status %d without a reply of the gateway", ErrUnclear, response.StatusCode)
+		return fmt.Errorf("%w: status %d with a body that is not an error reply of the gateway", ErrUnclear, response.StatusCode)
 	}
 	text := reply.Message
 	if text == "" {
@@ -37,11 +37,10 @@
 
 // classifyCode maps a gRPC status of the store to an error of this package.
 //
-// A code alone proves little. The store uses Unavailable also for a proposal
-// that timed out or lost its leader, which may still be applied, and the gateway
-// uses ResourceExhausted also for a reply that is too long for it. Only messages
-// that the store sends without applying anything prove that the call had no
-// effect.
+// The code alone does not show whether the call had an effect. The store also uses Unavailable for a
+// proposal that timed out or lost its leader, which may still be applied, and the gateway also uses
+// ResourceExhausted for a reply that exceeds its size limit. Only messages that the store sends
+// without applying anything prove that the call had no effect.
 func classifyCode(code int, message string) error {
 	switch {
 	case code == wire.CodeOutOfRange && message == wire.MessageCompacted:
--- a/store/client.go
+++ b/store/client.go
@@ -21,13 +21,12 @@
 // Defaults of Config and bounds of the connections.
 const (
 	DefaultCallTimeout     = 2 * time.Second
-	DefaultProgressTimeout = 3 * time.Second // three of the notices that are due every second
+	DefaultProgressTimeout = 3 * time.Second // three progress notices, which are due every second
 	DefaultMaxConnections  = 8               // calls in flight; more would only queue in the store
 
 	dialTimeout = 1 * time.Second
-	// idleTimeout is shorter than the time after which servers commonly close an
-	// idle connection, since a call on a connection that is being closed has an
-	// unclear outcome.
+	// idleTimeout is shorter than the usual idle timeout of servers, since a call on a connection
+	// that the server is closing has an unclear outcome.
 	idleTimeout       = 20 * time.Second
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
@@ -41,15 +40,15 @@
 	Address         string        // numeric IP address and port
 	Instance        string        // name of this instance, sent with every call
 	CallTimeout     time.Duration // of every call but Watch; default DefaultCallTimeout
-	ProgressTimeout time.Duration // silence after which a watch fails; default DefaultProgressTimeout
+	ProgressTimeout time.Duration // without a message after which a watch fails; default DefaultProgressTimeout
 	MaxConnections  int           // connections for calls; default DefaultMaxConnections
 }
 
-// Client is a Store that speaks to the etcd v3 HTTP/JSON gateway.
+// Client is a Store that uses the etcd v3 HTTP/JSON gateway.
 type Client struct {
 	cfg     Config
 	calls   *http.Transport
-	watches *http.Transport // apart, so that open watches take no connection from calls
+	watches *http.Transport // separate, so that open watches use no connections of calls
 }
 
 var _ Store = (*Client)(nil)
@@ -123,8 +122,8 @@
 	return nil
 }
 
-// post sends request and returns a reply with status 200, whose body the caller
-// closes. Any other end is a classified error.
+// post sends request and returns a reply with status 200, whose body the caller must close.
+// Otherwise it returns a classified error.
 func (c *Client) post(ctx context.Context, transport *http.Transport, path string, request any) (*http.Response, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
@@ -152,9 +151,8 @@
 	return response, nil
 }
 
-// closeIdleAfterTimeout drops the idle connections after a call timed out. If
-// the path to the store went silent, they are as silent as the one that timed
-// out, and each would cost another call its deadline.
+// closeIdleAfterTimeout closes the idle connections after a call timed out. If the network path to
+// the store is broken, they are unusable too, and each would cause another call to time out.
 func (c *Client) closeIdleAfterTimeout(err error) {
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() {
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -26,8 +26,8 @@
 	return client
 }
 
-// TestRefusedConnectionHasNoEffect guards against a store that is not there
-// being reported as an unclear outcome, which would hold up takeovers.
+// TestRefusedConnectionHasNoEffect guards against reporting a refused connection as an unclear
+// outcome, which would delay takeovers.
 func TestRefusedConnectionHasNoEffect(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -46,8 +46,8 @@
 	}
 }
 
-// TestReplyClasses guards against a reply that leaves the outcome open being
-// taken for "no effect", and against a definite refusal being called unclear.
+// TestReplyClasses guards against classifying a reply with an unclear outcome as having no effect,
+// and a definite rejection as unclear.
 func TestReplyClasses(t *testing.T) {
 	tests := []struct {
 		status int
@@ -88,9 +88,8 @@
 	}
 }
 
-// TestLostReplyIsNotSentAgain guards against the transport repeating a call on
-// its own when a connection in use breaks: a repeated transaction would find
-// its own write and report a conflict.
+// TestLostReplyIsNotSentAgain guards against automatic retries by the transport when a connection in
+// use breaks: a repeated transaction would find its own write and report a conflict.
 func TestLostReplyIsNotSentAgain(t *testing.T) {
 	var calls atomic.Int64
 	client := clientOf(t, func(w http.ResponseWriter, r *http.Request) {
@@ -111,8 +110,8 @@
 	}
 }
 
-// TestRequestsOnTheWire guards against a change of the encoding that our own
-// stand-in would follow but the platform's store would not.
+// TestRequestsOnTheWire guards against a change of the encoding that the project's stand-in accepts
+// but the platform's store does not.
 func TestRequestsOnTheWire(t *testing.T) {
 	sent := make(chan string, 7)
 	client := clientOf(t, func(_ http.ResponseWriter, r *http.Request) {
@@ -151,8 +150,8 @@
 	}
 }
 
-// TestWatchStream guards against a watch that skips changes because a header is
-// ahead of the events, goes back, or goes on after the history is gone.
+// TestWatchStream guards against a watch that skips changes because a header is ahead of the events,
+// accepts revisions that go back, or continues after the history was compacted.
 func TestWatchStream(t *testing.T) {
 	const created = `{"result":{"header":{"revision":"9"},"created":true}}`
 	event := func(header, mod int) string {
@@ -189,8 +188,8 @@
 	}
 }
 
-// TestSlowReceiverIsNotSilence guards against a watch that is given up because
-// the receiver of a batch takes longer than the bound of silence.
+// TestSlowReceiverIsNotSilence guards against a watch that fails because the receiver of a batch
+// takes longer than the progress timeout.
 func TestSlowReceiverIsNotSilence(t *testing.T) {
 	client := clientOf(t, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, `{"result":{"header":{"revision":"4"},"events":[{"kv":{"key":"YQ==","mod_revision":"4"}}]}}`+"\n")
--- a/store/codec.go
+++ b/store/codec.go
@@ -17,7 +17,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Encode returns the form in which a record is stored.
+// Encode returns the stored encoding of a record.
 func Encode(record any) ([]byte, error) {
 	value, err := json.Marshal(record)
 	if err != nil {
@@ -34,8 +34,8 @@
 	return record, nil
 }
 
-// DecodeConfig returns what an entry below ConfigPrefix says. A value that
-// cannot be read is returned with its error, so that its revision still counts.
+// DecodeConfig decodes an entry below ConfigPrefix. If its value cannot be decoded, the change
+// carries the error, so that its revision is still processed.
 func DecodeConfig(entry control.ConfigEntry) control.ConfigChange {
 	change := control.ConfigChange{Entry: entry}
 	if entry.Deleted {
@@ -55,7 +55,7 @@
 	case strings.HasPrefix(entry.Key, drainPrefix):
 		change.Drain = strings.TrimPrefix(entry.Key, drainPrefix)
 	default:
-		change.Err = eris.Errorf("key %s is of no known kind", entry.Key)
+		change.Err = eris.Errorf("key %s has no known prefix", entry.Key)
 	}
 	return change
 }
@@ -67,7 +67,7 @@
 	}
 	parsed, faults := document.Parse([]byte(record.Source))
 	if len(faults) > 0 {
-		return nil, eris.Errorf("%d faults, first: %v", len(faults), faults[0])
+		return nil, eris.Errorf("document has %d faults, first: %v", len(faults), faults[0])
 	}
 	team, service := splitPair(entry.Key, documentPrefix)
 	if parsed.Team != task.Team(team) || parsed.Service != task.Service(service) {
@@ -84,7 +84,7 @@
 	return &granted.Key, nil
 }
 
-// GrantedKey is a key as it is stored, with what operators want to know of it.
+// GrantedKey is the stored form of a key, with its history for operators.
 type GrantedKey struct {
 	keyring.Key
 	Note        string    `json:"note,omitempty"`
@@ -94,8 +94,8 @@
 	WithdrawnAt time.Time `json:"withdrawn_at,omitzero"`
 }
 
-// DecodeKey returns a granted key. Team and ID are those of the store's key, so
-// that a value cannot claim another team.
+// DecodeKey decodes a granted key. Team and ID are taken from the store's key, so that a value
+// cannot claim another team.
 func DecodeKey(storeKey string, value []byte, revision int64) (*GrantedKey, error) {
 	granted, err := decode[GrantedKey](value)
 	if err != nil {
@@ -106,10 +106,10 @@
 	return granted, nil
 }
 
-// DecodeDocument returns a document as it is stored.
+// DecodeDocument decodes the record of a document.
 func DecodeDocument(value []byte) (*document.Record, error) { return decode[document.Record](value) }
 
-// DecodeOwnership returns an ownership record at its revision.
+// DecodeOwnership decodes an ownership record and sets its revision.
 func DecodeOwnership(value []byte, revision int64) (*ownership.Record, error) {
 	record, err := decode[ownership.Record](value)
 	if err != nil {
@@ -119,7 +119,7 @@
 	return record, nil
 }
 
-// DecodeAllowance returns the division of a team's limit at its revision.
+// DecodeAllowance decodes the division of a team's limit and sets its revision.
 func DecodeAllowance(value []byte, revision int64) (*allowance.Record, error) {
 	record, err := decode[allowance.Record](value)
 	if err != nil {
@@ -129,7 +129,7 @@
 	return record, nil
 }
 
-// DecodeRecords returns the request records of a shard.
+// DecodeRecords decodes the request records of a shard.
 func DecodeRecords(value []byte) (ledger.ShardValue, error) {
 	records, err := decode[ledger.ShardValue](value)
 	if err != nil {
--- a/store/doc.go
+++ b/store/doc.go
@@ -1,5 +1,5 @@
-// Package store talks to the key-value store of the platform through the
-// narrow interface Store. Client speaks the published etcd v3 HTTP/JSON
-// gateway; store/storetest has an implementation in memory for tests. The
-// effect executor of the daemon calls it, never the control goroutine.
+// Package store accesses the platform's key-value store through the narrow interface Store. Client
+// uses the published etcd v3 HTTP/JSON gateway; package storetest has an in-memory implementation
+// for tests. Calls block, so only the effect executor of the daemon makes them, never the control
+// goroutine.
 package store
--- a/store/follow.go
+++ b/store/follow.go
@@ -6,23 +6,22 @@
 	"time"
 )
 
-// followRetry is the wait after a failed call of Follow.
+// followRetry is the delay before Follow retries a failed call.
 const followRetry = 150 * time.Millisecond
 
-// Follower takes what Follow reads. All of its methods are called from one
-// goroutine.
+// Follower receives the results of Follow. All of its methods are called from one goroutine.
 type Follower interface {
-	// Listed brings all keys with the prefix as of a revision. It comes first,
-	// and again when changes were missed.
+	// Listed receives all keys with the prefix as of a revision. It is called first, and again when
+	// changes were missed.
 	Listed(kvs []KeyValue, revision int64)
-	// Changed brings the next changes, or a progress notice without changes.
+	// Changed receives the next changes, or a progress notice without changes.
 	Changed(WatchBatch)
-	// Failed brings an error after which Follow goes on.
+	// Failed receives an error after which Follow retries.
 	Failed(error)
 }
 
-// Follow lists the keys with a prefix and then watches them until ctx ends. It
-// lists anew when the store no longer has the changes that were missed.
+// Follow lists the keys with a prefix and then watches them until ctx is done. It lists them again
+// when the missed changes are no longer in the store's history.
 func Follow(ctx context.Context, s Store, prefix string, f Follower) error {
 	next := int64(0) // revision from which to watch; 0 to list first
 	for ctx.Err() == nil {
--- a/store/hedge.go
+++ b/store/hedge.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// Hedge says when a transaction is sent again although its answer may still
-// come. Every try has the same conditions, so that at most one takes effect.
+// Hedge configures hedged commits, which send a transaction again while earlier attempts are still
+// in flight. Every attempt has the same conditions, so that at most one takes effect.
 type Hedge struct {
-	After time.Duration // between one try and the next
-	Most  int           // tries under way at the same time
+	After time.Duration // delay between two attempts
+	Most  int           // maximum number of attempts; all of them may be in flight at the same time
 }
 
 type tryResult struct {
@@ -18,11 +18,10 @@
 	err    error
 }
 
-// CommitHedged executes a transaction whose conditions no longer hold once it has
-// taken effect. A try that is refused because an earlier one has succeeded is
-// reported as not succeeded, with the records as they are: the caller recognises
-// its own. Answers are lost and late at times, and a store that answers slowly
-// does not answer sooner when it is asked anew, so that earlier tries go on.
+// CommitHedged executes a transaction whose conditions no longer hold once it has taken effect. If
+// an attempt fails its compares because an earlier one has succeeded, the result is not succeeded
+// and holds the current records, among which the caller recognizes its own. Replies may be lost or
+// late. Earlier attempts are not canceled, since a slow store does not answer a new attempt sooner.
 func CommitHedged(ctx context.Context, s Store, txn Txn, h Hedge) (TxnResult, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -59,7 +58,7 @@
 	}
 }
 
-// worstOf returns an error that says whether any try may have taken effect.
+// worstOf returns the last error, marked with ErrUnclear if any attempt may have taken effect.
 func worstOf(unclear bool, last error) error {
 	if unclear && !errors.Is(last, ErrUnclear) {
 		return errors.Join(ErrUnclear, errors.New(last.Error()))
--- a/store/hedge_test.go
+++ b/store/hedge_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// scriptedStore answers each Commit as its script says.
+// scriptedStore answers each Commit with the next function of its script.
 type scriptedStore struct {
 	Store
 	tries  atomic.Int32
@@ -36,9 +36,8 @@
 	}
 }
 
-// TestCommitHedged guards against a commit that waits for an answer that was
-// lost, against one that gives up a slow store's answer, and against an unclear
-// outcome that is reported as none.
+// TestCommitHedged guards against waiting for a lost reply, against abandoning the late reply of a
+// slow store, and against reporting an unclear outcome as having no effect.
 func TestCommitHedged(t *testing.T) {
 	type try = func(context.Context) (TxnResult, error)
 	done := TxnResult{Succeeded: true, Revision: 7}
--- a/store/kv.go
+++ b/store/kv.go
@@ -83,8 +83,7 @@
 	return result, nil
 }
 
-// toWireTxn encodes txn; when a compare fails, the compared keys are read in
-// the same call.
+// toWireTxn encodes txn. If a compare fails, the same call reads the compared keys.
 func toWireTxn(txn Txn) wire.TxnRequest {
 	var request wire.TxnRequest
 	for _, compare := range txn.Compares {
@@ -114,7 +113,7 @@
 	return KeyValue{Key: string(kv.Key), Value: kv.Value, ModRevision: kv.ModRevision, Lease: kv.Lease}
 }
 
-// errNoHeader reports a reply that is JSON but not of the store.
+// errNoHeader returns the error for a reply that is JSON but does not come from the store.
 func errNoHeader(operation string) error {
 	return eris.Wrap(fmt.Errorf("%w: reply has no header", ErrUnclear), operation)
 }
--- a/store/layout.go
+++ b/store/layout.go
@@ -2,8 +2,8 @@
 
 import "strings"
 
-// Prefixes of the keys below the project's own root. Everything below
-// ConfigPrefix is covered by one watch; request records are not watched.
+// Prefixes of the store's keys. One watch covers everything below ConfigPrefix; request records are
+// not watched.
 const (
 	ConfigPrefix    = "c/"
 	documentPrefix  = ConfigPrefix + "doc/"
@@ -18,7 +18,7 @@
 // DocumentKey returns the key of a document; service is empty for a team's.
 func DocumentKey(team, service string) string { return documentPrefix + team + "/" + service }
 
-// KeyKey returns the key of one of a team's keys.
+// KeyKey returns the store's key for a granted key of a team.
 func KeyKey(team, id string) string { return keyPrefix + team + "/" + id }
 
 // MemberKey returns the key of the member record of an instance.
@@ -30,7 +30,7 @@
 // AllowanceKey returns the key of the division of a team's limit.
 func AllowanceKey(team string) string { return allowancePrefix + team }
 
-// DrainKey returns the key that says that an entry instance or a worker drains.
+// DrainKey returns the key whose presence marks an entry instance or a worker as draining.
 func DrainKey(name string) string { return drainPrefix + name }
 
 // KeysPrefix returns the prefix of the keys of a team, or of all teams.
@@ -47,7 +47,7 @@
 // RecordsKey returns the key of the request records of a shard.
 func RecordsKey(shard string) string { return recordsPrefix + shard }
 
-// splitPair returns the two parts of what follows a prefix.
+// splitPair returns the two parts of a key after its prefix, which a slash separates.
 func splitPair(key, prefix string) (first, second string) {
 	first, second, _ = strings.Cut(strings.TrimPrefix(key, prefix), "/")
 	return first, second
--- a/store/store.go
+++ b/store/store.go
@@ -6,27 +6,27 @@
 	"time"
 )
 
-// Errors that a caller of Store tells apart with errors.Is. Every error of a
-// Store matches exactly one of them.
+// Errors that callers of Store distinguish with errors.Is. Every error of a Store matches exactly
+// one of them.
 var (
-	// ErrUnavailable says that the call surely had no effect.
+	// ErrUnavailable means that the call certainly had no effect.
 	ErrUnavailable = errors.New("store unavailable, call had no effect")
-	// ErrUnclear says that the call may have had its effect.
+	// ErrUnclear means that the call may have taken effect.
 	ErrUnclear = errors.New("outcome of store call unclear")
-	// ErrRejected says that the store refused the call as invalid: it had no
-	// effect and the same call fails again.
+	// ErrRejected means that the store rejected the call as invalid: it had no effect, and the same
+	// call would fail again.
 	ErrRejected = errors.New("store rejected the call")
-	// ErrCompacted says that the changes asked for are no longer in the store's
-	// history: the caller has to list again.
+	// ErrCompacted means that the requested changes are no longer in the store's history: the caller
+	// must list the keys again.
 	ErrCompacted = errors.New("revision compacted")
-	// ErrLeaseGone says that the lease has expired or was revoked.
+	// ErrLeaseGone means that the lease has expired or was revoked.
 	ErrLeaseGone = errors.New("lease gone")
-	// ErrNoProgress says that a watch was silent for longer than its bound. The
-	// caller watches again from the revision after the last one delivered.
+	// ErrNoProgress means that a watch received no message within its timeout. The caller watches
+	// again from the revision after the last one delivered.
 	ErrNoProgress = errors.New("watch made no progress")
 )
 
-// KeyValue is one key as it was at some revision.
+// KeyValue is the state of one key at some revision.
 type KeyValue struct {
 	Key         string
 	Value       []byte
@@ -47,8 +47,8 @@
 	Lease int64 // 0 for none
 }
 
-// Txn changes keys in one step if every compare holds. A key may occur only
-// once among its puts and deletes.
+// Txn changes keys atomically if every compare holds. A key may occur only once among its puts and
+// deletes.
 type Txn struct {
 	Compares []Compare
 	Puts     []Put
@@ -75,28 +75,27 @@
 	Changes  []Change
 }
 
-// Store is what the rest of the project knows of the platform's store. All
-// methods are safe for concurrent use and every call but Watch has a deadline.
+// Store is the interface of the platform's store to the rest of the project. All methods are safe
+// for concurrent use, and every call except Watch has a deadline.
 type Store interface {
 	// Get reads one key; the read is linearizable. revision is that of the store.
 	Get(ctx context.Context, key string) (kv KeyValue, found bool, revision int64, err error)
 	// List reads the keys with a prefix in ascending order, all as of revision.
 	List(ctx context.Context, prefix string) (kvs []KeyValue, revision int64, err error)
-	// LatestRevision reads the revision of the last change of any key that exists
-	// with a prefix, 0 if there is none; the read is linearizable. Deleted keys do
-	// not count.
+	// LatestRevision reads the highest ModRevision of the existing keys with a prefix, 0 if there is
+	// none; the read is linearizable. Deleted keys do not count.
 	LatestRevision(ctx context.Context, prefix string) (revision int64, err error)
-	// Commit executes txn. A result means a definite outcome.
+	// Commit executes txn. Without an error, the outcome is definite.
 	Commit(ctx context.Context, txn Txn) (TxnResult, error)
-	// Grant makes a lease. The time to live is rounded up to a whole second.
+	// Grant creates a lease. The time to live is rounded up to a whole second.
 	Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
 	// KeepAlive renews a lease, or returns ErrLeaseGone.
 	KeepAlive(ctx context.Context, lease int64) (ttl time.Duration, err error)
 	// Revoke ends a lease and deletes its keys.
 	Revoke(ctx context.Context, lease int64) error
 	// Watch delivers the changes of keys with a prefix from revision from, which
-	// is at least 1, in order of revision and without gaps. It blocks until ctx
-	// ends or the watch fails, and always returns an error. To go on, the caller
-	// waits a little and watches again from the last revision delivered plus one.
+	// is at least 1, in order of revision and without gaps. It blocks until ctx is done or the watch
+	// fails, and always returns an error. To resume, the caller waits for a short delay and watches
+	// again from the last revision delivered plus one.
 	Watch(ctx context.Context, prefix string, from int64, deliver func(WatchBatch)) error
 }
--- a/store/storetest/calls.go
+++ b/store/storetest/calls.go
@@ -10,7 +10,7 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// The kinds of calls, as faults and counters name them.
+// Kinds of calls, as named in faults and counters.
 const (
 	CallRange     = "range"
 	CallTxn       = "txn"
@@ -27,11 +27,10 @@
 // errStoreDown ends an open watch when the store goes down.
 var errStoreDown = errors.New("store went down")
 
-// InterruptFor returns the Interrupt of a watch by an instance. silent says that
-// the watch was opened under a fault that silences it. The Interrupt ends the
-// watch when the store goes down, and holds it when the watch is to be silent or
-// the store unreachable. A silent stream stays silent when the fault is cleared,
-// since a lost connection does not come back either.
+// InterruptFor returns the Interrupt of a watch by an instance. silent tells that the watch was
+// opened under a fault that silences it. The Interrupt ends the watch when the store goes down, and
+// blocks while the watch must be silent or the store is unreachable. A silent stream stays silent
+// when the fault is cleared, as a lost connection does not recover either.
 func InterruptFor(ctx context.Context, faults *fault.Table, instance string, silent bool) Interrupt {
 	return func() (<-chan struct{}, error) {
 		standing, changed := faults.Standing(CallWatch, instance)
@@ -46,7 +45,7 @@
 	}
 }
 
-// classifyWatch gives the end of a watch the error that the client would give.
+// classifyWatch returns the error of an ended watch, classified as by store.Client.
 func classifyWatch(ctx context.Context, err error) error {
 	switch {
 	case errors.Is(err, store.ErrCompacted):
@@ -58,7 +57,7 @@
 	}
 }
 
-// The copies keep a caller from changing what the machine holds.
+// The copies prevent callers from modifying the state of the machine.
 
 func copyOf(kv store.KeyValue) store.KeyValue {
 	kv.Value = bytes.Clone(kv.Value)
--- a/store/storetest/engine.go
+++ b/store/storetest/engine.go
@@ -12,12 +12,11 @@
 // ProgressInterval is the time between two progress notices of an idle watch.
 const ProgressInterval = time.Second
 
-// batchesPerMessage bounds one message of a watch that catches up.
+// batchesPerMessage bounds one message of a watch that reads older changes.
 const batchesPerMessage = 100
 
-// Engine runs a Machine for concurrent callers: it expires leases by the clock
-// of the process and wakes watches. It starts no goroutine, so that it also
-// works under testing/synctest.
+// Engine runs a Machine for concurrent callers: it expires leases by the clock of the process and
+// notifies watches. It starts no goroutines, so that it also works under testing/synctest.
 type Engine struct {
 	mu      sync.Mutex
 	machine *Machine
@@ -30,8 +29,7 @@
 	return &Engine{machine: NewMachine(limits), changed: make(chan struct{})}
 }
 
-// Do runs f on the machine after the leases that have ended are gone. f must
-// not keep the machine.
+// Do runs f on the machine after removing expired leases. f must not retain the machine.
 func (e *Engine) Do(f func(now time.Time, m *Machine)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -46,7 +44,7 @@
 	e.scheduleExpiry(now)
 }
 
-// scheduleExpiry sets the timer to the end of the next lease.
+// scheduleExpiry sets the timer to the next expiry of a lease.
 func (e *Engine) scheduleExpiry(now time.Time) {
 	next, found := e.machine.NextExpiry()
 	switch {
@@ -59,7 +57,7 @@
 	}
 }
 
-// Close stops the timer for leases.
+// Close stops the expiry timer of the leases.
 func (e *Engine) Close() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -68,15 +66,15 @@
 	}
 }
 
-// WatchMessage is a part of a watch. Without batches it is a progress notice.
+// WatchMessage is one message of a watch. Without batches it is a progress notice.
 type WatchMessage struct {
 	Revision int64 // of the store when the message was made
 	Batches  []store.WatchBatch
 }
 
-// Watch passes the changes in a range to send until ctx ends, send returns an
-// error, or the history no longer reaches back far enough. interrupt is asked
-// before each message, and each time that its channel is closed.
+// Watch passes the changes in a range to send until ctx is done, send returns an error, or the
+// history no longer contains the next revision. interrupt is called before each message, and each
+// time that its channel is closed.
 func (e *Engine) Watch(ctx context.Context, start, end string, from int64, interrupt Interrupt, send func(WatchMessage) error) error {
 	ticker := time.NewTicker(ProgressInterval)
 	defer ticker.Stop()
@@ -113,8 +111,8 @@
 	}
 }
 
-// Interrupt returns an error to end a watch, and otherwise a channel that is
-// closed when the answer may have changed.
+// Interrupt returns an error to end a watch, and otherwise a channel that is closed when its result
+// may have changed.
 type Interrupt func() (<-chan struct{}, error)
 
 func (e *Engine) since(start, end string, from int64) (message WatchMessage, next int64, changed <-chan struct{}, err error) {
--- a/store/storetest/machine.go
+++ b/store/storetest/machine.go
@@ -1,6 +1,6 @@
-// Package storetest holds the state machine of the stand-in for the platform's
-// store, and Memory, an implementation of store.Store for tests that needs no
-// network. The HTTP stand-in in package standin uses the same state machine.
+// Package storetest provides the state machine of the stand-in for the platform's store, and
+// Memory, an in-memory implementation of store.Store for tests. The HTTP stand-in in package
+// standin uses the same state machine.
 package storetest
 
 import (
@@ -32,9 +32,8 @@
 	DefaultHistoryBytes     = 64 << 20
 )
 
-// Machine is the store without a network: keys with revisions, leases and the
-// history of changes. It does not read the clock and is not safe for concurrent
-// use.
+// Machine is the state machine of the store: keys with revisions, leases and the history of
+// changes. It does not read the clock and is not safe for concurrent use.
 type Machine struct {
 	limits       Limits
 	revision     int64
@@ -126,7 +125,7 @@
 	return store.TxnResult{Succeeded: true, Revision: m.revision}, nil
 }
 
-// check refuses what the real store refuses before it looks at any key.
+// check rejects transactions that the real store rejects before it reads any key.
 func (m *Machine) check(txn store.Txn) error {
 	total := 0
 	seen := map[string]struct{}{}
@@ -184,7 +183,7 @@
 	return kvs
 }
 
-// put sets one key at the next revision, which record then takes.
+// put sets one key at the next revision, which record then assigns to the store.
 func (m *Machine) put(put store.Put) store.Change {
 	m.detach(put.Key)
 	kv := store.KeyValue{
@@ -222,14 +221,14 @@
 	}
 }
 
-// Grant makes a lease that expires ttl after now.
+// Grant creates a lease that expires ttl after now.
 func (m *Machine) Grant(now time.Time, ttl time.Duration) int64 {
 	m.lastLease++
 	m.leases[m.lastLease] = &lease{ttl: ttl, expires: now.Add(ttl), keys: map[string]struct{}{}}
 	return m.lastLease
 }
 
-// KeepAlive lets a lease start again at now. It reports whether it exists.
+// KeepAlive renews a lease at time now and returns its time to live. It reports whether it exists.
 func (m *Machine) KeepAlive(now time.Time, id int64) (time.Duration, bool) {
 	l, found := m.leases[id]
 	if !found {
@@ -251,7 +250,7 @@
 	return true
 }
 
-// Expire revokes the leases that have ended by now, in order of their end.
+// Expire revokes the leases that have expired by now, in order of expiry.
 func (m *Machine) Expire(now time.Time) {
 	var ended []int64
 	for id, l := range m.leases {
@@ -267,7 +266,7 @@
 	}
 }
 
-// NextExpiry returns when the next lease ends, if there is one.
+// NextExpiry returns when the next lease expires, if there is one.
 func (m *Machine) NextExpiry() (time.Time, bool) {
 	var next time.Time
 	for _, l := range m.leases {
--- a/store/storetest/machine_test.go
+++ b/store/storetest/machine_test.go
@@ -13,8 +13,8 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// naive is the store as a list of complete copies, one for each revision. What
-// a watch delivers is the difference of two copies.
+// naive is a reference model of the store: a complete copy of the keys for each revision. A watch
+// delivers the difference between two consecutive copies.
 type naive struct {
 	copies []map[string]store.KeyValue // index: revision
 	ends   map[int64]time.Time
@@ -46,7 +46,7 @@
 	n.copies = append(n.copies, next)
 }
 
-// commit returns whether the compares hold, and the class of the error.
+// commit executes txn and returns whether it succeeded, and the class of the error.
 func (n *naive) commit(txn store.Txn) (bool, error) {
 	written := slices.Clone(txn.Deletes)
 	for _, put := range txn.Puts {
@@ -81,7 +81,7 @@
 	n.change(nil, keys)
 }
 
-// expire ends the leases one by one, the earliest first.
+// expire revokes the expired leases one by one, in order of expiry.
 func (n *naive) expire(now time.Time) {
 	for {
 		first := int64(0)
@@ -157,8 +157,8 @@
 	}
 })
 
-// TestMachineAgainstNaive guards against a stand-in that differs from a store
-// in revisions, compares, leases or history, on which every other test builds.
+// TestMachineAgainstNaive guards against a stand-in that differs from a store in revisions,
+// compares, leases or history, on which all other tests rely.
 func TestMachineAgainstNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m, n := NewMachine(Limits{}), newNaive()
@@ -226,7 +226,7 @@
 	})
 }
 
-// checkSince reads the history in pieces of two batches from revision from on.
+// checkSince reads the history from revision from in calls of at most two batches.
 func checkSince(t *rapid.T, m *Machine, n *naive, from int64) {
 	want := n.since("b/", "b0", from)
 	var got []string
--- a/store/storetest/memory.go
+++ b/store/storetest/memory.go
@@ -10,8 +10,8 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// Memory is a store in memory with fault switches. It starts no goroutine, and
-// all waiting is on timers, so that it is deterministic under testing/synctest.
+// Memory is an in-memory store with fault injection. It starts no goroutines and waits only on
+// timers, so that it is deterministic under testing/synctest.
 type Memory struct {
 	engine *Engine
 	faults *fault.Table
@@ -37,10 +37,10 @@
 	return &Memory{engine: NewEngine(cfg.Limits), faults: fault.NewTable(Calls...), cfg: cfg}
 }
 
-// Client returns the store as an instance sees it.
+// Client returns a client of the store for an instance. Faults may apply to some instances only.
 func (m *Memory) Client(instance string) store.Store { return &client{memory: m, instance: instance} }
 
-// Faults returns the fault switches.
+// Faults returns the table of injected faults.
 func (m *Memory) Faults() *fault.Table { return m.faults }
 
 // Compact drops the history up to and including revision.
@@ -50,7 +50,7 @@
 	return err
 }
 
-// Close stops the timer for leases.
+// Close stops the expiry timer of the leases.
 func (m *Memory) Close() { m.engine.Close() }
 
 type client struct {
@@ -61,8 +61,8 @@
 // errTimeout is the cause of a call that reached its deadline.
 var errTimeout = errors.New("call timed out")
 
-// call executes f as the faults say. A call that has timed out may still be
-// executed later, as a slow request in the real store.
+// call executes f under the active faults. A call that has timed out may still be executed later,
+// like a slow request to the real store.
 func (c *client) call(ctx context.Context, kind string, f func(time.Time, *Machine) error) error {
 	if err := context.Cause(ctx); err != nil {
 		return fmt.Errorf("%w: %s not sent: %w", store.ErrUnavailable, kind, err)
@@ -98,8 +98,8 @@
 	}
 }
 
-// read is what a call returns beside its error. Each call makes its own, so
-// that one which is executed after its deadline writes to nothing in use.
+// read is the result of a range call. Each call creates its own, so that a call that is executed
+// after its deadline does not write to a value in use.
 type read struct {
 	kvs      []store.KeyValue
 	revision int64
--- a/store/storetest/memory_calls.go
+++ b/store/storetest/memory_calls.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// watch opens the watch as the faults say. Opening has no reply of its own, so
-// a lost reply is a stream that breaks at once.
+// watch opens the watch under the active faults. Opening has no separate reply, so a lost reply
+// closes the stream immediately.
 func (c *client) watch(ctx context.Context, prefix string, from int64, send func(WatchMessage) error) error {
 	effect := c.memory.faults.Take(CallWatch, c.instance)
 	switch {
--- a/store/storetest/memory_test.go
+++ b/store/storetest/memory_test.go
@@ -22,16 +22,16 @@
 	return result.Revision
 }
 
-// bounded returns a context that ends a watch which hangs, in virtual time.
+// bounded returns a context that ends a hanging watch after an hour of virtual time.
 func bounded(t *testing.T) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
 	t.Cleanup(cancel)
 	return ctx
 }
 
-// TestLeaseEndsOnTime guards against keys of a dead owner that stay, or that
-// disappear before the time to live has passed since the last keepalive, and
-// against an idle watch that does not hear of the end until someone calls.
+// TestLeaseEndsOnTime guards against keys of a failed owner that remain, or that are deleted before
+// the time to live has passed since the last keepalive, and against an idle watch that is not
+// notified of the expiry until the next call.
 func TestLeaseEndsOnTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		memory := NewMemory(Config{})
@@ -46,7 +46,7 @@
 			t.Fatal(err)
 		}
 		renewed := time.Now()
-		time.Sleep(300 * time.Millisecond) // so that no progress notice of the watch falls on the end
+		time.Sleep(300 * time.Millisecond) // so that no progress notice of the watch coincides with the expiry
 		ctx, cancel := context.WithCancel(bounded(t))
 		var ended time.Duration
 		notices := 0
@@ -67,8 +67,8 @@
 	})
 }
 
-// TestOpenWatchUnderFaults guards against an open watch that outlives a store
-// that is down, and against one that hangs without an end when it falls silent.
+// TestOpenWatchUnderFaults guards against an open watch that survives when the store goes down, and
+// against one that hangs forever when the store becomes silent.
 func TestOpenWatchUnderFaults(t *testing.T) {
 	tests := []struct {
 		fault fault.Fault
@@ -97,8 +97,8 @@
 	}
 }
 
-// TestCompactedHistory guards against a watch that silently starts after the
-// changes it asked for.
+// TestCompactedHistory guards against a watch that starts after the requested revision without an
+// error.
 func TestCompactedHistory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		memory := NewMemory(Config{Limits: Limits{HistoryRevisions: 3}})
@@ -130,7 +130,7 @@
 	})
 }
 
-// TestLimits guards against a stand-in that takes what the platform refuses.
+// TestLimits guards against a stand-in that accepts transactions that the platform rejects.
 func TestLimits(t *testing.T) {
 	m := NewMachine(Limits{})
 	value := func(n int) []byte { return make([]byte, n) }
--- a/store/watch.go
+++ b/store/watch.go
@@ -23,7 +23,7 @@
 	silence := time.AfterFunc(c.cfg.ProgressTimeout, func() { cancel(ErrNoProgress) })
 	defer silence.Stop()
 	err := c.watch(ctx, prefix, from, func(batches []WatchBatch) {
-		silence.Stop() // a slow receiver is not a silent store
+		silence.Stop() // a slow receiver must not cause a timeout
 		for _, batch := range batches {
 			deliver(batch)
 		}
@@ -36,7 +36,7 @@
 	return eris.Wrap(err, operation)
 }
 
-// watch opens one stream and passes on its messages until it fails.
+// watch opens one stream and passes its batches to pass until it fails.
 func (c *Client) watch(ctx context.Context, prefix string, from int64, pass func([]WatchBatch)) error {
 	request := wire.WatchRequest{Create: &wire.WatchCreate{
 		Key:            wire.PrefixStart(prefix),
@@ -64,7 +64,7 @@
 			return streamError(message.Error)
 		}
 		if message.Result == nil {
-			return fmt.Errorf("%w: watch message is empty", ErrUnclear)
+			return fmt.Errorf("%w: watch message has neither a result nor an error", ErrUnclear)
 		}
 		batches, err := order.batches(message.Result)
 		if err != nil {
@@ -74,12 +74,12 @@
 	}
 }
 
-// watchOrder checks that a watch goes on without a step back.
+// watchOrder checks that the revisions of a watch do not go back.
 type watchOrder struct{ last int64 } // every change up to last was delivered
 
-// batches divides a message into one batch for each revision. It takes the
-// revision of a batch from its events: that in the header of a message with
-// events may be higher than that of events still to come.
+// batches divides a message into one batch for each revision. It takes the revision of a batch from
+// its events, since the revision in the header of a message may be higher than that of events still
+// to come.
 func (o *watchOrder) batches(reply *wire.WatchReply) ([]WatchBatch, error) {
 	switch {
 	case reply.Canceled && reply.CompactRevision > 0:
--- a/store/wire/wire.go
+++ b/store/wire/wire.go
@@ -14,8 +14,8 @@
 	PathWatch     = "/v3/watch"
 )
 
-// HeaderInstance names the calling instance. The platform's store ignores it;
-// the stand-in selects callers by it.
+// HeaderInstance is the header with the name of the calling instance. The platform's store ignores
+// it; the stand-in uses it to limit faults to an instance.
 const HeaderInstance = "X-Instance"
 
 // Header is part of every reply.
@@ -36,7 +36,7 @@
 type RangeRequest struct {
 	Key        []byte `json:"key,omitempty"`
 	RangeEnd   []byte `json:"range_end,omitempty"`
-	Limit      int64  `json:"limit,omitempty,string"` // most keys in the reply; 0 for all
+	Limit      int64  `json:"limit,omitempty,string"` // maximum number of keys in the reply; 0 for all
 	SortOrder  string `json:"sort_order,omitempty"`
 	SortTarget string `json:"sort_target,omitempty"`
 	KeysOnly   bool   `json:"keys_only,omitempty"`
@@ -137,7 +137,7 @@
 	Create *WatchCreate `json:"create_request,omitempty"`
 }
 
-// WatchCreate says what is watched and from which revision on.
+// WatchCreate holds the range of keys to watch and the first revision.
 type WatchCreate struct {
 	Key            []byte `json:"key,omitempty"`
 	RangeEnd       []byte `json:"range_end,omitempty"`
@@ -187,7 +187,7 @@
 	Message string `json:"message,omitempty"`
 }
 
-// gRPC status codes that the client tells apart.
+// gRPC status codes that the client distinguishes.
 const (
 	CodeInvalidArgument   = 3
 	CodeNotFound          = 5
