--- a/store/codec.go
+++ b/store/codec.go
@@ -69,7 +69,7 @@
 	if len(faults) > 0 {
 		return nil, eris.Errorf("document has %d faults, first: %v", len(faults), faults[0])
 	}
-	team, service := splitPair(entry.Key, documentPrefix)
+	team, service := splitKey(entry.Key, documentPrefix)
 	if parsed.Team != task.Team(team) || parsed.Service != task.Service(service) {
 		return nil, eris.Errorf("document of %s/%s is stored under %s", parsed.Team, parsed.Service, entry.Key)
 	}
@@ -101,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	team, id := splitPair(storeKey, keyPrefix)
+	team, id := splitKey(storeKey, keyPrefix)
 	granted.Team, granted.ID, granted.Revision = task.Team(team), id, revision
 	return granted, nil
 }
--- a/store/follow.go
+++ b/store/follow.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// followRetry is the delay before Follow retries a failed call.
-const followRetry = 150 * time.Millisecond
+// followRetryDelay is the delay before Follow retries a failed call.
+const followRetryDelay = 150 * time.Millisecond
 
 // Follower receives the results of Follow. All of its methods are called from one goroutine.
 type Follower interface {
@@ -29,7 +29,7 @@
 			kvs, revision, err := s.List(ctx, prefix)
 			if err != nil {
 				f.Failed(err)
-				wait(ctx, followRetry)
+				sleep(ctx, followRetryDelay)
 				continue
 			}
 			f.Listed(kvs, revision)
@@ -47,12 +47,12 @@
 			next = 0
 			continue
 		}
-		wait(ctx, followRetry)
+		sleep(ctx, followRetryDelay)
 	}
 	return ctx.Err()
 }
 
-func wait(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
--- a/store/hedge.go
+++ b/store/hedge.go
@@ -13,7 +13,7 @@
 	Most  int           // maximum number of attempts; all of them may be in flight at the same time
 }
 
-type tryResult struct {
+type attemptResult struct {
 	result TxnResult
 	err    error
 }
@@ -25,41 +25,41 @@
 func CommitHedged(ctx context.Context, s Store, txn Txn, h Hedge) (TxnResult, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan tryResult, h.Most)
-	underway := 0
+	results := make(chan attemptResult, h.Most)
+	inFlight := 0
 	send := func() {
-		underway++
+		inFlight++
 		go func() {
 			result, err := s.Commit(ctx, txn)
-			results <- tryResult{result, err}
+			results <- attemptResult{result, err}
 		}()
 	}
 	send()
-	next := time.NewTicker(h.After)
-	defer next.Stop()
+	ticker := time.NewTicker(h.After)
+	defer ticker.Stop()
 	unclear := false
-	for tries := 1; ; {
+	for attempts := 1; ; {
 		select {
 		case r := <-results:
-			underway--
+			inFlight--
 			if r.err == nil {
 				return r.result, nil
 			}
 			unclear = unclear || errors.Is(r.err, ErrUnclear)
-			if underway == 0 {
-				return TxnResult{}, worstOf(unclear, r.err)
+			if inFlight == 0 {
+				return TxnResult{}, mergeErrors(unclear, r.err)
 			}
-		case <-next.C:
-			if tries < h.Most {
-				tries++
+		case <-ticker.C:
+			if attempts < h.Most {
+				attempts++
 				send()
 			}
 		}
 	}
 }
 
-// worstOf returns the last error, marked with ErrUnclear if any attempt may have taken effect.
-func worstOf(unclear bool, last error) error {
+// mergeErrors returns the last error, marked with ErrUnclear if any attempt may have taken effect.
+func mergeErrors(unclear bool, last error) error {
 	if unclear && !errors.Is(last, ErrUnclear) {
 		return errors.Join(ErrUnclear, errors.New(last.Error()))
 	}
--- a/store/hedge_test.go
+++ b/store/hedge_test.go
@@ -12,20 +12,20 @@
 // scriptedStore answers each Commit with the next function of its script.
 type scriptedStore struct {
 	Store
-	tries  atomic.Int32
-	script []func(ctx context.Context) (TxnResult, error)
+	attempts atomic.Int32
+	script   []func(ctx context.Context) (TxnResult, error)
 }
 
 func (s *scriptedStore) Commit(ctx context.Context, _ Txn) (TxnResult, error) {
-	return s.script[s.tries.Add(1)-1](ctx)
+	return s.script[s.attempts.Add(1)-1](ctx)
 }
 
-func lost(ctx context.Context) (TxnResult, error) {
+func lostReply(ctx context.Context) (TxnResult, error) {
 	<-ctx.Done()
 	return TxnResult{}, ErrUnclear
 }
 
-func answered(after time.Duration, r TxnResult, err error) func(context.Context) (TxnResult, error) {
+func delayedReply(after time.Duration, r TxnResult, err error) func(context.Context) (TxnResult, error) {
 	return func(ctx context.Context) (TxnResult, error) {
 		select {
 		case <-time.After(after):
@@ -48,12 +48,12 @@
 		within time.Duration
 		tries  int32
 	}{
-		{"answered at once", []try{answered(10*time.Millisecond, done, nil)}, nil, 10 * time.Millisecond, 1},
-		{"first answer lost", []try{lost, answered(10*time.Millisecond, done, nil)}, nil, 210 * time.Millisecond, 2},
-		{"slow store", []try{answered(300*time.Millisecond, done, nil), lost}, nil, 300 * time.Millisecond, 2},
-		{"refused", []try{answered(10*time.Millisecond, TxnResult{}, ErrUnavailable)}, ErrUnavailable, 10 * time.Millisecond, 1},
-		{"lost, then refused", []try{answered(250*time.Millisecond, TxnResult{}, ErrUnclear), answered(100*time.Millisecond, TxnResult{}, ErrUnavailable)}, ErrUnclear, 300 * time.Millisecond, 2},
-		{"silent", []try{lost, lost, lost}, ErrUnclear, time.Second, 3},
+		{"answered at once", []try{delayedReply(10*time.Millisecond, done, nil)}, nil, 10 * time.Millisecond, 1},
+		{"first answer lost", []try{lostReply, delayedReply(10*time.Millisecond, done, nil)}, nil, 210 * time.Millisecond, 2},
+		{"slow store", []try{delayedReply(300*time.Millisecond, done, nil), lostReply}, nil, 300 * time.Millisecond, 2},
+		{"refused", []try{delayedReply(10*time.Millisecond, TxnResult{}, ErrUnavailable)}, ErrUnavailable, 10 * time.Millisecond, 1},
+		{"lost, then refused", []try{delayedReply(250*time.Millisecond, TxnResult{}, ErrUnclear), delayedReply(100*time.Millisecond, TxnResult{}, ErrUnavailable)}, ErrUnclear, 300 * time.Millisecond, 2},
+		{"silent", []try{lostReply, lostReply, lostReply}, ErrUnclear, time.Second, 3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -65,8 +65,8 @@
 				if !errors.Is(err, c.want) || (c.want == nil && r.Revision != done.Revision) {
 					t.Errorf("got %+v, %v", r, err)
 				}
-				if took := time.Since(began); took != c.within || s.tries.Load() != c.tries {
-					t.Errorf("took %s and %d tries, want %s and %d", took, s.tries.Load(), c.within, c.tries)
+				if took := time.Since(began); took != c.within || s.attempts.Load() != c.tries {
+					t.Errorf("took %s and %d tries, want %s and %d", took, s.attempts.Load(), c.within, c.tries)
 				}
 				synctest.Wait()
 			})
--- a/store/kv.go
+++ b/store/kv.go
@@ -18,7 +18,7 @@
 		return KeyValue{}, false, 0, err
 	}
 	if reply.Header == nil {
-		return KeyValue{}, false, 0, errNoHeader(operation)
+		return KeyValue{}, false, 0, missingHeaderError(operation)
 	}
 	if len(reply.KVs) == 0 {
 		return KeyValue{}, false, reply.Header.Revision, nil
@@ -50,7 +50,7 @@
 		return nil, 0, err
 	}
 	if reply.Header == nil {
-		return nil, 0, errNoHeader(operation)
+		return nil, 0, missingHeaderError(operation)
 	}
 	kvs := make([]KeyValue, 0, len(reply.KVs))
 	for _, kv := range reply.KVs {
@@ -66,7 +66,7 @@
 		return TxnResult{}, err
 	}
 	if reply.Header == nil {
-		return TxnResult{}, errNoHeader("commit")
+		return TxnResult{}, missingHeaderError("commit")
 	}
 	result := TxnResult{Succeeded: reply.Succeeded, Revision: reply.Header.Revision}
 	if reply.Succeeded {
@@ -113,7 +113,7 @@
 	return KeyValue{Key: string(kv.Key), Value: kv.Value, ModRevision: kv.ModRevision, Lease: kv.Lease}
 }
 
-// errNoHeader returns the error for a reply that is JSON but does not come from the store.
-func errNoHeader(operation string) error {
+// missingHeaderError returns the error for a reply that is JSON but does not come from the store.
+func missingHeaderError(operation string) error {
 	return eris.Wrap(fmt.Errorf("%w: reply has no header", ErrUnclear), operation)
 }
--- a/store/layout.go
+++ b/store/layout.go
@@ -47,8 +47,8 @@
 // RecordsKey returns the key of the request records of a shard.
 func RecordsKey(shard string) string { return recordsPrefix + shard }
 
-// splitPair returns the two parts of a key after its prefix, which a slash separates.
-func splitPair(key, prefix string) (first, second string) {
+// splitKey returns the two parts of a key after its prefix, which a slash separates.
+func splitKey(key, prefix string) (first, second string) {
 	first, second, _ = strings.Cut(strings.TrimPrefix(key, prefix), "/")
 	return first, second
 }
--- a/store/lease.go
+++ b/store/lease.go
@@ -51,7 +51,7 @@
 		return err
 	}
 	if reply.Header == nil {
-		return errNoHeader(operation)
+		return missingHeaderError(operation)
 	}
 	return nil
 }
--- a/store/storetest/calls.go
+++ b/store/storetest/calls.go
@@ -59,15 +59,15 @@
 
 // The copies prevent callers from modifying the state of the machine.
 
-func copyOf(kv store.KeyValue) store.KeyValue {
+func copyKeyValue(kv store.KeyValue) store.KeyValue {
 	kv.Value = bytes.Clone(kv.Value)
 	return kv
 }
 
-func copyAll(kvs []store.KeyValue) []store.KeyValue {
+func copyKeyValues(kvs []store.KeyValue) []store.KeyValue {
 	copies := make([]store.KeyValue, 0, len(kvs))
 	for _, kv := range kvs {
-		copies = append(copies, copyOf(kv))
+		copies = append(copies, copyKeyValue(kv))
 	}
 	return copies
 }
@@ -75,7 +75,7 @@
 func copyBatch(batch store.WatchBatch) store.WatchBatch {
 	changes := make([]store.Change, 0, len(batch.Changes))
 	for _, change := range batch.Changes {
-		change.KeyValue = copyOf(change.KeyValue)
+		change.KeyValue = copyKeyValue(change.KeyValue)
 		changes = append(changes, change)
 	}
 	return store.WatchBatch{Revision: batch.Revision, Changes: changes}
--- a/store/storetest/history.go
+++ b/store/storetest/history.go
@@ -17,7 +17,7 @@
 	m.revision++
 	batch := store.WatchBatch{Revision: m.revision, Changes: changes}
 	m.history = append(m.history, batch)
-	m.historyBytes += bytesOf(batch)
+	m.historyBytes += batchSize(batch)
 	for len(m.history) > m.limits.HistoryRevisions || m.historyBytes > m.limits.HistoryBytes {
 		m.dropOldest()
 	}
@@ -25,12 +25,12 @@
 
 func (m *Machine) dropOldest() {
 	m.compacted = m.history[0].Revision
-	m.historyBytes -= bytesOf(m.history[0])
+	m.historyBytes -= batchSize(m.history[0])
 	m.history[0] = store.WatchBatch{} // lets the values be freed
 	m.history = m.history[1:]
 }
 
-func bytesOf(batch store.WatchBatch) int {
+func batchSize(batch store.WatchBatch) int {
 	total := 0
 	for _, change := range batch.Changes {
 		total += len(change.Key) + len(change.Value)
--- a/store/storetest/machine.go
+++ b/store/storetest/machine.go
@@ -108,7 +108,7 @@
 	if err := m.check(txn); err != nil {
 		return store.TxnResult{}, err
 	}
-	if !m.holds(txn.Compares) {
+	if !m.comparesHold(txn.Compares) {
 		return store.TxnResult{Revision: m.revision, Current: m.current(txn.Compares)}, nil
 	}
 	for _, put := range txn.Puts {
@@ -137,13 +137,13 @@
 			return fmt.Errorf("%w: %s: value of %q has %d bytes", store.ErrRejected, wire.MessageTooLarge, put.Key, len(put.Value))
 		}
 		total += len(put.Key) + len(put.Value)
-		if err := addKey(seen, put.Key); err != nil {
+		if err := addWrittenKey(seen, put.Key); err != nil {
 			return err
 		}
 	}
 	for _, key := range txn.Deletes {
 		total += len(key)
-		if err := addKey(seen, key); err != nil {
+		if err := addWrittenKey(seen, key); err != nil {
 			return err
 		}
 	}
@@ -153,7 +153,7 @@
 	return nil
 }
 
-func addKey(seen map[string]struct{}, key string) error {
+func addWrittenKey(seen map[string]struct{}, key string) error {
 	if key == "" {
 		return fmt.Errorf("%w: %s", store.ErrRejected, wire.MessageEmptyKey)
 	}
@@ -164,7 +164,7 @@
 	return nil
 }
 
-func (m *Machine) holds(compares []store.Compare) bool {
+func (m *Machine) comparesHold(compares []store.Compare) bool {
 	for _, compare := range compares {
 		if m.keys[compare.Key].ModRevision != compare.ModRevision {
 			return false
--- a/store/storetest/machine_test.go
+++ b/store/storetest/machine_test.go
@@ -13,24 +13,24 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// naive is a reference model of the store: a complete copy of the keys for each revision. A watch
-// delivers the difference between two consecutive copies.
-type naive struct {
-	copies []map[string]store.KeyValue // index: revision
-	ends   map[int64]time.Time
-	ttls   map[int64]time.Duration
-	leases int64
+// referenceStore is a reference model of the store: a complete copy of the keys for each revision.
+// A watch delivers the difference between two consecutive copies.
+type referenceStore struct {
+	copies   []map[string]store.KeyValue // index: revision
+	expiries map[int64]time.Time
+	ttls     map[int64]time.Duration
+	leases   int64
 }
 
-func newNaive() *naive {
-	return &naive{copies: []map[string]store.KeyValue{nil, {}}, ends: map[int64]time.Time{}, ttls: map[int64]time.Duration{}}
+func newReferenceStore() *referenceStore {
+	return &referenceStore{copies: []map[string]store.KeyValue{nil, {}}, expiries: map[int64]time.Time{}, ttls: map[int64]time.Duration{}}
 }
 
-func (n *naive) revision() int64                   { return int64(len(n.copies) - 1) }
-func (n *naive) latest() map[string]store.KeyValue { return n.copies[n.revision()] }
+func (n *referenceStore) revision() int64                   { return int64(len(n.copies) - 1) }
+func (n *referenceStore) latest() map[string]store.KeyValue { return n.copies[n.revision()] }
 
 // change adds the next copy, unless puts and deletes change nothing.
-func (n *naive) change(puts []store.Put, deletes []string) {
+func (n *referenceStore) change(puts []store.Put, deletes []string) {
 	next := map[string]store.KeyValue{}
 	for key, kv := range n.latest() {
 		if !slices.Contains(deletes, key) {
@@ -47,7 +47,7 @@
 }
 
 // commit executes txn and returns whether it succeeded, and the class of the error.
-func (n *naive) commit(txn store.Txn) (bool, error) {
+func (n *referenceStore) commit(txn store.Txn) (bool, error) {
 	written := slices.Clone(txn.Deletes)
 	for _, put := range txn.Puts {
 		written = append(written, put.Key)
@@ -62,7 +62,7 @@
 		}
 	}
 	for _, put := range txn.Puts {
-		if _, found := n.ends[put.Lease]; put.Lease != 0 && !found {
+		if _, found := n.expiries[put.Lease]; put.Lease != 0 && !found {
 			return false, store.ErrLeaseGone
 		}
 	}
@@ -70,23 +70,23 @@
 	return true, nil
 }
 
-func (n *naive) revoke(id int64) {
+func (n *referenceStore) revoke(id int64) {
 	var keys []string
 	for key, kv := range n.latest() {
 		if kv.Lease == id {
 			keys = append(keys, key)
 		}
 	}
-	delete(n.ends, id)
+	delete(n.expiries, id)
 	n.change(nil, keys)
 }
 
 // expire revokes the expired leases one by one, in order of expiry.
-func (n *naive) expire(now time.Time) {
+func (n *referenceStore) expire(now time.Time) {
 	for {
 		first := int64(0)
-		for id, end := range n.ends {
-			if !end.After(now) && (first == 0 || end.Before(n.ends[first]) || end.Equal(n.ends[first]) && id < first) {
+		for id, end := range n.expiries {
+			if !end.After(now) && (first == 0 || end.Before(n.expiries[first]) || end.Equal(n.expiries[first]) && id < first) {
 				first = id
 			}
 		}
@@ -98,7 +98,7 @@
 }
 
 // since describes the changes of each revision in the range.
-func (n *naive) since(start, end string, from int64) []string {
+func (n *referenceStore) since(start, end string, from int64) []string {
 	var lines []string
 	for revision := max(from, 2); revision <= n.revision(); revision++ {
 		var changed []string
@@ -157,11 +157,11 @@
 	}
 })
 
-// TestMachineAgainstNaive guards against a stand-in that differs from a store in revisions,
+// TestMachineAgainstReference guards against a stand-in that differs from a store in revisions,
 // compares, leases or history, on which all other tests rely.
-func TestMachineAgainstNaive(t *testing.T) {
+func TestMachineAgainstReference(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m, n := NewMachine(Limits{}), newNaive()
+		m, n := NewMachine(Limits{}), newReferenceStore()
 		now := time.Unix(0, 0)
 		t.Repeat(map[string]func(*rapid.T){
 			"": func(t *rapid.T) {
@@ -188,16 +188,16 @@
 			"grant": func(t *rapid.T) {
 				ttl := time.Duration(rapid.IntRange(1, 3).Draw(t, "ttl")) * time.Second
 				n.leases++
-				n.ends[n.leases], n.ttls[n.leases] = now.Add(ttl), ttl
+				n.expiries[n.leases], n.ttls[n.leases] = now.Add(ttl), ttl
 				if id := m.Grant(now, ttl); id != n.leases {
 					t.Fatalf("lease %d, want %d", id, n.leases)
 				}
 			},
 			"keepalive": func(t *rapid.T) {
 				id := anyLease.Draw(t, "lease")
-				_, want := n.ends[id]
+				_, want := n.expiries[id]
 				if want {
-					n.ends[id] = now.Add(n.ttls[id])
+					n.expiries[id] = now.Add(n.ttls[id])
 				}
 				if ttl, found := m.KeepAlive(now, id); found != want || want && ttl != n.ttls[id] {
 					t.Fatalf("KeepAlive(%d) = %s, %v; want %v", id, ttl, found, want)
@@ -205,7 +205,7 @@
 			},
 			"revoke": func(t *rapid.T) {
 				id := anyLease.Draw(t, "lease")
-				_, want := n.ends[id]
+				_, want := n.expiries[id]
 				if want {
 					n.revoke(id)
 				}
@@ -227,7 +227,7 @@
 }
 
 // checkSince reads the history from revision from in calls of at most two batches.
-func checkSince(t *rapid.T, m *Machine, n *naive, from int64) {
+func checkSince(t *rapid.T, m *Machine, n *referenceStore, from int64) {
 	want := n.since("b/", "b0", from)
 	var got []string
 	for {
--- a/store/storetest/memory.go
+++ b/store/storetest/memory.go
@@ -58,8 +58,8 @@
 	instance string
 }
 
-// errTimeout is the cause of a call that reached its deadline.
-var errTimeout = errors.New("call timed out")
+// errCallTimeout is the cause of a call that reached its deadline.
+var errCallTimeout = errors.New("call timed out")
 
 // call executes f under the active faults. A call that has timed out may still be executed later,
 // like a slow request to the real store.
@@ -71,7 +71,7 @@
 	if effect.Down {
 		return fmt.Errorf("%w: %s refused", store.ErrUnavailable, kind)
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, c.memory.cfg.CallTimeout, errTimeout)
+	ctx, cancel := context.WithTimeoutCause(ctx, c.memory.cfg.CallTimeout, errCallTimeout)
 	defer cancel()
 	if effect.Unreachable {
 		<-ctx.Done()
@@ -98,17 +98,17 @@
 	}
 }
 
-// read is the result of a range call. Each call creates its own, so that a call that is executed
-// after its deadline does not write to a value in use.
-type read struct {
+// rangeResult is the result of a range call. Each call creates its own, so that a call that is
+// executed after its deadline does not write to a value in use.
+type rangeResult struct {
 	kvs      []store.KeyValue
 	revision int64
 }
 
-func (c *client) readRange(ctx context.Context, start, end string) (read, error) {
-	result := make(chan read, 1)
+func (c *client) readRange(ctx context.Context, start, end string) (rangeResult, error) {
+	result := make(chan rangeResult, 1)
 	err := c.call(ctx, CallRange, func(_ time.Time, m *Machine) error {
-		r := read{revision: m.Revision()}
+		r := rangeResult{revision: m.Revision()}
 		if end != "" {
 			r.kvs = m.Range(start, end)
 		} else if kv, found := m.Get(start); found {
@@ -118,7 +118,7 @@
 		return nil
 	})
 	if err != nil {
-		return read{}, err
+		return rangeResult{}, err
 	}
 	return <-result, nil
 }
--- a/store/storetest/memory_calls.go
+++ b/store/storetest/memory_calls.go
@@ -22,7 +22,7 @@
 	if len(r.kvs) == 0 {
 		return store.KeyValue{}, false, r.revision, nil
 	}
-	return copyOf(r.kvs[0]), true, r.revision, nil
+	return copyKeyValue(r.kvs[0]), true, r.revision, nil
 }
 
 // LatestRevision implements store.Store.
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, 0, eris.Wrapf(err, "list %q", prefix)
 	}
-	return copyAll(r.kvs), r.revision, nil
+	return copyKeyValues(r.kvs), r.revision, nil
 }
 
 // Commit implements store.Store.
@@ -60,7 +60,7 @@
 		return store.TxnResult{}, eris.Wrap(err, "commit")
 	}
 	r := <-result
-	r.Current = copyAll(r.Current)
+	r.Current = copyKeyValues(r.Current)
 	return r, nil
 }
 
@@ -84,7 +84,7 @@
 	err := c.call(ctx, CallKeepAlive, func(now time.Time, m *Machine) error {
 		left, found := m.KeepAlive(now, lease)
 		ttl <- left
-		return goneUnless(found)
+		return leaseError(found)
 	})
 	if err != nil {
 		return 0, eris.Wrapf(err, "keep lease %d alive", lease)
@@ -95,12 +95,12 @@
 // Revoke implements store.Store.
 func (c *client) Revoke(ctx context.Context, lease int64) error {
 	err := c.call(ctx, CallRevoke, func(_ time.Time, m *Machine) error {
-		return goneUnless(m.Revoke(lease))
+		return leaseError(m.Revoke(lease))
 	})
 	return eris.Wrapf(err, "revoke lease %d", lease)
 }
 
-func goneUnless(found bool) error {
+func leaseError(found bool) error {
 	if found {
 		return nil
 	}
@@ -115,12 +115,12 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(c.memory.cfg.ProgressTimeout, func() { cancel(store.ErrNoProgress) })
-	defer silence.Stop()
+	progressTimer := time.AfterFunc(c.memory.cfg.ProgressTimeout, func() { cancel(store.ErrNoProgress) })
+	defer progressTimer.Stop()
 	err := c.watch(ctx, prefix, from, func(message WatchMessage) error {
-		silence.Stop()
+		progressTimer.Stop()
 		deliverAll(message, deliver)
-		silence.Reset(c.memory.cfg.ProgressTimeout)
+		progressTimer.Reset(c.memory.cfg.ProgressTimeout)
 		return nil
 	})
 	return eris.Wrap(err, operation)
@@ -145,7 +145,7 @@
 	case effect.Unreachable:
 		<-ctx.Done()
 	case effect.Delay > 0:
-		waitFor(ctx, effect.Delay)
+		sleep(ctx, effect.Delay)
 	}
 	if ctx.Err() != nil {
 		return classifyWatch(ctx, context.Cause(ctx))
@@ -160,7 +160,7 @@
 	return classifyWatch(ctx, err)
 }
 
-func waitFor(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/store/storetest/memory_test.go
+++ b/store/storetest/memory_test.go
@@ -22,8 +22,8 @@
 	return result.Revision
 }
 
-// bounded returns a context that ends a hanging watch after an hour of virtual time.
-func bounded(t *testing.T) context.Context {
+// boundedContext returns a context that ends a hanging watch after an hour of virtual time.
+func boundedContext(t *testing.T) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
 	t.Cleanup(cancel)
 	return ctx
@@ -47,7 +47,7 @@
 		}
 		renewed := time.Now()
 		time.Sleep(300 * time.Millisecond) // so that no progress notice of the watch coincides with the expiry
-		ctx, cancel := context.WithCancel(bounded(t))
+		ctx, cancel := context.WithCancel(boundedContext(t))
 		var ended time.Duration
 		notices := 0
 		_ = s.Watch(ctx, "c/", revision+1, func(batch store.WatchBatch) {
@@ -106,11 +106,11 @@
 		for i := range 6 {
 			put(t, s, fmt.Sprint("c/", i), 0)
 		}
-		err := s.Watch(bounded(t), "c/", 4, func(store.WatchBatch) { t.Error("delivered a batch") })
+		err := s.Watch(boundedContext(t), "c/", 4, func(store.WatchBatch) { t.Error("delivered a batch") })
 		if !errors.Is(err, store.ErrCompacted) {
 			t.Errorf("Watch from a revision that is gone: %v", err)
 		}
-		ctx, cancel := context.WithCancel(bounded(t))
+		ctx, cancel := context.WithCancel(boundedContext(t))
 		var got []int64
 		_ = s.Watch(ctx, "c/", 5, func(batch store.WatchBatch) {
 			if got = append(got, batch.Revision); len(got) == 3 {
@@ -123,7 +123,7 @@
 		if err := memory.Compact(7); err != nil {
 			t.Fatal(err)
 		}
-		err = s.Watch(bounded(t), "c/", 7, func(store.WatchBatch) { t.Error("delivered a batch") })
+		err = s.Watch(boundedContext(t), "c/", 7, func(store.WatchBatch) { t.Error("delivered a batch") })
 		if !errors.Is(err, store.ErrCompacted) {
 			t.Errorf("Watch after Compact: %v", err)
 		}
--- a/store/watch.go
+++ b/store/watch.go
@@ -20,14 +20,14 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(c.cfg.ProgressTimeout, func() { cancel(ErrNoProgress) })
-	defer silence.Stop()
+	progressTimer := time.AfterFunc(c.cfg.ProgressTimeout, func() { cancel(ErrNoProgress) })
+	defer progressTimer.Stop()
 	err := c.watch(ctx, prefix, from, func(batches []WatchBatch) {
-		silence.Stop() // a slow receiver must not cause a timeout
+		progressTimer.Stop() // a slow receiver must not cause a timeout
 		for _, batch := range batches {
 			deliver(batch)
 		}
-		silence.Reset(c.cfg.ProgressTimeout)
+		progressTimer.Reset(c.cfg.ProgressTimeout)
 	})
 	if context.Cause(ctx) == ErrNoProgress {
 		c.Close()
@@ -36,8 +36,8 @@
 	return eris.Wrap(err, operation)
 }
 
-// watch opens one stream and passes its batches to pass until it fails.
-func (c *Client) watch(ctx context.Context, prefix string, from int64, pass func([]WatchBatch)) error {
+// watch opens one stream and passes its batches to passBatches until it fails.
+func (c *Client) watch(ctx context.Context, prefix string, from int64, passBatches func([]WatchBatch)) error {
 	request := wire.WatchRequest{Create: &wire.WatchCreate{
 		Key:            wire.PrefixStart(prefix),
 		RangeEnd:       wire.PrefixEnd(prefix),
@@ -48,13 +48,13 @@
 	if err != nil {
 		return err
 	}
-	return readWatch(response, from, pass)
+	return readWatch(response, from, passBatches)
 }
 
-func readWatch(response *http.Response, from int64, pass func([]WatchBatch)) error {
+func readWatch(response *http.Response, from int64, passBatches func([]WatchBatch)) error {
 	defer response.Body.Close()
 	decoder := json.NewDecoder(response.Body)
-	order := watchOrder{last: from - 1}
+	order := revisionOrder{last: from - 1}
 	for {
 		var message wire.WatchMessage
 		if err := decoder.Decode(&message); err != nil {
@@ -70,17 +70,17 @@
 		if err != nil {
 			return err
 		}
-		pass(batches)
+		passBatches(batches)
 	}
 }
 
-// watchOrder checks that the revisions of a watch do not go back.
-type watchOrder struct{ last int64 } // every change up to last was delivered
+// revisionOrder checks that the revisions of a watch do not go back.
+type revisionOrder struct{ last int64 } // every change up to last was delivered
 
 // batches divides a message into one batch for each revision. It takes the revision of a batch from
 // its events, since the revision in the header of a message may be higher than that of events still
 // to come.
-func (o *watchOrder) batches(reply *wire.WatchReply) ([]WatchBatch, error) {
+func (o *revisionOrder) batches(reply *wire.WatchReply) ([]WatchBatch, error) {
 	switch {
 	case reply.Canceled && reply.CompactRevision > 0:
 		return nil, fmt.Errorf("%w: history starts after revision %d", ErrCompacted, reply.CompactRevision)
@@ -89,7 +89,7 @@
 	case reply.Created:
 		return nil, nil
 	case len(reply.Events) == 0:
-		return o.notice(reply)
+		return o.progressNotice(reply)
 	}
 	var batches []WatchBatch
 	for _, event := range reply.Events {
@@ -108,7 +108,7 @@
 	return batches, nil
 }
 
-func (o *watchOrder) notice(reply *wire.WatchReply) ([]WatchBatch, error) {
+func (o *revisionOrder) progressNotice(reply *wire.WatchReply) ([]WatchBatch, error) {
 	if reply.Header == nil {
 		return nil, fmt.Errorf("%w: progress notice has no header", ErrUnclear)
 	}
