caller: describe deadlines, waits and validation in the usual terms

Reword comments and the openings of tests. Reword the error texts for the size, the idempotency key, the index, the timeout header, a deadline in the past and a result with a wrong digest; they take in no new values.

--- a/caller/backend.go
+++ b/caller/backend.go
@@ -9,7 +9,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// JobID identifies a job in the whole fleet.
+// JobID identifies a job across the whole deployment.
 type JobID struct {
 	Team    task.Team
 	Service task.Service
@@ -19,7 +19,7 @@
 // String returns <team>/<service>/<idempotency key>.
 func (id JobID) String() string { return fmt.Sprintf("%s/%s/%s", id.Team, id.Service, id.Key) }
 
-// ParseJobID reads what String returns.
+// ParseJobID parses the form that String returns.
 func ParseJobID(s string) (JobID, bool) {
 	parts := strings.Split(s, "/")
 	if len(parts) != 3 || parts[0] == "" || parts[1] == "" || parts[2] == "" {
@@ -36,7 +36,7 @@
 }
 
 // TaskState is the state of one task of a job. Outcome is nil until the task
-// has one; Outcome.Result may be left out of Status.
+// has one; Status may omit Outcome.Result.
 type TaskState struct {
 	Index   int
 	ID      task.ID
@@ -45,22 +45,22 @@
 	Outcome *task.Outcome
 }
 
-// Backend decides about the calls. Its errors are *errkind.Error values; any
-// other error is answered as one whose outcome is unknown. Each call honours
-// the deadline of its context. A wait that ends before the job does is not an
-// error: the reply has the state that the job has by then.
+// Backend executes the calls. Its errors are *errkind.Error values; any other
+// error is reported to the caller with an unknown outcome. Each call honours the
+// deadline of its context. A wait that expires before the job ends is not an
+// error: the reply has the state of the job at that time.
 type Backend interface {
 	// Submit accepts the job that spec describes under the key with this
-	// secret, and waits up to wait for its end. Fields that the document
-	// decides (Kind, Urgency, Command, KeyID) are empty in spec. Deadline is that
-	// of the body; work of kind answer without one is to be answered by the
+	// secret, and waits up to wait for its end. Fields that are set from the
+	// document (Kind, Urgency, Command, KeyID) are empty in spec. Deadline is
+	// that of the request body; without one, work of kind answer is due by the
 	// deadline of the context.
 	Submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (Reply, error)
 	// Status returns the state of a job.
 	Status(ctx context.Context, secret string, id JobID) (Reply, error)
 	// Wait returns the state of a job when it is final or wait has passed.
 	Wait(ctx context.Context, secret string, id JobID, wait time.Duration) (Reply, error)
-	// Cancel asks for the end of a job and returns its state after that.
+	// Cancel requests the cancellation of a job and returns its state after that.
 	Cancel(ctx context.Context, secret string, id JobID) (Reply, error)
 	// Result returns the outcome of one task with its result.
 	Result(ctx context.Context, secret string, id JobID, index int) (task.Outcome, error)
--- a/caller/calls.go
+++ b/caller/calls.go
@@ -79,7 +79,8 @@
 	return s.jobAnswer(call.id, reply)
 }
 
-// result answers with the result alone, so that it needs no encoding.
+// result answers with the raw bytes of the result, which then need no encoding
+// as JSON.
 func (s *Server) result(r *http.Request) (httpjson.Answer, error) {
 	call, cancel, err := s.jobCallOf(r)
 	if err != nil {
@@ -102,8 +103,8 @@
 	return httpjson.Answer{Status: http.StatusOK, Header: header, Body: outcome.Result}, nil
 }
 
-// jobAnswer has the result of a job of one task in it, because the caller of
-// interactive work waits for nothing else.
+// jobAnswer includes the result if the job has a single task, because callers of
+// interactive work wait only for the result.
 func (s *Server) jobAnswer(id JobID, reply Reply) (httpjson.Answer, error) {
 	job := api.Job{ID: id.String(), State: reply.State, Repeated: reply.Repeated, Tasks: []api.Task{}}
 	for _, state := range reply.Tasks {
@@ -124,7 +125,8 @@
 	return httpjson.JSON(job)
 }
 
-// checkResult refuses a result that is not the one that the worker reported.
+// checkResult rejects a result that exceeds the size limit or does not match the
+// digest reported by the worker.
 func (s *Server) checkResult(o task.Outcome) error {
 	if int64(len(o.Result)) > s.cfg.MaxResultBytes {
 		return errkind.New(errkind.ResultTooLarge, "the result has %d bytes", len(o.Result)).
@@ -134,7 +136,7 @@
 		return nil
 	}
 	if sum := sha256.Sum256(o.Result); hex.EncodeToString(sum[:]) != o.Digest {
-		return errkind.New(errkind.ResultIncomplete, "the result of %s has another digest than the worker stated", o.Attempt).
+		return errkind.New(errkind.ResultIncomplete, "the result of %s does not match the digest reported by the worker", o.Attempt).
 			WithField("result", fmt.Sprintf("SHA-256 %s", o.Digest))
 	}
 	return nil
--- a/caller/decode.go
+++ b/caller/decode.go
@@ -14,8 +14,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Bounds of a job that hold whatever its document says. They keep the product
-// of size and count far below the largest int64.
+// Limits of a job that apply regardless of its document. They keep the product of
+// size and count far below the largest int64.
 const (
 	maxCount      = 100_000
 	maxAmount     = 1 << 40
@@ -23,8 +23,8 @@
 	maxClassBytes = 63
 )
 
-// decodeSubmit reads the body of a submission and refuses what no document
-// could allow.
+// decodeSubmit decodes the body of a submission and rejects values that no
+// document can allow.
 func decodeSubmit(body []byte) (api.SubmitRequest, error) {
 	request := api.SubmitRequest{Count: 1}
 	if err := httpjson.Decode(body, &request); err != nil {
@@ -47,7 +47,7 @@
 	case len(request.Regions) > maxRegions:
 		return invalid("regions", "there are too many regions", "at most "+strconv.Itoa(maxRegions))
 	case request.Size != nil && !isPossible(*request.Size):
-		return invalid("size", "an amount is negative or impossibly large", "0 to "+strconv.Itoa(maxAmount)+" of each resource")
+		return invalid("size", "an amount is negative or above the maximum", "0 to "+strconv.Itoa(maxAmount)+" of each resource")
 	}
 	return nil
 }
@@ -61,8 +61,8 @@
 	return errkind.New(errkind.InvalidRequest, "%s", message).WithField(field, limit)
 }
 
-// specOf returns the job that request describes, with the fields that its
-// document decides left empty.
+// specOf returns the job that request describes. Fields that are set from its
+// document are left empty.
 func specOf(r *http.Request, request api.SubmitRequest) task.Spec {
 	spec := task.Spec{
 		Team:           task.Team(r.PathValue("team")),
@@ -83,8 +83,8 @@
 	return spec
 }
 
-// digestOf identifies the work that is asked for. The deadline is left out,
-// because a repeated submission of the same work has a later one.
+// digestOf returns the digest that identifies the requested work. The deadline is
+// excluded, because a repeated submission of the same work has a later one.
 func digestOf(request api.SubmitRequest) string {
 	request.Deadline = time.Time{}
 	request.ReviewBy = request.ReviewBy.UTC()
--- a/caller/job.go
+++ b/caller/job.go
@@ -8,7 +8,7 @@
 	"github.com/mulberrydrum/mulberrydrum/httpjson"
 )
 
-// jobCall is what every call about a known job has in common.
+// jobCall holds the parameters that all calls on an existing job share.
 type jobCall struct {
 	ctx    context.Context
 	secret string
--- a/caller/read.go
+++ b/caller/read.go
@@ -14,7 +14,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// jobOf returns the job that the path of r names.
+// jobOf returns the job ID in the path of r.
 func jobOf(r *http.Request) (JobID, error) {
 	id := JobID{
 		Team:    task.Team(r.PathValue("team")),
@@ -27,8 +27,8 @@
 	return id, checkKey("key", id.Key)
 }
 
-// checkNames refuses names that no document can have, such as one with a slash,
-// which would make two jobs share an ID.
+// checkNames rejects names that no document can have, such as one with a slash,
+// with which two jobs could have the same ID.
 func checkNames(team task.Team, service task.Service) error {
 	if !document.IsName(string(team)) {
 		return errkind.New(errkind.UnknownTeam, "there is no team %.80q", team).WithField("team", document.NameRule)
@@ -39,18 +39,18 @@
 	return nil
 }
 
-// maxKeyBytes bounds an idempotency key, which is kept with each record.
+// maxKeyBytes limits an idempotency key, which is stored with each record.
 const maxKeyBytes = 128
 
-// checkKey refuses a key that could not stand in a path, a log or a job ID.
+// checkKey rejects a key that is not safe in a path, a log or a job ID.
 func checkKey(field, key string) error {
 	limit := fmt.Sprintf("1 to %d characters of A-Z a-z 0-9 . _ -", maxKeyBytes)
 	if len(key) > maxKeyBytes || strings.Trim(key, ".") == "" {
-		return errkind.New(errkind.InvalidRequest, "the idempotency key is empty, made of dots or too long").WithField(field, limit)
+		return errkind.New(errkind.InvalidRequest, "the idempotency key is empty, consists only of dots or is too long").WithField(field, limit)
 	}
 	for _, c := range key {
 		if !isKeyCharacter(c) {
-			return errkind.New(errkind.InvalidRequest, "the idempotency key has the character %q", c).WithField(field, limit)
+			return errkind.New(errkind.InvalidRequest, "the idempotency key contains the character %q", c).WithField(field, limit)
 		}
 	}
 	return nil
@@ -67,21 +67,21 @@
 	}
 	index, err := strconv.Atoi(text)
 	if err != nil || index < 0 {
-		return 0, errkind.New(errkind.InvalidRequest, "the index %.40q is not allowed", text).
+		return 0, errkind.New(errkind.InvalidRequest, "invalid index %.40q", text).
 			WithField("index", "0 to the number of tasks less one")
 	}
 	return index, nil
 }
 
-// endOf returns the earlier of the end of the call that the header states and
-// the deadline in the body, or zero without either. The header has a duration
-// because the clocks of callers differ from ours.
+// endOf returns the earlier of the deadline from the timeout header and the
+// deadline in the body, or zero without either. The header holds a duration
+// because of the clock skew between callers and this instance.
 func (s *Server) endOf(r *http.Request, inBody time.Time) (time.Time, error) {
 	now, end := s.now(), inBody
 	if text := r.Header.Get(api.HeaderTimeout); text != "" {
 		left, err := time.ParseDuration(text)
 		if err != nil {
-			return time.Time{}, errkind.New(errkind.InvalidRequest, "the timeout %.40q cannot be read", text).
+			return time.Time{}, errkind.New(errkind.InvalidRequest, "the timeout %.40q cannot be parsed", text).
 				WithField(api.HeaderTimeout, `a duration such as "1500ms"`)
 		}
 		if inHeader := now.Add(left); end.IsZero() || inHeader.Before(end) {
@@ -89,22 +89,22 @@
 		}
 	}
 	if !end.IsZero() && !end.After(now) {
-		return time.Time{}, errkind.New(errkind.DeadlineExceeded, "the deadline had passed when the request came").
+		return time.Time{}, errkind.New(errkind.DeadlineExceeded, "the deadline had passed when the request arrived").
 			WithField("deadline", "a time in the future")
 	}
 	return end, nil
 }
 
-// Part of the time of a call that is kept for the way back of the answer.
+// Part of the remaining time of a call that is reserved for sending the answer.
 const (
 	answerShare = 10
 	answerMost  = 200 * time.Millisecond
 )
 
-// bounded returns the context in which the backend answers and the wait that
-// fits in it. The context ends with the call, and never later than one call
-// timeout after the wait. A wait that would outlast the call is shortened, so
-// that the caller gets the state of its job instead of no answer.
+// bounded returns the context for the backend and the wait that fits in it. The
+// context ends at the deadline of the call, and never later than one call timeout
+// after the wait. A wait that would outlast the call is shortened, so that the
+// caller gets the state of its job instead of no answer.
 func (s *Server) bounded(ctx context.Context, end time.Time, wait time.Duration) (context.Context, context.CancelFunc, time.Duration) {
 	now := s.now()
 	latest := now.Add(wait + s.cfg.CallTimeout)
--- a/caller/server.go
+++ b/caller/server.go
@@ -6,7 +6,7 @@
 	"github.com/mulberrydrum/mulberrydrum/httpjson"
 )
 
-// Config bounds the calls. Every field must be set.
+// Config holds the limits of the calls. Every field must be set.
 type Config struct {
 	Limits         httpjson.Limits
 	MaxResultBytes int64         // result of one task
@@ -14,7 +14,7 @@
 	CallTimeout    time.Duration // for a call without a wait, and on top of a wait
 }
 
-// Server answers callers. Serve, BeginDrain and Shutdown are those of
+// Server serves the HTTP interface for callers. Serve, BeginDrain and Shutdown are those of
 // httpjson.Server.
 type Server struct {
 	*httpjson.Server
@@ -25,7 +25,7 @@
 
 const jobsPath = "/v1/teams/{team}/services/{service}/requests"
 
-// NewServer returns a server that asks backend.
+// NewServer returns a server that passes valid calls to backend.
 func NewServer(cfg Config, backend Backend) *Server {
 	s := &Server{Server: httpjson.NewServer(cfg.Limits), cfg: cfg, backend: backend, now: time.Now}
 	s.Handle(jobsPath, httpjson.Methods{"POST": s.submit})
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -143,8 +143,8 @@
 
 const goodBody = `{"idempotency_key":"k-1","class":"check"}`
 
-// TestBadInputChangesNothing guards against input that no backend should see,
-// and against an answer that does not name the field and what it may be.
+// TestBadInputChangesNothing guards against invalid input reaching the
+// backend, and against an error that does not name the field and its limit.
 func TestBadInputChangesNothing(t *testing.T) {
 	cases := []struct {
 		name, raw, kind, field string
@@ -198,7 +198,7 @@
 				t.Errorf("status = %d, want %d", response.StatusCode, want)
 			}
 			if backend.submitted != 0 {
-				t.Error("the backend was asked")
+				t.Error("the backend was called")
 			}
 		})
 	}
@@ -208,8 +208,8 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", submitPath, len(body), body)
 }
 
-// TestSubmitPassesTheRequestOn guards against a field that is lost on the way
-// to the backend, and against the later of two deadlines being used.
+// TestSubmitPassesTheRequestOn guards against a field that does not reach the
+// backend, and against the later of two deadlines being used.
 func TestSubmitPassesTheRequestOn(t *testing.T) {
 	backend := &fakeBackend{reply: Reply{State: task.Accepted}}
 	_, address := serve(t, backend)
@@ -236,8 +236,8 @@
 	}
 }
 
-// TestCutRequestsReachNobody guards against a part of a request being taken for
-// the whole, wherever the connection ends.
+// TestCutRequestsReachNobody guards against a truncated request being processed
+// as a complete one, wherever the connection ends.
 func TestCutRequestsReachNobody(t *testing.T) {
 	backend := &fakeBackend{reply: Reply{State: task.Accepted}}
 	_, address := serve(t, backend)
@@ -255,12 +255,12 @@
 		}
 	}
 	if exchange(t, address, whole); backend.submitted != 1 {
-		t.Errorf("the whole request made %d submissions", backend.submitted)
+		t.Errorf("the complete request made %d submissions", backend.submitted)
 	}
 }
 
-// TestDigestIgnoresTheDeadline guards against a repeated submission being taken
-// for different work, and different work for a repeated submission.
+// TestDigestIgnoresTheDeadline guards against a repeated submission being treated
+// as different work, and different work as a repeated submission.
 func TestDigestIgnoresTheDeadline(t *testing.T) {
 	digest := func(body string) string {
 		request, err := decodeSubmit([]byte(body))
@@ -278,8 +278,8 @@
 	}
 }
 
-// TestResultIsCompleteOrRefused guards against a result that is not the one
-// that the worker stated, and against an answer without length and digest.
+// TestResultIsCompleteOrRefused guards against a result that differs from the
+// one reported by the worker, and against an answer without length and digest.
 func TestResultIsCompleteOrRefused(t *testing.T) {
 	data := []byte("stress 41 MPa")
 	sum := sha256.Sum256(data)
@@ -296,7 +296,7 @@
 	backend.outcome.Result = data[:5]
 	response, _ = exchange(t, address, get(submitPath+"/k/result"))
 	if response.Header.Get(api.HeaderError) != string(errkind.ResultIncomplete) {
-		t.Errorf("a part of the result is answered with status %d", response.StatusCode)
+		t.Errorf("a truncated result is answered with status %d", response.StatusCode)
 	}
 	backend.outcome.Result = make([]byte, 2001)
 	response, _ = exchange(t, address, get(submitPath+"/k/result"))
@@ -306,7 +306,7 @@
 }
 
 // FuzzDecodeSubmit guards against a body that panics, or that is accepted with
-// values out of bounds.
+// values out of range.
 func FuzzDecodeSubmit(f *testing.F) {
 	f.Add([]byte(goodBody))
 	f.Add([]byte(`{"idempotency_key":"k","class":"c","size":{"slots":-1}}`))
@@ -325,7 +325,7 @@
 			t.Errorf("accepted %+v", request)
 		}
 		if _, ok := ParseJobID(JobID{"t", "s", request.IdempotencyKey}.String()); !ok {
-			t.Errorf("key %q makes no job ID", request.IdempotencyKey)
+			t.Errorf("key %q does not form a valid job ID", request.IdempotencyKey)
 		}
 	})
 }
