operator: describe authentication, conflicts and documents plainly

Reword comments, the openings of tests and the error texts of keys, drains, documents and the timeline filter; they take in no new values.

--- a/operator/conflict.go
+++ b/operator/conflict.go
@@ -9,7 +9,8 @@
 	"github.com/mulberrydrum/mulberrydrum/jsonc"
 )
 
-// Conflict is the error of a change that came after another one.
+// Conflict is the error of a change whose expected revision is not the current
+// one.
 type Conflict struct {
 	Expected int64
 	Current  Held // Revision is 0 where there is no document
@@ -23,10 +24,10 @@
 
 func (c *Conflict) typed() *errkind.Error {
 	return errkind.New(errkind.RevisionConflict, "revision %d is in force, not %d", c.Current.Revision, c.Expected).
-		WithField("expect", fmt.Sprintf("%d, after a look at the other change", c.Current.Revision))
+		WithField("expect", fmt.Sprintf("%d, after a review of the other change", c.Current.Revision))
 }
 
-// AddDetail shows the change that came first.
+// AddDetail adds the change that the current revision made.
 func (c *Conflict) AddDetail(told *api.Error) {
 	told.Conflict = &api.Conflict{
 		Expected: c.Expected,
@@ -45,7 +46,7 @@
 	return shown
 }
 
-// faulty is the error of a document with faults.
+// faulty is the error of an invalid document.
 type faulty struct{ faults []jsonc.Fault }
 
 // Error returns the first fault.
--- a/operator/doc.go
+++ b/operator/doc.go
@@ -1,3 +1,3 @@
 // Package operator serves the HTTP interface for operators: documents, keys,
-// drains, workers, shares and the time line.
+// drains, workers, shares and the timeline.
 package operator
--- a/operator/documents.go
+++ b/operator/documents.go
@@ -52,7 +52,7 @@
 }
 
 // diffDocument compares a document that an operator sends with the one in
-// force. A document that is not there counts as empty.
+// force. A missing document counts as empty.
 func (s *Server) diffDocument(c call) (httpjson.Answer, error) {
 	ref, _, candidate, err := s.candidate(c)
 	if err != nil {
@@ -71,8 +71,8 @@
 	return kind == errkind.UnknownTeam || kind == errkind.UnknownService
 }
 
-// candidate reads and checks the document in the body, which has to be the one
-// that the path names.
+// candidate reads and validates the document in the body. Its team and service
+// must be those of the path.
 func (s *Server) candidate(c call) (Ref, string, document.Document, error) {
 	ref, err := refOf(c)
 	if err != nil {
@@ -87,11 +87,11 @@
 		return ref, "", parsed, &faulty{faults}
 	}
 	if parsed.Team != ref.Team {
-		return ref, "", parsed, errkind.New(errkind.InvalidRequest, "the document is that of team %s", parsed.Team).
+		return ref, "", parsed, errkind.New(errkind.InvalidRequest, "the document belongs to team %s", parsed.Team).
 			WithField("team", string(ref.Team)+", as in the path")
 	}
 	if parsed.Service != ref.Service {
-		return ref, "", parsed, errkind.New(errkind.InvalidRequest, "the document is that of service %q", parsed.Service).
+		return ref, "", parsed, errkind.New(errkind.InvalidRequest, "the document belongs to service %q", parsed.Service).
 			WithField("service", strconv.Quote(string(ref.Service))+", as in the path")
 	}
 	return ref, string(body), parsed, nil
@@ -108,13 +108,13 @@
 	return ref, nil
 }
 
-// expectedOf demands a revision, so that no change replaces one that its
-// operator has not seen.
+// expectedOf returns the expected revision, which is required so that no change
+// replaces a revision that its operator has not seen.
 func expectedOf(c call) (int64, error) {
 	text := c.URL.Query().Get("expect")
 	expected, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || expected < 0 {
-		return 0, errkind.New(errkind.InvalidRequest, "the expected revision %.40q is not a revision", text).
+		return 0, errkind.New(errkind.InvalidRequest, "invalid expected revision %.40q", text).
 			WithField("expect", "the revision that get shows, 0 for a new document")
 	}
 	return expected, nil
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -16,7 +16,7 @@
 	}
 	name := request.Instance + request.Worker
 	if (request.Instance == "") == (request.Worker == "") || !document.IsName(name) {
-		return httpjson.Answer{}, errkind.New(errkind.InvalidRequest, "the request does not name one entry instance or worker").
+		return httpjson.Answer{}, errkind.New(errkind.InvalidRequest, "the request must name exactly one entry instance or worker").
 			WithField("instance", "either instance or worker, "+document.NameRule)
 	}
 	drained, err := s.backend.Drain(c.ctx, c.by, request)
--- a/operator/key.go
+++ b/operator/key.go
@@ -10,17 +10,18 @@
 	"github.com/mulberrydrum/mulberrydrum/httpjson"
 )
 
-// Key admits one operator.
+// Key is the API key of one operator.
 type Key struct {
 	Name   string // recorded with each change
 	Digest string // SHA-256 of the secret, in hex
 }
 
-// localOperator is recorded where the server asks for no key.
+// localOperator is the name that is recorded if the server requires no key.
 const localOperator = "local"
 
-// operatorOf returns the name of the operator whose key came with r. It compares
-// with every key, so that the time tells nothing about which one is near.
+// operatorOf returns the name of the operator whose key was sent with r. It always
+// compares with every key, in constant time, so that the response time does not
+// reveal how close the secret is to any of them.
 func (s *Server) operatorOf(r *http.Request) (string, error) {
 	if len(s.cfg.Keys) == 0 {
 		return localOperator, nil
@@ -30,7 +31,7 @@
 		return "", err
 	}
 	if secret == "" {
-		return "", errkind.New(errkind.KeyMissing, "operators need a key").WithField("Authorization", "Bearer <secret>")
+		return "", errkind.New(errkind.KeyMissing, "an operator key is required").WithField("Authorization", "Bearer <secret>")
 	}
 	sum := sha256.Sum256([]byte(secret))
 	digest := []byte(hex.EncodeToString(sum[:]))
@@ -41,7 +42,7 @@
 		}
 	}
 	if found == 0 {
-		return "", errkind.New(errkind.KeyRefused, "the key is not that of an operator").
+		return "", errkind.New(errkind.KeyRefused, "the key belongs to no operator").
 			WithField("Authorization", "a key whose digest is in the setting operator_keys")
 	}
 	return name, nil
--- a/operator/observe.go
+++ b/operator/observe.go
@@ -10,7 +10,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Bounds of the events in one answer.
+// Default and maximum number of events in one answer.
 const (
 	defaultEvents = 1000
 	maxEvents     = 10_000
@@ -34,7 +34,7 @@
 	if text := query.Get("limit"); text != "" {
 		limit, err := strconv.Atoi(text)
 		if err != nil || limit < 1 || limit > maxEvents {
-			return filter, errkind.New(errkind.InvalidRequest, "the limit %.40q is not allowed", text).
+			return filter, errkind.New(errkind.InvalidRequest, "invalid limit %.40q", text).
 				WithField("limit", "1 to "+strconv.Itoa(maxEvents)+" events")
 		}
 		filter.Limit = limit
@@ -44,7 +44,7 @@
 	return filter, err
 }
 
-// sinceOf reads a time, or a duration before now.
+// sinceOf parses a time, or a duration before now.
 func (s *Server) sinceOf(text string) (time.Time, error) {
 	if text == "" {
 		return time.Time{}, nil
@@ -54,14 +54,14 @@
 	}
 	since, err := time.Parse(time.RFC3339, text)
 	if err != nil {
-		return since, errkind.New(errkind.InvalidRequest, "the time %.40q cannot be read", text).
+		return since, errkind.New(errkind.InvalidRequest, "the time %.40q cannot be parsed", text).
 			WithField("since", `a time such as 2026-05-04T09:30:00Z, or a duration before now such as 5m`)
 	}
 	return since, nil
 }
 
-// metrics shows the registry of this instance. Values that JSON cannot express,
-// such as the rate of a meter that has not ticked, are left out.
+// metrics returns the metrics of this instance. Values that JSON cannot represent,
+// such as the rate of a meter that has not ticked yet, are omitted.
 func (s *Server) metrics(call) (httpjson.Answer, error) {
 	all := s.cfg.Metrics.GetAll()
 	for _, values := range all {
--- a/operator/server.go
+++ b/operator/server.go
@@ -11,18 +11,19 @@
 	"github.com/mulberrydrum/mulberrydrum/httpjson"
 )
 
-// Config says who may call and how. Limits and the durations must be set.
+// Config holds the limits and the keys of a Server. Limits and the durations must
+// be set.
 type Config struct {
 	Limits      httpjson.Limits
 	MaxWait     time.Duration // longest wait that an operator may ask for
 	CallTimeout time.Duration // for a call without a wait, and on top of a wait
 	Regions     []string      // of the deployment; documents may name no other
-	Keys        []Key         // empty: every call is answered, for loopback addresses
+	Keys        []Key         // empty: no authentication, for servers on loopback addresses
 	Metrics     metrics.Registry
 	Pprof       bool // profiles show memory of the process, so they are off by default
 }
 
-// Server answers operators. Serve, BeginDrain and Shutdown are those of
+// Server serves the HTTP interface for operators. Serve, BeginDrain and Shutdown are those of
 // httpjson.Server.
 type Server struct {
 	*httpjson.Server
@@ -36,7 +37,7 @@
 	servicePath = teamPath + "/services/{service}"
 )
 
-// NewServer returns a server that asks backend.
+// NewServer returns a server that passes valid calls to backend.
 func NewServer(cfg Config, backend Backend) *Server {
 	s := &Server{Server: httpjson.NewServer(cfg.Limits), cfg: cfg, backend: backend, now: time.Now}
 	s.Handle("/v1/documents", httpjson.Methods{"GET": s.as(s.listDocuments)})
@@ -61,7 +62,7 @@
 	return s
 }
 
-// call is one call of an operator whose key was checked.
+// call is one authenticated call of an operator.
 type call struct {
 	ctx  context.Context
 	by   string // name of the operator
@@ -69,7 +70,8 @@
 	*http.Request
 }
 
-// as turns h into a handler that checks the key first and bounds the call.
+// as returns a handler that authenticates the operator, sets the deadline of the
+// call and runs h.
 func (s *Server) as(h func(call) (httpjson.Answer, error)) httpjson.Handler {
 	return func(r *http.Request) (httpjson.Answer, error) {
 		by, err := s.operatorOf(r)
@@ -86,7 +88,7 @@
 	}
 }
 
-// probe answers without a key, because the platform's balancer has none.
+// probe requires no key, because the platform's load balancer has none.
 func (s *Server) probe(check func(context.Context) error) httpjson.Handler {
 	return func(r *http.Request) (httpjson.Answer, error) {
 		ctx, cancel := context.WithTimeout(r.Context(), s.cfg.CallTimeout)
@@ -98,8 +100,8 @@
 	}
 }
 
-// handlePprof adds the profiles by hand: importing net/http/pprof adds them to
-// the default multiplexer only, which this server does not use.
+// handlePprof registers the profiles explicitly: importing net/http/pprof registers
+// them only with http.DefaultServeMux, which this server does not use.
 func (s *Server) handlePprof() {
 	pages := map[string]http.HandlerFunc{
 		"/debug/pprof/":        pprof.Index,
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -22,7 +22,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// fakeBackend keeps one document in memory and counts every other change.
+// fakeBackend stores one document in memory and counts every other change.
 type fakeBackend struct {
 	held    Held
 	changes int
@@ -100,7 +100,7 @@
 	}
 }
 
-// ask sends one call and returns the answer and its error, if it has one.
+// ask sends one call and returns the status, the body and the decoded error, if any.
 type ask func(method, path, body, key string) (int, string, api.Error)
 
 func serve(t *testing.T, cfg Config, backend Backend) ask {
@@ -146,15 +146,15 @@
 	path1     = "/v1/documents/pipes/services/nozzles"
 )
 
-// TestBadInputChangesNothing guards against input that no backend should see,
-// and against an answer that does not name the field and what it may be.
+// TestBadInputChangesNothing guards against invalid input reaching the
+// backend, and against an error that does not name the field and its limit.
 func TestBadInputChangesNothing(t *testing.T) {
 	cases := []struct{ name, method, path, body, kind, field string }{
 		{"no expected revision", "PUT", path1, document1, "invalid_request", "expect"},
 		{"negative revision", "PUT", path1 + "?expect=-1", document1, "invalid_request", "expect"},
 		{"no JSON", "PUT", path1 + "?expect=0", "{", "invalid_request", "body"},
 		{"unknown kind", "PUT", path1 + "?expect=0", strings.Replace(document1, "durable", "x", 1), "invalid_request", "classes[0].kind"},
-		{"region elsewhere", "PUT", path1 + "?expect=0", strings.Replace(document1, `"classes"`, `"regions": ["south"], "classes"`, 1), "invalid_request", "regions[0]"},
+		{"unknown region", "PUT", path1 + "?expect=0", strings.Replace(document1, `"classes"`, `"regions": ["south"], "classes"`, 1), "invalid_request", "regions[0]"},
 		{"too large", "PUT", path1 + "?expect=0", strings.Repeat(" ", 2001), "request_too_large", "body"},
 		{"other team", "PUT", "/v1/documents/valves/services/nozzles?expect=0", document1, "invalid_request", "team"},
 		{"other service", "PUT", "/v1/documents/pipes/services/x?expect=0", document1, "invalid_request", "service"},
@@ -168,8 +168,8 @@
 		{"drain of two", "POST", "/v1/drain", `{"instance": "a", "worker": "b"}`, "invalid_request", "instance"},
 		{"force of no unit", "POST", "/v1/ownership/force", `{"unit": "w/1", "reason": "x"}`, "invalid_request", "unit"},
 		{"force without a reason", "POST", "/v1/ownership/force", `{"unit": "h/1"}`, "invalid_request", "reason"},
-		{"time line since noon", "GET", "/v1/timeline?since=noon", "", "invalid_request", "since"},
-		{"time line without end", "GET", "/v1/timeline?limit=1000000", "", "invalid_request", "limit"},
+		{"timeline since noon", "GET", "/v1/timeline?since=noon", "", "invalid_request", "since"},
+		{"timeline over the limit", "GET", "/v1/timeline?limit=1000000", "", "invalid_request", "limit"},
 		{"wrong method", "POST", path1, document1, "not_allowed", "method"},
 		{"profiles are off", "GET", "/debug/pprof/", "", "unknown_path", "path"},
 	}
@@ -185,8 +185,8 @@
 	}
 }
 
-// TestEveryCallNeedsTheKey guards against a call that anybody on the network may
-// make, and against probes that the balancer cannot make.
+// TestEveryCallNeedsTheKey guards against a call that can be made without a valid
+// key.
 func TestEveryCallNeedsTheKey(t *testing.T) {
 	backend := &fakeBackend{}
 	call := serve(t, config(true), backend)
@@ -214,8 +214,9 @@
 	}
 }
 
-// TestReadinessIsNotHealth guards against a draining instance being restarted,
-// or being sent calls.
+// TestReadinessIsNotHealth guards against a draining instance being restarted or
+// being sent calls, and against probes that the load balancer, which has no key,
+// cannot make.
 func TestReadinessIsNotHealth(t *testing.T) {
 	call := serve(t, config(false), &fakeBackend{ready: errkind.New(errkind.Draining, "leaving")})
 	if status, _, _ := call("GET", "/healthz", "", ""); status != http.StatusOK {
@@ -256,8 +257,8 @@
 	}
 }
 
-// TestEveryFaultIsAnswered guards against a document that is mended fault by
-// fault.
+// TestEveryFaultIsAnswered guards against only the first fault of a document being
+// reported, so that an operator has to correct one fault per call.
 func TestEveryFaultIsAnswered(t *testing.T) {
 	call := serve(t, config(false), &fakeBackend{})
 	source := strings.Replace(strings.Replace(document1, "durable", "x", 1), `"5m"`, "5", 1)
@@ -266,7 +267,8 @@
 	}
 }
 
-// TestTimelineFilter guards against a filter that is lost on the way.
+// TestTimelineFilter guards against a filter parameter that does not reach the
+// backend.
 func TestTimelineFilter(t *testing.T) {
 	backend := &fakeBackend{}
 	call := serve(t, config(false), backend)
@@ -277,7 +279,7 @@
 	}
 }
 
-// TestMetricsAreJSON guards against a value that JSON cannot express making all
+// TestMetricsAreJSON guards against a value that JSON cannot represent making all
 // metrics unreadable.
 func TestMetricsAreJSON(t *testing.T) {
 	cfg := config(false)
