--- a/client/budget.go
+++ b/client/budget.go
@@ -2,11 +2,11 @@
 
 import "sync"
 
-// Retries are bounded to a share of the calls, so that clients do not multiply
-// the load of instances that are already short of capacity.
+// Retries are limited to a fraction of the calls, so that clients do not multiply
+// the load on instances that are already short of capacity.
 const (
-	budgetShare = 0.1 // retries earned by each call
-	budgetMax   = 5.0 // retries that may be saved up, and the amount at the start
+	budgetShare = 0.1 // retries that each call adds to the budget
+	budgetMax   = 5.0 // maximum and initial number of retries in the budget
 )
 
 type budget struct {
@@ -16,14 +16,14 @@
 
 func newBudget() *budget { return &budget{tokens: budgetMax} }
 
-// earn counts one call.
+// earn adds the share of one call to the budget.
 func (b *budget) earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.tokens = min(b.tokens+budgetShare, budgetMax)
 }
 
-// spend reports whether one more retry is within the budget.
+// spend takes one retry from the budget and reports whether there was one.
 func (b *budget) spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/client/caller.go
+++ b/client/caller.go
@@ -39,7 +39,7 @@
 	return c.onJob(ctx, http.MethodGet, job, "/wait"+waitQuery(wait))
 }
 
-// Cancel asks for the end of a job.
+// Cancel requests the cancellation of a job.
 func (c *Client) Cancel(ctx context.Context, job string) (api.Job, error) {
 	return c.onJob(ctx, http.MethodPost, job, "/cancel")
 }
--- a/client/client.go
+++ b/client/client.go
@@ -11,12 +11,12 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// Config says whom to ask and as whom.
+// Config holds the addresses and the credentials for the calls.
 type Config struct {
 	Addresses   []string      // host:port of entry instances; any of them answers any call
 	Secret      string        // of the key; empty for open queues
 	DialTimeout time.Duration // 2 s when zero
-	MaxBytes    int64         // longest answer that is read; 32 MiB when zero
+	MaxBytes    int64         // maximum size of an answer; 32 MiB when zero
 }
 
 const (
@@ -25,18 +25,18 @@
 	maxAttempts        = 4
 	idleTimeout        = 5 * time.Second
 
-	// Bodies from this size on are sent after the instance has agreed to read
-	// them, so that one that is refused by its length is not sent.
+	// Bodies of at least this size are sent only after a 100 Continue response, so
+	// that a body that is refused by its length is not sent.
 	continueBytes   = 64 << 10
 	continueTimeout = time.Second
 )
 
-// Client asks entry instances. It is safe for concurrent use.
+// Client calls entry instances. It is safe for concurrent use.
 type Client struct {
 	cfg    Config
 	http   *http.Client
 	budget *budget
-	next   atomic.Uint64 // index of the address to ask, modulo their number
+	next   atomic.Uint64 // index of the address to call, modulo their number
 	jitter func() float64
 	sleep  func(ctx context.Context, d time.Duration) error
 }
@@ -58,7 +58,7 @@
 				IdleConnTimeout:       idleTimeout,
 				ExpectContinueTimeout: continueTimeout,
 			},
-			// A redirect would send the key and the work to somebody else.
+			// Redirects are not followed: they would send the key and the work to another server.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		budget: newBudget(),
@@ -72,14 +72,15 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// call is one call, which may be sent several times.
+// call is one call, which may be sent several times because of retries.
 type call struct {
 	method string
 	path   string // with the query
 	body   []byte
 }
 
-// do sends k until it has an answer, or an error that a retry cannot help.
+// do sends k until it gets an answer, an error that is not retryable, or runs out
+// of attempts or retry budget.
 func (c *Client) do(ctx context.Context, k call) (reply, error) {
 	if len(c.cfg.Addresses) == 0 {
 		return reply{}, errkind.New(errkind.InvalidRequest, "no address of an entry instance is given").WithField("server", "host:port")
@@ -101,8 +102,8 @@
 	}
 }
 
-// isRetryable takes only what is known not to have run: a second try of
-// anything else could run the work twice.
+// isRetryable accepts only errors of calls that are known not to have run:
+// retrying any other call could run the work twice.
 func isRetryable(e *errkind.Error) bool {
 	return e.Fate() == errkind.FateNotRun && errkind.AnswerFor(e.Kind).Advice == errkind.AdviceRetry
 }
@@ -112,8 +113,9 @@
 	maxDelay   = 2 * time.Second
 )
 
-// delay is the hint of the answer, or a growing delay without one, lengthened
-// by up to a half so that clients refused together do not return together.
+// delay returns the retry hint of the answer, or exponential backoff without one,
+// plus jitter of up to 50% so that clients that were refused at the same time do
+// not retry at the same time.
 func (c *Client) delay(e *errkind.Error, attempt int) time.Duration {
 	d := e.RetryAfter
 	if d <= 0 {
@@ -126,7 +128,8 @@
 	return c.cfg.Addresses[c.next.Load()%uint64(len(c.cfg.Addresses))]
 }
 
-// sleep waits for d, or returns at once where ctx ends before that.
+// sleep waits for d or until ctx is canceled. If the deadline of ctx is earlier
+// than the end of the wait, it returns at once.
 func sleep(ctx context.Context, d time.Duration) error {
 	if end, ok := ctx.Deadline(); ok && time.Until(end) < d {
 		return context.DeadlineExceeded
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -33,8 +33,8 @@
 	writeAnswer(w, errkind.AnswerFor(e.Kind).Status, api.ErrorReply{Error: api.ErrorFrom(e)})
 }
 
-// clientOf returns a client of a server that answers with h, and the delays
-// that the client waited for.
+// clientOf returns a client of a test server that runs h, and the retry delays of
+// that client.
 func clientOf(t *testing.T, h http.HandlerFunc) (*Client, *[]time.Duration) {
 	t.Helper()
 	server := httptest.NewServer(h)
@@ -54,15 +54,15 @@
 	return c.Submit(context.Background(), "t", "s", api.SubmitRequest{IdempotencyKey: "k", Class: "c"}, 0)
 }
 
-// TestRetriesOnlyWhatDidNotRun guards against a second try of work that may
-// have run, for every kind of error.
+// TestRetriesOnlyWhatDidNotRun guards against a retry of work that may have run,
+// for every kind of error.
 func TestRetriesOnlyWhatDidNotRun(t *testing.T) {
 	for _, kind := range errkind.Kinds() {
 		calls := 0
 		c, _ := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
 			calls++
 			if calls == 1 {
-				writeError(w, errkind.New(kind, "first try"))
+				writeError(w, errkind.New(kind, "first attempt"))
 				return
 			}
 			writeAnswer(w, http.StatusOK, api.Job{State: task.Accepted})
@@ -79,8 +79,8 @@
 	}
 }
 
-// TestFateOfTheInstanceWins guards against a retry by the table where the
-// instance knows better.
+// TestFateOfTheInstanceWins guards against a retry because of the default fate of
+// an error kind if the answer states another fate.
 func TestFateOfTheInstanceWins(t *testing.T) {
 	calls := 0
 	c, _ := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
@@ -92,8 +92,8 @@
 	}
 }
 
-// TestHintIsKeptAndJittered guards against a retry before the hint, and against
-// all clients returning at the same time.
+// TestHintIsKeptAndJittered guards against a retry earlier than the hint, and
+// against all clients retrying at the same time.
 func TestHintIsKeptAndJittered(t *testing.T) {
 	c, delays := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
 		writeError(w, errkind.New(errkind.QueueFull, "full").WithRetryAfter(2*time.Second))
@@ -121,8 +121,8 @@
 	}
 }
 
-// TestIncompleteAnswerIsNoResult guards against a part of an answer, or another
-// answer, being taken for the whole.
+// TestIncompleteAnswerIsNoResult guards against a truncated or altered answer
+// being accepted as complete.
 func TestIncompleteAnswerIsNoResult(t *testing.T) {
 	damage := map[string]http.HandlerFunc{
 		"other digest": func(w http.ResponseWriter, _ *http.Request) {
@@ -138,7 +138,7 @@
 			w.Header().Set("Content-Length", "900")
 			_, _ = w.Write([]byte(`{"state":`))
 		},
-		"page of something in between": func(w http.ResponseWriter, _ *http.Request) {
+		"page of a proxy": func(w http.ResponseWriter, _ *http.Request) {
 			writeAnswer(w, http.StatusBadGateway, "bad gateway")
 		},
 		"connection closed": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
@@ -155,8 +155,8 @@
 	}
 }
 
-// TestCutAnswersAreUnknown guards against a part of an answer being taken for the
-// whole, or being sent for again, wherever the connection ends.
+// TestCutAnswersAreUnknown guards against a truncated answer being accepted as
+// complete, or the call being retried, wherever the connection ends.
 func TestCutAnswersAreUnknown(t *testing.T) {
 	recorder := httptest.NewRecorder()
 	writeAnswer(recorder, http.StatusOK, api.Job{ID: "t/s/k", State: task.Accepted})
@@ -179,7 +179,7 @@
 		job, err := submit(c)
 		if n == whole.Len() {
 			if err != nil || job.State != task.Accepted {
-				t.Errorf("whole answer: %+v, %v", job, err)
+				t.Errorf("complete answer: %+v, %v", job, err)
 			}
 			continue
 		}
@@ -190,7 +190,7 @@
 }
 
 // TestRedirectIsNotFollowed guards against the key and the work being sent to
-// whoever a page in between names.
+// another server because of a redirect, for instance by a proxy.
 func TestRedirectIsNotFollowed(t *testing.T) {
 	calls := 0
 	c, _ := clientOf(t, func(w http.ResponseWriter, r *http.Request) {
@@ -202,8 +202,8 @@
 	}
 }
 
-// TestRefusedConnectionMovesOn guards against a client that stays with an
-// instance that is gone.
+// TestRefusedConnectionMovesOn guards against a client that keeps calling an
+// instance that no longer runs.
 func TestRefusedConnectionMovesOn(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -221,8 +221,8 @@
 	}
 }
 
-// TestDeadlineTravels guards against an instance that works on for a caller
-// that has given up.
+// TestDeadlineTravels guards against an instance that continues to work on a call
+// that has timed out on the caller's side.
 func TestDeadlineTravels(t *testing.T) {
 	var left time.Duration
 	c, _ := clientOf(t, func(w http.ResponseWriter, r *http.Request) {
--- a/client/doc.go
+++ b/client/doc.go
@@ -1,3 +1,3 @@
-// Package client talks HTTP to an entry instance from outside, as callers and
-// operators do.
+// Package client is the HTTP client that callers and operators use for the API of
+// entry instances.
 package client
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -16,14 +16,14 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// reply is a complete answer whose digest is right.
+// reply is a complete answer whose digest was verified.
 type reply struct {
 	header http.Header
 	body   []byte
 }
 
-// Error is an error that an entry instance answered. Its chain has the
-// *errkind.Error; Detail has the faults or the conflict of a document too.
+// Error is an error answer from an entry instance. It unwraps to an
+// *errkind.Error; Detail also has the faults or the conflict of a document.
 type Error struct {
 	Detail api.Error
 }
@@ -31,7 +31,7 @@
 // Error returns the text of the kind, the field and the message.
 func (e *Error) Error() string { return e.typed().Error() }
 
-// Unwrap returns the error as errkind has it.
+// Unwrap returns the error as an *errkind.Error.
 func (e *Error) Unwrap() error { return e.typed() }
 
 func (e *Error) typed() *errkind.Error {
@@ -87,11 +87,11 @@
 }
 
 var (
-	errTooLong   = errors.New("the answer is longer than this client reads")
-	errDigest    = errors.New("the answer has another digest than its header states")
+	errTooLong   = errors.New("the answer exceeds the size limit of this client")
+	errDigest    = errors.New("the answer does not match the digest in its header")
 	errNoDigest  = errors.New("the answer has no digest")
 	errNoLength  = errors.New("the answer has no length")
-	errShortBody = errors.New("the answer is shorter than its header states")
+	errShortBody = errors.New("the answer is shorter than the length in its header")
 )
 
 // readAnswer reads the whole body and checks its length and digest.
@@ -123,23 +123,25 @@
 	return nil
 }
 
-// sendError names the fate of a call without an answer. It is known only where
-// no connection was made, or where the call reads and so has nothing to run.
+// sendError returns the error of a call without an answer, with the fate of the
+// call. The fate is known only if no connection was made, or if the call only
+// reads and so has nothing to run.
 func sendError(ctx context.Context, k call, err error) error {
 	var network *net.OpError
 	notSent := errors.As(err, &network) && network.Op == "dial"
 	switch {
 	case notSent && ctx.Err() == nil:
-		return errkind.New(errkind.Unreachable, "no connection: %v", err)
+		return errkind.New(errkind.Unreachable, "cannot connect to the entry instance: %v", err)
 	case ctx.Err() != nil && (notSent || k.isRead()):
-		return errkind.New(errkind.DeadlineExceeded, "the time for the call has passed")
+		return errkind.New(errkind.DeadlineExceeded, "the deadline of the call has passed")
 	case k.isRead():
-		return errkind.New(errkind.Unreachable, "no answer: %v", err)
+		return errkind.New(errkind.Unreachable, "no answer from the entry instance: %v", err)
 	}
-	return errkind.New(errkind.OutcomeUnknown, "the call was sent and no answer came: %v", err)
+	return errkind.New(errkind.OutcomeUnknown, "the call was sent, but no answer was received: %v", err)
 }
 
-// answerError names the fate of a call whose answer is not complete.
+// answerError returns the error of a call whose answer is incomplete, with the
+// fate of the call.
 func answerError(k call, err error) error {
 	if k.isRead() {
 		return errkind.New(errkind.ResultIncomplete, "%v", err)
@@ -149,8 +151,8 @@
 
 func (k call) isRead() bool { return k.method == http.MethodGet }
 
-// errorReply reads the body of an error answer. An answer that is none of ours
-// comes from something in between, and says nothing about the work.
+// errorReply decodes an error answer. An answer in another format comes from an
+// intermediary, such as a proxy, and does not show whether the work ran.
 func errorReply(k call, response *http.Response, body []byte) error {
 	var decoded api.ErrorReply
 	if err := json.Unmarshal(body, &decoded); err != nil || decoded.Error.Kind == "" {
@@ -168,7 +170,7 @@
 		return out, err
 	}
 	if err := json.Unmarshal(got.body, &out); err != nil {
-		return out, errkind.New(errkind.ResultIncomplete, "the answer cannot be read: %v", err)
+		return out, errkind.New(errkind.ResultIncomplete, "the answer cannot be decoded: %v", err)
 	}
 	return out, nil
 }
--- a/client/operator.go
+++ b/client/operator.go
@@ -24,7 +24,7 @@
 }
 
 // Apply replaces a document whose revision is expected, and waits up to wait for
-// it to be in force everywhere.
+// it to be in force on every live member.
 func (c *Client) Apply(ctx context.Context, team, service string, source []byte, expected int64, wait time.Duration) (api.Document, error) {
 	query := url.Values{"expect": {strconv.FormatInt(expected, 10)}}
 	if wait > 0 {
@@ -40,12 +40,12 @@
 	return decode[api.Diff](c.do(ctx, call{method: http.MethodPost, path: path, body: source}))
 }
 
-// GrantKey makes a key.
+// GrantKey creates a key.
 func (c *Client) GrantKey(ctx context.Context, request api.GrantRequest) (api.GrantedKey, error) {
 	return post[api.GrantedKey](ctx, c, "/v1/keys", request)
 }
 
-// WithdrawKey ends a key.
+// WithdrawKey revokes a key.
 func (c *Client) WithdrawKey(ctx context.Context, team, id string) (api.Key, error) {
 	path := "/v1/keys/" + url.PathEscape(team) + "/" + url.PathEscape(id)
 	return decode[api.Key](c.do(ctx, call{method: http.MethodDelete, path: path}))
@@ -62,7 +62,7 @@
 	return post[api.Drain](ctx, c, "/v1/drain", request)
 }
 
-// ForceOwnership lets a member take over a unit.
+// ForceOwnership makes a member take over a unit.
 func (c *Client) ForceOwnership(ctx context.Context, request api.ForceRequest) (api.Ownership, error) {
 	return post[api.Ownership](ctx, c, "/v1/ownership/force", request)
 }
@@ -72,7 +72,7 @@
 	return decode[api.Workers](c.do(ctx, call{method: http.MethodGet, path: "/v1/workers"}))
 }
 
-// Shares lists what the teams use.
+// Shares lists the usage and the entitlement of each team.
 func (c *Client) Shares(ctx context.Context) (api.Shares, error) {
 	return decode[api.Shares](c.do(ctx, call{method: http.MethodGet, path: "/v1/shares"}))
 }
@@ -89,7 +89,7 @@
 	Limit      int
 }
 
-// Timeline returns the merged time line.
+// Timeline returns the merged timeline.
 func (c *Client) Timeline(ctx context.Context, filter TimelineFilter) (api.Timeline, error) {
 	query := url.Values{}
 	for name, value := range map[string]string{"task": filter.Task, "team": filter.Team, "since": filter.Since} {
