--- a/httpjson/answer.go
+++ b/httpjson/answer.go
@@ -34,14 +34,15 @@
 	}, nil
 }
 
-// Detailed is an error that tells a peer more than its kind, such as the faults
-// of a document.
+// Detailed is an error that adds details to its answer, such as the faults of a
+// document.
 type Detailed interface {
 	error
 	AddDetail(*api.Error)
 }
 
-// Error answers err by the table of errkind.
+// Error returns the answer to a call that failed with err, as the table of errkind
+// defines it.
 func Error(err error) Answer {
 	e := typed(err)
 	told := api.ErrorFrom(e)
@@ -61,10 +62,10 @@
 	return a
 }
 
-// typed gives an error without a kind the kind that claims least. A deadline
-// that passed inside a backend leaves the outcome open, since the work may have
-// been sent on by then. The text of other errors may hold what peers should not
-// read, so it is left out.
+// typed returns the *errkind.Error that err wraps. An error without a kind gets the
+// kind that claims least. A deadline that passed inside a backend leaves the
+// outcome unknown, since the work may have been forwarded before. The text of other
+// errors may hold confidential data, so it is omitted.
 func typed(err error) *errkind.Error {
 	var e *errkind.Error
 	if errors.As(err, &e) {
@@ -85,7 +86,7 @@
 // write sends a with its length and digest, so that the peer can tell a complete
 // answer from a part of one.
 func (s *Server) write(w http.ResponseWriter, a Answer) {
-	// Fails only for connections without deadlines, such as those of tests.
+	// Fails only for response writers without deadlines, such as those of tests.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.limits.WriteTimeout))
 	for name, values := range a.Header {
 		w.Header()[name] = values
@@ -97,6 +98,6 @@
 		w.Header().Set("Connection", "close")
 	}
 	w.WriteHeader(a.Status)
-	// A peer that has gone needs no answer; it asks again.
+	// A failed write means that the peer has disconnected; it repeats the call.
 	_, _ = w.Write(a.Body)
 }
--- a/httpjson/answer_test.go
+++ b/httpjson/answer_test.go
@@ -13,8 +13,8 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// TestErrorsTellTheFate guards against an error of the backend, or a deadline
-// that passed in it, being answered as "not run".
+// TestErrorsTellTheFate guards against an error of the backend, or a deadline that
+// passed inside it, being reported as "not run".
 func TestErrorsTellTheFate(t *testing.T) {
 	cases := []struct {
 		err  error
--- a/httpjson/read.go
+++ b/httpjson/read.go
@@ -13,7 +13,7 @@
 	"github.com/mulberrydrum/mulberrydrum/jsonc"
 )
 
-// ReadBody reads the whole body of r or says why it cannot.
+// ReadBody reads the complete body of r. Its error states the cause and the limit.
 func (s *Server) ReadBody(r *http.Request) ([]byte, error) {
 	limit := fmt.Sprintf("%d bytes", s.limits.MaxRequestBytes)
 	if r.ContentLength > s.limits.MaxRequestBytes {
@@ -47,7 +47,7 @@
 }
 
 // Decode reads body, standard JSON, into the struct that into points to. The
-// error names the first field at fault.
+// error names the first invalid field.
 func Decode(body []byte, into any) error {
 	_, faults := jsonc.Decode(body, into, jsonc.WithoutComments)
 	if len(faults) == 0 {
@@ -64,7 +64,7 @@
 
 const bearer = "Bearer "
 
-// Secret returns the secret of the key that came with r, or "" without one.
+// Secret returns the secret of the key that was sent with r, or "" without one.
 func Secret(r *http.Request) (string, error) {
 	value := r.Header.Get("Authorization")
 	if value == "" {
@@ -72,12 +72,12 @@
 	}
 	secret, ok := strings.CutPrefix(value, bearer)
 	if !ok || secret == "" {
-		return "", errkind.New(errkind.KeyMissing, "the header has no bearer key").WithField("Authorization", "Bearer <secret>")
+		return "", errkind.New(errkind.KeyMissing, "the Authorization header has no bearer token").WithField("Authorization", "Bearer <secret>")
 	}
 	return secret, nil
 }
 
-// Wait returns the duration in the query parameter wait of r, 0 for none.
+// Wait returns the duration in the query parameter wait of r, 0 if there is none.
 func Wait(r *http.Request, most time.Duration) (time.Duration, error) {
 	text := r.URL.Query().Get("wait")
 	if text == "" {
@@ -85,7 +85,7 @@
 	}
 	wait, err := time.ParseDuration(text)
 	if err != nil || wait < 0 || wait > most {
-		return 0, errkind.New(errkind.InvalidRequest, "the wait %.40q is not allowed", text).WithField("wait", "0s to "+most.String())
+		return 0, errkind.New(errkind.InvalidRequest, "invalid wait %.40q", text).WithField("wait", "0s to "+most.String())
 	}
 	return wait, nil
 }
--- a/httpjson/server.go
+++ b/httpjson/server.go
@@ -14,14 +14,15 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// Limits bound every request. Every field must be set.
+// Limits apply to every request. Every field must be set. Connections of peers
+// that send or read too slowly for a timeout are closed.
 type Limits struct {
 	MaxRequestBytes   int64         // body of one request
 	MaxHeaderBytes    int           // request line and headers
-	ReadHeaderTimeout time.Duration // cuts connections that send headers slowly
-	ReadTimeout       time.Duration // cuts connections that send the body slowly
-	WriteTimeout      time.Duration // cuts connections that read the answer slowly
-	IdleTimeout       time.Duration // of a kept connection between two calls
+	ReadHeaderTimeout time.Duration // for receiving the headers
+	ReadTimeout       time.Duration // for receiving the headers and the body
+	WriteTimeout      time.Duration // for sending the answer
+	IdleTimeout       time.Duration // of a connection between two calls
 }
 
 // Handler answers one call with an answer or an error.
@@ -30,7 +31,7 @@
 // Methods are the handlers of one path by method.
 type Methods map[string]Handler
 
-// Server answers the calls that are added to it.
+// Server serves the paths that Handle and HandleRaw register.
 type Server struct {
 	limits   Limits
 	mux      *http.ServeMux
@@ -40,10 +41,11 @@
 
 	mu    sync.Mutex
 	conns int           // open connections
-	none  chan struct{} // closed when there is none; nil while nobody waits
+	none  chan struct{} // closed when conns reaches 0; nil without a waiter
 }
 
-// NewServer returns a server that refuses every path.
+// NewServer returns a server without paths; it answers every request with an error
+// of kind unknown_path.
 func NewServer(limits Limits) *Server {
 	s := &Server{limits: limits, mux: http.NewServeMux()}
 	s.http = &http.Server{
@@ -58,8 +60,8 @@
 	return s
 }
 
-// Handle adds a path. Other methods than those given are refused with a list of
-// what is allowed, which the multiplexer alone would not do in our form.
+// Handle registers a path. Other methods are refused with a list of the allowed
+// ones, in the error format of this package, which http.ServeMux does not use.
 func (s *Server) Handle(path string, methods Methods) {
 	var allowed []string
 	for method, h := range methods {
@@ -74,20 +76,20 @@
 	}))
 }
 
-// Paths lists the paths that Handle added.
+// Paths lists the paths that Handle registered.
 func (s *Server) Paths() []string { return slices.Clone(s.paths) }
 
-// ServeHTTP answers one request.
+// ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
-// HandleRaw adds a path whose handler writes its own answers.
+// HandleRaw registers a path whose handler writes its own answers.
 func (s *Server) HandleRaw(path string, h http.HandlerFunc) { s.mux.HandleFunc(path, h) }
 
 func (s *Server) refusePath(*http.Request) (Answer, error) {
 	return Answer{}, errkind.New(errkind.UnknownPath, "no call has this path").WithField("path", strings.Join(s.paths, ", "))
 }
 
-// answer turns h into a handler that writes a complete answer.
+// answer adapts h to an http.HandlerFunc that writes a complete answer.
 func (s *Server) answer(h Handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		a, err := h(r)
@@ -98,8 +100,8 @@
 	}
 }
 
-// Serve answers connections of ln until Shutdown, or accepts no more of them
-// after ln was closed.
+// Serve serves the connections of ln until Shutdown. It returns nil after Shutdown or
+// if ln was closed.
 func (s *Server) Serve(ln net.Listener) error {
 	err := s.http.Serve(ln)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
@@ -108,7 +110,7 @@
 	return err
 }
 
-// count keeps the number of open connections.
+// count maintains the number of open connections.
 func (s *Server) count(_ net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -125,8 +127,8 @@
 }
 
 // AwaitNoConnection returns when every connection has been closed by its peer,
-// or ctx ends. Its caller has closed the listener and called BeginDrain. Closing
-// an idle connection from this side could cut off a request that is on its way.
+// or ctx ends. The listener must be closed and BeginDrain called before. Closing an
+// idle connection from this side could drop a request that is in transit.
 func (s *Server) AwaitNoConnection(ctx context.Context) {
 	s.mu.Lock()
 	if s.conns == 0 {
@@ -144,13 +146,13 @@
 	}
 }
 
-// BeginDrain makes every further answer ask its peer to close the connection.
-// Idle connections stay open: closing them would lose a request that is on its
-// way.
+// BeginDrain makes every further answer request that the peer close the connection.
+// Idle connections stay open: closing them could drop a request that is in
+// transit.
 func (s *Server) BeginDrain() { s.draining.Store(true) }
 
-// Shutdown waits for the calls that are being answered and closes the rest.
+// Shutdown closes the idle connections and waits for the calls in progress.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
-// Abort cuts every connection.
+// Abort closes every connection at once.
 func (s *Server) Abort() { _ = s.http.Close() }
--- a/httpjson/server_test.go
+++ b/httpjson/server_test.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// TestHandlerOutlastsReadTimeout guards against a call that is cut, or whose
-// connection takes no further call, because its caller waits for longer than a
-// request may take to arrive.
+// TestHandlerOutlastsReadTimeout guards against ReadTimeout ending a call whose
+// handler runs longer than that, or making its connection unusable for the next
+// call.
 func TestHandlerOutlastsReadTimeout(t *testing.T) {
 	limits := Limits{MaxRequestBytes: 1000, MaxHeaderBytes: 1000, ReadHeaderTimeout: 100 * time.Millisecond,
 		ReadTimeout: 200 * time.Millisecond, WriteTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second}
