--- a/api/call.go
+++ b/api/call.go
@@ -6,10 +6,10 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Headers that servers and client share. Content-Digest is that of RFC 9530.
+// Headers that the servers and the client use. Content-Digest is that of RFC 9530.
 const (
 	HeaderDigest  = "Content-Digest"
-	HeaderTimeout = "Mulberrydrum-Timeout" // duration that is left for the call
+	HeaderTimeout = "Mulberrydrum-Timeout" // remaining duration of the call
 	HeaderError   = "Mulberrydrum-Error"   // error kind; present on every error answer
 	HeaderTask    = "Mulberrydrum-Task"    // task and attempt of a result, "<task>#<attempt>"
 )
--- a/api/document.go
+++ b/api/document.go
@@ -6,7 +6,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Document is a document as an entry instance holds it. Service is empty for
+// Document is a document as stored on an entry instance. Service is empty for
 // the document of a whole team.
 type Document struct {
 	Team     task.Team    `json:"team"`
@@ -36,8 +36,8 @@
 	Changes  []Change `json:"changes"`
 }
 
-// Conflict shows the change that came first to an operator whose change came
-// second.
+// Conflict describes the last change to an operator whose own change expected an
+// earlier revision.
 type Conflict struct {
 	Expected int64     `json:"expected"` // revision that the operator had seen
 	Revision int64     `json:"revision"` // revision in force
--- a/api/error.go
+++ b/api/error.go
@@ -10,7 +10,7 @@
 	Error Error `json:"error"`
 }
 
-// Error is what a peer is told of an error.
+// Error is an error as it is sent to a peer.
 type Error struct {
 	Kind       errkind.Kind   `json:"kind"`
 	Message    string         `json:"message"`
@@ -20,10 +20,10 @@
 	Advice     errkind.Advice `json:"advice"`
 	Fate       errkind.Fate   `json:"fate"`
 	Faults     []jsonc.Fault  `json:"faults,omitempty"`   // of a document
-	Conflict   *Conflict      `json:"conflict,omitempty"` // of a change that raced with another one
+	Conflict   *Conflict      `json:"conflict,omitempty"` // of a change that conflicts with a concurrent one
 }
 
-// ErrorFrom returns e as a peer is told it.
+// ErrorFrom returns e as it is sent to a peer.
 func ErrorFrom(e *errkind.Error) Error {
 	return Error{
 		Kind:       e.Kind,
--- a/api/operator.go
+++ b/api/operator.go
@@ -31,7 +31,7 @@
 	Note string    `json:"note,omitempty"`
 }
 
-// GrantedKey is a new key. The secret is in no other answer.
+// GrantedKey is a new key. No other answer contains the secret.
 type GrantedKey struct {
 	Key
 	Secret string `json:"secret"`
@@ -53,7 +53,7 @@
 	Detail   string `json:"detail,omitempty"` // why it is not finished
 }
 
-// Worker is a worker as its owner sees it.
+// Worker is the state of a worker as reported by its owner.
 type Worker struct {
 	Name          string         `json:"name"`
 	Region        string         `json:"region"`
@@ -73,8 +73,8 @@
 	Workers []Worker `json:"workers"`
 }
 
-// Share is what a team uses and what it is entitled to. Shares are fractions of
-// the fleet by the dominant resource.
+// Share is the usage and the entitlement of a team. Shares are fractions of the
+// fleet's capacity in the dominant resource.
 type Share struct {
 	Team     task.Team       `json:"team"`
 	Weight   float64         `json:"weight"`
@@ -109,14 +109,14 @@
 	Members []Member `json:"members"`
 }
 
-// ForceRequest asks for the takeover of a unit whose owner and successors are
-// gone.
+// ForceRequest requests the takeover of a unit whose owner and successors have
+// failed.
 type ForceRequest struct {
 	Unit   string `json:"unit"` // w/<region>/<n> or h/<n>
 	Reason string `json:"reason"`
 }
 
-// Ownership is the record of a unit.
+// Ownership is the ownership record of a unit.
 type Ownership struct {
 	Unit     string   `json:"unit"`
 	Owner    string   `json:"owner"` // entry instance
@@ -125,7 +125,7 @@
 	After    Duration `json:"after,omitempty"` // wait before the takeover
 }
 
-// Timeline is a merged time line.
+// Timeline is a merged timeline.
 type Timeline struct {
 	Events  []timeline.Event `json:"events"`
 	Missing []string         `json:"missing,omitempty"` // members that did not answer
--- a/api/scalar.go
+++ b/api/scalar.go
@@ -2,20 +2,20 @@
 
 import "time"
 
-// Duration is a time.Duration that is written as "9s" in JSON.
+// Duration is a time.Duration that is encoded as a string such as "9s" in JSON.
 type Duration time.Duration
 
-// MarshalText writes d as time.Duration.String does.
+// MarshalText encodes d in the form of time.Duration.String.
 func (d Duration) MarshalText() ([]byte, error) {
 	return []byte(time.Duration(d).String()), nil
 }
 
-// UnmarshalText reads what time.ParseDuration takes.
+// UnmarshalText parses text with time.ParseDuration.
 func (d *Duration) UnmarshalText(text []byte) error {
 	parsed, err := time.ParseDuration(string(text))
 	*d = Duration(parsed)
 	return err
 }
 
-// Describe says which values a Duration takes.
+// Describe returns a description of the valid values, for error messages.
 func (Duration) Describe() string { return `a duration such as "9s" or "250ms"` }
