--- a/instancelist/client.go
+++ b/instancelist/client.go
@@ -18,7 +18,7 @@
 	DefaultCallTimeout = 2 * time.Second
 
 	dialTimeout       = 1 * time.Second
-	idleTimeout       = 20 * time.Second // shorter than a server's, which else closes under a call
+	idleTimeout       = 20 * time.Second // shorter than the server's, so that it does not close a connection during a call
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
 	keepAliveProbes   = 3
@@ -26,7 +26,8 @@
 	// maxReplyBytes allows about 4 KB for each of 16,000 instances, twice the
 	// number that the system is designed for.
 	maxReplyBytes = 64 << 20
-	// headerInstance lets the stand-in select callers; the platform ignores it.
+	// headerInstance lets the stand-in distinguish its callers; the platform
+	// ignores it.
 	headerInstance = "X-Instance"
 )
 
@@ -37,7 +38,7 @@
 	CallTimeout time.Duration // default DefaultCallTimeout
 }
 
-// Client is a Lister that speaks HTTP/JSON.
+// Client implements Lister over HTTP/JSON.
 type Client struct {
 	cfg       Config
 	transport *http.Transport
@@ -74,7 +75,7 @@
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // List implements Lister. After a failure the idle connections are closed,
-// because one that went silent would cost each later call its deadline.
+// because on an unresponsive connection each later call would time out.
 func (c *Client) List(ctx context.Context) ([]Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
@@ -110,8 +111,8 @@
 	return decode(body)
 }
 
-// decode reads a reply and refuses one that says nothing or what it should not:
-// taken as it is, an empty object would show every instance as gone.
+// decode decodes a reply and rejects one without a list or with invalid values: an
+// empty object, if accepted, would show every instance as gone.
 func decode(body []byte) ([]Instance, error) {
 	var reply Reply
 	if err := json.Unmarshal(body, &reply); err != nil {
--- a/instancelist/client_test.go
+++ b/instancelist/client_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// TestDecodeRefuses guards against a reply that says nothing being taken for a
-// list without instances, on which a takeover of all records could be based.
+// TestDecodeRefuses guards against a reply without a list being accepted as an empty
+// list of instances, which could cause a takeover of all records.
 func TestDecodeRefuses(t *testing.T) {
 	for _, body := range []string{
 		``, `{}`, `null`, `[]`, `{"instances":null}`, `{"instances":[{}]}`,
--- a/instancelist/instancelist.go
+++ b/instancelist/instancelist.go
@@ -14,13 +14,13 @@
 	RoleWorker Role = "worker"
 )
 
-// State is the state of an instance as the platform shows it, with a lag.
+// State is the state of an instance as the platform reports it, with a lag.
 type State string
 
 // The states.
 const (
 	StateLive    State = "live"
-	StateLeaving State = "leaving" // planned to stop; gets no new work
+	StateLeaving State = "leaving" // about to stop as planned; gets no new work
 	StateGone    State = "gone"
 )
 
@@ -40,14 +40,14 @@
 	Instances []Instance `json:"instances"`
 }
 
-// PathInstances is where the platform serves its list.
+// PathInstances is the path at which the platform serves its list.
 const PathInstances = "/v1/instances"
 
-// ErrUnavailable says that the list could not be read. Reading has no effect,
-// so that every failure is the same to the caller.
+// ErrUnavailable means that the list could not be read. Reading has no side
+// effects, so callers need not distinguish between failures.
 var ErrUnavailable = errors.New("instance list unavailable")
 
-// Lister reads the list. The list lags behind the truth.
+// Lister reads the list, which lags behind the actual state.
 type Lister interface {
 	List(ctx context.Context) ([]Instance, error)
 }
