--- a/membership/membership.go
+++ b/membership/membership.go
@@ -38,7 +38,7 @@
 // Rank returns the members to which the unit may be assigned, best first.
 // Draining members are left out. Members of the region of a worker partition
 // come before all others. The order depends on instance names only, so a
-// restart of a process moves nothing.
+// restart of a process moves no unit.
 func Rank(unit string, members []Member) []Member {
 	region := RegionOf(unit)
 	return ordered(unit, members, func(m Member) int {
@@ -77,9 +77,10 @@
 }
 
 // Successors returns up to n members that may take the unit over from owner.
-// Members of the owner's region come first, since an owner on the side of a
-// region cut without the store depends on their promises. Among these, a member
-// in a failure domain that is not used yet precedes one in a used domain.
+// Members of the owner's region come first, since an owner that a network
+// partition between regions separates from the store depends on their promises.
+// Among these, a member in a failure domain that is not used yet precedes one in
+// a used domain.
 func Successors(owner Member, unit string, members []Member, n int) []Member {
 	candidates := ordered(unit, members, func(m Member) int {
 		if m.Region != owner.Region {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-// TestMain fixes the seed, so that every run gives the same verdict. The flag
+// TestMain fixes the seed, so that every run gives the same result. The flag
 // -rapid.seed on the command line takes precedence.
 func TestMain(m *testing.M) {
 	if err := flag.Set("rapid.seed", "1"); err != nil {
@@ -72,8 +72,8 @@
 	})
 }
 
-// TestPreferredIsFirstOfRank guards against the short form of the order, which
-// owners use to move units, differing from the full one.
+// TestPreferredIsFirstOfRank guards against Preferred, which owners use to move
+// units, differing from the first member of Rank.
 func TestPreferredIsFirstOfRank(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		members := fleet(rapid.IntRange(0, 20).Draw(t, "members"))
@@ -125,8 +125,9 @@
 	}
 }
 
-// TestSuccessorsSpreadOverFailureDomains guards against an owner and its
-// successors that one failure domain or one region cut takes away together.
+// TestSuccessorsSpreadOverFailureDomains guards against one failed failure domain,
+// or one network partition between regions, making an owner and its successors
+// unavailable together.
 func TestSuccessorsSpreadOverFailureDomains(t *testing.T) {
 	members := fleet(24)
 	for _, unit := range units(4, 64) {
