--- a/timeline/event.go
+++ b/timeline/event.go
@@ -1,6 +1,6 @@
-// Package timeline records what a process does as typed events in a bounded
-// ring and merges the rings of all processes into one order. It is what
-// operators read and the trace on which the oracle checks the invariants.
+// Package timeline records the actions of a process as typed events in a bounded
+// ring buffer and merges the buffers of all processes into one order. Operators read
+// the result, and the oracle checks the invariants on it.
 package timeline
 
 import (
@@ -9,7 +9,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Type names what happened.
+// Type is the type of an event.
 type Type string
 
 // The types of events.
@@ -29,7 +29,7 @@
 	TaskStopped       Type = "task_stopped"
 	TaskCheckpointed  Type = "task_checkpointed"
 	TaskUnknown       Type = "task_unknown"
-	AnswerDropped     Type = "answer_dropped" // late or crossed, matched no attempt
+	AnswerDropped     Type = "answer_dropped" // late or out of order, matched no attempt
 	OwnershipTaken    Type = "ownership_taken"
 	OwnershipLost     Type = "ownership_lost"
 	OwnershipReleased Type = "ownership_released"
@@ -50,7 +50,7 @@
 	ProcessStopped    Type = "process_stopped"
 )
 
-// Event is one entry of a time line. Fields that do not apply are empty.
+// Event is one entry of a timeline. Fields that do not apply are empty.
 type Event struct {
 	Instance    string          `json:"instance"`
 	Incarnation string          `json:"incarnation"`
--- a/timeline/merge.go
+++ b/timeline/merge.go
@@ -10,9 +10,9 @@
 	"github.com/rotisserie/eris"
 )
 
-// Merge returns the events of all lines in one order that keeps the order of
-// each process and places a message's receipt after its sending. An event that
-// is in several lines appears once.
+// Merge returns the events of all timelines in one order that keeps the order of
+// each process and places the receipt of a message after its sending. An event that
+// is in several timelines appears once.
 func Merge(lines ...[]Event) []Event {
 	merged := slices.Concat(lines...)
 	slices.SortFunc(merged, compare)
@@ -38,7 +38,7 @@
 func Render(w io.Writer, events []Event) error {
 	for _, e := range events {
 		if _, err := fmt.Fprintln(w, e.String()); err != nil {
-			return eris.Wrap(err, "write time line")
+			return eris.Wrap(err, "write timeline")
 		}
 	}
 	return nil
--- a/timeline/recorder.go
+++ b/timeline/recorder.go
@@ -8,18 +8,18 @@
 
 // MaxClockAhead is how far a received reading may be ahead of the local wall
 // clock. Readings beyond it are not adopted: a peer with a wrong clock would
-// otherwise move the time line of every process.
+// otherwise advance the clock of every process.
 const MaxClockAhead = time.Minute
 
 // Recorder keeps the latest events of one process. It is safe for concurrent
 // use. Readers take no lock: the control goroutine records events and must not
-// wait while an operator's query looks through the ring.
+// wait while an operator's query scans the ring.
 type Recorder struct {
 	instance    string
 	incarnation string
 	ring        []atomic.Pointer[Event]
 
-	mu       sync.Mutex // of writers
+	mu       sync.Mutex // serializes writers
 	clock    Clock
 	sequence atomic.Uint64 // of the latest event
 }
@@ -32,8 +32,8 @@
 	}
 }
 
-// Record stamps e with the process, the next sequence number and the clock,
-// keeps it and returns it.
+// Record sets the process, the next sequence number and the clock reading of e,
+// stores it in the ring and returns it.
 func (r *Recorder) Record(now time.Time, e Event) Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -45,13 +45,13 @@
 	return e
 }
 
-// slot returns the place of an event in the ring.
+// slot returns the position of an event in the ring.
 func (r *Recorder) slot(sequence uint64) *atomic.Pointer[Event] {
 	return &r.ring[(sequence-1)%uint64(len(r.ring))]
 }
 
-// Receive takes note of the clock reading in a message from another process,
-// so that later events of this process come after it.
+// Receive advances the clock past the reading in a message from another process, so
+// that later events of this process are ordered after it.
 func (r *Recorder) Receive(now time.Time, o Clock) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/timeline/recorder_bench_test.go
+++ b/timeline/recorder_bench_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// BenchmarkRecord measures how long the control goroutine is held up by Record
-// while operators read the time line all the time.
+// BenchmarkRecord measures how long Record blocks the control goroutine while
+// operators read the timeline continuously.
 func BenchmarkRecord(b *testing.B) {
 	r := NewRecorder("i", "1", 1<<16)
 	for range 1 << 16 {
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// TestReceiptComesAfterSending guards against a merged line in which an effect
+// TestReceiptComesAfterSending guards against a merged timeline in which an effect
 // precedes its cause because of differing wall clocks.
 func TestReceiptComesAfterSending(t *testing.T) {
 	sender, receiver := NewRecorder("a", "1", 8), NewRecorder("b", "1", 8)
@@ -74,7 +74,7 @@
 	}
 }
 
-// TestFilter guards against a filter that lets other events through.
+// TestFilter guards against a filter that selects events that do not match.
 func TestFilter(t *testing.T) {
 	r := NewRecorder("i", "1", 100)
 	for i := range 4 {
@@ -97,7 +97,7 @@
 	}
 }
 
-// TestConcurrentRecord guards against a sequence number being given twice.
+// TestConcurrentRecord guards against a sequence number being assigned twice.
 func TestConcurrentRecord(t *testing.T) {
 	r := NewRecorder("i", "1", 1000)
 	var writers sync.WaitGroup
