--- a/worker/client.go
+++ b/worker/client.go
@@ -107,9 +107,9 @@
 // Sync implements API.
 func (c *Client) Sync(ctx context.Context, to Address, req SyncRequest) (SyncReply, error) {
 	var reply SyncReply
-	err := c.exchange(ctx, c.control, call{
-		operation: "sync " + string(to), method: http.MethodPost, to: to, path: "/v1/sync",
-		timeout: c.config.CallTimeout, request: asJSON(req), reply: intoJSON(&reply),
+	err := c.exchange(ctx, c.control, workerCall{
+		operation: "sync " + string(to), method: http.MethodPost, address: to, path: "/v1/sync",
+		timeout: c.config.CallTimeout, request: jsonEncoder(req), reply: jsonDecoder(&reply),
 	})
 	return reply, err
 }
@@ -118,8 +118,8 @@
 func (c *Client) Start(ctx context.Context, to Address, req StartRequest, check func() error) (StartReply, error) {
 	operation := fmt.Sprintf("start %s on %s", req.Attempt, to)
 	var reply StartReply
-	err := c.exchange(ctx, c.traffic, call{
-		operation: operation, method: http.MethodPost, to: to, path: "/v1/tasks",
+	err := c.exchange(ctx, c.traffic, workerCall{
+		operation: operation, method: http.MethodPost, address: to, path: "/v1/tasks",
 		timeout: c.config.CallTimeout + req.Wait, check: check,
 		request: func() (Frame, error) { return EncodeStart(req) },
 		reply: func(body []byte) (err error) {
@@ -137,42 +137,42 @@
 }
 
 // Lookup implements API.
-func (c *Client) Lookup(ctx context.Context, at Address, a task.Attempt) (LookupReply, error) {
-	return c.onAttempt(ctx, http.MethodGet, at, a, "", nil)
+func (c *Client) Lookup(ctx context.Context, at Address, attempt task.Attempt) (LookupReply, error) {
+	return c.callAttempt(ctx, http.MethodGet, at, attempt, "", nil)
 }
 
 // Stop implements API.
 func (c *Client) Stop(ctx context.Context, to Address, req StopRequest) (LookupReply, error) {
-	return c.onAttempt(ctx, http.MethodPost, to, req.Attempt, "/stop", asJSON(req))
+	return c.callAttempt(ctx, http.MethodPost, to, req.Attempt, "/stop", jsonEncoder(req))
 }
 
 // Checkpoint implements API.
 func (c *Client) Checkpoint(ctx context.Context, to Address, req CheckpointRequest) (LookupReply, error) {
-	return c.onAttempt(ctx, http.MethodPost, to, req.Attempt, "/checkpoint", asJSON(req))
+	return c.callAttempt(ctx, http.MethodPost, to, req.Attempt, "/checkpoint", jsonEncoder(req))
 }
 
 // Throttle implements API.
 func (c *Client) Throttle(ctx context.Context, to Address, req ThrottleRequest) (LookupReply, error) {
-	return c.onAttempt(ctx, http.MethodPost, to, req.Attempt, "/throttle", asJSON(req))
+	return c.callAttempt(ctx, http.MethodPost, to, req.Attempt, "/throttle", jsonEncoder(req))
 }
 
-// onAttempt calls the given subpath of an attempt.
-func (c *Client) onAttempt(ctx context.Context, method string, to Address, a task.Attempt, verb string, request func() (Frame, error)) (LookupReply, error) {
+// callAttempt calls the given subpath of an attempt.
+func (c *Client) callAttempt(ctx context.Context, method string, to Address, attempt task.Attempt, subpath string, request func() (Frame, error)) (LookupReply, error) {
 	var reply LookupReply
-	operation := fmt.Sprintf("%s %s%s on %s", method, a, verb, to)
-	err := c.exchange(ctx, c.control, call{
-		operation: operation, method: method, to: to, path: attemptPath(a) + verb,
-		timeout: c.config.CallTimeout, request: request, reply: intoJSON(&reply),
+	operation := fmt.Sprintf("%s %s%s on %s", method, attempt, subpath, to)
+	err := c.exchange(ctx, c.control, workerCall{
+		operation: operation, method: method, address: to, path: attemptPath(attempt) + subpath,
+		timeout: c.config.CallTimeout, request: request, reply: jsonDecoder(&reply),
 	})
 	if err != nil {
 		return LookupReply{}, err
 	}
-	if reply.Known && reply.Report.Attempt != a {
+	if reply.Known && reply.Report.Attempt != attempt {
 		return LookupReply{}, Unclear(operation, eris.Wrapf(ErrIncomplete, "the reply is for attempt %s", reply.Report.Attempt))
 	}
 	return reply, nil
 }
 
-func attemptPath(a task.Attempt) string {
-	return "/v1/tasks/" + url.PathEscape(string(a.Task)) + "/" + strconv.FormatUint(uint64(a.Number), 10)
+func attemptPath(attempt task.Attempt) string {
+	return "/v1/tasks/" + url.PathEscape(string(attempt.Task)) + "/" + strconv.FormatUint(uint64(attempt.Number), 10)
 }
--- a/worker/client_test.go
+++ b/worker/client_test.go
@@ -19,7 +19,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-var attempt = task.Attempt{Task: "t", Number: 1}
+var testAttempt = task.Attempt{Task: "t", Number: 1}
 
 // serve returns a client and the address of a fake worker that runs handler.
 func serve(t *testing.T, config Config, handler http.HandlerFunc) (*Client, Address) {
@@ -34,9 +34,9 @@
 	return client, Address(strings.TrimPrefix(server.URL, "http://"))
 }
 
-// TestResultIsWhole guards against a result that is truncated, altered, of
+// TestResultIsVerified guards against a result that is truncated, altered, of
 // another attempt or too large being accepted as complete.
-func TestResultIsWhole(t *testing.T) {
+func TestResultIsVerified(t *testing.T) {
 	const body = "0123456789"
 	digest := Digest([]byte(body))
 	for _, test := range []struct {
@@ -66,7 +66,7 @@
 				rw.(http.Flusher).Flush()
 				io.WriteString(rw, test.send)
 			})
-			test.ask.Attempt = attempt
+			test.ask.Attempt = testAttempt
 			var got bytes.Buffer
 			err := client.Result(t.Context(), at, test.ask, &got)
 			if !errors.Is(err, test.want) || err == nil && got.String() != body {
@@ -106,7 +106,7 @@
 				rw.WriteHeader(test.status)
 				io.WriteString(rw, test.body)
 			})
-			_, err := client.Start(t.Context(), at, StartRequest{Attempt: attempt}, nil)
+			_, err := client.Start(t.Context(), at, StartRequest{Attempt: testAttempt}, nil)
 			if !errors.Is(err, test.want) {
 				t.Errorf("error %v, want %v", err, test.want)
 			}
@@ -162,12 +162,12 @@
 			t.Fatal(err)
 		}
 	}
-	if used := size(&connections); used != 2 {
+	if used := countEntries(&connections); used != 2 {
 		t.Errorf("%d connections for a timed-out call and two others, want 2", used)
 	}
 }
 
-func size(m *sync.Map) (n int) {
+func countEntries(m *sync.Map) (n int) {
 	m.Range(func(any, any) bool { n++; return true })
 	return n
 }
@@ -176,13 +176,13 @@
 // setting allows, and against waiting starts blocking other calls.
 func TestConnectionBound(t *testing.T) {
 	release := make(chan struct{})
-	var open, most atomic.Int32
+	var open, maxOpen atomic.Int32
 	var connections sync.Map
 	client, at := serve(t, Config{Connections: 3, ControlConnections: 1}, func(rw http.ResponseWriter, r *http.Request) {
 		connections.Store(r.RemoteAddr, true)
 		if r.URL.Path == "/v1/tasks" {
 			now := open.Add(1)
-			for m := most.Load(); now > m && !most.CompareAndSwap(m, now); m = most.Load() {
+			for m := maxOpen.Load(); now > m && !maxOpen.CompareAndSwap(m, now); m = maxOpen.Load() {
 			}
 			<-release
 			open.Add(-1)
@@ -205,8 +205,8 @@
 	}
 	close(release)
 	starts.Wait()
-	if used := size(&connections); most.Load() > 3 || used > 4 {
-		t.Errorf("%d starts at once, %d connections; want at most 3 and 4", most.Load(), used)
+	if used := countEntries(&connections); maxOpen.Load() > 3 || used > 4 {
+		t.Errorf("%d starts at once, %d connections; want at most 3 and 4", maxOpen.Load(), used)
 	}
 }
 
@@ -281,9 +281,9 @@
 	return len(b), nil
 }
 
-// TestConnectionAsksBeforeEachWrite guards against bytes being sent after the
+// TestConnectionChecksBeforeEachWrite guards against bytes being sent after the
 // check has failed, or after the call was reported as not sent.
-func TestConnectionAsksBeforeEachWrite(t *testing.T) {
+func TestConnectionChecksBeforeEachWrite(t *testing.T) {
 	for _, test := range []struct {
 		name    string
 		allowed int // writes before the check fails
--- a/worker/conn.go
+++ b/worker/conn.go
@@ -13,7 +13,7 @@
 // time on a connection.
 type checkedConn struct {
 	net.Conn
-	traffic counters
+	traffic byteCounters
 
 	mu     sync.Mutex
 	check  func() error
@@ -40,7 +40,7 @@
 
 // Write runs the check of the current call and writes only if the check passes.
 func (c *checkedConn) Write(b []byte) (int, error) {
-	if err := c.permit(); err != nil {
+	if err := c.checkWrite(); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Write(b)
@@ -55,7 +55,7 @@
 	return n, err
 }
 
-func (c *checkedConn) permit() error {
+func (c *checkedConn) checkWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sealed {
--- a/worker/exchange.go
+++ b/worker/exchange.go
@@ -16,11 +16,11 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// call describes one HTTP request to a worker and its reply.
-type call struct {
+// workerCall describes one HTTP request to a worker and its reply.
+type workerCall struct {
 	operation string
 	method    string
-	to        Address
+	address   Address
 	path      string
 	timeout   time.Duration
 	request   func() (Frame, error) // nil for no body
@@ -29,34 +29,34 @@
 }
 
 // exchange makes one call and decodes its reply.
-func (c *Client) exchange(ctx context.Context, transport *http.Transport, x call) error {
-	ctx, cancel := context.WithTimeout(ctx, x.timeout)
+func (c *Client) exchange(ctx context.Context, transport *http.Transport, call workerCall) error {
+	ctx, cancel := context.WithTimeout(ctx, call.timeout)
 	defer cancel()
-	resp, err := c.send(ctx, transport, x)
+	resp, err := c.send(ctx, transport, call)
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
 	body, err := readLimited(resp, c.config.MaxReplyBytes)
 	if err != nil {
-		return Unclear(x.operation, err)
+		return Unclear(call.operation, err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return statusError(x.operation, resp.StatusCode, body)
+		return statusError(call.operation, resp.StatusCode, body)
 	}
-	if err := x.reply(body); err != nil {
-		return Unclear(x.operation, err)
+	if err := call.reply(body); err != nil {
+		return Unclear(call.operation, err)
 	}
 	return nil
 }
 
-// asJSON returns the encoder of a request without raw bytes after the JSON.
-func asJSON(request any) func() (Frame, error) {
+// jsonEncoder returns the encoder of a request without raw bytes after the JSON.
+func jsonEncoder(request any) func() (Frame, error) {
 	return func() (Frame, error) { return NewFrame(request, nil) }
 }
 
-// intoJSON returns the decoder of a reply without raw bytes after the JSON.
-func intoJSON(reply any) func([]byte) error {
+// jsonDecoder returns the decoder of a reply without raw bytes after the JSON.
+func jsonDecoder(reply any) func([]byte) error {
 	return func(body []byte) error {
 		_, err := ParseFrame(body, reply)
 		return err
@@ -64,20 +64,20 @@
 }
 
 // send writes the request and returns the response with its body unread.
-func (c *Client) send(ctx context.Context, transport *http.Transport, x call) (*http.Response, error) {
+func (c *Client) send(ctx context.Context, transport *http.Transport, call workerCall) (*http.Response, error) {
 	var conn atomic.Pointer[checkedConn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		got := info.Conn.(*checkedConn)
-		got.begin(x.check)
+		got.begin(call.check)
 		conn.Store(got)
 	}}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), x)
+	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
 	if err != nil {
-		return nil, NotRun(x.operation, err)
+		return nil, NotRun(call.operation, err)
 	}
-	if x.check != nil {
-		if err := x.check(); err != nil {
-			return nil, NotRun(x.operation, &checkError{err})
+	if call.check != nil {
+		if err := call.check(); err != nil {
+			return nil, NotRun(call.operation, &checkError{err})
 		}
 	}
 	resp, err := transport.RoundTrip(req)
@@ -85,22 +85,22 @@
 		return resp, nil
 	}
 	if used := conn.Load(); used != nil && used.seal() {
-		return nil, Unclear(x.operation, err)
+		return nil, Unclear(call.operation, err)
 	}
-	return nil, NotRun(x.operation, err)
+	return nil, NotRun(call.operation, err)
 }
 
 // newRequest builds the request. GetBody stays nil: without it, net/http
 // cannot retry a request that has a body.
-func newRequest(ctx context.Context, x call) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, x.method, "http://"+string(x.to)+x.path, nil)
+func newRequest(ctx context.Context, call workerCall) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, call.method, "http://"+string(call.address)+call.path, nil)
 	if err != nil {
 		return nil, eris.Wrap(err, "build request")
 	}
-	if x.request == nil {
+	if call.request == nil {
 		return req, nil
 	}
-	frame, err := x.request()
+	frame, err := call.request()
 	if err != nil {
 		return nil, err
 	}
@@ -161,12 +161,12 @@
 	return verifyResult(*reply.Outcome, reply.ResultBytes)
 }
 
-func verifyResult(o task.Outcome, length int64) error {
-	if int64(len(o.Result)) != length {
-		return eris.Wrapf(ErrIncomplete, "result has %d bytes, expected %d", len(o.Result), length)
+func verifyResult(outcome task.Outcome, length int64) error {
+	if int64(len(outcome.Result)) != length {
+		return eris.Wrapf(ErrIncomplete, "result has %d bytes, expected %d", len(outcome.Result), length)
 	}
-	if got := Digest(o.Result); got != o.Digest {
-		return eris.Wrapf(ErrIncomplete, "result has digest %s, expected %s", got, o.Digest)
+	if got := Digest(outcome.Result); got != outcome.Digest {
+		return eris.Wrapf(ErrIncomplete, "result has digest %s, expected %s", got, outcome.Digest)
 	}
 	return nil
 }
--- a/worker/metrics.go
+++ b/worker/metrics.go
@@ -9,15 +9,15 @@
 	receivedSuffix = ".received_bytes"
 )
 
-// counters count the bytes on the connections to one worker, HTTP headers
+// byteCounters count the bytes on the connections to one worker, HTTP headers
 // included.
-type counters struct{ sent, received metrics.Counter }
+type byteCounters struct{ sent, received metrics.Counter }
 
-func countersFor(registry metrics.Registry, address Address) counters {
+func countersFor(registry metrics.Registry, address Address) byteCounters {
 	if registry == nil {
-		return counters{metrics.NilCounter{}, metrics.NilCounter{}}
+		return byteCounters{metrics.NilCounter{}, metrics.NilCounter{}}
 	}
-	return counters{
+	return byteCounters{
 		sent:     metrics.GetOrRegisterCounter(metricPrefix+string(address)+sentSuffix, registry),
 		received: metrics.GetOrRegisterCounter(metricPrefix+string(address)+receivedSuffix, registry),
 	}
--- a/worker/result.go
+++ b/worker/result.go
@@ -18,29 +18,29 @@
 // Result implements API. The bytes are written to dst as they arrive, so dst
 // may hold a partial result if an error is returned.
 func (c *Client) Result(ctx context.Context, from Address, req ResultRequest, dst io.Writer) error {
-	x := call{
+	call := workerCall{
 		operation: fmt.Sprintf("result of %s from %s", req.Attempt, from),
-		method:    http.MethodGet, to: from, path: attemptPath(req.Attempt) + "/result",
+		method:    http.MethodGet, address: from, path: attemptPath(req.Attempt) + "/result",
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.config.ResultTimeout)
 	defer cancel()
-	resp, err := c.send(ctx, c.traffic, x)
+	resp, err := c.send(ctx, c.traffic, call)
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		body, _ := readLimited(resp, c.config.MaxReplyBytes)
-		return statusError(x.operation, resp.StatusCode, body)
+		return statusError(call.operation, resp.StatusCode, body)
 	}
 	if req.Digest == "" {
 		req.Bytes, req.Digest = resp.ContentLength, resp.Header.Get(DigestHeader)
 	}
 	if req.Bytes < 0 {
-		return Unclear(x.operation, eris.Wrap(ErrIncomplete, "the reply has no length"))
+		return Unclear(call.operation, eris.Wrap(ErrIncomplete, "the reply has no length"))
 	}
 	if err := CopyResult(dst, resp.Body, req, c.config.MaxResultBytes); err != nil {
-		return Unclear(x.operation, err)
+		return Unclear(call.operation, err)
 	}
 	return nil
 }
