--- a/caller/calls.go
+++ b/caller/calls.go
@@ -30,16 +30,16 @@
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	end, err := s.endOf(r, request.Deadline)
+	deadline, err := s.callDeadline(r, request.Deadline)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	spec := specOf(r, request)
+	spec := newSpec(r, request)
 	if err := checkNames(spec.Team, spec.Service); err != nil {
 		return httpjson.Answer{}, err
 	}
 	spec.SubmittedAt = s.now()
-	ctx, cancel, wait := s.bounded(r.Context(), end, wait)
+	ctx, cancel, wait := s.withCallDeadline(r.Context(), deadline, wait)
 	defer cancel()
 	reply, err := s.backend.Submit(ctx, secret, spec, wait)
 	if err != nil {
@@ -49,30 +49,30 @@
 }
 
 func (s *Server) status(r *http.Request) (httpjson.Answer, error) {
-	return s.onJob(r, func(c jobCall) (Reply, error) {
+	return s.handleJob(r, func(c jobCall) (Reply, error) {
 		return s.backend.Status(c.ctx, c.secret, c.id)
 	})
 }
 
 func (s *Server) wait(r *http.Request) (httpjson.Answer, error) {
-	return s.onJob(r, func(c jobCall) (Reply, error) {
+	return s.handleJob(r, func(c jobCall) (Reply, error) {
 		return s.backend.Wait(c.ctx, c.secret, c.id, c.wait)
 	})
 }
 
 func (s *Server) cancel(r *http.Request) (httpjson.Answer, error) {
-	return s.onJob(r, func(c jobCall) (Reply, error) {
+	return s.handleJob(r, func(c jobCall) (Reply, error) {
 		return s.backend.Cancel(c.ctx, c.secret, c.id)
 	})
 }
 
-func (s *Server) onJob(r *http.Request, ask func(jobCall) (Reply, error)) (httpjson.Answer, error) {
-	call, cancel, err := s.jobCallOf(r)
+func (s *Server) handleJob(r *http.Request, callBackend func(jobCall) (Reply, error)) (httpjson.Answer, error) {
+	call, cancel, err := s.parseJobCall(r)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
 	defer cancel()
-	reply, err := ask(call)
+	reply, err := callBackend(call)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
@@ -82,12 +82,12 @@
 // result answers with the raw bytes of the result, which then need no encoding
 // as JSON.
 func (s *Server) result(r *http.Request) (httpjson.Answer, error) {
-	call, cancel, err := s.jobCallOf(r)
+	call, cancel, err := s.parseJobCall(r)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
 	defer cancel()
-	index, err := indexOf(r)
+	index, err := parseIndex(r)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
--- a/caller/decode.go
+++ b/caller/decode.go
@@ -46,13 +46,13 @@
 		return invalid("declared_run", "the run time is negative", "0s or more")
 	case len(request.Regions) > maxRegions:
 		return invalid("regions", "there are too many regions", "at most "+strconv.Itoa(maxRegions))
-	case request.Size != nil && !isPossible(*request.Size):
+	case request.Size != nil && !isWithinMaxAmount(*request.Size):
 		return invalid("size", "an amount is negative or above the maximum", "0 to "+strconv.Itoa(maxAmount)+" of each resource")
 	}
 	return nil
 }
 
-func isPossible(size task.Resources) bool {
+func isWithinMaxAmount(size task.Resources) bool {
 	bound := task.Resources{CPUMilli: maxAmount, MemoryMB: maxAmount, Accelerators: maxAmount, Slots: maxAmount, Connections: maxAmount}
 	return !size.HasNegative() && size.Fits(bound)
 }
@@ -61,9 +61,9 @@
 	return errkind.New(errkind.InvalidRequest, "%s", message).WithField(field, limit)
 }
 
-// specOf returns the job that request describes. Fields that are set from its
+// newSpec returns the job that request describes. Fields that are set from its
 // document are left empty.
-func specOf(r *http.Request, request api.SubmitRequest) task.Spec {
+func newSpec(r *http.Request, request api.SubmitRequest) task.Spec {
 	spec := task.Spec{
 		Team:           task.Team(r.PathValue("team")),
 		Service:        task.Service(r.PathValue("service")),
@@ -75,7 +75,7 @@
 		ReviewBy:       request.ReviewBy,
 		Regions:        request.Regions,
 		Payload:        request.Payload,
-		PayloadDigest:  digestOf(request),
+		PayloadDigest:  workDigest(request),
 	}
 	if request.Size != nil {
 		spec.Size = *request.Size
@@ -83,9 +83,9 @@
 	return spec
 }
 
-// digestOf returns the digest that identifies the requested work. The deadline is
+// workDigest returns the digest that identifies the requested work. The deadline is
 // excluded, because a repeated submission of the same work has a later one.
-func digestOf(request api.SubmitRequest) string {
+func workDigest(request api.SubmitRequest) string {
 	request.Deadline = time.Time{}
 	request.ReviewBy = request.ReviewBy.UTC()
 	if request.Size != nil && request.Size.IsZero() {
--- a/caller/job.go
+++ b/caller/job.go
@@ -16,12 +16,12 @@
 	wait   time.Duration
 }
 
-func (s *Server) jobCallOf(r *http.Request) (jobCall, context.CancelFunc, error) {
+func (s *Server) parseJobCall(r *http.Request) (jobCall, context.CancelFunc, error) {
 	secret, err := httpjson.Secret(r)
 	if err != nil {
 		return jobCall{}, nil, err
 	}
-	id, err := jobOf(r)
+	id, err := parseJobPath(r)
 	if err != nil {
 		return jobCall{}, nil, err
 	}
@@ -29,10 +29,10 @@
 	if err != nil {
 		return jobCall{}, nil, err
 	}
-	end, err := s.endOf(r, time.Time{})
+	deadline, err := s.callDeadline(r, time.Time{})
 	if err != nil {
 		return jobCall{}, nil, err
 	}
-	ctx, cancel, wait := s.bounded(r.Context(), end, wait)
+	ctx, cancel, wait := s.withCallDeadline(r.Context(), deadline, wait)
 	return jobCall{ctx: ctx, secret: secret, id: id, wait: wait}, cancel, nil
 }
--- a/caller/read.go
+++ b/caller/read.go
@@ -14,8 +14,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// jobOf returns the job ID in the path of r.
-func jobOf(r *http.Request) (JobID, error) {
+// parseJobPath returns the job ID in the path of r.
+func parseJobPath(r *http.Request) (JobID, error) {
 	id := JobID{
 		Team:    task.Team(r.PathValue("team")),
 		Service: task.Service(r.PathValue("service")),
@@ -60,7 +60,7 @@
 	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || strings.ContainsRune("._-", c)
 }
 
-func indexOf(r *http.Request) (int, error) {
+func parseIndex(r *http.Request) (int, error) {
 	text := r.URL.Query().Get("index")
 	if text == "" {
 		return 0, nil
@@ -73,46 +73,46 @@
 	return index, nil
 }
 
-// endOf returns the earlier of the deadline from the timeout header and the
+// callDeadline returns the earlier of the deadline from the timeout header and the
 // deadline in the body, or zero without either. The header holds a duration
 // because of the clock skew between callers and this instance.
-func (s *Server) endOf(r *http.Request, inBody time.Time) (time.Time, error) {
-	now, end := s.now(), inBody
+func (s *Server) callDeadline(r *http.Request, bodyDeadline time.Time) (time.Time, error) {
+	now, deadline := s.now(), bodyDeadline
 	if text := r.Header.Get(api.HeaderTimeout); text != "" {
-		left, err := time.ParseDuration(text)
+		remaining, err := time.ParseDuration(text)
 		if err != nil {
 			return time.Time{}, errkind.New(errkind.InvalidRequest, "the timeout %.40q cannot be parsed", text).
 				WithField(api.HeaderTimeout, `a duration such as "1500ms"`)
 		}
-		if inHeader := now.Add(left); end.IsZero() || inHeader.Before(end) {
-			end = inHeader
+		if headerDeadline := now.Add(remaining); deadline.IsZero() || headerDeadline.Before(deadline) {
+			deadline = headerDeadline
 		}
 	}
-	if !end.IsZero() && !end.After(now) {
+	if !deadline.IsZero() && !deadline.After(now) {
 		return time.Time{}, errkind.New(errkind.DeadlineExceeded, "the deadline had passed when the request arrived").
 			WithField("deadline", "a time in the future")
 	}
-	return end, nil
+	return deadline, nil
 }
 
 // Part of the remaining time of a call that is reserved for sending the answer.
 const (
-	answerShare = 10
-	answerMost  = 200 * time.Millisecond
+	answerReserveDivisor = 10
+	maxAnswerReserve     = 200 * time.Millisecond
 )
 
-// bounded returns the context for the backend and the wait that fits in it. The
+// withCallDeadline returns the context for the backend and the wait that fits in it. The
 // context ends at the deadline of the call, and never later than one call timeout
 // after the wait. A wait that would outlast the call is shortened, so that the
 // caller gets the state of its job instead of no answer.
-func (s *Server) bounded(ctx context.Context, end time.Time, wait time.Duration) (context.Context, context.CancelFunc, time.Duration) {
+func (s *Server) withCallDeadline(ctx context.Context, deadline time.Time, wait time.Duration) (context.Context, context.CancelFunc, time.Duration) {
 	now := s.now()
 	latest := now.Add(wait + s.cfg.CallTimeout)
-	if end.IsZero() || latest.Before(end) {
+	if deadline.IsZero() || latest.Before(deadline) {
 		bounded, cancel := context.WithDeadline(ctx, latest)
 		return bounded, cancel, wait
 	}
-	left := end.Sub(now)
-	bounded, cancel := context.WithDeadline(ctx, end)
-	return bounded, cancel, max(0, min(wait, left-min(left/answerShare, answerMost)))
+	remaining := deadline.Sub(now)
+	bounded, cancel := context.WithDeadline(ctx, deadline)
+	return bounded, cancel, max(0, min(wait, remaining-min(remaining/answerReserveDivisor, maxAnswerReserve)))
 }
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -141,11 +141,11 @@
 	return b.String()
 }
 
-const goodBody = `{"idempotency_key":"k-1","class":"check"}`
+const validBody = `{"idempotency_key":"k-1","class":"check"}`
 
-// TestBadInputChangesNothing guards against invalid input reaching the
+// TestInvalidInputIsRejected guards against invalid input reaching the
 // backend, and against an error that does not name the field and its limit.
-func TestBadInputChangesNothing(t *testing.T) {
+func TestInvalidInputIsRejected(t *testing.T) {
 	cases := []struct {
 		name, raw, kind, field string
 	}{
@@ -154,8 +154,8 @@
 		{"truncated body", "POST " + submitPath + " HTTP/1.1\r\nHost: h\r\nX-Truncate: 1\r\nContent-Length: 99\r\n\r\n{", "invalid_request", "body"},
 		{"slow sender", "POST " + submitPath + " HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n{", "request_timeout", "body"},
 		{"no JSON", post(submitPath, "{"), "invalid_request", "body"},
-		{"text after the value", post(submitPath, goodBody+"{}"), "invalid_request", "body"},
-		{"comment", post(submitPath, "/**/"+goodBody), "invalid_request", "body"},
+		{"text after the value", post(submitPath, validBody+"{}"), "invalid_request", "body"},
+		{"comment", post(submitPath, "/**/"+validBody), "invalid_request", "body"},
 		{"unknown field", post(submitPath, `{"idempotency_key":"k","class":"c","colour":1}`), "invalid_request", "colour"},
 		{"field twice", post(submitPath, `{"idempotency_key":"k","class":"c","class":"d"}`), "invalid_request", "class"},
 		{"wrong type", post(submitPath, `{"idempotency_key":"k","class":7}`), "invalid_request", "class"},
@@ -167,11 +167,11 @@
 		{"negative size", post(submitPath, `{"idempotency_key":"k","class":"c","size":{"slots":-1}}`), "invalid_request", "size"},
 		{"size beyond int64", post(submitPath, `{"idempotency_key":"k","class":"c","size":{"slots":9223372036854775808}}`), "invalid_request", "size.slots"},
 		{"impossible size", post(submitPath, `{"idempotency_key":"k","class":"c","size":{"slots":9223372036854775807}}`), "invalid_request", "size"},
-		{"wait over the limit", post(submitPath+"?wait=2m", goodBody), "invalid_request", "wait"},
-		{"key without bearer", post(submitPath, goodBody, "Authorization: Basic x"), "key_missing", "Authorization"},
-		{"timeout in words", post(submitPath, goodBody, "Mulberrydrum-Timeout: soon"), "invalid_request", "Mulberrydrum-Timeout"},
+		{"wait over the limit", post(submitPath+"?wait=2m", validBody), "invalid_request", "wait"},
+		{"key without bearer", post(submitPath, validBody, "Authorization: Basic x"), "key_missing", "Authorization"},
+		{"timeout in words", post(submitPath, validBody, "Mulberrydrum-Timeout: soon"), "invalid_request", "Mulberrydrum-Timeout"},
 		{"deadline in the past", post(submitPath, `{"idempotency_key":"k","class":"c","deadline":"2001-01-01T00:00:00Z"}`), "deadline_exceeded", "deadline"},
-		{"team with a slash", post("/v1/teams/a%2Fb/services/nozzles/requests", goodBody), "unknown_team", "team"},
+		{"team with a slash", post("/v1/teams/a%2Fb/services/nozzles/requests", validBody), "unknown_team", "team"},
 		{"service in capitals", get("/v1/teams/pipes/services/Nozzles/requests/k"), "unknown_service", "service"},
 		{"wrong method", get(submitPath), "not_allowed", "method"},
 		{"wrong path", get("/v2/teams"), "unknown_path", "path"},
@@ -208,9 +208,9 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", submitPath, len(body), body)
 }
 
-// TestSubmitPassesTheRequestOn guards against a field that does not reach the
+// TestSubmitForwardsRequest guards against a field that does not reach the
 // backend, and against the later of two deadlines being used.
-func TestSubmitPassesTheRequestOn(t *testing.T) {
+func TestSubmitForwardsRequest(t *testing.T) {
 	backend := &fakeBackend{reply: Reply{State: task.Accepted}}
 	_, address := serve(t, backend)
 	before := time.Now()
@@ -228,7 +228,7 @@
 	if end := backend.deadline; end.Before(before.Add(timeout)) || end.After(time.Now().Add(timeout)) {
 		t.Errorf("the call ends %v after its start, want 5s as in the header", end.Sub(before))
 	}
-	if backend.wait <= 0 || backend.wait > timeout-answerMost {
+	if backend.wait <= 0 || backend.wait > timeout-maxAnswerReserve {
 		t.Errorf("the wait is %v, want less than the 5s of the call", backend.wait)
 	}
 	if s.Deadline.Year() != 2999 {
@@ -236,38 +236,38 @@
 	}
 }
 
-// TestCutRequestsReachNobody guards against a truncated request being processed
+// TestTruncatedRequestsAreRejected guards against a truncated request being processed
 // as a complete one, wherever the connection ends.
-func TestCutRequestsReachNobody(t *testing.T) {
+func TestTruncatedRequestsAreRejected(t *testing.T) {
 	backend := &fakeBackend{reply: Reply{State: task.Accepted}}
 	_, address := serve(t, backend)
-	whole := post(submitPath, goodBody, "Authorization: Bearer s3")
-	for n := range len(whole) {
+	complete := post(submitPath, validBody, "Authorization: Bearer s3")
+	for n := range len(complete) {
 		conn, err := net.Dial("tcp", address)
 		if err != nil {
 			t.Fatal(err)
 		}
-		_, err = io.WriteString(conn, whole[:n])
+		_, err = io.WriteString(conn, complete[:n])
 		_ = conn.(*net.TCPConn).CloseWrite()
 		_, readErr := io.Copy(io.Discard, conn)
 		if _ = conn.Close(); errors.Join(err, readErr) != nil || backend.submitted != 0 {
-			t.Fatalf("after %d of %d bytes: %d submissions, %v %v", n, len(whole), backend.submitted, err, readErr)
+			t.Fatalf("after %d of %d bytes: %d submissions, %v %v", n, len(complete), backend.submitted, err, readErr)
 		}
 	}
-	if exchange(t, address, whole); backend.submitted != 1 {
+	if exchange(t, address, complete); backend.submitted != 1 {
 		t.Errorf("the complete request made %d submissions", backend.submitted)
 	}
 }
 
-// TestDigestIgnoresTheDeadline guards against a repeated submission being treated
+// TestDigestIgnoresDeadline guards against a repeated submission being treated
 // as different work, and different work as a repeated submission.
-func TestDigestIgnoresTheDeadline(t *testing.T) {
+func TestDigestIgnoresDeadline(t *testing.T) {
 	digest := func(body string) string {
 		request, err := decodeSubmit([]byte(body))
 		if err != nil {
 			t.Fatal(err)
 		}
-		return digestOf(request)
+		return workDigest(request)
 	}
 	first := digest(`{"idempotency_key":"k","class":"c","payload":"aGk=","deadline":"2030-01-01T00:00:00Z"}`)
 	if digest(`{"class":"c", "payload":"aGk=", "idempotency_key":"k", "size":{}}`) != first {
@@ -278,9 +278,9 @@
 	}
 }
 
-// TestResultIsCompleteOrRefused guards against a result that differs from the
+// TestIncompleteResultIsRejected guards against a result that differs from the
 // one reported by the worker, and against an answer without length and digest.
-func TestResultIsCompleteOrRefused(t *testing.T) {
+func TestIncompleteResultIsRejected(t *testing.T) {
 	data := []byte("stress 41 MPa")
 	sum := sha256.Sum256(data)
 	good := task.Outcome{Attempt: task.Attempt{Task: "t", Number: 2}, State: task.Finished, Result: data, Digest: hex.EncodeToString(sum[:])}
@@ -308,7 +308,7 @@
 // FuzzDecodeSubmit guards against a body that panics, or that is accepted with
 // values out of range.
 func FuzzDecodeSubmit(f *testing.F) {
-	f.Add([]byte(goodBody))
+	f.Add([]byte(validBody))
 	f.Add([]byte(`{"idempotency_key":"k","class":"c","size":{"slots":-1}}`))
 	f.Add([]byte(`{"idempotency_key":"\ud800","class":"c"}`))
 	f.Add([]byte(strings.Repeat("[", 5000)))
