--- a/operator/conflict.go
+++ b/operator/conflict.go
@@ -17,45 +17,45 @@
 }
 
 // Error returns both revisions.
-func (c *Conflict) Error() string { return c.typed().Error() }
+func (c *Conflict) Error() string { return c.kindError().Error() }
 
 // Unwrap returns the error of kind revision_conflict.
-func (c *Conflict) Unwrap() error { return c.typed() }
+func (c *Conflict) Unwrap() error { return c.kindError() }
 
-func (c *Conflict) typed() *errkind.Error {
+func (c *Conflict) kindError() *errkind.Error {
 	return errkind.New(errkind.RevisionConflict, "revision %d is in force, not %d", c.Current.Revision, c.Expected).
 		WithField("expect", fmt.Sprintf("%d, after a review of the other change", c.Current.Revision))
 }
 
 // AddDetail adds the change that the current revision made.
-func (c *Conflict) AddDetail(told *api.Error) {
-	told.Conflict = &api.Conflict{
+func (c *Conflict) AddDetail(detail *api.Error) {
+	detail.Conflict = &api.Conflict{
 		Expected: c.Expected,
 		Revision: c.Current.Revision,
 		By:       c.Current.Record.By,
 		At:       c.Current.Record.At,
-		Changes:  changesOf(c.Current.Record.LastChange()),
+		Changes:  toAPIChanges(c.Current.Record.LastChange()),
 	}
 }
 
-func changesOf(changes []document.Change) []api.Change {
-	shown := make([]api.Change, len(changes))
+func toAPIChanges(changes []document.Change) []api.Change {
+	converted := make([]api.Change, len(changes))
 	for i, c := range changes {
-		shown[i] = api.Change(c)
+		converted[i] = api.Change(c)
 	}
-	return shown
+	return converted
 }
 
-// faulty is the error of an invalid document.
-type faulty struct{ faults []jsonc.Fault }
+// invalidDocumentError is the error of an invalid document.
+type invalidDocumentError struct{ faults []jsonc.Fault }
 
 // Error returns the first fault.
-func (f *faulty) Error() string { return f.typed().Error() }
+func (f *invalidDocumentError) Error() string { return f.kindError().Error() }
 
 // Unwrap returns the error of kind invalid_request.
-func (f *faulty) Unwrap() error { return f.typed() }
+func (f *invalidDocumentError) Unwrap() error { return f.kindError() }
 
-func (f *faulty) typed() *errkind.Error {
+func (f *invalidDocumentError) kindError() *errkind.Error {
 	first := f.faults[0]
 	field := first.Path
 	if field == "" {
@@ -66,4 +66,4 @@
 }
 
 // AddDetail lists every fault.
-func (f *faulty) AddDetail(told *api.Error) { told.Faults = f.faults }
+func (f *invalidDocumentError) AddDetail(detail *api.Error) { detail.Faults = f.faults }
--- a/operator/documents.go
+++ b/operator/documents.go
@@ -17,14 +17,14 @@
 	}
 	list := api.Documents{Documents: make([]api.Document, len(held))}
 	for i, h := range held {
-		list.Documents[i] = shown(h)
+		list.Documents[i] = toAPIDocument(h)
 		list.Documents[i].Source = ""
 	}
 	return httpjson.JSON(list)
 }
 
 func (s *Server) getDocument(c call) (httpjson.Answer, error) {
-	ref, err := refOf(c)
+	ref, err := parseRef(c)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
@@ -32,29 +32,29 @@
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	return httpjson.JSON(shown(held))
+	return httpjson.JSON(toAPIDocument(held))
 }
 
 func (s *Server) applyDocument(c call) (httpjson.Answer, error) {
-	expected, err := expectedOf(c)
+	expected, err := parseExpected(c)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	ref, source, _, err := s.candidate(c)
+	ref, source, _, err := s.readDocument(c)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	held, err := s.backend.Apply(c.ctx, Change{Ref: ref, Source: source, By: c.by, Expected: expected, Wait: c.wait})
+	held, err := s.backend.Apply(c.ctx, Change{Ref: ref, Source: source, By: c.operator, Expected: expected, Wait: c.wait})
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	return httpjson.JSON(shown(held))
+	return httpjson.JSON(toAPIDocument(held))
 }
 
 // diffDocument compares a document that an operator sends with the one in
 // force. A missing document counts as empty.
 func (s *Server) diffDocument(c call) (httpjson.Answer, error) {
-	ref, _, candidate, err := s.candidate(c)
+	ref, _, candidate, err := s.readDocument(c)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
@@ -63,7 +63,7 @@
 		return httpjson.Answer{}, err
 	}
 	current, _ := document.Parse([]byte(held.Record.Source))
-	return httpjson.JSON(api.Diff{Revision: held.Revision, Changes: changesOf(document.Diff(current, candidate))})
+	return httpjson.JSON(api.Diff{Revision: held.Revision, Changes: toAPIChanges(document.Diff(current, candidate))})
 }
 
 func isMissing(err error) bool {
@@ -71,10 +71,10 @@
 	return kind == errkind.UnknownTeam || kind == errkind.UnknownService
 }
 
-// candidate reads and validates the document in the body. Its team and service
+// readDocument reads and validates the document in the body. Its team and service
 // must be those of the path.
-func (s *Server) candidate(c call) (Ref, string, document.Document, error) {
-	ref, err := refOf(c)
+func (s *Server) readDocument(c call) (Ref, string, document.Document, error) {
+	ref, err := parseRef(c)
 	if err != nil {
 		return ref, "", document.Document{}, err
 	}
@@ -84,7 +84,7 @@
 	}
 	parsed, faults := document.Parse(body, s.cfg.Regions...)
 	if len(faults) > 0 {
-		return ref, "", parsed, &faulty{faults}
+		return ref, "", parsed, &invalidDocumentError{faults}
 	}
 	if parsed.Team != ref.Team {
 		return ref, "", parsed, errkind.New(errkind.InvalidRequest, "the document belongs to team %s", parsed.Team).
@@ -97,7 +97,7 @@
 	return ref, string(body), parsed, nil
 }
 
-func refOf(c call) (Ref, error) {
+func parseRef(c call) (Ref, error) {
 	ref := Ref{Team: task.Team(c.PathValue("team")), Service: task.Service(c.PathValue("service"))}
 	if !document.IsName(string(ref.Team)) {
 		return ref, errkind.New(errkind.UnknownTeam, "there is no team %.80q", ref.Team).WithField("team", document.NameRule)
@@ -108,9 +108,9 @@
 	return ref, nil
 }
 
-// expectedOf returns the expected revision, which is required so that no change
+// parseExpected returns the expected revision, which is required so that no change
 // replaces a revision that its operator has not seen.
-func expectedOf(c call) (int64, error) {
+func parseExpected(c call) (int64, error) {
 	text := c.URL.Query().Get("expect")
 	expected, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || expected < 0 {
@@ -120,7 +120,7 @@
 	return expected, nil
 }
 
-func shown(h Held) api.Document {
+func toAPIDocument(h Held) api.Document {
 	return api.Document{
 		Team:     h.Ref.Team,
 		Service:  h.Ref.Service,
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -19,7 +19,7 @@
 		return httpjson.Answer{}, errkind.New(errkind.InvalidRequest, "the request must name exactly one entry instance or worker").
 			WithField("instance", "either instance or worker, "+document.NameRule)
 	}
-	drained, err := s.backend.Drain(c.ctx, c.by, request)
+	drained, err := s.backend.Drain(c.ctx, c.operator, request)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
@@ -41,7 +41,7 @@
 		return httpjson.Answer{}, errkind.New(errkind.InvalidRequest, "a forced takeover needs a reason, which is recorded").
 			WithField("reason", "1 to 200 bytes")
 	}
-	forced, err := s.backend.ForceOwnership(c.ctx, c.by, request)
+	forced, err := s.backend.ForceOwnership(c.ctx, c.operator, request)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
--- a/operator/key.go
+++ b/operator/key.go
@@ -19,10 +19,10 @@
 // localOperator is the name that is recorded if the server requires no key.
 const localOperator = "local"
 
-// operatorOf returns the name of the operator whose key was sent with r. It always
+// authenticate returns the name of the operator whose key was sent with r. It always
 // compares with every key, in constant time, so that the response time does not
 // reveal how close the secret is to any of them.
-func (s *Server) operatorOf(r *http.Request) (string, error) {
+func (s *Server) authenticate(r *http.Request) (string, error) {
 	if len(s.cfg.Keys) == 0 {
 		return localOperator, nil
 	}
--- a/operator/keys.go
+++ b/operator/keys.go
@@ -20,7 +20,7 @@
 	if err := checkGrant(request); err != nil {
 		return httpjson.Answer{}, err
 	}
-	granted, err := s.backend.GrantKey(c.ctx, c.by, request)
+	granted, err := s.backend.GrantKey(c.ctx, c.operator, request)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
@@ -41,11 +41,11 @@
 }
 
 func (s *Server) withdrawKey(c call) (httpjson.Answer, error) {
-	ref, err := refOf(c)
+	ref, err := parseRef(c)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	key, err := s.backend.WithdrawKey(c.ctx, c.by, ref.Team, c.PathValue("id"))
+	key, err := s.backend.WithdrawKey(c.ctx, c.operator, ref.Team, c.PathValue("id"))
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
--- a/operator/observe.go
+++ b/operator/observe.go
@@ -17,7 +17,7 @@
 )
 
 func (s *Server) timeline(c call) (httpjson.Answer, error) {
-	filter, err := s.filterOf(c)
+	filter, err := s.parseFilter(c)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
@@ -28,7 +28,7 @@
 	return httpjson.JSON(merged)
 }
 
-func (s *Server) filterOf(c call) (Filter, error) {
+func (s *Server) parseFilter(c call) (Filter, error) {
 	query := c.URL.Query()
 	filter := Filter{Task: task.ID(query.Get("task")), Team: task.Team(query.Get("team")), Limit: defaultEvents}
 	if text := query.Get("limit"); text != "" {
@@ -39,13 +39,13 @@
 		}
 		filter.Limit = limit
 	}
-	since, err := s.sinceOf(query.Get("since"))
+	since, err := s.parseSince(query.Get("since"))
 	filter.Since = since
 	return filter, err
 }
 
-// sinceOf parses a time, or a duration before now.
-func (s *Server) sinceOf(text string) (time.Time, error) {
+// parseSince parses a time, or a duration before now.
+func (s *Server) parseSince(text string) (time.Time, error) {
 	if text == "" {
 		return time.Time{}, nil
 	}
--- a/operator/server.go
+++ b/operator/server.go
@@ -40,20 +40,20 @@
 // NewServer returns a server that passes valid calls to backend.
 func NewServer(cfg Config, backend Backend) *Server {
 	s := &Server{Server: httpjson.NewServer(cfg.Limits), cfg: cfg, backend: backend, now: time.Now}
-	s.Handle("/v1/documents", httpjson.Methods{"GET": s.as(s.listDocuments)})
+	s.Handle("/v1/documents", httpjson.Methods{"GET": s.authenticated(s.listDocuments)})
 	for _, path := range []string{teamPath, servicePath} {
-		s.Handle(path, httpjson.Methods{"GET": s.as(s.getDocument), "PUT": s.as(s.applyDocument)})
-		s.Handle(path+"/diff", httpjson.Methods{"POST": s.as(s.diffDocument)})
+		s.Handle(path, httpjson.Methods{"GET": s.authenticated(s.getDocument), "PUT": s.authenticated(s.applyDocument)})
+		s.Handle(path+"/diff", httpjson.Methods{"POST": s.authenticated(s.diffDocument)})
 	}
-	s.Handle("/v1/keys", httpjson.Methods{"GET": s.as(s.listKeys), "POST": s.as(s.grantKey)})
-	s.Handle("/v1/keys/{team}/{id}", httpjson.Methods{"DELETE": s.as(s.withdrawKey)})
-	s.Handle("/v1/drain", httpjson.Methods{"POST": s.as(s.drain)})
-	s.Handle("/v1/ownership/force", httpjson.Methods{"POST": s.as(s.forceOwnership)})
-	s.Handle("/v1/workers", httpjson.Methods{"GET": s.as(s.workers)})
-	s.Handle("/v1/shares", httpjson.Methods{"GET": s.as(s.shares)})
-	s.Handle("/v1/members", httpjson.Methods{"GET": s.as(s.members)})
-	s.Handle("/v1/timeline", httpjson.Methods{"GET": s.as(s.timeline)})
-	s.Handle("/v1/metrics", httpjson.Methods{"GET": s.as(s.metrics)})
+	s.Handle("/v1/keys", httpjson.Methods{"GET": s.authenticated(s.listKeys), "POST": s.authenticated(s.grantKey)})
+	s.Handle("/v1/keys/{team}/{id}", httpjson.Methods{"DELETE": s.authenticated(s.withdrawKey)})
+	s.Handle("/v1/drain", httpjson.Methods{"POST": s.authenticated(s.drain)})
+	s.Handle("/v1/ownership/force", httpjson.Methods{"POST": s.authenticated(s.forceOwnership)})
+	s.Handle("/v1/workers", httpjson.Methods{"GET": s.authenticated(s.workers)})
+	s.Handle("/v1/shares", httpjson.Methods{"GET": s.authenticated(s.shares)})
+	s.Handle("/v1/members", httpjson.Methods{"GET": s.authenticated(s.members)})
+	s.Handle("/v1/timeline", httpjson.Methods{"GET": s.authenticated(s.timeline)})
+	s.Handle("/v1/metrics", httpjson.Methods{"GET": s.authenticated(s.metrics)})
 	s.Handle("/healthz", httpjson.Methods{"GET": s.probe(backend.Healthy)})
 	s.Handle("/readyz", httpjson.Methods{"GET": s.probe(backend.Ready)})
 	if cfg.Pprof {
@@ -64,17 +64,17 @@
 
 // call is one authenticated call of an operator.
 type call struct {
-	ctx  context.Context
-	by   string // name of the operator
-	wait time.Duration
+	ctx      context.Context
+	operator string // name of the operator
+	wait     time.Duration
 	*http.Request
 }
 
-// as returns a handler that authenticates the operator, sets the deadline of the
-// call and runs h.
-func (s *Server) as(h func(call) (httpjson.Answer, error)) httpjson.Handler {
+// authenticated returns a handler that authenticates the operator, sets the deadline
+// of the call and runs h.
+func (s *Server) authenticated(h func(call) (httpjson.Answer, error)) httpjson.Handler {
 	return func(r *http.Request) (httpjson.Answer, error) {
-		by, err := s.operatorOf(r)
+		by, err := s.authenticate(r)
 		if err != nil {
 			return httpjson.Answer{}, err
 		}
@@ -84,7 +84,7 @@
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), wait+s.cfg.CallTimeout)
 		defer cancel()
-		return h(call{ctx: ctx, by: by, wait: wait, Request: r})
+		return h(call{ctx: ctx, operator: by, wait: wait, Request: r})
 	}
 }
 
@@ -112,7 +112,7 @@
 	}
 	for path, page := range pages {
 		s.HandleRaw(path, func(w http.ResponseWriter, r *http.Request) {
-			if _, err := s.operatorOf(r); err != nil {
+			if _, err := s.authenticate(r); err != nil {
 				http.Error(w, err.Error(), http.StatusForbidden)
 				return
 			}
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -84,7 +84,7 @@
 
 const secret = "correct"
 
-func config(pprof bool) Config {
+func testConfig(pprof bool) Config {
 	sum := sha256.Sum256([]byte(secret))
 	return Config{
 		Limits: httpjson.Limits{
@@ -100,10 +100,10 @@
 	}
 }
 
-// ask sends one call and returns the status, the body and the decoded error, if any.
-type ask func(method, path, body, key string) (int, string, api.Error)
+// callFunc sends one call and returns the status, the body and the decoded error, if any.
+type callFunc func(method, path, body, key string) (int, string, api.Error)
 
-func serve(t *testing.T, cfg Config, backend Backend) ask {
+func serve(t *testing.T, cfg Config, backend Backend) callFunc {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -142,25 +142,25 @@
 }
 
 const (
-	document1 = `{"team": "pipes", "service": "nozzles", "classes": [{"name": "a", "kind": "durable", "size": {"slots": 1}, "max_run": "5m", "command": "x"}]}`
-	path1     = "/v1/documents/pipes/services/nozzles"
+	validDocument     = `{"team": "pipes", "service": "nozzles", "classes": [{"name": "a", "kind": "durable", "size": {"slots": 1}, "max_run": "5m", "command": "x"}]}`
+	validDocumentPath = "/v1/documents/pipes/services/nozzles"
 )
 
-// TestBadInputChangesNothing guards against invalid input reaching the
+// TestInvalidInputIsRejected guards against invalid input reaching the
 // backend, and against an error that does not name the field and its limit.
-func TestBadInputChangesNothing(t *testing.T) {
+func TestInvalidInputIsRejected(t *testing.T) {
 	cases := []struct{ name, method, path, body, kind, field string }{
-		{"no expected revision", "PUT", path1, document1, "invalid_request", "expect"},
-		{"negative revision", "PUT", path1 + "?expect=-1", document1, "invalid_request", "expect"},
-		{"no JSON", "PUT", path1 + "?expect=0", "{", "invalid_request", "body"},
-		{"unknown kind", "PUT", path1 + "?expect=0", strings.Replace(document1, "durable", "x", 1), "invalid_request", "classes[0].kind"},
-		{"unknown region", "PUT", path1 + "?expect=0", strings.Replace(document1, `"classes"`, `"regions": ["south"], "classes"`, 1), "invalid_request", "regions[0]"},
-		{"too large", "PUT", path1 + "?expect=0", strings.Repeat(" ", 2001), "request_too_large", "body"},
-		{"other team", "PUT", "/v1/documents/valves/services/nozzles?expect=0", document1, "invalid_request", "team"},
-		{"other service", "PUT", "/v1/documents/pipes/services/x?expect=0", document1, "invalid_request", "service"},
-		{"service as team", "PUT", "/v1/documents/pipes?expect=0", document1, "invalid_request", "service"},
-		{"team with a slash", "PUT", "/v1/documents/a%2Fb?expect=0", document1, "unknown_team", "team"},
-		{"wait over the limit", "PUT", path1 + "?expect=0&wait=2m", document1, "invalid_request", "wait"},
+		{"no expected revision", "PUT", validDocumentPath, validDocument, "invalid_request", "expect"},
+		{"negative revision", "PUT", validDocumentPath + "?expect=-1", validDocument, "invalid_request", "expect"},
+		{"no JSON", "PUT", validDocumentPath + "?expect=0", "{", "invalid_request", "body"},
+		{"unknown kind", "PUT", validDocumentPath + "?expect=0", strings.Replace(validDocument, "durable", "x", 1), "invalid_request", "classes[0].kind"},
+		{"unknown region", "PUT", validDocumentPath + "?expect=0", strings.Replace(validDocument, `"classes"`, `"regions": ["south"], "classes"`, 1), "invalid_request", "regions[0]"},
+		{"too large", "PUT", validDocumentPath + "?expect=0", strings.Repeat(" ", 2001), "request_too_large", "body"},
+		{"other team", "PUT", "/v1/documents/valves/services/nozzles?expect=0", validDocument, "invalid_request", "team"},
+		{"other service", "PUT", "/v1/documents/pipes/services/x?expect=0", validDocument, "invalid_request", "service"},
+		{"service as team", "PUT", "/v1/documents/pipes?expect=0", validDocument, "invalid_request", "service"},
+		{"team with a slash", "PUT", "/v1/documents/a%2Fb?expect=0", validDocument, "unknown_team", "team"},
+		{"wait over the limit", "PUT", validDocumentPath + "?expect=0&wait=2m", validDocument, "invalid_request", "wait"},
 		{"key without a team", "POST", "/v1/keys", `{}`, "invalid_request", "team"},
 		{"key with a wrong role", "POST", "/v1/keys", `{"team": "a", "role": "X"}`, "invalid_request", "role"},
 		{"key with a secret", "POST", "/v1/keys", `{"team": "a", "secret": "x"}`, "invalid_request", "secret"},
@@ -170,12 +170,12 @@
 		{"force without a reason", "POST", "/v1/ownership/force", `{"unit": "h/1"}`, "invalid_request", "reason"},
 		{"timeline since noon", "GET", "/v1/timeline?since=noon", "", "invalid_request", "since"},
 		{"timeline over the limit", "GET", "/v1/timeline?limit=1000000", "", "invalid_request", "limit"},
-		{"wrong method", "POST", path1, document1, "not_allowed", "method"},
+		{"wrong method", "POST", validDocumentPath, validDocument, "not_allowed", "method"},
 		{"profiles are off", "GET", "/debug/pprof/", "", "unknown_path", "path"},
 	}
 	for _, c := range cases {
 		backend := &fakeBackend{}
-		status, body, e := serve(t, config(false), backend)(c.method, c.path, c.body, secret)
+		status, body, e := serve(t, testConfig(false), backend)(c.method, c.path, c.body, secret)
 		if string(e.Kind) != c.kind || e.Field != c.field || e.Limit == "" || e.Fate != errkind.FateNotRun || status != errkind.AnswerFor(e.Kind).Status {
 			t.Errorf("%s: answer %d %s", c.name, status, body)
 		}
@@ -185,21 +185,21 @@
 	}
 }
 
-// TestEveryCallNeedsTheKey guards against a call that can be made without a valid
+// TestEveryCallRequiresKey guards against a call that can be made without a valid
 // key.
-func TestEveryCallNeedsTheKey(t *testing.T) {
+func TestEveryCallRequiresKey(t *testing.T) {
 	backend := &fakeBackend{}
-	call := serve(t, config(true), backend)
+	call := serve(t, testConfig(true), backend)
 	for _, c := range []struct{ method, path string }{
-		{"GET", "/v1/documents"}, {"GET", path1}, {"PUT", path1 + "?expect=0"}, {"POST", path1 + "/diff"},
+		{"GET", "/v1/documents"}, {"GET", validDocumentPath}, {"PUT", validDocumentPath + "?expect=0"}, {"POST", validDocumentPath + "/diff"},
 		{"GET", "/v1/keys"}, {"POST", "/v1/keys"}, {"DELETE", "/v1/keys/a/k"}, {"POST", "/v1/drain"},
 		{"POST", "/v1/ownership/force"}, {"GET", "/v1/workers"}, {"GET", "/v1/shares"}, {"GET", "/v1/members"},
 		{"GET", "/v1/timeline"}, {"GET", "/v1/metrics"},
 	} {
-		if _, body, e := call(c.method, c.path, document1, ""); e.Kind != errkind.KeyMissing {
+		if _, body, e := call(c.method, c.path, validDocument, ""); e.Kind != errkind.KeyMissing {
 			t.Errorf("%s %s without a key: %s", c.method, c.path, body)
 		}
-		if _, body, e := call(c.method, c.path, document1, "wrong"); e.Kind != errkind.KeyRefused || strings.Contains(body, "wrong") {
+		if _, body, e := call(c.method, c.path, validDocument, "wrong"); e.Kind != errkind.KeyRefused || strings.Contains(body, "wrong") {
 			t.Errorf("%s %s with a wrong key: %s", c.method, c.path, body)
 		}
 	}
@@ -214,11 +214,11 @@
 	}
 }
 
-// TestReadinessIsNotHealth guards against a draining instance being restarted or
+// TestDrainingIsHealthyButNotReady guards against a draining instance being restarted or
 // being sent calls, and against probes that the load balancer, which has no key,
 // cannot make.
-func TestReadinessIsNotHealth(t *testing.T) {
-	call := serve(t, config(false), &fakeBackend{ready: errkind.New(errkind.Draining, "leaving")})
+func TestDrainingIsHealthyButNotReady(t *testing.T) {
+	call := serve(t, testConfig(false), &fakeBackend{ready: errkind.New(errkind.Draining, "leaving")})
 	if status, _, _ := call("GET", "/healthz", "", ""); status != http.StatusOK {
 		t.Errorf("health while draining: %d", status)
 	}
@@ -227,18 +227,18 @@
 	}
 }
 
-// TestConflictShowsTheOtherChange guards against the second of two operators
+// TestConflictDescribesLastChange guards against the second of two operators
 // replacing, or not seeing, what the first one changed.
-func TestConflictShowsTheOtherChange(t *testing.T) {
+func TestConflictDescribesLastChange(t *testing.T) {
 	backend := &fakeBackend{}
-	call := serve(t, config(false), backend)
-	longer := strings.Replace(document1, "5m", "6m", 1)
-	for i, source := range []string{document1, longer} {
-		if status, body, _ := call("PUT", path1+"?expect="+string(rune('0'+i)), source, secret); status != http.StatusOK {
+	call := serve(t, testConfig(false), backend)
+	longer := strings.Replace(validDocument, "5m", "6m", 1)
+	for i, source := range []string{validDocument, longer} {
+		if status, body, _ := call("PUT", validDocumentPath+"?expect="+string(rune('0'+i)), source, secret); status != http.StatusOK {
 			t.Fatalf("apply %d: %s", i, body)
 		}
 	}
-	status, body, e := call("PUT", path1+"?expect=1", document1, secret)
+	status, body, e := call("PUT", validDocumentPath+"?expect=1", validDocument, secret)
 	if status != http.StatusConflict || e.Conflict == nil {
 		t.Fatalf("answer %d %s", status, body)
 	}
@@ -251,18 +251,18 @@
 		t.Error("the first change was replaced")
 	}
 	var diff api.Diff
-	_, body, _ = call("POST", path1+"/diff", document1, secret)
+	_, body, _ = call("POST", validDocumentPath+"/diff", validDocument, secret)
 	if err := json.Unmarshal([]byte(body), &diff); err != nil || diff.Revision != 2 || len(diff.Changes) != 1 || diff.Changes[0].After != `"5m0s"` {
 		t.Errorf("diff = %s, %v", body, err)
 	}
 }
 
-// TestEveryFaultIsAnswered guards against only the first fault of a document being
+// TestEveryFaultIsReported guards against only the first fault of a document being
 // reported, so that an operator has to correct one fault per call.
-func TestEveryFaultIsAnswered(t *testing.T) {
-	call := serve(t, config(false), &fakeBackend{})
-	source := strings.Replace(strings.Replace(document1, "durable", "x", 1), `"5m"`, "5", 1)
-	if _, body, e := call("PUT", path1+"?expect=0", source, secret); len(e.Faults) != 2 || e.Faults[1].Line != 1 {
+func TestEveryFaultIsReported(t *testing.T) {
+	call := serve(t, testConfig(false), &fakeBackend{})
+	source := strings.Replace(strings.Replace(validDocument, "durable", "x", 1), `"5m"`, "5", 1)
+	if _, body, e := call("PUT", validDocumentPath+"?expect=0", source, secret); len(e.Faults) != 2 || e.Faults[1].Line != 1 {
 		t.Errorf("answer %s", body)
 	}
 }
@@ -271,7 +271,7 @@
 // backend.
 func TestTimelineFilter(t *testing.T) {
 	backend := &fakeBackend{}
-	call := serve(t, config(false), backend)
+	call := serve(t, testConfig(false), backend)
 	call("GET", "/v1/timeline?task=a/b/c%230&team=pipes&since=5m&limit=7", "", secret)
 	f := backend.filter
 	if f.Task != "a/b/c#0" || f.Team != "pipes" || f.Limit != 7 || time.Since(f.Since) < 5*time.Minute || time.Since(f.Since) > 6*time.Minute {
@@ -282,7 +282,7 @@
 // TestMetricsAreJSON guards against a value that JSON cannot represent making all
 // metrics unreadable.
 func TestMetricsAreJSON(t *testing.T) {
-	cfg := config(false)
+	cfg := testConfig(false)
 	metrics.GetOrRegisterGaugeFloat64("ratio", cfg.Metrics).Update(nan())
 	metrics.GetOrRegisterCounter("calls", cfg.Metrics).Inc(3)
 	_, body, _ := serve(t, cfg, &fakeBackend{})("GET", "/v1/metrics", "", secret)
