--- a/client/caller.go
+++ b/client/caller.go
@@ -26,22 +26,22 @@
 		return api.Job{}, errkind.New(errkind.InvalidRequest, "the request cannot be encoded: %v", err)
 	}
 	path := requestsPath(team, service) + waitQuery(wait)
-	return decode[api.Job](c.do(ctx, call{method: http.MethodPost, path: path, body: body}))
+	return decode[api.Job](c.do(ctx, apiCall{method: http.MethodPost, path: path, body: body}))
 }
 
 // Status returns the state of a job, named by <team>/<service>/<key>.
 func (c *Client) Status(ctx context.Context, job string) (api.Job, error) {
-	return c.onJob(ctx, http.MethodGet, job, "")
+	return c.callJob(ctx, http.MethodGet, job, "")
 }
 
 // Wait returns the state of a job when it is final or wait has passed.
 func (c *Client) Wait(ctx context.Context, job string, wait time.Duration) (api.Job, error) {
-	return c.onJob(ctx, http.MethodGet, job, "/wait"+waitQuery(wait))
+	return c.callJob(ctx, http.MethodGet, job, "/wait"+waitQuery(wait))
 }
 
 // Cancel requests the cancellation of a job.
 func (c *Client) Cancel(ctx context.Context, job string) (api.Job, error) {
-	return c.onJob(ctx, http.MethodPost, job, "/cancel")
+	return c.callJob(ctx, http.MethodPost, job, "/cancel")
 }
 
 // Result returns the result of the task with this index in a job.
@@ -50,19 +50,19 @@
 	if err != nil {
 		return Result{}, err
 	}
-	got, err := c.do(ctx, call{method: http.MethodGet, path: path + "/result?index=" + strconv.Itoa(index)})
+	got, err := c.do(ctx, apiCall{method: http.MethodGet, path: path + "/result?index=" + strconv.Itoa(index)})
 	if err != nil {
 		return Result{}, err
 	}
 	return Result{Data: got.body, Attempt: got.header.Get(api.HeaderTask)}, nil
 }
 
-func (c *Client) onJob(ctx context.Context, method, job, rest string) (api.Job, error) {
+func (c *Client) callJob(ctx context.Context, method, job, suffix string) (api.Job, error) {
 	path, err := jobPath(job)
 	if err != nil {
 		return api.Job{}, err
 	}
-	return decode[api.Job](c.do(ctx, call{method: method, path: path + rest}))
+	return decode[api.Job](c.do(ctx, apiCall{method: method, path: path + suffix}))
 }
 
 func jobPath(job string) (string, error) {
--- a/client/client.go
+++ b/client/client.go
@@ -35,7 +35,7 @@
 type Client struct {
 	cfg    Config
 	http   *http.Client
-	budget *budget
+	budget *retryBudget
 	next   atomic.Uint64 // index of the address to call, modulo their number
 	jitter func() float64
 	sleep  func(ctx context.Context, d time.Duration) error
@@ -61,7 +61,7 @@
 			// Redirects are not followed: they would send the key and the work to another server.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
-		budget: newBudget(),
+		budget: newRetryBudget(),
 		jitter: rand.Float64,
 		sleep:  sleep,
 	}
@@ -72,27 +72,27 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// call is one call, which may be sent several times because of retries.
-type call struct {
+// apiCall is one call, which may be sent several times because of retries.
+type apiCall struct {
 	method string
 	path   string // with the query
 	body   []byte
 }
 
-// do sends k until it gets an answer, an error that is not retryable, or runs out
-// of attempts or retry budget.
-func (c *Client) do(ctx context.Context, k call) (reply, error) {
+// do sends call until it gets an answer or an error that is not retryable, or until
+// it runs out of attempts or retry budget.
+func (c *Client) do(ctx context.Context, call apiCall) (reply, error) {
 	if len(c.cfg.Addresses) == 0 {
 		return reply{}, errkind.New(errkind.InvalidRequest, "no address of an entry instance is given").WithField("server", "host:port")
 	}
-	c.budget.earn()
+	c.budget.addCall()
 	for attempt := 1; ; attempt++ {
-		got, err := c.once(ctx, c.address(), k)
+		got, err := c.sendOnce(ctx, c.address(), call)
 		if err == nil {
 			return got, nil
 		}
 		e := errkind.From(err)
-		if attempt == maxAttempts || !isRetryable(e) || !c.budget.spend() {
+		if attempt == maxAttempts || !isRetryable(e) || !c.budget.takeRetry() {
 			return reply{}, err
 		}
 		c.next.Add(1)
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -33,9 +33,9 @@
 	writeAnswer(w, errkind.AnswerFor(e.Kind).Status, api.ErrorReply{Error: api.ErrorFrom(e)})
 }
 
-// clientOf returns a client of a test server that runs h, and the retry delays of
+// newTestClient returns a client of a test server that runs h, and the retry delays of
 // that client.
-func clientOf(t *testing.T, h http.HandlerFunc) (*Client, *[]time.Duration) {
+func newTestClient(t *testing.T, h http.HandlerFunc) (*Client, *[]time.Duration) {
 	t.Helper()
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
@@ -54,12 +54,12 @@
 	return c.Submit(context.Background(), "t", "s", api.SubmitRequest{IdempotencyKey: "k", Class: "c"}, 0)
 }
 
-// TestRetriesOnlyWhatDidNotRun guards against a retry of work that may have run,
+// TestRetriesOnlyCallsThatDidNotRun guards against a retry of work that may have run,
 // for every kind of error.
-func TestRetriesOnlyWhatDidNotRun(t *testing.T) {
+func TestRetriesOnlyCallsThatDidNotRun(t *testing.T) {
 	for _, kind := range errkind.Kinds() {
 		calls := 0
-		c, _ := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
+		c, _ := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
 			calls++
 			if calls == 1 {
 				writeError(w, errkind.New(kind, "first attempt"))
@@ -79,11 +79,11 @@
 	}
 }
 
-// TestFateOfTheInstanceWins guards against a retry because of the default fate of
+// TestStatedFateOverridesDefault guards against a retry because of the default fate of
 // an error kind if the answer states another fate.
-func TestFateOfTheInstanceWins(t *testing.T) {
+func TestStatedFateOverridesDefault(t *testing.T) {
 	calls := 0
-	c, _ := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
+	c, _ := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
 		calls++
 		writeError(w, errkind.New(errkind.StoreUnavailable, "reply lost").WithFate(errkind.FateUnknown))
 	})
@@ -92,10 +92,10 @@
 	}
 }
 
-// TestHintIsKeptAndJittered guards against a retry earlier than the hint, and
+// TestRetryHintIsObservedWithJitter guards against a retry earlier than the hint, and
 // against all clients retrying at the same time.
-func TestHintIsKeptAndJittered(t *testing.T) {
-	c, delays := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
+func TestRetryHintIsObservedWithJitter(t *testing.T) {
+	c, delays := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
 		writeError(w, errkind.New(errkind.QueueFull, "full").WithRetryAfter(2*time.Second))
 	})
 	_, _ = submit(c)
@@ -108,7 +108,7 @@
 // every call is refused.
 func TestBudgetBoundsRetries(t *testing.T) {
 	calls := 0
-	c, _ := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
+	c, _ := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
 		calls++
 		writeError(w, errkind.New(errkind.QueueFull, "full"))
 	})
@@ -116,14 +116,14 @@
 	for range asked {
 		_, _ = submit(c)
 	}
-	if most := asked + budgetMax + asked*budgetShare; float64(calls) > most {
-		t.Errorf("%d calls for %d, want at most %v", calls, asked, most)
+	if limit := asked + maxSavedRetries + asked*retriesPerCall; float64(calls) > limit {
+		t.Errorf("%d calls for %d, want at most %v", calls, asked, limit)
 	}
 }
 
-// TestIncompleteAnswerIsNoResult guards against a truncated or altered answer
+// TestIncompleteAnswerIsRejected guards against a truncated or altered answer
 // being accepted as complete.
-func TestIncompleteAnswerIsNoResult(t *testing.T) {
+func TestIncompleteAnswerIsRejected(t *testing.T) {
 	damage := map[string]http.HandlerFunc{
 		"other digest": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(api.HeaderDigest, "sha-256=:AAAA:")
@@ -144,7 +144,7 @@
 		"connection closed": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
 	}
 	for name, h := range damage {
-		c, delays := clientOf(t, h)
+		c, delays := newTestClient(t, h)
 		_, err := submit(c)
 		if e := errkind.From(err); err == nil || e.Kind != errkind.OutcomeUnknown || len(*delays) > 0 {
 			t.Errorf("%s: submit: error %v after %d retries", name, err, len(*delays))
@@ -155,36 +155,36 @@
 	}
 }
 
-// TestCutAnswersAreUnknown guards against a truncated answer being accepted as
-// complete, or the call being retried, wherever the connection ends.
-func TestCutAnswersAreUnknown(t *testing.T) {
+// TestTruncatedAnswersHaveUnknownOutcome guards against a truncated answer being
+// accepted as complete, or the call being retried, wherever the connection ends.
+func TestTruncatedAnswersHaveUnknownOutcome(t *testing.T) {
 	recorder := httptest.NewRecorder()
 	writeAnswer(recorder, http.StatusOK, api.Job{ID: "t/s/k", State: task.Accepted})
-	var whole bytes.Buffer
-	if err := recorder.Result().Write(&whole); err != nil {
+	var complete bytes.Buffer
+	if err := recorder.Result().Write(&complete); err != nil {
 		t.Fatal(err)
 	}
-	for n := range whole.Len() + 1 {
+	for n := range complete.Len() + 1 {
 		calls := 0
-		c, _ := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
+		c, _ := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
 			calls++
 			conn, _, err := http.NewResponseController(w).Hijack()
 			if err != nil {
 				t.Error(err)
 				return
 			}
-			_, _ = conn.Write(whole.Bytes()[:n])
+			_, _ = conn.Write(complete.Bytes()[:n])
 			_ = conn.Close()
 		})
 		job, err := submit(c)
-		if n == whole.Len() {
+		if n == complete.Len() {
 			if err != nil || job.State != task.Accepted {
 				t.Errorf("complete answer: %+v, %v", job, err)
 			}
 			continue
 		}
 		if err == nil || errkind.From(err).Kind != errkind.OutcomeUnknown || calls != 1 {
-			t.Errorf("after %d of %d bytes: %d calls, job %+v, error %v", n, whole.Len(), calls, job, err)
+			t.Errorf("after %d of %d bytes: %d calls, job %+v, error %v", n, complete.Len(), calls, job, err)
 		}
 	}
 }
@@ -193,7 +193,7 @@
 // another server because of a redirect, for instance by a proxy.
 func TestRedirectIsNotFollowed(t *testing.T) {
 	calls := 0
-	c, _ := clientOf(t, func(w http.ResponseWriter, r *http.Request) {
+	c, _ := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
 		calls++
 		http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
 	})
@@ -202,16 +202,16 @@
 	}
 }
 
-// TestRefusedConnectionMovesOn guards against a client that keeps calling an
+// TestRefusedConnectionTriesNextAddress guards against a client that keeps calling an
 // instance that no longer runs.
-func TestRefusedConnectionMovesOn(t *testing.T) {
+func TestRefusedConnectionTriesNextAddress(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	gone := ln.Addr().String()
 	_ = ln.Close()
-	c, _ := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
+	c, _ := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
 		writeAnswer(w, http.StatusOK, api.Job{State: task.Accepted})
 	})
 	c.cfg.Addresses = append([]string{gone}, c.cfg.Addresses...)
@@ -221,11 +221,11 @@
 	}
 }
 
-// TestDeadlineTravels guards against an instance that continues to work on a call
+// TestDeadlineIsSent guards against an instance that continues to work on a call
 // that has timed out on the caller's side.
-func TestDeadlineTravels(t *testing.T) {
+func TestDeadlineIsSent(t *testing.T) {
 	var left time.Duration
-	c, _ := clientOf(t, func(w http.ResponseWriter, r *http.Request) {
+	c, _ := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
 		left, _ = time.ParseDuration(r.Header.Get(api.HeaderTimeout))
 		writeAnswer(w, http.StatusOK, api.Job{})
 	})
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -29,12 +29,12 @@
 }
 
 // Error returns the text of the kind, the field and the message.
-func (e *Error) Error() string { return e.typed().Error() }
+func (e *Error) Error() string { return e.kindError().Error() }
 
 // Unwrap returns the error as an *errkind.Error.
-func (e *Error) Unwrap() error { return e.typed() }
+func (e *Error) Unwrap() error { return e.kindError() }
 
-func (e *Error) typed() *errkind.Error {
+func (e *Error) kindError() *errkind.Error {
 	return &errkind.Error{
 		Kind:       e.Detail.Kind,
 		Message:    e.Detail.Message,
@@ -45,29 +45,29 @@
 	}
 }
 
-// once sends k to one address.
-func (c *Client) once(ctx context.Context, address string, k call) (reply, error) {
-	request, err := c.request(ctx, address, k)
+// sendOnce sends call to one address, without retries.
+func (c *Client) sendOnce(ctx context.Context, address string, call apiCall) (reply, error) {
+	request, err := c.request(ctx, address, call)
 	if err != nil {
 		return reply{}, err
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return reply{}, sendError(ctx, k, err)
+		return reply{}, sendError(ctx, call, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := c.readAnswer(response)
 	if err != nil {
-		return reply{}, answerError(k, err)
+		return reply{}, answerError(call, err)
 	}
 	if response.Header.Get(api.HeaderError) != "" || response.StatusCode != http.StatusOK {
-		return reply{}, errorReply(k, response, body)
+		return reply{}, errorReply(call, response, body)
 	}
 	return reply{header: response.Header, body: body}, nil
 }
 
-func (c *Client) request(ctx context.Context, address string, k call) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, k.method, "http://"+address+k.path, bytes.NewReader(k.body))
+func (c *Client) request(ctx context.Context, address string, call apiCall) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, call.method, "http://"+address+call.path, bytes.NewReader(call.body))
 	if err != nil {
 		return nil, errkind.New(errkind.InvalidRequest, "the call cannot be sent: %v", err)
 	}
@@ -77,21 +77,21 @@
 	if end, ok := ctx.Deadline(); ok {
 		request.Header.Set(api.HeaderTimeout, time.Until(end).String())
 	}
-	if len(k.body) > 0 {
+	if len(call.body) > 0 {
 		request.Header.Set("Content-Type", "application/json")
 	}
-	if len(k.body) >= continueBytes {
+	if len(call.body) >= continueBytes {
 		request.Header.Set("Expect", "100-continue")
 	}
 	return request, nil
 }
 
 var (
-	errTooLong   = errors.New("the answer exceeds the size limit of this client")
-	errDigest    = errors.New("the answer does not match the digest in its header")
-	errNoDigest  = errors.New("the answer has no digest")
-	errNoLength  = errors.New("the answer has no length")
-	errShortBody = errors.New("the answer is shorter than the length in its header")
+	errTooLarge    = errors.New("the answer exceeds the size limit of this client")
+	errWrongDigest = errors.New("the answer does not match the digest in its header")
+	errNoDigest    = errors.New("the answer has no digest")
+	errNoLength    = errors.New("the answer has no length")
+	errShortBody   = errors.New("the answer is shorter than the length in its header")
 )
 
 // readAnswer reads the whole body and checks its length and digest.
@@ -100,7 +100,7 @@
 		return nil, errNoLength
 	}
 	if response.ContentLength > c.cfg.MaxBytes {
-		return nil, errTooLong
+		return nil, errTooLarge
 	}
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
@@ -118,7 +118,7 @@
 	}
 	sum := sha256.Sum256(body)
 	if header != "sha-256=:"+base64.StdEncoding.EncodeToString(sum[:])+":" {
-		return errDigest
+		return errWrongDigest
 	}
 	return nil
 }
@@ -126,15 +126,15 @@
 // sendError returns the error of a call without an answer, with the fate of the
 // call. The fate is known only if no connection was made, or if the call only
 // reads and so has nothing to run.
-func sendError(ctx context.Context, k call, err error) error {
+func sendError(ctx context.Context, call apiCall, err error) error {
 	var network *net.OpError
 	notSent := errors.As(err, &network) && network.Op == "dial"
 	switch {
 	case notSent && ctx.Err() == nil:
 		return errkind.New(errkind.Unreachable, "cannot connect to the entry instance: %v", err)
-	case ctx.Err() != nil && (notSent || k.isRead()):
+	case ctx.Err() != nil && (notSent || call.isRead()):
 		return errkind.New(errkind.DeadlineExceeded, "the deadline of the call has passed")
-	case k.isRead():
+	case call.isRead():
 		return errkind.New(errkind.Unreachable, "no answer from the entry instance: %v", err)
 	}
 	return errkind.New(errkind.OutcomeUnknown, "the call was sent, but no answer was received: %v", err)
@@ -142,21 +142,21 @@
 
 // answerError returns the error of a call whose answer is incomplete, with the
 // fate of the call.
-func answerError(k call, err error) error {
-	if k.isRead() {
+func answerError(call apiCall, err error) error {
+	if call.isRead() {
 		return errkind.New(errkind.ResultIncomplete, "%v", err)
 	}
 	return errkind.New(errkind.OutcomeUnknown, "%v", err)
 }
 
-func (k call) isRead() bool { return k.method == http.MethodGet }
+func (c apiCall) isRead() bool { return c.method == http.MethodGet }
 
 // errorReply decodes an error answer. An answer in another format comes from an
 // intermediary, such as a proxy, and does not show whether the work ran.
-func errorReply(k call, response *http.Response, body []byte) error {
+func errorReply(call apiCall, response *http.Response, body []byte) error {
 	var decoded api.ErrorReply
 	if err := json.Unmarshal(body, &decoded); err != nil || decoded.Error.Kind == "" {
-		if k.isRead() {
+		if call.isRead() {
 			return errkind.New(errkind.Unreachable, "the answer %s is not from an entry instance", response.Status)
 		}
 		return errkind.New(errkind.OutcomeUnknown, "the answer %s is not from an entry instance", response.Status)
--- a/client/operator.go
+++ b/client/operator.go
@@ -15,12 +15,12 @@
 // Document returns the document of a service, or, with an empty service, that
 // of a whole team.
 func (c *Client) Document(ctx context.Context, team, service string) (api.Document, error) {
-	return decode[api.Document](c.do(ctx, call{method: http.MethodGet, path: documentPath(team, service)}))
+	return decode[api.Document](c.do(ctx, apiCall{method: http.MethodGet, path: documentPath(team, service)}))
 }
 
 // Documents lists every document without its source.
 func (c *Client) Documents(ctx context.Context) (api.Documents, error) {
-	return decode[api.Documents](c.do(ctx, call{method: http.MethodGet, path: "/v1/documents"}))
+	return decode[api.Documents](c.do(ctx, apiCall{method: http.MethodGet, path: "/v1/documents"}))
 }
 
 // Apply replaces a document whose revision is expected, and waits up to wait for
@@ -31,13 +31,13 @@
 		query.Set("wait", wait.String())
 	}
 	path := documentPath(team, service) + "?" + query.Encode()
-	return decode[api.Document](c.do(ctx, call{method: http.MethodPut, path: path, body: source}))
+	return decode[api.Document](c.do(ctx, apiCall{method: http.MethodPut, path: path, body: source}))
 }
 
 // Diff compares source with the document in force.
 func (c *Client) Diff(ctx context.Context, team, service string, source []byte) (api.Diff, error) {
 	path := documentPath(team, service) + "/diff"
-	return decode[api.Diff](c.do(ctx, call{method: http.MethodPost, path: path, body: source}))
+	return decode[api.Diff](c.do(ctx, apiCall{method: http.MethodPost, path: path, body: source}))
 }
 
 // GrantKey creates a key.
@@ -48,13 +48,13 @@
 // WithdrawKey revokes a key.
 func (c *Client) WithdrawKey(ctx context.Context, team, id string) (api.Key, error) {
 	path := "/v1/keys/" + url.PathEscape(team) + "/" + url.PathEscape(id)
-	return decode[api.Key](c.do(ctx, call{method: http.MethodDelete, path: path}))
+	return decode[api.Key](c.do(ctx, apiCall{method: http.MethodDelete, path: path}))
 }
 
 // Keys lists the keys of a team, or of all teams.
 func (c *Client) Keys(ctx context.Context, team string) (api.Keys, error) {
 	path := "/v1/keys?" + url.Values{"team": {team}}.Encode()
-	return decode[api.Keys](c.do(ctx, call{method: http.MethodGet, path: path}))
+	return decode[api.Keys](c.do(ctx, apiCall{method: http.MethodGet, path: path}))
 }
 
 // Drain starts or ends the drain of an entry instance or a worker.
@@ -69,17 +69,17 @@
 
 // Workers lists the workers.
 func (c *Client) Workers(ctx context.Context) (api.Workers, error) {
-	return decode[api.Workers](c.do(ctx, call{method: http.MethodGet, path: "/v1/workers"}))
+	return decode[api.Workers](c.do(ctx, apiCall{method: http.MethodGet, path: "/v1/workers"}))
 }
 
 // Shares lists the usage and the entitlement of each team.
 func (c *Client) Shares(ctx context.Context) (api.Shares, error) {
-	return decode[api.Shares](c.do(ctx, call{method: http.MethodGet, path: "/v1/shares"}))
+	return decode[api.Shares](c.do(ctx, apiCall{method: http.MethodGet, path: "/v1/shares"}))
 }
 
 // Members lists the entry instances.
 func (c *Client) Members(ctx context.Context) (api.Members, error) {
-	return decode[api.Members](c.do(ctx, call{method: http.MethodGet, path: "/v1/members"}))
+	return decode[api.Members](c.do(ctx, apiCall{method: http.MethodGet, path: "/v1/members"}))
 }
 
 // TimelineFilter selects events. Empty fields select all.
@@ -100,12 +100,12 @@
 	if filter.Limit > 0 {
 		query.Set("limit", strconv.Itoa(filter.Limit))
 	}
-	return decode[api.Timeline](c.do(ctx, call{method: http.MethodGet, path: "/v1/timeline?" + query.Encode()}))
+	return decode[api.Timeline](c.do(ctx, apiCall{method: http.MethodGet, path: "/v1/timeline?" + query.Encode()}))
 }
 
 // Metrics returns the metrics of the instance that answers.
 func (c *Client) Metrics(ctx context.Context) (map[string]map[string]any, error) {
-	return decode[map[string]map[string]any](c.do(ctx, call{method: http.MethodGet, path: "/v1/metrics"}))
+	return decode[map[string]map[string]any](c.do(ctx, apiCall{method: http.MethodGet, path: "/v1/metrics"}))
 }
 
 func post[T any](ctx context.Context, c *Client, path string, request any) (T, error) {
@@ -114,7 +114,7 @@
 		var none T
 		return none, errkind.New(errkind.InvalidRequest, "the request cannot be encoded: %v", err)
 	}
-	return decode[T](c.do(ctx, call{method: http.MethodPost, path: path, body: body}))
+	return decode[T](c.do(ctx, apiCall{method: http.MethodPost, path: path, body: body}))
 }
 
 func documentPath(team, service string) string {
