--- a/httpjson/answer.go
+++ b/httpjson/answer.go
@@ -44,29 +44,29 @@
 // Error returns the answer to a call that failed with err, as the table of errkind
 // defines it.
 func Error(err error) Answer {
-	e := typed(err)
-	told := api.ErrorFrom(e)
+	e := withKind(err)
+	detail := api.ErrorFrom(e)
 	var detailed Detailed
 	if errors.As(err, &detailed) {
-		detailed.AddDetail(&told)
+		detailed.AddDetail(&detail)
 	}
-	a, encodeErr := JSON(api.ErrorReply{Error: told})
+	a, encodeErr := JSON(api.ErrorReply{Error: detail})
 	if encodeErr != nil {
 		return Answer{Status: http.StatusInternalServerError}
 	}
 	a.Status = errkind.AnswerFor(e.Kind).Status
 	a.Header.Set(api.HeaderError, string(e.Kind))
 	if e.RetryAfter > 0 {
-		a.Header.Set("Retry-After", strconv.Itoa(wholeSeconds(e.RetryAfter)))
+		a.Header.Set("Retry-After", strconv.Itoa(ceilSeconds(e.RetryAfter)))
 	}
 	return a
 }
 
-// typed returns the *errkind.Error that err wraps. An error without a kind gets the
+// withKind returns the *errkind.Error that err wraps. An error without a kind gets the
 // kind that claims least. A deadline that passed inside a backend leaves the
 // outcome unknown, since the work may have been forwarded before. The text of other
 // errors may hold confidential data, so it is omitted.
-func typed(err error) *errkind.Error {
+func withKind(err error) *errkind.Error {
 	var e *errkind.Error
 	if errors.As(err, &e) {
 		return e
@@ -77,9 +77,9 @@
 	return errkind.New(errkind.Internal, "internal error")
 }
 
-// wholeSeconds rounds up, since Retry-After has no smaller unit and an earlier
+// ceilSeconds rounds up, since Retry-After has no smaller unit and an earlier
 // retry is useless.
-func wholeSeconds(d time.Duration) int {
+func ceilSeconds(d time.Duration) int {
 	return int((d + time.Second - 1) / time.Second)
 }
 
--- a/httpjson/answer_test.go
+++ b/httpjson/answer_test.go
@@ -13,9 +13,9 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// TestErrorsTellTheFate guards against an error of the backend, or a deadline that
+// TestErrorsReportFate guards against an error of the backend, or a deadline that
 // passed inside it, being reported as "not run".
-func TestErrorsTellTheFate(t *testing.T) {
+func TestErrorsReportFate(t *testing.T) {
 	cases := []struct {
 		err  error
 		kind errkind.Kind
--- a/httpjson/read.go
+++ b/httpjson/read.go
@@ -62,7 +62,7 @@
 		WithField(field, first.Allowed)
 }
 
-const bearer = "Bearer "
+const bearerPrefix = "Bearer "
 
 // Secret returns the secret of the key that was sent with r, or "" without one.
 func Secret(r *http.Request) (string, error) {
@@ -70,7 +70,7 @@
 	if value == "" {
 		return "", nil
 	}
-	secret, ok := strings.CutPrefix(value, bearer)
+	secret, ok := strings.CutPrefix(value, bearerPrefix)
 	if !ok || secret == "" {
 		return "", errkind.New(errkind.KeyMissing, "the Authorization header has no bearer token").WithField("Authorization", "Bearer <secret>")
 	}
@@ -78,14 +78,14 @@
 }
 
 // Wait returns the duration in the query parameter wait of r, 0 if there is none.
-func Wait(r *http.Request, most time.Duration) (time.Duration, error) {
+func Wait(r *http.Request, maxWait time.Duration) (time.Duration, error) {
 	text := r.URL.Query().Get("wait")
 	if text == "" {
 		return 0, nil
 	}
 	wait, err := time.ParseDuration(text)
-	if err != nil || wait < 0 || wait > most {
-		return 0, errkind.New(errkind.InvalidRequest, "invalid wait %.40q", text).WithField("wait", "0s to "+most.String())
+	if err != nil || wait < 0 || wait > maxWait {
+		return 0, errkind.New(errkind.InvalidRequest, "invalid wait %.40q", text).WithField("wait", "0s to "+maxWait.String())
 	}
 	return wait, nil
 }
--- a/httpjson/server.go
+++ b/httpjson/server.go
@@ -39,9 +39,9 @@
 	paths    []string
 	draining atomic.Bool
 
-	mu    sync.Mutex
-	conns int           // open connections
-	none  chan struct{} // closed when conns reaches 0; nil without a waiter
+	mu          sync.Mutex
+	conns       int           // open connections
+	connsClosed chan struct{} // closed when conns reaches 0; nil without a waiter
 }
 
 // NewServer returns a server without paths; it answers every request with an error
@@ -54,9 +54,9 @@
 		ReadTimeout:       limits.ReadTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
-		ConnState:         s.count,
+		ConnState:         s.countConns,
 	}
-	s.mux.HandleFunc("/", s.answer(s.refusePath))
+	s.mux.HandleFunc("/", s.handlerFunc(s.refuseUnknownPath))
 	return s
 }
 
@@ -66,11 +66,11 @@
 	var allowed []string
 	for method, h := range methods {
 		allowed = append(allowed, method)
-		s.mux.HandleFunc(method+" "+path, s.answer(h))
+		s.mux.HandleFunc(method+" "+path, s.handlerFunc(h))
 	}
 	slices.Sort(allowed)
 	s.paths = append(s.paths, path)
-	s.mux.HandleFunc(path, s.answer(func(r *http.Request) (Answer, error) {
+	s.mux.HandleFunc(path, s.handlerFunc(func(r *http.Request) (Answer, error) {
 		return Answer{}, errkind.New(errkind.NotAllowed, "method %s is not allowed here", r.Method).
 			WithField("method", strings.Join(allowed, ", "))
 	}))
@@ -85,12 +85,12 @@
 // HandleRaw registers a path whose handler writes its own answers.
 func (s *Server) HandleRaw(path string, h http.HandlerFunc) { s.mux.HandleFunc(path, h) }
 
-func (s *Server) refusePath(*http.Request) (Answer, error) {
+func (s *Server) refuseUnknownPath(*http.Request) (Answer, error) {
 	return Answer{}, errkind.New(errkind.UnknownPath, "no call has this path").WithField("path", strings.Join(s.paths, ", "))
 }
 
-// answer adapts h to an http.HandlerFunc that writes a complete answer.
-func (s *Server) answer(h Handler) http.HandlerFunc {
+// handlerFunc adapts h to an http.HandlerFunc that writes a complete answer.
+func (s *Server) handlerFunc(h Handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		a, err := h(r)
 		if err != nil {
@@ -110,8 +110,8 @@
 	return err
 }
 
-// count maintains the number of open connections.
-func (s *Server) count(_ net.Conn, state http.ConnState) {
+// countConns maintains the number of open connections.
+func (s *Server) countConns(_ net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -120,9 +120,9 @@
 	case http.StateClosed, http.StateHijacked:
 		s.conns--
 	}
-	if s.conns == 0 && s.none != nil {
-		close(s.none)
-		s.none = nil
+	if s.conns == 0 && s.connsClosed != nil {
+		close(s.connsClosed)
+		s.connsClosed = nil
 	}
 }
 
@@ -135,13 +135,13 @@
 		s.mu.Unlock()
 		return
 	}
-	if s.none == nil {
-		s.none = make(chan struct{})
+	if s.connsClosed == nil {
+		s.connsClosed = make(chan struct{})
 	}
-	none := s.none
+	connsClosed := s.connsClosed
 	s.mu.Unlock()
 	select {
-	case <-none:
+	case <-connsClosed:
 	case <-ctx.Done():
 	}
 }
