--- a/instancelist/client.go
+++ b/instancelist/client.go
@@ -122,14 +122,14 @@
 		return nil, fmt.Errorf("reply has no field %q", "instances")
 	}
 	for _, instance := range reply.Instances {
-		if err := check(instance); err != nil {
+		if err := checkInstance(instance); err != nil {
 			return nil, err
 		}
 	}
 	return reply.Instances, nil
 }
 
-func check(instance Instance) error {
+func checkInstance(instance Instance) error {
 	switch {
 	case instance.Name == "":
 		return fmt.Errorf("an instance has no name")
--- a/instancelist/client_test.go
+++ b/instancelist/client_test.go
@@ -2,9 +2,9 @@
 
 import "testing"
 
-// TestDecodeRefuses guards against a reply without a list being accepted as an empty
-// list of instances, which could cause a takeover of all records.
-func TestDecodeRefuses(t *testing.T) {
+// TestDecodeRejectsInvalidReplies guards against a reply without a list being accepted
+// as an empty list of instances, which could cause a takeover of all records.
+func TestDecodeRejectsInvalidReplies(t *testing.T) {
 	for _, body := range []string{
 		``, `{}`, `null`, `[]`, `{"instances":null}`, `{"instances":[{}]}`,
 		`{"instances":[{"name":"a","role":"entry","state":"dead"}]}`,
