--- a/membership/membership.go
+++ b/membership/membership.go
@@ -41,7 +41,7 @@
 // restart of a process moves no unit.
 func Rank(unit string, members []Member) []Member {
 	region := RegionOf(unit)
-	return ordered(unit, members, func(m Member) int {
+	return rankByClass(unit, members, func(m Member) int {
 		if region != "" && m.Region != region {
 			return 1
 		}
@@ -59,14 +59,14 @@
 		}
 		local := region == "" || m.Region == region
 		s := score(unit, m.Instance)
-		if !found || better(local, s, m.Instance, bestLocal, bestScore, best.Instance) {
+		if !found || ranksHigher(local, s, m.Instance, bestLocal, bestScore, best.Instance) {
 			best, bestScore, bestLocal, found = m, s, local, true
 		}
 	}
 	return best, found
 }
 
-func better(local bool, s uint64, name string, bestLocal bool, bestScore uint64, bestName string) bool {
+func ranksHigher(local bool, s uint64, name string, bestLocal bool, bestScore uint64, bestName string) bool {
 	if local != bestLocal {
 		return local
 	}
@@ -82,7 +82,7 @@
 // Among these, a member in a failure domain that is not used yet precedes one in
 // a used domain.
 func Successors(owner Member, unit string, members []Member, n int) []Member {
-	candidates := ordered(unit, members, func(m Member) int {
+	candidates := rankByClass(unit, members, func(m Member) int {
 		if m.Region != owner.Region {
 			return 1
 		}
@@ -120,8 +120,8 @@
 	score uint64
 }
 
-// ordered sorts the members that are not draining by class, then by score.
-func ordered(unit string, members []Member, class func(Member) int) []Member {
+// rankByClass sorts the members that are not draining by class, then by score.
+func rankByClass(unit string, members []Member, class func(Member) int) []Member {
 	list := make([]ranked, 0, len(members))
 	for _, m := range members {
 		if !m.Draining {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -18,7 +18,7 @@
 	os.Exit(m.Run())
 }
 
-func fleet(n int) []Member {
+func testMembers(n int) []Member {
 	regions := []string{"flanders", "wallonia", "brussels"}
 	members := make([]Member, n)
 	for i := range members {
@@ -60,7 +60,7 @@
 func TestOneMemberMovesOnlyItsUnits(t *testing.T) {
 	names := units(4, 64)
 	rapid.Check(t, func(t *rapid.T) {
-		members := fleet(rapid.IntRange(2, 40).Draw(t, "members"))
+		members := testMembers(rapid.IntRange(2, 40).Draw(t, "members"))
 		gone := rapid.IntRange(0, len(members)-1).Draw(t, "gone")
 		rest := append(append([]Member{}, members[:gone]...), members[gone+1:]...)
 		before, after := owners(names, members), owners(names, rest)
@@ -76,7 +76,7 @@
 // units, differing from the first member of Rank.
 func TestPreferredIsFirstOfRank(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		members := fleet(rapid.IntRange(0, 20).Draw(t, "members"))
+		members := testMembers(rapid.IntRange(0, 20).Draw(t, "members"))
 		for i := range members {
 			members[i].Draining = rapid.Bool().Draw(t, "draining")
 		}
@@ -96,7 +96,7 @@
 // TestPartitionsStayInRegion guards against an owner far from its workers while
 // its region has a member, and against partitions without any owner.
 func TestPartitionsStayInRegion(t *testing.T) {
-	members := fleet(8)
+	members := testMembers(8)
 	for _, unit := range units(48, 0) {
 		m, ok := Preferred(unit, members)
 		if !ok || m.Region != RegionOf(unit) {
@@ -112,7 +112,7 @@
 // shards. With 400 units on 8 members the mean is 50.
 func TestShardsAreSpread(t *testing.T) {
 	count := make(map[string]int)
-	for _, owner := range owners(units(0, 400), fleet(8)) {
+	for _, owner := range owners(units(0, 400), testMembers(8)) {
 		count[owner]++
 	}
 	for instance, n := range count {
@@ -129,7 +129,7 @@
 // or one network partition between regions, making an owner and its successors
 // unavailable together.
 func TestSuccessorsSpreadOverFailureDomains(t *testing.T) {
-	members := fleet(24)
+	members := testMembers(24)
 	for _, unit := range units(4, 64) {
 		owner, _ := Preferred(unit, members)
 		successors := Successors(owner, unit, members, 2)
