--- a/timeline/merge.go
+++ b/timeline/merge.go
@@ -15,13 +15,13 @@
 // is in several timelines appears once.
 func Merge(lines ...[]Event) []Event {
 	merged := slices.Concat(lines...)
-	slices.SortFunc(merged, compare)
+	slices.SortFunc(merged, compareEvents)
 	return slices.CompactFunc(merged, func(a, b Event) bool {
 		return a.Sequence == b.Sequence && a.Incarnation == b.Incarnation && a.Instance == b.Instance
 	})
 }
 
-func compare(a, b Event) int {
+func compareEvents(a, b Event) int {
 	return cmp.Or(
 		a.Clock.Wall.Compare(b.Clock.Wall),
 		cmp.Compare(a.Clock.Logical, b.Clock.Logical),
@@ -49,15 +49,15 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s+%d %s/%s#%d %s", e.Clock.Wall.UTC().Format(renderLayout), e.Clock.Logical,
 		e.Instance, e.Incarnation, e.Sequence, e.Type)
-	field(&b, "team", e.Team, e.Team != "")
-	field(&b, "task", e.Task, e.Task != "")
-	field(&b, "attempt", e.Attempt, e.Attempt != 0)
-	field(&b, "worker", e.Worker, e.Worker != "")
-	field(&b, "partition", e.Partition, e.Partition != "")
-	field(&b, "epoch", e.Epoch, e.Epoch != 0)
-	field(&b, "revision", e.Revision, e.Revision != 0)
-	field(&b, "key", e.KeyID, e.KeyID != "")
-	field(&b, "kind", e.Kind, e.Kind != "")
+	writeField(&b, "team", e.Team, e.Team != "")
+	writeField(&b, "task", e.Task, e.Task != "")
+	writeField(&b, "attempt", e.Attempt, e.Attempt != 0)
+	writeField(&b, "worker", e.Worker, e.Worker != "")
+	writeField(&b, "partition", e.Partition, e.Partition != "")
+	writeField(&b, "epoch", e.Epoch, e.Epoch != 0)
+	writeField(&b, "revision", e.Revision, e.Revision != 0)
+	writeField(&b, "key", e.KeyID, e.KeyID != "")
+	writeField(&b, "kind", e.Kind, e.Kind != "")
 	if e.Size != nil {
 		fmt.Fprintf(&b, " size=[%s]", e.Size)
 	}
@@ -67,7 +67,7 @@
 	return b.String()
 }
 
-func field(b *strings.Builder, name string, value any, present bool) {
+func writeField(b *strings.Builder, name string, value any, present bool) {
 	if present {
 		fmt.Fprintf(b, " %s=%v", name, value)
 	}
--- a/timeline/recorder_bench_test.go
+++ b/timeline/recorder_bench_test.go
@@ -11,7 +11,7 @@
 func BenchmarkRecord(b *testing.B) {
 	r := NewRecorder("i", "1", 1<<16)
 	for range 1 << 16 {
-		r.Record(start, Event{Type: TaskStarted, Task: "t"})
+		r.Record(startTime, Event{Type: TaskStarted, Task: "t"})
 	}
 	stop, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -13,7 +13,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+var startTime = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
 // TestRingKeepsLatest guards against a ring that grows without bound, or that
 // loses or reorders events when it wraps.
@@ -25,7 +25,7 @@
 		r := NewRecorder("i", "1", capacity)
 		var all []Event
 		for range count {
-			now := start.Add(time.Duration(rapid.IntRange(-5, 5).Draw(t, "step")) * time.Second)
+			now := startTime.Add(time.Duration(rapid.IntRange(-5, 5).Draw(t, "step")) * time.Second)
 			all = append(all, r.Record(now, Event{Type: TaskQueued}))
 		}
 		want := all[max(0, count-capacity):]
@@ -35,7 +35,7 @@
 		if got := r.Dropped(); got != uint64(count-len(want)) {
 			t.Fatalf("dropped %d", got)
 		}
-		if !slices.IsSortedFunc(all, compare) {
+		if !slices.IsSortedFunc(all, compareEvents) {
 			t.Fatalf("a wall clock that goes back reorders events: %v", all)
 		}
 	})
@@ -52,15 +52,15 @@
 	}
 }
 
-// TestReceiptComesAfterSending guards against a merged timeline in which an effect
+// TestMergeOrdersReceiptAfterSending guards against a merged timeline in which an effect
 // precedes its cause because of differing wall clocks.
-func TestReceiptComesAfterSending(t *testing.T) {
+func TestMergeOrdersReceiptAfterSending(t *testing.T) {
 	sender, receiver := NewRecorder("a", "1", 8), NewRecorder("b", "1", 8)
-	sent := sender.Record(start, Event{Type: TaskPlaced})
-	receiver.Receive(start.Add(-10*time.Second), sent.Clock)
-	receiver.Record(start.Add(-10*time.Second), Event{Type: TaskQueued})
-	receiver.Receive(start, Clock{Wall: start.Add(time.Hour)})
-	receiver.Record(start, Event{Type: TaskStarted})
+	sent := sender.Record(startTime, Event{Type: TaskPlaced})
+	receiver.Receive(startTime.Add(-10*time.Second), sent.Clock)
+	receiver.Record(startTime.Add(-10*time.Second), Event{Type: TaskQueued})
+	receiver.Receive(startTime, Clock{Wall: startTime.Add(time.Hour)})
+	receiver.Record(startTime, Event{Type: TaskStarted})
 	merged := Merge(receiver.Events(Filter{}), sender.Events(Filter{}), sender.Events(Filter{}))
 	var types []Type
 	for _, e := range merged {
@@ -69,7 +69,7 @@
 	if want := []Type{TaskPlaced, TaskQueued, TaskStarted}; !slices.Equal(types, want) {
 		t.Errorf("merged %v, want %v", types, want)
 	}
-	if last := merged[len(merged)-1].Clock.Wall; last.After(start.Add(MaxClockAhead)) {
+	if last := merged[len(merged)-1].Clock.Wall; last.After(startTime.Add(MaxClockAhead)) {
 		t.Errorf("a reading an hour ahead was adopted: %v", last)
 	}
 }
@@ -79,16 +79,16 @@
 	r := NewRecorder("i", "1", 100)
 	for i := range 4 {
 		e := Event{Type: TaskStarted, Team: "a", Task: "t", Worker: "w", Partition: "p"}
-		r.Record(start.Add(time.Duration(i)*time.Second), e)
+		r.Record(startTime.Add(time.Duration(i)*time.Second), e)
 	}
-	r.Record(start.Add(4*time.Second), Event{Type: StoreDown, Team: "b", Task: "u", Worker: "x", Partition: "q"})
+	r.Record(startTime.Add(4*time.Second), Event{Type: StoreDown, Team: "b", Task: "u", Worker: "x", Partition: "q"})
 	for _, test := range []struct {
 		filter Filter
 		want   int
 	}{
 		{Filter{}, 5}, {Filter{Team: "a"}, 4}, {Filter{Task: "u"}, 1}, {Filter{Worker: "w"}, 4},
 		{Filter{Partition: "q"}, 1}, {Filter{Types: []Type{StoreUp, StoreDown}}, 1},
-		{Filter{From: start.Add(time.Second), Until: start.Add(3 * time.Second)}, 2},
+		{Filter{From: startTime.Add(time.Second), Until: startTime.Add(3 * time.Second)}, 2},
 		{Filter{Latest: 2}, 2}, {Filter{Team: "a", Worker: "x"}, 0},
 	} {
 		if got := len(r.Events(test.filter)); got != test.want {
@@ -104,7 +104,7 @@
 	for range 10 {
 		writers.Go(func() {
 			for range 50 {
-				r.Record(start, Event{Type: TaskQueued})
+				r.Record(startTime, Event{Type: TaskQueued})
 				r.Events(Filter{Latest: 1})
 			}
 		})
@@ -118,7 +118,7 @@
 // TestRender guards against a field that is missing from the text.
 func TestRender(t *testing.T) {
 	e := Event{
-		Instance: "i", Incarnation: "7", Sequence: 9, Clock: Clock{Wall: start, Logical: 2}, Type: TaskStarted,
+		Instance: "i", Incarnation: "7", Sequence: 9, Clock: Clock{Wall: startTime, Logical: 2}, Type: TaskStarted,
 		Team: "a", Task: "t", Attempt: 3, Worker: "w", Partition: "p", Epoch: 4, Revision: 5, KeyID: "k",
 		Kind: "durable", Size: &task.Resources{Slots: 1}, Detail: "text",
 	}
