client: keep the text of a missing response apart from that of the timeline

The command line prints "no answer from" for members that are missing from a timeline. Rename firstDelay to baseDelay, because the first delay is twice as long.

--- a/client/client.go
+++ b/client/client.go
@@ -109,8 +109,8 @@
 }
 
 const (
-	firstDelay = 50 * time.Millisecond
-	maxDelay   = 2 * time.Second
+	baseDelay = 50 * time.Millisecond
+	maxDelay  = 2 * time.Second
 )
 
 // delay returns the retry hint of the answer, or exponential backoff without one,
@@ -119,7 +119,7 @@
 func (c *Client) delay(e *errkind.Error, attempt int) time.Duration {
 	d := e.RetryAfter
 	if d <= 0 {
-		d = min(firstDelay<<attempt, maxDelay)
+		d = min(baseDelay<<attempt, maxDelay)
 	}
 	return d + time.Duration(c.jitter()*float64(d)/2)
 }
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -135,7 +135,7 @@
 	case ctx.Err() != nil && (notSent || call.isRead()):
 		return errkind.New(errkind.DeadlineExceeded, "the deadline of the call has passed")
 	case call.isRead():
-		return errkind.New(errkind.Unreachable, "no answer from the entry instance: %v", err)
+		return errkind.New(errkind.Unreachable, "no response from the entry instance: %v", err)
 	}
 	return errkind.New(errkind.OutcomeUnknown, "the call was sent, but no answer was received: %v", err)
 }
