cell: use precise terms in comments, names and test messages

The message of TestKeysExpire also prints the limit, and the name of the constant says what is limited; the check is unchanged. Only unexported names are renamed.

--- a/cell/effect.go
+++ b/cell/effect.go
@@ -2,29 +2,31 @@
 
 import "github.com/mulberrydrum/mulberrydrum/schedule"
 
-// Effect is an action that the executor carries out.
+// Effect is an action that the executor carries out, except for Answer, which the Loop
+// delivers itself.
 type Effect interface{ isEffect() }
 
 // Effects.
 type (
-	// Campaign tries to become the owner of a partition without one.
+	// Campaign tries to acquire the ownership of a partition that has no owner.
 	Campaign struct{}
-	// Recover reads the stored state that a new owner starts from.
+	// Recover reads the stored state that a new owner resumes from.
 	Recover struct{ Owner int64 }
 	// Renew renews the lease of the ownership record.
 	Renew struct{ Lease int64 }
 	// Resign removes the ownership record.
 	Resign struct{ Owner, Lease int64 }
-	// Abandon cancels all calls in flight that were made as owner.
+	// Abandon cancels all calls in flight that were made under an ownership that has ended.
 	Abandon struct{ Owner int64 }
 	// CommitRecords writes a commit in one transaction, on the condition that this
 	// instance is still the owner.
 	CommitRecords struct {
 		Commit   schedule.Commit
 		Owner    int64
-		Sequence int64 // revision of the sequence record of the lane
+		Sequence int64 // revision of the sequence record of the commit stream
 	}
-	// RecordCores stores this instance's core count as the highest of all instances.
+	// RecordCores writes this instance's core count, the highest of all instances, to the
+	// store.
 	RecordCores struct{ Cores float64 }
 	// Order is an effect of package schedule that calls a worker or the advice
 	// service. It carries the fencing token of the ownership that issued it.
@@ -34,7 +36,7 @@
 	}
 	// Log writes one log line about a decision.
 	Log struct{ schedule.Decision }
-	// Answer delivers the reply to a request.
+	// Answer delivers the reply to the caller of a request.
 	Answer struct {
 		Token uint64
 		Reply Reply
--- a/cell/event.go
+++ b/cell/event.go
@@ -7,19 +7,20 @@
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
 
-// Event is something that happened outside the control goroutine.
+// Event is an input to the control state: a request, the outcome of an effect or a
+// reading of the store.
 type Event interface{ isEvent() }
 
 // Owner is the ownership record of the partition.
 type Owner struct {
 	Instance    string `json:"instance"`
-	Incarnation string `json:"incarnation"` // of the process, so that a restarted process is a different owner
-	Address     string `json:"address"`     // of its server for calls from other instances
+	Incarnation string `json:"incarnation"` // of the process; makes a restarted process a different owner
+	Address     string `json:"address"`     // at which it accepts calls from other instances
 }
 
 // Events. The schedule events arrive wrapped in Scheduled.
 type (
-	// Tick triggers the work that is due by time.
+	// Tick triggers the work that is due at the current time.
 	Tick struct{}
 	// CatalogRead delivers a version of the configuration.
 	CatalogRead struct{ Catalog *job.Catalog }
@@ -31,8 +32,8 @@
 		Found    bool
 		Owner    Owner
 		Revision int64 // of the record, or of its removal
-		// MostCores is the largest number of processor cores that any instance has
-		// recorded as its own; 0 before the first one.
+		// MostCores is the highest processor core count that any instance has recorded;
+		// 0 if none has.
 		MostCores float64
 	}
 	// CampaignDone is the outcome of Campaign.
@@ -43,20 +44,20 @@
 	}
 	// Recovered is the outcome of Recover.
 	Recovered struct {
-		Revision int64 // of the ownership record under which it was read
+		Revision int64 // of the ownership record under which the state was read
 		State    Recovery
 	}
 	// RenewDone is the outcome of Renew.
 	RenewDone struct {
 		Lease int64
-		Gone  bool // the lease has ended
+		Gone  bool // the lease has expired or was revoked
 	}
 	// Committed is the outcome of CommitRecords.
 	Committed struct {
 		Commit   schedule.Commit
 		Owner    int64 // revision of the ownership record
-		Sequence int64 // new revision of the sequence record of the lane
-		Lost     bool  // another owner has taken over
+		Sequence int64 // new revision of the sequence record of the commit stream
+		Lost     bool  // the commit was refused because another owner has taken over
 	}
 	// DirectoryRead delivers the list of existing workers.
 	DirectoryRead struct{ Workers []schedule.Worker }
@@ -71,12 +72,12 @@
 		Owner int64
 		Event any
 	}
-	// Called delivers a request whose caller waits for a Reply with the token.
+	// Called delivers a request. The reply is returned in an Answer with the same token.
 	Called struct {
 		Token    uint64
 		Question any
 	}
-	// Forgotten reports that no caller waits for a token any more.
+	// Forgotten reports that the caller of a request no longer waits for the reply.
 	Forgotten struct{ Token uint64 }
 	// Stopping begins a graceful shutdown.
 	Stopping struct{}
@@ -116,29 +117,29 @@
 type (
 	// Submit passes a recorded job to the owner. The reply is Reply{Known: true}.
 	Submit struct{ Submission }
-	// StateOf asks for the state of a job.
+	// StateOf requests the state of a job.
 	StateOf struct{ Job job.ID }
 	// Cancel cancels a job; the reply is sent once the cancellation is recorded.
 	Cancel struct {
 		Job   job.ID
-		Queue string // that the request addresses; a job of another queue is reported as unknown
-		Team  string // that the API key belongs to; empty if the queue is open
+		Queue string // to which the request was sent; a job of another queue is reported as unknown
+		Team  string // to which the API key belongs; empty if the queue is open
 	}
-	// Follow is the periodic poll of an instance. It tells the owner that the
-	// instance is alive and can make advice calls, and requests the job changes
-	// since its last poll.
+	// Follow is the periodic poll of the owner by an instance. It is a heartbeat, which
+	// also makes the instance available for advice calls, and requests the job changes
+	// since the instance's last poll.
 	Follow struct {
 		Instance  string
 		Epoch     int64
-		Since     uint64
-		Submitted map[string]int // jobs submitted to the instance since then, by team
+		Since     uint64         // sequence number of the last change that the instance received
+		Submitted map[string]int // number of jobs submitted to the instance since its last poll, by team
 	}
 )
 
 // Reply is the response to a request.
 type Reply struct {
-	NotOwner bool // only the owner can reply, and this instance is not it
-	Known    bool
+	NotOwner bool // this instance is not the owner, which alone can reply
+	Known    bool // the job exists; always true in the owner's replies to Submit and Follow
 	State    job.State
 	Team     string
 	Queue    string
--- a/cell/loop.go
+++ b/cell/loop.go
@@ -9,8 +9,8 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// eventQueueLength bounds the queue of the control goroutine. Senders block when it
-// is full, so that overload slows traffic down and not the control goroutine.
+// eventQueueLength bounds the event queue of the control goroutine. Senders block when
+// it is full: the backpressure slows traffic down and not the control goroutine.
 const eventQueueLength = 4096
 
 // requestQueueLength bounds the waiting requests; their callers time out within a
@@ -25,17 +25,18 @@
 	snapshot atomic.Pointer[Snapshot]
 	execute  func(Effect)
 
-	tokens         atomic.Uint64
-	waitingCallers sync.Map // token to chan Reply, of the callers that wait for a reply
+	lastToken      atomic.Uint64
+	waitingCallers sync.Map // chan Reply of each waiting caller, by token
 
 	applyTime metrics.Histogram
 }
 
 // NewLoop returns a loop for a state. Effects other than answers are passed to
-// execute, which must not block.
+// execute, which is called on the control goroutine and must not block.
 func NewLoop(state *State, registry metrics.Registry, execute func(Effect)) *Loop {
 	const (
-		// Size and decay that go-metrics recommends for the latest five minutes.
+		// Reservoir size and decay factor that go-metrics recommends for a sample that
+		// is weighted toward the last five minutes.
 		sampleSize  = 1028
 		sampleDecay = 0.015
 	)
@@ -61,7 +62,7 @@
 
 // Ask sends a request to the control goroutine and waits for the reply.
 func (l *Loop) Ask(ctx context.Context, request any) (Reply, error) {
-	token := l.tokens.Add(1)
+	token := l.lastToken.Add(1)
 	replies := make(chan Reply, 1)
 	l.waitingCallers.Store(token, replies)
 	defer l.waitingCallers.Delete(token)
@@ -78,7 +79,8 @@
 	}
 }
 
-// Run applies events until ctx ends.
+// Run applies events and requests until ctx ends. It skips requests whose caller no
+// longer waits.
 func (l *Loop) Run(ctx context.Context) error {
 	timer := time.NewTimer(l.tickInterval())
 	defer timer.Stop()
@@ -88,7 +90,7 @@
 			l.apply(e)
 			l.applyQueued()
 		case e := <-l.requests:
-			if _, wanted := l.waitingCallers.Load(e.(Called).Token); wanted {
+			if _, waiting := l.waitingCallers.Load(e.(Called).Token); waiting {
 				l.apply(e)
 			}
 			l.applyQueued()
@@ -101,8 +103,8 @@
 	}
 }
 
-// applyQueued applies all queued events before the next request, so that responses of
-// workers and the store are not delayed by a burst of requests.
+// applyQueued applies all queued events before the next request, so that a burst of
+// requests does not delay the responses of workers and the store.
 func (l *Loop) applyQueued() {
 	for {
 		select {
@@ -114,8 +116,8 @@
 	}
 }
 
-// tickInterval returns the time until the next Tick. It is longer on a follower,
-// which only has to detect that it may campaign.
+// tickInterval returns the time until the next Tick. It is longer on a follower, whose
+// only timed work is to campaign when its delay has passed.
 func (l *Loop) tickInterval() time.Duration {
 	if l.Snapshot().IsOwner {
 		return l.state.cfg.TickInterval
--- a/cell/state.go
+++ b/cell/state.go
@@ -15,10 +15,10 @@
 	RenewInterval time.Duration // between renewals of the ownership lease
 	TickInterval  time.Duration // between ticks on the owner
 	IdleTick      time.Duration // between ticks on other instances
-	CampaignStep  time.Duration // length of a campaign slot, so that usually only one instance writes
+	CampaignStep  time.Duration // length of a campaign slot, long enough that usually only one instance writes
 	CampaignSlots int           // number of slots that instances are spread over
 	CampaignRetry time.Duration // backoff after a lost campaign
-	Cores         float64       // processor cores of this instance, in fractions
+	Cores         float64       // processor cores available to this instance; may be fractional
 	SmallDelay    time.Duration // extra campaign delay of instances with fewer cores than others
 	Freshness     time.Duration // how long after the last store sync API keys are accepted
 	ReadyWithin   time.Duration // how long after the last store sync the instance is ready for new connections
@@ -34,7 +34,7 @@
 		RenewInterval: 300 * time.Millisecond,
 		TickInterval:  10 * time.Millisecond,
 		IdleTick:      40 * time.Millisecond,
-		// A write to another region takes 30 ms.
+		// A slot covers one write to a store in another region, which takes 30 ms.
 		CampaignStep:  40 * time.Millisecond,
 		CampaignSlots: 8,
 		CampaignRetry: 400 * time.Millisecond,
@@ -42,7 +42,7 @@
 		// and one write.
 		SmallDelay: 500 * time.Millisecond,
 		// Withdrawn keys must be rejected within 5 s, and a watch that receives
-		// nothing is at most one second behind.
+		// nothing lags by at most one second.
 		Freshness:   3500 * time.Millisecond,
 		ReadyWithin: 3 * time.Second,
 		Schedule:    schedule.DefaultConfig(),
@@ -51,18 +51,19 @@
 
 // Snapshot is the immutable copy of the control state that traffic goroutines read.
 type Snapshot struct {
-	Catalog    *job.Catalog // nil before the first configuration
-	HeardAt    time.Time    // every change acknowledged by the store up to then was delivered
+	Catalog    *job.Catalog // nil until the first configuration is read
+	HeardAt    time.Time    // last store sync: every change acknowledged by the store up to then was delivered
 	FreshUntil time.Time    // API keys are accepted until then
-	ReadyUntil time.Time
-	Owner      Owner // zero if unknown
+	ReadyUntil time.Time    // new connections are accepted until then
+	Owner      Owner        // zero if unknown
 	OwnerFound bool
 	IsOwner    bool // this instance is the owner and has completed recovery
 	Stopping   bool
 	Capacity   task.Resources // of the workers that accept tasks; on the owner only
-	Used       task.Resources
+	Used       task.Resources // part of Capacity that is in use; on the owner only
 }
 
+// role is the part of an instance in the ownership of the partition.
 type role int
 
 const (
@@ -87,16 +88,16 @@
 
 	owner         Owner
 	ownerFound    bool
-	ownerKnown    bool // the record, or its absence, was read
+	ownerKnown    bool // the ownership record, or its absence, was read
 	ownerRevision int64
 	campaignAt    time.Time
-	mostCores     float64 // highest core count of any instance
+	maxCores      float64 // highest recorded core count of any instance
 
 	role              role
 	ownershipRevision int64 // revision of this instance's ownership record; the fencing token of its orders
 	lease             int64
 	sequences         [schedule.CommitLanes]int64 // revisions of the sequence records
-	recoveryRevision  int64
+	recoveryRevision  int64                       // store revision at which the recovery read the jobs
 	renewAt           time.Time
 	tickAt            time.Time
 	core              *schedule.Core
@@ -117,9 +118,9 @@
 	if s.core != nil {
 		s.collectCoreEffects()
 	}
-	out := s.effects
+	effects := s.effects
 	s.effects = nil
-	return out
+	return effects
 }
 
 func (s *State) apply(e Event) {
@@ -169,9 +170,9 @@
 	}
 }
 
-// declineOwnership resigns an ownership that was won while this instance is shutting down.
-// Resigning only after recovery would leave the cluster without an owner for a
-// second.
+// declineOwnership resigns an ownership that was won during or shortly before shutdown,
+// before its recovery has ended. Resigning only after recovery would leave the cluster
+// without an owner for a second.
 func (s *State) declineOwnership() {
 	s.role = resigning
 	s.earlySubmissions = nil
@@ -180,7 +181,7 @@
 	s.emit(Abandon{Owner: s.ownershipRevision})
 }
 
-// runDueWork performs the work that is due in the current state and at the current time.
+// runDueWork performs the timed work of the current role that is due.
 func (s *State) runDueWork() {
 	switch s.role {
 	case follower:
@@ -199,7 +200,7 @@
 	if s.stopping && s.role == owning && s.core.Idle() {
 		s.role = resigning
 		s.emit(Resign{Owner: s.ownershipRevision, Lease: s.lease})
-		s.dropCore("planned_stop")
+		s.endOwnership("planned_stop")
 	}
 }
 
@@ -215,11 +216,11 @@
 	}
 }
 
-// observeOwner processes a reading of the ownership record. Every record has a higher
-// revision than the one before, so that stale readings are recognized and ignored.
+// observeOwner processes a reading of the ownership record. The revision increases with
+// every change of the record, so a stale reading is detected by its lower revision.
 func (s *State) observeOwner(e OwnerSeen) {
-	s.mostCores = max(s.mostCores, e.MostCores)
-	if s.cfg.Cores > s.mostCores {
+	s.maxCores = max(s.maxCores, e.MostCores)
+	if s.cfg.Cores > s.maxCores {
 		s.emit(RecordCores{Cores: s.cfg.Cores})
 	}
 	if s.ownerKnown && e.Revision < s.ownerRevision {
@@ -240,9 +241,9 @@
 
 func (s *State) holdsOwnership() bool { return s.role == recovering || s.role == owning }
 
-// campaignDelay spreads the instances over the campaign slots, in an order that
-// differs between takeovers, so that most of them observe the new record before
-// their slot.
+// campaignDelay returns the time until the campaign slot of this instance. A hash spreads
+// the instances over the slots, differently for each takeover, so that most of them
+// observe the ownership record of the winner before their own slot begins.
 func (s *State) campaignDelay(revision int64) time.Duration {
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(s.cfg.Self.Instance)) // a hash never fails
@@ -254,15 +255,15 @@
 	return delay
 }
 
-// isSmall reports whether there is, or may be, an instance with clearly more cores.
-// The owner schedules for all workers of the partition, and a small instance is too
-// slow for that in a large fleet.
+// isSmall reports whether another instance has, or may have, significantly more cores.
+// The owner schedules for all workers of the partition, and a small instance is too slow
+// for that in a large fleet.
 func (s *State) isSmall() bool {
 	const minCoreRatio = 0.9 // fraction of the highest core count
-	if s.mostCores == 0 {
+	if s.maxCores == 0 {
 		return s.cfg.Cores > 0 // no instance has recorded its cores yet
 	}
-	return s.cfg.Cores < minCoreRatio*s.mostCores
+	return s.cfg.Cores < minCoreRatio*s.maxCores
 }
 
 func (s *State) maybeCampaign() {
@@ -318,8 +319,8 @@
 	s.log("ownership_ready", "fence", s.ownershipRevision, "jobs", len(recovery.Jobs), "workers", len(recovery.Workers), "roster", len(recovery.Roster))
 }
 
-// acceptNew accepts a job that was recorded after the recovery of this owner. An
-// earlier job that is unknown has ended under a former owner.
+// acceptNew accepts a job that was recorded after the revision at which the recovery read
+// the jobs. A job recorded earlier was either recovered or has ended under a former owner.
 func (s *State) acceptNew(submitted Submission) {
 	if submitted.Revision > s.recoveryRevision {
 		s.core.Accept(submitted.Job)
@@ -371,18 +372,19 @@
 	}
 }
 
+// stepDown ends an ownership that another instance has taken over or may take over.
 func (s *State) stepDown(reason string) {
 	s.emit(Resign{Owner: s.ownershipRevision, Lease: s.lease})
 	s.role = follower
 	s.campaignAt = s.now.Add(s.cfg.CampaignRetry)
 	if s.ownerFound && s.owner == s.cfg.Self {
-		// The watch delivers the record that replaced this one.
+		// The last reading is this instance's own record; the watch delivers the next one.
 		s.ownerKnown = false
 	}
-	s.dropCore(reason)
+	s.endOwnership(reason)
 }
 
-func (s *State) dropCore(reason string) {
+func (s *State) endOwnership(reason string) {
 	s.log("ownership_ended", "fence", s.ownershipRevision, "why", reason)
 	s.emit(Abandon{Owner: s.ownershipRevision})
 	s.core = nil
@@ -444,15 +446,15 @@
 	s.emit(Log{schedule.Decision{What: event, Fields: fields}})
 }
 
-// Took passes the processing time of the last event to the core, which defers
-// optional work to leave time for the next events.
+// Took passes the processing time of the last event to the core, which spaces its
+// placement passes accordingly to leave time for further events.
 func (s *State) Took(d time.Duration) {
 	if s.core != nil {
 		s.core.Took(d)
 	}
 }
 
-// TakeChanged reports whether the snapshot has to be published again.
+// TakeChanged reports whether the snapshot has changed since the last call.
 func (s *State) TakeChanged() bool {
 	changed := s.changed
 	s.changed = false
--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -49,7 +49,7 @@
 	if _, ok := findEffect[Campaign](h.apply(Tick{})); !ok {
 		h.t.Fatal("no Campaign effect although there is no owner")
 	}
-	if recover, ok := findEffect[Recover](h.apply(CampaignDone{Won: true, Revision: 10, Lease: 3})); !ok || recover.Owner != 10 {
+	if effect, ok := findEffect[Recover](h.apply(CampaignDone{Won: true, Revision: 10, Lease: 3})); !ok || effect.Owner != 10 {
 		h.t.Fatal("no Recover effect for revision 10 after a won campaign")
 	}
 	return h.apply(Recovered{Revision: 10, State: recovery})
@@ -78,11 +78,11 @@
 // an instance that is shutting down, or without a configuration.
 func TestCampaignOnlyWithoutOwner(t *testing.T) {
 	for name, events := range map[string][]Event{
-		"not known yet":    {CatalogRead{catalog(1, 1)}},
-		"another owner":    {CatalogRead{catalog(1, 1)}, OwnerSeen{Revision: 5}, OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}},
-		"stale reading":    {CatalogRead{catalog(1, 1)}, OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}, OwnerSeen{Revision: 5}},
-		"no configuration": {OwnerSeen{Revision: 5}},
-		"stopping":         {CatalogRead{catalog(1, 1)}, OwnerSeen{Revision: 5}, Stopping{}},
+		"ownership not read": {CatalogRead{catalog(1, 1)}},
+		"another owner":      {CatalogRead{catalog(1, 1)}, OwnerSeen{Revision: 5}, OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}},
+		"stale reading":      {CatalogRead{catalog(1, 1)}, OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}, OwnerSeen{Revision: 5}},
+		"no configuration":   {OwnerSeen{Revision: 5}},
+		"stopping":           {CatalogRead{catalog(1, 1)}, OwnerSeen{Revision: 5}, Stopping{}},
 	} {
 		h := newHarness(t)
 		for _, e := range events {
@@ -99,19 +99,19 @@
 // larger ones are available, and against a small instance that never campaigns.
 func TestSmallInstancesWait(t *testing.T) {
 	for name, c := range map[string]struct {
-		cores, most float64
-		waits       bool
+		cores, maxCores float64
+		waits           bool
 	}{
-		"as large as any":       {0.8, 0.8, false},
-		"smaller":               {0.2, 0.8, true},
-		"sizes are not known":   {0.8, 0, true},
-		"own size is not known": {0, 0, false},
+		"as large as any":        {0.8, 0.8, false},
+		"smaller":                {0.2, 0.8, true},
+		"no core count recorded": {0.8, 0, true},
+		"own core count unknown": {0, 0, false},
 	} {
 		h := newHarness(t)
 		h.state.cfg.Cores = c.cores
 		h.apply(CatalogRead{catalog(1, 1)})
-		effects := h.apply(OwnerSeen{Revision: 5, MostCores: c.most})
-		if _, records := findEffect[RecordCores](effects); records != (c.cores > c.most) {
+		effects := h.apply(OwnerSeen{Revision: 5, MostCores: c.maxCores})
+		if _, records := findEffect[RecordCores](effects); records != (c.cores > c.maxCores) {
 			t.Errorf("%s: RecordCores emitted: %v", name, records)
 		}
 		h.now = h.now.Add(time.Duration(h.state.cfg.CampaignSlots) * h.state.cfg.CampaignStep)
@@ -141,10 +141,10 @@
 		h.apply(events[0])
 		effects := h.apply(events[1])
 		if resign, ok := findEffect[Resign](effects); !ok || resign.Lease != 3 {
-			t.Errorf("%s: ownership record was not resigned", name)
+			t.Errorf("%s: no Resign effect for lease 3", name)
 		}
 		if _, ok := findEffect[Recover](effects); ok {
-			t.Errorf("%s: recovery was started", name)
+			t.Errorf("%s: unexpected Recover effect", name)
 		}
 		h.apply(Recovered{Revision: 10})
 		if h.state.Snapshot().IsOwner {
@@ -162,15 +162,15 @@
 		event Event
 		ends  bool
 	}{
-		"fenced by a worker":    {Scheduled{Owner: 10, Event: schedule.HoldDone{Hold: hold, Verdict: schedule.Fenced}}, true},
-		"fenced under a former": {Scheduled{Owner: 9, Event: schedule.HoldDone{Hold: hold, Verdict: schedule.Fenced}}, false},
-		"lease gone":            {RenewDone{Lease: 3, Gone: true}, true},
-		"former lease gone":     {RenewDone{Lease: 2, Gone: true}, false},
-		"commit refused":        {Committed{Owner: 10, Lost: true}, true},
-		"another record":        {OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 12}, true},
-		"record removed":        {OwnerSeen{Revision: 11}, true},
-		"stale reading":         {OwnerSeen{Revision: 9}, false},
-		"own record":            {OwnerSeen{Found: true, Owner: self, Revision: 10}, false},
+		"fenced by a worker":              {Scheduled{Owner: 10, Event: schedule.HoldDone{Hold: hold, Verdict: schedule.Fenced}}, true},
+		"fenced under a former ownership": {Scheduled{Owner: 9, Event: schedule.HoldDone{Hold: hold, Verdict: schedule.Fenced}}, false},
+		"lease gone":                      {RenewDone{Lease: 3, Gone: true}, true},
+		"former lease gone":               {RenewDone{Lease: 2, Gone: true}, false},
+		"commit refused":                  {Committed{Owner: 10, Lost: true}, true},
+		"another record":                  {OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 12}, true},
+		"record removed":                  {OwnerSeen{Revision: 11}, true},
+		"stale reading":                   {OwnerSeen{Revision: 9}, false},
+		"own record":                      {OwnerSeen{Found: true, Owner: self, Revision: 10}, false},
 	} {
 		h := newHarness(t)
 		h.becomeOwner(Recovery{ReadAt: 20, Workers: []schedule.Worker{worker("w1")}})
@@ -202,8 +202,8 @@
 	}
 }
 
-// TestEarlySubmission guards against the loss of a job that is submitted to a new
-// owner during its recovery.
+// TestEarlySubmission guards against the loss of a job that is submitted to a new owner
+// during its recovery.
 func TestEarlySubmission(t *testing.T) {
 	h := newHarness(t)
 	h.apply(CatalogRead{catalog(1, 1)})
@@ -218,8 +218,8 @@
 	}
 }
 
-// TestPlannedStop guards against a shutdown that resigns before all commits are done,
-// and against one that does not resign.
+// TestPlannedStop guards against a graceful shutdown that resigns before all commits are
+// done, and against one that does not resign.
 func TestPlannedStop(t *testing.T) {
 	h := newHarness(t)
 	effects := h.becomeOwner(Recovery{ReadAt: 20, Workers: []schedule.Worker{worker("w1")}})
@@ -229,13 +229,13 @@
 		commit, ok = findEffect[CommitRecords](h.apply(Tick{}))
 	}
 	if _, resigned := findEffect[Resign](h.apply(Stopping{})); resigned {
-		t.Error("resigned while a commit was in flight")
+		t.Error("Resign effect while a commit is in flight")
 	}
 	if resign, resigned := findEffect[Resign](h.apply(Committed{Commit: commit.Commit, Owner: 10, Sequence: 21})); !resigned || resign.Lease != 3 {
-		t.Error("did not resign after the last commit")
+		t.Error("no Resign effect for lease 3 after the last commit")
 	}
 	if h.state.Snapshot().IsOwner {
-		t.Error("still the owner")
+		t.Error("instance is still the owner after it has resigned")
 	}
 }
 
@@ -245,9 +245,9 @@
 	h := newHarness(t)
 	h.apply(StoreHeard{At: h.now})
 	s := h.state.Snapshot()
-	const withdrawn = 5 * time.Second // a withdrawn key must be rejected within this time
-	if until := s.FreshUntil.Sub(s.HeardAt); until <= 0 || until+time.Second > withdrawn {
-		t.Errorf("keys are accepted for %s after the last store sync", until)
+	const withdrawalLimit = 5 * time.Second // a withdrawn key must be rejected within this time
+	if until := s.FreshUntil.Sub(s.HeardAt); until <= 0 || until+time.Second > withdrawalLimit {
+		t.Errorf("keys are accepted for %s after the last store sync, want more than 0 and at most %s", until, withdrawalLimit-time.Second)
 	}
 	h.apply(StoreHeard{At: s.HeardAt.Add(-time.Second)})
 	if h.state.Snapshot().HeardAt != s.HeardAt {
