--- a/instance/accept.go
+++ b/instance/accept.go
@@ -20,23 +20,24 @@
 	// maxBatch bounds the jobs of one transaction: each takes two conditions and one
 	// write of the 32 entries that a transaction may have.
 	maxBatch = 10
-	// acceptTimeout bounds one transaction; a slow store answers within 300 ms.
+	// acceptTimeout bounds one transaction; a slow store responds within 300 ms.
 	acceptTimeout = 800 * time.Millisecond
-	acceptRetry   = 40 * time.Millisecond
+	// acceptRetryDelay is the delay before a failed transaction is retried.
+	acceptRetryDelay = 40 * time.Millisecond
 	// After watchTimeout without data from the watches, or writeTimeout without a
-	// response to a write, submissions are rejected immediately. A watch receives
-	// data every second, which may itself be a second old; a slow store answers a
-	// write within 300 ms.
+	// response to a write, submissions are rejected immediately. A watch receives data
+	// every second, which may itself be a second old; a slow store responds to a write
+	// within 300 ms.
 	watchTimeout = 2500 * time.Millisecond
 	writeTimeout = 600 * time.Millisecond
-	// probeInterval separates the submissions that are let through to an unresponsive
-	// store to detect its recovery.
+	// probeInterval is the time between submissions that are let through to an
+	// unresponsive store to detect its recovery.
 	probeInterval = 250 * time.Millisecond
 	// retryAfterStore is the retry hint for a submission that could not be recorded;
 	// the caller may retry at any instance.
 	retryAfterStore = time.Second
-	// retryAfterOverLimit is the retry hint for a team that exceeds its share: a burst
-	// lasts some seconds.
+	// retryAfterOverLimit is the retry hint for a team that exceeds its share; bursts
+	// last a few seconds.
 	retryAfterOverLimit = 2 * time.Second
 )
 
@@ -48,13 +49,13 @@
 	done   chan error
 }
 
-// Submit records a job and returns once it is durable, or if it already was. After an
+// Submit records a job and returns once it is durable, or if it already is. After an
 // error with the fate "not run", nothing of the job is recorded and no write of it is
 // in flight.
 func (i *Instance) Submit(ctx context.Context, j *job.Job) error {
 	began := time.Now()
 	err := i.submit(ctx, j)
-	i.meters.submitted(time.Since(began), err)
+	i.metrics.recordSubmission(time.Since(began), err)
 	return err
 }
 
@@ -74,13 +75,13 @@
 	if err != nil {
 		return err
 	}
-	a := &pendingSubmission{ctx: ctx, job: j, record: record, done: make(chan error, 1)}
+	pending := &pendingSubmission{ctx: ctx, job: j, record: record, done: make(chan error, 1)}
 	select {
-	case i.submissions <- a:
+	case i.submissions <- pending:
 	default:
 		return errkind.New(errkind.QueueFull, "%d submissions are already waiting to be recorded", acceptQueueLength).WithRetryAfter(retryAfterStore)
 	}
-	return <-a.done
+	return <-pending.done
 }
 
 // storeUnresponsiveFor returns how long the store has not responded, or 0 if it responds.
@@ -96,7 +97,8 @@
 	return 0
 }
 
-// mayProbe reports whether a submission is let through to an unresponsive store.
+// mayProbe reports whether a submission is let through to an unresponsive store, at most
+// one per probeInterval.
 func (i *Instance) mayProbe(now time.Time) bool {
 	last := i.probedAt.Load()
 	return now.Sub(time.Unix(0, last)) >= probeInterval && i.probedAt.CompareAndSwap(last, now.UnixNano())
@@ -118,13 +120,13 @@
 	batch := []*pendingSubmission{first}
 	for len(batch) < maxBatch {
 		select {
-		case a := <-i.submissions:
-			if a.job.ID == first.job.ID {
+		case submission := <-i.submissions:
+			if submission.job.ID == first.job.ID {
 				// A transaction may contain each key only once.
-				i.submissions <- a
+				i.submissions <- submission
 				return batch
 			}
-			batch = append(batch, a)
+			batch = append(batch, submission)
 		default:
 			return batch
 		}
@@ -132,8 +134,8 @@
 	return batch
 }
 
-// recordBatch writes a batch and retries until every submission is settled or its caller's
-// deadline has passed.
+// recordBatch writes a batch and retries until every submission has been replied to, at
+// the latest after the deadline of its caller.
 func (i *Instance) recordBatch(ctx context.Context, batch []*pendingSubmission) {
 	for len(batch) > 0 {
 		began := time.Now()
@@ -147,101 +149,102 @@
 		switch {
 		case err == nil && result.Succeeded:
 			i.writeFailures.Store(0)
-			for _, a := range batch {
-				i.confirmAccepted(a, result.Revision)
+			for _, submission := range batch {
+				i.confirmAccepted(submission, result.Revision)
 			}
 			return
 		case err == nil:
-			batch = i.resolveKnown(batch, result.Current)
+			batch = i.resolveRecorded(batch, result.Current)
 			continue
 		}
 		i.logStoreFailure("record jobs", err)
 		batch = i.handleWriteFailure(ctx, batch, err)
-		sleep(ctx, acceptRetry)
+		sleep(ctx, acceptRetryDelay)
 	}
 }
 
 func acceptTxn(batch []*pendingSubmission) store.Txn {
 	txn := store.Txn{}
-	for _, a := range batch {
-		key := jobKey(a.job.ID)
-		txn.Compares = append(txn.Compares, store.Compare{Key: key}, store.Compare{Key: finalKey(a.job.ID)})
-		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: a.record})
+	for _, submission := range batch {
+		key := jobKey(submission.job.ID)
+		txn.Compares = append(txn.Compares, store.Compare{Key: key}, store.Compare{Key: finalKey(submission.job.ID)})
+		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: submission.record})
 	}
 	return txn
 }
 
-// confirmAccepted notifies the caller and the owner that a job is durable. An owner
-// that cannot be reached finds the job in the store.
-func (i *Instance) confirmAccepted(a *pendingSubmission, revision int64) {
-	i.view.addAccepted(a.job, time.Now())
-	a.done <- nil
-	i.cfg.Journal.Event("accepted", "job", string(a.job.ID), "queue", a.job.Queue, "team", a.job.Team, "revision", revision)
+// confirmAccepted notifies the caller and the owner that a job is durable. An owner that
+// cannot be reached reads the job from the store.
+func (i *Instance) confirmAccepted(submission *pendingSubmission, revision int64) {
+	i.view.addAccepted(submission.job, time.Now())
+	submission.done <- nil
+	i.cfg.Journal.Event("accepted", "job", string(submission.job.ID), "queue", submission.job.Queue, "team", submission.job.Team, "revision", revision)
 	go func() {
-		request := cell.Submit{Submission: cell.Submission{Job: a.job, Revision: revision}}
-		if reply, err := i.askOwner(i.ctx, i.cfg.Timing.PeerTimeout, request); err != nil || reply.NotOwner {
-			i.cfg.Journal.Event("owner was not notified of the job", "job", string(a.job.ID), "not_owner", reply.NotOwner, "error", err)
+		request := cell.Submit{Submission: cell.Submission{Job: submission.job, Revision: revision}}
+		if reply, err := i.callOwner(i.ctx, i.cfg.Timing.PeerTimeout, request); err != nil || reply.NotOwner {
+			i.cfg.Journal.Event("owner was not notified of the job", "job", string(submission.job.ID), "not_owner", reply.NotOwner, "error", err)
 		}
 	}()
 }
 
-// resolveKnown replies to the submissions whose job is already recorded and returns
+// resolveRecorded replies to the submissions whose job is already recorded and returns
 // the others.
-func (i *Instance) resolveKnown(batch []*pendingSubmission, current []store.KeyValue) []*pendingSubmission {
+func (i *Instance) resolveRecorded(batch []*pendingSubmission, current []store.KeyValue) []*pendingSubmission {
 	known := make(map[string]store.KeyValue, len(current))
 	for _, kv := range current {
 		known[kv.Key] = kv
 	}
 	var rest []*pendingSubmission
-	for _, a := range batch {
-		if kv, open := known[jobKey(a.job.ID)]; open {
-			i.resolveRepeat(a, kv)
-		} else if _, ended := known[finalKey(a.job.ID)]; ended {
-			a.done <- nil
+	for _, submission := range batch {
+		if kv, open := known[jobKey(submission.job.ID)]; open {
+			i.resolveDuplicate(submission, kv)
+		} else if _, ended := known[finalKey(submission.job.ID)]; ended {
+			submission.done <- nil
 		} else {
-			rest = append(rest, a)
+			rest = append(rest, submission)
 		}
 	}
 	return rest
 }
 
-// resolveRepeat replies to a submission whose job is already recorded. The record may
+// resolveDuplicate replies to a submission whose job is already recorded. The record may
 // come from an earlier attempt of the same submission whose response was lost.
-func (i *Instance) resolveRepeat(a *pendingSubmission, kv store.KeyValue) {
+func (i *Instance) resolveDuplicate(submission *pendingSubmission, kv store.KeyValue) {
 	first, err := job.Decode[job.Job](kv.Value)
 	if err != nil {
-		a.done <- errkind.New(errkind.Internal, "the stored record of job %s cannot be decoded", a.job.ID)
+		submission.done <- errkind.New(errkind.Internal, "the stored record of job %s cannot be decoded", submission.job.ID)
 		return
 	}
-	if !first.Same(a.job) {
-		i.cfg.Journal.Event("refused", "job", string(a.job.ID), "why", "other_body")
-		a.done <- errkind.New(errkind.IdempotencyConflict, "a job with ID %s and a different body was accepted before", a.job.ID)
+	if !first.Same(submission.job) {
+		i.cfg.Journal.Event("refused", "job", string(submission.job.ID), "why", "other_body")
+		submission.done <- errkind.New(errkind.IdempotencyConflict, "a job with ID %s and a different body was accepted before", submission.job.ID)
 		return
 	}
-	i.confirmAccepted(a, kv.ModRevision)
+	i.confirmAccepted(submission, kv.ModRevision)
 }
 
-// handleWriteFailure replies to submissions after a failed write and returns those
-// that should be retried. If the write may still take effect, the caller is told at
-// once that the outcome is unknown: it should retry at another instance, where
-// submissions are idempotent. A submission is reported as not accepted only if no
-// write of it can take effect.
+// handleWriteFailure replies to submissions after a failed write and returns those that
+// should be retried. If the write may still take effect, an unknown outcome is reported
+// immediately: the caller should retry at another instance, which is safe because
+// submissions are idempotent. A submission is reported as not accepted only if no write
+// of it can take effect.
 func (i *Instance) handleWriteFailure(ctx context.Context, batch []*pendingSubmission, err error) []*pendingSubmission {
 	failures := i.writeFailures.Add(1)
 	unclear := errors.Is(err, store.ErrUnclear)
 	var rest []*pendingSubmission
-	for _, a := range batch {
-		// After this many failed writes in a row the caller should retry at another instance.
+	for _, submission := range batch {
+		// After this many consecutive failed writes, the caller should retry at another
+		// instance.
 		const maxConsecutiveFailures = 3
 		switch {
 		case unclear:
-			i.cfg.Journal.Event("unclear", "job", string(a.job.ID), "why", "store_silent", "failures", failures)
-			a.done <- errkind.New(errkind.OutcomeUnknown, "the store did not confirm the write of job %s in time", a.job.ID)
-		case a.ctx.Err() != nil || ctx.Err() != nil || failures >= maxConsecutiveFailures:
-			i.cfg.Journal.Event("refused", "job", string(a.job.ID), "why", "store_failed", "failures", failures, "error", err)
-			a.done <- errkind.New(errkind.StoreUnavailable, "the write of job %s to the store failed", a.job.ID).WithRetryAfter(retryAfterStore)
+			i.cfg.Journal.Event("unclear", "job", string(submission.job.ID), "why", "store_silent", "failures", failures)
+			submission.done <- errkind.New(errkind.OutcomeUnknown, "the store did not confirm the write of job %s in time", submission.job.ID)
+		case submission.ctx.Err() != nil || ctx.Err() != nil || failures >= maxConsecutiveFailures:
+			i.cfg.Journal.Event("refused", "job", string(submission.job.ID), "why", "store_failed", "failures", failures, "error", err)
+			submission.done <- errkind.New(errkind.StoreUnavailable, "the write of job %s to the store failed", submission.job.ID).WithRetryAfter(retryAfterStore)
 		default:
-			rest = append(rest, a)
+			rest = append(rest, submission)
 		}
 	}
 	return rest
--- a/instance/execute.go
+++ b/instance/execute.go
@@ -38,7 +38,8 @@
 	}
 }
 
-// executeOrder makes one call to a worker or to the advice service and posts its outcome.
+// executeOrder carries out one order to a worker or call to the advice service and posts
+// its outcome.
 func (i *Instance) executeOrder(ctx context.Context, e cell.Order) {
 	var outcome any
 	switch order := e.Effect.(type) {
@@ -47,7 +48,7 @@
 		outcome = i.relays.Hold(callCtx, e.Fence, order)
 		cancel()
 	case schedule.Start:
-		i.meters.taskWait.Update(order.Waited.Milliseconds())
+		i.metrics.taskWait.Update(order.Waited.Milliseconds())
 		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.OrderTimeout)
 		outcome = schedule.StartDone{Start: order, Verdict: sendOrder(callCtx,
 			func(ctx context.Context) schedule.Verdict { return i.relays.Start(ctx, e.Fence, order) },
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,14 +19,15 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// Workers sends orders to workers. Each call ends when ctx does.
+// Workers sends orders to workers. Each call returns when ctx ends, at the latest.
 type Workers interface {
 	Hold(ctx context.Context, fence int64, h schedule.Hold) schedule.HoldDone
 	Start(ctx context.Context, fence int64, s schedule.Start) schedule.Verdict
 	Stop(ctx context.Context, fence int64, s schedule.Stop) schedule.Verdict
 }
 
-// Advisor asks the advice service which workers may run a step.
+// Advisor calls the advice service, which issues a ticket for each of the given workers
+// that may run a step.
 type Advisor interface {
 	Ask(ctx context.Context, step string, workers []string) (tickets map[string]string, valid time.Duration, err error)
 }
@@ -37,19 +38,19 @@
 }
 
 // Configuration watches the operators' configuration until ctx ends. It calls changed
-// for each newer version, and heard with a time up to which every change acknowledged
+// for each newer version, and synced with a time up to which every change acknowledged
 // by the store has been delivered.
 type Configuration interface {
-	Follow(ctx context.Context, changed func(*job.Catalog), heard func(at time.Time)) error
+	Follow(ctx context.Context, changed func(*job.Catalog), synced func(at time.Time)) error
 }
 
 // Config configures an Instance.
 type Config struct {
 	Name          string
 	FailureDomain string
-	Cores         float64 // processor cores of this process, in fractions
-	Incarnation   string  // of this process
-	Listen        string  // for other instances; numeric address and port
+	Cores         float64 // processor cores available to this process; may be fractional
+	Incarnation   string  // unique to this process
+	Listen        string  // numeric address and port for calls from other instances
 	Store         store.Store
 	Workers       Workers
 	Advisor       Advisor
@@ -60,7 +61,7 @@
 	Timing        Timing
 }
 
-// Timing has the durations of an instance's calls.
+// Timing holds the timeouts and intervals of an instance.
 type Timing struct {
 	OwnershipTTL      time.Duration // of the lease of the ownership record
 	DirectoryInterval time.Duration // between reads of the directory, on the owner
@@ -68,8 +69,8 @@
 	PeerTimeout       time.Duration // of a request to the owner
 	CancelTimeout     time.Duration // of a cancellation, which waits for a commit
 	OrderTimeout      time.Duration // of an order to a worker
-	HoldMargin        time.Duration // of a hold, on top of the time that the worker may hold its report back
-	AdviceTimeout     time.Duration // of a call for advice
+	HoldMargin        time.Duration // timeout of a hold, in addition to the time for which the worker may delay its report
+	AdviceTimeout     time.Duration // of a call to the advice service
 	ResignTimeout     time.Duration // of the removal of the ownership record
 }
 
@@ -86,7 +87,8 @@
 		PeerTimeout:    500 * time.Millisecond,
 		CancelTimeout:  1500 * time.Millisecond,
 		OrderTimeout:   700 * time.Millisecond,
-		// Until a lost report times out, no ended task of that worker is noticed.
+		// If a report is lost, ended tasks of its worker go undetected until the hold
+		// times out.
 		HoldMargin:    400 * time.Millisecond,
 		AdviceTimeout: 3 * time.Second,
 		ResignTimeout: 800 * time.Millisecond,
@@ -106,18 +108,18 @@
 	ctx             context.Context // of all effects
 	ownerCtx        context.Context // of effects of the current ownership; set by the control goroutine
 	cancelOwner     context.CancelFunc
-	resigned        chan struct{} // closed when the ownership record was removed in a graceful shutdown
+	resigned        chan struct{} // closed once the ownership record has been removed in a graceful shutdown
 	resignOnce      sync.Once
 	writeFailures   atomic.Int32 // consecutive failed writes of submissions
 	unansweredSince atomic.Int64 // send time of the first unanswered write of a job, Unix nanoseconds; 0 if none
-	probedAt        atomic.Int64 // when a submission was last let through to an unresponsive store, Unix nanoseconds
+	probedAt        atomic.Int64 // time at which a submission was last let through to an unresponsive store, Unix nanoseconds
 
-	meters         meters
+	metrics        requestMetrics
 	failuresMu     sync.Mutex
-	failuresByCall map[string]storeFailures // by call, to limit log lines
+	failuresByCall map[string]storeFailures // by call, to rate-limit log lines
 }
 
-// New returns an instance that is idle until Run.
+// New returns an instance that is idle until Run is called.
 func New(cfg Config) *Instance {
 	self := cell.Owner{Instance: cfg.Name, Incarnation: cfg.Incarnation, Address: cfg.Listen}
 	i := &Instance{
@@ -127,7 +129,7 @@
 		resigned:       make(chan struct{}),
 		view:           newOwnerView(),
 		failuresByCall: make(map[string]storeFailures),
-		meters:         newMeters(cfg.Metrics),
+		metrics:        newRequestMetrics(cfg.Metrics),
 	}
 	i.relays = newRelays(cfg.Name, cfg.Workers, i.peers, cfg.Journal.Event)
 	i.loop = cell.NewLoop(cell.New(cell.DefaultConfig(self, cfg.Cores)), cfg.Metrics, i.execute)
@@ -164,8 +166,8 @@
 	return nil
 }
 
-// Stop begins a graceful shutdown: the instance resigns its ownership and accepts no
-// new connections. It returns when another instance can take over.
+// Stop begins a graceful shutdown: the instance accepts no new connections and, if it is
+// the owner, resigns. Stop returns when another instance can take over or ctx ends.
 func (i *Instance) Stop(ctx context.Context) {
 	wasOwner := i.loop.Snapshot().IsOwner
 	i.loop.Post(ctx, cell.Stopping{})
@@ -222,8 +224,8 @@
 	}
 }
 
-// askOwner sends a request to the owner, which may be this instance or another.
-func (i *Instance) askOwner(ctx context.Context, timeout time.Duration, request any) (cell.Reply, error) {
+// callOwner sends a request to the owner, which may be this instance or another.
+func (i *Instance) callOwner(ctx context.Context, timeout time.Duration, request any) (cell.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s := i.loop.Snapshot()
--- a/instance/journal.go
+++ b/instance/journal.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// journalQueueLength bounds the lines that wait to be written; it holds a burst of two
+	// journalQueueLength bounds the lines that wait to be written; it holds the lines of two
 	// seconds at the peak rate.
 	journalQueueLength = 4096
-	// journalFlushInterval bounds how long a line is buffered. One write for many lines takes
-	// far less processor time than one write for each.
+	// journalFlushInterval bounds how long a line is buffered. One write of many lines takes
+	// far less processor time than one write per line.
 	journalFlushInterval = 100 * time.Millisecond
 	// journalBufferSize is the size of the write buffer in bytes.
 	journalBufferSize = 64 << 10
@@ -38,7 +38,7 @@
 	fields []any
 }
 
-// NewJournal returns a journal that writes to w while Run runs.
+// NewJournal returns a journal whose Run method writes to w.
 func NewJournal(w io.Writer, registry metrics.Registry) *Journal {
 	j := &Journal{
 		lines:   make(chan line, journalQueueLength),
@@ -69,7 +69,7 @@
 	}
 }
 
-// Run writes lines until ctx ends, and then the remaining queued lines.
+// Run writes queued lines until ctx ends, and then the remaining ones.
 func (j *Journal) Run(ctx context.Context) error {
 	flushTimer := time.NewTimer(journalFlushInterval)
 	flushTimer.Stop()
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -27,8 +27,8 @@
 	f.instance.loop.Post(f.ctx, f.last)
 }
 
-// Changed implements store.Follower. The last record is posted on progress
-// notifications too, since the control state discards it when it steps down.
+// Changed implements store.Follower. The last reading is also posted on progress
+// notifications, since the control state discards its copy when it steps down.
 func (f *ownerFollower) Changed(b store.WatchBatch) {
 	for _, change := range b.Changes {
 		f.applyRecord(change.KeyValue, change.Deleted)
@@ -109,22 +109,22 @@
 	}
 	now := time.Now()
 	i.failuresMu.Lock()
-	entry := i.failuresByCall[call]
-	entry.failures++
-	report := now.Sub(entry.reportedAt) >= storeFailureLogInterval
-	failures := entry.failures
+	current := i.failuresByCall[call]
+	current.failures++
+	report := now.Sub(current.reportedAt) >= storeFailureLogInterval
+	failures := current.failures
 	if report {
-		entry = storeFailures{reportedAt: now}
+		current = storeFailures{reportedAt: now}
 	}
-	i.failuresByCall[call] = entry
+	i.failuresByCall[call] = current
 	i.failuresMu.Unlock()
 	if report {
 		i.cfg.Journal.Event("store call failed", "call", call, "failures", failures, "error", err)
 	}
 }
 
-// storeFailureLogInterval limits the log lines on failures of the same call, which are
-// frequent during an outage.
+// storeFailureLogInterval is the minimum time between log lines on failures of the same
+// call, which are frequent during an outage.
 const storeFailureLogInterval = 2 * time.Second
 
 // storeFailures counts the failures of one call since its last log line.
@@ -133,16 +133,16 @@
 	reportedAt time.Time
 }
 
-// Timeouts and retry intervals of the store calls of an owner.
+// Timeouts and retry delays of the store calls of an owner.
 const (
-	campaignTimeout = 1500 * time.Millisecond // a slow store answers within 300 ms
-	recoverTimeout  = 6 * time.Second
-	recoverRetry    = 60 * time.Millisecond
-	commitTimeout   = 1200 * time.Millisecond
-	commitRetry     = 60 * time.Millisecond
+	campaignTimeout   = 1500 * time.Millisecond // a slow store responds within 300 ms
+	recoverTimeout    = 6 * time.Second
+	recoverRetryDelay = 60 * time.Millisecond
+	commitTimeout     = 1200 * time.Millisecond
+	commitRetryDelay  = 60 * time.Millisecond
 )
 
-// campaign tries to create the ownership record.
+// campaign tries to create the ownership record under a new lease.
 func (i *Instance) campaign(ctx context.Context) {
 	result := cell.CampaignDone{}
 	defer func() { i.loop.Post(ctx, result) }()
@@ -170,7 +170,7 @@
 			result = cell.CampaignDone{Won: true, Revision: kv.ModRevision, Lease: lease}
 			return
 		}
-		// The write may still take effect; its record is removed with the lease.
+		// The write may still take effect; the record is removed with its lease.
 		i.revoke(ctx, lease)
 	default:
 		i.logStoreFailure("campaign", err)
@@ -200,7 +200,7 @@
 			return
 		}
 		i.cfg.Journal.Event("recovery failed", "fence", ownership, "error", err)
-		sleep(ctx, recoverRetry)
+		sleep(ctx, recoverRetryDelay)
 	}
 }
 
@@ -256,12 +256,12 @@
 			return
 		}
 		i.logStoreFailure("commit", err)
-		sleep(ctx, commitRetry)
+		sleep(ctx, commitRetryDelay)
 	}
 }
 
 // classifyRefusedCommit distinguishes a commit that an earlier attempt has already
-// written from one that is invalid because there is a newer owner.
+// written from one that was refused because there is a newer owner.
 func (i *Instance) classifyRefusedCommit(e cell.CommitRecords, current []store.KeyValue, value []byte) cell.Committed {
 	done := cell.Committed{Commit: e.Commit, Owner: e.Owner, Lost: true}
 	owned := false
@@ -330,8 +330,9 @@
 	}
 }
 
-// commitHedge repeats an unanswered write. Its delay is several times the 30 ms round
-// trip to a store in another region, and longer than a slow store usually takes.
+// commitHedge resends a write that has received no response. The delay is several times
+// the 30 ms round trip to a store in another region, and longer than a slow store usually
+// takes.
 var commitHedge = store.Hedge{After: 220 * time.Millisecond, Most: 4}
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/instance/query.go
+++ b/instance/query.go
@@ -11,13 +11,13 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// State returns the state of a job of a queue. team is the team that the API key
-// belongs to, or empty if the queue is open.
+// State returns the state of a job of a queue. team is the team to which the API key
+// belongs, or empty if the queue is open.
 func (i *Instance) State(ctx context.Context, queue, team string, id job.ID) (job.State, error) {
 	if status, known := i.view.status(id); known {
 		return checkVisible(status.State, status.Queue, status.Team, queue, team, id)
 	}
-	reply, err := i.askOwner(ctx, i.cfg.Timing.PeerTimeout, cell.StateOf{Job: id})
+	reply, err := i.callOwner(ctx, i.cfg.Timing.PeerTimeout, cell.StateOf{Job: id})
 	if err != nil {
 		i.cfg.Journal.Event("owner did not answer", "job", string(id), "error", err)
 	}
@@ -27,7 +27,7 @@
 	record, final, err := i.readJob(ctx, id)
 	switch {
 	case err != nil:
-		return "", errkind.New(errkind.StoreUnavailable, "neither the owner nor the store answered for job %s", id).WithRetryAfter(retryAfterStore)
+		return "", errkind.New(errkind.StoreUnavailable, "the state of job %s could be read neither from the owner nor from the store", id).WithRetryAfter(retryAfterStore)
 	case final != nil:
 		return checkVisible(final.State, final.Queue, final.Team, queue, team, id)
 	case record != nil:
@@ -74,7 +74,7 @@
 // Cancel cancels a job and returns once the cancellation, or another final state, is
 // recorded.
 func (i *Instance) Cancel(ctx context.Context, queue, team string, id job.ID) error {
-	reply, err := i.askOwner(ctx, i.cfg.Timing.CancelTimeout, cell.Cancel{Job: id, Queue: queue, Team: team})
+	reply, err := i.callOwner(ctx, i.cfg.Timing.CancelTimeout, cell.Cancel{Job: id, Queue: queue, Team: team})
 	if err == nil && reply.Known {
 		i.cfg.Journal.Event("cancelled", "job", string(id), "by", "owner")
 		return nil
@@ -84,12 +84,12 @@
 		if settled {
 			return err
 		}
-		sleep(ctx, acceptRetry)
+		sleep(ctx, acceptRetryDelay)
 	}
 	return errkind.New(errkind.OutcomeUnknown, "the cancellation of job %s was not confirmed in time", id)
 }
 
-// recordCancel writes a cancellation that the owner, or the next one, reads from the
+// recordCancel writes a cancellation that the owner, or its successor, reads from the
 // store. settled is false if the caller must retry.
 func (i *Instance) recordCancel(ctx context.Context, queue, team string, id job.ID) (settled bool, err error) {
 	record, final, err := i.readJob(ctx, id)
--- a/instance/records.go
+++ b/instance/records.go
@@ -21,7 +21,7 @@
 const (
 	keyOwner       = "mulberrydrum/owner"       // ownership record of the partition; attached to the owner's lease
 	keyCores       = "mulberrydrum/owner-cores" // highest core count of any instance; watched together with the owner
-	sequencePrefix = "mulberrydrum/sequence/"   // one record for each lane; changes with every commit of the lane
+	sequencePrefix = "mulberrydrum/sequence/"   // one record for each commit stream; changes with every commit of the stream
 	keyRoster      = "mulberrydrum/roster"      // workers on which tasks may be running
 	inboxPrefix    = "mulberrydrum/in/"
 	jobPrefix      = inboxPrefix + "job/"    // accepted jobs that have not ended
@@ -30,7 +30,7 @@
 	finalPrefix    = "mulberrydrum/final/" // jobs that have ended
 )
 
-func sequenceKey(lane int) string { return sequencePrefix + strconv.Itoa(lane) }
+func sequenceKey(stream int) string { return sequencePrefix + strconv.Itoa(stream) }
 
 func jobKey(id job.ID) string      { return jobPrefix + string(id) }
 func cancelKey(id job.ID) string   { return cancelPrefix + string(id) }
@@ -40,8 +40,8 @@
 // sequenceRecord identifies a commit uniquely among all owners, so that a retry
 // recognizes a commit whose response was lost.
 type sequenceRecord struct {
-	Owner   string `json:"owner"`   // incarnation
-	Follows int64  `json:"follows"` // revision of the previous record
+	Owner   string `json:"owner"`   // incarnation of the owner's process
+	Follows int64  `json:"follows"` // revision of the stream's previous record
 }
 
 // coresRecord holds the core count of the largest instance.
@@ -89,10 +89,9 @@
 	return txn, nil
 }
 
-// readRecovery reads the state that a new owner starts from. No later commit of a
-// former owner can succeed, since the ownership record in its condition has changed. The
-// reads run concurrently, since a slow store answers only a few sequential reads in a
-// second.
+// readRecovery reads the state that a new owner resumes from. No later commit of a former
+// owner can succeed, since the ownership record in its condition has changed. The reads
+// run concurrently, since a slow store responds to only a few sequential reads per second.
 func (i *Instance) readRecovery(ctx context.Context) (cell.Recovery, error) {
 	recovery := cell.Recovery{}
 	group, ctx := errgroup.WithContext(ctx)
@@ -112,11 +111,11 @@
 		return eris.Wrap(err, "read the sequence records")
 	}
 	for _, kv := range kvs {
-		lane, err := strconv.Atoi(strings.TrimPrefix(kv.Key, sequencePrefix))
-		if err != nil || lane < 0 || lane >= len(recovery.Sequences) {
-			return eris.Errorf("key %s does not end in a commit lane from 0 to %d", kv.Key, len(recovery.Sequences)-1)
+		stream, err := strconv.Atoi(strings.TrimPrefix(kv.Key, sequencePrefix))
+		if err != nil || stream < 0 || stream >= len(recovery.Sequences) {
+			return eris.Errorf("key %s does not end in the number of a commit stream from 0 to %d", kv.Key, len(recovery.Sequences)-1)
 		}
-		recovery.Sequences[lane] = kv.ModRevision
+		recovery.Sequences[stream] = kv.ModRevision
 	}
 	return nil
 }
@@ -145,7 +144,7 @@
 	for _, kv := range progress {
 		record, err := job.Decode[job.Progress](kv.Value)
 		if err != nil {
-			return eris.Wrapf(err, "key %s", kv.Key)
+			return eris.Wrapf(err, "decode the progress record under key %s", kv.Key)
 		}
 		progressByJob[job.ID(strings.TrimPrefix(kv.Key, progressPrefix))] = record
 	}
--- a/instance/records_test.go
+++ b/instance/records_test.go
@@ -61,14 +61,14 @@
 }
 
 // TestCommitConditions guards against a commit of a former owner that takes effect,
-// against a late copy that takes effect after a newer commit, and against a commit whose
-// response was lost being classified as another owner's.
+// against a late copy of a commit that takes effect after a newer one, and against a
+// commit whose response was lost being mistaken for that of another owner.
 func TestCommitConditions(t *testing.T) {
 	s := storetest.NewMemory(storetest.Config{}).Client("e1")
 	i := newInstance(s)
 	ownership := mustPut(t, s, keyOwner, cell.Owner{Instance: "e1"})
 	e := cell.CommitRecords{Owner: ownership, Commit: schedule.Commit{Lane: 2, Changes: []schedule.Change{{Job: "a", Progress: &job.Progress{Started: true}}}}}
-	value := func(e cell.CommitRecords) []byte {
+	sequenceValue := func(e cell.CommitRecords) []byte {
 		b, err := job.Encode(sequenceRecord{Owner: "p1", Follows: e.Sequence})
 		if err != nil {
 			t.Fatal(err)
@@ -77,7 +77,7 @@
 	}
 	commit := func(e cell.CommitRecords) store.TxnResult {
 		t.Helper()
-		txn, err := encodeCommit(e, value(e))
+		txn, err := encodeCommit(e, sequenceValue(e))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -92,7 +92,7 @@
 		t.Fatal("the first commit was refused")
 	}
 	again := commit(e)
-	if done := i.classifyRefusedCommit(e, again.Current, value(e)); again.Succeeded || done.Lost || done.Sequence != first.Revision {
+	if done := i.classifyRefusedCommit(e, again.Current, sequenceValue(e)); again.Succeeded || done.Lost || done.Sequence != first.Revision {
 		t.Errorf("repeated commit: %+v, classified as %+v", again, done)
 	}
 	next := e
@@ -112,7 +112,7 @@
 	former.Sequence = 0
 	former.Commit.Lane = 1
 	refused := commit(former)
-	if done := i.classifyRefusedCommit(former, refused.Current, value(former)); refused.Succeeded || !done.Lost {
+	if done := i.classifyRefusedCommit(former, refused.Current, sequenceValue(former)); refused.Succeeded || !done.Lost {
 		t.Errorf("commit of a former owner: %+v, classified as %+v", refused, done)
 	}
 }
@@ -133,10 +133,10 @@
 		t.Fatal(err)
 	}
 	if len(r.Jobs) != 2 || r.Jobs[0].Progress == nil || len(r.Jobs[0].Progress.Failed["0.0.0"]) != 1 || !r.Jobs[1].Cancelled || r.Jobs[0].Cancelled {
-		t.Errorf("jobs %+v", r.Jobs)
+		t.Errorf("recovered jobs: %+v", r.Jobs)
 	}
 	if len(r.Roster) != 1 || r.Sequences[3] != sequence || r.Sequences[0] != 0 || r.ReadAt < sequence {
-		t.Errorf("recovery %+v", r)
+		t.Errorf("recovery: %+v", r)
 	}
 }
 
--- a/instance/relay.go
+++ b/instance/relay.go
@@ -13,26 +13,26 @@
 )
 
 const (
-	// relayTimeout is the time without a message from a relay after which it is
-	// considered frozen or disconnected. It is far above the 25 ms round trip to another
-	// region, so that a busy instance is not mistaken for a lost one.
+	// relayTimeout is the time without a message from a relay after which it is considered
+	// unresponsive, that is, frozen or disconnected. It is far above the 25 ms round trip to
+	// another region, so that a busy instance is not mistaken for a lost one.
 	relayTimeout = 600 * time.Millisecond
 	// relayPingInterval is the time between heartbeat requests.
 	relayPingInterval = 200 * time.Millisecond
 	// relayReconnectDelay is the delay before an ended stream is reopened.
 	relayReconnectDelay = 500 * time.Millisecond
-	// peerTimeout is the time after the last poll of an instance at which it is removed;
-	// instances poll the owner every 100 ms.
-	peerTimeout = 2500 * time.Millisecond
+	// peerExpiry is the time without a poll after which an instance is removed; instances
+	// poll the owner every 100 ms.
+	peerExpiry = 2500 * time.Millisecond
 	// orderQueueLength bounds the orders that wait for the stream of one relay.
 	orderQueueLength = 512
 )
 
 // relays sends an owner's orders to workers through the instances in the workers'
-// failure domains. An owner of hundreds of workers could not make a thousand HTTP calls a
-// second besides scheduling, while small instances have spare processor time, and the
-// path through a relay adds no distance. An order that a relay does not answer is sent
-// to the worker directly.
+// failure domains. With hundreds of workers, an owner could not make a thousand HTTP calls
+// per second in addition to scheduling, while small instances have spare processor time.
+// The path through a relay adds no distance. An order to which a relay does not respond is
+// sent to the worker directly.
 type relays struct {
 	self       string
 	direct     Workers
@@ -40,8 +40,8 @@
 	logEvent   func(event string, fields ...any)
 
 	mu       sync.RWMutex
-	peers    map[string]knownPeer         // by name
-	byDomain map[string]map[string]*relay // relays in use, by failure domain and name
+	peers    map[string]knownPeer               // instances that poll this owner, by name
+	byDomain map[string]map[string]*relayStream // open streams, by failure domain and name of the instance
 }
 
 type knownPeer struct {
@@ -49,8 +49,8 @@
 	lastSeen time.Time
 }
 
-// relay is the stream to one instance.
-type relay struct {
+// relayStream is the stream of orders to one instance.
+type relayStream struct {
 	entry.Peer
 	orders chan *entry.RelayOrder
 
@@ -63,7 +63,7 @@
 func newRelays(self string, direct Workers, peers *entry.Client, logEvent func(string, ...any)) *relays {
 	return &relays{
 		self: self, direct: direct, openStream: peers.Relay, logEvent: logEvent,
-		peers: make(map[string]knownPeer), byDomain: make(map[string]map[string]*relay),
+		peers: make(map[string]knownPeer), byDomain: make(map[string]map[string]*relayStream),
 	}
 }
 
@@ -96,13 +96,14 @@
 	}
 }
 
-// livePeers returns the instances that poll this owner, and removes the others.
+// livePeers returns the instances that poll this owner, and removes those that no longer
+// do.
 func (r *relays) livePeers(now time.Time) []entry.Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []entry.Peer
 	for name, p := range r.peers {
-		if now.Sub(p.lastSeen) > peerTimeout {
+		if now.Sub(p.lastSeen) > peerExpiry {
 			delete(r.peers, name)
 			continue
 		}
@@ -111,15 +112,15 @@
 	return list
 }
 
-// maintainStream keeps the stream to an instance open, and reopens it while the instance
-// is alive.
+// maintainStream opens a stream to an instance, and reopens it whenever it ends while the
+// instance is alive.
 func (r *relays) maintainStream(ctx context.Context, name string) {
 	for ctx.Err() == nil {
 		r.mu.RLock()
 		p, present := r.peers[name]
 		r.mu.RUnlock()
 		if present {
-			if err := r.stream(ctx, p.Peer); ctx.Err() == nil {
+			if err := r.runStream(ctx, p.Peer); ctx.Err() == nil {
 				r.logEvent("relay lost", "instance", name, "error", err)
 			}
 		}
@@ -127,67 +128,68 @@
 	}
 }
 
-// stream uses an instance as a relay until its stream ends.
-func (r *relays) stream(ctx context.Context, p entry.Peer) error {
-	l := &relay{Peer: p, orders: make(chan *entry.RelayOrder, orderQueueLength), pending: make(map[uint64]chan *entry.RelayOutcome)}
+// runStream uses an instance as a relay until the stream ends.
+func (r *relays) runStream(ctx context.Context, p entry.Peer) error {
+	s := &relayStream{Peer: p, orders: make(chan *entry.RelayOrder, orderQueueLength), pending: make(map[uint64]chan *entry.RelayOutcome)}
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return r.openStream(ctx, p.Address, l.orders, l.deliverOutcomes) })
-	group.Go(func() error { return l.monitor(ctx) })
-	r.setInUse(l, true)
+	group.Go(func() error { return r.openStream(ctx, p.Address, s.orders, s.deliverOutcomes) })
+	group.Go(func() error { return s.monitor(ctx) })
+	r.setInUse(s, true)
 	err := group.Wait()
-	r.setInUse(l, false)
-	l.close()
+	r.setInUse(s, false)
+	s.close()
 	return err
 }
 
-func (r *relays) setInUse(l *relay, inUse bool) {
+func (r *relays) setInUse(s *relayStream, inUse bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.byDomain[l.FailureDomain] == nil {
-		r.byDomain[l.FailureDomain] = make(map[string]*relay)
+	if r.byDomain[s.FailureDomain] == nil {
+		r.byDomain[s.FailureDomain] = make(map[string]*relayStream)
 	}
 	if inUse {
-		r.byDomain[l.FailureDomain][l.Instance] = l
-	} else if r.byDomain[l.FailureDomain][l.Instance] == l {
-		delete(r.byDomain[l.FailureDomain], l.Instance)
+		r.byDomain[s.FailureDomain][s.Instance] = s
+	} else if r.byDomain[s.FailureDomain][s.Instance] == s {
+		delete(r.byDomain[s.FailureDomain], s.Instance)
 	}
 }
 
-// selectRelay returns the relay for a worker, or nil if there is none in its failure
-// domain. Rendezvous hashing keeps each worker on the same relay while that is alive,
-// which limits the number of connections to workers.
-func (r *relays) selectRelay(target schedule.Target, now time.Time) *relay {
+// selectRelay returns the stream to the relay for a worker, or nil if its failure domain
+// has no responsive relay. Rendezvous hashing keeps each worker on the same relay while
+// that is responsive, which limits the number of connections to workers.
+func (r *relays) selectRelay(target schedule.Target, now time.Time) *relayStream {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	var best *relay
+	var best *relayStream
 	var bestWeight uint32
-	for name, l := range r.byDomain[target.FailureDomain] {
-		h := fnv.New32a()
-		_, _ = h.Write([]byte(target.Worker)) // a hash never fails
-		_, _ = h.Write([]byte(name))
-		if weight := h.Sum32(); (best == nil || weight > bestWeight) && l.isAlive(now) {
-			best, bestWeight = l, weight
+	for name, s := range r.byDomain[target.FailureDomain] {
+		hash := fnv.New32a()
+		_, _ = hash.Write([]byte(target.Worker)) // a hash never fails
+		_, _ = hash.Write([]byte(name))
+		if weight := hash.Sum32(); (best == nil || weight > bestWeight) && s.isResponsive(now) {
+			best, bestWeight = s, weight
 		}
 	}
 	return best
 }
 
-// send passes an order to the relay of a worker. sent is false if the order was
-// certainly not passed on; a nil outcome means that the relay was lost or ctx ended.
+// send sends an order through the relay of a worker. sent is false if the order definitely
+// reached no relay. If sent is true, a nil outcome means that the relay was lost or ctx
+// ended.
 func (r *relays) send(ctx context.Context, target schedule.Target, fence int64, order schedule.Effect) (outcome *entry.RelayOutcome, sent bool) {
 	now := time.Now()
-	l := r.selectRelay(target, now)
+	s := r.selectRelay(target, now)
 	deadline, bounded := ctx.Deadline()
-	if l == nil || !bounded {
+	if s == nil || !bounded {
 		return nil, false
 	}
-	id, answer, ok := l.enqueue(&entry.RelayOrder{Fence: fence, Timeout: deadline.Sub(now), Order: order})
+	id, reply, ok := s.enqueue(&entry.RelayOrder{Fence: fence, Timeout: deadline.Sub(now), Order: order})
 	if !ok {
 		return nil, false
 	}
-	defer l.removePending(id)
+	defer s.removePending(id)
 	select {
-	case outcome := <-answer:
+	case outcome := <-reply:
 		return outcome, true
 	case <-ctx.Done():
 		return nil, true
@@ -229,7 +231,7 @@
 	return sendDirectly(ctx, sent, func() schedule.Verdict { return r.direct.Stop(ctx, fence, s) })
 }
 
-// sendDirectly sends an order that no relay took or whose relay was lost. If a relay was
+// sendDirectly sends an order that reached no relay or whose relay was lost. If a relay was
 // lost, a refusal is inconclusive, since the relay may still deliver the order.
 func sendDirectly(ctx context.Context, sent bool, direct func() schedule.Verdict) schedule.Verdict {
 	if sent && ctx.Err() != nil {
@@ -244,88 +246,88 @@
 
 // enqueue queues an order for the stream; ok is false if the stream is closed or its
 // queue is full.
-func (l *relay) enqueue(o *entry.RelayOrder) (id uint64, answer <-chan *entry.RelayOutcome, ok bool) {
-	reply := make(chan *entry.RelayOutcome, 1)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.pending == nil {
+func (s *relayStream) enqueue(o *entry.RelayOrder) (id uint64, reply <-chan *entry.RelayOutcome, ok bool) {
+	outcomes := make(chan *entry.RelayOutcome, 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pending == nil {
 		return 0, nil, false
 	}
-	l.nextID++
-	o.ID = l.nextID
+	s.nextID++
+	o.ID = s.nextID
 	select {
-	case l.orders <- o:
-		l.pending[o.ID] = reply
-		return o.ID, reply, true
+	case s.orders <- o:
+		s.pending[o.ID] = outcomes
+		return o.ID, outcomes, true
 	default:
 		return 0, nil, false
 	}
 }
 
-func (l *relay) removePending(id uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.pending, id)
+func (s *relayStream) removePending(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.pending, id)
 }
 
 // deliverOutcomes passes outcomes to the goroutines that wait for them.
-func (l *relay) deliverOutcomes(outcomes []entry.RelayOutcome) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.lastMessageAt = time.Now()
+func (s *relayStream) deliverOutcomes(outcomes []entry.RelayOutcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastMessageAt = time.Now()
 	for i := range outcomes {
-		if reply, ok := l.pending[outcomes[i].ID]; ok {
-			delete(l.pending, outcomes[i].ID)
+		if reply, ok := s.pending[outcomes[i].ID]; ok {
+			delete(s.pending, outcomes[i].ID)
 			reply <- &outcomes[i]
 		}
 	}
 }
 
-func (l *relay) isAlive(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return now.Sub(l.lastMessageAt) <= relayTimeout
+func (s *relayStream) isResponsive(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.lastMessageAt) <= relayTimeout
 }
 
-// monitor requests heartbeats, and fails the pending orders of an unresponsive relay at
-// each interval until it responds again.
-func (l *relay) monitor(ctx context.Context) error {
+// monitor requests heartbeats and, while the relay is unresponsive, fails the pending
+// orders at each interval.
+func (s *relayStream) monitor(ctx context.Context) error {
 	for {
 		select {
-		case l.orders <- nil:
+		case s.orders <- nil:
 		default: // the queue of the stream is full
 		}
 		sleep(ctx, relayPingInterval)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if !l.isAlive(time.Now()) {
-			l.failPending()
+		if !s.isResponsive(time.Now()) {
+			s.failPending()
 		}
 	}
 }
 
-// failPending fails all pending orders without an outcome and drops the queued ones.
-func (l *relay) failPending() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for id, reply := range l.pending {
-		delete(l.pending, id)
+// failPending closes all pending orders without an outcome and drops the queued ones.
+func (s *relayStream) failPending() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, reply := range s.pending {
+		delete(s.pending, id)
 		close(reply)
 	}
 	for {
 		select {
-		case <-l.orders: // not sent yet; its waiting caller sends it directly
+		case <-s.orders: // not sent yet; the waiting caller sends it directly
 		default:
 			return
 		}
 	}
 }
 
-// close fails all pending orders and accepts no further ones.
-func (l *relay) close() {
-	l.failPending()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.pending = nil
+// close fails all pending orders and makes enqueue reject further ones.
+func (s *relayStream) close() {
+	s.failPending()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending = nil
 }
--- a/instance/relay_test.go
+++ b/instance/relay_test.go
@@ -12,7 +12,7 @@
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
 
-// fakeWorkers answers every order with the same verdict and counts them.
+// fakeWorkers responds to every order with the same verdict and counts the orders.
 type fakeWorkers struct {
 	verdict schedule.Verdict
 	orders  int
@@ -33,11 +33,11 @@
 	return w.verdict
 }
 
-// fakeRelay is the remote end of a relay stream.
+// fakeRelay is the remote end of a relay's stream.
 type fakeRelay struct {
-	unresponsive atomic.Bool // answers nothing, not even heartbeat requests
-	losesOrders  bool        // answers heartbeat requests but no orders
-	ends         chan struct{}
+	unresponsive atomic.Bool   // responds to nothing, not even to heartbeat requests
+	losesOrders  bool          // responds to heartbeat requests but to no orders
+	ended        chan struct{} // closed when the stream ends
 	orders       int
 	verdict      schedule.Verdict
 }
@@ -53,7 +53,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-f.ends:
+		case <-f.ended:
 			return context.Canceled
 		case o := <-orders:
 			switch {
@@ -71,33 +71,33 @@
 }
 
 // TestRelays guards against a lost order, and against a refusal that is taken as
-// conclusive although the order may still be carried out, when the relaying instance is
-// unresponsive or exits. It also guards against orders that are relayed without need.
+// conclusive although the order may still be carried out, when the relay is unresponsive
+// or exits. It also guards against orders that are relayed unnecessarily.
 func TestRelays(t *testing.T) {
 	near := schedule.Target{Worker: "w1", FailureDomain: "near"}
 	const orderTimeout = 2 * time.Second
 	for _, c := range []struct {
 		name         string
 		relay        *fakeRelay
-		to           schedule.Target
+		target       schedule.Target
 		direct       schedule.Verdict
-		endsIn       time.Duration // of the relay, after the order; 0 for never
+		endsAfter    time.Duration // time from the order to the end of the stream; 0 if it does not end
 		want         schedule.Verdict
 		relayed      int
 		directOrders int // orders sent to the worker without a relay
-		within       time.Duration
+		wantTook     time.Duration
 	}{
-		{name: "through the relay", relay: &fakeRelay{verdict: schedule.NoRoom}, to: near, want: schedule.NoRoom, relayed: 1},
-		{name: "no relay in the domain", relay: &fakeRelay{}, to: schedule.Target{Worker: "w1", FailureDomain: "far"}, want: schedule.Accepted, directOrders: 1},
-		{name: "unresponsive from the start", relay: unresponsiveRelay(), to: near, want: schedule.Accepted, directOrders: 1},
-		{name: "loses the order and ends", relay: &fakeRelay{losesOrders: true}, to: near, endsIn: 100 * time.Millisecond, want: schedule.Accepted, relayed: 1, directOrders: 1, within: 100 * time.Millisecond},
-		{name: "loses the order and ends, refused directly", relay: &fakeRelay{losesOrders: true}, to: near, direct: schedule.NoRoom, endsIn: 100 * time.Millisecond, want: schedule.Unclear, relayed: 1, directOrders: 1, within: 100 * time.Millisecond},
-		{name: "no answer from the worker", relay: &fakeRelay{losesOrders: true}, to: near, want: schedule.Unclear, relayed: 1, within: orderTimeout},
+		{name: "through the relay", relay: &fakeRelay{verdict: schedule.NoRoom}, target: near, want: schedule.NoRoom, relayed: 1},
+		{name: "no relay in the domain", relay: &fakeRelay{}, target: schedule.Target{Worker: "w1", FailureDomain: "far"}, want: schedule.Accepted, directOrders: 1},
+		{name: "unresponsive from the start", relay: unresponsiveRelay(), target: near, want: schedule.Accepted, directOrders: 1},
+		{name: "loses the order and ends", relay: &fakeRelay{losesOrders: true}, target: near, endsAfter: 100 * time.Millisecond, want: schedule.Accepted, relayed: 1, directOrders: 1, wantTook: 100 * time.Millisecond},
+		{name: "loses the order and ends, refused directly", relay: &fakeRelay{losesOrders: true}, target: near, direct: schedule.NoRoom, endsAfter: 100 * time.Millisecond, want: schedule.Unclear, relayed: 1, directOrders: 1, wantTook: 100 * time.Millisecond},
+		{name: "no answer from the worker", relay: &fakeRelay{losesOrders: true}, target: near, want: schedule.Unclear, relayed: 1, wantTook: orderTimeout},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				direct := &fakeWorkers{verdict: c.direct}
-				c.relay.ends = make(chan struct{})
+				c.relay.ended = make(chan struct{})
 				r := newRelays("self", direct, entry.NewClient(membership.Member{Instance: "self"}), func(string, ...any) {})
 				r.openStream = c.relay.serve
 				ctx, cancel := context.WithCancel(t.Context())
@@ -106,15 +106,15 @@
 				r.observePeer(entry.Peer{Instance: "self", FailureDomain: "near"}, time.Now())
 				r.observePeer(entry.Peer{Instance: "other", FailureDomain: "near"}, time.Now())
 				time.Sleep(2*relayPingInterval + time.Millisecond)
-				if c.endsIn > 0 {
-					time.AfterFunc(c.endsIn, func() { close(c.relay.ends) })
+				if c.endsAfter > 0 {
+					time.AfterFunc(c.endsAfter, func() { close(c.relay.ended) })
 				}
 				call, cancelCall := context.WithTimeout(ctx, orderTimeout)
 				defer cancelCall()
 				began := time.Now()
-				v := r.Start(call, 1, schedule.Start{Target: c.to})
-				if took := time.Since(began); v != c.want || took != c.within || c.relay.orders != c.relayed || direct.orders != c.directOrders {
-					t.Errorf("%s after %s, %d relayed, %d sent directly; want %s after %s, %d, %d", v, took, c.relay.orders, direct.orders, c.want, c.within, c.relayed, c.directOrders)
+				v := r.Start(call, 1, schedule.Start{Target: c.target})
+				if took := time.Since(began); v != c.want || took != c.wantTook || c.relay.orders != c.relayed || direct.orders != c.directOrders {
+					t.Errorf("%s after %s, %d orders relayed, %d sent directly; want %s after %s, %d, %d", v, took, c.relay.orders, direct.orders, c.want, c.wantTook, c.relayed, c.directOrders)
 				}
 				cancel()
 				synctest.Wait()
@@ -123,8 +123,8 @@
 	}
 }
 
-// TestRelayFallsSilent guards against a hold that waits for a frozen relay until its own
-// timeout.
+// TestRelayFallsSilent guards against a hold that waits for an unresponsive relay until
+// its own timeout.
 func TestRelayFallsSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		direct, remote := &fakeWorkers{}, &fakeRelay{losesOrders: true}
@@ -141,7 +141,7 @@
 		began := time.Now()
 		done := r.Hold(call, 1, schedule.Hold{Target: schedule.Target{Worker: "w1", FailureDomain: "near"}})
 		if took := time.Since(began); done.Verdict != schedule.Accepted || direct.orders != 1 || took > relayTimeout+2*relayPingInterval {
-			t.Errorf("%s after %s, %d sent directly; want a report from the worker within %s", done.Verdict, took, direct.orders, relayTimeout+2*relayPingInterval)
+			t.Errorf("%s after %s, %d holds sent directly; want one that is accepted within %s", done.Verdict, took, direct.orders, relayTimeout+2*relayPingInterval)
 		}
 		cancel()
 		synctest.Wait()
--- a/instance/resend.go
+++ b/instance/resend.go
@@ -8,17 +8,18 @@
 )
 
 const (
-	// resendAfter is several times the 25 ms in which a worker in another region
-	// answers.
+	// resendAfter is the time without a response after which an order is resent. It is
+	// several times the 25 ms in which a worker in another region responds.
 	resendAfter = 140 * time.Millisecond
-	// maxOrderCopies bounds how often one order is sent.
+	// maxOrderCopies bounds how many times one order is sent.
 	maxOrderCopies = 3
 )
 
-// sendOrder sends an order to a worker, and sends it again over another path while there
-// is no response. Copies of an order have the same run number: a worker that has carried
-// one out accepts further copies, and refuses those that arrive after the run has ended.
-// A refusal is inconclusive while an earlier copy may still be carried out.
+// sendOrder sends an order to a worker, and resends it over another path while there is no
+// response. Copies of an order have the same run number, which makes them idempotent: a
+// worker that has carried out one of them accepts the others, and refuses those that
+// arrive after the run has ended. A refusal is inconclusive while another copy may still
+// be carried out.
 func sendOrder(ctx context.Context, sendFirst, resend func(context.Context) schedule.Verdict) schedule.Verdict {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/instance/resend_test.go
+++ b/instance/resend_test.go
@@ -27,10 +27,10 @@
 		}
 	}
 	for _, c := range []struct {
-		name   string
-		tries  []attempt
-		want   schedule.Verdict
-		within time.Duration
+		name     string
+		attempts []attempt
+		want     schedule.Verdict
+		wantTook time.Duration
 	}{
 		{"accepted", []attempt{after(20*time.Millisecond, schedule.Accepted)}, schedule.Accepted, 20 * time.Millisecond},
 		{"refused", []attempt{after(20*time.Millisecond, schedule.NoRoom)}, schedule.NoRoom, 20 * time.Millisecond},
@@ -44,12 +44,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
 				defer cancel()
-				var n atomic.Int32
+				var started atomic.Int32
 				began := time.Now()
-				next := func(ctx context.Context) schedule.Verdict { return c.tries[n.Add(1)-1](ctx) }
+				next := func(ctx context.Context) schedule.Verdict { return c.attempts[started.Add(1)-1](ctx) }
 				v := sendOrder(ctx, next, next)
-				if took := time.Since(began); v != c.want || took != c.within {
-					t.Errorf("%s after %s, want %s after %s", v, took, c.want, c.within)
+				if took := time.Since(began); v != c.want || took != c.wantTook {
+					t.Errorf("%s after %s, want %s after %s", v, took, c.want, c.wantTook)
 				}
 				synctest.Wait()
 			})
--- a/instance/sweep.go
+++ b/instance/sweep.go
@@ -13,8 +13,8 @@
 	// finalRetention is how long the final state of an ended job is available to callers;
 	// the platform requires two minutes.
 	finalRetention = 10 * time.Minute
-	// recordSweepInterval is the time between sweeps for expired records. A sweep reads
-	// every final record, a few pages of the store.
+	// recordSweepInterval is the time between sweeps of expired records. It is long
+	// because a sweep reads every final record.
 	recordSweepInterval = 5 * time.Minute
 	// sweepBatch is the number of records that one transaction removes.
 	sweepBatch   = 30
@@ -65,7 +65,7 @@
 	for _, kv := range finals {
 		final, err := job.Decode[job.Final](kv.Value)
 		if err != nil || now.Sub(final.FinishedAt) > finalRetention {
-			expired = append(expired, kv.Key) // a record that cannot be decoded is of no use
+			expired = append(expired, kv.Key) // a record that cannot be decoded is useless
 		}
 	}
 	inbox, _, err := s.List(ctx, inboxPrefix)
--- a/instance/view.go
+++ b/instance/view.go
@@ -16,10 +16,10 @@
 	// maxViewAge is the age up to which the owner's view is reported to callers as
 	// current; callers may receive counts that are up to two seconds old.
 	maxViewAge = 1500 * time.Millisecond
-	// endedRetention is how long the state of an ended job is answered from memory.
+	// endedRetention is how long the state of an ended job is kept in memory.
 	endedRetention = 30 * time.Second
-	// sweepInterval is the time between removals of expired ended jobs from memory.
-	sweepInterval = 5 * time.Second
+	// viewSweepInterval is the time between removals of ended jobs past their retention.
+	viewSweepInterval = 5 * time.Second
 )
 
 // ownerView is this instance's cache of the owner's job states, queue lengths and
@@ -27,13 +27,13 @@
 // read it.
 type ownerView struct {
 	mu         sync.RWMutex
-	epoch      int64
-	sequence   uint64
+	epoch      int64  // of the owner
+	sequence   uint64 // of the last change received
 	updatedAt  time.Time
 	jobs       map[job.ID]cachedStatus
-	waiting    map[string]int
+	waiting    map[string]int     // number of pending jobs, by queue
 	admitShare map[string]float64 // fraction of a team's submissions to admit
-	submitted  map[string]int     // jobs submitted since the last poll, by team
+	submitted  map[string]int     // number of jobs submitted since the last poll, by team
 	sweptAt    time.Time
 }
 
@@ -64,9 +64,9 @@
 	v.sweep(now)
 }
 
-// dropUnfinished removes the jobs that have not ended before a full view is merged: a new
-// owner lists every job that is known to it. A job that was accepted within maxViewAge is
-// kept, since it may not have reached the owner yet.
+// dropUnfinished removes the jobs that have not ended before a full view, which lists every
+// job of the owner, is merged. A job that was accepted within maxViewAge is kept, since it
+// may not have reached the owner yet.
 func (v *ownerView) dropUnfinished(now time.Time) {
 	for id, s := range v.jobs {
 		if !s.State.IsFinal() && now.Sub(s.updatedAt) > maxViewAge {
@@ -75,8 +75,9 @@
 	}
 }
 
+// sweep removes ended jobs whose retention period has passed.
 func (v *ownerView) sweep(now time.Time) {
-	if now.Sub(v.sweptAt) < sweepInterval {
+	if now.Sub(v.sweptAt) < viewSweepInterval {
 		return
 	}
 	v.sweptAt = now
@@ -87,9 +88,9 @@
 	}
 }
 
-// status returns the last reported state of a job, however old it is. No job ends while
-// the owner is unreachable, so the cached state is still the best available, and querying
-// an overloaded owner would only delay it further.
+// status returns the last reported state of a job, regardless of its age. No job ends
+// while the owner is unreachable, so the cached state is still the best available, and
+// querying an overloaded owner would only delay it further.
 func (v *ownerView) status(id job.ID) (schedule.Status, bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
@@ -97,7 +98,7 @@
 	return s.Status, known
 }
 
-// addAccepted adds a job that this instance has just accepted.
+// addAccepted adds a job that this instance has accepted.
 func (v *ownerView) addAccepted(j *job.Job, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -125,9 +126,9 @@
 func (v *ownerView) nextPoll(name string) cell.Follow {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	f := cell.Follow{Instance: name, Epoch: v.epoch, Since: v.sequence, Submitted: v.submitted}
+	poll := cell.Follow{Instance: name, Epoch: v.epoch, Since: v.sequence, Submitted: v.submitted}
 	v.submitted = make(map[string]int)
-	return f
+	return poll
 }
 
 // followView polls the current owner and updates the view until ctx ends.
