--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -56,7 +56,7 @@
 	FateUnknown Fate = "unknown" // may have run; will not be retried by the platform
 )
 
-// Advice tells a caller how to react to an error.
+// Advice states how a caller should react to an error.
 type Advice string
 
 // The advice values.
@@ -66,7 +66,7 @@
 	AdviceAsk        Advice = "ask"          // query the status with the same idempotency key
 )
 
-// Answer is the response to a kind of error.
+// Answer is the response to a request that failed with a kind of error.
 type Answer struct {
 	Status   int    // HTTP status
 	ExitCode int    // of mulberryctl
@@ -116,7 +116,7 @@
 	return kinds
 }
 
-// AnswerFor returns the response to kind k. A kind outside the set is treated as Internal,
+// AnswerFor returns the response for kind k. A kind outside the set is treated as Internal,
 // so that an unknown kind is never reported as "not run".
 func AnswerFor(k Kind) Answer {
 	if a, ok := responses[k]; ok {
@@ -131,8 +131,8 @@
 	Message    string        `json:"message"`
 	Field      string        `json:"field,omitempty"`       // invalid field, if any
 	Limit      string        `json:"limit,omitempty"`       // allowed range or value, with its unit
-	RetryAfter time.Duration `json:"retry_after,omitempty"` // earliest time for a retry to be useful
-	FateIs     Fate          `json:"fate,omitempty"`        // overrides the fate of the kind if it is known more precisely
+	RetryAfter time.Duration `json:"retry_after,omitempty"` // delay before a retry is useful
+	FateIs     Fate          `json:"fate,omitempty"`        // set if the fate is known more precisely than that of the kind, which it overrides
 }
 
 // New returns an error of kind k.
@@ -177,7 +177,8 @@
 	return &c
 }
 
-// From returns the *Error in err's chain, or an Internal error for any other.
+// From returns the first *Error in err's chain, or an Internal error with the text of err
+// if there is none.
 func From(err error) *Error {
 	var e *Error
 	if errors.As(err, &e) {
--- a/job/catalog.go
+++ b/job/catalog.go
@@ -9,7 +9,7 @@
 )
 
 // AdvicePolicy restricts the steps of a queue to the workers for which an advice service
-// issues tickets, and describes the cost of its calls.
+// issues tickets, and describes the duration of its calls.
 type AdvicePolicy struct {
 	Base      time.Duration // duration of one call
 	PerWorker time.Duration // additional duration for each worker named in a call
@@ -19,22 +19,22 @@
 // Queue is a queue in the operators' configuration.
 type Queue struct {
 	Name        string
-	Host        string
-	Prefix      string
-	Service     string // whose workers run the tasks
-	Priority    int    // 0 is the most urgent
-	MaxAttempts int    // number of failed runs of a task after which its job fails
-	Stretch     float64
-	Target      time.Duration // allowance on top of the run time times Stretch
+	Host        string        // of the requests that are routed to the queue
+	Prefix      string        // path prefix of these requests
+	Service     string        // whose workers run the tasks
+	Priority    int           // 0 is the most urgent
+	MaxAttempts int           // number of failed runs of a task after which its job fails
+	Stretch     float64       // factor on the estimated run time of a job's critical path; values below 1 count as 1
+	Target      time.Duration // allowance in addition to the run time times Stretch
 	Advice      *AdvicePolicy // nil: every worker of the service may run the steps
-	Open        bool          // callers need no key
+	Open        bool          // requests need no API key
 }
 
 // Service is a pool of workers.
 type Service struct {
 	Name           string
 	GuardsCapacity bool // its workers reject tasks that exceed their capacity
-	IsSpare        bool // its machines are powered off
+	IsSpare        bool // the machines of its workers are powered off
 }
 
 // Team is a customer with its API keys, fair-share weight and resource limit.
@@ -45,7 +45,8 @@
 	Keys   []KeyDigest
 }
 
-// KeyDigest is the SHA-256 digest of an API key. The keys themselves are not stored.
+// KeyDigest is the SHA-256 digest of an API key. A Catalog does not hold the keys
+// themselves.
 type KeyDigest [sha256.Size]byte
 
 // DigestKey returns the digest of a key.
@@ -55,7 +56,7 @@
 type Catalog struct {
 	Version      int64
 	Revision     int64 // of the store when it was read
-	MaxBodyBytes int64 // of one caller request
+	MaxBodyBytes int64 // maximum size of the body of a caller's request
 
 	queues   map[string]*Queue
 	byHost   map[string][]*Queue
@@ -93,8 +94,8 @@
 	return c
 }
 
-// Route returns the queue of a host with the longest matching path prefix, and the rest
-// of the path.
+// Route returns the queue of a host with the longest prefix that matches a path, and the
+// rest of the path.
 func (c *Catalog) Route(host, path string) (q *Queue, rest string, found bool) {
 	for _, candidate := range c.byHost[host] {
 		if strings.HasPrefix(path, candidate.Prefix) && (q == nil || len(candidate.Prefix) > len(q.Prefix)) {
@@ -119,7 +120,7 @@
 // Team returns a team by its name, or nil.
 func (c *Catalog) Team(name string) *Team { return c.teams[name] }
 
-// Teams returns how many teams there are.
+// Teams returns the number of teams.
 func (c *Catalog) Teams() int { return len(c.teams) }
 
 // TeamOfKey returns the team to which a key belongs, or nil.
--- a/job/job.go
+++ b/job/job.go
@@ -38,7 +38,7 @@
 	Gang            bool           `json:"g,omitempty"`  // gang scheduling: tasks start together or not at all
 	SameRack        bool           `json:"sr,omitempty"` // tasks slow down when spread over racks
 	Needs           string         `json:"nl,omitempty"` // label that the worker must have
-	Affinity        string         `json:"af,omitempty"` // rack that holds the data
+	Affinity        string         `json:"af,omitempty"` // label of preferred workers, such as the rack that holds the data
 	AntiAffinity    int            `json:"aa,omitempty"` // maximum tasks of the step on one worker; 0 for no limit
 	Checkpoints     bool           `json:"cp,omitempty"`
 	AllowDuplicates bool           `json:"ad,omitempty"`
@@ -54,7 +54,7 @@
 	ID         ID            `json:"id"`
 	Queue      string        `json:"q"`
 	Team       string        `json:"t"`
-	Spec       string        `json:"s"`
+	Spec       string        `json:"s"` // passed to the workers unchanged
 	Steps      []Step        `json:"st"`
 	Repeats    int           `json:"rp,omitempty"` // occurrences; 0 for a job that runs once
 	FirstAt    time.Time     `json:"fa,omitzero"`  // when the first occurrence is due
--- a/job/record.go
+++ b/job/record.go
@@ -10,16 +10,17 @@
 // failed. Everything else is recovered from the workers' reports.
 type Progress struct {
 	Started bool                `json:"s,omitempty"`
-	Done    map[string][]int    `json:"d,omitempty"` // indexes by "occurrence.step"
-	Failed  map[string]Failures `json:"f,omitempty"` // by "occurrence.step.index", or "occurrence.step" for a gang
+	Done    map[string][]int    `json:"d,omitempty"` // indexes of the tasks that succeeded, by "occurrence.step"
+	Failed  map[string]Failures `json:"f,omitempty"` // failed runs, by "occurrence.step.index", or by "occurrence.step" for a gang
 }
 
-// Failures are the numbers of the failed runs of a task or a gang. They are a set and not
-// a count, since a worker reports an ended run until it is acknowledged, also to the next
-// owner, and reports arrive in any order: the set shows which runs are already counted.
+// Failures are the numbers of the failed runs of a task or a gang. They are recorded as a
+// set and not as a count, because a worker repeats the report of an ended run until it is
+// acknowledged, also to a new owner, and reports arrive in any order. The set identifies
+// the runs that are already counted.
 type Failures []int
 
-// Final is the record of an ended job, kept until its retention period has passed.
+// Final is the record of an ended job. It is kept until its retention period has passed.
 type Final struct {
 	State      State     `json:"st"`
 	Queue      string    `json:"q"`
--- a/task/task.go
+++ b/task/task.go
@@ -83,7 +83,8 @@
 	PayloadDigest  string        `json:"payload_digest"` // SHA-256 of the caller's request, in hex
 }
 
-// State is the state of a task as recorded by its home instance.
+// State is the state of a task as recorded by the home of its job, the instance that owns
+// the job's request shard.
 type State string
 
 // The states of a task.
@@ -99,7 +100,7 @@
 // IsFinal reports whether s is a terminal state.
 func (s State) IsFinal() bool { return s == Finished || s == NotRun || s == Unknown }
 
-// Outcome is the end of one attempt.
+// Outcome describes how one attempt ended.
 type Outcome struct {
 	Attempt  Attempt       `json:"attempt"`
 	State    State         `json:"state"` // Finished, NotRun or Unknown
