--- a/instance/accept.go
+++ b/instance/accept.go
@@ -190,15 +190,15 @@
 // resolveRecorded replies to the submissions whose job is already recorded and returns
 // the others.
 func (i *Instance) resolveRecorded(batch []*pendingSubmission, current []store.KeyValue) []*pendingSubmission {
-	known := make(map[string]store.KeyValue, len(current))
+	recorded := make(map[string]store.KeyValue, len(current))
 	for _, kv := range current {
-		known[kv.Key] = kv
+		recorded[kv.Key] = kv
 	}
 	var rest []*pendingSubmission
 	for _, submission := range batch {
-		if kv, open := known[jobKey(submission.job.ID)]; open {
+		if kv, open := recorded[jobKey(submission.job.ID)]; open {
 			i.resolveDuplicate(submission, kv)
-		} else if _, ended := known[finalKey(submission.job.ID)]; ended {
+		} else if _, ended := recorded[finalKey(submission.job.ID)]; ended {
 			submission.done <- nil
 		} else {
 			rest = append(rest, submission)
