--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -10,11 +10,11 @@
 )
 
 // adviceState holds the replies of the advice service for a step. A worker that is eligible to run
-// a step stays eligible, but the ticket that proves it expires.
+// a step remains eligible, but the ticket that a start order must contain as proof expires.
 type adviceState struct {
 	tickets   map[string]ticket // by worker, including expired ones
-	asked     map[string]int64  // incarnation of each worker named in a call
-	proxy     *adviceProxy      // of the call in flight; nil if there is none
+	queried   map[string]int64  // incarnation of each worker named in a call
+	proxy     *adviceProxy      // proxy of the call in flight; nil if there is none
 	retryAt   time.Time
 	expiresAt time.Time // latest expiry of the tickets
 }
@@ -29,9 +29,11 @@
 // takes 12 ms across regions and sometimes waits for a connection.
 const ticketMargin = 120 * time.Millisecond
 
-func (a *adviceState) ticket(w *worker, now time.Time, anyAge bool) (string, bool) {
+// ticket returns the ticket of the worker's current incarnation. Unless allowExpired is set, the ticket
+// must remain valid for at least ticketMargin.
+func (a *adviceState) ticket(w *worker, now time.Time, allowExpired bool) (string, bool) {
 	t, ok := a.tickets[w.ID]
-	if !ok || t.born != w.Born || (!anyAge && now.Add(ticketMargin).After(t.expiresAt)) {
+	if !ok || t.born != w.Born || (!allowExpired && now.Add(ticketMargin).After(t.expiresAt)) {
 		return "", false
 	}
 	return t.text, true
@@ -59,11 +61,11 @@
 	// proxyTimeout is how long an instance may go without a report before it is no longer used;
 	// instances report every second.
 	proxyTimeout = 2500 * time.Millisecond
-	// longCallThreshold is the duration from which a call is long. It would block the calls that
-	// are queued behind it on the same proxy.
+	// longCallThreshold is the expected duration from which a call counts as long. A long call would
+	// block the calls that are queued behind it on the same proxy.
 	longCallThreshold = 150 * time.Millisecond
-	// maxShortCallBacklog is how much work of short calls may be queued on a proxy, so that the
-	// service is not idle between calls.
+	// maxShortCallBacklog is the total duration of the short calls that may be queued on a proxy, so
+	// that the service is not idle between calls.
 	maxShortCallBacklog = 60 * time.Millisecond
 	// minShortCallProxies is the minimum number of proxies reserved for short calls, and
 	// shortCallProxyShare their share of all proxies. On a large deployment there are 100 short
@@ -97,7 +99,7 @@
 	}
 }
 
-// requestAdvice calls the advice service for the steps without a usable ticket, in the given order,
+// requestAdvice calls the advice service for the steps without a valid ticket, in the given order,
 // as long as proxies are available.
 func (c *Core) requestAdvice(steps []*stepState, usable []*worker) {
 	if c.selectProxy(0) == nil {
@@ -111,7 +113,7 @@
 		if c.selectProxy(policy.Base) == nil {
 			continue
 		}
-		named := c.workersToAsk(s, usable)
+		named := c.workersToQuery(s, usable)
 		if len(named) == 0 {
 			continue
 		}
@@ -122,20 +124,20 @@
 	}
 }
 
-// workersToAsk returns the workers that the next call for a step should name: those that were not
+// workersToQuery returns the workers that the next call for a step should name: those that were not
 // named before or, if enough are eligible, those that would be chosen if their tickets had not
-// expired. It returns none if a call is not worth its duration.
-func (c *Core) workersToAsk(s *stepState, usable []*worker) []string {
+// expired. It returns none if the benefit of a call does not justify its duration.
+func (c *Core) workersToQuery(s *stepState, usable []*worker) []string {
 	if s.spec.Gang {
-		return c.gangWorkersToAsk(s, usable, c.catalog.Queue(s.job.Queue).Advice)
+		return c.gangWorkersToQuery(s, usable, c.catalog.Queue(s.job.Queue).Advice)
 	}
 	if !c.hasEnoughTickets(s) {
-		if unasked := s.unasked(usable); len(unasked) > 0 {
-			return c.idsByFreeCPU(unasked, maxWorkersPerCall)
+		if unqueried := s.unqueried(usable); len(unqueried) > 0 {
+			return c.idsByFreeCPU(unqueried, maxWorkersPerCall)
 		}
 	}
-	options := c.options(s, usable, true)
-	slices.SortFunc(options, func(a, b option) int {
+	candidates := c.candidates(s, usable, true)
+	slices.SortFunc(candidates, func(a, b candidate) int {
 		if c.prefer(s, &a, &b) {
 			return -1
 		}
@@ -143,12 +145,12 @@
 	})
 	var names []string
 	capacity := 0
-	for _, o := range options {
+	for _, cand := range candidates {
 		if capacity >= s.unfinishedTasks {
 			break
 		}
-		names = append(names, o.worker.ID)
-		capacity += o.taskCount
+		names = append(names, cand.worker.ID)
+		capacity += cand.taskCount
 	}
 	if capacity == 0 || capacity >= s.unfinishedTasks {
 		return names
@@ -157,8 +159,8 @@
 }
 
 // extraWorkersShare limits the time that a call spends on workers without free capacity, as a share
-// of the call's fixed duration. Their tickets are then valid when a task ends on them, which saves
-// a call for each end.
+// of the call's fixed duration. Their tickets are then already valid when a task ends there, which
+// saves a call for each task that ends.
 const extraWorkersShare = 0.5
 
 // addEligible adds eligible workers to names, those with the most free CPU first.
@@ -172,15 +174,16 @@
 	return append(names, c.idsByFreeCPU(extra, max(0, limit-len(names)))...)
 }
 
-// unasked returns the workers that meet the requirements of a step and were not named in a call.
-func (s *stepState) unasked(usable []*worker) []*worker {
-	var unasked []*worker
+// unqueried returns the workers that meet the requirements of a step and whose current incarnation was
+// not named in a call.
+func (s *stepState) unqueried(usable []*worker) []*worker {
+	var unqueried []*worker
 	for _, w := range usable {
-		if born, asked := s.advice.asked[w.ID]; (!asked || born != w.Born) && meetsRequirements(w, s) {
-			unasked = append(unasked, w)
+		if born, queried := s.advice.queried[w.ID]; (!queried || born != w.Born) && meetsRequirements(w, s) {
+			unqueried = append(unqueried, w)
 		}
 	}
-	return unasked
+	return unqueried
 }
 
 // eligible returns the workers that the advice service allows to run a step, including those whose
@@ -195,14 +198,14 @@
 	return eligible
 }
 
-// hasAskedAdvice reports whether a call for a step has been answered or is in flight.
-func (s *stepState) hasAskedAdvice() bool { return s.advice.proxy != nil || len(s.advice.asked) > 0 }
+// hasQueried reports whether a call to the advice service for the step was answered or is in flight.
+func (s *stepState) hasQueried() bool { return s.advice.proxy != nil || len(s.advice.queried) > 0 }
 
-// hasEnoughTickets reports whether enough workers are eligible for a step that a call about more of
-// them is not worthwhile: there is some choice, and all tasks of the step would fit on the eligible
-// workers if these were empty.
+// hasEnoughTickets reports whether so many workers are eligible for a step that a call for further
+// ones is not worthwhile: at least minWorkers, and all tasks of the step would fit on them if they
+// were empty.
 func (c *Core) hasEnoughTickets(s *stepState) bool {
-	const minWorkers = 4 // workers; with fewer, waiting for one of them takes too long
+	const minWorkers = 4 // with fewer, the wait for one of them to become free is too long
 	size, capacity, eligible := taskSize(s.spec), 0, 0
 	for id := range s.advice.tickets {
 		w := c.workers[id]
@@ -219,8 +222,8 @@
 	return eligible >= minWorkers && capacity >= len(s.tasks)
 }
 
-// idsByFreeCPU returns the IDs of at most that many workers, those with the most free CPU first: if
-// a call cannot name all workers, these are the ones most likely to be chosen.
+// idsByFreeCPU returns the IDs of at most limit workers, those with the most free CPU first: if a
+// call cannot name all workers, these are the most likely to be chosen for placement.
 func (c *Core) idsByFreeCPU(workers []*worker, limit int) []string {
 	slices.SortFunc(workers, func(a, b *worker) int {
 		return cmp.Or(-cmp.Compare(a.freeCPU(), b.freeCPU()), cmp.Compare(a.ID, b.ID))
@@ -289,7 +292,7 @@
 	return initialEligibleShare
 }
 
-// updateEligibleShare updates the estimate for a queue with the first reply for a step.
+// updateEligibleShare updates the estimate for a queue after the first reply for a step.
 func (c *Core) updateEligibleShare(queue string, named, eligible int) {
 	share := c.eligibleShare(queue)
 	c.eligibleShares[queue] = share + eligibleShareWeight*(float64(eligible)/float64(named)-share)
@@ -305,6 +308,7 @@
 	return c.proxyOrder
 }
 
+// canCall reports whether a proxy is alive and can make another call now.
 func (c *Core) canCall(proxy *adviceProxy, isLong bool) bool {
 	if c.now.Sub(proxy.lastSeenAt) > proxyTimeout {
 		return false
@@ -315,10 +319,11 @@
 	return proxy.inFlight == 0 || (proxy.longCalls == 0 && proxy.busyUntil.Sub(c.now) < maxShortCallBacklog)
 }
 
+// callAdvice makes a call through a proxy and adds its expected duration to the load of the proxy.
 func (c *Core) callAdvice(s *stepState, proxy *adviceProxy, named []string, callDuration time.Duration) {
 	s.advice.proxy = proxy
-	if s.advice.asked == nil {
-		s.advice.asked = make(map[string]int64)
+	if s.advice.queried == nil {
+		s.advice.queried = make(map[string]int64)
 		s.advice.tickets = make(map[string]ticket)
 	}
 	proxy.inFlight++
@@ -332,7 +337,7 @@
 	c.emit(Ask{Lane: proxy.name, Step: s.key, Workers: named})
 }
 
-// AskDone handles the reply of the advice service.
+// AskDone handles the reply of the advice service or the failure of the call.
 func (c *Core) AskDone(e AskDone) {
 	if proxy := c.proxies[e.Ask.Lane]; proxy != nil {
 		proxy.inFlight = max(0, proxy.inFlight-1)
@@ -351,23 +356,23 @@
 		s.advice.retryAt = c.now.Add(adviceRetryDelay)
 		return
 	}
-	first := len(s.advice.asked) == 0
+	firstReply := len(s.advice.queried) == 0
 	for _, id := range e.Ask.Workers {
 		w := c.workers[id]
 		if w == nil {
 			continue
 		}
-		s.advice.asked[id] = w.Born
+		s.advice.queried[id] = w.Born
 		if text, eligible := e.Tickets[id]; eligible {
 			s.advice.expiresAt = c.now.Add(e.Valid)
 			s.advice.tickets[id] = ticket{text: text, born: w.Born, expiresAt: c.now.Add(e.Valid)}
 		}
 	}
-	if first {
+	if firstReply {
 		c.updateEligibleShare(s.job.Queue, len(e.Ask.Workers), len(e.Tickets))
 	}
 	c.logDecision(s.key.Job, "advised", "step", s.key.String(), "named", len(e.Ask.Workers), "good", len(e.Tickets), "through", e.Ask.Lane, "valid_ms", e.Valid.Milliseconds())
-	if s.reservation != nil && s.hasUnplaced() && !c.stopping {
+	if s.reservation != nil && s.hasUnplaced() && !c.placementDisabled {
 		c.placeReserved(s)
 	}
 }
@@ -384,7 +389,7 @@
 	c.placeStep(s, members)
 }
 
-// Room returns the total and the used capacity of the workers that may get new work.
+// Room returns the total and the used capacity of the usable workers.
 func (c *Core) Room() (capacity, used task.Resources) {
 	for _, w := range c.workers {
 		if c.isUsable(w) {
--- a/schedule/advice_test.go
+++ b/schedule/advice_test.go
@@ -8,9 +8,9 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// TestWideGangAsksFurther guards against starvation of a gang on a fleet with more workers than one
-// call may name: the first call yields too few eligible workers, and no further call is made.
-func TestWideGangAsksFurther(t *testing.T) {
+// TestWideGangQueriesMoreWorkers guards against starvation of a gang on a fleet with more workers than
+// one call may name: the first call yields too few eligible workers, and no further call is made.
+func TestWideGangQueriesMoreWorkers(t *testing.T) {
 	s := newSimulation(t, 1, 99)
 	for i := range 80 {
 		w := Worker{ID: "x" + string(rune('0'+i/10)) + string(rune('0'+i%10)), Born: 1, Service: "calc", Rack: "rx",
--- a/schedule/bench_grown_test.go
+++ b/schedule/bench_fleet_test.go
@@ -10,8 +10,8 @@
 )
 
 // BenchmarkPassOverFullFleet measures a pass over a backlog with valid tickets on 350 fully used
-// workers, as in a burst on a large deployment. A pass that takes longer than a few milliseconds
-// leaves capacity unused.
+// workers, as in a burst on a large deployment. Passes that take longer than a few milliseconds leave
+// capacity unused.
 func BenchmarkPassOverFullFleet(b *testing.B) {
 	for _, jobs := range []int{100, 400} {
 		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
@@ -28,6 +28,8 @@
 	}
 }
 
+// newFullFleet returns a Core with 350 workers, of which nine tenths have no free capacity, and the given number of waiting jobs, whose
+// tickets are valid.
 func newFullFleet(jobs int) (*Core, time.Time) {
 	c, now := newBacklog(0)
 	var workers []Worker
@@ -39,11 +41,11 @@
 	c.Accept(running)
 	s := c.steps[job.StepKey{Job: running.ID}]
 	for i, w := range c.sortedWorkers() {
-		w.fenced, w.rostered = true, true
+		w.fenced, w.recordedOpen = true, true
 		if !w.listed {
 			continue
 		}
-		for k := range 8 - i%10/9 { // a tenth of the workers have capacity for one more task
+		for k := range 8 - i%10/9 { // on a tenth of the workers, one more task fits
 			c.start(s, i%350*8+k, w, 1, "")
 		}
 	}
@@ -73,11 +75,11 @@
 	}
 }
 
-// grantTickets gives a step tickets for every third worker.
+// grantTickets adds valid tickets for every third worker to a step.
 func grantTickets(c *Core, s *stepState, offset int) {
-	s.advice.asked, s.advice.tickets = make(map[string]int64), make(map[string]ticket)
+	s.advice.queried, s.advice.tickets = make(map[string]int64), make(map[string]ticket)
 	for i, w := range c.sortedWorkers() {
-		s.advice.asked[w.ID] = w.Born
+		s.advice.queried[w.ID] = w.Born
 		if (i+offset)%3 == 0 {
 			s.advice.tickets[w.ID] = ticket{text: "x", born: w.Born, expiresAt: c.now.Add(time.Second)}
 			s.advice.expiresAt = c.now.Add(time.Second)
@@ -96,7 +98,7 @@
 	for b.Loop() {
 		now = now.Add(time.Millisecond)
 		c.Begin(now, now)
-		c.lastPass, c.summarizedAt = now, now
+		c.lastPass, c.summaryLoggedAt = now, now
 		c.Tick()
 		c.effects = c.effects[:0]
 	}
--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -38,6 +38,8 @@
 	}
 }
 
+// newBacklog returns a Core with 60 idle workers and the given number of waiting jobs, a tenth of which
+// are gangs.
 func newBacklog(jobs int) (*Core, time.Time) {
 	now := time.Unix(1_000_000, 0)
 	queues := []job.Queue{
@@ -52,7 +54,7 @@
 	}
 	c.Directory(workers)
 	for _, w := range c.workers {
-		w.fenced, w.rostered = true, true
+		w.fenced, w.recordedOpen = true, true
 	}
 	for i := range 8 {
 		c.SeeLane(fmt.Sprint("i", i))
--- a/schedule/commit.go
+++ b/schedule/commit.go
@@ -14,18 +14,18 @@
 	finalEntries     = 2 // writes the final record and deletes the job record
 )
 
-// CommitLanes is the maximum number of concurrent commits, each in a commit stream of its own. A slow
-// store completes five transactions per second; with one commit of about ten jobs at a time, jobs
-// that end in a burst would queue up.
+// CommitLanes is the number of commit streams, and thus the maximum number of concurrent commits. A
+// slow store completes five transactions per second, and a commit holds about ten jobs: with a single
+// stream, jobs that end in a burst would queue up.
 const CommitLanes = 4
 
 // rosterStream is the only commit stream that writes the roster, so that an older roster never
 // overwrites a newer one.
 const rosterStream = 0
 
-// maybeCommit commits pending changes if a commit stream is free. Jobs that have ended go first,
+// commitIfDue commits pending changes if a commit stream is free. Jobs that have ended go first,
 // since callers wait for them.
-func (c *Core) maybeCommit() {
+func (c *Core) commitIfDue() {
 	if (len(c.dirty) == 0 && !c.rosterDirty) || c.now.Sub(c.lastCommit) < c.cfg.CommitInterval {
 		return
 	}
@@ -46,19 +46,19 @@
 	c.emit(commit)
 }
 
-// takeChanges removes the changes of one commit from the dirty jobs. A job with a commit in flight
-// waits for that commit, whichever stream it is on.
+// takeChanges removes the changes of one commit from the dirty jobs. A job with a commit in flight on
+// any stream stays dirty until that commit is durable.
 func (c *Core) takeChanges() []Change {
 	slices.SortStableFunc(c.dirty, func(a, b *jobState) int {
 		return boolToInt(b.state.IsFinal()) - boolToInt(a.state.IsFinal())
 	})
 	var changes []Change
-	var left []*jobState
+	var deferred []*jobState
 	entries := 0
 	for _, j := range c.dirty {
-		need := j.entries()
+		need := j.commitEntries()
 		if j.committing || entries+need > maxCommitEntries {
-			left = append(left, j)
+			deferred = append(deferred, j)
 			continue
 		}
 		entries += need
@@ -66,12 +66,12 @@
 		changes = append(changes, c.changeOf(j))
 		j.hasProgress = j.hasProgress || !j.state.IsFinal()
 	}
-	c.dirty = left
+	c.dirty = deferred
 	return changes
 }
 
-// entries returns the number of transaction entries that the change of a job takes.
-func (j *jobState) entries() int {
+// commitEntries returns the number of transaction entries that the change of a job takes.
+func (j *jobState) commitEntries() int {
 	if !j.state.IsFinal() {
 		return progressEntries
 	}
@@ -112,8 +112,8 @@
 	return Change{Job: j.ID, Progress: &progress, version: j.version}
 }
 
-// CommitDone handles a durable commit: final states become visible to callers, and the ends are
-// confirmed to the workers.
+// CommitDone handles a durable commit: it publishes the final states to callers and confirms the
+// ends of runs that the commit covers to the workers.
 func (c *Core) CommitDone(e CommitDone) {
 	c.busyStreams[e.Commit.Lane] = false
 	for _, change := range e.Commit.Changes {
@@ -134,16 +134,16 @@
 	}
 	for _, r := range e.Commit.Roster {
 		if w := c.workers[r.Worker]; w != nil && !r.Closed && !w.closed {
-			w.rostered = true
+			w.recordedOpen = true
 			c.passDue = true
 		}
 	}
 	for _, w := range c.sortedWorkers() {
-		if len(w.pending) == 0 {
+		if len(w.pendingEnds) == 0 {
 			continue
 		}
 		c.advanceConfirmed(w)
-		if len(w.pending) == 0 && !w.polling {
+		if len(w.pendingEnds) == 0 && !w.polling {
 			w.nextPoll = c.now
 			c.poll(w)
 		}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -10,11 +10,11 @@
 // Config holds the durations and limits of a Core.
 type Config struct {
 	Lease           time.Duration // lease on a worker, which covers all of its runs
-	HoldWait        time.Duration // long-poll timeout of a report, which returns early when a run ends
+	HoldWait        time.Duration // long-poll timeout; a worker reports earlier if a run ends
 	StopRetry       time.Duration // interval between stop orders for the same run
-	UnclearPatience time.Duration // how long a run whose start is unclear may go unreported before it is stopped
+	UnclearPatience time.Duration // wait for a report of a run whose start order got no answer, before the run is stopped
 	PassInterval    time.Duration // minimum interval between placement passes
-	PassEvery       time.Duration // maximum interval between passes, since tickets and backoffs expire
+	PassEvery       time.Duration // maximum interval between placement passes, since tickets and backoffs expire
 	CommitInterval  time.Duration // minimum interval between commits
 	RunsPerEpoch    int           // number of run numbers that one owner may use for a task
 }
@@ -25,7 +25,7 @@
 		// Twice the duration of a takeover after the owner was killed, so that running tasks
 		// survive it. It is also the longest time for which the tasks of a lost worker are blocked.
 		Lease: 5 * time.Second,
-		// If a report is lost, ends on its worker go undetected for this long.
+		// If a report is lost, the ends of runs on its worker go undetected for this long.
 		HoldWait: 900 * time.Millisecond,
 		// The round trip of an order across regions takes 30 ms; after ten times that it is lost.
 		StopRetry:       300 * time.Millisecond,
@@ -40,8 +40,8 @@
 	}
 }
 
-// clockDrift is the maximum relative rate by which a worker's clock may run slower than this one.
-const clockDrift = 0.02
+// maxClockDrift is the maximum relative rate by which a worker's clock may run slower than this one.
+const maxClockDrift = 0.02
 
 // leaseMargin covers the time between the end of a lease and the end of the
 // processes that ran under it.
@@ -56,7 +56,7 @@
 	jobs        map[job.ID]*jobState
 	recurring   map[job.ID]*jobState       // jobs with occurrences that are not active yet
 	steps       map[job.StepKey]*stepState // active steps with unfinished tasks
-	finals      map[job.ID]job.Final       // recorded in this epoch
+	finals      map[job.ID]job.Final       // final states recorded in this epoch
 	pendingJobs map[string]int             // number of pending jobs, by queue
 	usage       map[string]*teamUsage
 
@@ -64,7 +64,7 @@
 	workerOrder          []*worker // sorted by ID; nil if it must be rebuilt
 	proxies              map[string]*adviceProxy
 	proxyOrder           []*adviceProxy              // sorted by name; nil if it must be rebuilt
-	eligibleShares       map[string]float64          // estimated share of the named workers that are eligible, by queue
+	eligibleShares       map[string]float64          // estimated share of the workers named in a call that are eligible, by queue
 	serviceUsage         map[string]serviceCPU       // by service, as of the last pass
 	reservedCPU          map[string]int64            // millicores reserved for gangs, by service
 	oversizedGangWaits   map[string]bool             // services on which an oversized gang waits for a reservation in the current pass
@@ -72,25 +72,25 @@
 	plansMade            int                         // reservation plans made in the current pass
 	unresolvedUsageSum   task.Resources              // cached result of unresolvedUsage
 	unresolvedUsageValid bool                        // the cached sum is valid for the current event
-	gangsAdopted         bool                        // runs of gang members were adopted; some members may be missing
+	gangsAdopted         bool                        // runs of gang members were adopted from a former owner; other members may be missing
 	unresolved           map[string]unresolvedWorker // workers on which runs of a former owner may exist
-	unresolvedOpen       int                         // number of these on which any task may run
-	heldBackTasks        map[job.StepKey]int         // number of tasks of each step that may run on the others
-
-	dirty            []*jobState       // changed since their last commit, oldest first
-	busyStreams      [CommitLanes]bool // streams with a commit in flight
-	rosterDirty      bool
-	lastCommit       time.Time
-	lastPass         time.Time
-	lastPassDuration time.Duration
-	passes           int // number of passes since the last summary
-	summarizedAt     time.Time
-	passDue          bool
-	stopping         bool
-
-	changes  []Status // latest status changes that are visible to callers
-	sequence uint64   // number of the last status change
-	sweptAt  time.Time
+	openUnresolved       int                         // number of unresolved workers that are not closed: any task may run there
+	heldBackTasks        map[job.StepKey]int         // number of tasks of each step that may run on closed unresolved workers
+
+	dirty             []*jobState       // changed since their last commit, oldest first
+	busyStreams       [CommitLanes]bool // streams with a commit in flight
+	rosterDirty       bool
+	lastCommit        time.Time
+	lastPass          time.Time
+	lastPassDuration  time.Duration
+	passes            int // number of passes since the last summary
+	summaryLoggedAt   time.Time
+	passDue           bool
+	placementDisabled bool
+
+	changes         []Status // latest status changes that are visible to callers
+	sequence        uint64   // number of the last status change
+	finalsEvictedAt time.Time
 
 	effects []Effect
 	now     time.Time
@@ -119,17 +119,18 @@
 		heldBackTasks:      make(map[job.StepKey]int),
 	}
 	// A former owner renews leases until the first worker rejects its orders, which takes at most
-	// one report.
-	until := now.Add(scaleDrift(cfg.Lease) + 2*cfg.HoldWait + leaseMargin)
+	// the duration of one poll.
+	leaseExpiry := now.Add(maxLocalDuration(cfg.Lease) + 2*cfg.HoldWait + leaseMargin)
 	for _, r := range roster {
-		c.addUnresolved(r, until)
+		c.addUnresolved(r, leaseExpiry)
 	}
 	return c
 }
 
-// scaleDrift returns the maximum time on the local clock that corresponds to d on a worker's clock.
-func scaleDrift(d time.Duration) time.Duration {
-	return time.Duration(float64(d) / (1 - clockDrift))
+// maxLocalDuration returns the maximum time that may pass on the local clock while d passes on a
+// worker's clock.
+func maxLocalDuration(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 - maxClockDrift))
 }
 
 // Begin starts the handling of an event at the given monotonic and wall-clock times.
@@ -137,25 +138,25 @@
 
 // Finish runs a placement pass and a commit if they are due and returns the effects since Begin.
 func (c *Core) Finish() []Effect {
-	if c.passDue && c.now.Sub(c.lastPass) >= c.passInterval() && !c.stopping {
+	if c.passDue && c.now.Sub(c.lastPass) >= c.passInterval() && !c.placementDisabled {
 		c.placementPass()
 	}
-	c.maybeCommit()
+	c.commitIfDue()
 	out := c.effects
 	c.effects = nil
 	return out
 }
 
-// passInterval returns the minimum interval between passes. It grows with the number of steps,
-// since each pass sorts them.
+// passInterval returns the current minimum interval between passes. It grows with the number of
+// steps, since each pass sorts them.
 func (c *Core) passInterval() time.Duration {
 	const perStep = 20 * time.Microsecond // ten times the cost of a step in a pass
-	return max(c.cfg.PassInterval+time.Duration(len(c.steps))*perStep, passRestFactor*c.lastPassDuration)
+	return max(c.cfg.PassInterval+time.Duration(len(c.steps))*perStep, passIntervalFactor*c.lastPassDuration)
 }
 
-// passRestFactor is the minimum interval between passes as a multiple of the duration of the last
+// passIntervalFactor is the minimum interval between passes as a multiple of the duration of the last
 // pass, so that passes use at most a third of a processor.
-const passRestFactor = 2
+const passIntervalFactor = 2
 
 // Took records the processing time of the last event, from Begin to the end of Finish.
 func (c *Core) Took(d time.Duration) {
@@ -170,15 +171,15 @@
 	c.passDue = true
 }
 
-// StopPlacing disables placement, because the owner is about to hand over the partition.
-func (c *Core) StopPlacing() { c.stopping = true }
+// StopPlacing disables placement before the owner hands over the partition.
+func (c *Core) StopPlacing() { c.placementDisabled = true }
 
 // Idle reports whether there is nothing to commit and no commit in flight.
 func (c *Core) Idle() bool {
 	return c.busyStreams == [CommitLanes]bool{} && len(c.dirty) == 0 && !c.rosterDirty
 }
 
-// Tick performs the actions that become due by the passage of time.
+// Tick performs the actions that are due at the current time.
 func (c *Core) Tick() {
 	c.expireUnresolved()
 	c.stopPartialGangs()
@@ -187,24 +188,24 @@
 	}
 	c.activateDueOccurrences()
 	c.removeSilentProxies()
-	if c.now.Sub(c.sweptAt) > finalRetention/10 {
-		c.sweptAt = c.now
+	if c.now.Sub(c.finalsEvictedAt) > finalRetention/10 {
+		c.finalsEvictedAt = c.now
 		c.evictFinals()
 	}
 	if c.now.Sub(c.lastPass) >= c.cfg.PassEvery {
 		c.passDue = true
 	}
-	if c.now.Sub(c.summarizedAt) >= summaryInterval {
-		c.summarizedAt = c.now
-		c.summarize()
+	if c.now.Sub(c.summaryLoggedAt) >= summaryInterval {
+		c.summaryLoggedAt = c.now
+		c.logSummary()
 	}
 }
 
 // summaryInterval is the interval between log entries on the state of the partition.
 const summaryInterval = 2 * time.Second
 
-// summarize logs the load and the capacity of the partition.
-func (c *Core) summarize() {
+// logSummary logs the load and the capacity of the partition.
+func (c *Core) logSummary() {
 	if len(c.jobs) == 0 {
 		return
 	}
--- a/schedule/faults_test.go
+++ b/schedule/faults_test.go
@@ -48,8 +48,8 @@
 	return j
 }
 
-// simFaults maps the name of a fault to a function that injects it and returns how long its effects
-// last.
+// simFaults maps the name of each fault to a function that injects it and returns the duration of its
+// effects.
 var simFaults = map[string]func(s *simulation) time.Duration{
 	"none": func(*simulation) time.Duration { return 0 },
 	"takeover": func(s *simulation) time.Duration {
@@ -135,9 +135,9 @@
 	},
 }
 
-// TestFaults checks that no task runs concurrently with itself, before its dependencies, or beyond a
-// worker's capacity, a team's limit or its attempts, and that every job ends. It injects each fault,
-// and random pairs of faults, at random times.
+// TestFaults checks that no task has two runs at a time, runs before its dependencies, or runs beyond
+// the capacity of a worker, the limit of its team or the attempts of its queue, and that every job
+// ends. It injects each fault alone, and pairs of faults, at random times.
 func TestFaults(t *testing.T) {
 	names := make([]string, 0, len(simFaults))
 	for name := range simFaults {
@@ -199,12 +199,12 @@
 	}
 }
 
-// TestTakeoverBesideLostWorker guards against a new owner that holds back all inherited work until
-// the leases of a worker expire that was lost some time before the takeover.
+// TestTakeoverBesideLostWorker guards against a new owner that holds back all inherited tasks until the
+// leases of a lost worker expire, although the worker was lost some time before the takeover.
 func TestTakeoverBesideLostWorker(t *testing.T) {
 	const (
-		lostFor = 3200 * time.Millisecond // two reports are lost, and the leases have not expired
-		soon    = 500 * time.Millisecond  // a takeover needs a report of each worker
+		lostFor = 3200 * time.Millisecond // two reports are missed, and the leases have not expired
+		soon    = 500 * time.Millisecond  // a new owner needs a report of each worker
 	)
 	s := newSimulation(t, 5, 4)
 	s.run(time.Second)
@@ -214,14 +214,14 @@
 	s.submit(long)
 	s.run(500 * time.Millisecond)
 	lost := s.workers["w03"]
-	lost.partitioned = true // partitioned; its runs continue
+	lost.partitioned = true // its runs continue
 	s.run(lostFor)
 	waiting := &job.Job{ID: "00000000000000d1", Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{{
 		Count: 3, Size: task.Resources{CPUMilli: 2_000}, Estimate: time.Second,
 	}}}
 	s.jobs[waiting.ID] = waiting
 	waiting.AcceptedAt = s.now
-	s.records[waiting.ID] = &record{job: waiting} // the former owner did not receive it
+	s.records[waiting.ID] = &record{job: waiting} // the job was not passed to the former owner
 	s.takeOver()
 	s.run(soon)
 	if !s.hasStarted(waiting.ID, 3) {
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -12,7 +12,7 @@
 // jobState is the state of a job until its final state is recorded.
 type jobState struct {
 	*job.Job
-	service   string // whose workers run it, as last configured for the queue
+	service   string // service whose workers run the job, as last configured for its queue
 	priority  int
 	attempts  int
 	objective time.Duration // target time from arrival to completion
@@ -21,7 +21,7 @@
 	inherited bool          // accepted before this owner took over
 
 	state           job.State
-	remaining       int // unfinished steps of all occurrences
+	unfinishedSteps int // of all occurrences
 	runs            map[*run]struct{}
 	progress        job.Progress
 	version         uint64   // increases with every change that must be recorded
@@ -43,7 +43,7 @@
 	failures        job.Failures // failed runs of a gang
 	ready           bool         // all steps that it depends on are done
 	lastRun         int          // highest run number
-	runsOrdered     int
+	runsOrdered     int          // number of start orders so far
 	advice          adviceState
 	reservation     *reservation // capacity reserved for a gang; nil if there is none
 	wait            waitCause    // cause of waiting as of the last pass
@@ -51,7 +51,7 @@
 	waitLoggedAt    time.Time    // when it was logged
 	latestStart     time.Time    // latest start at which the job meets its objective
 	retryAt         time.Time
-	avoided         map[string]int // number of runs that failed or timed out waiting for their gang, by worker
+	workerFailures  map[string]int // number of runs that failed or timed out waiting for their gang, by worker
 }
 
 type taskState struct {
@@ -91,7 +91,7 @@
 
 func (c *Core) addJob(submitted *job.Job, progress *job.Progress, inherited bool) *jobState {
 	j := &jobState{Job: submitted, arrivedAt: c.now, state: job.Pending, inherited: inherited, runs: make(map[*run]struct{})}
-	j.remaining = len(j.Steps) * j.Occurrences()
+	j.unfinishedSteps = len(j.Steps) * j.Occurrences()
 	if progress != nil {
 		j.progress = *progress
 		j.hasProgress = true
@@ -117,10 +117,10 @@
 		// accepting instance is ahead.
 		j.arrivedAt = c.now.Add(-max(0, c.wall.Sub(j.AcceptedAt)))
 	} else {
-		j.surplus = c.takeEntitlement(j.Team)
+		j.surplus = c.takeToken(j.Team)
 	}
 	if j.surplus {
-		c.teamUsage(j.Team).surplusWaiting++
+		c.teamUsage(j.Team).surplusPending++
 	}
 	c.activateDue(j)
 	if j.nextOccurrence < j.Occurrences() {
@@ -129,15 +129,15 @@
 	if c.hasFailed(j) {
 		c.finish(j, job.Failed)
 	}
-	if j.remaining == 0 {
+	if j.unfinishedSteps == 0 {
 		// The former owner recorded the last task but not the final state.
 		c.finish(j, job.Completed)
 	}
 	return j
 }
 
-// hasFailed reports whether, by the recorded progress, a task or gang of a new or inherited job has
-// already used all attempts of its queue.
+// hasFailed reports whether the recorded progress of a new or inherited job shows that a task or gang
+// has already used all attempts that its queue allows.
 func (c *Core) hasFailed(j *jobState) bool {
 	for _, failures := range j.progress.Failed {
 		if j.attempts > 0 && len(failures) >= j.attempts {
@@ -147,8 +147,8 @@
 	return false
 }
 
-// refreshPolicy updates a job with the current configuration of its queue. If the queue was
-// removed, jobs that it accepted keep its last configuration.
+// refreshPolicy updates a job with the current configuration of its queue. If the queue was removed,
+// its jobs keep the last configuration.
 func (c *Core) refreshPolicy(j *jobState) {
 	q := c.catalog.Queue(j.Queue)
 	if q == nil {
@@ -188,12 +188,12 @@
 		}
 		c.restore(s)
 		if s.unfinishedTasks == 0 {
-			j.remaining--
+			j.unfinishedSteps--
 			continue
 		}
 		c.steps[s.key] = s
 	}
-	c.unlockSteps(j, occurrence)
+	c.markReadySteps(j, occurrence)
 	c.passDue = true
 }
 
@@ -216,16 +216,16 @@
 	return strconv.Itoa(k.Occurrence) + "." + strconv.Itoa(k.Step)
 }
 
-// unlockSteps marks the steps of an occurrence as ready whose dependencies are done.
-func (c *Core) unlockSteps(j *jobState, occurrence int) {
+// markReadySteps marks those steps of an occurrence as ready whose dependencies are all done.
+func (c *Core) markReadySteps(j *jobState, occurrence int) {
 	for i := range j.Steps {
 		s, active := c.steps[job.StepKey{Job: j.ID, Occurrence: occurrence, Step: i}]
 		if !active || s.ready {
 			continue
 		}
 		s.ready = true
-		for _, earlier := range s.spec.After {
-			if _, open := c.steps[job.StepKey{Job: j.ID, Occurrence: occurrence, Step: earlier}]; open {
+		for _, dependency := range s.spec.After {
+			if _, open := c.steps[job.StepKey{Job: j.ID, Occurrence: occurrence, Step: dependency}]; open {
 				s.ready = false
 			}
 		}
@@ -265,12 +265,12 @@
 	j := s.job
 	c.dropReservation(s)
 	delete(c.steps, s.key)
-	j.remaining--
-	if j.remaining == 0 {
+	j.unfinishedSteps--
+	if j.unfinishedSteps == 0 {
 		c.finish(j, job.Completed)
 		return
 	}
-	c.unlockSteps(j, s.key.Occurrence)
+	c.markReadySteps(j, s.key.Occurrence)
 }
 
 // countFailure counts a failed run and reports whether the job has thereby failed. Long-lived tasks
@@ -297,12 +297,13 @@
 	return false
 }
 
-// finish sets the final state of a job, removes its steps and stops its runs.
+// finish sets the final state of a job, removes its steps and stops its runs. It has no effect on a
+// job that already has a final state.
 func (c *Core) finish(j *jobState, state job.State) {
 	if j.state.IsFinal() {
 		return
 	}
-	c.leavePending(j)
+	c.removeFromPending(j)
 	j.state = state
 	for occurrence := range j.nextOccurrence {
 		for i := range j.Steps {
@@ -358,20 +359,22 @@
 	return j.state, j.Team, j.Queue, true
 }
 
+// markStarted marks a pending job as running.
 func (c *Core) markStarted(j *jobState) {
 	if j.state == job.Pending {
-		c.leavePending(j)
+		c.removeFromPending(j)
 		j.state = job.Running
 		c.publish(Status{Job: j.ID, State: j.state, Queue: j.Queue, Team: j.Team})
 	}
 }
 
-func (c *Core) leavePending(j *jobState) {
+// removeFromPending removes a job from the counts of pending jobs before its state changes.
+func (c *Core) removeFromPending(j *jobState) {
 	if j.state != job.Pending {
 		return
 	}
 	c.pendingJobs[j.Queue]--
 	if j.surplus {
-		c.teamUsage(j.Team).surplusWaiting--
+		c.teamUsage(j.Team).surplusPending--
 	}
 }
--- a/schedule/message.go
+++ b/schedule/message.go
@@ -18,7 +18,7 @@
 	Labels        []string
 	Capacity      task.Resources
 	Draining      bool
-	Remaining     time.Duration // minimum time left while draining
+	Remaining     time.Duration // while draining, the minimum time for which the worker remains
 }
 
 // Target identifies the worker and the incarnation that an order is for.
@@ -34,10 +34,11 @@
 // Commit are each answered by one event.
 type Effect interface{ isEffect() }
 
-// Hold polls a worker for a report, renews the lease of all its runs and confirms recorded ends.
+// Hold polls a worker for a report, renews the lease that covers all of its runs and confirms the ends
+// of runs whose effect is durable.
 type Hold struct {
 	Target
-	Confirmed uint64        // ends up to this number are recorded and may be discarded
+	Confirmed uint64        // the worker may discard ends up to this number
 	LeaseEnd  time.Duration // on the worker's clock; 0 if the lease is not renewed
 	Wait      time.Duration // long-poll timeout: the worker may delay the report until a run ends
 }
@@ -51,7 +52,7 @@
 	Ticket     string // of the advice service; empty if the queue needs none
 	Checkpoint string
 	LeaseEnd   time.Duration // on the worker's clock
-	Waited     time.Duration // since the job arrived; for the metrics
+	Waited     time.Duration // time since the job arrived; for the metrics
 }
 
 // Stop is an order to stop one run of a task.
@@ -61,16 +62,16 @@
 	Run  int
 }
 
-// Ask is a call to the advice service, made by the given instance, for the workers that are eligible
-// to run a step.
+// Ask is a call to the advice service, made by the given instance. It returns tickets for those of
+// the given workers that are eligible to run a step.
 type Ask struct {
 	Lane    string // instance that makes the call
 	Step    job.StepKey
 	Workers []string
 }
 
-// Commit records changes in one transaction of the owner. Commits of the same stream are executed
-// one after the other. Commits of different streams run concurrently and never write the same
+// Commit writes changes in one transaction of the owner. Commits of the same stream are executed
+// sequentially. Commits of different streams are executed concurrently and never write the same
 // record.
 type Commit struct {
 	Lane    int // number of the commit stream, below CommitLanes
@@ -91,7 +92,7 @@
 	Progress *job.Progress
 	Final    *job.Final
 
-	// Which further records of the job may exist and are deleted together with a Final.
+	// Further records of the job that may exist and are deleted when a Final is written.
 	HadProgress    bool
 	MayBeCancelled bool
 
@@ -105,7 +106,7 @@
 	Fields []any // alternating names and values
 }
 
-// Done reports to a waiting caller that its cancellation is recorded.
+// Done answers a waiting call for a cancellation, whose final state is now recorded.
 type Done struct{ Token uint64 }
 
 func (Hold) isEffect()     {}
@@ -120,9 +121,9 @@
 type Verdict int
 
 const (
-	Accepted       Verdict = iota // executed, now or before
-	NotSent                       // certainly had no effect
-	Unclear                       // may have been executed or may be executed later
+	Accepted       Verdict = iota // executed, by this order or by an earlier copy of it
+	NotSent                       // the order certainly had no effect
+	Unclear                       // the answer was lost; the order may have been executed or may be executed later
 	Fenced                        // the worker has accepted orders of a newer owner
 	OtherLife                     // another incarnation of the worker answered
 	Outdated                      // a run of the task with this or a higher number has ended there
@@ -151,7 +152,7 @@
 	Verdict Verdict
 }
 
-// RunReport is one run that a worker lists as running.
+// RunReport is one run that a worker reports as running.
 type RunReport struct {
 	Task       job.TaskKey
 	Run        int
@@ -171,7 +172,7 @@
 	EndedAlone   Ending = "alone"  // the other members of its gang did not start in time
 )
 
-// EndReport is one run that a worker lists as ended.
+// EndReport is one run that a worker reports as ended.
 type EndReport struct {
 	Number     uint64 // sequence number of the end in this incarnation of the worker
 	Task       job.TaskKey
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -10,8 +10,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// objectiveOf returns the completion time within which a job is in time: its critical path times the
-// stretch factor of its queue, plus the fixed allowance of the queue.
+// objectiveOf returns the target time from the arrival of a job to its completion: its critical path
+// times the stretch factor of its queue, plus the fixed allowance of the queue.
 func (c *Core) objectiveOf(j *jobState) time.Duration {
 	stretch, target := 1.0, time.Duration(0)
 	if q := c.catalog.Queue(j.Queue); q != nil {
@@ -28,15 +28,15 @@
 func chainLengths(steps []job.Step) []time.Duration {
 	out := make([]time.Duration, len(steps))
 	for i := range steps {
-		for _, earlier := range steps[i].After {
-			out[i] = max(out[i], out[earlier])
+		for _, dependency := range steps[i].After {
+			out[i] = max(out[i], out[dependency])
 		}
 		out[i] += steps[i].Estimate
 	}
 	return out
 }
 
-// latestStart returns the latest start of a step with which its job meets its objective.
+// latestStart returns the latest time at which a step can start for its job to meet its objective.
 func (c *Core) latestStart(s *stepState) time.Time {
 	begin := s.job.arrivedAt
 	if s.job.Repeats > 0 {
@@ -51,16 +51,16 @@
 	lengths := make([]time.Duration, len(steps))
 	for i := len(steps) - 1; i >= from; i-- {
 		lengths[i] += steps[i].Estimate
-		for _, earlier := range steps[i].After {
-			lengths[earlier] = max(lengths[earlier], lengths[i])
+		for _, dependency := range steps[i].After {
+			lengths[dependency] = max(lengths[dependency], lengths[i])
 		}
 	}
 	return lengths[from]
 }
 
 // priorityPenalty is added to the latest start of a step for each priority level below the most
-// urgent one. A gang that is already late then does not delay tasks of a few seconds that can still
-// be in time.
+// urgent one. It prevents a gang that is already late from delaying tasks of a few seconds that can
+// still be on time.
 const priorityPenalty = 4 * time.Second
 
 // expiryFactor is the age of a job, as a multiple of its objective, beyond which its result is no
@@ -68,7 +68,7 @@
 const expiryFactor = 3
 
 // rank returns the primary sort key of waiting steps; steps of equal rank are ordered by latest
-// start. Steps that can be in time precede those that cannot, and entitled jobs precede jobs beyond
+// start. Steps that can be on time precede those that cannot, and entitled jobs precede jobs beyond
 // their team's rate. Otherwise, the backlog of a burst would delay everything submitted after it.
 func (c *Core) rank(s *stepState) int {
 	age := c.now.Sub(s.job.arrivedAt)
@@ -80,13 +80,13 @@
 	case c.now.After(s.latestStart.Add(s.job.objective / 2)):
 		return rankLate
 	default:
-		return rankInTime
+		return rankOnTime
 	}
 }
 
 // Ranks of waiting steps, in the order of placement.
 const (
-	rankInTime = iota
+	rankOnTime = iota
 	rankLate
 	rankSurplus // beyond the rate of its team
 	rankExpired // too late to be of use
@@ -102,7 +102,7 @@
 	}
 	slices.SortFunc(list, compareRanked)
 	// Further steps could not start before the next pass: a step has three or more tasks, and the
-	// workers of a partition hold a few hundred.
+	// workers of a partition run a few hundred tasks at a time.
 	const maxConsidered = 250
 	out := make([]*stepState, min(len(list), maxConsidered))
 	for i := range out {
@@ -124,7 +124,8 @@
 	latestStart int64 // with the priority penalty, in Unix nanoseconds for fast comparison
 }
 
-// compareRanked compares keys only as a tie-breaker, which keeps it fast: every pass sorts the queue.
+// compareRanked orders steps by rank and latest start. It compares keys only as a tie-breaker, which
+// keeps it fast: every pass sorts the queue.
 func compareRanked(a, b rankedStep) int {
 	if a.rank != b.rank {
 		return cmp.Compare(a.rank, b.rank)
@@ -136,6 +137,8 @@
 	return compareTasks(job.TaskKey{StepKey: x}, job.TaskKey{StepKey: y})
 }
 
+// hasUnplaced reports whether a step has tasks without a run that are not done. A gang has none while
+// any of its members has a run.
 func (s *stepState) hasUnplaced() bool {
 	if s.spec.Gang {
 		for i := range s.tasks {
@@ -159,7 +162,7 @@
 	tokens     float64
 	refilledAt time.Time // last refill of tokens
 
-	surplusWaiting  int     // pending jobs beyond the team's rate
+	surplusPending  int     // pending jobs beyond the team's rate
 	demand          float64 // smoothed submission rate in jobs per second
 	demandUpdatedAt time.Time
 }
@@ -175,19 +178,19 @@
 	return u
 }
 
-// entitlementBurst is the burst size of a team's job rate, in seconds of that rate.
-const entitlementBurst = 5.0
+// burstSeconds is the size of a team's token bucket, in seconds of the team's job rate.
+const burstSeconds = 5.0
 
-// takeEntitlement takes a token for a job from its team's bucket and reports whether the job exceeds
-// the team's rate. If a team floods the queue, its surplus jobs wait behind the entitled jobs of all
-// teams.
-func (c *Core) takeEntitlement(team string) (surplus bool) {
+// takeToken takes a token for a job from its team's bucket and reports whether the job exceeds the
+// team's rate because the bucket is empty. If a team exceeds its rate, its surplus jobs wait behind
+// the entitled jobs of all teams.
+func (c *Core) takeToken(team string) (surplus bool) {
 	t := c.catalog.Team(team)
 	if t == nil || t.Weight <= 0 {
 		return false
 	}
 	u := c.teamUsage(team)
-	burst := max(1, t.Weight*entitlementBurst)
+	burst := max(1, t.Weight*burstSeconds)
 	if u.refilledAt.IsZero() {
 		u.tokens = burst
 	} else {
@@ -208,7 +211,7 @@
 	for _, w := range c.workers {
 		largest = largest.Max(w.Capacity)
 		if w.unsizedRuns > 0 {
-			// The runs that are being stopped there belong to unknown jobs.
+			// The runs of unknown size that are being stopped there belong to unknown jobs.
 			usage = usage.Add(w.Capacity.Sub(w.used))
 		}
 	}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -9,7 +9,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// taskSize returns the resources that a task of a step takes on a worker.
+// taskSize returns the resources that a task of a step takes on a worker. The CPU of a backfill step
+// does not count.
 func taskSize(s *job.Step) task.Resources {
 	size := s.Size
 	if s.Fills {
@@ -18,9 +19,9 @@
 	return size
 }
 
-// isUsable reports whether a worker may get new work.
+// isUsable reports whether tasks may be placed on a worker.
 func (c *Core) isUsable(w *worker) bool {
-	return w.listed && w.rostered && w.fenced && !w.silent && !w.Draining && w.unsizedRuns == 0 &&
+	return w.listed && w.recordedOpen && w.fenced && !w.silent && !w.Draining && w.unsizedRuns == 0 &&
 		!c.now.Before(w.backoffUntil) && w.probe == nil
 }
 
@@ -36,18 +37,19 @@
 	return s.spec.Needs == "" || slices.Contains(w.Labels, s.spec.Needs)
 }
 
-// avoid makes a step prefer other workers for its next runs.
-func (s *stepState) avoid(worker string) {
-	if s.avoided == nil {
-		s.avoided = make(map[string]int)
+// countWorkerFailure counts a failure of the step on a worker, so that the next runs prefer other
+// workers.
+func (s *stepState) countWorkerFailure(worker string) {
+	if s.workerFailures == nil {
+		s.workerFailures = make(map[string]int)
 	}
-	s.avoided[worker]++
+	s.workerFailures[worker]++
 }
 
 // failedElsewhere reports whether a run of the step has failed, or timed out waiting for its gang, on
 // another worker.
 func (s *stepState) failedElsewhere(worker string) bool {
-	for id := range s.avoided {
+	for id := range s.workerFailures {
 		if id != worker {
 			return true
 		}
@@ -69,13 +71,13 @@
 	c.sumServiceUsage(usable)
 	c.plansMade = 0
 	clear(c.oversizedGangWaits)
-	c.dropStalePlans()
+	c.dropStaleReservations()
 	c.passes++
 	maxFreeResources := maxFree(usable)
-	var unadvised []*stepState
+	var withoutTicket []*stepState
 	for _, s := range c.waitingSteps() {
 		if s.spec.Gang && s.advice.proxy != nil {
-			continue // the reply may start it on its reserved workers
+			continue // a call is in flight; its reply may start the gang on its reserved workers
 		}
 		c.refreshPolicy(s.job)
 		if c.isAtLimit(s) {
@@ -96,15 +98,15 @@
 		if s.spec.Gang {
 			c.reserve(s, usable)
 		}
-		if c.needsAdvice(s) && (fits || s.spec.Gang || !s.hasAskedAdvice()) {
-			unadvised = append(unadvised, s)
+		if c.needsAdvice(s) && (fits || s.spec.Gang || !s.hasQueried()) {
+			withoutTicket = append(withoutTicket, s)
 		}
 	}
-	c.requestAdvice(unadvised, usable)
+	c.requestAdvice(withoutTicket, usable)
 }
 
-// maxFree returns the maximum free amount of each resource over all workers. A task that is larger
-// fits nowhere, which is a fast check for most steps of a long queue.
+// maxFree returns the maximum free amount of each resource over all usable workers. A task that
+// exceeds it fits on no worker, which rejects most steps of a long queue quickly.
 func maxFree(usable []*worker) task.Resources {
 	var largest task.Resources
 	for _, w := range usable {
@@ -119,8 +121,8 @@
 	return q != nil && q.Advice != nil
 }
 
-// option is a worker on which tasks of a step may start now.
-type option struct {
+// candidate is a worker on which tasks of a step may start now.
+type candidate struct {
 	worker       *worker
 	ticket       string
 	taskCount    int  // number of tasks of the step that fit
@@ -129,53 +131,53 @@
 
 // placeStep starts as many tasks of a step as possible and reports whether none is left to start.
 func (c *Core) placeStep(s *stepState, usable []*worker) bool {
-	options := c.options(s, usable, false)
+	candidates := c.candidates(s, usable, false)
 	before := s.runsOrdered
 	var all bool
 	if s.spec.Gang {
-		all = c.placeGang(s, options)
+		all = c.placeGang(s, candidates)
 	} else {
-		all = c.placeTasks(s, options)
+		all = c.placeTasks(s, candidates)
 	}
 	if n := s.runsOrdered - before; n > 0 {
-		c.logDecision(s.key.Job, "placed", "step", s.key.String(), "tasks", n, "of", len(s.tasks), "options", len(options),
+		c.logDecision(s.key.Job, "placed", "step", s.key.String(), "tasks", n, "of", len(s.tasks), "options", len(candidates),
 			"waited_ms", c.now.Sub(s.job.arrivedAt).Milliseconds(), "slack_ms", s.latestStart.Sub(c.now).Milliseconds(), "rank", c.rank(s))
 	}
 	return all
 }
 
-// options returns the workers that have capacity for a task of a step and, where required, a valid
-// ticket. With anyTicket, expired tickets count as well.
-func (c *Core) options(s *stepState, usable []*worker, anyTicket bool) []option {
+// candidates returns the workers that have capacity for a task of a step and, if the queue requires
+// it, a valid ticket. With allowExpired, expired tickets count as valid.
+func (c *Core) candidates(s *stepState, usable []*worker, allowExpired bool) []candidate {
 	advised := c.needsAdvice(s)
 	size := taskSize(s.spec)
-	var out []option
+	var out []candidate
 	for _, w := range usable {
 		if !meetsRequirements(w, s) {
 			continue
 		}
-		o := option{worker: w, taskCount: fitCount(size, w.free(s, c.now), len(s.tasks))}
-		if o.taskCount == 0 && len(w.claims) > 0 {
-			o.taskCount = fitCount(size, w.freeOverClaims(s, c.now), len(s.tasks))
-			o.usesReserved = true
+		cand := candidate{worker: w, taskCount: fitCount(size, w.free(s, c.now), len(s.tasks))}
+		if cand.taskCount == 0 && len(w.claims) > 0 {
+			cand.taskCount = fitCount(size, w.freeOverClaims(s, c.now), len(s.tasks))
+			cand.usesReserved = true
 		}
 		if s.spec.AntiAffinity > 0 {
-			o.taskCount = min(o.taskCount, s.spec.AntiAffinity-s.tasksOn(w))
+			cand.taskCount = min(cand.taskCount, s.spec.AntiAffinity-s.tasksOn(w))
 		}
 		if c.isFailing(w) {
-			o.taskCount = min(o.taskCount, 1)
+			cand.taskCount = min(cand.taskCount, 1)
 		}
-		if o.taskCount <= 0 {
+		if cand.taskCount <= 0 {
 			continue
 		}
 		if advised {
-			ticket, ok := s.advice.ticket(w, c.now, anyTicket)
+			ticket, ok := s.advice.ticket(w, c.now, allowExpired)
 			if !ok {
 				continue
 			}
-			o.ticket = ticket
+			cand.ticket = ticket
 		}
-		out = append(out, o)
+		out = append(out, cand)
 	}
 	return out
 }
@@ -204,9 +206,10 @@
 	return n
 }
 
-// placeTasks starts the tasks of a step that is not a gang. It uses best fit: by preference, a task
-// goes to the fullest worker on which it fits, so that whole workers stay free for gangs.
-func (c *Core) placeTasks(s *stepState, options []option) bool {
+// placeTasks starts the tasks of a step that is not a gang, and reports whether none is left to start.
+// It uses best fit: a task preferably goes to the fullest worker on which it fits, so that whole
+// workers stay free for gangs.
+func (c *Core) placeTasks(s *stepState, candidates []candidate) bool {
 	size := taskSize(s.spec)
 	allowed := c.allowance(s.job.Team, size, len(s.tasks))
 	placed := true
@@ -215,8 +218,8 @@
 			continue
 		}
 		best := -1
-		for k := range options {
-			if options[k].taskCount > 0 && (best < 0 || c.prefer(s, &options[k], &options[best])) {
+		for k := range candidates {
+			if candidates[k].taskCount > 0 && (best < 0 || c.prefer(s, &candidates[k], &candidates[best])) {
 				best = k
 			}
 		}
@@ -224,16 +227,16 @@
 			placed = false
 			break
 		}
-		o := &options[best]
+		cand := &candidates[best]
 		allowed--
-		o.taskCount--
-		c.start(s, i, o.worker, c.nextRun(s.tasks[i].lastRun), o.ticket)
-		if o.worker.probe != nil {
-			o.taskCount = 0
+		cand.taskCount--
+		c.start(s, i, cand.worker, c.nextRun(s.tasks[i].lastRun), cand.ticket)
+		if cand.worker.probe != nil {
+			cand.taskCount = 0
 		}
 	}
 	if !placed {
-		s.wait = waitReason(len(options), allowed)
+		s.wait = placementWaitCause(len(candidates), allowed)
 	}
 	return placed
 }
@@ -241,8 +244,8 @@
 // prefer reports whether a is better for a step than b. The criteria are, in this order: fewer
 // failures of the step on the worker, a worker that is not failing, capacity that is not reserved,
 // affinity, the fullest worker, and the worker's ID.
-func (c *Core) prefer(s *stepState, a, b *option) bool {
-	if x, y := s.avoided[a.worker.ID], s.avoided[b.worker.ID]; x != y {
+func (c *Core) prefer(s *stepState, a, b *candidate) bool {
+	if x, y := s.workerFailures[a.worker.ID], s.workerFailures[b.worker.ID]; x != y {
 		return x < y
 	}
 	if x, y := c.isFailing(a.worker), c.isFailing(b.worker); x != y {
@@ -268,33 +271,33 @@
 }
 
 // placeGang starts all tasks of a gang or none.
-func (c *Core) placeGang(s *stepState, options []option) bool {
+func (c *Core) placeGang(s *stepState, candidates []candidate) bool {
 	if c.allowance(s.job.Team, taskSize(s.spec), len(s.tasks)) < len(s.tasks) {
 		s.wait = waitsForLimit
 		return false
 	}
-	chosen := c.chooseGang(s, options)
+	chosen := c.chooseGang(s, candidates)
 	if chosen == nil {
-		s.wait = waitReason(len(options), 1)
+		s.wait = placementWaitCause(len(candidates), 1)
 		return false
 	}
 	c.dropReservation(s)
 	number := c.nextRun(s.lastRun)
-	for i, o := range chosen {
-		c.start(s, i, o.worker, number, o.ticket)
+	for i, cand := range chosen {
+		c.start(s, i, cand.worker, number, cand.ticket)
 	}
 	return true
 }
 
-// chooseGang returns an option for each task, or nil if they do not all fit. Workers that hold many
-// members are preferred: the fewer workers a gang uses, the fewer it leaves partly used. A gang that
-// slows down when spread over racks is placed on a single rack if possible.
-func (c *Core) chooseGang(s *stepState, options []option) []option {
-	healthy := slices.DeleteFunc(slices.Clone(options), func(o option) bool { return c.isFailing(o.worker) })
+// chooseGang returns a candidate for each task, or nil if they do not all fit. Workers on which many
+// members fit are preferred: the fewer workers a gang uses, the fewer it leaves partly used. A gang
+// that slows down when spread over racks is placed on a single rack if possible.
+func (c *Core) chooseGang(s *stepState, candidates []candidate) []candidate {
+	healthy := slices.DeleteFunc(slices.Clone(candidates), func(cand candidate) bool { return c.isFailing(cand.worker) })
 	if s.spec.SameRack {
-		byRack := make(map[string][]option)
-		for _, o := range healthy {
-			byRack[o.worker.Rack] = append(byRack[o.worker.Rack], o)
+		byRack := make(map[string][]candidate)
+		for _, cand := range healthy {
+			byRack[cand.worker.Rack] = append(byRack[cand.worker.Rack], cand)
 		}
 		for _, rack := range slices.Sorted(maps.Keys(byRack)) {
 			if chosen := c.fillGang(s, byRack[rack]); chosen != nil {
@@ -305,10 +308,12 @@
 	return c.fillGang(s, healthy)
 }
 
-func (c *Core) fillGang(s *stepState, options []option) []option {
-	slices.SortFunc(options, func(a, b option) int {
+// fillGang assigns the tasks of a gang to the candidates in the order of preference, as many to each as
+// fit. It returns a candidate for each task, or nil if they do not all fit.
+func (c *Core) fillGang(s *stepState, candidates []candidate) []candidate {
+	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
-			cmp.Compare(s.avoided[a.worker.ID], s.avoided[b.worker.ID]),
+			cmp.Compare(s.workerFailures[a.worker.ID], s.workerFailures[b.worker.ID]),
 			boolToInt(a.usesReserved)-boolToInt(b.usesReserved),
 			-cmp.Compare(affinityScore(s.spec, a.worker), affinityScore(s.spec, b.worker)),
 			-cmp.Compare(a.taskCount, b.taskCount),
@@ -316,13 +321,13 @@
 			cmp.Compare(a.worker.ID, b.worker.ID),
 		)
 	})
-	var chosen []option
-	for _, o := range options {
-		for range o.taskCount {
+	var chosen []candidate
+	for _, cand := range candidates {
+		for range cand.taskCount {
 			if len(chosen) == len(s.tasks) {
 				return chosen
 			}
-			chosen = append(chosen, o)
+			chosen = append(chosen, cand)
 		}
 	}
 	if len(chosen) < len(s.tasks) {
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -16,23 +16,23 @@
 	unknownRunDuration = time.Second
 	// stopDuration is the assumed remaining time of a run that is being stopped.
 	stopDuration = 500 * time.Millisecond
-	// overrunShare is the assumed remaining time of a run past its estimate, as a share of its
-	// elapsed time.
+	// overrunShare is the assumed remaining time of a run that exceeds its estimate, as a share of
+	// its elapsed time.
 	overrunShare = 0.25
 )
 
-// readyTime returns when the capacity for all members of an existing plan will be free according to
-// the current slots, which must be sorted by time. It returns false if there is no plan or the slots
-// do not cover it.
+// readyTime returns the time at which the capacity for all members of an existing plan will be free
+// according to the current slots, which must be sorted by time. It returns false if there is no plan
+// or the slots do not cover it.
 func (r *reservation) readyTime(slots []slot) (ready time.Time, ok bool) {
 	if r == nil {
 		return ready, false
 	}
 	missing := maps.Clone(r.members)
-	for _, sl := range slots {
-		if missing[sl.worker] > 0 {
-			missing[sl.worker]--
-			ready = sl.at
+	for _, next := range slots {
+		if missing[next.worker] > 0 {
+			missing[next.worker]--
+			ready = next.at
 		}
 	}
 	for _, n := range missing {
@@ -43,16 +43,16 @@
 	return ready, true
 }
 
-// chooseSlots chooses n of the slots that will be free by the time the n-th one is, on as few
-// workers as possible. The slots must be sorted by time.
+// chooseSlots chooses n slots among those that are free no later than the n-th one, on as few
+// workers as possible. The slots must be sorted by time. It returns the number of slots by worker.
 func chooseSlots(slots []slot, n int) map[*worker]int {
 	ready := slots[n-1].at
 	counts := make(map[*worker]int)
-	for _, sl := range slots {
-		if sl.at.After(ready) {
+	for _, next := range slots {
+		if next.at.After(ready) {
 			break
 		}
-		counts[sl.worker]++
+		counts[next.worker]++
 	}
 	order := slices.SortedFunc(maps.Keys(counts), func(a, b *worker) int {
 		return cmp.Or(-cmp.Compare(counts[a], counts[b]), cmp.Compare(a.ID, b.ID))
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -16,7 +16,7 @@
 	members   map[*worker]int // number of tasks of the gang on each worker
 	ready     time.Time       // expected time at which all of the capacity is free
 	plannedAt time.Time
-	service   string // of the workers; the queue may be routed to another service meanwhile
+	service   string // service of the workers; the queue may since have been routed to another one
 	cpu       int64  // of all members, in millicores
 }
 
@@ -29,56 +29,58 @@
 
 const (
 	// replanInterval is the minimum interval between plans for a waiting gang. Plans are revised
-	// because tasks do not end as expected; a few tasks per second end on each worker.
+	// because tasks do not end when expected, and a few tasks per second end on each worker.
 	replanInterval = 250 * time.Millisecond
-	// maxPlanAge is the age at which a plan that was not renewed is dropped. Because of plansPerPass,
-	// the renewal may take several passes, of which there are at worst a few per second.
+	// maxPlanAge is the age at which a plan that was not revised is dropped. Because of plansPerPass,
+	// the revision may take several passes, of which there are at worst a few per second.
 	maxPlanAge = 2 * time.Second
-	// plansPerPass is the maximum number of plans in a pass, the most urgent first: a plan examines
-	// every run of a hundred workers, and a pass should take a few milliseconds.
+	// plansPerPass is the maximum number of plans in a pass, which are made for the most urgent gangs:
+	// a plan examines every run of a hundred workers, and a pass should take a few milliseconds.
 	plansPerPass = 8
 	// maxReservedShare is the share of a service's CPU that may be reserved for gangs. In a backlog,
 	// three quarters of the reserved CPU are idle and the rest of the service has to carry the load;
 	// with a smaller share, wide gangs wait longer.
 	maxReservedShare = 0.12
-	// fewGangs is the number of gangs up to which fewGangsShare applies instead of maxReservedShare:
-	// on a service of about 50 workers, an eighth holds only two gangs, and no capacity would be
-	// reserved for the next ones meanwhile.
-	fewGangs      = 4
-	fewGangsShare = 0.25
-	// freeShare is the share of a service's free CPU that may be reserved for gangs if that is more
-	// than the other limits: reserving capacity that is not in demand costs nothing.
-	freeShare = 0.5
+	// firstGangs is the number of reservations on a service up to which firstGangsShare applies
+	// instead of maxReservedShare: on a service of about 50 workers, an eighth of the CPU holds only
+	// two gangs, and no capacity would be reserved for the next gangs until these start.
+	firstGangs      = 4
+	firstGangsShare = 0.25
+	// maxReservedFreeShare is the share of a service's free CPU that may be reserved for gangs, if
+	// that is more than the other limits: reserving capacity that is not in demand costs nothing.
+	maxReservedFreeShare = 0.5
 	// lateGangUtilization is the utilization of a service up to which capacity is also reserved for
-	// gangs of rankSurplus and rankExpired, which must not delay others. Half of a service has to be
-	// free, for seconds, before such a gang counts as delayed.
+	// gangs of rankSurplus and rankExpired, which must not delay others. Such a gang counts as delayed
+	// only once half of the service has been free for several seconds.
 	lateGangUtilization = 0.75
 	// backfillMargin is the factor applied to the estimate of a task that would backfill reserved
 	// capacity: one task in twenty takes three times its declared time, and a late task delays all
 	// members of the gang.
 	backfillMargin = 3
-	// minPlanImprovement is how much earlier a new plan must be ready to replace the previous one,
-	// whose tickets may already have been renewed; a renewal takes about as long.
+	// minPlanImprovement is how much earlier the capacity of a new plan must be ready for it to
+	// replace the previous plan, whose tickets may already have been renewed; a renewal takes about as
+	// long.
 	minPlanImprovement = 700 * time.Millisecond
-	// askMoreThreshold is the remaining wait of a planned gang above which the advice service is
-	// asked about further workers; a call takes about as long.
-	askMoreThreshold = time.Second
-	// candidateFactor is how many eligible workers a call should yield, as a multiple of the number
+	// furtherQueryThreshold is the remaining wait of a gang with a reservation above which the advice
+	// service is queried about further workers; a call takes about as long.
+	furtherQueryThreshold = time.Second
+	// eligibleFactor is how many eligible workers a call should yield, as a multiple of the number
 	// that the gang needs. With a higher factor, the calls would take proxies from other steps.
-	candidateFactor = 4
-	// lowProxyUsage is the share of busy proxies below which the advice service is asked about
+	eligibleFactor = 4
+	// lowProxyUsage is the share of busy proxies below which the advice service is queried about
 	// further workers although the eligible ones suffice.
 	lowProxyUsage = 0.5
-	// highProxyUsage is the share of busy proxies above which tickets are renewed only when the
-	// capacity is nearly free, without allowing for the duration of the call.
+	// highProxyUsage is the share of busy proxies above which tickets are renewed only once the
+	// capacity is nearly free, without lead time for the duration of the call.
 	highProxyUsage = 0.7
-	// renewalLead is how long before its capacity is free the tickets of a gang are renewed, in
+	// renewalLead is the lead time of the renewal of a gang's tickets before its capacity is free, in
 	// addition to the duration of the call.
 	renewalLead = 150 * time.Millisecond
 )
 
 // free returns the resources that a task of a step may use on a worker if it starts now. Capacity
-// reserved for another gang counts only if the task ends before the gang should start (backfill).
+// reserved for another gang counts only if the task ends before the gang is expected to start
+// (backfill).
 func (w *worker) free(s *stepState, now time.Time) task.Resources {
 	return w.freeExceptClaims(s, now, math.MaxInt)
 }
@@ -108,8 +110,8 @@
 	return !now.Add(time.Duration(float64(s.spec.Estimate) * backfillMargin)).After(t)
 }
 
-// reserve plans where and when a gang that does not fit now can start and reserves the capacity. It
-// releases the reservation if no plan is possible or permitted.
+// reserve plans on which workers and when a gang that does not fit now can start, and reserves the
+// capacity. It releases the reservation if no plan is possible or permitted.
 func (c *Core) reserve(s *stepState, usable []*worker) {
 	if r := s.reservation; r != nil && c.allUsable(r) && (c.plansMade >= plansPerPass || c.now.Sub(r.plannedAt) < replanInterval) {
 		return
@@ -166,10 +168,10 @@
 // time, and for gangs of rankSurplus and rankExpired only if the utilization of the service is low.
 func (c *Core) mayReserve(s *stepState) bool {
 	u, reserved := c.serviceUsage[s.job.service], c.reservedCPU[s.job.service]
-	maxReserved := freeShare * float64(u.capacity-u.used)
+	maxReserved := maxReservedFreeShare * float64(u.capacity-u.used)
 	switch {
-	case c.rank(s) < rankSurplus && c.reservationCount(s.job.service) < fewGangs:
-		maxReserved = max(maxReserved, fewGangsShare*float64(u.capacity))
+	case c.rank(s) < rankSurplus && c.reservationCount(s.job.service) < firstGangs:
+		maxReserved = max(maxReserved, firstGangsShare*float64(u.capacity))
 	case c.rank(s) < rankSurplus:
 		maxReserved = max(maxReserved, maxReservedShare*float64(u.capacity))
 	case float64(u.used) > lateGangUtilization*float64(u.capacity):
@@ -199,7 +201,7 @@
 // totalCPU returns the CPU of all tasks of a step in millicores.
 func (s *stepState) totalCPU() int64 { return taskSize(s.spec).CPUMilli * int64(len(s.tasks)) }
 
-// allUsable reports whether every worker of a plan is still usable.
+// allUsable reports whether every worker of a reservation is still usable.
 func (c *Core) allUsable(r *reservation) bool {
 	for w := range r.members {
 		if !c.isUsable(w) {
@@ -209,9 +211,9 @@
 	return true
 }
 
-// dropStalePlans releases the reservations of gangs that the passes no longer reach because they are
-// full of more urgent steps.
-func (c *Core) dropStalePlans() {
+// dropStaleReservations releases the reservations of gangs that the passes no longer reach because
+// they consider only the most urgent steps.
+func (c *Core) dropStaleReservations() {
 	for _, s := range c.reservedGangs {
 		if s.advice.proxy == nil && c.now.Sub(s.reservation.plannedAt) > maxPlanAge {
 			c.dropReservation(s)
@@ -232,35 +234,35 @@
 	delete(c.reservedGangs, s.key)
 }
 
-// gangWorkersToAsk returns the workers that the next call for a gang should name: the reserved ones
+// gangWorkersToQuery returns the workers that the next call for a gang should name: the reserved ones
 // once their capacity is nearly free, or further ones while the eligible ones have no capacity for
-// a long time. It returns none if a call is not worth its duration.
-func (c *Core) gangWorkersToAsk(s *stepState, usable []*worker, policy *job.AdvicePolicy) []string {
+// a long time. It returns none if the benefit of a call does not justify its duration.
+func (c *Core) gangWorkersToQuery(s *stepState, usable []*worker, policy *job.AdvicePolicy) []string {
 	r := s.reservation
 	if r == nil {
-		if !s.hasAskedAdvice() || s.wait == waitsForEligible {
-			return c.idsByFreeCPU(s.unasked(usable), c.gangCallSize(s))
+		if !s.hasQueried() || s.wait == waitsForEligible {
+			return c.idsByFreeCPU(s.unqueried(usable), c.gangCallSize(s))
 		}
 		// Enough workers are eligible for a plan. While proxies are free, a gang without a plan also
-		// has its tickets renewed if it would fit; otherwise, further workers are asked about.
+		// has its tickets renewed if it would fit; otherwise, further workers are queried.
 		if c.busyProxyShare() >= lowProxyUsage {
 			return nil
 		}
 		if eligible := s.eligible(usable, c.now); c.fitsNow(s, eligible) {
 			return c.idsByFreeCPU(eligible, c.gangCallSize(s))
 		}
-		return c.idsByFreeCPU(s.unasked(usable), c.gangCallSize(s))
+		return c.idsByFreeCPU(s.unqueried(usable), c.gangCallSize(s))
 	}
-	wait := r.ready.Sub(c.now)
+	remaining := r.ready.Sub(c.now)
 	callDuration := policy.Base + time.Duration(len(r.members))*policy.PerWorker
 	if c.busyProxyShare() > highProxyUsage {
 		callDuration = 0 // an unnecessary renewal would delay other calls
 	}
-	if wait <= callDuration+renewalLead && len(r.members) <= maxWorkersPerCall {
-		return c.expiringTickets(s, c.now.Add(max(wait, 0)))
+	if remaining <= callDuration+renewalLead && len(r.members) <= maxWorkersPerCall {
+		return c.expiringTickets(s, c.now.Add(max(remaining, 0)))
 	}
-	if wait > askMoreThreshold && c.busyProxyShare() < lowProxyUsage {
-		return c.idsByFreeCPU(s.unasked(usable), c.gangCallSize(s))
+	if remaining > furtherQueryThreshold && c.busyProxyShare() < lowProxyUsage {
+		return c.idsByFreeCPU(s.unqueried(usable), c.gangCallSize(s))
 	}
 	return nil
 }
@@ -291,7 +293,7 @@
 		perWorker = min(perWorker, s.spec.AntiAffinity)
 	}
 	needed := float64(len(s.tasks)) / float64(perWorker)
-	return min(maxWorkersPerCall, int(math.Ceil(needed*candidateFactor/c.eligibleShare(s.job.Queue))))
+	return min(maxWorkersPerCall, int(math.Ceil(needed*eligibleFactor/c.eligibleShare(s.job.Queue))))
 }
 
 // expiringTickets returns the reserved workers of a gang if the ticket of any of them is not valid
--- a/schedule/reserve_test.go
+++ b/schedule/reserve_test.go
@@ -9,8 +9,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// submitSmallTasks submits jobs of two small tasks for the given duration, which use about four
-// fifths of eight workers.
+// submitSmallTasks schedules submissions of jobs of two small tasks for the given duration. They use
+// about four fifths of eight workers.
 func (s *simulation) submitSmallTasks(queue string, duration time.Duration) {
 	const every = 25 * time.Millisecond
 	for i := range int(duration / every) {
@@ -41,7 +41,7 @@
 		t.Run(queue, func(t *testing.T) {
 			const (
 				stream = 20 * time.Second
-				wait   = 5 * time.Second // wait with which the gang is in time: its objective is twice its 4 s estimate plus 1 s
+				wait   = 5 * time.Second // longest wait of a gang that is on time: its objective is twice its estimate of 4 s plus 1 s
 			)
 			s := newSimulation(t, 3, 8)
 			s.run(time.Second)
@@ -61,7 +61,7 @@
 }
 
 // TestBackfill guards against reserved capacity that stays idle: tasks that end before the gang can
-// start must use it, and longer ones must not.
+// start must backfill it, and longer ones must not.
 func TestBackfill(t *testing.T) {
 	s := newSimulation(t, 4, 1)
 	s.run(time.Second)
@@ -93,8 +93,8 @@
 	s.finish(40 * time.Second)
 }
 
-// TestKeptRoomAfterRouteChange guards against capacity that counts as reserved forever, which
-// prevents further reservations, after the queue of a waiting gang was routed to another service.
+// TestReservationAfterRouteChange guards against a reservation that is never released, and so prevents
+// further ones, after the queue of a waiting gang was routed to another service.
 func TestReservationAfterRouteChange(t *testing.T) {
 	s := newSimulation(t, 6, 2)
 	s.run(time.Second)
@@ -114,7 +114,7 @@
 	elsewhere := job.NewCatalog(2, 2, []job.Queue{
 		*s.catalog.Queue("advised"), {Name: "plain", Service: "other", MaxAttempts: 3, Stretch: 2, Target: time.Second},
 	}, []job.Service{{Name: "calc"}, {Name: "other"}}, nil)
-	s.input(func(c *Core) { c.SetCatalog(elsewhere) })
+	s.dispatch(func(c *Core) { c.SetCatalog(elsewhere) })
 	s.run(500 * time.Millisecond)
 	s.cancel(gang.ID)
 	s.run(500 * time.Millisecond)
@@ -126,7 +126,7 @@
 }
 
 // TestStalePlan guards against capacity that stays reserved for a gang that the passes no longer
-// reach because they are full of more urgent steps.
+// reach because they consider only the most urgent steps.
 func TestStalePlan(t *testing.T) {
 	s := newSimulation(t, 7, 2)
 	s.run(time.Second)
@@ -152,7 +152,7 @@
 }
 
 // TestGangBeyondShare guards against starvation of a gang that needs more than the maximum reserved
-// share, by less urgent gangs that hold reservations in turn.
+// share: less urgent gangs would hold reservations in turn.
 func TestGangBeyondShare(t *testing.T) {
 	const (
 		stream = 30 * time.Second
@@ -181,7 +181,7 @@
 	s.finish(stream)
 }
 
-// TestGangsAfterBacklog guards against gangs that wait on an idle service because their tickets have
+// TestGangsAfterBacklog guards against gangs that wait on an idle service because their tickets
 // expired during a backlog and are renewed only for the few gangs with a reservation.
 func TestGangsAfterBacklog(t *testing.T) {
 	const (
@@ -192,7 +192,7 @@
 	s := newSimulation(t, 7, 48)
 	s.adviceLatency = time.Second // duration of a call for a gang that names 100 workers
 	for i := range 16 {
-		s.every(time.Second, func() { s.input(func(c *Core) { c.SeeLane(fmt.Sprint("more-", i)) }) })
+		s.every(time.Second, func() { s.dispatch(func(c *Core) { c.SeeLane(fmt.Sprint("more-", i)) }) })
 	}
 	s.run(2 * time.Second)
 	s.submit(&job.Job{ID: "00000000000000a0", Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{{
--- a/schedule/roster.go
+++ b/schedule/roster.go
@@ -10,24 +10,24 @@
 )
 
 const (
-	// closeDelay is how long a worker whose last order was not answered may be silent before the
-	// roster closes it and lists its runs: most such workers answer the next poll.
+	// closeDelay is the delay before a worker that did not answer its last order is closed and its
+	// runs are listed in the roster: most such workers answer the next poll.
 	closeDelay = time.Second
-	// closeMissedReports is the number of consecutive missed reports after which a silent worker is
-	// closed without that delay.
+	// closeMissedReports is the number of consecutive missed reports from which a silent worker is
+	// closed without waiting for closeDelay.
 	closeMissedReports = 2
 )
 
 // unresolvedWorker is a worker on which runs of a former owner may exist.
 type unresolvedWorker struct {
-	until  time.Time // its leases have expired by then
-	closed bool      // only tasks can run there
-	tasks  []job.TaskKey
+	leaseExpiry time.Time // by which all leases of the former owners have expired
+	closed      bool      // only the listed tasks can run there
+	tasks       []job.TaskKey
 }
 
 // addUnresolved records which tasks may still run on a worker of a former owner.
-func (c *Core) addUnresolved(r Rostered, until time.Time) {
-	u := unresolvedWorker{until: until, closed: r.Closed}
+func (c *Core) addUnresolved(r Rostered, leaseExpiry time.Time) {
+	u := unresolvedWorker{leaseExpiry: leaseExpiry, closed: r.Closed}
 	for _, name := range r.Tasks {
 		key, err := job.ParseTaskKey(name)
 		if err != nil {
@@ -41,9 +41,10 @@
 	c.countUnresolved(u, 1)
 }
 
+// countUnresolved adds n times the given worker to the counts of unresolved workers and tasks.
 func (c *Core) countUnresolved(u unresolvedWorker, n int) {
 	if !u.closed {
-		c.unresolvedOpen += n
+		c.openUnresolved += n
 		return
 	}
 	for _, key := range u.tasks {
@@ -54,23 +55,23 @@
 // isHeldBack reports whether a task of an inherited step may still run on a worker that has not yet
 // reported its runs.
 func (c *Core) isHeldBack(s *stepState) bool {
-	return s.job.inherited && (c.unresolvedOpen > 0 || c.heldBackTasks[s.key] > 0)
+	return s.job.inherited && (c.openUnresolved > 0 || c.heldBackTasks[s.key] > 0)
 }
 
-// resolve marks a worker as free of runs that this owner does not know.
+// resolve removes a worker from the unresolved ones, once all runs on it are known or have ended.
 func (c *Core) resolve(id string) {
 	if u, open := c.unresolved[id]; open {
 		delete(c.unresolved, id)
 		c.countUnresolved(u, -1)
 		c.passDue = true
-		c.rosterDirty = c.rosterDirty || u.closed // it gets no work until a roster with the worker open is recorded
+		c.rosterDirty = c.rosterDirty || u.closed // the worker gets no tasks until a roster that lists it as open is recorded
 	}
 }
 
 // expireUnresolved resolves the workers of a former owner whose leases have expired.
 func (c *Core) expireUnresolved() {
 	for id, u := range c.unresolved {
-		if c.now.After(u.until) {
+		if c.now.After(u.leaseExpiry) {
 			c.emit(Decision{What: "former_lease_over", Fields: []any{"worker", id, "closed", u.closed, "tasks", len(u.tasks)}})
 			c.resolve(id)
 			c.rosterDirty = true
@@ -78,20 +79,21 @@
 	}
 }
 
-// updateClosed closes a worker that will get no work for some time, or reopens it. Until the leases
-// of a closed worker have expired, a successor holds back only the tasks listed in the roster instead
-// of all inherited tasks. A reopened worker gets no work until the roster that opens it is recorded.
+// updateClosed closes a worker that will get no tasks for some time, or reopens it. Until the leases
+// of a closed worker have expired, a new owner holds back only the tasks listed in the roster instead
+// of all inherited tasks. A reopened worker gets no tasks until a roster that lists it as open is
+// recorded.
 func (c *Core) updateClosed(w *worker) {
 	closing := w.Draining || !w.listed || (w.silent && (w.missedReports >= closeMissedReports || c.now.Sub(w.silentAt) > closeDelay))
 	if closing == w.closed {
 		return
 	}
 	w.closed = closing
-	w.rostered = false
+	w.recordedOpen = false
 	c.rosterDirty = true
 }
 
-// markSilent records that a worker does not answer.
+// markSilent records that a worker does not answer, and since when.
 func (w *worker) markSilent(now time.Time) {
 	if !w.silent {
 		w.silent, w.silentAt = true, now
@@ -104,7 +106,7 @@
 	for id, w := range c.workers {
 		r := Rostered{Worker: id, Closed: w.closed}
 		if u, open := c.unresolved[id]; open {
-			r = u.rostered(id)
+			r = u.rosterEntry(id)
 		}
 		if w.closed && r.Closed {
 			for _, running := range sortedRunsOf(w) {
@@ -115,14 +117,14 @@
 	}
 	for id, u := range c.unresolved {
 		if _, known := c.workers[id]; !known {
-			out = append(out, u.rostered(id))
+			out = append(out, u.rosterEntry(id))
 		}
 	}
 	slices.SortFunc(out, func(a, b Rostered) int { return strings.Compare(a.Worker, b.Worker) })
 	return out
 }
 
-func (u unresolvedWorker) rostered(id string) Rostered {
+func (u unresolvedWorker) rosterEntry(id string) Rostered {
 	r := Rostered{Worker: id, Closed: u.closed}
 	for _, key := range u.tasks {
 		r.Tasks = append(r.Tasks, key.String())
@@ -130,7 +132,7 @@
 	return r
 }
 
-// sizeOf returns the total resources of tasks. Tasks of unknown jobs count as ended.
+// sizeOf returns the total resources of tasks. Tasks of unknown jobs count as ended and are skipped.
 func (c *Core) sizeOf(tasks []job.TaskKey) task.Resources {
 	var sum task.Resources
 	for _, key := range tasks {
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -8,7 +8,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// runState is the state of a run as known to this owner.
+// runState is the state of a run as tracked by this owner.
 type runState int
 
 const (
@@ -18,8 +18,8 @@
 	runStopping
 )
 
-// run is an ordered run of a task. It takes capacity on its worker until the worker lists its end,
-// or until it is certain that it has ended or never started.
+// run is one execution of a task on a worker. It takes capacity there until the worker reports its
+// end or until it has certainly ended or certainly never started.
 type run struct {
 	task   job.TaskKey
 	number int
@@ -30,7 +30,7 @@
 	state  runState
 
 	adopted        bool // ordered by a former owner
-	sizeUnknown    bool // counted in worker.unsizedRuns
+	sizeUnknown    bool // its job is unknown; counted in worker.unsizedRuns
 	startedAt      time.Time
 	answeredAt     time.Time // when the answer to the start order arrived
 	stopSentAt     time.Time // when the last stop order was sent
@@ -51,8 +51,8 @@
 	c.teamUsage(r.team).add(r.size)
 }
 
-// release removes a run and releases its resources.
-func (c *Core) release(r *run) {
+// removeRun removes a run and releases its resources.
+func (c *Core) removeRun(r *run) {
 	w := r.worker
 	if w.runs[r.task] != r {
 		return
@@ -75,7 +75,8 @@
 	c.passDue = true
 }
 
-// nextRun returns a run number higher than all that were used for a task, or for any task of a gang.
+// nextRun returns the number of the next run of a task or gang. It is higher than last and than any
+// number that a former owner has used.
 func (c *Core) nextRun(last int) int {
 	return max(last, int(c.epoch)*c.cfg.RunsPerEpoch) + 1
 }
@@ -140,7 +141,7 @@
 	}
 }
 
-// backOff keeps a worker that rejects orders from getting further ones for a while.
+// backOff suspends placement on a worker that has rejected an order or could not be reached.
 func (c *Core) backOff(w *worker, v Verdict) {
 	const (
 		unhealthyBackoff = time.Second            // a healthy worker accepts orders again within one heartbeat
@@ -155,7 +156,7 @@
 	}
 }
 
-// runStarted handles a run that its worker has accepted or lists as running.
+// runStarted handles a run that its worker has accepted or reports as running.
 func (c *Core) runStarted(r *run) {
 	if r.state != runStopping {
 		r.state = runRunning
@@ -166,7 +167,7 @@
 // runRefused handles a run that certainly did not start.
 func (c *Core) runRefused(r *run) {
 	s := r.step
-	c.release(r)
+	c.removeRun(r)
 	if s != nil && s.spec.Gang {
 		c.stopGang(s)
 	}
@@ -185,19 +186,20 @@
 // stopPartialGangs stops the adopted members of gangs whose other members ended, or never started,
 // under the former owner.
 func (c *Core) stopPartialGangs() {
-	if !c.gangsAdopted || c.unresolvedOpen > 0 {
+	if !c.gangsAdopted || c.openUnresolved > 0 {
 		return
 	}
 	c.gangsAdopted = len(c.unresolved) > 0
 	for _, s := range c.sortedSteps() {
-		if s.spec.Gang && !s.isWhole() && !c.isHeldBack(s) {
+		if s.spec.Gang && !s.isConsistent() && !c.isHeldBack(s) {
 			c.stopGang(s)
 		}
 	}
 }
 
-// isWhole reports whether all members of a gang have the same run number or none has a run.
-func (s *stepState) isWhole() bool {
+// isConsistent reports whether either all members of a gang have a run with the same number or none
+// has a run.
+func (s *stepState) isConsistent() bool {
 	first := s.tasks[0].run
 	for i := range s.tasks {
 		r := s.tasks[i].run
@@ -208,7 +210,7 @@
 	return true
 }
 
-// stop orders a run to stop, unless that was done before.
+// stop sends a stop order for a run, unless one was sent before.
 func (c *Core) stop(r *run) {
 	if r.state == runStopping {
 		return
@@ -253,19 +255,19 @@
 	r.stopAnsweredAt = c.now
 }
 
-// runLost handles a run that has certainly ended or never started, although its end was not listed:
-// its worker has restarted or no longer lists it, its lease has expired, or it was stopped before it
-// started.
-func (c *Core) runLost(r *run, why string) {
+// runLost handles a run that has certainly ended or never started, although its end was not reported:
+// its worker has restarted or no longer reports it, its lease has expired, or it was stopped before
+// it started.
+func (c *Core) runLost(r *run, reason string) {
 	s := r.step
-	c.logDecision(r.task.Job, "run_lost", "task", r.task.String(), "run", r.number, "worker", r.worker.ID, "why", why)
-	c.release(r)
+	c.logDecision(r.task.Job, "run_lost", "task", r.task.String(), "run", r.number, "worker", r.worker.ID, "why", reason)
+	c.removeRun(r)
 	if s != nil && s.spec.Gang {
 		c.stopGang(s)
 	}
 }
 
-// runEnded handles an end that a worker lists.
+// runEnded handles the end of a run that a worker reports.
 func (c *Core) runEnded(w *worker, e EndReport) {
 	r := w.runs[e.Task]
 	if r != nil && r.number != e.Run {
@@ -274,7 +276,7 @@
 	var wasStopping bool
 	if r != nil {
 		wasStopping = r.state == runStopping
-		c.release(r)
+		c.removeRun(r)
 	}
 	s := c.steps[e.Task.StepKey]
 	c.updateFailStreak(w, s, e.How)
@@ -305,9 +307,9 @@
 		if c.countFailure(s, e.Task.Index, e.Run) {
 			return
 		}
-		s.avoid(w.ID)
+		s.countWorkerFailure(w.ID)
 	case e.How == EndedAlone:
-		s.avoid(w.ID)
+		s.countWorkerFailure(w.ID)
 	}
 	if s.spec.Gang {
 		c.stopGang(s)
@@ -358,7 +360,8 @@
 const failingBackoff = 1500 * time.Millisecond
 
 // failingExpiry is how long a worker counts as failing after its last failure. Gangs are not placed
-// on failing workers and so cannot test them; without a limit they would never return to them.
+// on failing workers, so their runs cannot end this state by a success; without the expiry, a worker
+// that could only get gangs would stay excluded.
 const failingExpiry = 4 * time.Second
 
 // isFailing reports whether a worker has recently failed several runs in succession.
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -14,9 +14,9 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// simulation runs a Core in virtual time against simulated workers, a store and an advice service
-// with the semantics of the real ones. Faults are random but reproducible by a seed. Every start is
-// checked independently of the Core.
+// simulation runs a Core in virtual time against simulated workers, a simulated store and a simulated
+// advice service, which have the semantics of the real ones. Faults are random but reproducible by a
+// seed. Every start of a run is checked independently of the Core.
 type simulation struct {
 	t          *testing.T
 	rng        *rand.Rand
@@ -38,9 +38,9 @@
 
 	// State of each task as observed from outside the Core.
 	running   map[job.TaskKey]*simRun
-	done      map[job.TaskKey]bool        // a successful end was confirmed
-	succeeded map[job.TaskKey]bool        // a successful end was listed
-	failed    map[job.TaskKey][]time.Time // times of failed ends that were confirmed
+	done      map[job.TaskKey]bool        // a successful end was confirmed by an owner
+	succeeded map[job.TaskKey]bool        // a run succeeded on its worker
+	failed    map[job.TaskKey][]time.Time // end times of the failed runs that an owner confirmed
 	starts    map[job.TaskKey][]time.Time
 	history   map[job.TaskKey][]string // events, for failure messages
 	usage     map[string]task.Resources
@@ -48,7 +48,7 @@
 	orderLossRate float64 // share of the orders whose answer is lost
 	lateOrders    bool    // lost orders may be executed late
 	faults        []string
-	onAsk         func(Ask) // called for each advice call; may be nil
+	onAdviceCall  func(Ask) // called for each advice call; may be nil
 
 	adviceLatency time.Duration
 }
@@ -60,7 +60,7 @@
 
 type simWorker struct {
 	Worker
-	partitioned    bool // no order arrives, but runs continue
+	partitioned    bool // orders do not arrive, but runs continue
 	dead           bool // not running and not listed
 	fence          int64
 	clockOrigin    time.Time
@@ -70,7 +70,7 @@
 	ended          []EndReport
 	endedAt        []time.Time // by number
 	leaseExpiredAt time.Time   // when it last had no valid lease
-	number         uint64
+	lastEndNumber  uint64
 	failAll        bool
 	answerPoll     func() // answers a poll that waits for an end
 }
@@ -86,9 +86,9 @@
 }
 
 type timer struct {
-	at    time.Time
-	order int
-	do    func()
+	at       time.Time
+	sequence int
+	do       func()
 }
 
 type timers []timer
@@ -96,7 +96,7 @@
 func (q timers) Len() int { return len(q) }
 func (q timers) Less(a, b int) bool {
 	if q[a].at.Equal(q[b].at) {
-		return q[a].order < q[b].order
+		return q[a].sequence < q[b].sequence
 	}
 	return q[a].at.Before(q[b].at)
 }
@@ -125,11 +125,11 @@
 		s.workers[id] = s.newWorker(Worker{ID: id, Born: 1, Address: id, Service: "calc", Rack: fmt.Sprint("r", i/4),
 			Labels: []string{"a", fmt.Sprint("r", i/4)}, Capacity: task.Resources{CPUMilli: 32_000, MemoryMB: 128 << 10}})
 	}
-	s.every(10*time.Millisecond, func() { s.input(func(c *Core) { c.Tick() }) })
+	s.every(10*time.Millisecond, func() { s.dispatch(func(c *Core) { c.Tick() }) })
 	s.every(100*time.Millisecond, s.expireLeases)
 	s.every(700*time.Millisecond, func() {
 		listed := s.listed()
-		s.input(func(c *Core) { c.Directory(listed) })
+		s.dispatch(func(c *Core) { c.Directory(listed) })
 	})
 	s.takeOver()
 	return s
@@ -158,11 +158,11 @@
 	return out
 }
 
-// takeOver replaces the owner by a new one that loads the recorded state.
+// takeOver replaces the owner by a new one, which loads the recorded state.
 func (s *simulation) takeOver() {
 	s.fence++
 	s.core = New(s.now, DefaultConfig(), s.fence, s.catalog, s.roster)
-	s.input(func(c *Core) {
+	s.dispatch(func(c *Core) {
 		c.SeeLane("i1")
 		c.SeeLane("i2")
 		for _, id := range sortedIDs(s.records) {
@@ -201,13 +201,14 @@
 
 func (s *simulation) after(d time.Duration, do func()) {
 	s.timerCount++
-	heap.Push(&s.timers, timer{at: s.now.Add(d), order: s.timerCount, do: do})
+	heap.Push(&s.timers, timer{at: s.now.Add(d), sequence: s.timerCount, do: do})
 }
 
 func (s *simulation) every(d time.Duration, do func()) {
 	s.after(d, func() { do(); s.every(d, do) })
 }
 
+// run advances the virtual time by d.
 func (s *simulation) run(d time.Duration) {
 	end := s.now.Add(d)
 	for len(s.timers) > 0 && !s.timers[0].at.After(end) && !s.t.Failed() {
@@ -218,8 +219,8 @@
 	s.now = end
 }
 
-// input passes an event to the current owner and executes its effects.
-func (s *simulation) input(event func(*Core)) {
+// dispatch passes an event to the current owner and executes its effects.
+func (s *simulation) dispatch(event func(*Core)) {
 	core, fence := s.core, s.fence
 	core.Begin(s.now, s.now)
 	core.SeeLane("i1")
@@ -234,7 +235,7 @@
 func (s *simulation) reply(core *Core, d time.Duration, event func(*Core)) {
 	s.after(d, func() {
 		if s.core == core {
-			s.input(event)
+			s.dispatch(event)
 		}
 	})
 }
@@ -252,8 +253,8 @@
 	case Stop:
 		s.deliver(core, func() Verdict { return s.stopRun(fence, e) }, func(c *Core, v Verdict) { c.StopDone(StopDone{Stop: e, Verdict: v}) })
 	case Ask:
-		if s.onAsk != nil {
-			s.onAsk(e)
+		if s.onAdviceCall != nil {
+			s.onAdviceCall(e)
 		}
 		s.reply(core, s.adviceLatency, func(c *Core) {
 			tickets := map[string]string{}
@@ -269,8 +270,8 @@
 	}
 }
 
-// isEligible is the rule of the simulated advice service: a fixed half of the workers, approximately,
-// may run a step.
+// isEligible reports whether the simulated advice service allows a worker to run a step: about half of
+// the workers may, always the same ones for a job.
 func isEligible(k job.StepKey, worker string) bool {
 	return (len(worker)+int(worker[2])+int(k.Job[15]))%2 == 0
 }
@@ -282,7 +283,7 @@
 	}
 	s.after(20*time.Millisecond, func() {
 		if s.core != core {
-			return // the ownership conditions fail
+			return // the transaction fails, since another owner has taken over
 		}
 		for _, change := range e.Changes {
 			if change.Final != nil {
@@ -327,13 +328,13 @@
 	s.pendingJobs = max(0, s.pendingJobs-1)
 	j.AcceptedAt = s.now
 	s.records[j.ID] = &record{job: j}
-	s.input(func(c *Core) { c.Accept(j) })
+	s.dispatch(func(c *Core) { c.Accept(j) })
 }
 
 // cancel records the cancellation of a job and passes it to the owner.
 func (s *simulation) cancel(id job.ID) {
 	if _, open := s.records[id]; open {
 		s.cancels[id] = s.now
-		s.input(func(c *Core) { c.Cancel(id, 0) })
+		s.dispatch(func(c *Core) { c.Cancel(id, 0) })
 	}
 }
--- a/schedule/simcheck_test.go
+++ b/schedule/simcheck_test.go
@@ -9,7 +9,7 @@
 	"github.com/mulberrydrum/mulberrydrum/job"
 )
 
-// checkStart checks the invariants that must hold when a task starts.
+// checkStart checks the invariants that must hold when a run starts.
 func (s *simulation) checkStart(r *simRun, j *job.Job) {
 	violation := func(format string, args ...any) {
 		s.t.Errorf("at %s: start of %s run %d on %s: %s", s.now.Format("05.000"), r.key, r.number, r.worker.ID, fmt.Sprintf(format, args...))
@@ -30,9 +30,9 @@
 	if limit := s.catalog.Team(j.Team).Limit; !limit.IsZero() && s.usage[j.Team].Add(r.size).CPUMilli > limit.CPUMilli {
 		violation("team %s already uses %s", j.Team, s.usage[j.Team])
 	}
-	for _, earlier := range j.Steps[r.key.Step].After {
-		for i := range j.Steps[earlier].Count {
-			if key := (job.TaskKey{StepKey: job.StepKey{Job: j.ID, Step: earlier}, Index: i}); !s.succeeded[key] {
+	for _, dependency := range j.Steps[r.key.Step].After {
+		for i := range j.Steps[dependency].Count {
+			if key := (job.TaskKey{StepKey: job.StepKey{Job: j.ID, Step: dependency}, Index: i}); !s.succeeded[key] {
 				violation("dependency %s has not succeeded", key)
 			}
 		}
@@ -44,7 +44,8 @@
 	s.logEvent(r.key, "run %d starts on %s", r.number, r.worker.ID)
 }
 
-// finish runs the simulation until every job should have ended and checks the final states.
+// finish runs the simulation until every job has ended, at most for the given time, and checks the
+// final states.
 func (s *simulation) finish(within time.Duration) {
 	s.runUntilEnded(within)
 	s.checkAttempts()
@@ -65,19 +66,19 @@
 	}
 }
 
-// runUntilEnded runs until every job has ended, and then for as long as a lost order may still be
-// executed.
+// runUntilEnded runs until every job has ended, at most for the given time, and then for as long as a
+// lost order may still be executed.
 func (s *simulation) runUntilEnded(within time.Duration) {
-	const latest = 15 * time.Second // an order is at most 11 s late, and the worker lists its end in its next report
+	const maxOrderDelay = 15 * time.Second // an order is at most 11 s late, and the worker reports the end of the run in its next report
 	end := s.now.Add(within)
 	for s.now.Before(end) && (len(s.finals) < len(s.jobs) || s.pendingJobs > 0) && !s.t.Failed() {
 		s.run(time.Second)
 	}
-	s.run(latest)
+	s.run(maxOrderDelay)
 }
 
-// checkAttempts checks that no task started after as many failed runs as its queue allows, counting
-// those whose ends were confirmed at any time.
+// checkAttempts checks that no task started after as many failed runs as its queue allows. Only failures
+// that an owner has confirmed count.
 func (s *simulation) checkAttempts() {
 	for key, starts := range s.starts {
 		for _, at := range starts {
@@ -94,12 +95,13 @@
 	}
 }
 
+// logEvent adds an event to the history of a task.
 func (s *simulation) logEvent(key job.TaskKey, format string, args ...any) {
 	s.history[key] = append(s.history[key], s.now.Format("05.000 ")+fmt.Sprintf(format, args...))
 }
 
-// mayFail reports whether a failing worker may have used up the attempts of a job that should
-// succeed.
+// mayFail reports whether a worker that fails all runs may have used up the attempts of a job that
+// should succeed.
 func (s *simulation) mayFail() bool {
 	return slices.ContainsFunc(s.faults, func(f string) bool { return strings.HasPrefix(f, "fail") })
 }
@@ -110,12 +112,12 @@
 	if j == nil {
 		return "unknown"
 	}
-	text := fmt.Sprintf("state %s, remaining %d, version %d, recorded %d, runs %d, unresolved %d;", j.state, j.remaining, j.version, j.recordedVersion, len(j.runs), len(c.unresolved))
+	text := fmt.Sprintf("state %s, unfinished steps %d, version %d, recorded %d, runs %d, unresolved %d;", j.state, j.unfinishedSteps, j.version, j.recordedVersion, len(j.runs), len(c.unresolved))
 	for _, s := range c.steps {
 		if s.job != j {
 			continue
 		}
-		text += fmt.Sprintf(" step %s ready %v left %d gang %v wait %q asked %d tickets %d advice call %v;", s.key, s.ready, s.unfinishedTasks, s.spec.Gang, s.wait, len(s.advice.asked), len(s.advice.tickets), s.advice.proxy != nil)
+		text += fmt.Sprintf(" step %s ready %v unfinished tasks %d gang %v wait %q queried %d tickets %d advice call %v;", s.key, s.ready, s.unfinishedTasks, s.spec.Gang, s.wait, len(s.advice.queried), len(s.advice.tickets), s.advice.proxy != nil)
 		for i := range s.tasks {
 			if r := s.tasks[i].run; r != nil {
 				text += fmt.Sprintf(" task %d run %d on %s state %d;", i, r.number, r.worker.ID, r.state)
--- a/schedule/simworker_test.go
+++ b/schedule/simworker_test.go
@@ -8,7 +8,8 @@
 	"github.com/mulberrydrum/mulberrydrum/job"
 )
 
-// workerFor returns the worker that accepts an order, or the verdict if there is none.
+// workerFor returns the worker if it accepts an order with the given fencing token, and otherwise the
+// verdict of the rejection.
 func (s *simulation) workerFor(fence int64, to Target) (*simWorker, Verdict) {
 	w := s.workers[to.Worker]
 	switch {
@@ -45,7 +46,7 @@
 	}
 	for _, e := range w.ended {
 		if e.Number > order.Confirmed || w.leaseExpiredAt.After(w.endedAt[e.Number-1]) {
-			continue // ends before the lease expired do not count
+			continue // an end before the expiry of the lease does not count
 		}
 		s.logEvent(e.Task, "end %d of %s confirmed by owner %d", e.Number, w.ID, fence)
 		switch e.How {
@@ -116,13 +117,14 @@
 	}
 	s.after(spec.Estimate+time.Duration(s.rng.IntN(300))*time.Millisecond, func() {
 		if spec.Gang && !s.isGangComplete(r, spec.Count) && how == EndedDone {
-			return // it ends when the gang is stopped or has waited too long for its members
+			return // the run ends when the gang is stopped or its members did not start in time
 		}
 		s.endRun(r, how)
 	})
 	return Accepted
 }
 
+// isGangComplete reports whether all members of the gang of a run are running with its run number.
 func (s *simulation) isGangComplete(r *simRun, count int) bool {
 	for i := range count {
 		other := s.running[job.TaskKey{StepKey: r.key.StepKey, Index: i}]
@@ -133,6 +135,7 @@
 	return true
 }
 
+// checkGangTimeout ends a gang member whose other members did not start in time.
 func (s *simulation) checkGangTimeout(r *simRun, count int) {
 	if r.ended || s.isGangComplete(r, count) {
 		return
@@ -150,10 +153,10 @@
 	s.removeRun(r)
 	w := r.worker
 	w.stopped[r.key] = max(w.stopped[r.key], r.number)
-	w.number++
-	w.ended = append(w.ended, EndReport{Number: w.number, Task: r.key, Run: r.number, How: how})
+	w.lastEndNumber++
+	w.ended = append(w.ended, EndReport{Number: w.lastEndNumber, Task: r.key, Run: r.number, How: how})
 	w.endedAt = append(w.endedAt, s.now)
-	s.logEvent(r.key, "run %d %s as end %d of %s", r.number, how, w.number, w.ID)
+	s.logEvent(r.key, "run %d %s as end %d of %s", r.number, how, w.lastEndNumber, w.ID)
 	if how == EndedDone {
 		s.succeeded[r.key] = true
 	}
@@ -211,7 +214,7 @@
 	}
 }
 
-// restart stops a worker and starts it again under the same ID after the given time.
+// restart stops a worker and starts a new incarnation of it after the given time.
 func (s *simulation) restart(id string, down time.Duration) {
 	w := s.workers[id]
 	for _, r := range w.runs {
--- a/schedule/teamlimit_test.go
+++ b/schedule/teamlimit_test.go
@@ -8,10 +8,10 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// countAsks counts the advice calls for a job from now on.
-func (s *simulation) countAsks(id job.ID) *int {
+// countAdviceCalls returns a counter of the advice calls for a job from now on.
+func (s *simulation) countAdviceCalls(id job.ID) *int {
 	n := 0
-	s.onAsk = func(a Ask) {
+	s.onAdviceCall = func(a Ask) {
 		if a.Step.Job == id {
 			n++
 		}
@@ -20,7 +20,7 @@
 }
 
 // TestNoAdviceAtLimit guards against repeated advice calls for a step that cannot start because its
-// team is at its limit. They would take advice proxies from other steps.
+// team is at its limit. They would occupy advice proxies that other steps need.
 func TestNoAdviceAtLimit(t *testing.T) {
 	for _, gang := range []bool{false, true} {
 		s := newSimulation(t, 5, 48)
@@ -31,13 +31,13 @@
 		s.submit(busy)
 		s.run(500 * time.Millisecond)
 		const id = "00000000000000a1"
-		asks := s.countAsks(id)
+		calls := s.countAdviceCalls(id)
 		s.submit(&job.Job{ID: id, Queue: "advised", Team: "red", Spec: "work", Steps: []job.Step{{
 			Count: 2, Gang: gang, Size: task.Resources{CPUMilli: 20_000, MemoryMB: 100}, Estimate: time.Second,
 		}}})
 		s.run(4 * time.Second)
-		if *asks > 1 {
-			t.Errorf("gang %v: %d advice calls for a step whose team is at its limit, want at most 1", gang, *asks)
+		if *calls > 1 {
+			t.Errorf("gang %v: %d advice calls for a step whose team is at its limit, want at most 1", gang, *calls)
 		}
 		s.finish(20 * time.Second)
 	}
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -8,7 +8,7 @@
 	"github.com/mulberrydrum/mulberrydrum/job"
 )
 
-// Status is the state of a job as every instance reports it to callers.
+// Status is the state of a job that every instance reports to callers.
 type Status struct {
 	Job   job.ID
 	State job.State
@@ -17,7 +17,7 @@
 }
 
 // View is the part of the owner's state that is replicated to every instance: the job states that
-// have changed since the instance last asked, and how it should handle submissions.
+// have changed since the instance's last request, and the limits for accepting submissions.
 type View struct {
 	Epoch    int64
 	Sequence uint64 // of the last change
@@ -27,13 +27,13 @@
 	Admit    map[string]float64 // share of a team's submissions to accept; 1 if missing
 }
 
-// maxChanges is the minimum number of changes retained for instances that ask rarely; at most twice
-// as many are kept. At 200 changes per second it covers more than 30 s; an instance that is further
-// behind gets a full view.
+// maxChanges is the minimum number of changes retained for instances that lag behind; at most twice
+// as many are retained. At 200 changes per second it covers more than 30 s; an instance that lags by
+// more gets a full view.
 const maxChanges = 8192
 
 // finalRetention is how long final states stay in the owner's memory. The store retains them for as
-// long as callers may ask for them.
+// long as callers may request them.
 const finalRetention = 30 * time.Second
 
 // publish makes a new state of a job visible to callers.
@@ -63,7 +63,7 @@
 	for id, j := range c.jobs {
 		state := j.state
 		if state.IsFinal() {
-			state = job.Running // not recorded yet
+			state = job.Running // the final state is not recorded yet
 		}
 		v.Changes = append(v.Changes, Status{Job: id, State: state, Queue: j.Queue, Team: j.Team})
 	}
--- a/schedule/wait.go
+++ b/schedule/wait.go
@@ -6,22 +6,22 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// waitCause is the reason why tasks of a step do not start, as used in logs.
+// waitCause is the cause, as logged, for which tasks of a step are not started.
 type waitCause string
 
 const (
-	waitsForLimit    waitCause = "team_limit"     // its team is at its limit
+	waitsForLimit    waitCause = "team_limit"     // the team is at its limit
 	waitsForCapacity waitCause = "no_room"        // not enough free capacity on the eligible workers
 	waitsForWorker   waitCause = "no_worker"      // no worker has both free capacity and a valid ticket
-	waitsForTicket   waitCause = "no_ticket"      // all of its tickets have expired
+	waitsForTicket   waitCause = "no_ticket"      // all tickets of the step have expired
 	waitsForShare    waitCause = "reserved_share" // the maximum share is reserved for gangs
-	waitsForPlan     waitCause = "plans"          // more urgent gangs have used up the plans of the pass
+	waitsForPlan     waitCause = "plans"          // plans for more urgent gangs have reached the limit of the pass
 	waitsForEligible waitCause = "few_workers"    // too few workers are eligible
 	waitsForReserved waitCause = "reserved"       // capacity is reserved but not all of it is free yet
 )
 
-// waitLogInterval is the minimum interval between log entries on a step that waits for the same
-// cause. A backlog has hundreds of waiting steps.
+// waitLogInterval is the minimum interval between log entries for a step whose wait cause has not
+// changed, since a backlog has hundreds of waiting steps.
 const waitLogInterval = 4 * time.Second
 
 // recordWait records and logs why a step waits.
@@ -35,12 +35,13 @@
 		"slack_ms", s.latestStart.Sub(c.now).Milliseconds()}, fields...)...)
 }
 
-// waitReason returns why tasks of a step were not started.
-func waitReason(options, allowed int) waitCause {
+// placementWaitCause returns the wait cause after tasks of a step were not started. It takes the
+// number of candidate workers and the number of tasks that the limit of the team still allows.
+func placementWaitCause(candidates, allowed int) waitCause {
 	switch {
 	case allowed <= 0:
 		return waitsForLimit
-	case options == 0:
+	case candidates == 0:
 		return waitsForWorker
 	default:
 		return waitsForCapacity
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -9,12 +9,12 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// worker is the state of a worker as known to this owner.
+// worker is the state of a worker as tracked by this owner.
 type worker struct {
 	Worker
-	listed        bool      // in the latest directory
-	rostered      bool      // the recorded roster lists it as open, so that a new owner expects runs on it
-	closed        bool      // it gets no new runs, so that the roster can list all of its runs
+	listed        bool      // contained in the latest directory
+	recordedOpen  bool      // the durable roster lists it as open, so that a new owner expects any runs on it
+	closed        bool      // it gets no new runs, so that the roster can list all runs that may exist there
 	fenced        bool      // this incarnation has answered a poll of this owner, so that it rejects former owners
 	silent        bool      // it does not answer
 	silentAt      time.Time // since when it does not answer
@@ -24,31 +24,31 @@
 	claims        map[job.StepKey]claim // capacity reserved for gangs
 	ends          []expectedEnd         // expected ends of its runs, cached as of endsAt
 	endsAt        time.Time
-	unsizedRuns   int // runs of unknown size that are being stopped
+	unsizedRuns   int // number of runs of unknown size, which are being stopped
 
-	clock        time.Duration // last reading of the worker's clock
-	clockAt      time.Time     // when that reading arrived
-	maxLease     time.Duration // latest lease end sent, on the worker's clock
-	polling      bool          // a poll is in flight
-	nextPoll     time.Time
-	processed    uint64       // number of the last processed end
-	confirmed    uint64       // ends up to this number are recorded and may be discarded
-	pending      []pendingEnd // sorted by number
-	backoffUntil time.Time    // no starts before this time, after rejected orders and failed runs
-	failStreak   int          // consecutive failed runs
-	failedAt     time.Time    // when the last of these was listed
-	probe        *run         // only run on a failing worker, to test whether it has recovered
-	progressAt   time.Time    // when a run last made progress
+	clock         time.Duration // last reading of the worker's clock
+	clockAt       time.Time     // when that reading arrived
+	maxLeaseEnd   time.Duration // latest lease end sent, on the worker's clock
+	polling       bool          // a poll is in flight
+	nextPoll      time.Time
+	lastProcessed uint64       // number of the last ended run that was processed
+	confirmed     uint64       // the effect of ends up to this number is durable; the worker may discard them
+	pendingEnds   []pendingEnd // sorted by number
+	backoffUntil  time.Time    // no placement before this time, after rejected orders and failed runs
+	failStreak    int          // consecutive failed runs
+	failedAt      time.Time    // when the last of these was reported
+	probe         *run         // only run on a failing worker, to test whether it has recovered
+	progressAt    time.Time    // when a run last made progress
 }
 
-// pendingEnd is an end that may be confirmed once the given version of its job is recorded.
+// pendingEnd is the end of a run that may be confirmed once the given version of its job is durable.
 type pendingEnd struct {
 	number  uint64
 	job     *jobState
 	version uint64
 }
 
-// Directory replaces the list of existing workers.
+// Directory applies a new list of all existing workers.
 func (c *Core) Directory(listed []Worker) {
 	for _, w := range c.workers {
 		w.listed = false
@@ -81,7 +81,7 @@
 	return c.workerOrder
 }
 
-// removeUnlisted removes workers that are no longer listed and on which no runs can exist.
+// removeUnlisted removes the workers that are no longer listed and on which no runs can exist.
 func (c *Core) removeUnlisted() {
 	for id, w := range c.workers {
 		_, unresolved := c.unresolved[id]
@@ -93,8 +93,8 @@
 	}
 }
 
-// updateIncarnation discards the runs of a previous incarnation of a worker, since runs do not
-// survive a restart.
+// updateIncarnation applies the incarnation that a worker reports. If it has changed, the runs of the
+// previous incarnation are lost, since runs do not survive a restart.
 func (c *Core) updateIncarnation(w *worker, born int64) {
 	if w.Born == 0 || born == w.Born || born == 0 {
 		if born != 0 {
@@ -105,8 +105,8 @@
 	c.emit(Decision{What: "worker_restarted", Fields: []any{"worker", w.ID, "runs", len(w.runs)}})
 	w.Born = born
 	w.fenced = false
-	w.clock, w.clockAt, w.maxLease = 0, time.Time{}, 0
-	w.processed, w.confirmed, w.pending = 0, 0, nil
+	w.clock, w.clockAt, w.maxLeaseEnd = 0, time.Time{}, 0
+	w.lastProcessed, w.confirmed, w.pendingEnds = 0, 0, nil
 	w.unsizedRuns, w.failStreak, w.probe = 0, 0, nil
 	for _, r := range sortedRunsOf(w) {
 		c.runLost(r, "worker_restarted")
@@ -131,18 +131,19 @@
 // leaseExpired reports whether every lease that this owner may have granted to the worker has
 // expired.
 func (c *Core) leaseExpired(w *worker) bool {
-	if w.maxLease == 0 {
+	if w.maxLeaseEnd == 0 {
 		return true
 	}
-	return c.now.After(w.clockAt.Add(scaleDrift(w.maxLease-w.clock) + leaseMargin))
+	return c.now.After(w.clockAt.Add(maxLocalDuration(w.maxLeaseEnd-w.clock) + leaseMargin))
 }
 
 // workerClock estimates the current time on the worker's clock from its last reading.
 func (c *Core) workerClock(w *worker) time.Duration { return w.clock + c.now.Sub(w.clockAt) }
 
+// leaseEnd returns the end of a lease that is granted now, on the worker's clock, and records it.
 func (c *Core) leaseEnd(w *worker) time.Duration {
 	end := c.workerClock(w) + c.cfg.Lease
-	w.maxLease = max(w.maxLease, end)
+	w.maxLeaseEnd = max(w.maxLeaseEnd, end)
 	return end
 }
 
@@ -174,13 +175,14 @@
 	}
 }
 
+// poll sends a poll to a worker, which also renews its lease if it answers polls of this owner.
 func (c *Core) poll(w *worker) {
 	order := Hold{Target: w.target(), Confirmed: w.confirmed}
 	// The lease of a worker that does not answer is not renewed: a renewal that may have arrived
 	// would delay the time from which its tasks can be restarted elsewhere.
 	if w.fenced && !w.silent {
 		order.LeaseEnd = c.leaseEnd(w)
-		if len(w.pending) == 0 {
+		if len(w.pendingEnds) == 0 {
 			order.Wait = c.cfg.HoldWait
 		}
 	}
@@ -195,14 +197,15 @@
 	return b
 }
 
-// pollRetryDelay is the step of the backoff before a worker that did not answer is polled again.
+// pollRetryDelay is the increment of the linear backoff between polls of a worker that does not
+// answer. The backoff is at most twice this delay.
 const pollRetryDelay = 250 * time.Millisecond
 
-// unrecordedPollDelay is the delay before a worker is polled again whose ends are not recorded yet:
-// a poll without a long-poll timeout would return at once.
+// unrecordedPollDelay is the delay before the next poll of a worker whose ends are not all recorded
+// yet. Without the delay, polls would repeat at once, since they are sent without a long-poll timeout.
 const unrecordedPollDelay = 400 * time.Millisecond
 
-// HoldDone handles a worker's report.
+// HoldDone handles the answer to a poll: a worker's report or the failure of the call.
 func (c *Core) HoldDone(e HoldDone) {
 	w := c.workers[e.Hold.Worker]
 	if w == nil {
@@ -210,8 +213,7 @@
 	}
 	w.polling = false
 	if e.Verdict != Accepted {
-		// One lost report does not prove that the worker is silent; the next one is requested at
-		// once.
+		// A single lost report does not make the worker silent; the next one is requested at once.
 		w.missedReports++
 		if w.missedReports > 1 || e.Verdict != Unclear {
 			w.markSilent(c.now)
@@ -233,7 +235,7 @@
 	c.resolve(w.ID)
 	c.advanceConfirmed(w)
 	switch {
-	case first || len(w.pending) == 0:
+	case first || len(w.pendingEnds) == 0:
 		w.nextPoll = c.now
 		c.poll(w)
 	default:
@@ -242,28 +244,29 @@
 	c.passDue = true
 }
 
-// processEnds handles the ends that were not processed before.
+// processEnds handles those ends that were not processed before.
 func (c *Core) processEnds(w *worker, ends []EndReport) {
 	for _, e := range ends {
-		if e.Number <= w.processed {
+		if e.Number <= w.lastProcessed {
 			continue
 		}
-		w.processed = e.Number
+		w.lastProcessed = e.Number
 		j := c.jobs[e.Task.Job]
 		c.runEnded(w, e)
-		// An end that changes nothing also waits until the current version of its job is recorded:
-		// the failure that ended the job may still be lost, and this end with it.
+		// An end that does not change the job is also confirmed only once the current version of the
+		// job is durable: the change that ended the job may still be lost in a takeover, and the new
+		// owner then needs this end.
 		if j != nil && j.recordedVersion < j.version {
-			w.pending = append(w.pending, pendingEnd{number: e.Number, job: j, version: j.version})
+			w.pendingEnds = append(w.pendingEnds, pendingEnd{number: e.Number, job: j, version: j.version})
 		}
 	}
 }
 
-// processRunning reconciles the runs that a worker lists with the state of this owner.
+// processRunning reconciles the runs that a worker reports as running with the state of this owner.
 func (c *Core) processRunning(w *worker, e HoldDone) {
-	seen := make(map[job.TaskKey]int, len(e.Running))
+	reported := make(map[job.TaskKey]int, len(e.Running))
 	for _, report := range e.Running {
-		seen[report.Task] = report.Run
+		reported[report.Task] = report.Run
 		r, known := w.runs[report.Task]
 		if !known || r.number != report.Run {
 			c.adopt(w, report)
@@ -275,28 +278,29 @@
 		}
 	}
 	for _, r := range sortedRunsOf(w) {
-		if number, running := seen[r.task]; !running || number != r.number {
+		if number, running := reported[r.task]; !running || number != r.number {
 			c.checkMissing(r, e.SentAt)
 		}
 	}
 }
 
-// checkMissing handles a run that a report does not list. The report is conclusive only if it was
-// requested after the order was answered.
-func (c *Core) checkMissing(r *run, reportSentAt time.Time) {
+// checkMissing handles a run that is missing from a report. The report is conclusive only if it was
+// requested after the start or stop order was answered.
+func (c *Core) checkMissing(r *run, requestedAt time.Time) {
 	switch r.state {
 	case runRunning:
-		if reportSentAt.After(r.answeredAt) {
+		if requestedAt.After(r.answeredAt) {
 			c.runLost(r, "not_listed")
 		}
 	case runStopping, runUnclear:
-		if !r.stopAnsweredAt.IsZero() && reportSentAt.After(r.stopAnsweredAt) {
+		if !r.stopAnsweredAt.IsZero() && requestedAt.After(r.stopAnsweredAt) {
 			c.runLost(r, "stopped_before_start")
 		}
 	}
 }
 
-// adopt takes over a run that this owner did not order, or stops it if its task must not run there.
+// adopt takes over a reported run that this owner did not order, or stops it if its task is done,
+// unknown or has another run.
 func (c *Core) adopt(w *worker, report RunReport) {
 	if _, known := w.runs[report.Task]; known {
 		// This owner has ordered another run of the task on this worker, so this one is obsolete.
@@ -332,14 +336,14 @@
 	c.logDecision(s.key.Job, "adopted", "task", report.Task.String(), "run", report.Run, "worker", w.ID)
 }
 
-// advanceConfirmed advances the number up to which the worker may discard ends.
+// advanceConfirmed advances the number up to which the worker may discard ends of runs.
 func (c *Core) advanceConfirmed(w *worker) {
-	for len(w.pending) > 0 && w.pending[0].job.recordedVersion >= w.pending[0].version {
-		w.pending = w.pending[1:]
+	for len(w.pendingEnds) > 0 && w.pendingEnds[0].job.recordedVersion >= w.pendingEnds[0].version {
+		w.pendingEnds = w.pendingEnds[1:]
 	}
-	if len(w.pending) > 0 {
-		w.confirmed = w.pending[0].number - 1
+	if len(w.pendingEnds) > 0 {
+		w.confirmed = w.pendingEnds[0].number - 1
 	} else {
-		w.confirmed = w.processed
+		w.confirmed = w.lastProcessed
 	}
 }
