--- a/schedule/faults_test.go
+++ b/schedule/faults_test.go
@@ -203,8 +203,8 @@
 // leases of a lost worker expire, although the worker was lost some time before the takeover.
 func TestTakeoverBesideLostWorker(t *testing.T) {
 	const (
-		lostFor = 3200 * time.Millisecond // two reports are missed, and the leases have not expired
-		soon    = 500 * time.Millisecond  // a new owner needs a report of each worker
+		lostFor  = 3200 * time.Millisecond // two reports are missed, and the leases have not expired
+		maxDelay = 500 * time.Millisecond  // a new owner needs a report of each worker
 	)
 	s := newSimulation(t, 5, 4)
 	s.run(time.Second)
@@ -223,9 +223,9 @@
 	waiting.AcceptedAt = s.now
 	s.records[waiting.ID] = &record{job: waiting} // the job was not passed to the former owner
 	s.takeOver()
-	s.run(soon)
+	s.run(maxDelay)
 	if !s.hasStarted(waiting.ID, 3) {
-		t.Errorf("inherited work waits %s after the takeover: %s", soon, s.core.describe(waiting.ID))
+		t.Errorf("inherited work waits %s after the takeover: %s", maxDelay, s.core.describe(waiting.ID))
 	}
 	s.after(10*time.Second, func() { lost.partitioned = false })
 	s.finish(60 * time.Second)
--- a/schedule/reserve_test.go
+++ b/schedule/reserve_test.go
@@ -12,10 +12,10 @@
 // submitSmallTasks schedules submissions of jobs of two small tasks for the given duration. They use
 // about four fifths of eight workers.
 func (s *simulation) submitSmallTasks(queue string, duration time.Duration) {
-	const every = 25 * time.Millisecond
-	for i := range int(duration / every) {
+	const interval = 25 * time.Millisecond
+	for i := range int(duration / interval) {
 		s.pendingJobs++
-		s.after(time.Duration(i)*every, func() {
+		s.after(time.Duration(i)*interval, func() {
 			s.submit(&job.Job{ID: job.ID(fmt.Sprintf("%016x", 0xb000+i)), Queue: queue, Team: "blue", Spec: "work", Steps: []job.Step{{
 				Count: 2, Size: task.Resources{CPUMilli: 4_000, MemoryMB: 100}, Estimate: 500 * time.Millisecond,
 			}}})
@@ -40,22 +40,22 @@
 	for _, queue := range []string{"plain", "advised"} {
 		t.Run(queue, func(t *testing.T) {
 			const (
-				stream = 20 * time.Second
-				wait   = 5 * time.Second // longest wait of a gang that is on time: its objective is twice its estimate of 4 s plus 1 s
+				streamDuration = 20 * time.Second
+				maxWait        = 5 * time.Second // longest wait of a gang that is on time: its objective is twice its estimate of 4 s plus 1 s
 			)
 			s := newSimulation(t, 3, 8)
 			s.run(time.Second)
-			s.submitSmallTasks(queue, stream)
+			s.submitSmallTasks(queue, streamDuration)
 			s.run(3 * time.Second)
 			const id = "00000000000000a0"
 			s.submit(&job.Job{ID: id, Queue: queue, Team: "blue", Spec: "work", Steps: []job.Step{{
 				Count: 4, Gang: true, Size: task.Resources{CPUMilli: 28_000, MemoryMB: 100}, Estimate: 4 * time.Second,
 			}}})
-			s.run(wait)
+			s.run(maxWait)
 			if !s.hasStarted(id, 4) {
-				t.Errorf("the gang has not started after %s: %s", wait, s.core.describe(id))
+				t.Errorf("the gang has not started after %s: %s", maxWait, s.core.describe(id))
 			}
-			s.finish(stream)
+			s.finish(streamDuration)
 		})
 	}
 }
@@ -155,9 +155,9 @@
 // share: less urgent gangs would hold reservations in turn.
 func TestGangBeyondShare(t *testing.T) {
 	const (
-		stream = 30 * time.Second
-		every  = 40 * time.Millisecond
-		wait   = 20 * time.Second
+		streamDuration = 30 * time.Second
+		interval       = 40 * time.Millisecond
+		maxWait        = 20 * time.Second
 	)
 	s := newSimulation(t, 6, 48)
 	s.run(time.Second)
@@ -167,27 +167,27 @@
 		}}}
 	}
 	// A stream of gangs that take two workers for a second each and use all of the 48 workers.
-	for i := range int(stream / every) {
+	for i := range int(streamDuration / interval) {
 		s.pendingJobs++
-		s.after(time.Duration(i)*every, func() { s.submit(gang(job.ID(fmt.Sprintf("%016x", 0xd000+i)), 2, 28_000)) })
+		s.after(time.Duration(i)*interval, func() { s.submit(gang(job.ID(fmt.Sprintf("%016x", 0xd000+i)), 2, 28_000)) })
 	}
 	s.run(2 * time.Second)
 	const id = "00000000000000a0"
 	s.submit(gang(id, 12, 28_000))
-	s.run(wait)
+	s.run(maxWait)
 	if !s.hasStarted(id, 12) {
-		t.Errorf("the wide gang has not started after %s: %s", wait, s.core.describe(id))
+		t.Errorf("the wide gang has not started after %s: %s", maxWait, s.core.describe(id))
 	}
-	s.finish(stream)
+	s.finish(streamDuration)
 }
 
 // TestGangsAfterBacklog guards against gangs that wait on an idle service because their tickets
 // expired during a backlog and are renewed only for the few gangs with a reservation.
 func TestGangsAfterBacklog(t *testing.T) {
 	const (
-		gangs = 6
-		busy  = 5 * time.Second
-		wait  = 3 * time.Second // maximum time for which a job may have no running task while there is free capacity
+		gangs        = 6
+		busyDuration = 5 * time.Second
+		maxWait      = 3 * time.Second // maximum time for which a job may have no running task while there is free capacity
 	)
 	s := newSimulation(t, 7, 48)
 	s.adviceLatency = time.Second // duration of a call for a gang that names 100 workers
@@ -196,7 +196,7 @@
 	}
 	s.run(2 * time.Second)
 	s.submit(&job.Job{ID: "00000000000000a0", Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{{
-		Count: 48, Size: task.Resources{CPUMilli: 32_000, MemoryMB: 100}, Estimate: busy,
+		Count: 48, Size: task.Resources{CPUMilli: 32_000, MemoryMB: 100}, Estimate: busyDuration,
 	}}})
 	s.run(time.Second)
 	for i := range gangs {
@@ -204,10 +204,10 @@
 			Count: 6, Gang: true, Size: task.Resources{CPUMilli: 28_000, MemoryMB: 100}, Estimate: 4 * time.Second,
 		}}})
 	}
-	s.run(busy - time.Second + wait)
+	s.run(busyDuration - time.Second + maxWait)
 	for i := range gangs {
 		if id := job.ID(fmt.Sprintf("%016x", 0xe000+i)); !s.hasStarted(id, 6) {
-			t.Errorf("a gang has not started %s after the service became idle: %s", wait, s.core.describe(id))
+			t.Errorf("a gang has not started %s after the service became idle: %s", maxWait, s.core.describe(id))
 		}
 	}
 	s.finish(30 * time.Second)
--- a/schedule/roster.go
+++ b/schedule/roster.go
@@ -41,7 +41,8 @@
 	c.countUnresolved(u, 1)
 }
 
-// countUnresolved adds n times the given worker to the counts of unresolved workers and tasks.
+// countUnresolved adds a worker to the counts of open unresolved workers and held-back tasks if n is 1,
+// and removes it if n is -1.
 func (c *Core) countUnresolved(u unresolvedWorker, n int) {
 	if !u.closed {
 		c.openUnresolved += n
@@ -84,11 +85,11 @@
 // of all inherited tasks. A reopened worker gets no tasks until a roster that lists it as open is
 // recorded.
 func (c *Core) updateClosed(w *worker) {
-	closing := w.Draining || !w.listed || (w.silent && (w.missedReports >= closeMissedReports || c.now.Sub(w.silentAt) > closeDelay))
-	if closing == w.closed {
+	shouldClose := w.Draining || !w.listed || (w.silent && (w.missedReports >= closeMissedReports || c.now.Sub(w.silentAt) > closeDelay))
+	if shouldClose == w.closed {
 		return
 	}
-	w.closed = closing
+	w.closed = shouldClose
 	w.recordedOpen = false
 	c.rosterDirty = true
 }
--- a/schedule/simcheck_test.go
+++ b/schedule/simcheck_test.go
@@ -21,8 +21,8 @@
 		violation("the success of the task was already confirmed")
 	}
 	used := r.size
-	for _, o := range r.worker.runs {
-		used = used.Add(o.size)
+	for _, other := range r.worker.runs {
+		used = used.Add(other.size)
 	}
 	if !used.Fits(r.worker.Capacity) {
 		violation("the worker's runs use %s of its capacity of %s", used, r.worker.Capacity)
@@ -69,12 +69,12 @@
 // runUntilEnded runs until every job has ended, at most for the given time, and then for as long as a
 // lost order may still be executed.
 func (s *simulation) runUntilEnded(within time.Duration) {
-	const maxOrderDelay = 15 * time.Second // an order is at most 11 s late, and the worker reports the end of the run in its next report
+	const orderDrainTime = 15 * time.Second // an order is at most 11 s late, and the worker reports the end of the run in its next report
 	end := s.now.Add(within)
 	for s.now.Before(end) && (len(s.finals) < len(s.jobs) || s.pendingJobs > 0) && !s.t.Failed() {
 		s.run(time.Second)
 	}
-	s.run(maxOrderDelay)
+	s.run(orderDrainTime)
 }
 
 // checkAttempts checks that no task started after as many failed runs as its queue allows. Only failures
--- a/schedule/simworker_test.go
+++ b/schedule/simworker_test.go
@@ -173,8 +173,8 @@
 		memberEnding = EndedDone
 	}
 	for i := range spec.Count {
-		if o := s.running[job.TaskKey{StepKey: r.key.StepKey, Index: i}]; o != nil && o.number == r.number {
-			s.endRun(o, memberEnding)
+		if other := s.running[job.TaskKey{StepKey: r.key.StepKey, Index: i}]; other != nil && other.number == r.number {
+			s.endRun(other, memberEnding)
 		}
 	}
 }
