--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -1,6 +1,6 @@
-// Package fault holds the table of fault switches that every stand-in consults
-// once for each call. Tests and the demo set it; over HTTP the stand-ins do so
-// for them.
+// Package fault holds the faults that a stand-in injects into the calls that it receives. The
+// stand-ins for the store and the instance list, and the in-memory store of the tests, look up
+// their Table once per call. Tests and the demo set the faults, directly or over HTTP.
 package fault
 
 import (
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Kind names what goes wrong.
+// Kind is the kind of a fault.
 type Kind string
 
 // The kinds of faults.
@@ -26,16 +26,17 @@
 // Kinds lists every kind.
 var Kinds = []Kind{Down, Unreachable, Slow, ReplyLost, SilentWatch}
 
-// CallWatch is the kind of call that a silent watch concerns.
+// CallWatch is the only kind of call that SilentWatch affects.
 const CallWatch = "watch"
 
-// Fault is one switch. A zero field does not restrict it.
+// Fault is an injected fault. An empty Call or Instance matches all calls or instances; with a
+// Count of 0 the fault applies until it is replaced.
 type Fault struct {
 	Kind     Kind   `json:"kind"`
 	Call     string `json:"call,omitempty"`     // kind of call
 	Instance string `json:"instance,omitempty"` // calling instance
-	Count    int    `json:"count,omitempty"`    // for this number of calls only
-	DelayMS  int64  `json:"delay_ms,omitempty"` // of Slow
+	Count    int    `json:"count,omitempty"`    // number of calls that it applies to
+	DelayMS  int64  `json:"delay_ms,omitempty"` // for Slow
 }
 
 func (f Fault) matches(call, instance string) bool {
@@ -45,13 +46,13 @@
 	return (f.Call == "" || f.Call == call) && (f.Instance == "" || f.Instance == instance)
 }
 
-// Effect is what all matching faults together do to one call.
+// Effect is the combined effect of all matching faults on one call.
 type Effect struct {
 	Down        bool
 	Unreachable bool
 	Delay       time.Duration
 	ReplyLost   bool
-	Silent      bool
+	Silent      bool // a watch stays open and delivers nothing
 }
 
 func (e *Effect) add(f Fault) {
@@ -71,11 +72,11 @@
 
 // Counters counts calls by kind.
 type Counters struct {
-	Received map[string]int64 `json:"received"` // whatever became of them
+	Received map[string]int64 `json:"received"` // includes calls that were not executed
 	Executed map[string]int64 `json:"executed"`
 }
 
-// Table is a set of faults and counts the calls. It is safe for concurrent use.
+// Table holds the faults of a peer and counts the calls to it. It is safe for concurrent use.
 type Table struct {
 	calls    []string
 	mu       sync.Mutex
@@ -84,8 +85,7 @@
 	changed  chan struct{} // closed and replaced by Set
 }
 
-// NewTable returns a table without faults for a peer that has the given kinds
-// of calls.
+// NewTable returns a table without faults for a peer with the given kinds of calls.
 func NewTable(calls ...string) *Table {
 	return &Table{
 		calls:    calls,
@@ -94,10 +94,10 @@
 	}
 }
 
-// Set replaces all faults. It changes nothing if one of them is invalid.
+// Set replaces all faults. If one of them is invalid it returns an error and changes nothing.
 func (t *Table) Set(faults ...Fault) error {
 	for i, f := range faults {
-		if err := t.check(f); err != nil {
+		if err := t.validate(f); err != nil {
 			return fmt.Errorf("fault %d: %w", i, err)
 		}
 	}
@@ -109,7 +109,7 @@
 	return nil
 }
 
-func (t *Table) check(f Fault) error {
+func (t *Table) validate(f Fault) error {
 	switch {
 	case !slices.Contains(Kinds, f.Kind):
 		return fmt.Errorf("unknown kind %q, known: %v", f.Kind, Kinds)
@@ -118,13 +118,13 @@
 	case f.Count < 0:
 		return fmt.Errorf("count is %d, less than 0", f.Count)
 	case f.Kind == Slow && f.DelayMS <= 0:
-		return fmt.Errorf("kind %q needs delay_ms above 0", f.Kind)
+		return fmt.Errorf("kind %q needs delay_ms above 0, got %d", f.Kind, f.DelayMS)
 	case f.Kind != Slow && f.DelayMS != 0:
-		return fmt.Errorf("kind %q takes no delay_ms", f.Kind)
+		return fmt.Errorf("kind %q takes no delay_ms, got %d", f.Kind, f.DelayMS)
 	case f.Kind == SilentWatch && !slices.Contains(t.calls, CallWatch):
-		return fmt.Errorf("kind %q needs a peer with call %q", f.Kind, CallWatch)
+		return fmt.Errorf("kind %q requires a peer that has call %q", f.Kind, CallWatch)
 	case f.Kind == SilentWatch && f.Call != "" && f.Call != CallWatch:
-		return fmt.Errorf("kind %q concerns call %q, not %q", f.Kind, CallWatch, f.Call)
+		return fmt.Errorf("kind %q applies only to call %q, not to %q", f.Kind, CallWatch, f.Call)
 	}
 	return nil
 }
@@ -136,8 +136,8 @@
 	return slices.Clone(t.faults)
 }
 
-// Take counts a call and returns what happens to it. Faults with a count lose
-// one, and disappear with the last.
+// Take counts a received call and returns the effect of the matching faults on it. It decrements
+// the count of those that have one, and removes them when the count reaches 0.
 func (t *Table) Take(call, instance string) Effect {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -159,8 +159,8 @@
 	return effect
 }
 
-// Standing returns what the faults without a count do to a call that is open,
-// and a channel that is closed when the faults change.
+// Standing returns the effect of the faults without a count on an open call, and a channel that is
+// closed when the faults change.
 func (t *Table) Standing(call, instance string) (Effect, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -173,14 +173,14 @@
 	return effect, t.changed
 }
 
-// CountExecuted counts a call of which the effect takes place.
+// CountExecuted counts a call that is executed.
 func (t *Table) CountExecuted(call string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counters.Executed[call]++
 }
 
-// Counters returns the calls so far.
+// Counters returns a copy of the counters.
 func (t *Table) Counters() Counters {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/standin/fault/fault_test.go
+++ b/standin/fault/fault_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// TestTake guards against a fault that hits other calls or other callers than
-// it names, or another number of them.
+// TestTake guards against a fault that affects calls or instances other than the specified ones, or
+// another number of calls.
 func TestTake(t *testing.T) {
 	table := NewTable("txn", "watch")
 	err := table.Set(
@@ -31,7 +31,7 @@
 	}
 	for i, test := range tests {
 		if got := table.Take(test.call, test.instance); got != test.want {
-			t.Errorf("call %d, %s by %s: %+v, want %+v", i, test.call, test.instance, got, test.want)
+			t.Errorf("call %d, %s by %s: effect %+v, want %+v", i, test.call, test.instance, got, test.want)
 		}
 	}
 	if got := table.Counters().Received["txn"]; got != 4 {
@@ -39,9 +39,9 @@
 	}
 }
 
-// TestSetRefuses guards against a misspelt switch that passes for a fault which
-// then never happens.
-func TestSetRefuses(t *testing.T) {
+// TestSetRejectsInvalid guards against a misspelt fault that is accepted and then never takes
+// effect.
+func TestSetRejectsInvalid(t *testing.T) {
 	table := NewTable("txn")
 	for _, f := range []Fault{
 		{},
@@ -53,7 +53,7 @@
 		{Kind: SilentWatch},
 	} {
 		if err := table.Set(f); err == nil {
-			t.Errorf("Set(%+v) is accepted", f)
+			t.Errorf("Set(%+v) succeeded, want an error", f)
 		}
 	}
 	if got := len(table.Faults()); got != 0 {
