--- a/standin/faults.go
+++ b/standin/faults.go
@@ -10,14 +10,15 @@
 	"github.com/mulberrydrum/mulberrydrum/store/wire"
 )
 
-// PathFaults is where every stand-in takes its fault switches: POST replaces
-// all of them, GET shows them.
+// PathFaults is the path of the faults of a stand-in. On the store and the instance list, POST
+// replaces all faults and GET returns them; for workers see WorkerFaults.
 const PathFaults = "/faults"
 
-// PathCounters is where every stand-in shows its calls by kind.
+// PathCounters is the path at which the store and the instance list return their numbers of calls
+// by kind.
 const PathCounters = "/counters"
 
-// maxControlBytes bounds the body of a request to a switch.
+// maxControlBytes limits the body of a request to a control endpoint.
 const maxControlBytes = 1 << 20
 
 // FaultList is the body of PathFaults.
@@ -35,7 +36,7 @@
 	})
 	mux.HandleFunc("POST "+PathFaults, func(w http.ResponseWriter, r *http.Request) {
 		var list FaultList
-		if !readControl(w, r, &list) {
+		if !decodeControl(w, r, &list) {
 			return
 		}
 		if err := table.Set(list.Faults...); err != nil {
@@ -46,8 +47,8 @@
 	})
 }
 
-// withFaults lets the fault table act on each call to next. refuse writes the
-// reply of a peer that is down.
+// withFaults applies the faults in table to each call of next. refuse writes the reply of a peer
+// that is down.
 func withFaults(table *fault.Table, call string, refuse func(http.ResponseWriter), next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		effect := table.Take(call, r.Header.Get(wire.HeaderInstance))
@@ -58,7 +59,7 @@
 	}
 }
 
-// applyEffect executes one call as effect says.
+// applyEffect executes one call under the effect of the faults.
 func applyEffect(w http.ResponseWriter, r *http.Request, effect fault.Effect, refuse func(http.ResponseWriter), next http.HandlerFunc) {
 	switch {
 	case effect.Down:
@@ -67,32 +68,32 @@
 	case effect.Unreachable:
 		holdOpen(r) // does not return
 	}
-	time.Sleep(effect.Delay) // the call is executed even if the caller leaves meanwhile
+	time.Sleep(effect.Delay) // the call is executed even if the client disconnects meanwhile
 	if effect.ReplyLost {
-		next(&discardedReply{header: http.Header{}}, r)
+		next(&discardingWriter{header: http.Header{}}, r)
 		panic(http.ErrAbortHandler) // closes the connection without a reply
 	}
 	next(w, r)
 }
 
-// holdOpen keeps a request without a reply until the caller leaves. The server
-// notices that only once the body has been read.
+// holdOpen leaves a request unanswered until the client disconnects. The server detects that only
+// after the body has been read.
 func holdOpen(r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body) // a caller that leaves here has left as well
+	_, _ = io.Copy(io.Discard, r.Body) // an error also means that the client has disconnected
 	<-r.Context().Done()
 	panic(http.ErrAbortHandler)
 }
 
-// discardedReply takes the reply of a call whose reply is lost.
-type discardedReply struct{ header http.Header }
+// discardingWriter is the http.ResponseWriter of a call whose reply is lost.
+type discardingWriter struct{ header http.Header }
 
-func (d *discardedReply) Header() http.Header         { return d.header }
-func (d *discardedReply) Write(p []byte) (int, error) { return len(p), nil }
-func (d *discardedReply) WriteHeader(int)             {}
+func (d *discardingWriter) Header() http.Header         { return d.header }
+func (d *discardingWriter) Write(p []byte) (int, error) { return len(p), nil }
+func (d *discardingWriter) WriteHeader(int)             {}
 
-// readControl decodes the body of a request to a switch. Unknown fields are an
-// error, so that a misspelt switch does not pass for a fault that is set.
-func readControl(w http.ResponseWriter, r *http.Request, into any) bool {
+// decodeControl decodes the body of a request to a control endpoint. It rejects unknown fields, so
+// that a fault with a misspelt field is not taken for one that is set.
+func decodeControl(w http.ResponseWriter, r *http.Request, into any) bool {
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControlBytes))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
@@ -110,5 +111,5 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_, _ = w.Write(body) // a caller that has left needs no reply
+	_, _ = w.Write(body) // an error means that the client has disconnected
 }
--- a/standin/list.go
+++ b/standin/list.go
@@ -10,13 +10,13 @@
 	"github.com/mulberrydrum/mulberrydrum/standin/fault"
 )
 
-// Paths of the switches of the instance list.
+// Paths of the control endpoints of the instance list.
 const (
 	PathLag      = "/lag"
 	pathInstance = instancelist.PathInstances + "/{name}"
 )
 
-// CallList is the kind of call of the instance list, as faults name it.
+// CallList is the kind of call of the instance list, as used in faults and counters.
 const CallList = "list"
 
 // Lag is the body of PathLag.
@@ -24,26 +24,25 @@
 	LagMS int64 `json:"lag_ms"`
 }
 
-// List is the stand-in for the instance list. It shows the instances as they
-// were some time ago. GET PathInstances reads the list; POST replaces it, PUT of
-// one instance changes it and DELETE drops it.
+// List is the stand-in for the instance list. It returns the list as it was one lag ago. GET
+// PathInstances returns the list and POST replaces it; PUT and DELETE of an instance below that
+// path set and remove one instance; POST PathLag sets the lag.
 type List struct {
 	mux    *http.ServeMux
 	faults *fault.Table
 
 	mu       sync.Mutex
 	lag      time.Duration
-	versions []version // ascending in time; the first is visible
+	versions []version // in ascending order of time; callers see the first
 }
 
-// version is the list as it was from a time on.
+// version is the content of the list from a point in time on.
 type version struct {
 	from      time.Time
 	instances []instancelist.Instance
 }
 
-// NewList returns a list that shows instances at once and later changes after
-// lag.
+// NewList returns a list that contains instances from the start and shows later changes after lag.
 func NewList(lag time.Duration, instances ...instancelist.Instance) *List {
 	l := &List{
 		mux:      http.NewServeMux(),
@@ -51,7 +50,7 @@
 		lag:      lag,
 		versions: []version{{instances: append([]instancelist.Instance{}, instances...)}},
 	}
-	l.mux.HandleFunc("GET "+instancelist.PathInstances, withFaults(l.faults, CallList, refuse, l.doList))
+	l.mux.HandleFunc("GET "+instancelist.PathInstances, withFaults(l.faults, CallList, refuseUnavailable, l.doList))
 	l.mux.HandleFunc("POST "+instancelist.PathInstances, l.doReplace)
 	l.mux.HandleFunc("PUT "+pathInstance, l.doPut)
 	l.mux.HandleFunc("DELETE "+pathInstance, l.doDelete)
@@ -60,61 +59,62 @@
 	return l
 }
 
-// ServeHTTP serves the list and the switches.
+// ServeHTTP serves the list and the control endpoints.
 func (l *List) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.mux.ServeHTTP(w, r) }
 
-// Faults returns the fault switches, for tests in the same process.
+// Faults returns the fault table, for tests in the same process.
 func (l *List) Faults() *fault.Table { return l.faults }
 
-// SetLag changes how far the list lags behind.
+// SetLag sets the time after which callers see a change. It also applies to earlier changes that
+// are not visible yet.
 func (l *List) SetLag(lag time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lag = lag
 }
 
-// Replace sets the true list at now.
+// Replace sets the actual list at now.
 func (l *List) Replace(now time.Time, instances []instancelist.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.append(now, append([]instancelist.Instance{}, instances...))
+	l.addVersion(now, append([]instancelist.Instance{}, instances...))
 }
 
-// Put sets one instance in the true list at now.
+// Put adds or replaces one instance in the actual list at now.
 func (l *List) Put(now time.Time, instance instancelist.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.append(now, append(l.without(instance.Name), instance))
+	l.addVersion(now, append(l.latestWithout(instance.Name), instance))
 }
 
-// Delete drops one instance from the true list at now.
+// Delete removes one instance from the actual list at now.
 func (l *List) Delete(now time.Time, name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.append(now, l.without(name))
+	l.addVersion(now, l.latestWithout(name))
 }
 
-// without returns a copy of the true list without one instance.
-func (l *List) without(name string) []instancelist.Instance {
+// latestWithout returns a copy of the actual list without the named instance.
+func (l *List) latestWithout(name string) []instancelist.Instance {
 	latest := slices.Clone(l.versions[len(l.versions)-1].instances)
 	return slices.DeleteFunc(latest, func(i instancelist.Instance) bool { return i.Name == name })
 }
 
-func (l *List) append(now time.Time, instances []instancelist.Instance) {
+func (l *List) addVersion(now time.Time, instances []instancelist.Instance) {
 	l.versions = append(l.versions, version{from: now, instances: instances})
-	l.dropInvisible(now)
+	l.dropSuperseded(now)
 }
 
 // Visible returns the list that callers see at now.
 func (l *List) Visible(now time.Time) []instancelist.Instance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.dropInvisible(now)
+	l.dropSuperseded(now)
 	return l.versions[0].instances
 }
 
-// dropInvisible drops the versions that a newer one has replaced for callers.
-func (l *List) dropInvisible(now time.Time) {
+// dropSuperseded removes the versions that are superseded by a newer visible one.
+func (l *List) dropSuperseded(now time.Time) {
 	for len(l.versions) > 1 && !l.versions[1].from.Add(l.lag).After(now) {
 		l.versions = l.versions[1:]
 	}
@@ -126,7 +126,7 @@
 
 func (l *List) doReplace(w http.ResponseWriter, r *http.Request) {
 	var reply instancelist.Reply
-	if !readControl(w, r, &reply) {
+	if !decodeControl(w, r, &reply) {
 		return
 	}
 	l.Replace(time.Now(), reply.Instances)
@@ -135,7 +135,7 @@
 
 func (l *List) doPut(w http.ResponseWriter, r *http.Request) {
 	var instance instancelist.Instance
-	if !readControl(w, r, &instance) {
+	if !decodeControl(w, r, &instance) {
 		return
 	}
 	if instance.Name != r.PathValue("name") {
@@ -153,16 +153,16 @@
 
 func (l *List) doLag(w http.ResponseWriter, r *http.Request) {
 	var lag Lag
-	if !readControl(w, r, &lag) {
+	if !decodeControl(w, r, &lag) {
 		return
 	}
 	if lag.LagMS < 0 {
-		http.Error(w, "lag_ms is less than 0", http.StatusBadRequest)
+		http.Error(w, "lag_ms must not be less than 0", http.StatusBadRequest)
 		return
 	}
 	l.SetLag(time.Duration(lag.LagMS) * time.Millisecond)
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// refuse writes the reply of a peer that is down.
-func refuse(w http.ResponseWriter) { http.Error(w, "down", http.StatusServiceUnavailable) }
+// refuseUnavailable writes the reply of an instance list that is down.
+func refuseUnavailable(w http.ResponseWriter) { http.Error(w, "down", http.StatusServiceUnavailable) }
--- a/standin/list_test.go
+++ b/standin/list_test.go
@@ -17,9 +17,9 @@
 	return instancelist.Instance{Name: name, Role: instancelist.RoleWorker, State: state}
 }
 
-// TestListLags guards against a list that shows a change before its lag has
+// TestListLag guards against a list that shows a change before its lag has
 // passed, or skips to an older one.
-func TestListLags(t *testing.T) {
+func TestListLag(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		list := NewList(10*time.Second, listedWorker("w1", instancelist.StateLive))
 		stateNow := func() instancelist.State { return list.Visible(time.Now())[0].State }
@@ -64,9 +64,9 @@
 	}
 }
 
-// TestSwitchesOverHTTP guards against switches that only work from inside the
+// TestListControlOverHTTP guards against switches that only work from inside the
 // process: the demo and the end-to-end tests set them over HTTP.
-func TestSwitchesOverHTTP(t *testing.T) {
+func TestListControlOverHTTP(t *testing.T) {
 	list := NewList(time.Hour, listedWorker("w1", instancelist.StateLive))
 	server := httptest.NewServer(list)
 	defer server.Close()
--- a/standin/matrix_test.go
+++ b/standin/matrix_test.go
@@ -161,17 +161,17 @@
 	})
 }
 
-func runMatrix(t *testing.T, with func(*testing.T, func(*testing.T, *matrixStore))) {
+func runMatrix(t *testing.T, withStore func(*testing.T, func(*testing.T, *matrixStore))) {
 	for _, f := range matrixFaults {
 		for _, call := range matrixCalls {
 			t.Run(fmt.Sprintf("%s/%s", f.name, call.name), func(t *testing.T) {
-				with(t, func(t *testing.T, m *matrixStore) { checkCell(t, m, f, call) })
+				withStore(t, func(t *testing.T, m *matrixStore) { checkCase(t, m, f, call) })
 			})
 		}
 	}
 }
 
-func checkCell(t *testing.T, m *matrixStore, f matrixFault, call matrixCall) {
+func checkCase(t *testing.T, m *matrixStore, f matrixFault, call matrixCall) {
 	m.prepare(t)
 	setFault(t, m.faults, f, call.kind)
 	before := m.faults.Counters()
@@ -185,7 +185,7 @@
 	if call.kind == storetest.CallWatch {
 		want = f.wantWatch
 	}
-	if !isOnly(err, want) {
+	if !matchesOnly(err, want) {
 		t.Errorf("error = %v, want %v alone", err, want)
 	}
 	if limit := matrixProgressTimeout + time.Second; took > limit {
@@ -235,8 +235,8 @@
 	}
 }
 
-// isOnly reports whether err matches want and no other error of the store.
-func isOnly(err, want error) bool {
+// matchesOnly reports whether err matches want and no other error of the store.
+func matchesOnly(err, want error) bool {
 	if want == nil {
 		return err == nil
 	}
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -16,27 +16,27 @@
 // Direction is a direction of traffic through a relay.
 type Direction string
 
-// The directions, and both of them for a cut.
+// The directions of traffic. Both is used only for a cut.
 const (
 	ToServer Direction = "to_server"
 	ToClient Direction = "to_client"
 	Both     Direction = "both"
 )
 
-// RelayState is what a relay does to all its connections, present and new.
+// RelayState is the fault that a relay injects into all its connections, existing and new.
 //
-// A cut holds traffic back, as a network does that drops packets: the sender
-// tries again, so that what was held arrives when the cut ends, unless the
-// connection was reset meanwhile. New connections are accepted during a cut,
-// since a process cannot leave a connection request of the loopback unanswered.
+// A cut holds traffic back. It models a network that drops packets: the sender retransmits them, so
+// that held traffic is delivered when the cut ends, unless the connection was reset meanwhile. New
+// connections are accepted during a cut, because a process cannot leave a connection request on the
+// loopback interface unanswered.
 type RelayState struct {
 	Cut     Direction `json:"cut,omitempty"`
-	DelayMS int64     `json:"delay_ms,omitempty"` // of each direction
+	DelayMS int64     `json:"delay_ms,omitempty"` // in each direction
 }
 
-func (s RelayState) check() error {
+func (s RelayState) validate() error {
 	if s.Cut != "" && !slices.Contains([]Direction{ToServer, ToClient, Both}, s.Cut) {
-		return fmt.Errorf("unknown direction %q", s.Cut)
+		return fmt.Errorf("cut has unknown direction %q", s.Cut)
 	}
 	if s.DelayMS < 0 {
 		return fmt.Errorf("delay_ms is %d, less than 0", s.DelayMS)
@@ -46,15 +46,15 @@
 
 func (s RelayState) cuts(d Direction) bool { return s.Cut == d || s.Cut == Both }
 
-// relayDialTimeout bounds the connection to the server.
+// relayDialTimeout limits the time to connect to the server.
 const relayDialTimeout = 2 * time.Second
 
-// Relay passes TCP connections on to one server and disturbs them on demand.
+// Relay forwards TCP connections to one server and injects faults into them.
 type Relay struct {
 	listener net.Listener
 	target   string
 	running  sync.WaitGroup
-	toServer atomic.Int64 // bytes passed on
+	toServer atomic.Int64 // bytes forwarded
 	toClient atomic.Int64
 
 	mu      sync.Mutex
@@ -84,11 +84,11 @@
 		if err != nil {
 			return eris.Wrap(err, "accept connection for relay")
 		}
-		r.start(conn)
+		r.startLink(conn)
 	}
 }
 
-func (r *Relay) start(client net.Conn) {
+func (r *Relay) startLink(client net.Conn) {
 	link := newRelayLink(r, client)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -105,7 +105,7 @@
 	})
 }
 
-// Close stops the relay, closes its connections and waits until they are done.
+// Close stops the relay, closes its connections and waits until they have ended.
 func (r *Relay) Close() {
 	r.mu.Lock()
 	r.closed = true
@@ -115,9 +115,9 @@
 	r.running.Wait()
 }
 
-// Set changes what happens to all connections.
+// Set changes the fault of all connections.
 func (r *Relay) Set(state RelayState) error {
-	if err := state.check(); err != nil {
+	if err := state.validate(); err != nil {
 		return err
 	}
 	r.mu.Lock()
@@ -134,12 +134,12 @@
 	return r.state, r.changed
 }
 
-// Silence lets the present connections fall silent for good: they stay open and
-// swallow everything. New connections work. It returns their number.
+// Silence makes the existing connections silent permanently: they stay open and discard all
+// traffic. New connections are not affected. It returns the number of existing connections.
 func (r *Relay) Silence() int { return r.forEach((*relayLink).silence) }
 
-// Reset closes the present connections, with all that was held, and returns
-// their number.
+// Reset closes the existing connections, discards the traffic held in them, and returns their
+// number.
 func (r *Relay) Reset() int { return r.forEach((*relayLink).close) }
 
 func (r *Relay) forEach(f func(*relayLink)) int {
@@ -151,12 +151,12 @@
 	return len(r.links)
 }
 
-// Connections returns the number of present connections.
+// Connections returns the number of existing connections.
 func (r *Relay) Connections() int { return r.forEach(func(*relayLink) {}) }
 
-// await blocks until traffic that arrived at some time may go on in a direction.
-// It returns false if the connection fell silent or was closed before.
-func (r *Relay) await(link *relayLink, direction Direction, arrived time.Time) bool {
+// awaitForwarding blocks until the current state allows forwarding traffic that was received at the
+// given time. It returns false if the connection becomes silent or is closed first.
+func (r *Relay) awaitForwarding(link *relayLink, direction Direction, arrived time.Time) bool {
 	for {
 		state, changed := r.current()
 		var due <-chan time.Time // nil during a cut
@@ -178,9 +178,9 @@
 	}
 }
 
-// dial connects to the server, not before the way there is free.
+// dial connects to the server as soon as the state allows traffic to it.
 func (r *Relay) dial(link *relayLink) (net.Conn, error) {
-	if !r.await(link, ToServer, time.Now()) {
+	if !r.awaitForwarding(link, ToServer, time.Now()) {
 		return nil, net.ErrClosed
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), relayDialTimeout)
@@ -189,7 +189,7 @@
 	return dialer.DialContext(ctx, "tcp", r.target)
 }
 
-func (r *Relay) count(direction Direction, bytes int) {
+func (r *Relay) countBytes(direction Direction, bytes int) {
 	if direction == ToServer {
 		r.toServer.Add(int64(bytes))
 		return
--- a/standin/relay_switch.go
+++ b/standin/relay_control.go
@@ -2,11 +2,11 @@
 
 import "net/http"
 
-// Paths of the switches of a relay.
+// Paths of the control endpoints of a relay.
 const (
-	PathRelay        = "/relay"         // GET shows the status, POST sets a RelayState
-	PathRelaySilence = "/relay/silence" // POST silences the present connections
-	PathRelayReset   = "/relay/reset"   // POST closes the present connections
+	PathRelay        = "/relay"         // GET returns the RelayStatus, POST sets the RelayState
+	PathRelaySilence = "/relay/silence" // POST calls Relay.Silence
+	PathRelayReset   = "/relay/reset"   // POST calls Relay.Reset
 )
 
 // RelayStatus is the reply to GET PathRelay.
@@ -23,7 +23,7 @@
 	Connections int `json:"connections"`
 }
 
-// Status returns the state and the traffic so far.
+// Status returns the state and the traffic forwarded so far.
 func (r *Relay) Status() RelayStatus {
 	state, _ := r.current()
 	return RelayStatus{
@@ -35,8 +35,8 @@
 	}
 }
 
-// Switches returns the handler of the switches. It has to be served on another
-// port than the relay, or a cut would also cut the way to end it.
+// Switches returns the handler of the control endpoints. It must not be served through the relay
+// itself: a cut would then also block the request that ends it.
 func (r *Relay) Switches() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+PathRelay, func(w http.ResponseWriter, _ *http.Request) {
@@ -44,7 +44,7 @@
 	})
 	mux.HandleFunc("POST "+PathRelay, func(w http.ResponseWriter, request *http.Request) {
 		var state RelayState
-		if !readControl(w, request, &state) {
+		if !decodeControl(w, request, &state) {
 			return
 		}
 		if err := r.Set(state); err != nil {
--- a/standin/relay_link.go
+++ b/standin/relay_link.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// Bounds of what one direction of a connection holds back. Beyond it the sender
-// is not read any more and finds its own buffers full, as with a real cut.
+// Limits of the traffic that a connection holds in one direction. Beyond them the relay stops reading
+// and the buffers of the sender fill up, as in a real network partition.
 const (
 	relayChunkBytes = 32 << 10
 	relayChunks     = 64
@@ -20,11 +20,11 @@
 type relayLink struct {
 	relay  *Relay
 	client net.Conn
-	silent chan struct{} // closed when the connection falls silent
+	silent chan struct{} // closed when the connection becomes silent
 	closed chan struct{} // closed when the connection is closed
 
 	mu       sync.Mutex
-	server   net.Conn // nil before the server is connected
+	server   net.Conn // nil until connected to the server
 	isClosed bool
 	isSilent bool
 }
@@ -33,7 +33,7 @@
 	return &relayLink{relay: relay, client: client, silent: make(chan struct{}), closed: make(chan struct{})}
 }
 
-// run passes traffic in both directions until both have ended.
+// run forwards traffic in both directions until both have ended.
 func (l *relayLink) run() {
 	defer l.close()
 	server, err := l.relay.dial(l)
@@ -45,23 +45,23 @@
 		return
 	}
 	var directions sync.WaitGroup
-	directions.Go(func() { l.pass(ToServer, l.client, server) })
-	directions.Go(func() { l.pass(ToClient, server, l.client) })
+	directions.Go(func() { l.forward(ToServer, l.client, server) })
+	directions.Go(func() { l.forward(ToClient, server, l.client) })
 	directions.Wait()
 }
 
-// drainIfSilent keeps a connection open that fell silent before the server was
-// connected.
+// drainIfSilent keeps a connection open that became silent before the server was connected, and
+// discards what the client sends.
 func (l *relayLink) drainIfSilent() {
 	select {
 	case <-l.silent:
-		_, _ = io.Copy(io.Discard, l.client) // ends when the client leaves
+		_, _ = io.Copy(io.Discard, l.client) // returns when the client disconnects
 	default:
 	}
 }
 
-// setServer reports false, and closes the server's side, if the link was closed
-// meanwhile.
+// setServer stores the connection to the server. If the link has been closed meanwhile, it closes
+// server and returns false.
 func (l *relayLink) setServer(server net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -96,23 +96,23 @@
 	}
 }
 
-// ended reports whether nothing more is to be passed on.
+// ended reports whether the link no longer forwards traffic.
 func (l *relayLink) ended() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.isClosed || l.isSilent
 }
 
-// chunk is a piece of traffic and when it arrived. The end of a direction is a
-// chunk without bytes.
+// chunk is a piece of traffic with the time at which it was received. A chunk without bytes marks
+// the end of a direction.
 type chunk struct {
 	bytes   []byte
 	arrived time.Time
 }
 
-// pass moves one direction. The reader goes on while the writer waits, so that
-// a delay does not limit the throughput.
-func (l *relayLink) pass(direction Direction, from, to net.Conn) {
+// forward forwards traffic in one direction. Reading continues while the writer waits, so that a
+// delay does not limit the throughput.
+func (l *relayLink) forward(direction Direction, from, to net.Conn) {
 	chunks := make(chan chunk, relayChunks)
 	var writer sync.WaitGroup
 	writer.Go(func() { l.write(direction, chunks, to) })
@@ -126,10 +126,10 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			l.hold(chunks, chunk{bytes: bytes.Clone(buffer[:n]), arrived: time.Now()})
+			l.enqueue(chunks, chunk{bytes: bytes.Clone(buffer[:n]), arrived: time.Now()})
 		}
 		if errors.Is(err, io.EOF) {
-			l.hold(chunks, chunk{arrived: time.Now()})
+			l.enqueue(chunks, chunk{arrived: time.Now()})
 			return
 		}
 		if err != nil {
@@ -139,8 +139,8 @@
 	}
 }
 
-// hold queues a chunk, or swallows it if the connection is silent.
-func (l *relayLink) hold(chunks chan<- chunk, c chunk) {
+// enqueue queues a chunk for the writer, or discards it if the connection is silent or closed.
+func (l *relayLink) enqueue(chunks chan<- chunk, c chunk) {
 	select {
 	case <-l.silent:
 		return
@@ -153,18 +153,18 @@
 	}
 }
 
-// write passes chunks on until the direction ends. Of a connection that fell
-// silent it swallows the rest.
+// write forwards chunks until the direction ends. Once the connection is silent or closed, it
+// discards them.
 func (l *relayLink) write(direction Direction, chunks <-chan chunk, to net.Conn) {
 	for c := range chunks {
-		if !l.relay.await(l, direction, c.arrived) {
+		if !l.relay.awaitForwarding(l, direction, c.arrived) {
 			continue
 		}
 		if err := l.writeChunk(c, to); err != nil {
 			l.closeUnlessSilent()
 			continue
 		}
-		l.relay.count(direction, len(c.bytes))
+		l.relay.countBytes(direction, len(c.bytes))
 	}
 }
 
@@ -173,14 +173,14 @@
 		_, err := to.Write(c.bytes)
 		return err
 	}
-	if half, ok := to.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
+	if halfCloser, ok := to.(interface{ CloseWrite() error }); ok {
+		return halfCloser.CloseWrite()
 	}
 	return nil
 }
 
-// closeUnlessSilent closes a connection that broke on one side. The other side
-// of a silent connection does not hear of it.
+// closeUnlessSilent closes a connection after an error on one side. A silent connection stays open,
+// so that the other side does not detect the error.
 func (l *relayLink) closeUnlessSilent() {
 	select {
 	case <-l.silent:
--- a/standin/relay_test.go
+++ b/standin/relay_test.go
@@ -18,11 +18,11 @@
 // startRelay returns a relay in front of a store, and a client through it.
 func startRelay(t *testing.T) (*Relay, *Store, *store.Client) {
 	t.Helper()
-	return startRelayWith(t, time.Second)
+	return startRelayWithTimeout(t, time.Second)
 }
 
-// startRelayWith is startRelay with a client whose calls have another timeout.
-func startRelayWith(t *testing.T, callTimeout time.Duration) (*Relay, *Store, *store.Client) {
+// startRelayWithTimeout is startRelay with a client whose calls have another timeout.
+func startRelayWithTimeout(t *testing.T, callTimeout time.Duration) (*Relay, *Store, *store.Client) {
 	t.Helper()
 	s := NewStore(storetest.Limits{})
 	server := httptest.NewServer(s)
@@ -70,10 +70,10 @@
 	}
 }
 
-// TestRelayCuts guards against a cut that lets through what it should hold, and
+// TestRelayCut guards against a cut that lets through what it should hold, and
 // against one that drops what a real network would deliver late: the write of a
 // call that its caller has long given up.
-func TestRelayCuts(t *testing.T) {
+func TestRelayCut(t *testing.T) {
 	tests := []struct {
 		cut           Direction
 		during, after int64 // transactions executed
@@ -115,7 +115,7 @@
 	t.Parallel()
 	// The megabyte has to be encoded and decoded as well, which takes longer than
 	// an ordinary call on a busy machine.
-	relay, _, client := startRelayWith(t, 20*time.Second)
+	relay, _, client := startRelayWithTimeout(t, 20*time.Second)
 	if err := putKey(t.Context(), client, "before"); err != nil {
 		t.Fatal(err)
 	}
@@ -181,8 +181,8 @@
 	}
 }
 
-// TestRelaySwitches guards against switches that only work in the same process.
-func TestRelaySwitches(t *testing.T) {
+// TestRelayControlOverHTTP guards against switches that only work in the same process.
+func TestRelayControlOverHTTP(t *testing.T) {
 	t.Parallel()
 	relay, _, client := startRelay(t)
 	if err := putKey(t.Context(), client, "a"); err != nil {
@@ -245,9 +245,9 @@
 	return relay, client, server
 }
 
-// readsFor reports how many bytes arrive in a while, and whether the connection
+// readWithin reports how many bytes arrive in a while, and whether the connection
 // was still open at its end.
-func readsFor(conn net.Conn, d time.Duration) (n int, open bool) {
+func readWithin(conn net.Conn, d time.Duration) (n int, open bool) {
 	_ = conn.SetReadDeadline(time.Now().Add(d))
 	n, err := conn.Read(make([]byte, 100))
 	var timeout net.Error
@@ -270,17 +270,17 @@
 		t.Fatal(err)
 	}
 	for name, conn := range map[string]net.Conn{"client": client, "server": server} {
-		if n, open := readsFor(conn, 10*time.Second); n != 0 || open {
+		if n, open := readWithin(conn, 10*time.Second); n != 0 || open {
 			t.Errorf("%s read %d bytes, open %v; want none, closed", name, n, open)
 		}
 	}
 	waitFor(t, "no connection", func() bool { return relay.Connections() == 0 })
 }
 
-// TestRelaySilentSideIsNotTold guards against a silent connection that passes
+// TestRelaySilenceHidesDisconnect guards against a silent connection that passes
 // on anything, or tells one side when the other one leaves, which a lost network
 // path never does.
-func TestRelaySilentSideIsNotTold(t *testing.T) {
+func TestRelaySilenceHidesDisconnect(t *testing.T) {
 	t.Parallel()
 	for _, linger := range []int{-1, 0} { // the client closes its side, or resets it
 		relay, client, server := rawRelay(t)
@@ -292,7 +292,7 @@
 			t.Fatal(err)
 		}
 		client.Close()
-		if n, open := readsFor(server, 300*time.Millisecond); n != 0 || !open {
+		if n, open := readWithin(server, 300*time.Millisecond); n != 0 || !open {
 			t.Errorf("linger %d: server read %d bytes, open %v; want none, open", linger, n, open)
 		}
 	}
--- a/standin/server.go
+++ b/standin/server.go
@@ -8,20 +8,20 @@
 	"github.com/rotisserie/eris"
 )
 
-// Bounds of a stand-in's connections.
+// Limits of the HTTP server of a stand-in.
 const (
 	readHeaderTimeout = 5 * time.Second
-	serverIdleTimeout = time.Minute // longer than the clients', which close first
+	serverIdleTimeout = time.Minute // longer than that of the clients, so that they close idle connections first
 	maxHeaderBytes    = 64 << 10
 )
 
-// Listen opens a TCP port.
+// Listen opens a TCP listener.
 func Listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	return listener, eris.Wrapf(err, "listen on %s", address)
 }
 
-// NewServer returns a server for a stand-in with explicit bounds.
+// NewServer returns an HTTP server for a stand-in, with limits on headers and idle connections.
 func NewServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
--- a/standin/store.go
+++ b/standin/store.go
@@ -13,12 +13,12 @@
 	"github.com/mulberrydrum/mulberrydrum/store/wire"
 )
 
-// maxStoreRequestBytes bounds a request before it is decoded. Base64 makes the
-// largest transaction a third longer.
+// maxStoreRequestBytes limits the encoded request. Base64 encoding makes the largest transaction a
+// third longer.
 const maxStoreRequestBytes = 4 << 20
 
-// Store is the stand-in for the platform's store: the HTTP/JSON gateway over a
-// state machine in memory.
+// Store is the stand-in for the platform's key-value store. It serves the HTTP/JSON gateway from an
+// in-memory state machine.
 type Store struct {
 	mux    *http.ServeMux
 	engine *storetest.Engine
@@ -43,17 +43,17 @@
 	return s
 }
 
-// ServeHTTP serves the gateway and the switches.
+// ServeHTTP serves the gateway and the control endpoints.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
-// Close stops the timer for leases.
+// Close stops the expiry timer of the leases.
 func (s *Store) Close() { s.engine.Close() }
 
-// Faults returns the fault switches, for tests in the same process.
+// Faults returns the fault table, for tests in the same process.
 func (s *Store) Faults() *fault.Table { return s.faults }
 
-// handle adds a call of the gateway. The body is read before the faults act, so
-// that a call of which only a part has arrived is never executed.
+// handle registers a call of the gateway. It reads the body before it applies faults, so that a
+// call that was received only in part is never executed.
 func (s *Store) handle(path, call string, next func(http.ResponseWriter, *http.Request, gatewayCall)) {
 	s.mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxStoreRequestBytes))
@@ -62,17 +62,17 @@
 			return
 		}
 		effect := s.faults.Take(call, r.Header.Get(wire.HeaderInstance))
-		applyEffect(w, r, effect, refuseAsStore, func(w http.ResponseWriter, r *http.Request) {
+		applyEffect(w, r, effect, refuseNoLeader, func(w http.ResponseWriter, r *http.Request) {
 			s.faults.CountExecuted(call)
 			next(w, r, gatewayCall{body: body, silent: effect.Silent})
 		})
 	})
 }
 
-// gatewayCall is one call of the gateway that is executed.
+// gatewayCall is a call of the gateway to be executed.
 type gatewayCall struct {
 	body   []byte
-	silent bool // a watch that delivers nothing
+	silent bool // the call is a watch that must deliver nothing
 }
 
 func (s *Store) doRange(w http.ResponseWriter, _ *http.Request, call gatewayCall) {
@@ -121,7 +121,7 @@
 		result, err = m.Commit(txn)
 		reply = wire.TxnReply{Header: headerOf(m), Succeeded: result.Succeeded}
 		if err == nil && !result.Succeeded {
-			reply.Responses = readAll(m, request.Failure)
+			reply.Responses = readRanges(m, request.Failure)
 		}
 	})
 	if err != nil {
@@ -131,7 +131,7 @@
 	writeJSON(w, http.StatusOK, reply)
 }
 
-func readAll(m *storetest.Machine, operations []wire.Operation) []wire.OperationReply {
+func readRanges(m *storetest.Machine, operations []wire.Operation) []wire.OperationReply {
 	var replies []wire.OperationReply
 	for _, operation := range operations {
 		replies = append(replies, wire.OperationReply{Range: readRange(m, operation.Range)})
@@ -139,12 +139,13 @@
 	return replies
 }
 
-// errUnsupported says that a request is valid for the real store but not used
-// by the project, so that the stand-in does not implement it.
+// errUnsupported means that a request is valid for the real store, but not implemented because the
+// project does not use it.
 var errUnsupported = errors.New("not implemented by the stand-in")
 
-// fromWireTxn decodes a transaction of the form that the client sends: equality
-// of mod revisions, puts and single deletes, and reads when a compare fails.
+// fromWireTxn converts a transaction of the form that the client sends: compares of mod revisions
+// for equality, puts and deletes of single keys, and reads if a compare fails. For other forms it
+// returns errUnsupported.
 func fromWireTxn(request wire.TxnRequest) (store.Txn, error) {
 	var txn store.Txn
 	for _, compare := range request.Compare {
@@ -178,7 +179,7 @@
 		return
 	}
 	var err error
-	var reply wire.LeaseReply // of a compaction only the header is used
+	var reply wire.LeaseReply // the reply to a compaction has only a header
 	s.engine.Do(func(_ time.Time, m *storetest.Machine) {
 		err = m.Compact(request.Revision)
 		reply.Header = headerOf(m)
--- a/standin/store_lease.go
+++ b/standin/store_lease.go
@@ -28,8 +28,8 @@
 	writeJSON(w, http.StatusOK, reply)
 }
 
-// doKeepAlive answers with one message of the keepalive stream. A lease that is
-// gone is told by a TTL of 0, not by an error.
+// doKeepAlive sends one message of the keepalive stream. For a lease that has expired or was
+// revoked it reports a TTL of 0, not an error.
 func (s *Store) doKeepAlive(w http.ResponseWriter, _ *http.Request, call gatewayCall) {
 	var request wire.LeaseRequest
 	if !decodeStore(w, call.body, &request) {
@@ -62,7 +62,7 @@
 	writeJSON(w, http.StatusOK, reply)
 }
 
-// doWatch streams the changes of a range, one JSON message to a line.
+// doWatch streams the changes in a range, one JSON message per line.
 func (s *Store) doWatch(w http.ResponseWriter, r *http.Request, call gatewayCall) {
 	var request wire.WatchRequest
 	if !decodeStore(w, call.body, &request) {
@@ -90,7 +90,7 @@
 	if err == nil {
 		return
 	}
-	panic(http.ErrAbortHandler) // the stream ends without its last chunk
+	panic(http.ErrAbortHandler) // closes the connection without the final chunk of the stream
 }
 
 func (s *Store) header() (header *wire.Header) {
@@ -133,14 +133,12 @@
 	return http.NewResponseController(s.writer).Flush()
 }
 
-// refuseAsStore writes the reply of a store that refuses a call before it
-// executes anything.
-func refuseAsStore(w http.ResponseWriter) {
+// refuseNoLeader writes the reply of a store without a leader, which executes no calls.
+func refuseNoLeader(w http.ResponseWriter) {
 	writeGatewayError(w, http.StatusServiceUnavailable, wire.CodeUnavailable, wire.MessageNoLeader)
 }
 
-// writeStoreError answers with the status and the message that the real store
-// gives for err.
+// writeStoreError writes the status and the message that the real store returns for err.
 func writeStoreError(w http.ResponseWriter, err error) {
 	switch {
 	case errors.Is(err, store.ErrLeaseGone):
--- a/standin/watch_test.go
+++ b/standin/watch_test.go
@@ -21,15 +21,15 @@
 // follower rebuilds the keys from a watch, as a process does that keeps its
 // configuration up to date.
 type follower struct {
-	keys   map[string]string
-	last   atomic.Int64
-	faulty []string
+	keys         map[string]string
+	lastRevision atomic.Int64
+	problems     []string
 }
 
 func (f *follower) deliver(batch store.WatchBatch) {
-	last := f.last.Load()
+	last := f.lastRevision.Load()
 	if batch.Revision < last || batch.Revision == last && len(batch.Changes) > 0 {
-		f.faulty = append(f.faulty, fmt.Sprintf("revision %d after %d", batch.Revision, last))
+		f.problems = append(f.problems, fmt.Sprintf("revision %d after %d", batch.Revision, last))
 	}
 	for _, change := range batch.Changes {
 		if change.Deleted {
@@ -38,26 +38,26 @@
 			f.keys[change.Key] = string(change.Value)
 		}
 	}
-	f.last.Store(batch.Revision)
+	f.lastRevision.Store(batch.Revision)
 }
 
 // run watches until the marker has arrived and tells ends why each watch ended.
-func (f *follower) run(ctx context.Context, s store.Store, ends chan<- error) {
-	defer close(ends)
+func (f *follower) run(ctx context.Context, s store.Store, watchErrors chan<- error) {
+	defer close(watchErrors)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for ctx.Err() == nil {
-		err := s.Watch(ctx, "c/", f.last.Load()+1, func(batch store.WatchBatch) {
+		err := s.Watch(ctx, "c/", f.lastRevision.Load()+1, func(batch store.WatchBatch) {
 			f.deliver(batch)
 			if _, found := f.keys[markerKey]; found {
 				cancel()
 			}
 		})
 		if errors.Is(err, store.ErrCompacted) {
-			f.faulty = append(f.faulty, err.Error())
+			f.problems = append(f.problems, err.Error())
 			return
 		}
-		ends <- err
+		watchErrors <- err
 		time.Sleep(10 * time.Millisecond)
 	}
 }
@@ -80,8 +80,8 @@
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	f := follower{keys: map[string]string{}}
-	ends := make(chan error, 10_000) // more than the watch can end in a minute
-	go f.run(ctx, reader, ends)
+	watchErrors := make(chan error, 10_000) // more than the watch can end in a minute
+	go f.run(ctx, reader, watchErrors)
 
 	random := rand.New(rand.NewPCG(1, 2))
 	written := map[string]string{}
@@ -102,22 +102,22 @@
 			if err := s.Faults().Set(); err != nil {
 				t.Fatal(err)
 			}
-			catchUp(ctx, t, &f, commitRandom(t, writer, random, written), ends)
+			catchUp(ctx, t, &f, commitRandom(t, writer, random, written), watchErrors)
 			continue
 		}
 		if err := s.Faults().Set(fault.Fault{Kind: phase.kind, Instance: "reader"}); err != nil {
 			t.Fatal(err)
 		}
-		commitUntil(t, writer, random, written, ends, phase.want)
+		commitUntil(t, writer, random, written, watchErrors, phase.want)
 	}
 	written[markerKey] = "end"
 	if _, err := writer.Commit(ctx, store.Txn{Puts: []store.Put{{Key: markerKey, Value: []byte("end")}}}); err != nil {
 		t.Fatal(err)
 	}
-	for range ends { // until the marker has arrived or the minute is over
+	for range watchErrors { // until the marker has arrived or the minute is over
 	}
-	if len(f.faulty) > 0 {
-		t.Errorf("order: %v", f.faulty)
+	if len(f.problems) > 0 {
+		t.Errorf("order: %v", f.problems)
 	}
 	if !maps.Equal(f.keys, written) {
 		t.Errorf("the watch led to %v, written was %v", f.keys, written)
@@ -125,25 +125,25 @@
 }
 
 // catchUp waits until f has seen revision and drops the ends up to then.
-func catchUp(ctx context.Context, t *testing.T, f *follower, revision int64, ends <-chan error) {
+func catchUp(ctx context.Context, t *testing.T, f *follower, revision int64, watchErrors <-chan error) {
 	t.Helper()
-	for f.last.Load() < revision {
+	for f.lastRevision.Load() < revision {
 		if ctx.Err() != nil {
-			t.Fatalf("the watch is at revision %d, not at %d", f.last.Load(), revision)
+			t.Fatalf("the watch is at revision %d, not at %d", f.lastRevision.Load(), revision)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	for len(ends) > 0 {
-		<-ends
+	for len(watchErrors) > 0 {
+		<-watchErrors
 	}
 }
 
 // commitUntil keeps changing keys until a watch has ended with want.
-func commitUntil(t *testing.T, writer store.Store, random *rand.Rand, written map[string]string, ends <-chan error, want error) {
+func commitUntil(t *testing.T, writer store.Store, random *rand.Rand, written map[string]string, watchErrors <-chan error, want error) {
 	t.Helper()
 	for {
 		select {
-		case err, running := <-ends:
+		case err, running := <-watchErrors:
 			if !running {
 				t.Fatalf("the watch stopped before it ended with %v", want)
 			}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -12,8 +12,8 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// WorkerConfig describes a stand-in worker. IgnoreEpoch and IgnoreValidity
-// model workers that do not check epochs, or neither start_by, leases nor boot.
+// WorkerConfig describes a stand-in worker. IgnoreEpoch models a worker that does not check epochs,
+// and IgnoreValidity one that checks neither start_by nor leases nor the boot id.
 type WorkerConfig struct {
 	Name           string
 	Capacity       task.Resources
@@ -22,12 +22,12 @@
 	IgnoreValidity bool
 }
 
-// errNoReply means that the worker gives no reply: the connection is lost or
-// silent. Whether the call had an effect is not known to its caller.
+// errNoReply means that the worker sends no reply: the connection is closed or stays silent. The
+// caller cannot tell whether the call had an effect.
 var errNoReply = errors.New("the worker does not reply")
 
-// Worker is a stand-in worker. One goroutine owns its state; calls and changes
-// of faults are functions sent to that goroutine.
+// Worker is a stand-in worker. One goroutine owns its state; calls and changes of faults are
+// functions sent to that goroutine.
 type Worker struct {
 	config  WorkerConfig
 	calls   chan func(now time.Time)
@@ -39,10 +39,10 @@
 	machine *machine
 	ledger  oracle.WorkerLedger
 	boots   int
-	faults  faults
+	faults  callFaults
 }
 
-// NewWorker starts a worker. Close ends it.
+// NewWorker starts a worker. Close stops it.
 func NewWorker(config WorkerConfig) *Worker {
 	w := &Worker{
 		config:  config,
@@ -64,8 +64,8 @@
 	w.machine = newMachine(now, w.config, w.boots, &w.ledger)
 }
 
-// loop runs calls and ends tasks. While frozen it accepts only control
-// functions, so calls wait in the order in which they came.
+// loop runs calls and ends tasks. While the worker is frozen it accepts only control functions, so
+// calls wait in the order of their arrival.
 func (w *Worker) loop() {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -92,7 +92,7 @@
 }
 
 func (w *Worker) setTimer(timer *time.Timer) {
-	next := w.machine.next()
+	next := w.machine.nextEnd()
 	if next.IsZero() {
 		timer.Stop()
 		return
@@ -100,15 +100,14 @@
 	timer.Reset(time.Until(next))
 }
 
-// do runs f on the loop. It waits as long as the worker is frozen, whether or
-// not the caller still waits: a request that has arrived stays in the socket
-// buffer of a worker when its sender gives up.
-func (w *Worker) do(f func(now time.Time)) error { return w.send(w.calls, f) }
+// runCall runs f on the loop. It blocks while the worker is frozen, even if the caller has given
+// up: a request that has arrived stays in the socket buffer of a worker when its sender gives up.
+func (w *Worker) runCall(f func(now time.Time)) error { return w.run(w.calls, f) }
 
-// manage runs f on the loop even while the worker is frozen.
-func (w *Worker) manage(f func(now time.Time)) error { return w.send(w.control, f) }
+// runControl runs f on the loop even while the worker is frozen.
+func (w *Worker) runControl(f func(now time.Time)) error { return w.run(w.control, f) }
 
-func (w *Worker) send(to chan func(time.Time), f func(now time.Time)) error {
+func (w *Worker) run(to chan func(time.Time), f func(now time.Time)) error {
 	done := make(chan struct{})
 	wrapped := func(now time.Time) {
 		f(now)
@@ -119,26 +118,26 @@
 	case <-w.closed:
 		return errNoReply
 	}
-	<-done // the loop runs every function that it has taken
+	<-done // the loop runs every function that it has received
 	return nil
 }
 
-// serve runs one call with the faults that apply to its kind. f returns the
-// rejection of the call, if any.
+// serve executes one call under the faults that apply to its kind. f returns the rejection of the
+// call, if any.
 func (w *Worker) serve(ctx context.Context, kind Call, f func(now time.Time) *worker.Rejection) error {
-	if err := w.enter(ctx, kind); err != nil {
+	if err := w.applyBefore(ctx, kind); err != nil {
 		return err
 	}
 	var rejection *worker.Rejection
-	var reply faultsAfter
-	err := w.do(func(now time.Time) {
+	var fault replyFault
+	err := w.runCall(func(now time.Time) {
 		rejection = f(now)
-		reply = w.faults.after(kind)
+		fault = w.faults.takeReplyFault(kind)
 	})
 	if err != nil {
 		return err
 	}
-	if err := w.leave(ctx, reply); err != nil {
+	if err := w.applyAfter(ctx, fault); err != nil {
 		return err
 	}
 	if rejection != nil {
@@ -147,7 +146,7 @@
 	return nil
 }
 
-// Sync serves worker.API.
+// Sync serves the call of worker.API.
 func (w *Worker) Sync(ctx context.Context, req worker.SyncRequest) (reply worker.SyncReply, err error) {
 	err = w.serve(ctx, CallSync, func(now time.Time) (rejection *worker.Rejection) {
 		reply, rejection = w.machine.sync(now, req)
@@ -156,7 +155,7 @@
 	return reply, err
 }
 
-// Start serves worker.API. It waits for the end of the task up to req.Wait.
+// Start serves the call of worker.API. It waits up to req.Wait for the end of the task.
 func (w *Worker) Start(ctx context.Context, req worker.StartRequest) (reply worker.StartReply, err error) {
 	var started *record
 	var bootID string
@@ -168,11 +167,11 @@
 	if err != nil || reply.Outcome != nil || started == nil || req.Wait <= 0 {
 		return reply, err
 	}
-	if err := w.await(ctx, started, req.Wait); err != nil {
+	if err := w.awaitEnd(ctx, started, req.Wait); err != nil {
 		return worker.StartReply{}, err
 	}
 	rebooted := false
-	err = w.do(func(now time.Time) {
+	err = w.runCall(func(now time.Time) {
 		rebooted = w.machine.bootID != bootID
 		reply = w.machine.startReply(now, started)
 	})
@@ -182,8 +181,8 @@
 	return reply, err
 }
 
-// await waits until the task has ended, or for the given time.
-func (w *Worker) await(ctx context.Context, r *record, wait time.Duration) error {
+// awaitEnd waits until the attempt has ended, but no longer than wait.
+func (w *Worker) awaitEnd(ctx context.Context, r *record, wait time.Duration) error {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
@@ -197,7 +196,7 @@
 	return nil
 }
 
-// Lookup serves worker.API.
+// Lookup serves the call of worker.API.
 func (w *Worker) Lookup(ctx context.Context, a task.Attempt) (reply worker.LookupReply, err error) {
 	err = w.serve(ctx, CallLookup, func(now time.Time) *worker.Rejection {
 		reply = w.machine.lookup(now, a)
@@ -206,7 +205,7 @@
 	return reply, err
 }
 
-// Stop serves worker.API.
+// Stop serves the call of worker.API.
 func (w *Worker) Stop(ctx context.Context, req worker.StopRequest) (reply worker.LookupReply, err error) {
 	err = w.serve(ctx, CallStop, func(now time.Time) (rejection *worker.Rejection) {
 		reply, rejection = w.machine.stop(now, req)
@@ -215,7 +214,7 @@
 	return reply, err
 }
 
-// Checkpoint serves worker.API.
+// Checkpoint serves the call of worker.API.
 func (w *Worker) Checkpoint(ctx context.Context, req worker.CheckpointRequest) (reply worker.LookupReply, err error) {
 	err = w.serve(ctx, CallCheckpoint, func(now time.Time) (rejection *worker.Rejection) {
 		reply, rejection = w.machine.checkpoint(now, req)
@@ -224,7 +223,7 @@
 	return reply, err
 }
 
-// Throttle serves worker.API.
+// Throttle serves the call of worker.API.
 func (w *Worker) Throttle(ctx context.Context, req worker.ThrottleRequest) (reply worker.LookupReply, err error) {
 	err = w.serve(ctx, CallThrottle, func(now time.Time) (rejection *worker.Rejection) {
 		reply, rejection = w.machine.throttle(now, req)
@@ -242,9 +241,9 @@
 	return result, digest, err
 }
 
-// Ledger returns a copy of everything the worker ever ran.
+// Ledger returns a copy of the record of all runs of the worker.
 func (w *Worker) Ledger() (ledger oracle.WorkerLedger, err error) {
-	err = w.manage(func(now time.Time) {
+	err = w.runControl(func(now time.Time) {
 		if !w.faults.frozen {
 			w.machine.advance(now)
 		}
--- a/standin/worker_bench_test.go
+++ b/standin/worker_bench_test.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	_ = w.manage(func(time.Time) { clear(w.machine.tombstones) }) // start_by is an hour away
+	_ = w.runControl(func(time.Time) { clear(w.machine.tombstones) }) // start_by is an hour away
 }
 
 // BenchmarkTraffic measures the bytes on the connections to one worker for a
--- a/standin/worker_calls.go
+++ b/standin/worker_calls.go
@@ -12,16 +12,16 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// start runs a new attempt. An attempt that is known already is returned as it
-// is: rejecting it would claim that it did not run.
+// start starts a new attempt. For an attempt that was started before, it returns the existing
+// record, or nil if that was acknowledged: a rejection would mean that the attempt did not run.
 func (m *machine) start(now time.Time, req worker.StartRequest) (*record, *worker.Rejection) {
 	if r := m.records[req.Attempt]; r != nil {
 		return r, nil
 	}
-	if t, ok := m.buried(now, req.Attempt); ok && t.ran {
+	if t, ok := m.tombstoneOf(now, req.Attempt); ok && t.ran {
 		return nil, nil
 	}
-	work, rejection := m.admit(now, req)
+	cmd, rejection := m.admit(now, req)
 	if rejection != nil {
 		return nil, rejection
 	}
@@ -30,36 +30,36 @@
 			Attempt: req.Attempt, Team: req.Team, Class: req.Class, Size: req.Size,
 			State: worker.Running, Home: req.Home, LeaseUntil: req.LeaseUntil,
 		},
-		result: work.result, exit: work.exit, startedAt: now, startBy: req.StartBy,
-		run: len(m.ledger.Runs), ended: make(chan struct{}),
+		result: cmd.result, exitCode: cmd.exitCode, startedAt: now, startBy: req.StartBy,
+		runIndex: len(m.ledger.Runs), ended: make(chan struct{}),
 	}
-	if !work.forever {
-		r.endsAt = now.Add(work.lasts)
+	if !cmd.forever {
+		r.endsAt = now.Add(cmd.duration)
 	}
 	m.used = m.used.Add(req.Size)
 	m.records[req.Attempt] = r
 	m.running[req.Attempt] = r
-	m.touch(r)
+	m.markChanged(r)
 	m.ledger.Runs = append(m.ledger.Runs, oracle.Run{
 		Worker: m.config.Name, BootID: m.bootID, Attempt: req.Attempt, Team: req.Team,
 		Class: req.Class, Size: req.Size, Owner: req.Owner, Epoch: req.Epoch,
-		Start: wall(now), State: string(worker.Running), PayloadDigest: worker.Digest(req.Payload),
+		Start: wallTime(now), State: string(worker.Running), PayloadDigest: worker.Digest(req.Payload),
 	})
 	m.advance(now)
 	return r, nil
 }
 
-// admit decides whether a start is valid and fits.
+// admit checks that a start is valid, and that it fits into the free capacity.
 func (m *machine) admit(now time.Time, req worker.StartRequest) (command, *worker.Rejection) {
 	if req.Attempt.Task == "" || req.Attempt.Number == 0 || req.Size.HasNegative() {
-		return command{}, m.reject(now, worker.ReasonInvalid, "attempt or size is not valid")
+		return command{}, m.reject(now, worker.ReasonInvalid, "invalid attempt %s or size %s", req.Attempt, req.Size)
 	}
-	work, err := parseCommand(req.Command, req.Attempt, req.Payload)
+	cmd, err := parseCommand(req.Command, req.Attempt, req.Payload)
 	if err != nil {
 		return command{}, m.reject(now, worker.ReasonInvalid, "%v", err)
 	}
 	if m.failTasks {
-		work = command{exit: 1}
+		cmd = command{exitCode: 1}
 	}
 	if rejection := m.checkValidity(now, req); rejection != nil {
 		return command{}, rejection
@@ -67,16 +67,16 @@
 	if rejection := m.checkEpoch(now, req.Epoch); rejection != nil {
 		return command{}, rejection
 	}
-	if _, stopped := m.buried(now, req.Attempt); stopped {
-		return command{}, m.reject(now, worker.ReasonCancelled, "stopped before its start")
+	if _, stopped := m.tombstoneOf(now, req.Attempt); stopped {
+		return command{}, m.reject(now, worker.ReasonCancelled, "attempt %s was stopped before its start", req.Attempt)
 	}
 	if free := m.config.Capacity.Sub(m.used); !req.Size.Fits(free) {
 		m.ledger.OverCapacity = append(m.ledger.OverCapacity, oracle.Refused{
-			Attempt: req.Attempt, Size: req.Size, Used: m.used, Epoch: req.Epoch, At: wall(now),
+			Attempt: req.Attempt, Size: req.Size, Used: m.used, Epoch: req.Epoch, At: wallTime(now),
 		})
-		return command{}, m.reject(now, worker.ReasonCapacity, "free are %s, needed are %s", free, req.Size)
+		return command{}, m.reject(now, worker.ReasonCapacity, "free capacity is %s, the attempt needs %s", free, req.Size)
 	}
-	return work, nil
+	return cmd, nil
 }
 
 func (m *machine) checkValidity(now time.Time, req worker.StartRequest) *worker.Rejection {
@@ -85,16 +85,17 @@
 	case m.config.IgnoreValidity:
 		return nil
 	case req.BootID != m.bootID:
-		return m.reject(now, worker.ReasonBoot, "the start is for boot %q", req.BootID)
+		return m.reject(now, worker.ReasonBoot, "start is for boot %q, the current boot is %q", req.BootID, m.bootID)
 	case clock > req.StartBy:
-		return m.reject(now, worker.ReasonLate, "the start was valid until %s", req.StartBy)
+		return m.reject(now, worker.ReasonLate, "start was valid until %s, the clock is at %s", req.StartBy, clock)
 	case clock >= req.LeaseUntil:
-		return m.reject(now, worker.ReasonLate, "the lease ended at %s", req.LeaseUntil)
+		return m.reject(now, worker.ReasonLate, "lease ended at %s, the clock is at %s", req.LeaseUntil, clock)
 	}
 	return nil
 }
 
-// checkEpoch rejects a lower epoch than the highest seen and remembers a higher.
+// checkEpoch fences former owners: it rejects an epoch lower than the highest one seen, and records
+// a higher one.
 func (m *machine) checkEpoch(now time.Time, epoch uint64) *worker.Rejection {
 	if epoch < m.epoch && !m.config.IgnoreEpoch {
 		return m.reject(now, worker.ReasonEpoch, "epoch %d is below %d", epoch, m.epoch)
@@ -110,8 +111,8 @@
 	}
 }
 
-// startReply describes a started attempt; a nil record is one that was
-// acknowledged before.
+// startReply returns the reply for a started attempt. r is nil if the attempt was acknowledged
+// before.
 func (m *machine) startReply(now time.Time, r *record) worker.StartReply {
 	reply := worker.StartReply{Started: true, Clock: m.clock(now), BootID: m.bootID}
 	if r == nil || r.report.Outcome == nil {
@@ -126,7 +127,7 @@
 	return reply
 }
 
-// sync renews leases, forgets acknowledged attempts and reports.
+// sync renews leases, deletes acknowledged attempts and returns a report.
 func (m *machine) sync(now time.Time, req worker.SyncRequest) (worker.SyncReply, *worker.Rejection) {
 	if rejection := m.checkEpoch(now, req.Epoch); rejection != nil {
 		return worker.SyncReply{}, rejection
@@ -136,7 +137,7 @@
 		m.renew(req.LeaseUntil)
 		m.acknowledge(req.Acknowledge)
 	}
-	m.measure(now)
+	m.updateUsage(now)
 	full := req.Full || !sameBoot || req.After > m.sequence
 	return worker.SyncReply{
 		Worker: m.config.Name, BootID: m.bootID, Clock: m.clock(now), Sequence: m.sequence, Full: full,
@@ -161,8 +162,8 @@
 	}
 }
 
-// reports lists the attempts that changed after the given sequence, or all, in
-// the order of their changes.
+// reports returns the attempts that changed after the given sequence number, or all if full is set,
+// in the order of their changes.
 func (m *machine) reports(full bool, after uint64) []worker.TaskReport {
 	var changed []*record
 	for _, r := range m.records {
@@ -178,7 +179,7 @@
 	return reports
 }
 
-// lookup describes one attempt.
+// lookup returns the state of one attempt.
 func (m *machine) lookup(now time.Time, a task.Attempt) worker.LookupReply {
 	reply := worker.LookupReply{Clock: m.clock(now), BootID: m.bootID}
 	if r := m.records[a]; r != nil {
@@ -187,14 +188,14 @@
 	return reply
 }
 
-// stop ends a running attempt, or leaves a tombstone for one that has not come.
+// stop ends a running attempt, or adds a tombstone for one whose start has not arrived yet.
 func (m *machine) stop(now time.Time, req worker.StopRequest) (worker.LookupReply, *worker.Rejection) {
 	if rejection := m.checkEpoch(now, req.Epoch); rejection != nil {
 		return worker.LookupReply{}, rejection
 	}
 	r := m.records[req.Attempt]
 	if r == nil {
-		m.bury(req)
+		m.addTombstone(req)
 		return m.lookup(now, req.Attempt), nil
 	}
 	if r.report.State == worker.Running {
@@ -203,8 +204,9 @@
 	return m.lookup(now, req.Attempt), nil
 }
 
-// bury leaves a tombstone. A start for another boot needs none.
-func (m *machine) bury(req worker.StopRequest) {
+// addTombstone adds a tombstone for a stopped attempt, or extends its validity. A start for another
+// boot needs none, because it is rejected anyway.
+func (m *machine) addTombstone(req worker.StopRequest) {
 	t, known := m.tombstones[req.Attempt]
 	if req.BootID != m.bootID && !m.config.IgnoreValidity || known && t.ran {
 		return
@@ -214,8 +216,8 @@
 	}
 }
 
-// buried returns the tombstone of an attempt, if it still holds.
-func (m *machine) buried(now time.Time, a task.Attempt) (tombstone, bool) {
+// tombstoneOf returns the tombstone of an attempt, and whether it is still valid.
+func (m *machine) tombstoneOf(now time.Time, a task.Attempt) (tombstone, bool) {
 	t, known := m.tombstones[a]
 	return t, known && t.until >= m.clock(now)
 }
@@ -235,7 +237,7 @@
 func (m *machine) result(now time.Time, a task.Attempt) ([]byte, string, *worker.Rejection) {
 	r := m.records[a]
 	if r == nil || r.report.Outcome == nil {
-		return nil, "", m.reject(now, worker.ReasonState, "attempt %s has no result here", a)
+		return nil, "", m.reject(now, worker.ReasonState, "attempt %s is unknown or has no result", a)
 	}
 	return r.result, r.report.Outcome.Digest, nil
 }
--- a/standin/worker_command.go
+++ b/standin/worker_command.go
@@ -11,52 +11,52 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// maxCommandBytes bounds the result of a bytes command.
-const maxCommandBytes = 256 << 20
+// maxGeneratedBytes limits the result of a bytes command.
+const maxGeneratedBytes = 256 << 20
 
-// command is what a task does: it lasts for a time or until it is stopped, then
-// ends with an exit code and a result.
+// command is the simulated work of a task. It runs for a duration or until it is stopped, and ends
+// with an exit code and a result.
 type command struct {
-	lasts   time.Duration
-	forever bool
-	exit    int
-	result  []byte
+	duration time.Duration
+	forever  bool
+	exitCode int
+	result   []byte
 }
 
-// parseCommand reads one of echo, sleep:<duration>, bytes:<n>, fail:<code> and
-// run. Echo and sleep return the payload.
+// parseCommand parses one of echo, sleep:<duration>, bytes:<n>, fail:<exit code> and run. The
+// result of echo and sleep is the payload.
 func parseCommand(text string, a task.Attempt, payload []byte) (command, error) {
 	name, argument, _ := strings.Cut(text, ":")
 	switch name {
 	case "echo":
 		return command{result: payload}, nil
 	case "sleep":
-		lasts, err := time.ParseDuration(argument)
-		if err != nil || lasts < 0 {
+		duration, err := time.ParseDuration(argument)
+		if err != nil || duration < 0 {
 			return command{}, eris.Errorf("command %q: want sleep:<duration>", text)
 		}
-		return command{lasts: lasts, result: payload}, nil
+		return command{duration: duration, result: payload}, nil
 	case "bytes":
 		n, err := strconv.Atoi(argument)
-		if err != nil || n < 0 || n > maxCommandBytes {
-			return command{}, eris.Errorf("command %q: want bytes:<n> with n up to %d", text, maxCommandBytes)
+		if err != nil || n < 0 || n > maxGeneratedBytes {
+			return command{}, eris.Errorf("command %q: want bytes:<n> with n up to %d", text, maxGeneratedBytes)
 		}
-		return command{result: fill(a, n)}, nil
+		return command{result: attemptBytes(a, n)}, nil
 	case "fail":
 		code, err := strconv.Atoi(argument)
 		if err != nil || code == 0 {
 			return command{}, eris.Errorf("command %q: want fail:<exit code>", text)
 		}
-		return command{exit: code}, nil
+		return command{exitCode: code}, nil
 	case "run":
 		return command{forever: true}, nil
 	}
 	return command{}, eris.Errorf("command %q: want echo, sleep, bytes, fail or run", text)
 }
 
-// fill returns n bytes that differ from attempt to attempt, so that crossed
-// results have different digests.
-func fill(a task.Attempt, n int) []byte {
+// attemptBytes returns n bytes that differ between attempts, so that a result delivered for the
+// wrong attempt has a different digest.
+func attemptBytes(a task.Attempt, n int) []byte {
 	pattern := []byte(a.String() + "\n")
 	return bytes.Repeat(pattern, n/len(pattern)+1)[:n]
 }
--- a/standin/worker_faults.go
+++ b/standin/worker_faults.go
@@ -8,7 +8,7 @@
 	"github.com/mulberrydrum/mulberrydrum/oracle"
 )
 
-// Call names a kind of call to a worker.
+// Call is a kind of call to a worker.
 type Call string
 
 // The kinds of calls.
@@ -25,52 +25,53 @@
 // Calls lists every kind of call.
 var Calls = []Call{CallSync, CallStart, CallLookup, CallResult, CallStop, CallCheckpoint, CallThrottle}
 
-// WorkerFaults changes the fault switches of a worker. Fields that are absent
-// leave their switch as it is.
+// WorkerFaults changes the faults of a worker. Absent fields leave their fault unchanged, except
+// Calls, which is always replaced.
 type WorkerFaults struct {
-	Freeze      *bool  `json:"freeze,omitempty"`       // calls wait and leases are not enforced until it ends
-	Silent      *bool  `json:"silent,omitempty"`       // accept calls, do nothing and never reply
-	SilentAfter *bool  `json:"silent_after,omitempty"` // have the effect and never reply
-	DropReplies *int   `json:"drop_replies,omitempty"` // have the effect and close the connection, this many times
-	SlowMS      *int64 `json:"slow_ms,omitempty"`      // delay before the effect
-	FailTasks   *bool  `json:"fail_tasks,omitempty"`   // each new task fails at once
-	Leaving     *bool  `json:"leaving,omitempty"`      // report that the worker is leaving
-	Reboot      bool   `json:"reboot,omitempty"`       // new boot, tasks gone
-	Calls       []Call `json:"calls,omitempty"`        // kinds that silent, drop and slow apply to; absent for all
+	Freeze      *bool  `json:"freeze,omitempty"`       // calls wait and leases are not enforced until it is cleared
+	Silent      *bool  `json:"silent,omitempty"`       // calls are accepted, never executed and never answered
+	SilentAfter *bool  `json:"silent_after,omitempty"` // calls are executed and never answered
+	DropReplies *int   `json:"drop_replies,omitempty"` // this many calls are executed and their connections closed without a reply
+	SlowMS      *int64 `json:"slow_ms,omitempty"`      // delay before calls are executed
+	FailTasks   *bool  `json:"fail_tasks,omitempty"`   // each new task fails immediately
+	Leaving     *bool  `json:"leaving,omitempty"`      // reports say that the worker is leaving
+	Reboot      bool   `json:"reboot,omitempty"`       // start a new boot without tasks
+	Calls       []Call `json:"calls,omitempty"`        // kinds that silent, silent_after, drop_replies and slow_ms apply to; all if absent
 }
 
-// faults is the present state of the switches that concern calls.
-type faults struct {
+// callFaults holds the active faults of calls.
+type callFaults struct {
 	frozen      bool
 	silent      bool
 	silentAfter bool
 	dropReplies int
 	slow        time.Duration
-	only        []Call
+	kinds       []Call // to which the faults except frozen apply; all if empty
 }
 
-// faultsAfter says what happens to a reply.
-type faultsAfter struct{ drop, silent bool }
+// replyFault is the fault of a reply: the connection is closed, or no reply is ever sent.
+type replyFault struct{ drop, silent bool }
 
-func (f *faults) applies(kind Call) bool {
-	return len(f.only) == 0 || slices.Contains(f.only, kind)
+func (f *callFaults) appliesTo(kind Call) bool {
+	return len(f.kinds) == 0 || slices.Contains(f.kinds, kind)
 }
 
-// after takes the faults for the reply to a call that had its effect.
-func (f *faults) after(kind Call) faultsAfter {
-	if !f.applies(kind) {
-		return faultsAfter{}
+// takeReplyFault returns the fault for the reply to an executed call, and decrements dropReplies if
+// it drops the reply.
+func (f *callFaults) takeReplyFault(kind Call) replyFault {
+	if !f.appliesTo(kind) {
+		return replyFault{}
 	}
 	drop := f.dropReplies > 0
 	if drop {
 		f.dropReplies--
 	}
-	return faultsAfter{drop: drop, silent: f.silentAfter}
+	return replyFault{drop: drop, silent: f.silentAfter}
 }
 
-// SetFaults changes the fault switches.
+// SetFaults applies a change to the faults.
 func (w *Worker) SetFaults(change WorkerFaults) error {
-	return w.manage(func(now time.Time) {
+	return w.runControl(func(now time.Time) {
 		if change.Freeze != nil {
 			w.setFrozen(now, *change.Freeze)
 		}
@@ -80,63 +81,64 @@
 		if change.Leaving != nil {
 			w.setLeaving(now, *change.Leaving)
 		}
-		set(&w.faults.silent, change.Silent)
-		set(&w.faults.silentAfter, change.SilentAfter)
-		set(&w.faults.dropReplies, change.DropReplies)
-		set(&w.machine.failTasks, change.FailTasks)
+		setIfPresent(&w.faults.silent, change.Silent)
+		setIfPresent(&w.faults.silentAfter, change.SilentAfter)
+		setIfPresent(&w.faults.dropReplies, change.DropReplies)
+		setIfPresent(&w.machine.failTasks, change.FailTasks)
 		if change.SlowMS != nil {
 			w.faults.slow = time.Duration(*change.SlowMS) * time.Millisecond
 		}
-		w.faults.only = change.Calls
+		w.faults.kinds = change.Calls
 	})
 }
 
-func set[T any](field *T, value *T) {
+func setIfPresent[T any](field *T, value *T) {
 	if value != nil {
 		*field = *value
 	}
 }
 
-// setFrozen freezes the worker or lets it go on. The loop enforces leases that
-// ended meanwhile before it takes any call that waited.
+// setFrozen freezes or unfreezes the worker. Once it is unfrozen, the loop enforces the leases that
+// have ended meanwhile before it runs any call that was waiting.
 func (w *Worker) setFrozen(now time.Time, frozen bool) {
 	w.faults.frozen = frozen
-	w.ledger.Frozen = mark(w.ledger.Frozen, now, frozen)
+	w.ledger.Frozen = updatePeriods(w.ledger.Frozen, now, frozen)
 }
 
 func (w *Worker) setLeaving(now time.Time, leaving bool) {
 	w.machine.leaving = leaving
-	w.ledger.Leaving = mark(w.ledger.Leaving, now, leaving)
+	w.ledger.Leaving = updatePeriods(w.ledger.Leaving, now, leaving)
 }
 
-// mark opens or closes the last period as on says.
-func mark(periods []oracle.Period, now time.Time, on bool) []oracle.Period {
+// updatePeriods starts a period at now if active is set and none is open, and ends the open one if
+// it is not.
+func updatePeriods(periods []oracle.Period, now time.Time, active bool) []oracle.Period {
 	last := len(periods) - 1
 	open := last >= 0 && periods[last].End.IsZero()
 	switch {
-	case on && !open:
-		return append(periods, oracle.Period{Start: wall(now)})
-	case !on && open:
-		periods[last].End = wall(now)
+	case active && !open:
+		return append(periods, oracle.Period{Start: wallTime(now)})
+	case !active && open:
+		periods[last].End = wallTime(now)
 	}
 	return periods
 }
 
-// reboot drops everything but the ledger. The switches stay as they are.
+// reboot starts a new boot. It keeps only the ledger and the faults.
 func (w *Worker) reboot(now time.Time) {
 	before := w.machine
 	before.advance(now)
-	before.halt(now)
+	before.abortRunning(now)
 	w.boot(now)
 	w.machine.leaving, w.machine.failTasks = before.leaving, before.failTasks
 }
 
-// enter applies the faults before the effect of a call.
-func (w *Worker) enter(ctx context.Context, kind Call) error {
+// applyBefore applies the faults that act before a call is executed.
+func (w *Worker) applyBefore(ctx context.Context, kind Call) error {
 	var slow time.Duration
 	var silent bool
-	err := w.manage(func(time.Time) {
-		if w.faults.applies(kind) {
+	err := w.runControl(func(time.Time) {
+		if w.faults.appliesTo(kind) {
 			slow, silent = w.faults.slow, w.faults.silent
 		}
 	})
@@ -144,7 +146,7 @@
 		return err
 	}
 	if silent {
-		return w.silence(ctx)
+		return w.holdOpen(ctx)
 	}
 	if slow == 0 {
 		return nil
@@ -159,19 +161,19 @@
 	}
 }
 
-// leave applies the faults after the effect of a call.
-func (w *Worker) leave(ctx context.Context, reply faultsAfter) error {
+// applyAfter applies the fault of the reply after a call was executed.
+func (w *Worker) applyAfter(ctx context.Context, fault replyFault) error {
 	switch {
-	case reply.drop:
+	case fault.drop:
 		return errNoReply
-	case reply.silent:
-		return w.silence(ctx)
+	case fault.silent:
+		return w.holdOpen(ctx)
 	}
 	return nil
 }
 
-// silence waits until the caller gives up.
-func (w *Worker) silence(ctx context.Context) error {
+// holdOpen leaves a call unanswered until the caller gives up or the worker is closed.
+func (w *Worker) holdOpen(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
 	case <-w.closed:
--- a/standin/worker_faults_test.go
+++ b/standin/worker_faults_test.go
@@ -11,23 +11,23 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// subject is a worker with one finished and one running task, and the call
+// callFixture is a worker with one finished and one running task, and the call
 // that is exercised.
-type subject struct {
-	w          *Worker
-	api        worker.API
-	at         worker.Address
-	boot       string
-	clock      time.Duration
-	done, busy task.Attempt
+type callFixture struct {
+	w                 *Worker
+	api               worker.API
+	at                worker.Address
+	boot              string
+	clock             time.Duration
+	finished, running task.Attempt
 }
 
-var fresh = task.Attempt{Task: "fresh", Number: 1}
+var newAttempt = task.Attempt{Task: "fresh", Number: 1}
 
-func newSubject(t *testing.T, w *Worker, api worker.API, at worker.Address) *subject {
+func newCallFixture(t *testing.T, w *Worker, api worker.API, at worker.Address) *callFixture {
 	t.Helper()
-	s := &subject{w: w, api: api, at: at}
-	for command, a := range map[string]*task.Attempt{"echo": &s.done, "run": &s.busy} {
+	s := &callFixture{w: w, api: api, at: at}
+	for command, a := range map[string]*task.Attempt{"echo": &s.finished, "run": &s.running} {
 		local := NewLocalWorkers(map[worker.Address]*Worker{at: w})
 		req := startFor(t, local, at, task.ID(command), command)
 		if _, err := local.Start(t.Context(), at, req, nil); err != nil {
@@ -39,46 +39,46 @@
 }
 
 // call makes one call of the given kind.
-func (s *subject) call(t *testing.T, kind Call) error {
+func (s *callFixture) call(t *testing.T, kind Call) error {
 	ctx := t.Context()
 	var err error
 	switch kind {
 	case CallSync:
-		_, err = s.api.Sync(ctx, s.at, worker.SyncRequest{Epoch: 1, BootID: s.boot, Acknowledge: []task.Attempt{s.done}})
+		_, err = s.api.Sync(ctx, s.at, worker.SyncRequest{Epoch: 1, BootID: s.boot, Acknowledge: []task.Attempt{s.finished}})
 	case CallStart:
 		_, err = s.api.Start(ctx, s.at, worker.StartRequest{
-			Attempt: fresh, Epoch: 1, BootID: s.boot, Command: "run",
+			Attempt: newAttempt, Epoch: 1, BootID: s.boot, Command: "run",
 			StartBy: s.clock + 3*time.Second, LeaseUntil: s.clock + 30*time.Second,
 		}, func() error { return nil })
 	case CallLookup:
-		_, err = s.api.Lookup(ctx, s.at, s.busy)
+		_, err = s.api.Lookup(ctx, s.at, s.running)
 	case CallResult:
-		err = s.api.Result(ctx, s.at, worker.ResultRequest{Attempt: s.done}, io.Discard)
+		err = s.api.Result(ctx, s.at, worker.ResultRequest{Attempt: s.finished}, io.Discard)
 	case CallStop:
-		_, err = s.api.Stop(ctx, s.at, worker.StopRequest{Attempt: s.busy, Epoch: 1})
+		_, err = s.api.Stop(ctx, s.at, worker.StopRequest{Attempt: s.running, Epoch: 1})
 	case CallCheckpoint:
-		_, err = s.api.Checkpoint(ctx, s.at, worker.CheckpointRequest{Attempt: s.busy, Epoch: 1})
+		_, err = s.api.Checkpoint(ctx, s.at, worker.CheckpointRequest{Attempt: s.running, Epoch: 1})
 	case CallThrottle:
-		_, err = s.api.Throttle(ctx, s.at, worker.ThrottleRequest{Attempt: s.busy, Epoch: 1, Limit: task.Resources{CPUMilli: 1}})
+		_, err = s.api.Throttle(ctx, s.at, worker.ThrottleRequest{Attempt: s.running, Epoch: 1, Limit: task.Resources{CPUMilli: 1}})
 	}
 	return err
 }
 
 // hasEffect reports whether the call has changed the worker.
-func (s *subject) hasEffect(kind Call) (effect bool) {
-	_ = s.w.manage(func(time.Time) {
+func (s *callFixture) hasEffect(kind Call) (effect bool) {
+	_ = s.w.runControl(func(time.Time) {
 		m := s.w.machine
 		switch kind {
 		case CallSync:
-			effect = m.records[s.done] == nil
+			effect = m.records[s.finished] == nil
 		case CallStart:
-			effect = m.records[fresh] != nil
+			effect = m.records[newAttempt] != nil
 		case CallStop:
-			effect = m.records[s.busy].report.State == worker.Stopped
+			effect = m.records[s.running].report.State == worker.Stopped
 		case CallCheckpoint:
-			effect = m.records[s.busy].report.State == worker.Checkpointed
+			effect = m.records[s.running].report.State == worker.Checkpointed
 		case CallThrottle:
-			effect = m.records[s.busy].throttle.limit.CPUMilli == 1
+			effect = m.records[s.running].throttle.limit.CPUMilli == 1
 		}
 	})
 	return effect
@@ -120,7 +120,7 @@
 }
 
 // run makes the call under the fault, clears it and checks what happened.
-func (c faultCase) run(t *testing.T, s *subject, kind Call) {
+func (c faultCase) run(t *testing.T, s *callFixture, kind Call) {
 	if err := s.w.SetFaults(c.faults); err != nil {
 		t.Fatal(err)
 	}
@@ -140,24 +140,24 @@
 	}
 }
 
-// TestFaultTableOverHTTP guards against an error that claims more than is known:
+// TestWorkerFaultsOverHTTP guards against an error that claims more than is known:
 // every fault with every kind of call over real connections.
-func TestFaultTableOverHTTP(t *testing.T) {
+func TestWorkerFaultsOverHTTP(t *testing.T) {
 	for _, c := range faultCases {
 		for _, kind := range Calls {
 			t.Run(c.name+"/"+string(kind), func(t *testing.T) {
 				t.Parallel()
 				w := NewWorker(testConfig())
 				client, at := serveHTTP(t, w, worker.Config{CallTimeout: c.timeout(), ResultTimeout: c.timeout()})
-				c.run(t, newSubject(t, w, client, at), kind)
+				c.run(t, newCallFixture(t, w, client, at), kind)
 			})
 		}
 	}
 }
 
-// TestFaultTableInProcess guards against the in-process workers failing in
+// TestWorkerFaultsInProcess guards against the in-process workers failing in
 // other ways than real ones.
-func TestFaultTableInProcess(t *testing.T) {
+func TestWorkerFaultsInProcess(t *testing.T) {
 	for _, c := range faultCases {
 		for _, kind := range Calls {
 			t.Run(c.name+"/"+string(kind), func(t *testing.T) {
@@ -166,23 +166,23 @@
 					defer w.Close()
 					local := NewLocalWorkers(map[worker.Address]*Worker{testAddress: w})
 					local.CallTimeout = c.timeout()
-					c.run(t, newSubject(t, w, local, testAddress), kind)
+					c.run(t, newCallFixture(t, w, local, testAddress), kind)
 				})
 			})
 		}
 	}
 }
 
-// TestRefusedAndRebooted guards against "unclear" where it is known that
+// TestCallsAfterRefusalAndReboot guards against "unclear" where it is known that
 // nothing ran, and against a start that is valid again after a reboot because
 // the worker's clock restarts.
-func TestRefusedAndRebooted(t *testing.T) {
+func TestCallsAfterRefusalAndReboot(t *testing.T) {
 	for _, kind := range Calls {
 		synctest.Test(t, func(t *testing.T) {
 			w := NewWorker(testConfig())
 			defer w.Close()
 			local := NewLocalWorkers(map[worker.Address]*Worker{testAddress: w})
-			s := newSubject(t, w, local, testAddress)
+			s := newCallFixture(t, w, local, testAddress)
 			local.Set(testAddress, nil)
 			if err := s.call(t, kind); !errors.Is(err, worker.ErrNotRun) {
 				t.Errorf("%s refused: error = %v, want ErrNotRun", kind, err)
@@ -211,7 +211,7 @@
 		w := NewWorker(testConfig())
 		defer w.Close()
 		api := NewLocalWorkers(map[worker.Address]*Worker{testAddress: w})
-		s := newSubject(t, w, api, testAddress)
+		s := newCallFixture(t, w, api, testAddress)
 		sync := func() worker.SyncReply {
 			reply, err := api.Sync(t.Context(), testAddress, worker.SyncRequest{Epoch: 1, Full: true})
 			if err != nil {
@@ -233,14 +233,14 @@
 		if err := s.call(t, CallStart); err != nil || !sync().Leaving {
 			t.Errorf("start on a leaving worker: %v", err)
 		}
-		if r := reportOf(fresh); r.Outcome == nil || r.Outcome.ExitCode != 1 {
+		if r := reportOf(newAttempt); r.Outcome == nil || r.Outcome.ExitCode != 1 {
 			t.Errorf("task that fails at once: %+v", r)
 		}
-		if r := reportOf(s.busy); !r.Usage.IsZero() {
+		if r := reportOf(s.running); !r.Usage.IsZero() {
 			t.Errorf("usage before the lag has passed: %v", r.Usage)
 		}
 		time.Sleep(6 * time.Second)
-		if r := reportOf(s.busy); r.Usage.CPUMilli != 750 {
+		if r := reportOf(s.running); r.Usage.CPUMilli != 750 {
 			t.Errorf("usage after the lag: %v", r.Usage)
 		}
 		if err := w.SetFaults(WorkerFaults{Freeze: new(true)}); err != nil {
@@ -250,15 +250,15 @@
 		if err := w.SetFaults(noFaults); err != nil {
 			t.Fatal(err)
 		}
-		if r := reportOf(s.busy); r.State != worker.Stopped || r.Outcome.RunTime != 30*time.Second {
+		if r := reportOf(s.running); r.State != worker.Stopped || r.Outcome.RunTime != 30*time.Second {
 			t.Errorf("lease that ended while frozen: %+v", r)
 		}
 	})
 }
 
-// TestWorkersThatDoNotCheck guards against switches that change nothing, with
+// TestIgnoreOptions guards against switches that change nothing, with
 // which experiments on such workers would show them as safe.
-func TestWorkersThatDoNotCheck(t *testing.T) {
+func TestIgnoreOptions(t *testing.T) {
 	for _, test := range []struct {
 		name   string
 		config WorkerConfig
--- a/standin/worker_http.go
+++ b/standin/worker_http.go
@@ -14,17 +14,18 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// maxWorkerRequestBytes bounds the body of a request to a worker.
+// maxWorkerRequestBytes limits the body of a request to a worker.
 const maxWorkerRequestBytes = 4 << 20
 
-// WorkerIdleTimeout is after how long a worker closes an idle connection.
+// WorkerIdleTimeout is the time after which a worker closes an idle connection.
 const WorkerIdleTimeout = 5 * time.Second
 
-// Handler serves the worker protocol, the ledger and the fault switches.
+// Handler returns the handler of the worker protocol and of the control endpoints: GET /ledger
+// returns the oracle.WorkerLedger, and POST /faults applies WorkerFaults.
 func (w *Worker) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/sync", func(rw http.ResponseWriter, r *http.Request) {
-		req, ok := decode[worker.SyncRequest](rw, r)
+		req, ok := decodeJSON[worker.SyncRequest](rw, r)
 		if !ok {
 			return
 		}
@@ -38,7 +39,7 @@
 		}
 		req, err := worker.DecodeStart(body)
 		if err != nil {
-			invalid(rw, err)
+			rejectInvalid(rw, err)
 			return
 		}
 		reply, err := w.Start(r.Context(), req)
@@ -49,13 +50,13 @@
 		frame, err := worker.EncodeStartReply(reply)
 		writeFrame(rw, http.StatusOK, frame, err)
 	})
-	mux.HandleFunc("GET /v1/tasks/{task}/{attempt}", onAttempt(func(rw http.ResponseWriter, r *http.Request, a task.Attempt) {
+	mux.HandleFunc("GET /v1/tasks/{task}/{attempt}", withAttempt(func(rw http.ResponseWriter, r *http.Request, a task.Attempt) {
 		reply, err := w.Lookup(r.Context(), a)
 		respond(rw, reply, err)
 	}))
-	mux.HandleFunc("GET /v1/tasks/{task}/{attempt}/result", onAttempt(w.serveResult))
-	mux.HandleFunc("POST /v1/tasks/{task}/{attempt}/stop", onAttempt(func(rw http.ResponseWriter, r *http.Request, a task.Attempt) {
-		req, ok := decode[worker.StopRequest](rw, r)
+	mux.HandleFunc("GET /v1/tasks/{task}/{attempt}/result", withAttempt(w.serveResult))
+	mux.HandleFunc("POST /v1/tasks/{task}/{attempt}/stop", withAttempt(func(rw http.ResponseWriter, r *http.Request, a task.Attempt) {
+		req, ok := decodeJSON[worker.StopRequest](rw, r)
 		if !ok {
 			return
 		}
@@ -63,8 +64,8 @@
 		reply, err := w.Stop(r.Context(), req)
 		respond(rw, reply, err)
 	}))
-	mux.HandleFunc("POST /v1/tasks/{task}/{attempt}/checkpoint", onAttempt(func(rw http.ResponseWriter, r *http.Request, a task.Attempt) {
-		req, ok := decode[worker.CheckpointRequest](rw, r)
+	mux.HandleFunc("POST /v1/tasks/{task}/{attempt}/checkpoint", withAttempt(func(rw http.ResponseWriter, r *http.Request, a task.Attempt) {
+		req, ok := decodeJSON[worker.CheckpointRequest](rw, r)
 		if !ok {
 			return
 		}
@@ -72,8 +73,8 @@
 		reply, err := w.Checkpoint(r.Context(), req)
 		respond(rw, reply, err)
 	}))
-	mux.HandleFunc("POST /v1/tasks/{task}/{attempt}/throttle", onAttempt(func(rw http.ResponseWriter, r *http.Request, a task.Attempt) {
-		req, ok := decode[worker.ThrottleRequest](rw, r)
+	mux.HandleFunc("POST /v1/tasks/{task}/{attempt}/throttle", withAttempt(func(rw http.ResponseWriter, r *http.Request, a task.Attempt) {
+		req, ok := decodeJSON[worker.ThrottleRequest](rw, r)
 		if !ok {
 			return
 		}
@@ -86,7 +87,7 @@
 		respond(rw, ledger, err)
 	})
 	mux.HandleFunc("POST /faults", func(rw http.ResponseWriter, r *http.Request) {
-		req, ok := decode[WorkerFaults](rw, r)
+		req, ok := decodeJSON[WorkerFaults](rw, r)
 		if !ok {
 			return
 		}
@@ -107,60 +108,61 @@
 	rw.Write(result)
 }
 
-// onAttempt reads the attempt from the path.
-func onAttempt(f func(http.ResponseWriter, *http.Request, task.Attempt)) http.HandlerFunc {
+// withAttempt parses the attempt in the path and passes it to f.
+func withAttempt(f func(http.ResponseWriter, *http.Request, task.Attempt)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		number, err := strconv.ParseUint(r.PathValue("attempt"), 10, 32)
 		if err != nil {
-			invalid(rw, eris.Wrap(err, "attempt number"))
+			rejectInvalid(rw, eris.Wrap(err, "parse attempt number"))
 			return
 		}
 		f(rw, r, task.Attempt{Task: task.ID(r.PathValue("task")), Number: uint32(number)})
 	}
 }
 
-// readBody reads the whole body, so that a request that is cut short has no
+// readBody reads the whole body before the call is executed, so that a truncated request has no
 // effect.
 func readBody(rw http.ResponseWriter, r *http.Request) (body []byte, ok bool) {
 	body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxWorkerRequestBytes))
 	if err != nil {
-		invalid(rw, err)
+		rejectInvalid(rw, err)
 		return nil, false
 	}
 	return body, true
 }
 
-// decode reads a request that is JSON only.
-func decode[T any](rw http.ResponseWriter, r *http.Request) (value T, ok bool) {
+// decodeJSON decodes a request whose body is JSON without a payload.
+func decodeJSON[T any](rw http.ResponseWriter, r *http.Request) (value T, ok bool) {
 	body, ok := readBody(rw, r)
 	if !ok {
 		return value, false
 	}
 	if err := json.Unmarshal(body, &value); err != nil {
-		invalid(rw, err)
+		rejectInvalid(rw, err)
 		return value, false
 	}
 	return value, true
 }
 
-func invalid(rw http.ResponseWriter, err error) {
-	write(rw, http.StatusBadRequest, &worker.Rejection{Reason: worker.ReasonInvalid, Message: err.Error()})
+func rejectInvalid(rw http.ResponseWriter, err error) {
+	writeReply(rw, http.StatusBadRequest, &worker.Rejection{Reason: worker.ReasonInvalid, Message: err.Error()})
 }
 
-// respond writes the reply, or the rejection, or closes the connection.
+// respond writes the reply, or the rejection in err. For any other error it closes the connection
+// without a reply.
 func respond(rw http.ResponseWriter, reply any, err error) {
 	var rejection *worker.Rejection
 	switch {
 	case err == nil:
-		write(rw, http.StatusOK, reply)
+		writeReply(rw, http.StatusOK, reply)
 	case errors.As(err, &rejection):
-		write(rw, http.StatusConflict, rejection)
+		writeReply(rw, http.StatusConflict, rejection)
 	default:
 		panic(http.ErrAbortHandler)
 	}
 }
 
-func write(rw http.ResponseWriter, status int, value any) {
+func writeReply(rw http.ResponseWriter, status int, value any) {
 	frame, err := worker.NewFrame(value, nil)
 	writeFrame(rw, status, frame, err)
 }
--- a/standin/worker_local.go
+++ b/standin/worker_local.go
@@ -15,12 +15,12 @@
 
 var errRefused = errors.New("connection refused")
 
-// LocalWorkers is worker.API to workers in the same process, without a network.
-// It makes the same promises about errors and deadlines as worker.Client.
+// LocalWorkers implements worker.API for workers in the same process, without a network. Its errors
+// and deadlines have the same meaning as those of worker.Client.
 type LocalWorkers struct {
-	// CallTimeout bounds each call; zero is worker.DefaultCallTimeout.
+	// CallTimeout limits each call. NewLocalWorkers sets it to worker.DefaultCallTimeout.
 	CallTimeout time.Duration
-	// MaxResultBytes bounds results; zero is worker.DefaultMaxResultBytes.
+	// MaxResultBytes limits results. NewLocalWorkers sets it to worker.DefaultMaxResultBytes.
 	MaxResultBytes int64
 
 	mu        sync.RWMutex
@@ -38,8 +38,7 @@
 	}
 }
 
-// Set puts a worker at an address, or makes the address refuse connections if
-// w is nil.
+// Set assigns a worker to an address. If w is nil, the address refuses connections.
 func (l *LocalWorkers) Set(address worker.Address, w *Worker) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -49,20 +48,20 @@
 	l.byAddress[address] = w
 }
 
-func (l *LocalWorkers) at(address worker.Address) *Worker {
+func (l *LocalWorkers) workerAt(address worker.Address) *Worker {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	return l.byAddress[address]
 }
 
-// exchange makes one call. The worker goes on with it after the caller has
-// given up, as with a request that has been sent.
+// exchange makes one call. The worker continues it after the caller has given up, as it does with a
+// request that has been sent.
 func exchange[T any](ctx context.Context, l *LocalWorkers, operation string, to worker.Address, wait time.Duration,
 	f func(context.Context, *Worker) (T, error)) (T, error) {
-	var none T
-	w := l.at(to)
+	var zero T
+	w := l.workerAt(to)
 	if w == nil {
-		return none, worker.NotRun(operation, errRefused)
+		return zero, worker.NotRun(operation, errRefused)
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.CallTimeout+wait)
 	defer cancel()
@@ -79,7 +78,7 @@
 	case a := <-answers:
 		return a.reply, classify(operation, a.err)
 	case <-ctx.Done():
-		return none, worker.Unclear(operation, ctx.Err())
+		return zero, worker.Unclear(operation, ctx.Err())
 	}
 }
 
--- a/standin/worker_machine.go
+++ b/standin/worker_machine.go
@@ -13,11 +13,11 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// exitStopped is the exit code of a task that was ended from outside.
+// exitStopped is the exit code of a task that did not end by itself: 128 + SIGTERM.
 const exitStopped = 143
 
-// machine is the state of one boot of a worker. It is a pure function of the
-// calls and the times passed to them; Worker adds the loop and the faults.
+// machine is the state machine of a worker during one boot. Its state depends only on the calls and
+// the times passed to them; Worker adds the loop and the faults.
 type machine struct {
 	config     WorkerConfig
 	bootID     string
@@ -30,24 +30,24 @@
 	records    map[task.Attempt]*record
 	running    map[task.Attempt]*record
 	tombstones map[task.Attempt]tombstone
-	ledger     *oracle.WorkerLedger // outlives the boot
+	ledger     *oracle.WorkerLedger // kept across boots
 }
 
-// record is one attempt that was started and is not yet acknowledged.
+// record is an attempt that was started and is not yet acknowledged.
 type record struct {
 	report    worker.TaskReport
 	result    []byte
-	exit      int
+	exitCode  int
 	startedAt time.Time
 	endsAt    time.Time // zero for a task that runs until it is stopped
 	startBy   time.Duration
-	changed   uint64 // sequence of the last change
+	changed   uint64 // sequence number of the last change
 	throttle  throttle
-	run       int           // index in the ledger
-	ended     chan struct{} // closed at the end
+	runIndex  int           // index in ledger.Runs
+	ended     chan struct{} // closed when the task ends
 }
 
-// tombstone remembers an attempt that must not start until the given reading.
+// tombstone records an attempt that must not be started until the worker's clock has passed until.
 type tombstone struct {
 	until time.Duration
 	ran   bool // acknowledged, as opposed to stopped before its start
@@ -65,11 +65,11 @@
 	}
 }
 
-// clock returns the reading of the worker's monotonic clock.
+// clock returns the reading of the worker's monotonic clock, which starts at zero with each boot.
 func (m *machine) clock(now time.Time) time.Duration { return now.Sub(m.bootedAt) }
 
-// next returns when the next task ends, or the zero time.
-func (m *machine) next() time.Time {
+// nextEnd returns the earliest end of a running task, or the zero time.
+func (m *machine) nextEnd() time.Time {
 	var next time.Time
 	for _, r := range m.running {
 		at, _ := m.endOf(r)
@@ -80,7 +80,7 @@
 	return next
 }
 
-// endOf returns when r ends if no call intervenes, and in which state.
+// endOf returns when r ends if no call ends it earlier, and in which state.
 func (m *machine) endOf(r *record) (time.Time, worker.TaskState) {
 	leaseEnd := m.bootedAt.Add(r.report.LeaseUntil)
 	switch {
@@ -92,7 +92,8 @@
 	return leaseEnd, worker.Stopped
 }
 
-// advance ends every task whose end or lease end is not after now.
+// advance ends every task whose own end or lease end is not after now, and deletes expired
+// tombstones.
 func (m *machine) advance(now time.Time) {
 	var due []*record
 	for _, r := range m.running {
@@ -113,10 +114,10 @@
 		}
 		m.end(at, r, state, reason)
 	}
-	m.dropTombstones(now)
+	m.dropExpiredTombstones(now)
 }
 
-func (m *machine) dropTombstones(now time.Time) {
+func (m *machine) dropExpiredTombstones(now time.Time) {
 	clock := m.clock(now)
 	for a, t := range m.tombstones {
 		if t.until < clock {
@@ -129,12 +130,12 @@
 	return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Number, b.Number))
 }
 
-// end records the outcome of a running task.
+// end ends a running task and records its outcome.
 func (m *machine) end(at time.Time, r *record, state worker.TaskState, reason string) {
 	if state != worker.Finished {
-		r.result, r.exit = nil, exitStopped
+		r.result, r.exitCode = nil, exitStopped
 	}
-	if state == worker.Finished && r.exit != 0 {
+	if state == worker.Finished && r.exitCode != 0 {
 		reason = string(errkind.TaskFailed)
 	}
 	r.report.State = state
@@ -142,7 +143,7 @@
 	r.report.Outcome = &task.Outcome{
 		Attempt:  r.report.Attempt,
 		State:    task.Finished,
-		ExitCode: r.exit,
+		ExitCode: r.exitCode,
 		Reason:   reason,
 		Worker:   m.config.Name,
 		RunTime:  at.Sub(r.startedAt),
@@ -150,34 +151,34 @@
 	}
 	m.used = m.used.Sub(r.report.Size)
 	delete(m.running, r.report.Attempt)
-	m.touch(r)
-	entry := &m.ledger.Runs[r.run]
-	entry.End, entry.State = wall(at), string(state)
-	entry.ResultDigest, entry.ResultBytes = r.report.Outcome.Digest, r.report.ResultBytes
+	m.markChanged(r)
+	run := &m.ledger.Runs[r.runIndex]
+	run.End, run.State = wallTime(at), string(state)
+	run.ResultDigest, run.ResultBytes = r.report.Outcome.Digest, r.report.ResultBytes
 	close(r.ended)
 }
 
-// halt ends everything that runs, as a reboot does.
-func (m *machine) halt(now time.Time) {
+// abortRunning ends all running tasks without an outcome, as a reboot does.
+func (m *machine) abortRunning(now time.Time) {
 	for _, r := range m.running {
-		m.ledger.Runs[r.run].End = wall(now)
-		m.ledger.Runs[r.run].State = "lost"
+		m.ledger.Runs[r.runIndex].End = wallTime(now)
+		m.ledger.Runs[r.runIndex].State = "lost"
 		close(r.ended)
 	}
 }
 
-// sortedRunning returns the running tasks in a fixed order.
+// sortedRunning returns the running tasks in the order of their attempts.
 func (m *machine) sortedRunning() []*record {
 	return slices.SortedFunc(maps.Values(m.running), func(a, b *record) int {
 		return compareAttempts(a.report.Attempt, b.report.Attempt)
 	})
 }
 
-// touch gives r the next sequence number.
-func (m *machine) touch(r *record) {
+// markChanged assigns the next sequence number to r, so that the next report includes it.
+func (m *machine) markChanged(r *record) {
 	m.sequence++
 	r.changed = m.sequence
 }
 
-// wall drops the monotonic reading, which has no meaning outside the process.
-func wall(t time.Time) time.Time { return t.Round(0) }
+// wallTime strips the monotonic clock reading, which has no meaning outside the process.
+func wallTime(t time.Time) time.Time { return t.Round(0) }
--- a/standin/worker_machine_test.go
+++ b/standin/worker_machine_test.go
@@ -13,16 +13,16 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// naive is the worker's state machine written the slow way: time passes second
+// modelWorker is the worker's state machine written the slow way: time passes second
 // by second and everything is found by searching lists.
-type naive struct {
+type modelWorker struct {
 	clock, capacity int
 	epoch           uint64
-	tasks           []naiveTask
-	dead            []naiveTask // stopped before their start, or acknowledged
+	tasks           []modelTask
+	tombstones      []modelTask // stopped before their start, or acknowledged
 }
 
-type naiveTask struct {
+type modelTask struct {
 	id                   task.ID
 	slots                int
 	ends, lease, startBy int // seconds since boot; ends -1 for never
@@ -30,14 +30,14 @@
 	ran                  bool
 }
 
-func (n *naive) tick() {
+func (n *modelWorker) tick() {
 	n.clock++
 	for i := range n.tasks {
-		n.settle(&n.tasks[i])
+		n.endIfDue(&n.tasks[i])
 	}
 }
 
-func (n *naive) settle(t *naiveTask) {
+func (n *modelWorker) endIfDue(t *modelTask) {
 	switch {
 	case t.state != worker.Running:
 	case n.clock >= t.lease:
@@ -47,7 +47,7 @@
 	}
 }
 
-func (n *naive) find(id task.ID) *naiveTask {
+func (n *modelWorker) find(id task.ID) *modelTask {
 	for i := range n.tasks {
 		if n.tasks[i].id == id {
 			return &n.tasks[i]
@@ -56,7 +56,7 @@
 	return nil
 }
 
-func (n *naive) free() int {
+func (n *modelWorker) free() int {
 	free := n.capacity
 	for _, t := range n.tasks {
 		if t.state == worker.Running {
@@ -67,12 +67,12 @@
 }
 
 // start returns the reason of the rejection, or nothing.
-func (n *naive) start(t naiveTask, sameBoot bool, epoch uint64) worker.Reason {
+func (n *modelWorker) start(t modelTask, sameBoot bool, epoch uint64) worker.Reason {
 	if n.find(t.id) != nil {
 		return ""
 	}
 	var stopped bool
-	for _, d := range n.dead {
+	for _, d := range n.tombstones {
 		if d.id == t.id && d.startBy >= n.clock {
 			if d.ran {
 				return ""
@@ -96,27 +96,27 @@
 		return worker.ReasonCapacity
 	}
 	t.state = worker.Running
-	n.settle(&t)
+	n.endIfDue(&t)
 	n.tasks = append(n.tasks, t)
 	return ""
 }
 
 // end stops a task, or remembers that it must not start.
-func (n *naive) end(id task.ID, state worker.TaskState, epoch uint64, startBy int) worker.Reason {
+func (n *modelWorker) end(id task.ID, state worker.TaskState, epoch uint64, startBy int) worker.Reason {
 	if epoch < n.epoch {
 		return worker.ReasonEpoch
 	}
 	n.epoch = epoch
 	switch t := n.find(id); {
 	case t == nil && state == worker.Stopped:
-		n.dead = append(n.dead, naiveTask{id: id, startBy: startBy})
+		n.tombstones = append(n.tombstones, modelTask{id: id, startBy: startBy})
 	case t != nil && t.state == worker.Running:
 		t.state = state
 	}
 	return ""
 }
 
-func (n *naive) sync(sameBoot bool, epoch uint64, lease int, acknowledged task.ID) worker.Reason {
+func (n *modelWorker) sync(sameBoot bool, epoch uint64, lease int, acknowledged task.ID) worker.Reason {
 	if epoch < n.epoch {
 		return worker.ReasonEpoch
 	}
@@ -127,11 +127,11 @@
 	for i := range n.tasks {
 		n.tasks[i].lease = max(n.tasks[i].lease, lease)
 	}
-	n.tasks = slices.DeleteFunc(n.tasks, func(t naiveTask) bool {
+	n.tasks = slices.DeleteFunc(n.tasks, func(t modelTask) bool {
 		gone := t.id == acknowledged && t.state != worker.Running
 		if gone {
 			t.ran = true
-			n.dead = append(n.dead, t)
+			n.tombstones = append(n.tombstones, t)
 		}
 		return gone
 	})
@@ -145,32 +145,32 @@
 	return r.Reason
 }
 
-var naiveCommands = map[string]int{"echo": 0, "sleep:2s": 2, "sleep:5s": 5, "run": -1}
+var commandSeconds = map[string]int{"echo": 0, "sleep:2s": 2, "sleep:5s": 5, "run": -1}
 
-// TestMachineAgainstNaive guards against any difference between the stand-in
+// TestMachineAgainstModel guards against any difference between the stand-in
 // worker and its definition, in answers, states, free capacity and in a view
 // that is kept from delta reports alone.
-func TestMachineAgainstNaive(t *testing.T) {
+func TestMachineAgainstModel(t *testing.T) {
 	fixSeed(t)
 	rapid.Check(t, func(t *rapid.T) {
 		const capacity = 4
 		now := time.Unix(1000, 0)
 		var ledger oracle.WorkerLedger
 		config := WorkerConfig{Name: "w", Capacity: task.Resources{Slots: capacity}}
-		m, n := newMachine(now, config, 1, &ledger), &naive{capacity: capacity}
-		boots, view, seen := 1, map[task.ID]worker.TaskState{}, uint64(0)
+		m, n := newMachine(now, config, 1, &ledger), &modelWorker{capacity: capacity}
+		boots, view, sequence := 1, map[task.ID]worker.TaskState{}, uint64(0)
 
 		id := rapid.SampledFrom([]task.ID{"a", "b", "c", "d"})
 		epoch := rapid.SampledFrom([]uint64{1, 1, 1, 2})
-		soon := rapid.IntRange(-1, 6)
-		bootOf := func() (string, bool) {
+		offset := rapid.IntRange(-1, 6)
+		drawBoot := func() (string, bool) {
 			if rapid.IntRange(0, 9).Draw(t, "boot") == 0 {
 				return "another", false
 			}
 			return m.bootID, true
 		}
-		clock := func(seconds int) time.Duration { return time.Duration(seconds) * time.Second }
-		same := func(what string, got, want worker.Reason) {
+		seconds := func(seconds int) time.Duration { return time.Duration(seconds) * time.Second }
+		checkReason := func(what string, got, want worker.Reason) {
 			if got != want {
 				t.Fatalf("%s: reason %q, want %q", what, got, want)
 			}
@@ -182,41 +182,41 @@
 				m.advance(now)
 			},
 			"start": func(t *rapid.T) {
-				boot, sameBoot := bootOf()
+				boot, sameBoot := drawBoot()
 				e, command := epoch.Draw(t, "epoch"), rapid.SampledFrom([]string{"echo", "sleep:2s", "sleep:5s", "run"}).Draw(t, "command")
-				x := naiveTask{
-					id: id.Draw(t, "id"), slots: rapid.IntRange(1, 3).Draw(t, "slots"), ends: naiveCommands[command],
-					startBy: n.clock + soon.Draw(t, "start by"), lease: n.clock + soon.Draw(t, "lease"),
+				x := modelTask{
+					id: id.Draw(t, "id"), slots: rapid.IntRange(1, 3).Draw(t, "slots"), ends: commandSeconds[command],
+					startBy: n.clock + offset.Draw(t, "start by"), lease: n.clock + offset.Draw(t, "lease"),
 				}
 				if x.ends >= 0 {
 					x.ends += n.clock
 				}
 				_, rejection := m.start(now, worker.StartRequest{
 					Attempt: task.Attempt{Task: x.id, Number: 1}, BootID: boot, Epoch: e, Command: command,
-					StartBy: clock(x.startBy), LeaseUntil: clock(x.lease), Size: task.Resources{Slots: int64(x.slots)},
+					StartBy: seconds(x.startBy), LeaseUntil: seconds(x.lease), Size: task.Resources{Slots: int64(x.slots)},
 				})
-				same("start", reasonOf(rejection), n.start(x, sameBoot, e))
+				checkReason("start", reasonOf(rejection), n.start(x, sameBoot, e))
 			},
 			"stop": func(t *rapid.T) {
-				x, e, startBy := id.Draw(t, "id"), epoch.Draw(t, "epoch"), n.clock+soon.Draw(t, "start by")
+				x, e, startBy := id.Draw(t, "id"), epoch.Draw(t, "epoch"), n.clock+offset.Draw(t, "start by")
 				_, rejection := m.stop(now, worker.StopRequest{
-					Attempt: task.Attempt{Task: x, Number: 1}, Epoch: e, BootID: m.bootID, StartBy: clock(startBy),
+					Attempt: task.Attempt{Task: x, Number: 1}, Epoch: e, BootID: m.bootID, StartBy: seconds(startBy),
 				})
-				same("stop", reasonOf(rejection), n.end(x, worker.Stopped, e, startBy))
+				checkReason("stop", reasonOf(rejection), n.end(x, worker.Stopped, e, startBy))
 			},
 			"checkpoint": func(t *rapid.T) {
 				x, e := id.Draw(t, "id"), epoch.Draw(t, "epoch")
 				_, rejection := m.checkpoint(now, worker.CheckpointRequest{Attempt: task.Attempt{Task: x, Number: 1}, Epoch: e})
-				same("checkpoint", reasonOf(rejection), n.end(x, worker.Checkpointed, e, 0))
+				checkReason("checkpoint", reasonOf(rejection), n.end(x, worker.Checkpointed, e, 0))
 			},
 			"sync": func(t *rapid.T) {
-				boot, sameBoot := bootOf()
-				e, lease, x := epoch.Draw(t, "epoch"), n.clock+soon.Draw(t, "lease"), id.Draw(t, "acknowledge")
+				boot, sameBoot := drawBoot()
+				e, lease, x := epoch.Draw(t, "epoch"), n.clock+offset.Draw(t, "lease"), id.Draw(t, "acknowledge")
 				reply, rejection := m.sync(now, worker.SyncRequest{
-					BootID: boot, Epoch: e, LeaseUntil: clock(lease), After: seen,
+					BootID: boot, Epoch: e, LeaseUntil: seconds(lease), After: sequence,
 					Acknowledge: []task.Attempt{{Task: x, Number: 1}},
 				})
-				same("sync", reasonOf(rejection), n.sync(sameBoot, e, lease, x))
+				checkReason("sync", reasonOf(rejection), n.sync(sameBoot, e, lease, x))
 				if rejection != nil {
 					return
 				}
@@ -231,17 +231,17 @@
 				if m.records[task.Attempt{Task: x, Number: 1}] == nil {
 					delete(view, x)
 				}
-				seen = reply.Sequence
+				sequence = reply.Sequence
 				checkView(t, view, n)
 			},
 			"reboot": func(t *rapid.T) {
 				boots++
-				m.halt(now)
-				m, n = newMachine(now, config, boots, &ledger), &naive{capacity: capacity}
+				m.abortRunning(now)
+				m, n = newMachine(now, config, boots, &ledger), &modelWorker{capacity: capacity}
 				clear(view)
-				seen = 0
+				sequence = 0
 			},
-			"": func(t *rapid.T) { checkSame(t, m, n, now) },
+			"": func(t *rapid.T) { checkState(t, m, n, now) },
 		})
 	})
 }
@@ -282,8 +282,8 @@
 	}
 }
 
-// checkSame compares the whole state.
-func checkSame(t *rapid.T, m *machine, n *naive, now time.Time) {
+// checkState compares the whole state.
+func checkState(t *rapid.T, m *machine, n *modelWorker, now time.Time) {
 	if len(m.records) != len(n.tasks) {
 		t.Fatalf("%d attempts, want %d", len(m.records), len(n.tasks))
 	}
@@ -299,7 +299,7 @@
 }
 
 // checkView compares a view made from delta reports.
-func checkView(t *rapid.T, view map[task.ID]worker.TaskState, n *naive) {
+func checkView(t *rapid.T, view map[task.ID]worker.TaskState, n *modelWorker) {
 	if len(view) != len(n.tasks) {
 		t.Fatalf("view %v, want %+v", view, n.tasks)
 	}
--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -55,24 +55,24 @@
 	return client, worker.Address(strings.TrimPrefix(server.URL, "http://"))
 }
 
-// TestPathOverHTTP guards against a field that is lost in the encoding: it
+// TestTaskLifecycleOverHTTP guards against a field that is lost in the encoding: it
 // runs a task from start to acknowledgement with every call.
-func TestPathOverHTTP(t *testing.T) {
+func TestTaskLifecycleOverHTTP(t *testing.T) {
 	w := NewWorker(testConfig())
 	api, at := serveHTTP(t, w, worker.Config{})
-	testPath(t, api, at)
+	testTaskLifecycle(t, api, at)
 }
 
-// TestPathInProcess guards against the in-process path differing from HTTP.
-func TestPathInProcess(t *testing.T) {
+// TestTaskLifecycleInProcess guards against the in-process path differing from HTTP.
+func TestTaskLifecycleInProcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := NewWorker(testConfig())
 		defer w.Close()
-		testPath(t, NewLocalWorkers(map[worker.Address]*Worker{testAddress: w}), testAddress)
+		testTaskLifecycle(t, NewLocalWorkers(map[worker.Address]*Worker{testAddress: w}), testAddress)
 	})
 }
 
-func testPath(t *testing.T, api worker.API, at worker.Address) {
+func testTaskLifecycle(t *testing.T, api worker.API, at worker.Address) {
 	ctx := t.Context()
 	echo := startFor(t, api, at, "task/with slash", "echo")
 	echo.Wait = time.Second
@@ -90,10 +90,10 @@
 	if again, err := api.Start(ctx, at, echo, nil); err != nil || again.Outcome == nil {
 		t.Errorf("second start of a known attempt: %+v, %v", again, err)
 	}
-	var whole bytes.Buffer
+	var fetched bytes.Buffer
 	want := worker.ResultRequest{Attempt: echo.Attempt, Bytes: int64(len(echo.Payload)), Digest: started.Outcome.Digest}
-	if err := api.Result(ctx, at, want, &whole); err != nil || !bytes.Equal(whole.Bytes(), echo.Payload) {
-		t.Errorf("result: %q, %v", whole.Bytes(), err)
+	if err := api.Result(ctx, at, want, &fetched); err != nil || !bytes.Equal(fetched.Bytes(), echo.Payload) {
+		t.Errorf("result: %q, %v", fetched.Bytes(), err)
 	}
 	big := startFor(t, api, at, "big", "bytes:300000")
 	big.Wait = 10 * time.Second
@@ -101,10 +101,10 @@
 	if err != nil || started.Outcome == nil || started.Outcome.Result != nil || started.ResultBytes != 300000 {
 		t.Fatalf("start with a result that is fetched: %+v, %v", started, err)
 	}
-	whole.Reset()
+	fetched.Reset()
 	want = worker.ResultRequest{Attempt: big.Attempt, Bytes: 300000, Digest: started.Outcome.Digest}
-	if err := api.Result(ctx, at, want, &whole); err != nil || whole.Len() != 300000 {
-		t.Errorf("result of %d bytes, %v", whole.Len(), err)
+	if err := api.Result(ctx, at, want, &fetched); err != nil || fetched.Len() != 300000 {
+		t.Errorf("result of %d bytes, %v", fetched.Len(), err)
 	}
 	slow := startFor(t, api, at, "slow", "sleep:30ms")
 	slow.Wait = 10 * time.Second
@@ -150,9 +150,9 @@
 	}
 }
 
-// TestStartCheckInWrite guards against a start that is written on a connection
+// TestStartCheckBeforeWrite guards against a start that is written on a connection
 // that is in use already after the term of its owner has ended.
-func TestStartCheckInWrite(t *testing.T) {
+func TestStartCheckBeforeWrite(t *testing.T) {
 	w := NewWorker(testConfig())
 	api, at := serveHTTP(t, w, worker.Config{})
 	if _, err := api.Start(t.Context(), at, startFor(t, api, at, "first", "echo"), nil); err != nil {
@@ -174,8 +174,8 @@
 	}
 }
 
-// TestRefusedDial guards against a dial error being taken for an open outcome.
-func TestRefusedDial(t *testing.T) {
+// TestRefusedDialIsNotRun guards against a dial error being taken for an open outcome.
+func TestRefusedDialIsNotRun(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
 	at := worker.Address(strings.TrimPrefix(server.URL, "http://"))
 	server.Close()
