--- a/standin/list_test.go
+++ b/standin/list_test.go
@@ -17,8 +17,8 @@
 	return instancelist.Instance{Name: name, Role: instancelist.RoleWorker, State: state}
 }
 
-// TestListLag guards against a list that shows a change before its lag has
-// passed, or skips to an older one.
+// TestListLag guards against a list that shows a change before the lag has passed, or changes out
+// of order.
 func TestListLag(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		list := NewList(10*time.Second, listedWorker("w1", instancelist.StateLive))
@@ -36,8 +36,8 @@
 	})
 }
 
-// TestListUnderFaults guards against a list call without a deadline, and
-// against a failure that looks like a list without instances.
+// TestListUnderFaults guards against a list call without a deadline, and against a failed call that
+// returns an empty list instead of an error.
 func TestListUnderFaults(t *testing.T) {
 	list := NewList(0, listedWorker("w1", instancelist.StateLive))
 	server := httptest.NewServer(list)
@@ -59,13 +59,13 @@
 		}
 		instances, err := client.List(t.Context())
 		if failed := errors.Is(err, instancelist.ErrUnavailable); failed != (kind != "") || !failed && len(instances) != 1 {
-			t.Errorf("fault %q: %v, %v", kind, instances, err)
+			t.Errorf("fault %q: List = %v, %v", kind, instances, err)
 		}
 	}
 }
 
-// TestListControlOverHTTP guards against switches that only work from inside the
-// process: the demo and the end-to-end tests set them over HTTP.
+// TestListControlOverHTTP guards against control endpoints that do not work over HTTP, where the
+// demo and the end-to-end tests use them.
 func TestListControlOverHTTP(t *testing.T) {
 	list := NewList(time.Hour, listedWorker("w1", instancelist.StateLive))
 	server := httptest.NewServer(list)
--- a/standin/matrix_test.go
+++ b/standin/matrix_test.go
@@ -14,8 +14,8 @@
 	"github.com/mulberrydrum/mulberrydrum/store/storetest"
 )
 
-// Bounds of the matrix: long enough that a loaded machine makes no good call
-// late, and a late call surely is.
+// Timeouts and delays of the matrix. Their margins are wide enough that on a loaded machine no call
+// times out that should succeed, and every call does that should time out.
 const (
 	matrixCallTimeout     = 1500 * time.Millisecond
 	matrixProgressTimeout = 2500 * time.Millisecond
@@ -43,8 +43,8 @@
 	}
 }
 
-// matrixCall is one kind of call. effect reports whether the call changed the
-// store, for those that do.
+// matrixCall is one kind of call. For calls that change the store, effect reports whether the
+// change has taken place.
 type matrixCall struct {
 	name, kind string
 	do         func(context.Context, *matrixStore) error
@@ -71,7 +71,7 @@
 		_, err := m.client.Grant(ctx, time.Minute)
 		return err
 	}, func(ctx context.Context, m *matrixStore) (bool, error) {
-		next, err := m.client.Grant(ctx, time.Minute) // the stand-in numbers leases in order
+		next, err := m.client.Grant(ctx, time.Minute) // the stand-in numbers leases consecutively
 		return next == m.lease+2, err
 	}},
 	{"keepalive", storetest.CallKeepAlive, func(ctx context.Context, m *matrixStore) error {
@@ -87,7 +87,7 @@
 	{"watch", storetest.CallWatch, watchOnce, nil},
 }
 
-// watchOnce watches until the first batch with a change.
+// watchOnce watches until the first batch that contains a change.
 func watchOnce(ctx context.Context, m *matrixStore) error {
 	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
@@ -102,7 +102,7 @@
 	return err
 }
 
-// matrixFault is one kind of fault and what it does to a call and to a watch.
+// matrixFault is one kind of fault, and the expected result of a call and of a watch under it.
 type matrixFault struct {
 	name                 string
 	fault                fault.Fault
@@ -124,9 +124,9 @@
 	{name: "silent watch", fault: fault.Fault{Kind: fault.SilentWatch}, wantWatch: store.ErrNoProgress, executed: true},
 }
 
-// TestMatrixHTTP guards against an error that claims "no effect" of a call that
-// had one, a call without a deadline, and a fault after which calls do not work
-// again, for every fault at every kind of call over HTTP.
+// TestMatrixHTTP applies every fault to every kind of call over HTTP. It guards against an error
+// that reports no effect for a call that had one, against a call without a deadline, and against
+// calls that keep failing after the fault has been cleared.
 func TestMatrixHTTP(t *testing.T) {
 	runMatrix(t, func(t *testing.T, run func(*testing.T, *matrixStore)) {
 		t.Parallel()
@@ -146,8 +146,8 @@
 	})
 }
 
-// TestMatrixMemory guards against a store in memory that reacts to a fault in
-// another way than the real client, which would make other tests prove nothing.
+// TestMatrixMemory guards against an in-memory store that differs from the real client in its
+// response to a fault, which would invalidate the tests that use it.
 func TestMatrixMemory(t *testing.T) {
 	runMatrix(t, func(t *testing.T, run func(*testing.T, *matrixStore)) {
 		synctest.Test(t, func(t *testing.T) {
@@ -186,7 +186,7 @@
 		want = f.wantWatch
 	}
 	if !matchesOnly(err, want) {
-		t.Errorf("error = %v, want %v alone", err, want)
+		t.Errorf("error = %v, want only %v", err, want)
 	}
 	if limit := matrixProgressTimeout + time.Second; took > limit {
 		t.Errorf("took %s, more than %s", took, limit)
@@ -207,18 +207,18 @@
 	checkEffect(t, m, call, f.executed || f.executedAfterTimeout)
 }
 
-// checkEffect reads back what the call did. Its calls also show that the store
-// works again after the fault.
+// checkEffect checks whether the call has changed the store. Its own calls also check that the
+// store works again after the fault.
 func checkEffect(t *testing.T, m *matrixStore, call matrixCall, want bool) {
 	if call.effect == nil {
 		if err := call.do(t.Context(), m); err != nil {
-			t.Errorf("after the fault: %v", err)
+			t.Errorf("call after the fault: %v", err)
 		}
 		return
 	}
-	took, err := call.effect(t.Context(), m)
-	if err != nil || took != want {
-		t.Errorf("effect = %v, %v, want %v", took, err, want)
+	changed, err := call.effect(t.Context(), m)
+	if err != nil || changed != want {
+		t.Errorf("effect = %v, %v, want %v", changed, err, want)
 	}
 }
 
@@ -235,7 +235,7 @@
 	}
 }
 
-// matchesOnly reports whether err matches want and no other error of the store.
+// matchesOnly reports whether err matches want and none of the other errors of the store.
 func matchesOnly(err, want error) bool {
 	if want == nil {
 		return err == nil
--- a/standin/relay_test.go
+++ b/standin/relay_test.go
@@ -15,13 +15,13 @@
 	"github.com/mulberrydrum/mulberrydrum/store/storetest"
 )
 
-// startRelay returns a relay in front of a store, and a client through it.
+// startRelay returns a relay in front of a store, and a client that connects through it.
 func startRelay(t *testing.T) (*Relay, *Store, *store.Client) {
 	t.Helper()
 	return startRelayWithTimeout(t, time.Second)
 }
 
-// startRelayWithTimeout is startRelay with a client whose calls have another timeout.
+// startRelayWithTimeout is startRelay with the given timeout for the calls of the client.
 func startRelayWithTimeout(t *testing.T, callTimeout time.Duration) (*Relay, *Store, *store.Client) {
 	t.Helper()
 	s := NewStore(storetest.Limits{})
@@ -57,22 +57,22 @@
 	return err
 }
 
-// executed returns how many transactions reached the store.
+// executed returns the number of transactions that the store executed.
 func executed(s *Store) int64 { return s.Faults().Counters().Executed[storetest.CallTxn] }
 
-// waitFor polls a condition that another goroutine brings about.
-func waitFor(t *testing.T, what string, reached func() bool) {
+// waitFor polls until reached returns true. Another goroutine must bring that about.
+func waitFor(t *testing.T, condition string, reached func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); !reached(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("after 10 s still not: %s", what)
+			t.Fatalf("timed out after 10 s waiting for %s", condition)
 		}
 	}
 }
 
-// TestRelayCut guards against a cut that lets through what it should hold, and
-// against one that drops what a real network would deliver late: the write of a
-// call that its caller has long given up.
+// TestRelayCut guards against a cut that forwards traffic that it must hold, and against one that
+// drops traffic that a real network would deliver late: the write of a call whose caller has timed
+// out long before.
 func TestRelayCut(t *testing.T) {
 	tests := []struct {
 		cut           Direction
@@ -101,7 +101,7 @@
 			if err := relay.Set(RelayState{}); err != nil {
 				t.Fatal(err)
 			}
-			waitFor(t, "held traffic has arrived", func() bool { return executed(s) == test.after })
+			waitFor(t, "the delivery of held traffic", func() bool { return executed(s) == test.after })
 			if err := putKey(t.Context(), client, "after"); err != nil {
 				t.Errorf("call after the cut: %v", err)
 			}
@@ -109,12 +109,11 @@
 	}
 }
 
-// TestRelayDelay guards against a delay that is not applied to both directions,
-// or to every chunk in turn, which would limit the throughput instead.
+// TestRelayDelay guards against a delay that is not applied to both directions. The delay must not
+// be applied to every chunk in turn either, which would limit the throughput.
 func TestRelayDelay(t *testing.T) {
 	t.Parallel()
-	// The megabyte has to be encoded and decoded as well, which takes longer than
-	// an ordinary call on a busy machine.
+	// Encoding and decoding a value of 1 MiB takes longer than an ordinary call on a loaded machine.
 	relay, _, client := startRelayWithTimeout(t, 20*time.Second)
 	if err := putKey(t.Context(), client, "before"); err != nil {
 		t.Fatal(err)
@@ -132,8 +131,8 @@
 	}
 }
 
-// TestRelaySilence guards against a client that, after one call timed out on a
-// silent connection, goes on to lose its next calls on other silent ones.
+// TestRelaySilence guards against a client that, after one call has timed out on a silent
+// connection, makes its next calls on other silent connections and loses them.
 func TestRelaySilence(t *testing.T) {
 	t.Parallel()
 	relay, _, client := startRelay(t)
@@ -146,7 +145,7 @@
 	}()
 	<-opened
 	if n := relay.Silence(); n < 5 {
-		t.Fatalf("%d connections fell silent, want at least 5", n)
+		t.Fatalf("%d connections became silent, want at least 5", n)
 	}
 	if err := putKey(t.Context(), client, "silent"); !errors.Is(err, store.ErrUnclear) {
 		t.Errorf("call on a silent connection: %v, want ErrUnclear", err)
@@ -161,7 +160,7 @@
 	}
 }
 
-// openConnections makes calls at once, slowed so that each needs a connection.
+// openConnections makes n concurrent calls, delayed so that each of them needs its own connection.
 func openConnections(t *testing.T, relay *Relay, client store.Store, n int) {
 	t.Helper()
 	if err := relay.Set(RelayState{DelayMS: 50}); err != nil {
@@ -181,7 +180,7 @@
 	}
 }
 
-// TestRelayControlOverHTTP guards against switches that only work in the same process.
+// TestRelayControlOverHTTP guards against control endpoints that do not work over HTTP.
 func TestRelayControlOverHTTP(t *testing.T) {
 	t.Parallel()
 	relay, _, client := startRelay(t)
@@ -210,14 +209,14 @@
 			t.Errorf("POST %s %s: status %d, want %d", step.path, step.body, response.StatusCode, step.want)
 		}
 	}
-	waitFor(t, "no connection", func() bool { return relay.Connections() == 0 })
+	waitFor(t, "all connections to be closed", func() bool { return relay.Connections() == 0 })
 	status := relay.Status()
 	if status.Cut != Both || status.DelayMS != 5 || status.ToServerBytes == 0 || status.ToClientBytes == 0 {
-		t.Errorf("status %+v", status)
+		t.Errorf("status %+v, want cut both, delay 5 ms and traffic in both directions", status)
 	}
 }
 
-// rawRelay returns a relay with one connection and both of its ends.
+// rawRelay returns a relay with one connection, and both ends of that connection.
 func rawRelay(t *testing.T) (relay *Relay, client, server net.Conn) {
 	t.Helper()
 	target, err := Listen("127.0.0.1:0")
@@ -245,8 +244,8 @@
 	return relay, client, server
 }
 
-// readWithin reports how many bytes arrive in a while, and whether the connection
-// was still open at its end.
+// readWithin reads once within d. It returns the number of bytes, and whether the read timed out
+// because the connection was open and idle.
 func readWithin(conn net.Conn, d time.Duration) (n int, open bool) {
 	_ = conn.SetReadDeadline(time.Now().Add(d))
 	n, err := conn.Read(make([]byte, 100))
@@ -254,8 +253,8 @@
 	return n, errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// TestRelayReset guards against a connection that stays open on one side when
-// the relay closes it, and against bytes that arrive after a reset.
+// TestRelayReset guards against a connection that stays open on one side after a reset by the
+// relay, and against held bytes that arrive after the reset.
 func TestRelayReset(t *testing.T) {
 	t.Parallel()
 	relay, client, server := rawRelay(t)
@@ -274,12 +273,11 @@
 			t.Errorf("%s read %d bytes, open %v; want none, closed", name, n, open)
 		}
 	}
-	waitFor(t, "no connection", func() bool { return relay.Connections() == 0 })
+	waitFor(t, "all connections to be closed", func() bool { return relay.Connections() == 0 })
 }
 
-// TestRelaySilenceHidesDisconnect guards against a silent connection that passes
-// on anything, or tells one side when the other one leaves, which a lost network
-// path never does.
+// TestRelaySilenceHidesDisconnect guards against a silent connection that forwards anything, or
+// that propagates a close or reset of one side to the other, which a lost network path never does.
 func TestRelaySilenceHidesDisconnect(t *testing.T) {
 	t.Parallel()
 	for _, linger := range []int{-1, 0} { // the client closes its side, or resets it
--- a/standin/store_test.go
+++ b/standin/store_test.go
@@ -25,8 +25,8 @@
 	return s, client
 }
 
-// TestRoundTrip guards against a client and a stand-in that do not understand
-// each other on any call of the interface.
+// TestRoundTrip guards against differences between the client and the stand-in in the encoding of
+// any call of the interface.
 func TestRoundTrip(t *testing.T) {
 	_, client := startStore(t, storetest.Limits{})
 	ctx := t.Context()
--- a/standin/watch_test.go
+++ b/standin/watch_test.go
@@ -18,8 +18,7 @@
 
 const markerKey = "c/marker"
 
-// follower rebuilds the keys from a watch, as a process does that keeps its
-// configuration up to date.
+// follower rebuilds the keys from a watch, like a process that keeps its configuration up to date.
 type follower struct {
 	keys         map[string]string
 	lastRevision atomic.Int64
@@ -41,7 +40,7 @@
 	f.lastRevision.Store(batch.Revision)
 }
 
-// run watches until the marker has arrived and tells ends why each watch ended.
+// run watches until the marker key arrives, and sends the error of each ended watch to watchErrors.
 func (f *follower) run(ctx context.Context, s store.Store, watchErrors chan<- error) {
 	defer close(watchErrors)
 	ctx, cancel := context.WithCancel(ctx)
@@ -62,9 +61,9 @@
 	}
 }
 
-// TestWatchUnderFaults guards against a watch that skips, repeats or reorders
-// changes when it breaks, is refused or falls silent and is opened again after
-// the last revision, while the keys change all the time.
+// TestWatchUnderFaults guards against skipped, repeated or reordered changes when a watch breaks,
+// is refused or becomes silent and is resumed after the last revision, while keys change
+// continuously.
 func TestWatchUnderFaults(t *testing.T) {
 	t.Parallel()
 	s := NewStore(storetest.Limits{})
@@ -80,7 +79,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	f := follower{keys: map[string]string{}}
-	watchErrors := make(chan error, 10_000) // more than the watch can end in a minute
+	watchErrors := make(chan error, 10_000) // more than the number of watches that can end in a minute
 	go f.run(ctx, reader, watchErrors)
 
 	random := rand.New(rand.NewPCG(1, 2))
@@ -90,7 +89,7 @@
 		want error
 	}{
 		{fault.Down, store.ErrUnavailable},
-		{fault.ReplyLost, store.ErrUnclear}, // at once: it concerns only a watch that is being opened
+		{fault.ReplyLost, store.ErrUnclear}, // directly after Down: it affects only a watch that is being opened
 		{"", nil},
 		{fault.SilentWatch, store.ErrNoProgress},
 		{"", nil},
@@ -117,19 +116,20 @@
 	for range watchErrors { // until the marker has arrived or the minute is over
 	}
 	if len(f.problems) > 0 {
-		t.Errorf("order: %v", f.problems)
+		t.Errorf("watch: %v", f.problems)
 	}
 	if !maps.Equal(f.keys, written) {
-		t.Errorf("the watch led to %v, written was %v", f.keys, written)
+		t.Errorf("keys from the watch: %v, want those written: %v", f.keys, written)
 	}
 }
 
-// catchUp waits until f has seen revision and drops the ends up to then.
+// catchUp waits until f has received revision, and discards the errors of watches that ended
+// before.
 func catchUp(ctx context.Context, t *testing.T, f *follower, revision int64, watchErrors <-chan error) {
 	t.Helper()
 	for f.lastRevision.Load() < revision {
 		if ctx.Err() != nil {
-			t.Fatalf("the watch is at revision %d, not at %d", f.lastRevision.Load(), revision)
+			t.Fatalf("the watch is at revision %d, want %d", f.lastRevision.Load(), revision)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -138,7 +138,7 @@
 	}
 }
 
-// commitUntil keeps changing keys until a watch has ended with want.
+// commitUntil keeps changing keys until a watch ends with want.
 func commitUntil(t *testing.T, writer store.Store, random *rand.Rand, written map[string]string, watchErrors <-chan error, want error) {
 	t.Helper()
 	for {
@@ -152,12 +152,12 @@
 			}
 		default:
 			commitRandom(t, writer, random, written)
-			time.Sleep(time.Millisecond) // stays within the history: at full speed 10,000 revisions pass in a silence
+			time.Sleep(time.Millisecond) // keeps within the history: at full speed, 10,000 revisions pass while a watch is silent
 		}
 	}
 }
 
-// commitRandom puts some keys and deletes another in one transaction.
+// commitRandom puts two random keys and deletes another one in one transaction.
 func commitRandom(t *testing.T, writer store.Store, random *rand.Rand, written map[string]string) int64 {
 	t.Helper()
 	var txn store.Txn
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -23,7 +23,7 @@
 }
 
 // errNoReply means that the worker sends no reply: the connection is closed or stays silent. The
-// caller cannot tell whether the call had an effect.
+// caller cannot determine whether the call had an effect.
 var errNoReply = errors.New("the worker does not reply")
 
 // Worker is a stand-in worker. One goroutine owns its state; calls and changes of faults are
--- a/standin/worker_bench_test.go
+++ b/standin/worker_bench_test.go
@@ -16,9 +16,8 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// BenchmarkStart compares Start with a bare HTTP exchange that sends and
-// receives as many bytes. The two alternate, so that both meet the same load of
-// the machine.
+// BenchmarkStart compares Start with a bare HTTP exchange that sends and receives the same number
+// of bytes. The two alternate, so that both are measured under the same load of the machine.
 func BenchmarkStart(b *testing.B) {
 	for _, payload := range []int{0, 16 << 10, 128 << 10} {
 		b.Run(fmt.Sprintf("payload=%dKB", payload>>10), func(b *testing.B) { benchmarkStart(b, payload) })
@@ -47,7 +46,7 @@
 		exchanged = append(exchanged, timed(bare))
 		acknowledge(b, w, request)
 	}
-	b.ReportMetric(0, "ns/op") // the loop holds more than a start
+	b.ReportMetric(0, "ns/op") // an iteration contains more than a start
 	for name, samples := range map[string][]time.Duration{"start": started, "bare": exchanged} {
 		slices.Sort(samples)
 		b.ReportMetric(float64(samples[len(samples)/2].Nanoseconds())/1e3, name+"-p50-us")
@@ -65,10 +64,10 @@
 		b.Fatal(err)
 	}
 	acknowledge(b, w, request)
-	answer := encoded(b, worker.EncodeStartReply, reply)
+	replyBody := encoded(b, worker.EncodeStartReply, reply)
 	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
-		rw.Write(answer)
+		rw.Write(replyBody)
 	}))
 	b.Cleanup(server.Close)
 	client := server.Client()
@@ -97,7 +96,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	_ = w.runControl(func(time.Time) { clear(w.machine.tombstones) }) // start_by is an hour away
+	_ = w.runControl(func(time.Time) { clear(w.machine.tombstones) }) // they would be kept for an hour, until start_by
 }
 
 // BenchmarkTraffic measures the bytes on the connections to one worker for a
--- a/standin/worker_faults_test.go
+++ b/standin/worker_faults_test.go
@@ -11,8 +11,8 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// callFixture is a worker with one finished and one running task, and the call
-// that is exercised.
+// callFixture is a worker with one finished and one running task, and the API through which it is
+// called.
 type callFixture struct {
 	w                 *Worker
 	api               worker.API
@@ -22,6 +22,7 @@
 	finished, running task.Attempt
 }
 
+// newAttempt is the attempt that a start call of callFixture starts.
 var newAttempt = task.Attempt{Task: "fresh", Number: 1}
 
 func newCallFixture(t *testing.T, w *Worker, api worker.API, at worker.Address) *callFixture {
@@ -84,23 +85,23 @@
 	return effect
 }
 
-// faultCase is a fault, what the caller must be told and what must have
-// happened when the fault is over.
+// faultCase is a fault, the error that the caller must get, and whether the call must have had an
+// effect after the fault is cleared.
 type faultCase struct {
-	name   string
-	faults WorkerFaults
-	lasts  time.Duration // the fault is cleared this long after the call
-	want   error
-	effect bool
-	late   bool // a start arrives after start_by and must have no effect
+	name       string
+	faults     WorkerFaults
+	clearAfter time.Duration // the fault is cleared this long after the call
+	want       error
+	effect     bool
+	late       bool // a start arrives after start_by and must have no effect
 }
 
 var faultCases = []faultCase{
 	{name: "none", effect: true},
 	{name: "slow within the deadline", faults: WorkerFaults{SlowMS: new(int64(50))}, effect: true},
-	{name: "slow beyond the deadline", faults: WorkerFaults{SlowMS: new(int64(600))}, lasts: 700 * time.Millisecond, want: worker.ErrUnclear, effect: true},
+	{name: "slow beyond the deadline", faults: WorkerFaults{SlowMS: new(int64(600))}, clearAfter: 700 * time.Millisecond, want: worker.ErrUnclear, effect: true},
 	{name: "frozen", faults: WorkerFaults{Freeze: new(true)}, want: worker.ErrUnclear, effect: true},
-	{name: "frozen until start_by has passed", faults: WorkerFaults{Freeze: new(true)}, lasts: 3 * time.Second, want: worker.ErrUnclear, effect: true, late: true},
+	{name: "frozen until start_by has passed", faults: WorkerFaults{Freeze: new(true)}, clearAfter: 3 * time.Second, want: worker.ErrUnclear, effect: true, late: true},
 	{name: "silent", faults: WorkerFaults{Silent: new(true)}, want: worker.ErrUnclear},
 	{name: "silent after the effect", faults: WorkerFaults{SilentAfter: new(true)}, want: worker.ErrUnclear, effect: true},
 	{name: "reply dropped", faults: WorkerFaults{DropReplies: new(1)}, want: worker.ErrUnclear, effect: true},
@@ -110,8 +111,7 @@
 	Freeze: new(false), Silent: new(false), SilentAfter: new(false), DropReplies: new(0), SlowMS: new(int64(0)),
 }
 
-// timeout is long where a reply is expected, so that a busy machine does not
-// change the verdict.
+// timeout is long where a reply is expected, to prevent false failures on a loaded machine.
 func (c faultCase) timeout() time.Duration {
 	if c.want == nil {
 		return 20 * time.Second
@@ -119,7 +119,7 @@
 	return 300 * time.Millisecond
 }
 
-// run makes the call under the fault, clears it and checks what happened.
+// run makes the call under the fault, clears the fault and checks the effect.
 func (c faultCase) run(t *testing.T, s *callFixture, kind Call) {
 	if err := s.w.SetFaults(c.faults); err != nil {
 		t.Fatal(err)
@@ -127,21 +127,21 @@
 	if err := s.call(t, kind); !errors.Is(err, c.want) {
 		t.Errorf("error = %v, want %v", err, c.want)
 	}
-	time.Sleep(c.lasts)
+	time.Sleep(c.clearAfter)
 	if err := s.w.SetFaults(noFaults); err != nil {
 		t.Fatal(err)
 	}
 	want := c.effect && kind != CallLookup && kind != CallResult && !(c.late && kind == CallStart)
 	for tries := 0; want && !s.hasEffect(kind) && tries < 1000; tries++ {
-		time.Sleep(10 * time.Millisecond) // the request may still be on its way in the worker
+		time.Sleep(10 * time.Millisecond) // the worker may not have executed the request yet
 	}
 	if got := s.hasEffect(kind); got != want {
 		t.Errorf("effect = %v, want %v", got, want)
 	}
 }
 
-// TestWorkerFaultsOverHTTP guards against an error that claims more than is known:
-// every fault with every kind of call over real connections.
+// TestWorkerFaultsOverHTTP applies every fault to every kind of call over real connections. It
+// guards against an error that reports a certain outcome where the outcome is unclear.
 func TestWorkerFaultsOverHTTP(t *testing.T) {
 	for _, c := range faultCases {
 		for _, kind := range Calls {
@@ -155,8 +155,8 @@
 	}
 }
 
-// TestWorkerFaultsInProcess guards against the in-process workers failing in
-// other ways than real ones.
+// TestWorkerFaultsInProcess guards against in-process workers that fail differently from workers
+// over HTTP.
 func TestWorkerFaultsInProcess(t *testing.T) {
 	for _, c := range faultCases {
 		for _, kind := range Calls {
@@ -173,9 +173,8 @@
 	}
 }
 
-// TestCallsAfterRefusalAndReboot guards against "unclear" where it is known that
-// nothing ran, and against a start that is valid again after a reboot because
-// the worker's clock restarts.
+// TestCallsAfterRefusalAndReboot guards against ErrUnclear for a call that certainly had no effect,
+// and against a start that becomes valid again after a reboot because the worker's clock restarts.
 func TestCallsAfterRefusalAndReboot(t *testing.T) {
 	for _, kind := range Calls {
 		synctest.Test(t, func(t *testing.T) {
@@ -204,8 +203,8 @@
 	}
 }
 
-// TestReportsUnderFaults guards against faults of the tasks that do not show in
-// reports: failing tasks, leaving, usage with its lag, and the end of a lease.
+// TestReportsUnderFaults guards against reports that omit failing tasks, a leaving worker, usage
+// after its lag, or the end of a lease.
 func TestReportsUnderFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := NewWorker(testConfig())
@@ -234,7 +233,7 @@
 			t.Errorf("start on a leaving worker: %v", err)
 		}
 		if r := reportOf(newAttempt); r.Outcome == nil || r.Outcome.ExitCode != 1 {
-			t.Errorf("task that fails at once: %+v", r)
+			t.Errorf("task that fails immediately: %+v", r)
 		}
 		if r := reportOf(s.running); !r.Usage.IsZero() {
 			t.Errorf("usage before the lag has passed: %v", r.Usage)
@@ -256,8 +255,8 @@
 	})
 }
 
-// TestIgnoreOptions guards against switches that change nothing, with
-// which experiments on such workers would show them as safe.
+// TestIgnoreOptions guards against IgnoreEpoch and IgnoreValidity without effect: experiments with
+// such workers would then falsely show them to be safe.
 func TestIgnoreOptions(t *testing.T) {
 	for _, test := range []struct {
 		name   string
--- a/standin/worker_local.go
+++ b/standin/worker_local.go
@@ -65,18 +65,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.CallTimeout+wait)
 	defer cancel()
-	type answer struct {
+	type result struct {
 		reply T
 		err   error
 	}
-	answers := make(chan answer, 1)
+	results := make(chan result, 1)
 	go func() {
 		reply, err := f(ctx, w)
-		answers <- answer{reply, err}
+		results <- result{reply, err}
 	}()
 	select {
-	case a := <-answers:
-		return a.reply, classify(operation, a.err)
+	case r := <-results:
+		return r.reply, classify(operation, r.err)
 	case <-ctx.Done():
 		return zero, worker.Unclear(operation, ctx.Err())
 	}
--- a/standin/worker_machine_test.go
+++ b/standin/worker_machine_test.go
@@ -13,8 +13,8 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// modelWorker is the worker's state machine written the slow way: time passes second
-// by second and everything is found by searching lists.
+// modelWorker is a simple reference model of machine: time advances in steps of one second, and
+// every lookup is a linear search.
 type modelWorker struct {
 	clock, capacity int
 	epoch           uint64
@@ -30,35 +30,35 @@
 	ran                  bool
 }
 
-func (n *modelWorker) tick() {
-	n.clock++
-	for i := range n.tasks {
-		n.endIfDue(&n.tasks[i])
+func (w *modelWorker) tick() {
+	w.clock++
+	for i := range w.tasks {
+		w.endIfDue(&w.tasks[i])
 	}
 }
 
-func (n *modelWorker) endIfDue(t *modelTask) {
+func (w *modelWorker) endIfDue(t *modelTask) {
 	switch {
 	case t.state != worker.Running:
-	case n.clock >= t.lease:
+	case w.clock >= t.lease:
 		t.state = worker.Stopped
-	case t.ends >= 0 && n.clock >= t.ends:
+	case t.ends >= 0 && w.clock >= t.ends:
 		t.state = worker.Finished
 	}
 }
 
-func (n *modelWorker) find(id task.ID) *modelTask {
-	for i := range n.tasks {
-		if n.tasks[i].id == id {
-			return &n.tasks[i]
+func (w *modelWorker) find(id task.ID) *modelTask {
+	for i := range w.tasks {
+		if w.tasks[i].id == id {
+			return &w.tasks[i]
 		}
 	}
 	return nil
 }
 
-func (n *modelWorker) free() int {
-	free := n.capacity
-	for _, t := range n.tasks {
+func (w *modelWorker) free() int {
+	free := w.capacity
+	for _, t := range w.tasks {
 		if t.state == worker.Running {
 			free -= t.slots
 		}
@@ -66,15 +66,15 @@
 	return free
 }
 
-// start returns the reason of the rejection, or nothing.
-func (n *modelWorker) start(t modelTask, sameBoot bool, epoch uint64) worker.Reason {
-	if n.find(t.id) != nil {
+// start returns the reason of the rejection, or an empty one.
+func (w *modelWorker) start(t modelTask, sameBoot bool, epoch uint64) worker.Reason {
+	if w.find(t.id) != nil {
 		return ""
 	}
 	var stopped bool
-	for _, d := range n.tombstones {
-		if d.id == t.id && d.startBy >= n.clock {
-			if d.ran {
+	for _, tombstone := range w.tombstones {
+		if tombstone.id == t.id && tombstone.startBy >= w.clock {
+			if tombstone.ran {
 				return ""
 			}
 			stopped = true
@@ -83,55 +83,56 @@
 	switch {
 	case !sameBoot:
 		return worker.ReasonBoot
-	case n.clock > t.startBy || n.clock >= t.lease:
+	case w.clock > t.startBy || w.clock >= t.lease:
 		return worker.ReasonLate
-	case epoch < n.epoch:
+	case epoch < w.epoch:
 		return worker.ReasonEpoch
 	}
-	n.epoch = epoch
+	w.epoch = epoch
 	switch {
 	case stopped:
 		return worker.ReasonCancelled
-	case t.slots > n.free():
+	case t.slots > w.free():
 		return worker.ReasonCapacity
 	}
 	t.state = worker.Running
-	n.endIfDue(&t)
-	n.tasks = append(n.tasks, t)
+	w.endIfDue(&t)
+	w.tasks = append(w.tasks, t)
 	return ""
 }
 
-// end stops a task, or remembers that it must not start.
-func (n *modelWorker) end(id task.ID, state worker.TaskState, epoch uint64, startBy int) worker.Reason {
-	if epoch < n.epoch {
+// end ends a running task in the given state. If the task is unknown and state is Stopped, it
+// records that the task must not start.
+func (w *modelWorker) end(id task.ID, state worker.TaskState, epoch uint64, startBy int) worker.Reason {
+	if epoch < w.epoch {
 		return worker.ReasonEpoch
 	}
-	n.epoch = epoch
-	switch t := n.find(id); {
+	w.epoch = epoch
+	switch t := w.find(id); {
 	case t == nil && state == worker.Stopped:
-		n.tombstones = append(n.tombstones, modelTask{id: id, startBy: startBy})
+		w.tombstones = append(w.tombstones, modelTask{id: id, startBy: startBy})
 	case t != nil && t.state == worker.Running:
 		t.state = state
 	}
 	return ""
 }
 
-func (n *modelWorker) sync(sameBoot bool, epoch uint64, lease int, acknowledged task.ID) worker.Reason {
-	if epoch < n.epoch {
+func (w *modelWorker) sync(sameBoot bool, epoch uint64, lease int, acknowledged task.ID) worker.Reason {
+	if epoch < w.epoch {
 		return worker.ReasonEpoch
 	}
-	n.epoch = epoch
+	w.epoch = epoch
 	if !sameBoot {
 		return ""
 	}
-	for i := range n.tasks {
-		n.tasks[i].lease = max(n.tasks[i].lease, lease)
+	for i := range w.tasks {
+		w.tasks[i].lease = max(w.tasks[i].lease, lease)
 	}
-	n.tasks = slices.DeleteFunc(n.tasks, func(t modelTask) bool {
+	w.tasks = slices.DeleteFunc(w.tasks, func(t modelTask) bool {
 		gone := t.id == acknowledged && t.state != worker.Running
 		if gone {
 			t.ran = true
-			n.tombstones = append(n.tombstones, t)
+			w.tombstones = append(w.tombstones, t)
 		}
 		return gone
 	})
@@ -147,9 +148,8 @@
 
 var commandSeconds = map[string]int{"echo": 0, "sleep:2s": 2, "sleep:5s": 5, "run": -1}
 
-// TestMachineAgainstModel guards against any difference between the stand-in
-// worker and its definition, in answers, states, free capacity and in a view
-// that is kept from delta reports alone.
+// TestMachineAgainstModel guards against any difference between machine and the reference model in
+// replies, states, free capacity, and a view built only from delta reports.
 func TestMachineAgainstModel(t *testing.T) {
 	fixSeed(t)
 	rapid.Check(t, func(t *rapid.T) {
@@ -157,97 +157,97 @@
 		now := time.Unix(1000, 0)
 		var ledger oracle.WorkerLedger
 		config := WorkerConfig{Name: "w", Capacity: task.Resources{Slots: capacity}}
-		m, n := newMachine(now, config, 1, &ledger), &modelWorker{capacity: capacity}
+		m, model := newMachine(now, config, 1, &ledger), &modelWorker{capacity: capacity}
 		boots, view, sequence := 1, map[task.ID]worker.TaskState{}, uint64(0)
 
-		id := rapid.SampledFrom([]task.ID{"a", "b", "c", "d"})
-		epoch := rapid.SampledFrom([]uint64{1, 1, 1, 2})
-		offset := rapid.IntRange(-1, 6)
+		ids := rapid.SampledFrom([]task.ID{"a", "b", "c", "d"})
+		epochs := rapid.SampledFrom([]uint64{1, 1, 1, 2})
+		offsets := rapid.IntRange(-1, 6)
 		drawBoot := func() (string, bool) {
 			if rapid.IntRange(0, 9).Draw(t, "boot") == 0 {
 				return "another", false
 			}
 			return m.bootID, true
 		}
-		seconds := func(seconds int) time.Duration { return time.Duration(seconds) * time.Second }
-		checkReason := func(what string, got, want worker.Reason) {
+		seconds := func(n int) time.Duration { return time.Duration(n) * time.Second }
+		checkReason := func(call string, got, want worker.Reason) {
 			if got != want {
-				t.Fatalf("%s: reason %q, want %q", what, got, want)
+				t.Fatalf("%s: reason %q, want %q", call, got, want)
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"tick": func(t *rapid.T) {
 				now = now.Add(time.Second)
-				n.tick()
+				model.tick()
 				m.advance(now)
 			},
 			"start": func(t *rapid.T) {
 				boot, sameBoot := drawBoot()
-				e, command := epoch.Draw(t, "epoch"), rapid.SampledFrom([]string{"echo", "sleep:2s", "sleep:5s", "run"}).Draw(t, "command")
-				x := modelTask{
-					id: id.Draw(t, "id"), slots: rapid.IntRange(1, 3).Draw(t, "slots"), ends: commandSeconds[command],
-					startBy: n.clock + offset.Draw(t, "start by"), lease: n.clock + offset.Draw(t, "lease"),
+				epoch, command := epochs.Draw(t, "epoch"), rapid.SampledFrom([]string{"echo", "sleep:2s", "sleep:5s", "run"}).Draw(t, "command")
+				drawn := modelTask{
+					id: ids.Draw(t, "id"), slots: rapid.IntRange(1, 3).Draw(t, "slots"), ends: commandSeconds[command],
+					startBy: model.clock + offsets.Draw(t, "start by"), lease: model.clock + offsets.Draw(t, "lease"),
 				}
-				if x.ends >= 0 {
-					x.ends += n.clock
+				if drawn.ends >= 0 {
+					drawn.ends += model.clock
 				}
 				_, rejection := m.start(now, worker.StartRequest{
-					Attempt: task.Attempt{Task: x.id, Number: 1}, BootID: boot, Epoch: e, Command: command,
-					StartBy: seconds(x.startBy), LeaseUntil: seconds(x.lease), Size: task.Resources{Slots: int64(x.slots)},
+					Attempt: task.Attempt{Task: drawn.id, Number: 1}, BootID: boot, Epoch: epoch, Command: command,
+					StartBy: seconds(drawn.startBy), LeaseUntil: seconds(drawn.lease), Size: task.Resources{Slots: int64(drawn.slots)},
 				})
-				checkReason("start", reasonOf(rejection), n.start(x, sameBoot, e))
+				checkReason("start", reasonOf(rejection), model.start(drawn, sameBoot, epoch))
 			},
 			"stop": func(t *rapid.T) {
-				x, e, startBy := id.Draw(t, "id"), epoch.Draw(t, "epoch"), n.clock+offset.Draw(t, "start by")
+				id, epoch, startBy := ids.Draw(t, "id"), epochs.Draw(t, "epoch"), model.clock+offsets.Draw(t, "start by")
 				_, rejection := m.stop(now, worker.StopRequest{
-					Attempt: task.Attempt{Task: x, Number: 1}, Epoch: e, BootID: m.bootID, StartBy: seconds(startBy),
+					Attempt: task.Attempt{Task: id, Number: 1}, Epoch: epoch, BootID: m.bootID, StartBy: seconds(startBy),
 				})
-				checkReason("stop", reasonOf(rejection), n.end(x, worker.Stopped, e, startBy))
+				checkReason("stop", reasonOf(rejection), model.end(id, worker.Stopped, epoch, startBy))
 			},
 			"checkpoint": func(t *rapid.T) {
-				x, e := id.Draw(t, "id"), epoch.Draw(t, "epoch")
-				_, rejection := m.checkpoint(now, worker.CheckpointRequest{Attempt: task.Attempt{Task: x, Number: 1}, Epoch: e})
-				checkReason("checkpoint", reasonOf(rejection), n.end(x, worker.Checkpointed, e, 0))
+				id, epoch := ids.Draw(t, "id"), epochs.Draw(t, "epoch")
+				_, rejection := m.checkpoint(now, worker.CheckpointRequest{Attempt: task.Attempt{Task: id, Number: 1}, Epoch: epoch})
+				checkReason("checkpoint", reasonOf(rejection), model.end(id, worker.Checkpointed, epoch, 0))
 			},
 			"sync": func(t *rapid.T) {
 				boot, sameBoot := drawBoot()
-				e, lease, x := epoch.Draw(t, "epoch"), n.clock+offset.Draw(t, "lease"), id.Draw(t, "acknowledge")
+				epoch, lease, id := epochs.Draw(t, "epoch"), model.clock+offsets.Draw(t, "lease"), ids.Draw(t, "acknowledge")
 				reply, rejection := m.sync(now, worker.SyncRequest{
-					BootID: boot, Epoch: e, LeaseUntil: seconds(lease), After: sequence,
-					Acknowledge: []task.Attempt{{Task: x, Number: 1}},
+					BootID: boot, Epoch: epoch, LeaseUntil: seconds(lease), After: sequence,
+					Acknowledge: []task.Attempt{{Task: id, Number: 1}},
 				})
-				checkReason("sync", reasonOf(rejection), n.sync(sameBoot, e, lease, x))
+				checkReason("sync", reasonOf(rejection), model.sync(sameBoot, epoch, lease, id))
 				if rejection != nil {
 					return
 				}
 				if reply.Full {
 					clear(view)
-				} else if view[x] != "" && view[x] != worker.Running {
-					delete(view, x)
+				} else if view[id] != "" && view[id] != worker.Running {
+					delete(view, id)
 				}
 				for _, r := range reply.Tasks {
 					view[r.Attempt.Task] = r.State
 				}
-				if m.records[task.Attempt{Task: x, Number: 1}] == nil {
-					delete(view, x)
+				if m.records[task.Attempt{Task: id, Number: 1}] == nil {
+					delete(view, id)
 				}
 				sequence = reply.Sequence
-				checkView(t, view, n)
+				checkView(t, view, model)
 			},
 			"reboot": func(t *rapid.T) {
 				boots++
 				m.abortRunning(now)
-				m, n = newMachine(now, config, boots, &ledger), &modelWorker{capacity: capacity}
+				m, model = newMachine(now, config, boots, &ledger), &modelWorker{capacity: capacity}
 				clear(view)
 				sequence = 0
 			},
-			"": func(t *rapid.T) { checkState(t, m, n, now) },
+			"": func(t *rapid.T) { checkState(t, m, model, now) },
 		})
 	})
 }
 
-// fixSeed makes rapid draw the same values in every run, and enough of them to
-// meet rare orders, unless the command line says otherwise.
+// fixSeed makes rapid use a fixed seed, and enough checks to reach rare orders of calls, unless
+// flags set other values.
 func fixSeed(t *testing.T) {
 	t.Helper()
 	for name, values := range map[string][2]string{"rapid.seed": {"0", "1"}, "rapid.checks": {"100", "3000"}} {
@@ -261,9 +261,9 @@
 	}
 }
 
-// TestExpiredTombstones guards against an attempt being judged by a stop or an
-// acknowledgement whose start_by has passed. Found by TestMachineAgainstNaive
-// with -rapid.seed=5539937583251006311 and -rapid.seed=3373189.
+// TestExpiredTombstones guards against a start that is decided by the tombstone of a stop or an
+// acknowledgement whose start_by has passed. Found by TestMachineAgainstModel with
+// -rapid.seed=5539937583251006311 and -rapid.seed=3373189.
 func TestExpiredTombstones(t *testing.T) {
 	now := time.Unix(1000, 0)
 	m := newMachine(now, testConfig(), 1, &oracle.WorkerLedger{})
@@ -272,7 +272,7 @@
 	}
 	m.stop(now, worker.StopRequest{Attempt: req.Attempt, BootID: m.bootID, StartBy: -time.Second})
 	if _, rejection := m.start(now, req); rejection != nil {
-		t.Errorf("start after a stop that is no longer valid: %v", rejection)
+		t.Errorf("start after a stop whose start_by has passed: %v", rejection)
 	}
 	now = now.Add(time.Second)
 	m.advance(now)
@@ -282,28 +282,28 @@
 	}
 }
 
-// checkState compares the whole state.
-func checkState(t *rapid.T, m *machine, n *modelWorker, now time.Time) {
-	if len(m.records) != len(n.tasks) {
-		t.Fatalf("%d attempts, want %d", len(m.records), len(n.tasks))
+// checkState compares the whole state of machine and model.
+func checkState(t *rapid.T, m *machine, model *modelWorker, now time.Time) {
+	if len(m.records) != len(model.tasks) {
+		t.Fatalf("%d attempts, want %d", len(m.records), len(model.tasks))
 	}
-	for _, want := range n.tasks {
+	for _, want := range model.tasks {
 		reply := m.lookup(now, task.Attempt{Task: want.id, Number: 1})
 		if !reply.Known || reply.Report.State != want.state || (reply.Report.Outcome != nil) != (want.state != worker.Running) {
 			t.Fatalf("attempt %+v, want %+v", reply, want)
 		}
 	}
-	if free := m.config.Capacity.Sub(m.used).Slots; free != int64(n.free()) {
-		t.Fatalf("free %d, want %d", free, n.free())
+	if free := m.config.Capacity.Sub(m.used).Slots; free != int64(model.free()) {
+		t.Fatalf("free %d, want %d", free, model.free())
 	}
 }
 
-// checkView compares a view made from delta reports.
-func checkView(t *rapid.T, view map[task.ID]worker.TaskState, n *modelWorker) {
-	if len(view) != len(n.tasks) {
-		t.Fatalf("view %v, want %+v", view, n.tasks)
+// checkView compares a view built from delta reports with the model.
+func checkView(t *rapid.T, view map[task.ID]worker.TaskState, model *modelWorker) {
+	if len(view) != len(model.tasks) {
+		t.Fatalf("view %v, want %+v", view, model.tasks)
 	}
-	for _, want := range n.tasks {
+	for _, want := range model.tasks {
 		if view[want.id] != want.state {
 			t.Fatalf("view of %s is %q, want %q", want.id, view[want.id], want.state)
 		}
--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -24,7 +24,7 @@
 	return WorkerConfig{Name: "worker-1", Capacity: testCapacity, UsageLag: 5 * time.Second}
 }
 
-// startFor returns a start that is valid for 3 s with a lease of 30 s.
+// startFor returns a start request that is valid for 3 s, with a lease of 30 s.
 func startFor(t testing.TB, api worker.API, at worker.Address, id task.ID, command string) worker.StartRequest {
 	t.Helper()
 	report, err := api.Sync(t.Context(), at, worker.SyncRequest{Owner: "o", Epoch: 1, Full: true})
@@ -40,7 +40,7 @@
 	}
 }
 
-// serveHTTP serves w over HTTP and returns a client and the address.
+// serveHTTP serves w over HTTP and returns a client and the address of w.
 func serveHTTP(t testing.TB, w *Worker, config worker.Config) (*worker.Client, worker.Address) {
 	t.Helper()
 	server := httptest.NewUnstartedServer(w.Handler())
@@ -55,15 +55,16 @@
 	return client, worker.Address(strings.TrimPrefix(server.URL, "http://"))
 }
 
-// TestTaskLifecycleOverHTTP guards against a field that is lost in the encoding: it
-// runs a task from start to acknowledgement with every call.
+// TestTaskLifecycleOverHTTP runs tasks from start to acknowledgement with every kind of call. It
+// guards against a field that is lost in the encoding.
 func TestTaskLifecycleOverHTTP(t *testing.T) {
 	w := NewWorker(testConfig())
 	api, at := serveHTTP(t, w, worker.Config{})
 	testTaskLifecycle(t, api, at)
 }
 
-// TestTaskLifecycleInProcess guards against the in-process path differing from HTTP.
+// TestTaskLifecycleInProcess guards against calls in the process that behave differently from calls
+// over HTTP.
 func TestTaskLifecycleInProcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := NewWorker(testConfig())
@@ -150,8 +151,8 @@
 	}
 }
 
-// TestStartCheckBeforeWrite guards against a start that is written on a connection
-// that is in use already after the term of its owner has ended.
+// TestStartCheckBeforeWrite guards against a start that is written to an established connection
+// after the owner's term has ended.
 func TestStartCheckBeforeWrite(t *testing.T) {
 	w := NewWorker(testConfig())
 	api, at := serveHTTP(t, w, worker.Config{})
@@ -167,14 +168,14 @@
 		return nil
 	})
 	if !errors.Is(err, worker.ErrNotRun) || !errors.Is(err, errEnded) {
-		t.Errorf("error %v, want ErrNotRun", err)
+		t.Errorf("error = %v, want ErrNotRun", err)
 	}
 	if reply, err := api.Lookup(t.Context(), at, req.Attempt); err != nil || reply.Known {
-		t.Errorf("lookup %+v, %v", reply, err)
+		t.Errorf("lookup of an attempt that was not started: %+v, %v", reply, err)
 	}
 }
 
-// TestRefusedDialIsNotRun guards against a dial error being taken for an open outcome.
+// TestRefusedDialIsNotRun guards against a refused connection that is classified as ErrUnclear.
 func TestRefusedDialIsNotRun(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
 	at := worker.Address(strings.TrimPrefix(server.URL, "http://"))
