--- a/control/attempts.go
+++ b/control/attempts.go
@@ -165,15 +165,15 @@
 func (w *owner) sendReports() {
 	w.reportsDue = false
 	byHome := map[string][]AttemptReport{}
-	for id, o := range w.pendingReports {
-		if o.sent || w.now.Before(o.sendAt) {
+	for id, pending := range w.pendingReports {
+		if pending.inFlight || w.now.Before(pending.sendAt) {
 			continue
 		}
-		home, ok := w.homeOf(id, o.report)
+		home, ok := w.homeOf(id, pending.report)
 		if !ok {
 			continue
 		}
-		o.sent = true
+		pending.inFlight = true
 		byHome[home.Incarnation] = append(byHome[home.Incarnation], w.pendingReports[id].report)
 	}
 	for incarnation, reports := range byHome {
@@ -204,17 +204,17 @@
 // workers.
 func (w *owner) reportDone(req ReportRequest, reply PeerReply, err error) {
 	for i, r := range req.Reports {
-		o, ok := w.pendingReports[r.Attempt]
-		if !ok || o.isFinal != (r.Outcome != nil) {
+		pending, ok := w.pendingReports[r.Attempt]
+		if !ok || pending.isFinal != (r.Outcome != nil) {
 			continue
 		}
 		if err != nil || !reply.(ReportReply).Recorded[i] {
-			o.sent = false
-			o.sendAt = w.now.Add(w.cfg.RetryInterval)
+			pending.inFlight = false
+			pending.sendAt = w.now.Add(w.cfg.RetryInterval)
 			continue
 		}
 		delete(w.pendingReports, r.Attempt)
-		if o.isFinal {
+		if pending.isFinal {
 			w.acknowledge(r.Attempt)
 		}
 	}
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// nextToken is the token of the latest call to the state.
-var nextToken uint64
+// lastToken is the token of the latest call to the state.
+var lastToken uint64
 
 func (h *harness) handleEffect(effect Effect) Event {
 	if h.dropEffect != nil && h.dropEffect(effect) {
@@ -118,8 +118,8 @@
 
 // callSelf applies a Send to the same state as a PeerCall and delivers the reply.
 func (h *harness) callSelf(send Send) Event {
-	nextToken++
-	token := nextToken
+	lastToken++
+	token := lastToken
 	for _, effect := range slices.Clone(h.state.Apply(h.now, PeerCall{Token: token, Request: send.Request})) {
 		if reply, ok := effect.(Reply); ok && reply.Token == token {
 			defer h.apply(PeerDone{Send: send, Reply: reply.Reply})
@@ -143,27 +143,27 @@
 	for _, workers := range []int{6, 50, 205, 1025} {
 		for _, teams := range []int{6, 97} {
 			b.Run(fmt.Sprintf("workers=%d/teams=%d", workers, teams), func(b *testing.B) {
-				w := newHarness(workers, 4, teams)
+				h := newHarness(workers, 4, teams)
 				spec := task.Spec{Service: "s", Class: "c", Kind: kind, Urgency: task.Urgent, Size: task.Resources{CPUMilli: 250, MemoryMB: 256, Slots: 1}, Count: 1}
 				b.ReportAllocs()
 				b.ResetTimer()
 				for i := range b.N {
-					w.now = w.now.Add(200 * time.Microsecond)
+					h.now = h.now.Add(200 * time.Microsecond)
 					if i%100 == 0 {
-						w.apply(Tick{})
+						h.apply(Tick{})
 					}
 					spec.Team = task.Team(fmt.Sprintf("team-%d", i%teams))
 					spec.IdempotencyKey = fmt.Sprintf("k%d", i)
-					spec.SubmittedAt, spec.Deadline = w.now, w.now.Add(time.Minute)
-					nextToken++
-					w.apply(PeerCall{Token: nextToken, Request: SubmitRequest{Spec: spec, Wait: time.Minute}})
+					spec.SubmittedAt, spec.Deadline = h.now, h.now.Add(time.Minute)
+					lastToken++
+					h.apply(PeerCall{Token: lastToken, Request: SubmitRequest{Spec: spec, Wait: time.Minute}})
 				}
 				b.StopTimer()
 				for range 400 {
-					w.now = w.now.Add(20 * time.Millisecond)
-					w.apply(Tick{})
+					h.now = h.now.Add(20 * time.Millisecond)
+					h.apply(Tick{})
 				}
-				if left := len(w.state.home.openAttempts); left > b.N/10 {
+				if left := len(h.state.home.openAttempts); left > b.N/10 {
 					b.Errorf("%d of %d attempts have no end", left, b.N)
 				}
 			})
@@ -175,12 +175,12 @@
 func BenchmarkTick(b *testing.B) {
 	for _, workers := range []int{6, 50, 205, 1025} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			w := newHarness(workers, 4, 97)
+			h := newHarness(workers, 4, 97)
 			b.ReportAllocs()
 			b.ResetTimer()
 			for range b.N {
-				w.now = w.now.Add(20 * time.Millisecond)
-				w.apply(Tick{})
+				h.now = h.now.Add(20 * time.Millisecond)
+				h.apply(Tick{})
 			}
 		})
 	}
--- a/control/configuration.go
+++ b/control/configuration.go
@@ -156,7 +156,7 @@
 	kind := timeline.KeyGranted
 	if k.Withdrawn {
 		kind = timeline.KeyWithdrawn
-		s.terminateWorkUnder(KeyName{k.Team, k.ID})
+		s.withdrawKey(KeyName{k.Team, k.ID})
 	}
 	s.recordEvent(timeline.Event{Type: kind, Team: k.Team, KeyID: k.ID, Revision: k.Revision})
 }
@@ -188,7 +188,7 @@
 	case previous.Key != nil:
 		k := *previous.Key
 		s.config.ring.Remove(k.Team, k.ID, revision)
-		s.terminateWorkUnder(KeyName{k.Team, k.ID})
+		s.withdrawKey(KeyName{k.Team, k.ID})
 	}
 }
 
@@ -201,8 +201,8 @@
 	s.owner.setDrained(name, true)
 }
 
-// terminateWorkUnder marks a key as withdrawn and terminates the work that was accepted under it.
-func (s *State) terminateWorkUnder(key KeyName) {
+// withdrawKey marks a key as withdrawn and terminates the work that was accepted under it.
+func (s *State) withdrawKey(key KeyName) {
 	s.config.withdrawnKeys[key] = true
 	s.owner.keyWithdrawn(key)
 	s.home.keyWithdrawn(key)
--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -108,7 +108,7 @@
 	h.routing.deductPlacement(t.Partition, record.Spec.Size)
 	gang := 1
 	if record.Spec.Kind == task.Gang {
-		gang = waitingTasks(record)
+		gang = unstartedTasks(record)
 	}
 	h.batches[t.Partition] = append(h.batches[t.Partition], Placement{
 		Attempt: a, Job: job, Index: index, Partition: t.Partition, Epoch: epoch,
@@ -117,9 +117,9 @@
 	h.recordEvent(timeline.Event{Type: timeline.TaskPlaced, Team: job.Team, Task: a.Task, Attempt: a.Number, Partition: t.Partition, Epoch: epoch})
 }
 
-// waitingTasks returns how many tasks of a gang have not started. Tasks that finished before
+// unstartedTasks returns how many tasks of a gang have not started. Tasks that finished before
 // another member was lost are not started again.
-func waitingTasks(record *ledger.Record) int {
+func unstartedTasks(record *ledger.Record) int {
 	waiting := 0
 	for i := range record.Tasks {
 		if s := record.Tasks[i].State; s == task.Accepted || s == task.Dispatched {
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -67,10 +67,10 @@
 		return
 	}
 	peers := make([]keyring.Peer, 0, len(s.routing.members))
-	asked := map[string]bool{}
+	awaitingReply := map[string]bool{}
 	for _, m := range s.routing.memberList() {
 		peers = append(peers, keyring.Peer{Instance: m.Instance, Incarnation: m.Incarnation})
-		asked[m.Incarnation] = m.Incarnation != s.self.Incarnation
+		awaitingReply[m.Incarnation] = m.Incarnation != s.self.Incarnation
 	}
 	self := keyring.Peer{Instance: s.self.Instance, Incarnation: s.self.Incarnation}
 	if s.exchange.outageRound != nil && s.now.Sub(s.exchange.sentAt[self.Incarnation]) < s.cfg.DigestInterval {
@@ -81,7 +81,7 @@
 	}
 	s.exchange.sentAt[self.Incarnation] = s.now
 	s.exchange.outageRound = keyring.NewOutageRound(s.now, self, peers)
-	s.exchange.awaitingReply = asked
+	s.exchange.awaitingReply = awaitingReply
 	names := make([]string, 0, len(s.membership.listedEntries))
 	for _, m := range s.membership.listedEntries {
 		names = append(names, m.Instance)
@@ -89,8 +89,8 @@
 	s.exchange.outageRound.Listed(s.membership.listedAt, names)
 	s.freshness.OutageConfirmed(s.now, s.exchange.outageRound) // without other members the round is complete at once
 	s.snapshotChanged = true
-	for incarnation, ask := range asked {
-		if ask {
+	for incarnation, awaiting := range awaitingReply {
+		if awaiting {
 			delete(s.exchange.sentAt, incarnation) // due at once
 		}
 	}
@@ -124,7 +124,7 @@
 	reply := e.Reply.(DigestMessage)
 	s.applyDigest(reply)
 	s.freshness.PeerConfirmed(s.now, e.Send.SentAt, reply.Freshness, reply.Revision)
-	if s.isOfOutageRound(e.Send) && s.exchange.awaitingReply[reply.Incarnation] {
+	if s.belongsToOutageRound(e.Send) && s.exchange.awaitingReply[reply.Incarnation] {
 		s.exchange.awaitingReply[reply.Incarnation] = false
 		s.exchange.outageRound.Reply(keyring.OutageReply{
 			From:     keyring.Peer{Instance: reply.Instance, Incarnation: reply.Incarnation},
@@ -135,10 +135,10 @@
 	s.snapshotChanged = true
 }
 
-// isOfOutageRound reports whether a digest asked for a promise for the outage round in progress. A
+// belongsToOutageRound reports whether a digest asked for a promise for the outage round in progress. A
 // promise that was given for an earlier round expires earlier, and a digest that did not ask for
 // one gets none.
-func (s *State) isOfOutageRound(sent Send) bool {
+func (s *State) belongsToOutageRound(sent Send) bool {
 	asked := sent.Request.(DigestMessage).AskNoCommit
 	return asked && s.exchange.outageRound != nil && !sent.SentAt.Before(s.exchange.sentAt[s.self.Incarnation])
 }
@@ -178,7 +178,7 @@
 			remote[u.Team] = remote[u.Team].Add(u.Size)
 		}
 	}
-	for team := range s.owner.remoteTeams {
+	for team := range s.owner.remoteUsage {
 		if _, ok := remote[team]; !ok {
 			s.owner.shares.SetRemote(s.now, team, task.Resources{})
 		}
@@ -186,7 +186,7 @@
 	for team, size := range remote {
 		s.owner.shares.SetRemote(s.now, team, size)
 	}
-	s.owner.remoteTeams = remote
+	s.owner.remoteUsage = remote
 	var total task.Resources
 	for _, load := range s.routing.partitionLoads {
 		total = total.Add(load.digest.Capacity)
--- a/control/gang_test.go
+++ b/control/gang_test.go
@@ -17,8 +17,8 @@
 	t.Helper()
 	spec := gangSpec
 	spec.SubmittedAt = h.now
-	nextToken++
-	h.apply(PeerCall{Token: nextToken, Request: SubmitRequest{Spec: spec}})
+	lastToken++
+	h.apply(PeerCall{Token: lastToken, Request: SubmitRequest{Spec: spec}})
 	job := ledger.KeyOf(&spec)
 	record, ok := h.state.home.ledger.Find(h.state.home.shardOf(job), job)
 	if !ok {
@@ -77,8 +77,8 @@
 	}
 	for i, outcome := range ends {
 		outcome.Attempt = attempts[i]
-		nextToken++
-		h.apply(PeerCall{Token: nextToken, Request: ReportRequest{Reports: []AttemptReport{{Attempt: attempts[i], Job: job, Index: i, Outcome: &outcome}}}})
+		lastToken++
+		h.apply(PeerCall{Token: lastToken, Request: ReportRequest{Reports: []AttemptReport{{Attempt: attempts[i], Job: job, Index: i, Outcome: &outcome}}}})
 	}
 	expectFinished(t, h, job)
 }
@@ -87,29 +87,29 @@
 // placement was delayed and arrived after the owner had answered a lookup of it.
 func TestGangPlacementAfterLookup(t *testing.T) {
 	h := newHarness(12, 4, 1)
-	var late []Send
+	var delayed []Send
 	h.dropEffect = func(e Effect) bool {
 		send, ok := e.(Send)
 		if !ok {
 			return false
 		}
 		if place, isPlace := send.Request.(PlaceRequest); isPlace && place.Placements[0].Attempt.Number == 1 {
-			late = append(late, send)
+			delayed = append(delayed, send)
 			return true
 		}
 		return false
 	}
 	job, attempts := submitGang(t, h)
-	if len(late) != 1 {
-		t.Fatalf("%d placements were sent, want 1", len(late))
+	if len(delayed) != 1 {
+		t.Fatalf("%d placements were sent, want 1", len(delayed))
 	}
-	lookup := LookupRequest{Partition: late[0].Request.(PlaceRequest).Placements[0].Partition}
+	lookup := LookupRequest{Partition: delayed[0].Request.(PlaceRequest).Placements[0].Partition}
 	for i, a := range attempts {
 		lookup.Attempts = append(lookup.Attempts, LookupItem{Attempt: a, Job: job, Index: i})
 	}
-	nextToken++
-	h.apply(PeerCall{Token: nextToken, Request: lookup}) // its reply is not delivered, as if still in transit
+	lastToken++
+	h.apply(PeerCall{Token: lastToken, Request: lookup}) // its reply is not delivered, as if still in transit
 	h.dropEffect = nil
-	h.callSelf(late[0])
+	h.callSelf(delayed[0])
 	expectFinished(t, h, job)
 }
--- a/control/home.go
+++ b/control/home.go
@@ -32,8 +32,8 @@
 
 // keyChecks are the checks that home and owner make on the key under which work was accepted.
 type keyChecks struct {
-	withdrawn func(KeyName) bool
-	fresh     func() bool // whether this process is certain to have read a withdrawal that is in force
+	isWithdrawn func(KeyName) bool
+	areFresh    func() bool // whether this process is certain to have read a withdrawal that is in force
 }
 
 // taskRef names one task of a job.
@@ -77,9 +77,9 @@
 
 // reportCall is a report request of an owner, some parts of which wait for a commit.
 type reportCall struct {
-	token    uint64
-	waiting  int
-	recorded []bool
+	token       uint64
+	uncommitted int
+	recorded    []bool
 }
 
 func (h *home) shardOf(job ledger.JobKey) string { return ShardOf(job, h.cfg.RequestShards) }
@@ -104,13 +104,13 @@
 func (h *home) submit(token uint64, req SubmitRequest) {
 	job := ledger.KeyOf(&req.Spec)
 	if err := h.checkKey(&req.Spec); err != nil {
-		h.replyRefused(token, job, err)
+		h.replyRefusal(token, job, err)
 		return
 	}
 	step := ledger.Step{Kind: ledger.StepAccepted, Job: job, Token: token}
 	record, isNew, err := h.ledger.Submit(h.shardOf(job), req.Spec, step)
 	if err != nil {
-		h.replyRefused(token, job, err)
+		h.replyRefusal(token, job, err)
 		return
 	}
 	h.waitingCalls[token] = &jobCall{job: job, until: h.now.Add(req.Wait)}
@@ -122,7 +122,7 @@
 		if isNew {
 			h.recordAcceptance(record)
 		}
-		h.answerOrWait(token, job)
+		h.replyOrWait(token, job)
 	}
 }
 
@@ -132,16 +132,16 @@
 	switch {
 	case spec.KeyID == "":
 		return nil
-	case h.keys.withdrawn(KeyName{spec.Team, spec.KeyID}):
+	case h.keys.isWithdrawn(KeyName{spec.Team, spec.KeyID}):
 		return errkind.New(errkind.KeyWithdrawn, "key %s of team %s was withdrawn", spec.KeyID, spec.Team)
-	case !h.keys.fresh():
+	case !h.keys.areFresh():
 		return errkind.New(errkind.KeyStale, "the home of the job cannot confirm key %s of team %s at present", spec.KeyID, spec.Team).WithRetryAfter(h.cfg.KeyFreshness)
 	default:
 		return nil
 	}
 }
 
-func (h *home) replyRefused(token uint64, job ledger.JobKey, err *errkind.Error) {
+func (h *home) replyRefusal(token uint64, job ledger.JobKey, err *errkind.Error) {
 	h.recordEvent(timeline.Event{Type: timeline.RequestRefused, Team: job.Team, Kind: string(err.Kind), Detail: job.Key})
 	h.reply(token, JobReply{Err: err})
 }
@@ -173,15 +173,15 @@
 		h.cancel(token, req.Job)
 	case QueryWait:
 		h.waitingCalls[token].until = h.now.Add(req.Wait)
-		h.answerOrWait(token, req.Job)
+		h.replyOrWait(token, req.Job)
 	default:
-		h.answerOrWait(token, req.Job)
+		h.replyOrWait(token, req.Job)
 	}
 }
 
-// answerOrWait replies if the job is final in the store or the caller does not
+// replyOrWait replies if the job is final in the store or the caller does not
 // wait. A job that is not in the store yet is answered once it is.
-func (h *home) answerOrWait(token uint64, job ledger.JobKey) {
+func (h *home) replyOrWait(token uint64, job ledger.JobKey) {
 	call, ok := h.waitingCalls[token]
 	if !ok {
 		return
@@ -191,13 +191,13 @@
 	case !ok:
 		h.ledger.After(h.shardOf(job), ledger.Step{Kind: ledger.StepAnswer, Job: job, Token: token})
 	case view.IsFinal() || !h.now.Before(call.until):
-		h.answer(token, view)
+		h.replyRecord(token, view)
 	default:
 		h.waiters[job] = append(h.waiters[job], token)
 	}
 }
 
-func (h *home) answer(token uint64, view ledger.Record) {
+func (h *home) replyRecord(token uint64, view ledger.Record) {
 	delete(h.waitingCalls, token)
 	h.reply(token, JobReply{Record: &view})
 }
@@ -208,7 +208,7 @@
 	record, _ := h.ledger.Find(shard, job)
 	h.terminate(record, errkind.Cancelled)
 	if !h.ledger.HasPending(shard) {
-		h.answerOrWait(token, job)
+		h.replyOrWait(token, job)
 		return
 	}
 	h.ledger.After(shard, ledger.Step{Kind: ledger.StepAnswer, Job: job, Token: token})
@@ -230,15 +230,15 @@
 // withdraw asks the owners to dequeue or stop the latest attempts of the given tasks of a job.
 func (h *home) withdraw(job ledger.JobKey, record *ledger.Record, indexes []int, reason errkind.Kind) {
 	byPartition := map[string][]task.Attempt{}
-	var order []string
+	var partitions []string
 	for _, i := range indexes {
 		partition := record.Tasks[i].Partition
 		if _, seen := byPartition[partition]; !seen {
-			order = append(order, partition)
+			partitions = append(partitions, partition)
 		}
 		byPartition[partition] = append(byPartition[partition], record.AttemptOf(i))
 	}
-	for _, partition := range order {
+	for _, partition := range partitions {
 		if owner, _, ok := h.routing.ownerOf(partition); ok {
 			h.send(owner, WithdrawRequest{Attempts: byPartition[partition], Reason: reason})
 		}
@@ -270,7 +270,7 @@
 	}
 	for _, token := range h.waiters[job] {
 		if _, waiting := h.waitingCalls[token]; waiting {
-			h.answer(token, view)
+			h.replyRecord(token, view)
 		}
 	}
 	delete(h.waiters, job)
@@ -284,7 +284,7 @@
 }
 
 // forget drops a call whose caller has gone.
-func (h *home) forget(token uint64) { delete(h.waitingCalls, token) }
+func (h *home) cancelCall(token uint64) { delete(h.waitingCalls, token) }
 
 // runStep continues work that waited for a commit.
 func (h *home) runStep(s ledger.Step) {
@@ -297,9 +297,9 @@
 	case ledger.StepAccepted:
 		h.recordAcceptance(record)
 		h.completeIfFinal(s.Job)
-		h.answerOrWait(s.Token, s.Job)
+		h.replyOrWait(s.Token, s.Job)
 	case ledger.StepAnswer:
-		h.answerOrWait(s.Token, s.Job)
+		h.replyOrWait(s.Token, s.Job)
 	case ledger.StepDispatch:
 		h.batchPlacement(s.Job, record, s.Index)
 	case ledger.StepPermitted:
@@ -308,7 +308,7 @@
 		h.reply(s.Token, PermitReply{Granted: !record.Cancelled})
 	case ledger.StepFinished:
 		h.completeIfFinal(s.Job)
-		h.partRecorded(s.Token)
+		h.attemptReportRecorded(s.Token)
 	}
 }
 
--- a/control/homereport.go
+++ b/control/homereport.go
@@ -26,19 +26,19 @@
 			continue
 		}
 		if h.finish(r.Attempt, *r.Outcome, id) {
-			call.waiting++
-		} else if h.isPending(r) {
+			call.uncommitted++
+		} else if h.mayBeUncommitted(r) {
 			call.recorded[i] = false
 		}
 	}
 	h.replyWhenRecorded(id)
 }
 
-// isPending reports whether the outcome of a durable attempt may be known here but not yet stored,
+// mayBeUncommitted reports whether the outcome of a durable attempt may be known here but not yet stored,
 // for example when an owner reports it again during a store outage. The owner must not acknowledge
 // the attempt to its worker before the outcome is stored: the next home would find no trace of the
 // attempt and treat it as not run.
-func (h *home) isPending(r AttemptReport) bool {
+func (h *home) mayBeUncommitted(r AttemptReport) bool {
 	_, isVolatile := ledger.HolderOf(r.Attempt.Task)
 	return !isVolatile && h.ledger.HasPending(h.shardOf(r.Job))
 }
@@ -55,19 +55,19 @@
 	h.recordEvent(timeline.Event{Type: timeline.TaskStarted, Team: r.Job.Team, Task: r.Attempt.Task, Attempt: r.Attempt.Number, Worker: r.Worker})
 }
 
-// partRecorded counts one part of a report as stored.
-func (h *home) partRecorded(id uint64) {
+// attemptReportRecorded counts one part of a report as stored.
+func (h *home) attemptReportRecorded(id uint64) {
 	call, ok := h.reportCalls[id]
 	if !ok {
 		return
 	}
-	call.waiting--
+	call.uncommitted--
 	h.replyWhenRecorded(id)
 }
 
 func (h *home) replyWhenRecorded(id uint64) {
 	call := h.reportCalls[id]
-	if call.waiting > 0 {
+	if call.uncommitted > 0 {
 		return
 	}
 	delete(h.reportCalls, id)
@@ -90,7 +90,7 @@
 
 // tick makes the calls that are due, ends expired waits and removes expired records.
 func (h *home) tick() {
-	h.dispatchDue()
+	h.dispatchPostponed()
 	h.rebalance()
 	h.lookUpOverdue()
 	h.expireWaits()
@@ -104,7 +104,7 @@
 // which is minutes.
 const expireInterval = 5 * time.Second
 
-func (h *home) dispatchDue() {
+func (h *home) dispatchPostponed() {
 	for ref, t := range h.undispatched {
 		if h.now.Before(t.retryAt) {
 			continue
@@ -225,7 +225,7 @@
 				continue
 			}
 			if view, found := h.ledger.View(h.shardOf(job), job); found {
-				h.answer(token, view)
+				h.replyRecord(token, view)
 			} else {
 				delete(h.waitingCalls, token)
 			}
@@ -300,7 +300,7 @@
 	case ledger.StepFinished:
 		if call, ok := h.reportCalls[s.Token]; ok {
 			clear(call.recorded)
-			h.partRecorded(s.Token)
+			h.attemptReportRecorded(s.Token)
 		}
 	}
 }
--- a/control/limit.go
+++ b/control/limit.go
@@ -103,7 +103,7 @@
 		return cmp.Or(b.startedAt.Compare(a.startedAt), cmp.Compare(a.id.Task, b.id.Task))
 	})
 	for _, a := range running {
-		if !hasPositive(excess) {
+		if !hasPositiveAmount(excess) {
 			return
 		}
 		if a.stopReason == "" {
@@ -120,7 +120,7 @@
 	return kind != "" && kind.IsDurable() && kind.MayRepeat()
 }
 
-func hasPositive(r task.Resources) bool { return !r.Max(task.Resources{}).IsZero() }
+func hasPositiveAmount(r task.Resources) bool { return !r.Max(task.Resources{}).IsZero() }
 
 // activeTeams lists the teams with attempts at this owner.
 func (w *owner) activeTeams() []task.Team {
--- a/control/loop.go
+++ b/control/loop.go
@@ -11,9 +11,9 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// queueLength is the capacity of the event queue of the control goroutine. A full queue blocks the
+// eventQueueCapacity is the capacity of the event queue of the control goroutine. A full queue blocks the
 // senders, which applies backpressure to traffic and does not delay control.
-const queueLength = 4096
+const eventQueueCapacity = 4096
 
 // Loop owns a State: the goroutine in Run is the only one that touches it.
 type Loop struct {
@@ -33,7 +33,7 @@
 // NewLoop returns a loop for a state. Effects other than replies are passed to
 // execute, which must not block.
 func NewLoop(state *State, tick time.Duration, registry metrics.Registry, execute func(Effect)) *Loop {
-	l := &Loop{state: state, events: make(chan Event, queueLength), execute: execute, tick: tick}
+	l := &Loop{state: state, events: make(chan Event, eventQueueCapacity), execute: execute, tick: tick}
 	l.applyTime = metrics.NewRegisteredHistogram("control.apply_ns", registry, metrics.NewExpDecaySample(1028, 0.015))
 	l.snapshot.Store(state.Snapshot())
 	return l
@@ -72,14 +72,14 @@
 	case reply := <-replies:
 		return reply, nil
 	case <-ctx.Done():
-		l.forget(token)
+		l.cancelCall(token)
 		return nil, ctx.Err()
 	}
 }
 
 // forget cancels a waiting call. It does not block on a full queue: the state also drops calls when
 // their wait expires.
-func (l *Loop) forget(token uint64) {
+func (l *Loop) cancelCall(token uint64) {
 	select {
 	case l.events <- Forget{Token: token}:
 	default:
--- a/control/owner.go
+++ b/control/owner.go
@@ -28,7 +28,7 @@
 	holds       func(unit string) (epoch uint64, ok bool)
 	termEnd     func(unit string) time.Time
 	keys        keyChecks
-	remoteTeams map[task.Team]task.Resources // used at the other owners
+	remoteUsage map[task.Team]task.Resources // used at the other owners
 
 	partitions map[string]*partition
 	workers    map[string]*workerState
@@ -36,15 +36,15 @@
 	// blocked holds the teams of which none of the first queued tasks could be started, so that
 	// they are not retried on every event. A team is retried when what it lacks may have become
 	// available.
-	blocked          map[task.Team]blockReason
-	unblockedAt      time.Time
-	reviewedAt       time.Time
-	reportsDue       bool // there are unsent reports to homes
-	allowancePlanDue bool // an allowance was refused since the last allowance plan
-	draining         bool
-	drainedWorkers   map[string]bool            // workers that are drained by an operator
-	tombstones       map[task.Attempt]time.Time // attempts to refuse, with the time after which the entry is removed
-	pendingReports   map[task.Attempt]*pendingReport
+	blocked           map[task.Team]blockReason
+	blockedClearedAt  time.Time
+	workersReviewedAt time.Time
+	reportsDue        bool // there are unsent reports to homes
+	allowancePlanDue  bool // an allowance was refused since the last allowance plan
+	draining          bool
+	drainedWorkers    map[string]bool            // workers that are drained by an operator
+	tombstones        map[task.Attempt]time.Time // attempts to refuse, with the time after which the entry is removed
+	pendingReports    map[task.Attempt]*pendingReport
 
 	allowanceRefusals uint64 // for the metric
 }
@@ -59,21 +59,21 @@
 
 // workerState is the owner's view of one worker.
 type workerState struct {
-	listed      ListedWorker
-	partition   string
-	bootID      string
-	clock       time.Duration // of the worker at its last report
-	clockAt     time.Time     // when that report was received
-	sequence    uint64
-	capacity    task.Resources
-	reconciled  bool      // a full report was requested after the last start of a former owner had expired
-	leaseEnd    time.Time // no lease granted so far lasts longer
-	syncing     bool
-	syncAt      time.Time
-	failedSyncs int  // consecutive failed syncs
-	leaving     bool // according to its own report
-	probing     bool // in quarantine, and open to one task as a probe
-	pendingAcks []task.Attempt
+	listed        ListedWorker
+	partition     string
+	bootID        string
+	clock         time.Duration // of the worker at its last report
+	clockAt       time.Time     // when that report was received
+	sequence      uint64
+	capacity      task.Resources
+	reconciled    bool      // a full report was requested after the last start of a former owner had expired
+	leaseEnd      time.Time // no lease granted so far lasts longer
+	syncing       bool
+	syncAt        time.Time
+	failedSyncs   int  // consecutive failed syncs
+	leaving       bool // according to its own report
+	awaitingProbe bool // in quarantine, and open to one task as a probe
+	pendingAcks   []task.Attempt
 }
 
 // stage is the progress of an attempt at its owner.
@@ -115,10 +115,10 @@
 
 // pendingReport is a report that its home has not confirmed.
 type pendingReport struct {
-	report  AttemptReport
-	sendAt  time.Time
-	sent    bool
-	isFinal bool
+	report   AttemptReport
+	sendAt   time.Time
+	inFlight bool
+	isFinal  bool
 }
 
 const tombstoneLifetime = 10 * time.Minute // longer than any call between instances can be delayed
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -43,16 +43,16 @@
 // reviewWorkers quarantines the workers that were found bad while the quarantine cap was reached,
 // and opens each worker whose probe is due to one task.
 func (w *owner) reviewWorkers() {
-	if w.now.Sub(w.reviewedAt) < reviewInterval {
+	if w.now.Sub(w.workersReviewedAt) < reviewInterval {
 		return
 	}
-	w.reviewedAt = w.now
+	w.workersReviewedAt = w.now
 	for _, name := range w.monitor.Review(w.now) {
 		w.workerQuarantined(name)
 	}
 	for _, name := range w.monitor.ProbesDue(w.now) {
 		if ws, ok := w.workers[name]; ok {
-			ws.probing = true
+			ws.awaitingProbe = true
 			w.updateNode(ws)
 		}
 	}
@@ -62,10 +62,10 @@
 // awaits one. The worker gets no other task until the probe has ended.
 func (w *owner) startProbe(a *attempt) {
 	ws, ok := w.workers[a.worker]
-	if !ok || !ws.probing {
+	if !ok || !ws.awaitingProbe {
 		return
 	}
-	ws.probing = false
+	ws.awaitingProbe = false
 	a.isProbe = true
 	w.updateNode(ws)
 }
@@ -85,7 +85,7 @@
 func (w *owner) workersAwaitingProbe() []string {
 	var names []string
 	for name, ws := range w.workers {
-		if ws.probing {
+		if ws.awaitingProbe {
 			names = append(names, name)
 		}
 	}
--- a/control/quarantine_test.go
+++ b/control/quarantine_test.go
@@ -29,7 +29,7 @@
 	w.now = h.now
 	w.reviewWorkers()
 	ws := w.workers[name]
-	if !ws.probing {
+	if !ws.awaitingProbe {
 		t.Fatalf("no probe is due for worker %s", name)
 	}
 	return ws
@@ -59,7 +59,7 @@
 			h.now = h.now.Add(beyondProbeWait)
 			w.now = h.now
 			w.reviewWorkers()
-			if !ws.probing {
+			if !ws.awaitingProbe {
 				t.Error("no further probe is due after an inconclusive one")
 			}
 		})
--- a/control/rebalance.go
+++ b/control/rebalance.go
@@ -28,8 +28,8 @@
 		return
 	}
 	h.rebalancedAt = h.now
-	free := h.idlePartitions()
-	if len(free) == 0 {
+	movesLeft := h.idlePartitions()
+	if len(movesLeft) == 0 {
 		return
 	}
 	moves := map[string][]task.Attempt{}
@@ -37,7 +37,7 @@
 		if o.phase != phasePlaced || o.placedAt.IsZero() || h.now.Sub(o.placedAt) < rebalanceAfter {
 			continue
 		}
-		if h.claimMove(free, o) {
+		if h.claimMove(movesLeft, o) {
 			o.placedAt = h.now
 			moves[o.partition] = append(moves[o.partition], a)
 		}
@@ -52,13 +52,13 @@
 // idlePartitions returns the partitions with free slots and an empty queue, with how many attempts
 // may be moved to each.
 func (h *home) idlePartitions() map[string]int {
-	free := map[string]int{}
+	movesLeft := map[string]int{}
 	for name, load := range h.routing.partitionLoads {
 		if load.digest.Ready && load.digest.Queued == 0 && load.digest.Free.Slots > 0 && h.now.Sub(load.receivedAt) < h.cfg.DigestLifetime {
-			free[name] = int(min(load.digest.Free.Slots, rebalanceBatch))
+			movesLeft[name] = int(min(load.digest.Free.Slots, rebalanceBatch))
 		}
 	}
-	return free
+	return movesLeft
 }
 
 // maxMovedAnswerAttempt is the highest attempt number of an answer that is moved: an answer has few
@@ -67,7 +67,7 @@
 
 // claimMove reports whether an attempt can be moved to an idle partition, and claims one of the
 // moves to it. Gangs are not moved, since all members have to be at one partition.
-func (h *home) claimMove(free map[string]int, o *openAttempt) bool {
+func (h *home) claimMove(movesLeft map[string]int, o *openAttempt) bool {
 	record, ok := h.ledger.Find(h.shardOf(o.ref.job), o.ref.job)
 	if !ok || record.Spec.Kind == task.Gang || record.Cancelled {
 		return false
@@ -75,10 +75,10 @@
 	if !record.Spec.Kind.IsDurable() && record.Tasks[o.ref.index].Attempt > maxMovedAnswerAttempt {
 		return false
 	}
-	for name, movesLeft := range free {
+	for name, left := range movesLeft {
 		isAllowed := len(record.Spec.Regions) == 0 || slices.Contains(record.Spec.Regions, RegionOf(name))
-		if name != o.partition && movesLeft > 0 && isAllowed && record.Spec.Size.Fits(h.routing.partitionLoads[name].digest.Free) {
-			free[name]--
+		if name != o.partition && left > 0 && isAllowed && record.Spec.Size.Fits(h.routing.partitionLoads[name].digest.Free) {
+			movesLeft[name]--
 			return true
 		}
 	}
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -39,8 +39,8 @@
 
 // schedulableTeams returns the teams with queued tasks that are not blocked.
 func (w *owner) schedulableTeams() []task.Team {
-	if w.now.Sub(w.unblockedAt) >= unblockInterval {
-		w.unblockedAt = w.now
+	if w.now.Sub(w.blockedClearedAt) >= unblockInterval {
+		w.blockedClearedAt = w.now
 		clear(w.blocked)
 	}
 	return slices.DeleteFunc(w.queues.Teams(), func(t task.Team) bool { return w.blocked[t] != 0 })
@@ -154,7 +154,7 @@
 // whether the key was withdrawn, the attempt stays queued.
 func (w *owner) isKeyValid(a *attempt) bool {
 	key := KeyName{a.team, a.placement.Spec.KeyID}
-	return key.ID == "" || w.keys.fresh() && !w.keys.withdrawn(key)
+	return key.ID == "" || w.keys.areFresh() && !w.keys.isWithdrawn(key)
 }
 
 // reserve acquires allowance and reserves capacity on a worker for an attempt.
@@ -196,10 +196,10 @@
 	}
 	a.stage = stageAwaitingPermit
 	a.lookupAt = w.now.Add(w.cfg.CallTimeout * 2)
-	w.askPermit(a)
+	w.requestPermit(a)
 }
 
-func (w *owner) askPermit(a *attempt) {
+func (w *owner) requestPermit(a *attempt) {
 	home, _, ok := w.routing.ownerOf(ShardOf(a.job, w.cfg.RequestShards))
 	if !ok {
 		return
@@ -277,11 +277,11 @@
 
 // releaseGang returns the allowance of a gang and the reservations of its first members, which are
 // the only ones that have one.
-func (w *owner) releaseGang(members []*attempt, held int) {
-	for _, m := range members[:held] {
+func (w *owner) releaseGang(members []*attempt, reserved int) {
+	for _, m := range members[:reserved] {
 		w.release(m)
 	}
-	for _, m := range members[held:] {
+	for _, m := range members[reserved:] {
 		w.allowances.Return(w.now, m.team, m.partition, m.size)
 	}
 }
--- a/control/choose.go
+++ b/control/selector.go
@@ -32,11 +32,11 @@
 		need = spec.Size.Scale(int64(spec.Count))
 	}
 	for _, region := range c.regions(spec) {
-		if p, ok := c.mostFree(candidates, region, need); ok {
+		if p, ok := c.pickByFreeCapacity(candidates, region, need); ok {
 			return p, true
 		}
 	}
-	return c.leastQueued(candidates), true
+	return c.pickByQueueLength(candidates), true
 }
 
 // candidates returns the digests of the eligible partitions, sorted by name.
@@ -82,10 +82,10 @@
 	return regions
 }
 
-// mostFree returns the one with more free capacity of two random partitions of a region in which
+// pickByFreeCapacity returns the one with more free capacity of two random partitions of a region in which
 // need fits. Two random choices spread a burst nearly as well as the best of all, and keep the
 // homes from all sending to the same partition between two digests.
-func (c *partitionSelector) mostFree(candidates []PartitionDigest, region string, need task.Resources) (string, bool) {
+func (c *partitionSelector) pickByFreeCapacity(candidates []PartitionDigest, region string, need task.Resources) (string, bool) {
 	var fitting []PartitionDigest
 	for _, p := range candidates {
 		if RegionOf(p.Partition) == region && need.Fits(p.Free) && p.Queued == 0 {
@@ -103,8 +103,8 @@
 	return a.Partition, true
 }
 
-// leastQueued returns the one with fewer queued tasks per slot of two random partitions.
-func (c *partitionSelector) leastQueued(candidates []PartitionDigest) string {
+// pickByQueueLength returns the one with fewer queued tasks per slot of two random partitions.
+func (c *partitionSelector) pickByQueueLength(candidates []PartitionDigest) string {
 	a := candidates[c.rng.IntN(len(candidates))]
 	b := candidates[c.rng.IntN(len(candidates))]
 	if float64(b.Queued)*float64(max(1, a.Capacity.Slots)) < float64(a.Queued)*float64(max(1, b.Capacity.Slots)) {
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -88,7 +88,7 @@
 func (s *Snapshot) Authorize(now time.Time, team task.Team, service task.Service, secret string) (HeldDocument, keyring.Key, *errkind.Error) {
 	held, ok := s.Documents[DocumentKey{team, service}]
 	if !ok {
-		return HeldDocument{}, keyring.Key{}, s.unknownName(team, service)
+		return HeldDocument{}, keyring.Key{}, s.unknownNameError(team, service)
 	}
 	if held.Open {
 		return held, keyring.Key{}, nil
@@ -117,9 +117,9 @@
 	return complete, nil
 }
 
-// unknownName returns the error for an unknown team or service. A process that has not read the
+// unknownNameError returns the error for an unknown team or service. A process that has not read the
 // configuration yet cannot tell which names exist and reports a stale key instead.
-func (s *Snapshot) unknownName(team task.Team, service task.Service) *errkind.Error {
+func (s *Snapshot) unknownNameError(team task.Team, service task.Service) *errkind.Error {
 	if s.Revision == 0 {
 		return errkind.New(errkind.KeyStale, "this instance has not read the configuration yet")
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -56,9 +56,9 @@
 	exchange   *digestExchange
 	drain      drainState
 
-	slowTickAt      time.Time
-	plannedAt       time.Time
-	snapshotChanged bool // a part of the snapshot has changed
+	slowTickAt          time.Time
+	allowancesPlannedAt time.Time
+	snapshotChanged     bool // a part of the snapshot has changed
 }
 
 // New returns the state of a process that has just started.
@@ -70,7 +70,7 @@
 	s.membership = &membershipState{lastContact: now}
 	s.exchange = newDigestExchange()
 	allowances := allowance.New(parts.Allowance)
-	keys := keyChecks{withdrawn: s.config.isWithdrawn, fresh: func() bool { return s.freshness.Remaining(s.now) > 0 }}
+	keys := keyChecks{isWithdrawn: s.config.isWithdrawn, areFresh: func() bool { return s.freshness.Remaining(s.now) > 0 }}
 	s.home = &home{
 		keys:   keys,
 		outbox: &s.outbox, cfg: &s.cfg, routing: s.routing, ledger: ledger.New(parts.Ledger, self.Incarnation),
@@ -98,7 +98,7 @@
 	s.effects = s.effects[:0]
 	s.apply(e)
 	if _, isTick := e.(Tick); affectsOwnership(e) || isTick && s.isSlowTickDue() {
-		s.actOnOwnership()
+		s.executeOwnershipActions()
 	}
 	if s.owner.reportsDue {
 		s.owner.sendReports()
@@ -136,7 +136,7 @@
 	case PeerDone:
 		s.peerDone(e)
 	case Forget:
-		s.home.forget(e.Token)
+		s.home.cancelCall(e.Token)
 	case StartDone:
 		s.owner.startDone(e)
 	case SyncDone:
@@ -195,10 +195,10 @@
 
 // planAllowances requests allowance that a start lacked, and returns allowance that is idle.
 func (s *State) planAllowances() {
-	if !s.owner.allowancePlanDue && s.now.Sub(s.plannedAt) < slowTickInterval {
+	if !s.owner.allowancePlanDue && s.now.Sub(s.allowancesPlannedAt) < slowTickInterval {
 		return
 	}
-	s.plannedAt = s.now
+	s.allowancesPlannedAt = s.now
 	s.owner.allowancePlanDue = false
 	if writes := s.owner.allowances.Plan(s.now); len(writes) > 0 {
 		s.emit(WriteAllowances{Writes: writes})
--- a/control/units.go
+++ b/control/units.go
@@ -11,8 +11,8 @@
 
 func isPartition(unit string) bool { return strings.HasPrefix(unit, membership.WorkerPrefix) }
 
-// actOnOwnership carries out the actions that the ownership table requires after an event.
-func (s *State) actOnOwnership() {
+// executeOwnershipActions carries out the actions that the ownership table requires after an event.
+func (s *State) executeOwnershipActions() {
 	requests := map[ownership.Successor]*PromiseRequest{}
 	for _, action := range s.ownership.Tick(s.now) {
 		switch a := action.(type) {
--- a/control/workers.go
+++ b/control/workers.go
@@ -53,7 +53,7 @@
 	w.allowances.Disown(name)
 	for _, ws := range w.workers {
 		if ws.partition == name {
-			ws.reconciled, ws.probing = false, false
+			ws.reconciled, ws.awaitingProbe = false, false
 			w.cluster.Remove(ws.listed.Name)
 			w.monitor.RemoveWorker(ws.listed.Name)
 		}
@@ -123,7 +123,7 @@
 // isUsable reports whether a worker may get new tasks.
 func (w *owner) isUsable(ws *workerState) bool {
 	return ws.reconciled && !ws.isLeaving() && !w.drainedWorkers[ws.listed.Name] && !ws.listed.Gone && ws.failedSyncs < maxFailedSyncs &&
-		(ws.probing || !w.monitor.IsQuarantined(ws.listed.Name))
+		(ws.awaitingProbe || !w.monitor.IsQuarantined(ws.listed.Name))
 }
 
 // maxFailedSyncs is the number of consecutive failed syncs from which on a worker gets no new tasks.
@@ -200,16 +200,16 @@
 	}
 	if r.Full {
 		w.endMissing(ws, e)
-		if e.SentAt.After(w.formerStartsExpireAt(part)) && !ws.reconciled {
+		if e.SentAt.After(w.previousOwnerStartsExpireAt(part)) && !ws.reconciled {
 			ws.reconciled = true
 		}
 	}
 	w.updateNode(ws)
 }
 
-// formerStartsExpireAt returns the time after which no start of a former owner can be accepted any
+// previousOwnerStartsExpireAt returns the time after which no start of a former owner can be accepted any
 // more. A partition in its first epoch has no former owner.
-func (w *owner) formerStartsExpireAt(part *partition) time.Time {
+func (w *owner) previousOwnerStartsExpireAt(part *partition) time.Time {
 	if part.epoch <= 1 {
 		return part.acquiredAt.Add(-time.Nanosecond)
 	}
@@ -309,7 +309,7 @@
 		if part.ready {
 			continue
 		}
-		ready := w.now.After(w.formerStartsExpireAt(part))
+		ready := w.now.After(w.previousOwnerStartsExpireAt(part))
 		for _, ws := range w.workers {
 			if ws.partition == name && !ws.reconciled && !ws.listed.Gone && !w.now.After(ws.leaseEnd) {
 				ready = false
