--- a/control/attempts.go
+++ b/control/attempts.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// attemptEnded applies the outcome of an attempt that ran. The worker keeps the attempt until the
+// attemptEnded applies the outcome of an attempt that ran. The worker retains the attempt until the
 // home has recorded the outcome.
 func (w *owner) attemptEnded(a *attempt, outcome task.Outcome) {
 	if a.stopReason != "" && outcome.Reason != "" {
@@ -57,7 +57,8 @@
 	w.schedule()
 }
 
-// tick makes the calls that are due and completes the attempts that have provably ended.
+// tick makes the calls that are due, completes the attempts that have provably ended, starts queued
+// tasks, preempts work above a limit and removes expired tombstones.
 func (w *owner) tick() {
 	w.dropExpiredPartitions()
 	for _, ws := range w.workers {
@@ -81,8 +82,8 @@
 	}
 }
 
-// retryWhenDue repeats the calls about an attempt without a status update, and completes one that
-// did not get its permit in time.
+// retryWhenDue repeats the lookup of an attempt whose start is unclear and the stop order of a
+// running one, and completes an attempt that did not get its permit in time.
 func (w *owner) retryWhenDue(a *attempt) {
 	switch {
 	case a.stage == stageUnclear && !a.lookingUp && !w.now.Before(a.lookupAt):
@@ -97,8 +98,8 @@
 	}
 }
 
-// lookupDone applies a worker's reply about an attempt whose start was unclear. If the attempt is
-// unknown to the worker, it is proved not run only after its start can no longer be accepted.
+// lookupDone applies a worker's reply about an attempt whose start is unclear. If the worker has no
+// record of the attempt, the attempt counts as not run only after its start order has expired.
 func (w *owner) lookupDone(e LookupDone) {
 	a, ok := w.attempts[e.Lookup.Attempt]
 	if !ok {
@@ -136,8 +137,8 @@
 	a.outcome = *r.Outcome
 }
 
-// resultDone completes an outcome with its result. A result that cannot be read in full is
-// requested again after the next report of the worker.
+// resultDone adds the fetched result to the outcome of an attempt. A result that could not be
+// fetched is requested again after the next report of the worker.
 func (w *owner) resultDone(e ResultDone) {
 	a, ok := w.attempts[e.Fetch.Attempt]
 	if !ok || a.stage != stageFetchingResult {
@@ -146,7 +147,7 @@
 	if e.Err != nil {
 		a.stage = stageRunning
 		if ws, found := w.workers[a.worker]; found {
-			ws.sequence = 0 // the next report is full and lists the attempt again
+			ws.sequence = 0 // the next report is a full one and lists the attempt again
 		}
 		return
 	}
@@ -155,13 +156,13 @@
 	w.attemptEnded(a, outcome)
 }
 
-// attemptLost completes an attempt that is no longer running and whose outcome is unknown.
+// attemptLost completes an attempt that no longer runs and whose outcome is unknown.
 func (w *owner) attemptLost(a *attempt) {
 	w.recordEvent(timeline.Event{Type: timeline.TaskUnknown, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Worker: a.worker})
 	w.complete(a, task.Outcome{State: task.Unknown, Reason: string(errkind.WorkerLost)})
 }
 
-// sendReports sends the due reports that homes have not confirmed, with one call per home.
+// sendReports sends the reports that are due, with one call per home.
 func (w *owner) sendReports() {
 	w.reportsDue = false
 	byHome := map[string][]AttemptReport{}
@@ -182,8 +183,8 @@
 }
 
 // homeOf returns the process to which an attempt is reported: the home of its job, or for a
-// memory-only job the process that keeps it. If the latter is no longer a member, nobody waits for
-// the report, and it is dropped.
+// memory-only job the process that holds it. If that process is no longer a member, the report has
+// no recipient and is dropped.
 func (w *owner) homeOf(id task.Attempt, r AttemptReport) (membership.Member, bool) {
 	holder, isVolatile := ledger.HolderOf(id.Task)
 	if !isVolatile {
@@ -200,8 +201,8 @@
 	return home, ok
 }
 
-// reportDone drops the reports that a home has recorded, and acknowledges ended attempts to their
-// workers.
+// reportDone removes the reports that a home has recorded, and acknowledges the ended attempts to
+// their workers. The other reports are sent again.
 func (w *owner) reportDone(req ReportRequest, reply PeerReply, err error) {
 	for i, r := range req.Reports {
 		pending, ok := w.pendingReports[r.Attempt]
@@ -220,6 +221,7 @@
 	}
 }
 
+// acknowledge deletes an ended attempt here, and on its worker with the next sync.
 func (w *owner) acknowledge(id task.Attempt) {
 	a, ok := w.attempts[id]
 	if !ok {
@@ -232,8 +234,8 @@
 	}
 }
 
-// dropExpiredPartitions drops the partitions whose term has ended. Their attempts are not reported:
-// the next owner gets them from the reports of the workers.
+// dropExpiredPartitions drops the partitions whose term has ended. Their attempts are not reported,
+// because the next owner receives them in the reports of the workers.
 func (w *owner) dropExpiredPartitions() {
 	for name, p := range w.partitions {
 		if epoch, ok := w.holds(name); !ok || epoch != p.epoch {
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -17,18 +17,18 @@
 	"github.com/mulberrydrum/mulberrydrum/allowance"
 )
 
-// harness drives a State and answers its effects at once, in place of the store, the workers and
-// the other instances.
+// harness drives a State and simulates the store, the workers and the other instances: it applies
+// the result of each effect at once.
 type harness struct {
 	state      *State
 	now        time.Time
 	revision   int64
 	self       membership.Member
-	dropEffect func(Effect) bool // effects that are never carried out; nil for none
+	dropEffect func(Effect) bool // selects effects that are dropped, so that their result never arrives
 }
 
-// newHarness returns a state that owns every unit and has the given number of
-// workers, spread over the partitions of one region.
+// newHarness returns a harness whose state owns every unit and has the given number of workers,
+// spread over the partitions of one region. The workers have reported.
 func newHarness(workers, partitions, teams int) *harness {
 	cfg := DefaultConfig("r")
 	cfg.PartitionsPerRegion = partitions
@@ -58,7 +58,7 @@
 	return list
 }
 
-// apply applies an event and handles the resulting effects until none is left.
+// apply applies an event, and the results of the effects until there are no further effects.
 func (h *harness) apply(e Event) {
 	events := []Event{e}
 	for len(events) > 0 {
@@ -72,9 +72,10 @@
 	}
 }
 
-// lastToken is the token of the latest call to the state.
+// lastToken is the token of the latest call to a state.
 var lastToken uint64
 
+// handleEffect returns the event with the result of an effect, or nil if there is none.
 func (h *harness) handleEffect(effect Effect) Event {
 	if h.dropEffect != nil && h.dropEffect(effect) {
 		return nil
@@ -132,11 +133,12 @@
 	return nil
 }
 
-// BenchmarkAnswer measures the control time of one answer in all roles: home, owner, start, outcome
-// and report, on one goroutine.
+// BenchmarkAnswer measures the time that the control goroutine spends on one answer, as home and as
+// owner: submission, placement, start, outcome and report.
 func BenchmarkAnswer(b *testing.B) { benchmarkJobs(b, task.Answer) }
 
-// BenchmarkDurable measures the control time of one durable job in all roles.
+// BenchmarkDurable measures the time that the control goroutine spends on one durable job, as home
+// and as owner.
 func BenchmarkDurable(b *testing.B) { benchmarkJobs(b, task.Durable) }
 
 func benchmarkJobs(b *testing.B, kind task.Kind) {
@@ -171,7 +173,7 @@
 	}
 }
 
-// BenchmarkTick measures the control time of one tick of an idle owner.
+// BenchmarkTick measures the time that the control goroutine spends on one tick of an idle owner.
 func BenchmarkTick(b *testing.B) {
 	for _, workers := range []int{6, 50, 205, 1025} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
--- a/control/config.go
+++ b/control/config.go
@@ -11,13 +11,13 @@
 
 	TaskLease      time.Duration // how long a worker runs a task without lease renewal
 	StartValidity  time.Duration // how long a start order may be in transit
-	SyncInterval   time.Duration // between two syncs with a worker
+	SyncInterval   time.Duration // between syncs with a worker
 	ClockDrift     float64       // maximum relative clock error
-	ClockMargin    time.Duration // maximum absolute clock error in addition to the drift
-	CallTimeout    time.Duration // of a call to an entry instance
-	LookupInterval time.Duration // between two lookups of an attempt without a status update
-	RetryInterval  time.Duration // before a failed call is retried
-	AnswerGrace    time.Duration // after the deadline of an answer, for the report of its outcome
+	ClockMargin    time.Duration // maximum clock error in addition to the drift
+	CallTimeout    time.Duration // for a call to an entry instance
+	LookupInterval time.Duration // between lookups of an attempt without a status update
+	RetryInterval  time.Duration // delay before a failed call is retried
+	AnswerGrace    time.Duration // after the deadline of an answer, to receive its outcome
 
 	KeepAliveInterval  time.Duration
 	StoreLeaseTTL      time.Duration
@@ -25,10 +25,10 @@
 	DigestInterval     time.Duration // within a region
 	FarDigestInterval  time.Duration // across regions
 	DigestLifetime     time.Duration // how long a digest is valid
-	MaxDrainingAnswers time.Duration // how long a drain waits for pending answers
+	MaxDrainingAnswers time.Duration // how long a drain waits for pending answers and for homes
 }
 
-// DefaultConfig returns the defaults of the design page for the given regions.
+// DefaultConfig returns the default configuration for the given regions.
 func DefaultConfig(regions ...string) Config {
 	return Config{
 		RequestShards:       64,
@@ -53,8 +53,8 @@
 	}
 }
 
-// withClockError extends d by the maximum clock error: once the result has passed on the local
-// clock, at least d has passed on any clock whose error is within ClockDrift and ClockMargin.
+// withClockError extends d by the maximum clock error: once the result has elapsed on the local
+// clock, at least d has elapsed on any clock whose error is within ClockDrift and ClockMargin.
 func (c *Config) withClockError(d time.Duration) time.Duration {
 	return d + time.Duration(float64(d)*c.ClockDrift) + c.ClockMargin
 }
--- a/control/configuration.go
+++ b/control/configuration.go
@@ -12,34 +12,34 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// DocumentKey identifies a document. The service is empty for a team's document.
+// DocumentKey identifies a document. Service is empty for the document of a team.
 type DocumentKey struct {
 	Team    task.Team
 	Service task.Service
 }
 
-// KeyName identifies a key.
+// KeyName identifies an access key of a team.
 type KeyName struct {
 	Team task.Team
 	ID   string
 }
 
-// HeldDocument is a document with the revision at which it came into force.
+// HeldDocument is a document that is in force, with the revision at which it came into force.
 type HeldDocument struct {
 	document.Document
 	Revision int64
 }
 
-// configuration is this process's copy of the keys below the watched prefix. An entry is never
+// configuration is the copy of the keys below the watched prefix in this process. An entry is never
 // replaced by one with a lower revision.
 type configuration struct {
-	entries         map[string]ConfigChange // by key, deleted ones included
+	entries         map[string]ConfigChange // by key, including deleted ones
 	documents       map[DocumentKey]HeldDocument
 	ring            *keyring.Ring
 	withdrawnKeys   map[KeyName]bool
 	appliedRevision int64     // every change up to this revision has been applied
 	storeRevision   int64     // the store's revision at the last read
-	fetchedAt       time.Time // when a peer was last asked for its configuration
+	fetchedAt       time.Time // when configuration was last requested from a peer
 }
 
 func newConfiguration() *configuration {
@@ -47,14 +47,14 @@
 		withdrawnKeys: map[KeyName]bool{}}
 }
 
-// isNewer reports whether a change is newer than the present entry of its key.
+// isNewer reports whether a change is newer than the current entry of its key.
 func (c *configuration) isNewer(change ConfigChange) bool {
 	known, ok := c.entries[change.Entry.Key]
 	return !ok || known.Entry.Revision < change.Entry.Revision
 }
 
-// changesAfter returns the entries that changed after a revision, for a process that cannot read
-// the store.
+// changesAfter returns the entries that changed after a revision, for a peer that cannot read the
+// store.
 func (c *configuration) changesAfter(after int64) FetchConfigReply {
 	reply := FetchConfigReply{After: after, Revision: c.appliedRevision}
 	for _, change := range c.entries {
@@ -65,12 +65,12 @@
 	return reply
 }
 
-// isWithdrawn reports whether work that was accepted under a key has to be terminated. An unknown
-// key does not count as withdrawn: this process may not have read it yet.
+// isWithdrawn reports whether work that was accepted under a key must be terminated. An unknown key
+// does not count as withdrawn, because this process may not have read it yet.
 func (c *configuration) isWithdrawn(key KeyName) bool { return c.withdrawnKeys[key] }
 
-// setDocument sets or deletes a document in a copy of the map, since published snapshots share the
-// present one.
+// setDocument sets a document, or deletes it if held is nil. It replaces the map by a modified
+// copy, because published snapshots share the current one.
 func (c *configuration) setDocument(key DocumentKey, held *HeldDocument) {
 	next := make(map[DocumentKey]HeldDocument, len(c.documents)+1)
 	for k, d := range c.documents {
@@ -84,7 +84,7 @@
 	c.documents = next
 }
 
-// configChanged applies, in order, the changes that are newer than the present entries.
+// configChanged applies, in order, the changes that are newer than the current entries.
 func (s *State) configChanged(e ConfigChanged) {
 	s.snapshotChanged = true
 	seen := make(map[string]bool, len(e.Changes))
@@ -192,7 +192,7 @@
 	}
 }
 
-// drainOrdered starts the drain of this instance or of a worker on an operator's order.
+// drainOrdered starts the drain of this instance or of a worker that an operator ordered.
 func (s *State) drainOrdered(name string) {
 	if name == s.self.Instance {
 		s.startDrain()
--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -20,8 +20,8 @@
 	}
 }
 
-// dispatch selects a partition for a task and sends the task there once the intent is stored.
-// Without an available partition the task is postponed or refused, see postpone.
+// dispatch selects a partition for a task and sends the task there once the intent is stored. If no
+// partition is available, the task is postponed or refused, see postpone.
 func (h *home) dispatch(job ledger.JobKey, record *ledger.Record, index int, avoid []string, retries int) {
 	ref := taskRef{job, index}
 	partition, ok := h.partitionFor(record, index, avoid)
@@ -54,8 +54,8 @@
 	return h.selector.selectPartition(h.now, &record.Spec, avoid)
 }
 
-// answerDeadline returns the time by which the caller of an answer must have a reply; zero if
-// there is no such limit.
+// answerDeadline returns the time by which the caller of an answer must have a reply, or zero if
+// there is no deadline.
 func answerDeadline(record *ledger.Record, grace time.Duration) time.Time {
 	if record.Spec.Kind.IsDurable() || record.Spec.Deadline.IsZero() {
 		return time.Time{}
@@ -64,10 +64,10 @@
 }
 
 // postpone schedules a retry for a task for which no partition is available, with exponential
-// backoff for durable work. An answer is retried, too, until its deadline would pass before the
-// next retry: a change of owner leaves a partition without an owner for seconds, and any other
-// instance would forward the request to this same home. maxUndispatchedForAnswers keeps a burst of
-// requests from exhausting the memory meanwhile.
+// backoff for durable work. An answer is also retried, unless its deadline would pass before the
+// next retry: during a change of owner a partition has no owner for seconds, and any other instance
+// would forward the request to this home again. maxUndispatchedForAnswers prevents a burst of
+// requests from exhausting the memory in that time.
 func (h *home) postpone(ref taskRef, record *ledger.Record, avoid []string, retries int) {
 	const maxShift = 5 // the backoff is at most 32 retry intervals
 	backoff := h.cfg.RetryInterval << min(retries, maxShift)
@@ -81,7 +81,7 @@
 	h.undispatched[ref] = &undispatchedTask{retryAt: h.now.Add(backoff), retries: retries + 1, avoid: avoid}
 }
 
-// maxUndispatchedForAnswers is the number of undispatched tasks from which on an answer without an
+// maxUndispatchedForAnswers is the number of undispatched tasks at which an answer without an
 // available partition is refused at once.
 const maxUndispatchedForAnswers = 1000
 
@@ -117,8 +117,8 @@
 	h.recordEvent(timeline.Event{Type: timeline.TaskPlaced, Team: job.Team, Task: a.Task, Attempt: a.Number, Partition: t.Partition, Epoch: epoch})
 }
 
-// unstartedTasks returns how many tasks of a gang have not started. Tasks that finished before
-// another member was lost are not started again.
+// unstartedTasks returns the number of tasks of a gang that have yet to start. Tasks that finished
+// before another member was lost are not started again.
 func unstartedTasks(record *ledger.Record) int {
 	waiting := 0
 	for i := range record.Tasks {
@@ -148,7 +148,8 @@
 	}
 }
 
-// refuseAll returns the reply for a partition without an owner: none of the placements was sent.
+// refuseAll returns the reply for placements that were not sent because their partition has no
+// owner.
 func refuseAll(placements []Placement) PlaceReply {
 	reply := PlaceReply{Refusals: make([]*errkind.Error, len(placements))}
 	for i := range placements {
@@ -157,8 +158,8 @@
 	return reply
 }
 
-// placeDone applies the reply of an owner to a batch of placements. Without a reply, each attempt
-// is looked up later.
+// placeDone applies the reply of an owner to a batch of placements. If there is no reply, each
+// attempt is looked up later.
 func (h *home) placeDone(req PlaceRequest, reply PeerReply, err error) {
 	for i, p := range req.Placements {
 		o, ok := h.openAttempts[p.Attempt]
@@ -180,8 +181,8 @@
 	}
 }
 
-// finish applies the outcome of an attempt and returns whether the report with the given ID has to
-// wait for the commit of the outcome.
+// finish applies the outcome of an attempt. It returns whether the reply to the report request with
+// the given ID has to wait for the commit of the outcome.
 func (h *home) finish(a task.Attempt, outcome task.Outcome, reportID uint64) (waits bool) {
 	job, index, ok := ledger.ParseID(a.Task)
 	if !ok {
@@ -222,8 +223,8 @@
 	}
 }
 
-// retry dispatches the next attempt of a task and avoids the partition that refused the last one.
-// A gang is dispatched again as a whole.
+// retry dispatches the next attempt of a task, or schedules its dispatch, and avoids the partition
+// at which the last one was not run. A gang is dispatched again once none of its members is open.
 func (h *home) retry(ref taskRef, record *ledger.Record, last *openAttempt, outcome task.Outcome) {
 	if record.Spec.Kind == task.Gang {
 		h.withdrawGang(ref.job, record)
@@ -245,7 +246,7 @@
 }
 
 // withdrawGang withdraws the remaining members of a gang after one of them ended and has to be
-// retried, and dispatches the gang again once no member is open.
+// retried. The gang is dispatched again once no member is open.
 func (h *home) withdrawGang(job ledger.JobKey, record *ledger.Record) {
 	if open := openMembers(record); len(open) > 0 {
 		h.withdraw(job, record, open, errkind.WorkerLost)
@@ -265,9 +266,9 @@
 	return open
 }
 
-// resumeGang schedules the dispatch of the members of a gang that were withdrawn, once no member
-// is open. This also follows a final outcome of the last open member, which can finish before its
-// stop order arrives.
+// resumeGang schedules the dispatch of the withdrawn members of a gang if no member is open. It is
+// also called after a final outcome, because the last open member can finish before its stop order
+// arrives.
 func (h *home) resumeGang(job ledger.JobKey, record *ledger.Record) {
 	if record.Cancelled || len(openMembers(record)) > 0 {
 		return
--- a/control/doc.go
+++ b/control/doc.go
@@ -1,4 +1,10 @@
-// Package control composes the decision packages into the control state of one
-// entry instance. One goroutine, the Loop, owns the State; all other goroutines
-// read immutable snapshots and send events.
+// Package control combines the packages that make scheduling decisions into the control state of
+// one entry instance. The goroutine of Loop owns the State: it applies events one at a time and
+// passes on the resulting effects, which other goroutines execute. Those goroutines read immutable
+// snapshots of the state and post the results as further events.
+//
+// An instance holds units, which are request shards and worker partitions, each under an epoch and
+// until the end of a term. As the home of a request shard it accepts jobs and tracks their tasks.
+// As the owner of a worker partition it queues the attempts of tasks and starts them on the workers
+// of the partition.
 package control
--- a/control/drain.go
+++ b/control/drain.go
@@ -8,15 +8,15 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// drainState is the progress of a drain, that is of a planned stop.
+// drainState is the progress of the drain before a planned stop.
 type drainState struct {
 	started   bool
 	startedAt time.Time
 	finished  bool
 }
 
-// startDrain begins a planned stop: it publishes the draining state in the member record and stops
-// admission. continueDrain hands the units over.
+// startDrain starts the drain before a planned stop: it publishes the draining state in the member
+// record and stops admission. continueDrain then hands the units over.
 func (s *State) startDrain() {
 	if s.drain.started {
 		return
@@ -35,8 +35,8 @@
 }
 
 // mayReceiveUnits reports whether units may be handed over to the sender of a digest. During a
-// drain, the sender must have reached the store since the drain began: an instance that has just
-// lost the store does not detect that at once, and could not serve the units.
+// drain the sender must have reached the store since the drain started: an instance that has just
+// lost contact with the store does not detect that at once, and could not serve the units.
 func (s *State) mayReceiveUnits(d DigestMessage) bool {
 	if s.drain.started {
 		return d.ContactAge < s.now.Sub(s.drain.startedAt)
@@ -44,12 +44,12 @@
 	return d.StoreContact
 }
 
-// continueDrain hands over the held units. Request shards are released as soon as they have no
-// uncommitted changes, since a call that waits here is retried at the next home. Worker partitions
-// are released when no home needs this owner any more. The drain is complete when the answers that
-// only this process keeps have been given, too. The waits for homes and answers end after
-// MaxDrainingAnswers. Without store contact nothing can be handed over, and the process keeps its
-// units until it is stopped.
+// continueDrain hands over the held units. A request shard is released as soon as it has no
+// uncommitted changes, because waiting calls are retried at the next home. A worker partition is
+// released when this owner is no longer busy, see isBusy. The drain is complete when no unit is
+// held and the jobs that only this process holds in memory have been answered. The waits for homes
+// and answers end after MaxDrainingAnswers. Without store contact nothing can be handed over, and
+// the process holds its units until it is stopped.
 func (s *State) continueDrain() {
 	if !s.drain.started || s.drain.finished {
 		return
@@ -69,8 +69,8 @@
 	}
 }
 
-// startDrain stops admission and returns the queued tasks to their homes as not run, so that they
-// are dispatched elsewhere.
+// startDrain stops admission and completes the queued attempts as not run, so that their homes
+// dispatch the tasks elsewhere.
 func (w *owner) startDrain() {
 	w.draining = true
 	for _, a := range w.attempts {
@@ -81,7 +81,7 @@
 	}
 }
 
-// isBusy reports whether a home still needs this owner: for the outcome of an answer, for an
+// isBusy reports whether a home still depends on this owner: for the outcome of an answer, for an
 // attempt that is being started, or for a report that the home has not confirmed.
 func (w *owner) isBusy() bool {
 	if len(w.pendingReports) > 0 {
--- a/control/effect.go
+++ b/control/effect.go
@@ -11,11 +11,11 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Effect is a blocking call that the executor makes for the control state, or a
-// reply to a waiting call.
+// Effect is a blocking call that the executor makes for the control state, or a reply to a waiting
+// call.
 type Effect interface{ effect() }
 
-// Reply answers the waiting call with Token.
+// Reply delivers a reply to the waiting call that Token identifies.
 type Reply struct {
 	Token uint64
 	Reply PeerReply
@@ -29,8 +29,8 @@
 	SentAt  time.Time
 }
 
-// StartTask starts an attempt on a worker; StartDone delivers the result. It must not be written
-// to the connection after the term of the partition has ended.
+// StartTask starts an attempt on a worker; StartDone delivers the result. The order must not be
+// written to the connection after the term of the partition has ended.
 type StartTask struct {
 	Worker     string
 	Address    string
@@ -46,8 +46,8 @@
 	Payload    []byte
 	LongLived  bool
 	BootID     string        // of the worker; its clock starts at zero with each boot
-	StartBy    time.Duration // in the worker's clock
-	LeaseUntil time.Duration // in the worker's clock
+	StartBy    time.Duration // on the worker's clock; the worker refuses a later start
+	LeaseUntil time.Duration // on the worker's clock
 	Wait       time.Duration // how long the worker may hold the call open for the result
 	Waited     time.Duration // since the job was accepted, for the metric
 }
@@ -60,13 +60,13 @@
 	Partition   string
 	Epoch       uint64
 	BootID      string        // of the worker
-	LeaseUntil  time.Duration // in the worker's clock; 0 does not renew
+	LeaseUntil  time.Duration // on the worker's clock; 0 does not renew the leases
 	Acknowledge []task.Attempt
 	After       uint64
 	Full        bool
 }
 
-// LookupTask asks a worker for the state of an attempt; LookupDone delivers the result.
+// LookupTask requests the state of an attempt from its worker; LookupDone delivers the result.
 type LookupTask struct {
 	Worker  string
 	Address string
@@ -82,8 +82,8 @@
 	Digest  string
 }
 
-// StopTask orders a worker to stop an attempt, or to refuse its start if that arrives later. The
-// next report of the worker has the outcome.
+// StopTask orders a worker to stop an attempt, or to refuse its start order if that arrives later.
+// The next report of the worker contains the outcome.
 type StopTask struct {
 	Worker  string
 	Address string
@@ -91,17 +91,18 @@
 	BootID  string
 	Attempt task.Attempt
 	Reason  errkind.Kind
-	// Checkpoint asks for a checkpoint before the stop.
+	// Checkpoint requests a checkpoint before the stop.
 	Checkpoint bool
-	// RefuseUntil is the reading of the worker's clock until which a late start of the attempt is
+	// RefuseUntil is the time on the worker's clock until which a late start of the attempt is
 	// refused.
 	RefuseUntil time.Duration
 }
 
-// GrantLease asks the store for a lease and writes the member record under it.
+// GrantLease requests a lease from the store and writes the member record under it; LeaseGranted
+// delivers the result.
 type GrantLease struct{ Member membership.Member }
 
-// RenewLease keeps the lease alive and reads the store's revision.
+// RenewLease renews the lease and reads the store's revision; KeepAliveDone delivers the result.
 type RenewLease struct{ Lease int64 }
 
 // WriteMember writes the member record again under the lease.
@@ -110,24 +111,26 @@
 	Lease  int64
 }
 
-// ReadShard reads the value of a request shard.
+// ReadShard reads the value of a request shard; ShardRead delivers it.
 type ReadShard struct{ Shard string }
 
-// CommitLedger writes shard values in one transaction.
+// CommitLedger writes shard values in one transaction; LedgerDone delivers the result.
 type CommitLedger struct{ Writes []ledger.Write }
 
-// WriteOwnership compares and swaps an ownership record.
+// WriteOwnership writes an ownership record with a compare-and-swap; OwnershipDone delivers the
+// result.
 type WriteOwnership struct{ Write ownership.Write }
 
-// WriteAllowances compares and swaps allowance records in one transaction.
+// WriteAllowances writes allowance records with a compare-and-swap in one transaction;
+// AllowanceDone delivers the result.
 type WriteAllowances struct{ Writes []allowance.Write }
 
-// Resync asks the daemon to read the whole configuration again, since the watch
-// has fallen behind.
+// Resync requests that the daemon read the entire configuration again, because the watch has fallen
+// behind. Behind is the revision that the watch has not delivered.
 type Resync struct{ Behind int64 }
 
 // Drained reports that the drain is complete and the planned stop may proceed: no unit is held and
-// no reply is waited for.
+// no reply is pending.
 type Drained struct{}
 
 func (Reply) effect()           {}
--- a/control/event.go
+++ b/control/event.go
@@ -12,24 +12,24 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Event is something that happened outside the control goroutine.
+// Event is an input of the control state: a tick, a request, or the result of an effect.
 type Event interface{ event() }
 
 // Tick is the periodic event on which timeouts are checked and due calls are made.
 type Tick struct{}
 
-// PeerCall is a request of another entry instance, or of a handler of this one. Token identifies
-// the waiting call that gets the reply.
+// PeerCall is a request from another entry instance or from a handler of this process. Token
+// identifies the waiting call to which the reply is delivered.
 type PeerCall struct {
 	Token   uint64
 	From    string // instance; empty for a handler of this process
 	Request PeerRequest
 }
 
-// Forget cancels a waiting call whose caller has gone.
+// Forget cancels a waiting call whose context has ended.
 type Forget struct{ Token uint64 }
 
-// PeerDone is the result of a Send. Err is set if there is no reply; the request may still have
+// PeerDone is the result of a Send. Err is set if no reply was received; the request may still have
 // taken effect.
 type PeerDone struct {
 	Send  Send
@@ -56,7 +56,7 @@
 // The results of a start.
 const (
 	StartRunning StartResult = iota
-	StartNotRun              // certainly not started
+	StartNotRun              // definitely not started
 	StartUnclear             // may have started
 )
 
@@ -79,14 +79,14 @@
 	Tasks    []TaskReport
 }
 
-// TaskReport is the status of one attempt, as its worker reports it.
+// TaskReport is the status of one attempt as reported by its worker.
 type TaskReport struct {
 	Attempt     task.Attempt
 	Team        task.Team
 	Class       string
 	Size        task.Resources
 	Usage       task.Resources
-	Outcome     *task.Outcome // nil while it runs; without its result
+	Outcome     *task.Outcome // nil while the task runs; does not include the result
 	ResultBytes int64
 }
 
@@ -107,14 +107,14 @@
 	Data  []byte
 }
 
-// KeepAliveDone is the result of a RenewLease. Its read of the revision was sent at SentAt, too,
-// and is valid independently of Err.
+// KeepAliveDone is the result of a RenewLease. Revision comes from a read that was also sent at
+// SentAt; it is valid even if Err is set.
 type KeepAliveDone struct {
 	SentAt   time.Time
 	Lease    int64
 	Err      error
 	Gone     bool  // the lease no longer exists in the store
-	Revision int64 // of the latest change of the configuration; 0 if the read failed
+	Revision int64 // of the latest configuration change; 0 if the read failed
 }
 
 // LeaseGranted is the result of a GrantLease.
@@ -125,10 +125,10 @@
 	Err      error
 }
 
-// ConfigChanged delivers changes below the watched prefix, in order.
+// ConfigChanged delivers the changes of keys below the watched prefix, in order.
 type ConfigChanged struct {
 	Revision int64
-	Complete bool // the changes list every existing key: absent keys are deleted
+	Complete bool // Changes lists every existing key; keys that are absent have been deleted
 	Changes  []ConfigChange
 }
 
@@ -141,7 +141,7 @@
 	Member    *membership.Member
 	Record    *ownership.Record
 	Allowance *allowance.Record
-	Drain     string // name of an entry instance or worker that drains
+	Drain     string // name of an entry instance or worker to drain
 	Err       error  // why the value cannot be decoded
 }
 
@@ -149,7 +149,7 @@
 type InstancesListed struct {
 	SentAt  time.Time
 	Workers []ListedWorker
-	Entries []membership.Member // entry instances that are not gone; only names and locations are set
+	Entries []membership.Member // without those listed as gone; only names and locations are set
 }
 
 // ListedWorker is one worker of the instance list.
@@ -171,7 +171,7 @@
 	Writes   []ledger.Write
 	Result   ledger.Result
 	Revision int64
-	Current  []ShardRead // on conflict: the present values in the store
+	Current  []ShardRead // on conflict: the current values in the store
 }
 
 // OwnershipDone is the result of a WriteOwnership.
@@ -189,8 +189,8 @@
 // DrainRequested starts a planned stop.
 type DrainRequested struct{}
 
-// OwnershipForced lets this instance take over, after the safety wait, a unit whose owner and
-// successors are all gone.
+// OwnershipForced is an operator's declaration that the owner and the successors of a unit are
+// gone. This instance takes the unit over after the wait that ownership.Table.Force returns.
 type OwnershipForced struct{ Unit string }
 
 func (Tick) event()            {}
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -10,25 +10,26 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// digestExchange records when this process sent its digest to each of the other members, and the
-// outage round in progress.
+// digestExchange contains the times at which this process sent its digest to the other members, and
+// the outage round in progress.
 type digestExchange struct {
-	ownDigestAt   time.Time            // when this process last recorded its own load
-	sentAt        map[string]time.Time // by incarnation
+	ownDigestAt   time.Time            // when the routing table was last updated with the load of this process
+	sentAt        map[string]time.Time // by incarnation; the entry of this process is the start of the outage round
 	outageRound   *keyring.OutageRound
-	awaitingReply map[string]bool // by incarnation: whether the reply for the round is outstanding
+	awaitingReply map[string]bool // by incarnation: whether the reply for the outage round is outstanding
 }
 
-// ownDigestInterval is how often this process updates its own load in its routing table. It is far
-// shorter than the interval of the others' digests, and long compared to the cost of adding up the
-// load of its workers.
+// ownDigestInterval is the interval at which this process updates its own load in its routing
+// table. It is far shorter than the interval of the digests from other instances, and long compared
+// with the time that summing up the load of the workers takes.
 const ownDigestInterval = 200 * time.Millisecond
 
 func newDigestExchange() *digestExchange { return &digestExchange{sentAt: map[string]time.Time{}} }
 
-// exchangeDigests sends the digest to the members that are due. The reply carries the other
-// member's digest, so of two members only the one with the lower incarnation sends, except to
-// renew the freshness of its keys, in an outage round and during a drain.
+// exchangeDigests sends the digest to the members for which it is due. The reply contains the
+// digest of the receiver, so of each pair of members only the one with the lower incarnation sends.
+// The other one sends only to renew the freshness of its keys, in an outage round and during a
+// drain.
 func (s *State) exchangeDigests() {
 	if s.now.Sub(s.exchange.ownDigestAt) >= ownDigestInterval {
 		s.exchange.ownDigestAt = s.now
@@ -50,7 +51,7 @@
 	}
 }
 
-// areKeysFresh reports whether the keys need no confirmation by other members yet.
+// areKeysFresh reports whether the keys do not yet need a confirmation by other members.
 func (s *State) areKeysFresh() bool { return s.freshness.Remaining(s.now) > s.cfg.KeyFreshness/2 }
 
 func (s *State) digestInterval(m membership.Member) time.Duration {
@@ -60,8 +61,9 @@
 	return s.cfg.FarDigestInterval
 }
 
-// startOutageRound asks every member to commit no configuration change for a while. It does so if
-// the store does not answer this process and the keys are about to become stale.
+// startOutageRound requests from every member a promise not to commit configuration changes for one
+// freshness period, if the store does not answer this process and the keys are about to become
+// stale.
 func (s *State) startOutageRound() {
 	if s.hasStoreContact() || s.areKeysFresh() || s.membership.listedAt.IsZero() {
 		return
@@ -87,7 +89,8 @@
 		names = append(names, m.Instance)
 	}
 	s.exchange.outageRound.Listed(s.membership.listedAt, names)
-	s.freshness.OutageConfirmed(s.now, s.exchange.outageRound) // without other members the round is complete at once
+	// Without other members the round is complete at once.
+	s.freshness.OutageConfirmed(s.now, s.exchange.outageRound)
 	s.snapshotChanged = true
 	for incarnation, awaiting := range awaitingReply {
 		if awaiting {
@@ -96,7 +99,7 @@
 	}
 }
 
-// digest describes the load of this process and the configuration that it has in force.
+// digest returns the digest of this process.
 func (s *State) digest() DigestMessage {
 	d := DigestMessage{
 		Instance: s.self.Instance, Incarnation: s.self.Incarnation, Revision: s.config.appliedRevision,
@@ -135,12 +138,12 @@
 	s.snapshotChanged = true
 }
 
-// belongsToOutageRound reports whether a digest asked for a promise for the outage round in progress. A
-// promise that was given for an earlier round expires earlier, and a digest that did not ask for
-// one gets none.
+// belongsToOutageRound reports whether a digest requested a promise for the outage round in
+// progress. A promise that was given for an earlier round expires earlier, and no promise is given
+// in reply to a digest that did not request one.
 func (s *State) belongsToOutageRound(sent Send) bool {
-	asked := sent.Request.(DigestMessage).AskNoCommit
-	return asked && s.exchange.outageRound != nil && !sent.SentAt.Before(s.exchange.sentAt[s.self.Incarnation])
+	requested := sent.Request.(DigestMessage).AskNoCommit
+	return requested && s.exchange.outageRound != nil && !sent.SentAt.Before(s.exchange.sentAt[s.self.Incarnation])
 }
 
 // applyDigest applies the digest of another instance.
@@ -157,8 +160,8 @@
 	}
 }
 
-// fetchConfig fetches later configuration from a peer. This happens before the keys are stale,
-// since the freshness of a peer counts here only together with its revision.
+// fetchConfig fetches newer configuration from a peer. This is done before the keys are stale,
+// because the freshness of a peer takes effect here only once its revision has been applied.
 func (s *State) fetchConfig(d DigestMessage) {
 	if m, ok := s.routing.members[d.Incarnation]; ok && s.config.fetchedAt.Add(s.cfg.CallTimeout).Before(s.now) {
 		s.config.fetchedAt = s.now
@@ -166,8 +169,8 @@
 	}
 }
 
-// updateShares passes the usage of each team at the other owners, and the total capacity of the
-// cluster, to the fair-share accounting.
+// updateShares updates the fair-share accounting with the usage of each team at the other owners
+// and the total capacity of the cluster.
 func (s *State) updateShares() {
 	remote := map[task.Team]task.Resources{}
 	for instance, d := range s.routing.digests {
@@ -194,7 +197,7 @@
 	s.owner.shares.SetTotal(total)
 }
 
-// partitionDigests describes the load of the owned partitions.
+// partitionDigests returns the load of the owned partitions, sorted by name.
 func (w *owner) partitionDigests() []PartitionDigest {
 	queued := map[string]int{}
 	for _, a := range w.attempts {
@@ -225,7 +228,7 @@
 	return list
 }
 
-// usage returns the resources that each team uses at this owner.
+// usage returns the resources that each team uses at this owner, sorted by team.
 func (w *owner) usage() []TeamUsage {
 	sums := map[task.Team]task.Resources{}
 	for _, a := range w.attempts {
--- a/control/gang_test.go
+++ b/control/gang_test.go
@@ -12,7 +12,8 @@
 var gangSpec = task.Spec{Team: "team-0", Service: "s", Class: "c", Kind: task.Gang, Count: 3, IdempotencyKey: "gang",
 	Size: task.Resources{CPUMilli: 250, MemoryMB: 256, Slots: 1}}
 
-// submitGang submits a gang of three tasks and returns its key and the dispatched attempts.
+// submitGang submits a gang of three tasks and returns the key of the job and its dispatched
+// attempts.
 func submitGang(t *testing.T, h *harness) (ledger.JobKey, []task.Attempt) {
 	t.Helper()
 	spec := gangSpec
@@ -49,8 +50,8 @@
 	}
 }
 
-// TestGangResumesAfterMemberFinished guards against a gang that is never dispatched again because
-// its last open member finishes after another member was lost.
+// TestGangResumesAfterMemberFinished guards against a gang that is never dispatched again. It
+// happens if the last open member finishes after another member was lost.
 func TestGangResumesAfterMemberFinished(t *testing.T) {
 	h := newHarness(12, 4, 1)
 	started := 0
@@ -83,8 +84,8 @@
 	expectFinished(t, h, job)
 }
 
-// TestGangPlacementAfterLookup guards against accepted work that ends as not run because its
-// placement was delayed and arrived after the owner had answered a lookup of it.
+// TestGangPlacementAfterLookup guards against accepted work that ends as not run. It happens if the
+// placement is delayed and arrives after the owner has replied to a lookup of the attempt.
 func TestGangPlacementAfterLookup(t *testing.T) {
 	h := newHarness(12, 4, 1)
 	var delayed []Send
@@ -108,7 +109,8 @@
 		lookup.Attempts = append(lookup.Attempts, LookupItem{Attempt: a, Job: job, Index: i})
 	}
 	lastToken++
-	h.apply(PeerCall{Token: lastToken, Request: lookup}) // its reply is not delivered, as if still in transit
+	// The reply is not delivered, as if it were still in transit.
+	h.apply(PeerCall{Token: lastToken, Request: lookup})
 	h.dropEffect = nil
 	h.callSelf(delayed[0])
 	expectFinished(t, h, job)
--- a/control/home.go
+++ b/control/home.go
@@ -10,7 +10,8 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// home is the part of the state that accepts and tracks the jobs of its request shards.
+// home is the part of the state that accepts and tracks the jobs of the request shards that this
+// instance owns.
 type home struct {
 	*outbox
 	cfg      *Config
@@ -20,32 +21,32 @@
 	keys     keyChecks
 
 	waitingCalls map[uint64]*jobCall           // by token
-	waiters      map[ledger.JobKey][]uint64    // tokens that wait for the end of a job
+	waiters      map[ledger.JobKey][]uint64    // tokens of the calls that wait for the end of a job
 	openAttempts map[task.Attempt]*openAttempt // dispatched attempts without an outcome
 	undispatched map[taskRef]*undispatchedTask // tasks without an open attempt, to be dispatched later
 	batches      map[string][]Placement        // to be sent at the end of this Apply, by partition
-	reportCalls  map[uint64]*reportCall        // reports that wait for a commit
+	reportCalls  map[uint64]*reportCall        // report requests that wait for a commit
 	nextReportID uint64
 	expiredAt    time.Time
 	rebalancedAt time.Time
 }
 
-// keyChecks are the checks that home and owner make on the key under which work was accepted.
+// keyChecks are the checks of the key under which work was accepted, for home and owner.
 type keyChecks struct {
 	isWithdrawn func(KeyName) bool
-	areFresh    func() bool // whether this process is certain to have read a withdrawal that is in force
+	areFresh    func() bool // whether every withdrawal that is in force has certainly been applied here
 }
 
-// taskRef names one task of a job.
+// taskRef identifies one task of a job.
 type taskRef struct {
 	job   ledger.JobKey
 	index int
 }
 
-// jobCall is a caller that waits for a reply about a job.
+// jobCall is a waiting call about a job.
 type jobCall struct {
 	job   ledger.JobKey
-	until time.Time // when to reply even if the job is not final; zero replies as soon as it is accepted
+	until time.Time // when to reply even if the job is not final; zero for a call without wait
 }
 
 // openAttempt is an attempt that was sent, or is about to be sent, to an owner.
@@ -53,39 +54,41 @@
 	ref       taskRef
 	partition string
 	phase     attemptPhase
-	placedAt  time.Time // when the owner accepted it; zero before that and after the start
+	placedAt  time.Time // when the owner accepted it; zero before that and once it has started
 	lookupAt  time.Time // when to look up the attempt
 	lookingUp bool
-	deadline  time.Time // after which an answer ends with an unknown outcome; zero for none
+	deadline  time.Time // after which an answer ends with an unknown outcome; zero for no deadline
 }
 
+// attemptPhase is the progress of an attempt at its home.
 type attemptPhase uint8
 
 const (
-	phaseCommitting attemptPhase = iota // the intent is not in the store yet
+	phaseCommitting attemptPhase = iota // the intent to dispatch is not in the store yet
 	phaseSending                        // the placement call is in progress
 	phasePlaced                         // the owner has accepted it
-	phaseUnclear                        // the owner may have accepted it
+	phaseUnclear                        // no reply was received; the owner may have accepted it
 )
 
 // undispatchedTask is a task without an open attempt.
 type undispatchedTask struct {
 	retryAt time.Time
 	retries int
-	avoid   []string // partitions that refused it
+	avoid   []string // partitions that refused the task
 }
 
-// reportCall is a report request of an owner, some parts of which wait for a commit.
+// reportCall is a report request of an owner. The reply is sent once none of its outcomes waits for
+// a commit.
 type reportCall struct {
 	token       uint64
-	uncommitted int
-	recorded    []bool
+	uncommitted int    // attempt reports whose outcome is not stored yet
+	recorded    []bool // for the reply, by index of the attempt report
 }
 
 func (h *home) shardOf(job ledger.JobKey) string { return ShardOf(job, h.cfg.RequestShards) }
 
-// submit refuses new durable work while the store does not answer: it could not be recorded, and
-// its caller would get no reply until the store answers again.
+// submit refuses new durable work while the store does not answer: the work could not be recorded,
+// and its caller would get no reply until the store answers again.
 func (s *State) submit(token uint64, req SubmitRequest) {
 	job := ledger.KeyOf(&req.Spec)
 	shard := s.home.shardOf(job)
@@ -100,7 +103,8 @@
 	s.home.submit(token, req)
 }
 
-// submit accepts a job, or finds the earlier submission with the same key.
+// submit accepts a job. A repeated submission with the same idempotency key is idempotent: it gets
+// the record of the first one.
 func (h *home) submit(token uint64, req SubmitRequest) {
 	job := ledger.KeyOf(&req.Spec)
 	if err := h.checkKey(&req.Spec); err != nil {
@@ -126,8 +130,8 @@
 	}
 }
 
-// checkKey repeats the check of the key that the front end has made: the request may have been
-// delayed on the way here for longer than a withdrawal takes.
+// checkKey repeats the key check of the front end, because the request may have been delayed in
+// transit for longer than a withdrawal takes to come into force.
 func (h *home) checkKey(spec *task.Spec) *errkind.Error {
 	switch {
 	case spec.KeyID == "":
@@ -146,8 +150,8 @@
 	h.reply(token, JobReply{Err: err})
 }
 
-// recordAcceptance records the acceptance of every task of a job in the timeline, with the key: the
-// oracle compares the team of the key and checks that each task ends.
+// recordAcceptance records the acceptance of every task of a job in the timeline, with the key.
+// Package oracle checks that the key belongs to the team and that each task ends.
 func (h *home) recordAcceptance(record *ledger.Record) {
 	for i := range record.Tasks {
 		h.recordEvent(timeline.Event{Type: timeline.RequestAccepted, Team: record.Spec.Team, Task: record.Tasks[i].ID,
@@ -155,7 +159,7 @@
 	}
 }
 
-// query answers a call about a job that was submitted before.
+// query handles a call about a job that was submitted earlier.
 func (h *home) query(token uint64, req QueryRequest) {
 	shard := h.shardOf(req.Job)
 	_, ok := h.ledger.Find(shard, req.Job)
@@ -179,8 +183,8 @@
 	}
 }
 
-// replyOrWait replies if the job is final in the store or the caller does not
-// wait. A job that is not in the store yet is answered once it is.
+// replyOrWait replies if the job is final in the store or the caller does not wait any longer. If
+// the job is not in the store yet, the reply is deferred until it is.
 func (h *home) replyOrWait(token uint64, job ledger.JobKey) {
 	call, ok := h.waitingCalls[token]
 	if !ok {
@@ -202,7 +206,8 @@
 	h.reply(token, JobReply{Record: &view})
 }
 
-// cancel stops every task of a job that is not final.
+// cancel cancels every task of a job that is not final, and replies once the cancellation is
+// stored.
 func (h *home) cancel(token uint64, job ledger.JobKey) {
 	shard := h.shardOf(job)
 	record, _ := h.ledger.Find(shard, job)
@@ -227,7 +232,8 @@
 	}
 }
 
-// withdraw asks the owners to dequeue or stop the latest attempts of the given tasks of a job.
+// withdraw requests that the owners dequeue or stop the latest attempts of the given tasks of a
+// job.
 func (h *home) withdraw(job ledger.JobKey, record *ledger.Record, indexes []int, reason errkind.Kind) {
 	byPartition := map[string][]task.Attempt{}
 	var partitions []string
@@ -246,7 +252,7 @@
 }
 
 // withdrawDone ends the attempts that an owner withdrew before they ran. After a failed call the
-// attempts are looked up, which repeats the withdrawal.
+// attempts are looked up; the lookup repeats the withdrawal if the job is cancelled.
 func (h *home) withdrawDone(req WithdrawRequest, reply PeerReply, err error) {
 	if err != nil {
 		for _, a := range req.Attempts {
@@ -283,10 +289,10 @@
 	}
 }
 
-// forget drops a call whose caller has gone.
+// cancelCall deletes a waiting call whose caller no longer waits.
 func (h *home) cancelCall(token uint64) { delete(h.waitingCalls, token) }
 
-// runStep continues work that waited for a commit.
+// runStep continues the work that waited for the commit of a change.
 func (h *home) runStep(s ledger.Step) {
 	shard := h.shardOf(s.Job)
 	record, ok := h.ledger.Find(shard, s.Job)
@@ -312,7 +318,7 @@
 	}
 }
 
-// send makes a call to another instance or to this one.
+// send calls another instance or this one.
 func (h *home) send(to membership.Member, req PeerRequest) {
 	h.emit(Send{To: to, Request: req, Timeout: h.cfg.CallTimeout, SentAt: h.now})
 }
--- a/control/homereport.go
+++ b/control/homereport.go
@@ -9,8 +9,8 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// report applies an owner's reports about attempts. The reply lists what the owner need not report
-// again, and comes after the commit of durable work.
+// report applies an owner's attempt reports. The reply lists the reports that the owner need not
+// send again. It is sent once the outcomes of durable work are committed.
 func (h *home) report(token uint64, req ReportRequest) {
 	h.nextReportID++
 	id := h.nextReportID
@@ -34,10 +34,10 @@
 	h.replyWhenRecorded(id)
 }
 
-// mayBeUncommitted reports whether the outcome of a durable attempt may be known here but not yet stored,
-// for example when an owner reports it again during a store outage. The owner must not acknowledge
-// the attempt to its worker before the outcome is stored: the next home would find no trace of the
-// attempt and treat it as not run.
+// mayBeUncommitted reports whether the outcome of a durable attempt may be applied but not stored
+// yet, for example when an owner reports it again during a store outage. The owner must not
+// acknowledge the attempt to its worker before the outcome is stored: the next home would find no
+// record of the attempt and treat it as not run.
 func (h *home) mayBeUncommitted(r AttemptReport) bool {
 	_, isVolatile := ledger.HolderOf(r.Attempt.Task)
 	return !isVolatile && h.ledger.HasPending(h.shardOf(r.Job))
@@ -55,7 +55,7 @@
 	h.recordEvent(timeline.Event{Type: timeline.TaskStarted, Team: r.Job.Team, Task: r.Attempt.Task, Attempt: r.Attempt.Number, Worker: r.Worker})
 }
 
-// attemptReportRecorded counts one part of a report as stored.
+// attemptReportRecorded counts one attempt report of a report request as stored.
 func (h *home) attemptReportRecorded(id uint64) {
 	call, ok := h.reportCalls[id]
 	if !ok {
@@ -74,8 +74,8 @@
 	h.reply(call.token, ReportReply{Recorded: call.recorded})
 }
 
-// permit answers an owner that requests to start at-most-once work. The permit is granted only
-// after the chosen worker is recorded in the store.
+// permit handles an owner's request to start at-most-once work. The permit is granted only after
+// the selected worker is recorded in the store.
 func (h *home) permit(token uint64, req PermitRequest) {
 	step := ledger.Step{Kind: ledger.StepPermitted, Job: req.Job, Index: req.Index, Token: token}
 	if !h.ledger.Permit(h.shardOf(req.Job), req.Job, req.Index, req.Attempt, req.Worker, req.BootID, step) {
@@ -88,7 +88,7 @@
 	}
 }
 
-// tick makes the calls that are due, ends expired waits and removes expired records.
+// tick makes the calls that are due, replies to expired waits and removes expired records.
 func (h *home) tick() {
 	h.dispatchPostponed()
 	h.rebalance()
@@ -100,10 +100,11 @@
 	}
 }
 
-// expireInterval is the interval between scans of all records for those past their retention,
-// which is minutes.
+// expireInterval is the interval between scans of all records for those past their retention. It is
+// short compared with the retention, which is minutes.
 const expireInterval = 5 * time.Second
 
+// dispatchPostponed dispatches the tasks whose retry is due.
 func (h *home) dispatchPostponed() {
 	for ref, t := range h.undispatched {
 		if h.now.Before(t.retryAt) {
@@ -116,8 +117,8 @@
 	}
 }
 
-// lookUpOverdue looks up the attempts that have had no status update for too long, with one call
-// per partition.
+// lookUpOverdue looks up the attempts without a recent status update, with one call per partition,
+// and ends the answers whose deadline has passed.
 func (h *home) lookUpOverdue() {
 	items := map[string][]LookupItem{}
 	for a, o := range h.openAttempts {
@@ -156,9 +157,8 @@
 	}
 }
 
-// expireAnswer ends an answer whose deadline has passed without a report with an unknown outcome,
-// so that its caller gets a reply. The attempt is withdrawn; a late result still reaches the
-// record.
+// expireAnswer ends an answer without an outcome after its deadline. The outcome is set to unknown,
+// so that the caller gets a reply. The attempt is withdrawn; a late result is still recorded.
 func (h *home) expireAnswer(a task.Attempt, o *openAttempt) {
 	record, ok := h.ledger.Find(h.shardOf(o.ref.job), o.ref.job)
 	if !ok {
@@ -203,7 +203,8 @@
 	}
 }
 
-// withdrawIfCancelled repeats a cancellation whose first message may have been lost.
+// withdrawIfCancelled repeats the withdrawal of a cancelled job's attempt, because the first
+// request may have been lost.
 func (h *home) withdrawIfCancelled(item LookupItem) {
 	record, ok := h.ledger.Find(h.shardOf(item.Job), item.Job)
 	if ok && record.Cancelled {
@@ -211,7 +212,7 @@
 	}
 }
 
-// expireWaits replies to callers whose wait has expired before the job is final.
+// expireWaits replies to the calls whose wait has expired before the job is final.
 func (h *home) expireWaits() {
 	for job, tokens := range h.waiters {
 		kept := tokens[:0]
@@ -238,8 +239,8 @@
 	}
 }
 
-// shardOpened resumes the jobs of a shard that became active. The state of an attempt that a former
-// home dispatched is never assumed: each one is looked up.
+// shardOpened resumes the jobs of a shard that became active. No assumption is made about attempts
+// that a previous home dispatched: each one is looked up.
 func (h *home) shardOpened(shard string) {
 	for _, record := range h.ledger.Records(shard) {
 		job := record.JobKey()
@@ -264,8 +265,8 @@
 	}
 }
 
-// shardClosed drops the durable jobs of a shard that this instance is no longer the home of. Their
-// callers get an error that leaves the outcome open; the next home has the jobs.
+// shardClosed drops the durable jobs of a shard of which this instance is no longer the home. Their
+// waiting calls get an error with an unknown outcome; the next home reads the jobs from the store.
 func (h *home) shardClosed(steps []ledger.Step, records []*ledger.Record) {
 	movedErr := errkind.New(errkind.NoOwner, "the home of the job has moved to another instance; retry the request").
 		WithRetryAfter(time.Second).WithFate(errkind.FateUnknown)
@@ -288,6 +289,7 @@
 	}
 }
 
+// failStep ends work that waited for a commit, in a shard that was closed before the commit.
 func (h *home) failStep(s ledger.Step, movedErr *errkind.Error) {
 	switch s.Kind {
 	case ledger.StepAccepted, ledger.StepAnswer:
--- a/control/keywithdrawal.go
+++ b/control/keywithdrawal.go
@@ -5,8 +5,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// keyWithdrawn ends the attempts under a key: those that have not been sent to a worker are not
-// run, and the others are stopped.
+// keyWithdrawn ends the attempts under a withdrawn key: those that have not been sent to a worker
+// are completed as not run, and the others are stopped.
 func (w *owner) keyWithdrawn(key KeyName) {
 	for _, a := range w.attempts {
 		if a.team == key.Team && a.placement.Spec.KeyID == key.ID {
@@ -27,8 +27,9 @@
 	}
 }
 
-// keyWithdrawn terminates the jobs under a key. This withdraws their attempts from the owners, too,
-// since an owner that has adopted an attempt from a former owner does not know its key.
+// keyWithdrawn terminates the jobs under a withdrawn key. Their attempts are also withdrawn from
+// the owners, because an owner that adopted an attempt from a previous owner has no record of its
+// key.
 func (h *home) keyWithdrawn(key KeyName) {
 	for _, shard := range h.ledger.Shards() {
 		for _, record := range h.ledger.Records(shard) {
--- a/control/limit.go
+++ b/control/limit.go
@@ -9,7 +9,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// setLimit sets the upper limit of a team; nil means no limit.
+// setLimit sets the resource limit of a team; nil means no limit.
 func (w *owner) setLimit(team task.Team, limit *task.Resources, revision int64) {
 	var amounts task.Resources
 	if limit != nil {
@@ -18,8 +18,8 @@
 	w.allowances.SetLimit(w.now, team, amounts, revision)
 }
 
-// allowanceDone applies the result of a transaction and retries the teams whose allowance it
-// concerns.
+// allowanceDone applies the result of a transaction on allowance records and unblocks the teams of
+// these records.
 func (w *owner) allowanceDone(e AllowanceDone) {
 	w.allowances.WriteDone(w.now, e.Writes, e.Result)
 	for _, write := range e.Writes {
@@ -28,8 +28,8 @@
 	w.schedule()
 }
 
-// requestAllowance registers what the queued tasks of each team and partition need in total, so
-// that one transaction covers them.
+// requestAllowance registers the total demand of the queued tasks of each team and partition, so
+// that one transaction covers it.
 func (w *owner) requestAllowance() {
 	type need struct {
 		team      task.Team
@@ -47,9 +47,9 @@
 	}
 }
 
-// preemptOverLimit preempts work of teams whose limit was lowered below what runs, so that the
-// lower limit comes into force. Each partition preempts in proportion to the allowance that it
-// holds; only work that may be repeated is preempted.
+// preemptOverLimit preempts work of teams whose limit was lowered below their usage, so that the
+// lower limit can come into force. Each partition preempts in proportion to the allowance that it
+// holds. Only work that may be repeated is preempted.
 func (w *owner) preemptOverLimit() {
 	for _, team := range w.activeTeams() {
 		record, ok := w.allowances.Record(team)
@@ -62,7 +62,8 @@
 	}
 }
 
-// excessUsage returns by how much the usage of a partition exceeds its part of the pending limit.
+// excessUsage returns by how much the usage of a partition exceeds its proportional part of the
+// pending limit.
 func excessUsage(r allowance.Record, partition string, used task.Resources) task.Resources {
 	var total task.Resources
 	for _, part := range r.Parts {
@@ -87,8 +88,8 @@
 	return max(0, used-part*limit/total)
 }
 
-// preempt stops the most recently started attempts of a team at a partition until the attempts
-// that are being stopped cover the excess.
+// preempt stops the most recently started preemptible attempts of a team at a partition until the
+// attempts that are being stopped cover the excess.
 func (w *owner) preempt(team task.Team, partition string, excess task.Resources) {
 	if excess.IsZero() {
 		return
@@ -114,15 +115,16 @@
 }
 
 // isPreemptible reports whether an attempt may be stopped and run again. The kind of an adopted
-// attempt is not known, so it is left to end by itself.
+// attempt is unknown, so it is not preempted.
 func (w *owner) isPreemptible(a *attempt) bool {
 	kind := a.placement.Spec.Kind
 	return kind != "" && kind.IsDurable() && kind.MayRepeat()
 }
 
+// hasPositiveAmount reports whether any amount is positive.
 func hasPositiveAmount(r task.Resources) bool { return !r.Max(task.Resources{}).IsZero() }
 
-// activeTeams lists the teams with attempts at this owner.
+// activeTeams returns the teams with attempts at this owner, sorted.
 func (w *owner) activeTeams() []task.Team {
 	var teams []task.Team
 	for _, a := range w.attempts {
--- a/control/limit_test.go
+++ b/control/limit_test.go
@@ -8,8 +8,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// TestBlockedPartitionDoesNotStarveAnother guards against work that waits forever at a partition
-// with allowance, behind tasks of another partition of the same owner without allowance.
+// TestBlockedPartitionDoesNotStarveAnother guards against starvation of the tasks at a partition
+// with allowance by earlier tasks of the team at a partition without allowance of the same owner.
 func TestBlockedPartitionDoesNotStarveAnother(t *testing.T) {
 	h := newHarness(96, 2, 1)
 	w := h.state.owner
--- a/control/loop.go
+++ b/control/loop.go
@@ -11,11 +11,11 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// eventQueueCapacity is the capacity of the event queue of the control goroutine. A full queue blocks the
-// senders, which applies backpressure to traffic and does not delay control.
+// eventQueueCapacity is the capacity of the event queue of the control goroutine. A full queue
+// blocks the senders, which applies backpressure to traffic and does not delay control.
 const eventQueueCapacity = 4096
 
-// Loop owns a State: the goroutine in Run is the only one that touches it.
+// Loop owns a State. Only the goroutine that executes Run accesses it.
 type Loop struct {
 	state    *State
 	events   chan Event
@@ -24,14 +24,14 @@
 	tick     time.Duration
 
 	tokens atomic.Uint64
-	calls  sync.Map // waiting calls: token to chan PeerReply
+	calls  sync.Map // waiting calls, from token (uint64) to chan PeerReply
 
 	applyTime        metrics.Histogram
 	allowanceRefused atomic.Uint64
 }
 
-// NewLoop returns a loop for a state. Effects other than replies are passed to
-// execute, which must not block.
+// NewLoop returns a loop for a state that receives a Tick at the given interval. Effects other than
+// replies are passed to execute, which must not block.
 func NewLoop(state *State, tick time.Duration, registry metrics.Registry, execute func(Effect)) *Loop {
 	l := &Loop{state: state, events: make(chan Event, eventQueueCapacity), execute: execute, tick: tick}
 	l.applyTime = metrics.NewRegisteredHistogram("control.apply_ns", registry, metrics.NewExpDecaySample(1028, 0.015))
@@ -42,10 +42,10 @@
 // Snapshot returns the latest snapshot.
 func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
 
-// Queued returns how many events wait for the control goroutine.
+// Queued returns the number of events in the queue of the control goroutine.
 func (l *Loop) Queued() int { return len(l.events) }
 
-// AllowanceRefused returns how often a start failed for lack of allowance of its team.
+// AllowanceRefused returns how often a start was refused because its team lacked allowance.
 func (l *Loop) AllowanceRefused() uint64 { return l.allowanceRefused.Load() }
 
 // Post sends an event to the control goroutine. It returns the error of ctx if ctx ends before the
@@ -77,8 +77,8 @@
 	}
 }
 
-// forget cancels a waiting call. It does not block on a full queue: the state also drops calls when
-// their wait expires.
+// cancelCall cancels a waiting call. It does not block on a full queue, because the state also
+// drops calls when their wait expires.
 func (l *Loop) cancelCall(token uint64) {
 	select {
 	case l.events <- Forget{Token: token}:
--- a/control/member.go
+++ b/control/member.go
@@ -7,7 +7,8 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// membershipState is the state of this process's lease in the store and of its store contact.
+// membershipState contains this process's lease in the store, its contact with the store, and the
+// entry instances of the instance list.
 type membershipState struct {
 	leaseID        int64
 	granting       bool
@@ -17,10 +18,11 @@
 	storeDown      bool
 	shardsToReread []string // shards whose value could not be read
 	listedAt       time.Time
-	listedEntries  []membership.Member // entry instances of the instance list
+	listedEntries  []membership.Member // from the instance list
 }
 
-// renewLease renews the lease in the store when that is due, or requests a new one.
+// renewLease renews the lease in the store if that is due, or requests a new one. It also repeats
+// the failed reads of shards.
 func (s *State) renewLease() {
 	m := s.membership
 	if s.now.Before(m.renewAt) || m.granting || m.renewing {
@@ -73,7 +75,7 @@
 	}
 }
 
-// observeStoreContact records whether the store answers.
+// observeStoreContact records whether a call to the store was answered.
 func (s *State) observeStoreContact(sentAt time.Time, err error) {
 	if err == nil {
 		s.membership.lastContact = sentAt
@@ -89,12 +91,14 @@
 	}
 }
 
+// hasStoreContact reports whether the store answered the last call on the lease, and that call was
+// sent within KeyFreshness.
 func (s *State) hasStoreContact() bool {
 	return !s.membership.storeDown && s.now.Sub(s.membership.lastContact) < s.cfg.KeyFreshness
 }
 
-// checkWatchLag requests a complete read if the watch has not delivered the revision that the store
-// had at the previous read.
+// checkWatchLag requests a complete read of the configuration if the watch has not yet delivered
+// the revision that the previous read of the store returned.
 func (s *State) checkWatchLag(revision int64) {
 	if s.config.appliedRevision < s.config.storeRevision {
 		s.emit(Resync{Behind: s.config.storeRevision})
--- a/control/outbox.go
+++ b/control/outbox.go
@@ -6,7 +6,7 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// outbox collects the effects of one Apply. The parts of the state share it.
+// outbox collects the effects of one Apply. State, home and owner share it.
 type outbox struct {
 	now      time.Time
 	effects  []Effect
--- a/control/overview.go
+++ b/control/overview.go
@@ -10,10 +10,10 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// OverviewRequest asks, within this process, for its Overview.
+// OverviewRequest requests the Overview of this process. It is sent only within the process.
 type OverviewRequest struct{}
 
-// Overview is the state of one instance that is shown to operators.
+// Overview is the state of one instance as shown to operators.
 type Overview struct {
 	Instance string
 	Units    []string // held, sorted
@@ -31,7 +31,7 @@
 	Running                                               int
 }
 
-// heldUnits lists the units for which this process may act.
+// heldUnits returns the units for which this process may act, sorted.
 func (s *State) heldUnits() []string {
 	var held []string
 	partitions, shards := unitsOf(&s.cfg)
@@ -51,7 +51,7 @@
 	Weight    float64
 	Queued    int
 	Running   task.Resources   // at this owner
-	Allowance allowance.Record // in the fleet
+	Allowance allowance.Record // across all partitions
 }
 
 func (OverviewRequest) peerRequest() {}
--- a/control/owner.go
+++ b/control/owner.go
@@ -14,8 +14,8 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// owner is the part of the state that starts tasks on the workers of its
-// partitions.
+// owner is the part of the state that queues attempts and starts them on the workers of the
+// partitions that this instance owns.
 type owner struct {
 	*outbox
 	cfg         *Config
@@ -28,22 +28,21 @@
 	holds       func(unit string) (epoch uint64, ok bool)
 	termEnd     func(unit string) time.Time
 	keys        keyChecks
-	remoteUsage map[task.Team]task.Resources // used at the other owners
+	remoteUsage map[task.Team]task.Resources // resources in use at the other owners
 
 	partitions map[string]*partition
 	workers    map[string]*workerState
 	attempts   map[task.Attempt]*attempt
-	// blocked holds the teams of which none of the first queued tasks could be started, so that
-	// they are not retried on every event. A team is retried when what it lacks may have become
-	// available.
+	// blocked contains the teams of which none of the first queued tasks could be started. They are
+	// skipped, and so not retried on every event, until what they lack may have become available.
 	blocked           map[task.Team]blockReason
 	blockedClearedAt  time.Time
 	workersReviewedAt time.Time
-	reportsDue        bool // there are unsent reports to homes
-	allowancePlanDue  bool // an allowance was refused since the last allowance plan
+	reportsDue        bool // reports to homes have been queued since the last sendReports
+	allowancePlanDue  bool // allowance has been refused since the last plan
 	draining          bool
-	drainedWorkers    map[string]bool            // workers that are drained by an operator
-	tombstones        map[task.Attempt]time.Time // attempts to refuse, with the time after which the entry is removed
+	drainedWorkers    map[string]bool            // workers that an operator drains
+	tombstones        map[task.Attempt]time.Time // attempts to refuse, with the expiry of each entry
 	pendingReports    map[task.Attempt]*pendingReport
 
 	allowanceRefusals uint64 // for the metric
@@ -62,17 +61,17 @@
 	listed        ListedWorker
 	partition     string
 	bootID        string
-	clock         time.Duration // of the worker at its last report
-	clockAt       time.Time     // when that report was received
+	clock         time.Duration // the worker's clock in its last report
+	clockAt       time.Time     // when that report was received; zero before the first one
 	sequence      uint64
 	capacity      task.Resources
-	reconciled    bool      // a full report was requested after the last start of a former owner had expired
-	leaseEnd      time.Time // no lease granted so far lasts longer
+	reconciled    bool      // has sent a full report that was requested after all starts of previous owners had expired
+	leaseEnd      time.Time // upper bound of the ends of all task leases granted so far
 	syncing       bool
 	syncAt        time.Time
 	failedSyncs   int  // consecutive failed syncs
-	leaving       bool // according to its own report
-	awaitingProbe bool // in quarantine, and open to one task as a probe
+	leaving       bool // according to its last report
+	awaitingProbe bool // in quarantine, but may get one task as a probe
 	pendingAcks   []task.Attempt
 }
 
@@ -81,15 +80,15 @@
 
 const (
 	stageQueued         stage = iota
-	stageAwaitingPermit       // waits for its home to record the worker
+	stageAwaitingPermit       // until the home has recorded the worker
 	stageStarting
 	stageUnclear // the worker may have accepted the start; it is being looked up
 	stageRunning
-	stageFetchingResult // finished, the result is being read
-	stageEnded          // has its outcome, which the home has not recorded yet
+	stageFetchingResult // finished; the result is being fetched
+	stageEnded          // the outcome is set, but the home has not recorded it yet
 )
 
-// attempt is one attempt at this owner.
+// attempt is the owner's record of one attempt of a task.
 type attempt struct {
 	placement   Placement
 	id          task.Attempt
@@ -102,14 +101,14 @@
 	stage       stage
 	worker      string
 	bootID      string
-	startBy     time.Duration // in the worker's clock
-	isProbe     bool          // of a worker in quarantine
+	startBy     time.Duration // on the worker's clock
+	isProbe     bool          // the attempt is the probe of a worker in quarantine
 	queuedAt    time.Time
 	startedAt   time.Time
-	outcome     task.Outcome // while its result is being read
-	lookupAt    time.Time
+	outcome     task.Outcome // without the result, while that is being fetched
+	lookupAt    time.Time    // in stageUnclear: when to look up; in stageAwaitingPermit: when to give up
 	lookingUp   bool
-	stopReason  errkind.Kind // why a stop was ordered; empty if none was
+	stopReason  errkind.Kind // why a stop was ordered; empty if none was ordered
 	stopRetryAt time.Time    // when to repeat the stop order
 }
 
@@ -121,9 +120,10 @@
 	isFinal  bool
 }
 
-const tombstoneLifetime = 10 * time.Minute // longer than any call between instances can be delayed
+// tombstoneLifetime exceeds the longest possible delay of a call between instances.
+const tombstoneLifetime = 10 * time.Minute
 
-// place admits a batch of tasks to the queues.
+// place admits a batch of placements to the queues and refuses the others.
 func (w *owner) place(token uint64, req PlaceRequest) {
 	reply := PlaceReply{Refusals: make([]*errkind.Error, len(req.Placements))}
 	for i, p := range req.Placements {
@@ -165,8 +165,8 @@
 	return nil
 }
 
-// withdraw removes attempts that are queued or await a permit, which proves that they have not run.
-// Attempts that may be running are stopped, and their outcome is reported.
+// withdraw removes the attempts that are queued or await a permit, and confirms that they have not
+// run. Attempts that may be running are stopped, and their outcome is reported later.
 func (w *owner) withdraw(token uint64, req WithdrawRequest) {
 	var reply WithdrawReply
 	for _, id := range req.Attempts {
@@ -191,7 +191,7 @@
 	w.schedule()
 }
 
-// discard drops an attempt that is proved not run, and refuses it from now on.
+// discard deletes an attempt that provably has not run. From now on its placement is refused.
 func (w *owner) discard(a *attempt) {
 	w.failProbe(a)
 	delete(w.attempts, a.id)
@@ -199,7 +199,7 @@
 	w.recordEvent(timeline.Event{Type: timeline.TaskNotRun, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Partition: a.partition})
 }
 
-// lookup answers a home that has no current status of its attempts.
+// lookup reports the state of attempts to a home that has no current status of them.
 func (w *owner) lookup(token uint64, req LookupRequest) {
 	reply := LookupReply{States: make([]LookupState, len(req.Attempts))}
 	for i, item := range req.Attempts {
@@ -218,7 +218,7 @@
 		return LookupPending
 	}
 	if item.Once && item.Worker == "" {
-		// Never permitted, so no owner can have started it.
+		// The start was never permitted, so no owner can have sent it.
 		w.tombstones[item.Attempt] = w.now.Add(tombstoneLifetime)
 		return LookupNotRun
 	}
@@ -232,8 +232,8 @@
 	return LookupEnded
 }
 
-// resendReport sends a report that the asking home may have missed: a home that took over has not
-// been told that an attempt is running.
+// resendReport queues a report that the requesting home may lack: a home that took over the shard
+// has not received the report that an attempt is running.
 func (w *owner) resendReport(a *attempt) {
 	if r, ok := w.pendingReports[a.id]; ok {
 		r.sendAt = w.now
@@ -243,8 +243,8 @@
 	}
 }
 
-// lookupAtMostOnce answers for at-most-once work that was permitted on one worker. Only a report of
-// the same boot that does not list the attempt proves that it has not run.
+// lookupAtMostOnce returns the state of at-most-once work that was permitted on one worker. Only a
+// report from the same boot that does not list the attempt proves that it has not run.
 func (w *owner) lookupAtMostOnce(item LookupItem) LookupState {
 	ws, ok := w.workers[item.Worker]
 	if !ok || ws.bootID != item.BootID {
@@ -291,7 +291,7 @@
 	return 0
 }
 
-// release returns the worker capacity and the allowance that an attempt has reserved.
+// release releases the worker capacity and the allowance that are reserved for an attempt.
 func (w *owner) release(a *attempt) {
 	if _, size, ok := w.cluster.Release(a.id); ok {
 		w.allowances.Return(w.now, a.team, a.partition, size)
--- a/control/peer.go
+++ b/control/peer.go
@@ -16,8 +16,8 @@
 // PeerReply answers a PeerRequest.
 type PeerReply interface{ peerReply() }
 
-// SubmitRequest asks the home of a job to accept it. The reply comes when the job is final or Wait
-// has passed.
+// SubmitRequest submits a job to its home. The reply is sent when the job is final or Wait has
+// passed.
 type SubmitRequest struct {
 	Spec task.Spec
 	Wait time.Duration
@@ -33,52 +33,52 @@
 	QueryCancel
 )
 
-// QueryRequest asks the home of a job for its state, or to cancel it.
+// QueryRequest requests the state of a job from its home, or the cancellation of the job.
 type QueryRequest struct {
 	Op   QueryOp
 	Job  ledger.JobKey
 	Wait time.Duration
 }
 
-// JobReply is the record of a job, or the error why there is none.
+// JobReply is the record of a job, or the error if there is none.
 type JobReply struct {
 	Record *ledger.Record
 	Err    *errkind.Error
 }
 
-// Placement is one task sent to the owner of a partition.
+// Placement is one attempt of a task that is sent to the owner of a partition.
 type Placement struct {
 	Attempt   task.Attempt
 	Job       ledger.JobKey
 	Index     int
 	Partition string
-	Epoch     uint64        // of the partition's owner in the home's view
+	Epoch     uint64        // of the partition according to the home
 	Age       time.Duration // since the job was submitted
-	Gang      int           // tasks that start together; 1 for none
+	Gang      int           // number of tasks that start together; 1 if the task is not part of a gang
 	Spec      task.Spec
 }
 
-// PlaceRequest asks the owner of partitions to run tasks.
+// PlaceRequest requests that the owner of a partition queue attempts.
 type PlaceRequest struct{ Placements []Placement }
 
-// PlaceReply says for each placement whether the owner has queued it. A nil entry means that it
-// has; otherwise the attempt was not run and will not be.
+// PlaceReply reports for each placement whether the owner has queued it. A nil entry means that it
+// has; otherwise the attempt has not run and will not run.
 type PlaceReply struct{ Refusals []*errkind.Error }
 
-// WithdrawRequest asks an owner to dequeue or stop attempts. With OnlyWaiting an attempt that has
-// left its queue continues.
+// WithdrawRequest requests that an owner dequeue or stop attempts. With OnlyWaiting an attempt that
+// has left its queue continues.
 type WithdrawRequest struct {
 	Attempts    []task.Attempt
 	Reason      errkind.Kind
 	OnlyWaiting bool
 }
 
-// WithdrawReply lists the attempts that were removed and are proved not run. The others end with a
-// report.
+// WithdrawReply lists the attempts that were removed and provably have not run. The end of the
+// others is reported with a ReportRequest.
 type WithdrawReply struct{ NotRun []task.Attempt }
 
-// LookupRequest asks the owner of a partition for the state of attempts of which the home has no
-// current status.
+// LookupRequest requests from the owner of a partition the state of attempts of which the home has
+// no current status.
 type LookupRequest struct {
 	Partition string
 	Attempts  []LookupItem
@@ -89,27 +89,27 @@
 	Attempt task.Attempt
 	Job     ledger.JobKey
 	Index   int
-	Once    bool   // may not be repeated
-	Worker  string // of at-most-once work that was permitted: the worker to ask
+	Once    bool   // at-most-once work: must not be retried
+	Worker  string // of at-most-once work that was permitted: the permitted worker
 	BootID  string // of that worker when the start was permitted
 }
 
-// LookupState is the state of an attempt as its owner can determine it.
+// LookupState is the state of an attempt as determined by its owner.
 type LookupState uint8
 
 // The states of a looked-up attempt.
 const (
-	LookupPending LookupState = iota // not known yet: look up again
+	LookupPending LookupState = iota // not yet known; look up again
 	LookupKnown                      // queued, running, or its end will be reported
-	LookupNotRun                     // proved not run, and will not run
-	LookupEnded                      // not running any more; whether it ran is not known
+	LookupNotRun                     // provably has not run, and will not run
+	LookupEnded                      // no longer running; whether it ran is unknown
 )
 
-// LookupReply answers for each attempt of the request.
+// LookupReply contains the state of each attempt of the request.
 type LookupReply struct{ States []LookupState }
 
-// PermitRequest asks the home of at-most-once work whether an attempt may start
-// on a worker.
+// PermitRequest requests the permit to start an attempt of at-most-once work on a worker from the
+// home of the job.
 type PermitRequest struct {
 	Attempt task.Attempt
 	Job     ledger.JobKey
@@ -118,13 +118,13 @@
 	BootID  string // of the worker
 }
 
-// PermitReply says whether the start is recorded and may happen.
+// PermitReply reports whether the start is recorded and permitted.
 type PermitReply struct{ Granted bool }
 
 // ReportRequest reports the start or end of attempts to their home.
 type ReportRequest struct{ Reports []AttemptReport }
 
-// AttemptReport is a start, if Outcome is nil, or the end of an attempt.
+// AttemptReport reports the start of an attempt if Outcome is nil, and its end otherwise.
 type AttemptReport struct {
 	Attempt task.Attempt
 	Job     ledger.JobKey
@@ -133,11 +133,11 @@
 	Outcome *task.Outcome
 }
 
-// ReportReply says for each report whether the home has recorded it. The owner
-// sends the others again.
+// ReportReply states for each report whether the home has recorded it. The owner sends the others
+// again.
 type ReportReply struct{ Recorded []bool }
 
-// PromiseRequest asks a successor not to take over units for a window.
+// PromiseRequest requests a successor's promise not to take over units for the promise window.
 type PromiseRequest struct {
 	Owner    string // incarnation
 	Promisee ownership.Successor
@@ -150,37 +150,36 @@
 	Epoch uint64
 }
 
-// PromiseReply says for each unit whether the promise is given.
+// PromiseReply reports for each unit whether the promise is given.
 type PromiseReply struct {
 	From    ownership.Successor
 	Granted []bool
 }
 
-// HandoverNotice delivers the ownership record to the new owner of a unit, which would otherwise
-// get it from its watch.
+// HandoverNotice delivers the ownership record to the new owner of a unit before its watch does.
 type HandoverNotice struct{ Record ownership.Record }
 
 // HandoverReply confirms a HandoverNotice.
 type HandoverReply struct{}
 
-// DigestMessage describes the load and the configuration of an instance. Instances exchange it at
-// regular intervals.
+// DigestMessage describes the load of an instance and the configuration that is in force there.
+// Instances exchange it at regular intervals.
 type DigestMessage struct {
 	Instance     string
 	Incarnation  string
 	Revision     int64         // highest configuration revision in force
-	StoreContact bool          // the store answered within the key freshness
-	ContactAge   time.Duration // since the last call was sent that the store answered
+	StoreContact bool          // the store has answered a call within the last Config.KeyFreshness
+	ContactAge   time.Duration // time since the sending of the last call that the store answered
 	Freshness    time.Duration // remaining freshness of keys
 	Partitions   []PartitionDigest
 	Usage        []TeamUsage
 	Wants        []task.Team // teams for which this owner lacks allowance
 	Clock        timeline.Clock
-	// AskNoCommit, in a request during a store outage, asks the receiver not to commit a
-	// configuration change for a window; NoCommit in the reply grants it.
+	// AskNoCommit, in a request during a store outage, requests a promise not to commit
+	// configuration changes for one freshness period; NoCommit in the reply grants it.
 	AskNoCommit bool
 	NoCommit    bool
-	Known       int64 // with NoCommit: highest revision that is in force at, or was committed by, the sender
+	Known       int64 // with NoCommit: highest revision that the sender has applied or committed
 }
 
 // PartitionDigest is the load of one partition.
@@ -190,17 +189,17 @@
 	Free      task.Resources
 	Capacity  task.Resources
 	Queued    int
-	Ready     bool // the owner accepts tasks, and a worker is usable
+	Ready     bool // the owner accepts tasks, and at least one worker is usable
 }
 
-// TeamUsage is the resources that a team uses at one owner.
+// TeamUsage states the resources that a team uses at one owner.
 type TeamUsage struct {
 	Team task.Team
 	Size task.Resources
 }
 
-// FetchConfigRequest asks an instance for the configuration entries that changed after a revision;
-// 0 asks for all of them.
+// FetchConfigRequest requests the configuration entries that changed after a revision; 0 requests
+// all of them.
 type FetchConfigRequest struct{ After int64 }
 
 // FetchConfigReply is the configuration with the revision of each entry.
@@ -210,8 +209,7 @@
 	Entries  []ConfigEntry
 }
 
-// ConfigEntry is one key of the configuration below the watched prefix, as the
-// store holds it.
+// ConfigEntry is one key of the configuration below the watched prefix, as read from the store.
 type ConfigEntry struct {
 	Key      string
 	Value    []byte
@@ -219,15 +217,15 @@
 	Deleted  bool
 }
 
-// BeginConfigCommit asks, within this process, whether a configuration change
-// may be committed now. EndConfigCommit follows once the outcome is known.
+// BeginConfigCommit requests permission to commit a configuration change. It is sent only within
+// this process. EndConfigCommit follows once the outcome is known.
 type BeginConfigCommit struct{}
 
-// ConfigCommitReply answers BeginConfigCommit.
+// ConfigCommitReply is the reply to BeginConfigCommit and EndConfigCommit.
 type ConfigCommitReply struct{ Allowed bool }
 
-// EndConfigCommit says that the outcome of a commit is known. Revision is that of
-// the change, 0 if there was none.
+// EndConfigCommit reports the known outcome of a commit. Revision is the revision of the change, or
+// 0 if it did not take effect.
 type EndConfigCommit struct{ Revision int64 }
 
 func (HandoverNotice) peerRequest()     {}
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -8,11 +8,11 @@
 )
 
 // reviewInterval is the interval between scans of all workers for those to quarantine or to probe.
-// The waits before a probe are far longer.
+// It is far shorter than the wait before a probe.
 const reviewInterval = time.Second
 
-// observeOutcome passes the outcome of an attempt to the monitor, which compares the failures of
-// workers. The outcome of a probe decides whether its worker returns to service.
+// observeOutcome passes the outcome of an attempt to the monitor, which correlates the failures of
+// workers. The outcome of a probe decides whether its worker leaves quarantine.
 func (w *owner) observeOutcome(a *attempt, succeeded bool) {
 	if a.isProbe {
 		a.isProbe = false
@@ -40,8 +40,8 @@
 	}
 }
 
-// reviewWorkers quarantines the workers that were found bad while the quarantine cap was reached,
-// and opens each worker whose probe is due to one task.
+// reviewWorkers quarantines the workers that were found faulty while the quarantine cap was
+// reached, and makes each worker whose probe is due available to one task.
 func (w *owner) reviewWorkers() {
 	if w.now.Sub(w.workersReviewedAt) < reviewInterval {
 		return
@@ -58,7 +58,7 @@
 	}
 }
 
-// startProbe makes an attempt the probe of the worker on which it was reserved, if that worker
+// startProbe makes an attempt the probe of the worker that is reserved for it, if that worker
 // awaits one. The worker gets no other task until the probe has ended.
 func (w *owner) startProbe(a *attempt) {
 	ws, ok := w.workers[a.worker]
@@ -70,7 +70,7 @@
 	w.updateNode(ws)
 }
 
-// failProbe ends a probe that was inconclusive about its worker. It counts as failed, so that
+// failProbe ends a probe without a conclusion about its worker. The probe counts as failed, so that
 // another one becomes due; a probe that never ends would block all later ones.
 func (w *owner) failProbe(a *attempt) {
 	if !a.isProbe {
@@ -80,8 +80,7 @@
 	w.monitor.ProbeDone(w.now, a.worker, false)
 }
 
-// workersAwaitingProbe lists the workers that await a probe. Work that may not be repeated avoids
-// them.
+// workersAwaitingProbe returns the workers that await a probe. At-most-once work avoids them.
 func (w *owner) workersAwaitingProbe() []string {
 	var names []string
 	for name, ws := range w.workers {
--- a/control/quarantine_test.go
+++ b/control/quarantine_test.go
@@ -11,8 +11,8 @@
 
 const beyondProbeWait = time.Hour // longer than any wait between two probes
 
-// quarantineWorker makes the monitor quarantine a worker and advances the clock until a probe of it
-// is due.
+// quarantineWorker makes the monitor quarantine a worker and advances the clock until a probe of
+// the worker is due.
 func quarantineWorker(t *testing.T, h *harness, name string) *workerState {
 	t.Helper()
 	w := h.state.owner
@@ -35,8 +35,8 @@
 	return ws
 }
 
-// TestInconclusiveProbeIsRepeated guards against a worker that stays in quarantine permanently
-// because its probe ended without a conclusion about the worker.
+// TestInconclusiveProbeIsRepeated guards against a worker that stays in quarantine permanently. It
+// happens if no probe follows one that ended without a conclusion about the worker.
 func TestInconclusiveProbeIsRepeated(t *testing.T) {
 	for name, end := range map[string]func(*owner, *attempt){
 		"not run": func(w *owner, a *attempt) {
@@ -67,7 +67,7 @@
 }
 
 // TestRefusedStartNotCountedAsFailure guards against the quarantine of healthy workers after a
-// change of owner, when starts are refused because a term has ended.
+// change of owner, when starts are refused because the term of the previous owner has ended.
 func TestRefusedStartNotCountedAsFailure(t *testing.T) {
 	h := newHarness(12, 4, 1)
 	w := h.state.owner
@@ -82,7 +82,7 @@
 }
 
 // TestWorkerUsableAfterLeavingRevoked guards against a worker that permanently gets no work because
-// the platform once listed its name as leaving.
+// the platform has listed a worker of the same name as leaving before.
 func TestWorkerUsableAfterLeavingRevoked(t *testing.T) {
 	h := newHarness(12, 4, 1)
 	w := h.state.owner
--- a/control/rebalance.go
+++ b/control/rebalance.go
@@ -10,19 +10,19 @@
 
 const (
 	// rebalanceInterval is the interval between scans of the queued attempts. It is longer than
-	// the digest interval within a region, so that each scan sees the effect of the previous one.
+	// the digest interval within a region, so that the digests reflect the previous scan.
 	rebalanceInterval = 2 * time.Second
-	// rebalanceAfter is how long an attempt waits at one partition before it may be moved to
-	// another one. Shorter waits are normal: they are waits for allowance.
+	// rebalanceAfter is how long an attempt must have waited at a partition before it may be
+	// moved to another one. Shorter waits are normal, because acquiring allowance takes time.
 	rebalanceAfter = 3 * time.Second
-	// rebalanceBatch limits how many attempts one scan moves to a partition, since other homes
-	// see the same free capacity.
+	// rebalanceBatch limits the attempts that one scan moves to a partition, because other homes
+	// receive the same digest of its free capacity.
 	rebalanceBatch = 8
 )
 
-// rebalance withdraws queued attempts from a partition while another one has free capacity and an
-// empty queue. Their next attempts are dispatched there; an attempt that has started meanwhile
-// continues.
+// rebalance withdraws queued attempts from a partition if another one has free capacity and an
+// empty queue, to which their next attempts can be dispatched. An attempt that has started in the
+// meantime continues.
 func (h *home) rebalance() {
 	if h.now.Sub(h.rebalancedAt) < rebalanceInterval {
 		return
@@ -49,8 +49,8 @@
 	}
 }
 
-// idlePartitions returns the partitions with free slots and an empty queue, with how many attempts
-// may be moved to each.
+// idlePartitions returns the partitions with free slots and an empty queue, each with the number of
+// attempts that may be moved to it.
 func (h *home) idlePartitions() map[string]int {
 	movesLeft := map[string]int{}
 	for name, load := range h.routing.partitionLoads {
@@ -61,12 +61,12 @@
 	return movesLeft
 }
 
-// maxMovedAnswerAttempt is the highest attempt number of an answer that is moved: an answer has few
-// attempts, and the last one must not be spent on a move.
+// maxMovedAnswerAttempt is the highest attempt number at which an answer may be moved: an answer
+// has few attempts, and a move must not use up the last one.
 const maxMovedAnswerAttempt = 1
 
-// claimMove reports whether an attempt can be moved to an idle partition, and claims one of the
-// moves to it. Gangs are not moved, since all members have to be at one partition.
+// claimMove reports whether an attempt can be moved to an idle partition, and if so takes one of
+// the moves to that partition. Gangs are not moved, because all members must be at one partition.
 func (h *home) claimMove(movesLeft map[string]int, o *openAttempt) bool {
 	record, ok := h.ledger.Find(h.shardOf(o.ref.job), o.ref.job)
 	if !ok || record.Spec.Kind == task.Gang || record.Cancelled {
--- a/control/routing.go
+++ b/control/routing.go
@@ -51,7 +51,8 @@
 	return partitions, shards
 }
 
-// routing is this instance's view of the cluster: members, ownership records and load.
+// routing contains the members, ownership records and load of the cluster as observed by this
+// instance.
 type routing struct {
 	members          map[string]membership.Member // by incarnation
 	ownershipRecords map[string]ownership.Record  // by unit
@@ -114,8 +115,8 @@
 	}
 }
 
-// markNotReady excludes a partition, whose owner accepts no tasks, until its next digest. Otherwise
-// every attempt of a task could go to that owner in turn.
+// markNotReady excludes a partition whose owner accepts no tasks until the next digest. Otherwise
+// all attempts of a task could be sent to that owner one after the other.
 func (r *routing) markNotReady(partition string) {
 	if load, ok := r.partitionLoads[partition]; ok {
 		load.digest.Ready = false
@@ -123,8 +124,8 @@
 	}
 }
 
-// deductPlacement deducts a task that was just sent to a partition from the known free resources
-// of that partition, so that a burst between two digests is spread.
+// deductPlacement deducts the size of a task that was just sent to a partition from the last
+// reported free resources of that partition, so that a burst between two digests is spread.
 func (r *routing) deductPlacement(partition string, size task.Resources) {
 	load, ok := r.partitionLoads[partition]
 	if !ok {
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -10,11 +10,12 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// backfillDepth is how many queued tasks of a team are tried at each partition when the first ones
-// do not fit. Backfill lets small tasks pass a large one; the limit avoids trying the whole queue.
+// backfillDepth is the number of queued tasks of a team that are tried at each partition when the
+// first ones do not fit. Backfill lets small tasks overtake a large one; the limit avoids a scan of
+// the entire queue.
 const backfillDepth = 8
 
-// blockReason is what the first queued tasks of a team lack to be started.
+// blockReason is the resource for lack of which the first queued tasks of a team cannot start.
 type blockReason uint8
 
 const (
@@ -22,12 +23,12 @@
 	blockedOnAllowance                        // allowance of the team
 )
 
-// unblockInterval limits how long a team stays blocked if no event unblocks it, as when keys become
-// fresh again.
+// unblockInterval limits how long a team stays blocked if no event unblocks it, for example when
+// keys become fresh again.
 const unblockInterval = 200 * time.Millisecond
 
-// unblock unblocks the teams that the end of a task of one team may help: that team, and every team
-// that lacked capacity.
+// unblock unblocks the teams that may be able to start tasks after the end of a task of the given
+// team: that team, and every team that lacked capacity.
 func (w *owner) unblock(team task.Team) {
 	delete(w.blocked, team)
 	for other, reason := range w.blocked {
@@ -46,7 +47,7 @@
 	return slices.DeleteFunc(w.queues.Teams(), func(t task.Team) bool { return w.blocked[t] != 0 })
 }
 
-// schedule starts queued tasks, in the fair-share order of their teams, until nothing more fits.
+// schedule starts queued tasks, in the fair-share order of their teams, until no further task fits.
 func (w *owner) schedule() {
 	w.expireQueued()
 	teams := w.schedulableTeams()
@@ -66,19 +67,19 @@
 	}
 }
 
-// startNext starts the first queued task of a team that fits. It reports whether the queue has
-// changed: a task was started, or an entry without an attempt was removed.
+// startNext starts the first queued task of a team that fits, or the gang of that task. It reports
+// whether the queue has changed: a task was started, or an entry without an attempt was removed.
 func (w *owner) startNext(team task.Team) bool {
 	w.blocked[team] = blockedOnCapacity
 	tried := make(map[string]int, len(w.partitions))
-	exhausted := 0 // partitions at which backfillDepth tasks were tried
+	exhausted := 0 // number of partitions at which backfillDepth tasks were tried
 	for skip := 0; exhausted < len(w.partitions); skip++ {
 		entry := w.queues.Next(w.now, team, skip)
 		if entry == nil {
 			return false
 		}
-		// Tasks that one partition cannot start must not keep those of the other partitions from
-		// being tried: each partition has its own capacity and its own allowance.
+		// The depth is counted per partition, because each one has its own capacity and allowance:
+		// tasks that cannot start at one partition must not block those of the others.
 		if tried[entry.Partition] == backfillDepth {
 			continue
 		}
@@ -108,7 +109,8 @@
 	return false
 }
 
-// acquireAllowance acquires allowance for tasks that fit on workers.
+// acquireAllowance acquires allowance for tasks that fit on workers. If the allowance is too small,
+// the team is blocked and an allowance plan is requested.
 func (w *owner) acquireAllowance(a *attempt, size task.Resources) bool {
 	if w.allowances.Acquire(w.now, a.team, a.partition, size) {
 		return true
@@ -138,9 +140,9 @@
 	return w.cluster.Find(w.placementRequest(a))
 }
 
-// holdsPartition reports whether this instance holds a partition. That suffices for starts, which
-// need not wait for the slowest worker to report: workers that have not reported are not
-// schedulable, and the allowance counts as used until all have reported.
+// holdsPartition reports whether this instance holds a partition. That is sufficient for starts,
+// which need not wait until every worker has reported: workers that have not reported are not
+// schedulable, and the entire allowance counts as in use until all have reported.
 func (w *owner) holdsPartition(name string) bool {
 	part, ok := w.partitions[name]
 	if !ok {
@@ -150,8 +152,8 @@
 	return holds && epoch == part.epoch
 }
 
-// isKeyValid reports whether an attempt may start under its key. While this instance cannot tell
-// whether the key was withdrawn, the attempt stays queued.
+// isKeyValid reports whether an attempt may start under its key. While this instance cannot
+// determine whether the key was withdrawn, the attempt stays queued.
 func (w *owner) isKeyValid(a *attempt) bool {
 	key := KeyName{a.team, a.placement.Spec.KeyID}
 	return key.ID == "" || w.keys.areFresh() && !w.keys.isWithdrawn(key)
@@ -183,8 +185,8 @@
 	return true
 }
 
-// launch removes an attempt with a reservation from its queue and starts it. If the attempt may not
-// be repeated, its home is asked for the permit first.
+// launch removes an attempt with a reservation from its queue and starts it. For at-most-once work
+// a permit is first requested from its home.
 func (w *owner) launch(a *attempt) {
 	w.queues.Remove(a.id)
 	w.queues.ObserveStart(w.now, a.team, a.placement.Age+w.now.Sub(a.queuedAt))
@@ -208,8 +210,8 @@
 		Request: PermitRequest{Attempt: a.id, Job: a.job, Index: a.index, Worker: a.worker, BootID: a.bootID}})
 }
 
-// permitDone starts at-most-once work whose worker is recorded. Without an explicit grant the
-// attempt is not started and ends as not run.
+// permitDone starts an attempt of at-most-once work whose permit is granted. Without an explicit
+// grant the attempt is not started and is completed as not run.
 func (w *owner) permitDone(req PermitRequest, reply PeerReply, err error) {
 	a, ok := w.attempts[req.Attempt]
 	if !ok || a.stage != stageAwaitingPermit {
@@ -224,9 +226,9 @@
 	w.schedule()
 }
 
-// sendStart sends the start order of an attempt to its worker. The validity is counted from the
-// last reading of the worker's clock, so that the order can never be accepted later than this
-// instance assumes.
+// sendStart sends the start order of an attempt to its worker. The order expires at a time on the
+// worker's clock, which is extrapolated from the last report of the worker, so that the order is
+// never accepted later than this instance assumes.
 func (w *owner) sendStart(a *attempt, ws *workerState) {
 	spec := &a.placement.Spec
 	a.stage = stageStarting
@@ -247,13 +249,14 @@
 		Worker: a.worker, Partition: a.partition, Epoch: w.epochOf(a.partition), Size: &a.size, KeyID: spec.KeyID})
 }
 
-// startValidity returns how long a start order may be in transit. It ends with the term of the
-// partition at the latest, after which another owner may act.
+// startValidity returns how long a start order may be in transit. This is limited by the end of the
+// term of the partition, after which another instance may own the partition.
 func (w *owner) startValidity(partition string) time.Duration {
 	return max(0, min(w.cfg.StartValidity, w.termEnd(partition).Sub(w.now)))
 }
 
-// startGang starts every member of a gang whose tasks have all arrived, or none.
+// startGang starts either all members of a gang or none. It returns false until every member has
+// been placed here and all of them fit.
 func (w *owner) startGang(a *attempt) bool {
 	members := w.gangOf(a)
 	if len(members) < a.placement.Gang || !w.holdsPartition(a.partition) || !w.isKeyValid(a) {
@@ -275,8 +278,8 @@
 	return true
 }
 
-// releaseGang returns the allowance of a gang and the reservations of its first members, which are
-// the only ones that have one.
+// releaseGang returns the allowance of all members of a gang and releases the reserved worker
+// capacity. reserved is the number of leading members that have a reservation.
 func (w *owner) releaseGang(members []*attempt, reserved int) {
 	for _, m := range members[:reserved] {
 		w.release(m)
--- a/control/selector.go
+++ b/control/selector.go
@@ -13,12 +13,12 @@
 	routing        *routing
 	rng            *rand.Rand
 	digestLifetime time.Duration
-	region         string // of this instance; preferred if the job names no regions
+	region         string // of this instance; preferred if the spec lists no regions
 }
 
-// selectPartition returns a partition with a live owner for a task with the given spec.
-// Partitions in avoid are used only if no other one qualifies. The task goes to the first allowed
-// region that has free capacity; if none has, it goes to a partition with a short queue.
+// selectPartition returns a partition for a task with the given spec. Partitions in avoid are used
+// only if no other one is eligible. The task goes to the first region in order of preference that
+// has free capacity; if there is none, it goes to a partition with a short queue.
 func (c *partitionSelector) selectPartition(now time.Time, spec *task.Spec, avoid []string) (string, bool) {
 	candidates := c.candidates(now, spec, avoid)
 	if len(candidates) == 0 && len(avoid) > 0 {
@@ -39,7 +39,9 @@
 	return c.pickByQueueLength(candidates), true
 }
 
-// candidates returns the digests of the eligible partitions, sorted by name.
+// candidates returns the digests of the eligible partitions, sorted by name. A partition is
+// eligible if its digest has not expired and is from the recorded owner, if the partition is ready
+// and in an allowed region, and if the task fits its capacity.
 func (c *partitionSelector) candidates(now time.Time, spec *task.Spec, avoid []string) []PartitionDigest {
 	var found []PartitionDigest
 	for name, load := range c.routing.partitionLoads {
@@ -66,8 +68,8 @@
 	return found
 }
 
-// regions returns the regions to try in order of preference: those that the job names, or the
-// region of this instance and then all others.
+// regions returns the regions in order of preference: those that the spec lists, or the region of
+// this instance followed by all others.
 func (c *partitionSelector) regions(spec *task.Spec) []string {
 	if len(spec.Regions) > 0 {
 		return spec.Regions
@@ -82,9 +84,10 @@
 	return regions
 }
 
-// pickByFreeCapacity returns the one with more free capacity of two random partitions of a region in which
-// need fits. Two random choices spread a burst nearly as well as the best of all, and keep the
-// homes from all sending to the same partition between two digests.
+// pickByFreeCapacity draws two partitions at random from those of a region that have an empty queue
+// and in which need fits, and returns the one with more free capacity. Two random choices spread a
+// burst nearly as well as the best of all partitions would, and prevent all homes from sending to
+// the same partition between two digests.
 func (c *partitionSelector) pickByFreeCapacity(candidates []PartitionDigest, region string, need task.Resources) (string, bool) {
 	var fitting []PartitionDigest
 	for _, p := range candidates {
@@ -103,7 +106,8 @@
 	return a.Partition, true
 }
 
-// pickByQueueLength returns the one with fewer queued tasks per slot of two random partitions.
+// pickByQueueLength draws two partitions at random and returns the one with fewer queued tasks per
+// slot.
 func (c *partitionSelector) pickByQueueLength(candidates []PartitionDigest) string {
 	a := candidates[c.rng.IntN(len(candidates))]
 	b := candidates[c.rng.IntN(len(candidates))]
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestNeverFitsRequiresWorkerReports guards against accepted work that is refused permanently
-// because its owner has just taken over and no worker has reported its capacity yet.
+// because its owner has just taken over the partition and no worker has reported its capacity yet.
 func TestNeverFitsRequiresWorkerReports(t *testing.T) {
 	h := newHarness(12, 4, 1)
 	w := h.state.owner
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -10,30 +10,29 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Snapshot is the view of the control state that traffic goroutines read. It is immutable once it
-// is published.
+// Snapshot is the part of the control state that traffic goroutines read. It is immutable.
 type Snapshot struct {
 	Self         membership.Member
 	Members      []membership.Member // sorted by incarnation
 	Homes        map[string]Route    // by request shard
-	Terms        map[string]Term     // by unit that this process holds
+	Terms        map[string]Term     // by unit; only units that this process holds
 	Documents    map[DocumentKey]HeldDocument
 	Keys         *keyring.Snapshot
 	Revision     int64            // every configuration change up to this revision is in force
-	MemberSeen   map[string]int64 // revision in force at each instance, from its last digest
+	MemberSeen   map[string]int64 // by instance: revision in force there, from its last digest
 	StoreContact bool
 	Draining     bool
-	Ready        bool // has a lease and the configuration, and is not draining
+	Ready        bool // has a lease, has read the configuration, and is not draining
 	Shards       int
 }
 
-// Route is the owner of a unit.
+// Route is the recorded owner of a unit.
 type Route struct {
 	Member membership.Member
 	Epoch  uint64
 }
 
-// Term is the epoch under which and the time until which this process may act for a unit.
+// Term states the epoch under which this process may act for a unit, and until when.
 type Term struct {
 	Epoch uint64
 	End   time.Time
@@ -77,14 +76,15 @@
 	return route, ok
 }
 
-// Holds reports whether this process may act for a unit under an epoch at time
-// now. The check is repeated right before a start is written to the connection.
+// Holds reports whether this process may act for a unit under an epoch at time now. The check is
+// repeated immediately before a start order is written to the connection.
 func (s *Snapshot) Holds(now time.Time, unit string, epoch uint64) bool {
 	term, ok := s.Terms[unit]
 	return ok && term.Epoch == epoch && now.Before(term.End)
 }
 
-// Authorize checks the key that came with a call for a job of a service.
+// Authorize checks the key of a call for a job of a service. It returns the document of the
+// service, and the key unless the service is open.
 func (s *Snapshot) Authorize(now time.Time, team task.Team, service task.Service, secret string) (HeldDocument, keyring.Key, *errkind.Error) {
 	held, ok := s.Documents[DocumentKey{team, service}]
 	if !ok {
@@ -103,7 +103,7 @@
 	return held, key, nil
 }
 
-// Admit checks a submission and completes it with the settings of its document.
+// Admit authorizes a submission and completes it with the settings of the document of its service.
 func (s *Snapshot) Admit(now time.Time, secret string, spec task.Spec) (task.Spec, *errkind.Error) {
 	held, key, err := s.Authorize(now, spec.Team, spec.Service, secret)
 	if err != nil {
@@ -117,8 +117,8 @@
 	return complete, nil
 }
 
-// unknownNameError returns the error for an unknown team or service. A process that has not read the
-// configuration yet cannot tell which names exist and reports a stale key instead.
+// unknownNameError returns the error for an unknown team or service. A process that has not read
+// the configuration cannot determine which names exist, and returns KeyStale instead.
 func (s *Snapshot) unknownNameError(team task.Team, service task.Service) *errkind.Error {
 	if s.Revision == 0 {
 		return errkind.New(errkind.KeyStale, "this instance has not read the configuration yet")
--- a/control/state.go
+++ b/control/state.go
@@ -18,7 +18,7 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// Parts configures the decision packages that the state composes.
+// Parts contains the configurations of the packages that the state combines.
 type Parts struct {
 	Ownership  ownership.Config
 	Allowance  allowance.Config
@@ -29,7 +29,7 @@
 	Quarantine quarantine.Config
 }
 
-// DefaultParts returns the defaults of the parts for a configuration.
+// DefaultParts returns the default Parts for a configuration.
 func DefaultParts(cfg Config) Parts {
 	partitions, shards := unitsOf(&cfg)
 	return Parts{
@@ -58,7 +58,7 @@
 
 	slowTickAt          time.Time
 	allowancesPlannedAt time.Time
-	snapshotChanged     bool // a part of the snapshot has changed
+	snapshotChanged     bool // a part of the snapshot has changed since the last TakeChanged
 }
 
 // New returns the state of a process that has just started.
@@ -91,8 +91,8 @@
 	return s
 }
 
-// Apply applies one event at time now and returns the resulting effects. The slice is valid until
-// the next call.
+// Apply applies one event at time now and returns the resulting effects. The returned slice is
+// valid until the next call.
 func (s *State) Apply(now time.Time, e Event) []Effect {
 	s.now = now
 	s.effects = s.effects[:0]
@@ -108,9 +108,9 @@
 	return s.effects
 }
 
-// affectsOwnership reports whether an event may lead to an action of the ownership table. Events
-// about tasks, which are the most frequent ones, do not: the end of a term is detected by Holds,
-// which is called before every start.
+// affectsOwnership reports whether an event may lead to an action of the ownership table. Task
+// events, which are the most frequent, do not: the end of a term is detected by Holds, which is
+// called before every start.
 func affectsOwnership(e Event) bool {
 	switch e := e.(type) {
 	case LeaseGranted, KeepAliveDone, ConfigChanged, InstancesListed, OwnershipDone, OwnershipForced:
@@ -180,11 +180,11 @@
 	s.continueDrain()
 }
 
-// slowTickInterval is the interval of the periodic work that scans every unit or every team. None
-// of it is needed sooner: a term is also checked before every start.
+// slowTickInterval is the interval of the periodic work that scans every unit or every team. That
+// work is not urgent: the term of a unit is also checked before every start.
 const slowTickInterval = 100 * time.Millisecond
 
-// isSlowTickDue reports whether the work of slowTickInterval is due.
+// isSlowTickDue reports whether slowTickInterval has passed, and if so starts the next interval.
 func (s *State) isSlowTickDue() bool {
 	if s.now.Sub(s.slowTickAt) < slowTickInterval {
 		return false
@@ -193,7 +193,7 @@
 	return true
 }
 
-// planAllowances requests allowance that a start lacked, and returns allowance that is idle.
+// planAllowances requests the allowance that starts lacked, and returns idle allowance.
 func (s *State) planAllowances() {
 	if !s.owner.allowancePlanDue && s.now.Sub(s.allowancesPlannedAt) < slowTickInterval {
 		return
@@ -205,7 +205,7 @@
 	}
 }
 
-// peerCall answers a request of another instance, or of this process.
+// peerCall handles a request from another instance or from this process.
 func (s *State) peerCall(e PeerCall) {
 	switch r := e.Request.(type) {
 	case SubmitRequest:
@@ -261,7 +261,7 @@
 	case DigestMessage:
 		s.digestDone(e)
 	case FetchConfigRequest, HandoverNotice:
-		// The daemon decodes fetched entries and delivers them as ConfigChanged. The watch delivers
-		// the record of a lost notice.
+		// The daemon decodes fetched entries and delivers them as ConfigChanged. If a notice is
+		// lost, the watch delivers the record.
 	}
 }
--- a/control/units.go
+++ b/control/units.go
@@ -9,9 +9,10 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
+// isPartition reports whether a unit is a worker partition; otherwise it is a request shard.
 func isPartition(unit string) bool { return strings.HasPrefix(unit, membership.WorkerPrefix) }
 
-// executeOwnershipActions carries out the actions that the ownership table requires after an event.
+// executeOwnershipActions executes the actions that the ownership table returns after an event.
 func (s *State) executeOwnershipActions() {
 	requests := map[ownership.Successor]*PromiseRequest{}
 	for _, action := range s.ownership.Tick(s.now) {
@@ -49,7 +50,7 @@
 	request.Units = append(request.Units, PromiseUnit{Unit: a.Unit, Epoch: a.Epoch})
 }
 
-// promise answers the promise request of an owner that cannot reach the store.
+// promise handles the promise request of an owner that cannot reach the store.
 func (s *State) promise(token uint64, r PromiseRequest) {
 	reply := PromiseReply{From: ownership.Successor{Instance: s.self.Instance, Incarnation: s.self.Incarnation}, Granted: make([]bool, len(r.Units))}
 	for i, u := range r.Units {
@@ -72,7 +73,7 @@
 	s.snapshotChanged = true
 }
 
-// ownershipDone applies the result of an ownership write. The new owner is notified at once.
+// ownershipDone applies the result of an ownership write and notifies the new owner at once.
 func (s *State) ownershipDone(e OwnershipDone) {
 	s.ownership.WriteDone(s.now, e.Unit, e.Result)
 	record, ok := s.ownership.Record(e.Unit)
@@ -116,7 +117,8 @@
 	s.home.shardClosed(s.home.ledger.Close(a.Unit))
 }
 
-// shardRead continues to open a shard with its value, or has it read again after an error.
+// shardRead loads the value of a shard that is being opened, or schedules another read after an
+// error.
 func (s *State) shardRead(e ShardRead) {
 	if !s.home.ledger.IsLoading(e.Shard) {
 		return
@@ -128,7 +130,7 @@
 	s.home.ledger.Loaded(e.Shard, e.Value, e.Revision)
 }
 
-// flushLedger commits the changes of request records as one transaction.
+// flushLedger commits the pending changes of job records in one transaction.
 func (s *State) flushLedger() {
 	writes := s.home.ledger.Plan(s.now)
 	if len(writes) == 0 {
@@ -137,8 +139,8 @@
 	s.emit(CommitLedger{Writes: writes})
 }
 
-// ledgerDone applies the result of a commit. A shard whose value another process has written is
-// reopened if this instance still owns it.
+// ledgerDone applies the result of a commit. After a conflict, a shard whose value another process
+// has written is reopened if this instance still owns it.
 func (s *State) ledgerDone(e LedgerDone) {
 	opening := map[string]bool{}
 	for _, w := range e.Writes {
--- a/control/workers.go
+++ b/control/workers.go
@@ -11,8 +11,8 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// acquirePartition starts to own a partition. None of its workers is used before it has reported
-// everything that it runs.
+// acquirePartition starts the ownership of a partition. A worker of it gets no tasks before it has
+// reported every task that it runs.
 func (w *owner) acquirePartition(name string, epoch uint64, revision int64) {
 	w.dropPartition(name)
 	w.partitions[name] = &partition{epoch: epoch, acquiredAt: w.now}
@@ -31,7 +31,7 @@
 	ws.leaseEnd = w.now.Add(w.cfg.withClockError(w.cfg.TaskLease))
 }
 
-// dropPartition stops owning a partition and drops its attempts.
+// dropPartition ends the ownership of a partition and drops its attempts.
 func (w *owner) dropPartition(name string) {
 	if _, owned := w.partitions[name]; !owned {
 		return
@@ -60,7 +60,7 @@
 	}
 }
 
-// applyWorkerList applies the platform's list of workers.
+// applyWorkerList applies the workers of the platform's instance list.
 func (w *owner) applyWorkerList(list []ListedWorker) {
 	for _, l := range list {
 		ws, known := w.workers[l.Name]
@@ -78,7 +78,7 @@
 	}
 }
 
-// setDrained starts or ends the drain of a worker on an operator's order.
+// setDrained starts or ends the drain of a worker that an operator ordered.
 func (w *owner) setDrained(name string, drained bool) {
 	if drained {
 		w.drainedWorkers[name] = true
@@ -91,12 +91,12 @@
 	}
 }
 
-// isLeaving reports whether the worker is leaving according to the platform's list or to its own
-// report. Both can be revoked, since names are reused.
+// isLeaving reports whether the worker is leaving according to the platform's list or its own
+// report. Both can be revoked, because names are reused.
 func (ws *workerState) isLeaving() bool { return ws.listed.Leaving || ws.leaving }
 
-// observeLeaving stops new tasks on a worker that is leaving now, or allows them again. Its present
-// tasks finish.
+// observeLeaving excludes a worker that has begun to leave from new tasks, or readmits one that no
+// longer leaves. Tasks that are already on the worker continue.
 func (w *owner) observeLeaving(ws *workerState, wasLeaving bool) {
 	if ws.isLeaving() == wasLeaving {
 		return
@@ -107,7 +107,8 @@
 	w.updateNode(ws)
 }
 
-// updateNode updates the placement node of a worker, including whether it may get new tasks.
+// updateNode updates the placement node of a worker that has reported, including whether the worker
+// may get new tasks.
 func (w *owner) updateNode(ws *workerState) {
 	if ws.clockAt.IsZero() {
 		return
@@ -126,10 +127,10 @@
 		(ws.awaitingProbe || !w.monitor.IsQuarantined(ws.listed.Name))
 }
 
-// maxFailedSyncs is the number of consecutive failed syncs from which on a worker gets no new tasks.
+// maxFailedSyncs is the number of consecutive failed syncs after which a worker gets no new tasks.
 const maxFailedSyncs = 2
 
-// syncWhenDue syncs with a worker of an owned partition if that is due.
+// syncWhenDue starts a sync with a worker of an owned partition if one is due.
 func (w *owner) syncWhenDue(ws *workerState) {
 	part, owned := w.partitions[ws.partition]
 	if !owned || ws.syncing || ws.listed.Gone || w.now.Before(ws.syncAt) {
@@ -150,8 +151,8 @@
 	w.emit(sync)
 }
 
-// maxAcksPerSync limits the acknowledgements of one sync, as after a burst of cancellations that
-// ends many tasks.
+// maxAcksPerSync limits the acknowledgements in one sync: a burst of cancellations can end many
+// tasks at once.
 const maxAcksPerSync = 500
 
 // syncDone applies the result of a sync with a worker.
@@ -191,7 +192,7 @@
 	ws.leaving = r.Leaving
 	w.observeLeaving(ws, wasLeaving)
 	if firstReport {
-		ws.syncAt = w.now // leases could not be renewed without a reading of the worker's clock
+		ws.syncAt = w.now // leases could not be renewed before, since the worker's clock was unknown
 	}
 	ws.capacity = r.Capacity
 	w.monitor.AddWorker(ws.listed.Name, ws.partition)
@@ -207,8 +208,8 @@
 	w.updateNode(ws)
 }
 
-// previousOwnerStartsExpireAt returns the time after which no start of a former owner can be accepted any
-// more. A partition in its first epoch has no former owner.
+// previousOwnerStartsExpireAt returns the time after which a worker can no longer accept a start
+// order of a previous owner. A partition in its first epoch has no previous owner.
 func (w *owner) previousOwnerStartsExpireAt(part *partition) time.Time {
 	if part.epoch <= 1 {
 		return part.acquiredAt.Add(-time.Nanosecond)
@@ -216,8 +217,9 @@
 	return part.acquiredAt.Add(w.cfg.withClockError(w.cfg.StartValidity))
 }
 
-// applyListedTask applies one task of a worker's report. An attempt that is unknown to this owner
-// was started by a former one and is adopted.
+// applyListedTask applies one task of a worker's report. An attempt of which this owner has no
+// record was started by a previous one and is adopted. If it has ended and there is a tombstone for
+// it, it is only acknowledged.
 func (w *owner) applyListedTask(ws *workerState, r TaskReport) {
 	a, known := w.attempts[r.Attempt]
 	if !known {
@@ -254,8 +256,8 @@
 	return a
 }
 
-// endMissing ends the running attempts that were started before a full report was requested and
-// that the report does not list.
+// endMissing ends the running attempts that were started before a full report was requested and are
+// absent from it.
 func (w *owner) endMissing(ws *workerState, e SyncDone) {
 	listed := make(map[task.Attempt]bool, len(e.Reply.Tasks))
 	for _, t := range e.Reply.Tasks {
@@ -280,12 +282,13 @@
 	}
 }
 
+// isOnWorker reports whether an attempt in this stage may exist on its worker.
 func isOnWorker(s stage) bool {
 	return s == stageStarting || s == stageUnclear || s == stageRunning || s == stageFetchingResult
 }
 
-// endExpired ends the attempts on a worker that has not reported for so long that every task lease
-// it could hold has expired.
+// endExpired ends the attempts on a worker that does not answer and whose task leases must all have
+// expired.
 func (w *owner) endExpired(ws *workerState) {
 	if _, owned := w.partitions[ws.partition]; !owned || !w.now.After(ws.leaseEnd) || ws.failedSyncs == 0 {
 		return
@@ -302,8 +305,8 @@
 	}
 }
 
-// markReady marks the partitions of which every running task is known: each worker has reported, or
-// cannot run anything any more.
+// markReady marks the partitions whose running tasks are all known: the starts of a previous owner
+// have expired, and each worker has reported, is gone, or holds only expired task leases.
 func (w *owner) markReady() {
 	for name, part := range w.partitions {
 		if part.ready {
@@ -322,8 +325,8 @@
 	}
 }
 
-// markCapacityKnown marks the partitions whose workers have all reported their capacity, and ends
-// the tasks that were queued before and fit on none of them as not run.
+// markCapacityKnown marks the partitions whose workers have all reported their capacity. Tasks that
+// were queued before and fit on none of the workers are completed as not run.
 func (w *owner) markCapacityKnown() {
 	for name, part := range w.partitions {
 		if part.capacityKnown || !w.haveAllReported(name) {
@@ -340,7 +343,7 @@
 }
 
 // haveAllReported reports whether every listed worker of a partition has reported since this
-// instance took over the partition. Until then a task that fits on none of the workers that have
+// instance acquired the partition. Until then a task that fits on none of the workers that have
 // reported may fit on another one.
 func (w *owner) haveAllReported(name string) bool {
 	for _, ws := range w.workers {
