--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -166,7 +166,7 @@
 					h.apply(Tick{})
 				}
 				if left := len(h.state.home.openAttempts); left > b.N/10 {
-					b.Errorf("%d of %d attempts have no end", left, b.N)
+					b.Errorf("%d of %d attempts are still open, want at most a tenth", left, b.N)
 				}
 			})
 		}
--- a/control/home.go
+++ b/control/home.go
@@ -94,7 +94,7 @@
 	shard := s.home.shardOf(job)
 	_, isKnown := s.home.ledger.Find(shard, job)
 	if s.membership.storeDown && req.Spec.Kind.IsDurable() && !isKnown && s.home.ledger.IsActive(shard) {
-		err := errkind.New(errkind.StoreUnavailable, "the store does not answer; durable work is not accepted at present").
+		err := errkind.New(errkind.StoreUnavailable, "the store does not answer; durable work is currently not accepted").
 			WithFate(errkind.FateNotRun).WithRetryAfter(s.cfg.KeepAliveInterval)
 		s.recordEvent(timeline.Event{Type: timeline.RequestRefused, Team: job.Team, Kind: string(err.Kind), Detail: job.Key})
 		s.reply(token, JobReply{Err: err})
@@ -139,7 +139,7 @@
 	case h.keys.isWithdrawn(KeyName{spec.Team, spec.KeyID}):
 		return errkind.New(errkind.KeyWithdrawn, "key %s of team %s was withdrawn", spec.KeyID, spec.Team)
 	case !h.keys.areFresh():
-		return errkind.New(errkind.KeyStale, "the home of the job cannot confirm key %s of team %s at present", spec.KeyID, spec.Team).WithRetryAfter(h.cfg.KeyFreshness)
+		return errkind.New(errkind.KeyStale, "the home of the job currently cannot confirm that key %s of team %s is valid", spec.KeyID, spec.Team).WithRetryAfter(h.cfg.KeyFreshness)
 	default:
 		return nil
 	}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -94,7 +94,7 @@
 		return held, keyring.Key{}, nil
 	}
 	if secret == "" {
-		return HeldDocument{}, keyring.Key{}, errkind.New(errkind.KeyMissing, "service %s/%s needs a key", team, service)
+		return HeldDocument{}, keyring.Key{}, errkind.New(errkind.KeyMissing, "service %s/%s requires a key", team, service)
 	}
 	key, err := s.Keys.Admit(now, team, keyring.DigestOf(secret))
 	if err != nil {
--- a/control/state.go
+++ b/control/state.go
@@ -166,7 +166,7 @@
 	case OwnershipForced:
 		s.ownership.Force(s.now, e.Unit)
 	default:
-		panic(fmt.Sprintf("control: no case for event %T", e))
+		panic(fmt.Sprintf("control: unhandled event type %T", e))
 	}
 }
 
@@ -239,7 +239,7 @@
 	case OverviewRequest:
 		s.reply(e.Token, s.overview())
 	default:
-		panic(fmt.Sprintf("control: no case for request %T", r))
+		panic(fmt.Sprintf("control: unhandled request type %T", r))
 	}
 }
 
