--- a/control/doc.go
+++ b/control/doc.go
@@ -7,4 +7,7 @@
 // until the end of a term. As the home of a request shard it accepts jobs and tracks their tasks.
 // As the owner of a worker partition it queues the attempts of tasks and starts them on the workers
 // of the partition.
+//
+// Durable jobs are recorded in the store. An answer, a job of kind task.Answer, is held only in the
+// memory of the home that accepted it, and its caller waits for the result.
 package control
--- a/control/event.go
+++ b/control/event.go
@@ -186,7 +186,7 @@
 	Result allowance.WriteResult
 }
 
-// DrainRequested starts a planned stop.
+// DrainRequested starts the drain before a planned stop.
 type DrainRequested struct{}
 
 // OwnershipForced is an operator's declaration that the owner and the successors of a unit are
--- a/control/owner.go
+++ b/control/owner.go
@@ -52,11 +52,11 @@
 type partition struct {
 	epoch         uint64
 	acquiredAt    time.Time
-	ready         bool
+	ready         bool // every task that runs on its workers is known
 	capacityKnown bool // every listed worker has reported its capacity since acquiredAt
 }
 
-// workerState is the owner's view of one worker.
+// workerState is the owner's record of one worker.
 type workerState struct {
 	listed        ListedWorker
 	partition     string
