--- a/entry/cell.go
+++ b/entry/cell.go
@@ -18,10 +18,11 @@
 
 // CellHandler handles calls between the instances of a cell.
 type CellHandler interface {
-	// SeeInstance records the address at which an instance accepts advice calls and orders.
+	// SeeInstance records the address at which an instance accepts advice calls and relayed
+	// orders.
 	SeeInstance(p Peer)
 	// Answer handles a request type of package cell, such as cell.Follow or cell.Submit.
-	Answer(ctx context.Context, question any) (cell.Reply, error)
+	Answer(ctx context.Context, request any) (cell.Reply, error)
 	// AskAdvice calls the advice service on behalf of the owner.
 	AskAdvice(ctx context.Context, step string, workers []string) (tickets map[string]string, valid time.Duration, err error)
 	// GiveOrder sends an order of the owner to a worker. It leaves the ID of the outcome unset.
@@ -134,11 +135,11 @@
 
 // callCell makes one call of the Cell service on the shared connection to an instance, and replaces
 // the connection if it appears dead.
-func callCell[Q, R any](ctx context.Context, c *Client, address string, request Q,
-	call func(entrypb.CellClient, context.Context, Q, ...grpc.CallOption) (R, error)) (R, error) {
+func callCell[Request, Reply any](ctx context.Context, c *Client, address string, request Request,
+	call func(entrypb.CellClient, context.Context, Request, ...grpc.CallOption) (Reply, error)) (Reply, error) {
 	peerConn, err := c.connect(membership.Member{Address: address})
 	if err != nil {
-		var zero R
+		var zero Reply
 		return zero, err
 	}
 	reply, err := call(entrypb.NewCellClient(peerConn.grpcConn), ctx, request)
@@ -147,7 +148,8 @@
 }
 
 // FollowOwner announces this instance to the owner at the given address and returns the owner's
-// view of what has changed. It returns a nil view if the instance there is not the owner.
+// view with the changes since f.Since. It returns a nil view if the instance there is not the
+// owner.
 func (c *Client) FollowOwner(ctx context.Context, address string, self Peer, f cell.Follow) (*schedule.View, error) {
 	request := &entrypb.FollowRequest{
 		Instance: f.Instance, Address: self.Address, FailureDomain: self.FailureDomain,
@@ -168,17 +170,17 @@
 func (c *Client) Ask(ctx context.Context, address string, request any) (cell.Reply, error) {
 	var reply *entrypb.CellReply
 	var err error
-	switch q := request.(type) {
+	switch r := request.(type) {
 	case cell.Submit:
 		var record []byte
-		if record, err = job.Encode(q.Job); err != nil {
+		if record, err = job.Encode(r.Job); err != nil {
 			return cell.Reply{}, err
 		}
-		reply, err = callCell(ctx, c, address, &entrypb.SubmitJobRequest{Record: record, Revision: q.Revision}, entrypb.CellClient.SubmitJob)
+		reply, err = callCell(ctx, c, address, &entrypb.SubmitJobRequest{Record: record, Revision: r.Revision}, entrypb.CellClient.SubmitJob)
 	case cell.StateOf:
-		reply, err = callCell(ctx, c, address, &entrypb.JobRequest{Job: string(q.Job)}, entrypb.CellClient.JobState)
+		reply, err = callCell(ctx, c, address, &entrypb.JobRequest{Job: string(r.Job)}, entrypb.CellClient.JobState)
 	case cell.Cancel:
-		reply, err = callCell(ctx, c, address, &entrypb.JobRequest{Job: string(q.Job), Queue: q.Queue, Team: q.Team}, entrypb.CellClient.CancelJob)
+		reply, err = callCell(ctx, c, address, &entrypb.JobRequest{Job: string(r.Job), Queue: r.Queue, Team: r.Team}, entrypb.CellClient.CancelJob)
 	}
 	if err != nil {
 		return cell.Reply{}, err
--- a/entry/client.go
+++ b/entry/client.go
@@ -28,8 +28,8 @@
 	// maxMessageBytes fits a result of the maximum size together with its record.
 	maxMessageBytes = 20 << 20
 	// A connection that receives nothing for keepaliveTime is probed with a keepalive ping and
-	// closed if there is no response within keepaliveTimeout. Timed-out calls replace a dead
-	// connection earlier.
+	// closed if there is no response within keepaliveTimeout. A connection with maxTimeouts
+	// timed-out calls is replaced before that.
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 3 * time.Second
 	dialTimeout      = time.Second
@@ -89,7 +89,7 @@
 	reply, err := entrypb.NewEntryClient(peerConn.grpcConn).Timeline(ctx, &entrypb.TimelineRequest{Task: task, Team: team, Since: encodeTime(since)})
 	c.recordResult(to.Address, peerConn, err)
 	if err != nil {
-		return nil, eris.Wrapf(err, "timeline of %s", to.Address)
+		return nil, eris.Wrapf(err, "fetch the timeline of %s", to.Address)
 	}
 	return reply.GetEvents(), nil
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -28,14 +28,14 @@
 	ID      uint64
 	Verdict schedule.Verdict
 	Clock   time.Duration // reading of the worker's clock; this and the following fields are set for a Hold
-	Born    int64
+	Born    int64         // incarnation of the worker
 	Running []schedule.RunReport
 	Ended   []schedule.EndReport
 }
 
 const (
-	// outcomeQueueSize bounds the outcomes that wait to be sent on the stream. A few relays may
-	// have to handle hundreds of starts at once.
+	// outcomeQueueSize is the capacity of the queue of outcomes to be sent on a stream. A few relays
+	// may have to handle hundreds of starts at once.
 	outcomeQueueSize = 1024
 	// maxRelayBatch is the maximum number of orders or outcomes in one message.
 	maxRelayBatch = 64
@@ -123,7 +123,7 @@
 				return streamError(err)
 			}
 			if len(request.GetOrders()) == 0 {
-				sendOrCancel(ctx, outcomes, nil)
+				sendUnlessDone(ctx, outcomes, nil)
 			}
 			for _, o := range request.GetOrders() {
 				order, err := decodeRelayOrder(o)
@@ -131,11 +131,11 @@
 					return err // the owner logs the error and sends its orders directly
 				}
 				go func() {
-					call, cancel := context.WithTimeout(ctx, order.Timeout)
+					orderCtx, cancel := context.WithTimeout(ctx, order.Timeout)
 					defer cancel()
-					outcome := s.handler.GiveOrder(call, order)
+					outcome := s.handler.GiveOrder(orderCtx, order)
 					outcome.ID = order.ID
-					sendOrCancel(ctx, outcomes, &outcome)
+					sendUnlessDone(ctx, outcomes, &outcome)
 				}()
 			}
 		}
@@ -146,7 +146,8 @@
 	return nil
 }
 
-func sendOrCancel[T any](ctx context.Context, to chan<- *T, value *T) {
+// sendUnlessDone sends a value, or discards it if ctx is done before the channel accepts it.
+func sendUnlessDone[T any](ctx context.Context, to chan<- *T, value *T) {
 	select {
 	case to <- value:
 	case <-ctx.Done():
@@ -239,14 +240,14 @@
 		for _, r := range o.GetRunning() {
 			key, err := job.ParseTaskKey(r.GetTask())
 			if err != nil {
-				return nil, eris.Wrap(err, "running task in a relayed report")
+				return nil, eris.Wrap(err, "invalid running task in relayed report")
 			}
 			out.Running = append(out.Running, schedule.RunReport{Task: key, Run: int(r.GetRun()), Checkpoint: r.GetCheckpoint(), Percent: int(r.GetPercent())})
 		}
 		for _, e := range o.GetEnded() {
 			key, err := job.ParseTaskKey(e.GetTask())
 			if err != nil {
-				return nil, eris.Wrap(err, "ended task in a relayed report")
+				return nil, eris.Wrap(err, "invalid ended task in relayed report")
 			}
 			out.Ended = append(out.Ended, schedule.EndReport{Number: e.GetNumber(), Task: key, Run: int(e.GetRun()), How: schedule.Ending(e.GetHow()), Checkpoint: e.GetCheckpoint()})
 		}
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -64,8 +64,8 @@
 	}()
 	for i := range orders {
 		queue <- &orders[i]
-		if seen := <-handler.received; !reflect.DeepEqual(seen, orders[i]) {
-			t.Errorf("the relay received %+v, want %+v", seen, orders[i])
+		if got := <-handler.received; !reflect.DeepEqual(got, orders[i]) {
+			t.Errorf("the relay received %+v, want %+v", got, orders[i])
 		}
 		want := handler.outcome
 		want.ID = orders[i].ID
