--- a/cmd/mulberryctl/main_test.go
+++ b/cmd/mulberryctl/main_test.go
@@ -214,7 +214,7 @@
 		"document.jsonc": {"{\"team\": \"pipes\",\n \"limit\": 1}", ":2:11: limit: found 1; allowed: an object with cpu_milli"},
 		"settings.jsonc": {"{\"instance\": \"a\",\n \"task_lease\": \"x\"}", `:2:16: task_lease: found "x"; allowed: a duration`},
 		"other.jsonc":    {`{"colour": 1}`, ":1:1: the file is neither settings nor a document; allowed: "},
-		"broken.jsonc":   {"{\"team\":\n", ":2:1: the text ends before the value does"},
+		"broken.jsonc":   {"{\"team\":\n", ":2:1: unexpected end of input"},
 	} {
 		path := write(name, c.text)
 		if code, out, _ := run("", "config", "check", good, path); code != 1 || !strings.Contains(out, path+c.want) {
--- a/jsonc/decode.go
+++ b/jsonc/decode.go
@@ -13,20 +13,20 @@
 	"github.com/tailscale/hujson"
 )
 
-// Comments says whether a source text may have comments and trailing commas.
+// Comments states whether a source text may contain comments and trailing commas.
 type Comments bool
 
-// The two dialects.
+// The two values of Comments.
 const (
 	WithComments    Comments = true
 	WithoutComments Comments = false
 )
 
-// Decode reads src into the struct that into points to. Unknown and duplicate
-// names, null and values of another type are faults; all of them are returned.
-// Durations are written as "9s", times as RFC 3339 and bytes as base64. Fields
-// that src does not name keep their value.
-func Decode(src []byte, into any, comments Comments) (*Positions, []Fault) {
+// Decode decodes src into the struct that target points to. Unknown and duplicate
+// names, null and values of the wrong type are faults; all of them are returned.
+// Durations are written as "9s", times in RFC 3339 and bytes in base64. Fields
+// that are absent from src keep their value.
+func Decode(src []byte, target any, comments Comments) (*Positions, []Fault) {
 	d := decoder{positions: newPositions(src)}
 	if fault, ok := checkNesting(d.positions); !ok {
 		return d.positions, []Fault{fault}
@@ -36,16 +36,16 @@
 		return d.positions, []Fault{syntaxFault(d.positions, err)}
 	}
 	if comments == WithoutComments && !root.IsStandard() {
-		d.fault(0, "", "comments and trailing commas are not allowed here", "standard JSON")
+		d.addFault(0, "", "comments and trailing commas are not allowed here", "standard JSON")
 		return d.positions, d.faults
 	}
 	_, d.positions.isObject = root.Value.(*hujson.Object)
-	d.value(root, "", reflect.ValueOf(into).Elem())
+	d.value(root, "", reflect.ValueOf(target).Elem())
 	return d.positions, d.faults
 }
 
-// syntaxFault takes the position out of an error of hujson, which states it
-// only in its text.
+// syntaxFault converts an error of hujson. The position is parsed from the error
+// text, because the error has no field for it.
 func syntaxFault(p *Positions, err error) Fault {
 	text := strings.TrimPrefix(err.Error(), "hujson: ")
 	fault := Fault{Line: 1, Column: 1, Message: text, Allowed: "one JSON object"}
@@ -55,7 +55,7 @@
 	}
 	_, message, _ := strings.Cut(text, ": ")
 	if strings.Contains(message, "parsing value: unexpected EOF") || strings.HasSuffix(message, "unexpected EOF") {
-		message = "the text ends before the value does"
+		message = "unexpected end of input"
 	}
 	fault.Line, fault.Column, fault.Message = line, column, message
 	return fault
@@ -66,7 +66,7 @@
 	faults    []Fault
 }
 
-func (d *decoder) fault(offset int, path, message, allowed string) {
+func (d *decoder) addFault(offset int, path, message, allowed string) {
 	d.faults = append(d.faults, d.positions.faultAt(offset, path, message, allowed))
 }
 
@@ -78,11 +78,11 @@
 func (d *decoder) value(v hujson.Value, path string, to reflect.Value) {
 	d.positions.offsets[path] = v.StartOffset
 	if literal, ok := v.Value.(hujson.Literal); ok && literal.Kind() == 'n' {
-		d.fault(v.StartOffset, path, "null is not allowed", "leave the field out, or "+describe(to.Type()))
+		d.addFault(v.StartOffset, path, "null is not allowed", "leave the field out, or "+describe(to.Type()))
 		return
 	}
 	if text, ok := to.Addr().Interface().(encoding.TextUnmarshaler); ok {
-		d.text(v, path, to.Type(), text)
+		d.textValue(v, path, to.Type(), text)
 		return
 	}
 	switch {
@@ -112,19 +112,19 @@
 	seen := make(map[string]int)
 	for _, member := range object.Members {
 		name := member.Name.Value.(hujson.Literal).String()
-		at := fieldPath(path, name)
-		if first, twice := seen[name]; twice {
+		memberPath := fieldPath(path, name)
+		if first, duplicate := seen[name]; duplicate {
 			line, _ := lineColumn(d.positions.src, first)
-			d.fault(member.Name.StartOffset, at, fmt.Sprintf("the name stands twice, first on line %d", line), "each name once")
+			d.addFault(member.Name.StartOffset, memberPath, fmt.Sprintf("duplicate name, first on line %d", line), "each name once")
 			continue
 		}
 		seen[name] = member.Name.StartOffset
 		index, known := fields[name]
 		if !known {
-			d.fault(member.Name.StartOffset, at, "unknown field", strings.Join(names, ", "))
+			d.addFault(member.Name.StartOffset, memberPath, "unknown field", strings.Join(names, ", "))
 			continue
 		}
-		d.value(member.Value, at, to.Field(index))
+		d.value(member.Value, memberPath, to.Field(index))
 	}
 }
 
@@ -166,7 +166,7 @@
 	}
 }
 
-func (d *decoder) text(v hujson.Value, path string, t reflect.Type, to encoding.TextUnmarshaler) {
+func (d *decoder) textValue(v hujson.Value, path string, t reflect.Type, to encoding.TextUnmarshaler) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '"' || to.UnmarshalText([]byte(literal.String())) != nil {
 		d.mismatch(v, path, t)
@@ -187,8 +187,9 @@
 	to.SetInt(int64(parsed))
 }
 
-// bytes decodes text without escapes, such as nearly every payload, in place:
-// unquoting it first took half of the time of a submission of a megabyte.
+// bytes decodes a literal without escapes directly from the source. Nearly every
+// payload has none, and unquoting it first took half of the time of a submission
+// of 1 MB.
 func (d *decoder) bytes(v hujson.Value, path string, to reflect.Value) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '"' {
@@ -208,11 +209,11 @@
 }
 
 func (d *decoder) mismatch(v hujson.Value, path string, want reflect.Type) {
-	d.fault(v.StartOffset, path, "found "+describeValue(v), describe(want))
+	d.addFault(v.StartOffset, path, "found "+describeValue(v), describe(want))
 }
 
-// fieldsOf returns the index of each field of struct type t by its name in
-// JSON, and the names in the order of the struct.
+// fieldsOf returns the index of each field of struct type t by its JSON name, and
+// the names in declaration order.
 func fieldsOf(t reflect.Type) (map[string]int, []string) {
 	index := make(map[string]int, t.NumField())
 	var names []string
@@ -227,7 +228,7 @@
 	return index, names
 }
 
-// FieldName returns the name of f in JSON, or "" where f has none.
+// FieldName returns the JSON name of f, or "" if f is not decoded.
 func FieldName(f reflect.StructField) string {
 	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
 	if name == "-" || !f.IsExported() {
--- a/jsonc/decode_test.go
+++ b/jsonc/decode_test.go
@@ -28,15 +28,15 @@
 	Plain int
 }
 
-// TestFaultsHavePositions guards against a fault without its line and column,
-// and against a value that is taken though it is wrong.
+// TestFaultsHavePositions guards against a fault with a wrong line or column, and
+// against an invalid value being accepted.
 func TestFaultsHavePositions(t *testing.T) {
 	cases := []struct{ name, src, want string }{
 		{"unknown field", "{\n  \"nam\": 1}", "2:3: nam: unknown field; allowed: name, wait, share, open, data, at, inner, maybe, many"},
 		{"other case", `{"Name": "a"}`, "1:2: Name: unknown field"},
 		{"field without a tag", `{"Plain": 1}`, "1:2: Plain: unknown field"},
-		{"duplicate name", "{\"name\":\"a\",\n\"name\":\"b\"}", "2:1: name: the name stands twice, first on line 1; allowed: each name once"},
-		{"duplicate name by escape", `{"name":"a","n\u0061me":"b"}`, "1:13: name: the name stands twice"},
+		{"duplicate name", "{\"name\":\"a\",\n\"name\":\"b\"}", "2:1: name: duplicate name, first on line 1; allowed: each name once"},
+		{"duplicate name by escape", `{"name":"a","n\u0061me":"b"}`, "1:13: name: duplicate name, first on line 1"},
 		{"null", `{"name": null}`, "1:10: name: null is not allowed; allowed: leave the field out, or a string"},
 		{"number for a string", `{"name": 7}`, "1:10: name: found 7; allowed: a string"},
 		{"fraction for a whole number", `{"inner": {"count": 1.5}}`, "1:21: inner.count: found 1.5; allowed: a whole number"},
@@ -46,9 +46,9 @@
 		{"second element", "{\"many\": [{},\n {\"count\": \"x\"}]}", "2:12: many[1].count: found \"x\""},
 		{"column in characters", `{"name": "é", "open": 1}`, "1:23: open: found 1; allowed: true or false"},
 		{"no object", `[]`, "1:1: found an array; allowed: an object with name"},
-		{"cut off", `{"name": "a"`, "1:13: the text ends before the value does"},
-		{"empty", ``, "1:1: the text ends before the value does"},
-		{"nested too deep", `{"many": ` + strings.Repeat("[", 40), "1:41: values are nested too deep; allowed: at most 32 levels"},
+		{"truncated", `{"name": "a"`, "1:13: unexpected end of input"},
+		{"empty", ``, "1:1: unexpected end of input"},
+		{"nested too deep", `{"many": ` + strings.Repeat("[", 40), "1:41: values are nested too deeply; allowed: at most 32 levels"},
 	}
 	for _, c := range cases {
 		var into outer
@@ -59,8 +59,8 @@
 	}
 }
 
-// TestBytes guards against escapes in base64 being taken literally, and against
-// wrong base64 being taken.
+// TestBytes guards against escapes in base64 being read literally, and against
+// invalid base64 being accepted.
 func TestBytes(t *testing.T) {
 	for src, want := range map[string]string{`"aGk="`: "hi", `"\u0061Gk\u003d"`: "hi", `""`: "", `"aGk"`: "fault", `"a*"`: "fault"} {
 		var into outer
@@ -71,34 +71,36 @@
 	}
 }
 
-// TestNestingIgnoresStringsAndComments guards against brackets in text being
-// counted, and against quotes in comments hiding brackets.
+// TestNestingIgnoresStringsAndComments guards against brackets in strings and
+// comments being counted, and against quotes in comments hiding brackets.
 func TestNestingIgnoresStringsAndComments(t *testing.T) {
-	many := strings.Repeat("[", 100)
+	brackets := strings.Repeat("[", 100)
 	for _, src := range []string{
-		`{"name": "\"` + many + `"}`,
-		"{ // \"" + many + "\n \"name\": \"a\" /* \" " + many + " */ }",
+		`{"name": "\"` + brackets + `"}`,
+		"{ // \"" + brackets + "\n \"name\": \"a\" /* \" " + brackets + " */ }",
 	} {
 		var into outer
 		if _, faults := Decode([]byte(src), &into, WithComments); len(faults) > 0 {
 			t.Errorf("%s: %v", src, faults)
 		}
 	}
-	_, faults := Decode([]byte("// \"\n"+many), &outer{}, WithComments)
+	_, faults := Decode([]byte("// \"\n"+brackets), &outer{}, WithComments)
 	if len(faults) != 1 || faults[0].Line != 2 {
 		t.Errorf("brackets after a quote in a comment: %v", faults)
 	}
 }
 
-// TestEveryFaultIsReported guards against a file that is mended fault by fault.
-func TestEveryFaultIsReported(t *testing.T) {
+// TestReportsEveryFault guards against only the first fault of a file being
+// reported, so that it has to be corrected fault by fault.
+func TestReportsEveryFault(t *testing.T) {
 	_, faults := Decode([]byte(`{"name": 1, "wait": 2, "inner": {"x": 3}}`), &outer{}, WithComments)
 	if len(faults) != 3 {
 		t.Errorf("faults = %v, want 3", faults)
 	}
 }
 
-// TestMarshalRoundTrip guards against Marshal writing what Decode does not read.
+// TestMarshalRoundTrip guards against Marshal writing text that Decode rejects or
+// decodes to another value.
 func TestMarshalRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		in := inner{Count: rapid.Int64().Draw(t, "count"), Tags: rapid.SliceOfN(rapid.String(), 1, 3).Draw(t, "tags")}
@@ -129,8 +131,8 @@
 	})
 }
 
-// FuzzDecode compares with encoding/json: what Decode takes as standard JSON,
-// encoding/json takes with the same values.
+// FuzzDecode compares Decode with encoding/json, which must decode everything that
+// Decode accepts as standard JSON to the same values.
 func FuzzDecode(f *testing.F) {
 	for _, seed := range []string{
 		`{"count": 3, "tags": ["a", "\u00e9\ud800"]}`, `{"count": -0}`, `{"tags": []}`, `{}`, ``, `{"count": 1e3}`,
@@ -153,7 +155,7 @@
 			t.Errorf("%q: got %+v, encoding/json %+v, %v", src, got, want, err)
 		}
 		if !positions.IsObject() {
-			t.Errorf("%q was taken and is no object", src)
+			t.Errorf("%q was accepted but is not an object", src)
 		}
 	})
 }
--- a/jsonc/describe.go
+++ b/jsonc/describe.go
@@ -10,10 +10,10 @@
 	"github.com/tailscale/hujson"
 )
 
-// Described is a type that says in words which values it takes.
+// Described is implemented by types that describe the values they accept.
 type Described interface{ Describe() string }
 
-// describe says in words which values t takes.
+// describe returns a description of the values that t accepts.
 func describe(t reflect.Type) string {
 	if described, ok := reflect.New(t).Interface().(Described); ok {
 		return described.Describe()
@@ -45,8 +45,8 @@
 	}
 }
 
-// shownBytes bounds how much of a wrong value is repeated in a fault.
-const shownBytes = 40
+// maxShownBytes limits how much of an invalid value is quoted in a fault.
+const maxShownBytes = 40
 
 func describeValue(v hujson.Value) string {
 	switch value := v.Value.(type) {
@@ -55,16 +55,16 @@
 	case *hujson.Array:
 		return "an array"
 	case hujson.Literal:
-		return clip(string(value))
+		return truncate(string(value))
 	}
 	return "no value"
 }
 
-func clip(s string) string {
-	if len(s) <= shownBytes {
+func truncate(s string) string {
+	if len(s) <= maxShownBytes {
 		return s
 	}
-	end := shownBytes
+	end := maxShownBytes
 	for end > 0 && !utf8.RuneStart(s[end]) {
 		end--
 	}
--- a/jsonc/doc.go
+++ b/jsonc/doc.go
@@ -1,4 +1,4 @@
-// Package jsonc decodes JSON with comments strictly and reports every fault
-// with its line and column. Documents, settings and the bodies of requests are
-// all read with it, so that each of them is refused for the same reasons.
+// Package jsonc strictly decodes JSON with comments and reports every fault with
+// its line and column. It decodes documents, settings and request bodies, so that
+// the same rules apply to all of them.
 package jsonc
--- a/jsonc/encode.go
+++ b/jsonc/encode.go
@@ -14,14 +14,14 @@
 	if err != nil {
 		return nil, err
 	}
-	out, err := json.MarshalIndent(plain, "", "  ")
+	encoded, err := json.MarshalIndent(plain, "", "  ")
 	if err != nil {
 		return nil, fmt.Errorf("encode %T: %w", v, err)
 	}
-	return append(out, '\n'), nil
+	return append(encoded, '\n'), nil
 }
 
-// plainValue returns v with each duration replaced by its text.
+// plainValue returns v in a form for encoding/json, with each duration as text.
 func plainValue(v reflect.Value) (any, error) {
 	switch {
 	case v.Type() == durationType:
@@ -53,10 +53,10 @@
 	return elements, nil
 }
 
-// plainStruct keeps the order of the fields, which a map would lose.
+// plainStruct encodes the fields in declaration order, which a map would not keep.
 func plainStruct(v reflect.Value) (any, error) {
-	var out []byte
-	out = append(out, '{')
+	var encoded []byte
+	encoded = append(encoded, '{')
 	for i := range v.NumField() {
 		field := v.Type().Field(i)
 		name := FieldName(field)
@@ -71,13 +71,13 @@
 		if err != nil {
 			return nil, fmt.Errorf("encode field %s: %w", name, err)
 		}
-		if len(out) > 1 {
-			out = append(out, ',')
+		if len(encoded) > 1 {
+			encoded = append(encoded, ',')
 		}
-		out = append(append(append(out, '"'), name...), `":`...)
-		out = append(out, value...)
+		encoded = append(append(append(encoded, '"'), name...), `":`...)
+		encoded = append(encoded, value...)
 	}
-	return json.RawMessage(append(out, '}')), nil
+	return json.RawMessage(append(encoded, '}')), nil
 }
 
 func omitsEmpty(f reflect.StructField) bool {
--- a/jsonc/fault.go
+++ b/jsonc/fault.go
@@ -7,16 +7,16 @@
 	"unicode/utf8"
 )
 
-// Fault is one thing that is wrong with a source text.
+// Fault is one error in a source text.
 type Fault struct {
-	Line    int    `json:"line"`              // from 1
-	Column  int    `json:"column"`            // in characters, from 1
+	Line    int    `json:"line"`              // starting at 1
+	Column  int    `json:"column"`            // in characters, starting at 1
 	Path    string `json:"path,omitempty"`    // such as classes[2].max_run
 	Message string `json:"message"`           // what is wrong
 	Allowed string `json:"allowed,omitempty"` // what is allowed instead
 }
 
-// String returns the fault as LINE:COLUMN: path: message; allowed: values.
+// String formats the fault as "LINE:COLUMN: path: message; allowed: values".
 func (f Fault) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%d:%d: ", f.Line, f.Column)
@@ -30,10 +30,10 @@
 	return b.String()
 }
 
-// Positions knows where each value of a source text starts.
+// Positions holds the position of each value in a source text.
 type Positions struct {
 	src      []byte
-	offsets  map[string]int
+	offsets  map[string]int // start of each value, by path
 	isObject bool
 }
 
@@ -41,8 +41,8 @@
 	return &Positions{src: src, offsets: map[string]int{"": 0}}
 }
 
-// IsObject reports whether the source text holds an object, so that its fields
-// can be checked.
+// IsObject reports whether the source text is an object, whose fields can be
+// checked.
 func (p *Positions) IsObject() bool { return p.isObject }
 
 // Has reports whether the source text has a value at path.
@@ -51,14 +51,14 @@
 	return ok
 }
 
-// Fault returns a fault at the value at path, or at the nearest enclosing value
-// where the source text has none at path.
+// Fault returns a fault with the position of the value at path, or of the nearest
+// enclosing value if the source text has no value at path.
 func (p *Positions) Fault(path, message, allowed string) Fault {
-	at := path
-	for !p.Has(at) {
-		at = parentPath(at)
+	nearest := path
+	for !p.Has(nearest) {
+		nearest = parentPath(nearest)
 	}
-	return p.faultAt(p.offsets[at], path, message, allowed)
+	return p.faultAt(p.offsets[nearest], path, message, allowed)
 }
 
 func (p *Positions) faultAt(offset int, path, message, allowed string) Fault {
--- a/jsonc/names.go
+++ b/jsonc/names.go
@@ -2,8 +2,8 @@
 
 import "github.com/tailscale/hujson"
 
-// TopLevelNames returns the names in the object that src holds, or none where
-// src does not parse. They tell the kinds of files apart.
+// TopLevelNames returns the field names of the object in src, or nil if src does
+// not parse or is not an object. The names distinguish settings from documents.
 func TopLevelNames(src []byte) []string {
 	if _, ok := checkNesting(newPositions(src)); !ok {
 		return nil
--- a/jsonc/nesting.go
+++ b/jsonc/nesting.go
@@ -5,12 +5,13 @@
 	"fmt"
 )
 
-// maxNesting bounds objects and arrays within each other. The parser recurses
-// once per level, so a megabyte of brackets would otherwise take a stack of
+// maxNesting limits the nesting depth of objects and arrays. The parser recurses
+// once per level, so a megabyte of brackets would otherwise need a stack of
 // hundreds of megabytes.
 const maxNesting = 32
 
-// checkNesting finds a value that is nested too deep without recursion.
+// checkNesting scans the source text without recursion and returns a fault and
+// false if a value is nested too deeply.
 func checkNesting(p *Positions) (Fault, bool) {
 	src, depth := p.src, 0
 	for i := 0; i < len(src); i++ {
@@ -25,13 +26,13 @@
 			depth--
 		}
 		if depth > maxNesting {
-			return p.faultAt(i, "", "values are nested too deep", fmt.Sprintf("at most %d levels", maxNesting)), false
+			return p.faultAt(i, "", "values are nested too deeply", fmt.Sprintf("at most %d levels", maxNesting)), false
 		}
 	}
 	return Fault{}, true
 }
 
-// skipString returns the index of the quote that ends the string at i.
+// skipString returns the index of the closing quote of the string that starts at i.
 func skipString(src []byte, i int) int {
 	for i++; i < len(src) && src[i] != '"'; i++ {
 		if src[i] == '\\' {
@@ -41,8 +42,8 @@
 	return i
 }
 
-// skipComment returns the index of the last byte of the comment at i, or i if
-// none starts there.
+// skipComment returns the index of the last byte of the comment that starts at i,
+// or i if no comment starts there.
 func skipComment(src []byte, i int) int {
 	rest := src[i:]
 	var end []byte
