--- a/document/class.go
+++ b/document/class.go
@@ -7,34 +7,34 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Bounds of a class.
+// Limits of the fields of a class.
 const (
 	maxCrossRegionWait = time.Hour
-	maxAnswerRun       = 15 * time.Minute // a caller waits on an open connection
+	maxAnswerRun       = 15 * time.Minute // the caller waits on an open connection
 	maxBatchRun        = 30 * 24 * time.Hour
-	maxMaxCount        = 10_000
+	maxTasksPerJob     = 10_000
 	maxClasses         = 200
 	maxCommandBytes    = 4096
-	maxAmount          = 1 << 40 // keeps sums over the fleet far below the largest int64
+	maxAmount          = 1 << 40 // keeps sums over the fleet far from an int64 overflow
 )
 
 func (c checker) classes(d *Document) {
 	if len(d.Classes) == 0 || len(d.Classes) > maxClasses {
 		c.Add("classes", fmt.Sprintf("the service has %d classes", len(d.Classes)), fmt.Sprintf("1 to %d classes", maxClasses))
 	}
-	first := make(map[string]int)
+	firstIndex := make(map[string]int)
 	for i := range d.Classes {
 		path := fmt.Sprintf("classes[%d]", i)
 		class := &d.Classes[i]
-		if at, twice := first[class.Name]; twice && class.Name != "" {
-			line := c.Fault(fmt.Sprintf("classes[%d].name", at), "", "").Line
-			c.Add(path+".name", fmt.Sprintf("%q stands twice, first on line %d", clip(class.Name), line), "each class name once")
+		if firstAt, duplicate := firstIndex[class.Name]; duplicate && class.Name != "" {
+			line := c.Fault(fmt.Sprintf("classes[%d].name", firstAt), "", "").Line
+			c.Add(path+".name", fmt.Sprintf("duplicate class name %q, first on line %d", truncate(class.Name), line), "each class name once")
 		} else {
-			first[class.Name] = i
+			firstIndex[class.Name] = i
 		}
 		c.class(path, class)
 		if d.Open && len(class.MaySubmit) > 0 {
-			c.Add(path+".may_submit", "an open queue takes work without a key, so no role can be asked for",
+			c.Add(path+".may_submit", "an open queue accepts work without a key, so it cannot require a role",
 				"open: false, or a class without may_submit")
 		}
 	}
@@ -42,11 +42,11 @@
 
 func (c checker) class(path string, class *Class) {
 	c.name(path+".name", class.Name)
-	c.oneOf(path+".kind", string(class.Kind), textsOf(task.Kinds))
+	c.oneOf(path+".kind", string(class.Kind), stringsOf(task.Kinds))
 	if !c.Has(path + ".urgency") {
 		class.Urgency = task.Normal
 	}
-	c.oneOf(path+".urgency", string(class.Urgency), textsOf(task.Urgencies))
+	c.oneOf(path+".urgency", string(class.Urgency), stringsOf(task.Urgencies))
 	c.size(path, class)
 	c.count(path, class)
 	c.run(path, class)
@@ -63,10 +63,10 @@
 	}
 	c.amounts(path+".size", class.Size)
 	class.Size.Connections = max(class.Size.Connections, 0)
-	occupying := class.Size
-	occupying.Connections = 0
-	if occupying.IsZero() {
-		c.Add(path+".size", "a task of this size occupies nothing, so any number would fit on a worker",
+	withoutConnections := class.Size
+	withoutConnections.Connections = 0
+	if withoutConnections.IsZero() {
+		c.Add(path+".size", "a task of this size occupies no capacity, so any number of tasks would fit on a worker",
 			"more than 0 of at least one of cpu_milli, memory_mb, accelerators, slots")
 	}
 	if !c.Has(path + ".max_size") {
@@ -75,8 +75,8 @@
 	}
 	c.amounts(path+".max_size", class.MaxSize)
 	for _, a := range amountsOf(class.MaxSize) {
-		if size := a.of(class.Size); a.value < size {
-			c.Add(path+".max_size."+a.name, fmt.Sprintf("the amount %d is less than that in size", a.value), fmt.Sprintf("%d or more", size))
+		if size := a.get(class.Size); a.value < size {
+			c.Add(path+".max_size."+a.name, fmt.Sprintf("the amount %d is less than the amount in size", a.value), fmt.Sprintf("%d or more", size))
 		}
 	}
 }
@@ -85,53 +85,53 @@
 	if !c.Has(path + ".max_count") {
 		class.MaxCount = defaultMaxCount
 	}
-	least := 1
+	minCount := 1
 	if class.Kind == task.Gang {
-		least = 2
+		minCount = 2
 	}
-	if class.MaxCount < least || class.MaxCount > maxMaxCount {
-		c.Add(path+".max_count", fmt.Sprintf("the count is %d", class.MaxCount), fmt.Sprintf("%d to %d tasks in a job of kind %s", least, maxMaxCount, class.Kind))
+	if class.MaxCount < minCount || class.MaxCount > maxTasksPerJob {
+		c.Add(path+".max_count", fmt.Sprintf("the count is %d", class.MaxCount), fmt.Sprintf("%d to %d tasks in a job of kind %s", minCount, maxTasksPerJob, class.Kind))
 	}
 }
 
 func (c checker) run(path string, class *Class) {
-	at := path + ".max_run"
+	maxRunPath := path + ".max_run"
 	switch {
-	case class.Kind == task.LongLived && c.Has(at):
-		c.Add(at, "a long-lived service runs until it is cancelled", "leave the field out for kind service")
+	case class.Kind == task.LongLived && c.Has(maxRunPath):
+		c.Add(maxRunPath, "a long-lived service runs until it is cancelled", "leave the field out for kind service")
 	case class.Kind == task.LongLived:
-	case !c.Has(at):
-		c.Add(at, "the field is missing", `a duration such as "9s" for every kind but service`)
+	case !c.Has(maxRunPath):
+		c.Add(maxRunPath, "the field is missing", `a duration such as "9s" for every kind but service`)
 	case class.Kind == task.Answer:
-		c.duration(at, class.MaxRun, time.Millisecond, maxAnswerRun)
+		c.duration(maxRunPath, class.MaxRun, time.Millisecond, maxAnswerRun)
 	default:
-		c.duration(at, class.MaxRun, time.Millisecond, maxBatchRun)
+		c.duration(maxRunPath, class.MaxRun, time.Millisecond, maxBatchRun)
 	}
 }
 
-func (c checker) duration(path string, value, least, most time.Duration) {
-	if value < least || value > most {
-		c.Add(path, fmt.Sprintf("the duration is %s", value), fmt.Sprintf("%s to %s", least, most))
+func (c checker) duration(path string, value, shortest, longest time.Duration) {
+	if value < shortest || value > longest {
+		c.Add(path, fmt.Sprintf("the duration is %s", value), fmt.Sprintf("%s to %s", shortest, longest))
 	}
 }
 
-// amount is one resource of a task.Resources, by its name in documents.
+// amount is the amount of one resource in a task.Resources.
 type amount struct {
-	name  string
+	name  string // as in documents
 	value int64
-	of    func(task.Resources) int64
+	get   func(task.Resources) int64
 }
 
 func amountsOf(r task.Resources) []amount {
 	amounts := []amount{
-		{name: "cpu_milli", of: func(r task.Resources) int64 { return r.CPUMilli }},
-		{name: "memory_mb", of: func(r task.Resources) int64 { return r.MemoryMB }},
-		{name: "accelerators", of: func(r task.Resources) int64 { return r.Accelerators }},
-		{name: "slots", of: func(r task.Resources) int64 { return r.Slots }},
-		{name: "connections", of: func(r task.Resources) int64 { return r.Connections }},
+		{name: "cpu_milli", get: func(r task.Resources) int64 { return r.CPUMilli }},
+		{name: "memory_mb", get: func(r task.Resources) int64 { return r.MemoryMB }},
+		{name: "accelerators", get: func(r task.Resources) int64 { return r.Accelerators }},
+		{name: "slots", get: func(r task.Resources) int64 { return r.Slots }},
+		{name: "connections", get: func(r task.Resources) int64 { return r.Connections }},
 	}
 	for i := range amounts {
-		amounts[i].value = amounts[i].of(r)
+		amounts[i].value = amounts[i].get(r)
 	}
 	return amounts
 }
--- a/document/complete.go
+++ b/document/complete.go
@@ -9,14 +9,14 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Complete returns spec with what the document decides: kind, urgency, command,
-// and the size and regions that the submission leaves out. It refuses what the
-// document does not allow for a key with this role, or on an open queue for no
-// key at all.
+// Complete returns spec with the fields that the document defines: kind, urgency,
+// command, and the size and regions that the submission omits. It returns an error
+// for a submission that the document does not allow for a key with this role. The
+// role is empty for a submission without a key, which an open queue accepts.
 func (d Document) Complete(spec task.Spec, role string) (task.Spec, *errkind.Error) {
 	class, ok := d.Class(spec.Class)
 	if !ok {
-		return spec, errkind.New(errkind.UnknownClass, "service %s/%s has no class %q", d.Team, d.Service, clip(spec.Class)).
+		return spec, errkind.New(errkind.UnknownClass, "service %s/%s has no class %q", d.Team, d.Service, truncate(spec.Class)).
 			WithField("class", strings.Join(d.classNames(), ", "))
 	}
 	if len(class.MaySubmit) > 0 && !slices.Contains(class.MaySubmit, role) {
@@ -28,10 +28,10 @@
 		spec.Count = 1
 	}
 	if spec.Count < 0 || spec.Count > class.MaxCount {
-		return spec, refuse("count", fmt.Sprintf("a job of class %s cannot have %d tasks", class.Name, spec.Count), fmt.Sprintf("1 to %d", class.MaxCount))
+		return spec, invalidRequest("count", fmt.Sprintf("a job of class %s cannot have %d tasks", class.Name, spec.Count), fmt.Sprintf("1 to %d", class.MaxCount))
 	}
 	if class.MaxRun > 0 && spec.DeclaredRun > class.MaxRun {
-		return spec, refuse("declared_run", fmt.Sprintf("a task of class %s cannot run for %s", class.Name, spec.DeclaredRun), "at most "+class.MaxRun.String())
+		return spec, invalidRequest("declared_run", fmt.Sprintf("a task of class %s cannot run for %s", class.Name, spec.DeclaredRun), "at most "+class.MaxRun.String())
 	}
 	if err := completeSize(&spec, class); err != nil {
 		return spec, err
@@ -39,26 +39,27 @@
 	return spec, d.completeRegions(&spec)
 }
 
-func refuse(field, message, limit string) *errkind.Error {
+func invalidRequest(field, message, limit string) *errkind.Error {
 	return errkind.New(errkind.InvalidRequest, "%s", message).WithField(field, limit)
 }
 
-// completeSize takes each amount that the submission leaves out from the class.
+// completeSize checks the requested amounts against the class and sets those that
+// the submission omits to the amounts of the class.
 func completeSize(spec *task.Spec, class Class) *errkind.Error {
 	for _, a := range amountsOf(spec.Size) {
-		if most := a.of(class.MaxSize); a.value < 0 || a.value > most {
-			return refuse("size."+a.name, fmt.Sprintf("a task of class %s cannot have %d", class.Name, a.value), fmt.Sprintf("0 to %d", most))
+		if limit := a.get(class.MaxSize); a.value < 0 || a.value > limit {
+			return invalidRequest("size."+a.name, fmt.Sprintf("a task of class %s cannot have %d", class.Name, a.value), fmt.Sprintf("0 to %d", limit))
 		}
 	}
-	for _, amount := range []struct{ asked, fallback *int64 }{
+	for _, amount := range []struct{ requested, fallback *int64 }{
 		{&spec.Size.CPUMilli, &class.Size.CPUMilli},
 		{&spec.Size.MemoryMB, &class.Size.MemoryMB},
 		{&spec.Size.Accelerators, &class.Size.Accelerators},
 		{&spec.Size.Slots, &class.Size.Slots},
 		{&spec.Size.Connections, &class.Size.Connections},
 	} {
-		if *amount.asked == 0 {
-			*amount.asked = *amount.fallback
+		if *amount.requested == 0 {
+			*amount.requested = *amount.fallback
 		}
 	}
 	return nil
@@ -71,7 +72,7 @@
 	}
 	for _, region := range spec.Regions {
 		if len(d.Regions) > 0 && !slices.Contains(d.Regions, region) {
-			return refuse("regions", fmt.Sprintf("the service may not run in region %q", clip(region)), strings.Join(d.Regions, ", "))
+			return invalidRequest("regions", fmt.Sprintf("the service may not run in region %q", truncate(region)), strings.Join(d.Regions, ", "))
 		}
 	}
 	return nil
--- a/document/diff.go
+++ b/document/diff.go
@@ -11,45 +11,47 @@
 )
 
 // Change is one field that differs between two documents. Before and After are
-// JSON; one of them is empty where the field stands on one side only.
+// JSON; one of them is empty if only one of the documents has the field.
 type Change struct {
 	Path   string
 	Before string
 	After  string
 }
 
-// Diff lists the fields that differ, with defaults filled in, so that a default
-// that is written out is no change. Classes are matched by name, so that their
-// order is no change either.
+// Diff lists the fields that differ. It compares documents with defaults filled
+// in, so writing out a default is not a change. Classes are matched by name, so
+// reordering them is not a change either.
 func Diff(before, after Document) []Change {
-	old, oldPaths := flatten(before)
-	now, nowPaths := flatten(after)
+	oldValues, oldPaths := flatten(before)
+	newValues, newPaths := flatten(after)
 	var changes []Change
-	for _, path := range nowPaths {
-		if old[path] != now[path] {
-			changes = append(changes, Change{Path: path, Before: old[path], After: now[path]})
+	for _, path := range newPaths {
+		if oldValues[path] != newValues[path] {
+			changes = append(changes, Change{Path: path, Before: oldValues[path], After: newValues[path]})
 		}
 	}
 	for _, path := range oldPaths {
-		if _, kept := now[path]; !kept {
-			changes = append(changes, Change{Path: path, Before: old[path]})
+		if _, found := newValues[path]; !found {
+			changes = append(changes, Change{Path: path, Before: oldValues[path]})
 		}
 	}
 	slices.SortStableFunc(changes, func(a, b Change) int {
-		return position(nowPaths, oldPaths, a.Path) - position(nowPaths, oldPaths, b.Path)
+		return indexOf(newPaths, oldPaths, a.Path) - indexOf(newPaths, oldPaths, b.Path)
 	})
 	return changes
 }
 
-func position(now, old []string, path string) int {
-	if i := slices.Index(now, path); i >= 0 {
+// indexOf returns the index of path in newPaths, or in oldPaths if the new document
+// does not have it.
+func indexOf(newPaths, oldPaths []string, path string) int {
+	if i := slices.Index(newPaths, path); i >= 0 {
 		return i
 	}
-	return slices.Index(old, path)
+	return slices.Index(oldPaths, path)
 }
 
-// flatten returns every field of d that is not empty, by its path, and the
-// paths in order.
+// flatten returns the JSON of every non-zero field of d by its path, and the paths
+// in the order of the fields.
 func flatten(d Document) (map[string]string, []string) {
 	f := flattener{values: make(map[string]string)}
 	f.add("", reflect.ValueOf(d))
@@ -73,7 +75,7 @@
 			f.add(fmt.Sprintf("%s[%s]", path, class.Name), reflect.ValueOf(class))
 		}
 	default:
-		f.values[path] = textOf(v)
+		f.values[path] = jsonOf(v)
 		f.paths = append(f.paths, path)
 	}
 }
@@ -88,12 +90,12 @@
 	}
 }
 
-func textOf(v reflect.Value) string {
+func jsonOf(v reflect.Value) string {
 	value := v.Interface()
 	if d, ok := value.(time.Duration); ok {
 		value = d.String()
 	}
-	// The fields of a Document are of types that encoding/json can encode.
+	// encoding/json can encode the types of all fields of a Document.
 	text, _ := json.Marshal(value)
 	return string(text)
 }
--- a/document/doc.go
+++ b/document/doc.go
@@ -1,3 +1,3 @@
-// Package document parses, checks and compares the documents in which a team
-// states what a service runs, what it may use and who may submit.
+// Package document parses, checks and compares documents. A document defines what
+// a service of a team runs, what resources it may use and who may submit to it.
 package document
--- a/document/document_test.go
+++ b/document/document_test.go
@@ -14,25 +14,25 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-const goodClass = `{"name": "check", "kind": "durable", "size": {"slots": 1}, "max_run": "5m", "command": "check"}`
+const validClass = `{"name": "check", "kind": "durable", "size": {"slots": 1}, "max_run": "5m", "command": "check"}`
 
 func service(fields string) string {
 	return `{"team": "pipes", "service": "nozzles", ` + fields + `}`
 }
 
-// TestFaults guards against a document that is accepted though it cannot be
-// obeyed, and against a fault that does not name its field.
+// TestFaults guards against accepting a document that cannot be carried out, and
+// against a fault that does not name its field.
 func TestFaults(t *testing.T) {
 	class := func(old, replacement string) string {
-		return service(`"classes": [` + strings.Replace(goodClass, old, replacement, 1) + `]`)
+		return service(`"classes": [` + strings.Replace(validClass, old, replacement, 1) + `]`)
 	}
 	const team = `{"team": "pipes", "limit": {"cpu_milli": 1, "memory_mb": 1, "accelerators": 0, "slots": 1, "connections": 1}`
 	cases := []struct{ name, src, path string }{
-		{"no team", `{"service": "a", "classes": [` + goodClass + `]}`, "team"},
-		{"team in capitals", `{"team": "Pipes", "service": "a", "classes": [` + goodClass + `]}`, "team"},
-		{"empty service", `{"team": "pipes", "service": "", "classes": [` + goodClass + `]}`, "service"},
-		{"share of a service", service(`"share": 2, "classes": [` + goodClass + `]`), "share"},
-		{"limit of a service", service(`"limit": {"slots": 1}, "classes": [` + goodClass + `]`), "limit"},
+		{"no team", `{"service": "a", "classes": [` + validClass + `]}`, "team"},
+		{"team in capitals", `{"team": "Pipes", "service": "a", "classes": [` + validClass + `]}`, "team"},
+		{"empty service", `{"team": "pipes", "service": "", "classes": [` + validClass + `]}`, "service"},
+		{"share of a service", service(`"share": 2, "classes": [` + validClass + `]`), "share"},
+		{"limit of a service", service(`"limit": {"slots": 1}, "classes": [` + validClass + `]`), "limit"},
 		{"classes of a team", team + `, "classes": []}`, "classes"},
 		{"share of zero", team + `, "share": 0}`, "share"},
 		{"negative share", team + `, "share": -1}`, "share"},
@@ -40,7 +40,7 @@
 		{"limit without connections", strings.Replace(team, `, "connections": 1`, "", 1) + `}`, "limit.connections"},
 		{"negative limit", strings.Replace(team, `"slots": 1`, `"slots": -1`, 1) + `}`, "limit.slots"},
 		{"no classes", service(`"classes": []`), "classes"},
-		{"class name twice", service(`"classes": [` + goodClass + `, ` + goodClass + `]`), "classes[1].name"},
+		{"class name twice", service(`"classes": [` + validClass + `, ` + validClass + `]`), "classes[1].name"},
 		{"unknown kind", class("durable", "eternal"), "classes[0].kind"},
 		{"no kind", class(`"kind": "durable",`, ""), "classes[0].kind"},
 		{"unknown urgency", class(`"size"`, `"urgency": "asap", "size"`), "classes[0].urgency"},
@@ -53,11 +53,11 @@
 		{"answer that takes an hour", strings.Replace(class("durable", "answer"), "5m", "1h", 1), "classes[0].max_run"},
 		{"gang of one", class("durable", "gang"), "classes[0].max_count"},
 		{"no command", class(`"command": "check"`, `"command": ""`), "classes[0].command"},
-		{"role on an open queue", service(`"open": true, "classes": [` + strings.Replace(goodClass, `"max_run"`, `"may_submit": ["ops"], "max_run"`, 1) + `]`), "classes[0].may_submit"},
-		{"region twice", service(`"regions": ["a", "a"], "classes": [` + goodClass + `]`), "regions[1]"},
-		{"unknown weigh", service(`"weigh": "luck", "classes": [` + goodClass + `]`), "weigh"},
-		{"negative wait", service(`"cross_region_wait": "-1s", "classes": [` + goodClass + `]`), "cross_region_wait"},
-		{"queue limit of zero", service(`"queue_limit": 0, "classes": [` + goodClass + `]`), "queue_limit"},
+		{"role on an open queue", service(`"open": true, "classes": [` + strings.Replace(validClass, `"max_run"`, `"may_submit": ["ops"], "max_run"`, 1) + `]`), "classes[0].may_submit"},
+		{"region twice", service(`"regions": ["a", "a"], "classes": [` + validClass + `]`), "regions[1]"},
+		{"unknown weigh", service(`"weigh": "luck", "classes": [` + validClass + `]`), "weigh"},
+		{"negative wait", service(`"cross_region_wait": "-1s", "classes": [` + validClass + `]`), "cross_region_wait"},
+		{"queue limit of zero", service(`"queue_limit": 0, "classes": [` + validClass + `]`), "queue_limit"},
 		{"too long", strings.Repeat(" ", MaxBytes+1), ""},
 	}
 	for _, c := range cases {
@@ -66,7 +66,7 @@
 			t.Errorf("%s: faults = %v, want one at %q", c.name, faults, c.path)
 		}
 	}
-	for _, good := range []string{team + `}`, service(`"classes": [` + goodClass + `]`)} {
+	for _, good := range []string{team + `}`, service(`"classes": [` + validClass + `]`)} {
 		if _, faults := Parse([]byte(good)); len(faults) > 0 {
 			t.Errorf("%s: %v", good, faults)
 		}
@@ -81,16 +81,16 @@
 	return d
 }
 
-// TestDiff guards against a change that is not shown, and against order and
-// written-out defaults being shown as changes.
+// TestDiff guards against a change that is not listed, and against reordered
+// classes and written-out defaults being listed as changes.
 func TestDiff(t *testing.T) {
-	second := strings.Replace(goodClass, `"check"`, `"span"`, 1)
-	before := mustParse(t, service(`"classes": [`+goodClass+`, `+second+`]`))
-	same := mustParse(t, service(`"weigh": "waiting_and_share", "classes": [`+second+`, `+goodClass+`]`))
+	second := strings.Replace(validClass, `"check"`, `"span"`, 1)
+	before := mustParse(t, service(`"classes": [`+validClass+`, `+second+`]`))
+	same := mustParse(t, service(`"weigh": "waiting_and_share", "classes": [`+second+`, `+validClass+`]`))
 	if changes := Diff(before, same); len(changes) > 0 {
 		t.Errorf("changes = %v, want none", changes)
 	}
-	third := strings.Replace(goodClass, "5m", "6m", 1)
+	third := strings.Replace(validClass, "5m", "6m", 1)
 	after := mustParse(t, service(`"open": true, "classes": [`+third+`]`))
 	changes := Diff(before, after)
 	got := map[string]Change{}
@@ -104,8 +104,8 @@
 	}
 }
 
-// TestDiffAgreesWithMarshal compares Diff with a naive version: two documents
-// differ exactly when their JSON does.
+// TestDiffAgreesWithMarshal compares Diff with a simple model: two documents differ
+// if and only if their JSON differs.
 func TestDiffAgreesWithMarshal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func(label string) Document {
@@ -119,13 +119,13 @@
 		old, _ := jsonc.Marshal(before)
 		now, _ := jsonc.Marshal(after)
 		if differ := len(Diff(before, after)) > 0; differ != (string(old) != string(now)) {
-			t.Fatalf("Diff says %v for\n%s\n%s", differ, old, now)
+			t.Fatalf("Diff reports a difference: %v, for\n%s\n%s", differ, old, now)
 		}
 	})
 }
 
-// TestComplete guards against work that the document does not allow, and
-// against amounts that a submission leaves out being zero.
+// TestComplete guards against accepting work that the document does not allow, and
+// against omitted amounts staying zero.
 func TestComplete(t *testing.T) {
 	d := mustParse(t, service(`"regions": ["north", "south"], "classes": [{"name": "check", "kind": "durable",
 		"size": {"slots": 1, "memory_mb": 64}, "max_size": {"slots": 4, "memory_mb": 128}, "max_count": 3,
@@ -163,21 +163,21 @@
 	}
 }
 
-// TestLastChange guards against a conflict that shows something else than what
+// TestLastChange guards against a conflict that shows other fields than those that
 // the other operator changed.
 func TestLastChange(t *testing.T) {
 	r := Record{
-		Previous: service(`"classes": [` + goodClass + `]`),
-		Source:   service(`"queue_limit": 7, "classes": [` + goodClass + `]`),
+		Previous: service(`"classes": [` + validClass + `]`),
+		Source:   service(`"queue_limit": 7, "classes": [` + validClass + `]`),
 	}
 	if changes := r.LastChange(); len(changes) != 1 || changes[0] != (Change{"queue_limit", "", "7"}) {
 		t.Errorf("changes = %v", changes)
 	}
 }
 
-// TestPageNamesEveryField guards against a field that docs/documents.md leaves
-// out.
-func TestPageNamesEveryField(t *testing.T) {
+// TestPageDescribesEveryField guards against a field that docs/documents.md does
+// not describe.
+func TestPageDescribesEveryField(t *testing.T) {
 	page, err := os.ReadFile("../docs/documents.md")
 	if err != nil {
 		t.Fatal(err)
@@ -192,9 +192,9 @@
 }
 
 // FuzzParse guards against a panic, and against an accepted document that is
-// refused after it was printed.
+// rejected or changed after Marshal.
 func FuzzParse(f *testing.F) {
-	f.Add([]byte(service(`"classes": [` + goodClass + `]`)))
+	f.Add([]byte(service(`"classes": [` + validClass + `]`)))
 	f.Add([]byte(`{"team": "a", "limit": {}}`))
 	f.Add([]byte(`{"team": "a", "service": 1, "classes": [{"name": 1}, null, {"size": {"slots": -1}}]}`))
 	f.Add([]byte("{\"team\": \"\xff\", // x\n}"))
@@ -209,7 +209,7 @@
 		}
 		again, faults := Parse(printed)
 		if len(faults) > 0 || len(Diff(d, again)) > 0 {
-			t.Errorf("%s: %v, %v", printed, faults, Diff(d, again))
+			t.Errorf("marshaled document %s: faults %v, changes %v", printed, faults, Diff(d, again))
 		}
 	})
 }
--- a/document/parse.go
+++ b/document/parse.go
@@ -9,13 +9,13 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// MaxBytes bounds the source of a document. The store keeps it twice in one
-// value, together with its predecessor.
+// MaxBytes limits the size of a document. The store holds two documents in one
+// value: the current one and the one that it replaced.
 const MaxBytes = 64 << 10
 
-// Parse reads and checks a document. All faults are returned, in the order in
-// which they stand in the source; the document is valid only without any. Where
-// the regions of the deployment are given, the document may name no other.
+// Parse decodes and checks a document. It returns all faults in the order of the
+// source; the document is valid only if there are none. If the regions of the
+// deployment are given, the document may not name any other.
 func Parse(src []byte, regions ...string) (Document, []jsonc.Fault) {
 	if len(src) > MaxBytes {
 		return Document{}, []jsonc.Fault{{
@@ -36,7 +36,7 @@
 // checker checks a decoded document.
 type checker struct {
 	*jsonc.Checker
-	regions []string // of the deployment; empty where they are not known
+	regions []string // of the deployment; empty if unknown
 }
 
 // document checks d and fills in the defaults.
@@ -55,16 +55,16 @@
 	case !c.Has(path):
 		c.Add(path, "the field is missing", NameRule)
 	case !IsName(value):
-		c.Add(path, fmt.Sprintf("%q is not a name", clip(value)), NameRule)
+		c.Add(path, fmt.Sprintf("%q is not a name", truncate(value)), NameRule)
 	}
 }
 
 // team checks a team document.
 func (c checker) team(d *Document) {
-	const elsewhere = "in the document of a service; a team document has team, share, limit"
+	const allowed = "in the document of a service; a team document has team, share, limit"
 	for _, path := range []string{"open", "classes", "regions", "weigh", "cross_region_wait", "queue_limit"} {
 		if c.Has(path) {
-			c.Add(path, "the field has no place in a team document", elsewhere)
+			c.Add(path, "the field is not allowed in a team document", allowed)
 		}
 	}
 	if !c.Has("share") {
@@ -77,7 +77,7 @@
 	c.limit(d.Limit)
 }
 
-// limit demands every amount, because "left out" could mean none or no limit.
+// limit requires every amount, because an omitted one could mean zero or no limit.
 func (c checker) limit(limit *task.Resources) {
 	const allowed = "an object with every one of cpu_milli, memory_mb, accelerators, slots, connections"
 	if limit == nil {
@@ -96,13 +96,13 @@
 func (c checker) service(d *Document) {
 	for _, path := range []string{"share", "limit"} {
 		if c.Has(path) {
-			c.Add(path, "the field has no place in the document of a service", "in the team document, which leaves service out")
+			c.Add(path, "the field is not allowed in the document of a service", "in the team document, which has no field service")
 		}
 	}
 	if !c.Has("weigh") {
 		d.Weigh = WaitingAndShare
 	}
-	c.oneOf("weigh", string(d.Weigh), textsOf(Weighs))
+	c.oneOf("weigh", string(d.Weigh), stringsOf(Weighs))
 	if !c.Has("cross_region_wait") {
 		d.CrossRegionWait = defaultCrossRegionWait
 	}
@@ -114,27 +114,27 @@
 	c.names("regions", d.Regions)
 	for i, region := range d.Regions {
 		c.Require(len(c.regions) == 0 || slices.Contains(c.regions, region), fmt.Sprintf("regions[%d]", i),
-			fmt.Sprintf("%q is not a region of this deployment", clip(region)), strings.Join(c.regions, ", "))
+			fmt.Sprintf("%q is not a region of this deployment", truncate(region)), strings.Join(c.regions, ", "))
 	}
 	c.classes(d)
 }
 
-// names checks a list of names, each of which may stand once.
+// names checks a list of names, which must not contain duplicates.
 func (c checker) names(path string, names []string) {
 	for i, name := range names {
-		at := fmt.Sprintf("%s[%d]", path, i)
+		namePath := fmt.Sprintf("%s[%d]", path, i)
 		if !IsName(name) {
-			c.Add(at, fmt.Sprintf("%q is not a name", clip(name)), NameRule)
+			c.Add(namePath, fmt.Sprintf("%q is not a name", truncate(name)), NameRule)
 		}
 		if slices.Contains(names[:i], name) {
-			c.Add(at, fmt.Sprintf("%q stands twice", clip(name)), "each name once")
+			c.Add(namePath, fmt.Sprintf("duplicate name %q", truncate(name)), "each name once")
 		}
 	}
 }
 
 func (c checker) oneOf(path, value string, allowed []string) {
 	if !slices.Contains(allowed, value) {
-		message := fmt.Sprintf("%q is not known", clip(value))
+		message := fmt.Sprintf("unknown value %q", truncate(value))
 		if !c.Has(path) {
 			message = "the field is missing"
 		}
@@ -142,7 +142,7 @@
 	}
 }
 
-func textsOf[T ~string](values []T) []string {
+func stringsOf[T ~string](values []T) []string {
 	texts := make([]string, len(values))
 	for i, v := range values {
 		texts[i] = string(v)
@@ -150,12 +150,12 @@
 	return texts
 }
 
-// shownBytes bounds how much of a wrong value is repeated in a fault.
-const shownBytes = 80
+// maxShownBytes limits how much of an invalid value is quoted in a fault.
+const maxShownBytes = 80
 
-func clip(s string) string {
-	if len(s) <= shownBytes {
+func truncate(s string) string {
+	if len(s) <= maxShownBytes {
 		return s
 	}
-	return strings.ToValidUTF8(s[:shownBytes], "") + "..."
+	return strings.ToValidUTF8(s[:maxShownBytes], "") + "..."
 }
