--- a/settings/check.go
+++ b/settings/check.go
@@ -18,7 +18,8 @@
 // checker checks decoded settings.
 type checker struct{ *jsonc.Checker }
 
-// fields checks each field by itself.
+// fields checks each field on its own. The dependencies between fields are
+// checked by rules.
 func (c checker) fields(s Settings) {
 	v := reflect.ValueOf(s)
 	for i := range v.NumField() {
@@ -32,7 +33,7 @@
 	}
 	c.names(s)
 	c.addresses(s)
-	c.Require(slices.Contains(logLevels, s.LogLevel), "log_level", fmt.Sprintf("%q is not known", s.LogLevel), strings.Join(logLevels, ", "))
+	c.Require(slices.Contains(logLevels, s.LogLevel), "log_level", fmt.Sprintf("unknown log level %q", s.LogLevel), strings.Join(logLevels, ", "))
 	c.operatorKeys(s)
 }
 
@@ -40,9 +41,9 @@
 	for i, key := range s.OperatorKeys {
 		path := fmt.Sprintf("operator_keys[%d]", i)
 		c.Require(document.IsName(key.Name), path+".name", fmt.Sprintf("%q is not a name", key.Name), document.NameRule)
-		c.Require(isDigest(key.Digest), path+".digest", "the digest cannot be read", "64 hexadecimal digits, a-f in lower case")
-		twice := slices.ContainsFunc(s.OperatorKeys[:i], func(k OperatorKey) bool { return k.Digest == key.Digest })
-		c.Require(!twice, path+".digest", "the digest stands twice", "a secret of its own for each operator")
+		c.Require(isDigest(key.Digest), path+".digest", "the value is not a SHA-256 digest", "64 hexadecimal digits, a-f in lower case")
+		duplicate := slices.ContainsFunc(s.OperatorKeys[:i], func(k OperatorKey) bool { return k.Digest == key.Digest })
+		c.Require(!duplicate, path+".digest", "duplicate digest", "a different secret for each operator")
 	}
 }
 
@@ -55,21 +56,21 @@
 
 // bounds checks a number or duration against the tags min and max.
 func (c checker) bounds(path string, field reflect.StructField, v reflect.Value) {
-	least, bounded := field.Tag.Lookup("min")
+	minText, bounded := field.Tag.Lookup("min")
 	if !bounded {
 		return
 	}
-	low, high := reflect.New(v.Type()).Elem(), reflect.New(v.Type()).Elem()
-	setText(low, least)
-	setText(high, field.Tag.Get("max"))
+	lower, upper := reflect.New(v.Type()).Elem(), reflect.New(v.Type()).Elem()
+	setText(lower, minText)
+	setText(upper, field.Tag.Get("max"))
 	outside := false
 	if v.CanInt() {
-		outside = v.Int() < low.Int() || v.Int() > high.Int()
+		outside = v.Int() < lower.Int() || v.Int() > upper.Int()
 	} else {
-		outside = v.Float() < low.Float() || v.Float() > high.Float()
+		outside = v.Float() < lower.Float() || v.Float() > upper.Float()
 	}
 	if outside {
-		c.Add(path, fmt.Sprintf("the value is %v", v.Interface()), least+" to "+field.Tag.Get("max"))
+		c.Add(path, fmt.Sprintf("the value is %v", v.Interface()), minText+" to "+field.Tag.Get("max"))
 	}
 }
 
@@ -84,11 +85,11 @@
 	if !c.Has("regions") {
 		return
 	}
-	c.Require(len(s.Regions) > 0, "regions", "there is no region", "at least one region")
+	c.Require(len(s.Regions) > 0, "regions", "the list is empty", "at least one region")
 	for i, region := range s.Regions {
 		path := fmt.Sprintf("regions[%d]", i)
 		c.Require(document.IsName(region), path, fmt.Sprintf("%q is not a name", region), document.NameRule)
-		c.Require(!slices.Contains(s.Regions[:i], region), path, fmt.Sprintf("%q stands twice", region), "each region once")
+		c.Require(!slices.Contains(s.Regions[:i], region), path, fmt.Sprintf("duplicate region %q", region), "each region once")
 	}
 	if c.Has("region") {
 		c.Require(slices.Contains(s.Regions, s.Region), "region", fmt.Sprintf("%q is not in regions", s.Region), strings.Join(s.Regions, ", "))
@@ -98,7 +99,7 @@
 const addressRule = `a numeric address with a port, such as "10.1.0.7:7070"`
 
 func (c checker) addresses(s Settings) {
-	seen := make(map[string]string)
+	settingOf := make(map[string]string)
 	for _, a := range []struct{ path, value string }{
 		{"caller_address", s.CallerAddress}, {"operator_address", s.OperatorAddress}, {"entry_address", s.EntryAddress},
 	} {
@@ -106,30 +107,30 @@
 			continue
 		}
 		c.address(a.path, a.value)
-		c.Require(seen[a.value] == "", a.path, fmt.Sprintf("the address is that of %s", seen[a.value]), "an address of its own")
-		seen[a.value] = a.path
+		c.Require(settingOf[a.value] == "", a.path, fmt.Sprintf("the address is already used by %s", settingOf[a.value]), "a different address")
+		settingOf[a.value] = a.path
 	}
 	if entry, err := netip.ParseAddrPort(s.EntryAddress); err == nil {
-		c.Require(!entry.Addr().IsUnspecified(), "entry_address", "other instances cannot reach this address", "an address of this instance")
+		c.Require(!entry.Addr().IsUnspecified(), "entry_address", "other instances cannot connect to an unspecified address", "an address of this instance")
 	}
 	if c.Has("instance_list_endpoint") {
 		c.address("instance_list_endpoint", s.InstanceListEndpoint)
 	}
 	if c.Has("store_endpoints") {
-		c.Require(len(s.StoreEndpoints) > 0, "store_endpoints", "there is no endpoint", "at least one endpoint")
+		c.Require(len(s.StoreEndpoints) > 0, "store_endpoints", "the list is empty", "at least one endpoint")
 	}
 	for i, endpoint := range s.StoreEndpoints {
 		c.address(fmt.Sprintf("store_endpoints[%d]", i), endpoint)
 	}
 	if operator, err := netip.ParseAddrPort(s.OperatorAddress); err == nil && len(s.OperatorKeys) == 0 {
 		c.Require(operator.Addr().IsLoopback(), "operator_address",
-			"operators are answered without a key on an address that other machines reach",
-			"a loopback address, or at least one of operator_keys")
+			"without operator_keys, the operator interface must not be reachable from other machines",
+			"a loopback address, or at least one key in operator_keys")
 	}
 }
 
-// address demands a numeric address: names would need a resolver, which may
-// fail or answer differently on two instances.
+// address requires a numeric address. A host name would need a resolver, which may
+// fail or return different addresses on two instances.
 func (c checker) address(path, value string) {
 	parsed, err := netip.ParseAddrPort(value)
 	c.Require(err == nil && parsed.Port() != 0, path, fmt.Sprintf("%q is not an address", value), addressRule)
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -12,7 +12,8 @@
 	"github.com/mulberrydrum/mulberrydrum/jsonc"
 )
 
-// Default returns the settings with every default, without a name or address.
+// Default returns the default settings. Fields without a default, such as names
+// and addresses, are zero.
 func Default() Settings {
 	var s Settings
 	v := reflect.ValueOf(&s).Elem()
@@ -24,8 +25,9 @@
 	return s
 }
 
-// setText sets a field from a tag. A tag that does not fit its field is a fault
-// of this package, which the test of the defaults finds.
+// setText sets a field from the text of a tag. It panics if the text does not fit
+// the type of the field, which is a bug in this package that the test of the
+// defaults detects.
 func setText(field reflect.Value, text string) {
 	var err error
 	switch {
@@ -55,8 +57,8 @@
 	}
 }
 
-// Parse reads and checks settings. All faults are returned in the order in
-// which they stand; the settings are valid only without any.
+// Parse decodes and checks settings. It returns all faults in the order of the
+// source; the settings are valid only if there are none.
 func Parse(src []byte) (Settings, []jsonc.Fault) {
 	s := Default()
 	positions, faults := jsonc.Decode(src, &s, jsonc.WithComments)
@@ -68,8 +70,8 @@
 	return s, c.Faults()
 }
 
-// Load reads the settings in the file at path. The error has a line
-// FILE:LINE:COLUMN: for each fault.
+// Load reads the settings file at path. The error has one line for each fault,
+// which starts with FILE:LINE:COLUMN.
 func Load(path string) (Settings, error) {
 	src, err := os.ReadFile(path)
 	if err != nil {
@@ -86,6 +88,5 @@
 	return Settings{}, errors.New(strings.Join(lines, "\n"))
 }
 
-// JSON returns the settings in force, with the defaults filled in, in the form
-// that Parse reads.
+// JSON returns the settings, with defaults filled in, in the form that Parse reads.
 func (s Settings) JSON() ([]byte, error) { return jsonc.Marshal(s) }
--- a/settings/rules.go
+++ b/settings/rules.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// rules checks the fields that bound each other.
+// rules checks the dependencies between fields.
 func (c checker) rules(s Settings) {
 	c.leaseRules(s)
 	c.workerRules(s)
@@ -21,8 +21,8 @@
 		fmt.Sprintf("%s or more (read_header_timeout)", s.ReadHeaderTimeout))
 }
 
-// leaseRules keeps one late keepalive from ending the term, and freshness from
-// ending between two confirmations.
+// leaseRules ensures that one late keepalive does not end the lease term, and that
+// the freshness of keys does not expire between two keepalives, which confirm it.
 func (c checker) leaseRules(s Settings) {
 	c.Require(s.KeepaliveInterval < s.StoreLeaseTTL/2, "keepalive_interval",
 		fmt.Sprintf("%s leaves no room for a second keepalive in store_lease_ttl", s.KeepaliveInterval),
@@ -31,30 +31,30 @@
 		fmt.Sprintf("a keepalive of %s would overlap the next one", s.StoreCallTimeout),
 		fmt.Sprintf("at most %s (keepalive_interval)", s.KeepaliveInterval))
 	c.Require(s.KeepaliveInterval < s.KeyFreshness, "key_freshness",
-		fmt.Sprintf("%s ends before the next keepalive confirms it", s.KeyFreshness),
+		fmt.Sprintf("%s expires before the next keepalive confirms it", s.KeyFreshness),
 		fmt.Sprintf("more than %s (keepalive_interval), at most 10s", s.KeepaliveInterval))
 	c.Require(s.ClockMargin < s.PromiseWindow/2, "clock_margin",
-		fmt.Sprintf("%s takes most of promise_window", s.ClockMargin),
+		fmt.Sprintf("%s is at least half of promise_window", s.ClockMargin),
 		fmt.Sprintf("less than %s (half of promise_window)", s.PromiseWindow/2))
 }
 
-// workerRules keeps a change of owner from ending tasks, and starts from being
-// refused because the last report is old.
+// workerRules ensures that tasks survive a change of owner, and that workers do
+// not reject starts because their last report is too old.
 func (c checker) workerRules(s Settings) {
 	takeover := s.StoreLeaseTTL + s.PromiseWindow + s.ClockMargin + time.Duration(s.ClockDrift*float64(s.StoreLeaseTTL+s.PromiseWindow))
 	c.Require(s.TaskLease > takeover, "task_lease",
-		fmt.Sprintf("%s ends before an ordinary takeover does", s.TaskLease),
+		fmt.Sprintf("%s expires before an ordinary takeover completes", s.TaskLease),
 		fmt.Sprintf("more than %s (store_lease_ttl, promise_window and drift)", takeover))
 	c.Require(s.StartValidity > s.WorkerSyncInterval, "start_validity",
-		fmt.Sprintf("%s ends before the next sync", s.StartValidity),
+		fmt.Sprintf("%s expires before the next sync", s.StartValidity),
 		fmt.Sprintf("more than %s (worker_sync_interval)", s.WorkerSyncInterval))
 	const syncsInLease = 3
 	c.Require(s.TaskLease >= syncsInLease*s.WorkerSyncInterval, "worker_sync_interval",
-		fmt.Sprintf("%s leaves less than %d syncs in task_lease", s.WorkerSyncInterval, syncsInLease),
+		fmt.Sprintf("%s allows fewer than %d syncs in task_lease", s.WorkerSyncInterval, syncsInLease),
 		fmt.Sprintf("at most %s (a third of task_lease)", s.TaskLease/syncsInLease))
 }
 
-// sizeRules keeps a value that was accepted from being too large one step later.
+// sizeRules ensures that an accepted value does not exceed a limit at a later stage.
 func (c checker) sizeRules(s Settings) {
 	c.Require(s.MaxDurableRequestBytes <= s.MaxRequestBytes, "max_durable_request_bytes",
 		fmt.Sprintf("%d is more than max_request_bytes", s.MaxDurableRequestBytes),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Settings are the settings of one daemon. The tags state what each field means,
-// its default and its bounds; a field without a default must be set.
+// Settings are the settings of one daemon. The struct tags hold the description,
+// default and bounds of each field; a field without a default must be set.
 type Settings struct {
 	Instance             string        `json:"instance" doc:"name of this instance, as in the instance list"`
 	Region               string        `json:"region" doc:"region of this instance, one of regions"`
@@ -65,8 +65,8 @@
 	IdleTimeout            time.Duration `json:"idle_timeout" default:"1m" min:"1s" max:"10m" doc:"a connection of a caller is closed when idle for this time"`
 }
 
-// OperatorKey admits one operator. The settings hold the digest only, so that
-// reading them does not let anybody act.
+// OperatorKey authenticates one operator. The settings hold only the digest of the
+// secret, so that read access to the settings does not grant operator access.
 type OperatorKey struct {
 	Name   string `json:"name"`   // recorded with each change
 	Digest string `json:"digest"` // SHA-256 of the secret, in hex
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -9,42 +9,42 @@
 	"time"
 )
 
-const good = `{"instance": "a", "region": "north", "failure_domain": "n1", "regions": ["north", "south"],
+const validFields = `{"instance": "a", "region": "north", "failure_domain": "n1", "regions": ["north", "south"],
 "caller_address": "127.0.0.1:1", "operator_address": "127.0.0.1:2", "entry_address": "127.0.0.1:3",
 "store_endpoints": ["127.0.0.1:4"], "instance_list_endpoint": "127.0.0.1:5"`
 
-// TestFaults guards against settings that contradict each other or that no
-// instance can run with.
+// TestFaults guards against accepting settings that contradict each other or that
+// no instance can run with.
 func TestFaults(t *testing.T) {
 	digest := strings.Repeat("0f", 32)
 	cases := []struct{ name, src, path string }{
-		{"no instance", strings.Replace(good, `"instance": "a", `, "", 1), "instance"},
-		{"region outside", strings.Replace(good, `"region": "north"`, `"region": "east"`, 1), "region"},
-		{"region twice", strings.Replace(good, `"south"`, `"north"`, 1), "regions[1]"},
-		{"host name", strings.Replace(good, "127.0.0.1:3", "localhost:3", 1), "entry_address"},
-		{"port 0", strings.Replace(good, "127.0.0.1:4", "127.0.0.1:0", 1), "store_endpoints[0]"},
-		{"address twice", strings.Replace(good, "127.0.0.1:3", "127.0.0.1:2", 1), "entry_address"},
-		{"entry address of no instance", strings.Replace(good, "127.0.0.1:3", "0.0.0.0:3", 1), "entry_address"},
-		{"operators without a key", strings.Replace(good, "127.0.0.1:2", "10.0.0.1:2", 1), "operator_address"},
-		{"short digest", good + `, "operator_keys": [{"name": "els", "digest": "0f"}]`, "operator_keys[0].digest"},
-		{"operator without a name", good + `, "operator_keys": [{"digest": "` + digest + `"}]`, "operator_keys[0].name"},
-		{"log level", good + `, "log_level": "loud"`, "log_level"},
-		{"unknown field", good + `, "store_ttl": "9s"`, "store_ttl"},
-		{"bound", good + `, "key_freshness": "11s"`, "key_freshness"},
-		{"negative", good + `, "clock_drift": -0.1`, "clock_drift"},
-		{"no unit", good + `, "task_lease": 30`, "task_lease"},
-		{"keepalive of half the lease", good + `, "store_lease_ttl": "6s"`, "keepalive_interval"},
-		{"slow store call", good + `, "store_call_timeout": "4s"`, "store_call_timeout"},
-		{"freshness below keepalive", good + `, "key_freshness": "3s"`, "key_freshness"},
-		{"lease below takeover", good + `, "task_lease": "14s"`, "task_lease"},
-		{"start refused before the next sync", good + `, "worker_sync_interval": "3s"`, "start_validity"},
-		{"margin takes the window", good + `, "clock_margin": "2500ms"`, "clock_margin"},
-		{"few syncs in a lease", good + `, "worker_sync_interval": "11s", "start_validity": "12s"`, "worker_sync_interval"},
-		{"durable above request", good + `, "max_request_bytes": 60000`, "max_durable_request_bytes"},
-		{"shard above transaction", good + `, "max_shard_bytes": 800000`, "ledger_txn_bytes"},
-		{"cross-region digests more often", good + `, "digest_interval": "6s"`, "digest_interval_cross_region"},
-		{"allowance", good + `, "allowance_interval": "31s"`, "allowance_idle"},
-		{"read timeout", good + `, "read_header_timeout": "11s"`, "read_timeout"},
+		{"no instance", strings.Replace(validFields, `"instance": "a", `, "", 1), "instance"},
+		{"region outside", strings.Replace(validFields, `"region": "north"`, `"region": "east"`, 1), "region"},
+		{"region twice", strings.Replace(validFields, `"south"`, `"north"`, 1), "regions[1]"},
+		{"host name", strings.Replace(validFields, "127.0.0.1:3", "localhost:3", 1), "entry_address"},
+		{"port 0", strings.Replace(validFields, "127.0.0.1:4", "127.0.0.1:0", 1), "store_endpoints[0]"},
+		{"address twice", strings.Replace(validFields, "127.0.0.1:3", "127.0.0.1:2", 1), "entry_address"},
+		{"entry address of no instance", strings.Replace(validFields, "127.0.0.1:3", "0.0.0.0:3", 1), "entry_address"},
+		{"operators without a key", strings.Replace(validFields, "127.0.0.1:2", "10.0.0.1:2", 1), "operator_address"},
+		{"short digest", validFields + `, "operator_keys": [{"name": "els", "digest": "0f"}]`, "operator_keys[0].digest"},
+		{"operator without a name", validFields + `, "operator_keys": [{"digest": "` + digest + `"}]`, "operator_keys[0].name"},
+		{"log level", validFields + `, "log_level": "loud"`, "log_level"},
+		{"unknown field", validFields + `, "store_ttl": "9s"`, "store_ttl"},
+		{"bound", validFields + `, "key_freshness": "11s"`, "key_freshness"},
+		{"negative", validFields + `, "clock_drift": -0.1`, "clock_drift"},
+		{"no unit", validFields + `, "task_lease": 30`, "task_lease"},
+		{"keepalive of half the lease", validFields + `, "store_lease_ttl": "6s"`, "keepalive_interval"},
+		{"slow store call", validFields + `, "store_call_timeout": "4s"`, "store_call_timeout"},
+		{"freshness below keepalive", validFields + `, "key_freshness": "3s"`, "key_freshness"},
+		{"lease below takeover", validFields + `, "task_lease": "14s"`, "task_lease"},
+		{"start refused before the next sync", validFields + `, "worker_sync_interval": "3s"`, "start_validity"},
+		{"margin takes the window", validFields + `, "clock_margin": "2500ms"`, "clock_margin"},
+		{"few syncs in a lease", validFields + `, "worker_sync_interval": "11s", "start_validity": "12s"`, "worker_sync_interval"},
+		{"durable above request", validFields + `, "max_request_bytes": 60000`, "max_durable_request_bytes"},
+		{"shard above transaction", validFields + `, "max_shard_bytes": 800000`, "ledger_txn_bytes"},
+		{"cross-region digests more often", validFields + `, "digest_interval": "6s"`, "digest_interval_cross_region"},
+		{"allowance", validFields + `, "allowance_interval": "31s"`, "allowance_idle"},
+		{"read timeout", validFields + `, "read_header_timeout": "11s"`, "read_timeout"},
 	}
 	for _, c := range cases {
 		_, faults := Parse([]byte(c.src + "}"))
@@ -52,14 +52,14 @@
 			t.Errorf("%s: faults = %v, want one at %s", c.name, faults, c.path)
 		}
 	}
-	if _, faults := Parse([]byte(good + `, "operator_keys": [{"name": "els", "digest": "` + digest + `"}]}`)); len(faults) > 0 {
+	if _, faults := Parse([]byte(validFields + `, "operator_keys": [{"name": "els", "digest": "` + digest + `"}]}`)); len(faults) > 0 {
 		t.Errorf("good settings: %v", faults)
 	}
 }
 
-// TestDefaultsAreThoseOfTheDesign guards against a default that differs from
-// section 7 of the design page.
-func TestDefaultsAreThoseOfTheDesign(t *testing.T) {
+// TestDefaultsMatchDesign guards against a default that differs from section 7 of
+// the design page.
+func TestDefaultsMatchDesign(t *testing.T) {
 	s := Default()
 	got := []any{s.StoreLeaseTTL, s.KeepaliveInterval, s.PromiseWindow, s.ClockDrift, s.ClockMargin, s.TaskLease, s.StartValidity,
 		s.WorkerSyncInterval, s.KeyFreshness, s.ListLag, s.LedgerFlushInterval, s.ResultRetention, s.DrainTimeout, s.QueueLimitPerTeam,
@@ -75,10 +75,10 @@
 	}
 }
 
-// TestPrintedSettingsAreRead guards against settings that are printed in a form
-// that the daemon refuses.
-func TestPrintedSettingsAreRead(t *testing.T) {
-	s, faults := Parse([]byte(good + `, "store_lease_ttl": "7s"}`))
+// TestJSONIsParsed guards against settings that are printed in a form that the
+// daemon rejects.
+func TestJSONIsParsed(t *testing.T) {
+	s, faults := Parse([]byte(validFields + `, "store_lease_ttl": "7s"}`))
 	if len(faults) > 0 {
 		t.Fatal(faults)
 	}
@@ -92,11 +92,10 @@
 	}
 }
 
-// TestLoadNamesTheFile guards against a fault that does not say in which file
-// it is.
-func TestLoadNamesTheFile(t *testing.T) {
+// TestLoadErrorNamesFile guards against a fault that does not name its file.
+func TestLoadErrorNamesFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s.jsonc")
-	if err := os.WriteFile(path, []byte(good+",\n\"log_level\": 1, \"pprof\": 2}"), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(validFields+",\n\"log_level\": 1, \"pprof\": 2}"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	_, err := Load(path)
@@ -105,7 +104,8 @@
 	}
 }
 
-// TestReferencePage guards against a page that differs from the settings.
+// TestReferencePage guards against a table in docs/settings.md that differs from
+// the settings.
 func TestReferencePage(t *testing.T) {
 	page, err := os.ReadFile("../docs/settings.md")
 	if err != nil {
@@ -117,10 +117,10 @@
 }
 
 // FuzzParse guards against a panic, and against accepted settings that are
-// refused after they were printed.
+// rejected or changed after they were printed.
 func FuzzParse(f *testing.F) {
-	f.Add([]byte(good + "}"))
-	f.Add([]byte(good + `, "operator_keys": [{"name": 1}, null], "clock_drift": 1e400}`))
+	f.Add([]byte(validFields + "}"))
+	f.Add([]byte(validFields + `, "operator_keys": [{"name": 1}, null], "clock_drift": 1e400}`))
 	f.Add([]byte(`{"regions": [[]], "store_endpoints": ["[::1]:7", "::1"], "task_lease": "9999999h"}`))
 	f.Fuzz(func(t *testing.T, src []byte) {
 		s, faults := Parse(src)
