--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -20,18 +20,18 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// Size of the deployment: that of today's users.
+// Size of the deployment, the same as that of the present users.
 const (
-	entryInstances = 8
-	workers        = 48
-	rackSize       = 8
+	entryCount  = 8
+	workerCount = 48
+	rackSize    = 8
 
-	keyFreshness = 3 * time.Second // bound of a withdrawal
+	keyFreshness = 3 * time.Second // longest time until a withdrawn key is refused everywhere
 )
 
 var regions = []string{"flanders", "wallonia", "brussels"}
 
-// Cluster is a whole deployment in this process.
+// Cluster is a complete deployment in this process.
 type Cluster struct {
 	Entries []*Entry
 	Workers []*Worker
@@ -58,8 +58,9 @@
 	Instance instancelist.Instance
 }
 
-// Start starts the stand-ins and the entry instances, without any document or
-// key: an operator applies and grants them. Nothing is left running on an error.
+// Start starts the stand-ins and the entry instances. There are no documents and
+// keys until an operator applies and grants them. If Start returns an error, it has
+// stopped everything that it started.
 func Start(logger *log.Logger) (*Cluster, error) {
 	c := &Cluster{logger: logger, Store: standin.NewStore(storetest.Limits{}), List: standin.NewList(0)}
 	if err := c.start(); err != nil {
@@ -81,7 +82,7 @@
 	if err := c.startWorkers(); err != nil {
 		return err
 	}
-	for i := range entryInstances {
+	for i := range entryCount {
 		if _, err := c.StartEntry(i); err != nil {
 			return err
 		}
@@ -89,7 +90,7 @@
 	return nil
 }
 
-// serve serves on a loopback port until the cluster is closed.
+// serve runs server on a loopback port until the cluster is closed.
 func (c *Cluster) serve(server *http.Server) (address string, err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -101,8 +102,8 @@
 }
 
 func (c *Cluster) startWorkers() error {
-	var list []instancelist.Instance
-	for i := range workers {
+	var instances []instancelist.Instance
+	for i := range workerCount {
 		name := fmt.Sprintf("worker-%d", i)
 		w := standin.NewWorker(standin.WorkerConfig{Name: name, UsageLag: 5 * time.Second,
 			Capacity: task.Resources{CPUMilli: 32000, MemoryMB: 131072, Slots: 8, Connections: 64}})
@@ -115,9 +116,9 @@
 			FailureDomain: fmt.Sprintf("domain-%d", rack%6), Rack: fmt.Sprintf("rack-%d", rack), State: instancelist.StateLive}
 		c.Workers = append(c.Workers, &Worker{Worker: w, Instance: instance})
 		c.closers = append(c.closers, w.Close)
-		list = append(list, instance)
+		instances = append(instances, instance)
 	}
-	c.List.Replace(time.Now(), list)
+	c.List.Replace(time.Now(), instances)
 	return nil
 }
 
@@ -132,18 +133,18 @@
 	s.StoreEndpoints = []string{c.storeAddr}
 	s.InstanceListEndpoint = c.listAddr
 	s.WorkerPartitions = 2
-	// An instance changes the configuration only when it has run for list_lag and
-	// key_freshness. The stand-in list shows a change at once, and a shorter
-	// freshness takes 2 s off the demo.
+	// An instance commits configuration changes only after it has run for list_lag
+	// and key_freshness. The stand-in list has no lag, and the shorter freshness
+	// reduces the run time of the demo by 2 s.
 	s.ListLag = 0
 	s.KeyFreshness, s.KeepaliveInterval, s.StoreCallTimeout = keyFreshness, time.Second, time.Second
-	// Other regions learn at this interval what is in force here, and apply waits
-	// for it.
+	// Instances of other regions receive the configuration revision of this one at
+	// this interval, and apply waits for it.
 	s.DigestIntervalCross = s.DigestInterval
 	return s
 }
 
-// StartEntry starts entry instance i and lists it.
+// StartEntry starts entry instance i and adds it to the instance list.
 func (c *Cluster) StartEntry(i int) (*Entry, error) {
 	cfg := daemon.FromSettings(c.Settings(i))
 	d, err := daemon.New(cfg, c.logger)
@@ -159,13 +160,13 @@
 	return e, nil
 }
 
-// Stop stops an entry instance as planned and returns when it has ended.
+// Stop performs a planned stop of the entry instance and waits for its end.
 func (e *Entry) Stop() error {
 	e.stop()
 	return <-e.done
 }
 
-// Close ends everything.
+// Close aborts the entry instances and closes the stand-ins.
 func (c *Cluster) Close() {
 	for _, e := range c.Entries {
 		e.Abort()
@@ -178,15 +179,15 @@
 	}
 }
 
-// Trace returns what the oracle needs: the time lines of all processes and the
-// ledgers of all workers.
+// Trace returns the input of the oracle: the merged timelines of all entry
+// instances and the ledgers of all workers.
 func (c *Cluster) Trace() (oracle.Trace, error) {
 	trace := oracle.Trace{Bounds: oracle.DefaultBounds, InProgress: map[task.ID]bool{}}
-	var lines [][]timeline.Event
+	var timelines [][]timeline.Event
 	for _, e := range c.Entries {
-		lines = append(lines, e.Events())
+		timelines = append(timelines, e.Events())
 	}
-	trace.Events = timeline.Merge(lines...)
+	trace.Events = timeline.Merge(timelines...)
 	for _, w := range c.Workers {
 		ledger, err := w.Ledger()
 		if err != nil {
--- a/demo/configuration.go
+++ b/demo/configuration.go
@@ -19,8 +19,8 @@
 // Secrets of the demo's keys, by team.
 var Secrets = map[task.Team]string{"leuven": "leuven-demo-secret", "estrie": "estrie-demo-secret"}
 
-// StoreConfiguration writes the documents and keys of the demo to a store, for
-// deployments whose operators are not under test.
+// StoreConfiguration writes the documents and keys of the demo directly to a store,
+// for tests that do not cover the operators' interface.
 func StoreConfiguration(ctx context.Context, storeAddress string) error {
 	client := store.NewClient(store.Config{Address: storeAddress, Instance: "demo"})
 	defer client.Close()
@@ -47,28 +47,28 @@
 	return eris.Wrap(err, "store the configuration of the demo")
 }
 
-// sourceFile is a document of the demo.
-type sourceFile struct {
+// documentFile is an embedded document file.
+type documentFile struct {
 	name, team, service string
 	source              []byte
 }
 
-func readDocuments() ([]sourceFile, error) {
+func readDocuments() ([]documentFile, error) {
 	entries, err := documents.ReadDir("documents")
 	if err != nil {
 		return nil, eris.Wrap(err, "read the documents of the demo")
 	}
-	var files []sourceFile
+	var files []documentFile
 	for _, entry := range entries {
 		source, err := documents.ReadFile("documents/" + entry.Name())
 		if err != nil {
 			return nil, eris.Wrap(err, "read document")
 		}
-		parsed, faults := document.Parse(source)
+		doc, faults := document.Parse(source)
 		if len(faults) > 0 {
 			return nil, eris.Errorf("%s: %v", entry.Name(), faults)
 		}
-		files = append(files, sourceFile{entry.Name(), string(parsed.Team), string(parsed.Service), source})
+		files = append(files, documentFile{entry.Name(), string(doc.Team), string(doc.Service), source})
 	}
 	return files, nil
 }
--- a/demo/report.go
+++ b/demo/report.go
@@ -9,25 +9,25 @@
 	"github.com/mulberrydrum/mulberrydrum/oracle"
 )
 
-// Row is the outcome of one request.
+// Row is the promised and the observed outcome of one request.
 type Row struct {
 	Request  string
 	Promised string
 	Observed string
-	Kept     bool // the outcome is as promised
+	Kept     bool // the observed outcome is the promised one
 }
 
 // Report is the outcome of the demo.
 type Report struct {
 	Rows       []Row
-	Events     int // of the merged time line
+	Events     int // in the merged timeline
 	Runs       int // in the workers' ledgers
 	Violations []oracle.Violation
 	Took       time.Duration
 }
 
-// OK reports whether every outcome is as promised and the oracle found nothing.
-// A report without rows or runs shows nothing and is not OK.
+// OK reports whether every promise was kept and the oracle found no violation. A
+// report without rows or runs is not OK, because it has checked nothing.
 func (r *Report) OK() bool {
 	for _, row := range r.Rows {
 		if !row.Kept {
@@ -37,7 +37,7 @@
 	return len(r.Rows) > 0 && r.Runs > 0 && len(r.Violations) == 0
 }
 
-// Write prints the table and the verdict.
+// Write prints the table of requests, the violations and a summary.
 func (r *Report) Write(out io.Writer) error {
 	const padding = 2
 	table := tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)
--- a/demo/run.go
+++ b/demo/run.go
@@ -15,17 +15,17 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Bounds of the demo.
+// Timeouts of the demo.
 const (
-	totalBound  = 20 * time.Second
-	joinBound   = 8 * time.Second // until every instance is a member
-	applyBound  = 5 * time.Second // until a document is in force everywhere
-	answerBound = 8 * time.Second // of one request
-	settleBound = 2 * time.Second // until the workers' ledgers show the end of every run
-	pollEvery   = 50 * time.Millisecond
+	totalTimeout   = 20 * time.Second
+	joinTimeout    = 8 * time.Second // until every instance is a member
+	applyTimeout   = 5 * time.Second // until a document is in force everywhere
+	requestTimeout = 8 * time.Second // of one request
+	settleTimeout  = 2 * time.Second // until the workers' ledgers show the end of every run
+	pollInterval   = 50 * time.Millisecond
 )
 
-// session is what the requests of the demo share.
+// session is the state that the requests of the demo share.
 type session struct {
 	cluster *Cluster
 	secrets map[task.Team]string
@@ -34,11 +34,11 @@
 	answers []oracle.Answer
 }
 
-// Run starts a deployment, has an operator configure it, sends the mix of
-// requests and checks what became of each. It takes at most 20 s.
+// Run starts a deployment, configures it as an operator, sends the mix of requests
+// and checks the outcome of each. It takes at most 20 s.
 func Run(ctx context.Context, logger *log.Logger) (*Report, error) {
 	started := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, totalBound)
+	ctx, cancel := context.WithTimeout(ctx, totalTimeout)
 	defer cancel()
 	c, err := Start(logger)
 	if err != nil {
@@ -50,34 +50,34 @@
 		return nil, err
 	}
 	report := &Report{Rows: s.sendAll(ctx)}
-	if err := s.judge(ctx, report); err != nil {
+	if err := s.checkTrace(ctx, report); err != nil {
 		return nil, err
 	}
 	report.Took = time.Since(started)
 	return report, nil
 }
 
-// sendAll sends the requests of the mix at once and returns their outcomes in
+// sendAll sends the requests of the mix concurrently and returns their outcomes in
 // the order of the mix.
 func (s *session) sendAll(ctx context.Context) []Row {
 	rows := make([]Row, len(mix))
 	var group sync.WaitGroup
 	for i, r := range mix {
 		group.Go(func() {
-			requestCtx, cancel := context.WithTimeout(ctx, answerBound)
+			requestCtx, cancel := context.WithTimeout(ctx, requestTimeout)
 			defer cancel()
-			observed, kept := r.send(requestCtx, s)
-			rows[i] = Row{Request: r.name, Promised: r.promised, Observed: observed, Kept: kept}
+			observed, asPromised := r.send(requestCtx, s)
+			rows[i] = Row{Request: r.name, Promised: r.promised, Observed: observed, Kept: asPromised}
 		})
 	}
 	group.Wait()
 	return rows
 }
 
-// judge lets the oracle check the time lines and the ledgers once no run is
-// going on.
-func (s *session) judge(ctx context.Context, report *Report) error {
-	ctx, cancel := context.WithTimeout(ctx, settleBound)
+// checkTrace runs the oracle on the timelines and the ledgers. It repeats that until
+// no run is in progress and there is no violation, or until settleTimeout.
+func (s *session) checkTrace(ctx context.Context, report *Report) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	for {
 		trace, err := s.cluster.Trace()
@@ -99,12 +99,12 @@
 		if running == 0 && len(report.Violations) == 0 || ctx.Err() != nil {
 			return nil
 		}
-		pause(ctx, pollEvery)
+		sleep(ctx, pollInterval)
 	}
 }
 
-// operator returns a client of the operators' interface of every instance.
-func (s *session) operator() *client.Client {
+// operatorClient returns a client for the operator addresses of all instances.
+func (s *session) operatorClient() *client.Client {
 	var addresses []string
 	for _, e := range s.cluster.Entries {
 		addresses = append(addresses, e.OperatorAddress())
@@ -112,27 +112,27 @@
 	return client.New(client.Config{Addresses: addresses})
 }
 
-// configure does what an operator would: it waits for the instances, applies
-// the documents and grants a key to each team.
+// configure waits for the instances, applies the documents and grants a key to each
+// team, as an operator would.
 func (s *session) configure(ctx context.Context) error {
-	operator := s.operator()
+	operator := s.operatorClient()
 	defer operator.Close()
-	if err := awaitMembers(ctx, operator, len(s.cluster.Entries)); err != nil {
+	if err := waitForMembers(ctx, operator, len(s.cluster.Entries)); err != nil {
 		return err
 	}
-	parsed, err := readDocuments()
+	files, err := readDocuments()
 	if err != nil {
 		return err
 	}
-	for _, d := range parsed {
+	for _, d := range files {
 		if d.service == "" {
-			if err := s.addTeam(ctx, operator, d); err != nil {
+			if err := s.configureTeam(ctx, operator, d); err != nil {
 				return err
 			}
 		}
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	for _, d := range parsed {
+	for _, d := range files {
 		if d.service != "" {
 			group.Go(func() error { return apply(ctx, operator, d) })
 		}
@@ -140,9 +140,10 @@
 	return group.Wait()
 }
 
-// addTeam applies the document of a team and grants it a key. It does not wait:
-// the wait for the documents of services, which come later, covers both.
-func (s *session) addTeam(ctx context.Context, operator *client.Client, d sourceFile) error {
+// configureTeam applies the document of a team and grants it a key. It does not wait
+// until they are in force: the wait for the service documents, which are applied
+// later, covers both.
+func (s *session) configureTeam(ctx context.Context, operator *client.Client, d documentFile) error {
 	if _, err := operator.Apply(ctx, d.team, "", d.source, 0, 0); err != nil {
 		return eris.Wrapf(err, "apply the document of team %s", d.team)
 	}
@@ -154,31 +155,31 @@
 	return nil
 }
 
-func apply(ctx context.Context, operator *client.Client, d sourceFile) error {
-	applied, err := operator.Apply(ctx, d.team, d.service, d.source, 0, applyBound)
+func apply(ctx context.Context, operator *client.Client, d documentFile) error {
+	applied, err := operator.Apply(ctx, d.team, d.service, d.source, 0, applyTimeout)
 	if err != nil {
 		return eris.Wrapf(err, "apply the document of %s/%s", d.team, d.service)
 	}
 	if !applied.InForce {
-		return eris.Errorf("the document of %s/%s was not in force everywhere in %s", d.team, d.service, applyBound)
+		return eris.Errorf("the document of %s/%s was not in force everywhere within %s", d.team, d.service, applyTimeout)
 	}
 	return nil
 }
 
-func awaitMembers(ctx context.Context, operator *client.Client, want int) error {
-	ctx, cancel := context.WithTimeout(ctx, joinBound)
+func waitForMembers(ctx context.Context, operator *client.Client, want int) error {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
 		members, err := operator.Members(ctx)
 		if err == nil && len(members.Members) == want {
 			return nil
 		}
-		pause(ctx, pollEvery)
+		sleep(ctx, pollInterval)
 	}
-	return eris.Errorf("not all %d entry instances joined in %s", want, joinBound)
+	return eris.Errorf("not all %d entry instances joined within %s", want, joinTimeout)
 }
 
-func pause(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
 	case <-ctx.Done():
--- a/demo/run_test.go
+++ b/demo/run_test.go
@@ -11,8 +11,8 @@
 	"github.com/mulberrydrum/mulberrydrum/oracle"
 )
 
-// TestRun guards against a promise to a caller that the whole path does not
-// keep, and against a violation of an invariant while it runs.
+// TestRun guards against a promise to callers that is broken end to end, and against
+// the violation of an invariant.
 func TestRun(t *testing.T) {
 	report, err := Run(t.Context(), log.New(io.Discard))
 	if err != nil {
@@ -23,27 +23,27 @@
 		_ = report.Write(&text)
 		t.Errorf("not every promise was kept:\n%s", text.String())
 	}
-	if report.Took > totalBound {
-		t.Errorf("took %s, more than %s", report.Took, totalBound)
+	if report.Took > totalTimeout {
+		t.Errorf("the demo took %s, more than %s", report.Took, totalTimeout)
 	}
 }
 
-// TestAcceptedIsNoRefusal guards against a crash of the demo when a request
-// succeeds that should soon be refused.
-func TestAcceptedIsNoRefusal(t *testing.T) {
+// TestSuccessIsNotRefusal guards against a crash of the demo when a request with a
+// withdrawn key still succeeds, because the withdrawal is not yet in force.
+func TestSuccessIsNotRefusal(t *testing.T) {
 	if isRefusal(nil, errkind.KeyWithdrawn) {
 		t.Error("a request that succeeded counts as refused")
 	}
 }
 
-// TestReportOK guards against a demo that succeeds with a broken promise, a
-// violation, or nothing to show.
+// TestReportOK guards against a demo that reports success with a broken promise, a
+// violation, or nothing checked.
 func TestReportOK(t *testing.T) {
 	kept, broken := Row{Kept: true}, Row{}
 	for _, tc := range []struct {
-		name string
-		r    Report
-		want bool
+		name   string
+		report Report
+		want   bool
 	}{
 		{"all kept", Report{Rows: []Row{kept}, Runs: 1}, true},
 		{"one broken", Report{Rows: []Row{kept, broken}, Runs: 1}, false},
@@ -51,7 +51,7 @@
 		{"no request", Report{Runs: 1}, false},
 		{"no run", Report{Rows: []Row{kept}}, false},
 	} {
-		if got := tc.r.OK(); got != tc.want {
+		if got := tc.report.OK(); got != tc.want {
 			t.Errorf("%s: OK is %t, want %t", tc.name, got, tc.want)
 		}
 	}
--- a/demo/special.go
+++ b/demo/special.go
@@ -11,49 +11,51 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// repeated submits work that must run at most once through two instances at the
-// same time, as a caller does that had no answer to its first try.
-func repeated(ctx context.Context, s *session) (string, bool) {
+// submitTwice submits at-most-once work through two instances concurrently, like a
+// caller that retries because it received no reply.
+func submitTwice(ctx context.Context, s *session) (string, bool) {
 	j := job{team: leuven, service: "piping", class: "stress-report", idempotencyKey: "report-1"}.withDefaults()
-	type reply struct {
+	type result struct {
 		job api.Job
 		err error
 	}
-	first := make(chan reply, 1)
+	results := make(chan result, 1)
 	go func() {
-		done, err := s.submit(ctx, j, answerBound)
-		first <- reply{done, err}
+		reply, err := s.submit(ctx, j, requestTimeout)
+		results <- result{reply, err}
 	}()
 	again := j
 	again.instance = 5
-	second, err := s.submit(ctx, again, answerBound)
-	other := <-first
-	if err != nil || other.err != nil {
-		return fmt.Sprintf("%v, %v", err, other.err), false
-	}
-	if !j.isMetBy(second) || !j.isMetBy(other.job) {
-		return describe(other.job) + "; " + describe(second), false
-	}
-	a, b := other.job.Tasks[0], second.Tasks[0]
-	runs := s.runsOfTask(a.ID)
-	same := a.ID == b.ID && a.Attempt == b.Attempt && a.Digest == b.Digest
-	oneRepeats := other.job.Repeated != second.Repeated
-	return fmt.Sprintf("%d run, both with attempt %d, one repeated: %t", runs, a.Attempt, oneRepeats), same && runs == 1 && oneRepeats
+	second, err := s.submit(ctx, again, requestTimeout)
+	first := <-results
+	if err != nil || first.err != nil {
+		return fmt.Sprintf("%v, %v", err, first.err), false
+	}
+	if !j.isFulfilledBy(second) || !j.isFulfilledBy(first.job) {
+		return describeJob(first.job) + "; " + describeJob(second), false
+	}
+	firstTask, secondTask := first.job.Tasks[0], second.Tasks[0]
+	runs := s.countTaskRuns(firstTask.ID)
+	sameAttempt := firstTask.ID == secondTask.ID && firstTask.Attempt == secondTask.Attempt && firstTask.Digest == secondTask.Digest
+	oneRepeated := first.job.Repeated != second.Repeated
+	return fmt.Sprintf("%d run, both with attempt %d, one repeated: %t", runs, firstTask.Attempt, oneRepeated), sameAttempt && runs == 1 && oneRepeated
 }
 
-// runsOfTask counts the runs of a task in the ledgers of all workers.
-func (s *session) runsOfTask(id task.ID) int {
-	return s.runsOf(func(other task.ID) bool { return other == id })
+// countTaskRuns counts the runs of a task in the ledgers of all workers.
+func (s *session) countTaskRuns(id task.ID) int {
+	return s.countRuns(func(otherID task.ID) bool { return otherID == id })
 }
 
-func (s *session) runsOf(isCounted func(task.ID) bool) int {
+// countRuns counts the runs in the ledgers of all workers whose task matches
+// isCounted. It returns -1 if a ledger cannot be read.
+func (s *session) countRuns(isCounted func(task.ID) bool) int {
 	runs := 0
 	for _, w := range s.cluster.Workers {
-		kept, err := w.Ledger()
+		workerLedger, err := w.Ledger()
 		if err != nil {
 			return -1
 		}
-		for _, r := range kept.Runs {
+		for _, r := range workerLedger.Runs {
 			if isCounted(r.Attempt.Task) {
 				runs++
 			}
@@ -62,105 +64,106 @@
 	return runs
 }
 
-// otherBody submits a second body under the idempotency key of a first one.
-func otherBody(ctx context.Context, s *session) (string, bool) {
+// submitConflictingBody submits two different bodies with the same idempotency key.
+func submitConflictingBody(ctx context.Context, s *session) (string, bool) {
 	j := job{team: estrie, service: "shop", class: "parts-order", idempotencyKey: "order-1"}.withDefaults()
-	if _, err := s.submit(ctx, j, answerBound); err != nil {
-		return "first body: " + observedError(err), false
+	if _, err := s.submit(ctx, j, requestTimeout); err != nil {
+		return "first body: " + describeError(err), false
 	}
 	j.payload, j.instance = "another body", 3
-	done, err := s.submit(ctx, j, answerBound)
+	reply, err := s.submit(ctx, j, requestTimeout)
 	if err == nil {
-		return describe(done), false
+		return describeJob(reply), false
 	}
-	return observedError(err), isRefusal(err, errkind.IdempotencyConflict)
+	return describeError(err), isRefusal(err, errkind.IdempotencyConflict)
 }
 
-// cancelled runs a long-lived service, cancels it and waits for its end.
-func cancelled(ctx context.Context, s *session) (string, bool) {
+// cancelService runs a long-lived service, cancels it and waits for its end.
+func cancelService(ctx context.Context, s *session) (string, bool) {
 	j := job{team: leuven, service: "piping", class: "span-tables"}.withDefaults()
 	started, err := s.submit(ctx, j, 0)
 	if err != nil {
-		return observedError(err), false
+		return describeError(err), false
 	}
-	for ctx.Err() == nil && s.runsOfTask(started.Tasks[0].ID) == 0 {
-		pause(ctx, pollEvery)
+	for ctx.Err() == nil && s.countTaskRuns(started.Tasks[0].ID) == 0 {
+		sleep(ctx, pollInterval)
 	}
-	caller := s.caller(j)
+	caller := s.callerClient(j)
 	defer caller.Close()
 	if _, err := caller.Cancel(ctx, started.ID); err != nil {
-		return "cancel: " + observedError(err), false
+		return "cancel: " + describeError(err), false
 	}
-	done, err := caller.Wait(ctx, started.ID, answerBound)
+	reply, err := caller.Wait(ctx, started.ID, requestTimeout)
 	if err != nil {
-		return "wait: " + observedError(err), false
+		return "wait: " + describeError(err), false
 	}
-	t := done.Tasks[0]
-	runs := s.runsOfTask(t.ID)
+	t := reply.Tasks[0]
+	runs := s.countTaskRuns(t.ID)
 	return fmt.Sprintf("%d run, %s, %s", runs, t.State, t.Reason), runs == 1 && t.State == task.Finished && t.Reason == string(errkind.Cancelled)
 }
 
-// deadlinePassed asks for an answer that takes longer than its deadline. "Not
-// run" is promised only of work that no worker started.
-func deadlinePassed(ctx context.Context, s *session) (string, bool) {
+// exceedDeadline submits work that takes longer than its deadline. The reply may say
+// "not run" only if no worker started the work.
+func exceedDeadline(ctx context.Context, s *session) (string, bool) {
 	j := job{team: leuven, service: "piping", class: "slow-lookup"}.withDefaults()
-	caller := s.caller(j)
+	caller := s.callerClient(j)
 	defer caller.Close()
-	done, err := caller.Submit(ctx, j.team, j.service, api.SubmitRequest{IdempotencyKey: j.idempotencyKey, Class: j.class,
-		Payload: []byte(j.payload), Deadline: time.Now().Add(time.Second)}, answerBound)
+	reply, err := caller.Submit(ctx, j.team, j.service, api.SubmitRequest{IdempotencyKey: j.idempotencyKey, Class: j.class,
+		Payload: []byte(j.payload), Deadline: time.Now().Add(time.Second)}, requestTimeout)
 	if err == nil {
-		return describe(done), false
+		return describeJob(reply), false
 	}
-	runs := s.runsOf(func(id task.ID) bool {
+	runs := s.countRuns(func(id task.ID) bool {
 		key, _, ok := ledger.ParseID(id)
 		return ok && key.Key == j.idempotencyKey
 	})
-	kept := isRefusal(err, errkind.OutcomeUnknown) && runs <= 1 || isRefusal(err, errkind.DeadlineExceeded) && runs == 0
-	return fmt.Sprintf("%s; %d run", observedError(err), runs), kept
+	asPromised := isRefusal(err, errkind.OutcomeUnknown) && runs <= 1 || isRefusal(err, errkind.DeadlineExceeded) && runs == 0
+	return fmt.Sprintf("%s; %d run", describeError(err), runs), asPromised
 }
 
-// withdrawnKey uses a key, has an operator withdraw it, and asks every instance
-// until all refuse it.
-func withdrawnKey(ctx context.Context, s *session) (string, bool) {
-	operator := s.operator()
+// withdrawKey uses a key, withdraws it as an operator, and submits to every instance
+// until all refuse the key.
+func withdrawKey(ctx context.Context, s *session) (string, bool) {
+	operator := s.operatorClient()
 	defer operator.Close()
 	granted, err := operator.GrantKey(ctx, api.GrantRequest{Team: leuven, Note: "to be withdrawn"})
 	if err != nil {
-		return "grant: " + observedError(err), false
+		return "grant: " + describeError(err), false
 	}
 	j := job{team: leuven, service: "piping", class: "span-lookup", secret: granted.Secret}.withDefaults()
-	if err := s.useKey(ctx, j); err != nil {
-		return "first use: " + observedError(err), false
+	if err := s.waitUntilAccepted(ctx, j); err != nil {
+		return "first use: " + describeError(err), false
 	}
 	withdrawnAt := time.Now()
 	if _, err := operator.WithdrawKey(ctx, leuven, granted.ID); err != nil {
-		return "withdraw: " + observedError(err), false
+		return "withdraw: " + describeError(err), false
 	}
 	for i := range s.cluster.Entries {
 		j.instance, j.idempotencyKey = i, fmt.Sprintf("withdrawn-%d", i)
-		for _, err := s.submit(ctx, j, answerBound); !isRefusal(err, errkind.KeyWithdrawn); _, err = s.submit(ctx, j, answerBound) {
+		for _, err := s.submit(ctx, j, requestTimeout); !isRefusal(err, errkind.KeyWithdrawn); _, err = s.submit(ctx, j, requestTimeout) {
 			if time.Since(withdrawnAt) > keyFreshness {
 				return fmt.Sprintf("instance %d: %v", i, err), false
 			}
-			pause(ctx, pollEvery)
+			sleep(ctx, pollInterval)
 		}
 	}
 	return fmt.Sprintf("%s by all after %.2f s", errkind.KeyWithdrawn, time.Since(withdrawnAt).Seconds()), time.Since(withdrawnAt) <= keyFreshness
 }
 
-// useKey submits until the key, which was just granted, is known.
-func (s *session) useKey(ctx context.Context, j job) error {
+// waitUntilAccepted repeats a submission until the instance accepts the key of j,
+// which has just been granted.
+func (s *session) waitUntilAccepted(ctx context.Context, j job) error {
 	j.idempotencyKey = "withdrawn-key"
 	for {
-		done, err := s.submit(ctx, j, answerBound)
+		reply, err := s.submit(ctx, j, requestTimeout)
 		switch {
-		case err == nil && j.isMetBy(done):
+		case err == nil && j.isFulfilledBy(reply):
 			return nil
 		case err == nil:
-			return errkind.New(errkind.Internal, "%s", describe(done))
+			return errkind.New(errkind.Internal, "%s", describeJob(reply))
 		case ctx.Err() != nil || errkind.From(err).Kind != errkind.KeyRefused:
 			return err
 		}
-		pause(ctx, pollEvery)
+		sleep(ctx, pollInterval)
 	}
 }
