--- a/cmd/mulberryctl/apply.go
+++ b/cmd/mulberryctl/apply.go
@@ -18,7 +18,7 @@
 	Wait   time.Duration `help:"Wait for the change to be in force on every entry instance for up to this time."`
 }
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (applyCommand) Help() string {
 	return `Examples:
   mulberryctl get dijle-engineering piping > piping.jsonc
@@ -29,18 +29,18 @@
 the exit code is 6.`
 }
 
-// Run replaces the document.
+// Run applies the document.
 func (c applyCommand) Run(env *environment) error {
 	source, err := readDocument(env, c.File)
 	if err != nil {
 		return err
 	}
-	return env.asOperator(c.Wait, func(ctx context.Context, operators *client.Client) error {
-		expected, err := c.expected(ctx, operators, source)
+	return env.withOperatorClient(c.Wait, func(ctx context.Context, operatorClient *client.Client) error {
+		expected, err := c.expectedRevision(ctx, operatorClient, source)
 		if err != nil {
 			return err
 		}
-		applied, err := operators.Apply(ctx, source.team, source.service, source.text, expected, c.Wait)
+		applied, err := operatorClient.Apply(ctx, source.team, source.service, source.text, expected, c.Wait)
 		if err != nil {
 			return err
 		}
@@ -48,50 +48,51 @@
 	})
 }
 
-// expected is the revision that the change is made to: as told, as the file
-// says, or the one in force.
-func (c applyCommand) expected(ctx context.Context, operators *client.Client, source documentSource) (int64, error) {
+// expectedRevision returns the revision that the change is based on: that of the
+// flag, that of the revision line in the file, or the one in force.
+func (c applyCommand) expectedRevision(ctx context.Context, operatorClient *client.Client, source documentSource) (int64, error) {
 	if c.Expect >= 0 {
 		return c.Expect, nil
 	}
 	if source.hasRevision {
 		return source.revision, nil
 	}
-	current, err := operators.Document(ctx, source.team, source.service)
-	if err == nil || isMissing(err) {
+	current, err := operatorClient.Document(ctx, source.team, source.service)
+	if err == nil || isNotFound(err) {
 		return current.Revision, nil
 	}
 	return 0, err
 }
 
-func isMissing(err error) bool {
+func isNotFound(err error) bool {
 	var e *errkind.Error
 	return errors.As(err, &e) && (e.Kind == errkind.UnknownTeam || e.Kind == errkind.UnknownService)
 }
 
-// documentSource is a file with a document.
+// documentSource is the content of a document file.
 type documentSource struct {
 	team, service string
-	text          []byte
+	text          []byte // without the revision line
 	revision      int64
 	hasRevision   bool
 }
 
-// readDocument reads and checks a file, so that its faults have the lines of
-// the file, which the entry instance does not know.
+// readDocument reads and checks a file. The check is local because the entry
+// instance receives the text without the revision line, so its line numbers would
+// not be those of the file.
 func readDocument(env *environment, name string) (documentSource, error) {
-	whole, err := readInput(env, name)
+	content, err := readInput(env, name)
 	if err != nil {
 		return documentSource{}, err
 	}
-	parsed, faults := document.Parse(whole)
+	parsed, faults := document.Parse(content)
 	if len(faults) > 0 {
 		detail := api.ErrorFrom(errkind.New(errkind.InvalidRequest, "%s has %d faults", name, len(faults)))
 		detail.Faults = faults
 		return documentSource{}, &client.Error{Detail: detail}
 	}
 	source := documentSource{team: string(parsed.Team), service: string(parsed.Service)}
-	source.text, source.revision, source.hasRevision = splitRevision(whole)
+	source.text, source.revision, source.hasRevision = splitRevision(content)
 	return source, nil
 }
 
--- a/cmd/mulberryctl/config.go
+++ b/cmd/mulberryctl/config.go
@@ -18,7 +18,7 @@
 	File []string `arg:"" help:"Files to check."`
 }
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (configCheckCommand) Help() string {
 	return `Examples:
   mulberryctl config check settings.jsonc
@@ -28,21 +28,21 @@
 The exit code is 0 without a fault and 1 with one.`
 }
 
-// checkedFile is a checked file in the output as JSON.
-type checkedFile struct {
+// fileResult is the result for one file in the JSON output.
+type fileResult struct {
 	File   string        `json:"file"`
 	Faults []jsonc.Fault `json:"faults"`
 }
 
-const faultsFound = 1
+const exitFaultsFound = 1
 
-// Run checks every file and prints their faults.
+// Run checks every file and prints the faults.
 func (c configCheckCommand) Run(env *environment) error {
-	var files []checkedFile
+	var files []fileResult
 	var lines []string
 	for _, name := range c.File {
 		faults := checkFile(name)
-		files = append(files, checkedFile{File: name, Faults: faults})
+		files = append(files, fileResult{File: name, Faults: faults})
 		for _, fault := range faults {
 			lines = append(lines, fmt.Sprintf("%s:%s", name, fault))
 		}
@@ -51,7 +51,7 @@
 		return err
 	}
 	if len(lines) > 0 {
-		return exitError{faultsFound}
+		return exitError{exitFaultsFound}
 	}
 	return nil
 }
@@ -64,9 +64,9 @@
 	return checkSource(src)
 }
 
-// checkSource tells settings from a document by the name that either must have.
-// Text that names neither is checked as a document where it has no names at all,
-// so that a syntax error is reported with its position.
+// checkSource checks src as settings or as a document, depending on which of their
+// required fields it has: instance or team. If src has no fields at all, it is
+// checked as a document, so that a syntax error is reported with its position.
 func checkSource(src []byte) []jsonc.Fault {
 	names := jsonc.TopLevelNames(src)
 	switch {
--- a/cmd/mulberryctl/conflict.go
+++ b/cmd/mulberryctl/conflict.go
@@ -7,10 +7,10 @@
 	"github.com/mulberrydrum/mulberrydrum/api"
 )
 
-// conflictLines shows the change that came first.
+// conflictLines describes the conflicting change, which was applied first.
 func conflictLines(c api.Conflict) []string {
-	lines := []string{fmt.Sprintf("revision %d is in force, not %d; %s changed at %s:",
-		c.Revision, c.Expected, orNobody(c.By), c.At.Format(time.RFC3339))}
+	lines := []string{fmt.Sprintf("revision %d is in force, not %d; changed by %s at %s:",
+		c.Revision, c.Expected, orUnnamed(c.By), c.At.Format(time.RFC3339))}
 	return append(lines, changeLines(c.Changes)...)
 }
 
@@ -29,7 +29,7 @@
 	return s
 }
 
-func orNobody(s string) string {
+func orUnnamed(s string) string {
 	if s == "" {
 		return "an unnamed operator"
 	}
--- a/cmd/mulberryctl/demo.go
+++ b/cmd/mulberryctl/demo.go
@@ -8,7 +8,7 @@
 
 type demoCommand struct{}
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (demoCommand) Help() string {
 	return `Example:
   mulberryctl demo
@@ -20,7 +20,7 @@
 violation.`
 }
 
-const promiseBroken = 1
+const exitPromiseBroken = 1
 
 // Run runs the demo and prints its report.
 func (demoCommand) Run(env *environment) error {
@@ -35,7 +35,7 @@
 		err = report.Write(env.stdout)
 	}
 	if err == nil && !report.OK() {
-		return exitError{promiseBroken}
+		return exitError{exitPromiseBroken}
 	}
 	return err
 }
--- a/cmd/mulberryctl/diff.go
+++ b/cmd/mulberryctl/diff.go
@@ -11,7 +11,7 @@
 	File string `arg:"" help:"File with a document, - for standard input."`
 }
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (diffCommand) Help() string {
 	return `Example:
   mulberryctl diff piping.jsonc
@@ -20,7 +20,7 @@
 where they differ.`
 }
 
-const differs = 1
+const exitDiffers = 1
 
 // Run prints the fields that differ.
 func (c diffCommand) Run(env *environment) error {
@@ -28,8 +28,8 @@
 	if err != nil {
 		return err
 	}
-	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
-		diff, err := operators.Diff(ctx, source.team, source.service, source.text)
+	return env.withOperatorClient(0, func(ctx context.Context, operatorClient *client.Client) error {
+		diff, err := operatorClient.Diff(ctx, source.team, source.service, source.text)
 		if err != nil {
 			return err
 		}
@@ -38,7 +38,7 @@
 			return err
 		}
 		if len(diff.Changes) > 0 {
-			return exitError{differs}
+			return exitError{exitDiffers}
 		}
 		return nil
 	})
--- a/cmd/mulberryctl/drain.go
+++ b/cmd/mulberryctl/drain.go
@@ -14,7 +14,7 @@
 	Undo     bool   `help:"Put a worker back into service, or let the next process of an entry instance stay."`
 }
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (drainCommand) Help() string {
 	return `Examples:
   mulberryctl drain --worker worker-flanders-17
@@ -24,8 +24,8 @@
 
 // Run starts or ends the drain.
 func (c drainCommand) Run(env *environment) error {
-	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
-		drain, err := operators.Drain(ctx, api.DrainRequest{Instance: c.Instance, Worker: c.Worker, Undo: c.Undo})
+	return env.withOperatorClient(0, func(ctx context.Context, operatorClient *client.Client) error {
+		drain, err := operatorClient.Drain(ctx, api.DrainRequest{Instance: c.Instance, Worker: c.Worker, Undo: c.Undo})
 		if err != nil {
 			return err
 		}
--- a/cmd/mulberryctl/environment.go
+++ b/cmd/mulberryctl/environment.go
@@ -16,7 +16,7 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// globals are the flags of every command.
+// globals are the flags that all commands have.
 type globals struct {
 	Server   []string      `help:"Addresses (host:port) of entry instances for callers." env:"MULBERRYDRUM_SERVER" default:"127.0.0.1:7070"`
 	Operator []string      `help:"Addresses (host:port) of entry instances for operators." env:"MULBERRYDRUM_OPERATOR" default:"127.0.0.1:7071"`
@@ -25,7 +25,8 @@
 	Timeout  time.Duration `help:"Time for the whole command, without the wait that it asks for." default:"15s"`
 }
 
-// environment is what a command runs in.
+// environment holds the global flags, the context and the standard streams of a
+// command.
 type environment struct {
 	globals
 	ctx    context.Context
@@ -34,18 +35,18 @@
 	stderr io.Writer
 }
 
-// asCaller runs ask with a client of the addresses for callers and a context for
-// a command that waits for wait.
-func (e *environment) asCaller(wait time.Duration, ask func(context.Context, *client.Client) error) error {
-	return e.ask(e.Server, wait, ask)
+// withCallerClient runs call with a client for the caller addresses. The deadline of
+// its context is the timeout of the command plus wait.
+func (e *environment) withCallerClient(wait time.Duration, call func(context.Context, *client.Client) error) error {
+	return e.withClient(e.Server, wait, call)
 }
 
-// asOperator is like asCaller with the addresses for operators.
-func (e *environment) asOperator(wait time.Duration, ask func(context.Context, *client.Client) error) error {
-	return e.ask(e.Operator, wait, ask)
+// withOperatorClient is withCallerClient for the operator addresses.
+func (e *environment) withOperatorClient(wait time.Duration, ask func(context.Context, *client.Client) error) error {
+	return e.withClient(e.Operator, wait, ask)
 }
 
-func (e *environment) ask(addresses []string, wait time.Duration, ask func(context.Context, *client.Client) error) error {
+func (e *environment) withClient(addresses []string, wait time.Duration, ask func(context.Context, *client.Client) error) error {
 	secret, err := e.secret()
 	if err != nil {
 		return err
@@ -63,7 +64,7 @@
 	}
 	text, err := os.ReadFile(e.KeyFile)
 	if err != nil {
-		return "", errkind.New(errkind.KeyMissing, "the secret cannot be read: %v", err).WithField("key-file", "a readable file")
+		return "", errkind.New(errkind.KeyMissing, "read key file: %v", err).WithField("key-file", "a readable file")
 	}
 	return strings.TrimSpace(string(text)), nil
 }
@@ -85,56 +86,57 @@
 	return table.Flush()
 }
 
-// exitError ends the command with a code, after it has printed what there is.
+// exitError sets the exit code of a command that has already printed its output.
 type exitError struct{ code int }
 
-// Error returns the code in words.
+// Error returns a text with the exit code.
 func (e exitError) Error() string { return fmt.Sprintf("exit code %d", e.code) }
 
-// report prints err and returns the exit code of its kind.
-func (e *environment) report(err error) int {
+// reportError prints err and returns the exit code for its kind. It prints nothing
+// for an exitError.
+func (e *environment) reportError(err error) int {
 	var exit exitError
 	if errors.As(err, &exit) {
 		return exit.code
 	}
-	detail := detailOf(err)
+	detail := errorDetail(err)
 	if e.Output == "json" {
 		encoder := json.NewEncoder(e.stderr)
 		encoder.SetIndent("", "  ")
 		_ = encoder.Encode(api.ErrorReply{Error: detail})
 	} else {
-		e.reportText(detail)
+		e.printErrorText(detail)
 	}
 	return errkind.AnswerFor(detail.Kind).ExitCode
 }
 
-func detailOf(err error) api.Error {
-	var answered *client.Error
-	if errors.As(err, &answered) {
-		return answered.Detail
+func errorDetail(err error) api.Error {
+	var replyErr *client.Error
+	if errors.As(err, &replyErr) {
+		return replyErr.Detail
 	}
 	return api.ErrorFrom(errkind.From(err))
 }
 
-func (e *environment) reportText(detail api.Error) {
-	line := func(format string, args ...any) { _, _ = fmt.Fprintf(e.stderr, format+"\n", args...) }
-	line("mulberryctl: %s: %s", detail.Kind, detail.Message)
+func (e *environment) printErrorText(detail api.Error) {
+	printLine := func(format string, args ...any) { _, _ = fmt.Fprintf(e.stderr, format+"\n", args...) }
+	printLine("mulberryctl: %s: %s", detail.Kind, detail.Message)
 	if detail.Field != "" {
-		line("  field: %s", detail.Field)
+		printLine("  field: %s", detail.Field)
 	}
 	if detail.Limit != "" {
-		line("  allowed: %s", detail.Limit)
+		printLine("  allowed: %s", detail.Limit)
 	}
 	if detail.RetryAfter > 0 {
-		line("  retry after: %s", time.Duration(detail.RetryAfter))
+		printLine("  retry after: %s", time.Duration(detail.RetryAfter))
 	}
-	line("  work: %s, advice: %s", detail.Fate, detail.Advice)
+	printLine("  work: %s, advice: %s", detail.Fate, detail.Advice)
 	for _, fault := range detail.Faults {
-		line("  %s", fault)
+		printLine("  %s", fault)
 	}
 	if detail.Conflict != nil {
 		for _, text := range conflictLines(*detail.Conflict) {
-			line("  %s", text)
+			printLine("  %s", text)
 		}
 	}
 }
--- a/cmd/mulberryctl/get.go
+++ b/cmd/mulberryctl/get.go
@@ -11,7 +11,7 @@
 	Service string `arg:"" optional:"" help:"Service; without it, the document of the whole team is shown."`
 }
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (getCommand) Help() string {
 	return `Examples:
   mulberryctl get
@@ -23,24 +23,24 @@
 
 // Run prints the document or the list.
 func (c getCommand) Run(env *environment) error {
-	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
+	return env.withOperatorClient(0, func(ctx context.Context, operatorClient *client.Client) error {
 		if c.Team == "" {
-			return c.list(ctx, env, operators)
+			return c.list(ctx, env, operatorClient)
 		}
-		held, err := operators.Document(ctx, c.Team, c.Service)
+		document, err := operatorClient.Document(ctx, c.Team, c.Service)
 		if err != nil {
 			return err
 		}
 		if env.Output == "json" {
-			return env.show(held)
+			return env.show(document)
 		}
-		_, err = env.stdout.Write(withRevision(held))
+		_, err = env.stdout.Write(withRevision(document))
 		return err
 	})
 }
 
-func (getCommand) list(ctx context.Context, env *environment, operators *client.Client) error {
-	list, err := operators.Documents(ctx)
+func (getCommand) list(ctx context.Context, env *environment, operatorClient *client.Client) error {
+	list, err := operatorClient.Documents(ctx)
 	if err != nil {
 		return err
 	}
--- a/cmd/mulberryctl/job.go
+++ b/cmd/mulberryctl/job.go
@@ -9,7 +9,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// showJob prints job and returns the error that its end stands for.
+// showJob prints job and returns an exitError if a task did not succeed.
 func (e *environment) showJob(job api.Job) error {
 	if err := e.show(job, jobLines(job)...); err != nil {
 		return err
@@ -50,8 +50,9 @@
 	return line
 }
 
-// jobExitCode is 0 while the job goes on, so that a script can tell a failure
-// from a wait that was too short by the printed state.
+// jobExitCode returns the exit code for the first task that did not succeed. It
+// returns 0 for a job that is still running: a wait that was too short is not a
+// failure, and a script can detect it by the printed state.
 func jobExitCode(job api.Job) int {
 	for _, t := range job.Tasks {
 		switch {
--- a/cmd/mulberryctl/keys.go
+++ b/cmd/mulberryctl/keys.go
@@ -22,16 +22,16 @@
 	Note string `help:"Note for other operators."`
 }
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (keysGrantCommand) Help() string {
 	return `Example:
   mulberryctl keys grant dijle-engineering --role responsible-engineer --note "report server"`
 }
 
-// Run makes the key.
+// Run creates the key.
 func (c keysGrantCommand) Run(env *environment) error {
-	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
-		granted, err := operators.GrantKey(ctx, api.GrantRequest{Team: task.Team(c.Team), Role: c.Role, Note: c.Note})
+	return env.withOperatorClient(0, func(ctx context.Context, operatorClient *client.Client) error {
+		granted, err := operatorClient.GrantKey(ctx, api.GrantRequest{Team: task.Team(c.Team), Role: c.Role, Note: c.Note})
 		if err != nil {
 			return err
 		}
@@ -44,16 +44,16 @@
 	ID   string `arg:"" help:"ID of the key, as keys list shows it."`
 }
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (keysWithdrawCommand) Help() string {
 	return `Example:
   mulberryctl keys withdraw dijle-engineering k-7f3a`
 }
 
-// Run ends the key.
+// Run withdraws the key.
 func (c keysWithdrawCommand) Run(env *environment) error {
-	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
-		key, err := operators.WithdrawKey(ctx, c.Team, c.ID)
+	return env.withOperatorClient(0, func(ctx context.Context, operatorClient *client.Client) error {
+		key, err := operatorClient.WithdrawKey(ctx, c.Team, c.ID)
 		if err != nil {
 			return err
 		}
@@ -65,7 +65,7 @@
 	Team string `arg:"" optional:"" help:"Team; all teams by default."`
 }
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (keysListCommand) Help() string {
 	return `Example:
   mulberryctl keys list dijle-engineering`
@@ -73,8 +73,8 @@
 
 // Run lists the keys.
 func (c keysListCommand) Run(env *environment) error {
-	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
-		list, err := operators.Keys(ctx, c.Team)
+	return env.withOperatorClient(0, func(ctx context.Context, operatorClient *client.Client) error {
+		list, err := operatorClient.Keys(ctx, c.Team)
 		if err != nil {
 			return err
 		}
@@ -87,10 +87,10 @@
 }
 
 func keyLine(k api.Key) string {
-	return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s", k.Team, k.ID, orNone(k.Role), timeText(k.GrantedAt), timeText(k.WithdrawnAt), k.Note)
+	return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s", k.Team, k.ID, orNone(k.Role), formatTime(k.GrantedAt), formatTime(k.WithdrawnAt), k.Note)
 }
 
-func timeText(t time.Time) string {
+func formatTime(t time.Time) string {
 	if t.IsZero() {
 		return "-"
 	}
--- a/cmd/mulberryctl/load.go
+++ b/cmd/mulberryctl/load.go
@@ -6,7 +6,7 @@
 	"github.com/mulberrydrum/mulberrydrum/load"
 )
 
-// loadCommand drives the decision packages with a generated load.
+// loadCommand simulates the scheduling policies with a generated load.
 type loadCommand struct {
 	Seed     uint64        `default:"1" help:"Seed of the load; equal seeds give equal loads."`
 	Teams    int           `default:"6" help:"Number of teams."`
@@ -16,7 +16,7 @@
 	Load     float64       `default:"0.9" help:"Offered work as a part of the capacity, without the flood."`
 }
 
-// Run simulates the policy and the baselines and prints the comparison.
+// Run simulates the policy and the baseline policies and prints a comparison.
 func (c loadCommand) Run(env *environment) error {
 	results, err := load.Compare(load.Config{
 		Seed: c.Seed, Teams: c.Teams, Workers: c.Workers, Duration: c.Duration, Policy: c.Policy, Load: c.Load,
--- a/cmd/mulberryctl/main.go
+++ b/cmd/mulberryctl/main.go
@@ -1,5 +1,5 @@
-// Command mulberryctl is the command line of callers and operators. Every
-// command talks to entry instances only; config check talks to nobody.
+// Command mulberryctl is the command-line client for callers and operators. Its
+// commands connect to entry instances only; config check makes no connection.
 package main
 
 import (
@@ -45,7 +45,7 @@
 	os.Exit(code)
 }
 
-// run runs one command and returns its exit code.
+// run parses the arguments, runs the command and returns the exit code.
 func run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
 	var cli commands
 	code, exited := 0, false
@@ -66,7 +66,7 @@
 	}
 	env := &environment{ctx: ctx, globals: cli.globals, stdin: stdin, stdout: stdout, stderr: stderr}
 	if err := parsed.Run(env); err != nil {
-		return env.report(err)
+		return env.reportError(err)
 	}
 	return 0
 }
--- a/cmd/mulberryctl/main_test.go
+++ b/cmd/mulberryctl/main_test.go
@@ -22,15 +22,16 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// callers answers every submission as finished with its payload, or with err.
-type callers struct {
+// callerBackend is a fake that returns outcome for every submission, with the
+// payload as the result, or err.
+type callerBackend struct {
 	caller.Backend
 	spec    task.Spec
 	outcome task.Outcome
 	err     error
 }
 
-func (b *callers) Submit(_ context.Context, secret string, spec task.Spec, _ time.Duration) (caller.Reply, error) {
+func (b *callerBackend) Submit(_ context.Context, secret string, spec task.Spec, _ time.Duration) (caller.Reply, error) {
 	if secret != "s3cret" {
 		return caller.Reply{}, errkind.New(errkind.KeyRefused, "no such key")
 	}
@@ -40,37 +41,37 @@
 	return caller.Reply{State: o.State, Tasks: []caller.TaskState{{ID: "t", State: o.State, Outcome: &o}}}, b.err
 }
 
-// operators keeps one document.
-type operators struct {
+// operatorBackend is a fake that stores one document.
+type operatorBackend struct {
 	operator.Backend
-	held operator.Held
+	stored operator.Held
 }
 
-func (b *operators) Get(context.Context, operator.Ref) (operator.Held, error) {
-	if b.held.Revision == 0 {
-		return b.held, errkind.New(errkind.UnknownService, "no document")
+func (b *operatorBackend) Get(context.Context, operator.Ref) (operator.Held, error) {
+	if b.stored.Revision == 0 {
+		return b.stored, errkind.New(errkind.UnknownService, "no document")
 	}
-	return b.held, nil
+	return b.stored, nil
 }
 
-func (b *operators) Apply(_ context.Context, c operator.Change) (operator.Held, error) {
-	if c.Expected != b.held.Revision {
-		return operator.Held{}, &operator.Conflict{Expected: c.Expected, Current: b.held}
+func (b *operatorBackend) Apply(_ context.Context, c operator.Change) (operator.Held, error) {
+	if c.Expected != b.stored.Revision {
+		return operator.Held{}, &operator.Conflict{Expected: c.Expected, Current: b.stored}
 	}
-	b.held = operator.Held{Ref: c.Ref, Revision: b.held.Revision + 1, Record: document.Record{
-		Source: c.Source, Previous: b.held.Record.Source, By: c.By}}
-	return b.held, nil
+	b.stored = operator.Held{Ref: c.Ref, Revision: b.stored.Revision + 1, Record: document.Record{
+		Source: c.Source, Previous: b.stored.Record.Source, By: c.By}}
+	return b.stored, nil
 }
 
-func (b *operators) Ready(context.Context) error   { return nil }
-func (b *operators) Healthy(context.Context) error { return nil }
+func (b *operatorBackend) Ready(context.Context) error   { return nil }
+func (b *operatorBackend) Healthy(context.Context) error { return nil }
 
 type server interface {
 	Serve(net.Listener) error
 	Shutdown(context.Context) error
 }
 
-func start(t *testing.T, s server) string {
+func serve(t *testing.T, s server) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -82,28 +83,29 @@
 	return ln.Addr().String()
 }
 
-// command runs mulberryctl against two fake backends.
+// command runs mulberryctl with the addresses of the fake backends.
 type command func(stdin string, args ...string) (code int, stdout, stderr string)
 
-func commandOf(t *testing.T, forCallers caller.Backend, forOperators operator.Backend) command {
+// newCommand starts a server for each backend and returns a command that uses them.
+func newCommand(t *testing.T, callers caller.Backend, operators operator.Backend) command {
 	t.Helper()
 	limits := httpjson.Limits{
 		MaxRequestBytes: 1 << 20, MaxHeaderBytes: 8 << 10, ReadHeaderTimeout: 10 * time.Second,
 		ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second,
 	}
-	callerAt := start(t, caller.NewServer(caller.Config{Limits: limits, MaxResultBytes: 1 << 20, MaxWait: time.Minute, CallTimeout: 10 * time.Second}, forCallers))
-	operatorAt := start(t, operator.NewServer(operator.Config{Limits: limits, MaxWait: time.Minute, CallTimeout: 10 * time.Second, Metrics: metrics.NewRegistry()}, forOperators))
+	callerAddress := serve(t, caller.NewServer(caller.Config{Limits: limits, MaxResultBytes: 1 << 20, MaxWait: time.Minute, CallTimeout: 10 * time.Second}, callers))
+	operatorAddress := serve(t, operator.NewServer(operator.Config{Limits: limits, MaxWait: time.Minute, CallTimeout: 10 * time.Second, Metrics: metrics.NewRegistry()}, operators))
 	t.Setenv("MULBERRYDRUM_KEY", "s3cret")
 	return func(stdin string, args ...string) (int, string, string) {
-		var out, errs bytes.Buffer
-		args = append(args, "--server", callerAt, "--operator", operatorAt)
-		code := run(context.Background(), args, strings.NewReader(stdin), &out, &errs)
-		return code, out.String(), errs.String()
+		var out, diagnostics bytes.Buffer
+		args = append(args, "--server", callerAddress, "--operator", operatorAddress)
+		code := run(context.Background(), args, strings.NewReader(stdin), &out, &diagnostics)
+		return code, out.String(), diagnostics.String()
 	}
 }
 
-// TestSubmitExitCodes guards against a script that takes a failure for a
-// success, or reads a result that is not the one of its job.
+// TestSubmitExitCodes guards against an exit code that makes a script treat a
+// failure as a success, and against a result that is not that of the job.
 func TestSubmitExitCodes(t *testing.T) {
 	finished := task.Outcome{State: task.Finished}
 	cases := []struct {
@@ -119,7 +121,7 @@
 		{"refused", finished, errkind.New(errkind.IdempotencyConflict, "other body"), 6},
 	}
 	for _, c := range cases {
-		run := commandOf(t, &callers{outcome: c.outcome, err: c.err}, &operators{})
+		run := newCommand(t, &callerBackend{outcome: c.outcome, err: c.err}, &operatorBackend{})
 		code, stdout, stderr := run("span 4 m", "submit", "pipes", "supports", "span", "--payload", "-", "--wait", "2s", "--idempotency-key", "k")
 		if code != c.code {
 			t.Errorf("%s: exit code %d, want %d\n%s%s", c.name, code, c.code, stdout, stderr)
@@ -135,8 +137,8 @@
 
 // TestSubmitFlags guards against a flag that does not reach the request.
 func TestSubmitFlags(t *testing.T) {
-	backend := &callers{outcome: task.Outcome{State: task.Finished}}
-	code, _, stderr := commandOf(t, backend, &operators{})("", "submit", "pipes", "flex", "run", "--count", "3", "--cpu-milli", "2000",
+	backend := &callerBackend{outcome: task.Outcome{State: task.Finished}}
+	code, _, stderr := newCommand(t, backend, &operatorBackend{})("", "submit", "pipes", "flex", "run", "--count", "3", "--cpu-milli", "2000",
 		"--start-within", "1m", "--review-by", "2030-05-04T09:30:00Z", "--region", "north,south", "--declared-run", "90s")
 	s := backend.spec
 	if code != 0 || s.Count != 3 || s.Size.CPUMilli != 2000 || time.Until(s.Deadline) < 10*time.Second || s.ReviewBy.Year() != 2030 ||
@@ -145,10 +147,10 @@
 	}
 }
 
-// TestLargePayloadIsRefused guards against a refused body looking like one whose
-// fate is unknown.
+// TestLargePayloadIsRefused guards against a request that is refused for its size
+// being reported as one with an unknown outcome.
 func TestLargePayloadIsRefused(t *testing.T) {
-	run := commandOf(t, &callers{}, &operators{})
+	run := newCommand(t, &callerBackend{}, &operatorBackend{})
 	for range 2 {
 		code, _, stderr := run(strings.Repeat("x", 4<<20), "submit", "pipes", "flex", "run", "--payload", "-", "--idempotency-key", "k")
 		if code != 2 || !strings.Contains(stderr, "request_too_large") {
@@ -157,9 +159,9 @@
 	}
 }
 
-// TestErrorsAsJSON guards against a script that cannot read why it failed.
+// TestErrorsAsJSON guards against an error that a script cannot parse.
 func TestErrorsAsJSON(t *testing.T) {
-	run := commandOf(t, &callers{}, &operators{})
+	run := newCommand(t, &callerBackend{}, &operatorBackend{})
 	t.Setenv("MULBERRYDRUM_KEY", "wrong")
 	code, _, stderr := run("", "submit", "pipes", "flex", "run", "--idempotency-key", "k", "--output", "json")
 	var reply api.ErrorReply
@@ -168,25 +170,25 @@
 	}
 }
 
-const service1 = `{"team": "pipes", "service": "nozzles", "classes": [{"name": "a", "kind": "durable", "size": {"slots": 1}, "max_run": "5m", "command": "x"}]}`
+const serviceDocument = `{"team": "pipes", "service": "nozzles", "classes": [{"name": "a", "kind": "durable", "size": {"slots": 1}, "max_run": "5m", "command": "x"}]}`
 
-// TestApplyAfterAnotherOperator guards against a file that was read before the
-// other change replacing it.
+// TestApplyAfterAnotherOperator guards against a file that was read before another
+// operator's change overwriting that change.
 func TestApplyAfterAnotherOperator(t *testing.T) {
-	backend := &operators{}
-	run := commandOf(t, &callers{}, backend)
-	if code, _, stderr := run(service1, "apply", "-"); code != 0 {
+	backend := &operatorBackend{}
+	run := newCommand(t, &callerBackend{}, backend)
+	if code, _, stderr := run(serviceDocument, "apply", "-"); code != 0 {
 		t.Fatalf("first apply: exit code %d, %s", code, stderr)
 	}
 	_, edited, _ := run("", "get", "pipes", "nozzles")
 	if !strings.HasPrefix(edited, "// mulberryctl revision 1\n{") {
 		t.Fatalf("get printed %q", edited)
 	}
-	if code, _, stderr := run(strings.Replace(service1, "5m", "6m", 1), "apply", "-", "--expect", "1"); code != 0 {
+	if code, _, stderr := run(strings.Replace(serviceDocument, "5m", "6m", 1), "apply", "-", "--expect", "1"); code != 0 {
 		t.Fatalf("apply of the other operator: exit code %d, %s", code, stderr)
 	}
 	code, _, stderr := run(strings.Replace(edited, "5m", "7m", 1), "apply", "-")
-	if code != 6 || !strings.Contains(stderr, `classes[a].max_run: "5m0s" -> "6m0s"`) || !strings.Contains(backend.held.Record.Source, "6m") {
+	if code != 6 || !strings.Contains(stderr, `classes[a].max_run: "5m0s" -> "6m0s"`) || !strings.Contains(backend.stored.Record.Source, "6m") {
 		t.Errorf("exit code %d, %s", code, stderr)
 	}
 	if code, out, _ := run(edited, "diff", "-"); code != 1 || !strings.Contains(out, `"6m0s" -> "5m0s"`) {
@@ -194,8 +196,8 @@
 	}
 }
 
-// TestConfigCheck guards against a fault without its position, and against
-// faults that do not fail a script.
+// TestConfigCheck guards against a fault without its position, and against an exit
+// code of 0 for a file with faults.
 func TestConfigCheck(t *testing.T) {
 	dir := t.TempDir()
 	write := func(name, text string) string {
@@ -205,8 +207,8 @@
 		}
 		return path
 	}
-	run := commandOf(t, &callers{}, &operators{})
-	good := write("good.jsonc", service1)
+	run := newCommand(t, &callerBackend{}, &operatorBackend{})
+	good := write("good.jsonc", serviceDocument)
 	if code, out, _ := run("", "config", "check", good); code != 0 || out != "" {
 		t.Errorf("good document: exit code %d, %s", code, out)
 	}
@@ -226,10 +228,10 @@
 	}
 }
 
-// TestUsageErrors guards against a wrong command line that looks like another
-// failure.
+// TestUsageErrors guards against an invalid command line being reported with the
+// exit code of another failure.
 func TestUsageErrors(t *testing.T) {
-	run := commandOf(t, &callers{}, &operators{})
+	run := newCommand(t, &callerBackend{}, &operatorBackend{})
 	for _, args := range [][]string{{"drain"}, {"drain", "--worker", "a", "--instance", "b"}, {"fly"}, {"status", "a/b"}, {"ownership", "force", "w/x/1"}} {
 		if code, _, stderr := run("", args...); code != 2 || stderr == "" {
 			t.Errorf("%v: exit code %d, %q", args, code, stderr)
--- a/cmd/mulberryctl/members.go
+++ b/cmd/mulberryctl/members.go
@@ -13,7 +13,7 @@
 	Units bool `help:"Print the names of the units in place of their number."`
 }
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (membersCommand) Help() string {
 	return `Examples:
   mulberryctl members
@@ -25,8 +25,8 @@
 
 // Run lists the members.
 func (c membersCommand) Run(env *environment) error {
-	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
-		list, err := operators.Members(ctx)
+	return env.withOperatorClient(0, func(ctx context.Context, operatorClient *client.Client) error {
+		list, err := operatorClient.Members(ctx)
 		if err != nil {
 			return err
 		}
--- a/cmd/mulberryctl/metrics.go
+++ b/cmd/mulberryctl/metrics.go
@@ -15,7 +15,7 @@
 	Prefix string `arg:"" optional:"" help:"Only metrics whose name begins with this."`
 }
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (metricsCommand) Help() string {
 	return `Examples:
   mulberryctl metrics
@@ -25,37 +25,37 @@
 --operator. docs/OPERATIONS.md has each metric with its unit and normal range.`
 }
 
-// Run prints the metrics by name.
+// Run prints the metrics, sorted by name.
 func (c metricsCommand) Run(env *environment) error {
-	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
-		all, err := operators.Metrics(ctx)
+	return env.withOperatorClient(0, func(ctx context.Context, operatorClient *client.Client) error {
+		all, err := operatorClient.Metrics(ctx)
 		if err != nil {
 			return err
 		}
 		maps.DeleteFunc(all, func(name string, _ map[string]any) bool { return !strings.HasPrefix(name, c.Prefix) })
 		var lines []string
 		for _, name := range slices.Sorted(maps.Keys(all)) {
-			lines = append(lines, name+"\t"+valuesText(all[name]))
+			lines = append(lines, name+"\t"+formatValues(all[name]))
 		}
 		return env.show(all, lines...)
 	})
 }
 
-// shownValues are the values of a metric in the order in which they are
-// printed. Those left out are in the output as JSON.
-var shownValues = []string{"value", "count", "min", "mean", "median", "99%", "max", "1m.rate"}
+// printedValues lists the values of a metric that the text output contains, in
+// order. The JSON output contains all values.
+var printedValues = []string{"value", "count", "min", "mean", "median", "99%", "max", "1m.rate"}
 
-func valuesText(values map[string]any) string {
+func formatValues(values map[string]any) string {
 	var parts []string
-	for _, name := range shownValues {
+	for _, name := range printedValues {
 		if value, ok := values[name]; ok {
-			parts = append(parts, fmt.Sprintf("%s=%v", name, roundedValue(value)))
+			parts = append(parts, fmt.Sprintf("%s=%v", name, roundFloat(value)))
 		}
 	}
 	return strings.Join(parts, "\t")
 }
 
-func roundedValue(value any) any {
+func roundFloat(value any) any {
 	if f, ok := value.(float64); ok {
 		return cmp.Or(strings.TrimSuffix(fmt.Sprintf("%.1f", f), ".0"), "0")
 	}
--- a/cmd/mulberryctl/ownership.go
+++ b/cmd/mulberryctl/ownership.go
@@ -18,7 +18,7 @@
 	Reason string `help:"Reason, which is recorded." required:""`
 }
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (ownershipForceCommand) Help() string {
 	return `Example:
   mulberryctl ownership force w/flanders/2 --reason "power of leuven-a and leuven-b lost"
@@ -29,8 +29,8 @@
 
 // Run forces the takeover.
 func (c ownershipForceCommand) Run(env *environment) error {
-	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
-		forced, err := operators.ForceOwnership(ctx, api.ForceRequest{Unit: c.Unit, Reason: c.Reason})
+	return env.withOperatorClient(0, func(ctx context.Context, operatorClient *client.Client) error {
+		forced, err := operatorClient.ForceOwnership(ctx, api.ForceRequest{Unit: c.Unit, Reason: c.Reason})
 		if err != nil {
 			return err
 		}
--- a/cmd/mulberryctl/result.go
+++ b/cmd/mulberryctl/result.go
@@ -14,7 +14,7 @@
 	To    string `help:"File to write; standard output by default." placeholder:"FILE"`
 }
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (resultCommand) Help() string {
 	return `Examples:
   mulberryctl result leuven-pipes/nozzles/n-1042
@@ -28,8 +28,8 @@
 
 // Run writes the result.
 func (c resultCommand) Run(env *environment) error {
-	return env.asCaller(0, func(ctx context.Context, callers *client.Client) error {
-		result, err := callers.Result(ctx, c.Job, c.Index)
+	return env.withCallerClient(0, func(ctx context.Context, callerClient *client.Client) error {
+		result, err := callerClient.Result(ctx, c.Job, c.Index)
 		if err != nil {
 			return err
 		}
@@ -43,7 +43,7 @@
 		return err
 	}
 	if err := os.WriteFile(c.To, data, resultFileMode); err != nil {
-		return errkind.New(errkind.InvalidRequest, "the result cannot be written: %v", err).WithField("to", "a writable file")
+		return errkind.New(errkind.InvalidRequest, "write result: %v", err).WithField("to", "a writable file")
 	}
 	return nil
 }
--- a/cmd/mulberryctl/revision.go
+++ b/cmd/mulberryctl/revision.go
@@ -9,10 +9,12 @@
 	"github.com/mulberrydrum/mulberrydrum/api"
 )
 
-// revisionLine is the first line that get prints and apply reads, so that a file
-// that is edited for an hour is still compared with the revision it came from.
+// revisionLine matches the first line that get prints. apply reads the revision from
+// it, so that a change by another operator is detected even if the file was edited
+// for an hour.
 var revisionLine = regexp.MustCompile(`^// mulberryctl revision ([0-9]{1,18})\r?\n`)
 
+// withRevision returns the source of d with a revision line.
 func withRevision(d api.Document) []byte {
 	source := bytes.TrimRight([]byte(d.Source), "\n")
 	return fmt.Appendf(nil, "// mulberryctl revision %d\n%s\n", d.Revision, source)
--- a/cmd/mulberryctl/shares.go
+++ b/cmd/mulberryctl/shares.go
@@ -10,7 +10,7 @@
 
 type sharesCommand struct{}
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (sharesCommand) Help() string {
 	return `Example:
   mulberryctl shares
@@ -20,8 +20,8 @@
 
 // Run lists the shares.
 func (sharesCommand) Run(env *environment) error {
-	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
-		list, err := operators.Shares(ctx)
+	return env.withOperatorClient(0, func(ctx context.Context, operatorClient *client.Client) error {
+		list, err := operatorClient.Shares(ctx)
 		if err != nil {
 			return err
 		}
--- a/cmd/mulberryctl/status.go
+++ b/cmd/mulberryctl/status.go
@@ -13,7 +13,7 @@
 	Wait time.Duration `help:"Wait for the end of the job for up to this time."`
 }
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (statusCommand) Help() string {
 	return `Examples:
   mulberryctl status leuven-pipes/nozzles/n-1042
@@ -22,8 +22,8 @@
 
 // Run prints the state of the job.
 func (c statusCommand) Run(env *environment) error {
-	return env.asCaller(c.Wait, func(ctx context.Context, callers *client.Client) error {
-		job, err := c.ask(ctx, callers)
+	return env.withCallerClient(c.Wait, func(ctx context.Context, callerClient *client.Client) error {
+		job, err := c.fetch(ctx, callerClient)
 		if err != nil {
 			return err
 		}
@@ -31,9 +31,9 @@
 	})
 }
 
-func (c statusCommand) ask(ctx context.Context, callers *client.Client) (api.Job, error) {
+func (c statusCommand) fetch(ctx context.Context, callerClient *client.Client) (api.Job, error) {
 	if c.Wait > 0 {
-		return callers.Wait(ctx, c.Job, c.Wait)
+		return callerClient.Wait(ctx, c.Job, c.Wait)
 	}
-	return callers.Status(ctx, c.Job)
+	return callerClient.Status(ctx, c.Job)
 }
--- a/cmd/mulberryctl/submit.go
+++ b/cmd/mulberryctl/submit.go
@@ -34,7 +34,7 @@
 	Wait           time.Duration `help:"Wait for the end of the job for up to this time."`
 }
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (submitCommand) Help() string {
 	return `Examples:
   mulberryctl submit leuven-pipes nozzles load-check --payload check.json --idempotency-key n-1042
@@ -47,8 +47,8 @@
 	if err != nil {
 		return err
 	}
-	return env.asCaller(c.Wait, func(ctx context.Context, callers *client.Client) error {
-		job, err := callers.Submit(ctx, c.Team, c.Service, request, c.Wait)
+	return env.withCallerClient(c.Wait, func(ctx context.Context, callerClient *client.Client) error {
+		job, err := callerClient.Submit(ctx, c.Team, c.Service, request, c.Wait)
 		if err != nil {
 			return err
 		}
@@ -72,7 +72,7 @@
 	}
 	if request.IdempotencyKey == "" {
 		request.IdempotencyKey = rand.Text()
-		// Printed before the call, so that the job can be asked for when no answer comes.
+		// Printed before the call, so that the job can be looked up if no reply arrives.
 		_, _ = fmt.Fprintf(env.stderr, "idempotency key: %s\n", request.IdempotencyKey)
 	}
 	if c.StartWithin > 0 {
@@ -85,7 +85,8 @@
 	return request, nil
 }
 
-// readInput reads the file with this name, standard input for -, or nothing.
+// readInput reads the file with this name, or standard input if the name is "-". It
+// returns nil if the name is empty.
 func readInput(env *environment, name string) ([]byte, error) {
 	var data []byte
 	var err error
@@ -98,7 +99,7 @@
 		data, err = os.ReadFile(name)
 	}
 	if err != nil {
-		return nil, errkind.New(errkind.InvalidRequest, "the file cannot be read: %v", err).WithField(name, "a readable file")
+		return nil, errkind.New(errkind.InvalidRequest, "read input file: %v", err).WithField(name, "a readable file")
 	}
 	return data, nil
 }
--- a/cmd/mulberryctl/timeline.go
+++ b/cmd/mulberryctl/timeline.go
@@ -17,7 +17,7 @@
 	Limit int    `help:"Number of latest events." default:"1000"`
 }
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (timelineCommand) Help() string {
 	return `Examples:
   mulberryctl timeline --task dijle-engineering/piping/n-1042/0
@@ -26,9 +26,9 @@
 
 // Run prints the events.
 func (c timelineCommand) Run(env *environment) error {
-	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
+	return env.withOperatorClient(0, func(ctx context.Context, operatorClient *client.Client) error {
 		filter := client.TimelineFilter{Task: c.Task, Team: c.Team, Since: c.Since, Limit: c.Limit}
-		merged, err := operators.Timeline(ctx, filter)
+		merged, err := operatorClient.Timeline(ctx, filter)
 		if err != nil {
 			return err
 		}
@@ -46,8 +46,8 @@
 func eventLine(e timeline.Event) string {
 	line := fmt.Sprintf("%s.%d\t%s\t%s", e.Clock.Wall.Format(time.RFC3339Nano), e.Clock.Logical, e.Instance, e.Type)
 	for _, field := range []struct{ name, value string }{
-		{"team", string(e.Team)}, {"task", string(e.Task)}, {"attempt", number(uint64(e.Attempt))}, {"worker", e.Worker},
-		{"partition", e.Partition}, {"epoch", number(e.Epoch)}, {"revision", number(uint64(e.Revision))},
+		{"team", string(e.Team)}, {"task", string(e.Task)}, {"attempt", formatNonZero(uint64(e.Attempt))}, {"worker", e.Worker},
+		{"partition", e.Partition}, {"epoch", formatNonZero(e.Epoch)}, {"revision", formatNonZero(uint64(e.Revision))},
 		{"key", e.KeyID}, {"kind", e.Kind}, {"detail", e.Detail},
 	} {
 		if field.value != "" {
@@ -57,7 +57,8 @@
 	return line
 }
 
-func number(n uint64) string {
+// formatNonZero returns n in decimal, or "" for 0.
+func formatNonZero(n uint64) string {
 	if n == 0 {
 		return ""
 	}
--- a/cmd/mulberryctl/workers.go
+++ b/cmd/mulberryctl/workers.go
@@ -10,7 +10,7 @@
 
 type workersCommand struct{}
 
-// Help shows how to use the command.
+// Help implements kong.HelpProvider.
 func (workersCommand) Help() string {
 	return `Examples:
   mulberryctl workers
@@ -19,8 +19,8 @@
 
 // Run lists the workers.
 func (workersCommand) Run(env *environment) error {
-	return env.asOperator(0, func(ctx context.Context, operators *client.Client) error {
-		list, err := operators.Workers(ctx)
+	return env.withOperatorClient(0, func(ctx context.Context, operatorClient *client.Client) error {
+		list, err := operatorClient.Workers(ctx)
 		if err != nil {
 			return err
 		}
