--- a/cmd/mulberryd/main.go
+++ b/cmd/mulberryd/main.go
@@ -1,5 +1,5 @@
-// Command mulberryd runs one entry instance: front end for callers and
-// operators, home of requests, and owner of workers.
+// Command mulberryd runs one entry instance, which serves callers and operators, is
+// the home of requests and owns worker partitions.
 package main
 
 import (
@@ -43,7 +43,7 @@
 		return platform.Run(os.Stdout)
 	}
 	if c.Settings == "" {
-		return errors.New("a settings file or --platform is needed")
+		return errors.New("either a settings file or --platform is required")
 	}
 	s, err := settings.Load(c.Settings)
 	if err != nil {
--- a/cmd/standin/list.go
+++ b/cmd/standin/list.go
@@ -17,7 +17,7 @@
 	Instances string        `help:"JSON file with the initial list, in the form of the reply." type:"existingfile" optional:""`
 }
 
-// Run serves the list until the process is told to stop.
+// Run serves the list until the process receives SIGINT or SIGTERM.
 func (c listCommand) Run() error {
 	initial, err := readInstances(c.Instances)
 	if err != nil {
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,6 +1,6 @@
 // Command standin runs one of the stand-ins for the platform (its store, its
-// instance list or workers), or a relay that disturbs the connections between two
-// processes. Faults are switched over HTTP while it runs.
+// instance list or workers), or a relay that injects faults into the connections
+// between two processes. Faults are controlled over HTTP at run time.
 package main
 
 import (
--- a/cmd/standin/relay.go
+++ b/cmd/standin/relay.go
@@ -19,7 +19,7 @@
 	Control string `help:"Address of the switches." required:"" placeholder:"HOST:PORT"`
 }
 
-// Run relays until the process is told to stop.
+// Run relays connections until the process receives SIGINT or SIGTERM.
 func (c relayCommand) Run() error {
 	listener, err := standin.Listen(c.Listen)
 	if err != nil {
--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -12,8 +12,9 @@
 	"github.com/mulberrydrum/mulberrydrum/standin"
 )
 
-// serve runs handler on address until the process gets a signal to stop. Open
-// connections are then closed at once: a stand-in has nothing to finish.
+// serve serves handler on address until the process receives SIGINT or SIGTERM. It
+// then closes open connections immediately, because a stand-in has no work to
+// complete before it stops.
 func serve(name, address string, handler http.Handler) error {
 	listener, err := standin.Listen(address)
 	if err != nil {
--- a/cmd/standin/store.go
+++ b/cmd/standin/store.go
@@ -10,7 +10,7 @@
 	HistoryRevisions int    `help:"Revisions kept for watches." default:"10000"`
 }
 
-// Run serves the store until the process is told to stop.
+// Run serves the store until the process receives SIGINT or SIGTERM.
 func (c storeCommand) Run() error {
 	store := standin.NewStore(storetest.Limits{HistoryRevisions: c.HistoryRevisions})
 	defer store.Close()
--- a/cmd/standin/worker.go
+++ b/cmd/standin/worker.go
@@ -19,8 +19,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// WorkerCommand serves stand-in workers, each on its own listener, and prints
-// one JSON line for each of them.
+// WorkerCommand runs stand-in workers, each on its own listener, and prints one JSON
+// line for each of them.
 type WorkerCommand struct {
 	Count          int           `help:"Number of workers." default:"1"`
 	Listen         string        `help:"Address of the first worker; with a port other than 0 the ports follow each other." default:"127.0.0.1:0"`
@@ -39,7 +39,7 @@
 	IgnoreValidity bool          `help:"Do not check boot, start_by and leases."`
 }
 
-// workerLine is what is printed of one worker.
+// workerLine is the JSON line for one worker.
 type workerLine struct {
 	Name          string `json:"name"`
 	Address       string `json:"address"`
@@ -48,18 +48,19 @@
 	Rack          string `json:"rack"`
 }
 
-// Run serves until the process is interrupted.
+// Run serves the workers until the process receives SIGINT or SIGTERM.
 func (c *WorkerCommand) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return c.serve(ctx, os.Stdout)
 }
 
-// serve starts the workers, prints their lines to out and waits for ctx.
+// serve starts the workers, writes their lines to out and waits until ctx is done
+// or a worker fails.
 func (c *WorkerCommand) serve(ctx context.Context, out io.Writer) error {
 	failed := make(chan error, c.Count)
 	for i := range c.Count {
-		line, stop, err := c.serveOne(i, failed)
+		line, stop, err := c.serveWorker(i, failed)
 		if err != nil {
 			return err
 		}
@@ -76,8 +77,9 @@
 	}
 }
 
-// serveOne starts worker number i.
-func (c *WorkerCommand) serveOne(i int, failed chan<- error) (line workerLine, stop func(), err error) {
+// serveWorker starts worker i, counting from 0. Errors of its server are sent to
+// failed.
+func (c *WorkerCommand) serveWorker(i int, failed chan<- error) (line workerLine, stop func(), err error) {
 	address, err := nthAddress(c.Listen, i)
 	if err != nil {
 		return workerLine{}, nil, err
@@ -120,7 +122,7 @@
 	}
 }
 
-// nthAddress adds n to the port of listen unless it is 0.
+// nthAddress returns listen with n added to its port, unless the port is 0.
 func nthAddress(listen string, n int) (string, error) {
 	address, err := net.ResolveTCPAddr("tcp", listen)
 	if err != nil {
--- a/cmd/standin/worker_test.go
+++ b/cmd/standin/worker_test.go
@@ -17,8 +17,8 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// TestWorkerCommand guards against a flag that does not reach the workers: it
-// parses a command line, reads the printed lines and talks to every worker.
+// TestWorkerCommand guards against a flag that has no effect on the workers. It
+// parses a command line, reads the printed lines and sends requests to every worker.
 func TestWorkerCommand(t *testing.T) {
 	var command WorkerCommand
 	parser, err := kong.New(&command)
@@ -58,17 +58,17 @@
 	}
 }
 
-// checkLedger runs a task and reads it from the ledger.
-func checkLedger(t *testing.T, client *worker.Client, at worker.Address, report worker.SyncReply) {
+// checkLedger starts a task and checks that the ledger contains it.
+func checkLedger(t *testing.T, client *worker.Client, address worker.Address, report worker.SyncReply) {
 	t.Helper()
 	start := worker.StartRequest{
 		Attempt: task.Attempt{Task: "t", Number: 1}, BootID: report.BootID, Command: "echo",
 		StartBy: report.Clock + time.Minute, LeaseUntil: report.Clock + time.Hour,
 	}
-	if _, err := client.Start(t.Context(), at, start, nil); err != nil {
+	if _, err := client.Start(t.Context(), address, start, nil); err != nil {
 		t.Fatal(err)
 	}
-	resp, err := http.Get("http://" + string(at) + "/ledger")
+	resp, err := http.Get("http://" + string(address) + "/ledger")
 	if err != nil {
 		t.Fatal(err)
 	}
