cmd: reword help texts that read oddly

No command, flag or default changes, and no test or page matches an old text. The texts, old and new:

cmd/mulberryctl/apply.go old: Revision that the change is made to, 0 for a new document. By default the one in the first line that get prints, or else the one in force now. new: Revision that the change is based on, 0 for a new document. Defaults to the revision in the first line of the file, as get prints it, or else to the revision in force. old: Wait for the change to be in force on every entry instance for up to this time. new: Wait up to this time for the change to be in force on every entry instance. old: If another operator was faster, nothing is changed, their change is shown, and the exit code is 6. new: If another operator changed the document first, nothing is changed, their change is shown, and the exit code is 6.

cmd/mulberryctl/config.go old: Check a file with settings or a document, without asking an entry instance. new: Check settings files and documents locally, without connecting to an entry instance. old: Each fault is printed as FILE:LINE:COLUMN: what is wrong and what is allowed. The exit code is 0 without a fault and 1 with one. new: Each fault is printed as FILE:LINE:COLUMN, followed by the error and the allowed values. The exit code is 0 if there are no faults and 1 if there are any.

cmd/mulberryctl/demo.go old: Runs 8 entry instances, 48 stand-in workers and the stand-ins of the platform in this process on loopback ports, sends work of every kind and requests that must be refused, and compares each outcome with what was promised. It takes at most 20 s. new: Runs 8 entry instances, 48 stand-in workers and the stand-ins for the platform in this process on loopback ports, sends work of every kind and requests that must be refused, and compares each outcome with the promised one. It takes at most 20 s.

cmd/mulberryctl/diff.go old: The exit code is 0 where the file and the document in force are the same, and 1 where they differ. new: The exit code is 0 if the file and the document in force are the same, and 1 if they differ.

cmd/mulberryctl/drain.go old: Entry instance that hands over what it owns and then stops. new: Entry instance that hands over its units and then stops. old: Worker that gets no more tasks. new: Worker that receives no more tasks. old: Put a worker back into service, or let the next process of an entry instance stay. new: Put a worker back into service, or let the next process of an entry instance start without draining.

cmd/mulberryctl/get.go old: The first line of a document is its revision, which apply reads. new: The first line of the output is the revision of the document, which apply reads.

cmd/mulberryctl/keys.go old: Make a key and print its secret, once. new: Create a key and print its secret, which cannot be shown again. old: End a key. It is refused everywhere within seconds, and its queued work is not run. new: Withdraw a key. Every entry instance refuses it within seconds, and its queued work is not run. old: Team that the key admits work for. new: Team that the key may submit work for. old: ID of the key, as keys list shows it. new: ID of the key, as shown by keys list.

cmd/mulberryctl/load.go old: Offered work as a part of the capacity, without the flood. new: Offered load as a fraction of the capacity, without the flood of one team.

cmd/mulberryctl/main.go old: Ask for the end of a job. new: Cancel a job. old: Replace a document, if nobody else has changed it. new: Apply a document, unless another operator has changed it. old: List what the teams use and may use. new: List the shares, usage and limits of the teams. old: Show what all entry instances did, in one order. new: Show the merged events of all entry instances. old: Run a small deployment in this process and check what became of work of every kind. new: Run a small deployment in this process and check the outcome of work of every kind. old: Act on the ownership of worker partitions and request shards. new: Change the ownership of worker partitions and request shards. old: Talks to the entry instances of a mulberrydrum cluster. Exit codes are those of the error table in docs/api.md. new: Command-line client of a mulberrydrum cluster. The error table in docs/api.md lists the exit codes.

cmd/mulberryctl/members.go old: Print the names of the units in place of their number. new: Print the names of the units instead of their number. old: REVISION is the configuration that the member has, as its last digest said. An instance that is in the platform's list and not here has no store lease. new: REVISION is the configuration revision that the member reported in its last digest. An instance that is in the platform's instance list but not in this one has no store lease.

cmd/mulberryctl/ownership.go old: Reason, which is recorded. new: Reason to be recorded. old: The member that takes over waits as long as the old owner could still act. Use the command only when the owner and its successors are known to be gone. new: The member that takes over waits until the old owner can no longer act. Use the command only if the owner and its successors are known to be gone.

cmd/mulberryctl/shares.go old: A limit that was lowered is pending until the team runs no more than it allows. new: A lowered limit is pending until the running tasks of the team fit within it.

cmd/mulberryctl/status.go old: Wait for the end of the job for up to this time. new: Wait up to this time for the job to end.

cmd/mulberryctl/submit.go old: Class of work, as the document of the service has it. new: Class of work that the document of the service defines. old: Key under which a repeated submission finds this one. A random key by default, which is printed. new: Idempotency key: a repeated submission with the same key returns this job. By default, a random key is generated and printed. old: Run time that you expect. new: Expected run time. old: Refuse the job if it cannot start or answer in this time. new: Refuse the job if it cannot start or answer within this time. old: Time by which the job has to be finished, such as 2026-05-04T09:30:00Z. new: Time by which the job must be finished, such as 2026-05-04T09:30:00Z. old: Wait for the end of the job for up to this time. new: Wait up to this time for the job to end.

cmd/mulberryctl/timeline.go old: Number of latest events. new: Maximum number of events; the latest ones are shown.

cmd/mulberryd/main.go old: Run on the users' platform: the environment names the settings file. new: Run on the users' platform: an environment variable names the settings file. old: SIGTERM and SIGINT start a planned stop: what is owned is handed over, requests in flight are finished, then the process ends. new: SIGTERM and SIGINT start a planned stop: the instance hands over its units, completes the requests in flight and exits.

cmd/standin/relay.go old: Address of the switches. new: Address of the HTTP server that controls the faults.

cmd/standin/worker.go old: Workers to a rack. new: Number of workers in a rack. old: Address of the first worker; with a port other than 0 the ports follow each other. new: Address of the first worker. If its port is not 0, the other workers use the ports that follow. old: Age of the usage in reports. new: Age of the usage data in reports.

--- a/cmd/mulberryctl/apply.go
+++ b/cmd/mulberryctl/apply.go
@@ -14,8 +14,8 @@
 
 type applyCommand struct {
 	File   string        `arg:"" help:"File with the document, - for standard input."`
-	Expect int64         `help:"Revision that the change is made to, 0 for a new document. By default the one in the first line that get prints, or else the one in force now." default:"-1"`
-	Wait   time.Duration `help:"Wait for the change to be in force on every entry instance for up to this time."`
+	Expect int64         `help:"Revision that the change is based on, 0 for a new document. Defaults to the revision in the first line of the file, as get prints it, or else to the revision in force." default:"-1"`
+	Wait   time.Duration `help:"Wait up to this time for the change to be in force on every entry instance."`
 }
 
 // Help implements kong.HelpProvider.
@@ -25,8 +25,8 @@
   $EDITOR piping.jsonc
   mulberryctl apply piping.jsonc --wait 11s
 
-If another operator was faster, nothing is changed, their change is shown, and
-the exit code is 6.`
+If another operator changed the document first, nothing is changed, their change
+is shown, and the exit code is 6.`
 }
 
 // Run applies the document.
--- a/cmd/mulberryctl/config.go
+++ b/cmd/mulberryctl/config.go
@@ -11,7 +11,7 @@
 )
 
 type configCommand struct {
-	Check configCheckCommand `cmd:"" help:"Check a file with settings or a document, without asking an entry instance."`
+	Check configCheckCommand `cmd:"" help:"Check settings files and documents locally, without connecting to an entry instance."`
 }
 
 type configCheckCommand struct {
@@ -24,8 +24,8 @@
   mulberryctl config check settings.jsonc
   mulberryctl config check examples/*/*.jsonc
 
-Each fault is printed as FILE:LINE:COLUMN: what is wrong and what is allowed.
-The exit code is 0 without a fault and 1 with one.`
+Each fault is printed as FILE:LINE:COLUMN, followed by the error and the allowed
+values. The exit code is 0 if there are no faults and 1 if there are any.`
 }
 
 // fileResult is the result for one file in the JSON output.
--- a/cmd/mulberryctl/demo.go
+++ b/cmd/mulberryctl/demo.go
@@ -13,9 +13,9 @@
 	return `Example:
   mulberryctl demo
 
-Runs 8 entry instances, 48 stand-in workers and the stand-ins of the platform in
+Runs 8 entry instances, 48 stand-in workers and the stand-ins for the platform in
 this process on loopback ports, sends work of every kind and requests that must
-be refused, and compares each outcome with what was promised. It takes at most
+be refused, and compares each outcome with the promised one. It takes at most
 20 s. The exit code is 0 only if every promise was kept and the oracle found no
 violation.`
 }
--- a/cmd/mulberryctl/diff.go
+++ b/cmd/mulberryctl/diff.go
@@ -16,8 +16,8 @@
 	return `Example:
   mulberryctl diff piping.jsonc
 
-The exit code is 0 where the file and the document in force are the same, and 1
-where they differ.`
+The exit code is 0 if the file and the document in force are the same, and 1 if
+they differ.`
 }
 
 const exitDiffers = 1
--- a/cmd/mulberryctl/drain.go
+++ b/cmd/mulberryctl/drain.go
@@ -9,9 +9,9 @@
 )
 
 type drainCommand struct {
-	Instance string `help:"Entry instance that hands over what it owns and then stops." xor:"what" required:""`
-	Worker   string `help:"Worker that gets no more tasks." xor:"what" required:""`
-	Undo     bool   `help:"Put a worker back into service, or let the next process of an entry instance stay."`
+	Instance string `help:"Entry instance that hands over its units and then stops." xor:"what" required:""`
+	Worker   string `help:"Worker that receives no more tasks." xor:"what" required:""`
+	Undo     bool   `help:"Put a worker back into service, or let the next process of an entry instance start without draining."`
 }
 
 // Help implements kong.HelpProvider.
--- a/cmd/mulberryctl/environment.go
+++ b/cmd/mulberryctl/environment.go
@@ -20,9 +20,9 @@
 type globals struct {
 	Server   []string      `help:"Addresses (host:port) of entry instances for callers." env:"MULBERRYDRUM_SERVER" default:"127.0.0.1:7070"`
 	Operator []string      `help:"Addresses (host:port) of entry instances for operators." env:"MULBERRYDRUM_OPERATOR" default:"127.0.0.1:7071"`
-	KeyFile  string        `help:"File with the secret of the key. MULBERRYDRUM_KEY has the secret itself; there is no flag for it, since arguments are visible to every user of the machine." env:"MULBERRYDRUM_KEY_FILE"`
-	Output   string        `help:"Form of the output: ${enum}." enum:"text,json" default:"text"`
-	Timeout  time.Duration `help:"Time for the whole command, without the wait that it asks for." default:"15s"`
+	KeyFile  string        `help:"File with the secret of the key. The environment variable MULBERRYDRUM_KEY holds the secret itself; there is no flag for it, because arguments are visible to every user of the machine." env:"MULBERRYDRUM_KEY_FILE"`
+	Output   string        `help:"Output format: ${enum}." enum:"text,json" default:"text"`
+	Timeout  time.Duration `help:"Timeout of the whole command, to which --wait is added." default:"15s"`
 }
 
 // environment holds the global flags, the context and the standard streams of a
--- a/cmd/mulberryctl/get.go
+++ b/cmd/mulberryctl/get.go
@@ -18,7 +18,7 @@
   mulberryctl get dijle-engineering
   mulberryctl get dijle-engineering piping > piping.jsonc
 
-The first line of a document is its revision, which apply reads.`
+The first line of the output is the revision of the document, which apply reads.`
 }
 
 // Run prints the document or the list.
--- a/cmd/mulberryctl/keys.go
+++ b/cmd/mulberryctl/keys.go
@@ -11,13 +11,13 @@
 )
 
 type keysCommand struct {
-	Grant    keysGrantCommand    `cmd:"" help:"Make a key and print its secret, once."`
-	Withdraw keysWithdrawCommand `cmd:"" help:"End a key. It is refused everywhere within seconds, and its queued work is not run."`
+	Grant    keysGrantCommand    `cmd:"" help:"Create a key and print its secret, which cannot be shown again."`
+	Withdraw keysWithdrawCommand `cmd:"" help:"Withdraw a key. Every entry instance refuses it within seconds, and its queued work is not run."`
 	List     keysListCommand     `cmd:"" help:"List keys, without their secrets."`
 }
 
 type keysGrantCommand struct {
-	Team string `arg:"" help:"Team that the key admits work for."`
+	Team string `arg:"" help:"Team that the key may submit work for."`
 	Role string `help:"Role, for classes with may_submit."`
 	Note string `help:"Note for other operators."`
 }
@@ -41,7 +41,7 @@
 
 type keysWithdrawCommand struct {
 	Team string `arg:"" help:"Team of the key."`
-	ID   string `arg:"" help:"ID of the key, as keys list shows it."`
+	ID   string `arg:"" help:"ID of the key, as shown by keys list."`
 }
 
 // Help implements kong.HelpProvider.
--- a/cmd/mulberryctl/load.go
+++ b/cmd/mulberryctl/load.go
@@ -13,7 +13,7 @@
 	Workers  int           `default:"50" help:"Number of workers."`
 	Duration time.Duration `default:"30m" help:"Virtual time to simulate."`
 	Policy   string        `default:"fair" enum:"fair,deficit,priority,fifo" help:"Policy to compare with fifo and priority (fair, deficit, priority, fifo)."`
-	Load     float64       `default:"0.9" help:"Offered work as a part of the capacity, without the flood."`
+	Load     float64       `default:"0.9" help:"Offered load as a fraction of the capacity, without the flood of one team."`
 }
 
 // Run simulates the policy and the baseline policies and prints a comparison.
--- a/cmd/mulberryctl/main.go
+++ b/cmd/mulberryctl/main.go
@@ -19,22 +19,22 @@
 
 	Submit    submitCommand    `cmd:"" help:"Submit a job to a service of a team."`
 	Status    statusCommand    `cmd:"" help:"Show the state of a job, or wait for its end."`
-	Cancel    cancelCommand    `cmd:"" help:"Ask for the end of a job."`
+	Cancel    cancelCommand    `cmd:"" help:"Cancel a job."`
 	Result    resultCommand    `cmd:"" help:"Write the result of one task of a job."`
-	Apply     applyCommand     `cmd:"" help:"Replace a document, if nobody else has changed it."`
+	Apply     applyCommand     `cmd:"" help:"Apply a document, unless another operator has changed it."`
 	Get       getCommand       `cmd:"" help:"Show a document, or list all documents."`
 	Diff      diffCommand      `cmd:"" help:"Compare a file with the document in force, field by field."`
 	Keys      keysCommand      `cmd:"" help:"Grant, withdraw and list the keys of teams."`
 	Drain     drainCommand     `cmd:"" help:"Take an entry instance or a worker out of service, or put it back."`
 	Workers   workersCommand   `cmd:"" help:"List the workers."`
-	Shares    sharesCommand    `cmd:"" help:"List what the teams use and may use."`
+	Shares    sharesCommand    `cmd:"" help:"List the shares, usage and limits of the teams."`
 	Members   membersCommand   `cmd:"" help:"List the live entry instances."`
 	Metrics   metricsCommand   `cmd:"" help:"Show the metrics of the entry instance that answers."`
-	Timeline  timelineCommand  `cmd:"" help:"Show what all entry instances did, in one order."`
-	Ownership ownershipCommand `cmd:"" help:"Act on the ownership of worker partitions and request shards."`
+	Timeline  timelineCommand  `cmd:"" help:"Show the merged events of all entry instances."`
+	Ownership ownershipCommand `cmd:"" help:"Change the ownership of worker partitions and request shards."`
 	Config    configCommand    `cmd:"" help:"Work with configuration files."`
 	Load      loadCommand      `cmd:"" help:"Compare scheduling policies on a generated load in virtual time."`
-	Demo      demoCommand      `cmd:"" help:"Run a small deployment in this process and check what became of work of every kind."`
+	Demo      demoCommand      `cmd:"" help:"Run a small deployment in this process and check the outcome of work of every kind."`
 	Version   versionCommand   `cmd:"" help:"Print the version."`
 }
 
@@ -51,7 +51,7 @@
 	code, exited := 0, false
 	parser := kong.Must(&cli,
 		kong.Name("mulberryctl"),
-		kong.Description("Talks to the entry instances of a mulberrydrum cluster. Exit codes are those of the error table in docs/api.md."),
+		kong.Description("Command-line client of a mulberrydrum cluster. The error table in docs/api.md lists the exit codes."),
 		kong.Writers(stdout, stderr),
 		kong.Exit(func(c int) { code, exited = c, true }),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
--- a/cmd/mulberryctl/members.go
+++ b/cmd/mulberryctl/members.go
@@ -10,7 +10,7 @@
 )
 
 type membersCommand struct {
-	Units bool `help:"Print the names of the units in place of their number."`
+	Units bool `help:"Print the names of the units instead of their number."`
 }
 
 // Help implements kong.HelpProvider.
@@ -19,8 +19,9 @@
   mulberryctl members
   mulberryctl members --units
 
-REVISION is the configuration that the member has, as its last digest said. An
-instance that is in the platform's list and not here has no store lease.`
+REVISION is the configuration revision that the member reported in its last
+digest. An instance that is in the platform's instance list but not in this one
+has no store lease.`
 }
 
 // Run lists the members.
--- a/cmd/mulberryctl/metrics.go
+++ b/cmd/mulberryctl/metrics.go
@@ -12,7 +12,7 @@
 )
 
 type metricsCommand struct {
-	Prefix string `arg:"" optional:"" help:"Only metrics whose name begins with this."`
+	Prefix string `arg:"" optional:"" help:"Only metrics whose name has this prefix."`
 }
 
 // Help implements kong.HelpProvider.
@@ -21,8 +21,9 @@
   mulberryctl metrics
   mulberryctl metrics store. --operator 127.0.0.1:7071
 
-The metrics are those of the one instance that answers, so name it with
---operator. docs/OPERATIONS.md has each metric with its unit and normal range.`
+The metrics are those of the one instance that answers; select it with
+--operator. docs/OPERATIONS.md describes each metric with its unit and normal
+range.`
 }
 
 // Run prints the metrics, sorted by name.
--- a/cmd/mulberryctl/ownership.go
+++ b/cmd/mulberryctl/ownership.go
@@ -15,7 +15,7 @@
 
 type ownershipForceCommand struct {
 	Unit   string `arg:"" help:"Worker partition w/<region>/<n>, or request shard h/<n>."`
-	Reason string `help:"Reason, which is recorded." required:""`
+	Reason string `help:"Reason to be recorded." required:""`
 }
 
 // Help implements kong.HelpProvider.
@@ -23,8 +23,8 @@
 	return `Example:
   mulberryctl ownership force w/flanders/2 --reason "power of leuven-a and leuven-b lost"
 
-The member that takes over waits as long as the old owner could still act. Use
-the command only when the owner and its successors are known to be gone.`
+The member that takes over waits until the old owner can no longer act. Use the
+command only if the owner and its successors are known to be gone.`
 }
 
 // Run forces the takeover.
--- a/cmd/mulberryctl/result.go
+++ b/cmd/mulberryctl/result.go
@@ -20,8 +20,8 @@
   mulberryctl result leuven-pipes/nozzles/n-1042
   mulberryctl result leuven-pipes/flexibility/run-77 --index 3 --to run-77-3.json
 
-The result is written as it came, whatever --output says. Nothing is written
-unless its length and digest are right.`
+The result is written unchanged, regardless of --output. Nothing is written if its
+length or digest is wrong.`
 }
 
 const resultFileMode = 0o600
--- a/cmd/mulberryctl/shares.go
+++ b/cmd/mulberryctl/shares.go
@@ -15,7 +15,7 @@
 	return `Example:
   mulberryctl shares
 
-A limit that was lowered is pending until the team runs no more than it allows.`
+A lowered limit is pending until the running tasks of the team fit within it.`
 }
 
 // Run lists the shares.
--- a/cmd/mulberryctl/status.go
+++ b/cmd/mulberryctl/status.go
@@ -10,7 +10,7 @@
 
 type statusCommand struct {
 	Job  string        `arg:"" help:"Job, as <team>/<service>/<idempotency key>."`
-	Wait time.Duration `help:"Wait for the end of the job for up to this time."`
+	Wait time.Duration `help:"Wait up to this time for the job to end."`
 }
 
 // Help implements kong.HelpProvider.
--- a/cmd/mulberryctl/submit.go
+++ b/cmd/mulberryctl/submit.go
@@ -17,9 +17,9 @@
 type submitCommand struct {
 	Team    string `arg:"" help:"Team that the work is for."`
 	Service string `arg:"" help:"Service of the team."`
-	Class   string `arg:"" help:"Class of work, as the document of the service has it."`
+	Class   string `arg:"" help:"Class of work that the document of the service defines."`
 
-	IdempotencyKey string        `help:"Key under which a repeated submission finds this one. A random key by default, which is printed."`
+	IdempotencyKey string        `help:"Idempotency key: a repeated submission with the same key returns this job. By default, a random key is generated and printed."`
 	Payload        string        `help:"File with the input of the work, - for standard input." placeholder:"FILE"`
 	Count          int           `help:"Tasks in the job." default:"1"`
 	CPU            int64         `name:"cpu-milli" help:"Thousandths of a processor for each task."`
@@ -27,11 +27,11 @@
 	Accelerators   int64         `help:"Accelerators for each task."`
 	Slots          int64         `help:"Slots for each task."`
 	Connections    int64         `help:"Connections for each task."`
-	DeclaredRun    time.Duration `help:"Run time that you expect."`
-	StartWithin    time.Duration `help:"Refuse the job if it cannot start or answer in this time."`
-	ReviewBy       time.Time     `help:"Time by which the job has to be finished, such as 2026-05-04T09:30:00Z."`
+	DeclaredRun    time.Duration `help:"Expected run time."`
+	StartWithin    time.Duration `help:"Refuse the job if it cannot start or answer within this time."`
+	ReviewBy       time.Time     `help:"Time by which the job must be finished, such as 2026-05-04T09:30:00Z."`
 	Region         []string      `help:"Allowed regions, nearest first."`
-	Wait           time.Duration `help:"Wait for the end of the job for up to this time."`
+	Wait           time.Duration `help:"Wait up to this time for the job to end."`
 }
 
 // Help implements kong.HelpProvider.
--- a/cmd/mulberryctl/timeline.go
+++ b/cmd/mulberryctl/timeline.go
@@ -14,7 +14,7 @@
 	Task  string `help:"Only events of this task."`
 	Team  string `help:"Only events of this team."`
 	Since string `help:"Only events since this time (RFC 3339) or this long ago, such as 5m."`
-	Limit int    `help:"Number of latest events." default:"1000"`
+	Limit int    `help:"Maximum number of events; the latest ones are shown." default:"1000"`
 }
 
 // Help implements kong.HelpProvider.
--- a/cmd/mulberryd/main.go
+++ b/cmd/mulberryd/main.go
@@ -20,7 +20,7 @@
 
 type commands struct {
 	Settings    string `arg:"" optional:"" help:"Settings file, JSON with comments." type:"existingfile"`
-	Platform    bool   `help:"Run on the users' platform: the environment names the settings file."`
+	Platform    bool   `help:"Run on the users' platform: an environment variable names the settings file."`
 	PrintConfig bool   `help:"Print the settings in force, with their defaults, and exit."`
 }
 
@@ -29,8 +29,8 @@
 Example:
   mulberryd examples/leuvenstress/settings.jsonc
 
-SIGTERM and SIGINT start a planned stop: what is owned is handed over, requests
-in flight are finished, then the process ends.`
+SIGTERM and SIGINT start a planned stop: the instance hands over its units,
+completes the requests in flight and exits.`
 
 func main() {
 	var cli commands
--- a/cmd/standin/relay.go
+++ b/cmd/standin/relay.go
@@ -16,7 +16,7 @@
 type relayCommand struct {
 	Listen  string `help:"Address to accept connections on." required:"" placeholder:"HOST:PORT"`
 	Target  string `help:"Address of the server." required:"" placeholder:"HOST:PORT"`
-	Control string `help:"Address of the switches." required:"" placeholder:"HOST:PORT"`
+	Control string `help:"Address of the HTTP server that controls the faults." required:"" placeholder:"HOST:PORT"`
 }
 
 // Run relays connections until the process receives SIGINT or SIGTERM.
--- a/cmd/standin/worker.go
+++ b/cmd/standin/worker.go
@@ -23,18 +23,18 @@
 // line for each of them.
 type WorkerCommand struct {
 	Count          int           `help:"Number of workers." default:"1"`
-	Listen         string        `help:"Address of the first worker; with a port other than 0 the ports follow each other." default:"127.0.0.1:0"`
+	Listen         string        `help:"Address of the first worker. If its port is not 0, the other workers use the ports that follow." default:"127.0.0.1:0"`
 	Prefix         string        `help:"Names are the prefix and a number from 1." default:"worker-"`
 	Region         string        `help:"Region of the workers." default:"region-1"`
 	FailureDomain  string        `help:"Failure domain of the workers." default:"domain-1"`
-	RackSize       int           `help:"Workers to a rack." default:"8"`
+	RackSize       int           `help:"Number of workers in a rack." default:"8"`
 	RackPrefix     string        `help:"Racks are the prefix and a number from 1." default:"rack-"`
 	CPU            int64         `help:"Cores of each worker." default:"32"`
 	MemoryMB       int64         `help:"Memory of each worker in MB." name:"memory-mb" default:"131072"`
 	Accelerators   int64         `help:"Accelerators of each worker." default:"0"`
 	Slots          int64         `help:"Slots of each worker." default:"8"`
 	Connections    int64         `help:"Connections of each worker." default:"64"`
-	UsageLag       time.Duration `help:"Age of the usage in reports." default:"5s"`
+	UsageLag       time.Duration `help:"Age of the usage data in reports." default:"5s"`
 	IgnoreEpoch    bool          `help:"Do not reject lower epochs."`
 	IgnoreValidity bool          `help:"Do not check boot, start_by and leases."`
 }
