--- a/cmd/mulberryctl/environment.go
+++ b/cmd/mulberryctl/environment.go
@@ -42,11 +42,11 @@
 }
 
 // withOperatorClient is withCallerClient for the operator addresses.
-func (e *environment) withOperatorClient(wait time.Duration, ask func(context.Context, *client.Client) error) error {
-	return e.withClient(e.Operator, wait, ask)
+func (e *environment) withOperatorClient(wait time.Duration, call func(context.Context, *client.Client) error) error {
+	return e.withClient(e.Operator, wait, call)
 }
 
-func (e *environment) withClient(addresses []string, wait time.Duration, ask func(context.Context, *client.Client) error) error {
+func (e *environment) withClient(addresses []string, wait time.Duration, call func(context.Context, *client.Client) error) error {
 	secret, err := e.secret()
 	if err != nil {
 		return err
@@ -55,7 +55,7 @@
 	defer cancel()
 	c := client.New(client.Config{Addresses: addresses, Secret: secret})
 	defer c.Close()
-	return ask(ctx, c)
+	return call(ctx, c)
 }
 
 func (e *environment) secret() (string, error) {
