--- a/cmd/mulberryctl/job.go
+++ b/cmd/mulberryctl/job.go
@@ -50,9 +50,9 @@
 	return line
 }
 
-// jobExitCode returns the exit code for the first task that did not succeed. It
-// returns 0 for a job that is still running: a wait that was too short is not a
-// failure, and a script can detect it by the printed state.
+// jobExitCode returns the exit code for the first task that did not succeed. An
+// unfinished task counts as 0: a wait that was too short is not a failure, and a
+// script can detect it by the printed state.
 func jobExitCode(job api.Job) int {
 	for _, t := range job.Tasks {
 		switch {
