--- a/ownership/config.go
+++ b/ownership/config.go
@@ -22,7 +22,8 @@
 	Stagger           time.Duration // additional takeover delay of each further successor
 }
 
-// DefaultConfig returns the defaults of the design page for the given units.
+// DefaultConfig returns the default configuration that the design page specifies, for
+// the given units.
 func DefaultConfig(units []string) Config {
 	return Config{
 		Units:             units,
@@ -65,7 +66,7 @@
 }
 
 // minusClockError returns the part of d during which the holder of a lease or
-// promise may rely on it: d less the drift and the margin.
+// promise may act on it: d minus the drift and the margin.
 func (c Config) minusClockError(d time.Duration) time.Duration {
 	return d - time.Duration(float64(d)*c.ClockDrift) - c.ClockMargin
 }
@@ -76,12 +77,12 @@
 	return d + time.Duration(float64(d)*c.ClockDrift) + c.ClockMargin
 }
 
-// promiseRequestAge is the age of the last keepalive from which promises are
-// requested. With the default durations that is 4.5 s, which leaves 4.3 s of the store
-// term for the requests: nearly a promise window.
-func (c Config) promiseRequestAge() time.Duration { return c.KeepAliveInterval * 3 / 2 }
+// keepAliveStaleAfter returns the age at which the last successful keepalive counts as
+// stale, so that the owner requests promises. With the default durations it is 4.5 s,
+// which leaves 4.3 s of the store term for the requests: nearly a promise window.
+func (c Config) keepAliveStaleAfter() time.Duration { return c.KeepAliveInterval * 3 / 2 }
 
-// absenceGracePeriod is how long a member key may be missing before its instance counts
-// as absent. A shorter absence can be the gap between the end of one lease and the
-// start of the next.
+// absenceGracePeriod returns how long a member key may be missing before its instance
+// counts as absent. A shorter absence can be the gap between the end of one lease and
+// the start of the next.
 func (c Config) absenceGracePeriod() time.Duration { return 2 * c.KeepAliveInterval }
--- a/ownership/decide.go
+++ b/ownership/decide.go
@@ -10,9 +10,9 @@
 // successorCount is the number of successors in a record.
 const successorCount = 2
 
-// Tick returns the actions that are due at time now. It is called after every
-// other call and at least every 100 ms. The caller must apply Lost before it sends
-// anything else.
+// Tick returns the actions that are due at time now. The caller must call it after every
+// other call and at least every 100 ms, and must apply Lost before it sends anything
+// else.
 func (t *Table) Tick(now time.Time) []Action {
 	t.expireTerms(now)
 	for _, u := range t.units {
@@ -31,7 +31,7 @@
 		t.retry(now, u)
 		return
 	}
-	if !t.hasStoreContact(now) || !t.membersKnown || now.Before(u.retryAt) {
+	if !t.hasStoreContact(now) || !t.membersObserved || now.Before(u.retryAt) {
 		return
 	}
 	if t.ownsRecord(u) {
@@ -55,7 +55,7 @@
 	}
 	r := u.record
 	r.Successors = successors
-	t.write(u, r, nil, ReasonSuccessors)
+	t.startWrite(u, r, nil, ReasonSuccessors)
 }
 
 // ObserveContact records whether the instance last reported contact with the
@@ -119,10 +119,10 @@
 // unit before the write is sent, because the write may take effect at any later time.
 func (t *Table) handOver(now time.Time, u *unit, to membership.Member, reason Reason) {
 	if u.held && !t.seededFaults.holdDuringHandover {
-		t.lose(now, u, reason)
+		t.markLost(now, u, reason)
 	}
 	r := t.recordFor(u, to)
-	t.write(u, r, nil, reason)
+	t.startWrite(u, r, nil, reason)
 }
 
 // recordFor returns the record that makes the member the next owner.
@@ -134,9 +134,9 @@
 	return r
 }
 
-// renewedSuccessors keeps the successors that are still suitable, in their order,
-// and adds others up to successorCount. A member key that is missing for a short
-// time does not change the list: after an outage of the store all keys are missing
+// renewedSuccessors returns the recorded successors that are still suitable, in their
+// order, followed by others up to successorCount. A member key that is missing for a
+// short time does not change the list: after an outage of the store all keys are missing
 // until the processes have new leases.
 func (t *Table) renewedSuccessors(now time.Time, u *unit) []Successor {
 	var kept []Successor
@@ -159,10 +159,10 @@
 	return kept
 }
 
-// isSuitable reports whether the successor stays in the list. It stays if its
-// member key has been absent for no longer than absenceGracePeriod, or if it is another
-// instance than the owner, live under the recorded incarnation, not draining, and
-// in the owner's region unless that region has too few members.
+// isSuitableSuccessor reports whether the successor stays in the list. It stays if its
+// member key has been absent for no longer than absenceGracePeriod, or if its instance
+// is not the owner's, is live under the recorded incarnation, is not draining, and is in
+// the owner's region unless that region has too few members.
 func (t *Table) isSuitableSuccessor(now time.Time, s Successor) bool {
 	m, ok := t.members[s.Instance]
 	if !ok {
--- a/ownership/matrix_test.go
+++ b/ownership/matrix_test.go
@@ -14,17 +14,17 @@
 		inject("release", owner, 1, 0), inject("crash", owner, 10, 25), inject("outage", owner, 45, 20),
 	}},
 	{rule: "fence", script: []trigger{
-		inject("cut", owner, 0, 20), inject("lag", second, 5, 60), inject("hold", first, 15, 22),
-		injectOnStep("takeover/sent", "cut", first, 0.01, 7),
+		inject("cut", owner, 0, 20), inject("lag", secondSuccessor, 5, 60), inject("hold", firstSuccessor, 15, 22),
+		injectOnStep("takeover/sent", "cut", firstSuccessor, 0.01, 7),
 	}},
 	{rule: "successor restarts", script: []trigger{
-		inject("crash", owner, 0, 60), inject("crash", first, 0.1, 5), inject("crash", second, 0.2, 6),
+		inject("crash", owner, 0, 60), inject("crash", firstSuccessor, 0.1, 5), inject("crash", secondSuccessor, 0.2, 6),
 	}},
 	{rule: "force", script: []trigger{
-		inject("crash", owner, 0, 70), inject("crash", first, 0.1, 70), inject("crash", second, 0.2, 70), inject("force", 3, 25, 0),
+		inject("crash", owner, 0, 70), inject("crash", firstSuccessor, 0.1, 70), inject("crash", secondSuccessor, 0.2, 70), inject("force", 3, 25, 0),
 	}},
 	{rule: "all gone", script: []trigger{
-		inject("gone", owner, 0, 0), inject("gone", first, 0.1, 0), inject("gone", second, 0.2, 0),
+		inject("gone", owner, 0, 0), inject("gone", firstSuccessor, 0.1, 0), inject("gone", secondSuccessor, 0.2, 0),
 	}},
 }
 
@@ -57,28 +57,28 @@
 	{Kind: "lossy", Duration: 10 * time.Second},
 }
 
-// playWithFault runs the scenario and injects f at the given occurrence of the step,
+// runWithFault runs the scenario and injects f at the given occurrence of the step,
 // on the node that takes the step. It reports whether the occurrence was reached.
-func (d directedScenario) playWithFault(step string, occurrence int, f fault) (problem string, reached bool) {
-	w := newWorld(7, seededFaults{})
+func (d directedScenario) runWithFault(step string, occurrence int, f fault) (problem string, reached bool) {
+	sim := newSimulation(7, seededFaults{})
 	count := 0
-	w.onStep = func(name string, n *node) {
+	sim.onStep = func(name string, n *node) {
 		if name != step {
 			return
 		}
 		if count++; count == occurrence {
 			reached = true
 			f.Node = n.index
-			w.injectFault(f)
+			sim.injectFault(f)
 		}
 	}
-	return d.playInWorld(w), reached
+	return d.runIn(sim), reached
 }
 
-// TestFaultMatrix guards against a fault at some step of a protocol after which two
-// tables hold a unit, or none does. It injects every fault at the first occurrence
-// of every step, in the first base scenario that reaches the step. Long runs cover
-// later occurrences and all scenarios that reach the step.
+// TestFaultMatrix guards against a fault at a step of a protocol after which two tables
+// hold a unit, or a unit remains without an owner. It injects every fault at the first
+// occurrence of every step, in the first base scenario that reaches the step. Long runs
+// also cover later occurrences and all scenarios that reach the step.
 func TestFaultMatrix(t *testing.T) {
 	steps := matrixSteps()
 	var mutex sync.Mutex
@@ -89,7 +89,7 @@
 			t.Run(step, func(t *testing.T) {
 				t.Parallel()
 				for _, f := range matrixFaults {
-					n, problems := playMatrixCell(step, f)
+					n, problems := runMatrixCell(step, f)
 					mutex.Lock()
 					runs += n
 					if n > 0 {
@@ -113,9 +113,10 @@
 	}
 }
 
-// playMatrixCell injects the fault at the step, in the first base scenario that reaches it
-// and in long runs in all.
-func playMatrixCell(step string, f fault) (runs int, problems []string) {
+// runMatrixCell injects the fault at the step: in the first base scenario that reaches the
+// step, or in long runs in every one. It returns the number of runs that reached the step
+// and the violations found.
+func runMatrixCell(step string, f fault) (runs int, problems []string) {
 	for _, base := range baseScenarios {
 		if runs > 0 && !isLongRun() {
 			break
@@ -124,7 +125,7 @@
 			if occurrence > 1 && !isLongRun() {
 				break
 			}
-			problem, reached := base.playWithFault(step, occurrence, f)
+			problem, reached := base.runWithFault(step, occurrence, f)
 			if !reached {
 				break
 			}
--- a/ownership/members.go
+++ b/ownership/members.go
@@ -37,7 +37,7 @@
 	}
 	t.memberSince = since
 	t.memberList = slices.Clone(members)
-	t.membersKnown = true
+	t.membersObserved = true
 }
 
 func (t *Table) observeInstanceList(now time.Time, members []membership.Member) {
@@ -57,9 +57,9 @@
 	t.listed, t.listReadAt = listed, now
 }
 
-// markRecordUnlisted covers the instances named in a record that no list has shown
-// to this process, because they were gone before it started. Their absence counts
-// from now.
+// markRecordUnlisted marks the instances named in a record that are missing from the
+// list. Some of them were in no list that this process has read, because they were gone
+// before it started; their absence counts from now.
 func (t *Table) markRecordUnlisted(now time.Time, r Record, listed map[string]bool) {
 	if r.Revision == 0 {
 		return
@@ -75,25 +75,25 @@
 }
 
 func (t *Table) markUnlisted(now time.Time, instance string) {
-	if _, known := t.unlistedSince[instance]; !known {
+	if _, marked := t.unlistedSince[instance]; !marked {
 		t.unlistedSince[instance] = now
 	}
 }
 
-// isPresent reports whether the store shows exactly this incarnation.
+// isPresent reports whether the store has a member key of exactly this incarnation.
 func (t *Table) isPresent(s Successor) bool {
 	m, ok := t.members[s.Instance]
 	return ok && m.Incarnation == s.Incarnation
 }
 
-// isAbsent reports whether the store shows no incarnation of the instance.
+// isAbsent reports whether the store has no member key of the instance.
 func (t *Table) isAbsent(instance string) bool {
 	_, present := t.members[instance]
-	return t.membersKnown && !present
+	return t.membersObserved && !present
 }
 
-// absentDuration returns how long the store has shown no member key of the instance.
-// For an instance that was never observed this is the uptime of this process.
+// absentDuration returns how long the store has had no member key of the instance. For
+// an instance that was never observed, it returns the uptime of this process.
 func (t *Table) absentDuration(now time.Time, instance string) time.Duration {
 	if !t.isAbsent(instance) {
 		return 0
--- a/ownership/model_test.go
+++ b/ownership/model_test.go
@@ -24,7 +24,7 @@
 	At       time.Duration
 	Duration time.Duration
 	Node     int
-	Unit     string // of a delayed write; empty for any
+	Unit     string // unit of the delayed write or forced takeover; for a write, empty means any unit
 }
 
 type scenario struct {
@@ -53,89 +53,89 @@
 	return s
 })
 
-// newWorld returns five nodes in two regions; the store is in the second. Clock
-// rates are at or within the configured drift.
-func newWorld(seed uint64, seeded seededFaults) *world {
-	w := &world{tickEvery: 100 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 1)), faults: seeded, units: []string{"w/a/0", "h/0", "h/1"}}
-	w.store = modelStore{rate: w.clockRate(), records: map[string]Record{}, members: map[string]memberKey{}, leases: map[int64]time.Duration{}}
+// newSimulation returns a simulation of five nodes in two regions, with the store in the
+// second region. Clock rates are at or within the configured drift.
+func newSimulation(seed uint64, seeded seededFaults) *simulation {
+	sim := &simulation{tickEvery: 100 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 1)), faults: seeded, units: []string{"w/a/0", "h/0", "h/1"}}
+	sim.store = modelStore{rate: sim.clockRate(), records: map[string]Record{}, members: map[string]memberKey{}, leases: map[int64]time.Duration{}}
 	for i := range 5 {
 		region := "a"
 		if i >= 3 {
 			region = "b"
 		}
 		name := fmt.Sprintf("n%d", i)
-		n := &node{w: w, index: i, rate: w.clockRate(), clockOffset: time.Duration(w.rng.Int64N(int64(time.Hour)))}
+		n := &node{sim: sim, index: i, rate: sim.clockRate(), clockOffset: time.Duration(sim.rng.Int64N(int64(time.Hour)))}
 		n.self = membership.Member{Instance: name, Region: region, FailureDomain: name}
-		w.nodes = append(w.nodes, n)
-		w.after(time.Duration(w.rng.Int64N(int64(2*time.Second))), n.start)
+		sim.nodes = append(sim.nodes, n)
+		sim.after(time.Duration(sim.rng.Int64N(int64(2*time.Second))), n.start)
 	}
-	return w
+	return sim
 }
 
-func (w *world) clockRate() float64 {
-	return []float64{0.99, 1.01, 0.99 + 0.02*w.rng.Float64()}[w.rng.IntN(3)]
+func (sim *simulation) clockRate() float64 {
+	return []float64{0.99, 1.01, 0.99 + 0.02*sim.rng.Float64()}[sim.rng.IntN(3)]
 }
 
-// injectFault injects a fault now and ends it after its duration.
-func (w *world) injectFault(f fault) {
-	n := w.nodes[f.Node]
+// injectFault injects a fault now. A fault with a duration ends after it.
+func (sim *simulation) injectFault(f fault) {
+	n := sim.nodes[f.Node]
 	switch f.Kind {
 	case "freeze":
-		n.frozenUntil = max(n.frozenUntil, w.now+f.Duration)
+		n.frozenUntil = max(n.frozenUntil, sim.now+f.Duration)
 	case "crash":
 		n.up = false
-		w.after(f.Duration, func() {
+		sim.after(f.Duration, func() {
 			if !n.up && !n.removed {
 				n.start()
 			}
 		})
 	case "gone":
-		if w.liveCount() > 2 {
+		if sim.liveCount() > 2 {
 			n.up, n.removed = false, true
 		}
 	case "outage":
-		w.store.down = true
-		w.after(f.Duration, func() { w.store.down = false })
+		sim.store.down = true
+		sim.after(f.Duration, func() { sim.store.down = false })
 	case "cut":
 		n.cutOff = true
-		w.after(f.Duration, func() { n.cutOff = false })
+		sim.after(f.Duration, func() { n.cutOff = false })
 	case "isolate":
 		n.cutOff, n.isolated = true, true
-		w.after(f.Duration, func() { n.cutOff, n.isolated = false, false })
+		sim.after(f.Duration, func() { n.cutOff, n.isolated = false, false })
 	case "region":
-		w.cutRegion(true)
-		w.after(f.Duration, func() { w.cutRegion(false) })
+		sim.cutRegion(true)
+		sim.after(f.Duration, func() { sim.cutRegion(false) })
 	case "lag":
 		n.watchLag = f.Duration
-		w.after(f.Duration, func() { n.watchLag = 0 })
+		sim.after(f.Duration, func() { n.watchLag = 0 })
 	case "slow":
 		n.replyDelay = min(f.Duration, callTimeout-100*time.Millisecond)
-		w.after(f.Duration, func() { n.replyDelay = 0 })
+		sim.after(f.Duration, func() { n.replyDelay = 0 })
 	case "hold":
 		n.nextWriteDelay, n.nextWriteUnit = f.Duration, f.Unit
 	case "late":
-		was := w.lateness
-		w.lateness = 0.5
-		w.after(f.Duration, func() { w.lateness = was })
+		previous := sim.lateness
+		sim.lateness = 0.5
+		sim.after(f.Duration, func() { sim.lateness = previous })
 	case "lossy":
-		was := w.loss
-		w.loss = 0.5
-		w.after(f.Duration, func() { w.loss = was })
+		previous := sim.loss
+		sim.loss = 0.5
+		sim.after(f.Duration, func() { sim.loss = previous })
 	case "force":
 		if n.up {
 			n.table.Force(n.clock(), f.Unit)
 		}
 	case "release":
 		if n.up {
-			for _, unit := range w.units {
+			for _, unit := range sim.units {
 				n.table.Release(n.clock(), unit)
 			}
 		}
 	}
 }
 
-func (w *world) liveCount() (count int) {
-	for _, n := range w.nodes {
+func (sim *simulation) liveCount() (count int) {
+	for _, n := range sim.nodes {
 		if !n.removed {
 			count++
 		}
@@ -143,8 +143,8 @@
 	return count
 }
 
-func (w *world) cutRegion(cut bool) {
-	for _, n := range w.nodes {
+func (sim *simulation) cutRegion(cut bool) {
+	for _, n := range sim.nodes {
 		if n.self.Region == "a" {
 			n.cutOff = cut
 		}
@@ -152,9 +152,9 @@
 }
 
 // endFaults ends every fault and starts every node that is down and not removed.
-func (w *world) endFaults() {
-	w.store.down, w.lateness, w.loss = false, 0, 0
-	for _, n := range w.nodes {
+func (sim *simulation) endFaults() {
+	sim.store.down, sim.lateness, sim.loss = false, 0, 0
+	for _, n := range sim.nodes {
 		n.cutOff, n.isolated, n.frozenUntil, n.watchLag, n.replyDelay, n.nextWriteDelay = false, false, 0, 0, 0, 0
 		if !n.up && !n.removed {
 			n.start()
@@ -164,43 +164,43 @@
 
 // run simulates the scenario and returns the violated property, or "".
 func (s scenario) run(seeded seededFaults) string {
-	w := newWorld(s.Seed, seeded)
-	w.lateness, w.loss = s.Lateness, s.Loss
+	sim := newSimulation(s.Seed, seeded)
+	sim.lateness, sim.loss = s.Lateness, s.Loss
 	end := 62 * time.Second
 	for _, f := range s.Faults {
-		w.after(f.At, func() { w.injectFault(f) })
+		sim.after(f.At, func() { sim.injectFault(f) })
 		end = max(end, f.At+f.Duration)
 	}
-	return w.finish(end)
+	return sim.finish(end)
 }
 
 // finish runs until the given time, ends the faults and checks the recovery.
-func (w *world) finish(end time.Duration) string {
-	w.runUntil(end)
-	w.endFaults()
-	w.runUntil(end + recoveryBound)
-	if w.violation != "" {
-		return w.violation
+func (sim *simulation) finish(end time.Duration) string {
+	sim.runUntil(end)
+	sim.endFaults()
+	sim.runUntil(end + recoveryBound)
+	if sim.violation != "" {
+		return sim.violation
 	}
-	if units := w.unheldUnits(); len(units) > 0 {
+	if units := sim.unheldUnits(); len(units) > 0 {
 		return fmt.Sprintf("%v without an owner %v after the last fault", units, recoveryBound)
 	}
 	return ""
 }
 
-// modelRuns returns the number of scenarios. MULBERRYDRUM_MODEL_RUNS overrides it for
-// longer runs.
-func modelRuns(normal int) int {
+// modelRuns returns the number of scenarios to run. MULBERRYDRUM_MODEL_RUNS overrides it
+// for longer runs.
+func modelRuns(defaultRuns int) int {
 	if n, err := strconv.Atoi(os.Getenv("MULBERRYDRUM_MODEL_RUNS")); err == nil {
 		return n
 	}
-	return normal
+	return defaultRuns
 }
 
 func isLongRun() bool { return os.Getenv("MULBERRYDRUM_MODEL_RUNS") != "" }
 
-// TestOneHolderAtATime guards against two processes that act for one unit at the same
-// true time, and against a unit that remains without an owner.
+// TestOneHolderAtATime guards against two processes that may act for one unit at the same
+// true time, and against a unit that remains without an owner after the last fault.
 func TestOneHolderAtATime(t *testing.T) {
 	const parallel = 8
 	runs := modelRuns(160)
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -27,9 +27,10 @@
 	return true
 }
 
-// shouldRefusePromise reports whether the owner's member key has been absent from
-// the store for longer than absenceGracePeriod. A refusal then allows this process, which
-// can reach the store, to take over from an owner that cannot.
+// shouldRefusePromise reports whether this process is in contact with the store and the
+// member key of the recorded owner has been absent from it for longer than
+// absenceGracePeriod. The refusal allows this process, which can reach the store, to take
+// over from an owner that cannot.
 func (t *Table) shouldRefusePromise(now time.Time, u *unit, owner string) bool {
 	return t.hasStoreContact(now) && u.record.Owner == owner &&
 		t.absentDuration(now, u.record.OwnerInstance) > t.cfg.absenceGracePeriod()
@@ -54,8 +55,8 @@
 	}
 }
 
-// pruneLapsedPromises removes lapsed promises. Otherwise those of former
-// incarnations would accumulate.
+// pruneLapsedPromises deletes lapsed promises. Otherwise those of former incarnations
+// would accumulate.
 func (t *Table) pruneLapsedPromises(now time.Time, u *unit) {
 	for from, sentAt := range u.receivedPromises {
 		if now.Sub(sentAt) > t.cfg.PromiseWindow {
@@ -64,26 +65,27 @@
 	}
 }
 
-// requiredPromisers returns all processes that could take over according to the
-// record in the store, which is the known record or that of an unresolved write. It
-// returns nothing if the successor list of either record is empty: then any member
-// may take over as soon as the lease has ended, and no promise prevents that.
-func (t *Table) requiredPromisers(u *unit) []Successor {
-	needed := u.record.Successors
+// requiredPromises returns the successors whose promises a promise term requires: all
+// processes that could take over according to the record in the store, which is the
+// known record or that of an unresolved write. It returns none if the successor list of
+// either record is empty: then any member may take over as soon as the lease has ended,
+// and no promise prevents that.
+func (t *Table) requiredPromises(u *unit) []Successor {
+	required := u.record.Successors
 	if !u.isUnresolved() || t.seededFaults.requireOnlyRecorded {
-		return needed
+		return required
 	}
 	proposed := u.pending.record.Successors
-	if len(needed) == 0 || len(proposed) == 0 {
+	if len(required) == 0 || len(proposed) == 0 {
 		return nil
 	}
-	needed = slices.Clone(needed)
+	required = slices.Clone(required)
 	for _, s := range proposed {
-		if !slices.Contains(needed, s) {
-			needed = append(needed, s)
+		if !slices.Contains(required, s) {
+			required = append(required, s)
 		}
 	}
-	return needed
+	return required
 }
 
 // updatePromiseTermEnd computes the end of the promise term: the earliest end of
@@ -93,11 +95,11 @@
 	if !t.ownsRecord(u) {
 		return
 	}
-	needed := t.requiredPromisers(u)
-	if len(needed) == 0 && t.seededFaults.emptyListCountsAsPromise {
+	required := t.requiredPromises(u)
+	if len(required) == 0 && t.seededFaults.emptyListCountsAsPromise {
 		u.promiseTermEnd = t.startedAt.Add(1 << 62)
 	}
-	for i, s := range needed {
+	for i, s := range required {
 		if t.seededFaults.ignoreIncarnation {
 			s.Incarnation = ""
 		}
@@ -113,20 +115,20 @@
 	}
 }
 
-// requestPromises requests promises while the store term is at risk. In normal
-// operation the store term is sufficient and no message is sent.
+// requestPromises requests promises while the lease is lost or its last renewal failed or
+// is stale. In normal operation the store term is sufficient and no message is sent.
 func (t *Table) requestPromises(now time.Time, u *unit) {
-	atRisk := !t.attached || t.keepAliveFailed || now.Sub(t.keepAliveSentAt) > t.cfg.promiseRequestAge()
+	atRisk := !t.attached || t.keepAliveFailed || now.Sub(t.keepAliveSentAt) > t.cfg.keepAliveStaleAfter()
 	if !u.held || !atRisk || now.Sub(u.promisesRequestedAt) < t.cfg.PromiseWindow/4 {
 		return
 	}
-	needed := t.requiredPromisers(u)
-	if len(needed) == 0 {
+	required := t.requiredPromises(u)
+	if len(required) == 0 {
 		return
 	}
 	u.promisesRequestedAt = now
 	t.queuedActions = append(t.queuedActions, AskPromise{
-		Unit: u.name, Owner: t.self.Incarnation, Epoch: u.record.Epoch, Successors: slices.Clone(needed),
+		Unit: u.name, Owner: t.self.Incarnation, Epoch: u.record.Epoch, Successors: slices.Clone(required),
 	})
 }
 
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -2,7 +2,7 @@
 
 import "github.com/mulberrydrum/mulberrydrum/membership"
 
-// Record states the owner of a unit. It is kept in the store and never deleted.
+// Record is the ownership record of a unit. It is kept in the store and never deleted.
 type Record struct {
 	Unit          string      `json:"unit"`
 	Owner         string      `json:"owner"`          // incarnation
@@ -12,19 +12,19 @@
 	Revision      int64       `json:"-"` // of the store; 0 if there is no record
 }
 
-// Successor names the incarnation that may take a unit over, and its instance.
+// Successor identifies an incarnation that may take a unit over.
 type Successor struct {
 	Instance    string `json:"instance"`
 	Incarnation string `json:"incarnation"`
 }
 
-// Action is an instruction or a notification of a Table to its caller.
+// Action is an instruction or a notification from a Table to its caller.
 type Action interface{ action() }
 
 // Write requests one transaction that replaces the record of a unit. The
 // transaction succeeds only if the record's last revision is Expect (0: absent)
 // and the member key of every instance in AbsentMembers is absent. The caller
-// answers each Write with exactly one call of WriteDone.
+// must report the outcome of each Write with exactly one call of WriteDone.
 type Write struct {
 	Record        Record
 	Expect        int64
@@ -49,9 +49,9 @@
 	Revision int64 // of the record, for compares in other transactions
 }
 
-// Renewed reports that the record of a held unit has a new revision and still names
-// this process under the same epoch. Transactions that compare the record's revision
-// must use the new one from now on.
+// Renewed reports that the record of a held unit has a new revision, with the same owner
+// and epoch. Transactions that compare the record's revision must use the new one from
+// now on.
 type Renewed struct {
 	Unit     string
 	Revision int64
@@ -82,7 +82,7 @@
 	ReasonSuccessors Reason = "successors" // the owner updates its list of successors
 	ReasonMove       Reason = "move"       // handover to the preferred member
 	ReasonRelease    Reason = "release"    // handover by an owner that drains or stops
-	ReasonFence      Reason = "fence"      // rewrites the known content, so that an indeterminate write can no longer take effect
+	ReasonFence      Reason = "fence"      // rewrites the known record, so that an indeterminate write can no longer take effect
 	ReasonTermEnded  Reason = "term_ended" // neither the store nor all successors confirmed in time
 	ReasonTaken      Reason = "taken"      // the record names another owner or epoch
 )
--- a/ownership/seeded_test.go
+++ b/ownership/seeded_test.go
@@ -7,20 +7,20 @@
 	"time"
 )
 
-// warmUp is the time after which a directed scenario begins: by then every unit has
-// its owner.
+// warmUp is the time after which a directed scenario begins. By then every unit normally
+// has its owner.
 const warmUp = 20 * time.Second
 
 // Roles of the nodes in a directed scenario, for the unit w/a/0.
 const (
 	owner = iota
-	first // successor
-	second
+	firstSuccessor
+	secondSuccessor
 )
 
-// directedScenario is a scenario in which only one safety rule prevents two holders.
-// Nodes are given as roles, and times count from warmUp. A fault with OnStep starts after
-// the delay At when the node first reaches that step.
+// directedScenario is a scenario in which only one safety rule prevents two holders of a
+// unit. Nodes are given as roles, and times count from warmUp. A fault with OnStep starts
+// At after the node first reaches that step.
 type directedScenario struct {
 	rule          string
 	seeded        seededFaults
@@ -46,69 +46,69 @@
 }
 
 // delayedTakeover makes the first successor decide to take over from an owner that is
-// cut off from the store. The write has an added delay of 22 s. Meanwhile the owner
-// gets a new lease, is cut off again and relies on promises, among them that of the
-// first successor, which is cut off too.
+// cut off from the store. The write is delayed by 22 s. Meanwhile the owner gets a new
+// lease, is cut off again and depends on promises, among them that of the first
+// successor, which is cut off too.
 func delayedTakeover(more ...trigger) []trigger {
 	return append(more,
 		inject("cut", owner, 0, 20), inject("cut", owner, 27, 30),
-		inject("lag", second, 5, 60), inject("hold", first, 15, 22),
-		injectOnStep("takeover/sent", "cut", first, 0.01, 50))
+		inject("lag", secondSuccessor, 5, 60), inject("hold", firstSuccessor, 15, 22),
+		injectOnStep("takeover/sent", "cut", firstSuccessor, 0.01, 50))
 }
 
 var directedScenarios = []directedScenario{
-	{rule: "window wait", seeded: seededFaults{skipPromiseWindowWait: true},
+	{rule: "wait for the promise window", seeded: seededFaults{skipPromiseWindowWait: true},
 		script: []trigger{inject("cut", owner, 0, 30)}},
 	{rule: "unresolved write blocks promises", seeded: seededFaults{promiseWhileUnresolved: true},
 		script: delayedTakeover()},
 	{rule: "incarnation check", seeded: seededFaults{ignoreIncarnation: true},
-		script: delayedTakeover(injectOnStep("takeover/sent", "crash", first, 0.02, 0.5))},
-	{rule: "drift margin of the store term", seeded: seededFaults{noDriftMargin: true}, extremeClocks: true,
+		script: delayedTakeover(injectOnStep("takeover/sent", "crash", firstSuccessor, 0.02, 0.5))},
+	{rule: "drift margin of the store term", seeded: seededFaults{ignoreClockError: true}, extremeClocks: true,
 		script: []trigger{inject("isolate", owner, 0, 30)}},
-	{rule: "drift margin of the promise term", seeded: seededFaults{noDriftMargin: true}, extremeClocks: true,
+	{rule: "drift margin of the promise term", seeded: seededFaults{ignoreClockError: true}, extremeClocks: true,
 		script: []trigger{inject("cut", owner, 0, 30)}},
-	{rule: "term from before the send (keepalive)", seeded: seededFaults{termFromReply: true},
+	{rule: "term counts from before the send (keepalive)", seeded: seededFaults{termFromReply: true},
 		script: []trigger{inject("slow", owner, 0, 20), inject("isolate", owner, 10, 20)}},
-	{rule: "term from before the send (promise)", seeded: seededFaults{termFromReply: true},
+	{rule: "term counts from before the send (promise)", seeded: seededFaults{termFromReply: true},
 		script: []trigger{inject("cut", owner, 0, 30), inject("slow", owner, 5, 30)}},
-	{rule: "member key compare", seeded: seededFaults{noMemberGuard: true},
-		script: []trigger{inject("cut", owner, 0, 12), inject("lag", first, 10, 30), inject("lag", owner, 14, 20)}},
-	{rule: "observation after a new lease", seeded: seededFaults{trustStaleRecord: true},
+	{rule: "member key compare", seeded: seededFaults{skipMemberCompare: true},
+		script: []trigger{inject("cut", owner, 0, 12), inject("lag", firstSuccessor, 10, 30), inject("lag", owner, 14, 20)}},
+	{rule: "observation after a new lease", seeded: seededFaults{useStaleRecord: true},
 		script: []trigger{inject("freeze", owner, 0, 20), inject("lag", owner, 0, 40)}},
 	{rule: "promises of both lists", seeded: seededFaults{requireOnlyRecorded: true},
-		script: []trigger{inject("cut", second, 0, 40), injectOnStep("successors/executed", "cut", owner, 0, 25)}},
+		script: []trigger{inject("cut", secondSuccessor, 0, 40), injectOnStep("successors/executed", "cut", owner, 0, 25)}},
 	{rule: "stop before handover", seeded: seededFaults{holdDuringHandover: true},
 		script: []trigger{inject("slow", owner, 0, 10), inject("lag", owner, 0, 10), inject("release", owner, 1, 0)}},
 	{rule: "empty list promises nothing", seeded: seededFaults{emptyListCountsAsPromise: true},
-		script: []trigger{inject("crash", first, 0, 25), inject("crash", second, 0, 25), inject("crash", 3, 0, 25), inject("crash", 4, 0, 25), inject("cut", owner, 20, 30)}},
+		script: []trigger{inject("crash", firstSuccessor, 0, 25), inject("crash", secondSuccessor, 0, 25), inject("crash", 3, 0, 25), inject("crash", 4, 0, 25), inject("cut", owner, 20, 30)}},
 }
 
-// play simulates the scenario and returns the violated property, or "".
-func (d directedScenario) play(seed uint64, seeded seededFaults) string {
-	return d.playInWorld(newWorld(seed, seeded))
+// run simulates the scenario and returns the violated property, or "".
+func (d directedScenario) run(seed uint64, seeded seededFaults) string {
+	return d.runIn(newSimulation(seed, seeded))
 }
 
-func (d directedScenario) playInWorld(w *world) string {
+func (d directedScenario) runIn(sim *simulation) string {
 	if d.extremeClocks {
-		w.tickEvery = 20 * time.Millisecond
-		w.store.rate = 1.01
+		sim.tickEvery = 20 * time.Millisecond
+		sim.store.rate = 1.01
 	}
-	w.runUntil(warmUp)
-	roles, ok := w.nodesByRole("w/a/0")
+	sim.runUntil(warmUp)
+	roles, ok := sim.nodesByRole("w/a/0")
 	if !ok {
-		return w.finish(warmUp + 25*time.Second) // an injected fault prevented the regular start
+		return sim.finish(warmUp + 25*time.Second) // an injected fault prevented the usual roles
 	}
 	if d.extremeClocks {
-		w.setRates(roles)
+		sim.setRates(roles)
 	}
 	for _, tr := range d.script {
 		f := tr.fault
 		f.Node = roles[f.Node].index
 		if tr.OnStep != "" {
-			w.applyOnStep(tr.OnStep, f)
+			sim.injectAtStep(tr.OnStep, f)
 			continue
 		}
-		w.after(f.At, func() { w.injectFault(f) })
+		sim.after(f.At, func() { sim.injectFault(f) })
 	}
 	end := 65 * time.Second
 	for _, tr := range d.script {
@@ -116,67 +116,66 @@
 			end = max(end, tr.At+tr.Duration)
 		}
 	}
-	return w.finish(warmUp + end)
+	return sim.finish(warmUp + end)
 }
 
 // setRates sets the owner's clock to the slowest rate within the drift and all others to
 // the fastest.
-func (w *world) setRates(roles []*node) {
+func (sim *simulation) setRates(roles []*node) {
 	for i, n := range roles {
 		rate := 1.01
 		if i == owner {
 			rate = 0.99
 		}
-		n.clockOffset += time.Duration((n.rate - rate) * float64(w.now))
+		n.clockOffset += time.Duration((n.rate - rate) * float64(sim.now))
 		n.rate = rate
 	}
 }
 
-// applyOnStep applies the fault when its node first reaches the step. Without a delay
-// it takes effect before the step's next message is sent.
-func (w *world) applyOnStep(step string, f fault) {
-	previous, done := w.onStep, false
-	w.onStep = func(name string, n *node) {
+// injectAtStep injects the fault when its node first reaches the step. Without a delay it
+// takes effect before the step's next message is sent.
+func (sim *simulation) injectAtStep(step string, f fault) {
+	previous, done := sim.onStep, false
+	sim.onStep = func(name string, n *node) {
 		if previous != nil {
 			previous(name, n)
 		}
 		if !done && name == step && n.index == f.Node {
 			done = true
 			if f.At == 0 {
-				w.injectFault(f)
+				sim.injectFault(f)
 				return
 			}
-			w.after(f.At, func() { w.injectFault(f) })
+			sim.after(f.At, func() { sim.injectFault(f) })
 		}
 	}
 }
 
 // nodesByRole returns the owner of the unit, its successors and then the others.
-func (w *world) nodesByRole(unit string) ([]*node, bool) {
-	r := w.store.records[unit]
+func (sim *simulation) nodesByRole(unit string) ([]*node, bool) {
+	r := sim.store.records[unit]
 	names := []string{r.Owner}
 	for _, s := range r.Successors {
 		names = append(names, s.Incarnation)
 	}
 	var roles []*node
 	for _, name := range names {
-		for _, n := range w.nodes {
+		for _, n := range sim.nodes {
 			if n.self.Incarnation == name {
 				roles = append(roles, n)
 			}
 		}
 	}
-	for _, n := range w.nodes {
+	for _, n := range sim.nodes {
 		if !slices.Contains(names, n.self.Incarnation) {
 			roles = append(roles, n)
 		}
 	}
-	return roles, len(names) == 3 && len(roles) == len(w.nodes)
+	return roles, len(names) == 3 && len(roles) == len(sim.nodes)
 }
 
-// TestEachRuleIsNeeded guards against a checker that does not detect the absence of a
-// safety rule: with the rule the scenario passes, and without it two tables hold the
-// unit.
+// TestEachRuleIsNeeded guards against a check that does not detect the absence of a safety
+// rule: with the rule the scenario must pass, and without it two tables must hold the unit.
 func TestEachRuleIsNeeded(t *testing.T) {
 	for _, d := range directedScenarios {
 		t.Run(d.rule, func(t *testing.T) {
@@ -187,10 +186,10 @@
 				seeds = 2 // short delays make these scenarios long
 			}
 			for seed := range seeds {
-				if problem := d.play(seed, seededFaults{}); problem != "" {
+				if problem := d.run(seed, seededFaults{}); problem != "" {
 					t.Errorf("seed %d with the rule: %s", seed, problem)
 				}
-				problem := d.play(seed, d.seeded)
+				problem := d.run(seed, d.seeded)
 				if strings.Contains(problem, "is held by") {
 					found++
 					t.Logf("seed %d without the rule: %s", seed, problem)
--- a/ownership/modelnode_test.go
+++ b/ownership/simnode_test.go
@@ -11,23 +11,23 @@
 // callTimeout is the timeout of a store call, which may still take effect afterwards.
 const callTimeout = 2 * time.Second
 
-// node simulates one instance: a table, its clock and the work of the control loop.
+// node simulates one instance: its table, its clock and its control loop.
 type node struct {
-	w              *world
+	sim            *simulation
 	index          int
 	self           membership.Member
 	table          *Table
 	starts         int
 	up             bool
-	removed        bool // permanently, also from the instance list
+	removed        bool // permanently down and missing from the instance list
 	frozenUntil    time.Duration
 	cutOff         bool // from the store
-	isolated       bool // from the other nodes
+	isolated       bool // cut off from the other nodes
 	rate           float64
 	clockOffset    time.Duration
 	replyDelay     time.Duration // added to every reply that the node receives
 	nextWriteDelay time.Duration // delay of the next write of nextWriteUnit on its way to the store
-	nextWriteUnit  string        // empty for any
+	nextWriteUnit  string        // empty for any unit
 
 	lease            int64
 	memberRevision   int64 // last known revision of the member key
@@ -38,7 +38,7 @@
 }
 
 func (n *node) clock() time.Time {
-	return time.Unix(0, 0).Add(n.clockOffset + time.Duration(float64(n.w.now)*n.rate))
+	return time.Unix(0, 0).Add(n.clockOffset + time.Duration(float64(n.sim.now)*n.rate))
 }
 
 // start begins a new incarnation with an empty state.
@@ -46,12 +46,12 @@
 	n.starts++
 	n.up = true
 	n.self.Incarnation = fmt.Sprintf("%s.%d", n.self.Instance, n.starts)
-	n.table = New(modelConfig(n.w.units), n.self, n.clock())
-	n.table.seededFaults = n.w.faults
+	n.table = New(modelConfig(n.sim.units), n.self, n.clock())
+	n.table.seededFaults = n.sim.faults
 	n.lease, n.attaching, n.deliveredChanges = 0, false, 0
 	n.members = make(map[string]membership.Member)
 	n.attach()
-	n.every(n.w.tickEvery, n.tick)
+	n.every(n.sim.tickEvery, n.tick)
 	n.every(modelConfig(nil).KeepAliveInterval, n.keepAlive)
 	n.every(5*time.Second, n.readInstanceList)
 	n.watch()
@@ -63,26 +63,26 @@
 	return cfg
 }
 
-// later runs f on this incarnation after d, or when a freeze has ended.
+// runAfter runs f on this incarnation after d, or at the end of a freeze if that is later.
 func (n *node) runAfter(d time.Duration, f func()) {
 	starts := n.starts
-	n.w.after(d, func() { n.run(starts, f) })
+	n.sim.after(d, func() { n.run(starts, f) })
 }
 
 func (n *node) run(starts int, f func()) {
 	if !n.up || n.starts != starts {
 		return
 	}
-	if n.w.now < n.frozenUntil {
-		n.w.after(n.frozenUntil-n.w.now, func() { n.run(starts, f) })
+	if n.sim.now < n.frozenUntil {
+		n.sim.after(n.frozenUntil-n.sim.now, func() { n.run(starts, f) })
 		return
 	}
 	f()
-	n.w.checkSingleHolder(n)
+	n.sim.checkSingleHolder(n)
 }
 
 func (n *node) every(period time.Duration, f func()) {
-	n.runAfter(period+time.Duration(n.w.rng.Int64N(int64(period/10))), func() {
+	n.runAfter(period+time.Duration(n.sim.rng.Int64N(int64(period/10))), func() {
 		f()
 		n.every(period, f)
 	})
@@ -92,35 +92,35 @@
 // node. failed runs instead if the call was rejected without effect (indeterminate is
 // false) or timed out (indeterminate is true).
 func (n *node) call(name, unit string, op func() func(), failed func(indeterminate bool)) {
-	w, done := n.w, false
-	extra := n.takeNextWriteDelay(unit)
+	sim, done := n.sim, false
+	writeDelay := n.takeNextWriteDelay(unit)
 	finish := func(d time.Duration, f func()) {
 		n.runAfter(d, func() {
 			if !done {
 				done = true
 				f()
-				w.reportStep(name+"/replied", n)
+				sim.reportStep(name+"/replied", n)
 			}
 		})
 	}
-	w.reportStep(name+"/sent", n)
+	sim.reportStep(name+"/sent", n)
 	finish(callTimeout, func() { failed(true) })
 	n.runAfter(0, func() {
-		if n.cutOff || w.rng.Float64() < w.loss {
+		if n.cutOff || sim.rng.Float64() < sim.loss {
 			return
 		}
-		w.after(w.delay()+extra, func() {
-			if w.store.down {
-				if w.rng.IntN(2) == 0 {
-					finish(w.delay(), func() { failed(false) })
+		sim.after(sim.delay()+writeDelay, func() {
+			if sim.store.down {
+				if sim.rng.IntN(2) == 0 {
+					finish(sim.delay(), func() { failed(false) })
 				}
 				return
 			}
-			w.store.expire(w.now)
+			sim.store.expire(sim.now)
 			reply := op()
-			w.reportStep(name+"/executed", n)
-			if w.rng.Float64() >= w.loss && !n.cutOff {
-				finish(w.delay()+n.replyDelay, reply)
+			sim.reportStep(name+"/executed", n)
+			if sim.rng.Float64() >= sim.loss && !n.cutOff {
+				finish(sim.delay()+n.replyDelay, reply)
 			}
 		})
 	})
@@ -138,13 +138,13 @@
 		return
 	}
 	n.attaching = true
-	sentAt, expect := n.clock(), n.memberRevision
+	sentAt, expectedRevision := n.clock(), n.memberRevision
 	n.call("attach", "", func() func() {
-		s := &n.w.store
-		lease := int64(len(s.log)+1)*1000 + n.w.rng.Int64N(1000)
+		s := &n.sim.store
+		lease := int64(len(s.log)+1)*1000 + n.sim.rng.Int64N(1000)
 		s.leases[lease] = 0
-		s.renew(n.w.now, lease, modelConfig(nil).LeaseTTL)
-		ok := s.putMember(n.self, lease, expect)
+		s.renew(n.sim.now, lease, modelConfig(nil).LeaseTTL)
+		ok := s.putMember(n.self, lease, expectedRevision)
 		revision := s.members[n.self.Instance].revision
 		return func() {
 			n.attaching, n.memberRevision = false, revision
@@ -163,11 +163,11 @@
 	}
 	sentAt, lease := n.clock(), n.lease
 	n.call("keepalive", "", func() func() {
-		s := &n.w.store
-		alive, revision, memberRev := s.renew(n.w.now, lease, modelConfig(nil).LeaseTTL), s.revision, s.members[n.self.Instance].revision
+		s := &n.sim.store
+		alive, revision, memberRevision := s.renew(n.sim.now, lease, modelConfig(nil).LeaseTTL), s.revision, s.members[n.self.Instance].revision
 		return func() {
 			if !alive {
-				n.lease, n.memberRevision = 0, memberRev
+				n.lease, n.memberRevision = 0, memberRevision
 				n.table.StoreLost(n.clock())
 				n.attach()
 				return
@@ -180,18 +180,18 @@
 
 // watch delivers the changes of the store in order, and each batch after a delay.
 func (n *node) watch() {
-	lag := n.w.tickEvery/4 + time.Duration(n.w.rng.Int64N(int64(n.w.tickEvery)))/2
+	lag := n.sim.tickEvery/4 + time.Duration(n.sim.rng.Int64N(int64(n.sim.tickEvery)))/2
 	starts := n.starts
-	n.w.after(lag, func() {
+	n.sim.after(lag, func() {
 		if !n.up || n.starts != starts {
 			return
 		}
-		if n.w.store.down || n.cutOff {
+		if n.sim.store.down || n.cutOff {
 			n.watch()
 			return
 		}
-		n.w.store.expire(n.w.now)
-		batch, revision := n.w.store.log[n.deliveredChanges:], n.w.store.revision
+		n.sim.store.expire(n.sim.now)
+		batch, revision := n.sim.store.log[n.deliveredChanges:], n.sim.store.revision
 		n.runAfter(n.watchLag+time.Millisecond, func() {
 			n.deliver(batch, revision)
 			n.watch()
@@ -216,24 +216,24 @@
 		}
 	}
 	list := make([]membership.Member, 0, len(n.members))
-	for _, other := range n.w.nodes {
+	for _, other := range n.sim.nodes {
 		if m, ok := n.members[other.self.Instance]; ok {
 			list = append(list, m)
 		}
 	}
 	n.table.ObserveMembers(n.clock(), list, true)
 	n.table.ObserveThrough(n.clock(), revision)
-	n.w.reportStep("watch/delivered", n)
+	n.sim.reportStep("watch/delivered", n)
 }
 
 func (n *node) readInstanceList() {
 	var list []membership.Member
-	for _, other := range n.w.nodes {
+	for _, other := range n.sim.nodes {
 		if !other.removed {
 			list = append(list, other.self)
 		}
 	}
-	lag := time.Duration(n.w.rng.Int64N(int64(5 * time.Second)))
+	lag := time.Duration(n.sim.rng.Int64N(int64(5 * time.Second)))
 	n.runAfter(lag, func() { n.table.ObserveMembers(n.clock(), list, false) })
 }
 
@@ -241,25 +241,25 @@
 	for _, a := range n.table.Tick(n.clock()) {
 		switch a := a.(type) {
 		case Write:
-			n.w.reportStep(string(a.Reason)+"/decided", n)
+			n.sim.reportStep(string(a.Reason)+"/decided", n)
 			n.runAfter(0, func() { n.write(a) })
 		case AskPromise:
 			for _, s := range a.Successors {
 				sentAt := n.clock()
-				n.w.reportStep("promise/sent", n)
+				n.sim.reportStep("promise/sent", n)
 				n.runAfter(0, func() { n.requestPromise(a, s, sentAt) })
 			}
 		case Gained:
-			n.w.reportStep("gained", n)
+			n.sim.reportStep("gained", n)
 		case Lost:
-			n.w.reportStep("lost", n)
+			n.sim.reportStep("lost", n)
 		}
 	}
 }
 
 func (n *node) write(a Write) {
 	n.call(string(a.Reason), a.Record.Unit, func() func() {
-		result := n.w.store.commit(a)
+		result := n.sim.store.commit(a)
 		return func() { n.table.WriteDone(n.clock(), a.Record.Unit, result) }
 	}, func(indeterminate bool) {
 		outcome := NoEffect
@@ -273,37 +273,37 @@
 // requestPromise sends one request to the instance of a successor. The incarnation
 // that runs there answers it.
 func (n *node) requestPromise(a AskPromise, s Successor, sentAt time.Time) {
-	w := n.w
-	for _, m := range w.nodes {
-		if m.self.Instance != s.Instance || w.rng.Float64() < w.loss || w.isCut(n, m) {
+	sim := n.sim
+	for _, m := range sim.nodes {
+		if m.self.Instance != s.Instance || sim.rng.Float64() < sim.loss || sim.areDisconnected(n, m) {
 			continue
 		}
-		w.after(w.delay(), func() {
+		sim.after(sim.delay(), func() {
 			m.runAfter(0, func() {
 				granted := m.table.PromiseRequested(m.clock(), a.Unit, a.Owner, a.Epoch, s.Incarnation)
-				w.reportStep("promise/granted", m)
+				sim.reportStep("promise/granted", m)
 				from := Successor{Instance: m.self.Instance, Incarnation: m.self.Incarnation}
-				if w.rng.Float64() < w.loss || w.isCut(n, m) {
+				if sim.rng.Float64() < sim.loss || sim.areDisconnected(n, m) {
 					return
 				}
-				n.runAfter(w.delay()+n.replyDelay, func() {
+				n.runAfter(sim.delay()+n.replyDelay, func() {
 					n.table.PromiseReplied(n.clock(), sentAt, a.Unit, from, granted)
-					w.reportStep("promise/replied", n)
+					sim.reportStep("promise/replied", n)
 				})
 			})
 		})
 	}
 }
 
-// isCut reports whether the two nodes cannot reach each other. Nodes that are
-// cut off from the store by a region cut are cut off from the other region too.
-func (w *world) isCut(a, b *node) bool {
-	return a.isolated || b.isolated || a.self.Region != b.self.Region && (a.regionCut() || b.regionCut())
+// areDisconnected reports whether the two nodes cannot reach each other. If the whole
+// region of a node is cut off from the store, it is cut off from the other region too.
+func (sim *simulation) areDisconnected(a, b *node) bool {
+	return a.isolated || b.isolated || a.self.Region != b.self.Region && (a.isRegionCut() || b.isRegionCut())
 }
 
-// regionCut reports whether the whole region of the node is cut off.
-func (n *node) regionCut() bool {
-	for _, other := range n.w.nodes {
+// isRegionCut reports whether every node in the region of n is cut off from the store.
+func (n *node) isRegionCut() bool {
+	for _, other := range n.sim.nodes {
 		if other.self.Region == n.self.Region && !other.cutOff {
 			return false
 		}
--- a/ownership/modelworld_test.go
+++ b/ownership/simulation_test.go
@@ -11,9 +11,9 @@
 	"github.com/mulberrydrum/mulberrydrum/membership"
 )
 
-// world is a discrete-event simulation of several tables and one minimal store. Every
+// simulation is a discrete-event simulation of several tables and one minimal store. Every
 // node has its own clock, and every message has its own delay.
-type world struct {
+type simulation struct {
 	now       time.Duration // true time
 	events    eventHeap
 	sequence  int
@@ -23,7 +23,7 @@
 	units     []string
 	faults    seededFaults
 	tickEvery time.Duration
-	lateness  float64 // fraction of messages that arrive up to 20 s late
+	lateness  float64 // fraction of messages that are delayed by up to 20 s
 	loss      float64 // fraction of messages that are lost
 	onStep    func(step string, n *node)
 	violation string
@@ -49,61 +49,61 @@
 	return last
 }
 
-func (w *world) after(d time.Duration, run func()) {
-	w.sequence++
-	heap.Push(&w.events, event{at: w.now + d, sequence: w.sequence, run: run})
+func (sim *simulation) after(d time.Duration, run func()) {
+	sim.sequence++
+	heap.Push(&sim.events, event{at: sim.now + d, sequence: sim.sequence, run: run})
 }
 
 // runUntil executes events up to the given true time or the first violation.
-func (w *world) runUntil(end time.Duration) {
-	for len(w.events) > 0 && w.events[0].at <= end && w.violation == "" {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
+func (sim *simulation) runUntil(end time.Duration) {
+	for len(sim.events) > 0 && sim.events[0].at <= end && sim.violation == "" {
+		e := heap.Pop(&sim.events).(event)
+		sim.now = e.at
 		e.run()
 	}
-	w.now = end
+	sim.now = end
 }
 
-func (w *world) reportStep(name string, n *node) {
-	if w.onStep != nil {
-		w.onStep(name, n)
+func (sim *simulation) reportStep(name string, n *node) {
+	if sim.onStep != nil {
+		sim.onStep(name, n)
 	}
 }
 
 // delay returns the random transit time of a message.
-func (w *world) delay() time.Duration {
-	if w.rng.Float64() < w.lateness {
-		return time.Duration(w.rng.Int64N(int64(20 * time.Second)))
+func (sim *simulation) delay() time.Duration {
+	if sim.rng.Float64() < sim.lateness {
+		return time.Duration(sim.rng.Int64N(int64(20 * time.Second)))
 	}
-	return time.Millisecond + time.Duration(w.rng.Int64N(int64(w.tickEvery)))/8
+	return time.Millisecond + time.Duration(sim.rng.Int64N(int64(sim.tickEvery)))/8
 }
 
-// checkSingleHolder records a violation if n and another table hold the same unit at the same
-// true time. An overlap can begin only in a call on the table that gains the unit, so
+// checkSingleHolder records a violation if n and another node hold the same unit at the
+// same true time. An overlap can begin only in a call on the table that gains the unit, so
 // a check after every call is sufficient.
-func (w *world) checkSingleHolder(n *node) {
-	for _, unit := range w.units {
+func (sim *simulation) checkSingleHolder(n *node) {
+	for _, unit := range sim.units {
 		epoch, ok := n.table.Holds(n.clock(), unit)
 		if !ok {
 			continue
 		}
-		for _, other := range w.nodes {
+		for _, other := range sim.nodes {
 			if other == n || !other.up {
 				continue
 			}
-			if otherEpoch, held := other.table.Holds(other.clock(), unit); held && w.violation == "" {
-				w.violation = fmt.Sprintf("at %v %s is held by %s (epoch %d) and %s (epoch %d)",
-					w.now, unit, n.self.Incarnation, epoch, other.self.Incarnation, otherEpoch)
+			if otherEpoch, held := other.table.Holds(other.clock(), unit); held && sim.violation == "" {
+				sim.violation = fmt.Sprintf("at %v %s is held by %s (epoch %d) and %s (epoch %d)",
+					sim.now, unit, n.self.Incarnation, epoch, other.self.Incarnation, otherEpoch)
 			}
 		}
 	}
 }
 
 // unheldUnits lists the units that no live table holds.
-func (w *world) unheldUnits() (units []string) {
-	for _, unit := range w.units {
+func (sim *simulation) unheldUnits() (units []string) {
+	for _, unit := range sim.units {
 		held := false
-		for _, n := range w.nodes {
+		for _, n := range sim.nodes {
 			if n.up {
 				_, ok := n.table.Holds(n.clock(), unit)
 				held = held || ok
@@ -116,7 +116,7 @@
 	return units
 }
 
-// modelStore executes each call when it arrives.
+// modelStore is a minimal store that executes each call when it arrives.
 type modelStore struct {
 	down     bool
 	rate     float64 // of the store's clock
@@ -140,24 +140,24 @@
 }
 
 func (s *modelStore) expire(now time.Duration) {
-	isOver := func(end time.Duration) bool { return float64(now)*s.rate >= float64(end) }
+	hasEnded := func(end time.Duration) bool { return float64(now)*s.rate >= float64(end) }
 	due := false
 	for _, end := range s.leases {
-		due = due || isOver(end)
+		due = due || hasEnded(end)
 	}
 	if !due {
 		return
 	}
 	for _, instance := range slices.Sorted(maps.Keys(s.members)) {
 		key := s.members[instance]
-		if isOver(s.leases[key.lease]) {
+		if hasEnded(s.leases[key.lease]) {
 			s.revision++
 			delete(s.members, instance)
 			s.log = append(s.log, change{instance: instance})
 		}
 	}
 	for lease, end := range s.leases {
-		if isOver(end) {
+		if hasEnded(end) {
 			delete(s.leases, lease)
 		}
 	}
@@ -171,8 +171,8 @@
 	return true
 }
 
-func (s *modelStore) putMember(m membership.Member, lease, expect int64) bool {
-	if s.members[m.Instance].revision != expect {
+func (s *modelStore) putMember(m membership.Member, lease, expectedRevision int64) bool {
+	if s.members[m.Instance].revision != expectedRevision {
 		return false
 	}
 	s.revision++
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -17,22 +17,22 @@
 	units  []*unit
 	byName map[string]*unit
 
-	members        map[string]membership.Member // by instance, as the store shows them
-	memberList     []membership.Member
-	memberSince    map[string]time.Time // by incarnation: start of its present uninterrupted presence
-	noStoreContact map[string]bool      // by instance: it last reported that it does not reach the store
-	absentSince    map[string]time.Time // by instance: since when the store shows no member key
-	membersKnown   bool
-	unlistedSince  map[string]time.Time // by instance: since when the instance list lacks it
-	listed         map[string]bool      // by instance: in the latest instance list
-	listReadAt     time.Time            // of the latest instance list
-
-	attached        bool      // Attached was called, and StoreLost was not called since
-	attachRevision  int64     // store revision at which the member key was written
-	seenRevision    int64     // every change up to this store revision has been observed
-	keepAliveSentAt time.Time // read before the last successful keepalive was sent
-	storeTermEnd    time.Time // end of the store term
-	keepAliveFailed bool      // the last keepalive failed
+	members         map[string]membership.Member // by instance, from the member keys in the store
+	memberList      []membership.Member
+	memberSince     map[string]time.Time // by incarnation: start of its current uninterrupted presence
+	noStoreContact  map[string]bool      // by instance: it last reported that it cannot reach the store
+	absentSince     map[string]time.Time // by instance: since when the store has had no member key of it
+	membersObserved bool
+	unlistedSince   map[string]time.Time // by instance: since when it has been missing from the instance list
+	listed          map[string]bool      // by instance: in the latest instance list
+	listReadAt      time.Time            // of the latest instance list
+
+	attached         bool      // Attached was called, and StoreLost was not called since
+	attachRevision   int64     // store revision at which the member key was written
+	observedRevision int64     // every change up to this store revision has been observed
+	keepAliveSentAt  time.Time // read before the last successful keepalive was sent
+	storeTermEnd     time.Time // end of the store term
+	keepAliveFailed  bool      // the last keepalive failed
 
 	lastMoveAt    time.Time
 	queuedActions []Action // for the next Tick
@@ -58,21 +58,21 @@
 
 	pending   *pendingWrite
 	retryAt   time.Time // earliest time of the next write
-	releasing bool      // Release was called for the present record's owner and epoch
+	releasing bool      // Release was called under the owner and epoch of the current record
 	forcedAt  time.Time
 	forced    bool // Force was accepted and is not void
 }
 
-// seededFaults disables single safety rules. Only tests set it, to show that their
+// seededFaults disables individual safety rules. Only tests set it, to show that their
 // checks detect the absence of each rule.
 type seededFaults struct {
 	skipPromiseWindowWait    bool // take over without waiting for this process's own promise to lapse
 	promiseWhileUnresolved   bool // give promises despite an unresolved write
 	ignoreIncarnation        bool // give and count promises for another incarnation of the instance
-	noDriftMargin            bool // compute terms and waits without drift and margin
+	ignoreClockError         bool // compute terms and waits without drift and margin
 	termFromReply            bool // start terms at the reply instead of before the send
-	noMemberGuard            bool // take over without comparing the member key
-	trustStaleRecord         bool // act under a new lease before the records have been observed again
+	skipMemberCompare        bool // take over without comparing the member key
+	useStaleRecord           bool // act under a new lease before the records have been observed again
 	requireOnlyRecorded      bool // require only the recorded successors' promises while a write of a new list is unresolved
 	holdDuringHandover       bool // keep the unit until the handover is confirmed
 	emptyListCountsAsPromise bool // treat an empty list of successors as if all had promised
@@ -151,7 +151,7 @@
 	t.expireTerms(now)
 	changed := u.record.Owner != r.Owner || u.record.Epoch != r.Epoch
 	if changed && u.held {
-		t.lose(now, u, ReasonTaken)
+		t.markLost(now, u, ReasonTaken)
 	}
 	if changed {
 		u.releasing, u.forced = false, false
@@ -160,7 +160,7 @@
 		t.queuedActions = append(t.queuedActions, Renewed{Unit: u.name, Revision: r.Revision})
 	}
 	u.record = r
-	if u.pending != nil && r.Revision > u.pending.expect {
+	if u.pending != nil && r.Revision > u.pending.expectedRevision {
 		u.supersedePending()
 	}
 	t.updatePromiseTermEnd(u)
@@ -171,7 +171,7 @@
 // watch batch, also after one without changes.
 func (t *Table) ObserveThrough(now time.Time, revision int64) {
 	t.expireTerms(now)
-	t.seenRevision = max(t.seenRevision, revision)
+	t.observedRevision = max(t.observedRevision, revision)
 	t.updateStoreTermEnd()
 }
 
--- a/ownership/table_test.go
+++ b/ownership/table_test.go
@@ -13,8 +13,8 @@
 	return membership.Member{Instance: instance, Incarnation: incarnation, Region: "r", FailureDomain: instance}
 }
 
-// attachedTable returns a table that has had a lease since its start and has observed
-// the members and a store without records.
+// attachedTable returns a table that has a lease since time 0 and has observed the
+// members and a store without records.
 func attachedTable(self membership.Member, members ...membership.Member) *Table {
 	t := New(DefaultConfig([]string{"h/0"}), self, at(0))
 	t.Attached(at(0), at(0), 10)
@@ -38,20 +38,20 @@
 	table := attachedTable(member("a", "a1"))
 	writes := actionsOfType[Write](table.Tick(at(2 * time.Second)))
 	if len(writes) != 1 || writes[0].Expect != 0 || writes[0].Record.Epoch != 1 {
-		t.Fatalf("claim: %+v", writes)
+		t.Fatalf("writes at startup = %+v, want one claim with expected revision 0 and epoch 1", writes)
 	}
 	if _, ok := table.Holds(at(2*time.Second), "h/0"); ok {
 		t.Fatal("held before the claim was confirmed")
 	}
 	table.WriteDone(at(2*time.Second), "h/0", WriteResult{Outcome: Succeeded, Revision: 11})
 	if gained := actionsOfType[Gained](table.Tick(at(2 * time.Second))); len(gained) != 1 || gained[0].Revision != 11 {
-		t.Fatalf("gained: %+v", gained)
+		t.Fatalf("gained units after the claim = %+v, want one at revision 11", gained)
 	}
 	if _, ok := table.Holds(at(8800*time.Millisecond), "h/0"); !ok {
 		t.Fatal("not held within the term")
 	}
 	if _, ok := table.Holds(at(8810*time.Millisecond), "h/0"); ok {
-		t.Fatal("held after the shortened term")
+		t.Fatal("held after the end of the term")
 	}
 }
 
@@ -62,20 +62,20 @@
 	table := attachedTable(member("a", "a1"), successor)
 	table.Observe(at(0), Record{Unit: "h/0", Owner: "b1", OwnerInstance: "b", Epoch: 4, Successors: []Successor{{"c", "c1"}}, Revision: 9})
 	if _, ok := table.Force(at(time.Second), "h/0"); ok {
-		t.Fatal("accepted while the successor is live")
+		t.Fatal("forced takeover accepted while the successor is live")
 	}
 	table.ObserveMembers(at(2*time.Second), []membership.Member{member("a", "a1")}, true)
 	when, ok := table.Force(at(2*time.Second), "h/0")
 	if !ok || when.Sub(at(2*time.Second)) < 24*time.Second {
-		t.Fatalf("accepted %v, takeover at %v", ok, when)
+		t.Fatalf("forced takeover: accepted %v, at %v, want accepted and at least 24 s later", ok, when)
 	}
 	table.KeepAliveDone(at(25*time.Second), at(25*time.Second), nil)
 	if writes := actionsOfType[Write](table.Tick(at(26 * time.Second))); len(writes) != 0 {
-		t.Fatalf("taken over before the wait: %+v", writes)
+		t.Fatalf("writes before the end of the wait: %+v", writes)
 	}
 	writes := actionsOfType[Write](table.Tick(when))
 	if len(writes) != 1 || writes[0].Reason != ReasonForced || len(writes[0].AbsentMembers) != 2 {
-		t.Fatalf("after the wait: %+v", writes)
+		t.Fatalf("writes after the wait = %+v, want one forced takeover that compares 2 member keys", writes)
 	}
 }
 
@@ -97,7 +97,7 @@
 		cfg := DefaultConfig(nil)
 		c.change(&cfg)
 		if err := cfg.Validate(); (err == nil) != c.valid {
-			t.Errorf("%s: %v", c.name, err)
+			t.Errorf("%s: Validate returned %v, want valid = %v", c.name, err, c.valid)
 		}
 	}
 }
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -9,8 +9,8 @@
 
 // Force records an operator's declaration that the owner and the successors of the
 // unit are gone, and returns when this process will take over. It is rejected while
-// the store shows one of them, and it becomes void as soon as one comes back. The
-// wait is the same as for instances that the instance list shows as gone.
+// the store has a member key of one of them, and it becomes void as soon as one comes
+// back. The wait is the same as for instances that are missing from the instance list.
 func (t *Table) Force(now time.Time, name string) (at time.Time, ok bool) {
 	u := t.byName[name]
 	if u == nil || u.record.Revision == 0 || !t.allAbsent(u.record) {
@@ -22,8 +22,8 @@
 	return u.forcedAt.Add(t.allGoneWait()), true
 }
 
-// allGoneWait is the time after which an owner that is gone has no term left and a
-// successor that is gone is bound by no promise.
+// allGoneWait returns the time after which the term of an owner that is gone and the
+// promises of successors that are gone have ended.
 func (t *Table) allGoneWait() time.Duration {
 	return t.takeoverWait(t.cfg.ListLag + t.cfg.PromiseWindow + t.cfg.LeaseTTL)
 }
@@ -37,27 +37,27 @@
 	return instances
 }
 
-// allAbsent reports whether the store shows neither the owner nor a successor.
+// allAbsent reports whether the store has no member key of the owner or a successor.
 func (t *Table) allAbsent(r Record) bool {
 	return !slices.ContainsFunc(r.namedInstances(), func(i string) bool { return !t.isAbsent(i) })
 }
 
 // decideAsNonOwner claims a unit without a record, or takes a unit over.
 func (t *Table) decideAsNonOwner(now time.Time, u *unit) {
-	reason, guards := t.takeoverReason(now, u)
+	reason, absentMembers := t.takeoverReason(now, u)
 	if reason == "" {
 		return
 	}
-	if t.seededFaults.noMemberGuard {
-		guards = nil
+	if t.seededFaults.skipMemberCompare {
+		absentMembers = nil
 	}
-	t.write(u, t.recordFor(u, t.self), guards, reason)
+	t.startWrite(u, t.recordFor(u, t.self), absentMembers, reason)
 }
 
 // takeoverReason returns why this process may take the unit over now, or "", and the
 // instances whose member keys must be absent when the write takes effect. The
-// transaction compares these keys because the watch on which this decision is based
-// may lag by any time: without the compare, the owner could still be in its store
+// transaction compares these keys because the lag of the watch on which this decision
+// is based is not bounded: without the compare, the owner could still be in its store
 // term.
 func (t *Table) takeoverReason(now time.Time, u *unit) (Reason, []string) {
 	r := u.record
@@ -83,15 +83,15 @@
 }
 
 func (t *Table) claimReason(now time.Time, u *unit) Reason {
-	if t.seenRevision == 0 || !t.isPreferred(u) {
+	if t.observedRevision == 0 || !t.isPreferred(u) {
 		return ""
 	}
 	return t.reasonAfterUptime(now, t.cfg.ClaimDelay, ReasonClaim)
 }
 
-// successorTakeoverReason applies to a recorded successor and to a new incarnation on its
-// instance. The new incarnation waits until every promise of the former one has
-// lapsed.
+// successorTakeoverReason covers a takeover by a recorded successor or by a new
+// incarnation on its instance. The new incarnation waits until every promise of the
+// former one has lapsed.
 func (t *Table) successorTakeoverReason(now time.Time, r Record) Reason {
 	for i, s := range r.Successors {
 		if s.Instance != t.self.Instance {
@@ -108,8 +108,8 @@
 	return ""
 }
 
-// reasonAfterUptime returns the reason once this process has been up for d, with the
-// allowance for clock error, and "" before.
+// reasonAfterUptime returns the reason once this process has been up for d, plus the
+// clock drift and margin, and "" before.
 func (t *Table) reasonAfterUptime(now time.Time, d time.Duration, reason Reason) Reason {
 	if now.Sub(t.startedAt) < t.takeoverWait(d) {
 		return ""
@@ -117,7 +117,7 @@
 	return reason
 }
 
-// allGoneTakeoverReason applies to a record whose owner and successors are all gone.
+// allGoneTakeoverReason covers a takeover when the owner and all successors are gone.
 func (t *Table) allGoneTakeoverReason(now time.Time, u *unit) (Reason, []string) {
 	if !t.allAbsent(u.record) {
 		u.forced = false
@@ -127,8 +127,8 @@
 	if u.forced && now.Sub(u.forcedAt) >= wait {
 		return ReasonForced, instances
 	}
-	alive := func(i string) bool { return !t.isUnlistedFor(i, wait) }
-	if t.isPreferred(u) && !slices.ContainsFunc(instances, alive) {
+	isListed := func(i string) bool { return !t.isUnlistedFor(i, wait) }
+	if t.isPreferred(u) && !slices.ContainsFunc(instances, isListed) {
 		return ReasonAllGone, instances
 	}
 	return "", nil
--- a/ownership/term.go
+++ b/ownership/term.go
@@ -63,14 +63,14 @@
 }
 
 func (t *Table) holderTerm(d time.Duration) time.Duration {
-	if t.seededFaults.noDriftMargin {
+	if t.seededFaults.ignoreClockError {
 		return d
 	}
 	return t.cfg.minusClockError(d)
 }
 
 func (t *Table) takeoverWait(d time.Duration) time.Duration {
-	if t.seededFaults.noDriftMargin {
+	if t.seededFaults.ignoreClockError {
 		return d
 	}
 	return t.cfg.plusClockError(d)
@@ -78,7 +78,7 @@
 
 func (t *Table) updateStoreTermEnd() {
 	t.storeTermEnd = time.Time{}
-	observed := t.seenRevision >= t.attachRevision || t.seededFaults.trustStaleRecord
+	observed := t.observedRevision >= t.attachRevision || t.seededFaults.useStaleRecord
 	if t.attached && observed {
 		t.storeTermEnd = t.keepAliveSentAt.Add(t.holderTerm(t.cfg.LeaseTTL))
 	}
@@ -91,31 +91,32 @@
 	return !t.keepAliveFailed && now.Before(t.storeTermEnd)
 }
 
-// expireTerms marks every unit whose term has ended as lost. Every call that could extend
-// a term runs it first, so that a process that resumes from a pause reports the loss
-// even if the extension arrives before the next Tick.
+// expireTerms marks every held unit whose term has ended as lost. Every call that could
+// extend a term runs it first, so that a process that resumes from a pause reports the
+// loss even if the extension arrives before the next Tick.
 func (t *Table) expireTerms(now time.Time) {
 	for _, u := range t.units {
 		if u.held && !now.Before(t.termEnd(u)) {
-			t.lose(now, u, ReasonTermEnded)
+			t.markLost(now, u, ReasonTermEnded)
 		}
 	}
 }
 
-func (t *Table) lose(now time.Time, u *unit, reason Reason) {
+func (t *Table) markLost(now time.Time, u *unit, reason Reason) {
 	u.held = false
 	u.lostAt, u.needsRead = now, true
 	t.queuedActions = append(t.queuedActions, Lost{Unit: u.name, Epoch: u.record.Epoch, Reason: reason})
 }
 
-// gainIfVerified marks the unit as held if the record names this process, the store term has
-// not ended, the record was read after the last loss, and no handover is pending. A
-// promise term extends the time for which a unit is held, but gains no unit.
+// gainIfVerified marks the unit as held if the record names this process, the store term
+// has not ended, the record was read after the last loss, and no handover is pending. A
+// promise term extends the time for which a held unit stays held; a unit that is not held
+// is gained only within a store term.
 func (t *Table) gainIfVerified(now time.Time, u *unit) {
 	if u.held || !t.ownsRecord(u) || !now.Before(t.storeTermEnd) {
 		return
 	}
-	isVerified := !u.needsRead && t.seenRevision >= u.readRevision || t.seededFaults.trustStaleRecord
+	isVerified := !u.needsRead && t.observedRevision >= u.readRevision || t.seededFaults.useStaleRecord
 	if !isVerified || u.isHandingOver() {
 		return
 	}
