--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -19,15 +19,15 @@
 const (
 	Stored   Result = iota
 	Conflict        // the compare failed and nothing was written
-	Unclear         // indeterminate: the values may have been written or may be written later
-	NoEffect        // the values were not and will not be written
+	Unclear         // indeterminate: the values may have been written or may still be written
+	NoEffect        // the values were not written and will not be
 )
 
 // Plan returns the writes of the next group commit. It returns none if nothing
 // changed, a commit is in flight, or the flush interval has not passed. The caller
 // puts all writes into one transaction.
 func (l *Ledger) Plan(now time.Time) []Write {
-	if !l.dirty || l.inFlight > 0 || now.Sub(l.lastFlush) < l.cfg.FlushInterval {
+	if !l.dirty || l.shardsInFlight > 0 || now.Sub(l.lastFlush) < l.cfg.FlushInterval {
 		return nil
 	}
 	l.dirty = false
@@ -52,9 +52,9 @@
 }
 
 func (l *Ledger) write(now time.Time, s *shard) Write {
-	l.writes++
-	id := fmt.Sprintf("%s.%d", l.holder, l.writes)
-	l.inFlight++
+	l.idCounter++
+	id := fmt.Sprintf("%s.%d", l.incarnation, l.idCounter)
+	l.shardsInFlight++
 	s.inFlight = &pendingWrite{writeID: id, sequence: s.sequence, sentAt: now}
 	return Write{Shard: s.name, Value: s.value(id), Revision: s.revision}
 }
@@ -103,17 +103,17 @@
 }
 
 // clearInFlight marks the write of a shard as no longer in flight. The next commit writes
-// what changed in the meantime.
+// the changes made in the meantime.
 func (l *Ledger) clearInFlight(s *shard) {
 	s.inFlight = nil
-	l.inFlight--
+	l.shardsInFlight--
 	l.dirty = true
 }
 
 // Conflicted applies a commit whose compare failed, given the stored value of one of
-// its shards. If this process wrote that value and the reply was lost, the value is
-// adopted. Any other new value means that another process is the home now, and lost
-// is true.
+// its shards. If an earlier indeterminate write of this process stored that value, the
+// write counts as committed. Any other new value means that another process is the home
+// now, and lost is true.
 func (l *Ledger) Conflicted(w Write, current ShardValue, revision int64) (steps []Step, lost bool) {
 	s := l.shardInFlight(w)
 	if s == nil {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -16,11 +16,11 @@
 	ShardBytes      int           // maximum size of a shard's stored value
 	TxnBytes        int           // maximum total size of the values of one commit
 	RecordOverhead  int           // size of a record without its payload and its tasks
-	InlineResult    int           // results up to this size are stored with the record
+	InlineResult    int           // maximum size of a result that is stored with the record
 	MaxTasks        int           // maximum number of tasks of one job
 }
 
-// DefaultConfig returns the default limits of the design page.
+// DefaultConfig returns the default limits that the design page specifies.
 func DefaultConfig() Config {
 	return Config{
 		ResultRetention: 10 * time.Minute,
@@ -36,20 +36,20 @@
 // Ledger holds the request shards whose home is this process. It is not safe for
 // concurrent use: only the control goroutine uses it.
 type Ledger struct {
-	cfg       Config
-	holder    string // incarnation of this process
-	shards    map[string]*shard
-	volatile  map[JobKey]*Record // memory-only jobs; kept when their shard moves to another home
-	lastFlush time.Time
-	writes    uint64 // counter for unique write IDs and task ID salts
-	inFlight  int    // number of shards whose value is being written
-	dirty     bool   // some shard may have changes that are not being written
+	cfg            Config
+	incarnation    string // of this process
+	shards         map[string]*shard
+	memoryOnlyJobs map[JobKey]*Record // kept when their shard moves to another home
+	lastFlush      time.Time
+	idCounter      uint64 // source of unique write IDs and task ID salts
+	shardsInFlight int    // number of shards whose value is being written
+	dirty          bool   // some shard may have changes that are not being written
 }
 
-// New returns a ledger without shards. The holder is the incarnation of this process;
-// it makes the IDs of its writes unique.
-func New(cfg Config, holder string) *Ledger {
-	return &Ledger{cfg: cfg, holder: holder, shards: map[string]*shard{}, volatile: map[JobKey]*Record{}}
+// New returns a ledger without shards. The incarnation of this process makes the IDs of
+// its writes and of its memory-only tasks unique.
+func New(cfg Config, incarnation string) *Ledger {
+	return &Ledger{cfg: cfg, incarnation: incarnation, shards: map[string]*shard{}, memoryOnlyJobs: map[JobKey]*Record{}}
 }
 
 // Open adds a shard. The caller must read its value and pass it to Loaded.
@@ -67,7 +67,7 @@
 	}
 	delete(l.shards, name)
 	if s.inFlight != nil {
-		l.inFlight--
+		l.shardsInFlight--
 	}
 	for _, p := range s.steps {
 		steps = append(steps, p.step)
@@ -79,7 +79,8 @@
 }
 
 // Loaded sets the stored value of a shard. The shard becomes active after its first
-// write, which fences the former home: every later write of it fails its compare.
+// write, which fences the former home: every later write of the former home fails its
+// compare.
 func (l *Ledger) Loaded(name string, value ShardValue, revision int64) {
 	s, ok := l.shards[name]
 	if !ok || s.phase != loading {
@@ -133,7 +134,7 @@
 
 // Find returns the current record of a job, including changes that are not stored yet.
 func (l *Ledger) Find(shardName string, key JobKey) (*Record, bool) {
-	if r, ok := l.volatile[key]; ok {
+	if r, ok := l.memoryOnlyJobs[key]; ok {
 		return r, true
 	}
 	s, ok := l.shards[shardName]
@@ -149,7 +150,7 @@
 // at once, because it is not stored. A durable job that is not in the store yet has no
 // view.
 func (l *Ledger) View(shardName string, key JobKey) (Record, bool) {
-	if r, ok := l.volatile[key]; ok {
+	if r, ok := l.memoryOnlyJobs[key]; ok {
 		return r.Clone(), true
 	}
 	s, ok := l.shards[shardName]
@@ -157,11 +158,11 @@
 		return Record{}, false
 	}
 	view := s.views[key].Clone()
-	live := s.records[key]
+	current := s.records[key]
 	for i := range view.Tasks {
 		t := &view.Tasks[i]
-		if live != nil && live.Tasks[i].State == task.Running && t.State == task.Dispatched && t.Attempt == live.Tasks[i].Attempt {
-			t.State, t.Worker = task.Running, live.Tasks[i].Worker
+		if current != nil && current.Tasks[i].State == task.Running && t.State == task.Dispatched && t.Attempt == current.Tasks[i].Attempt {
+			t.State, t.Worker = task.Running, current.Tasks[i].Worker
 		}
 	}
 	return view, true
@@ -170,7 +171,7 @@
 // VolatileOpen returns the number of memory-only jobs that are not final.
 func (l *Ledger) VolatileOpen() int {
 	open := 0
-	for _, r := range l.volatile {
+	for _, r := range l.memoryOnlyJobs {
 		if !r.IsFinal() {
 			open++
 		}
@@ -188,7 +189,7 @@
 	}
 	key := KeyOf(&spec)
 	if first, found := l.Find(shardName, key); found {
-		return l.submitRepeat(s, first, spec, step)
+		return l.handleRepeat(s, first, spec, step)
 	}
 	if spec.Count > l.cfg.MaxTasks {
 		return nil, false, errkind.New(errkind.InvalidRequest, "job has %d tasks, more than the maximum of %d", spec.Count, l.cfg.MaxTasks).
@@ -198,10 +199,10 @@
 	if spec.Kind.IsDurable() && s.bytes+size > l.cfg.ShardBytes {
 		return nil, false, errkind.New(errkind.QueueFull, "request shard %s is full: %d of %d bytes used, %d more requested", shardName, s.bytes, l.cfg.ShardBytes, size)
 	}
-	r = newRecord(spec, fmt.Sprintf("%s.%d", l.holder, l.writes))
-	l.writes++
+	r = newRecord(spec, fmt.Sprintf("%s.%d", l.incarnation, l.idCounter))
+	l.idCounter++
 	if !spec.Kind.IsDurable() {
-		l.volatile[key] = r
+		l.memoryOnlyJobs[key] = r
 		return r, true, nil
 	}
 	s.records[key] = r
@@ -212,10 +213,10 @@
 	return r, true, nil
 }
 
-// submitRepeat handles a submission whose idempotency key is known. If the shard has
-// changes that are not stored yet, a repeat of durable work waits for their commit,
+// handleRepeat handles a submission whose idempotency key was used before. If the shard
+// has changes that are not stored yet, a repeat of durable work waits for their commit,
 // because the first submission may be among them.
-func (l *Ledger) submitRepeat(s *shard, first *Record, spec task.Spec, step Step) (*Record, bool, *errkind.Error) {
+func (l *Ledger) handleRepeat(s *shard, first *Record, spec task.Spec, step Step) (*Record, bool, *errkind.Error) {
 	if first.Spec.PayloadDigest != spec.PayloadDigest {
 		return nil, false, errkind.New(errkind.IdempotencyConflict,
 			"idempotency key %q was used for another request", spec.IdempotencyKey).WithField("idempotency_key", "one request for each key")
@@ -233,9 +234,9 @@
 	return ok && s.committed < s.sequence
 }
 
-// change registers a change to a record; the step is released once the change is
+// registerChange registers a change to a record; the step is released once the change is
 // stored. It reports whether the step must wait, which is false for memory-only work.
-func (l *Ledger) change(s *shard, r *Record, step Step) (waits bool) {
+func (l *Ledger) registerChange(s *shard, r *Record, step Step) (waits bool) {
 	if !r.Spec.Kind.IsDurable() {
 		return false
 	}
@@ -255,9 +256,9 @@
 // Expire deletes the records of jobs that finished longer ago than ResultRetention. The
 // deletion does not cause a commit; it is stored with the next commit of the shard.
 func (l *Ledger) Expire(now time.Time) {
-	for key, r := range l.volatile {
+	for key, r := range l.memoryOnlyJobs {
 		if l.isExpired(now, r) {
-			delete(l.volatile, key)
+			delete(l.memoryOnlyJobs, key)
 		}
 	}
 	for _, s := range l.shards {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -54,7 +54,7 @@
 }
 
 // TestCommittedIsNeverLost guards against a step that is released for a change which a
-// later reader of the store does not find. It covers every outcome of a write, also
+// later reader of the store does not find. It covers every outcome of a write, including
 // indeterminate writes that take effect late.
 func TestCommittedIsNeverLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -41,7 +41,7 @@
 	Worker     string        `json:"worker,omitempty"`       // of the latest attempt; for at-most-once work the only one that may run it
 	BootID     string        `json:"boot_id,omitempty"`      // boot of that worker when the start was permitted
 	Permitted  bool          `json:"permitted,omitempty"`    // at-most-once work: the start was permitted
-	MayHaveRun bool          `json:"may_have_run,omitempty"` // an earlier attempt ran, or it is not known whether it ran
+	MayHaveRun bool          `json:"may_have_run,omitempty"` // an earlier attempt ran or may have run
 	Failures   int           `json:"failures,omitempty"`     // number of attempts that failed
 	Outcome    *task.Outcome `json:"outcome,omitempty"`
 }
@@ -83,8 +83,8 @@
 }
 
 // newRecord returns the record of a job whose tasks have no attempt yet. The salt makes
-// the task IDs of a memory-only job unique to this holder: when such a job is
-// submitted again after its home was lost, its tasks are different ones.
+// the task IDs of a memory-only job unique: if the job is submitted again after its home
+// was lost, its tasks have other IDs.
 func newRecord(spec task.Spec, salt string) *Record {
 	r := &Record{Spec: spec, Tasks: make([]TaskRecord, max(1, spec.Count))}
 	for i := range r.Tasks {
@@ -116,8 +116,8 @@
 	return JobKey{Team: task.Team(team), Service: task.Service(service), Key: rest[:last]}, index, true
 }
 
-// HolderOf returns the incarnation of the process that keeps the record of a
-// memory-only task. It returns false for a durable task.
+// HolderOf returns the incarnation of the process that has the record of a memory-only
+// task. It returns false for a durable task.
 func HolderOf(id task.ID) (incarnation string, ok bool) {
 	_, salt, found := strings.Cut(string(id), "@")
 	last := strings.LastIndexByte(salt, '.')
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -9,11 +9,11 @@
 // ShardValue is the stored value of one request shard.
 type ShardValue struct {
 	Epoch   uint64   `json:"epoch"`
-	WriteID string   `json:"write_id"` // identifies this process's own write if its reply was lost
+	WriteID string   `json:"write_id"` // allows the writer to recognize its own write after a lost reply
 	Records []Record `json:"records"`
 }
 
-// phase is the progress of a shard towards serving requests at a new home.
+// phase is the state of a shard at a new home until it can serve requests.
 type phase int
 
 const (
@@ -104,7 +104,7 @@
 	return v
 }
 
-// setViews replaces the views by the records that the store holds now.
+// setViews replaces the views with the records that are in the store now.
 func (s *shard) setViews(records []Record) {
 	s.views = make(map[JobKey]*Record, len(records))
 	for i := range records {
@@ -112,7 +112,8 @@
 	}
 }
 
-// isDirty reports whether a change is neither stored nor being written.
+// isDirty reports whether the shard has changes to store or still has to fence the former
+// home, and has no write in flight.
 func (s *shard) isDirty() bool {
 	return s.inFlight == nil && (s.committed < s.sequence || s.phase == fencing)
 }
--- a/ledger/transition.go
+++ b/ledger/transition.go
@@ -10,7 +10,7 @@
 // Dispatch creates the next attempt of a task, at the given partition. If waits is true,
 // which is the case for durable work, the attempt must not be sent before step is
 // released.
-func (l *Ledger) Dispatch(shardName string, key JobKey, index int, partition string, step Step) (a task.Attempt, waits, ok bool) {
+func (l *Ledger) Dispatch(shardName string, key JobKey, index int, partition string, step Step) (attempt task.Attempt, waits, ok bool) {
 	s, r, t := l.findTask(shardName, key, index)
 	if t == nil || t.State != task.Accepted || r.Cancelled {
 		return task.Attempt{}, false, false
@@ -19,29 +19,29 @@
 	t.State = task.Dispatched
 	t.Partition = partition
 	t.Worker, t.BootID, t.Permitted = "", "", false
-	return r.AttemptOf(index), l.change(s, r, step), true
+	return r.AttemptOf(index), l.registerChange(s, r, step), true
 }
 
 // Permit records the one worker on which an at-most-once attempt may start. It returns
 // false if the attempt is not the latest, is not in state Dispatched, is already
 // permitted on another worker or boot, or if the job was cancelled.
-func (l *Ledger) Permit(shardName string, key JobKey, index int, a task.Attempt, worker, bootID string, step Step) bool {
+func (l *Ledger) Permit(shardName string, key JobKey, index int, attempt task.Attempt, worker, bootID string, step Step) bool {
 	s, r, t := l.findTask(shardName, key, index)
-	if t == nil || r.Cancelled || t.State != task.Dispatched || r.AttemptOf(index) != a {
+	if t == nil || r.Cancelled || t.State != task.Dispatched || r.AttemptOf(index) != attempt {
 		return false
 	}
 	if t.Permitted && (t.Worker != worker || t.BootID != bootID) {
 		return false
 	}
 	t.Worker, t.BootID, t.Permitted = worker, bootID, true
-	return l.change(s, r, step)
+	return l.registerChange(s, r, step)
 }
 
 // Started records that an attempt runs on a worker. This change is not stored: a new
 // home receives it again from the owner.
-func (l *Ledger) Started(shardName string, key JobKey, index int, a task.Attempt, worker string) bool {
+func (l *Ledger) Started(shardName string, key JobKey, index int, attempt task.Attempt, worker string) bool {
 	_, r, t := l.findTask(shardName, key, index)
-	if t == nil || r.AttemptOf(index) != a || t.State != task.Dispatched {
+	if t == nil || r.AttemptOf(index) != attempt || t.State != task.Dispatched {
 		return false
 	}
 	t.State = task.Running
@@ -61,32 +61,32 @@
 // Finish applies the end of an attempt. An outcome that matches no open attempt is
 // dropped. A late result of an attempt that had ended as Unknown is still accepted,
 // because it gives the caller more information.
-func (l *Ledger) Finish(now time.Time, shardName string, key JobKey, index int, o task.Outcome, step Step) (v Verdict, waits bool) {
+func (l *Ledger) Finish(now time.Time, shardName string, key JobKey, index int, outcome task.Outcome, step Step) (verdict Verdict, waits bool) {
 	s, r, t := l.findTask(shardName, key, index)
-	if t == nil || r.AttemptOf(index) != o.Attempt {
+	if t == nil || r.AttemptOf(index) != outcome.Attempt {
 		return Dropped, false
 	}
-	if t.State.IsFinal() && !(t.State == task.Unknown && o.State == task.Finished) {
+	if t.State.IsFinal() && !(t.State == task.Unknown && outcome.State == task.Finished) {
 		return Dropped, false
 	}
-	if l.shouldRetry(r, t, o) {
-		t.MayHaveRun = t.MayHaveRun || o.State != task.NotRun
-		if isFailure(o) {
+	if l.shouldRetry(r, t, outcome) {
+		t.MayHaveRun = t.MayHaveRun || outcome.State != task.NotRun
+		if isFailure(outcome) {
 			t.Failures++
 		}
 		t.State = task.Accepted
 		t.Worker, t.BootID, t.Permitted = "", "", false
-		return Again, l.change(s, r, step)
+		return Again, l.registerChange(s, r, step)
 	}
-	kept := o
-	kept.State = t.finalState(o.State)
-	t.State = kept.State
-	t.Worker = o.Worker
-	t.Outcome = &kept
+	recorded := outcome
+	recorded.State = t.finalState(outcome.State)
+	t.State = recorded.State
+	t.Worker = outcome.Worker
+	t.Outcome = &recorded
 	if r.IsFinal() {
 		r.FinishedAt = now
 	}
-	return Final, l.change(s, r, step)
+	return Final, l.registerChange(s, r, step)
 }
 
 // finalState returns the final state of a task whose last attempt ended in state s. If
@@ -99,28 +99,28 @@
 }
 
 // shouldRetry reports whether another attempt follows the end of an attempt.
-func (l *Ledger) shouldRetry(r *Record, t *TaskRecord, o task.Outcome) bool {
+func (l *Ledger) shouldRetry(r *Record, t *TaskRecord, outcome task.Outcome) bool {
 	if r.Cancelled || t.State.IsFinal() {
 		return false
 	}
 	if r.Spec.Kind == task.LongLived {
 		return true
 	}
-	switch o.State {
+	switch outcome.State {
 	case task.NotRun:
-		return !isPermanent(o.Reason) && (r.Spec.Kind.IsDurable() || t.Attempt < maxAnswerAttempts)
+		return !isPermanent(outcome.Reason) && (r.Spec.Kind.IsDurable() || t.Attempt < maxAnswerAttempts)
 	case task.Unknown:
 		return r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRepeat()
 	case task.Finished:
 		mayRepeat := r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRepeat()
-		return mayRepeat && (isStoppedForRetry(o.Reason) || isFailure(o) && t.Failures+1 < maxFailures)
+		return mayRepeat && (isStoppedForRetry(outcome.Reason) || isFailure(outcome) && t.Failures+1 < maxFailures)
 	default:
 		return false
 	}
 }
 
-// maxAnswerAttempts limits the attempts of an Answer task that is repeatedly not run. The
-// caller is notified when the last one was not run.
+// maxAnswerAttempts limits the attempts of an Answer task that is repeatedly not run. If
+// the last attempt is not run either, the caller is notified.
 const maxAnswerAttempts = 3
 
 // maxFailures is the number of failures after which a durable task is final. A worker
@@ -128,12 +128,12 @@
 // this often is itself the cause.
 const maxFailures = 3
 
-func isFailure(o task.Outcome) bool {
-	return o.State == task.Finished && o.Reason == string(errkind.TaskFailed)
+func isFailure(outcome task.Outcome) bool {
+	return outcome.State == task.Finished && outcome.Reason == string(errkind.TaskFailed)
 }
 
-// isStoppedForRetry reports whether the system stopped the task and it should run again:
-// another member of its gang was lost, or its team was above its limit.
+// isStoppedForRetry reports whether the scheduler stopped the task and it should run
+// again: another member of its gang was lost, or its team was above its limit.
 func isStoppedForRetry(reason string) bool {
 	return reason == string(errkind.WorkerLost) || reason == string(errkind.OverLimit)
 }
@@ -176,13 +176,13 @@
 	if r.IsFinal() {
 		r.FinishedAt = now
 	}
-	return open, l.change(s, r, step), true
+	return open, l.registerChange(s, r, step), true
 }
 
 // Refuse makes a task of a memory-only job final without a further attempt. It has no
 // effect on a task with an open attempt.
 func (l *Ledger) Refuse(now time.Time, key JobKey, index int, reason errkind.Kind) {
-	r, ok := l.volatile[key]
+	r, ok := l.memoryOnlyJobs[key]
 	if !ok || r.Tasks[index].State != task.Accepted {
 		return
 	}
@@ -203,10 +203,13 @@
 
 // Forget removes the record of a memory-only job that was not run, so that a repeated
 // submission is handled as a new job.
-func (l *Ledger) Forget(key JobKey) { delete(l.volatile, key) }
+func (l *Ledger) Forget(key JobKey) { delete(l.memoryOnlyJobs, key) }
 
+// findTask returns a task with its job and shard. It returns nil values if there is no such
+// task or the shard of a durable job is not active. The shard of a memory-only job is nil
+// if this process no longer holds it.
 func (l *Ledger) findTask(shardName string, key JobKey, index int) (*shard, *Record, *TaskRecord) {
-	s, r := l.shards[shardName], l.volatile[key]
+	s, r := l.shards[shardName], l.memoryOnlyJobs[key]
 	if r == nil {
 		if s == nil || s.phase != active {
 			return nil, nil, nil
