allowance: rename the state of teams and usage, mend doc comments

Unexported names only. The doc comments of nonNegative, planAndCommit and violation start with the current names. Test failures name the expected records. gofmt splits ObserveThrough over three lines because its field has a longer name.

--- a/allowance/model_test.go
+++ b/allowance/model_test.go
@@ -13,8 +13,8 @@
 )
 
 // model simulates three tables and one minimal store. Ownership of the partitions is
-// exclusive, as package ownership guarantees. The model tracks the running tasks, as
-// the workers do, independently of the tables.
+// exclusive, as package ownership guarantees. Like the workers, the model tracks the
+// running tasks independently of the tables.
 type model struct {
 	rng              *rand.Rand
 	faults           seededFaults
@@ -36,7 +36,7 @@
 	team      task.Team
 	partition string
 	size      task.Resources
-	known     bool // reported to the present owner
+	reported  bool // to the current owner
 }
 
 // transaction is the result of a Plan that was sent to the store. A restarted table gets
@@ -107,24 +107,24 @@
 	m.tables[to].Own(partition, m.revision)
 	for _, r := range m.runningTasks {
 		if r.partition == partition {
-			r.known = false
+			r.reported = false
 		}
 	}
 }
 
-// rebuild reports the running tasks of the partition to its owner. A task is left out with
-// probability silent, and the rebuild is then incomplete.
-func (m *model) rebuild(partition string, silent float64) {
+// rebuild reports the running tasks of the partition to its owner. Each task is left out
+// with the given probability, and the rebuild is then incomplete.
+func (m *model) rebuild(partition string, omitProbability float64) {
 	t, complete := m.tables[m.owner[partition]], true
 	for _, r := range m.runningTasks {
-		if r.partition != partition || r.known {
+		if r.partition != partition || r.reported {
 			continue
 		}
-		if m.rng.Float64() < silent {
+		if m.rng.Float64() < omitProbability {
 			complete = false
 			continue
 		}
-		r.known = true
+		r.reported = true
 		t.Count(m.now, r.team, partition, r.size)
 	}
 	if complete {
@@ -146,27 +146,27 @@
 
 func (m *model) startTask(team task.Team, p string, size task.Resources) {
 	if m.tables[m.owner[p]].Acquire(m.now, team, p, size) {
-		m.runningTasks = append(m.runningTasks, &runningTask{team: team, partition: p, size: size, known: true})
+		m.runningTasks = append(m.runningTasks, &runningTask{team: team, partition: p, size: size, reported: true})
 	}
 }
 
 func (m *model) randomPartition() string { return modelPartitions[m.rng.IntN(len(modelPartitions))] }
 
-func (m *model) finishOne() {
+func (m *model) finishRandomTask() {
 	if len(m.runningTasks) == 0 {
 		return
 	}
 	i := m.rng.IntN(len(m.runningTasks))
 	r := m.runningTasks[i]
 	m.runningTasks = slices.Delete(m.runningTasks, i, i+1)
-	if r.known {
+	if r.reported {
 		m.tables[m.owner[r.partition]].Return(m.now, r.team, r.partition, r.size)
 	}
 }
 
-func (m *model) execute(x *transaction) WriteResult {
+func (m *model) execute(txn *transaction) WriteResult {
 	result, moved := WriteResult{Outcome: Conflict}, false
-	for _, w := range x.writes {
+	for _, w := range txn.writes {
 		current := m.records[w.Record.Team]
 		if current.Revision != w.Expect {
 			result.Current = append(result.Current, current)
@@ -179,39 +179,39 @@
 		return result
 	}
 	m.revision++
-	for _, w := range x.writes {
+	for _, w := range txn.writes {
 		m.putRecord(w.Record)
 	}
 	return WriteResult{Outcome: Succeeded, Revision: m.revision}
 }
 
-// plan executes Plan and ends its transaction with one of the outcomes that a store call
-// can have.
+// planAndCommit executes Plan and ends its transaction with one of the outcomes that a
+// store call can have.
 func (m *model) planAndCommit(i int, unreliable bool) {
-	x := &transaction{table: m.tables[i], writes: m.tables[i].Plan(m.now)}
-	if len(x.writes) == 0 {
+	txn := &transaction{table: m.tables[i], writes: m.tables[i].Plan(m.now)}
+	if len(txn.writes) == 0 {
 		return
 	}
-	fate := "reply"
+	outcome := "reply"
 	if unreliable {
-		fate = writeOutcomes[m.rng.IntN(len(writeOutcomes))]
+		outcome = writeOutcomes[m.rng.IntN(len(writeOutcomes))]
 	}
-	for _, w := range x.writes {
-		m.coverage[m.kindOf(w)+", "+fate]++
+	for _, w := range txn.writes {
+		m.coverage[m.kindOf(w)+", "+outcome]++
 	}
-	switch fate {
+	switch outcome {
 	case "reply":
-		x.table.WriteDone(m.now, x.writes, m.execute(x))
+		txn.table.WriteDone(m.now, txn.writes, m.execute(txn))
 	case "late":
-		m.inFlight = append(m.inFlight, x)
-		x.table.WriteDone(m.now, x.writes, WriteResult{Outcome: Unclear})
+		m.inFlight = append(m.inFlight, txn)
+		txn.table.WriteDone(m.now, txn.writes, WriteResult{Outcome: Unclear})
 	case "reply lost":
-		m.execute(x)
-		x.table.WriteDone(m.now, x.writes, WriteResult{Outcome: Unclear})
+		m.execute(txn)
+		txn.table.WriteDone(m.now, txn.writes, WriteResult{Outcome: Unclear})
 	case "request lost":
-		x.table.WriteDone(m.now, x.writes, WriteResult{Outcome: Unclear})
+		txn.table.WriteDone(m.now, txn.writes, WriteResult{Outcome: Unclear})
 	case "no effect":
-		x.table.WriteDone(m.now, x.writes, WriteResult{Outcome: NoEffect})
+		txn.table.WriteDone(m.now, txn.writes, WriteResult{Outcome: NoEffect})
 	}
 }
 
@@ -248,7 +248,7 @@
 	m.tables[i], m.deliveredRecords[i] = m.newTable(), 0
 }
 
-func (m *model) step() {
+func (m *model) randomStep() {
 	i := m.rng.IntN(3)
 	switch n := m.rng.IntN(100); {
 	case n < 20:
@@ -258,7 +258,7 @@
 	case n < 60:
 		m.startRandomTask()
 	case n < 72:
-		m.finishOne()
+		m.finishRandomTask()
 	case n < 86:
 		m.planAndCommit(i, true)
 	case n < 89:
@@ -286,7 +286,8 @@
 	m.tables[m.owner[partition]].Own(partition, m.revision)
 }
 
-// problem returns a violation of a limit in force by the running tasks or the parts, or "".
+// violation returns a violation of a limit in force by the running tasks or the parts, or
+// "".
 func (m *model) violation() string {
 	for _, team := range modelTeams {
 		var total task.Resources
@@ -310,13 +311,13 @@
 // allowance is returned within 20 s.
 func (m *model) run(steps int) string {
 	for n := range steps {
-		m.step()
+		m.randomStep()
 		if problem := m.violation(); problem != "" {
 			return fmt.Sprintf("step %d: %s", n, problem)
 		}
 	}
 	for len(m.runningTasks) > 0 {
-		m.finishOne()
+		m.finishRandomTask()
 	}
 	for len(m.inFlight) > 0 {
 		m.executeLate()
@@ -339,15 +340,17 @@
 	return ""
 }
 
-func modelRuns(normal int) int {
+// modelRuns returns the number of runs. MULBERRYDRUM_MODEL_RUNS overrides it for longer
+// tests.
+func modelRuns(defaultRuns int) int {
 	if n, err := strconv.Atoi(os.Getenv("MULBERRYDRUM_MODEL_RUNS")); err == nil {
 		return n
 	}
-	return normal
+	return defaultRuns
 }
 
 // TestNeverAboveLimit guards against a team whose running tasks exceed its limit in
-// force, and against allowance that is never returned.
+// force, and against idle allowance that is never returned.
 func TestNeverAboveLimit(t *testing.T) {
 	cells := map[string]int{}
 	for seed := range modelRuns(500) {
@@ -360,11 +363,11 @@
 		}
 	}
 	for _, kind := range writeKinds {
-		for _, fate := range writeOutcomes {
-			if cells[kind+", "+fate] == 0 {
-				t.Errorf("combination of write and outcome not covered: %s, %s", kind, fate)
+		for _, outcome := range writeOutcomes {
+			if cells[kind+", "+outcome] == 0 {
+				t.Errorf("combination of write and outcome not covered: %s, %s", kind, outcome)
 			}
 		}
 	}
-	t.Logf("fault matrix: %d writes x %d fates = %d cells, %d covered: %v", len(writeKinds), len(writeOutcomes), len(writeKinds)*len(writeOutcomes), len(cells), cells)
+	t.Logf("fault matrix: %d writes x %d outcomes = %d cells, %d covered: %v", len(writeKinds), len(writeOutcomes), len(writeKinds)*len(writeOutcomes), len(cells), cells)
 }
--- a/allowance/plan.go
+++ b/allowance/plan.go
@@ -7,26 +7,26 @@
 )
 
 // fallbackIntervals is the number of intervals for which a process delays a change that
-// any process could write. Another process usually writes it within that time, so that
-// not all of them write it at once.
+// any process can write. Usually one process writes it within that time, so the others
+// need not, and they do not all write it at once.
 const fallbackIntervals = 2
 
 // Plan returns the records to write in one transaction, or nothing if none is due. The
 // caller answers a non-empty result with exactly one call of WriteDone.
 func (t *Table) Plan(now time.Time) []Write {
-	if t.inFlight || now.Before(t.nextPlan) || t.seenRevision == 0 {
+	if t.inFlight || now.Before(t.nextPlan) || t.observedRevision == 0 {
 		return nil
 	}
 	var writes []Write
-	for i := range t.order {
-		at := (t.nextTeam + i) % len(t.order)
-		w, ok := t.planTeam(now, t.order[at])
+	for i := range t.sortedTeams {
+		at := (t.nextTeam + i) % len(t.sortedTeams)
+		w, ok := t.planTeam(now, t.sortedTeams[at])
 		if !ok {
 			continue
 		}
 		writes = append(writes, w)
 		if len(writes) == t.batchLimit {
-			t.nextTeam = (at + 1) % len(t.order)
+			t.nextTeam = (at + 1) % len(t.sortedTeams)
 			break
 		}
 	}
@@ -37,28 +37,28 @@
 	return writes
 }
 
-func (t *Table) planTeam(now time.Time, tm *team) (Write, bool) {
-	// A partition of this owner that could not be granted its need by the last plan
-	// needs the idle allowance of the others, like a partition of another owner.
-	tm.idleRequested = tm.idleRequested || tm.starving
-	tm.starving = false
-	p := planner{table: t, now: now, team: tm, next: tm.record, owners: make(map[string]int64)}
-	p.next.Team = tm.name
+func (t *Table) planTeam(now time.Time, team *teamState) (Write, bool) {
+	// If the last plan could not grant an owned partition what it needs, the other owned
+	// partitions return idle allowance, as they do when another owner lacks allowance.
+	team.idleRequested = team.idleRequested || team.starving
+	team.starving = false
+	p := planner{table: t, now: now, team: team, next: team.record, owners: make(map[string]int64)}
+	p.next.Team = team.name
 	p.applyLimit()
-	if !tm.loaded && !p.changed {
+	if !team.loaded && !p.changed {
 		return Write{}, false
 	}
 	p.returnIdle()
 	p.applyPending()
 	p.grant()
-	tm.idleRequested = false
-	if !p.changed && !tm.indeterminate {
+	team.idleRequested = false
+	if !p.changed && !team.floorIndeterminate {
 		return Write{}, false
 	}
 	p.next.Revision = 0
-	w := Write{Record: p.next, Expect: tm.record.Revision, Owners: p.owners}
-	tm.lowerFloor(w)
-	if t.seededFaults.noOwnerGuard {
+	w := Write{Record: p.next, Expect: team.record.Revision, Owners: p.owners}
+	team.lowerFloor(w)
+	if t.seededFaults.skipOwnershipCompare {
 		w.Owners = nil
 	}
 	return w, true
@@ -66,24 +66,24 @@
 
 // lowerFloor lowers the floor to the amounts of the write, which may replace the known
 // record from now on.
-func (tm *team) lowerFloor(w Write) {
-	if tm.floor == nil {
-		tm.floor = make(map[string]task.Resources, len(w.Record.Parts))
+func (team *teamState) lowerFloor(w Write) {
+	if team.floor == nil {
+		team.floor = make(map[string]task.Resources, len(w.Record.Parts))
 		for name, part := range w.Record.Parts {
-			tm.floor[name] = part
+			team.floor[name] = part
 		}
 	}
-	for name, part := range tm.floor {
-		tm.floor[name] = part.Min(w.Record.Parts[name])
+	for name, part := range team.floor {
+		team.floor[name] = part.Min(w.Record.Parts[name])
 	}
-	tm.floorExpect = w.Expect
+	team.floorExpectedRevision = w.Expect
 }
 
 // planner builds the next record of one team.
 type planner struct {
 	table       *Table
 	now         time.Time
-	team        *team
+	team        *teamState
 	next        Record
 	partsCopied bool // next.Parts is a copy
 	changed     bool
@@ -108,12 +108,12 @@
 // applyLimit applies the limit of the newest document. A missing record is created at
 // once, because tasks of the team wait for it.
 func (p *planner) applyLimit() {
-	tm := p.team
-	if tm.limitRevision <= tm.record.LimitRevision {
+	team := p.team
+	if team.limitRevision <= team.record.LimitRevision {
 		return
 	}
-	if tm.record.Revision == 0 || p.isOverdue(tm.limitSetAt) {
-		p.next = WithLimit(p.next, tm.limit, tm.limitRevision)
+	if team.record.Revision == 0 || p.isOverdue(team.limitSetAt) {
+		p.next = WithLimit(p.next, team.limit, team.limitRevision)
 		p.changed = true
 	}
 }
@@ -132,28 +132,28 @@
 // lower limit is pending or another partition lacks allowance, and otherwise after it
 // has been idle for Config.Idle.
 func (p *planner) returnIdle() {
-	t, tm := p.table, p.team
+	t, team := p.table, p.team
 	for _, name := range t.owned {
 		part := t.partitions[name]
 		if !t.isUsable(part) || !part.rebuilt && !t.seededFaults.skipRebuild {
 			continue
 		}
-		held := t.held(tm, name)
+		held := t.held(team, name)
 		if held.IsZero() {
 			continue
 		}
-		idle := nonNegative(held.Sub(p.amountToKeep(t.useOf(p.now, tm, name), part)))
+		idle := nonNegative(held.Sub(p.amountToKeep(t.usageOf(p.now, team, name), part)))
 		if !p.next.HasPending {
 			idle = onlyLimited(idle, p.next.Limit)
 		}
 		if !idle.IsZero() {
-			p.change(name, part, idle.Scale(-1))
+			p.adjustPart(name, part, idle.Scale(-1))
 		}
 	}
 }
 
 // amountToKeep returns the amount that the partition keeps.
-func (p *planner) amountToKeep(u *use, part *partition) task.Resources {
+func (p *planner) amountToKeep(u *usage, part *partition) task.Resources {
 	t := p.table
 	if p.next.HasPending {
 		return t.used(part, u)
@@ -168,29 +168,29 @@
 
 // grant grants allowance to the owned partitions that need more.
 func (p *planner) grant() {
-	t, tm := p.table, p.team
+	t, team := p.table, p.team
 	if p.next.HasPending {
 		return
 	}
 	for _, name := range t.owned {
 		part := t.partitions[name]
-		if tm.useByPartition[name] == nil || !t.isUsable(part) {
+		if team.usageByPartition[name] == nil || !t.isUsable(part) {
 			continue
 		}
-		u := t.useOf(p.now, tm, name)
+		u := t.usageOf(p.now, team, name)
 		largest, total := u.demand(p.now)
-		short := t.used(part, u).Sub(p.next.Parts[name])
-		need := nonNegative(short.Add(total))
+		shortfall := t.used(part, u).Sub(p.next.Parts[name])
+		need := nonNegative(shortfall.Add(total))
 		if need.IsZero() {
 			continue
 		}
-		p.grantBlock(name, part, nonNegative(short.Add(largest)), need)
+		p.grantBlock(name, part, nonNegative(shortfall.Add(largest)), need)
 	}
 }
 
 // grantBlock grants twice the need, but at most a quarter of the free amount, and at
-// least what the largest waiting task needs. The amounts of needed resources without a
-// limit at least double, so that a growing team rarely waits for them.
+// least what the largest waiting task needs. The allowance of needed resources without a
+// limit is at least doubled, so that a growing team rarely waits for them.
 func (p *planner) grantBlock(name string, part *partition, largest, need task.Resources) {
 	limit := withUnlimited(p.next.Limit)
 	free := nonNegative(limit.Sub(p.sum()))
@@ -204,12 +204,12 @@
 		p.team.starving = true
 	}
 	if !block.IsZero() {
-		p.change(name, part, block)
+		p.adjustPart(name, part, block)
 	}
 }
 
-// change adds delta to the amount of an owned partition in the next record.
-func (p *planner) change(name string, part *partition, delta task.Resources) {
+// adjustPart adds delta to the amount of an owned partition in the next record.
+func (p *planner) adjustPart(name string, part *partition, delta task.Resources) {
 	if !p.partsCopied {
 		p.next = p.next.clone()
 		p.partsCopied = true
@@ -233,16 +233,16 @@
 func (t *Table) WriteDone(now time.Time, writes []Write, result WriteResult) {
 	t.inFlight = false
 	for _, w := range writes {
-		tm := t.team(w.Record.Team)
+		team := t.teamFor(w.Record.Team)
 		switch result.Outcome {
 		case Succeeded:
 			w.Record.Revision = result.Revision
 			t.Observe(now, w.Record)
 		case Unclear:
-			tm.indeterminate = tm.floor != nil
+			team.floorIndeterminate = team.floor != nil
 		default:
-			if !tm.indeterminate {
-				tm.floor = nil
+			if !team.floorIndeterminate {
+				team.floor = nil
 			}
 		}
 	}
--- a/allowance/record.go
+++ b/allowance/record.go
@@ -6,24 +6,24 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Record is the stored division of the resource limit of one team. Parts includes
-// resources without a limit, so that a limit that is set later is compared with the
-// resources in use.
+// Record states how the resource limit of one team is divided. Parts includes resources
+// without a limit, so that a limit that is set later is compared with the resources in
+// use.
 type Record struct {
 	Team          task.Team                 `json:"team"`
 	Limit         task.Resources            `json:"limit"`                 // in force; zero means that the resource has no limit
 	Pending       task.Resources            `json:"pending"`               // lower limit that is not in force yet
 	HasPending    bool                      `json:"has_pending,omitempty"` // whether Pending is set
 	LimitRevision int64                     `json:"limit_revision"`        // of the document that sets the newest limit
-	Parts         map[string]task.Resources `json:"parts,omitempty"`       // by worker partition
+	Parts         map[string]task.Resources `json:"parts,omitempty"`       // allowances by worker partition
 	Revision      int64                     `json:"-"`                     // of the store; 0 if there is no record
 }
 
 // Write requests the replacement of the record of one team. Its transaction succeeds
 // only if the record's last revision is Expect (0: absent) and the ownership record of
 // each partition in Owners has the given revision. The compare of the ownership records
-// prevents a delayed write of a former owner from returning an allowance on which the
-// next owner relies.
+// prevents a delayed write of a former owner from returning an allowance that the next
+// owner uses.
 type Write struct {
 	Record Record
 	Expect int64
@@ -48,8 +48,8 @@
 }
 
 // WithLimit returns r with the limit that the document of the given revision sets. A
-// limit below the sum of the allowances becomes pending until enough is returned. A
-// document that is not newer than LimitRevision is ignored.
+// limit below the sum of the allowances stays pending until enough allowance is returned.
+// A document that is not newer than LimitRevision is ignored.
 func WithLimit(r Record, limit task.Resources, revision int64) Record {
 	if revision <= r.LimitRevision {
 		return r
@@ -91,7 +91,7 @@
 // fleet, and sums of such amounts do not overflow.
 const unlimited = int64(1) << 50
 
-// withUnlimited replaces the zero amounts of a limit by unlimited.
+// withUnlimited returns limit with its zero amounts replaced by unlimited.
 func withUnlimited(limit task.Resources) task.Resources {
 	return task.Resources{
 		CPUMilli:     orUnlimited(limit.CPUMilli),
@@ -129,7 +129,7 @@
 
 func fitsLimit(r, limit task.Resources) bool { return r.Fits(withUnlimited(limit)) }
 
-// positive replaces negative amounts by zero.
+// nonNegative returns r with negative amounts replaced by zero.
 func nonNegative(r task.Resources) task.Resources { return r.Max(task.Resources{}) }
 
 // quarter returns a quarter of each amount.
@@ -143,9 +143,9 @@
 	}
 }
 
-// unlimitedGrowth returns r with zero amounts of the resources that have a limit or are
-// not needed.
+// unlimitedGrowth returns the part of r that consists of needed resources without a limit;
+// the other amounts are zero.
 func unlimitedGrowth(r, need, limit task.Resources) task.Resources {
-	open := r.Sub(onlyLimited(r, limit))
-	return onlyLimited(open, need)
+	unlimitedAmounts := r.Sub(onlyLimited(r, limit))
+	return onlyLimited(unlimitedAmounts, need)
 }
--- a/allowance/seeded_test.go
+++ b/allowance/seeded_test.go
@@ -12,14 +12,15 @@
 const (
 	lateReturn   = "late"   // the return takes effect after the next owner has read the record
 	unseenReturn = "unseen" // the next owner's watch has not delivered the return yet
-	unclearReply = "reply"  // the owner does not change, but the reply is lost
+	lostReply    = "reply"  // the owner does not change, but the reply is lost
 )
 
-// returnIdle makes the owner of a partition return idle allowance, tries to use the
-// whole former allowance, and then makes another partition take the free amount.
-func (m *model) returnIdle(how string) string {
+// returnIdle makes the owner of a partition return idle allowance, tries to use the whole
+// former allowance, and then makes another partition acquire the free amount. It returns
+// the violation, or "".
+func (m *model) returnIdle(race string) string {
 	from, other, next := modelPartitions[0], modelPartitions[2], 1
-	if how == unclearReply {
+	if race == lostReply {
 		next = 0
 	}
 	slot := task.Resources{Slots: 1}
@@ -31,26 +32,26 @@
 	m.fillPartition(from)
 	m.deliver(1)
 	for len(m.runningTasks) > 3 {
-		m.finishOne()
+		m.finishRandomTask()
 	}
 	m.tables[0].AskIdle("a")
 	m.now = m.now.Add(4 * time.Second)
 	returned := &transaction{table: m.tables[0], writes: m.tables[0].Plan(m.now)}
-	if how != lateReturn {
+	if race != lateReturn {
 		m.execute(returned)
 	}
 	m.tables[0].WriteDone(m.now, returned.writes, WriteResult{Outcome: Unclear})
 	if next != 0 {
 		m.takeOver(from, next)
 	}
-	if how == lateReturn {
+	if race == lateReturn {
 		m.deliver(next)
 	}
 	m.rebuild(from, 0)
 	for range 10 {
 		m.startTask("a", from, slot)
 	}
-	if how == lateReturn {
+	if race == lateReturn {
 		m.execute(returned)
 	}
 	m.deliver(2)
@@ -58,7 +59,7 @@
 	return m.violation()
 }
 
-// fillPartition starts as many tasks of team a at the partition as it gets allowance for.
+// fillPartition starts tasks of team a at the partition until it gets no more allowance.
 func (m *model) fillPartition(partition string) {
 	for range 40 {
 		m.now = m.now.Add(time.Second)
@@ -73,16 +74,16 @@
 	for _, c := range []struct {
 		rule   string
 		seeded seededFaults
-		how    string
+		race   string
 	}{
-		{"writes compare the ownership records", seededFaults{noOwnerGuard: true}, lateReturn},
-		{"records must be as new as the ownership", seededFaults{staleRecord: true}, unseenReturn},
-		{"what may have been returned is not used", seededFaults{useReturned: true}, unclearReply},
+		{"writes compare the ownership records", seededFaults{skipOwnershipCompare: true}, lateReturn},
+		{"records must be as new as the ownership", seededFaults{useStaleRecord: true}, unseenReturn},
+		{"allowance that may have been returned is not used", seededFaults{useReturned: true}, lostReply},
 	} {
-		if problem := newModel(1, seededFaults{}).returnIdle(c.how); problem != "" {
+		if problem := newModel(1, seededFaults{}).returnIdle(c.race); problem != "" {
 			t.Errorf("with the rule %q: %s", c.rule, problem)
 		}
-		problem := newModel(1, c.seeded).returnIdle(c.how)
+		problem := newModel(1, c.seeded).returnIdle(c.race)
 		if !strings.Contains(problem, "above the limit") {
 			t.Errorf("no violation without the rule %q: %s", c.rule, problem)
 		}
@@ -90,13 +91,13 @@
 	}
 }
 
-// TestCheckerFindsSeededFaults guards against a checker that does not detect the absence
-// of a safety rule.
+// TestCheckerFindsSeededFaults guards against a model whose checks do not detect the
+// absence of a safety rule.
 func TestCheckerFindsSeededFaults(t *testing.T) {
 	for name, seeded := range map[string]seededFaults{
-		"a grant counts only after a definite success":    {useUnconfirmed: true},
-		"tasks of silent workers count as running":        {skipRebuild: true},
-		"resources without a limit are counted all along": {ignoreUnlimited: true},
+		"a grant counts only after a definite success": {useUnconfirmed: true},
+		"tasks of silent workers count as running":     {skipRebuild: true},
+		"resources without a limit are always counted": {ignoreUnlimited: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(1000) {
--- a/allowance/table.go
+++ b/allowance/table.go
@@ -13,7 +13,7 @@
 	Interval time.Duration // between two transactions of one process
 }
 
-// DefaultConfig returns the defaults of the design page.
+// DefaultConfig returns the default intervals that the design page specifies.
 func DefaultConfig() Config {
 	return Config{Idle: 5 * time.Second, Interval: time.Second}
 }
@@ -24,12 +24,12 @@
 	cfg          Config
 	seededFaults seededFaults
 
-	teams        map[task.Team]*team
-	order        []*team // sorted by name
-	nextTeam     int     // index in order at which the next Plan starts
-	partitions   map[string]*partition
-	owned        []string // names of partitions, sorted
-	seenRevision int64    // every change up to this store revision has been observed
+	teams            map[task.Team]*teamState
+	sortedTeams      []*teamState // by name
+	nextTeam         int          // index in sortedTeams at which the next Plan starts
+	partitions       map[string]*partition
+	owned            []string // names of partitions, sorted
+	observedRevision int64    // every change up to this store revision has been observed
 
 	inFlight   bool // WriteDone was not yet called for the last transaction
 	nextPlan   time.Time
@@ -43,92 +43,94 @@
 	rebuilt           bool  // the running tasks of all workers are known
 }
 
-// team is the state of one team.
-type team struct {
-	name           task.Team
-	record         Record
-	loaded         bool // the record has been observed
-	observedAt     time.Time
-	useByPartition map[string]*use // by owned partition
+// teamState is the state of one team.
+type teamState struct {
+	name             task.Team
+	record           Record
+	loaded           bool // the record has been observed
+	observedAt       time.Time
+	usageByPartition map[string]*usage // by owned partition
 
 	limit         task.Resources // of the newest document
 	limitRevision int64
 	limitSetAt    time.Time
 
-	floor         map[string]task.Resources // minimum amounts over the writes that may take effect; nil without such a write
-	floorExpect   int64                     // expected revision of these writes
-	indeterminate bool                      // one of them may take effect later
-	idleRequested bool                      // another partition lacks allowance, of this or another owner
-	starving      bool                      // this owner lacks allowance and the free amount is too small
+	floor                 map[string]task.Resources // minimum amounts over the writes that may take effect; nil without such a write
+	floorExpectedRevision int64                     // expected revision of these writes
+	floorIndeterminate    bool                      // one of these writes may still take effect later
+	idleRequested         bool                      // another partition, of this or another owner, lacks allowance
+	starving              bool                      // this owner lacks allowance and the free amount is too small
 }
 
-// seededFaults disables single safety rules. Only tests set it, to show that their checks
-// detect the absence of each rule.
+// seededFaults disables individual safety rules. Only tests set it, to show that their
+// checks detect the absence of each rule.
 type seededFaults struct {
-	useUnconfirmed  bool // use a grant before its write is known to have succeeded
-	useReturned     bool // use allowance that an unresolved write may have returned
-	noOwnerGuard    bool // write without comparing the ownership records
-	staleRecord     bool // use a record older than the ownership
-	skipRebuild     bool // treat the tasks of workers without a report as ended
-	ignoreUnlimited bool // do not track resources without a limit
+	useUnconfirmed       bool // use a grant before its write is known to have succeeded
+	useReturned          bool // use allowance that an unresolved write may have returned
+	skipOwnershipCompare bool // write without comparing the ownership records
+	useStaleRecord       bool // use a record that is older than the ownership
+	skipRebuild          bool // treat the tasks of workers without a report as ended
+	ignoreUnlimited      bool // do not track resources without a limit
 }
 
 // maxBatch is the maximum number of teams in one transaction. It keeps the transaction
-// below the store's limit of operations.
+// below the store's limit on operations per transaction.
 const maxBatch = 100
 
 // New returns a table without partitions.
 func New(cfg Config) *Table {
 	return &Table{
 		cfg:        cfg,
-		teams:      make(map[task.Team]*team),
+		teams:      make(map[task.Team]*teamState),
 		partitions: make(map[string]*partition),
 		batchLimit: maxBatch,
 	}
 }
 
-func (t *Table) team(name task.Team) *team {
-	if tm, ok := t.teams[name]; ok {
-		return tm
+func (t *Table) teamFor(name task.Team) *teamState {
+	if team, ok := t.teams[name]; ok {
+		return team
 	}
-	tm := &team{name: name, useByPartition: make(map[string]*use)}
-	t.teams[name] = tm
-	t.order = append(t.order, tm)
-	slices.SortFunc(t.order, func(a, b *team) int {
+	team := &teamState{name: name, usageByPartition: make(map[string]*usage)}
+	t.teams[name] = team
+	t.sortedTeams = append(t.sortedTeams, team)
+	slices.SortFunc(t.sortedTeams, func(a, b *teamState) int {
 		if a.name < b.name {
 			return -1
 		}
 		return 1
 	})
-	return tm
+	return team
 }
 
 // Observe applies a record that was read from the store. It ignores a record that is
 // not newer than the known one.
 func (t *Table) Observe(now time.Time, r Record) {
-	tm := t.team(r.Team)
-	if r.Revision <= tm.record.Revision {
+	team := t.teamFor(r.Team)
+	if r.Revision <= team.record.Revision {
 		return
 	}
-	tm.record, tm.loaded, tm.observedAt = r, true, now
-	if r.Revision > tm.floorExpect {
-		tm.floor, tm.indeterminate = nil, false
+	team.record, team.loaded, team.observedAt = r, true, now
+	if r.Revision > team.floorExpectedRevision {
+		team.floor, team.floorIndeterminate = nil, false
 	}
 }
 
 // ObserveThrough reports that every change of the store up to the revision has been
 // passed to Observe. It is called after a complete list or a watch batch.
-func (t *Table) ObserveThrough(revision int64) { t.seenRevision = max(t.seenRevision, revision) }
+func (t *Table) ObserveThrough(revision int64) {
+	t.observedRevision = max(t.observedRevision, revision)
+}
 
 // SetLimit applies the limit that the document of the given revision sets for a team.
 // The transaction that commits a document normally also writes the allowance record
 // (see WithLimit). If it did not, Plan writes the record.
 func (t *Table) SetLimit(now time.Time, name task.Team, limit task.Resources, revision int64) {
-	tm := t.team(name)
-	if revision <= tm.limitRevision {
+	team := t.teamFor(name)
+	if revision <= team.limitRevision {
 		return
 	}
-	tm.limit, tm.limitRevision, tm.limitSetAt = limit, revision, now
+	team.limit, team.limitRevision, team.limitSetAt = limit, revision, now
 }
 
 // Own reports that this process owns the partition, with an ownership record of the
@@ -157,8 +159,8 @@
 func (t *Table) Disown(name string) {
 	delete(t.partitions, name)
 	t.owned = slices.DeleteFunc(t.owned, func(o string) bool { return o == name })
-	for _, tm := range t.teams {
-		delete(tm.useByPartition, name)
+	for _, team := range t.teams {
+		delete(team.usageByPartition, name)
 	}
 }
 
@@ -166,26 +168,28 @@
 // as new as the ownership. An older record may include an allowance that the former
 // owner has returned.
 func (t *Table) isUsable(p *partition) bool {
-	return p != nil && (t.seenRevision >= p.gainedRevision || t.seededFaults.staleRecord)
+	return p != nil && (t.observedRevision >= p.gainedRevision || t.seededFaults.useStaleRecord)
 }
 
-// Acquire takes size from the partition's allowance for the start of one task. If the
-// available allowance is too small, Acquire returns false and records the demand for
-// the next Plan.
+// Acquire takes the size of one task from the partition's allowance, before the task
+// starts. If the available allowance is too small, Acquire returns false and records the
+// demand for the next Plan. It also returns false if the partition is not owned, if the
+// team's record has not been observed or the records are older than the ownership, or if a
+// lower limit is pending.
 func (t *Table) Acquire(now time.Time, name task.Team, partition string, size task.Resources) bool {
-	tm, p := t.team(name), t.partitions[partition]
-	if !t.isUsable(p) || !tm.loaded {
+	team, p := t.teamFor(name), t.partitions[partition]
+	if !t.isUsable(p) || !team.loaded {
 		return false
 	}
-	if tm.record.HasPending {
+	if team.record.HasPending {
 		return false
 	}
-	u := t.useOf(now, tm, partition)
+	u := t.usageOf(now, team, partition)
 	compared := size
 	if t.seededFaults.ignoreUnlimited {
-		compared = onlyLimited(size, tm.record.Limit)
+		compared = onlyLimited(size, team.record.Limit)
 	}
-	if !compared.Fits(t.available(tm, partition, p, u)) {
+	if !compared.Fits(t.available(team, partition, p, u)) {
 		u.recordDemand(now, size)
 		return false
 	}
@@ -199,7 +203,7 @@
 	if t.partitions[partition] == nil {
 		return
 	}
-	u := t.useOf(now, t.team(name), partition)
+	u := t.usageOf(now, t.teamFor(name), partition)
 	u.totalDemand, u.totalDemandAt = total, now
 }
 
@@ -208,30 +212,30 @@
 	if t.partitions[partition] == nil {
 		return
 	}
-	u := t.useOf(now, t.team(name), partition)
+	u := t.usageOf(now, t.teamFor(name), partition)
 	u.counted = u.counted.Add(size)
 	u.add(now, size, t.cfg.Idle)
 }
 
-// Return releases the size that Acquire or Count took for a task that has ended.
+// Return returns the size that Acquire or Count took for a task that has ended.
 func (t *Table) Return(now time.Time, name task.Team, partition string, size task.Resources) {
 	if t.partitions[partition] == nil {
 		return
 	}
-	t.useOf(now, t.team(name), partition).add(now, size.Scale(-1), t.cfg.Idle)
+	t.usageOf(now, t.teamFor(name), partition).add(now, size.Scale(-1), t.cfg.Idle)
 }
 
 // AskIdle records that another owner lacks allowance of the team. The next Plan returns
 // idle amounts.
-func (t *Table) AskIdle(name task.Team) { t.team(name).idleRequested = true }
+func (t *Table) AskIdle(name task.Team) { t.teamFor(name).idleRequested = true }
 
-// Starving returns the teams for which this owner lacks allowance while the free amount
-// is too small. The digest reports them to the other owners.
+// Starving returns the teams for which this owner lacks allowance and the free amount is
+// too small. The digest reports them to the other owners.
 func (t *Table) Starving() []task.Team {
 	var names []task.Team
-	for _, tm := range t.order {
-		if tm.starving {
-			names = append(names, tm.name)
+	for _, team := range t.sortedTeams {
+		if team.starving {
+			names = append(names, team.name)
 		}
 	}
 	return names
@@ -243,40 +247,40 @@
 	if p == nil {
 		return task.Resources{}
 	}
-	tm := t.team(name)
-	return t.used(p, t.useOf(now, tm, partition))
+	team := t.teamFor(name)
+	return t.used(p, t.usageOf(now, team, partition))
 }
 
 // Record returns the newest known record of the team.
 func (t *Table) Record(name task.Team) (Record, bool) {
-	tm, ok := t.teams[name]
-	if !ok || !tm.loaded {
+	team, ok := t.teams[name]
+	if !ok || !team.loaded {
 		return Record{}, false
 	}
-	return tm.record, true
+	return team.record, true
 }
 
-// held returns the amount that the partition holds in any case: the minimum of the known
-// record and of every write that may have replaced it.
-func (t *Table) held(tm *team, partition string) task.Resources {
-	amount := tm.record.Parts[partition]
-	if tm.floor == nil || t.seededFaults.useReturned {
+// held returns the amount that the partition certainly holds: the minimum over the known
+// record and every write that may have replaced it.
+func (t *Table) held(team *teamState, partition string) task.Resources {
+	amount := team.record.Parts[partition]
+	if team.floor == nil || t.seededFaults.useReturned {
 		return amount
 	}
-	return amount.Min(tm.floor[partition])
+	return amount.Min(team.floor[partition])
 }
 
-func (t *Table) used(p *partition, u *use) task.Resources {
+func (t *Table) used(p *partition, u *usage) task.Resources {
 	if p.rebuilt || t.seededFaults.skipRebuild {
 		return u.inUse
 	}
 	return u.inUse.Add(nonNegative(u.allowanceAtGain.Sub(u.counted)))
 }
 
-func (t *Table) available(tm *team, name string, p *partition, u *use) task.Resources {
-	amount := t.held(tm, name)
-	if t.seededFaults.useUnconfirmed && tm.floor != nil {
-		amount = amount.Max(tm.floor[name])
+func (t *Table) available(team *teamState, name string, p *partition, u *usage) task.Resources {
+	amount := t.held(team, name)
+	if t.seededFaults.useUnconfirmed && team.floor != nil {
+		amount = amount.Max(team.floor[name])
 	}
 	free := amount.Sub(t.used(p, u))
 	return free
--- a/allowance/table_test.go
+++ b/allowance/table_test.go
@@ -20,34 +20,34 @@
 	table.Observe(now, r)
 	table.ObserveThrough(6)
 	if !table.Acquire(now, "a", "w/r/0", slots(5)) {
-		t.Fatal("refused within the allowance")
+		t.Fatal("Acquire refused 5 of 8 allowed slots")
 	}
 	lowered := WithLimit(r, slots(4), 7)
 	if !lowered.HasPending || lowered.Limit != slots(10) {
-		t.Fatalf("a limit below the parts is in force at once: %+v", lowered)
+		t.Fatalf("record with limit 4 below the sum of the parts 8 = %+v, want limit 10 in force and 4 pending", lowered)
 	}
 	if old := WithLimit(lowered, slots(20), 6); old.Pending != slots(4) {
-		t.Fatalf("an older document replaced the limit: %+v", old)
+		t.Fatalf("an older document replaced the pending limit: %+v", old)
 	}
 	lowered.Revision = 8
 	table.Observe(now, lowered)
 	if table.Acquire(now, "a", "w/r/0", slots(1)) {
-		t.Fatal("started while a lower limit is pending")
+		t.Fatal("Acquire succeeded while a lower limit is pending")
 	}
 	writes := table.Plan(now)
 	if len(writes) != 1 || writes[0].Record.Parts["w/r/0"] != slots(5) {
-		t.Fatalf("idle allowance was not returned at once: %+v", writes)
+		t.Fatalf("writes while a lower limit is pending = %+v, want one that returns the 3 idle slots", writes)
 	}
 	table.WriteDone(now, writes, WriteResult{Outcome: Succeeded, Revision: 9})
 	table.Return(now, "a", "w/r/0", slots(1))
 	writes = table.Plan(now.Add(time.Second))
 	if len(writes) != 1 || writes[0].Record.Limit != slots(4) || writes[0].Record.HasPending {
-		t.Fatalf("the pending limit is not in force though the parts equal it: %+v", writes)
+		t.Fatalf("writes after the parts equal the pending limit = %+v, want one that puts limit 4 in force", writes)
 	}
 }
 
-// TestConflictHalvesTransaction guards against a transaction over many teams that
-// conflicts repeatedly because one of the records changes each time.
+// TestConflictHalvesTransaction guards against a transaction for many teams that conflicts
+// every time because one of the records has changed.
 func TestConflictHalvesTransaction(t *testing.T) {
 	now := time.Unix(1000, 0)
 	table := newBenchTable(now, 8, 1)
@@ -62,16 +62,17 @@
 	}
 }
 
-// demandAll announces a demand of every team at every owned partition.
+// demandAll records a demand of every team at every owned partition.
 func (t *Table) demandAll(now time.Time) {
-	for _, tm := range t.order {
+	for _, team := range t.sortedTeams {
 		for _, p := range t.owned {
-			t.Want(now, tm.name, p, task.Resources{Slots: 4, CPUMilli: 4000})
+			t.Want(now, team.name, p, task.Resources{Slots: 4, CPUMilli: 4000})
 		}
 	}
 }
 
-// newBenchTable returns a table that owns every eighth partition.
+// newBenchTable returns a table that owns every eighth partition and has acquired the
+// whole allowance of each team there.
 func newBenchTable(now time.Time, teams, partitions int) *Table {
 	t := New(DefaultConfig())
 	parts := map[string]task.Resources{}
@@ -87,9 +88,9 @@
 	for i := range teams {
 		t.Observe(now, Record{Team: task.Team(fmt.Sprintf("team-%d", i)), Limit: task.Resources{Slots: 10000}, Parts: parts, Revision: 2})
 	}
-	for _, tm := range t.order {
+	for _, team := range t.sortedTeams {
 		for _, p := range t.owned {
-			t.Acquire(now, tm.name, p, parts[p])
+			t.Acquire(now, team.name, p, parts[p])
 		}
 	}
 	return t
@@ -118,7 +119,8 @@
 }
 
 // TestIdleOfSameOwner guards against a partition that waits for Config.Idle although
-// another partition of the same owner has idle allowance.
+// another partition of the same owner has idle allowance: the owner must return it as soon
+// as the partition lacks allowance.
 func TestIdleOfSameOwner(t *testing.T) {
 	now, slots := time.Unix(1000, 0), func(n int64) task.Resources { return task.Resources{Slots: n} }
 	table := New(DefaultConfig())
@@ -129,7 +131,7 @@
 	table.Observe(now, Record{Team: "a", Limit: slots(4), LimitRevision: 3, Parts: map[string]task.Resources{"w/r/0": slots(4)}, Revision: 6})
 	table.ObserveThrough(6)
 	if !table.Acquire(now, "a", "w/r/0", slots(4)) {
-		t.Fatal("refused within the allowance")
+		t.Fatal("Acquire refused 4 of 4 allowed slots")
 	}
 	table.Return(now, "a", "w/r/0", slots(4)) // idle from now on
 	revision, began := int64(6), now
--- a/allowance/use.go
+++ b/allowance/usage.go
@@ -6,15 +6,15 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// use tracks the resources that one team uses at one owned partition.
-type use struct {
+// usage tracks the resources that one team uses at one owned partition.
+type usage struct {
 	allowanceAtGain    task.Resources // allowance that the partition held when its ownership was gained
 	allowanceAtGainSet bool
-	counted            task.Resources // total size of the tasks found running, including those that ended since
+	counted            task.Resources // total size of the tasks found running, including those that have ended since
 	inUse              task.Resources // counted plus acquired minus returned
 
-	peaks    [peakCount]task.Resources // largest inUse of the present period and of the previous ones
-	periodAt time.Time                 // start of the present period
+	peaks    [peakCount]task.Resources // largest inUse of the current period and of the previous ones
+	periodAt time.Time                 // start of the current period
 
 	largestRefused task.Resources // largest size that Acquire refused
 	refusedAt      time.Time
@@ -30,30 +30,30 @@
 // repeated, so that no allowance is granted for a cancelled task.
 const demandValidity = 3 * time.Second
 
-// useOf returns the use of the team at an owned partition. The first call after the
-// records are as new as the ownership sets allowanceAtGain.
-func (t *Table) useOf(now time.Time, tm *team, name string) *use {
-	u := tm.useByPartition[name]
+// usageOf returns the usage of the team at an owned partition. The first call after the
+// records have become as new as the ownership sets allowanceAtGain.
+func (t *Table) usageOf(now time.Time, team *teamState, name string) *usage {
+	u := team.usageByPartition[name]
 	if u == nil {
-		u = &use{periodAt: now}
-		tm.useByPartition[name] = u
+		u = &usage{periodAt: now}
+		team.usageByPartition[name] = u
 	}
-	if !u.allowanceAtGainSet && tm.loaded && t.isUsable(t.partitions[name]) {
-		u.allowanceAtGain, u.allowanceAtGainSet = tm.record.Parts[name], true
+	if !u.allowanceAtGainSet && team.loaded && t.isUsable(t.partitions[name]) {
+		u.allowanceAtGain, u.allowanceAtGainSet = team.record.Parts[name], true
 	}
 	return u
 }
 
-func (u *use) recordDemand(now time.Time, size task.Resources) {
+func (u *usage) recordDemand(now time.Time, size task.Resources) {
 	if now.Sub(u.refusedAt) > demandValidity {
 		u.largestRefused = task.Resources{}
 	}
 	u.largestRefused, u.refusedAt = u.largestRefused.Max(size), now
 }
 
-// demand returns the size of the largest single task that was refused and the total
-// demand, as far as they are not older than demandValidity.
-func (u *use) demand(now time.Time) (largest, total task.Resources) {
+// demand returns the largest size that was refused and the total demand. A value older
+// than demandValidity counts as zero; the total is never below the largest size.
+func (u *usage) demand(now time.Time) (largest, total task.Resources) {
 	if now.Sub(u.refusedAt) <= demandValidity {
 		largest = u.largestRefused
 	}
@@ -63,15 +63,15 @@
 	return largest, total.Max(largest)
 }
 
-func (u *use) add(now time.Time, size task.Resources, idle time.Duration) {
+func (u *usage) add(now time.Time, size task.Resources, idle time.Duration) {
 	u.rotate(now, idle)
 	u.inUse = u.inUse.Add(size)
 	u.peaks[0] = u.peaks[0].Max(u.inUse)
 }
 
-// rotate starts new periods until the present one contains now. After a long time
-// without changes all periods have the present amount as their peak.
-func (u *use) rotate(now time.Time, idle time.Duration) {
+// rotate starts new periods until the current one contains now. After a long time
+// without changes all periods have the current amount as their peak.
+func (u *usage) rotate(now time.Time, idle time.Duration) {
 	period := idle / (peakCount - 1)
 	for i := 0; now.Sub(u.periodAt) >= period; i++ {
 		if i == peakCount {
@@ -84,12 +84,12 @@
 	}
 }
 
-// peak returns the largest amount in use in the present and the previous periods.
-func (u *use) peak(now time.Time, idle time.Duration) task.Resources {
+// peak returns the largest amount in use in the current and the previous periods.
+func (u *usage) peak(now time.Time, idle time.Duration) task.Resources {
 	u.rotate(now, idle)
-	top := u.inUse
+	largest := u.inUse
 	for _, p := range u.peaks {
-		top = top.Max(p)
+		largest = largest.Max(p)
 	}
-	return top
+	return largest
 }
