--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// PromiseRequested handles an owner's request that the given incarnation not take
-// the unit over for one promise window. A process with an unresolved write never
-// promises, because that write may take effect at any later time.
+// PromiseRequested handles an owner's request for a promise that the given incarnation
+// will not take the unit over during one promise window. A process with an unresolved
+// write gives no promise, because that write may take effect at any later time.
 func (t *Table) PromiseRequested(now time.Time, name, owner string, epoch uint64, successor string) (granted bool) {
 	u := t.byName[name]
 	if u == nil || successor != t.self.Incarnation && !t.seededFaults.ignoreIncarnation {
@@ -88,8 +88,8 @@
 	return required
 }
 
-// updatePromiseTermEnd computes the end of the promise term: the earliest end of
-// the promises of all processes that could take over.
+// updatePromiseTermEnd computes the end of the promise term: the earliest end of all
+// required promises, or the zero time if one is missing or none are required.
 func (t *Table) updatePromiseTermEnd(u *unit) {
 	u.promiseTermEnd = time.Time{}
 	if !t.ownsRecord(u) {
--- a/ownership/term.go
+++ b/ownership/term.go
@@ -109,9 +109,9 @@
 }
 
 // gainIfVerified marks the unit as held if the record names this process, the store term
-// has not ended, the record was read after the last loss, and no handover is pending. A
-// promise term extends the time for which a held unit stays held; a unit that is not held
-// is gained only within a store term.
+// has not ended, the record was read after the last loss, and no handover is pending.
+// Units are gained only within a store term; a promise term only extends the time for
+// which a unit is held.
 func (t *Table) gainIfVerified(now time.Time, u *unit) {
 	if u.held || !t.ownsRecord(u) || !now.Before(t.storeTermEnd) {
 		return
