--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -22,12 +22,12 @@
 type callerBackend struct{ *engine }
 
 const (
-	// homeRetryDelay is the delay before a request that certainly had no effect is sent to its home
-	// again, for example during a change of ownership.
+	// homeRetryDelay is the delay before a request is sent to its home again, for example during a
+	// change of ownership.
 	homeRetryDelay = 100 * time.Millisecond
 	// maxHomeAttempts bounds the attempts, so that a permanent fault is reported to the caller
-	// without a long delay. The attempts cover a planned handover while one watch is silent, which
-	// is detected after 3 s.
+	// without a long delay. The attempts last longer than a planned handover during which the watch
+	// of one instance is silent, which is detected after 3 s.
 	maxHomeAttempts = 50
 	// homeCallMargin is the time that a call to the home may take in addition to the caller's wait.
 	homeCallMargin = 2 * time.Second
@@ -40,7 +40,7 @@
 	return reply, err
 }
 
-// submit returns the reply and the kind of the work, which is defined in its document.
+// submit returns the reply and the kind of the work, which the document of the service defines.
 func (b *callerBackend) submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (task.Kind, caller.Reply, error) {
 	complete, refusal := b.loop.Snapshot().Admit(time.Now(), secret, spec)
 	if refusal != nil {
@@ -57,7 +57,7 @@
 	if err != nil {
 		return complete.Kind, caller.Reply{}, err
 	}
-	if err := answerFailure(record); err != nil {
+	if err := answerError(record); err != nil {
 		return complete.Kind, caller.Reply{}, err
 	}
 	reply := toReply(record)
@@ -75,8 +75,8 @@
 	return nil
 }
 
-// answerWait sets the deadline of a request for an answer if it has none, and returns how long its
-// caller waits: until the deadline and twice the grace period.
+// answerWait sets the deadline of work of kind answer if it has none, and returns how long its
+// caller waits: until the deadline plus twice the grace period.
 func (b *callerBackend) answerWait(spec *task.Spec, wait time.Duration) time.Duration {
 	if spec.Deadline.IsZero() {
 		spec.Deadline = spec.SubmittedAt.Add(max(wait, b.cfg.AnswerTimeout))
@@ -85,7 +85,7 @@
 }
 
 // requestDigest returns a digest that detects different requests with the same idempotency key. It
-// leaves out what changes when a caller retries, such as the deadline.
+// leaves out the fields that change when a caller retries, such as the deadline.
 func requestDigest(spec *task.Spec) string {
 	body, err := json.Marshal(struct {
 		Class    string
@@ -107,7 +107,7 @@
 	return b.query(ctx, secret, id, control.QueryStatus, 0)
 }
 
-// Wait returns the state of a job once it is final or wait has elapsed.
+// Wait returns the state of a job once that is final or wait has elapsed.
 func (b *callerBackend) Wait(ctx context.Context, secret string, id caller.JobID, wait time.Duration) (caller.Reply, error) {
 	return b.query(ctx, secret, id, control.QueryWait, wait)
 }
@@ -146,14 +146,14 @@
 }
 
 // callHomeWithRetry sends a request to the home of a job. It retries while the job has no home, and
-// after the errors that isRetried accepts.
+// after the errors that isRetryable accepts.
 func (b *callerBackend) callHomeWithRetry(ctx context.Context, job ledger.JobKey, request control.PeerRequest, wait time.Duration) (*ledger.Record, error) {
-	var lastErr error = errkind.New(errkind.NoOwner, "job %s has no home at present", job).WithRetryAfter(time.Second)
+	var lastErr error = errkind.New(errkind.NoOwner, "the request shard of job %s has no owner at present", job).WithRetryAfter(time.Second)
 	for range maxHomeAttempts {
 		route, ok := b.loop.Snapshot().HomeOf(job)
 		if ok {
 			record, err := b.callHome(ctx, route, request, wait)
-			if err == nil || !isRetried(request, err) {
+			if err == nil || !isRetryable(request, err) {
 				return record, err
 			}
 			lastErr = err
@@ -161,15 +161,15 @@
 		if ctx.Err() != nil {
 			break
 		}
-		pause(ctx, homeRetryDelay)
+		sleep(ctx, homeRetryDelay)
 	}
 	return nil, lastErr
 }
 
-// isRetried reports whether a request is sent to the new home of its job after a change of
+// isRetryable reports whether a request is sent to the new home of its job after a change of
 // ownership. That holds for requests that had no effect, and for those that may be repeated because
-// the record of the job moves along.
-func isRetried(request control.PeerRequest, err error) bool {
+// the new home takes over the record of the job.
+func isRetryable(request control.PeerRequest, err error) bool {
 	e := errkind.From(err)
 	if e.Kind != errkind.NoOwner {
 		return false
@@ -184,9 +184,9 @@
 	reply, err := b.callMember(ctx, control.Send{To: route.Member, Request: request})
 	switch {
 	case errors.Is(err, entry.ErrNotSent):
-		return nil, errkind.New(errkind.NoOwner, "the home of the request cannot be reached").WithRetryAfter(time.Second)
+		return nil, errkind.New(errkind.NoOwner, "the owner of the request shard cannot be reached").WithRetryAfter(time.Second)
 	case err != nil:
-		return nil, errkind.New(errkind.OutcomeUnknown, "the home of the request did not answer; ask with the same idempotency key").WithRetryAfter(time.Second)
+		return nil, errkind.New(errkind.OutcomeUnknown, "the owner of the request shard did not answer; query the job with the same idempotency key").WithRetryAfter(time.Second)
 	}
 	job := reply.(control.JobReply)
 	if job.Err != nil {
@@ -195,9 +195,8 @@
 	return job.Record, nil
 }
 
-// answerFailure returns the error to report to the caller of a request for an answer that ended
-// without a result.
-func answerFailure(record *ledger.Record) error {
+// answerError returns the error to report to the caller of work of kind answer that has no result.
+func answerError(record *ledger.Record) error {
 	if record.Spec.Kind != task.Answer {
 		return nil
 	}
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -15,10 +15,10 @@
 
 // Config configures a Daemon.
 type Config struct {
-	Self            membership.Member // the incarnation is set at the start
+	Self            membership.Member // New sets the incarnation and the address
 	CallerAddress   string
 	OperatorAddress string
-	EntryAddress    string // on which the other instances call
+	EntryAddress    string // for the calls of the other entry instances
 
 	Control  control.Config
 	Parts    control.Parts
@@ -28,18 +28,18 @@
 	Worker   worker.Config
 
 	ListAddress    string
-	ListInterval   time.Duration // between two reads of the instance list
-	ListTimeout    time.Duration // of one read of the instance list
-	Tick           time.Duration // of the control loop
-	AnswerTimeout  time.Duration // default deadline of a request for an answer
+	ListInterval   time.Duration // interval between reads of the instance list
+	ListTimeout    time.Duration // timeout of one read of the instance list
+	Tick           time.Duration // interval of the control loop's timer
+	AnswerTimeout  time.Duration // default time from the submission to the deadline of work of kind answer
 	DrainTimeout   time.Duration // limit on the duration of a graceful shutdown
-	Linger         time.Duration // limit on serving open connections of callers after the handover
+	Linger         time.Duration // limit on waiting for callers to close their connections after the handover
 	TimelineEvents int           // capacity of the timeline
-	// MaxDurableBytes bounds the payload of durable work. The payload is kept in the store, which
-	// limits the size of its values.
+	// MaxDurableBytes bounds the payload of durable work. The payload is stored in the record of a
+	// request shard, and the store limits the size of its values.
 	MaxDurableBytes int64
-	Registry        metrics.Registry // of metrics; nil creates a new one
-	Seed            uint64           // of random choices; 0 derives one from the clock
+	Registry        metrics.Registry // metrics registry; nil creates a new one
+	Seed            uint64           // seed of random choices; 0 derives one from the clock
 }
 
 // Defaults of Config.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,8 +21,8 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// Daemon is one entry instance: an engine with the servers for callers,
-// operators and the other entry instances.
+// Daemon is one entry instance: an engine with the servers for callers, operators and the other
+// entry instances.
 type Daemon struct {
 	*engine
 	callers   *caller.Server
@@ -81,7 +81,7 @@
 // OperatorAddress returns the address on which operators are served.
 func (d *Daemon) OperatorAddress() string { return d.listeners.operator.Addr().String() }
 
-// EntryAddress returns the address on which the other instances call.
+// EntryAddress returns the address on which the other entry instances are served.
 func (d *Daemon) EntryAddress() string { return d.listeners.entry.Addr().String() }
 
 // Abort stops the daemon immediately, as a crash of the process would: it hands over no units and
@@ -118,7 +118,7 @@
 }
 
 // shutdown performs a graceful shutdown. Callers are served until all units are handed over, so that
-// requests that arrive meanwhile are forwarded to the new owner.
+// requests that arrive during the handover are forwarded to the new owner.
 func (d *Daemon) shutdown() {
 	d.log.Info("draining", "timeout", d.cfg.DrainTimeout)
 	d.callers.BeginDrain()
@@ -142,8 +142,8 @@
 }
 
 // drainConnections closes the listener for callers after the handover and serves the open
-// connections until the callers have closed them. Every response asks the caller to close its
-// connection, and callers close idle connections after a while.
+// connections until the callers have closed them. Every response has the header "Connection:
+// close", and callers close idle connections after their idle timeout.
 func (d *Daemon) drainConnections(ctx context.Context) {
 	_ = d.listeners.caller.Close()
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.Linger)
--- a/daemon/doc.go
+++ b/daemon/doc.go
@@ -1,3 +1,2 @@
-// Package daemon wires the control loop to the peer packages and runs one entry
-// instance.
+// Package daemon connects the control loop to the packages of its peers and runs one entry instance.
 package daemon
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -14,8 +14,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// maxApplyAttempts bounds the attempts to write a document. A write is repeated when the division
-// of the team's limit changed concurrently or its outcome is unclear.
+// maxApplyAttempts bounds the attempts to write a document. A write is repeated when the
+// allowance record of the team was changed concurrently or the outcome of the write is unclear.
 const maxApplyAttempts = 5
 
 // Apply replaces a document if its revision is the expected one.
@@ -31,7 +31,7 @@
 			return operator.Held{}, err
 		}
 		if before.WriteID == record.WriteID {
-			return b.applied(ctx, change, record, revision) // an earlier attempt whose reply was lost
+			return b.awaitApplied(ctx, change, record, revision) // an earlier attempt whose reply was lost
 		}
 		if revision != change.Expected {
 			return operator.Held{}, &operator.Conflict{Expected: change.Expected, Current: operator.Held{Ref: change.Ref, Record: before, Revision: revision}}
@@ -42,15 +42,15 @@
 		case err != nil:
 			return operator.Held{}, err
 		case outcome == txnStored:
-			return b.applied(ctx, change, record, result.Revision)
+			return b.awaitApplied(ctx, change, record, result.Revision)
 		}
 	}
-	return operator.Held{}, errkind.New(errkind.OutcomeUnknown, "the store did not confirm the document; compare what is in force")
+	return operator.Held{}, errkind.New(errkind.OutcomeUnknown, "the store did not confirm the document; compare the document with the one in force")
 }
 
 // checkTeam rejects a service of a team that has no document: owners start no work of a team without
-// a known limit, so the work would be accepted and wait forever. No call removes a document, so one
-// that was read remains.
+// a known limit, so the work would be accepted and wait forever. No call removes a document, so a
+// document that was read still exists when the service's document is written.
 func (b *operatorBackend) checkTeam(ctx context.Context, ref operator.Ref) error {
 	if ref.Service == "" {
 		return nil
@@ -62,14 +62,16 @@
 	return err
 }
 
-func (b *operatorBackend) applied(ctx context.Context, change operator.Change, record document.Record, revision int64) (operator.Held, error) {
+// awaitApplied returns a document that was written, after waiting at most change.Wait until it is in
+// force.
+func (b *operatorBackend) awaitApplied(ctx context.Context, change operator.Change, record document.Record, revision int64) (operator.Held, error) {
 	held := operator.Held{Ref: change.Ref, Record: record, Revision: revision}
 	held.InForce = b.awaitInForce(ctx, revision, change.Wait)
 	return held, nil
 }
 
-// writeDocument writes a document. A team's document and the division of the team's limit change in
-// the same transaction.
+// writeDocument writes a document. A team's document and its allowance record, which divides the
+// team's limit among the worker partitions, are written in the same transaction.
 func (b *operatorBackend) writeDocument(ctx context.Context, key string, change operator.Change, record document.Record) (store.TxnResult, txnOutcome, error) {
 	value, err := store.Encode(record)
 	if err != nil {
@@ -85,7 +87,8 @@
 }
 
 // addLimit adds the new limit of a team to a transaction. The revision that the document will have
-// is not known before the commit; the store's revision at the read is lower and serves as a bound.
+// is not known before the commit, so the record gets a lower bound of it: the store's revision when
+// the allowance record was read.
 func (b *operatorBackend) addLimit(ctx context.Context, txn *store.Txn, d document.Document) error {
 	key := store.AllowanceKey(string(d.Team))
 	kv, found, revision, err := b.clients.Store.Get(ctx, key)
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -18,7 +18,7 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// Clients holds the clients for the peers of an entry instance. Tests replace them by fakes.
+// Clients holds the clients for the peers of an entry instance. Tests replace them with fakes.
 type Clients struct {
 	Store   store.Store
 	List    instancelist.Lister
@@ -43,14 +43,14 @@
 	meters   meters
 	clients  Clients
 
-	storeDown atomic.Bool // as last logged
+	storeDown atomic.Bool // availability of the store as last logged
 
 	// executor executes effects. It is the method execute, except in tests that delay effects.
 	executor func(control.Effect)
 
 	resync     chan struct{}   // requests a complete list of the configuration
-	drained    chan struct{}   // closed when no unit is held any more
-	effectsCtx context.Context // of all effects; canceled by stop
+	drained    chan struct{}   // closed when the drain of this instance is complete
+	effectsCtx context.Context // context of all effects; canceled by stop
 	stop       context.CancelFunc
 }
 
--- a/daemon/execute.go
+++ b/daemon/execute.go
@@ -6,8 +6,9 @@
 	"github.com/mulberrydrum/mulberrydrum/control"
 )
 
-// execute starts an effect, on a separate goroutine if it calls a peer. The control state bounds the
-// number of these goroutines: it repeats an effect only after it has received the result.
+// execute starts the execution of an effect, on a separate goroutine if it calls a peer. The control
+// state bounds the number of these goroutines: it repeats an effect only after it has received the
+// result.
 func (d *engine) execute(effect control.Effect) {
 	ctx := d.effectsCtx
 	switch e := effect.(type) {
@@ -54,12 +55,13 @@
 	}
 }
 
-// post delivers an event to the control loop. It fails only while the daemon stops.
+// post delivers an event to the control loop. The error is ignored: delivery fails only while the
+// daemon is stopping.
 func (d *engine) post(ctx context.Context, e control.Event) {
 	_ = d.loop.Post(ctx, e)
 }
 
-// send calls another instance, or the local control loop if this instance is the receiver.
+// send sends a request to an instance and posts the reply to the control loop.
 func (d *engine) send(ctx context.Context, e control.Send) {
 	callCtx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
@@ -74,6 +76,7 @@
 	d.post(ctx, control.PeerDone{Send: e, Reply: reply, Err: err})
 }
 
+// callMember calls another instance, or the local control loop if this instance is the receiver.
 func (d *engine) callMember(ctx context.Context, e control.Send) (control.PeerReply, error) {
 	if e.To.Incarnation == d.cfg.Self.Incarnation {
 		return d.loop.Call(ctx, d.cfg.Self.Instance, e.Request)
--- a/daemon/keys.go
+++ b/daemon/keys.go
@@ -43,7 +43,7 @@
 			return api.Key{}, storeError(err)
 		}
 		if !found {
-			return api.Key{}, errkind.New(errkind.InvalidRequest, "team %s has no key %s", team, id).WithField("id", "a key of the list of keys")
+			return api.Key{}, errkind.New(errkind.InvalidRequest, "team %s has no key %s", team, id).WithField("id", "the ID of an existing key of the team")
 		}
 		granted, err := store.DecodeKey(kv.Key, kv.Value, kv.ModRevision)
 		if err != nil {
--- a/daemon/meteredstore.go
+++ b/daemon/meteredstore.go
@@ -57,8 +57,8 @@
 	return m.store.Revoke(ctx, lease)
 }
 
-// Watch implements store.Store. The call is counted when the watch ends; its duration is the life
-// time of the watch.
+// Watch implements store.Store. The call is counted when the watch ends; its duration is the
+// lifetime of the watch.
 func (m meteredStore) Watch(ctx context.Context, prefix string, from int64, deliver func(store.WatchBatch)) (err error) {
 	defer func(started time.Time) { m.meters.recordStoreCall("watch", started, err) }(time.Now())
 	return m.store.Watch(ctx, prefix, from, deliver)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -25,8 +25,8 @@
 	metricStartNotRun      = "task.start_not_run_count"
 	metricStartUnclear     = "task.start_unclear_count"
 	metricReportResent     = "entry.report_resent_count"
-	metricNearBytes        = "entry.near_bytes"
-	metricCrossBytes       = "entry.cross_region_bytes"
+	metricSameRegionBytes  = "entry.near_bytes"
+	metricCrossRegionBytes = "entry.cross_region_bytes"
 	metricDigestBytes      = "entry.digest_bytes"
 	metricStoreCalls       = "store.call_count." // followed by the call and its outcome
 	metricStoreTime        = "store.call_us."    // followed by the call
@@ -34,13 +34,14 @@
 )
 
 const (
-	// Size and decay of histogram samples, as go-metrics recommends for a window of five minutes.
+	// Size and decay of histogram samples: the values that go-metrics recommends for a window of five
+	// minutes.
 	sampleSize  = 1028
 	sampleDecay = 0.015
 )
 
 // meters records metrics from the traffic goroutines. Every metric is atomic or has its own lock,
-// which is held for one update only.
+// which is held only during an update.
 type meters struct{ registry metrics.Registry }
 
 func (m meters) count(name string) {
@@ -102,7 +103,7 @@
 
 // byteCounter is implemented by an EntryCaller that counts bytes.
 type byteCounter interface {
-	Bytes() (near, across int64)
+	Bytes() (sameRegion, crossRegion int64)
 	DigestBytes() int64
 }
 
@@ -117,8 +118,8 @@
 	gauge(metricUnitsHeld, func() int64 { return unitsHeld(loop.Snapshot(), time.Now()) })
 	gauge(metricEventsDropped, func() int64 { return int64(recorder.Dropped()) })
 	if traffic, ok := entries.(byteCounter); ok {
-		gauge(metricNearBytes, func() int64 { near, _ := traffic.Bytes(); return near })
-		gauge(metricCrossBytes, func() int64 { _, across := traffic.Bytes(); return across })
+		gauge(metricSameRegionBytes, func() int64 { sameRegion, _ := traffic.Bytes(); return sameRegion })
+		gauge(metricCrossRegionBytes, func() int64 { _, crossRegion := traffic.Bytes(); return crossRegion })
 		gauge(metricDigestBytes, traffic.DigestBytes)
 	}
 }
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -21,8 +21,9 @@
 // at every member.
 const inForcePollInterval = 50 * time.Millisecond
 
-// commitConfig executes a transaction on the configuration. It is refused while
-// this instance has promised others not to change it.
+// commitConfig executes a transaction on the configuration. The control loop refuses it while this
+// instance has promised other instances to commit nothing, and shortly after the start, when other
+// instances may not yet list this one and so do not request its promise.
 func (b *operatorBackend) commitConfig(ctx context.Context, txn store.Txn) (store.TxnResult, txnOutcome, error) {
 	reply, err := b.loop.Call(ctx, b.cfg.Self.Instance, control.BeginConfigCommit{})
 	if err != nil {
@@ -37,13 +38,13 @@
 		b.endCommit(ctx, result, outcome)
 	}
 	if outcome == txnNoEffect {
-		return result, outcome, errkind.New(errkind.StoreUnavailable, "the store does not answer; nothing was changed").WithRetryAfter(time.Second)
+		return result, outcome, errkind.New(errkind.StoreUnavailable, "the store is unavailable or rejected the transaction; nothing was changed").WithRetryAfter(time.Second)
 	}
 	return result, outcome, nil
 }
 
-// endCommit reports the outcome of a commit to the control state. It is not called for a commit
-// whose outcome is unclear, since that may take effect at any later time.
+// endCommit reports the outcome of a commit to the control loop. It is not called for a commit whose
+// outcome is unclear, since such a commit may still take effect at any later time.
 func (b *operatorBackend) endCommit(ctx context.Context, result store.TxnResult, outcome txnOutcome) {
 	end := control.EndConfigCommit{}
 	if outcome == txnStored {
@@ -52,7 +53,7 @@
 	_, _ = b.loop.Call(context.WithoutCancel(ctx), b.cfg.Self.Instance, end)
 }
 
-// awaitInForce waits until every member has a revision in force. It returns false on timeout.
+// awaitInForce waits until a revision is in force at every member. It returns false on timeout.
 func (b *operatorBackend) awaitInForce(ctx context.Context, revision int64, wait time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -60,7 +61,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		pause(ctx, inForcePollInterval)
+		sleep(ctx, inForcePollInterval)
 	}
 	return true
 }
@@ -106,7 +107,7 @@
 		if slices.ContainsFunc(b.loop.Snapshot().Members, isNamed) {
 			return nil
 		}
-		return errkind.New(errkind.InvalidRequest, "there is no entry instance %s", request.Instance).WithField("instance", "one of the list of members")
+		return errkind.New(errkind.InvalidRequest, "there is no entry instance %s", request.Instance).WithField("instance", "the name of a listed member")
 	}
 	overviews, missing := b.fetchOverviews(ctx)
 	for _, o := range overviews {
@@ -117,14 +118,15 @@
 	if len(missing) > 0 {
 		return nil
 	}
-	return errkind.New(errkind.InvalidRequest, "there is no worker %s", request.Worker).WithField("worker", "one of the list of workers")
+	return errkind.New(errkind.InvalidRequest, "there is no worker %s", request.Worker).WithField("worker", "the name of a listed worker")
 }
 
+// changeError returns the error of a change that was not stored: err, or OutcomeUnknown if err is nil.
 func changeError(err error) error {
 	if err != nil {
 		return err
 	}
-	return errkind.New(errkind.OutcomeUnknown, "the store did not confirm the change; ask for the state and try again")
+	return errkind.New(errkind.OutcomeUnknown, "the store did not confirm the change; check the current state and try again")
 }
 
 func (b *operatorBackend) drainState(ctx context.Context, name string, draining bool) api.Drain {
@@ -143,8 +145,7 @@
 	return state
 }
 
-// ForceOwnership lets a member take over a unit whose owner and successors are
-// all gone.
+// ForceOwnership lets this instance take over a unit whose owner and successors are all gone.
 func (b *operatorBackend) ForceOwnership(ctx context.Context, by string, request api.ForceRequest) (api.Ownership, error) {
 	b.log.Warn("ownership forced", "unit", request.Unit, "by", by, "reason", request.Reason)
 	if err := b.loop.Post(ctx, control.OwnershipForced{Unit: request.Unit}); err != nil {
@@ -173,7 +174,7 @@
 	return found, missing
 }
 
-// Healthy returns an error if the control loop does not answer.
+// Healthy returns an error if the control loop does not respond.
 func (b *operatorBackend) Healthy(ctx context.Context) error {
 	_, err := b.loop.Call(ctx, b.cfg.Self.Instance, control.OverviewRequest{})
 	return err
--- a/daemon/storecalls.go
+++ b/daemon/storecalls.go
@@ -16,7 +16,8 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// txnOutcome is the outcome of a transaction. Each decision package has its own type for it.
+// txnOutcome is the outcome of a transaction. The packages ledger, ownership and allowance each have
+// their own type for it.
 type txnOutcome int
 
 const (
@@ -71,9 +72,9 @@
 	return done
 }
 
-// putMember writes the member record, with a compare on its last revision. Without the compare, a
-// delayed write under an earlier lease could replace the record, and the record would be deleted
-// when that lease expires.
+// putMember writes the member record if its revision has not changed since it was read. Without
+// this condition, a delayed write under an earlier lease could replace the record, and the record
+// would be deleted when that lease expires.
 func (d *engine) putMember(ctx context.Context, m membership.Member, lease int64) (store.TxnResult, error) {
 	key := store.MemberKey(m.Instance)
 	current, _, _, err := d.clients.Store.Get(ctx, key)
--- a/daemon/views.go
+++ b/daemon/views.go
@@ -106,17 +106,17 @@
 // Timeline merges the timelines of all members.
 func (b *operatorBackend) Timeline(ctx context.Context, filter operator.Filter) (api.Timeline, error) {
 	members := b.loop.Snapshot().Members
-	lines := make([][]timeline.Event, len(members))
+	timelines := make([][]timeline.Event, len(members))
 	failed := make([]bool, len(members))
 	b.forEachMember(ctx, members, func(ctx context.Context, i int, m membership.Member) {
 		if m.Incarnation == b.cfg.Self.Incarnation {
-			lines[i] = b.recorder.Events(timeline.Filter{Task: filter.Task, Team: filter.Team, From: filter.Since})
+			timelines[i] = b.recorder.Events(timeline.Filter{Task: filter.Task, Team: filter.Team, From: filter.Since})
 			return
 		}
 		events, err := b.clients.Entries.Timeline(ctx, m, string(filter.Task), string(filter.Team), filter.Since)
-		failed[i] = err != nil || json.Unmarshal(events, &lines[i]) != nil
+		failed[i] = err != nil || json.Unmarshal(events, &timelines[i]) != nil
 	})
-	merged := api.Timeline{Events: timeline.Merge(lines...)}
+	merged := api.Timeline{Events: timeline.Merge(timelines...)}
 	for i, m := range members {
 		if failed[i] {
 			merged.Missing = append(merged.Missing, m.Instance)
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -21,6 +21,7 @@
 	peerFetchThreshold = 3
 )
 
+// requestResync makes followConfig return, so that the configuration is listed again.
 func (d *engine) requestResync() {
 	select {
 	case d.resync <- struct{}{}:
@@ -28,7 +29,7 @@
 	}
 }
 
-// watchConfig delivers everything below the configuration prefix to the control state: a complete
+// watchConfig delivers the entries below the configuration prefix to the control loop: a complete
 // list first, then the changes in order.
 func (d *engine) watchConfig(ctx context.Context) error {
 	failures := 0
@@ -44,7 +45,7 @@
 		if failures == peerFetchThreshold {
 			d.fetchFromPeers(ctx)
 		}
-		pause(ctx, configRetryDelay)
+		sleep(ctx, configRetryDelay)
 	}
 	return nil
 }
@@ -67,9 +68,9 @@
 func (d *engine) followConfig(ctx context.Context, revision int64) {
 	for ctx.Err() == nil {
 		watchCtx, cancel := context.WithCancel(ctx)
-		resynced := make(chan struct{})
+		waiterDone := make(chan struct{})
 		go func() {
-			defer close(resynced)
+			defer close(waiterDone)
 			select {
 			case <-d.resync:
 				cancel()
@@ -81,12 +82,12 @@
 			d.deliverBatch(ctx, b)
 		})
 		cancel()
-		<-resynced
+		<-waiterDone
 		if errors.Is(err, store.ErrCompacted) || errors.Is(err, context.Canceled) {
 			return
 		}
 		d.log.Debug("configuration watch ended", "revision", revision, "err", err)
-		pause(ctx, configRetryDelay)
+		sleep(ctx, configRetryDelay)
 	}
 }
 
@@ -135,15 +136,15 @@
 			d.post(ctx, toInstancesListed(sentAt, instances))
 			known = d.dropUnlistedWorkers(known, instances)
 		}
-		pause(ctx, d.cfg.ListInterval)
+		sleep(ctx, d.cfg.ListInterval)
 	}
 	return nil
 }
 
-// dropUnlistedWorkers drops the counters of the known workers that are no longer listed, and
-// returns the listed ones.
+// dropUnlistedWorkers deletes the metrics of the known workers that are no longer listed, and returns
+// the listed workers.
 func (d *engine) dropUnlistedWorkers(known map[worker.Address]bool, instances []instancelist.Instance) map[worker.Address]bool {
-	forgetter, ok := d.clients.Workers.(interface{ Forget(worker.Address) })
+	client, ok := d.clients.Workers.(interface{ Forget(worker.Address) })
 	if !ok {
 		return nil
 	}
@@ -155,7 +156,7 @@
 	}
 	for address := range known {
 		if !listed[address] {
-			forgetter.Forget(address)
+			client.Forget(address)
 		}
 	}
 	return listed
@@ -176,7 +177,7 @@
 	return e
 }
 
-func pause(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
 	case <-ctx.Done():
