--- a/daemon/badworker_test.go
+++ b/daemon/badworker_test.go
@@ -10,16 +10,17 @@
 	"github.com/mulberrydrum/mulberrydrum/standin"
 )
 
-// workerLeaves checks that a worker that is listed as leaving gets no new task after the bound.
-func workerLeaves(t *testing.T, w *deployment, asked, _ *node, injection func()) {
-	injection()
+// workerLeaves checks that no task starts on a worker later than the bound after the worker was listed
+// as leaving.
+func workerLeaves(t *testing.T, w *deployment, contacted, _ *node, inject func()) {
+	inject()
 	w.mu.Lock()
 	w.listing[0].State = instancelist.StateLeaving
 	w.mu.Unlock()
 	const bound = 3 * time.Second
-	left := time.Now().Add(bound)
+	cutoff := time.Now().Add(bound)
 	for i := range 40 {
-		go func() { _, _ = w.nodes[2].submitAs("check", fmt.Sprintf("l%d", i)) }()
+		go func() { _, _ = w.nodes[2].submitJob("check", fmt.Sprintf("l%d", i)) }()
 		time.Sleep(500 * time.Millisecond)
 	}
 	time.Sleep(time.Minute)
@@ -28,26 +29,26 @@
 		t.Fatal(err)
 	}
 	for _, run := range ledger.Runs {
-		if run.Start.After(left) {
-			t.Errorf("%s started on a worker %v after it was listed as leaving", run.Attempt, run.Start.Sub(left)+bound)
+		if run.Start.After(cutoff) {
+			t.Errorf("%s started on a worker %v after it was listed as leaving", run.Attempt, run.Start.Sub(cutoff)+bound)
 		}
 	}
 }
 
 // workerFails checks that every job is accepted, and that none ends with an error, although one
 // worker fails every task immediately.
-func workerFails(t *testing.T, w *deployment, _, _ *node, injection func()) {
+func workerFails(t *testing.T, w *deployment, _, _ *node, inject func()) {
 	failing := true
 	if err := w.workers["worker-0"].SetFaults(standin.WorkerFaults{FailTasks: &failing}); err != nil {
 		t.Fatal(err)
 	}
-	injection()
+	inject()
 	const jobs = 40
 	var group sync.WaitGroup
 	for i := range jobs {
 		group.Go(func() {
 			for range 60 {
-				if _, err := w.nodes[2].submitAs([]string{"check", "tables"}[i%8/7], fmt.Sprintf("f%d", i)); err == nil {
+				if _, err := w.nodes[2].submitJob([]string{"check", "tables"}[i%8/7], fmt.Sprintf("f%d", i)); err == nil {
 					return
 				}
 				time.Sleep(time.Second)
@@ -65,8 +66,8 @@
 			t.Errorf("f%d: %v", i, err)
 			continue
 		}
-		if ts := reply.Tasks[0]; ts.Outcome != nil && ts.Outcome.ExitCode != 0 {
-			t.Errorf("f%d ended with exit code %d after attempt %d though other workers run it", i, ts.Outcome.ExitCode, ts.Attempt)
+		if taskState := reply.Tasks[0]; taskState.Outcome != nil && taskState.Outcome.ExitCode != 0 {
+			t.Errorf("f%d ended with exit code %d after attempt %d although other workers can run it", i, taskState.Outcome.ExitCode, taskState.Attempt)
 		}
 	}
 }
--- a/daemon/deployment_test.go
+++ b/daemon/deployment_test.go
@@ -37,9 +37,9 @@
 	listing []instancelist.Instance
 
 	mu      sync.Mutex
-	nodes   []*node // every process, also those that have ended
+	nodes   []*node // every process, including those that have ended
 	fault   func(c call) faultAction
-	jobs    []*job // submitted by submitAs
+	jobs    []*job // submitted by submitJob
 	clients func(*node, Clients) Clients
 	ended   bool
 }
@@ -53,7 +53,7 @@
 	frozen     time.Time // calls are delayed until then
 }
 
-// call describes one call at an interface to a fault.
+// call describes one call to a peer. Faults select the calls on which they act by it.
 type call struct {
 	step     string // peer, worker or store call, such as "peer.Place"
 	from     *node
@@ -143,7 +143,7 @@
 		Store: &storeFake{Store: w.store.Client(s.Instance), node: n}, List: &listFake{n}, Workers: &workerFake{API: w.local, node: n}, Entries: &entryFake{n},
 	}))
 	n.executor = func(e control.Effect) {
-		n.wait()
+		n.waitWhileFrozen()
 		n.execute(e)
 	}
 	w.mu.Lock()
@@ -161,7 +161,7 @@
 	n.stop()
 }
 
-// freeze suspends a process for a duration, as if the machine had paused it.
+// freeze suspends a process for a duration, as if its machine had been paused.
 func (n *node) freeze(d time.Duration) {
 	n.deployment.mu.Lock()
 	defer n.deployment.mu.Unlock()
@@ -181,13 +181,13 @@
 	return !n.frozen.IsZero()
 }
 
-// wait blocks while the process is frozen.
-func (n *node) wait() {
+// waitWhileFrozen blocks while the process is frozen.
+func (n *node) waitWhileFrozen() {
 	n.deployment.mu.Lock()
-	left := time.Until(n.frozen)
+	remaining := time.Until(n.frozen)
 	n.deployment.mu.Unlock()
-	if left > 0 {
-		time.Sleep(left)
+	if remaining > 0 {
+		time.Sleep(remaining)
 	}
 }
 
@@ -205,7 +205,7 @@
 		}
 		time.Sleep(action.delay)
 	}
-	c.from.wait()
+	c.from.waitWhileFrozen()
 	if c.from.isDead() {
 		return errDropped
 	}
@@ -233,22 +233,22 @@
 	for _, n := range w.live() {
 		n.kill()
 	}
-	for _, wk := range w.workers {
-		wk.Close()
+	for _, standInWorker := range w.workers {
+		standInWorker.Close()
 	}
 	w.store.Close()
-	time.Sleep(faultTime + freezeDuration) // lets the goroutines end that faults delay
+	time.Sleep(faultDuration + freezeDuration) // until the goroutines that faults delay have ended
 }
 
 func (w *deployment) trace() oracle.Trace {
 	trace := oracle.Trace{Bounds: oracle.DefaultBounds, InProgress: map[task.ID]bool{}}
-	var lines [][]timeline.Event
+	var timelines [][]timeline.Event
 	for _, n := range w.nodes {
-		lines = append(lines, n.Events())
+		timelines = append(timelines, n.Events())
 	}
-	trace.Events = timeline.Merge(lines...)
-	for _, wk := range w.workers {
-		ledger, err := wk.Ledger()
+	trace.Events = timeline.Merge(timelines...)
+	for _, standInWorker := range w.workers {
+		ledger, err := standInWorker.Ledger()
 		if err != nil {
 			w.t.Fatal(err)
 		}
@@ -280,12 +280,13 @@
 	}
 }
 
-// fillInProgress records for every task that its home reports whether it has not ended.
+// fillInProgress records for every task whose state an instance returns whether it is still in
+// progress.
 func (l *load) fillInProgress(trace *oracle.Trace) {
 	for _, j := range l.jobs {
 		if reply, err := l.status(j); err == nil {
-			for _, ts := range reply.Tasks {
-				trace.InProgress[ts.ID] = !ts.State.IsFinal()
+			for _, taskState := range reply.Tasks {
+				trace.InProgress[taskState.ID] = !taskState.State.IsFinal()
 			}
 		}
 	}
@@ -301,9 +302,9 @@
 		if len(reply.Tasks) != 1 || reply.Tasks[0].Outcome == nil || reply.Tasks[0].Outcome.Result == nil {
 			continue
 		}
-		ts := reply.Tasks[0]
-		answers = append(answers, oracle.Answer{Task: ts.ID, Attempt: ts.Attempt, PayloadDigest: worker.Digest([]byte(j.key)),
-			ResultDigest: worker.Digest(ts.Outcome.Result), ResultBytes: int64(len(ts.Outcome.Result))})
+		taskState := reply.Tasks[0]
+		answers = append(answers, oracle.Answer{Task: taskState.ID, Attempt: taskState.Attempt, PayloadDigest: worker.Digest([]byte(j.key)),
+			ResultDigest: worker.Digest(taskState.Outcome.Result), ResultBytes: int64(len(taskState.Outcome.Result))})
 	}
 	return answers
 }
--- a/daemon/fakes_test.go
+++ b/daemon/fakes_test.go
@@ -33,11 +33,11 @@
 	if target.isDead() {
 		return nil, eris.Wrap(entry.ErrNotSent, "connection refused")
 	}
-	target.wait()
+	target.waitWhileFrozen()
 	reply, err := target.loop.Call(ctx, f.cfg.Self.Instance, request)
 	c.returned = true
-	if passErr := f.deployment.applyFault(ctx, c); passErr != nil {
-		return nil, passErr
+	if faultErr := f.deployment.applyFault(ctx, c); faultErr != nil {
+		return nil, faultErr
 	}
 	return reply, err
 }
@@ -69,15 +69,15 @@
 // callWorkerWithFaults executes a call to a worker. A fault may drop the call before or after its
 // effect.
 func callWorkerWithFaults[T any](ctx context.Context, n *node, step string, to worker.Address, f func() (T, error)) (T, error) {
-	var none T
+	var zero T
 	c := call{step: step, from: n, worker: string(to)}
 	if err := n.deployment.applyFault(ctx, c); err != nil {
-		return none, fmt.Errorf("%w: %w", worker.ErrUnclear, err)
+		return zero, fmt.Errorf("%w: %w", worker.ErrUnclear, err)
 	}
 	reply, err := f()
 	c.returned = true
-	if passErr := n.deployment.applyFault(ctx, c); passErr != nil {
-		return none, fmt.Errorf("%w: %w", worker.ErrUnclear, passErr)
+	if faultErr := n.deployment.applyFault(ctx, c); faultErr != nil {
+		return zero, fmt.Errorf("%w: %w", worker.ErrUnclear, faultErr)
 	}
 	return reply, err
 }
@@ -123,7 +123,7 @@
 // listFake is the instance list. It holds the listed workers and the processes that were not killed.
 type listFake struct{ *node }
 
-// List returns the instances, all processes as live.
+// List returns the instances. Every process is listed as live.
 func (f *listFake) List(ctx context.Context) ([]instancelist.Instance, error) {
 	if err := f.deployment.applyFault(ctx, call{step: "list.List", from: f.node}); err != nil {
 		return nil, err
@@ -140,7 +140,7 @@
 	return list, nil
 }
 
-// storeFake forwards calls to the store in memory.
+// storeFake forwards calls to the in-memory store.
 type storeFake struct {
 	store.Store
 	node *node
@@ -149,15 +149,15 @@
 // callStoreWithFaults executes a call to the store. A fault may drop the call before or after its
 // effect.
 func callStoreWithFaults[T any](ctx context.Context, n *node, step string, f func() (T, error)) (T, error) {
-	var none T
+	var zero T
 	ctx, cancel := context.WithTimeout(ctx, store.DefaultCallTimeout)
 	defer cancel()
 	if err := n.deployment.applyFault(ctx, call{step: step, from: n}); err != nil {
-		return none, fmt.Errorf("%w: %w", store.ErrUnclear, err)
+		return zero, fmt.Errorf("%w: %w", store.ErrUnclear, err)
 	}
 	result, err := f()
-	if passErr := n.deployment.applyFault(ctx, call{step: step, from: n, returned: true}); passErr != nil {
-		return none, fmt.Errorf("%w: %w", store.ErrUnclear, passErr)
+	if faultErr := n.deployment.applyFault(ctx, call{step: step, from: n, returned: true}); faultErr != nil {
+		return zero, fmt.Errorf("%w: %w", store.ErrUnclear, faultErr)
 	}
 	return result, err
 }
@@ -167,7 +167,7 @@
 	return callStoreWithFaults(ctx, f.node, "store."+txnKind(txn), func() (store.TxnResult, error) { return f.Store.Commit(context.WithoutCancel(ctx), txn) })
 }
 
-// txnKind returns the name of the step that a transaction is, by the key of its first put.
+// txnKind returns the step name of a transaction, which depends on the key of its first put.
 func txnKind(txn store.Txn) string {
 	if len(txn.Puts) == 0 {
 		return "Delete"
@@ -187,14 +187,14 @@
 
 // Get reads a key.
 func (f *storeFake) Get(ctx context.Context, key string) (store.KeyValue, bool, int64, error) {
-	type got struct {
+	type getResult struct {
 		kv       store.KeyValue
 		found    bool
 		revision int64
 	}
-	g, err := callStoreWithFaults(ctx, f.node, "store.Get", func() (got, error) {
+	g, err := callStoreWithFaults(ctx, f.node, "store.Get", func() (getResult, error) {
 		kv, found, revision, err := f.Store.Get(ctx, key)
-		return got{kv, found, revision}, err
+		return getResult{kv, found, revision}, err
 	})
 	return g.kv, g.found, g.revision, err
 }
@@ -207,7 +207,7 @@
 // Watch delivers changes, but none while the process is frozen.
 func (f *storeFake) Watch(ctx context.Context, prefix string, from int64, deliver func(store.WatchBatch)) error {
 	return f.Store.Watch(ctx, prefix, from, func(b store.WatchBatch) {
-		f.node.wait()
+		f.node.waitWhileFrozen()
 		deliver(b)
 	})
 }
--- a/daemon/fromsettings_test.go
+++ b/daemon/fromsettings_test.go
@@ -12,7 +12,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// settingsReadByCommand holds the settings that the command reads itself, before it makes the
+// settingsReadByCommand holds the settings that the command reads itself, before it creates the
 // daemon.
 var settingsReadByCommand = map[string]bool{"log_level": true}
 
@@ -22,13 +22,13 @@
 	base := settings.Default()
 	base.StoreEndpoints = []string{"127.0.0.1:1"}
 	before := FromSettings(base)
-	kind := reflect.TypeFor[settings.Settings]()
-	for i := range kind.NumField() {
-		name := jsonc.FieldName(kind.Field(i))
+	settingsType := reflect.TypeFor[settings.Settings]()
+	for i := range settingsType.NumField() {
+		name := jsonc.FieldName(settingsType.Field(i))
 		changed := base
 		changeSetting(t, reflect.ValueOf(&changed).Elem().Field(i))
 		if reflect.DeepEqual(before, FromSettings(changed)) && !settingsReadByCommand[name] {
-			t.Errorf("setting %s changes nothing", name)
+			t.Errorf("setting %s does not change the configuration", name)
 		}
 	}
 }
@@ -53,7 +53,7 @@
 	case *[]settings.OperatorKey:
 		*p = []settings.OperatorKey{{Name: "a"}}
 	default:
-		t.Fatalf("no change for %T", p)
+		t.Fatalf("changeSetting does not support type %T", p)
 	}
 }
 
--- a/daemon/matrix_test.go
+++ b/daemon/matrix_test.go
@@ -17,7 +17,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// steps are the messages and writes at which each fault is injected.
+// steps are the calls at which each fault is injected.
 var steps = []string{
 	"peer.SubmitRequest", "peer.PlaceRequest", "peer.WithdrawRequest", "peer.LookupRequest", "peer.PermitRequest",
 	"peer.ReportRequest", "peer.DigestMessage", "peer.PromiseRequest",
@@ -36,10 +36,10 @@
 
 const (
 	freezeDuration = 25 * time.Second // longer than a takeover
-	outageDuration = 30 * time.Second // of the store
-	restartDelay   = 20 * time.Second // of a process that was killed
-	settleTimeout  = 3 * time.Minute  // within which every job must have its outcome
-	quietPeriod    = 45 * time.Second // after that, longer than any fault lasts
+	outageDuration = 30 * time.Second // of a store outage
+	restartDelay   = 20 * time.Second // delay before a killed process is restarted
+	settleTimeout  = 3 * time.Minute  // limit on the time until every job has its outcome
+	quietPeriod    = 45 * time.Second // wait before the checks, longer than any fault lasts
 )
 
 var injections = []injection{
@@ -121,8 +121,8 @@
 	t.Logf("%d cells, %d covered; not reached: %s", cells, cells-len(missed), strings.Join(missed, ", "))
 }
 
-// runCell runs the workload with one fault and checks every invariant. It
-// reports whether the fault acted.
+// runCell runs the workload with one fault and checks every invariant. It reports whether the fault
+// was injected.
 func runCell(t *testing.T, step string, s injection) (injected bool) {
 	w := newDeployment(t, 3, 4)
 	defer w.close()
@@ -191,16 +191,16 @@
 }
 
 func (w *deployment) freezeWorker(name string) {
-	frozen, thawed := true, false
+	frozen, resumed := true, false
 	go func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Freeze: &frozen}) }()
-	time.AfterFunc(freezeDuration, func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Freeze: &thawed}) })
+	time.AfterFunc(freezeDuration, func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Freeze: &resumed}) })
 }
 
 func (w *deployment) rebootWorker(name string) {
 	go func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Reboot: true}) }()
 }
 
-// job is one request of the load with the last reply to its caller.
+// job is one job of the load with the last reply to its caller.
 type job struct {
 	class    string
 	key      string
@@ -236,17 +236,18 @@
 	return l
 }
 
-// submit sends a job as a caller does: it retries under the same idempotency key, through another
-// instance each time, until a submission succeeds or must not be repeated.
-func (l *load) submit(j *job, first int) {
+// submit submits a job as a caller does: it retries with the same idempotency key, at another
+// instance each time, until a submission succeeds or must not be repeated. The first attempt goes to
+// the live instance with index offset.
+func (l *load) submit(j *job, offset int) {
 	defer l.done.Done()
-	for try := range 40 {
+	for attempt := range 40 {
 		live := l.deployment.live()
 		if len(live) == 0 {
 			time.Sleep(time.Second)
 			continue
 		}
-		n := live[(first+try)%len(live)]
+		n := live[(offset+attempt)%len(live)]
 		reply, err := l.submitOnce(n, j)
 		if n.isDead() {
 			err = errDropped // the connection broke with the process
@@ -267,7 +268,7 @@
 }
 
 func (l *load) submitOnce(n *node, j *job) (caller.Reply, error) {
-	n.wait()
+	n.waitWhileFrozen()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	return (&callerBackend{n.engine}).Submit(ctx, testSecret, task.Spec{Team: "leuven", Service: "piping", Class: j.class, IdempotencyKey: j.key,
@@ -288,9 +289,9 @@
 	}
 }
 
-// status asks the live instances until one returns the state of the job.
+// status queries the live instances until one returns the state of the job.
 func (l *load) status(j *job) (caller.Reply, error) {
-	err := errors.New("no instance runs")
+	err := errors.New("no instance is running")
 	for range 10 {
 		for _, n := range l.deployment.live() {
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -310,13 +311,13 @@
 func (l *load) awaitEnd() {
 	l.done.Wait()
 	for end := time.Now().Add(settleTimeout); time.Now().Before(end); time.Sleep(2 * time.Second) {
-		open := 0
+		unfinished := 0
 		for _, j := range l.jobs {
 			if reply, err := l.status(j); j.class != "lookup" && (err != nil || !j.hasEnded(reply)) {
-				open++
+				unfinished++
 			}
 		}
-		if open == 0 {
+		if unfinished == 0 {
 			return
 		}
 	}
@@ -325,8 +326,8 @@
 // hasEnded reports whether a job is in its expected last state: running for a service, final
 // otherwise.
 func (j *job) hasEnded(reply caller.Reply) bool {
-	for _, ts := range reply.Tasks {
-		if j.class == "tables" && ts.State != task.Running || j.class != "tables" && !ts.State.IsFinal() {
+	for _, taskState := range reply.Tasks {
+		if j.class == "tables" && taskState.State != task.Running || j.class != "tables" && !taskState.State.IsFinal() {
 			return false
 		}
 	}
@@ -360,22 +361,22 @@
 }
 
 func (j *job) checkEnd(t *testing.T, reply caller.Reply) {
-	for _, ts := range reply.Tasks {
+	for _, taskState := range reply.Tasks {
 		switch {
 		case j.class == "tables":
-			if ts.State != task.Running {
-				t.Errorf("service %s is %s after attempt %d, want running", j.key, ts.State, ts.Attempt)
+			if taskState.State != task.Running {
+				t.Errorf("service %s is %s after attempt %d, want running", j.key, taskState.State, taskState.Attempt)
 			}
 		case j.cancel:
-			if !ts.State.IsFinal() {
-				t.Errorf("cancelled task %s is %s", ts.ID, ts.State)
+			if !taskState.State.IsFinal() {
+				t.Errorf("cancelled task %s is %s", taskState.ID, taskState.State)
 			}
 		case j.class == "report":
-			if ts.State != task.Finished && ts.State != task.Unknown {
-				t.Errorf("report %s is %s", ts.ID, ts.State)
+			if taskState.State != task.Finished && taskState.State != task.Unknown {
+				t.Errorf("report %s is %s", taskState.ID, taskState.State)
 			}
-		case ts.State != task.Finished:
-			t.Errorf("%s task %s is %s after attempt %d, want finished; outcome %+v", j.class, ts.ID, ts.State, ts.Attempt, ts.Outcome)
+		case taskState.State != task.Finished:
+			t.Errorf("%s task %s is %s after attempt %d, want finished; outcome %+v", j.class, taskState.ID, taskState.State, taskState.Attempt, taskState.Outcome)
 		}
 	}
 }
--- a/daemon/operations_test.go
+++ b/daemon/operations_test.go
@@ -20,29 +20,31 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// condition is a fault during an operator's change. asked is the instance that the operator calls,
-// other is another instance.
+// condition is a fault during an operator's change. contacted is the instance that the operator
+// calls, other is another instance.
 type condition struct {
 	name  string
-	apply func(w *deployment, asked, other *node)
+	apply func(w *deployment, contacted, other *node)
 }
 
-const faultTime = time.Minute // duration of a store fault under a condition
+const faultDuration = time.Minute // duration of a store fault under a condition
 
 var conditions = []condition{
 	{"none", func(*deployment, *node, *node) {}},
 	{"other frozen", func(_ *deployment, _, other *node) { other.freeze(freezeDuration) }},
-	{"other frozen shortly", func(_ *deployment, _, other *node) { other.freeze(4 * time.Second) }},
+	{"other frozen briefly", func(_ *deployment, _, other *node) { other.freeze(4 * time.Second) }},
 	{"other cut off from the store", func(w *deployment, _, other *node) {
-		w.storeFault(faultTime, fault.Fault{Kind: fault.Unreachable, Instance: other.cfg.Self.Instance})
+		w.storeFault(faultDuration, fault.Fault{Kind: fault.Unreachable, Instance: other.cfg.Self.Instance})
 	}},
 	{"other's watch silent", func(w *deployment, _, other *node) {
-		w.storeFault(faultTime, fault.Fault{Kind: fault.SilentWatch, Instance: other.cfg.Self.Instance})
+		w.storeFault(faultDuration, fault.Fault{Kind: fault.SilentWatch, Instance: other.cfg.Self.Instance})
 	}},
 	{"other killed", func(w *deployment, _, other *node) { w.killAndRestart(other) }},
-	{"store slow", func(w *deployment, _, _ *node) { w.storeFault(faultTime, fault.Fault{Kind: fault.Slow, DelayMS: 1500}) }},
-	{"replies of commits lost", func(w *deployment, asked, _ *node) {
-		w.storeFault(faultTime, fault.Fault{Kind: fault.ReplyLost, Call: "txn", Instance: asked.cfg.Self.Instance, Count: 2})
+	{"store slow", func(w *deployment, _, _ *node) {
+		w.storeFault(faultDuration, fault.Fault{Kind: fault.Slow, DelayMS: 1500})
+	}},
+	{"replies of commits lost", func(w *deployment, contacted, _ *node) {
+		w.storeFault(faultDuration, fault.Fault{Kind: fault.ReplyLost, Call: "txn", Instance: contacted.cfg.Self.Instance, Count: 2})
 	}},
 }
 
@@ -56,7 +58,7 @@
 // operation is a change that an operator or the platform makes under load.
 type operation struct {
 	name string
-	run  func(t *testing.T, w *deployment, asked, other *node, injection func())
+	run  func(t *testing.T, w *deployment, contacted, other *node, inject func())
 }
 
 var operations = []operation{
@@ -66,7 +68,7 @@
 	{"two operators race", raceOperators},
 	{"drain an instance", drainInstance},
 	{"worker leaves", workerLeaves},
-	{"worker fails everything", workerFails},
+	{"worker fails every task", workerFails},
 }
 
 // TestOperationMatrix guards against a change that comes into force too late, in part or not at all,
@@ -90,8 +92,8 @@
 					w := newDeployment(t, 3, 4)
 					defer w.close()
 					time.Sleep(15 * time.Second) // ownership is claimed and the list lag has passed
-					asked, other := w.nodes[0], w.nodes[1]
-					op.run(t, w, asked, other, func() { c.apply(w, asked, other) })
+					contacted, other := w.nodes[0], w.nodes[1]
+					op.run(t, w, contacted, other, func() { c.apply(w, contacted, other) })
 					w.checkOracle(&load{deployment: w, jobs: w.submitted()})
 				})
 			})
@@ -99,16 +101,16 @@
 	}
 }
 
-// submitted returns the jobs that were submitted by submitAs.
+// submitted returns the jobs that were submitted by submitJob.
 func (w *deployment) submitted() []*job {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return slices.Clone(w.jobs)
 }
 
-// submitAs submits a job of one task of a class and returns the reply.
-func (n *node) submitAs(class, key string) (caller.Reply, error) {
-	n.wait()
+// submitJob submits a job of one task of a class and returns the reply.
+func (n *node) submitJob(class, key string) (caller.Reply, error) {
+	n.waitWhileFrozen()
 	j := &job{class: class, key: key}
 	n.deployment.mu.Lock()
 	n.deployment.jobs = append(n.deployment.jobs, j)
@@ -126,7 +128,7 @@
 func (n *node) operator() *operatorBackend { return &operatorBackend{n.engine} }
 
 // retryUntilConfirmed retries an operator's call until it succeeds.
-func retryUntilConfirmed[T any](t *testing.T, n *node, what string, f func(context.Context) (T, error)) T {
+func retryUntilConfirmed[T any](t *testing.T, n *node, description string, f func(context.Context) (T, error)) T {
 	t.Helper()
 	var err error
 	for range 60 {
@@ -139,31 +141,31 @@
 		}
 		time.Sleep(time.Second)
 	}
-	t.Fatalf("%s through %s: %v", what, n.cfg.Self.Instance, err)
+	t.Fatalf("%s through %s: %v", description, n.cfg.Self.Instance, err)
 	panic("unreachable")
 }
 
 // withdrawKey checks that no instance accepts work under a key once the freshness interval has
 // passed since the confirmed withdrawal, and that running work under the key ends.
-func withdrawKey(t *testing.T, w *deployment, asked, _ *node, injection func()) {
+func withdrawKey(t *testing.T, w *deployment, contacted, _ *node, inject func()) {
 	for i := range 20 {
-		if _, err := w.nodes[i%3].submitAs("check", fmt.Sprintf("w%d", i)); err != nil {
+		if _, err := w.nodes[i%3].submitJob("check", fmt.Sprintf("w%d", i)); err != nil {
 			t.Fatalf("submit before the withdrawal: %v", err)
 		}
 	}
-	injection()
-	retryUntilConfirmed(t, asked, "withdraw the key", func(ctx context.Context) (api.Key, error) {
-		return asked.operator().WithdrawKey(ctx, "test", "leuven", "k1")
+	inject()
+	retryUntilConfirmed(t, contacted, "withdraw the key", func(ctx context.Context) (api.Key, error) {
+		return contacted.operator().WithdrawKey(ctx, "test", "leuven", "k1")
 	})
 	confirmed := time.Now()
 	var accepted sync.Map
-	for round := 0; time.Since(confirmed) < faultTime+freezeDuration; round++ {
+	for round := 0; time.Since(confirmed) < faultDuration+freezeDuration; round++ {
 		for _, n := range w.live() {
 			go func() {
-				n.wait()
-				at := time.Since(confirmed)
-				if _, err := n.submitAs("check", fmt.Sprintf("after-%d-%s", round, n.cfg.Self.Instance)); err == nil && at > w.nodes[0].cfg.Control.KeyFreshness {
-					accepted.Store(fmt.Sprintf("%s after %v", n.cfg.Self.Instance, at), true)
+				n.waitWhileFrozen()
+				elapsed := time.Since(confirmed)
+				if _, err := n.submitJob("check", fmt.Sprintf("after-%d-%s", round, n.cfg.Self.Instance)); err == nil && elapsed > w.nodes[0].cfg.Control.KeyFreshness {
+					accepted.Store(fmt.Sprintf("%s after %v", n.cfg.Self.Instance, elapsed), true)
 				}
 			}()
 		}
@@ -173,8 +175,8 @@
 		t.Errorf("a withdrawn key was accepted by %s", where)
 		return true
 	})
-	for name, wk := range w.workers {
-		ledger, err := wk.Ledger()
+	for name, standInWorker := range w.workers {
+		ledger, err := standInWorker.Ledger()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -190,9 +192,9 @@
 
 // lowerLimit checks that a limit below the current usage comes into force. The oracle checks that
 // the team's usage never exceeds the limit from then on.
-func lowerLimit(t *testing.T, w *deployment, asked, _ *node, injection func()) {
+func lowerLimit(t *testing.T, w *deployment, contacted, _ *node, inject func()) {
 	for i := range 8 {
-		if _, err := w.nodes[i%3].submitAs("tables", fmt.Sprintf("s%d", i)); err != nil {
+		if _, err := w.nodes[i%3].submitJob("tables", fmt.Sprintf("s%d", i)); err != nil {
 			t.Fatalf("submit a service: %v", err)
 		}
 	}
@@ -200,8 +202,8 @@
 	if got := w.running(t); got != 8 {
 		t.Fatalf("%d services run before the change, want 8", got)
 	}
-	injection()
-	w.apply(t, asked, operator.Ref{Team: "leuven"}, lowLimit)
+	inject()
+	w.apply(t, contacted, operator.Ref{Team: "leuven"}, lowLimit)
 	time.Sleep(3 * time.Minute)
 	if got := w.running(t); got != 3 {
 		t.Errorf("%d services run under a limit of 3", got)
@@ -221,8 +223,8 @@
 func (w *deployment) running(t *testing.T) int {
 	t.Helper()
 	count := 0
-	for _, wk := range w.workers {
-		ledger, err := wk.Ledger()
+	for _, standInWorker := range w.workers {
+		ledger, err := standInWorker.Ledger()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -256,16 +258,16 @@
 const configBound = 11 * time.Second
 
 // applyDocument checks that a document is in force at every running instance within the bound.
-func applyDocument(t *testing.T, w *deployment, asked, other *node, injection func()) {
-	injection()
+func applyDocument(t *testing.T, w *deployment, contacted, other *node, inject func()) {
+	inject()
 	source := strings.Replace(testDocument, "sleep:2s", "sleep:3s", 1)
-	held := w.apply(t, asked, operator.Ref{Team: "leuven", Service: "piping"}, source)
+	held := w.apply(t, contacted, operator.Ref{Team: "leuven", Service: "piping"}, source)
 	confirmed := time.Now()
 	for time.Since(confirmed) < configBound {
 		time.Sleep(100 * time.Millisecond)
 	}
-	other.wait()
-	time.Sleep(configBound) // a frozen or restarted instance has the same time from when it runs again
+	other.waitWhileFrozen()
+	time.Sleep(configBound) // the bound applies to a frozen or restarted instance from the time it resumes
 	if n := w.nodeAt(other.cfg.Self.Address); n == nil {
 		time.Sleep(restartDelay + configBound)
 	}
@@ -286,16 +288,16 @@
 }
 
 // raceOperators checks that at most one of two concurrent changes from the same revision succeeds,
-// and that the other one gets a conflict or an error of the store.
-func raceOperators(t *testing.T, w *deployment, asked, other *node, injection func()) {
+// and that the other one receives a conflict or an error of the store.
+func raceOperators(t *testing.T, w *deployment, contacted, other *node, inject func()) {
 	ref := operator.Ref{Team: "leuven", Service: "piping"}
-	first := retryUntilConfirmed(t, asked, "read the document", func(ctx context.Context) (operator.Held, error) { return asked.operator().Get(ctx, ref) })
-	injection()
+	first := retryUntilConfirmed(t, contacted, "read the document", func(ctx context.Context) (operator.Held, error) { return contacted.operator().Get(ctx, ref) })
+	inject()
 	results := make([]error, 2)
 	var group sync.WaitGroup
-	for i, n := range []*node{asked, other} {
+	for i, n := range []*node{contacted, other} {
 		group.Go(func() {
-			n.wait()
+			n.waitWhileFrozen()
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
 			_, results[i] = n.operator().Apply(ctx, operator.Change{Ref: ref, By: n.cfg.Self.Instance, Expected: first.Revision,
@@ -325,11 +327,11 @@
 
 // drainInstance checks that a planned stop under load completes in time, and that meanwhile no
 // request fails, whether sent to the draining instance or to another one.
-func drainInstance(t *testing.T, w *deployment, asked, other *node, injection func()) {
+func drainInstance(t *testing.T, w *deployment, contacted, other *node, inject func()) {
 	var failures sync.Map
 	stop := make(chan struct{})
 	var group sync.WaitGroup
-	for i, n := range []*node{asked, w.nodes[2]} {
+	for i, n := range []*node{contacted, w.nodes[2]} {
 		group.Go(func() {
 			for r := 0; ; r++ {
 				select {
@@ -337,19 +339,19 @@
 					return
 				case <-time.After(300 * time.Millisecond):
 				}
-				if _, err := n.submitAs("lookup", fmt.Sprintf("d%d-%d", i, r)); err != nil {
+				if _, err := n.submitJob("lookup", fmt.Sprintf("d%d-%d", i, r)); err != nil {
 					failures.Store(fmt.Sprintf("%s request %d: %v", n.cfg.Self.Instance, r, err), errkind.From(err).Fate())
 				}
 			}
 		})
 	}
 	time.Sleep(3 * time.Second)
-	injection()
-	_ = asked.loop.Post(context.Background(), drainRequest)
+	inject()
+	_ = contacted.loop.Post(context.Background(), drainRequest)
 	select {
-	case <-asked.drained:
+	case <-contacted.drained:
 	case <-time.After(90 * time.Second):
-		t.Errorf("%s still holds units %v after its drain began", asked.cfg.Self.Instance, 90*time.Second)
+		t.Errorf("%s still holds units %v after its drain began", contacted.cfg.Self.Instance, 90*time.Second)
 	}
 	close(stop)
 	group.Wait()
--- a/daemon/outage_test.go
+++ b/daemon/outage_test.go
@@ -20,12 +20,12 @@
 			defer w.close()
 			time.Sleep(20 * time.Second) // until every unit has an owner
 			w.storeDown(fault.Down)
-			// Within one freshness interval the last read of the store may still count, later not.
+			// The last read of the store suffices for one freshness interval; the loop runs for longer.
 			for range 10 {
 				time.Sleep(2 * time.Second)
 				for _, n := range w.live() {
 					if _, err := n.Snapshot().Keys.Admit(time.Now(), "leuven", keyring.DigestOf(testSecret)); err != nil {
-						t.Fatalf("%d instances: %s refuses the key: %v", instances, n.cfg.Self.Instance, err)
+						t.Fatalf("%d instances: %s rejects the key: %v", instances, n.cfg.Self.Instance, err)
 					}
 				}
 			}
@@ -57,10 +57,10 @@
 			t.Errorf("new work: %v, want %s", err, errkind.StoreUnavailable)
 		}
 		if waited := time.Since(sentAt); waited > time.Second {
-			t.Errorf("refused after %s", waited)
+			t.Errorf("new work was refused after %s, want at most 1s", waited)
 		}
 		if err := submit("before"); err != nil {
-			t.Errorf("work that is recorded: %v", err)
+			t.Errorf("repeated submission of recorded work: %v", err)
 		}
 	})
 }
--- a/daemon/rebalance_test.go
+++ b/daemon/rebalance_test.go
@@ -22,7 +22,7 @@
 		time.Sleep(10 * time.Second)
 		const services = 12 // the team's limit, and more than the capacity of one partition
 		for i := range services {
-			if _, err := w.nodes[i%3].submitAs("tables", fmt.Sprintf("m%d", i)); err != nil {
+			if _, err := w.nodes[i%3].submitJob("tables", fmt.Sprintf("m%d", i)); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/daemon/seededfault_test.go
+++ b/daemon/seededfault_test.go
@@ -24,7 +24,7 @@
 var seededFaults = []seededFault{
 	{"records are not stored", []oracle.Invariant{oracle.AtMostOnce, oracle.NeverLost, oracle.TrueNotRun}, discardRecords, func(w *deployment) {
 		for i := range 6 {
-			_, _ = w.nodes[0].submitAs("report", fmt.Sprintf("r%d", i))
+			_, _ = w.nodes[0].submitJob("report", fmt.Sprintf("r%d", i))
 		}
 		time.Sleep(time.Second)
 		for _, n := range w.live() {
@@ -32,45 +32,45 @@
 		}
 		time.Sleep(restartDelay + 40*time.Second)
 		for i := range 6 {
-			_, _ = w.live()[0].submitAs("report", fmt.Sprintf("r%d", i))
+			_, _ = w.live()[0].submitJob("report", fmt.Sprintf("r%d", i))
 		}
 		time.Sleep(30 * time.Second)
 	}},
 	{"an unclear start counts as not run", []oracle.Invariant{oracle.TrueNotRun, oracle.OnePlace, oracle.AtMostOnce}, denyTaskStarts, func(w *deployment) {
 		for i := range 6 {
-			_, _ = w.nodes[0].submitAs("report", fmt.Sprintf("r%d", i))
+			_, _ = w.nodes[0].submitJob("report", fmt.Sprintf("r%d", i))
 		}
 		time.Sleep(30 * time.Second)
 	}},
-	{"workers report nothing that runs", []oracle.Invariant{oracle.OnePlace}, hideTasks, func(w *deployment) {
+	{"workers report no running task", []oracle.Invariant{oracle.OnePlace}, hideTasks, func(w *deployment) {
 		for i := range 4 {
-			_, _ = w.nodes[0].submitAs("tables", fmt.Sprintf("t%d", i))
+			_, _ = w.nodes[0].submitJob("tables", fmt.Sprintf("t%d", i))
 		}
 		time.Sleep(90 * time.Second)
 	}},
-	{"workers state twice their capacity", []oracle.Invariant{oracle.Capacity}, doubleCapacity, func(w *deployment) {
+	{"workers report twice their capacity", []oracle.Invariant{oracle.Capacity}, doubleCapacity, func(w *deployment) {
 		for i := range 12 {
-			_, _ = w.nodes[i%3].submitAs("check", fmt.Sprintf("c%d", i))
+			_, _ = w.nodes[i%3].submitJob("check", fmt.Sprintf("c%d", i))
 		}
 		time.Sleep(20 * time.Second)
 	}},
 	{"keys count as fresh without a read", []oracle.Invariant{oracle.WithdrawnKey}, assumeFresh, func(w *deployment) {
-		w.silencePeers()
+		w.dropPeerConfigMessages()
 		_ = w.store.Faults().Set(fault.Fault{Kind: fault.SilentWatch, Instance: w.nodes[1].cfg.Self.Instance},
 			fault.Fault{Kind: fault.SilentWatch, Instance: w.nodes[2].cfg.Self.Instance})
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		defer cancel()
 		_, _ = w.nodes[0].operator().WithdrawKey(ctx, "test", "leuven", "k1")
 		for i := range 40 {
-			_, _ = w.nodes[1+i%2].submitAs("check", fmt.Sprintf("c%d", i))
+			_, _ = w.nodes[1+i%2].submitJob("check", fmt.Sprintf("c%d", i))
 			time.Sleep(time.Second)
 		}
 	}},
 }
 
-// silencePeers drops the messages by which instances exchange changes. They would otherwise deliver
-// what an instance with a seeded fault does not read from the store.
-func (w *deployment) silencePeers() {
+// dropPeerConfigMessages drops the messages by which instances exchange configuration changes. They
+// would otherwise deliver what an instance with a seeded fault does not read from the store.
+func (w *deployment) dropPeerConfigMessages() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.fault = func(c call) faultAction {
