--- a/store/wire/wire.go
+++ b/store/wire/wire.go
@@ -1,6 +1,6 @@
-// Package wire defines the messages of the published etcd v3 HTTP/JSON gateway
-// that the store client uses. Keys and values are base64 and 64-bit integers
-// are JSON strings. The stand-in for the store uses the same messages.
+// Package wire defines the messages of the published etcd v3 HTTP/JSON gateway that the store client
+// uses. Keys and values are base64, and 64-bit integers are JSON strings. The stand-in for the store
+// uses the same messages.
 package wire
 
 // Paths of the gateway.
@@ -31,8 +31,8 @@
 	Lease       int64  `json:"lease,string,omitempty"`
 }
 
-// RangeRequest reads the keys from Key up to but not including RangeEnd, or Key
-// alone if RangeEnd is empty.
+// RangeRequest reads the keys from Key up to but not including RangeEnd, or Key alone if RangeEnd is
+// empty.
 type RangeRequest struct {
 	Key        []byte `json:"key,omitempty"`
 	RangeEnd   []byte `json:"range_end,omitempty"`
@@ -42,7 +42,7 @@
 	KeysOnly   bool   `json:"keys_only,omitempty"`
 }
 
-// Values of a RangeRequest that asks for the key that was changed last.
+// Values of a RangeRequest that reads the most recently changed key.
 const (
 	SortDescending = "DESCEND"
 	SortByRevision = "MOD"
@@ -54,7 +54,7 @@
 	KVs    []KeyValue `json:"kvs,omitempty"`
 }
 
-// The comparison that the client uses.
+// Values of a Compare on the revision of the last change of a key, the only kind that the client uses.
 const (
 	TargetMod   = "MOD"
 	ResultEqual = "EQUAL"
@@ -94,8 +94,8 @@
 	Failure []Operation `json:"failure,omitempty"`
 }
 
-// OperationReply is the reply to one Operation; replies to puts and deletes are
-// not used and stay empty.
+// OperationReply is the reply to one Operation. Replies to puts and deletes are not used and stay
+// empty.
 type OperationReply struct {
 	Range *RangeReply `json:"response_range,omitempty"`
 }
@@ -112,14 +112,14 @@
 	Revision int64 `json:"revision,string,omitempty"`
 }
 
-// LeaseRequest is the body of grant (TTL in seconds), keepalive and revoke (ID).
+// LeaseRequest is the request to grant (TTL, in seconds), keep alive or revoke (ID) a lease.
 type LeaseRequest struct {
 	ID  int64 `json:"ID,string,omitempty"`
 	TTL int64 `json:"TTL,string,omitempty"`
 }
 
-// LeaseReply is the reply to grant and revoke. A TTL of 0 in the reply to a
-// keepalive means that the lease is gone.
+// LeaseReply is the reply to grant and revoke, and the result of a keepalive. A TTL of 0 in the result
+// of a keepalive means that the lease has expired or was revoked.
 type LeaseReply struct {
 	Header *Header `json:"header,omitempty"`
 	ID     int64   `json:"ID,string,omitempty"`
@@ -145,7 +145,7 @@
 	ProgressNotify bool   `json:"progress_notify,omitempty"`
 }
 
-// EventDelete is the type of an Event that deletes; puts have no type.
+// EventDelete is the type of an Event that deletes a key; puts have no type.
 const EventDelete = "DELETE"
 
 // Event is one change of a key.
@@ -154,10 +154,9 @@
 	KV   KeyValue `json:"kv"`
 }
 
-// WatchReply is one message of a watch. Without events, and if it neither
-// creates nor cancels the watch, it is a progress notice. The revision in the
-// header is that of the store when the message was sent: it may be higher than
-// that of the last event, and then later messages hold events in between.
+// WatchReply is one message of a watch. If it has no events and neither creates nor cancels the watch,
+// it is a progress notice. The revision in the header is that of the store when the message was sent:
+// it may be higher than that of the last event, and then later messages hold the events in between.
 type WatchReply struct {
 	Header          *Header `json:"header,omitempty"`
 	Created         bool    `json:"created,omitempty"`
@@ -208,9 +207,9 @@
 	MessageNoSpace       = "etcdserver: mvcc: database space exceeded"
 )
 
-// PrefixEnd returns the range end that covers every key with the prefix: the
-// prefix with its last byte below 0xff increased. A prefix without such a byte
-// is covered by the single byte 0, which means "to the end of the key space".
+// PrefixEnd returns the end of the range that covers every key with the prefix: the prefix up to and
+// including its last byte below 0xff, with that byte increased by one. For a prefix without such a
+// byte it returns the single byte 0, which stands for the end of the key space.
 func PrefixEnd(prefix string) []byte {
 	end := []byte(prefix)
 	for i := len(end) - 1; i >= 0; i-- {
@@ -222,8 +221,8 @@
 	return []byte{0}
 }
 
-// PrefixStart returns the key at which a range over the prefix starts. The
-// gateway has no empty key; the byte 0 is below every other key.
+// PrefixStart returns the key at which a range over the prefix starts. For the empty prefix it is the
+// single byte 0, which sorts before every other key, since the gateway accepts no empty key.
 func PrefixStart(prefix string) []byte {
 	if prefix == "" {
 		return []byte{0}
