storetest: reword comments and rename locals

The reference model of the property test has its own name instead of n. Two failed checks of TestCompactedHistory print the error that they expect; no check changed.

--- a/store/storetest/calls.go
+++ b/store/storetest/calls.go
@@ -10,7 +10,7 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// Kinds of calls, as named in faults and counters.
+// Kinds of calls. Faults and counters use these names.
 const (
 	CallRange     = "range"
 	CallTxn       = "txn"
@@ -24,13 +24,13 @@
 // Calls lists every kind of call.
 var Calls = []string{CallRange, CallTxn, CallCompact, CallGrant, CallKeepAlive, CallRevoke, CallWatch}
 
-// errStoreDown ends an open watch when the store goes down.
+// errStoreDown ends an open watch when a fault takes the store down.
 var errStoreDown = errors.New("store went down")
 
-// InterruptFor returns the Interrupt of a watch by an instance. silent tells that the watch was
-// opened under a fault that silences it. The Interrupt ends the watch when the store goes down, and
-// blocks while the watch must be silent or the store is unreachable. A silent stream stays silent
-// when the fault is cleared, as a lost connection does not recover either.
+// InterruptFor returns the Interrupt for a watch of an instance. silent reports whether the watch was
+// opened under a fault that makes it silent. The Interrupt ends the watch when the store is down, and
+// blocks until ctx is done if the watch is silent or the store is unreachable. A silent stream stays
+// silent after the fault is cleared, just as a lost connection does not recover.
 func InterruptFor(ctx context.Context, faults *fault.Table, instance string, silent bool) Interrupt {
 	return func() (<-chan struct{}, error) {
 		standing, changed := faults.Standing(CallWatch, instance)
@@ -45,7 +45,7 @@
 	}
 }
 
-// classifyWatch returns the error of an ended watch, classified as by store.Client.
+// classifyWatch classifies the error of an ended watch as store.Client does.
 func classifyWatch(ctx context.Context, err error) error {
 	switch {
 	case errors.Is(err, store.ErrCompacted):
@@ -57,8 +57,7 @@
 	}
 }
 
-// The copies prevent callers from modifying the state of the machine.
-
+// copyKeyValue and the other copy functions prevent callers from modifying the state of the machine.
 func copyKeyValue(kv store.KeyValue) store.KeyValue {
 	kv.Value = bytes.Clone(kv.Value)
 	return kv
--- a/store/storetest/engine.go
+++ b/store/storetest/engine.go
@@ -12,11 +12,11 @@
 // ProgressInterval is the time between two progress notices of an idle watch.
 const ProgressInterval = time.Second
 
-// batchesPerMessage bounds one message of a watch that reads older changes.
+// batchesPerMessage bounds a message, for a watch that starts at an old revision.
 const batchesPerMessage = 100
 
-// Engine runs a Machine for concurrent callers: it expires leases by the clock of the process and
-// notifies watches. It starts no goroutines, so that it also works under testing/synctest.
+// Engine runs a Machine for concurrent callers: it expires leases according to the clock of the
+// process and notifies watches. It starts no goroutines, so that it also works under testing/synctest.
 type Engine struct {
 	mu      sync.Mutex
 	machine *Machine
@@ -68,7 +68,7 @@
 
 // WatchMessage is one message of a watch. Without batches it is a progress notice.
 type WatchMessage struct {
-	Revision int64 // of the store when the message was made
+	Revision int64 // of the store when the message was created
 	Batches  []store.WatchBatch
 }
 
--- a/store/storetest/history.go
+++ b/store/storetest/history.go
@@ -8,8 +8,8 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// record appends changes to the history as the next revision and drops the
-// oldest revisions beyond the limits.
+// record appends changes to the history as the next revision and drops the oldest revisions while the
+// history exceeds its limits.
 func (m *Machine) record(changes []store.Change) {
 	if len(changes) == 0 {
 		return
@@ -26,7 +26,7 @@
 func (m *Machine) dropOldest() {
 	m.compacted = m.history[0].Revision
 	m.historyBytes -= batchSize(m.history[0])
-	m.history[0] = store.WatchBatch{} // lets the values be freed
+	m.history[0] = store.WatchBatch{} // releases the values for garbage collection
 	m.history = m.history[1:]
 }
 
--- a/store/storetest/machine.go
+++ b/store/storetest/machine.go
@@ -15,16 +15,16 @@
 	"github.com/mulberrydrum/mulberrydrum/store/wire"
 )
 
-// Limits bound what the machine accepts and keeps. Zero fields take defaults.
+// Limits bounds the size of requests and of the history. Zero fields take the defaults.
 type Limits struct {
-	ValueBytes       int // of one value
-	TxnBytes         int // of all keys and values of one transaction
-	HistoryRevisions int // revisions kept for watches
-	HistoryBytes     int // of the values kept for watches
+	ValueBytes       int // size of one value
+	TxnBytes         int // size of all keys and values of one transaction
+	HistoryRevisions int // number of revisions kept for watches
+	HistoryBytes     int // size of the keys and values kept for watches
 }
 
-// Defaults of Limits. The platform's store takes values up to 1 MB; the bound of
-// a transaction is the published default of the store's request size.
+// Defaults of Limits. The platform's store accepts values up to 1 MB. DefaultTxnBytes is the published
+// default limit on the size of a request to etcd.
 const (
 	DefaultValueBytes       = 1 << 20
 	DefaultTxnBytes         = 3 << 19
@@ -51,7 +51,7 @@
 	keys    map[string]struct{}
 }
 
-// NewMachine returns an empty store. Its revision is 1, as in the real one.
+// NewMachine returns an empty store. Its revision is 1, as in the real store.
 func NewMachine(limits Limits) *Machine {
 	limits.ValueBytes = cmp.Or(limits.ValueBytes, DefaultValueBytes)
 	limits.TxnBytes = cmp.Or(limits.TxnBytes, DefaultTxnBytes)
@@ -74,8 +74,8 @@
 	return kv, found
 }
 
-// Range returns the keys from start up to but not including end, in ascending
-// order. An end of one zero byte means all keys from start on.
+// Range returns the keys from start up to but not including end, in ascending order. If end is a
+// single zero byte, it returns all keys from start on.
 func (m *Machine) Range(start, end string) []store.KeyValue {
 	var kvs []store.KeyValue
 	for key, kv := range m.keys {
@@ -87,8 +87,7 @@
 	return kvs
 }
 
-// Latest returns the key from start up to but not including end that was
-// changed last.
+// Latest returns the most recently changed key from start up to but not including end.
 func (m *Machine) Latest(start, end string) (latest store.KeyValue, found bool) {
 	for key, kv := range m.keys {
 		if inRange(key, start, end) && kv.ModRevision > latest.ModRevision {
@@ -102,8 +101,8 @@
 	return key >= start && (end == "\x00" || key < end)
 }
 
-// Commit executes txn. All its changes have one revision. A transaction that
-// changes nothing leaves the revision as it is.
+// Commit executes txn. All its changes have the same revision. A transaction that changes nothing does
+// not increase the revision.
 func (m *Machine) Commit(txn store.Txn) (store.TxnResult, error) {
 	if err := m.check(txn); err != nil {
 		return store.TxnResult{}, err
@@ -125,7 +124,7 @@
 	return store.TxnResult{Succeeded: true, Revision: m.revision}, nil
 }
 
-// check rejects transactions that the real store rejects before it reads any key.
+// check rejects the transactions that the real store rejects before it reads any key.
 func (m *Machine) check(txn store.Txn) error {
 	total := 0
 	seen := map[string]struct{}{}
@@ -183,7 +182,7 @@
 	return kvs
 }
 
-// put sets one key at the next revision, which record then assigns to the store.
+// put sets one key. Its revision is the next one, to which record then advances the store.
 func (m *Machine) put(put store.Put) store.Change {
 	m.detach(put.Key)
 	kv := store.KeyValue{
@@ -228,7 +227,7 @@
 	return m.lastLease
 }
 
-// KeepAlive renews a lease at time now and returns its time to live. It reports whether it exists.
+// KeepAlive renews a lease at time now and returns its time to live, and whether the lease exists.
 func (m *Machine) KeepAlive(now time.Time, id int64) (time.Duration, bool) {
 	l, found := m.leases[id]
 	if !found {
@@ -238,7 +237,7 @@
 	return l.ttl, true
 }
 
-// Revoke ends a lease and deletes its keys in one revision.
+// Revoke ends a lease and deletes its keys in one revision. It reports whether the lease existed.
 func (m *Machine) Revoke(id int64) bool {
 	l, found := m.leases[id]
 	if !found {
@@ -252,21 +251,21 @@
 
 // Expire revokes the leases that have expired by now, in order of expiry.
 func (m *Machine) Expire(now time.Time) {
-	var ended []int64
+	var expired []int64
 	for id, l := range m.leases {
 		if !l.expires.After(now) {
-			ended = append(ended, id)
+			expired = append(expired, id)
 		}
 	}
-	slices.SortFunc(ended, func(a, b int64) int {
+	slices.SortFunc(expired, func(a, b int64) int {
 		return cmp.Or(m.leases[a].expires.Compare(m.leases[b].expires), cmp.Compare(a, b))
 	})
-	for _, id := range ended {
+	for _, id := range expired {
 		m.Revoke(id)
 	}
 }
 
-// NextExpiry returns when the next lease expires, if there is one.
+// NextExpiry returns the time at which the next lease expires, if there is one.
 func (m *Machine) NextExpiry() (time.Time, bool) {
 	var next time.Time
 	for _, l := range m.leases {
--- a/store/storetest/machine_test.go
+++ b/store/storetest/machine_test.go
@@ -26,28 +26,28 @@
 	return &referenceStore{copies: []map[string]store.KeyValue{nil, {}}, expiries: map[int64]time.Time{}, ttls: map[int64]time.Duration{}}
 }
 
-func (n *referenceStore) revision() int64                   { return int64(len(n.copies) - 1) }
-func (n *referenceStore) latest() map[string]store.KeyValue { return n.copies[n.revision()] }
+func (r *referenceStore) revision() int64                   { return int64(len(r.copies) - 1) }
+func (r *referenceStore) latest() map[string]store.KeyValue { return r.copies[r.revision()] }
 
-// change adds the next copy, unless puts and deletes change nothing.
-func (n *referenceStore) change(puts []store.Put, deletes []string) {
+// change appends the next copy, unless the puts and deletes change nothing.
+func (r *referenceStore) change(puts []store.Put, deletes []string) {
 	next := map[string]store.KeyValue{}
-	for key, kv := range n.latest() {
+	for key, kv := range r.latest() {
 		if !slices.Contains(deletes, key) {
 			next[key] = kv
 		}
 	}
-	if len(puts) == 0 && len(next) == len(n.latest()) {
+	if len(puts) == 0 && len(next) == len(r.latest()) {
 		return
 	}
 	for _, put := range puts {
-		next[put.Key] = store.KeyValue{Key: put.Key, Value: put.Value, ModRevision: n.revision() + 1, Lease: put.Lease}
+		next[put.Key] = store.KeyValue{Key: put.Key, Value: put.Value, ModRevision: r.revision() + 1, Lease: put.Lease}
 	}
-	n.copies = append(n.copies, next)
+	r.copies = append(r.copies, next)
 }
 
-// commit executes txn and returns whether it succeeded, and the class of the error.
-func (n *referenceStore) commit(txn store.Txn) (bool, error) {
+// commit executes txn. It returns whether txn succeeded, or the class of the error.
+func (r *referenceStore) commit(txn store.Txn) (bool, error) {
 	written := slices.Clone(txn.Deletes)
 	for _, put := range txn.Puts {
 		written = append(written, put.Key)
@@ -57,52 +57,52 @@
 		return false, store.ErrRejected
 	}
 	for _, compare := range txn.Compares {
-		if n.latest()[compare.Key].ModRevision != compare.ModRevision {
+		if r.latest()[compare.Key].ModRevision != compare.ModRevision {
 			return false, nil
 		}
 	}
 	for _, put := range txn.Puts {
-		if _, found := n.expiries[put.Lease]; put.Lease != 0 && !found {
+		if _, found := r.expiries[put.Lease]; put.Lease != 0 && !found {
 			return false, store.ErrLeaseGone
 		}
 	}
-	n.change(txn.Puts, txn.Deletes)
+	r.change(txn.Puts, txn.Deletes)
 	return true, nil
 }
 
-func (n *referenceStore) revoke(id int64) {
+func (r *referenceStore) revoke(id int64) {
 	var keys []string
-	for key, kv := range n.latest() {
+	for key, kv := range r.latest() {
 		if kv.Lease == id {
 			keys = append(keys, key)
 		}
 	}
-	delete(n.expiries, id)
-	n.change(nil, keys)
+	delete(r.expiries, id)
+	r.change(nil, keys)
 }
 
 // expire revokes the expired leases one by one, in order of expiry.
-func (n *referenceStore) expire(now time.Time) {
+func (r *referenceStore) expire(now time.Time) {
 	for {
 		first := int64(0)
-		for id, end := range n.expiries {
-			if !end.After(now) && (first == 0 || end.Before(n.expiries[first]) || end.Equal(n.expiries[first]) && id < first) {
+		for id, end := range r.expiries {
+			if !end.After(now) && (first == 0 || end.Before(r.expiries[first]) || end.Equal(r.expiries[first]) && id < first) {
 				first = id
 			}
 		}
 		if first == 0 {
 			return
 		}
-		n.revoke(first)
+		r.revoke(first)
 	}
 }
 
-// since describes the changes of each revision in the range.
-func (n *referenceStore) since(start, end string, from int64) []string {
+// since describes the changes in the range, one line for each revision.
+func (r *referenceStore) since(start, end string, from int64) []string {
 	var lines []string
-	for revision := max(from, 2); revision <= n.revision(); revision++ {
+	for revision := max(from, 2); revision <= r.revision(); revision++ {
 		var changed []string
-		before, after := n.copies[revision-1], n.copies[revision]
+		before, after := r.copies[revision-1], r.copies[revision]
 		for key, kv := range after {
 			if kv.ModRevision == revision && key >= start && key < end {
 				changed = append(changed, fmt.Sprintf("%s=%s lease %d", key, kv.Value, kv.Lease))
@@ -157,57 +157,57 @@
 	}
 })
 
-// TestMachineAgainstReference guards against a stand-in that differs from a store in revisions,
-// compares, leases or history, on which all other tests rely.
+// TestMachineAgainstReference guards against a stand-in for the store, on which many other tests rely,
+// that differs from the reference model in revisions, compares, leases or history.
 func TestMachineAgainstReference(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m, n := NewMachine(Limits{}), newReferenceStore()
+		m, reference := NewMachine(Limits{}), newReferenceStore()
 		now := time.Unix(0, 0)
 		t.Repeat(map[string]func(*rapid.T){
 			"": func(t *rapid.T) {
-				if m.Revision() != n.revision() {
-					t.Fatalf("revision %d, want %d", m.Revision(), n.revision())
+				if m.Revision() != reference.revision() {
+					t.Fatalf("revision %d, want %d", m.Revision(), reference.revision())
 				}
 				for _, kv := range m.Range("\x00", "\x00") {
-					if want := n.latest()[kv.Key]; !reflect.DeepEqual(kv, want) {
+					if want := reference.latest()[kv.Key]; !reflect.DeepEqual(kv, want) {
 						t.Fatalf("%+v, want %+v", kv, want)
 					}
 				}
-				if got := len(m.Range("\x00", "\x00")); got != len(n.latest()) {
-					t.Fatalf("%d keys, want %d", got, len(n.latest()))
+				if got := len(m.Range("\x00", "\x00")); got != len(reference.latest()) {
+					t.Fatalf("%d keys, want %d", got, len(reference.latest()))
 				}
 			},
 			"commit": func(t *rapid.T) {
 				txn := anyTxn.Draw(t, "txn")
 				result, err := m.Commit(txn)
-				want, wantErr := n.commit(txn)
+				want, wantErr := reference.commit(txn)
 				if !errors.Is(err, wantErr) || result.Succeeded != want {
 					t.Fatalf("Commit = %+v, %v; want %v, %v", result, err, want, wantErr)
 				}
 			},
 			"grant": func(t *rapid.T) {
 				ttl := time.Duration(rapid.IntRange(1, 3).Draw(t, "ttl")) * time.Second
-				n.leases++
-				n.expiries[n.leases], n.ttls[n.leases] = now.Add(ttl), ttl
-				if id := m.Grant(now, ttl); id != n.leases {
-					t.Fatalf("lease %d, want %d", id, n.leases)
+				reference.leases++
+				reference.expiries[reference.leases], reference.ttls[reference.leases] = now.Add(ttl), ttl
+				if id := m.Grant(now, ttl); id != reference.leases {
+					t.Fatalf("lease %d, want %d", id, reference.leases)
 				}
 			},
 			"keepalive": func(t *rapid.T) {
 				id := anyLease.Draw(t, "lease")
-				_, want := n.expiries[id]
+				_, want := reference.expiries[id]
 				if want {
-					n.expiries[id] = now.Add(n.ttls[id])
+					reference.expiries[id] = now.Add(reference.ttls[id])
 				}
-				if ttl, found := m.KeepAlive(now, id); found != want || want && ttl != n.ttls[id] {
+				if ttl, found := m.KeepAlive(now, id); found != want || want && ttl != reference.ttls[id] {
 					t.Fatalf("KeepAlive(%d) = %s, %v; want %v", id, ttl, found, want)
 				}
 			},
 			"revoke": func(t *rapid.T) {
 				id := anyLease.Draw(t, "lease")
-				_, want := n.expiries[id]
+				_, want := reference.expiries[id]
 				if want {
-					n.revoke(id)
+					reference.revoke(id)
 				}
 				if found := m.Revoke(id); found != want {
 					t.Fatalf("Revoke(%d) = %v, want %v", id, found, want)
@@ -216,19 +216,19 @@
 			"time": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 				m.Expire(now)
-				n.expire(now)
+				reference.expire(now)
 			},
 			"watch": func(t *rapid.T) {
 				from := rapid.Int64Range(1, m.Revision()+2).Draw(t, "from")
-				checkSince(t, m, n, from)
+				checkSince(t, m, reference, from)
 			},
 		})
 	})
 }
 
 // checkSince reads the history from revision from in calls of at most two batches.
-func checkSince(t *rapid.T, m *Machine, n *referenceStore, from int64) {
-	want := n.since("b/", "b0", from)
+func checkSince(t *rapid.T, m *Machine, reference *referenceStore, from int64) {
+	want := reference.since("b/", "b0", from)
 	var got []string
 	for {
 		batches, next, err := m.Since("b/", "b0", from, 2)
--- a/store/storetest/memory.go
+++ b/store/storetest/memory.go
@@ -18,8 +18,7 @@
 	cfg    Config
 }
 
-// Config sets the bounds of a Memory. Zero fields take the defaults of the
-// client and of the machine.
+// Config configures a Memory. Zero fields take the defaults of store.Config and Limits.
 type Config struct {
 	Limits          Limits
 	CallTimeout     time.Duration
@@ -37,7 +36,7 @@
 	return &Memory{engine: NewEngine(cfg.Limits), faults: fault.NewTable(Calls...), cfg: cfg}
 }
 
-// Client returns a client of the store for an instance. Faults may apply to some instances only.
+// Client returns a client of the store for an instance, since faults may be limited to an instance.
 func (m *Memory) Client(instance string) store.Store { return &client{memory: m, instance: instance} }
 
 // Faults returns the table of injected faults.
@@ -58,11 +57,11 @@
 	instance string
 }
 
-// errCallTimeout is the cause of a call that reached its deadline.
+// errCallTimeout is the cancellation cause of a call that reached its deadline.
 var errCallTimeout = errors.New("call timed out")
 
-// call executes f under the active faults. A call that has timed out may still be executed later,
-// like a slow request to the real store.
+// call executes f under the active faults. A call that has timed out may still be executed later, as
+// with a slow request to the real store.
 func (c *client) call(ctx context.Context, kind string, f func(time.Time, *Machine) error) error {
 	if err := context.Cause(ctx); err != nil {
 		return fmt.Errorf("%w: %s not sent: %w", store.ErrUnavailable, kind, err)
--- a/store/storetest/memory_calls.go
+++ b/store/storetest/memory_calls.go
@@ -82,8 +82,8 @@
 func (c *client) KeepAlive(ctx context.Context, lease int64) (time.Duration, error) {
 	ttl := make(chan time.Duration, 1)
 	err := c.call(ctx, CallKeepAlive, func(now time.Time, m *Machine) error {
-		left, found := m.KeepAlive(now, lease)
-		ttl <- left
+		remaining, found := m.KeepAlive(now, lease)
+		ttl <- remaining
 		return leaseError(found)
 	})
 	if err != nil {
--- a/store/storetest/memory_test.go
+++ b/store/storetest/memory_test.go
@@ -22,7 +22,7 @@
 	return result.Revision
 }
 
-// boundedContext returns a context that ends a hanging watch after an hour of virtual time.
+// boundedContext returns a context that cancels a watch that blocks after an hour of virtual time.
 func boundedContext(t *testing.T) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
 	t.Cleanup(cancel)
@@ -67,8 +67,8 @@
 	})
 }
 
-// TestOpenWatchUnderFaults guards against an open watch that survives when the store goes down, and
-// against one that hangs forever when the store becomes silent.
+// TestOpenWatchUnderFaults guards against an open watch that does not end when the store goes down, and
+// against one that blocks forever when the store becomes silent.
 func TestOpenWatchUnderFaults(t *testing.T) {
 	tests := []struct {
 		fault fault.Fault
@@ -97,8 +97,8 @@
 	}
 }
 
-// TestCompactedHistory guards against a watch that starts after the requested revision without an
-// error.
+// TestCompactedHistory guards against a watch from a compacted revision that skips changes instead of
+// returning an error.
 func TestCompactedHistory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		memory := NewMemory(Config{Limits: Limits{HistoryRevisions: 3}})
@@ -108,7 +108,7 @@
 		}
 		err := s.Watch(boundedContext(t), "c/", 4, func(store.WatchBatch) { t.Error("delivered a batch") })
 		if !errors.Is(err, store.ErrCompacted) {
-			t.Errorf("Watch from a revision that is gone: %v", err)
+			t.Errorf("Watch from a compacted revision: %v, want ErrCompacted", err)
 		}
 		ctx, cancel := context.WithCancel(boundedContext(t))
 		var got []int64
@@ -125,7 +125,7 @@
 		}
 		err = s.Watch(boundedContext(t), "c/", 7, func(store.WatchBatch) { t.Error("delivered a batch") })
 		if !errors.Is(err, store.ErrCompacted) {
-			t.Errorf("Watch after Compact: %v", err)
+			t.Errorf("Watch after Compact: %v, want ErrCompacted", err)
 		}
 	})
 }
