store: reword comments and error texts

The error for a message out of order also fits a repeated revision, and the text of ErrLeaseGone says that the lease expired or was revoked. No test matches the old texts.

Subtests of TestCommitHedged and TestWatchStream get new names. A failed check of TestCommitHedged prints the expected error, an added argument.

--- a/store/classify.go
+++ b/store/classify.go
@@ -9,7 +9,7 @@
 	"github.com/mulberrydrum/mulberrydrum/store/wire"
 )
 
-// classifyTransportError classifies the error of a call without a reply. Unless a connection was
+// classifyTransportError classifies the error of a call that received no reply. If no connection was
 // obtained, nothing was sent and the call had no effect.
 func classifyTransportError(err error, connected bool) error {
 	if connected {
--- a/store/client.go
+++ b/store/client.go
@@ -21,8 +21,8 @@
 // Defaults of Config and bounds of the connections.
 const (
 	DefaultCallTimeout     = 2 * time.Second
-	DefaultProgressTimeout = 3 * time.Second // three progress notices, which are due every second
-	DefaultMaxConnections  = 8               // calls in flight; more would only queue in the store
+	DefaultProgressTimeout = 3 * time.Second // three intervals of the progress notices, which the store sends every second
+	DefaultMaxConnections  = 8               // limit on calls in flight; more calls would only queue in the store
 
 	dialTimeout = 1 * time.Second
 	// idleTimeout is shorter than the usual idle timeout of servers, since a call on a connection
@@ -35,13 +35,13 @@
 	maxErrorBytes     = 64 << 10
 )
 
-// Config describes how to reach the store.
+// Config configures a Client.
 type Config struct {
 	Address         string        // numeric IP address and port
 	Instance        string        // name of this instance, sent with every call
-	CallTimeout     time.Duration // of every call but Watch; default DefaultCallTimeout
-	ProgressTimeout time.Duration // without a message after which a watch fails; default DefaultProgressTimeout
-	MaxConnections  int           // connections for calls; default DefaultMaxConnections
+	CallTimeout     time.Duration // timeout of every call except Watch; default DefaultCallTimeout
+	ProgressTimeout time.Duration // a watch fails after this time without a message; default DefaultProgressTimeout
+	MaxConnections  int           // maximum number of connections for calls; default DefaultMaxConnections
 }
 
 // Client is a Store that uses the etcd v3 HTTP/JSON gateway.
@@ -98,8 +98,7 @@
 	c.watches.CloseIdleConnections()
 }
 
-// call posts request and decodes the reply. Its error is classified and names
-// the operation.
+// call posts request and decodes the reply. Its error is classified and names the operation.
 func (c *Client) call(ctx context.Context, operation, path string, request, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
@@ -122,8 +121,8 @@
 	return nil
 }
 
-// post sends request and returns a reply with status 200, whose body the caller must close.
-// Otherwise it returns a classified error.
+// post sends request and returns the reply if its status is 200; the caller must close its body.
+// Otherwise post returns a classified error.
 func (c *Client) post(ctx context.Context, transport *http.Transport, path string, request any) (*http.Response, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
@@ -133,13 +132,13 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	message, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.cfg.Address+path, bytes.NewReader(body))
+	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.cfg.Address+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, fmt.Errorf("%w: make request: %w", ErrRejected, err)
+		return nil, fmt.Errorf("%w: build request: %w", ErrRejected, err)
 	}
-	message.Header.Set("Content-Type", "application/json")
-	message.Header.Set(wire.HeaderInstance, c.cfg.Instance)
-	response, err := transport.RoundTrip(message)
+	httpRequest.Header.Set("Content-Type", "application/json")
+	httpRequest.Header.Set(wire.HeaderInstance, c.cfg.Instance)
+	response, err := transport.RoundTrip(httpRequest)
 	if err != nil {
 		c.closeIdleAfterTimeout(err)
 		return nil, classifyTransportError(err, connected.Load())
@@ -151,8 +150,8 @@
 	return response, nil
 }
 
-// closeIdleAfterTimeout closes the idle connections after a call timed out. If the network path to
-// the store is broken, they are unusable too, and each would cause another call to time out.
+// closeIdleAfterTimeout closes the idle connections if err is a timeout. If the network path to the
+// store is broken, they are unusable too, and each would cause another call to time out.
 func (c *Client) closeIdleAfterTimeout(err error) {
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() {
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// TestReplyClasses guards against classifying a reply with an unclear outcome as having no effect,
-// and a definite rejection as unclear.
+// TestReplyClasses guards against classifying a call with an unclear outcome as having no effect, and
+// against classifying a definite rejection as unclear.
 func TestReplyClasses(t *testing.T) {
 	tests := []struct {
 		status int
@@ -88,8 +88,8 @@
 	}
 }
 
-// TestLostReplyIsNotSentAgain guards against automatic retries by the transport when a connection in
-// use breaks: a repeated transaction would find its own write and report a conflict.
+// TestLostReplyIsNotSentAgain guards against automatic retries by the transport when a connection that
+// is in use breaks: a repeated transaction would find its own write and report a conflict.
 func TestLostReplyIsNotSentAgain(t *testing.T) {
 	var calls atomic.Int64
 	client := clientOf(t, func(w http.ResponseWriter, r *http.Request) {
@@ -106,11 +106,11 @@
 		}
 	}
 	if n := calls.Load(); n != 2 {
-		t.Errorf("the store got %d calls, want 2", n)
+		t.Errorf("the store received %d calls, want 2", n)
 	}
 }
 
-// TestRequestsOnTheWire guards against a change of the encoding that the project's stand-in accepts
+// TestRequestsOnTheWire guards against a change of the encoding that the stand-in for the store accepts
 // but the platform's store does not.
 func TestRequestsOnTheWire(t *testing.T) {
 	sent := make(chan string, 7)
@@ -151,7 +151,7 @@
 }
 
 // TestWatchStream guards against a watch that skips changes because a header is ahead of the events,
-// accepts revisions that go back, or continues after the history was compacted.
+// accepts revisions that do not increase, or continues after the history was compacted.
 func TestWatchStream(t *testing.T) {
 	const created = `{"result":{"header":{"revision":"9"},"created":true}}`
 	event := func(header, mod int) string {
@@ -165,14 +165,14 @@
 		reason error
 	}{
 		{"header ahead of events", []string{created, event(9, 4), event(9, 6), notice(9)}, []int64{4, 6, 9}, ErrUnclear},
-		{"starts below from", []string{created, event(9, 2)}, nil, ErrUnclear},
-		{"goes back", []string{created, event(9, 5), event(9, 5)}, []int64{5}, ErrUnclear},
+		{"starts before the requested revision", []string{created, event(9, 2)}, nil, ErrUnclear},
+		{"repeated revision", []string{created, event(9, 5), event(9, 5)}, []int64{5}, ErrUnclear},
 		{"change after a notice that covers it", []string{created, notice(9), event(9, 8)}, []int64{9}, ErrUnclear},
-		{"notice goes back", []string{created, event(9, 5), notice(4)}, []int64{5}, ErrUnclear},
+		{"notice with a lower revision", []string{created, event(9, 5), notice(4)}, []int64{5}, ErrUnclear},
 		{"compacted", []string{created, `{"result":{"canceled":true,"compact_revision":"8"}}`}, nil, ErrCompacted},
 		{"canceled", []string{created, event(9, 5), `{"result":{"canceled":true}}`}, []int64{5}, ErrUnclear},
-		{"stream error of a newer gateway", []string{`{"error":{"code":14,"message":"etcdserver: no leader"}}`}, nil, ErrUnavailable},
-		{"stream error", []string{`{"error":{"grpc_code":14,"message":"etcdserver: no leader"}}`}, nil, ErrUnavailable},
+		{"stream error with code", []string{`{"error":{"code":14,"message":"etcdserver: no leader"}}`}, nil, ErrUnavailable},
+		{"stream error with grpc_code", []string{`{"error":{"grpc_code":14,"message":"etcdserver: no leader"}}`}, nil, ErrUnavailable},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -203,6 +203,6 @@
 		cancel()
 	})
 	if errors.Is(err, ErrNoProgress) {
-		t.Errorf("Watch: %v", err)
+		t.Errorf("Watch: %v, want no timeout during a delivery", err)
 	}
 }
--- a/store/codec.go
+++ b/store/codec.go
@@ -17,7 +17,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Encode returns the stored encoding of a record.
+// Encode encodes a record for the store.
 func Encode(record any) ([]byte, error) {
 	value, err := json.Marshal(record)
 	if err != nil {
@@ -55,7 +55,7 @@
 	case strings.HasPrefix(entry.Key, drainPrefix):
 		change.Drain = strings.TrimPrefix(entry.Key, drainPrefix)
 	default:
-		change.Err = eris.Errorf("key %s has no known prefix", entry.Key)
+		change.Err = eris.Errorf("key %s has an unknown prefix", entry.Key)
 	}
 	return change
 }
@@ -84,7 +84,8 @@
 	return &granted.Key, nil
 }
 
-// GrantedKey is the stored form of a key, with its history for operators.
+// GrantedKey is the stored record of a key, with the data on its grant and its withdrawal that
+// operators see.
 type GrantedKey struct {
 	keyring.Key
 	Note        string    `json:"note,omitempty"`
@@ -94,8 +95,8 @@
 	WithdrawnAt time.Time `json:"withdrawn_at,omitzero"`
 }
 
-// DecodeKey decodes a granted key. Team and ID are taken from the store's key, so that a value
-// cannot claim another team.
+// DecodeKey decodes a granted key. Team and ID are taken from the store's key, so that a value cannot
+// grant access to another team.
 func DecodeKey(storeKey string, value []byte, revision int64) (*GrantedKey, error) {
 	granted, err := decode[GrantedKey](value)
 	if err != nil {
@@ -119,7 +120,7 @@
 	return record, nil
 }
 
-// DecodeAllowance decodes the division of a team's limit and sets its revision.
+// DecodeAllowance decodes the allowance record of a team and sets its revision.
 func DecodeAllowance(value []byte, revision int64) (*allowance.Record, error) {
 	record, err := decode[allowance.Record](value)
 	if err != nil {
--- a/store/follow.go
+++ b/store/follow.go
@@ -9,7 +9,7 @@
 // followRetryDelay is the delay before Follow retries a failed call.
 const followRetryDelay = 150 * time.Millisecond
 
-// Follower receives the results of Follow. All of its methods are called from one goroutine.
+// Follower receives the results of Follow. All methods are called from one goroutine.
 type Follower interface {
 	// Listed receives all keys with the prefix as of a revision. It is called first, and again when
 	// changes were missed.
@@ -20,8 +20,8 @@
 	Failed(error)
 }
 
-// Follow lists the keys with a prefix and then watches them until ctx is done. It lists them again
-// when the missed changes are no longer in the store's history.
+// Follow lists the keys with a prefix and then watches them until ctx is done. It lists them again if
+// the changes since the last one delivered are no longer in the store's history.
 func Follow(ctx context.Context, s Store, prefix string, f Follower) error {
 	next := int64(0) // revision from which to watch; 0 to list first
 	for ctx.Err() == nil {
--- a/store/hedge.go
+++ b/store/hedge.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Hedge configures hedged commits, which send a transaction again while earlier attempts are still
-// in flight. Every attempt has the same conditions, so that at most one takes effect.
+// Hedge configures hedged commits, which send a transaction again while earlier attempts are still in
+// flight. Every attempt has the same compares, so that at most one takes effect.
 type Hedge struct {
 	After time.Duration // delay between two attempts
 	Most  int           // maximum number of attempts; all of them may be in flight at the same time
@@ -18,10 +18,11 @@
 	err    error
 }
 
-// CommitHedged executes a transaction whose conditions no longer hold once it has taken effect. If
-// an attempt fails its compares because an earlier one has succeeded, the result is not succeeded
-// and holds the current records, among which the caller recognizes its own. Replies may be lost or
-// late. Earlier attempts are not canceled, since a slow store does not answer a new attempt sooner.
+// CommitHedged executes a transaction and sends it again if the reply is late or lost. The compares of
+// the transaction must no longer hold once it has taken effect. If the compares of an attempt fail
+// because an earlier attempt has succeeded, the result has Succeeded false, and the caller finds its
+// own records in Current. Earlier attempts are not canceled, since a slow store does not answer a new
+// attempt sooner.
 func CommitHedged(ctx context.Context, s Store, txn Txn, h Hedge) (TxnResult, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -58,7 +59,8 @@
 	}
 }
 
-// mergeErrors returns the last error, marked with ErrUnclear if any attempt may have taken effect.
+// mergeErrors returns the last error, with ErrUnclear in place of its class if any attempt may have
+// taken effect.
 func mergeErrors(unclear bool, last error) error {
 	if unclear && !errors.Is(last, ErrUnclear) {
 		return errors.Join(ErrUnclear, errors.New(last.Error()))
--- a/store/hedge_test.go
+++ b/store/hedge_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// scriptedStore answers each Commit with the next function of its script.
+// scriptedStore executes the next function of its script for each Commit.
 type scriptedStore struct {
 	Store
 	attempts atomic.Int32
@@ -39,34 +39,34 @@
 // TestCommitHedged guards against waiting for a lost reply, against abandoning the late reply of a
 // slow store, and against reporting an unclear outcome as having no effect.
 func TestCommitHedged(t *testing.T) {
-	type try = func(context.Context) (TxnResult, error)
+	type attempt = func(context.Context) (TxnResult, error)
 	done := TxnResult{Succeeded: true, Revision: 7}
 	for _, c := range []struct {
-		name   string
-		script []try
-		want   error
-		within time.Duration
-		tries  int32
+		name     string
+		script   []attempt
+		want     error
+		within   time.Duration
+		attempts int32
 	}{
-		{"answered at once", []try{delayedReply(10*time.Millisecond, done, nil)}, nil, 10 * time.Millisecond, 1},
-		{"first answer lost", []try{lostReply, delayedReply(10*time.Millisecond, done, nil)}, nil, 210 * time.Millisecond, 2},
-		{"slow store", []try{delayedReply(300*time.Millisecond, done, nil), lostReply}, nil, 300 * time.Millisecond, 2},
-		{"refused", []try{delayedReply(10*time.Millisecond, TxnResult{}, ErrUnavailable)}, ErrUnavailable, 10 * time.Millisecond, 1},
-		{"lost, then refused", []try{delayedReply(250*time.Millisecond, TxnResult{}, ErrUnclear), delayedReply(100*time.Millisecond, TxnResult{}, ErrUnavailable)}, ErrUnclear, 300 * time.Millisecond, 2},
-		{"silent", []try{lostReply, lostReply, lostReply}, ErrUnclear, time.Second, 3},
+		{"immediate reply", []attempt{delayedReply(10*time.Millisecond, done, nil)}, nil, 10 * time.Millisecond, 1},
+		{"first reply lost", []attempt{lostReply, delayedReply(10*time.Millisecond, done, nil)}, nil, 210 * time.Millisecond, 2},
+		{"slow store", []attempt{delayedReply(300*time.Millisecond, done, nil), lostReply}, nil, 300 * time.Millisecond, 2},
+		{"unavailable", []attempt{delayedReply(10*time.Millisecond, TxnResult{}, ErrUnavailable)}, ErrUnavailable, 10 * time.Millisecond, 1},
+		{"unclear, then unavailable", []attempt{delayedReply(250*time.Millisecond, TxnResult{}, ErrUnclear), delayedReply(100*time.Millisecond, TxnResult{}, ErrUnavailable)}, ErrUnclear, 300 * time.Millisecond, 2},
+		{"no reply", []attempt{lostReply, lostReply, lostReply}, ErrUnclear, time.Second, 3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
 				s := &scriptedStore{script: c.script}
-				began := time.Now()
+				start := time.Now()
 				r, err := CommitHedged(ctx, s, Txn{}, Hedge{After: 200 * time.Millisecond, Most: 3})
 				if !errors.Is(err, c.want) || (c.want == nil && r.Revision != done.Revision) {
-					t.Errorf("got %+v, %v", r, err)
+					t.Errorf("CommitHedged = %+v, %v; want error %v", r, err, c.want)
 				}
-				if took := time.Since(began); took != c.within || s.attempts.Load() != c.tries {
-					t.Errorf("took %s and %d tries, want %s and %d", took, s.attempts.Load(), c.within, c.tries)
+				if took := time.Since(start); took != c.within || s.attempts.Load() != c.attempts {
+					t.Errorf("took %s and %d attempts, want %s and %d", took, s.attempts.Load(), c.within, c.attempts)
 				}
 				synctest.Wait()
 			})
--- a/store/kv.go
+++ b/store/kv.go
@@ -83,7 +83,8 @@
 	return result, nil
 }
 
-// toWireTxn encodes txn. If a compare fails, the same call reads the compared keys.
+// toWireTxn converts txn to the request of the gateway. If a compare fails, the transaction reads the
+// compared keys.
 func toWireTxn(txn Txn) wire.TxnRequest {
 	var request wire.TxnRequest
 	for _, compare := range txn.Compares {
@@ -113,7 +114,8 @@
 	return KeyValue{Key: string(kv.Key), Value: kv.Value, ModRevision: kv.ModRevision, Lease: kv.Lease}
 }
 
-// missingHeaderError returns the error for a reply that is JSON but does not come from the store.
+// missingHeaderError returns the error for a reply without the header of the store, for example JSON
+// from another server.
 func missingHeaderError(operation string) error {
 	return eris.Wrap(fmt.Errorf("%w: reply has no header", ErrUnclear), operation)
 }
--- a/store/layout.go
+++ b/store/layout.go
@@ -15,10 +15,10 @@
 	recordsPrefix   = "j/"
 )
 
-// DocumentKey returns the key of a document; service is empty for a team's.
+// DocumentKey returns the key of a document; service is empty for the document of the team.
 func DocumentKey(team, service string) string { return documentPrefix + team + "/" + service }
 
-// KeyKey returns the store's key for a granted key of a team.
+// KeyKey returns the store's key of a team's granted key.
 func KeyKey(team, id string) string { return keyPrefix + team + "/" + id }
 
 // MemberKey returns the key of the member record of an instance.
@@ -27,13 +27,14 @@
 // OwnershipKey returns the key of the ownership record of a unit.
 func OwnershipKey(unit string) string { return ownershipPrefix + unit }
 
-// AllowanceKey returns the key of the division of a team's limit.
+// AllowanceKey returns the key of the allowance record of a team, which divides the team's limit among
+// the worker partitions.
 func AllowanceKey(team string) string { return allowancePrefix + team }
 
 // DrainKey returns the key whose presence marks an entry instance or a worker as draining.
 func DrainKey(name string) string { return drainPrefix + name }
 
-// KeysPrefix returns the prefix of the keys of a team, or of all teams.
+// KeysPrefix returns the prefix of the granted keys of a team, or of all teams if team is empty.
 func KeysPrefix(team string) string {
 	if team == "" {
 		return keyPrefix
@@ -47,7 +48,7 @@
 // RecordsKey returns the key of the request records of a shard.
 func RecordsKey(shard string) string { return recordsPrefix + shard }
 
-// splitKey returns the two parts of a key after its prefix, which a slash separates.
+// splitKey splits the part of a key after its prefix at the first slash.
 func splitKey(key, prefix string) (first, second string) {
 	first, second, _ = strings.Cut(strings.TrimPrefix(key, prefix), "/")
 	return first, second
--- a/store/lease.go
+++ b/store/lease.go
@@ -19,7 +19,7 @@
 		return 0, err
 	}
 	if reply.ID == 0 {
-		return 0, eris.Wrap(fmt.Errorf("%w: reply has no lease", ErrUnclear), "grant lease")
+		return 0, eris.Wrap(fmt.Errorf("%w: reply has no lease ID", ErrUnclear), "grant lease")
 	}
 	return reply.ID, nil
 }
@@ -35,7 +35,7 @@
 		return 0, eris.Wrap(streamError(message.Error), operation)
 	}
 	if message.Result == nil || message.Result.ID != lease {
-		return 0, eris.Wrap(fmt.Errorf("%w: reply does not name the lease", ErrUnclear), operation)
+		return 0, eris.Wrap(fmt.Errorf("%w: reply has no result for the lease", ErrUnclear), operation)
 	}
 	if message.Result.TTL <= 0 {
 		return 0, eris.Wrap(ErrLeaseGone, operation)
@@ -56,14 +56,15 @@
 	return nil
 }
 
-// WholeSeconds rounds a time to live up to whole seconds, the store's unit. A longer lease only
-// delays a takeover, whereas a shorter one would expire before its owner expects.
+// WholeSeconds rounds a time to live up to whole seconds, the unit of the store, and to at least one.
+// A longer lease only delays a takeover, whereas a shorter one would expire while its holder still
+// relies on it.
 func WholeSeconds(ttl time.Duration) int64 {
 	return max(1, int64((ttl+time.Second-1)/time.Second))
 }
 
 // streamError classifies the error that ends a stream. Newer gateways send the gRPC status in the
-// field code, older ones in grpc_code next to an HTTP status.
+// field code, older ones in the field grpc_code, together with an HTTP status.
 func streamError(e *wire.StreamError) error {
 	code := cmp.Or(e.GRPCCode, e.Code)
 	return fmt.Errorf("%w: stream ended: %s", classifyCode(code, e.Message), e.Message)
--- a/store/store.go
+++ b/store/store.go
@@ -9,7 +9,8 @@
 // Errors that callers of Store distinguish with errors.Is. Every error of a Store matches exactly
 // one of them.
 var (
-	// ErrUnavailable means that the call certainly had no effect.
+	// ErrUnavailable means that the call certainly had no effect, since the store could not be reached
+	// or did not accept it.
 	ErrUnavailable = errors.New("store unavailable, call had no effect")
 	// ErrUnclear means that the call may have taken effect.
 	ErrUnclear = errors.New("outcome of store call unclear")
@@ -20,7 +21,7 @@
 	// must list the keys again.
 	ErrCompacted = errors.New("revision compacted")
 	// ErrLeaseGone means that the lease has expired or was revoked.
-	ErrLeaseGone = errors.New("lease gone")
+	ErrLeaseGone = errors.New("lease expired or revoked")
 	// ErrNoProgress means that a watch received no message within its timeout. The caller watches
 	// again from the revision after the last one delivered.
 	ErrNoProgress = errors.New("watch made no progress")
@@ -68,15 +69,15 @@
 	Deleted bool
 }
 
-// WatchBatch holds all changes of one revision. Every change up to Revision has
-// been delivered. A batch without changes is a progress notice.
+// WatchBatch holds all changes of one revision. Every change up to Revision has been delivered. A
+// batch without changes is a progress notice.
 type WatchBatch struct {
 	Revision int64
 	Changes  []Change
 }
 
-// Store is the interface of the platform's store to the rest of the project. All methods are safe
-// for concurrent use, and every call except Watch has a deadline.
+// Store accesses the platform's key-value store. All methods are safe for concurrent use, and every
+// call except Watch has a deadline.
 type Store interface {
 	// Get reads one key; the read is linearizable. revision is that of the store.
 	Get(ctx context.Context, key string) (kv KeyValue, found bool, revision int64, err error)
@@ -93,9 +94,9 @@
 	KeepAlive(ctx context.Context, lease int64) (ttl time.Duration, err error)
 	// Revoke ends a lease and deletes its keys.
 	Revoke(ctx context.Context, lease int64) error
-	// Watch delivers the changes of keys with a prefix from revision from, which
-	// is at least 1, in order of revision and without gaps. It blocks until ctx is done or the watch
-	// fails, and always returns an error. To resume, the caller waits for a short delay and watches
-	// again from the last revision delivered plus one.
+	// Watch delivers the changes of keys with a prefix from revision from, which is at least 1, in
+	// order of revision and without gaps. It blocks until ctx is done or the watch fails, and always
+	// returns an error. To resume, the caller watches again after a short delay, from the last
+	// revision delivered plus one.
 	Watch(ctx context.Context, prefix string, from int64, deliver func(WatchBatch)) error
 }
--- a/store/watch.go
+++ b/store/watch.go
@@ -31,13 +31,13 @@
 	})
 	if context.Cause(ctx) == ErrNoProgress {
 		c.Close()
-		return eris.Wrapf(ErrNoProgress, "%s: nothing for %s", operation, c.cfg.ProgressTimeout)
+		return eris.Wrapf(ErrNoProgress, "%s: no message for %s", operation, c.cfg.ProgressTimeout)
 	}
 	return eris.Wrap(err, operation)
 }
 
-// watch opens one stream and passes its batches to passBatches until it fails.
-func (c *Client) watch(ctx context.Context, prefix string, from int64, passBatches func([]WatchBatch)) error {
+// watch opens one stream and passes its batches to deliverBatches until it fails.
+func (c *Client) watch(ctx context.Context, prefix string, from int64, deliverBatches func([]WatchBatch)) error {
 	request := wire.WatchRequest{Create: &wire.WatchCreate{
 		Key:            wire.PrefixStart(prefix),
 		RangeEnd:       wire.PrefixEnd(prefix),
@@ -48,10 +48,10 @@
 	if err != nil {
 		return err
 	}
-	return readWatch(response, from, passBatches)
+	return readWatch(response, from, deliverBatches)
 }
 
-func readWatch(response *http.Response, from int64, passBatches func([]WatchBatch)) error {
+func readWatch(response *http.Response, from int64, deliverBatches func([]WatchBatch)) error {
 	defer response.Body.Close()
 	decoder := json.NewDecoder(response.Body)
 	order := revisionOrder{last: from - 1}
@@ -70,16 +70,16 @@
 		if err != nil {
 			return err
 		}
-		passBatches(batches)
+		deliverBatches(batches)
 	}
 }
 
-// revisionOrder checks that the revisions of a watch do not go back.
-type revisionOrder struct{ last int64 } // every change up to last was delivered
+// revisionOrder checks that the revisions of a watch do not decrease.
+type revisionOrder struct{ last int64 } // every change up to the revision last was delivered
 
 // batches divides a message into one batch for each revision. It takes the revision of a batch from
-// its events, since the revision in the header of a message may be higher than that of events still
-// to come.
+// its events, since the revision in the header of a message may be higher than that of events in later
+// messages.
 func (o *revisionOrder) batches(reply *wire.WatchReply) ([]WatchBatch, error) {
 	switch {
 	case reply.Canceled && reply.CompactRevision > 0:
@@ -100,7 +100,7 @@
 			continue
 		}
 		if revision <= o.last {
-			return nil, fmt.Errorf("%w: watch went back from revision %d to %d", ErrUnclear, o.last, revision)
+			return nil, fmt.Errorf("%w: watch messages are out of order: revision %d is followed by %d", ErrUnclear, o.last, revision)
 		}
 		o.last = revision
 		batches = append(batches, WatchBatch{Revision: revision, Changes: []Change{change}})
@@ -113,7 +113,7 @@
 		return nil, fmt.Errorf("%w: progress notice has no header", ErrUnclear)
 	}
 	if reply.Header.Revision < o.last {
-		return nil, fmt.Errorf("%w: watch went back from revision %d to %d", ErrUnclear, o.last, reply.Header.Revision)
+		return nil, fmt.Errorf("%w: watch messages are out of order: revision %d is followed by %d", ErrUnclear, o.last, reply.Header.Revision)
 	}
 	o.last = reply.Header.Revision
 	return []WatchBatch{{Revision: o.last}}, nil
