--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -98,8 +98,8 @@
 // requests in flight and closes.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.stop()
-	group, background := errgroup.WithContext(d.effectsCtx)
-	group.Go(func() error { return d.engine.run(background) })
+	group, groupCtx := errgroup.WithContext(d.effectsCtx)
+	group.Go(func() error { return d.engine.run(groupCtx) })
 	group.Go(func() error { return d.callers.Serve(d.listeners.caller) })
 	group.Go(func() error { return d.operators.Serve(d.listeners.operator) })
 	group.Go(func() error { return d.entries.Serve(d.listeners.entry) })
@@ -107,7 +107,7 @@
 		select {
 		case <-ctx.Done():
 			d.shutdown()
-		case <-background.Done():
+		case <-groupCtx.Done():
 		}
 		d.stop()
 		return nil
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -26,17 +26,17 @@
 		return operator.Held{}, err
 	}
 	for range maxApplyAttempts {
-		before, revision, err := b.readDocument(ctx, key)
+		current, revision, err := b.readDocument(ctx, key)
 		if err != nil {
 			return operator.Held{}, err
 		}
-		if before.WriteID == record.WriteID {
+		if current.WriteID == record.WriteID {
 			return b.awaitApplied(ctx, change, record, revision) // an earlier attempt whose reply was lost
 		}
 		if revision != change.Expected {
-			return operator.Held{}, &operator.Conflict{Expected: change.Expected, Current: operator.Held{Ref: change.Ref, Record: before, Revision: revision}}
+			return operator.Held{}, &operator.Conflict{Expected: change.Expected, Current: operator.Held{Ref: change.Ref, Record: current, Revision: revision}}
 		}
-		record.Previous = before.Source
+		record.Previous = current.Source
 		result, outcome, err := b.writeDocument(ctx, key, change, record)
 		switch {
 		case err != nil:
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -107,11 +107,11 @@
 		d.log.Warn("started without store and instance list", "err", err)
 		return
 	}
-	for _, i := range instances {
-		if i.Role != instancelist.RoleEntry || i.Name == d.cfg.Self.Instance || i.State == instancelist.StateGone {
+	for _, instance := range instances {
+		if instance.Role != instancelist.RoleEntry || instance.Name == d.cfg.Self.Instance || instance.State == instancelist.StateGone {
 			continue
 		}
-		to := membership.Member{Instance: i.Name, Address: i.Address, Region: i.Region, FailureDomain: i.FailureDomain}
+		to := membership.Member{Instance: instance.Name, Address: instance.Address, Region: instance.Region, FailureDomain: instance.FailureDomain}
 		d.send(ctx, control.Send{To: to, Request: control.FetchConfigRequest{}, Timeout: d.cfg.Control.CallTimeout, SentAt: time.Now()})
 	}
 }
@@ -149,9 +149,9 @@
 		return nil
 	}
 	listed := map[worker.Address]bool{}
-	for _, i := range instances {
-		if i.Role == instancelist.RoleWorker && i.State != instancelist.StateGone {
-			listed[worker.Address(i.Address)] = true
+	for _, instance := range instances {
+		if instance.Role == instancelist.RoleWorker && instance.State != instancelist.StateGone {
+			listed[worker.Address(instance.Address)] = true
 		}
 	}
 	for address := range known {
@@ -164,14 +164,14 @@
 
 func toInstancesListed(sentAt time.Time, instances []instancelist.Instance) control.InstancesListed {
 	e := control.InstancesListed{SentAt: sentAt}
-	for _, i := range instances {
-		isGone := i.State == instancelist.StateGone
+	for _, instance := range instances {
+		isGone := instance.State == instancelist.StateGone
 		switch {
-		case i.Role == instancelist.RoleWorker:
-			e.Workers = append(e.Workers, control.ListedWorker{Name: i.Name, Address: i.Address, Region: i.Region, FailureDomain: i.FailureDomain,
-				Rack: i.Rack, Leaving: i.State == instancelist.StateLeaving, Gone: isGone})
+		case instance.Role == instancelist.RoleWorker:
+			e.Workers = append(e.Workers, control.ListedWorker{Name: instance.Name, Address: instance.Address, Region: instance.Region,
+				FailureDomain: instance.FailureDomain, Rack: instance.Rack, Leaving: instance.State == instancelist.StateLeaving, Gone: isGone})
 		case !isGone:
-			e.Entries = append(e.Entries, membership.Member{Instance: i.Name, Address: i.Address, Region: i.Region, FailureDomain: i.FailureDomain})
+			e.Entries = append(e.Entries, membership.Member{Instance: instance.Name, Address: instance.Address, Region: instance.Region, FailureDomain: instance.FailureDomain})
 		}
 	}
 	return e
