--- a/daemon/deployment_test.go
+++ b/daemon/deployment_test.go
@@ -30,11 +30,11 @@
 // deployment is a small deployment with fakes at the interfaces to the peers. It runs in a
 // testing/synctest bubble, so that time is virtual.
 type deployment struct {
-	t       *testing.T
-	store   *storetest.Memory
-	workers map[string]*standin.Worker
-	local   *standin.LocalWorkers
-	listing []instancelist.Instance
+	t            *testing.T
+	store        *storetest.Memory
+	workers      map[string]*standin.Worker
+	localWorkers *standin.LocalWorkers
+	listing      []instancelist.Instance
 
 	mu      sync.Mutex
 	nodes   []*node // every process, including those that have ended
@@ -79,12 +79,12 @@
 
 // newDeploymentWith is newDeployment with a hook that changes the clients of every process.
 func newDeploymentWith(t *testing.T, instances, workers int, clients func(*node, Clients) Clients) *deployment {
-	w := &deployment{t: t, clients: clients, store: storetest.NewMemory(storetest.Config{}), workers: map[string]*standin.Worker{}, local: standin.NewLocalWorkers(nil)}
+	w := &deployment{t: t, clients: clients, store: storetest.NewMemory(storetest.Config{}), workers: map[string]*standin.Worker{}, localWorkers: standin.NewLocalWorkers(nil)}
 	for i := range workers {
 		name := fmt.Sprintf("worker-%d", i)
 		w.workers[name] = standin.NewWorker(standin.WorkerConfig{Name: name, UsageLag: 5 * time.Second,
 			Capacity: task.Resources{CPUMilli: 4000, MemoryMB: 8192, Slots: 4, Connections: 16}})
-		w.local.Set(worker.Address(name), w.workers[name])
+		w.localWorkers.Set(worker.Address(name), w.workers[name])
 		w.listing = append(w.listing, instancelist.Instance{Name: name, Address: name, Role: instancelist.RoleWorker, Region: testRegion,
 			FailureDomain: fmt.Sprintf("domain-%d", i), Rack: fmt.Sprintf("rack-%d", i), State: instancelist.StateLive})
 	}
@@ -140,7 +140,7 @@
 	w.mu.Unlock()
 	n := &node{deployment: w, index: i}
 	n.engine = newEngine(cfg, log.New(io.Discard), w.clients(n, Clients{
-		Store: &storeFake{Store: w.store.Client(s.Instance), node: n}, List: &listFake{n}, Workers: &workerFake{API: w.local, node: n}, Entries: &entryFake{n},
+		Store: &storeFake{Store: w.store.Client(s.Instance), node: n}, List: &listFake{n}, Workers: &workerFake{API: w.localWorkers, node: n}, Entries: &entryFake{n},
 	}))
 	n.executor = func(e control.Effect) {
 		n.waitWhileFrozen()
