placement: reword comments and rename unexported identifiers

Two failures of applyRandomStep print added arguments, the expected result of Reserve and the attempt of Release; what they check is unchanged.

--- a/placement/alloc_test.go
+++ b/placement/alloc_test.go
@@ -8,9 +8,9 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// TestDecisionAllocatesNothing guards against heap allocations in a decision: at 6,200 decisions
-// a second they would cause frequent garbage collection.
-func TestDecisionAllocatesNothing(t *testing.T) {
+// TestDecisionDoesNotAllocate guards against heap allocations in a placement decision: at 6,200
+// decisions a second they would cause frequent garbage collection.
+func TestDecisionDoesNotAllocate(t *testing.T) {
 	c := newFleet(500)
 	fillFleet(c, "half", rand.New(rand.NewPCG(1, 2)))
 	attempts := make([]task.Attempt, 64)
@@ -24,6 +24,6 @@
 		i++
 	})
 	if allocations != 0 {
-		t.Errorf("%v allocations per decision", allocations)
+		t.Errorf("%v allocations per decision, want 0", allocations)
 	}
 }
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -21,7 +21,7 @@
 	{CPUMilli: 4000, MemoryMB: 32768, Slots: 1, Accelerators: 1},
 }
 
-// newFleet returns a cluster in which a third of the workers have accelerators.
+// newFleet returns a cluster of empty workers, a third of which have accelerators.
 func newFleet(workers int) *Cluster {
 	c := NewCluster()
 	for i := range workers {
@@ -43,8 +43,8 @@
 	return c
 }
 
-// fillFleet reserves tasks up to the given fill state: in "half" and "full" some nodes still have
-// capacity, in "none" no request fits.
+// fillFleet reserves capacity for tasks up to the given fill state: in "half" and "full" some nodes
+// still have free capacity, in "none" no request fits.
 func fillFleet(c *Cluster, fill string, random *rand.Rand) {
 	started := 0
 	for i := range c.nodes {
@@ -99,7 +99,8 @@
 	})
 }
 
-// scan is the linear baseline. It returns the first node with the least capacity left over.
+// scan is the linear best-fit baseline. It returns the lowest index of a node with the lowest score
+// among those on which size fits, or -1.
 func scan(free []task.Resources, size *task.Resources) int {
 	best, bestScore := -1, uint32(0)
 	for i := range free {
@@ -113,8 +114,8 @@
 	return best
 }
 
-// BenchmarkDecision measures a selection, its reservation and the release of an earlier task,
-// which keeps utilization constant.
+// BenchmarkDecision measures a selection, its reservation and the release of an earlier
+// reservation, which keeps utilization constant.
 func BenchmarkDecision(b *testing.B) {
 	forEachFleet(b, func(b *testing.B, c *Cluster) {
 		attempts := make([]task.Attempt, 256)
@@ -129,6 +130,7 @@
 	})
 }
 
+// decide releases the earlier reservation of attempt i, selects a node for it and reserves it.
 func decide(c *Cluster, attempts []task.Attempt, i int) {
 	a, size := attempts[i%len(attempts)], commonSizes[i%len(commonSizes)]
 	c.Release(a)
--- a/placement/bitmap.go
+++ b/placement/bitmap.go
@@ -4,7 +4,7 @@
 
 const wordBits = 64
 
-// bitmap is a set of node slots.
+// bitmap is a set of node slots, one bit per slot.
 type bitmap []uint64
 
 func (b bitmap) set(slot int32)   { b[slot/wordBits] |= 1 << (slot % wordBits) }
@@ -18,14 +18,14 @@
 	b.clear(slot)
 }
 
-// union adds the slots of other to b.
+// union adds the slots in other to b.
 func (b bitmap) union(other bitmap) {
 	for w, value := range other {
 		b[w] |= value
 	}
 }
 
-// grown returns b extended to at least the given number of words.
+// grown returns b, extended if necessary to at least the given number of words.
 func (b bitmap) grown(words int) bitmap {
 	if len(b) >= words {
 		return b
--- a/placement/cluster.go
+++ b/placement/cluster.go
@@ -4,7 +4,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Node describes a worker to the cluster.
+// Node is the identity, topology and capacity of a worker.
 type Node struct {
 	Name          string
 	Rack          string
@@ -12,38 +12,38 @@
 	Region        string
 	Partition     string
 	Capacity      task.Resources
-	Schedulable   bool // false while the worker drains, is quarantined, or has not reported
+	Schedulable   bool // false while the worker is draining or quarantined or has not reported
 }
 
 // node is a Node with its resource accounting.
 type node struct {
 	Node
 	free             task.Resources // negative where Assume over-committed the node
-	reservationCount int            // number of reservations
-	removed          bool           // out of service; deleted with its last reservation
+	reservationCount int
+	removed          bool // set by Remove; the node is deleted once it has no reservations
 	penalty          uint8
 	rack             *rack
 	domain           *group
-	indexed          indexEntry
-	freeCounted      task.Resources // part of Cluster.free
+	indexed          indexEntry     // the node's current entry in Cluster.index
+	countedFree      task.Resources // amount of this node that is included in Cluster.free
 }
 
 // group is the set of nodes in one partition, region or failure domain.
 type group struct {
-	number  int
+	index   int // creation order among the groups of the same kind
 	members bitmap
 }
 
 type rackKey struct{ region, domain, rack string }
 
-// rack is the set of nodes in one rack, kept as a few words because the slots of its nodes are
-// mostly adjacent.
+// rack is the set of nodes in one rack. It is a sparse bitmap, because the slots of its nodes are
+// mostly adjacent and so occupy few words.
 type rack struct {
-	domain  int // number of its failure domain
-	members []candidate
+	domainIndex int // index of its failure domain in Cluster.domainList
+	members     []sparseWord
 }
 
-// reservation is the capacity that one attempt holds on a node.
+// reservation is the capacity that is reserved on a node for one attempt.
 type reservation struct {
 	slot   int32
 	size   task.Resources
@@ -60,10 +60,10 @@
 	partitions   map[string]*group
 	regions      map[string]*group
 	domains      map[string]*group
-	domainList   []*group // failure domains by number
+	domainList   []*group // failure domains by group.index
 	racks        map[rackKey]*rack
 	spreads      map[string]*spread
-	capacities   map[task.Resources]int // number of nodes by capacity
+	capacities   map[task.Resources]int // number of nodes that are not removed, by capacity
 	capacity     task.Resources         // total of the schedulable nodes
 	free         task.Resources         // total of the eligible nodes
 	index        index
@@ -88,7 +88,7 @@
 func (c *Cluster) Upsert(n Node) {
 	slot, known := c.byName[n.Name]
 	if !known {
-		slot = c.newSlot(n.Name)
+		slot = c.allocateSlot(n.Name)
 	}
 	current := &c.nodes[slot]
 	if known && !current.removed && current.Node == n {
@@ -96,22 +96,22 @@
 	}
 	used := current.Capacity.Sub(current.free)
 	if known && !current.removed {
-		c.leaveGroups(slot)
+		c.removeFromGroups(slot)
 	}
 	current.Node, current.removed = n, false
 	current.free = n.Capacity.Sub(used)
-	c.joinGroups(slot)
+	c.addToGroups(slot)
 	c.updateIndex(slot)
 }
 
-// Remove takes a node out of service. Its reservations are kept until they are released, so that
-// the capacity in use on a worker that comes back is not allocated twice.
+// Remove removes a node from service. Its reservations are kept until they are released, so that
+// capacity in use is not allocated twice if the worker is added again.
 func (c *Cluster) Remove(name string) {
 	slot, known := c.byName[name]
 	if !known || c.nodes[slot].removed {
 		return
 	}
-	c.leaveGroups(slot)
+	c.removeFromGroups(slot)
 	c.nodes[slot].removed = true
 	c.updateIndex(slot)
 	c.deleteIfUnused(slot)
@@ -128,7 +128,8 @@
 	c.updateIndex(slot)
 }
 
-// EverFits reports whether size fits on some node that has no reservations.
+// EverFits reports whether size fits into the total capacity of some node, regardless of
+// reservations.
 func (c *Cluster) EverFits(size task.Resources) bool {
 	for capacity := range c.capacities {
 		if size.Fits(capacity) {
@@ -138,14 +139,14 @@
 	return false
 }
 
-// Free returns the free capacity of all eligible nodes.
+// Free returns the total free capacity of the nodes that are schedulable and not over-committed.
 func (c *Cluster) Free() task.Resources { return c.free }
 
-// Capacity returns the capacity of all schedulable nodes.
+// Capacity returns the total capacity of the schedulable nodes.
 func (c *Cluster) Capacity() task.Resources { return c.capacity }
 
-// FreeOn returns the free capacity of one node; amounts are negative where the node is
-// over-committed.
+// FreeOn returns the free capacity of one node. The amount of an over-committed resource is
+// negative.
 func (c *Cluster) FreeOn(name string) (free task.Resources, known bool) {
 	slot, known := c.byName[name]
 	if !known || c.nodes[slot].removed {
@@ -154,7 +155,7 @@
 	return c.nodes[slot].free, true
 }
 
-func (c *Cluster) newSlot(name string) int32 {
+func (c *Cluster) allocateSlot(name string) int32 {
 	if last := len(c.vacantSlots) - 1; last >= 0 {
 		slot := c.vacantSlots[last]
 		c.vacantSlots = c.vacantSlots[:last]
@@ -170,9 +171,9 @@
 	return slot
 }
 
-// growWords is the number of words by which bitmaps grow, one cache line. With doubling, each
-// search would scan up to twice the words it needs, and bitmaps whose size is a power of 2 would
-// compete for the same cache lines.
+// growWords is the number of words by which bitmaps grow: one cache line. If they doubled, each
+// search would scan up to twice as many words as necessary, and bitmaps with a power-of-2 size
+// would map to the same cache lines.
 const growWords = 8
 
 func (c *Cluster) grow(words int) {
@@ -185,13 +186,14 @@
 	}
 }
 
-func (c *Cluster) joinGroups(slot int32) {
+// addToGroups adds a node to its groups, its rack and the capacity totals.
+func (c *Cluster) addToGroups(slot int32) {
 	n := &c.nodes[slot]
-	c.groupOf(c.partitions, n.Partition).members.set(slot)
-	c.groupOf(c.regions, n.Region).members.set(slot)
-	n.domain = c.domainOf(n.FailureDomain)
+	c.getOrCreateGroup(c.partitions, n.Partition).members.set(slot)
+	c.getOrCreateGroup(c.regions, n.Region).members.set(slot)
+	n.domain = c.getOrCreateDomain(n.FailureDomain)
 	n.domain.members.set(slot)
-	n.rack = c.rackOf(n)
+	n.rack = c.getOrCreateRack(n)
 	n.rack.add(slot)
 	c.capacities[n.Capacity]++
 	if n.Schedulable {
@@ -199,7 +201,7 @@
 	}
 }
 
-func (c *Cluster) leaveGroups(slot int32) {
+func (c *Cluster) removeFromGroups(slot int32) {
 	n := &c.nodes[slot]
 	c.partitions[n.Partition].members.clear(slot)
 	c.regions[n.Region].members.clear(slot)
@@ -214,28 +216,28 @@
 	}
 }
 
-func (c *Cluster) groupOf(groups map[string]*group, name string) *group {
+func (c *Cluster) getOrCreateGroup(groups map[string]*group, name string) *group {
 	g, known := groups[name]
 	if !known {
-		g = &group{number: len(groups), members: make(bitmap, c.index.words)}
+		g = &group{index: len(groups), members: make(bitmap, c.index.words)}
 		groups[name] = g
 	}
 	return g
 }
 
-func (c *Cluster) domainOf(name string) *group {
-	g := c.groupOf(c.domains, name)
-	if g.number == len(c.domainList) {
+func (c *Cluster) getOrCreateDomain(name string) *group {
+	g := c.getOrCreateGroup(c.domains, name)
+	if g.index == len(c.domainList) {
 		c.domainList = append(c.domainList, g)
 	}
 	return g
 }
 
-func (c *Cluster) rackOf(n *node) *rack {
+func (c *Cluster) getOrCreateRack(n *node) *rack {
 	key := rackKey{n.Region, n.FailureDomain, n.Rack}
 	r, known := c.racks[key]
 	if !known {
-		r = &rack{domain: n.domain.number}
+		r = &rack{domainIndex: n.domain.index}
 		c.racks[key] = r
 	}
 	return r
@@ -249,7 +251,7 @@
 			return
 		}
 	}
-	r.members = append(r.members, candidate{bit, word})
+	r.members = append(r.members, sparseWord{bit, word})
 }
 
 func (r *rack) remove(slot int32) {
@@ -267,12 +269,12 @@
 		return
 	}
 	delete(c.byName, n.Name)
-	*n = node{indexed: n.indexed, freeCounted: n.freeCounted}
+	*n = node{indexed: n.indexed, countedFree: n.countedFree}
 	c.updateIndex(slot)
 	c.vacantSlots = append(c.vacantSlots, slot)
 }
 
-// updateIndex updates the index and the free total after a change to a node.
+// updateIndex updates the index and the total free capacity after a change to a node.
 func (c *Cluster) updateIndex(slot int32) {
 	n := &c.nodes[slot]
 	var e indexEntry
@@ -290,6 +292,6 @@
 	if e.eligible {
 		counted = n.free
 	}
-	c.free = c.free.Add(counted.Sub(n.freeCounted))
-	n.freeCounted = counted
+	c.free = c.free.Add(counted.Sub(n.countedFree))
+	n.countedFree = counted
 }
--- a/placement/filter.go
+++ b/placement/filter.go
@@ -8,7 +8,7 @@
 	if req.Size.HasNegative() {
 		return false
 	}
-	copy(c.search.found, c.index.eligible)
+	copy(c.search.result, c.index.eligible)
 	if req.Partition != "" {
 		g, known := c.partitions[req.Partition]
 		if !known {
@@ -16,19 +16,19 @@
 		}
 		c.search.intersect(g.members)
 	}
-	if !c.filterLevels(&req.Size) {
+	if !c.filterBySize(&req.Size) {
 		return false
 	}
 	for _, name := range req.Avoid {
 		if slot, known := c.byName[name]; known {
-			c.search.found.clear(slot)
+			c.search.result.clear(slot)
 		}
 	}
 	return c.search.compact()
 }
 
-// filterLevels narrows the search result to the nodes on which size fits.
-func (c *Cluster) filterLevels(size *task.Resources) bool {
+// filterBySize narrows the search result to the nodes on which size fits.
+func (c *Cluster) filterBySize(size *task.Resources) bool {
 	var boundaries [resourceCount]boundary
 	boundaryCount := 0
 	whole := isWholeUnits(size)
@@ -54,14 +54,14 @@
 	return true
 }
 
-// boundary is the level that a requested amount shares with smaller amounts. Nodes above the level
-// have enough of the resource; nodes at the level need an exact comparison.
-type boundary struct{ at, above bitmap }
+// boundary is the level of a requested amount, if smaller amounts have the same level. Nodes above
+// the level have enough of the resource; nodes at the level need an exact comparison.
+type boundary struct{ atOrAbove, above bitmap }
 
 func (c *Cluster) boundaryOf(r, level int) boundary {
-	b := boundary{at: c.index.eligible}
+	b := boundary{atOrAbove: c.index.eligible}
 	if level > 0 {
-		b.at = c.index.levels[r][level]
+		b.atOrAbove = c.index.levels[r][level]
 	}
 	if level+1 < len(c.index.levels[r]) {
 		b.above = c.index.levels[r][level+1]
@@ -69,21 +69,21 @@
 	return b
 }
 
-// dropInsufficient drops the nodes at a boundary level on which size does not fit, by an exact
-// comparison.
+// dropInsufficient compares size with the free capacity of each node at a boundary level, and removes
+// the nodes on which it does not fit from the search result.
 func (c *Cluster) dropInsufficient(size *task.Resources, boundaries []boundary) {
-	for w, found := range c.search.found {
-		if found == 0 {
+	for w, value := range c.search.result {
+		if value == 0 {
 			continue
 		}
 		unverified := uint64(0)
 		for i := range boundaries {
 			unverified |= boundaries[i].nodesAt(w)
 		}
-		for unverified &= found; unverified != 0; unverified &= unverified - 1 {
+		for unverified &= value; unverified != 0; unverified &= unverified - 1 {
 			slot := slotOf(int32(w), unverified)
 			if !size.Fits(c.nodes[slot].free) {
-				c.search.found.clear(slot)
+				c.search.result.clear(slot)
 			}
 		}
 	}
@@ -92,7 +92,7 @@
 // nodesAt returns the nodes of one word that are at the level and not above it.
 func (b *boundary) nodesAt(word int) uint64 {
 	if b.above == nil {
-		return b.at[word]
+		return b.atOrAbove[word]
 	}
-	return b.at[word] &^ b.above[word]
+	return b.atOrAbove[word] &^ b.above[word]
 }
--- a/placement/find.go
+++ b/placement/find.go
@@ -2,7 +2,7 @@
 
 import "github.com/mulberrydrum/mulberrydrum/task"
 
-// Request describes the node that a task needs.
+// Request specifies the size of a task and its placement constraints and preferences.
 type Request struct {
 	Size      task.Resources
 	Partition string   // worker partition; empty for any
@@ -11,10 +11,10 @@
 	Avoid     []string // nodes to exclude
 }
 
-// Find selects a node for a request. Among the nodes that fit, it prefers in this order the
-// preferred region, the lowest penalty, the failure domains and then the racks with the fewest
-// attempts of the spread key, the lowest score, and the lowest slot. A preference that no remaining
-// node meets is ignored. Find changes no state; Reserve commits the selection.
+// Find selects a node for a request. It narrows the nodes that fit by these preferences, in order:
+// the preferred region, the lowest penalty, the failure domains and then the racks with the fewest
+// attempts of the spread key, the lowest score (best fit), and the lowest slot. A preference that no
+// remaining node meets is ignored. Find does not reserve capacity; Reserve does.
 func (c *Cluster) Find(req Request) (name string, ok bool) {
 	slot := c.find(&req)
 	if slot < 0 {
@@ -61,19 +61,19 @@
 	}
 }
 
-// preferDomains narrows the result to the failure domains with the fewest attempts and returns that
-// number.
+// preferDomains narrows the result to the failure domains with the fewest attempts and returns the
+// number of attempts in each of them.
 func (c *Cluster) preferDomains(s *spread) int32 {
 	fewest := int32(-1)
 	for _, g := range c.domainList {
-		count := s.inDomain(g.number)
+		count := s.countInDomain(g.index)
 		if (fewest < 0 || count < fewest) && c.search.intersects(g.members) {
 			fewest = count
 		}
 	}
 	clear(c.search.scratch)
 	for _, g := range c.domainList {
-		if s.inDomain(g.number) == fewest {
+		if s.countInDomain(g.index) == fewest {
 			c.search.scratch.union(g.members)
 		}
 	}
@@ -82,30 +82,30 @@
 }
 
 // preferRacks narrows the result to the racks with the fewest attempts. It first tries the racks
-// without attempts by clearing the nodes of racks that have some. If none of those fits, only racks
-// with attempts are left, and the fewest attempts are found among them. Racks in other failure
-// domains are already excluded and are skipped.
-func (c *Cluster) preferRacks(s *spread, inDomain int32) {
-	if inDomain == 0 || c.dropRacksAbove(s, inDomain, 0) {
+// without attempts, by excluding every rack that has some. If that leaves no node, all remaining
+// nodes are in racks with attempts, and the minimum is taken over those racks. Racks in failure
+// domains with another number of attempts than attemptsInDomain are already excluded and are skipped.
+func (c *Cluster) preferRacks(s *spread, attemptsInDomain int32) {
+	if attemptsInDomain == 0 || c.dropRacksAbove(s, attemptsInDomain, 0) {
 		return
 	}
 	fewest := int32(-1)
-	for i := range s.racks {
-		r := &s.racks[i]
+	for i := range s.rackCounts {
+		r := &s.rackCounts[i]
 		if (fewest < 0 || r.count < fewest) && c.search.hasAny(r.rack.members) {
 			fewest = r.count
 		}
 	}
-	c.dropRacksAbove(s, inDomain, fewest)
+	c.dropRacksAbove(s, attemptsInDomain, fewest)
 }
 
-// dropRacksAbove drops the racks with more than count attempts, unless nothing would be left, and
-// reports whether it did.
-func (c *Cluster) dropRacksAbove(s *spread, inDomain, count int32) bool {
-	copy(c.search.scratch, c.search.found)
-	for i := range s.racks {
-		r := &s.racks[i]
-		if r.count <= count || s.inDomain(r.rack.domain) != inDomain {
+// dropRacksAbove removes the racks with more than count attempts from the result, unless no node
+// would remain, and reports whether it did.
+func (c *Cluster) dropRacksAbove(s *spread, attemptsInDomain, count int32) bool {
+	copy(c.search.scratch, c.search.result)
+	for i := range s.rackCounts {
+		r := &s.rackCounts[i]
+		if r.count <= count || s.countInDomain(r.rack.domainIndex) != attemptsInDomain {
 			continue
 		}
 		for _, m := range r.rack.members {
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -2,10 +2,10 @@
 
 import "math"
 
-// FindGang selects a node for each of count members of equal size, or for none of them. A node may
-// appear more than once. Because the members are equal, the number that fits on one node does not
-// depend on the other nodes, so the greedy selection succeeds for every gang that fits. FindGang
-// changes no state; the caller reserves each member.
+// FindGang selects the nodes for a gang of count members of equal size. It succeeds for all members
+// or fails for all. A node may be selected more than once. Because the members are equal, the number
+// that fits on one node does not depend on the other nodes, so the greedy selection succeeds for
+// every gang that fits. FindGang does not reserve capacity; the caller reserves it for each member.
 func (c *Cluster) FindGang(req Request, count int) (names []string, ok bool) {
 	if count <= 0 || !c.hasCapacityFor(&req, count) {
 		return nil, false
@@ -37,15 +37,15 @@
 	return names, true
 }
 
-// hasCapacityFor reports whether count members fit, without selecting nodes.
+// hasCapacityFor reports whether count members fit on the eligible nodes, without selecting nodes.
 func (c *Cluster) hasCapacityFor(req *Request, count int) bool {
 	if !c.filter(req) {
 		return false
 	}
 	capacity := int64(0)
 	for _, w := range c.search.activeWords {
-		for remaining := c.search.found[w]; remaining != 0; remaining &= remaining - 1 {
-			capacity += c.membersOn(slotOf(w, remaining), req, int64(count))
+		for remaining := c.search.result[w]; remaining != 0; remaining &= remaining - 1 {
+			capacity += c.membersFittingOn(slotOf(w, remaining), req, int64(count))
 			if capacity >= int64(count) {
 				return true
 			}
@@ -54,8 +54,8 @@
 	return false
 }
 
-// membersOn returns how many members fit on a node, at most limit.
-func (c *Cluster) membersOn(slot int32, req *Request, limit int64) int64 {
+// membersFittingOn returns how many members fit on a node, at most limit.
+func (c *Cluster) membersFittingOn(slot int32, req *Request, limit int64) int64 {
 	fit := int64(math.MaxInt64)
 	free := amounts(&c.nodes[slot].free)
 	for r, amount := range amounts(&req.Size) {
--- a/placement/index.go
+++ b/placement/index.go
@@ -9,22 +9,23 @@
 // resourceCount is the number of resources in task.Resources.
 const resourceCount = 5
 
-// Levels count CPU and memory in these units. With smaller units, each change on a nearly full node
-// would move it across many levels.
+// Units in which CPU and memory are converted to levels. With smaller units, each change on a nearly
+// full node would move it across many levels.
 const (
 	cpuLevelUnit    = 50  // thousandths of a processor
 	memoryLevelUnit = 128 // megabytes
 )
 
-// mantissaBits is the precision of a level. With 3 bits, each amount below 16 units has its own
-// level, and a larger amount shares its level with amounts within 12.5%.
+// mantissaBits is the precision of a level, which encodes an amount like a floating-point number.
+// With 3 bits, each amount below 16 units has its own level, and a larger amount has the same level
+// as other amounts within 12.5%.
 const mantissaBits = 3
 
 // The score of a node is the weighted sum of its free amounts. A request takes the same amount on
-// every node, so the fitting node with the lowest score is the best fit, with the least left over.
-// One point is 1/256 of a typical worker (32 cores, 128 GB, 8 slots, 64 connections). An
-// accelerator scores as much as one resource of four entire workers, which keeps other work off
-// nodes with free accelerators.
+// every node, so the fitting node with the lowest score is the best fit, with the least capacity left
+// over. One point is 1/256 of the amount of one resource on a typical worker (32 cores, 128 GB, 8
+// slots, 64 connections). An accelerator scores as much as the amount of one resource on four typical
+// workers, so that other work avoids nodes with free accelerators.
 const (
 	cpuScoreUnit     = 125 // thousandths of a processor
 	memoryScoreUnit  = 512 // megabytes
@@ -51,19 +52,19 @@
 
 // index finds nodes by free capacity. levels[r][k] is the set of nodes whose free amount of
 // resource r is at level k or above. Scores and penalties are bit-sliced: each plane holds one bit
-// of the number of every node.
+// of the value of every node.
 type index struct {
-	words    int
-	eligible bitmap
+	words    int    // length of each bitmap
+	eligible bitmap // nodes that are schedulable, not removed and not over-committed
 	levels   [resourceCount][]bitmap
 	score    [scoreBits]bitPlane
 	penalty  [penaltyBits]bitPlane
 }
 
-// bitPlane holds one bit of a number that every node has.
+// bitPlane holds one bit of the score or penalty of every node.
 type bitPlane struct {
-	members bitmap // nodes whose number has the bit set
-	count   int    // of members
+	members bitmap // nodes whose value has the bit set
+	count   int    // number of members
 }
 
 func (idx *index) grow(words int) {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -54,7 +54,7 @@
 func nodeName(i int) string { return fmt.Sprintf("n%03d", i) }
 
 // TestFindEqualsScan guards against an index that, after some sequence of changes, selects a
-// different node than a linear scan, or none where the scan finds one.
+// different node than a linear scan, or none although the scan finds one.
 func TestFindEqualsScan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := rapid.IntRange(1, 150).Draw(t, "nodes")
@@ -65,9 +65,9 @@
 			c.Upsert(refNode)
 			ref.nodes[refNode.Name] = &referenceNode{Node: refNode, slot: c.byName[refNode.Name]}
 		}
-		next := 0
+		nextTask := 0
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			applyRandomStep(t, c, ref, nodes, &next)
+			applyRandomStep(t, c, ref, nodes, &nextTask)
 			checkTotals(t, c, ref)
 			req := drawRequest(t, nodes)
 			got, ok := c.Find(req)
@@ -79,31 +79,31 @@
 	})
 }
 
-func applyRandomStep(t *rapid.T, c *Cluster, ref *reference, nodes int, next *int) {
+func applyRandomStep(t *rapid.T, c *Cluster, ref *reference, nodes int, nextTask *int) {
 	name := nodeName(rapid.IntRange(0, nodes-1).Draw(t, "node"))
 	size := drawSize(t)
-	a := task.Attempt{Task: task.ID(fmt.Sprint("t", *next)), Number: 1}
+	a := task.Attempt{Task: task.ID(fmt.Sprint("t", *nextTask)), Number: 1}
 	switch rapid.IntRange(0, 6).Draw(t, "step") {
 	case 0, 1:
-		*next++
+		*nextTask++
 		free := ref.free(name)
 		want := size.Fits(free) && !free.HasNegative()
 		if got := c.Reserve(name, a, size); got != want {
-			t.Fatalf("Reserve(%s, %v) = %v with %v free", name, size, got, free)
+			t.Fatalf("Reserve(%s, %v) = %v with %v free, want %v", name, size, got, free, want)
 		}
 		if want {
 			ref.reserve(c, name, a, size, rapid.SampledFrom([]string{"", "s", "u"}).Draw(t, "key"))
 		}
 	case 2:
-		*next++
+		*nextTask++
 		c.Assume(name, a, size)
 		ref.reserve(c, name, a, size, "")
 	case 3:
-		old := task.Attempt{Task: task.ID(fmt.Sprint("t", rapid.IntRange(0, *next).Draw(t, "release"))), Number: 1}
-		h, held := ref.reservations[old]
+		old := task.Attempt{Task: task.ID(fmt.Sprint("t", rapid.IntRange(0, *nextTask).Draw(t, "release"))), Number: 1}
+		res, reserved := ref.reservations[old]
 		gotName, gotSize, ok := c.Release(old)
-		if ok != held || gotName != h.name || gotSize != h.size {
-			t.Fatalf("Release = %q, %v, %v; held %+v, %v", gotName, gotSize, ok, h, held)
+		if ok != reserved || gotName != res.name || gotSize != res.size {
+			t.Fatalf("Release(%v) = %q, %v, %v; want reservation %+v, %v", old, gotName, gotSize, ok, res, reserved)
 		}
 		delete(ref.reservations, old)
 	case 4:
@@ -123,7 +123,7 @@
 	refNode := ref.nodes[name]
 	c.Remove(name)
 	if c.Reserve(name, task.Attempt{Task: "never"}, task.Resources{}) {
-		t.Fatalf("reserved on the removed node %s", name)
+		t.Fatalf("Reserve succeeded on the removed node %s", name)
 	}
 	c.Upsert(refNode.Node)
 	refNode.slot = c.byName[name]
@@ -143,8 +143,8 @@
 			continue
 		}
 		capacity = capacity.Add(refNode.Capacity)
-		if f := ref.free(name); !f.HasNegative() {
-			free = free.Add(f)
+		if nodeFree := ref.free(name); !nodeFree.HasNegative() {
+			free = free.Add(nodeFree)
 		}
 	}
 	if c.Free() != free || c.Capacity() != capacity {
@@ -153,7 +153,7 @@
 }
 
 // TestFindEqualsScanInLargeFleets guards against a wrong selection that occurs only with bitmaps of
-// many words.
+// many words, which TestFindEqualsScan does not reach.
 func TestFindEqualsScanInLargeFleets(t *testing.T) {
 	for seed, fill := range fillStates {
 		random := rand.New(rand.NewPCG(uint64(seed), 1))
@@ -199,7 +199,7 @@
 			t.Fatalf("FindGang of %d = %v, want %v", count, ok, want)
 		}
 		if ok && len(names) != count {
-			t.Fatalf("%d names for %d members", len(names), count)
+			t.Fatalf("FindGang returned %d nodes for %d members", len(names), count)
 		}
 		for i, name := range names {
 			if ok && !c.Reserve(name, task.Attempt{Task: "g", Number: uint32(i + 1)}, req.Size) {
@@ -209,63 +209,65 @@
 	})
 }
 
+// countFitting returns how many tasks of the requested size fit on all nodes of a cluster without
+// reservations.
 func countFitting(c *Cluster, req Request) int64 {
 	count := int64(0)
 	for i := range c.nodes {
-		x := &c.nodes[i]
+		candidate := &c.nodes[i]
 		avoided := false
 		for _, name := range req.Avoid {
-			avoided = avoided || name == x.Name
+			avoided = avoided || name == candidate.Name
 		}
-		if !x.Schedulable || avoided || req.Partition != "" && req.Partition != x.Partition {
+		if !candidate.Schedulable || avoided || req.Partition != "" && req.Partition != candidate.Partition {
 			continue
 		}
-		for n := int64(1); req.Size.Scale(n).Fits(x.Capacity); n++ {
+		for members := int64(1); req.Size.Scale(members).Fits(candidate.Capacity); members++ {
 			count++
 		}
 	}
 	return count
 }
 
-// TestOverCommittedNodeGetsNoWork guards against placing work on a node whose reported tasks exceed
-// its capacity, even if the new task does not need the over-committed resource.
-func TestOverCommittedNodeGetsNoWork(t *testing.T) {
+// TestOverCommittedNodeIsNotSelected guards against placing work on a node whose reported tasks
+// exceed its capacity, even if the new task does not need the over-committed resource.
+func TestOverCommittedNodeIsNotSelected(t *testing.T) {
 	c := NewCluster()
 	c.Upsert(Node{Name: "n", Capacity: task.Resources{CPUMilli: 1000, MemoryMB: 100}, Schedulable: true})
 	a := task.Attempt{Task: "reported", Number: 1}
 	c.Assume("n", a, task.Resources{MemoryMB: 200})
 	small := task.Resources{CPUMilli: 1}
 	if _, ok := c.Find(Request{Size: small}); ok {
-		t.Error("found an over-committed node")
+		t.Error("Find selected an over-committed node")
 	}
 	if c.Reserve("n", task.Attempt{Task: "x", Number: 1}, small) {
-		t.Error("reserved on an over-committed node")
+		t.Error("Reserve succeeded on an over-committed node")
 	}
 	c.Release(a)
 	if name, ok := c.Find(Request{Size: small}); !ok || name != "n" {
-		t.Error("the node was not found after the over-commitment ended")
+		t.Error("Find did not select the node after its over-commitment had ended")
 	}
 }
 
-// TestRemovedNodeKeepsReservations guards against allocating capacity twice on a worker that comes
-// back while it still runs tasks.
+// TestRemovedNodeKeepsReservations guards against allocating capacity twice on a worker that is
+// removed and added again while it still runs tasks.
 func TestRemovedNodeKeepsReservations(t *testing.T) {
 	c := NewCluster()
-	x := Node{Name: "n", Capacity: task.Resources{CPUMilli: 1000}, Schedulable: true}
-	c.Upsert(x)
+	description := Node{Name: "n", Capacity: task.Resources{CPUMilli: 1000}, Schedulable: true}
+	c.Upsert(description)
 	a := task.Attempt{Task: "a", Number: 1}
 	c.Reserve("n", a, task.Resources{CPUMilli: 600})
 	c.Remove("n")
 	if _, ok := c.Find(Request{}); ok {
-		t.Error("found a removed node")
+		t.Error("Find selected a removed node")
 	}
-	c.Upsert(x)
+	c.Upsert(description)
 	if _, ok := c.Find(Request{Size: task.Resources{CPUMilli: 600}}); ok {
 		t.Error("the reservation was lost when the node was removed")
 	}
 	c.Remove("n")
 	if name, _, ok := c.Release(a); !ok || name != "n" {
-		t.Errorf("Release = %q, %v", name, ok)
+		t.Errorf("Release = %q, %v; want the reservation on n", name, ok)
 	}
 	if len(c.byName) != 0 {
 		t.Error("the removed node was kept after the release of its last reservation")
--- a/placement/reference_test.go
+++ b/placement/reference_test.go
@@ -6,7 +6,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// reference is the linear scan to which the index is compared. It does its own accounting and
+// reference is a reference implementation of Find by linear scan. It does its own accounting and
 // expresses the preferences of Find as one sort key.
 type reference struct {
 	nodes        map[string]*referenceNode
@@ -29,9 +29,9 @@
 
 func (r *reference) free(name string) task.Resources {
 	free := r.nodes[name].Capacity
-	for _, h := range r.reservations {
-		if h.name == name {
-			free = free.Sub(h.size)
+	for _, res := range r.reservations {
+		if res.name == name {
+			free = free.Sub(res.size)
 		}
 	}
 	return free
@@ -60,14 +60,14 @@
 	if req.Region != "" && req.Region != refNode.Region {
 		otherRegion = 1
 	}
-	for _, h := range r.reservations {
-		if req.SpreadKey == "" || h.key != req.SpreadKey {
+	for _, res := range r.reservations {
+		if req.SpreadKey == "" || res.key != req.SpreadKey {
 			continue
 		}
-		if h.domain == refNode.FailureDomain {
+		if res.domain == refNode.FailureDomain {
 			inDomain++
 		}
-		if h.rack == (rackKey{refNode.Region, refNode.FailureDomain, refNode.Rack}) {
+		if res.rack == (rackKey{refNode.Region, refNode.FailureDomain, refNode.Rack}) {
 			inRack++
 		}
 	}
--- a/placement/search.go
+++ b/placement/search.go
@@ -1,41 +1,42 @@
 package placement
 
-// search holds the working buffers of one decision. They are reused, so that a decision does not
-// allocate. found is the search result; activeWords lists its nonzero words.
+// search holds the buffers of one placement decision. They are reused, so that a decision does not
+// allocate. result is the set of nodes that are still considered; activeWords lists its nonzero
+// words.
 type search struct {
-	found             bitmap
-	scratch           bitmap
-	activeWords       []int32
-	candidates        []candidate
-	scratchCandidates []candidate
+	result             bitmap
+	scratch            bitmap
+	activeWords        []int32
+	sparseWords        []sparseWord
+	scratchSparseWords []sparseWord
 }
 
-// candidate is one word of a sparse set of nodes.
-type candidate struct {
+// sparseWord is one word of a sparse set of nodes.
+type sparseWord struct {
 	bits uint64
 	word int32
 }
 
 func (s *search) grow(words int) {
-	s.found = s.found.grown(words)
+	s.result = s.result.grown(words)
 	s.scratch = s.scratch.grown(words)
 	s.activeWords = make([]int32, 0, words)
-	s.candidates = make([]candidate, words)
-	s.scratchCandidates = make([]candidate, words)
+	s.sparseWords = make([]sparseWord, words)
+	s.scratchSparseWords = make([]sparseWord, words)
 }
 
 // intersect removes the nodes outside set from the result.
 func (s *search) intersect(set bitmap) {
-	found := s.found[:len(set)]
+	result := s.result[:len(set)]
 	for w, value := range set {
-		found[w] &= value
+		result[w] &= value
 	}
 }
 
 // compact lists the nonzero words of the result and reports whether there are any.
 func (s *search) compact() bool {
 	s.activeWords = s.activeWords[:0]
-	for w, value := range s.found {
+	for w, value := range s.result {
 		if value != 0 {
 			s.activeWords = append(s.activeWords, int32(w))
 		}
@@ -43,16 +44,16 @@
 	return len(s.activeWords) > 0
 }
 
-// prefer narrows the result to the nodes in set, unless nothing would be left, and reports whether
-// it did.
+// prefer narrows the result to the nodes in set, unless no node would remain, and reports whether it
+// did.
 func (s *search) prefer(set bitmap) bool {
 	if !s.intersects(set) {
 		return false
 	}
 	active := s.activeWords[:0]
 	for _, w := range s.activeWords {
-		s.found[w] &= set[w]
-		if s.found[w] != 0 {
+		s.result[w] &= set[w]
+		if s.result[w] != 0 {
 			active = append(active, w)
 		}
 	}
@@ -60,7 +61,7 @@
 	return true
 }
 
-// preferOutside narrows the result to the nodes outside set, unless nothing would be left.
+// preferOutside narrows the result to the nodes outside set, unless no node would remain.
 func (s *search) preferOutside(set bitmap) {
 	for _, w := range s.activeWords {
 		s.scratch[w] = ^set[w]
@@ -71,7 +72,7 @@
 // intersects reports whether set and the result have a node in common.
 func (s *search) intersects(set bitmap) bool {
 	for _, w := range s.activeWords {
-		if s.found[w]&set[w] != 0 {
+		if s.result[w]&set[w] != 0 {
 			return true
 		}
 	}
@@ -79,9 +80,9 @@
 }
 
 // hasAny reports whether any of the nodes is in the result.
-func (s *search) hasAny(nodes []candidate) bool {
+func (s *search) hasAny(nodes []sparseWord) bool {
 	for _, c := range nodes {
-		if s.found[c.word]&c.bits != 0 {
+		if s.result[c.word]&c.bits != 0 {
 			return true
 		}
 	}
@@ -92,11 +93,11 @@
 // zero. From then on, a list of nonzero words is faster than a pass over all words.
 const denseHalvings = 6
 
-// lowest returns the slot of the result whose number in the bit planes is the lowest, and the
-// lowest slot on a tie. planes is ordered from the lowest bit to the highest. Each plane either
-// halves the result or leaves it unchanged, so the cost does not depend on the values.
+// lowest returns the node of the result with the lowest bit-sliced value, and on a tie the one with
+// the lowest slot. planes is ordered from the lowest bit to the highest. Each plane either halves the
+// result or leaves it unchanged, so the cost does not depend on the values.
 func (s *search) lowest(planes []bitPlane) int32 {
-	dense, other := s.found, s.scratch
+	dense, other := s.result, s.scratch
 	b := len(planes) - 1
 	for halvings := 0; b >= 0 && halvings < denseHalvings; b-- {
 		if planes[b].count == 0 {
@@ -112,11 +113,11 @@
 
 // lowestSparse is the variant of lowest for a result with few nonzero words.
 func (s *search) lowestSparse(dense bitmap, planes []bitPlane) int32 {
-	list, other := s.candidates, s.scratchCandidates
+	list, other := s.sparseWords, s.scratchSparseWords
 	n := 0
 	for w, value := range dense {
 		if value != 0 {
-			list[n] = candidate{value, int32(w)}
+			list[n] = sparseWord{value, int32(w)}
 			n++
 		}
 	}
@@ -132,27 +133,27 @@
 	return slotOf(list[0].word, list[0].bits)
 }
 
-// subtract sets to to the nodes of from that are not in excluded, and reports whether there are
+// subtract stores the nodes of src that are not in excluded in dst, and reports whether there are
 // any.
-func subtract(to, from, excluded bitmap) bool {
-	to, excluded = to[:len(from)], excluded[:len(from)]
+func subtract(dst, src, excluded bitmap) bool {
+	dst, excluded = dst[:len(src)], excluded[:len(src)]
 	nonzero := uint64(0)
-	for w, value := range from {
+	for w, value := range src {
 		value &^= excluded[w]
-		to[w] = value
+		dst[w] = value
 		nonzero |= value
 	}
 	return nonzero != 0
 }
 
-// subtractSparse copies the candidates that are not in excluded and returns the number of nonzero
-// words.
-func subtractSparse(to, from []candidate, excluded bitmap) int {
+// subtractSparse stores the nodes of src that are not in excluded in dst, and returns the number of
+// nonzero words.
+func subtractSparse(dst, src []sparseWord, excluded bitmap) int {
 	n := 0
-	for _, c := range from {
-		bits := c.bits &^ excluded[c.word]
-		if bits != 0 {
-			to[n] = candidate{bits, c.word}
+	for _, c := range src {
+		kept := c.bits &^ excluded[c.word]
+		if kept != 0 {
+			dst[n] = sparseWord{kept, c.word}
 			n++
 		}
 	}
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -2,10 +2,10 @@
 
 // spread counts the attempts of one spread key by failure domain and rack.
 type spread struct {
-	key     string
-	total   int
-	domains []int32 // by number of failure domain
-	racks   []rackCount
+	key          string
+	total        int
+	domainCounts []int32 // by index of the failure domain
+	rackCounts   []rackCount
 }
 
 type rackCount struct {
@@ -13,15 +13,15 @@
 	count int32
 }
 
-// spreadLocation records where an attempt is counted, because its node may move to another rack or
-// failure domain.
+// spreadLocation is the failure domain and rack under which an attempt is counted. It is stored
+// because its node may move to another rack or failure domain.
 type spreadLocation struct {
-	spread *spread
-	rack   *rack
-	domain int
+	spread      *spread
+	rack        *rack
+	domainIndex int
 }
 
-func (c *Cluster) spreadOf(key string) *spread {
+func (c *Cluster) getOrCreateSpread(key string) *spread {
 	s, known := c.spreads[key]
 	if !known {
 		s = &spread{key: key}
@@ -33,53 +33,53 @@
 // addToSpread counts one attempt on a node under the spread key.
 func (c *Cluster) addToSpread(slot int32, key string) *spreadLocation {
 	n := &c.nodes[slot]
-	m := &spreadLocation{spread: c.spreadOf(key), rack: n.rack, domain: n.domain.number}
-	m.spread.add(m)
-	return m
+	location := &spreadLocation{spread: c.getOrCreateSpread(key), rack: n.rack, domainIndex: n.domain.index}
+	location.spread.add(location)
+	return location
 }
 
-func (s *spread) add(m *spreadLocation) {
-	for m.domain >= len(s.domains) {
-		s.domains = append(s.domains, 0)
+func (s *spread) add(location *spreadLocation) {
+	for location.domainIndex >= len(s.domainCounts) {
+		s.domainCounts = append(s.domainCounts, 0)
 	}
-	s.domains[m.domain]++
+	s.domainCounts[location.domainIndex]++
 	s.total++
-	if i := s.indexOf(m.rack); i >= 0 {
-		s.racks[i].count++
+	if i := s.indexOf(location.rack); i >= 0 {
+		s.rackCounts[i].count++
 		return
 	}
-	s.racks = append(s.racks, rackCount{m.rack, 1})
+	s.rackCounts = append(s.rackCounts, rackCount{location.rack, 1})
 }
 
-func (c *Cluster) removeFromSpread(m *spreadLocation) {
-	s := m.spread
-	s.domains[m.domain]--
+func (c *Cluster) removeFromSpread(location *spreadLocation) {
+	s := location.spread
+	s.domainCounts[location.domainIndex]--
 	s.total--
-	i := s.indexOf(m.rack)
-	s.racks[i].count--
-	if s.racks[i].count == 0 {
-		last := len(s.racks) - 1
-		s.racks[i] = s.racks[last]
-		s.racks = s.racks[:last]
+	i := s.indexOf(location.rack)
+	s.rackCounts[i].count--
+	if s.rackCounts[i].count == 0 {
+		last := len(s.rackCounts) - 1
+		s.rackCounts[i] = s.rackCounts[last]
+		s.rackCounts = s.rackCounts[:last]
 	}
 	if s.total == 0 {
 		delete(c.spreads, s.key)
 	}
 }
 
-// indexOf returns the index of a rack in the counts, or -1.
+// indexOf returns the index of a rack in rackCounts, or -1.
 func (s *spread) indexOf(r *rack) int {
-	for i := range s.racks {
-		if s.racks[i].rack == r {
+	for i := range s.rackCounts {
+		if s.rackCounts[i].rack == r {
 			return i
 		}
 	}
 	return -1
 }
 
-func (s *spread) inDomain(number int) int32 {
-	if number >= len(s.domains) {
+func (s *spread) countInDomain(domainIndex int) int32 {
+	if domainIndex >= len(s.domainCounts) {
 		return 0
 	}
-	return s.domains[number]
+	return s.domainCounts[domainIndex]
 }
