queue: reword comments and rename unexported identifiers

The refusal of a full queue states the limit as an added argument; nothing matches its old text. The last bucket of a profile ends at 46.6 h, where the comment said 48 h: 10 ms times 2 to the power of 24.

BenchmarkCancelWave becomes BenchmarkRemoveKey, after the call it measures.

--- a/queue/admit.go
+++ b/queue/admit.go
@@ -8,25 +8,26 @@
 )
 
 const (
-	// drainSmoothing is the weight of the newest interval between starts in their exponential moving
-	// average.
+	// drainSmoothing is the weight of the newest sample in the exponential moving average of the
+	// intervals between starts.
 	drainSmoothing = 0.1
-	// minRetry and maxRetry bound the retry-after hint before jitter.
-	minRetry = 100 * time.Millisecond
-	maxRetry = time.Minute
-	// retryDrainFraction is the fraction of a full queue that is expected to start before a refused
-	// request is retried.
+	// minRetryAfter and maxRetryAfter bound the retry-after hint before jitter.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = time.Minute
+	// retryDrainFraction is the fraction of a full queue that has to drain, at the estimated rate,
+	// before a refused request should be retried.
 	retryDrainFraction = 0.1
 )
 
-// drainEstimator measures how fast the queue of a team drains.
+// drainEstimator estimates the drain rate of a team's queue.
 type drainEstimator struct {
-	interval        time.Duration // moving average of the time between starts while work waited
-	lastProgress    time.Time     // time of the last start, or when the queue last became non-empty
-	startsSinceAged int
+	interval        time.Duration // moving average of the time between starts, without idle periods
+	lastProgress    time.Time     // when an entry last started or the queue last became non-empty
+	startsSinceAged int           // starts since the last start of aged work, see Queues.agedItem
 }
 
-func (d *drainEstimator) becameBusy(now time.Time) { d.lastProgress = now }
+// startBusyPeriod records that the queue became non-empty.
+func (d *drainEstimator) startBusyPeriod(now time.Time) { d.lastProgress = now }
 
 func (d *drainEstimator) observeStart(now time.Time) {
 	if d.lastProgress.IsZero() {
@@ -42,7 +43,8 @@
 	d.lastProgress = now
 }
 
-// stallTime returns the time since the last start.
+// stallTime returns the time since the last start, or since the queue became non-empty if that was
+// later.
 func (d *drainEstimator) stallTime(now time.Time) time.Duration {
 	if d.lastProgress.IsZero() {
 		return 0
@@ -51,16 +53,16 @@
 }
 
 // estimateWait returns the expected wait behind the given number of entries. The wait for the first
-// start is at least the time since the last one, so that the estimate grows for a stalled queue,
-// which adds no intervals to the average.
+// start is at least the stall time, so that the estimate grows while a queue is stalled and the
+// average gets no new samples.
 func (d *drainEstimator) estimateWait(now time.Time, ahead int) time.Duration {
 	return max(d.interval, d.stallTime(now)) + time.Duration(ahead)*d.interval
 }
 
-// ObserveStart updates the drain rate of a team's queue. Package control calls it for every task
-// that it starts, with the time that the task waited.
+// ObserveStart updates the estimated drain rate of a team's queue. Package control calls it for every
+// task that it starts, with the time that the task waited in the queue.
 func (q *Queues) ObserveStart(now time.Time, team task.Team, waited time.Duration) {
-	d := &q.queueOf(team).drain
+	d := &q.getOrCreateQueue(team).drain
 	d.observeStart(now)
 	if waited >= q.cfg.AgeLimit {
 		d.startsSinceAged = 0
@@ -69,10 +71,10 @@
 	d.startsSinceAged++
 }
 
-// ExpectedWait returns how long an entry would wait if it were pushed now. It is zero if the queue
-// of the team is empty.
+// ExpectedWait returns the estimated time until an entry would start if it were pushed now. It is
+// zero if the queue of the team is empty.
 func (q *Queues) ExpectedWait(now time.Time, e Entry) time.Duration {
-	t := q.queueOf(e.Team)
+	t := q.getOrCreateQueue(e.Team)
 	q.promote(now, t)
 	if e.EnqueuedAt.IsZero() {
 		e.EnqueuedAt = now
@@ -91,46 +93,47 @@
 	return t.drain.estimateWait(now, ahead)
 }
 
-// admit refuses an entry if the queue is full or if the entry is not expected to start by its
-// deadline.
+// admit does admission control: it refuses an entry if the queue is full or if the entry is not
+// expected to start by its deadline.
 func (q *Queues) admit(now time.Time, t *teamQueue, it *item) *errkind.Error {
 	if waiting := t.len(); waiting >= q.cfg.Limit {
 		wait := t.drain.estimateWait(now, int(retryDrainFraction*float64(waiting)))
-		return errkind.New(errkind.QueueFull, "the queue of team %s holds %d requests, its limit", it.Team, waiting).
+		return errkind.New(errkind.QueueFull, "the queue of team %s is full: it holds %d of at most %d requests",
+			it.Team, waiting, q.cfg.Limit).
 			WithRetryAfter(q.retryAfter(wait))
 	}
 	if it.Deadline.IsZero() {
 		return nil
 	}
-	if left := it.Deadline.Sub(now); left <= 0 {
-		return errkind.New(errkind.DeadlineExceeded, "the deadline passed %v ago", -left).
+	if remaining := it.Deadline.Sub(now); remaining <= 0 {
+		return errkind.New(errkind.DeadlineExceeded, "the deadline passed %v ago", -remaining).
 			WithRetryAfter(q.retryAfter(0))
 	}
-	left := it.Deadline.Sub(now)
-	if wait := q.expectedWait(now, t, it); wait > left {
-		return errkind.New(errkind.DeadlineExceeded, "the expected wait of %v exceeds the %v to the deadline", wait, left).
-			WithRetryAfter(q.retryAfter(wait - left))
+	remaining := it.Deadline.Sub(now)
+	if wait := q.expectedWait(now, t, it); wait > remaining {
+		return errkind.New(errkind.DeadlineExceeded, "the expected wait of %v exceeds the %v to the deadline", wait, remaining).
+			WithRetryAfter(q.retryAfter(wait - remaining))
 	}
 	return nil
 }
 
-// retryAfter returns a retry hint with jitter, between 0.5 and 1.5 times the wait, so that refused
-// callers do not all retry at the same moment.
+// retryAfter returns a retry-after hint: the wait, bounded and multiplied by a jitter of 0.5 to 1.5,
+// so that refused callers do not all retry at the same time.
 func (q *Queues) retryAfter(wait time.Duration) time.Duration {
-	wait = min(max(wait, minRetry), maxRetry)
+	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	if q.cfg.Rand == nil {
 		return wait
 	}
 	return time.Duration((0.5 + q.cfg.Rand.Float64()) * float64(wait))
 }
 
-// ObserveRun adds the run time of one task to the profile of its class.
+// ObserveRun adds the run time of one task to the run time profile of its class.
 func (q *Queues) ObserveRun(team task.Team, service task.Service, class string, d time.Duration) {
 	q.profiles.observe(profileKey{team, service, class}, d)
 }
 
-// ExpectedRun returns the run time of a class of work as estimated from past runs, and false if
-// there were too few runs.
+// ExpectedRun returns the estimated run time of a class of work, a quantile of its past run times. It
+// returns false if too few runs were observed.
 func (q *Queues) ExpectedRun(team task.Team, service task.Service, class string) (time.Duration, bool) {
 	return q.profiles.quantile(profileKey{team, service, class})
 }
--- a/queue/bench_test.go
+++ b/queue/bench_test.go
@@ -8,9 +8,9 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// newBusyQueues returns queues of the given number of teams, each one entry below its limit, and
-// their entries.
-func newBusyQueues(teams int) (*Queues, []Entry) {
+// newNearlyFullQueues returns the queues of the given number of teams, each one entry below its limit,
+// and their entries.
+func newNearlyFullQueues(teams int) (*Queues, []Entry) {
 	q := New(Config{})
 	var entries []Entry
 	for i := range teams * (DefaultLimit - 1) {
@@ -32,10 +32,10 @@
 	return q, entries
 }
 
-func forEachTeams(b *testing.B, run func(b *testing.B, q *Queues, entries []Entry)) {
+func forEachTeamCount(b *testing.B, run func(b *testing.B, q *Queues, entries []Entry)) {
 	for _, teams := range []int{6, 30, 97} {
 		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
-			q, entries := newBusyQueues(teams)
+			q, entries := newNearlyFullQueues(teams)
 			b.ReportAllocs()
 			b.ResetTimer()
 			run(b, q, entries)
@@ -43,18 +43,18 @@
 	}
 }
 
-// BenchmarkPeek measures Peek on a full queue.
+// BenchmarkPeek measures Peek on a nearly full queue.
 func BenchmarkPeek(b *testing.B) {
-	forEachTeams(b, func(b *testing.B, q *Queues, entries []Entry) {
+	forEachTeamCount(b, func(b *testing.B, q *Queues, entries []Entry) {
 		for i := range b.N {
 			q.Peek(start, entries[i%len(entries)].Team)
 		}
 	})
 }
 
-// BenchmarkRemovePush measures the removal of one entry of a full queue and pushing it again.
+// BenchmarkRemovePush measures removing one entry of a nearly full queue and pushing it again.
 func BenchmarkRemovePush(b *testing.B) {
-	forEachTeams(b, func(b *testing.B, q *Queues, entries []Entry) {
+	forEachTeamCount(b, func(b *testing.B, q *Queues, entries []Entry) {
 		for i := range b.N {
 			e := entries[i%len(entries)]
 			q.Remove(e.Attempt)
@@ -63,10 +63,10 @@
 	})
 }
 
-// BenchmarkCancelWave measures the removal of a quarter of a full queue by key. The entries are
-// pushed again outside the measured time.
-func BenchmarkCancelWave(b *testing.B) {
-	forEachTeams(b, func(b *testing.B, q *Queues, _ []Entry) {
+// BenchmarkRemoveKey measures the removal of a quarter of a nearly full queue by key, as after the
+// withdrawal of the key. The entries are pushed again outside the measured time.
+func BenchmarkRemoveKey(b *testing.B) {
+	forEachTeamCount(b, func(b *testing.B, q *Queues, _ []Entry) {
 		for range b.N {
 			removed := q.RemoveKey("team-00", "key-1")
 			b.StopTimer()
--- a/queue/entry.go
+++ b/queue/entry.go
@@ -7,8 +7,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Entry is one pending task, or one gang, with the fields of its specification that determine its
-// place in the order.
+// Entry is one pending task, or one gang, with the fields of its specification that scheduling needs.
 type Entry struct {
 	Attempt     task.Attempt
 	Team        task.Team
@@ -27,14 +26,14 @@
 	EnqueuedAt  time.Time // set by Push to the current time if zero
 }
 
-// tier is a priority class within a team's queue.
+// tier is a priority level within a team's queue.
 type tier uint8
 
-// Tiers in the order in which they are served.
+// Tiers in descending order of priority.
 const (
-	tierUrgent   tier = iota // urgent work, and work that is close to its latest start for ReviewBy
+	tierUrgent   tier = iota // urgent work, and work promoted shortly before its latest start
 	tierDeadline             // work with a deadline, earliest deadline first
-	tierNormal               // normal and background work
+	tierNormal               // normal and background work without a deadline
 	tierCount
 )
 
@@ -42,13 +41,13 @@
 type item struct {
 	Entry
 	tier      tier
-	position  time.Time // sort key within the tier
+	sortTime  time.Time // sort key within the tier
 	promoteAt time.Time // time of the promotion to tierUrgent; zero for none
-	sequence  uint64    // arrival order; breaks ties
+	sequence  uint64    // arrival order; used as a tie-breaker
 }
 
-// sortedItems is a slice of items sorted by a time and then by arrival. Queues are bounded, so
-// shifting the tail of a slice on insertion costs less than a tree.
+// sortedItems is a slice of items sorted by a time and then by arrival. Because queues are bounded,
+// shifting the tail of a slice on insertion costs less than maintaining a tree.
 type sortedItems struct {
 	items []*item
 	key   func(*item) time.Time
@@ -99,11 +98,11 @@
 	return o.items[0]
 }
 
-// retain removes the items for which match returns false, in one pass.
-func (o *sortedItems) retain(match func(*item) bool) {
+// retain removes the items for which keep returns false, in one pass.
+func (o *sortedItems) retain(keep func(*item) bool) {
 	kept := o.items[:0]
 	for _, it := range o.items {
-		if match(it) {
+		if keep(it) {
 			kept = append(kept, it)
 		}
 	}
@@ -111,6 +110,6 @@
 	o.items = kept
 }
 
-func byPosition(it *item) time.Time  { return it.position }
+func bySortTime(it *item) time.Time  { return it.sortTime }
 func byDeadline(it *item) time.Time  { return it.Deadline }
 func byPromotion(it *item) time.Time { return it.promoteAt }
--- a/queue/memory_test.go
+++ b/queue/memory_test.go
@@ -6,13 +6,13 @@
 	"testing"
 )
 
-// BenchmarkMemory reports the memory per queued entry, including its identifying strings.
+// BenchmarkMemory reports the heap memory per queued entry, including its strings.
 func BenchmarkMemory(b *testing.B) {
 	for _, teams := range []int{6, 30, 97} {
 		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
 			for range b.N {
 				before := heapInUse()
-				q, entries := newBusyQueues(teams)
+				q, entries := newNearlyFullQueues(teams)
 				count := len(entries)
 				entries = nil
 				after := heapInUse()
--- a/queue/model_test.go
+++ b/queue/model_test.go
@@ -12,21 +12,21 @@
 	"pgregory.net/rapid"
 )
 
-// model is a reference implementation of Queues: an unordered list that is sorted on every access.
+// model is a reference implementation of Queues: an unsorted list that is sorted on every access.
 type model struct {
-	cfg     Config
-	entries []modelEntry
-	aged    map[task.Team]int // starts since the last start of an aged entry
-	pushed  int
+	cfg             Config
+	entries         []modelEntry
+	startsSinceAged map[task.Team]int // starts since the last start of an aged entry
+	pushed          int
 }
 
 type modelEntry struct {
 	Entry
 	number      int
-	latestStart time.Time // latest start, estimated when the entry was pushed
+	latestStart time.Time // Queues.LatestStart when the entry was pushed
 }
 
-func (m *model) tierAndPosition(now time.Time, e modelEntry) (tier int, position time.Time) {
+func (m *model) tierAndSortTime(now time.Time, e modelEntry) (tier int, sortTime time.Time) {
 	review := e.latestStart.Add(-m.cfg.ReviewLead)
 	switch {
 	case e.Urgency == task.Urgent:
@@ -49,15 +49,15 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b modelEntry) int {
-		tierA, atA := m.tierAndPosition(now, a)
-		tierB, atB := m.tierAndPosition(now, b)
+		tierA, atA := m.tierAndSortTime(now, a)
+		tierB, atB := m.tierAndSortTime(now, b)
 		return cmp.Or(cmp.Compare(tierA, tierB), atA.Compare(atB), cmp.Compare(a.number, b.number))
 	})
 	first := slices.IndexFunc(list, func(e modelEntry) bool {
-		tier, _ := m.tierAndPosition(now, e)
+		tier, _ := m.tierAndSortTime(now, e)
 		return tier == 2
 	})
-	if first < 0 || m.aged[team] < m.cfg.AgedEvery-1 || now.Sub(list[first].EnqueuedAt) < m.cfg.AgeLimit {
+	if first < 0 || m.startsSinceAged[team] < m.cfg.AgedEvery-1 || now.Sub(list[first].EnqueuedAt) < m.cfg.AgeLimit {
 		return list
 	}
 	aged := list[first]
@@ -76,13 +76,13 @@
 	return removed
 }
 
-// TestQueuesEqualModel guards against an entry being lost, served twice or served out of order
+// TestQueuesEqualModel guards against an entry being lost, returned twice or returned out of order
 // after some sequence of calls.
 func TestQueuesEqualModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := Config{Limit: 12, BackgroundLag: 40 * time.Second, AgeLimit: time.Minute, AgedEvery: 3, ReviewLead: 10 * time.Second}
 		q := New(cfg)
-		m := &model{cfg: q.cfg, aged: map[task.Team]int{}}
+		m := &model{cfg: q.cfg, startsSinceAged: map[task.Team]int{}}
 		now := start
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
@@ -162,13 +162,13 @@
 	}
 	waited, a := now.Sub(e.EnqueuedAt), e.Attempt
 	if _, ok := q.Remove(a); !ok {
-		t.Fatalf("Remove(%v) did not find what Peek returned", a)
+		t.Fatalf("Remove(%v) did not find the entry that Peek returned", a)
 	}
 	q.ObserveStart(now, team, waited)
 	m.removeIf(func(e modelEntry) bool { return e.Attempt == a })
-	m.aged[team]++
+	m.startsSinceAged[team]++
 	if waited >= m.cfg.AgeLimit {
-		m.aged[team] = 0
+		m.startsSinceAged[team] = 0
 	}
 }
 
--- a/queue/profile.go
+++ b/queue/profile.go
@@ -9,15 +9,15 @@
 )
 
 const (
-	// profileBuckets covers run times from 10 ms to 48 h; the upper bounds of adjacent buckets differ
-	// by a factor of the square root of 2.
+	// profileBuckets is the number of histogram buckets. They cover run times from 10 ms to 46.6 h; the
+	// upper bounds of adjacent buckets differ by a factor of the square root of 2.
 	profileBuckets   = 49
-	shortestRun      = 10 * time.Millisecond
+	firstBucketBound = 10 * time.Millisecond
 	bucketsPerOctave = 2
 	// profileDecay is the factor by which each new run reduces the weight of earlier runs. With 0.99,
-	// the last hundred or so runs dominate.
+	// the most recent 100 runs or so dominate.
 	profileDecay = 0.99
-	// profileMinRuns is the number of runs that a prediction needs.
+	// profileMinRuns is the minimum number of observed runs for an estimate.
 	profileMinRuns = 3
 )
 
@@ -31,12 +31,12 @@
 type profile struct {
 	key     profileKey
 	buckets [profileBuckets]float64
-	weight  float64 // weight of the next run; it grows instead of every bucket being scaled down
-	total   float64
+	weight  float64 // weight of the next run; it increases instead of every bucket being scaled down
+	total   float64 // sum of the buckets
 	runs    int
 }
 
-// profiles is a bounded set of profiles that evicts the least recently observed one.
+// profiles is a bounded set of profiles with least-recently-used eviction.
 type profiles struct {
 	limit         int
 	quantileLevel float64
@@ -58,13 +58,14 @@
 	if !known {
 		element = p.lru.PushFront(&profile{key: key, weight: 1})
 		p.byKey[key] = element
-		p.evictOldest()
+		p.enforceLimit()
 	}
 	p.lru.MoveToFront(element)
 	element.Value.(*profile).add(run)
 }
 
-func (p *profiles) evictOldest() {
+// enforceLimit evicts the least recently used profile if the limit is exceeded.
+func (p *profiles) enforceLimit() {
 	if len(p.byKey) <= p.limit {
 		return
 	}
@@ -82,7 +83,7 @@
 }
 
 func (p *profile) add(run time.Duration) {
-	p.buckets[bucketOf(run)] += p.weight
+	p.buckets[bucketIndex(run)] += p.weight
 	p.total += p.weight
 	p.runs++
 	p.weight /= profileDecay
@@ -91,6 +92,7 @@
 	}
 }
 
+// rescale divides all weights by the weight of the next run, so that they do not overflow.
 func (p *profile) rescale() {
 	for i := range p.buckets {
 		p.buckets[i] /= p.weight
@@ -113,15 +115,15 @@
 	return bucketUpperBound(profileBuckets - 1), true
 }
 
-func bucketOf(run time.Duration) int {
-	if run <= shortestRun {
+func bucketIndex(run time.Duration) int {
+	if run <= firstBucketBound {
 		return 0
 	}
-	octaves := math.Log2(float64(run) / float64(shortestRun))
+	octaves := math.Log2(float64(run) / float64(firstBucketBound))
 	return min(int(math.Ceil(octaves*bucketsPerOctave)), profileBuckets-1)
 }
 
-// bucketUpperBound returns the longest run time of a bucket.
+// bucketUpperBound returns the longest run time in a bucket.
 func bucketUpperBound(i int) time.Duration {
-	return time.Duration(float64(shortestRun) * math.Exp2(float64(i)/bucketsPerOctave))
+	return time.Duration(float64(firstBucketBound) * math.Exp2(float64(i)/bucketsPerOctave))
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -23,14 +23,14 @@
 // Config configures Queues. Zero values take the defaults.
 type Config struct {
 	Limit         int           // maximum number of entries per team
-	BackgroundLag time.Duration // delay added to the arrival time of background work
-	AgeLimit      time.Duration // wait after which normal and background work is aged
-	AgedEvery     int           // one start in AgedEvery may go to aged work before urgent work
+	BackgroundLag time.Duration // added to the arrival time of background work when it is sorted
+	AgeLimit      time.Duration // waiting time after which normal and background work is aged
+	AgedEvery     int           // one start in AgedEvery may go to aged work ahead of urgent work
 	ReviewLead    time.Duration // time before the latest start at which an entry is promoted
-	Safety        float64       // factor on the expected run time, see LatestStart
-	RunQuantile   float64       // quantile of past run times to use as the expected run time
-	Profiles      int           // maximum number of profiles (one per team, service and class)
-	Rand          *rand.Rand    // source of jitter for retry hints; nil for no jitter
+	Safety        float64       // safety factor on the expected run time, see LatestStart
+	RunQuantile   float64       // quantile of past run times that is the expected run time
+	Profiles      int           // maximum number of run time profiles (per team, service and class)
+	Rand          *rand.Rand    // source of the jitter of retry-after hints; nil for no jitter
 }
 
 // Queues holds the pending work of one owner. It is not safe for concurrent use.
@@ -38,7 +38,7 @@
 	cfg         Config
 	teams       map[task.Team]*teamQueue
 	activeTeams []task.Team // teams with pending work, sorted by name
-	teamsBuffer []task.Team // result buffer of Teams
+	teamsBuffer []task.Team // reused result of Teams
 	items       map[task.Attempt]*item
 	sequence    uint64
 	profiles    *profiles
@@ -81,23 +81,23 @@
 }
 
 // Push adds an entry. It refuses an entry if the queue of its team is full or if the entry is not
-// expected to start by its deadline; a refused entry has not run. Push is idempotent: an attempt
-// that is already queued is left as it is.
+// expected to start by its deadline; a refused entry has not run. Push is idempotent: it has no
+// effect for an attempt that is already queued.
 func (q *Queues) Push(now time.Time, e Entry) *errkind.Error {
-	if _, waiting := q.items[e.Attempt]; waiting {
+	if _, queued := q.items[e.Attempt]; queued {
 		return nil
 	}
 	if e.EnqueuedAt.IsZero() {
 		e.EnqueuedAt = now
 	}
-	t := q.queueOf(e.Team)
+	t := q.getOrCreateQueue(e.Team)
 	q.promote(now, t)
 	it := q.newItem(e)
 	if err := q.admit(now, t, it); err != nil {
 		return err
 	}
 	if t.len() == 0 {
-		t.drain.becameBusy(now)
+		t.drain.startBusyPeriod(now)
 		q.addActiveTeam(e.Team)
 	}
 	q.items[e.Attempt] = it
@@ -105,11 +105,11 @@
 	return nil
 }
 
-// Peek returns the first entry in the order of a team, or nil.
+// Peek returns the first entry of a team in scheduling order, or nil.
 func (q *Queues) Peek(now time.Time, team task.Team) *Entry { return q.Next(now, team, 0) }
 
-// Next returns the entry at index skip in the order of a team, or nil. The queue owns the entry;
-// the pointer is valid until the entry is removed.
+// Next returns the entry of a team at index skip in scheduling order, or nil. The entry must not be
+// modified, and the pointer is valid until the entry is removed.
 func (q *Queues) Next(now time.Time, team task.Team, skip int) *Entry {
 	t := q.teams[team]
 	if t == nil || skip < 0 {
@@ -138,8 +138,8 @@
 
 // Remove removes one attempt from its queue.
 func (q *Queues) Remove(a task.Attempt) (Entry, bool) {
-	it, waiting := q.items[a]
-	if !waiting {
+	it, queued := q.items[a]
+	if !queued {
 		return Entry{}, false
 	}
 	q.removeItem(it)
@@ -186,8 +186,8 @@
 }
 
 // agedItem returns the first normal or background entry if it has waited for at least AgeLimit and
-// an aged entry may be served next. Only one start in AgedEvery goes to aged work; otherwise a long
-// backlog would overtake every urgent request of its team.
+// the next start may go to aged work. Only one start in AgedEvery does; otherwise a long backlog
+// would overtake every urgent request of its team.
 func (q *Queues) agedItem(now time.Time, t *teamQueue) *item {
 	it := t.tiers[tierNormal].first()
 	if it == nil || now.Sub(it.EnqueuedAt) < q.cfg.AgeLimit {
@@ -204,7 +204,7 @@
 	for it := t.promotions.first(); it != nil && !it.promoteAt.After(now); it = t.promotions.first() {
 		t.promotions.remove(it)
 		t.tiers[it.tier].remove(it)
-		it.tier, it.position = tierUrgent, it.promoteAt
+		it.tier, it.sortTime = tierUrgent, it.promoteAt
 		t.tiers[tierUrgent].insert(it)
 		it.promoteAt = time.Time{}
 	}
@@ -215,13 +215,13 @@
 	it := &item{Entry: e, sequence: q.sequence}
 	switch {
 	case e.Urgency == task.Urgent:
-		it.tier, it.position = tierUrgent, e.EnqueuedAt
+		it.tier, it.sortTime = tierUrgent, e.EnqueuedAt
 	case !e.Deadline.IsZero():
-		it.tier, it.position = tierDeadline, e.Deadline
+		it.tier, it.sortTime = tierDeadline, e.Deadline
 	case e.Urgency == task.Background:
-		it.tier, it.position = tierNormal, e.EnqueuedAt.Add(q.cfg.BackgroundLag)
+		it.tier, it.sortTime = tierNormal, e.EnqueuedAt.Add(q.cfg.BackgroundLag)
 	default:
-		it.tier, it.position = tierNormal, e.EnqueuedAt
+		it.tier, it.sortTime = tierNormal, e.EnqueuedAt
 	}
 	if !e.ReviewBy.IsZero() && it.tier != tierUrgent {
 		it.promoteAt = q.LatestStart(e).Add(-q.cfg.ReviewLead)
@@ -230,7 +230,7 @@
 }
 
 // LatestStart returns the time by which an entry has to start in order to finish by ReviewBy. It
-// allows for the run time estimated from past runs, or the declared one if there is no estimate,
+// subtracts the run time estimated from past runs, or the declared one if there is no estimate,
 // multiplied by Config.Safety.
 func (q *Queues) LatestStart(e Entry) time.Time {
 	expectedRun, estimated := q.ExpectedRun(e.Team, e.Service, e.Class)
@@ -240,7 +240,8 @@
 	return e.ReviewBy.Add(-time.Duration(float64(expectedRun) * q.cfg.Safety))
 }
 
-func (q *Queues) queueOf(team task.Team) *teamQueue {
+// getOrCreateQueue returns the queue of a team. An empty queue is kept, with its drain estimate.
+func (q *Queues) getOrCreateQueue(team task.Team) *teamQueue {
 	t, known := q.teams[team]
 	if !known {
 		t = &teamQueue{
@@ -248,7 +249,7 @@
 			promotions: sortedItems{key: byPromotion},
 		}
 		for k := range t.tiers {
-			t.tiers[k].key = byPosition
+			t.tiers[k].key = bySortTime
 		}
 		q.teams[team] = t
 	}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -57,8 +57,8 @@
 	checkOrder(t, q, start, "urgent 1", "urgent 2", "soon", "late", "normal 1", "normal 2", "background")
 }
 
-// TestBackgroundAges guards against background work starving behind normal work.
-func TestBackgroundAges(t *testing.T) {
+// TestBackgroundWorkAges guards against starvation of background work by normal work.
+func TestBackgroundWorkAges(t *testing.T) {
 	q := New(Config{BackgroundLag: time.Minute})
 	mustPush(t, q, start, entry("background", task.Background))
 	mustPush(t, q, start.Add(59*time.Second), entry("before", task.Normal))
@@ -66,7 +66,7 @@
 	checkOrder(t, q, start.Add(61*time.Second), "before", "background", "after")
 }
 
-// TestAgedWorkGetsOneStartInAgedEvery guards against normal work starving behind a stream of urgent
+// TestAgedWorkGetsOneStartInAgedEvery guards against starvation of normal work by a stream of urgent
 // work, and against a long backlog of aged work delaying every urgent request.
 func TestAgedWorkGetsOneStartInAgedEvery(t *testing.T) {
 	q := New(Config{AgeLimit: time.Minute, AgedEvery: 4})
@@ -109,8 +109,8 @@
 	checkOrder(t, q, latest, "urgent", "long", "urgent later")
 }
 
-// TestFullQueueRefuses guards against a flood of requests of one team that uses unbounded memory or
-// the queue capacity of another team.
+// TestFullQueueRefuses guards against a burst of requests of one team using unbounded memory or the
+// queue capacity of another team.
 func TestFullQueueRefuses(t *testing.T) {
 	q := New(Config{Limit: 3, Rand: rand.New(rand.NewPCG(1, 2))})
 	for i := range 3 {
@@ -125,12 +125,12 @@
 	other.Team = "b"
 	mustPush(t, q, start, other)
 	if got := q.Teams(); !slices.Equal(got, []task.Team{"a", "b"}) || q.Len("a") != 3 {
-		t.Errorf("teams %v, %d entries of a", got, q.Len("a"))
+		t.Errorf("teams = %v, entries of a = %d; want [a b] and 3", got, q.Len("a"))
 	}
 }
 
 // TestUnreachableDeadlineIsRefused guards against accepting work that is not expected to start by
-// its deadline, and against refusing work that would not wait.
+// its deadline, and against refusing work that would start immediately.
 func TestUnreachableDeadlineIsRefused(t *testing.T) {
 	q := New(Config{})
 	now := start
@@ -157,7 +157,7 @@
 	late := entry("late", task.Normal)
 	late.Deadline = now
 	if err := q.Push(now, late); err == nil || err.Kind != errkind.DeadlineExceeded {
-		t.Errorf("err = %v for a deadline that has come", err)
+		t.Errorf("err = %v for a deadline that is now, want DeadlineExceeded", err)
 	}
 }
 
@@ -171,17 +171,17 @@
 	}
 	got := q.Expired(start.Add(2*time.Second + 1))
 	if len(got) != 2 || got[0].Attempt.Task != "0" || got[1].Attempt.Task != "1" {
-		t.Errorf("expired = %v", got)
+		t.Errorf("expired = %v, want tasks 0 and 1", got)
 	}
 	checkOrder(t, q, start, "2", "3")
 }
 
-// TestExpectedRunFollowsObservedRuns guards against estimates from declared run times, against old
-// runs dominating the estimate, and against unbounded growth with the number of class names.
+// TestExpectedRunFollowsObservedRuns guards against estimates that are not from observed runs, against
+// old runs dominating the estimate, and against unbounded growth with the number of class names.
 func TestExpectedRunFollowsObservedRuns(t *testing.T) {
 	q := New(Config{RunQuantile: 0.9, Profiles: 2})
 	if _, ok := q.ExpectedRun("a", "s", "c"); ok {
-		t.Error("ExpectedRun returned a prediction without any observed run")
+		t.Error("ExpectedRun returned an estimate without any observed run")
 	}
 	for i := range 1000 {
 		d := time.Second
@@ -191,13 +191,13 @@
 		q.ObserveRun("a", "s", "c", d)
 	}
 	if d, _ := q.ExpectedRun("a", "s", "c"); d < time.Minute || d > 90*time.Second {
-		t.Errorf("expected run = %v, want a minute rounded up by a bucket", d)
+		t.Errorf("expected run = %v, want the upper bound of the bucket of 1 min", d)
 	}
 	for range 500 {
 		q.ObserveRun("a", "s", "c", time.Second)
 	}
 	if d, _ := q.ExpectedRun("a", "s", "c"); d > 2*time.Second {
-		t.Errorf("expected run = %v after runs of a second", d)
+		t.Errorf("expected run = %v after 500 runs of 1 s, want at most 2 s", d)
 	}
 	q.ObserveRun("a", "s", "d", time.Second)
 	q.ObserveRun("a", "s", "e", time.Second)
@@ -207,7 +207,7 @@
 }
 
 // TestExpectedWaitCountsDuePromotions guards against ExpectedWait and Push returning different
-// results when an entry has just become due for promotion and now precedes urgent work.
+// results when an entry is due for promotion and so precedes new urgent work.
 func TestExpectedWaitCountsDuePromotions(t *testing.T) {
 	q := New(Config{ReviewLead: 10 * time.Second})
 	due := entry("due", task.Normal)
@@ -223,21 +223,21 @@
 		t.Errorf("expected wait = %v, want two intervals of 2 s", wait)
 	}
 	if err := q.Push(now, urgent); err == nil || err.Kind != errkind.DeadlineExceeded {
-		t.Errorf("err = %v", err)
+		t.Errorf("err = %v, want the same expected wait to exceed the deadline", err)
 	}
 }
 
-// TestRetryHintsAreJittered guards against refused callers all retrying at the same moment, and
-// against unbounded retry hints.
+// TestRetryHintsAreJittered guards against refused callers all retrying at the same time, and against
+// unbounded retry-after hints.
 func TestRetryHintsAreJittered(t *testing.T) {
 	q := New(Config{Limit: 1, Rand: rand.New(rand.NewPCG(1, 2))})
 	mustPush(t, q, start, entry("waits", task.Normal))
-	now := start.Add(time.Hour) // nothing has started since
+	now := start.Add(time.Hour) // the queue has stalled for an hour
 	hints := map[time.Duration]bool{}
 	for range 20 {
 		err := q.Push(now, entry("refused", task.Normal))
-		if err == nil || err.RetryAfter < maxRetry/2 || err.RetryAfter > maxRetry*3/2 {
-			t.Fatalf("err = %v, want a hint of %v give or take a half", err, maxRetry)
+		if err == nil || err.RetryAfter < maxRetryAfter/2 || err.RetryAfter > maxRetryAfter*3/2 {
+			t.Fatalf("err = %v, want a hint of %v, plus or minus a half", err, maxRetryAfter)
 		}
 		hints[err.RetryAfter] = true
 	}
