--- a/fairshare/bench_test.go
+++ b/fairshare/bench_test.go
@@ -8,7 +8,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-func forEachTeams(b *testing.B, run func(b *testing.B, s *Shares, teams []task.Team)) {
+func forEachTeamCount(b *testing.B, run func(b *testing.B, s *Shares, teams []task.Team)) {
 	for _, count := range []int{6, 30, 97} {
 		b.Run(fmt.Sprintf("teams=%d", count), func(b *testing.B) {
 			s := newShares(0)
@@ -26,9 +26,9 @@
 	}
 }
 
-// BenchmarkOrder measures sorting all teams after one start.
+// BenchmarkOrder measures a full sort of all teams after one start.
 func BenchmarkOrder(b *testing.B) {
-	forEachTeams(b, func(b *testing.B, s *Shares, teams []task.Team) {
+	forEachTeamCount(b, func(b *testing.B, s *Shares, teams []task.Team) {
 		for i := range b.N {
 			now := start.Add(time.Duration(i) * time.Millisecond)
 			s.Start(now, teams[0], task.Resources{Slots: 1})
@@ -39,7 +39,7 @@
 
 // BenchmarkReorder measures the incremental reordering after one start.
 func BenchmarkReorder(b *testing.B) {
-	forEachTeams(b, func(b *testing.B, s *Shares, teams []task.Team) {
+	forEachTeamCount(b, func(b *testing.B, s *Shares, teams []task.Team) {
 		for range b.N {
 			s.Start(start, teams[0], task.Resources{Slots: 1})
 			s.Reorder(start, teams)
--- a/fairshare/model_test.go
+++ b/fairshare/model_test.go
@@ -17,7 +17,7 @@
 	used task.Resources
 }
 
-// history is a reference implementation that computes shares from the entire usage history.
+// history is a reference implementation of Shares that computes shares from the entire usage history.
 type history struct {
 	halfLife time.Duration
 	weights  map[task.Team]float64
@@ -30,8 +30,8 @@
 	h.segments[team] = append(h.segments[team], segment{now, h.local[team].Add(h.remote[team])})
 }
 
-// decayed integrates the usage over time with a weight that halves with each half-life into the
-// past.
+// decayed returns the dominant share of the usage integrated over time, with a weight that halves
+// with each half-life into the past.
 func (h *history) decayed(now time.Time, team task.Team) float64 {
 	var sum [4]float64
 	for i, s := range h.segments[team] {
@@ -61,7 +61,7 @@
 }
 
 // TestSharesEqualHistory guards against decayed usage that depends on how often it is read, and
-// against an order that differs from the definition.
+// against an order other than by weighted share.
 func TestSharesEqualHistory(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		teams := []task.Team{"a", "b", "c", "d"}
--- a/fairshare/shares.go
+++ b/fairshare/shares.go
@@ -9,19 +9,20 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// DefaultHalfLife is the half-life of past usage if Config gives none.
+// DefaultHalfLife is the default of Config.HalfLife.
 const DefaultHalfLife = 10 * time.Minute
 
-// weightedShareMaxAge is how long the cached weighted share of a team without starts and finishes
-// is valid. At the default half-life, decay changes it by 0.01% in that time.
+// weightedShareMaxAge is the maximum age of a cached weighted share. Changes to a team's usage
+// invalidate its cached share; otherwise, at the default half-life, decay changes it by 0.01% in that
+// time.
 const weightedShareMaxAge = 100 * time.Millisecond
 
 // Config configures Shares.
 type Config struct {
-	HalfLife time.Duration // time in which the weight of past usage halves
+	HalfLife time.Duration // time in which the weight of past usage halves; zero for DefaultHalfLife
 }
 
-// Share is the usage of one team relative to the cluster and its entitlement.
+// Share is the usage of one team as a fraction of the cluster capacity, and its entitlement.
 type Share struct {
 	Current  float64 // dominant share of the current usage
 	Decayed  float64 // dominant share of the decayed usage
@@ -34,17 +35,17 @@
 	total       task.Resources
 	teams       map[task.Team]*usage
 	totalWeight float64
-	sortBuffer  []rankedTeam // reusable buffer of Order
+	sortBuffer  []rankedTeam // reused by Order
 }
 
 // usage is the resource accounting of one team.
 type usage struct {
 	weight        float64
-	local         task.Resources
-	remote        task.Resources
+	local         task.Resources // usage at this owner
+	remote        task.Resources // usage at all other owners
 	decayed       vector
-	decayedAt     time.Time
-	cachedShare   float64   // cached sort key, see Shares.weightedShare
+	decayedAt     time.Time // time up to which decayed is computed
+	cachedShare   float64   // cached result of Shares.weightedShare
 	cachedShareAt time.Time // when cachedShare was computed; zero if the cache is invalid
 }
 
@@ -56,7 +57,7 @@
 	weightedShare float64
 }
 
-// New returns a Shares without teams.
+// New returns Shares without teams.
 func New(cfg Config) *Shares {
 	if cfg.HalfLife <= 0 {
 		cfg.HalfLife = DefaultHalfLife
@@ -64,13 +65,13 @@
 	return &Shares{halfLife: cfg.HalfLife, teams: map[task.Team]*usage{}}
 }
 
-// SetWeight sets the weight of a team. The default is 1; it also replaces a weight that is not
-// positive and finite.
+// SetWeight sets the weight of a team. The default is 1, which is also used if weight is not positive
+// and finite.
 func (s *Shares) SetWeight(team task.Team, weight float64) {
 	if !(weight > 0) || math.IsInf(weight, 0) {
 		weight = 1
 	}
-	u := s.usageOf(team)
+	u := s.getOrCreateUsage(team)
 	s.totalWeight += weight - u.weight
 	u.weight = weight
 	u.cachedShareAt = time.Time{}
@@ -89,7 +90,7 @@
 
 // Start adds size to a team's local usage.
 func (s *Shares) Start(now time.Time, team task.Team, size task.Resources) {
-	u := s.usageOf(team)
+	u := s.getOrCreateUsage(team)
 	s.decay(now, u)
 	u.local = u.local.Add(size)
 	u.cachedShareAt = time.Time{}
@@ -97,7 +98,7 @@
 
 // Finish subtracts size from a team's local usage.
 func (s *Shares) Finish(now time.Time, team task.Team, size task.Resources) {
-	u := s.usageOf(team)
+	u := s.getOrCreateUsage(team)
 	s.decay(now, u)
 	u.local = u.local.Sub(size).Max(task.Resources{})
 	u.cachedShareAt = time.Time{}
@@ -105,18 +106,18 @@
 
 // SetRemote sets the usage of a team at all other owners.
 func (s *Shares) SetRemote(now time.Time, team task.Team, size task.Resources) {
-	u := s.usageOf(team)
+	u := s.getOrCreateUsage(team)
 	s.decay(now, u)
 	u.remote = size.Max(task.Resources{})
 	u.cachedShareAt = time.Time{}
 }
 
 // Order sorts teams in place by ascending weighted share, so that the team furthest below its
-// entitlement comes first, and returns them. Ties are ordered by name.
+// entitlement comes first, and returns them. Ties are broken by name.
 func (s *Shares) Order(now time.Time, teams []task.Team) []task.Team {
 	s.sortBuffer = s.sortBuffer[:0]
 	for _, team := range teams {
-		s.sortBuffer = append(s.sortBuffer, rankedTeam{team, s.weightedShare(now, s.usageOf(team))})
+		s.sortBuffer = append(s.sortBuffer, rankedTeam{team, s.weightedShare(now, s.getOrCreateUsage(team))})
 	}
 	slices.SortFunc(s.sortBuffer, compareWeightedShare)
 	for i := range s.sortBuffer {
@@ -125,16 +126,16 @@
 	return teams
 }
 
-// Reorder restores the order of teams after the usage of the first one has increased. It costs a
-// fraction of Order.
+// Reorder restores the order of sorted teams after the usage of the first one has increased. It costs
+// a fraction of Order, because it moves only that team.
 func (s *Shares) Reorder(now time.Time, teams []task.Team) {
 	if len(teams) < 2 {
 		return
 	}
-	moved := rankedTeam{teams[0], s.weightedShare(now, s.usageOf(teams[0]))}
+	moved := rankedTeam{teams[0], s.weightedShare(now, s.getOrCreateUsage(teams[0]))}
 	i := 1
 	for ; i < len(teams); i++ {
-		next := rankedTeam{teams[i], s.weightedShare(now, s.usageOf(teams[i]))}
+		next := rankedTeam{teams[i], s.weightedShare(now, s.getOrCreateUsage(teams[i]))}
 		if compareWeightedShare(moved, next) <= 0 {
 			break
 		}
@@ -143,7 +144,7 @@
 	teams[i-1] = moved.team
 }
 
-// Forget removes a team that no longer exists. It has no effect while the team still has usage.
+// Forget removes a team that was deleted. It has no effect while the team has current usage.
 func (s *Shares) Forget(team task.Team) {
 	u, known := s.teams[team]
 	if !known || !u.used().IsZero() {
@@ -153,7 +154,7 @@
 	delete(s.teams, team)
 }
 
-// ShareOf returns the share of a team, or zero if the team is unknown.
+// ShareOf returns the share of a team, or the zero Share if the team is unknown.
 func (s *Shares) ShareOf(now time.Time, team task.Team) Share {
 	u, known := s.teams[team]
 	if !known {
@@ -167,9 +168,9 @@
 	}
 }
 
-// weightedShare returns the sort key of a team, lower for a team further below its entitlement. The
-// current share makes the order react immediately to starts; the decayed share accounts for teams
-// that exceeded their entitlement in the recent past.
+// weightedShare returns the sort key of a team, which is lower for a team further below its
+// entitlement. The current share makes the order react immediately to starts; the decayed share
+// accounts for usage above the entitlement in the recent past.
 func (s *Shares) weightedShare(now time.Time, u *usage) float64 {
 	if !u.cachedShareAt.IsZero() && now.Sub(u.cachedShareAt) < weightedShareMaxAge {
 		return u.cachedShare
@@ -180,8 +181,8 @@
 	return u.cachedShare
 }
 
-// decay advances the decayed usage of a team to now. It approaches the current usage
-// exponentially.
+// decay advances the decayed usage of a team to now. Decayed usage is an exponential moving average:
+// it approaches the current usage, and the difference halves with each half-life.
 func (s *Shares) decay(now time.Time, u *usage) {
 	current := toVector(u.used())
 	elapsed := now.Sub(u.decayedAt)
@@ -191,14 +192,15 @@
 		}
 		return
 	}
-	kept := math.Exp2(-float64(elapsed) / float64(s.halfLife))
+	retained := math.Exp2(-float64(elapsed) / float64(s.halfLife))
 	for r := range u.decayed {
-		u.decayed[r] = current[r] + (u.decayed[r]-current[r])*kept
+		u.decayed[r] = current[r] + (u.decayed[r]-current[r])*retained
 	}
 	u.decayedAt = now
 }
 
-func (s *Shares) usageOf(team task.Team) *usage {
+// getOrCreateUsage returns the usage of a team. A new team has weight 1.
+func (s *Shares) getOrCreateUsage(team task.Team) *usage {
 	u, known := s.teams[team]
 	if !known {
 		u = &usage{weight: 1}
--- a/fairshare/shares_test.go
+++ b/fairshare/shares_test.go
@@ -22,9 +22,9 @@
 	return s
 }
 
-// TestDominantResourceDecides guards against underestimating a team that uses much of one resource
-// and little of the others.
-func TestDominantResourceDecides(t *testing.T) {
+// TestOrderUsesDominantShare guards against underestimating the share of a team that uses much of one
+// resource and little of the others.
+func TestOrderUsesDominantShare(t *testing.T) {
 	s := newShares(0)
 	s.Start(start, "accelerated", task.Resources{Accelerators: 5})
 	s.Start(start, "processors", task.Resources{CPUMilli: 40_000, MemoryMB: 40_000, Slots: 40})
@@ -34,8 +34,8 @@
 	}
 }
 
-// TestUsageIsProportionalToWeights guards against weights being ignored: if each start goes to the
-// first team in the order, usage becomes proportional to the weights.
+// TestUsageIsProportionalToWeights guards against weights being ignored: if each start is given to the
+// first team in the order, usage converges to the proportions of the weights.
 func TestUsageIsProportionalToWeights(t *testing.T) {
 	s := newShares(0)
 	teams := []task.Team{"one", "two", "five"}
@@ -59,31 +59,32 @@
 	s := newShares(time.Minute)
 	size := task.Resources{CPUMilli: 80_000}
 	s.Start(start, "a", size)
-	grown := start.Add(time.Minute)
-	if got := s.ShareOf(grown, "a").Decayed; math.Abs(got-0.4) > 1e-9 {
-		t.Errorf("decayed share after one half-life of use = %v, want 0.4", got)
+	finishedAt := start.Add(time.Minute)
+	if got := s.ShareOf(finishedAt, "a").Decayed; math.Abs(got-0.4) > 1e-9 {
+		t.Errorf("decayed share after usage of 0.8 for one half-life = %v, want 0.4", got)
 	}
-	s.Finish(grown, "a", size)
-	if got := s.ShareOf(grown.Add(time.Minute), "a"); math.Abs(got.Decayed-0.2) > 1e-9 || got.Current != 0 {
-		t.Errorf("share one half-life after the use = %+v, want 0.2 decayed", got)
+	s.Finish(finishedAt, "a", size)
+	if got := s.ShareOf(finishedAt.Add(time.Minute), "a"); math.Abs(got.Decayed-0.2) > 1e-9 || got.Current != 0 {
+		t.Errorf("share one half-life after the usage ended = %+v, want 0.2 decayed and 0 current", got)
 	}
-	got := s.Order(grown.Add(time.Minute), []task.Team{"a", "b"})
+	got := s.Order(finishedAt.Add(time.Minute), []task.Team{"a", "b"})
 	if got[0] != "b" {
 		t.Errorf("order = %v, want the team without past usage first", got)
 	}
 }
 
-// TestRemoteUsageCounts guards against an owner that counts only the usage in its own partitions.
-func TestRemoteUsageCounts(t *testing.T) {
+// TestOrderIncludesRemoteUsage guards against an owner that counts only the usage in its own
+// partitions.
+func TestOrderIncludesRemoteUsage(t *testing.T) {
 	s := newShares(0)
 	s.Start(start, "local", task.Resources{Slots: 10})
 	s.SetRemote(start, "remote", task.Resources{Slots: 20})
 	if got := s.Order(start, []task.Team{"remote", "local"}); got[0] != "local" {
-		t.Errorf("order = %v", got)
+		t.Errorf("order = %v, want the team with less usage first", got)
 	}
 	s.SetRemote(start, "remote", task.Resources{})
 	if got := s.Order(start, []task.Team{"local", "remote"}); got[0] != "remote" {
-		t.Errorf("order after the remote usage ended = %v", got)
+		t.Errorf("order after the remote usage ended = %v, want that team first", got)
 	}
 }
 
@@ -127,9 +128,9 @@
 	s.Finish(start, "gone", task.Resources{Slots: 1})
 	s.Forget("gone")
 	if got := s.ShareOf(start, "unknown"); got != (Share{}) {
-		t.Errorf("share of an unknown team = %+v", got)
+		t.Errorf("share of an unknown team = %+v, want the zero Share", got)
 	}
 	if got := s.ShareOf(start, "a").Entitled; got != 1 {
-		t.Errorf("entitled share of the only team = %v", got)
+		t.Errorf("entitled share of the only team = %v, want 1", got)
 	}
 }
