--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -47,7 +47,7 @@
 	})
 }
 
-// BenchmarkReview measures the check of all workers that runs once a second.
+// BenchmarkReview measures Review and ProbesDue, which package control calls once a second.
 func BenchmarkReview(b *testing.B) {
 	forEachFleet(b, func(b *testing.B, m *Monitor, _ int) {
 		for range b.N {
--- a/quarantine/class.go
+++ b/quarantine/class.go
@@ -2,12 +2,12 @@
 
 import "time"
 
-// maxClasses is the maximum number of classes that are tracked. It is well above the number of
-// classes in the documents of 97 teams.
+// maxClasses is the maximum number of tracked classes. It is well above the number of classes in the
+// configuration documents of 97 teams.
 const maxClasses = 4096
 
-// classHistory holds the most recent successes of a class on two different workers. Two are enough
-// to decide whether the class succeeds on a worker other than a given one.
+// classHistory holds the most recent successes of a class on two different workers. Two are
+// sufficient to determine whether the class succeeded on a worker other than a given one.
 type classHistory struct {
 	latest, latestOnOther successRecord
 }
@@ -24,36 +24,36 @@
 	c.latest = successRecord{worker, now}
 }
 
-// runsElsewhere reports whether the class has succeeded on another worker since the given time.
-func (c *classHistory) runsElsewhere(worker string, since time.Time) bool {
-	found := c.latest
-	if found.worker == worker {
-		found = c.latestOnOther
+// succeededElsewhere reports whether the class succeeded on another worker since the given time.
+func (c *classHistory) succeededElsewhere(worker string, since time.Time) bool {
+	elsewhere := c.latest
+	if elsewhere.worker == worker {
+		elsewhere = c.latestOnOther
 	}
-	return found.worker != "" && !found.at.Before(since)
+	return elsewhere.worker != "" && !elsewhere.at.Before(since)
 }
 
-func (m *Monitor) classOf(key Class) *classHistory {
+// getOrCreateClass returns the history of a class. It may evict another class to add a new one.
+func (m *Monitor) getOrCreateClass(key Class) *classHistory {
 	c, known := m.classes[key]
 	if !known {
-		m.evictClass()
+		m.evictClassIfFull()
 		c = &classHistory{}
 		m.classes[key] = c
 	}
 	return c
 }
 
-// evictClass makes room for one more class if the limit is reached. It evicts the class with the
-// oldest last success.
-func (m *Monitor) evictClass() {
+// evictClassIfFull evicts the class with the oldest last success if the limit is reached.
+func (m *Monitor) evictClassIfFull() {
 	if len(m.classes) < maxClasses {
 		return
 	}
 	var oldest Class
-	var at time.Time
+	var oldestAt time.Time
 	for key, c := range m.classes {
-		if at.IsZero() || c.latest.at.Before(at) {
-			oldest, at = key, c.latest.at
+		if oldestAt.IsZero() || c.latest.at.Before(oldestAt) {
+			oldest, oldestAt = key, c.latest.at
 		}
 	}
 	delete(m.classes, oldest)
--- a/quarantine/job.go
+++ b/quarantine/job.go
@@ -8,7 +8,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// jobHistory tracks on which workers each job failed, for a bounded number of jobs.
+// jobHistory records the workers on which each job failed, for a bounded number of jobs.
 type jobHistory struct {
 	byID map[task.ID]*jobRecord
 	lru  *list.List // of *jobRecord, most recent failure first
@@ -45,7 +45,7 @@
 	j.failures = append(j.failures, jobFailure{o.Worker, now})
 }
 
-// recordSuccess deletes the record of a job: after a success, its earlier failures are attributed to
+// recordSuccess deletes the record of a job, because its failures before a success are attributed to
 // the workers.
 func (h *jobHistory) recordSuccess(id task.ID) {
 	if j, known := h.byID[id]; known {
@@ -54,8 +54,8 @@
 	}
 }
 
-// evict deletes the jobs whose last failure is older than the given time, and the least recently
-// failed ones while the limit is reached.
+// evict deletes the jobs whose last failure is older than the given time, and while the limit is
+// reached, the least recently failed jobs.
 func (h *jobHistory) evict(before time.Time) {
 	for oldest := h.lru.Back(); oldest != nil; oldest = h.lru.Back() {
 		j := oldest.Value.(*jobRecord)
@@ -67,7 +67,7 @@
 	}
 }
 
-// failedElsewhere reports whether a job has also failed on another worker since the given time.
+// failedElsewhere reports whether a job also failed on another worker since the given time.
 func (h *jobHistory) failedElsewhere(id task.ID, worker string, since time.Time) bool {
 	j, known := h.byID[id]
 	if !known {
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -9,8 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-// outcomeLog is a reference implementation of Monitor that computes verdicts from the entire list of
-// outcomes.
+// outcomeLog is a reference implementation of Monitor that computes verdicts from all outcomes.
 type outcomeLog struct {
 	outcomes []loggedOutcome
 	window   time.Duration
@@ -21,7 +20,7 @@
 	at time.Time
 }
 
-// inWindow returns the outcomes within the window.
+// inWindow returns the outcomes that are not older than the window.
 func (l *outcomeLog) inWindow(now time.Time) []loggedOutcome {
 	var list []loggedOutcome
 	for _, o := range l.outcomes {
@@ -54,7 +53,7 @@
 		if o.Worker != worker || o.Succeeded || now.Sub(o.at) > l.window {
 			continue
 		}
-		if !l.failedElsewhere(now, o) && l.runsElsewhere(now, o) && !l.succeededOnWorkerAfter(i) {
+		if !l.failedElsewhere(now, o) && l.succeededElsewhere(now, o) && !l.succeededOnWorkerAfter(i) {
 			classes[o.Class] = true
 		}
 	}
@@ -70,7 +69,7 @@
 	return false
 }
 
-func (l *outcomeLog) runsElsewhere(now time.Time, failed loggedOutcome) bool {
+func (l *outcomeLog) succeededElsewhere(now time.Time, failed loggedOutcome) bool {
 	for _, o := range l.inWindow(now) {
 		if o.Succeeded && o.Class == failed.Class && o.Worker != failed.Worker {
 			return true
@@ -104,9 +103,9 @@
 	return count >= DefaultMinWorkers
 }
 
-// TestMonitorEqualsLog guards against verdicts from the bounded history that differ from those from
-// all outcomes, against more quarantined workers than the cap allows, and against an outcome that is
-// attributed to both the worker and the job.
+// TestMonitorEqualsLog guards against verdicts from the bounded history that differ from verdicts
+// from all outcomes, against more quarantined workers than the cap allows, and against an outcome
+// that is attributed to both the worker and the job.
 func TestMonitorEqualsLog(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		workers := rapid.IntRange(1, 12).Draw(t, "workers")
@@ -124,7 +123,7 @@
 			}
 			faulty := l.isWorkerFaulty(now, o.Worker, DefaultMinClasses)
 			if v.WorkerBad && (!faulty || v.JobBad || wasQuarantined) {
-				t.Fatalf("worker %s was quarantined by %+v; faulty in the reference: %v", o.Worker, v, faulty)
+				t.Fatalf("worker %s was quarantined with verdict %+v; faulty in the reference: %v", o.Worker, v, faulty)
 			}
 			checkCap(t, m, workers)
 			if !o.Succeeded && faulty && !v.JobBad && !m.IsQuarantined(o.Worker) && countQuarantined(m, workers) == 0 {
@@ -149,7 +148,7 @@
 
 func checkCap(t *rapid.T, m *Monitor, workers int) {
 	if n := countQuarantined(m, workers); n > max(1, (workers+9)/10) {
-		t.Fatalf("%d of %d workers in quarantine", n, workers)
+		t.Fatalf("%d of %d workers are quarantined, more than the cap", n, workers)
 	}
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -18,36 +18,35 @@
 	DefaultProbeLimit  = 10 * time.Minute
 )
 
-// MaxPenalty is the highest penalty of a worker, equal to the limit in package placement.
+// MaxPenalty is the highest penalty of a worker, equal to placement.MaxPenalty.
 const MaxPenalty = 3
 
 const (
-	// maxFailures is the maximum number of failures that are kept per worker and per job.
+	// maxFailures is the maximum number of recorded failures per worker and per job.
 	maxFailures = 16
-	// maxJobs is the maximum number of jobs that are tracked; the least recently failed ones are
-	// evicted first.
+	// maxJobs is the maximum number of tracked jobs; the least recently failed one is evicted first.
 	maxJobs = 8192
 )
 
 // Config configures a Monitor. Zero values take the defaults.
 type Config struct {
-	Window      time.Duration // age up to which an outcome counts
-	MinClasses  int           // classes that must fail on a worker and succeed elsewhere
-	MinWorkers  int           // workers on which a job must fail
-	MaxFraction float64       // fraction of a partition's workers that may be quarantined
-	ProbeAfter  time.Duration // delay before the first probe; doubles after each failed probe
+	Window      time.Duration // maximum age of the outcomes that are evaluated
+	MinClasses  int           // minimum number of classes that fail on a faulty worker but succeed elsewhere
+	MinWorkers  int           // minimum number of workers on which a faulty job fails
+	MaxFraction float64       // maximum fraction of a partition's workers that are quarantined, rounded up
+	ProbeAfter  time.Duration // delay before the first probe; doubled after each failed probe
 	ProbeLimit  time.Duration // maximum delay between probes
 }
 
-// Class identifies a kind of work whose tasks are comparable.
+// Class identifies a class of comparable tasks.
 type Class struct {
 	Team    task.Team
 	Service task.Service
 	Name    string
 }
 
-// Outcome is the result of one attempt on a worker. Results that are evidence about neither the
-// worker nor the job, such as a cancellation, are not reported.
+// Outcome is the result of one attempt on a worker. A result that is evidence neither about the
+// worker nor about the job, such as a cancellation, must not be reported.
 type Outcome struct {
 	Worker    string
 	Class     Class
@@ -64,7 +63,7 @@
 	jobs       jobHistory
 }
 
-// partition counts the workers of one worker partition, to which the quarantine cap applies.
+// partition counts the workers of one worker partition. The quarantine cap applies per partition.
 type partition struct {
 	workers     int
 	quarantined int
@@ -93,21 +92,21 @@
 	}
 }
 
-// AddWorker adds a worker. It is a no-op if the worker is already in the same partition. A worker
-// that moves to another partition loses its history.
+// AddWorker adds a worker. It is a no-op if the worker is already in the same partition. If the worker
+// is in another partition, its history is deleted.
 func (m *Monitor) AddWorker(name, partitionName string) {
 	if w, known := m.workers[name]; known {
-		if w.partition == m.partitionOf(partitionName) {
+		if w.partition == m.getOrCreatePartition(partitionName) {
 			return
 		}
 		m.RemoveWorker(name)
 	}
-	p := m.partitionOf(partitionName)
+	p := m.getOrCreatePartition(partitionName)
 	p.workers++
 	m.workers[name] = &worker{name: name, partition: p}
 }
 
-// RemoveWorker removes a worker and its history, for example because it was restarted.
+// RemoveWorker removes a worker and its history, for example after a restart of the worker.
 func (m *Monitor) RemoveWorker(name string) {
 	w, known := m.workers[name]
 	if !known {
@@ -120,19 +119,20 @@
 	delete(m.workers, name)
 }
 
-// Verdict is the conclusion from an outcome.
+// Verdict is the result of Observe.
 type Verdict struct {
 	WorkerBad bool // the worker was quarantined because of this outcome
 	JobBad    bool // the job is faulty and should not be retried
 }
 
-// Observe records one outcome. Outcomes on unknown workers are ignored.
+// Observe records one outcome, and quarantines its worker if that is faulty and the cap permits it.
+// Outcomes on unknown workers are ignored.
 func (m *Monitor) Observe(now time.Time, o Outcome) Verdict {
 	w, known := m.workers[o.Worker]
 	if !known {
 		return Verdict{}
 	}
-	c := m.classOf(o.Class)
+	c := m.getOrCreateClass(o.Class)
 	if o.Succeeded {
 		c.recordSuccess(now, o.Worker)
 		w.recordSuccess(now, o)
@@ -148,8 +148,8 @@
 	return verdict
 }
 
-// IsJobBad reports whether a job failed on at least MinWorkers workers on which other work succeeds.
-// Failures on quarantined workers do not count.
+// IsJobBad reports whether a job is faulty: whether it failed on at least MinWorkers workers on which
+// other work succeeds. Failures on quarantined workers are excluded.
 func (m *Monitor) IsJobBad(now time.Time, id task.ID) bool {
 	j, known := m.jobs.byID[id]
 	if !known {
@@ -174,9 +174,9 @@
 	return known && w.quarantined
 }
 
-// Penalty returns the placement penalty of a worker. It rises with the first failures, before
-// quarantine, because a worker on which every task fails immediately always has free capacity and
-// would attract all the work.
+// Penalty returns the placement penalty of a worker. It increases with the first failures, before the
+// worker is quarantined: a worker on which every task fails immediately always has free capacity, and
+// would otherwise attract all the work.
 func (m *Monitor) Penalty(now time.Time, name string) int {
 	w, known := m.workers[name]
 	if !known {
@@ -188,16 +188,16 @@
 		if m.isOutsideWindow(now, f.at) || w.succeededSince(f.class, f.at) || m.jobs.failedElsewhere(f.job, name, since) {
 			continue
 		}
-		runsElsewhere := m.classOf(f.class).runsElsewhere(name, since)
-		if runsElsewhere || f.at.After(w.lastSuccess) {
+		succeededElsewhere := m.getOrCreateClass(f.class).succeededElsewhere(name, since)
+		if succeededElsewhere || f.at.After(w.lastSuccess) {
 			penalty++
 		}
 	}
 	return min(penalty, MaxPenalty)
 }
 
-// Review quarantines the workers that were found faulty while the cap was reached, those with the
-// most failures first, and returns their names.
+// Review quarantines the workers that are faulty but could not be quarantined earlier because of the
+// cap, in descending order of their number of failures, and returns their names.
 func (m *Monitor) Review(now time.Time) []string {
 	var faulty []*worker
 	for _, w := range m.workers {
@@ -215,8 +215,8 @@
 	return names
 }
 
-// isWorkerFaulty reports whether at least MinClasses classes fail on a worker that succeed on
-// others. The failure of a job that also failed elsewhere is attributed to the job.
+// isWorkerFaulty reports whether at least MinClasses classes that succeed on other workers fail on
+// this one. The failure of a job that also failed elsewhere is attributed to the job.
 func (m *Monitor) isWorkerFaulty(now time.Time, w *worker) bool {
 	since := now.Add(-m.cfg.Window)
 	var classes []Class
@@ -224,7 +224,7 @@
 		if m.isOutsideWindow(now, f.at) || w.succeededSince(f.class, f.at) || m.jobs.failedElsewhere(f.job, w.name, since) {
 			continue
 		}
-		if !m.classOf(f.class).runsElsewhere(w.name, since) {
+		if !m.getOrCreateClass(f.class).succeededElsewhere(w.name, since) {
 			continue
 		}
 		if !slices.Contains(classes, f.class) {
@@ -254,7 +254,7 @@
 
 func (m *Monitor) isOutsideWindow(now, at time.Time) bool { return now.Sub(at) > m.cfg.Window }
 
-func (m *Monitor) partitionOf(name string) *partition {
+func (m *Monitor) getOrCreatePartition(name string) *partition {
 	p, known := m.partitions[name]
 	if !known {
 		p = &partition{}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -23,8 +23,8 @@
 
 func workerName(i int) string { return fmt.Sprintf("w%02d", i) }
 
-// TestFaultyWorkerIsQuarantined guards against keeping a worker in service on which tasks fail that
-// succeed on other workers.
+// TestFaultyWorkerIsQuarantined guards against a worker remaining in service although tasks fail on it
+// that succeed on other workers.
 func TestFaultyWorkerIsQuarantined(t *testing.T) {
 	m := newMonitor(10)
 	for _, c := range []string{"x", "y"} {
@@ -32,7 +32,7 @@
 	}
 	first := m.Observe(start, Outcome{"w00", classNamed("x"), "x-1", false})
 	if first.WorkerBad || m.IsQuarantined("w00") {
-		t.Fatal("quarantined after failures of one class only")
+		t.Fatal("the worker was quarantined after failures of only one class")
 	}
 	second := m.Observe(start, Outcome{"w00", classNamed("y"), "y-1", false})
 	if !second.WorkerBad || !m.IsQuarantined("w00") {
@@ -67,7 +67,7 @@
 	for i, want := range []bool{false, false, true} {
 		v := m.Observe(later, Outcome{workerName(i), classNamed("x"), "poison", false})
 		if v.JobBad != want {
-			t.Fatalf("after %d workers JobBad = %v, want %v", i+1, v.JobBad, want)
+			t.Fatalf("after failures on %d workers, JobBad = %v, want %v", i+1, v.JobBad, want)
 		}
 	}
 	v := m.Observe(later, Outcome{"w00", classNamed("y"), "other", false})
@@ -76,7 +76,7 @@
 	}
 }
 
-// TestQuarantineIsCapped guards against a common-cause failure taking an entire partition out of
+// TestQuarantineIsCapped guards against a common-cause failure removing an entire partition from
 // service, and against a cap of zero in a small partition.
 func TestQuarantineIsCapped(t *testing.T) {
 	for workers, want := range map[int]int{2: 1, 10: 1, 11: 2, 57: 6} {
@@ -101,25 +101,25 @@
 			}
 		}
 		if got != want {
-			t.Errorf("%d of %d workers in quarantine, want %d", got, workers, want)
+			t.Errorf("%d of %d workers are quarantined, want %d", got, workers, want)
 		}
 	}
 }
 
-// TestProbeReturnsWorker guards against a repaired worker staying in quarantine, and against a
-// faulty one returning to service or being probed without backoff.
-func TestProbeReturnsWorker(t *testing.T) {
+// TestSuccessfulProbeEndsQuarantine guards against a repaired worker remaining quarantined, and
+// against a faulty one returning to service or being probed without exponential backoff.
+func TestSuccessfulProbeEndsQuarantine(t *testing.T) {
 	m := newMonitor(10)
 	makeFaulty(m, "w00")
 	if due := m.ProbesDue(start.Add(DefaultProbeAfter - 1)); len(due) != 0 {
-		t.Fatalf("probe due early: %v", due)
+		t.Fatalf("due = %v before the probe delay has elapsed, want none", due)
 	}
 	at := start.Add(DefaultProbeAfter)
 	if due := m.ProbesDue(at); !slices.Equal(due, []string{"w00"}) {
 		t.Fatalf("due = %v", due)
 	}
 	if due := m.ProbesDue(at); len(due) != 0 {
-		t.Fatalf("second probe while one runs: %v", due)
+		t.Fatalf("due = %v while a probe is running, want none", due)
 	}
 	if m.ProbeDone(at, "w00", false) || len(m.ProbesDue(at.Add(DefaultProbeAfter))) != 0 {
 		t.Fatal("a failed probe returned the worker to service or did not double the delay")
@@ -134,26 +134,26 @@
 }
 
 // TestFastFailingWorkerIsPenalized guards against a worker on which every task fails immediately
-// attracting the work of the fleet before it is quarantined.
+// attracting all the work before it is quarantined.
 func TestFastFailingWorkerIsPenalized(t *testing.T) {
 	m := newMonitor(10)
 	for i := range 3 {
 		m.Observe(start, Outcome{"w00", classNamed("x"), task.ID(fmt.Sprint("j", i)), false})
 		if got := m.Penalty(start, "w00"); got != i+1 {
-			t.Errorf("penalty after %d failures = %d", i+1, got)
+			t.Errorf("penalty after %d failures = %d, want the number of failures", i+1, got)
 		}
 	}
 	if got := m.Penalty(start.Add(DefaultWindow+1), "w00"); got != 0 {
-		t.Errorf("penalty after the window = %d", got)
+		t.Errorf("penalty after the window = %d, want 0", got)
 	}
 	m.Observe(start.Add(1), Outcome{"w00", classNamed("x"), "ok", true})
 	if got := m.Penalty(start.Add(1), "w00"); got != 0 {
-		t.Errorf("penalty after a success = %d", got)
+		t.Errorf("penalty after a success = %d, want 0", got)
 	}
 }
 
-// TestReviewQuarantinesBelowCap guards against a worker that was found faulty while the cap was
-// reached never being quarantined.
+// TestReviewQuarantinesBelowCap guards against a worker never being quarantined because the cap was
+// reached when it was found faulty.
 func TestReviewQuarantinesBelowCap(t *testing.T) {
 	m := newMonitor(10)
 	makeFaulty(m, "w00")
@@ -163,10 +163,11 @@
 	}
 	m.RemoveWorker("w00")
 	if got := m.Review(start); !slices.Equal(got, []string{"w02"}) {
-		t.Errorf("Review = %v", got)
+		t.Errorf("Review = %v, want [w02]", got)
 	}
 }
 
+// makeFaulty records failures of two classes on a worker, and their successes on w01.
 func makeFaulty(m *Monitor, name string) {
 	for _, c := range []string{"x", "y"} {
 		m.Observe(start, Outcome{"w01", classNamed(c), task.ID(c + "-good"), true})
@@ -174,8 +175,8 @@
 	}
 }
 
-// TestJobFailuresOutsideWindowAreIgnored guards against counting a failure outside the window for as
-// long as the job has newer failures on other workers.
+// TestJobFailuresOutsideWindowAreIgnored guards against counting a job's failure outside the window
+// while the job has newer failures on other workers.
 func TestJobFailuresOutsideWindowAreIgnored(t *testing.T) {
 	m := newMonitor(10)
 	m.Observe(start, Outcome{"w02", classNamed("x"), "job", false})
--- a/quarantine/worker.go
+++ b/quarantine/worker.go
@@ -8,7 +8,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// maxWorkerClasses is the maximum number of classes whose last success is kept per worker.
+// maxWorkerClasses is the maximum number of classes whose last success is recorded per worker.
 const maxWorkerClasses = 32
 
 // worker is the state of one worker.
@@ -19,9 +19,9 @@
 	successes   []success // the latest success of each class
 	lastSuccess time.Time
 	quarantined bool
-	probing     bool
-	probeAt     time.Time
-	probeDelay  time.Duration
+	probing     bool          // ProbesDue returned the worker, and ProbeDone was not called yet
+	probeAt     time.Time     // when the next probe is due
+	probeDelay  time.Duration // current backoff between probes
 }
 
 type failure struct {
@@ -53,7 +53,7 @@
 	}
 	if len(w.successes) == maxWorkerClasses {
 		oldest := slices.IndexFunc(w.successes, func(s success) bool {
-			return s.at.Equal(slices.MinFunc(w.successes, compareTime).at)
+			return s.at.Equal(slices.MinFunc(w.successes, compareSuccessTime).at)
 		})
 		w.successes = slices.Delete(w.successes, oldest, oldest+1)
 	}
@@ -69,7 +69,7 @@
 	return false
 }
 
-func compareTime(a, b success) int { return a.at.Compare(b.at) }
+func compareSuccessTime(a, b success) int { return a.at.Compare(b.at) }
 
 func compareFailureCount(a, b *worker) int {
 	if c := cmp.Compare(len(b.failures), len(a.failures)); c != 0 {
@@ -78,8 +78,8 @@
 	return cmp.Compare(a.name, b.name)
 }
 
-// ProbesDue returns the quarantined workers that have to run a probe task now, sorted by name. A
-// worker is not returned again until ProbeDone is called for it.
+// ProbesDue returns the names of the quarantined workers whose next probe task is due, in sorted
+// order. A worker is not returned again until ProbeDone is called for it.
 func (m *Monitor) ProbesDue(now time.Time) []string {
 	var due []string
 	for _, w := range m.workers {
@@ -93,7 +93,7 @@
 }
 
 // ProbeDone records the outcome of a probe task and reports whether the worker returned to service.
-// A failure doubles the delay before the next probe, up to ProbeLimit.
+// A failure doubles the delay before the next probe, up to Config.ProbeLimit.
 func (m *Monitor) ProbeDone(now time.Time, name string, succeeded bool) (returned bool) {
 	w, known := m.workers[name]
 	if !known || !w.quarantined {
