--- a/keyring/model_test.go
+++ b/keyring/model_test.go
@@ -9,18 +9,18 @@
 	"time"
 )
 
-// simulation runs four processes with drifting clocks against one store that holds one key. Messages
-// are executed at their true time of arrival.
+// simulation is a discrete-event simulation of four processes with drifting clocks and one store that
+// holds one key. Messages are executed in order of their true arrival time.
 type simulation struct {
-	rng       *rand.Rand
-	faults    faults
-	now       time.Duration // true time
-	queue     []message
-	nodes     []*node
-	storeDown bool // store outage
-	log       []storeChange
-	ackedAt   time.Duration // when the withdrawal was acknowledged; 0 before
-	coverage  map[string]int
+	rng               *rand.Rand
+	faults            faults
+	now               time.Duration // true time
+	queue             []message
+	nodes             []*node
+	storeDown         bool
+	log               []storeChange
+	withdrawalAckedAt time.Duration // when the withdrawal was acknowledged; 0 before
+	coverage          map[string]int
 }
 
 type message struct {
@@ -28,28 +28,28 @@
 	run func()
 }
 
-// storeChange is a change in the store: the withdrawal of the key, or a member that joined. Its
-// revision is its 1-based position in the log.
+// storeChange is a change in the store: the withdrawal of the key, or the registration of a member.
+// Its revision is its 1-based position in the log.
 type storeChange struct {
 	withdrawn bool
 	member    Peer
 }
 
 type node struct {
-	sim         *simulation
-	peer        Peer
-	starts      int
-	startedAt   time.Duration
-	rate        float64
-	ring        *Ring
-	fresh       *Freshness
-	members     map[string]Peer
-	applied     int
-	frozenUntil time.Duration
-	storeCutOff bool          // partitioned from the store
-	peersCutOff bool          // partitioned from the other processes
-	watchLag    time.Duration // additional delay of the watch
-	contactAt   time.Duration // time of the last reply of the store
+	sim              *simulation
+	peer             Peer
+	starts           int
+	startedAt        time.Duration
+	rate             float64
+	ring             *Ring
+	freshness        *Freshness
+	members          map[string]Peer
+	applied          int
+	frozenUntil      time.Duration
+	storeCutOff      bool          // partitioned from the store
+	peersCutOff      bool          // partitioned from the other processes
+	watchLag         time.Duration // additional delay of the watch
+	lastStoreReplyAt time.Duration // time of the last reply of the store
 }
 
 const modelTeam = "a"
@@ -78,8 +78,8 @@
 func (n *node) start() {
 	n.starts++
 	n.peer.Incarnation = fmt.Sprintf("%s.%d", n.peer.Instance, n.starts)
-	n.ring, n.fresh = NewRing(), NewFreshness(DefaultConfig(), n.clock())
-	n.fresh.faults = n.sim.faults
+	n.ring, n.freshness = NewRing(), NewFreshness(DefaultConfig(), n.clock())
+	n.freshness.faults = n.sim.faults
 	n.ring.Apply(Key{ID: "k", Team: modelTeam, Digest: modelSecret, Revision: 0})
 	n.members, n.applied, n.startedAt = map[string]Peer{}, 0, n.sim.now
 	n.callStore(func() func() {
@@ -99,7 +99,7 @@
 	return time.Duration(1+sim.rng.Int64N(30)) * time.Millisecond
 }
 
-// runUntil executes the messages up to end in order of arrival.
+// runUntil executes the messages that arrive up to end, in order of arrival.
 func (sim *simulation) runUntil(end time.Duration) {
 	for {
 		next := -1
@@ -119,7 +119,8 @@
 	}
 }
 
-// runAfter runs f on the node after d and after any freeze, unless the node was restarted since.
+// runAfter runs f on the node after d, or at the end of a freeze if that is later, unless the node is
+// restarted before.
 func (n *node) runAfter(d time.Duration, f func()) {
 	starts := n.starts
 	var run func()
@@ -135,7 +136,7 @@
 	n.sim.after(d, run)
 }
 
-// callStore runs op at the store and the function that it returns on the node.
+// callStore runs op at the store, and then on the node the function that op returned.
 func (n *node) callStore(op func() func()) {
 	n.sim.after(n.sim.delay(), func() {
 		if n.sim.storeDown || n.storeCutOff {
@@ -143,17 +144,17 @@
 		}
 		reply := op()
 		n.runAfter(n.sim.delay(), func() {
-			n.contactAt = n.sim.now
+			n.lastStoreReplyAt = n.sim.now
 			reply()
 		})
 	})
 }
 
-func (n *node) read() {
+func (n *node) readStore() {
 	sentAt := n.clock()
 	n.callStore(func() func() {
 		revision := int64(len(n.sim.log))
-		return func() { n.fresh.Confirmed(n.clock(), sentAt, revision) }
+		return func() { n.freshness.Confirmed(n.clock(), sentAt, revision) }
 	})
 }
 
@@ -161,20 +162,21 @@
 	if n.sim.storeDown || n.storeCutOff {
 		return
 	}
-	seen := n.sim.log
+	log := n.sim.log
 	n.runAfter(n.watchLag+n.sim.delay(), func() {
-		for ; n.applied < len(seen); n.applied++ {
-			if e := seen[n.applied]; e.withdrawn {
+		for ; n.applied < len(log); n.applied++ {
+			if e := log[n.applied]; e.withdrawn {
 				n.ring.Remove(modelTeam, "k", int64(n.applied+1))
 			} else {
 				n.members[e.member.Instance] = e.member
 			}
 		}
-		n.fresh.ApplyThrough(int64(n.applied))
+		n.freshness.ApplyThrough(int64(n.applied))
 	})
 }
 
-// request runs handler on the current incarnation of m and the function that it returns on n.
+// request runs handler on the current incarnation of m, and then on n the function that handler
+// returned.
 func (n *node) request(m *node, handler func() func()) {
 	if n.peersCutOff || m.peersCutOff || m.starts == 0 {
 		return
@@ -192,16 +194,16 @@
 func (n *node) requestFreshness(m *node) {
 	sentAt := n.clock()
 	n.request(m, func() func() {
-		remaining, revision := m.fresh.Remaining(m.clock()), m.fresh.Applied()
-		return func() { n.fresh.PeerConfirmed(n.clock(), sentAt, remaining, revision) }
+		remaining, revision := m.freshness.Remaining(m.clock()), m.freshness.Applied()
+		return func() { n.freshness.PeerConfirmed(n.clock(), sentAt, remaining, revision) }
 	})
 }
 
-func (n *node) hasContact() bool { return n.sim.now-n.contactAt < 1500*time.Millisecond }
+func (n *node) hasStoreContact() bool { return n.sim.now-n.lastStoreReplyAt < 1500*time.Millisecond }
 
-// outageRound sends requests to all known members and reads the instance list, which shows new
-// instances with a delay of up to ListLag.
-func (n *node) outageRound() {
+// startOutageRound sends requests to all known members and reads the instance list, in which a new
+// instance appears with a delay of up to ListLag.
+func (n *node) startOutageRound() {
 	var members []Peer
 	for _, other := range n.sim.nodes {
 		if m, ok := n.members[other.peer.Instance]; ok {
@@ -215,7 +217,7 @@
 			continue
 		}
 		n.request(m, func() func() {
-			reply := OutageReply{From: m.peer, Promised: m.fresh.PromiseNoCommit(m.clock(), m.hasContact()), Revision: m.fresh.Known()}
+			reply := OutageReply{From: m.peer, Promised: m.freshness.PromiseNoCommit(m.clock(), m.hasStoreContact()), Revision: m.freshness.Known()}
 			return func() {
 				round.Reply(reply)
 				n.completeRound(round)
@@ -236,26 +238,26 @@
 }
 
 func (n *node) completeRound(round *OutageRound) {
-	before := n.fresh.Until()
-	n.fresh.OutageConfirmed(n.clock(), round)
-	if n.fresh.Until().After(before) {
+	before := n.freshness.Until()
+	n.freshness.OutageConfirmed(n.clock(), round)
+	if n.freshness.Until().After(before) {
 		n.sim.coverage["outage confirmed"]++
 	}
 }
 
 // withdraw commits the withdrawal of the key through n.
 func (n *node) withdraw() {
-	if !n.hasContact() || !n.fresh.BeginCommit(n.clock()) {
+	if !n.hasStoreContact() || !n.freshness.BeginCommit(n.clock()) {
 		return
 	}
 	n.callStore(func() func() {
 		n.sim.log = append(n.sim.log, storeChange{withdrawn: true})
 		revision := int64(len(n.sim.log))
 		return func() {
-			n.fresh.EndCommit(revision)
+			n.freshness.EndCommit(revision)
 			n.ring.Remove(modelTeam, "k", revision)
-			if n.sim.ackedAt == 0 {
-				n.sim.ackedAt = n.sim.now
+			if n.sim.withdrawalAckedAt == 0 {
+				n.sim.withdrawalAckedAt = n.sim.now
 				n.sim.coverage["acknowledged"]++
 			}
 		}
@@ -287,8 +289,8 @@
 	}
 }
 
-// run runs one random scenario and returns a violation, if any: an admission of the key later than
-// Freshness after its withdrawal was acknowledged.
+// run runs one random scenario and returns a description of a violation, if any: an admission of the
+// key later than Freshness after its withdrawal was acknowledged.
 func (sim *simulation) run() string {
 	withdrawAt := time.Duration(12+sim.rng.IntN(50)) * time.Second
 	for sim.now < 90*time.Second {
@@ -312,17 +314,17 @@
 func (n *node) randomAction(withdrawAt time.Duration) {
 	switch n.sim.rng.IntN(8) {
 	case 0:
-		n.read()
+		n.readStore()
 	case 1, 2:
 		n.watch()
 	case 3:
 		n.requestFreshness(n.sim.nodes[n.sim.rng.IntN(4)])
 	case 4:
-		if !n.hasContact() {
-			n.outageRound()
+		if !n.hasStoreContact() {
+			n.startOutageRound()
 		}
 	case 5:
-		if n.sim.now >= withdrawAt && n.sim.ackedAt == 0 {
+		if n.sim.now >= withdrawAt && n.sim.withdrawalAckedAt == 0 {
 			n.withdraw()
 		}
 	}
@@ -330,11 +332,11 @@
 
 func (n *node) checkAdmission() string {
 	sim := n.sim
-	_, err := n.ring.Snapshot(n.fresh.Until()).Admit(n.clock(), modelTeam, modelSecret)
+	_, err := n.ring.Snapshot(n.freshness.Until()).Admit(n.clock(), modelTeam, modelSecret)
 	if err == nil {
 		sim.coverage["admitted"]++
-		if sim.ackedAt > 0 && sim.now > sim.ackedAt+DefaultConfig().Freshness {
-			return fmt.Sprintf("%s admits the key at %v, acknowledged as withdrawn at %v", n.peer.Incarnation, sim.now, sim.ackedAt)
+		if sim.withdrawalAckedAt > 0 && sim.now > sim.withdrawalAckedAt+DefaultConfig().Freshness {
+			return fmt.Sprintf("%s admitted the key at %v although its withdrawal was acknowledged at %v", n.peer.Incarnation, sim.now, sim.withdrawalAckedAt)
 		}
 		return ""
 	}
@@ -342,15 +344,15 @@
 	return ""
 }
 
-func modelRuns(normal int) int {
+func modelRuns(defaultRuns int) int {
 	if n, err := strconv.Atoi(os.Getenv("MULBERRYDRUM_MODEL_RUNS")); err == nil {
 		return n
 	}
-	return normal
+	return defaultRuns
 }
 
 // TestWithdrawalTakesEffectInTime guards against a process that admits a withdrawn key later than
-// Freshness after the withdrawal.
+// Freshness after the withdrawal was acknowledged.
 func TestWithdrawalTakesEffectInTime(t *testing.T) {
 	coverage := map[string]int{}
 	for seed := range modelRuns(400) {
@@ -365,7 +367,7 @@
 	t.Logf("covered: %v", coverage)
 	for _, name := range []string{"admitted", "acknowledged", "outage confirmed", "key_stale", "key_withdrawn"} {
 		if coverage[name] == 0 {
-			t.Errorf("the model never reached: %s", name)
+			t.Errorf("no run covered %q", name)
 		}
 	}
 }
--- a/keyring/outage.go
+++ b/keyring/outage.go
@@ -2,28 +2,28 @@
 
 import "time"
 
-// Peer identifies one process among the members.
+// Peer identifies one incarnation of a member.
 type Peer struct{ Instance, Incarnation string }
 
-// OutageReply is the reply of a member to an outage round.
+// OutageReply is the reply of a member to a request of an outage round.
 type OutageReply struct {
 	From     Peer
-	Promised bool  // the member has no store contact and commits nothing for one freshness period
-	Revision int64 // the member's Freshness.Known
+	Promised bool  // result of the member's Freshness.PromiseNoCommit
+	Revision int64 // result of the member's Freshness.Known
 }
 
-// OutageRound collects the replies of all members during a total outage of the store. It needs all
-// members, not a quorum. A complete round confirms the key data as of the time before its first
-// request was sent and before the read of the instance list was sent.
+// OutageRound collects the replies of all members during a total outage of the store. It requires the
+// replies of all members, not of a quorum. A complete round confirms the key data as of the time when
+// its requests or the read of the instance list were sent, whichever is earlier.
 type OutageRound struct {
-	sentAt        time.Time
-	awaited       map[Peer]bool
+	sentAt        time.Time       // when the first request was sent, or earlier
+	awaited       map[Peer]bool   // members that have not promised yet
 	instances     map[string]bool // instance names of this process and of all members
-	revision      int64
+	revision      int64           // highest revision in a reply
 	refused       bool
-	listedAt      time.Time
-	listed        bool
-	unknownListed bool
+	listedAt      time.Time // when the read of the instance list was sent
+	listed        bool      // the instance list was recorded
+	unknownListed bool      // the list contains an instance that is not a member
 }
 
 // NewOutageRound starts a round at sentAt. members is the last member list that the store returned;
@@ -40,7 +40,7 @@
 	return r
 }
 
-// Reply records the reply of a member. A reply of another incarnation counts as a refusal, because
+// Reply records the reply of a member. A reply of another incarnation is treated as a refusal, because
 // that process does not have the commits of its predecessor.
 func (r *OutageRound) Reply(reply OutageReply) {
 	if !reply.Promised || !r.awaited[reply.From] {
@@ -52,8 +52,8 @@
 }
 
 // Listed records the entry instances in the instance list, from a read that was sent at sentAt. The
-// round fails if one is not a member: it may have joined and committed a change that no member has
-// received.
+// round fails if one of them is not a known member: it may have registered and committed a change
+// that no known member has received.
 func (r *OutageRound) Listed(sentAt time.Time, instances []string) {
 	r.listed, r.listedAt = true, sentAt
 	for _, i := range instances {
@@ -63,8 +63,8 @@
 	}
 }
 
-// result returns the start of the freshness period, the revision that must be applied before the
-// round takes effect, and whether the round is complete.
+// result returns the start of the freshness period, the revision up to which changes must be applied
+// before the round takes effect, and whether the round is complete.
 func (r *OutageRound) result(f faults) (time.Time, int64, bool) {
 	complete := len(r.awaited) == 0 && !r.refused || f.ignoreMissingReplies
 	complete = complete && (r.listed && !r.unknownListed || f.ignoreUnknownInstances)
--- a/keyring/ring.go
+++ b/keyring/ring.go
@@ -14,16 +14,16 @@
 // Digest is the SHA-256 digest of a key. The key itself is never stored.
 type Digest [sha256.Size]byte
 
-// DigestOf returns the digest of the key that a caller presents.
+// DigestOf returns the digest of the secret key that a caller presents.
 func DigestOf(secret string) Digest { return sha256.Sum256([]byte(secret)) }
 
-// emptyDigest is the digest of a request that carries no key.
+// emptyDigest is the digest of an empty key, for requests without one.
 var emptyDigest = DigestOf("")
 
 // Role is a permission beyond submitting work. Most keys have none.
 type Role string
 
-// Key is the stored record of one key of one team.
+// Key is the record of one key of one team in the store.
 type Key struct {
 	ID        string    `json:"id"`
 	Team      task.Team `json:"team"`
@@ -39,12 +39,12 @@
 	id   string
 }
 
-// Ring holds the keys of all teams, including withdrawn ones. It is not safe for concurrent use; a
+// Ring holds the keys of all teams, including withdrawn ones. It is not safe for concurrent use, but a
 // Snapshot of it is.
 type Ring struct {
 	keys     map[keyName]Key
-	byTeam   map[task.Team][]Key // sorted by ID; slices are replaced, never modified
-	snapshot *Snapshot
+	byTeam   map[task.Team][]Key // sorted by ID; slices are immutable and replaced on change
+	snapshot *Snapshot           // latest snapshot; nil after a change
 }
 
 // NewRing returns a ring without keys.
@@ -53,29 +53,29 @@
 }
 
 // Apply updates a key to the given state and reports whether that state is newer than the current
-// one. An older state has no effect, so a delayed message cannot revive a withdrawn key.
+// one. A state that is not newer has no effect, so a delayed message cannot reinstate a withdrawn key.
 func (r *Ring) Apply(k Key) bool {
 	name := keyName{team: k.Team, id: k.ID}
-	known, ok := r.keys[name]
-	if ok && k.Revision <= known.Revision {
+	current, ok := r.keys[name]
+	if ok && k.Revision <= current.Revision {
 		return false
 	}
 	r.keys[name] = k
-	r.rebuild(k.Team)
+	r.rebuildTeam(k.Team)
 	return true
 }
 
-// Remove marks a key as withdrawn whose record was deleted at the given revision. The key stays in
-// the ring, so that an older state cannot revive it and callers that still present it get the error
-// KeyWithdrawn.
+// Remove marks a key as withdrawn after its record was deleted at the given revision. The key stays in
+// the ring as a tombstone, so that an older state cannot reinstate it and callers that still present
+// it get the error KeyWithdrawn.
 func (r *Ring) Remove(team task.Team, key string, revision int64) bool {
 	k := r.keys[keyName{team: team, id: key}]
 	k.Team, k.ID, k.Withdrawn, k.Revision = team, key, true, revision
 	return r.Apply(k)
 }
 
-// ReplaceAll applies the complete list of keys in the store at the revision. Keys of the ring that
-// are missing from the list and are not newer are marked as withdrawn.
+// ReplaceAll applies the complete list of keys in the store at the revision. Keys in the ring that are
+// missing from the list and are not newer than the revision are marked as withdrawn.
 func (r *Ring) ReplaceAll(keys []Key, revision int64) {
 	listed := make(map[keyName]bool, len(keys))
 	for _, k := range keys {
@@ -95,7 +95,8 @@
 	return slices.Collect(maps.Values(r.keys))
 }
 
-func (r *Ring) rebuild(team task.Team) {
+// rebuildTeam rebuilds the key list of a team and invalidates the cached snapshot.
+func (r *Ring) rebuildTeam(team task.Team) {
 	var list []Key
 	for name, k := range r.keys {
 		if name.team == team {
@@ -133,9 +134,9 @@
 // Until returns the time until which the snapshot admits work.
 func (s *Snapshot) Until() time.Time { return s.until }
 
-// Admit returns the key with the given digest if it is valid for the team. now is a reading of the
-// monotonic clock; an expired snapshot admits nothing. All keys of the team are compared in constant
-// time, so that the duration reveals nothing about partial matches.
+// Admit authenticates a request of a team: it returns the team's key with the given digest, or an
+// error. now is a reading of the monotonic clock; an expired snapshot rejects every key. All keys of
+// the team are compared in constant time, so that the duration reveals nothing about partial matches.
 func (s *Snapshot) Admit(now time.Time, team task.Team, digest Digest) (Key, *errkind.Error) {
 	if digest == (Digest{}) || digest == emptyDigest {
 		return Key{}, errkind.New(errkind.KeyMissing, "requests of team %s require a key", team)
@@ -145,8 +146,8 @@
 	}
 	found, ok := Key{}, false
 	for _, k := range s.byTeam[team] {
-		same := subtle.ConstantTimeCompare(k.Digest[:], digest[:]) == 1
-		if same && (!ok || !k.Withdrawn) {
+		matches := subtle.ConstantTimeCompare(k.Digest[:], digest[:]) == 1
+		if matches && (!ok || !k.Withdrawn) {
 			found, ok = k, true
 		}
 	}
@@ -159,8 +160,8 @@
 	return found, nil
 }
 
-// IsWithdrawn reports whether a key is withdrawn. It is used for work that was accepted with the key.
-// An unknown key counts as withdrawn.
+// IsWithdrawn reports whether a key is withdrawn, for work that was accepted with the key. An unknown
+// key is treated as withdrawn.
 func (s *Snapshot) IsWithdrawn(team task.Team, key string) bool {
 	for _, k := range s.byTeam[team] {
 		if k.ID == key {
--- a/keyring/ring_test.go
+++ b/keyring/ring_test.go
@@ -11,7 +11,7 @@
 var start = time.Unix(1000, 0)
 
 // TestAdmit guards against admitting work without a key, with a key of another team, with a withdrawn
-// key, or on stale key data.
+// key, or with stale key data.
 func TestAdmit(t *testing.T) {
 	r := NewRing()
 	r.Apply(Key{ID: "k1", Team: "a", Role: "operator", Digest: DigestOf("one"), Revision: 5})
@@ -39,17 +39,17 @@
 			got = err.Kind
 		}
 		if got != c.want {
-			t.Errorf("team %s, key %q: %v, want %v", c.team, c.secret, got, c.want)
+			t.Errorf("Admit for team %s with key %q: error %q, want %q", c.team, c.secret, got, c.want)
 		}
 		if err == nil && k.Role != "operator" {
-			t.Errorf("role of the admitted key is not operator: %+v", k)
+			t.Errorf("admitted key = %+v, want the role operator", k)
 		}
 	}
 }
 
-// TestStaleStateDoesNotReviveKeys guards against a delayed message or an old list reviving a
+// TestStaleStateDoesNotReinstateKeys guards against a delayed message or an old list reinstating a
 // withdrawn key, and against a change to the ring modifying an existing snapshot.
-func TestStaleStateDoesNotReviveKeys(t *testing.T) {
+func TestStaleStateDoesNotReinstateKeys(t *testing.T) {
 	key := Key{ID: "k", Team: "a", Digest: DigestOf("one"), Revision: 5}
 	r := NewRing()
 	r.Apply(key)
@@ -58,7 +58,7 @@
 	r.Apply(key)
 	r.ReplaceAll([]Key{key}, 7)
 	if !r.Snapshot(start).IsWithdrawn("a", "k") {
-		t.Error("an older state revived the key")
+		t.Error("an older state reinstated the withdrawn key")
 	}
 	if before.IsWithdrawn("a", "k") {
 		t.Error("a snapshot changed after it was taken")
@@ -75,16 +75,16 @@
 func TestPromiseDelaysCommit(t *testing.T) {
 	f := NewFreshness(DefaultConfig(), start)
 	if f.BeginCommit(start.Add(10 * time.Second)) {
-		t.Error("committed within the list lag after the start")
+		t.Error("BeginCommit permitted a commit within ListLag after the process start")
 	}
 	now := start.Add(time.Minute)
 	if f.PromiseNoCommit(now, true) || !f.PromiseNoCommit(now, false) {
-		t.Error("a promise was granted with store contact, or refused without it")
+		t.Error("the promise was granted with store contact, or refused without it")
 	}
 	if f.BeginCommit(now.Add(5 * time.Second)) {
-		t.Error("committed within the freshness period of a promise")
+		t.Error("BeginCommit permitted a commit within the freshness period of a promise")
 	}
 	if !f.BeginCommit(now.Add(6*time.Second)) || f.PromiseNoCommit(now.Add(6*time.Second), false) {
-		t.Error("the commit was refused, or a promise was granted during it")
+		t.Error("BeginCommit refused a commit after the promise, or a promise was granted during the commit")
 	}
 }
