--- a/keyring/model_test.go
+++ b/keyring/model_test.go
@@ -19,8 +19,8 @@
 	nodes             []*node
 	storeDown         bool
 	log               []storeChange
-	withdrawalAckedAt time.Duration // when the withdrawal was acknowledged; 0 before
-	coverage          map[string]int
+	withdrawalAckedAt time.Duration  // when the withdrawal was acknowledged; 0 before
+	coverage          map[string]int // number of occurrences of each event
 }
 
 type message struct {
@@ -344,6 +344,7 @@
 	return ""
 }
 
+// modelRuns returns the number of simulation runs, which the environment can override.
 func modelRuns(defaultRuns int) int {
 	if n, err := strconv.Atoi(os.Getenv("MULBERRYDRUM_MODEL_RUNS")); err == nil {
 		return n
--- a/keyring/ring.go
+++ b/keyring/ring.go
@@ -68,9 +68,9 @@
 // Remove marks a key as withdrawn after its record was deleted at the given revision. The key stays in
 // the ring as a tombstone, so that an older state cannot reinstate it and callers that still present
 // it get the error KeyWithdrawn.
-func (r *Ring) Remove(team task.Team, key string, revision int64) bool {
-	k := r.keys[keyName{team: team, id: key}]
-	k.Team, k.ID, k.Withdrawn, k.Revision = team, key, true, revision
+func (r *Ring) Remove(team task.Team, keyID string, revision int64) bool {
+	k := r.keys[keyName{team: team, id: keyID}]
+	k.Team, k.ID, k.Withdrawn, k.Revision = team, keyID, true, revision
 	return r.Apply(k)
 }
 
@@ -162,9 +162,9 @@
 
 // IsWithdrawn reports whether a key is withdrawn, for work that was accepted with the key. An unknown
 // key is treated as withdrawn.
-func (s *Snapshot) IsWithdrawn(team task.Team, key string) bool {
+func (s *Snapshot) IsWithdrawn(team task.Team, keyID string) bool {
 	for _, k := range s.byTeam[team] {
-		if k.ID == key {
+		if k.ID == keyID {
 			return k.Withdrawn
 		}
 	}
