--- a/worker/client.go
+++ b/worker/client.go
@@ -32,7 +32,7 @@
 // Config limits the resources of a Client. Zero fields take their default.
 type Config struct {
 	Connections        int // per worker, for starts and results
-	ControlConnections int // per worker, for all other calls, which waiting starts must not block
+	ControlConnections int // per worker, for all other calls, so that waiting starts do not block them
 	CallTimeout        time.Duration
 	DialTimeout        time.Duration
 	ResultTimeout      time.Duration
@@ -64,9 +64,9 @@
 // use. It never retries a call that has side effects; net/http may retry a
 // lookup or the fetch of a result on a new connection.
 type Client struct {
-	config  Config
-	traffic *http.Transport
-	control *http.Transport
+	config           Config
+	taskTransport    *http.Transport
+	controlTransport *http.Transport
 }
 
 var _ API = (*Client)(nil)
@@ -74,15 +74,15 @@
 // NewClient returns a Client with the limits of config.
 func NewClient(config Config) *Client {
 	c := &Client{config: config.withDefaults()}
-	c.traffic = c.newTransport(c.config.Connections)
-	c.control = c.newTransport(c.config.ControlConnections)
+	c.taskTransport = c.newTransport(c.config.Connections)
+	c.controlTransport = c.newTransport(c.config.ControlConnections)
 	return c
 }
 
 // Close closes the idle connections.
 func (c *Client) Close() {
-	c.traffic.CloseIdleConnections()
-	c.control.CloseIdleConnections()
+	c.taskTransport.CloseIdleConnections()
+	c.controlTransport.CloseIdleConnections()
 }
 
 func (c *Client) newTransport(connections int) *http.Transport {
@@ -101,25 +101,25 @@
 	if err != nil {
 		return nil, err
 	}
-	return &checkedConn{Conn: conn, traffic: countersFor(c.config.Registry, Address(address))}, nil
+	return &checkedConn{Conn: conn, counters: countersFor(c.config.Registry, Address(address))}, nil
 }
 
 // Sync implements API.
-func (c *Client) Sync(ctx context.Context, to Address, req SyncRequest) (SyncReply, error) {
+func (c *Client) Sync(ctx context.Context, address Address, req SyncRequest) (SyncReply, error) {
 	var reply SyncReply
-	err := c.exchange(ctx, c.control, workerCall{
-		operation: "sync " + string(to), method: http.MethodPost, address: to, path: "/v1/sync",
+	err := c.exchange(ctx, c.controlTransport, workerCall{
+		operation: "sync " + string(address), method: http.MethodPost, address: address, path: "/v1/sync",
 		timeout: c.config.CallTimeout, request: jsonEncoder(req), reply: jsonDecoder(&reply),
 	})
 	return reply, err
 }
 
 // Start implements API.
-func (c *Client) Start(ctx context.Context, to Address, req StartRequest, check func() error) (StartReply, error) {
-	operation := fmt.Sprintf("start %s on %s", req.Attempt, to)
+func (c *Client) Start(ctx context.Context, address Address, req StartRequest, check func() error) (StartReply, error) {
+	operation := fmt.Sprintf("start %s on %s", req.Attempt, address)
 	var reply StartReply
-	err := c.exchange(ctx, c.traffic, workerCall{
-		operation: operation, method: http.MethodPost, address: to, path: "/v1/tasks",
+	err := c.exchange(ctx, c.taskTransport, workerCall{
+		operation: operation, method: http.MethodPost, address: address, path: "/v1/tasks",
 		timeout: c.config.CallTimeout + req.Wait, check: check,
 		request: func() (Frame, error) { return EncodeStart(req) },
 		reply: func(body []byte) (err error) {
@@ -137,38 +137,38 @@
 }
 
 // Lookup implements API.
-func (c *Client) Lookup(ctx context.Context, at Address, attempt task.Attempt) (LookupReply, error) {
-	return c.callAttempt(ctx, http.MethodGet, at, attempt, "", nil)
+func (c *Client) Lookup(ctx context.Context, address Address, attempt task.Attempt) (LookupReply, error) {
+	return c.callAttempt(ctx, http.MethodGet, address, attempt, "", nil)
 }
 
 // Stop implements API.
-func (c *Client) Stop(ctx context.Context, to Address, req StopRequest) (LookupReply, error) {
-	return c.callAttempt(ctx, http.MethodPost, to, req.Attempt, "/stop", jsonEncoder(req))
+func (c *Client) Stop(ctx context.Context, address Address, req StopRequest) (LookupReply, error) {
+	return c.callAttempt(ctx, http.MethodPost, address, req.Attempt, "/stop", jsonEncoder(req))
 }
 
 // Checkpoint implements API.
-func (c *Client) Checkpoint(ctx context.Context, to Address, req CheckpointRequest) (LookupReply, error) {
-	return c.callAttempt(ctx, http.MethodPost, to, req.Attempt, "/checkpoint", jsonEncoder(req))
+func (c *Client) Checkpoint(ctx context.Context, address Address, req CheckpointRequest) (LookupReply, error) {
+	return c.callAttempt(ctx, http.MethodPost, address, req.Attempt, "/checkpoint", jsonEncoder(req))
 }
 
 // Throttle implements API.
-func (c *Client) Throttle(ctx context.Context, to Address, req ThrottleRequest) (LookupReply, error) {
-	return c.callAttempt(ctx, http.MethodPost, to, req.Attempt, "/throttle", jsonEncoder(req))
+func (c *Client) Throttle(ctx context.Context, address Address, req ThrottleRequest) (LookupReply, error) {
+	return c.callAttempt(ctx, http.MethodPost, address, req.Attempt, "/throttle", jsonEncoder(req))
 }
 
-// callAttempt calls the given subpath of an attempt.
-func (c *Client) callAttempt(ctx context.Context, method string, to Address, attempt task.Attempt, subpath string, request func() (Frame, error)) (LookupReply, error) {
+// callAttempt sends a request to the given subpath of an attempt.
+func (c *Client) callAttempt(ctx context.Context, method string, address Address, attempt task.Attempt, subpath string, request func() (Frame, error)) (LookupReply, error) {
 	var reply LookupReply
-	operation := fmt.Sprintf("%s %s%s on %s", method, attempt, subpath, to)
-	err := c.exchange(ctx, c.control, workerCall{
-		operation: operation, method: method, address: to, path: attemptPath(attempt) + subpath,
+	operation := fmt.Sprintf("%s %s%s on %s", method, attempt, subpath, address)
+	err := c.exchange(ctx, c.controlTransport, workerCall{
+		operation: operation, method: method, address: address, path: attemptPath(attempt) + subpath,
 		timeout: c.config.CallTimeout, request: request, reply: jsonDecoder(&reply),
 	})
 	if err != nil {
 		return LookupReply{}, err
 	}
 	if reply.Known && reply.Report.Attempt != attempt {
-		return LookupReply{}, Unclear(operation, eris.Wrapf(ErrIncomplete, "the reply is for attempt %s", reply.Report.Attempt))
+		return LookupReply{}, Unclear(operation, eris.Wrapf(ErrIncomplete, "the reply is for attempt %s, expected %s", reply.Report.Attempt, attempt))
 	}
 	return reply, nil
 }
--- a/worker/client_test.go
+++ b/worker/client_test.go
@@ -34,16 +34,16 @@
 	return client, Address(strings.TrimPrefix(server.URL, "http://"))
 }
 
-// TestResultIsVerified guards against a result that is truncated, altered, of
-// another attempt or too large being accepted as complete.
+// TestResultIsVerified guards against accepting a result that is truncated,
+// altered, from another attempt or too large.
 func TestResultIsVerified(t *testing.T) {
 	const body = "0123456789"
 	digest := Digest([]byte(body))
 	for _, test := range []struct {
 		name           string
 		length, digest string
-		send           string
-		ask            ResultRequest
+		sent           string
+		request        ResultRequest
 		want           error
 	}{
 		{"complete", "10", digest, body, ResultRequest{Bytes: 10, Digest: digest}, nil},
@@ -57,18 +57,18 @@
 		{"too large", "21", Digest(make([]byte, 21)), string(make([]byte, 21)), ResultRequest{}, ErrTooLarge},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			client, at := serve(t, Config{MaxResultBytes: 20}, func(rw http.ResponseWriter, r *http.Request) {
+			client, address := serve(t, Config{MaxResultBytes: 20}, func(rw http.ResponseWriter, r *http.Request) {
 				if test.length != "" {
 					rw.Header().Set("Content-Length", test.length)
 				}
 				rw.Header().Set(DigestHeader, test.digest)
 				rw.WriteHeader(http.StatusOK)
 				rw.(http.Flusher).Flush()
-				io.WriteString(rw, test.send)
+				io.WriteString(rw, test.sent)
 			})
-			test.ask.Attempt = testAttempt
+			test.request.Attempt = testAttempt
 			var got bytes.Buffer
-			err := client.Result(t.Context(), at, test.ask, &got)
+			err := client.Result(t.Context(), address, test.request, &got)
 			if !errors.Is(err, test.want) || err == nil && got.String() != body {
 				t.Errorf("%q, error %v, want %v", got.String(), err, test.want)
 			}
@@ -79,9 +79,9 @@
 	}
 }
 
-// TestStartReplies guards against an inconclusive reply being classified as
-// "not run" or as the outcome of this start.
-func TestStartReplies(t *testing.T) {
+// TestStartRepliesAreClassified guards against an inconclusive reply being
+// classified as "not run" or as the outcome of this start.
+func TestStartRepliesAreClassified(t *testing.T) {
 	for _, test := range []struct {
 		name   string
 		status int
@@ -93,45 +93,45 @@
 		{"status without a reason", 409, `{}`, ErrUnclear},
 		{"truncated rejection", 409, `{"reason":"over_capa`, ErrUnclear},
 		{"worker error", 500, `{"reason":"over_capacity"}`, ErrUnclear},
-		{"page of another server", 404, `404 page not found`, ErrUnclear},
+		{"error page of another server", 404, `404 page not found`, ErrUnclear},
 		{"neither started nor rejected", 200, `{}`, ErrUnclear},
-		{"no JSON", 200, `started`, ErrUnclear},
+		{"invalid JSON", 200, `started`, ErrUnclear},
 		{"outcome of another attempt", 200, `{"started":true,"outcome":{"attempt":{"task":"t","attempt":2},"digest":"` + Digest(nil) + `"}}`, ErrIncomplete},
 		{"result without its digest", 200, `{"started":true,"result_bytes":1,"outcome":{"attempt":{"task":"t","attempt":1}}}` + "\na", ErrIncomplete},
 		{"truncated result", 200, `{"started":true,"result_bytes":2,"outcome":{"attempt":{"task":"t","attempt":1},"digest":"` + Digest([]byte("a")) + `"}}` + "\na", ErrIncomplete},
 		{"larger than the limit", 200, `{"started":true` + strings.Repeat(" ", 400) + `}`, ErrTooLarge},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			client, at := serve(t, Config{MaxReplyBytes: 300}, func(rw http.ResponseWriter, r *http.Request) {
+			client, address := serve(t, Config{MaxReplyBytes: 300}, func(rw http.ResponseWriter, r *http.Request) {
 				rw.WriteHeader(test.status)
 				io.WriteString(rw, test.body)
 			})
-			_, err := client.Start(t.Context(), at, StartRequest{Attempt: testAttempt}, nil)
+			_, err := client.Start(t.Context(), address, StartRequest{Attempt: testAttempt}, nil)
 			if !errors.Is(err, test.want) {
 				t.Errorf("error %v, want %v", err, test.want)
 			}
 			if err != nil && errors.Is(err, ErrNotRun) == errors.Is(err, ErrUnclear) {
-				t.Errorf("error %v is not of exactly one class", err)
+				t.Errorf("error %v is not exactly one of ErrNotRun and ErrUnclear", err)
 			}
 		})
 	}
 }
 
-// TestStartIsNeverRepeated guards against net/http retrying a start after a
+// TestStartIsNeverRetried guards against net/http retrying a start after a
 // reused connection was closed during the request.
-func TestStartIsNeverRepeated(t *testing.T) {
+func TestStartIsNeverRetried(t *testing.T) {
 	var starts atomic.Int32
-	client, at := serve(t, Config{}, func(rw http.ResponseWriter, r *http.Request) {
+	client, address := serve(t, Config{}, func(rw http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		if starts.Add(1) > 1 {
 			panic(http.ErrAbortHandler)
 		}
 		io.WriteString(rw, `{"started":true}`)
 	})
-	if _, err := client.Start(t.Context(), at, StartRequest{}, nil); err != nil {
+	if _, err := client.Start(t.Context(), address, StartRequest{}, nil); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := client.Start(t.Context(), at, StartRequest{}, nil); !errors.Is(err, ErrUnclear) {
+	if _, err := client.Start(t.Context(), address, StartRequest{}, nil); !errors.Is(err, ErrUnclear) {
 		t.Errorf("error %v, want ErrUnclear", err)
 	}
 	if got := starts.Load(); got != 2 {
@@ -139,12 +139,12 @@
 	}
 }
 
-// TestTimedOutConnectionIsNotUsedAgain guards against a late reply being read
+// TestTimedOutConnectionIsNotReused guards against a late reply being read
 // as the reply to the next call.
-func TestTimedOutConnectionIsNotUsedAgain(t *testing.T) {
+func TestTimedOutConnectionIsNotReused(t *testing.T) {
 	var connections sync.Map
 	var calls atomic.Int32
-	client, at := serve(t, Config{CallTimeout: 300 * time.Millisecond, Connections: 1}, func(rw http.ResponseWriter, r *http.Request) {
+	client, address := serve(t, Config{CallTimeout: 300 * time.Millisecond, Connections: 1}, func(rw http.ResponseWriter, r *http.Request) {
 		connections.Store(r.RemoteAddr, true)
 		io.Copy(io.Discard, r.Body)
 		if calls.Add(1) == 1 {
@@ -153,17 +153,17 @@
 		}
 		io.WriteString(rw, `{"started":true}`)
 	})
-	_, err := client.Start(t.Context(), at, StartRequest{}, nil)
+	_, err := client.Start(t.Context(), address, StartRequest{}, nil)
 	if !errors.Is(err, ErrUnclear) || !errors.Is(err, context.DeadlineExceeded) {
-		t.Errorf("error %v, want ErrUnclear by the deadline", err)
+		t.Errorf("error %v, want ErrUnclear and context.DeadlineExceeded", err)
 	}
 	for range 2 {
-		if _, err := client.Start(t.Context(), at, StartRequest{Wait: 10 * time.Second}, nil); err != nil {
+		if _, err := client.Start(t.Context(), address, StartRequest{Wait: 10 * time.Second}, nil); err != nil {
 			t.Fatal(err)
 		}
 	}
 	if used := countEntries(&connections); used != 2 {
-		t.Errorf("%d connections for a timed-out call and two others, want 2", used)
+		t.Errorf("%d connections for one timed-out call and two more calls, want 2", used)
 	}
 }
 
@@ -172,13 +172,13 @@
 	return n
 }
 
-// TestConnectionBound guards against more connections to a worker than the
-// setting allows, and against waiting starts blocking other calls.
-func TestConnectionBound(t *testing.T) {
+// TestConnectionLimit guards against more connections to a worker than configured,
+// and against waiting starts blocking other calls.
+func TestConnectionLimit(t *testing.T) {
 	release := make(chan struct{})
 	var open, maxOpen atomic.Int32
 	var connections sync.Map
-	client, at := serve(t, Config{Connections: 3, ControlConnections: 1}, func(rw http.ResponseWriter, r *http.Request) {
+	client, address := serve(t, Config{Connections: 3, ControlConnections: 1}, func(rw http.ResponseWriter, r *http.Request) {
 		connections.Store(r.RemoteAddr, true)
 		if r.URL.Path == "/v1/tasks" {
 			now := open.Add(1)
@@ -192,7 +192,7 @@
 	var starts sync.WaitGroup
 	for range 12 {
 		starts.Go(func() {
-			if _, err := client.Start(context.Background(), at, StartRequest{Wait: time.Minute}, nil); err != nil {
+			if _, err := client.Start(context.Background(), address, StartRequest{Wait: time.Minute}, nil); err != nil {
 				t.Error(err)
 			}
 		})
@@ -200,7 +200,7 @@
 	for open.Load() < 3 {
 		time.Sleep(time.Millisecond)
 	}
-	if _, err := client.Sync(t.Context(), at, SyncRequest{}); err != nil {
+	if _, err := client.Sync(t.Context(), address, SyncRequest{}); err != nil {
 		t.Errorf("sync while all connections for starts are in use: %v", err)
 	}
 	close(release)
@@ -222,24 +222,24 @@
 	server.Listener = listener
 	server.Start()
 	client := NewClient(Config{Registry: registry})
-	at := Address(strings.TrimPrefix(server.URL, "http://"))
+	address := Address(strings.TrimPrefix(server.URL, "http://"))
 	for i := range 3 {
-		if _, err := client.Start(t.Context(), at, StartRequest{Payload: make([]byte, 1000*i)}, nil); err != nil {
+		if _, err := client.Start(t.Context(), address, StartRequest{Payload: make([]byte, 1000*i)}, nil); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := client.Sync(t.Context(), at, SyncRequest{}); err != nil {
+		if _, err := client.Sync(t.Context(), address, SyncRequest{}); err != nil {
 			t.Fatal(err)
 		}
 	}
 	client.Close()
 	server.Close()
-	sent, received := client.Traffic(at)
+	sent, received := client.Traffic(address)
 	if sent < 3000 || sent != listener.received.Load() || received != listener.sent.Load() {
 		t.Errorf("sent %d, received %d; the server received %d, sent %d",
 			sent, received, listener.received.Load(), listener.sent.Load())
 	}
-	client.Forget(at)
-	registry.Each(func(name string, _ any) { t.Errorf("counter %s is left", name) })
+	client.Forget(address)
+	registry.Each(func(name string, _ any) { t.Errorf("counter %s is still registered", name) })
 }
 
 // countingListener counts the bytes of all its connections.
@@ -270,13 +270,13 @@
 	return n, err
 }
 
-// recordingConn counts the bytes written.
-type recordingConn struct {
+// discardingConn counts the bytes written and discards them.
+type discardingConn struct {
 	net.Conn
 	written int
 }
 
-func (c *recordingConn) Write(b []byte) (int, error) {
+func (c *discardingConn) Write(b []byte) (int, error) {
 	c.written += len(b)
 	return len(b), nil
 }
@@ -285,39 +285,39 @@
 // check has failed, or after the call was reported as not sent.
 func TestConnectionChecksBeforeEachWrite(t *testing.T) {
 	for _, test := range []struct {
-		name    string
-		allowed int // writes before the check fails
-		seal    int // write before which the connection is sealed, -1 for none
-		written int
-		unclear bool
+		name        string
+		allowed     int // writes before the check starts to fail
+		disableAt   int // write before which writes are disabled, -1 for none
+		wantWritten int
+		wantWrote   bool
 	}{
-		{"check holds", 9, -1, 3, true},
-		{"check fails at once", 0, -1, 0, false},
-		{"check fails in the middle", 2, -1, 2, true},
+		{"check passes", 9, -1, 3, true},
+		{"check fails before the first write", 0, -1, 0, false},
+		{"check fails between two writes", 2, -1, 2, true},
 		{"call ended before the first write", 9, 0, 0, false},
-		{"call ended in the middle", 9, 1, 1, true},
+		{"call ended between two writes", 9, 1, 1, true},
 	} {
-		below := &recordingConn{}
-		conn := &checkedConn{Conn: below, traffic: countersFor(nil, "")}
+		underlying := &discardingConn{}
+		conn := &checkedConn{Conn: underlying, counters: countersFor(nil, "")}
 		calls := 0
-		conn.begin(func() error {
+		conn.beginCall(func() error {
 			if calls++; calls > test.allowed {
 				return errors.New("term has ended")
 			}
 			return nil
 		})
 		for i := range 3 {
-			if i == test.seal {
-				conn.seal()
+			if i == test.disableAt {
+				conn.disableWrites()
 			}
 			conn.Write([]byte("x"))
 		}
-		if wrote := conn.seal(); wrote != test.unclear || below.written != test.written {
-			t.Errorf("%s: %d bytes written, reported %v", test.name, below.written, wrote)
+		if wrote := conn.disableWrites(); wrote != test.wantWrote || underlying.written != test.wantWritten {
+			t.Errorf("%s: %d bytes written, disableWrites reported %v", test.name, underlying.written, wrote)
 		}
-		conn.begin(nil)
-		if _, err := conn.Write([]byte("x")); !errors.Is(err, errSealed) {
-			t.Errorf("%s: a sealed connection is used again: %v", test.name, err)
+		conn.beginCall(nil)
+		if _, err := conn.Write([]byte("x")); !errors.Is(err, errWritesDisabled) {
+			t.Errorf("%s: write after disableWrites returned %v, want errWritesDisabled", test.name, err)
 		}
 	}
 }
--- a/worker/conn.go
+++ b/worker/conn.go
@@ -6,35 +6,36 @@
 	"sync"
 )
 
-var errSealed = errors.New("the call that used this connection has ended")
+var errWritesDisabled = errors.New("the call that used this connection has ended")
 
 // checkedConn is a connection that runs a check before each write and records
 // whether the current call has written anything. HTTP/1.1 carries one call at a
 // time on a connection.
 type checkedConn struct {
 	net.Conn
-	traffic byteCounters
+	counters byteCounters
 
-	mu     sync.Mutex
-	check  func() error
-	wrote  bool
-	sealed bool
+	mu             sync.Mutex
+	check          func() error
+	wrote          bool
+	writesDisabled bool
 }
 
-// begin assigns the connection to a call. A sealed connection stays sealed.
-func (c *checkedConn) begin(check func() error) {
+// beginCall assigns the connection to a call. It does not enable writes again after
+// disableWrites.
+func (c *checkedConn) beginCall(check func() error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.check = check
 	c.wrote = false
 }
 
-// seal prevents all further writes and reports whether the current call may
-// have written anything. It does not wait for a write in progress.
-func (c *checkedConn) seal() (wrote bool) {
+// disableWrites makes all further writes fail and reports whether the current call
+// may have written anything. It does not wait for a write in progress.
+func (c *checkedConn) disableWrites() (wrote bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sealed = true
+	c.writesDisabled = true
 	return c.wrote
 }
 
@@ -44,22 +45,22 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(b)
-	c.traffic.sent.Inc(int64(n))
+	c.counters.sent.Inc(int64(n))
 	return n, err
 }
 
 // Read counts the bytes received.
 func (c *checkedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.traffic.received.Inc(int64(n))
+	c.counters.received.Inc(int64(n))
 	return n, err
 }
 
 func (c *checkedConn) checkWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.sealed {
-		return errSealed
+	if c.writesDisabled {
+		return errWritesDisabled
 	}
 	if c.check != nil {
 		if err := c.check(); err != nil {
@@ -70,7 +71,7 @@
 	return nil
 }
 
-// checkError wraps an error that the check of a start returned.
+// checkError wraps the error returned by the check of a start.
 type checkError struct{ err error }
 
 func (e *checkError) Error() string { return "check before write: " + e.err.Error() }
--- a/worker/doc.go
+++ b/worker/doc.go
@@ -1,4 +1,4 @@
-// Package worker is the HTTP client for workers. It is responsible for the
-// encoding, the connections, the timeouts and the final check of the ownership
-// term before a start request is written.
+// Package worker is the HTTP client for workers. It handles the encoding, the
+// connections, the timeouts and the final check of the ownership term before a
+// start request is written.
 package worker
--- a/worker/errors.go
+++ b/worker/errors.go
@@ -9,7 +9,8 @@
 )
 
 // Classes of errors. Every error of an API call wraps exactly one of the first
-// two; the others state in addition why a result was not delivered.
+// two. ErrTooLarge and ErrIncomplete additionally give the reason why a result was
+// not delivered.
 var (
 	// ErrNotRun means that the call had no effect on the worker.
 	ErrNotRun = errors.New("not run")
@@ -36,7 +37,7 @@
 	return fmt.Sprintf("rejected by the worker: %s: %s", r.Reason, r.Message)
 }
 
-// Is reports that every rejection is an ErrNotRun.
+// Is makes every rejection match ErrNotRun.
 func (r *Rejection) Is(target error) bool { return target == ErrNotRun }
 
 // IsRejected reports whether err wraps a rejection for the given reason.
--- a/worker/exchange.go
+++ b/worker/exchange.go
@@ -28,7 +28,7 @@
 	check     func() error
 }
 
-// exchange makes one call and decodes its reply.
+// exchange sends the request of one call and decodes the reply.
 func (c *Client) exchange(ctx context.Context, transport *http.Transport, call workerCall) error {
 	ctx, cancel := context.WithTimeout(ctx, call.timeout)
 	defer cancel()
@@ -68,7 +68,7 @@
 	var conn atomic.Pointer[checkedConn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		got := info.Conn.(*checkedConn)
-		got.begin(call.check)
+		got.beginCall(call.check)
 		conn.Store(got)
 	}}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
@@ -84,14 +84,14 @@
 	if err == nil {
 		return resp, nil
 	}
-	if used := conn.Load(); used != nil && used.seal() {
+	if usedConn := conn.Load(); usedConn != nil && usedConn.disableWrites() {
 		return nil, Unclear(call.operation, err)
 	}
 	return nil, NotRun(call.operation, err)
 }
 
-// newRequest builds the request. GetBody stays nil: without it, net/http
-// cannot retry a request that has a body.
+// newRequest builds the request. GetBody is not set: without it, net/http cannot
+// retry a request that has a body.
 func newRequest(ctx context.Context, call workerCall) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, call.method, "http://"+string(call.address)+call.path, nil)
 	if err != nil {
@@ -144,7 +144,7 @@
 }
 
 // verifyStart checks that the reply belongs to the request and that a result
-// in it is complete.
+// that it contains is complete.
 func verifyStart(req StartRequest, reply StartReply) error {
 	if !reply.Started {
 		return eris.Wrap(ErrIncomplete, "the reply neither confirms nor rejects the start")
@@ -153,7 +153,7 @@
 		return nil
 	}
 	if reply.Outcome.Attempt != req.Attempt {
-		return eris.Wrapf(ErrIncomplete, "the reply is for attempt %s", reply.Outcome.Attempt)
+		return eris.Wrapf(ErrIncomplete, "the reply is for attempt %s, expected %s", reply.Outcome.Attempt, req.Attempt)
 	}
 	if reply.ResultBytes > InlineResultBytes {
 		return nil
@@ -171,7 +171,7 @@
 	return nil
 }
 
-// Digest returns the SHA-256 digest of b in hex, the form used for results.
+// Digest returns the SHA-256 digest of b in hex, the encoding used for results.
 func Digest(b []byte) string {
 	sum := sha256.Sum256(b)
 	return hex.EncodeToString(sum[:])
--- a/worker/frame.go
+++ b/worker/frame.go
@@ -8,9 +8,9 @@
 	"github.com/rotisserie/eris"
 )
 
-// A start and its reply are one line of JSON followed by the payload or result
-// as raw bytes. Base64 inside the JSON raised the p50 latency of a start with 128 KB
-// from 0.9 ms to 6.1 ms (BenchmarkStart in package standin).
+// A start request and its reply are one line of JSON followed by the payload or
+// result as raw bytes. Base64 inside the JSON raised the p50 latency of a start
+// with a payload of 128 KB from 0.9 ms to 6.1 ms (BenchmarkStart in package standin).
 
 // Frame is an encoded message: a line of JSON and the raw bytes after it.
 type Frame struct {
@@ -51,14 +51,14 @@
 	return tail, nil
 }
 
-// EncodeStart returns the message for a start.
+// EncodeStart encodes a start request and sets its PayloadBytes.
 func EncodeStart(req StartRequest) (Frame, error) {
 	req.PayloadBytes = int64(len(req.Payload))
 	return NewFrame(req, req.Payload)
 }
 
-// DecodeStart is the inverse of EncodeStart. It returns an error if the payload
-// does not have the stated length.
+// DecodeStart is the inverse of EncodeStart. It returns an error if the length of
+// the payload differs from PayloadBytes.
 func DecodeStart(body []byte) (StartRequest, error) {
 	var req StartRequest
 	tail, err := ParseFrame(body, &req)
@@ -72,7 +72,7 @@
 	return req, nil
 }
 
-// EncodeStartReply returns the message for the reply to a start.
+// EncodeStartReply encodes the reply to a start request.
 func EncodeStartReply(reply StartReply) (Frame, error) {
 	if reply.Outcome == nil || len(reply.Outcome.Result) == 0 {
 		return NewFrame(reply, nil)
--- a/worker/metrics.go
+++ b/worker/metrics.go
@@ -9,8 +9,8 @@
 	receivedSuffix = ".received_bytes"
 )
 
-// byteCounters count the bytes on the connections to one worker, HTTP headers
-// included.
+// byteCounters counts the bytes on the connections to one worker, including HTTP
+// headers.
 type byteCounters struct{ sent, received metrics.Counter }
 
 func countersFor(registry metrics.Registry, address Address) byteCounters {
@@ -26,8 +26,8 @@
 // Traffic returns the bytes sent to a worker and received from it since its
 // counters were created.
 func (c *Client) Traffic(address Address) (sent, received int64) {
-	traffic := countersFor(c.config.Registry, address)
-	return traffic.sent.Count(), traffic.received.Count()
+	counters := countersFor(c.config.Registry, address)
+	return counters.sent.Count(), counters.received.Count()
 }
 
 // Forget unregisters the counters of a worker that no longer exists. Without it,
--- a/worker/result.go
+++ b/worker/result.go
@@ -17,14 +17,14 @@
 
 // Result implements API. The bytes are written to dst as they arrive, so dst
 // may hold a partial result if an error is returned.
-func (c *Client) Result(ctx context.Context, from Address, req ResultRequest, dst io.Writer) error {
+func (c *Client) Result(ctx context.Context, address Address, req ResultRequest, dst io.Writer) error {
 	call := workerCall{
-		operation: fmt.Sprintf("result of %s from %s", req.Attempt, from),
-		method:    http.MethodGet, address: from, path: attemptPath(req.Attempt) + "/result",
+		operation: fmt.Sprintf("result of %s from %s", req.Attempt, address),
+		method:    http.MethodGet, address: address, path: attemptPath(req.Attempt) + "/result",
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.config.ResultTimeout)
 	defer cancel()
-	resp, err := c.send(ctx, c.traffic, call)
+	resp, err := c.send(ctx, c.taskTransport, call)
 	if err != nil {
 		return err
 	}
--- a/worker/types.go
+++ b/worker/types.go
@@ -11,8 +11,9 @@
 // Address is the host:port at which a worker serves its protocol.
 type Address string
 
-// API is the worker protocol from the side of the owner of a worker. Client
-// implements it over HTTP; tests use an implementation without a network.
+// API is the client side of the worker protocol, which the owner of a worker
+// uses. Client implements it over HTTP; tests use an implementation without a
+// network.
 //
 // Errors of every call wrap ErrNotRun (the call had no effect) or
 // ErrUnclear (it may have had one).
@@ -22,16 +23,17 @@
 	// Start starts a task. check is called immediately before bytes of the
 	// request are written, on any goroutine; if it returns an error, they are
 	// not written.
-	Start(ctx context.Context, to Address, req StartRequest, check func() error) (StartReply, error)
+	Start(ctx context.Context, address Address, req StartRequest, check func() error) (StartReply, error)
 	// Lookup returns the state of one attempt on the worker.
 	Lookup(context.Context, Address, task.Attempt) (LookupReply, error)
 	// Result writes the result of a finished attempt to dst.
-	Result(ctx context.Context, from Address, req ResultRequest, dst io.Writer) error
-	// Stop ends an attempt, or prevents its start if it has not arrived yet.
+	Result(ctx context.Context, address Address, req ResultRequest, dst io.Writer) error
+	// Stop ends an attempt, or prevents its start if the start request has not
+	// arrived yet.
 	Stop(context.Context, Address, StopRequest) (LookupReply, error)
 	// Checkpoint makes an attempt save its state and end.
 	Checkpoint(context.Context, Address, CheckpointRequest) (LookupReply, error)
-	// Throttle limits the resources of a running attempt from now on.
+	// Throttle limits the resources of a running attempt.
 	Throttle(context.Context, Address, ThrottleRequest) (LookupReply, error)
 }
 
@@ -41,28 +43,28 @@
 // The states of an attempt on its worker.
 const (
 	Running      TaskState = "running"
-	Finished     TaskState = "finished"     // ended by itself, successfully or not
-	Stopped      TaskState = "stopped"      // ended by a stop or by the end of its lease
+	Finished     TaskState = "finished"     // exited on its own, successfully or not
+	Stopped      TaskState = "stopped"      // ended by a stop request or because its lease expired
 	Checkpointed TaskState = "checkpointed" // saved its state and ended
 )
 
-// Reason says why a worker rejected a request.
+// Reason is the reason why a worker rejected a request.
 type Reason string
 
 // The reasons of a rejection.
 const (
 	ReasonInvalid   Reason = "invalid"       // the request is incomplete or malformed
-	ReasonLate      Reason = "past_start_by" // arrived after start_by, or its lease has ended
-	ReasonBoot      Reason = "other_boot"    // clock readings in it are of another boot
-	ReasonEpoch     Reason = "lower_epoch"   // a higher epoch has been seen
-	ReasonCapacity  Reason = "over_capacity" // it does not fit into the capacity left by the running tasks
-	ReasonCancelled Reason = "cancelled"     // a stop of this attempt arrived first
+	ReasonLate      Reason = "past_start_by" // arrived after start_by, or its lease has expired
+	ReasonBoot      Reason = "other_boot"    // its clock readings are from another boot
+	ReasonEpoch     Reason = "lower_epoch"   // the worker has received a higher epoch
+	ReasonCapacity  Reason = "over_capacity" // the task exceeds the free capacity
+	ReasonCancelled Reason = "cancelled"     // a stop request for this attempt arrived first
 	ReasonState     Reason = "not_available" // the attempt is unknown or has no result
 )
 
 // SyncRequest renews the leases of all running tasks, acknowledges finished
-// ones and asks for a report. LeaseUntil is a reading of the worker's clock in
-// the boot BootID; it is ignored by a worker in any other boot.
+// ones and requests a report. LeaseUntil is a reading of the worker's clock in
+// the boot BootID; a worker in any other boot ignores it.
 type SyncRequest struct {
 	Owner       string         `json:"owner"`
 	Epoch       uint64         `json:"epoch"`
@@ -94,26 +96,26 @@
 	Size        task.Resources `json:"size"`
 	Usage       task.Resources `json:"usage,omitzero"` // measured usage, sampled before the report
 	State       TaskState      `json:"state"`
-	Home        string         `json:"home,omitempty"`
+	Home        string         `json:"home,omitempty"` // as in the start request
 	LeaseUntil  time.Duration  `json:"lease_until_ns,omitempty"`
 	Outcome     *task.Outcome  `json:"outcome,omitempty"` // without Result; nil while running
 	ResultBytes int64          `json:"result_bytes,omitempty"`
 }
 
 // StartRequest starts one attempt. StartBy and LeaseUntil are readings of the
-// worker's clock in the boot BootID. Without the boot, a request delayed across
-// a reboot would be valid again, because the clock restarts at zero.
+// worker's clock in the boot BootID. Without BootID, a request delayed across a
+// reboot would be valid again, because the clock restarts at zero.
 type StartRequest struct {
 	Attempt    task.Attempt   `json:"attempt"`
 	Team       task.Team      `json:"team"`
 	Class      string         `json:"class,omitempty"`
-	Home       string         `json:"home,omitempty"`
+	Home       string         `json:"home,omitempty"` // home instance, which records the state of the task
 	Owner      string         `json:"owner"`
 	Epoch      uint64         `json:"epoch"`
 	BootID     string         `json:"boot_id"`
 	StartBy    time.Duration  `json:"start_by_ns"`
 	LeaseUntil time.Duration  `json:"lease_until_ns"`
-	Wait       time.Duration  `json:"wait_ns,omitempty"` // how long the reply may wait for the outcome
+	Wait       time.Duration  `json:"wait_ns,omitempty"` // how long the worker may delay the reply to include the outcome
 	Size       task.Resources `json:"size"`
 	Command    string         `json:"command"`
 	LongLived  bool           `json:"long_lived,omitempty"`
@@ -122,12 +124,12 @@
 	PayloadBytes int64  `json:"payload_bytes,omitempty"` // set by EncodeStart
 }
 
-// InlineResultBytes is the largest result that a start reply carries. Larger
-// ones are fetched with Result, so that replies need no large buffers.
+// InlineResultBytes is the maximum size of a result in a start reply. Larger
+// results are fetched with Result, so that replies need no large buffers.
 const InlineResultBytes = 256 << 10
 
-// StartReply says that the attempt was started. Outcome is set if it ended
-// within Wait; its Result is left out above InlineResultBytes.
+// StartReply confirms that the attempt was started. Outcome is set if the attempt
+// ended within Wait; a Result larger than InlineResultBytes is omitted.
 type StartReply struct {
 	Started     bool          `json:"started"`
 	Clock       time.Duration `json:"clock_ns"`
@@ -156,7 +158,7 @@
 }
 
 // StopRequest ends an attempt. If the attempt is unknown, its start is rejected
-// until StartBy, so that a stop may overtake the start.
+// until StartBy, so that a stop takes effect even if it arrives before the start.
 type StopRequest struct {
 	Attempt task.Attempt  `json:"-"`
 	Owner   string        `json:"owner"`
@@ -172,8 +174,8 @@
 	Epoch   uint64       `json:"epoch"`
 }
 
-// ThrottleRequest limits the resources of a running attempt; zero amounts are not
-// limited.
+// ThrottleRequest limits the resources of a running attempt; a resource with a zero
+// limit is not limited.
 type ThrottleRequest struct {
 	Attempt task.Attempt   `json:"-"`
 	Owner   string         `json:"owner"`
