--- a/caller/backend.go
+++ b/caller/backend.go
@@ -31,7 +31,7 @@
 // Reply is the state of a job.
 type Reply struct {
 	State    task.State // of the whole job
-	Repeated bool       // an earlier submission with the same key and body was found
+	Repeated bool       // repeats an earlier submission with the same key and body
 	Tasks    []TaskState
 }
 
@@ -50,11 +50,11 @@
 // deadline of its context. A wait that expires before the job ends is not an
 // error: the reply has the state of the job at that time.
 type Backend interface {
-	// Submit accepts the job that spec describes under the key with this
-	// secret, and waits up to wait for its end. Fields that are set from the
-	// document (Kind, Urgency, Command, KeyID) are empty in spec. Deadline is
-	// that of the request body; without one, work of kind answer is due by the
-	// deadline of the context.
+	// Submit accepts the job that spec describes, authorized by the API key
+	// with this secret, and waits up to wait for it to finish. Fields that are
+	// set from the document (Kind, Urgency, Command, KeyID) are empty in spec.
+	// Deadline is that of the request body; without one, work of kind answer is
+	// due by the deadline of the context.
 	Submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (Reply, error)
 	// Status returns the state of a job.
 	Status(ctx context.Context, secret string, id JobID) (Reply, error)
--- a/caller/calls.go
+++ b/caller/calls.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	return s.jobAnswer(JobID{spec.Team, spec.Service, spec.IdempotencyKey}, reply)
+	return s.jobResponse(JobID{spec.Team, spec.Service, spec.IdempotencyKey}, reply)
 }
 
 func (s *Server) status(r *http.Request) (httpjson.Answer, error) {
@@ -76,11 +76,11 @@
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	return s.jobAnswer(call.id, reply)
+	return s.jobResponse(call.id, reply)
 }
 
-// result answers with the raw bytes of the result, which then need no encoding
-// as JSON.
+// result returns the raw bytes of the result as the response body, so that they
+// need no JSON encoding.
 func (s *Server) result(r *http.Request) (httpjson.Answer, error) {
 	call, cancel, err := s.parseJobCall(r)
 	if err != nil {
@@ -103,41 +103,41 @@
 	return httpjson.Answer{Status: http.StatusOK, Header: header, Body: outcome.Result}, nil
 }
 
-// jobAnswer includes the result if the job has a single task, because callers of
+// jobResponse includes the result if the job has a single task, because callers of
 // interactive work wait only for the result.
-func (s *Server) jobAnswer(id JobID, reply Reply) (httpjson.Answer, error) {
+func (s *Server) jobResponse(id JobID, reply Reply) (httpjson.Answer, error) {
 	job := api.Job{ID: id.String(), State: reply.State, Repeated: reply.Repeated, Tasks: []api.Task{}}
-	for _, state := range reply.Tasks {
-		t := api.Task{Index: state.Index, ID: state.ID, State: state.State, Attempt: state.Attempt}
-		if o := state.Outcome; o != nil {
-			if err := s.checkResult(*o); err != nil {
+	for _, taskState := range reply.Tasks {
+		apiTask := api.Task{Index: taskState.Index, ID: taskState.ID, State: taskState.State, Attempt: taskState.Attempt}
+		if outcome := taskState.Outcome; outcome != nil {
+			if err := s.checkResult(*outcome); err != nil {
 				return httpjson.Answer{}, err
 			}
-			t.Attempt, t.ExitCode, t.Reason = o.Attempt.Number, o.ExitCode, o.Reason
-			t.Worker, t.RunTime, t.Digest = o.Worker, api.Duration(o.RunTime), o.Digest
-			t.ResultBytes = len(o.Result)
+			apiTask.Attempt, apiTask.ExitCode, apiTask.Reason = outcome.Attempt.Number, outcome.ExitCode, outcome.Reason
+			apiTask.Worker, apiTask.RunTime, apiTask.Digest = outcome.Worker, api.Duration(outcome.RunTime), outcome.Digest
+			apiTask.ResultBytes = len(outcome.Result)
 			if len(reply.Tasks) == 1 {
-				t.Result = o.Result
+				apiTask.Result = outcome.Result
 			}
 		}
-		job.Tasks = append(job.Tasks, t)
+		job.Tasks = append(job.Tasks, apiTask)
 	}
 	return httpjson.JSON(job)
 }
 
 // checkResult rejects a result that exceeds the size limit or does not match the
 // digest reported by the worker.
-func (s *Server) checkResult(o task.Outcome) error {
-	if int64(len(o.Result)) > s.cfg.MaxResultBytes {
-		return errkind.New(errkind.ResultTooLarge, "the result has %d bytes", len(o.Result)).
+func (s *Server) checkResult(outcome task.Outcome) error {
+	if int64(len(outcome.Result)) > s.cfg.MaxResultBytes {
+		return errkind.New(errkind.ResultTooLarge, "the result has %d bytes", len(outcome.Result)).
 			WithField("result", strconv.FormatInt(s.cfg.MaxResultBytes, 10)+" bytes")
 	}
-	if len(o.Result) == 0 || o.Digest == "" {
+	if len(outcome.Result) == 0 || outcome.Digest == "" {
 		return nil
 	}
-	if sum := sha256.Sum256(o.Result); hex.EncodeToString(sum[:]) != o.Digest {
-		return errkind.New(errkind.ResultIncomplete, "the result of %s does not match the digest reported by the worker", o.Attempt).
-			WithField("result", fmt.Sprintf("SHA-256 %s", o.Digest))
+	if sum := sha256.Sum256(outcome.Result); hex.EncodeToString(sum[:]) != outcome.Digest {
+		return errkind.New(errkind.ResultIncomplete, "the result of %s does not match the digest reported by the worker", outcome.Attempt).
+			WithField("result", fmt.Sprintf("SHA-256 %s", outcome.Digest))
 	}
 	return nil
 }
--- a/caller/decode.go
+++ b/caller/decode.go
@@ -39,30 +39,30 @@
 	}
 	switch {
 	case request.Class == "" || len(request.Class) > maxClassBytes:
-		return invalid("class", "the class is empty or too long", "a class of the service, at most "+strconv.Itoa(maxClassBytes)+" characters")
+		return invalidField("class", "the class is empty or too long", "a class of the service, at most "+strconv.Itoa(maxClassBytes)+" characters")
 	case request.Count < 1 || request.Count > maxCount:
-		return invalid("count", "a job cannot have "+strconv.Itoa(request.Count)+" tasks", "1 to "+strconv.Itoa(maxCount))
+		return invalidField("count", "a job cannot have "+strconv.Itoa(request.Count)+" tasks", "1 to "+strconv.Itoa(maxCount))
 	case request.DeclaredRun < 0:
-		return invalid("declared_run", "the run time is negative", "0s or more")
+		return invalidField("declared_run", "the run time is negative", "0s or more")
 	case len(request.Regions) > maxRegions:
-		return invalid("regions", "there are too many regions", "at most "+strconv.Itoa(maxRegions))
+		return invalidField("regions", "there are too many regions", "at most "+strconv.Itoa(maxRegions))
 	case request.Size != nil && !isWithinMaxAmount(*request.Size):
-		return invalid("size", "an amount is negative or above the maximum", "0 to "+strconv.Itoa(maxAmount)+" of each resource")
+		return invalidField("size", "an amount is negative or above the maximum", "0 to "+strconv.Itoa(maxAmount)+" of each resource")
 	}
 	return nil
 }
 
 func isWithinMaxAmount(size task.Resources) bool {
-	bound := task.Resources{CPUMilli: maxAmount, MemoryMB: maxAmount, Accelerators: maxAmount, Slots: maxAmount, Connections: maxAmount}
-	return !size.HasNegative() && size.Fits(bound)
+	maximum := task.Resources{CPUMilli: maxAmount, MemoryMB: maxAmount, Accelerators: maxAmount, Slots: maxAmount, Connections: maxAmount}
+	return !size.HasNegative() && size.Fits(maximum)
 }
 
-func invalid(field, message, limit string) error {
+func invalidField(field, message, limit string) error {
 	return errkind.New(errkind.InvalidRequest, "%s", message).WithField(field, limit)
 }
 
-// newSpec returns the job that request describes. Fields that are set from its
-// document are left empty.
+// newSpec converts request to the specification of a job. Fields that are set from
+// the document are left empty.
 func newSpec(r *http.Request, request api.SubmitRequest) task.Spec {
 	spec := task.Spec{
 		Team:           task.Team(r.PathValue("team")),
@@ -91,7 +91,7 @@
 	if request.Size != nil && request.Size.IsZero() {
 		request.Size = nil
 	}
-	// A SubmitRequest has only types that encoding/json can encode.
+	// The error is always nil: all field types of SubmitRequest can be encoded.
 	canonical, _ := json.Marshal(request)
 	sum := sha256.Sum256(canonical)
 	return hex.EncodeToString(sum[:])
--- a/caller/read.go
+++ b/caller/read.go
@@ -27,8 +27,8 @@
 	return id, checkKey("key", id.Key)
 }
 
-// checkNames rejects names that no document can have, such as one with a slash,
-// with which two jobs could have the same ID.
+// checkNames rejects names that are invalid in a document. A name with a slash, for
+// example, could give two jobs the same ID.
 func checkNames(team task.Team, service task.Service) error {
 	if !document.IsName(string(team)) {
 		return errkind.New(errkind.UnknownTeam, "there is no team %.80q", team).WithField("team", document.NameRule)
@@ -48,16 +48,16 @@
 	if len(key) > maxKeyBytes || strings.Trim(key, ".") == "" {
 		return errkind.New(errkind.InvalidRequest, "the idempotency key is empty, consists only of dots or is too long").WithField(field, limit)
 	}
-	for _, c := range key {
-		if !isKeyCharacter(c) {
-			return errkind.New(errkind.InvalidRequest, "the idempotency key contains the character %q", c).WithField(field, limit)
+	for _, char := range key {
+		if !isKeyCharacter(char) {
+			return errkind.New(errkind.InvalidRequest, "the idempotency key contains the character %q", char).WithField(field, limit)
 		}
 	}
 	return nil
 }
 
-func isKeyCharacter(c rune) bool {
-	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || strings.ContainsRune("._-", c)
+func isKeyCharacter(char rune) bool {
+	return char >= 'a' && char <= 'z' || char >= 'A' && char <= 'Z' || char >= '0' && char <= '9' || strings.ContainsRune("._-", char)
 }
 
 func parseIndex(r *http.Request) (int, error) {
@@ -68,14 +68,14 @@
 	index, err := strconv.Atoi(text)
 	if err != nil || index < 0 {
 		return 0, errkind.New(errkind.InvalidRequest, "invalid index %.40q", text).
-			WithField("index", "0 to the number of tasks less one")
+			WithField("index", "0 to the number of tasks minus 1")
 	}
 	return index, nil
 }
 
 // callDeadline returns the earlier of the deadline from the timeout header and the
-// deadline in the body, or zero without either. The header holds a duration
-// because of the clock skew between callers and this instance.
+// deadline in the body, or the zero time if neither is set. The header holds a
+// duration because of the clock skew between callers and this instance.
 func (s *Server) callDeadline(r *http.Request, bodyDeadline time.Time) (time.Time, error) {
 	now, deadline := s.now(), bodyDeadline
 	if text := r.Header.Get(api.HeaderTimeout); text != "" {
@@ -95,16 +95,17 @@
 	return deadline, nil
 }
 
-// Part of the remaining time of a call that is reserved for sending the answer.
+// The part of the remaining time of a call that is reserved for sending the
+// response.
 const (
-	answerReserveDivisor = 10
-	maxAnswerReserve     = 200 * time.Millisecond
+	responseReserveDivisor = 10
+	maxResponseReserve     = 200 * time.Millisecond
 )
 
-// withCallDeadline returns the context for the backend and the wait that fits in it. The
-// context ends at the deadline of the call, and never later than one call timeout
-// after the wait. A wait that would outlast the call is shortened, so that the
-// caller gets the state of its job instead of no answer.
+// withCallDeadline returns the context for the backend and the wait that fits in it.
+// The context ends at the deadline of the call, and never later than one call timeout
+// after the wait. A wait that would exceed the deadline is shortened, so that the
+// caller receives the state of its job instead of no response.
 func (s *Server) withCallDeadline(ctx context.Context, deadline time.Time, wait time.Duration) (context.Context, context.CancelFunc, time.Duration) {
 	now := s.now()
 	latest := now.Add(wait + s.cfg.CallTimeout)
@@ -114,5 +115,5 @@
 	}
 	remaining := deadline.Sub(now)
 	bounded, cancel := context.WithDeadline(ctx, deadline)
-	return bounded, cancel, max(0, min(wait, remaining-min(remaining/answerReserveDivisor, maxAnswerReserve)))
+	return bounded, cancel, max(0, min(wait, remaining-min(remaining/responseReserveDivisor, maxResponseReserve)))
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -10,12 +10,12 @@
 type Config struct {
 	Limits         httpjson.Limits
 	MaxResultBytes int64         // result of one task
-	MaxWait        time.Duration // longest wait that a caller may ask for
+	MaxWait        time.Duration // longest wait that a caller may request
 	CallTimeout    time.Duration // for a call without a wait, and on top of a wait
 }
 
-// Server serves the HTTP interface for callers. Serve, BeginDrain and Shutdown are those of
-// httpjson.Server.
+// Server serves the HTTP interface for callers. Serve, BeginDrain and Shutdown are
+// inherited from httpjson.Server.
 type Server struct {
 	*httpjson.Server
 	cfg     Config
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -22,8 +22,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// fakeBackend counts the submissions that reach it and answers them with reply
-// or err.
+// fakeBackend counts and records submissions. Every call returns the configured
+// reply or outcome, and err.
 type fakeBackend struct {
 	submitted int
 	spec      task.Spec
@@ -95,8 +95,9 @@
 	return server, ln.Addr().String()
 }
 
-// exchange sends raw bytes and returns the answer, or an error where the server
-// closed the connection without one.
+// exchange sends raw bytes and returns the response. A request with the header
+// X-Truncate ends there: the client closes its side of the connection for writing.
+// The test fails if the server closes the connection without a response.
 func exchange(t *testing.T, address, raw string) (*http.Response, []byte) {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
@@ -113,7 +114,7 @@
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		t.Fatalf("no answer: %v", err)
+		t.Fatalf("no response: %v", err)
 	}
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
@@ -153,23 +154,23 @@
 		{"chunked body over the limit", chunked(strings.Repeat(" ", 1001)), "request_too_large", "body"},
 		{"truncated body", "POST " + submitPath + " HTTP/1.1\r\nHost: h\r\nX-Truncate: 1\r\nContent-Length: 99\r\n\r\n{", "invalid_request", "body"},
 		{"slow sender", "POST " + submitPath + " HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n{", "request_timeout", "body"},
-		{"no JSON", post(submitPath, "{"), "invalid_request", "body"},
+		{"invalid JSON", post(submitPath, "{"), "invalid_request", "body"},
 		{"text after the value", post(submitPath, validBody+"{}"), "invalid_request", "body"},
-		{"comment", post(submitPath, "/**/"+validBody), "invalid_request", "body"},
+		{"JSON with a comment", post(submitPath, "/**/"+validBody), "invalid_request", "body"},
 		{"unknown field", post(submitPath, `{"idempotency_key":"k","class":"c","colour":1}`), "invalid_request", "colour"},
-		{"field twice", post(submitPath, `{"idempotency_key":"k","class":"c","class":"d"}`), "invalid_request", "class"},
+		{"duplicate field", post(submitPath, `{"idempotency_key":"k","class":"c","class":"d"}`), "invalid_request", "class"},
 		{"wrong type", post(submitPath, `{"idempotency_key":"k","class":7}`), "invalid_request", "class"},
 		{"no key", post(submitPath, `{"class":"c"}`), "invalid_request", "idempotency_key"},
 		{"key with a slash", post(submitPath, `{"idempotency_key":"a/b","class":"c"}`), "invalid_request", "idempotency_key"},
-		{"key of dots", post(submitPath, `{"idempotency_key":"..","class":"c"}`), "invalid_request", "idempotency_key"},
+		{"key that consists of dots", post(submitPath, `{"idempotency_key":"..","class":"c"}`), "invalid_request", "idempotency_key"},
 		{"no class", post(submitPath, `{"idempotency_key":"k"}`), "invalid_request", "class"},
 		{"no tasks", post(submitPath, `{"idempotency_key":"k","class":"c","count":0}`), "invalid_request", "count"},
 		{"negative size", post(submitPath, `{"idempotency_key":"k","class":"c","size":{"slots":-1}}`), "invalid_request", "size"},
 		{"size beyond int64", post(submitPath, `{"idempotency_key":"k","class":"c","size":{"slots":9223372036854775808}}`), "invalid_request", "size.slots"},
-		{"impossible size", post(submitPath, `{"idempotency_key":"k","class":"c","size":{"slots":9223372036854775807}}`), "invalid_request", "size"},
+		{"size above the maximum", post(submitPath, `{"idempotency_key":"k","class":"c","size":{"slots":9223372036854775807}}`), "invalid_request", "size"},
 		{"wait over the limit", post(submitPath+"?wait=2m", validBody), "invalid_request", "wait"},
 		{"key without bearer", post(submitPath, validBody, "Authorization: Basic x"), "key_missing", "Authorization"},
-		{"timeout in words", post(submitPath, validBody, "Mulberrydrum-Timeout: soon"), "invalid_request", "Mulberrydrum-Timeout"},
+		{"timeout that is not a duration", post(submitPath, validBody, "Mulberrydrum-Timeout: soon"), "invalid_request", "Mulberrydrum-Timeout"},
 		{"deadline in the past", post(submitPath, `{"idempotency_key":"k","class":"c","deadline":"2001-01-01T00:00:00Z"}`), "deadline_exceeded", "deadline"},
 		{"team with a slash", post("/v1/teams/a%2Fb/services/nozzles/requests", validBody), "unknown_team", "team"},
 		{"service in capitals", get("/v1/teams/pipes/services/Nozzles/requests/k"), "unknown_service", "service"},
@@ -188,13 +189,13 @@
 			response, body := exchange(t, address, c.raw)
 			var reply api.ErrorReply
 			if err := json.Unmarshal(body, &reply); err != nil {
-				t.Fatalf("answer %q: %v", body, err)
+				t.Fatalf("response %q: %v", body, err)
 			}
-			e := reply.Error
-			if string(e.Kind) != c.kind || e.Field != c.field || e.Limit == "" || e.Fate != errkind.FateNotRun {
-				t.Errorf("error = %+v, want kind %s, field %s, a limit and fate not_run", e, c.kind, c.field)
+			got := reply.Error
+			if string(got.Kind) != c.kind || got.Field != c.field || got.Limit == "" || got.Fate != errkind.FateNotRun {
+				t.Errorf("error = %+v, want kind %s, field %s, a limit and fate not_run", got, c.kind, c.field)
 			}
-			if want := errkind.AnswerFor(e.Kind).Status; response.StatusCode != want {
+			if want := errkind.AnswerFor(got.Kind).Status; response.StatusCode != want {
 				t.Errorf("status = %d, want %d", response.StatusCode, want)
 			}
 			if backend.submitted != 0 {
@@ -215,29 +216,29 @@
 	_, address := serve(t, backend)
 	before := time.Now()
 	body := `{"idempotency_key":"k","class":"check","count":3,"size":{"slots":2},"declared_run":"90s","payload":"aGk=","deadline":"2999-01-01T00:00:00Z"}`
-	response, answer := exchange(t, address, post(submitPath+"?wait=30s", body, "Authorization: Bearer s3", "Mulberrydrum-Timeout: 5s"))
+	response, responseBody := exchange(t, address, post(submitPath+"?wait=30s", body, "Authorization: Bearer s3", "Mulberrydrum-Timeout: 5s"))
 	if response.StatusCode != http.StatusOK {
-		t.Fatalf("status %d: %s", response.StatusCode, answer)
+		t.Fatalf("status %d: %s", response.StatusCode, responseBody)
 	}
-	s := backend.spec
-	if s.Team != "pipes" || s.Service != "nozzles" || s.Class != "check" || s.Count != 3 || s.Size.Slots != 2 ||
-		s.DeclaredRun != 90*time.Second || string(s.Payload) != "hi" || backend.secret != "s3" {
-		t.Errorf("spec = %+v, secret %q", s, backend.secret)
+	spec := backend.spec
+	if spec.Team != "pipes" || spec.Service != "nozzles" || spec.Class != "check" || spec.Count != 3 || spec.Size.Slots != 2 ||
+		spec.DeclaredRun != 90*time.Second || string(spec.Payload) != "hi" || backend.secret != "s3" {
+		t.Errorf("spec = %+v, secret %q", spec, backend.secret)
 	}
 	const timeout = 5 * time.Second
 	if end := backend.deadline; end.Before(before.Add(timeout)) || end.After(time.Now().Add(timeout)) {
 		t.Errorf("the call ends %v after its start, want 5s as in the header", end.Sub(before))
 	}
-	if backend.wait <= 0 || backend.wait > timeout-maxAnswerReserve {
+	if backend.wait <= 0 || backend.wait > timeout-maxResponseReserve {
 		t.Errorf("the wait is %v, want less than the 5s of the call", backend.wait)
 	}
-	if s.Deadline.Year() != 2999 {
-		t.Errorf("deadline of the work = %v, want that of the body, not of the call", s.Deadline)
+	if spec.Deadline.Year() != 2999 {
+		t.Errorf("deadline of the work = %v, want that of the body, not of the call", spec.Deadline)
 	}
 }
 
-// TestTruncatedRequestsAreRejected guards against a truncated request being processed
-// as a complete one, wherever the connection ends.
+// TestTruncatedRequestsAreRejected guards against a truncated request being
+// processed as a complete one, after whichever byte the connection ends.
 func TestTruncatedRequestsAreRejected(t *testing.T) {
 	backend := &fakeBackend{reply: Reply{State: task.Accepted}}
 	_, address := serve(t, backend)
@@ -271,7 +272,7 @@
 	}
 	first := digest(`{"idempotency_key":"k","class":"c","payload":"aGk=","deadline":"2030-01-01T00:00:00Z"}`)
 	if digest(`{"class":"c", "payload":"aGk=", "idempotency_key":"k", "size":{}}`) != first {
-		t.Error("a later deadline or another order of fields changes the digest")
+		t.Error("the deadline, an empty size or the order of fields changes the digest")
 	}
 	if digest(`{"idempotency_key":"k","class":"c","payload":"aGo="}`) == first {
 		t.Error("another payload has the same digest")
@@ -279,34 +280,34 @@
 }
 
 // TestIncompleteResultIsRejected guards against a result that differs from the
-// one reported by the worker, and against an answer without length and digest.
+// one reported by the worker, and against a response without length and digest.
 func TestIncompleteResultIsRejected(t *testing.T) {
 	data := []byte("stress 41 MPa")
 	sum := sha256.Sum256(data)
-	good := task.Outcome{Attempt: task.Attempt{Task: "t", Number: 2}, State: task.Finished, Result: data, Digest: hex.EncodeToString(sum[:])}
-	backend := &fakeBackend{outcome: good}
+	validOutcome := task.Outcome{Attempt: task.Attempt{Task: "t", Number: 2}, State: task.Finished, Result: data, Digest: hex.EncodeToString(sum[:])}
+	backend := &fakeBackend{outcome: validOutcome}
 	server, address := serve(t, backend)
 	server.BeginDrain()
 	response, body := exchange(t, address, get(submitPath+"/k/result"))
 	if string(body) != string(data) || response.ContentLength != int64(len(data)) || !response.Close ||
 		response.Header.Get(api.HeaderTask) != "t#2" ||
 		response.Header.Get(api.HeaderDigest) != "sha-256=:"+base64.StdEncoding.EncodeToString(sum[:])+":" {
-		t.Errorf("answer %q with %v", body, response.Header)
+		t.Errorf("response %q with %v", body, response.Header)
 	}
 	backend.outcome.Result = data[:5]
 	response, _ = exchange(t, address, get(submitPath+"/k/result"))
 	if response.Header.Get(api.HeaderError) != string(errkind.ResultIncomplete) {
-		t.Errorf("a truncated result is answered with status %d", response.StatusCode)
+		t.Errorf("response to a truncated result has status %d", response.StatusCode)
 	}
 	backend.outcome.Result = make([]byte, 2001)
 	response, _ = exchange(t, address, get(submitPath+"/k/result"))
 	if response.Header.Get(api.HeaderError) != string(errkind.ResultTooLarge) {
-		t.Errorf("a result over the limit is answered with status %d", response.StatusCode)
+		t.Errorf("response to a result over the limit has status %d", response.StatusCode)
 	}
 }
 
-// FuzzDecodeSubmit guards against a body that panics, or that is accepted with
-// values out of range.
+// FuzzDecodeSubmit guards against a body that causes a panic, or that is accepted
+// with values out of range.
 func FuzzDecodeSubmit(f *testing.F) {
 	f.Add([]byte(validBody))
 	f.Add([]byte(`{"idempotency_key":"k","class":"c","size":{"slots":-1}}`))
@@ -317,7 +318,7 @@
 		request, err := decodeSubmit(body)
 		if err != nil {
 			if errkind.From(err).Kind != errkind.InvalidRequest {
-				t.Errorf("kind of %v", err)
+				t.Errorf("error %v is not of kind invalid_request", err)
 			}
 			return
 		}
