--- a/operator/backend.go
+++ b/operator/backend.go
@@ -9,7 +9,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Ref names a document. Service is empty for the document of a whole team.
+// Ref identifies a document. Service is empty for the document of a whole team.
 type Ref struct {
 	Team    task.Team
 	Service task.Service
@@ -42,11 +42,11 @@
 
 // Backend executes the calls. Its errors are *errkind.Error or *Conflict values;
 // any other error is reported to the operator with an unknown outcome. Each call
-// honours the deadline of its context. The lists are plain rows for display.
+// honours the deadline of its context. The lists it returns are rows for display.
 type Backend interface {
 	// Apply replaces a document if its revision is the expected one, and
-	// returns a *Conflict if it is not. If Wait is set, it waits for the change
-	// to be in force; an expired wait is not an error.
+	// returns a *Conflict otherwise. If Wait is set, it waits for the change to be
+	// in force; an expired wait is not an error.
 	Apply(ctx context.Context, change Change) (Held, error)
 	// Get returns a document, or an error of kind unknown_team or
 	// unknown_service.
--- a/operator/conflict.go
+++ b/operator/conflict.go
@@ -9,11 +9,11 @@
 	"github.com/mulberrydrum/mulberrydrum/jsonc"
 )
 
-// Conflict is the error of a change whose expected revision is not the current
-// one.
+// Conflict is the error of a change whose expected revision differs from the
+// current one.
 type Conflict struct {
 	Expected int64
-	Current  Held // Revision is 0 where there is no document
+	Current  Held // Revision is 0 if there is no document
 }
 
 // Error returns both revisions.
@@ -27,7 +27,7 @@
 		WithField("expect", fmt.Sprintf("%d, after a review of the other change", c.Current.Revision))
 }
 
-// AddDetail adds the change that the current revision made.
+// AddDetail adds the last change, which led to the current revision.
 func (c *Conflict) AddDetail(detail *api.Error) {
 	detail.Conflict = &api.Conflict{
 		Expected: c.Expected,
@@ -46,24 +46,24 @@
 	return converted
 }
 
-// invalidDocumentError is the error of an invalid document.
+// invalidDocumentError holds every fault of an invalid document.
 type invalidDocumentError struct{ faults []jsonc.Fault }
 
-// Error returns the first fault.
-func (f *invalidDocumentError) Error() string { return f.kindError().Error() }
+// Error returns the number of faults and the first one.
+func (e *invalidDocumentError) Error() string { return e.kindError().Error() }
 
 // Unwrap returns the error of kind invalid_request.
-func (f *invalidDocumentError) Unwrap() error { return f.kindError() }
+func (e *invalidDocumentError) Unwrap() error { return e.kindError() }
 
-func (f *invalidDocumentError) kindError() *errkind.Error {
-	first := f.faults[0]
+func (e *invalidDocumentError) kindError() *errkind.Error {
+	first := e.faults[0]
 	field := first.Path
 	if field == "" {
 		field = "body"
 	}
 	return errkind.New(errkind.InvalidRequest, "the document has %d faults, first at line %d, column %d: %s",
-		len(f.faults), first.Line, first.Column, first.Message).WithField(field, first.Allowed)
+		len(e.faults), first.Line, first.Column, first.Message).WithField(field, first.Allowed)
 }
 
 // AddDetail lists every fault.
-func (f *invalidDocumentError) AddDetail(detail *api.Error) { detail.Faults = f.faults }
+func (e *invalidDocumentError) AddDetail(detail *api.Error) { detail.Faults = e.faults }
--- a/operator/documents.go
+++ b/operator/documents.go
@@ -11,16 +11,16 @@
 )
 
 func (s *Server) listDocuments(c call) (httpjson.Answer, error) {
-	held, err := s.backend.List(c.ctx)
+	stored, err := s.backend.List(c.ctx)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	list := api.Documents{Documents: make([]api.Document, len(held))}
-	for i, h := range held {
-		list.Documents[i] = toAPIDocument(h)
-		list.Documents[i].Source = ""
+	response := api.Documents{Documents: make([]api.Document, len(stored))}
+	for i, d := range stored {
+		response.Documents[i] = toAPIDocument(d)
+		response.Documents[i].Source = ""
 	}
-	return httpjson.JSON(list)
+	return httpjson.JSON(response)
 }
 
 func (s *Server) getDocument(c call) (httpjson.Answer, error) {
@@ -28,11 +28,11 @@
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	held, err := s.backend.Get(c.ctx, ref)
+	stored, err := s.backend.Get(c.ctx, ref)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	return httpjson.JSON(toAPIDocument(held))
+	return httpjson.JSON(toAPIDocument(stored))
 }
 
 func (s *Server) applyDocument(c call) (httpjson.Answer, error) {
@@ -44,35 +44,35 @@
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	held, err := s.backend.Apply(c.ctx, Change{Ref: ref, Source: source, By: c.operator, Expected: expected, Wait: c.wait})
+	stored, err := s.backend.Apply(c.ctx, Change{Ref: ref, Source: source, By: c.operator, Expected: expected, Wait: c.wait})
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	return httpjson.JSON(toAPIDocument(held))
+	return httpjson.JSON(toAPIDocument(stored))
 }
 
-// diffDocument compares a document that an operator sends with the one in
-// force. A missing document counts as empty.
+// diffDocument compares the document in the body with the one in force. A missing
+// document is treated as empty.
 func (s *Server) diffDocument(c call) (httpjson.Answer, error) {
 	ref, _, candidate, err := s.readDocument(c)
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	held, err := s.backend.Get(c.ctx, ref)
-	if err != nil && !isMissing(err) {
+	stored, err := s.backend.Get(c.ctx, ref)
+	if err != nil && !isNotFound(err) {
 		return httpjson.Answer{}, err
 	}
-	current, _ := document.Parse([]byte(held.Record.Source))
-	return httpjson.JSON(api.Diff{Revision: held.Revision, Changes: toAPIChanges(document.Diff(current, candidate))})
+	current, _ := document.Parse([]byte(stored.Record.Source))
+	return httpjson.JSON(api.Diff{Revision: stored.Revision, Changes: toAPIChanges(document.Diff(current, candidate))})
 }
 
-func isMissing(err error) bool {
+func isNotFound(err error) bool {
 	kind := errkind.From(err).Kind
 	return kind == errkind.UnknownTeam || kind == errkind.UnknownService
 }
 
 // readDocument reads and validates the document in the body. Its team and service
-// must be those of the path.
+// must match those in the path.
 func (s *Server) readDocument(c call) (Ref, string, document.Document, error) {
 	ref, err := parseRef(c)
 	if err != nil {
@@ -108,8 +108,8 @@
 	return ref, nil
 }
 
-// parseExpected returns the expected revision, which is required so that no change
-// replaces a revision that its operator has not seen.
+// parseExpected returns the expected revision for optimistic concurrency control. It
+// is required, so that no change replaces a revision that its operator has not seen.
 func parseExpected(c call) (int64, error) {
 	text := c.URL.Query().Get("expect")
 	expected, err := strconv.ParseInt(text, 10, 64)
@@ -120,14 +120,14 @@
 	return expected, nil
 }
 
-func toAPIDocument(h Held) api.Document {
+func toAPIDocument(stored Held) api.Document {
 	return api.Document{
-		Team:     h.Ref.Team,
-		Service:  h.Ref.Service,
-		Revision: h.Revision,
-		By:       h.Record.By,
-		At:       h.Record.At,
-		Source:   h.Record.Source,
-		InForce:  h.InForce,
+		Team:     stored.Ref.Team,
+		Service:  stored.Ref.Service,
+		Revision: stored.Revision,
+		By:       stored.Record.By,
+		At:       stored.Record.At,
+		Source:   stored.Record.Source,
+		InForce:  stored.InForce,
 	}
 }
--- a/operator/key.go
+++ b/operator/key.go
@@ -16,7 +16,7 @@
 	Digest string // SHA-256 of the secret, in hex
 }
 
-// localOperator is the name that is recorded if the server requires no key.
+// localOperator is the operator name that is recorded if the server requires no key.
 const localOperator = "local"
 
 // authenticate returns the name of the operator whose key was sent with r. It always
@@ -35,15 +35,15 @@
 	}
 	sum := sha256.Sum256([]byte(secret))
 	digest := []byte(hex.EncodeToString(sum[:]))
-	name, found := "", 0
+	operator, found := "", 0
 	for _, key := range s.cfg.Keys {
 		if subtle.ConstantTimeCompare(digest, []byte(key.Digest)) == 1 {
-			name, found = key.Name, 1
+			operator, found = key.Name, 1
 		}
 	}
 	if found == 0 {
 		return "", errkind.New(errkind.KeyRefused, "the key belongs to no operator").
 			WithField("Authorization", "a key whose digest is in the setting operator_keys")
 	}
-	return name, nil
+	return operator, nil
 }
--- a/operator/observe.go
+++ b/operator/observe.go
@@ -10,7 +10,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Default and maximum number of events in one answer.
+// Default and maximum number of events in one response.
 const (
 	defaultEvents = 1000
 	maxEvents     = 10_000
--- a/operator/server.go
+++ b/operator/server.go
@@ -15,16 +15,16 @@
 // be set.
 type Config struct {
 	Limits      httpjson.Limits
-	MaxWait     time.Duration // longest wait that an operator may ask for
+	MaxWait     time.Duration // longest wait that an operator may request
 	CallTimeout time.Duration // for a call without a wait, and on top of a wait
-	Regions     []string      // of the deployment; documents may name no other
+	Regions     []string      // of the deployment; a document that names any other region is invalid
 	Keys        []Key         // empty: no authentication, for servers on loopback addresses
 	Metrics     metrics.Registry
-	Pprof       bool // profiles show memory of the process, so they are off by default
+	Pprof       bool // profiles expose memory of the process, so they are off by default
 }
 
-// Server serves the HTTP interface for operators. Serve, BeginDrain and Shutdown are those of
-// httpjson.Server.
+// Server serves the HTTP interface for operators. Serve, BeginDrain and Shutdown are
+// inherited from httpjson.Server.
 type Server struct {
 	*httpjson.Server
 	cfg     Config
@@ -74,7 +74,7 @@
 // of the call and runs h.
 func (s *Server) authenticated(h func(call) (httpjson.Answer, error)) httpjson.Handler {
 	return func(r *http.Request) (httpjson.Answer, error) {
-		by, err := s.authenticate(r)
+		operator, err := s.authenticate(r)
 		if err != nil {
 			return httpjson.Answer{}, err
 		}
@@ -84,11 +84,12 @@
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), wait+s.cfg.CallTimeout)
 		defer cancel()
-		return h(call{ctx: ctx, operator: by, wait: wait, Request: r})
+		return h(call{ctx: ctx, operator: operator, wait: wait, Request: r})
 	}
 }
 
-// probe requires no key, because the platform's load balancer has none.
+// probe returns the handler of a health check. It requires no key, because the
+// platform's load balancer has none.
 func (s *Server) probe(check func(context.Context) error) httpjson.Handler {
 	return func(r *http.Request) (httpjson.Answer, error) {
 		ctx, cancel := context.WithTimeout(r.Context(), s.cfg.CallTimeout)
@@ -100,8 +101,8 @@
 	}
 }
 
-// handlePprof registers the profiles explicitly: importing net/http/pprof registers
-// them only with http.DefaultServeMux, which this server does not use.
+// handlePprof registers the pprof handlers explicitly: importing net/http/pprof
+// registers them only with http.DefaultServeMux, which this server does not use.
 func (s *Server) handlePprof() {
 	pages := map[string]http.HandlerFunc{
 		"/debug/pprof/":        pprof.Index,
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -22,32 +22,32 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// fakeBackend stores one document in memory and counts every other change.
+// fakeBackend stores one document in memory and counts all changes of other kinds.
 type fakeBackend struct {
-	held    Held
+	stored  Held
 	changes int
 	filter  Filter
 	ready   error
 }
 
 func (b *fakeBackend) Apply(_ context.Context, c Change) (Held, error) {
-	if c.Expected != b.held.Revision {
-		return Held{}, &Conflict{Expected: c.Expected, Current: b.held}
+	if c.Expected != b.stored.Revision {
+		return Held{}, &Conflict{Expected: c.Expected, Current: b.stored}
 	}
-	b.held = Held{Ref: c.Ref, Revision: b.held.Revision + 1, Record: document.Record{
-		Source: c.Source, Previous: b.held.Record.Source, By: c.By,
+	b.stored = Held{Ref: c.Ref, Revision: b.stored.Revision + 1, Record: document.Record{
+		Source: c.Source, Previous: b.stored.Record.Source, By: c.By,
 	}}
-	return b.held, nil
+	return b.stored, nil
 }
 
 func (b *fakeBackend) Get(_ context.Context, ref Ref) (Held, error) {
-	if b.held.Revision == 0 || b.held.Ref != ref {
+	if b.stored.Revision == 0 || b.stored.Ref != ref {
 		return Held{}, errkind.New(errkind.UnknownService, "no document")
 	}
-	return b.held, nil
+	return b.stored, nil
 }
 
-func (b *fakeBackend) List(context.Context) ([]Held, error) { return []Held{b.held}, nil }
+func (b *fakeBackend) List(context.Context) ([]Held, error) { return []Held{b.stored}, nil }
 
 func (b *fakeBackend) GrantKey(_ context.Context, by string, r api.GrantRequest) (api.GrantedKey, error) {
 	b.changes++
@@ -131,13 +131,13 @@
 			t.Fatal(err)
 		}
 		defer func() { _ = response.Body.Close() }()
-		answer, err := io.ReadAll(response.Body)
+		responseBody, err := io.ReadAll(response.Body)
 		if err != nil {
 			t.Fatal(err)
 		}
 		var reply api.ErrorReply
-		_ = json.Unmarshal(answer, &reply)
-		return response.StatusCode, string(answer), reply.Error
+		_ = json.Unmarshal(responseBody, &reply)
+		return response.StatusCode, string(responseBody), reply.Error
 	}
 }
 
@@ -152,7 +152,7 @@
 	cases := []struct{ name, method, path, body, kind, field string }{
 		{"no expected revision", "PUT", validDocumentPath, validDocument, "invalid_request", "expect"},
 		{"negative revision", "PUT", validDocumentPath + "?expect=-1", validDocument, "invalid_request", "expect"},
-		{"no JSON", "PUT", validDocumentPath + "?expect=0", "{", "invalid_request", "body"},
+		{"invalid JSON", "PUT", validDocumentPath + "?expect=0", "{", "invalid_request", "body"},
 		{"unknown kind", "PUT", validDocumentPath + "?expect=0", strings.Replace(validDocument, "durable", "x", 1), "invalid_request", "classes[0].kind"},
 		{"unknown region", "PUT", validDocumentPath + "?expect=0", strings.Replace(validDocument, `"classes"`, `"regions": ["south"], "classes"`, 1), "invalid_request", "regions[0]"},
 		{"too large", "PUT", validDocumentPath + "?expect=0", strings.Repeat(" ", 2001), "request_too_large", "body"},
@@ -164,29 +164,28 @@
 		{"key without a team", "POST", "/v1/keys", `{}`, "invalid_request", "team"},
 		{"key with a wrong role", "POST", "/v1/keys", `{"team": "a", "role": "X"}`, "invalid_request", "role"},
 		{"key with a secret", "POST", "/v1/keys", `{"team": "a", "secret": "x"}`, "invalid_request", "secret"},
-		{"drain of nothing", "POST", "/v1/drain", `{}`, "invalid_request", "instance"},
-		{"drain of two", "POST", "/v1/drain", `{"instance": "a", "worker": "b"}`, "invalid_request", "instance"},
-		{"force of no unit", "POST", "/v1/ownership/force", `{"unit": "w/1", "reason": "x"}`, "invalid_request", "unit"},
-		{"force without a reason", "POST", "/v1/ownership/force", `{"unit": "h/1"}`, "invalid_request", "reason"},
-		{"timeline since noon", "GET", "/v1/timeline?since=noon", "", "invalid_request", "since"},
+		{"drain without instance and worker", "POST", "/v1/drain", `{}`, "invalid_request", "instance"},
+		{"drain of both instance and worker", "POST", "/v1/drain", `{"instance": "a", "worker": "b"}`, "invalid_request", "instance"},
+		{"forced takeover of an invalid unit", "POST", "/v1/ownership/force", `{"unit": "w/1", "reason": "x"}`, "invalid_request", "unit"},
+		{"forced takeover without a reason", "POST", "/v1/ownership/force", `{"unit": "h/1"}`, "invalid_request", "reason"},
+		{"timeline since an invalid time", "GET", "/v1/timeline?since=noon", "", "invalid_request", "since"},
 		{"timeline over the limit", "GET", "/v1/timeline?limit=1000000", "", "invalid_request", "limit"},
 		{"wrong method", "POST", validDocumentPath, validDocument, "not_allowed", "method"},
-		{"profiles are off", "GET", "/debug/pprof/", "", "unknown_path", "path"},
+		{"profiles while disabled", "GET", "/debug/pprof/", "", "unknown_path", "path"},
 	}
 	for _, c := range cases {
 		backend := &fakeBackend{}
 		status, body, e := serve(t, testConfig(false), backend)(c.method, c.path, c.body, secret)
 		if string(e.Kind) != c.kind || e.Field != c.field || e.Limit == "" || e.Fate != errkind.FateNotRun || status != errkind.AnswerFor(e.Kind).Status {
-			t.Errorf("%s: answer %d %s", c.name, status, body)
+			t.Errorf("%s: status %d, body %s", c.name, status, body)
 		}
-		if backend.changes != 0 || backend.held.Revision != 0 {
+		if backend.changes != 0 || backend.stored.Revision != 0 {
 			t.Errorf("%s: the backend was changed", c.name)
 		}
 	}
 }
 
-// TestEveryCallRequiresKey guards against a call that can be made without a valid
-// key.
+// TestEveryCallRequiresKey guards against a call that is served without a valid key.
 func TestEveryCallRequiresKey(t *testing.T) {
 	backend := &fakeBackend{}
 	call := serve(t, testConfig(true), backend)
@@ -209,14 +208,14 @@
 	if status, _, _ := call("GET", "/debug/pprof/cmdline", "", secret); status != http.StatusOK {
 		t.Errorf("profiles with the key: status %d", status)
 	}
-	if backend.changes != 0 || backend.held.Revision != 0 {
+	if backend.changes != 0 || backend.stored.Revision != 0 {
 		t.Error("the backend was changed")
 	}
 }
 
-// TestDrainingIsHealthyButNotReady guards against a draining instance being restarted or
-// being sent calls, and against probes that the load balancer, which has no key,
-// cannot make.
+// TestDrainingIsHealthyButNotReady guards against a draining instance being restarted
+// or receiving calls, and against health checks that require a key, which the load
+// balancer does not have.
 func TestDrainingIsHealthyButNotReady(t *testing.T) {
 	call := serve(t, testConfig(false), &fakeBackend{ready: errkind.New(errkind.Draining, "leaving")})
 	if status, _, _ := call("GET", "/healthz", "", ""); status != http.StatusOK {
@@ -227,8 +226,9 @@
 	}
 }
 
-// TestConflictDescribesLastChange guards against the second of two operators
-// replacing, or not seeing, what the first one changed.
+// TestConflictDescribesLastChange guards against a concurrent change by a second
+// operator that replaces the change of the first, and against a conflict error that
+// does not describe the first change.
 func TestConflictDescribesLastChange(t *testing.T) {
 	backend := &fakeBackend{}
 	call := serve(t, testConfig(false), backend)
@@ -240,14 +240,14 @@
 	}
 	status, body, e := call("PUT", validDocumentPath+"?expect=1", validDocument, secret)
 	if status != http.StatusConflict || e.Conflict == nil {
-		t.Fatalf("answer %d %s", status, body)
+		t.Fatalf("status %d, body %s", status, body)
 	}
 	c := e.Conflict
 	want := api.Change{Path: "classes[a].max_run", Before: `"5m0s"`, After: `"6m0s"`}
 	if c.Expected != 1 || c.Revision != 2 || c.By != "els" || len(c.Changes) != 1 || c.Changes[0] != want {
 		t.Errorf("conflict = %+v", *c)
 	}
-	if backend.held.Record.Source != longer {
+	if backend.stored.Record.Source != longer {
 		t.Error("the first change was replaced")
 	}
 	var diff api.Diff
@@ -258,12 +258,12 @@
 }
 
 // TestEveryFaultIsReported guards against only the first fault of a document being
-// reported, so that an operator has to correct one fault per call.
+// reported, so that an operator would have to correct one fault per call.
 func TestEveryFaultIsReported(t *testing.T) {
 	call := serve(t, testConfig(false), &fakeBackend{})
 	source := strings.Replace(strings.Replace(validDocument, "durable", "x", 1), `"5m"`, "5", 1)
 	if _, body, e := call("PUT", validDocumentPath+"?expect=0", source, secret); len(e.Faults) != 2 || e.Faults[1].Line != 1 {
-		t.Errorf("answer %s", body)
+		t.Errorf("response %s, want 2 faults, the second on line 1", body)
 	}
 }
 
