--- a/client/caller.go
+++ b/client/caller.go
@@ -16,10 +16,10 @@
 // Result is the result of one task.
 type Result struct {
 	Data    []byte
-	Attempt string // task and attempt
+	Attempt string // "<task>#<attempt>"
 }
 
-// Submit submits a job to a service of a team and waits up to wait for its end.
+// Submit submits a job to a service of a team and waits up to wait for it to finish.
 func (c *Client) Submit(ctx context.Context, team, service string, request api.SubmitRequest, wait time.Duration) (api.Job, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
@@ -29,7 +29,8 @@
 	return decode[api.Job](c.do(ctx, apiCall{method: http.MethodPost, path: path, body: body}))
 }
 
-// Status returns the state of a job, named by <team>/<service>/<key>.
+// Status returns the state of a job, identified by
+// <team>/<service>/<idempotency key>.
 func (c *Client) Status(ctx context.Context, job string) (api.Job, error) {
 	return c.callJob(ctx, http.MethodGet, job, "")
 }
@@ -68,7 +69,7 @@
 func jobPath(job string) (string, error) {
 	parts := strings.Split(job, "/")
 	if len(parts) != 3 {
-		return "", errkind.New(errkind.InvalidRequest, "%q does not name a job", job).
+		return "", errkind.New(errkind.InvalidRequest, "invalid job ID %q", job).
 			WithField("job", "<team>/<service>/<idempotency key>")
 	}
 	return requestsPath(parts[0], parts[1]) + "/" + url.PathEscape(parts[2]), nil
--- a/client/client.go
+++ b/client/client.go
@@ -13,10 +13,10 @@
 
 // Config holds the addresses and the credentials for the calls.
 type Config struct {
-	Addresses   []string      // host:port of entry instances; any of them answers any call
-	Secret      string        // of the key; empty for open queues
+	Addresses   []string      // host:port of entry instances; each of them serves every call
+	Secret      string        // of the API key; empty for services that accept submissions without a key
 	DialTimeout time.Duration // 2 s when zero
-	MaxBytes    int64         // maximum size of an answer; 32 MiB when zero
+	MaxBytes    int64         // maximum size of a response body; 32 MiB when zero
 }
 
 const (
@@ -26,19 +26,19 @@
 	idleTimeout        = 5 * time.Second
 
 	// Bodies of at least this size are sent only after a 100 Continue response, so
-	// that a body that is refused by its length is not sent.
-	continueBytes   = 64 << 10
-	continueTimeout = time.Second
+	// that a body that is rejected because of its length is not sent.
+	minContinueBytes = 64 << 10
+	continueTimeout  = time.Second
 )
 
 // Client calls entry instances. It is safe for concurrent use.
 type Client struct {
-	cfg    Config
-	http   *http.Client
-	budget *retryBudget
-	next   atomic.Uint64 // index of the address to call, modulo their number
-	jitter func() float64
-	sleep  func(ctx context.Context, d time.Duration) error
+	cfg          Config
+	http         *http.Client
+	budget       *retryBudget
+	addressIndex atomic.Uint64 // index of the address to call, modulo their number
+	jitter       func() float64
+	sleep        func(ctx context.Context, d time.Duration) error
 }
 
 // New returns a client that starts at a random address.
@@ -65,45 +65,45 @@
 		jitter: rand.Float64,
 		sleep:  sleep,
 	}
-	c.next.Store(rand.Uint64N(1 << 32))
+	c.addressIndex.Store(rand.Uint64N(1 << 32))
 	return c
 }
 
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// apiCall is one call, which may be sent several times because of retries.
+// apiCall is one call. Retries send it several times.
 type apiCall struct {
 	method string
 	path   string // with the query
 	body   []byte
 }
 
-// do sends call until it gets an answer or an error that is not retryable, or until
-// it runs out of attempts or retry budget.
-func (c *Client) do(ctx context.Context, call apiCall) (reply, error) {
+// do sends call until it receives a response or an error that is not retryable, or
+// until the attempts or the retry budget are used up.
+func (c *Client) do(ctx context.Context, call apiCall) (verifiedResponse, error) {
 	if len(c.cfg.Addresses) == 0 {
-		return reply{}, errkind.New(errkind.InvalidRequest, "no address of an entry instance is given").WithField("server", "host:port")
+		return verifiedResponse{}, errkind.New(errkind.InvalidRequest, "no entry instance address is configured").WithField("server", "host:port")
 	}
 	c.budget.addCall()
 	for attempt := 1; ; attempt++ {
-		got, err := c.sendOnce(ctx, c.address(), call)
+		got, err := c.sendOnce(ctx, c.currentAddress(), call)
 		if err == nil {
 			return got, nil
 		}
 		e := errkind.From(err)
 		if attempt == maxAttempts || !isRetryable(e) || !c.budget.takeRetry() {
-			return reply{}, err
+			return verifiedResponse{}, err
 		}
-		c.next.Add(1)
-		if c.sleep(ctx, c.delay(e, attempt)) != nil {
-			return reply{}, err
+		c.addressIndex.Add(1)
+		if c.sleep(ctx, c.retryDelay(e, attempt)) != nil {
+			return verifiedResponse{}, err
 		}
 	}
 }
 
-// isRetryable accepts only errors of calls that are known not to have run:
-// retrying any other call could run the work twice.
+// isRetryable reports whether e is a retryable error of a call that is known not to
+// have run. Retrying any other call could run the work twice.
 func isRetryable(e *errkind.Error) bool {
 	return e.Fate() == errkind.FateNotRun && errkind.AnswerFor(e.Kind).Advice == errkind.AdviceRetry
 }
@@ -113,10 +113,10 @@
 	maxDelay  = 2 * time.Second
 )
 
-// delay returns the retry hint of the answer, or exponential backoff without one,
-// plus jitter of up to 50% so that clients that were refused at the same time do
-// not retry at the same time.
-func (c *Client) delay(e *errkind.Error, attempt int) time.Duration {
+// retryDelay returns the retry hint of the response, or exponential backoff without
+// one, plus jitter of up to 50% so that clients that were rejected at the same time
+// do not retry at the same time.
+func (c *Client) retryDelay(e *errkind.Error, attempt int) time.Duration {
 	d := e.RetryAfter
 	if d <= 0 {
 		d = min(baseDelay<<attempt, maxDelay)
@@ -124,14 +124,14 @@
 	return d + time.Duration(c.jitter()*float64(d)/2)
 }
 
-func (c *Client) address() string {
-	return c.cfg.Addresses[c.next.Load()%uint64(len(c.cfg.Addresses))]
+func (c *Client) currentAddress() string {
+	return c.cfg.Addresses[c.addressIndex.Load()%uint64(len(c.cfg.Addresses))]
 }
 
-// sleep waits for d or until ctx is canceled. If the deadline of ctx is earlier
-// than the end of the wait, it returns at once.
+// sleep waits for d or until ctx is done. If the deadline of ctx is less
+// than d away, it returns context.DeadlineExceeded immediately.
 func sleep(ctx context.Context, d time.Duration) error {
-	if end, ok := ctx.Deadline(); ok && time.Until(end) < d {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < d {
 		return context.DeadlineExceeded
 	}
 	timer := time.NewTimer(d)
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -19,7 +19,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-func writeAnswer(w http.ResponseWriter, status int, v any) {
+func writeResponse(w http.ResponseWriter, status int, v any) {
 	body, _ := json.Marshal(v)
 	sum := sha256.Sum256(body)
 	w.Header().Set(api.HeaderDigest, "sha-256=:"+base64.StdEncoding.EncodeToString(sum[:])+":")
@@ -30,11 +30,11 @@
 
 func writeError(w http.ResponseWriter, e *errkind.Error) {
 	w.Header().Set(api.HeaderError, string(e.Kind))
-	writeAnswer(w, errkind.AnswerFor(e.Kind).Status, api.ErrorReply{Error: api.ErrorFrom(e)})
+	writeResponse(w, errkind.AnswerFor(e.Kind).Status, api.ErrorReply{Error: api.ErrorFrom(e)})
 }
 
-// newTestClient returns a client of a test server that runs h, and the retry delays of
-// that client.
+// newTestClient returns a client of a test server that runs h, and the recorded retry
+// delays of that client.
 func newTestClient(t *testing.T, h http.HandlerFunc) (*Client, *[]time.Duration) {
 	t.Helper()
 	server := httptest.NewServer(h)
@@ -54,8 +54,8 @@
 	return c.Submit(context.Background(), "t", "s", api.SubmitRequest{IdempotencyKey: "k", Class: "c"}, 0)
 }
 
-// TestRetriesOnlyCallsThatDidNotRun guards against a retry of work that may have run,
-// for every kind of error.
+// TestRetriesOnlyCallsThatDidNotRun guards against a retry of work that may have
+// run, for every kind of error.
 func TestRetriesOnlyCallsThatDidNotRun(t *testing.T) {
 	for _, kind := range errkind.Kinds() {
 		calls := 0
@@ -65,22 +65,22 @@
 				writeError(w, errkind.New(kind, "first attempt"))
 				return
 			}
-			writeAnswer(w, http.StatusOK, api.Job{State: task.Accepted})
+			writeResponse(w, http.StatusOK, api.Job{State: task.Accepted})
 		})
 		_, err := submit(c)
-		row := errkind.AnswerFor(kind)
-		retried := row.Fate == errkind.FateNotRun && row.Advice == errkind.AdviceRetry
+		response := errkind.AnswerFor(kind)
+		retried := response.Fate == errkind.FateNotRun && response.Advice == errkind.AdviceRetry
 		if retried != (calls == 2) || retried != (err == nil) {
 			t.Errorf("%s: %d calls, error %v", kind, calls, err)
 		}
 		if err != nil && errkind.From(err).Kind != kind {
-			t.Errorf("%s became %v", kind, err)
+			t.Errorf("%s is reported as %v", kind, err)
 		}
 	}
 }
 
-// TestStatedFateOverridesDefault guards against a retry because of the default fate of
-// an error kind if the answer states another fate.
+// TestStatedFateOverridesDefault guards against a retry because of the default fate
+// of an error kind if the response states another fate.
 func TestStatedFateOverridesDefault(t *testing.T) {
 	calls := 0
 	c, _ := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
@@ -92,8 +92,8 @@
 	}
 }
 
-// TestRetryHintIsObservedWithJitter guards against a retry earlier than the hint, and
-// against all clients retrying at the same time.
+// TestRetryHintIsObservedWithJitter guards against a retry before the hinted delay
+// has passed, and against all clients retrying at the same time.
 func TestRetryHintIsObservedWithJitter(t *testing.T) {
 	c, delays := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
 		writeError(w, errkind.New(errkind.QueueFull, "full").WithRetryAfter(2*time.Second))
@@ -105,26 +105,26 @@
 }
 
 // TestBudgetBoundsRetries guards against clients multiplying the load while
-// every call is refused.
+// every call is rejected.
 func TestBudgetBoundsRetries(t *testing.T) {
 	calls := 0
 	c, _ := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
 		calls++
 		writeError(w, errkind.New(errkind.QueueFull, "full"))
 	})
-	const asked = 100
-	for range asked {
+	const submissions = 100
+	for range submissions {
 		_, _ = submit(c)
 	}
-	if limit := asked + maxSavedRetries + asked*retriesPerCall; float64(calls) > limit {
-		t.Errorf("%d calls for %d, want at most %v", calls, asked, limit)
+	if limit := submissions + maxRetryTokens + submissions*retryTokensPerCall; float64(calls) > limit {
+		t.Errorf("%d calls for %d, want at most %v", calls, submissions, limit)
 	}
 }
 
-// TestIncompleteAnswerIsRejected guards against a truncated or altered answer
+// TestIncompleteResponseIsRejected guards against a truncated or altered response
 // being accepted as complete.
-func TestIncompleteAnswerIsRejected(t *testing.T) {
-	damage := map[string]http.HandlerFunc{
+func TestIncompleteResponseIsRejected(t *testing.T) {
+	handlers := map[string]http.HandlerFunc{
 		"other digest": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(api.HeaderDigest, "sha-256=:AAAA:")
 			_, _ = w.Write([]byte(`{"state":"finished"}`))
@@ -134,16 +134,16 @@
 			_, _ = w.Write([]byte(`{"state":`))
 			_ = http.NewResponseController(w).Flush()
 		},
-		"cut off": func(w http.ResponseWriter, _ *http.Request) {
+		"truncated": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "900")
 			_, _ = w.Write([]byte(`{"state":`))
 		},
-		"page of a proxy": func(w http.ResponseWriter, _ *http.Request) {
-			writeAnswer(w, http.StatusBadGateway, "bad gateway")
+		"error page of a proxy": func(w http.ResponseWriter, _ *http.Request) {
+			writeResponse(w, http.StatusBadGateway, "bad gateway")
 		},
 		"connection closed": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
 	}
-	for name, h := range damage {
+	for name, h := range handlers {
 		c, delays := newTestClient(t, h)
 		_, err := submit(c)
 		if e := errkind.From(err); err == nil || e.Kind != errkind.OutcomeUnknown || len(*delays) > 0 {
@@ -155,11 +155,12 @@
 	}
 }
 
-// TestTruncatedAnswersHaveUnknownOutcome guards against a truncated answer being
-// accepted as complete, or the call being retried, wherever the connection ends.
-func TestTruncatedAnswersHaveUnknownOutcome(t *testing.T) {
+// TestTruncatedResponsesHaveUnknownOutcome guards against a truncated response being
+// accepted as complete, or the call being retried, after whichever byte the
+// connection ends.
+func TestTruncatedResponsesHaveUnknownOutcome(t *testing.T) {
 	recorder := httptest.NewRecorder()
-	writeAnswer(recorder, http.StatusOK, api.Job{ID: "t/s/k", State: task.Accepted})
+	writeResponse(recorder, http.StatusOK, api.Job{ID: "t/s/k", State: task.Accepted})
 	var complete bytes.Buffer
 	if err := recorder.Result().Write(&complete); err != nil {
 		t.Fatal(err)
@@ -179,7 +180,7 @@
 		job, err := submit(c)
 		if n == complete.Len() {
 			if err != nil || job.State != task.Accepted {
-				t.Errorf("complete answer: %+v, %v", job, err)
+				t.Errorf("complete response: %+v, %v", job, err)
 			}
 			continue
 		}
@@ -202,36 +203,36 @@
 	}
 }
 
-// TestRefusedConnectionTriesNextAddress guards against a client that keeps calling an
-// instance that no longer runs.
+// TestRefusedConnectionTriesNextAddress guards against a client that continues to
+// call an instance that no longer runs.
 func TestRefusedConnectionTriesNextAddress(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	gone := ln.Addr().String()
+	closedAddress := ln.Addr().String()
 	_ = ln.Close()
 	c, _ := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
-		writeAnswer(w, http.StatusOK, api.Job{State: task.Accepted})
+		writeResponse(w, http.StatusOK, api.Job{State: task.Accepted})
 	})
-	c.cfg.Addresses = append([]string{gone}, c.cfg.Addresses...)
-	c.next.Store(0)
+	c.cfg.Addresses = append([]string{closedAddress}, c.cfg.Addresses...)
+	c.addressIndex.Store(0)
 	if _, err := submit(c); err != nil {
 		t.Error(err)
 	}
 }
 
-// TestDeadlineIsSent guards against an instance that continues to work on a call
-// that has timed out on the caller's side.
+// TestDeadlineIsSent guards against an instance that continues to process a call
+// that has timed out for the caller.
 func TestDeadlineIsSent(t *testing.T) {
-	var left time.Duration
+	var remaining time.Duration
 	c, _ := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
-		left, _ = time.ParseDuration(r.Header.Get(api.HeaderTimeout))
-		writeAnswer(w, http.StatusOK, api.Job{})
+		remaining, _ = time.ParseDuration(r.Header.Get(api.HeaderTimeout))
+		writeResponse(w, http.StatusOK, api.Job{})
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	if _, err := c.Status(ctx, "t/s/k"); err != nil || left < 50*time.Second || left > time.Minute {
-		t.Errorf("timeout header = %v, error %v", left, err)
+	if _, err := c.Status(ctx, "t/s/k"); err != nil || remaining < 50*time.Second || remaining > time.Minute {
+		t.Errorf("timeout header = %v, error %v", remaining, err)
 	}
 }
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -16,13 +16,13 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// reply is a complete answer whose digest was verified.
-type reply struct {
+// verifiedResponse is a complete response whose length and digest match its headers.
+type verifiedResponse struct {
 	header http.Header
 	body   []byte
 }
 
-// Error is an error answer from an entry instance. It unwraps to an
+// Error is an error response from an entry instance. It unwraps to an
 // *errkind.Error; Detail also has the faults or the conflict of a document.
 type Error struct {
 	Detail api.Error
@@ -46,27 +46,27 @@
 }
 
 // sendOnce sends call to one address, without retries.
-func (c *Client) sendOnce(ctx context.Context, address string, call apiCall) (reply, error) {
-	request, err := c.request(ctx, address, call)
+func (c *Client) sendOnce(ctx context.Context, address string, call apiCall) (verifiedResponse, error) {
+	request, err := c.newRequest(ctx, address, call)
 	if err != nil {
-		return reply{}, err
+		return verifiedResponse{}, err
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return reply{}, sendError(ctx, call, err)
+		return verifiedResponse{}, sendError(ctx, call, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := c.readAnswer(response)
+	body, err := c.readResponse(response)
 	if err != nil {
-		return reply{}, answerError(call, err)
+		return verifiedResponse{}, responseError(call, err)
 	}
 	if response.Header.Get(api.HeaderError) != "" || response.StatusCode != http.StatusOK {
-		return reply{}, errorReply(call, response, body)
+		return verifiedResponse{}, errorReply(call, response, body)
 	}
-	return reply{header: response.Header, body: body}, nil
+	return verifiedResponse{header: response.Header, body: body}, nil
 }
 
-func (c *Client) request(ctx context.Context, address string, call apiCall) (*http.Request, error) {
+func (c *Client) newRequest(ctx context.Context, address string, call apiCall) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, call.method, "http://"+address+call.path, bytes.NewReader(call.body))
 	if err != nil {
 		return nil, errkind.New(errkind.InvalidRequest, "the call cannot be sent: %v", err)
@@ -74,28 +74,28 @@
 	if c.cfg.Secret != "" {
 		request.Header.Set("Authorization", "Bearer "+c.cfg.Secret)
 	}
-	if end, ok := ctx.Deadline(); ok {
-		request.Header.Set(api.HeaderTimeout, time.Until(end).String())
+	if deadline, ok := ctx.Deadline(); ok {
+		request.Header.Set(api.HeaderTimeout, time.Until(deadline).String())
 	}
 	if len(call.body) > 0 {
 		request.Header.Set("Content-Type", "application/json")
 	}
-	if len(call.body) >= continueBytes {
+	if len(call.body) >= minContinueBytes {
 		request.Header.Set("Expect", "100-continue")
 	}
 	return request, nil
 }
 
 var (
-	errTooLarge    = errors.New("the answer exceeds the size limit of this client")
-	errWrongDigest = errors.New("the answer does not match the digest in its header")
-	errNoDigest    = errors.New("the answer has no digest")
-	errNoLength    = errors.New("the answer has no length")
-	errShortBody   = errors.New("the answer is shorter than the length in its header")
+	errTooLarge    = errors.New("the response exceeds the size limit of this client")
+	errWrongDigest = errors.New("the response does not match the digest in its header")
+	errNoDigest    = errors.New("the response has no digest")
+	errNoLength    = errors.New("the response has no length")
+	errTruncated   = errors.New("the response is shorter than the length in its header")
 )
 
-// readAnswer reads the whole body and checks its length and digest.
-func (c *Client) readAnswer(response *http.Response) ([]byte, error) {
+// readResponse reads the whole body and checks its length and digest.
+func (c *Client) readResponse(response *http.Response) ([]byte, error) {
 	if response.ContentLength < 0 {
 		return nil, errNoLength
 	}
@@ -107,7 +107,7 @@
 		return nil, err
 	}
 	if int64(len(body)) != response.ContentLength {
-		return nil, errShortBody
+		return nil, errTruncated
 	}
 	return body, checkDigest(response.Header.Get(api.HeaderDigest), body)
 }
@@ -123,9 +123,9 @@
 	return nil
 }
 
-// sendError returns the error of a call without an answer, with the fate of the
-// call. The fate is known only if no connection was made, or if the call only
-// reads and so has nothing to run.
+// sendError returns the error of a call without a response, with the fate of the
+// call. The fate is known only if no connection was established, or if the call is
+// read-only.
 func sendError(ctx context.Context, call apiCall, err error) error {
 	var network *net.OpError
 	notSent := errors.As(err, &network) && network.Op == "dial"
@@ -137,12 +137,12 @@
 	case call.isRead():
 		return errkind.New(errkind.Unreachable, "no response from the entry instance: %v", err)
 	}
-	return errkind.New(errkind.OutcomeUnknown, "the call was sent, but no answer was received: %v", err)
+	return errkind.New(errkind.OutcomeUnknown, "the call was sent, but no response was received: %v", err)
 }
 
-// answerError returns the error of a call whose answer is incomplete, with the
+// responseError returns the error of a call whose response is incomplete, with the
 // fate of the call.
-func answerError(call apiCall, err error) error {
+func responseError(call apiCall, err error) error {
 	if call.isRead() {
 		return errkind.New(errkind.ResultIncomplete, "%v", err)
 	}
@@ -151,26 +151,26 @@
 
 func (c apiCall) isRead() bool { return c.method == http.MethodGet }
 
-// errorReply decodes an error answer. An answer in another format comes from an
-// intermediary, such as a proxy, and does not show whether the work ran.
+// errorReply decodes an error response. A response in another format comes from an
+// intermediary, such as a proxy, and does not indicate whether the work ran.
 func errorReply(call apiCall, response *http.Response, body []byte) error {
 	var decoded api.ErrorReply
 	if err := json.Unmarshal(body, &decoded); err != nil || decoded.Error.Kind == "" {
 		if call.isRead() {
-			return errkind.New(errkind.Unreachable, "the answer %s is not from an entry instance", response.Status)
+			return errkind.New(errkind.Unreachable, "the response %s is not from an entry instance", response.Status)
 		}
-		return errkind.New(errkind.OutcomeUnknown, "the answer %s is not from an entry instance", response.Status)
+		return errkind.New(errkind.OutcomeUnknown, "the response %s is not from an entry instance", response.Status)
 	}
 	return &Error{Detail: decoded.Error}
 }
 
-func decode[T any](got reply, err error) (T, error) {
+func decode[T any](got verifiedResponse, err error) (T, error) {
 	var out T
 	if err != nil {
 		return out, err
 	}
 	if err := json.Unmarshal(got.body, &out); err != nil {
-		return out, errkind.New(errkind.ResultIncomplete, "the answer cannot be decoded: %v", err)
+		return out, errkind.New(errkind.ResultIncomplete, "the response cannot be decoded: %v", err)
 	}
 	return out, nil
 }
--- a/client/operator.go
+++ b/client/operator.go
@@ -23,8 +23,8 @@
 	return decode[api.Documents](c.do(ctx, apiCall{method: http.MethodGet, path: "/v1/documents"}))
 }
 
-// Apply replaces a document whose revision is expected, and waits up to wait for
-// it to be in force on every live member.
+// Apply replaces a document if its revision equals expected, and waits up to wait
+// for the new revision to be in force on every live member.
 func (c *Client) Apply(ctx context.Context, team, service string, source []byte, expected int64, wait time.Duration) (api.Document, error) {
 	query := url.Values{"expect": {strconv.FormatInt(expected, 10)}}
 	if wait > 0 {
@@ -103,7 +103,7 @@
 	return decode[api.Timeline](c.do(ctx, apiCall{method: http.MethodGet, path: "/v1/timeline?" + query.Encode()}))
 }
 
-// Metrics returns the metrics of the instance that answers.
+// Metrics returns the metrics of the instance that serves the call.
 func (c *Client) Metrics(ctx context.Context) (map[string]map[string]any, error) {
 	return decode[map[string]map[string]any](c.do(ctx, apiCall{method: http.MethodGet, path: "/v1/metrics"}))
 }
