httpjson: use response for HTTP responses and clarify the comments

The error texts for an unknown path, a method that is not allowed, a slow body and a passed deadline change too.

--- a/httpjson/read.go
+++ b/httpjson/read.go
@@ -28,7 +28,7 @@
 	case errors.As(err, &tooLarge):
 		return nil, errkind.New(errkind.RequestTooLarge, "the body is too large").WithField("body", limit)
 	case errors.As(err, &network) && network.Timeout():
-		return nil, errkind.New(errkind.RequestTimeout, "the body was sent too slowly").WithField("body", s.limits.ReadTimeout.String())
+		return nil, errkind.New(errkind.RequestTimeout, "the body was not received within the read timeout").WithField("body", s.limits.ReadTimeout.String())
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return nil, errkind.New(errkind.InvalidRequest, "the body ends after %d bytes", len(body)).
 			WithField("body", fmt.Sprintf("%d bytes, as Content-Length states", r.ContentLength))
@@ -36,20 +36,20 @@
 	return nil, errkind.New(errkind.InvalidRequest, "the body cannot be read").WithField("body", limit)
 }
 
-// ReadJSON reads the body of r, standard JSON, into the struct that into points
-// to.
-func (s *Server) ReadJSON(r *http.Request, into any) error {
+// ReadJSON reads the body of r, JSON without comments, and decodes it into the
+// struct that dst points to.
+func (s *Server) ReadJSON(r *http.Request, dst any) error {
 	body, err := s.ReadBody(r)
 	if err != nil {
 		return err
 	}
-	return Decode(body, into)
+	return Decode(body, dst)
 }
 
-// Decode reads body, standard JSON, into the struct that into points to. The
-// error names the first invalid field.
-func Decode(body []byte, into any) error {
-	_, faults := jsonc.Decode(body, into, jsonc.WithoutComments)
+// Decode decodes body, JSON without comments, into the struct that dst points to.
+// The error names the first invalid field.
+func Decode(body []byte, dst any) error {
+	_, faults := jsonc.Decode(body, dst, jsonc.WithoutComments)
 	if len(faults) == 0 {
 		return nil
 	}
@@ -64,7 +64,8 @@
 
 const bearerPrefix = "Bearer "
 
-// Secret returns the secret of the key that was sent with r, or "" without one.
+// Secret returns the API key secret in the Authorization header of r, or "" if r has
+// no such header.
 func Secret(r *http.Request) (string, error) {
 	value := r.Header.Get("Authorization")
 	if value == "" {
@@ -77,7 +78,7 @@
 	return secret, nil
 }
 
-// Wait returns the duration in the query parameter wait of r, 0 if there is none.
+// Wait returns the duration in the query parameter wait of r, or 0 if it is absent.
 func Wait(r *http.Request, maxWait time.Duration) (time.Duration, error) {
 	text := r.URL.Query().Get("wait")
 	if text == "" {
--- a/httpjson/answer.go
+++ b/httpjson/response.go
@@ -14,14 +14,14 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// Answer is a complete answer, ready to be written.
+// Answer is a complete HTTP response, ready to be written.
 type Answer struct {
 	Status int
 	Header http.Header
 	Body   []byte
 }
 
-// JSON answers with v.
+// JSON returns a response with status 200 and v as its JSON body.
 func JSON(v any) (Answer, error) {
 	body, err := json.Marshal(v)
 	if err != nil {
@@ -34,15 +34,15 @@
 	}, nil
 }
 
-// Detailed is an error that adds details to its answer, such as the faults of a
-// document.
+// Detailed is an error that adds details to its error response, such as the faults
+// of a document.
 type Detailed interface {
 	error
 	AddDetail(*api.Error)
 }
 
-// Error returns the answer to a call that failed with err, as the table of errkind
-// defines it.
+// Error returns the error response to a call that failed with err, as the table in
+// package errkind defines it.
 func Error(err error) Answer {
 	e := withKind(err)
 	detail := api.ErrorFrom(e)
@@ -62,29 +62,29 @@
 	return a
 }
 
-// withKind returns the *errkind.Error that err wraps. An error without a kind gets the
-// kind that claims least. A deadline that passed inside a backend leaves the
-// outcome unknown, since the work may have been forwarded before. The text of other
-// errors may hold confidential data, so it is omitted.
+// withKind returns the *errkind.Error that err wraps. Any other error gets a kind that
+// leaves it open whether the work ran. If the deadline passed inside a backend, the
+// outcome is unknown, since the work may already have been forwarded. The text of
+// other errors may contain confidential data, so it is omitted.
 func withKind(err error) *errkind.Error {
 	var e *errkind.Error
 	if errors.As(err, &e) {
 		return e
 	}
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
-		return errkind.New(errkind.OutcomeUnknown, "no answer before the deadline of the call")
+		return errkind.New(errkind.OutcomeUnknown, "no response before the deadline of the call")
 	}
 	return errkind.New(errkind.Internal, "internal error")
 }
 
-// ceilSeconds rounds up, since Retry-After has no smaller unit and an earlier
-// retry is useless.
+// ceilSeconds rounds up, since Retry-After has no smaller unit and a retry before
+// the hinted delay has passed is useless.
 func ceilSeconds(d time.Duration) int {
 	return int((d + time.Second - 1) / time.Second)
 }
 
-// write sends a with its length and digest, so that the peer can tell a complete
-// answer from a part of one.
+// write sends a with its length and digest, so that the peer can detect a truncated
+// response.
 func (s *Server) write(w http.ResponseWriter, a Answer) {
 	// Fails only for response writers without deadlines, such as those of tests.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.limits.WriteTimeout))
@@ -98,6 +98,6 @@
 		w.Header().Set("Connection", "close")
 	}
 	w.WriteHeader(a.Status)
-	// A failed write means that the peer has disconnected; it repeats the call.
+	// A failed write means that the peer has disconnected; the peer retries the call.
 	_, _ = w.Write(a.Body)
 }
--- a/httpjson/answer_test.go
+++ b/httpjson/response_test.go
@@ -33,7 +33,7 @@
 			t.Fatal(err)
 		}
 		if reply.Error.Kind != c.kind || reply.Error.Fate != c.fate || strings.Contains(string(a.Body), "password") {
-			t.Errorf("%v is answered as %s", c.err, a.Body)
+			t.Errorf("response to %v is %s", c.err, a.Body)
 		}
 		if reply.Error.RetryAfter != 0 && a.Header.Get("Retry-After") != "2" {
 			t.Errorf("Retry-After = %q, want 2 (rounded up)", a.Header.Get("Retry-After"))
--- a/httpjson/server.go
+++ b/httpjson/server.go
@@ -14,21 +14,21 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// Limits apply to every request. Every field must be set. Connections of peers
-// that send or read too slowly for a timeout are closed.
+// Limits apply to every request. Every field must be set. A connection that exceeds
+// a timeout is closed.
 type Limits struct {
 	MaxRequestBytes   int64         // body of one request
 	MaxHeaderBytes    int           // request line and headers
 	ReadHeaderTimeout time.Duration // for receiving the headers
 	ReadTimeout       time.Duration // for receiving the headers and the body
-	WriteTimeout      time.Duration // for sending the answer
+	WriteTimeout      time.Duration // for sending the response
 	IdleTimeout       time.Duration // of a connection between two calls
 }
 
-// Handler answers one call with an answer or an error.
+// Handler handles one call and returns a response or an error.
 type Handler func(r *http.Request) (Answer, error)
 
-// Methods are the handlers of one path by method.
+// Methods maps the HTTP methods of one path to their handlers.
 type Methods map[string]Handler
 
 // Server serves the paths that Handle and HandleRaw register.
@@ -44,7 +44,7 @@
 	connsClosed chan struct{} // closed when conns reaches 0; nil without a waiter
 }
 
-// NewServer returns a server without paths; it answers every request with an error
+// NewServer returns a server without paths; it rejects every request with an error
 // of kind unknown_path.
 func NewServer(limits Limits) *Server {
 	s := &Server{limits: limits, mux: http.NewServeMux()}
@@ -54,13 +54,13 @@
 		ReadTimeout:       limits.ReadTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
-		ConnState:         s.countConns,
+		ConnState:         s.trackConnState,
 	}
-	s.mux.HandleFunc("/", s.handlerFunc(s.refuseUnknownPath))
+	s.mux.HandleFunc("/", s.handlerFunc(s.rejectUnknownPath))
 	return s
 }
 
-// Handle registers a path. Other methods are refused with a list of the allowed
+// Handle registers a path. Other methods are rejected with a list of the allowed
 // ones, in the error format of this package, which http.ServeMux does not use.
 func (s *Server) Handle(path string, methods Methods) {
 	var allowed []string
@@ -71,7 +71,7 @@
 	slices.Sort(allowed)
 	s.paths = append(s.paths, path)
 	s.mux.HandleFunc(path, s.handlerFunc(func(r *http.Request) (Answer, error) {
-		return Answer{}, errkind.New(errkind.NotAllowed, "method %s is not allowed here", r.Method).
+		return Answer{}, errkind.New(errkind.NotAllowed, "method %s is not allowed for this path", r.Method).
 			WithField("method", strings.Join(allowed, ", "))
 	}))
 }
@@ -82,14 +82,14 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
-// HandleRaw registers a path whose handler writes its own answers.
+// HandleRaw registers a path whose handler writes its own responses.
 func (s *Server) HandleRaw(path string, h http.HandlerFunc) { s.mux.HandleFunc(path, h) }
 
-func (s *Server) refuseUnknownPath(*http.Request) (Answer, error) {
-	return Answer{}, errkind.New(errkind.UnknownPath, "no call has this path").WithField("path", strings.Join(s.paths, ", "))
+func (s *Server) rejectUnknownPath(*http.Request) (Answer, error) {
+	return Answer{}, errkind.New(errkind.UnknownPath, "unknown path").WithField("path", strings.Join(s.paths, ", "))
 }
 
-// handlerFunc adapts h to an http.HandlerFunc that writes a complete answer.
+// handlerFunc adapts h to an http.HandlerFunc that writes a complete response.
 func (s *Server) handlerFunc(h Handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		a, err := h(r)
@@ -110,8 +110,9 @@
 	return err
 }
 
-// countConns maintains the number of open connections.
-func (s *Server) countConns(_ net.Conn, state http.ConnState) {
+// trackConnState is called when a connection changes its state. It maintains the
+// number of open connections.
+func (s *Server) trackConnState(_ net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -126,9 +127,9 @@
 	}
 }
 
-// AwaitNoConnection returns when every connection has been closed by its peer,
-// or ctx ends. The listener must be closed and BeginDrain called before. Closing an
-// idle connection from this side could drop a request that is in transit.
+// AwaitNoConnection waits until the peers have closed every connection or ctx is
+// done. The listener must be closed and BeginDrain called before. Closing an idle
+// connection from this side could drop a request that is in transit.
 func (s *Server) AwaitNoConnection(ctx context.Context) {
 	s.mu.Lock()
 	if s.conns == 0 {
@@ -146,9 +147,9 @@
 	}
 }
 
-// BeginDrain makes every further answer request that the peer close the connection.
-// Idle connections stay open: closing them could drop a request that is in
-// transit.
+// BeginDrain sets "Connection: close" on all further responses, which makes the peers
+// close their connections. Idle connections stay open: closing them could drop a
+// request that is in transit.
 func (s *Server) BeginDrain() { s.draining.Store(true) }
 
 // Shutdown closes the idle connections and waits for the calls in progress.
--- a/httpjson/server_test.go
+++ b/httpjson/server_test.go
@@ -40,7 +40,7 @@
 			t.Fatalf("call %d: %v", call, err)
 		}
 		if response.StatusCode != http.StatusOK {
-			t.Errorf("call %d is answered with %s", call, response.Status)
+			t.Errorf("response to call %d has status %s", call, response.Status)
 		}
 		if err := response.Body.Close(); err != nil {
 			t.Error(err)
