--- a/api/call.go
+++ b/api/call.go
@@ -6,11 +6,11 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Headers that the servers and the client use. Content-Digest is that of RFC 9530.
+// Headers that the servers and the client use. Content-Digest is defined in RFC 9530.
 const (
 	HeaderDigest  = "Content-Digest"
 	HeaderTimeout = "Mulberrydrum-Timeout" // remaining duration of the call
-	HeaderError   = "Mulberrydrum-Error"   // error kind; present on every error answer
+	HeaderError   = "Mulberrydrum-Error"   // error kind; present on every error response
 	HeaderTask    = "Mulberrydrum-Task"    // task and attempt of a result, "<task>#<attempt>"
 )
 
@@ -18,20 +18,20 @@
 type SubmitRequest struct {
 	IdempotencyKey string          `json:"idempotency_key"`
 	Class          string          `json:"class"`
-	Size           *task.Resources `json:"size,omitempty"`  // of each task; the class's size when absent
+	Size           *task.Resources `json:"size,omitempty"`  // of each task; the size of the class when absent
 	Count          int             `json:"count,omitempty"` // tasks in the job; 1 when absent
 	DeclaredRun    Duration        `json:"declared_run,omitempty"`
-	Deadline       time.Time       `json:"deadline,omitzero"`  // start or answer by
-	ReviewBy       time.Time       `json:"review_by,omitzero"` // finish by
+	Deadline       time.Time       `json:"deadline,omitzero"`  // latest start or response
+	ReviewBy       time.Time       `json:"review_by,omitzero"` // latest finish
 	Regions        []string        `json:"regions,omitempty"`  // nearest first; those of the document when absent
 	Payload        []byte          `json:"payload,omitempty"`  // base64 in JSON
 }
 
-// Job is the answer to submit, status, wait and cancel.
+// Job is the response to submit, status, wait and cancel.
 type Job struct {
 	ID       string     `json:"id"` // <team>/<service>/<idempotency key>
 	State    task.State `json:"state"`
-	Repeated bool       `json:"repeated,omitempty"` // an earlier submission with the same key was found
+	Repeated bool       `json:"repeated,omitempty"` // repeats an earlier submission with the same key and body
 	Tasks    []Task     `json:"tasks"`
 }
 
@@ -42,7 +42,7 @@
 	State       task.State `json:"state"`
 	Attempt     uint32     `json:"attempt,omitempty"`
 	ExitCode    int        `json:"exit_code"`
-	Reason      string     `json:"reason,omitempty"` // error kind where the task did not succeed
+	Reason      string     `json:"reason,omitempty"` // error kind if the task did not succeed
 	Worker      string     `json:"worker,omitempty"`
 	RunTime     Duration   `json:"run_time,omitempty"`
 	ResultBytes int        `json:"result_bytes,omitempty"`
--- a/api/doc.go
+++ b/api/doc.go
@@ -1,4 +1,4 @@
-// Package api holds the JSON types that an entry instance exchanges with
-// callers and operators. The servers in caller and operator and the client in
-// client share them; they hold no policy.
+// Package api defines the JSON types that an entry instance exchanges with callers
+// and operators. The servers in packages caller and operator and the client in
+// package client share them; they contain no scheduling policy.
 package api
--- a/api/document.go
+++ b/api/document.go
@@ -14,7 +14,7 @@
 	Revision int64        `json:"revision"`
 	By       string       `json:"by,omitempty"` // operator who made the last change
 	At       time.Time    `json:"at,omitzero"`
-	Source   string       `json:"source,omitempty"`   // left out of lists
+	Source   string       `json:"source,omitempty"`   // omitted from lists
 	InForce  bool         `json:"in_force,omitempty"` // every live member has this revision
 }
 
@@ -36,10 +36,10 @@
 	Changes  []Change `json:"changes"`
 }
 
-// Conflict describes the last change to an operator whose own change expected an
-// earlier revision.
+// Conflict describes the last change of a document. It is part of the error
+// response to a change that expected another revision.
 type Conflict struct {
-	Expected int64     `json:"expected"` // revision that the operator had seen
+	Expected int64     `json:"expected"` // revision that the rejected change was based on
 	Revision int64     `json:"revision"` // revision in force
 	By       string    `json:"by,omitempty"`
 	At       time.Time `json:"at,omitzero"`
--- a/api/error.go
+++ b/api/error.go
@@ -5,12 +5,12 @@
 	"github.com/mulberrydrum/mulberrydrum/jsonc"
 )
 
-// ErrorReply is the body of every error answer.
+// ErrorReply is the body of every error response.
 type ErrorReply struct {
 	Error Error `json:"error"`
 }
 
-// Error is an error as it is sent to a peer.
+// Error is the JSON form of an error that is sent to a peer.
 type Error struct {
 	Kind       errkind.Kind   `json:"kind"`
 	Message    string         `json:"message"`
@@ -23,7 +23,7 @@
 	Conflict   *Conflict      `json:"conflict,omitempty"` // of a change that conflicts with a concurrent one
 }
 
-// ErrorFrom returns e as it is sent to a peer.
+// ErrorFrom converts e to its JSON form.
 func ErrorFrom(e *errkind.Error) Error {
 	return Error{
 		Kind:       e.Kind,
--- a/api/operator.go
+++ b/api/operator.go
@@ -24,20 +24,21 @@
 	Keys []Key `json:"keys"`
 }
 
-// GrantRequest asks for a new key.
+// GrantRequest requests a new key.
 type GrantRequest struct {
 	Team task.Team `json:"team"`
 	Role string    `json:"role,omitempty"`
 	Note string    `json:"note,omitempty"`
 }
 
-// GrantedKey is a new key. No other answer contains the secret.
+// GrantedKey is a new key. No other response contains the secret.
 type GrantedKey struct {
 	Key
 	Secret string `json:"secret"`
 }
 
-// DrainRequest names one entry instance or one worker.
+// DrainRequest starts the drain of one entry instance or one worker, or ends it if
+// Undo is set.
 type DrainRequest struct {
 	Instance string `json:"instance,omitempty"`
 	Worker   string `json:"worker,omitempty"`
@@ -50,7 +51,7 @@
 	Draining bool   `json:"draining"`
 	Tasks    int    `json:"tasks"`            // still running on a worker
 	Units    int    `json:"units"`            // still owned by an entry instance
-	Detail   string `json:"detail,omitempty"` // why it is not finished
+	Detail   string `json:"detail,omitempty"` // why the drain is not complete
 }
 
 // Worker is the state of a worker as reported by its owner.
@@ -100,7 +101,7 @@
 	Region        string   `json:"region"`
 	FailureDomain string   `json:"failure_domain"`
 	Draining      bool     `json:"draining,omitempty"`
-	Revision      int64    `json:"revision"`        // highest revision of the configuration that it has
+	Revision      int64    `json:"revision"`        // highest configuration revision that it has received
 	Units         []string `json:"units,omitempty"` // worker partitions and request shards that it owns
 }
 
@@ -122,11 +123,11 @@
 	Owner    string   `json:"owner"` // entry instance
 	Epoch    uint64   `json:"epoch"`
 	Revision int64    `json:"revision"`
-	After    Duration `json:"after,omitempty"` // wait before the takeover
+	After    Duration `json:"after,omitempty"` // delay before the takeover
 }
 
 // Timeline is a merged timeline.
 type Timeline struct {
 	Events  []timeline.Event `json:"events"`
-	Missing []string         `json:"missing,omitempty"` // members that did not answer
+	Missing []string         `json:"missing,omitempty"` // members that did not respond
 }
--- a/api/scalar.go
+++ b/api/scalar.go
@@ -5,7 +5,7 @@
 // Duration is a time.Duration that is encoded as a string such as "9s" in JSON.
 type Duration time.Duration
 
-// MarshalText encodes d in the form of time.Duration.String.
+// MarshalText encodes d with time.Duration.String.
 func (d Duration) MarshalText() ([]byte, error) {
 	return []byte(time.Duration(d).String()), nil
 }
