instancelist: clarify the comments and error texts

The error for an instance without a name also states its address, as an added argument of the existing formatting call. No test or tool matches the former texts.

--- a/instancelist/client.go
+++ b/instancelist/client.go
@@ -13,16 +13,18 @@
 	"github.com/rotisserie/eris"
 )
 
-// Defaults of Config and bounds of the connection.
+// Default of Config, and limits of the connection.
 const (
 	DefaultCallTimeout = 2 * time.Second
 
-	dialTimeout       = 1 * time.Second
-	idleTimeout       = 20 * time.Second // shorter than the server's, so that it does not close a connection during a call
+	dialTimeout = 1 * time.Second
+	// idleTimeout is shorter than that of the server, so that the server does not
+	// close a connection during a call.
+	idleTimeout       = 20 * time.Second
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
 	keepAliveProbes   = 3
-	maxConnections    = 2 // one call in flight, and one that replaces it after a timeout
+	maxConnections    = 2 // one call in flight, and the next call after it has timed out
 	// maxReplyBytes allows about 4 KB for each of 16,000 instances, twice the
 	// number that the system is designed for.
 	maxReplyBytes = 64 << 20
@@ -31,7 +33,7 @@
 	headerInstance = "X-Instance"
 )
 
-// Config describes how to reach the list.
+// Config holds the address of the platform's instance list and the call parameters.
 type Config struct {
 	Address     string        // numeric IP address and port
 	Instance    string        // name of this instance
@@ -99,20 +101,20 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d", response.StatusCode)
+		return nil, fmt.Errorf("unexpected status %d", response.StatusCode)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
 	if err != nil {
 		return nil, err
 	}
 	if len(body) > maxReplyBytes {
-		return nil, fmt.Errorf("reply is longer than %d bytes", maxReplyBytes)
+		return nil, fmt.Errorf("reply exceeds the limit of %d bytes", maxReplyBytes)
 	}
 	return decode(body)
 }
 
-// decode decodes a reply and rejects one without a list or with invalid values: an
-// empty object, if accepted, would show every instance as gone.
+// decode decodes a reply. It rejects a reply without a list or with invalid values:
+// if an empty object were accepted, every instance would be treated as gone.
 func decode(body []byte) ([]Instance, error) {
 	var reply Reply
 	if err := json.Unmarshal(body, &reply); err != nil {
@@ -132,7 +134,7 @@
 func checkInstance(instance Instance) error {
 	switch {
 	case instance.Name == "":
-		return fmt.Errorf("an instance has no name")
+		return fmt.Errorf("instance with address %q has no name", instance.Address)
 	case !slices.Contains([]Role{RoleEntry, RoleWorker}, instance.Role):
 		return fmt.Errorf("instance %q has unknown role %q", instance.Name, instance.Role)
 	case !slices.Contains([]State{StateLive, StateLeaving, StateGone}, instance.State):
--- a/instancelist/client_test.go
+++ b/instancelist/client_test.go
@@ -2,8 +2,9 @@
 
 import "testing"
 
-// TestDecodeRejectsInvalidReplies guards against a reply without a list being accepted
-// as an empty list of instances, which could cause a takeover of all records.
+// TestDecodeRejectsInvalidReplies guards against a reply without a list being
+// accepted as an empty list of instances, which could cause a takeover of all
+// records.
 func TestDecodeRejectsInvalidReplies(t *testing.T) {
 	for _, body := range []string{
 		``, `{}`, `null`, `[]`, `{"instances":null}`, `{"instances":[{}]}`,
--- a/instancelist/instancelist.go
+++ b/instancelist/instancelist.go
@@ -5,7 +5,7 @@
 	"errors"
 )
 
-// Role says what runs on an instance.
+// Role is the kind of process that runs on an instance.
 type Role string
 
 // The roles.
@@ -20,7 +20,7 @@
 // The states.
 const (
 	StateLive    State = "live"
-	StateLeaving State = "leaving" // about to stop as planned; gets no new work
+	StateLeaving State = "leaving" // about to stop as planned; receives no new work
 	StateGone    State = "gone"
 )
 
