--- a/membership/membership.go
+++ b/membership/membership.go
@@ -14,7 +14,7 @@
 	ShardPrefix  = "h/" // request shards: h/<n>
 )
 
-// Member is one live entry instance, as its member key in the store shows it.
+// Member is one live entry instance, as recorded under its member key in the store.
 type Member struct {
 	Instance      string `json:"instance"`
 	Incarnation   string `json:"incarnation"`
@@ -36,8 +36,8 @@
 }
 
 // Rank returns the members to which the unit may be assigned, best first.
-// Draining members are left out. Members of the region of a worker partition
-// come before all others. The order depends on instance names only, so a
+// Draining members are excluded. Members in the region of a worker partition
+// precede all others. The order depends on instance names only, so a
 // restart of a process moves no unit.
 func Rank(unit string, members []Member) []Member {
 	region := RegionOf(unit)
@@ -66,19 +66,19 @@
 	return best, found
 }
 
-func ranksHigher(local bool, s uint64, name string, bestLocal bool, bestScore uint64, bestName string) bool {
+func ranksHigher(local bool, candidateScore uint64, name string, bestLocal bool, bestScore uint64, bestName string) bool {
 	if local != bestLocal {
 		return local
 	}
-	if s != bestScore {
-		return s > bestScore
+	if candidateScore != bestScore {
+		return candidateScore > bestScore
 	}
 	return name < bestName
 }
 
-// Successors returns up to n members that may take the unit over from owner.
-// Members of the owner's region come first, since an owner that a network
-// partition between regions separates from the store depends on their promises.
+// Successors returns up to n members that may take over the unit from owner.
+// Members in the owner's region come first, since an owner that is separated from
+// the store by a network partition between regions depends on their promises.
 // Among these, a member in a failure domain that is not used yet precedes one in
 // a used domain.
 func Successors(owner Member, unit string, members []Member, n int) []Member {
@@ -100,8 +100,8 @@
 	return chosen
 }
 
-// nextSuccessor returns the index of the first candidate that shares the
-// region of the best candidate and is in an unused failure domain, or 0.
+// nextSuccessor returns the index of the first candidate that is in the region of
+// the best candidate and in an unused failure domain, or 0 if there is none.
 func nextSuccessor(candidates []Member, used []string) int {
 	for i, m := range candidates {
 		if m.Region != candidates[0].Region {
@@ -122,30 +122,30 @@
 
 // rankByClass sorts the members that are not draining by class, then by score.
 func rankByClass(unit string, members []Member, class func(Member) int) []Member {
-	list := make([]ranked, 0, len(members))
+	candidates := make([]ranked, 0, len(members))
 	for _, m := range members {
 		if !m.Draining {
-			list = append(list, ranked{Member: m, class: class(m), score: score(unit, m.Instance)})
+			candidates = append(candidates, ranked{Member: m, class: class(m), score: score(unit, m.Instance)})
 		}
 	}
-	slices.SortFunc(list, func(a, b ranked) int {
+	slices.SortFunc(candidates, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(b.score, a.score), cmp.Compare(a.Instance, b.Instance))
 	})
-	out := make([]Member, len(list))
-	for i, r := range list {
-		out[i] = r.Member
+	sorted := make([]Member, len(candidates))
+	for i, r := range candidates {
+		sorted[i] = r.Member
 	}
-	return out
+	return sorted
 }
 
 // score is the rendezvous weight of an instance for a unit. The two hashes are
 // combined and mixed instead of hashing the joined names, so that ranking all
 // units needs no allocation.
 func score(unit, instance string) uint64 {
-	x := xxhash.Sum64String(unit) ^ (xxhash.Sum64String(instance) * 0x9E3779B97F4A7C15)
-	x ^= x >> 30
-	x *= 0xBF58476D1CE4E5B9
-	x ^= x >> 27
-	x *= 0x94D049BB133111EB
-	return x ^ x>>31
+	hash := xxhash.Sum64String(unit) ^ (xxhash.Sum64String(instance) * 0x9E3779B97F4A7C15)
+	hash ^= hash >> 30
+	hash *= 0xBF58476D1CE4E5B9
+	hash ^= hash >> 27
+	hash *= 0x94D049BB133111EB
+	return hash ^ hash>>31
 }
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -33,7 +33,7 @@
 	return members
 }
 
-func units(partitions, shards int) []string {
+func unitNames(partitions, shards int) []string {
 	var names []string
 	for _, region := range []string{"flanders", "wallonia", "brussels"} {
 		for i := range partitions {
@@ -46,7 +46,7 @@
 	return names
 }
 
-func owners(names []string, members []Member) map[string]string {
+func preferredOwners(names []string, members []Member) map[string]string {
 	owner := make(map[string]string)
 	for _, unit := range names {
 		m, _ := Preferred(unit, members)
@@ -56,14 +56,14 @@
 }
 
 // TestOneMemberMovesOnlyItsUnits guards against an assignment in which the
-// start or end of one instance moves units between other instances.
+// start or stop of one instance moves units between other instances.
 func TestOneMemberMovesOnlyItsUnits(t *testing.T) {
-	names := units(4, 64)
+	names := unitNames(4, 64)
 	rapid.Check(t, func(t *rapid.T) {
 		members := testMembers(rapid.IntRange(2, 40).Draw(t, "members"))
 		gone := rapid.IntRange(0, len(members)-1).Draw(t, "gone")
-		rest := append(append([]Member{}, members[:gone]...), members[gone+1:]...)
-		before, after := owners(names, members), owners(names, rest)
+		remaining := append(append([]Member{}, members[:gone]...), members[gone+1:]...)
+		before, after := preferredOwners(names, members), preferredOwners(names, remaining)
 		for _, unit := range names {
 			if before[unit] != members[gone].Instance && before[unit] != after[unit] {
 				t.Fatalf("%s moved from %s to %s when %s left", unit, before[unit], after[unit], members[gone].Instance)
@@ -80,7 +80,7 @@
 		for i := range members {
 			members[i].Draining = rapid.Bool().Draw(t, "draining")
 		}
-		for _, unit := range units(4, 8) {
+		for _, unit := range unitNames(4, 8) {
 			rank := Rank(unit, members)
 			m, ok := Preferred(unit, members)
 			if ok != (len(rank) > 0) || ok && m != rank[0] {
@@ -93,18 +93,19 @@
 	})
 }
 
-// TestPartitionsStayInRegion guards against an owner far from its workers while
-// its region has a member, and against partitions without any owner.
+// TestPartitionsStayInRegion guards against a partition that is owned from another
+// region although its own region has a member, and against partitions without an
+// owner.
 func TestPartitionsStayInRegion(t *testing.T) {
 	members := testMembers(8)
-	for _, unit := range units(48, 0) {
+	for _, unit := range unitNames(48, 0) {
 		m, ok := Preferred(unit, members)
 		if !ok || m.Region != RegionOf(unit) {
 			t.Errorf("%s assigned to %s in %s", unit, m.Instance, m.Region)
 		}
 	}
 	if m, ok := Preferred("w/flanders/0", members[1:3]); !ok {
-		t.Errorf("no owner outside the region: %v", m)
+		t.Errorf("partition without a member in its region has no owner: %v", m)
 	}
 }
 
@@ -112,7 +113,7 @@
 // shards. With 400 units on 8 members the mean is 50.
 func TestShardsAreSpread(t *testing.T) {
 	count := make(map[string]int)
-	for _, owner := range owners(units(0, 400), testMembers(8)) {
+	for _, owner := range preferredOwners(unitNames(0, 400), testMembers(8)) {
 		count[owner]++
 	}
 	for instance, n := range count {
@@ -125,12 +126,12 @@
 	}
 }
 
-// TestSuccessorsSpreadOverFailureDomains guards against one failed failure domain,
-// or one network partition between regions, making an owner and its successors
-// unavailable together.
+// TestSuccessorsSpreadOverFailureDomains guards against the failure of one failure
+// domain, or one network partition between regions, making an owner and its
+// successors unavailable at the same time.
 func TestSuccessorsSpreadOverFailureDomains(t *testing.T) {
 	members := testMembers(24)
-	for _, unit := range units(4, 64) {
+	for _, unit := range unitNames(4, 64) {
 		owner, _ := Preferred(unit, members)
 		successors := Successors(owner, unit, members, 2)
 		if len(successors) != 2 {
@@ -148,6 +149,6 @@
 		}
 	}
 	if got := Successors(members[0], "h/1", members[:1], 2); len(got) != 0 {
-		t.Errorf("a lone member has successors %v", got)
+		t.Errorf("a single member has successors %v", got)
 	}
 }
