--- a/timeline/event.go
+++ b/timeline/event.go
@@ -1,6 +1,7 @@
 // Package timeline records the actions of a process as typed events in a bounded
-// ring buffer and merges the buffers of all processes into one order. Operators read
-// the result, and the oracle checks the invariants on it.
+// ring buffer and merges the events of all processes into one sequence, ordered by
+// hybrid logical clocks. Operators read the result, and the oracle checks the
+// invariants on it.
 package timeline
 
 import (
@@ -29,7 +30,7 @@
 	TaskStopped       Type = "task_stopped"
 	TaskCheckpointed  Type = "task_checkpointed"
 	TaskUnknown       Type = "task_unknown"
-	AnswerDropped     Type = "answer_dropped" // late or out of order, matched no attempt
+	AnswerDropped     Type = "answer_dropped" // a reply that is late or out of order and matches no attempt
 	OwnershipTaken    Type = "ownership_taken"
 	OwnershipLost     Type = "ownership_lost"
 	OwnershipReleased Type = "ownership_released"
@@ -70,19 +71,19 @@
 	Detail      string          `json:"detail,omitempty"`
 }
 
-// Clock is a reading of a hybrid logical clock: wall time that never goes back
-// in one process, and a counter that orders events within one reading.
+// Clock is a reading of a hybrid logical clock: a wall time that never decreases
+// within one process, and a counter that orders events with the same wall time.
 type Clock struct {
 	Wall    time.Time `json:"wall"`
 	Logical uint32    `json:"logical"`
 }
 
-// Before reports whether c comes before o.
-func (c Clock) Before(o Clock) bool {
-	if !c.Wall.Equal(o.Wall) {
-		return c.Wall.Before(o.Wall)
+// Before reports whether c is earlier than other.
+func (c Clock) Before(other Clock) bool {
+	if !c.Wall.Equal(other.Wall) {
+		return c.Wall.Before(other.Wall)
 	}
-	return c.Logical < o.Logical
+	return c.Logical < other.Logical
 }
 
 // Tick returns the reading that follows c at wall time now.
@@ -93,11 +94,12 @@
 	return Clock{Wall: c.Wall, Logical: c.Logical + 1}
 }
 
-// Receive returns the reading after a message that carries the reading o.
-func (c Clock) Receive(now time.Time, o Clock) Clock {
+// Receive returns the reading after the receipt of a message that carries the
+// reading remote.
+func (c Clock) Receive(now time.Time, remote Clock) Clock {
 	latest := c
-	if latest.Before(o) {
-		latest = o
+	if latest.Before(remote) {
+		latest = remote
 	}
 	return latest.Tick(now)
 }
--- a/timeline/merge.go
+++ b/timeline/merge.go
@@ -10,11 +10,11 @@
 	"github.com/rotisserie/eris"
 )
 
-// Merge returns the events of all timelines in one order that keeps the order of
-// each process and places the receipt of a message after its sending. An event that
-// is in several timelines appears once.
-func Merge(lines ...[]Event) []Event {
-	merged := slices.Concat(lines...)
+// Merge returns the events of all timelines in one order, which preserves the order
+// of each process and the causal order of sending and receiving a message. An event
+// that is in several timelines appears once.
+func Merge(timelines ...[]Event) []Event {
+	merged := slices.Concat(timelines...)
 	slices.SortFunc(merged, compareEvents)
 	return slices.CompactFunc(merged, func(a, b Event) bool {
 		return a.Sequence == b.Sequence && a.Incarnation == b.Incarnation && a.Instance == b.Instance
@@ -31,10 +31,10 @@
 	)
 }
 
-// renderLayout shows wall time in UTC with milliseconds.
+// renderLayout formats wall time in UTC with milliseconds.
 const renderLayout = "2006-01-02T15:04:05.000Z"
 
-// Render writes one line of text for each event.
+// Render writes each event as one line of text.
 func Render(w io.Writer, events []Event) error {
 	for _, e := range events {
 		if _, err := fmt.Fprintln(w, e.String()); err != nil {
--- a/timeline/recorder.go
+++ b/timeline/recorder.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// MaxClockAhead is how far a received reading may be ahead of the local wall
-// clock. Readings beyond it are not adopted: a peer with a wrong clock would
+// MaxClockAhead is the maximum by which a received reading may be ahead of the local
+// wall clock. Readings beyond it are ignored: a peer with a wrong clock would
 // otherwise advance the clock of every process.
 const MaxClockAhead = time.Minute
 
@@ -32,8 +32,8 @@
 	}
 }
 
-// Record sets the process, the next sequence number and the clock reading of e,
-// stores it in the ring and returns it.
+// Record sets the instance, the incarnation, the next sequence number and the clock
+// reading of e, stores it in the ring and returns it.
 func (r *Recorder) Record(now time.Time, e Event) Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -52,13 +52,13 @@
 
 // Receive advances the clock past the reading in a message from another process, so
 // that later events of this process are ordered after it.
-func (r *Recorder) Receive(now time.Time, o Clock) {
+func (r *Recorder) Receive(now time.Time, remote Clock) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if o.Wall.Sub(now) > MaxClockAhead {
+	if remote.Wall.Sub(now) > MaxClockAhead {
 		return
 	}
-	r.clock = r.clock.Receive(now.Round(0), o)
+	r.clock = r.clock.Receive(now.Round(0), remote)
 }
 
 // Now returns a reading to send in a message.
@@ -72,13 +72,13 @@
 // Dropped returns how many events were overwritten.
 func (r *Recorder) Dropped() uint64 { return r.oldest(r.sequence.Load()) - 1 }
 
-// oldest returns the sequence number of the oldest event that is kept when
-// latest is the latest.
+// oldest returns the sequence number of the oldest event in the ring when latest is
+// that of the newest one.
 func (r *Recorder) oldest(latest uint64) uint64 {
 	return max(latest, uint64(len(r.ring))) - uint64(len(r.ring)) + 1
 }
 
-// Events returns the kept events that match, oldest first.
+// Events returns the events in the ring that match filter, oldest first.
 func (r *Recorder) Events(filter Filter) []Event {
 	latest := r.sequence.Load()
 	var found []Event
--- a/timeline/recorder_bench_test.go
+++ b/timeline/recorder_bench_test.go
@@ -39,7 +39,7 @@
 		sum += d
 	}
 	b.ReportMetric(float64(sum.Nanoseconds())/1e3/float64(len(samples)), "mean-us")
-	for name, of := range map[string]int{"p50-us": 500, "p99-us": 990, "p99.9-us": 999} {
-		b.ReportMetric(float64(samples[len(samples)*of/1000].Nanoseconds())/1e3, name)
+	for name, perMille := range map[string]int{"p50-us": 500, "p99-us": 990, "p99.9-us": 999} {
+		b.ReportMetric(float64(samples[len(samples)*perMille/1000].Nanoseconds())/1e3, name)
 	}
 }
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -41,8 +41,8 @@
 	})
 }
 
-// fixSeed makes rapid draw the same values in every run, unless the command
-// line names a seed.
+// fixSeed makes rapid draw the same values in every run, unless a seed is set on the
+// command line.
 func fixSeed(t *testing.T) {
 	t.Helper()
 	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
@@ -52,8 +52,8 @@
 	}
 }
 
-// TestMergeOrdersReceiptAfterSending guards against a merged timeline in which an effect
-// precedes its cause because of differing wall clocks.
+// TestMergeOrdersReceiptAfterSending guards against a merged timeline in which an
+// effect precedes its cause because of clock skew.
 func TestMergeOrdersReceiptAfterSending(t *testing.T) {
 	sender, receiver := NewRecorder("a", "1", 8), NewRecorder("b", "1", 8)
 	sent := sender.Record(startTime, Event{Type: TaskPlaced})
@@ -70,7 +70,7 @@
 		t.Errorf("merged %v, want %v", types, want)
 	}
 	if last := merged[len(merged)-1].Clock.Wall; last.After(startTime.Add(MaxClockAhead)) {
-		t.Errorf("a reading an hour ahead was adopted: %v", last)
+		t.Errorf("a reading that is one hour ahead was adopted: %v", last)
 	}
 }
 
@@ -115,7 +115,7 @@
 	}
 }
 
-// TestRender guards against a field that is missing from the text.
+// TestRender guards against a field that is missing from the rendered line.
 func TestRender(t *testing.T) {
 	e := Event{
 		Instance: "i", Incarnation: "7", Sequence: 9, Clock: Clock{Wall: startTime, Logical: 2}, Type: TaskStarted,
