load: use scheduling terms in names, comments and error texts

Test failures and the texts of rejected configurations state the expected value; TestFairPolicyKeepsShares passes the names of the policies to its message. The texts still start with the field that the test looks for.

--- a/load/bench_test.go
+++ b/load/bench_test.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// BenchmarkPolicies compares the policies on the same loads, one seed for each
-// iteration: worst share error, wait of the urgent requests of the teams that
-// do not flood, and processor time of a start.
+// BenchmarkPolicies compares the policies on the same loads, with one seed for
+// each iteration. It reports the worst share error, the waiting times of answer
+// requests without the flooding team, and the time per start.
 func BenchmarkPolicies(b *testing.B) {
 	for _, teams := range []int{6, 97} {
 		for _, policy := range Policies {
--- a/load/config.go
+++ b/load/config.go
@@ -7,12 +7,12 @@
 	"time"
 )
 
-// The policies.
+// The scheduling policies.
 const (
-	Fair     = "fair"     // weighted dominant shares with decay, the policy in use
-	Deficit  = "deficit"  // deficit rounds over shares times expected run time
+	Fair     = "fair"     // weighted dominant resource fairness with decay, the policy of the scheduler
+	Deficit  = "deficit"  // deficit round robin, with share times expected run time as the cost
 	Priority = "priority" // strict priority by urgency, then by arrival
-	FIFO     = "fifo"     // first come, first served, with a scan over the workers
+	FIFO     = "fifo"     // first come, first served, with a linear search over the workers
 )
 
 // Policies lists every policy.
@@ -25,26 +25,26 @@
 	Workers  int
 	Duration time.Duration // of virtual time
 	Policy   string
-	Load     float64 // offered work as a part of the capacity, without the flood; 0 for DefaultLoad
+	Load     float64 // offered load as a fraction of the capacity, without the flood; 0 means DefaultLoad
 }
 
-// DefaultLoad is a cluster that is busy but has room on average; bursts and the
-// flood exceed it.
+// DefaultLoad keeps the cluster busy with free capacity on average. Bursts and
+// the flood exceed it.
 const DefaultLoad = 0.9
 
 // Validate reports the first field that is out of range.
 func (c Config) Validate() error {
 	switch {
 	case c.Teams < 1:
-		return fmt.Errorf("teams: %d is below 1", c.Teams)
+		return fmt.Errorf("teams: %d is less than the minimum of 1", c.Teams)
 	case c.Workers < 1:
-		return fmt.Errorf("workers: %d is below 1", c.Workers)
+		return fmt.Errorf("workers: %d is less than the minimum of 1", c.Workers)
 	case c.Duration < time.Second:
-		return fmt.Errorf("duration: %v is below 1s", c.Duration)
+		return fmt.Errorf("duration: %v is less than the minimum of 1s", c.Duration)
 	case c.Load < 0:
-		return fmt.Errorf("load: %v is below 0", c.Load)
+		return fmt.Errorf("load: %v is negative", c.Load)
 	case !slices.Contains(Policies, c.Policy):
-		return fmt.Errorf("policy: %q is none of %s", c.Policy, strings.Join(Policies, ", "))
+		return fmt.Errorf("policy: %q is not one of %s", c.Policy, strings.Join(Policies, ", "))
 	}
 	return nil
 }
--- a/load/doc.go
+++ b/load/doc.go
@@ -1,6 +1,7 @@
-// Package load drives the decision packages of one owner in virtual time with
-// a generated load, and measures waiting times, shares, packing and the cost of
-// a decision under several policies. The load depends on the seed only and is
-// open-loop: it is the same for every policy. mulberryctl load and the
-// benchmarks call it.
+// Package load simulates the scheduling decisions of one partition owner in
+// virtual time. It drives the queue, fairshare and placement packages with a
+// generated load and measures waiting times, shares, utilization and the
+// processor time of a decision under several policies. The load is open-loop
+// and depends on the seed only, so that every policy receives the same jobs.
+// It is used by "mulberryctl load" and by the benchmarks.
 package load
--- a/load/fifo.go
+++ b/load/fifo.go
@@ -9,118 +9,120 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// arrivalOrder is the baseline: one queue in order of arrival and a scan over
-// all workers for the best fit. Nothing passes the first job, and nothing is
-// refused but by the same bound per team as the other policies have.
-type arrivalOrder struct {
-	waiting []*job
-	perTeam []int
-	free    []task.Resources
-	nodes   []placement.Node
-	placed  map[task.Attempt]int
+// fifoScheduler is the baseline: one queue in order of arrival, without
+// backfilling, and a linear best-fit search over all workers. Admission applies
+// only the queue limit per team that the other policies have as well.
+type fifoScheduler struct {
+	waiting       []*job
+	waitingByTeam []int
+	freeByNode    []task.Resources
+	nodes         []placement.Node
+	nodeByAttempt map[task.Attempt]int
 }
 
-func newArrivalOrder(teams []team, nodes []placement.Node) *arrivalOrder {
-	a := &arrivalOrder{
-		perTeam: make([]int, len(teams)),
-		nodes:   nodes,
-		placed:  map[task.Attempt]int{},
+func newFIFOScheduler(teams []team, nodes []placement.Node) *fifoScheduler {
+	f := &fifoScheduler{
+		waitingByTeam: make([]int, len(teams)),
+		nodes:         nodes,
+		nodeByAttempt: map[task.Attempt]int{},
 	}
 	for i := range nodes {
-		a.free = append(a.free, nodes[i].Capacity)
+		f.freeByNode = append(f.freeByNode, nodes[i].Capacity)
 	}
-	return a
+	return f
 }
 
-func (a *arrivalOrder) push(_ time.Time, j *job) *errkind.Error {
-	if a.perTeam[j.team] >= queue.DefaultLimit {
-		return errkind.New(errkind.QueueFull, "the queue holds %d requests of the team", queue.DefaultLimit)
+func (f *fifoScheduler) enqueue(_ time.Time, j *job) *errkind.Error {
+	if f.waitingByTeam[j.team] >= queue.DefaultLimit {
+		return errkind.New(errkind.QueueFull, "the queue of the team is full: it holds the limit of %d requests", queue.DefaultLimit)
 	}
-	a.perTeam[j.team]++
-	a.waiting = append(a.waiting, j)
+	f.waitingByTeam[j.team]++
+	f.waiting = append(f.waiting, j)
 	return nil
 }
 
-func (a *arrivalOrder) removeKey(_ time.Time, team int, key string) []*job {
-	return a.takeOut(func(j *job) bool { return j.team == team && j.key == key })
+func (f *fifoScheduler) removeKey(_ time.Time, team int, key string) []*job {
+	return f.removeMatching(func(j *job) bool { return j.team == team && j.keyID == key })
 }
 
-func (a *arrivalOrder) expire(now time.Time) []*job {
-	return a.takeOut(func(j *job) bool {
-		return j.shape.deadline > 0 && now.Sub(j.arrived) > j.shape.deadline
+func (f *fifoScheduler) expire(now time.Time) []*job {
+	return f.removeMatching(func(j *job) bool {
+		return j.profile.deadline > 0 && now.Sub(j.arrived) > j.profile.deadline
 	})
 }
 
-func (a *arrivalOrder) takeOut(test func(*job) bool) []*job {
+func (f *fifoScheduler) removeMatching(match func(*job) bool) []*job {
 	var removed []*job
-	kept := a.waiting[:0]
-	for _, j := range a.waiting {
-		if test(j) {
+	kept := f.waiting[:0]
+	for _, j := range f.waiting {
+		if match(j) {
 			removed = append(removed, j)
-			a.perTeam[j.team]--
+			f.waitingByTeam[j.team]--
 		} else {
 			kept = append(kept, j)
 		}
 	}
-	clear(a.waiting[len(kept):])
-	a.waiting = kept
+	clear(f.waiting[len(kept):])
+	f.waiting = kept
 	return removed
 }
 
-func (a *arrivalOrder) round(_ time.Time, started func(*job)) (finds int) {
-	for len(a.waiting) > 0 {
-		j := a.waiting[0]
-		finds++
-		if !a.place(j) {
-			return finds
+func (f *fifoScheduler) runRound(_ time.Time, started func(*job)) (searches int) {
+	for len(f.waiting) > 0 {
+		j := f.waiting[0]
+		searches++
+		if !f.place(j) {
+			return searches
 		}
-		a.waiting[0] = nil
-		a.waiting = a.waiting[1:]
-		a.perTeam[j.team]--
+		f.waiting[0] = nil
+		f.waiting = f.waiting[1:]
+		f.waitingByTeam[j.team]--
 		started(j)
 	}
-	return finds
+	return searches
 }
 
-func (a *arrivalOrder) place(j *job) bool {
+func (f *fifoScheduler) place(j *job) bool {
 	for i := range j.count {
-		node := a.scan(&j.size)
+		node := f.bestFit(&j.size)
 		if node < 0 {
-			a.finished(time.Time{}, j)
+			f.release(time.Time{}, j)
 			j.members = nil
 			return false
 		}
 		member := task.Attempt{Task: j.attempt.Task, Number: uint32(i + 1)}
-		a.free[node] = a.free[node].Sub(j.size)
-		a.placed[member] = node
+		f.freeByNode[node] = f.freeByNode[node].Sub(j.size)
+		f.nodeByAttempt[member] = node
 		j.members = append(j.members, member)
 	}
 	return true
 }
 
-// scan returns the node with the least left over, as a part of its capacity.
-func (a *arrivalOrder) scan(size *task.Resources) int {
-	best, bestLeft := -1, 0.0
-	for i := range a.free {
-		free := &a.free[i]
+// bestFit returns the index of the fitting node with the least free resources,
+// as the weighted sum of their fractions of a standard worker, or -1 if the size
+// fits no node.
+func (f *fifoScheduler) bestFit(size *task.Resources) int {
+	best, bestFree := -1, 0.0
+	for i := range f.freeByNode {
+		free := &f.freeByNode[i]
 		if !size.Fits(*free) {
 			continue
 		}
-		left := float64(free.CPUMilli)/32_000 + float64(free.MemoryMB)/131_072 + float64(free.Slots)/8 +
+		normalizedFree := float64(free.CPUMilli)/32_000 + float64(free.MemoryMB)/131_072 + float64(free.Slots)/8 +
 			float64(free.Connections)/64 + 4*float64(free.Accelerators)
-		if best < 0 || left < bestLeft {
-			best, bestLeft = i, left
+		if best < 0 || normalizedFree < bestFree {
+			best, bestFree = i, normalizedFree
 		}
 	}
 	return best
 }
 
-func (a *arrivalOrder) finished(_ time.Time, j *job) {
+func (f *fifoScheduler) release(_ time.Time, j *job) {
 	for _, member := range j.members {
-		node := a.placed[member]
-		delete(a.placed, member)
-		a.free[node] = a.free[node].Add(j.size)
+		node := f.nodeByAttempt[member]
+		delete(f.nodeByAttempt, member)
+		f.freeByNode[node] = f.freeByNode[node].Add(j.size)
 	}
 }
 
-func (a *arrivalOrder) observeRun(*job) {}
+func (f *fifoScheduler) observeRunTime(*job) {}
--- a/load/fleet.go
+++ b/load/fleet.go
@@ -8,16 +8,16 @@
 )
 
 const (
-	workersPerRack = 8
-	domains        = 12
-	regions        = 3
-	// acceleratorEvery is the distance between workers with accelerators; with
-	// 8 each, 8,200 workers have about 18,000 accelerators.
-	acceleratorEvery = 11
-	acceleratorRun   = 3
+	workersPerRack     = 8
+	failureDomainCount = 12
+	regionCount        = 3
+	// Of every acceleratorPeriod workers, acceleratorWorkersPerPeriod have 8
+	// accelerators each, so that 8,200 workers have about 18,000 accelerators.
+	acceleratorPeriod           = 11
+	acceleratorWorkersPerPeriod = 3
 )
 
-// newFleet returns the workers of the simulated owner.
+// newFleet returns the workers of the simulated partition owner.
 func newFleet(workers int) []placement.Node {
 	nodes := make([]placement.Node, workers)
 	for i := range nodes {
@@ -25,20 +25,20 @@
 		nodes[i] = placement.Node{
 			Name:          fmt.Sprintf("worker-%05d", i),
 			Rack:          fmt.Sprintf("rack-%04d", rack),
-			FailureDomain: fmt.Sprintf("domain-%02d", rack%domains),
-			Region:        fmt.Sprintf("region-%d", rack%regions),
-			Partition:     fmt.Sprintf("w/region-%d/0", rack%regions),
+			FailureDomain: fmt.Sprintf("domain-%02d", rack%failureDomainCount),
+			Region:        fmt.Sprintf("region-%d", rack%regionCount),
+			Partition:     fmt.Sprintf("w/region-%d/0", rack%regionCount),
 			Capacity:      task.Resources{CPUMilli: 32_000, MemoryMB: 131_072, Slots: 8, Connections: 64},
 			Schedulable:   true,
 		}
-		if i%acceleratorEvery < acceleratorRun {
+		if i%acceleratorPeriod < acceleratorWorkersPerPeriod {
 			nodes[i].Capacity.Accelerators = 8
 		}
 	}
 	return nodes
 }
 
-func capacityOf(nodes []placement.Node) task.Resources {
+func totalCapacity(nodes []placement.Node) task.Resources {
 	var sum task.Resources
 	for i := range nodes {
 		sum = sum.Add(nodes[i].Capacity)
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -24,7 +24,7 @@
 	return r
 }
 
-// results holds one run of each policy, which several tests look at.
+// results returns one run of each policy, shared by several tests.
 var results = sync.OnceValue(func() map[string]Result {
 	all := map[string]Result{}
 	for _, policy := range Policies {
@@ -37,8 +37,8 @@
 	return all
 })
 
-// TestRunIsDeterministic guards against figures that cannot be repeated: equal
-// seeds give equal results but for the processor time.
+// TestRunIsDeterministic guards against results that cannot be reproduced: equal
+// seeds give equal results except for measured times.
 func TestRunIsDeterministic(t *testing.T) {
 	for _, policy := range Policies {
 		first, second := results()[policy], mustRun(t, smallConfig(policy))
@@ -59,8 +59,8 @@
 	return out
 }
 
-// TestLoadIsTheSameForAllPolicies guards against a comparison in which a policy
-// changes what arrives.
+// TestLoadIsTheSameForAllPolicies guards against a policy that changes the
+// arrivals, which would make the comparison meaningless.
 func TestLoadIsTheSameForAllPolicies(t *testing.T) {
 	want := results()[FIFO]
 	for _, policy := range []string{Fair, Deficit, Priority} {
@@ -73,25 +73,25 @@
 	}
 }
 
-// TestNothingIsLost guards against jobs that are neither started nor accounted
-// for otherwise, and against a start that exceeds the cluster.
-func TestNothingIsLost(t *testing.T) {
+// TestEveryJobIsAccountedFor guards against jobs that are neither started nor
+// counted under another outcome, and against starts beyond the capacity.
+func TestEveryJobIsAccountedFor(t *testing.T) {
 	for _, policy := range Policies {
 		r := results()[policy]
 		if r.Packing.Fullest > 1 {
-			t.Errorf("%s uses %.3f of the cluster", policy, r.Packing.Fullest)
+			t.Errorf("%s uses a fraction of %.3f of the cluster, want at most 1", policy, r.Packing.Fullest)
 		}
 		for _, k := range r.Kinds {
 			left := k.Arrived - k.Started - k.Refused - k.Late - k.Expired - k.Cancelled
 			if left < 0 || left > 6*1000 || k.Started == 0 {
-				t.Errorf("%s: %d %s jobs left over: %+v", policy, left, k.Kind, k)
+				t.Errorf("%s: %d %s jobs are in no outcome count, want 0 to 6000 and at least one start: %+v", policy, left, k.Kind, k)
 			}
 		}
 	}
 }
 
-// TestFairPolicyKeepsShares guards against a change of queue, fairshare or
-// placement that gives the flooding team the shares of the others.
+// TestFairPolicyKeepsShares guards against a change in queue, fairshare or
+// placement that lets the flooding team take the shares of other teams.
 func TestFairPolicyKeepsShares(t *testing.T) {
 	cfg := smallConfig(Fair)
 	cfg.Duration = 10 * time.Minute
@@ -99,16 +99,16 @@
 	cfg.Policy = FIFO
 	fifo := mustRun(t, cfg)
 	if fair.WorstError > 0.1 || fair.WorstError > fifo.WorstError {
-		t.Errorf("worst share error %.3f, first come first served %.3f", fair.WorstError, fifo.WorstError)
+		t.Errorf("worst share error of %s is %.3f, want at most 0.1 and at most that of %s, %.3f", Fair, fair.WorstError, FIFO, fifo.WorstError)
 	}
 }
 
-// TestDivideByWeight guards against a fair share that exceeds a demand or
-// leaves something over while a demand is open.
-func TestDivideByWeight(t *testing.T) {
+// TestWeightedMaxMin guards against a fair share that exceeds the demand, and
+// against unassigned capacity while a demand is unmet.
+func TestWeightedMaxMin(t *testing.T) {
 	teams := []team{{weight: 1}, {weight: 1}, {weight: 2}}
 	got := make([]float64, 3)
-	divide(0.8, []float64{0.1, 1, 1}, teams, got)
+	weightedMaxMin(0.8, []float64{0.1, 1, 1}, teams, got)
 	want := []float64{0.1, 0.7 / 3, 1.4 / 3}
 	for i := range want {
 		if diff := got[i] - want[i]; diff > 1e-9 || diff < -1e-9 {
@@ -117,7 +117,7 @@
 	}
 }
 
-// TestReportNamesEveryPolicyAndKind guards against rows missing in the reports.
+// TestReportNamesEveryPolicyAndKind guards against missing rows in the reports.
 func TestReportNamesEveryPolicyAndKind(t *testing.T) {
 	cfg := smallConfig(Fair)
 	cfg.Duration = time.Minute
@@ -139,7 +139,8 @@
 	}
 }
 
-// TestConfigIsValidated guards against a run that divides by zero or never ends.
+// TestConfigIsValidated guards against configurations that divide by zero or do
+// not terminate.
 func TestConfigIsValidated(t *testing.T) {
 	for field, change := range map[string]func(*Config){
 		"teams":    func(c *Config) { c.Teams = 0 },
--- a/load/report.go
+++ b/load/report.go
@@ -8,11 +8,11 @@
 	"time"
 )
 
-// Compare runs the policy of cfg and the baselines on the same load: first
-// come, first served with the scan, and strict priority.
+// Compare runs the policy of cfg and the baselines, FIFO and Priority, on the
+// same load.
 func Compare(cfg Config) ([]Result, error) {
 	var results []Result
-	for _, policy := range comparedWith(cfg.Policy) {
+	for _, policy := range comparedPolicies(cfg.Policy) {
 		c := cfg
 		c.Policy = policy
 		r, err := Run(c)
@@ -24,7 +24,7 @@
 	return results, nil
 }
 
-func comparedWith(policy string) []string {
+func comparedPolicies(policy string) []string {
 	policies := []string{policy}
 	for _, baseline := range []string{FIFO, Priority} {
 		if baseline != policy {
@@ -41,8 +41,8 @@
 	return e.Encode(results)
 }
 
-// WriteTable writes results as tables: one line for each policy, then for each
-// kind of work, with and without the team that floods, then for each team.
+// WriteTable writes results as three tables: by policy, by kind of work with and
+// without the flooding team, and by team.
 func WriteTable(w io.Writer, results []Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	writePolicies(t, results)
@@ -67,7 +67,7 @@
 			row := r.Kinds[k]
 			others := r.Others[k]
 			fmt.Fprintf(w, "%s\t%s\t%v\t%v\t%v\t%v\t%d\t%d\t%d\t%d\t%d\t%d\n", row.Kind, r.Policy,
-				short(row.P50), short(row.P99), short(others.P50), short(others.P99),
+				roundToMillisecond(row.P50), roundToMillisecond(row.P99), roundToMillisecond(others.P50), roundToMillisecond(others.P99),
 				row.Arrived, row.Started, row.Refused, row.Late, row.Expired, row.Cancelled)
 		}
 	}
@@ -79,9 +79,9 @@
 		for _, r := range results {
 			row := r.Teams[i]
 			fmt.Fprintf(w, "%s\t%s\t%g\t%.3f\t%.3f\t%v\t%v\n", row.Team, r.Policy, row.Weight, row.Share,
-				row.ShareError, short(row.P50), short(row.P99))
+				row.ShareError, roundToMillisecond(row.P50), roundToMillisecond(row.P99))
 		}
 	}
 }
 
-func short(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+func roundToMillisecond(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
--- a/load/result.go
+++ b/load/result.go
@@ -7,7 +7,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Result is what one run shows. All times but those of Cost are virtual.
+// Result holds the measurements of one run. All times except those of Cost are
+// virtual.
 type Result struct {
 	Policy       string        `json:"policy"`
 	Seed         uint64        `json:"seed"`
@@ -23,106 +24,106 @@
 	Teams        []TeamResult  `json:"teams"`
 }
 
-// Packing is the mean part of each resource in use while work waited.
+// Packing is the mean utilization of each resource while jobs were waiting.
 type Packing struct {
-	Fullest      float64 `json:"fullest"` // the resource of which most was in use
+	Fullest      float64 `json:"fullest"` // mean utilization of the bottleneck resource
 	CPU          float64 `json:"cpu"`
 	Memory       float64 `json:"memory"`
 	Accelerators float64 `json:"accelerators"`
 	Slots        float64 `json:"slots"`
 }
 
-// Cost is the processor time of the decisions, as measured.
+// Cost is the measured time of the scheduling decisions.
 type Cost struct {
 	Starts       int           `json:"starts"`
 	Finds        int           `json:"finds"`
-	PerStart     time.Duration `json:"per_start_ns"` // rounds, arrivals and ends over starts
-	PerFind      time.Duration `json:"per_find_ns"`  // rounds over searches for a worker
+	PerStart     time.Duration `json:"per_start_ns"` // time of rounds, arrivals and ends divided by starts
+	PerFind      time.Duration `json:"per_find_ns"`  // time of rounds divided by searches for a worker
 	LongestRound time.Duration `json:"longest_round_ns"`
 	WaveEntries  int           `json:"wave_entries"`
 	PerWaveEntry time.Duration `json:"per_wave_entry_ns"`
 	LongestWave  time.Duration `json:"longest_wave_ns"`
 }
 
-// Waits is the waiting time of one kind of work.
+// Waits holds the waiting times and the outcome counts of one kind of work.
 type Waits struct {
 	Kind task.Kind     `json:"kind"`
 	P50  time.Duration `json:"p50_ns"`
 	P99  time.Duration `json:"p99_ns"`
-	counts
+	jobCounts
 }
 
-// TeamResult is what one team got.
+// TeamResult holds the measurements of one team.
 type TeamResult struct {
 	Team       task.Team     `json:"team"`
 	Weight     float64       `json:"weight"`
 	Share      float64       `json:"share"`                // mean dominant share
-	ShareError float64       `json:"share_error"`          // part of the fair share that was not had, by minute
+	ShareError float64       `json:"share_error"`          // fraction of the fair share that was not reached, per window of a minute
 	LongRun    float64       `json:"long_run_share_error"` // the same over the whole run
 	P50        time.Duration `json:"p50_ns"`
 	P99        time.Duration `json:"p99_ns"`
 	Kinds      []Waits       `json:"kinds"`
 }
 
-func (m *measure) result(cfg Config) Result {
-	m.closeWindow()
+func (rec *recorder) result(cfg Config) Result {
+	rec.closeWindow()
 	r := Result{
 		Policy: cfg.Policy, Seed: cfg.Seed, Workers: cfg.Workers, Duration: cfg.Duration,
-		Packing: m.packing.result(),
-		Cost:    m.costResult(),
+		Packing: rec.packing.result(),
+		Cost:    rec.costResult(),
 	}
-	for i := range m.accounts {
-		t := m.teamResult(i)
+	for i := range rec.stats {
+		t := rec.teamResult(i)
 		r.WorstError = max(r.WorstError, t.ShareError)
 		r.LongRunError = max(r.LongRunError, t.LongRun)
-		r.MeanError += t.ShareError / float64(len(m.accounts))
+		r.MeanError += t.ShareError / float64(len(rec.stats))
 		r.Teams = append(r.Teams, t)
 	}
 	for _, kind := range task.Kinds {
-		r.Kinds = append(r.Kinds, m.waitsOf(kind, m.accounts))
-		r.Others = append(r.Others, m.waitsOf(kind, m.accounts[1:]))
+		r.Kinds = append(r.Kinds, rec.kindWaits(kind, rec.stats))
+		r.Others = append(r.Others, rec.kindWaits(kind, rec.stats[1:]))
 	}
 	return r
 }
 
-func (m *measure) waitsOf(kind task.Kind, accounts []account) Waits {
+func (rec *recorder) kindWaits(kind task.Kind, accounts []teamStats) Waits {
 	var all []time.Duration
-	var sum counts
+	var sum jobCounts
 	for i := range accounts {
 		all = append(all, accounts[i].waits[kind]...)
-		sum = sum.plus(*accounts[i].counts[kind])
+		sum = sum.add(*accounts[i].counts[kind])
 	}
 	return newWaits(kind, all, sum)
 }
 
-func (m *measure) teamResult(i int) TeamResult {
-	a := &m.accounts[i]
-	t := TeamResult{Team: m.teams[i].name, Weight: m.teams[i].weight}
-	if m.samples > 0 {
-		t.Share = a.held / float64(m.samples)
+func (rec *recorder) teamResult(i int) TeamResult {
+	stats := &rec.stats[i]
+	t := TeamResult{Team: rec.teams[i].name, Weight: rec.teams[i].weight}
+	if rec.samples > 0 {
+		t.Share = stats.shareSum / float64(rec.samples)
 	}
-	if a.due > 0 {
-		t.ShareError = a.short / a.due
-		t.LongRun = max(0, a.due-a.held) / a.due
+	if stats.fairShareSum > 0 {
+		t.ShareError = stats.shortfall / stats.fairShareSum
+		t.LongRun = max(0, stats.fairShareSum-stats.shareSum) / stats.fairShareSum
 	}
 	var all []time.Duration
 	for _, kind := range task.Kinds {
-		t.Kinds = append(t.Kinds, newWaits(kind, a.waits[kind], *a.counts[kind]))
-		all = append(all, a.waits[kind]...)
+		t.Kinds = append(t.Kinds, newWaits(kind, stats.waits[kind], *stats.counts[kind]))
+		all = append(all, stats.waits[kind]...)
 	}
 	t.P50, t.P99 = percentiles(all)
 	return t
 }
 
-func (m *measure) costResult() Cost {
+func (rec *recorder) costResult() Cost {
 	return Cost{
-		Starts: m.cost.starts, Finds: m.cost.finds,
-		PerStart:     per(m.cost.rounds+m.cost.events, m.cost.starts),
-		PerFind:      per(m.cost.rounds, m.cost.finds),
-		LongestRound: m.cost.longest,
-		WaveEntries:  m.waves.entries,
-		PerWaveEntry: per(m.waves.total, m.waves.entries),
-		LongestWave:  m.waves.longest,
+		Starts: rec.cost.starts, Finds: rec.cost.searches,
+		PerStart:     mean(rec.cost.roundTime+rec.cost.eventTime, rec.cost.starts),
+		PerFind:      mean(rec.cost.roundTime, rec.cost.searches),
+		LongestRound: rec.cost.longestRound,
+		WaveEntries:  rec.withdrawals.entries,
+		PerWaveEntry: mean(rec.withdrawals.total, rec.withdrawals.entries),
+		LongestWave:  rec.withdrawals.longest,
 	}
 }
 
@@ -132,20 +133,20 @@
 	}
 	n := float64(p.samples)
 	return Packing{
-		Fullest: p.fullest / n, CPU: p.sum[0] / n, Memory: p.sum[1] / n,
-		Accelerators: p.sum[2] / n, Slots: p.sum[3] / n,
+		Fullest: p.bottleneckSum / n, CPU: p.sums[0] / n, Memory: p.sums[1] / n,
+		Accelerators: p.sums[2] / n, Slots: p.sums[3] / n,
 	}
 }
 
-func (c counts) plus(o counts) counts {
-	return counts{
+func (c jobCounts) add(o jobCounts) jobCounts {
+	return jobCounts{
 		Arrived: c.Arrived + o.Arrived, Started: c.Started + o.Started, Refused: c.Refused + o.Refused,
 		Late: c.Late + o.Late, Expired: c.Expired + o.Expired, Cancelled: c.Cancelled + o.Cancelled,
 	}
 }
 
-func newWaits(kind task.Kind, waits []time.Duration, c counts) Waits {
-	w := Waits{Kind: kind, counts: c}
+func newWaits(kind task.Kind, waits []time.Duration, c jobCounts) Waits {
+	w := Waits{Kind: kind, jobCounts: c}
 	w.P50, w.P99 = percentiles(waits)
 	return w
 }
@@ -159,7 +160,7 @@
 	return sorted[len(sorted)/2], sorted[len(sorted)*99/100]
 }
 
-func per(total time.Duration, n int) time.Duration {
+func mean(total time.Duration, n int) time.Duration {
 	if n == 0 {
 		return 0
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -7,54 +7,54 @@
 )
 
 const (
-	// tick is the time between scheduling rounds, as a control loop takes all
-	// events that have come in together.
-	tick = 10 * time.Millisecond
-	// expiryInterval is the time between looks for work past its deadline.
+	// roundInterval is the time between scheduling rounds. It stands for the
+	// batching of the control loop, which handles all pending events together.
+	roundInterval = 10 * time.Millisecond
+	// expiryInterval is the time between checks for jobs past their deadline.
 	expiryInterval = 100 * time.Millisecond
 	sampleInterval = time.Second
-	// cancelWaves is the number of times that a team withdraws everything
-	// under one key.
-	cancelWaves = 4
+	// withdrawalCount is the number of key withdrawals in a run. Each cancels all
+	// jobs of a team under one key.
+	withdrawalCount = 4
 )
 
-// ends is the running jobs by the time of their end.
-type ends []*job
-
-func (e ends) Len() int           { return len(e) }
-func (e ends) Less(i, j int) bool { return e[i].endsAt().Before(e[j].endsAt()) }
-func (e ends) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *ends) Push(x any)        { *e = append(*e, x.(*job)) }
-func (e *ends) Pop() any {
-	last := len(*e) - 1
-	j := (*e)[last]
-	(*e)[last] = nil
-	*e = (*e)[:last]
+// completionHeap orders the running jobs by end time.
+type completionHeap []*job
+
+func (h completionHeap) Len() int           { return len(h) }
+func (h completionHeap) Less(i, j int) bool { return h[i].endTime().Before(h[j].endTime()) }
+func (h completionHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *completionHeap) Push(x any)        { *h = append(*h, x.(*job)) }
+func (h *completionHeap) Pop() any {
+	last := len(*h) - 1
+	j := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
 	return j
 }
 
-func (j *job) endsAt() time.Time { return j.endsAfter(j.started) }
+func (j *job) endTime() time.Time { return j.endTimeIfStarted(j.started) }
 
-// wave is one withdrawal of a key.
-type wave struct {
+// withdrawal is the withdrawal of one key of a team.
+type withdrawal struct {
 	at   time.Time
 	team int
 	key  string
 }
 
-// run is one simulation.
-type run struct {
-	cfg       Config
-	teams     []team
-	source    *source
-	scheduler scheduler
-	running   ends
-	waves     []wave
-	measure   *measure
-	changed   bool // since the last round
+// simulation is the state of one run.
+type simulation struct {
+	cfg         Config
+	teams       []team
+	generator   *generator
+	scheduler   scheduler
+	running     completionHeap
+	withdrawals []withdrawal
+	recorder    *recorder
+	roundNeeded bool // an event since the last round may allow further starts
 }
 
-// Run simulates one policy.
+// Run simulates the policy of cfg.
 func Run(cfg Config) (Result, error) {
 	if err := cfg.Validate(); err != nil {
 		return Result{}, err
@@ -64,132 +64,133 @@
 	}
 	nodes := newFleet(cfg.Workers)
 	teams := newTeams(cfg.Teams)
-	capacity := capacityOf(nodes)
-	r := &run{
-		cfg:       cfg,
-		teams:     teams,
-		source:    newSource(cfg, teams, capacity),
-		scheduler: newScheduler(cfg, teams, nodes),
-		waves:     newWaves(cfg),
-		measure:   newMeasure(teams, capacity),
+	capacity := totalCapacity(nodes)
+	s := &simulation{
+		cfg:         cfg,
+		teams:       teams,
+		generator:   newGenerator(cfg, teams, capacity),
+		scheduler:   newScheduler(cfg, teams, nodes),
+		withdrawals: newWithdrawals(cfg),
+		recorder:    newRecorder(teams, capacity),
 	}
-	r.simulate()
-	return r.measure.result(cfg), nil
+	s.simulate()
+	return s.recorder.result(cfg), nil
 }
 
-// newWaves spreads the waves over the run; the first hits the flooding team
-// during the flood, when its queue is full.
-func newWaves(cfg Config) []wave {
+// newWithdrawals spreads the withdrawals over the second half of the run. The
+// first is at the middle of the run and affects the flooding team during its
+// flood, when its queue is full.
+func newWithdrawals(cfg Config) []withdrawal {
 	random := rand.New(rand.NewPCG(cfg.Seed, 2))
-	var waves []wave
-	for i := range cancelWaves {
-		part := 0.5 + 0.45*float64(i)/cancelWaves
-		w := wave{at: origin.Add(time.Duration(part * float64(cfg.Duration))), key: "key-0"}
+	var withdrawals []withdrawal
+	for i := range withdrawalCount {
+		progress := 0.5 + 0.45*float64(i)/withdrawalCount
+		w := withdrawal{at: origin.Add(time.Duration(progress * float64(cfg.Duration))), key: "key-0"}
 		if i > 0 {
 			w.team = random.IntN(cfg.Teams)
 		}
-		waves = append(waves, w)
+		withdrawals = append(withdrawals, w)
 	}
-	return waves
+	return withdrawals
 }
 
-func (r *run) simulate() {
-	end := origin.Add(r.cfg.Duration)
-	expiry, sample := origin, origin
-	for now := origin.Add(tick); !now.After(end); now = now.Add(tick) {
-		r.takeEvents(now)
-		if !now.Before(expiry) {
-			r.expire(now)
-			expiry = expiry.Add(expiryInterval)
+func (s *simulation) simulate() {
+	end := origin.Add(s.cfg.Duration)
+	nextExpiry, nextSample := origin, origin
+	for now := origin.Add(roundInterval); !now.After(end); now = now.Add(roundInterval) {
+		s.handleEvents(now)
+		if !now.Before(nextExpiry) {
+			s.expireJobs(now)
+			nextExpiry = nextExpiry.Add(expiryInterval)
 		}
-		if r.changed {
-			r.round(now)
+		if s.roundNeeded {
+			s.runRound(now)
 		}
-		if !now.Before(sample) && now.Sub(origin) > initialSpread {
-			r.measure.sample(now)
-			sample = sample.Add(sampleInterval)
+		if !now.Before(nextSample) && now.Sub(origin) > initialArrivalWindow {
+			s.recorder.sample(now)
+			nextSample = nextSample.Add(sampleInterval)
 		}
 	}
 }
 
-// takeEvents handles what has happened up to now in the order of time.
-func (r *run) takeEvents(now time.Time) {
+// handleEvents handles the completions, arrivals and withdrawals up to now, with
+// completions and arrivals in order of time.
+func (s *simulation) handleEvents(now time.Time) {
 	for {
-		arrival := r.source.peek()
+		arrival := s.generator.nextArrival()
 		switch {
-		case len(r.running) > 0 && !r.running[0].endsAt().After(now) && !r.running[0].endsAt().After(arrival):
-			r.finish(heap.Pop(&r.running).(*job))
+		case len(s.running) > 0 && !s.running[0].endTime().After(now) && !s.running[0].endTime().After(arrival):
+			s.handleCompletion(heap.Pop(&s.running).(*job))
 		case !arrival.After(now):
-			r.arrive(now, r.source.take())
-		case len(r.waves) > 0 && !r.waves[0].at.After(now):
-			r.cancel(now, r.waves[0])
-			r.waves = r.waves[1:]
+			s.handleArrival(now, s.generator.nextJob())
+		case len(s.withdrawals) > 0 && !s.withdrawals[0].at.After(now):
+			s.withdrawKey(now, s.withdrawals[0])
+			s.withdrawals = s.withdrawals[1:]
 		default:
 			return
 		}
 	}
 }
 
-func (r *run) arrive(now time.Time, j *job) {
+func (s *simulation) handleArrival(now time.Time, j *job) {
 	begin := time.Now()
-	err := r.scheduler.push(now, j)
-	r.measure.spent(time.Since(begin))
-	r.measure.arrived(j, err)
-	r.changed = r.changed || err == nil
+	err := s.scheduler.enqueue(now, j)
+	s.recorder.addEventTime(time.Since(begin))
+	s.recorder.recordArrival(j, err)
+	s.roundNeeded = s.roundNeeded || err == nil
 }
 
-func (r *run) finish(j *job) {
+func (s *simulation) handleCompletion(j *job) {
 	if j.ended {
 		return
 	}
 	j.ended = true
-	r.release(j.endsAt(), j)
-	r.scheduler.observeRun(j)
+	s.release(j.endTime(), j)
+	s.scheduler.observeRunTime(j)
 }
 
-func (r *run) release(now time.Time, j *job) {
+func (s *simulation) release(now time.Time, j *job) {
 	begin := time.Now()
-	r.scheduler.finished(now, j)
-	r.measure.spent(time.Since(begin))
-	r.measure.ended(j)
-	r.changed = true
+	s.scheduler.release(now, j)
+	s.recorder.addEventTime(time.Since(begin))
+	s.recorder.recordEnd(j)
+	s.roundNeeded = true
 }
 
-func (r *run) expire(now time.Time) {
+func (s *simulation) expireJobs(now time.Time) {
 	begin := time.Now()
-	expired := r.scheduler.expire(now)
-	r.measure.spent(time.Since(begin))
+	expired := s.scheduler.expire(now)
+	s.recorder.addEventTime(time.Since(begin))
 	for _, j := range expired {
-		r.measure.expired(j)
+		s.recorder.recordExpiry(j)
 	}
 }
 
-// cancel withdraws a key: what waits under it is removed, and what runs is
-// stopped.
-func (r *run) cancel(now time.Time, w wave) {
+// withdrawKey cancels the waiting jobs under a key and stops the running ones.
+func (s *simulation) withdrawKey(now time.Time, w withdrawal) {
 	begin := time.Now()
-	removed := r.scheduler.removeKey(now, w.team, w.key)
-	r.measure.wave(time.Since(begin), len(removed))
+	removed := s.scheduler.removeKey(now, w.team, w.key)
+	s.recorder.recordWithdrawal(time.Since(begin), len(removed))
 	for _, j := range removed {
-		r.measure.cancelled(j)
+		s.recorder.recordCancellation(j)
 	}
-	for _, j := range r.running {
-		if !j.ended && j.team == w.team && j.key == w.key {
+	for _, j := range s.running {
+		if !j.ended && j.team == w.team && j.keyID == w.key {
 			j.ended = true
-			r.release(now, j)
+			s.release(now, j)
 		}
 	}
 }
 
-func (r *run) round(now time.Time) {
-	r.changed = false
+func (s *simulation) runRound(now time.Time) {
+	s.roundNeeded = false
 	begin := time.Now()
 	var started []*job
-	finds := r.scheduler.round(now, func(j *job) { started = append(started, j) })
-	r.measure.round(time.Since(begin), finds, len(started))
+	searches := s.scheduler.runRound(now, func(j *job) { started = append(started, j) })
+	s.recorder.recordRound(time.Since(begin), searches, len(started))
 	for _, j := range started {
 		j.started = now
-		heap.Push(&r.running, j)
-		r.measure.started(now, j)
+		heap.Push(&s.running, j)
+		s.recorder.recordStart(now, j)
 	}
 }
