--- a/oracle/control.go
+++ b/oracle/control.go
@@ -8,17 +8,17 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// keyName names a key; teams may use the same identifier.
-type keyName struct {
+// keyRef identifies a key. Different teams may use the same key ID.
+type keyRef struct {
 	team task.Team
 	id   string
 }
 
-// underKeys returns the events that show the use of a key: acceptances and
-// starts that name one.
-func (ix *index) underKeys() []timeline.Event {
+// keyUses returns the events in which a key was used: acceptances and starts with
+// a key ID.
+func (idx *traceIndex) keyUses() []timeline.Event {
 	var used []timeline.Event
-	for _, e := range ix.Events {
+	for _, e := range idx.Events {
 		if e.KeyID != "" && (e.Type == timeline.RequestAccepted || e.Type == timeline.TaskStartSent) {
 			used = append(used, e)
 		}
@@ -26,42 +26,42 @@
 	return used
 }
 
-// checkKeyOfTeam reports work under a key that was granted to other teams only.
-func checkKeyOfTeam(ix *index, report *Report) {
-	granted := make(map[keyName]bool)
-	other := make(map[string]timeline.Event)
-	for _, e := range ix.byType[timeline.KeyGranted] {
-		granted[keyName{e.Team, e.KeyID}] = true
-		other[e.KeyID] = e
+// checkKeyTeam reports work under a key that was granted only to other teams.
+func checkKeyTeam(idx *traceIndex, report *Report) {
+	granted := make(map[keyRef]bool)
+	anyGrant := make(map[string]timeline.Event)
+	for _, e := range idx.byType[timeline.KeyGranted] {
+		granted[keyRef{e.Team, e.KeyID}] = true
+		anyGrant[e.KeyID] = e
 	}
-	for _, e := range ix.underKeys() {
-		grant, known := other[e.KeyID]
+	for _, e := range idx.keyUses() {
+		grant, known := anyGrant[e.KeyID]
 		if !known {
 			continue
 		}
-		report.examine(KeyOfTeam)
-		if !granted[keyName{e.Team, e.KeyID}] {
+		report.countExamined(KeyOfTeam)
+		if !granted[keyRef{e.Team, e.KeyID}] {
 			report.add(Violation{
 				Invariant: KeyOfTeam,
-				Message:   fmt.Sprintf("task %s of team %s used a key of team %s", e.Task, e.Team, grant.Team),
+				Message:   fmt.Sprintf("task %s of team %s was accepted or started under a key of team %s", e.Task, e.Team, grant.Team),
 				Events:    []timeline.Event{grant, e},
 			})
 		}
 	}
 }
 
-// withdrawals returns the first withdrawal of each key that was not granted
-// again later.
-func (ix *index) withdrawals() map[keyName]timeline.Event {
-	first := make(map[keyName]timeline.Event)
-	for _, e := range ix.byType[timeline.KeyWithdrawn] {
-		name := keyName{e.Team, e.KeyID}
+// lastingWithdrawals returns the first withdrawal of each key that was not
+// granted again afterwards.
+func (idx *traceIndex) lastingWithdrawals() map[keyRef]timeline.Event {
+	first := make(map[keyRef]timeline.Event)
+	for _, e := range idx.byType[timeline.KeyWithdrawn] {
+		name := keyRef{e.Team, e.KeyID}
 		if _, seen := first[name]; !seen {
 			first[name] = e
 		}
 	}
-	for _, e := range ix.byType[timeline.KeyGranted] {
-		name := keyName{e.Team, e.KeyID}
+	for _, e := range idx.byType[timeline.KeyGranted] {
+		name := keyRef{e.Team, e.KeyID}
 		if withdrawal, ok := first[name]; ok && e.Revision > withdrawal.Revision {
 			delete(first, name)
 		}
@@ -69,23 +69,23 @@
 	return first
 }
 
-// checkWithdrawnKeys reports acceptances and starts under a key that had been
-// withdrawn for longer than the bound.
-func checkWithdrawnKeys(ix *index, report *Report) {
-	withdrawn := ix.withdrawals()
-	bound := ix.Bounds.KeyWithdrawal + ix.Bounds.ClockSkew
-	for _, e := range ix.underKeys() {
-		withdrawal, ok := withdrawn[keyName{e.Team, e.KeyID}]
+// checkWithdrawnKeys reports acceptances and starts under a key later than the
+// allowed delay after its withdrawal.
+func checkWithdrawnKeys(idx *traceIndex, report *Report) {
+	withdrawn := idx.lastingWithdrawals()
+	bound := idx.Bounds.KeyWithdrawal + idx.Bounds.ClockSkew
+	for _, e := range idx.keyUses() {
+		withdrawal, ok := withdrawn[keyRef{e.Team, e.KeyID}]
 		if !ok {
 			continue
 		}
-		report.examine(WithdrawnKey)
-		until := withdrawal.Clock.Wall.Add(bound)
-		late := startedAfter(ix.runsOf[e.Task], until)
-		if len(late) > 0 || e.Clock.Wall.After(until) {
+		report.countExamined(WithdrawnKey)
+		deadline := withdrawal.Clock.Wall.Add(bound)
+		late := startedAfter(idx.runsOf[e.Task], deadline)
+		if len(late) > 0 || e.Clock.Wall.After(deadline) {
 			report.add(Violation{
 				Invariant: WithdrawnKey,
-				Message:   fmt.Sprintf("key %s of team %s was used for task %s after %s", e.KeyID, e.Team, e.Task, instant(until)),
+				Message:   fmt.Sprintf("key %s of team %s was used for task %s after %s", e.KeyID, e.Team, e.Task, formatTime(deadline)),
 				Events:    []timeline.Event{withdrawal, e}, Runs: late,
 			})
 		}
@@ -102,35 +102,36 @@
 	return late
 }
 
-// checkLeaving reports starts on a worker that had been leaving for longer than
-// the bound, by its own ledger or by the first event that says so.
-func checkLeaving(ix *index, report *Report) {
-	events := make(map[string]timeline.Event) // first for each worker
-	for _, e := range ix.byType[timeline.WorkerLeaving] {
+// checkLeavingWorkers reports starts on a worker later than the allowed delay
+// after it began to leave, according to its ledger or to the first WorkerLeaving
+// event.
+func checkLeavingWorkers(idx *traceIndex, report *Report) {
+	events := make(map[string]timeline.Event) // first event of each worker
+	for _, e := range idx.byType[timeline.WorkerLeaving] {
 		if _, seen := events[e.Worker]; !seen {
 			events[e.Worker] = e
 		}
 	}
-	bound := ix.Bounds.Leaving + ix.Bounds.ClockSkew
-	for _, w := range ix.Workers {
+	bound := idx.Bounds.Leaving + idx.Bounds.ClockSkew
+	for _, w := range idx.Workers {
 		for _, p := range leavingPeriods(w, events[w.Worker]) {
-			report.examine(LeavingWorker)
+			report.countExamined(LeavingWorker)
 			for _, r := range startedAfter(w.Runs, p.Start.Add(bound)) {
 				if !p.End.IsZero() && r.Start.After(p.End) {
 					continue
 				}
 				report.add(Violation{
 					Invariant: LeavingWorker,
-					Message:   fmt.Sprintf("%s started %s, leaving since %s", w.Worker, r.Attempt, instant(p.Start)),
-					Events:    ix.eventsOf(r.Attempt.Task), Runs: []Run{r},
+					Message:   fmt.Sprintf("worker %s started attempt %s although it has been leaving since %s", w.Worker, r.Attempt, formatTime(p.Start)),
+					Events:    idx.eventsOf(r.Attempt.Task), Runs: []Run{r},
 				})
 			}
 		}
 	}
 }
 
-// leavingPeriods prefers the ledger: an event has no counterpart for a worker
-// that stays after all.
+// leavingPeriods prefers the ledger, because no event records that a worker is no
+// longer leaving.
 func leavingPeriods(w WorkerLedger, event timeline.Event) []Period {
 	if len(w.Leaving) > 0 || event.Type == "" {
 		return w.Leaving
@@ -138,25 +139,26 @@
 	return []Period{{Start: event.Clock.Wall}}
 }
 
-// checkConfig reports configuration that went back in one process.
-func checkConfig(ix *index, report *Report) {
-	type place struct {
+// checkConfig reports a process in which the configuration went back to an
+// earlier revision.
+func checkConfig(idx *traceIndex, report *Report) {
+	type documentKey struct {
 		process  process
 		team     task.Team
 		document string
 	}
-	last := make(map[place]timeline.Event)
-	for _, e := range ix.byType[timeline.ConfigInForce] {
-		report.examine(ConfigRevisions)
-		at := place{processOf(e), e.Team, e.Detail}
-		if before, seen := last[at]; seen && e.Revision < before.Revision {
+	last := make(map[documentKey]timeline.Event)
+	for _, e := range idx.byType[timeline.ConfigInForce] {
+		report.countExamined(ConfigRevisions)
+		key := documentKey{processOf(e), e.Team, e.Detail}
+		if previous, seen := last[key]; seen && e.Revision < previous.Revision {
 			report.add(Violation{
 				Invariant: ConfigRevisions,
-				Message: fmt.Sprintf("%s/%s went back from revision %d to %d", e.Instance, e.Incarnation,
-					before.Revision, e.Revision),
-				Events: []timeline.Event{before, e},
+				Message: fmt.Sprintf("process %s/%s went back from revision %d to %d", e.Instance, e.Incarnation,
+					previous.Revision, e.Revision),
+				Events: []timeline.Event{previous, e},
 			})
 		}
-		last[at] = e
+		last[key] = e
 	}
 }
--- a/oracle/doc.go
+++ b/oracle/doc.go
@@ -1,27 +1,28 @@
-// Package oracle checks the invariants of the design page over a merged time
-// line and the ledgers that workers keep. Every test, the demo and the load
-// command use the same checks.
+// Package oracle checks the invariants of docs/design.md against a merged
+// timeline and the ledgers that workers keep. The tests and the demo use the same
+// checks.
 //
-// What the checks take the events to mean, beyond their names:
+// The checks rely on the following meaning of events, in addition to their names:
 //
-//   - RequestAccepted: once for each task, with Kind the kind of work and KeyID
-//     the key under which it was accepted. Work without this event is not
-//     checked for being lost or repeated.
-//   - RequestRefused: Task is the task that would have been, Kind is the error
-//     kind, whose row in errkind says whether the caller was told "not run".
-//   - RequestAnswered: recorded when the outcome of a task is final at its home.
-//     Kind is "not_run" if that was said, Detail the SHA-256 digest of the result
-//     in hex where there is one.
-//   - TaskNotRun: with an attempt, that attempt did not run; with attempt 0, no
-//     attempt of the task did.
-//   - TaskReserved, TaskStartSent: Partition and Epoch are set, and the clock is
-//     that of the decision, for which the term was checked. KeyID is set on
-//     TaskStartSent where there is one.
+//   - RequestAccepted is recorded once for each task. Kind is the kind of work and
+//     KeyID the key under which it was accepted. Work without this event is not
+//     checked for loss or repetition.
+//   - RequestRefused: Task is the ID that the task would have had. Kind is the
+//     error kind, whose row in errkind defines whether the caller was told that
+//     the work did not run.
+//   - RequestAnswered is recorded when the outcome of a task is final at its home.
+//     Kind is "not_run" if the caller was told so. Detail is the SHA-256 digest of
+//     the result in hex, if there is a result.
+//   - TaskNotRun: with an attempt number, that attempt did not run; with attempt
+//     0, no attempt of the task did.
+//   - TaskReserved, TaskStartSent: Partition and Epoch are set, and Clock is the
+//     time of the decision, for which the ownership term was checked. KeyID is set
+//     on TaskStartSent if the task has a key.
 //   - OwnershipTaken: Partition and Epoch are set.
-//   - LimitInForce: Team, Revision and Size; an amount of zero is not limited.
-//   - KeyGranted, KeyWithdrawn: Team, KeyID and Revision.
-//   - ConfigInForce: Team, Revision and in Detail the name of the document.
+//   - LimitInForce: Team, Revision and Size are set; a zero amount means no limit.
+//   - KeyGranted, KeyWithdrawn: Team, KeyID and Revision are set.
+//   - ConfigInForce: Team and Revision are set; Detail is the name of the document.
 //
-// A trace may hold no evidence on an invariant; Report.Unexamined tells which,
-// so that a run without violations is not taken for a proof of all of them.
+// A trace may lack evidence for an invariant. Report.Unexamined lists such
+// invariants, so that a run without violations is not taken as proof for them.
 package oracle
--- a/oracle/ledger.go
+++ b/oracle/ledger.go
@@ -7,14 +7,14 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// WorkerLedger is a worker's own record of everything it ever ran. It is the
-// evidence against which the time line of the entry instances is checked.
+// WorkerLedger is a worker's record of all its runs. The timeline of the entry
+// instances is checked against it.
 type WorkerLedger struct {
 	Worker       string         `json:"worker"`
 	Capacity     task.Resources `json:"capacity"`
 	Runs         []Run          `json:"runs"`
 	OverCapacity []Refused      `json:"over_capacity,omitempty"` // starts rejected because they did not fit
-	Leaving      []Period       `json:"leaving,omitempty"`       // when it reported that it is leaving
+	Leaving      []Period       `json:"leaving,omitempty"`       // while it reported that it is leaving
 	Frozen       []Period       `json:"frozen,omitempty"`
 }
 
@@ -36,10 +36,10 @@
 	ResultBytes   int64          `json:"result_bytes,omitempty"`
 }
 
-// String describes the run in one line.
+// String formats the run on one line.
 func (r Run) String() string {
 	return fmt.Sprintf("%s on %s (boot %s, epoch %d) team=%s [%s] from %s to %s: %s", r.Attempt, r.Worker, r.BootID,
-		r.Epoch, r.Team, r.Size, instant(r.Start), instant(r.End), r.State)
+		r.Epoch, r.Team, r.Size, formatTime(r.Start), formatTime(r.End), r.State)
 }
 
 // Refused is a start that a worker rejected because it did not fit.
@@ -57,8 +57,8 @@
 	End   time.Time `json:"end"`
 }
 
-// instant renders a time, or "now" for the open end of a span.
-func instant(t time.Time) string {
+// formatTime formats a time, and the zero time of an open end as "now".
+func formatTime(t time.Time) string {
 	if t.IsZero() {
 		return "now"
 	}
--- a/oracle/oracle_test.go
+++ b/oracle/oracle_test.go
@@ -15,7 +15,8 @@
 // at returns the time that is the given number of seconds after the origin.
 func at(seconds float64) time.Time { return origin.Add(time.Duration(seconds * float64(time.Second))) }
 
-// event returns an event of instance i at the given second; edit completes it.
+// event returns an event of instance "i" at the given second. edit sets further
+// fields.
 func event(seconds float64, kind timeline.Type, edit func(*timeline.Event)) timeline.Event {
 	e := timeline.Event{Instance: "i", Incarnation: "1", Type: kind, Clock: timeline.Clock{Wall: at(seconds)}}
 	if edit != nil {
@@ -24,34 +25,34 @@
 	return e
 }
 
-func ofTask(id task.ID, attempt uint32, kind string) func(*timeline.Event) {
+func forTask(id task.ID, attempt uint32, kind string) func(*timeline.Event) {
 	return func(e *timeline.Event) { e.Task, e.Attempt, e.Kind, e.Team = id, attempt, kind, "a" }
 }
 
-func accepted(seconds float64, id task.ID, kind task.Kind) timeline.Event {
-	return event(seconds, timeline.RequestAccepted, ofTask(id, 0, string(kind)))
+func acceptedEvent(seconds float64, id task.ID, kind task.Kind) timeline.Event {
+	return event(seconds, timeline.RequestAccepted, forTask(id, 0, string(kind)))
 }
 
-func owned(seconds float64, instance string, kind timeline.Type, epoch uint64) timeline.Event {
+func ownershipEvent(seconds float64, instance string, kind timeline.Type, epoch uint64) timeline.Event {
 	return event(seconds, kind, func(e *timeline.Event) { e.Instance, e.Partition, e.Epoch = instance, "w/r/1", epoch })
 }
 
-func limit(seconds float64, revision, slots int64) timeline.Event {
+func limitEvent(seconds float64, revision, slots int64) timeline.Event {
 	return event(seconds, timeline.LimitInForce, func(e *timeline.Event) {
 		e.Team, e.Revision, e.Size = "a", revision, &task.Resources{Slots: slots}
 	})
 }
 
-func key(seconds float64, kind timeline.Type, team task.Team, id task.ID) timeline.Event {
+func keyEvent(seconds float64, kind timeline.Type, team task.Team, id task.ID) timeline.Event {
 	return event(seconds, kind, func(e *timeline.Event) { e.KeyID, e.Team, e.Task, e.Kind = "k", team, id, string(task.Answer) })
 }
 
-func config(incarnation string, revision int64) timeline.Event {
+func configEvent(incarnation string, revision int64) timeline.Event {
 	return event(0, timeline.ConfigInForce, func(e *timeline.Event) { e.Incarnation, e.Revision = incarnation, revision })
 }
 
-// line numbers the events of each process.
-func line(events ...timeline.Event) []timeline.Event {
+// numbered sets the sequence numbers of the events of each process.
+func numbered(events ...timeline.Event) []timeline.Event {
 	count := make(map[process]uint64)
 	for i := range events {
 		count[processOf(events[i])]++
@@ -60,8 +61,9 @@
 	return events
 }
 
-// run is one slot of team a from one second to another; to 0 means still running.
-func run(id task.ID, attempt uint32, from, to float64) Run {
+// slotRun returns a run of team "a" that takes one slot. A run with to 0 has not
+// ended.
+func slotRun(id task.ID, attempt uint32, from, to float64) Run {
 	r := Run{
 		Worker: "w", Attempt: task.Attempt{Task: id, Number: attempt}, Team: "a", Size: task.Resources{Slots: 1},
 		Epoch: 1, Start: at(from), State: "finished", PayloadDigest: "p", ResultDigest: "d-" + string(id), ResultBytes: 4,
@@ -72,13 +74,13 @@
 	return r
 }
 
-func (r Run) under(epoch uint64) Run { r.Epoch = epoch; return r }
+func (r Run) withEpoch(epoch uint64) Run { r.Epoch = epoch; return r }
 
-func on(runs ...Run) []WorkerLedger {
+func ledgerOf(runs ...Run) []WorkerLedger {
 	return []WorkerLedger{{Worker: "w", Capacity: task.Resources{Slots: 2}, Runs: runs}}
 }
 
-func (w WorkerLedger) leaving(periods ...Period) []WorkerLedger {
+func (w WorkerLedger) withLeaving(periods ...Period) []WorkerLedger {
 	w.Leaving = periods
 	return []WorkerLedger{w}
 }
@@ -89,101 +91,101 @@
 	violating Trace
 	clean     Trace
 }{
-	{"event missing from the line", TraceComplete,
-		Trace{Events: line(config("1", 1), config("1", 2))[1:]},
-		Trace{Events: line(config("1", 1), config("1", 2))}},
-	{"three at once on two slots", Capacity,
-		Trace{Workers: on(run("t", 1, 0, 5), run("u", 1, 1, 0), run("v", 1, 4, 4))},
-		Trace{Workers: on(run("t", 1, 0, 4), run("u", 1, 1, 0), run("v", 1, 4, 4), run("x", 1, 4, 6))}},
+	{"event missing from the timeline", TraceComplete,
+		Trace{Events: numbered(configEvent("1", 1), configEvent("1", 2))[1:]},
+		Trace{Events: numbered(configEvent("1", 1), configEvent("1", 2))}},
+	{"three concurrent runs on two slots", Capacity,
+		Trace{Workers: ledgerOf(slotRun("t", 1, 0, 5), slotRun("u", 1, 1, 0), slotRun("v", 1, 4, 4))},
+		Trace{Workers: ledgerOf(slotRun("t", 1, 0, 4), slotRun("u", 1, 1, 0), slotRun("v", 1, 4, 4), slotRun("x", 1, 4, 6))}},
 	{"start that did not fit", Capacity,
 		Trace{Workers: []WorkerLedger{{Worker: "w", OverCapacity: []Refused{{Attempt: task.Attempt{Task: "t", Number: 1}}}}}},
-		Trace{Workers: on()}},
+		Trace{Workers: ledgerOf()}},
 	{"second attempt before the end of the first", OnePlace,
-		Trace{Workers: append(on(run("t", 1, 0, 5)), on(run("t", 2, 4.9, 9))...)},
-		Trace{Workers: append(on(run("t", 1, 0, 5)), on(run("t", 2, 5, 9))...)}},
+		Trace{Workers: append(ledgerOf(slotRun("t", 1, 0, 5)), ledgerOf(slotRun("t", 2, 4.9, 9))...)},
+		Trace{Workers: append(ledgerOf(slotRun("t", 1, 0, 5)), ledgerOf(slotRun("t", 2, 5, 9))...)}},
 	{"first attempt still running", OnePlace,
-		Trace{Workers: append(on(run("t", 1, 0, 0)), on(run("t", 2, 40, 41))...)},
-		Trace{Workers: append(on(run("t", 1, 0, 0)), on(run("u", 2, 40, 41))...)}},
+		Trace{Workers: append(ledgerOf(slotRun("t", 1, 0, 0)), ledgerOf(slotRun("t", 2, 40, 41))...)},
+		Trace{Workers: append(ledgerOf(slotRun("t", 1, 0, 0)), ledgerOf(slotRun("u", 2, 40, 41))...)}},
 	{"at-most-once work repeated", AtMostOnce,
-		Trace{Events: line(accepted(0, "t", task.AtMostOnce), event(9, timeline.RequestAnswered, ofTask("t", 0, "unknown"))),
-			Workers: on(run("t", 1, 1, 2), run("t", 2, 3, 4))},
-		Trace{Events: line(accepted(0, "t", task.Batch), event(9, timeline.RequestAnswered, ofTask("t", 0, "finished"))),
-			Workers: on(run("t", 1, 1, 2), run("t", 2, 3, 4))}},
+		Trace{Events: numbered(acceptedEvent(0, "t", task.AtMostOnce), event(9, timeline.RequestAnswered, forTask("t", 0, "unknown"))),
+			Workers: ledgerOf(slotRun("t", 1, 1, 2), slotRun("t", 2, 3, 4))},
+		Trace{Events: numbered(acceptedEvent(0, "t", task.Batch), event(9, timeline.RequestAnswered, forTask("t", 0, "finished"))),
+			Workers: ledgerOf(slotRun("t", 1, 1, 2), slotRun("t", 2, 3, 4))}},
 	{"attempt number used twice", AtMostOnce,
-		Trace{Workers: append(on(run("t", 1, 1, 2)), on(run("t", 1, 3, 4))...)},
-		Trace{Workers: append(on(run("t", 1, 1, 2)), on(run("t", 2, 3, 4))...)}},
+		Trace{Workers: append(ledgerOf(slotRun("t", 1, 1, 2)), ledgerOf(slotRun("t", 1, 3, 4))...)},
+		Trace{Workers: append(ledgerOf(slotRun("t", 1, 1, 2)), ledgerOf(slotRun("t", 2, 3, 4))...)}},
 	{"durable work without an outcome", NeverLost,
-		Trace{Events: line(accepted(0, "t", task.Durable))},
-		Trace{Events: line(accepted(0, "t", task.Durable), accepted(0, "u", task.Answer)), InProgress: map[task.ID]bool{"t": true}}},
-	{"end that only the owner knows", NeverLost,
-		Trace{Events: line(accepted(0, "t", task.Batch), event(2, timeline.TaskFinished, ofTask("t", 1, "")))},
-		Trace{Events: line(accepted(0, "t", task.Batch), event(2, timeline.RequestAnswered, ofTask("t", 0, "finished")))}},
+		Trace{Events: numbered(acceptedEvent(0, "t", task.Durable))},
+		Trace{Events: numbered(acceptedEvent(0, "t", task.Durable), acceptedEvent(0, "u", task.Answer)), InProgress: map[task.ID]bool{"t": true}}},
+	{"end recorded only by the owner", NeverLost,
+		Trace{Events: numbered(acceptedEvent(0, "t", task.Batch), event(2, timeline.TaskFinished, forTask("t", 1, "")))},
+		Trace{Events: numbered(acceptedEvent(0, "t", task.Batch), event(2, timeline.RequestAnswered, forTask("t", 0, "finished")))}},
 	{"not run by the answer", TrueNotRun,
-		Trace{Events: line(event(3, timeline.RequestAnswered, ofTask("t", 0, "not_run"))), Workers: on(run("t", 1, 5, 6))},
-		Trace{Events: line(event(3, timeline.RequestAnswered, ofTask("t", 0, "unknown"))), Workers: on(run("t", 1, 5, 6))}},
+		Trace{Events: numbered(event(3, timeline.RequestAnswered, forTask("t", 0, "not_run"))), Workers: ledgerOf(slotRun("t", 1, 5, 6))},
+		Trace{Events: numbered(event(3, timeline.RequestAnswered, forTask("t", 0, "unknown"))), Workers: ledgerOf(slotRun("t", 1, 5, 6))}},
 	{"not run by the attempt", TrueNotRun,
-		Trace{Events: line(event(3, timeline.TaskNotRun, ofTask("t", 1, ""))), Workers: on(run("t", 1, 1, 2))},
-		Trace{Events: line(event(3, timeline.TaskNotRun, ofTask("t", 1, ""))), Workers: on(run("t", 2, 4, 5))}},
+		Trace{Events: numbered(event(3, timeline.TaskNotRun, forTask("t", 1, ""))), Workers: ledgerOf(slotRun("t", 1, 1, 2))},
+		Trace{Events: numbered(event(3, timeline.TaskNotRun, forTask("t", 1, ""))), Workers: ledgerOf(slotRun("t", 2, 4, 5))}},
 	{"not run by the refusal", TrueNotRun,
-		Trace{Events: line(event(3, timeline.RequestRefused, ofTask("t", 0, "queue_full"))), Workers: on(run("t", 1, 5, 6))},
-		Trace{Events: line(event(3, timeline.RequestRefused, ofTask("t", 0, "queue_full")), accepted(4, "t", task.Answer)),
-			Workers: on(run("t", 1, 5, 6))}},
+		Trace{Events: numbered(event(3, timeline.RequestRefused, forTask("t", 0, "queue_full"))), Workers: ledgerOf(slotRun("t", 1, 5, 6))},
+		Trace{Events: numbered(event(3, timeline.RequestRefused, forTask("t", 0, "queue_full")), acceptedEvent(4, "t", task.Answer)),
+			Workers: ledgerOf(slotRun("t", 1, 5, 6))}},
 	{"start above the limit", TeamLimit,
-		Trace{Events: line(limit(0, 1, 1)), Workers: append(on(run("t", 1, 1, 3)), on(run("u", 1, 2, 4))...)},
-		Trace{Events: line(limit(0, 1, 1), limit(1.5, 2, 2)), Workers: append(on(run("t", 1, 1, 3)), on(run("u", 1, 2, 4))...)}},
+		Trace{Events: numbered(limitEvent(0, 1, 1)), Workers: append(ledgerOf(slotRun("t", 1, 1, 3)), ledgerOf(slotRun("u", 1, 2, 4))...)},
+		Trace{Events: numbered(limitEvent(0, 1, 1), limitEvent(1.5, 2, 2)), Workers: append(ledgerOf(slotRun("t", 1, 1, 3)), ledgerOf(slotRun("u", 1, 2, 4))...)}},
 	{"start above a limit given with the trace", TeamLimit,
-		Trace{Limits: map[task.Team]task.Resources{"a": {Slots: 1}}, Workers: on(run("t", 1, 1, 3), run("u", 1, 2, 4))},
-		Trace{Limits: map[task.Team]task.Resources{"a": {Slots: 1}}, Workers: on(run("t", 1, 1, 2), run("u", 1, 2, 4))}},
-	{"limit lowered below what runs", TeamLimit,
-		Trace{Events: line(limit(0, 1, 2), limit(2, 2, 1)), Workers: on(run("t", 1, 1, 3), run("u", 1, 1, 3))},
-		Trace{Events: line(limit(0, 1, 2), limit(2, 2, 1)), Workers: on(run("t", 1, 1, 3), run("u", 1, 1, 2))}},
+		Trace{Limits: map[task.Team]task.Resources{"a": {Slots: 1}}, Workers: ledgerOf(slotRun("t", 1, 1, 3), slotRun("u", 1, 2, 4))},
+		Trace{Limits: map[task.Team]task.Resources{"a": {Slots: 1}}, Workers: ledgerOf(slotRun("t", 1, 1, 2), slotRun("u", 1, 2, 4))}},
+	{"limit lowered below the running tasks", TeamLimit,
+		Trace{Events: numbered(limitEvent(0, 1, 2), limitEvent(2, 2, 1)), Workers: ledgerOf(slotRun("t", 1, 1, 3), slotRun("u", 1, 1, 3))},
+		Trace{Events: numbered(limitEvent(0, 1, 2), limitEvent(2, 2, 1)), Workers: ledgerOf(slotRun("t", 1, 1, 3), slotRun("u", 1, 1, 2))}},
 	{"key of another team", KeyOfTeam,
-		Trace{Events: line(key(0, timeline.KeyGranted, "b", ""), key(1, timeline.RequestAccepted, "a", "t"))},
-		Trace{Events: line(key(0, timeline.KeyGranted, "b", ""), key(0, timeline.KeyGranted, "a", ""), key(1, timeline.RequestAccepted, "a", "t"))}},
+		Trace{Events: numbered(keyEvent(0, timeline.KeyGranted, "b", ""), keyEvent(1, timeline.RequestAccepted, "a", "t"))},
+		Trace{Events: numbered(keyEvent(0, timeline.KeyGranted, "b", ""), keyEvent(0, timeline.KeyGranted, "a", ""), keyEvent(1, timeline.RequestAccepted, "a", "t"))}},
 	{"accepted under a withdrawn key", WithdrawnKey,
-		Trace{Events: line(key(0, timeline.KeyWithdrawn, "a", ""), key(10.1, timeline.RequestAccepted, "a", "t"))},
-		Trace{Events: line(key(0, timeline.KeyWithdrawn, "a", ""), key(9.9, timeline.RequestAccepted, "a", "t"))}},
+		Trace{Events: numbered(keyEvent(0, timeline.KeyWithdrawn, "a", ""), keyEvent(10.1, timeline.RequestAccepted, "a", "t"))},
+		Trace{Events: numbered(keyEvent(0, timeline.KeyWithdrawn, "a", ""), keyEvent(9.9, timeline.RequestAccepted, "a", "t"))}},
 	{"start sent under a withdrawn key of the same name as another's", WithdrawnKey,
-		Trace{Events: line(key(0, timeline.KeyWithdrawn, "a", ""), key(11, timeline.TaskStartSent, "a", "t"))},
-		Trace{Events: line(key(0, timeline.KeyWithdrawn, "b", ""), key(11, timeline.TaskStartSent, "a", "t"))}},
+		Trace{Events: numbered(keyEvent(0, timeline.KeyWithdrawn, "a", ""), keyEvent(11, timeline.TaskStartSent, "a", "t"))},
+		Trace{Events: numbered(keyEvent(0, timeline.KeyWithdrawn, "b", ""), keyEvent(11, timeline.TaskStartSent, "a", "t"))}},
 	{"started under a withdrawn key", WithdrawnKey,
-		Trace{Events: line(key(0, timeline.RequestAccepted, "a", "t"), key(1, timeline.KeyWithdrawn, "a", "")), Workers: on(run("t", 1, 11.1, 12))},
-		Trace{Events: line(key(0, timeline.RequestAccepted, "a", "t"), key(1, timeline.KeyWithdrawn, "a", "")), Workers: on(run("t", 1, 10.9, 12))}},
+		Trace{Events: numbered(keyEvent(0, timeline.RequestAccepted, "a", "t"), keyEvent(1, timeline.KeyWithdrawn, "a", "")), Workers: ledgerOf(slotRun("t", 1, 11.1, 12))},
+		Trace{Events: numbered(keyEvent(0, timeline.RequestAccepted, "a", "t"), keyEvent(1, timeline.KeyWithdrawn, "a", "")), Workers: ledgerOf(slotRun("t", 1, 10.9, 12))}},
 	{"start on a leaving worker", LeavingWorker,
-		Trace{Workers: on(run("t", 1, 3.1, 4))[0].leaving(Period{Start: at(0)})},
-		Trace{Workers: on(run("t", 1, 2.9, 4), run("u", 1, 9, 10))[0].leaving(Period{Start: at(0), End: at(8)})}},
+		Trace{Workers: ledgerOf(slotRun("t", 1, 3.1, 4))[0].withLeaving(Period{Start: at(0)})},
+		Trace{Workers: ledgerOf(slotRun("t", 1, 2.9, 4), slotRun("u", 1, 9, 10))[0].withLeaving(Period{Start: at(0), End: at(8)})}},
 	{"start on a worker that the list shows as leaving", LeavingWorker,
-		Trace{Events: line(event(0, timeline.WorkerLeaving, func(e *timeline.Event) { e.Worker = "w" })), Workers: on(run("t", 1, 3.1, 4))},
-		Trace{Events: line(event(0, timeline.WorkerLeaving, func(e *timeline.Event) { e.Worker = "x" })), Workers: on(run("t", 1, 3.1, 4))}},
-	{"crossed answer", WholeAnswer,
-		Trace{Answers: []Answer{{Task: "t", PayloadDigest: "p", ResultDigest: "d-u", ResultBytes: 4}}, Workers: on(run("t", 1, 0, 1), run("u", 1, 0, 1))},
-		Trace{Answers: []Answer{{Task: "t", PayloadDigest: "p", ResultDigest: "d-t", ResultBytes: 4}}, Workers: on(run("t", 1, 0, 1), run("u", 1, 0, 1))}},
+		Trace{Events: numbered(event(0, timeline.WorkerLeaving, func(e *timeline.Event) { e.Worker = "w" })), Workers: ledgerOf(slotRun("t", 1, 3.1, 4))},
+		Trace{Events: numbered(event(0, timeline.WorkerLeaving, func(e *timeline.Event) { e.Worker = "x" })), Workers: ledgerOf(slotRun("t", 1, 3.1, 4))}},
+	{"answer with the result of another task", WholeAnswer,
+		Trace{Answers: []Answer{{Task: "t", PayloadDigest: "p", ResultDigest: "d-u", ResultBytes: 4}}, Workers: ledgerOf(slotRun("t", 1, 0, 1), slotRun("u", 1, 0, 1))},
+		Trace{Answers: []Answer{{Task: "t", PayloadDigest: "p", ResultDigest: "d-t", ResultBytes: 4}}, Workers: ledgerOf(slotRun("t", 1, 0, 1), slotRun("u", 1, 0, 1))}},
 	{"answer of another attempt", WholeAnswer,
-		Trace{Events: line(event(3, timeline.RequestAnswered, func(e *timeline.Event) { e.Task, e.Attempt, e.Detail = "t", 2, "d-t" })), Workers: on(run("t", 1, 0, 1))},
-		Trace{Events: line(event(3, timeline.RequestAnswered, func(e *timeline.Event) { e.Task, e.Attempt, e.Detail = "t", 1, "d-t" })), Workers: on(run("t", 1, 0, 1))}},
+		Trace{Events: numbered(event(3, timeline.RequestAnswered, func(e *timeline.Event) { e.Task, e.Attempt, e.Detail = "t", 2, "d-t" })), Workers: ledgerOf(slotRun("t", 1, 0, 1))},
+		Trace{Events: numbered(event(3, timeline.RequestAnswered, func(e *timeline.Event) { e.Task, e.Attempt, e.Detail = "t", 1, "d-t" })), Workers: ledgerOf(slotRun("t", 1, 0, 1))}},
 	{"configuration goes back", ConfigRevisions,
-		Trace{Events: line(config("1", 5), config("1", 4))},
-		Trace{Events: line(config("1", 5), config("2", 4), config("2", 4))}},
+		Trace{Events: numbered(configEvent("1", 5), configEvent("1", 4))},
+		Trace{Events: numbered(configEvent("1", 5), configEvent("2", 4), configEvent("2", 4))}},
 	{"epoch with two owners", OwnershipEpochs,
-		Trace{Events: line(owned(0, "i", timeline.OwnershipTaken, 1), owned(5, "j", timeline.OwnershipTaken, 1))},
-		Trace{Events: line(owned(0, "i", timeline.OwnershipTaken, 1), owned(5, "j", timeline.OwnershipTaken, 2))}},
+		Trace{Events: numbered(ownershipEvent(0, "i", timeline.OwnershipTaken, 1), ownershipEvent(5, "j", timeline.OwnershipTaken, 1))},
+		Trace{Events: numbered(ownershipEvent(0, "i", timeline.OwnershipTaken, 1), ownershipEvent(5, "j", timeline.OwnershipTaken, 2))}},
 	{"epoch taken after a higher one", OwnershipEpochs,
-		Trace{Events: line(owned(0, "i", timeline.OwnershipTaken, 2), owned(5, "j", timeline.OwnershipTaken, 1))},
-		Trace{Events: line(owned(0, "i", timeline.OwnershipTaken, 2), owned(0.001, "j", timeline.OwnershipTaken, 1))}},
+		Trace{Events: numbered(ownershipEvent(0, "i", timeline.OwnershipTaken, 2), ownershipEvent(5, "j", timeline.OwnershipTaken, 1))},
+		Trace{Events: numbered(ownershipEvent(0, "i", timeline.OwnershipTaken, 2), ownershipEvent(0.001, "j", timeline.OwnershipTaken, 1))}},
 	{"decision after a takeover", OwnershipEpochs,
-		Trace{Events: line(owned(0, "i", timeline.OwnershipTaken, 1), owned(5, "j", timeline.OwnershipTaken, 2), owned(6, "i", timeline.TaskReserved, 1))},
-		Trace{Events: line(owned(0, "i", timeline.OwnershipTaken, 1), owned(5, "j", timeline.OwnershipTaken, 2), owned(6, "j", timeline.TaskReserved, 2))}},
+		Trace{Events: numbered(ownershipEvent(0, "i", timeline.OwnershipTaken, 1), ownershipEvent(5, "j", timeline.OwnershipTaken, 2), ownershipEvent(6, "i", timeline.TaskReserved, 1))},
+		Trace{Events: numbered(ownershipEvent(0, "i", timeline.OwnershipTaken, 1), ownershipEvent(5, "j", timeline.OwnershipTaken, 2), ownershipEvent(6, "j", timeline.TaskReserved, 2))}},
 	{"decision under the epoch of another", OwnershipEpochs,
-		Trace{Events: line(owned(0, "i", timeline.OwnershipTaken, 1), owned(1, "j", timeline.TaskStartSent, 1))},
-		Trace{Events: line(owned(0, "i", timeline.OwnershipTaken, 1), owned(1, "i", timeline.TaskStartSent, 1))}},
-	{"worker obeys an earlier owner", OwnershipEpochs,
-		Trace{Workers: on(run("t", 1, 0, 1).under(2), run("u", 1, 2, 3).under(1))},
-		Trace{Workers: on(run("t", 1, 0, 1).under(1), run("u", 1, 2, 3).under(2))}},
+		Trace{Events: numbered(ownershipEvent(0, "i", timeline.OwnershipTaken, 1), ownershipEvent(1, "j", timeline.TaskStartSent, 1))},
+		Trace{Events: numbered(ownershipEvent(0, "i", timeline.OwnershipTaken, 1), ownershipEvent(1, "i", timeline.TaskStartSent, 1))}},
+	{"worker starts a task of an earlier owner", OwnershipEpochs,
+		Trace{Workers: ledgerOf(slotRun("t", 1, 0, 1).withEpoch(2), slotRun("u", 1, 2, 3).withEpoch(1))},
+		Trace{Workers: ledgerOf(slotRun("t", 1, 0, 1).withEpoch(1), slotRun("u", 1, 2, 3).withEpoch(2))}},
 }
 
 // TestChecks guards against a check that cannot fail, and against one that
-// reports what is allowed: for each violating trace only its invariant is
-// reported, with evidence, and for its near miss nothing.
+// reports allowed behavior: each violating trace is reported for its invariant
+// only, with evidence, and the similar clean trace is not reported.
 func TestChecks(t *testing.T) {
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -193,24 +195,24 @@
 				t.Error("violation not reported")
 			}
 			if examined := Examine(test.violating); slices.Contains(examined.Unexamined(), test.invariant) {
-				t.Error("counted as not examined")
+				t.Error("the invariant is counted as unexamined")
 			}
 			for _, v := range found {
 				if v.Invariant != test.invariant {
-					t.Errorf("reported as well: %s", v)
+					t.Errorf("violation of another invariant: %s", v)
 				}
-				if len(v.Events)+len(v.Runs) == 0 && !strings.Contains(v.Message, "asked to start") {
-					t.Errorf("without evidence: %s", v)
+				if len(v.Events)+len(v.Runs) == 0 && !strings.Contains(v.Message, "received a start of") {
+					t.Errorf("violation without evidence: %s", v)
 				}
 			}
 			for _, v := range Check(test.clean) {
-				t.Errorf("clean trace: %s", v)
+				t.Errorf("violation in the clean trace: %s", v)
 			}
 		})
 	}
 }
 
-// TestUnexamined guards against an empty trace being taken for a proof.
+// TestUnexamined guards against an empty trace counting as evidence.
 func TestUnexamined(t *testing.T) {
 	report := Examine(Trace{})
 	if got := report.Unexamined(); !slices.Equal(got, Invariants) {
--- a/oracle/owners.go
+++ b/oracle/owners.go
@@ -6,52 +6,52 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// unit is a partition or shard under one epoch.
-type unit struct {
+// unitEpoch is one epoch of a partition or shard.
+type unitEpoch struct {
 	partition string
 	epoch     uint64
 }
 
-// checkOwners reports epochs that two processes took, and epochs that were
-// taken after a higher one.
-func checkOwners(ix *index, report *Report) {
-	taken := make(map[unit]timeline.Event)
+// checkEpochOwners reports epochs that were taken by two processes, and epochs
+// that were taken after a higher one.
+func checkEpochOwners(idx *traceIndex, report *Report) {
+	taken := make(map[unitEpoch]timeline.Event)
 	highest := make(map[string]timeline.Event)
-	for _, e := range ix.byType[timeline.OwnershipTaken] {
-		report.examine(OwnershipEpochs)
-		u := unit{e.Partition, e.Epoch}
-		if before, seen := taken[u]; seen && processOf(before) != processOf(e) {
+	for _, e := range idx.byType[timeline.OwnershipTaken] {
+		report.countExamined(OwnershipEpochs)
+		u := unitEpoch{e.Partition, e.Epoch}
+		if previous, seen := taken[u]; seen && processOf(previous) != processOf(e) {
 			report.add(Violation{
 				Invariant: OwnershipEpochs,
 				Message:   fmt.Sprintf("epoch %d of %s has two owners", e.Epoch, e.Partition),
-				Events:    []timeline.Event{before, e},
+				Events:    []timeline.Event{previous, e},
 			})
 		}
 		taken[u] = e
-		before := highest[e.Partition]
-		if e.Epoch >= before.Epoch {
+		current := highest[e.Partition]
+		if e.Epoch >= current.Epoch {
 			highest[e.Partition] = e
 			continue
 		}
-		if e.Clock.Wall.Sub(before.Clock.Wall) > ix.Bounds.ClockSkew {
+		if e.Clock.Wall.Sub(current.Clock.Wall) > idx.Bounds.ClockSkew {
 			report.add(Violation{
 				Invariant: OwnershipEpochs,
-				Message:   fmt.Sprintf("epoch %d of %s was taken after epoch %d", e.Epoch, e.Partition, before.Epoch),
-				Events:    []timeline.Event{before, e},
+				Message:   fmt.Sprintf("epoch %d of %s was taken after epoch %d", e.Epoch, e.Partition, current.Epoch),
+				Events:    []timeline.Event{current, e},
 			})
 		}
 	}
 }
 
-// checkActs reports decisions of an owner after another one had taken over, and
-// under an epoch that another process holds.
-func checkActs(ix *index, report *Report) {
+// checkOwnerDecisions reports decisions of an owner after a takeover by another
+// one, and decisions under an epoch that another process holds.
+func checkOwnerDecisions(idx *traceIndex, report *Report) {
 	highest := make(map[string]timeline.Event)
-	holder := make(map[unit]timeline.Event)
-	for _, e := range ix.Events {
+	holder := make(map[unitEpoch]timeline.Event)
+	for _, e := range idx.Events {
 		switch e.Type {
 		case timeline.OwnershipTaken:
-			holder[unit{e.Partition, e.Epoch}] = e
+			holder[unitEpoch{e.Partition, e.Epoch}] = e
 			if e.Epoch > highest[e.Partition].Epoch {
 				highest[e.Partition] = e
 			}
@@ -59,39 +59,39 @@
 			if e.Partition == "" {
 				continue
 			}
-			report.examine(OwnershipEpochs)
-			owner, known := holder[unit{e.Partition, e.Epoch}]
+			report.countExamined(OwnershipEpochs)
+			owner, known := holder[unitEpoch{e.Partition, e.Epoch}]
 			if known && processOf(owner) != processOf(e) {
-				report.add(actViolation(e, owner, "is that of another process"))
+				report.add(decisionViolation(e, owner, "is held by another process"))
 			}
 			later := highest[e.Partition]
-			if later.Epoch > e.Epoch && e.Clock.Wall.Sub(later.Clock.Wall) > ix.Bounds.ClockSkew {
-				report.add(actViolation(e, later, "had been succeeded"))
+			if later.Epoch > e.Epoch && e.Clock.Wall.Sub(later.Clock.Wall) > idx.Bounds.ClockSkew {
+				report.add(decisionViolation(e, later, "had been superseded"))
 			}
 		}
 	}
 }
 
-func actViolation(act, owner timeline.Event, why string) Violation {
+func decisionViolation(decision, owner timeline.Event, why string) Violation {
 	return Violation{
 		Invariant: OwnershipEpochs,
-		Message:   fmt.Sprintf("epoch %d of %s, under which %s acted, %s", act.Epoch, act.Partition, act.Instance, why),
-		Events:    []timeline.Event{owner, act},
+		Message:   fmt.Sprintf("epoch %d of %s, under which %s made a decision, %s", decision.Epoch, decision.Partition, decision.Instance, why),
+		Events:    []timeline.Event{owner, decision},
 	}
 }
 
-// checkWorkerEpochs reports workers that ran a task of an earlier owner after
-// one of a later owner.
-func checkWorkerEpochs(ix *index, report *Report) {
-	for _, w := range ix.Workers {
+// checkWorkerEpochs reports workers that started a task of an earlier epoch after
+// one of a later epoch: the worker did not fence off the former owner.
+func checkWorkerEpochs(idx *traceIndex, report *Report) {
+	for _, w := range idx.Workers {
 		var highest Run
 		for _, r := range w.Runs {
-			report.examine(OwnershipEpochs)
+			report.countExamined(OwnershipEpochs)
 			if r.Epoch < highest.Epoch {
 				report.add(Violation{
 					Invariant: OwnershipEpochs,
-					Message:   fmt.Sprintf("%s started %s under epoch %d after epoch %d", w.Worker, r.Attempt, r.Epoch, highest.Epoch),
-					Events:    ix.eventsOf(r.Attempt.Task), Runs: []Run{highest, r},
+					Message:   fmt.Sprintf("worker %s started attempt %s under epoch %d after a start under epoch %d", w.Worker, r.Attempt, r.Epoch, highest.Epoch),
+					Events:    idx.eventsOf(r.Attempt.Task), Runs: []Run{highest, r},
 				})
 			}
 			if r.Epoch >= highest.Epoch {
--- a/oracle/runs.go
+++ b/oracle/runs.go
@@ -11,66 +11,66 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// change is a point of time at which what runs changes, or is looked at.
-type change struct {
+// sweepPoint is a time at which the set of running tasks changes or is sampled.
+type sweepPoint struct {
 	at   time.Time
-	kind changeKind
+	kind pointKind
 	run  int
 }
 
-// changeKind orders the changes of one instant: what ends makes room for what
-// starts, and limits are compared with the result.
-type changeKind int
+// pointKind orders the points at one instant: ends release resources before
+// starts take them, and samples come last.
+type pointKind int
 
 const (
-	ends changeKind = iota
-	starts
-	observed
+	runEnds pointKind = iota
+	runStarts
+	sampled
 )
 
-// sweep calls visit with the sum of what runs after each start and at each
-// given instant. A run without duration counts at its start only.
+// sweep calls visit with the resources in use after each start and at each of the
+// given instants. A run with zero duration counts only at its start.
 func sweep(runs []Run, instants []time.Time, visit func(at time.Time, used task.Resources, active func() []Run)) {
 	running := make(map[int]bool)
 	var used task.Resources
-	for _, c := range changesOf(runs, instants) {
+	for _, c := range sweepPoints(runs, instants) {
 		switch c.kind {
-		case ends:
+		case runEnds:
 			delete(running, c.run)
 			used = used.Sub(runs[c.run].Size)
 			continue
-		case starts:
+		case runStarts:
 			running[c.run] = true
 			used = used.Add(runs[c.run].Size)
 		}
-		visit(c.at, used, func() []Run { return pick(runs, running) })
-		if c.kind == starts && isInstant(runs[c.run]) {
+		visit(c.at, used, func() []Run { return selectRuns(runs, running) })
+		if c.kind == runStarts && hasZeroDuration(runs[c.run]) {
 			delete(running, c.run)
 			used = used.Sub(runs[c.run].Size)
 		}
 	}
 }
 
-func changesOf(runs []Run, instants []time.Time) []change {
-	var changes []change
+func sweepPoints(runs []Run, instants []time.Time) []sweepPoint {
+	var points []sweepPoint
 	for i, r := range runs {
-		changes = append(changes, change{at: r.Start, kind: starts, run: i})
-		if !r.End.IsZero() && !isInstant(r) {
-			changes = append(changes, change{at: r.End, kind: ends, run: i})
+		points = append(points, sweepPoint{at: r.Start, kind: runStarts, run: i})
+		if !r.End.IsZero() && !hasZeroDuration(r) {
+			points = append(points, sweepPoint{at: r.End, kind: runEnds, run: i})
 		}
 	}
 	for _, at := range instants {
-		changes = append(changes, change{at: at, kind: observed})
+		points = append(points, sweepPoint{at: at, kind: sampled})
 	}
-	slices.SortFunc(changes, func(a, b change) int {
+	slices.SortFunc(points, func(a, b sweepPoint) int {
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.kind, b.kind), cmp.Compare(a.run, b.run))
 	})
-	return changes
+	return points
 }
 
-func isInstant(r Run) bool { return r.End.Equal(r.Start) }
+func hasZeroDuration(r Run) bool { return r.End.Equal(r.Start) }
 
-func pick(runs []Run, indexes map[int]bool) []Run {
+func selectRuns(runs []Run, indexes map[int]bool) []Run {
 	var picked []Run
 	for i, r := range runs {
 		if indexes[i] {
@@ -80,35 +80,36 @@
 	return picked
 }
 
-// checkCapacity reports workers that ran more than fits, or were asked to.
-func checkCapacity(ix *index, report *Report) {
-	for _, w := range ix.Workers {
+// checkCapacity reports workers that ran more than their capacity, or received a
+// start that would have exceeded it.
+func checkCapacity(idx *traceIndex, report *Report) {
+	for _, w := range idx.Workers {
 		sweep(w.Runs, nil, func(at time.Time, used task.Resources, active func() []Run) {
-			report.examine(Capacity)
+			report.countExamined(Capacity)
 			if !used.Fits(w.Capacity) {
 				report.add(Violation{
 					Invariant: Capacity,
-					Message:   fmt.Sprintf("%s ran [%s] of [%s] at %s", w.Worker, used, w.Capacity, instant(at)),
+					Message:   fmt.Sprintf("worker %s ran tasks of [%s] with a capacity of [%s] at %s", w.Worker, used, w.Capacity, formatTime(at)),
 					Runs:      active(),
 				})
 			}
 		})
 		for _, r := range w.OverCapacity {
-			report.examine(Capacity)
+			report.countExamined(Capacity)
 			report.add(Violation{
 				Invariant: Capacity,
-				Message: fmt.Sprintf("%s was asked to start %s with [%s] beside [%s] of [%s] under epoch %d at %s",
-					w.Worker, r.Attempt, r.Size, r.Used, w.Capacity, r.Epoch, instant(r.At)),
-				Events: ix.eventsOf(r.Attempt.Task),
+				Message: fmt.Sprintf("worker %s received a start of %s with [%s] while [%s] of [%s] were in use, under epoch %d at %s",
+					w.Worker, r.Attempt, r.Size, r.Used, w.Capacity, r.Epoch, formatTime(r.At)),
+				Events: idx.eventsOf(r.Attempt.Task),
 			})
 		}
 	}
 }
 
 // eventsOf returns the events of one task.
-func (ix *index) eventsOf(id task.ID) []timeline.Event {
+func (idx *traceIndex) eventsOf(id task.ID) []timeline.Event {
 	var found []timeline.Event
-	for _, e := range ix.Events {
+	for _, e := range idx.Events {
 		if e.Task == id {
 			found = append(found, e)
 		}
@@ -116,18 +117,18 @@
 	return found
 }
 
-// checkOnePlace reports runs of one task that overlap.
-func checkOnePlace(ix *index, report *Report) {
-	for _, id := range sortedKeys(ix.runsOf) {
-		runs := ix.runsOf[id]
+// checkOverlappingRuns reports runs of one task that overlap in time.
+func checkOverlappingRuns(idx *traceIndex, report *Report) {
+	for _, id := range sortedKeys(idx.runsOf) {
+		runs := idx.runsOf[id]
 		for i, a := range runs {
-			report.examine(OnePlace)
+			report.countExamined(OnePlace)
 			for _, b := range runs[i+1:] {
-				if overlap(a, b) {
+				if overlaps(a, b) {
 					report.add(Violation{
 						Invariant: OnePlace,
-						Message:   fmt.Sprintf("task %s ran twice at once", id),
-						Events:    ix.eventsOf(id), Runs: []Run{a, b},
+						Message:   fmt.Sprintf("task %s has two runs that overlap", id),
+						Events:    idx.eventsOf(id), Runs: []Run{a, b},
 					})
 				}
 			}
@@ -139,35 +140,35 @@
 	return slices.Sorted(maps.Keys(m))
 }
 
-func overlap(a, b Run) bool {
+func overlaps(a, b Run) bool {
 	return startsBefore(a, b) && startsBefore(b, a)
 }
 
 // startsBefore reports whether a starts before b ends.
 func startsBefore(a, b Run) bool { return b.End.IsZero() || a.Start.Before(b.End) }
 
-// checkAtMostOnce reports at-most-once tasks with several runs, and attempt
-// numbers that were used twice.
-func checkAtMostOnce(ix *index, report *Report) {
-	for _, id := range sortedKeys(ix.runsOf) {
-		runs := ix.runsOf[id]
-		if ix.accepted[id].Kind == string(task.AtMostOnce) && len(runs) > 1 {
-			report.examine(AtMostOnce)
+// checkAtMostOnce reports at-most-once tasks with several runs, and attempts that
+// ran more than once.
+func checkAtMostOnce(idx *traceIndex, report *Report) {
+	for _, id := range sortedKeys(idx.runsOf) {
+		runs := idx.runsOf[id]
+		if idx.accepted[id].Kind == string(task.AtMostOnce) && len(runs) > 1 {
+			report.countExamined(AtMostOnce)
 			report.add(Violation{
 				Invariant: AtMostOnce,
-				Message:   fmt.Sprintf("task %s must not be repeated and ran %d times", id, len(runs)),
-				Events:    ix.eventsOf(id), Runs: runs,
+				Message:   fmt.Sprintf("at-most-once task %s ran %d times", id, len(runs)),
+				Events:    idx.eventsOf(id), Runs: runs,
 			})
 			continue
 		}
 		byNumber := make(map[uint32]Run)
 		for _, r := range runs {
-			report.examine(AtMostOnce)
-			if before, used := byNumber[r.Attempt.Number]; used {
+			report.countExamined(AtMostOnce)
+			if previous, used := byNumber[r.Attempt.Number]; used {
 				report.add(Violation{
 					Invariant: AtMostOnce,
 					Message:   fmt.Sprintf("attempt %s ran twice", r.Attempt),
-					Events:    ix.eventsOf(id), Runs: []Run{before, r},
+					Events:    idx.eventsOf(id), Runs: []Run{previous, r},
 				})
 			}
 			byNumber[r.Attempt.Number] = r
@@ -175,28 +176,30 @@
 	}
 }
 
-// checkLimits reports instants at which a team had more running than its limit.
-func checkLimits(ix *index, report *Report) {
-	limits := limitsOf(ix)
+// checkLimits reports times at which the running tasks of a team exceeded its
+// limit.
+func checkLimits(idx *traceIndex, report *Report) {
+	limits := limitHistory(idx)
 	for _, team := range sortedKeys(limits) {
 		var runs []Run
-		for _, r := range ix.runs {
+		for _, r := range idx.runs {
 			if r.Team == team {
 				runs = append(runs, r)
 			}
 		}
 		var instants []time.Time
 		for _, e := range limits[team] {
-			// A limit that replaces a higher one is judged once the skew has passed.
-			instants = append(instants, e.Clock.Wall.Add(2*ix.Bounds.ClockSkew))
+			// Two skews after its event, a limit is in force at every clock, and a
+			// higher one that it replaced no longer counts.
+			instants = append(instants, e.Clock.Wall.Add(2*idx.Bounds.ClockSkew))
 		}
 		sweep(runs, instants, func(at time.Time, used task.Resources, active func() []Run) {
-			report.examine(TeamLimit)
-			inForce := around(limits[team], at, ix.Bounds.ClockSkew)
-			if len(inForce) > 0 && !slices.ContainsFunc(inForce, func(e timeline.Event) bool { return within(used, e) }) {
+			report.countExamined(TeamLimit)
+			inForce := limitsInForce(limits[team], at, idx.Bounds.ClockSkew)
+			if len(inForce) > 0 && !slices.ContainsFunc(inForce, func(e timeline.Event) bool { return isWithinLimit(used, e) }) {
 				report.add(Violation{
 					Invariant: TeamLimit,
-					Message:   fmt.Sprintf("team %s had [%s] running at %s", team, used, instant(at)),
+					Message:   fmt.Sprintf("team %s had [%s] running at %s, above its limit", team, used, formatTime(at)),
 					Events:    inForce, Runs: active(),
 				})
 			}
@@ -204,14 +207,14 @@
 	}
 }
 
-// limitsOf returns the first event of each revision of each team's limit, in
-// the order of the clock. The limits given with the trace come first.
-func limitsOf(ix *index) map[task.Team][]timeline.Event {
+// limitHistory returns the first event of each revision of each team's limit, in
+// order of time. The limits given with the trace come first.
+func limitHistory(idx *traceIndex) map[task.Team][]timeline.Event {
 	limits := make(map[task.Team][]timeline.Event)
-	for team, size := range ix.Limits {
+	for team, size := range idx.Limits {
 		limits[team] = []timeline.Event{{Type: timeline.LimitInForce, Team: team, Size: &size}}
 	}
-	for _, e := range ix.byType[timeline.LimitInForce] {
+	for _, e := range idx.byType[timeline.LimitInForce] {
 		known := slices.ContainsFunc(limits[e.Team], func(o timeline.Event) bool { return o.Revision == e.Revision })
 		if e.Size != nil && !known {
 			limits[e.Team] = append(limits[e.Team], e)
@@ -220,29 +223,29 @@
 	return limits
 }
 
-// around returns the limits in force at some time within skew of at. There is
-// none while the team may have had no limit yet.
-func around(limits []timeline.Event, at time.Time, skew time.Duration) []timeline.Event {
+// limitsInForce returns the limits that were in force at some time within skew of
+// at. It returns none if the team may not have had a limit yet.
+func limitsInForce(limits []timeline.Event, at time.Time, skew time.Duration) []timeline.Event {
 	if limits[0].Clock.Wall.After(at.Add(-skew)) {
 		return nil
 	}
 	var inForce []timeline.Event
 	for i, e := range limits {
-		startsInTime := !e.Clock.Wall.After(at.Add(skew))
+		startsByThen := !e.Clock.Wall.After(at.Add(skew))
 		lastsUntil := i+1 == len(limits) || limits[i+1].Clock.Wall.After(at.Add(-skew))
-		if startsInTime && lastsUntil {
+		if startsByThen && lastsUntil {
 			inForce = append(inForce, e)
 		}
 	}
 	return inForce
 }
 
-// within reports whether used is within the limit of e, where an amount of zero
-// does not limit.
-func within(used task.Resources, e timeline.Event) bool {
+// isWithinLimit reports whether used is within the limit of e. A zero amount means
+// no limit.
+func isWithinLimit(used task.Resources, e timeline.Event) bool {
 	limit := *e.Size
-	ok := func(used, limit int64) bool { return limit <= 0 || used <= limit }
-	return ok(used.CPUMilli, limit.CPUMilli) && ok(used.MemoryMB, limit.MemoryMB) &&
-		ok(used.Accelerators, limit.Accelerators) && ok(used.Slots, limit.Slots) &&
-		ok(used.Connections, limit.Connections)
+	fits := func(used, limit int64) bool { return limit <= 0 || used <= limit }
+	return fits(used.CPUMilli, limit.CPUMilli) && fits(used.MemoryMB, limit.MemoryMB) &&
+		fits(used.Accelerators, limit.Accelerators) && fits(used.Slots, limit.Slots) &&
+		fits(used.Connections, limit.Connections)
 }
--- a/oracle/trace.go
+++ b/oracle/trace.go
@@ -10,44 +10,44 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// Trace is what the checks read.
+// Trace is the evidence that the checks evaluate.
 type Trace struct {
 	Events  []timeline.Event // merged, see timeline.Merge
 	Workers []WorkerLedger
 	Answers []Answer // as the callers received them
-	// InProgress has an entry for each task that its home knows of when asked
-	// at the end: true while it has no outcome.
+	// InProgress has an entry for each task of which its home has a record at the
+	// end of the trace. The value is true if the task has no outcome yet.
 	InProgress map[task.ID]bool
-	// Limits are in force during the whole trace, unless a LimitInForce event
+	// Limits are in force from the start of the trace until a LimitInForce event
 	// changes them.
 	Limits map[task.Team]task.Resources
 	Bounds Bounds
 }
 
-// Answer is a result as its caller received it.
+// Answer is a result as received by its caller.
 type Answer struct {
 	Task          task.ID `json:"task"`
-	Attempt       uint32  `json:"attempt,omitempty"` // 0 if the caller was not told
-	PayloadDigest string  `json:"payload_digest"`    // of what the caller sent
+	Attempt       uint32  `json:"attempt,omitempty"` // 0 if it was not reported to the caller
+	PayloadDigest string  `json:"payload_digest"`    // of the payload that the caller sent
 	ResultDigest  string  `json:"result_digest"`
 	ResultBytes   int64   `json:"result_bytes"`
 }
 
-// Bounds are the delays that the design page allows.
+// Bounds are the maximum delays that docs/design.md allows.
 type Bounds struct {
 	KeyWithdrawal time.Duration // from a withdrawal to the last start under the key
 	Leaving       time.Duration // from leaving to the last start on the worker
 	ClockSkew     time.Duration // between the wall clocks of any two processes
 }
 
-// DefaultBounds holds for processes on one machine.
+// DefaultBounds are the bounds for processes on one machine.
 var DefaultBounds = Bounds{
 	KeyWithdrawal: 10 * time.Second,
 	Leaving:       3 * time.Second,
 	ClockSkew:     10 * time.Millisecond,
 }
 
-// Invariant names what was violated.
+// Invariant identifies an invariant by its description.
 type Invariant string
 
 // The invariants.
@@ -57,12 +57,12 @@
 	OnePlace        Invariant = "no task in two places at once"
 	AtMostOnce      Invariant = "at most once"
 	NeverLost       Invariant = "never lost"
-	TrueNotRun      Invariant = "a statement of not run is true"
+	TrueNotRun      Invariant = "work reported as not run did not run"
 	TeamLimit       Invariant = "no team above its limit"
 	KeyOfTeam       Invariant = "a key admits work of its team only"
 	WithdrawnKey    Invariant = "no start under a withdrawn key"
 	LeavingWorker   Invariant = "no start on a leaving worker"
-	WholeAnswer     Invariant = "answers are whole and their own"
+	WholeAnswer     Invariant = "answers are complete and match their request"
 	ConfigRevisions Invariant = "configuration never goes back"
 	OwnershipEpochs Invariant = "ownership without overlap"
 )
@@ -94,19 +94,19 @@
 	return b.String()
 }
 
-// Report is the verdict on a trace.
+// Report is the result of all checks on a trace.
 type Report struct {
 	Violations []Violation
-	// Examined counts the facts that each check has judged. A check without any
-	// says nothing about the trace.
+	// Examined counts the facts that were checked for each invariant. With a count
+	// of 0, the trace has no evidence for or against the invariant.
 	Examined map[Invariant]int
 }
 
-func (r *Report) examine(i Invariant) { r.Examined[i]++ }
+func (r *Report) countExamined(i Invariant) { r.Examined[i]++ }
 
 func (r *Report) add(v Violation) { r.Violations = append(r.Violations, v) }
 
-// Unexamined lists the invariants on which the trace has no evidence.
+// Unexamined returns the invariants for which the trace has no evidence.
 func (r *Report) Unexamined() []Invariant {
 	var missing []Invariant
 	for _, i := range Invariants {
@@ -118,73 +118,73 @@
 }
 
 // checks lists every check.
-var checks = []func(*index, *Report){
-	checkComplete, checkCapacity, checkOnePlace, checkAtMostOnce, checkNeverLost, checkNotRun, checkLimits,
-	checkKeyOfTeam, checkWithdrawnKeys, checkLeaving, checkAnswers, checkConfig, checkOwners, checkActs, checkWorkerEpochs,
+var checks = []func(*traceIndex, *Report){
+	checkComplete, checkCapacity, checkOverlappingRuns, checkAtMostOnce, checkDurableOutcomes, checkNotRunClaims, checkLimits,
+	checkKeyTeam, checkWithdrawnKeys, checkLeavingWorkers, checkAnswers, checkConfig, checkEpochOwners, checkOwnerDecisions, checkWorkerEpochs,
 }
 
-// Examine makes every check.
+// Examine runs every check.
 func Examine(trace Trace) Report {
-	ix := newIndex(trace)
+	idx := newTraceIndex(trace)
 	report := Report{Examined: make(map[Invariant]int)}
 	for _, check := range checks {
-		check(ix, &report)
+		check(idx, &report)
 	}
 	return report
 }
 
-// Check returns every violation of every invariant.
+// Check runs every check and returns the violations.
 func Check(trace Trace) []Violation { return Examine(trace).Violations }
 
-// index arranges a trace for the checks.
-type index struct {
+// traceIndex is a trace with lookups for the checks.
+type traceIndex struct {
 	Trace
-	runs     []Run // of all workers, by start
+	runs     []Run // of all workers, by start time
 	runsOf   map[task.ID][]Run
 	byType   map[timeline.Type][]timeline.Event
 	accepted map[task.ID]timeline.Event // first acceptance
 }
 
-func newIndex(trace Trace) *index {
-	ix := &index{
+func newTraceIndex(trace Trace) *traceIndex {
+	idx := &traceIndex{
 		Trace:    trace,
 		runsOf:   make(map[task.ID][]Run),
 		byType:   make(map[timeline.Type][]timeline.Event),
 		accepted: make(map[task.ID]timeline.Event),
 	}
 	for _, w := range trace.Workers {
-		ix.runs = append(ix.runs, w.Runs...)
+		idx.runs = append(idx.runs, w.Runs...)
 	}
-	slices.SortStableFunc(ix.runs, func(a, b Run) int { return a.Start.Compare(b.Start) })
-	for _, r := range ix.runs {
-		ix.runsOf[r.Attempt.Task] = append(ix.runsOf[r.Attempt.Task], r)
+	slices.SortStableFunc(idx.runs, func(a, b Run) int { return a.Start.Compare(b.Start) })
+	for _, r := range idx.runs {
+		idx.runsOf[r.Attempt.Task] = append(idx.runsOf[r.Attempt.Task], r)
 	}
 	for _, e := range trace.Events {
-		ix.byType[e.Type] = append(ix.byType[e.Type], e)
-		if _, seen := ix.accepted[e.Task]; e.Type == timeline.RequestAccepted && !seen {
-			ix.accepted[e.Task] = e
+		idx.byType[e.Type] = append(idx.byType[e.Type], e)
+		if _, seen := idx.accepted[e.Task]; e.Type == timeline.RequestAccepted && !seen {
+			idx.accepted[e.Task] = e
 		}
 	}
-	return ix
+	return idx
 }
 
-// process identifies one run of a process.
+// process identifies one incarnation of an instance.
 type process struct{ instance, incarnation string }
 
 func processOf(e timeline.Event) process { return process{e.Instance, e.Incarnation} }
 
-// checkComplete reports events that are missing from the time line, without
-// which the other checks could pass over a violation.
-func checkComplete(ix *index, report *Report) {
+// checkComplete reports events that are missing from the timeline, because without
+// them the other checks could miss a violation.
+func checkComplete(idx *traceIndex, report *Report) {
 	last := make(map[process]timeline.Event)
-	for _, e := range ix.Events {
-		report.examine(TraceComplete)
-		before := last[processOf(e)]
-		if e.Sequence != before.Sequence+1 {
+	for _, e := range idx.Events {
+		report.countExamined(TraceComplete)
+		previous := last[processOf(e)]
+		if e.Sequence != previous.Sequence+1 {
 			report.add(Violation{
 				Invariant: TraceComplete,
 				Message: fmt.Sprintf("%s/%s: event %d follows event %d", e.Instance, e.Incarnation,
-					e.Sequence, before.Sequence),
+					e.Sequence, previous.Sequence),
 				Events: []timeline.Event{e},
 			})
 		}
