--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -1,6 +1,6 @@
-// Package processtest runs a small deployment as separate processes on
-// loopback, for tests with real signals: stand-ins for the platform and entry
-// instances, each built from this repository.
+// Package processtest runs a small deployment as separate processes on the
+// loopback interface: entry instances, and stand-ins for the platform. Tests can
+// send real signals to the processes.
 package processtest
 
 import (
@@ -25,17 +25,17 @@
 	"github.com/mulberrydrum/mulberrydrum/standin"
 )
 
-// Options describe the deployment. Adjust changes the settings of one instance.
+// Options describe the deployment.
 type Options struct {
 	Entries         int
 	Workers         int  // per region
-	SeparateWorkers bool // each worker is a process of its own
-	StoreRelays     bool // each instance reaches the store through a relay of its own
+	SeparateWorkers bool // run each worker in a separate process
+	StoreRelays     bool // connect each instance to the store through a separate relay
 	Regions         []string
-	Adjust          func(i int, s *settings.Settings)
+	Adjust          func(i int, s *settings.Settings) // changes the default settings of instance i
 }
 
-// Cluster is a deployment of processes. Everything ends with the test.
+// Cluster is a deployment of processes, which are killed when the test ends.
 type Cluster struct {
 	Entries   []*Entry
 	StoreAddr string
@@ -43,28 +43,28 @@
 	Workers   []instancelist.Instance
 	Store     *Process
 
-	t         *testing.T
-	dir       string
-	host      string
-	options   Options
-	processes map[string]*Process // of workers, by the name of the worker
-	trace     *collector
+	t               *testing.T
+	dir             string
+	host            string
+	options         Options
+	workerProcesses map[string]*Process // by the name of the worker
+	collector       *collector
 }
 
-// Entry is one entry instance. Its addresses stay the same over restarts.
+// Entry is one entry instance. Its addresses do not change on a restart.
 type Entry struct {
 	*Process
-	Settings settings.Settings
-	Operator *client.Client
-	path     string
-	switches string // address of the switches of the relay to the store
+	Settings     settings.Settings
+	Operator     *client.Client
+	path         string
+	relayControl string // control address of the relay to the store
 }
 
-// commands is the directory of the commands that Main has built.
-var commands string
+// commandDir is the directory of the commands that Main builds.
+var commandDir string
 
-// Main builds the commands once, runs the tests of a package and returns the
-// exit code.
+// Main builds the commands, runs the tests of a package and returns the exit
+// code. It is called from TestMain.
 func Main(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "processtest-")
 	if err != nil {
@@ -77,49 +77,51 @@
 		fmt.Fprintf(os.Stderr, "build the commands: %v\n%s", err, out)
 		return 1
 	}
-	commands = dir
+	commandDir = dir
 	return m.Run()
 }
 
-// clusters counts the clusters of this process.
-var clusters atomic.Uint32
+// clusterCount is the number of clusters that this process has started.
+var clusterCount atomic.Uint32
 
-// nextHost returns a loopback address of its own for each cluster. The kernel
-// gives 127.0.0.1 to outgoing connections, so that none of them can take the
-// port of an instance that is down for a while.
+// nextHost returns a separate loopback address for each cluster. The kernel
+// assigns 127.0.0.1 to outgoing connections, so that none of them can occupy the
+// port of an instance that is down.
 func nextHost() string {
-	n := clusters.Add(1)
+	n := clusterCount.Add(1)
 	return fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, n/250, 1+n%250)
 }
 
-// running bounds the clusters that run at once. With six to eleven processes
-// each, more of them would measure the machine instead of the scheduler.
-var running = make(chan struct{}, 8)
+// runningClusters limits the number of concurrent clusters. Each has six to
+// eleven processes; with more of them, the load of the machine would dominate the
+// measured times.
+var runningClusters = make(chan struct{}, 8)
 
-// Start starts every process. The package must run its tests with Main.
+// Start starts the processes of a cluster. The package must run its tests with
+// Main.
 func Start(t *testing.T, options Options) *Cluster {
 	t.Helper()
-	running <- struct{}{}
-	t.Cleanup(func() { <-running })
-	c := &Cluster{t: t, dir: t.TempDir(), host: nextHost(), options: options, processes: map[string]*Process{}}
+	runningClusters <- struct{}{}
+	t.Cleanup(func() { <-runningClusters })
+	c := &Cluster{t: t, dir: t.TempDir(), host: nextHost(), options: options, workerProcesses: map[string]*Process{}}
 	c.StoreAddr, c.ListAddr = c.freeAddress(), c.freeAddress()
-	c.trace = newCollector()
+	c.collector = newCollector()
 	t.Cleanup(func() { c.dumpOnFailure() })
-	c.Store = c.start("store", "standin", "store", "--listen", c.StoreAddr)
-	c.start("list", "standin", "list", "--listen", c.ListAddr)
-	c.await(c.StoreAddr)
-	c.await(c.ListAddr)
+	c.Store = c.startProcess("store", "standin", "store", "--listen", c.StoreAddr)
+	c.startProcess("list", "standin", "list", "--listen", c.ListAddr)
+	c.awaitListening(c.StoreAddr)
+	c.awaitListening(c.ListAddr)
 	for i, region := range options.Regions {
 		c.startWorkers(i, region)
 	}
-	c.postList(c.Workers)
+	c.publishInstances(c.Workers)
 	if err := demo.StoreConfiguration(context.Background(), c.StoreAddr); err != nil {
 		t.Fatal(err)
 	}
 	for i := range options.Entries {
 		c.addEntry(i)
 	}
-	c.trace.run(t, c.Entries)
+	c.collector.run(t, c.Entries)
 	return c
 }
 
@@ -133,14 +135,14 @@
 	return l.Addr().String()
 }
 
-// start runs one of the built commands with its output in a file.
-func (c *Cluster) start(name, command string, args ...string) *Process {
+// startProcess starts one of the built commands with its output written to a file.
+func (c *Cluster) startProcess(name, command string, args ...string) *Process {
 	c.t.Helper()
 	output, err := os.CreateTemp(c.dir, name+"-*.log")
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	cmd := exec.Command(filepath.Join(commands, command), args...)
+	cmd := exec.Command(filepath.Join(commandDir, command), args...)
 	cmd.Stdout, cmd.Stderr = output, output
 	if err := cmd.Start(); err != nil {
 		c.t.Fatalf("start %s: %v", name, err)
@@ -154,8 +156,8 @@
 	return p
 }
 
-// await returns when an address accepts connections.
-func (c *Cluster) await(address string) {
+// awaitListening waits until an address accepts connections.
+func (c *Cluster) awaitListening(address string) {
 	c.t.Helper()
 	c.Eventually(10*time.Second, "listen on "+address, func() bool {
 		conn, err := net.DialTimeout("tcp", address, time.Second)
@@ -167,13 +169,14 @@
 	})
 }
 
-// Eventually fails the test unless the condition holds within the bound.
+// Eventually polls the condition and fails the test if it does not hold within the
+// bound.
 func (c *Cluster) Eventually(bound time.Duration, what string, condition func() bool) {
 	c.t.Helper()
 	deadline := time.Now().Add(bound)
 	for !condition() {
 		if time.Now().After(deadline) {
-			c.t.Fatalf("not within %v: %s", bound, what)
+			c.t.Fatalf("condition not met within %v: %s", bound, what)
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
@@ -189,24 +192,25 @@
 	}
 }
 
-// startWorkerProcess starts one process with a number of workers.
+// startWorkerProcess starts one process that runs count workers.
 func (c *Cluster) startWorkerProcess(prefix string, count, index int, region string) {
-	p := c.start("workers-"+prefix, "standin", "worker", "--count", fmt.Sprint(count), "--prefix", prefix, "--listen", c.host+":0",
+	p := c.startProcess("workers-"+prefix, "standin", "worker", "--count", fmt.Sprint(count), "--prefix", prefix, "--listen", c.host+":0",
 		"--region", region, "--failure-domain", fmt.Sprintf("domain-%d", index), "--rack-prefix", prefix+"rack-", "--rack-size", "2")
 	var found []instancelist.Instance
-	c.Eventually(10*time.Second, "workers "+prefix, func() bool {
+	c.Eventually(10*time.Second, "start of the workers with prefix "+prefix, func() bool {
 		found = readWorkers(p.output.Name())
 		return len(found) == count
 	})
 	for _, w := range found {
-		c.processes[w.Name] = p
+		c.workerProcesses[w.Name] = p
 	}
 	c.Workers = append(c.Workers, found...)
 }
 
-// WorkerProcess returns the process in which a worker runs.
-func (c *Cluster) WorkerProcess(name string) *Process { return c.processes[name] }
+// WorkerProcess returns the process that runs a worker.
+func (c *Cluster) WorkerProcess(name string) *Process { return c.workerProcesses[name] }
 
+// readWorkers parses the workers that a process has written to its output.
 func readWorkers(path string) []instancelist.Instance {
 	file, err := os.Open(path)
 	if err != nil {
@@ -224,13 +228,14 @@
 	return found
 }
 
-func (c *Cluster) postList(instances []instancelist.Instance) {
+// publishInstances replaces the content of the instance list.
+func (c *Cluster) publishInstances(instances []instancelist.Instance) {
 	c.t.Helper()
 	body, _ := json.Marshal(instancelist.Reply{Instances: instances})
 	c.Post("http://"+c.ListAddr+instancelist.PathInstances, string(body))
 }
 
-// Post sends a JSON body and fails the test unless it is accepted.
+// Post sends a JSON body and fails the test on an error response.
 func (c *Cluster) Post(url, body string) {
 	c.t.Helper()
 	response, err := http.Post(url, "application/json", strings.NewReader(body))
@@ -250,9 +255,9 @@
 	s.Region = c.options.Regions[i%len(c.options.Regions)]
 	s.FailureDomain = fmt.Sprintf("domain-%d", i)
 	s.CallerAddress, s.OperatorAddress, s.EntryAddress = c.freeAddress(), c.freeAddress(), c.freeAddress()
-	storeAddr, switches := c.StoreAddr, ""
+	storeAddr, relayControl := c.StoreAddr, ""
 	if c.options.StoreRelays {
-		storeAddr, switches = c.startRelay(s.Instance)
+		storeAddr, relayControl = c.startRelay(s.Instance)
 	}
 	s.StoreEndpoints = []string{storeAddr}
 	s.InstanceListEndpoint = c.ListAddr
@@ -268,37 +273,39 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		c.t.Fatal(err)
 	}
-	e := &Entry{Settings: s, path: path, switches: switches, Operator: client.New(client.Config{Addresses: []string{s.OperatorAddress}})}
+	e := &Entry{Settings: s, path: path, relayControl: relayControl, Operator: client.New(client.Config{Addresses: []string{s.OperatorAddress}})}
 	c.t.Cleanup(e.Operator.Close)
 	c.Entries = append(c.Entries, e)
 	c.StartEntry(e)
 }
 
-// startRelay starts a relay between an instance and the store.
-func (c *Cluster) startRelay(instance string) (address, switches string) {
-	address, switches = c.freeAddress(), c.freeAddress()
-	c.start("relay-"+instance, "standin", "relay", "--listen", address, "--target", c.StoreAddr, "--control", switches)
-	c.await(address)
-	c.await(switches)
-	return address, switches
+// startRelay starts a relay between an instance and the store. It returns the
+// address of the relay and that of its control interface.
+func (c *Cluster) startRelay(instance string) (address, relayControl string) {
+	address, relayControl = c.freeAddress(), c.freeAddress()
+	c.startProcess("relay-"+instance, "standin", "relay", "--listen", address, "--target", c.StoreAddr, "--control", relayControl)
+	c.awaitListening(address)
+	c.awaitListening(relayControl)
+	return address, relayControl
 }
 
-// SilenceStore makes the present connections of an instance to the store silent.
-// New ones work.
+// SilenceStore stalls the open connections of an instance to the store. New
+// connections work.
 func (c *Cluster) SilenceStore(e *Entry) {
 	c.t.Helper()
-	c.Post("http://"+e.switches+standin.PathRelaySilence, "{}")
+	c.Post("http://"+e.relayControl+standin.PathRelaySilence, "{}")
 }
 
-// StartEntry starts the process of an entry instance, again after it has ended.
+// StartEntry starts or restarts the process of an entry instance, and adds it to
+// the instance list.
 func (c *Cluster) StartEntry(e *Entry) {
-	e.Process = c.start(e.Settings.Instance, "mulberryd", e.path)
-	c.await(e.Settings.CallerAddress)
+	e.Process = c.startProcess(e.Settings.Instance, "mulberryd", e.path)
+	c.awaitListening(e.Settings.CallerAddress)
 	c.PutListed(instancelist.Instance{Name: e.Settings.Instance, Address: e.Settings.EntryAddress, Role: instancelist.RoleEntry,
 		Region: e.Settings.Region, FailureDomain: e.Settings.FailureDomain, State: instancelist.StateLive})
 }
 
-// PutListed changes one instance in the instance list.
+// PutListed adds or replaces one instance in the instance list.
 func (c *Cluster) PutListed(instance instancelist.Instance) {
 	c.t.Helper()
 	body, _ := json.Marshal(instance)
@@ -310,18 +317,18 @@
 	_ = response.Body.Close()
 }
 
-// dumpOnFailure prints the end of every process's output if the test failed.
+// dumpOnFailure logs the end of the output of every process if the test failed.
 func (c *Cluster) dumpOnFailure() {
 	if !c.t.Failed() {
 		return
 	}
-	const tail = 3000 // bytes of each output
+	const tailBytes = 3000 // of each output
 	paths, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
 	for _, path := range paths {
 		if strings.HasPrefix(filepath.Base(path), "workers-") {
-			continue // the addresses only
+			continue // contains only addresses
 		}
 		text, _ := os.ReadFile(path)
-		c.t.Logf("%s:\n%s", filepath.Base(path), text[max(0, len(text)-tail):])
+		c.t.Logf("%s:\n%s", filepath.Base(path), text[max(0, len(text)-tailBytes):])
 	}
 }
--- a/internal/processtest/load.go
+++ b/internal/processtest/load.go
@@ -15,16 +15,16 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Work is one kind of request of a load.
+// Work is one type of request in the mix of a load.
 type Work struct {
 	Class  string
 	Kind   task.Kind
 	Count  int
-	Bytes  int // of the result; 0 for the payload
-	Weight int // requests in one round of the mix
+	Bytes  int // size of the result; 0 if the result is the payload
+	Weight int // number of requests in one cycle of the mix
 }
 
-// Mixed has work of every kind that ends by itself; one round is 20 requests.
+// Mixed has work of every kind that ends by itself. One cycle is 20 requests.
 var Mixed = []Work{
 	{Class: "span-lookup", Kind: task.Answer, Count: 1, Weight: 11},
 	{Class: "big-lookup", Kind: task.Answer, Count: 1, Bytes: 3_000_000, Weight: 1},
@@ -35,31 +35,32 @@
 	{Class: "water-hammer", Kind: task.Gang, Count: 3, Weight: 1},
 }
 
-// Answers has only requests whose caller waits.
+// Answers has only requests whose caller waits for the result.
 var Answers = []Work{{Class: "span-lookup", Kind: task.Answer, Count: 1, Weight: 1}}
 
-// Told is one request and what its caller was told.
+// Told is one request and the response that its caller received.
 type Told struct {
 	Work
-	Key   string // idempotency key and payload
+	Key   string // the idempotency key, also used as the payload
 	At    time.Time
 	Took  time.Duration
-	Job   api.Job // when Err is nil
-	Err   error
-	First error // what the submission itself was told
+	Job   api.Job // if Err is nil
+	Err   error   // of the submission; nil if a later wait found the outcome
+	First error   // of the submission
 }
 
-// JobID returns the name of the job.
+// JobID returns the ID of the job.
 func (r *Told) JobID() string { return "leuven/piping/" + r.Key }
 
-// Fate returns what the caller was told of a request that was refused.
+// Fate returns whether the work ran, as reported to the caller of a failed
+// request.
 func (r *Told) Fate() errkind.Fate { return errkind.From(r.Err).Fate() }
 
-// LoadOptions describe an open-loop load: requests are sent at a rate, whether
-// or not earlier ones were answered.
+// LoadOptions describe an open-loop load: requests are sent at a constant rate,
+// regardless of outstanding ones.
 type LoadOptions struct {
 	Mix     []Work
-	Rate    int // requests a second
+	Rate    int // requests per second
 	Secret  string
 	Timeout time.Duration // of one call
 }
@@ -72,12 +73,12 @@
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
 
-	mu   sync.Mutex
-	told []*Told
+	mu      sync.Mutex
+	records []*Told
 }
 
-// StartLoad sends requests until Stop, through as many callers as there are entry
-// instances. Each caller begins with an instance at random and stays with it.
+// StartLoad sends requests until Stop, through as many clients as there are entry
+// instances. Each client starts with a random instance and stays with it.
 func (c *Cluster) StartLoad(t *testing.T, name string, options LoadOptions) *Load {
 	l := &Load{options: options}
 	var addresses []string
@@ -94,14 +95,14 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
-	l.group.Go(func() { l.send(ctx, name) })
+	l.group.Go(func() { l.sendRequests(ctx, name) })
 	t.Cleanup(l.Stop)
 	return l
 }
 
-// send starts a call at each tick. The order of the mix is that of a step that
-// has no common divisor with its length, so that kinds alternate.
-func (l *Load) send(ctx context.Context, name string) {
+// sendRequests starts a call at each tick. It goes through the mix in steps that
+// are coprime with its length, so that kinds of work alternate.
+func (l *Load) sendRequests(ctx context.Context, name string) {
 	const step = 7
 	ticker := time.NewTicker(time.Second / time.Duration(l.options.Rate))
 	defer ticker.Stop()
@@ -112,70 +113,71 @@
 			return
 		}
 		work := l.mix[n*step%len(l.mix)]
-		at := n % len(l.clients)
-		told := &Told{Work: work, Key: fmt.Sprintf("%s-%d", name, n)}
-		l.group.Go(func() { l.ask(l.clients[at], told) })
+		index := n % len(l.clients)
+		record := &Told{Work: work, Key: fmt.Sprintf("%s-%d", name, n)}
+		l.group.Go(func() { l.submit(l.clients[index], record) })
 	}
 }
 
-func (l *Load) ask(caller *client.Client, told *Told) {
+func (l *Load) submit(caller *client.Client, record *Told) {
 	ctx, cancel := context.WithTimeout(context.Background(), l.options.Timeout)
 	defer cancel()
 	wait := l.options.Timeout / 2
-	if told.Kind != task.Answer {
+	if record.Kind != task.Answer {
 		wait = 0
 	}
-	told.At = time.Now()
-	request := api.SubmitRequest{IdempotencyKey: told.Key, Class: told.Class, Count: told.Count, Payload: []byte(told.Key)}
-	told.Job, told.Err = caller.Submit(ctx, "leuven", "piping", request, wait)
-	told.First, told.Took = told.Err, time.Since(told.At)
+	record.At = time.Now()
+	request := api.SubmitRequest{IdempotencyKey: record.Key, Class: record.Class, Count: record.Count, Payload: []byte(record.Key)}
+	record.Job, record.Err = caller.Submit(ctx, "leuven", "piping", request, wait)
+	record.First, record.Took = record.Err, time.Since(record.At)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.told = append(l.told, told)
+	l.records = append(l.records, record)
 }
 
-// Stop ends the load and returns when every call has ended.
+// Stop stops sending and returns when every call has returned.
 func (l *Load) Stop() {
 	l.cancel()
 	l.group.Wait()
 }
 
-// Told returns what callers have been told so far.
+// Told returns the requests that have been answered so far.
 func (l *Load) Told() []*Told {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]*Told{}, l.told...)
+	return append([]*Told{}, l.records...)
 }
 
 // Settle stops the load and returns when every job that may have been accepted
-// has ended. A job that its caller was told is accepted must be found.
+// has ended. It fails the test if a job that was reported as accepted cannot be
+// found, or if a job does not end within the bound.
 func (l *Load) Settle(t *testing.T, bound time.Duration) []*Told {
 	t.Helper()
 	l.Stop()
 	ctx, cancel := context.WithTimeout(t.Context(), bound)
 	defer cancel()
 	var group sync.WaitGroup
-	slots := make(chan struct{}, 32) // calls at once
-	told := l.Told()
-	for i, r := range told {
+	semaphore := make(chan struct{}, 32) // bounds the concurrent calls
+	records := l.Told()
+	for i, r := range records {
 		if r.Kind == task.Answer || r.Err != nil && r.Fate() == errkind.FateNotRun {
 			continue
 		}
 		group.Go(func() {
-			slots <- struct{}{}
-			defer func() { <-slots }()
-			if err := settle(ctx, l.clients[i%len(l.clients)], r); err != nil {
+			semaphore <- struct{}{}
+			defer func() { <-semaphore }()
+			if err := awaitOutcome(ctx, l.clients[i%len(l.clients)], r); err != nil {
 				t.Errorf("%s %s: %v", r.Class, r.Key, err)
 			}
 		})
 	}
 	group.Wait()
-	return told
+	return records
 }
 
-// settle waits for the end of one job.
-func settle(ctx context.Context, caller *client.Client, r *Told) error {
-	const wait = 2 * time.Second // of one call; a home may change meanwhile
+// awaitOutcome waits until one job has ended.
+func awaitOutcome(ctx context.Context, caller *client.Client, r *Told) error {
+	const wait = 2 * time.Second // of one call, because the home of the job may change
 	for {
 		job, err := caller.Wait(ctx, r.JobID(), wait)
 		unknown := err != nil && errkind.From(err).Kind == errkind.UnknownTask
@@ -184,11 +186,11 @@
 			r.Job, r.Err = job, nil
 			return nil
 		case unknown && r.Err != nil:
-			return nil // it was never accepted, and its caller was told that this is unknown
+			return nil // never accepted; the failed submission left the outcome open
 		case unknown:
-			return errors.New("its caller was told that it is accepted, and no instance knows it")
+			return errors.New("reported to its caller as accepted, but no instance has a record of it")
 		case ctx.Err() != nil:
-			return fmt.Errorf("has not ended: state %s, %v", job.State, err)
+			return fmt.Errorf("did not end within the bound: last state %q, last error %v", job.State, err)
 		}
 		if err != nil {
 			time.Sleep(100 * time.Millisecond)
@@ -196,13 +198,14 @@
 	}
 }
 
-// Digest returns the SHA-256 digest of the payload in hex.
+// Digest returns the SHA-256 digest of the payload of the request in hex.
 func (r *Told) Digest() string { return DigestOf(r.Key) }
 
-// answersOf returns the results that callers received, for the oracle.
-func answersOf(told []*Told) []oracle.Answer {
+// receivedAnswers returns the results that callers received, as the oracle reads
+// them.
+func receivedAnswers(records []*Told) []oracle.Answer {
 	var answers []oracle.Answer
-	for _, r := range told {
+	for _, r := range records {
 		if r.Err != nil {
 			continue
 		}
--- a/internal/processtest/process.go
+++ b/internal/processtest/process.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Process is one process that this test started.
+// Process is a process that the test started.
 type Process struct {
 	cmd    *exec.Cmd
 	output *os.File
@@ -19,16 +19,17 @@
 	frozen atomic.Bool
 }
 
-// Kill ends the process at once and waits for its end.
+// Kill sends SIGKILL and waits until the process has ended.
 func (p *Process) Kill() {
 	_ = p.cmd.Process.Kill()
 	<-p.ended
 }
 
-// Terminate asks for a planned stop.
+// Terminate requests a planned stop with SIGTERM.
 func (p *Process) Terminate() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
 
-// Stop asks for a planned stop and returns whether it ended within the bound.
+// Stop requests a planned stop and reports whether the process ended within the
+// bound.
 func (p *Process) Stop(bound time.Duration) bool {
 	p.Terminate()
 	select {
@@ -39,19 +40,19 @@
 	}
 }
 
-// Freeze stops the process from running until Resume.
+// Freeze suspends the process with SIGSTOP until Resume.
 func (p *Process) Freeze() {
 	p.frozen.Store(true)
 	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
 }
 
-// Resume lets a frozen process go on.
+// Resume continues a frozen process with SIGCONT.
 func (p *Process) Resume() {
 	_ = p.cmd.Process.Signal(syscall.SIGCONT)
 	p.frozen.Store(false)
 }
 
-// IsRunning reports whether the process has neither ended nor been frozen.
+// IsRunning reports whether the process has not ended and is not frozen.
 func (p *Process) IsRunning() bool {
 	select {
 	case <-p.ended:
@@ -64,20 +65,21 @@
 // ExitCode returns the exit code of a process that has ended.
 func (p *Process) ExitCode() int { return p.cmd.ProcessState.ExitCode() }
 
-// Usage returns the processor time that the process has used and its resident
-// memory in bytes.
+// Usage returns the processor time used by the process and its resident memory in
+// bytes.
 func (p *Process) Usage() (processor time.Duration, resident int64, err error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
 	if err != nil {
 		return 0, 0, err
 	}
-	// The name in parentheses may have spaces; the other fields follow it.
-	const userTime, systemTime, pages = 11, 12, 21 // fields after the name
+	// The process name in parentheses may contain spaces; the fields are counted
+	// from its end.
+	const userTime, systemTime, residentPages = 11, 12, 21 // index after the name
 	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
-	number := func(i int) int64 {
+	fieldValue := func(i int) int64 {
 		n, _ := strconv.ParseInt(fields[i], 10, 64)
 		return n
 	}
 	const clockTick = 10 * time.Millisecond
-	return time.Duration(number(userTime)+number(systemTime)) * clockTick, number(pages) * int64(os.Getpagesize()), nil
+	return time.Duration(fieldValue(userTime)+fieldValue(systemTime)) * clockTick, fieldValue(residentPages) * int64(os.Getpagesize()), nil
 }
--- a/internal/processtest/trace.go
+++ b/internal/processtest/trace.go
@@ -22,38 +22,38 @@
 const (
 	collectInterval = time.Second
 	collectTimeout  = 8 * time.Second
-	collectOverlap  = 2 * time.Second // covers events that were recorded during the last fetch
-	collectLimit    = 10_000          // largest answer of the operators' interface
+	collectOverlap  = 2 * time.Second // includes events that were recorded during the previous fetch
+	collectLimit    = 10_000          // maximum number of events in a response of the operator API
 )
 
-// eventID identifies one event of one process.
+// eventID identifies an event.
 type eventID struct {
 	instance, incarnation string
 	sequence              uint64
 }
 
-// collector keeps the events of all processes, so that those of a process that
-// is killed later are not lost with it.
+// collector keeps the events of all instances, so that they are not lost when an
+// instance is killed later.
 type collector struct {
 	mu     sync.Mutex
 	events map[eventID]timeline.Event
-	since  map[*Entry]time.Time // everything that the instance recorded before is here
+	since  map[*Entry]time.Time // all earlier events have been fetched from the instance
 }
 
 func newCollector() *collector {
 	return &collector{events: map[eventID]timeline.Event{}, since: map[*Entry]time.Time{}}
 }
 
-// run fetches the time line of every instance at intervals until the test ends.
-// Each has a goroutine of its own, so that a frozen one holds up no other. One
-// that does not answer is fetched from later, from the same time on.
-func (k *collector) run(t *testing.T, entries []*Entry) {
+// run fetches the timeline of every instance periodically until the test ends.
+// Each instance has a separate goroutine, so that a frozen one does not block the
+// others. A failed fetch is retried from the same start time.
+func (c *collector) run(t *testing.T, entries []*Entry) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	for _, e := range entries {
 		group.Go(func() {
 			for ctx.Err() == nil {
-				_ = k.fetch(ctx, e)
+				_ = c.fetch(ctx, e)
 				select {
 				case <-time.After(collectInterval):
 				case <-ctx.Done():
@@ -67,51 +67,52 @@
 	})
 }
 
-// fetch adds what an instance shows: its own events and those of the members
-// that it reaches.
-func (k *collector) fetch(ctx context.Context, e *Entry) error {
+// fetch adds the events that an instance returns: its own and those of the members
+// that it can reach.
+func (c *collector) fetch(ctx context.Context, e *Entry) error {
 	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
-	k.mu.Lock()
-	since, seen := k.since[e]
-	k.mu.Unlock()
+	c.mu.Lock()
+	since, seen := c.since[e]
+	c.mu.Unlock()
 	if !seen {
 		since = time.Now().Add(-time.Hour)
 	}
 	started := time.Now()
-	line, err := e.Operator.Timeline(ctx, client.TimelineFilter{Since: since.UTC().Format(time.RFC3339), Limit: collectLimit})
+	fetched, err := e.Operator.Timeline(ctx, client.TimelineFilter{Since: since.UTC().Format(time.RFC3339), Limit: collectLimit})
 	if err != nil {
 		return err
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for _, event := range line.Events {
-		k.events[eventID{event.Instance, event.Incarnation, event.Sequence}] = event
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, event := range fetched.Events {
+		c.events[eventID{event.Instance, event.Incarnation, event.Sequence}] = event
 	}
-	if len(line.Events) == collectLimit {
-		return fmt.Errorf("more than %d events since %v, the oldest are missing", collectLimit, since)
+	if len(fetched.Events) == collectLimit {
+		return fmt.Errorf("at least %d events since %v, so that the oldest may be missing", collectLimit, since)
 	}
-	k.since[e] = started.Add(-collectOverlap)
+	c.since[e] = started.Add(-collectOverlap)
 	return nil
 }
 
-// Collect fetches the time line through one instance, which must answer. It is
-// called before the instance is killed.
+// Collect fetches the timeline through one instance and fails the test on an
+// error. It is called before the instance is killed.
 func (c *Cluster) Collect(e *Entry) {
 	c.t.Helper()
-	if err := c.trace.fetch(c.t.Context(), e); err != nil {
-		c.t.Fatalf("time line of %s: %v", e.Settings.Instance, err)
+	if err := c.collector.fetch(c.t.Context(), e); err != nil {
+		c.t.Fatalf("fetch timeline of %s: %v", e.Settings.Instance, err)
 	}
 }
 
-// Events returns the merged time line as far as it has been fetched.
+// Events returns the merged timeline as far as it has been fetched.
 func (c *Cluster) Events() []timeline.Event {
-	c.trace.mu.Lock()
-	defer c.trace.mu.Unlock()
-	return timeline.Merge(slices.Collect(maps.Values(c.trace.events)))
+	c.collector.mu.Lock()
+	defer c.collector.mu.Unlock()
+	return timeline.Merge(slices.Collect(maps.Values(c.collector.events)))
 }
 
-// Latest fetches the time line through every running instance and returns all.
+// Latest fetches the timeline through every running instance and returns the
+// merged timeline.
 func (c *Cluster) Latest() []timeline.Event {
 	c.t.Helper()
 	for _, e := range c.Entries {
@@ -122,22 +123,22 @@
 	return c.Events()
 }
 
-// First returns the first event after a time that the test wants.
-func First(events []timeline.Event, after time.Time, want func(timeline.Event) bool) (timeline.Event, bool) {
+// First returns the first event after a time that satisfies match.
+func First(events []timeline.Event, after time.Time, match func(timeline.Event) bool) (timeline.Event, bool) {
 	for _, e := range events {
-		if e.Clock.Wall.After(after) && want(e) {
+		if e.Clock.Wall.After(after) && match(e) {
 			return e, true
 		}
 	}
 	return timeline.Event{}, false
 }
 
-// Ledgers reads the ledgers of the workers whose process has not ended.
+// Ledgers fetches the ledgers of the workers whose processes are running.
 func (c *Cluster) Ledgers() []oracle.WorkerLedger {
 	c.t.Helper()
 	var ledgers []oracle.WorkerLedger
 	for _, w := range c.Workers {
-		if !c.processes[w.Name].IsRunning() {
+		if !c.workerProcesses[w.Name].IsRunning() {
 			continue
 		}
 		var ledger oracle.WorkerLedger
@@ -147,7 +148,7 @@
 	return ledgers
 }
 
-// StoreCalls returns the calls that the store has received so far, by kind.
+// StoreCalls returns the number of calls that the store has received, by kind.
 func (c *Cluster) StoreCalls() map[string]int64 {
 	c.t.Helper()
 	var counters fault.Counters
@@ -155,7 +156,7 @@
 	return counters.Received
 }
 
-// SetStoreFaults replaces the faults of the store.
+// SetStoreFaults replaces the faults that are injected into the store.
 func (c *Cluster) SetStoreFaults(faults ...fault.Fault) {
 	c.t.Helper()
 	body, _ := json.Marshal(standin.FaultList{Faults: append([]fault.Fault{}, faults...)})
@@ -174,7 +175,8 @@
 	}
 }
 
-// Running returns how many tasks of a team run by the workers' ledgers.
+// Running returns the number of running tasks of a team according to the ledgers
+// of the workers.
 func (c *Cluster) Running(team task.Team) int {
 	c.t.Helper()
 	running := 0
