--- a/endtoend/capacity_test.go
+++ b/endtoend/capacity_test.go
@@ -21,31 +21,32 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// needMeasure leaves a measurement out of an ordinary run.
-func needMeasure(t *testing.T) {
+// skipUnlessMeasuring skips a measurement unless it is requested by the
+// environment.
+func skipUnlessMeasuring(t *testing.T) {
 	if os.Getenv("MULBERRYDRUM_MEASURE") == "" {
-		t.Skip("a measurement; set MULBERRYDRUM_MEASURE=1")
+		t.Skip("measurement; set MULBERRYDRUM_MEASURE=1 to run it")
 	}
 }
 
-// TestMeasureIdle prints what an idle entry instance uses, at three numbers of
-// instances and three of workers, for docs/CAPACITY.md.
+// TestMeasureIdle logs the resource usage of an idle entry instance for
+// docs/CAPACITY.md, with three numbers of instances and three of workers.
 func TestMeasureIdle(t *testing.T) {
-	needMeasure(t)
+	skipUnlessMeasuring(t)
 	const settle, window = 25 * time.Second, 20 * time.Second
 	for _, size := range []struct{ entries, workers int }{{2, 12}, {4, 12}, {8, 12}, {4, 4}, {4, 48}} {
 		t.Run(fmt.Sprintf("entries=%d/workers=%d", size.entries, 3*size.workers), func(t *testing.T) {
 			c := processtest.Start(t, processtest.Options{Entries: size.entries, Workers: size.workers, Regions: []string{"flanders", "wallonia", "brussels"},
 				Adjust: func(_ int, s *settings.Settings) { s.WorkerPartitions = 4 }})
-			awaitService(t, c, callerOf(c, "leuven"))
+			awaitService(t, c, newCaller(c, "leuven"))
 			time.Sleep(settle)
-			before, storeBefore := usages(t, c), c.StoreCalls()
+			before, storeBefore := readUsages(t, c), c.StoreCalls()
 			time.Sleep(window)
-			after, storeAfter := usages(t, c), c.StoreCalls()
+			after, storeAfter := readUsages(t, c), c.StoreCalls()
 			var cpu, near, cross, digest, workers []float64
 			var resident []float64
 			for i := range after {
-				d := after[i].less(before[i])
+				d := after[i].sub(before[i])
 				cpu = append(cpu, 100*d.processor.Seconds()/window.Seconds())
 				resident = append(resident, float64(after[i].resident)/(1<<20))
 				near = append(near, d.metrics["entry.near_bytes"]/window.Seconds())
@@ -54,7 +55,7 @@
 				workers = append(workers, d.workerBytes()/window.Seconds())
 			}
 			t.Logf("per instance, median [range]: cpu %% %s; resident MB %s; bytes/s near %s, cross %s, digests %s, workers %s",
-				spread(cpu), spread(resident), spread(near), spread(cross), spread(digest), spread(workers))
+				medianAndRange(cpu), medianAndRange(resident), medianAndRange(near), medianAndRange(cross), medianAndRange(digest), medianAndRange(workers))
 			for kind, n := range storeAfter {
 				t.Logf("store calls/s for all: %s %.2f", kind, float64(n-storeBefore[kind])/window.Seconds())
 			}
@@ -62,14 +63,14 @@
 	}
 }
 
-// usage is what a process has used since its start.
+// usage is the resource usage of a process since its start.
 type usage struct {
 	processor time.Duration
-	resident  int64 // bytes now
+	resident  int64 // current resident memory in bytes
 	metrics   map[string]float64
 }
 
-func usages(t *testing.T, c *processtest.Cluster) []usage {
+func readUsages(t *testing.T, c *processtest.Cluster) []usage {
 	t.Helper()
 	var found []usage
 	for _, e := range c.Entries {
@@ -104,7 +105,7 @@
 	return values
 }
 
-func (u usage) less(o usage) usage {
+func (u usage) sub(o usage) usage {
 	d := usage{processor: u.processor - o.processor, metrics: map[string]float64{}}
 	for name, v := range u.metrics {
 		d.metrics[name] = v - o.metrics[name]
@@ -122,34 +123,34 @@
 	return sum
 }
 
-func spread(values []float64) string {
+func medianAndRange(values []float64) string {
 	slices.Sort(values)
 	return fmt.Sprintf("%.2f [%.2f-%.2f]", values[len(values)/2], values[0], values[len(values)-1])
 }
 
-// TestMeasureOverhead prints the latency of a lookup through the entry instances
-// against the same start made straight at a worker, in one run.
+// TestMeasureOverhead logs the latency of a lookup through the entry instances and
+// that of the same task started directly at a worker, measured alternately.
 func TestMeasureOverhead(t *testing.T) {
-	needMeasure(t)
+	skipUnlessMeasuring(t)
 	c := processtest.Start(t, processtest.Options{Entries: 8, Workers: 16, Regions: []string{"flanders", "wallonia", "brussels"}})
-	caller := callerOf(c, "leuven")
+	caller := newCaller(c, "leuven")
 	awaitService(t, c, caller)
 	time.Sleep(10 * time.Second)
 	const samples = 2000
 	for round := range 5 {
-		through := make([]float64, 0, samples)
-		straight := make([]float64, 0, samples)
-		direct := newStraight(t, c.Workers[0].Address)
+		entryLatency := make([]float64, 0, samples)
+		directLatency := make([]float64, 0, samples)
+		starter := newDirectStarter(t, c.Workers[0].Address)
 		for i := range samples {
 			started := time.Now()
 			_, err := caller.Submit(t.Context(), "leuven", "piping", api.SubmitRequest{IdempotencyKey: fmt.Sprintf("o%d-%d", round, i), Class: "span-lookup", Payload: []byte("hello")}, 5*time.Second)
 			if err != nil {
 				t.Fatal(err)
 			}
-			through = append(through, float64(time.Since(started).Microseconds()))
-			straight = append(straight, float64(direct.call(t, round*samples+i).Microseconds()))
+			entryLatency = append(entryLatency, float64(time.Since(started).Microseconds()))
+			directLatency = append(directLatency, float64(starter.start(t, round*samples+i).Microseconds()))
 		}
-		t.Logf("us: through p50 %.0f p99 %.0f; straight p50 %.0f p99 %.0f", percentile(through, 50), percentile(through, 99), percentile(straight, 50), percentile(straight, 99))
+		t.Logf("latency in us: through an entry instance p50 %.0f p99 %.0f; directly at a worker p50 %.0f p99 %.0f", percentile(entryLatency, 50), percentile(entryLatency, 99), percentile(directLatency, 50), percentile(directLatency, 99))
 	}
 }
 
@@ -158,8 +159,8 @@
 	return values[min(len(values)-1, len(values)*p/100)]
 }
 
-// straightWorker starts tasks at a worker without any entry instance.
-type straightWorker struct {
+// directStarter starts tasks at a worker without an entry instance.
+type directStarter struct {
 	client  *worker.Client
 	address worker.Address
 	boot    string
@@ -167,9 +168,9 @@
 	read    time.Time
 }
 
-func newStraight(t *testing.T, address string) *straightWorker {
+func newDirectStarter(t *testing.T, address string) *directStarter {
 	t.Helper()
-	s := &straightWorker{client: worker.NewClient(worker.Config{}), address: worker.Address(address)}
+	s := &directStarter{client: worker.NewClient(worker.Config{}), address: worker.Address(address)}
 	reply, err := s.client.Lookup(t.Context(), s.address, task.Attempt{Task: "none", Number: 1})
 	if err != nil {
 		t.Fatal(err)
@@ -178,7 +179,7 @@
 	return s
 }
 
-func (s *straightWorker) call(t *testing.T, i int) time.Duration {
+func (s *directStarter) start(t *testing.T, i int) time.Duration {
 	t.Helper()
 	now := s.clock + time.Since(s.read)
 	started := time.Now()
@@ -193,16 +194,16 @@
 	return time.Since(started)
 }
 
-// TestMeasureRate prints how many lookups a second pass through 8 entry
-// instances, by the number of callers, until the first one is refused.
+// TestMeasureRate logs the rate of lookups through 8 entry instances and the
+// number of refused ones, by the number of callers.
 func TestMeasureRate(t *testing.T) {
-	needMeasure(t)
+	skipUnlessMeasuring(t)
 	c := processtest.Start(t, processtest.Options{Entries: 8, Workers: 16, Regions: []string{"flanders", "wallonia", "brussels"}})
-	awaitService(t, c, callerOf(c, "leuven"))
+	awaitService(t, c, newCaller(c, "leuven"))
 	time.Sleep(10 * time.Second)
 	for _, callers := range []int{1, 4, 16, 64, 128} {
 		rate, refused := measureRate(t, c, callers)
-		t.Logf("%d callers: %.0f lookups a second, %d refused", callers, rate, refused)
+		t.Logf("%d callers: %.0f lookups per second, %d refused", callers, rate, refused)
 	}
 }
 
@@ -228,12 +229,12 @@
 	return float64(done.Load()) / time.Since(started).Seconds(), failed.Load()
 }
 
-// TestMeasureStart prints how long an entry instance takes from the start of its
-// process until it accepts connections, and until it is ready.
+// TestMeasureStart logs the time from the start of the process of an entry instance
+// until it accepts connections, and until it is ready.
 func TestMeasureStart(t *testing.T) {
-	needMeasure(t)
+	skipUnlessMeasuring(t)
 	c := processtest.Start(t, processtest.Options{Entries: 3, Workers: 4, Regions: []string{"flanders", "wallonia", "brussels"}})
-	awaitService(t, c, callerOf(c, "leuven"))
+	awaitService(t, c, newCaller(c, "leuven"))
 	var accepts, ready []float64
 	for range 5 {
 		e := c.Entries[0]
@@ -252,5 +253,5 @@
 		ready = append(ready, float64(time.Since(started).Milliseconds()))
 		time.Sleep(time.Second)
 	}
-	t.Logf("ms after the start: accepts connections %s, ready %s", spread(accepts), spread(ready))
+	t.Logf("ms after the start: accepts connections %s, ready %s", medianAndRange(accepts), medianAndRange(ready))
 }
--- a/endtoend/config_test.go
+++ b/endtoend/config_test.go
@@ -19,36 +19,37 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// configBound is the time within which a change is in force everywhere.
+// configBound is the time within which a change must be in force on all instances.
 const configBound = 11 * time.Second
 
-// apply replaces text in a document, through one instance. An instance that has
-// just started may not change the configuration yet.
-func apply(t *testing.T, c *processtest.Cluster, e *processtest.Entry, service, old, new string) (api.Document, time.Time) {
+// replaceInDocument replaces text in a document through one instance. It retries,
+// because an instance that has just started rejects configuration changes.
+func replaceInDocument(t *testing.T, c *processtest.Cluster, e *processtest.Entry, service, oldText, newText string) (api.Document, time.Time) {
 	t.Helper()
 	var applied api.Document
 	var began time.Time
 	c.Eventually(serviceBound, "apply a document", func() bool {
 		current, err := e.Operator.Document(t.Context(), "leuven", service)
-		if err != nil || !strings.Contains(current.Source, old) {
+		if err != nil || !strings.Contains(current.Source, oldText) {
 			return false
 		}
 		began = time.Now()
-		applied, err = e.Operator.Apply(t.Context(), "leuven", service, []byte(strings.Replace(current.Source, old, new, 1)), current.Revision, configBound)
+		applied, err = e.Operator.Apply(t.Context(), "leuven", service, []byte(strings.Replace(current.Source, oldText, newText, 1)), current.Revision, configBound)
 		return err == nil
 	})
 	return applied, began
 }
 
-// TestConfiguration guards against a change that is not in force everywhere in
-// time or is undone, against two operators who both succeed, and against an
-// operator who is told of a conflict with a change of their own.
+// TestConfiguration guards against a change that does not take effect on all
+// instances in time or is reverted, against concurrent changes that both succeed,
+// and against a conflict that is reported to an operator for their own change
+// after a lost reply.
 func TestConfiguration(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, 4, 6)
-	// The first change waits until the instance may change the configuration.
-	apply(t, c, c.Entries[0], "piping", `"max_run": "1h"`, `"max_run": "90m"`)
-	applied, began := apply(t, c, c.Entries[0], "piping", `"max_run": "90m"`, `"max_run": "2h"`)
+	// This change is retried until the instance accepts configuration changes.
+	replaceInDocument(t, c, c.Entries[0], "piping", `"max_run": "1h"`, `"max_run": "90m"`)
+	applied, began := replaceInDocument(t, c, c.Entries[0], "piping", `"max_run": "90m"`, `"max_run": "2h"`)
 	if !applied.InForce {
 		t.Errorf("revision %d is not in force %v after the call", applied.Revision, time.Since(began))
 	}
@@ -58,25 +59,26 @@
 			return ev.Type == timeline.ConfigInForce && ev.Instance == e.Settings.Instance && ev.Revision == applied.Revision
 		})
 		if !ok || seen.Clock.Wall.Sub(began) > configBound {
-			t.Errorf("%s: revision %d in force: %v, after %v, want at most %v", e.Settings.Instance, applied.Revision, ok, seen.Clock.Wall.Sub(began), configBound)
+			t.Errorf("%s: revision %d in force: %v, %v after the call, want at most %v", e.Settings.Instance, applied.Revision, ok, seen.Clock.Wall.Sub(began), configBound)
 		}
 		t.Logf("%s: in force %v after the call", e.Settings.Instance, seen.Clock.Wall.Sub(began).Round(time.Millisecond))
 	}
-	race(t, c, applied)
+	applyConcurrently(t, c, applied)
 	c.SetStoreFaults(fault.Fault{Kind: fault.ReplyLost, Call: storetest.CallTxn, Count: 1, Instance: c.Entries[2].Settings.Instance})
-	lost, _ := apply(t, c, c.Entries[2], "piping", `"max_run": "5s"`, `"max_run": "6s"`)
+	lost, _ := replaceInDocument(t, c, c.Entries[2], "piping", `"max_run": "5s"`, `"max_run": "6s"`)
 	if got, err := c.Entries[1].Operator.Document(t.Context(), "leuven", "piping"); err != nil || got.Revision != lost.Revision || !strings.Contains(got.Source, `"max_run": "6s"`) {
 		t.Errorf("after a lost reply revision %d is in force, want %d: %v", got.Revision, lost.Revision, err)
 	}
 	c.Check(t, nil)
 }
 
-// race has two operators change the same revision at once.
-func race(t *testing.T, c *processtest.Cluster, from api.Document) {
+// applyConcurrently applies two changes to the same revision concurrently. Exactly
+// one of them must succeed.
+func applyConcurrently(t *testing.T, c *processtest.Cluster, base api.Document) {
 	t.Helper()
 	current, err := c.Entries[0].Operator.Document(t.Context(), "leuven", "piping")
-	if err != nil || current.Revision != from.Revision {
-		t.Fatalf("document at revision %d, want %d: %v", current.Revision, from.Revision, err)
+	if err != nil || current.Revision != base.Revision {
+		t.Fatalf("document at revision %d, want %d: %v", current.Revision, base.Revision, err)
 	}
 	var group sync.WaitGroup
 	errs := make([]error, 2)
@@ -87,25 +89,25 @@
 		})
 	}
 	group.Wait()
-	won, conflicts := 0, 0
+	succeeded, conflicts := 0, 0
 	for _, err := range errs {
-		var told *client.Error
+		var apiErr *client.Error
 		switch {
 		case err == nil:
-			won++
-		case errors.As(err, &told) && told.Detail.Kind == errkind.RevisionConflict && told.Detail.Conflict != nil && len(told.Detail.Conflict.Changes) > 0:
+			succeeded++
+		case errors.As(err, &apiErr) && apiErr.Detail.Kind == errkind.RevisionConflict && apiErr.Detail.Conflict != nil && len(apiErr.Detail.Conflict.Changes) > 0:
 			conflicts++
 		default:
-			t.Errorf("an operator was told: %v", err)
+			t.Errorf("concurrent change failed with an error other than a conflict: %v", err)
 		}
 	}
-	if won != 1 || conflicts != 1 {
-		t.Errorf("of two operators %d succeeded and %d were shown the other's change, want one each: %v", won, conflicts, errs)
+	if succeeded != 1 || conflicts != 1 {
+		t.Errorf("of two concurrent changes %d succeeded and %d failed with a conflict, want 1 and 1: %v", succeeded, conflicts, errs)
 	}
 }
 
-// TestLimitLowered guards against a team that starts work above a lower limit,
-// and against a limit that never comes into force.
+// TestLimitLowered guards against a team that starts work above a lowered limit,
+// and against a limit that never takes effect.
 func TestLimitLowered(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, 4, 6)
@@ -117,10 +119,10 @@
 		}
 	})
 	for range jobs {
-		accepted = append(accepted, submitLong(t, c, demo.Secrets["leuven"], "limit-"+time.Now().Format("150405.000000000"), "flexibility-run"))
+		accepted = append(accepted, submitWithoutWait(t, c, demo.Secrets["leuven"], "limit-"+time.Now().Format("150405.000000000"), "flexibility-run"))
 	}
-	c.Eventually(serviceBound, "most of the jobs run", func() bool { return c.Running("leuven") > lower })
-	applied, began := apply(t, c, c.Entries[0], "", `"slots": 200`, `"slots": 4`)
+	c.Eventually(serviceBound, "more jobs run than the lower limit allows", func() bool { return c.Running("leuven") > lower })
+	applied, began := replaceInDocument(t, c, c.Entries[0], "", `"slots": 200`, `"slots": 4`)
 	var inForce time.Time
 	c.Eventually(settleBound, "the lower limit is in force", func() bool {
 		shares, err := c.Entries[1].Operator.Shares(t.Context())
@@ -133,7 +135,7 @@
 		return false
 	})
 	for range jobs {
-		accepted = append(accepted, submitLong(t, c, demo.Secrets["leuven"], "after-"+time.Now().Format("150405.000000000"), "nozzle-check"))
+		accepted = append(accepted, submitWithoutWait(t, c, demo.Secrets["leuven"], "after-"+time.Now().Format("150405.000000000"), "nozzle-check"))
 	}
 	c.Eventually(settleBound, "all work ends", func() bool {
 		shares, err := c.Entries[1].Operator.Shares(t.Context())
@@ -144,9 +146,9 @@
 		}
 		return err == nil && c.Running("leuven") == 0
 	})
-	// An owner reports the end of a task before its home has recorded it. Every
-	// accepted job has to be known to its home, with its end recorded.
-	caller := callerOf(c, "leuven")
+	// An owner reports the end of a task before its home has recorded it. The home
+	// of every accepted job must have recorded its end.
+	caller := newCaller(c, "leuven")
 	for _, id := range accepted {
 		c.Eventually(settleBound, id+" has a recorded end", func() bool {
 			job, err := caller.Status(t.Context(), id)
@@ -158,8 +160,8 @@
 		Team: "leuven", Revision: applied.Revision, Size: &task.Resources{Slots: lower}})
 }
 
-// logOpenWork prints what each instance says of a team's work, and the jobs that
-// have no end.
+// logOpenWork logs the shares that each instance reports, the jobs that have not
+// ended and the events of the team.
 func logOpenWork(t *testing.T, c *processtest.Cluster, jobs []string) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -169,7 +171,7 @@
 		t.Logf("shares of instance %d: %+v, error %v", i, shares.Shares, err)
 	}
 	for _, id := range jobs {
-		if job, err := callerOf(c, "leuven").Status(ctx, id); err != nil || !job.State.IsFinal() {
+		if job, err := newCaller(c, "leuven").Status(ctx, id); err != nil || !job.State.IsFinal() {
 			t.Logf("%s: %+v, error %v", id, job, err)
 		}
 	}
--- a/endtoend/doc.go
+++ b/endtoend/doc.go
@@ -1,3 +1,3 @@
-// Package endtoend holds the tests that run a small deployment as separate
-// processes and bring about faults with real signals.
+// Package endtoend contains the tests that run a small deployment as separate
+// processes and inject faults with real signals.
 package endtoend
--- a/endtoend/drain_test.go
+++ b/endtoend/drain_test.go
@@ -9,18 +9,17 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// drainBound is the setting drain_timeout, plus the end of the process.
+// drainBound is the setting drain_timeout plus the time to exit.
 const drainBound = 30*time.Second + time.Second
 
-// TestRollingRestart guards against a planned stop that cuts off a request:
-// every instance in turn is asked to stop under load over kept-alive
-// connections, and is started again.
+// TestRollingRestart guards against a planned stop that interrupts a request. It
+// restarts one instance after the other under load over keep-alive connections.
 func TestRollingRestart(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, 4, 6)
-	mixed := startMixed(t, c)
-	answers := c.StartLoad(t, "answers", processtest.LoadOptions{Mix: processtest.Answers, Rate: 40, Secret: demo.Secrets["leuven"], Timeout: callTimeout})
-	settled(2 * time.Second)
+	mixedLoad := startMixedLoad(t, c)
+	answerLoad := c.StartLoad(t, "answers", processtest.LoadOptions{Mix: processtest.Answers, Rate: 40, Secret: demo.Secrets["leuven"], Timeout: callTimeout})
+	pause(2 * time.Second)
 	for _, e := range c.Entries {
 		c.Collect(e)
 		began := time.Now()
@@ -32,10 +31,10 @@
 		}
 		t.Logf("%s stopped within %v", e.Settings.Instance, time.Since(began).Round(time.Millisecond))
 		c.StartEntry(e)
-		settled(2 * time.Second)
+		pause(2 * time.Second)
 	}
-	told := append(answers.Settle(t, settleBound), mixed.Settle(t, settleBound)...)
-	for _, r := range told {
+	records := append(answerLoad.Settle(t, settleBound), mixedLoad.Settle(t, settleBound)...)
+	for _, r := range records {
 		switch {
 		case r.Err != nil:
 			t.Errorf("%s %s at %s after %v: %v", r.Class, r.Key, r.At.UTC().Format(time.TimeOnly), r.Took, r.Err)
@@ -43,6 +42,6 @@
 			t.Errorf("%s %s ended as %s", r.Class, r.Key, r.Job.State)
 		}
 	}
-	c.Check(t, told)
-	t.Log(processtest.Summary(told))
+	c.Check(t, records)
+	t.Log(processtest.Summary(records))
 }
--- a/endtoend/keys_test.go
+++ b/endtoend/keys_test.go
@@ -18,9 +18,9 @@
 // withdrawalBound is the setting key_freshness plus one second.
 const withdrawalBound = 5*time.Second + time.Second
 
-// grant makes a key through one instance. An instance that has just started may
-// not change the configuration yet.
-func grant(t *testing.T, c *processtest.Cluster, e *processtest.Entry) api.GrantedKey {
+// grantKey grants a key through one instance and waits until all instances accept
+// it. It retries, because an instance that has just started rejects changes.
+func grantKey(t *testing.T, c *processtest.Cluster, e *processtest.Entry) api.GrantedKey {
 	t.Helper()
 	var key api.GrantedKey
 	c.Eventually(serviceBound, "grant a key", func() bool {
@@ -29,13 +29,13 @@
 		return err == nil
 	})
 	for _, other := range c.Entries {
-		c.Eventually(withdrawalBound, "key in force on "+other.Settings.Instance, func() bool { return admits(t.Context(), other, key.Secret, "granted") == nil })
+		c.Eventually(withdrawalBound, "key in force on "+other.Settings.Instance, func() bool { return submitOnce(t.Context(), other, key.Secret, "granted") == nil })
 	}
 	return key
 }
 
-// admits asks one instance, once, for an answer under a key.
-func admits(ctx context.Context, e *processtest.Entry, secret, name string) error {
+// submitOnce sends one request under a key to one instance and returns its error.
+func submitOnce(ctx context.Context, e *processtest.Entry, secret, name string) error {
 	caller := client.New(client.Config{Addresses: []string{e.Settings.CallerAddress}, Secret: secret})
 	defer caller.Close()
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
@@ -45,13 +45,13 @@
 	return err
 }
 
-// probe asks one instance under a key until the context ends, and returns the
-// time at which the last request that was answered had been sent. It closes
-// answered when the first one was.
-func probe(ctx context.Context, e *processtest.Entry, secret string, answered chan<- struct{}) (last time.Time) {
+// probeUntilDone sends requests under a key to one instance until the context is
+// done. It closes answered after the first answer, and returns the time at which
+// the last request that was answered had been sent.
+func probeUntilDone(ctx context.Context, e *processtest.Entry, secret string, answered chan<- struct{}) (last time.Time) {
 	for ctx.Err() == nil {
 		sent := time.Now()
-		if admits(ctx, e, secret, "probe") == nil {
+		if submitOnce(ctx, e, secret, "probe") == nil {
 			if last.IsZero() {
 				close(answered)
 			}
@@ -62,7 +62,7 @@
 	return last
 }
 
-func submitLong(t *testing.T, c *processtest.Cluster, secret, key, class string) string {
+func submitWithoutWait(t *testing.T, c *processtest.Cluster, secret, key, class string) string {
 	t.Helper()
 	caller := client.New(client.Config{Addresses: []string{c.Entries[1].Settings.CallerAddress}, Secret: secret})
 	defer caller.Close()
@@ -72,15 +72,15 @@
 	return "leuven/piping/" + key
 }
 
-// TestKeyWithdrawn guards against a withdrawn key that goes on working: on an
-// instance that is up, on one that was frozen, and on one that starts while the
-// store is down; and against work under it that goes on.
+// TestKeyWithdrawn guards against a withdrawn key that is still accepted, by a
+// running instance or by one that was frozen, and against work that continues
+// under it.
 func TestKeyWithdrawn(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, 4, 6)
-	key := grant(t, c, c.Entries[0])
-	service := submitLong(t, c, key.Secret, "service", "span-tables")
-	caller := callerOf(c, "leuven")
+	key := grantKey(t, c, c.Entries[0])
+	service := submitWithoutWait(t, c, key.Secret, "service", "span-tables")
+	caller := newCaller(c, "leuven")
 	c.Eventually(serviceBound, "the service runs", func() bool {
 		job, err := caller.Status(t.Context(), service)
 		return err == nil && job.State == task.Running
@@ -92,7 +92,7 @@
 	frozen := c.Entries[3]
 	for i, e := range c.Entries {
 		last[i], answered[i] = make(chan time.Time, 1), make(chan struct{})
-		go func() { last[i] <- probe(ctx, e, key.Secret, answered[i]) }()
+		go func() { last[i] <- probeUntilDone(ctx, e, key.Secret, answered[i]) }()
 	}
 	for _, first := range answered {
 		<-first
@@ -102,9 +102,9 @@
 		t.Fatal(err)
 	}
 	withdrawnAt := time.Now()
-	settled(withdrawalBound + time.Second)
+	pause(withdrawalBound + time.Second)
 	frozen.Resume()
-	settled(2 * time.Second)
+	pause(2 * time.Second)
 	cancel()
 	for i, e := range c.Entries {
 		after := (<-last[i]).Sub(withdrawnAt).Round(time.Millisecond)
@@ -133,18 +133,19 @@
 		if seen, ok := processtest.First(c.Latest(), time.Time{}, func(ev timeline.Event) bool {
 			return ev.Type == timeline.KeyWithdrawn && ev.KeyID == key.ID && ev.Instance == e.Settings.Instance
 		}); ok {
-			t.Logf("%s knew of the withdrawal %v after it", e.Settings.Instance, seen.Clock.Wall.Sub(withdrawnAt).Round(time.Millisecond))
+			t.Logf("%s recorded the withdrawal %v after it was made", e.Settings.Instance, seen.Clock.Wall.Sub(withdrawnAt).Round(time.Millisecond))
 		}
 	}
 	c.Check(t, nil)
 }
 
-// TestKeyWithdrawnBeforeOutage guards against an instance that is started while
-// the store is down and takes its keys from peers, one of which is withdrawn.
+// TestKeyWithdrawnBeforeOutage guards against a withdrawn key that is accepted by
+// an instance which is started during a store outage and fetches its keys from
+// peers.
 func TestKeyWithdrawnBeforeOutage(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, 4, 6)
-	key := grant(t, c, c.Entries[0])
+	key := grantKey(t, c, c.Entries[0])
 	started := c.Entries[3]
 	c.Collect(started)
 	started.Kill()
@@ -157,45 +158,46 @@
 	for time.Since(withdrawnAt) < 2*withdrawalBound {
 		for _, e := range c.Entries {
 			sent := time.Now()
-			if admits(t.Context(), e, key.Secret, "late") == nil && sent.Sub(withdrawnAt) > withdrawalBound {
-				t.Fatalf("%s accepted the key %v after its withdrawal", e.Settings.Instance, sent.Sub(withdrawnAt))
+			if submitOnce(t.Context(), e, key.Secret, "late") == nil && sent.Sub(withdrawnAt) > withdrawalBound {
+				t.Fatalf("%s accepted the key %v after its withdrawal, want at most %v", e.Settings.Instance, sent.Sub(withdrawnAt), withdrawalBound)
 			}
 		}
 	}
 	c.SetStoreFaults()
-	awaitService(t, c, callerOf(c, "leuven"))
+	awaitService(t, c, newCaller(c, "leuven"))
 	c.Check(t, nil)
 }
 
-// TestWorkUnderWithdrawnKey guards against work that goes on after its key was
-// withdrawn, and against an end that is told wrongly: what waits is not run, and
-// what runs is stopped, at-most-once work too.
+// TestWorkUnderWithdrawnKey guards against work that continues after its key was
+// withdrawn, and against a wrong outcome: waiting tasks end as not run, and running
+// ones are stopped, including at-most-once work.
 func TestWorkUnderWithdrawnKey(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, 3, 4)
-	apply(t, c, c.Entries[0], "piping", `"sleep:1500ms"`, `"sleep:2m"`)
-	applied, _ := apply(t, c, c.Entries[0], "piping", `"sleep:200ms"`, `"sleep:2m"`)
+	replaceInDocument(t, c, c.Entries[0], "piping", `"sleep:1500ms"`, `"sleep:2m"`)
+	applied, _ := replaceInDocument(t, c, c.Entries[0], "piping", `"sleep:200ms"`, `"sleep:2m"`)
 	if !applied.InForce {
-		t.Fatal("the long commands are not in force")
+		t.Fatal("the document with the long commands is not in force")
 	}
-	key := grant(t, c, c.Entries[0])
+	key := grantKey(t, c, c.Entries[0])
 	caller := client.New(client.Config{Addresses: []string{c.Entries[1].Settings.CallerAddress}, Secret: key.Secret})
 	t.Cleanup(caller.Close)
-	const tasks = 30 // more than the workers have room for
-	report := submitLong(t, c, key.Secret, "report", "stress-report")
+	const tasks = 30 // more than the capacity of the workers
+	report := submitWithoutWait(t, c, key.Secret, "report", "stress-report")
 	batch := api.SubmitRequest{IdempotencyKey: "batch", Class: "flexibility-run", Count: tasks, Payload: []byte("batch")}
 	if _, err := caller.Submit(t.Context(), "leuven", "piping", batch, 0); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { describe(t, c) })
-	// Less than the workers have room for: all of a job may wait at one partition.
+	t.Cleanup(func() { logStateOnFailure(t, c) })
+	// Fewer tasks than the workers have capacity for, because all tasks of a job may
+	// wait in one partition.
 	c.Eventually(serviceBound, "some of the work runs", func() bool { return c.Running("leuven") > tasks/6 })
-	settled(2 * time.Second)
+	pause(2 * time.Second)
 	if _, err := c.Entries[2].Operator.WithdrawKey(t.Context(), "leuven", key.ID); err != nil {
 		t.Fatal(err)
 	}
 	c.Eventually(withdrawalBound+taskLease, "no work under the key runs", func() bool { return c.Running("leuven") == 0 })
-	other := callerOf(c, "leuven")
+	other := newCaller(c, "leuven")
 	ran := map[task.ID]bool{}
 	for _, ledger := range c.Ledgers() {
 		for _, run := range ledger.Runs {
@@ -213,24 +215,25 @@
 		for _, got := range job.Tasks {
 			counts[got.State]++
 			if got.Reason != string(errkind.KeyWithdrawn) || ran[got.ID] != (got.State != task.NotRun) {
-				t.Errorf("task %s ended as %s with reason %q, and it ran: %v", got.ID, got.State, got.Reason, ran[got.ID])
+				t.Errorf("task %s ended as %s with reason %q; a worker ran it: %v", got.ID, got.State, got.Reason, ran[got.ID])
 			}
 		}
 	}
 	t.Logf("work under the key ended as %v", counts)
 	if counts[task.NotRun] == 0 || counts[task.NotRun] >= tasks {
-		t.Errorf("%d of %d tasks were not run, want some and not all", counts[task.NotRun], tasks+1)
+		t.Errorf("%d of %d tasks were not run, want at least 1 and fewer than the batch", counts[task.NotRun], tasks+1)
 	}
 	c.Check(t, nil)
 }
 
-// describe prints what operators see of a deployment if the test has failed.
-func describe(t *testing.T, c *processtest.Cluster) {
+// logStateOnFailure logs the workers and shares that the operator API reports if
+// the test has failed.
+func logStateOnFailure(t *testing.T, c *processtest.Cluster) {
 	if !t.Failed() {
 		return
 	}
 	workers, err := c.Entries[0].Operator.Workers(context.Background())
 	t.Logf("workers: %+v, %v", workers.Workers, err)
 	shares, err := c.Entries[0].Operator.Shares(context.Background())
-	t.Logf("shares: %+v, %v; %d tasks run by the ledgers", shares.Shares, err, c.Running("leuven"))
+	t.Logf("shares: %+v, %v; %d tasks running according to the ledgers", shares.Shares, err, c.Running("leuven"))
 }
--- a/endtoend/kill_test.go
+++ b/endtoend/kill_test.go
@@ -9,14 +9,14 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// takeoverBound is the time from the death of an owner until its units have new
-// owners: the store lease, the promise window, and the keepalive interval, list
-// lag and margins around them. With the default settings the design page says
-// about 15 s; the sum of the same terms is used here.
-const takeoverBound = storeTerm + promiseWindow + 4*time.Second
+// takeoverBound is the maximum time from the end of an owner until its units have
+// new owners: the store lease TTL, the promise window, and 4 s for the keepalive
+// interval, the list lag and margins. The same sum with the default settings is
+// about 15 s, according to docs/design.md.
+const takeoverBound = storeLeaseTTL + promiseWindow + 4*time.Second
 
-// unitsOf returns the units that an instance holds by the time line.
-func unitsOf(events []timeline.Event, instance string) []string {
+// unitsHeldBy returns the units that an instance holds according to the timeline.
+func unitsHeldBy(events []timeline.Event, instance string) []string {
 	holder := map[string]string{}
 	for _, e := range events {
 		if e.Type == timeline.OwnershipTaken {
@@ -24,8 +24,8 @@
 		}
 	}
 	var units []string
-	for unit, by := range holder {
-		if by == instance {
+	for unit, owner := range holder {
+		if owner == instance {
 			units = append(units, unit)
 		}
 	}
@@ -33,9 +33,9 @@
 	return units
 }
 
-// taken returns when the last of some units was taken after a time, and those
-// that were not.
-func taken(events []timeline.Event, units []string, after time.Time) (last time.Time, missing []string) {
+// lastTakeover returns when the last of the units was taken over after a time, and
+// the units that were not taken over.
+func lastTakeover(events []timeline.Event, units []string, after time.Time) (last time.Time, missing []string) {
 	for _, unit := range units {
 		e, ok := processtest.First(events, after, func(e timeline.Event) bool {
 			return e.Type == timeline.OwnershipTaken && e.Partition == unit
@@ -50,27 +50,29 @@
 	return last, missing
 }
 
-// awaitTakeover returns how long units were without an owner.
+// awaitTakeover waits until all units have a new owner, and returns the time that
+// the last of them was without one.
 func awaitTakeover(t *testing.T, c *processtest.Cluster, units []string, since time.Time, bound time.Duration) time.Duration {
 	t.Helper()
 	var last time.Time
 	var missing []string
 	deadline := since.Add(bound + 3*time.Second) // time to fetch the time line
-	for last, missing = taken(c.Events(), units, since); len(missing) > 0; last, missing = taken(c.Events(), units, since) {
+	for last, missing = lastTakeover(c.Events(), units, since); len(missing) > 0; last, missing = lastTakeover(c.Events(), units, since) {
 		if time.Now().After(deadline) {
-			t.Fatalf("no new owners of %v of %d units within %v", missing, len(units), bound)
+			t.Fatalf("units %v of %d were not taken over within %v", missing, len(units), bound)
 		}
-		settled(100 * time.Millisecond)
+		pause(100 * time.Millisecond)
 	}
-	without := last.Sub(since)
-	if without > bound {
-		t.Errorf("units were without an owner for %v, want at most %v", without, bound)
+	downtime := last.Sub(since)
+	if downtime > bound {
+		t.Errorf("units were without an owner for %v, want at most %v", downtime, bound)
 	}
-	return without
+	return downtime
 }
 
-// TestKill guards against work that is lost, doubled or answered wrongly when
-// entry instances die under load, and against units that stay without an owner.
+// TestKill guards against work that is lost, duplicated or answered wrongly when
+// entry instances are killed under load, and against units that stay without an
+// owner.
 func TestKill(t *testing.T) {
 	t.Parallel()
 	cases := []struct {
@@ -86,15 +88,15 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			c := startCluster(t, 4, 6)
-			load := startMixed(t, c)
-			settled(3 * time.Second)
+			load := startMixedLoad(t, c)
+			pause(3 * time.Second)
 			victims := c.Entries[:tc.count]
 			var units []string
 			for _, e := range victims {
 				c.Collect(e)
 			}
 			for _, e := range victims {
-				units = append(units, unitsOf(c.Events(), e.Settings.Instance)...)
+				units = append(units, unitsHeldBy(c.Events(), e.Settings.Instance)...)
 			}
 			killedAt := time.Now()
 			for _, e := range victims {
@@ -109,21 +111,21 @@
 			if tc.count == len(c.Entries) {
 				t.Logf("%d units without an owner for %v after the kill of all", len(units), awaitTakeover(t, c, units, killedAt, tc.bound))
 			}
-			awaitService(t, c, callerOf(c, "leuven"))
-			settled(2 * time.Second)
-			t.Logf("first answer %v after the kill", unanswered(finish(t, c, load), killedAt))
+			awaitService(t, c, newCaller(c, "leuven"))
+			pause(2 * time.Second)
+			t.Logf("first answer %v after the kill", timeToFirstAnswer(settleAndCheck(t, c, load), killedAt))
 		})
 	}
 }
 
-// TestFreeze guards against an owner that does harm when it runs again after a
-// pause longer than its term, and against a pause shorter than its term that
-// loses or doubles work.
+// TestFreeze guards against an owner that resumes after a pause longer than its
+// term and still acts on its units, and against a pause shorter than the term that
+// loses or duplicates work.
 func TestFreeze(t *testing.T) {
 	t.Parallel()
 	cases := []struct {
-		name string
-		last time.Duration
+		name     string
+		duration time.Duration
 	}{
 		{"longer than the term", 25 * time.Second},
 		{"shorter than the term", time.Second},
@@ -132,20 +134,20 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			c := startCluster(t, 4, 6)
-			load := startMixed(t, c)
-			settled(3 * time.Second)
+			load := startMixedLoad(t, c)
+			pause(3 * time.Second)
 			victim := c.Entries[0]
 			c.Collect(victim)
-			units := unitsOf(c.Events(), victim.Settings.Instance)
+			units := unitsHeldBy(c.Events(), victim.Settings.Instance)
 			frozenAt := time.Now()
 			victim.Freeze()
-			if tc.last > takeoverBound {
+			if tc.duration > takeoverBound {
 				t.Logf("%d units without an owner for %v after the freeze", len(units), awaitTakeover(t, c, units, frozenAt, takeoverBound))
 			}
-			settled(time.Until(frozenAt.Add(tc.last)))
+			pause(time.Until(frozenAt.Add(tc.duration)))
 			victim.Resume()
-			settled(4 * time.Second)
-			finish(t, c, load)
+			pause(4 * time.Second)
+			settleAndCheck(t, c, load)
 		})
 	}
 }
--- a/endtoend/main_test.go
+++ b/endtoend/main_test.go
@@ -13,55 +13,55 @@
 
 func TestMain(m *testing.M) { os.Exit(processtest.Main(m)) }
 
-// Settings of tests in which their bounds are not themselves under test.
+// Short settings for the tests that do not measure the default values.
 const (
-	storeTerm     = 3 * time.Second
+	storeLeaseTTL = 3 * time.Second
 	promiseWindow = time.Second
 	taskLease     = 8 * time.Second
 
-	loadRate     = 20 // requests a second
+	loadRate     = 20 // requests per second
 	callTimeout  = 20 * time.Second
-	settleBound  = 60 * time.Second // for the work that is left when a load ends
+	settleBound  = 60 * time.Second // for the work that is still open when a load stops
 	serviceBound = 30 * time.Second // from a start or a fault until requests are answered again
 )
 
-func short(_ int, s *settings.Settings) {
-	s.StoreLeaseTTL, s.KeepaliveInterval, s.PromiseWindow = storeTerm, time.Second, promiseWindow
+func shortTimeouts(_ int, s *settings.Settings) {
+	s.StoreLeaseTTL, s.KeepaliveInterval, s.PromiseWindow = storeLeaseTTL, time.Second, promiseWindow
 	s.TaskLease, s.ListLag = taskLease, 2*time.Second
 	s.StoreCallTimeout, s.RequestShards = 900*time.Millisecond, 16
 }
 
-// startCluster starts a deployment of one region with short settings, and
-// returns when requests are answered.
+// startCluster starts a deployment of one region with short timeouts, and waits
+// until it answers requests.
 func startCluster(t *testing.T, entries, workers int) *processtest.Cluster {
 	t.Helper()
-	c := processtest.Start(t, processtest.Options{Entries: entries, Workers: workers, Regions: []string{"flanders"}, Adjust: short})
-	awaitService(t, c, callerOf(c, "leuven"))
+	c := processtest.Start(t, processtest.Options{Entries: entries, Workers: workers, Regions: []string{"flanders"}, Adjust: shortTimeouts})
+	awaitService(t, c, newCaller(c, "leuven"))
 	return c
 }
 
-func startMixed(t *testing.T, c *processtest.Cluster) *processtest.Load {
+func startMixedLoad(t *testing.T, c *processtest.Cluster) *processtest.Load {
 	return c.StartLoad(t, "mixed", processtest.LoadOptions{Mix: processtest.Mixed, Rate: loadRate, Secret: demo.Secrets["leuven"], Timeout: callTimeout})
 }
 
-// finish settles the load, checks the invariants and prints what callers were
-// told.
-func finish(t *testing.T, c *processtest.Cluster, load *processtest.Load) []*processtest.Told {
+// settleAndCheck stops the load, waits until its work has ended, checks the
+// invariants and logs a summary of the responses.
+func settleAndCheck(t *testing.T, c *processtest.Cluster, load *processtest.Load) []*processtest.Told {
 	t.Helper()
-	told := load.Settle(t, settleBound)
-	c.Check(t, told)
-	t.Log(processtest.Summary(told))
-	return told
+	records := load.Settle(t, settleBound)
+	c.Check(t, records)
+	t.Log(processtest.Summary(records))
+	return records
 }
 
-// settled waits for a time in which a load meets the state that a fault left.
-func settled(d time.Duration) { <-time.After(d) }
+// pause waits while a load runs, so that it exercises the current state.
+func pause(d time.Duration) { <-time.After(d) }
 
-// unanswered returns the time from a fault until the first request that was sent
-// after it was answered.
-func unanswered(told []*processtest.Told, since time.Time) time.Duration {
+// timeToFirstAnswer returns the time from a fault until the first answer to a
+// request that was sent after the fault.
+func timeToFirstAnswer(records []*processtest.Told, since time.Time) time.Duration {
 	first := time.Duration(-1)
-	for _, r := range told {
+	for _, r := range records {
 		if r.Kind != task.Answer || r.Err != nil || r.At.Before(since) {
 			continue
 		}
--- a/endtoend/measure_test.go
+++ b/endtoend/measure_test.go
@@ -16,30 +16,30 @@
 )
 
 const (
-	measuredRuns = 5
-	measuredSpan = 10 * time.Second // of a count of store calls
-	// unitsMove is the time until no unit moves any more after a start: ten seconds
-	// until the first one, then one every 250 ms from each owner.
-	unitsMove     = 20 * time.Second
-	ordinaryBound = 15 * time.Second // of a takeover with the default settings, by the design page
+	measuredRuns    = 5
+	callCountWindow = 10 * time.Second // over which store calls are counted
+	// rebalanceTime is the time after a start until units are no longer handed over:
+	// ten seconds until the first handover, then one every 250 ms from each owner.
+	rebalanceTime        = 20 * time.Second
+	defaultTakeoverBound = 15 * time.Second // takeover with the default settings, from docs/design.md
 )
 
-// figures collects the measured values of all runs by name.
-type figures struct {
+// measurements collects the measured values of all runs by name.
+type measurements struct {
 	mu     sync.Mutex
 	values map[string][]float64
 }
 
-func (f *figures) add(name string, value float64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.values[name] = append(f.values[name], value)
+func (m *measurements) add(name string, value float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.values[name] = append(m.values[name], value)
 }
 
-// print writes the median and the range of each figure.
-func (f *figures) print(t *testing.T) {
+// print logs the median and the range of the values of each name.
+func (m *measurements) print(t *testing.T) {
 	var lines []string
-	for name, values := range f.values {
+	for name, values := range m.values {
 		slices.Sort(values)
 		lines = append(lines, fmt.Sprintf("%s: median %.2f, range %.2f to %.2f, %d runs", name, values[len(values)/2], values[0], values[len(values)-1], len(values)))
 	}
@@ -47,35 +47,36 @@
 	t.Log("\n" + strings.Join(lines, "\n"))
 }
 
-// TestMeasure measures with the default settings what the design page bounds. It
-// guards against a bound that holds only with the short settings of other tests.
+// TestMeasure measures the times that docs/design.md bounds, with the default
+// settings. It guards against bounds that hold only with the short settings of the
+// other tests.
 func TestMeasure(t *testing.T) {
 	if os.Getenv("MULBERRYDRUM_LONG") == "" {
 		t.Skip("takes two minutes; set MULBERRYDRUM_LONG=1")
 	}
-	f := &figures{values: map[string][]float64{}}
+	m := &measurements{values: map[string][]float64{}}
 	t.Run("runs", func(t *testing.T) {
 		for i := range measuredRuns {
 			t.Run(fmt.Sprint(i), func(t *testing.T) {
 				t.Parallel()
-				measure(t, f)
+				measureRun(t, m)
 			})
 		}
 	})
-	f.print(t)
+	m.print(t)
 }
 
-func measure(t *testing.T, f *figures) {
+func measureRun(t *testing.T, m *measurements) {
 	c := processtest.Start(t, processtest.Options{Entries: 4, Workers: 6, Regions: []string{"flanders"},
 		Adjust: func(_ int, s *settings.Settings) { s.RequestShards = 64 }})
-	awaitService(t, c, callerOf(c, "leuven"))
-	settled(unitsMove)
-	countCalls(c, f, "idle")
-	load := startMixed(t, c)
-	settled(time.Second)
-	countCalls(c, f, "under 20 requests a second")
-	measureWithdrawal(t, c, f)
-	applied, began := apply(t, c, c.Entries[0], "piping", `"max_run": "1h"`, `"max_run": "2h"`)
+	awaitService(t, c, newCaller(c, "leuven"))
+	pause(rebalanceTime)
+	countCalls(c, m, "idle")
+	load := startMixedLoad(t, c)
+	pause(time.Second)
+	countCalls(c, m, "under 20 requests a second")
+	measureWithdrawal(t, c, m)
+	applied, began := replaceInDocument(t, c, c.Entries[0], "piping", `"max_run": "1h"`, `"max_run": "2h"`)
 	last, _ := processtest.First(c.Latest(), began, func(e timeline.Event) bool {
 		return e.Type == timeline.ConfigInForce && e.Revision == applied.Revision
 	})
@@ -84,35 +85,35 @@
 			last = e
 		}
 	}
-	f.add("seconds to a configuration in force everywhere", last.Clock.Wall.Sub(began).Seconds())
+	m.add("seconds to a configuration in force everywhere", last.Clock.Wall.Sub(began).Seconds())
 	victim, frozen := c.Entries[0], c.Entries[1]
 	c.Collect(victim)
-	units, killedAt := unitsOf(c.Events(), victim.Settings.Instance), time.Now()
+	units, killedAt := unitsHeldBy(c.Events(), victim.Settings.Instance), time.Now()
 	victim.Kill()
-	f.add("seconds without an owner after a kill", awaitTakeover(t, c, units, killedAt, ordinaryBound).Seconds())
+	m.add("seconds without an owner after a kill", awaitTakeover(t, c, units, killedAt, defaultTakeoverBound).Seconds())
 	c.StartEntry(victim)
-	settled(unitsMove)
+	pause(rebalanceTime)
 	c.Collect(frozen)
-	units, frozenAt := unitsOf(c.Events(), frozen.Settings.Instance), time.Now()
+	units, frozenAt := unitsHeldBy(c.Events(), frozen.Settings.Instance), time.Now()
 	frozen.Freeze()
-	f.add("seconds without an owner after a freeze", awaitTakeover(t, c, units, frozenAt, ordinaryBound).Seconds())
-	settled(time.Until(frozenAt.Add(ordinaryBound)))
+	m.add("seconds without an owner after a freeze", awaitTakeover(t, c, units, frozenAt, defaultTakeoverBound).Seconds())
+	pause(time.Until(frozenAt.Add(defaultTakeoverBound)))
 	frozen.Resume()
-	settled(3 * time.Second)
-	finish(t, c, load)
+	pause(3 * time.Second)
+	settleAndCheck(t, c, load)
 }
 
-func countCalls(c *processtest.Cluster, f *figures, state string) {
+func countCalls(c *processtest.Cluster, m *measurements, state string) {
 	before := c.StoreCalls()
-	settled(measuredSpan)
+	pause(callCountWindow)
 	for call, n := range c.StoreCalls() {
-		f.add(fmt.Sprintf("store calls a second %s, %s", state, call), float64(n-before[call])/measuredSpan.Seconds())
+		m.add(fmt.Sprintf("store calls a second %s, %s", state, call), float64(n-before[call])/callCountWindow.Seconds())
 	}
 }
 
-func measureWithdrawal(t *testing.T, c *processtest.Cluster, f *figures) {
+func measureWithdrawal(t *testing.T, c *processtest.Cluster, m *measurements) {
 	t.Helper()
-	key := grant(t, c, c.Entries[0])
+	key := grantKey(t, c, c.Entries[0])
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	last := make([]time.Time, len(c.Entries))
@@ -120,7 +121,7 @@
 	var group sync.WaitGroup
 	for i, e := range c.Entries {
 		answered[i] = make(chan struct{})
-		group.Go(func() { last[i] = probe(ctx, e, key.Secret, answered[i]) })
+		group.Go(func() { last[i] = probeUntilDone(ctx, e, key.Secret, answered[i]) })
 	}
 	for _, first := range answered {
 		<-first
@@ -129,11 +130,11 @@
 	if _, err := c.Entries[0].Operator.WithdrawKey(t.Context(), "leuven", key.ID); err != nil {
 		t.Fatal(err)
 	}
-	settled(withdrawalBound)
+	pause(withdrawalBound)
 	cancel()
 	group.Wait()
 	latest := slices.MaxFunc(last, time.Time.Compare).Sub(began)
-	f.add("seconds from the call to the last request under a withdrawn key", latest.Seconds())
+	m.add("seconds from the call to the last request under a withdrawn key", latest.Seconds())
 	if latest > withdrawalBound {
 		t.Errorf("a withdrawn key worked for %v, want at most %v", latest, withdrawalBound)
 	}
--- a/endtoend/path_test.go
+++ b/endtoend/path_test.go
@@ -15,9 +15,9 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-const answerBound = 10 * time.Second // of a request in a deployment that is starting
+const answerBound = 10 * time.Second // for the answer to a request after a start
 
-func callerOf(c *processtest.Cluster, team task.Team) *client.Client {
+func newCaller(c *processtest.Cluster, team task.Team) *client.Client {
 	var addresses []string
 	for _, e := range c.Entries {
 		addresses = append(addresses, e.Settings.CallerAddress)
@@ -25,11 +25,11 @@
 	return client.New(client.Config{Addresses: addresses, Secret: demo.Secrets[team]})
 }
 
-// TestPath guards against a kind of work that does not get through the separate
-// processes, or whose outcome is not the one that its caller is promised.
+// TestPath guards against a kind of work that fails across separate processes, or
+// ends with a wrong outcome.
 func TestPath(t *testing.T) {
 	c := processtest.Start(t, processtest.Options{Entries: 4, Workers: 4, Regions: []string{"flanders", "wallonia"}})
-	caller := callerOf(c, "leuven")
+	caller := newCaller(c, "leuven")
 	awaitService(t, c, caller)
 	cases := []struct {
 		class  string
@@ -65,16 +65,16 @@
 		})
 	}
 	t.Run("wrong key", func(t *testing.T) {
-		_, err := callerOf(c, "estrie").Submit(t.Context(), "leuven", "piping", api.SubmitRequest{IdempotencyKey: "x", Class: "span-lookup"}, answerBound)
+		_, err := newCaller(c, "estrie").Submit(t.Context(), "leuven", "piping", api.SubmitRequest{IdempotencyKey: "x", Class: "span-lookup"}, answerBound)
 		var refusal *errkind.Error
 		if !errors.As(err, &refusal) || refusal.Kind != errkind.KeyRefused || refusal.Fate() != errkind.FateNotRun {
-			t.Errorf("key of another team: %v, want %s", err, errkind.KeyRefused)
+			t.Errorf("submission with the key of another team: error %v, want kind %s", err, errkind.KeyRefused)
 		}
 	})
 }
 
-// awaitService returns when a request is answered, which is once the workers
-// have owners.
+// awaitService waits until a request is answered, which requires that the worker
+// partitions have owners.
 func awaitService(t *testing.T, c *processtest.Cluster, caller *client.Client) {
 	t.Helper()
 	n := 0
--- a/endtoend/silent_test.go
+++ b/endtoend/silent_test.go
@@ -9,38 +9,39 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// TestSilentStoreConnections guards against an instance that waits on connections
-// to the store which have gone silent while new ones work: it must learn of
-// changes in time, keep its units, and lose or double no work.
+// TestSilentStoreConnections guards against an instance that waits on stalled
+// connections to the store although new ones work. The instance must apply
+// configuration changes in time, keep its units, and neither lose nor duplicate
+// work.
 func TestSilentStoreConnections(t *testing.T) {
 	t.Parallel()
-	c := processtest.Start(t, processtest.Options{Entries: 4, Workers: 6, Regions: []string{"flanders"}, StoreRelays: true, Adjust: short})
-	awaitService(t, c, callerOf(c, "leuven"))
-	// The first change waits until the instance may change the configuration.
-	apply(t, c, c.Entries[1], "piping", `"max_run": "1h"`, `"max_run": "90m"`)
-	load := startMixed(t, c)
-	settled(2 * time.Second)
+	c := processtest.Start(t, processtest.Options{Entries: 4, Workers: 6, Regions: []string{"flanders"}, StoreRelays: true, Adjust: shortTimeouts})
+	awaitService(t, c, newCaller(c, "leuven"))
+	// This change is retried until the instance accepts configuration changes.
+	replaceInDocument(t, c, c.Entries[1], "piping", `"max_run": "1h"`, `"max_run": "90m"`)
+	load := startMixedLoad(t, c)
+	pause(2 * time.Second)
 	silenced := c.Entries[0]
 	silencedAt := time.Now()
 	c.SilenceStore(silenced)
-	applied, began := apply(t, c, c.Entries[1], "piping", `"max_run": "90m"`, `"max_run": "2h"`)
+	applied, began := replaceInDocument(t, c, c.Entries[1], "piping", `"max_run": "90m"`, `"max_run": "2h"`)
 	var seen timeline.Event
-	c.Eventually(configBound+2*time.Second, "the change is in force on the instance", func() bool {
+	c.Eventually(configBound+2*time.Second, "the change is in force on the instance with stalled connections", func() bool {
 		var ok bool
 		seen, ok = processtest.First(c.Events(), silencedAt, func(e timeline.Event) bool {
 			return e.Type == timeline.ConfigInForce && e.Instance == silenced.Settings.Instance && e.Revision == applied.Revision
 		})
 		return ok
 	})
-	after := seen.Clock.Wall.Sub(began)
-	t.Logf("the change was in force on %s %v after the call", silenced.Settings.Instance, after.Round(time.Millisecond))
-	if after > configBound {
-		t.Errorf("in force after %v, want at most %v", after, configBound)
+	delay := seen.Clock.Wall.Sub(began)
+	t.Logf("the change was in force on %s %v after the call", silenced.Settings.Instance, delay.Round(time.Millisecond))
+	if delay > configBound {
+		t.Errorf("in force after %v, want at most %v", delay, configBound)
 	}
-	settled(3 * time.Second)
-	for _, r := range finish(t, c, load) {
+	pause(3 * time.Second)
+	for _, r := range settleAndCheck(t, c, load) {
 		if r.First != nil && r.At.After(silencedAt.Add(configBound)) {
-			t.Errorf("%s %s: still told %v", r.Class, r.Key, errkind.From(r.First))
+			t.Errorf("%s %s: still failed after the bound: %v", r.Class, r.Key, errkind.From(r.First))
 		}
 	}
 }
--- a/endtoend/store_test.go
+++ b/endtoend/store_test.go
@@ -12,7 +12,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// outage is one way in which the store does not answer.
+// outage is a way in which the store stops answering.
 type outage struct {
 	name  string
 	lasts time.Duration
@@ -20,9 +20,9 @@
 	end   func(c *processtest.Cluster)
 }
 
-// TestStoreOutage guards against a store outage that stops answers or running
-// work, loses or doubles work, or has new durable work told anything but the
-// truth.
+// TestStoreOutage guards against a store outage that interrupts answers or running
+// work, loses or duplicates work, or makes an instance report a wrong fate for new
+// durable work.
 func TestStoreOutage(t *testing.T) {
 	t.Parallel()
 	outages := []outage{
@@ -35,29 +35,29 @@
 		t.Run(o.name, func(t *testing.T) {
 			t.Parallel()
 			c := startCluster(t, 4, 6)
-			load := startMixed(t, c)
-			settled(3 * time.Second)
+			load := startMixedLoad(t, c)
+			pause(3 * time.Second)
 			began := time.Now()
 			o.begin(c)
-			settled(o.lasts)
+			pause(o.lasts)
 			o.end(c)
 			ended := time.Now()
-			settled(5 * time.Second)
-			checkDuring(t, finish(t, c, load), began, ended)
+			pause(5 * time.Second)
+			checkOutage(t, settleAndCheck(t, c, load), began, ended)
 		})
 	}
 }
 
-// checkDuring checks what callers were told in an outage. At its edges calls may
-// have begun before or ended after it, so only what began and ended inside counts.
-func checkDuring(t *testing.T, told []*processtest.Told, began, ended time.Time) {
+// checkOutage checks the responses to callers in an outage. Calls that began
+// before the outage or ended after it are not counted.
+func checkOutage(t *testing.T, records []*processtest.Told, began, ended time.Time) {
 	t.Helper()
-	// A call to the store that is in flight when the outage begins, or a lease
-	// that has to be granted again when it ends, disturbs requests for this long.
-	const edge = storeTerm
-	answered, refused, waited, untrue := 0, 0, 0, 0
-	for _, r := range told {
-		if r.At.Before(began.Add(edge)) || r.At.Add(r.Took).After(ended) {
+	// A store call that is in flight when the outage begins, or a lease that must
+	// be granted again after its end, can delay requests for this long.
+	const margin = storeLeaseTTL
+	answered, refused, accepted, unexpected := 0, 0, 0, 0
+	for _, r := range records {
+		if r.At.Before(began.Add(margin)) || r.At.Add(r.Took).After(ended) {
 			continue
 		}
 		switch {
@@ -66,33 +66,33 @@
 		case r.Kind == task.Answer:
 			answered++
 		case r.First == nil:
-			waited++
+			accepted++
 		case errkind.From(r.First).Kind == errkind.StoreUnavailable && r.Fate() == errkind.FateNotRun:
 			refused++
 		default:
-			untrue++
-			t.Logf("%s %s: told %v after %v", r.Class, r.Key, r.First, r.Took)
+			unexpected++
+			t.Logf("%s %s: failed with %v after %v", r.Class, r.Key, r.First, r.Took)
 		}
 	}
-	t.Logf("in the outage of %v: %d requests answered; of durable work %d rejected as not run, %d accepted, %d told something else",
-		ended.Sub(began).Round(time.Second), answered, refused, waited, untrue)
-	if answered == 0 || untrue > 0 {
-		t.Errorf("%d requests answered, %d of durable work neither rejected as not run nor accepted; want some and none", answered, untrue)
+	t.Logf("in the outage of %v: %d requests answered; of durable work, %d rejected as not run, %d accepted, %d with another error",
+		ended.Sub(began).Round(time.Second), answered, refused, accepted, unexpected)
+	if answered == 0 || unexpected > 0 {
+		t.Errorf("%d requests answered, want at least 1; %d requests for durable work neither rejected as not run nor accepted, want 0", answered, unexpected)
 	}
 }
 
-// TestStoreReplyLost guards against a write that took effect without a reply and
-// is then taken for one without effect, or made twice.
+// TestStoreReplyLost guards against a write whose reply is lost being treated as
+// failed, or being applied twice.
 func TestStoreReplyLost(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, 4, 6)
 	load := c.StartLoad(t, "lost", processtest.LoadOptions{Mix: processtest.Mixed, Rate: loadRate, Secret: demo.Secrets["leuven"], Timeout: callTimeout})
 	for range 8 {
-		settled(time.Second)
+		pause(time.Second)
 		c.SetStoreFaults(fault.Fault{Kind: fault.ReplyLost, Call: storetest.CallTxn, Count: 5},
 			fault.Fault{Kind: fault.ReplyLost, Call: storetest.CallKeepAlive, Count: 1})
 	}
 	c.SetStoreFaults()
-	settled(2 * time.Second)
-	finish(t, c, load)
+	pause(2 * time.Second)
+	settleAndCheck(t, c, load)
 }
--- a/endtoend/worker_test.go
+++ b/endtoend/worker_test.go
@@ -11,7 +11,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// leavingBound is the time after which a leaving worker gets no new task.
+// leavingBound is the time after which no new task starts on a leaving worker.
 const leavingBound = 3 * time.Second
 
 // TestWorkerLeaving guards against new work on a worker that the instance list
@@ -19,13 +19,13 @@
 func TestWorkerLeaving(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, 3, 4)
-	load := startMixed(t, c)
+	load := startMixedLoad(t, c)
 	leaving := busyWorker(c)
 	leaving.State = instancelist.StateLeaving
 	c.PutListed(leaving)
 	listedAt := time.Now()
-	settled(leavingBound + 3*time.Second)
-	told := finish(t, c, load)
+	pause(leavingBound + 3*time.Second)
+	records := settleAndCheck(t, c, load)
 	before := 0
 	for _, ledger := range c.Ledgers() {
 		if ledger.Worker != leaving.Name {
@@ -36,12 +36,12 @@
 				before++
 			}
 			if run.Start.After(listedAt.Add(leavingBound)) {
-				t.Errorf("started %v after the list showed it as leaving: %s", run.Start.Sub(listedAt), run)
+				t.Errorf("start %v after the worker was listed as leaving, want at most %v: %s", run.Start.Sub(listedAt), leavingBound, run)
 			}
 		}
 	}
-	if before == 0 || len(told) == 0 {
-		t.Errorf("%s ran %d tasks before it was leaving, want some", leaving.Name, before)
+	if before == 0 || len(records) == 0 {
+		t.Errorf("%s ran %d tasks before it was leaving and callers sent %d requests, want at least 1 of each", leaving.Name, before, len(records))
 	}
 }
 
@@ -62,12 +62,12 @@
 }
 
 // TestWorkerKilled guards against repeatable work that is lost with a worker, or
-// that runs again before the lease of the lost attempt has ended.
+// that is restarted before the lease of the lost attempt has expired.
 func TestWorkerKilled(t *testing.T) {
 	t.Parallel()
-	c := processtest.Start(t, processtest.Options{Entries: 3, Workers: 4, SeparateWorkers: true, Regions: []string{"flanders"}, Adjust: short})
-	awaitService(t, c, callerOf(c, "leuven"))
-	job := submitLong(t, c, demo.Secrets["leuven"], "lost", "span-tables")
+	c := processtest.Start(t, processtest.Options{Entries: 3, Workers: 4, SeparateWorkers: true, Regions: []string{"flanders"}, Adjust: shortTimeouts})
+	awaitService(t, c, newCaller(c, "leuven"))
+	job := submitWithoutWait(t, c, demo.Secrets["leuven"], "lost", "span-tables")
 	var first oracle.Run
 	c.Eventually(serviceBound, "the service runs", func() bool {
 		for _, ledger := range c.Ledgers() {
@@ -80,7 +80,7 @@
 		}
 		return false
 	})
-	settled(2 * time.Second)
+	pause(2 * time.Second)
 	victim := c.WorkerProcess(first.Worker)
 	victim.Kill()
 	killedAt := time.Now()
@@ -96,15 +96,15 @@
 		}
 		return false
 	})
-	// The lease was renewed by the last sync before the kill, at the earliest one
-	// sync interval and the time of a call before it.
+	// The last lease renewal is that of the last sync, which is at most one sync
+	// interval and the duration of a call before the kill.
 	const renewal = time.Second + 500*time.Millisecond
 	again := second.Start.Sub(killedAt)
-	t.Logf("ran again %v after the kill of %s, with a lease of %v", again.Round(time.Millisecond), first.Worker, taskLease)
+	t.Logf("restarted %v after the kill of %s, with a lease of %v", again.Round(time.Millisecond), first.Worker, taskLease)
 	if again < taskLease-renewal {
-		t.Errorf("ran again %v after the kill, before the lease of %v had ended", again, taskLease)
+		t.Errorf("restarted %v after the kill, before the lease of %v had expired", again, taskLease)
 	}
-	caller := callerOf(c, "leuven")
+	caller := newCaller(c, "leuven")
 	if _, err := caller.Cancel(t.Context(), job); err != nil {
 		t.Errorf("cancel: %v", err)
 	}
