--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
-// Package soak runs real entry instances as processes against stand-ins of the
-// platform, with random faults from outside, and checks the promises to callers
-// while it runs. Seeds that ever failed are listed in regressions.
+// Package soak runs entry instances as separate processes against stand-ins for
+// the platform, injects random external faults, and checks that the outcomes
+// reported to callers match the runs on the workers. Seeds that have failed are
+// listed in regressions.
 package soak
 
 import (
@@ -29,88 +30,89 @@
 	seeds    = flag.Int("soak.seeds", 1, "number of seeds")
 )
 
-// regressions are seeds that failed once, with the cause.
+// regressions are seeds that have failed, each with the cause as a comment.
 var regressions = []uint64{}
 
 const (
-	instances  = 4
-	workers    = 6
-	faultsTime = 12 * time.Second // during which faults strike
-	settleTime = 25 * time.Second // within which every accepted job has to end: the longest lease, a takeover and the work
-	host       = "shop.example"
-	key        = "k"
+	instances     = 4
+	workers       = 6
+	faultDuration = 12 * time.Second // period of fault injection
+	settleTimeout = 25 * time.Second // for all accepted jobs to end: the longest lease, a takeover and the work itself
+	host          = "shop.example"
+	key           = "k"
 )
 
-// fleet is one run of the soak.
-type fleet struct {
-	t       *testing.T
-	rng     *rand.Rand
-	program string
-	store   *platformtest.Store
-	workers []*platformtest.Worker
-	mu      sync.Mutex
-	procs   []*proc
-	jobs    map[string]*promised
-	addrs   struct{ store, advice string }
+// harness is the state of the soak test for one seed.
+type harness struct {
+	t         *testing.T
+	rng       *rand.Rand
+	program   string
+	store     *platformtest.Store
+	workers   []*platformtest.Worker
+	mu        sync.Mutex
+	processes []*process
+	jobs      map[string]*jobRecord
+	addresses struct{ store, advice string }
 }
 
-type proc struct {
+type process struct {
 	index int
 	cmd   *exec.Cmd
 	front string
 	log   *bytes.Buffer
 }
 
-// promised is what a caller was told of a job.
-type promised struct {
+// jobRecord is the response that a caller received for a job.
+type jobRecord struct {
 	accepted bool
-	refused  bool // every try was refused
+	refused  bool // every attempt was refused
 }
 
-// TestSoak guards against broken promises under faults that nobody thought of
-// together: kills, stops, pauses, and a store that refuses, is silent or loses
-// answers.
+// TestSoak guards against accepted jobs that do not end, refused jobs that run and
+// overlapping runs under random combinations of faults: killed, stopped and
+// suspended instances, lost answers of workers, and a store that is slow, refuses
+// calls, does not answer or loses replies to writes.
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "mulberryd")
 	if out, err := exec.Command("go", "build", "-o", program, "../cmd/mulberryd").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	list := append([]uint64(nil), regressions...)
+	seedList := append([]uint64(nil), regressions...)
 	for n := range uint64(*seeds) {
-		list = append(list, *seedFlag+n)
+		seedList = append(seedList, *seedFlag+n)
 	}
-	for _, seed := range list {
+	for _, seed := range seedList {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { run(t, program, seed) })
 	}
 }
 
 func run(t *testing.T, program string, seed uint64) {
-	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 2)), program: program, store: platformtest.NewStore(), jobs: map[string]*promised{}}
-	f.addrs.store = serve(t, f.store)
-	f.addrs.advice = serve(t, &platformtest.Advice{Valid: 2 * time.Second})
-	f.store.Configure(1, "calc", []string{key}, platformtest.Queue{Name: "q", Host: host, Prefix: "/q/", Attempts: 3, Advised: true})
+	h := &harness{t: t, rng: rand.New(rand.NewPCG(seed, 2)), program: program, store: platformtest.NewStore(), jobs: map[string]*jobRecord{}}
+	h.addresses.store = serve(t, h.store)
+	h.addresses.advice = serve(t, &platformtest.Advice{Valid: 2 * time.Second})
+	h.store.Configure(1, "calc", []string{key}, platformtest.Queue{Name: "q", Host: host, Prefix: "/q/", Attempts: 3, Advised: true})
 	for i := range workers {
 		w := platformtest.NewWorker(fmt.Sprintf("i-%d", i))
-		f.workers = append(f.workers, w)
-		f.store.Register(w, "calc", serve(t, w), "r1")
+		h.workers = append(h.workers, w)
+		h.store.Register(w, "calc", serve(t, w), "r1")
 	}
 	for i := range instances {
-		f.procs = append(f.procs, f.start(i))
+		h.processes = append(h.processes, h.start(i))
 	}
 	time.Sleep(2 * time.Second)
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	for n := range 3 {
 		rng := rand.New(rand.NewPCG(seed, uint64(n)+10))
-		callers.Go(func() { f.submitJobs(n, rng, stop) })
+		callers.Go(func() { h.submitJobs(n, rng, stop) })
 	}
-	for end := time.Now().Add(faultsTime); time.Now().Before(end); {
-		f.fault()
+	for end := time.Now().Add(faultDuration); time.Now().Before(end); {
+		h.injectFault()
 	}
 	close(stop)
 	callers.Wait()
-	f.store.SetFaults(platformtest.StoreFaults{})
-	f.check(seed)
+	h.store.SetFaults(platformtest.StoreFaults{})
+	h.check(seed)
 }
 
 func serve(t *testing.T, h http.Handler) string {
@@ -119,10 +121,11 @@
 	return server.Listener.Addr().String()
 }
 
-// start starts one entry instance. Its ports are its own by its loopback host.
-func (f *fleet) start(index int) *proc {
+// start starts one entry instance. Each instance has a separate loopback address,
+// so that all can use the same ports.
+func (h *harness) start(index int) *process {
 	ip := fmt.Sprintf("127.92.%d.%d", os.Getpid()%250+1, index+1)
-	path := filepath.Join(f.t.TempDir(), "settings.toml")
+	path := filepath.Join(h.t.TempDir(), "settings.toml")
 	text := fmt.Sprintf(`nodeName = "e%d"
 ip = "%s"
 portRange = [7420,7435]
@@ -137,76 +140,76 @@
 [platform]
 address = "%s"
 form = "kv"
-`, index, ip, f.addrs.advice, ip, ip, f.addrs.store)
+`, index, ip, h.addresses.advice, ip, ip, h.addresses.store)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		f.t.Fatal(err)
+		h.t.Fatal(err)
 	}
-	p := &proc{index: index, cmd: exec.Command(f.program, "--platform"), front: ip + ":8183", log: &bytes.Buffer{}}
+	p := &process{index: index, cmd: exec.Command(h.program, "--platform"), front: ip + ":8183", log: &bytes.Buffer{}}
 	p.cmd.Env = append(os.Environ(), settings.EnvPath+"="+path)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	if err := p.cmd.Start(); err != nil {
-		f.t.Fatal(err)
+		h.t.Fatal(err)
 	}
-	f.t.Cleanup(func() {
-		_ = p.cmd.Process.Kill() // it may have ended
+	h.t.Cleanup(func() {
+		_ = p.cmd.Process.Kill() // the process may have ended already
 		_ = p.cmd.Wait()
-		if f.t.Failed() && os.Getenv("SOAK_LOGS") != "" {
-			f.t.Logf("e%d (process %d):\n%s", index, p.cmd.Process.Pid, p.log)
+		if h.t.Failed() && os.Getenv("SOAK_LOGS") != "" {
+			h.t.Logf("e%d (process %d):\n%s", index, p.cmd.Process.Pid, p.log)
 		}
 	})
 	return p
 }
 
-// fault lets one fault strike, and waits a little.
-func (f *fleet) fault() {
-	i := f.rng.IntN(instances)
-	f.mu.Lock()
-	p := f.procs[i]
-	f.mu.Unlock()
-	short := time.Duration(200+f.rng.IntN(1800)) * time.Millisecond
-	switch f.rng.IntN(8) {
+// injectFault injects one random fault and then waits up to 700 ms.
+func (h *harness) injectFault() {
+	i := h.rng.IntN(instances)
+	h.mu.Lock()
+	p := h.processes[i]
+	h.mu.Unlock()
+	pause := time.Duration(200+h.rng.IntN(1800)) * time.Millisecond
+	switch h.rng.IntN(8) {
 	case 0, 1:
-		f.restart(p, syscall.SIGKILL, short/2)
+		h.restart(p, syscall.SIGKILL, pause/2)
 	case 2:
-		f.restart(p, syscall.SIGTERM, 0)
+		h.restart(p, syscall.SIGTERM, 0)
 	case 3:
-		f.signal(p, syscall.SIGSTOP)
-		time.Sleep(short)
-		f.signal(p, syscall.SIGCONT)
+		h.signal(p, syscall.SIGSTOP)
+		time.Sleep(pause)
+		h.signal(p, syscall.SIGCONT)
 	case 4:
-		f.store.SetFaults(platformtest.StoreFaults{Refuse: f.rng.IntN(2) == 0, Silent: true})
-		time.Sleep(short)
-		f.store.SetFaults(platformtest.StoreFaults{})
+		h.store.SetFaults(platformtest.StoreFaults{Refuse: h.rng.IntN(2) == 0, Silent: true})
+		time.Sleep(pause)
+		h.store.SetFaults(platformtest.StoreFaults{})
 	case 5:
-		f.store.SetFaults(platformtest.StoreFaults{LoseWrites: 1 + f.rng.IntN(5), LateBy: time.Duration(f.rng.IntN(3)) * time.Second})
+		h.store.SetFaults(platformtest.StoreFaults{LoseWrites: 1 + h.rng.IntN(5), LateBy: time.Duration(h.rng.IntN(3)) * time.Second})
 	case 6:
-		f.store.SetFaults(platformtest.StoreFaults{Slow: time.Duration(f.rng.IntN(300)) * time.Millisecond})
-		time.Sleep(short)
-		f.store.SetFaults(platformtest.StoreFaults{})
+		h.store.SetFaults(platformtest.StoreFaults{Slow: time.Duration(h.rng.IntN(300)) * time.Millisecond})
+		time.Sleep(pause)
+		h.store.SetFaults(platformtest.StoreFaults{})
 	case 7:
-		f.workers[f.rng.IntN(workers)].LoseAnswers(1 + f.rng.IntN(3))
+		h.workers[h.rng.IntN(workers)].LoseAnswers(1 + h.rng.IntN(3))
 	}
-	time.Sleep(time.Duration(f.rng.IntN(700)) * time.Millisecond)
+	time.Sleep(time.Duration(h.rng.IntN(700)) * time.Millisecond)
 }
 
-func (f *fleet) signal(p *proc, s syscall.Signal) {
-	_ = p.cmd.Process.Signal(s) // it may have ended
+func (h *harness) signal(p *process, s syscall.Signal) {
+	_ = p.cmd.Process.Signal(s) // the process may have ended already
 }
 
-// restart ends a process and starts another in its place.
-func (f *fleet) restart(p *proc, s syscall.Signal, pause time.Duration) {
-	f.signal(p, s)
-	_ = p.cmd.Wait() // the way in which it ended is the fault
+// restart ends a process with a signal and starts a replacement.
+func (h *harness) restart(p *process, s syscall.Signal, pause time.Duration) {
+	h.signal(p, s)
+	_ = p.cmd.Wait() // a non-zero exit status is expected
 	time.Sleep(pause)
-	next := f.start(p.index)
-	f.mu.Lock()
-	f.procs[p.index] = next
-	f.mu.Unlock()
+	next := h.start(p.index)
+	h.mu.Lock()
+	h.processes[p.index] = next
+	h.mu.Unlock()
 }
 
-// submitJobs hands in jobs until stop, and repeats those whose fate it does not
-// know at other instances, as callers do.
-func (f *fleet) submitJobs(caller int, rng *rand.Rand, stop chan struct{}) {
+// submitJobs submits jobs until stop is closed. It retries submissions with an
+// unknown outcome at random instances, as callers do.
+func (h *harness) submitJobs(caller int, rng *rand.Rand, stop chan struct{}) {
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -216,9 +219,9 @@
 		id := fmt.Sprintf("%016x", (caller+1)<<32+n)
 		body := fmt.Sprintf(`{"spec":"%dms","steps":[{"count":%d,"cpu":2000,"memMb":100,"estimateMs":300,"gang":%v},{"count":1,"cpu":500,"memMb":10,"after":[0]}]}`,
 			20+rng.IntN(1200), 1+rng.IntN(3), rng.IntN(4) == 0)
-		p := &promised{refused: true}
+		p := &jobRecord{refused: true}
 		for range 6 {
-			status := f.call(rng.IntN(instances), "POST", id, body)
+			status := h.call(rng.IntN(instances), "POST", id, body)
 			p.accepted = p.accepted || status == http.StatusOK
 			p.refused = p.refused && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
 			if p.accepted || status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
@@ -226,23 +229,23 @@
 			}
 			time.Sleep(150 * time.Millisecond)
 		}
-		f.mu.Lock()
-		f.jobs[id] = p
-		f.mu.Unlock()
+		h.mu.Lock()
+		h.jobs[id] = p
+		h.mu.Unlock()
 	}
 }
 
 var client = &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
-// call returns the status of a call, 0 without a complete answer, and for GET of
-// a job that is completed 299.
-func (f *fleet) call(instance int, method, id, body string) int {
-	f.mu.Lock()
-	front := f.procs[instance].front
-	f.mu.Unlock()
+// call returns the HTTP status of a call, statusCompleted if the response reports
+// the job as completed, or 0 without a complete response.
+func (h *harness) call(instance int, method, id, body string) int {
+	h.mu.Lock()
+	front := h.processes[instance].front
+	h.mu.Unlock()
 	request, err := http.NewRequest(method, "http://"+front+"/q/"+id, strings.NewReader(body))
 	if err != nil {
-		f.t.Error(err)
+		h.t.Error(err)
 		return 0
 	}
 	request.Host = host
@@ -257,25 +260,26 @@
 		return 0
 	}
 	if strings.Contains(string(text), `"completed"`) {
-		return completed
+		return statusCompleted
 	}
 	return response.StatusCode
 }
 
-const completed = 299
+// statusCompleted marks a completed job. It is not a status that instances send.
+const statusCompleted = 299
 
-// check waits until every accepted job has ended, and compares what callers were
-// told with what workers ran.
-func (f *fleet) check(seed uint64) {
-	deadline := time.Now().Add(settleTime)
+// check waits until every accepted job has ended, and compares the responses to
+// callers with the runs of the workers.
+func (h *harness) check(seed uint64) {
+	deadline := time.Now().Add(settleTimeout)
 	accepted, refused := 0, 0
-	for id, p := range f.jobs {
+	for id, p := range h.jobs {
 		switch {
 		case p.accepted:
 			accepted++
-			for status := 0; status != completed; time.Sleep(20 * time.Millisecond) {
-				if status = f.call(f.rng.IntN(instances), "GET", id, ""); time.Now().After(deadline) {
-					f.t.Errorf("seed %d: job %s was accepted and is not completed: %d", seed, id, status)
+			for status := 0; status != statusCompleted; time.Sleep(20 * time.Millisecond) {
+				if status = h.call(h.rng.IntN(instances), "GET", id, ""); time.Now().After(deadline) {
+					h.t.Errorf("seed %d: job %s was accepted but was not seen as completed before the deadline: last status %d", seed, id, status)
 					break
 				}
 			}
@@ -284,36 +288,36 @@
 		}
 	}
 	runs := map[string][]platformtest.Ran{}
-	for _, w := range f.workers {
+	for _, w := range h.workers {
 		for _, r := range w.Ran() {
 			runs[r.Task] = append(runs[r.Task], r)
-			if p := f.jobs[r.Task[:16]]; p == nil || p.refused {
-				f.t.Errorf("seed %d: %s ran, and its caller was told that it does not", seed, r.Task)
+			if p := h.jobs[r.Task[:16]]; p == nil || p.refused {
+				h.t.Errorf("seed %d: task %s ran, but its job is unknown or was refused", seed, r.Task)
 			}
 		}
 	}
-	for task, list := range runs {
-		f.checkRuns(seed, task, list)
+	for task, taskRuns := range runs {
+		h.checkRuns(seed, task, taskRuns)
 	}
-	f.t.Logf("seed %d: %d jobs accepted, %d refused, %d tasks", seed, accepted, refused, len(runs))
+	h.t.Logf("seed %d: %d jobs accepted, %d refused, %d tasks", seed, accepted, refused, len(runs))
 	if accepted < 20 {
-		f.t.Errorf("seed %d: only %d jobs were accepted", seed, accepted)
+		h.t.Errorf("seed %d: only %d jobs were accepted, want at least 20", seed, accepted)
 	}
 }
 
-// checkRuns checks that no two runs of a task overlap, and that none follows a
-// success.
-func (f *fleet) checkRuns(seed uint64, task string, list []platformtest.Ran) {
-	for i, a := range list {
-		for k, b := range list {
+// checkRuns checks that no two runs of a task overlap, and that no run starts after
+// a successful one.
+func (h *harness) checkRuns(seed uint64, task string, runs []platformtest.Ran) {
+	for i, a := range runs {
+		for k, b := range runs {
 			if i == k {
 				continue
 			}
 			if b.Begun.After(a.Begun) && (a.Ended.IsZero() || b.Begun.Before(a.Ended)) {
-				f.t.Errorf("seed %d: runs %d and %d of %s overlap", seed, a.Run, b.Run, task)
+				h.t.Errorf("seed %d: runs %d and %d of %s overlap", seed, a.Run, b.Run, task)
 			}
 			if a.How == "done" && b.Begun.After(a.Ended) {
-				f.t.Errorf("seed %d: run %d of %s follows a success", seed, b.Run, task)
+				h.t.Errorf("seed %d: run %d of %s started after a successful run", seed, b.Run, task)
 			}
 		}
 	}
