--- a/internal/apidoc/backend_test.go
+++ b/internal/apidoc/backend_test.go
@@ -15,28 +15,28 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-var at = time.Date(2026, 5, 4, 9, 30, 0, 0, time.UTC)
+var exampleTime = time.Date(2026, 5, 4, 9, 30, 0, 0, time.UTC)
 
-// callers answers every call with the same job.
-type callers struct{ outcome task.Outcome }
+// callerBackend returns the same job for every call.
+type callerBackend struct{ outcome task.Outcome }
 
-func newCallers() callers {
+func newCallerBackend() callerBackend {
 	result := []byte(`{"span_m":4.2}`)
 	sum := sha256.Sum256(result)
-	return callers{task.Outcome{
+	return callerBackend{task.Outcome{
 		Attempt: task.Attempt{Task: "dijle-engineering/supports/s-17/0", Number: 1},
 		State:   task.Finished, Worker: "worker-flanders-17", RunTime: 84 * time.Millisecond,
 		Result: result, Digest: hex.EncodeToString(sum[:]),
 	}}
 }
 
-func (b callers) reply(state task.State, outcome *task.Outcome) caller.Reply {
+func (b callerBackend) reply(state task.State, outcome *task.Outcome) caller.Reply {
 	return caller.Reply{State: state, Tasks: []caller.TaskState{
 		{ID: b.outcome.Attempt.Task, State: state, Attempt: 1, Outcome: outcome},
 	}}
 }
 
-func (b callers) Submit(_ context.Context, _ string, spec task.Spec, wait time.Duration) (caller.Reply, error) {
+func (b callerBackend) Submit(_ context.Context, _ string, spec task.Spec, wait time.Duration) (caller.Reply, error) {
 	if spec.Class == "unheard-of" {
 		return caller.Reply{}, errkind.New(errkind.UnknownClass, `service dijle-engineering/supports has no class "unheard-of"`).
 			WithField("class", "span-lookup, span-tables")
@@ -51,101 +51,105 @@
 	return b.reply(task.Accepted, nil), nil
 }
 
-func (b callers) Status(context.Context, string, caller.JobID) (caller.Reply, error) {
+func (b callerBackend) Status(context.Context, string, caller.JobID) (caller.Reply, error) {
 	return b.reply(task.Running, nil), nil
 }
 
-func (b callers) Wait(context.Context, string, caller.JobID, time.Duration) (caller.Reply, error) {
+func (b callerBackend) Wait(context.Context, string, caller.JobID, time.Duration) (caller.Reply, error) {
 	return b.reply(task.Finished, &b.outcome), nil
 }
 
-func (b callers) Cancel(context.Context, string, caller.JobID) (caller.Reply, error) {
+func (b callerBackend) Cancel(context.Context, string, caller.JobID) (caller.Reply, error) {
 	return b.reply(task.NotRun, &task.Outcome{
 		Attempt: b.outcome.Attempt, State: task.NotRun, Reason: string(errkind.Cancelled)}), nil
 }
 
-func (b callers) Result(context.Context, string, caller.JobID, int) (task.Outcome, error) {
+func (b callerBackend) Result(context.Context, string, caller.JobID, int) (task.Outcome, error) {
 	return b.outcome, nil
 }
 
-// operators answers every call with fixed rows.
-type operators struct{}
+// operatorBackend returns fixed data for every call.
+type operatorBackend struct{}
 
 const (
-	source   = `{"team":"dijle-engineering","service":"reports","classes":[{"name":"stress-report","kind":"at_most_once","size":{"slots":1},"max_run":"20m","command":"stress-report --issue"}]}`
-	previous = `{"team":"dijle-engineering","service":"reports","classes":[{"name":"stress-report","kind":"at_most_once","size":{"slots":1},"max_run":"10m","command":"stress-report --issue"}]}`
+	documentSource = `{"team":"dijle-engineering","service":"reports","classes":[{"name":"stress-report","kind":"at_most_once","size":{"slots":1},"max_run":"20m","command":"stress-report --issue"}]}`
+	previousSource = `{"team":"dijle-engineering","service":"reports","classes":[{"name":"stress-report","kind":"at_most_once","size":{"slots":1},"max_run":"10m","command":"stress-report --issue"}]}`
 )
 
-func held(revision int64) operator.Held {
+func heldDocument(revision int64) operator.Held {
 	return operator.Held{
 		Ref:      operator.Ref{Team: "dijle-engineering", Service: "reports"},
 		Revision: revision,
 		InForce:  true,
-		Record:   document.Record{Source: source, Previous: previous, By: "els", At: at},
+		Record:   document.Record{Source: documentSource, Previous: previousSource, By: "els", At: exampleTime},
 	}
 }
 
-func (operators) Apply(_ context.Context, c operator.Change) (operator.Held, error) {
+func (operatorBackend) Apply(_ context.Context, c operator.Change) (operator.Held, error) {
 	if c.Expected != 41 {
-		return operator.Held{}, &operator.Conflict{Expected: c.Expected, Current: held(42)}
+		return operator.Held{}, &operator.Conflict{Expected: c.Expected, Current: heldDocument(42)}
 	}
-	return held(42), nil
+	return heldDocument(42), nil
 }
 
-func (operators) Get(context.Context, operator.Ref) (operator.Held, error) { return held(42), nil }
-func (operators) List(context.Context) ([]operator.Held, error) {
-	return []operator.Held{held(42)}, nil
+func (operatorBackend) Get(context.Context, operator.Ref) (operator.Held, error) {
+	return heldDocument(42), nil
+}
+func (operatorBackend) List(context.Context) ([]operator.Held, error) {
+	return []operator.Held{heldDocument(42)}, nil
 }
 
-var key = api.Key{ID: "k-7f3a", Team: "dijle-engineering", Role: "responsible-engineer", GrantedBy: "els", GrantedAt: at}
+var exampleKey = api.Key{ID: "k-7f3a", Team: "dijle-engineering", Role: "responsible-engineer", GrantedBy: "els", GrantedAt: exampleTime}
 
-func (operators) GrantKey(context.Context, string, api.GrantRequest) (api.GrantedKey, error) {
-	return api.GrantedKey{Key: key, Secret: "EXAMPLE-SECRET"}, nil
+func (operatorBackend) GrantKey(context.Context, string, api.GrantRequest) (api.GrantedKey, error) {
+	return api.GrantedKey{Key: exampleKey, Secret: "EXAMPLE-SECRET"}, nil
 }
 
-func (operators) WithdrawKey(context.Context, string, task.Team, string) (api.Key, error) {
-	withdrawn := key
-	withdrawn.WithdrawnBy, withdrawn.WithdrawnAt = "els", at.Add(time.Hour)
+func (operatorBackend) WithdrawKey(context.Context, string, task.Team, string) (api.Key, error) {
+	withdrawn := exampleKey
+	withdrawn.WithdrawnBy, withdrawn.WithdrawnAt = "els", exampleTime.Add(time.Hour)
 	return withdrawn, nil
 }
 
-func (operators) Keys(context.Context, task.Team) ([]api.Key, error) { return []api.Key{key}, nil }
+func (operatorBackend) Keys(context.Context, task.Team) ([]api.Key, error) {
+	return []api.Key{exampleKey}, nil
+}
 
-func (operators) Drain(_ context.Context, _ string, r api.DrainRequest) (api.Drain, error) {
+func (operatorBackend) Drain(_ context.Context, _ string, r api.DrainRequest) (api.Drain, error) {
 	return api.Drain{Name: r.Worker, Draining: true, Tasks: 3, Detail: "tasks run to their end"}, nil
 }
 
-func (operators) ForceOwnership(_ context.Context, _ string, r api.ForceRequest) (api.Ownership, error) {
+func (operatorBackend) ForceOwnership(_ context.Context, _ string, r api.ForceRequest) (api.Ownership, error) {
 	return api.Ownership{Unit: r.Unit, Owner: "entry-flanders-2", Epoch: 7, Revision: 88, After: api.Duration(24 * time.Second)}, nil
 }
 
-var capacity = task.Resources{CPUMilli: 32000, MemoryMB: 131072, Slots: 8, Connections: 64}
+var workerCapacity = task.Resources{CPUMilli: 32000, MemoryMB: 131072, Slots: 8, Connections: 64}
 
-func (operators) Workers(context.Context) ([]api.Worker, error) {
+func (operatorBackend) Workers(context.Context) ([]api.Worker, error) {
 	return []api.Worker{{
 		Name: "worker-flanders-17", Region: "flanders", FailureDomain: "leuven-a", Rack: "r3", Partition: "w/flanders/2",
-		Owner: "entry-flanders-1", State: "ready", Capacity: capacity, Reserved: task.Resources{CPUMilli: 8000, MemoryMB: 24576, Slots: 1},
+		Owner: "entry-flanders-1", State: "ready", Capacity: workerCapacity, Reserved: task.Resources{CPUMilli: 8000, MemoryMB: 24576, Slots: 1},
 		Tasks: 1, ReportAge: api.Duration(400 * time.Millisecond),
 	}}, nil
 }
 
-func (operators) Shares(context.Context) ([]api.Share, error) {
+func (operatorBackend) Shares(context.Context) ([]api.Share, error) {
 	return []api.Share{{Team: "dijle-engineering", Weight: 3, Entitled: 0.6, Current: 0.55, Decayed: 0.58,
 		Running: task.Resources{CPUMilli: 880000, Slots: 110}, Limit: task.Resources{CPUMilli: 960000, Slots: 240}, Waiting: 12}}, nil
 }
 
-func (operators) Members(context.Context) ([]api.Member, error) {
+func (operatorBackend) Members(context.Context) ([]api.Member, error) {
 	return []api.Member{{Instance: "entry-flanders-1", Incarnation: "3f9c", Address: "10.1.0.1:7072", Region: "flanders",
 		FailureDomain: "leuven-a", Revision: 42, Units: []string{"w/flanders/2", "h/9"}}}, nil
 }
 
-func (operators) Timeline(_ context.Context, f operator.Filter) (api.Timeline, error) {
+func (operatorBackend) Timeline(_ context.Context, f operator.Filter) (api.Timeline, error) {
 	return api.Timeline{Events: []timeline.Event{{Instance: "entry-flanders-1", Incarnation: "3f9c", Sequence: 118,
-		Clock: timeline.Clock{Wall: at}, Type: timeline.TaskStarted, Team: "dijle-engineering", Task: f.Task, Attempt: 1,
+		Clock: timeline.Clock{Wall: exampleTime}, Type: timeline.TaskStarted, Team: "dijle-engineering", Task: f.Task, Attempt: 1,
 		Worker: "worker-flanders-17", Partition: "w/flanders/2", Epoch: 6}}}, nil
 }
 
-func (operators) Healthy(context.Context) error { return nil }
-func (operators) Ready(context.Context) error {
+func (operatorBackend) Healthy(context.Context) error { return nil }
+func (operatorBackend) Ready(context.Context) error {
 	return errkind.New(errkind.Draining, "this instance is leaving").WithRetryAfter(time.Second)
 }
--- a/internal/apidoc/doc.go
+++ b/internal/apidoc/doc.go
@@ -1,4 +1,4 @@
-// Package apidoc holds the test that writes docs/api.md: it makes every call of
-// the servers for callers and operators against fixed backends and compares the
-// page with what was sent and answered.
+// Package apidoc contains the test that generates docs/api.md. It makes every call
+// to the caller and operator servers with fixed backends, and compares the page
+// with the requests and responses.
 package apidoc
--- a/internal/apidoc/page_test.go
+++ b/internal/apidoc/page_test.go
@@ -23,8 +23,8 @@
 	"github.com/mulberrydrum/mulberrydrum/settings"
 )
 
-// TestPage guards against a page that differs from what the servers answer. To
-// write the page after a change: go test ./internal/apidoc -update
+// TestPage guards against documentation that differs from the responses of the
+// servers. To regenerate the page after a change: go test ./internal/apidoc -update
 func TestPage(t *testing.T) {
 	text, err := os.ReadFile("testdata/api.md.tmpl")
 	if err != nil {
@@ -38,23 +38,23 @@
 	}
 	registry := metrics.NewRegistry()
 	metrics.GetOrRegisterCounter("caller.requests", registry).Inc(3)
-	forCallers := caller.NewServer(caller.Config{
+	callerServer := caller.NewServer(caller.Config{
 		Limits: limits, MaxResultBytes: defaults.MaxResultBytes, MaxWait: defaults.MaxWait, CallTimeout: defaults.CallTimeout,
-	}, newCallers())
-	forOperators := operator.NewServer(operator.Config{
+	}, newCallerBackend())
+	operatorServer := operator.NewServer(operator.Config{
 		Limits: limits, MaxWait: defaults.MaxWait, CallTimeout: time.Second, Metrics: registry,
-	}, operators{})
+	}, operatorBackend{})
 	page := template.Must(template.New("api.md").Funcs(template.FuncMap{
-		"caller":   func(method, path, body string) (string, error) { return example(forCallers, method, path, body) },
-		"operator": func(method, path, body string) (string, error) { return example(forOperators, method, path, body) },
+		"caller":   func(method, path, body string) (string, error) { return example(callerServer, method, path, body) },
+		"operator": func(method, path, body string) (string, error) { return example(operatorServer, method, path, body) },
 		"errors":   errkind.Reference,
-		"source":   func() string { return source },
+		"source":   func() string { return documentSource },
 	}).Parse(string(text)))
 	var out bytes.Buffer
 	if err := page.Execute(&out, nil); err != nil {
 		t.Fatal(err)
 	}
-	for _, s := range []*httpjson.Server{forCallers.Server, forOperators.Server} {
+	for _, s := range []*httpjson.Server{callerServer.Server, operatorServer.Server} {
 		for _, path := range s.Paths() {
 			if !strings.Contains(out.String(), "`"+path+"`") {
 				t.Errorf("the page does not describe %s", path)
@@ -64,7 +64,7 @@
 	goldie.New(t, goldie.WithFixtureDir("../../docs"), goldie.WithNameSuffix(".md")).Assert(t, "api", out.Bytes())
 }
 
-// example makes one call and returns it as Markdown.
+// example makes one call and returns the request and the response as Markdown.
 func example(handler http.Handler, method, path, body string) (string, error) {
 	request := httptest.NewRequest(method, "http://entry"+path, strings.NewReader(body))
 	recorder := httptest.NewRecorder()
@@ -80,14 +80,14 @@
 			fmt.Fprintf(&b, "%s: %s\n", name, value)
 		}
 	}
-	answer := bytes.TrimSpace(recorder.Body.Bytes())
+	responseBody := bytes.TrimSpace(recorder.Body.Bytes())
 	if recorder.Header().Get("Content-Type") == "application/json" {
 		var indented bytes.Buffer
-		if err := json.Indent(&indented, answer, "", "  "); err != nil {
+		if err := json.Indent(&indented, responseBody, "", "  "); err != nil {
 			return "", err
 		}
-		answer = indented.Bytes()
+		responseBody = indented.Bytes()
 	}
-	fmt.Fprintf(&b, "\n%s\n```", answer)
+	fmt.Fprintf(&b, "\n%s\n```", responseBody)
 	return b.String(), nil
 }
