--- a/internal/fixedseed/fixedseed.go
+++ b/internal/fixedseed/fixedseed.go
@@ -1,5 +1,5 @@
-// Package fixedseed gives the property tests of a package the same verdict in
-// every run.
+// Package fixedseed runs the property tests of a package with a fixed seed, so
+// that every run has the same result.
 package fixedseed
 
 import (
@@ -7,9 +7,9 @@
 	"testing"
 )
 
-// Run runs the tests with a fixed seed for rapid. The flag -rapid.seed on the
-// command line still takes its place. It is called from TestMain, in a package
-// that imports rapid.
+// Run sets a fixed seed for rapid and runs the tests. The flag -rapid.seed on the
+// command line overrides the seed. Run is called from TestMain in a package that
+// imports rapid, which defines the flag.
 func Run(m *testing.M) int {
 	if err := flag.Set("rapid.seed", "1"); err != nil {
 		panic(err)
--- a/internal/importrule/importrule_test.go
+++ b/internal/importrule/importrule_test.go
@@ -11,21 +11,21 @@
 
 const module = "github.com/mulberrydrum/mulberrydrum/"
 
-// decisionPackages may not talk to anything or read a clock.
+// decisionPackages must not perform I/O or read a clock.
 var decisionPackages = []string{
 	"task", "errkind", "timeline", "oracle", "document", "keyring", "membership",
 	"ownership", "allowance", "ledger", "queue", "fairshare", "placement",
 	"quarantine", "control", "jsonc", "api", "job", "schedule", "cell",
 }
 
-// peerPackages own the encoding towards one peer each.
+// peerPackages each contain the message encoding for one peer.
 var peerPackages = []string{
 	"caller", "operator", "worker", "store", "instancelist", "entry", "client",
 	"platform/front", "platform/advice",
 }
 
-// TestDecisionPackagesImportNoPeer guards against a decision that depends on
-// an encoding or a connection, which could then not be tested alone.
+// TestDecisionPackagesImportNoPeer guards against a decision that depends on an
+// encoding or a connection and cannot be tested in isolation.
 func TestDecisionPackagesImportNoPeer(t *testing.T) {
 	for _, name := range decisionPackages {
 		pkg, err := build.ImportDir("../../"+name, 0)
@@ -38,14 +38,14 @@
 			continue
 		}
 		for _, imported := range pkg.Imports {
-			if !isAllowedInDecision(imported) {
+			if !isAllowedImport(imported) {
 				t.Errorf("decision package %s imports %s", name, imported)
 			}
 		}
 	}
 }
 
-func isAllowedInDecision(imported string) bool {
+func isAllowedImport(imported string) bool {
 	if local, ok := strings.CutPrefix(imported, module); ok {
 		return slices.Contains(decisionPackages, local)
 	}
@@ -57,8 +57,8 @@
 	return true
 }
 
-// TestPeerPackagesImportNoOtherPeer guards against one peer's encoding leaking
-// into another peer's package.
+// TestPeerPackagesImportNoOtherPeer guards against the encoding of one peer
+// leaking into the package of another peer.
 func TestPeerPackagesImportNoOtherPeer(t *testing.T) {
 	for _, name := range peerPackages {
 		pkg, err := build.ImportDir("../../"+name, 0)
@@ -82,12 +82,12 @@
 	return err.Error()
 }
 
-// clockReaders are the files of decision packages that may read a clock: the
-// loop passes the time of each event to the state.
+// clockReaders are the files of decision packages that may read a clock. They
+// contain the event loops, which pass the time of each event to the state.
 var clockReaders = []string{"control/loop.go", "cell/loop.go"}
 
 // TestDecisionPackagesReadNoClock guards against a decision that depends on the
-// time at which it happens to run, which virtual time could not reproduce.
+// wall clock, which simulations in virtual time cannot reproduce.
 func TestDecisionPackagesReadNoClock(t *testing.T) {
 	for _, name := range decisionPackages {
 		files, err := filepath.Glob("../../" + name + "/*.go")
