--- a/endtoend/kill_test.go
+++ b/endtoend/kill_test.go
@@ -56,7 +56,7 @@
 	t.Helper()
 	var last time.Time
 	var missing []string
-	deadline := since.Add(bound + 3*time.Second) // time to fetch the time line
+	deadline := since.Add(bound + 3*time.Second) // time to fetch the timeline
 	for last, missing = lastTakeover(c.Events(), units, since); len(missing) > 0; last, missing = lastTakeover(c.Events(), units, since) {
 		if time.Now().After(deadline) {
 			t.Fatalf("units %v of %d were not taken over within %v", missing, len(units), bound)
--- a/load/fifo.go
+++ b/load/fifo.go
@@ -98,9 +98,9 @@
 	return true
 }
 
-// bestFit returns the index of the fitting node with the least free resources,
-// as the weighted sum of their fractions of a standard worker, or -1 if the size
-// fits no node.
+// bestFit returns the index of the fitting node with the least free resources, or
+// -1 if no node fits. Free resources are compared by a weighted sum that is
+// normalized to the capacity of a worker.
 func (f *fifoScheduler) bestFit(size *task.Resources) int {
 	best, bestFree := -1, 0.0
 	for i := range f.freeByNode {
--- a/oracle/control.go
+++ b/oracle/control.go
@@ -85,7 +85,7 @@
 		if len(late) > 0 || e.Clock.Wall.After(deadline) {
 			report.add(Violation{
 				Invariant: WithdrawnKey,
-				Message:   fmt.Sprintf("key %s of team %s was used for task %s after %s", e.KeyID, e.Team, e.Task, formatTime(deadline)),
+				Message:   fmt.Sprintf("key %s of team %s was used for task %s after %s, later than allowed after its withdrawal", e.KeyID, e.Team, e.Task, formatTime(deadline)),
 				Events:    []timeline.Event{withdrawal, e}, Runs: late,
 			})
 		}
@@ -154,7 +154,7 @@
 		if previous, seen := last[key]; seen && e.Revision < previous.Revision {
 			report.add(Violation{
 				Invariant: ConfigRevisions,
-				Message: fmt.Sprintf("process %s/%s went back from revision %d to %d", e.Instance, e.Incarnation,
+				Message: fmt.Sprintf("process %s/%s went back from configuration revision %d to %d", e.Instance, e.Incarnation,
 					previous.Revision, e.Revision),
 				Events: []timeline.Event{previous, e},
 			})
--- a/oracle/trace.go
+++ b/oracle/trace.go
@@ -117,7 +117,6 @@
 	return missing
 }
 
-// checks lists every check.
 var checks = []func(*traceIndex, *Report){
 	checkComplete, checkCapacity, checkOverlappingRuns, checkAtMostOnce, checkDurableOutcomes, checkNotRunClaims, checkLimits,
 	checkKeyTeam, checkWithdrawnKeys, checkLeavingWorkers, checkAnswers, checkConfig, checkEpochOwners, checkOwnerDecisions, checkWorkerEpochs,
