--- a/cell/event.go
+++ b/cell/event.go
@@ -106,10 +106,10 @@
 
 // Recovery is the stored state that a new owner reads before it schedules.
 type Recovery struct {
-	Sequences [schedule.CommitLanes]int64 // revisions of the sequence records
-	ReadAt    int64                       // store revision; every job recorded up to it is among Jobs or has ended
-	Jobs      []schedule.Known
-	Roster    []schedule.Rostered
+	Sequences [schedule.CommitStreams]int64 // revisions of the sequence records
+	ReadAt    int64                         // store revision; every job recorded up to it is among Jobs or has ended
+	Jobs      []schedule.RecordedJob
+	Roster    []schedule.RosterEntry
 	Workers   []schedule.Worker
 }
 
--- a/cell/state.go
+++ b/cell/state.go
@@ -96,8 +96,8 @@
 	role              role
 	ownershipRevision int64 // revision of this instance's ownership record; the fencing token of its orders
 	lease             int64
-	sequences         [schedule.CommitLanes]int64 // revisions of the sequence records
-	recoveryRevision  int64                       // store revision at which the recovery read the jobs
+	sequences         [schedule.CommitStreams]int64 // revisions of the sequence records
+	recoveryRevision  int64                         // store revision at which the recovery read the jobs
 	renewAt           time.Time
 	tickAt            time.Time
 	core              *schedule.Core
@@ -147,7 +147,7 @@
 		s.committed(e)
 	case DirectoryRead:
 		if s.core != nil {
-			s.core.Directory(e.Workers)
+			s.core.SetDirectory(e.Workers)
 		}
 	case JobsSeen:
 		s.observeJobs(e)
@@ -162,7 +162,7 @@
 		s.stopping = true
 		s.changed = true
 		if s.core != nil {
-			s.core.StopPlacing()
+			s.core.DisablePlacement()
 		}
 		if s.role == recovering {
 			s.declineOwnership()
@@ -194,10 +194,10 @@
 	}
 	if s.core != nil && !s.now.Before(s.tickAt) {
 		s.tickAt = s.now.Add(s.cfg.TickInterval)
-		s.core.SeeLane(s.cfg.Self.Instance)
+		s.core.ObserveInstance(s.cfg.Self.Instance)
 		s.core.Tick()
 	}
-	if s.stopping && s.role == owning && s.core.Idle() {
+	if s.stopping && s.role == owning && s.core.AllCommitted() {
 		s.role = resigning
 		s.emit(Resign{Owner: s.ownershipRevision, Lease: s.lease})
 		s.endOwnership("planned_stop")
@@ -304,17 +304,17 @@
 	s.core = schedule.New(s.now, s.cfg.Schedule, s.ownershipRevision, s.catalog, recovery.Roster)
 	s.core.Begin(s.now, s.wall)
 	if s.stopping {
-		s.core.StopPlacing()
+		s.core.DisablePlacement()
 	}
-	s.core.SeeLane(s.cfg.Self.Instance)
+	s.core.ObserveInstance(s.cfg.Self.Instance)
 	for _, known := range recovery.Jobs {
-		s.core.Inherit(known)
+		s.core.RestoreJob(known)
 	}
 	for _, submitted := range s.earlySubmissions {
 		s.acceptNew(submitted)
 	}
 	s.earlySubmissions = nil
-	s.core.Directory(recovery.Workers)
+	s.core.SetDirectory(recovery.Workers)
 	s.changed = true
 	s.log("ownership_ready", "fence", s.ownershipRevision, "jobs", len(recovery.Jobs), "workers", len(recovery.Workers), "roster", len(recovery.Roster))
 }
@@ -347,18 +347,18 @@
 		s.stepDown("commit_refused")
 		return
 	}
-	s.sequences[e.Commit.Lane] = e.Sequence
+	s.sequences[e.Commit.Stream] = e.Sequence
 	s.core.CommitDone(schedule.CommitDone{Commit: e.Commit})
 }
 
 func (s *State) applyOutcome(e any) {
 	switch e := e.(type) {
-	case schedule.HoldDone:
+	case schedule.PollDone:
 		if e.Verdict == schedule.Fenced {
 			s.stepDown("fenced_by_worker")
 			return
 		}
-		s.core.HoldDone(e)
+		s.core.PollDone(e)
 	case schedule.StartDone:
 		if e.Verdict == schedule.Fenced {
 			s.stepDown("fenced_by_worker")
@@ -367,8 +367,8 @@
 		s.core.StartDone(e)
 	case schedule.StopDone:
 		s.core.StopDone(e)
-	case schedule.AskDone:
-		s.core.AskDone(e)
+	case schedule.AdviceCallDone:
+		s.core.AdviceCallDone(e)
 	}
 }
 
@@ -415,9 +415,9 @@
 			s.emit(Answer{Token: e.Token, Reply: Reply{}})
 		}
 	case Follow:
-		s.core.SeeLane(request.Instance)
+		s.core.ObserveInstance(request.Instance)
 		for team, count := range request.Submitted {
-			s.core.Submitted(team, count)
+			s.core.AddDemand(team, count)
 		}
 		view := s.core.ViewSince(request.Epoch, request.Since)
 		s.emit(Answer{Token: e.Token, Reply: Reply{Known: true, View: &view}})
@@ -430,10 +430,10 @@
 		switch e := e.(type) {
 		case schedule.Decision:
 			s.emit(Log{e})
-		case schedule.Done:
+		case schedule.CancelDone:
 			s.emit(Answer{Token: e.Token, Reply: Reply{Known: true, State: job.Cancelled}})
 		case schedule.Commit:
-			s.emit(CommitRecords{Commit: e, Owner: s.ownershipRevision, Sequence: s.sequences[e.Lane]})
+			s.emit(CommitRecords{Commit: e, Owner: s.ownershipRevision, Sequence: s.sequences[e.Stream]})
 		default:
 			s.emit(Order{Fence: s.ownershipRevision, Effect: e})
 		}
@@ -443,14 +443,14 @@
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
 func (s *State) log(event string, fields ...any) {
-	s.emit(Log{schedule.Decision{What: event, Fields: fields}})
+	s.emit(Log{schedule.Decision{Event: event, Fields: fields}})
 }
 
 // Took passes the processing time of the last event to the core, which spaces its
 // placement passes accordingly to leave time for further events.
 func (s *State) Took(d time.Duration) {
 	if s.core != nil {
-		s.core.Took(d)
+		s.core.RecordProcessingTime(d)
 	}
 }
 
@@ -472,7 +472,7 @@
 		snapshot.ReadyUntil = s.syncedAt.Add(s.cfg.ReadyWithin)
 	}
 	if s.core != nil {
-		snapshot.Capacity, snapshot.Used = s.core.Room()
+		snapshot.Capacity, snapshot.Used = s.core.UsableCapacity()
 	}
 	return snapshot
 }
--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -56,7 +56,7 @@
 }
 
 func worker(id string) schedule.Worker {
-	return schedule.Worker{ID: id, Born: 1, Address: id, Service: "s", Capacity: task.Resources{CPUMilli: 1000, MemoryMB: 100}}
+	return schedule.Worker{ID: id, Incarnation: 1, Address: id, Service: "s", Capacity: task.Resources{CPUMilli: 1000, MemoryMB: 100}}
 }
 
 func submission(id job.ID, revision int64) Submission {
@@ -157,13 +157,13 @@
 // over, whichever way this is detected, and against stale events from before its
 // campaign that make it step down.
 func TestStepDown(t *testing.T) {
-	hold := schedule.Hold{Target: schedule.Target{Worker: "w1"}}
+	hold := schedule.Poll{Target: schedule.Target{Worker: "w1"}}
 	for name, c := range map[string]struct {
 		event Event
 		ends  bool
 	}{
-		"fenced by a worker":              {Scheduled{Owner: 10, Event: schedule.HoldDone{Hold: hold, Verdict: schedule.Fenced}}, true},
-		"fenced under a former ownership": {Scheduled{Owner: 9, Event: schedule.HoldDone{Hold: hold, Verdict: schedule.Fenced}}, false},
+		"fenced by a worker":              {Scheduled{Owner: 10, Event: schedule.PollDone{Poll: hold, Verdict: schedule.Fenced}}, true},
+		"fenced under a former ownership": {Scheduled{Owner: 9, Event: schedule.PollDone{Poll: hold, Verdict: schedule.Fenced}}, false},
 		"lease gone":                      {RenewDone{Lease: 3, Gone: true}, true},
 		"former lease gone":               {RenewDone{Lease: 2, Gone: true}, false},
 		"commit refused":                  {Committed{Owner: 10, Lost: true}, true},
--- a/entry/cell.go
+++ b/entry/cell.go
@@ -69,23 +69,23 @@
 }
 
 func encodeView(v *schedule.View) *entrypb.FollowReply {
-	out := &entrypb.FollowReply{Epoch: v.Epoch, Sequence: v.Sequence, Full: v.Full, Admit: v.Admit, Waiting: make(map[string]int64)}
+	out := &entrypb.FollowReply{Epoch: v.Epoch, Sequence: v.Sequence, Full: v.Full, Admit: v.AdmittedShare, Waiting: make(map[string]int64)}
 	for _, c := range v.Changes {
 		out.Changes = append(out.Changes, &entrypb.JobStatus{Job: string(c.Job), State: string(c.State), Queue: c.Queue, Team: c.Team})
 	}
-	for queue, n := range v.Waiting {
+	for queue, n := range v.PendingJobs {
 		out.Waiting[queue] = int64(n)
 	}
 	return out
 }
 
 func decodeView(r *entrypb.FollowReply) *schedule.View {
-	v := &schedule.View{Epoch: r.GetEpoch(), Sequence: r.GetSequence(), Full: r.GetFull(), Admit: r.GetAdmit(), Waiting: make(map[string]int)}
+	v := &schedule.View{Epoch: r.GetEpoch(), Sequence: r.GetSequence(), Full: r.GetFull(), AdmittedShare: r.GetAdmit(), PendingJobs: make(map[string]int)}
 	for _, c := range r.GetChanges() {
 		v.Changes = append(v.Changes, schedule.Status{Job: job.ID(c.GetJob()), State: job.State(c.GetState()), Queue: c.GetQueue(), Team: c.GetTeam()})
 	}
 	for queue, n := range r.GetWaiting() {
-		v.Waiting[queue] = int(n)
+		v.PendingJobs[queue] = int(n)
 	}
 	return v
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -168,7 +168,7 @@
 	out := &entrypb.RelayOrder{Id: o.ID, Fence: o.Fence, TimeoutMs: o.Timeout.Milliseconds()}
 	var to schedule.Target
 	switch order := o.Order.(type) {
-	case schedule.Hold:
+	case schedule.Poll:
 		to = order.Target
 		out.Order = &entrypb.RelayOrder_Hold{Hold: &entrypb.HoldOrder{
 			Confirmed: order.Confirmed, LeaseEndMs: order.LeaseEnd.Milliseconds(), WaitMs: order.Wait.Milliseconds(),
@@ -183,16 +183,16 @@
 		to = order.Target
 		out.Order = &entrypb.RelayOrder_Stop{Stop: &entrypb.StopOrder{Task: order.Task.String(), Run: int64(order.Run)}}
 	}
-	out.Worker, out.Born, out.Address = to.Worker, to.Born, to.Address
+	out.Worker, out.Born, out.Address = to.Worker, to.Incarnation, to.Address
 	return out
 }
 
 func decodeRelayOrder(o *entrypb.RelayOrder) (RelayOrder, error) {
 	out := RelayOrder{ID: o.GetId(), Fence: o.GetFence(), Timeout: milliseconds(o.GetTimeoutMs())}
-	to := schedule.Target{Worker: o.GetWorker(), Born: o.GetBorn(), Address: o.GetAddress()}
+	to := schedule.Target{Worker: o.GetWorker(), Incarnation: o.GetBorn(), Address: o.GetAddress()}
 	switch order := o.GetOrder().(type) {
 	case *entrypb.RelayOrder_Hold:
-		out.Order = schedule.Hold{
+		out.Order = schedule.Poll{
 			Target: to, Confirmed: order.Hold.GetConfirmed(),
 			LeaseEnd: milliseconds(order.Hold.GetLeaseEndMs()), Wait: milliseconds(order.Hold.GetWaitMs()),
 		}
@@ -224,7 +224,7 @@
 			out.Running = append(out.Running, &entrypb.RunningTask{Task: r.Task.String(), Run: int64(r.Run), Checkpoint: r.Checkpoint, Percent: int32(r.Percent)})
 		}
 		for _, e := range o.Ended {
-			out.Ended = append(out.Ended, &entrypb.EndedTask{Number: e.Number, Task: e.Task.String(), Run: int64(e.Run), How: string(e.How), Checkpoint: e.Checkpoint})
+			out.Ended = append(out.Ended, &entrypb.EndedTask{Number: e.Number, Task: e.Task.String(), Run: int64(e.Run), How: string(e.Reason), Checkpoint: e.Checkpoint})
 		}
 		reply.Outcomes = append(reply.Outcomes, out)
 	}
@@ -249,7 +249,7 @@
 			if err != nil {
 				return nil, eris.Wrap(err, "invalid ended task in relayed report")
 			}
-			out.Ended = append(out.Ended, schedule.EndReport{Number: e.GetNumber(), Task: key, Run: int(e.GetRun()), How: schedule.Ending(e.GetHow()), Checkpoint: e.GetCheckpoint()})
+			out.Ended = append(out.Ended, schedule.EndReport{Number: e.GetNumber(), Task: key, Run: int(e.GetRun()), Reason: schedule.EndReason(e.GetHow()), Checkpoint: e.GetCheckpoint()})
 		}
 		outcomes = append(outcomes, out)
 	}
--- a/entry/relay_test.go
+++ b/entry/relay_test.go
@@ -28,16 +28,16 @@
 // are relayed through another instance.
 func TestRelayPreservesAllFields(t *testing.T) {
 	key := job.TaskKey{StepKey: job.StepKey{Job: "00000000000000a0", Occurrence: 1, Step: 2}, Index: 3}
-	to := schedule.Target{Worker: "w", Born: 4, Address: "a:1"}
+	to := schedule.Target{Worker: "w", Incarnation: 4, Address: "a:1"}
 	orders := []RelayOrder{
-		{ID: 1, Fence: 2, Timeout: time.Second, Order: schedule.Hold{Target: to, Confirmed: 5, LeaseEnd: 6 * time.Second, Wait: 7 * time.Millisecond}},
+		{ID: 1, Fence: 2, Timeout: time.Second, Order: schedule.Poll{Target: to, Confirmed: 5, LeaseEnd: 6 * time.Second, Wait: 7 * time.Millisecond}},
 		{ID: 2, Fence: 2, Timeout: time.Second, Order: schedule.Start{Target: to, Task: key, Run: 8, Spec: "s", Ticket: "t", Checkpoint: "c", LeaseEnd: 9 * time.Second}},
 		{ID: 3, Fence: 2, Timeout: time.Second, Order: schedule.Stop{Target: to, Task: key, Run: 8}},
 	}
 	handler := &recordingHandler{received: make(chan RelayOrder, len(orders)), outcome: RelayOutcome{
 		Verdict: schedule.Outdated, Clock: 10 * time.Second, Born: 11,
 		Running: []schedule.RunReport{{Task: key, Run: 12, Checkpoint: "c", Percent: 13}},
-		Ended:   []schedule.EndReport{{Number: 14, Task: key, Run: 15, How: schedule.EndedBroken, Checkpoint: "d"}},
+		Ended:   []schedule.EndReport{{Number: 14, Task: key, Run: 15, Reason: schedule.EndedGangBroken, Checkpoint: "d"}},
 	}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/instance/execute.go
+++ b/instance/execute.go
@@ -43,12 +43,12 @@
 func (i *Instance) executeOrder(ctx context.Context, e cell.Order) {
 	var outcome any
 	switch order := e.Effect.(type) {
-	case schedule.Hold:
+	case schedule.Poll:
 		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.HoldMargin+order.Wait)
 		outcome = i.relays.Hold(callCtx, e.Fence, order)
 		cancel()
 	case schedule.Start:
-		i.metrics.taskWait.Update(order.Waited.Milliseconds())
+		i.metrics.taskWait.Update(order.WaitTime.Milliseconds())
 		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.OrderTimeout)
 		outcome = schedule.StartDone{Start: order, Verdict: sendOrder(callCtx,
 			func(ctx context.Context) schedule.Verdict { return i.relays.Start(ctx, e.Fence, order) },
@@ -60,28 +60,28 @@
 			func(ctx context.Context) schedule.Verdict { return i.relays.Stop(ctx, e.Fence, order) },
 			func(ctx context.Context) schedule.Verdict { return i.cfg.Workers.Stop(ctx, e.Fence, order) })}
 		cancel()
-	case schedule.Ask:
+	case schedule.AdviceCall:
 		outcome = i.requestAdvice(ctx, order)
 	}
 	i.loop.Post(ctx, cell.Scheduled{Owner: e.Fence, Event: outcome})
 }
 
 // requestAdvice calls the advice service, directly or through another instance.
-func (i *Instance) requestAdvice(ctx context.Context, order schedule.Ask) schedule.AskDone {
+func (i *Instance) requestAdvice(ctx context.Context, order schedule.AdviceCall) schedule.AdviceCallDone {
 	ctx, cancel := context.WithTimeout(ctx, i.cfg.Timing.AdviceTimeout)
 	defer cancel()
-	done := schedule.AskDone{Ask: order}
+	done := schedule.AdviceCallDone{Call: order}
 	var err error
-	if order.Lane == i.cfg.Name {
-		done.Tickets, done.Valid, err = i.cfg.Advisor.Ask(ctx, order.Step.String(), order.Workers)
-	} else if address, ok := i.relays.address(order.Lane); ok {
-		done.Tickets, done.Valid, err = i.peers.AskAdvice(ctx, address, order.Step.String(), order.Workers)
+	if order.Instance == i.cfg.Name {
+		done.Tickets, done.Validity, err = i.cfg.Advisor.Ask(ctx, order.Step.String(), order.Workers)
+	} else if address, ok := i.relays.address(order.Instance); ok {
+		done.Tickets, done.Validity, err = i.peers.AskAdvice(ctx, address, order.Step.String(), order.Workers)
 	} else {
-		err = eris.Errorf("instance %s no longer polls this owner", order.Lane)
+		err = eris.Errorf("instance %s no longer polls this owner", order.Instance)
 	}
 	if err != nil {
 		done.Failed = true
-		i.cfg.Journal.Event("advice call failed", "step", order.Step, "through", order.Lane, "error", err)
+		i.cfg.Journal.Event("advice call failed", "step", order.Step, "through", order.Instance, "error", err)
 	}
 	return done
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -21,7 +21,7 @@
 
 // Workers sends orders to workers. Each call returns when ctx ends, at the latest.
 type Workers interface {
-	Hold(ctx context.Context, fence int64, h schedule.Hold) schedule.HoldDone
+	Hold(ctx context.Context, fence int64, h schedule.Poll) schedule.PollDone
 	Start(ctx context.Context, fence int64, s schedule.Start) schedule.Verdict
 	Stop(ctx context.Context, fence int64, s schedule.Stop) schedule.Verdict
 }
@@ -212,9 +212,9 @@
 // GiveOrder implements entry.CellHandler.
 func (i *Instance) GiveOrder(ctx context.Context, o entry.RelayOrder) entry.RelayOutcome {
 	switch order := o.Order.(type) {
-	case schedule.Hold:
+	case schedule.Poll:
 		done := i.cfg.Workers.Hold(ctx, o.Fence, order)
-		return entry.RelayOutcome{Verdict: done.Verdict, Clock: done.Clock, Born: done.Born, Running: done.Running, Ended: done.Ended}
+		return entry.RelayOutcome{Verdict: done.Verdict, Clock: done.Clock, Born: done.Incarnation, Running: done.Running, Ended: done.Ended}
 	case schedule.Start:
 		return entry.RelayOutcome{Verdict: i.cfg.Workers.Start(ctx, o.Fence, order)}
 	case schedule.Stop:
--- a/instance/journal.go
+++ b/instance/journal.go
@@ -58,7 +58,7 @@
 	if d.Job != "" {
 		fields = append([]any{"job", string(d.Job)}, fields...)
 	}
-	j.enqueue(d.What, fields)
+	j.enqueue(d.Event, fields)
 }
 
 func (j *Journal) enqueue(event string, fields []any) {
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -269,7 +269,7 @@
 		switch kv.Key {
 		case keyOwner:
 			owned = kv.ModRevision == e.Owner
-		case sequenceKey(e.Commit.Lane):
+		case sequenceKey(e.Commit.Stream):
 			if string(kv.Value) == string(value) {
 				done.Sequence = kv.ModRevision
 			}
--- a/instance/records.go
+++ b/instance/records.go
@@ -52,8 +52,8 @@
 // encodeCommit returns the transaction of a commit.
 func encodeCommit(e cell.CommitRecords, sequence []byte) (store.Txn, error) {
 	txn := store.Txn{
-		Compares: []store.Compare{{Key: keyOwner, ModRevision: e.Owner}, {Key: sequenceKey(e.Commit.Lane), ModRevision: e.Sequence}},
-		Puts:     []store.Put{{Key: sequenceKey(e.Commit.Lane), Value: sequence}},
+		Compares: []store.Compare{{Key: keyOwner, ModRevision: e.Owner}, {Key: sequenceKey(e.Commit.Stream), ModRevision: e.Sequence}},
+		Puts:     []store.Put{{Key: sequenceKey(e.Commit.Stream), Value: sequence}},
 	}
 	put := func(key string, record any) error {
 		value, err := job.Encode(record)
@@ -153,7 +153,7 @@
 		isCancelled[id] = true
 	}
 	for _, submission := range submissions {
-		recovery.Jobs = append(recovery.Jobs, schedule.Known{Job: submission.Job, Progress: progressByJob[submission.Job.ID], Cancelled: isCancelled[submission.Job.ID]})
+		recovery.Jobs = append(recovery.Jobs, schedule.RecordedJob{Job: submission.Job, Progress: progressByJob[submission.Job.ID], Cancelled: isCancelled[submission.Job.ID]})
 	}
 	return nil
 }
--- a/instance/records_test.go
+++ b/instance/records_test.go
@@ -67,7 +67,7 @@
 	s := storetest.NewMemory(storetest.Config{}).Client("e1")
 	i := newInstance(s)
 	ownership := mustPut(t, s, keyOwner, cell.Owner{Instance: "e1"})
-	e := cell.CommitRecords{Owner: ownership, Commit: schedule.Commit{Lane: 2, Changes: []schedule.Change{{Job: "a", Progress: &job.Progress{Started: true}}}}}
+	e := cell.CommitRecords{Owner: ownership, Commit: schedule.Commit{Stream: 2, Changes: []schedule.Change{{Job: "a", Progress: &job.Progress{Started: true}}}}}
 	sequenceValue := func(e cell.CommitRecords) []byte {
 		b, err := job.Encode(sequenceRecord{Owner: "p1", Follows: e.Sequence})
 		if err != nil {
@@ -110,7 +110,7 @@
 	mustPut(t, s, keyOwner, cell.Owner{Instance: "e2"})
 	former := next
 	former.Sequence = 0
-	former.Commit.Lane = 1
+	former.Commit.Stream = 1
 	refused := commit(former)
 	if done := i.classifyRefusedCommit(former, refused.Current, sequenceValue(former)); refused.Succeeded || !done.Lost {
 		t.Errorf("commit of a former owner: %+v, classified as %+v", refused, done)
@@ -126,7 +126,7 @@
 	mustPut(t, s, jobKey("b"), job.Job{ID: "b"})
 	mustPut(t, s, cancelKey("b"), struct{}{})
 	mustPut(t, s, progressKey("a"), job.Progress{Started: true, Failed: map[string]job.Failures{"0.0.0": {7}}})
-	mustPut(t, s, keyRoster, []schedule.Rostered{{Worker: "w1"}})
+	mustPut(t, s, keyRoster, []schedule.RosterEntry{{Worker: "w1"}})
 	sequence := mustPut(t, s, sequenceKey(3), sequenceRecord{Owner: "p0"})
 	r, err := i.readRecovery(t.Context())
 	if err != nil {
--- a/instance/relay.go
+++ b/instance/relay.go
@@ -198,17 +198,17 @@
 
 // Hold implements Workers. A hold whose relay was lost is sent directly, which is safe
 // because holds are idempotent.
-func (r *relays) Hold(ctx context.Context, fence int64, h schedule.Hold) schedule.HoldDone {
+func (r *relays) Hold(ctx context.Context, fence int64, h schedule.Poll) schedule.PollDone {
 	sentAt := time.Now()
 	outcome, _ := r.send(ctx, h.Target, fence, h)
 	if outcome == nil {
 		if ctx.Err() != nil {
-			return schedule.HoldDone{Hold: h, SentAt: sentAt, Verdict: schedule.Unclear}
+			return schedule.PollDone{Poll: h, SentAt: sentAt, Verdict: schedule.Unclear}
 		}
 		return r.direct.Hold(ctx, fence, h)
 	}
-	return schedule.HoldDone{
-		Hold: h, SentAt: sentAt, Verdict: outcome.Verdict, Clock: outcome.Clock, Born: outcome.Born,
+	return schedule.PollDone{
+		Poll: h, SentAt: sentAt, Verdict: outcome.Verdict, Clock: outcome.Clock, Incarnation: outcome.Born,
 		Running: outcome.Running, Ended: outcome.Ended,
 	}
 }
--- a/instance/relay_test.go
+++ b/instance/relay_test.go
@@ -18,9 +18,9 @@
 	orders  int
 }
 
-func (w *fakeWorkers) Hold(_ context.Context, _ int64, h schedule.Hold) schedule.HoldDone {
+func (w *fakeWorkers) Hold(_ context.Context, _ int64, h schedule.Poll) schedule.PollDone {
 	w.orders++
-	return schedule.HoldDone{Hold: h, Verdict: w.verdict}
+	return schedule.PollDone{Poll: h, Verdict: w.verdict}
 }
 
 func (w *fakeWorkers) Start(context.Context, int64, schedule.Start) schedule.Verdict {
@@ -87,11 +87,11 @@
 		directOrders int // orders sent to the worker without a relay
 		wantTook     time.Duration
 	}{
-		{name: "through the relay", relay: &fakeRelay{verdict: schedule.NoRoom}, target: near, want: schedule.NoRoom, relayed: 1},
+		{name: "through the relay", relay: &fakeRelay{verdict: schedule.InsufficientCapacity}, target: near, want: schedule.InsufficientCapacity, relayed: 1},
 		{name: "no relay in the domain", relay: &fakeRelay{}, target: schedule.Target{Worker: "w1", FailureDomain: "far"}, want: schedule.Accepted, directOrders: 1},
 		{name: "unresponsive from the start", relay: unresponsiveRelay(), target: near, want: schedule.Accepted, directOrders: 1},
 		{name: "loses the order and ends", relay: &fakeRelay{losesOrders: true}, target: near, endsAfter: 100 * time.Millisecond, want: schedule.Accepted, relayed: 1, directOrders: 1, wantTook: 100 * time.Millisecond},
-		{name: "loses the order and ends, refused directly", relay: &fakeRelay{losesOrders: true}, target: near, direct: schedule.NoRoom, endsAfter: 100 * time.Millisecond, want: schedule.Unclear, relayed: 1, directOrders: 1, wantTook: 100 * time.Millisecond},
+		{name: "loses the order and ends, refused directly", relay: &fakeRelay{losesOrders: true}, target: near, direct: schedule.InsufficientCapacity, endsAfter: 100 * time.Millisecond, want: schedule.Unclear, relayed: 1, directOrders: 1, wantTook: 100 * time.Millisecond},
 		{name: "no answer from the worker", relay: &fakeRelay{losesOrders: true}, target: near, want: schedule.Unclear, relayed: 1, wantTook: orderTimeout},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -139,7 +139,7 @@
 		call, cancelCall := context.WithTimeout(ctx, 5*time.Second)
 		defer cancelCall()
 		began := time.Now()
-		done := r.Hold(call, 1, schedule.Hold{Target: schedule.Target{Worker: "w1", FailureDomain: "near"}})
+		done := r.Hold(call, 1, schedule.Poll{Target: schedule.Target{Worker: "w1", FailureDomain: "near"}})
 		if took := time.Since(began); done.Verdict != schedule.Accepted || direct.orders != 1 || took > relayTimeout+2*relayPingInterval {
 			t.Errorf("%s after %s, %d holds sent directly; want one that is accepted within %s", done.Verdict, took, direct.orders, relayTimeout+2*relayPingInterval)
 		}
--- a/instance/resend_test.go
+++ b/instance/resend_test.go
@@ -33,7 +33,7 @@
 		wantTook time.Duration
 	}{
 		{"accepted", []attempt{after(20*time.Millisecond, schedule.Accepted)}, schedule.Accepted, 20 * time.Millisecond},
-		{"refused", []attempt{after(20*time.Millisecond, schedule.NoRoom)}, schedule.NoRoom, 20 * time.Millisecond},
+		{"refused", []attempt{after(20*time.Millisecond, schedule.InsufficientCapacity)}, schedule.InsufficientCapacity, 20 * time.Millisecond},
 		{"no connection", []attempt{after(20*time.Millisecond, schedule.NotSent)}, schedule.NotSent, 20 * time.Millisecond},
 		{"first response lost", []attempt{lost, after(20*time.Millisecond, schedule.Accepted)}, schedule.Accepted, resendAfter + 20*time.Millisecond},
 		{"lost, then refused", []attempt{lost, after(20*time.Millisecond, schedule.TicketRejected), after(20*time.Millisecond, schedule.TicketRejected)}, schedule.Unclear, 700 * time.Millisecond},
--- a/instance/view.go
+++ b/instance/view.go
@@ -60,7 +60,7 @@
 		v.jobs[s.Job] = cachedStatus{Status: s, updatedAt: now}
 	}
 	v.epoch, v.sequence, v.updatedAt = view.Epoch, view.Sequence, now
-	v.waiting, v.admitShare = view.Waiting, view.Admit
+	v.waiting, v.admitShare = view.PendingJobs, view.AdmittedShare
 	v.sweep(now)
 }
 
--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -16,9 +16,9 @@
 	minAdmittedShare = 0.05
 )
 
-// Submitted adds n jobs to a team's demand: those that an instance has accepted or rejected since
+// AddDemand adds n jobs to a team's demand: those that an instance has accepted or rejected since
 // its last report.
-func (c *Core) Submitted(team string, n int) {
+func (c *Core) AddDemand(team string, n int) {
 	u := c.teamUsage(team)
 	u.decayDemand(c.now)
 	u.demand += float64(n) * math.Ln2 / demandHalfLife.Seconds()
--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -33,7 +33,7 @@
 // must remain valid for at least ticketMargin.
 func (a *adviceState) ticket(w *worker, now time.Time, allowExpired bool) (string, bool) {
 	t, ok := a.tickets[w.ID]
-	if !ok || t.born != w.Born || (!allowExpired && now.Add(ticketMargin).After(t.expiresAt)) {
+	if !ok || t.born != w.Incarnation || (!allowExpired && now.Add(ticketMargin).After(t.expiresAt)) {
 		return "", false
 	}
 	return t.text, true
@@ -78,8 +78,8 @@
 	adviceRetryDelay = 60 * time.Millisecond
 )
 
-// SeeLane records that an instance is alive and can call the advice service.
-func (c *Core) SeeLane(name string) {
+// ObserveInstance records that an instance is alive and can call the advice service.
+func (c *Core) ObserveInstance(name string) {
 	proxy, known := c.proxies[name]
 	if !known {
 		proxy = &adviceProxy{name: name}
@@ -179,7 +179,7 @@
 func (s *stepState) unqueried(usable []*worker) []*worker {
 	var unqueried []*worker
 	for _, w := range usable {
-		if born, queried := s.advice.queried[w.ID]; (!queried || born != w.Born) && meetsRequirements(w, s) {
+		if born, queried := s.advice.queried[w.ID]; (!queried || born != w.Incarnation) && meetsRequirements(w, s) {
 			unqueried = append(unqueried, w)
 		}
 	}
@@ -334,12 +334,12 @@
 		proxy.busyUntil = c.now
 	}
 	proxy.busyUntil = proxy.busyUntil.Add(callDuration)
-	c.emit(Ask{Lane: proxy.name, Step: s.key, Workers: named})
+	c.emit(AdviceCall{Instance: proxy.name, Step: s.key, Workers: named})
 }
 
-// AskDone handles the reply of the advice service or the failure of the call.
-func (c *Core) AskDone(e AskDone) {
-	if proxy := c.proxies[e.Ask.Lane]; proxy != nil {
+// AdviceCallDone handles the reply of the advice service or the failure of the call.
+func (c *Core) AdviceCallDone(e AdviceCallDone) {
+	if proxy := c.proxies[e.Call.Instance]; proxy != nil {
 		proxy.inFlight = max(0, proxy.inFlight-1)
 		if proxy.inFlight == 0 {
 			proxy.longCalls = 0
@@ -347,7 +347,7 @@
 		}
 	}
 	c.passDue = true
-	s := c.steps[e.Ask.Step]
+	s := c.steps[e.Call.Step]
 	if s == nil {
 		return
 	}
@@ -357,21 +357,21 @@
 		return
 	}
 	firstReply := len(s.advice.queried) == 0
-	for _, id := range e.Ask.Workers {
+	for _, id := range e.Call.Workers {
 		w := c.workers[id]
 		if w == nil {
 			continue
 		}
-		s.advice.queried[id] = w.Born
+		s.advice.queried[id] = w.Incarnation
 		if text, eligible := e.Tickets[id]; eligible {
-			s.advice.expiresAt = c.now.Add(e.Valid)
-			s.advice.tickets[id] = ticket{text: text, born: w.Born, expiresAt: c.now.Add(e.Valid)}
+			s.advice.expiresAt = c.now.Add(e.Validity)
+			s.advice.tickets[id] = ticket{text: text, born: w.Incarnation, expiresAt: c.now.Add(e.Validity)}
 		}
 	}
 	if firstReply {
-		c.updateEligibleShare(s.job.Queue, len(e.Ask.Workers), len(e.Tickets))
+		c.updateEligibleShare(s.job.Queue, len(e.Call.Workers), len(e.Tickets))
 	}
-	c.logDecision(s.key.Job, "advised", "step", s.key.String(), "named", len(e.Ask.Workers), "good", len(e.Tickets), "through", e.Ask.Lane, "valid_ms", e.Valid.Milliseconds())
+	c.logDecision(s.key.Job, "advised", "step", s.key.String(), "named", len(e.Call.Workers), "good", len(e.Tickets), "through", e.Call.Instance, "valid_ms", e.Validity.Milliseconds())
 	if s.reservation != nil && s.hasUnplaced() && !c.placementDisabled {
 		c.placeReserved(s)
 	}
@@ -389,8 +389,8 @@
 	c.placeStep(s, members)
 }
 
-// Room returns the total and the used capacity of the usable workers.
-func (c *Core) Room() (capacity, used task.Resources) {
+// UsableCapacity returns the total and the used capacity of the usable workers.
+func (c *Core) UsableCapacity() (capacity, used task.Resources) {
 	for _, w := range c.workers {
 		if c.isUsable(w) {
 			capacity = capacity.Add(w.Capacity)
--- a/schedule/advice_test.go
+++ b/schedule/advice_test.go
@@ -13,7 +13,7 @@
 func TestWideGangQueriesMoreWorkers(t *testing.T) {
 	s := newSimulation(t, 1, 99)
 	for i := range 80 {
-		w := Worker{ID: "x" + string(rune('0'+i/10)) + string(rune('0'+i%10)), Born: 1, Service: "calc", Rack: "rx",
+		w := Worker{ID: "x" + string(rune('0'+i/10)) + string(rune('0'+i%10)), Incarnation: 1, Service: "calc", Rack: "rx",
 			Labels: []string{"a", "rx"}, Capacity: task.Resources{CPUMilli: 32_000, MemoryMB: 128 << 10}}
 		w.Address = w.ID
 		s.workers[w.ID] = s.newWorker(w)
--- a/schedule/bench_fleet_test.go
+++ b/schedule/bench_fleet_test.go
@@ -34,9 +34,9 @@
 	c, now := newBacklog(0)
 	var workers []Worker
 	for i := range 350 {
-		workers = append(workers, Worker{ID: fmt.Sprintf("x%03d", i), Born: 1, Address: "a", Service: "s", Rack: fmt.Sprint("r", i/20), Capacity: task.Resources{CPUMilli: 32000, MemoryMB: 128 << 10}})
+		workers = append(workers, Worker{ID: fmt.Sprintf("x%03d", i), Incarnation: 1, Address: "a", Service: "s", Rack: fmt.Sprint("r", i/20), Capacity: task.Resources{CPUMilli: 32000, MemoryMB: 128 << 10}})
 	}
-	c.Directory(workers)
+	c.SetDirectory(workers)
 	running := &job.Job{ID: "00000000000f0000", Queue: "open", Team: "t0", Steps: []job.Step{{Count: 350 * 8, Size: task.Resources{CPUMilli: 3700, MemoryMB: 12000}, Estimate: 3 * time.Second}}}
 	c.Accept(running)
 	s := c.steps[job.StepKey{Job: running.ID}]
@@ -59,7 +59,7 @@
 		grantTickets(c, c.steps[job.StepKey{Job: j.ID}], i)
 	}
 	for i := range 35 {
-		c.SeeLane(fmt.Sprint("x", i))
+		c.ObserveInstance(fmt.Sprint("x", i))
 	}
 	c.effects = nil
 	return c, now
@@ -79,9 +79,9 @@
 func grantTickets(c *Core, s *stepState, offset int) {
 	s.advice.queried, s.advice.tickets = make(map[string]int64), make(map[string]ticket)
 	for i, w := range c.sortedWorkers() {
-		s.advice.queried[w.ID] = w.Born
+		s.advice.queried[w.ID] = w.Incarnation
 		if (i+offset)%3 == 0 {
-			s.advice.tickets[w.ID] = ticket{text: "x", born: w.Born, expiresAt: c.now.Add(time.Second)}
+			s.advice.tickets[w.ID] = ticket{text: "x", born: w.Incarnation, expiresAt: c.now.Add(time.Second)}
 			s.advice.expiresAt = c.now.Add(time.Second)
 		}
 	}
@@ -108,7 +108,7 @@
 func BenchmarkReportFullFleet(b *testing.B) {
 	c, now := newFullFleet(400)
 	w := c.workers["x000"]
-	e := HoldDone{Hold: Hold{Target: w.target()}, Born: 1}
+	e := PollDone{Poll: Poll{Target: w.target()}, Incarnation: 1}
 	for _, r := range sortedRunsOf(w) {
 		e.Running = append(e.Running, RunReport{Task: r.task, Run: r.number, Percent: 10})
 	}
@@ -117,7 +117,7 @@
 		now = now.Add(time.Microsecond)
 		c.Begin(now, now)
 		e.SentAt = now
-		c.HoldDone(e)
+		c.PollDone(e)
 		c.effects = c.effects[:0]
 	}
 }
--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -50,14 +50,14 @@
 	c.Begin(now, now)
 	var workers []Worker
 	for i := range 60 {
-		workers = append(workers, Worker{ID: fmt.Sprintf("w%02d", i), Born: 1, Address: "a", Service: "s", Rack: fmt.Sprint("r", i/8), Capacity: task.Resources{CPUMilli: 32000, MemoryMB: 128 << 10}})
+		workers = append(workers, Worker{ID: fmt.Sprintf("w%02d", i), Incarnation: 1, Address: "a", Service: "s", Rack: fmt.Sprint("r", i/8), Capacity: task.Resources{CPUMilli: 32000, MemoryMB: 128 << 10}})
 	}
-	c.Directory(workers)
+	c.SetDirectory(workers)
 	for _, w := range c.workers {
 		w.fenced, w.recordedOpen = true, true
 	}
 	for i := range 8 {
-		c.SeeLane(fmt.Sprint("i", i))
+		c.ObserveInstance(fmt.Sprint("i", i))
 	}
 	for i := range jobs {
 		j := &job.Job{ID: job.ID(fmt.Sprintf("%016x", i)), Queue: "small", Team: fmt.Sprint("t", i%6)}
--- a/schedule/commit.go
+++ b/schedule/commit.go
@@ -14,10 +14,10 @@
 	finalEntries     = 2 // writes the final record and deletes the job record
 )
 
-// CommitLanes is the number of commit streams, and thus the maximum number of concurrent commits. A
+// CommitStreams is the number of commit streams, and thus the maximum number of concurrent commits. A
 // slow store completes five transactions per second, and a commit holds about ten jobs: with a single
 // stream, jobs that end in a burst would queue up.
-const CommitLanes = 4
+const CommitStreams = 4
 
 // rosterStream is the only commit stream that writes the roster, so that an older roster never
 // overwrites a newer one.
@@ -33,7 +33,7 @@
 	if stream < 0 {
 		return
 	}
-	commit := Commit{Lane: stream, Changes: c.takeChanges()}
+	commit := Commit{Stream: stream, Changes: c.takeChanges()}
 	if c.rosterDirty && stream == rosterStream {
 		commit.Roster = c.roster()
 		c.rosterDirty = false
@@ -115,7 +115,7 @@
 // CommitDone handles a durable commit: it publishes the final states to callers and confirms the
 // ends of runs that the commit covers to the workers.
 func (c *Core) CommitDone(e CommitDone) {
-	c.busyStreams[e.Commit.Lane] = false
+	c.busyStreams[e.Commit.Stream] = false
 	for _, change := range e.Commit.Changes {
 		j := c.jobs[change.Job]
 		if j == nil {
@@ -128,7 +128,7 @@
 			c.publish(Status{Job: j.ID, State: j.state, Queue: j.Queue, Team: j.Team})
 			delete(c.jobs, j.ID)
 			for _, token := range j.cancelTokens {
-				c.emit(Done{Token: token})
+				c.emit(CancelDone{Token: token})
 			}
 		}
 	}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -9,14 +9,14 @@
 
 // Config holds the durations and limits of a Core.
 type Config struct {
-	Lease           time.Duration // lease on a worker, which covers all of its runs
-	HoldWait        time.Duration // long-poll timeout; a worker reports earlier if a run ends
-	StopRetry       time.Duration // interval between stop orders for the same run
-	UnclearPatience time.Duration // wait for a report of a run whose start order got no answer, before the run is stopped
-	PassInterval    time.Duration // minimum interval between placement passes
-	PassEvery       time.Duration // maximum interval between placement passes, since tickets and backoffs expire
-	CommitInterval  time.Duration // minimum interval between commits
-	RunsPerEpoch    int           // number of run numbers that one owner may use for a task
+	Lease             time.Duration // lease on a worker, which covers all of its runs
+	PollWait          time.Duration // long-poll timeout; a worker reports earlier if a run ends
+	StopRetryInterval time.Duration // interval between stop orders for the same run
+	UnclearTimeout    time.Duration // wait for a report of a run whose start order got no answer, before the run is stopped
+	MinPassInterval   time.Duration // minimum interval between placement passes
+	MaxPassInterval   time.Duration // maximum interval between placement passes, since tickets and backoffs expire
+	CommitInterval    time.Duration // minimum interval between commits
+	RunsPerEpoch      int           // number of run numbers that one owner may use for a task
 }
 
 // DefaultConfig returns the configuration for the limits of the platform.
@@ -26,14 +26,14 @@
 		// survive it. It is also the longest time for which the tasks of a lost worker are blocked.
 		Lease: 5 * time.Second,
 		// If a report is lost, the ends of runs on its worker go undetected for this long.
-		HoldWait: 900 * time.Millisecond,
+		PollWait: 900 * time.Millisecond,
 		// The round trip of an order across regions takes 30 ms; after ten times that it is lost.
-		StopRetry:       300 * time.Millisecond,
-		UnclearPatience: 150 * time.Millisecond,
+		StopRetryInterval: 300 * time.Millisecond,
+		UnclearTimeout:    150 * time.Millisecond,
 		// A tenth of the round trip of a start order, so that it adds little latency; a pass over a
 		// long queue takes 1 ms.
-		PassInterval: 8 * time.Millisecond,
-		PassEvery:    40 * time.Millisecond,
+		MinPassInterval: 8 * time.Millisecond,
+		MaxPassInterval: 40 * time.Millisecond,
 		// 40 commits per second are a tenth of the store's write capacity.
 		CommitInterval: 25 * time.Millisecond,
 		RunsPerEpoch:   10_000,
@@ -77,8 +77,8 @@
 	openUnresolved       int                         // number of unresolved workers that are not closed: any task may run there
 	heldBackTasks        map[job.StepKey]int         // number of tasks of each step that may run on closed unresolved workers
 
-	dirty             []*jobState       // changed since their last commit, oldest first
-	busyStreams       [CommitLanes]bool // streams with a commit in flight
+	dirty             []*jobState         // changed since their last commit, oldest first
+	busyStreams       [CommitStreams]bool // streams with a commit in flight
 	rosterDirty       bool
 	lastCommit        time.Time
 	lastPass          time.Time
@@ -99,7 +99,7 @@
 
 // New returns a Core without jobs. The epoch must be higher than that of every former owner. The
 // roster lists the workers on which runs of a former owner may exist.
-func New(now time.Time, cfg Config, epoch int64, catalog *job.Catalog, roster []Rostered) *Core {
+func New(now time.Time, cfg Config, epoch int64, catalog *job.Catalog, roster []RosterEntry) *Core {
 	c := &Core{
 		cfg: cfg, epoch: epoch, catalog: catalog, now: now,
 		jobs:               make(map[job.ID]*jobState),
@@ -120,7 +120,7 @@
 	}
 	// A former owner renews leases until the first worker rejects its orders, which takes at most
 	// the duration of one poll.
-	leaseExpiry := now.Add(maxLocalDuration(cfg.Lease) + 2*cfg.HoldWait + leaseMargin)
+	leaseExpiry := now.Add(maxLocalDuration(cfg.Lease) + 2*cfg.PollWait + leaseMargin)
 	for _, r := range roster {
 		c.addUnresolved(r, leaseExpiry)
 	}
@@ -151,15 +151,15 @@
 // steps, since each pass sorts them.
 func (c *Core) passInterval() time.Duration {
 	const perStep = 20 * time.Microsecond // ten times the cost of a step in a pass
-	return max(c.cfg.PassInterval+time.Duration(len(c.steps))*perStep, passIntervalFactor*c.lastPassDuration)
+	return max(c.cfg.MinPassInterval+time.Duration(len(c.steps))*perStep, passIntervalFactor*c.lastPassDuration)
 }
 
 // passIntervalFactor is the minimum interval between passes as a multiple of the duration of the last
 // pass, so that passes use at most a third of a processor.
 const passIntervalFactor = 2
 
-// Took records the processing time of the last event, from Begin to the end of Finish.
-func (c *Core) Took(d time.Duration) {
+// RecordProcessingTime records the processing time of the last event, from Begin to the end of Finish.
+func (c *Core) RecordProcessingTime(d time.Duration) {
 	if c.lastPass.Equal(c.now) {
 		c.lastPassDuration = d
 	}
@@ -171,12 +171,12 @@
 	c.passDue = true
 }
 
-// StopPlacing disables placement before the owner hands over the partition.
-func (c *Core) StopPlacing() { c.placementDisabled = true }
+// DisablePlacement disables placement before the owner hands over the partition.
+func (c *Core) DisablePlacement() { c.placementDisabled = true }
 
-// Idle reports whether there is nothing to commit and no commit in flight.
-func (c *Core) Idle() bool {
-	return c.busyStreams == [CommitLanes]bool{} && len(c.dirty) == 0 && !c.rosterDirty
+// AllCommitted reports whether there is nothing to commit and no commit in flight.
+func (c *Core) AllCommitted() bool {
+	return c.busyStreams == [CommitStreams]bool{} && len(c.dirty) == 0 && !c.rosterDirty
 }
 
 // Tick performs the actions that are due at the current time.
@@ -192,7 +192,7 @@
 		c.finalsEvictedAt = c.now
 		c.evictFinals()
 	}
-	if c.now.Sub(c.lastPass) >= c.cfg.PassEvery {
+	if c.now.Sub(c.lastPass) >= c.cfg.MaxPassInterval {
 		c.passDue = true
 	}
 	if c.now.Sub(c.summaryLoggedAt) >= summaryInterval {
@@ -213,7 +213,7 @@
 	for service, u := range c.serviceUsage {
 		capacity, used, reserved = capacity+u.capacity, used+u.used, reserved+c.reservedCPU[service]
 	}
-	c.emit(Decision{What: "partition", Fields: []any{
+	c.emit(Decision{Event: "partition", Fields: []any{
 		"jobs", len(c.jobs), "steps", len(c.steps), "workers", len(c.workers), "unresolved", len(c.unresolved),
 		"cores", capacity / 1000, "used", used / 1000, "kept", reserved / 1000, "kept_idle", c.reservedIdleCPU() / 1000,
 		"lanes", len(c.proxies), "lanes_busy", c.busyProxyShare(), "pass_us", c.lastPassDuration.Microseconds(), "passes", c.passes,
@@ -237,5 +237,5 @@
 func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
 
 func (c *Core) logDecision(id job.ID, what string, fields ...any) {
-	c.emit(Decision{Job: id, What: what, Fields: fields})
+	c.emit(Decision{Job: id, Event: what, Fields: fields})
 }
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -62,15 +62,15 @@
 	run        *run
 }
 
-// Known is the recorded state of an unfinished job that a new owner loads.
-type Known struct {
+// RecordedJob is the recorded state of an unfinished job that a new owner loads.
+type RecordedJob struct {
 	Job       *job.Job
 	Progress  *job.Progress // nil if none is recorded
 	Cancelled bool
 }
 
-// Inherit adds a job of a former owner.
-func (c *Core) Inherit(k Known) {
+// RestoreJob adds a job of a former owner.
+func (c *Core) RestoreJob(k RecordedJob) {
 	j := c.addJob(k.Job, k.Progress, true)
 	if k.Cancelled {
 		c.cancel(j, 0)
@@ -329,7 +329,7 @@
 		if _, recorded := c.finals[id]; !recorded {
 			return false
 		}
-		c.emit(Done{Token: token})
+		c.emit(CancelDone{Token: token})
 		return true
 	}
 	c.cancel(j, token)
--- a/schedule/message.go
+++ b/schedule/message.go
@@ -10,7 +10,7 @@
 // Worker is the entry of a worker in the directory.
 type Worker struct {
 	ID            string
-	Born          int64 // incarnation; changes when the worker restarts under the same ID
+	Incarnation   int64 // incarnation; changes when the worker restarts under the same ID
 	Address       string
 	Service       string
 	FailureDomain string
@@ -23,9 +23,9 @@
 
 // Target identifies the worker and the incarnation that an order is for.
 type Target struct {
-	Worker  string
-	Born    int64 // 0 if the incarnation is not known yet
-	Address string
+	Worker      string
+	Incarnation int64 // 0 if the incarnation is not known yet
+	Address     string
 
 	FailureDomain string // empty if unknown
 }
@@ -34,9 +34,9 @@
 // Commit are each answered by one event.
 type Effect interface{ isEffect() }
 
-// Hold polls a worker for a report, renews the lease that covers all of its runs and confirms the ends
+// Poll polls a worker for a report, renews the lease that covers all of its runs and confirms the ends
 // of runs whose effect is durable.
-type Hold struct {
+type Poll struct {
 	Target
 	Confirmed uint64        // the worker may discard ends up to this number
 	LeaseEnd  time.Duration // on the worker's clock; 0 if the lease is not renewed
@@ -52,7 +52,7 @@
 	Ticket     string // of the advice service; empty if the queue needs none
 	Checkpoint string
 	LeaseEnd   time.Duration // on the worker's clock
-	Waited     time.Duration // time since the job arrived; for the metrics
+	WaitTime   time.Duration // time since the job arrived; for the metrics
 }
 
 // Stop is an order to stop one run of a task.
@@ -62,25 +62,25 @@
 	Run  int
 }
 
-// Ask is a call to the advice service, made by the given instance. It returns tickets for those of
+// AdviceCall is a call to the advice service, made by the given instance. It returns tickets for those of
 // the given workers that are eligible to run a step.
-type Ask struct {
-	Lane    string // instance that makes the call
-	Step    job.StepKey
-	Workers []string
+type AdviceCall struct {
+	Instance string // instance that makes the call
+	Step     job.StepKey
+	Workers  []string
 }
 
 // Commit writes changes in one transaction of the owner. Commits of the same stream are executed
 // sequentially. Commits of different streams are executed concurrently and never write the same
 // record.
 type Commit struct {
-	Lane    int // number of the commit stream, below CommitLanes
+	Stream  int // number of the commit stream, below CommitStreams
 	Changes []Change
-	Roster  []Rostered // workers on which runs may exist; nil if unchanged
+	Roster  []RosterEntry // workers on which runs may exist; nil if unchanged
 }
 
-// Rostered is the roster entry of a worker: the runs that a new owner must expect there.
-type Rostered struct {
+// RosterEntry is the roster entry of a worker: the runs that a new owner must expect there.
+type RosterEntry struct {
 	Worker string   `json:"w"`
 	Closed bool     `json:"c,omitempty"` // only Tasks can run there
 	Tasks  []string `json:"t,omitempty"`
@@ -102,36 +102,36 @@
 // Decision is a log entry for a scheduling decision and the values that it is based on.
 type Decision struct {
 	Job    job.ID
-	What   string
+	Event  string
 	Fields []any // alternating names and values
 }
 
-// Done answers a waiting call for a cancellation, whose final state is now recorded.
-type Done struct{ Token uint64 }
+// CancelDone answers a waiting call for a cancellation, whose final state is now recorded.
+type CancelDone struct{ Token uint64 }
 
-func (Hold) isEffect()     {}
-func (Start) isEffect()    {}
-func (Stop) isEffect()     {}
-func (Ask) isEffect()      {}
-func (Commit) isEffect()   {}
-func (Decision) isEffect() {}
-func (Done) isEffect()     {}
+func (Poll) isEffect()       {}
+func (Start) isEffect()      {}
+func (Stop) isEffect()       {}
+func (AdviceCall) isEffect() {}
+func (Commit) isEffect()     {}
+func (Decision) isEffect()   {}
+func (CancelDone) isEffect() {}
 
 // Verdict is the outcome of an order to a worker.
 type Verdict int
 
 const (
-	Accepted       Verdict = iota // executed, by this order or by an earlier copy of it
-	NotSent                       // the order certainly had no effect
-	Unclear                       // the answer was lost; the order may have been executed or may be executed later
-	Fenced                        // the worker has accepted orders of a newer owner
-	OtherLife                     // another incarnation of the worker answered
-	Outdated                      // a run of the task with this or a higher number has ended there
-	LeaseOver                     // the lease had expired before the order arrived
-	NoRoom                        // the worker enforces its capacity and has too little left
-	TicketRejected                // the ticket is no longer valid
-	Unhealthy                     // the worker rejects all orders; no effect
-	Invalid                       // the worker cannot parse the order
+	Accepted             Verdict = iota // executed, by this order or by an earlier copy of it
+	NotSent                             // the order certainly had no effect
+	Unclear                             // the answer was lost; the order may have been executed or may be executed later
+	Fenced                              // the worker has accepted orders of a newer owner
+	OtherIncarnation                    // another incarnation of the worker answered
+	Outdated                            // a run of the task with this or a higher number has ended there
+	LeaseExpired                        // the lease had expired before the order arrived
+	InsufficientCapacity                // the worker enforces its capacity and has too little left
+	TicketRejected                      // the ticket is no longer valid
+	Unhealthy                           // the worker rejects all orders; no effect
+	Invalid                             // the worker cannot parse the order
 )
 
 var verdictNames = [...]string{"accepted", "not_sent", "unclear", "fenced", "other_life", "outdated",
@@ -160,16 +160,16 @@
 	Percent    int // progress, or 100 for a long-lived task that is serving
 }
 
-// Ending is the reason why a run ended.
-type Ending string
+// EndReason is the reason why a run ended.
+type EndReason string
 
 const (
-	EndedDone    Ending = "done"
-	EndedFailed  Ending = "failed"
-	EndedStopped Ending = "stopped"
-	EndedLapsed  Ending = "lapsed" // its lease expired
-	EndedBroken  Ending = "broken" // another member of its gang ended
-	EndedAlone   Ending = "alone"  // the other members of its gang did not start in time
+	EndedDone         EndReason = "done"
+	EndedFailed       EndReason = "failed"
+	EndedStopped      EndReason = "stopped"
+	EndedLeaseExpired EndReason = "lapsed" // its lease expired
+	EndedGangBroken   EndReason = "broken" // another member of its gang ended
+	EndedGangTimeout  EndReason = "alone"  // the other members of its gang did not start in time
 )
 
 // EndReport is one run that a worker reports as ended.
@@ -177,27 +177,27 @@
 	Number     uint64 // sequence number of the end in this incarnation of the worker
 	Task       job.TaskKey
 	Run        int
-	How        Ending
+	Reason     EndReason
 	Checkpoint string
 }
 
-// HoldDone answers Hold.
-type HoldDone struct {
-	Hold    Hold
-	Verdict Verdict
-	SentAt  time.Time     // monotonic, before the call was sent
-	Clock   time.Duration // reading of the worker's clock
-	Born    int64
-	Running []RunReport
-	Ended   []EndReport
-}
-
-// AskDone answers Ask.
-type AskDone struct {
-	Ask     Ask
-	Failed  bool              // the call failed or was lost
-	Tickets map[string]string // by worker; a worker without a ticket may not run the step
-	Valid   time.Duration     // validity of the tickets
+// PollDone answers Poll.
+type PollDone struct {
+	Poll        Poll
+	Verdict     Verdict
+	SentAt      time.Time     // monotonic, before the call was sent
+	Clock       time.Duration // reading of the worker's clock
+	Incarnation int64
+	Running     []RunReport
+	Ended       []EndReport
+}
+
+// AdviceCallDone answers AdviceCall.
+type AdviceCallDone struct {
+	Call     AdviceCall
+	Failed   bool              // the call failed or was lost
+	Tickets  map[string]string // by worker; a worker without a ticket may not run the step
+	Validity time.Duration     // validity of the tickets
 }
 
 // CommitDone answers a Commit that is durable. There is none if the transaction was rejected because
--- a/schedule/reserve_test.go
+++ b/schedule/reserve_test.go
@@ -192,7 +192,7 @@
 	s := newSimulation(t, 7, 48)
 	s.adviceLatency = time.Second // duration of a call for a gang that names 100 workers
 	for i := range 16 {
-		s.every(time.Second, func() { s.dispatch(func(c *Core) { c.SeeLane(fmt.Sprint("more-", i)) }) })
+		s.every(time.Second, func() { s.dispatch(func(c *Core) { c.ObserveInstance(fmt.Sprint("more-", i)) }) })
 	}
 	s.run(2 * time.Second)
 	s.submit(&job.Job{ID: "00000000000000a0", Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{{
--- a/schedule/roster.go
+++ b/schedule/roster.go
@@ -26,12 +26,12 @@
 }
 
 // addUnresolved records which tasks may still run on a worker of a former owner.
-func (c *Core) addUnresolved(r Rostered, leaseExpiry time.Time) {
+func (c *Core) addUnresolved(r RosterEntry, leaseExpiry time.Time) {
 	u := unresolvedWorker{leaseExpiry: leaseExpiry, closed: r.Closed}
 	for _, name := range r.Tasks {
 		key, err := job.ParseTaskKey(name)
 		if err != nil {
-			c.emit(Decision{What: "roster_unreadable", Fields: []any{"worker", r.Worker, "task", name, "error", err}})
+			c.emit(Decision{Event: "roster_unreadable", Fields: []any{"worker", r.Worker, "task", name, "error", err}})
 			u.closed = false // any task may run there
 			continue
 		}
@@ -73,7 +73,7 @@
 func (c *Core) expireUnresolved() {
 	for id, u := range c.unresolved {
 		if c.now.After(u.leaseExpiry) {
-			c.emit(Decision{What: "former_lease_over", Fields: []any{"worker", id, "closed", u.closed, "tasks", len(u.tasks)}})
+			c.emit(Decision{Event: "former_lease_over", Fields: []any{"worker", id, "closed", u.closed, "tasks", len(u.tasks)}})
 			c.resolve(id)
 			c.rosterDirty = true
 		}
@@ -102,10 +102,10 @@
 }
 
 // roster returns the workers on which runs may exist.
-func (c *Core) roster() []Rostered {
-	out := make([]Rostered, 0, len(c.workers))
+func (c *Core) roster() []RosterEntry {
+	out := make([]RosterEntry, 0, len(c.workers))
 	for id, w := range c.workers {
-		r := Rostered{Worker: id, Closed: w.closed}
+		r := RosterEntry{Worker: id, Closed: w.closed}
 		if u, open := c.unresolved[id]; open {
 			r = u.rosterEntry(id)
 		}
@@ -121,12 +121,12 @@
 			out = append(out, u.rosterEntry(id))
 		}
 	}
-	slices.SortFunc(out, func(a, b Rostered) int { return strings.Compare(a.Worker, b.Worker) })
+	slices.SortFunc(out, func(a, b RosterEntry) int { return strings.Compare(a.Worker, b.Worker) })
 	return out
 }
 
-func (u unresolvedWorker) rosterEntry(id string) Rostered {
-	r := Rostered{Worker: id, Closed: u.closed}
+func (u unresolvedWorker) rosterEntry(id string) RosterEntry {
+	r := RosterEntry{Worker: id, Closed: u.closed}
 	for _, key := range u.tasks {
 		r.Tasks = append(r.Tasks, key.String())
 	}
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -103,7 +103,7 @@
 	}
 	c.emit(Start{
 		Target: w.target(), Task: r.task, Run: number, Spec: s.job.Spec, Ticket: ticket,
-		Checkpoint: checkpoint, LeaseEnd: c.leaseEnd(w), Waited: c.now.Sub(s.job.arrivedAt),
+		Checkpoint: checkpoint, LeaseEnd: c.leaseEnd(w), WaitTime: c.now.Sub(s.job.arrivedAt),
 	})
 }
 
@@ -148,9 +148,9 @@
 		lostBackoff      = 300 * time.Millisecond // until the next report shows whether it answers
 	)
 	switch v {
-	case Unhealthy, NoRoom:
+	case Unhealthy, InsufficientCapacity:
 		w.backoffUntil = c.now.Add(unhealthyBackoff)
-	case NotSent, OtherLife:
+	case NotSent, OtherIncarnation:
 		w.markSilent(c.now)
 		w.backoffUntil = c.now.Add(lostBackoff)
 	}
@@ -228,14 +228,14 @@
 func (r *run) stopDue(now time.Time, cfg Config) bool {
 	switch r.state {
 	case runUnclear:
-		if now.Sub(r.answeredAt) < cfg.UnclearPatience {
+		if now.Sub(r.answeredAt) < cfg.UnclearTimeout {
 			return false
 		}
 	case runStopping:
 	default:
 		return false
 	}
-	return r.stopAnsweredAt.IsZero() && now.Sub(r.stopSentAt) >= cfg.StopRetry
+	return r.stopAnsweredAt.IsZero() && now.Sub(r.stopSentAt) >= cfg.StopRetryInterval
 }
 
 // StopDone handles the answer to a stop order. A worker that has accepted it rejects the run if the
@@ -279,7 +279,7 @@
 		c.removeRun(r)
 	}
 	s := c.steps[e.Task.StepKey]
-	c.updateFailStreak(w, s, e.How)
+	c.updateFailStreak(w, s, e.Reason)
 	if s == nil || e.Task.Index >= len(s.tasks) {
 		return
 	}
@@ -289,26 +289,26 @@
 	if e.Checkpoint != "" {
 		s.setCheckpoint(e.Task.Index, e.Checkpoint)
 	}
-	if e.How != EndedDone {
-		c.logDecision(s.key.Job, "run_ended", "task", e.Task.String(), "run", e.Run, "worker", w.ID, "how", string(e.How), "ordered", wasStopping)
+	if e.Reason != EndedDone {
+		c.logDecision(s.key.Job, "run_ended", "task", e.Task.String(), "run", e.Run, "worker", w.ID, "how", string(e.Reason), "ordered", wasStopping)
 	}
 	switch {
 	case s.spec.LongLived:
-	case e.How == EndedDone && s.spec.Gang:
+	case e.Reason == EndedDone && s.spec.Gang:
 		c.gangDone(s)
 		return
-	case e.How == EndedDone:
+	case e.Reason == EndedDone:
 		if t.run != nil {
 			c.stop(t.run)
 		}
 		c.taskDone(s, e.Task.Index)
 		return
-	case e.How == EndedFailed:
+	case e.Reason == EndedFailed:
 		if c.countFailure(s, e.Task.Index, e.Run) {
 			return
 		}
 		s.countWorkerFailure(w.ID)
-	case e.How == EndedAlone:
+	case e.Reason == EndedGangTimeout:
 		s.countWorkerFailure(w.ID)
 	}
 	if s.spec.Gang {
@@ -372,7 +372,7 @@
 // updateFailStreak counts consecutive failed runs of a worker. To distinguish a failing worker from
 // failing work, a success resets the count, and the failure of a step that has also failed on
 // another worker does not count.
-func (c *Core) updateFailStreak(w *worker, s *stepState, how Ending) {
+func (c *Core) updateFailStreak(w *worker, s *stepState, how EndReason) {
 	switch how {
 	case EndedDone:
 		w.failStreak = 0
@@ -385,7 +385,7 @@
 		w.failedAt = c.now
 		if w.failStreak >= failingThreshold {
 			w.backoffUntil = c.now.Add(failingBackoff)
-			c.emit(Decision{What: "worker_failing", Fields: []any{"worker", w.ID, "streak", w.failStreak}})
+			c.emit(Decision{Event: "worker_failing", Fields: []any{"worker", w.ID, "streak", w.failStreak}})
 		}
 	}
 }
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -29,7 +29,7 @@
 	fence       int64
 	records     map[job.ID]*record
 	finals      map[job.ID]job.Final
-	roster      []Rostered
+	roster      []RosterEntry
 	workers     map[string]*simWorker
 	jobs        map[job.ID]*job.Job
 	cancels     map[job.ID]time.Time
@@ -48,7 +48,7 @@
 	orderLossRate float64 // share of the orders whose answer is lost
 	lateOrders    bool    // lost orders may be executed late
 	faults        []string
-	onAdviceCall  func(Ask) // called for each advice call; may be nil
+	onAdviceCall  func(AdviceCall) // called for each advice call; may be nil
 
 	adviceLatency time.Duration
 }
@@ -122,14 +122,14 @@
 	})
 	for i := range workers {
 		id := fmt.Sprintf("w%02d", i)
-		s.workers[id] = s.newWorker(Worker{ID: id, Born: 1, Address: id, Service: "calc", Rack: fmt.Sprint("r", i/4),
+		s.workers[id] = s.newWorker(Worker{ID: id, Incarnation: 1, Address: id, Service: "calc", Rack: fmt.Sprint("r", i/4),
 			Labels: []string{"a", fmt.Sprint("r", i/4)}, Capacity: task.Resources{CPUMilli: 32_000, MemoryMB: 128 << 10}})
 	}
 	s.every(10*time.Millisecond, func() { s.dispatch(func(c *Core) { c.Tick() }) })
 	s.every(100*time.Millisecond, s.expireLeases)
 	s.every(700*time.Millisecond, func() {
 		listed := s.listed()
-		s.dispatch(func(c *Core) { c.Directory(listed) })
+		s.dispatch(func(c *Core) { c.SetDirectory(listed) })
 	})
 	s.takeOver()
 	return s
@@ -163,14 +163,14 @@
 	s.fence++
 	s.core = New(s.now, DefaultConfig(), s.fence, s.catalog, s.roster)
 	s.dispatch(func(c *Core) {
-		c.SeeLane("i1")
-		c.SeeLane("i2")
+		c.ObserveInstance("i1")
+		c.ObserveInstance("i2")
 		for _, id := range sortedIDs(s.records) {
 			r := s.records[id]
 			_, cancelled := s.cancels[id]
-			c.Inherit(Known{Job: r.job, Progress: s.reencode(r.progress), Cancelled: cancelled})
+			c.RestoreJob(RecordedJob{Job: r.job, Progress: s.reencode(r.progress), Cancelled: cancelled})
 		}
-		c.Directory(s.listed())
+		c.SetDirectory(s.listed())
 	})
 }
 
@@ -223,8 +223,8 @@
 func (s *simulation) dispatch(event func(*Core)) {
 	core, fence := s.core, s.fence
 	core.Begin(s.now, s.now)
-	core.SeeLane("i1")
-	core.SeeLane("i2")
+	core.ObserveInstance("i1")
+	core.ObserveInstance("i2")
 	event(core)
 	for _, e := range core.Finish() {
 		s.execute(core, fence, e)
@@ -246,13 +246,13 @@
 
 func (s *simulation) execute(core *Core, fence int64, e Effect) {
 	switch e := e.(type) {
-	case Hold:
+	case Poll:
 		s.after(s.delay(), func() { s.pollWorker(core, fence, e) })
 	case Start:
 		s.deliver(core, func() Verdict { return s.startRun(fence, e) }, func(c *Core, v Verdict) { c.StartDone(StartDone{Start: e, Verdict: v}) })
 	case Stop:
 		s.deliver(core, func() Verdict { return s.stopRun(fence, e) }, func(c *Core, v Verdict) { c.StopDone(StopDone{Stop: e, Verdict: v}) })
-	case Ask:
+	case AdviceCall:
 		if s.onAdviceCall != nil {
 			s.onAdviceCall(e)
 		}
@@ -263,7 +263,7 @@
 					tickets[w] = fmt.Sprint(s.now.UnixNano())
 				}
 			}
-			c.AskDone(AskDone{Ask: e, Tickets: tickets, Valid: adviceValidity})
+			c.AdviceCallDone(AdviceCallDone{Call: e, Tickets: tickets, Validity: adviceValidity})
 		})
 	case Commit:
 		s.commit(core, e)
--- a/schedule/simworker_test.go
+++ b/schedule/simworker_test.go
@@ -15,8 +15,8 @@
 	switch {
 	case w == nil || w.dead || w.partitioned:
 		return nil, Unclear
-	case to.Born != 0 && to.Born != w.Born:
-		return nil, OtherLife
+	case to.Incarnation != 0 && to.Incarnation != w.Incarnation:
+		return nil, OtherIncarnation
 	case fence < w.fence:
 		return nil, Fenced
 	}
@@ -34,11 +34,11 @@
 	}
 }
 
-func (s *simulation) pollWorker(core *Core, fence int64, order Hold) {
+func (s *simulation) pollWorker(core *Core, fence int64, order Poll) {
 	w, v := s.workerFor(fence, order.Target)
 	sent := s.now
 	if v != Accepted {
-		s.reply(core, time.Second, func(c *Core) { c.HoldDone(HoldDone{Hold: order, Verdict: v, SentAt: sent}) })
+		s.reply(core, time.Second, func(c *Core) { c.PollDone(PollDone{Poll: order, Verdict: v, SentAt: sent}) })
 		return
 	}
 	if order.LeaseEnd > 0 {
@@ -49,7 +49,7 @@
 			continue // an end before the expiry of the lease does not count
 		}
 		s.logEvent(e.Task, "end %d of %s confirmed by owner %d", e.Number, w.ID, fence)
-		switch e.How {
+		switch e.Reason {
 		case EndedDone:
 			s.done[e.Task] = true
 		case EndedFailed:
@@ -63,11 +63,11 @@
 			return
 		}
 		answered = true
-		report := HoldDone{Hold: order, SentAt: sent, Clock: s.now.Sub(w.clockOrigin), Born: w.Born, Ended: slices.Clone(w.ended)}
+		report := PollDone{Poll: order, SentAt: sent, Clock: s.now.Sub(w.clockOrigin), Incarnation: w.Incarnation, Ended: slices.Clone(w.ended)}
 		for _, r := range w.sortedRuns() {
 			report.Running = append(report.Running, RunReport{Task: r.key, Run: r.number})
 		}
-		s.reply(core, s.delay(), func(c *Core) { c.HoldDone(report) })
+		s.reply(core, s.delay(), func(c *Core) { c.PollDone(report) })
 	}
 	if len(w.ended) > 0 || order.Wait == 0 {
 		answer()
@@ -78,7 +78,7 @@
 	s.after(order.Wait+time.Second, func() {
 		if !answered {
 			answered = true
-			s.reply(core, 0, func(c *Core) { c.HoldDone(HoldDone{Hold: order, Verdict: Unclear, SentAt: sent}) })
+			s.reply(core, 0, func(c *Core) { c.PollDone(PollDone{Poll: order, Verdict: Unclear, SentAt: sent}) })
 		}
 	})
 }
@@ -92,7 +92,7 @@
 		return Outdated
 	}
 	if w.clockOrigin.Add(e.LeaseEnd).Before(s.now) {
-		return LeaseOver
+		return LeaseExpired
 	}
 	if r := w.runs[e.Task]; r != nil {
 		if r.number == e.Run {
@@ -143,10 +143,10 @@
 	if len(s.faults) == 0 {
 		s.t.Errorf("gang member %s run %d waited 3 s for the other members", r.key, r.number)
 	}
-	s.endRun(r, EndedAlone)
+	s.endRun(r, EndedGangTimeout)
 }
 
-func (s *simulation) endRun(r *simRun, how Ending) {
+func (s *simulation) endRun(r *simRun, how EndReason) {
 	if r.ended {
 		return
 	}
@@ -154,7 +154,7 @@
 	w := r.worker
 	w.stopped[r.key] = max(w.stopped[r.key], r.number)
 	w.lastEndNumber++
-	w.ended = append(w.ended, EndReport{Number: w.lastEndNumber, Task: r.key, Run: r.number, How: how})
+	w.ended = append(w.ended, EndReport{Number: w.lastEndNumber, Task: r.key, Run: r.number, Reason: how})
 	w.endedAt = append(w.endedAt, s.now)
 	s.logEvent(r.key, "run %d %s as end %d of %s", r.number, how, w.lastEndNumber, w.ID)
 	if how == EndedDone {
@@ -168,7 +168,7 @@
 	if !spec.Gang {
 		return
 	}
-	memberEnding := EndedBroken
+	memberEnding := EndedGangBroken
 	if how == EndedDone {
 		memberEnding = EndedDone
 	}
@@ -209,7 +209,7 @@
 		}
 		w.leaseExpiredAt = s.now
 		for _, r := range w.sortedRuns() {
-			s.endRun(r, EndedLapsed)
+			s.endRun(r, EndedLeaseExpired)
 		}
 	}
 }
@@ -223,7 +223,7 @@
 	w.dead = true
 	s.after(down, func() {
 		next := w.Worker
-		next.Born++
+		next.Incarnation++
 		s.workers[id] = s.newWorker(next)
 	})
 }
--- a/schedule/teamlimit_test.go
+++ b/schedule/teamlimit_test.go
@@ -11,7 +11,7 @@
 // countAdviceCalls returns a counter of the advice calls for a job from now on.
 func (s *simulation) countAdviceCalls(id job.ID) *int {
 	n := 0
-	s.onAdviceCall = func(a Ask) {
+	s.onAdviceCall = func(a AdviceCall) {
 		if a.Step.Job == id {
 			n++
 		}
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -19,12 +19,12 @@
 // View is the part of the owner's state that is replicated to every instance: the job states that
 // have changed since the instance's last request, and the limits for accepting submissions.
 type View struct {
-	Epoch    int64
-	Sequence uint64 // of the last change
-	Full     bool   // Changes holds all jobs, not only changed ones
-	Changes  []Status
-	Waiting  map[string]int     // number of pending jobs, by queue
-	Admit    map[string]float64 // share of a team's submissions to accept; 1 if missing
+	Epoch         int64
+	Sequence      uint64 // of the last change
+	Full          bool   // Changes holds all jobs, not only changed ones
+	Changes       []Status
+	PendingJobs   map[string]int     // number of pending jobs, by queue
+	AdmittedShare map[string]float64 // share of a team's submissions to accept; 1 if missing
 }
 
 // maxChanges is the minimum number of changes retained for instances that lag behind; at most twice
@@ -48,10 +48,10 @@
 // ViewSince returns the changes after the given sequence number, or a full view if the epoch differs
 // or those changes are no longer retained.
 func (c *Core) ViewSince(epoch int64, since uint64) View {
-	v := View{Epoch: c.epoch, Sequence: c.sequence, Waiting: make(map[string]int), Admit: c.admission()}
+	v := View{Epoch: c.epoch, Sequence: c.sequence, PendingJobs: make(map[string]int), AdmittedShare: c.admission()}
 	for queue, n := range c.pendingJobs {
 		if n > 0 {
-			v.Waiting[queue] = n
+			v.PendingJobs[queue] = n
 		}
 	}
 	oldest := c.sequence - uint64(len(c.changes))
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -48,8 +48,8 @@
 	version uint64
 }
 
-// Directory applies a new list of all existing workers.
-func (c *Core) Directory(listed []Worker) {
+// SetDirectory applies a new list of all existing workers.
+func (c *Core) SetDirectory(listed []Worker) {
 	for _, w := range c.workers {
 		w.listed = false
 	}
@@ -61,8 +61,8 @@
 			c.workerOrder = nil
 			c.rosterDirty = true
 			w.Worker = entry
-		} else if entry.Born >= w.Born {
-			c.updateIncarnation(w, entry.Born)
+		} else if entry.Incarnation >= w.Incarnation {
+			c.updateIncarnation(w, entry.Incarnation)
 			w.Worker = entry
 		}
 		w.listed = true
@@ -96,14 +96,14 @@
 // updateIncarnation applies the incarnation that a worker reports. If it has changed, the runs of the
 // previous incarnation are lost, since runs do not survive a restart.
 func (c *Core) updateIncarnation(w *worker, born int64) {
-	if w.Born == 0 || born == w.Born || born == 0 {
+	if w.Incarnation == 0 || born == w.Incarnation || born == 0 {
 		if born != 0 {
-			w.Born = born
+			w.Incarnation = born
 		}
 		return
 	}
-	c.emit(Decision{What: "worker_restarted", Fields: []any{"worker", w.ID, "runs", len(w.runs)}})
-	w.Born = born
+	c.emit(Decision{Event: "worker_restarted", Fields: []any{"worker", w.ID, "runs", len(w.runs)}})
+	w.Incarnation = born
 	w.fenced = false
 	w.clock, w.clockAt, w.maxLeaseEnd = 0, time.Time{}, 0
 	w.lastProcessed, w.confirmed, w.pendingEnds = 0, 0, nil
@@ -148,7 +148,7 @@
 }
 
 func (w *worker) target() Target {
-	return Target{Worker: w.ID, Born: w.Born, Address: w.Address, FailureDomain: w.FailureDomain}
+	return Target{Worker: w.ID, Incarnation: w.Incarnation, Address: w.Address, FailureDomain: w.FailureDomain}
 }
 
 // tickWorker sends the next poll, sends or retries stop orders, and marks the runs of a silent
@@ -177,13 +177,13 @@
 
 // poll sends a poll to a worker, which also renews its lease if it answers polls of this owner.
 func (c *Core) poll(w *worker) {
-	order := Hold{Target: w.target(), Confirmed: w.confirmed}
+	order := Poll{Target: w.target(), Confirmed: w.confirmed}
 	// The lease of a worker that does not answer is not renewed: a renewal that may have arrived
 	// would delay the time from which its tasks can be restarted elsewhere.
 	if w.fenced && !w.silent {
 		order.LeaseEnd = c.leaseEnd(w)
 		if len(w.pendingEnds) == 0 {
-			order.Wait = c.cfg.HoldWait
+			order.Wait = c.cfg.PollWait
 		}
 	}
 	w.polling = true
@@ -205,9 +205,9 @@
 // yet. Without the delay, polls would repeat at once, since they are sent without a long-poll timeout.
 const unrecordedPollDelay = 400 * time.Millisecond
 
-// HoldDone handles the answer to a poll: a worker's report or the failure of the call.
-func (c *Core) HoldDone(e HoldDone) {
-	w := c.workers[e.Hold.Worker]
+// PollDone handles the answer to a poll: a worker's report or the failure of the call.
+func (c *Core) PollDone(e PollDone) {
+	w := c.workers[e.Poll.Worker]
 	if w == nil {
 		return
 	}
@@ -220,12 +220,12 @@
 		}
 		w.nextPoll = c.now.Add(time.Duration(w.missedReports-1) * pollRetryDelay)
 		w.nextPoll = minTime(w.nextPoll, c.now.Add(2*pollRetryDelay))
-		if e.Verdict == OtherLife {
+		if e.Verdict == OtherIncarnation {
 			w.fenced = false
 		}
 		return
 	}
-	c.updateIncarnation(w, e.Born)
+	c.updateIncarnation(w, e.Incarnation)
 	w.silent, w.missedReports = false, 0
 	w.clock, w.clockAt = e.Clock, c.now
 	first := !w.fenced
@@ -263,7 +263,7 @@
 }
 
 // processRunning reconciles the runs that a worker reports as running with the state of this owner.
-func (c *Core) processRunning(w *worker, e HoldDone) {
+func (c *Core) processRunning(w *worker, e PollDone) {
 	reported := make(map[job.TaskKey]int, len(e.Running))
 	for _, report := range e.Running {
 		reported[report.Task] = report.Run
