--- a/cell/effect.go
+++ b/cell/effect.go
@@ -16,8 +16,8 @@
 	Renew struct{ Lease int64 }
 	// Resign removes the ownership record.
 	Resign struct{ Owner, Lease int64 }
-	// Abandon cancels all calls in flight that were made under an ownership that has ended.
-	Abandon struct{ Owner int64 }
+	// CancelCalls cancels all calls in flight that were made under an ownership that has ended.
+	CancelCalls struct{ Owner int64 }
 	// CommitRecords writes a commit in one transaction, on the condition that this
 	// instance is still the owner.
 	CommitRecords struct {
@@ -47,7 +47,7 @@
 func (Recover) isEffect()       {}
 func (Renew) isEffect()         {}
 func (Resign) isEffect()        {}
-func (Abandon) isEffect()       {}
+func (CancelCalls) isEffect()   {}
 func (CommitRecords) isEffect() {}
 func (RecordCores) isEffect()   {}
 func (Order) isEffect()         {}
--- a/cell/event.go
+++ b/cell/event.go
@@ -24,17 +24,17 @@
 	Tick struct{}
 	// CatalogRead delivers a version of the configuration.
 	CatalogRead struct{ Catalog *job.Catalog }
-	// StoreHeard reports that every change which the store had acknowledged by At
+	// StoreSynced reports that every change which the store had acknowledged by At
 	// has been delivered to this instance.
-	StoreHeard struct{ At time.Time }
-	// OwnerSeen delivers the ownership record as read from the store.
-	OwnerSeen struct {
+	StoreSynced struct{ At time.Time }
+	// OwnerObserved delivers the ownership record as read from the store.
+	OwnerObserved struct {
 		Found    bool
 		Owner    Owner
 		Revision int64 // of the record, or of its removal
-		// MostCores is the highest processor core count that any instance has recorded;
+		// MaxCores is the highest processor core count that any instance has recorded;
 		// 0 if none has.
-		MostCores float64
+		MaxCores float64
 	}
 	// CampaignDone is the outcome of Campaign.
 	CampaignDone struct {
@@ -61,8 +61,8 @@
 	}
 	// DirectoryRead delivers the list of existing workers.
 	DirectoryRead struct{ Workers []schedule.Worker }
-	// JobsSeen delivers jobs and cancellations that were read from the store.
-	JobsSeen struct {
+	// JobsObserved delivers jobs and cancellations that were read from the store.
+	JobsObserved struct {
 		Jobs      []Submission
 		Cancelled []job.ID
 	}
@@ -72,31 +72,31 @@
 		Owner int64
 		Event any
 	}
-	// Called delivers a request. The reply is returned in an Answer with the same token.
-	Called struct {
-		Token    uint64
-		Question any
+	// RequestReceived delivers a request. The reply is returned in an Answer with the same token.
+	RequestReceived struct {
+		Token   uint64
+		Request any
 	}
-	// Forgotten reports that the caller of a request no longer waits for the reply.
-	Forgotten struct{ Token uint64 }
-	// Stopping begins a graceful shutdown.
-	Stopping struct{}
+	// CallerGone reports that the caller of a request no longer waits for the reply.
+	CallerGone struct{ Token uint64 }
+	// ShutdownRequested begins a graceful shutdown.
+	ShutdownRequested struct{}
 )
 
-func (Tick) isEvent()          {}
-func (CatalogRead) isEvent()   {}
-func (StoreHeard) isEvent()    {}
-func (OwnerSeen) isEvent()     {}
-func (CampaignDone) isEvent()  {}
-func (Recovered) isEvent()     {}
-func (RenewDone) isEvent()     {}
-func (Committed) isEvent()     {}
-func (DirectoryRead) isEvent() {}
-func (JobsSeen) isEvent()      {}
-func (Scheduled) isEvent()     {}
-func (Called) isEvent()        {}
-func (Forgotten) isEvent()     {}
-func (Stopping) isEvent()      {}
+func (Tick) isEvent()              {}
+func (CatalogRead) isEvent()       {}
+func (StoreSynced) isEvent()       {}
+func (OwnerObserved) isEvent()     {}
+func (CampaignDone) isEvent()      {}
+func (Recovered) isEvent()         {}
+func (RenewDone) isEvent()         {}
+func (Committed) isEvent()         {}
+func (DirectoryRead) isEvent()     {}
+func (JobsObserved) isEvent()      {}
+func (Scheduled) isEvent()         {}
+func (RequestReceived) isEvent()   {}
+func (CallerGone) isEvent()        {}
+func (ShutdownRequested) isEvent() {}
 
 // Submission is a recorded job and the revision at which it was recorded.
 type Submission struct {
@@ -106,29 +106,29 @@
 
 // Recovery is the stored state that a new owner reads before it schedules.
 type Recovery struct {
-	Sequences [schedule.CommitStreams]int64 // revisions of the sequence records
-	ReadAt    int64                         // store revision; every job recorded up to it is among Jobs or has ended
-	Jobs      []schedule.RecordedJob
-	Roster    []schedule.RosterEntry
-	Workers   []schedule.Worker
+	Sequences    [schedule.CommitStreams]int64 // revisions of the sequence records
+	ReadRevision int64                         // store revision; every job recorded up to it is among Jobs or has ended
+	Jobs         []schedule.RecordedJob
+	Roster       []schedule.RosterEntry
+	Workers      []schedule.Worker
 }
 
 // Requests of Called, and their replies.
 type (
 	// Submit passes a recorded job to the owner. The reply is Reply{Known: true}.
 	Submit struct{ Submission }
-	// StateOf requests the state of a job.
-	StateOf struct{ Job job.ID }
+	// JobStateQuery requests the state of a job.
+	JobStateQuery struct{ Job job.ID }
 	// Cancel cancels a job; the reply is sent once the cancellation is recorded.
 	Cancel struct {
 		Job   job.ID
 		Queue string // to which the request was sent; a job of another queue is reported as unknown
 		Team  string // to which the API key belongs; empty if the queue is open
 	}
-	// Follow is the periodic poll of the owner by an instance. It is a heartbeat, which
+	// ViewRequest is the periodic poll of the owner by an instance. It is a heartbeat, which
 	// also makes the instance available for advice calls, and requests the job changes
 	// since the instance's last poll.
-	Follow struct {
+	ViewRequest struct {
 		Instance  string
 		Epoch     int64
 		Since     uint64         // sequence number of the last change that the instance received
@@ -139,7 +139,7 @@
 // Reply is the response to a request.
 type Reply struct {
 	NotOwner bool // this instance is not the owner, which alone can reply
-	Known    bool // the job exists; always true in the owner's replies to Submit and Follow
+	Found    bool // the job exists; always true in the owner's replies to Submit and Follow
 	State    job.State
 	Team     string
 	Queue    string
--- a/cell/loop.go
+++ b/cell/loop.go
@@ -49,8 +49,8 @@
 // Snapshot returns the latest snapshot.
 func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
 
-// Queued returns how many events wait for the control goroutine.
-func (l *Loop) Queued() int { return len(l.events) }
+// QueuedEvents returns how many events wait for the control goroutine.
+func (l *Loop) QueuedEvents() int { return len(l.events) }
 
 // Post sends an event to the control goroutine. The event is dropped if ctx ends first.
 func (l *Loop) Post(ctx context.Context, e Event) {
@@ -60,14 +60,14 @@
 	}
 }
 
-// Ask sends a request to the control goroutine and waits for the reply.
-func (l *Loop) Ask(ctx context.Context, request any) (Reply, error) {
+// Call sends a request to the control goroutine and waits for the reply.
+func (l *Loop) Call(ctx context.Context, request any) (Reply, error) {
 	token := l.lastToken.Add(1)
 	replies := make(chan Reply, 1)
 	l.waitingCallers.Store(token, replies)
 	defer l.waitingCallers.Delete(token)
 	select {
-	case l.requests <- Called{Token: token, Question: request}:
+	case l.requests <- RequestReceived{Token: token, Request: request}:
 	case <-ctx.Done():
 		return Reply{}, ctx.Err()
 	}
@@ -90,7 +90,7 @@
 			l.apply(e)
 			l.applyQueued()
 		case e := <-l.requests:
-			if _, waiting := l.waitingCallers.Load(e.(Called).Token); waiting {
+			if _, waiting := l.waitingCallers.Load(e.(RequestReceived).Token); waiting {
 				l.apply(e)
 			}
 			l.applyQueued()
@@ -122,16 +122,16 @@
 	if l.Snapshot().IsOwner {
 		return l.state.cfg.TickInterval
 	}
-	return l.state.cfg.IdleTick
+	return l.state.cfg.FollowerTickInterval
 }
 
 func (l *Loop) apply(e Event) {
 	started := time.Now()
 	effects := l.state.Apply(started, started, e)
-	l.state.Took(time.Since(started))
+	l.state.RecordProcessingTime(time.Since(started))
 	// The snapshot is published first, so that no effect runs against an older
 	// snapshot than the state that produced it.
-	if l.state.TakeChanged() {
+	if l.state.ResetChanged() {
 		l.snapshot.Store(l.state.Snapshot())
 	}
 	for _, effect := range effects {
--- a/cell/state.go
+++ b/cell/state.go
@@ -11,18 +11,18 @@
 
 // Config configures a State.
 type Config struct {
-	Self          Owner         // this instance's ownership record
-	RenewInterval time.Duration // between renewals of the ownership lease
-	TickInterval  time.Duration // between ticks on the owner
-	IdleTick      time.Duration // between ticks on other instances
-	CampaignStep  time.Duration // length of a campaign slot, long enough that usually only one instance writes
-	CampaignSlots int           // number of slots that instances are spread over
-	CampaignRetry time.Duration // backoff after a lost campaign
-	Cores         float64       // processor cores available to this instance; may be fractional
-	SmallDelay    time.Duration // extra campaign delay of instances with fewer cores than others
-	Freshness     time.Duration // how long after the last store sync API keys are accepted
-	ReadyWithin   time.Duration // how long after the last store sync the instance is ready for new connections
-	Schedule      schedule.Config
+	Self                 Owner         // this instance's ownership record
+	RenewInterval        time.Duration // between renewals of the ownership lease
+	TickInterval         time.Duration // between ticks on the owner
+	FollowerTickInterval time.Duration // between ticks on other instances
+	CampaignSlotLength   time.Duration // length of a campaign slot, long enough that usually only one instance writes
+	CampaignSlots        int           // number of slots that instances are spread over
+	CampaignRetryDelay   time.Duration // backoff after a lost campaign
+	Cores                float64       // processor cores available to this instance; may be fractional
+	SmallInstanceDelay   time.Duration // extra campaign delay of instances with fewer cores than others
+	KeyFreshness         time.Duration // how long after the last store sync API keys are accepted
+	ReadinessTimeout     time.Duration // how long after the last store sync the instance is ready for new connections
+	Schedule             schedule.Config
 }
 
 // DefaultConfig returns values that meet the platform's time limits.
@@ -31,36 +31,36 @@
 		Self:  self,
 		Cores: cores,
 		// Four renewals fit into the ownership lease, so that three may be lost in a row.
-		RenewInterval: 300 * time.Millisecond,
-		TickInterval:  10 * time.Millisecond,
-		IdleTick:      40 * time.Millisecond,
+		RenewInterval:        300 * time.Millisecond,
+		TickInterval:         10 * time.Millisecond,
+		FollowerTickInterval: 40 * time.Millisecond,
 		// A slot covers one write to a store in another region, which takes 30 ms.
-		CampaignStep:  40 * time.Millisecond,
-		CampaignSlots: 8,
-		CampaignRetry: 400 * time.Millisecond,
-		// Longer than the slots of all larger instances (CampaignSlots x CampaignStep)
+		CampaignSlotLength: 40 * time.Millisecond,
+		CampaignSlots:      8,
+		CampaignRetryDelay: 400 * time.Millisecond,
+		// Longer than the slots of all larger instances (CampaignSlots x CampaignSlotLength)
 		// and one write.
-		SmallDelay: 500 * time.Millisecond,
+		SmallInstanceDelay: 500 * time.Millisecond,
 		// Withdrawn keys must be rejected within 5 s, and a watch that receives
 		// nothing lags by at most one second.
-		Freshness:   3500 * time.Millisecond,
-		ReadyWithin: 3 * time.Second,
-		Schedule:    schedule.DefaultConfig(),
+		KeyFreshness:     3500 * time.Millisecond,
+		ReadinessTimeout: 3 * time.Second,
+		Schedule:         schedule.DefaultConfig(),
 	}
 }
 
 // Snapshot is the immutable copy of the control state that traffic goroutines read.
 type Snapshot struct {
-	Catalog    *job.Catalog // nil until the first configuration is read
-	HeardAt    time.Time    // last store sync: every change acknowledged by the store up to then was delivered
-	FreshUntil time.Time    // API keys are accepted until then
-	ReadyUntil time.Time    // new connections are accepted until then
-	Owner      Owner        // zero if unknown
-	OwnerFound bool
-	IsOwner    bool // this instance is the owner and has completed recovery
-	Stopping   bool
-	Capacity   task.Resources // of the workers that accept tasks; on the owner only
-	Used       task.Resources // part of Capacity that is in use; on the owner only
+	Catalog        *job.Catalog // nil until the first configuration is read
+	SyncedAt       time.Time    // last store sync: every change acknowledged by the store up to then was delivered
+	KeysValidUntil time.Time    // API keys are accepted until then
+	ReadyUntil     time.Time    // new connections are accepted until then
+	Owner          Owner        // zero if unknown
+	OwnerFound     bool
+	IsOwner        bool // this instance is the owner and has completed recovery
+	Stopping       bool
+	Capacity       task.Resources // of the workers that accept tasks; on the owner only
+	Used           task.Resources // part of Capacity that is in use; on the owner only
 }
 
 // role is the part of an instance in the ownership of the partition.
@@ -128,12 +128,12 @@
 	case Tick:
 	case CatalogRead:
 		s.setCatalog(e.Catalog)
-	case StoreHeard:
+	case StoreSynced:
 		if e.At.After(s.syncedAt) {
 			s.syncedAt = e.At
 			s.changed = true
 		}
-	case OwnerSeen:
+	case OwnerObserved:
 		s.observeOwner(e)
 	case CampaignDone:
 		s.campaignDone(e)
@@ -149,16 +149,16 @@
 		if s.core != nil {
 			s.core.SetDirectory(e.Workers)
 		}
-	case JobsSeen:
+	case JobsObserved:
 		s.observeJobs(e)
 	case Scheduled:
 		if s.core != nil && e.Owner == s.ownershipRevision {
 			s.applyOutcome(e.Event)
 		}
-	case Called:
+	case RequestReceived:
 		s.handleRequest(e)
-	case Forgotten:
-	case Stopping:
+	case CallerGone:
+	case ShutdownRequested:
 		s.stopping = true
 		s.changed = true
 		if s.core != nil {
@@ -178,7 +178,7 @@
 	s.earlySubmissions = nil
 	s.log("ownership_declined", "fence", s.ownershipRevision, "why", "planned_stop")
 	s.emit(Resign{Owner: s.ownershipRevision, Lease: s.lease})
-	s.emit(Abandon{Owner: s.ownershipRevision})
+	s.emit(CancelCalls{Owner: s.ownershipRevision})
 }
 
 // runDueWork performs the timed work of the current role that is due.
@@ -218,8 +218,8 @@
 
 // observeOwner processes a reading of the ownership record. The revision increases with
 // every change of the record, so a stale reading is detected by its lower revision.
-func (s *State) observeOwner(e OwnerSeen) {
-	s.maxCores = max(s.maxCores, e.MostCores)
+func (s *State) observeOwner(e OwnerObserved) {
+	s.maxCores = max(s.maxCores, e.MaxCores)
 	if s.cfg.Cores > s.maxCores {
 		s.emit(RecordCores{Cores: s.cfg.Cores})
 	}
@@ -248,9 +248,9 @@
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(s.cfg.Self.Instance)) // a hash never fails
 	_, _ = hash.Write([]byte{byte(revision), byte(revision >> 8)})
-	delay := time.Duration(int(hash.Sum32()>>4)%s.cfg.CampaignSlots) * s.cfg.CampaignStep
+	delay := time.Duration(int(hash.Sum32()>>4)%s.cfg.CampaignSlots) * s.cfg.CampaignSlotLength
 	if s.isSmall() {
-		delay += s.cfg.SmallDelay
+		delay += s.cfg.SmallInstanceDelay
 	}
 	return delay
 }
@@ -280,7 +280,7 @@
 	}
 	if !e.Won {
 		s.role = follower
-		s.campaignAt = s.now.Add(s.cfg.CampaignRetry)
+		s.campaignAt = s.now.Add(s.cfg.CampaignRetryDelay)
 		return
 	}
 	s.role, s.ownershipRevision, s.lease = recovering, e.Revision, e.Lease
@@ -300,7 +300,7 @@
 		return
 	}
 	recovery := e.State
-	s.role, s.sequences, s.recoveryRevision = owning, recovery.Sequences, recovery.ReadAt
+	s.role, s.sequences, s.recoveryRevision = owning, recovery.Sequences, recovery.ReadRevision
 	s.core = schedule.New(s.now, s.cfg.Schedule, s.ownershipRevision, s.catalog, recovery.Roster)
 	s.core.Begin(s.now, s.wall)
 	if s.stopping {
@@ -327,7 +327,7 @@
 	}
 }
 
-func (s *State) observeJobs(e JobsSeen) {
+func (s *State) observeJobs(e JobsObserved) {
 	if s.core == nil {
 		return
 	}
@@ -376,7 +376,7 @@
 func (s *State) stepDown(reason string) {
 	s.emit(Resign{Owner: s.ownershipRevision, Lease: s.lease})
 	s.role = follower
-	s.campaignAt = s.now.Add(s.cfg.CampaignRetry)
+	s.campaignAt = s.now.Add(s.cfg.CampaignRetryDelay)
 	if s.ownerFound && s.owner == s.cfg.Self {
 		// The last reading is this instance's own record; the watch delivers the next one.
 		s.ownerKnown = false
@@ -386,41 +386,41 @@
 
 func (s *State) endOwnership(reason string) {
 	s.log("ownership_ended", "fence", s.ownershipRevision, "why", reason)
-	s.emit(Abandon{Owner: s.ownershipRevision})
+	s.emit(CancelCalls{Owner: s.ownershipRevision})
 	s.core = nil
 	s.earlySubmissions = nil
 	s.changed = true
 }
 
-func (s *State) handleRequest(e Called) {
+func (s *State) handleRequest(e RequestReceived) {
 	if s.core == nil {
-		if submit, ok := e.Question.(Submit); ok && s.role == recovering {
+		if submit, ok := e.Request.(Submit); ok && s.role == recovering {
 			s.earlySubmissions = append(s.earlySubmissions, submit.Submission)
-			s.emit(Answer{Token: e.Token, Reply: Reply{Known: true}})
+			s.emit(Answer{Token: e.Token, Reply: Reply{Found: true}})
 			return
 		}
 		s.emit(Answer{Token: e.Token, Reply: Reply{NotOwner: true}})
 		return
 	}
-	switch request := e.Question.(type) {
+	switch request := e.Request.(type) {
 	case Submit:
 		s.acceptNew(request.Submission)
-		s.emit(Answer{Token: e.Token, Reply: Reply{Known: true}})
-	case StateOf:
+		s.emit(Answer{Token: e.Token, Reply: Reply{Found: true}})
+	case JobStateQuery:
 		state, team, queue, known := s.core.StateOf(request.Job)
-		s.emit(Answer{Token: e.Token, Reply: Reply{Known: known, State: state, Team: team, Queue: queue}})
+		s.emit(Answer{Token: e.Token, Reply: Reply{Found: known, State: state, Team: team, Queue: queue}})
 	case Cancel:
 		_, team, queue, _ := s.core.StateOf(request.Job)
 		if belongsToOther := queue != request.Queue || (request.Team != "" && team != "" && team != request.Team); belongsToOther || !s.core.Cancel(request.Job, e.Token) {
 			s.emit(Answer{Token: e.Token, Reply: Reply{}})
 		}
-	case Follow:
+	case ViewRequest:
 		s.core.ObserveInstance(request.Instance)
 		for team, count := range request.Submitted {
 			s.core.AddDemand(team, count)
 		}
 		view := s.core.ViewSince(request.Epoch, request.Since)
-		s.emit(Answer{Token: e.Token, Reply: Reply{Known: true, View: &view}})
+		s.emit(Answer{Token: e.Token, Reply: Reply{Found: true, View: &view}})
 	}
 }
 
@@ -431,7 +431,7 @@
 		case schedule.Decision:
 			s.emit(Log{e})
 		case schedule.CancelDone:
-			s.emit(Answer{Token: e.Token, Reply: Reply{Known: true, State: job.Cancelled}})
+			s.emit(Answer{Token: e.Token, Reply: Reply{Found: true, State: job.Cancelled}})
 		case schedule.Commit:
 			s.emit(CommitRecords{Commit: e, Owner: s.ownershipRevision, Sequence: s.sequences[e.Stream]})
 		default:
@@ -446,16 +446,16 @@
 	s.emit(Log{schedule.Decision{Event: event, Fields: fields}})
 }
 
-// Took passes the processing time of the last event to the core, which spaces its
+// RecordProcessingTime passes the processing time of the last event to the core, which spaces its
 // placement passes accordingly to leave time for further events.
-func (s *State) Took(d time.Duration) {
+func (s *State) RecordProcessingTime(d time.Duration) {
 	if s.core != nil {
 		s.core.RecordProcessingTime(d)
 	}
 }
 
-// TakeChanged reports whether the snapshot has changed since the last call.
-func (s *State) TakeChanged() bool {
+// ResetChanged reports whether the snapshot has changed since the last call.
+func (s *State) ResetChanged() bool {
 	changed := s.changed
 	s.changed = false
 	return changed
@@ -464,12 +464,12 @@
 // Snapshot returns a copy of the control state for traffic goroutines.
 func (s *State) Snapshot() *Snapshot {
 	snapshot := &Snapshot{
-		Catalog: s.catalog, HeardAt: s.syncedAt, Owner: s.owner, OwnerFound: s.ownerFound,
+		Catalog: s.catalog, SyncedAt: s.syncedAt, Owner: s.owner, OwnerFound: s.ownerFound,
 		IsOwner: s.core != nil, Stopping: s.stopping,
 	}
 	if !s.syncedAt.IsZero() {
-		snapshot.FreshUntil = s.syncedAt.Add(s.cfg.Freshness)
-		snapshot.ReadyUntil = s.syncedAt.Add(s.cfg.ReadyWithin)
+		snapshot.KeysValidUntil = s.syncedAt.Add(s.cfg.KeyFreshness)
+		snapshot.ReadyUntil = s.syncedAt.Add(s.cfg.ReadinessTimeout)
 	}
 	if s.core != nil {
 		snapshot.Capacity, snapshot.Used = s.core.UsableCapacity()
--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -44,7 +44,7 @@
 func (h *harness) becomeOwner(recovery Recovery) []Effect {
 	h.t.Helper()
 	h.apply(CatalogRead{catalog(1, 1)})
-	h.apply(OwnerSeen{Revision: 5})
+	h.apply(OwnerObserved{Revision: 5})
 	h.now = h.now.Add(time.Second)
 	if _, ok := findEffect[Campaign](h.apply(Tick{})); !ok {
 		h.t.Fatal("no Campaign effect although there is no owner")
@@ -79,10 +79,10 @@
 func TestCampaignOnlyWithoutOwner(t *testing.T) {
 	for name, events := range map[string][]Event{
 		"ownership not read": {CatalogRead{catalog(1, 1)}},
-		"another owner":      {CatalogRead{catalog(1, 1)}, OwnerSeen{Revision: 5}, OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}},
-		"stale reading":      {CatalogRead{catalog(1, 1)}, OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}, OwnerSeen{Revision: 5}},
-		"no configuration":   {OwnerSeen{Revision: 5}},
-		"stopping":           {CatalogRead{catalog(1, 1)}, OwnerSeen{Revision: 5}, Stopping{}},
+		"another owner":      {CatalogRead{catalog(1, 1)}, OwnerObserved{Revision: 5}, OwnerObserved{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}},
+		"stale reading":      {CatalogRead{catalog(1, 1)}, OwnerObserved{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}, OwnerObserved{Revision: 5}},
+		"no configuration":   {OwnerObserved{Revision: 5}},
+		"stopping":           {CatalogRead{catalog(1, 1)}, OwnerObserved{Revision: 5}, ShutdownRequested{}},
 	} {
 		h := newHarness(t)
 		for _, e := range events {
@@ -110,15 +110,15 @@
 		h := newHarness(t)
 		h.state.cfg.Cores = c.cores
 		h.apply(CatalogRead{catalog(1, 1)})
-		effects := h.apply(OwnerSeen{Revision: 5, MostCores: c.maxCores})
+		effects := h.apply(OwnerObserved{Revision: 5, MaxCores: c.maxCores})
 		if _, records := findEffect[RecordCores](effects); records != (c.cores > c.maxCores) {
 			t.Errorf("%s: RecordCores emitted: %v", name, records)
 		}
-		h.now = h.now.Add(time.Duration(h.state.cfg.CampaignSlots) * h.state.cfg.CampaignStep)
+		h.now = h.now.Add(time.Duration(h.state.cfg.CampaignSlots) * h.state.cfg.CampaignSlotLength)
 		if _, campaigns := findEffect[Campaign](h.apply(Tick{})); campaigns == c.waits {
 			t.Errorf("%s: campaigns in the slots of the large instances: %v", name, campaigns)
 		}
-		h.now = h.now.Add(h.state.cfg.SmallDelay)
+		h.now = h.now.Add(h.state.cfg.SmallInstanceDelay)
 		if _, campaigns := findEffect[Campaign](h.apply(Tick{})); campaigns != c.waits {
 			t.Errorf("%s: campaigns after the slots of the large instances: %v", name, campaigns)
 		}
@@ -130,12 +130,12 @@
 func TestStopDuringCampaign(t *testing.T) {
 	won := CampaignDone{Won: true, Revision: 10, Lease: 3}
 	for name, events := range map[string][]Event{
-		"before the result": {Stopping{}, won},
-		"during recovery":   {won, Stopping{}},
+		"before the result": {ShutdownRequested{}, won},
+		"during recovery":   {won, ShutdownRequested{}},
 	} {
 		h := newHarness(t)
 		h.apply(CatalogRead{catalog(1, 1)})
-		h.apply(OwnerSeen{Revision: 5})
+		h.apply(OwnerObserved{Revision: 5})
 		h.now = h.now.Add(time.Second)
 		h.apply(Tick{})
 		h.apply(events[0])
@@ -167,14 +167,14 @@
 		"lease gone":                      {RenewDone{Lease: 3, Gone: true}, true},
 		"former lease gone":               {RenewDone{Lease: 2, Gone: true}, false},
 		"commit refused":                  {Committed{Owner: 10, Lost: true}, true},
-		"another record":                  {OwnerSeen{Found: true, Owner: Owner{Instance: "e2"}, Revision: 12}, true},
-		"record removed":                  {OwnerSeen{Revision: 11}, true},
-		"stale reading":                   {OwnerSeen{Revision: 9}, false},
-		"own record":                      {OwnerSeen{Found: true, Owner: self, Revision: 10}, false},
+		"another record":                  {OwnerObserved{Found: true, Owner: Owner{Instance: "e2"}, Revision: 12}, true},
+		"record removed":                  {OwnerObserved{Revision: 11}, true},
+		"stale reading":                   {OwnerObserved{Revision: 9}, false},
+		"own record":                      {OwnerObserved{Found: true, Owner: self, Revision: 10}, false},
 	} {
 		h := newHarness(t)
-		h.becomeOwner(Recovery{ReadAt: 20, Workers: []schedule.Worker{worker("w1")}})
-		abandon, ended := findEffect[Abandon](h.apply(c.event))
+		h.becomeOwner(Recovery{ReadRevision: 20, Workers: []schedule.Worker{worker("w1")}})
+		abandon, ended := findEffect[CancelCalls](h.apply(c.event))
 		if ended != c.ends || h.state.Snapshot().IsOwner == c.ends {
 			t.Errorf("%s: ownership ended: %v, want %v", name, ended, c.ends)
 		}
@@ -188,16 +188,16 @@
 // again because the accepting instance's submission reaches the new owner late.
 func TestLateSubmission(t *testing.T) {
 	h := newHarness(t)
-	h.becomeOwner(Recovery{ReadAt: 20})
+	h.becomeOwner(Recovery{ReadRevision: 20})
 	for _, c := range []struct {
 		id       job.ID
 		revision int64
 		known    bool
 	}{{"00000000000000a1", 19, false}, {"00000000000000a2", 21, true}} {
-		h.apply(Called{Token: 1, Question: Submit{submission(c.id, c.revision)}})
-		answer, ok := findEffect[Answer](h.apply(Called{Token: 2, Question: StateOf{Job: c.id}}))
-		if !ok || answer.Reply.Known != c.known {
-			t.Errorf("job recorded at %d: known %v, want %v", c.revision, answer.Reply.Known, c.known)
+		h.apply(RequestReceived{Token: 1, Request: Submit{submission(c.id, c.revision)}})
+		answer, ok := findEffect[Answer](h.apply(RequestReceived{Token: 2, Request: JobStateQuery{Job: c.id}}))
+		if !ok || answer.Reply.Found != c.known {
+			t.Errorf("job recorded at %d: known %v, want %v", c.revision, answer.Reply.Found, c.known)
 		}
 	}
 }
@@ -207,13 +207,13 @@
 func TestEarlySubmission(t *testing.T) {
 	h := newHarness(t)
 	h.apply(CatalogRead{catalog(1, 1)})
-	h.apply(OwnerSeen{Revision: 5})
+	h.apply(OwnerObserved{Revision: 5})
 	h.now = h.now.Add(time.Second)
 	h.apply(Tick{})
 	h.apply(CampaignDone{Won: true, Revision: 10, Lease: 3})
-	h.apply(Called{Token: 1, Question: Submit{submission("00000000000000a1", 25)}})
-	h.apply(Recovered{Revision: 10, State: Recovery{ReadAt: 20}})
-	if answer, _ := findEffect[Answer](h.apply(Called{Token: 2, Question: StateOf{Job: "00000000000000a1"}})); !answer.Reply.Known {
+	h.apply(RequestReceived{Token: 1, Request: Submit{submission("00000000000000a1", 25)}})
+	h.apply(Recovered{Revision: 10, State: Recovery{ReadRevision: 20}})
+	if answer, _ := findEffect[Answer](h.apply(RequestReceived{Token: 2, Request: JobStateQuery{Job: "00000000000000a1"}})); !answer.Reply.Found {
 		t.Error("job submitted during recovery is unknown")
 	}
 }
@@ -222,13 +222,13 @@
 // done, and against one that does not resign.
 func TestPlannedStop(t *testing.T) {
 	h := newHarness(t)
-	effects := h.becomeOwner(Recovery{ReadAt: 20, Workers: []schedule.Worker{worker("w1")}})
+	effects := h.becomeOwner(Recovery{ReadRevision: 20, Workers: []schedule.Worker{worker("w1")}})
 	commit, ok := findEffect[CommitRecords](effects)
 	for !ok {
 		h.now = h.now.Add(30 * time.Millisecond)
 		commit, ok = findEffect[CommitRecords](h.apply(Tick{}))
 	}
-	if _, resigned := findEffect[Resign](h.apply(Stopping{})); resigned {
+	if _, resigned := findEffect[Resign](h.apply(ShutdownRequested{})); resigned {
 		t.Error("Resign effect while a commit is in flight")
 	}
 	if resign, resigned := findEffect[Resign](h.apply(Committed{Commit: commit.Commit, Owner: 10, Sequence: 21})); !resigned || resign.Lease != 3 {
@@ -243,14 +243,14 @@
 // receives nothing from the store.
 func TestKeysExpire(t *testing.T) {
 	h := newHarness(t)
-	h.apply(StoreHeard{At: h.now})
+	h.apply(StoreSynced{At: h.now})
 	s := h.state.Snapshot()
 	const withdrawalLimit = 5 * time.Second // a withdrawn key must be rejected within this time
-	if until := s.FreshUntil.Sub(s.HeardAt); until <= 0 || until+time.Second > withdrawalLimit {
+	if until := s.KeysValidUntil.Sub(s.SyncedAt); until <= 0 || until+time.Second > withdrawalLimit {
 		t.Errorf("keys are accepted for %s after the last store sync, want more than 0 and at most %s", until, withdrawalLimit-time.Second)
 	}
-	h.apply(StoreHeard{At: s.HeardAt.Add(-time.Second)})
-	if h.state.Snapshot().HeardAt != s.HeardAt {
+	h.apply(StoreSynced{At: s.SyncedAt.Add(-time.Second)})
+	if h.state.Snapshot().SyncedAt != s.SyncedAt {
 		t.Error("an older StoreHeard moved HeardAt back")
 	}
 }
--- a/entry/cell.go
+++ b/entry/cell.go
@@ -21,7 +21,7 @@
 	// SeeInstance records the address at which an instance accepts advice calls and relayed
 	// orders.
 	SeeInstance(p Peer)
-	// Answer handles a request type of package cell, such as cell.Follow or cell.Submit.
+	// Answer handles a request type of package cell, such as cell.ViewRequest or cell.Submit.
 	Answer(ctx context.Context, request any) (cell.Reply, error)
 	// AskAdvice calls the advice service on behalf of the owner.
 	AskAdvice(ctx context.Context, step string, workers []string) (tickets map[string]string, valid time.Duration, err error)
@@ -54,7 +54,7 @@
 // FollowOwner implements entrypb.CellServer.
 func (s *cellService) FollowOwner(ctx context.Context, r *entrypb.FollowRequest) (*entrypb.FollowReply, error) {
 	s.handler.SeeInstance(Peer{Instance: r.GetInstance(), Address: r.GetAddress(), FailureDomain: r.GetFailureDomain()})
-	request := cell.Follow{Instance: r.GetInstance(), Epoch: r.GetEpoch(), Since: r.GetSince(), Submitted: make(map[string]int)}
+	request := cell.ViewRequest{Instance: r.GetInstance(), Epoch: r.GetEpoch(), Since: r.GetSince(), Submitted: make(map[string]int)}
 	for team, n := range r.GetSubmitted() {
 		request.Submitted[team] = int(n)
 	}
@@ -101,7 +101,7 @@
 
 // JobState implements entrypb.CellServer.
 func (s *cellService) JobState(ctx context.Context, r *entrypb.JobRequest) (*entrypb.CellReply, error) {
-	return s.handleRequest(ctx, cell.StateOf{Job: job.ID(r.GetJob())})
+	return s.handleRequest(ctx, cell.JobStateQuery{Job: job.ID(r.GetJob())})
 }
 
 // CancelJob implements entrypb.CellServer.
@@ -115,7 +115,7 @@
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
 	return &entrypb.CellReply{
-		NotOwner: reply.NotOwner, Known: reply.Known, State: string(reply.State),
+		NotOwner: reply.NotOwner, Known: reply.Found, State: string(reply.State),
 		Team: reply.Team, Queue: reply.Queue,
 	}, nil
 }
@@ -150,7 +150,7 @@
 // FollowOwner announces this instance to the owner at the given address and returns the owner's
 // view with the changes since f.Since. It returns a nil view if the instance there is not the
 // owner.
-func (c *Client) FollowOwner(ctx context.Context, address string, self Peer, f cell.Follow) (*schedule.View, error) {
+func (c *Client) FollowOwner(ctx context.Context, address string, self Peer, f cell.ViewRequest) (*schedule.View, error) {
 	request := &entrypb.FollowRequest{
 		Instance: f.Instance, Address: self.Address, FailureDomain: self.FailureDomain,
 		Epoch: f.Epoch, Since: f.Since, Submitted: make(map[string]int64),
@@ -165,7 +165,7 @@
 	return decodeView(reply), nil
 }
 
-// Ask sends a cell.Submit, cell.StateOf or cell.Cancel request to the instance at the given
+// Ask sends a cell.Submit, cell.JobStateQuery or cell.Cancel request to the instance at the given
 // address.
 func (c *Client) Ask(ctx context.Context, address string, request any) (cell.Reply, error) {
 	var reply *entrypb.CellReply
@@ -177,7 +177,7 @@
 			return cell.Reply{}, err
 		}
 		reply, err = callCell(ctx, c, address, &entrypb.SubmitJobRequest{Record: record, Revision: r.Revision}, entrypb.CellClient.SubmitJob)
-	case cell.StateOf:
+	case cell.JobStateQuery:
 		reply, err = callCell(ctx, c, address, &entrypb.JobRequest{Job: string(r.Job)}, entrypb.CellClient.JobState)
 	case cell.Cancel:
 		reply, err = callCell(ctx, c, address, &entrypb.JobRequest{Job: string(r.Job), Queue: r.Queue, Team: r.Team}, entrypb.CellClient.CancelJob)
@@ -186,7 +186,7 @@
 		return cell.Reply{}, err
 	}
 	return cell.Reply{
-		NotOwner: reply.GetNotOwner(), Known: reply.GetKnown(), State: job.State(reply.GetState()),
+		NotOwner: reply.GetNotOwner(), Found: reply.GetKnown(), State: job.State(reply.GetState()),
 		Team: reply.GetTeam(), Queue: reply.GetQueue(),
 	}, nil
 }
--- a/instance/accept.go
+++ b/instance/accept.go
@@ -86,7 +86,7 @@
 
 // storeUnresponsiveFor returns how long the store has not responded, or 0 if it responds.
 func (i *Instance) storeUnresponsiveFor(now time.Time) time.Duration {
-	if sinceSync := now.Sub(i.loop.Snapshot().HeardAt); sinceSync > watchTimeout {
+	if sinceSync := now.Sub(i.loop.Snapshot().SyncedAt); sinceSync > watchTimeout {
 		return sinceSync
 	}
 	if since := i.unansweredSince.Load(); since != 0 {
--- a/instance/execute.go
+++ b/instance/execute.go
@@ -25,7 +25,7 @@
 		go i.renew(i.ownerCtx, e.Lease)
 	case cell.Resign:
 		go i.resign(e)
-	case cell.Abandon:
+	case cell.CancelCalls:
 		if i.cancelOwner != nil {
 			i.cancelOwner()
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -170,7 +170,7 @@
 // the owner, resigns. Stop returns when another instance can take over or ctx ends.
 func (i *Instance) Stop(ctx context.Context) {
 	wasOwner := i.loop.Snapshot().IsOwner
-	i.loop.Post(ctx, cell.Stopping{})
+	i.loop.Post(ctx, cell.ShutdownRequested{})
 	if !wasOwner {
 		return
 	}
@@ -193,7 +193,7 @@
 func (i *Instance) followCatalog(ctx context.Context) error {
 	return i.cfg.Catalogs.Follow(ctx,
 		func(c *job.Catalog) { i.loop.Post(ctx, cell.CatalogRead{Catalog: c}) },
-		func(at time.Time) { i.loop.Post(ctx, cell.StoreHeard{At: at}) })
+		func(at time.Time) { i.loop.Post(ctx, cell.StoreSynced{At: at}) })
 }
 
 // SeeInstance implements entry.CellHandler.
@@ -201,7 +201,7 @@
 
 // Answer implements entry.CellHandler.
 func (i *Instance) Answer(ctx context.Context, request any) (cell.Reply, error) {
-	return i.loop.Ask(ctx, request)
+	return i.loop.Call(ctx, request)
 }
 
 // AskAdvice implements entry.CellHandler.
@@ -233,7 +233,7 @@
 	case !s.OwnerFound:
 		return cell.Reply{NotOwner: true}, nil
 	case s.Owner.Instance == i.cfg.Name:
-		return i.loop.Ask(ctx, request)
+		return i.loop.Call(ctx, request)
 	default:
 		return i.peers.Ask(ctx, s.Owner.Address, request)
 	}
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -15,12 +15,12 @@
 type ownerFollower struct {
 	ctx      context.Context
 	instance *Instance
-	last     cell.OwnerSeen
+	last     cell.OwnerObserved
 }
 
 // Listed implements store.Follower.
 func (f *ownerFollower) Listed(kvs []store.KeyValue, revision int64) {
-	f.last = cell.OwnerSeen{Revision: revision, MostCores: f.last.MostCores}
+	f.last = cell.OwnerObserved{Revision: revision, MaxCores: f.last.MaxCores}
 	for _, kv := range kvs {
 		f.applyRecord(kv, false)
 	}
@@ -44,7 +44,7 @@
 	case kv.Key != keyOwner:
 		return
 	}
-	f.last = cell.OwnerSeen{Revision: kv.ModRevision, MostCores: f.last.MostCores}
+	f.last = cell.OwnerObserved{Revision: kv.ModRevision, MaxCores: f.last.MaxCores}
 	if deleted {
 		return
 	}
@@ -61,7 +61,7 @@
 		f.instance.cfg.Journal.Event("core count record cannot be decoded", "error", err)
 		return
 	}
-	f.last.MostCores = record.Cores
+	f.last.MaxCores = record.Cores
 }
 
 // Failed implements store.Follower.
@@ -302,7 +302,7 @@
 func (f *inboxFollower) post(kvs []store.KeyValue) {
 	jobs, cancelled := f.instance.decodeInbox(kvs)
 	if len(jobs) > 0 || len(cancelled) > 0 {
-		f.instance.loop.Post(f.ctx, cell.JobsSeen{Jobs: jobs, Cancelled: cancelled})
+		f.instance.loop.Post(f.ctx, cell.JobsObserved{Jobs: jobs, Cancelled: cancelled})
 	}
 }
 
--- a/instance/query.go
+++ b/instance/query.go
@@ -17,11 +17,11 @@
 	if status, known := i.view.status(id); known {
 		return checkVisible(status.State, status.Queue, status.Team, queue, team, id)
 	}
-	reply, err := i.callOwner(ctx, i.cfg.Timing.PeerTimeout, cell.StateOf{Job: id})
+	reply, err := i.callOwner(ctx, i.cfg.Timing.PeerTimeout, cell.JobStateQuery{Job: id})
 	if err != nil {
 		i.cfg.Journal.Event("owner did not answer", "job", string(id), "error", err)
 	}
-	if err == nil && reply.Known {
+	if err == nil && reply.Found {
 		return checkVisible(reply.State, reply.Queue, reply.Team, queue, team, id)
 	}
 	record, final, err := i.readJob(ctx, id)
@@ -75,7 +75,7 @@
 // recorded.
 func (i *Instance) Cancel(ctx context.Context, queue, team string, id job.ID) error {
 	reply, err := i.callOwner(ctx, i.cfg.Timing.CancelTimeout, cell.Cancel{Job: id, Queue: queue, Team: team})
-	if err == nil && reply.Known {
+	if err == nil && reply.Found {
 		i.cfg.Journal.Event("cancelled", "job", string(id), "by", "owner")
 		return nil
 	}
--- a/instance/records.go
+++ b/instance/records.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return eris.Wrap(err, "list the jobs")
 	}
-	recovery.ReadAt = revision
+	recovery.ReadRevision = revision
 	// Progress is read after the jobs, so that none is missed for a job in the list.
 	progress, _, err := i.cfg.Store.List(ctx, progressPrefix)
 	if err != nil {
--- a/instance/records_test.go
+++ b/instance/records_test.go
@@ -135,7 +135,7 @@
 	if len(r.Jobs) != 2 || r.Jobs[0].Progress == nil || len(r.Jobs[0].Progress.Failed["0.0.0"]) != 1 || !r.Jobs[1].Cancelled || r.Jobs[0].Cancelled {
 		t.Errorf("recovered jobs: %+v", r.Jobs)
 	}
-	if len(r.Roster) != 1 || r.Sequences[3] != sequence || r.Sequences[0] != 0 || r.ReadAt < sequence {
+	if len(r.Roster) != 1 || r.Sequences[3] != sequence || r.Sequences[0] != 0 || r.ReadRevision < sequence {
 		t.Errorf("recovery: %+v", r)
 	}
 }
--- a/instance/view.go
+++ b/instance/view.go
@@ -123,10 +123,10 @@
 }
 
 // nextPoll returns the next request to the owner and resets the submission counts.
-func (v *ownerView) nextPoll(name string) cell.Follow {
+func (v *ownerView) nextPoll(name string) cell.ViewRequest {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	poll := cell.Follow{Instance: name, Epoch: v.epoch, Since: v.sequence, Submitted: v.submitted}
+	poll := cell.ViewRequest{Instance: name, Epoch: v.epoch, Since: v.sequence, Submitted: v.submitted}
 	v.submitted = make(map[string]int)
 	return poll
 }
@@ -151,7 +151,7 @@
 	defer cancel()
 	poll := i.view.nextPoll(i.cfg.Name)
 	if s.Owner.Instance == i.cfg.Name {
-		reply, err := i.loop.Ask(ctx, poll)
+		reply, err := i.loop.Call(ctx, poll)
 		if err != nil {
 			return nil // the control goroutine is overloaded; the next poll follows soon
 		}
