instance, entry, platform: rename exported names

Names in messages, stored records, settings, logs and metrics are unchanged.

The interfaces of instance and front change together with the packages that implement them.

instance.Advisor.Ask -> RequestAdvice platform/advice.Client.Ask -> RequestAdvice instance.Workers.Hold -> Poll platform/targets.Orders.Hold -> Poll instance.Config.Catalogs -> Configuration instance.Instance.Waiting -> QueueLength platform/front.Jobs.Waiting -> QueueLength instance.Instance.SeeInstance -> ObserveInstance entry.CellHandler.SeeInstance -> ObserveInstance instance.Instance.Answer -> HandleRequest entry.CellHandler.Answer -> HandleRequest instance.Instance.GiveOrder -> ForwardOrder entry.CellHandler.GiveOrder -> ForwardOrder instance.Instance.AskAdvice -> CallAdviceService entry.CellHandler.AskAdvice -> CallAdviceService entry.Client.AskAdvice -> RequestAdvice entry.Client.Ask -> SendJobRequest entry.RelayOutcome.Born -> Incarnation instance.Timing.FollowInterval -> ViewPollInterval instance.Timing.PeerTimeout -> OwnerRequestTimeout instance.Timing.HoldMargin -> PollMargin platform/front.Handler.Report -> LogEvent platform/targets.Orders -> OrderClient platform/targets.NewOrders -> NewOrderClient platform/targets.Orders.Report -> LogEvent platform/targets.Directory.Report -> LogEvent platform/operator.Report -> LogFunc platform/operator.Configuration.Report -> LogEvent platform/operator.Configuration -> ConfigWatcher instance.fakeWorkers.Hold -> Poll platform/front.fakeJobs.Waiting -> QueueLength

--- a/entry/cell.go
+++ b/entry/cell.go
@@ -18,15 +18,15 @@
 
 // CellHandler handles calls between the instances of a cell.
 type CellHandler interface {
-	// SeeInstance records the address at which an instance accepts advice calls and relayed
+	// ObserveInstance records the address at which an instance accepts advice calls and relayed
 	// orders.
-	SeeInstance(p Peer)
-	// Answer handles a request type of package cell, such as cell.ViewRequest or cell.Submit.
-	Answer(ctx context.Context, request any) (cell.Reply, error)
-	// AskAdvice calls the advice service on behalf of the owner.
-	AskAdvice(ctx context.Context, step string, workers []string) (tickets map[string]string, valid time.Duration, err error)
-	// GiveOrder sends an order of the owner to a worker. It leaves the ID of the outcome unset.
-	GiveOrder(ctx context.Context, o RelayOrder) RelayOutcome
+	ObserveInstance(p Peer)
+	// HandleRequest handles a request type of package cell, such as cell.ViewRequest or cell.Submit.
+	HandleRequest(ctx context.Context, request any) (cell.Reply, error)
+	// CallAdviceService calls the advice service on behalf of the owner.
+	CallAdviceService(ctx context.Context, step string, workers []string) (tickets map[string]string, valid time.Duration, err error)
+	// ForwardOrder sends an order of the owner to a worker. It leaves the ID of the outcome unset.
+	ForwardOrder(ctx context.Context, o RelayOrder) RelayOutcome
 }
 
 // Peer describes an instance to other instances.
@@ -53,12 +53,12 @@
 
 // FollowOwner implements entrypb.CellServer.
 func (s *cellService) FollowOwner(ctx context.Context, r *entrypb.FollowRequest) (*entrypb.FollowReply, error) {
-	s.handler.SeeInstance(Peer{Instance: r.GetInstance(), Address: r.GetAddress(), FailureDomain: r.GetFailureDomain()})
+	s.handler.ObserveInstance(Peer{Instance: r.GetInstance(), Address: r.GetAddress(), FailureDomain: r.GetFailureDomain()})
 	request := cell.ViewRequest{Instance: r.GetInstance(), Epoch: r.GetEpoch(), Since: r.GetSince(), Submitted: make(map[string]int)}
 	for team, n := range r.GetSubmitted() {
 		request.Submitted[team] = int(n)
 	}
-	reply, err := s.handler.Answer(ctx, request)
+	reply, err := s.handler.HandleRequest(ctx, request)
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
@@ -110,7 +110,7 @@
 }
 
 func (s *cellService) handleRequest(ctx context.Context, request any) (*entrypb.CellReply, error) {
-	reply, err := s.handler.Answer(ctx, request)
+	reply, err := s.handler.HandleRequest(ctx, request)
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
@@ -120,9 +120,9 @@
 	}, nil
 }
 
-// AskAdvice implements entrypb.CellServer.
+// CallAdviceService implements entrypb.CellServer.
 func (s *cellService) AskAdvice(ctx context.Context, r *entrypb.AskAdviceRequest) (*entrypb.AskAdviceReply, error) {
-	tickets, valid, err := s.handler.AskAdvice(ctx, r.GetStep(), r.GetWorkers())
+	tickets, valid, err := s.handler.CallAdviceService(ctx, r.GetStep(), r.GetWorkers())
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
@@ -165,9 +165,9 @@
 	return decodeView(reply), nil
 }
 
-// Ask sends a cell.Submit, cell.JobStateQuery or cell.Cancel request to the instance at the given
+// SendJobRequest sends a cell.Submit, cell.JobStateQuery or cell.Cancel request to the instance at the given
 // address.
-func (c *Client) Ask(ctx context.Context, address string, request any) (cell.Reply, error) {
+func (c *Client) SendJobRequest(ctx context.Context, address string, request any) (cell.Reply, error) {
 	var reply *entrypb.CellReply
 	var err error
 	switch r := request.(type) {
@@ -191,8 +191,8 @@
 	}, nil
 }
 
-// AskAdvice has the instance at the given address call the advice service.
-func (c *Client) AskAdvice(ctx context.Context, address, step string, workers []string) (map[string]string, time.Duration, error) {
+// RequestAdvice has the instance at the given address call the advice service.
+func (c *Client) RequestAdvice(ctx context.Context, address, step string, workers []string) (map[string]string, time.Duration, error) {
 	reply, err := callCell(ctx, c, address, &entrypb.AskAdviceRequest{Step: step, Workers: workers}, entrypb.CellClient.AskAdvice)
 	if err != nil {
 		return nil, 0, err
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -25,12 +25,12 @@
 
 // RelayOutcome is the result of a relayed order.
 type RelayOutcome struct {
-	ID      uint64
-	Verdict schedule.Verdict
-	Clock   time.Duration // reading of the worker's clock; this and the following fields are set for a Hold
-	Born    int64         // incarnation of the worker
-	Running []schedule.RunReport
-	Ended   []schedule.EndReport
+	ID          uint64
+	Verdict     schedule.Verdict
+	Clock       time.Duration // reading of the worker's clock; this and the following fields are set for a Hold
+	Incarnation int64         // incarnation of the worker
+	Running     []schedule.RunReport
+	Ended       []schedule.EndReport
 }
 
 const (
@@ -133,7 +133,7 @@
 				go func() {
 					orderCtx, cancel := context.WithTimeout(ctx, order.Timeout)
 					defer cancel()
-					outcome := s.handler.GiveOrder(orderCtx, order)
+					outcome := s.handler.ForwardOrder(orderCtx, order)
 					outcome.ID = order.ID
 					sendUnlessDone(ctx, outcomes, &outcome)
 				}()
@@ -219,7 +219,7 @@
 		if o == nil {
 			continue
 		}
-		out := &entrypb.RelayOutcome{Id: o.ID, Verdict: int32(o.Verdict), ClockMs: o.Clock.Milliseconds(), Born: o.Born}
+		out := &entrypb.RelayOutcome{Id: o.ID, Verdict: int32(o.Verdict), ClockMs: o.Clock.Milliseconds(), Born: o.Incarnation}
 		for _, r := range o.Running {
 			out.Running = append(out.Running, &entrypb.RunningTask{Task: r.Task.String(), Run: int64(r.Run), Checkpoint: r.Checkpoint, Percent: int32(r.Percent)})
 		}
@@ -236,7 +236,7 @@
 func decodeRelayReply(reply *entrypb.RelayReply) ([]RelayOutcome, error) {
 	var outcomes []RelayOutcome
 	for _, o := range reply.GetOutcomes() {
-		out := RelayOutcome{ID: o.GetId(), Verdict: schedule.Verdict(o.GetVerdict()), Clock: milliseconds(o.GetClockMs()), Born: o.GetBorn()}
+		out := RelayOutcome{ID: o.GetId(), Verdict: schedule.Verdict(o.GetVerdict()), Clock: milliseconds(o.GetClockMs()), Incarnation: o.GetBorn()}
 		for _, r := range o.GetRunning() {
 			key, err := job.ParseTaskKey(r.GetTask())
 			if err != nil {
--- a/instance/accept.go
+++ b/instance/accept.go
@@ -181,7 +181,7 @@
 	i.cfg.Journal.Event("accepted", "job", string(submission.job.ID), "queue", submission.job.Queue, "team", submission.job.Team, "revision", revision)
 	go func() {
 		request := cell.Submit{Submission: cell.Submission{Job: submission.job, Revision: revision}}
-		if reply, err := i.callOwner(i.ctx, i.cfg.Timing.PeerTimeout, request); err != nil || reply.NotOwner {
+		if reply, err := i.callOwner(i.ctx, i.cfg.Timing.OwnerRequestTimeout, request); err != nil || reply.NotOwner {
 			i.cfg.Journal.Event("owner was not notified of the job", "job", string(submission.job.ID), "not_owner", reply.NotOwner, "error", err)
 		}
 	}()
--- a/instance/execute.go
+++ b/instance/execute.go
@@ -44,7 +44,7 @@
 	var outcome any
 	switch order := e.Effect.(type) {
 	case schedule.Poll:
-		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.HoldMargin+order.Wait)
+		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.PollMargin+order.Wait)
 		outcome = i.relays.Hold(callCtx, e.Fence, order)
 		cancel()
 	case schedule.Start:
@@ -73,9 +73,9 @@
 	done := schedule.AdviceCallDone{Call: order}
 	var err error
 	if order.Instance == i.cfg.Name {
-		done.Tickets, done.Validity, err = i.cfg.Advisor.Ask(ctx, order.Step.String(), order.Workers)
+		done.Tickets, done.Validity, err = i.cfg.Advisor.RequestAdvice(ctx, order.Step.String(), order.Workers)
 	} else if address, ok := i.relays.address(order.Instance); ok {
-		done.Tickets, done.Validity, err = i.peers.AskAdvice(ctx, address, order.Step.String(), order.Workers)
+		done.Tickets, done.Validity, err = i.peers.RequestAdvice(ctx, address, order.Step.String(), order.Workers)
 	} else {
 		err = eris.Errorf("instance %s no longer polls this owner", order.Instance)
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -21,7 +21,7 @@
 
 // Workers sends orders to workers. Each call returns when ctx ends, at the latest.
 type Workers interface {
-	Hold(ctx context.Context, fence int64, h schedule.Poll) schedule.PollDone
+	Poll(ctx context.Context, fence int64, h schedule.Poll) schedule.PollDone
 	Start(ctx context.Context, fence int64, s schedule.Start) schedule.Verdict
 	Stop(ctx context.Context, fence int64, s schedule.Stop) schedule.Verdict
 }
@@ -29,7 +29,7 @@
 // Advisor calls the advice service, which issues a ticket for each of the given workers
 // that may run a step.
 type Advisor interface {
-	Ask(ctx context.Context, step string, workers []string) (tickets map[string]string, valid time.Duration, err error)
+	RequestAdvice(ctx context.Context, step string, workers []string) (tickets map[string]string, valid time.Duration, err error)
 }
 
 // Directory lists the existing workers.
@@ -55,7 +55,7 @@
 	Workers       Workers
 	Advisor       Advisor
 	Directory     Directory
-	Catalogs      Configuration
+	Configuration Configuration
 	Journal       *Journal
 	Metrics       metrics.Registry
 	Timing        Timing
@@ -63,15 +63,15 @@
 
 // Timing holds the timeouts and intervals of an instance.
 type Timing struct {
-	OwnershipTTL      time.Duration // of the lease of the ownership record
-	DirectoryInterval time.Duration // between reads of the directory, on the owner
-	FollowInterval    time.Duration // between polls of the owner for changes
-	PeerTimeout       time.Duration // of a request to the owner
-	CancelTimeout     time.Duration // of a cancellation, which waits for a commit
-	OrderTimeout      time.Duration // of an order to a worker
-	HoldMargin        time.Duration // timeout of a hold, in addition to the time for which the worker may delay its report
-	AdviceTimeout     time.Duration // of a call to the advice service
-	ResignTimeout     time.Duration // of the removal of the ownership record
+	OwnershipTTL        time.Duration // of the lease of the ownership record
+	DirectoryInterval   time.Duration // between reads of the directory, on the owner
+	ViewPollInterval    time.Duration // between polls of the owner for changes
+	OwnerRequestTimeout time.Duration // of a request to the owner
+	CancelTimeout       time.Duration // of a cancellation, which waits for a commit
+	OrderTimeout        time.Duration // of an order to a worker
+	PollMargin          time.Duration // timeout of a hold, in addition to the time for which the worker may delay its report
+	AdviceTimeout       time.Duration // of a call to the advice service
+	ResignTimeout       time.Duration // of the removal of the ownership record
 }
 
 // DefaultTiming returns values that meet the platform's time limits.
@@ -83,13 +83,13 @@
 		DirectoryInterval: 700 * time.Millisecond,
 		// The job status shown to callers lags by this interval and the latency to
 		// another region.
-		FollowInterval: 100 * time.Millisecond,
-		PeerTimeout:    500 * time.Millisecond,
-		CancelTimeout:  1500 * time.Millisecond,
-		OrderTimeout:   700 * time.Millisecond,
+		ViewPollInterval:    100 * time.Millisecond,
+		OwnerRequestTimeout: 500 * time.Millisecond,
+		CancelTimeout:       1500 * time.Millisecond,
+		OrderTimeout:        700 * time.Millisecond,
 		// If a report is lost, ended tasks of its worker go undetected until the hold
 		// times out.
-		HoldMargin:    400 * time.Millisecond,
+		PollMargin:    400 * time.Millisecond,
 		AdviceTimeout: 3 * time.Second,
 		ResignTimeout: 800 * time.Millisecond,
 	}
@@ -191,30 +191,30 @@
 }
 
 func (i *Instance) followCatalog(ctx context.Context) error {
-	return i.cfg.Catalogs.Follow(ctx,
+	return i.cfg.Configuration.Follow(ctx,
 		func(c *job.Catalog) { i.loop.Post(ctx, cell.CatalogRead{Catalog: c}) },
 		func(at time.Time) { i.loop.Post(ctx, cell.StoreSynced{At: at}) })
 }
 
-// SeeInstance implements entry.CellHandler.
-func (i *Instance) SeeInstance(p entry.Peer) { i.relays.observePeer(p, time.Now()) }
+// ObserveInstance implements entry.CellHandler.
+func (i *Instance) ObserveInstance(p entry.Peer) { i.relays.observePeer(p, time.Now()) }
 
-// Answer implements entry.CellHandler.
-func (i *Instance) Answer(ctx context.Context, request any) (cell.Reply, error) {
+// HandleRequest implements entry.CellHandler.
+func (i *Instance) HandleRequest(ctx context.Context, request any) (cell.Reply, error) {
 	return i.loop.Call(ctx, request)
 }
 
-// AskAdvice implements entry.CellHandler.
-func (i *Instance) AskAdvice(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error) {
-	return i.cfg.Advisor.Ask(ctx, step, workers)
+// CallAdviceService implements entry.CellHandler.
+func (i *Instance) CallAdviceService(ctx context.Context, step string, workers []string) (map[string]string, time.Duration, error) {
+	return i.cfg.Advisor.RequestAdvice(ctx, step, workers)
 }
 
-// GiveOrder implements entry.CellHandler.
-func (i *Instance) GiveOrder(ctx context.Context, o entry.RelayOrder) entry.RelayOutcome {
+// ForwardOrder implements entry.CellHandler.
+func (i *Instance) ForwardOrder(ctx context.Context, o entry.RelayOrder) entry.RelayOutcome {
 	switch order := o.Order.(type) {
 	case schedule.Poll:
-		done := i.cfg.Workers.Hold(ctx, o.Fence, order)
-		return entry.RelayOutcome{Verdict: done.Verdict, Clock: done.Clock, Born: done.Incarnation, Running: done.Running, Ended: done.Ended}
+		done := i.cfg.Workers.Poll(ctx, o.Fence, order)
+		return entry.RelayOutcome{Verdict: done.Verdict, Clock: done.Clock, Incarnation: done.Incarnation, Running: done.Running, Ended: done.Ended}
 	case schedule.Start:
 		return entry.RelayOutcome{Verdict: i.cfg.Workers.Start(ctx, o.Fence, order)}
 	case schedule.Stop:
@@ -235,6 +235,6 @@
 	case s.Owner.Instance == i.cfg.Name:
 		return i.loop.Call(ctx, request)
 	default:
-		return i.peers.Ask(ctx, s.Owner.Address, request)
+		return i.peers.SendJobRequest(ctx, s.Owner.Address, request)
 	}
 }
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -319,7 +319,7 @@
 func (i *Instance) readDirectory(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, i.cfg.Timing.DirectoryInterval)
-		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.PeerTimeout*2)
+		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.OwnerRequestTimeout*2)
 		workers, err := i.cfg.Directory.Workers(callCtx)
 		cancel()
 		if err != nil {
--- a/instance/query.go
+++ b/instance/query.go
@@ -17,7 +17,7 @@
 	if status, known := i.view.status(id); known {
 		return checkVisible(status.State, status.Queue, status.Team, queue, team, id)
 	}
-	reply, err := i.callOwner(ctx, i.cfg.Timing.PeerTimeout, cell.JobStateQuery{Job: id})
+	reply, err := i.callOwner(ctx, i.cfg.Timing.OwnerRequestTimeout, cell.JobStateQuery{Job: id})
 	if err != nil {
 		i.cfg.Journal.Event("owner did not answer", "job", string(id), "error", err)
 	}
@@ -119,8 +119,8 @@
 	return true, nil
 }
 
-// Waiting returns how many accepted jobs of a queue have not started.
-func (i *Instance) Waiting(queue string) (int, error) {
+// QueueLength returns how many accepted jobs of a queue have not started.
+func (i *Instance) QueueLength(queue string) (int, error) {
 	n, known := i.view.queueLength(queue, time.Now())
 	if !known {
 		return 0, errkind.New(errkind.NoOwner, "no queue lengths were received from the owner within %s", maxViewAge).WithRetryAfter(retryAfterStore)
--- a/instance/relay.go
+++ b/instance/relay.go
@@ -205,10 +205,10 @@
 		if ctx.Err() != nil {
 			return schedule.PollDone{Poll: h, SentAt: sentAt, Verdict: schedule.Unclear}
 		}
-		return r.direct.Hold(ctx, fence, h)
+		return r.direct.Poll(ctx, fence, h)
 	}
 	return schedule.PollDone{
-		Poll: h, SentAt: sentAt, Verdict: outcome.Verdict, Clock: outcome.Clock, Incarnation: outcome.Born,
+		Poll: h, SentAt: sentAt, Verdict: outcome.Verdict, Clock: outcome.Clock, Incarnation: outcome.Incarnation,
 		Running: outcome.Running, Ended: outcome.Ended,
 	}
 }
--- a/instance/relay_test.go
+++ b/instance/relay_test.go
@@ -18,7 +18,7 @@
 	orders  int
 }
 
-func (w *fakeWorkers) Hold(_ context.Context, _ int64, h schedule.Poll) schedule.PollDone {
+func (w *fakeWorkers) Poll(_ context.Context, _ int64, h schedule.Poll) schedule.PollDone {
 	w.orders++
 	return schedule.PollDone{Poll: h, Verdict: w.verdict}
 }
--- a/instance/view.go
+++ b/instance/view.go
@@ -137,7 +137,7 @@
 		if view := i.requestView(ctx); view != nil {
 			i.view.merge(view, time.Now())
 		}
-		sleep(ctx, i.cfg.Timing.FollowInterval)
+		sleep(ctx, i.cfg.Timing.ViewPollInterval)
 	}
 	return nil
 }
@@ -147,7 +147,7 @@
 	if !s.OwnerFound {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, i.cfg.Timing.PeerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, i.cfg.Timing.OwnerRequestTimeout)
 	defer cancel()
 	poll := i.view.nextPoll(i.cfg.Name)
 	if s.Owner.Instance == i.cfg.Name {
