platform/platformtest: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

platform/platformtest.Ran -> RunRecord platform/platformtest.Ran.Begun -> StartedAt platform/platformtest.Ran.Ended -> EndedAt platform/platformtest.Ran.How -> EndReason platform/platformtest.Worker.Ran -> Runs platform/platformtest.Worker.LoseAnswers -> DropStartResponses platform/platformtest.StoreFaults.LateBy -> LostWriteDelay platform/platformtest.Advice -> AdviceService

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -89,7 +89,7 @@
 func run(t *testing.T, program string, seed uint64) {
 	h := &harness{t: t, rng: rand.New(rand.NewPCG(seed, 2)), program: program, store: platformtest.NewStore(), jobs: map[string]*jobRecord{}}
 	h.addresses.store = serve(t, h.store)
-	h.addresses.advice = serve(t, &platformtest.Advice{Valid: 2 * time.Second})
+	h.addresses.advice = serve(t, &platformtest.AdviceService{Valid: 2 * time.Second})
 	h.store.Configure(1, "calc", []string{key}, platformtest.Queue{Name: "q", Host: host, Prefix: "/q/", Attempts: 3, Advised: true})
 	for i := range workers {
 		w := platformtest.NewWorker(fmt.Sprintf("i-%d", i))
@@ -181,13 +181,13 @@
 		time.Sleep(pause)
 		h.store.SetFaults(platformtest.StoreFaults{})
 	case 5:
-		h.store.SetFaults(platformtest.StoreFaults{LoseWrites: 1 + h.rng.IntN(5), LateBy: time.Duration(h.rng.IntN(3)) * time.Second})
+		h.store.SetFaults(platformtest.StoreFaults{LoseWrites: 1 + h.rng.IntN(5), LostWriteDelay: time.Duration(h.rng.IntN(3)) * time.Second})
 	case 6:
 		h.store.SetFaults(platformtest.StoreFaults{Slow: time.Duration(h.rng.IntN(300)) * time.Millisecond})
 		time.Sleep(pause)
 		h.store.SetFaults(platformtest.StoreFaults{})
 	case 7:
-		h.workers[h.rng.IntN(workers)].LoseAnswers(1 + h.rng.IntN(3))
+		h.workers[h.rng.IntN(workers)].DropStartResponses(1 + h.rng.IntN(3))
 	}
 	time.Sleep(time.Duration(h.rng.IntN(700)) * time.Millisecond)
 }
@@ -287,9 +287,9 @@
 			refused++
 		}
 	}
-	runs := map[string][]platformtest.Ran{}
+	runs := map[string][]platformtest.RunRecord{}
 	for _, w := range h.workers {
-		for _, r := range w.Ran() {
+		for _, r := range w.Runs() {
 			runs[r.Task] = append(runs[r.Task], r)
 			if p := h.jobs[r.Task[:16]]; p == nil || p.refused {
 				h.t.Errorf("seed %d: task %s ran, but its job is unknown or was refused", seed, r.Task)
@@ -307,16 +307,16 @@
 
 // checkRuns checks that no two runs of a task overlap, and that no run starts after
 // a successful one.
-func (h *harness) checkRuns(seed uint64, task string, runs []platformtest.Ran) {
+func (h *harness) checkRuns(seed uint64, task string, runs []platformtest.RunRecord) {
 	for i, a := range runs {
 		for k, b := range runs {
 			if i == k {
 				continue
 			}
-			if b.Begun.After(a.Begun) && (a.Ended.IsZero() || b.Begun.Before(a.Ended)) {
+			if b.StartedAt.After(a.StartedAt) && (a.EndedAt.IsZero() || b.StartedAt.Before(a.EndedAt)) {
 				h.t.Errorf("seed %d: runs %d and %d of %s overlap", seed, a.Run, b.Run, task)
 			}
-			if a.How == "done" && b.Begun.After(a.Ended) {
+			if a.EndReason == "done" && b.StartedAt.After(a.EndedAt) {
 				h.t.Errorf("seed %d: run %d of %s started after a successful run", seed, b.Run, task)
 			}
 		}
