job: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

job.Service.GuardsCapacity -> EnforcesCapacity job.Queue.Target -> TargetAllowance job.Catalog.Teams -> TeamCount job.Job.Same -> SameWork job.Step.Needs -> RequiredLabel job.Step.Fills -> BestEffortCPU job.Step.Target -> TargetLatency

--- a/instance/accept.go
+++ b/instance/accept.go
@@ -215,7 +215,7 @@
 		submission.done <- errkind.New(errkind.Internal, "the stored record of job %s cannot be decoded", submission.job.ID)
 		return
 	}
-	if !first.Same(submission.job) {
+	if !first.SameWork(submission.job) {
 		i.cfg.Journal.Event("refused", "job", string(submission.job.ID), "why", "other_body")
 		submission.done <- errkind.New(errkind.IdempotencyConflict, "a job with ID %s and a different body was accepted before", submission.job.ID)
 		return
--- a/job/catalog.go
+++ b/job/catalog.go
@@ -18,23 +18,23 @@
 
 // Queue is a queue in the operators' configuration.
 type Queue struct {
-	Name        string
-	Host        string        // of the requests that are routed to the queue
-	Prefix      string        // path prefix of these requests
-	Service     string        // whose workers run the tasks
-	Priority    int           // 0 is the most urgent
-	MaxAttempts int           // number of failed runs of a task after which its job fails
-	Stretch     float64       // factor on the estimated run time of a job's critical path; values below 1 count as 1
-	Target      time.Duration // allowance in addition to the run time times Stretch
-	Advice      *AdvicePolicy // nil: every worker of the service may run the steps
-	Open        bool          // requests need no API key
+	Name            string
+	Host            string        // of the requests that are routed to the queue
+	Prefix          string        // path prefix of these requests
+	Service         string        // whose workers run the tasks
+	Priority        int           // 0 is the most urgent
+	MaxAttempts     int           // number of failed runs of a task after which its job fails
+	Stretch         float64       // factor on the estimated run time of a job's critical path; values below 1 count as 1
+	TargetAllowance time.Duration // allowance in addition to the run time times Stretch
+	Advice          *AdvicePolicy // nil: every worker of the service may run the steps
+	Open            bool          // requests need no API key
 }
 
 // Service is a pool of workers.
 type Service struct {
-	Name           string
-	GuardsCapacity bool // its workers reject tasks that exceed their capacity
-	IsSpare        bool // the machines of its workers are powered off
+	Name             string
+	EnforcesCapacity bool // its workers reject tasks that exceed their capacity
+	IsSpare          bool // the machines of its workers are powered off
 }
 
 // Team is a customer with its API keys, fair-share weight and resource limit.
@@ -120,8 +120,8 @@
 // Team returns a team by its name, or nil.
 func (c *Catalog) Team(name string) *Team { return c.teams[name] }
 
-// Teams returns the number of teams.
-func (c *Catalog) Teams() int { return len(c.teams) }
+// TeamCount returns the number of teams.
+func (c *Catalog) TeamCount() int { return len(c.teams) }
 
 // TeamOfKey returns the team to which a key belongs, or nil.
 func (c *Catalog) TeamOfKey(secret string) *Team { return c.keys[DigestKey(secret)] }
--- a/job/job.go
+++ b/job/job.go
@@ -37,15 +37,15 @@
 	After           []int          `json:"a,omitempty"`  // steps whose tasks must all have succeeded
 	Gang            bool           `json:"g,omitempty"`  // gang scheduling: tasks start together or not at all
 	SameRack        bool           `json:"sr,omitempty"` // tasks slow down when spread over racks
-	Needs           string         `json:"nl,omitempty"` // label that the worker must have
+	RequiredLabel   string         `json:"nl,omitempty"` // label that the worker must have
 	Affinity        string         `json:"af,omitempty"` // label of preferred workers, such as the rack that holds the data
 	AntiAffinity    int            `json:"aa,omitempty"` // maximum tasks of the step on one worker; 0 for no limit
 	Checkpoints     bool           `json:"cp,omitempty"`
 	AllowDuplicates bool           `json:"ad,omitempty"`
 	LongLived       bool           `json:"ll,omitempty"` // tasks are restarted regardless of how they end, until the job is cancelled
-	Fills           bool           `json:"fi,omitempty"` // backfill: its CPU does not count against a worker's capacity
+	BestEffortCPU   bool           `json:"fi,omitempty"` // backfill: its CPU does not count against a worker's capacity
 	Image           string         `json:"im,omitempty"` // image that the tasks run; tasks of the same image behave alike
-	Target          time.Duration  `json:"ta,omitempty"` // upper bound on the tail latency of long-lived tasks
+	TargetLatency   time.Duration  `json:"ta,omitempty"` // upper bound on the tail latency of long-lived tasks
 	MaxUnavailable  int            `json:"mu,omitempty"` // maximum number of tasks that the scheduler may preempt at a time
 }
 
@@ -82,9 +82,9 @@
 	return j.FirstAt.Add(time.Duration(occurrence) * j.Interval)
 }
 
-// Same reports whether two submissions request the same work, regardless of when they
+// SameWork reports whether two submissions request the same work, regardless of when they
 // were accepted.
-func (j *Job) Same(other *Job) bool {
+func (j *Job) SameWork(other *Job) bool {
 	if j.Queue != other.Queue || j.Team != other.Team || j.Spec != other.Spec || len(j.Steps) != len(other.Steps) {
 		return false
 	}
--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -43,8 +43,8 @@
 func newBacklog(jobs int) (*Core, time.Time) {
 	now := time.Unix(1_000_000, 0)
 	queues := []job.Queue{
-		{Name: "gangs", Service: "s", MaxAttempts: 3, Stretch: 2, Target: time.Second, Advice: &job.AdvicePolicy{Base: 500 * time.Millisecond, PerWorker: 7 * time.Millisecond, Valid: 2 * time.Second}},
-		{Name: "small", Service: "s", MaxAttempts: 3, Stretch: 1.5, Target: 400 * time.Millisecond, Advice: &job.AdvicePolicy{Base: 7 * time.Millisecond, Valid: 2 * time.Second}},
+		{Name: "gangs", Service: "s", MaxAttempts: 3, Stretch: 2, TargetAllowance: time.Second, Advice: &job.AdvicePolicy{Base: 500 * time.Millisecond, PerWorker: 7 * time.Millisecond, Valid: 2 * time.Second}},
+		{Name: "small", Service: "s", MaxAttempts: 3, Stretch: 1.5, TargetAllowance: 400 * time.Millisecond, Advice: &job.AdvicePolicy{Base: 7 * time.Millisecond, Valid: 2 * time.Second}},
 	}
 	c := New(now, DefaultConfig(), 1, job.NewCatalog(1, 1, queues, []job.Service{{Name: "s"}}, nil), nil)
 	c.Begin(now, now)
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -15,7 +15,7 @@
 func (c *Core) objectiveOf(j *jobState) time.Duration {
 	stretch, target := 1.0, time.Duration(0)
 	if q := c.catalog.Queue(j.Queue); q != nil {
-		stretch, target = max(1, q.Stretch), q.Target
+		stretch, target = max(1, q.Stretch), q.TargetAllowance
 	}
 	var longest time.Duration
 	for _, chain := range chainLengths(j.Steps) {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -13,7 +13,7 @@
 // does not count.
 func taskSize(s *job.Step) task.Resources {
 	size := s.Size
-	if s.Fills {
+	if s.BestEffortCPU {
 		size.CPUMilli = 0
 	}
 	return size
@@ -34,7 +34,7 @@
 	if w.Service != s.job.service || !taskSize(s.spec).Fits(w.Capacity) {
 		return false
 	}
-	return s.spec.Needs == "" || slices.Contains(w.Labels, s.spec.Needs)
+	return s.spec.RequiredLabel == "" || slices.Contains(w.Labels, s.spec.RequiredLabel)
 }
 
 // countWorkerFailure counts a failure of the step on a worker, so that the next runs prefer other
--- a/schedule/reserve_test.go
+++ b/schedule/reserve_test.go
@@ -112,7 +112,7 @@
 		t.Fatal("no capacity is reserved for the gang")
 	}
 	elsewhere := job.NewCatalog(2, 2, []job.Queue{
-		*s.catalog.Queue("advised"), {Name: "plain", Service: "other", MaxAttempts: 3, Stretch: 2, Target: time.Second},
+		*s.catalog.Queue("advised"), {Name: "plain", Service: "other", MaxAttempts: 3, Stretch: 2, TargetAllowance: time.Second},
 	}, []job.Service{{Name: "calc"}, {Name: "other"}}, nil)
 	s.dispatch(func(c *Core) { c.SetCatalog(elsewhere) })
 	s.run(500 * time.Millisecond)
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -115,8 +115,8 @@
 	}
 	policy := &job.AdvicePolicy{Base: 20 * time.Millisecond, PerWorker: time.Millisecond, Valid: adviceValidity}
 	s.catalog = job.NewCatalog(1, 1, []job.Queue{
-		{Name: "advised", Service: "calc", MaxAttempts: 3, Stretch: 2, Target: time.Second, Advice: policy},
-		{Name: "plain", Service: "calc", MaxAttempts: 3, Stretch: 2, Target: time.Second},
+		{Name: "advised", Service: "calc", MaxAttempts: 3, Stretch: 2, TargetAllowance: time.Second, Advice: policy},
+		{Name: "plain", Service: "calc", MaxAttempts: 3, Stretch: 2, TargetAllowance: time.Second},
 	}, []job.Service{{Name: "calc"}}, []job.Team{
 		{Name: "red", Weight: 100, Limit: task.Resources{CPUMilli: 60_000, MemoryMB: 1 << 20}}, {Name: "blue", Weight: 100},
 	})
