--- a/control/limit.go
+++ b/control/limit.go
@@ -118,7 +118,7 @@
 // attempt is unknown, so it is not preempted.
 func (w *owner) isPreemptible(a *attempt) bool {
 	kind := a.placement.Spec.Kind
-	return kind != "" && kind.IsDurable() && kind.MayRepeat()
+	return kind != "" && kind.IsDurable() && kind.MayRetry()
 }
 
 // hasPositiveAmount reports whether any amount is positive.
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -123,7 +123,7 @@
 
 func (w *owner) placementRequest(a *attempt) placement.Request {
 	req := placement.Request{Size: a.size, Partition: a.partition}
-	if !a.placement.Spec.Kind.MayRepeat() {
+	if !a.placement.Spec.Kind.MayRetry() {
 		req.Avoid = w.workersAwaitingProbe()
 	}
 	if a.placement.Spec.Kind == task.LongLived {
@@ -192,7 +192,7 @@
 	w.queues.ObserveStart(w.now, a.team, a.placement.Age+w.now.Sub(a.queuedAt))
 	ws := w.workers[a.worker]
 	a.bootID = ws.bootID
-	if a.placement.Spec.Kind.MayRepeat() {
+	if a.placement.Spec.Kind.MayRetry() {
 		w.sendStart(a, ws)
 		return
 	}
--- a/internal/processtest/check.go
+++ b/internal/processtest/check.go
@@ -93,7 +93,7 @@
 			return fmt.Sprintf("task %s is reported as not run, but it ran: %v", got.ID, runs)
 		case got.State == task.NotRun && r.Kind.IsDurable():
 			return fmt.Sprintf("task %s was accepted and not cancelled, but ended as not run with reason %q", got.ID, got.Reason)
-		case got.State == task.Unknown && r.Kind.MayRepeat() && r.Kind.IsDurable():
+		case got.State == task.Unknown && r.Kind.MayRetry() && r.Kind.IsDurable():
 			return fmt.Sprintf("task %s may be repeated, but ended as unknown: %v", got.ID, runs)
 		case got.State == task.Finished && got.ExitCode == 0 && got.Reason == "" && !r.hasExpectedResult(got.ResultBytes, got.Result):
 			return fmt.Sprintf("task %s has a result of %d bytes that is not that of its request", got.ID, got.ResultBytes)
--- a/ledger/transition.go
+++ b/ledger/transition.go
@@ -110,9 +110,9 @@
 	case task.NotRun:
 		return !isPermanent(outcome.Reason) && (r.Spec.Kind.IsDurable() || t.Attempt < maxAnswerAttempts)
 	case task.Unknown:
-		return r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRepeat()
+		return r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRetry()
 	case task.Finished:
-		mayRepeat := r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRepeat()
+		mayRepeat := r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRetry()
 		return mayRepeat && (isStoppedForRetry(outcome.Reason) || isFailure(outcome) && t.Failures+1 < maxFailures)
 	default:
 		return false
--- a/task/task.go
+++ b/task/task.go
@@ -45,9 +45,9 @@
 // it is accepted.
 func (k Kind) IsDurable() bool { return k != Answer }
 
-// MayRepeat reports whether a task of this kind may be retried after an attempt whose
+// MayRetry reports whether a task of this kind may be retried after an attempt whose
 // outcome is unknown.
-func (k Kind) MayRepeat() bool { return k != AtMostOnce }
+func (k Kind) MayRetry() bool { return k != AtMostOnce }
 
 // Urgency orders the work of one team.
 type Urgency string
