errkind: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

errkind.Answer -> Response errkind.AnswerFor -> ResponseFor errkind.AdviceAsk -> AdviceQueryStatus errkind.Error.FateIs -> FateOverride

--- a/api/error.go
+++ b/api/error.go
@@ -31,7 +31,7 @@
 		Field:      e.Field,
 		Limit:      e.Limit,
 		RetryAfter: Duration(e.RetryAfter),
-		Advice:     errkind.AnswerFor(e.Kind).Advice,
+		Advice:     errkind.ResponseFor(e.Kind).Advice,
 		Fate:       e.Fate(),
 	}
 }
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -195,7 +195,7 @@
 			if string(got.Kind) != c.kind || got.Field != c.field || got.Limit == "" || got.Fate != errkind.FateNotRun {
 				t.Errorf("error = %+v, want kind %s, field %s, a limit and fate not_run", got, c.kind, c.field)
 			}
-			if want := errkind.AnswerFor(got.Kind).Status; response.StatusCode != want {
+			if want := errkind.ResponseFor(got.Kind).Status; response.StatusCode != want {
 				t.Errorf("status = %d, want %d", response.StatusCode, want)
 			}
 			if backend.submitted != 0 {
--- a/client/client.go
+++ b/client/client.go
@@ -105,7 +105,7 @@
 // isRetryable reports whether e is a retryable error of a call that is known not to
 // have run. Retrying any other call could run the work twice.
 func isRetryable(e *errkind.Error) bool {
-	return e.Fate() == errkind.FateNotRun && errkind.AnswerFor(e.Kind).Advice == errkind.AdviceRetry
+	return e.Fate() == errkind.FateNotRun && errkind.ResponseFor(e.Kind).Advice == errkind.AdviceRetry
 }
 
 const (
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -30,7 +30,7 @@
 
 func writeError(w http.ResponseWriter, e *errkind.Error) {
 	w.Header().Set(api.HeaderError, string(e.Kind))
-	writeResponse(w, errkind.AnswerFor(e.Kind).Status, api.ErrorReply{Error: api.ErrorFrom(e)})
+	writeResponse(w, errkind.ResponseFor(e.Kind).Status, api.ErrorReply{Error: api.ErrorFrom(e)})
 }
 
 // newTestClient returns a client of a test server that runs h, and the recorded retry
@@ -68,7 +68,7 @@
 			writeResponse(w, http.StatusOK, api.Job{State: task.Accepted})
 		})
 		_, err := submit(c)
-		response := errkind.AnswerFor(kind)
+		response := errkind.ResponseFor(kind)
 		retried := response.Fate == errkind.FateNotRun && response.Advice == errkind.AdviceRetry
 		if retried != (calls == 2) || retried != (err == nil) {
 			t.Errorf("%s: %d calls, error %v", kind, calls, err)
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -36,12 +36,12 @@
 
 func (e *Error) kindError() *errkind.Error {
 	return &errkind.Error{
-		Kind:       e.Detail.Kind,
-		Message:    e.Detail.Message,
-		Field:      e.Detail.Field,
-		Limit:      e.Detail.Limit,
-		RetryAfter: time.Duration(e.Detail.RetryAfter),
-		FateIs:     e.Detail.Fate,
+		Kind:         e.Detail.Kind,
+		Message:      e.Detail.Message,
+		Field:        e.Detail.Field,
+		Limit:        e.Detail.Limit,
+		RetryAfter:   time.Duration(e.Detail.RetryAfter),
+		FateOverride: e.Detail.Fate,
 	}
 }
 
--- a/cmd/mulberryctl/environment.go
+++ b/cmd/mulberryctl/environment.go
@@ -107,7 +107,7 @@
 	} else {
 		e.printErrorText(detail)
 	}
-	return errkind.AnswerFor(detail.Kind).ExitCode
+	return errkind.ResponseFor(detail.Kind).ExitCode
 }
 
 func errorDetail(err error) api.Error {
--- a/cmd/mulberryctl/job.go
+++ b/cmd/mulberryctl/job.go
@@ -58,11 +58,11 @@
 		switch {
 		case !t.State.IsFinal():
 		case t.State == task.Unknown:
-			return errkind.AnswerFor(errkind.OutcomeUnknown).ExitCode
+			return errkind.ResponseFor(errkind.OutcomeUnknown).ExitCode
 		case t.Reason != "":
-			return errkind.AnswerFor(errkind.Kind(t.Reason)).ExitCode
+			return errkind.ResponseFor(errkind.Kind(t.Reason)).ExitCode
 		case t.State == task.NotRun, t.ExitCode != 0:
-			return errkind.AnswerFor(errkind.TaskFailed).ExitCode
+			return errkind.ResponseFor(errkind.TaskFailed).ExitCode
 		}
 	}
 	return 0
--- a/cmd/mulberryctl/main.go
+++ b/cmd/mulberryctl/main.go
@@ -62,7 +62,7 @@
 	}
 	if err != nil {
 		parser.Errorf("%s", err)
-		return errkind.AnswerFor(errkind.InvalidRequest).ExitCode
+		return errkind.ResponseFor(errkind.InvalidRequest).ExitCode
 	}
 	env := &environment{ctx: ctx, globals: cli.globals, stdin: stdin, stdout: stdout, stderr: stderr}
 	if err := parsed.Run(env); err != nil {
--- a/demo/mix.go
+++ b/demo/mix.go
@@ -186,7 +186,7 @@
 }
 
 func refusalText(kind errkind.Kind) string {
-	return fmt.Sprintf("%s, %s", kind, errkind.AnswerFor(kind).Fate)
+	return fmt.Sprintf("%s, %s", kind, errkind.ResponseFor(kind).Fate)
 }
 
 // expectRefusal returns a send function that expects an error of this kind, with
@@ -210,7 +210,7 @@
 		return false
 	}
 	e := errkind.From(err)
-	return e.Kind == kind && e.Fate() == errkind.AnswerFor(kind).Fate
+	return e.Kind == kind && e.Fate() == errkind.ResponseFor(kind).Fate
 }
 
 func describeError(err error) string {
--- a/entry/encode.go
+++ b/entry/encode.go
@@ -97,7 +97,7 @@
 	if e == nil {
 		return nil
 	}
-	return &entrypb.Error{Kind: string(e.Kind), Message: e.Message, Field: e.Field, Limit: e.Limit, RetryAfter: durationpb.New(e.RetryAfter), Fate: string(e.FateIs)}
+	return &entrypb.Error{Kind: string(e.Kind), Message: e.Message, Field: e.Field, Limit: e.Limit, RetryAfter: durationpb.New(e.RetryAfter), Fate: string(e.FateOverride)}
 }
 
 func decodeError(e *entrypb.Error) *errkind.Error {
@@ -105,7 +105,7 @@
 		return nil
 	}
 	return &errkind.Error{Kind: errkind.Kind(e.GetKind()), Message: e.GetMessage(), Field: e.GetField(), Limit: e.GetLimit(),
-		RetryAfter: e.GetRetryAfter().AsDuration(), FateIs: errkind.Fate(e.GetFate())}
+		RetryAfter: e.GetRetryAfter().AsDuration(), FateOverride: errkind.Fate(e.GetFate())}
 }
 
 func encodeRecord(r *ledger.Record) *entrypb.Record {
--- a/entry/roundtrip_test.go
+++ b/entry/roundtrip_test.go
@@ -18,7 +18,7 @@
 	sampleSize    = task.Resources{CPUMilli: 1, MemoryMB: 2, Accelerators: 3, Slots: 4, Connections: 5}
 	sampleAttempt = task.Attempt{Task: "t/s/k/0", Number: 7}
 	sampleJob     = ledger.JobKey{Team: "t", Service: "s", Key: "k"}
-	sampleError   = &errkind.Error{Kind: errkind.QueueFull, Message: "full", Field: "f", Limit: "10", RetryAfter: time.Second, FateIs: errkind.FateNotRun}
+	sampleError   = &errkind.Error{Kind: errkind.QueueFull, Message: "full", Field: "f", Limit: "10", RetryAfter: time.Second, FateOverride: errkind.FateNotRun}
 	sampleOutcome = &task.Outcome{Attempt: sampleAttempt, State: task.Finished, ExitCode: 3, Reason: "task_failed", Worker: "w",
 		RunTime: time.Minute, Result: []byte("r"), Digest: "d"}
 	sampleSpec = task.Spec{Team: "t", Service: "s", Class: "c", IdempotencyKey: "k", Kind: task.Gang, Urgency: task.Urgent, Size: sampleSize, Count: 2,
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -61,20 +61,20 @@
 
 // The advice values.
 const (
-	AdviceDoNotRetry Advice = "do_not_retry" // the same request would fail again
-	AdviceRetry      Advice = "retry"        // retry after the retry hint, at any entry instance
-	AdviceAsk        Advice = "ask"          // query the status with the same idempotency key
+	AdviceDoNotRetry  Advice = "do_not_retry" // the same request would fail again
+	AdviceRetry       Advice = "retry"        // retry after the retry hint, at any entry instance
+	AdviceQueryStatus Advice = "ask"          // query the status with the same idempotency key
 )
 
-// Answer is the response to a request that failed with a kind of error.
-type Answer struct {
+// Response is the response to a request that failed with a kind of error.
+type Response struct {
 	Status   int    // HTTP status
 	ExitCode int    // of mulberryctl
 	Advice   Advice // how the caller should react
 	Fate     Fate   // whether the work ran
 }
 
-var responses = map[Kind]Answer{
+var responses = map[Kind]Response{
 	InvalidRequest:      {400, 2, AdviceDoNotRetry, FateNotRun},
 	RequestTooLarge:     {413, 2, AdviceDoNotRetry, FateNotRun},
 	RequestTimeout:      {408, 3, AdviceRetry, FateNotRun},
@@ -99,12 +99,12 @@
 	TaskFailed:          {200, 1, AdviceDoNotRetry, FateRun},
 	WorkerLost:          {502, 8, AdviceDoNotRetry, FateUnknown},
 	ResultTooLarge:      {502, 8, AdviceDoNotRetry, FateRun},
-	ResultIncomplete:    {502, 8, AdviceAsk, FateRun},
-	OutcomeUnknown:      {504, 8, AdviceAsk, FateUnknown},
+	ResultIncomplete:    {502, 8, AdviceQueryStatus, FateRun},
+	OutcomeUnknown:      {504, 8, AdviceQueryStatus, FateUnknown},
 	NotAllowed:          {405, 2, AdviceDoNotRetry, FateNotRun},
 	UnknownPath:         {404, 2, AdviceDoNotRetry, FateNotRun},
 	Unreachable:         {503, 3, AdviceRetry, FateNotRun},
-	Internal:            {500, 9, AdviceAsk, FateUnknown},
+	Internal:            {500, 9, AdviceQueryStatus, FateUnknown},
 }
 
 // Kinds lists every kind in no particular order.
@@ -116,9 +116,9 @@
 	return kinds
 }
 
-// AnswerFor returns the response for kind k. A kind outside the set is treated as Internal,
+// ResponseFor returns the response for kind k. A kind outside the set is treated as Internal,
 // so that an unknown kind is never reported as "not run".
-func AnswerFor(k Kind) Answer {
+func ResponseFor(k Kind) Response {
 	if a, ok := responses[k]; ok {
 		return a
 	}
@@ -127,12 +127,12 @@
 
 // Error is an error that is reported to a peer.
 type Error struct {
-	Kind       Kind          `json:"kind"`
-	Message    string        `json:"message"`
-	Field      string        `json:"field,omitempty"`       // invalid field, if any
-	Limit      string        `json:"limit,omitempty"`       // allowed range or value, with its unit
-	RetryAfter time.Duration `json:"retry_after,omitempty"` // delay before a retry is useful
-	FateIs     Fate          `json:"fate,omitempty"`        // set if the fate is known more precisely than that of the kind, which it overrides
+	Kind         Kind          `json:"kind"`
+	Message      string        `json:"message"`
+	Field        string        `json:"field,omitempty"`       // invalid field, if any
+	Limit        string        `json:"limit,omitempty"`       // allowed range or value, with its unit
+	RetryAfter   time.Duration `json:"retry_after,omitempty"` // delay before a retry is useful
+	FateOverride Fate          `json:"fate,omitempty"`        // set if the fate is known more precisely than that of the kind, which it overrides
 }
 
 // New returns an error of kind k.
@@ -148,12 +148,12 @@
 	return fmt.Sprintf("%s: %s", e.Kind, e.Message)
 }
 
-// Fate returns FateIs, or the fate of the kind if FateIs is empty.
+// Fate returns FateOverride, or the fate of the kind if FateOverride is empty.
 func (e *Error) Fate() Fate {
-	if e.FateIs != "" {
-		return e.FateIs
+	if e.FateOverride != "" {
+		return e.FateOverride
 	}
-	return AnswerFor(e.Kind).Fate
+	return ResponseFor(e.Kind).Fate
 }
 
 // WithField returns a copy of e that names the invalid field and its limit.
@@ -173,7 +173,7 @@
 // WithFate returns a copy of e with fate f, overriding the fate of its kind.
 func (e *Error) WithFate(f Fate) *Error {
 	c := *e
-	c.FateIs = f
+	c.FateOverride = f
 	return &c
 }
 
--- a/errkind/errkind_test.go
+++ b/errkind/errkind_test.go
@@ -10,7 +10,7 @@
 // an unknown outcome, being reported as "not run".
 func TestUnknownOutcomesAreNotReportedAsNotRun(t *testing.T) {
 	for _, k := range []Kind{"no_such_kind", Internal, OutcomeUnknown, WorkerLost, UnknownTask} {
-		if got := AnswerFor(k).Fate; got == FateNotRun {
+		if got := ResponseFor(k).Fate; got == FateNotRun {
 			t.Errorf("AnswerFor(%q).Fate = %q, want another fate", k, got)
 		}
 	}
@@ -23,7 +23,7 @@
 // or description.
 func TestEveryKindIsComplete(t *testing.T) {
 	for _, k := range Kinds() {
-		a := AnswerFor(k)
+		a := ResponseFor(k)
 		if a.Status == 0 || a.ExitCode == 0 || a.Advice == "" || a.Fate == "" {
 			t.Errorf("response of kind %q is incomplete: %+v", k, a)
 		}
--- a/httpjson/response.go
+++ b/httpjson/response.go
@@ -54,7 +54,7 @@
 	if encodeErr != nil {
 		return Answer{Status: http.StatusInternalServerError}
 	}
-	a.Status = errkind.AnswerFor(e.Kind).Status
+	a.Status = errkind.ResponseFor(e.Kind).Status
 	a.Header.Set(api.HeaderError, string(e.Kind))
 	if e.RetryAfter > 0 {
 		a.Header.Set("Retry-After", strconv.Itoa(ceilSeconds(e.RetryAfter)))
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -176,7 +176,7 @@
 	for _, c := range cases {
 		backend := &fakeBackend{}
 		status, body, e := serve(t, testConfig(false), backend)(c.method, c.path, c.body, secret)
-		if string(e.Kind) != c.kind || e.Field != c.field || e.Limit == "" || e.Fate != errkind.FateNotRun || status != errkind.AnswerFor(e.Kind).Status {
+		if string(e.Kind) != c.kind || e.Field != c.field || e.Limit == "" || e.Fate != errkind.FateNotRun || status != errkind.ResponseFor(e.Kind).Status {
 			t.Errorf("%s: status %d, body %s", c.name, status, body)
 		}
 		if backend.changes != 0 || backend.stored.Revision != 0 {
--- a/oracle/requests.go
+++ b/oracle/requests.go
@@ -65,7 +65,7 @@
 	case e.Type == timeline.RequestRefused:
 		// A later submission with the same idempotency key may have been accepted.
 		_, accepted := idx.accepted[e.Task]
-		return !accepted && errkind.AnswerFor(errkind.Kind(e.Kind)).Fate == errkind.FateNotRun
+		return !accepted && errkind.ResponseFor(errkind.Kind(e.Kind)).Fate == errkind.FateNotRun
 	}
 	return false
 }
