--- a/control/attempts.go
+++ b/control/attempts.go
@@ -188,7 +188,7 @@
 func (w *owner) homeOf(id task.Attempt, r AttemptReport) (membership.Member, bool) {
 	holder, isVolatile := ledger.HolderOf(id.Task)
 	if !isVolatile {
-		home, _, ok := w.routing.ownerOf(ShardOf(r.Job, w.cfg.RequestShards))
+		home, _, ok := w.routing.ownerOf(shardOf(r.Job, w.cfg.RequestShards))
 		return home, ok
 	}
 	home, ok := w.routing.members[holder]
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -34,7 +34,7 @@
 	cfg.PartitionsPerRegion = partitions
 	h := &harness{now: time.Unix(1_000_000, 0), self: membership.Member{Instance: "e", Incarnation: "e-1", Address: "e", Region: "r", FailureDomain: "d"}}
 	recorder := timeline.NewRecorder("e", "e-1", 65536)
-	h.state = New(h.now, cfg, DefaultParts(cfg), h.self, recorder, rand.New(rand.NewPCG(1, 1)))
+	h.state = New(h.now, cfg, DefaultComponentConfigs(cfg), h.self, recorder, rand.New(rand.NewPCG(1, 1)))
 	h.apply(Tick{})
 	for i := range teams {
 		name := task.Team(fmt.Sprintf("team-%d", i))
--- a/control/config.go
+++ b/control/config.go
@@ -19,37 +19,37 @@
 	RetryInterval  time.Duration // delay before a failed call is retried
 	AnswerGrace    time.Duration // after the deadline of an answer, to receive its outcome
 
-	KeepAliveInterval  time.Duration
-	StoreLeaseTTL      time.Duration
-	KeyFreshness       time.Duration
-	DigestInterval     time.Duration // within a region
-	FarDigestInterval  time.Duration // across regions
-	DigestLifetime     time.Duration // how long a digest is valid
-	MaxDrainingAnswers time.Duration // how long a drain waits for pending answers and for homes
+	KeepAliveInterval         time.Duration
+	StoreLeaseTTL             time.Duration
+	KeyFreshness              time.Duration
+	DigestInterval            time.Duration // within a region
+	CrossRegionDigestInterval time.Duration // across regions
+	DigestLifetime            time.Duration // how long a digest is valid
+	MaxDrainWait              time.Duration // how long a drain waits for pending answers and for homes
 }
 
 // DefaultConfig returns the default configuration for the given regions.
 func DefaultConfig(regions ...string) Config {
 	return Config{
-		RequestShards:       64,
-		PartitionsPerRegion: 4,
-		Regions:             regions,
-		TaskLease:           30 * time.Second,
-		StartValidity:       3 * time.Second,
-		SyncInterval:        time.Second,
-		ClockDrift:          0.01,
-		ClockMargin:         100 * time.Millisecond,
-		CallTimeout:         2 * time.Second,
-		LookupInterval:      5 * time.Second,
-		RetryInterval:       200 * time.Millisecond,
-		AnswerGrace:         500 * time.Millisecond,
-		KeepAliveInterval:   3 * time.Second,
-		StoreLeaseTTL:       9 * time.Second,
-		KeyFreshness:        5 * time.Second,
-		DigestInterval:      time.Second,
-		FarDigestInterval:   5 * time.Second,
-		DigestLifetime:      15 * time.Second,
-		MaxDrainingAnswers:  20 * time.Second,
+		RequestShards:             64,
+		PartitionsPerRegion:       4,
+		Regions:                   regions,
+		TaskLease:                 30 * time.Second,
+		StartValidity:             3 * time.Second,
+		SyncInterval:              time.Second,
+		ClockDrift:                0.01,
+		ClockMargin:               100 * time.Millisecond,
+		CallTimeout:               2 * time.Second,
+		LookupInterval:            5 * time.Second,
+		RetryInterval:             200 * time.Millisecond,
+		AnswerGrace:               500 * time.Millisecond,
+		KeepAliveInterval:         3 * time.Second,
+		StoreLeaseTTL:             9 * time.Second,
+		KeyFreshness:              5 * time.Second,
+		DigestInterval:            time.Second,
+		CrossRegionDigestInterval: 5 * time.Second,
+		DigestLifetime:            15 * time.Second,
+		MaxDrainWait:              20 * time.Second,
 	}
 }
 
--- a/control/configuration.go
+++ b/control/configuration.go
@@ -18,14 +18,14 @@
 	Service task.Service
 }
 
-// KeyName identifies an access key of a team.
-type KeyName struct {
+// KeyRef identifies an access key of a team.
+type KeyRef struct {
 	Team task.Team
 	ID   string
 }
 
-// HeldDocument is a document that is in force, with the revision at which it came into force.
-type HeldDocument struct {
+// DocumentInForce is a document that is in force, with the revision at which it came into force.
+type DocumentInForce struct {
 	document.Document
 	Revision int64
 }
@@ -34,17 +34,17 @@
 // replaced by one with a lower revision.
 type configuration struct {
 	entries         map[string]ConfigChange // by key, including deleted ones
-	documents       map[DocumentKey]HeldDocument
+	documents       map[DocumentKey]DocumentInForce
 	ring            *keyring.Ring
-	withdrawnKeys   map[KeyName]bool
+	withdrawnKeys   map[KeyRef]bool
 	appliedRevision int64     // every change up to this revision has been applied
 	storeRevision   int64     // the store's revision at the last read
 	fetchedAt       time.Time // when configuration was last requested from a peer
 }
 
 func newConfiguration() *configuration {
-	return &configuration{entries: map[string]ConfigChange{}, documents: map[DocumentKey]HeldDocument{}, ring: keyring.NewRing(),
-		withdrawnKeys: map[KeyName]bool{}}
+	return &configuration{entries: map[string]ConfigChange{}, documents: map[DocumentKey]DocumentInForce{}, ring: keyring.NewRing(),
+		withdrawnKeys: map[KeyRef]bool{}}
 }
 
 // isNewer reports whether a change is newer than the current entry of its key.
@@ -67,12 +67,12 @@
 
 // isWithdrawn reports whether work that was accepted under a key must be terminated. An unknown key
 // does not count as withdrawn, because this process may not have read it yet.
-func (c *configuration) isWithdrawn(key KeyName) bool { return c.withdrawnKeys[key] }
+func (c *configuration) isWithdrawn(key KeyRef) bool { return c.withdrawnKeys[key] }
 
 // setDocument sets a document, or deletes it if held is nil. It replaces the map by a modified
 // copy, because published snapshots share the current one.
-func (c *configuration) setDocument(key DocumentKey, held *HeldDocument) {
-	next := make(map[DocumentKey]HeldDocument, len(c.documents)+1)
+func (c *configuration) setDocument(key DocumentKey, held *DocumentInForce) {
+	next := make(map[DocumentKey]DocumentInForce, len(c.documents)+1)
 	for k, d := range c.documents {
 		next[k] = d
 	}
@@ -141,7 +141,7 @@
 
 func (s *State) documentChanged(revision int64, d *document.Document) {
 	key := DocumentKey{Team: d.Team, Service: d.Service}
-	s.config.setDocument(key, &HeldDocument{Document: *d, Revision: revision})
+	s.config.setDocument(key, &DocumentInForce{Document: *d, Revision: revision})
 	s.recordEvent(timeline.Event{Type: timeline.ConfigInForce, Team: d.Team, Revision: revision, Detail: string(d.Service)})
 	if d.IsTeam() {
 		s.owner.shares.SetWeight(d.Team, d.Share)
@@ -156,7 +156,7 @@
 	kind := timeline.KeyGranted
 	if k.Withdrawn {
 		kind = timeline.KeyWithdrawn
-		s.withdrawKey(KeyName{k.Team, k.ID})
+		s.withdrawKey(KeyRef{k.Team, k.ID})
 	}
 	s.recordEvent(timeline.Event{Type: kind, Team: k.Team, KeyID: k.ID, Revision: k.Revision})
 }
@@ -188,7 +188,7 @@
 	case previous.Key != nil:
 		k := *previous.Key
 		s.config.ring.Remove(k.Team, k.ID, revision)
-		s.withdrawKey(KeyName{k.Team, k.ID})
+		s.withdrawKey(KeyRef{k.Team, k.ID})
 	}
 }
 
@@ -202,7 +202,7 @@
 }
 
 // withdrawKey marks a key as withdrawn and terminates the work that was accepted under it.
-func (s *State) withdrawKey(key KeyName) {
+func (s *State) withdrawKey(key KeyRef) {
 	s.config.withdrawnKeys[key] = true
 	s.owner.keyWithdrawn(key)
 	s.home.keyWithdrawn(key)
--- a/control/drain.go
+++ b/control/drain.go
@@ -39,7 +39,7 @@
 // lost contact with the store does not detect that at once, and could not serve the units.
 func (s *State) mayReceiveUnits(d DigestMessage) bool {
 	if s.drain.started {
-		return d.ContactAge < s.now.Sub(s.drain.startedAt)
+		return d.StoreContactAge < s.now.Sub(s.drain.startedAt)
 	}
 	return d.StoreContact
 }
@@ -48,13 +48,13 @@
 // uncommitted changes, because waiting calls are retried at the next home. A worker partition is
 // released when this owner is no longer busy, see isBusy. The drain is complete when no unit is
 // held and the jobs that only this process holds in memory have been answered. The waits for homes
-// and answers end after MaxDrainingAnswers. Without store contact nothing can be handed over, and
+// and answers end after MaxDrainWait. Without store contact nothing can be handed over, and
 // the process holds its units until it is stopped.
 func (s *State) continueDrain() {
 	if !s.drain.started || s.drain.finished {
 		return
 	}
-	withinWaitLimit := s.now.Sub(s.drain.startedAt) < s.cfg.MaxDrainingAnswers
+	withinWaitLimit := s.now.Sub(s.drain.startedAt) < s.cfg.MaxDrainWait
 	held := s.heldUnits()
 	for _, unit := range held {
 		if s.home.ledger.HasPending(unit) || isPartition(unit) && withinWaitLimit && s.owner.isBusy() {
--- a/control/effect.go
+++ b/control/effect.go
@@ -49,7 +49,7 @@
 	StartBy    time.Duration // on the worker's clock; the worker refuses a later start
 	LeaseUntil time.Duration // on the worker's clock
 	Wait       time.Duration // how long the worker may hold the call open for the result
-	Waited     time.Duration // since the job was accepted, for the metric
+	WaitTime   time.Duration // since the job was accepted, for the metric
 }
 
 // SyncWorker renews the task leases on a worker and requests its report; SyncDone delivers the
@@ -127,7 +127,7 @@
 
 // Resync requests that the daemon read the entire configuration again, because the watch has fallen
 // behind. Behind is the revision that the watch has not delivered.
-type Resync struct{ Behind int64 }
+type Resync struct{ MissingRevision int64 }
 
 // Drained reports that the drain is complete and the planned stop may proceed: no unit is held and
 // no reply is pending.
--- a/control/event.go
+++ b/control/event.go
@@ -26,8 +26,8 @@
 	Request PeerRequest
 }
 
-// Forget cancels a waiting call whose context has ended.
-type Forget struct{ Token uint64 }
+// CallCancelled cancels a waiting call whose context has ended.
+type CallCancelled struct{ Token uint64 }
 
 // PeerDone is the result of a Send. Err is set if no reply was received; the request may still have
 // taken effect.
@@ -195,7 +195,7 @@
 
 func (Tick) event()            {}
 func (PeerCall) event()        {}
-func (Forget) event()          {}
+func (CallCancelled) event()   {}
 func (PeerDone) event()        {}
 func (StartDone) event()       {}
 func (SyncDone) event()        {}
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -46,7 +46,7 @@
 		}
 		s.exchange.sentAt[m.Incarnation] = s.now
 		message := s.digest()
-		message.AskNoCommit = askNoCommit
+		message.RequestNoCommit = askNoCommit
 		s.emit(Send{To: m, Request: message, Timeout: s.cfg.CallTimeout, SentAt: s.now})
 	}
 }
@@ -58,7 +58,7 @@
 	if m.Region == s.self.Region || !s.areKeysFresh() || s.drain.started {
 		return s.cfg.DigestInterval
 	}
-	return s.cfg.FarDigestInterval
+	return s.cfg.CrossRegionDigestInterval
 }
 
 // startOutageRound requests from every member a promise not to commit configuration changes for one
@@ -103,8 +103,8 @@
 func (s *State) digest() DigestMessage {
 	d := DigestMessage{
 		Instance: s.self.Instance, Incarnation: s.self.Incarnation, Revision: s.config.appliedRevision,
-		StoreContact: s.hasStoreContact(), ContactAge: s.now.Sub(s.membership.lastContact), Freshness: s.freshness.Remaining(s.now),
-		Partitions: s.owner.partitionDigests(), Usage: s.owner.usage(), Wants: s.owner.allowances.Starving(),
+		StoreContact: s.hasStoreContact(), StoreContactAge: s.now.Sub(s.membership.lastContact), Freshness: s.freshness.Remaining(s.now),
+		Partitions: s.owner.partitionDigests(), Usage: s.owner.usage(), StarvedTeams: s.owner.allowances.Starving(),
 		Clock: s.recorder.Now(s.now),
 	}
 	return d
@@ -113,9 +113,9 @@
 func (s *State) digestReceived(token uint64, d DigestMessage) {
 	s.applyDigest(d)
 	reply := s.digest()
-	if d.AskNoCommit {
-		reply.NoCommit = s.freshness.PromiseNoCommit(s.now, s.hasStoreContact())
-		reply.Known = s.freshness.Known()
+	if d.RequestNoCommit {
+		reply.NoCommitPromised = s.freshness.PromiseNoCommit(s.now, s.hasStoreContact())
+		reply.KnownRevision = s.freshness.Known()
 	}
 	s.reply(token, reply)
 }
@@ -131,7 +131,7 @@
 		s.exchange.awaitingReply[reply.Incarnation] = false
 		s.exchange.outageRound.Reply(keyring.OutageReply{
 			From:     keyring.Peer{Instance: reply.Instance, Incarnation: reply.Incarnation},
-			Promised: reply.NoCommit, Revision: reply.Known,
+			Promised: reply.NoCommitPromised, Revision: reply.KnownRevision,
 		})
 		s.freshness.OutageConfirmed(s.now, s.exchange.outageRound)
 	}
@@ -142,7 +142,7 @@
 // progress. A promise that was given for an earlier round expires earlier, and no promise is given
 // in reply to a digest that did not request one.
 func (s *State) belongsToOutageRound(sent Send) bool {
-	requested := sent.Request.(DigestMessage).AskNoCommit
+	requested := sent.Request.(DigestMessage).RequestNoCommit
 	return requested && s.exchange.outageRound != nil && !sent.SentAt.Before(s.exchange.sentAt[s.self.Incarnation])
 }
 
@@ -151,7 +151,7 @@
 	s.recorder.Receive(s.now, d.Clock)
 	s.routing.observeDigest(s.now, d)
 	s.ownership.ObserveContact(d.Instance, s.mayReceiveUnits(d))
-	for _, team := range d.Wants {
+	for _, team := range d.StarvedTeams {
 		s.owner.allowances.AskIdle(team)
 	}
 	s.updateShares()
--- a/control/home.go
+++ b/control/home.go
@@ -33,7 +33,7 @@
 
 // keyChecks are the checks of the key under which work was accepted, for home and owner.
 type keyChecks struct {
-	isWithdrawn func(KeyName) bool
+	isWithdrawn func(KeyRef) bool
 	areFresh    func() bool // whether every withdrawal that is in force has certainly been applied here
 }
 
@@ -85,7 +85,7 @@
 	recorded    []bool // for the reply, by index of the attempt report
 }
 
-func (h *home) shardOf(job ledger.JobKey) string { return ShardOf(job, h.cfg.RequestShards) }
+func (h *home) shardOf(job ledger.JobKey) string { return shardOf(job, h.cfg.RequestShards) }
 
 // submit refuses new durable work while the store does not answer: the work could not be recorded,
 // and its caller would get no reply until the store answers again.
@@ -136,7 +136,7 @@
 	switch {
 	case spec.KeyID == "":
 		return nil
-	case h.keys.isWithdrawn(KeyName{spec.Team, spec.KeyID}):
+	case h.keys.isWithdrawn(KeyRef{spec.Team, spec.KeyID}):
 		return errkind.New(errkind.KeyWithdrawn, "key %s of team %s was withdrawn", spec.KeyID, spec.Team)
 	case !h.keys.areFresh():
 		return errkind.New(errkind.KeyStale, "the home of the job currently cannot confirm that key %s of team %s is valid", spec.KeyID, spec.Team).WithRetryAfter(h.cfg.KeyFreshness)
--- a/control/homereport.go
+++ b/control/homereport.go
@@ -135,7 +135,7 @@
 			continue
 		}
 		t := &record.Tasks[o.ref.index]
-		item := LookupItem{Attempt: a, Job: o.ref.job, Index: o.ref.index, Once: !record.Spec.Kind.MayRetry()}
+		item := LookupItem{Attempt: a, Job: o.ref.job, Index: o.ref.index, AtMostOnce: !record.Spec.Kind.MayRetry()}
 		if t.Permitted {
 			item.Worker, item.BootID = t.Worker, t.BootID
 		}
--- a/control/loop.go
+++ b/control/loop.go
@@ -42,8 +42,8 @@
 // Snapshot returns the latest snapshot.
 func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
 
-// Queued returns the number of events in the queue of the control goroutine.
-func (l *Loop) Queued() int { return len(l.events) }
+// QueuedEvents returns the number of events in the queue of the control goroutine.
+func (l *Loop) QueuedEvents() int { return len(l.events) }
 
 // AllowanceRefused returns how often a start was refused because its team lacked allowance.
 func (l *Loop) AllowanceRefused() uint64 { return l.allowanceRefused.Load() }
@@ -81,7 +81,7 @@
 // drops calls when their wait expires.
 func (l *Loop) cancelCall(token uint64) {
 	select {
-	case l.events <- Forget{Token: token}:
+	case l.events <- CallCancelled{Token: token}:
 	default:
 	}
 }
@@ -107,7 +107,7 @@
 	effects := l.state.Apply(started, e)
 	// The snapshot is published before the effects are executed, so that an effect never runs
 	// under an older term than the one under which it was decided.
-	if l.state.TakeChanged() {
+	if l.state.ResetChanged() {
 		l.snapshot.Store(l.state.Snapshot())
 	}
 	for _, effect := range effects {
--- a/control/member.go
+++ b/control/member.go
@@ -101,7 +101,7 @@
 // the revision that the previous read of the store returned.
 func (s *State) checkWatchLag(revision int64) {
 	if s.config.appliedRevision < s.config.storeRevision {
-		s.emit(Resync{Behind: s.config.storeRevision})
+		s.emit(Resync{MissingRevision: s.config.storeRevision})
 	}
 	s.config.storeRevision = revision
 }
--- a/control/owner.go
+++ b/control/owner.go
@@ -217,7 +217,7 @@
 	if epoch, holds := w.holds(name); !owned || !holds || part.epoch != epoch {
 		return LookupPending
 	}
-	if item.Once && item.Worker == "" {
+	if item.AtMostOnce && item.Worker == "" {
 		// The start was never permitted, so no owner can have sent it.
 		w.tombstones[item.Attempt] = w.now.Add(tombstoneLifetime)
 		return LookupNotRun
@@ -226,7 +226,7 @@
 		return LookupPending
 	}
 	w.tombstones[item.Attempt] = w.now.Add(tombstoneLifetime)
-	if item.Once {
+	if item.AtMostOnce {
 		return w.lookupAtMostOnce(item)
 	}
 	return LookupEnded
--- a/control/peer.go
+++ b/control/peer.go
@@ -86,12 +86,12 @@
 
 // LookupItem is one attempt to look up.
 type LookupItem struct {
-	Attempt task.Attempt
-	Job     ledger.JobKey
-	Index   int
-	Once    bool   // at-most-once work: must not be retried
-	Worker  string // of at-most-once work that was permitted: the permitted worker
-	BootID  string // of that worker when the start was permitted
+	Attempt    task.Attempt
+	Job        ledger.JobKey
+	Index      int
+	AtMostOnce bool   // at-most-once work: must not be retried
+	Worker     string // of at-most-once work that was permitted: the permitted worker
+	BootID     string // of that worker when the start was permitted
 }
 
 // LookupState is the state of an attempt as determined by its owner.
@@ -165,21 +165,21 @@
 // DigestMessage describes the load of an instance and the configuration that is in force there.
 // Instances exchange it at regular intervals.
 type DigestMessage struct {
-	Instance     string
-	Incarnation  string
-	Revision     int64         // highest configuration revision in force
-	StoreContact bool          // the store has answered a call within the last Config.KeyFreshness
-	ContactAge   time.Duration // time since the sending of the last call that the store answered
-	Freshness    time.Duration // remaining freshness of keys
-	Partitions   []PartitionDigest
-	Usage        []TeamUsage
-	Wants        []task.Team // teams for which this owner lacks allowance
-	Clock        timeline.Clock
-	// AskNoCommit, in a request during a store outage, requests a promise not to commit
-	// configuration changes for one freshness period; NoCommit in the reply grants it.
-	AskNoCommit bool
-	NoCommit    bool
-	Known       int64 // with NoCommit: highest revision that the sender has applied or committed
+	Instance        string
+	Incarnation     string
+	Revision        int64         // highest configuration revision in force
+	StoreContact    bool          // the store has answered a call within the last Config.KeyFreshness
+	StoreContactAge time.Duration // time since the sending of the last call that the store answered
+	Freshness       time.Duration // remaining freshness of keys
+	Partitions      []PartitionDigest
+	Usage           []TeamUsage
+	StarvedTeams    []task.Team // teams for which this owner lacks allowance
+	Clock           timeline.Clock
+	// RequestNoCommit, in a request during a store outage, requests a promise not to commit
+	// configuration changes for one freshness period; NoCommitPromised in the reply grants it.
+	RequestNoCommit  bool
+	NoCommitPromised bool
+	KnownRevision    int64 // with NoCommitPromised: highest revision that the sender has applied or committed
 }
 
 // PartitionDigest is the load of one partition.
--- a/control/rebalance.go
+++ b/control/rebalance.go
@@ -76,7 +76,7 @@
 		return false
 	}
 	for name, left := range movesLeft {
-		isAllowed := len(record.Spec.Regions) == 0 || slices.Contains(record.Spec.Regions, RegionOf(name))
+		isAllowed := len(record.Spec.Regions) == 0 || slices.Contains(record.Spec.Regions, regionOf(name))
 		if name != o.partition && left > 0 && isAllowed && record.Spec.Size.Fits(h.routing.partitionLoads[name].digest.Free) {
 			movesLeft[name]--
 			return true
--- a/control/routing.go
+++ b/control/routing.go
@@ -13,8 +13,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// ShardOf returns the name of the request shard of a job.
-func ShardOf(key ledger.JobKey, shards int) string {
+// shardOf returns the name of the request shard of a job.
+func shardOf(key ledger.JobKey, shards int) string {
 	hash := xxhash.New()
 	_, _ = hash.WriteString(string(key.Team))
 	_, _ = hash.Write([]byte{0})
@@ -27,8 +27,8 @@
 	return fmt.Sprintf("w/%s/%d", region, xxhash.Sum64String(rack)%uint64(partitions))
 }
 
-// RegionOf returns the region of a worker partition.
-func RegionOf(partition string) string {
+// regionOf returns the region of a worker partition.
+func regionOf(partition string) string {
 	rest := partition[len("w/"):]
 	for i := len(rest) - 1; i >= 0; i-- {
 		if rest[i] == '/' {
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -155,7 +155,7 @@
 // isKeyValid reports whether an attempt may start under its key. While this instance cannot
 // determine whether the key was withdrawn, the attempt stays queued.
 func (w *owner) isKeyValid(a *attempt) bool {
-	key := KeyName{a.team, a.placement.Spec.KeyID}
+	key := KeyRef{a.team, a.placement.Spec.KeyID}
 	return key.ID == "" || w.keys.areFresh() && !w.keys.isWithdrawn(key)
 }
 
@@ -202,7 +202,7 @@
 }
 
 func (w *owner) requestPermit(a *attempt) {
-	home, _, ok := w.routing.ownerOf(ShardOf(a.job, w.cfg.RequestShards))
+	home, _, ok := w.routing.ownerOf(shardOf(a.job, w.cfg.RequestShards))
 	if !ok {
 		return
 	}
@@ -243,7 +243,7 @@
 		Attempt: a.id, Job: a.job, Index: a.index, Team: a.team, Class: a.class, Size: a.size,
 		Command: spec.Command, Payload: spec.Payload, LongLived: spec.Kind == task.LongLived,
 		BootID: ws.bootID, StartBy: a.startBy, LeaseUntil: ws.clock + w.cfg.TaskLease, Wait: wait,
-		Waited: a.placement.Age + w.now.Sub(a.queuedAt),
+		WaitTime: a.placement.Age + w.now.Sub(a.queuedAt),
 	})
 	w.recordEvent(timeline.Event{Type: timeline.TaskStartSent, Team: a.team, Task: a.id.Task, Attempt: a.id.Number,
 		Worker: a.worker, Partition: a.partition, Epoch: w.epochOf(a.partition), Size: &a.size, KeyID: spec.KeyID})
--- a/control/selector.go
+++ b/control/selector.go
@@ -51,7 +51,7 @@
 		if _, epoch, ok := c.routing.ownerOf(name); !ok || epoch != load.digest.Epoch {
 			continue
 		}
-		if len(spec.Regions) > 0 && !slices.Contains(spec.Regions, RegionOf(name)) {
+		if len(spec.Regions) > 0 && !slices.Contains(spec.Regions, regionOf(name)) {
 			continue
 		}
 		if !spec.Size.Fits(load.digest.Capacity) {
@@ -76,7 +76,7 @@
 	}
 	regions := []string{c.region}
 	for name := range c.routing.partitionLoads {
-		if r := RegionOf(name); !slices.Contains(regions, r) {
+		if r := regionOf(name); !slices.Contains(regions, r) {
 			regions = append(regions, r)
 		}
 	}
@@ -91,7 +91,7 @@
 func (c *partitionSelector) pickByFreeCapacity(candidates []PartitionDigest, region string, need task.Resources) (string, bool) {
 	var fitting []PartitionDigest
 	for _, p := range candidates {
-		if RegionOf(p.Partition) == region && need.Fits(p.Free) && p.Queued == 0 {
+		if regionOf(p.Partition) == region && need.Fits(p.Free) && p.Queued == 0 {
 			fitting = append(fitting, p)
 		}
 	}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -12,18 +12,18 @@
 
 // Snapshot is the part of the control state that traffic goroutines read. It is immutable.
 type Snapshot struct {
-	Self         membership.Member
-	Members      []membership.Member // sorted by incarnation
-	Homes        map[string]Route    // by request shard
-	Terms        map[string]Term     // by unit; only units that this process holds
-	Documents    map[DocumentKey]HeldDocument
-	Keys         *keyring.Snapshot
-	Revision     int64            // every configuration change up to this revision is in force
-	MemberSeen   map[string]int64 // by instance: revision in force there, from its last digest
-	StoreContact bool
-	Draining     bool
-	Ready        bool // has a lease, has read the configuration, and is not draining
-	Shards       int
+	Self              membership.Member
+	Members           []membership.Member // sorted by incarnation
+	Homes             map[string]Route    // by request shard
+	Terms             map[string]Term     // by unit; only units that this process holds
+	Documents         map[DocumentKey]DocumentInForce
+	Keys              *keyring.Snapshot
+	Revision          int64            // every configuration change up to this revision is in force
+	InstanceRevisions map[string]int64 // by instance: revision in force there, from its last digest
+	StoreContact      bool
+	Draining          bool
+	Ready             bool // has a lease, has read the configuration, and is not draining
+	Shards            int
 }
 
 // Route is the recorded owner of a unit.
@@ -44,7 +44,7 @@
 	snap := &Snapshot{
 		Self: s.self, Members: s.routing.memberList(), Homes: make(map[string]Route, len(shards)),
 		Terms: map[string]Term{}, Documents: s.config.documents, Keys: s.config.ring.Snapshot(s.freshness.Until()),
-		Revision: s.config.appliedRevision, MemberSeen: map[string]int64{}, StoreContact: s.hasStoreContact(), Draining: s.drain.started,
+		Revision: s.config.appliedRevision, InstanceRevisions: map[string]int64{}, StoreContact: s.hasStoreContact(), Draining: s.drain.started,
 		Ready: s.membership.leaseID != 0 && !s.drain.started && s.config.appliedRevision > 0, Shards: s.cfg.RequestShards,
 	}
 	for _, shard := range shards {
@@ -58,13 +58,13 @@
 		}
 	}
 	for instance, d := range s.routing.digests {
-		snap.MemberSeen[instance] = d.message.Revision
+		snap.InstanceRevisions[instance] = d.message.Revision
 	}
 	return snap
 }
 
-// TakeChanged reports whether a part of the snapshot has changed since the last call.
-func (s *State) TakeChanged() bool {
+// ResetChanged reports whether a part of the snapshot has changed since the last call.
+func (s *State) ResetChanged() bool {
 	changed := s.snapshotChanged
 	s.snapshotChanged = false
 	return changed
@@ -72,7 +72,7 @@
 
 // HomeOf returns the home of a job.
 func (s *Snapshot) HomeOf(job ledger.JobKey) (Route, bool) {
-	route, ok := s.Homes[ShardOf(job, s.Shards)]
+	route, ok := s.Homes[shardOf(job, s.Shards)]
 	return route, ok
 }
 
@@ -85,20 +85,20 @@
 
 // Authorize checks the key of a call for a job of a service. It returns the document of the
 // service, and the key unless the service is open.
-func (s *Snapshot) Authorize(now time.Time, team task.Team, service task.Service, secret string) (HeldDocument, keyring.Key, *errkind.Error) {
+func (s *Snapshot) Authorize(now time.Time, team task.Team, service task.Service, secret string) (DocumentInForce, keyring.Key, *errkind.Error) {
 	held, ok := s.Documents[DocumentKey{team, service}]
 	if !ok {
-		return HeldDocument{}, keyring.Key{}, s.unknownNameError(team, service)
+		return DocumentInForce{}, keyring.Key{}, s.unknownNameError(team, service)
 	}
 	if held.Open {
 		return held, keyring.Key{}, nil
 	}
 	if secret == "" {
-		return HeldDocument{}, keyring.Key{}, errkind.New(errkind.KeyMissing, "service %s/%s requires a key", team, service)
+		return DocumentInForce{}, keyring.Key{}, errkind.New(errkind.KeyMissing, "service %s/%s requires a key", team, service)
 	}
 	key, err := s.Keys.Admit(now, team, keyring.DigestOf(secret))
 	if err != nil {
-		return HeldDocument{}, keyring.Key{}, err
+		return DocumentInForce{}, keyring.Key{}, err
 	}
 	return held, key, nil
 }
--- a/control/state.go
+++ b/control/state.go
@@ -18,8 +18,8 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// Parts contains the configurations of the packages that the state combines.
-type Parts struct {
+// ComponentConfigs contains the configurations of the packages that the state combines.
+type ComponentConfigs struct {
 	Ownership  ownership.Config
 	Allowance  allowance.Config
 	Keyring    keyring.Config
@@ -29,10 +29,10 @@
 	Quarantine quarantine.Config
 }
 
-// DefaultParts returns the default Parts for a configuration.
-func DefaultParts(cfg Config) Parts {
+// DefaultComponentConfigs returns the default Parts for a configuration.
+func DefaultComponentConfigs(cfg Config) ComponentConfigs {
 	partitions, shards := unitsOf(&cfg)
-	return Parts{
+	return ComponentConfigs{
 		Ownership: ownership.DefaultConfig(append(partitions, shards...)),
 		Allowance: allowance.DefaultConfig(),
 		Keyring:   keyring.DefaultConfig(),
@@ -58,11 +58,11 @@
 
 	slowTickAt          time.Time
 	allowancesPlannedAt time.Time
-	snapshotChanged     bool // a part of the snapshot has changed since the last TakeChanged
+	snapshotChanged     bool // a part of the snapshot has changed since the last ResetChanged
 }
 
 // New returns the state of a process that has just started.
-func New(now time.Time, cfg Config, parts Parts, self membership.Member, recorder *timeline.Recorder, rng *rand.Rand) *State {
+func New(now time.Time, cfg Config, parts ComponentConfigs, self membership.Member, recorder *timeline.Recorder, rng *rand.Rand) *State {
 	s := &State{cfg: cfg, self: self, outbox: outbox{now: now, recorder: recorder}, routing: newRouting(), snapshotChanged: true}
 	s.ownership = ownership.New(parts.Ownership, self, now)
 	s.freshness = keyring.NewFreshness(parts.Keyring, now)
@@ -135,7 +135,7 @@
 		s.peerCall(e)
 	case PeerDone:
 		s.peerDone(e)
-	case Forget:
+	case CallCancelled:
 		s.home.cancelCall(e.Token)
 	case StartDone:
 		s.owner.startDone(e)
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -21,7 +21,7 @@
 	EntryAddress    string // for the calls of the other entry instances
 
 	Control  control.Config
-	Parts    control.Parts
+	Parts    control.ComponentConfigs
 	Caller   caller.Config
 	Operator operator.Config
 	Store    store.Config
--- a/daemon/fromsettings.go
+++ b/daemon/fromsettings.go
@@ -36,14 +36,14 @@
 	cfg.ClockDrift, cfg.ClockMargin = s.ClockDrift, s.ClockMargin
 	cfg.CallTimeout = s.EntryCallTimeout
 	cfg.KeepAliveInterval, cfg.StoreLeaseTTL, cfg.KeyFreshness = s.KeepaliveInterval, s.StoreLeaseTTL, s.KeyFreshness
-	cfg.DigestInterval, cfg.FarDigestInterval = s.DigestInterval, s.DigestIntervalCross
+	cfg.DigestInterval, cfg.CrossRegionDigestInterval = s.DigestInterval, s.DigestIntervalCross
 	cfg.DigestLifetime = 3 * s.DigestIntervalCross
-	cfg.MaxDrainingAnswers = s.DrainTimeout * 2 / 3
+	cfg.MaxDrainWait = s.DrainTimeout * 2 / 3
 	return cfg
 }
 
-func parts(s settings.Settings, cfg control.Config) control.Parts {
-	p := control.DefaultParts(cfg)
+func parts(s settings.Settings, cfg control.Config) control.ComponentConfigs {
+	p := control.DefaultComponentConfigs(cfg)
 	p.Ownership.LeaseTTL, p.Ownership.KeepAliveInterval, p.Ownership.PromiseWindow = s.StoreLeaseTTL, s.KeepaliveInterval, s.PromiseWindow
 	p.Ownership.ClockDrift, p.Ownership.ClockMargin, p.Ownership.ListLag = s.ClockDrift, s.ClockMargin, s.ListLag
 	p.Keyring.Freshness, p.Keyring.ListLag = s.KeyFreshness, s.ListLag
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -74,7 +74,7 @@
 	case control.StartUnclear:
 		m.count(metricStartUnclear)
 	default:
-		m.observe(metricWait+string(done.Start.Team), done.Start.Waited.Milliseconds())
+		m.observe(metricWait+string(done.Start.Team), done.Start.WaitTime.Milliseconds())
 	}
 }
 
@@ -113,7 +113,7 @@
 	for _, name := range []string{metricStartSent, metricStartNotRun, metricStartUnclear, metricReportResent} {
 		metrics.GetOrRegisterCounter(name, registry) // reported as 0 before the first event
 	}
-	gauge(metricControlQueue, func() int64 { return int64(loop.Queued()) })
+	gauge(metricControlQueue, func() int64 { return int64(loop.QueuedEvents()) })
 	gauge(metricAllowanceRefused, func() int64 { return int64(loop.AllowanceRefused()) })
 	gauge(metricUnitsHeld, func() int64 { return unitsHeld(loop.Snapshot(), time.Now()) })
 	gauge(metricEventsDropped, func() int64 { return int64(recorder.Dropped()) })
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -20,7 +20,7 @@
 	m.countRequest(task.Durable, errkind.New(errkind.QueueFull, "full"))
 	m.countStart(control.StartDone{Result: control.StartNotRun})
 	m.countStart(control.StartDone{Result: control.StartUnclear})
-	m.countStart(control.StartDone{Start: control.StartTask{Team: "leuven", Waited: 1500 * time.Millisecond}})
+	m.countStart(control.StartDone{Start: control.StartTask{Team: "leuven", WaitTime: 1500 * time.Millisecond}})
 	m.recordStoreCall("get", time.Now(), store.ErrUnavailable)
 	m.recordStoreCall("commit", time.Now(), nil)
 	m.recordStoreCall("commit", time.Now(), store.ErrUnclear)
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -68,7 +68,7 @@
 
 func isInForce(s *control.Snapshot, revision int64) bool {
 	for _, m := range s.Members {
-		if s.MemberSeen[m.Instance] < revision {
+		if s.InstanceRevisions[m.Instance] < revision {
 			return false
 		}
 	}
--- a/daemon/views.go
+++ b/daemon/views.go
@@ -98,7 +98,7 @@
 	var members []api.Member
 	for _, m := range s.Members {
 		members = append(members, api.Member{Instance: m.Instance, Incarnation: m.Incarnation, Address: m.Address, Region: m.Region,
-			FailureDomain: m.FailureDomain, Draining: m.Draining, Revision: s.MemberSeen[m.Instance], Units: units[m.Instance]})
+			FailureDomain: m.FailureDomain, Draining: m.Draining, Revision: s.InstanceRevisions[m.Instance], Units: units[m.Instance]})
 	}
 	return members, nil
 }
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -75,7 +75,7 @@
 func encodeLookup(from string, r control.LookupRequest) *entrypb.LookupRequest {
 	out := make([]*entrypb.LookupItem, len(r.Attempts))
 	for i, a := range r.Attempts {
-		out[i] = &entrypb.LookupItem{Attempt: encodeAttempt(a.Attempt), Job: encodeJob(a.Job), Index: int32(a.Index), Once: a.Once, Worker: a.Worker, BootId: a.BootID}
+		out[i] = &entrypb.LookupItem{Attempt: encodeAttempt(a.Attempt), Job: encodeJob(a.Job), Index: int32(a.Index), Once: a.AtMostOnce, Worker: a.Worker, BootId: a.BootID}
 	}
 	return &entrypb.LookupRequest{From: from, Partition: r.Partition, Attempts: out}
 }
@@ -83,7 +83,7 @@
 func decodeLookup(r *entrypb.LookupRequest) control.LookupRequest {
 	out := make([]control.LookupItem, len(r.GetAttempts()))
 	for i, a := range r.GetAttempts() {
-		out[i] = control.LookupItem{Attempt: decodeAttempt(a.GetAttempt()), Job: decodeJob(a.GetJob()), Index: int(a.GetIndex()), Once: a.GetOnce(), Worker: a.GetWorker(), BootID: a.GetBootId()}
+		out[i] = control.LookupItem{Attempt: decodeAttempt(a.GetAttempt()), Job: decodeJob(a.GetJob()), Index: int(a.GetIndex()), AtMostOnce: a.GetOnce(), Worker: a.GetWorker(), BootID: a.GetBootId()}
 	}
 	return control.LookupRequest{Partition: r.GetPartition(), Attempts: out}
 }
@@ -161,8 +161,8 @@
 }
 
 func encodeDigest(d control.DigestMessage) *entrypb.Digest {
-	out := &entrypb.Digest{Instance: d.Instance, Incarnation: d.Incarnation, Revision: d.Revision, StoreContact: d.StoreContact, ContactAge: durationpb.New(d.ContactAge),
-		AskNoCommit: d.AskNoCommit, NoCommit: d.NoCommit, Known: d.Known,
+	out := &entrypb.Digest{Instance: d.Instance, Incarnation: d.Incarnation, Revision: d.Revision, StoreContact: d.StoreContact, ContactAge: durationpb.New(d.StoreContactAge),
+		AskNoCommit: d.RequestNoCommit, NoCommit: d.NoCommitPromised, Known: d.KnownRevision,
 		Freshness: durationpb.New(d.Freshness), Clock: &entrypb.Clock{WallNs: d.Clock.Wall.UnixNano(), Logical: d.Clock.Logical}}
 	for _, p := range d.Partitions {
 		out.Partitions = append(out.Partitions, &entrypb.PartitionDigest{Partition: p.Partition, Epoch: p.Epoch, Free: encodeResources(p.Free),
@@ -171,15 +171,15 @@
 	for _, u := range d.Usage {
 		out.Usage = append(out.Usage, &entrypb.TeamUsage{Team: string(u.Team), Size: encodeResources(u.Size)})
 	}
-	for _, team := range d.Wants {
+	for _, team := range d.StarvedTeams {
 		out.Wants = append(out.Wants, string(team))
 	}
 	return out
 }
 
 func decodeDigest(d *entrypb.Digest) control.DigestMessage {
-	out := control.DigestMessage{Instance: d.GetInstance(), Incarnation: d.GetIncarnation(), Revision: d.GetRevision(), StoreContact: d.GetStoreContact(), ContactAge: d.GetContactAge().AsDuration(),
-		AskNoCommit: d.GetAskNoCommit(), NoCommit: d.GetNoCommit(), Known: d.GetKnown(),
+	out := control.DigestMessage{Instance: d.GetInstance(), Incarnation: d.GetIncarnation(), Revision: d.GetRevision(), StoreContact: d.GetStoreContact(), StoreContactAge: d.GetContactAge().AsDuration(),
+		RequestNoCommit: d.GetAskNoCommit(), NoCommitPromised: d.GetNoCommit(), KnownRevision: d.GetKnown(),
 		Freshness: d.GetFreshness().AsDuration(), Clock: timeline.Clock{Wall: time.Unix(0, d.GetClock().GetWallNs()), Logical: d.GetClock().GetLogical()}}
 	for _, p := range d.GetPartitions() {
 		out.Partitions = append(out.Partitions, control.PartitionDigest{Partition: p.GetPartition(), Epoch: p.GetEpoch(), Free: decodeResources(p.GetFree()),
@@ -189,7 +189,7 @@
 		out.Usage = append(out.Usage, control.TeamUsage{Team: task.Team(u.GetTeam()), Size: decodeResources(u.GetSize())})
 	}
 	for _, team := range d.GetWants() {
-		out.Wants = append(out.Wants, task.Team(team))
+		out.StarvedTeams = append(out.StarvedTeams, task.Team(team))
 	}
 	return out
 }
