standin/fault: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

standin/fault.Table.Take -> Apply standin/fault.Table.Standing -> EffectOnOpenCall standin/fault.Effect.Silent -> SilentWatch

--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -52,7 +52,7 @@
 	Unreachable bool
 	Delay       time.Duration
 	ReplyLost   bool
-	Silent      bool // a watch stays open and delivers nothing
+	SilentWatch bool // a watch stays open and delivers nothing
 }
 
 func (e *Effect) add(f Fault) {
@@ -66,7 +66,7 @@
 	case ReplyLost:
 		e.ReplyLost = true
 	case SilentWatch:
-		e.Silent = true
+		e.SilentWatch = true
 	}
 }
 
@@ -136,9 +136,9 @@
 	return slices.Clone(t.faults)
 }
 
-// Take counts a received call and returns the effect of the matching faults on it. It decrements
+// Apply counts a received call and returns the effect of the matching faults on it. It decrements
 // the count of those that have one, and removes them when the count reaches 0.
-func (t *Table) Take(call, instance string) Effect {
+func (t *Table) Apply(call, instance string) Effect {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counters.Received[call]++
@@ -159,9 +159,9 @@
 	return effect
 }
 
-// Standing returns the effect of the faults without a count on an open call, and a channel that is
+// EffectOnOpenCall returns the effect of the faults without a count on an open call, and a channel that is
 // closed when the faults change.
-func (t *Table) Standing(call, instance string) (Effect, <-chan struct{}) {
+func (t *Table) EffectOnOpenCall(call, instance string) (Effect, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var effect Effect
--- a/standin/fault/fault_test.go
+++ b/standin/fault/fault_test.go
@@ -24,13 +24,13 @@
 		want           Effect
 	}{
 		{"txn", "e2", slow},
-		{"watch", "e1", Effect{Delay: slow.Delay, Silent: true}},
+		{"watch", "e1", Effect{Delay: slow.Delay, SilentWatch: true}},
 		{"txn", "e1", down},
 		{"txn", "e1", down},
 		{"txn", "e1", slow},
 	}
 	for i, test := range tests {
-		if got := table.Take(test.call, test.instance); got != test.want {
+		if got := table.Apply(test.call, test.instance); got != test.want {
 			t.Errorf("call %d, %s by %s: effect %+v, want %+v", i, test.call, test.instance, got, test.want)
 		}
 	}
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -51,7 +51,7 @@
 // that is down.
 func withFaults(table *fault.Table, call string, refuse func(http.ResponseWriter), next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		effect := table.Take(call, r.Header.Get(wire.HeaderInstance))
+		effect := table.Apply(call, r.Header.Get(wire.HeaderInstance))
 		applyEffect(w, r, effect, refuse, func(w http.ResponseWriter, r *http.Request) {
 			table.CountExecuted(call)
 			next(w, r)
--- a/standin/store.go
+++ b/standin/store.go
@@ -61,10 +61,10 @@
 			writeStoreError(w, store.ErrRejected)
 			return
 		}
-		effect := s.faults.Take(call, r.Header.Get(wire.HeaderInstance))
+		effect := s.faults.Apply(call, r.Header.Get(wire.HeaderInstance))
 		applyEffect(w, r, effect, refuseNoLeader, func(w http.ResponseWriter, r *http.Request) {
 			s.faults.CountExecuted(call)
-			next(w, r, gatewayCall{body: body, silent: effect.Silent})
+			next(w, r, gatewayCall{body: body, silent: effect.SilentWatch})
 		})
 	})
 }
--- a/store/storetest/calls.go
+++ b/store/storetest/calls.go
@@ -33,11 +33,11 @@
 // silent after the fault is cleared, just as a lost connection does not recover.
 func InterruptFor(ctx context.Context, faults *fault.Table, instance string, silent bool) Interrupt {
 	return func() (<-chan struct{}, error) {
-		standing, changed := faults.Standing(CallWatch, instance)
+		standing, changed := faults.EffectOnOpenCall(CallWatch, instance)
 		switch {
 		case standing.Down:
 			return nil, errStoreDown
-		case silent || standing.Silent || standing.Unreachable:
+		case silent || standing.SilentWatch || standing.Unreachable:
 			<-ctx.Done()
 			return nil, fmt.Errorf("silent watch ended: %w", context.Cause(ctx))
 		}
--- a/store/storetest/memory.go
+++ b/store/storetest/memory.go
@@ -66,7 +66,7 @@
 	if err := context.Cause(ctx); err != nil {
 		return fmt.Errorf("%w: %s not sent: %w", store.ErrUnavailable, kind, err)
 	}
-	effect := c.memory.faults.Take(kind, c.instance)
+	effect := c.memory.faults.Apply(kind, c.instance)
 	if effect.Down {
 		return fmt.Errorf("%w: %s refused", store.ErrUnavailable, kind)
 	}
--- a/store/storetest/memory_calls.go
+++ b/store/storetest/memory_calls.go
@@ -138,7 +138,7 @@
 // watch opens the watch under the active faults. Opening has no separate reply, so a lost reply
 // closes the stream immediately.
 func (c *client) watch(ctx context.Context, prefix string, from int64, send func(WatchMessage) error) error {
-	effect := c.memory.faults.Take(CallWatch, c.instance)
+	effect := c.memory.faults.Apply(CallWatch, c.instance)
 	switch {
 	case effect.Down:
 		return fmt.Errorf("%w: watch refused", store.ErrUnavailable)
@@ -154,7 +154,7 @@
 	if effect.ReplyLost {
 		return fmt.Errorf("%w: connection closed without a reply", store.ErrUnclear)
 	}
-	interrupt := InterruptFor(ctx, c.memory.faults, c.instance, effect.Silent)
+	interrupt := InterruptFor(ctx, c.memory.faults, c.instance, effect.SilentWatch)
 	start, end := string(wire.PrefixStart(prefix)), string(wire.PrefixEnd(prefix))
 	err := c.memory.engine.Watch(ctx, start, end, from, interrupt, send)
 	return classifyWatch(ctx, err)
