standin: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

standin.Call -> WorkerCall standin.Calls -> WorkerCalls standin.Relay.Switches -> ControlHandler

--- a/cmd/standin/relay.go
+++ b/cmd/standin/relay.go
@@ -32,7 +32,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	relay := standin.NewRelay(listener, c.Target)
-	server := standin.NewServer(relay.Switches())
+	server := standin.NewServer(relay.ControlHandler())
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(relay.Serve)
 	group.Go(func() error {
--- a/standin/doc.go
+++ b/standin/doc.go
@@ -12,6 +12,6 @@
 //
 // Package fault lists the kinds. A fault without call, instance or count applies to all calls, to all
 // instances, and until it is replaced. The faults "down", "unreachable" and "silent_watch" without a
-// count also affect open watches. List, Worker.Handler and Relay.Switches describe the other control
+// count also affect open watches. List, Worker.Handler and Relay.ControlHandler describe the other control
 // endpoints.
 package standin
--- a/standin/relay_control.go
+++ b/standin/relay_control.go
@@ -35,9 +35,9 @@
 	}
 }
 
-// Switches returns the handler of the control endpoints. It must not be served through the relay
+// ControlHandler returns the handler of the control endpoints. It must not be served through the relay
 // itself: a cut would then also block the request that ends it.
-func (r *Relay) Switches() http.Handler {
+func (r *Relay) ControlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+PathRelay, func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, r.Status())
--- a/standin/relay_test.go
+++ b/standin/relay_test.go
@@ -187,7 +187,7 @@
 	if err := putKey(t.Context(), client, "a"); err != nil {
 		t.Fatal(err)
 	}
-	control := httptest.NewServer(relay.Switches())
+	control := httptest.NewServer(relay.ControlHandler())
 	defer control.Close()
 	steps := []struct {
 		path, body string
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -124,7 +124,7 @@
 
 // serve executes one call under the faults that apply to its kind. f returns the rejection of the
 // call, if any.
-func (w *Worker) serve(ctx context.Context, kind Call, f func(now time.Time) *worker.Rejection) error {
+func (w *Worker) serve(ctx context.Context, kind WorkerCall, f func(now time.Time) *worker.Rejection) error {
 	if err := w.applyBefore(ctx, kind); err != nil {
 		return err
 	}
--- a/standin/worker_faults.go
+++ b/standin/worker_faults.go
@@ -8,35 +8,35 @@
 	"github.com/mulberrydrum/mulberrydrum/oracle"
 )
 
-// Call is a kind of call to a worker.
-type Call string
+// WorkerCall is a kind of call to a worker.
+type WorkerCall string
 
 // The kinds of calls.
 const (
-	CallSync       Call = "sync"
-	CallStart      Call = "start"
-	CallLookup     Call = "lookup"
-	CallResult     Call = "result"
-	CallStop       Call = "stop"
-	CallCheckpoint Call = "checkpoint"
-	CallThrottle   Call = "throttle"
+	CallSync       WorkerCall = "sync"
+	CallStart      WorkerCall = "start"
+	CallLookup     WorkerCall = "lookup"
+	CallResult     WorkerCall = "result"
+	CallStop       WorkerCall = "stop"
+	CallCheckpoint WorkerCall = "checkpoint"
+	CallThrottle   WorkerCall = "throttle"
 )
 
-// Calls lists every kind of call.
-var Calls = []Call{CallSync, CallStart, CallLookup, CallResult, CallStop, CallCheckpoint, CallThrottle}
+// WorkerCalls lists every kind of call.
+var WorkerCalls = []WorkerCall{CallSync, CallStart, CallLookup, CallResult, CallStop, CallCheckpoint, CallThrottle}
 
 // WorkerFaults changes the faults of a worker. Absent fields leave their fault unchanged, except
 // Calls, which is always replaced.
 type WorkerFaults struct {
-	Freeze      *bool  `json:"freeze,omitempty"`       // calls wait and leases are not enforced until it is cleared
-	Silent      *bool  `json:"silent,omitempty"`       // calls are accepted, never executed and never answered
-	SilentAfter *bool  `json:"silent_after,omitempty"` // calls are executed and never answered
-	DropReplies *int   `json:"drop_replies,omitempty"` // this many calls are executed and their connections closed without a reply
-	SlowMS      *int64 `json:"slow_ms,omitempty"`      // delay before calls are executed
-	FailTasks   *bool  `json:"fail_tasks,omitempty"`   // each new task fails immediately
-	Leaving     *bool  `json:"leaving,omitempty"`      // reports say that the worker is leaving
-	Reboot      bool   `json:"reboot,omitempty"`       // start a new boot without tasks
-	Calls       []Call `json:"calls,omitempty"`        // kinds that silent, silent_after, drop_replies and slow_ms apply to; all if absent
+	Freeze      *bool        `json:"freeze,omitempty"`       // calls wait and leases are not enforced until it is cleared
+	Silent      *bool        `json:"silent,omitempty"`       // calls are accepted, never executed and never answered
+	SilentAfter *bool        `json:"silent_after,omitempty"` // calls are executed and never answered
+	DropReplies *int         `json:"drop_replies,omitempty"` // this many calls are executed and their connections closed without a reply
+	SlowMS      *int64       `json:"slow_ms,omitempty"`      // delay before calls are executed
+	FailTasks   *bool        `json:"fail_tasks,omitempty"`   // each new task fails immediately
+	Leaving     *bool        `json:"leaving,omitempty"`      // reports say that the worker is leaving
+	Reboot      bool         `json:"reboot,omitempty"`       // start a new boot without tasks
+	Calls       []WorkerCall `json:"calls,omitempty"`        // kinds that silent, silent_after, drop_replies and slow_ms apply to; all if absent
 }
 
 // callFaults holds the active faults of calls.
@@ -46,19 +46,19 @@
 	silentAfter bool
 	dropReplies int
 	slow        time.Duration
-	kinds       []Call // to which the faults except frozen apply; all if empty
+	kinds       []WorkerCall // to which the faults except frozen apply; all if empty
 }
 
 // replyFault is the fault of a reply: the connection is closed, or no reply is ever sent.
 type replyFault struct{ drop, silent bool }
 
-func (f *callFaults) appliesTo(kind Call) bool {
+func (f *callFaults) appliesTo(kind WorkerCall) bool {
 	return len(f.kinds) == 0 || slices.Contains(f.kinds, kind)
 }
 
 // takeReplyFault returns the fault for the reply to an executed call, and decrements dropReplies if
 // it drops the reply.
-func (f *callFaults) takeReplyFault(kind Call) replyFault {
+func (f *callFaults) takeReplyFault(kind WorkerCall) replyFault {
 	if !f.appliesTo(kind) {
 		return replyFault{}
 	}
@@ -134,7 +134,7 @@
 }
 
 // applyBefore applies the faults that act before a call is executed.
-func (w *Worker) applyBefore(ctx context.Context, kind Call) error {
+func (w *Worker) applyBefore(ctx context.Context, kind WorkerCall) error {
 	var slow time.Duration
 	var silent bool
 	err := w.runControl(func(time.Time) {
--- a/standin/worker_faults_test.go
+++ b/standin/worker_faults_test.go
@@ -40,7 +40,7 @@
 }
 
 // call makes one call of the given kind.
-func (s *callFixture) call(t *testing.T, kind Call) error {
+func (s *callFixture) call(t *testing.T, kind WorkerCall) error {
 	ctx := t.Context()
 	var err error
 	switch kind {
@@ -66,7 +66,7 @@
 }
 
 // hasEffect reports whether the call has changed the worker.
-func (s *callFixture) hasEffect(kind Call) (effect bool) {
+func (s *callFixture) hasEffect(kind WorkerCall) (effect bool) {
 	_ = s.w.runControl(func(time.Time) {
 		m := s.w.machine
 		switch kind {
@@ -120,7 +120,7 @@
 }
 
 // run makes the call under the fault, clears the fault and checks the effect.
-func (c faultCase) run(t *testing.T, s *callFixture, kind Call) {
+func (c faultCase) run(t *testing.T, s *callFixture, kind WorkerCall) {
 	if err := s.w.SetFaults(c.faults); err != nil {
 		t.Fatal(err)
 	}
@@ -144,7 +144,7 @@
 // guards against an error that reports a certain outcome where the outcome is unclear.
 func TestWorkerFaultsOverHTTP(t *testing.T) {
 	for _, c := range faultCases {
-		for _, kind := range Calls {
+		for _, kind := range WorkerCalls {
 			t.Run(c.name+"/"+string(kind), func(t *testing.T) {
 				t.Parallel()
 				w := NewWorker(testConfig())
@@ -159,7 +159,7 @@
 // over HTTP.
 func TestWorkerFaultsInProcess(t *testing.T) {
 	for _, c := range faultCases {
-		for _, kind := range Calls {
+		for _, kind := range WorkerCalls {
 			t.Run(c.name+"/"+string(kind), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					w := NewWorker(testConfig())
@@ -176,7 +176,7 @@
 // TestCallsAfterRefusalAndReboot guards against ErrUnclear for a call that certainly had no effect,
 // and against a start that becomes valid again after a reboot because the worker's clock restarts.
 func TestCallsAfterRefusalAndReboot(t *testing.T) {
-	for _, kind := range Calls {
+	for _, kind := range WorkerCalls {
 		synctest.Test(t, func(t *testing.T) {
 			w := NewWorker(testConfig())
 			defer w.Close()
