document: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

document.Weigh -> SchedulingPolicy document.Weighs -> SchedulingPolicies document.Document.Weigh -> SchedulingPolicy document.IsName -> IsValidName

--- a/caller/read.go
+++ b/caller/read.go
@@ -30,10 +30,10 @@
 // checkNames rejects names that are invalid in a document. A name with a slash, for
 // example, could give two jobs the same ID.
 func checkNames(team task.Team, service task.Service) error {
-	if !document.IsName(string(team)) {
+	if !document.IsValidName(string(team)) {
 		return errkind.New(errkind.UnknownTeam, "there is no team %.80q", team).WithField("team", document.NameRule)
 	}
-	if !document.IsName(string(service)) {
+	if !document.IsValidName(string(service)) {
 		return errkind.New(errkind.UnknownService, "there is no service %.80q", service).WithField("service", document.NameRule)
 	}
 	return nil
--- a/document/document.go
+++ b/document/document.go
@@ -10,16 +10,16 @@
 // the whole team may use. Only the team document has Share and Limit, so that two
 // services of one team cannot set them to different values.
 type Document struct {
-	Team            task.Team       `json:"team"`
-	Service         task.Service    `json:"service,omitempty"`
-	Share           float64         `json:"share,omitempty"`             // weight of the team in fair sharing; team document only
-	Limit           *task.Resources `json:"limit,omitempty"`             // fleet-wide upper limit; team document only
-	Open            bool            `json:"open,omitempty"`              // the queue accepts work without a key
-	Classes         []Class         `json:"classes,omitempty"`           // kinds of work
-	Regions         []string        `json:"regions,omitempty"`           // allowed regions, nearest first; empty for all
-	Weigh           Weigh           `json:"weigh,omitempty"`             // policy of placement and fairness
-	CrossRegionWait time.Duration   `json:"cross_region_wait,omitempty"` // expected wait above which work goes to another region
-	QueueLimit      int             `json:"queue_limit,omitempty"`       // most waiting tasks of the service at one owner; 0 for the limit in the settings
+	Team             task.Team        `json:"team"`
+	Service          task.Service     `json:"service,omitempty"`
+	Share            float64          `json:"share,omitempty"`             // weight of the team in fair sharing; team document only
+	Limit            *task.Resources  `json:"limit,omitempty"`             // fleet-wide upper limit; team document only
+	Open             bool             `json:"open,omitempty"`              // the queue accepts work without a key
+	Classes          []Class          `json:"classes,omitempty"`           // kinds of work
+	Regions          []string         `json:"regions,omitempty"`           // allowed regions, nearest first; empty for all
+	SchedulingPolicy SchedulingPolicy `json:"weigh,omitempty"`             // policy of placement and fairness
+	CrossRegionWait  time.Duration    `json:"cross_region_wait,omitempty"` // expected wait above which work goes to another region
+	QueueLimit       int              `json:"queue_limit,omitempty"`       // most waiting tasks of the service at one owner; 0 for the limit in the settings
 }
 
 // Class is one kind of work of a service.
@@ -35,17 +35,17 @@
 	MaySubmit []string       `json:"may_submit,omitempty"` // roles whose keys may submit; empty for every key of the team
 }
 
-// Weigh is a policy: what placement and fairness give most weight to for a service.
-type Weigh string
+// SchedulingPolicy is a policy: what placement and fairness give most weight to for a service.
+type SchedulingPolicy string
 
 // The policies of placement and fairness.
 const (
-	WaitingAndShare Weigh = "waiting_and_share"
-	QuotesAndCost   Weigh = "quotes_and_cost"
+	WaitingAndShare SchedulingPolicy = "waiting_and_share"
+	QuotesAndCost   SchedulingPolicy = "quotes_and_cost"
 )
 
-// Weighs lists every policy.
-var Weighs = []Weigh{WaitingAndShare, QuotesAndCost}
+// SchedulingPolicies lists every policy.
+var SchedulingPolicies = []SchedulingPolicy{WaitingAndShare, QuotesAndCost}
 
 // Defaults of omitted fields.
 const (
@@ -70,11 +70,11 @@
 // maxNameBytes limits names because they are part of store keys and URL paths.
 const maxNameBytes = 63
 
-// NameRule describes the names that IsName accepts.
+// NameRule describes the names that IsValidName accepts.
 const NameRule = "a name of 1 to 63 characters: a-z, 0-9 and -, starting with a letter, not ending with -"
 
-// IsName reports whether s is a valid name of a team, service, class, region or role.
-func IsName(s string) bool {
+// IsValidName reports whether s is a valid name of a team, service, class, region or role.
+func IsValidName(s string) bool {
 	if s == "" || len(s) > maxNameBytes || s[len(s)-1] == '-' || s[0] < 'a' || s[0] > 'z' {
 		return false
 	}
--- a/document/parse.go
+++ b/document/parse.go
@@ -54,7 +54,7 @@
 	switch {
 	case !c.Has(path):
 		c.Add(path, "the field is missing", NameRule)
-	case !IsName(value):
+	case !IsValidName(value):
 		c.Add(path, fmt.Sprintf("%q is not a name", truncate(value)), NameRule)
 	}
 }
@@ -100,9 +100,9 @@
 		}
 	}
 	if !c.Has("weigh") {
-		d.Weigh = WaitingAndShare
+		d.SchedulingPolicy = WaitingAndShare
 	}
-	c.oneOf("weigh", string(d.Weigh), stringsOf(Weighs))
+	c.oneOf("weigh", string(d.SchedulingPolicy), stringsOf(SchedulingPolicies))
 	if !c.Has("cross_region_wait") {
 		d.CrossRegionWait = defaultCrossRegionWait
 	}
@@ -123,7 +123,7 @@
 func (c checker) names(path string, names []string) {
 	for i, name := range names {
 		namePath := fmt.Sprintf("%s[%d]", path, i)
-		if !IsName(name) {
+		if !IsValidName(name) {
 			c.Add(namePath, fmt.Sprintf("%q is not a name", truncate(name)), NameRule)
 		}
 		if slices.Contains(names[:i], name) {
--- a/operator/documents.go
+++ b/operator/documents.go
@@ -99,10 +99,10 @@
 
 func parseRef(c call) (Ref, error) {
 	ref := Ref{Team: task.Team(c.PathValue("team")), Service: task.Service(c.PathValue("service"))}
-	if !document.IsName(string(ref.Team)) {
+	if !document.IsValidName(string(ref.Team)) {
 		return ref, errkind.New(errkind.UnknownTeam, "there is no team %.80q", ref.Team).WithField("team", document.NameRule)
 	}
-	if ref.Service != "" && !document.IsName(string(ref.Service)) {
+	if ref.Service != "" && !document.IsValidName(string(ref.Service)) {
 		return ref, errkind.New(errkind.UnknownService, "there is no service %.80q", ref.Service).WithField("service", document.NameRule)
 	}
 	return ref, nil
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -15,7 +15,7 @@
 		return httpjson.Answer{}, err
 	}
 	name := request.Instance + request.Worker
-	if (request.Instance == "") == (request.Worker == "") || !document.IsName(name) {
+	if (request.Instance == "") == (request.Worker == "") || !document.IsValidName(name) {
 		return httpjson.Answer{}, errkind.New(errkind.InvalidRequest, "the request must name exactly one entry instance or worker").
 			WithField("instance", "either instance or worker, "+document.NameRule)
 	}
--- a/operator/keys.go
+++ b/operator/keys.go
@@ -29,9 +29,9 @@
 
 func checkGrant(request api.GrantRequest) error {
 	switch {
-	case !document.IsName(string(request.Team)):
+	case !document.IsValidName(string(request.Team)):
 		return errkind.New(errkind.InvalidRequest, "%.80q is not a name", request.Team).WithField("team", document.NameRule)
-	case request.Role != "" && !document.IsName(request.Role):
+	case request.Role != "" && !document.IsValidName(request.Role):
 		return errkind.New(errkind.InvalidRequest, "%.80q is not a name", request.Role).WithField("role", document.NameRule)
 	case len(request.Note) > maxNoteBytes:
 		return errkind.New(errkind.InvalidRequest, "the note has %d bytes", len(request.Note)).
@@ -54,7 +54,7 @@
 
 func (s *Server) listKeys(c call) (httpjson.Answer, error) {
 	team := c.URL.Query().Get("team")
-	if team != "" && !document.IsName(team) {
+	if team != "" && !document.IsValidName(team) {
 		return httpjson.Answer{}, errkind.New(errkind.UnknownTeam, "there is no team %.80q", team).WithField("team", document.NameRule)
 	}
 	keys, err := s.backend.Keys(c.ctx, task.Team(team))
--- a/settings/check.go
+++ b/settings/check.go
@@ -40,7 +40,7 @@
 func (c checker) operatorKeys(s Settings) {
 	for i, key := range s.OperatorKeys {
 		path := fmt.Sprintf("operator_keys[%d]", i)
-		c.Require(document.IsName(key.Name), path+".name", fmt.Sprintf("%q is not a name", key.Name), document.NameRule)
+		c.Require(document.IsValidName(key.Name), path+".name", fmt.Sprintf("%q is not a name", key.Name), document.NameRule)
 		c.Require(isDigest(key.Digest), path+".digest", "the value is not a SHA-256 digest", "64 hexadecimal digits, a-f in lower case")
 		duplicate := slices.ContainsFunc(s.OperatorKeys[:i], func(k OperatorKey) bool { return k.Digest == key.Digest })
 		c.Require(!duplicate, path+".digest", "duplicate digest", "a different secret for each operator")
@@ -79,7 +79,7 @@
 		{"instance", s.Instance}, {"region", s.Region}, {"failure_domain", s.FailureDomain},
 	} {
 		if c.Has(name.path) {
-			c.Require(document.IsName(name.value), name.path, fmt.Sprintf("%q is not a name", name.value), document.NameRule)
+			c.Require(document.IsValidName(name.value), name.path, fmt.Sprintf("%q is not a name", name.value), document.NameRule)
 		}
 	}
 	if !c.Has("regions") {
@@ -88,7 +88,7 @@
 	c.Require(len(s.Regions) > 0, "regions", "the list is empty", "at least one region")
 	for i, region := range s.Regions {
 		path := fmt.Sprintf("regions[%d]", i)
-		c.Require(document.IsName(region), path, fmt.Sprintf("%q is not a name", region), document.NameRule)
+		c.Require(document.IsValidName(region), path, fmt.Sprintf("%q is not a name", region), document.NameRule)
 		c.Require(!slices.Contains(s.Regions[:i], region), path, fmt.Sprintf("duplicate region %q", region), "each region once")
 	}
 	if c.Has("region") {
