settings: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

settings.Settings.DigestIntervalCross -> DigestIntervalCrossRegion

--- a/daemon/fromsettings.go
+++ b/daemon/fromsettings.go
@@ -36,8 +36,8 @@
 	cfg.ClockDrift, cfg.ClockMargin = s.ClockDrift, s.ClockMargin
 	cfg.CallTimeout = s.EntryCallTimeout
 	cfg.KeepAliveInterval, cfg.StoreLeaseTTL, cfg.KeyFreshness = s.KeepaliveInterval, s.StoreLeaseTTL, s.KeyFreshness
-	cfg.DigestInterval, cfg.CrossRegionDigestInterval = s.DigestInterval, s.DigestIntervalCross
-	cfg.DigestLifetime = 3 * s.DigestIntervalCross
+	cfg.DigestInterval, cfg.CrossRegionDigestInterval = s.DigestInterval, s.DigestIntervalCrossRegion
+	cfg.DigestLifetime = 3 * s.DigestIntervalCrossRegion
 	cfg.MaxDrainWait = s.DrainTimeout * 2 / 3
 	return cfg
 }
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -140,7 +140,7 @@
 	s.KeyFreshness, s.KeepaliveInterval, s.StoreCallTimeout = keyFreshness, time.Second, time.Second
 	// Instances of other regions receive the configuration revision of this one at
 	// this interval, and apply waits for it.
-	s.DigestIntervalCross = s.DigestInterval
+	s.DigestIntervalCrossRegion = s.DigestInterval
 	return s
 }
 
--- a/settings/rules.go
+++ b/settings/rules.go
@@ -10,8 +10,8 @@
 	c.leaseRules(s)
 	c.workerRules(s)
 	c.sizeRules(s)
-	c.Require(s.DigestInterval <= s.DigestIntervalCross, "digest_interval_cross_region",
-		fmt.Sprintf("%s is less than digest_interval", s.DigestIntervalCross),
+	c.Require(s.DigestInterval <= s.DigestIntervalCrossRegion, "digest_interval_cross_region",
+		fmt.Sprintf("%s is less than digest_interval", s.DigestIntervalCrossRegion),
 		fmt.Sprintf("%s or more (digest_interval)", s.DigestInterval))
 	c.Require(s.AllowanceInterval <= s.AllowanceIdle, "allowance_idle",
 		fmt.Sprintf("%s is less than allowance_interval", s.AllowanceIdle),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -18,20 +18,20 @@
 	LogLevel             string        `json:"log_level" default:"info" doc:"debug, info, warn or error"`
 	Pprof                bool          `json:"pprof" default:"false" doc:"serve /debug/pprof/ on operator_address"`
 
-	StoreLeaseTTL       time.Duration `json:"store_lease_ttl" default:"9s" min:"1s" max:"5m" doc:"TTL of the store lease to which the member key is attached"`
-	KeepaliveInterval   time.Duration `json:"keepalive_interval" default:"3s" min:"100ms" max:"1m" doc:"between two keepalives of the store lease; less than half of store_lease_ttl"`
-	StoreCallTimeout    time.Duration `json:"store_call_timeout" default:"2s" min:"50ms" max:"1m" doc:"for one call to the store, except a watch"`
-	StreamProgress      time.Duration `json:"stream_progress" default:"3s" min:"1s" max:"30s" doc:"a watch of the store that delivers nothing for this time is replaced; the store sends a notice every second"`
-	PromiseWindow       time.Duration `json:"promise_window" default:"5s" min:"500ms" max:"1m" doc:"time for which a successor promises not to take over"`
-	ClockDrift          float64       `json:"clock_drift" default:"0.01" min:"0" max:"0.1" doc:"fraction by which the rates of two monotonic clocks may differ"`
-	ClockMargin         time.Duration `json:"clock_margin" default:"100ms" min:"0s" max:"5s" doc:"subtracted from every term, besides clock_drift"`
-	ListInterval        time.Duration `json:"list_interval" default:"1s" min:"100ms" max:"1m" doc:"between two reads of the instance list"`
-	ListTimeout         time.Duration `json:"list_timeout" default:"2s" min:"50ms" max:"1m" doc:"for one read of the instance list"`
-	ListLag             time.Duration `json:"list_lag" default:"10s" min:"0s" max:"5m" doc:"longest time by which the instance list lags"`
-	KeyFreshness        time.Duration `json:"key_freshness" default:"5s" min:"500ms" max:"10s" doc:"a withdrawn key is refused everywhere after this time"`
-	DigestInterval      time.Duration `json:"digest_interval" default:"1s" min:"100ms" max:"1m" doc:"between two state digests to an entry instance of the same region"`
-	DigestIntervalCross time.Duration `json:"digest_interval_cross_region" default:"5s" min:"100ms" max:"5m" doc:"between two state digests to an entry instance of another region"`
-	EntryCallTimeout    time.Duration `json:"entry_call_timeout" default:"2s" min:"50ms" max:"1m" doc:"for one call to another entry instance that does not wait for work"`
+	StoreLeaseTTL             time.Duration `json:"store_lease_ttl" default:"9s" min:"1s" max:"5m" doc:"TTL of the store lease to which the member key is attached"`
+	KeepaliveInterval         time.Duration `json:"keepalive_interval" default:"3s" min:"100ms" max:"1m" doc:"between two keepalives of the store lease; less than half of store_lease_ttl"`
+	StoreCallTimeout          time.Duration `json:"store_call_timeout" default:"2s" min:"50ms" max:"1m" doc:"for one call to the store, except a watch"`
+	StreamProgress            time.Duration `json:"stream_progress" default:"3s" min:"1s" max:"30s" doc:"a watch of the store that delivers nothing for this time is replaced; the store sends a notice every second"`
+	PromiseWindow             time.Duration `json:"promise_window" default:"5s" min:"500ms" max:"1m" doc:"time for which a successor promises not to take over"`
+	ClockDrift                float64       `json:"clock_drift" default:"0.01" min:"0" max:"0.1" doc:"fraction by which the rates of two monotonic clocks may differ"`
+	ClockMargin               time.Duration `json:"clock_margin" default:"100ms" min:"0s" max:"5s" doc:"subtracted from every term, besides clock_drift"`
+	ListInterval              time.Duration `json:"list_interval" default:"1s" min:"100ms" max:"1m" doc:"between two reads of the instance list"`
+	ListTimeout               time.Duration `json:"list_timeout" default:"2s" min:"50ms" max:"1m" doc:"for one read of the instance list"`
+	ListLag                   time.Duration `json:"list_lag" default:"10s" min:"0s" max:"5m" doc:"longest time by which the instance list lags"`
+	KeyFreshness              time.Duration `json:"key_freshness" default:"5s" min:"500ms" max:"10s" doc:"a withdrawn key is refused everywhere after this time"`
+	DigestInterval            time.Duration `json:"digest_interval" default:"1s" min:"100ms" max:"1m" doc:"between two state digests to an entry instance of the same region"`
+	DigestIntervalCrossRegion time.Duration `json:"digest_interval_cross_region" default:"5s" min:"100ms" max:"5m" doc:"between two state digests to an entry instance of another region"`
+	EntryCallTimeout          time.Duration `json:"entry_call_timeout" default:"2s" min:"50ms" max:"1m" doc:"for one call to another entry instance that does not wait for work"`
 
 	WorkerPartitions   int           `json:"worker_partitions_per_region" default:"4" min:"1" max:"1024" doc:"worker partitions of each region; the same on all instances"`
 	RequestShards      int           `json:"request_shards" default:"64" min:"1" max:"4096" doc:"request shards of the deployment; the same on all instances"`
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -63,7 +63,7 @@
 	s := Default()
 	got := []any{s.StoreLeaseTTL, s.KeepaliveInterval, s.PromiseWindow, s.ClockDrift, s.ClockMargin, s.TaskLease, s.StartValidity,
 		s.WorkerSyncInterval, s.KeyFreshness, s.ListLag, s.LedgerFlushInterval, s.ResultRetention, s.DrainTimeout, s.QueueLimitPerTeam,
-		s.DigestInterval, s.DigestIntervalCross, s.AllowanceIdle, s.AllowanceInterval, s.MaxResultBytes, s.MaxRequestBytes,
+		s.DigestInterval, s.DigestIntervalCrossRegion, s.AllowanceIdle, s.AllowanceInterval, s.MaxResultBytes, s.MaxRequestBytes,
 		s.MaxDurableRequestBytes, s.LedgerTxnBytes}
 	const second = time.Second
 	want := []any{9 * second, 3 * second, 5 * second, 0.01, second / 10, 30 * second, 3 * second,
