--- a/document/class.go
+++ b/document/class.go
@@ -20,7 +20,7 @@
 
 func (c checker) classes(d *Document) {
 	if len(d.Classes) == 0 || len(d.Classes) > maxClasses {
-		c.Add("classes", fmt.Sprintf("the service has %d classes", len(d.Classes)), fmt.Sprintf("1 to %d classes", maxClasses))
+		c.AddFault("classes", fmt.Sprintf("the service has %d classes", len(d.Classes)), fmt.Sprintf("1 to %d classes", maxClasses))
 	}
 	firstIndex := make(map[string]int)
 	for i := range d.Classes {
@@ -28,13 +28,13 @@
 		class := &d.Classes[i]
 		if firstAt, duplicate := firstIndex[class.Name]; duplicate && class.Name != "" {
 			line := c.Fault(fmt.Sprintf("classes[%d].name", firstAt), "", "").Line
-			c.Add(path+".name", fmt.Sprintf("duplicate class name %q, first on line %d", truncate(class.Name), line), "each class name once")
+			c.AddFault(path+".name", fmt.Sprintf("duplicate class name %q, first on line %d", truncate(class.Name), line), "each class name once")
 		} else {
 			firstIndex[class.Name] = i
 		}
 		c.class(path, class)
 		if d.Open && len(class.MaySubmit) > 0 {
-			c.Add(path+".may_submit", "an open queue accepts work without a key, so it cannot require a role",
+			c.AddFault(path+".may_submit", "an open queue accepts work without a key, so it cannot require a role",
 				"open: false, or a class without may_submit")
 		}
 	}
@@ -51,14 +51,14 @@
 	c.count(path, class)
 	c.run(path, class)
 	if class.Command == "" || len(class.Command) > maxCommandBytes {
-		c.Add(path+".command", "the command is missing or too long", fmt.Sprintf("1 to %d bytes", maxCommandBytes))
+		c.AddFault(path+".command", "the command is missing or too long", fmt.Sprintf("1 to %d bytes", maxCommandBytes))
 	}
 	c.names(path+".may_submit", class.MaySubmit)
 }
 
 func (c checker) size(path string, class *Class) {
 	if !c.Has(path + ".size") {
-		c.Add(path+".size", "the field is missing", "an object with at least one of cpu_milli, memory_mb, accelerators, slots")
+		c.AddFault(path+".size", "the field is missing", "an object with at least one of cpu_milli, memory_mb, accelerators, slots")
 		return
 	}
 	c.amounts(path+".size", class.Size)
@@ -66,7 +66,7 @@
 	withoutConnections := class.Size
 	withoutConnections.Connections = 0
 	if withoutConnections.IsZero() {
-		c.Add(path+".size", "a task of this size occupies no capacity, so any number of tasks would fit on a worker",
+		c.AddFault(path+".size", "a task of this size occupies no capacity, so any number of tasks would fit on a worker",
 			"more than 0 of at least one of cpu_milli, memory_mb, accelerators, slots")
 	}
 	if !c.Has(path + ".max_size") {
@@ -76,7 +76,7 @@
 	c.amounts(path+".max_size", class.MaxSize)
 	for _, a := range amountsOf(class.MaxSize) {
 		if size := a.get(class.Size); a.value < size {
-			c.Add(path+".max_size."+a.name, fmt.Sprintf("the amount %d is less than the amount in size", a.value), fmt.Sprintf("%d or more", size))
+			c.AddFault(path+".max_size."+a.name, fmt.Sprintf("the amount %d is less than the amount in size", a.value), fmt.Sprintf("%d or more", size))
 		}
 	}
 }
@@ -90,7 +90,7 @@
 		minCount = 2
 	}
 	if class.MaxCount < minCount || class.MaxCount > maxTasksPerJob {
-		c.Add(path+".max_count", fmt.Sprintf("the count is %d", class.MaxCount), fmt.Sprintf("%d to %d tasks in a job of kind %s", minCount, maxTasksPerJob, class.Kind))
+		c.AddFault(path+".max_count", fmt.Sprintf("the count is %d", class.MaxCount), fmt.Sprintf("%d to %d tasks in a job of kind %s", minCount, maxTasksPerJob, class.Kind))
 	}
 }
 
@@ -98,10 +98,10 @@
 	maxRunPath := path + ".max_run"
 	switch {
 	case class.Kind == task.LongLived && c.Has(maxRunPath):
-		c.Add(maxRunPath, "a long-lived service runs until it is cancelled", "leave the field out for kind service")
+		c.AddFault(maxRunPath, "a long-lived service runs until it is cancelled", "leave the field out for kind service")
 	case class.Kind == task.LongLived:
 	case !c.Has(maxRunPath):
-		c.Add(maxRunPath, "the field is missing", `a duration such as "9s" for every kind but service`)
+		c.AddFault(maxRunPath, "the field is missing", `a duration such as "9s" for every kind but service`)
 	case class.Kind == task.Answer:
 		c.duration(maxRunPath, class.MaxRun, time.Millisecond, maxAnswerRun)
 	default:
@@ -111,7 +111,7 @@
 
 func (c checker) duration(path string, value, shortest, longest time.Duration) {
 	if value < shortest || value > longest {
-		c.Add(path, fmt.Sprintf("the duration is %s", value), fmt.Sprintf("%s to %s", shortest, longest))
+		c.AddFault(path, fmt.Sprintf("the duration is %s", value), fmt.Sprintf("%s to %s", shortest, longest))
 	}
 }
 
@@ -139,7 +139,7 @@
 func (c checker) amounts(path string, r task.Resources) {
 	for _, a := range amountsOf(r) {
 		if a.value < 0 || a.value > maxAmount {
-			c.Add(path+"."+a.name, fmt.Sprintf("the amount is %d", a.value), fmt.Sprintf("0 to %d", int64(maxAmount)))
+			c.AddFault(path+"."+a.name, fmt.Sprintf("the amount is %d", a.value), fmt.Sprintf("0 to %d", int64(maxAmount)))
 		}
 	}
 }
--- a/document/parse.go
+++ b/document/parse.go
@@ -53,9 +53,9 @@
 func (c checker) name(path, value string) {
 	switch {
 	case !c.Has(path):
-		c.Add(path, "the field is missing", NameRule)
+		c.AddFault(path, "the field is missing", NameRule)
 	case !IsValidName(value):
-		c.Add(path, fmt.Sprintf("%q is not a name", truncate(value)), NameRule)
+		c.AddFault(path, fmt.Sprintf("%q is not a name", truncate(value)), NameRule)
 	}
 }
 
@@ -64,7 +64,7 @@
 	const allowed = "in the document of a service; a team document has team, share, limit"
 	for _, path := range []string{"open", "classes", "regions", "weigh", "cross_region_wait", "queue_limit"} {
 		if c.Has(path) {
-			c.Add(path, "the field is not allowed in a team document", allowed)
+			c.AddFault(path, "the field is not allowed in a team document", allowed)
 		}
 	}
 	if !c.Has("share") {
@@ -72,7 +72,7 @@
 	}
 	const maxShare = 1000
 	if d.Share <= 0 || d.Share > maxShare {
-		c.Add("share", fmt.Sprintf("the share is %v", d.Share), fmt.Sprintf("more than 0, at most %d", maxShare))
+		c.AddFault("share", fmt.Sprintf("the share is %v", d.Share), fmt.Sprintf("more than 0, at most %d", maxShare))
 	}
 	c.limit(d.Limit)
 }
@@ -81,12 +81,12 @@
 func (c checker) limit(limit *task.Resources) {
 	const allowed = "an object with every one of cpu_milli, memory_mb, accelerators, slots, connections"
 	if limit == nil {
-		c.Add("limit", "the field is missing", allowed)
+		c.AddFault("limit", "the field is missing", allowed)
 		return
 	}
 	for _, a := range amountsOf(*limit) {
 		if !c.Has("limit." + a.name) {
-			c.Add("limit."+a.name, "the amount is missing", allowed)
+			c.AddFault("limit."+a.name, "the amount is missing", allowed)
 		}
 	}
 	c.amounts("limit", *limit)
@@ -96,7 +96,7 @@
 func (c checker) service(d *Document) {
 	for _, path := range []string{"share", "limit"} {
 		if c.Has(path) {
-			c.Add(path, "the field is not allowed in the document of a service", "in the team document, which has no field service")
+			c.AddFault(path, "the field is not allowed in the document of a service", "in the team document, which has no field service")
 		}
 	}
 	if !c.Has("weigh") {
@@ -109,7 +109,7 @@
 	c.duration("cross_region_wait", d.CrossRegionWait, 0, maxCrossRegionWait)
 	const maxQueueLimit = 100_000
 	if c.Has("queue_limit") && (d.QueueLimit < 1 || d.QueueLimit > maxQueueLimit) {
-		c.Add("queue_limit", fmt.Sprintf("the limit is %d", d.QueueLimit), fmt.Sprintf("1 to %d waiting tasks", maxQueueLimit))
+		c.AddFault("queue_limit", fmt.Sprintf("the limit is %d", d.QueueLimit), fmt.Sprintf("1 to %d waiting tasks", maxQueueLimit))
 	}
 	c.names("regions", d.Regions)
 	for i, region := range d.Regions {
@@ -124,10 +124,10 @@
 	for i, name := range names {
 		namePath := fmt.Sprintf("%s[%d]", path, i)
 		if !IsValidName(name) {
-			c.Add(namePath, fmt.Sprintf("%q is not a name", truncate(name)), NameRule)
+			c.AddFault(namePath, fmt.Sprintf("%q is not a name", truncate(name)), NameRule)
 		}
 		if slices.Contains(names[:i], name) {
-			c.Add(namePath, fmt.Sprintf("duplicate name %q", truncate(name)), "each name once")
+			c.AddFault(namePath, fmt.Sprintf("duplicate name %q", truncate(name)), "each name once")
 		}
 	}
 }
@@ -138,7 +138,7 @@
 		if !c.Has(path) {
 			message = "the field is missing"
 		}
-		c.Add(path, message, strings.Join(allowed, ", "))
+		c.AddFault(path, message, strings.Join(allowed, ", "))
 	}
 }
 
--- a/jsonc/checker.go
+++ b/jsonc/checker.go
@@ -23,8 +23,8 @@
 	return c
 }
 
-// Add records a fault in the value at path.
-func (c *Checker) Add(path, message, allowed string) {
+// AddFault records a fault in the value at path.
+func (c *Checker) AddFault(path, message, allowed string) {
 	if !c.isUndecoded(path) {
 		c.faults = append(c.faults, c.Fault(path, message, allowed))
 	}
@@ -33,7 +33,7 @@
 // Require records a fault in the value at path unless ok.
 func (c *Checker) Require(ok bool, path, message, allowed string) {
 	if !ok {
-		c.Add(path, message, allowed)
+		c.AddFault(path, message, allowed)
 	}
 }
 
--- a/jsonc/describe.go
+++ b/jsonc/describe.go
@@ -10,12 +10,12 @@
 	"github.com/tailscale/hujson"
 )
 
-// Described is implemented by types that describe the values they accept.
-type Described interface{ Describe() string }
+// Describer is implemented by types that describe the values they accept.
+type Describer interface{ Describe() string }
 
 // describe returns a description of the values that t accepts.
 func describe(t reflect.Type) string {
-	if described, ok := reflect.New(t).Interface().(Described); ok {
+	if described, ok := reflect.New(t).Interface().(Describer); ok {
 		return described.Describe()
 	}
 	switch {
--- a/settings/check.go
+++ b/settings/check.go
@@ -26,7 +26,7 @@
 		field := v.Type().Field(i)
 		path := jsonc.FieldName(field)
 		if _, hasDefault := field.Tag.Lookup("default"); !hasDefault && !c.Has(path) {
-			c.Add(path, "the field is missing", field.Tag.Get("doc"))
+			c.AddFault(path, "the field is missing", field.Tag.Get("doc"))
 			continue
 		}
 		c.bounds(path, field, v.Field(i))
@@ -70,7 +70,7 @@
 		outside = v.Float() < lower.Float() || v.Float() > upper.Float()
 	}
 	if outside {
-		c.Add(path, fmt.Sprintf("the value is %v", v.Interface()), minText+" to "+field.Tag.Get("max"))
+		c.AddFault(path, fmt.Sprintf("the value is %v", v.Interface()), minText+" to "+field.Tag.Get("max"))
 	}
 }
 
