operator: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

operator.Held -> StoredDocument operator.Ref -> DocumentRef operator.Change -> DocumentChange operator.Change.By -> Operator operator.Change.Expected -> ExpectedRevision

--- a/cmd/mulberryctl/main_test.go
+++ b/cmd/mulberryctl/main_test.go
@@ -44,22 +44,22 @@
 // operatorBackend is a fake that stores one document.
 type operatorBackend struct {
 	operator.Backend
-	stored operator.Held
+	stored operator.StoredDocument
 }
 
-func (b *operatorBackend) Get(context.Context, operator.Ref) (operator.Held, error) {
+func (b *operatorBackend) Get(context.Context, operator.DocumentRef) (operator.StoredDocument, error) {
 	if b.stored.Revision == 0 {
 		return b.stored, errkind.New(errkind.UnknownService, "no document")
 	}
 	return b.stored, nil
 }
 
-func (b *operatorBackend) Apply(_ context.Context, c operator.Change) (operator.Held, error) {
-	if c.Expected != b.stored.Revision {
-		return operator.Held{}, &operator.Conflict{Expected: c.Expected, Current: b.stored}
+func (b *operatorBackend) Apply(_ context.Context, c operator.DocumentChange) (operator.StoredDocument, error) {
+	if c.ExpectedRevision != b.stored.Revision {
+		return operator.StoredDocument{}, &operator.Conflict{Expected: c.ExpectedRevision, Current: b.stored}
 	}
-	b.stored = operator.Held{Ref: c.Ref, Revision: b.stored.Revision + 1, Record: document.Record{
-		Source: c.Source, Previous: b.stored.Record.Source, By: c.By}}
+	b.stored = operator.StoredDocument{Ref: c.Ref, Revision: b.stored.Revision + 1, Record: document.Record{
+		Source: c.Source, Previous: b.stored.Record.Source, By: c.Operator}}
 	return b.stored, nil
 }
 
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -19,39 +19,39 @@
 const maxApplyAttempts = 5
 
 // Apply replaces a document if its revision is the expected one.
-func (b *operatorBackend) Apply(ctx context.Context, change operator.Change) (operator.Held, error) {
+func (b *operatorBackend) Apply(ctx context.Context, change operator.DocumentChange) (operator.StoredDocument, error) {
 	key := store.DocumentKey(string(change.Ref.Team), string(change.Ref.Service))
-	record := document.Record{Source: change.Source, PreviousRevision: change.Expected, By: change.By, At: time.Now().UTC(), WriteID: rand.Text()}
+	record := document.Record{Source: change.Source, PreviousRevision: change.ExpectedRevision, By: change.Operator, At: time.Now().UTC(), WriteID: rand.Text()}
 	if err := b.checkTeam(ctx, change.Ref); err != nil {
-		return operator.Held{}, err
+		return operator.StoredDocument{}, err
 	}
 	for range maxApplyAttempts {
 		current, revision, err := b.readDocument(ctx, key)
 		if err != nil {
-			return operator.Held{}, err
+			return operator.StoredDocument{}, err
 		}
 		if current.WriteID == record.WriteID {
 			return b.awaitApplied(ctx, change, record, revision) // an earlier attempt whose reply was lost
 		}
-		if revision != change.Expected {
-			return operator.Held{}, &operator.Conflict{Expected: change.Expected, Current: operator.Held{Ref: change.Ref, Record: current, Revision: revision}}
+		if revision != change.ExpectedRevision {
+			return operator.StoredDocument{}, &operator.Conflict{Expected: change.ExpectedRevision, Current: operator.StoredDocument{Ref: change.Ref, Record: current, Revision: revision}}
 		}
 		record.Previous = current.Source
 		result, outcome, err := b.writeDocument(ctx, key, change, record)
 		switch {
 		case err != nil:
-			return operator.Held{}, err
+			return operator.StoredDocument{}, err
 		case outcome == txnStored:
 			return b.awaitApplied(ctx, change, record, result.Revision)
 		}
 	}
-	return operator.Held{}, errkind.New(errkind.OutcomeUnknown, "the store did not confirm the document; compare the document with the one in force")
+	return operator.StoredDocument{}, errkind.New(errkind.OutcomeUnknown, "the store did not confirm the document; compare the document with the one in force")
 }
 
 // checkTeam rejects a service of a team that has no document: owners start no work of a team without
 // a known limit, so the work would be accepted and wait forever. No call removes a document, so a
 // document that was read still exists when the service's document is written.
-func (b *operatorBackend) checkTeam(ctx context.Context, ref operator.Ref) error {
+func (b *operatorBackend) checkTeam(ctx context.Context, ref operator.DocumentRef) error {
 	if ref.Service == "" {
 		return nil
 	}
@@ -64,20 +64,20 @@
 
 // awaitApplied returns a document that was written, after waiting at most change.Wait until it is in
 // force.
-func (b *operatorBackend) awaitApplied(ctx context.Context, change operator.Change, record document.Record, revision int64) (operator.Held, error) {
-	held := operator.Held{Ref: change.Ref, Record: record, Revision: revision}
+func (b *operatorBackend) awaitApplied(ctx context.Context, change operator.DocumentChange, record document.Record, revision int64) (operator.StoredDocument, error) {
+	held := operator.StoredDocument{Ref: change.Ref, Record: record, Revision: revision}
 	held.InForce = b.awaitInForce(ctx, revision, change.Wait)
 	return held, nil
 }
 
 // writeDocument writes a document. A team's document and its allowance record, which divides the
 // team's limit among the worker partitions, are written in the same transaction.
-func (b *operatorBackend) writeDocument(ctx context.Context, key string, change operator.Change, record document.Record) (store.TxnResult, txnOutcome, error) {
+func (b *operatorBackend) writeDocument(ctx context.Context, key string, change operator.DocumentChange, record document.Record) (store.TxnResult, txnOutcome, error) {
 	value, err := store.Encode(record)
 	if err != nil {
 		return store.TxnResult{}, txnNoEffect, err
 	}
-	txn := store.Txn{Compares: []store.Compare{{Key: key, ModRevision: change.Expected}}, Puts: []store.Put{{Key: key, Value: value}}}
+	txn := store.Txn{Compares: []store.Compare{{Key: key, ModRevision: change.ExpectedRevision}}, Puts: []store.Put{{Key: key, Value: value}}}
 	if parsed, _ := document.Parse([]byte(change.Source)); parsed.IsTeam() && parsed.Limit != nil {
 		if err := b.addLimit(ctx, &txn, parsed); err != nil {
 			return store.TxnResult{}, txnNoEffect, err
@@ -132,18 +132,18 @@
 }
 
 // Get returns a document from the store.
-func (b *operatorBackend) Get(ctx context.Context, ref operator.Ref) (operator.Held, error) {
+func (b *operatorBackend) Get(ctx context.Context, ref operator.DocumentRef) (operator.StoredDocument, error) {
 	record, revision, err := b.readDocument(ctx, store.DocumentKey(string(ref.Team), string(ref.Service)))
 	if err != nil {
-		return operator.Held{}, err
+		return operator.StoredDocument{}, err
 	}
 	if revision == 0 {
-		return operator.Held{}, b.notFoundError(ref)
+		return operator.StoredDocument{}, b.notFoundError(ref)
 	}
-	return operator.Held{Ref: ref, Record: record, Revision: revision, InForce: isInForce(b.loop.Snapshot(), revision)}, nil
+	return operator.StoredDocument{Ref: ref, Record: record, Revision: revision, InForce: isInForce(b.loop.Snapshot(), revision)}, nil
 }
 
-func (b *operatorBackend) notFoundError(ref operator.Ref) error {
+func (b *operatorBackend) notFoundError(ref operator.DocumentRef) error {
 	for key := range b.loop.Snapshot().Documents {
 		if key.Team == ref.Team {
 			return errkind.New(errkind.UnknownService, "team %s has no document for service %q", ref.Team, ref.Service)
@@ -153,20 +153,20 @@
 }
 
 // List returns every document from the store.
-func (b *operatorBackend) List(ctx context.Context) ([]operator.Held, error) {
+func (b *operatorBackend) List(ctx context.Context) ([]operator.StoredDocument, error) {
 	kvs, _, err := b.clients.Store.List(ctx, store.DocumentsPrefix())
 	if err != nil {
 		return nil, storeError(err)
 	}
 	snapshot := b.loop.Snapshot()
-	var list []operator.Held
+	var list []operator.StoredDocument
 	for _, kv := range kvs {
 		record, err := store.DecodeDocument(kv.Value)
 		if err != nil {
 			continue
 		}
 		team, service, _ := strings.Cut(strings.TrimPrefix(kv.Key, store.DocumentsPrefix()), "/")
-		list = append(list, operator.Held{Ref: operator.Ref{Team: task.Team(team), Service: task.Service(service)}, Record: *record,
+		list = append(list, operator.StoredDocument{Ref: operator.DocumentRef{Team: task.Team(team), Service: task.Service(service)}, Record: *record,
 			Revision: kv.ModRevision, InForce: isInForce(snapshot, kv.ModRevision)})
 	}
 	return list, nil
--- a/daemon/operations_test.go
+++ b/daemon/operations_test.go
@@ -203,7 +203,7 @@
 		t.Fatalf("%d services run before the change, want 8", got)
 	}
 	inject()
-	w.apply(t, contacted, operator.Ref{Team: "leuven"}, lowLimit)
+	w.apply(t, contacted, operator.DocumentRef{Team: "leuven"}, lowLimit)
 	time.Sleep(3 * time.Minute)
 	if got := w.running(t); got != 3 {
 		t.Errorf("%d services run under a limit of 3", got)
@@ -239,17 +239,17 @@
 
 // apply replaces a document. Each attempt reads the revision again, since an earlier attempt may
 // have succeeded.
-func (w *deployment) apply(t *testing.T, n *node, ref operator.Ref, source string) operator.Held {
+func (w *deployment) apply(t *testing.T, n *node, ref operator.DocumentRef, source string) operator.StoredDocument {
 	t.Helper()
-	return retryUntilConfirmed(t, n, "apply a document", func(ctx context.Context) (operator.Held, error) {
+	return retryUntilConfirmed(t, n, "apply a document", func(ctx context.Context) (operator.StoredDocument, error) {
 		held, err := n.operator().Get(ctx, ref)
 		if err != nil {
-			return operator.Held{}, err
+			return operator.StoredDocument{}, err
 		}
 		if held.Record.Source == source {
 			return held, nil
 		}
-		return n.operator().Apply(ctx, operator.Change{Ref: ref, Source: source, By: "test", Expected: held.Revision})
+		return n.operator().Apply(ctx, operator.DocumentChange{Ref: ref, Source: source, Operator: "test", ExpectedRevision: held.Revision})
 	})
 }
 
@@ -261,7 +261,7 @@
 func applyDocument(t *testing.T, w *deployment, contacted, other *node, inject func()) {
 	inject()
 	source := strings.Replace(testDocument, "sleep:2s", "sleep:3s", 1)
-	held := w.apply(t, contacted, operator.Ref{Team: "leuven", Service: "piping"}, source)
+	held := w.apply(t, contacted, operator.DocumentRef{Team: "leuven", Service: "piping"}, source)
 	confirmed := time.Now()
 	for time.Since(confirmed) < configBound {
 		time.Sleep(100 * time.Millisecond)
@@ -290,8 +290,8 @@
 // raceOperators checks that at most one of two concurrent changes from the same revision succeeds,
 // and that the other one receives a conflict or an error of the store.
 func raceOperators(t *testing.T, w *deployment, contacted, other *node, inject func()) {
-	ref := operator.Ref{Team: "leuven", Service: "piping"}
-	first := retryUntilConfirmed(t, contacted, "read the document", func(ctx context.Context) (operator.Held, error) { return contacted.operator().Get(ctx, ref) })
+	ref := operator.DocumentRef{Team: "leuven", Service: "piping"}
+	first := retryUntilConfirmed(t, contacted, "read the document", func(ctx context.Context) (operator.StoredDocument, error) { return contacted.operator().Get(ctx, ref) })
 	inject()
 	results := make([]error, 2)
 	var group sync.WaitGroup
@@ -300,7 +300,7 @@
 			n.waitWhileFrozen()
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
-			_, results[i] = n.operator().Apply(ctx, operator.Change{Ref: ref, By: n.cfg.Self.Instance, Expected: first.Revision,
+			_, results[i] = n.operator().Apply(ctx, operator.DocumentChange{Ref: ref, Operator: n.cfg.Self.Instance, ExpectedRevision: first.Revision,
 				Source: strings.Replace(testDocument, "sleep:2s", fmt.Sprintf("sleep:%ds", 4+i), 1)})
 		})
 	}
@@ -319,7 +319,7 @@
 	if succeeded > 1 {
 		t.Error("both concurrent changes from the same revision were reported as succeeded")
 	}
-	now := retryUntilConfirmed(t, w.nodes[2], "read the document", func(ctx context.Context) (operator.Held, error) { return w.nodes[2].operator().Get(ctx, ref) })
+	now := retryUntilConfirmed(t, w.nodes[2], "read the document", func(ctx context.Context) (operator.StoredDocument, error) { return w.nodes[2].operator().Get(ctx, ref) })
 	if succeeded == 1 && now.Record.PreviousRevision != first.Revision {
 		t.Errorf("the document in force replaced revision %d, want %d", now.Record.PreviousRevision, first.Revision)
 	}
--- a/internal/apidoc/backend_test.go
+++ b/internal/apidoc/backend_test.go
@@ -76,27 +76,27 @@
 	previousSource = `{"team":"dijle-engineering","service":"reports","classes":[{"name":"stress-report","kind":"at_most_once","size":{"slots":1},"max_run":"10m","command":"stress-report --issue"}]}`
 )
 
-func heldDocument(revision int64) operator.Held {
-	return operator.Held{
-		Ref:      operator.Ref{Team: "dijle-engineering", Service: "reports"},
+func heldDocument(revision int64) operator.StoredDocument {
+	return operator.StoredDocument{
+		Ref:      operator.DocumentRef{Team: "dijle-engineering", Service: "reports"},
 		Revision: revision,
 		InForce:  true,
 		Record:   document.Record{Source: documentSource, Previous: previousSource, By: "els", At: exampleTime},
 	}
 }
 
-func (operatorBackend) Apply(_ context.Context, c operator.Change) (operator.Held, error) {
-	if c.Expected != 41 {
-		return operator.Held{}, &operator.Conflict{Expected: c.Expected, Current: heldDocument(42)}
+func (operatorBackend) Apply(_ context.Context, c operator.DocumentChange) (operator.StoredDocument, error) {
+	if c.ExpectedRevision != 41 {
+		return operator.StoredDocument{}, &operator.Conflict{Expected: c.ExpectedRevision, Current: heldDocument(42)}
 	}
 	return heldDocument(42), nil
 }
 
-func (operatorBackend) Get(context.Context, operator.Ref) (operator.Held, error) {
+func (operatorBackend) Get(context.Context, operator.DocumentRef) (operator.StoredDocument, error) {
 	return heldDocument(42), nil
 }
-func (operatorBackend) List(context.Context) ([]operator.Held, error) {
-	return []operator.Held{heldDocument(42)}, nil
+func (operatorBackend) List(context.Context) ([]operator.StoredDocument, error) {
+	return []operator.StoredDocument{heldDocument(42)}, nil
 }
 
 var exampleKey = api.Key{ID: "k-7f3a", Team: "dijle-engineering", Role: "responsible-engineer", GrantedBy: "els", GrantedAt: exampleTime}
--- a/operator/backend.go
+++ b/operator/backend.go
@@ -9,27 +9,27 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Ref identifies a document. Service is empty for the document of a whole team.
-type Ref struct {
+// DocumentRef identifies a document. Service is empty for the document of a whole team.
+type DocumentRef struct {
 	Team    task.Team
 	Service task.Service
 }
 
-// Held is a document with its revision, as stored on this instance.
-type Held struct {
-	Ref      Ref
+// StoredDocument is a document with its revision, as stored on this instance.
+type StoredDocument struct {
+	Ref      DocumentRef
 	Record   document.Record
 	Revision int64
 	InForce  bool // every live member has this revision
 }
 
-// Change replaces a document.
-type Change struct {
-	Ref      Ref
-	Source   string // a valid document
-	By       string
-	Expected int64         // revision that the operator has seen, 0 for none
-	Wait     time.Duration // limit on waiting for the change to be in force on every live member
+// DocumentChange replaces a document.
+type DocumentChange struct {
+	Ref              DocumentRef
+	Source           string // a valid document
+	Operator         string
+	ExpectedRevision int64         // revision that the operator has seen, 0 for none
+	Wait             time.Duration // limit on waiting for the change to be in force on every live member
 }
 
 // Filter selects events of the timeline. Empty fields select all.
@@ -47,12 +47,12 @@
 	// Apply replaces a document if its revision is the expected one, and
 	// returns a *Conflict otherwise. If Wait is set, it waits for the change to be
 	// in force; an expired wait is not an error.
-	Apply(ctx context.Context, change Change) (Held, error)
+	Apply(ctx context.Context, change DocumentChange) (StoredDocument, error)
 	// Get returns a document, or an error of kind unknown_team or
 	// unknown_service.
-	Get(ctx context.Context, ref Ref) (Held, error)
+	Get(ctx context.Context, ref DocumentRef) (StoredDocument, error)
 	// List returns every document.
-	List(ctx context.Context) ([]Held, error)
+	List(ctx context.Context) ([]StoredDocument, error)
 
 	// GrantKey creates a key and returns its secret, which is not stored.
 	GrantKey(ctx context.Context, by string, request api.GrantRequest) (api.GrantedKey, error)
--- a/operator/conflict.go
+++ b/operator/conflict.go
@@ -13,7 +13,7 @@
 // current one.
 type Conflict struct {
 	Expected int64
-	Current  Held // Revision is 0 if there is no document
+	Current  StoredDocument // Revision is 0 if there is no document
 }
 
 // Error returns both revisions.
--- a/operator/documents.go
+++ b/operator/documents.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
-	stored, err := s.backend.Apply(c.ctx, Change{Ref: ref, Source: source, By: c.operator, Expected: expected, Wait: c.wait})
+	stored, err := s.backend.Apply(c.ctx, DocumentChange{Ref: ref, Source: source, Operator: c.operator, ExpectedRevision: expected, Wait: c.wait})
 	if err != nil {
 		return httpjson.Answer{}, err
 	}
@@ -73,7 +73,7 @@
 
 // readDocument reads and validates the document in the body. Its team and service
 // must match those in the path.
-func (s *Server) readDocument(c call) (Ref, string, document.Document, error) {
+func (s *Server) readDocument(c call) (DocumentRef, string, document.Document, error) {
 	ref, err := parseRef(c)
 	if err != nil {
 		return ref, "", document.Document{}, err
@@ -97,8 +97,8 @@
 	return ref, string(body), parsed, nil
 }
 
-func parseRef(c call) (Ref, error) {
-	ref := Ref{Team: task.Team(c.PathValue("team")), Service: task.Service(c.PathValue("service"))}
+func parseRef(c call) (DocumentRef, error) {
+	ref := DocumentRef{Team: task.Team(c.PathValue("team")), Service: task.Service(c.PathValue("service"))}
 	if !document.IsValidName(string(ref.Team)) {
 		return ref, errkind.New(errkind.UnknownTeam, "there is no team %.80q", ref.Team).WithField("team", document.NameRule)
 	}
@@ -120,7 +120,7 @@
 	return expected, nil
 }
 
-func toAPIDocument(stored Held) api.Document {
+func toAPIDocument(stored StoredDocument) api.Document {
 	return api.Document{
 		Team:     stored.Ref.Team,
 		Service:  stored.Ref.Service,
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -24,30 +24,32 @@
 
 // fakeBackend stores one document in memory and counts all changes of other kinds.
 type fakeBackend struct {
-	stored  Held
+	stored  StoredDocument
 	changes int
 	filter  Filter
 	ready   error
 }
 
-func (b *fakeBackend) Apply(_ context.Context, c Change) (Held, error) {
-	if c.Expected != b.stored.Revision {
-		return Held{}, &Conflict{Expected: c.Expected, Current: b.stored}
+func (b *fakeBackend) Apply(_ context.Context, c DocumentChange) (StoredDocument, error) {
+	if c.ExpectedRevision != b.stored.Revision {
+		return StoredDocument{}, &Conflict{Expected: c.ExpectedRevision, Current: b.stored}
 	}
-	b.stored = Held{Ref: c.Ref, Revision: b.stored.Revision + 1, Record: document.Record{
-		Source: c.Source, Previous: b.stored.Record.Source, By: c.By,
+	b.stored = StoredDocument{Ref: c.Ref, Revision: b.stored.Revision + 1, Record: document.Record{
+		Source: c.Source, Previous: b.stored.Record.Source, By: c.Operator,
 	}}
 	return b.stored, nil
 }
 
-func (b *fakeBackend) Get(_ context.Context, ref Ref) (Held, error) {
+func (b *fakeBackend) Get(_ context.Context, ref DocumentRef) (StoredDocument, error) {
 	if b.stored.Revision == 0 || b.stored.Ref != ref {
-		return Held{}, errkind.New(errkind.UnknownService, "no document")
+		return StoredDocument{}, errkind.New(errkind.UnknownService, "no document")
 	}
 	return b.stored, nil
 }
 
-func (b *fakeBackend) List(context.Context) ([]Held, error) { return []Held{b.stored}, nil }
+func (b *fakeBackend) List(context.Context) ([]StoredDocument, error) {
+	return []StoredDocument{b.stored}, nil
+}
 
 func (b *fakeBackend) GrantKey(_ context.Context, by string, r api.GrantRequest) (api.GrantedKey, error) {
 	b.changes++
