ownership: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

ownership.AskPromise -> RequestPromises ownership.Write.Expect -> ExpectedRevision ownership.Table.StoreLost -> LeaseLost ownership.Table.Attached -> LeaseAttached ownership.Table.Force -> ForceTakeover ownership.Table.Observe -> ObserveRecord ownership.Table.ObserveContact -> SetHandoverEligible

--- a/control/drain.go
+++ b/control/drain.go
@@ -27,7 +27,7 @@
 	s.recordEvent(timeline.Event{Type: timeline.DrainStarted})
 	s.owner.startDrain()
 	for _, m := range s.routing.members {
-		s.ownership.ObserveContact(m.Instance, false)
+		s.ownership.SetHandoverEligible(m.Instance, false)
 	}
 	if s.membership.leaseID != 0 {
 		s.emit(WriteMember{Member: s.self, Lease: s.membership.leaseID})
--- a/control/event.go
+++ b/control/event.go
@@ -190,7 +190,7 @@
 type DrainRequested struct{}
 
 // OwnershipForced is an operator's declaration that the owner and the successors of a unit are
-// gone. This instance takes the unit over after the wait that ownership.Table.Force returns.
+// gone. This instance takes the unit over after the wait that ownership.Table.ForceTakeover returns.
 type OwnershipForced struct{ Unit string }
 
 func (Tick) event()            {}
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -150,7 +150,7 @@
 func (s *State) applyDigest(d DigestMessage) {
 	s.recorder.Receive(s.now, d.Clock)
 	s.routing.observeDigest(s.now, d)
-	s.ownership.ObserveContact(d.Instance, s.mayReceiveUnits(d))
+	s.ownership.SetHandoverEligible(d.Instance, s.mayReceiveUnits(d))
 	for _, team := range d.StarvedTeams {
 		s.owner.allowances.AskIdle(team)
 	}
--- a/control/member.go
+++ b/control/member.go
@@ -50,7 +50,7 @@
 		return
 	}
 	s.membership.leaseID = e.Lease
-	s.ownership.Attached(s.now, e.SentAt, e.Revision)
+	s.ownership.LeaseAttached(s.now, e.SentAt, e.Revision)
 	s.snapshotChanged = true
 }
 
@@ -61,7 +61,7 @@
 	if e.Gone {
 		s.membership.leaseID = 0
 		s.membership.renewAt = s.now
-		s.ownership.StoreLost(s.now)
+		s.ownership.LeaseLost(s.now)
 		return
 	}
 	s.ownership.KeepAliveDone(s.now, e.SentAt, e.Err)
--- a/control/state.go
+++ b/control/state.go
@@ -164,7 +164,7 @@
 	case DrainRequested:
 		s.startDrain()
 	case OwnershipForced:
-		s.ownership.Force(s.now, e.Unit)
+		s.ownership.ForceTakeover(s.now, e.Unit)
 	default:
 		panic(fmt.Sprintf("control: unhandled event type %T", e))
 	}
--- a/control/units.go
+++ b/control/units.go
@@ -23,7 +23,7 @@
 			s.ownershipLost(a)
 		case ownership.Write:
 			s.emit(WriteOwnership{Write: a})
-		case ownership.AskPromise:
+		case ownership.RequestPromises:
 			for _, successor := range a.Successors {
 				addPromiseUnit(requests, successor, a)
 			}
@@ -41,7 +41,7 @@
 	}
 }
 
-func addPromiseUnit(requests map[ownership.Successor]*PromiseRequest, successor ownership.Successor, a ownership.AskPromise) {
+func addPromiseUnit(requests map[ownership.Successor]*PromiseRequest, successor ownership.Successor, a ownership.RequestPromises) {
 	request, ok := requests[successor]
 	if !ok {
 		request = &PromiseRequest{Owner: a.Owner, Promisee: successor}
@@ -89,7 +89,7 @@
 // applyOwnershipRecord applies an ownership record from the watch, from a write of this process or
 // from a handover notice.
 func (s *State) applyOwnershipRecord(r ownership.Record) {
-	s.ownership.Observe(s.now, r)
+	s.ownership.ObserveRecord(s.now, r)
 	if known, ok := s.routing.ownershipRecords[r.Unit]; !ok || known.Revision < r.Revision {
 		s.routing.ownershipRecords[r.Unit] = r
 		s.snapshotChanged = true
--- a/daemon/storecalls.go
+++ b/daemon/storecalls.go
@@ -183,7 +183,7 @@
 		return done
 	}
 	key := store.OwnershipKey(w.Record.Unit)
-	txn := store.Txn{Compares: []store.Compare{{Key: key, ModRevision: w.Expect}}, Puts: []store.Put{{Key: key, Value: value}}}
+	txn := store.Txn{Compares: []store.Compare{{Key: key, ModRevision: w.ExpectedRevision}}, Puts: []store.Put{{Key: key, Value: value}}}
 	for _, instance := range w.AbsentMembers {
 		txn.Compares = append(txn.Compares, store.Compare{Key: store.MemberKey(instance)})
 	}
--- a/ownership/bench_test.go
+++ b/ownership/bench_test.go
@@ -21,7 +21,7 @@
 		all = append(all, membership.Member{Instance: name, Incarnation: name, Region: fmt.Sprint(i % 3), FailureDomain: fmt.Sprint(i % 12)})
 	}
 	t := New(DefaultConfig(names), all[0], at(0))
-	t.Attached(at(0), at(0), 1)
+	t.LeaseAttached(at(0), at(0), 1)
 	t.ObserveMembers(at(0), all, true)
 	for i, name := range names {
 		owner, _ := membership.Preferred(name, all)
@@ -29,7 +29,7 @@
 		for _, m := range membership.Successors(owner, name, all, successorCount) {
 			r.Successors = append(r.Successors, successorOf(m))
 		}
-		t.Observe(at(0), r)
+		t.ObserveRecord(at(0), r)
 	}
 	t.ObserveThrough(at(0), int64(units+2))
 	t.Tick(at(time.Second))
--- a/ownership/decide.go
+++ b/ownership/decide.go
@@ -58,10 +58,10 @@
 	t.startWrite(u, r, nil, ReasonSuccessors)
 }
 
-// ObserveContact records whether the instance last reported contact with the
+// SetHandoverEligible records whether the instance last reported contact with the
 // store. An instance without contact is not a handover destination, because it
 // could not serve the units. Instances without a report count as having contact.
-func (t *Table) ObserveContact(instance string, hasContact bool) {
+func (t *Table) SetHandoverEligible(instance string, hasContact bool) {
 	if hasContact {
 		delete(t.noStoreContact, instance)
 	} else {
--- a/ownership/model_test.go
+++ b/ownership/model_test.go
@@ -123,7 +123,7 @@
 		sim.after(f.Duration, func() { sim.loss = previous })
 	case "force":
 		if n.up {
-			n.table.Force(n.clock(), f.Unit)
+			n.table.ForceTakeover(n.clock(), f.Unit)
 		}
 	case "release":
 		if n.up {
--- a/ownership/promise.go
+++ b/ownership/promise.go
@@ -127,7 +127,7 @@
 		return
 	}
 	u.promisesRequestedAt = now
-	t.queuedActions = append(t.queuedActions, AskPromise{
+	t.queuedActions = append(t.queuedActions, RequestPromises{
 		Unit: u.name, Owner: t.self.Incarnation, Epoch: u.record.Epoch, Successors: slices.Clone(required),
 	})
 }
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -26,16 +26,16 @@
 // and the member key of every instance in AbsentMembers is absent. The caller
 // must report the outcome of each Write with exactly one call of WriteDone.
 type Write struct {
-	Record        Record
-	Expect        int64
-	AbsentMembers []string
-	Reason        Reason
+	Record           Record
+	ExpectedRevision int64
+	AbsentMembers    []string
+	Reason           Reason
 }
 
-// AskPromise requests a promise from each of the successors for one promise window.
+// RequestPromises requests a promise from each of the successors for one promise window.
 // The caller reads its clock before it sends the requests and passes that time to
 // PromiseReplied.
-type AskPromise struct {
+type RequestPromises struct {
 	Unit       string
 	Owner      string
 	Epoch      uint64
@@ -64,11 +64,11 @@
 	Reason Reason
 }
 
-func (Write) action()      {}
-func (AskPromise) action() {}
-func (Gained) action()     {}
-func (Renewed) action()    {}
-func (Lost) action()       {}
+func (Write) action()           {}
+func (RequestPromises) action() {}
+func (Gained) action()          {}
+func (Renewed) action()         {}
+func (Lost) action()            {}
 
 // Reason is why a record is written or a unit is lost.
 type Reason string
--- a/ownership/simnode_test.go
+++ b/ownership/simnode_test.go
@@ -150,7 +150,7 @@
 			n.attaching, n.memberRevision = false, revision
 			if ok {
 				n.lease = lease
-				n.table.Attached(n.clock(), sentAt, revision)
+				n.table.LeaseAttached(n.clock(), sentAt, revision)
 			}
 		}
 	}, func(bool) { n.attaching = false })
@@ -168,7 +168,7 @@
 		return func() {
 			if !alive {
 				n.lease, n.memberRevision = 0, memberRevision
-				n.table.StoreLost(n.clock())
+				n.table.LeaseLost(n.clock())
 				n.attach()
 				return
 			}
@@ -208,7 +208,7 @@
 	for _, c := range batch {
 		switch {
 		case c.record != nil:
-			n.table.Observe(n.clock(), *c.record)
+			n.table.ObserveRecord(n.clock(), *c.record)
 		case c.member != nil:
 			n.members[c.instance] = *c.member
 		default:
@@ -243,7 +243,7 @@
 		case Write:
 			n.sim.reportStep(string(a.Reason)+"/decided", n)
 			n.runAfter(0, func() { n.write(a) })
-		case AskPromise:
+		case RequestPromises:
 			for _, s := range a.Successors {
 				sentAt := n.clock()
 				n.sim.reportStep("promise/sent", n)
@@ -272,7 +272,7 @@
 
 // requestPromise sends one request to the instance of a successor. The incarnation
 // that runs there answers it.
-func (n *node) requestPromise(a AskPromise, s Successor, sentAt time.Time) {
+func (n *node) requestPromise(a RequestPromises, s Successor, sentAt time.Time) {
 	sim := n.sim
 	for _, m := range sim.nodes {
 		if m.self.Instance != s.Instance || sim.rng.Float64() < sim.loss || sim.areDisconnected(n, m) {
--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -183,7 +183,7 @@
 
 func (s *modelStore) commit(a Write) WriteResult {
 	current := s.records[a.Record.Unit]
-	conflict := current.Revision != a.Expect
+	conflict := current.Revision != a.ExpectedRevision
 	for _, instance := range a.AbsentMembers {
 		_, present := s.members[instance]
 		conflict = conflict || present
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -27,7 +27,7 @@
 	listed          map[string]bool      // by instance: in the latest instance list
 	listReadAt      time.Time            // of the latest instance list
 
-	attached         bool      // Attached was called, and StoreLost was not called since
+	attached         bool      // Attached was called, and LeaseLost was not called since
 	attachRevision   int64     // store revision at which the member key was written
 	observedRevision int64     // every change up to this store revision has been observed
 	keepAliveSentAt  time.Time // read before the last successful keepalive was sent
@@ -140,10 +140,10 @@
 	return u.record, u.record.Revision > 0
 }
 
-// Observe applies a record that was read from the store. It ignores a record that
+// ObserveRecord applies a record that was read from the store. It ignores a record that
 // is not newer than the known one, so watch batches, lists and replies may arrive in
 // any order.
-func (t *Table) Observe(now time.Time, r Record) {
+func (t *Table) ObserveRecord(now time.Time, r Record) {
 	u := t.byName[r.Unit]
 	if u == nil || r.Revision <= u.record.Revision {
 		return
--- a/ownership/table_test.go
+++ b/ownership/table_test.go
@@ -17,7 +17,7 @@
 // members and a store without records.
 func attachedTable(self membership.Member, members ...membership.Member) *Table {
 	t := New(DefaultConfig([]string{"h/0"}), self, at(0))
-	t.Attached(at(0), at(0), 10)
+	t.LeaseAttached(at(0), at(0), 10)
 	t.ObserveMembers(at(0), append(members, self), true)
 	t.ObserveThrough(at(0), 10)
 	return t
@@ -37,7 +37,7 @@
 func TestFirstClaim(t *testing.T) {
 	table := attachedTable(member("a", "a1"))
 	writes := actionsOfType[Write](table.Tick(at(2 * time.Second)))
-	if len(writes) != 1 || writes[0].Expect != 0 || writes[0].Record.Epoch != 1 {
+	if len(writes) != 1 || writes[0].ExpectedRevision != 0 || writes[0].Record.Epoch != 1 {
 		t.Fatalf("writes at startup = %+v, want one claim with expected revision 0 and epoch 1", writes)
 	}
 	if _, ok := table.Holds(at(2*time.Second), "h/0"); ok {
@@ -60,12 +60,12 @@
 func TestForceRefusedWhileSuccessorIsLive(t *testing.T) {
 	successor := member("c", "c1")
 	table := attachedTable(member("a", "a1"), successor)
-	table.Observe(at(0), Record{Unit: "h/0", Owner: "b1", OwnerInstance: "b", Epoch: 4, Successors: []Successor{{"c", "c1"}}, Revision: 9})
-	if _, ok := table.Force(at(time.Second), "h/0"); ok {
+	table.ObserveRecord(at(0), Record{Unit: "h/0", Owner: "b1", OwnerInstance: "b", Epoch: 4, Successors: []Successor{{"c", "c1"}}, Revision: 9})
+	if _, ok := table.ForceTakeover(at(time.Second), "h/0"); ok {
 		t.Fatal("forced takeover accepted while the successor is live")
 	}
 	table.ObserveMembers(at(2*time.Second), []membership.Member{member("a", "a1")}, true)
-	when, ok := table.Force(at(2*time.Second), "h/0")
+	when, ok := table.ForceTakeover(at(2*time.Second), "h/0")
 	if !ok || when.Sub(at(2*time.Second)) < 24*time.Second {
 		t.Fatalf("forced takeover: accepted %v, at %v, want accepted and at least 24 s later", ok, when)
 	}
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -7,11 +7,11 @@
 	"github.com/mulberrydrum/mulberrydrum/membership"
 )
 
-// Force records an operator's declaration that the owner and the successors of the
+// ForceTakeover records an operator's declaration that the owner and the successors of the
 // unit are gone, and returns when this process will take over. It is rejected while
 // the store has a member key of one of them, and it becomes void as soon as one comes
 // back. The wait is the same as for instances that are missing from the instance list.
-func (t *Table) Force(now time.Time, name string) (at time.Time, ok bool) {
+func (t *Table) ForceTakeover(now time.Time, name string) (at time.Time, ok bool) {
 	u := t.byName[name]
 	if u == nil || u.record.Revision == 0 || !t.allAbsent(u.record) {
 		return time.Time{}, false
--- a/ownership/term.go
+++ b/ownership/term.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Attached reports a new lease, to which the member key was attached by a write at
+// LeaseAttached reports a new lease, to which the member key was attached by a write at
 // the given store revision. sentAt was read before the grant was sent. The store
 // term starts to apply only when every change up to that revision has been observed,
 // because another process may have taken a unit over between the two leases. The
@@ -11,7 +11,7 @@
 // The member key must be written with a compare on its last revision. Otherwise a
 // delayed write under an earlier lease could replace the key, and the key would be
 // deleted when that lease ends, while this process renews the later one.
-func (t *Table) Attached(now, sentAt time.Time, revision int64) {
+func (t *Table) LeaseAttached(now, sentAt time.Time, revision int64) {
 	t.expireTerms(now)
 	t.attached, t.attachRevision, t.keepAliveFailed = true, revision, false
 	t.keepAliveSentAt = t.termStart(now, sentAt)
@@ -32,9 +32,9 @@
 	t.updateStoreTermEnd()
 }
 
-// StoreLost reports that the lease is gone, or that this process is about to
+// LeaseLost reports that the lease is gone, or that this process is about to
 // revoke it. The store term ends at once; a promise term continues.
-func (t *Table) StoreLost(now time.Time) {
+func (t *Table) LeaseLost(now time.Time) {
 	t.attached, t.keepAliveFailed = false, true
 	t.updateStoreTermEnd()
 	t.expireTerms(now)
--- a/ownership/write.go
+++ b/ownership/write.go
@@ -45,9 +45,9 @@
 // queueAttempt queues one attempt of the pending write.
 func (t *Table) queueAttempt(u *unit) {
 	p := u.pending
-	w := Write{Record: p.record, Expect: p.expectedRevision, AbsentMembers: p.absentMembers, Reason: p.reason}
+	w := Write{Record: p.record, ExpectedRevision: p.expectedRevision, AbsentMembers: p.absentMembers, Reason: p.reason}
 	if p.fence {
-		w = Write{Record: u.record, Expect: p.expectedRevision, Reason: ReasonFence}
+		w = Write{Record: u.record, ExpectedRevision: p.expectedRevision, Reason: ReasonFence}
 		w.Record.Revision = 0
 	}
 	p.inFlight, p.lastAttempt = true, w.Record
@@ -95,7 +95,7 @@
 	r.Revision = revision
 	u.retryAt = time.Time{}
 	u.pending = nil
-	t.Observe(now, r)
+	t.ObserveRecord(now, r)
 }
 
 // writeConflicted handles a failed compare. If the record is still at the expected
@@ -103,7 +103,7 @@
 // indeterminate attempt could succeed once that key is deleted, so it must be fenced.
 func (t *Table) writeConflicted(now time.Time, u *unit, p *pendingWrite, current *Record) {
 	if current != nil {
-		t.Observe(now, *current)
+		t.ObserveRecord(now, *current)
 	}
 	t.handleNoEffect(u, p)
 }
