ledger: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

ledger.Result -> CommitResult ledger.Again -> Retry ledger.Step -> PostCommitStep ledger.StepKind -> postCommitKind ledger.Ledger.After -> QueueAfterCommit ledger.Ledger.Forget -> DeleteMemoryOnly ledger.Ledger.VolatileOpen -> OpenMemoryOnlyJobs ledger.HolderOf -> HomeOf ledger.ParseID -> ParseTaskID ledger.Config.ShardBytes -> MaxShardBytes ledger.Config.TxnBytes -> MaxTxnBytes ledger.Config.InlineResult -> MaxInlineResultBytes

--- a/control/attempts.go
+++ b/control/attempts.go
@@ -186,7 +186,7 @@
 // memory-only job the process that holds it. If that process is no longer a member, the report has
 // no recipient and is dropped.
 func (w *owner) homeOf(id task.Attempt, r AttemptReport) (membership.Member, bool) {
-	holder, isVolatile := ledger.HolderOf(id.Task)
+	holder, isVolatile := ledger.HomeOf(id.Task)
 	if !isVolatile {
 		home, _, ok := w.routing.ownerOf(shardOf(r.Job, w.cfg.RequestShards))
 		return home, ok
--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -30,7 +30,7 @@
 		return
 	}
 	shard := h.shardOf(job)
-	a, waits, ok := h.ledger.Dispatch(shard, job, index, partition, ledger.Step{Kind: ledger.StepDispatch, Job: job, Index: index})
+	a, waits, ok := h.ledger.Dispatch(shard, job, index, partition, ledger.PostCommitStep{Kind: ledger.StepDispatch, Job: job, Index: index})
 	if !ok {
 		return
 	}
@@ -184,12 +184,12 @@
 // finish applies the outcome of an attempt. It returns whether the reply to the report request with
 // the given ID has to wait for the commit of the outcome.
 func (h *home) finish(a task.Attempt, outcome task.Outcome, reportID uint64) (waits bool) {
-	job, index, ok := ledger.ParseID(a.Task)
+	job, index, ok := ledger.ParseTaskID(a.Task)
 	if !ok {
 		return false
 	}
 	shard := h.shardOf(job)
-	step := ledger.Step{Kind: ledger.StepFinished, Job: job, Index: index, Token: reportID}
+	step := ledger.PostCommitStep{Kind: ledger.StepFinished, Job: job, Index: index, Token: reportID}
 	verdict, waits := h.ledger.Finish(h.now, shard, job, index, outcome, step)
 	if verdict == ledger.Dropped {
 		h.recordEvent(timeline.Event{Type: timeline.AnswerDropped, Team: job.Team, Task: a.Task, Attempt: a.Number, Worker: outcome.Worker})
@@ -199,7 +199,7 @@
 	delete(h.openAttempts, a)
 	record, _ := h.ledger.Find(shard, job)
 	h.recordEvent(timeline.Event{Type: outcomeEventType(outcome.State), Team: job.Team, Task: a.Task, Attempt: a.Number, Worker: outcome.Worker, Kind: outcome.Reason})
-	if verdict == ledger.Again {
+	if verdict == ledger.Retry {
 		h.retry(taskRef{job, index}, record, o, outcome)
 		return waits
 	}
--- a/control/drain.go
+++ b/control/drain.go
@@ -62,7 +62,7 @@
 		}
 		s.ownership.Release(s.now, unit)
 	}
-	hasPendingReplies := withinWaitLimit && (len(s.home.waitingCalls) > 0 || s.home.ledger.VolatileOpen() > 0)
+	hasPendingReplies := withinWaitLimit && (len(s.home.waitingCalls) > 0 || s.home.ledger.OpenMemoryOnlyJobs() > 0)
 	if len(held) == 0 && !hasPendingReplies {
 		s.drain.finished = true
 		s.emit(Drained{})
--- a/control/event.go
+++ b/control/event.go
@@ -169,7 +169,7 @@
 // LedgerDone is the result of a CommitLedger.
 type LedgerDone struct {
 	Writes   []ledger.Write
-	Result   ledger.Result
+	Result   ledger.CommitResult
 	Revision int64
 	Current  []ShardRead // on conflict: the current values in the store
 }
--- a/control/home.go
+++ b/control/home.go
@@ -111,7 +111,7 @@
 		h.replyRefusal(token, job, err)
 		return
 	}
-	step := ledger.Step{Kind: ledger.StepAccepted, Job: job, Token: token}
+	step := ledger.PostCommitStep{Kind: ledger.StepAccepted, Job: job, Token: token}
 	record, isNew, err := h.ledger.Submit(h.shardOf(job), req.Spec, step)
 	if err != nil {
 		h.replyRefusal(token, job, err)
@@ -193,7 +193,7 @@
 	view, ok := h.ledger.View(h.shardOf(job), job)
 	switch {
 	case !ok:
-		h.ledger.After(h.shardOf(job), ledger.Step{Kind: ledger.StepAnswer, Job: job, Token: token})
+		h.ledger.QueueAfterCommit(h.shardOf(job), ledger.PostCommitStep{Kind: ledger.StepAnswer, Job: job, Token: token})
 	case view.IsFinal() || !h.now.Before(call.until):
 		h.replyRecord(token, view)
 	default:
@@ -216,13 +216,13 @@
 		h.replyOrWait(token, job)
 		return
 	}
-	h.ledger.After(shard, ledger.Step{Kind: ledger.StepAnswer, Job: job, Token: token})
+	h.ledger.QueueAfterCommit(shard, ledger.PostCommitStep{Kind: ledger.StepAnswer, Job: job, Token: token})
 }
 
 // terminate cancels a job for a reason and withdraws its open attempts from their owners.
 func (h *home) terminate(record *ledger.Record, reason errkind.Kind) {
 	job := record.JobKey()
-	open, waits, _ := h.ledger.Cancel(h.now, h.shardOf(job), job, reason, ledger.Step{Kind: ledger.StepFinished, Job: job})
+	open, waits, _ := h.ledger.Cancel(h.now, h.shardOf(job), job, reason, ledger.PostCommitStep{Kind: ledger.StepFinished, Job: job})
 	for i := range record.Tasks {
 		delete(h.undispatched, taskRef{job, i})
 	}
@@ -285,7 +285,7 @@
 		h.recordEvent(timeline.Event{Type: timeline.RequestAnswered, Team: job.Team, Task: t.ID, Kind: string(t.State)})
 	}
 	if !view.Spec.Kind.IsDurable() && view.State() == task.NotRun {
-		h.ledger.Forget(job)
+		h.ledger.DeleteMemoryOnly(job)
 	}
 }
 
@@ -293,7 +293,7 @@
 func (h *home) cancelCall(token uint64) { delete(h.waitingCalls, token) }
 
 // runStep continues the work that waited for the commit of a change.
-func (h *home) runStep(s ledger.Step) {
+func (h *home) runStep(s ledger.PostCommitStep) {
 	shard := h.shardOf(s.Job)
 	record, ok := h.ledger.Find(shard, s.Job)
 	if !ok {
--- a/control/homereport.go
+++ b/control/homereport.go
@@ -17,7 +17,7 @@
 	call := &reportCall{token: token, recorded: make([]bool, len(req.Reports))}
 	h.reportCalls[id] = call
 	for i, r := range req.Reports {
-		if _, isVolatile := ledger.HolderOf(r.Attempt.Task); !isVolatile && !h.ledger.IsActive(h.shardOf(r.Job)) {
+		if _, isVolatile := ledger.HomeOf(r.Attempt.Task); !isVolatile && !h.ledger.IsActive(h.shardOf(r.Job)) {
 			continue
 		}
 		call.recorded[i] = true
@@ -39,7 +39,7 @@
 // acknowledge the attempt to its worker before the outcome is stored: the next home would find no
 // record of the attempt and treat it as not run.
 func (h *home) mayBeUncommitted(r AttemptReport) bool {
-	_, isVolatile := ledger.HolderOf(r.Attempt.Task)
+	_, isVolatile := ledger.HomeOf(r.Attempt.Task)
 	return !isVolatile && h.ledger.HasPending(h.shardOf(r.Job))
 }
 
@@ -77,7 +77,7 @@
 // permit handles an owner's request to start at-most-once work. The permit is granted only after
 // the selected worker is recorded in the store.
 func (h *home) permit(token uint64, req PermitRequest) {
-	step := ledger.Step{Kind: ledger.StepPermitted, Job: req.Job, Index: req.Index, Token: token}
+	step := ledger.PostCommitStep{Kind: ledger.StepPermitted, Job: req.Job, Index: req.Index, Token: token}
 	if !h.ledger.Permit(h.shardOf(req.Job), req.Job, req.Index, req.Attempt, req.Worker, req.BootID, step) {
 		h.reply(token, PermitReply{})
 		return
@@ -267,7 +267,7 @@
 
 // shardClosed drops the durable jobs of a shard of which this instance is no longer the home. Their
 // waiting calls get an error with an unknown outcome; the next home reads the jobs from the store.
-func (h *home) shardClosed(steps []ledger.Step, records []*ledger.Record) {
+func (h *home) shardClosed(steps []ledger.PostCommitStep, records []*ledger.Record) {
 	movedErr := errkind.New(errkind.NoOwner, "the home of the job has moved to another instance; retry the request").
 		WithRetryAfter(time.Second).WithFate(errkind.FateUnknown)
 	for _, s := range steps {
@@ -290,7 +290,7 @@
 }
 
 // failStep ends work that waited for a commit, in a shard that was closed before the commit.
-func (h *home) failStep(s ledger.Step, movedErr *errkind.Error) {
+func (h *home) failStep(s ledger.PostCommitStep, movedErr *errkind.Error) {
 	switch s.Kind {
 	case ledger.StepAccepted, ledger.StepAnswer:
 		if _, ok := h.waitingCalls[s.Token]; ok {
--- a/control/units.go
+++ b/control/units.go
@@ -146,7 +146,7 @@
 	for _, w := range e.Writes {
 		opening[w.Shard] = !s.home.ledger.IsActive(w.Shard)
 	}
-	var steps []ledger.Step
+	var steps []ledger.PostCommitStep
 	switch e.Result {
 	case ledger.Stored:
 		steps = s.home.ledger.Committed(e.Writes, e.Revision)
@@ -165,8 +165,8 @@
 	}
 }
 
-func (s *State) ledgerConflicted(e LedgerDone) []ledger.Step {
-	var steps []ledger.Step
+func (s *State) ledgerConflicted(e LedgerDone) []ledger.PostCommitStep {
+	var steps []ledger.PostCommitStep
 	for i, w := range e.Writes {
 		current := e.Current[i]
 		released, lost := s.home.ledger.Conflicted(w, current.Value, current.Revision)
--- a/control/workers.go
+++ b/control/workers.go
@@ -241,7 +241,7 @@
 }
 
 func (w *owner) adopt(ws *workerState, r TaskReport) *attempt {
-	job, index, ok := ledger.ParseID(r.Attempt.Task)
+	job, index, ok := ledger.ParseTaskID(r.Attempt.Task)
 	if !ok {
 		return nil
 	}
--- a/daemon/fromsettings.go
+++ b/daemon/fromsettings.go
@@ -49,7 +49,7 @@
 	p.Keyring.Freshness, p.Keyring.ListLag = s.KeyFreshness, s.ListLag
 	p.Keyring.ClockDrift, p.Keyring.ClockMargin = s.ClockDrift, s.ClockMargin
 	p.Allowance.Idle, p.Allowance.Interval = s.AllowanceIdle, s.AllowanceInterval
-	p.Ledger.FlushInterval, p.Ledger.TxnBytes, p.Ledger.ShardBytes = s.LedgerFlushInterval, int(s.LedgerTxnBytes), int(s.MaxShardBytes)
+	p.Ledger.FlushInterval, p.Ledger.MaxTxnBytes, p.Ledger.MaxShardBytes = s.LedgerFlushInterval, int(s.LedgerTxnBytes), int(s.MaxShardBytes)
 	p.Ledger.ResultRetention = s.ResultRetention
 	p.Queue.Limit = s.QueueLimitPerTeam
 	p.Fairshare.HalfLife = s.FairShareHalfLife
--- a/daemon/storecalls.go
+++ b/daemon/storecalls.go
@@ -28,7 +28,7 @@
 )
 
 var (
-	ledgerResults     = map[txnOutcome]ledger.Result{txnStored: ledger.Stored, txnConflict: ledger.Conflict, txnUnclear: ledger.Unclear, txnNoEffect: ledger.NoEffect}
+	ledgerResults     = map[txnOutcome]ledger.CommitResult{txnStored: ledger.Stored, txnConflict: ledger.Conflict, txnUnclear: ledger.Unclear, txnNoEffect: ledger.NoEffect}
 	ownershipOutcomes = map[txnOutcome]ownership.Outcome{txnStored: ownership.Succeeded, txnConflict: ownership.Conflict, txnUnclear: ownership.Unclear, txnNoEffect: ownership.NoEffect}
 	allowanceOutcomes = map[txnOutcome]allowance.Outcome{txnStored: allowance.Succeeded, txnConflict: allowance.Conflict, txnUnclear: allowance.Unclear, txnNoEffect: allowance.NoEffect}
 )
--- a/demo/special.go
+++ b/demo/special.go
@@ -114,7 +114,7 @@
 		return describeJob(reply), false
 	}
 	runs := s.countRuns(func(id task.ID) bool {
-		key, _, ok := ledger.ParseID(id)
+		key, _, ok := ledger.ParseTaskID(id)
 		return ok && key.Key == j.idempotencyKey
 	})
 	asPromised := isRefusal(err, errkind.OutcomeUnknown) && runs <= 1 || isRefusal(err, errkind.DeadlineExceeded) && runs == 0
--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -13,14 +13,14 @@
 	Revision int64 // expected current revision of the value; 0 if absent
 }
 
-// Result is the outcome of a commit.
-type Result int
+// CommitResult is the outcome of a commit.
+type CommitResult int
 
 const (
-	Stored   Result = iota
-	Conflict        // the compare failed and nothing was written
-	Unclear         // indeterminate: the values may have been written or may still be written
-	NoEffect        // the values were not written and will not be
+	Stored   CommitResult = iota
+	Conflict              // the compare failed and nothing was written
+	Unclear               // indeterminate: the values may have been written or may still be written
+	NoEffect              // the values were not written and will not be
 )
 
 // Plan returns the writes of the next group commit. It returns none if nothing
@@ -38,7 +38,7 @@
 		if s.phase == loading || !s.isDirty() {
 			continue
 		}
-		if len(writes) > 0 && bytes+s.bytes > l.cfg.TxnBytes {
+		if len(writes) > 0 && bytes+s.bytes > l.cfg.MaxTxnBytes {
 			l.dirty = true
 			break
 		}
@@ -61,8 +61,8 @@
 
 // Committed applies a commit that succeeded at revision and returns the steps that it
 // releases.
-func (l *Ledger) Committed(writes []Write, revision int64) []Step {
-	var steps []Step
+func (l *Ledger) Committed(writes []Write, revision int64) []PostCommitStep {
+	var steps []PostCommitStep
 	for _, w := range writes {
 		s := l.shardInFlight(w)
 		if s == nil {
@@ -78,7 +78,7 @@
 
 // applyStored marks a write as the stored value of the shard. An earlier indeterminate
 // write can no longer take effect, because its compare fails now.
-func (l *Ledger) applyStored(s *shard, sequence uint64, revision int64) []Step {
+func (l *Ledger) applyStored(s *shard, sequence uint64, revision int64) []PostCommitStep {
 	s.revision = revision
 	s.indeterminate = nil
 	if s.phase == fencing {
@@ -89,7 +89,7 @@
 
 // Failed applies a commit that failed or is indeterminate. The next commit writes the
 // changes again.
-func (l *Ledger) Failed(writes []Write, result Result) {
+func (l *Ledger) Failed(writes []Write, result CommitResult) {
 	for _, w := range writes {
 		s := l.shardInFlight(w)
 		if s == nil {
@@ -114,7 +114,7 @@
 // its shards. If an earlier indeterminate write of this process stored that value, the
 // write counts as committed. Any other new value means that another process is the home
 // now, and lost is true.
-func (l *Ledger) Conflicted(w Write, current ShardValue, revision int64) (steps []Step, lost bool) {
+func (l *Ledger) Conflicted(w Write, current ShardValue, revision int64) (steps []PostCommitStep, lost bool) {
 	s := l.shardInFlight(w)
 	if s == nil {
 		return nil, false
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -11,25 +11,25 @@
 
 // Config holds the limits of a ledger.
 type Config struct {
-	ResultRetention time.Duration // how long the record of a finished job is kept for repeated submissions
-	FlushInterval   time.Duration // minimum time between two group commits
-	ShardBytes      int           // maximum size of a shard's stored value
-	TxnBytes        int           // maximum total size of the values of one commit
-	RecordOverhead  int           // size of a record without its payload and its tasks
-	InlineResult    int           // maximum size of a result that is stored with the record
-	MaxTasks        int           // maximum number of tasks of one job
+	ResultRetention      time.Duration // how long the record of a finished job is kept for repeated submissions
+	FlushInterval        time.Duration // minimum time between two group commits
+	MaxShardBytes        int           // maximum size of a shard's stored value
+	MaxTxnBytes          int           // maximum total size of the values of one commit
+	RecordOverhead       int           // size of a record without its payload and its tasks
+	MaxInlineResultBytes int           // maximum size of a result that is stored with the record
+	MaxTasks             int           // maximum number of tasks of one job
 }
 
 // DefaultConfig returns the default limits that the design page specifies.
 func DefaultConfig() Config {
 	return Config{
-		ResultRetention: 10 * time.Minute,
-		FlushInterval:   20 * time.Millisecond,
-		ShardBytes:      512 << 10,
-		TxnBytes:        768 << 10,
-		RecordOverhead:  700,
-		InlineResult:    4 << 10,
-		MaxTasks:        5000,
+		ResultRetention:      10 * time.Minute,
+		FlushInterval:        20 * time.Millisecond,
+		MaxShardBytes:        512 << 10,
+		MaxTxnBytes:          768 << 10,
+		RecordOverhead:       700,
+		MaxInlineResultBytes: 4 << 10,
+		MaxTasks:             5000,
 	}
 }
 
@@ -60,7 +60,7 @@
 // Close removes a shard of which this process is no longer the home. It returns the
 // steps that were not released and all durable records, so that the waiting callers
 // can be notified. Memory-only jobs are kept, because no other process has them.
-func (l *Ledger) Close(name string) (steps []Step, records []*Record) {
+func (l *Ledger) Close(name string) (steps []PostCommitStep, records []*Record) {
 	s, ok := l.shards[name]
 	if !ok {
 		return nil, nil
@@ -168,8 +168,8 @@
 	return view, true
 }
 
-// VolatileOpen returns the number of memory-only jobs that are not final.
-func (l *Ledger) VolatileOpen() int {
+// OpenMemoryOnlyJobs returns the number of memory-only jobs that are not final.
+func (l *Ledger) OpenMemoryOnlyJobs() int {
 	open := 0
 	for _, r := range l.memoryOnlyJobs {
 		if !r.IsFinal() {
@@ -182,7 +182,7 @@
 // Submit records a job, or returns the record of an earlier submission with the same
 // idempotency key. The caller must not dispatch a durable job before the given step is
 // released.
-func (l *Ledger) Submit(shardName string, spec task.Spec, step Step) (r *Record, isNew bool, err *errkind.Error) {
+func (l *Ledger) Submit(shardName string, spec task.Spec, step PostCommitStep) (r *Record, isNew bool, err *errkind.Error) {
 	s, ok := l.shards[shardName]
 	if !ok || s.phase != active {
 		return nil, false, errkind.New(errkind.NoOwner, "shard %s has no active home here", shardName)
@@ -196,8 +196,8 @@
 			WithField("count", fmt.Sprintf("1 to %d", l.cfg.MaxTasks))
 	}
 	size := l.sizeOf(&spec)
-	if spec.Kind.IsDurable() && s.bytes+size > l.cfg.ShardBytes {
-		return nil, false, errkind.New(errkind.QueueFull, "request shard %s is full: %d of %d bytes used, %d more requested", shardName, s.bytes, l.cfg.ShardBytes, size)
+	if spec.Kind.IsDurable() && s.bytes+size > l.cfg.MaxShardBytes {
+		return nil, false, errkind.New(errkind.QueueFull, "request shard %s is full: %d of %d bytes used, %d more requested", shardName, s.bytes, l.cfg.MaxShardBytes, size)
 	}
 	r = newRecord(spec, fmt.Sprintf("%s.%d", l.incarnation, l.idCounter))
 	l.idCounter++
@@ -216,7 +216,7 @@
 // handleRepeat handles a submission whose idempotency key was used before. If the shard
 // has changes that are not stored yet, a repeat of durable work waits for their commit,
 // because the first submission may be among them.
-func (l *Ledger) handleRepeat(s *shard, first *Record, spec task.Spec, step Step) (*Record, bool, *errkind.Error) {
+func (l *Ledger) handleRepeat(s *shard, first *Record, spec task.Spec, step PostCommitStep) (*Record, bool, *errkind.Error) {
 	if first.Spec.PayloadDigest != spec.PayloadDigest {
 		return nil, false, errkind.New(errkind.IdempotencyConflict,
 			"idempotency key %q was used for another request", spec.IdempotencyKey).WithField("idempotency_key", "one request for each key")
@@ -236,7 +236,7 @@
 
 // registerChange registers a change to a record; the step is released once the change is
 // stored. It reports whether the step must wait, which is false for memory-only work.
-func (l *Ledger) registerChange(s *shard, r *Record, step Step) (waits bool) {
+func (l *Ledger) registerChange(s *shard, r *Record, step PostCommitStep) (waits bool) {
 	if !r.Spec.Kind.IsDurable() {
 		return false
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -62,7 +62,7 @@
 		l := newHome(m, "e-1")
 		released := map[string]bool{}
 		now, jobs := time.Unix(0, 0), 0
-		release := func(steps []Step) {
+		release := func(steps []PostCommitStep) {
 			for _, s := range steps {
 				released[s.Job.Key] = true
 			}
@@ -72,7 +72,7 @@
 			if rapid.Bool().Draw(t, "submit") && l.IsActive(shardName) {
 				spec := durableSpec(fmt.Sprint(jobs))
 				jobs++
-				if _, _, err := l.Submit(shardName, spec, Step{Job: KeyOf(&spec)}); err != nil {
+				if _, _, err := l.Submit(shardName, spec, PostCommitStep{Job: KeyOf(&spec)}); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -117,7 +117,7 @@
 func TestFormerHomeIsFenced(t *testing.T) {
 	m, former := newActiveHome()
 	spec := durableSpec("k")
-	if _, _, err := former.Submit(shardName, spec, Step{Job: KeyOf(&spec)}); err != nil {
+	if _, _, err := former.Submit(shardName, spec, PostCommitStep{Job: KeyOf(&spec)}); err != nil {
 		t.Fatal(err)
 	}
 	delayed := former.Plan(time.Unix(2, 0))[0]
@@ -142,10 +142,10 @@
 	_, l := newActiveHome()
 	spec := durableSpec("k")
 	key := KeyOf(&spec)
-	if _, _, err := l.Submit(shardName, spec, Step{Job: key}); err != nil {
+	if _, _, err := l.Submit(shardName, spec, PostCommitStep{Job: key}); err != nil {
 		t.Fatal(err)
 	}
-	a, _, ok := l.Dispatch(shardName, key, 0, "w/r/0", Step{Job: key})
+	a, _, ok := l.Dispatch(shardName, key, 0, "w/r/0", PostCommitStep{Job: key})
 	if !ok {
 		t.Fatal("the task was not dispatched")
 	}
@@ -153,12 +153,12 @@
 		worker, boot string
 		want         bool
 	}{{"w1", "b1", true}, {"w1", "b1", true}, {"w2", "b1", false}, {"w1", "b2", false}} {
-		if got := l.Permit(shardName, key, 0, a, c.worker, c.boot, Step{Job: key}); got != c.want {
+		if got := l.Permit(shardName, key, 0, a, c.worker, c.boot, PostCommitStep{Job: key}); got != c.want {
 			t.Errorf("Permit on %s, boot %s = %v, want %v", c.worker, c.boot, got, c.want)
 		}
 	}
 	o := task.Outcome{Attempt: a, State: task.Unknown, Reason: string(errkind.WorkerLost)}
-	if verdict, _ := l.Finish(time.Unix(2, 0), shardName, key, 0, o, Step{Job: key}); verdict != Final {
+	if verdict, _ := l.Finish(time.Unix(2, 0), shardName, key, 0, o, PostCommitStep{Job: key}); verdict != Final {
 		t.Errorf("verdict on an unknown end = %v, want %v: at-most-once work must not be retried", verdict, Final)
 	}
 }
@@ -170,12 +170,12 @@
 	spec := durableSpec("k")
 	spec.Kind = task.Durable
 	key := KeyOf(&spec)
-	if _, _, err := l.Submit(shardName, spec, Step{Job: key}); err != nil {
+	if _, _, err := l.Submit(shardName, spec, PostCommitStep{Job: key}); err != nil {
 		t.Fatal(err)
 	}
-	a, _, _ := l.Dispatch(shardName, key, 0, "w/r/0", Step{Job: key})
-	l.Finish(time.Unix(2, 0), shardName, key, 0, task.Outcome{Attempt: a, State: task.Unknown, Reason: string(errkind.WorkerLost)}, Step{Job: key})
-	l.Cancel(time.Unix(3, 0), shardName, key, errkind.Cancelled, Step{Job: key})
+	a, _, _ := l.Dispatch(shardName, key, 0, "w/r/0", PostCommitStep{Job: key})
+	l.Finish(time.Unix(2, 0), shardName, key, 0, task.Outcome{Attempt: a, State: task.Unknown, Reason: string(errkind.WorkerLost)}, PostCommitStep{Job: key})
+	l.Cancel(time.Unix(3, 0), shardName, key, errkind.Cancelled, PostCommitStep{Job: key})
 	if r, _ := l.Find(shardName, key); r.Tasks[0].State != task.Unknown {
 		t.Errorf("state after an attempt with unknown end and a cancellation = %s, want %s", r.Tasks[0].State, task.Unknown)
 	}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -97,8 +97,8 @@
 	return r
 }
 
-// ParseID returns the job and the index of the task with the given ID.
-func ParseID(id task.ID) (key JobKey, index int, ok bool) {
+// ParseTaskID returns the job and the index of the task with the given ID.
+func ParseTaskID(id task.ID) (key JobKey, index int, ok bool) {
 	team, rest, found := strings.Cut(string(id), "/")
 	if !found {
 		return JobKey{}, 0, false
@@ -116,9 +116,9 @@
 	return JobKey{Team: task.Team(team), Service: task.Service(service), Key: rest[:last]}, index, true
 }
 
-// HolderOf returns the incarnation of the process that has the record of a memory-only
+// HomeOf returns the incarnation of the process that has the record of a memory-only
 // task. It returns false for a durable task.
-func HolderOf(id task.ID) (incarnation string, ok bool) {
+func HomeOf(id task.ID) (incarnation string, ok bool) {
 	_, salt, found := strings.Cut(string(id), "@")
 	last := strings.LastIndexByte(salt, '.')
 	if !found || last < 0 {
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -47,42 +47,42 @@
 
 type pendingStep struct {
 	sequence uint64
-	step     Step
+	step     PostCommitStep
 }
 
-// StepKind is the kind of work that may be done once a change is in the store.
-type StepKind int
+// postCommitKind is the kind of work that may be done once a change is in the store.
+type postCommitKind int
 
 const (
-	StepAccepted  StepKind = iota // answer the submitter and send the tasks to their owners
-	StepAnswer                    // answer a caller with the stored state
-	StepDispatch                  // send the latest attempt of a task to its partition
-	StepPermitted                 // permit the owner to start an at-most-once task
-	StepFinished                  // answer the waiting calls and acknowledge the report of the owner
+	StepAccepted  postCommitKind = iota // answer the submitter and send the tasks to their owners
+	StepAnswer                          // answer a caller with the stored state
+	StepDispatch                        // send the latest attempt of a task to its partition
+	StepPermitted                       // permit the owner to start an at-most-once task
+	StepFinished                        // answer the waiting calls and acknowledge the report of the owner
 )
 
-// Step is work that must wait until a change is in the store.
-type Step struct {
-	Kind  StepKind
+// PostCommitStep is work that must wait until a change is in the store.
+type PostCommitStep struct {
+	Kind  postCommitKind
 	Job   JobKey
 	Index int    // of the task; unused for StepAccepted
 	Token uint64 // of the waiting call, if any
 }
 
 // releaseAfterLatest queues step until the latest change of the shard is in the store.
-func (s *shard) releaseAfterLatest(step Step) {
+func (s *shard) releaseAfterLatest(step PostCommitStep) {
 	s.steps = append(s.steps, pendingStep{sequence: s.sequence, step: step})
 }
 
 // advance marks every change up to sequence as stored and returns the steps
 // that waited for them.
-func (s *shard) advance(sequence uint64) []Step {
+func (s *shard) advance(sequence uint64) []PostCommitStep {
 	s.committed = max(s.committed, sequence)
 	n := 0
 	for n < len(s.steps) && s.steps[n].sequence <= s.committed {
 		n++
 	}
-	released := make([]Step, 0, n)
+	released := make([]PostCommitStep, 0, n)
 	for _, p := range s.steps[:n] {
 		released = append(released, p.step)
 	}
--- a/ledger/transition.go
+++ b/ledger/transition.go
@@ -10,7 +10,7 @@
 // Dispatch creates the next attempt of a task, at the given partition. If waits is true,
 // which is the case for durable work, the attempt must not be sent before step is
 // released.
-func (l *Ledger) Dispatch(shardName string, key JobKey, index int, partition string, step Step) (attempt task.Attempt, waits, ok bool) {
+func (l *Ledger) Dispatch(shardName string, key JobKey, index int, partition string, step PostCommitStep) (attempt task.Attempt, waits, ok bool) {
 	s, r, t := l.findTask(shardName, key, index)
 	if t == nil || t.State != task.Accepted || r.Cancelled {
 		return task.Attempt{}, false, false
@@ -25,7 +25,7 @@
 // Permit records the one worker on which an at-most-once attempt may start. It returns
 // false if the attempt is not the latest, is not in state Dispatched, is already
 // permitted on another worker or boot, or if the job was cancelled.
-func (l *Ledger) Permit(shardName string, key JobKey, index int, attempt task.Attempt, worker, bootID string, step Step) bool {
+func (l *Ledger) Permit(shardName string, key JobKey, index int, attempt task.Attempt, worker, bootID string, step PostCommitStep) bool {
 	s, r, t := l.findTask(shardName, key, index)
 	if t == nil || r.Cancelled || t.State != task.Dispatched || r.AttemptOf(index) != attempt {
 		return false
@@ -55,13 +55,13 @@
 const (
 	Dropped Verdict = iota // the report is late or matches no open attempt
 	Final                  // the task has its final state
-	Again                  // the task is retried with another attempt
+	Retry                  // the task is retried with another attempt
 )
 
 // Finish applies the end of an attempt. An outcome that matches no open attempt is
 // dropped. A late result of an attempt that had ended as Unknown is still accepted,
 // because it gives the caller more information.
-func (l *Ledger) Finish(now time.Time, shardName string, key JobKey, index int, outcome task.Outcome, step Step) (verdict Verdict, waits bool) {
+func (l *Ledger) Finish(now time.Time, shardName string, key JobKey, index int, outcome task.Outcome, step PostCommitStep) (verdict Verdict, waits bool) {
 	s, r, t := l.findTask(shardName, key, index)
 	if t == nil || r.AttemptOf(index) != outcome.Attempt {
 		return Dropped, false
@@ -76,7 +76,7 @@
 		}
 		t.State = task.Accepted
 		t.Worker, t.BootID, t.Permitted = "", "", false
-		return Again, l.registerChange(s, r, step)
+		return Retry, l.registerChange(s, r, step)
 	}
 	recorded := outcome
 	recorded.State = t.finalState(outcome.State)
@@ -154,7 +154,7 @@
 // Cancel marks a job as cancelled. Tasks without an open attempt become final at once:
 // NotRun, or Unknown if an earlier attempt may have run. The indexes of the tasks with
 // an open attempt are returned, so that the caller can notify their owners.
-func (l *Ledger) Cancel(now time.Time, shardName string, key JobKey, reason errkind.Kind, step Step) (open []int, waits, ok bool) {
+func (l *Ledger) Cancel(now time.Time, shardName string, key JobKey, reason errkind.Kind, step PostCommitStep) (open []int, waits, ok bool) {
 	s, r, _ := l.findTask(shardName, key, 0)
 	if r == nil {
 		return nil, false, false
@@ -194,16 +194,16 @@
 	}
 }
 
-// After queues step until every change made so far is in the store.
-func (l *Ledger) After(shardName string, step Step) {
+// QueueAfterCommit queues step until every change made so far is in the store.
+func (l *Ledger) QueueAfterCommit(shardName string, step PostCommitStep) {
 	if s, ok := l.shards[shardName]; ok {
 		s.releaseAfterLatest(step)
 	}
 }
 
-// Forget removes the record of a memory-only job that was not run, so that a repeated
+// DeleteMemoryOnly removes the record of a memory-only job that was not run, so that a repeated
 // submission is handled as a new job.
-func (l *Ledger) Forget(key JobKey) { delete(l.memoryOnlyJobs, key) }
+func (l *Ledger) DeleteMemoryOnly(key JobKey) { delete(l.memoryOnlyJobs, key) }
 
 // findTask returns a task with its job and shard. It returns nil values if there is no such
 // task or the shard of a durable job is not active. The shard of a memory-only job is nil
