allowance: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

allowance.Write.Expect -> ExpectedRevision allowance.Write.Owners -> OwnershipRevisions allowance.Record.Parts -> Allowances allowance.Table.Own -> AddPartition allowance.Table.Disown -> RemovePartition allowance.Table.Rebuilt -> MarkRebuilt allowance.Table.Want -> SetDemand allowance.Table.Count -> AddRunning allowance.Table.Return -> Release allowance.Table.AskIdle -> RequestIdleReturn allowance.Table.Starving -> StarvedTeams

--- a/allowance/model_test.go
+++ b/allowance/model_test.go
@@ -100,11 +100,11 @@
 // takeOver moves the partition to another process. The former owner disowns it first.
 func (m *model) takeOver(partition string, to int) {
 	if from, ok := m.owner[partition]; ok {
-		m.tables[from].Disown(partition)
+		m.tables[from].RemovePartition(partition)
 	}
 	m.revision++
 	m.ownership[partition], m.owner[partition] = m.revision, to
-	m.tables[to].Own(partition, m.revision)
+	m.tables[to].AddPartition(partition, m.revision)
 	for _, r := range m.runningTasks {
 		if r.partition == partition {
 			r.reported = false
@@ -125,10 +125,10 @@
 			continue
 		}
 		r.reported = true
-		t.Count(m.now, r.team, partition, r.size)
+		t.AddRunning(m.now, r.team, partition, r.size)
 	}
 	if complete {
-		t.Rebuilt(partition)
+		t.MarkRebuilt(partition)
 	}
 }
 
@@ -160,7 +160,7 @@
 	r := m.runningTasks[i]
 	m.runningTasks = slices.Delete(m.runningTasks, i, i+1)
 	if r.reported {
-		m.tables[m.owner[r.partition]].Return(m.now, r.team, r.partition, r.size)
+		m.tables[m.owner[r.partition]].Release(m.now, r.team, r.partition, r.size)
 	}
 }
 
@@ -168,10 +168,10 @@
 	result, moved := WriteResult{Outcome: Conflict}, false
 	for _, w := range txn.writes {
 		current := m.records[w.Record.Team]
-		if current.Revision != w.Expect {
+		if current.Revision != w.ExpectedRevision {
 			result.Current = append(result.Current, current)
 		}
-		for p, revision := range w.Owners {
+		for p, revision := range w.OwnershipRevisions {
 			moved = moved || m.ownership[p] != revision
 		}
 	}
@@ -223,7 +223,7 @@
 		return "settle"
 	case next.sum().Sub(current.sum()).HasNegative():
 		return "return"
-	case len(w.Owners) == 0:
+	case len(w.OwnershipRevisions) == 0:
 		return "fence"
 	}
 	return "grant"
@@ -270,7 +270,7 @@
 	case n < 96:
 		m.restart(i)
 	case n < 97:
-		m.tables[i].AskIdle(modelTeams[m.rng.IntN(2)])
+		m.tables[i].RequestIdleReturn(modelTeams[m.rng.IntN(2)])
 	case n < 98:
 		m.renewOwnership(m.randomPartition())
 	default:
@@ -283,7 +283,7 @@
 func (m *model) renewOwnership(partition string) {
 	m.revision++
 	m.ownership[partition] = m.revision
-	m.tables[m.owner[partition]].Own(partition, m.revision)
+	m.tables[m.owner[partition]].AddPartition(partition, m.revision)
 }
 
 // violation returns a violation of a limit in force by the running tasks or the parts, or
@@ -301,7 +301,7 @@
 			return fmt.Sprintf("team %s runs %v above the limit %v", team, total, record.Limit)
 		}
 		if !fitsLimit(record.sum(), record.Limit) {
-			return fmt.Sprintf("parts %v of team %s exceed the limit %v", record.Parts, team, record.Limit)
+			return fmt.Sprintf("parts %v of team %s exceed the limit %v", record.Allowances, team, record.Limit)
 		}
 	}
 	return ""
@@ -334,7 +334,7 @@
 	}
 	for team, r := range m.records {
 		if r.HasPending || !onlyLimited(r.sum(), r.Limit).IsZero() {
-			return fmt.Sprintf("team %s still holds %v (pending %v) after 20 s without work", team, r.Parts, r.HasPending)
+			return fmt.Sprintf("team %s still holds %v (pending %v) after 20 s without work", team, r.Allowances, r.HasPending)
 		}
 	}
 	return ""
--- a/allowance/plan.go
+++ b/allowance/plan.go
@@ -56,10 +56,10 @@
 		return Write{}, false
 	}
 	p.next.Revision = 0
-	w := Write{Record: p.next, Expect: team.record.Revision, Owners: p.owners}
+	w := Write{Record: p.next, ExpectedRevision: team.record.Revision, OwnershipRevisions: p.owners}
 	team.lowerFloor(w)
 	if t.seededFaults.skipOwnershipCompare {
-		w.Owners = nil
+		w.OwnershipRevisions = nil
 	}
 	return w, true
 }
@@ -68,15 +68,15 @@
 // record from now on.
 func (team *teamState) lowerFloor(w Write) {
 	if team.floor == nil {
-		team.floor = make(map[string]task.Resources, len(w.Record.Parts))
-		for name, part := range w.Record.Parts {
+		team.floor = make(map[string]task.Resources, len(w.Record.Allowances))
+		for name, part := range w.Record.Allowances {
 			team.floor[name] = part
 		}
 	}
 	for name, part := range team.floor {
-		team.floor[name] = part.Min(w.Record.Parts[name])
+		team.floor[name] = part.Min(w.Record.Allowances[name])
 	}
-	team.floorExpectedRevision = w.Expect
+	team.floorExpectedRevision = w.ExpectedRevision
 }
 
 // planner builds the next record of one team.
@@ -179,7 +179,7 @@
 		}
 		u := t.usageOf(p.now, team, name)
 		largest, total := u.demand(p.now)
-		shortfall := t.used(part, u).Sub(p.next.Parts[name])
+		shortfall := t.used(part, u).Sub(p.next.Allowances[name])
 		need := nonNegative(shortfall.Add(total))
 		if need.IsZero() {
 			continue
@@ -199,7 +199,7 @@
 		return
 	}
 	block := need.Scale(2).Min(quarter(free).Max(largest))
-	block = block.Max(unlimitedGrowth(p.next.Parts[name], need, p.next.Limit))
+	block = block.Max(unlimitedGrowth(p.next.Allowances[name], need, p.next.Limit))
 	if onlyLimited(block, p.next.Limit).IsZero() && !onlyLimited(need, p.next.Limit).IsZero() {
 		p.team.starving = true
 	}
@@ -217,10 +217,10 @@
 	if p.table.seededFaults.ignoreUnlimited {
 		delta = onlyLimited(delta, p.next.Limit)
 	}
-	amount := p.next.Parts[name].Add(delta)
-	p.next.Parts[name] = amount
+	amount := p.next.Allowances[name].Add(delta)
+	p.next.Allowances[name] = amount
 	if amount.IsZero() {
-		delete(p.next.Parts, name)
+		delete(p.next.Allowances, name)
 	}
 	p.total = p.total.Add(delta)
 	p.owners[name] = part.ownershipRevision
--- a/allowance/record.go
+++ b/allowance/record.go
@@ -15,7 +15,7 @@
 	Pending       task.Resources            `json:"pending"`               // lower limit that is not in force yet
 	HasPending    bool                      `json:"has_pending,omitempty"` // whether Pending is set
 	LimitRevision int64                     `json:"limit_revision"`        // of the document that sets the newest limit
-	Parts         map[string]task.Resources `json:"parts,omitempty"`       // allowances by worker partition
+	Allowances    map[string]task.Resources `json:"parts,omitempty"`       // allowances by worker partition
 	Revision      int64                     `json:"-"`                     // of the store; 0 if there is no record
 }
 
@@ -25,9 +25,9 @@
 // prevents a delayed write of a former owner from returning an allowance that the next
 // owner uses.
 type Write struct {
-	Record Record
-	Expect int64
-	Owners map[string]int64
+	Record             Record
+	ExpectedRevision   int64
+	OwnershipRevisions map[string]int64
 }
 
 // Outcome is the result of a transaction.
@@ -72,7 +72,7 @@
 
 func (r *Record) sum() task.Resources {
 	var total task.Resources
-	for _, part := range r.Parts {
+	for _, part := range r.Allowances {
 		total = total.Add(part)
 	}
 	return total
@@ -80,9 +80,9 @@
 
 func (r *Record) clone() Record {
 	c := *r
-	c.Parts = maps.Clone(r.Parts)
-	if c.Parts == nil {
-		c.Parts = make(map[string]task.Resources)
+	c.Allowances = maps.Clone(r.Allowances)
+	if c.Allowances == nil {
+		c.Allowances = make(map[string]task.Resources)
 	}
 	return c
 }
--- a/allowance/seeded_test.go
+++ b/allowance/seeded_test.go
@@ -26,15 +26,15 @@
 	slot := task.Resources{Slots: 1}
 	m.commitLimit("a", task.Resources{Slots: 8})
 	m.takeOver(other, 2)
-	m.tables[0].Rebuilt(from)
-	m.tables[2].Rebuilt(other)
+	m.tables[0].MarkRebuilt(from)
+	m.tables[2].MarkRebuilt(other)
 	m.deliver(0)
 	m.fillPartition(from)
 	m.deliver(1)
 	for len(m.runningTasks) > 3 {
 		m.finishRandomTask()
 	}
-	m.tables[0].AskIdle("a")
+	m.tables[0].RequestIdleReturn("a")
 	m.now = m.now.Add(4 * time.Second)
 	returned := &transaction{table: m.tables[0], writes: m.tables[0].Plan(m.now)}
 	if race != lateReturn {
--- a/allowance/table.go
+++ b/allowance/table.go
@@ -133,10 +133,10 @@
 	team.limit, team.limitRevision, team.limitSetAt = limit, revision, now
 }
 
-// Own reports that this process owns the partition, with an ownership record of the
+// AddPartition reports that this process owns the partition, with an ownership record of the
 // given revision. A later call for the same ownership updates the revision that writes
 // compare.
-func (t *Table) Own(name string, revision int64) {
+func (t *Table) AddPartition(name string, revision int64) {
 	if p, ok := t.partitions[name]; ok {
 		p.ownershipRevision = max(p.ownershipRevision, revision)
 		return
@@ -146,17 +146,17 @@
 	slices.Sort(t.owned)
 }
 
-// Rebuilt reports that, since the partition was gained, every worker of it has reported
+// MarkRebuilt reports that, since the partition was gained, every worker of it has reported
 // its tasks or the leases of the worker's tasks have ended. Until then the whole
 // allowance that the partition held counts as in use.
-func (t *Table) Rebuilt(name string) {
+func (t *Table) MarkRebuilt(name string) {
 	if p := t.partitions[name]; p != nil {
 		p.rebuilt = true
 	}
 }
 
-// Disown reports that this process no longer owns the partition.
-func (t *Table) Disown(name string) {
+// RemovePartition reports that this process no longer owns the partition.
+func (t *Table) RemovePartition(name string) {
 	delete(t.partitions, name)
 	t.owned = slices.DeleteFunc(t.owned, func(o string) bool { return o == name })
 	for _, team := range t.teams {
@@ -197,9 +197,9 @@
 	return true
 }
 
-// Want records the total demand of the team's tasks that wait at the partition, so that
+// SetDemand records the total demand of the team's tasks that wait at the partition, so that
 // one transaction covers all of them.
-func (t *Table) Want(now time.Time, name task.Team, partition string, total task.Resources) {
+func (t *Table) SetDemand(now time.Time, name task.Team, partition string, total task.Resources) {
 	if t.partitions[partition] == nil {
 		return
 	}
@@ -207,8 +207,8 @@
 	u.totalDemand, u.totalDemandAt = total, now
 }
 
-// Count adds the size of a task that was found running, also above the allowance.
-func (t *Table) Count(now time.Time, name task.Team, partition string, size task.Resources) {
+// AddRunning adds the size of a task that was found running, also above the allowance.
+func (t *Table) AddRunning(now time.Time, name task.Team, partition string, size task.Resources) {
 	if t.partitions[partition] == nil {
 		return
 	}
@@ -217,21 +217,21 @@
 	u.add(now, size, t.cfg.Idle)
 }
 
-// Return returns the size that Acquire or Count took for a task that has ended.
-func (t *Table) Return(now time.Time, name task.Team, partition string, size task.Resources) {
+// Release returns the size that Acquire or Count took for a task that has ended.
+func (t *Table) Release(now time.Time, name task.Team, partition string, size task.Resources) {
 	if t.partitions[partition] == nil {
 		return
 	}
 	t.usageOf(now, t.teamFor(name), partition).add(now, size.Scale(-1), t.cfg.Idle)
 }
 
-// AskIdle records that another owner lacks allowance of the team. The next Plan returns
+// RequestIdleReturn records that another owner lacks allowance of the team. The next Plan returns
 // idle amounts.
-func (t *Table) AskIdle(name task.Team) { t.teamFor(name).idleRequested = true }
+func (t *Table) RequestIdleReturn(name task.Team) { t.teamFor(name).idleRequested = true }
 
-// Starving returns the teams for which this owner lacks allowance and the free amount is
+// StarvedTeams returns the teams for which this owner lacks allowance and the free amount is
 // too small. The digest reports them to the other owners.
-func (t *Table) Starving() []task.Team {
+func (t *Table) StarvedTeams() []task.Team {
 	var names []task.Team
 	for _, team := range t.sortedTeams {
 		if team.starving {
@@ -263,7 +263,7 @@
 // held returns the amount that the partition certainly holds: the minimum over the known
 // record and every write that may have replaced it.
 func (t *Table) held(team *teamState, partition string) task.Resources {
-	amount := team.record.Parts[partition]
+	amount := team.record.Allowances[partition]
 	if team.floor == nil || t.seededFaults.useReturned {
 		return amount
 	}
--- a/allowance/table_test.go
+++ b/allowance/table_test.go
@@ -13,9 +13,9 @@
 func TestPendingLimitStopsStarts(t *testing.T) {
 	now, slots := time.Unix(1000, 0), func(n int64) task.Resources { return task.Resources{Slots: n} }
 	table := New(DefaultConfig())
-	table.Own("w/r/0", 5)
-	table.Rebuilt("w/r/0")
-	r := WithLimit(Record{Team: "a", Parts: map[string]task.Resources{"w/r/0": slots(8)}}, slots(10), 3)
+	table.AddPartition("w/r/0", 5)
+	table.MarkRebuilt("w/r/0")
+	r := WithLimit(Record{Team: "a", Allowances: map[string]task.Resources{"w/r/0": slots(8)}}, slots(10), 3)
 	r.Revision = 6
 	table.Observe(now, r)
 	table.ObserveThrough(6)
@@ -35,11 +35,11 @@
 		t.Fatal("Acquire succeeded while a lower limit is pending")
 	}
 	writes := table.Plan(now)
-	if len(writes) != 1 || writes[0].Record.Parts["w/r/0"] != slots(5) {
+	if len(writes) != 1 || writes[0].Record.Allowances["w/r/0"] != slots(5) {
 		t.Fatalf("writes while a lower limit is pending = %+v, want one that returns the 3 idle slots", writes)
 	}
 	table.WriteDone(now, writes, WriteResult{Outcome: Succeeded, Revision: 9})
-	table.Return(now, "a", "w/r/0", slots(1))
+	table.Release(now, "a", "w/r/0", slots(1))
 	writes = table.Plan(now.Add(time.Second))
 	if len(writes) != 1 || writes[0].Record.Limit != slots(4) || writes[0].Record.HasPending {
 		t.Fatalf("writes after the parts equal the pending limit = %+v, want one that puts limit 4 in force", writes)
@@ -66,7 +66,7 @@
 func (t *Table) demandAll(now time.Time) {
 	for _, team := range t.sortedTeams {
 		for _, p := range t.owned {
-			t.Want(now, team.name, p, task.Resources{Slots: 4, CPUMilli: 4000})
+			t.SetDemand(now, team.name, p, task.Resources{Slots: 4, CPUMilli: 4000})
 		}
 	}
 }
@@ -80,13 +80,13 @@
 		name := fmt.Sprintf("w/r/%d", i)
 		parts[name] = task.Resources{Slots: 4, CPUMilli: 4000}
 		if i%8 == 0 {
-			t.Own(name, 1)
-			t.Rebuilt(name)
+			t.AddPartition(name, 1)
+			t.MarkRebuilt(name)
 		}
 	}
 	t.ObserveThrough(2)
 	for i := range teams {
-		t.Observe(now, Record{Team: task.Team(fmt.Sprintf("team-%d", i)), Limit: task.Resources{Slots: 10000}, Parts: parts, Revision: 2})
+		t.Observe(now, Record{Team: task.Team(fmt.Sprintf("team-%d", i)), Limit: task.Resources{Slots: 10000}, Allowances: parts, Revision: 2})
 	}
 	for _, team := range t.sortedTeams {
 		for _, p := range t.owned {
@@ -125,15 +125,15 @@
 	now, slots := time.Unix(1000, 0), func(n int64) task.Resources { return task.Resources{Slots: n} }
 	table := New(DefaultConfig())
 	for _, name := range []string{"w/r/0", "w/r/1"} {
-		table.Own(name, 5)
-		table.Rebuilt(name)
+		table.AddPartition(name, 5)
+		table.MarkRebuilt(name)
 	}
-	table.Observe(now, Record{Team: "a", Limit: slots(4), LimitRevision: 3, Parts: map[string]task.Resources{"w/r/0": slots(4)}, Revision: 6})
+	table.Observe(now, Record{Team: "a", Limit: slots(4), LimitRevision: 3, Allowances: map[string]task.Resources{"w/r/0": slots(4)}, Revision: 6})
 	table.ObserveThrough(6)
 	if !table.Acquire(now, "a", "w/r/0", slots(4)) {
 		t.Fatal("Acquire refused 4 of 4 allowed slots")
 	}
-	table.Return(now, "a", "w/r/0", slots(4)) // idle from now on
+	table.Release(now, "a", "w/r/0", slots(4)) // idle from now on
 	revision, began := int64(6), now
 	for !table.Acquire(now, "a", "w/r/1", slots(1)) {
 		now = now.Add(time.Second)
--- a/allowance/usage.go
+++ b/allowance/usage.go
@@ -39,7 +39,7 @@
 		team.usageByPartition[name] = u
 	}
 	if !u.allowanceAtGainSet && team.loaded && t.isUsable(t.partitions[name]) {
-		u.allowanceAtGain, u.allowanceAtGainSet = team.record.Parts[name], true
+		u.allowanceAtGain, u.allowanceAtGainSet = team.record.Allowances[name], true
 	}
 	return u
 }
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -104,7 +104,7 @@
 	d := DigestMessage{
 		Instance: s.self.Instance, Incarnation: s.self.Incarnation, Revision: s.config.appliedRevision,
 		StoreContact: s.hasStoreContact(), StoreContactAge: s.now.Sub(s.membership.lastContact), Freshness: s.freshness.Remaining(s.now),
-		Partitions: s.owner.partitionDigests(), Usage: s.owner.usage(), StarvedTeams: s.owner.allowances.Starving(),
+		Partitions: s.owner.partitionDigests(), Usage: s.owner.usage(), StarvedTeams: s.owner.allowances.StarvedTeams(),
 		Clock: s.recorder.Now(s.now),
 	}
 	return d
@@ -152,7 +152,7 @@
 	s.routing.observeDigest(s.now, d)
 	s.ownership.SetHandoverEligible(d.Instance, s.mayReceiveUnits(d))
 	for _, team := range d.StarvedTeams {
-		s.owner.allowances.AskIdle(team)
+		s.owner.allowances.RequestIdleReturn(team)
 	}
 	s.updateShares()
 	if d.Revision > s.config.appliedRevision && !s.areKeysFresh() {
--- a/control/limit.go
+++ b/control/limit.go
@@ -43,7 +43,7 @@
 		}
 	}
 	for n, total := range needs {
-		w.allowances.Want(w.now, n.team, n.partition, total)
+		w.allowances.SetDemand(w.now, n.team, n.partition, total)
 	}
 }
 
@@ -66,10 +66,10 @@
 // pending limit.
 func excessUsage(r allowance.Record, partition string, used task.Resources) task.Resources {
 	var total task.Resources
-	for _, part := range r.Parts {
+	for _, part := range r.Allowances {
 		total = total.Add(part)
 	}
-	part := r.Parts[partition]
+	part := r.Allowances[partition]
 	return task.Resources{
 		CPUMilli:     excessAmount(used.CPUMilli, part.CPUMilli, total.CPUMilli, r.Pending.CPUMilli),
 		MemoryMB:     excessAmount(used.MemoryMB, part.MemoryMB, total.MemoryMB, r.Pending.MemoryMB),
--- a/control/limit_test.go
+++ b/control/limit_test.go
@@ -23,7 +23,7 @@
 	fourTasks := gangSpec.Size.Scale(4)
 	limit := task.Resources{Slots: 4}
 	h.revision++
-	record := allowance.Record{Team: team, Limit: limit, LimitRevision: h.revision, Parts: map[string]task.Resources{second: fourTasks}, Revision: h.revision}
+	record := allowance.Record{Team: team, Limit: limit, LimitRevision: h.revision, Allowances: map[string]task.Resources{second: fourTasks}, Revision: h.revision}
 	w.setLimit(team, &limit, h.revision)
 	h.apply(ConfigChanged{Revision: h.revision, Changes: []ConfigChange{{Entry: ConfigEntry{Key: "allow/team-0", Revision: h.revision}, Allowance: &record}}})
 	place := func(partition string, n int) {
--- a/control/owner.go
+++ b/control/owner.go
@@ -294,7 +294,7 @@
 // release releases the worker capacity and the allowance that are reserved for an attempt.
 func (w *owner) release(a *attempt) {
 	if _, size, ok := w.cluster.Release(a.id); ok {
-		w.allowances.Return(w.now, a.team, a.partition, size)
+		w.allowances.Release(w.now, a.team, a.partition, size)
 		w.shares.Finish(w.now, a.team, size)
 		w.unblock(a.team)
 	}
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -165,7 +165,7 @@
 		return false
 	}
 	if !w.reserveWorker(a, worker) {
-		w.allowances.Return(w.now, a.team, a.partition, a.size)
+		w.allowances.Release(w.now, a.team, a.partition, a.size)
 		return false
 	}
 	return true
@@ -285,7 +285,7 @@
 		w.release(m)
 	}
 	for _, m := range members[reserved:] {
-		w.allowances.Return(w.now, m.team, m.partition, m.size)
+		w.allowances.Release(w.now, m.team, m.partition, m.size)
 	}
 }
 
--- a/control/units.go
+++ b/control/units.go
@@ -29,7 +29,7 @@
 			}
 		case ownership.Renewed:
 			if isPartition(a.Unit) {
-				s.owner.allowances.Own(a.Unit, a.Revision)
+				s.owner.allowances.AddPartition(a.Unit, a.Revision)
 			}
 		}
 	}
--- a/control/workers.go
+++ b/control/workers.go
@@ -16,7 +16,7 @@
 func (w *owner) acquirePartition(name string, epoch uint64, revision int64) {
 	w.dropPartition(name)
 	w.partitions[name] = &partition{epoch: epoch, acquiredAt: w.now}
-	w.allowances.Own(name, revision)
+	w.allowances.AddPartition(name, revision)
 	for _, ws := range w.workers {
 		if ws.partition == name {
 			w.resetWorker(ws)
@@ -50,7 +50,7 @@
 		delete(w.attempts, id)
 		delete(w.pendingReports, id)
 	}
-	w.allowances.Disown(name)
+	w.allowances.RemovePartition(name)
 	for _, ws := range w.workers {
 		if ws.partition == name {
 			ws.reconciled, ws.awaitingProbe = false, false
@@ -250,7 +250,7 @@
 	w.attempts[a.id] = a
 	if r.Outcome == nil {
 		w.cluster.Assume(a.worker, a.id, a.size)
-		w.allowances.Count(w.now, a.team, a.partition, a.size)
+		w.allowances.AddRunning(w.now, a.team, a.partition, a.size)
 		w.shares.Start(w.now, a.team, a.size)
 	}
 	return a
@@ -320,7 +320,7 @@
 		}
 		if ready && w.hasWorkers(name) {
 			part.ready = true
-			w.allowances.Rebuilt(name)
+			w.allowances.MarkRebuilt(name)
 		}
 	}
 }
--- a/daemon/storecalls.go
+++ b/daemon/storecalls.go
@@ -208,9 +208,9 @@
 			return done
 		}
 		key := store.AllowanceKey(string(w.Record.Team))
-		txn.Compares = append(txn.Compares, store.Compare{Key: key, ModRevision: w.Expect})
+		txn.Compares = append(txn.Compares, store.Compare{Key: key, ModRevision: w.ExpectedRevision})
 		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
-		for partition, revision := range w.Owners {
+		for partition, revision := range w.OwnershipRevisions {
 			owners[partition] = revision
 		}
 	}
