daemon: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

daemon.Config.Linger -> ConnectionDrainTimeout daemon.DefaultLinger -> DefaultConnectionDrainTimeout daemon.Config.Tick -> TickInterval daemon.DefaultTick -> DefaultTickInterval daemon.Clients.List -> InstanceList

--- a/daemon/config.go
+++ b/daemon/config.go
@@ -27,14 +27,14 @@
 	Store    store.Config
 	Worker   worker.Config
 
-	ListAddress    string
-	ListInterval   time.Duration // interval between reads of the instance list
-	ListTimeout    time.Duration // timeout of one read of the instance list
-	Tick           time.Duration // interval of the control loop's timer
-	AnswerTimeout  time.Duration // default time from the submission to the deadline of work of kind answer
-	DrainTimeout   time.Duration // limit on the duration of a graceful shutdown
-	Linger         time.Duration // limit on waiting for callers to close their connections after the handover
-	TimelineEvents int           // capacity of the timeline
+	ListAddress            string
+	ListInterval           time.Duration // interval between reads of the instance list
+	ListTimeout            time.Duration // timeout of one read of the instance list
+	TickInterval           time.Duration // interval of the control loop's timer
+	AnswerTimeout          time.Duration // default time from the submission to the deadline of work of kind answer
+	DrainTimeout           time.Duration // limit on the duration of a graceful shutdown
+	ConnectionDrainTimeout time.Duration // limit on waiting for callers to close their connections after the handover
+	TimelineEvents         int           // capacity of the timeline
 	// MaxDurableBytes bounds the payload of durable work. The payload is stored in the record of a
 	// request shard, and the store limits the size of its values.
 	MaxDurableBytes int64
@@ -45,10 +45,10 @@
 // Defaults of Config.
 const (
 	DefaultListInterval  = time.Second
-	DefaultTick          = 50 * time.Millisecond
+	DefaultTickInterval  = 50 * time.Millisecond
 	DefaultAnswerTimeout = 10 * time.Second
 	DefaultDrainTimeout  = 30 * time.Second
-	// DefaultLinger is longer than the 5 s for which the project's client keeps an idle connection.
-	DefaultLinger         = 8 * time.Second
-	DefaultTimelineEvents = 65536
+	// DefaultConnectionDrainTimeout is longer than the 5 s for which the project's client keeps an idle connection.
+	DefaultConnectionDrainTimeout = 8 * time.Second
+	DefaultTimelineEvents         = 65536
 )
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -47,10 +47,10 @@
 	cfg.Registry = metrics.NewRegistry()
 	cfg.Worker.Registry = cfg.Registry
 	d.engine = newEngine(cfg, logger, Clients{
-		Store:   store.NewClient(cfg.Store),
-		List:    instancelist.NewClient(instancelist.Config{Address: cfg.ListAddress, Instance: cfg.Self.Instance, CallTimeout: cfg.ListTimeout}),
-		Workers: worker.NewClient(cfg.Worker),
-		Entries: entry.NewClient(cfg.Self),
+		Store:        store.NewClient(cfg.Store),
+		InstanceList: instancelist.NewClient(instancelist.Config{Address: cfg.ListAddress, Instance: cfg.Self.Instance, CallTimeout: cfg.ListTimeout}),
+		Workers:      worker.NewClient(cfg.Worker),
+		Entries:      entry.NewClient(cfg.Self),
 	})
 	d.callers = caller.NewServer(cfg.Caller, &callerBackend{d.engine})
 	cfg.Operator.Metrics = d.registry
@@ -146,7 +146,7 @@
 // close", and callers close idle connections after their idle timeout.
 func (d *Daemon) drainConnections(ctx context.Context) {
 	_ = d.listeners.caller.Close()
-	ctx, cancel := context.WithTimeout(ctx, d.cfg.Linger)
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.ConnectionDrainTimeout)
 	defer cancel()
 	d.callers.AwaitNoConnection(ctx)
 }
--- a/daemon/deployment_test.go
+++ b/daemon/deployment_test.go
@@ -133,14 +133,14 @@
 	s.WorkerPartitions, s.RequestShards = 2, 4
 	cfg := FromSettings(s)
 	cfg.Seed = uint64(i + 1)
-	cfg.Tick = 50 * time.Millisecond
+	cfg.TickInterval = 50 * time.Millisecond
 	cfg.Self.Address = s.Instance
 	w.mu.Lock()
 	cfg.Self.Incarnation = fmt.Sprintf("%s-%d", s.Instance, len(w.nodes))
 	w.mu.Unlock()
 	n := &node{deployment: w, index: i}
 	n.engine = newEngine(cfg, log.New(io.Discard), w.clients(n, Clients{
-		Store: &storeFake{Store: w.store.Client(s.Instance), node: n}, List: &listFake{n}, Workers: &workerFake{API: w.localWorkers, node: n}, Entries: &entryFake{n},
+		Store: &storeFake{Store: w.store.Client(s.Instance), node: n}, InstanceList: &listFake{n}, Workers: &workerFake{API: w.localWorkers, node: n}, Entries: &entryFake{n},
 	}))
 	n.executor = func(e control.Effect) {
 		n.waitWhileFrozen()
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -20,10 +20,10 @@
 
 // Clients holds the clients for the peers of an entry instance. Tests replace them with fakes.
 type Clients struct {
-	Store   store.Store
-	List    instancelist.Lister
-	Workers worker.API
-	Entries EntryCaller
+	Store        store.Store
+	InstanceList instancelist.Lister
+	Workers      worker.API
+	Entries      EntryCaller
 }
 
 // EntryCaller calls the other entry instances.
@@ -70,7 +70,7 @@
 		resync:   make(chan struct{}, 1), drained: make(chan struct{})}
 	state := control.New(now, cfg.Control, cfg.Parts, cfg.Self, d.recorder, rand.New(rand.NewPCG(seed, 0)))
 	d.executor = d.execute
-	d.loop = control.NewLoop(state, cfg.Tick, d.registry, func(e control.Effect) { d.executor(e) })
+	d.loop = control.NewLoop(state, cfg.TickInterval, d.registry, func(e control.Effect) { d.executor(e) })
 	registerGauges(registry, d.loop, d.recorder, clients.Entries)
 	d.effectsCtx, d.stop = context.WithCancel(context.Background())
 	return d
--- a/daemon/fromsettings.go
+++ b/daemon/fromsettings.go
@@ -22,7 +22,7 @@
 		Store:       store.Config{Address: s.StoreEndpoints[0], Instance: s.Instance, CallTimeout: s.StoreCallTimeout, ProgressTimeout: s.StreamProgress},
 		Worker:      worker.Config{CallTimeout: s.WorkerCallTimeout, MaxResultBytes: s.MaxResultBytes, Connections: s.WorkerConnections},
 		ListAddress: s.InstanceListEndpoint, ListInterval: s.ListInterval, ListTimeout: s.ListTimeout,
-		Tick: DefaultTick, AnswerTimeout: s.CallTimeout, DrainTimeout: s.DrainTimeout, Linger: DefaultLinger,
+		TickInterval: DefaultTickInterval, AnswerTimeout: s.CallTimeout, DrainTimeout: s.DrainTimeout, ConnectionDrainTimeout: DefaultConnectionDrainTimeout,
 		TimelineEvents: s.TimelineEvents, MaxDurableBytes: s.MaxDurableRequestBytes,
 	}
 	cfg.Parts = parts(s, cfg.Control)
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -102,7 +102,7 @@
 // fetchFromPeers requests the configuration from the other entry instances while the store is
 // unavailable, for example when this instance has started during an outage.
 func (d *engine) fetchFromPeers(ctx context.Context) {
-	instances, err := d.clients.List.List(ctx)
+	instances, err := d.clients.InstanceList.List(ctx)
 	if err != nil {
 		d.log.Warn("started without store and instance list", "err", err)
 		return
@@ -129,7 +129,7 @@
 	var known map[worker.Address]bool
 	for ctx.Err() == nil {
 		sentAt := time.Now()
-		instances, err := d.clients.List.List(ctx)
+		instances, err := d.clients.InstanceList.List(ctx)
 		if err != nil {
 			d.log.Debug("reading the instance list failed", "err", err)
 		} else {
