store: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

store.KeyKey -> GrantedKeyKey store.KeysPrefix -> GrantedKeysPrefix store.DecodeKey -> DecodeGrantedKey store.Hedge.After -> Delay store.Hedge.Most -> MaxAttempts

--- a/daemon/deployment_test.go
+++ b/daemon/deployment_test.go
@@ -118,7 +118,7 @@
 		txn.Puts = append(txn.Puts, store.Put{Key: store.DocumentKey(string(parsed.Team), string(parsed.Service)), Value: value})
 	}
 	value, _ := store.Encode(keyring.Key{ID: "k1", Team: "leuven", Digest: keyring.DigestOf(testSecret)})
-	txn.Puts = append(txn.Puts, store.Put{Key: store.KeyKey("leuven", "k1"), Value: value})
+	txn.Puts = append(txn.Puts, store.Put{Key: store.GrantedKeyKey("leuven", "k1"), Value: value})
 	if _, err := client.Commit(w.t.Context(), txn); err != nil {
 		w.t.Fatal(err)
 	}
--- a/daemon/keys.go
+++ b/daemon/keys.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return api.GrantedKey{}, err
 	}
-	key := store.KeyKey(string(granted.Team), granted.ID)
+	key := store.GrantedKeyKey(string(granted.Team), granted.ID)
 	txn := store.Txn{Compares: []store.Compare{{Key: key}}, Puts: []store.Put{{Key: key, Value: value}}}
 	// A grant whose outcome is unclear is not retried. Its secret is lost, so a key that was stored
 	// nevertheless cannot be used by anyone.
@@ -36,7 +36,7 @@
 
 // WithdrawKey withdraws a key. The withdrawal is idempotent and is retried until it is confirmed.
 func (b *operatorBackend) WithdrawKey(ctx context.Context, by string, team task.Team, id string) (api.Key, error) {
-	key := store.KeyKey(string(team), id)
+	key := store.GrantedKeyKey(string(team), id)
 	for ctx.Err() == nil {
 		kv, found, _, err := b.clients.Store.Get(ctx, key)
 		if err != nil {
@@ -45,7 +45,7 @@
 		if !found {
 			return api.Key{}, errkind.New(errkind.InvalidRequest, "team %s has no key %s", team, id).WithField("id", "the ID of an existing key of the team")
 		}
-		granted, err := store.DecodeKey(kv.Key, kv.Value, kv.ModRevision)
+		granted, err := store.DecodeGrantedKey(kv.Key, kv.Value, kv.ModRevision)
 		if err != nil {
 			return api.Key{}, err
 		}
@@ -72,13 +72,13 @@
 
 // Keys lists the keys of a team, or of all teams.
 func (b *operatorBackend) Keys(ctx context.Context, team task.Team) ([]api.Key, error) {
-	kvs, _, err := b.clients.Store.List(ctx, store.KeysPrefix(string(team)))
+	kvs, _, err := b.clients.Store.List(ctx, store.GrantedKeysPrefix(string(team)))
 	if err != nil {
 		return nil, storeError(err)
 	}
 	var keys []api.Key
 	for _, kv := range kvs {
-		if granted, err := store.DecodeKey(kv.Key, kv.Value, kv.ModRevision); err == nil {
+		if granted, err := store.DecodeGrantedKey(kv.Key, kv.Value, kv.ModRevision); err == nil {
 			keys = append(keys, keyView(*granted))
 		}
 	}
--- a/demo/configuration.go
+++ b/demo/configuration.go
@@ -41,7 +41,7 @@
 		if err != nil {
 			return err
 		}
-		txn.Puts = append(txn.Puts, store.Put{Key: store.KeyKey(string(team), "demo-"+string(team)), Value: value})
+		txn.Puts = append(txn.Puts, store.Put{Key: store.GrantedKeyKey(string(team), "demo-"+string(team)), Value: value})
 	}
 	_, err = client.Commit(ctx, txn)
 	return eris.Wrap(err, "store the configuration of the demo")
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -333,7 +333,7 @@
 // commitHedge resends a write that has received no response. The delay is several times
 // the 30 ms round trip to a store in another region, and longer than a slow store usually
 // takes.
-var commitHedge = store.Hedge{After: 220 * time.Millisecond, Most: 4}
+var commitHedge = store.Hedge{Delay: 220 * time.Millisecond, MaxAttempts: 4}
 
 func sleep(ctx context.Context, d time.Duration) {
 	select {
--- a/store/codec.go
+++ b/store/codec.go
@@ -77,7 +77,7 @@
 }
 
 func decodeKey(entry control.ConfigEntry) (*keyring.Key, error) {
-	granted, err := DecodeKey(entry.Key, entry.Value, entry.Revision)
+	granted, err := DecodeGrantedKey(entry.Key, entry.Value, entry.Revision)
 	if err != nil {
 		return nil, err
 	}
@@ -95,9 +95,9 @@
 	WithdrawnAt time.Time `json:"withdrawn_at,omitzero"`
 }
 
-// DecodeKey decodes a granted key. Team and ID are taken from the store's key, so that a value cannot
+// DecodeGrantedKey decodes a granted key. Team and ID are taken from the store's key, so that a value cannot
 // grant access to another team.
-func DecodeKey(storeKey string, value []byte, revision int64) (*GrantedKey, error) {
+func DecodeGrantedKey(storeKey string, value []byte, revision int64) (*GrantedKey, error) {
 	granted, err := decode[GrantedKey](value)
 	if err != nil {
 		return nil, err
--- a/store/hedge.go
+++ b/store/hedge.go
@@ -9,8 +9,8 @@
 // Hedge configures hedged commits, which send a transaction again while earlier attempts are still in
 // flight. Every attempt has the same compares, so that at most one takes effect.
 type Hedge struct {
-	After time.Duration // delay between two attempts
-	Most  int           // maximum number of attempts; all of them may be in flight at the same time
+	Delay       time.Duration // delay between two attempts
+	MaxAttempts int           // maximum number of attempts; all of them may be in flight at the same time
 }
 
 type attemptResult struct {
@@ -26,7 +26,7 @@
 func CommitHedged(ctx context.Context, s Store, txn Txn, h Hedge) (TxnResult, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan attemptResult, h.Most)
+	results := make(chan attemptResult, h.MaxAttempts)
 	inFlight := 0
 	send := func() {
 		inFlight++
@@ -36,7 +36,7 @@
 		}()
 	}
 	send()
-	ticker := time.NewTicker(h.After)
+	ticker := time.NewTicker(h.Delay)
 	defer ticker.Stop()
 	unclear := false
 	for attempts := 1; ; {
@@ -51,7 +51,7 @@
 				return TxnResult{}, mergeErrors(unclear, r.err)
 			}
 		case <-ticker.C:
-			if attempts < h.Most {
+			if attempts < h.MaxAttempts {
 				attempts++
 				send()
 			}
--- a/store/hedge_test.go
+++ b/store/hedge_test.go
@@ -61,7 +61,7 @@
 				defer cancel()
 				s := &scriptedStore{script: c.script}
 				start := time.Now()
-				r, err := CommitHedged(ctx, s, Txn{}, Hedge{After: 200 * time.Millisecond, Most: 3})
+				r, err := CommitHedged(ctx, s, Txn{}, Hedge{Delay: 200 * time.Millisecond, MaxAttempts: 3})
 				if !errors.Is(err, c.want) || (c.want == nil && r.Revision != done.Revision) {
 					t.Errorf("CommitHedged = %+v, %v; want error %v", r, err, c.want)
 				}
--- a/store/layout.go
+++ b/store/layout.go
@@ -18,8 +18,8 @@
 // DocumentKey returns the key of a document; service is empty for the document of the team.
 func DocumentKey(team, service string) string { return documentPrefix + team + "/" + service }
 
-// KeyKey returns the store's key of a team's granted key.
-func KeyKey(team, id string) string { return keyPrefix + team + "/" + id }
+// GrantedKeyKey returns the store's key of a team's granted key.
+func GrantedKeyKey(team, id string) string { return keyPrefix + team + "/" + id }
 
 // MemberKey returns the key of the member record of an instance.
 func MemberKey(instance string) string { return memberPrefix + instance }
@@ -34,8 +34,8 @@
 // DrainKey returns the key whose presence marks an entry instance or a worker as draining.
 func DrainKey(name string) string { return drainPrefix + name }
 
-// KeysPrefix returns the prefix of the granted keys of a team, or of all teams if team is empty.
-func KeysPrefix(team string) string {
+// GrantedKeysPrefix returns the prefix of the granted keys of a team, or of all teams if team is empty.
+func GrantedKeysPrefix(team string) string {
 	if team == "" {
 		return keyPrefix
 	}
