store/storetest: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

store/storetest.Interrupt -> WatchCheck store/storetest.InterruptFor -> NewWatchCheck store/storetest.Machine.Since -> ChangesSince

--- a/standin/store_lease.go
+++ b/standin/store_lease.go
@@ -75,7 +75,7 @@
 	}
 	stream := watchStream{writer: w, encoder: json.NewEncoder(w)}
 	w.Header().Set("Content-Type", "application/json")
-	interrupt := storetest.InterruptFor(r.Context(), s.faults, r.Header.Get(wire.HeaderInstance), call.silent)
+	interrupt := storetest.NewWatchCheck(r.Context(), s.faults, r.Header.Get(wire.HeaderInstance), call.silent)
 	if _, err := interrupt(); err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/store/storetest/calls.go
+++ b/store/storetest/calls.go
@@ -27,11 +27,11 @@
 // errStoreDown ends an open watch when a fault takes the store down.
 var errStoreDown = errors.New("store went down")
 
-// InterruptFor returns the Interrupt for a watch of an instance. silent reports whether the watch was
+// NewWatchCheck returns the Interrupt for a watch of an instance. silent reports whether the watch was
 // opened under a fault that makes it silent. The Interrupt ends the watch when the store is down, and
 // blocks until ctx is done if the watch is silent or the store is unreachable. A silent stream stays
 // silent after the fault is cleared, just as a lost connection does not recover.
-func InterruptFor(ctx context.Context, faults *fault.Table, instance string, silent bool) Interrupt {
+func NewWatchCheck(ctx context.Context, faults *fault.Table, instance string, silent bool) WatchCheck {
 	return func() (<-chan struct{}, error) {
 		standing, changed := faults.EffectOnOpenCall(CallWatch, instance)
 		switch {
--- a/store/storetest/engine.go
+++ b/store/storetest/engine.go
@@ -75,7 +75,7 @@
 // Watch passes the changes in a range to send until ctx is done, send returns an error, or the
 // history no longer contains the next revision. interrupt is called before each message, and each
 // time that its channel is closed.
-func (e *Engine) Watch(ctx context.Context, start, end string, from int64, interrupt Interrupt, send func(WatchMessage) error) error {
+func (e *Engine) Watch(ctx context.Context, start, end string, from int64, interrupt WatchCheck, send func(WatchMessage) error) error {
 	ticker := time.NewTicker(ProgressInterval)
 	defer ticker.Stop()
 	noticeDue := false
@@ -111,15 +111,15 @@
 	}
 }
 
-// Interrupt returns an error to end a watch, and otherwise a channel that is closed when its result
+// WatchCheck returns an error to end a watch, and otherwise a channel that is closed when its result
 // may have changed.
-type Interrupt func() (<-chan struct{}, error)
+type WatchCheck func() (<-chan struct{}, error)
 
 func (e *Engine) since(start, end string, from int64) (message WatchMessage, next int64, changed <-chan struct{}, err error) {
 	e.Do(func(_ time.Time, m *Machine) {
 		changed = e.changed // under the lock, so that no change is missed
 		message.Revision = m.Revision()
-		message.Batches, next, err = m.Since(start, end, from, batchesPerMessage)
+		message.Batches, next, err = m.ChangesSince(start, end, from, batchesPerMessage)
 	})
 	return message, next, changed, err
 }
--- a/store/storetest/history.go
+++ b/store/storetest/history.go
@@ -56,9 +56,9 @@
 // Compacted returns the highest revision that is no longer in the history.
 func (m *Machine) Compacted() int64 { return m.compacted }
 
-// Since returns up to limit batches of changes in the range, starting at revision from, and the
+// ChangesSince returns up to limit batches of changes in the range, starting at revision from, and the
 // revision from which the next call continues.
-func (m *Machine) Since(start, end string, from int64, limit int) ([]store.WatchBatch, int64, error) {
+func (m *Machine) ChangesSince(start, end string, from int64, limit int) ([]store.WatchBatch, int64, error) {
 	if from <= m.compacted {
 		return nil, 0, fmt.Errorf("%w: history starts after revision %d", store.ErrCompacted, m.compacted)
 	}
--- a/store/storetest/machine_test.go
+++ b/store/storetest/machine_test.go
@@ -231,7 +231,7 @@
 	want := reference.since("b/", "b0", from)
 	var got []string
 	for {
-		batches, next, err := m.Since("b/", "b0", from, 2)
+		batches, next, err := m.ChangesSince("b/", "b0", from, 2)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/store/storetest/memory_calls.go
+++ b/store/storetest/memory_calls.go
@@ -154,7 +154,7 @@
 	if effect.ReplyLost {
 		return fmt.Errorf("%w: connection closed without a reply", store.ErrUnclear)
 	}
-	interrupt := InterruptFor(ctx, c.memory.faults, c.instance, effect.SilentWatch)
+	interrupt := NewWatchCheck(ctx, c.memory.faults, c.instance, effect.SilentWatch)
 	start, end := string(wire.PrefixStart(prefix)), string(wire.PrefixEnd(prefix))
 	err := c.memory.engine.Watch(ctx, start, end, from, interrupt, send)
 	return classifyWatch(ctx, err)
