placement: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

placement.Cluster.Assume -> ForceReserve placement.Cluster.EverFits -> FitsOnEmptyNode placement.Cluster.Held -> ReservationOf placement.Request.Avoid -> ExcludedNodes

--- a/control/exchange.go
+++ b/control/exchange.go
@@ -232,7 +232,7 @@
 func (w *owner) usage() []TeamUsage {
 	sums := map[task.Team]task.Resources{}
 	for _, a := range w.attempts {
-		if _, size, held := w.cluster.Held(a.id); held {
+		if _, size, held := w.cluster.ReservationOf(a.id); held {
 			sums[a.team] = sums[a.team].Add(size)
 		}
 	}
--- a/control/owner.go
+++ b/control/owner.go
@@ -151,7 +151,7 @@
 	if !owned || !holds || epoch != p.Epoch || part.epoch != epoch {
 		return errkind.New(errkind.NoOwner, "this instance does not own partition %s under epoch %d", p.Partition, p.Epoch)
 	}
-	if part.capacityKnown && !w.cluster.EverFits(p.Spec.Size) {
+	if part.capacityKnown && !w.cluster.FitsOnEmptyNode(p.Spec.Size) {
 		return errkind.New(errkind.NeverFits, "no worker of this owner is large enough for %s", p.Spec.Size)
 	}
 	a := &attempt{placement: p, id: p.Attempt, job: p.Job, index: p.Index, team: p.Spec.Team, class: p.Spec.Class,
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -124,7 +124,7 @@
 func (w *owner) placementRequest(a *attempt) placement.Request {
 	req := placement.Request{Size: a.size, Partition: a.partition}
 	if !a.placement.Spec.Kind.MayRetry() {
-		req.Avoid = w.workersAwaitingProbe()
+		req.ExcludedNodes = w.workersAwaitingProbe()
 	}
 	if a.placement.Spec.Kind == task.LongLived {
 		req.SpreadKey = string(a.team) + "/" + string(a.placement.Spec.Service)
--- a/control/workers.go
+++ b/control/workers.go
@@ -249,7 +249,7 @@
 		partition: ws.partition, worker: ws.listed.Name, bootID: ws.bootID, stage: stageStarting, startedAt: w.now}
 	w.attempts[a.id] = a
 	if r.Outcome == nil {
-		w.cluster.Assume(a.worker, a.id, a.size)
+		w.cluster.ForceReserve(a.worker, a.id, a.size)
 		w.allowances.AddRunning(w.now, a.team, a.partition, a.size)
 		w.shares.Start(w.now, a.team, a.size)
 	}
@@ -334,7 +334,7 @@
 		}
 		part.capacityKnown = true
 		for _, a := range w.attempts {
-			if a.partition == name && a.stage == stageQueued && !w.cluster.EverFits(a.size) {
+			if a.partition == name && a.stage == stageQueued && !w.cluster.FitsOnEmptyNode(a.size) {
 				w.queues.Remove(a.id)
 				w.complete(a, task.Outcome{State: task.NotRun, Reason: string(errkind.NeverFits)})
 			}
--- a/placement/cluster.go
+++ b/placement/cluster.go
@@ -128,9 +128,9 @@
 	c.updateIndex(slot)
 }
 
-// EverFits reports whether size fits into the total capacity of some node, regardless of
+// FitsOnEmptyNode reports whether size fits into the total capacity of some node, regardless of
 // reservations.
-func (c *Cluster) EverFits(size task.Resources) bool {
+func (c *Cluster) FitsOnEmptyNode(size task.Resources) bool {
 	for capacity := range c.capacities {
 		if size.Fits(capacity) {
 			return true
--- a/placement/filter.go
+++ b/placement/filter.go
@@ -19,7 +19,7 @@
 	if !c.filterBySize(&req.Size) {
 		return false
 	}
-	for _, name := range req.Avoid {
+	for _, name := range req.ExcludedNodes {
 		if slot, known := c.byName[name]; known {
 			c.search.result.clear(slot)
 		}
--- a/placement/find.go
+++ b/placement/find.go
@@ -4,11 +4,11 @@
 
 // Request specifies the size of a task and its placement constraints and preferences.
 type Request struct {
-	Size      task.Resources
-	Partition string   // worker partition; empty for any
-	Region    string   // preferred region; empty for none
-	SpreadKey string   // attempts with the same key are spread over failure domains and racks
-	Avoid     []string // nodes to exclude
+	Size          task.Resources
+	Partition     string   // worker partition; empty for any
+	Region        string   // preferred region; empty for none
+	SpreadKey     string   // attempts with the same key are spread over failure domains and racks
+	ExcludedNodes []string // nodes to exclude
 }
 
 // Find selects a node for a request. It narrows the nodes that fit by these preferences, in order:
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -46,7 +46,7 @@
 		SpreadKey: rapid.SampledFrom([]string{"", "s", "u"}).Draw(t, "spread key"),
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "avoided") {
-		req.Avoid = append(req.Avoid, nodeName(rapid.IntRange(0, nodes).Draw(t, "avoid")))
+		req.ExcludedNodes = append(req.ExcludedNodes, nodeName(rapid.IntRange(0, nodes).Draw(t, "avoid")))
 	}
 	return req
 }
@@ -96,7 +96,7 @@
 		}
 	case 2:
 		*nextTask++
-		c.Assume(name, a, size)
+		c.ForceReserve(name, a, size)
 		ref.reserve(c, name, a, size, "")
 	case 3:
 		old := task.Attempt{Task: task.ID(fmt.Sprint("t", rapid.IntRange(0, *nextTask).Draw(t, "release"))), Number: 1}
@@ -216,7 +216,7 @@
 	for i := range c.nodes {
 		candidate := &c.nodes[i]
 		avoided := false
-		for _, name := range req.Avoid {
+		for _, name := range req.ExcludedNodes {
 			avoided = avoided || name == candidate.Name
 		}
 		if !candidate.Schedulable || avoided || req.Partition != "" && req.Partition != candidate.Partition {
@@ -235,7 +235,7 @@
 	c := NewCluster()
 	c.Upsert(Node{Name: "n", Capacity: task.Resources{CPUMilli: 1000, MemoryMB: 100}, Schedulable: true})
 	a := task.Attempt{Task: "reported", Number: 1}
-	c.Assume("n", a, task.Resources{MemoryMB: 200})
+	c.ForceReserve("n", a, task.Resources{MemoryMB: 200})
 	small := task.Resources{CPUMilli: 1}
 	if _, ok := c.Find(Request{Size: small}); ok {
 		t.Error("Find selected an over-committed node")
--- a/placement/reference_test.go
+++ b/placement/reference_test.go
@@ -44,7 +44,7 @@
 		if !refNode.Schedulable || free.HasNegative() || !req.Size.Fits(free) || req.Size.HasNegative() {
 			continue
 		}
-		if req.Partition != "" && req.Partition != refNode.Partition || slices.Contains(req.Avoid, name) {
+		if req.Partition != "" && req.Partition != refNode.Partition || slices.Contains(req.ExcludedNodes, name) {
 			continue
 		}
 		key := r.sortKey(req, refNode, free)
--- a/placement/reservation.go
+++ b/placement/reservation.go
@@ -22,10 +22,10 @@
 	return true
 }
 
-// Assume reserves size on a node for an attempt that the worker reported as running, even if that
+// ForceReserve reserves size on a node for an attempt that the worker reported as running, even if that
 // over-commits the node. It adds an unknown node as unschedulable, and replaces a reservation of the
 // attempt that has another size or is on another node.
-func (c *Cluster) Assume(name string, a task.Attempt, size task.Resources) {
+func (c *Cluster) ForceReserve(name string, a task.Attempt, size task.Resources) {
 	size = size.Max(task.Resources{})
 	if res, reserved := c.reservations[a]; reserved {
 		if c.nodes[res.slot].Name == name && res.size == size {
@@ -70,8 +70,8 @@
 	c.reservations[a] = res
 }
 
-// Held returns the node and size of an attempt's reservation.
-func (c *Cluster) Held(a task.Attempt) (name string, size task.Resources, ok bool) {
+// ReservationOf returns the node and size of an attempt's reservation.
+func (c *Cluster) ReservationOf(a task.Attempt) (name string, size task.Resources, ok bool) {
 	res, reserved := c.reservations[a]
 	if !reserved {
 		return "", task.Resources{}, false
