queue: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

queue.Queues.Expired -> RemoveExpired queue.Queues.Next -> EntryAt queue.Config.Limit -> MaxEntriesPerTeam queue.DefaultLimit -> DefaultMaxEntriesPerTeam queue.Config.BackgroundLag -> BackgroundDelay queue.DefaultBackgroundLag -> DefaultBackgroundDelay queue.Config.AgeLimit -> AgingThreshold queue.DefaultAgeLimit -> DefaultAgingThreshold queue.Config.AgedEvery -> AgedStartInterval queue.DefaultAgedEvery -> DefaultAgedStartInterval queue.Config.ReviewLead -> PromotionLead queue.DefaultReviewLead -> DefaultPromotionLead queue.Config.Safety -> SafetyFactor queue.DefaultSafety -> DefaultSafetyFactor queue.Config.Profiles -> MaxProfiles queue.DefaultProfiles -> DefaultMaxProfiles

--- a/control/schedule.go
+++ b/control/schedule.go
@@ -74,7 +74,7 @@
 	tried := make(map[string]int, len(w.partitions))
 	exhausted := 0 // number of partitions at which backfillDepth tasks were tried
 	for skip := 0; exhausted < len(w.partitions); skip++ {
-		entry := w.queues.Next(w.now, team, skip)
+		entry := w.queues.EntryAt(w.now, team, skip)
 		if entry == nil {
 			return false
 		}
@@ -302,7 +302,7 @@
 
 // expireQueued completes the queued tasks whose deadline has passed as not run.
 func (w *owner) expireQueued() {
-	for _, entry := range w.queues.Expired(w.now) {
+	for _, entry := range w.queues.RemoveExpired(w.now) {
 		if a, ok := w.attempts[entry.Attempt]; ok {
 			w.complete(a, task.Outcome{State: task.NotRun, Reason: string(errkind.DeadlineExceeded)})
 		}
--- a/daemon/fromsettings.go
+++ b/daemon/fromsettings.go
@@ -51,7 +51,7 @@
 	p.Allowance.Idle, p.Allowance.Interval = s.AllowanceIdle, s.AllowanceInterval
 	p.Ledger.FlushInterval, p.Ledger.MaxTxnBytes, p.Ledger.MaxShardBytes = s.LedgerFlushInterval, int(s.LedgerTxnBytes), int(s.MaxShardBytes)
 	p.Ledger.ResultRetention = s.ResultRetention
-	p.Queue.Limit = s.QueueLimitPerTeam
+	p.Queue.MaxEntriesPerTeam = s.QueueLimitPerTeam
 	p.Fairshare.HalfLife = s.FairShareHalfLife
 	p.Quarantine.MaxFraction = s.QuarantineShare
 	return p
--- a/load/fifo.go
+++ b/load/fifo.go
@@ -33,8 +33,8 @@
 }
 
 func (f *fifoScheduler) enqueue(_ time.Time, j *job) *errkind.Error {
-	if f.waitingByTeam[j.team] >= queue.DefaultLimit {
-		return errkind.New(errkind.QueueFull, "the queue of the team is full: it holds the limit of %d requests", queue.DefaultLimit)
+	if f.waitingByTeam[j.team] >= queue.DefaultMaxEntriesPerTeam {
+		return errkind.New(errkind.QueueFull, "the queue of the team is full: it holds the limit of %d requests", queue.DefaultMaxEntriesPerTeam)
 	}
 	f.waitingByTeam[j.team]++
 	f.waiting = append(f.waiting, j)
--- a/load/scheduler.go
+++ b/load/scheduler.go
@@ -106,7 +106,9 @@
 	return c.removeJobs(c.queues.RemoveKey(c.teams[team].name, key))
 }
 
-func (c *clusterScheduler) expire(now time.Time) []*job { return c.removeJobs(c.queues.Expired(now)) }
+func (c *clusterScheduler) expire(now time.Time) []*job {
+	return c.removeJobs(c.queues.RemoveExpired(now))
+}
 
 func (c *clusterScheduler) removeJobs(entries []queue.Entry) []*job {
 	var jobs []*job
@@ -152,7 +154,7 @@
 // of backfilling, or returns nil.
 func (c *clusterScheduler) startFirstFitting(now time.Time, name task.Team, searches *int) *job {
 	for skip := range backfillDepth {
-		e := c.queues.Next(now, name, skip)
+		e := c.queues.EntryAt(now, name, skip)
 		if e == nil {
 			return nil
 		}
--- a/queue/admit.go
+++ b/queue/admit.go
@@ -64,7 +64,7 @@
 func (q *Queues) ObserveStart(now time.Time, team task.Team, waited time.Duration) {
 	d := &q.getOrCreateQueue(team).drain
 	d.observeStart(now)
-	if waited >= q.cfg.AgeLimit {
+	if waited >= q.cfg.AgingThreshold {
 		d.startsSinceAged = 0
 		return
 	}
@@ -96,10 +96,10 @@
 // admit does admission control: it refuses an entry if the queue is full or if the entry is not
 // expected to start by its deadline.
 func (q *Queues) admit(now time.Time, t *teamQueue, it *item) *errkind.Error {
-	if waiting := t.len(); waiting >= q.cfg.Limit {
+	if waiting := t.len(); waiting >= q.cfg.MaxEntriesPerTeam {
 		wait := t.drain.estimateWait(now, int(retryDrainFraction*float64(waiting)))
 		return errkind.New(errkind.QueueFull, "the queue of team %s is full: it holds %d of at most %d requests",
-			it.Team, waiting, q.cfg.Limit).
+			it.Team, waiting, q.cfg.MaxEntriesPerTeam).
 			WithRetryAfter(q.retryAfter(wait))
 	}
 	if it.Deadline.IsZero() {
--- a/queue/bench_test.go
+++ b/queue/bench_test.go
@@ -13,7 +13,7 @@
 func newNearlyFullQueues(teams int) (*Queues, []Entry) {
 	q := New(Config{})
 	var entries []Entry
-	for i := range teams * (DefaultLimit - 1) {
+	for i := range teams * (DefaultMaxEntriesPerTeam - 1) {
 		e := Entry{
 			Attempt:    task.Attempt{Task: task.ID(fmt.Sprint("task-", i)), Number: 1},
 			Team:       task.Team(fmt.Sprintf("team-%02d", i%teams)),
@@ -75,6 +75,6 @@
 			}
 			b.StartTimer()
 		}
-		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(DefaultLimit/4), "ns/entry")
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(DefaultMaxEntriesPerTeam/4), "ns/entry")
 	})
 }
--- a/queue/model_test.go
+++ b/queue/model_test.go
@@ -27,7 +27,7 @@
 }
 
 func (m *model) tierAndSortTime(now time.Time, e modelEntry) (tier int, sortTime time.Time) {
-	review := e.latestStart.Add(-m.cfg.ReviewLead)
+	review := e.latestStart.Add(-m.cfg.PromotionLead)
 	switch {
 	case e.Urgency == task.Urgent:
 		return 0, e.EnqueuedAt
@@ -36,7 +36,7 @@
 	case !e.Deadline.IsZero():
 		return 1, e.Deadline
 	case e.Urgency == task.Background:
-		return 2, e.EnqueuedAt.Add(m.cfg.BackgroundLag)
+		return 2, e.EnqueuedAt.Add(m.cfg.BackgroundDelay)
 	}
 	return 2, e.EnqueuedAt
 }
@@ -57,7 +57,7 @@
 		tier, _ := m.tierAndSortTime(now, e)
 		return tier == 2
 	})
-	if first < 0 || m.startsSinceAged[team] < m.cfg.AgedEvery-1 || now.Sub(list[first].EnqueuedAt) < m.cfg.AgeLimit {
+	if first < 0 || m.startsSinceAged[team] < m.cfg.AgedStartInterval-1 || now.Sub(list[first].EnqueuedAt) < m.cfg.AgingThreshold {
 		return list
 	}
 	aged := list[first]
@@ -80,7 +80,7 @@
 // after some sequence of calls.
 func TestQueuesEqualModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		cfg := Config{Limit: 12, BackgroundLag: 40 * time.Second, AgeLimit: time.Minute, AgedEvery: 3, ReviewLead: 10 * time.Second}
+		cfg := Config{MaxEntriesPerTeam: 12, BackgroundDelay: 40 * time.Second, AgingThreshold: time.Minute, AgedStartInterval: 3, PromotionLead: 10 * time.Second}
 		q := New(cfg)
 		m := &model{cfg: q.cfg, startsSinceAged: map[task.Team]int{}}
 		now := start
@@ -111,7 +111,7 @@
 		checkSameAttempts(t, "RemoveKey", q.RemoveKey(team, key), want)
 	case 7:
 		want := m.removeIf(func(e modelEntry) bool { return !e.Deadline.IsZero() && e.Deadline.Before(now) })
-		checkSameAttempts(t, "Expired", q.Expired(now), want)
+		checkSameAttempts(t, "Expired", q.RemoveExpired(now), want)
 	case 8:
 		if rapid.IntRange(0, 4).Draw(t, "whole team") == 0 {
 			want := m.removeIf(func(e modelEntry) bool { return e.Team == team })
@@ -140,7 +140,7 @@
 
 func (m *model) push(t *rapid.T, q *Queues, now time.Time, e Entry) {
 	m.pushed++
-	full := len(m.order(now, e.Team)) >= m.cfg.Limit
+	full := len(m.order(now, e.Team)) >= m.cfg.MaxEntriesPerTeam
 	wait := q.ExpectedWait(now, e)
 	late := !e.Deadline.IsZero() && (!e.Deadline.After(now) || wait > e.Deadline.Sub(now))
 	err := q.Push(now, e)
@@ -167,7 +167,7 @@
 	q.ObserveStart(now, team, waited)
 	m.removeIf(func(e modelEntry) bool { return e.Attempt == a })
 	m.startsSinceAged[team]++
-	if waited >= m.cfg.AgeLimit {
+	if waited >= m.cfg.AgingThreshold {
 		m.startsSinceAged[team] = 0
 	}
 }
@@ -179,7 +179,7 @@
 			t.Fatalf("Len(%s) = %d, Teams = %v; want %d entries", team, q.Len(team), q.Teams(), len(want))
 		}
 		for i := range len(want) + 1 {
-			got := q.Next(now, team, i)
+			got := q.EntryAt(now, team, i)
 			if i == len(want) && got != nil || i < len(want) && (got == nil || *got != want[i].Entry) {
 				t.Fatalf("Next(%s, %d) = %+v, want %+v", team, i, got, want)
 			}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -10,27 +10,27 @@
 
 // Defaults of Config.
 const (
-	DefaultLimit         = 1000
-	DefaultBackgroundLag = 5 * time.Minute
-	DefaultAgeLimit      = 10 * time.Minute
-	DefaultAgedEvery     = 4
-	DefaultReviewLead    = time.Minute
-	DefaultSafety        = 1.5
-	DefaultRunQuantile   = 0.9
-	DefaultProfiles      = 4096
+	DefaultMaxEntriesPerTeam = 1000
+	DefaultBackgroundDelay   = 5 * time.Minute
+	DefaultAgingThreshold    = 10 * time.Minute
+	DefaultAgedStartInterval = 4
+	DefaultPromotionLead     = time.Minute
+	DefaultSafetyFactor      = 1.5
+	DefaultRunQuantile       = 0.9
+	DefaultMaxProfiles       = 4096
 )
 
 // Config configures Queues. Zero values take the defaults.
 type Config struct {
-	Limit         int           // maximum number of entries per team
-	BackgroundLag time.Duration // added to the arrival time of background work when it is sorted
-	AgeLimit      time.Duration // waiting time after which normal and background work is aged
-	AgedEvery     int           // one start in AgedEvery may go to aged work ahead of urgent work
-	ReviewLead    time.Duration // time before the latest start at which an entry is promoted
-	Safety        float64       // safety factor on the expected run time, see LatestStart
-	RunQuantile   float64       // quantile of past run times that is the expected run time
-	Profiles      int           // maximum number of run time profiles (per team, service and class)
-	Rand          *rand.Rand    // source of the jitter of retry-after hints; nil for no jitter
+	MaxEntriesPerTeam int           // maximum number of entries per team
+	BackgroundDelay   time.Duration // added to the arrival time of background work when it is sorted
+	AgingThreshold    time.Duration // waiting time after which normal and background work is aged
+	AgedStartInterval int           // one start in AgedStartInterval may go to aged work ahead of urgent work
+	PromotionLead     time.Duration // time before the latest start at which an entry is promoted
+	SafetyFactor      float64       // safety factor on the expected run time, see LatestStart
+	RunQuantile       float64       // quantile of past run times that is the expected run time
+	MaxProfiles       int           // maximum number of run time profiles (per team, service and class)
+	Rand              *rand.Rand    // source of the jitter of retry-after hints; nil for no jitter
 }
 
 // Queues holds the pending work of one owner. It is not safe for concurrent use.
@@ -59,19 +59,19 @@
 		cfg:      cfg,
 		teams:    map[task.Team]*teamQueue{},
 		items:    map[task.Attempt]*item{},
-		profiles: newProfiles(cfg.Profiles, cfg.RunQuantile),
+		profiles: newProfiles(cfg.MaxProfiles, cfg.RunQuantile),
 	}
 }
 
 func (c *Config) setDefaults() {
-	setDefault(&c.Limit, DefaultLimit)
-	setDefault(&c.BackgroundLag, DefaultBackgroundLag)
-	setDefault(&c.AgeLimit, DefaultAgeLimit)
-	setDefault(&c.AgedEvery, DefaultAgedEvery)
-	setDefault(&c.ReviewLead, DefaultReviewLead)
-	setDefault(&c.Safety, DefaultSafety)
+	setDefault(&c.MaxEntriesPerTeam, DefaultMaxEntriesPerTeam)
+	setDefault(&c.BackgroundDelay, DefaultBackgroundDelay)
+	setDefault(&c.AgingThreshold, DefaultAgingThreshold)
+	setDefault(&c.AgedStartInterval, DefaultAgedStartInterval)
+	setDefault(&c.PromotionLead, DefaultPromotionLead)
+	setDefault(&c.SafetyFactor, DefaultSafetyFactor)
 	setDefault(&c.RunQuantile, DefaultRunQuantile)
-	setDefault(&c.Profiles, DefaultProfiles)
+	setDefault(&c.MaxProfiles, DefaultMaxProfiles)
 }
 
 func setDefault[T int | float64 | time.Duration](value *T, defaultValue T) {
@@ -106,11 +106,11 @@
 }
 
 // Peek returns the first entry of a team in scheduling order, or nil.
-func (q *Queues) Peek(now time.Time, team task.Team) *Entry { return q.Next(now, team, 0) }
+func (q *Queues) Peek(now time.Time, team task.Team) *Entry { return q.EntryAt(now, team, 0) }
 
-// Next returns the entry of a team at index skip in scheduling order, or nil. The entry must not be
+// EntryAt returns the entry of a team at index skip in scheduling order, or nil. The entry must not be
 // modified, and the pointer is valid until the entry is removed.
-func (q *Queues) Next(now time.Time, team task.Team, skip int) *Entry {
+func (q *Queues) EntryAt(now time.Time, team task.Team, skip int) *Entry {
 	t := q.teams[team]
 	if t == nil || skip < 0 {
 		return nil
@@ -156,8 +156,8 @@
 	return q.removeIf(team, func(it *item) bool { return it.KeyID == keyID })
 }
 
-// Expired removes and returns the entries whose deadline has passed.
-func (q *Queues) Expired(now time.Time) []Entry {
+// RemoveExpired removes and returns the entries whose deadline has passed.
+func (q *Queues) RemoveExpired(now time.Time) []Entry {
 	var expired []Entry
 	for i := len(q.activeTeams) - 1; i >= 0; i-- {
 		t := q.teams[q.activeTeams[i]]
@@ -185,15 +185,15 @@
 	return t.len()
 }
 
-// agedItem returns the first normal or background entry if it has waited for at least AgeLimit and
-// the next start may go to aged work. Only one start in AgedEvery does; otherwise a long backlog
+// agedItem returns the first normal or background entry if it has waited for at least AgingThreshold and
+// the next start may go to aged work. Only one start in AgedStartInterval does; otherwise a long backlog
 // would overtake every urgent request of its team.
 func (q *Queues) agedItem(now time.Time, t *teamQueue) *item {
 	it := t.tiers[tierNormal].first()
-	if it == nil || now.Sub(it.EnqueuedAt) < q.cfg.AgeLimit {
+	if it == nil || now.Sub(it.EnqueuedAt) < q.cfg.AgingThreshold {
 		return nil
 	}
-	if t.drain.startsSinceAged < q.cfg.AgedEvery-1 {
+	if t.drain.startsSinceAged < q.cfg.AgedStartInterval-1 {
 		return nil
 	}
 	return it
@@ -219,25 +219,25 @@
 	case !e.Deadline.IsZero():
 		it.tier, it.sortTime = tierDeadline, e.Deadline
 	case e.Urgency == task.Background:
-		it.tier, it.sortTime = tierNormal, e.EnqueuedAt.Add(q.cfg.BackgroundLag)
+		it.tier, it.sortTime = tierNormal, e.EnqueuedAt.Add(q.cfg.BackgroundDelay)
 	default:
 		it.tier, it.sortTime = tierNormal, e.EnqueuedAt
 	}
 	if !e.ReviewBy.IsZero() && it.tier != tierUrgent {
-		it.promoteAt = q.LatestStart(e).Add(-q.cfg.ReviewLead)
+		it.promoteAt = q.LatestStart(e).Add(-q.cfg.PromotionLead)
 	}
 	return it
 }
 
 // LatestStart returns the time by which an entry has to start in order to finish by ReviewBy. It
 // subtracts the run time estimated from past runs, or the declared one if there is no estimate,
-// multiplied by Config.Safety.
+// multiplied by Config.SafetyFactor.
 func (q *Queues) LatestStart(e Entry) time.Time {
 	expectedRun, estimated := q.ExpectedRun(e.Team, e.Service, e.Class)
 	if !estimated {
 		expectedRun = e.DeclaredRun
 	}
-	return e.ReviewBy.Add(-time.Duration(float64(expectedRun) * q.cfg.Safety))
+	return e.ReviewBy.Add(-time.Duration(float64(expectedRun) * q.cfg.SafetyFactor))
 }
 
 // getOrCreateQueue returns the queue of a team. An empty queue is kept, with its drain estimate.
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -20,7 +20,7 @@
 func listOrder(q *Queues, now time.Time) []string {
 	var ids []string
 	for i := 0; ; i++ {
-		e := q.Next(now, "a", i)
+		e := q.EntryAt(now, "a", i)
 		if e == nil {
 			return ids
 		}
@@ -59,7 +59,7 @@
 
 // TestBackgroundWorkAges guards against starvation of background work by normal work.
 func TestBackgroundWorkAges(t *testing.T) {
-	q := New(Config{BackgroundLag: time.Minute})
+	q := New(Config{BackgroundDelay: time.Minute})
 	mustPush(t, q, start, entry("background", task.Background))
 	mustPush(t, q, start.Add(59*time.Second), entry("before", task.Normal))
 	mustPush(t, q, start.Add(61*time.Second), entry("after", task.Normal))
@@ -69,7 +69,7 @@
 // TestAgedWorkGetsOneStartInAgedEvery guards against starvation of normal work by a stream of urgent
 // work, and against a long backlog of aged work delaying every urgent request.
 func TestAgedWorkGetsOneStartInAgedEvery(t *testing.T) {
-	q := New(Config{AgeLimit: time.Minute, AgedEvery: 4})
+	q := New(Config{AgingThreshold: time.Minute, AgedStartInterval: 4})
 	mustPush(t, q, start, entry("old 1", task.Normal))
 	mustPush(t, q, start, entry("old 2", task.Normal))
 	now := start.Add(2 * time.Minute)
@@ -92,7 +92,7 @@
 // TestWorkIsPromotedBeforeLatestStart guards against a long run that starts too late to finish by
 // ReviewBy. The run time estimated from past runs counts, not the declared one.
 func TestWorkIsPromotedBeforeLatestStart(t *testing.T) {
-	q := New(Config{ReviewLead: time.Minute, Safety: 2})
+	q := New(Config{PromotionLead: time.Minute, SafetyFactor: 2})
 	for range 10 {
 		q.ObserveRun("a", "s", "c", time.Hour)
 	}
@@ -112,7 +112,7 @@
 // TestFullQueueRefuses guards against a burst of requests of one team using unbounded memory or the
 // queue capacity of another team.
 func TestFullQueueRefuses(t *testing.T) {
-	q := New(Config{Limit: 3, Rand: rand.New(rand.NewPCG(1, 2))})
+	q := New(Config{MaxEntriesPerTeam: 3, Rand: rand.New(rand.NewPCG(1, 2))})
 	for i := range 3 {
 		mustPush(t, q, start, entry(fmt.Sprint(i), task.Normal))
 	}
@@ -169,7 +169,7 @@
 		e.Deadline = start.Add(time.Duration(i+1) * time.Second)
 		mustPush(t, q, start, e)
 	}
-	got := q.Expired(start.Add(2*time.Second + 1))
+	got := q.RemoveExpired(start.Add(2*time.Second + 1))
 	if len(got) != 2 || got[0].Attempt.Task != "0" || got[1].Attempt.Task != "1" {
 		t.Errorf("expired = %v, want tasks 0 and 1", got)
 	}
@@ -179,7 +179,7 @@
 // TestExpectedRunFollowsObservedRuns guards against estimates that are not from observed runs, against
 // old runs dominating the estimate, and against unbounded growth with the number of class names.
 func TestExpectedRunFollowsObservedRuns(t *testing.T) {
-	q := New(Config{RunQuantile: 0.9, Profiles: 2})
+	q := New(Config{RunQuantile: 0.9, MaxProfiles: 2})
 	if _, ok := q.ExpectedRun("a", "s", "c"); ok {
 		t.Error("ExpectedRun returned an estimate without any observed run")
 	}
@@ -209,7 +209,7 @@
 // TestExpectedWaitCountsDuePromotions guards against ExpectedWait and Push returning different
 // results when an entry is due for promotion and so precedes new urgent work.
 func TestExpectedWaitCountsDuePromotions(t *testing.T) {
-	q := New(Config{ReviewLead: 10 * time.Second})
+	q := New(Config{PromotionLead: 10 * time.Second})
 	due := entry("due", task.Normal)
 	due.ReviewBy = start.Add(11 * time.Second)
 	mustPush(t, q, start, due)
@@ -230,7 +230,7 @@
 // TestRetryHintsAreJittered guards against refused callers all retrying at the same time, and against
 // unbounded retry-after hints.
 func TestRetryHintsAreJittered(t *testing.T) {
-	q := New(Config{Limit: 1, Rand: rand.New(rand.NewPCG(1, 2))})
+	q := New(Config{MaxEntriesPerTeam: 1, Rand: rand.New(rand.NewPCG(1, 2))})
 	mustPush(t, q, start, entry("waits", task.Normal))
 	now := start.Add(time.Hour) // the queue has stalled for an hour
 	hints := map[time.Duration]bool{}
