fairshare: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

fairshare.Shares.Start -> AddUsage fairshare.Shares.Finish -> SubtractUsage fairshare.Shares.SetRemote -> SetRemoteUsage fairshare.Shares.SetTotal -> SetCapacity fairshare.Shares.Forget -> RemoveTeam

--- a/control/exchange.go
+++ b/control/exchange.go
@@ -183,18 +183,18 @@
 	}
 	for team := range s.owner.remoteUsage {
 		if _, ok := remote[team]; !ok {
-			s.owner.shares.SetRemote(s.now, team, task.Resources{})
+			s.owner.shares.SetRemoteUsage(s.now, team, task.Resources{})
 		}
 	}
 	for team, size := range remote {
-		s.owner.shares.SetRemote(s.now, team, size)
+		s.owner.shares.SetRemoteUsage(s.now, team, size)
 	}
 	s.owner.remoteUsage = remote
 	var total task.Resources
 	for _, load := range s.routing.partitionLoads {
 		total = total.Add(load.digest.Capacity)
 	}
-	s.owner.shares.SetTotal(total)
+	s.owner.shares.SetCapacity(total)
 }
 
 // partitionDigests returns the load of the owned partitions, sorted by name.
--- a/control/owner.go
+++ b/control/owner.go
@@ -295,7 +295,7 @@
 func (w *owner) release(a *attempt) {
 	if _, size, ok := w.cluster.Release(a.id); ok {
 		w.allowances.Release(w.now, a.team, a.partition, size)
-		w.shares.Finish(w.now, a.team, size)
+		w.shares.SubtractUsage(w.now, a.team, size)
 		w.unblock(a.team)
 	}
 }
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -178,7 +178,7 @@
 	}
 	a.worker = worker
 	w.startProbe(a)
-	w.shares.Start(w.now, a.team, a.size)
+	w.shares.AddUsage(w.now, a.team, a.size)
 	w.cluster.SetSpread(a.id, w.placementRequest(a).SpreadKey)
 	w.recordEvent(timeline.Event{Type: timeline.TaskReserved, Team: a.team, Task: a.id.Task, Attempt: a.id.Number,
 		Worker: worker, Partition: a.partition, Epoch: w.epochOf(a.partition), Size: &a.size})
--- a/control/workers.go
+++ b/control/workers.go
@@ -45,7 +45,7 @@
 			w.queues.Remove(id)
 		}
 		if _, size, ok := w.cluster.Release(id); ok {
-			w.shares.Finish(w.now, a.team, size)
+			w.shares.SubtractUsage(w.now, a.team, size)
 		}
 		delete(w.attempts, id)
 		delete(w.pendingReports, id)
@@ -251,7 +251,7 @@
 	if r.Outcome == nil {
 		w.cluster.ForceReserve(a.worker, a.id, a.size)
 		w.allowances.AddRunning(w.now, a.team, a.partition, a.size)
-		w.shares.Start(w.now, a.team, a.size)
+		w.shares.AddUsage(w.now, a.team, a.size)
 	}
 	return a
 }
--- a/fairshare/bench_test.go
+++ b/fairshare/bench_test.go
@@ -17,7 +17,7 @@
 				team := task.Team(fmt.Sprintf("team-%02d", i))
 				teams = append(teams, team)
 				s.SetWeight(team, float64(1+i%5))
-				s.Start(start, team, task.Resources{CPUMilli: int64(i * 100), Slots: 1})
+				s.AddUsage(start, team, task.Resources{CPUMilli: int64(i * 100), Slots: 1})
 			}
 			b.ReportAllocs()
 			b.ResetTimer()
@@ -31,7 +31,7 @@
 	forEachTeamCount(b, func(b *testing.B, s *Shares, teams []task.Team) {
 		for i := range b.N {
 			now := start.Add(time.Duration(i) * time.Millisecond)
-			s.Start(now, teams[0], task.Resources{Slots: 1})
+			s.AddUsage(now, teams[0], task.Resources{Slots: 1})
 			s.Order(now, teams)
 		}
 	})
@@ -41,7 +41,7 @@
 func BenchmarkReorder(b *testing.B) {
 	forEachTeamCount(b, func(b *testing.B, s *Shares, teams []task.Team) {
 		for range b.N {
-			s.Start(start, teams[0], task.Resources{Slots: 1})
+			s.AddUsage(start, teams[0], task.Resources{Slots: 1})
 			s.Reorder(start, teams)
 		}
 	})
--- a/fairshare/model_test.go
+++ b/fairshare/model_test.go
@@ -91,14 +91,14 @@
 	}
 	switch rapid.IntRange(0, 3).Draw(t, "step") {
 	case 0, 1:
-		s.Start(now, team, size)
+		s.AddUsage(now, team, size)
 		h.local[team] = h.local[team].Add(size)
 	case 2:
 		size = size.Min(h.local[team])
-		s.Finish(now, team, size)
+		s.SubtractUsage(now, team, size)
 		h.local[team] = h.local[team].Sub(size)
 	case 3:
-		s.SetRemote(now, team, size)
+		s.SetRemoteUsage(now, team, size)
 		h.remote[team] = size
 	}
 	h.record(now, team)
--- a/fairshare/shares.go
+++ b/fairshare/shares.go
@@ -77,8 +77,8 @@
 	u.cachedShareAt = time.Time{}
 }
 
-// SetTotal sets the cluster capacity to which shares are relative.
-func (s *Shares) SetTotal(total task.Resources) {
+// SetCapacity sets the cluster capacity to which shares are relative.
+func (s *Shares) SetCapacity(total task.Resources) {
 	if s.total == total {
 		return
 	}
@@ -88,24 +88,24 @@
 	}
 }
 
-// Start adds size to a team's local usage.
-func (s *Shares) Start(now time.Time, team task.Team, size task.Resources) {
+// AddUsage adds size to a team's local usage.
+func (s *Shares) AddUsage(now time.Time, team task.Team, size task.Resources) {
 	u := s.getOrCreateUsage(team)
 	s.decay(now, u)
 	u.local = u.local.Add(size)
 	u.cachedShareAt = time.Time{}
 }
 
-// Finish subtracts size from a team's local usage.
-func (s *Shares) Finish(now time.Time, team task.Team, size task.Resources) {
+// SubtractUsage subtracts size from a team's local usage.
+func (s *Shares) SubtractUsage(now time.Time, team task.Team, size task.Resources) {
 	u := s.getOrCreateUsage(team)
 	s.decay(now, u)
 	u.local = u.local.Sub(size).Max(task.Resources{})
 	u.cachedShareAt = time.Time{}
 }
 
-// SetRemote sets the usage of a team at all other owners.
-func (s *Shares) SetRemote(now time.Time, team task.Team, size task.Resources) {
+// SetRemoteUsage sets the usage of a team at all other owners.
+func (s *Shares) SetRemoteUsage(now time.Time, team task.Team, size task.Resources) {
 	u := s.getOrCreateUsage(team)
 	s.decay(now, u)
 	u.remote = size.Max(task.Resources{})
@@ -144,8 +144,8 @@
 	teams[i-1] = moved.team
 }
 
-// Forget removes a team that was deleted. It has no effect while the team has current usage.
-func (s *Shares) Forget(team task.Team) {
+// RemoveTeam removes a team that was deleted. It has no effect while the team has current usage.
+func (s *Shares) RemoveTeam(team task.Team) {
 	u, known := s.teams[team]
 	if !known || !u.used().IsZero() {
 		return
--- a/fairshare/shares_test.go
+++ b/fairshare/shares_test.go
@@ -18,7 +18,7 @@
 
 func newShares(halfLife time.Duration) *Shares {
 	s := New(Config{HalfLife: halfLife})
-	s.SetTotal(total)
+	s.SetCapacity(total)
 	return s
 }
 
@@ -26,8 +26,8 @@
 // resource and little of the others.
 func TestOrderUsesDominantShare(t *testing.T) {
 	s := newShares(0)
-	s.Start(start, "accelerated", task.Resources{Accelerators: 5})
-	s.Start(start, "processors", task.Resources{CPUMilli: 40_000, MemoryMB: 40_000, Slots: 40})
+	s.AddUsage(start, "accelerated", task.Resources{Accelerators: 5})
+	s.AddUsage(start, "processors", task.Resources{CPUMilli: 40_000, MemoryMB: 40_000, Slots: 40})
 	got := s.Order(start, []task.Team{"accelerated", "processors", "idle"})
 	if want := []task.Team{"idle", "processors", "accelerated"}; !slices.Equal(got, want) {
 		t.Errorf("order = %v, want %v", got, want)
@@ -44,7 +44,7 @@
 	now := start
 	for range 80 {
 		now = now.Add(time.Second)
-		s.Start(now, s.Order(now, teams)[0], task.Resources{Slots: 1})
+		s.AddUsage(now, s.Order(now, teams)[0], task.Resources{Slots: 1})
 	}
 	for team, want := range map[task.Team]float64{"one": 0.1, "two": 0.2, "five": 0.5} {
 		got := s.ShareOf(now, team)
@@ -58,12 +58,12 @@
 func TestUsageDecaysByHalf(t *testing.T) {
 	s := newShares(time.Minute)
 	size := task.Resources{CPUMilli: 80_000}
-	s.Start(start, "a", size)
+	s.AddUsage(start, "a", size)
 	finishedAt := start.Add(time.Minute)
 	if got := s.ShareOf(finishedAt, "a").Decayed; math.Abs(got-0.4) > 1e-9 {
 		t.Errorf("decayed share after usage of 0.8 for one half-life = %v, want 0.4", got)
 	}
-	s.Finish(finishedAt, "a", size)
+	s.SubtractUsage(finishedAt, "a", size)
 	if got := s.ShareOf(finishedAt.Add(time.Minute), "a"); math.Abs(got.Decayed-0.2) > 1e-9 || got.Current != 0 {
 		t.Errorf("share one half-life after the usage ended = %+v, want 0.2 decayed and 0 current", got)
 	}
@@ -77,12 +77,12 @@
 // partitions.
 func TestOrderIncludesRemoteUsage(t *testing.T) {
 	s := newShares(0)
-	s.Start(start, "local", task.Resources{Slots: 10})
-	s.SetRemote(start, "remote", task.Resources{Slots: 20})
+	s.AddUsage(start, "local", task.Resources{Slots: 10})
+	s.SetRemoteUsage(start, "remote", task.Resources{Slots: 20})
 	if got := s.Order(start, []task.Team{"remote", "local"}); got[0] != "local" {
 		t.Errorf("order = %v, want the team with less usage first", got)
 	}
-	s.SetRemote(start, "remote", task.Resources{})
+	s.SetRemoteUsage(start, "remote", task.Resources{})
 	if got := s.Order(start, []task.Team{"local", "remote"}); got[0] != "remote" {
 		t.Errorf("order after the remote usage ended = %v, want that team first", got)
 	}
@@ -98,13 +98,13 @@
 			team := task.Team(fmt.Sprintf("t%02d", i))
 			teams = append(teams, team)
 			s.SetWeight(team, rapid.Float64Range(0.5, 4).Draw(t, "weight"))
-			s.SetRemote(start, team, task.Resources{Slots: rapid.Int64Range(0, 20).Draw(t, "slots")})
+			s.SetRemoteUsage(start, team, task.Resources{Slots: rapid.Int64Range(0, 20).Draw(t, "slots")})
 		}
 		now := start.Add(time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "elapsed")))
 		s.Order(now, teams)
 		for range 20 {
 			size := task.Resources{CPUMilli: rapid.Int64Range(0, 30_000).Draw(t, "cpu")}
-			s.Start(now, teams[0], size)
+			s.AddUsage(now, teams[0], size)
 			s.Reorder(now, teams)
 			want := s.Order(now, slices.Clone(teams))
 			if !slices.Equal(teams, want) {
@@ -120,13 +120,13 @@
 	s := newShares(0)
 	s.SetWeight("a", 2)
 	s.SetWeight("gone", 2)
-	s.Start(start, "gone", task.Resources{Slots: 1})
-	s.Forget("gone")
+	s.AddUsage(start, "gone", task.Resources{Slots: 1})
+	s.RemoveTeam("gone")
 	if got := s.ShareOf(start, "gone"); got.Current == 0 {
 		t.Error("a team was removed while it still had usage")
 	}
-	s.Finish(start, "gone", task.Resources{Slots: 1})
-	s.Forget("gone")
+	s.SubtractUsage(start, "gone", task.Resources{Slots: 1})
+	s.RemoveTeam("gone")
 	if got := s.ShareOf(start, "unknown"); got != (Share{}) {
 		t.Errorf("share of an unknown team = %+v, want the zero Share", got)
 	}
--- a/load/selectors.go
+++ b/load/selectors.go
@@ -44,7 +44,7 @@
 
 func newFairShareSelector(teams []team, total task.Resources) *fairShareSelector {
 	s := &fairShareSelector{teams: teams, shares: fairshare.New(fairshare.Config{})}
-	s.shares.SetTotal(total)
+	s.shares.SetCapacity(total)
 	for i := range teams {
 		s.shares.SetWeight(teams[i].name, teams[i].weight)
 	}
@@ -63,7 +63,7 @@
 }
 
 func (s *fairShareSelector) jobStarted(now time.Time, j *job, hasMore bool) {
-	s.shares.Start(now, s.teams[j.team].name, j.totalSize())
+	s.shares.AddUsage(now, s.teams[j.team].name, j.totalSize())
 	if !hasMore {
 		s.exclude()
 		return
@@ -74,7 +74,7 @@
 func (s *fairShareSelector) exclude() { s.ordered = s.ordered[1:] }
 
 func (s *fairShareSelector) jobFinished(now time.Time, j *job) {
-	s.shares.Finish(now, s.teams[j.team].name, j.totalSize())
+	s.shares.SubtractUsage(now, s.teams[j.team].name, j.totalSize())
 }
 
 // prioritySelector selects the team whose first entry is the most urgent and,
