quarantine: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

quarantine.Verdict.WorkerBad -> WorkerQuarantined quarantine.Verdict.JobBad -> JobFaulty quarantine.Monitor.IsJobBad -> IsJobFaulty quarantine.Monitor.Review -> QuarantineDeferred quarantine.Monitor.ProbesDue -> BeginDueProbes quarantine.Monitor.ProbeDone -> RecordProbe quarantine.Config.ProbeLimit -> MaxProbeDelay quarantine.DefaultProbeLimit -> DefaultMaxProbeDelay quarantine.Config.ProbeAfter -> InitialProbeDelay quarantine.DefaultProbeAfter -> DefaultInitialProbeDelay

--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -16,7 +16,7 @@
 func (w *owner) observeOutcome(a *attempt, succeeded bool) {
 	if a.isProbe {
 		a.isProbe = false
-		w.monitor.ProbeDone(w.now, a.worker, succeeded)
+		w.monitor.RecordProbe(w.now, a.worker, succeeded)
 	}
 	verdict := w.monitor.Observe(w.now, quarantine.Outcome{
 		Worker:    a.worker,
@@ -24,7 +24,7 @@
 		Job:       a.id.Task,
 		Succeeded: succeeded,
 	})
-	if verdict.WorkerBad {
+	if verdict.WorkerQuarantined {
 		w.workerQuarantined(a.worker)
 	}
 	w.cluster.SetPenalty(a.worker, w.monitor.Penalty(w.now, a.worker))
@@ -47,10 +47,10 @@
 		return
 	}
 	w.workersReviewedAt = w.now
-	for _, name := range w.monitor.Review(w.now) {
+	for _, name := range w.monitor.QuarantineDeferred(w.now) {
 		w.workerQuarantined(name)
 	}
-	for _, name := range w.monitor.ProbesDue(w.now) {
+	for _, name := range w.monitor.BeginDueProbes(w.now) {
 		if ws, ok := w.workers[name]; ok {
 			ws.awaitingProbe = true
 			w.updateNode(ws)
@@ -77,7 +77,7 @@
 		return
 	}
 	a.isProbe = false
-	w.monitor.ProbeDone(w.now, a.worker, false)
+	w.monitor.RecordProbe(w.now, a.worker, false)
 }
 
 // workersAwaitingProbe returns the workers that await a probe. At-most-once work avoids them.
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -47,12 +47,12 @@
 	})
 }
 
-// BenchmarkReview measures Review and ProbesDue, which package control calls once a second.
+// BenchmarkReview measures Review and BeginDueProbes, which package control calls once a second.
 func BenchmarkReview(b *testing.B) {
 	forEachFleet(b, func(b *testing.B, m *Monitor, _ int) {
 		for range b.N {
-			m.Review(start)
-			m.ProbesDue(start)
+			m.QuarantineDeferred(start)
+			m.BeginDueProbes(start)
 		}
 	})
 }
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -118,19 +118,19 @@
 			wasQuarantined := m.IsQuarantined(o.Worker)
 			l.outcomes = append(l.outcomes, loggedOutcome{o, now})
 			v := m.Observe(now, o)
-			if want := !o.Succeeded && l.isJobFaulty(now, m, o.Job); !v.WorkerBad && v.JobBad != want {
-				t.Fatalf("JobBad of %s = %v, want %v", o.Job, v.JobBad, want)
+			if want := !o.Succeeded && l.isJobFaulty(now, m, o.Job); !v.WorkerQuarantined && v.JobFaulty != want {
+				t.Fatalf("JobBad of %s = %v, want %v", o.Job, v.JobFaulty, want)
 			}
 			faulty := l.isWorkerFaulty(now, o.Worker, DefaultMinClasses)
-			if v.WorkerBad && (!faulty || v.JobBad || wasQuarantined) {
+			if v.WorkerQuarantined && (!faulty || v.JobFaulty || wasQuarantined) {
 				t.Fatalf("worker %s was quarantined with verdict %+v; faulty in the reference: %v", o.Worker, v, faulty)
 			}
 			checkCap(t, m, workers)
-			if !o.Succeeded && faulty && !v.JobBad && !m.IsQuarantined(o.Worker) && countQuarantined(m, workers) == 0 {
+			if !o.Succeeded && faulty && !v.JobFaulty && !m.IsQuarantined(o.Worker) && countQuarantined(m, workers) == 0 {
 				t.Fatalf("faulty worker %s stays in service although no other worker is quarantined", o.Worker)
 			}
-			for _, name := range m.ProbesDue(now) {
-				m.ProbeDone(now, name, false)
+			for _, name := range m.BeginDueProbes(now) {
+				m.RecordProbe(now, name, false)
 			}
 		}
 	})
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -10,12 +10,12 @@
 
 // Defaults of Config.
 const (
-	DefaultWindow      = 10 * time.Minute
-	DefaultMinClasses  = 2
-	DefaultMinWorkers  = 3
-	DefaultMaxFraction = 0.1
-	DefaultProbeAfter  = 30 * time.Second
-	DefaultProbeLimit  = 10 * time.Minute
+	DefaultWindow            = 10 * time.Minute
+	DefaultMinClasses        = 2
+	DefaultMinWorkers        = 3
+	DefaultMaxFraction       = 0.1
+	DefaultInitialProbeDelay = 30 * time.Second
+	DefaultMaxProbeDelay     = 10 * time.Minute
 )
 
 // MaxPenalty is the highest penalty of a worker, equal to placement.MaxPenalty.
@@ -30,12 +30,12 @@
 
 // Config configures a Monitor. Zero values take the defaults.
 type Config struct {
-	Window      time.Duration // maximum age of the outcomes that are evaluated
-	MinClasses  int           // minimum number of classes that fail on a faulty worker but succeed elsewhere
-	MinWorkers  int           // minimum number of workers on which a faulty job fails
-	MaxFraction float64       // maximum fraction of a partition's workers that are quarantined, rounded up
-	ProbeAfter  time.Duration // delay before the first probe; doubled after each failed probe
-	ProbeLimit  time.Duration // maximum delay between probes
+	Window            time.Duration // maximum age of the outcomes that are evaluated
+	MinClasses        int           // minimum number of classes that fail on a faulty worker but succeed elsewhere
+	MinWorkers        int           // minimum number of workers on which a faulty job fails
+	MaxFraction       float64       // maximum fraction of a partition's workers that are quarantined, rounded up
+	InitialProbeDelay time.Duration // delay before the first probe; doubled after each failed probe
+	MaxProbeDelay     time.Duration // maximum delay between probes
 }
 
 // Class identifies a class of comparable tasks.
@@ -75,8 +75,8 @@
 	setDefault(&cfg.MinClasses, DefaultMinClasses)
 	setDefault(&cfg.MinWorkers, DefaultMinWorkers)
 	setDefault(&cfg.MaxFraction, DefaultMaxFraction)
-	setDefault(&cfg.ProbeAfter, DefaultProbeAfter)
-	setDefault(&cfg.ProbeLimit, DefaultProbeLimit)
+	setDefault(&cfg.InitialProbeDelay, DefaultInitialProbeDelay)
+	setDefault(&cfg.MaxProbeDelay, DefaultMaxProbeDelay)
 	return &Monitor{
 		cfg:        cfg,
 		workers:    map[string]*worker{},
@@ -121,8 +121,8 @@
 
 // Verdict is the result of Observe.
 type Verdict struct {
-	WorkerBad bool // the worker was quarantined because of this outcome
-	JobBad    bool // the job is faulty and should not be retried
+	WorkerQuarantined bool // the worker was quarantined because of this outcome
+	JobFaulty         bool // the job is faulty and should not be retried
 }
 
 // Observe records one outcome, and quarantines its worker if that is faulty and the cap permits it.
@@ -141,16 +141,16 @@
 	}
 	w.recordFailure(now, o)
 	m.jobs.recordFailure(now, o, m.cfg.Window)
-	verdict := Verdict{JobBad: m.IsJobBad(now, o.Job)}
-	if !verdict.JobBad && m.isWorkerFaulty(now, w) {
-		verdict.WorkerBad = m.quarantine(now, w)
+	verdict := Verdict{JobFaulty: m.IsJobFaulty(now, o.Job)}
+	if !verdict.JobFaulty && m.isWorkerFaulty(now, w) {
+		verdict.WorkerQuarantined = m.quarantine(now, w)
 	}
 	return verdict
 }
 
-// IsJobBad reports whether a job is faulty: whether it failed on at least MinWorkers workers on which
+// IsJobFaulty reports whether a job is faulty: whether it failed on at least MinWorkers workers on which
 // other work succeeds. Failures on quarantined workers are excluded.
-func (m *Monitor) IsJobBad(now time.Time, id task.ID) bool {
+func (m *Monitor) IsJobFaulty(now time.Time, id task.ID) bool {
 	j, known := m.jobs.byID[id]
 	if !known {
 		return false
@@ -196,9 +196,9 @@
 	return min(penalty, MaxPenalty)
 }
 
-// Review quarantines the workers that are faulty but could not be quarantined earlier because of the
+// QuarantineDeferred quarantines the workers that are faulty but could not be quarantined earlier because of the
 // cap, in descending order of their number of failures, and returns their names.
-func (m *Monitor) Review(now time.Time) []string {
+func (m *Monitor) QuarantineDeferred(now time.Time) []string {
 	var faulty []*worker
 	for _, w := range m.workers {
 		if !w.quarantined && len(w.failures) > 0 && m.isWorkerFaulty(now, w) {
@@ -241,7 +241,7 @@
 	}
 	w.quarantined = true
 	w.partition.quarantined++
-	w.probeDelay = m.cfg.ProbeAfter
+	w.probeDelay = m.cfg.InitialProbeDelay
 	w.probeAt = now.Add(w.probeDelay)
 	return true
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -31,11 +31,11 @@
 		m.Observe(start, Outcome{"w01", classNamed(c), task.ID(c + "-good"), true})
 	}
 	first := m.Observe(start, Outcome{"w00", classNamed("x"), "x-1", false})
-	if first.WorkerBad || m.IsQuarantined("w00") {
+	if first.WorkerQuarantined || m.IsQuarantined("w00") {
 		t.Fatal("the worker was quarantined after failures of only one class")
 	}
 	second := m.Observe(start, Outcome{"w00", classNamed("y"), "y-1", false})
-	if !second.WorkerBad || !m.IsQuarantined("w00") {
+	if !second.WorkerQuarantined || !m.IsQuarantined("w00") {
 		t.Fatalf("verdict = %+v, want the worker in quarantine", second)
 	}
 }
@@ -48,7 +48,7 @@
 		m.Observe(start, Outcome{workerName(i), classNamed("good"), task.ID(fmt.Sprint("g", i)), true})
 		for _, c := range []string{"x", "y", "z"} {
 			v := m.Observe(start, Outcome{workerName(i), classNamed(c), task.ID(fmt.Sprint(c, i)), false})
-			if v.WorkerBad {
+			if v.WorkerQuarantined {
 				t.Fatalf("worker %d quarantined by classes that fail everywhere", i)
 			}
 		}
@@ -66,12 +66,12 @@
 	later := start.Add(time.Second)
 	for i, want := range []bool{false, false, true} {
 		v := m.Observe(later, Outcome{workerName(i), classNamed("x"), "poison", false})
-		if v.JobBad != want {
-			t.Fatalf("after failures on %d workers, JobBad = %v, want %v", i+1, v.JobBad, want)
+		if v.JobFaulty != want {
+			t.Fatalf("after failures on %d workers, JobBad = %v, want %v", i+1, v.JobFaulty, want)
 		}
 	}
 	v := m.Observe(later, Outcome{"w00", classNamed("y"), "other", false})
-	if v.WorkerBad {
+	if v.WorkerQuarantined {
 		t.Error("the failure of a faulty job was attributed to the worker")
 	}
 }
@@ -111,24 +111,24 @@
 func TestSuccessfulProbeEndsQuarantine(t *testing.T) {
 	m := newMonitor(10)
 	makeFaulty(m, "w00")
-	if due := m.ProbesDue(start.Add(DefaultProbeAfter - 1)); len(due) != 0 {
+	if due := m.BeginDueProbes(start.Add(DefaultInitialProbeDelay - 1)); len(due) != 0 {
 		t.Fatalf("due = %v before the probe delay has elapsed, want none", due)
 	}
-	at := start.Add(DefaultProbeAfter)
-	if due := m.ProbesDue(at); !slices.Equal(due, []string{"w00"}) {
+	at := start.Add(DefaultInitialProbeDelay)
+	if due := m.BeginDueProbes(at); !slices.Equal(due, []string{"w00"}) {
 		t.Fatalf("due = %v", due)
 	}
-	if due := m.ProbesDue(at); len(due) != 0 {
+	if due := m.BeginDueProbes(at); len(due) != 0 {
 		t.Fatalf("due = %v while a probe is running, want none", due)
 	}
-	if m.ProbeDone(at, "w00", false) || len(m.ProbesDue(at.Add(DefaultProbeAfter))) != 0 {
+	if m.RecordProbe(at, "w00", false) || len(m.BeginDueProbes(at.Add(DefaultInitialProbeDelay))) != 0 {
 		t.Fatal("a failed probe returned the worker to service or did not double the delay")
 	}
-	at = at.Add(2 * DefaultProbeAfter)
-	if due := m.ProbesDue(at); len(due) != 1 {
+	at = at.Add(2 * DefaultInitialProbeDelay)
+	if due := m.BeginDueProbes(at); len(due) != 1 {
 		t.Fatalf("due = %v", due)
 	}
-	if !m.ProbeDone(at, "w00", true) || m.IsQuarantined("w00") || m.Penalty(at, "w00") != 0 {
+	if !m.RecordProbe(at, "w00", true) || m.IsQuarantined("w00") || m.Penalty(at, "w00") != 0 {
 		t.Fatal("a successful probe did not return the worker to service")
 	}
 }
@@ -162,7 +162,7 @@
 		t.Fatal("the cap was exceeded")
 	}
 	m.RemoveWorker("w00")
-	if got := m.Review(start); !slices.Equal(got, []string{"w02"}) {
+	if got := m.QuarantineDeferred(start); !slices.Equal(got, []string{"w02"}) {
 		t.Errorf("Review = %v, want [w02]", got)
 	}
 }
@@ -185,7 +185,7 @@
 	for _, c := range []string{"x", "y"} {
 		m.Observe(now, Outcome{"w01", classNamed(c), task.ID(c + "-later"), true})
 	}
-	if v := m.Observe(now, Outcome{"w00", classNamed("y"), "other", false}); !v.WorkerBad {
+	if v := m.Observe(now, Outcome{"w00", classNamed("y"), "other", false}); !v.WorkerQuarantined {
 		t.Error("a failure outside the window was attributed to the job instead of the worker")
 	}
 }
--- a/quarantine/worker.go
+++ b/quarantine/worker.go
@@ -19,7 +19,7 @@
 	successes   []success // the latest success of each class
 	lastSuccess time.Time
 	quarantined bool
-	probing     bool          // ProbesDue returned the worker, and ProbeDone was not called yet
+	probing     bool          // BeginDueProbes returned the worker, and RecordProbe was not called yet
 	probeAt     time.Time     // when the next probe is due
 	probeDelay  time.Duration // current backoff between probes
 }
@@ -78,9 +78,9 @@
 	return cmp.Compare(a.name, b.name)
 }
 
-// ProbesDue returns the names of the quarantined workers whose next probe task is due, in sorted
-// order. A worker is not returned again until ProbeDone is called for it.
-func (m *Monitor) ProbesDue(now time.Time) []string {
+// BeginDueProbes returns the names of the quarantined workers whose next probe task is due, in sorted
+// order. A worker is not returned again until RecordProbe is called for it.
+func (m *Monitor) BeginDueProbes(now time.Time) []string {
 	var due []string
 	for _, w := range m.workers {
 		if w.quarantined && !w.probing && !now.Before(w.probeAt) {
@@ -92,16 +92,16 @@
 	return due
 }
 
-// ProbeDone records the outcome of a probe task and reports whether the worker returned to service.
-// A failure doubles the delay before the next probe, up to Config.ProbeLimit.
-func (m *Monitor) ProbeDone(now time.Time, name string, succeeded bool) (returned bool) {
+// RecordProbe records the outcome of a probe task and reports whether the worker returned to service.
+// A failure doubles the delay before the next probe, up to Config.MaxProbeDelay.
+func (m *Monitor) RecordProbe(now time.Time, name string, succeeded bool) (returned bool) {
 	w, known := m.workers[name]
 	if !known || !w.quarantined {
 		return false
 	}
 	w.probing = false
 	if !succeeded {
-		w.probeDelay = min(2*w.probeDelay, m.cfg.ProbeLimit)
+		w.probeDelay = min(2*w.probeDelay, m.cfg.MaxProbeDelay)
 		w.probeAt = now.Add(w.probeDelay)
 		return false
 	}
