--- a/control/configuration.go
+++ b/control/configuration.go
@@ -101,7 +101,7 @@
 	s.ownership.ObserveMembers(s.now, s.routing.memberList(), true)
 	s.ownership.ObserveThrough(s.now, e.Revision)
 	s.owner.allowances.ObserveThrough(e.Revision)
-	s.freshness.ApplyThrough(e.Revision)
+	s.freshness.RecordApplied(e.Revision)
 }
 
 // deleteAbsent deletes the known keys that are absent from a complete list.
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -88,9 +88,9 @@
 	for _, m := range s.membership.listedEntries {
 		names = append(names, m.Instance)
 	}
-	s.exchange.outageRound.Listed(s.membership.listedAt, names)
+	s.exchange.outageRound.RecordInstanceList(s.membership.listedAt, names)
 	// Without other members the round is complete at once.
-	s.freshness.OutageConfirmed(s.now, s.exchange.outageRound)
+	s.freshness.RecordOutageRound(s.now, s.exchange.outageRound)
 	s.snapshotChanged = true
 	for incarnation, awaiting := range awaitingReply {
 		if awaiting {
@@ -115,7 +115,7 @@
 	reply := s.digest()
 	if d.RequestNoCommit {
 		reply.NoCommitPromised = s.freshness.PromiseNoCommit(s.now, s.hasStoreContact())
-		reply.KnownRevision = s.freshness.Known()
+		reply.KnownRevision = s.freshness.KnownRevision()
 	}
 	s.reply(token, reply)
 }
@@ -126,14 +126,14 @@
 	}
 	reply := e.Reply.(DigestMessage)
 	s.applyDigest(reply)
-	s.freshness.PeerConfirmed(s.now, e.Send.SentAt, reply.Freshness, reply.Revision)
+	s.freshness.RecordPeerReply(s.now, e.Send.SentAt, reply.Freshness, reply.Revision)
 	if s.belongsToOutageRound(e.Send) && s.exchange.awaitingReply[reply.Incarnation] {
 		s.exchange.awaitingReply[reply.Incarnation] = false
-		s.exchange.outageRound.Reply(keyring.OutageReply{
+		s.exchange.outageRound.RecordReply(keyring.OutageReply{
 			From:     keyring.Peer{Instance: reply.Instance, Incarnation: reply.Incarnation},
 			Promised: reply.NoCommitPromised, Revision: reply.KnownRevision,
 		})
-		s.freshness.OutageConfirmed(s.now, s.exchange.outageRound)
+		s.freshness.RecordOutageRound(s.now, s.exchange.outageRound)
 	}
 	s.snapshotChanged = true
 }
--- a/control/member.go
+++ b/control/member.go
@@ -70,7 +70,7 @@
 	}
 	if e.Revision > 0 {
 		s.ownership.ReadDone(s.now, e.SentAt, e.Revision)
-		s.freshness.Confirmed(s.now, e.SentAt, e.Revision)
+		s.freshness.RecordStoreRead(s.now, e.SentAt, e.Revision)
 		s.checkWatchLag(e.Revision)
 	}
 }
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -96,7 +96,7 @@
 	if secret == "" {
 		return DocumentInForce{}, keyring.Key{}, errkind.New(errkind.KeyMissing, "service %s/%s requires a key", team, service)
 	}
-	key, err := s.Keys.Admit(now, team, keyring.DigestOf(secret))
+	key, err := s.Keys.Authenticate(now, team, keyring.DigestOf(secret))
 	if err != nil {
 		return DocumentInForce{}, keyring.Key{}, err
 	}
--- a/daemon/outage_test.go
+++ b/daemon/outage_test.go
@@ -24,7 +24,7 @@
 			for range 10 {
 				time.Sleep(2 * time.Second)
 				for _, n := range w.live() {
-					if _, err := n.Snapshot().Keys.Admit(time.Now(), "leuven", keyring.DigestOf(testSecret)); err != nil {
+					if _, err := n.Snapshot().Keys.Authenticate(time.Now(), "leuven", keyring.DigestOf(testSecret)); err != nil {
 						t.Fatalf("%d instances: %s rejects the key: %v", instances, n.cfg.Self.Instance, err)
 					}
 				}
--- a/keyring/freshness.go
+++ b/keyring/freshness.go
@@ -102,12 +102,12 @@
 	return max(0, f.freshUntil.Sub(now))
 }
 
-// Applied returns the revision up to which all changes have been applied.
-func (f *Freshness) Applied() int64 { return f.appliedRevision }
+// AppliedRevision returns the revision up to which all changes have been applied.
+func (f *Freshness) AppliedRevision() int64 { return f.appliedRevision }
 
-// ApplyThrough records that all changes in the store up to the revision have been applied to the
+// RecordApplied records that all changes in the store up to the revision have been applied to the
 // ring.
-func (f *Freshness) ApplyThrough(revision int64) {
+func (f *Freshness) RecordApplied(revision int64) {
 	f.appliedRevision = max(f.appliedRevision, revision)
 	stillPending := f.pending[:0]
 	for _, c := range f.pending {
@@ -120,16 +120,16 @@
 	f.pending = stillPending
 }
 
-// Confirmed records a linearizable read of the store that was sent at sentAt and returned the given
+// RecordStoreRead records a linearizable read of the store that was sent at sentAt and returned the given
 // revision.
-func (f *Freshness) Confirmed(now, sentAt time.Time, revision int64) {
+func (f *Freshness) RecordStoreRead(now, sentAt time.Time, revision int64) {
 	f.addConfirmation(f.periodStart(now, sentAt).Add(f.cfg.shorten(f.cfg.Freshness)), revision)
 }
 
-// PeerConfirmed records a peer's reply to a request that was sent at sentAt: the peer's remaining
+// RecordPeerReply records a peer's reply to a request that was sent at sentAt: the peer's remaining
 // freshness and the revision up to which it has applied changes. A confirmation that is relayed from
 // peer to peer never extends the original freshness period.
-func (f *Freshness) PeerConfirmed(now, sentAt time.Time, remaining time.Duration, revision int64) {
+func (f *Freshness) RecordPeerReply(now, sentAt time.Time, remaining time.Duration, revision int64) {
 	if f.faults.fullPeerPeriod {
 		remaining = f.cfg.Freshness
 	}
@@ -139,11 +139,11 @@
 	f.addConfirmation(f.periodStart(now, sentAt).Add(f.cfg.shorten(min(remaining, f.cfg.Freshness))), revision)
 }
 
-// OutageConfirmed records the result of an OutageRound. It has no effect if the round is incomplete.
-func (f *Freshness) OutageConfirmed(now time.Time, r *OutageRound) {
+// RecordOutageRound records the result of an OutageRound. It has no effect if the round is incomplete.
+func (f *Freshness) RecordOutageRound(now time.Time, r *OutageRound) {
 	sentAt, revision, ok := r.result(f.faults)
 	if ok {
-		f.addConfirmation(f.periodStart(now, sentAt).Add(f.cfg.shorten(f.cfg.Freshness)), max(revision, f.Known()))
+		f.addConfirmation(f.periodStart(now, sentAt).Add(f.cfg.shorten(f.cfg.Freshness)), max(revision, f.KnownRevision()))
 	}
 }
 
@@ -210,10 +210,10 @@
 	f.committedRevision = max(f.committedRevision, revision)
 }
 
-// Known returns the highest revision that this process has applied or committed, for an OutageReply.
+// KnownRevision returns the highest revision that this process has applied or committed, for an OutageReply.
 // All processes must respect a change that this process has committed and acknowledged, even if no
 // watch has delivered it yet.
-func (f *Freshness) Known() int64 {
+func (f *Freshness) KnownRevision() int64 {
 	if f.faults.ignoreOwnCommits {
 		return f.appliedRevision
 	}
--- a/keyring/model_test.go
+++ b/keyring/model_test.go
@@ -154,7 +154,7 @@
 	sentAt := n.clock()
 	n.callStore(func() func() {
 		revision := int64(len(n.sim.log))
-		return func() { n.freshness.Confirmed(n.clock(), sentAt, revision) }
+		return func() { n.freshness.RecordStoreRead(n.clock(), sentAt, revision) }
 	})
 }
 
@@ -171,7 +171,7 @@
 				n.members[e.member.Instance] = e.member
 			}
 		}
-		n.freshness.ApplyThrough(int64(n.applied))
+		n.freshness.RecordApplied(int64(n.applied))
 	})
 }
 
@@ -194,8 +194,8 @@
 func (n *node) requestFreshness(m *node) {
 	sentAt := n.clock()
 	n.request(m, func() func() {
-		remaining, revision := m.freshness.Remaining(m.clock()), m.freshness.Applied()
-		return func() { n.freshness.PeerConfirmed(n.clock(), sentAt, remaining, revision) }
+		remaining, revision := m.freshness.Remaining(m.clock()), m.freshness.AppliedRevision()
+		return func() { n.freshness.RecordPeerReply(n.clock(), sentAt, remaining, revision) }
 	})
 }
 
@@ -217,9 +217,9 @@
 			continue
 		}
 		n.request(m, func() func() {
-			reply := OutageReply{From: m.peer, Promised: m.freshness.PromiseNoCommit(m.clock(), m.hasStoreContact()), Revision: m.freshness.Known()}
+			reply := OutageReply{From: m.peer, Promised: m.freshness.PromiseNoCommit(m.clock(), m.hasStoreContact()), Revision: m.freshness.KnownRevision()}
 			return func() {
-				round.Reply(reply)
+				round.RecordReply(reply)
 				n.completeRound(round)
 			}
 		})
@@ -232,14 +232,14 @@
 		}
 	}
 	n.runAfter(n.sim.delay(), func() {
-		round.Listed(sentAt, listed)
+		round.RecordInstanceList(sentAt, listed)
 		n.completeRound(round)
 	})
 }
 
 func (n *node) completeRound(round *OutageRound) {
 	before := n.freshness.Until()
-	n.freshness.OutageConfirmed(n.clock(), round)
+	n.freshness.RecordOutageRound(n.clock(), round)
 	if n.freshness.Until().After(before) {
 		n.sim.coverage["outage confirmed"]++
 	}
@@ -332,7 +332,7 @@
 
 func (n *node) checkAdmission() string {
 	sim := n.sim
-	_, err := n.ring.Snapshot(n.freshness.Until()).Admit(n.clock(), modelTeam, modelSecret)
+	_, err := n.ring.Snapshot(n.freshness.Until()).Authenticate(n.clock(), modelTeam, modelSecret)
 	if err == nil {
 		sim.coverage["admitted"]++
 		if sim.withdrawalAckedAt > 0 && sim.now > sim.withdrawalAckedAt+DefaultConfig().Freshness {
--- a/keyring/outage.go
+++ b/keyring/outage.go
@@ -9,7 +9,7 @@
 type OutageReply struct {
 	From     Peer
 	Promised bool  // result of the member's Freshness.PromiseNoCommit
-	Revision int64 // result of the member's Freshness.Known
+	Revision int64 // result of the member's Freshness.KnownRevision
 }
 
 // OutageRound collects the replies of all members during a total outage of the store. It requires the
@@ -40,9 +40,9 @@
 	return r
 }
 
-// Reply records the reply of a member. A reply of another incarnation is treated as a refusal, because
+// RecordReply records the reply of a member. A reply of another incarnation is treated as a refusal, because
 // that process does not have the commits of its predecessor.
-func (r *OutageRound) Reply(reply OutageReply) {
+func (r *OutageRound) RecordReply(reply OutageReply) {
 	if !reply.Promised || !r.awaited[reply.From] {
 		r.refused = true
 		return
@@ -51,10 +51,10 @@
 	r.revision = max(r.revision, reply.Revision)
 }
 
-// Listed records the entry instances in the instance list, from a read that was sent at sentAt. The
+// RecordInstanceList records the entry instances in the instance list, from a read that was sent at sentAt. The
 // round fails if one of them is not a known member: it may have registered and committed a change
 // that no known member has received.
-func (r *OutageRound) Listed(sentAt time.Time, instances []string) {
+func (r *OutageRound) RecordInstanceList(sentAt time.Time, instances []string) {
 	r.listed, r.listedAt = true, sentAt
 	for _, i := range instances {
 		if !r.instances[i] {
--- a/keyring/ring.go
+++ b/keyring/ring.go
@@ -134,10 +134,10 @@
 // Until returns the time until which the snapshot admits work.
 func (s *Snapshot) Until() time.Time { return s.until }
 
-// Admit authenticates a request of a team: it returns the team's key with the given digest, or an
+// Authenticate authenticates a request of a team: it returns the team's key with the given digest, or an
 // error. now is a reading of the monotonic clock; an expired snapshot rejects every key. All keys of
 // the team are compared in constant time, so that the duration reveals nothing about partial matches.
-func (s *Snapshot) Admit(now time.Time, team task.Team, digest Digest) (Key, *errkind.Error) {
+func (s *Snapshot) Authenticate(now time.Time, team task.Team, digest Digest) (Key, *errkind.Error) {
 	if digest == (Digest{}) || digest == emptyDigest {
 		return Key{}, errkind.New(errkind.KeyMissing, "requests of team %s require a key", team)
 	}
--- a/keyring/ring_test.go
+++ b/keyring/ring_test.go
@@ -33,7 +33,7 @@
 		{"c", "one", 0, errkind.KeyRefused},
 		{"a", "two", 0, errkind.KeyWithdrawn},
 	} {
-		k, err := snapshot.Admit(start.Add(c.after), c.team, DigestOf(c.secret))
+		k, err := snapshot.Authenticate(start.Add(c.after), c.team, DigestOf(c.secret))
 		var got errkind.Kind
 		if err != nil {
 			got = err.Kind
