worker: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

The daemon finds UnregisterCounters by a type assertion on an interface literal, which changes with it.

worker.Unclear -> WrapUnclear worker.NotRun -> WrapNotRun worker.Client.Forget -> UnregisterCounters worker.ReasonLate -> ReasonPastStartBy worker.ReasonBoot -> ReasonOtherBoot worker.ReasonEpoch -> ReasonLowerEpoch worker.ReasonCapacity -> ReasonOverCapacity worker.ReasonState -> ReasonNotAvailable worker.SyncRequest.After -> AfterSequence worker.StartRequest.Wait -> OutcomeWait worker.StartRequest.Home -> HomeInstance worker.TaskReport.Home -> HomeInstance

--- a/daemon/fakes_test.go
+++ b/daemon/fakes_test.go
@@ -87,7 +87,7 @@
 // Start starts a task. A fault at worker.StartChecked acts after the check of the ownership term, as
 // if the process were paused while sending.
 func (f *workerFake) Start(ctx context.Context, to worker.Address, req worker.StartRequest, check func() error) (worker.StartReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, req.Wait+workerFakeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, req.OutcomeWait+workerFakeTimeout)
 	defer cancel()
 	return callWorkerWithFaults(ctx, f.node, "worker.Start", to, func() (worker.StartReply, error) {
 		return f.API.Start(context.WithoutCancel(ctx), to, req, func() error {
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -144,7 +144,7 @@
 // dropUnlistedWorkers deletes the metrics of the known workers that are no longer listed, and returns
 // the listed workers.
 func (d *engine) dropUnlistedWorkers(known map[worker.Address]bool, instances []instancelist.Instance) map[worker.Address]bool {
-	client, ok := d.clients.Workers.(interface{ Forget(worker.Address) })
+	client, ok := d.clients.Workers.(interface{ UnregisterCounters(worker.Address) })
 	if !ok {
 		return nil
 	}
@@ -156,7 +156,7 @@
 	}
 	for address := range known {
 		if !listed[address] {
-			client.Forget(address)
+			client.UnregisterCounters(address)
 		}
 	}
 	return listed
--- a/endtoend/capacity_test.go
+++ b/endtoend/capacity_test.go
@@ -185,7 +185,7 @@
 	started := time.Now()
 	_, err := s.client.Start(t.Context(), s.address, worker.StartRequest{
 		Attempt: task.Attempt{Task: task.ID(fmt.Sprintf("straight/s/%d/0", i)), Number: 1}, Team: "straight", Class: "span-lookup", Owner: "measure", Epoch: 1 << 40,
-		BootID: s.boot, StartBy: now + time.Second, LeaseUntil: now + 10*time.Second, Wait: time.Second,
+		BootID: s.boot, StartBy: now + time.Second, LeaseUntil: now + 10*time.Second, OutcomeWait: time.Second,
 		Size: task.Resources{CPUMilli: 1, MemoryMB: 1}, Command: "echo", Payload: []byte("hello"),
 	}, func() error { return nil })
 	if err != nil {
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -164,10 +164,10 @@
 		reply, bootID = w.machine.startReply(now, started), w.machine.bootID
 		return rejection
 	})
-	if err != nil || reply.Outcome != nil || started == nil || req.Wait <= 0 {
+	if err != nil || reply.Outcome != nil || started == nil || req.OutcomeWait <= 0 {
 		return reply, err
 	}
-	if err := w.awaitEnd(ctx, started, req.Wait); err != nil {
+	if err := w.awaitEnd(ctx, started, req.OutcomeWait); err != nil {
 		return worker.StartReply{}, err
 	}
 	rebooted := false
--- a/standin/worker_bench_test.go
+++ b/standin/worker_bench_test.go
@@ -30,7 +30,7 @@
 	request := startFor(b, api, at, "t", "echo")
 	request.StartBy, request.LeaseUntil = time.Hour, 2*time.Hour
 	request.Payload = make([]byte, payload)
-	request.Wait = time.Second
+	request.OutcomeWait = time.Second
 	check := func() error { return nil }
 	bare := newBareExchange(b, w, request)
 	var started, exchanged []time.Duration
@@ -118,7 +118,7 @@
 	}
 	exchange := func() error {
 		reply, err := api.Sync(b.Context(), at, sync)
-		sync.After, sync.Acknowledge = reply.Sequence, nil
+		sync.AfterSequence, sync.Acknowledge = reply.Sequence, nil
 		return err
 	}
 	for b.Loop() {
--- a/standin/worker_calls.go
+++ b/standin/worker_calls.go
@@ -28,7 +28,7 @@
 	r := &record{
 		report: worker.TaskReport{
 			Attempt: req.Attempt, Team: req.Team, Class: req.Class, Size: req.Size,
-			State: worker.Running, Home: req.Home, LeaseUntil: req.LeaseUntil,
+			State: worker.Running, HomeInstance: req.HomeInstance, LeaseUntil: req.LeaseUntil,
 		},
 		result: cmd.result, exitCode: cmd.exitCode, startedAt: now, startBy: req.StartBy,
 		runIndex: len(m.ledger.Runs), ended: make(chan struct{}),
@@ -74,7 +74,7 @@
 		m.ledger.OverCapacity = append(m.ledger.OverCapacity, oracle.Refused{
 			Attempt: req.Attempt, Size: req.Size, Used: m.used, Epoch: req.Epoch, At: wallTime(now),
 		})
-		return command{}, m.reject(now, worker.ReasonCapacity, "free capacity is %s, the attempt needs %s", free, req.Size)
+		return command{}, m.reject(now, worker.ReasonOverCapacity, "free capacity is %s, the attempt needs %s", free, req.Size)
 	}
 	return cmd, nil
 }
@@ -85,11 +85,11 @@
 	case m.config.IgnoreValidity:
 		return nil
 	case req.BootID != m.bootID:
-		return m.reject(now, worker.ReasonBoot, "start is for boot %q, the current boot is %q", req.BootID, m.bootID)
+		return m.reject(now, worker.ReasonOtherBoot, "start is for boot %q, the current boot is %q", req.BootID, m.bootID)
 	case clock > req.StartBy:
-		return m.reject(now, worker.ReasonLate, "start was valid until %s, the clock is at %s", req.StartBy, clock)
+		return m.reject(now, worker.ReasonPastStartBy, "start was valid until %s, the clock is at %s", req.StartBy, clock)
 	case clock >= req.LeaseUntil:
-		return m.reject(now, worker.ReasonLate, "lease ended at %s, the clock is at %s", req.LeaseUntil, clock)
+		return m.reject(now, worker.ReasonPastStartBy, "lease ended at %s, the clock is at %s", req.LeaseUntil, clock)
 	}
 	return nil
 }
@@ -98,7 +98,7 @@
 // a higher one.
 func (m *machine) checkEpoch(now time.Time, epoch uint64) *worker.Rejection {
 	if epoch < m.epoch && !m.config.IgnoreEpoch {
-		return m.reject(now, worker.ReasonEpoch, "epoch %d is below %d", epoch, m.epoch)
+		return m.reject(now, worker.ReasonLowerEpoch, "epoch %d is below %d", epoch, m.epoch)
 	}
 	m.epoch = max(m.epoch, epoch)
 	return nil
@@ -138,10 +138,10 @@
 		m.acknowledge(req.Acknowledge)
 	}
 	m.updateUsage(now)
-	full := req.Full || !sameBoot || req.After > m.sequence
+	full := req.Full || !sameBoot || req.AfterSequence > m.sequence
 	return worker.SyncReply{
 		Worker: m.config.Name, BootID: m.bootID, Clock: m.clock(now), Sequence: m.sequence, Full: full,
-		Capacity: m.config.Capacity, Leaving: m.leaving, Tasks: m.reports(full, req.After),
+		Capacity: m.config.Capacity, Leaving: m.leaving, Tasks: m.reports(full, req.AfterSequence),
 	}, nil
 }
 
@@ -237,7 +237,7 @@
 func (m *machine) result(now time.Time, a task.Attempt) ([]byte, string, *worker.Rejection) {
 	r := m.records[a]
 	if r == nil || r.report.Outcome == nil {
-		return nil, "", m.reject(now, worker.ReasonState, "attempt %s is unknown or has no result", a)
+		return nil, "", m.reject(now, worker.ReasonNotAvailable, "attempt %s is unknown or has no result", a)
 	}
 	return r.result, r.report.Outcome.Digest, nil
 }
--- a/standin/worker_faults_test.go
+++ b/standin/worker_faults_test.go
@@ -264,10 +264,10 @@
 		edit   func(*worker.StartRequest)
 		want   worker.Reason // of a worker that checks
 	}{
-		{"lower epoch", WorkerConfig{IgnoreEpoch: true}, func(r *worker.StartRequest) { r.Epoch = 0 }, worker.ReasonEpoch},
-		{"after start_by", WorkerConfig{IgnoreValidity: true}, func(r *worker.StartRequest) { r.StartBy = -1 }, worker.ReasonLate},
-		{"after the lease", WorkerConfig{IgnoreValidity: true}, func(r *worker.StartRequest) { r.LeaseUntil = 0 }, worker.ReasonLate},
-		{"other boot", WorkerConfig{IgnoreValidity: true}, func(r *worker.StartRequest) { r.BootID = "x" }, worker.ReasonBoot},
+		{"lower epoch", WorkerConfig{IgnoreEpoch: true}, func(r *worker.StartRequest) { r.Epoch = 0 }, worker.ReasonLowerEpoch},
+		{"after start_by", WorkerConfig{IgnoreValidity: true}, func(r *worker.StartRequest) { r.StartBy = -1 }, worker.ReasonPastStartBy},
+		{"after the lease", WorkerConfig{IgnoreValidity: true}, func(r *worker.StartRequest) { r.LeaseUntil = 0 }, worker.ReasonPastStartBy},
+		{"other boot", WorkerConfig{IgnoreValidity: true}, func(r *worker.StartRequest) { r.BootID = "x" }, worker.ReasonOtherBoot},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			for _, config := range []WorkerConfig{{}, test.config} {
--- a/standin/worker_local.go
+++ b/standin/worker_local.go
@@ -61,7 +61,7 @@
 	var zero T
 	w := l.workerAt(to)
 	if w == nil {
-		return zero, worker.NotRun(operation, errRefused)
+		return zero, worker.WrapNotRun(operation, errRefused)
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.CallTimeout+wait)
 	defer cancel()
@@ -78,7 +78,7 @@
 	case r := <-results:
 		return r.reply, classify(operation, r.err)
 	case <-ctx.Done():
-		return zero, worker.Unclear(operation, ctx.Err())
+		return zero, worker.WrapUnclear(operation, ctx.Err())
 	}
 }
 
@@ -90,7 +90,7 @@
 	case errors.As(err, &rejection):
 		return rejection
 	}
-	return worker.Unclear(operation, err)
+	return worker.WrapUnclear(operation, err)
 }
 
 // Sync implements worker.API.
@@ -104,10 +104,10 @@
 func (l *LocalWorkers) Start(ctx context.Context, to worker.Address, req worker.StartRequest, check func() error) (worker.StartReply, error) {
 	if check != nil {
 		if err := check(); err != nil {
-			return worker.StartReply{}, worker.NotRun("start", err)
+			return worker.StartReply{}, worker.WrapNotRun("start", err)
 		}
 	}
-	return exchange(ctx, l, "start", to, req.Wait, func(ctx context.Context, w *Worker) (worker.StartReply, error) {
+	return exchange(ctx, l, "start", to, req.OutcomeWait, func(ctx context.Context, w *Worker) (worker.StartReply, error) {
 		return w.Start(ctx, req)
 	})
 }
@@ -136,7 +136,7 @@
 		req.Bytes, req.Digest = int64(len(got.result)), got.digest
 	}
 	if err := worker.CopyResult(dst, bytes.NewReader(got.result), req, l.MaxResultBytes); err != nil {
-		return worker.Unclear("result", err)
+		return worker.WrapUnclear("result", err)
 	}
 	return nil
 }
--- a/standin/worker_machine_test.go
+++ b/standin/worker_machine_test.go
@@ -82,18 +82,18 @@
 	}
 	switch {
 	case !sameBoot:
-		return worker.ReasonBoot
+		return worker.ReasonOtherBoot
 	case w.clock > t.startBy || w.clock >= t.lease:
-		return worker.ReasonLate
+		return worker.ReasonPastStartBy
 	case epoch < w.epoch:
-		return worker.ReasonEpoch
+		return worker.ReasonLowerEpoch
 	}
 	w.epoch = epoch
 	switch {
 	case stopped:
 		return worker.ReasonCancelled
 	case t.slots > w.free():
-		return worker.ReasonCapacity
+		return worker.ReasonOverCapacity
 	}
 	t.state = worker.Running
 	w.endIfDue(&t)
@@ -105,7 +105,7 @@
 // records that the task must not start.
 func (w *modelWorker) end(id task.ID, state worker.TaskState, epoch uint64, startBy int) worker.Reason {
 	if epoch < w.epoch {
-		return worker.ReasonEpoch
+		return worker.ReasonLowerEpoch
 	}
 	w.epoch = epoch
 	switch t := w.find(id); {
@@ -119,7 +119,7 @@
 
 func (w *modelWorker) sync(sameBoot bool, epoch uint64, lease int, acknowledged task.ID) worker.Reason {
 	if epoch < w.epoch {
-		return worker.ReasonEpoch
+		return worker.ReasonLowerEpoch
 	}
 	w.epoch = epoch
 	if !sameBoot {
@@ -213,7 +213,7 @@
 				boot, sameBoot := drawBoot()
 				epoch, lease, id := epochs.Draw(t, "epoch"), model.clock+offsets.Draw(t, "lease"), ids.Draw(t, "acknowledge")
 				reply, rejection := m.sync(now, worker.SyncRequest{
-					BootID: boot, Epoch: epoch, LeaseUntil: seconds(lease), After: sequence,
+					BootID: boot, Epoch: epoch, LeaseUntil: seconds(lease), AfterSequence: sequence,
 					Acknowledge: []task.Attempt{{Task: id, Number: 1}},
 				})
 				checkReason("sync", reasonOf(rejection), model.sync(sameBoot, epoch, lease, id))
@@ -277,7 +277,7 @@
 	now = now.Add(time.Second)
 	m.advance(now)
 	m.sync(now, worker.SyncRequest{BootID: m.bootID, Acknowledge: []task.Attempt{req.Attempt}})
-	if _, rejection := m.start(now, req); reasonOf(rejection) != worker.ReasonLate {
+	if _, rejection := m.start(now, req); reasonOf(rejection) != worker.ReasonPastStartBy {
 		t.Errorf("late start of an acknowledged attempt: %v", rejection)
 	}
 }
--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -32,7 +32,7 @@
 		t.Fatal(err)
 	}
 	return worker.StartRequest{
-		Attempt: task.Attempt{Task: id, Number: 1}, Team: "team-a", Class: "c", Home: "h",
+		Attempt: task.Attempt{Task: id, Number: 1}, Team: "team-a", Class: "c", HomeInstance: "h",
 		Owner: "o", Epoch: 1, BootID: report.BootID,
 		StartBy: report.Clock + 3*time.Second, LeaseUntil: report.Clock + 30*time.Second,
 		Size:    task.Resources{CPUMilli: 1000, MemoryMB: 1024, Slots: 1},
@@ -76,7 +76,7 @@
 func testTaskLifecycle(t *testing.T, api worker.API, at worker.Address) {
 	ctx := t.Context()
 	echo := startFor(t, api, at, "task/with slash", "echo")
-	echo.Wait = time.Second
+	echo.OutcomeWait = time.Second
 	_, err := api.Start(ctx, at, echo, func() error { return errEnded })
 	if !errors.Is(err, worker.ErrNotRun) || !errors.Is(err, errEnded) {
 		t.Errorf("start after the end of the term: %v", err)
@@ -97,7 +97,7 @@
 		t.Errorf("result: %q, %v", fetched.Bytes(), err)
 	}
 	big := startFor(t, api, at, "big", "bytes:300000")
-	big.Wait = 10 * time.Second
+	big.OutcomeWait = 10 * time.Second
 	started, err = api.Start(ctx, at, big, nil)
 	if err != nil || started.Outcome == nil || started.Outcome.Result != nil || started.ResultBytes != 300000 {
 		t.Fatalf("start with a result that is fetched: %+v, %v", started, err)
@@ -108,7 +108,7 @@
 		t.Errorf("result of %d bytes, %v", fetched.Len(), err)
 	}
 	slow := startFor(t, api, at, "slow", "sleep:30ms")
-	slow.Wait = 10 * time.Second
+	slow.OutcomeWait = 10 * time.Second
 	if started, err = api.Start(ctx, at, slow, nil); err != nil || started.Outcome == nil {
 		t.Errorf("start that waits for the end: %+v, %v", started, err)
 	}
@@ -117,7 +117,7 @@
 	}
 	large := startFor(t, api, at, "large", "run")
 	large.Size.Slots = testCapacity.Slots + 1
-	if _, err := api.Start(ctx, at, large, nil); !worker.IsRejected(err, worker.ReasonCapacity) || !errors.Is(err, worker.ErrNotRun) {
+	if _, err := api.Start(ctx, at, large, nil); !worker.IsRejected(err, worker.ReasonOverCapacity) || !errors.Is(err, worker.ErrNotRun) {
 		t.Errorf("start that does not fit: %v", err)
 	}
 	long := startFor(t, api, at, "long", "run")
@@ -141,7 +141,7 @@
 		t.Errorf("checkpoint of a stopped attempt: %+v, %v", saved, err)
 	}
 	report, err = api.Sync(ctx, at, worker.SyncRequest{
-		Epoch: 1, BootID: long.BootID, After: report.Sequence, Acknowledge: []task.Attempt{echo.Attempt},
+		Epoch: 1, BootID: long.BootID, AfterSequence: report.Sequence, Acknowledge: []task.Attempt{echo.Attempt},
 	})
 	if err != nil || report.Full || len(report.Tasks) != 1 || report.Tasks[0].Attempt != long.Attempt {
 		t.Errorf("delta report: %+v, %v", report, err)
--- a/worker/client.go
+++ b/worker/client.go
@@ -120,7 +120,7 @@
 	var reply StartReply
 	err := c.exchange(ctx, c.taskTransport, workerCall{
 		operation: operation, method: http.MethodPost, address: address, path: "/v1/tasks",
-		timeout: c.config.CallTimeout + req.Wait, check: check,
+		timeout: c.config.CallTimeout + req.OutcomeWait, check: check,
 		request: func() (Frame, error) { return EncodeStart(req) },
 		reply: func(body []byte) (err error) {
 			reply, err = DecodeStartReply(body)
@@ -131,7 +131,7 @@
 		return StartReply{}, err
 	}
 	if err := verifyStart(req, reply); err != nil {
-		return StartReply{}, Unclear(operation, err)
+		return StartReply{}, WrapUnclear(operation, err)
 	}
 	return reply, nil
 }
@@ -168,7 +168,7 @@
 		return LookupReply{}, err
 	}
 	if reply.Known && reply.Report.Attempt != attempt {
-		return LookupReply{}, Unclear(operation, eris.Wrapf(ErrIncomplete, "the reply is for attempt %s, expected %s", reply.Report.Attempt, attempt))
+		return LookupReply{}, WrapUnclear(operation, eris.Wrapf(ErrIncomplete, "the reply is for attempt %s, expected %s", reply.Report.Attempt, attempt))
 	}
 	return reply, nil
 }
--- a/worker/client_test.go
+++ b/worker/client_test.go
@@ -158,7 +158,7 @@
 		t.Errorf("error %v, want ErrUnclear and context.DeadlineExceeded", err)
 	}
 	for range 2 {
-		if _, err := client.Start(t.Context(), address, StartRequest{Wait: 10 * time.Second}, nil); err != nil {
+		if _, err := client.Start(t.Context(), address, StartRequest{OutcomeWait: 10 * time.Second}, nil); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -192,7 +192,7 @@
 	var starts sync.WaitGroup
 	for range 12 {
 		starts.Go(func() {
-			if _, err := client.Start(context.Background(), address, StartRequest{Wait: time.Minute}, nil); err != nil {
+			if _, err := client.Start(context.Background(), address, StartRequest{OutcomeWait: time.Minute}, nil); err != nil {
 				t.Error(err)
 			}
 		})
@@ -238,7 +238,7 @@
 		t.Errorf("sent %d, received %d; the server received %d, sent %d",
 			sent, received, listener.received.Load(), listener.sent.Load())
 	}
-	client.Forget(address)
+	client.UnregisterCounters(address)
 	registry.Each(func(name string, _ any) { t.Errorf("counter %s is still registered", name) })
 }
 
--- a/worker/errors.go
+++ b/worker/errors.go
@@ -46,12 +46,12 @@
 	return errors.As(err, &r) && r.Reason == reason
 }
 
-// NotRun wraps err as an ErrNotRun of the given operation.
-func NotRun(operation string, err error) error {
+// WrapNotRun wraps err as an ErrNotRun of the given operation.
+func WrapNotRun(operation string, err error) error {
 	return eris.Wrap(fmt.Errorf("%w: %w", ErrNotRun, err), operation)
 }
 
-// Unclear wraps err as an ErrUnclear of the given operation.
-func Unclear(operation string, err error) error {
+// WrapUnclear wraps err as an ErrUnclear of the given operation.
+func WrapUnclear(operation string, err error) error {
 	return eris.Wrap(fmt.Errorf("%w: %w", ErrUnclear, err), operation)
 }
--- a/worker/exchange.go
+++ b/worker/exchange.go
@@ -39,13 +39,13 @@
 	defer resp.Body.Close()
 	body, err := readLimited(resp, c.config.MaxReplyBytes)
 	if err != nil {
-		return Unclear(call.operation, err)
+		return WrapUnclear(call.operation, err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return statusError(call.operation, resp.StatusCode, body)
 	}
 	if err := call.reply(body); err != nil {
-		return Unclear(call.operation, err)
+		return WrapUnclear(call.operation, err)
 	}
 	return nil
 }
@@ -73,11 +73,11 @@
 	}}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
 	if err != nil {
-		return nil, NotRun(call.operation, err)
+		return nil, WrapNotRun(call.operation, err)
 	}
 	if call.check != nil {
 		if err := call.check(); err != nil {
-			return nil, NotRun(call.operation, &checkError{err})
+			return nil, WrapNotRun(call.operation, &checkError{err})
 		}
 	}
 	resp, err := transport.RoundTrip(req)
@@ -85,9 +85,9 @@
 		return resp, nil
 	}
 	if usedConn := conn.Load(); usedConn != nil && usedConn.disableWrites() {
-		return nil, Unclear(call.operation, err)
+		return nil, WrapUnclear(call.operation, err)
 	}
-	return nil, NotRun(call.operation, err)
+	return nil, WrapNotRun(call.operation, err)
 }
 
 // newRequest builds the request. GetBody is not set: without it, net/http cannot
@@ -118,7 +118,7 @@
 	if err == nil && rejection.Reason != "" && status >= 400 && status < 500 {
 		return eris.Wrap(&rejection, operation)
 	}
-	return Unclear(operation, eris.Errorf("status %d: %.200q", status, body))
+	return WrapUnclear(operation, eris.Errorf("status %d: %.200q", status, body))
 }
 
 // readLimited reads the whole body, or fails with ErrTooLarge beyond limit bytes.
--- a/worker/metrics.go
+++ b/worker/metrics.go
@@ -30,9 +30,9 @@
 	return counters.sent.Count(), counters.received.Count()
 }
 
-// Forget unregisters the counters of a worker that no longer exists. Without it,
+// UnregisterCounters unregisters the counters of a worker that no longer exists. Without it,
 // the registry grows with every replaced worker.
-func (c *Client) Forget(address Address) {
+func (c *Client) UnregisterCounters(address Address) {
 	if c.config.Registry == nil {
 		return
 	}
--- a/worker/types.go
+++ b/worker/types.go
@@ -53,26 +53,26 @@
 
 // The reasons of a rejection.
 const (
-	ReasonInvalid   Reason = "invalid"       // the request is incomplete or malformed
-	ReasonLate      Reason = "past_start_by" // arrived after start_by, or its lease has expired
-	ReasonBoot      Reason = "other_boot"    // its clock readings are from another boot
-	ReasonEpoch     Reason = "lower_epoch"   // the worker has received a higher epoch
-	ReasonCapacity  Reason = "over_capacity" // the task exceeds the free capacity
-	ReasonCancelled Reason = "cancelled"     // a stop request for this attempt arrived first
-	ReasonState     Reason = "not_available" // the attempt is unknown or has no result
+	ReasonInvalid      Reason = "invalid"       // the request is incomplete or malformed
+	ReasonPastStartBy  Reason = "past_start_by" // arrived after start_by, or its lease has expired
+	ReasonOtherBoot    Reason = "other_boot"    // its clock readings are from another boot
+	ReasonLowerEpoch   Reason = "lower_epoch"   // the worker has received a higher epoch
+	ReasonOverCapacity Reason = "over_capacity" // the task exceeds the free capacity
+	ReasonCancelled    Reason = "cancelled"     // a stop request for this attempt arrived first
+	ReasonNotAvailable Reason = "not_available" // the attempt is unknown or has no result
 )
 
 // SyncRequest renews the leases of all running tasks, acknowledges finished
 // ones and requests a report. LeaseUntil is a reading of the worker's clock in
 // the boot BootID; a worker in any other boot ignores it.
 type SyncRequest struct {
-	Owner       string         `json:"owner"`
-	Epoch       uint64         `json:"epoch"`
-	BootID      string         `json:"boot_id,omitempty"`
-	LeaseUntil  time.Duration  `json:"lease_until_ns,omitempty"`
-	Acknowledge []task.Attempt `json:"acknowledge,omitempty"`
-	After       uint64         `json:"after,omitempty"` // sequence of the last report received
-	Full        bool           `json:"full,omitempty"`
+	Owner         string         `json:"owner"`
+	Epoch         uint64         `json:"epoch"`
+	BootID        string         `json:"boot_id,omitempty"`
+	LeaseUntil    time.Duration  `json:"lease_until_ns,omitempty"`
+	Acknowledge   []task.Attempt `json:"acknowledge,omitempty"`
+	AfterSequence uint64         `json:"after,omitempty"` // sequence of the last report received
+	Full          bool           `json:"full,omitempty"`
 }
 
 // SyncReply is a report. Unless Full is set, Tasks holds only the attempts that
@@ -90,35 +90,35 @@
 
 // TaskReport describes one attempt on its worker.
 type TaskReport struct {
-	Attempt     task.Attempt   `json:"attempt"`
-	Team        task.Team      `json:"team"`
-	Class       string         `json:"class,omitempty"`
-	Size        task.Resources `json:"size"`
-	Usage       task.Resources `json:"usage,omitzero"` // measured usage, sampled before the report
-	State       TaskState      `json:"state"`
-	Home        string         `json:"home,omitempty"` // as in the start request
-	LeaseUntil  time.Duration  `json:"lease_until_ns,omitempty"`
-	Outcome     *task.Outcome  `json:"outcome,omitempty"` // without Result; nil while running
-	ResultBytes int64          `json:"result_bytes,omitempty"`
+	Attempt      task.Attempt   `json:"attempt"`
+	Team         task.Team      `json:"team"`
+	Class        string         `json:"class,omitempty"`
+	Size         task.Resources `json:"size"`
+	Usage        task.Resources `json:"usage,omitzero"` // measured usage, sampled before the report
+	State        TaskState      `json:"state"`
+	HomeInstance string         `json:"home,omitempty"` // as in the start request
+	LeaseUntil   time.Duration  `json:"lease_until_ns,omitempty"`
+	Outcome      *task.Outcome  `json:"outcome,omitempty"` // without Result; nil while running
+	ResultBytes  int64          `json:"result_bytes,omitempty"`
 }
 
 // StartRequest starts one attempt. StartBy and LeaseUntil are readings of the
 // worker's clock in the boot BootID. Without BootID, a request delayed across a
 // reboot would be valid again, because the clock restarts at zero.
 type StartRequest struct {
-	Attempt    task.Attempt   `json:"attempt"`
-	Team       task.Team      `json:"team"`
-	Class      string         `json:"class,omitempty"`
-	Home       string         `json:"home,omitempty"` // home instance, which records the state of the task
-	Owner      string         `json:"owner"`
-	Epoch      uint64         `json:"epoch"`
-	BootID     string         `json:"boot_id"`
-	StartBy    time.Duration  `json:"start_by_ns"`
-	LeaseUntil time.Duration  `json:"lease_until_ns"`
-	Wait       time.Duration  `json:"wait_ns,omitempty"` // how long the worker may delay the reply to include the outcome
-	Size       task.Resources `json:"size"`
-	Command    string         `json:"command"`
-	LongLived  bool           `json:"long_lived,omitempty"`
+	Attempt      task.Attempt   `json:"attempt"`
+	Team         task.Team      `json:"team"`
+	Class        string         `json:"class,omitempty"`
+	HomeInstance string         `json:"home,omitempty"` // home instance, which records the state of the task
+	Owner        string         `json:"owner"`
+	Epoch        uint64         `json:"epoch"`
+	BootID       string         `json:"boot_id"`
+	StartBy      time.Duration  `json:"start_by_ns"`
+	LeaseUntil   time.Duration  `json:"lease_until_ns"`
+	OutcomeWait  time.Duration  `json:"wait_ns,omitempty"` // how long the worker may delay the reply to include the outcome
+	Size         task.Resources `json:"size"`
+	Command      string         `json:"command"`
+	LongLived    bool           `json:"long_lived,omitempty"`
 
 	Payload      []byte `json:"-"`                       // follows the JSON as raw bytes
 	PayloadBytes int64  `json:"payload_bytes,omitempty"` // set by EncodeStart
