--- a/caller/backend.go
+++ b/caller/backend.go
@@ -28,16 +28,16 @@
 	return JobID{Team: task.Team(parts[0]), Service: task.Service(parts[1]), Key: parts[2]}, true
 }
 
-// Reply is the state of a job.
-type Reply struct {
+// JobStatus is the state of a job.
+type JobStatus struct {
 	State    task.State // of the whole job
 	Repeated bool       // repeats an earlier submission with the same key and body
-	Tasks    []TaskState
+	Tasks    []TaskStatus
 }
 
-// TaskState is the state of one task of a job. Outcome is nil until the task
+// TaskStatus is the state of one task of a job. Outcome is nil until the task
 // has one; Status may omit Outcome.Result.
-type TaskState struct {
+type TaskStatus struct {
 	Index   int
 	ID      task.ID
 	State   task.State
@@ -55,13 +55,13 @@
 	// set from the document (Kind, Urgency, Command, KeyID) are empty in spec.
 	// Deadline is that of the request body; without one, work of kind answer is
 	// due by the deadline of the context.
-	Submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (Reply, error)
+	Submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (JobStatus, error)
 	// Status returns the state of a job.
-	Status(ctx context.Context, secret string, id JobID) (Reply, error)
+	Status(ctx context.Context, secret string, id JobID) (JobStatus, error)
 	// Wait returns the state of a job when it is final or wait has passed.
-	Wait(ctx context.Context, secret string, id JobID, wait time.Duration) (Reply, error)
+	Wait(ctx context.Context, secret string, id JobID, wait time.Duration) (JobStatus, error)
 	// Cancel requests the cancellation of a job and returns its state after that.
-	Cancel(ctx context.Context, secret string, id JobID) (Reply, error)
+	Cancel(ctx context.Context, secret string, id JobID) (JobStatus, error)
 	// Result returns the outcome of one task with its result.
 	Result(ctx context.Context, secret string, id JobID, index int) (task.Outcome, error)
 }
--- a/caller/calls.go
+++ b/caller/calls.go
@@ -49,24 +49,24 @@
 }
 
 func (s *Server) status(r *http.Request) (httpjson.Answer, error) {
-	return s.handleJob(r, func(c jobCall) (Reply, error) {
+	return s.handleJob(r, func(c jobCall) (JobStatus, error) {
 		return s.backend.Status(c.ctx, c.secret, c.id)
 	})
 }
 
 func (s *Server) wait(r *http.Request) (httpjson.Answer, error) {
-	return s.handleJob(r, func(c jobCall) (Reply, error) {
+	return s.handleJob(r, func(c jobCall) (JobStatus, error) {
 		return s.backend.Wait(c.ctx, c.secret, c.id, c.wait)
 	})
 }
 
 func (s *Server) cancel(r *http.Request) (httpjson.Answer, error) {
-	return s.handleJob(r, func(c jobCall) (Reply, error) {
+	return s.handleJob(r, func(c jobCall) (JobStatus, error) {
 		return s.backend.Cancel(c.ctx, c.secret, c.id)
 	})
 }
 
-func (s *Server) handleJob(r *http.Request, callBackend func(jobCall) (Reply, error)) (httpjson.Answer, error) {
+func (s *Server) handleJob(r *http.Request, callBackend func(jobCall) (JobStatus, error)) (httpjson.Answer, error) {
 	call, cancel, err := s.parseJobCall(r)
 	if err != nil {
 		return httpjson.Answer{}, err
@@ -105,7 +105,7 @@
 
 // jobResponse includes the result if the job has a single task, because callers of
 // interactive work wait only for the result.
-func (s *Server) jobResponse(id JobID, reply Reply) (httpjson.Answer, error) {
+func (s *Server) jobResponse(id JobID, reply JobStatus) (httpjson.Answer, error) {
 	job := api.Job{ID: id.String(), State: reply.State, Repeated: reply.Repeated, Tasks: []api.Task{}}
 	for _, taskState := range reply.Tasks {
 		apiTask := api.Task{Index: taskState.Index, ID: taskState.ID, State: taskState.State, Attempt: taskState.Attempt}
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -30,25 +30,29 @@
 	secret    string
 	deadline  time.Time // of the context
 	wait      time.Duration
-	reply     Reply
+	reply     JobStatus
 	outcome   task.Outcome
 	err       error
 }
 
-func (b *fakeBackend) Submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (Reply, error) {
+func (b *fakeBackend) Submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (JobStatus, error) {
 	b.submitted++
 	b.spec, b.secret, b.wait = spec, secret, wait
 	b.deadline, _ = ctx.Deadline()
 	return b.reply, b.err
 }
 
-func (b *fakeBackend) Status(context.Context, string, JobID) (Reply, error) { return b.reply, b.err }
+func (b *fakeBackend) Status(context.Context, string, JobID) (JobStatus, error) {
+	return b.reply, b.err
+}
 
-func (b *fakeBackend) Wait(context.Context, string, JobID, time.Duration) (Reply, error) {
+func (b *fakeBackend) Wait(context.Context, string, JobID, time.Duration) (JobStatus, error) {
 	return b.reply, b.err
 }
 
-func (b *fakeBackend) Cancel(context.Context, string, JobID) (Reply, error) { return b.reply, b.err }
+func (b *fakeBackend) Cancel(context.Context, string, JobID) (JobStatus, error) {
+	return b.reply, b.err
+}
 
 func (b *fakeBackend) Result(context.Context, string, JobID, int) (task.Outcome, error) {
 	return b.outcome, b.err
@@ -212,7 +216,7 @@
 // TestSubmitForwardsRequest guards against a field that does not reach the
 // backend, and against the later of two deadlines being used.
 func TestSubmitForwardsRequest(t *testing.T) {
-	backend := &fakeBackend{reply: Reply{State: task.Accepted}}
+	backend := &fakeBackend{reply: JobStatus{State: task.Accepted}}
 	_, address := serve(t, backend)
 	before := time.Now()
 	body := `{"idempotency_key":"k","class":"check","count":3,"size":{"slots":2},"declared_run":"90s","payload":"aGk=","deadline":"2999-01-01T00:00:00Z"}`
@@ -240,7 +244,7 @@
 // TestTruncatedRequestsAreRejected guards against a truncated request being
 // processed as a complete one, after whichever byte the connection ends.
 func TestTruncatedRequestsAreRejected(t *testing.T) {
-	backend := &fakeBackend{reply: Reply{State: task.Accepted}}
+	backend := &fakeBackend{reply: JobStatus{State: task.Accepted}}
 	_, address := serve(t, backend)
 	complete := post(submitPath, validBody, "Authorization: Bearer s3")
 	for n := range len(complete) {
--- a/cmd/mulberryctl/main_test.go
+++ b/cmd/mulberryctl/main_test.go
@@ -31,14 +31,14 @@
 	err     error
 }
 
-func (b *callerBackend) Submit(_ context.Context, secret string, spec task.Spec, _ time.Duration) (caller.Reply, error) {
+func (b *callerBackend) Submit(_ context.Context, secret string, spec task.Spec, _ time.Duration) (caller.JobStatus, error) {
 	if secret != "s3cret" {
-		return caller.Reply{}, errkind.New(errkind.KeyRefused, "no such key")
+		return caller.JobStatus{}, errkind.New(errkind.KeyRefused, "no such key")
 	}
 	b.spec = spec
 	o := b.outcome
 	o.Result = spec.Payload
-	return caller.Reply{State: o.State, Tasks: []caller.TaskState{{ID: "t", State: o.State, Outcome: &o}}}, b.err
+	return caller.JobStatus{State: o.State, Tasks: []caller.TaskStatus{{ID: "t", State: o.State, Outcome: &o}}}, b.err
 }
 
 // operatorBackend is a fake that stores one document.
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -34,20 +34,20 @@
 )
 
 // Submit admits a job and sends it to its home.
-func (b *callerBackend) Submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (caller.Reply, error) {
+func (b *callerBackend) Submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (caller.JobStatus, error) {
 	kind, reply, err := b.submit(ctx, secret, spec, wait)
 	b.meters.countRequest(kind, err)
 	return reply, err
 }
 
 // submit returns the reply and the kind of the work, which the document of the service defines.
-func (b *callerBackend) submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (task.Kind, caller.Reply, error) {
+func (b *callerBackend) submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (task.Kind, caller.JobStatus, error) {
 	complete, refusal := b.loop.Snapshot().Admit(time.Now(), secret, spec)
 	if refusal != nil {
-		return "", caller.Reply{}, refusal
+		return "", caller.JobStatus{}, refusal
 	}
 	if err := b.checkPayload(&complete); err != nil {
-		return complete.Kind, caller.Reply{}, err
+		return complete.Kind, caller.JobStatus{}, err
 	}
 	if complete.Kind == task.Answer {
 		wait = b.answerWait(&complete, wait)
@@ -55,10 +55,10 @@
 	complete.PayloadDigest = requestDigest(&complete)
 	record, err := b.callHomeWithRetry(ctx, ledger.KeyOf(&complete), control.SubmitRequest{Spec: complete, Wait: wait}, wait)
 	if err != nil {
-		return complete.Kind, caller.Reply{}, err
+		return complete.Kind, caller.JobStatus{}, err
 	}
 	if err := answerError(record); err != nil {
-		return complete.Kind, caller.Reply{}, err
+		return complete.Kind, caller.JobStatus{}, err
 	}
 	reply := toReply(record)
 	// The record has the specification of the first submission.
@@ -103,17 +103,17 @@
 }
 
 // Status returns the state of a job.
-func (b *callerBackend) Status(ctx context.Context, secret string, id caller.JobID) (caller.Reply, error) {
+func (b *callerBackend) Status(ctx context.Context, secret string, id caller.JobID) (caller.JobStatus, error) {
 	return b.query(ctx, secret, id, control.QueryStatus, 0)
 }
 
 // Wait returns the state of a job once that is final or wait has elapsed.
-func (b *callerBackend) Wait(ctx context.Context, secret string, id caller.JobID, wait time.Duration) (caller.Reply, error) {
+func (b *callerBackend) Wait(ctx context.Context, secret string, id caller.JobID, wait time.Duration) (caller.JobStatus, error) {
 	return b.query(ctx, secret, id, control.QueryWait, wait)
 }
 
 // Cancel cancels a job.
-func (b *callerBackend) Cancel(ctx context.Context, secret string, id caller.JobID) (caller.Reply, error) {
+func (b *callerBackend) Cancel(ctx context.Context, secret string, id caller.JobID) (caller.JobStatus, error) {
 	return b.query(ctx, secret, id, control.QueryCancel, 0)
 }
 
@@ -133,14 +133,14 @@
 	return *t.Outcome, nil
 }
 
-func (b *callerBackend) query(ctx context.Context, secret string, id caller.JobID, op control.QueryOp, wait time.Duration) (caller.Reply, error) {
+func (b *callerBackend) query(ctx context.Context, secret string, id caller.JobID, op control.QueryOp, wait time.Duration) (caller.JobStatus, error) {
 	if _, _, refusal := b.loop.Snapshot().Authorize(time.Now(), id.Team, id.Service, secret); refusal != nil {
-		return caller.Reply{}, refusal
+		return caller.JobStatus{}, refusal
 	}
 	job := ledger.JobKey{Team: id.Team, Service: id.Service, Key: id.Key}
 	record, err := b.callHomeWithRetry(ctx, job, control.QueryRequest{Op: op, Job: job, Wait: wait}, wait)
 	if err != nil {
-		return caller.Reply{}, err
+		return caller.JobStatus{}, err
 	}
 	return toReply(record), nil
 }
@@ -221,11 +221,11 @@
 	return errkind.Kind(t.Outcome.Reason)
 }
 
-func toReply(record *ledger.Record) caller.Reply {
-	reply := caller.Reply{State: record.State(), Tasks: make([]caller.TaskState, len(record.Tasks))}
+func toReply(record *ledger.Record) caller.JobStatus {
+	reply := caller.JobStatus{State: record.State(), Tasks: make([]caller.TaskStatus, len(record.Tasks))}
 	for i := range record.Tasks {
 		t := &record.Tasks[i]
-		reply.Tasks[i] = caller.TaskState{Index: i, ID: t.ID, State: t.State, Attempt: t.Attempt, Outcome: t.Outcome}
+		reply.Tasks[i] = caller.TaskStatus{Index: i, ID: t.ID, State: t.State, Attempt: t.Attempt, Outcome: t.Outcome}
 	}
 	return reply
 }
--- a/daemon/matrix_test.go
+++ b/daemon/matrix_test.go
@@ -207,7 +207,7 @@
 	count    int
 	cancel   bool
 	mu       sync.Mutex
-	reply    caller.Reply
+	reply    caller.JobStatus
 	err      error
 	accepted bool // a submission was confirmed to its caller
 }
@@ -267,7 +267,7 @@
 	}
 }
 
-func (l *load) submitOnce(n *node, j *job) (caller.Reply, error) {
+func (l *load) submitOnce(n *node, j *job) (caller.JobStatus, error) {
 	n.waitWhileFrozen()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
@@ -290,12 +290,12 @@
 }
 
 // status queries the live instances until one returns the state of the job.
-func (l *load) status(j *job) (caller.Reply, error) {
+func (l *load) status(j *job) (caller.JobStatus, error) {
 	err := errors.New("no instance is running")
 	for range 10 {
 		for _, n := range l.deployment.live() {
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-			var reply caller.Reply
+			var reply caller.JobStatus
 			reply, err = (&callerBackend{n.engine}).Status(ctx, testSecret, caller.JobID{Team: "leuven", Service: "piping", Key: j.key})
 			cancel()
 			if err == nil {
@@ -304,7 +304,7 @@
 		}
 		time.Sleep(time.Second)
 	}
-	return caller.Reply{}, err
+	return caller.JobStatus{}, err
 }
 
 // awaitEnd waits until every job has its outcome, or settleTimeout has passed.
@@ -325,7 +325,7 @@
 
 // hasEnded reports whether a job is in its expected last state: running for a service, final
 // otherwise.
-func (j *job) hasEnded(reply caller.Reply) bool {
+func (j *job) hasEnded(reply caller.JobStatus) bool {
 	for _, taskState := range reply.Tasks {
 		if j.class == "tables" && taskState.State != task.Running || j.class != "tables" && !taskState.State.IsFinal() {
 			return false
@@ -360,7 +360,7 @@
 	}
 }
 
-func (j *job) checkEnd(t *testing.T, reply caller.Reply) {
+func (j *job) checkEnd(t *testing.T, reply caller.JobStatus) {
 	for _, taskState := range reply.Tasks {
 		switch {
 		case j.class == "tables":
--- a/daemon/operations_test.go
+++ b/daemon/operations_test.go
@@ -109,7 +109,7 @@
 }
 
 // submitJob submits a job of one task of a class and returns the reply.
-func (n *node) submitJob(class, key string) (caller.Reply, error) {
+func (n *node) submitJob(class, key string) (caller.JobStatus, error) {
 	n.waitWhileFrozen()
 	j := &job{class: class, key: key}
 	n.deployment.mu.Lock()
--- a/internal/apidoc/backend_test.go
+++ b/internal/apidoc/backend_test.go
@@ -30,19 +30,19 @@
 	}}
 }
 
-func (b callerBackend) reply(state task.State, outcome *task.Outcome) caller.Reply {
-	return caller.Reply{State: state, Tasks: []caller.TaskState{
+func (b callerBackend) reply(state task.State, outcome *task.Outcome) caller.JobStatus {
+	return caller.JobStatus{State: state, Tasks: []caller.TaskStatus{
 		{ID: b.outcome.Attempt.Task, State: state, Attempt: 1, Outcome: outcome},
 	}}
 }
 
-func (b callerBackend) Submit(_ context.Context, _ string, spec task.Spec, wait time.Duration) (caller.Reply, error) {
+func (b callerBackend) Submit(_ context.Context, _ string, spec task.Spec, wait time.Duration) (caller.JobStatus, error) {
 	if spec.Class == "unheard-of" {
-		return caller.Reply{}, errkind.New(errkind.UnknownClass, `service dijle-engineering/supports has no class "unheard-of"`).
+		return caller.JobStatus{}, errkind.New(errkind.UnknownClass, `service dijle-engineering/supports has no class "unheard-of"`).
 			WithField("class", "span-lookup, span-tables")
 	}
 	if spec.Class == "span-tables" {
-		return caller.Reply{}, errkind.New(errkind.QueueFull, "the queue of team dijle-engineering is full").
+		return caller.JobStatus{}, errkind.New(errkind.QueueFull, "the queue of team dijle-engineering is full").
 			WithField("queue", "1000 waiting tasks").WithRetryAfter(1500 * time.Millisecond)
 	}
 	if wait > 0 {
@@ -51,15 +51,15 @@
 	return b.reply(task.Accepted, nil), nil
 }
 
-func (b callerBackend) Status(context.Context, string, caller.JobID) (caller.Reply, error) {
+func (b callerBackend) Status(context.Context, string, caller.JobID) (caller.JobStatus, error) {
 	return b.reply(task.Running, nil), nil
 }
 
-func (b callerBackend) Wait(context.Context, string, caller.JobID, time.Duration) (caller.Reply, error) {
+func (b callerBackend) Wait(context.Context, string, caller.JobID, time.Duration) (caller.JobStatus, error) {
 	return b.reply(task.Finished, &b.outcome), nil
 }
 
-func (b callerBackend) Cancel(context.Context, string, caller.JobID) (caller.Reply, error) {
+func (b callerBackend) Cancel(context.Context, string, caller.JobID) (caller.JobStatus, error) {
 	return b.reply(task.NotRun, &task.Outcome{
 		Attempt: b.outcome.Attempt, State: task.NotRun, Reason: string(errkind.Cancelled)}), nil
 }
