httpjson: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

httpjson.Answer -> Response httpjson.Detailed -> DetailedError httpjson.Error -> ErrorResponse httpjson.Secret -> BearerSecret httpjson.Wait -> ParseWait httpjson.Server.AwaitNoConnection -> WaitConnectionsClosed

--- a/caller/calls.go
+++ b/caller/calls.go
@@ -13,105 +13,105 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-func (s *Server) submit(r *http.Request) (httpjson.Answer, error) {
-	secret, err := httpjson.Secret(r)
+func (s *Server) submit(r *http.Request) (httpjson.Response, error) {
+	secret, err := httpjson.BearerSecret(r)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
-	wait, err := httpjson.Wait(r, s.cfg.MaxWait)
+	wait, err := httpjson.ParseWait(r, s.cfg.MaxWait)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	body, err := s.ReadBody(r)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	request, err := decodeSubmit(body)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	deadline, err := s.callDeadline(r, request.Deadline)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	spec := newSpec(r, request)
 	if err := checkNames(spec.Team, spec.Service); err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	spec.SubmittedAt = s.now()
 	ctx, cancel, wait := s.withCallDeadline(r.Context(), deadline, wait)
 	defer cancel()
 	reply, err := s.backend.Submit(ctx, secret, spec, wait)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	return s.jobResponse(JobID{spec.Team, spec.Service, spec.IdempotencyKey}, reply)
 }
 
-func (s *Server) status(r *http.Request) (httpjson.Answer, error) {
+func (s *Server) status(r *http.Request) (httpjson.Response, error) {
 	return s.handleJob(r, func(c jobCall) (JobStatus, error) {
 		return s.backend.Status(c.ctx, c.secret, c.id)
 	})
 }
 
-func (s *Server) wait(r *http.Request) (httpjson.Answer, error) {
+func (s *Server) wait(r *http.Request) (httpjson.Response, error) {
 	return s.handleJob(r, func(c jobCall) (JobStatus, error) {
 		return s.backend.Wait(c.ctx, c.secret, c.id, c.wait)
 	})
 }
 
-func (s *Server) cancel(r *http.Request) (httpjson.Answer, error) {
+func (s *Server) cancel(r *http.Request) (httpjson.Response, error) {
 	return s.handleJob(r, func(c jobCall) (JobStatus, error) {
 		return s.backend.Cancel(c.ctx, c.secret, c.id)
 	})
 }
 
-func (s *Server) handleJob(r *http.Request, callBackend func(jobCall) (JobStatus, error)) (httpjson.Answer, error) {
+func (s *Server) handleJob(r *http.Request, callBackend func(jobCall) (JobStatus, error)) (httpjson.Response, error) {
 	call, cancel, err := s.parseJobCall(r)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	defer cancel()
 	reply, err := callBackend(call)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	return s.jobResponse(call.id, reply)
 }
 
 // result returns the raw bytes of the result as the response body, so that they
 // need no JSON encoding.
-func (s *Server) result(r *http.Request) (httpjson.Answer, error) {
+func (s *Server) result(r *http.Request) (httpjson.Response, error) {
 	call, cancel, err := s.parseJobCall(r)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	defer cancel()
 	index, err := parseIndex(r)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	outcome, err := s.backend.Result(call.ctx, call.secret, call.id, index)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	if err := s.checkResult(outcome); err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	header := http.Header{"Content-Type": {"application/octet-stream"}}
 	header.Set(api.HeaderTask, outcome.Attempt.String())
-	return httpjson.Answer{Status: http.StatusOK, Header: header, Body: outcome.Result}, nil
+	return httpjson.Response{Status: http.StatusOK, Header: header, Body: outcome.Result}, nil
 }
 
 // jobResponse includes the result if the job has a single task, because callers of
 // interactive work wait only for the result.
-func (s *Server) jobResponse(id JobID, reply JobStatus) (httpjson.Answer, error) {
+func (s *Server) jobResponse(id JobID, reply JobStatus) (httpjson.Response, error) {
 	job := api.Job{ID: id.String(), State: reply.State, Repeated: reply.Repeated, Tasks: []api.Task{}}
 	for _, taskState := range reply.Tasks {
 		apiTask := api.Task{Index: taskState.Index, ID: taskState.ID, State: taskState.State, Attempt: taskState.Attempt}
 		if outcome := taskState.Outcome; outcome != nil {
 			if err := s.checkResult(*outcome); err != nil {
-				return httpjson.Answer{}, err
+				return httpjson.Response{}, err
 			}
 			apiTask.Attempt, apiTask.ExitCode, apiTask.Reason = outcome.Attempt.Number, outcome.ExitCode, outcome.Reason
 			apiTask.Worker, apiTask.RunTime, apiTask.Digest = outcome.Worker, api.Duration(outcome.RunTime), outcome.Digest
--- a/caller/job.go
+++ b/caller/job.go
@@ -17,7 +17,7 @@
 }
 
 func (s *Server) parseJobCall(r *http.Request) (jobCall, context.CancelFunc, error) {
-	secret, err := httpjson.Secret(r)
+	secret, err := httpjson.BearerSecret(r)
 	if err != nil {
 		return jobCall{}, nil, err
 	}
@@ -25,7 +25,7 @@
 	if err != nil {
 		return jobCall{}, nil, err
 	}
-	wait, err := httpjson.Wait(r, s.cfg.MaxWait)
+	wait, err := httpjson.ParseWait(r, s.cfg.MaxWait)
 	if err != nil {
 		return jobCall{}, nil, err
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -148,5 +148,5 @@
 	_ = d.listeners.caller.Close()
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.ConnectionDrainTimeout)
 	defer cancel()
-	d.callers.AwaitNoConnection(ctx)
+	d.callers.WaitConnectionsClosed(ctx)
 }
--- a/httpjson/read.go
+++ b/httpjson/read.go
@@ -64,9 +64,9 @@
 
 const bearerPrefix = "Bearer "
 
-// Secret returns the API key secret in the Authorization header of r, or "" if r has
+// BearerSecret returns the API key secret in the Authorization header of r, or "" if r has
 // no such header.
-func Secret(r *http.Request) (string, error) {
+func BearerSecret(r *http.Request) (string, error) {
 	value := r.Header.Get("Authorization")
 	if value == "" {
 		return "", nil
@@ -78,8 +78,8 @@
 	return secret, nil
 }
 
-// Wait returns the duration in the query parameter wait of r, or 0 if it is absent.
-func Wait(r *http.Request, maxWait time.Duration) (time.Duration, error) {
+// ParseWait returns the duration in the query parameter wait of r, or 0 if it is absent.
+func ParseWait(r *http.Request, maxWait time.Duration) (time.Duration, error) {
 	text := r.URL.Query().Get("wait")
 	if text == "" {
 		return 0, nil
--- a/httpjson/response.go
+++ b/httpjson/response.go
@@ -14,45 +14,45 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// Answer is a complete HTTP response, ready to be written.
-type Answer struct {
+// Response is a complete HTTP response, ready to be written.
+type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
 }
 
 // JSON returns a response with status 200 and v as its JSON body.
-func JSON(v any) (Answer, error) {
+func JSON(v any) (Response, error) {
 	body, err := json.Marshal(v)
 	if err != nil {
-		return Answer{}, err
+		return Response{}, err
 	}
-	return Answer{
+	return Response{
 		Status: http.StatusOK,
 		Header: http.Header{"Content-Type": {"application/json"}},
 		Body:   append(body, '\n'),
 	}, nil
 }
 
-// Detailed is an error that adds details to its error response, such as the faults
+// DetailedError is an error that adds details to its error response, such as the faults
 // of a document.
-type Detailed interface {
+type DetailedError interface {
 	error
 	AddDetail(*api.Error)
 }
 
-// Error returns the error response to a call that failed with err, as the table in
+// ErrorResponse returns the error response to a call that failed with err, as the table in
 // package errkind defines it.
-func Error(err error) Answer {
+func ErrorResponse(err error) Response {
 	e := withKind(err)
 	detail := api.ErrorFrom(e)
-	var detailed Detailed
+	var detailed DetailedError
 	if errors.As(err, &detailed) {
 		detailed.AddDetail(&detail)
 	}
 	a, encodeErr := JSON(api.ErrorReply{Error: detail})
 	if encodeErr != nil {
-		return Answer{Status: http.StatusInternalServerError}
+		return Response{Status: http.StatusInternalServerError}
 	}
 	a.Status = errkind.ResponseFor(e.Kind).Status
 	a.Header.Set(api.HeaderError, string(e.Kind))
@@ -85,7 +85,7 @@
 
 // write sends a with its length and digest, so that the peer can detect a truncated
 // response.
-func (s *Server) write(w http.ResponseWriter, a Answer) {
+func (s *Server) write(w http.ResponseWriter, a Response) {
 	// Fails only for response writers without deadlines, such as those of tests.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.limits.WriteTimeout))
 	for name, values := range a.Header {
--- a/httpjson/response_test.go
+++ b/httpjson/response_test.go
@@ -27,7 +27,7 @@
 		{errkind.New(errkind.StoreUnavailable, "lost").WithFate(errkind.FateUnknown), errkind.StoreUnavailable, errkind.FateUnknown},
 	}
 	for _, c := range cases {
-		a := Error(c.err)
+		a := ErrorResponse(c.err)
 		var reply api.ErrorReply
 		if err := json.Unmarshal(a.Body, &reply); err != nil {
 			t.Fatal(err)
--- a/httpjson/server.go
+++ b/httpjson/server.go
@@ -26,7 +26,7 @@
 }
 
 // Handler handles one call and returns a response or an error.
-type Handler func(r *http.Request) (Answer, error)
+type Handler func(r *http.Request) (Response, error)
 
 // Methods maps the HTTP methods of one path to their handlers.
 type Methods map[string]Handler
@@ -70,8 +70,8 @@
 	}
 	slices.Sort(allowed)
 	s.paths = append(s.paths, path)
-	s.mux.HandleFunc(path, s.handlerFunc(func(r *http.Request) (Answer, error) {
-		return Answer{}, errkind.New(errkind.NotAllowed, "method %s is not allowed for this path", r.Method).
+	s.mux.HandleFunc(path, s.handlerFunc(func(r *http.Request) (Response, error) {
+		return Response{}, errkind.New(errkind.NotAllowed, "method %s is not allowed for this path", r.Method).
 			WithField("method", strings.Join(allowed, ", "))
 	}))
 }
@@ -85,8 +85,8 @@
 // HandleRaw registers a path whose handler writes its own responses.
 func (s *Server) HandleRaw(path string, h http.HandlerFunc) { s.mux.HandleFunc(path, h) }
 
-func (s *Server) rejectUnknownPath(*http.Request) (Answer, error) {
-	return Answer{}, errkind.New(errkind.UnknownPath, "unknown path").WithField("path", strings.Join(s.paths, ", "))
+func (s *Server) rejectUnknownPath(*http.Request) (Response, error) {
+	return Response{}, errkind.New(errkind.UnknownPath, "unknown path").WithField("path", strings.Join(s.paths, ", "))
 }
 
 // handlerFunc adapts h to an http.HandlerFunc that writes a complete response.
@@ -94,7 +94,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		a, err := h(r)
 		if err != nil {
-			a = Error(err)
+			a = ErrorResponse(err)
 		}
 		s.write(w, a)
 	}
@@ -127,10 +127,10 @@
 	}
 }
 
-// AwaitNoConnection waits until the peers have closed every connection or ctx is
+// WaitConnectionsClosed waits until the peers have closed every connection or ctx is
 // done. The listener must be closed and BeginDrain called before. Closing an idle
 // connection from this side could drop a request that is in transit.
-func (s *Server) AwaitNoConnection(ctx context.Context) {
+func (s *Server) WaitConnectionsClosed(ctx context.Context) {
 	s.mu.Lock()
 	if s.conns == 0 {
 		s.mu.Unlock()
--- a/httpjson/server_test.go
+++ b/httpjson/server_test.go
@@ -15,15 +15,15 @@
 	limits := Limits{MaxRequestBytes: 1000, MaxHeaderBytes: 1000, ReadHeaderTimeout: 100 * time.Millisecond,
 		ReadTimeout: 200 * time.Millisecond, WriteTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second}
 	s := NewServer(limits)
-	s.Handle("/wait", Methods{"POST": func(r *http.Request) (Answer, error) {
+	s.Handle("/wait", Methods{"POST": func(r *http.Request) (Response, error) {
 		if _, err := s.ReadBody(r); err != nil {
-			return Answer{}, err
+			return Response{}, err
 		}
 		select {
 		case <-time.After(2 * limits.ReadTimeout):
 			return JSON("waited")
 		case <-r.Context().Done():
-			return Answer{}, r.Context().Err()
+			return Response{}, r.Context().Err()
 		}
 	}})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/operator/documents.go
+++ b/operator/documents.go
@@ -10,10 +10,10 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-func (s *Server) listDocuments(c call) (httpjson.Answer, error) {
+func (s *Server) listDocuments(c call) (httpjson.Response, error) {
 	stored, err := s.backend.List(c.ctx)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	response := api.Documents{Documents: make([]api.Document, len(stored))}
 	for i, d := range stored {
@@ -23,44 +23,44 @@
 	return httpjson.JSON(response)
 }
 
-func (s *Server) getDocument(c call) (httpjson.Answer, error) {
+func (s *Server) getDocument(c call) (httpjson.Response, error) {
 	ref, err := parseRef(c)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	stored, err := s.backend.Get(c.ctx, ref)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	return httpjson.JSON(toAPIDocument(stored))
 }
 
-func (s *Server) applyDocument(c call) (httpjson.Answer, error) {
+func (s *Server) applyDocument(c call) (httpjson.Response, error) {
 	expected, err := parseExpected(c)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	ref, source, _, err := s.readDocument(c)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	stored, err := s.backend.Apply(c.ctx, DocumentChange{Ref: ref, Source: source, Operator: c.operator, ExpectedRevision: expected, Wait: c.wait})
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	return httpjson.JSON(toAPIDocument(stored))
 }
 
 // diffDocument compares the document in the body with the one in force. A missing
 // document is treated as empty.
-func (s *Server) diffDocument(c call) (httpjson.Answer, error) {
+func (s *Server) diffDocument(c call) (httpjson.Response, error) {
 	ref, _, candidate, err := s.readDocument(c)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	stored, err := s.backend.Get(c.ctx, ref)
 	if err != nil && !isNotFound(err) {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	current, _ := document.Parse([]byte(stored.Record.Source))
 	return httpjson.JSON(api.Diff{Revision: stored.Revision, Changes: toAPIChanges(document.Diff(current, candidate))})
--- a/operator/key.go
+++ b/operator/key.go
@@ -26,7 +26,7 @@
 	if len(s.cfg.Keys) == 0 {
 		return localOperator, nil
 	}
-	secret, err := httpjson.Secret(r)
+	secret, err := httpjson.BearerSecret(r)
 	if err != nil {
 		return "", err
 	}
--- a/operator/keys.go
+++ b/operator/keys.go
@@ -12,17 +12,17 @@
 
 const maxNoteBytes = 200
 
-func (s *Server) grantKey(c call) (httpjson.Answer, error) {
+func (s *Server) grantKey(c call) (httpjson.Response, error) {
 	var request api.GrantRequest
 	if err := s.ReadJSON(c.Request, &request); err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	if err := checkGrant(request); err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	granted, err := s.backend.GrantKey(c.ctx, c.operator, request)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	return httpjson.JSON(granted)
 }
@@ -40,26 +40,26 @@
 	return nil
 }
 
-func (s *Server) withdrawKey(c call) (httpjson.Answer, error) {
+func (s *Server) withdrawKey(c call) (httpjson.Response, error) {
 	ref, err := parseRef(c)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	key, err := s.backend.WithdrawKey(c.ctx, c.operator, ref.Team, c.PathValue("id"))
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	return httpjson.JSON(key)
 }
 
-func (s *Server) listKeys(c call) (httpjson.Answer, error) {
+func (s *Server) listKeys(c call) (httpjson.Response, error) {
 	team := c.URL.Query().Get("team")
 	if team != "" && !document.IsValidName(team) {
-		return httpjson.Answer{}, errkind.New(errkind.UnknownTeam, "there is no team %.80q", team).WithField("team", document.NameRule)
+		return httpjson.Response{}, errkind.New(errkind.UnknownTeam, "there is no team %.80q", team).WithField("team", document.NameRule)
 	}
 	keys, err := s.backend.Keys(c.ctx, task.Team(team))
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	return httpjson.JSON(api.Keys{Keys: keys})
 }
--- a/operator/observe.go
+++ b/operator/observe.go
@@ -16,14 +16,14 @@
 	maxEvents     = 10_000
 )
 
-func (s *Server) timeline(c call) (httpjson.Answer, error) {
+func (s *Server) timeline(c call) (httpjson.Response, error) {
 	filter, err := s.parseFilter(c)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	merged, err := s.backend.Timeline(c.ctx, filter)
 	if err != nil {
-		return httpjson.Answer{}, err
+		return httpjson.Response{}, err
 	}
 	return httpjson.JSON(merged)
 }
@@ -62,7 +62,7 @@
 
 // metrics returns the metrics of this instance. Values that JSON cannot represent,
 // such as the rate of a meter that has not ticked yet, are omitted.
-func (s *Server) metrics(call) (httpjson.Answer, error) {
+func (s *Server) metrics(call) (httpjson.Response, error) {
 	all := s.cfg.Metrics.GetAll()
 	for _, values := range all {
 		for name, value := range values {
--- a/operator/server.go
+++ b/operator/server.go
@@ -72,15 +72,15 @@
 
 // authenticated returns a handler that authenticates the operator, sets the deadline
 // of the call and runs h.
-func (s *Server) authenticated(h func(call) (httpjson.Answer, error)) httpjson.Handler {
-	return func(r *http.Request) (httpjson.Answer, error) {
+func (s *Server) authenticated(h func(call) (httpjson.Response, error)) httpjson.Handler {
+	return func(r *http.Request) (httpjson.Response, error) {
 		operator, err := s.authenticate(r)
 		if err != nil {
-			return httpjson.Answer{}, err
+			return httpjson.Response{}, err
 		}
-		wait, err := httpjson.Wait(r, s.cfg.MaxWait)
+		wait, err := httpjson.ParseWait(r, s.cfg.MaxWait)
 		if err != nil {
-			return httpjson.Answer{}, err
+			return httpjson.Response{}, err
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), wait+s.cfg.CallTimeout)
 		defer cancel()
@@ -91,11 +91,11 @@
 // probe returns the handler of a health check. It requires no key, because the
 // platform's load balancer has none.
 func (s *Server) probe(check func(context.Context) error) httpjson.Handler {
-	return func(r *http.Request) (httpjson.Answer, error) {
+	return func(r *http.Request) (httpjson.Response, error) {
 		ctx, cancel := context.WithTimeout(r.Context(), s.cfg.CallTimeout)
 		defer cancel()
 		if err := check(ctx); err != nil {
-			return httpjson.Answer{}, err
+			return httpjson.Response{}, err
 		}
 		return httpjson.JSON(map[string]string{"state": "ok"})
 	}
