api: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

api.Drain -> DrainStatus api.ForceRequest -> ForceOwnershipRequest api.Document.By -> ChangedBy api.Document.At -> ChangedAt api.Conflict.By -> ChangedBy api.Conflict.At -> ChangedAt api.Ownership.After -> TakeoverDelay

--- a/api/document.go
+++ b/api/document.go
@@ -9,13 +9,13 @@
 // Document is a document as stored on an entry instance. Service is empty for
 // the document of a whole team.
 type Document struct {
-	Team     task.Team    `json:"team"`
-	Service  task.Service `json:"service,omitempty"`
-	Revision int64        `json:"revision"`
-	By       string       `json:"by,omitempty"` // operator who made the last change
-	At       time.Time    `json:"at,omitzero"`
-	Source   string       `json:"source,omitempty"`   // omitted from lists
-	InForce  bool         `json:"in_force,omitempty"` // every live member has this revision
+	Team      task.Team    `json:"team"`
+	Service   task.Service `json:"service,omitempty"`
+	Revision  int64        `json:"revision"`
+	ChangedBy string       `json:"by,omitempty"` // operator who made the last change
+	ChangedAt time.Time    `json:"at,omitzero"`
+	Source    string       `json:"source,omitempty"`   // omitted from lists
+	InForce   bool         `json:"in_force,omitempty"` // every live member has this revision
 }
 
 // Documents is a list of documents.
@@ -39,9 +39,9 @@
 // Conflict describes the last change of a document. It is part of the error
 // response to a change that expected another revision.
 type Conflict struct {
-	Expected int64     `json:"expected"` // revision that the rejected change was based on
-	Revision int64     `json:"revision"` // revision in force
-	By       string    `json:"by,omitempty"`
-	At       time.Time `json:"at,omitzero"`
-	Changes  []Change  `json:"changes"` // made by the last change
+	Expected  int64     `json:"expected"` // revision that the rejected change was based on
+	Revision  int64     `json:"revision"` // revision in force
+	ChangedBy string    `json:"by,omitempty"`
+	ChangedAt time.Time `json:"at,omitzero"`
+	Changes   []Change  `json:"changes"` // made by the last change
 }
--- a/api/operator.go
+++ b/api/operator.go
@@ -45,8 +45,8 @@
 	Undo     bool   `json:"undo,omitempty"`
 }
 
-// Drain is the state of a drain.
-type Drain struct {
+// DrainStatus is the state of a drain.
+type DrainStatus struct {
 	Name     string `json:"name"`
 	Draining bool   `json:"draining"`
 	Tasks    int    `json:"tasks"`            // still running on a worker
@@ -110,20 +110,20 @@
 	Members []Member `json:"members"`
 }
 
-// ForceRequest requests the takeover of a unit whose owner and successors have
+// ForceOwnershipRequest requests the takeover of a unit whose owner and successors have
 // failed.
-type ForceRequest struct {
+type ForceOwnershipRequest struct {
 	Unit   string `json:"unit"` // w/<region>/<n> or h/<n>
 	Reason string `json:"reason"`
 }
 
 // Ownership is the ownership record of a unit.
 type Ownership struct {
-	Unit     string   `json:"unit"`
-	Owner    string   `json:"owner"` // entry instance
-	Epoch    uint64   `json:"epoch"`
-	Revision int64    `json:"revision"`
-	After    Duration `json:"after,omitempty"` // delay before the takeover
+	Unit          string   `json:"unit"`
+	Owner         string   `json:"owner"` // entry instance
+	Epoch         uint64   `json:"epoch"`
+	Revision      int64    `json:"revision"`
+	TakeoverDelay Duration `json:"after,omitempty"` // delay before the takeover
 }
 
 // Timeline is a merged timeline.
--- a/client/operator.go
+++ b/client/operator.go
@@ -58,12 +58,12 @@
 }
 
 // Drain starts or ends the drain of an entry instance or a worker.
-func (c *Client) Drain(ctx context.Context, request api.DrainRequest) (api.Drain, error) {
-	return post[api.Drain](ctx, c, "/v1/drain", request)
+func (c *Client) Drain(ctx context.Context, request api.DrainRequest) (api.DrainStatus, error) {
+	return post[api.DrainStatus](ctx, c, "/v1/drain", request)
 }
 
 // ForceOwnership makes a member take over a unit.
-func (c *Client) ForceOwnership(ctx context.Context, request api.ForceRequest) (api.Ownership, error) {
+func (c *Client) ForceOwnership(ctx context.Context, request api.ForceOwnershipRequest) (api.Ownership, error) {
 	return post[api.Ownership](ctx, c, "/v1/ownership/force", request)
 }
 
--- a/cmd/mulberryctl/conflict.go
+++ b/cmd/mulberryctl/conflict.go
@@ -10,7 +10,7 @@
 // conflictLines describes the conflicting change, which was applied first.
 func conflictLines(c api.Conflict) []string {
 	lines := []string{fmt.Sprintf("revision %d is in force, not %d; changed by %s at %s:",
-		c.Revision, c.Expected, orUnnamed(c.By), c.At.Format(time.RFC3339))}
+		c.Revision, c.Expected, orUnnamed(c.ChangedBy), c.ChangedAt.Format(time.RFC3339))}
 	return append(lines, changeLines(c.Changes)...)
 }
 
--- a/cmd/mulberryctl/ownership.go
+++ b/cmd/mulberryctl/ownership.go
@@ -30,11 +30,11 @@
 // Run forces the takeover.
 func (c ownershipForceCommand) Run(env *environment) error {
 	return env.withOperatorClient(0, func(ctx context.Context, operatorClient *client.Client) error {
-		forced, err := operatorClient.ForceOwnership(ctx, api.ForceRequest{Unit: c.Unit, Reason: c.Reason})
+		forced, err := operatorClient.ForceOwnership(ctx, api.ForceOwnershipRequest{Unit: c.Unit, Reason: c.Reason})
 		if err != nil {
 			return err
 		}
-		line := fmt.Sprintf("%s\towner %s\tepoch %d\tafter %s", forced.Unit, orNone(forced.Owner), forced.Epoch, time.Duration(forced.After))
+		line := fmt.Sprintf("%s\towner %s\tepoch %d\tafter %s", forced.Unit, orNone(forced.Owner), forced.Epoch, time.Duration(forced.TakeoverDelay))
 		return env.show(forced, line)
 	})
 }
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -76,21 +76,21 @@
 }
 
 // Drain starts or ends the drain of an entry instance or a worker.
-func (b *operatorBackend) Drain(ctx context.Context, by string, request api.DrainRequest) (api.Drain, error) {
+func (b *operatorBackend) Drain(ctx context.Context, by string, request api.DrainRequest) (api.DrainStatus, error) {
 	name := request.Instance + request.Worker
 	if err := b.checkDrain(ctx, request); err != nil {
-		return api.Drain{}, err
+		return api.DrainStatus{}, err
 	}
 	txn := store.Txn{Deletes: []string{store.DrainKey(name)}}
 	if !request.Undo {
 		value, err := store.Encode(map[string]string{"by": by})
 		if err != nil {
-			return api.Drain{}, err
+			return api.DrainStatus{}, err
 		}
 		txn = store.Txn{Puts: []store.Put{{Key: store.DrainKey(name), Value: value}}}
 	}
 	if _, outcome, err := b.commitConfig(ctx, txn); err != nil || outcome != txnStored {
-		return api.Drain{}, changeError(err)
+		return api.DrainStatus{}, changeError(err)
 	}
 	return b.drainState(ctx, name, !request.Undo), nil
 }
@@ -129,8 +129,8 @@
 	return errkind.New(errkind.OutcomeUnknown, "the store did not confirm the change; check the current state and try again")
 }
 
-func (b *operatorBackend) drainState(ctx context.Context, name string, draining bool) api.Drain {
-	state := api.Drain{Name: name, Draining: draining}
+func (b *operatorBackend) drainState(ctx context.Context, name string, draining bool) api.DrainStatus {
+	state := api.DrainStatus{Name: name, Draining: draining}
 	overviews, _ := b.fetchOverviews(ctx)
 	for _, o := range overviews {
 		if o.Instance == name {
@@ -146,14 +146,14 @@
 }
 
 // ForceOwnership lets this instance take over a unit whose owner and successors are all gone.
-func (b *operatorBackend) ForceOwnership(ctx context.Context, by string, request api.ForceRequest) (api.Ownership, error) {
+func (b *operatorBackend) ForceOwnership(ctx context.Context, by string, request api.ForceOwnershipRequest) (api.Ownership, error) {
 	b.log.Warn("ownership forced", "unit", request.Unit, "by", by, "reason", request.Reason)
 	if err := b.loop.Post(ctx, control.OwnershipForced{Unit: request.Unit}); err != nil {
 		return api.Ownership{}, err
 	}
 	ownership := b.cfg.Parts.Ownership
 	return api.Ownership{Unit: request.Unit, Owner: b.cfg.Self.Instance,
-		After: api.Duration(ownership.ListLag + ownership.PromiseWindow + ownership.LeaseTTL)}, nil
+		TakeoverDelay: api.Duration(ownership.ListLag + ownership.PromiseWindow + ownership.LeaseTTL)}, nil
 }
 
 // fetchOverviews requests the overview of every member and returns the names of the members that
--- a/internal/apidoc/backend_test.go
+++ b/internal/apidoc/backend_test.go
@@ -115,12 +115,12 @@
 	return []api.Key{exampleKey}, nil
 }
 
-func (operatorBackend) Drain(_ context.Context, _ string, r api.DrainRequest) (api.Drain, error) {
-	return api.Drain{Name: r.Worker, Draining: true, Tasks: 3, Detail: "tasks run to their end"}, nil
+func (operatorBackend) Drain(_ context.Context, _ string, r api.DrainRequest) (api.DrainStatus, error) {
+	return api.DrainStatus{Name: r.Worker, Draining: true, Tasks: 3, Detail: "tasks run to their end"}, nil
 }
 
-func (operatorBackend) ForceOwnership(_ context.Context, _ string, r api.ForceRequest) (api.Ownership, error) {
-	return api.Ownership{Unit: r.Unit, Owner: "entry-flanders-2", Epoch: 7, Revision: 88, After: api.Duration(24 * time.Second)}, nil
+func (operatorBackend) ForceOwnership(_ context.Context, _ string, r api.ForceOwnershipRequest) (api.Ownership, error) {
+	return api.Ownership{Unit: r.Unit, Owner: "entry-flanders-2", Epoch: 7, Revision: 88, TakeoverDelay: api.Duration(24 * time.Second)}, nil
 }
 
 var workerCapacity = task.Resources{CPUMilli: 32000, MemoryMB: 131072, Slots: 8, Connections: 64}
--- a/operator/backend.go
+++ b/operator/backend.go
@@ -62,10 +62,10 @@
 	Keys(ctx context.Context, team task.Team) ([]api.Key, error)
 
 	// Drain starts or ends the drain of one entry instance or worker.
-	Drain(ctx context.Context, by string, request api.DrainRequest) (api.Drain, error)
+	Drain(ctx context.Context, by string, request api.DrainRequest) (api.DrainStatus, error)
 	// ForceOwnership makes a member take over a unit whose owner and successors
 	// have failed.
-	ForceOwnership(ctx context.Context, by string, request api.ForceRequest) (api.Ownership, error)
+	ForceOwnership(ctx context.Context, by string, request api.ForceOwnershipRequest) (api.Ownership, error)
 
 	Workers(ctx context.Context) ([]api.Worker, error)
 	Shares(ctx context.Context) ([]api.Share, error)
--- a/operator/conflict.go
+++ b/operator/conflict.go
@@ -30,11 +30,11 @@
 // AddDetail adds the last change, which led to the current revision.
 func (c *Conflict) AddDetail(detail *api.Error) {
 	detail.Conflict = &api.Conflict{
-		Expected: c.Expected,
-		Revision: c.Current.Revision,
-		By:       c.Current.Record.By,
-		At:       c.Current.Record.At,
-		Changes:  toAPIChanges(c.Current.Record.LastChange()),
+		Expected:  c.Expected,
+		Revision:  c.Current.Revision,
+		ChangedBy: c.Current.Record.By,
+		ChangedAt: c.Current.Record.At,
+		Changes:   toAPIChanges(c.Current.Record.LastChange()),
 	}
 }
 
--- a/operator/documents.go
+++ b/operator/documents.go
@@ -122,12 +122,12 @@
 
 func toAPIDocument(stored StoredDocument) api.Document {
 	return api.Document{
-		Team:     stored.Ref.Team,
-		Service:  stored.Ref.Service,
-		Revision: stored.Revision,
-		By:       stored.Record.By,
-		At:       stored.Record.At,
-		Source:   stored.Record.Source,
-		InForce:  stored.InForce,
+		Team:      stored.Ref.Team,
+		Service:   stored.Ref.Service,
+		Revision:  stored.Revision,
+		ChangedBy: stored.Record.By,
+		ChangedAt: stored.Record.At,
+		Source:    stored.Record.Source,
+		InForce:   stored.InForce,
 	}
 }
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -29,7 +29,7 @@
 var unitPattern = regexp.MustCompile(`^(w/[a-z][a-z0-9-]{0,62}|h)/(0|[1-9][0-9]{0,4})$`)
 
 func (s *Server) forceOwnership(c call) (httpjson.Response, error) {
-	var request api.ForceRequest
+	var request api.ForceOwnershipRequest
 	if err := s.ReadJSON(c.Request, &request); err != nil {
 		return httpjson.Response{}, err
 	}
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -63,12 +63,12 @@
 
 func (b *fakeBackend) Keys(context.Context, task.Team) ([]api.Key, error) { return nil, nil }
 
-func (b *fakeBackend) Drain(context.Context, string, api.DrainRequest) (api.Drain, error) {
+func (b *fakeBackend) Drain(context.Context, string, api.DrainRequest) (api.DrainStatus, error) {
 	b.changes++
-	return api.Drain{}, nil
+	return api.DrainStatus{}, nil
 }
 
-func (b *fakeBackend) ForceOwnership(context.Context, string, api.ForceRequest) (api.Ownership, error) {
+func (b *fakeBackend) ForceOwnership(context.Context, string, api.ForceOwnershipRequest) (api.Ownership, error) {
 	b.changes++
 	return api.Ownership{}, nil
 }
@@ -246,7 +246,7 @@
 	}
 	c := e.Conflict
 	want := api.Change{Path: "classes[a].max_run", Before: `"5m0s"`, After: `"6m0s"`}
-	if c.Expected != 1 || c.Revision != 2 || c.By != "els" || len(c.Changes) != 1 || c.Changes[0] != want {
+	if c.Expected != 1 || c.Revision != 2 || c.ChangedBy != "els" || len(c.Changes) != 1 || c.Changes[0] != want {
 		t.Errorf("conflict = %+v", *c)
 	}
 	if backend.stored.Record.Source != longer {
