--- a/control/units.go
+++ b/control/units.go
@@ -10,7 +10,7 @@
 )
 
 // isPartition reports whether a unit is a worker partition; otherwise it is a request shard.
-func isPartition(unit string) bool { return strings.HasPrefix(unit, membership.WorkerPrefix) }
+func isPartition(unit string) bool { return strings.HasPrefix(unit, membership.PartitionPrefix) }
 
 // executeOwnershipActions executes the actions that the ownership table returns after an event.
 func (s *State) executeOwnershipActions() {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -10,8 +10,8 @@
 
 // Prefixes of unit names.
 const (
-	WorkerPrefix = "w/" // worker partitions: w/<region>/<n>
-	ShardPrefix  = "h/" // request shards: h/<n>
+	PartitionPrefix = "w/" // worker partitions: w/<region>/<n>
+	ShardPrefix     = "h/" // request shards: h/<n>
 )
 
 // Member is one live entry instance, as recorded under its member key in the store.
@@ -27,7 +27,7 @@
 // RegionOf returns the region of a worker partition, and "" for a request
 // shard, which belongs to no region.
 func RegionOf(unit string) string {
-	rest, ok := strings.CutPrefix(unit, WorkerPrefix)
+	rest, ok := strings.CutPrefix(unit, PartitionPrefix)
 	if !ok {
 		return ""
 	}
