timeline: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

timeline.Clock -> Timestamp timeline.Filter.Latest -> Limit timeline.Filter.limit -> truncate

--- a/control/peer.go
+++ b/control/peer.go
@@ -174,7 +174,7 @@
 	Partitions      []PartitionDigest
 	Usage           []TeamUsage
 	StarvedTeams    []task.Team // teams for which this owner lacks allowance
-	Clock           timeline.Clock
+	Clock           timeline.Timestamp
 	// RequestNoCommit, in a request during a store outage, requests a promise not to commit
 	// configuration changes for one freshness period; NoCommitPromised in the reply grants it.
 	RequestNoCommit  bool
--- a/endtoend/config_test.go
+++ b/endtoend/config_test.go
@@ -156,7 +156,7 @@
 		})
 	}
 	t.Logf("the limit of revision %d was in force %v after it was applied", applied.Revision, inForce.Sub(began).Round(time.Millisecond))
-	c.Check(t, nil, timeline.Event{Instance: "operator", Incarnation: "1", Sequence: 1, Clock: timeline.Clock{Wall: inForce}, Type: timeline.LimitInForce,
+	c.Check(t, nil, timeline.Event{Instance: "operator", Incarnation: "1", Sequence: 1, Clock: timeline.Timestamp{Wall: inForce}, Type: timeline.LimitInForce,
 		Team: "leuven", Revision: applied.Revision, Size: &task.Resources{Slots: lower}})
 }
 
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -180,7 +180,7 @@
 func decodeDigest(d *entrypb.Digest) control.DigestMessage {
 	out := control.DigestMessage{Instance: d.GetInstance(), Incarnation: d.GetIncarnation(), Revision: d.GetRevision(), StoreContact: d.GetStoreContact(), StoreContactAge: d.GetContactAge().AsDuration(),
 		RequestNoCommit: d.GetAskNoCommit(), NoCommitPromised: d.GetNoCommit(), KnownRevision: d.GetKnown(),
-		Freshness: d.GetFreshness().AsDuration(), Clock: timeline.Clock{Wall: time.Unix(0, d.GetClock().GetWallNs()), Logical: d.GetClock().GetLogical()}}
+		Freshness: d.GetFreshness().AsDuration(), Clock: timeline.Timestamp{Wall: time.Unix(0, d.GetClock().GetWallNs()), Logical: d.GetClock().GetLogical()}}
 	for _, p := range d.GetPartitions() {
 		out.Partitions = append(out.Partitions, control.PartitionDigest{Partition: p.GetPartition(), Epoch: p.GetEpoch(), Free: decodeResources(p.GetFree()),
 			Capacity: decodeResources(p.GetCapacity()), Queued: int(p.GetQueued()), Ready: p.GetReady()})
--- a/entry/roundtrip_test.go
+++ b/entry/roundtrip_test.go
@@ -43,7 +43,7 @@
 	digest := control.DigestMessage{Instance: "e", Incarnation: "e-1", Revision: 5, StoreContact: true, StoreContactAge: time.Second, Freshness: time.Minute,
 		Partitions: []control.PartitionDigest{{Partition: "w/r/0", Epoch: 1, Free: sampleSize, Capacity: sampleSize, Queued: 2, Ready: true}},
 		Usage:      []control.TeamUsage{{Team: "t", Size: sampleSize}}, StarvedTeams: []task.Team{"t"},
-		Clock: timeline.Clock{Wall: time.Unix(0, 77), Logical: 3}, RequestNoCommit: true, NoCommitPromised: true, KnownRevision: 8}
+		Clock: timeline.Timestamp{Wall: time.Unix(0, 77), Logical: 3}, RequestNoCommit: true, NoCommitPromised: true, KnownRevision: 8}
 	config := control.FetchConfigReply{After: 1, Revision: 2, Entries: []control.ConfigEntry{{Key: "c/x", Value: []byte("v"), Revision: 2, Deleted: true}}}
 	reply := control.JobReply{Record: sampleRecord, Err: sampleError}
 
--- a/internal/apidoc/backend_test.go
+++ b/internal/apidoc/backend_test.go
@@ -145,7 +145,7 @@
 
 func (operatorBackend) Timeline(_ context.Context, f operator.Filter) (api.Timeline, error) {
 	return api.Timeline{Events: []timeline.Event{{Instance: "entry-flanders-1", Incarnation: "3f9c", Sequence: 118,
-		Clock: timeline.Clock{Wall: exampleTime}, Type: timeline.TaskStarted, Team: "dijle-engineering", Task: f.Task, Attempt: 1,
+		Clock: timeline.Timestamp{Wall: exampleTime}, Type: timeline.TaskStarted, Team: "dijle-engineering", Task: f.Task, Attempt: 1,
 		Worker: "worker-flanders-17", Partition: "w/flanders/2", Epoch: 6}}}, nil
 }
 
--- a/oracle/oracle_test.go
+++ b/oracle/oracle_test.go
@@ -18,7 +18,7 @@
 // event returns an event of instance "i" at the given second. edit sets further
 // fields.
 func event(seconds float64, kind timeline.Type, edit func(*timeline.Event)) timeline.Event {
-	e := timeline.Event{Instance: "i", Incarnation: "1", Type: kind, Clock: timeline.Clock{Wall: at(seconds)}}
+	e := timeline.Event{Instance: "i", Incarnation: "1", Type: kind, Clock: timeline.Timestamp{Wall: at(seconds)}}
 	if edit != nil {
 		edit(&e)
 	}
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -56,7 +56,7 @@
 	Instance    string          `json:"instance"`
 	Incarnation string          `json:"incarnation"`
 	Sequence    uint64          `json:"sequence"` // per incarnation, from 1, without gaps
-	Clock       Clock           `json:"clock"`
+	Clock       Timestamp       `json:"clock"`
 	Type        Type            `json:"type"`
 	Team        task.Team       `json:"team,omitempty"`
 	Task        task.ID         `json:"task,omitempty"`
@@ -71,15 +71,15 @@
 	Detail      string          `json:"detail,omitempty"`
 }
 
-// Clock is a reading of a hybrid logical clock: a wall time that never decreases
+// Timestamp is a reading of a hybrid logical clock: a wall time that never decreases
 // within one process, and a counter that orders events with the same wall time.
-type Clock struct {
+type Timestamp struct {
 	Wall    time.Time `json:"wall"`
 	Logical uint32    `json:"logical"`
 }
 
 // Before reports whether c is earlier than other.
-func (c Clock) Before(other Clock) bool {
+func (c Timestamp) Before(other Timestamp) bool {
 	if !c.Wall.Equal(other.Wall) {
 		return c.Wall.Before(other.Wall)
 	}
@@ -87,16 +87,16 @@
 }
 
 // Tick returns the reading that follows c at wall time now.
-func (c Clock) Tick(now time.Time) Clock {
+func (c Timestamp) Tick(now time.Time) Timestamp {
 	if now.After(c.Wall) {
-		return Clock{Wall: now}
+		return Timestamp{Wall: now}
 	}
-	return Clock{Wall: c.Wall, Logical: c.Logical + 1}
+	return Timestamp{Wall: c.Wall, Logical: c.Logical + 1}
 }
 
 // Receive returns the reading after the receipt of a message that carries the
 // reading remote.
-func (c Clock) Receive(now time.Time, remote Clock) Clock {
+func (c Timestamp) Receive(now time.Time, remote Timestamp) Timestamp {
 	latest := c
 	if latest.Before(remote) {
 		latest = remote
--- a/timeline/filter.go
+++ b/timeline/filter.go
@@ -16,7 +16,7 @@
 	Types     []Type    `json:"types,omitempty"`
 	From      time.Time `json:"from"`             // inclusive
 	Until     time.Time `json:"until"`            // exclusive
-	Latest    int       `json:"latest,omitempty"` // at most this many, the latest ones
+	Limit     int       `json:"latest,omitempty"` // at most this many, the latest ones
 }
 
 // Matches reports whether f selects e.
@@ -34,9 +34,9 @@
 	return true
 }
 
-func (f Filter) limit(events []Event) []Event {
-	if f.Latest > 0 && len(events) > f.Latest {
-		return events[len(events)-f.Latest:]
+func (f Filter) truncate(events []Event) []Event {
+	if f.Limit > 0 && len(events) > f.Limit {
+		return events[len(events)-f.Limit:]
 	}
 	return events
 }
--- a/timeline/recorder.go
+++ b/timeline/recorder.go
@@ -20,7 +20,7 @@
 	ring        []atomic.Pointer[Event]
 
 	mu       sync.Mutex // serializes writers
-	clock    Clock
+	clock    Timestamp
 	sequence atomic.Uint64 // of the latest event
 }
 
@@ -52,7 +52,7 @@
 
 // Receive advances the clock past the reading in a message from another process, so
 // that later events of this process are ordered after it.
-func (r *Recorder) Receive(now time.Time, remote Clock) {
+func (r *Recorder) Receive(now time.Time, remote Timestamp) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if remote.Wall.Sub(now) > MaxClockAhead {
@@ -62,7 +62,7 @@
 }
 
 // Now returns a reading to send in a message.
-func (r *Recorder) Now(now time.Time) Clock {
+func (r *Recorder) Now(now time.Time) Timestamp {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.clock = r.clock.Tick(now.Round(0))
@@ -89,5 +89,5 @@
 			found = append(found, *e)
 		}
 	}
-	return filter.limit(found)
+	return filter.truncate(found)
 }
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -59,7 +59,7 @@
 	sent := sender.Record(startTime, Event{Type: TaskPlaced})
 	receiver.Receive(startTime.Add(-10*time.Second), sent.Clock)
 	receiver.Record(startTime.Add(-10*time.Second), Event{Type: TaskQueued})
-	receiver.Receive(startTime, Clock{Wall: startTime.Add(time.Hour)})
+	receiver.Receive(startTime, Timestamp{Wall: startTime.Add(time.Hour)})
 	receiver.Record(startTime, Event{Type: TaskStarted})
 	merged := Merge(receiver.Events(Filter{}), sender.Events(Filter{}), sender.Events(Filter{}))
 	var types []Type
@@ -89,7 +89,7 @@
 		{Filter{}, 5}, {Filter{Team: "a"}, 4}, {Filter{Task: "u"}, 1}, {Filter{Worker: "w"}, 4},
 		{Filter{Partition: "q"}, 1}, {Filter{Types: []Type{StoreUp, StoreDown}}, 1},
 		{Filter{From: startTime.Add(time.Second), Until: startTime.Add(3 * time.Second)}, 2},
-		{Filter{Latest: 2}, 2}, {Filter{Team: "a", Worker: "x"}, 0},
+		{Filter{Limit: 2}, 2}, {Filter{Team: "a", Worker: "x"}, 0},
 	} {
 		if got := len(r.Events(test.filter)); got != test.want {
 			t.Errorf("%+v selects %d events, want %d", test.filter, got, test.want)
@@ -105,7 +105,7 @@
 		writers.Go(func() {
 			for range 50 {
 				r.Record(startTime, Event{Type: TaskQueued})
-				r.Events(Filter{Latest: 1})
+				r.Events(Filter{Limit: 1})
 			}
 		})
 	}
@@ -118,7 +118,7 @@
 // TestRender guards against a field that is missing from the rendered line.
 func TestRender(t *testing.T) {
 	e := Event{
-		Instance: "i", Incarnation: "7", Sequence: 9, Clock: Clock{Wall: startTime, Logical: 2}, Type: TaskStarted,
+		Instance: "i", Incarnation: "7", Sequence: 9, Clock: Timestamp{Wall: startTime, Logical: 2}, Type: TaskStarted,
 		Team: "a", Task: "t", Attempt: 3, Worker: "w", Partition: "p", Epoch: 4, Revision: 5, KeyID: "k",
 		Kind: "durable", Size: &task.Resources{Slots: 1}, Detail: "text",
 	}
