oracle: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

oracle.Refused -> RejectedStart oracle.WorkerLedger.OverCapacity -> RejectedStarts oracle.Trace.InProgress -> KnownTasks oracle.OnePlace -> NoOverlappingRuns oracle.NeverLost -> NoLostWork oracle.TrueNotRun -> NotRunClaims oracle.KeyOfTeam -> KeyTeam oracle.WholeAnswer -> AnswerIntegrity

--- a/daemon/deployment_test.go
+++ b/daemon/deployment_test.go
@@ -241,7 +241,7 @@
 }
 
 func (w *deployment) trace() oracle.Trace {
-	trace := oracle.Trace{Bounds: oracle.DefaultBounds, InProgress: map[task.ID]bool{}}
+	trace := oracle.Trace{Bounds: oracle.DefaultBounds, KnownTasks: map[task.ID]bool{}}
 	var timelines [][]timeline.Event
 	for _, n := range w.nodes {
 		timelines = append(timelines, n.Events())
@@ -286,7 +286,7 @@
 	for _, j := range l.jobs {
 		if reply, err := l.status(j); err == nil {
 			for _, taskState := range reply.Tasks {
-				trace.InProgress[taskState.ID] = !taskState.State.IsFinal()
+				trace.KnownTasks[taskState.ID] = !taskState.State.IsFinal()
 			}
 		}
 	}
--- a/daemon/seededfault_test.go
+++ b/daemon/seededfault_test.go
@@ -22,7 +22,7 @@
 }
 
 var seededFaults = []seededFault{
-	{"records are not stored", []oracle.Invariant{oracle.AtMostOnce, oracle.NeverLost, oracle.TrueNotRun}, discardRecords, func(w *deployment) {
+	{"records are not stored", []oracle.Invariant{oracle.AtMostOnce, oracle.NoLostWork, oracle.NotRunClaims}, discardRecords, func(w *deployment) {
 		for i := range 6 {
 			_, _ = w.nodes[0].submitJob("report", fmt.Sprintf("r%d", i))
 		}
@@ -36,13 +36,13 @@
 		}
 		time.Sleep(30 * time.Second)
 	}},
-	{"an unclear start counts as not run", []oracle.Invariant{oracle.TrueNotRun, oracle.OnePlace, oracle.AtMostOnce}, denyTaskStarts, func(w *deployment) {
+	{"an unclear start counts as not run", []oracle.Invariant{oracle.NotRunClaims, oracle.NoOverlappingRuns, oracle.AtMostOnce}, denyTaskStarts, func(w *deployment) {
 		for i := range 6 {
 			_, _ = w.nodes[0].submitJob("report", fmt.Sprintf("r%d", i))
 		}
 		time.Sleep(30 * time.Second)
 	}},
-	{"workers report no running task", []oracle.Invariant{oracle.OnePlace}, hideTasks, func(w *deployment) {
+	{"workers report no running task", []oracle.Invariant{oracle.NoOverlappingRuns}, hideTasks, func(w *deployment) {
 		for i := range 4 {
 			_, _ = w.nodes[0].submitJob("tables", fmt.Sprintf("t%d", i))
 		}
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -182,7 +182,7 @@
 // Trace returns the input of the oracle: the merged timelines of all entry
 // instances and the ledgers of all workers.
 func (c *Cluster) Trace() (oracle.Trace, error) {
-	trace := oracle.Trace{Bounds: oracle.DefaultBounds, InProgress: map[task.ID]bool{}}
+	trace := oracle.Trace{Bounds: oracle.DefaultBounds, KnownTasks: map[task.ID]bool{}}
 	var timelines [][]timeline.Event
 	for _, e := range c.Entries {
 		timelines = append(timelines, e.Events())
--- a/internal/processtest/check.go
+++ b/internal/processtest/check.go
@@ -22,7 +22,7 @@
 func (c *Cluster) Check(t *testing.T, records []*Told, extra ...timeline.Event) oracle.Trace {
 	t.Helper()
 	trace := oracle.Trace{Events: timeline.Merge(c.Latest(), extra), Workers: c.Ledgers(), Answers: receivedAnswers(records),
-		InProgress: reportedTasks(records), Bounds: oracle.DefaultBounds}
+		KnownTasks: reportedTasks(records), Bounds: oracle.DefaultBounds}
 	violations := oracle.Check(trace)
 	for i, v := range violations {
 		if i == maxViolations {
--- a/oracle/control.go
+++ b/oracle/control.go
@@ -39,10 +39,10 @@
 		if !known {
 			continue
 		}
-		report.countExamined(KeyOfTeam)
+		report.countExamined(KeyTeam)
 		if !granted[keyRef{e.Team, e.KeyID}] {
 			report.add(Violation{
-				Invariant: KeyOfTeam,
+				Invariant: KeyTeam,
 				Message:   fmt.Sprintf("task %s of team %s was accepted or started under a key of team %s", e.Task, e.Team, grant.Team),
 				Events:    []timeline.Event{grant, e},
 			})
--- a/oracle/ledger.go
+++ b/oracle/ledger.go
@@ -10,12 +10,12 @@
 // WorkerLedger is a worker's record of all its runs. The timeline of the entry
 // instances is checked against it.
 type WorkerLedger struct {
-	Worker       string         `json:"worker"`
-	Capacity     task.Resources `json:"capacity"`
-	Runs         []Run          `json:"runs"`
-	OverCapacity []Refused      `json:"over_capacity,omitempty"` // starts rejected because they did not fit
-	Leaving      []Period       `json:"leaving,omitempty"`       // while it reported that it is leaving
-	Frozen       []Period       `json:"frozen,omitempty"`
+	Worker         string          `json:"worker"`
+	Capacity       task.Resources  `json:"capacity"`
+	Runs           []Run           `json:"runs"`
+	RejectedStarts []RejectedStart `json:"over_capacity,omitempty"` // starts rejected because they did not fit
+	Leaving        []Period        `json:"leaving,omitempty"`       // while it reported that it is leaving
+	Frozen         []Period        `json:"frozen,omitempty"`
 }
 
 // Run is one attempt that a worker ran, by the worker's wall clock.
@@ -42,8 +42,8 @@
 		r.Epoch, r.Team, r.Size, formatTime(r.Start), formatTime(r.End), r.State)
 }
 
-// Refused is a start that a worker rejected because it did not fit.
-type Refused struct {
+// RejectedStart is a start that a worker rejected because it did not fit.
+type RejectedStart struct {
 	Attempt task.Attempt   `json:"attempt"`
 	Size    task.Resources `json:"size"`
 	Used    task.Resources `json:"used"`
--- a/oracle/requests.go
+++ b/oracle/requests.go
@@ -21,12 +21,12 @@
 		if !task.Kind(e.Kind).IsDurable() || idx.accepted[e.Task] != e {
 			continue
 		}
-		report.countExamined(NeverLost)
-		if _, known := idx.InProgress[e.Task]; known || answered[e.Task] {
+		report.countExamined(NoLostWork)
+		if _, known := idx.KnownTasks[e.Task]; known || answered[e.Task] {
 			continue
 		}
 		report.add(Violation{
-			Invariant: NeverLost,
+			Invariant: NoLostWork,
 			Message:   fmt.Sprintf("task %s was accepted, was not answered and has no record at its home", e.Task),
 			Events:    idx.eventsOf(e.Task), Runs: idx.runsOf[e.Task],
 		})
@@ -39,13 +39,13 @@
 		if !idx.claimsNotRun(e) {
 			continue
 		}
-		report.countExamined(TrueNotRun)
+		report.countExamined(NotRunClaims)
 		runs := slices.DeleteFunc(slices.Clone(idx.runsOf[e.Task]), func(r Run) bool {
 			return e.Type == timeline.TaskNotRun && e.Attempt != 0 && e.Attempt != r.Attempt.Number
 		})
 		if len(runs) > 0 {
 			report.add(Violation{
-				Invariant: TrueNotRun,
+				Invariant: NotRunClaims,
 				Message:   fmt.Sprintf("task %s was reported as not run, but it ran", e.Task),
 				Events:    []timeline.Event{e}, Runs: runs,
 			})
@@ -74,10 +74,10 @@
 // task.
 func checkAnswers(idx *traceIndex, report *Report) {
 	for _, a := range idx.Answers {
-		report.countExamined(WholeAnswer)
+		report.countExamined(AnswerIntegrity)
 		if !slices.ContainsFunc(idx.runsOf[a.Task], a.matchesRun) {
 			report.add(Violation{
-				Invariant: WholeAnswer,
+				Invariant: AnswerIntegrity,
 				Message: fmt.Sprintf("the caller of task %s received a result of %d bytes with digest %s, which no run of the task produced",
 					a.Task, a.ResultBytes, a.ResultDigest),
 				Events: idx.eventsOf(a.Task), Runs: idx.runsOf[a.Task],
@@ -88,13 +88,13 @@
 		if e.Detail == "" {
 			continue
 		}
-		report.countExamined(WholeAnswer)
+		report.countExamined(AnswerIntegrity)
 		isResult := func(r Run) bool {
 			return r.ResultDigest == e.Detail && (e.Attempt == 0 || e.Attempt == r.Attempt.Number)
 		}
 		if !slices.ContainsFunc(idx.runsOf[e.Task], isResult) {
 			report.add(Violation{
-				Invariant: WholeAnswer,
+				Invariant: AnswerIntegrity,
 				Message:   fmt.Sprintf("task %s was answered with a result that no run of the task produced", e.Task),
 				Events:    []timeline.Event{e}, Runs: idx.runsOf[e.Task],
 			})
--- a/oracle/runs.go
+++ b/oracle/runs.go
@@ -94,7 +94,7 @@
 				})
 			}
 		})
-		for _, r := range w.OverCapacity {
+		for _, r := range w.RejectedStarts {
 			report.countExamined(Capacity)
 			report.add(Violation{
 				Invariant: Capacity,
@@ -122,11 +122,11 @@
 	for _, id := range sortedKeys(idx.runsOf) {
 		runs := idx.runsOf[id]
 		for i, a := range runs {
-			report.countExamined(OnePlace)
+			report.countExamined(NoOverlappingRuns)
 			for _, b := range runs[i+1:] {
 				if overlaps(a, b) {
 					report.add(Violation{
-						Invariant: OnePlace,
+						Invariant: NoOverlappingRuns,
 						Message:   fmt.Sprintf("task %s has two runs that overlap", id),
 						Events:    idx.eventsOf(id), Runs: []Run{a, b},
 					})
--- a/oracle/trace.go
+++ b/oracle/trace.go
@@ -15,9 +15,9 @@
 	Events  []timeline.Event // merged, see timeline.Merge
 	Workers []WorkerLedger
 	Answers []Answer // as the callers received them
-	// InProgress has an entry for each task of which its home has a record at the
+	// KnownTasks has an entry for each task of which its home has a record at the
 	// end of the trace. The value is true if the task has no outcome yet.
-	InProgress map[task.ID]bool
+	KnownTasks map[task.ID]bool
 	// Limits are in force from the start of the trace until a LimitInForce event
 	// changes them.
 	Limits map[task.Team]task.Resources
@@ -52,25 +52,25 @@
 
 // The invariants.
 const (
-	TraceComplete   Invariant = "trace complete"
-	Capacity        Invariant = "no worker beyond its capacity"
-	OnePlace        Invariant = "no task in two places at once"
-	AtMostOnce      Invariant = "at most once"
-	NeverLost       Invariant = "never lost"
-	TrueNotRun      Invariant = "work reported as not run did not run"
-	TeamLimit       Invariant = "no team above its limit"
-	KeyOfTeam       Invariant = "a key admits work of its team only"
-	WithdrawnKey    Invariant = "no start under a withdrawn key"
-	LeavingWorker   Invariant = "no start on a leaving worker"
-	WholeAnswer     Invariant = "answers are complete and match their request"
-	ConfigRevisions Invariant = "configuration never goes back"
-	OwnershipEpochs Invariant = "ownership without overlap"
+	TraceComplete     Invariant = "trace complete"
+	Capacity          Invariant = "no worker beyond its capacity"
+	NoOverlappingRuns Invariant = "no task in two places at once"
+	AtMostOnce        Invariant = "at most once"
+	NoLostWork        Invariant = "never lost"
+	NotRunClaims      Invariant = "work reported as not run did not run"
+	TeamLimit         Invariant = "no team above its limit"
+	KeyTeam           Invariant = "a key admits work of its team only"
+	WithdrawnKey      Invariant = "no start under a withdrawn key"
+	LeavingWorker     Invariant = "no start on a leaving worker"
+	AnswerIntegrity   Invariant = "answers are complete and match their request"
+	ConfigRevisions   Invariant = "configuration never goes back"
+	OwnershipEpochs   Invariant = "ownership without overlap"
 )
 
 // Invariants lists every invariant.
 var Invariants = []Invariant{
-	TraceComplete, Capacity, OnePlace, AtMostOnce, NeverLost, TrueNotRun, TeamLimit, KeyOfTeam, WithdrawnKey,
-	LeavingWorker, WholeAnswer, ConfigRevisions, OwnershipEpochs,
+	TraceComplete, Capacity, NoOverlappingRuns, AtMostOnce, NoLostWork, NotRunClaims, TeamLimit, KeyTeam, WithdrawnKey,
+	LeavingWorker, AnswerIntegrity, ConfigRevisions, OwnershipEpochs,
 }
 
 // Violation is one violation with the evidence for it.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -249,7 +249,7 @@
 		}
 		ledger = w.ledger
 		ledger.Runs = slices.Clone(w.ledger.Runs)
-		ledger.OverCapacity = slices.Clone(w.ledger.OverCapacity)
+		ledger.RejectedStarts = slices.Clone(w.ledger.RejectedStarts)
 		ledger.Leaving = slices.Clone(w.ledger.Leaving)
 		ledger.Frozen = slices.Clone(w.ledger.Frozen)
 	})
--- a/standin/worker_calls.go
+++ b/standin/worker_calls.go
@@ -71,7 +71,7 @@
 		return command{}, m.reject(now, worker.ReasonCancelled, "attempt %s was stopped before its start", req.Attempt)
 	}
 	if free := m.config.Capacity.Sub(m.used); !req.Size.Fits(free) {
-		m.ledger.OverCapacity = append(m.ledger.OverCapacity, oracle.Refused{
+		m.ledger.RejectedStarts = append(m.ledger.RejectedStarts, oracle.RejectedStart{
 			Attempt: req.Attempt, Size: req.Size, Used: m.used, Epoch: req.Epoch, At: wallTime(now),
 		})
 		return command{}, m.reject(now, worker.ReasonOverCapacity, "free capacity is %s, the attempt needs %s", free, req.Size)
