load: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

load.Waits -> KindResult load.jobCounts.Late -> DeadlineRefused load.Result.WorstError -> WorstShareError load.Result.MeanError -> MeanShareError load.Result.LongRunError -> WorstLongRunShareError load.Result.Others -> KindsOfOthers load.TeamResult.LongRun -> LongRunShareError load.Packing.Fullest -> Bottleneck load.Cost.Finds -> Searches load.Cost.PerFind -> PerSearch load.Cost.WaveEntries -> WithdrawnEntries load.Cost.PerWaveEntry -> PerWithdrawnEntry load.Cost.LongestWave -> LongestWithdrawal

--- a/load/bench_test.go
+++ b/load/bench_test.go
@@ -21,9 +21,9 @@
 					if err != nil {
 						b.Fatal(err)
 					}
-					worst += r.WorstError
-					p50 += r.Others[0].P50.Seconds()
-					p99 += r.Others[0].P99.Seconds()
+					worst += r.WorstShareError
+					p50 += r.KindsOfOthers[0].P50.Seconds()
+					p99 += r.KindsOfOthers[0].P99.Seconds()
 					cost += float64(r.Cost.PerStart)
 				}
 				n := float64(b.N)
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -78,11 +78,11 @@
 func TestEveryJobIsAccountedFor(t *testing.T) {
 	for _, policy := range Policies {
 		r := results()[policy]
-		if r.Packing.Fullest > 1 {
-			t.Errorf("%s uses a fraction of %.3f of the cluster, want at most 1", policy, r.Packing.Fullest)
+		if r.Packing.Bottleneck > 1 {
+			t.Errorf("%s uses a fraction of %.3f of the cluster, want at most 1", policy, r.Packing.Bottleneck)
 		}
 		for _, k := range r.Kinds {
-			left := k.Arrived - k.Started - k.Refused - k.Late - k.Expired - k.Cancelled
+			left := k.Arrived - k.Started - k.Refused - k.DeadlineRefused - k.Expired - k.Cancelled
 			if left < 0 || left > 6*1000 || k.Started == 0 {
 				t.Errorf("%s: %d %s jobs are in no outcome count, want 0 to 6000 and at least one start: %+v", policy, left, k.Kind, k)
 			}
@@ -98,8 +98,8 @@
 	fair := mustRun(t, cfg)
 	cfg.Policy = FIFO
 	fifo := mustRun(t, cfg)
-	if fair.WorstError > 0.1 || fair.WorstError > fifo.WorstError {
-		t.Errorf("worst share error of %s is %.3f, want at most 0.1 and at most that of %s, %.3f", Fair, fair.WorstError, FIFO, fifo.WorstError)
+	if fair.WorstShareError > 0.1 || fair.WorstShareError > fifo.WorstShareError {
+		t.Errorf("worst share error of %s is %.3f, want at most 0.1 and at most that of %s, %.3f", Fair, fair.WorstShareError, FIFO, fifo.WorstShareError)
 	}
 }
 
--- a/load/recorder.go
+++ b/load/recorder.go
@@ -40,12 +40,12 @@
 
 // jobCounts counts the jobs of one team and kind by outcome.
 type jobCounts struct {
-	Arrived   int `json:"arrived"`
-	Started   int `json:"started"`
-	Refused   int `json:"refused"`
-	Late      int `json:"late"` // refused on arrival because the deadline could not be met
-	Expired   int `json:"expired"`
-	Cancelled int `json:"cancelled"`
+	Arrived         int `json:"arrived"`
+	Started         int `json:"started"`
+	Refused         int `json:"refused"`
+	DeadlineRefused int `json:"late"` // refused on arrival because the deadline could not be met
+	Expired         int `json:"expired"`
+	Cancelled       int `json:"cancelled"`
 }
 
 // packing accumulates the utilization of the cluster while jobs are waiting.
@@ -92,7 +92,7 @@
 	case err == nil:
 		rec.stats[j.team].waitingSize = rec.stats[j.team].waitingSize.Add(j.totalSize())
 	case err.Kind == errkind.DeadlineExceeded:
-		c.Late++
+		c.DeadlineRefused++
 	default:
 		c.Refused++
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -54,9 +54,9 @@
 func writePolicies(w io.Writer, results []Result) {
 	fmt.Fprintln(w, "POLICY\tWORST SHARE ERROR\tMEAN\tPACKING\tSTARTS\tPER START\tPER SEARCH\tLONGEST ROUND\tCANCELLED ENTRY")
 	for _, r := range results {
-		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.3f\t%d\t%v\t%v\t%v\t%v\n", r.Policy, r.WorstError, r.MeanError,
-			r.Packing.Fullest, r.Cost.Starts, r.Cost.PerStart, r.Cost.PerFind,
-			r.Cost.LongestRound.Round(time.Microsecond), r.Cost.PerWaveEntry)
+		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.3f\t%d\t%v\t%v\t%v\t%v\n", r.Policy, r.WorstShareError, r.MeanShareError,
+			r.Packing.Bottleneck, r.Cost.Starts, r.Cost.PerStart, r.Cost.PerSearch,
+			r.Cost.LongestRound.Round(time.Microsecond), r.Cost.PerWithdrawnEntry)
 	}
 }
 
@@ -65,10 +65,10 @@
 	for k := range results[0].Kinds {
 		for _, r := range results {
 			row := r.Kinds[k]
-			others := r.Others[k]
+			others := r.KindsOfOthers[k]
 			fmt.Fprintf(w, "%s\t%s\t%v\t%v\t%v\t%v\t%d\t%d\t%d\t%d\t%d\t%d\n", row.Kind, r.Policy,
 				roundToMillisecond(row.P50), roundToMillisecond(row.P99), roundToMillisecond(others.P50), roundToMillisecond(others.P99),
-				row.Arrived, row.Started, row.Refused, row.Late, row.Expired, row.Cancelled)
+				row.Arrived, row.Started, row.Refused, row.DeadlineRefused, row.Expired, row.Cancelled)
 		}
 	}
 }
--- a/load/result.go
+++ b/load/result.go
@@ -10,23 +10,23 @@
 // Result holds the measurements of one run. All times except those of Cost are
 // virtual.
 type Result struct {
-	Policy       string        `json:"policy"`
-	Seed         uint64        `json:"seed"`
-	Workers      int           `json:"workers"`
-	Duration     time.Duration `json:"duration_ns"`
-	WorstError   float64       `json:"worst_share_error"`
-	MeanError    float64       `json:"mean_share_error"`
-	LongRunError float64       `json:"worst_long_run_share_error"`
-	Packing      Packing       `json:"packing"`
-	Cost         Cost          `json:"cost"`
-	Kinds        []Waits       `json:"kinds"`
-	Others       []Waits       `json:"kinds_of_others"` // without the flooding team
-	Teams        []TeamResult  `json:"teams"`
+	Policy                 string        `json:"policy"`
+	Seed                   uint64        `json:"seed"`
+	Workers                int           `json:"workers"`
+	Duration               time.Duration `json:"duration_ns"`
+	WorstShareError        float64       `json:"worst_share_error"`
+	MeanShareError         float64       `json:"mean_share_error"`
+	WorstLongRunShareError float64       `json:"worst_long_run_share_error"`
+	Packing                Packing       `json:"packing"`
+	Cost                   Cost          `json:"cost"`
+	Kinds                  []KindResult  `json:"kinds"`
+	KindsOfOthers          []KindResult  `json:"kinds_of_others"` // without the flooding team
+	Teams                  []TeamResult  `json:"teams"`
 }
 
 // Packing is the mean utilization of each resource while jobs were waiting.
 type Packing struct {
-	Fullest      float64 `json:"fullest"` // mean utilization of the bottleneck resource
+	Bottleneck   float64 `json:"fullest"` // mean utilization of the bottleneck resource
 	CPU          float64 `json:"cpu"`
 	Memory       float64 `json:"memory"`
 	Accelerators float64 `json:"accelerators"`
@@ -35,18 +35,18 @@
 
 // Cost is the measured time of the scheduling decisions.
 type Cost struct {
-	Starts       int           `json:"starts"`
-	Finds        int           `json:"finds"`
-	PerStart     time.Duration `json:"per_start_ns"` // time of rounds, arrivals and ends divided by starts
-	PerFind      time.Duration `json:"per_find_ns"`  // time of rounds divided by searches for a worker
-	LongestRound time.Duration `json:"longest_round_ns"`
-	WaveEntries  int           `json:"wave_entries"`
-	PerWaveEntry time.Duration `json:"per_wave_entry_ns"`
-	LongestWave  time.Duration `json:"longest_wave_ns"`
+	Starts            int           `json:"starts"`
+	Searches          int           `json:"finds"`
+	PerStart          time.Duration `json:"per_start_ns"` // time of rounds, arrivals and ends divided by starts
+	PerSearch         time.Duration `json:"per_find_ns"`  // time of rounds divided by searches for a worker
+	LongestRound      time.Duration `json:"longest_round_ns"`
+	WithdrawnEntries  int           `json:"wave_entries"`
+	PerWithdrawnEntry time.Duration `json:"per_wave_entry_ns"`
+	LongestWithdrawal time.Duration `json:"longest_wave_ns"`
 }
 
-// Waits holds the waiting times and the outcome counts of one kind of work.
-type Waits struct {
+// KindResult holds the waiting times and the outcome counts of one kind of work.
+type KindResult struct {
 	Kind task.Kind     `json:"kind"`
 	P50  time.Duration `json:"p50_ns"`
 	P99  time.Duration `json:"p99_ns"`
@@ -55,14 +55,14 @@
 
 // TeamResult holds the measurements of one team.
 type TeamResult struct {
-	Team       task.Team     `json:"team"`
-	Weight     float64       `json:"weight"`
-	Share      float64       `json:"share"`                // mean dominant share
-	ShareError float64       `json:"share_error"`          // fraction of the fair share that was not reached, per window of a minute
-	LongRun    float64       `json:"long_run_share_error"` // the same over the whole run
-	P50        time.Duration `json:"p50_ns"`
-	P99        time.Duration `json:"p99_ns"`
-	Kinds      []Waits       `json:"kinds"`
+	Team              task.Team     `json:"team"`
+	Weight            float64       `json:"weight"`
+	Share             float64       `json:"share"`                // mean dominant share
+	ShareError        float64       `json:"share_error"`          // fraction of the fair share that was not reached, per window of a minute
+	LongRunShareError float64       `json:"long_run_share_error"` // the same over the whole run
+	P50               time.Duration `json:"p50_ns"`
+	P99               time.Duration `json:"p99_ns"`
+	Kinds             []KindResult  `json:"kinds"`
 }
 
 func (rec *recorder) result(cfg Config) Result {
@@ -74,19 +74,19 @@
 	}
 	for i := range rec.stats {
 		t := rec.teamResult(i)
-		r.WorstError = max(r.WorstError, t.ShareError)
-		r.LongRunError = max(r.LongRunError, t.LongRun)
-		r.MeanError += t.ShareError / float64(len(rec.stats))
+		r.WorstShareError = max(r.WorstShareError, t.ShareError)
+		r.WorstLongRunShareError = max(r.WorstLongRunShareError, t.LongRunShareError)
+		r.MeanShareError += t.ShareError / float64(len(rec.stats))
 		r.Teams = append(r.Teams, t)
 	}
 	for _, kind := range task.Kinds {
 		r.Kinds = append(r.Kinds, rec.kindWaits(kind, rec.stats))
-		r.Others = append(r.Others, rec.kindWaits(kind, rec.stats[1:]))
+		r.KindsOfOthers = append(r.KindsOfOthers, rec.kindWaits(kind, rec.stats[1:]))
 	}
 	return r
 }
 
-func (rec *recorder) kindWaits(kind task.Kind, accounts []teamStats) Waits {
+func (rec *recorder) kindWaits(kind task.Kind, accounts []teamStats) KindResult {
 	var all []time.Duration
 	var sum jobCounts
 	for i := range accounts {
@@ -104,7 +104,7 @@
 	}
 	if stats.fairShareSum > 0 {
 		t.ShareError = stats.shortfall / stats.fairShareSum
-		t.LongRun = max(0, stats.fairShareSum-stats.shareSum) / stats.fairShareSum
+		t.LongRunShareError = max(0, stats.fairShareSum-stats.shareSum) / stats.fairShareSum
 	}
 	var all []time.Duration
 	for _, kind := range task.Kinds {
@@ -117,13 +117,13 @@
 
 func (rec *recorder) costResult() Cost {
 	return Cost{
-		Starts: rec.cost.starts, Finds: rec.cost.searches,
-		PerStart:     mean(rec.cost.roundTime+rec.cost.eventTime, rec.cost.starts),
-		PerFind:      mean(rec.cost.roundTime, rec.cost.searches),
-		LongestRound: rec.cost.longestRound,
-		WaveEntries:  rec.withdrawals.entries,
-		PerWaveEntry: mean(rec.withdrawals.total, rec.withdrawals.entries),
-		LongestWave:  rec.withdrawals.longest,
+		Starts: rec.cost.starts, Searches: rec.cost.searches,
+		PerStart:          mean(rec.cost.roundTime+rec.cost.eventTime, rec.cost.starts),
+		PerSearch:         mean(rec.cost.roundTime, rec.cost.searches),
+		LongestRound:      rec.cost.longestRound,
+		WithdrawnEntries:  rec.withdrawals.entries,
+		PerWithdrawnEntry: mean(rec.withdrawals.total, rec.withdrawals.entries),
+		LongestWithdrawal: rec.withdrawals.longest,
 	}
 }
 
@@ -133,7 +133,7 @@
 	}
 	n := float64(p.samples)
 	return Packing{
-		Fullest: p.bottleneckSum / n, CPU: p.sums[0] / n, Memory: p.sums[1] / n,
+		Bottleneck: p.bottleneckSum / n, CPU: p.sums[0] / n, Memory: p.sums[1] / n,
 		Accelerators: p.sums[2] / n, Slots: p.sums[3] / n,
 	}
 }
@@ -141,12 +141,12 @@
 func (c jobCounts) add(o jobCounts) jobCounts {
 	return jobCounts{
 		Arrived: c.Arrived + o.Arrived, Started: c.Started + o.Started, Refused: c.Refused + o.Refused,
-		Late: c.Late + o.Late, Expired: c.Expired + o.Expired, Cancelled: c.Cancelled + o.Cancelled,
+		DeadlineRefused: c.DeadlineRefused + o.DeadlineRefused, Expired: c.Expired + o.Expired, Cancelled: c.Cancelled + o.Cancelled,
 	}
 }
 
-func newWaits(kind task.Kind, waits []time.Duration, c jobCounts) Waits {
-	w := Waits{Kind: kind, jobCounts: c}
+func newWaits(kind task.Kind, waits []time.Duration, c jobCounts) KindResult {
+	w := KindResult{Kind: kind, jobCounts: c}
 	w.P50, w.P99 = percentiles(waits)
 	return w
 }
