internal/processtest: rename exported names to the usual terms

Names in messages, stored records, settings, logs and metrics are unchanged.

internal/processtest.Told -> RequestRecord internal/processtest.Told.At -> SentAt internal/processtest.Told.Took -> Latency internal/processtest.Told.First -> SubmitErr internal/processtest.Load.Told -> Records internal/processtest.Load.Settle -> AwaitOutcomes internal/processtest.Work -> RequestType internal/processtest.Work.Bytes -> ResultBytes internal/processtest.Mixed -> MixedRequests internal/processtest.Answers -> AnswerRequests internal/processtest.Main -> RunTests internal/processtest.Cluster.SilenceStore -> StallStoreConnections internal/processtest.Cluster.PutListed -> PutInstance internal/processtest.Cluster.Latest -> CollectAll internal/processtest.Cluster.Running -> RunningTasks internal/processtest.First -> FirstMatch

--- a/endtoend/config_test.go
+++ b/endtoend/config_test.go
@@ -53,9 +53,9 @@
 	if !applied.InForce {
 		t.Errorf("revision %d is not in force %v after the call", applied.Revision, time.Since(began))
 	}
-	events := c.Latest()
+	events := c.CollectAll()
 	for _, e := range c.Entries {
-		seen, ok := processtest.First(events, time.Time{}, func(ev timeline.Event) bool {
+		seen, ok := processtest.FirstMatch(events, time.Time{}, func(ev timeline.Event) bool {
 			return ev.Type == timeline.ConfigInForce && ev.Instance == e.Settings.Instance && ev.Revision == applied.Revision
 		})
 		if !ok || seen.Clock.Wall.Sub(began) > configBound {
@@ -121,7 +121,7 @@
 	for range jobs {
 		accepted = append(accepted, submitWithoutWait(t, c, demo.Secrets["leuven"], "limit-"+time.Now().Format("150405.000000000"), "flexibility-run"))
 	}
-	c.Eventually(serviceBound, "more jobs run than the lower limit allows", func() bool { return c.Running("leuven") > lower })
+	c.Eventually(serviceBound, "more jobs run than the lower limit allows", func() bool { return c.RunningTasks("leuven") > lower })
 	applied, began := replaceInDocument(t, c, c.Entries[0], "", `"slots": 200`, `"slots": 4`)
 	var inForce time.Time
 	c.Eventually(settleBound, "the lower limit is in force", func() bool {
@@ -144,7 +144,7 @@
 				return false
 			}
 		}
-		return err == nil && c.Running("leuven") == 0
+		return err == nil && c.RunningTasks("leuven") == 0
 	})
 	// An owner reports the end of a task before its home has recorded it. The home
 	// of every accepted job must have recorded its end.
--- a/endtoend/drain_test.go
+++ b/endtoend/drain_test.go
@@ -18,7 +18,7 @@
 	t.Parallel()
 	c := startCluster(t, 4, 6)
 	mixedLoad := startMixedLoad(t, c)
-	answerLoad := c.StartLoad(t, "answers", processtest.LoadOptions{Mix: processtest.Answers, Rate: 40, Secret: demo.Secrets["leuven"], Timeout: callTimeout})
+	answerLoad := c.StartLoad(t, "answers", processtest.LoadOptions{Mix: processtest.AnswerRequests, Rate: 40, Secret: demo.Secrets["leuven"], Timeout: callTimeout})
 	pause(2 * time.Second)
 	for _, e := range c.Entries {
 		c.Collect(e)
@@ -33,11 +33,11 @@
 		c.StartEntry(e)
 		pause(2 * time.Second)
 	}
-	records := append(answerLoad.Settle(t, settleBound), mixedLoad.Settle(t, settleBound)...)
+	records := append(answerLoad.AwaitOutcomes(t, settleBound), mixedLoad.AwaitOutcomes(t, settleBound)...)
 	for _, r := range records {
 		switch {
 		case r.Err != nil:
-			t.Errorf("%s %s at %s after %v: %v", r.Class, r.Key, r.At.UTC().Format(time.TimeOnly), r.Took, r.Err)
+			t.Errorf("%s %s at %s after %v: %v", r.Class, r.Key, r.SentAt.UTC().Format(time.TimeOnly), r.Latency, r.Err)
 		case r.Job.State != task.Finished:
 			t.Errorf("%s %s ended as %s", r.Class, r.Key, r.Job.State)
 		}
--- a/endtoend/keys_test.go
+++ b/endtoend/keys_test.go
@@ -130,7 +130,7 @@
 		}
 	}
 	for _, e := range c.Entries {
-		if seen, ok := processtest.First(c.Latest(), time.Time{}, func(ev timeline.Event) bool {
+		if seen, ok := processtest.FirstMatch(c.CollectAll(), time.Time{}, func(ev timeline.Event) bool {
 			return ev.Type == timeline.KeyWithdrawn && ev.KeyID == key.ID && ev.Instance == e.Settings.Instance
 		}); ok {
 			t.Logf("%s recorded the withdrawal %v after it was made", e.Settings.Instance, seen.Clock.Wall.Sub(withdrawnAt).Round(time.Millisecond))
@@ -191,12 +191,12 @@
 	t.Cleanup(func() { logStateOnFailure(t, c) })
 	// Fewer tasks than the workers have capacity for, because all tasks of a job may
 	// wait in one partition.
-	c.Eventually(serviceBound, "some of the work runs", func() bool { return c.Running("leuven") > tasks/6 })
+	c.Eventually(serviceBound, "some of the work runs", func() bool { return c.RunningTasks("leuven") > tasks/6 })
 	pause(2 * time.Second)
 	if _, err := c.Entries[2].Operator.WithdrawKey(t.Context(), "leuven", key.ID); err != nil {
 		t.Fatal(err)
 	}
-	c.Eventually(withdrawalBound+taskLease, "no work under the key runs", func() bool { return c.Running("leuven") == 0 })
+	c.Eventually(withdrawalBound+taskLease, "no work under the key runs", func() bool { return c.RunningTasks("leuven") == 0 })
 	other := newCaller(c, "leuven")
 	ran := map[task.ID]bool{}
 	for _, ledger := range c.Ledgers() {
@@ -235,5 +235,5 @@
 	workers, err := c.Entries[0].Operator.Workers(context.Background())
 	t.Logf("workers: %+v, %v", workers.Workers, err)
 	shares, err := c.Entries[0].Operator.Shares(context.Background())
-	t.Logf("shares: %+v, %v; %d tasks running according to the ledgers", shares.Shares, err, c.Running("leuven"))
+	t.Logf("shares: %+v, %v; %d tasks running according to the ledgers", shares.Shares, err, c.RunningTasks("leuven"))
 }
--- a/endtoend/kill_test.go
+++ b/endtoend/kill_test.go
@@ -37,7 +37,7 @@
 // the units that were not taken over.
 func lastTakeover(events []timeline.Event, units []string, after time.Time) (last time.Time, missing []string) {
 	for _, unit := range units {
-		e, ok := processtest.First(events, after, func(e timeline.Event) bool {
+		e, ok := processtest.FirstMatch(events, after, func(e timeline.Event) bool {
 			return e.Type == timeline.OwnershipTaken && e.Partition == unit
 		})
 		if !ok {
--- a/endtoend/main_test.go
+++ b/endtoend/main_test.go
@@ -11,7 +11,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-func TestMain(m *testing.M) { os.Exit(processtest.Main(m)) }
+func TestMain(m *testing.M) { os.Exit(processtest.RunTests(m)) }
 
 // Short settings for the tests that do not measure the default values.
 const (
@@ -41,14 +41,14 @@
 }
 
 func startMixedLoad(t *testing.T, c *processtest.Cluster) *processtest.Load {
-	return c.StartLoad(t, "mixed", processtest.LoadOptions{Mix: processtest.Mixed, Rate: loadRate, Secret: demo.Secrets["leuven"], Timeout: callTimeout})
+	return c.StartLoad(t, "mixed", processtest.LoadOptions{Mix: processtest.MixedRequests, Rate: loadRate, Secret: demo.Secrets["leuven"], Timeout: callTimeout})
 }
 
 // settleAndCheck stops the load, waits until its work has ended, checks the
 // invariants and logs a summary of the responses.
-func settleAndCheck(t *testing.T, c *processtest.Cluster, load *processtest.Load) []*processtest.Told {
+func settleAndCheck(t *testing.T, c *processtest.Cluster, load *processtest.Load) []*processtest.RequestRecord {
 	t.Helper()
-	records := load.Settle(t, settleBound)
+	records := load.AwaitOutcomes(t, settleBound)
 	c.Check(t, records)
 	t.Log(processtest.Summary(records))
 	return records
@@ -59,13 +59,13 @@
 
 // timeToFirstAnswer returns the time from a fault until the first answer to a
 // request that was sent after the fault.
-func timeToFirstAnswer(records []*processtest.Told, since time.Time) time.Duration {
+func timeToFirstAnswer(records []*processtest.RequestRecord, since time.Time) time.Duration {
 	first := time.Duration(-1)
 	for _, r := range records {
-		if r.Kind != task.Answer || r.Err != nil || r.At.Before(since) {
+		if r.Kind != task.Answer || r.Err != nil || r.SentAt.Before(since) {
 			continue
 		}
-		if took := r.At.Add(r.Took).Sub(since); first < 0 || took < first {
+		if took := r.SentAt.Add(r.Latency).Sub(since); first < 0 || took < first {
 			first = took
 		}
 	}
--- a/endtoend/measure_test.go
+++ b/endtoend/measure_test.go
@@ -77,10 +77,10 @@
 	countCalls(c, m, "under 20 requests a second")
 	measureWithdrawal(t, c, m)
 	applied, began := replaceInDocument(t, c, c.Entries[0], "piping", `"max_run": "1h"`, `"max_run": "2h"`)
-	last, _ := processtest.First(c.Latest(), began, func(e timeline.Event) bool {
+	last, _ := processtest.FirstMatch(c.CollectAll(), began, func(e timeline.Event) bool {
 		return e.Type == timeline.ConfigInForce && e.Revision == applied.Revision
 	})
-	for _, e := range c.Latest() {
+	for _, e := range c.CollectAll() {
 		if e.Type == timeline.ConfigInForce && e.Revision == applied.Revision {
 			last = e
 		}
--- a/endtoend/silent_test.go
+++ b/endtoend/silent_test.go
@@ -23,12 +23,12 @@
 	pause(2 * time.Second)
 	silenced := c.Entries[0]
 	silencedAt := time.Now()
-	c.SilenceStore(silenced)
+	c.StallStoreConnections(silenced)
 	applied, began := replaceInDocument(t, c, c.Entries[1], "piping", `"max_run": "90m"`, `"max_run": "2h"`)
 	var seen timeline.Event
 	c.Eventually(configBound+2*time.Second, "the change is in force on the instance with stalled connections", func() bool {
 		var ok bool
-		seen, ok = processtest.First(c.Events(), silencedAt, func(e timeline.Event) bool {
+		seen, ok = processtest.FirstMatch(c.Events(), silencedAt, func(e timeline.Event) bool {
 			return e.Type == timeline.ConfigInForce && e.Instance == silenced.Settings.Instance && e.Revision == applied.Revision
 		})
 		return ok
@@ -40,8 +40,8 @@
 	}
 	pause(3 * time.Second)
 	for _, r := range settleAndCheck(t, c, load) {
-		if r.First != nil && r.At.After(silencedAt.Add(configBound)) {
-			t.Errorf("%s %s: still failed after the bound: %v", r.Class, r.Key, errkind.From(r.First))
+		if r.SubmitErr != nil && r.SentAt.After(silencedAt.Add(configBound)) {
+			t.Errorf("%s %s: still failed after the bound: %v", r.Class, r.Key, errkind.From(r.SubmitErr))
 		}
 	}
 }
--- a/endtoend/store_test.go
+++ b/endtoend/store_test.go
@@ -50,28 +50,28 @@
 
 // checkOutage checks the responses to callers in an outage. Calls that began
 // before the outage or ended after it are not counted.
-func checkOutage(t *testing.T, records []*processtest.Told, began, ended time.Time) {
+func checkOutage(t *testing.T, records []*processtest.RequestRecord, began, ended time.Time) {
 	t.Helper()
 	// A store call that is in flight when the outage begins, or a lease that must
 	// be granted again after its end, can delay requests for this long.
 	const margin = storeLeaseTTL
 	answered, refused, accepted, unexpected := 0, 0, 0, 0
 	for _, r := range records {
-		if r.At.Before(began.Add(margin)) || r.At.Add(r.Took).After(ended) {
+		if r.SentAt.Before(began.Add(margin)) || r.SentAt.Add(r.Latency).After(ended) {
 			continue
 		}
 		switch {
-		case r.Kind == task.Answer && r.First != nil:
-			t.Errorf("%s %s was not answered in the outage: %v", r.Class, r.Key, r.First)
+		case r.Kind == task.Answer && r.SubmitErr != nil:
+			t.Errorf("%s %s was not answered in the outage: %v", r.Class, r.Key, r.SubmitErr)
 		case r.Kind == task.Answer:
 			answered++
-		case r.First == nil:
+		case r.SubmitErr == nil:
 			accepted++
-		case errkind.From(r.First).Kind == errkind.StoreUnavailable && r.Fate() == errkind.FateNotRun:
+		case errkind.From(r.SubmitErr).Kind == errkind.StoreUnavailable && r.Fate() == errkind.FateNotRun:
 			refused++
 		default:
 			unexpected++
-			t.Logf("%s %s: failed with %v after %v", r.Class, r.Key, r.First, r.Took)
+			t.Logf("%s %s: failed with %v after %v", r.Class, r.Key, r.SubmitErr, r.Latency)
 		}
 	}
 	t.Logf("in the outage of %v: %d requests answered; of durable work, %d rejected as not run, %d accepted, %d with another error",
@@ -86,7 +86,7 @@
 func TestStoreReplyLost(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, 4, 6)
-	load := c.StartLoad(t, "lost", processtest.LoadOptions{Mix: processtest.Mixed, Rate: loadRate, Secret: demo.Secrets["leuven"], Timeout: callTimeout})
+	load := c.StartLoad(t, "lost", processtest.LoadOptions{Mix: processtest.MixedRequests, Rate: loadRate, Secret: demo.Secrets["leuven"], Timeout: callTimeout})
 	for range 8 {
 		pause(time.Second)
 		c.SetStoreFaults(fault.Fault{Kind: fault.ReplyLost, Call: storetest.CallTxn, Count: 5},
--- a/endtoend/worker_test.go
+++ b/endtoend/worker_test.go
@@ -22,7 +22,7 @@
 	load := startMixedLoad(t, c)
 	leaving := busyWorker(c)
 	leaving.State = instancelist.StateLeaving
-	c.PutListed(leaving)
+	c.PutInstance(leaving)
 	listedAt := time.Now()
 	pause(leavingBound + 3*time.Second)
 	records := settleAndCheck(t, c, load)
--- a/internal/processtest/check.go
+++ b/internal/processtest/check.go
@@ -19,9 +19,9 @@
 
 // Check checks the invariants against the timeline, the ledgers of the workers
 // and the responses to callers. It must be called after all work has ended.
-func (c *Cluster) Check(t *testing.T, records []*Told, extra ...timeline.Event) oracle.Trace {
+func (c *Cluster) Check(t *testing.T, records []*RequestRecord, extra ...timeline.Event) oracle.Trace {
 	t.Helper()
-	trace := oracle.Trace{Events: timeline.Merge(c.Latest(), extra), Workers: c.Ledgers(), Answers: receivedAnswers(records),
+	trace := oracle.Trace{Events: timeline.Merge(c.CollectAll(), extra), Workers: c.Ledgers(), Answers: receivedAnswers(records),
 		KnownTasks: reportedTasks(records), Bounds: oracle.DefaultBounds}
 	violations := oracle.Check(trace)
 	for i, v := range violations {
@@ -38,7 +38,7 @@
 // reportedTasks returns the tasks that were reported to callers, with true for
 // those that have ended. It stands in for the events of outcomes, which are lost
 // if a process is killed before they were fetched.
-func reportedTasks(records []*Told) map[task.ID]bool {
+func reportedTasks(records []*RequestRecord) map[task.ID]bool {
 	reported := map[task.ID]bool{}
 	for _, r := range records {
 		for _, got := range r.Job.Tasks {
@@ -50,7 +50,7 @@
 
 // checkOutcomes compares the responses to callers with the runs of the workers.
 // Each request has a unique payload, by which its runs are found.
-func checkOutcomes(t *testing.T, records []*Told, ledgers []oracle.WorkerLedger) {
+func checkOutcomes(t *testing.T, records []*RequestRecord, ledgers []oracle.WorkerLedger) {
 	t.Helper()
 	runs := map[string][]oracle.Run{}
 	for _, ledger := range ledgers {
@@ -74,7 +74,7 @@
 }
 
 // contradiction describes how the response contradicts the runs, or returns "".
-func (r *Told) contradiction(runs []oracle.Run) string {
+func (r *RequestRecord) contradiction(runs []oracle.Run) string {
 	if r.Err != nil {
 		if r.Fate() == errkind.FateNotRun && len(runs) > 0 {
 			return fmt.Sprintf("reported as not run (%v), but it ran: %v", r.Err, runs)
@@ -102,15 +102,15 @@
 	return ""
 }
 
-func (r *Told) hasExpectedResult(length int, result []byte) bool {
-	if r.Bytes > 0 {
-		return length == r.Bytes
+func (r *RequestRecord) hasExpectedResult(length int, result []byte) bool {
+	if r.ResultBytes > 0 {
+		return length == r.ResultBytes
 	}
 	return length == len(r.Key) && (len(result) == 0 || string(result) == r.Key)
 }
 
 // Summary formats the number of requests by outcome.
-func Summary(records []*Told) string {
+func Summary(records []*RequestRecord) string {
 	counts := map[string]int{}
 	for _, r := range records {
 		label := "answered"
--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -63,9 +63,9 @@
 // commandDir is the directory of the commands that Main builds.
 var commandDir string
 
-// Main builds the commands, runs the tests of a package and returns the exit
+// RunTests builds the commands, runs the tests of a package and returns the exit
 // code. It is called from TestMain.
-func Main(m *testing.M) int {
+func RunTests(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "processtest-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -98,7 +98,7 @@
 var runningClusters = make(chan struct{}, 8)
 
 // Start starts the processes of a cluster. The package must run its tests with
-// Main.
+// RunTests.
 func Start(t *testing.T, options Options) *Cluster {
 	t.Helper()
 	runningClusters <- struct{}{}
@@ -289,9 +289,9 @@
 	return address, relayControl
 }
 
-// SilenceStore stalls the open connections of an instance to the store. New
+// StallStoreConnections stalls the open connections of an instance to the store. New
 // connections work.
-func (c *Cluster) SilenceStore(e *Entry) {
+func (c *Cluster) StallStoreConnections(e *Entry) {
 	c.t.Helper()
 	c.Post("http://"+e.relayControl+standin.PathRelaySilence, "{}")
 }
@@ -301,12 +301,12 @@
 func (c *Cluster) StartEntry(e *Entry) {
 	e.Process = c.startProcess(e.Settings.Instance, "mulberryd", e.path)
 	c.awaitListening(e.Settings.CallerAddress)
-	c.PutListed(instancelist.Instance{Name: e.Settings.Instance, Address: e.Settings.EntryAddress, Role: instancelist.RoleEntry,
+	c.PutInstance(instancelist.Instance{Name: e.Settings.Instance, Address: e.Settings.EntryAddress, Role: instancelist.RoleEntry,
 		Region: e.Settings.Region, FailureDomain: e.Settings.FailureDomain, State: instancelist.StateLive})
 }
 
-// PutListed adds or replaces one instance in the instance list.
-func (c *Cluster) PutListed(instance instancelist.Instance) {
+// PutInstance adds or replaces one instance in the instance list.
+func (c *Cluster) PutInstance(instance instancelist.Instance) {
 	c.t.Helper()
 	body, _ := json.Marshal(instance)
 	request, _ := http.NewRequest(http.MethodPut, "http://"+c.ListAddr+instancelist.PathInstances+"/"+instance.Name, strings.NewReader(string(body)))
--- a/internal/processtest/load.go
+++ b/internal/processtest/load.go
@@ -15,19 +15,19 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Work is one type of request in the mix of a load.
-type Work struct {
-	Class  string
-	Kind   task.Kind
-	Count  int
-	Bytes  int // size of the result; 0 if the result is the payload
-	Weight int // number of requests in one cycle of the mix
+// RequestType is one type of request in the mix of a load.
+type RequestType struct {
+	Class       string
+	Kind        task.Kind
+	Count       int
+	ResultBytes int // size of the result; 0 if the result is the payload
+	Weight      int // number of requests in one cycle of the mix
 }
 
-// Mixed has work of every kind that ends by itself. One cycle is 20 requests.
-var Mixed = []Work{
+// MixedRequests has work of every kind that ends by itself. One cycle is 20 requests.
+var MixedRequests = []RequestType{
 	{Class: "span-lookup", Kind: task.Answer, Count: 1, Weight: 11},
-	{Class: "big-lookup", Kind: task.Answer, Count: 1, Bytes: 3_000_000, Weight: 1},
+	{Class: "big-lookup", Kind: task.Answer, Count: 1, ResultBytes: 3_000_000, Weight: 1},
 	{Class: "nozzle-check", Kind: task.Durable, Count: 1, Weight: 3},
 	{Class: "nozzle-check", Kind: task.Durable, Count: 3, Weight: 1},
 	{Class: "stress-report", Kind: task.AtMostOnce, Count: 1, Weight: 2},
@@ -35,31 +35,31 @@
 	{Class: "water-hammer", Kind: task.Gang, Count: 3, Weight: 1},
 }
 
-// Answers has only requests whose caller waits for the result.
-var Answers = []Work{{Class: "span-lookup", Kind: task.Answer, Count: 1, Weight: 1}}
-
-// Told is one request and the response that its caller received.
-type Told struct {
-	Work
-	Key   string // the idempotency key, also used as the payload
-	At    time.Time
-	Took  time.Duration
-	Job   api.Job // if Err is nil
-	Err   error   // of the submission; nil if a later wait found the outcome
-	First error   // of the submission
+// AnswerRequests has only requests whose caller waits for the result.
+var AnswerRequests = []RequestType{{Class: "span-lookup", Kind: task.Answer, Count: 1, Weight: 1}}
+
+// RequestRecord is one request and the response that its caller received.
+type RequestRecord struct {
+	RequestType
+	Key       string // the idempotency key, also used as the payload
+	SentAt    time.Time
+	Latency   time.Duration
+	Job       api.Job // if Err is nil
+	Err       error   // of the submission; nil if a later wait found the outcome
+	SubmitErr error   // of the submission
 }
 
 // JobID returns the ID of the job.
-func (r *Told) JobID() string { return "leuven/piping/" + r.Key }
+func (r *RequestRecord) JobID() string { return "leuven/piping/" + r.Key }
 
 // Fate returns whether the work ran, as reported to the caller of a failed
 // request.
-func (r *Told) Fate() errkind.Fate { return errkind.From(r.Err).Fate() }
+func (r *RequestRecord) Fate() errkind.Fate { return errkind.From(r.Err).Fate() }
 
 // LoadOptions describe an open-loop load: requests are sent at a constant rate,
 // regardless of outstanding ones.
 type LoadOptions struct {
-	Mix     []Work
+	Mix     []RequestType
 	Rate    int // requests per second
 	Secret  string
 	Timeout time.Duration // of one call
@@ -69,12 +69,12 @@
 type Load struct {
 	options LoadOptions
 	clients []*client.Client
-	mix     []Work
+	mix     []RequestType
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
 
 	mu      sync.Mutex
-	records []*Told
+	records []*RequestRecord
 }
 
 // StartLoad sends requests until Stop, through as many clients as there are entry
@@ -114,22 +114,22 @@
 		}
 		work := l.mix[n*step%len(l.mix)]
 		index := n % len(l.clients)
-		record := &Told{Work: work, Key: fmt.Sprintf("%s-%d", name, n)}
+		record := &RequestRecord{RequestType: work, Key: fmt.Sprintf("%s-%d", name, n)}
 		l.group.Go(func() { l.submit(l.clients[index], record) })
 	}
 }
 
-func (l *Load) submit(caller *client.Client, record *Told) {
+func (l *Load) submit(caller *client.Client, record *RequestRecord) {
 	ctx, cancel := context.WithTimeout(context.Background(), l.options.Timeout)
 	defer cancel()
 	wait := l.options.Timeout / 2
 	if record.Kind != task.Answer {
 		wait = 0
 	}
-	record.At = time.Now()
+	record.SentAt = time.Now()
 	request := api.SubmitRequest{IdempotencyKey: record.Key, Class: record.Class, Count: record.Count, Payload: []byte(record.Key)}
 	record.Job, record.Err = caller.Submit(ctx, "leuven", "piping", request, wait)
-	record.First, record.Took = record.Err, time.Since(record.At)
+	record.SubmitErr, record.Latency = record.Err, time.Since(record.SentAt)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.records = append(l.records, record)
@@ -141,24 +141,24 @@
 	l.group.Wait()
 }
 
-// Told returns the requests that have been answered so far.
-func (l *Load) Told() []*Told {
+// Records returns the requests that have been answered so far.
+func (l *Load) Records() []*RequestRecord {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]*Told{}, l.records...)
+	return append([]*RequestRecord{}, l.records...)
 }
 
-// Settle stops the load and returns when every job that may have been accepted
+// AwaitOutcomes stops the load and returns when every job that may have been accepted
 // has ended. It fails the test if a job that was reported as accepted cannot be
 // found, or if a job does not end within the bound.
-func (l *Load) Settle(t *testing.T, bound time.Duration) []*Told {
+func (l *Load) AwaitOutcomes(t *testing.T, bound time.Duration) []*RequestRecord {
 	t.Helper()
 	l.Stop()
 	ctx, cancel := context.WithTimeout(t.Context(), bound)
 	defer cancel()
 	var group sync.WaitGroup
 	semaphore := make(chan struct{}, 32) // bounds the concurrent calls
-	records := l.Told()
+	records := l.Records()
 	for i, r := range records {
 		if r.Kind == task.Answer || r.Err != nil && r.Fate() == errkind.FateNotRun {
 			continue
@@ -176,7 +176,7 @@
 }
 
 // awaitOutcome waits until one job has ended.
-func awaitOutcome(ctx context.Context, caller *client.Client, r *Told) error {
+func awaitOutcome(ctx context.Context, caller *client.Client, r *RequestRecord) error {
 	const wait = 2 * time.Second // of one call, because the home of the job may change
 	for {
 		job, err := caller.Wait(ctx, r.JobID(), wait)
@@ -199,11 +199,11 @@
 }
 
 // Digest returns the SHA-256 digest of the payload of the request in hex.
-func (r *Told) Digest() string { return DigestOf(r.Key) }
+func (r *RequestRecord) Digest() string { return DigestOf(r.Key) }
 
 // receivedAnswers returns the results that callers received, as the oracle reads
 // them.
-func receivedAnswers(records []*Told) []oracle.Answer {
+func receivedAnswers(records []*RequestRecord) []oracle.Answer {
 	var answers []oracle.Answer
 	for _, r := range records {
 		if r.Err != nil {
--- a/internal/processtest/trace.go
+++ b/internal/processtest/trace.go
@@ -111,9 +111,9 @@
 	return timeline.Merge(slices.Collect(maps.Values(c.collector.events)))
 }
 
-// Latest fetches the timeline through every running instance and returns the
+// CollectAll fetches the timeline through every running instance and returns the
 // merged timeline.
-func (c *Cluster) Latest() []timeline.Event {
+func (c *Cluster) CollectAll() []timeline.Event {
 	c.t.Helper()
 	for _, e := range c.Entries {
 		if e.IsRunning() {
@@ -123,8 +123,8 @@
 	return c.Events()
 }
 
-// First returns the first event after a time that satisfies match.
-func First(events []timeline.Event, after time.Time, match func(timeline.Event) bool) (timeline.Event, bool) {
+// FirstMatch returns the first event after a time that satisfies match.
+func FirstMatch(events []timeline.Event, after time.Time, match func(timeline.Event) bool) (timeline.Event, bool) {
 	for _, e := range events {
 		if e.Clock.Wall.After(after) && match(e) {
 			return e, true
@@ -175,9 +175,9 @@
 	}
 }
 
-// Running returns the number of running tasks of a team according to the ledgers
+// RunningTasks returns the number of running tasks of a team according to the ledgers
 // of the workers.
-func (c *Cluster) Running(team task.Team) int {
+func (c *Cluster) RunningTasks(team task.Team) int {
 	c.t.Helper()
 	running := 0
 	for _, ledger := range c.Ledgers() {
