--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -119,8 +119,8 @@
 // ResponseFor returns the response for kind k. A kind outside the set is treated as Internal,
 // so that an unknown kind is never reported as "not run".
 func ResponseFor(k Kind) Response {
-	if a, ok := responses[k]; ok {
-		return a
+	if response, ok := responses[k]; ok {
+		return response
 	}
 	return responses[Internal]
 }
--- a/errkind/errkind_test.go
+++ b/errkind/errkind_test.go
@@ -11,7 +11,7 @@
 func TestUnknownOutcomesAreNotReportedAsNotRun(t *testing.T) {
 	for _, k := range []Kind{"no_such_kind", Internal, OutcomeUnknown, WorkerLost, UnknownTask} {
 		if got := ResponseFor(k).Fate; got == FateNotRun {
-			t.Errorf("AnswerFor(%q).Fate = %q, want another fate", k, got)
+			t.Errorf("ResponseFor(%q).Fate = %q, want another fate", k, got)
 		}
 	}
 	if got := From(errors.New("connection reset")).Fate(); got != FateUnknown {
@@ -23,9 +23,9 @@
 // or description.
 func TestEveryKindIsComplete(t *testing.T) {
 	for _, k := range Kinds() {
-		a := ResponseFor(k)
-		if a.Status == 0 || a.ExitCode == 0 || a.Advice == "" || a.Fate == "" {
-			t.Errorf("response of kind %q is incomplete: %+v", k, a)
+		response := ResponseFor(k)
+		if response.Status == 0 || response.ExitCode == 0 || response.Advice == "" || response.Fate == "" {
+			t.Errorf("response of kind %q is incomplete: %+v", k, response)
 		}
 		if descriptions[k] == "" {
 			t.Errorf("kind %q has no description in the reference", k)
--- a/errkind/reference.go
+++ b/errkind/reference.go
@@ -47,8 +47,8 @@
 	var b strings.Builder
 	b.WriteString("| kind | HTTP status | exit code | advice | work | when |\n| --- | --- | --- | --- | --- | --- |\n")
 	for _, k := range kinds {
-		a := ResponseFor(k)
-		fmt.Fprintf(&b, "| `%s` | %d | %d | %s | %s | %s |\n", k, a.Status, a.ExitCode, a.Advice, a.Fate, descriptions[k])
+		response := ResponseFor(k)
+		fmt.Fprintf(&b, "| `%s` | %d | %d | %s | %s | %s |\n", k, response.Status, response.ExitCode, response.Advice, response.Fate, descriptions[k])
 	}
 	return b.String()
 }
