--- a/job/catalog.go
+++ b/job/catalog.go
@@ -24,7 +24,7 @@
 	Service         string        // whose workers run the tasks
 	Priority        int           // 0 is the most urgent
 	MaxAttempts     int           // number of failed runs of a task after which its job fails
-	Stretch         float64       // factor on the estimated run time of a job's critical path; values below 1 count as 1
+	Stretch         float64       // factor applied to the estimated run time of a job's critical path; values below 1 count as 1
 	TargetAllowance time.Duration // allowance in addition to the run time times Stretch
 	Advice          *AdvicePolicy // nil: every worker of the service may run the steps
 	Open            bool          // requests need no API key
--- a/job/job.go
+++ b/job/job.go
@@ -43,7 +43,7 @@
 	Checkpoints     bool           `json:"cp,omitempty"`
 	AllowDuplicates bool           `json:"ad,omitempty"`
 	LongLived       bool           `json:"ll,omitempty"` // tasks are restarted regardless of how they end, until the job is cancelled
-	BestEffortCPU   bool           `json:"fi,omitempty"` // backfill: its CPU does not count against a worker's capacity
+	BestEffortCPU   bool           `json:"fi,omitempty"` // its CPU is best effort and does not count against a worker's capacity
 	Image           string         `json:"im,omitempty"` // image that the tasks run; tasks of the same image behave alike
 	TargetLatency   time.Duration  `json:"ta,omitempty"` // upper bound on the tail latency of long-lived tasks
 	MaxUnavailable  int            `json:"mu,omitempty"` // maximum number of tasks that the scheduler may preempt at a time
--- a/job/record.go
+++ b/job/record.go
@@ -16,8 +16,8 @@
 
 // Failures are the numbers of the failed runs of a task or a gang. They are recorded as a
 // set and not as a count, because a worker repeats the report of an ended run until it is
-// acknowledged, also to a new owner, and reports arrive in any order. The set identifies
-// the runs that are already counted.
+// confirmed, even to a new owner, and reports arrive in any order. The set identifies the
+// runs that are already counted.
 type Failures []int
 
 // Final is the record of an ended job. It is kept until its retention period has passed.
