--- a/cell/effect.go
+++ b/cell/effect.go
@@ -16,7 +16,8 @@
 	Renew struct{ Lease int64 }
 	// Resign removes the ownership record.
 	Resign struct{ Owner, Lease int64 }
-	// CancelCalls cancels all calls in flight that were made under an ownership that has ended.
+	// CancelCalls cancels all calls in flight that were made under an ownership that has
+	// ended.
 	CancelCalls struct{ Owner int64 }
 	// CommitRecords writes a commit in one transaction, on the condition that this
 	// instance is still the owner.
--- a/cell/event.go
+++ b/cell/event.go
@@ -7,14 +7,14 @@
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
 
-// Event is an input to the control state: a request, the outcome of an effect or a
-// reading of the store.
+// Event is an input to the control state: a request, the outcome of an effect or data
+// read from the store.
 type Event interface{ isEvent() }
 
 // Owner is the ownership record of the partition.
 type Owner struct {
 	Instance    string `json:"instance"`
-	Incarnation string `json:"incarnation"` // of the process; makes a restarted process a different owner
+	Incarnation string `json:"incarnation"` // of the process; differs after a restart, so that a restarted process is a different owner
 	Address     string `json:"address"`     // at which it accepts calls from other instances
 }
 
@@ -72,7 +72,8 @@
 		Owner int64
 		Event any
 	}
-	// RequestReceived delivers a request. The reply is returned in an Answer with the same token.
+	// RequestReceived delivers a request. The reply is returned in an Answer with the
+	// same token.
 	RequestReceived struct {
 		Token   uint64
 		Request any
@@ -113,9 +114,9 @@
 	Workers      []schedule.Worker
 }
 
-// Requests of Called, and their replies.
+// Requests that RequestReceived delivers, and their replies.
 type (
-	// Submit passes a recorded job to the owner. The reply is Reply{Known: true}.
+	// Submit passes a recorded job to the owner. The reply is Reply{Found: true}.
 	Submit struct{ Submission }
 	// JobStateQuery requests the state of a job.
 	JobStateQuery struct{ Job job.ID }
@@ -125,9 +126,9 @@
 		Queue string // to which the request was sent; a job of another queue is reported as unknown
 		Team  string // to which the API key belongs; empty if the queue is open
 	}
-	// ViewRequest is the periodic poll of the owner by an instance. It is a heartbeat, which
-	// also makes the instance available for advice calls, and requests the job changes
-	// since the instance's last poll.
+	// ViewRequest is the periodic poll of the owner by an instance. It is a heartbeat,
+	// which also makes the instance available for advice calls, and requests the job
+	// changes since the instance's last poll.
 	ViewRequest struct {
 		Instance  string
 		Epoch     int64
@@ -139,9 +140,9 @@
 // Reply is the response to a request.
 type Reply struct {
 	NotOwner bool // this instance is not the owner, which alone can reply
-	Found    bool // the job exists; always true in the owner's replies to Submit and Follow
+	Found    bool // the job exists; always true in the owner's replies to Submit and ViewRequest
 	State    job.State
 	Team     string
 	Queue    string
-	View     *schedule.View // of Follow only
+	View     *schedule.View // in replies to ViewRequest only
 }
--- a/cell/loop.go
+++ b/cell/loop.go
@@ -13,8 +13,7 @@
 // it is full: the backpressure slows traffic down and not the control goroutine.
 const eventQueueLength = 4096
 
-// requestQueueLength bounds the waiting requests; their callers time out within a
-// second.
+// requestQueueLength bounds the request queue; the callers time out within a second.
 const requestQueueLength = 256
 
 // Loop owns a State: only the goroutine in Run accesses it.
@@ -52,7 +51,7 @@
 // QueuedEvents returns how many events wait for the control goroutine.
 func (l *Loop) QueuedEvents() int { return len(l.events) }
 
-// Post sends an event to the control goroutine. The event is dropped if ctx ends first.
+// Post sends an event to the control goroutine. The event is dropped if ctx is done first.
 func (l *Loop) Post(ctx context.Context, e Event) {
 	select {
 	case l.events <- e:
@@ -79,7 +78,7 @@
 	}
 }
 
-// Run applies events and requests until ctx ends. It skips requests whose caller no
+// Run applies events and requests until ctx is done. It skips requests whose caller no
 // longer waits.
 func (l *Loop) Run(ctx context.Context) error {
 	timer := time.NewTimer(l.tickInterval())
--- a/cell/state.go
+++ b/cell/state.go
@@ -63,7 +63,7 @@
 	Used           task.Resources // part of Capacity that is in use; on the owner only
 }
 
-// role is the part of an instance in the ownership of the partition.
+// role is the role of an instance in the ownership of the partition.
 type role int
 
 const (
@@ -216,8 +216,9 @@
 	}
 }
 
-// observeOwner processes a reading of the ownership record. The revision increases with
-// every change of the record, so a stale reading is detected by its lower revision.
+// observeOwner processes the ownership record as read from the store. The revision
+// increases with every change of the record, so a stale read is detected by its lower
+// revision.
 func (s *State) observeOwner(e OwnerObserved) {
 	s.maxCores = max(s.maxCores, e.MaxCores)
 	if s.cfg.Cores > s.maxCores {
@@ -246,7 +247,7 @@
 // observe the ownership record of the winner before their own slot begins.
 func (s *State) campaignDelay(revision int64) time.Duration {
 	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(s.cfg.Self.Instance)) // a hash never fails
+	_, _ = hash.Write([]byte(s.cfg.Self.Instance)) // Write of a hash never returns an error
 	_, _ = hash.Write([]byte{byte(revision), byte(revision >> 8)})
 	delay := time.Duration(int(hash.Sum32()>>4)%s.cfg.CampaignSlots) * s.cfg.CampaignSlotLength
 	if s.isSmall() {
@@ -307,8 +308,8 @@
 		s.core.DisablePlacement()
 	}
 	s.core.ObserveInstance(s.cfg.Self.Instance)
-	for _, known := range recovery.Jobs {
-		s.core.RestoreJob(known)
+	for _, recorded := range recovery.Jobs {
+		s.core.RestoreJob(recorded)
 	}
 	for _, submitted := range s.earlySubmissions {
 		s.acceptNew(submitted)
@@ -378,7 +379,7 @@
 	s.role = follower
 	s.campaignAt = s.now.Add(s.cfg.CampaignRetryDelay)
 	if s.ownerFound && s.owner == s.cfg.Self {
-		// The last reading is this instance's own record; the watch delivers the next one.
+		// The last record read is this instance's own; the watch delivers the next one.
 		s.ownerKnown = false
 	}
 	s.endOwnership(reason)
@@ -407,8 +408,8 @@
 		s.acceptNew(request.Submission)
 		s.emit(Answer{Token: e.Token, Reply: Reply{Found: true}})
 	case JobStateQuery:
-		state, team, queue, known := s.core.StateOf(request.Job)
-		s.emit(Answer{Token: e.Token, Reply: Reply{Found: known, State: state, Team: team, Queue: queue}})
+		state, team, queue, found := s.core.StateOf(request.Job)
+		s.emit(Answer{Token: e.Token, Reply: Reply{Found: found, State: state, Team: team, Queue: queue}})
 	case Cancel:
 		_, team, queue, _ := s.core.StateOf(request.Job)
 		if belongsToOther := queue != request.Queue || (request.Team != "" && team != "" && team != request.Team); belongsToOther || !s.core.Cancel(request.Job, e.Token) {
@@ -446,8 +447,8 @@
 	s.emit(Log{schedule.Decision{Event: event, Fields: fields}})
 }
 
-// RecordProcessingTime passes the processing time of the last event to the core, which spaces its
-// placement passes accordingly to leave time for further events.
+// RecordProcessingTime passes the processing time of the last event to the core, which
+// spaces its placement passes accordingly to leave time for further events.
 func (s *State) RecordProcessingTime(d time.Duration) {
 	if s.core != nil {
 		s.core.RecordProcessingTime(d)
--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -33,7 +33,7 @@
 
 func findEffect[E Effect](effects []Effect) (found E, ok bool) {
 	for _, e := range effects {
-		if match, is := e.(E); is {
+		if match, isMatch := e.(E); isMatch {
 			return match, true
 		}
 	}
@@ -80,7 +80,7 @@
 	for name, events := range map[string][]Event{
 		"ownership not read": {CatalogRead{catalog(1, 1)}},
 		"another owner":      {CatalogRead{catalog(1, 1)}, OwnerObserved{Revision: 5}, OwnerObserved{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}},
-		"stale reading":      {CatalogRead{catalog(1, 1)}, OwnerObserved{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}, OwnerObserved{Revision: 5}},
+		"stale read":         {CatalogRead{catalog(1, 1)}, OwnerObserved{Found: true, Owner: Owner{Instance: "e2"}, Revision: 6}, OwnerObserved{Revision: 5}},
 		"no configuration":   {OwnerObserved{Revision: 5}},
 		"stopping":           {CatalogRead{catalog(1, 1)}, OwnerObserved{Revision: 5}, ShutdownRequested{}},
 	} {
@@ -157,29 +157,29 @@
 // over, whichever way this is detected, and against stale events from before its
 // campaign that make it step down.
 func TestStepDown(t *testing.T) {
-	hold := schedule.Poll{Target: schedule.Target{Worker: "w1"}}
+	poll := schedule.Poll{Target: schedule.Target{Worker: "w1"}}
 	for name, c := range map[string]struct {
 		event Event
 		ends  bool
 	}{
-		"fenced by a worker":              {Scheduled{Owner: 10, Event: schedule.PollDone{Poll: hold, Verdict: schedule.Fenced}}, true},
-		"fenced under a former ownership": {Scheduled{Owner: 9, Event: schedule.PollDone{Poll: hold, Verdict: schedule.Fenced}}, false},
+		"fenced by a worker":              {Scheduled{Owner: 10, Event: schedule.PollDone{Poll: poll, Verdict: schedule.Fenced}}, true},
+		"fenced under a former ownership": {Scheduled{Owner: 9, Event: schedule.PollDone{Poll: poll, Verdict: schedule.Fenced}}, false},
 		"lease gone":                      {RenewDone{Lease: 3, Gone: true}, true},
 		"former lease gone":               {RenewDone{Lease: 2, Gone: true}, false},
 		"commit refused":                  {Committed{Owner: 10, Lost: true}, true},
 		"another record":                  {OwnerObserved{Found: true, Owner: Owner{Instance: "e2"}, Revision: 12}, true},
 		"record removed":                  {OwnerObserved{Revision: 11}, true},
-		"stale reading":                   {OwnerObserved{Revision: 9}, false},
+		"stale read":                      {OwnerObserved{Revision: 9}, false},
 		"own record":                      {OwnerObserved{Found: true, Owner: self, Revision: 10}, false},
 	} {
 		h := newHarness(t)
 		h.becomeOwner(Recovery{ReadRevision: 20, Workers: []schedule.Worker{worker("w1")}})
-		abandon, ended := findEffect[CancelCalls](h.apply(c.event))
+		cancelCalls, ended := findEffect[CancelCalls](h.apply(c.event))
 		if ended != c.ends || h.state.Snapshot().IsOwner == c.ends {
 			t.Errorf("%s: ownership ended: %v, want %v", name, ended, c.ends)
 		}
-		if ended && abandon.Owner != 10 {
-			t.Errorf("%s: Abandon for ownership %d, want 10", name, abandon.Owner)
+		if ended && cancelCalls.Owner != 10 {
+			t.Errorf("%s: CancelCalls for ownership %d, want 10", name, cancelCalls.Owner)
 		}
 	}
 }
@@ -192,12 +192,12 @@
 	for _, c := range []struct {
 		id       job.ID
 		revision int64
-		known    bool
+		found    bool
 	}{{"00000000000000a1", 19, false}, {"00000000000000a2", 21, true}} {
 		h.apply(RequestReceived{Token: 1, Request: Submit{submission(c.id, c.revision)}})
 		answer, ok := findEffect[Answer](h.apply(RequestReceived{Token: 2, Request: JobStateQuery{Job: c.id}}))
-		if !ok || answer.Reply.Found != c.known {
-			t.Errorf("job recorded at %d: known %v, want %v", c.revision, answer.Reply.Found, c.known)
+		if !ok || answer.Reply.Found != c.found {
+			t.Errorf("job recorded at %d: found %v, want %v", c.revision, answer.Reply.Found, c.found)
 		}
 	}
 }
@@ -214,7 +214,7 @@
 	h.apply(RequestReceived{Token: 1, Request: Submit{submission("00000000000000a1", 25)}})
 	h.apply(Recovered{Revision: 10, State: Recovery{ReadRevision: 20}})
 	if answer, _ := findEffect[Answer](h.apply(RequestReceived{Token: 2, Request: JobStateQuery{Job: "00000000000000a1"}})); !answer.Reply.Found {
-		t.Error("job submitted during recovery is unknown")
+		t.Error("job submitted during recovery was not found")
 	}
 }
 
@@ -251,6 +251,6 @@
 	}
 	h.apply(StoreSynced{At: s.SyncedAt.Add(-time.Second)})
 	if h.state.Snapshot().SyncedAt != s.SyncedAt {
-		t.Error("an older StoreHeard moved HeardAt back")
+		t.Error("an older StoreSynced moved SyncedAt back")
 	}
 }
