schedule: rename unexported names and comments to the usual terms

Comments that still used the old names (Hold, Ask, Done) follow the exported ones. A restored job is no longer also called inherited, a reservation is released and not also dropped, and outcomes of effects are described as in package cell. The fault names of the simulation are unchanged, since their order selects the pairs of faults. No check of a test has changed; one failure text has.

--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -32,10 +32,10 @@
 	u.demandUpdatedAt = now
 }
 
-// admission returns the share of submissions to accept for each team that exceeds its rate while
-// its surplus jobs are pending. If one team submits many times its usual rate, its surplus is
+// admittedShares returns the share of submissions to accept for each team that exceeds its rate
+// while its surplus jobs are pending. If one team submits many times its usual rate, its surplus is
 // rejected at once and does not delay the tasks of other teams.
-func (c *Core) admission() map[string]float64 {
+func (c *Core) admittedShares() map[string]float64 {
 	out := make(map[string]float64)
 	for name, u := range c.usage {
 		t := c.catalog.Team(name)
--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -20,20 +20,20 @@
 }
 
 type ticket struct {
-	text      string
-	born      int64
-	expiresAt time.Time
+	text        string
+	incarnation int64 // of the worker
+	expiresAt   time.Time
 }
 
 // ticketMargin is the minimum remaining validity of a ticket when a start order is sent: an order
 // takes 12 ms across regions and sometimes waits for a connection.
 const ticketMargin = 120 * time.Millisecond
 
-// ticket returns the ticket of the worker's current incarnation. Unless allowExpired is set, the ticket
-// must remain valid for at least ticketMargin.
+// ticket returns the ticket of the worker's current incarnation. Unless allowExpired is set, the
+// ticket must remain valid for at least ticketMargin.
 func (a *adviceState) ticket(w *worker, now time.Time, allowExpired bool) (string, bool) {
 	t, ok := a.tickets[w.ID]
-	if !ok || t.born != w.Incarnation || (!allowExpired && now.Add(ticketMargin).After(t.expiresAt)) {
+	if !ok || t.incarnation != w.Incarnation || (!allowExpired && now.Add(ticketMargin).After(t.expiresAt)) {
 		return "", false
 	}
 	return t.text, true
@@ -113,13 +113,13 @@
 		if c.selectProxy(policy.Base) == nil {
 			continue
 		}
-		named := c.workersToQuery(s, usable)
-		if len(named) == 0 {
+		workerIDs := c.workersToQuery(s, usable)
+		if len(workerIDs) == 0 {
 			continue
 		}
-		callDuration := policy.Base + time.Duration(len(named))*policy.PerWorker
+		callDuration := policy.Base + time.Duration(len(workerIDs))*policy.PerWorker
 		if proxy := c.selectProxy(callDuration); proxy != nil {
-			c.callAdvice(s, proxy, named, callDuration)
+			c.callAdvice(s, proxy, workerIDs, callDuration)
 		}
 	}
 }
@@ -143,19 +143,19 @@
 		}
 		return 1
 	})
-	var names []string
+	var ids []string
 	capacity := 0
 	for _, cand := range candidates {
 		if capacity >= s.unfinishedTasks {
 			break
 		}
-		names = append(names, cand.worker.ID)
+		ids = append(ids, cand.worker.ID)
 		capacity += cand.taskCount
 	}
 	if capacity == 0 || capacity >= s.unfinishedTasks {
-		return names
+		return ids
 	}
-	return c.addEligible(s, names, usable)
+	return c.addEligible(s, ids, usable)
 }
 
 // extraWorkersShare limits the time that a call spends on workers without free capacity, as a share
@@ -163,23 +163,24 @@
 // saves a call for each task that ends.
 const extraWorkersShare = 0.5
 
-// addEligible adds eligible workers to names, those with the most free CPU first.
-func (c *Core) addEligible(s *stepState, names []string, usable []*worker) []string {
+// addEligible adds the IDs of eligible workers to ids, those of the workers with the most free CPU
+// first.
+func (c *Core) addEligible(s *stepState, ids []string, usable []*worker) []string {
 	policy := c.catalog.Queue(s.job.Queue).Advice
 	limit := maxWorkersPerCall
 	if policy.PerWorker > 0 {
-		limit = min(limit, len(names)+int(extraWorkersShare*float64(policy.Base)/float64(policy.PerWorker)))
+		limit = min(limit, len(ids)+int(extraWorkersShare*float64(policy.Base)/float64(policy.PerWorker)))
 	}
-	extra := slices.DeleteFunc(s.eligible(usable, c.now), func(w *worker) bool { return slices.Contains(names, w.ID) })
-	return append(names, c.idsByFreeCPU(extra, max(0, limit-len(names)))...)
+	extra := slices.DeleteFunc(s.eligible(usable, c.now), func(w *worker) bool { return slices.Contains(ids, w.ID) })
+	return append(ids, c.idsByFreeCPU(extra, max(0, limit-len(ids)))...)
 }
 
-// unqueried returns the workers that meet the requirements of a step and whose current incarnation was
-// not named in a call.
+// unqueried returns the workers that meet the requirements of a step and whose current incarnation
+// was not named in a call.
 func (s *stepState) unqueried(usable []*worker) []*worker {
 	var unqueried []*worker
 	for _, w := range usable {
-		if born, queried := s.advice.queried[w.ID]; (!queried || born != w.Incarnation) && meetsRequirements(w, s) {
+		if incarnation, queried := s.advice.queried[w.ID]; (!queried || incarnation != w.Incarnation) && meetsRequirements(w, s) {
 			unqueried = append(unqueried, w)
 		}
 	}
@@ -283,8 +284,8 @@
 	minEligibleShare = 0.1
 )
 
-// eligibleShare estimates the share of the named workers that are eligible to run a step of a
-// queue, from the replies so far.
+// eligibleShare estimates the share of the queried workers that are eligible to run a step of
+// a queue, from the replies so far.
 func (c *Core) eligibleShare(queue string) float64 {
 	if share, known := c.eligibleShares[queue]; known {
 		return max(minEligibleShare, share)
@@ -293,9 +294,9 @@
 }
 
 // updateEligibleShare updates the estimate for a queue after the first reply for a step.
-func (c *Core) updateEligibleShare(queue string, named, eligible int) {
+func (c *Core) updateEligibleShare(queue string, queried, eligible int) {
 	share := c.eligibleShare(queue)
-	c.eligibleShares[queue] = share + eligibleShareWeight*(float64(eligible)/float64(named)-share)
+	c.eligibleShares[queue] = share + eligibleShareWeight*(float64(eligible)/float64(queried)-share)
 }
 
 // sortedProxies returns the proxies sorted by name.
@@ -320,7 +321,7 @@
 }
 
 // callAdvice makes a call through a proxy and adds its expected duration to the load of the proxy.
-func (c *Core) callAdvice(s *stepState, proxy *adviceProxy, named []string, callDuration time.Duration) {
+func (c *Core) callAdvice(s *stepState, proxy *adviceProxy, workerIDs []string, callDuration time.Duration) {
 	s.advice.proxy = proxy
 	if s.advice.queried == nil {
 		s.advice.queried = make(map[string]int64)
@@ -334,7 +335,7 @@
 		proxy.busyUntil = c.now
 	}
 	proxy.busyUntil = proxy.busyUntil.Add(callDuration)
-	c.emit(AdviceCall{Instance: proxy.name, Step: s.key, Workers: named})
+	c.emit(AdviceCall{Instance: proxy.name, Step: s.key, Workers: workerIDs})
 }
 
 // AdviceCallDone handles the reply of the advice service or the failure of the call.
@@ -365,7 +366,7 @@
 		s.advice.queried[id] = w.Incarnation
 		if text, eligible := e.Tickets[id]; eligible {
 			s.advice.expiresAt = c.now.Add(e.Validity)
-			s.advice.tickets[id] = ticket{text: text, born: w.Incarnation, expiresAt: c.now.Add(e.Validity)}
+			s.advice.tickets[id] = ticket{text: text, incarnation: w.Incarnation, expiresAt: c.now.Add(e.Validity)}
 		}
 	}
 	if firstReply {
--- a/schedule/advice_test.go
+++ b/schedule/advice_test.go
@@ -8,8 +8,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// TestWideGangQueriesMoreWorkers guards against starvation of a gang on a fleet with more workers than
-// one call may name: the first call yields too few eligible workers, and no further call is made.
+// TestWideGangQueriesMoreWorkers guards against starvation of a gang on a fleet with more workers
+// than one call may name: the first call yields too few eligible workers, and no further call is made.
 func TestWideGangQueriesMoreWorkers(t *testing.T) {
 	s := newSimulation(t, 1, 99)
 	for i := range 80 {
--- a/schedule/bench_fleet_test.go
+++ b/schedule/bench_fleet_test.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// newFullFleet returns a Core with 350 workers, of which nine tenths have no free capacity, and the given number of waiting jobs, whose
-// tickets are valid.
+// newFullFleet returns a Core with 350 workers, of which nine tenths have no free capacity, and the
+// given number of waiting jobs, whose tickets are valid.
 func newFullFleet(jobs int) (*Core, time.Time) {
 	c, now := newBacklog(0)
 	var workers []Worker
@@ -81,7 +81,7 @@
 	for i, w := range c.sortedWorkers() {
 		s.advice.queried[w.ID] = w.Incarnation
 		if (i+offset)%3 == 0 {
-			s.advice.tickets[w.ID] = ticket{text: "x", born: w.Incarnation, expiresAt: c.now.Add(time.Second)}
+			s.advice.tickets[w.ID] = ticket{text: "x", incarnation: w.Incarnation, expiresAt: c.now.Add(time.Second)}
 			s.advice.expiresAt = c.now.Add(time.Second)
 		}
 	}
--- a/schedule/bench_test.go
+++ b/schedule/bench_test.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// newBacklog returns a Core with 60 idle workers and the given number of waiting jobs, a tenth of which
-// are gangs.
+// newBacklog returns a Core with 60 idle workers and the given number of waiting jobs, a tenth of
+// which are gangs.
 func newBacklog(jobs int) (*Core, time.Time) {
 	now := time.Unix(1_000_000, 0)
 	queues := []job.Queue{
--- a/schedule/commit.go
+++ b/schedule/commit.go
@@ -62,7 +62,7 @@
 			continue
 		}
 		entries += need
-		j.inDirty, j.committing = false, true
+		j.isDirty, j.committing = false, true
 		changes = append(changes, c.changeOf(j))
 		j.hasProgress = j.hasProgress || !j.state.IsFinal()
 	}
@@ -86,7 +86,7 @@
 }
 
 // mayHaveCancelRecord reports whether a cancellation record of the job may exist.
-func (j *jobState) mayHaveCancelRecord() bool { return j.inherited || j.state == job.Cancelled }
+func (j *jobState) mayHaveCancelRecord() bool { return j.restored || j.state == job.Cancelled }
 
 func boolToInt(b bool) int {
 	if b {
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -27,7 +27,7 @@
 		Lease: 5 * time.Second,
 		// If a report is lost, the ends of runs on its worker go undetected for this long.
 		PollWait: 900 * time.Millisecond,
-		// The round trip of an order across regions takes 30 ms; after ten times that it is lost.
+		// The round trip of an order across regions takes 30 ms; after ten times that, it counts as lost.
 		StopRetryInterval: 300 * time.Millisecond,
 		UnclearTimeout:    150 * time.Millisecond,
 		// A tenth of the round trip of a start order, so that it adds little latency; a pass over a
@@ -64,7 +64,7 @@
 	workerOrder          []*worker // sorted by ID; nil if it must be rebuilt
 	proxies              map[string]*adviceProxy
 	proxyOrder           []*adviceProxy              // sorted by name; nil if it must be rebuilt
-	eligibleShares       map[string]float64          // estimated share of the workers named in a call that are eligible, by queue
+	eligibleShares       map[string]float64          // estimated share of the queried workers that are eligible, by queue
 	serviceUsage         map[string]serviceCPU       // by service, as of the last pass
 	reservedCPU          map[string]int64            // millicores reserved for gangs, by service
 	oversizedGangWaits   map[string]bool             // services on which an oversized gang waits for a reservation in the current pass
@@ -236,6 +236,6 @@
 
 func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
 
-func (c *Core) logDecision(id job.ID, what string, fields ...any) {
-	c.emit(Decision{Job: id, Event: what, Fields: fields})
+func (c *Core) logDecision(id job.ID, event string, fields ...any) {
+	c.emit(Decision{Job: id, Event: event, Fields: fields})
 }
--- a/schedule/doc.go
+++ b/schedule/doc.go
@@ -1,6 +1,6 @@
 // Package schedule contains the scheduling logic of a partition's owner: the order of the steps,
 // the calls to the advice service, the placement of tasks on workers, the handling of worker
-// reports, and the acknowledgment of ended runs, which a worker may discard only once their effect
+// reports, and the confirmation of ended runs, which a worker may discard only once their effect
 // is durable.
 //
 // A Core is a deterministic state machine. It reads no clock and performs no I/O: package cell
--- a/schedule/faults_test.go
+++ b/schedule/faults_test.go
@@ -199,8 +199,8 @@
 	}
 }
 
-// TestTakeoverBesideLostWorker guards against a new owner that holds back all inherited tasks until the
-// leases of a lost worker expire, although the worker was lost some time before the takeover.
+// TestTakeoverBesideLostWorker guards against a new owner that holds back all restored tasks until
+// the leases of a lost worker expire, although the worker was lost some time before the takeover.
 func TestTakeoverBesideLostWorker(t *testing.T) {
 	const (
 		lostFor  = 3200 * time.Millisecond // two reports are missed, and the leases have not expired
@@ -225,7 +225,7 @@
 	s.takeOver()
 	s.run(maxDelay)
 	if !s.hasStarted(waiting.ID, 3) {
-		t.Errorf("inherited work waits %s after the takeover: %s", maxDelay, s.core.describe(waiting.ID))
+		t.Errorf("the restored job has not started %s after the takeover: %s", maxDelay, s.core.describe(waiting.ID))
 	}
 	s.after(10*time.Second, func() { lost.partitioned = false })
 	s.finish(60 * time.Second)
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -12,13 +12,13 @@
 // jobState is the state of a job until its final state is recorded.
 type jobState struct {
 	*job.Job
-	service   string // service whose workers run the job, as last configured for its queue
-	priority  int
-	attempts  int
-	objective time.Duration // target time from arrival to completion
-	arrivedAt time.Time     // monotonic
-	surplus   bool          // exceeds the rate to which its team is entitled
-	inherited bool          // accepted before this owner took over
+	service     string // service whose workers run the job, as last configured for its queue
+	priority    int
+	maxAttempts int
+	objective   time.Duration // target time from arrival to completion
+	arrivedAt   time.Time     // monotonic
+	surplus     bool          // exceeds the rate to which its team is entitled
+	restored    bool          // accepted before this owner took over
 
 	state           job.State
 	unfinishedSteps int // of all occurrences
@@ -26,7 +26,7 @@
 	progress        job.Progress
 	version         uint64   // increases with every change that must be recorded
 	recordedVersion uint64   // last version that is durable
-	inDirty         bool     // in Core.dirty
+	isDirty         bool     // in Core.dirty
 	committing      bool     // a commit of the job is in flight
 	hasProgress     bool     // a progress record may exist
 	cancelTokens    []uint64 // tokens of callers that wait until the cancellation is recorded
@@ -70,9 +70,9 @@
 }
 
 // RestoreJob adds a job of a former owner.
-func (c *Core) RestoreJob(k RecordedJob) {
-	j := c.addJob(k.Job, k.Progress, true)
-	if k.Cancelled {
+func (c *Core) RestoreJob(recorded RecordedJob) {
+	j := c.addJob(recorded.Job, recorded.Progress, true)
+	if recorded.Cancelled {
 		c.cancel(j, 0)
 	}
 }
@@ -89,8 +89,8 @@
 	c.logDecision(j.ID, "queued", "queue", j.Queue, "team", j.Team, "steps", len(j.Steps), "surplus", j.surplus)
 }
 
-func (c *Core) addJob(submitted *job.Job, progress *job.Progress, inherited bool) *jobState {
-	j := &jobState{Job: submitted, arrivedAt: c.now, state: job.Pending, inherited: inherited, runs: make(map[*run]struct{})}
+func (c *Core) addJob(submitted *job.Job, progress *job.Progress, restored bool) *jobState {
+	j := &jobState{Job: submitted, arrivedAt: c.now, state: job.Pending, restored: restored, runs: make(map[*run]struct{})}
 	j.unfinishedSteps = len(j.Steps) * j.Occurrences()
 	if progress != nil {
 		j.progress = *progress
@@ -110,9 +110,9 @@
 		c.pendingJobs[j.Queue]++
 	}
 	c.publish(Status{Job: j.ID, State: j.state, Queue: j.Queue, Team: j.Team})
-	c.refreshPolicy(j)
+	c.refreshQueueConfig(j)
 	j.objective = c.objectiveOf(j)
-	if inherited {
+	if restored {
 		// The wall clocks of instances differ slightly; the age is negative if the clock of the
 		// accepting instance is ahead.
 		j.arrivedAt = c.now.Add(-max(0, c.wall.Sub(j.AcceptedAt)))
@@ -127,34 +127,34 @@
 		c.recurring[j.ID] = j
 	}
 	if c.hasFailed(j) {
-		c.finish(j, job.Failed)
+		c.finishJob(j, job.Failed)
 	}
 	if j.unfinishedSteps == 0 {
 		// The former owner recorded the last task but not the final state.
-		c.finish(j, job.Completed)
+		c.finishJob(j, job.Completed)
 	}
 	return j
 }
 
-// hasFailed reports whether the recorded progress of a new or inherited job shows that a task or gang
+// hasFailed reports whether the recorded progress of a new or restored job shows that a task or gang
 // has already used all attempts that its queue allows.
 func (c *Core) hasFailed(j *jobState) bool {
 	for _, failures := range j.progress.Failed {
-		if j.attempts > 0 && len(failures) >= j.attempts {
+		if j.maxAttempts > 0 && len(failures) >= j.maxAttempts {
 			return true
 		}
 	}
 	return false
 }
 
-// refreshPolicy updates a job with the current configuration of its queue. If the queue was removed,
-// its jobs keep the last configuration.
-func (c *Core) refreshPolicy(j *jobState) {
+// refreshQueueConfig updates a job with the current configuration of its queue. If the queue was
+// removed, its jobs keep the last configuration.
+func (c *Core) refreshQueueConfig(j *jobState) {
 	q := c.catalog.Queue(j.Queue)
 	if q == nil {
 		return
 	}
-	j.service, j.priority, j.attempts = q.Service, q.Priority, q.MaxAttempts
+	j.service, j.priority, j.maxAttempts = q.Service, q.Priority, q.MaxAttempts
 }
 
 // activateDueOccurrences activates the occurrences that are due.
@@ -186,7 +186,7 @@
 			key: job.StepKey{Job: j.ID, Occurrence: occurrence, Step: i}, job: j, spec: &j.Steps[i],
 			tasks: make([]taskState, j.Steps[i].Count), unfinishedTasks: j.Steps[i].Count,
 		}
-		c.restore(s)
+		c.restoreProgress(s)
 		if s.unfinishedTasks == 0 {
 			j.unfinishedSteps--
 			continue
@@ -197,8 +197,8 @@
 	c.passDue = true
 }
 
-// restore applies the recorded progress to a step.
-func (c *Core) restore(s *stepState) {
+// restoreProgress applies the recorded progress to a step.
+func (c *Core) restoreProgress(s *stepState) {
 	name := progressKey(s.key)
 	for _, index := range s.job.progress.Done[name] {
 		if index < len(s.tasks) && !s.tasks[index].done {
@@ -239,8 +239,8 @@
 // markDirty queues a job whose record has changed for the next commit.
 func (c *Core) markDirty(j *jobState) {
 	j.version++
-	if !j.inDirty {
-		j.inDirty = true
+	if !j.isDirty {
+		j.isDirty = true
 		c.dirty = append(c.dirty, j)
 	}
 }
@@ -263,11 +263,11 @@
 
 func (c *Core) stepDone(s *stepState) {
 	j := s.job
-	c.dropReservation(s)
+	c.releaseReservation(s)
 	delete(c.steps, s.key)
 	j.unfinishedSteps--
 	if j.unfinishedSteps == 0 {
-		c.finish(j, job.Completed)
+		c.finishJob(j, job.Completed)
 		return
 	}
 	c.markReadySteps(j, s.key.Occurrence)
@@ -290,16 +290,16 @@
 	*failures = append(slices.Clone(*failures), run)
 	s.job.progress.Failed[name] = *failures
 	c.markDirty(s.job)
-	if s.job.attempts > 0 && len(*failures) >= s.job.attempts {
-		c.finish(s.job, job.Failed)
+	if s.job.maxAttempts > 0 && len(*failures) >= s.job.maxAttempts {
+		c.finishJob(s.job, job.Failed)
 		return true
 	}
 	return false
 }
 
-// finish sets the final state of a job, removes its steps and stops its runs. It has no effect on a
-// job that already has a final state.
-func (c *Core) finish(j *jobState, state job.State) {
+// finishJob sets the final state of a job, removes its steps and stops its runs. It has no effect on
+// a job that already has a final state.
+func (c *Core) finishJob(j *jobState, state job.State) {
 	if j.state.IsFinal() {
 		return
 	}
@@ -309,7 +309,7 @@
 		for i := range j.Steps {
 			key := job.StepKey{Job: j.ID, Occurrence: occurrence, Step: i}
 			if s, open := c.steps[key]; open {
-				c.dropReservation(s)
+				c.releaseReservation(s)
 				delete(c.steps, key)
 			}
 		}
@@ -321,8 +321,8 @@
 	c.logDecision(j.ID, string(state), "after_ms", c.now.Sub(j.arrivedAt).Milliseconds(), "objective_ms", j.objective.Milliseconds())
 }
 
-// Cancel cancels a job. A Done effect with the token follows once the final state is recorded. It
-// returns false if the job is unknown.
+// Cancel cancels a job. A CancelDone effect with the token follows once the final state is recorded.
+// It returns false if the job is unknown.
 func (c *Core) Cancel(id job.ID, token uint64) bool {
 	j, known := c.jobs[id]
 	if !known {
@@ -337,14 +337,14 @@
 }
 
 func (c *Core) cancel(j *jobState, token uint64) {
-	c.finish(j, job.Cancelled)
+	c.finishJob(j, job.Cancelled)
 	if token != 0 {
 		j.cancelTokens = append(j.cancelTokens, token)
 	}
 }
 
 // StateOf returns the recorded state of a job.
-func (c *Core) StateOf(id job.ID) (state job.State, team, queue string, known bool) {
+func (c *Core) StateOf(id job.ID) (state job.State, team, queue string, found bool) {
 	if f, ok := c.finals[id]; ok {
 		return f.State, f.Team, f.Queue, true
 	}
--- a/schedule/message.go
+++ b/schedule/message.go
@@ -10,7 +10,7 @@
 // Worker is the entry of a worker in the directory.
 type Worker struct {
 	ID            string
-	Incarnation   int64 // incarnation; changes when the worker restarts under the same ID
+	Incarnation   int64 // changes when the worker restarts under the same ID
 	Address       string
 	Service       string
 	FailureDomain string
@@ -30,12 +30,12 @@
 	FailureDomain string // empty if unknown
 }
 
-// Effect is an action to be executed outside the control goroutine. Hold, Start, Stop, Ask and
-// Commit are each answered by one event.
+// Effect is an action to be executed outside the control goroutine. Poll, Start, Stop, AdviceCall
+// and Commit each result in one event, except for a rejected Commit (see CommitDone).
 type Effect interface{ isEffect() }
 
-// Poll polls a worker for a report, renews the lease that covers all of its runs and confirms the ends
-// of runs whose effect is durable.
+// Poll polls a worker for a report, renews the lease that covers all of its runs and confirms the
+// ends of runs whose effect is durable.
 type Poll struct {
 	Target
 	Confirmed uint64        // the worker may discard ends up to this number
@@ -62,8 +62,8 @@
 	Run  int
 }
 
-// AdviceCall is a call to the advice service, made by the given instance. It returns tickets for those of
-// the given workers that are eligible to run a step.
+// AdviceCall is a call to the advice service, made by the given instance. It returns tickets for
+// those of the given workers that are eligible to run a step.
 type AdviceCall struct {
 	Instance string // instance that makes the call
 	Step     job.StepKey
@@ -96,7 +96,7 @@
 	HadProgress    bool
 	MayBeCancelled bool
 
-	version uint64
+	version uint64 // of the job state that the record contains
 }
 
 // Decision is a log entry for a scheduling decision and the values that it is based on.
@@ -106,7 +106,7 @@
 	Fields []any // alternating names and values
 }
 
-// CancelDone answers a waiting call for a cancellation, whose final state is now recorded.
+// CancelDone reports to the caller that cancelled a job that the final state of the job is recorded.
 type CancelDone struct{ Token uint64 }
 
 func (Poll) isEffect()       {}
@@ -122,7 +122,7 @@
 
 const (
 	Accepted             Verdict = iota // executed, by this order or by an earlier copy of it
-	NotSent                             // the order certainly had no effect
+	NotSent                             // the order provably had no effect
 	Unclear                             // the answer was lost; the order may have been executed or may be executed later
 	Fenced                              // the worker has accepted orders of a newer owner
 	OtherIncarnation                    // another incarnation of the worker answered
@@ -140,13 +140,13 @@
 // String returns the name of the verdict as used in logs.
 func (v Verdict) String() string { return verdictNames[v] }
 
-// StartDone answers Start.
+// StartDone is the outcome of Start.
 type StartDone struct {
 	Start   Start
 	Verdict Verdict
 }
 
-// StopDone answers Stop.
+// StopDone is the outcome of Stop.
 type StopDone struct {
 	Stop    Stop
 	Verdict Verdict
@@ -181,7 +181,7 @@
 	Checkpoint string
 }
 
-// PollDone answers Poll.
+// PollDone is the outcome of Poll: the report of the worker or the failure of the call.
 type PollDone struct {
 	Poll        Poll
 	Verdict     Verdict
@@ -192,7 +192,7 @@
 	Ended       []EndReport
 }
 
-// AdviceCallDone answers AdviceCall.
+// AdviceCallDone is the outcome of AdviceCall.
 type AdviceCallDone struct {
 	Call     AdviceCall
 	Failed   bool              // the call failed or was lost
@@ -200,8 +200,8 @@
 	Validity time.Duration     // validity of the tickets
 }
 
-// CommitDone answers a Commit that is durable. There is none if the transaction was rejected because
-// the ownership has changed; the owner then stops.
+// CommitDone reports that a Commit is durable. There is none if the transaction was rejected because
+// the ownership has changed; the owner then steps down.
 type CommitDone struct {
 	Commit Commit
 }
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -38,12 +38,12 @@
 
 // latestStart returns the latest time at which a step can start for its job to meet its objective.
 func (c *Core) latestStart(s *stepState) time.Time {
-	begin := s.job.arrivedAt
+	arrival := s.job.arrivedAt
 	if s.job.Repeats > 0 {
 		// The monotonic time at which the occurrence was due.
-		begin = c.now.Add(-c.wall.Sub(s.job.DueAt(s.key.Occurrence)))
+		arrival = c.now.Add(-c.wall.Sub(s.job.DueAt(s.key.Occurrence)))
 	}
-	return begin.Add(s.job.objective - remainingChain(s.job.Steps, s.key.Step))
+	return arrival.Add(s.job.objective - remainingChain(s.job.Steps, s.key.Step))
 }
 
 // remainingChain returns the length of the longest dependency chain that begins with a step.
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -9,8 +9,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// taskSize returns the resources that a task of a step takes on a worker. The CPU of a backfill step
-// does not count.
+// taskSize returns the resources that a task of a step takes on a worker. Best-effort CPU does not
+// count.
 func taskSize(s *job.Step) task.Resources {
 	size := s.Size
 	if s.BestEffortCPU {
@@ -46,9 +46,9 @@
 	s.workerFailures[worker]++
 }
 
-// failedElsewhere reports whether a run of the step has failed, or timed out waiting for its gang, on
-// another worker.
-func (s *stepState) failedElsewhere(worker string) bool {
+// hasFailedOnOther reports whether a run of the step has failed, or timed out waiting for its gang,
+// on another worker.
+func (s *stepState) hasFailedOnOther(worker string) bool {
 	for id := range s.workerFailures {
 		if id != worker {
 			return true
@@ -71,7 +71,7 @@
 	c.sumServiceUsage(usable)
 	c.plansMade = 0
 	clear(c.oversizedGangWaits)
-	c.dropStaleReservations()
+	c.releaseStaleReservations()
 	c.passes++
 	maxFreeResources := maxFree(usable)
 	var withoutTicket []*stepState
@@ -79,10 +79,10 @@
 		if s.spec.Gang && s.advice.proxy != nil {
 			continue // a call is in flight; its reply may start the gang on its reserved workers
 		}
-		c.refreshPolicy(s.job)
+		c.refreshQueueConfig(s.job)
 		if c.isAtLimit(s) {
 			// Tickets for it would expire before a task of its team ends.
-			c.dropReservation(s)
+			c.releaseReservation(s)
 			c.recordWait(s, waitsForLimit)
 			continue
 		}
@@ -133,23 +133,23 @@
 func (c *Core) placeStep(s *stepState, usable []*worker) bool {
 	candidates := c.candidates(s, usable, false)
 	before := s.runsOrdered
-	var all bool
+	var allPlaced bool
 	if s.spec.Gang {
-		all = c.placeGang(s, candidates)
+		allPlaced = c.placeGang(s, candidates)
 	} else {
-		all = c.placeTasks(s, candidates)
+		allPlaced = c.placeTasks(s, candidates)
 	}
 	if n := s.runsOrdered - before; n > 0 {
 		c.logDecision(s.key.Job, "placed", "step", s.key.String(), "tasks", n, "of", len(s.tasks), "options", len(candidates),
 			"waited_ms", c.now.Sub(s.job.arrivedAt).Milliseconds(), "slack_ms", s.latestStart.Sub(c.now).Milliseconds(), "rank", c.rank(s))
 	}
-	return all
+	return allPlaced
 }
 
 // candidates returns the workers that have capacity for a task of a step and, if the queue requires
 // it, a valid ticket. With allowExpired, expired tickets count as valid.
 func (c *Core) candidates(s *stepState, usable []*worker, allowExpired bool) []candidate {
-	advised := c.needsAdvice(s)
+	needsTicket := c.needsAdvice(s)
 	size := taskSize(s.spec)
 	var out []candidate
 	for _, w := range usable {
@@ -158,7 +158,7 @@
 		}
 		cand := candidate{worker: w, taskCount: fitCount(size, w.free(s, c.now), len(s.tasks))}
 		if cand.taskCount == 0 && len(w.claims) > 0 {
-			cand.taskCount = fitCount(size, w.freeOverClaims(s, c.now), len(s.tasks))
+			cand.taskCount = fitCount(size, w.freeIncludingLessUrgentClaims(s, c.now), len(s.tasks))
 			cand.usesReserved = true
 		}
 		if s.spec.AntiAffinity > 0 {
@@ -170,7 +170,7 @@
 		if cand.taskCount <= 0 {
 			continue
 		}
-		if advised {
+		if needsTicket {
 			ticket, ok := s.advice.ticket(w, c.now, allowExpired)
 			if !ok {
 				continue
@@ -206,7 +206,7 @@
 	return n
 }
 
-// placeTasks starts the tasks of a step that is not a gang, and reports whether none is left to start.
+// placeTasks starts the tasks of a step that is not a gang and reports whether none is left to start.
 // It uses best fit: a task preferably goes to the fullest worker on which it fits, so that whole
 // workers stay free for gangs.
 func (c *Core) placeTasks(s *stepState, candidates []candidate) bool {
@@ -281,7 +281,7 @@
 		s.wait = placementWaitCause(len(candidates), 1)
 		return false
 	}
-	c.dropReservation(s)
+	c.releaseReservation(s)
 	number := c.nextRun(s.lastRun)
 	for i, cand := range chosen {
 		c.start(s, i, cand.worker, number, cand.ticket)
@@ -308,8 +308,8 @@
 	return c.fillGang(s, healthy)
 }
 
-// fillGang assigns the tasks of a gang to the candidates in the order of preference, as many to each as
-// fit. It returns a candidate for each task, or nil if they do not all fit.
+// fillGang assigns the tasks of a gang to the candidates in the order of preference, as many to each
+// as fit. It returns a candidate for each task, or nil if they do not all fit.
 func (c *Core) fillGang(s *stepState, candidates []candidate) []candidate {
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -80,13 +80,13 @@
 
 // slots returns the present and future capacity for members of a gang on the eligible workers.
 func (c *Core) slots(s *stepState, usable []*worker) []slot {
-	size, advised := taskSize(s.spec), c.needsAdvice(s)
+	size, needsTicket := taskSize(s.spec), c.needsAdvice(s)
 	var out []slot
 	for _, w := range usable {
 		if !meetsRequirements(w, s) || c.isFailing(w) {
 			continue
 		}
-		if _, ok := s.advice.ticket(w, c.now, true); advised && !ok {
+		if _, ok := s.advice.ticket(w, c.now, true); needsTicket && !ok {
 			continue
 		}
 		maxTasks := len(s.tasks)
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -31,8 +31,9 @@
 	// replanInterval is the minimum interval between plans for a waiting gang. Plans are revised
 	// because tasks do not end when expected, and a few tasks per second end on each worker.
 	replanInterval = 250 * time.Millisecond
-	// maxPlanAge is the age at which a plan that was not revised is dropped. Because of plansPerPass,
-	// the revision may take several passes, of which there are at worst a few per second.
+	// maxPlanAge is the age at which a plan that was not revised is discarded and its reservation
+	// released. Because of plansPerPass, the revision may take several passes, of which there are at
+	// worst a few per second.
 	maxPlanAge = 2 * time.Second
 	// plansPerPass is the maximum number of plans in a pass, which are made for the most urgent gangs:
 	// a plan examines every run of a hundred workers, and a pass should take a few milliseconds.
@@ -85,8 +86,9 @@
 	return w.freeExceptClaims(s, now, math.MaxInt)
 }
 
-// freeOverClaims is like free but includes capacity that is reserved for gangs of less urgent queues.
-func (w *worker) freeOverClaims(s *stepState, now time.Time) task.Resources {
+// freeIncludingLessUrgentClaims is like free but includes capacity that is reserved for gangs of
+// less urgent queues.
+func (w *worker) freeIncludingLessUrgentClaims(s *stepState, now time.Time) task.Resources {
 	return w.freeExceptClaims(s, now, s.job.priority)
 }
 
@@ -117,7 +119,7 @@
 		return
 	}
 	previous := s.reservation
-	c.dropReservation(s)
+	c.releaseReservation(s)
 	size := taskSize(s.spec)
 	if !c.mayReserve(s) {
 		c.recordWait(s, waitsForShare)
@@ -211,18 +213,18 @@
 	return true
 }
 
-// dropStaleReservations releases the reservations of gangs that the passes no longer reach because
-// they consider only the most urgent steps.
-func (c *Core) dropStaleReservations() {
+// releaseStaleReservations releases the reservations of gangs that the passes no longer reach
+// because they consider only the most urgent steps.
+func (c *Core) releaseStaleReservations() {
 	for _, s := range c.reservedGangs {
 		if s.advice.proxy == nil && c.now.Sub(s.reservation.plannedAt) > maxPlanAge {
-			c.dropReservation(s)
+			c.releaseReservation(s)
 		}
 	}
 }
 
-// dropReservation releases the reservation of a gang.
-func (c *Core) dropReservation(s *stepState) {
+// releaseReservation releases the reservation of a gang.
+func (c *Core) releaseReservation(s *stepState) {
 	if s.reservation == nil {
 		return
 	}
@@ -235,7 +237,7 @@
 }
 
 // gangWorkersToQuery returns the workers that the next call for a gang should name: the reserved ones
-// once their capacity is nearly free, or further ones while the eligible ones have no capacity for
+// once their capacity is nearly free, or further ones if the eligible ones will have no capacity for
 // a long time. It returns none if the benefit of a call does not justify its duration.
 func (c *Core) gangWorkersToQuery(s *stepState, usable []*worker, policy *job.AdvicePolicy) []string {
 	r := s.reservation
@@ -296,13 +298,13 @@
 	return min(maxWorkersPerCall, int(math.Ceil(needed*eligibleFactor/c.eligibleShare(s.job.Queue))))
 }
 
-// expiringTickets returns the reserved workers of a gang if the ticket of any of them is not valid
-// at t. It returns all of them, so that their tickets expire together.
+// expiringTickets returns the IDs of the reserved workers of a gang if the ticket of any of them is
+// not valid at t. It returns all of them, so that their tickets expire together.
 func (c *Core) expiringTickets(s *stepState, t time.Time) []string {
 	expiring := false
-	names := make([]string, 0, len(s.reservation.members))
+	ids := make([]string, 0, len(s.reservation.members))
 	for w := range s.reservation.members {
-		names = append(names, w.ID)
+		ids = append(ids, w.ID)
 		if _, valid := s.advice.ticket(w, t, false); !valid {
 			expiring = true
 		}
@@ -310,6 +312,6 @@
 	if !expiring {
 		return nil
 	}
-	slices.Sort(names)
-	return names
+	slices.Sort(ids)
+	return ids
 }
--- a/schedule/reserve_test.go
+++ b/schedule/reserve_test.go
@@ -93,8 +93,8 @@
 	s.finish(40 * time.Second)
 }
 
-// TestReservationAfterRouteChange guards against a reservation that is never released, and so prevents
-// further ones, after the queue of a waiting gang was routed to another service.
+// TestReservationAfterRouteChange guards against a reservation that is never released, and so
+// prevents further ones, after the queue of a waiting gang was routed to another service.
 func TestReservationAfterRouteChange(t *testing.T) {
 	s := newSimulation(t, 6, 2)
 	s.run(time.Second)
@@ -111,10 +111,10 @@
 	if s.core.reservedCPU["calc"] == 0 {
 		t.Fatal("no capacity is reserved for the gang")
 	}
-	elsewhere := job.NewCatalog(2, 2, []job.Queue{
+	rerouted := job.NewCatalog(2, 2, []job.Queue{
 		*s.catalog.Queue("advised"), {Name: "plain", Service: "other", MaxAttempts: 3, Stretch: 2, TargetAllowance: time.Second},
 	}, []job.Service{{Name: "calc"}, {Name: "other"}}, nil)
-	s.dispatch(func(c *Core) { c.SetCatalog(elsewhere) })
+	s.dispatch(func(c *Core) { c.SetCatalog(rerouted) })
 	s.run(500 * time.Millisecond)
 	s.cancel(gang.ID)
 	s.run(500 * time.Millisecond)
--- a/schedule/roster.go
+++ b/schedule/roster.go
@@ -41,22 +41,22 @@
 	c.countUnresolved(u, 1)
 }
 
-// countUnresolved adds a worker to the counts of open unresolved workers and held-back tasks if n is 1,
-// and removes it if n is -1.
-func (c *Core) countUnresolved(u unresolvedWorker, n int) {
+// countUnresolved adds a worker to the counts of open unresolved workers and held-back tasks if delta
+// is 1, and removes it if delta is -1.
+func (c *Core) countUnresolved(u unresolvedWorker, delta int) {
 	if !u.closed {
-		c.openUnresolved += n
+		c.openUnresolved += delta
 		return
 	}
 	for _, key := range u.tasks {
-		c.heldBackTasks[key.StepKey] += n
+		c.heldBackTasks[key.StepKey] += delta
 	}
 }
 
-// isHeldBack reports whether a task of an inherited step may still run on a worker that has not yet
+// isHeldBack reports whether a task of a restored step may still run on a worker that has not yet
 // reported its runs.
 func (c *Core) isHeldBack(s *stepState) bool {
-	return s.job.inherited && (c.openUnresolved > 0 || c.heldBackTasks[s.key] > 0)
+	return s.job.restored && (c.openUnresolved > 0 || c.heldBackTasks[s.key] > 0)
 }
 
 // resolve removes a worker from the unresolved ones, once all runs on it are known or have ended.
@@ -65,7 +65,8 @@
 		delete(c.unresolved, id)
 		c.countUnresolved(u, -1)
 		c.passDue = true
-		c.rosterDirty = c.rosterDirty || u.closed // the worker gets no tasks until a roster that lists it as open is recorded
+		// The worker gets no tasks until a roster that lists it as open is recorded.
+		c.rosterDirty = c.rosterDirty || u.closed
 	}
 }
 
@@ -82,7 +83,7 @@
 
 // updateClosed closes a worker that will get no tasks for some time, or reopens it. Until the leases
 // of a closed worker have expired, a new owner holds back only the tasks listed in the roster instead
-// of all inherited tasks. A reopened worker gets no tasks until a roster that lists it as open is
+// of all restored tasks. A reopened worker gets no tasks until a roster that lists it as open is
 // recorded.
 func (c *Core) updateClosed(w *worker) {
 	shouldClose := w.Draining || !w.listed || (w.silent && (w.missedReports >= closeMissedReports || c.now.Sub(w.silentAt) > closeDelay))
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -18,8 +18,8 @@
 	runStopping
 )
 
-// run is one execution of a task on a worker. It takes capacity there until the worker reports its
-// end or until it has certainly ended or certainly never started.
+// run is one execution of a task on a worker. It occupies capacity there until the worker reports
+// its end or until it provably has ended or never started.
 type run struct {
 	task   job.TaskKey
 	number int
@@ -137,22 +137,22 @@
 		if e.Verdict == TicketRejected && r.step != nil {
 			r.step.advice.expireTicket(w.ID)
 		}
-		c.runRefused(r)
+		c.runNotStarted(r)
 	}
 }
 
 // backOff suspends placement on a worker that has rejected an order or could not be reached.
 func (c *Core) backOff(w *worker, v Verdict) {
 	const (
-		unhealthyBackoff = time.Second            // a healthy worker accepts orders again within one heartbeat
-		lostBackoff      = 300 * time.Millisecond // until the next report shows whether it answers
+		unhealthyBackoff   = time.Second            // a healthy worker accepts orders again within one heartbeat
+		unreachableBackoff = 300 * time.Millisecond // until the next report shows whether it answers
 	)
 	switch v {
 	case Unhealthy, InsufficientCapacity:
 		w.backoffUntil = c.now.Add(unhealthyBackoff)
 	case NotSent, OtherIncarnation:
 		w.markSilent(c.now)
-		w.backoffUntil = c.now.Add(lostBackoff)
+		w.backoffUntil = c.now.Add(unreachableBackoff)
 	}
 }
 
@@ -164,8 +164,8 @@
 	r.answeredAt = c.now
 }
 
-// runRefused handles a run that certainly did not start.
-func (c *Core) runRefused(r *run) {
+// runNotStarted handles a run that provably did not start.
+func (c *Core) runNotStarted(r *run) {
 	s := r.step
 	c.removeRun(r)
 	if s != nil && s.spec.Gang {
@@ -255,7 +255,7 @@
 	r.stopAnsweredAt = c.now
 }
 
-// runLost handles a run that has certainly ended or never started, although its end was not reported:
+// runLost handles a run that provably has ended or never started, although its end was not reported:
 // its worker has restarted or no longer reports it, its lease has expired, or it was stopped before
 // it started.
 func (c *Core) runLost(r *run, reason string) {
@@ -370,15 +370,15 @@
 }
 
 // updateFailStreak counts consecutive failed runs of a worker. To distinguish a failing worker from
-// failing work, a success resets the count, and the failure of a step that has also failed on
+// a failing job, a success resets the count, and the failure of a step that has also failed on
 // another worker does not count.
-func (c *Core) updateFailStreak(w *worker, s *stepState, how EndReason) {
-	switch how {
+func (c *Core) updateFailStreak(w *worker, s *stepState, reason EndReason) {
+	switch reason {
 	case EndedDone:
 		w.failStreak = 0
 		w.backoffUntil = time.Time{}
 	case EndedFailed:
-		if s != nil && s.failedElsewhere(w.ID) {
+		if s != nil && s.hasFailedOnOther(w.ID) {
 			return
 		}
 		w.failStreak++
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -76,13 +76,13 @@
 }
 
 type simRun struct {
-	key    job.TaskKey
-	number int
-	worker *simWorker
-	size   task.Resources
-	team   string
-	since  time.Time
-	ended  bool
+	key       job.TaskKey
+	number    int
+	worker    *simWorker
+	size      task.Resources
+	team      string
+	startedAt time.Time
+	ended     bool
 }
 
 type timer struct {
--- a/schedule/simworker_test.go
+++ b/schedule/simworker_test.go
@@ -103,23 +103,23 @@
 	s.extendLease(w, e.LeaseEnd)
 	j := s.jobs[e.Task.Job]
 	spec := j.Steps[e.Task.Step]
-	r := &simRun{key: e.Task, number: e.Run, worker: w, size: spec.Size, team: j.Team, since: s.now}
+	r := &simRun{key: e.Task, number: e.Run, worker: w, size: spec.Size, team: j.Team, startedAt: s.now}
 	s.checkStart(r, j)
 	w.runs[e.Task] = r
 	s.running[e.Task] = r
 	s.usage[r.team] = s.usage[r.team].Add(r.size)
-	how := EndedDone
+	reason := EndedDone
 	if w.failAll || strings.HasPrefix(j.Spec, "fail") {
-		how = EndedFailed
+		reason = EndedFailed
 	}
 	if spec.Gang {
 		s.after(3*time.Second, func() { s.checkGangTimeout(r, spec.Count) })
 	}
 	s.after(spec.Estimate+time.Duration(s.rng.IntN(300))*time.Millisecond, func() {
-		if spec.Gang && !s.isGangComplete(r, spec.Count) && how == EndedDone {
+		if spec.Gang && !s.isGangComplete(r, spec.Count) && reason == EndedDone {
 			return // the run ends when the gang is stopped or its members did not start in time
 		}
-		s.endRun(r, how)
+		s.endRun(r, reason)
 	})
 	return Accepted
 }
@@ -146,7 +146,7 @@
 	s.endRun(r, EndedGangTimeout)
 }
 
-func (s *simulation) endRun(r *simRun, how EndReason) {
+func (s *simulation) endRun(r *simRun, reason EndReason) {
 	if r.ended {
 		return
 	}
@@ -154,10 +154,10 @@
 	w := r.worker
 	w.stopped[r.key] = max(w.stopped[r.key], r.number)
 	w.lastEndNumber++
-	w.ended = append(w.ended, EndReport{Number: w.lastEndNumber, Task: r.key, Run: r.number, Reason: how})
+	w.ended = append(w.ended, EndReport{Number: w.lastEndNumber, Task: r.key, Run: r.number, Reason: reason})
 	w.endedAt = append(w.endedAt, s.now)
-	s.logEvent(r.key, "run %d %s as end %d of %s", r.number, how, w.lastEndNumber, w.ID)
-	if how == EndedDone {
+	s.logEvent(r.key, "run %d %s as end %d of %s", r.number, reason, w.lastEndNumber, w.ID)
+	if reason == EndedDone {
 		s.succeeded[r.key] = true
 	}
 	if w.answerPoll != nil {
@@ -168,13 +168,13 @@
 	if !spec.Gang {
 		return
 	}
-	memberEnding := EndedGangBroken
-	if how == EndedDone {
-		memberEnding = EndedDone
+	memberReason := EndedGangBroken
+	if reason == EndedDone {
+		memberReason = EndedDone
 	}
 	for i := range spec.Count {
 		if other := s.running[job.TaskKey{StepKey: r.key.StepKey, Index: i}]; other != nil && other.number == r.number {
-			s.endRun(other, memberEnding)
+			s.endRun(other, memberReason)
 		}
 	}
 }
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -48,7 +48,7 @@
 // ViewSince returns the changes after the given sequence number, or a full view if the epoch differs
 // or those changes are no longer retained.
 func (c *Core) ViewSince(epoch int64, since uint64) View {
-	v := View{Epoch: c.epoch, Sequence: c.sequence, PendingJobs: make(map[string]int), AdmittedShare: c.admission()}
+	v := View{Epoch: c.epoch, Sequence: c.sequence, PendingJobs: make(map[string]int), AdmittedShare: c.admittedShares()}
 	for queue, n := range c.pendingJobs {
 		if n > 0 {
 			v.PendingJobs[queue] = n
--- a/schedule/wait.go
+++ b/schedule/wait.go
@@ -6,7 +6,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// waitCause is the cause, as logged, for which tasks of a step are not started.
+// waitCause is the logged cause why tasks of a step are not started.
 type waitCause string
 
 const (
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -12,7 +12,7 @@
 // worker is the state of a worker as tracked by this owner.
 type worker struct {
 	Worker
-	listed        bool      // contained in the latest directory
+	listed        bool      // in the latest directory
 	recordedOpen  bool      // the durable roster lists it as open, so that a new owner expects any runs on it
 	closed        bool      // it gets no new runs, so that the roster can list all runs that may exist there
 	fenced        bool      // this incarnation has answered a poll of this owner, so that it rejects former owners
@@ -93,17 +93,17 @@
 	}
 }
 
-// updateIncarnation applies the incarnation that a worker reports. If it has changed, the runs of the
-// previous incarnation are lost, since runs do not survive a restart.
-func (c *Core) updateIncarnation(w *worker, born int64) {
-	if w.Incarnation == 0 || born == w.Incarnation || born == 0 {
-		if born != 0 {
-			w.Incarnation = born
+// updateIncarnation applies the incarnation that a worker reports. If it has changed, the runs of
+// the previous incarnation are lost, since runs do not survive a restart.
+func (c *Core) updateIncarnation(w *worker, incarnation int64) {
+	if w.Incarnation == 0 || incarnation == w.Incarnation || incarnation == 0 {
+		if incarnation != 0 {
+			w.Incarnation = incarnation
 		}
 		return
 	}
 	c.emit(Decision{Event: "worker_restarted", Fields: []any{"worker", w.ID, "runs", len(w.runs)}})
-	w.Incarnation = born
+	w.Incarnation = incarnation
 	w.fenced = false
 	w.clock, w.clockAt, w.maxLeaseEnd = 0, time.Time{}, 0
 	w.lastProcessed, w.confirmed, w.pendingEnds = 0, 0, nil
@@ -175,7 +175,8 @@
 	}
 }
 
-// poll sends a poll to a worker, which also renews its lease if it answers polls of this owner.
+// poll sends a poll to a worker. The poll also renews the worker's lease if the worker has answered
+// a poll of this owner and is not silent.
 func (c *Core) poll(w *worker) {
 	order := Poll{Target: w.target(), Confirmed: w.confirmed}
 	// The lease of a worker that does not answer is not renewed: a renewal that may have arrived
