ownership: align comments and test names with the renamed API

Distinguish Renewed from lease renewal, and name the unexported steps of a release and a move after what they do. The name of a directed scenario is no longer called a rule, because some scenarios test no single rule.

--- a/ownership/decide.go
+++ b/ownership/decide.go
@@ -43,13 +43,13 @@
 
 func (t *Table) decideAsOwner(now time.Time, u *unit) {
 	if u.releasing {
-		t.release(now, u)
+		t.continueRelease(now, u)
 		return
 	}
-	if t.decideMove(now, u) {
+	if t.moveToPreferred(now, u) {
 		return
 	}
-	successors := t.renewedSuccessors(now, u)
+	successors := t.updatedSuccessors(now, u)
 	if slices.Equal(successors, u.record.Successors) {
 		return
 	}
@@ -80,7 +80,8 @@
 	u.releasing = true
 }
 
-func (t *Table) release(now time.Time, u *unit) {
+// continueRelease starts the handover that Release requested, once a destination exists.
+func (t *Table) continueRelease(now time.Time, u *unit) {
 	for _, s := range u.record.Successors {
 		if t.isPresent(s) && !t.members[s.Instance].Draining && !t.noStoreContact[s.Instance] {
 			t.handOver(now, u, t.members[s.Instance], ReasonRelease)
@@ -95,11 +96,11 @@
 	}
 }
 
-// decideMove hands the unit over to its preferred member once that member has been
+// moveToPreferred hands the unit over to its preferred member once that member has been
 // live, and the unit held, for MoveDelay. Without the delay a member that restarts
 // repeatedly, or an owner that has just taken over, would cause units to move back
 // and forth, and after each move the next owner must rebuild its state.
-func (t *Table) decideMove(now time.Time, u *unit) bool {
+func (t *Table) moveToPreferred(now time.Time, u *unit) bool {
 	if now.Sub(t.lastMoveAt) < t.cfg.MoveInterval || !u.held || now.Sub(u.gainedAt) < t.cfg.MoveDelay {
 		return false
 	}
@@ -134,11 +135,11 @@
 	return r
 }
 
-// renewedSuccessors returns the recorded successors that are still suitable, in their
+// updatedSuccessors returns the recorded successors that are still suitable, in their
 // order, followed by others up to successorCount. A member key that is missing for a
 // short time does not change the list: after an outage of the store all keys are missing
 // until the processes have new leases.
-func (t *Table) renewedSuccessors(now time.Time, u *unit) []Successor {
+func (t *Table) updatedSuccessors(now time.Time, u *unit) []Successor {
 	var kept []Successor
 	for _, s := range u.record.Successors {
 		if t.isSuitableSuccessor(now, s) {
--- a/ownership/matrix_test.go
+++ b/ownership/matrix_test.go
@@ -10,20 +10,20 @@
 
 // baseScenarios together reach every step of every protocol.
 var baseScenarios = []directedScenario{
-	{rule: "release, takeover, outage", script: []trigger{
+	{name: "release, takeover, outage", script: []trigger{
 		inject("release", owner, 1, 0), inject("crash", owner, 10, 25), inject("outage", owner, 45, 20),
 	}},
-	{rule: "fence", script: []trigger{
+	{name: "fence", script: []trigger{
 		inject("cut", owner, 0, 20), inject("lag", secondSuccessor, 5, 60), inject("hold", firstSuccessor, 15, 22),
 		injectOnStep("takeover/sent", "cut", firstSuccessor, 0.01, 7),
 	}},
-	{rule: "successor restarts", script: []trigger{
+	{name: "successor restarts", script: []trigger{
 		inject("crash", owner, 0, 60), inject("crash", firstSuccessor, 0.1, 5), inject("crash", secondSuccessor, 0.2, 6),
 	}},
-	{rule: "force", script: []trigger{
+	{name: "force", script: []trigger{
 		inject("crash", owner, 0, 70), inject("crash", firstSuccessor, 0.1, 70), inject("crash", secondSuccessor, 0.2, 70), inject("force", 3, 25, 0),
 	}},
-	{rule: "all gone", script: []trigger{
+	{name: "all gone", script: []trigger{
 		inject("gone", owner, 0, 0), inject("gone", firstSuccessor, 0.1, 0), inject("gone", secondSuccessor, 0.2, 0),
 	}},
 }
@@ -131,7 +131,7 @@
 			}
 			runs++
 			if problem != "" {
-				problems = append(problems, fmt.Sprintf("%s, %s at occurrence %d of %s: %s", base.rule, f.Kind, occurrence, step, problem))
+				problems = append(problems, fmt.Sprintf("%s, %s at occurrence %d of %s: %s", base.name, f.Kind, occurrence, step, problem))
 			}
 		}
 	}
--- a/ownership/model_test.go
+++ b/ownership/model_test.go
@@ -56,7 +56,7 @@
 // newSimulation returns a simulation of five nodes in two regions, with the store in the
 // second region. Clock rates are at or within the configured drift.
 func newSimulation(seed uint64, seeded seededFaults) *simulation {
-	sim := &simulation{tickEvery: 100 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 1)), faults: seeded, units: []string{"w/a/0", "h/0", "h/1"}}
+	sim := &simulation{tickEvery: 100 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 1)), seeded: seeded, units: []string{"w/a/0", "h/0", "h/1"}}
 	sim.store = modelStore{rate: sim.clockRate(), records: map[string]Record{}, members: map[string]memberKey{}, leases: map[int64]time.Duration{}}
 	for i := range 5 {
 		region := "a"
@@ -90,7 +90,7 @@
 			}
 		})
 	case "gone":
-		if sim.liveCount() > 2 {
+		if sim.remainingCount() > 2 {
 			n.up, n.removed = false, true
 		}
 	case "outage":
@@ -134,7 +134,7 @@
 	}
 }
 
-func (sim *simulation) liveCount() (count int) {
+func (sim *simulation) remainingCount() (count int) {
 	for _, n := range sim.nodes {
 		if !n.removed {
 			count++
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -21,10 +21,10 @@
 // Action is an instruction or a notification from a Table to its caller.
 type Action interface{ action() }
 
-// Write requests one transaction that replaces the record of a unit. The
-// transaction succeeds only if the record's last revision is Expect (0: absent)
-// and the member key of every instance in AbsentMembers is absent. The caller
-// must report the outcome of each Write with exactly one call of WriteDone.
+// Write requests one transaction that replaces the record of a unit. The transaction
+// succeeds only if the record's last revision is ExpectedRevision (0: absent) and the
+// member key of every instance in AbsentMembers is absent. The caller must report the
+// outcome of each Write with exactly one call of WriteDone.
 type Write struct {
 	Record           Record
 	ExpectedRevision int64
@@ -49,9 +49,9 @@
 	Revision int64 // of the record, for compares in other transactions
 }
 
-// Renewed reports that the record of a held unit has a new revision, with the same owner
-// and epoch. Transactions that compare the record's revision must use the new one from
-// now on.
+// Renewed reports that the record of a held unit was replaced by a new revision with the
+// same owner and epoch. Transactions that compare the record's revision must use the new
+// one from now on. It is unrelated to the renewal of the lease.
 type Renewed struct {
 	Unit     string
 	Revision int64
--- a/ownership/seeded_test.go
+++ b/ownership/seeded_test.go
@@ -18,11 +18,12 @@
 	secondSuccessor
 )
 
-// directedScenario is a scenario in which only one safety rule prevents two holders of a
-// unit. Nodes are given as roles, and times count from warmUp. A fault with OnStep starts
-// At after the node first reaches that step.
+// directedScenario is a scenario with a fixed script of faults. If seeded is set, the rule
+// that it disables is the only one that prevents two holders of a unit. Nodes are given as
+// roles, and times count from warmUp. A fault with OnStep starts At after the node first
+// reaches that step.
 type directedScenario struct {
-	rule          string
+	name          string
 	seeded        seededFaults
 	extremeClocks bool // clocks at the limits of the drift, short delays
 	script        []trigger
@@ -57,29 +58,29 @@
 }
 
 var directedScenarios = []directedScenario{
-	{rule: "wait for the promise window", seeded: seededFaults{skipPromiseWindowWait: true},
+	{name: "wait for the promise window", seeded: seededFaults{skipPromiseWindowWait: true},
 		script: []trigger{inject("cut", owner, 0, 30)}},
-	{rule: "unresolved write blocks promises", seeded: seededFaults{promiseWhileUnresolved: true},
+	{name: "unresolved write blocks promises", seeded: seededFaults{promiseWhileUnresolved: true},
 		script: delayedTakeover()},
-	{rule: "incarnation check", seeded: seededFaults{ignoreIncarnation: true},
+	{name: "incarnation check", seeded: seededFaults{ignoreIncarnation: true},
 		script: delayedTakeover(injectOnStep("takeover/sent", "crash", firstSuccessor, 0.02, 0.5))},
-	{rule: "drift margin of the store term", seeded: seededFaults{ignoreClockError: true}, extremeClocks: true,
+	{name: "drift margin of the store term", seeded: seededFaults{ignoreClockError: true}, extremeClocks: true,
 		script: []trigger{inject("isolate", owner, 0, 30)}},
-	{rule: "drift margin of the promise term", seeded: seededFaults{ignoreClockError: true}, extremeClocks: true,
+	{name: "drift margin of the promise term", seeded: seededFaults{ignoreClockError: true}, extremeClocks: true,
 		script: []trigger{inject("cut", owner, 0, 30)}},
-	{rule: "term counts from before the send (keepalive)", seeded: seededFaults{termFromReply: true},
+	{name: "term counts from before the send (keepalive)", seeded: seededFaults{termFromReply: true},
 		script: []trigger{inject("slow", owner, 0, 20), inject("isolate", owner, 10, 20)}},
-	{rule: "term counts from before the send (promise)", seeded: seededFaults{termFromReply: true},
+	{name: "term counts from before the send (promise)", seeded: seededFaults{termFromReply: true},
 		script: []trigger{inject("cut", owner, 0, 30), inject("slow", owner, 5, 30)}},
-	{rule: "member key compare", seeded: seededFaults{skipMemberCompare: true},
+	{name: "member key compare", seeded: seededFaults{skipMemberCompare: true},
 		script: []trigger{inject("cut", owner, 0, 12), inject("lag", firstSuccessor, 10, 30), inject("lag", owner, 14, 20)}},
-	{rule: "observation after a new lease", seeded: seededFaults{useStaleRecord: true},
+	{name: "observation after a new lease", seeded: seededFaults{useStaleRecord: true},
 		script: []trigger{inject("freeze", owner, 0, 20), inject("lag", owner, 0, 40)}},
-	{rule: "promises of both lists", seeded: seededFaults{requireOnlyRecorded: true},
+	{name: "promises of both lists", seeded: seededFaults{requireOnlyRecorded: true},
 		script: []trigger{inject("cut", secondSuccessor, 0, 40), injectOnStep("successors/executed", "cut", owner, 0, 25)}},
-	{rule: "stop before handover", seeded: seededFaults{holdDuringHandover: true},
+	{name: "stop before handover", seeded: seededFaults{holdDuringHandover: true},
 		script: []trigger{inject("slow", owner, 0, 10), inject("lag", owner, 0, 10), inject("release", owner, 1, 0)}},
-	{rule: "empty list promises nothing", seeded: seededFaults{emptyListCountsAsPromise: true},
+	{name: "empty list promises nothing", seeded: seededFaults{emptyListCountsAsPromise: true},
 		script: []trigger{inject("crash", firstSuccessor, 0, 25), inject("crash", secondSuccessor, 0, 25), inject("crash", 3, 0, 25), inject("crash", 4, 0, 25), inject("cut", owner, 20, 30)}},
 }
 
@@ -178,7 +179,7 @@
 // rule: with the rule the scenario must pass, and without it two tables must hold the unit.
 func TestEachRuleIsNeeded(t *testing.T) {
 	for _, d := range directedScenarios {
-		t.Run(d.rule, func(t *testing.T) {
+		t.Run(d.name, func(t *testing.T) {
 			t.Parallel()
 			found := 0
 			seeds := uint64(4)
--- a/ownership/simnode_test.go
+++ b/ownership/simnode_test.go
@@ -47,7 +47,7 @@
 	n.up = true
 	n.self.Incarnation = fmt.Sprintf("%s.%d", n.self.Instance, n.starts)
 	n.table = New(modelConfig(n.sim.units), n.self, n.clock())
-	n.table.seededFaults = n.sim.faults
+	n.table.seededFaults = n.sim.seeded
 	n.lease, n.attaching, n.deliveredChanges = 0, false, 0
 	n.members = make(map[string]membership.Member)
 	n.attach()
--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -21,7 +21,7 @@
 	store     modelStore
 	nodes     []*node
 	units     []string
-	faults    seededFaults
+	seeded    seededFaults
 	tickEvery time.Duration
 	lateness  float64 // fraction of messages that are delayed by up to 20 s
 	loss      float64 // fraction of messages that are lost
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -27,7 +27,7 @@
 	listed          map[string]bool      // by instance: in the latest instance list
 	listReadAt      time.Time            // of the latest instance list
 
-	attached         bool      // Attached was called, and LeaseLost was not called since
+	attached         bool      // LeaseAttached was called, and LeaseLost was not called since
 	attachRevision   int64     // store revision at which the member key was written
 	observedRevision int64     // every change up to this store revision has been observed
 	keepAliveSentAt  time.Time // read before the last successful keepalive was sent
@@ -59,8 +59,8 @@
 	pending   *pendingWrite
 	retryAt   time.Time // earliest time of the next write
 	releasing bool      // Release was called under the owner and epoch of the current record
-	forcedAt  time.Time
-	forced    bool // Force was accepted and is not void
+	forcedAt  time.Time // when ForceTakeover was first accepted
+	forced    bool      // ForceTakeover was accepted and is not void
 }
 
 // seededFaults disables individual safety rules. Only tests set it, to show that their
@@ -167,7 +167,7 @@
 }
 
 // ObserveThrough reports that every change of the store up to the revision has been
-// passed to Observe and ObserveMembers. It is called after a complete list or a
+// passed to ObserveRecord and ObserveMembers. It is called after a complete list or a
 // watch batch, also after one without changes.
 func (t *Table) ObserveThrough(now time.Time, revision int64) {
 	t.expireTerms(now)
--- a/ownership/takeover.go
+++ b/ownership/takeover.go
@@ -9,8 +9,8 @@
 
 // ForceTakeover records an operator's declaration that the owner and the successors of the
 // unit are gone, and returns when this process will take over. It is rejected while
-// the store has a member key of one of them, and it becomes void as soon as one comes
-// back. The wait is the same as for instances that are missing from the instance list.
+// the store has a member key of one of them, and it becomes void as soon as such a key
+// reappears. The wait is the same as for instances that are missing from the instance list.
 func (t *Table) ForceTakeover(now time.Time, name string) (at time.Time, ok bool) {
 	u := t.byName[name]
 	if u == nil || u.record.Revision == 0 || !t.allAbsent(u.record) {
