control: align comments and local names with the renamed API

Use the words of the exported names for unexported ones (memory-only, component, RequestNoCommit) and describe fields whose meaning was only apparent from the code.

--- a/control/attempts.go
+++ b/control/attempts.go
@@ -186,12 +186,12 @@
 // memory-only job the process that holds it. If that process is no longer a member, the report has
 // no recipient and is dropped.
 func (w *owner) homeOf(id task.Attempt, r AttemptReport) (membership.Member, bool) {
-	holder, isVolatile := ledger.HomeOf(id.Task)
-	if !isVolatile {
+	homeIncarnation, isMemoryOnly := ledger.HomeOf(id.Task)
+	if !isMemoryOnly {
 		home, _, ok := w.routing.ownerOf(shardOf(r.Job, w.cfg.RequestShards))
 		return home, ok
 	}
-	home, ok := w.routing.members[holder]
+	home, ok := w.routing.members[homeIncarnation]
 	if !ok {
 		delete(w.pendingReports, id)
 		if r.Outcome != nil {
--- a/control/config.go
+++ b/control/config.go
@@ -25,7 +25,7 @@
 	DigestInterval            time.Duration // within a region
 	CrossRegionDigestInterval time.Duration // across regions
 	DigestLifetime            time.Duration // how long a digest is valid
-	MaxDrainWait              time.Duration // how long a drain waits for pending answers and for homes
+	MaxDrainWait              time.Duration // how long a drain waits for homes, waiting calls and memory-only jobs
 }
 
 // DefaultConfig returns the default configuration for the given regions.
--- a/control/configuration.go
+++ b/control/configuration.go
@@ -71,15 +71,15 @@
 
 // setDocument sets a document, or deletes it if held is nil. It replaces the map by a modified
 // copy, because published snapshots share the current one.
-func (c *configuration) setDocument(key DocumentKey, held *DocumentInForce) {
+func (c *configuration) setDocument(key DocumentKey, doc *DocumentInForce) {
 	next := make(map[DocumentKey]DocumentInForce, len(c.documents)+1)
 	for k, d := range c.documents {
 		next[k] = d
 	}
-	if held == nil {
+	if doc == nil {
 		delete(next, key)
 	} else {
-		next[key] = *held
+		next[key] = *doc
 	}
 	c.documents = next
 }
--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -30,13 +30,13 @@
 		return
 	}
 	shard := h.shardOf(job)
-	a, waits, ok := h.ledger.Dispatch(shard, job, index, partition, ledger.PostCommitStep{Kind: ledger.StepDispatch, Job: job, Index: index})
+	a, awaitsCommit, ok := h.ledger.Dispatch(shard, job, index, partition, ledger.PostCommitStep{Kind: ledger.StepDispatch, Job: job, Index: index})
 	if !ok {
 		return
 	}
 	delete(h.undispatched, ref)
 	h.openAttempts[a] = &openAttempt{ref: ref, partition: partition, lookupAt: h.now.Add(h.cfg.LookupInterval), deadline: answerDeadline(record, h.cfg.AnswerGrace)}
-	if !waits {
+	if !awaitsCommit {
 		h.batchPlacement(job, record, index)
 	}
 }
@@ -120,13 +120,13 @@
 // unstartedTasks returns the number of tasks of a gang that have yet to start. Tasks that finished
 // before another member was lost are not started again.
 func unstartedTasks(record *ledger.Record) int {
-	waiting := 0
+	unstarted := 0
 	for i := range record.Tasks {
 		if s := record.Tasks[i].State; s == task.Accepted || s == task.Dispatched {
-			waiting++
+			unstarted++
 		}
 	}
-	return waiting
+	return unstarted
 }
 
 // flushPlacements sends the collected placements, with one call per partition.
@@ -183,14 +183,14 @@
 
 // finish applies the outcome of an attempt. It returns whether the reply to the report request with
 // the given ID has to wait for the commit of the outcome.
-func (h *home) finish(a task.Attempt, outcome task.Outcome, reportID uint64) (waits bool) {
+func (h *home) finish(a task.Attempt, outcome task.Outcome, reportID uint64) (awaitsCommit bool) {
 	job, index, ok := ledger.ParseTaskID(a.Task)
 	if !ok {
 		return false
 	}
 	shard := h.shardOf(job)
 	step := ledger.PostCommitStep{Kind: ledger.StepFinished, Job: job, Index: index, Token: reportID}
-	verdict, waits := h.ledger.Finish(h.now, shard, job, index, outcome, step)
+	verdict, awaitsCommit := h.ledger.Finish(h.now, shard, job, index, outcome, step)
 	if verdict == ledger.Dropped {
 		h.recordEvent(timeline.Event{Type: timeline.AnswerDropped, Team: job.Team, Task: a.Task, Attempt: a.Number, Worker: outcome.Worker})
 		return false
@@ -201,15 +201,15 @@
 	h.recordEvent(timeline.Event{Type: outcomeEventType(outcome.State), Team: job.Team, Task: a.Task, Attempt: a.Number, Worker: outcome.Worker, Kind: outcome.Reason})
 	if verdict == ledger.Retry {
 		h.retry(taskRef{job, index}, record, o, outcome)
-		return waits
+		return awaitsCommit
 	}
 	if record.Spec.Kind == task.Gang {
 		h.resumeGang(job, record)
 	}
-	if !waits {
+	if !awaitsCommit {
 		h.completeIfFinal(job)
 	}
-	return waits
+	return awaitsCommit
 }
 
 func outcomeEventType(s task.State) timeline.Type {
--- a/control/drain.go
+++ b/control/drain.go
@@ -12,7 +12,7 @@
 type drainState struct {
 	started   bool
 	startedAt time.Time
-	finished  bool
+	finished  bool // Drained was emitted
 }
 
 // startDrain starts the drain before a planned stop: it publishes the draining state in the member
@@ -47,9 +47,9 @@
 // continueDrain hands over the held units. A request shard is released as soon as it has no
 // uncommitted changes, because waiting calls are retried at the next home. A worker partition is
 // released when this owner is no longer busy, see isBusy. The drain is complete when no unit is
-// held and the jobs that only this process holds in memory have been answered. The waits for homes
-// and answers end after MaxDrainWait. Without store contact nothing can be handed over, and
-// the process holds its units until it is stopped.
+// held, no call waits for a reply, and every memory-only job is final. The waits for homes, calls
+// and memory-only jobs end after MaxDrainWait. Without store contact nothing can be handed over,
+// and the process holds its units until it is stopped.
 func (s *State) continueDrain() {
 	if !s.drain.started || s.drain.finished {
 		return
--- a/control/effect.go
+++ b/control/effect.go
@@ -62,8 +62,8 @@
 	BootID      string        // of the worker
 	LeaseUntil  time.Duration // on the worker's clock; 0 does not renew the leases
 	Acknowledge []task.Attempt
-	After       uint64
-	Full        bool
+	After       uint64 // sequence number of the last report received
+	Full        bool   // requests a report of every attempt, not only of those changed since After
 }
 
 // LookupTask requests the state of an attempt from its worker; LookupDone delivers the result.
@@ -125,12 +125,12 @@
 // AllowanceDone delivers the result.
 type WriteAllowances struct{ Writes []allowance.Write }
 
-// Resync requests that the daemon read the entire configuration again, because the watch has fallen
-// behind. Behind is the revision that the watch has not delivered.
+// Resync requests that the daemon read the entire configuration again, because the watch lags behind
+// the store. MissingRevision is the revision that the watch has not delivered.
 type Resync struct{ MissingRevision int64 }
 
-// Drained reports that the drain is complete and the planned stop may proceed: no unit is held and
-// no reply is pending.
+// Drained reports that the drain is complete and the planned stop may proceed: no unit is held, and
+// no reply is pending or Config.MaxDrainWait has passed.
 type Drained struct{}
 
 func (Reply) effect()           {}
--- a/control/event.go
+++ b/control/event.go
@@ -73,7 +73,7 @@
 	BootID   string
 	Clock    time.Duration // since its boot
 	Sequence uint64
-	Full     bool
+	Full     bool // Tasks lists every attempt on the worker, not only the changed ones
 	Capacity task.Resources
 	Leaving  bool
 	Tasks    []TaskReport
@@ -94,10 +94,10 @@
 type LookupDone struct {
 	Lookup LookupTask
 	Err    error
-	Known  bool
-	Clock  time.Duration
+	Known  bool          // the worker has a record of the attempt
+	Clock  time.Duration // of the worker, when it replied
 	BootID string
-	Report TaskReport
+	Report TaskReport // valid if Known
 }
 
 // ResultDone is the result of a FetchResult.
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -40,13 +40,13 @@
 		if m.Incarnation == s.self.Incarnation || s.now.Before(s.exchange.sentAt[m.Incarnation].Add(s.digestInterval(m))) {
 			continue
 		}
-		askNoCommit := s.exchange.awaitingReply[m.Incarnation]
-		if m.Incarnation < s.self.Incarnation && !askNoCommit && s.areKeysFresh() && !s.drain.started {
+		requestNoCommit := s.exchange.awaitingReply[m.Incarnation]
+		if m.Incarnation < s.self.Incarnation && !requestNoCommit && s.areKeysFresh() && !s.drain.started {
 			continue
 		}
 		s.exchange.sentAt[m.Incarnation] = s.now
 		message := s.digest()
-		message.RequestNoCommit = askNoCommit
+		message.RequestNoCommit = requestNoCommit
 		s.emit(Send{To: m, Request: message, Timeout: s.cfg.CallTimeout, SentAt: s.now})
 	}
 }
@@ -232,7 +232,7 @@
 func (w *owner) usage() []TeamUsage {
 	sums := map[task.Team]task.Resources{}
 	for _, a := range w.attempts {
-		if _, size, held := w.cluster.ReservationOf(a.id); held {
+		if _, size, reserved := w.cluster.ReservationOf(a.id); reserved {
 			sums[a.team] = sums[a.team].Add(size)
 		}
 	}
--- a/control/gang_test.go
+++ b/control/gang_test.go
@@ -71,12 +71,12 @@
 	if started != len(attempts) {
 		t.Fatalf("%d of %d gang members were started", started, len(attempts))
 	}
-	ends := []task.Outcome{
+	outcomes := []task.Outcome{
 		{State: task.Unknown, Reason: string(errkind.WorkerLost)},
 		{State: task.Finished, Reason: string(errkind.WorkerLost)},
 		{State: task.Finished},
 	}
-	for i, outcome := range ends {
+	for i, outcome := range outcomes {
 		outcome.Attempt = attempts[i]
 		lastToken++
 		h.apply(PeerCall{Token: lastToken, Request: ReportRequest{Reports: []AttemptReport{{Attempt: attempts[i], Job: job, Index: i, Outcome: &outcome}}}})
--- a/control/home.go
+++ b/control/home.go
@@ -27,14 +27,14 @@
 	batches      map[string][]Placement        // to be sent at the end of this Apply, by partition
 	reportCalls  map[uint64]*reportCall        // report requests that wait for a commit
 	nextReportID uint64
-	expiredAt    time.Time
-	rebalancedAt time.Time
+	lastExpiryAt time.Time // last scan for records past their retention
+	rebalancedAt time.Time // last scan for attempts to move to another partition
 }
 
 // keyChecks are the checks of the key under which work was accepted, for home and owner.
 type keyChecks struct {
 	isWithdrawn func(KeyRef) bool
-	areFresh    func() bool // whether every withdrawal that is in force has certainly been applied here
+	areFresh    func() bool // whether every withdrawal in force is guaranteed to have been applied here
 }
 
 // taskRef identifies one task of a job.
@@ -222,12 +222,12 @@
 // terminate cancels a job for a reason and withdraws its open attempts from their owners.
 func (h *home) terminate(record *ledger.Record, reason errkind.Kind) {
 	job := record.JobKey()
-	open, waits, _ := h.ledger.Cancel(h.now, h.shardOf(job), job, reason, ledger.PostCommitStep{Kind: ledger.StepFinished, Job: job})
+	open, awaitsCommit, _ := h.ledger.Cancel(h.now, h.shardOf(job), job, reason, ledger.PostCommitStep{Kind: ledger.StepFinished, Job: job})
 	for i := range record.Tasks {
 		delete(h.undispatched, taskRef{job, i})
 	}
 	h.withdraw(job, record, open, reason)
-	if !waits {
+	if !awaitsCommit {
 		h.completeIfFinal(job)
 	}
 }
--- a/control/homereport.go
+++ b/control/homereport.go
@@ -17,7 +17,7 @@
 	call := &reportCall{token: token, recorded: make([]bool, len(req.Reports))}
 	h.reportCalls[id] = call
 	for i, r := range req.Reports {
-		if _, isVolatile := ledger.HomeOf(r.Attempt.Task); !isVolatile && !h.ledger.IsActive(h.shardOf(r.Job)) {
+		if _, isMemoryOnly := ledger.HomeOf(r.Attempt.Task); !isMemoryOnly && !h.ledger.IsActive(h.shardOf(r.Job)) {
 			continue
 		}
 		call.recorded[i] = true
@@ -39,8 +39,8 @@
 // acknowledge the attempt to its worker before the outcome is stored: the next home would find no
 // record of the attempt and treat it as not run.
 func (h *home) mayBeUncommitted(r AttemptReport) bool {
-	_, isVolatile := ledger.HomeOf(r.Attempt.Task)
-	return !isVolatile && h.ledger.HasPending(h.shardOf(r.Job))
+	_, isMemoryOnly := ledger.HomeOf(r.Attempt.Task)
+	return !isMemoryOnly && h.ledger.HasPending(h.shardOf(r.Job))
 }
 
 func (h *home) attemptStarted(r AttemptReport) {
@@ -94,8 +94,8 @@
 	h.rebalance()
 	h.lookUpOverdue()
 	h.expireWaits()
-	if h.now.Sub(h.expiredAt) >= expireInterval {
-		h.expiredAt = h.now
+	if h.now.Sub(h.lastExpiryAt) >= expireInterval {
+		h.lastExpiryAt = h.now
 		h.ledger.Expire(h.now)
 	}
 }
--- a/control/limit.go
+++ b/control/limit.go
@@ -31,25 +31,25 @@
 // requestAllowance registers the total demand of the queued tasks of each team and partition, so
 // that one transaction covers it.
 func (w *owner) requestAllowance() {
-	type need struct {
+	type demandKey struct {
 		team      task.Team
 		partition string
 	}
-	needs := map[need]task.Resources{}
+	demand := map[demandKey]task.Resources{}
 	for _, a := range w.attempts {
 		if a.stage == stageQueued {
-			n := need{a.team, a.partition}
-			needs[n] = needs[n].Add(a.size)
+			key := demandKey{a.team, a.partition}
+			demand[key] = demand[key].Add(a.size)
 		}
 	}
-	for n, total := range needs {
-		w.allowances.SetDemand(w.now, n.team, n.partition, total)
+	for key, total := range demand {
+		w.allowances.SetDemand(w.now, key.team, key.partition, total)
 	}
 }
 
 // preemptOverLimit preempts work of teams whose limit was lowered below their usage, so that the
 // lower limit can come into force. Each partition preempts in proportion to the allowance that it
-// holds. Only work that may be repeated is preempted.
+// holds. Only work that may be retried is preempted.
 func (w *owner) preemptOverLimit() {
 	for _, team := range w.activeTeams() {
 		record, ok := w.allowances.Record(team)
--- a/control/limit_test.go
+++ b/control/limit_test.go
@@ -14,16 +14,16 @@
 	h := newHarness(96, 2, 1)
 	w := h.state.owner
 	const team = task.Team("team-0")
-	first, second := PartitionOf("r", "0", 2), ""
+	withoutAllowance, withAllowance := PartitionOf("r", "0", 2), ""
 	for name := range w.partitions {
-		if name != first {
-			second = name
+		if name != withoutAllowance {
+			withAllowance = name
 		}
 	}
 	fourTasks := gangSpec.Size.Scale(4)
 	limit := task.Resources{Slots: 4}
 	h.revision++
-	record := allowance.Record{Team: team, Limit: limit, LimitRevision: h.revision, Allowances: map[string]task.Resources{second: fourTasks}, Revision: h.revision}
+	record := allowance.Record{Team: team, Limit: limit, LimitRevision: h.revision, Allowances: map[string]task.Resources{withAllowance: fourTasks}, Revision: h.revision}
 	w.setLimit(team, &limit, h.revision)
 	h.apply(ConfigChanged{Revision: h.revision, Changes: []ConfigChange{{Entry: ConfigEntry{Key: "allow/team-0", Revision: h.revision}, Allowance: &record}}})
 	place := func(partition string, n int) {
@@ -36,8 +36,8 @@
 			}
 		}
 	}
-	place(first, 2*backfillDepth)
-	place(second, 2)
+	place(withoutAllowance, 2*backfillDepth)
+	place(withAllowance, 2)
 	started := map[string]int{}
 	w.effects = nil
 	w.schedule()
@@ -46,7 +46,7 @@
 			started[start.Partition]++
 		}
 	}
-	if started[second] != 2 || started[first] != 0 {
-		t.Errorf("started %v, want the 2 tasks of %s, which has allowance", started, second)
+	if started[withAllowance] != 2 || started[withoutAllowance] != 0 {
+		t.Errorf("started %v, want the 2 tasks of %s, which has allowance", started, withAllowance)
 	}
 }
--- a/control/loop.go
+++ b/control/loop.go
@@ -26,8 +26,8 @@
 	tokens atomic.Uint64
 	calls  sync.Map // waiting calls, from token (uint64) to chan PeerReply
 
-	applyTime        metrics.Histogram
-	allowanceRefused atomic.Uint64
+	applyTime         metrics.Histogram
+	allowanceRefusals atomic.Uint64
 }
 
 // NewLoop returns a loop for a state that receives a Tick at the given interval. Effects other than
@@ -46,7 +46,7 @@
 func (l *Loop) QueuedEvents() int { return len(l.events) }
 
 // AllowanceRefused returns how often a start was refused because its team lacked allowance.
-func (l *Loop) AllowanceRefused() uint64 { return l.allowanceRefused.Load() }
+func (l *Loop) AllowanceRefused() uint64 { return l.allowanceRefusals.Load() }
 
 // Post sends an event to the control goroutine. It returns the error of ctx if ctx ends before the
 // event is queued.
@@ -117,7 +117,7 @@
 		}
 		l.execute(effect)
 	}
-	l.allowanceRefused.Store(l.state.owner.allowanceRefusals)
+	l.allowanceRefusals.Store(l.state.owner.allowanceRefusals)
 	l.applyTime.Update(int64(time.Since(started)))
 }
 
--- a/control/member.go
+++ b/control/member.go
@@ -11,13 +11,13 @@
 // entry instances of the instance list.
 type membershipState struct {
 	leaseID        int64
-	granting       bool
-	renewing       bool
-	renewAt        time.Time
+	granting       bool      // a GrantLease is in progress
+	renewing       bool      // a RenewLease is in progress
+	renewAt        time.Time // when the next renewal or grant is due
 	lastContact    time.Time // send time of the last call that the store answered
 	storeDown      bool
-	shardsToReread []string // shards whose value could not be read
-	listedAt       time.Time
+	shardsToReread []string            // shards whose value could not be read
+	listedAt       time.Time           // when the latest instance list was requested
 	listedEntries  []membership.Member // from the instance list
 }
 
--- a/control/overview.go
+++ b/control/overview.go
@@ -73,12 +73,12 @@
 		if _, owned := w.partitions[ws.partition]; !owned {
 			continue
 		}
-		l := ws.listed
-		free, _ := w.cluster.FreeOn(l.Name)
+		listed := ws.listed
+		free, _ := w.cluster.FreeOn(listed.Name)
 		views = append(views, WorkerView{
-			Name: l.Name, Address: l.Address, Region: l.Region, FailureDomain: l.FailureDomain, Rack: l.Rack, Partition: ws.partition,
-			Usable: w.isUsable(ws), Leaving: ws.isLeaving(), Drained: w.drainedWorkers[l.Name], Quarantined: w.monitor.IsQuarantined(l.Name), Silent: ws.failedSyncs,
-			LastReport: ws.clockAt, Capacity: ws.capacity, Free: free, Running: running[l.Name],
+			Name: listed.Name, Address: listed.Address, Region: listed.Region, FailureDomain: listed.FailureDomain, Rack: listed.Rack, Partition: ws.partition,
+			Usable: w.isUsable(ws), Leaving: ws.isLeaving(), Drained: w.drainedWorkers[listed.Name], Quarantined: w.monitor.IsQuarantined(listed.Name), Silent: ws.failedSyncs,
+			LastReport: ws.clockAt, Capacity: ws.capacity, Free: free, Running: running[listed.Name],
 		})
 	}
 	slices.SortFunc(views, func(a, b WorkerView) int { return cmp.Compare(a.Name, b.Name) })
@@ -91,13 +91,13 @@
 		running[u.Team] = u.Size
 	}
 	var views []TeamView
-	for key, held := range s.config.documents {
+	for key, doc := range s.config.documents {
 		if key.Service != "" {
 			continue
 		}
 		record, _ := s.owner.allowances.Record(key.Team)
 		views = append(views, TeamView{
-			Team: key.Team, Weight: held.Share, Running: running[key.Team], Share: s.owner.shares.ShareOf(s.now, key.Team), Queued: s.owner.queues.Len(key.Team), Allowance: record,
+			Team: key.Team, Weight: doc.Share, Running: running[key.Team], Share: s.owner.shares.ShareOf(s.now, key.Team), Queued: s.owner.queues.Len(key.Team), Allowance: record,
 		})
 	}
 	slices.SortFunc(views, func(a, b TeamView) int { return cmp.Compare(a.Team, b.Team) })
--- a/control/owner.go
+++ b/control/owner.go
@@ -34,7 +34,8 @@
 	workers    map[string]*workerState
 	attempts   map[task.Attempt]*attempt
 	// blocked contains the teams of which none of the first queued tasks could be started. They are
-	// skipped, and so not retried on every event, until what they lack may have become available.
+	// skipped until the missing resource may be available again, so that they are not retried on
+	// every event.
 	blocked           map[task.Team]blockReason
 	blockedClearedAt  time.Time
 	workersReviewedAt time.Time
@@ -67,11 +68,11 @@
 	capacity      task.Resources
 	reconciled    bool      // has sent a full report that was requested after all starts of previous owners had expired
 	leaseEnd      time.Time // upper bound of the ends of all task leases granted so far
-	syncing       bool
-	syncAt        time.Time
-	failedSyncs   int  // consecutive failed syncs
-	leaving       bool // according to its last report
-	awaitingProbe bool // in quarantine, but may get one task as a probe
+	syncing       bool      // a sync is in progress
+	syncAt        time.Time // when the next sync is due
+	failedSyncs   int       // consecutive failed syncs
+	leaving       bool      // according to its last report
+	awaitingProbe bool      // in quarantine, but may get one task as a probe
 	pendingAcks   []task.Attempt
 }
 
@@ -106,7 +107,7 @@
 	queuedAt    time.Time
 	startedAt   time.Time
 	outcome     task.Outcome // without the result, while that is being fetched
-	lookupAt    time.Time    // in stageUnclear: when to look up; in stageAwaitingPermit: when to give up
+	lookupAt    time.Time    // in stageUnclear: when to look up; in stageAwaitingPermit: when the wait times out
 	lookingUp   bool
 	stopReason  errkind.Kind // why a stop was ordered; empty if none was ordered
 	stopRetryAt time.Time    // when to repeat the stop order
@@ -232,8 +233,8 @@
 	return LookupEnded
 }
 
-// resendReport queues a report that the requesting home may lack: a home that took over the shard
-// has not received the report that an attempt is running.
+// resendReport queues a report that the requesting home may not have received: a home that took over
+// the shard has no report that an attempt is running.
 func (w *owner) resendReport(a *attempt) {
 	if r, ok := w.pendingReports[a.id]; ok {
 		r.sendAt = w.now
--- a/control/peer.go
+++ b/control/peer.go
@@ -13,7 +13,7 @@
 // PeerRequest is a request from one entry instance to another. Package entry encodes it.
 type PeerRequest interface{ peerRequest() }
 
-// PeerReply answers a PeerRequest.
+// PeerReply is the reply to a PeerRequest.
 type PeerReply interface{ peerReply() }
 
 // SubmitRequest submits a job to its home. The reply is sent when the job is final or Wait has
@@ -139,8 +139,8 @@
 
 // PromiseRequest requests a successor's promise not to take over units for the promise window.
 type PromiseRequest struct {
-	Owner    string // incarnation
-	Promisee ownership.Successor
+	Owner    string              // incarnation
+	Promisee ownership.Successor // the successor that is to give the promise
 	Units    []PromiseUnit
 }
 
@@ -172,9 +172,9 @@
 	StoreContactAge time.Duration // time since the sending of the last call that the store answered
 	Freshness       time.Duration // remaining freshness of keys
 	Partitions      []PartitionDigest
-	Usage           []TeamUsage
-	StarvedTeams    []task.Team // teams for which this owner lacks allowance
-	Clock           timeline.Timestamp
+	Usage           []TeamUsage        // at this owner
+	StarvedTeams    []task.Team        // teams for which this owner lacks allowance
+	Clock           timeline.Timestamp // of the sender
 	// RequestNoCommit, in a request during a store outage, requests a promise not to commit
 	// configuration changes for one freshness period; NoCommitPromised in the reply grants it.
 	RequestNoCommit  bool
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -15,7 +15,7 @@
 // the entire queue.
 const backfillDepth = 8
 
-// blockReason is the resource for lack of which the first queued tasks of a team cannot start.
+// blockReason is the resource that the first queued tasks of a team lack.
 type blockReason uint8
 
 const (
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -23,7 +23,7 @@
 	StoreContact      bool
 	Draining          bool
 	Ready             bool // has a lease, has read the configuration, and is not draining
-	Shards            int
+	Shards            int  // number of request shards
 }
 
 // Route is the recorded owner of a unit.
@@ -86,12 +86,12 @@
 // Authorize checks the key of a call for a job of a service. It returns the document of the
 // service, and the key unless the service is open.
 func (s *Snapshot) Authorize(now time.Time, team task.Team, service task.Service, secret string) (DocumentInForce, keyring.Key, *errkind.Error) {
-	held, ok := s.Documents[DocumentKey{team, service}]
+	doc, ok := s.Documents[DocumentKey{team, service}]
 	if !ok {
 		return DocumentInForce{}, keyring.Key{}, s.unknownNameError(team, service)
 	}
-	if held.Open {
-		return held, keyring.Key{}, nil
+	if doc.Open {
+		return doc, keyring.Key{}, nil
 	}
 	if secret == "" {
 		return DocumentInForce{}, keyring.Key{}, errkind.New(errkind.KeyMissing, "service %s/%s requires a key", team, service)
@@ -100,16 +100,16 @@
 	if err != nil {
 		return DocumentInForce{}, keyring.Key{}, err
 	}
-	return held, key, nil
+	return doc, key, nil
 }
 
 // Admit authorizes a submission and completes it with the settings of the document of its service.
 func (s *Snapshot) Admit(now time.Time, secret string, spec task.Spec) (task.Spec, *errkind.Error) {
-	held, key, err := s.Authorize(now, spec.Team, spec.Service, secret)
+	doc, key, err := s.Authorize(now, spec.Team, spec.Service, secret)
 	if err != nil {
 		return task.Spec{}, err
 	}
-	complete, err := held.Complete(spec, string(key.Role))
+	complete, err := doc.Complete(spec, string(key.Role))
 	if err != nil {
 		return task.Spec{}, err
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -29,7 +29,7 @@
 	Quarantine quarantine.Config
 }
 
-// DefaultComponentConfigs returns the default Parts for a configuration.
+// DefaultComponentConfigs returns the default configurations of the packages for cfg.
 func DefaultComponentConfigs(cfg Config) ComponentConfigs {
 	partitions, shards := unitsOf(&cfg)
 	return ComponentConfigs{
@@ -62,25 +62,25 @@
 }
 
 // New returns the state of a process that has just started.
-func New(now time.Time, cfg Config, parts ComponentConfigs, self membership.Member, recorder *timeline.Recorder, rng *rand.Rand) *State {
+func New(now time.Time, cfg Config, components ComponentConfigs, self membership.Member, recorder *timeline.Recorder, rng *rand.Rand) *State {
 	s := &State{cfg: cfg, self: self, outbox: outbox{now: now, recorder: recorder}, routing: newRouting(), snapshotChanged: true}
-	s.ownership = ownership.New(parts.Ownership, self, now)
-	s.freshness = keyring.NewFreshness(parts.Keyring, now)
+	s.ownership = ownership.New(components.Ownership, self, now)
+	s.freshness = keyring.NewFreshness(components.Keyring, now)
 	s.config = newConfiguration()
 	s.membership = &membershipState{lastContact: now}
 	s.exchange = newDigestExchange()
-	allowances := allowance.New(parts.Allowance)
+	allowances := allowance.New(components.Allowance)
 	keys := keyChecks{isWithdrawn: s.config.isWithdrawn, areFresh: func() bool { return s.freshness.Remaining(s.now) > 0 }}
 	s.home = &home{
 		keys:   keys,
-		outbox: &s.outbox, cfg: &s.cfg, routing: s.routing, ledger: ledger.New(parts.Ledger, self.Incarnation),
+		outbox: &s.outbox, cfg: &s.cfg, routing: s.routing, ledger: ledger.New(components.Ledger, self.Incarnation),
 		selector:     &partitionSelector{routing: s.routing, rng: rng, digestLifetime: cfg.DigestLifetime, region: self.Region},
 		waitingCalls: map[uint64]*jobCall{}, waiters: map[ledger.JobKey][]uint64{}, openAttempts: map[task.Attempt]*openAttempt{},
 		undispatched: map[taskRef]*undispatchedTask{}, batches: map[string][]Placement{}, reportCalls: map[uint64]*reportCall{},
 	}
 	s.owner = &owner{
-		outbox: &s.outbox, cfg: &s.cfg, routing: s.routing, cluster: placement.NewCluster(), shares: fairshare.New(parts.Fairshare),
-		queues: queue.New(parts.Queue), monitor: quarantine.New(parts.Quarantine), allowances: allowances,
+		outbox: &s.outbox, cfg: &s.cfg, routing: s.routing, cluster: placement.NewCluster(), shares: fairshare.New(components.Fairshare),
+		queues: queue.New(components.Queue), monitor: quarantine.New(components.Quarantine), allowances: allowances,
 		holds:      func(unit string) (uint64, bool) { return s.ownership.Holds(s.now, unit) },
 		termEnd:    func(unit string) time.Time { return s.ownership.TermEnd(unit) },
 		keys:       keys,
@@ -193,7 +193,8 @@
 	return true
 }
 
-// planAllowances requests the allowance that starts lacked, and returns idle allowance.
+// planAllowances requests allowance for starts that were refused for lack of it, and returns idle
+// allowance.
 func (s *State) planAllowances() {
 	if !s.owner.allowancePlanDue && s.now.Sub(s.allowancesPlannedAt) < slowTickInterval {
 		return
--- a/control/units.go
+++ b/control/units.go
@@ -66,9 +66,9 @@
 	if err != nil {
 		return
 	}
-	answer := reply.(PromiseReply)
+	promiseReply := reply.(PromiseReply)
 	for i, u := range r.Units {
-		s.ownership.PromiseReplied(s.now, send.SentAt, u.Unit, answer.From, answer.Granted[i])
+		s.ownership.PromiseReplied(s.now, send.SentAt, u.Unit, promiseReply.From, promiseReply.Granted[i])
 	}
 	s.snapshotChanged = true
 }
--- a/control/workers.go
+++ b/control/workers.go
@@ -62,15 +62,15 @@
 
 // applyWorkerList applies the workers of the platform's instance list.
 func (w *owner) applyWorkerList(list []ListedWorker) {
-	for _, l := range list {
-		ws, known := w.workers[l.Name]
+	for _, listed := range list {
+		ws, known := w.workers[listed.Name]
 		if !known {
 			ws = &workerState{}
-			w.workers[l.Name] = ws
+			w.workers[listed.Name] = ws
 		}
 		wasLeaving := ws.isLeaving()
-		ws.listed = l
-		ws.partition = PartitionOf(l.Region, l.Rack, w.cfg.PartitionsPerRegion)
+		ws.listed = listed
+		ws.partition = PartitionOf(listed.Region, listed.Rack, w.cfg.PartitionsPerRegion)
 		if !known {
 			w.resetWorker(ws)
 		}
@@ -113,9 +113,9 @@
 	if ws.clockAt.IsZero() {
 		return
 	}
-	l := ws.listed
+	listed := ws.listed
 	w.cluster.Upsert(placement.Node{
-		Name: l.Name, Rack: l.Rack, FailureDomain: l.FailureDomain, Region: l.Region,
+		Name: listed.Name, Rack: listed.Rack, FailureDomain: listed.FailureDomain, Region: listed.Region,
 		Partition: ws.partition, Capacity: ws.capacity,
 		Schedulable: w.isUsable(ws),
 	})
@@ -287,8 +287,7 @@
 	return s == stageStarting || s == stageUnclear || s == stageRunning || s == stageFetchingResult
 }
 
-// endExpired ends the attempts on a worker that does not answer and whose task leases must all have
-// expired.
+// endExpired ends the attempts on an unresponsive worker whose task leases must all have expired.
 func (w *owner) endExpired(ws *workerState) {
 	if _, owned := w.partitions[ws.partition]; !owned || !w.now.After(ws.leaseEnd) || ws.failedSyncs == 0 {
 		return
