--- a/control/attempts.go
+++ b/control/attempts.go
@@ -61,9 +61,9 @@
 // tasks, preempts work above a limit and removes expired tombstones.
 func (w *owner) tick() {
 	w.dropExpiredPartitions()
-	for _, ws := range w.workers {
-		w.syncWhenDue(ws)
-		w.endExpired(ws)
+	for _, worker := range w.workers {
+		w.syncWhenDue(worker)
+		w.endExpired(worker)
 	}
 	w.markReady()
 	w.markCapacityKnown()
@@ -87,9 +87,9 @@
 func (w *owner) retryWhenDue(a *attempt) {
 	switch {
 	case a.stage == stageUnclear && !a.lookingUp && !w.now.Before(a.lookupAt):
-		if ws, ok := w.workers[a.worker]; ok {
+		if worker, ok := w.workers[a.worker]; ok {
 			a.lookingUp = true
-			w.emit(LookupTask{Worker: a.worker, Address: ws.listed.Address, Attempt: a.id})
+			w.emit(LookupTask{Worker: a.worker, Address: worker.listed.Address, Attempt: a.id})
 		}
 	case a.stage == stageAwaitingPermit && w.now.After(a.lookupAt):
 		w.complete(a, task.Outcome{State: task.NotRun, Reason: string(errkind.NoOwner)})
@@ -131,8 +131,8 @@
 		return
 	}
 	a.stage = stageFetchingResult
-	ws := w.workers[a.worker]
-	w.emit(FetchResult{Worker: a.worker, Address: ws.listed.Address, Attempt: a.id, Bytes: r.ResultBytes, Digest: r.Outcome.Digest})
+	worker := w.workers[a.worker]
+	w.emit(FetchResult{Worker: a.worker, Address: worker.listed.Address, Attempt: a.id, Bytes: r.ResultBytes, Digest: r.Outcome.Digest})
 	a.placement.Spec.Payload = nil
 	a.outcome = *r.Outcome
 }
@@ -146,8 +146,8 @@
 	}
 	if e.Err != nil {
 		a.stage = stageRunning
-		if ws, found := w.workers[a.worker]; found {
-			ws.sequence = 0 // the next report is a full one and lists the attempt again
+		if worker, found := w.workers[a.worker]; found {
+			worker.sequence = 0 // the next report is a full one and lists the attempt again
 		}
 		return
 	}
@@ -229,8 +229,8 @@
 	}
 	delete(w.attempts, id)
 	w.tombstones[id] = w.now.Add(tombstoneLifetime)
-	if ws, found := w.workers[a.worker]; found && !slices.Contains(ws.pendingAcks, id) {
-		ws.pendingAcks = append(ws.pendingAcks, id)
+	if worker, found := w.workers[a.worker]; found && !slices.Contains(worker.pendingAcks, id) {
+		worker.pendingAcks = append(worker.pendingAcks, id)
 	}
 }
 
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -209,14 +209,14 @@
 	for name, p := range w.partitions {
 		byName[name] = &PartitionDigest{Partition: name, Epoch: p.epoch, Queued: queued[name]}
 	}
-	for _, ws := range w.workers {
-		d, owned := byName[ws.partition]
-		if !owned || !w.isUsable(ws) {
+	for _, worker := range w.workers {
+		d, owned := byName[worker.partition]
+		if !owned || !w.isUsable(worker) {
 			continue
 		}
 		d.Ready = !w.draining
-		d.Capacity = d.Capacity.Add(ws.capacity)
-		if free, known := w.cluster.FreeOn(ws.listed.Name); known {
+		d.Capacity = d.Capacity.Add(worker.capacity)
+		if free, known := w.cluster.FreeOn(worker.listed.Name); known {
 			d.Free = d.Free.Add(free)
 		}
 	}
--- a/control/overview.go
+++ b/control/overview.go
@@ -69,16 +69,16 @@
 		}
 	}
 	var views []WorkerView
-	for _, ws := range w.workers {
-		if _, owned := w.partitions[ws.partition]; !owned {
+	for _, worker := range w.workers {
+		if _, owned := w.partitions[worker.partition]; !owned {
 			continue
 		}
-		listed := ws.listed
+		listed := worker.listed
 		free, _ := w.cluster.FreeOn(listed.Name)
 		views = append(views, WorkerView{
-			Name: listed.Name, Address: listed.Address, Region: listed.Region, FailureDomain: listed.FailureDomain, Rack: listed.Rack, Partition: ws.partition,
-			Usable: w.isUsable(ws), Leaving: ws.isLeaving(), Drained: w.drainedWorkers[listed.Name], Quarantined: w.monitor.IsQuarantined(listed.Name), Silent: ws.failedSyncs,
-			LastReport: ws.clockAt, Capacity: ws.capacity, Free: free, Running: running[listed.Name],
+			Name: listed.Name, Address: listed.Address, Region: listed.Region, FailureDomain: listed.FailureDomain, Rack: listed.Rack, Partition: worker.partition,
+			Usable: w.isUsable(worker), Leaving: worker.isLeaving(), Drained: w.drainedWorkers[listed.Name], Quarantined: w.monitor.IsQuarantined(listed.Name), Silent: worker.failedSyncs,
+			LastReport: worker.clockAt, Capacity: worker.capacity, Free: free, Running: running[listed.Name],
 		})
 	}
 	slices.SortFunc(views, func(a, b WorkerView) int { return cmp.Compare(a.Name, b.Name) })
--- a/control/owner.go
+++ b/control/owner.go
@@ -247,11 +247,11 @@
 // lookupAtMostOnce returns the state of at-most-once work that was permitted on one worker. Only a
 // report from the same boot that does not list the attempt proves that it has not run.
 func (w *owner) lookupAtMostOnce(item LookupItem) LookupState {
-	ws, ok := w.workers[item.Worker]
-	if !ok || ws.bootID != item.BootID {
+	worker, ok := w.workers[item.Worker]
+	if !ok || worker.bootID != item.BootID {
 		return LookupEnded
 	}
-	if !ws.reconciled {
+	if !worker.reconciled {
 		return LookupPending
 	}
 	return LookupNotRun
@@ -267,12 +267,12 @@
 		a.stopReason = reason
 		w.recordEvent(timeline.Event{Type: timeline.TaskStopped, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Worker: a.worker, Kind: string(reason)})
 	}
-	ws, ok := w.workers[a.worker]
+	worker, ok := w.workers[a.worker]
 	if !ok {
 		return
 	}
 	a.stopRetryAt = w.now.Add(w.cfg.CallTimeout)
-	w.emit(StopTask{Worker: a.worker, Address: ws.listed.Address, Epoch: w.epochOf(a.partition),
+	w.emit(StopTask{Worker: a.worker, Address: worker.listed.Address, Epoch: w.epochOf(a.partition),
 		BootID: a.bootID, Attempt: a.id, Reason: reason, RefuseUntil: a.startBy, Checkpoint: a.stopReason == errkind.OverLimit})
 }
 
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -28,15 +28,15 @@
 		w.workerQuarantined(a.worker)
 	}
 	w.cluster.SetPenalty(a.worker, w.monitor.Penalty(w.now, a.worker))
-	if ws, ok := w.workers[a.worker]; ok {
-		w.updateNode(ws)
+	if worker, ok := w.workers[a.worker]; ok {
+		w.updateNode(worker)
 	}
 }
 
-func (w *owner) workerQuarantined(worker string) {
-	w.recordEvent(timeline.Event{Type: timeline.WorkerQuarantined, Worker: worker})
-	if ws, ok := w.workers[worker]; ok {
-		w.updateNode(ws)
+func (w *owner) workerQuarantined(name string) {
+	w.recordEvent(timeline.Event{Type: timeline.WorkerQuarantined, Worker: name})
+	if worker, ok := w.workers[name]; ok {
+		w.updateNode(worker)
 	}
 }
 
@@ -51,9 +51,9 @@
 		w.workerQuarantined(name)
 	}
 	for _, name := range w.monitor.BeginDueProbes(w.now) {
-		if ws, ok := w.workers[name]; ok {
-			ws.awaitingProbe = true
-			w.updateNode(ws)
+		if worker, ok := w.workers[name]; ok {
+			worker.awaitingProbe = true
+			w.updateNode(worker)
 		}
 	}
 }
@@ -61,13 +61,13 @@
 // startProbe makes an attempt the probe of the worker that is reserved for it, if that worker
 // awaits one. The worker gets no other task until the probe has ended.
 func (w *owner) startProbe(a *attempt) {
-	ws, ok := w.workers[a.worker]
-	if !ok || !ws.awaitingProbe {
+	worker, ok := w.workers[a.worker]
+	if !ok || !worker.awaitingProbe {
 		return
 	}
-	ws.awaitingProbe = false
+	worker.awaitingProbe = false
 	a.isProbe = true
-	w.updateNode(ws)
+	w.updateNode(worker)
 }
 
 // failProbe ends a probe without a conclusion about its worker. The probe counts as failed, so that
@@ -83,8 +83,8 @@
 // workersAwaitingProbe returns the workers that await a probe. At-most-once work avoids them.
 func (w *owner) workersAwaitingProbe() []string {
 	var names []string
-	for name, ws := range w.workers {
-		if ws.awaitingProbe {
+	for name, worker := range w.workers {
+		if worker.awaitingProbe {
 			names = append(names, name)
 		}
 	}
--- a/control/quarantine_test.go
+++ b/control/quarantine_test.go
@@ -28,11 +28,11 @@
 	h.now = h.now.Add(beyondProbeWait)
 	w.now = h.now
 	w.reviewWorkers()
-	ws := w.workers[name]
-	if !ws.awaitingProbe {
+	worker := w.workers[name]
+	if !worker.awaitingProbe {
 		t.Fatalf("no probe is due for worker %s", name)
 	}
-	return ws
+	return worker
 }
 
 // TestInconclusiveProbeIsRepeated guards against a worker that stays in quarantine permanently. It
@@ -51,15 +51,15 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(12, 4, 1)
 			w := h.state.owner
-			ws := quarantineWorker(t, h, "w0")
-			a := &attempt{id: task.Attempt{Task: "t/s/k/0", Number: 1}, team: "t", class: "c", partition: ws.partition, worker: "w0", stage: stageStarting}
+			worker := quarantineWorker(t, h, "w0")
+			a := &attempt{id: task.Attempt{Task: "t/s/k/0", Number: 1}, team: "t", class: "c", partition: worker.partition, worker: "w0", stage: stageStarting}
 			w.attempts[a.id] = a
 			w.startProbe(a)
 			end(w, a)
 			h.now = h.now.Add(beyondProbeWait)
 			w.now = h.now
 			w.reviewWorkers()
-			if !ws.awaitingProbe {
+			if !worker.awaitingProbe {
 				t.Error("no further probe is due after an inconclusive one")
 			}
 		})
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -190,10 +190,10 @@
 func (w *owner) launch(a *attempt) {
 	w.queues.Remove(a.id)
 	w.queues.ObserveStart(w.now, a.team, a.placement.Age+w.now.Sub(a.queuedAt))
-	ws := w.workers[a.worker]
-	a.bootID = ws.bootID
+	worker := w.workers[a.worker]
+	a.bootID = worker.bootID
 	if a.placement.Spec.Kind.MayRetry() {
-		w.sendStart(a, ws)
+		w.sendStart(a, worker)
 		return
 	}
 	a.stage = stageAwaitingPermit
@@ -217,9 +217,9 @@
 	if !ok || a.stage != stageAwaitingPermit {
 		return
 	}
-	ws := w.workers[a.worker]
-	if err == nil && reply.(PermitReply).Granted && ws != nil && ws.bootID == req.BootID && w.holdsPartition(a.partition) && w.isKeyValid(a) {
-		w.sendStart(a, ws)
+	worker := w.workers[a.worker]
+	if err == nil && reply.(PermitReply).Granted && worker != nil && worker.bootID == req.BootID && w.holdsPartition(a.partition) && w.isKeyValid(a) {
+		w.sendStart(a, worker)
 		return
 	}
 	w.complete(a, task.Outcome{State: task.NotRun, Reason: string(errkind.NoOwner)})
@@ -229,20 +229,20 @@
 // sendStart sends the start order of an attempt to its worker. The order expires at a time on the
 // worker's clock, which is extrapolated from the last report of the worker, so that the order is
 // never accepted later than this instance assumes.
-func (w *owner) sendStart(a *attempt, ws *workerState) {
+func (w *owner) sendStart(a *attempt, worker *workerState) {
 	spec := &a.placement.Spec
 	a.stage = stageStarting
 	a.startedAt = w.now
-	a.startBy = ws.clock + w.now.Sub(ws.clockAt) + w.startValidity(a.partition)
+	a.startBy = worker.clock + w.now.Sub(worker.clockAt) + w.startValidity(a.partition)
 	wait := w.cfg.CallTimeout / 2
 	if spec.Kind == task.Answer && !spec.Deadline.IsZero() {
 		wait = max(wait, spec.Deadline.Sub(w.now))
 	}
 	w.emit(StartTask{
-		Worker: a.worker, Address: ws.listed.Address, Partition: a.partition, Epoch: w.epochOf(a.partition),
+		Worker: a.worker, Address: worker.listed.Address, Partition: a.partition, Epoch: w.epochOf(a.partition),
 		Attempt: a.id, Job: a.job, Index: a.index, Team: a.team, Class: a.class, Size: a.size,
 		Command: spec.Command, Payload: spec.Payload, LongLived: spec.Kind == task.LongLived,
-		BootID: ws.bootID, StartBy: a.startBy, LeaseUntil: ws.clock + w.cfg.TaskLease, Wait: wait,
+		BootID: worker.bootID, StartBy: a.startBy, LeaseUntil: worker.clock + w.cfg.TaskLease, Wait: wait,
 		WaitTime: a.placement.Age + w.now.Sub(a.queuedAt),
 	})
 	w.recordEvent(timeline.Event{Type: timeline.TaskStartSent, Team: a.team, Task: a.id.Task, Attempt: a.id.Number,
--- a/control/workers.go
+++ b/control/workers.go
@@ -17,18 +17,18 @@
 	w.dropPartition(name)
 	w.partitions[name] = &partition{epoch: epoch, acquiredAt: w.now}
 	w.allowances.AddPartition(name, revision)
-	for _, ws := range w.workers {
-		if ws.partition == name {
-			w.resetWorker(ws)
+	for _, worker := range w.workers {
+		if worker.partition == name {
+			w.resetWorker(worker)
 		}
 	}
 }
 
-func (w *owner) resetWorker(ws *workerState) {
-	ws.reconciled, ws.syncing, ws.sequence = false, false, 0
-	ws.syncAt = w.now
-	ws.pendingAcks = nil
-	ws.leaseEnd = w.now.Add(w.cfg.withClockError(w.cfg.TaskLease))
+func (w *owner) resetWorker(worker *workerState) {
+	worker.reconciled, worker.syncing, worker.sequence = false, false, 0
+	worker.syncAt = w.now
+	worker.pendingAcks = nil
+	worker.leaseEnd = w.now.Add(w.cfg.withClockError(w.cfg.TaskLease))
 }
 
 // dropPartition ends the ownership of a partition and drops its attempts.
@@ -51,11 +51,11 @@
 		delete(w.pendingReports, id)
 	}
 	w.allowances.RemovePartition(name)
-	for _, ws := range w.workers {
-		if ws.partition == name {
-			ws.reconciled, ws.awaitingProbe = false, false
-			w.cluster.Remove(ws.listed.Name)
-			w.monitor.RemoveWorker(ws.listed.Name)
+	for _, worker := range w.workers {
+		if worker.partition == name {
+			worker.reconciled, worker.awaitingProbe = false, false
+			w.cluster.Remove(worker.listed.Name)
+			w.monitor.RemoveWorker(worker.listed.Name)
 		}
 	}
 }
@@ -63,18 +63,18 @@
 // applyWorkerList applies the workers of the platform's instance list.
 func (w *owner) applyWorkerList(list []ListedWorker) {
 	for _, listed := range list {
-		ws, known := w.workers[listed.Name]
+		worker, known := w.workers[listed.Name]
 		if !known {
-			ws = &workerState{}
-			w.workers[listed.Name] = ws
+			worker = &workerState{}
+			w.workers[listed.Name] = worker
 		}
-		wasLeaving := ws.isLeaving()
-		ws.listed = listed
-		ws.partition = PartitionOf(listed.Region, listed.Rack, w.cfg.PartitionsPerRegion)
+		wasLeaving := worker.isLeaving()
+		worker.listed = listed
+		worker.partition = PartitionOf(listed.Region, listed.Rack, w.cfg.PartitionsPerRegion)
 		if !known {
-			w.resetWorker(ws)
+			w.resetWorker(worker)
 		}
-		w.observeLeaving(ws, wasLeaving)
+		w.observeLeaving(worker, wasLeaving)
 	}
 }
 
@@ -86,67 +86,67 @@
 	} else {
 		delete(w.drainedWorkers, name)
 	}
-	if ws, ok := w.workers[name]; ok {
-		w.updateNode(ws)
+	if worker, ok := w.workers[name]; ok {
+		w.updateNode(worker)
 	}
 }
 
 // isLeaving reports whether the worker is leaving according to the platform's list or its own
 // report. Both can be revoked, because names are reused.
-func (ws *workerState) isLeaving() bool { return ws.listed.Leaving || ws.leaving }
+func (s *workerState) isLeaving() bool { return s.listed.Leaving || s.leaving }
 
 // observeLeaving excludes a worker that has begun to leave from new tasks, or readmits one that no
 // longer leaves. Tasks that are already on the worker continue.
-func (w *owner) observeLeaving(ws *workerState, wasLeaving bool) {
-	if ws.isLeaving() == wasLeaving {
+func (w *owner) observeLeaving(worker *workerState, wasLeaving bool) {
+	if worker.isLeaving() == wasLeaving {
 		return
 	}
-	if ws.isLeaving() {
-		w.recordEvent(timeline.Event{Type: timeline.WorkerLeaving, Worker: ws.listed.Name, Partition: ws.partition})
+	if worker.isLeaving() {
+		w.recordEvent(timeline.Event{Type: timeline.WorkerLeaving, Worker: worker.listed.Name, Partition: worker.partition})
 	}
-	w.updateNode(ws)
+	w.updateNode(worker)
 }
 
 // updateNode updates the placement node of a worker that has reported, including whether the worker
 // may get new tasks.
-func (w *owner) updateNode(ws *workerState) {
-	if ws.clockAt.IsZero() {
+func (w *owner) updateNode(worker *workerState) {
+	if worker.clockAt.IsZero() {
 		return
 	}
-	listed := ws.listed
+	listed := worker.listed
 	w.cluster.Upsert(placement.Node{
 		Name: listed.Name, Rack: listed.Rack, FailureDomain: listed.FailureDomain, Region: listed.Region,
-		Partition: ws.partition, Capacity: ws.capacity,
-		Schedulable: w.isUsable(ws),
+		Partition: worker.partition, Capacity: worker.capacity,
+		Schedulable: w.isUsable(worker),
 	})
 }
 
 // isUsable reports whether a worker may get new tasks.
-func (w *owner) isUsable(ws *workerState) bool {
-	return ws.reconciled && !ws.isLeaving() && !w.drainedWorkers[ws.listed.Name] && !ws.listed.Gone && ws.failedSyncs < maxFailedSyncs &&
-		(ws.awaitingProbe || !w.monitor.IsQuarantined(ws.listed.Name))
+func (w *owner) isUsable(worker *workerState) bool {
+	return worker.reconciled && !worker.isLeaving() && !w.drainedWorkers[worker.listed.Name] && !worker.listed.Gone && worker.failedSyncs < maxFailedSyncs &&
+		(worker.awaitingProbe || !w.monitor.IsQuarantined(worker.listed.Name))
 }
 
 // maxFailedSyncs is the number of consecutive failed syncs after which a worker gets no new tasks.
 const maxFailedSyncs = 2
 
 // syncWhenDue starts a sync with a worker of an owned partition if one is due.
-func (w *owner) syncWhenDue(ws *workerState) {
-	part, owned := w.partitions[ws.partition]
-	if !owned || ws.syncing || ws.listed.Gone || w.now.Before(ws.syncAt) {
+func (w *owner) syncWhenDue(worker *workerState) {
+	part, owned := w.partitions[worker.partition]
+	if !owned || worker.syncing || worker.listed.Gone || w.now.Before(worker.syncAt) {
 		return
 	}
-	if _, holds := w.holds(ws.partition); !holds {
+	if _, holds := w.holds(worker.partition); !holds {
 		return
 	}
-	ws.syncing = true
+	worker.syncing = true
 	sync := SyncWorker{
-		Worker: ws.listed.Name, Address: ws.listed.Address, Partition: ws.partition, Epoch: part.epoch,
-		After: ws.sequence, Full: !ws.reconciled || ws.sequence == 0,
-		Acknowledge: slices.Clone(ws.pendingAcks[:min(len(ws.pendingAcks), maxAcksPerSync)]),
+		Worker: worker.listed.Name, Address: worker.listed.Address, Partition: worker.partition, Epoch: part.epoch,
+		After: worker.sequence, Full: !worker.reconciled || worker.sequence == 0,
+		Acknowledge: slices.Clone(worker.pendingAcks[:min(len(worker.pendingAcks), maxAcksPerSync)]),
 	}
-	if !ws.clockAt.IsZero() {
-		sync.BootID, sync.LeaseUntil = ws.bootID, ws.clock+w.cfg.TaskLease
+	if !worker.clockAt.IsZero() {
+		sync.BootID, sync.LeaseUntil = worker.bootID, worker.clock+w.cfg.TaskLease
 	}
 	w.emit(sync)
 }
@@ -157,55 +157,55 @@
 
 // syncDone applies the result of a sync with a worker.
 func (w *owner) syncDone(e SyncDone) {
-	ws, ok := w.workers[e.Sync.Worker]
+	worker, ok := w.workers[e.Sync.Worker]
 	part, owned := w.partitions[e.Sync.Partition]
-	if !ok || !owned || part.epoch != e.Sync.Epoch || !ws.syncing {
+	if !ok || !owned || part.epoch != e.Sync.Epoch || !worker.syncing {
 		return
 	}
-	ws.syncing = false
-	ws.syncAt = w.now.Add(w.cfg.SyncInterval)
+	worker.syncing = false
+	worker.syncAt = w.now.Add(w.cfg.SyncInterval)
 	if e.Err != nil {
-		ws.failedSyncs++
-		if ws.failedSyncs == maxFailedSyncs {
-			w.updateNode(ws)
+		worker.failedSyncs++
+		if worker.failedSyncs == maxFailedSyncs {
+			w.updateNode(worker)
 		}
 		return
 	}
-	ws.failedSyncs = 0
-	w.removeAcks(ws, e.Sync.Acknowledge)
-	if ws.bootID != "" && ws.bootID != e.Reply.BootID {
-		w.workerRebooted(ws)
+	worker.failedSyncs = 0
+	w.removeAcks(worker, e.Sync.Acknowledge)
+	if worker.bootID != "" && worker.bootID != e.Reply.BootID {
+		w.workerRebooted(worker)
 	}
-	w.applyReport(ws, part, e)
+	w.applyReport(worker, part, e)
 }
 
-func (w *owner) removeAcks(ws *workerState, done []task.Attempt) {
-	ws.pendingAcks = slices.DeleteFunc(ws.pendingAcks, func(a task.Attempt) bool { return slices.Contains(done, a) })
+func (w *owner) removeAcks(worker *workerState, done []task.Attempt) {
+	worker.pendingAcks = slices.DeleteFunc(worker.pendingAcks, func(a task.Attempt) bool { return slices.Contains(done, a) })
 }
 
-func (w *owner) applyReport(ws *workerState, part *partition, e SyncDone) {
+func (w *owner) applyReport(worker *workerState, part *partition, e SyncDone) {
 	r := e.Reply
-	firstReport := ws.clockAt.IsZero()
-	ws.bootID, ws.clock, ws.clockAt, ws.sequence = r.BootID, r.Clock, w.now, r.Sequence
-	ws.leaseEnd = w.now.Add(w.cfg.withClockError(w.cfg.TaskLease))
-	wasLeaving := ws.isLeaving()
-	ws.leaving = r.Leaving
-	w.observeLeaving(ws, wasLeaving)
+	firstReport := worker.clockAt.IsZero()
+	worker.bootID, worker.clock, worker.clockAt, worker.sequence = r.BootID, r.Clock, w.now, r.Sequence
+	worker.leaseEnd = w.now.Add(w.cfg.withClockError(w.cfg.TaskLease))
+	wasLeaving := worker.isLeaving()
+	worker.leaving = r.Leaving
+	w.observeLeaving(worker, wasLeaving)
 	if firstReport {
-		ws.syncAt = w.now // leases could not be renewed before, since the worker's clock was unknown
+		worker.syncAt = w.now // leases could not be renewed before, since the worker's clock was unknown
 	}
-	ws.capacity = r.Capacity
-	w.monitor.AddWorker(ws.listed.Name, ws.partition)
+	worker.capacity = r.Capacity
+	w.monitor.AddWorker(worker.listed.Name, worker.partition)
 	for _, t := range r.Tasks {
-		w.applyListedTask(ws, t)
+		w.applyListedTask(worker, t)
 	}
 	if r.Full {
-		w.endMissing(ws, e)
-		if e.SentAt.After(w.previousOwnerStartsExpireAt(part)) && !ws.reconciled {
-			ws.reconciled = true
+		w.endMissing(worker, e)
+		if e.SentAt.After(w.previousOwnerStartsExpireAt(part)) && !worker.reconciled {
+			worker.reconciled = true
 		}
 	}
-	w.updateNode(ws)
+	w.updateNode(worker)
 }
 
 // previousOwnerStartsExpireAt returns the time after which a worker can no longer accept a start
@@ -220,33 +220,33 @@
 // applyListedTask applies one task of a worker's report. An attempt of which this owner has no
 // record was started by a previous one and is adopted. If it has ended and there is a tombstone for
 // it, it is only acknowledged.
-func (w *owner) applyListedTask(ws *workerState, r TaskReport) {
+func (w *owner) applyListedTask(worker *workerState, r TaskReport) {
 	a, known := w.attempts[r.Attempt]
 	if !known {
 		if _, ended := w.tombstones[r.Attempt]; ended && r.Outcome != nil {
-			if !slices.Contains(ws.pendingAcks, r.Attempt) {
-				ws.pendingAcks = append(ws.pendingAcks, r.Attempt)
+			if !slices.Contains(worker.pendingAcks, r.Attempt) {
+				worker.pendingAcks = append(worker.pendingAcks, r.Attempt)
 			}
 			return
 		}
-		a = w.adopt(ws, r)
+		a = w.adopt(worker, r)
 		if a == nil {
 			return
 		}
 	}
-	if a.worker != ws.listed.Name {
+	if a.worker != worker.listed.Name {
 		return
 	}
 	w.applyTaskReport(a, r)
 }
 
-func (w *owner) adopt(ws *workerState, r TaskReport) *attempt {
+func (w *owner) adopt(worker *workerState, r TaskReport) *attempt {
 	job, index, ok := ledger.ParseTaskID(r.Attempt.Task)
 	if !ok {
 		return nil
 	}
 	a := &attempt{id: r.Attempt, job: job, index: index, team: r.Team, class: r.Class, size: r.Size,
-		partition: ws.partition, worker: ws.listed.Name, bootID: ws.bootID, stage: stageStarting, startedAt: w.now}
+		partition: worker.partition, worker: worker.listed.Name, bootID: worker.bootID, stage: stageStarting, startedAt: w.now}
 	w.attempts[a.id] = a
 	if r.Outcome == nil {
 		w.cluster.ForceReserve(a.worker, a.id, a.size)
@@ -258,25 +258,25 @@
 
 // endMissing ends the running attempts that were started before a full report was requested and are
 // absent from it.
-func (w *owner) endMissing(ws *workerState, e SyncDone) {
+func (w *owner) endMissing(worker *workerState, e SyncDone) {
 	listed := make(map[task.Attempt]bool, len(e.Reply.Tasks))
 	for _, t := range e.Reply.Tasks {
 		listed[t.Attempt] = true
 	}
 	for _, a := range w.attempts {
-		if a.worker == ws.listed.Name && a.stage == stageRunning && a.startedAt.Before(e.SentAt) && !listed[a.id] {
+		if a.worker == worker.listed.Name && a.stage == stageRunning && a.startedAt.Before(e.SentAt) && !listed[a.id] {
 			w.attemptLost(a)
 		}
 	}
 }
 
 // workerRebooted ends every attempt that was on a worker before its reboot.
-func (w *owner) workerRebooted(ws *workerState) {
-	w.recordEvent(timeline.Event{Type: timeline.WorkerLost, Worker: ws.listed.Name, Partition: ws.partition, Detail: "rebooted"})
-	ws.pendingAcks = nil
-	ws.sequence = 0
+func (w *owner) workerRebooted(worker *workerState) {
+	w.recordEvent(timeline.Event{Type: timeline.WorkerLost, Worker: worker.listed.Name, Partition: worker.partition, Detail: "rebooted"})
+	worker.pendingAcks = nil
+	worker.sequence = 0
 	for _, a := range w.attempts {
-		if a.worker == ws.listed.Name && isOnWorker(a.stage) {
+		if a.worker == worker.listed.Name && isOnWorker(a.stage) {
 			w.attemptLost(a)
 		}
 	}
@@ -288,19 +288,19 @@
 }
 
 // endExpired ends the attempts on an unresponsive worker whose task leases must all have expired.
-func (w *owner) endExpired(ws *workerState) {
-	if _, owned := w.partitions[ws.partition]; !owned || !w.now.After(ws.leaseEnd) || ws.failedSyncs == 0 {
+func (w *owner) endExpired(worker *workerState) {
+	if _, owned := w.partitions[worker.partition]; !owned || !w.now.After(worker.leaseEnd) || worker.failedSyncs == 0 {
 		return
 	}
 	ended := 0
 	for _, a := range w.attempts {
-		if a.worker == ws.listed.Name && isOnWorker(a.stage) {
+		if a.worker == worker.listed.Name && isOnWorker(a.stage) {
 			w.attemptLost(a)
 			ended++
 		}
 	}
 	if ended > 0 {
-		w.recordEvent(timeline.Event{Type: timeline.WorkerLost, Worker: ws.listed.Name, Partition: ws.partition, Detail: "silent"})
+		w.recordEvent(timeline.Event{Type: timeline.WorkerLost, Worker: worker.listed.Name, Partition: worker.partition, Detail: "silent"})
 	}
 }
 
@@ -312,8 +312,8 @@
 			continue
 		}
 		ready := w.now.After(w.previousOwnerStartsExpireAt(part))
-		for _, ws := range w.workers {
-			if ws.partition == name && !ws.reconciled && !ws.listed.Gone && !w.now.After(ws.leaseEnd) {
+		for _, worker := range w.workers {
+			if worker.partition == name && !worker.reconciled && !worker.listed.Gone && !w.now.After(worker.leaseEnd) {
 				ready = false
 			}
 		}
@@ -345,8 +345,8 @@
 // instance acquired the partition. Until then a task that fits on none of the workers that have
 // reported may fit on another one.
 func (w *owner) haveAllReported(name string) bool {
-	for _, ws := range w.workers {
-		if ws.partition == name && !ws.listed.Gone && !ws.reconciled {
+	for _, worker := range w.workers {
+		if worker.partition == name && !worker.listed.Gone && !worker.reconciled {
 			return false
 		}
 	}
@@ -354,8 +354,8 @@
 }
 
 func (w *owner) hasWorkers(name string) bool {
-	for _, ws := range w.workers {
-		if ws.partition == name {
+	for _, worker := range w.workers {
+		if worker.partition == name {
 			return true
 		}
 	}
