--- a/entry/cell.go
+++ b/entry/cell.go
@@ -18,10 +18,11 @@
 
 // CellHandler handles calls between the instances of a cell.
 type CellHandler interface {
-	// ObserveInstance records the address at which an instance accepts advice calls and relayed
-	// orders.
+	// ObserveInstance records the address at which an instance accepts advice calls and
+	// relayed orders.
 	ObserveInstance(p Peer)
-	// HandleRequest handles a request type of package cell, such as cell.ViewRequest or cell.Submit.
+	// HandleRequest handles a request type of package cell, such as cell.ViewRequest or
+	// cell.Submit.
 	HandleRequest(ctx context.Context, request any) (cell.Reply, error)
 	// CallAdviceService calls the advice service on behalf of the owner.
 	CallAdviceService(ctx context.Context, step string, workers []string) (tickets map[string]string, valid time.Duration, err error)
@@ -120,7 +121,7 @@
 	}, nil
 }
 
-// CallAdviceService implements entrypb.CellServer.
+// AskAdvice implements entrypb.CellServer.
 func (s *cellService) AskAdvice(ctx context.Context, r *entrypb.AskAdviceRequest) (*entrypb.AskAdviceReply, error) {
 	tickets, valid, err := s.handler.CallAdviceService(ctx, r.GetStep(), r.GetWorkers())
 	if err != nil {
@@ -148,14 +149,14 @@
 }
 
 // FollowOwner announces this instance to the owner at the given address and returns the owner's
-// view with the changes since f.Since. It returns a nil view if the instance there is not the
+// view with the changes since r.Since. It returns a nil view if the instance there is not the
 // owner.
-func (c *Client) FollowOwner(ctx context.Context, address string, self Peer, f cell.ViewRequest) (*schedule.View, error) {
+func (c *Client) FollowOwner(ctx context.Context, address string, self Peer, r cell.ViewRequest) (*schedule.View, error) {
 	request := &entrypb.FollowRequest{
-		Instance: f.Instance, Address: self.Address, FailureDomain: self.FailureDomain,
-		Epoch: f.Epoch, Since: f.Since, Submitted: make(map[string]int64),
+		Instance: r.Instance, Address: self.Address, FailureDomain: self.FailureDomain,
+		Epoch: r.Epoch, Since: r.Since, Submitted: make(map[string]int64),
 	}
-	for team, n := range f.Submitted {
+	for team, n := range r.Submitted {
 		request.Submitted[team] = int64(n)
 	}
 	reply, err := callCell(ctx, c, address, request, entrypb.CellClient.FollowOwner)
@@ -165,8 +166,8 @@
 	return decodeView(reply), nil
 }
 
-// SendJobRequest sends a cell.Submit, cell.JobStateQuery or cell.Cancel request to the instance at the given
-// address.
+// SendJobRequest sends a cell.Submit, cell.JobStateQuery or cell.Cancel request to the instance at
+// the given address.
 func (c *Client) SendJobRequest(ctx context.Context, address string, request any) (cell.Reply, error) {
 	var reply *entrypb.CellReply
 	var err error
--- a/entry/client.go
+++ b/entry/client.go
@@ -21,7 +21,7 @@
 	"github.com/mulberrydrum/mulberrydrum/membership"
 )
 
-// ErrNotSent reports that a call certainly did not reach the other instance.
+// ErrNotSent indicates that a call definitely did not reach the other instance.
 var ErrNotSent = eris.New("call was not sent")
 
 const (
@@ -62,8 +62,8 @@
 	return &Client{self: self.Instance, counter: newByteCounter(self.Region), conns: map[string]*connection{}}
 }
 
-// Call sends a request to another instance. The error wraps ErrNotSent if the call certainly had no
-// effect there.
+// Call sends a request to another instance. The error wraps ErrNotSent if the call definitely had
+// no effect there.
 func (c *Client) Call(ctx context.Context, to membership.Member, request control.PeerRequest) (control.PeerReply, error) {
 	peerConn, err := c.connect(to)
 	if err != nil {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -20,14 +20,14 @@
 	ID      uint64 // unique on its stream
 	Fence   int64
 	Timeout time.Duration   // starts when the order arrives at the other instance
-	Order   schedule.Effect // a Hold, Start or Stop
+	Order   schedule.Effect // a schedule.Poll, schedule.Start or schedule.Stop
 }
 
 // RelayOutcome is the result of a relayed order.
 type RelayOutcome struct {
 	ID          uint64
 	Verdict     schedule.Verdict
-	Clock       time.Duration // reading of the worker's clock; this and the following fields are set for a Hold
+	Clock       time.Duration // reading of the worker's clock; this and the following fields are set only for a schedule.Poll
 	Incarnation int64         // incarnation of the worker
 	Running     []schedule.RunReport
 	Ended       []schedule.EndReport
