--- a/instance/accept.go
+++ b/instance/accept.go
@@ -63,7 +63,7 @@
 	if err := j.Check(); err != nil {
 		return errkind.New(errkind.InvalidRequest, "%v", err)
 	}
-	if unresponsive := i.storeUnresponsiveFor(time.Now()); unresponsive > 0 && !i.mayProbe(time.Now()) {
+	if unresponsive := i.storeUnresponsiveFor(time.Now()); unresponsive > 0 && !i.allowProbe(time.Now()) {
 		i.cfg.Journal.Event("refused", "job", string(j.ID), "why", "store_silent", "silent_ms", unresponsive.Milliseconds())
 		return errkind.New(errkind.StoreUnavailable, "the store does not answer").WithRetryAfter(retryAfterStore)
 	}
@@ -97,9 +97,9 @@
 	return 0
 }
 
-// mayProbe reports whether a submission is let through to an unresponsive store, at most
-// one per probeInterval.
-func (i *Instance) mayProbe(now time.Time) bool {
+// allowProbe reports whether a submission may probe an unresponsive store. It allows at most
+// one probe per probeInterval.
+func (i *Instance) allowProbe(now time.Time) bool {
 	last := i.probedAt.Load()
 	return now.Sub(time.Unix(0, last)) >= probeInterval && i.probedAt.CompareAndSwap(last, now.UnixNano())
 }
--- a/instance/execute.go
+++ b/instance/execute.go
@@ -45,7 +45,7 @@
 	switch order := e.Effect.(type) {
 	case schedule.Poll:
 		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.PollMargin+order.Wait)
-		outcome = i.relays.Hold(callCtx, e.Fence, order)
+		outcome = i.relays.Poll(callCtx, e.Fence, order)
 		cancel()
 	case schedule.Start:
 		i.metrics.taskWait.Update(order.WaitTime.Milliseconds())
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -21,7 +21,7 @@
 
 // Workers sends orders to workers. Each call returns when ctx ends, at the latest.
 type Workers interface {
-	Poll(ctx context.Context, fence int64, h schedule.Poll) schedule.PollDone
+	Poll(ctx context.Context, fence int64, p schedule.Poll) schedule.PollDone
 	Start(ctx context.Context, fence int64, s schedule.Start) schedule.Verdict
 	Stop(ctx context.Context, fence int64, s schedule.Stop) schedule.Verdict
 }
@@ -69,7 +69,7 @@
 	OwnerRequestTimeout time.Duration // of a request to the owner
 	CancelTimeout       time.Duration // of a cancellation, which waits for a commit
 	OrderTimeout        time.Duration // of an order to a worker
-	PollMargin          time.Duration // timeout of a hold, in addition to the time for which the worker may delay its report
+	PollMargin          time.Duration // timeout of a poll of a worker, in addition to the time for which the worker may delay its report
 	AdviceTimeout       time.Duration // of a call to the advice service
 	ResignTimeout       time.Duration // of the removal of the ownership record
 }
@@ -87,7 +87,7 @@
 		OwnerRequestTimeout: 500 * time.Millisecond,
 		CancelTimeout:       1500 * time.Millisecond,
 		OrderTimeout:        700 * time.Millisecond,
-		// If a report is lost, ended tasks of its worker go undetected until the hold
+		// If a report is lost, ended tasks of its worker go undetected until the poll
 		// times out.
 		PollMargin:    400 * time.Millisecond,
 		AdviceTimeout: 3 * time.Second,
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -27,7 +27,7 @@
 	f.instance.loop.Post(f.ctx, f.last)
 }
 
-// Changed implements store.Follower. The last reading is also posted on progress
+// Changed implements store.Follower. The last observation is also posted on progress
 // notifications, since the control state discards its copy when it steps down.
 func (f *ownerFollower) Changed(b store.WatchBatch) {
 	for _, change := range b.Changes {
@@ -87,13 +87,13 @@
 		i.logStoreFailure("read the core count record", err)
 		return
 	}
-	present := coresRecord{}
+	recorded := coresRecord{}
 	if found {
-		if err := json.Unmarshal(kv.Value, &present); err != nil {
+		if err := json.Unmarshal(kv.Value, &recorded); err != nil {
 			i.cfg.Journal.Event("core count record cannot be decoded", "error", err)
 		}
 	}
-	if present.Cores >= cores {
+	if recorded.Cores >= cores {
 		return
 	}
 	_, err = i.cfg.Store.Commit(callCtx, store.Txn{
@@ -103,6 +103,8 @@
 	i.logStoreFailure("write the core count record", err)
 }
 
+// logStoreFailure logs a failed store call, at most once per storeFailureLogInterval for
+// each kind of call. It ignores a nil error and store.ErrNoProgress.
 func (i *Instance) logStoreFailure(call string, err error) {
 	if err == nil || errors.Is(err, store.ErrNoProgress) {
 		return
@@ -111,14 +113,14 @@
 	i.failuresMu.Lock()
 	current := i.failuresByCall[call]
 	current.failures++
-	report := now.Sub(current.reportedAt) >= storeFailureLogInterval
+	logNow := now.Sub(current.loggedAt) >= storeFailureLogInterval
 	failures := current.failures
-	if report {
-		current = storeFailures{reportedAt: now}
+	if logNow {
+		current = storeFailures{loggedAt: now}
 	}
 	i.failuresByCall[call] = current
 	i.failuresMu.Unlock()
-	if report {
+	if logNow {
 		i.cfg.Journal.Event("store call failed", "call", call, "failures", failures, "error", err)
 	}
 }
@@ -129,8 +131,8 @@
 
 // storeFailures counts the failures of one call since its last log line.
 type storeFailures struct {
-	failures   int
-	reportedAt time.Time
+	failures int
+	loggedAt time.Time
 }
 
 // Timeouts and retry delays of the store calls of an owner.
--- a/instance/query.go
+++ b/instance/query.go
@@ -14,7 +14,7 @@
 // State returns the state of a job of a queue. team is the team to which the API key
 // belongs, or empty if the queue is open.
 func (i *Instance) State(ctx context.Context, queue, team string, id job.ID) (job.State, error) {
-	if status, known := i.view.status(id); known {
+	if status, found := i.view.status(id); found {
 		return checkVisible(status.State, status.Queue, status.Team, queue, team, id)
 	}
 	reply, err := i.callOwner(ctx, i.cfg.Timing.OwnerRequestTimeout, cell.JobStateQuery{Job: id})
@@ -121,8 +121,8 @@
 
 // QueueLength returns how many accepted jobs of a queue have not started.
 func (i *Instance) QueueLength(queue string) (int, error) {
-	n, known := i.view.queueLength(queue, time.Now())
-	if !known {
+	n, current := i.view.queueLength(queue, time.Now())
+	if !current {
 		return 0, errkind.New(errkind.NoOwner, "no queue lengths were received from the owner within %s", maxViewAge).WithRetryAfter(retryAfterStore)
 	}
 	return n, nil
--- a/instance/relay.go
+++ b/instance/relay.go
@@ -31,8 +31,8 @@
 // relays sends an owner's orders to workers through the instances in the workers'
 // failure domains. With hundreds of workers, an owner could not make a thousand HTTP calls
 // per second in addition to scheduling, while small instances have spare processor time.
-// The path through a relay adds no distance. An order to which a relay does not respond is
-// sent to the worker directly.
+// The path through a relay adds no network distance. An order to which a relay does not
+// respond is sent to the worker directly.
 type relays struct {
 	self       string
 	direct     Workers
@@ -40,11 +40,11 @@
 	logEvent   func(event string, fields ...any)
 
 	mu       sync.RWMutex
-	peers    map[string]knownPeer               // instances that poll this owner, by name
+	peers    map[string]observedPeer            // instances that poll this owner, by name
 	byDomain map[string]map[string]*relayStream // open streams, by failure domain and name of the instance
 }
 
-type knownPeer struct {
+type observedPeer struct {
 	entry.Peer
 	lastSeen time.Time
 }
@@ -63,7 +63,7 @@
 func newRelays(self string, direct Workers, peers *entry.Client, logEvent func(string, ...any)) *relays {
 	return &relays{
 		self: self, direct: direct, openStream: peers.Relay, logEvent: logEvent,
-		peers: make(map[string]knownPeer), byDomain: make(map[string]map[string]*relayStream),
+		peers: make(map[string]observedPeer), byDomain: make(map[string]map[string]*relayStream),
 	}
 }
 
@@ -71,15 +71,15 @@
 func (r *relays) observePeer(p entry.Peer, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.peers[p.Instance] = knownPeer{Peer: p, lastSeen: now}
+	r.peers[p.Instance] = observedPeer{Peer: p, lastSeen: now}
 }
 
 // address returns the address of an instance.
 func (r *relays) address(name string) (string, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	p, known := r.peers[name]
-	return p.Address, known
+	p, found := r.peers[name]
+	return p.Address, found
 }
 
 // run maintains a stream to every instance that polls this owner, until ctx ends.
@@ -117,9 +117,9 @@
 func (r *relays) maintainStream(ctx context.Context, name string) {
 	for ctx.Err() == nil {
 		r.mu.RLock()
-		p, present := r.peers[name]
+		p, found := r.peers[name]
 		r.mu.RUnlock()
-		if present {
+		if found {
 			if err := r.runStream(ctx, p.Peer); ctx.Err() == nil {
 				r.logEvent("relay lost", "instance", name, "error", err)
 			}
@@ -196,19 +196,19 @@
 	}
 }
 
-// Hold implements Workers. A hold whose relay was lost is sent directly, which is safe
-// because holds are idempotent.
-func (r *relays) Hold(ctx context.Context, fence int64, h schedule.Poll) schedule.PollDone {
+// Poll implements Workers. A poll whose relay was lost is sent directly, which is safe
+// because polls are idempotent.
+func (r *relays) Poll(ctx context.Context, fence int64, p schedule.Poll) schedule.PollDone {
 	sentAt := time.Now()
-	outcome, _ := r.send(ctx, h.Target, fence, h)
+	outcome, _ := r.send(ctx, p.Target, fence, p)
 	if outcome == nil {
 		if ctx.Err() != nil {
-			return schedule.PollDone{Poll: h, SentAt: sentAt, Verdict: schedule.Unclear}
+			return schedule.PollDone{Poll: p, SentAt: sentAt, Verdict: schedule.Unclear}
 		}
-		return r.direct.Poll(ctx, fence, h)
+		return r.direct.Poll(ctx, fence, p)
 	}
 	return schedule.PollDone{
-		Poll: h, SentAt: sentAt, Verdict: outcome.Verdict, Clock: outcome.Clock, Incarnation: outcome.Incarnation,
+		Poll: p, SentAt: sentAt, Verdict: outcome.Verdict, Clock: outcome.Clock, Incarnation: outcome.Incarnation,
 		Running: outcome.Running, Ended: outcome.Ended,
 	}
 }
--- a/instance/relay_test.go
+++ b/instance/relay_test.go
@@ -18,9 +18,9 @@
 	orders  int
 }
 
-func (w *fakeWorkers) Poll(_ context.Context, _ int64, h schedule.Poll) schedule.PollDone {
+func (w *fakeWorkers) Poll(_ context.Context, _ int64, p schedule.Poll) schedule.PollDone {
 	w.orders++
-	return schedule.PollDone{Poll: h, Verdict: w.verdict}
+	return schedule.PollDone{Poll: p, Verdict: w.verdict}
 }
 
 func (w *fakeWorkers) Start(context.Context, int64, schedule.Start) schedule.Verdict {
@@ -123,9 +123,9 @@
 	}
 }
 
-// TestRelayFallsSilent guards against a hold that waits for an unresponsive relay until
+// TestUnresponsiveRelay guards against a poll that waits for an unresponsive relay until
 // its own timeout.
-func TestRelayFallsSilent(t *testing.T) {
+func TestUnresponsiveRelay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		direct, remote := &fakeWorkers{}, &fakeRelay{losesOrders: true}
 		r := newRelays("self", direct, entry.NewClient(membership.Member{Instance: "self"}), func(string, ...any) {})
@@ -139,9 +139,9 @@
 		call, cancelCall := context.WithTimeout(ctx, 5*time.Second)
 		defer cancelCall()
 		began := time.Now()
-		done := r.Hold(call, 1, schedule.Poll{Target: schedule.Target{Worker: "w1", FailureDomain: "near"}})
+		done := r.Poll(call, 1, schedule.Poll{Target: schedule.Target{Worker: "w1", FailureDomain: "near"}})
 		if took := time.Since(began); done.Verdict != schedule.Accepted || direct.orders != 1 || took > relayTimeout+2*relayPingInterval {
-			t.Errorf("%s after %s, %d holds sent directly; want one that is accepted within %s", done.Verdict, took, direct.orders, relayTimeout+2*relayPingInterval)
+			t.Errorf("%s after %s, %d polls sent directly; want one that is accepted within %s", done.Verdict, took, direct.orders, relayTimeout+2*relayPingInterval)
 		}
 		cancel()
 		synctest.Wait()
--- a/instance/sweep.go
+++ b/instance/sweep.go
@@ -65,7 +65,7 @@
 	for _, kv := range finals {
 		final, err := job.Decode[job.Final](kv.Value)
 		if err != nil || now.Sub(final.FinishedAt) > finalRetention {
-			expired = append(expired, kv.Key) // a record that cannot be decoded is useless
+			expired = append(expired, kv.Key) // a record that cannot be decoded cannot be shown to callers
 		}
 	}
 	inbox, _, err := s.List(ctx, inboxPrefix)
--- a/instance/view.go
+++ b/instance/view.go
@@ -26,15 +26,15 @@
 // admission limits. One goroutine polls the owner and updates it; request goroutines
 // read it.
 type ownerView struct {
-	mu         sync.RWMutex
-	epoch      int64  // of the owner
-	sequence   uint64 // of the last change received
-	updatedAt  time.Time
-	jobs       map[job.ID]cachedStatus
-	waiting    map[string]int     // number of pending jobs, by queue
-	admitShare map[string]float64 // fraction of a team's submissions to admit
-	submitted  map[string]int     // number of jobs submitted since the last poll, by team
-	sweptAt    time.Time
+	mu            sync.RWMutex
+	epoch         int64  // of the owner
+	sequence      uint64 // of the last change received
+	updatedAt     time.Time
+	jobs          map[job.ID]cachedStatus
+	pendingJobs   map[string]int     // number of pending jobs, by queue
+	admittedShare map[string]float64 // fraction of a team's submissions to admit
+	submitted     map[string]int     // number of jobs submitted since the last poll, by team
+	sweptAt       time.Time
 }
 
 type cachedStatus struct {
@@ -54,19 +54,19 @@
 		v.dropUnfinished(now)
 	}
 	for _, s := range view.Changes {
-		if old, known := v.jobs[s.Job]; known && old.State.IsFinal() {
+		if old, found := v.jobs[s.Job]; found && old.State.IsFinal() {
 			continue // a final state is recorded and does not change
 		}
 		v.jobs[s.Job] = cachedStatus{Status: s, updatedAt: now}
 	}
 	v.epoch, v.sequence, v.updatedAt = view.Epoch, view.Sequence, now
-	v.waiting, v.admitShare = view.PendingJobs, view.AdmittedShare
+	v.pendingJobs, v.admittedShare = view.PendingJobs, view.AdmittedShare
 	v.sweep(now)
 }
 
-// dropUnfinished removes the jobs that have not ended before a full view, which lists every
-// job of the owner, is merged. A job that was accepted within maxViewAge is kept, since it
-// may not have reached the owner yet.
+// dropUnfinished removes the jobs without a final state. It runs before the merge of a full
+// view, which lists every job of the owner. A job that was accepted within maxViewAge is
+// kept, since it may not have reached the owner yet.
 func (v *ownerView) dropUnfinished(now time.Time) {
 	for id, s := range v.jobs {
 		if !s.State.IsFinal() && now.Sub(s.updatedAt) > maxViewAge {
@@ -94,23 +94,25 @@
 func (v *ownerView) status(id job.ID) (schedule.Status, bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	s, known := v.jobs[id]
-	return s.Status, known
+	s, found := v.jobs[id]
+	return s.Status, found
 }
 
 // addAccepted adds a job that this instance has accepted.
 func (v *ownerView) addAccepted(j *job.Job, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if _, known := v.jobs[j.ID]; !known {
+	if _, found := v.jobs[j.ID]; !found {
 		v.jobs[j.ID] = cachedStatus{Status: schedule.Status{Job: j.ID, State: job.Pending, Queue: j.Queue, Team: j.Team}, updatedAt: now}
 	}
 }
 
+// queueLength returns the number of pending jobs of a queue, and whether the view is recent
+// enough to report it.
 func (v *ownerView) queueLength(queue string, now time.Time) (int, bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	return v.waiting[queue], now.Sub(v.updatedAt) <= maxViewAge
+	return v.pendingJobs[queue], now.Sub(v.updatedAt) <= maxViewAge
 }
 
 // admit counts a submission and reports whether it should be admitted.
@@ -118,17 +120,17 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.submitted[team]++
-	share, limited := v.admitShare[team]
+	share, limited := v.admittedShare[team]
 	return !limited || now.Sub(v.updatedAt) > maxViewAge || rand.Float64() < share
 }
 
-// nextPoll returns the next request to the owner and resets the submission counts.
-func (v *ownerView) nextPoll(name string) cell.ViewRequest {
+// nextRequest returns the next request to the owner and resets the submission counts.
+func (v *ownerView) nextRequest(name string) cell.ViewRequest {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	poll := cell.ViewRequest{Instance: name, Epoch: v.epoch, Since: v.sequence, Submitted: v.submitted}
+	request := cell.ViewRequest{Instance: name, Epoch: v.epoch, Since: v.sequence, Submitted: v.submitted}
 	v.submitted = make(map[string]int)
-	return poll
+	return request
 }
 
 // followView polls the current owner and updates the view until ctx ends.
@@ -149,15 +151,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, i.cfg.Timing.OwnerRequestTimeout)
 	defer cancel()
-	poll := i.view.nextPoll(i.cfg.Name)
+	request := i.view.nextRequest(i.cfg.Name)
 	if s.Owner.Instance == i.cfg.Name {
-		reply, err := i.loop.Call(ctx, poll)
+		reply, err := i.loop.Call(ctx, request)
 		if err != nil {
 			return nil // the control goroutine is overloaded; the next poll follows soon
 		}
 		return reply.View
 	}
-	view, err := i.peers.FollowOwner(ctx, s.Owner.Address, entry.Peer{Instance: i.cfg.Name, Address: i.cfg.Listen, FailureDomain: i.cfg.FailureDomain}, poll)
+	view, err := i.peers.FollowOwner(ctx, s.Owner.Address, entry.Peer{Instance: i.cfg.Name, Address: i.cfg.Listen, FailureDomain: i.cfg.FailureDomain}, request)
 	if err != nil {
 		i.cfg.Journal.Event("owner did not answer", "owner", s.Owner.Instance, "error", err)
 	}
