--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -235,7 +235,7 @@
 // commit writes a commit and retries until its outcome is definite or the ownership
 // ends. The conditions of the transaction ensure that at most one attempt takes effect.
 func (i *Instance) commit(ctx context.Context, e cell.CommitRecords) {
-	value, err := job.Encode(sequenceRecord{Owner: i.cfg.Incarnation, Follows: e.Sequence})
+	value, err := job.Encode(sequenceRecord{Incarnation: i.cfg.Incarnation, PreviousRevision: e.Sequence})
 	if err != nil {
 		i.cfg.Journal.Event("sequence record cannot be encoded", "error", err)
 		return
--- a/instance/records.go
+++ b/instance/records.go
@@ -40,8 +40,8 @@
 // sequenceRecord identifies a commit uniquely among all owners, so that a retry
 // recognizes a commit whose response was lost.
 type sequenceRecord struct {
-	Owner   string `json:"owner"`   // incarnation of the owner's process
-	Follows int64  `json:"follows"` // revision of the stream's previous record
+	Incarnation      string `json:"owner"`   // of the owner's process
+	PreviousRevision int64  `json:"follows"` // revision of the stream's previous record
 }
 
 // coresRecord holds the core count of the largest instance.
--- a/instance/records_test.go
+++ b/instance/records_test.go
@@ -69,7 +69,7 @@
 	ownership := mustPut(t, s, keyOwner, cell.Owner{Instance: "e1"})
 	e := cell.CommitRecords{Owner: ownership, Commit: schedule.Commit{Stream: 2, Changes: []schedule.Change{{Job: "a", Progress: &job.Progress{Started: true}}}}}
 	sequenceValue := func(e cell.CommitRecords) []byte {
-		b, err := job.Encode(sequenceRecord{Owner: "p1", Follows: e.Sequence})
+		b, err := job.Encode(sequenceRecord{Incarnation: "p1", PreviousRevision: e.Sequence})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -127,7 +127,7 @@
 	mustPut(t, s, cancelKey("b"), struct{}{})
 	mustPut(t, s, progressKey("a"), job.Progress{Started: true, Failed: map[string]job.Failures{"0.0.0": {7}}})
 	mustPut(t, s, keyRoster, []schedule.RosterEntry{{Worker: "w1"}})
-	sequence := mustPut(t, s, sequenceKey(3), sequenceRecord{Owner: "p0"})
+	sequence := mustPut(t, s, sequenceKey(3), sequenceRecord{Incarnation: "p0"})
 	r, err := i.readRecovery(t.Context())
 	if err != nil {
 		t.Fatal(err)
--- a/instance/relay_test.go
+++ b/instance/relay_test.go
@@ -109,10 +109,10 @@
 				if c.endsAfter > 0 {
 					time.AfterFunc(c.endsAfter, func() { close(c.relay.ended) })
 				}
-				call, cancelCall := context.WithTimeout(ctx, orderTimeout)
+				callCtx, cancelCall := context.WithTimeout(ctx, orderTimeout)
 				defer cancelCall()
 				began := time.Now()
-				v := r.Start(call, 1, schedule.Start{Target: c.target})
+				v := r.Start(callCtx, 1, schedule.Start{Target: c.target})
 				if took := time.Since(began); v != c.want || took != c.wantTook || c.relay.orders != c.relayed || direct.orders != c.directOrders {
 					t.Errorf("%s after %s, %d orders relayed, %d sent directly; want %s after %s, %d, %d", v, took, c.relay.orders, direct.orders, c.want, c.wantTook, c.relayed, c.directOrders)
 				}
@@ -136,10 +136,10 @@
 		r.observePeer(entry.Peer{Instance: "other", FailureDomain: "near"}, time.Now())
 		time.Sleep(2*relayPingInterval + time.Millisecond)
 		time.AfterFunc(50*time.Millisecond, func() { remote.unresponsive.Store(true) })
-		call, cancelCall := context.WithTimeout(ctx, 5*time.Second)
+		callCtx, cancelCall := context.WithTimeout(ctx, 5*time.Second)
 		defer cancelCall()
 		began := time.Now()
-		done := r.Poll(call, 1, schedule.Poll{Target: schedule.Target{Worker: "w1", FailureDomain: "near"}})
+		done := r.Poll(callCtx, 1, schedule.Poll{Target: schedule.Target{Worker: "w1", FailureDomain: "near"}})
 		if took := time.Since(began); done.Verdict != schedule.Accepted || direct.orders != 1 || took > relayTimeout+2*relayPingInterval {
 			t.Errorf("%s after %s, %d polls sent directly; want one that is accepted within %s", done.Verdict, took, direct.orders, relayTimeout+2*relayPingInterval)
 		}
