--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -43,7 +43,7 @@
 			break
 		}
 		bytes += s.bytes
-		writes = append(writes, l.write(now, s))
+		writes = append(writes, l.beginWrite(now, s))
 	}
 	if len(writes) > 0 {
 		l.lastFlush = now
@@ -51,7 +51,8 @@
 	return writes
 }
 
-func (l *Ledger) write(now time.Time, s *shard) Write {
+// beginWrite returns a write of the current state of a shard and marks it as in flight.
+func (l *Ledger) beginWrite(now time.Time, s *shard) Write {
 	l.idCounter++
 	id := fmt.Sprintf("%s.%d", l.incarnation, l.idCounter)
 	l.shardsInFlight++
@@ -103,7 +104,7 @@
 }
 
 // clearInFlight marks the write of a shard as no longer in flight. The next commit writes
-// the changes made in the meantime.
+// the changes that were made while it was.
 func (l *Ledger) clearInFlight(s *shard) {
 	s.inFlight = nil
 	l.shardsInFlight--
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -9,7 +9,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Config holds the limits of a ledger.
+// Config configures a Ledger.
 type Config struct {
 	ResultRetention      time.Duration // how long the record of a finished job is kept for repeated submissions
 	FlushInterval        time.Duration // minimum time between two group commits
@@ -20,7 +20,8 @@
 	MaxTasks             int           // maximum number of tasks of one job
 }
 
-// DefaultConfig returns the default limits that the design page specifies.
+// DefaultConfig returns the default configuration, as specified in the design
+// documentation.
 func DefaultConfig() Config {
 	return Config{
 		ResultRetention:      10 * time.Minute,
@@ -34,16 +35,16 @@
 }
 
 // Ledger holds the request shards whose home is this process. It is not safe for
-// concurrent use: only the control goroutine uses it.
+// concurrent use; only the control goroutine uses it.
 type Ledger struct {
 	cfg            Config
-	incarnation    string // of this process
+	incarnation    string // incarnation ID of this process
 	shards         map[string]*shard
 	memoryOnlyJobs map[JobKey]*Record // kept when their shard moves to another home
 	lastFlush      time.Time
 	idCounter      uint64 // source of unique write IDs and task ID salts
 	shardsInFlight int    // number of shards whose value is being written
-	dirty          bool   // some shard may have changes that are not being written
+	dirty          bool   // some shard may have changes that are neither stored nor in flight
 }
 
 // New returns a ledger without shards. The incarnation of this process makes the IDs of
@@ -59,7 +60,8 @@
 
 // Close removes a shard of which this process is no longer the home. It returns the
 // steps that were not released and all durable records, so that the waiting callers
-// can be notified. Memory-only jobs are kept, because no other process has them.
+// can be notified. Memory-only jobs are kept, because no other process holds their
+// records.
 func (l *Ledger) Close(name string) (steps []PostCommitStep, records []*Record) {
 	s, ok := l.shards[name]
 	if !ok {
@@ -214,8 +216,8 @@
 }
 
 // handleRepeat handles a submission whose idempotency key was used before. If the shard
-// has changes that are not stored yet, a repeat of durable work waits for their commit,
-// because the first submission may be among them.
+// has changes that are not stored yet, a repeated submission of durable work waits for
+// their commit, because the first submission may be among them.
 func (l *Ledger) handleRepeat(s *shard, first *Record, spec task.Spec, step PostCommitStep) (*Record, bool, *errkind.Error) {
 	if first.Spec.PayloadDigest != spec.PayloadDigest {
 		return nil, false, errkind.New(errkind.IdempotencyConflict,
@@ -234,8 +236,8 @@
 	return ok && s.committed < s.sequence
 }
 
-// registerChange registers a change to a record; the step is released once the change is
-// stored. It reports whether the step must wait, which is false for memory-only work.
+// registerChange registers a change to a record. The step is released once the change is
+// stored. registerChange reports whether the step must wait; memory-only work never waits.
 func (l *Ledger) registerChange(s *shard, r *Record, step PostCommitStep) (waits bool) {
 	if !r.Spec.Kind.IsDurable() {
 		return false
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -30,10 +30,10 @@
 	return true
 }
 
-func newHome(m *storeModel, holder string) *Ledger {
+func newHome(m *storeModel, incarnation string) *Ledger {
 	cfg := DefaultConfig()
 	cfg.FlushInterval = 0
-	l := New(cfg, holder)
+	l := New(cfg, incarnation)
 	l.Open(shardName, 1)
 	l.Loaded(shardName, m.value, m.revision)
 	return l
@@ -53,7 +53,7 @@
 	return task.Spec{Team: "t", Service: "s", IdempotencyKey: key, Kind: task.AtMostOnce, Count: 1, PayloadDigest: "d"}
 }
 
-// TestCommittedIsNeverLost guards against a step that is released for a change which a
+// TestCommittedIsNeverLost guards against a step that is released for a change that a
 // later reader of the store does not find. It covers every outcome of a write, including
 // indeterminate writes that take effect late.
 func TestCommittedIsNeverLost(t *testing.T) {
@@ -136,9 +136,10 @@
 	}
 }
 
-// TestPermitNamesOneWorker guards against an at-most-once attempt that is permitted on
-// two workers or on two boots of one worker, and against its retry after an unknown end.
-func TestPermitNamesOneWorker(t *testing.T) {
+// TestPermitAllowsOneWorker guards against an at-most-once attempt that is permitted on
+// two workers or on two boots of one worker, and against its retry after an unknown
+// outcome.
+func TestPermitAllowsOneWorker(t *testing.T) {
 	_, l := newActiveHome()
 	spec := durableSpec("k")
 	key := KeyOf(&spec)
@@ -159,7 +160,7 @@
 	}
 	o := task.Outcome{Attempt: a, State: task.Unknown, Reason: string(errkind.WorkerLost)}
 	if verdict, _ := l.Finish(time.Unix(2, 0), shardName, key, 0, o, PostCommitStep{Job: key}); verdict != Final {
-		t.Errorf("verdict on an unknown end = %v, want %v: at-most-once work must not be retried", verdict, Final)
+		t.Errorf("verdict on an unknown outcome = %v, want %v: at-most-once work must not be retried", verdict, Final)
 	}
 }
 
@@ -177,6 +178,6 @@
 	l.Finish(time.Unix(2, 0), shardName, key, 0, task.Outcome{Attempt: a, State: task.Unknown, Reason: string(errkind.WorkerLost)}, PostCommitStep{Job: key})
 	l.Cancel(time.Unix(3, 0), shardName, key, errkind.Cancelled, PostCommitStep{Job: key})
 	if r, _ := l.Find(shardName, key); r.Tasks[0].State != task.Unknown {
-		t.Errorf("state after an attempt with unknown end and a cancellation = %s, want %s", r.Tasks[0].State, task.Unknown)
+		t.Errorf("state after an attempt with an unknown outcome and a cancellation = %s, want %s", r.Tasks[0].State, task.Unknown)
 	}
 }
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -37,7 +37,7 @@
 	ID         task.ID       `json:"id"`
 	State      task.State    `json:"state"`
 	Attempt    uint32        `json:"attempt"`                // latest attempt; 0 before the first
-	Partition  string        `json:"partition,omitempty"`    // to which the latest attempt was sent
+	Partition  string        `json:"partition,omitempty"`    // worker partition of the latest attempt
 	Worker     string        `json:"worker,omitempty"`       // of the latest attempt; for at-most-once work the only one that may run it
 	BootID     string        `json:"boot_id,omitempty"`      // boot of that worker when the start was permitted
 	Permitted  bool          `json:"permitted,omitempty"`    // at-most-once work: the start was permitted
@@ -116,7 +116,7 @@
 	return JobKey{Team: task.Team(team), Service: task.Service(service), Key: rest[:last]}, index, true
 }
 
-// HomeOf returns the incarnation of the process that has the record of a memory-only
+// HomeOf returns the incarnation of the process that holds the record of a memory-only
 // task. It returns false for a durable task.
 func HomeOf(id task.ID) (incarnation string, ok bool) {
 	_, salt, found := strings.Cut(string(id), "@")
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -13,7 +13,7 @@
 	Records []Record `json:"records"`
 }
 
-// phase is the state of a shard at a new home until it can serve requests.
+// phase is the progress of a shard towards serving requests at its new home.
 type phase int
 
 const (
@@ -36,15 +36,17 @@
 	committed     uint64 // every change up to this sequence is in the store
 	inFlight      *pendingWrite
 	indeterminate []pendingWrite // writes that may still take effect
-	steps         []pendingStep  // in order of sequence
+	steps         []pendingStep  // in ascending order of sequence
 }
 
+// pendingWrite is a write that is in flight or indeterminate.
 type pendingWrite struct {
 	writeID  string
 	sequence uint64
 	sentAt   time.Time
 }
 
+// pendingStep is a step that is released once the change with this sequence is stored.
 type pendingStep struct {
 	sequence uint64
 	step     PostCommitStep
@@ -112,8 +114,8 @@
 	}
 }
 
-// isDirty reports whether the shard has changes to store or still has to fence the former
-// home, and has no write in flight.
+// isDirty reports whether a write of the shard is due: it has no write in flight, and it
+// has changes to store or still has to fence the former home.
 func (s *shard) isDirty() bool {
 	return s.inFlight == nil && (s.committed < s.sequence || s.phase == fencing)
 }
--- a/ledger/transition.go
+++ b/ledger/transition.go
@@ -8,8 +8,7 @@
 )
 
 // Dispatch creates the next attempt of a task, at the given partition. If waits is true,
-// which is the case for durable work, the attempt must not be sent before step is
-// released.
+// as it is for durable work, the attempt must not be sent before step is released.
 func (l *Ledger) Dispatch(shardName string, key JobKey, index int, partition string, step PostCommitStep) (attempt task.Attempt, waits, ok bool) {
 	s, r, t := l.findTask(shardName, key, index)
 	if t == nil || t.State != task.Accepted || r.Cancelled {
@@ -112,15 +111,15 @@
 	case task.Unknown:
 		return r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRetry()
 	case task.Finished:
-		mayRepeat := r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRetry()
-		return mayRepeat && (isStoppedForRetry(outcome.Reason) || isFailure(outcome) && t.Failures+1 < maxFailures)
+		mayRetry := r.Spec.Kind.IsDurable() && r.Spec.Kind.MayRetry()
+		return mayRetry && (isStoppedForRetry(outcome.Reason) || isFailure(outcome) && t.Failures+1 < maxFailures)
 	default:
 		return false
 	}
 }
 
-// maxAnswerAttempts limits the attempts of an Answer task that is repeatedly not run. If
-// the last attempt is not run either, the caller is notified.
+// maxAnswerAttempts limits the attempts of a task of kind Answer that is repeatedly not
+// run. If the last attempt is not run either, the caller is notified.
 const maxAnswerAttempts = 3
 
 // maxFailures is the number of failures after which a durable task is final. A worker
@@ -139,9 +138,9 @@
 }
 
 // isPermanent reports whether a task that was not run for this reason would not be run
-// by another attempt either. Cancelled is not permanent: an owner reports it for any attempt
-// that was withdrawn or looked up before it arrived, and a job that its caller cancelled
-// is marked in its record.
+// by another attempt either. Cancelled is not permanent: an owner reports it for any
+// attempt that was withdrawn or looked up before it arrived, and a job that its caller
+// cancelled is marked in its record.
 func isPermanent(reason string) bool {
 	switch errkind.Kind(reason) {
 	case errkind.DeadlineExceeded, errkind.KeyWithdrawn, errkind.NeverFits:
@@ -201,13 +200,13 @@
 	}
 }
 
-// DeleteMemoryOnly removes the record of a memory-only job that was not run, so that a repeated
-// submission is handled as a new job.
+// DeleteMemoryOnly deletes the record of a memory-only job that was not run, so that a
+// repeated submission is handled as a new job.
 func (l *Ledger) DeleteMemoryOnly(key JobKey) { delete(l.memoryOnlyJobs, key) }
 
-// findTask returns a task with its job and shard. It returns nil values if there is no such
-// task or the shard of a durable job is not active. The shard of a memory-only job is nil
-// if this process no longer holds it.
+// findTask returns a task with its job and shard. It returns nil values if there is no
+// such task or the shard of a durable job is not active. The shard of a memory-only job is
+// nil if this process no longer holds it.
 func (l *Ledger) findTask(shardName string, key JobKey, index int) (*shard, *Record, *TaskRecord) {
 	s, r := l.shards[shardName], l.memoryOnlyJobs[key]
 	if r == nil {
