--- a/allowance/model_test.go
+++ b/allowance/model_test.go
@@ -12,24 +12,24 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// model simulates three tables and one minimal store. Ownership of the partitions is
-// exclusive, as package ownership guarantees. Like the workers, the model tracks the
-// running tasks independently of the tables.
+// model simulates three processes, each with a table, and one minimal store. Ownership of
+// the partitions is exclusive, as package ownership guarantees. Like the workers, the model
+// tracks the running tasks independently of the tables.
 type model struct {
 	rng              *rand.Rand
-	faults           seededFaults
+	seededFaults     seededFaults
 	now              time.Time
 	revision         int64
 	records          map[task.Team]Record
 	ownership        map[string]int64 // revision of the ownership record
-	owner            map[string]int
-	log              []Record
+	owner            map[string]int   // index of the owner's table
+	log              []Record         // every write of a record, in order
 	tables           []*Table
-	deliveredRecords []int
-	inFlight         []*transaction
+	deliveredRecords []int          // by table: number of records of log that were delivered
+	inFlight         []*transaction // indeterminate transactions that may still take effect
 	runningTasks     []*runningTask
-	documentRevision int64 // of the newest document
-	coverage         map[string]int
+	documentRevision int64          // of the newest document
+	coverage         map[string]int // number of writes by kind and outcome
 }
 
 type runningTask struct {
@@ -39,8 +39,8 @@
 	reported  bool // to the current owner
 }
 
-// transaction is the result of a Plan that was sent to the store. A restarted table gets
-// no reply.
+// transaction is the result of one call of Plan, sent to the store. A transaction that is
+// executed late sends no reply to its table.
 type transaction struct {
 	table  *Table
 	writes []Write
@@ -56,7 +56,7 @@
 
 func newModel(seed uint64, seeded seededFaults) *model {
 	m := &model{
-		rng: rand.New(rand.NewPCG(seed, 2)), faults: seeded, now: time.Unix(1000, 0), revision: 1,
+		rng: rand.New(rand.NewPCG(seed, 2)), seededFaults: seeded, now: time.Unix(1000, 0), revision: 1,
 		records: map[task.Team]Record{}, ownership: map[string]int64{}, owner: map[string]int{},
 		deliveredRecords: make([]int, 3), coverage: map[string]int{},
 	}
@@ -74,7 +74,7 @@
 
 func (m *model) newTable() *Table {
 	t := New(DefaultConfig())
-	t.seededFaults = m.faults
+	t.seededFaults = m.seededFaults
 	return t
 }
 
@@ -97,7 +97,7 @@
 	m.putRecord(WithLimit(r, limit, m.documentRevision))
 }
 
-// takeOver moves the partition to another process. The former owner disowns it first.
+// takeOver moves the partition to another process. The former owner removes it first.
 func (m *model) takeOver(partition string, to int) {
 	if from, ok := m.owner[partition]; ok {
 		m.tables[from].RemovePartition(partition)
@@ -112,7 +112,7 @@
 	}
 }
 
-// rebuild reports the running tasks of the partition to its owner. Each task is left out
+// rebuild reports the running tasks of the partition to its owner. Each task is omitted
 // with the given probability, and the rebuild is then incomplete.
 func (m *model) rebuild(partition string, omitProbability float64) {
 	t, complete := m.tables[m.owner[partition]], true
@@ -132,6 +132,7 @@
 	}
 }
 
+// deliver passes the undelivered records to a table, as a watch does.
 func (m *model) deliver(i int) {
 	for _, r := range m.log[m.deliveredRecords[i]:] {
 		m.tables[i].Observe(m.now, r)
@@ -164,18 +165,19 @@
 	}
 }
 
+// execute runs a transaction at the store.
 func (m *model) execute(txn *transaction) WriteResult {
-	result, moved := WriteResult{Outcome: Conflict}, false
+	result, ownershipChanged := WriteResult{Outcome: Conflict}, false
 	for _, w := range txn.writes {
 		current := m.records[w.Record.Team]
 		if current.Revision != w.ExpectedRevision {
 			result.Current = append(result.Current, current)
 		}
 		for p, revision := range w.OwnershipRevisions {
-			moved = moved || m.ownership[p] != revision
+			ownershipChanged = ownershipChanged || m.ownership[p] != revision
 		}
 	}
-	if moved || len(result.Current) > 0 {
+	if ownershipChanged || len(result.Current) > 0 {
 		return result
 	}
 	m.revision++
@@ -215,7 +217,8 @@
 	}
 }
 
-// kindOf returns the protocol step that a write performs.
+// kindOf returns the protocol step that a write performs: "settle" puts a pending limit in
+// force, and "fence" changes no allowance and only makes earlier writes fail.
 func (m *model) kindOf(w Write) string {
 	current, next := m.records[w.Record.Team], w.Record
 	switch {
@@ -286,8 +289,8 @@
 	m.tables[m.owner[partition]].AddPartition(partition, m.revision)
 }
 
-// violation returns a violation of a limit in force by the running tasks or the parts, or
-// "".
+// violation describes a violation of a limit in force by the running tasks or the
+// allowances. It returns "" if there is none.
 func (m *model) violation() string {
 	for _, team := range modelTeams {
 		var total task.Resources
@@ -301,14 +304,14 @@
 			return fmt.Sprintf("team %s runs %v above the limit %v", team, total, record.Limit)
 		}
 		if !fitsLimit(record.sum(), record.Limit) {
-			return fmt.Sprintf("parts %v of team %s exceed the limit %v", record.Allowances, team, record.Limit)
+			return fmt.Sprintf("allowances %v of team %s exceed the limit %v", record.Allowances, team, record.Limit)
 		}
 	}
 	return ""
 }
 
-// run executes random steps with faults, then ends all tasks and checks that all
-// allowance is returned within 20 s.
+// run executes random steps with faults, then ends all tasks and checks that all allowance
+// is returned within 20 s. It describes a violation, or returns "".
 func (m *model) run(steps int) string {
 	for n := range steps {
 		m.randomStep()
@@ -352,22 +355,22 @@
 // TestNeverAboveLimit guards against a team whose running tasks exceed its limit in
 // force, and against idle allowance that is never returned.
 func TestNeverAboveLimit(t *testing.T) {
-	cells := map[string]int{}
+	coverage := map[string]int{}
 	for seed := range modelRuns(500) {
 		m := newModel(uint64(seed), seededFaults{})
 		if problem := m.run(600); problem != "" {
 			t.Fatalf("seed %d: %s", seed, problem)
 		}
-		for cell, n := range m.coverage {
-			cells[cell] += n
+		for combination, n := range m.coverage {
+			coverage[combination] += n
 		}
 	}
 	for _, kind := range writeKinds {
 		for _, outcome := range writeOutcomes {
-			if cells[kind+", "+outcome] == 0 {
+			if coverage[kind+", "+outcome] == 0 {
 				t.Errorf("combination of write and outcome not covered: %s, %s", kind, outcome)
 			}
 		}
 	}
-	t.Logf("fault matrix: %d writes x %d outcomes = %d cells, %d covered: %v", len(writeKinds), len(writeOutcomes), len(writeKinds)*len(writeOutcomes), len(cells), cells)
+	t.Logf("fault matrix: %d writes x %d outcomes = %d combinations, %d covered: %v", len(writeKinds), len(writeOutcomes), len(writeKinds)*len(writeOutcomes), len(coverage), coverage)
 }
--- a/allowance/plan.go
+++ b/allowance/plan.go
@@ -7,26 +7,26 @@
 )
 
 // fallbackIntervals is the number of intervals for which a process delays a change that
-// any process can write. Usually one process writes it within that time, so the others
-// need not, and they do not all write it at once.
+// any process can write. Usually another process has written it by then, so that the
+// processes do not all write it at once.
 const fallbackIntervals = 2
 
-// Plan returns the records to write in one transaction, or nothing if none is due. The
-// caller answers a non-empty result with exactly one call of WriteDone.
+// Plan returns the records to write in one transaction, or none if no write is due. After
+// a non-empty result, the caller must call WriteDone exactly once.
 func (t *Table) Plan(now time.Time) []Write {
 	if t.inFlight || now.Before(t.nextPlan) || t.observedRevision == 0 {
 		return nil
 	}
 	var writes []Write
 	for i := range t.sortedTeams {
-		at := (t.nextTeam + i) % len(t.sortedTeams)
-		w, ok := t.planTeam(now, t.sortedTeams[at])
+		index := (t.nextTeam + i) % len(t.sortedTeams)
+		w, ok := t.planTeam(now, t.sortedTeams[index])
 		if !ok {
 			continue
 		}
 		writes = append(writes, w)
 		if len(writes) == t.batchLimit {
-			t.nextTeam = (at + 1) % len(t.sortedTeams)
+			t.nextTeam = (index + 1) % len(t.sortedTeams)
 			break
 		}
 	}
@@ -37,12 +37,13 @@
 	return writes
 }
 
+// planTeam returns the write of one team, and false if none is due.
 func (t *Table) planTeam(now time.Time, team *teamState) (Write, bool) {
 	// If the last plan could not grant an owned partition what it needs, the other owned
 	// partitions return idle allowance, as they do when another owner lacks allowance.
-	team.idleRequested = team.idleRequested || team.starving
-	team.starving = false
-	p := planner{table: t, now: now, team: team, next: team.record, owners: make(map[string]int64)}
+	team.idleRequested = team.idleRequested || team.starved
+	team.starved = false
+	p := planner{table: t, now: now, team: team, next: team.record, ownershipRevisions: make(map[string]int64)}
 	p.next.Team = team.name
 	p.applyLimit()
 	if !team.loaded && !p.changed {
@@ -56,7 +57,7 @@
 		return Write{}, false
 	}
 	p.next.Revision = 0
-	w := Write{Record: p.next, ExpectedRevision: team.record.Revision, OwnershipRevisions: p.owners}
+	w := Write{Record: p.next, ExpectedRevision: team.record.Revision, OwnershipRevisions: p.ownershipRevisions}
 	team.lowerFloor(w)
 	if t.seededFaults.skipOwnershipCompare {
 		w.OwnershipRevisions = nil
@@ -64,36 +65,36 @@
 	return w, true
 }
 
-// lowerFloor lowers the floor to the amounts of the write, which may replace the known
-// record from now on.
+// lowerFloor lowers the floor to the amounts of a write, because from now on the write may
+// replace the known record.
 func (team *teamState) lowerFloor(w Write) {
 	if team.floor == nil {
 		team.floor = make(map[string]task.Resources, len(w.Record.Allowances))
-		for name, part := range w.Record.Allowances {
-			team.floor[name] = part
+		for name, amount := range w.Record.Allowances {
+			team.floor[name] = amount
 		}
 	}
-	for name, part := range team.floor {
-		team.floor[name] = part.Min(w.Record.Allowances[name])
+	for name, amount := range team.floor {
+		team.floor[name] = amount.Min(w.Record.Allowances[name])
 	}
 	team.floorExpectedRevision = w.ExpectedRevision
 }
 
 // planner builds the next record of one team.
 type planner struct {
-	table       *Table
-	now         time.Time
-	team        *teamState
-	next        Record
-	partsCopied bool // next.Parts is a copy
-	changed     bool
-	owners      map[string]int64
-	total       task.Resources // sum of next.Parts; valid if summed is set
-	summed      bool
+	table              *Table
+	now                time.Time
+	team               *teamState
+	next               Record
+	allowancesCopied   bool // next.Allowances is a copy
+	changed            bool
+	ownershipRevisions map[string]int64
+	total              task.Resources // sum of next.Allowances; valid if summed is set
+	summed             bool
 }
 
-// sum returns the sum of the parts. It is computed once and then updated by change,
-// because one plan may grant to many partitions.
+// sum returns the sum of the allowances in the next record. It is computed once and then
+// updated by adjustAllowance, because one plan may grant to many partitions.
 func (p *planner) sum() task.Resources {
 	if !p.summed {
 		p.total, p.summed = p.next.sum(), true
@@ -101,6 +102,8 @@
 	return p.total
 }
 
+// isOverdue reports whether a change that has been possible since the given time was left
+// to other processes for long enough, see fallbackIntervals.
 func (p *planner) isOverdue(at time.Time) bool {
 	return p.now.Sub(at) >= fallbackIntervals*p.table.cfg.Interval
 }
@@ -142,17 +145,19 @@
 		if held.IsZero() {
 			continue
 		}
-		idle := nonNegative(held.Sub(p.amountToKeep(t.usageOf(p.now, team, name), part)))
+		idle := nonNegative(held.Sub(p.amountToKeep(t.getOrCreateUsage(p.now, team, name), part)))
 		if !p.next.HasPending {
 			idle = onlyLimited(idle, p.next.Limit)
 		}
 		if !idle.IsZero() {
-			p.adjustPart(name, part, idle.Scale(-1))
+			p.adjustAllowance(name, part, idle.Scale(-1))
 		}
 	}
 }
 
-// amountToKeep returns the amount that the partition keeps.
+// amountToKeep returns the allowance that the partition keeps: the amount in use, plus the
+// demand unless a lower limit is pending. While no partition lacks allowance, it is at least
+// the recent peak.
 func (p *planner) amountToKeep(u *usage, part *partition) task.Resources {
 	t := p.table
 	if p.next.HasPending {
@@ -177,7 +182,7 @@
 		if team.usageByPartition[name] == nil || !t.isUsable(part) {
 			continue
 		}
-		u := t.usageOf(p.now, team, name)
+		u := t.getOrCreateUsage(p.now, team, name)
 		largest, total := u.demand(p.now)
 		shortfall := t.used(part, u).Sub(p.next.Allowances[name])
 		need := nonNegative(shortfall.Add(total))
@@ -189,30 +194,30 @@
 }
 
 // grantBlock grants twice the need, but at most a quarter of the free amount, and at
-// least what the largest waiting task needs. The allowance of needed resources without a
+// least what the largest refused task needs. The allowance of needed resources without a
 // limit is at least doubled, so that a growing team rarely waits for them.
 func (p *planner) grantBlock(name string, part *partition, largest, need task.Resources) {
 	limit := withUnlimited(p.next.Limit)
 	free := nonNegative(limit.Sub(p.sum()))
 	if !largest.Fits(free) {
-		p.team.starving = true
+		p.team.starved = true
 		return
 	}
 	block := need.Scale(2).Min(quarter(free).Max(largest))
 	block = block.Max(unlimitedGrowth(p.next.Allowances[name], need, p.next.Limit))
 	if onlyLimited(block, p.next.Limit).IsZero() && !onlyLimited(need, p.next.Limit).IsZero() {
-		p.team.starving = true
+		p.team.starved = true
 	}
 	if !block.IsZero() {
-		p.adjustPart(name, part, block)
+		p.adjustAllowance(name, part, block)
 	}
 }
 
-// adjustPart adds delta to the amount of an owned partition in the next record.
-func (p *planner) adjustPart(name string, part *partition, delta task.Resources) {
-	if !p.partsCopied {
+// adjustAllowance adds delta to the allowance of an owned partition in the next record.
+func (p *planner) adjustAllowance(name string, part *partition, delta task.Resources) {
+	if !p.allowancesCopied {
 		p.next = p.next.clone()
-		p.partsCopied = true
+		p.allowancesCopied = true
 	}
 	if p.table.seededFaults.ignoreUnlimited {
 		delta = onlyLimited(delta, p.next.Limit)
@@ -223,17 +228,17 @@
 		delete(p.next.Allowances, name)
 	}
 	p.total = p.total.Add(delta)
-	p.owners[name] = part.ownershipRevision
+	p.ownershipRevisions[name] = part.ownershipRevision
 	p.changed = true
 }
 
-// WriteDone reports the outcome of the transaction that Plan returned. A conflict
-// halves the number of teams in the next transaction, because one changed record makes
-// the whole transaction fail.
+// WriteDone applies the outcome of the transaction that Plan returned. A conflict halves
+// the number of teams in the next transaction, because one changed record makes the whole
+// transaction fail.
 func (t *Table) WriteDone(now time.Time, writes []Write, result WriteResult) {
 	t.inFlight = false
 	for _, w := range writes {
-		team := t.teamFor(w.Record.Team)
+		team := t.getOrCreateTeam(w.Record.Team)
 		switch result.Outcome {
 		case Succeeded:
 			w.Record.Revision = result.Revision
--- a/allowance/record.go
+++ b/allowance/record.go
@@ -6,9 +6,9 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Record states how the resource limit of one team is divided. Parts includes resources
-// without a limit, so that a limit that is set later is compared with the resources in
-// use.
+// Record is the division of the resource limit of one team among the worker partitions.
+// Allowances includes resources without a limit, so that a limit that is set later is
+// compared with the resources in use.
 type Record struct {
 	Team          task.Team                 `json:"team"`
 	Limit         task.Resources            `json:"limit"`                 // in force; zero means that the resource has no limit
@@ -20,10 +20,10 @@
 }
 
 // Write requests the replacement of the record of one team. Its transaction succeeds
-// only if the record's last revision is Expect (0: absent) and the ownership record of
-// each partition in Owners has the given revision. The compare of the ownership records
-// prevents a delayed write of a former owner from returning an allowance that the next
-// owner uses.
+// only if the record has revision ExpectedRevision (0: absent) and the ownership record of
+// each partition in OwnershipRevisions has the given revision. The comparison of the
+// ownership records prevents a delayed write of a former owner from returning an allowance
+// that the next owner uses.
 type Write struct {
 	Record             Record
 	ExpectedRevision   int64
@@ -47,8 +47,8 @@
 	Current  []Record // records that the store returned with a conflict
 }
 
-// WithLimit returns r with the limit that the document of the given revision sets. A
-// limit below the sum of the allowances stays pending until enough allowance is returned.
+// WithLimit returns r with the limit that the document of the given revision sets. A limit
+// below the sum of the allowances stays pending until enough allowance has been returned.
 // A document that is not newer than LimitRevision is ignored.
 func WithLimit(r Record, limit task.Resources, revision int64) Record {
 	if revision <= r.LimitRevision {
@@ -70,14 +70,16 @@
 	return true
 }
 
+// sum returns the sum of the allowances.
 func (r *Record) sum() task.Resources {
 	var total task.Resources
-	for _, part := range r.Allowances {
-		total = total.Add(part)
+	for _, amount := range r.Allowances {
+		total = total.Add(amount)
 	}
 	return total
 }
 
+// clone returns a copy of r with its own, non-nil Allowances.
 func (r *Record) clone() Record {
 	c := *r
 	c.Allowances = maps.Clone(r.Allowances)
@@ -127,6 +129,7 @@
 	return n
 }
 
+// fitsLimit reports whether r does not exceed limit, in which a zero amount means no limit.
 func fitsLimit(r, limit task.Resources) bool { return r.Fits(withUnlimited(limit)) }
 
 // nonNegative returns r with negative amounts replaced by zero.
@@ -143,8 +146,8 @@
 	}
 }
 
-// unlimitedGrowth returns the part of r that consists of needed resources without a limit;
-// the other amounts are zero.
+// unlimitedGrowth returns the amounts in r of the resources that have no limit and of
+// which need is not zero. The other amounts are zero.
 func unlimitedGrowth(r, need, limit task.Resources) task.Resources {
 	unlimitedAmounts := r.Sub(onlyLimited(r, limit))
 	return onlyLimited(unlimitedAmounts, need)
--- a/allowance/seeded_test.go
+++ b/allowance/seeded_test.go
@@ -16,8 +16,8 @@
 )
 
 // returnIdle makes the owner of a partition return idle allowance, tries to use the whole
-// former allowance, and then makes another partition acquire the free amount. It returns
-// the violation, or "".
+// former allowance, and then makes another partition acquire the free amount. It describes
+// a violation, or returns "".
 func (m *model) returnIdle(race string) string {
 	from, other, next := modelPartitions[0], modelPartitions[2], 1
 	if race == lostReply {
@@ -91,8 +91,8 @@
 	}
 }
 
-// TestCheckerFindsSeededFaults guards against a model whose checks do not detect the
-// absence of a safety rule.
+// TestCheckerFindsSeededFaults guards against model checks that do not detect the absence
+// of a safety rule.
 func TestCheckerFindsSeededFaults(t *testing.T) {
 	for name, seeded := range map[string]seededFaults{
 		"a grant counts only after a definite success": {useUnconfirmed: true},
--- a/allowance/table.go
+++ b/allowance/table.go
@@ -7,19 +7,20 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Config holds the intervals of a table.
+// Config configures a Table.
 type Config struct {
-	Idle     time.Duration // how long an allowance is unused before it is returned
-	Interval time.Duration // between two transactions of one process
+	Idle     time.Duration // how long an allowance must be unused before it is returned
+	Interval time.Duration // minimum time between two transactions of one process
 }
 
-// DefaultConfig returns the default intervals that the design page specifies.
+// DefaultConfig returns the default configuration, as specified in the design
+// documentation.
 func DefaultConfig() Config {
 	return Config{Idle: 5 * time.Second, Interval: time.Second}
 }
 
-// Table holds the allowances of the worker partitions that one process owns. It
-// is not safe for concurrent use. Times are readings of the monotonic clock.
+// Table holds the allowances of the worker partitions that one process owns. It is not
+// safe for concurrent use. Times are readings of the monotonic clock.
 type Table struct {
 	cfg          Config
 	seededFaults seededFaults
@@ -31,14 +32,14 @@
 	owned            []string // names of partitions, sorted
 	observedRevision int64    // every change up to this store revision has been observed
 
-	inFlight   bool // WriteDone was not yet called for the last transaction
+	inFlight   bool // WriteDone has not been called for the last transaction yet
 	nextPlan   time.Time
-	batchLimit int // teams in the next transaction
+	batchLimit int // maximum number of teams in the next transaction
 }
 
 // partition is one worker partition that this process owns.
 type partition struct {
-	gainedRevision    int64 // revision of the ownership record when it was gained
+	gainedRevision    int64 // revision of the ownership record when ownership was gained
 	ownershipRevision int64 // latest revision of that record
 	rebuilt           bool  // the running tasks of all workers are known
 }
@@ -47,8 +48,8 @@
 type teamState struct {
 	name             task.Team
 	record           Record
-	loaded           bool // the record has been observed
-	observedAt       time.Time
+	loaded           bool              // the record has been observed
+	observedAt       time.Time         // when the record was observed
 	usageByPartition map[string]*usage // by owned partition
 
 	limit         task.Resources // of the newest document
@@ -59,7 +60,7 @@
 	floorExpectedRevision int64                     // expected revision of these writes
 	floorIndeterminate    bool                      // one of these writes may still take effect later
 	idleRequested         bool                      // another partition, of this or another owner, lacks allowance
-	starving              bool                      // this owner lacks allowance and the free amount is too small
+	starved               bool                      // this owner lacks allowance and the free amount is too small
 }
 
 // seededFaults disables individual safety rules. Only tests set it, to show that their
@@ -74,7 +75,7 @@
 }
 
 // maxBatch is the maximum number of teams in one transaction. It keeps the transaction
-// below the store's limit on operations per transaction.
+// within the store's limit on operations per transaction.
 const maxBatch = 100
 
 // New returns a table without partitions.
@@ -87,7 +88,7 @@
 	}
 }
 
-func (t *Table) teamFor(name task.Team) *teamState {
+func (t *Table) getOrCreateTeam(name task.Team) *teamState {
 	if team, ok := t.teams[name]; ok {
 		return team
 	}
@@ -106,7 +107,7 @@
 // Observe applies a record that was read from the store. It ignores a record that is
 // not newer than the known one.
 func (t *Table) Observe(now time.Time, r Record) {
-	team := t.teamFor(r.Team)
+	team := t.getOrCreateTeam(r.Team)
 	if r.Revision <= team.record.Revision {
 		return
 	}
@@ -116,8 +117,8 @@
 	}
 }
 
-// ObserveThrough reports that every change of the store up to the revision has been
-// passed to Observe. It is called after a complete list or a watch batch.
+// ObserveThrough records that every change in the store up to the revision has been
+// passed to Observe. It must be called after a complete list or a watch batch.
 func (t *Table) ObserveThrough(revision int64) {
 	t.observedRevision = max(t.observedRevision, revision)
 }
@@ -126,15 +127,15 @@
 // The transaction that commits a document normally also writes the allowance record
 // (see WithLimit). If it did not, Plan writes the record.
 func (t *Table) SetLimit(now time.Time, name task.Team, limit task.Resources, revision int64) {
-	team := t.teamFor(name)
+	team := t.getOrCreateTeam(name)
 	if revision <= team.limitRevision {
 		return
 	}
 	team.limit, team.limitRevision, team.limitSetAt = limit, revision, now
 }
 
-// AddPartition reports that this process owns the partition, with an ownership record of the
-// given revision. A later call for the same ownership updates the revision that writes
+// AddPartition records that this process owns the partition, with an ownership record of
+// the given revision. A later call for the same ownership updates the revision that writes
 // compare.
 func (t *Table) AddPartition(name string, revision int64) {
 	if p, ok := t.partitions[name]; ok {
@@ -146,16 +147,16 @@
 	slices.Sort(t.owned)
 }
 
-// MarkRebuilt reports that, since the partition was gained, every worker of it has reported
-// its tasks or the leases of the worker's tasks have ended. Until then the whole
-// allowance that the partition held counts as in use.
+// MarkRebuilt records that, since the partition was gained, each of its workers has
+// reported its tasks or the leases of the worker's tasks have expired. Until then, the
+// whole allowance that the partition held counts as in use.
 func (t *Table) MarkRebuilt(name string) {
 	if p := t.partitions[name]; p != nil {
 		p.rebuilt = true
 	}
 }
 
-// RemovePartition reports that this process no longer owns the partition.
+// RemovePartition records that this process no longer owns the partition.
 func (t *Table) RemovePartition(name string) {
 	delete(t.partitions, name)
 	t.owned = slices.DeleteFunc(t.owned, func(o string) bool { return o == name })
@@ -174,17 +175,17 @@
 // Acquire takes the size of one task from the partition's allowance, before the task
 // starts. If the available allowance is too small, Acquire returns false and records the
 // demand for the next Plan. It also returns false if the partition is not owned, if the
-// team's record has not been observed or the records are older than the ownership, or if a
-// lower limit is pending.
+// team's record has not been observed, if the records are older than the ownership, or if
+// a lower limit is pending.
 func (t *Table) Acquire(now time.Time, name task.Team, partition string, size task.Resources) bool {
-	team, p := t.teamFor(name), t.partitions[partition]
+	team, p := t.getOrCreateTeam(name), t.partitions[partition]
 	if !t.isUsable(p) || !team.loaded {
 		return false
 	}
 	if team.record.HasPending {
 		return false
 	}
-	u := t.usageOf(now, team, partition)
+	u := t.getOrCreateUsage(now, team, partition)
 	compared := size
 	if t.seededFaults.ignoreUnlimited {
 		compared = onlyLimited(size, team.record.Limit)
@@ -197,58 +198,59 @@
 	return true
 }
 
-// SetDemand records the total demand of the team's tasks that wait at the partition, so that
-// one transaction covers all of them.
+// SetDemand records the total demand of the team's tasks that wait at the partition, so
+// that one transaction covers all of them.
 func (t *Table) SetDemand(now time.Time, name task.Team, partition string, total task.Resources) {
 	if t.partitions[partition] == nil {
 		return
 	}
-	u := t.usageOf(now, t.teamFor(name), partition)
+	u := t.getOrCreateUsage(now, t.getOrCreateTeam(name), partition)
 	u.totalDemand, u.totalDemandAt = total, now
 }
 
-// AddRunning adds the size of a task that was found running, also above the allowance.
+// AddRunning adds the size of a task that was found running, even if the amount in use
+// then exceeds the allowance.
 func (t *Table) AddRunning(now time.Time, name task.Team, partition string, size task.Resources) {
 	if t.partitions[partition] == nil {
 		return
 	}
-	u := t.usageOf(now, t.teamFor(name), partition)
-	u.counted = u.counted.Add(size)
+	u := t.getOrCreateUsage(now, t.getOrCreateTeam(name), partition)
+	u.foundRunning = u.foundRunning.Add(size)
 	u.add(now, size, t.cfg.Idle)
 }
 
-// Release returns the size that Acquire or Count took for a task that has ended.
+// Release releases the size that Acquire or AddRunning counted for a task that has ended.
 func (t *Table) Release(now time.Time, name task.Team, partition string, size task.Resources) {
 	if t.partitions[partition] == nil {
 		return
 	}
-	t.usageOf(now, t.teamFor(name), partition).add(now, size.Scale(-1), t.cfg.Idle)
+	t.getOrCreateUsage(now, t.getOrCreateTeam(name), partition).add(now, size.Scale(-1), t.cfg.Idle)
 }
 
-// RequestIdleReturn records that another owner lacks allowance of the team. The next Plan returns
-// idle amounts.
-func (t *Table) RequestIdleReturn(name task.Team) { t.teamFor(name).idleRequested = true }
+// RequestIdleReturn records that another owner lacks allowance of the team. The next Plan
+// returns idle allowance to the free amount.
+func (t *Table) RequestIdleReturn(name task.Team) { t.getOrCreateTeam(name).idleRequested = true }
 
-// StarvedTeams returns the teams for which this owner lacks allowance and the free amount is
-// too small. The digest reports them to the other owners.
+// StarvedTeams returns the teams for which this owner lacks allowance and the free amount
+// is too small. The digest reports them to the other owners.
 func (t *Table) StarvedTeams() []task.Team {
 	var names []task.Team
 	for _, team := range t.sortedTeams {
-		if team.starving {
+		if team.starved {
 			names = append(names, team.name)
 		}
 	}
 	return names
 }
 
-// InUse returns the amount that counts as running at the partition.
+// InUse returns the amount of the team that counts as in use at the partition.
 func (t *Table) InUse(now time.Time, name task.Team, partition string) task.Resources {
 	p := t.partitions[partition]
 	if p == nil {
 		return task.Resources{}
 	}
-	team := t.teamFor(name)
-	return t.used(p, t.usageOf(now, team, partition))
+	team := t.getOrCreateTeam(name)
+	return t.used(p, t.getOrCreateUsage(now, team, partition))
 }
 
 // Record returns the newest known record of the team.
@@ -270,13 +272,17 @@
 	return amount.Min(team.floor[partition])
 }
 
+// used returns the amount that counts as in use. Until the partition is rebuilt, it includes
+// the part of allowanceAtGain that the tasks found running do not account for.
 func (t *Table) used(p *partition, u *usage) task.Resources {
 	if p.rebuilt || t.seededFaults.skipRebuild {
 		return u.inUse
 	}
-	return u.inUse.Add(nonNegative(u.allowanceAtGain.Sub(u.counted)))
+	return u.inUse.Add(nonNegative(u.allowanceAtGain.Sub(u.foundRunning)))
 }
 
+// available returns the allowance that can be acquired. An amount is negative if more is in
+// use than the partition holds.
 func (t *Table) available(team *teamState, name string, p *partition, u *usage) task.Resources {
 	amount := t.held(team, name)
 	if t.seededFaults.useUnconfirmed && team.floor != nil {
--- a/allowance/table_test.go
+++ b/allowance/table_test.go
@@ -8,8 +8,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// TestPendingLimitStopsStarts guards against starts that keep the sum above a lowered
-// limit, and against an older document that replaces a newer limit.
+// TestPendingLimitStopsStarts guards against starts that keep the sum of the allowances
+// above a lowered limit, and against an older document that replaces a newer limit.
 func TestPendingLimitStopsStarts(t *testing.T) {
 	now, slots := time.Unix(1000, 0), func(n int64) task.Resources { return task.Resources{Slots: n} }
 	table := New(DefaultConfig())
@@ -24,7 +24,7 @@
 	}
 	lowered := WithLimit(r, slots(4), 7)
 	if !lowered.HasPending || lowered.Limit != slots(10) {
-		t.Fatalf("record with limit 4 below the sum of the parts 8 = %+v, want limit 10 in force and 4 pending", lowered)
+		t.Fatalf("record with limit 4 below the sum of the allowances 8 = %+v, want limit 10 in force and 4 pending", lowered)
 	}
 	if old := WithLimit(lowered, slots(20), 6); old.Pending != slots(4) {
 		t.Fatalf("an older document replaced the pending limit: %+v", old)
@@ -42,15 +42,15 @@
 	table.Release(now, "a", "w/r/0", slots(1))
 	writes = table.Plan(now.Add(time.Second))
 	if len(writes) != 1 || writes[0].Record.Limit != slots(4) || writes[0].Record.HasPending {
-		t.Fatalf("writes after the parts equal the pending limit = %+v, want one that puts limit 4 in force", writes)
+		t.Fatalf("writes once the allowances equal the pending limit = %+v, want one that puts limit 4 in force", writes)
 	}
 }
 
 // TestConflictHalvesTransaction guards against a transaction for many teams that conflicts
-// every time because one of the records has changed.
+// on every retry because one of the records has changed.
 func TestConflictHalvesTransaction(t *testing.T) {
 	now := time.Unix(1000, 0)
-	table := newBenchTable(now, 8, 1)
+	table := newFullTable(now, 8, 1)
 	for _, want := range []int{8, 4, 2, 1, 1} {
 		now = now.Add(time.Second)
 		table.demandAll(now)
@@ -71,14 +71,14 @@
 	}
 }
 
-// newBenchTable returns a table that owns every eighth partition and has acquired the
-// whole allowance of each team there.
-func newBenchTable(now time.Time, teams, partitions int) *Table {
+// newFullTable returns a table that owns every eighth partition and has acquired the whole
+// allowance of each team there.
+func newFullTable(now time.Time, teams, partitions int) *Table {
 	t := New(DefaultConfig())
-	parts := map[string]task.Resources{}
+	allowances := map[string]task.Resources{}
 	for i := range partitions {
 		name := fmt.Sprintf("w/r/%d", i)
-		parts[name] = task.Resources{Slots: 4, CPUMilli: 4000}
+		allowances[name] = task.Resources{Slots: 4, CPUMilli: 4000}
 		if i%8 == 0 {
 			t.AddPartition(name, 1)
 			t.MarkRebuilt(name)
@@ -86,23 +86,24 @@
 	}
 	t.ObserveThrough(2)
 	for i := range teams {
-		t.Observe(now, Record{Team: task.Team(fmt.Sprintf("team-%d", i)), Limit: task.Resources{Slots: 10000}, Allowances: parts, Revision: 2})
+		t.Observe(now, Record{Team: task.Team(fmt.Sprintf("team-%d", i)), Limit: task.Resources{Slots: 10000}, Allowances: allowances, Revision: 2})
 	}
 	for _, team := range t.sortedTeams {
 		for _, p := range t.owned {
-			t.Acquire(now, team.name, p, parts[p])
+			t.Acquire(now, team.name, p, allowances[p])
 		}
 	}
 	return t
 }
 
+// BenchmarkPlan measures Plan and WriteDone for tables with and without due writes.
 func BenchmarkPlan(b *testing.B) {
 	for _, teams := range []int{6, 97} {
 		for _, partitions := range []int{12, 144} {
 			for _, due := range []bool{false, true} {
 				b.Run(fmt.Sprintf("teams=%d/partitions=%d/due=%v", teams, partitions, due), func(b *testing.B) {
 					now := time.Unix(1000, 0)
-					t := newBenchTable(now, teams, partitions)
+					t := newFullTable(now, teams, partitions)
 					t.cfg.Interval = 0
 					if due {
 						t.demandAll(now)
@@ -119,8 +120,8 @@
 }
 
 // TestIdleOfSameOwner guards against a partition that waits for Config.Idle although
-// another partition of the same owner has idle allowance: the owner must return it as soon
-// as the partition lacks allowance.
+// another partition of the same owner has idle allowance. The owner must return that
+// allowance as soon as the first partition lacks some.
 func TestIdleOfSameOwner(t *testing.T) {
 	now, slots := time.Unix(1000, 0), func(n int64) task.Resources { return task.Resources{Slots: n} }
 	table := New(DefaultConfig())
@@ -133,11 +134,11 @@
 	if !table.Acquire(now, "a", "w/r/0", slots(4)) {
 		t.Fatal("Acquire refused 4 of 4 allowed slots")
 	}
-	table.Release(now, "a", "w/r/0", slots(4)) // idle from now on
-	revision, began := int64(6), now
+	table.Release(now, "a", "w/r/0", slots(4))
+	revision, idleSince := int64(6), now
 	for !table.Acquire(now, "a", "w/r/1", slots(1)) {
 		now = now.Add(time.Second)
-		if now.Sub(began) > 4*time.Second {
+		if now.Sub(idleSince) > 4*time.Second {
 			t.Fatal("no allowance after 4 s though all of it is idle at another partition")
 		}
 		if writes := table.Plan(now); len(writes) > 0 {
--- a/allowance/usage.go
+++ b/allowance/usage.go
@@ -10,8 +10,8 @@
 type usage struct {
 	allowanceAtGain    task.Resources // allowance that the partition held when its ownership was gained
 	allowanceAtGainSet bool
-	counted            task.Resources // total size of the tasks found running, including those that have ended since
-	inUse              task.Resources // counted plus acquired minus returned
+	foundRunning       task.Resources // total size of the tasks found running, including those that have ended since
+	inUse              task.Resources // foundRunning plus acquired minus released
 
 	peaks    [peakCount]task.Resources // largest inUse of the current period and of the previous ones
 	periodAt time.Time                 // start of the current period
@@ -22,17 +22,17 @@
 	totalDemandAt  time.Time
 }
 
-// peakCount is the number of periods whose peaks are kept. With periods of half
-// the idle time, the two complete ones cover at least the idle time.
+// peakCount is the number of periods whose peaks are kept. A period is half of
+// Config.Idle, so the two complete ones cover at least Config.Idle.
 const peakCount = 3
 
-// demandValidity is how long a demand of Acquire or Want remains valid without being
-// repeated, so that no allowance is granted for a cancelled task.
+// demandValidity is how long a demand that Acquire or SetDemand recorded remains valid
+// without being repeated. It prevents grants for cancelled tasks.
 const demandValidity = 3 * time.Second
 
-// usageOf returns the usage of the team at an owned partition. The first call after the
-// records have become as new as the ownership sets allowanceAtGain.
-func (t *Table) usageOf(now time.Time, team *teamState, name string) *usage {
+// getOrCreateUsage returns the usage of the team at an owned partition. The first call
+// after the records have become as new as the ownership sets allowanceAtGain.
+func (t *Table) getOrCreateUsage(now time.Time, team *teamState, name string) *usage {
 	u := team.usageByPartition[name]
 	if u == nil {
 		u = &usage{periodAt: now}
@@ -44,6 +44,7 @@
 	return u
 }
 
+// recordDemand records a size that Acquire refused.
 func (u *usage) recordDemand(now time.Time, size task.Resources) {
 	if now.Sub(u.refusedAt) > demandValidity {
 		u.largestRefused = task.Resources{}
@@ -63,6 +64,7 @@
 	return largest, total.Max(largest)
 }
 
+// add adds size to the amount in use. A negative size is a release.
 func (u *usage) add(now time.Time, size task.Resources, idle time.Duration) {
 	u.rotate(now, idle)
 	u.inUse = u.inUse.Add(size)
@@ -70,7 +72,7 @@
 }
 
 // rotate starts new periods until the current one contains now. After a long time
-// without changes all periods have the current amount as their peak.
+// without changes, all periods have the current amount as their peak.
 func (u *usage) rotate(now time.Time, idle time.Duration) {
 	period := idle / (peakCount - 1)
 	for i := 0; now.Sub(u.periodAt) >= period; i++ {
