--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -43,8 +43,8 @@
 	return c
 }
 
-// fillFleet reserves capacity for tasks up to the given fill state: in "half" and "full" some nodes
-// still have free capacity, in "none" no request fits.
+// fillFleet reserves capacity for tasks up to the given fill state: with "half" and "full", some
+// nodes still have free capacity; with "none", no request fits.
 func fillFleet(c *Cluster, fill string, random *rand.Rand) {
 	started := 0
 	for i := range c.nodes {
@@ -62,6 +62,7 @@
 	}
 }
 
+// forEachFleet runs a benchmark for each fill state and fleet size.
 func forEachFleet(b *testing.B, run func(b *testing.B, c *Cluster)) {
 	for _, fill := range fillStates {
 		for _, workers := range fleetSizes {
--- a/placement/bitmap.go
+++ b/placement/bitmap.go
@@ -4,12 +4,14 @@
 
 const wordBits = 64
 
-// bitmap is a set of node slots, one bit per slot.
+// bitmap is a set of nodes. The bit with the number of a slot represents the node in that slot, see
+// Cluster.nodes.
 type bitmap []uint64
 
 func (b bitmap) set(slot int32)   { b[slot/wordBits] |= 1 << (slot % wordBits) }
 func (b bitmap) clear(slot int32) { b[slot/wordBits] &^= 1 << (slot % wordBits) }
 
+// assign sets or clears the bit of a slot.
 func (b bitmap) assign(slot int32, member bool) {
 	if member {
 		b.set(slot)
@@ -18,7 +20,7 @@
 	b.clear(slot)
 }
 
-// union adds the slots in other to b.
+// union adds the nodes in other to b.
 func (b bitmap) union(other bitmap) {
 	for w, value := range other {
 		b[w] |= value
--- a/placement/cluster.go
+++ b/placement/cluster.go
@@ -18,7 +18,7 @@
 // node is a Node with its resource accounting.
 type node struct {
 	Node
-	free             task.Resources // negative where Assume over-committed the node
+	free             task.Resources // negative where ForceReserve over-committed the node
 	reservationCount int
 	removed          bool // set by Remove; the node is deleted once it has no reservations
 	penalty          uint8
@@ -45,7 +45,7 @@
 
 // reservation is the capacity that is reserved on a node for one attempt.
 type reservation struct {
-	slot   int32
+	slot   int32 // of the node
 	size   task.Resources
 	spread *spreadLocation // nil unless SetSpread was called
 }
@@ -53,8 +53,8 @@
 // Cluster tracks capacity and reservations of the workers of one owner. It is not safe for
 // concurrent use.
 type Cluster struct {
-	nodes        []node
-	byName       map[string]int32
+	nodes        []node           // by slot; a slot is the number of a node, reused after its deletion
+	byName       map[string]int32 // slots by node name
 	vacantSlots  []int32
 	reservations map[task.Attempt]reservation
 	partitions   map[string]*group
@@ -155,6 +155,7 @@
 	return c.nodes[slot].free, true
 }
 
+// allocateSlot assigns a slot to a new node.
 func (c *Cluster) allocateSlot(name string) int32 {
 	if last := len(c.vacantSlots) - 1; last >= 0 {
 		slot := c.vacantSlots[last]
@@ -176,6 +177,7 @@
 // would map to the same cache lines.
 const growWords = 8
 
+// grow extends all bitmaps to the given number of words.
 func (c *Cluster) grow(words int) {
 	c.index.grow(words)
 	c.search.grow(words)
--- a/placement/find.go
+++ b/placement/find.go
@@ -8,13 +8,13 @@
 	Partition     string   // worker partition; empty for any
 	Region        string   // preferred region; empty for none
 	SpreadKey     string   // attempts with the same key are spread over failure domains and racks
-	ExcludedNodes []string // nodes to exclude
+	ExcludedNodes []string // names of nodes that must not be selected
 }
 
 // Find selects a node for a request. It narrows the nodes that fit by these preferences, in order:
 // the preferred region, the lowest penalty, the failure domains and then the racks with the fewest
 // attempts of the spread key, the lowest score (best fit), and the lowest slot. A preference that no
-// remaining node meets is ignored. Find does not reserve capacity; Reserve does.
+// remaining node meets is ignored. Find does not reserve capacity; the caller calls Reserve for that.
 func (c *Cluster) Find(req Request) (name string, ok bool) {
 	slot := c.find(&req)
 	if slot < 0 {
@@ -42,6 +42,7 @@
 	}
 }
 
+// preferLowPenalty narrows the result to the nodes with the lowest penalty.
 func (c *Cluster) preferLowPenalty() {
 	for b := penaltyBits - 1; b >= 0; b-- {
 		if c.index.penalty[b].count > 0 {
--- a/placement/index.go
+++ b/placement/index.go
@@ -12,7 +12,7 @@
 // Units in which CPU and memory are converted to levels. With smaller units, each change on a nearly
 // full node would move it across many levels.
 const (
-	cpuLevelUnit    = 50  // thousandths of a processor
+	cpuLevelUnit    = 50  // millicores
 	memoryLevelUnit = 128 // megabytes
 )
 
@@ -24,10 +24,10 @@
 // The score of a node is the weighted sum of its free amounts. A request takes the same amount on
 // every node, so the fitting node with the lowest score is the best fit, with the least capacity left
 // over. One point is 1/256 of the amount of one resource on a typical worker (32 cores, 128 GB, 8
-// slots, 64 connections). An accelerator scores as much as the amount of one resource on four typical
-// workers, so that other work avoids nodes with free accelerators.
+// task slots, 64 connections). An accelerator scores as much as the amount of one resource on four
+// typical workers, so that other work avoids nodes with free accelerators.
 const (
-	cpuScoreUnit     = 125 // thousandths of a processor
+	cpuScoreUnit     = 125 // millicores
 	memoryScoreUnit  = 512 // megabytes
 	slotScore        = 32
 	connectionScore  = 4
@@ -95,6 +95,7 @@
 	updatePlanes(idx.penalty[:], slot, uint32(old.penalty), uint32(e.penalty))
 }
 
+// updateLevel changes the level of a slot's free amount of resource r.
 func (idx *index) updateLevel(r int, slot int32, old, level int16) {
 	for int(level) >= len(idx.levels[r]) {
 		idx.levels[r] = append(idx.levels[r], make(bitmap, idx.words))
@@ -107,6 +108,7 @@
 	}
 }
 
+// updatePlanes changes the value of a slot in bit-sliced planes.
 func updatePlanes(planes []bitPlane, slot int32, old, value uint32) {
 	for changed := old ^ value; changed != 0; changed &= changed - 1 {
 		b := bits.TrailingZeros32(changed)
@@ -138,6 +140,7 @@
 	return units&(1<<levelShift(units)-1) == 0
 }
 
+// levelShift returns the number of low bits of an amount in units that its level omits.
 func levelShift(units int64) int {
 	return max(bits.Len64(uint64(units))-mantissaBits-1, 0)
 }
@@ -152,6 +155,7 @@
 	return uint32(min(score, maxScore))
 }
 
+// amounts returns the amounts in the order that is used to number resources.
 func amounts(r *task.Resources) [resourceCount]int64 {
 	return [resourceCount]int64{r.CPUMilli, r.MemoryMB, r.Accelerators, r.Slots, r.Connections}
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -61,9 +61,9 @@
 		c := NewCluster()
 		ref := &reference{nodes: map[string]*referenceNode{}, reservations: map[task.Attempt]referenceReservation{}}
 		for i := range nodes {
-			refNode := drawNode(t, nodeName(i))
-			c.Upsert(refNode)
-			ref.nodes[refNode.Name] = &referenceNode{Node: refNode, slot: c.byName[refNode.Name]}
+			description := drawNode(t, nodeName(i))
+			c.Upsert(description)
+			ref.nodes[description.Name] = &referenceNode{Node: description, slot: c.byName[description.Name]}
 		}
 		nextTask := 0
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -107,9 +107,9 @@
 		}
 		delete(ref.reservations, old)
 	case 4:
-		refNode := drawNode(t, name)
-		c.Upsert(refNode)
-		ref.nodes[name].Node = refNode
+		description := drawNode(t, name)
+		c.Upsert(description)
+		ref.nodes[name].Node = description
 	case 5:
 		ref.nodes[name].penalty = rapid.IntRange(0, MaxPenalty).Draw(t, "penalty")
 		c.SetPenalty(name, ref.nodes[name].penalty)
@@ -130,12 +130,14 @@
 	refNode.penalty = int(c.nodes[refNode.slot].penalty)
 }
 
+// reserve records a reservation that was made in c, and counts it under the spread key in both.
 func (r *reference) reserve(c *Cluster, name string, a task.Attempt, size task.Resources, key string) {
 	refNode := r.nodes[name]
 	c.SetSpread(a, key)
 	r.reservations[a] = referenceReservation{name, size, key, rackKey{refNode.Region, refNode.FailureDomain, refNode.Rack}, refNode.FailureDomain}
 }
 
+// checkTotals compares the total free capacity and the total capacity with the reference.
 func checkTotals(t *rapid.T, c *Cluster, ref *reference) {
 	var free, capacity task.Resources
 	for name, refNode := range ref.nodes {
@@ -215,11 +217,11 @@
 	count := int64(0)
 	for i := range c.nodes {
 		candidate := &c.nodes[i]
-		avoided := false
+		excluded := false
 		for _, name := range req.ExcludedNodes {
-			avoided = avoided || name == candidate.Name
+			excluded = excluded || name == candidate.Name
 		}
-		if !candidate.Schedulable || avoided || req.Partition != "" && req.Partition != candidate.Partition {
+		if !candidate.Schedulable || excluded || req.Partition != "" && req.Partition != candidate.Partition {
 			continue
 		}
 		for members := int64(1); req.Size.Scale(members).Fits(candidate.Capacity); members++ {
--- a/placement/reference_test.go
+++ b/placement/reference_test.go
@@ -22,7 +22,7 @@
 type referenceReservation struct {
 	name   string
 	size   task.Resources
-	key    string
+	key    string // spread key
 	rack   rackKey
 	domain string
 }
@@ -55,6 +55,7 @@
 	return best, best != ""
 }
 
+// sortKey returns the preferences of Find in order; the node with the lowest key is selected.
 func (r *reference) sortKey(req Request, refNode *referenceNode, free task.Resources) []int64 {
 	otherRegion, inDomain, inRack := int64(0), int64(0), int64(0)
 	if req.Region != "" && req.Region != refNode.Region {
--- a/placement/reservation.go
+++ b/placement/reservation.go
@@ -22,9 +22,9 @@
 	return true
 }
 
-// ForceReserve reserves size on a node for an attempt that the worker reported as running, even if that
-// over-commits the node. It adds an unknown node as unschedulable, and replaces a reservation of the
-// attempt that has another size or is on another node.
+// ForceReserve reserves size on a node for an attempt that the worker reported as running, even if
+// that over-commits the node. It adds an unknown node as unschedulable, and replaces a reservation of
+// the attempt that has another size or is on another node.
 func (c *Cluster) ForceReserve(name string, a task.Attempt, size task.Resources) {
 	size = size.Max(task.Resources{})
 	if res, reserved := c.reservations[a]; reserved {
@@ -85,6 +85,7 @@
 	c.addFree(slot, size.Scale(-1))
 }
 
+// addFree adds size to the free capacity of a node.
 func (c *Cluster) addFree(slot int32, size task.Resources) {
 	c.nodes[slot].free = c.nodes[slot].free.Add(size)
 	c.updateIndex(slot)
--- a/placement/search.go
+++ b/placement/search.go
@@ -1,8 +1,7 @@
 package placement
 
 // search holds the buffers of one placement decision. They are reused, so that a decision does not
-// allocate. result is the set of nodes that are still considered; activeWords lists its nonzero
-// words.
+// allocate. result is the set of candidate nodes that remain; activeWords lists its nonzero words.
 type search struct {
 	result             bitmap
 	scratch            bitmap
@@ -81,16 +80,16 @@
 
 // hasAny reports whether any of the nodes is in the result.
 func (s *search) hasAny(nodes []sparseWord) bool {
-	for _, c := range nodes {
-		if s.result[c.word]&c.bits != 0 {
+	for _, n := range nodes {
+		if s.result[n.word]&n.bits != 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// denseHalvings is the number of times that the result is halved before most of its words are
-// zero. From then on, a list of nonzero words is faster than a pass over all words.
+// denseHalvings is the number of times that the result is halved before lowest changes to a list of
+// the nonzero words. By then most words are zero, and the list is faster than a pass over all words.
 const denseHalvings = 6
 
 // lowest returns the node of the result with the lowest bit-sliced value, and on a tie the one with
@@ -150,10 +149,10 @@
 // nonzero words.
 func subtractSparse(dst, src []sparseWord, excluded bitmap) int {
 	n := 0
-	for _, c := range src {
-		kept := c.bits &^ excluded[c.word]
+	for _, candidate := range src {
+		kept := candidate.bits &^ excluded[candidate.word]
 		if kept != 0 {
-			dst[n] = sparseWord{kept, c.word}
+			dst[n] = sparseWord{kept, candidate.word}
 			n++
 		}
 	}
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -4,7 +4,7 @@
 type spread struct {
 	key          string
 	total        int
-	domainCounts []int32 // by index of the failure domain
+	domainCounts []int32 // by index of the failure domain in Cluster.domainList
 	rackCounts   []rackCount
 }
 
