--- a/queue/admit.go
+++ b/queue/admit.go
@@ -93,13 +93,13 @@
 	return t.drain.estimateWait(now, ahead)
 }
 
-// admit does admission control: it refuses an entry if the queue is full or if the entry is not
+// admit performs admission control: it refuses an entry if the queue is full or if the entry is not
 // expected to start by its deadline.
 func (q *Queues) admit(now time.Time, t *teamQueue, it *item) *errkind.Error {
-	if waiting := t.len(); waiting >= q.cfg.MaxEntriesPerTeam {
-		wait := t.drain.estimateWait(now, int(retryDrainFraction*float64(waiting)))
+	if length := t.len(); length >= q.cfg.MaxEntriesPerTeam {
+		wait := t.drain.estimateWait(now, int(retryDrainFraction*float64(length)))
 		return errkind.New(errkind.QueueFull, "the queue of team %s is full: it holds %d of at most %d requests",
-			it.Team, waiting, q.cfg.MaxEntriesPerTeam).
+			it.Team, length, q.cfg.MaxEntriesPerTeam).
 			WithRetryAfter(q.retryAfter(wait))
 	}
 	if it.Deadline.IsZero() {
@@ -128,8 +128,8 @@
 }
 
 // ObserveRun adds the run time of one task to the run time profile of its class.
-func (q *Queues) ObserveRun(team task.Team, service task.Service, class string, d time.Duration) {
-	q.profiles.observe(profileKey{team, service, class}, d)
+func (q *Queues) ObserveRun(team task.Team, service task.Service, class string, run time.Duration) {
+	q.profiles.observe(profileKey{team, service, class}, run)
 }
 
 // ExpectedRun returns the estimated run time of a class of work, a quantile of its past run times. It
--- a/queue/bench_test.go
+++ b/queue/bench_test.go
@@ -8,8 +8,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// newNearlyFullQueues returns the queues of the given number of teams, each one entry below its limit,
-// and their entries.
+// newNearlyFullQueues returns the queues of the given number of teams, each one entry below its
+// limit, and their entries.
 func newNearlyFullQueues(teams int) (*Queues, []Entry) {
 	q := New(Config{})
 	var entries []Entry
@@ -32,6 +32,7 @@
 	return q, entries
 }
 
+// forEachTeamCount runs a benchmark for each number of teams.
 func forEachTeamCount(b *testing.B, run func(b *testing.B, q *Queues, entries []Entry)) {
 	for _, teams := range []int{6, 30, 97} {
 		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
--- a/queue/entry.go
+++ b/queue/entry.go
@@ -20,7 +20,7 @@
 	DeclaredRun time.Duration
 	Deadline    time.Time // latest start; zero for none
 	ReviewBy    time.Time // latest finish; zero for none
-	KeyID       string
+	KeyID       string    // ID of the key with which the job was submitted
 	Partition   string
 	Home        string
 	EnqueuedAt  time.Time // set by Push to the current time if zero
@@ -47,10 +47,10 @@
 }
 
 // sortedItems is a slice of items sorted by a time and then by arrival. Because queues are bounded,
-// shifting the tail of a slice on insertion costs less than maintaining a tree.
+// shifting the tail of the slice on insertion costs less than maintaining a tree.
 type sortedItems struct {
 	items []*item
-	key   func(*item) time.Time
+	key   func(*item) time.Time // sort key
 }
 
 func (o *sortedItems) insert(it *item) {
--- a/queue/model_test.go
+++ b/queue/model_test.go
@@ -17,22 +17,24 @@
 	cfg             Config
 	entries         []modelEntry
 	startsSinceAged map[task.Team]int // starts since the last start of an aged entry
-	pushed          int
+	pushed          int               // number of calls of Push
 }
 
 type modelEntry struct {
 	Entry
-	number      int
+	number      int       // arrival order
 	latestStart time.Time // Queues.LatestStart when the entry was pushed
 }
 
+// tierAndSortTime returns the priority level of an entry, from 0 for the highest, and its sort key
+// within that level.
 func (m *model) tierAndSortTime(now time.Time, e modelEntry) (tier int, sortTime time.Time) {
-	review := e.latestStart.Add(-m.cfg.PromotionLead)
+	promoteAt := e.latestStart.Add(-m.cfg.PromotionLead)
 	switch {
 	case e.Urgency == task.Urgent:
 		return 0, e.EnqueuedAt
-	case !e.ReviewBy.IsZero() && !review.After(now):
-		return 0, review
+	case !e.ReviewBy.IsZero() && !promoteAt.After(now):
+		return 0, promoteAt
 	case !e.Deadline.IsZero():
 		return 1, e.Deadline
 	case e.Urgency == task.Background:
@@ -41,6 +43,7 @@
 	return 2, e.EnqueuedAt
 }
 
+// order returns the entries of a team in scheduling order.
 func (m *model) order(now time.Time, team task.Team) []modelEntry {
 	var list []modelEntry
 	for _, e := range m.entries {
@@ -111,7 +114,7 @@
 		checkSameAttempts(t, "RemoveKey", q.RemoveKey(team, key), want)
 	case 7:
 		want := m.removeIf(func(e modelEntry) bool { return !e.Deadline.IsZero() && e.Deadline.Before(now) })
-		checkSameAttempts(t, "Expired", q.RemoveExpired(now), want)
+		checkSameAttempts(t, "RemoveExpired", q.RemoveExpired(now), want)
 	case 8:
 		if rapid.IntRange(0, 4).Draw(t, "whole team") == 0 {
 			want := m.removeIf(func(e modelEntry) bool { return e.Team == team })
@@ -138,23 +141,25 @@
 	return e
 }
 
+// push pushes an entry and checks whether it is refused for the expected reason.
 func (m *model) push(t *rapid.T, q *Queues, now time.Time, e Entry) {
 	m.pushed++
 	full := len(m.order(now, e.Team)) >= m.cfg.MaxEntriesPerTeam
 	wait := q.ExpectedWait(now, e)
-	late := !e.Deadline.IsZero() && (!e.Deadline.After(now) || wait > e.Deadline.Sub(now))
+	unreachable := !e.Deadline.IsZero() && (!e.Deadline.After(now) || wait > e.Deadline.Sub(now))
 	err := q.Push(now, e)
 	switch {
 	case full && (err == nil || err.Kind != errkind.QueueFull),
-		!full && late && (err == nil || err.Kind != errkind.DeadlineExceeded),
-		!full && !late && err != nil:
-		t.Fatalf("Push = %v; full %v, late %v", err, full, late)
+		!full && unreachable && (err == nil || err.Kind != errkind.DeadlineExceeded),
+		!full && !unreachable && err != nil:
+		t.Fatalf("Push = %v; queue full %v, deadline unreachable %v", err, full, unreachable)
 	}
 	if err == nil {
 		m.entries = append(m.entries, modelEntry{e, m.pushed, q.LatestStart(e)})
 	}
 }
 
+// start starts the first entry of a team.
 func (m *model) start(t *rapid.T, q *Queues, now time.Time, team task.Team) {
 	e := q.Peek(now, team)
 	if e == nil {
@@ -181,7 +186,7 @@
 		for i := range len(want) + 1 {
 			got := q.EntryAt(now, team, i)
 			if i == len(want) && got != nil || i < len(want) && (got == nil || *got != want[i].Entry) {
-				t.Fatalf("Next(%s, %d) = %+v, want %+v", team, i, got, want)
+				t.Fatalf("EntryAt(%s, %d) = %+v, want %+v", team, i, got, want)
 			}
 		}
 	}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -23,14 +23,14 @@
 // Config configures Queues. Zero values take the defaults.
 type Config struct {
 	MaxEntriesPerTeam int           // maximum number of entries per team
-	BackgroundDelay   time.Duration // added to the arrival time of background work when it is sorted
+	BackgroundDelay   time.Duration // added to the arrival time of background work for sorting
 	AgingThreshold    time.Duration // waiting time after which normal and background work is aged
-	AgedStartInterval int           // one start in AgedStartInterval may go to aged work ahead of urgent work
-	PromotionLead     time.Duration // time before the latest start at which an entry is promoted
-	SafetyFactor      float64       // safety factor on the expected run time, see LatestStart
+	AgedStartInterval int           // of this many starts, one may go to aged work ahead of urgent work
+	PromotionLead     time.Duration // an entry is promoted this long before its latest start
+	SafetyFactor      float64       // factor on the expected run time, see LatestStart
 	RunQuantile       float64       // quantile of past run times that is the expected run time
 	MaxProfiles       int           // maximum number of run time profiles (per team, service and class)
-	Rand              *rand.Rand    // source of the jitter of retry-after hints; nil for no jitter
+	Rand              *rand.Rand    // source of the jitter of retry-after hints; nil for none
 }
 
 // Queues holds the pending work of one owner. It is not safe for concurrent use.
@@ -108,30 +108,30 @@
 // Peek returns the first entry of a team in scheduling order, or nil.
 func (q *Queues) Peek(now time.Time, team task.Team) *Entry { return q.EntryAt(now, team, 0) }
 
-// EntryAt returns the entry of a team at index skip in scheduling order, or nil. The entry must not be
+// EntryAt returns the entry of a team at an index in scheduling order, or nil. The entry must not be
 // modified, and the pointer is valid until the entry is removed.
-func (q *Queues) EntryAt(now time.Time, team task.Team, skip int) *Entry {
+func (q *Queues) EntryAt(now time.Time, team task.Team, index int) *Entry {
 	t := q.teams[team]
-	if t == nil || skip < 0 {
+	if t == nil || index < 0 {
 		return nil
 	}
 	q.promote(now, t)
 	aged := q.agedItem(now, t)
 	if aged != nil {
-		if skip == 0 {
+		if index == 0 {
 			return &aged.Entry
 		}
-		skip--
+		index--
 	}
 	for k := range t.tiers {
 		items := t.tiers[k].items
 		if aged != nil && tier(k) == tierNormal {
 			items = items[1:]
 		}
-		if skip < len(items) {
-			return &items[skip].Entry
+		if index < len(items) {
+			return &items[index].Entry
 		}
-		skip -= len(items)
+		index -= len(items)
 	}
 	return nil
 }
@@ -185,9 +185,9 @@
 	return t.len()
 }
 
-// agedItem returns the first normal or background entry if it has waited for at least AgingThreshold and
-// the next start may go to aged work. Only one start in AgedStartInterval does; otherwise a long backlog
-// would overtake every urgent request of its team.
+// agedItem returns the first normal or background entry if it has waited for at least AgingThreshold
+// and the next start may go to aged work. Only one in AgedStartInterval starts may; otherwise a long
+// backlog would overtake every urgent request of its team.
 func (q *Queues) agedItem(now time.Time, t *teamQueue) *item {
 	it := t.tiers[tierNormal].first()
 	if it == nil || now.Sub(it.EnqueuedAt) < q.cfg.AgingThreshold {
@@ -199,7 +199,7 @@
 	return it
 }
 
-// promote moves the entries whose promotion time has come to tierUrgent.
+// promote moves the entries that are due for promotion to tierUrgent.
 func (q *Queues) promote(now time.Time, t *teamQueue) {
 	for it := t.promotions.first(); it != nil && !it.promoteAt.After(now); it = t.promotions.first() {
 		t.promotions.remove(it)
@@ -210,6 +210,7 @@
 	}
 }
 
+// newItem returns an item with the tier and the sort time of an entry.
 func (q *Queues) newItem(e Entry) *item {
 	q.sequence++
 	it := &item{Entry: e, sequence: q.sequence}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -17,6 +17,7 @@
 	return Entry{Attempt: task.Attempt{Task: task.ID(id), Number: 1}, Team: "a", Service: "s", Class: "c", Urgency: urgency}
 }
 
+// listOrder returns the task IDs of the entries of team a in scheduling order.
 func listOrder(q *Queues, now time.Time) []string {
 	var ids []string
 	for i := 0; ; i++ {
@@ -66,9 +67,9 @@
 	checkOrder(t, q, start.Add(61*time.Second), "before", "background", "after")
 }
 
-// TestAgedWorkGetsOneStartInAgedEvery guards against starvation of normal work by a stream of urgent
+// TestAgedWorkGetsOneStartPerInterval guards against starvation of normal work by a stream of urgent
 // work, and against a long backlog of aged work delaying every urgent request.
-func TestAgedWorkGetsOneStartInAgedEvery(t *testing.T) {
+func TestAgedWorkGetsOneStartPerInterval(t *testing.T) {
 	q := New(Config{AgingThreshold: time.Minute, AgedStartInterval: 4})
 	mustPush(t, q, start, entry("old 1", task.Normal))
 	mustPush(t, q, start, entry("old 2", task.Normal))
@@ -118,7 +119,7 @@
 	}
 	err := q.Push(start, entry("more", task.Urgent))
 	if err == nil || err.Kind != errkind.QueueFull || err.Fate() != errkind.FateNotRun || err.RetryAfter <= 0 {
-		t.Fatalf("err = %v, want %s with a retry hint", err, errkind.QueueFull)
+		t.Fatalf("err = %v, want %s with a retry-after hint", err, errkind.QueueFull)
 	}
 	mustPush(t, q, start, entry("0", task.Normal)) // already queued
 	other := entry("other", task.Normal)
@@ -146,7 +147,7 @@
 	unreachable.Deadline = now.Add(100 * time.Second) // 10 urgent entries at 10 s are ahead
 	err := q.Push(now, unreachable)
 	if err == nil || err.Kind != errkind.DeadlineExceeded || err.Fate() != errkind.FateNotRun || err.RetryAfter <= 0 {
-		t.Fatalf("err = %v, want %s with a retry hint", err, errkind.DeadlineExceeded)
+		t.Fatalf("err = %v, want %s with a retry-after hint", err, errkind.DeadlineExceeded)
 	}
 	reachable := unreachable
 	reachable.Deadline = now.Add(111 * time.Second)
@@ -176,8 +177,9 @@
 	checkOrder(t, q, start, "2", "3")
 }
 
-// TestExpectedRunFollowsObservedRuns guards against estimates that are not from observed runs, against
-// old runs dominating the estimate, and against unbounded growth with the number of class names.
+// TestExpectedRunFollowsObservedRuns guards against estimates that are not derived from observed
+// runs, against old runs dominating the estimate, and against unbounded growth with the number of
+// class names.
 func TestExpectedRunFollowsObservedRuns(t *testing.T) {
 	q := New(Config{RunQuantile: 0.9, MaxProfiles: 2})
 	if _, ok := q.ExpectedRun("a", "s", "c"); ok {
@@ -227,9 +229,9 @@
 	}
 }
 
-// TestRetryHintsAreJittered guards against refused callers all retrying at the same time, and against
-// unbounded retry-after hints.
-func TestRetryHintsAreJittered(t *testing.T) {
+// TestRetryAfterHintsAreJittered guards against refused callers all retrying at the same time, and
+// against unbounded retry-after hints.
+func TestRetryAfterHintsAreJittered(t *testing.T) {
 	q := New(Config{MaxEntriesPerTeam: 1, Rand: rand.New(rand.NewPCG(1, 2))})
 	mustPush(t, q, start, entry("waits", task.Normal))
 	now := start.Add(time.Hour) // the queue has stalled for an hour
