--- a/fairshare/bench_test.go
+++ b/fairshare/bench_test.go
@@ -8,6 +8,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
+// forEachTeamCount runs a benchmark for each number of teams.
 func forEachTeamCount(b *testing.B, run func(b *testing.B, s *Shares, teams []task.Team)) {
 	for _, count := range []int{6, 30, 97} {
 		b.Run(fmt.Sprintf("teams=%d", count), func(b *testing.B) {
--- a/fairshare/model_test.go
+++ b/fairshare/model_test.go
@@ -26,6 +26,7 @@
 	segments map[task.Team][]segment
 }
 
+// record starts a new segment with the current usage of a team.
 func (h *history) record(now time.Time, team task.Team) {
 	h.segments[team] = append(h.segments[team], segment{now, h.local[team].Add(h.remote[team])})
 }
--- a/fairshare/shares.go
+++ b/fairshare/shares.go
@@ -32,7 +32,7 @@
 // Shares tracks the usage of teams. It is not safe for concurrent use.
 type Shares struct {
 	halfLife    time.Duration
-	total       task.Resources
+	total       task.Resources // cluster capacity
 	teams       map[task.Team]*usage
 	totalWeight float64
 	sortBuffer  []rankedTeam // reused by Order
@@ -43,15 +43,16 @@
 	weight        float64
 	local         task.Resources // usage at this owner
 	remote        task.Resources // usage at all other owners
-	decayed       vector
-	decayedAt     time.Time // time up to which decayed is computed
-	cachedShare   float64   // cached result of Shares.weightedShare
-	cachedShareAt time.Time // when cachedShare was computed; zero if the cache is invalid
+	decayed       vector         // exponential moving average of the usage, see Shares.decay
+	decayedAt     time.Time      // time up to which decayed is computed
+	cachedShare   float64        // cached result of Shares.weightedShare
+	cachedShareAt time.Time      // when cachedShare was computed; zero if the cache is invalid
 }
 
 // vector is an amount of each resource that teams compete for.
 type vector [4]float64
 
+// rankedTeam is a team with its sort key.
 type rankedTeam struct {
 	team          task.Team
 	weightedShare float64
@@ -210,6 +211,7 @@
 	return u
 }
 
+// used returns the current usage of the team at all owners.
 func (u *usage) used() task.Resources { return u.local.Add(u.remote) }
 
 func toVector(r task.Resources) vector {
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -8,6 +8,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
+// forEachFleet runs a benchmark for each fleet size, with one success and one failure on each worker.
 func forEachFleet(b *testing.B, run func(b *testing.B, m *Monitor, workers int)) {
 	for _, workers := range []int{50, 500, 8200} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
@@ -47,8 +48,9 @@
 	})
 }
 
-// BenchmarkReview measures Review and BeginDueProbes, which package control calls once a second.
-func BenchmarkReview(b *testing.B) {
+// BenchmarkQuarantineDeferred measures QuarantineDeferred and BeginDueProbes, which package control
+// calls once a second.
+func BenchmarkQuarantineDeferred(b *testing.B) {
 	forEachFleet(b, func(b *testing.B, m *Monitor, _ int) {
 		for range b.N {
 			m.QuarantineDeferred(start)
--- a/quarantine/job.go
+++ b/quarantine/job.go
@@ -45,8 +45,8 @@
 	j.failures = append(j.failures, jobFailure{o.Worker, now})
 }
 
-// recordSuccess deletes the record of a job, because its failures before a success are attributed to
-// the workers.
+// recordSuccess deletes the record of a job, because the failures of a job that later succeeds are
+// attributed to the workers.
 func (h *jobHistory) recordSuccess(id task.ID) {
 	if j, known := h.byID[id]; known {
 		h.lru.Remove(j.element)
@@ -54,8 +54,8 @@
 	}
 }
 
-// evict deletes the jobs whose last failure is older than the given time, and while the limit is
-// reached, the least recently failed jobs.
+// evict deletes the jobs whose last failure is before the given time. While maxJobs is reached, it
+// also deletes the least recently failed jobs.
 func (h *jobHistory) evict(before time.Time) {
 	for oldest := h.lru.Back(); oldest != nil; oldest = h.lru.Back() {
 		j := oldest.Value.(*jobRecord)
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -119,7 +119,7 @@
 			l.outcomes = append(l.outcomes, loggedOutcome{o, now})
 			v := m.Observe(now, o)
 			if want := !o.Succeeded && l.isJobFaulty(now, m, o.Job); !v.WorkerQuarantined && v.JobFaulty != want {
-				t.Fatalf("JobBad of %s = %v, want %v", o.Job, v.JobFaulty, want)
+				t.Fatalf("JobFaulty of %s = %v, want %v", o.Job, v.JobFaulty, want)
 			}
 			faulty := l.isWorkerFaulty(now, o.Worker, DefaultMinClasses)
 			if v.WorkerQuarantined && (!faulty || v.JobFaulty || wasQuarantined) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -92,8 +92,8 @@
 	}
 }
 
-// AddWorker adds a worker. It is a no-op if the worker is already in the same partition. If the worker
-// is in another partition, its history is deleted.
+// AddWorker adds a worker. It has no effect if the worker is already in the partition. If the worker
+// is in another partition, it moves to the new one and its history is deleted.
 func (m *Monitor) AddWorker(name, partitionName string) {
 	if w, known := m.workers[name]; known {
 		if w.partition == m.getOrCreatePartition(partitionName) {
@@ -125,7 +125,7 @@
 	JobFaulty         bool // the job is faulty and should not be retried
 }
 
-// Observe records one outcome, and quarantines its worker if that is faulty and the cap permits it.
+// Observe records one outcome, and quarantines its worker if it is faulty and the cap permits it.
 // Outcomes on unknown workers are ignored.
 func (m *Monitor) Observe(now time.Time, o Outcome) Verdict {
 	w, known := m.workers[o.Worker]
@@ -148,8 +148,8 @@
 	return verdict
 }
 
-// IsJobFaulty reports whether a job is faulty: whether it failed on at least MinWorkers workers on which
-// other work succeeds. Failures on quarantined workers are excluded.
+// IsJobFaulty reports whether a job failed on at least MinWorkers workers on which other work
+// succeeds. Failures on quarantined workers are excluded.
 func (m *Monitor) IsJobFaulty(now time.Time, id task.ID) bool {
 	j, known := m.jobs.byID[id]
 	if !known {
@@ -168,7 +168,7 @@
 	return counted >= m.cfg.MinWorkers
 }
 
-// IsQuarantined reports whether a worker is in quarantine.
+// IsQuarantined reports whether a worker is quarantined.
 func (m *Monitor) IsQuarantined(name string) bool {
 	w, known := m.workers[name]
 	return known && w.quarantined
@@ -196,8 +196,9 @@
 	return min(penalty, MaxPenalty)
 }
 
-// QuarantineDeferred quarantines the workers that are faulty but could not be quarantined earlier because of the
-// cap, in descending order of their number of failures, and returns their names.
+// QuarantineDeferred quarantines, as far as the cap permits, the workers that are faulty but were not
+// quarantined earlier because of the cap, in descending order of their number of failures. It returns
+// the names of the workers that it quarantined.
 func (m *Monitor) QuarantineDeferred(now time.Time) []string {
 	var faulty []*worker
 	for _, w := range m.workers {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -67,7 +67,7 @@
 	for i, want := range []bool{false, false, true} {
 		v := m.Observe(later, Outcome{workerName(i), classNamed("x"), "poison", false})
 		if v.JobFaulty != want {
-			t.Fatalf("after failures on %d workers, JobBad = %v, want %v", i+1, v.JobFaulty, want)
+			t.Fatalf("after failures on %d workers, JobFaulty = %v, want %v", i+1, v.JobFaulty, want)
 		}
 	}
 	v := m.Observe(later, Outcome{"w00", classNamed("y"), "other", false})
@@ -116,7 +116,7 @@
 	}
 	at := start.Add(DefaultInitialProbeDelay)
 	if due := m.BeginDueProbes(at); !slices.Equal(due, []string{"w00"}) {
-		t.Fatalf("due = %v", due)
+		t.Fatalf("due = %v after the probe delay, want [w00]", due)
 	}
 	if due := m.BeginDueProbes(at); len(due) != 0 {
 		t.Fatalf("due = %v while a probe is running, want none", due)
@@ -126,7 +126,7 @@
 	}
 	at = at.Add(2 * DefaultInitialProbeDelay)
 	if due := m.BeginDueProbes(at); len(due) != 1 {
-		t.Fatalf("due = %v", due)
+		t.Fatalf("due = %v after the doubled delay, want one worker", due)
 	}
 	if !m.RecordProbe(at, "w00", true) || m.IsQuarantined("w00") || m.Penalty(at, "w00") != 0 {
 		t.Fatal("a successful probe did not return the worker to service")
@@ -152,18 +152,18 @@
 	}
 }
 
-// TestReviewQuarantinesBelowCap guards against a worker never being quarantined because the cap was
-// reached when it was found faulty.
-func TestReviewQuarantinesBelowCap(t *testing.T) {
+// TestDeferredWorkerIsQuarantinedBelowCap guards against a worker never being quarantined because the
+// cap was reached when the worker was found to be faulty.
+func TestDeferredWorkerIsQuarantinedBelowCap(t *testing.T) {
 	m := newMonitor(10)
 	makeFaulty(m, "w00")
 	makeFaulty(m, "w02")
 	if m.IsQuarantined("w02") {
-		t.Fatal("the cap was exceeded")
+		t.Fatal("w02 was quarantined although the cap of 1 was reached")
 	}
 	m.RemoveWorker("w00")
 	if got := m.QuarantineDeferred(start); !slices.Equal(got, []string{"w02"}) {
-		t.Errorf("Review = %v, want [w02]", got)
+		t.Errorf("QuarantineDeferred = %v, want [w02]", got)
 	}
 }
 
--- a/quarantine/worker.go
+++ b/quarantine/worker.go
@@ -15,11 +15,11 @@
 type worker struct {
 	name        string
 	partition   *partition
-	failures    []failure // the latest failure of each job
+	failures    []failure // the latest failure of each job, oldest first
 	successes   []success // the latest success of each class
 	lastSuccess time.Time
 	quarantined bool
-	probing     bool          // BeginDueProbes returned the worker, and RecordProbe was not called yet
+	probing     bool          // BeginDueProbes returned the worker, and RecordProbe has not been called yet
 	probeAt     time.Time     // when the next probe is due
 	probeDelay  time.Duration // current backoff between probes
 }
@@ -60,6 +60,8 @@
 	w.successes = append(w.successes, success{o.Class, now})
 }
 
+// succeededSince reports whether a task of the class succeeded on the worker at or after the given
+// time.
 func (w *worker) succeededSince(c Class, at time.Time) bool {
 	for _, s := range w.successes {
 		if s.class == c {
@@ -71,6 +73,7 @@
 
 func compareSuccessTime(a, b success) int { return a.at.Compare(b.at) }
 
+// compareFailureCount orders workers by descending number of failures, then by name.
 func compareFailureCount(a, b *worker) int {
 	if c := cmp.Compare(len(b.failures), len(a.failures)); c != 0 {
 		return c
