--- a/keyring/freshness.go
+++ b/keyring/freshness.go
@@ -27,7 +27,7 @@
 	}
 }
 
-// Validate returns an error if the configuration would reject every key, or if it would admit a key
+// Validate returns an error if the configuration would reject every key, or if it would accept a key
 // for longer than maxFreshness after its withdrawal.
 func (c Config) Validate() error {
 	if c.Freshness > maxFreshness {
@@ -56,9 +56,9 @@
 // confirmation takes effect once all changes up to its revision have been applied. Freshness is not
 // safe for concurrent use.
 type Freshness struct {
-	cfg       Config
-	startedAt time.Time
-	faults    faults
+	cfg          Config
+	startedAt    time.Time
+	seededFaults seededFaults
 
 	freshUntil      time.Time
 	appliedRevision int64          // all changes up to this revision have been applied
@@ -69,18 +69,20 @@
 	committedRevision int64     // highest revision that this process has committed
 }
 
+// confirmation is the end of a freshness period that takes effect once a revision has been applied.
 type confirmation struct {
 	freshUntil time.Time
 	revision   int64
 }
 
-// faults disables individual safety rules for fault injection in tests.
-type faults struct {
+// seededFaults disables individual safety rules. Only tests set it, to show that their checks detect
+// the absence of each rule.
+type seededFaults struct {
 	ignoreRevision         bool // accept a confirmation before its changes are applied
 	startAtReply           bool // start the freshness period at the reply instead of at the request
 	fullPeerPeriod         bool // extend a peer's remaining freshness to the full period
 	ignoreStartDelay       bool // commit within ListLag after process start
-	ignoreOwnCommits       bool // exclude own commits that are not applied yet from Known
+	ignoreOwnCommits       bool // exclude own commits that are not applied yet from KnownRevision
 	ignoreMissingReplies   bool // complete an outage round without the replies of all members
 	ignoreUnknownInstances bool // complete an outage round although unknown instances are listed
 }
@@ -120,8 +122,8 @@
 	f.pending = stillPending
 }
 
-// RecordStoreRead records a linearizable read of the store that was sent at sentAt and returned the given
-// revision.
+// RecordStoreRead records a linearizable read of the store that was sent at sentAt and returned the
+// given revision.
 func (f *Freshness) RecordStoreRead(now, sentAt time.Time, revision int64) {
 	f.addConfirmation(f.periodStart(now, sentAt).Add(f.cfg.shorten(f.cfg.Freshness)), revision)
 }
@@ -130,7 +132,7 @@
 // freshness and the revision up to which it has applied changes. A confirmation that is relayed from
 // peer to peer never extends the original freshness period.
 func (f *Freshness) RecordPeerReply(now, sentAt time.Time, remaining time.Duration, revision int64) {
-	if f.faults.fullPeerPeriod {
+	if f.seededFaults.fullPeerPeriod {
 		remaining = f.cfg.Freshness
 	}
 	if remaining <= 0 {
@@ -141,7 +143,7 @@
 
 // RecordOutageRound records the result of an OutageRound. It has no effect if the round is incomplete.
 func (f *Freshness) RecordOutageRound(now time.Time, r *OutageRound) {
-	sentAt, revision, ok := r.result(f.faults)
+	sentAt, revision, ok := r.result(f.seededFaults)
 	if ok {
 		f.addConfirmation(f.periodStart(now, sentAt).Add(f.cfg.shorten(f.cfg.Freshness)), max(revision, f.KnownRevision()))
 	}
@@ -150,14 +152,16 @@
 // periodStart returns the start of a freshness period. It is the time at which the request was sent,
 // because the confirmed state may be as old as that.
 func (f *Freshness) periodStart(now, sentAt time.Time) time.Time {
-	if f.faults.startAtReply {
+	if f.seededFaults.startAtReply {
 		return now
 	}
 	return sentAt
 }
 
+// addConfirmation extends the freshness to the given time, at once if the changes up to the revision
+// have been applied, and otherwise when they are.
 func (f *Freshness) addConfirmation(until time.Time, revision int64) {
-	if revision <= f.appliedRevision || f.faults.ignoreRevision {
+	if revision <= f.appliedRevision || f.seededFaults.ignoreRevision {
 		f.extendFreshness(until)
 		return
 	}
@@ -195,7 +199,7 @@
 	if now.Before(f.noCommitUntil) {
 		return false
 	}
-	if now.Sub(f.startedAt) < f.cfg.lengthen(f.cfg.ListLag) && !f.faults.ignoreStartDelay {
+	if now.Sub(f.startedAt) < f.cfg.lengthen(f.cfg.ListLag) && !f.seededFaults.ignoreStartDelay {
 		return false
 	}
 	f.openCommits++
@@ -210,11 +214,11 @@
 	f.committedRevision = max(f.committedRevision, revision)
 }
 
-// KnownRevision returns the highest revision that this process has applied or committed, for an OutageReply.
-// All processes must respect a change that this process has committed and acknowledged, even if no
-// watch has delivered it yet.
+// KnownRevision returns the highest revision that this process has applied or committed, for an
+// OutageReply. All processes must respect a change that this process has committed and acknowledged,
+// even if no watch has delivered it yet.
 func (f *Freshness) KnownRevision() int64 {
-	if f.faults.ignoreOwnCommits {
+	if f.seededFaults.ignoreOwnCommits {
 		return f.appliedRevision
 	}
 	return max(f.appliedRevision, f.committedRevision)
--- a/keyring/model_test.go
+++ b/keyring/model_test.go
@@ -13,7 +13,7 @@
 // holds one key. Messages are executed in order of their true arrival time.
 type simulation struct {
 	rng               *rand.Rand
-	faults            faults
+	seededFaults      seededFaults
 	now               time.Duration // true time
 	queue             []message
 	nodes             []*node
@@ -23,6 +23,7 @@
 	coverage          map[string]int // number of occurrences of each event
 }
 
+// message is a function that runs when a message arrives.
 type message struct {
 	at  time.Duration
 	run func()
@@ -35,17 +36,18 @@
 	member    Peer
 }
 
+// node is one process with its clock and its connections.
 type node struct {
 	sim              *simulation
 	peer             Peer
-	starts           int
+	starts           int // number of process starts
 	startedAt        time.Duration
-	rate             float64
+	rate             float64 // of the clock, relative to true time
 	ring             *Ring
 	freshness        *Freshness
 	members          map[string]Peer
-	applied          int
-	frozenUntil      time.Duration
+	applied          int           // number of changes of the log that were applied
+	frozenUntil      time.Duration // the process executes nothing before this time
 	storeCutOff      bool          // partitioned from the store
 	peersCutOff      bool          // partitioned from the other processes
 	watchLag         time.Duration // additional delay of the watch
@@ -56,8 +58,8 @@
 
 var modelSecret = DigestOf("secret")
 
-func newSimulation(seed uint64, seeded faults) *simulation {
-	sim := &simulation{rng: rand.New(rand.NewPCG(seed, 3)), faults: seeded, coverage: map[string]int{}}
+func newSimulation(seed uint64, seeded seededFaults) *simulation {
+	sim := &simulation{rng: rand.New(rand.NewPCG(seed, 3)), seededFaults: seeded, coverage: map[string]int{}}
 	for i := range 4 {
 		n := &node{sim: sim, rate: []float64{0.99, 1.01}[sim.rng.IntN(2)]}
 		n.peer.Instance = fmt.Sprintf("n%d", i)
@@ -79,7 +81,7 @@
 	n.starts++
 	n.peer.Incarnation = fmt.Sprintf("%s.%d", n.peer.Instance, n.starts)
 	n.ring, n.freshness = NewRing(), NewFreshness(DefaultConfig(), n.clock())
-	n.freshness.faults = n.sim.faults
+	n.freshness.seededFaults = n.sim.seededFaults
 	n.ring.Apply(Key{ID: "k", Team: modelTeam, Digest: modelSecret, Revision: 0})
 	n.members, n.applied, n.startedAt = map[string]Peer{}, 0, n.sim.now
 	n.callStore(func() func() {
@@ -92,6 +94,7 @@
 	sim.queue = append(sim.queue, message{at: sim.now + d, run: run})
 }
 
+// delay returns the random transmission time of a message. One in 20 messages is delayed by up to 4 s.
 func (sim *simulation) delay() time.Duration {
 	if sim.rng.IntN(20) == 0 {
 		return time.Duration(sim.rng.Int64N(int64(4 * time.Second)))
@@ -150,6 +153,7 @@
 	})
 }
 
+// readStore sends a linearizable read to the store.
 func (n *node) readStore() {
 	sentAt := n.clock()
 	n.callStore(func() func() {
@@ -158,6 +162,7 @@
 	})
 }
 
+// watch applies the changes that are in the store now, after the lag of the watch.
 func (n *node) watch() {
 	if n.sim.storeDown || n.storeCutOff {
 		return
@@ -165,10 +170,10 @@
 	log := n.sim.log
 	n.runAfter(n.watchLag+n.sim.delay(), func() {
 		for ; n.applied < len(log); n.applied++ {
-			if e := log[n.applied]; e.withdrawn {
+			if change := log[n.applied]; change.withdrawn {
 				n.ring.Remove(modelTeam, "k", int64(n.applied+1))
 			} else {
-				n.members[e.member.Instance] = e.member
+				n.members[change.member.Instance] = change.member
 			}
 		}
 		n.freshness.RecordApplied(int64(n.applied))
@@ -191,6 +196,7 @@
 	})
 }
 
+// requestFreshness requests the remaining freshness of a peer.
 func (n *node) requestFreshness(m *node) {
 	sentAt := n.clock()
 	n.request(m, func() func() {
@@ -237,6 +243,7 @@
 	})
 }
 
+// completeRound passes a round to Freshness, which ignores it if it is incomplete.
 func (n *node) completeRound(round *OutageRound) {
 	before := n.freshness.Until()
 	n.freshness.RecordOutageRound(n.clock(), round)
@@ -289,8 +296,8 @@
 	}
 }
 
-// run runs one random scenario and returns a description of a violation, if any: an admission of the
-// key later than Freshness after its withdrawal was acknowledged.
+// run executes one random scenario and describes a violation, or returns "". A violation is an
+// authentication of the key later than Freshness after its withdrawal was acknowledged.
 func (sim *simulation) run() string {
 	withdrawAt := time.Duration(12+sim.rng.IntN(50)) * time.Second
 	for sim.now < 90*time.Second {
@@ -302,7 +309,7 @@
 			if n.starts == 0 || sim.now < n.frozenUntil {
 				continue
 			}
-			if problem := n.checkAdmission(); problem != "" {
+			if problem := n.checkAuthentication(); problem != "" {
 				return problem
 			}
 			n.randomAction(withdrawAt)
@@ -330,13 +337,14 @@
 	}
 }
 
-func (n *node) checkAdmission() string {
+// checkAuthentication presents the key to the node and describes a violation, or returns "".
+func (n *node) checkAuthentication() string {
 	sim := n.sim
 	_, err := n.ring.Snapshot(n.freshness.Until()).Authenticate(n.clock(), modelTeam, modelSecret)
 	if err == nil {
-		sim.coverage["admitted"]++
+		sim.coverage["accepted"]++
 		if sim.withdrawalAckedAt > 0 && sim.now > sim.withdrawalAckedAt+DefaultConfig().Freshness {
-			return fmt.Sprintf("%s admitted the key at %v although its withdrawal was acknowledged at %v", n.peer.Incarnation, sim.now, sim.withdrawalAckedAt)
+			return fmt.Sprintf("%s accepted the key at %v although its withdrawal was acknowledged at %v", n.peer.Incarnation, sim.now, sim.withdrawalAckedAt)
 		}
 		return ""
 	}
@@ -344,7 +352,7 @@
 	return ""
 }
 
-// modelRuns returns the number of simulation runs, which the environment can override.
+// modelRuns returns the number of runs. MULBERRYDRUM_MODEL_RUNS overrides it for longer tests.
 func modelRuns(defaultRuns int) int {
 	if n, err := strconv.Atoi(os.Getenv("MULBERRYDRUM_MODEL_RUNS")); err == nil {
 		return n
@@ -352,12 +360,12 @@
 	return defaultRuns
 }
 
-// TestWithdrawalTakesEffectInTime guards against a process that admits a withdrawn key later than
+// TestWithdrawalTakesEffectInTime guards against a process that accepts a withdrawn key later than
 // Freshness after the withdrawal was acknowledged.
 func TestWithdrawalTakesEffectInTime(t *testing.T) {
 	coverage := map[string]int{}
 	for seed := range modelRuns(400) {
-		sim := newSimulation(uint64(seed), faults{})
+		sim := newSimulation(uint64(seed), seededFaults{})
 		if problem := sim.run(); problem != "" {
 			t.Fatalf("seed %d: %s", seed, problem)
 		}
@@ -366,7 +374,7 @@
 		}
 	}
 	t.Logf("covered: %v", coverage)
-	for _, name := range []string{"admitted", "acknowledged", "outage confirmed", "key_stale", "key_withdrawn"} {
+	for _, name := range []string{"accepted", "acknowledged", "outage confirmed", "key_stale", "key_withdrawn"} {
 		if coverage[name] == 0 {
 			t.Errorf("no run covered %q", name)
 		}
--- a/keyring/ring.go
+++ b/keyring/ring.go
@@ -11,13 +11,13 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Digest is the SHA-256 digest of a key. The key itself is never stored.
+// Digest is the SHA-256 digest of a key's secret. The secret itself is never stored.
 type Digest [sha256.Size]byte
 
-// DigestOf returns the digest of the secret key that a caller presents.
+// DigestOf returns the digest of the secret that a caller presents.
 func DigestOf(secret string) Digest { return sha256.Sum256([]byte(secret)) }
 
-// emptyDigest is the digest of an empty key, for requests without one.
+// emptyDigest is the digest of the empty secret, which represents a request without a key.
 var emptyDigest = DigestOf("")
 
 // Role is a permission beyond submitting work. Most keys have none.
@@ -52,8 +52,8 @@
 	return &Ring{keys: make(map[keyName]Key), byTeam: make(map[task.Team][]Key)}
 }
 
-// Apply updates a key to the given state and reports whether that state is newer than the current
-// one. A state that is not newer has no effect, so a delayed message cannot reinstate a withdrawn key.
+// Apply updates a key to the given state if that state is newer than the current one, and reports
+// whether it is. Therefore a delayed message cannot reinstate a withdrawn key.
 func (r *Ring) Apply(k Key) bool {
 	name := keyName{team: k.Team, id: k.ID}
 	current, ok := r.keys[name]
@@ -113,7 +113,7 @@
 	r.snapshot = nil
 }
 
-// Snapshot returns an immutable view of the ring that admits work until the given time. Snapshots of
+// Snapshot returns an immutable view of the ring that accepts keys until the given time. Snapshots of
 // an unchanged ring share their key lists.
 func (r *Ring) Snapshot(until time.Time) *Snapshot {
 	if r.snapshot == nil {
@@ -127,16 +127,17 @@
 
 // Snapshot is an immutable view of a ring, safe for concurrent use.
 type Snapshot struct {
-	byTeam map[task.Team][]Key
-	until  time.Time
+	byTeam map[task.Team][]Key // sorted by ID
+	until  time.Time           // end of the freshness period
 }
 
-// Until returns the time until which the snapshot admits work.
+// Until returns the time until which the snapshot accepts keys.
 func (s *Snapshot) Until() time.Time { return s.until }
 
-// Authenticate authenticates a request of a team: it returns the team's key with the given digest, or an
-// error. now is a reading of the monotonic clock; an expired snapshot rejects every key. All keys of
-// the team are compared in constant time, so that the duration reveals nothing about partial matches.
+// Authenticate authenticates a request of a team: it returns the team's key with the given digest, or
+// an error. now is a reading of the monotonic clock; an expired snapshot rejects every key. All keys
+// of the team are compared in constant time, so that the duration reveals nothing about partial
+// matches.
 func (s *Snapshot) Authenticate(now time.Time, team task.Team, digest Digest) (Key, *errkind.Error) {
 	if digest == (Digest{}) || digest == emptyDigest {
 		return Key{}, errkind.New(errkind.KeyMissing, "requests of team %s require a key", team)
@@ -160,8 +161,8 @@
 	return found, nil
 }
 
-// IsWithdrawn reports whether a key is withdrawn, for work that was accepted with the key. An unknown
-// key is treated as withdrawn.
+// IsWithdrawn reports whether the key with which work was accepted is withdrawn now. An unknown key
+// is treated as withdrawn.
 func (s *Snapshot) IsWithdrawn(team task.Team, keyID string) bool {
 	for _, k := range s.byTeam[team] {
 		if k.ID == keyID {
--- a/keyring/ring_test.go
+++ b/keyring/ring_test.go
@@ -10,9 +10,9 @@
 
 var start = time.Unix(1000, 0)
 
-// TestAdmit guards against admitting work without a key, with a key of another team, with a withdrawn
-// key, or with stale key data.
-func TestAdmit(t *testing.T) {
+// TestAuthenticate guards against accepting a request without a key, with a key of another team, with
+// a withdrawn key, or with stale key data.
+func TestAuthenticate(t *testing.T) {
 	r := NewRing()
 	r.Apply(Key{ID: "k1", Team: "a", Role: "operator", Digest: DigestOf("one"), Revision: 5})
 	r.Apply(Key{ID: "k2", Team: "a", Digest: DigestOf("two"), Revision: 6})
@@ -39,10 +39,10 @@
 			got = err.Kind
 		}
 		if got != c.want {
-			t.Errorf("Admit for team %s with key %q: error %q, want %q", c.team, c.secret, got, c.want)
+			t.Errorf("Authenticate for team %s with secret %q: error %q, want %q", c.team, c.secret, got, c.want)
 		}
 		if err == nil && k.Role != "operator" {
-			t.Errorf("admitted key = %+v, want the role operator", k)
+			t.Errorf("authenticated key = %+v, want the role operator", k)
 		}
 	}
 }
