--- a/allowance/usage.go
+++ b/allowance/usage.go
@@ -13,8 +13,8 @@
 	foundRunning       task.Resources // total size of the tasks found running, including those that have ended since
 	inUse              task.Resources // foundRunning plus acquired minus released
 
-	peaks    [peakCount]task.Resources // largest inUse of the current period and of the previous ones
-	periodAt time.Time                 // start of the current period
+	peaks       [peakCount]task.Resources // largest inUse of the current period and of the previous ones
+	periodStart time.Time                 // start of the current period
 
 	largestRefused task.Resources // largest size that Acquire refused
 	refusedAt      time.Time
@@ -35,7 +35,7 @@
 func (t *Table) getOrCreateUsage(now time.Time, team *teamState, name string) *usage {
 	u := team.usageByPartition[name]
 	if u == nil {
-		u = &usage{periodAt: now}
+		u = &usage{periodStart: now}
 		team.usageByPartition[name] = u
 	}
 	if !u.allowanceAtGainSet && team.loaded && t.isUsable(t.partitions[name]) {
@@ -75,14 +75,14 @@
 // without changes, all periods have the current amount as their peak.
 func (u *usage) rotate(now time.Time, idle time.Duration) {
 	period := idle / (peakCount - 1)
-	for i := 0; now.Sub(u.periodAt) >= period; i++ {
+	for i := 0; now.Sub(u.periodStart) >= period; i++ {
 		if i == peakCount {
-			u.periodAt = now
+			u.periodStart = now
 			return
 		}
 		copy(u.peaks[1:], u.peaks[:peakCount-1])
 		u.peaks[0] = u.inUse
-		u.periodAt = u.periodAt.Add(period)
+		u.periodStart = u.periodStart.Add(period)
 	}
 }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -77,7 +77,7 @@
 				}
 			}
 			for _, w := range l.Plan(now) {
-				switch rapid.SampledFrom([]string{"stored", "reply lost", "late", "no effect"}).Draw(t, "fate") {
+				switch rapid.SampledFrom([]string{"stored", "reply lost", "late", "no effect"}).Draw(t, "outcome") {
 				case "stored":
 					if m.commit(w) {
 						release(l.Committed([]Write{w}, m.revision))
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -45,8 +45,8 @@
 		Region:    rapid.SampledFrom([]string{"", "r0", "r1", "none"}).Draw(t, "region"),
 		SpreadKey: rapid.SampledFrom([]string{"", "s", "u"}).Draw(t, "spread key"),
 	}
-	for range rapid.IntRange(0, 3).Draw(t, "avoided") {
-		req.ExcludedNodes = append(req.ExcludedNodes, nodeName(rapid.IntRange(0, nodes).Draw(t, "avoid")))
+	for range rapid.IntRange(0, 3).Draw(t, "exclusions") {
+		req.ExcludedNodes = append(req.ExcludedNodes, nodeName(rapid.IntRange(0, nodes).Draw(t, "excluded")))
 	}
 	return req
 }
--- a/queue/model_test.go
+++ b/queue/model_test.go
@@ -135,8 +135,8 @@
 	if rapid.Bool().Draw(t, "has deadline") {
 		e.Deadline = now.Add(time.Duration(rapid.IntRange(-1, 100).Draw(t, "deadline")) * time.Second)
 	}
-	if rapid.Bool().Draw(t, "has review") {
-		e.ReviewBy = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "review")) * time.Second)
+	if rapid.Bool().Draw(t, "has ReviewBy") {
+		e.ReviewBy = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ReviewBy")) * time.Second)
 	}
 	return e
 }
