--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Kind is the kind of a fault.
+// Kind identifies a kind of fault.
 type Kind string
 
 // The kinds of faults.
@@ -29,13 +29,13 @@
 // CallWatch is the only kind of call that SilentWatch affects.
 const CallWatch = "watch"
 
-// Fault is an injected fault. An empty Call or Instance matches all calls or instances; with a
-// Count of 0 the fault applies until it is replaced.
+// Fault is an injected fault. An empty Call or Instance matches all calls or instances. With a
+// Count of 0, the fault applies until Set replaces it.
 type Fault struct {
 	Kind     Kind   `json:"kind"`
 	Call     string `json:"call,omitempty"`     // kind of call
 	Instance string `json:"instance,omitempty"` // calling instance
-	Count    int    `json:"count,omitempty"`    // number of calls that it applies to
+	Count    int    `json:"count,omitempty"`    // number of calls that the fault applies to; 0 for no limit
 	DelayMS  int64  `json:"delay_ms,omitempty"` // for Slow
 }
 
@@ -78,19 +78,19 @@
 
 // Table holds the faults of a peer and counts the calls to it. It is safe for concurrent use.
 type Table struct {
-	calls    []string
-	mu       sync.Mutex
-	faults   []Fault
-	counters Counters
-	changed  chan struct{} // closed and replaced by Set
+	callKinds []string
+	mu        sync.Mutex
+	faults    []Fault
+	counters  Counters
+	changed   chan struct{} // closed and replaced by Set
 }
 
 // NewTable returns a table without faults for a peer with the given kinds of calls.
 func NewTable(calls ...string) *Table {
 	return &Table{
-		calls:    calls,
-		counters: Counters{Received: map[string]int64{}, Executed: map[string]int64{}},
-		changed:  make(chan struct{}),
+		callKinds: calls,
+		counters:  Counters{Received: map[string]int64{}, Executed: map[string]int64{}},
+		changed:   make(chan struct{}),
 	}
 }
 
@@ -113,16 +113,16 @@
 	switch {
 	case !slices.Contains(Kinds, f.Kind):
 		return fmt.Errorf("unknown kind %q, known: %v", f.Kind, Kinds)
-	case f.Call != "" && !slices.Contains(t.calls, f.Call):
-		return fmt.Errorf("unknown call %q, known: %v", f.Call, t.calls)
+	case f.Call != "" && !slices.Contains(t.callKinds, f.Call):
+		return fmt.Errorf("unknown call %q, known: %v", f.Call, t.callKinds)
 	case f.Count < 0:
-		return fmt.Errorf("count is %d, less than 0", f.Count)
+		return fmt.Errorf("count must not be negative, got %d", f.Count)
 	case f.Kind == Slow && f.DelayMS <= 0:
-		return fmt.Errorf("kind %q needs delay_ms above 0, got %d", f.Kind, f.DelayMS)
+		return fmt.Errorf("kind %q requires a positive delay_ms, got %d", f.Kind, f.DelayMS)
 	case f.Kind != Slow && f.DelayMS != 0:
-		return fmt.Errorf("kind %q takes no delay_ms, got %d", f.Kind, f.DelayMS)
-	case f.Kind == SilentWatch && !slices.Contains(t.calls, CallWatch):
-		return fmt.Errorf("kind %q requires a peer that has call %q", f.Kind, CallWatch)
+		return fmt.Errorf("kind %q does not support delay_ms, got %d", f.Kind, f.DelayMS)
+	case f.Kind == SilentWatch && !slices.Contains(t.callKinds, CallWatch):
+		return fmt.Errorf("kind %q requires a peer that supports call %q", f.Kind, CallWatch)
 	case f.Kind == SilentWatch && f.Call != "" && f.Call != CallWatch:
 		return fmt.Errorf("kind %q applies only to call %q, not to %q", f.Kind, CallWatch, f.Call)
 	}
@@ -137,7 +137,7 @@
 }
 
 // Apply counts a received call and returns the effect of the matching faults on it. It decrements
-// the count of those that have one, and removes them when the count reaches 0.
+// the counts of these faults and removes a fault when its count reaches 0.
 func (t *Table) Apply(call, instance string) Effect {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -159,8 +159,8 @@
 	return effect
 }
 
-// EffectOnOpenCall returns the effect of the faults without a count on an open call, and a channel that is
-// closed when the faults change.
+// EffectOnOpenCall returns the effect of the faults without a count on a call that is already in
+// progress, such as a watch, and a channel that is closed when the faults change.
 func (t *Table) EffectOnOpenCall(call, instance string) (Effect, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/standin/fault/fault_test.go
+++ b/standin/fault/fault_test.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// TestTake guards against a fault that affects calls or instances other than the specified ones, or
-// another number of calls.
-func TestTake(t *testing.T) {
+// TestApply guards against a fault that affects other calls or instances than specified, or a
+// different number of calls.
+func TestApply(t *testing.T) {
 	table := NewTable("txn", "watch")
 	err := table.Set(
 		Fault{Kind: Down, Call: "txn", Instance: "e1", Count: 2},
