--- a/standin/bench_test.go
+++ b/standin/bench_test.go
@@ -9,8 +9,8 @@
 	"github.com/mulberrydrum/mulberrydrum/store/storetest"
 )
 
-// BenchmarkCalls measures calls per second of the client and the stand-in over
-// loopback, and of the store in memory, with as many callers as connections.
+// BenchmarkCalls measures the calls per second of the client with the stand-in over loopback, and
+// of the in-memory store, with as many callers as connections.
 func BenchmarkCalls(b *testing.B) {
 	s := NewStore(storetest.Limits{})
 	server := httptest.NewServer(s)
--- a/standin/doc.go
+++ b/standin/doc.go
@@ -1,7 +1,7 @@
 // Package standin provides stand-ins (test doubles) for the platform: the key-value store, the
-// instance list and workers, each with an HTTP handler and fault injection, and a relay that injects
-// faults into the TCP connections between two processes. They are used by tests and the demo, never
-// in production.
+// instance list and workers, each with an HTTP handler and fault injection, and a relay that
+// injects faults into the TCP connections between two processes. They are used by tests and the
+// demo, never in production.
 //
 // Control endpoints of the store and the instance list:
 //
@@ -10,8 +10,8 @@
 //	GET  /faults    returns the faults that are set
 //	GET  /counters  returns the numbers of calls received and executed, by kind
 //
-// Package fault lists the kinds. A fault without call, instance or count applies to all calls, to all
-// instances, and until it is replaced. The faults "down", "unreachable" and "silent_watch" without a
-// count also affect open watches. List, Worker.Handler and Relay.ControlHandler describe the other control
-// endpoints.
+// Package fault lists the kinds of faults. A fault without call applies to all calls, without
+// instance to all instances, and without count until it is replaced. The faults "down",
+// "unreachable" and "silent_watch" without a count also affect open watches. List, Worker.Handler
+// and Relay.ControlHandler describe the other control endpoints.
 package standin
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -14,8 +14,8 @@
 // replaces all faults and GET returns them; for workers see WorkerFaults.
 const PathFaults = "/faults"
 
-// PathCounters is the path at which the store and the instance list return their numbers of calls
-// by kind.
+// PathCounters is the path at which the store and the instance list return the fault.Counters of
+// their calls.
 const PathCounters = "/counters"
 
 // maxControlBytes limits the body of a request to a control endpoint.
@@ -47,8 +47,8 @@
 	})
 }
 
-// withFaults applies the faults in table to each call of next. refuse writes the reply of a peer
-// that is down.
+// withFaults returns a handler that applies the faults in table to each call before it runs next.
+// refuse writes the reply of a peer that is down.
 func withFaults(table *fault.Table, call string, refuse func(http.ResponseWriter), next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		effect := table.Apply(call, r.Header.Get(wire.HeaderInstance))
@@ -59,14 +59,15 @@
 	}
 }
 
-// applyEffect executes one call under the effect of the faults.
+// applyEffect executes one call by calling next, subject to the effect of the faults. refuse writes
+// the reply of a peer that is down.
 func applyEffect(w http.ResponseWriter, r *http.Request, effect fault.Effect, refuse func(http.ResponseWriter), next http.HandlerFunc) {
 	switch {
 	case effect.Down:
 		refuse(w)
 		return
 	case effect.Unreachable:
-		holdOpen(r) // does not return
+		holdOpen(r) // panics when the client disconnects
 	}
 	time.Sleep(effect.Delay) // the call is executed even if the client disconnects meanwhile
 	if effect.ReplyLost {
@@ -92,7 +93,7 @@
 func (d *discardingWriter) WriteHeader(int)             {}
 
 // decodeControl decodes the body of a request to a control endpoint. It rejects unknown fields, so
-// that a fault with a misspelt field is not taken for one that is set.
+// that a misspelt field causes an error instead of being ignored.
 func decodeControl(w http.ResponseWriter, r *http.Request, into any) bool {
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControlBytes))
 	decoder.DisallowUnknownFields()
--- a/standin/list.go
+++ b/standin/list.go
@@ -24,16 +24,17 @@
 	LagMS int64 `json:"lag_ms"`
 }
 
-// List is the stand-in for the instance list. It returns the list as it was one lag ago. GET
-// PathInstances returns the list and POST replaces it; PUT and DELETE of an instance below that
-// path set and remove one instance; POST PathLag sets the lag.
+// List is the stand-in for the instance list. A change becomes visible to callers after a
+// configurable lag. GET instancelist.PathInstances returns the visible list and POST replaces the
+// list; PUT and DELETE of an instance below that path set and remove one instance; POST PathLag
+// sets the lag.
 type List struct {
 	mux    *http.ServeMux
 	faults *fault.Table
 
 	mu       sync.Mutex
 	lag      time.Duration
-	versions []version // in ascending order of time; callers see the first
+	versions []version // in ascending order of time; callers receive the first
 }
 
 // version is the content of the list from a point in time on.
@@ -42,7 +43,7 @@
 	instances []instancelist.Instance
 }
 
-// NewList returns a list that contains instances from the start and shows later changes after lag.
+// NewList returns a list that initially contains instances. Later changes become visible after lag.
 func NewList(lag time.Duration, instances ...instancelist.Instance) *List {
 	l := &List{
 		mux:      http.NewServeMux(),
@@ -65,36 +66,36 @@
 // Faults returns the fault table, for tests in the same process.
 func (l *List) Faults() *fault.Table { return l.faults }
 
-// SetLag sets the time after which callers see a change. It also applies to earlier changes that
-// are not visible yet.
+// SetLag sets the time after which a change becomes visible. It also applies to earlier changes
+// that are not visible yet.
 func (l *List) SetLag(lag time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lag = lag
 }
 
-// Replace sets the actual list at now.
+// Replace replaces the whole list at time now.
 func (l *List) Replace(now time.Time, instances []instancelist.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.addVersion(now, append([]instancelist.Instance{}, instances...))
 }
 
-// Put adds or replaces one instance in the actual list at now.
+// Put adds or replaces one instance at time now.
 func (l *List) Put(now time.Time, instance instancelist.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.addVersion(now, append(l.latestWithout(instance.Name), instance))
 }
 
-// Delete removes one instance from the actual list at now.
+// Delete removes one instance at time now.
 func (l *List) Delete(now time.Time, name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.addVersion(now, l.latestWithout(name))
 }
 
-// latestWithout returns a copy of the actual list without the named instance.
+// latestWithout returns a copy of the latest version of the list, without the named instance.
 func (l *List) latestWithout(name string) []instancelist.Instance {
 	latest := slices.Clone(l.versions[len(l.versions)-1].instances)
 	return slices.DeleteFunc(latest, func(i instancelist.Instance) bool { return i.Name == name })
@@ -105,7 +106,7 @@
 	l.dropSuperseded(now)
 }
 
-// Visible returns the list that callers see at now.
+// Visible returns the list that callers receive at time now.
 func (l *List) Visible(now time.Time) []instancelist.Instance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -139,7 +140,7 @@
 		return
 	}
 	if instance.Name != r.PathValue("name") {
-		http.Error(w, "name in path and body differ", http.StatusBadRequest)
+		http.Error(w, "names in path and body differ", http.StatusBadRequest)
 		return
 	}
 	l.Put(time.Now(), instance)
@@ -157,7 +158,7 @@
 		return
 	}
 	if lag.LagMS < 0 {
-		http.Error(w, "lag_ms must not be less than 0", http.StatusBadRequest)
+		http.Error(w, "lag_ms must not be negative", http.StatusBadRequest)
 		return
 	}
 	l.SetLag(time.Duration(lag.LagMS) * time.Millisecond)
--- a/standin/matrix_test.go
+++ b/standin/matrix_test.go
@@ -14,8 +14,9 @@
 	"github.com/mulberrydrum/mulberrydrum/store/storetest"
 )
 
-// Timeouts and delays of the matrix. Their margins are wide enough that on a loaded machine no call
-// times out that should succeed, and every call does that should time out.
+// Timeouts and delays of the matrix of faults and calls. Their margins are wide enough that, even
+// on a loaded machine, calls that should succeed do not time out, and calls that should time out
+// do.
 const (
 	matrixCallTimeout     = 1500 * time.Millisecond
 	matrixProgressTimeout = 2500 * time.Millisecond
@@ -30,6 +31,7 @@
 	lease  int64
 }
 
+// prepare grants a lease and attaches a key to it.
 func (m *matrixStore) prepare(t *testing.T) {
 	t.Helper()
 	lease, err := m.client.Grant(t.Context(), time.Minute)
@@ -44,7 +46,7 @@
 }
 
 // matrixCall is one kind of call. For calls that change the store, effect reports whether the
-// change has taken place.
+// change has been applied.
 type matrixCall struct {
 	name, kind string
 	do         func(context.Context, *matrixStore) error
@@ -104,29 +106,29 @@
 
 // matrixFault is one kind of fault, and the expected result of a call and of a watch under it.
 type matrixFault struct {
-	name                 string
-	fault                fault.Fault
-	wantCall, wantWatch  error // nil: the call succeeds
-	executed             bool
-	executedAfterTimeout bool
+	name                      string
+	fault                     fault.Fault
+	wantCallErr, wantWatchErr error // nil: the call succeeds
+	executed                  bool
+	executedAfterTimeout      bool
 }
 
 var matrixFaults = []matrixFault{
 	{name: "none", executed: true},
-	{name: "down", fault: fault.Fault{Kind: fault.Down}, wantCall: store.ErrUnavailable, wantWatch: store.ErrUnavailable},
-	{name: "unreachable", fault: fault.Fault{Kind: fault.Unreachable}, wantCall: store.ErrUnclear, wantWatch: store.ErrNoProgress},
+	{name: "down", fault: fault.Fault{Kind: fault.Down}, wantCallErr: store.ErrUnavailable, wantWatchErr: store.ErrUnavailable},
+	{name: "unreachable", fault: fault.Fault{Kind: fault.Unreachable}, wantCallErr: store.ErrUnclear, wantWatchErr: store.ErrNoProgress},
 	{name: "slow", fault: fault.Fault{Kind: fault.Slow, DelayMS: matrixShortDelayMS}, executed: true},
 	{
 		name: "slower than the deadline", fault: fault.Fault{Kind: fault.Slow, DelayMS: matrixLongDelayMS},
-		wantCall: store.ErrUnclear, wantWatch: store.ErrNoProgress, executedAfterTimeout: true,
+		wantCallErr: store.ErrUnclear, wantWatchErr: store.ErrNoProgress, executedAfterTimeout: true,
 	},
-	{name: "reply lost", fault: fault.Fault{Kind: fault.ReplyLost}, wantCall: store.ErrUnclear, wantWatch: store.ErrUnclear, executed: true},
-	{name: "silent watch", fault: fault.Fault{Kind: fault.SilentWatch}, wantWatch: store.ErrNoProgress, executed: true},
+	{name: "reply lost", fault: fault.Fault{Kind: fault.ReplyLost}, wantCallErr: store.ErrUnclear, wantWatchErr: store.ErrUnclear, executed: true},
+	{name: "silent watch", fault: fault.Fault{Kind: fault.SilentWatch}, wantWatchErr: store.ErrNoProgress, executed: true},
 }
 
 // TestMatrixHTTP applies every fault to every kind of call over HTTP. It guards against an error
-// that reports no effect for a call that had one, against a call without a deadline, and against
-// calls that keep failing after the fault has been cleared.
+// that reports no effect for a call that took effect, against a call without a deadline, and
+// against calls that continue to fail after the fault has been cleared.
 func TestMatrixHTTP(t *testing.T) {
 	runMatrix(t, func(t *testing.T, run func(*testing.T, *matrixStore)) {
 		t.Parallel()
@@ -165,13 +167,13 @@
 	for _, f := range matrixFaults {
 		for _, call := range matrixCalls {
 			t.Run(fmt.Sprintf("%s/%s", f.name, call.name), func(t *testing.T) {
-				withStore(t, func(t *testing.T, m *matrixStore) { checkCase(t, m, f, call) })
+				withStore(t, func(t *testing.T, m *matrixStore) { checkMatrixCase(t, m, f, call) })
 			})
 		}
 	}
 }
 
-func checkCase(t *testing.T, m *matrixStore, f matrixFault, call matrixCall) {
+func checkMatrixCase(t *testing.T, m *matrixStore, f matrixFault, call matrixCall) {
 	m.prepare(t)
 	setFault(t, m.faults, f, call.kind)
 	before := m.faults.Counters()
@@ -181,9 +183,9 @@
 	defer cancel()
 	err := call.do(ctx, m)
 	took := time.Since(started)
-	want := f.wantCall
+	want := f.wantCallErr
 	if call.kind == storetest.CallWatch {
-		want = f.wantWatch
+		want = f.wantWatchErr
 	}
 	if !matchesOnly(err, want) {
 		t.Errorf("error = %v, want only %v", err, want)
@@ -207,8 +209,8 @@
 	checkEffect(t, m, call, f.executed || f.executedAfterTimeout)
 }
 
-// checkEffect checks whether the call has changed the store. Its own calls also check that the
-// store works again after the fault.
+// checkEffect checks whether the call has changed the store. The calls that it makes also check
+// that the store works again after the fault.
 func checkEffect(t *testing.T, m *matrixStore, call matrixCall, want bool) {
 	if call.effect == nil {
 		if err := call.do(t.Context(), m); err != nil {
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -16,7 +16,7 @@
 // Direction is a direction of traffic through a relay.
 type Direction string
 
-// The directions of traffic. Both is used only for a cut.
+// The directions of traffic. Both is used only in RelayState.Cut.
 const (
 	ToServer Direction = "to_server"
 	ToClient Direction = "to_client"
@@ -25,10 +25,10 @@
 
 // RelayState is the fault that a relay injects into all its connections, existing and new.
 //
-// A cut holds traffic back. It models a network that drops packets: the sender retransmits them, so
-// that held traffic is delivered when the cut ends, unless the connection was reset meanwhile. New
-// connections are accepted during a cut, because a process cannot leave a connection request on the
-// loopback interface unanswered.
+// During a cut, the relay holds traffic back. This models a network that drops packets: the sender
+// retransmits them, so that held traffic is delivered when the cut ends, unless the connection was
+// reset meanwhile. New connections are accepted during a cut, because a process cannot leave a
+// connection request on the loopback interface unanswered.
 type RelayState struct {
 	Cut     Direction `json:"cut,omitempty"`
 	DelayMS int64     `json:"delay_ms,omitempty"` // in each direction
@@ -36,10 +36,10 @@
 
 func (s RelayState) validate() error {
 	if s.Cut != "" && !slices.Contains([]Direction{ToServer, ToClient, Both}, s.Cut) {
-		return fmt.Errorf("cut has unknown direction %q", s.Cut)
+		return fmt.Errorf("cut: unknown direction %q", s.Cut)
 	}
 	if s.DelayMS < 0 {
-		return fmt.Errorf("delay_ms is %d, less than 0", s.DelayMS)
+		return fmt.Errorf("delay_ms must not be negative, got %d", s.DelayMS)
 	}
 	return nil
 }
@@ -51,11 +51,11 @@
 
 // Relay forwards TCP connections to one server and injects faults into them.
 type Relay struct {
-	listener net.Listener
-	target   string
-	running  sync.WaitGroup
-	toServer atomic.Int64 // bytes forwarded
-	toClient atomic.Int64
+	listener      net.Listener
+	target        string
+	running       sync.WaitGroup // goroutines of the links
+	toServerBytes atomic.Int64   // forwarded so far
+	toClientBytes atomic.Int64
 
 	mu      sync.Mutex
 	state   RelayState
@@ -105,7 +105,7 @@
 	})
 }
 
-// Close stops the relay, closes its connections and waits until they have ended.
+// Close closes the listener and all connections, and waits until they have ended.
 func (r *Relay) Close() {
 	r.mu.Lock()
 	r.closed = true
@@ -115,7 +115,7 @@
 	r.running.Wait()
 }
 
-// Set changes the fault of all connections.
+// Set replaces the fault of all connections. It returns an error if state is invalid.
 func (r *Relay) Set(state RelayState) error {
 	if err := state.validate(); err != nil {
 		return err
@@ -128,7 +128,8 @@
 	return nil
 }
 
-func (r *Relay) current() (RelayState, <-chan struct{}) {
+// currentState returns the state and a channel that is closed when Set replaces it.
+func (r *Relay) currentState() (RelayState, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.state, r.changed
@@ -136,13 +137,14 @@
 
 // Silence makes the existing connections silent permanently: they stay open and discard all
 // traffic. New connections are not affected. It returns the number of existing connections.
-func (r *Relay) Silence() int { return r.forEach((*relayLink).silence) }
+func (r *Relay) Silence() int { return r.forEachLink((*relayLink).silence) }
 
 // Reset closes the existing connections, discards the traffic held in them, and returns their
 // number.
-func (r *Relay) Reset() int { return r.forEach((*relayLink).close) }
+func (r *Relay) Reset() int { return r.forEachLink((*relayLink).close) }
 
-func (r *Relay) forEach(f func(*relayLink)) int {
+// forEachLink calls f for each existing connection and returns their number.
+func (r *Relay) forEachLink(f func(*relayLink)) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for link := range r.links {
@@ -152,13 +154,13 @@
 }
 
 // Connections returns the number of existing connections.
-func (r *Relay) Connections() int { return r.forEach(func(*relayLink) {}) }
+func (r *Relay) Connections() int { return r.forEachLink(func(*relayLink) {}) }
 
-// awaitForwarding blocks until the current state allows forwarding traffic that was received at the
-// given time. It returns false if the connection becomes silent or is closed first.
+// awaitForwarding blocks until the state allows forwarding traffic that was received at the time
+// arrived. It returns false if the connection becomes silent or is closed first.
 func (r *Relay) awaitForwarding(link *relayLink, direction Direction, arrived time.Time) bool {
 	for {
-		state, changed := r.current()
+		state, changed := r.currentState()
 		var due <-chan time.Time // nil during a cut
 		if !state.cuts(direction) {
 			wait := time.Until(arrived.Add(time.Duration(state.DelayMS) * time.Millisecond))
@@ -178,7 +180,7 @@
 	}
 }
 
-// dial connects to the server as soon as the state allows traffic to it.
+// dial connects to the server once the state allows traffic to it.
 func (r *Relay) dial(link *relayLink) (net.Conn, error) {
 	if !r.awaitForwarding(link, ToServer, time.Now()) {
 		return nil, net.ErrClosed
@@ -191,8 +193,8 @@
 
 func (r *Relay) countBytes(direction Direction, bytes int) {
 	if direction == ToServer {
-		r.toServer.Add(int64(bytes))
+		r.toServerBytes.Add(int64(bytes))
 		return
 	}
-	r.toClient.Add(int64(bytes))
+	r.toClientBytes.Add(int64(bytes))
 }
--- a/standin/relay_control.go
+++ b/standin/relay_control.go
@@ -18,25 +18,26 @@
 	ToClientBytes int64  `json:"to_client_bytes"`
 }
 
-// RelayAffected is the reply to POST PathRelaySilence and PathRelayReset.
+// RelayAffected is the reply to POST PathRelaySilence and PathRelayReset. It contains the number of
+// connections that were changed.
 type RelayAffected struct {
 	Connections int `json:"connections"`
 }
 
-// Status returns the state and the traffic forwarded so far.
+// Status returns the state, the number of existing connections and the traffic forwarded so far.
 func (r *Relay) Status() RelayStatus {
-	state, _ := r.current()
+	state, _ := r.currentState()
 	return RelayStatus{
 		RelayState:    state,
 		Target:        r.target,
 		Connections:   r.Connections(),
-		ToServerBytes: r.toServer.Load(),
-		ToClientBytes: r.toClient.Load(),
+		ToServerBytes: r.toServerBytes.Load(),
+		ToClientBytes: r.toClientBytes.Load(),
 	}
 }
 
-// ControlHandler returns the handler of the control endpoints. It must not be served through the relay
-// itself: a cut would then also block the request that ends it.
+// ControlHandler returns the handler of the control endpoints. It must not be served through the
+// relay itself, because a cut would then also block the request that ends it.
 func (r *Relay) ControlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+PathRelay, func(w http.ResponseWriter, _ *http.Request) {
--- a/standin/relay_link.go
+++ b/standin/relay_link.go
@@ -9,11 +9,11 @@
 	"time"
 )
 
-// Limits of the traffic that a connection holds in one direction. Beyond them the relay stops reading
-// and the buffers of the sender fill up, as in a real network partition.
+// Limits of the traffic that a connection holds in one direction. When they are reached, the relay
+// stops reading and the send buffer of the peer fills up, as in a real network partition.
 const (
-	relayChunkBytes = 32 << 10
-	relayChunks     = 64
+	maxChunkBytes = 32 << 10
+	maxHeldChunks = 64
 )
 
 // relayLink is one connection through a relay.
@@ -21,7 +21,7 @@
 	relay  *Relay
 	client net.Conn
 	silent chan struct{} // closed when the connection becomes silent
-	closed chan struct{} // closed when the connection is closed
+	closed chan struct{} // closed by close
 
 	mu       sync.Mutex
 	server   net.Conn // nil until connected to the server
@@ -33,7 +33,7 @@
 	return &relayLink{relay: relay, client: client, silent: make(chan struct{}), closed: make(chan struct{})}
 }
 
-// run forwards traffic in both directions until both have ended.
+// run connects to the server and forwards traffic until both directions have ended.
 func (l *relayLink) run() {
 	defer l.close()
 	server, err := l.relay.dial(l)
@@ -50,8 +50,8 @@
 	directions.Wait()
 }
 
-// drainIfSilent keeps a connection open that became silent before the server was connected, and
-// discards what the client sends.
+// drainIfSilent handles a connection that became silent before the server was connected: it keeps
+// the connection open and discards what the client sends.
 func (l *relayLink) drainIfSilent() {
 	select {
 	case <-l.silent:
@@ -103,17 +103,17 @@
 	return l.isClosed || l.isSilent
 }
 
-// chunk is a piece of traffic with the time at which it was received. A chunk without bytes marks
-// the end of a direction.
+// chunk is a piece of traffic and the time at which it was received. A chunk without bytes marks
+// the end of the stream in its direction.
 type chunk struct {
 	bytes   []byte
 	arrived time.Time
 }
 
-// forward forwards traffic in one direction. Reading continues while the writer waits, so that a
+// forward forwards traffic in one direction. It continues to read while the writer waits, so that a
 // delay does not limit the throughput.
 func (l *relayLink) forward(direction Direction, from, to net.Conn) {
-	chunks := make(chan chunk, relayChunks)
+	chunks := make(chan chunk, maxHeldChunks)
 	var writer sync.WaitGroup
 	writer.Go(func() { l.write(direction, chunks, to) })
 	l.read(chunks, from)
@@ -122,7 +122,7 @@
 
 func (l *relayLink) read(chunks chan<- chunk, from net.Conn) {
 	defer close(chunks)
-	buffer := make([]byte, relayChunkBytes)
+	buffer := make([]byte, maxChunkBytes)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
@@ -153,8 +153,8 @@
 	}
 }
 
-// write forwards chunks until the direction ends. Once the connection is silent or closed, it
-// discards them.
+// write writes chunks to the connection until the channel is closed. Once the link is silent or
+// closed, it discards them.
 func (l *relayLink) write(direction Direction, chunks <-chan chunk, to net.Conn) {
 	for c := range chunks {
 		if !l.relay.awaitForwarding(l, direction, c.arrived) {
@@ -179,8 +179,8 @@
 	return nil
 }
 
-// closeUnlessSilent closes a connection after an error on one side. A silent connection stays open,
-// so that the other side does not detect the error.
+// closeUnlessSilent closes the link after an error on one side. A silent link stays open, so that
+// the other side does not detect the error.
 func (l *relayLink) closeUnlessSilent() {
 	select {
 	case <-l.silent:
--- a/standin/relay_test.go
+++ b/standin/relay_test.go
@@ -21,7 +21,7 @@
 	return startRelayWithTimeout(t, time.Second)
 }
 
-// startRelayWithTimeout is startRelay with the given timeout for the calls of the client.
+// startRelayWithTimeout is like startRelay, with the given timeout for the calls of the client.
 func startRelayWithTimeout(t *testing.T, callTimeout time.Duration) (*Relay, *Store, *store.Client) {
 	t.Helper()
 	s := NewStore(storetest.Limits{})
@@ -57,10 +57,11 @@
 	return err
 }
 
-// executed returns the number of transactions that the store executed.
-func executed(s *Store) int64 { return s.Faults().Counters().Executed[storetest.CallTxn] }
+// executedTxns returns the number of transactions that the store executedTxns.
+func executedTxns(s *Store) int64 { return s.Faults().Counters().Executed[storetest.CallTxn] }
 
-// waitFor polls until reached returns true. Another goroutine must bring that about.
+// waitFor polls until reached returns true, and fails the test after 10 s. Another goroutine must
+// cause the condition.
 func waitFor(t *testing.T, condition string, reached func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); !reached(); time.Sleep(5 * time.Millisecond) {
@@ -71,8 +72,8 @@
 }
 
 // TestRelayCut guards against a cut that forwards traffic that it must hold, and against one that
-// drops traffic that a real network would deliver late: the write of a call whose caller has timed
-// out long before.
+// drops traffic that a real network would deliver late, such as the write of a call that has
+// already timed out.
 func TestRelayCut(t *testing.T) {
 	tests := []struct {
 		cut           Direction
@@ -95,13 +96,13 @@
 			if err := putKey(t.Context(), client, "during"); !errors.Is(err, store.ErrUnclear) {
 				t.Errorf("call during the cut: %v, want ErrUnclear", err)
 			}
-			if got := executed(s); got != test.during {
+			if got := executedTxns(s); got != test.during {
 				t.Errorf("%d transactions executed during the cut, want %d", got, test.during)
 			}
 			if err := relay.Set(RelayState{}); err != nil {
 				t.Fatal(err)
 			}
-			waitFor(t, "the delivery of held traffic", func() bool { return executed(s) == test.after })
+			waitFor(t, "the delivery of held traffic", func() bool { return executedTxns(s) == test.after })
 			if err := putKey(t.Context(), client, "after"); err != nil {
 				t.Errorf("call after the cut: %v", err)
 			}
@@ -109,11 +110,12 @@
 	}
 }
 
-// TestRelayDelay guards against a delay that is not applied to both directions. The delay must not
-// be applied to every chunk in turn either, which would limit the throughput.
+// TestRelayDelay guards against a delay that is not applied in both directions, and against one
+// that is applied to each chunk in turn, which would limit the throughput.
 func TestRelayDelay(t *testing.T) {
 	t.Parallel()
-	// Encoding and decoding a value of 1 MiB takes longer than an ordinary call on a loaded machine.
+	// Encoding and decoding a value of 1 MiB takes longer than an ordinary call on a loaded
+	// machine.
 	relay, _, client := startRelayWithTimeout(t, 20*time.Second)
 	if err := putKey(t.Context(), client, "before"); err != nil {
 		t.Fatal(err)
@@ -131,8 +133,8 @@
 	}
 }
 
-// TestRelaySilence guards against a client that, after one call has timed out on a silent
-// connection, makes its next calls on other silent connections and loses them.
+// TestRelaySilence guards against a client that, after a call has timed out on a silent connection,
+// makes its next calls on other silent connections, where they time out as well.
 func TestRelaySilence(t *testing.T) {
 	t.Parallel()
 	relay, _, client := startRelay(t)
@@ -160,7 +162,8 @@
 	}
 }
 
-// openConnections makes n concurrent calls, delayed so that each of them needs its own connection.
+// openConnections makes n concurrent calls, which are delayed so that each requires its own
+// connection.
 func openConnections(t *testing.T, relay *Relay, client store.Store, n int) {
 	t.Helper()
 	if err := relay.Set(RelayState{DelayMS: 50}); err != nil {
@@ -216,8 +219,8 @@
 	}
 }
 
-// rawRelay returns a relay with one connection, and both ends of that connection.
-func rawRelay(t *testing.T) (relay *Relay, client, server net.Conn) {
+// startRawRelay returns a relay with one connection, and both ends of that connection.
+func startRawRelay(t *testing.T) (relay *Relay, client, server net.Conn) {
 	t.Helper()
 	target, err := Listen("127.0.0.1:0")
 	if err != nil {
@@ -244,8 +247,8 @@
 	return relay, client, server
 }
 
-// readWithin reads once within d. It returns the number of bytes, and whether the read timed out
-// because the connection was open and idle.
+// readWithin reads once with a timeout of d. It returns the number of bytes, and whether the read
+// timed out because the connection was open and idle.
 func readWithin(conn net.Conn, d time.Duration) (n int, open bool) {
 	_ = conn.SetReadDeadline(time.Now().Add(d))
 	n, err := conn.Read(make([]byte, 100))
@@ -257,7 +260,7 @@
 // relay, and against held bytes that arrive after the reset.
 func TestRelayReset(t *testing.T) {
 	t.Parallel()
-	relay, client, server := rawRelay(t)
+	relay, client, server := startRawRelay(t)
 	if err := relay.Set(RelayState{Cut: ToServer}); err != nil {
 		t.Fatal(err)
 	}
@@ -276,12 +279,13 @@
 	waitFor(t, "all connections to be closed", func() bool { return relay.Connections() == 0 })
 }
 
-// TestRelaySilenceHidesDisconnect guards against a silent connection that forwards anything, or
-// that propagates a close or reset of one side to the other, which a lost network path never does.
+// TestRelaySilenceHidesDisconnect guards against a silent connection that forwards traffic, or that
+// propagates a close or reset of one side to the other, which a network path that drops all packets
+// never does.
 func TestRelaySilenceHidesDisconnect(t *testing.T) {
 	t.Parallel()
 	for _, linger := range []int{-1, 0} { // the client closes its side, or resets it
-		relay, client, server := rawRelay(t)
+		relay, client, server := startRawRelay(t)
 		relay.Silence()
 		if _, err := client.Write([]byte("swallowed")); err != nil {
 			t.Fatal(err)
--- a/standin/server.go
+++ b/standin/server.go
@@ -11,7 +11,7 @@
 // Limits of the HTTP server of a stand-in.
 const (
 	readHeaderTimeout = 5 * time.Second
-	serverIdleTimeout = time.Minute // longer than that of the clients, so that they close idle connections first
+	serverIdleTimeout = time.Minute // longer than the idle timeout of the clients, so that clients close idle connections first
 	maxHeaderBytes    = 64 << 10
 )
 
--- a/standin/store.go
+++ b/standin/store.go
@@ -13,8 +13,8 @@
 	"github.com/mulberrydrum/mulberrydrum/store/wire"
 )
 
-// maxStoreRequestBytes limits the encoded request. Base64 encoding makes the largest transaction a
-// third longer.
+// maxStoreRequestBytes limits the body of a gateway request. It allows for the base64 encoding of
+// keys and values, which makes the largest transaction a third longer.
 const maxStoreRequestBytes = 4 << 20
 
 // Store is the stand-in for the platform's key-value store. It serves the HTTP/JSON gateway from an
@@ -52,8 +52,8 @@
 // Faults returns the fault table, for tests in the same process.
 func (s *Store) Faults() *fault.Table { return s.faults }
 
-// handle registers a call of the gateway. It reads the body before it applies faults, so that a
-// call that was received only in part is never executed.
+// handle registers the handler of a gateway call. It reads the whole body before it applies faults,
+// so that a truncated request is never executed.
 func (s *Store) handle(path, call string, next func(http.ResponseWriter, *http.Request, gatewayCall)) {
 	s.mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxStoreRequestBytes))
@@ -64,15 +64,15 @@
 		effect := s.faults.Apply(call, r.Header.Get(wire.HeaderInstance))
 		applyEffect(w, r, effect, refuseNoLeader, func(w http.ResponseWriter, r *http.Request) {
 			s.faults.CountExecuted(call)
-			next(w, r, gatewayCall{body: body, silent: effect.SilentWatch})
+			next(w, r, gatewayCall{body: body, silentWatch: effect.SilentWatch})
 		})
 	})
 }
 
-// gatewayCall is a call of the gateway to be executed.
+// gatewayCall is a gateway call whose body has been read in full.
 type gatewayCall struct {
-	body   []byte
-	silent bool // the call is a watch that must deliver nothing
+	body        []byte
+	silentWatch bool // the call is a watch that must deliver no messages
 }
 
 func (s *Store) doRange(w http.ResponseWriter, _ *http.Request, call gatewayCall) {
@@ -139,12 +139,12 @@
 	return replies
 }
 
-// errUnsupported means that a request is valid for the real store, but not implemented because the
-// project does not use it.
+// errUnsupported reports a request that is valid for the real store, but not implemented here
+// because this project does not use it.
 var errUnsupported = errors.New("not implemented by the stand-in")
 
-// fromWireTxn converts a transaction of the form that the client sends: compares of mod revisions
-// for equality, puts and deletes of single keys, and reads if a compare fails. For other forms it
+// fromWireTxn converts a transaction. It supports only what the client uses: mod revisions compared
+// for equality, puts and deletes of single keys, and reads if a compare fails. For anything else it
 // returns errUnsupported.
 func fromWireTxn(request wire.TxnRequest) (store.Txn, error) {
 	var txn store.Txn
--- a/standin/store_lease.go
+++ b/standin/store_lease.go
@@ -28,8 +28,8 @@
 	writeJSON(w, http.StatusOK, reply)
 }
 
-// doKeepAlive sends one message of the keepalive stream. For a lease that has expired or was
-// revoked it reports a TTL of 0, not an error.
+// doKeepAlive renews a lease and replies with one message of the keepalive stream. For a lease that
+// has expired or was revoked, the reply has a TTL of 0 instead of an error.
 func (s *Store) doKeepAlive(w http.ResponseWriter, _ *http.Request, call gatewayCall) {
 	var request wire.LeaseRequest
 	if !decodeStore(w, call.body, &request) {
@@ -75,17 +75,17 @@
 	}
 	stream := watchStream{writer: w, encoder: json.NewEncoder(w)}
 	w.Header().Set("Content-Type", "application/json")
-	interrupt := storetest.NewWatchCheck(r.Context(), s.faults, r.Header.Get(wire.HeaderInstance), call.silent)
-	if _, err := interrupt(); err != nil {
+	check := storetest.NewWatchCheck(r.Context(), s.faults, r.Header.Get(wire.HeaderInstance), call.silentWatch)
+	if _, err := check(); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	if err := stream.reply(wire.WatchReply{Header: s.header(), Created: true}); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	start, end := string(create.Key), string(create.RangeEnd)
-	err := s.engine.Watch(r.Context(), start, end, create.StartRevision, interrupt, stream.send)
+	err := s.engine.Watch(r.Context(), start, end, create.StartRevision, check, stream.send)
 	if errors.Is(err, store.ErrCompacted) {
-		err = stream.reply(wire.WatchReply{Header: s.header(), Canceled: true, CompactRevision: s.compacted()})
+		err = stream.reply(wire.WatchReply{Header: s.header(), Canceled: true, CompactRevision: s.compactRevision()})
 	}
 	if err == nil {
 		return
@@ -98,7 +98,7 @@
 	return header
 }
 
-func (s *Store) compacted() (revision int64) {
+func (s *Store) compactRevision() (revision int64) {
 	s.engine.Do(func(_ time.Time, m *storetest.Machine) { revision = m.Compacted() })
 	return revision
 }
--- a/standin/watch_test.go
+++ b/standin/watch_test.go
@@ -18,42 +18,44 @@
 
 const markerKey = "c/marker"
 
-// follower rebuilds the keys from a watch, like a process that keeps its configuration up to date.
-type follower struct {
+// keyReplica is a copy of the keys that is updated from a watch, as an instance updates its copy of
+// the configuration.
+type keyReplica struct {
 	keys         map[string]string
 	lastRevision atomic.Int64
 	problems     []string
 }
 
-func (f *follower) deliver(batch store.WatchBatch) {
-	last := f.lastRevision.Load()
+func (r *keyReplica) deliver(batch store.WatchBatch) {
+	last := r.lastRevision.Load()
 	if batch.Revision < last || batch.Revision == last && len(batch.Changes) > 0 {
-		f.problems = append(f.problems, fmt.Sprintf("revision %d after %d", batch.Revision, last))
+		r.problems = append(r.problems, fmt.Sprintf("revision %d after %d", batch.Revision, last))
 	}
 	for _, change := range batch.Changes {
 		if change.Deleted {
-			delete(f.keys, change.Key)
+			delete(r.keys, change.Key)
 		} else {
-			f.keys[change.Key] = string(change.Value)
+			r.keys[change.Key] = string(change.Value)
 		}
 	}
-	f.lastRevision.Store(batch.Revision)
+	r.lastRevision.Store(batch.Revision)
 }
 
-// run watches until the marker key arrives, and sends the error of each ended watch to watchErrors.
-func (f *follower) run(ctx context.Context, s store.Store, watchErrors chan<- error) {
+// run watches until the marker key is received, and sends the error of each ended watch to
+// watchErrors.
+func (r *keyReplica) run(ctx context.Context, s store.Store, watchErrors chan<- error) {
 	defer close(watchErrors)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for ctx.Err() == nil {
-		err := s.Watch(ctx, "c/", f.lastRevision.Load()+1, func(batch store.WatchBatch) {
-			f.deliver(batch)
-			if _, found := f.keys[markerKey]; found {
+		err := s.Watch(ctx, "c/", r.lastRevision.Load()+1, func(batch store.WatchBatch) {
+			r.deliver(batch)
+			if _, found := r.keys[markerKey]; found {
 				cancel()
 			}
 		})
 		if errors.Is(err, store.ErrCompacted) {
-			f.problems = append(f.problems, err.Error())
+			r.problems = append(r.problems, err.Error())
 			return
 		}
 		watchErrors <- err
@@ -61,8 +63,8 @@
 	}
 }
 
-// TestWatchUnderFaults guards against skipped, repeated or reordered changes when a watch breaks,
-// is refused or becomes silent and is resumed after the last revision, while keys change
+// TestWatchUnderFaults guards against skipped, repeated or reordered changes when a watch fails, is
+// refused or becomes silent and is resumed after the last received revision, while keys change
 // continuously.
 func TestWatchUnderFaults(t *testing.T) {
 	t.Parallel()
@@ -78,9 +80,9 @@
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	f := follower{keys: map[string]string{}}
+	replica := keyReplica{keys: map[string]string{}}
 	watchErrors := make(chan error, 10_000) // more than the number of watches that can end in a minute
-	go f.run(ctx, reader, watchErrors)
+	go replica.run(ctx, reader, watchErrors)
 
 	random := rand.New(rand.NewPCG(1, 2))
 	written := map[string]string{}
@@ -89,7 +91,7 @@
 		want error
 	}{
 		{fault.Down, store.ErrUnavailable},
-		{fault.ReplyLost, store.ErrUnclear}, // directly after Down: it affects only a watch that is being opened
+		{fault.ReplyLost, store.ErrUnclear}, // directly after Down, because it affects only a watch that is being opened
 		{"", nil},
 		{fault.SilentWatch, store.ErrNoProgress},
 		{"", nil},
@@ -101,7 +103,7 @@
 			if err := s.Faults().Set(); err != nil {
 				t.Fatal(err)
 			}
-			catchUp(ctx, t, &f, commitRandom(t, writer, random, written), watchErrors)
+			awaitRevision(ctx, t, &replica, commitRandom(t, writer, random, written), watchErrors)
 			continue
 		}
 		if err := s.Faults().Set(fault.Fault{Kind: phase.kind, Instance: "reader"}); err != nil {
@@ -113,23 +115,23 @@
 	if _, err := writer.Commit(ctx, store.Txn{Puts: []store.Put{{Key: markerKey, Value: []byte("end")}}}); err != nil {
 		t.Fatal(err)
 	}
-	for range watchErrors { // until the marker has arrived or the minute is over
+	for range watchErrors { // closed when the marker has been received or ctx has timed out
 	}
-	if len(f.problems) > 0 {
-		t.Errorf("watch: %v", f.problems)
+	if len(replica.problems) > 0 {
+		t.Errorf("watch: %v", replica.problems)
 	}
-	if !maps.Equal(f.keys, written) {
-		t.Errorf("keys from the watch: %v, want those written: %v", f.keys, written)
+	if !maps.Equal(replica.keys, written) {
+		t.Errorf("keys from the watch: %v, want those written: %v", replica.keys, written)
 	}
 }
 
-// catchUp waits until f has received revision, and discards the errors of watches that ended
-// before.
-func catchUp(ctx context.Context, t *testing.T, f *follower, revision int64, watchErrors <-chan error) {
+// awaitRevision waits until replica has received revision, and discards the errors of watches that
+// ended before that.
+func awaitRevision(ctx context.Context, t *testing.T, replica *keyReplica, revision int64, watchErrors <-chan error) {
 	t.Helper()
-	for f.lastRevision.Load() < revision {
+	for replica.lastRevision.Load() < revision {
 		if ctx.Err() != nil {
-			t.Fatalf("the watch is at revision %d, want %d", f.lastRevision.Load(), revision)
+			t.Fatalf("timed out at revision %d of the watch, want %d", replica.lastRevision.Load(), revision)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -138,26 +140,27 @@
 	}
 }
 
-// commitUntil keeps changing keys until a watch ends with want.
+// commitUntil commits changes until a watch ends with the error want.
 func commitUntil(t *testing.T, writer store.Store, random *rand.Rand, written map[string]string, watchErrors <-chan error, want error) {
 	t.Helper()
 	for {
 		select {
 		case err, running := <-watchErrors:
 			if !running {
-				t.Fatalf("the watch stopped before it ended with %v", want)
+				t.Fatalf("no more watches are started, want one that ends with %v", want)
 			}
 			if errors.Is(err, want) {
 				return
 			}
 		default:
 			commitRandom(t, writer, random, written)
-			time.Sleep(time.Millisecond) // keeps within the history: at full speed, 10,000 revisions pass while a watch is silent
+			time.Sleep(time.Millisecond) // without a pause, the 10,000 revisions of the history are exceeded while a watch is silent
 		}
 	}
 }
 
-// commitRandom puts two random keys and deletes another one in one transaction.
+// commitRandom puts two random keys and deletes another one in one transaction. It applies the same
+// changes to written and returns the revision.
 func commitRandom(t *testing.T, writer store.Store, random *rand.Rand, written map[string]string) int64 {
 	t.Helper()
 	var txn store.Txn
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -23,19 +23,19 @@
 }
 
 // errNoReply means that the worker sends no reply: the connection is closed or stays silent. The
-// caller cannot determine whether the call had an effect.
-var errNoReply = errors.New("the worker does not reply")
+// caller cannot determine whether the call took effect.
+var errNoReply = errors.New("worker did not reply")
 
-// Worker is a stand-in worker. One goroutine owns its state; calls and changes of faults are
-// functions sent to that goroutine.
+// Worker is a stand-in worker. One goroutine, the loop, owns its state; calls and changes of faults
+// are functions sent to that goroutine.
 type Worker struct {
-	config  WorkerConfig
-	calls   chan func(now time.Time)
-	control chan func(now time.Time)
-	closed  chan struct{}
-	close   sync.Once
+	config    WorkerConfig
+	calls     chan func(now time.Time)
+	control   chan func(now time.Time)
+	closed    chan struct{}
+	closeOnce sync.Once
 
-	// Owned by the loop.
+	// The fields below are owned by the loop.
 	machine *machine
 	ledger  oracle.WorkerLedger
 	boots   int
@@ -57,15 +57,15 @@
 }
 
 // Close ends the loop and every call in progress.
-func (w *Worker) Close() { w.close.Do(func() { close(w.closed) }) }
+func (w *Worker) Close() { w.closeOnce.Do(func() { close(w.closed) }) }
 
 func (w *Worker) boot(now time.Time) {
 	w.boots++
 	w.machine = newMachine(now, w.config, w.boots, &w.ledger)
 }
 
-// loop runs calls and ends tasks. While the worker is frozen it accepts only control functions, so
-// calls wait in the order of their arrival.
+// loop executes calls and ends tasks that are due. While the worker is frozen, it accepts only
+// control functions, so that calls wait in the order of their arrival.
 func (w *Worker) loop() {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -91,6 +91,7 @@
 	}
 }
 
+// setTimer sets timer to the next end of a task.
 func (w *Worker) setTimer(timer *time.Timer) {
 	next := w.machine.nextEnd()
 	if next.IsZero() {
@@ -100,21 +101,24 @@
 	timer.Reset(time.Until(next))
 }
 
-// runCall runs f on the loop. It blocks while the worker is frozen, even if the caller has given
-// up: a request that has arrived stays in the socket buffer of a worker when its sender gives up.
+// runCall runs f on the loop. It blocks while the worker is frozen, even if the context of the
+// caller ends meanwhile: a request that has arrived stays in the socket buffer of a worker after
+// the sender has timed out.
 func (w *Worker) runCall(f func(now time.Time)) error { return w.run(w.calls, f) }
 
 // runControl runs f on the loop even while the worker is frozen.
 func (w *Worker) runControl(f func(now time.Time)) error { return w.run(w.control, f) }
 
-func (w *Worker) run(to chan func(time.Time), f func(now time.Time)) error {
+// run sends f to the loop over queue and waits until the loop has run it. It returns errNoReply if
+// the worker is closed first.
+func (w *Worker) run(queue chan func(time.Time), f func(now time.Time)) error {
 	done := make(chan struct{})
 	wrapped := func(now time.Time) {
 		f(now)
 		close(done)
 	}
 	select {
-	case to <- wrapped:
+	case queue <- wrapped:
 	case <-w.closed:
 		return errNoReply
 	}
@@ -122,8 +126,8 @@
 	return nil
 }
 
-// serve executes one call under the faults that apply to its kind. f returns the rejection of the
-// call, if any.
+// serve executes one call, subject to the faults that apply to its kind. f returns the rejection of
+// the call, if any.
 func (w *Worker) serve(ctx context.Context, kind WorkerCall, f func(now time.Time) *worker.Rejection) error {
 	if err := w.applyBefore(ctx, kind); err != nil {
 		return err
@@ -146,7 +150,7 @@
 	return nil
 }
 
-// Sync serves the call of worker.API.
+// Sync serves worker.API.Sync.
 func (w *Worker) Sync(ctx context.Context, req worker.SyncRequest) (reply worker.SyncReply, err error) {
 	err = w.serve(ctx, CallSync, func(now time.Time) (rejection *worker.Rejection) {
 		reply, rejection = w.machine.sync(now, req)
@@ -155,7 +159,7 @@
 	return reply, err
 }
 
-// Start serves the call of worker.API. It waits up to req.Wait for the end of the task.
+// Start serves worker.API.Start. It waits up to req.OutcomeWait for the end of the task.
 func (w *Worker) Start(ctx context.Context, req worker.StartRequest) (reply worker.StartReply, err error) {
 	var started *record
 	var bootID string
@@ -196,7 +200,7 @@
 	return nil
 }
 
-// Lookup serves the call of worker.API.
+// Lookup serves worker.API.Lookup.
 func (w *Worker) Lookup(ctx context.Context, a task.Attempt) (reply worker.LookupReply, err error) {
 	err = w.serve(ctx, CallLookup, func(now time.Time) *worker.Rejection {
 		reply = w.machine.lookup(now, a)
@@ -205,7 +209,7 @@
 	return reply, err
 }
 
-// Stop serves the call of worker.API.
+// Stop serves worker.API.Stop.
 func (w *Worker) Stop(ctx context.Context, req worker.StopRequest) (reply worker.LookupReply, err error) {
 	err = w.serve(ctx, CallStop, func(now time.Time) (rejection *worker.Rejection) {
 		reply, rejection = w.machine.stop(now, req)
@@ -214,7 +218,7 @@
 	return reply, err
 }
 
-// Checkpoint serves the call of worker.API.
+// Checkpoint serves worker.API.Checkpoint.
 func (w *Worker) Checkpoint(ctx context.Context, req worker.CheckpointRequest) (reply worker.LookupReply, err error) {
 	err = w.serve(ctx, CallCheckpoint, func(now time.Time) (rejection *worker.Rejection) {
 		reply, rejection = w.machine.checkpoint(now, req)
@@ -223,7 +227,7 @@
 	return reply, err
 }
 
-// Throttle serves the call of worker.API.
+// Throttle serves worker.API.Throttle.
 func (w *Worker) Throttle(ctx context.Context, req worker.ThrottleRequest) (reply worker.LookupReply, err error) {
 	err = w.serve(ctx, CallThrottle, func(now time.Time) (rejection *worker.Rejection) {
 		reply, rejection = w.machine.throttle(now, req)
@@ -232,7 +236,7 @@
 	return reply, err
 }
 
-// Result returns the result of a finished attempt and its digest.
+// Result serves worker.API.Result. It returns the result of a finished attempt and its digest.
 func (w *Worker) Result(ctx context.Context, a task.Attempt) (result []byte, digest string, err error) {
 	err = w.serve(ctx, CallResult, func(now time.Time) (rejection *worker.Rejection) {
 		result, digest, rejection = w.machine.result(now, a)
--- a/standin/worker_bench_test.go
+++ b/standin/worker_bench_test.go
@@ -27,7 +27,7 @@
 func benchmarkStart(b *testing.B, payload int) {
 	w := NewWorker(testConfig())
 	api, at := serveHTTP(b, w, worker.Config{})
-	request := startFor(b, api, at, "t", "echo")
+	request := newStartRequest(b, api, at, "t", "echo")
 	request.StartBy, request.LeaseUntil = time.Hour, 2*time.Hour
 	request.Payload = make([]byte, payload)
 	request.OutcomeWait = time.Second
@@ -54,8 +54,8 @@
 	}
 }
 
-// newBareExchange returns an exchange of the same number of bytes as a start
-// of request and its reply.
+// newBareExchange returns a function that makes an HTTP exchange with the same numbers of bytes as
+// a start with request and its reply.
 func newBareExchange(b *testing.B, w *Worker, request worker.StartRequest) func() {
 	b.Helper()
 	body := encoded(b, worker.EncodeStart, request)
@@ -96,7 +96,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	_ = w.runControl(func(time.Time) { clear(w.machine.tombstones) }) // they would be kept for an hour, until start_by
+	_ = w.runControl(func(time.Time) { clear(w.machine.tombstones) }) // they would otherwise be kept for an hour, until start_by
 }
 
 // BenchmarkTraffic measures the bytes on the connections to one worker for a
@@ -104,7 +104,7 @@
 func BenchmarkTraffic(b *testing.B) {
 	w := NewWorker(testConfig())
 	api, at := serveHTTP(b, w, worker.Config{Registry: metrics.NewRegistry()})
-	start := startFor(b, api, at, "7f3a9c0e51b24d68", "echo")
+	start := newStartRequest(b, api, at, "7f3a9c0e51b24d68", "echo")
 	start.StartBy, start.LeaseUntil, start.Payload = time.Hour, 2*time.Hour, nil
 	sync := worker.SyncRequest{Owner: "entry-3/18ee069aa19f", Epoch: 1, BootID: start.BootID, LeaseUntil: time.Hour}
 	var idle, busy [2]int64
--- a/standin/worker_calls.go
+++ b/standin/worker_calls.go
@@ -12,8 +12,9 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// start starts a new attempt. For an attempt that was started before, it returns the existing
-// record, or nil if that was acknowledged: a rejection would mean that the attempt did not run.
+// start starts a new attempt. It is idempotent: for an attempt that was started before, it returns
+// the existing record, or nil if the attempt has been acknowledged. A rejection would mean that the
+// attempt did not run.
 func (m *machine) start(now time.Time, req worker.StartRequest) (*record, *worker.Rejection) {
 	if r := m.records[req.Attempt]; r != nil {
 		return r, nil
@@ -49,7 +50,8 @@
 	return r, nil
 }
 
-// admit checks that a start is valid, and that it fits into the free capacity.
+// admit checks that a start is valid and fits into the free capacity, and returns its parsed
+// command.
 func (m *machine) admit(now time.Time, req worker.StartRequest) (command, *worker.Rejection) {
 	if req.Attempt.Task == "" || req.Attempt.Number == 0 || req.Size.HasNegative() {
 		return command{}, m.reject(now, worker.ReasonInvalid, "invalid attempt %s or size %s", req.Attempt, req.Size)
@@ -79,6 +81,7 @@
 	return cmd, nil
 }
 
+// checkValidity checks the boot id, start_by and the lease of a start.
 func (m *machine) checkValidity(now time.Time, req worker.StartRequest) *worker.Rejection {
 	clock := m.clock(now)
 	switch {
@@ -94,8 +97,8 @@
 	return nil
 }
 
-// checkEpoch fences former owners: it rejects an epoch lower than the highest one seen, and records
-// a higher one.
+// checkEpoch fences former owners: it rejects an epoch lower than the highest one received, and
+// records a higher one.
 func (m *machine) checkEpoch(now time.Time, epoch uint64) *worker.Rejection {
 	if epoch < m.epoch && !m.config.IgnoreEpoch {
 		return m.reject(now, worker.ReasonLowerEpoch, "epoch %d is below %d", epoch, m.epoch)
@@ -111,8 +114,8 @@
 	}
 }
 
-// startReply returns the reply for a started attempt. r is nil if the attempt was acknowledged
-// before.
+// startReply returns the reply for a started attempt. r is nil if the attempt has already been
+// acknowledged.
 func (m *machine) startReply(now time.Time, r *record) worker.StartReply {
 	reply := worker.StartReply{Started: true, Clock: m.clock(now), BootID: m.bootID}
 	if r == nil || r.report.Outcome == nil {
@@ -145,12 +148,15 @@
 	}, nil
 }
 
+// renew extends the leases of all running tasks to until.
 func (m *machine) renew(until time.Duration) {
 	for _, r := range m.running {
 		r.report.LeaseUntil = max(r.report.LeaseUntil, until)
 	}
 }
 
+// acknowledge deletes the records of ended attempts and adds tombstones for them, so that a
+// repeated start does not run them again.
 func (m *machine) acknowledge(attempts []task.Attempt) {
 	for _, a := range attempts {
 		r := m.records[a]
@@ -162,16 +168,16 @@
 	}
 }
 
-// reports returns the attempts that changed after the given sequence number, or all if full is set,
-// in the order of their changes.
+// reports returns the reports of the attempts that changed after the given sequence number, or of
+// all attempts if full is set, in the order of their changes.
 func (m *machine) reports(full bool, after uint64) []worker.TaskReport {
 	var changed []*record
 	for _, r := range m.records {
-		if full || r.changed > after {
+		if full || r.changeSequence > after {
 			changed = append(changed, r)
 		}
 	}
-	slices.SortFunc(changed, func(a, b *record) int { return cmp.Compare(a.changed, b.changed) })
+	slices.SortFunc(changed, func(a, b *record) int { return cmp.Compare(a.changeSequence, b.changeSequence) })
 	reports := make([]worker.TaskReport, 0, len(changed))
 	for _, r := range changed {
 		reports = append(reports, r.report)
--- a/standin/worker_command.go
+++ b/standin/worker_command.go
@@ -14,8 +14,8 @@
 // maxGeneratedBytes limits the result of a bytes command.
 const maxGeneratedBytes = 256 << 20
 
-// command is the simulated work of a task. It runs for a duration or until it is stopped, and ends
-// with an exit code and a result.
+// command is the simulated work of a task. It runs for duration, or until it is stopped if forever
+// is set, and ends with an exit code and a result.
 type command struct {
 	duration time.Duration
 	forever  bool
@@ -24,7 +24,7 @@
 }
 
 // parseCommand parses one of echo, sleep:<duration>, bytes:<n>, fail:<exit code> and run. The
-// result of echo and sleep is the payload.
+// result of echo and sleep is the payload; that of bytes has n bytes.
 func parseCommand(text string, a task.Attempt, payload []byte) (command, error) {
 	name, argument, _ := strings.Cut(text, ":")
 	switch name {
--- a/standin/worker_faults.go
+++ b/standin/worker_faults.go
@@ -34,22 +34,23 @@
 	DropReplies *int         `json:"drop_replies,omitempty"` // this many calls are executed and their connections closed without a reply
 	SlowMS      *int64       `json:"slow_ms,omitempty"`      // delay before calls are executed
 	FailTasks   *bool        `json:"fail_tasks,omitempty"`   // each new task fails immediately
-	Leaving     *bool        `json:"leaving,omitempty"`      // reports say that the worker is leaving
+	Leaving     *bool        `json:"leaving,omitempty"`      // reports show the worker as leaving
 	Reboot      bool         `json:"reboot,omitempty"`       // start a new boot without tasks
 	Calls       []WorkerCall `json:"calls,omitempty"`        // kinds that silent, silent_after, drop_replies and slow_ms apply to; all if absent
 }
 
-// callFaults holds the active faults of calls.
+// callFaults holds the active faults that affect calls.
 type callFaults struct {
 	frozen      bool
 	silent      bool
 	silentAfter bool
 	dropReplies int
 	slow        time.Duration
-	kinds       []WorkerCall // to which the faults except frozen apply; all if empty
+	kinds       []WorkerCall // kinds that the faults other than frozen apply to; all if empty
 }
 
-// replyFault is the fault of a reply: the connection is closed, or no reply is ever sent.
+// replyFault is the fault of one reply: drop closes the connection without a reply, silent leaves
+// it open without a reply.
 type replyFault struct{ drop, silent bool }
 
 func (f *callFaults) appliesTo(kind WorkerCall) bool {
@@ -98,8 +99,8 @@
 	}
 }
 
-// setFrozen freezes or unfreezes the worker. Once it is unfrozen, the loop enforces the leases that
-// have ended meanwhile before it runs any call that was waiting.
+// setFrozen freezes or unfreezes the worker. After it is unfrozen, the loop first ends the tasks
+// whose leases have expired meanwhile, and then runs the calls that were waiting.
 func (w *Worker) setFrozen(now time.Time, frozen bool) {
 	w.faults.frozen = frozen
 	w.ledger.Frozen = updatePeriods(w.ledger.Frozen, now, frozen)
@@ -110,8 +111,8 @@
 	w.ledger.Leaving = updatePeriods(w.ledger.Leaving, now, leaving)
 }
 
-// updatePeriods starts a period at now if active is set and none is open, and ends the open one if
-// it is not.
+// updatePeriods starts a period at now if active is true and no period is open, and ends the open
+// period if active is false.
 func updatePeriods(periods []oracle.Period, now time.Time, active bool) []oracle.Period {
 	last := len(periods) - 1
 	open := last >= 0 && periods[last].End.IsZero()
@@ -124,13 +125,13 @@
 	return periods
 }
 
-// reboot starts a new boot. It keeps only the ledger and the faults.
+// reboot aborts all tasks and starts a new boot, which keeps only the ledger and the faults.
 func (w *Worker) reboot(now time.Time) {
-	before := w.machine
-	before.advance(now)
-	before.abortRunning(now)
+	previous := w.machine
+	previous.advance(now)
+	previous.abortRunning(now)
 	w.boot(now)
-	w.machine.leaving, w.machine.failTasks = before.leaving, before.failTasks
+	w.machine.leaving, w.machine.failTasks = previous.leaving, previous.failTasks
 }
 
 // applyBefore applies the faults that act before a call is executed.
@@ -172,7 +173,7 @@
 	return nil
 }
 
-// holdOpen leaves a call unanswered until the caller gives up or the worker is closed.
+// holdOpen leaves a call unanswered until ctx is done or the worker is closed.
 func (w *Worker) holdOpen(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
--- a/standin/worker_faults_test.go
+++ b/standin/worker_faults_test.go
@@ -22,7 +22,7 @@
 	finished, running task.Attempt
 }
 
-// newAttempt is the attempt that a start call of callFixture starts.
+// newAttempt is the attempt that callFixture.call starts for CallStart.
 var newAttempt = task.Attempt{Task: "fresh", Number: 1}
 
 func newCallFixture(t *testing.T, w *Worker, api worker.API, at worker.Address) *callFixture {
@@ -30,7 +30,7 @@
 	s := &callFixture{w: w, api: api, at: at}
 	for command, a := range map[string]*task.Attempt{"echo": &s.finished, "run": &s.running} {
 		local := NewLocalWorkers(map[worker.Address]*Worker{at: w})
-		req := startFor(t, local, at, task.ID(command), command)
+		req := newStartRequest(t, local, at, task.ID(command), command)
 		if _, err := local.Start(t.Context(), at, req, nil); err != nil {
 			t.Fatal(err)
 		}
@@ -65,7 +65,7 @@
 	return err
 }
 
-// hasEffect reports whether the call has changed the worker.
+// hasEffect reports whether a call of the given kind has changed the worker.
 func (s *callFixture) hasEffect(kind WorkerCall) (effect bool) {
 	_ = s.w.runControl(func(time.Time) {
 		m := s.w.machine
@@ -85,15 +85,15 @@
 	return effect
 }
 
-// faultCase is a fault, the error that the caller must get, and whether the call must have had an
-// effect after the fault is cleared.
+// faultCase is a fault, the error that the caller must receive, and whether the call must have
+// taken effect after the fault has been cleared.
 type faultCase struct {
-	name       string
-	faults     WorkerFaults
-	clearAfter time.Duration // the fault is cleared this long after the call
-	want       error
-	effect     bool
-	late       bool // a start arrives after start_by and must have no effect
+	name        string
+	faults      WorkerFaults
+	clearAfter  time.Duration // the fault is cleared this long after the call
+	want        error
+	effect      bool
+	pastStartBy bool // a start arrives after start_by and must have no effect
 }
 
 var faultCases = []faultCase{
@@ -101,7 +101,7 @@
 	{name: "slow within the deadline", faults: WorkerFaults{SlowMS: new(int64(50))}, effect: true},
 	{name: "slow beyond the deadline", faults: WorkerFaults{SlowMS: new(int64(600))}, clearAfter: 700 * time.Millisecond, want: worker.ErrUnclear, effect: true},
 	{name: "frozen", faults: WorkerFaults{Freeze: new(true)}, want: worker.ErrUnclear, effect: true},
-	{name: "frozen until start_by has passed", faults: WorkerFaults{Freeze: new(true)}, clearAfter: 3 * time.Second, want: worker.ErrUnclear, effect: true, late: true},
+	{name: "frozen until start_by has passed", faults: WorkerFaults{Freeze: new(true)}, clearAfter: 3 * time.Second, want: worker.ErrUnclear, effect: true, pastStartBy: true},
 	{name: "silent", faults: WorkerFaults{Silent: new(true)}, want: worker.ErrUnclear},
 	{name: "silent after the effect", faults: WorkerFaults{SilentAfter: new(true)}, want: worker.ErrUnclear, effect: true},
 	{name: "reply dropped", faults: WorkerFaults{DropReplies: new(1)}, want: worker.ErrUnclear, effect: true},
@@ -111,7 +111,8 @@
 	Freeze: new(false), Silent: new(false), SilentAfter: new(false), DropReplies: new(0), SlowMS: new(int64(0)),
 }
 
-// timeout is long where a reply is expected, to prevent false failures on a loaded machine.
+// timeout returns the call timeout. It is long if a reply is expected, to prevent false failures on
+// a loaded machine.
 func (c faultCase) timeout() time.Duration {
 	if c.want == nil {
 		return 20 * time.Second
@@ -131,7 +132,7 @@
 	if err := s.w.SetFaults(noFaults); err != nil {
 		t.Fatal(err)
 	}
-	want := c.effect && kind != CallLookup && kind != CallResult && !(c.late && kind == CallStart)
+	want := c.effect && kind != CallLookup && kind != CallResult && !(c.pastStartBy && kind == CallStart)
 	for tries := 0; want && !s.hasEffect(kind) && tries < 1000; tries++ {
 		time.Sleep(10 * time.Millisecond) // the worker may not have executed the request yet
 	}
@@ -140,8 +141,8 @@
 	}
 }
 
-// TestWorkerFaultsOverHTTP applies every fault to every kind of call over real connections. It
-// guards against an error that reports a certain outcome where the outcome is unclear.
+// TestWorkerFaultsOverHTTP applies every fault to every kind of call over HTTP. It guards against
+// an error that reports a definite outcome where the outcome is unclear.
 func TestWorkerFaultsOverHTTP(t *testing.T) {
 	for _, c := range faultCases {
 		for _, kind := range WorkerCalls {
@@ -203,8 +204,8 @@
 	}
 }
 
-// TestReportsUnderFaults guards against reports that omit failing tasks, a leaving worker, usage
-// after its lag, or the end of a lease.
+// TestReportsUnderFaults guards against reports that omit failed tasks, a leaving worker, usage
+// after the usage lag, or the end of a lease.
 func TestReportsUnderFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := NewWorker(testConfig())
@@ -255,14 +256,14 @@
 	})
 }
 
-// TestIgnoreOptions guards against IgnoreEpoch and IgnoreValidity without effect: experiments with
-// such workers would then falsely show them to be safe.
+// TestIgnoreOptions guards against IgnoreEpoch and IgnoreValidity having no effect. Experiments
+// with such workers would then wrongly show that the checks are unnecessary.
 func TestIgnoreOptions(t *testing.T) {
 	for _, test := range []struct {
 		name   string
 		config WorkerConfig
 		edit   func(*worker.StartRequest)
-		want   worker.Reason // of a worker that checks
+		want   worker.Reason // of a worker without these options
 	}{
 		{"lower epoch", WorkerConfig{IgnoreEpoch: true}, func(r *worker.StartRequest) { r.Epoch = 0 }, worker.ReasonLowerEpoch},
 		{"after start_by", WorkerConfig{IgnoreValidity: true}, func(r *worker.StartRequest) { r.StartBy = -1 }, worker.ReasonPastStartBy},
@@ -276,7 +277,7 @@
 				w := NewWorker(config)
 				defer w.Close()
 				api := NewLocalWorkers(map[worker.Address]*Worker{testAddress: w})
-				req := startFor(t, api, testAddress, "t", "run")
+				req := newStartRequest(t, api, testAddress, "t", "run")
 				test.edit(&req)
 				_, err := api.Start(t.Context(), testAddress, req, nil)
 				if checks != worker.IsRejected(err, test.want) || !checks && err != nil {
--- a/standin/worker_local.go
+++ b/standin/worker_local.go
@@ -16,7 +16,7 @@
 var errRefused = errors.New("connection refused")
 
 // LocalWorkers implements worker.API for workers in the same process, without a network. Its errors
-// and deadlines have the same meaning as those of worker.Client.
+// and timeouts have the same meaning as those of worker.Client.
 type LocalWorkers struct {
 	// CallTimeout limits each call. NewLocalWorkers sets it to worker.DefaultCallTimeout.
 	CallTimeout time.Duration
@@ -29,7 +29,7 @@
 
 var _ worker.API = (*LocalWorkers)(nil)
 
-// NewLocalWorkers returns an API to the given workers.
+// NewLocalWorkers returns an API for the given workers.
 func NewLocalWorkers(byAddress map[worker.Address]*Worker) *LocalWorkers {
 	return &LocalWorkers{
 		CallTimeout:    worker.DefaultCallTimeout,
@@ -54,8 +54,8 @@
 	return l.byAddress[address]
 }
 
-// exchange makes one call. The worker continues it after the caller has given up, as it does with a
-// request that has been sent.
+// exchange makes one call with a timeout of CallTimeout plus wait. After a timeout the worker still
+// executes the call, as it does with a request that has been sent over a network.
 func exchange[T any](ctx context.Context, l *LocalWorkers, operation string, to worker.Address, wait time.Duration,
 	f func(context.Context, *Worker) (T, error)) (T, error) {
 	var zero T
@@ -82,6 +82,7 @@
 	}
 }
 
+// classify returns the error that worker.Client would return for err.
 func classify(operation string, err error) error {
 	var rejection *worker.Rejection
 	switch {
--- a/standin/worker_machine.go
+++ b/standin/worker_machine.go
@@ -13,7 +13,7 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// exitStopped is the exit code of a task that did not end by itself: 128 + SIGTERM.
+// exitStopped is the exit code of a task that was stopped before it completed: 128 + SIGTERM.
 const exitStopped = 143
 
 // machine is the state machine of a worker during one boot. Its state depends only on the calls and
@@ -35,16 +35,16 @@
 
 // record is an attempt that was started and is not yet acknowledged.
 type record struct {
-	report    worker.TaskReport
-	result    []byte
-	exitCode  int
-	startedAt time.Time
-	endsAt    time.Time // zero for a task that runs until it is stopped
-	startBy   time.Duration
-	changed   uint64 // sequence number of the last change
-	throttle  throttle
-	runIndex  int           // index in ledger.Runs
-	ended     chan struct{} // closed when the task ends
+	report         worker.TaskReport
+	result         []byte
+	exitCode       int
+	startedAt      time.Time
+	endsAt         time.Time // zero for a task that runs until it is stopped
+	startBy        time.Duration
+	changeSequence uint64 // sequence number of the last change
+	throttle       throttle
+	runIndex       int           // index in ledger.Runs
+	ended          chan struct{} // closed when the task ends
 }
 
 // tombstone records an attempt that must not be started until the worker's clock has passed until.
@@ -68,7 +68,7 @@
 // clock returns the reading of the worker's monotonic clock, which starts at zero with each boot.
 func (m *machine) clock(now time.Time) time.Duration { return now.Sub(m.bootedAt) }
 
-// nextEnd returns the earliest end of a running task, or the zero time.
+// nextEnd returns the earliest end of a running task, or the zero time if no end is due.
 func (m *machine) nextEnd() time.Time {
 	var next time.Time
 	for _, r := range m.running {
@@ -80,7 +80,8 @@
 	return next
 }
 
-// endOf returns when r ends if no call ends it earlier, and in which state.
+// endOf returns the time at which r ends if no call ends it earlier, and the state in which it
+// ends.
 func (m *machine) endOf(r *record) (time.Time, worker.TaskState) {
 	leaseEnd := m.bootedAt.Add(r.report.LeaseUntil)
 	switch {
@@ -92,7 +93,7 @@
 	return leaseEnd, worker.Stopped
 }
 
-// advance ends every task whose own end or lease end is not after now, and deletes expired
+// advance ends every task that has completed or whose lease has expired by now, and deletes expired
 // tombstones.
 func (m *machine) advance(now time.Time) {
 	var due []*record
@@ -158,7 +159,7 @@
 	close(r.ended)
 }
 
-// abortRunning ends all running tasks without an outcome, as a reboot does.
+// abortRunning ends all running tasks without an outcome, as the reboot of a worker does.
 func (m *machine) abortRunning(now time.Time) {
 	for _, r := range m.running {
 		m.ledger.Runs[r.runIndex].End = wallTime(now)
@@ -177,7 +178,7 @@
 // markChanged assigns the next sequence number to r, so that the next report includes it.
 func (m *machine) markChanged(r *record) {
 	m.sequence++
-	r.changed = m.sequence
+	r.changeSequence = m.sequence
 }
 
 // wallTime strips the monotonic clock reading, which has no meaning outside the process.
--- a/standin/worker_machine_test.go
+++ b/standin/worker_machine_test.go
@@ -66,7 +66,7 @@
 	return free
 }
 
-// start returns the reason of the rejection, or an empty one.
+// start returns the reason of the rejection, or an empty reason if the start is accepted.
 func (w *modelWorker) start(t modelTask, sameBoot bool, epoch uint64) worker.Reason {
 	if w.find(t.id) != nil {
 		return ""
@@ -101,8 +101,8 @@
 	return ""
 }
 
-// end ends a running task in the given state. If the task is unknown and state is Stopped, it
-// records that the task must not start.
+// end ends a running task in the given state. If the task is unknown and state is Stopped, it adds
+// a tombstone that prevents its start until startBy.
 func (w *modelWorker) end(id task.ID, state worker.TaskState, epoch uint64, startBy int) worker.Reason {
 	if epoch < w.epoch {
 		return worker.ReasonLowerEpoch
@@ -129,12 +129,12 @@
 		w.tasks[i].lease = max(w.tasks[i].lease, lease)
 	}
 	w.tasks = slices.DeleteFunc(w.tasks, func(t modelTask) bool {
-		gone := t.id == acknowledged && t.state != worker.Running
-		if gone {
+		remove := t.id == acknowledged && t.state != worker.Running
+		if remove {
 			t.ran = true
 			w.tombstones = append(w.tombstones, t)
 		}
-		return gone
+		return remove
 	})
 	return ""
 }
@@ -246,7 +246,7 @@
 	})
 }
 
-// fixSeed makes rapid use a fixed seed, and enough checks to reach rare orders of calls, unless
+// fixSeed sets a fixed seed for rapid, and enough checks to cover rare sequences of calls, unless
 // flags set other values.
 func fixSeed(t *testing.T) {
 	t.Helper()
@@ -261,9 +261,9 @@
 	}
 }
 
-// TestExpiredTombstones guards against a start that is decided by the tombstone of a stop or an
-// acknowledgement whose start_by has passed. Found by TestMachineAgainstModel with
-// -rapid.seed=5539937583251006311 and -rapid.seed=3373189.
+// TestExpiredTombstones guards against a start whose reply depends on an expired tombstone, that
+// is, one of a stop or an acknowledgement whose start_by has passed. TestMachineAgainstModel found
+// this with -rapid.seed=5539937583251006311 and -rapid.seed=3373189.
 func TestExpiredTombstones(t *testing.T) {
 	now := time.Unix(1000, 0)
 	m := newMachine(now, testConfig(), 1, &oracle.WorkerLedger{})
@@ -282,7 +282,7 @@
 	}
 }
 
-// checkState compares the whole state of machine and model.
+// checkState compares the attempts, their states and the free capacity of machine and model.
 func checkState(t *rapid.T, m *machine, model *modelWorker, now time.Time) {
 	if len(m.records) != len(model.tasks) {
 		t.Fatalf("%d attempts, want %d", len(m.records), len(model.tasks))
--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -16,7 +16,7 @@
 
 var testCapacity = task.Resources{CPUMilli: 4000, MemoryMB: 4096, Slots: 4, Connections: 64}
 
-var errEnded = errors.New("term has ended")
+var errTermEnded = errors.New("ownership term has ended")
 
 const testAddress worker.Address = "worker-1:1"
 
@@ -24,8 +24,8 @@
 	return WorkerConfig{Name: "worker-1", Capacity: testCapacity, UsageLag: 5 * time.Second}
 }
 
-// startFor returns a start request that is valid for 3 s, with a lease of 30 s.
-func startFor(t testing.TB, api worker.API, at worker.Address, id task.ID, command string) worker.StartRequest {
+// newStartRequest returns a request to start a task, valid for 3 s and with a lease of 30 s.
+func newStartRequest(t testing.TB, api worker.API, at worker.Address, id task.ID, command string) worker.StartRequest {
 	t.Helper()
 	report, err := api.Sync(t.Context(), at, worker.SyncRequest{Owner: "o", Epoch: 1, Full: true})
 	if err != nil {
@@ -63,7 +63,7 @@
 	testTaskLifecycle(t, api, at)
 }
 
-// TestTaskLifecycleInProcess guards against calls in the process that behave differently from calls
+// TestTaskLifecycleInProcess guards against in-process calls that behave differently from calls
 // over HTTP.
 func TestTaskLifecycleInProcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -75,10 +75,10 @@
 
 func testTaskLifecycle(t *testing.T, api worker.API, at worker.Address) {
 	ctx := t.Context()
-	echo := startFor(t, api, at, "task/with slash", "echo")
+	echo := newStartRequest(t, api, at, "task/with slash", "echo")
 	echo.OutcomeWait = time.Second
-	_, err := api.Start(ctx, at, echo, func() error { return errEnded })
-	if !errors.Is(err, worker.ErrNotRun) || !errors.Is(err, errEnded) {
+	_, err := api.Start(ctx, at, echo, func() error { return errTermEnded })
+	if !errors.Is(err, worker.ErrNotRun) || !errors.Is(err, errTermEnded) {
 		t.Errorf("start after the end of the term: %v", err)
 	}
 	if reply, err := api.Lookup(ctx, at, echo.Attempt); err != nil || reply.Known {
@@ -96,7 +96,7 @@
 	if err := api.Result(ctx, at, want, &fetched); err != nil || !bytes.Equal(fetched.Bytes(), echo.Payload) {
 		t.Errorf("result: %q, %v", fetched.Bytes(), err)
 	}
-	big := startFor(t, api, at, "big", "bytes:300000")
+	big := newStartRequest(t, api, at, "big", "bytes:300000")
 	big.OutcomeWait = 10 * time.Second
 	started, err = api.Start(ctx, at, big, nil)
 	if err != nil || started.Outcome == nil || started.Outcome.Result != nil || started.ResultBytes != 300000 {
@@ -107,7 +107,7 @@
 	if err := api.Result(ctx, at, want, &fetched); err != nil || fetched.Len() != 300000 {
 		t.Errorf("result of %d bytes, %v", fetched.Len(), err)
 	}
-	slow := startFor(t, api, at, "slow", "sleep:30ms")
+	slow := newStartRequest(t, api, at, "slow", "sleep:30ms")
 	slow.OutcomeWait = 10 * time.Second
 	if started, err = api.Start(ctx, at, slow, nil); err != nil || started.Outcome == nil {
 		t.Errorf("start that waits for the end: %+v, %v", started, err)
@@ -115,12 +115,12 @@
 	if _, err := api.Sync(ctx, at, worker.SyncRequest{Epoch: 1, BootID: slow.BootID, Acknowledge: []task.Attempt{big.Attempt, slow.Attempt}}); err != nil {
 		t.Fatal(err)
 	}
-	large := startFor(t, api, at, "large", "run")
+	large := newStartRequest(t, api, at, "large", "run")
 	large.Size.Slots = testCapacity.Slots + 1
 	if _, err := api.Start(ctx, at, large, nil); !worker.IsRejected(err, worker.ReasonOverCapacity) || !errors.Is(err, worker.ErrNotRun) {
 		t.Errorf("start that does not fit: %v", err)
 	}
-	long := startFor(t, api, at, "long", "run")
+	long := newStartRequest(t, api, at, "long", "run")
 	if reply, err := api.Start(ctx, at, long, nil); err != nil || reply.Outcome != nil {
 		t.Fatalf("start of run: %+v, %v", reply, err)
 	}
@@ -156,18 +156,18 @@
 func TestStartCheckBeforeWrite(t *testing.T) {
 	w := NewWorker(testConfig())
 	api, at := serveHTTP(t, w, worker.Config{})
-	if _, err := api.Start(t.Context(), at, startFor(t, api, at, "first", "echo"), nil); err != nil {
+	if _, err := api.Start(t.Context(), at, newStartRequest(t, api, at, "first", "echo"), nil); err != nil {
 		t.Fatal(err)
 	}
-	req := startFor(t, api, at, "second", "echo")
+	req := newStartRequest(t, api, at, "second", "echo")
 	calls := 0
 	_, err := api.Start(t.Context(), at, req, func() error {
 		if calls++; calls > 1 {
-			return errEnded
+			return errTermEnded
 		}
 		return nil
 	})
-	if !errors.Is(err, worker.ErrNotRun) || !errors.Is(err, errEnded) {
+	if !errors.Is(err, worker.ErrNotRun) || !errors.Is(err, errTermEnded) {
 		t.Errorf("error = %v, want ErrNotRun", err)
 	}
 	if reply, err := api.Lookup(t.Context(), at, req.Attempt); err != nil || reply.Known {
--- a/standin/worker_usage.go
+++ b/standin/worker_usage.go
@@ -7,15 +7,15 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// A task uses three quarters of its CPU and memory size, so that reported usage differs from the
-// reported size.
+// A simulated task uses three quarters of its CPU and memory size, so that reported usage differs
+// from the reported size.
 const (
 	usedNumerator   = 3
 	usedDenominator = 4
 )
 
-// throttle is the limit on the usage of a task, and the limit before it, which determines the
-// reported usage until the usage lag has passed.
+// throttle holds the limit on the usage of a task since a point in time, and the limit before that,
+// which determines the reported usage until the usage lag has passed.
 type throttle struct {
 	limit, previous task.Resources
 	since           time.Time
@@ -32,7 +32,7 @@
 	return m.lookup(now, req.Attempt), nil
 }
 
-// updateUsage updates the reported usage of running tasks. Reported usage is as old as the
+// updateUsage sets the reported usage of running tasks to their usage at the time now minus the
 // configured lag.
 func (m *machine) updateUsage(now time.Time) {
 	sampledAt := now.Add(-m.config.UsageLag)
@@ -44,15 +44,16 @@
 	}
 }
 
-func (r *record) usageAt(at time.Time) task.Resources {
-	if at.Before(r.startedAt) {
+// usageAt returns the usage of the task at the time sampledAt.
+func (r *record) usageAt(sampledAt time.Time) task.Resources {
+	if sampledAt.Before(r.startedAt) {
 		return task.Resources{}
 	}
 	usage := r.report.Size
 	usage.CPUMilli = usage.CPUMilli * usedNumerator / usedDenominator
 	usage.MemoryMB = usage.MemoryMB * usedNumerator / usedDenominator
 	limit := r.throttle.limit
-	if at.Before(r.throttle.since) {
+	if sampledAt.Before(r.throttle.since) {
 		limit = r.throttle.previous
 	}
 	if limit.CPUMilli > 0 {
