--- a/cmd/mulberryctl/apply.go
+++ b/cmd/mulberryctl/apply.go
@@ -48,8 +48,9 @@
 	})
 }
 
-// expectedRevision returns the revision that the change is based on: that of the
-// flag, that of the revision line in the file, or the one in force.
+// expectedRevision returns the revision that the change is based on: the one in the
+// flag if it is set, else the one in the revision line of the file if there is one,
+// else the one in force.
 func (c applyCommand) expectedRevision(ctx context.Context, operatorClient *client.Client, source documentSource) (int64, error) {
 	if c.Expect >= 0 {
 		return c.Expect, nil
@@ -77,9 +78,9 @@
 	hasRevision   bool
 }
 
-// readDocument reads and checks a file. The check is local because the entry
-// instance receives the text without the revision line, so its line numbers would
-// not be those of the file.
+// readDocument reads and checks a file. The check is local because the entry instance
+// receives the text without the revision line, so the line numbers in its errors would
+// differ from those of the file.
 func readDocument(env *environment, name string) (documentSource, error) {
 	content, err := readInput(env, name)
 	if err != nil {
--- a/cmd/mulberryctl/config.go
+++ b/cmd/mulberryctl/config.go
@@ -28,7 +28,7 @@
 values. The exit code is 0 if there are no faults and 1 if there are any.`
 }
 
-// fileResult is the result for one file in the JSON output.
+// fileResult is the result for one file, as printed in the JSON output.
 type fileResult struct {
 	File   string        `json:"file"`
 	Faults []jsonc.Fault `json:"faults"`
--- a/cmd/mulberryctl/conflict.go
+++ b/cmd/mulberryctl/conflict.go
@@ -7,7 +7,8 @@
 	"github.com/mulberrydrum/mulberrydrum/api"
 )
 
-// conflictLines describes the conflicting change, which was applied first.
+// conflictLines returns lines that describe the conflicting change, which was applied
+// first.
 func conflictLines(c api.Conflict) []string {
 	lines := []string{fmt.Sprintf("revision %d is in force, not %d; changed by %s at %s:",
 		c.Revision, c.Expected, orUnnamed(c.ChangedBy), c.ChangedAt.Format(time.RFC3339))}
--- a/cmd/mulberryctl/deployment_test.go
+++ b/cmd/mulberryctl/deployment_test.go
@@ -41,7 +41,7 @@
 	return d
 }
 
-// run runs a command and fails the test unless the exit code is want.
+// run runs a command and fails the test if the exit code is not want.
 func (d *deployment) run(want int, args ...string) (stdout, stderr string) {
 	d.Helper()
 	var out, diagnostics bytes.Buffer
@@ -64,11 +64,12 @@
 	return decoded
 }
 
-func (d *deployment) waitFor(condition string, holds func() bool) {
+// waitFor polls until reached returns true, and fails the test after 15 s.
+func (d *deployment) waitFor(condition string, reached func() bool) {
 	d.Helper()
-	for end := time.Now().Add(15 * time.Second); !holds(); time.Sleep(100 * time.Millisecond) {
+	for end := time.Now().Add(15 * time.Second); !reached(); time.Sleep(100 * time.Millisecond) {
 		if time.Now().After(end) {
-			d.Fatalf("timed out after 15 s: %s", condition)
+			d.Fatalf("timed out after 15 s waiting until %s", condition)
 		}
 	}
 }
@@ -77,11 +78,11 @@
 	return filepath.Join("..", "..", "demo", "documents", name)
 }
 
-// TestCommandsWithDeployment guards against a command that works with the fakes of
-// the other tests but not with a deployment.
+// TestCommandsWithDeployment guards against a command that works with the fake backends
+// of the other tests but not with a real deployment.
 func TestCommandsWithDeployment(t *testing.T) {
 	d := startDeployment(t)
-	d.waitFor("all members", func() bool {
+	d.waitFor("all instances are members", func() bool {
 		return len(runJSON[api.Members](d, 0, "members").Members) == len(d.cluster.Entries)
 	})
 	d.checkDocuments()
@@ -95,7 +96,7 @@
 
 func (d *deployment) checkDocuments() {
 	if _, diagnostics := d.run(5, "apply", d.documentPath("leuven-piping.jsonc")); !strings.Contains(diagnostics, "unknown_team") {
-		d.Errorf("a service without a team document is refused with %q", diagnostics)
+		d.Errorf("apply of a service without a team document: error output %q, want unknown_team", diagnostics)
 	}
 	d.run(0, "apply", d.documentPath("leuven.jsonc"))
 	applied := runJSON[api.Document](d, 0, "apply", d.documentPath("leuven-piping.jsonc"), "--wait", "10s")
@@ -114,7 +115,7 @@
 	// Both operators edited the same revision. The second apply must fail, show the
 	// first operator's change and change nothing.
 	if _, diagnostics := d.run(6, "apply", second); !strings.Contains(diagnostics, "50 -> 60") {
-		d.Errorf("the conflict shows %q, want the first change", diagnostics)
+		d.Errorf("second apply: error output %q, want the change of the first operator", diagnostics)
 	}
 	if out, _ := d.run(0, "get", "leuven", "piping"); !strings.Contains(out, `"max_count": 60`) {
 		d.Error("the second operator's change was applied")
@@ -144,7 +145,7 @@
 		}
 	}
 	if listed != 1 {
-		d.Errorf("%d keys are listed as withdrawn, want 1", listed)
+		d.Errorf("the withdrawn key is listed as withdrawn %d times, want 1", listed)
 	}
 	d.run(2, "keys", "withdraw", "leuven", "nokey")
 	d.Setenv("MULBERRYDRUM_KEY", withdrawn.Secret)
@@ -165,15 +166,15 @@
 	}
 	d.run(6, "submit", "leuven", "piping", "nozzle-check", "--idempotency-key", "n-1")
 	if job := runJSON[api.Job](d, 0, "status", first.ID); job.State != task.Finished {
-		d.Errorf("status is %s", job.State)
+		d.Errorf("state of the first job is %s, want finished", job.State)
 	}
 	if out, _ := d.run(0, "result", first.ID); out != "L=3.2m" {
-		d.Errorf("the result is %q", out)
+		d.Errorf("result is %q, want the payload", out)
 	}
 	d.run(5, "status", "leuven/piping/none")
 	d.run(1, "submit", "leuven", "piping", "failing-report", "--wait", "10s")
 	service := runJSON[api.Job](d, 0, "submit", "leuven", "piping", "span-tables", "--idempotency-key", "s-1")
-	d.waitFor("the service runs", func() bool {
+	d.waitFor("the service is running", func() bool {
 		return runJSON[api.Job](d, 0, "status", service.ID).State == task.Running
 	})
 	d.run(8, "result", service.ID)
@@ -192,7 +193,7 @@
 	}
 	for _, want := range []string{"request_accepted", "task_placed", "task_start_sent", "task_finished", "request_answered"} {
 		if !seen[want] {
-			d.Errorf("the timeline has no %s", want)
+			d.Errorf("the timeline has no event %s", want)
 		}
 	}
 	if workers := runJSON[api.Workers](d, 0, "workers").Workers; len(workers) != len(d.cluster.Workers) {
@@ -200,7 +201,7 @@
 	}
 	shares := runJSON[api.Shares](d, 0, "shares").Shares
 	if len(shares) != 1 || shares[0].Team != "leuven" || shares[0].Limit.Slots != 200 {
-		d.Errorf("shares are %+v", shares)
+		d.Errorf("shares are %+v, want those of leuven with a limit of 200 slots", shares)
 	}
 	metrics := runJSON[map[string]map[string]any](d, 0, "metrics", "control.")
 	if metrics["control.apply_ns"]["count"] == nil || metrics["timeline.dropped_count"] != nil {
@@ -215,7 +216,7 @@
 }
 
 // checkMetricsPage guards against a metric that docs/OPERATIONS.md does not describe,
-// and against one on the page that does not exist.
+// and against a description of a metric that does not exist.
 func (d *deployment) checkMetricsPage() {
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	if err != nil {
@@ -288,7 +289,7 @@
 func (d *deployment) checkInstanceDrain() {
 	name := d.cluster.Entries[5].Name
 	d.run(0, "drain", "--instance", name)
-	d.waitFor("the instance owns nothing", func() bool {
+	d.waitFor("the instance owns no units", func() bool {
 		for _, m := range runJSON[api.Members](d, 0, "members").Members {
 			if m.Instance == name {
 				return m.Draining && len(m.Units) == 0
--- a/cmd/mulberryctl/environment.go
+++ b/cmd/mulberryctl/environment.go
@@ -16,7 +16,7 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// globals are the flags that all commands have.
+// globals holds the flags that all commands have.
 type globals struct {
 	Server   []string      `help:"Addresses (host:port) of entry instances for callers." env:"MULBERRYDRUM_SERVER" default:"127.0.0.1:7070"`
 	Operator []string      `help:"Addresses (host:port) of entry instances for operators." env:"MULBERRYDRUM_OPERATOR" default:"127.0.0.1:7071"`
@@ -41,7 +41,7 @@
 	return e.withClient(e.Server, wait, call)
 }
 
-// withOperatorClient is withCallerClient for the operator addresses.
+// withOperatorClient is like withCallerClient, with a client for the operator addresses.
 func (e *environment) withOperatorClient(wait time.Duration, call func(context.Context, *client.Client) error) error {
 	return e.withClient(e.Operator, wait, call)
 }
@@ -58,6 +58,8 @@
 	return call(ctx, c)
 }
 
+// secret returns the secret from the key file, or from the environment variable if no
+// key file is set.
 func (e *environment) secret() (string, error) {
 	if e.KeyFile == "" {
 		return os.Getenv("MULBERRYDRUM_KEY"), nil
--- a/cmd/mulberryctl/job.go
+++ b/cmd/mulberryctl/job.go
@@ -50,9 +50,9 @@
 	return line
 }
 
-// jobExitCode returns the exit code for the first task that did not succeed. An
-// unfinished task counts as 0: a wait that was too short is not a failure, and a
-// script can detect it by the printed state.
+// jobExitCode returns the exit code for the first task that did not succeed, or 0. An
+// unfinished task does not count as a failure, because it only means that the wait was
+// too short, which a script can detect by the printed state.
 func jobExitCode(job api.Job) int {
 	for _, t := range job.Tasks {
 		switch {
--- a/cmd/mulberryctl/main_test.go
+++ b/cmd/mulberryctl/main_test.go
@@ -22,8 +22,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// callerBackend is a fake that returns outcome for every submission, with the
-// payload as the result, or err.
+// callerBackend is a fake that returns outcome and err for every submission, with the
+// payload as the result. It records the spec of the last submission.
 type callerBackend struct {
 	caller.Backend
 	spec    task.Spec
@@ -41,7 +41,7 @@
 	return caller.JobStatus{State: o.State, Tasks: []caller.TaskStatus{{ID: "t", State: o.State, Outcome: &o}}}, b.err
 }
 
-// operatorBackend is a fake that stores one document.
+// operatorBackend is a fake that stores a single document in memory.
 type operatorBackend struct {
 	operator.Backend
 	stored operator.StoredDocument
@@ -71,7 +71,8 @@
 	Shutdown(context.Context) error
 }
 
-func serve(t *testing.T, s server) string {
+// startServer serves s on a loopback port until the test ends, and returns its address.
+func startServer(t *testing.T, s server) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -83,7 +84,7 @@
 	return ln.Addr().String()
 }
 
-// command runs mulberryctl with the addresses of the fake backends.
+// command runs mulberryctl with the addresses of the servers of the fake backends.
 type command func(stdin string, args ...string) (code int, stdout, stderr string)
 
 // newCommand starts a server for each backend and returns a command that uses them.
@@ -93,8 +94,8 @@
 		MaxRequestBytes: 1 << 20, MaxHeaderBytes: 8 << 10, ReadHeaderTimeout: 10 * time.Second,
 		ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second,
 	}
-	callerAddress := serve(t, caller.NewServer(caller.Config{Limits: limits, MaxResultBytes: 1 << 20, MaxWait: time.Minute, CallTimeout: 10 * time.Second}, callers))
-	operatorAddress := serve(t, operator.NewServer(operator.Config{Limits: limits, MaxWait: time.Minute, CallTimeout: 10 * time.Second, Metrics: metrics.NewRegistry()}, operators))
+	callerAddress := startServer(t, caller.NewServer(caller.Config{Limits: limits, MaxResultBytes: 1 << 20, MaxWait: time.Minute, CallTimeout: 10 * time.Second}, callers))
+	operatorAddress := startServer(t, operator.NewServer(operator.Config{Limits: limits, MaxWait: time.Minute, CallTimeout: 10 * time.Second, Metrics: metrics.NewRegistry()}, operators))
 	t.Setenv("MULBERRYDRUM_KEY", "s3cret")
 	return func(stdin string, args ...string) (int, string, string) {
 		var out, diagnostics bytes.Buffer
@@ -104,8 +105,8 @@
 	}
 }
 
-// TestSubmitExitCodes guards against an exit code that makes a script treat a
-// failure as a success, and against a result that is not that of the job.
+// TestSubmitExitCodes guards against an exit code that makes a script treat a failure
+// as a success, and against output without the result of the job.
 func TestSubmitExitCodes(t *testing.T) {
 	finished := task.Outcome{State: task.Finished}
 	cases := []struct {
@@ -135,7 +136,7 @@
 	}
 }
 
-// TestSubmitFlags guards against a flag that does not reach the request.
+// TestSubmitFlags guards against a flag that has no effect on the request.
 func TestSubmitFlags(t *testing.T) {
 	backend := &callerBackend{outcome: task.Outcome{State: task.Finished}}
 	code, _, stderr := newCommand(t, backend, &operatorBackend{})("", "submit", "pipes", "flex", "run", "--count", "3", "--cpu-milli", "2000",
@@ -147,8 +148,8 @@
 	}
 }
 
-// TestLargePayloadIsRefused guards against a request that is refused for its size
-// being reported as one with an unknown outcome.
+// TestLargePayloadIsRefused guards against a request that is refused for its size being
+// reported as a request with an unknown outcome.
 func TestLargePayloadIsRefused(t *testing.T) {
 	run := newCommand(t, &callerBackend{}, &operatorBackend{})
 	for range 2 {
@@ -159,7 +160,8 @@
 	}
 }
 
-// TestErrorsAsJSON guards against an error that a script cannot parse.
+// TestErrorsAsJSON guards against an error that is not printed as JSON, so that a script
+// cannot parse it.
 func TestErrorsAsJSON(t *testing.T) {
 	run := newCommand(t, &callerBackend{}, &operatorBackend{})
 	t.Setenv("MULBERRYDRUM_KEY", "wrong")
@@ -172,8 +174,8 @@
 
 const serviceDocument = `{"team": "pipes", "service": "nozzles", "classes": [{"name": "a", "kind": "durable", "size": {"slots": 1}, "max_run": "5m", "command": "x"}]}`
 
-// TestApplyAfterAnotherOperator guards against a file that was read before another
-// operator's change overwriting that change.
+// TestApplyAfterAnotherOperator guards against an apply that overwrites a change that
+// another operator made after the file was read.
 func TestApplyAfterAnotherOperator(t *testing.T) {
 	backend := &operatorBackend{}
 	run := newCommand(t, &callerBackend{}, backend)
@@ -196,8 +198,8 @@
 	}
 }
 
-// TestConfigCheck guards against a fault without its position, and against an exit
-// code of 0 for a file with faults.
+// TestConfigCheck guards against a fault that is printed without its position, and
+// against an exit code of 0 for a file with faults.
 func TestConfigCheck(t *testing.T) {
 	dir := t.TempDir()
 	write := func(name, text string) string {
--- a/cmd/mulberryctl/metrics.go
+++ b/cmd/mulberryctl/metrics.go
@@ -42,8 +42,8 @@
 	})
 }
 
-// printedValues lists the values of a metric that the text output contains, in
-// order. The JSON output contains all values.
+// printedValues lists the values of a metric that the text output contains, in the
+// order of the output. The JSON output contains all values.
 var printedValues = []string{"value", "count", "min", "mean", "median", "99%", "max", "1m.rate"}
 
 func formatValues(values map[string]any) string {
@@ -56,6 +56,8 @@
 	return strings.Join(parts, "\t")
 }
 
+// roundFloat formats a float with at most one decimal place and returns other values
+// unchanged.
 func roundFloat(value any) any {
 	if f, ok := value.(float64); ok {
 		return cmp.Or(strings.TrimSuffix(fmt.Sprintf("%.1f", f), ".0"), "0")
--- a/cmd/mulberryctl/revision.go
+++ b/cmd/mulberryctl/revision.go
@@ -9,10 +9,10 @@
 	"github.com/mulberrydrum/mulberrydrum/api"
 )
 
-// revisionLine matches the first line that get prints. apply reads the revision from
-// it, so that a change by another operator is detected even if the file was edited
-// for an hour.
-var revisionLine = regexp.MustCompile(`^// mulberryctl revision ([0-9]{1,18})\r?\n`)
+// revisionLinePattern matches the first line that get prints. apply reads the revision
+// from it, so that a change by another operator is detected, however long after get the
+// edited file is applied.
+var revisionLinePattern = regexp.MustCompile(`^// mulberryctl revision ([0-9]{1,18})\r?\n`)
 
 // withRevision returns the source of d with a revision line.
 func withRevision(d api.Document) []byte {
@@ -20,9 +20,10 @@
 	return fmt.Appendf(nil, "// mulberryctl revision %d\n%s\n", d.Revision, source)
 }
 
-// splitRevision returns source without its revision line, and the revision.
+// splitRevision returns source without its revision line, and the revision. It returns
+// ok false if there is no valid revision line.
 func splitRevision(source []byte) (rest []byte, revision int64, ok bool) {
-	match := revisionLine.FindSubmatch(source)
+	match := revisionLinePattern.FindSubmatch(source)
 	if match == nil {
 		return source, 0, false
 	}
