--- a/cmd/mulberryd/main.go
+++ b/cmd/mulberryd/main.go
@@ -1,5 +1,5 @@
-// Command mulberryd runs one entry instance, which serves callers and operators, is
-// the home of requests and owns worker partitions.
+// Command mulberryd runs one entry instance, which serves callers and operators and
+// owns request shards and worker partitions.
 package main
 
 import (
