--- a/cmd/standin/list.go
+++ b/cmd/standin/list.go
@@ -26,6 +26,7 @@
 	return serve("list", c.Listen, standin.NewList(c.Lag, initial...))
 }
 
+// readInstances reads the initial list from a file. It returns nil if path is empty.
 func readInstances(path string) ([]instancelist.Instance, error) {
 	if path == "" {
 		return nil, nil
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,6 +1,6 @@
-// Command standin runs one of the stand-ins for the platform (its store, its
-// instance list or workers), or a relay that injects faults into the connections
-// between two processes. Faults are controlled over HTTP at run time.
+// Command standin runs one of the stand-ins (test doubles) for the platform, which are
+// its store, its instance list and workers, or a relay that injects faults into the
+// connections between two processes. Faults are controlled over HTTP at run time.
 package main
 
 import (
--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -12,9 +12,9 @@
 	"github.com/mulberrydrum/mulberrydrum/standin"
 )
 
-// serve serves handler on address until the process receives SIGINT or SIGTERM. It
-// then closes open connections immediately, because a stand-in has no work to
-// complete before it stops.
+// serve serves handler on address until the process receives SIGINT or SIGTERM. It then
+// closes open connections immediately, because a stand-in does not need a graceful
+// shutdown.
 func serve(name, address string, handler http.Handler) error {
 	listener, err := standin.Listen(address)
 	if err != nil {
--- a/cmd/standin/worker.go
+++ b/cmd/standin/worker.go
@@ -19,8 +19,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// WorkerCommand runs stand-in workers, each on its own listener, and prints one JSON
-// line for each of them.
+// WorkerCommand runs stand-in workers, each on its own listener, and prints one line of
+// JSON for each of them.
 type WorkerCommand struct {
 	Count          int           `help:"Number of workers." default:"1"`
 	Listen         string        `help:"Address of the first worker. If its port is not 0, the other workers use the ports that follow." default:"127.0.0.1:0"`
@@ -39,8 +39,8 @@
 	IgnoreValidity bool          `help:"Do not check boot, start_by and leases."`
 }
 
-// workerLine is the JSON line for one worker.
-type workerLine struct {
+// workerInfo describes one worker. It is printed as a line of JSON.
+type workerInfo struct {
 	Name          string `json:"name"`
 	Address       string `json:"address"`
 	Region        string `json:"region"`
@@ -55,8 +55,8 @@
 	return c.serve(ctx, os.Stdout)
 }
 
-// serve starts the workers, writes their lines to out and waits until ctx is done
-// or a worker fails.
+// serve starts the workers, writes the workerInfo of each to out, and waits until ctx is
+// done or the server of a worker fails.
 func (c *WorkerCommand) serve(ctx context.Context, out io.Writer) error {
 	failed := make(chan error, c.Count)
 	for i := range c.Count {
@@ -66,7 +66,7 @@
 		}
 		defer stop()
 		if err := json.NewEncoder(out).Encode(line); err != nil {
-			return eris.Wrap(err, "print worker")
+			return eris.Wrap(err, "write description of worker")
 		}
 	}
 	select {
@@ -79,16 +79,16 @@
 
 // serveWorker starts worker i, counting from 0. Errors of its server are sent to
 // failed.
-func (c *WorkerCommand) serveWorker(i int, failed chan<- error) (line workerLine, stop func(), err error) {
+func (c *WorkerCommand) serveWorker(i int, failed chan<- error) (line workerInfo, stop func(), err error) {
 	address, err := nthAddress(c.Listen, i)
 	if err != nil {
-		return workerLine{}, nil, err
+		return workerInfo{}, nil, err
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return workerLine{}, nil, eris.Wrapf(err, "listen for worker %d", i+1)
+		return workerInfo{}, nil, eris.Wrapf(err, "listen for worker %d", i+1)
 	}
-	line = workerLine{
+	line = workerInfo{
 		Name:          fmt.Sprintf("%s%d", c.Prefix, i+1),
 		Address:       listener.Addr().String(),
 		Region:        c.Region,
@@ -122,11 +122,11 @@
 	}
 }
 
-// nthAddress returns listen with n added to its port, unless the port is 0.
+// nthAddress returns the address listen with n added to its port, unless the port is 0.
 func nthAddress(listen string, n int) (string, error) {
 	address, err := net.ResolveTCPAddr("tcp", listen)
 	if err != nil {
-		return "", eris.Wrap(err, "listen address")
+		return "", eris.Wrap(err, "resolve listen address")
 	}
 	if address.Port != 0 {
 		address.Port += n
--- a/cmd/standin/worker_test.go
+++ b/cmd/standin/worker_test.go
@@ -17,8 +17,8 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// TestWorkerCommand guards against a flag that has no effect on the workers. It
-// parses a command line, reads the printed lines and sends requests to every worker.
+// TestWorkerCommand guards against a flag that has no effect on the workers. It parses a
+// command line, reads the printed lines and sends requests to every worker.
 func TestWorkerCommand(t *testing.T) {
 	var command WorkerCommand
 	parser, err := kong.New(&command)
@@ -38,7 +38,7 @@
 	client := worker.NewClient(worker.Config{})
 	lines := json.NewDecoder(reader)
 	for i := range command.Count {
-		var line workerLine
+		var line workerInfo
 		if err := lines.Decode(&line); err != nil {
 			t.Fatal(err)
 		}
@@ -54,11 +54,11 @@
 	client.Close()
 	stop()
 	if err := <-done; err != nil {
-		t.Errorf("the command ended with %v", err)
+		t.Errorf("serve: %v", err)
 	}
 }
 
-// checkLedger starts a task and checks that the ledger contains it.
+// checkLedger starts a task and checks that the worker's ledger contains its run.
 func checkLedger(t *testing.T, client *worker.Client, address worker.Address, report worker.SyncReply) {
 	t.Helper()
 	start := worker.StartRequest{
