--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -20,28 +20,28 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// Size of the deployment, the same as that of the present users.
+// Size of the deployment, the same as in the deployments of the current users.
 const (
 	entryCount  = 8
 	workerCount = 48
 	rackSize    = 8
 
-	keyFreshness = 3 * time.Second // longest time until a withdrawn key is refused everywhere
+	keyFreshness = 3 * time.Second // maximum time until every instance refuses a withdrawn key
 )
 
 var regions = []string{"flanders", "wallonia", "brussels"}
 
-// Cluster is a complete deployment in this process.
+// Cluster is a complete deployment in one process.
 type Cluster struct {
 	Entries []*Entry
 	Workers []*Worker
 	Store   *standin.Store
 	List    *standin.List
 
-	logger    *log.Logger
-	storeAddr string
-	listAddr  string
-	closers   []func()
+	logger     *log.Logger
+	storeAddr  string
+	listAddr   string
+	closeFuncs []func() // run in reverse order by Close
 }
 
 // Entry is one entry instance.
@@ -58,9 +58,9 @@
 	Instance instancelist.Instance
 }
 
-// Start starts the stand-ins and the entry instances. There are no documents and
-// keys until an operator applies and grants them. If Start returns an error, it has
-// stopped everything that it started.
+// Start starts the stand-ins and the entry instances. The deployment has no documents
+// and keys until an operator applies and grants them. If Start fails, it stops
+// everything that it has started.
 func Start(logger *log.Logger) (*Cluster, error) {
 	c := &Cluster{logger: logger, Store: standin.NewStore(storetest.Limits{}), List: standin.NewList(0)}
 	if err := c.start(); err != nil {
@@ -71,7 +71,7 @@
 }
 
 func (c *Cluster) start() error {
-	c.closers = append(c.closers, c.Store.Close)
+	c.closeFuncs = append(c.closeFuncs, c.Store.Close)
 	var err error
 	if c.storeAddr, err = c.serve(standin.NewServer(c.Store)); err != nil {
 		return err
@@ -94,10 +94,10 @@
 func (c *Cluster) serve(server *http.Server) (address string, err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", eris.Wrap(err, "open a loopback port")
+		return "", eris.Wrap(err, "listen on a loopback port")
 	}
 	go func() { _ = server.Serve(listener) }()
-	c.closers = append(c.closers, func() { _ = server.Close() })
+	c.closeFuncs = append(c.closeFuncs, func() { _ = server.Close() })
 	return listener.Addr().String(), nil
 }
 
@@ -115,7 +115,7 @@
 		instance := instancelist.Instance{Name: name, Address: address, Role: instancelist.RoleWorker, Region: regions[rack%len(regions)],
 			FailureDomain: fmt.Sprintf("domain-%d", rack%6), Rack: fmt.Sprintf("rack-%d", rack), State: instancelist.StateLive}
 		c.Workers = append(c.Workers, &Worker{Worker: w, Instance: instance})
-		c.closers = append(c.closers, w.Close)
+		c.closeFuncs = append(c.closeFuncs, w.Close)
 		instances = append(instances, instance)
 	}
 	c.List.Replace(time.Now(), instances)
@@ -134,12 +134,12 @@
 	s.InstanceListEndpoint = c.listAddr
 	s.WorkerPartitions = 2
 	// An instance commits configuration changes only after it has run for list_lag
-	// and key_freshness. The stand-in list has no lag, and the shorter freshness
+	// and key_freshness. The stand-in list has no lag, and the shorter key_freshness
 	// reduces the run time of the demo by 2 s.
 	s.ListLag = 0
 	s.KeyFreshness, s.KeepaliveInterval, s.StoreCallTimeout = keyFreshness, time.Second, time.Second
-	// Instances of other regions receive the configuration revision of this one at
-	// this interval, and apply waits for it.
+	// At this interval, instances in other regions receive the configuration revision
+	// of this instance, which an apply with a wait requires.
 	s.DigestIntervalCrossRegion = s.DigestInterval
 	return s
 }
@@ -160,13 +160,14 @@
 	return e, nil
 }
 
-// Stop performs a planned stop of the entry instance and waits for its end.
+// Stop performs a planned stop of the entry instance and waits until it has ended.
 func (e *Entry) Stop() error {
 	e.stop()
 	return <-e.done
 }
 
-// Close aborts the entry instances and closes the stand-ins.
+// Close aborts the entry instances, without a handover of their units, and closes the
+// stand-ins.
 func (c *Cluster) Close() {
 	for _, e := range c.Entries {
 		e.Abort()
@@ -174,8 +175,8 @@
 	for _, e := range c.Entries {
 		e.stop()
 	}
-	for i := len(c.closers) - 1; i >= 0; i-- {
-		c.closers[i]()
+	for i := len(c.closeFuncs) - 1; i >= 0; i-- {
+		c.closeFuncs[i]()
 	}
 }
 
--- a/demo/configuration.go
+++ b/demo/configuration.go
@@ -14,22 +14,22 @@
 )
 
 //go:embed documents
-var documents embed.FS
+var documentFiles embed.FS
 
-// Secrets of the demo's keys, by team.
+// Secrets contains the secrets of the demo's keys, by team.
 var Secrets = map[task.Team]string{"leuven": "leuven-demo-secret", "estrie": "estrie-demo-secret"}
 
-// StoreConfiguration writes the documents and keys of the demo directly to a store,
-// for tests that do not cover the operators' interface.
+// StoreConfiguration writes the documents and keys of the demo directly to a store, for
+// tests that do not cover the operator API.
 func StoreConfiguration(ctx context.Context, storeAddress string) error {
 	client := store.NewClient(store.Config{Address: storeAddress, Instance: "demo"})
 	defer client.Close()
 	var txn store.Txn
-	sources, err := readDocuments()
+	documents, err := readDocuments()
 	if err != nil {
 		return err
 	}
-	for _, d := range sources {
+	for _, d := range documents {
 		value, err := store.Encode(document.Record{Source: string(d.source), By: "demo", At: time.Now(), WriteID: d.name})
 		if err != nil {
 			return err
@@ -54,19 +54,19 @@
 }
 
 func readDocuments() ([]documentFile, error) {
-	entries, err := documents.ReadDir("documents")
+	entries, err := documentFiles.ReadDir("documents")
 	if err != nil {
 		return nil, eris.Wrap(err, "read the documents of the demo")
 	}
 	var files []documentFile
 	for _, entry := range entries {
-		source, err := documents.ReadFile("documents/" + entry.Name())
+		source, err := documentFiles.ReadFile("documents/" + entry.Name())
 		if err != nil {
 			return nil, eris.Wrap(err, "read document")
 		}
 		doc, faults := document.Parse(source)
 		if len(faults) > 0 {
-			return nil, eris.Errorf("%s: %v", entry.Name(), faults)
+			return nil, eris.Errorf("document %s has faults: %v", entry.Name(), faults)
 		}
 		files = append(files, documentFile{entry.Name(), string(doc.Team), string(doc.Service), source})
 	}
--- a/demo/mix.go
+++ b/demo/mix.go
@@ -33,8 +33,8 @@
 	gangSize        = 4
 )
 
-// mix contains work of every kind as in the deployments of both users, and requests
-// that must be refused.
+// mix contains work of every kind, as in the deployments of both users, and requests that
+// must be refused.
 var mix = []request{
 	{"leuven: answer", "the payload, exit 0", expectFinished(job{team: leuven, service: "piping", class: "span-lookup"})},
 	{"leuven: answer of 3 MB", "3000000 bytes, exit 0", expectFinished(job{team: leuven, service: "piping", class: "big-lookup", resultBytes: bigResultBytes})},
@@ -63,21 +63,21 @@
 // job describes a submission and its promised outcome.
 type job struct {
 	team, service, class string
-	idempotencyKey       string // derived from class and count if empty
+	idempotencyKey       string // if empty, derived from class and count
 	count                int
 	size                 *task.Resources
 	payload              string
 	instance             int // entry instance that receives the submission
 
 	noKey   bool
-	keyTeam task.Team // team whose key is sent; team if empty
-	secret  string    // sent instead of the secret of a granted key
+	keyTeam task.Team // team whose key is sent; if empty, the team of the job
+	secret  string    // if not empty, sent instead of the secret of a granted key
 
 	resultBytes int // size of the result; 0 if the result is the payload
 	exitCode    int
 }
 
-// withDefaults sets the fields that are empty in most jobs.
+// withDefaults sets empty fields to their default values.
 func (j job) withDefaults() job {
 	j.count = max(j.count, 1)
 	if j.payload == "" {
@@ -92,7 +92,8 @@
 	return j
 }
 
-// callerClient returns a client of one entry instance with the key of the job.
+// callerClient returns a client for the entry instance of the job, with the key of the
+// job.
 func (s *session) callerClient(j job) *client.Client {
 	secret := j.secret
 	if secret == "" && !j.noKey {
@@ -102,7 +103,7 @@
 	return client.New(client.Config{Addresses: []string{entry.CallerAddress()}, Secret: secret})
 }
 
-// submit submits a job and records the results that the caller received.
+// submit submits a job, fetches its results and records them for the oracle.
 func (s *session) submit(ctx context.Context, j job, wait time.Duration) (api.Job, error) {
 	caller := s.callerClient(j)
 	defer caller.Close()
@@ -115,8 +116,8 @@
 	return reply, s.fetchResults(ctx, caller, j, reply)
 }
 
-// fetchResults reads the result of every task that succeeded, as a caller would,
-// and records the digests that the oracle compares with the workers' ledgers.
+// fetchResults reads the result of every task that succeeded through the caller API, and
+// records the digests that the oracle compares with the workers' ledgers.
 func (s *session) fetchResults(ctx context.Context, caller *client.Client, j job, reply api.Job) error {
 	for i := range reply.Tasks {
 		t := &reply.Tasks[i]
@@ -150,12 +151,12 @@
 		if err != nil {
 			return err.Error(), false
 		}
-		return describeJob(reply), j.isFulfilledBy(reply)
+		return describeJob(reply), j.outcomeMatches(reply)
 	}
 }
 
-// isFulfilledBy reports whether reply has the promised outcome.
-func (j job) isFulfilledBy(reply api.Job) bool {
+// outcomeMatches reports whether reply has the promised outcome.
+func (j job) outcomeMatches(reply api.Job) bool {
 	if len(reply.Tasks) != j.count {
 		return false
 	}
@@ -189,8 +190,8 @@
 	return fmt.Sprintf("%s, %s", kind, errkind.ResponseFor(kind).Fate)
 }
 
-// expectRefusal returns a send function that expects an error of this kind, with
-// the fate that the error table defines for it.
+// expectRefusal returns a send function that expects an error of this kind, with the fate
+// that the error table defines for the kind.
 func expectRefusal(kind errkind.Kind, j job) func(context.Context, *session) (string, bool) {
 	j = j.withDefaults()
 	j.idempotencyKey = "refused-" + j.idempotencyKey + string(kind)
@@ -203,8 +204,8 @@
 	}
 }
 
-// isRefusal reports whether err is a refusal of this kind. A nil error, of a request
-// that succeeded, is not.
+// isRefusal reports whether err is a refusal of this kind. It returns false for a nil
+// error, which means that the request succeeded.
 func isRefusal(err error, kind errkind.Kind) bool {
 	if err == nil {
 		return false
--- a/demo/report.go
+++ b/demo/report.go
@@ -9,25 +9,25 @@
 	"github.com/mulberrydrum/mulberrydrum/oracle"
 )
 
-// Row is the promised and the observed outcome of one request.
+// Row contains the promised and the observed outcome of one request.
 type Row struct {
 	Request  string
 	Promised string
 	Observed string
-	Kept     bool // the observed outcome is the promised one
+	Kept     bool // whether the observed outcome is the promised one
 }
 
-// Report is the outcome of the demo.
+// Report contains the results of the demo.
 type Report struct {
 	Rows       []Row
-	Events     int // in the merged timeline
-	Runs       int // in the workers' ledgers
+	Events     int // number of events in the merged timeline
+	Runs       int // number of runs in the workers' ledgers
 	Violations []oracle.Violation
 	Took       time.Duration
 }
 
-// OK reports whether every promise was kept and the oracle found no violation. A
-// report without rows or runs is not OK, because it has checked nothing.
+// OK reports whether every request had its promised outcome and the oracle found no
+// violation. A report without rows or runs is not OK, because nothing was checked.
 func (r *Report) OK() bool {
 	for _, row := range r.Rows {
 		if !row.Kept {
--- a/demo/run.go
+++ b/demo/run.go
@@ -18,14 +18,14 @@
 // Timeouts of the demo.
 const (
 	totalTimeout   = 20 * time.Second
-	joinTimeout    = 8 * time.Second // until every instance is a member
+	joinTimeout    = 8 * time.Second // until every instance has joined as a member
 	applyTimeout   = 5 * time.Second // until a document is in force everywhere
 	requestTimeout = 8 * time.Second // of one request
-	settleTimeout  = 2 * time.Second // until the workers' ledgers show the end of every run
+	ledgerTimeout  = 2 * time.Second // until the workers' ledgers show the end of every run
 	pollInterval   = 50 * time.Millisecond
 )
 
-// session is the state that the requests of the demo share.
+// session is the state that all requests of the demo share.
 type session struct {
 	cluster *Cluster
 	secrets map[task.Team]string
@@ -34,8 +34,8 @@
 	answers []oracle.Answer
 }
 
-// Run starts a deployment, configures it as an operator, sends the mix of requests
-// and checks the outcome of each. It takes at most 20 s.
+// Run starts a deployment, configures it through the operator API, sends the mix of
+// requests and checks the outcome of each. It takes at most 20 s.
 func Run(ctx context.Context, logger *log.Logger) (*Report, error) {
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, totalTimeout)
@@ -74,10 +74,10 @@
 	return rows
 }
 
-// checkTrace runs the oracle on the timelines and the ledgers. It repeats that until
-// no run is in progress and there is no violation, or until settleTimeout.
+// checkTrace runs the oracle on the timelines and the ledgers. It repeats this until no
+// run is in progress and there is no violation, or until ledgerTimeout has passed.
 func (s *session) checkTrace(ctx context.Context, report *Report) error {
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
 	for {
 		trace, err := s.cluster.Trace()
@@ -103,7 +103,7 @@
 	}
 }
 
-// operatorClient returns a client for the operator addresses of all instances.
+// operatorClient returns a client with the operator addresses of all instances.
 func (s *session) operatorClient() *client.Client {
 	var addresses []string
 	for _, e := range s.cluster.Entries {
@@ -112,19 +112,19 @@
 	return client.New(client.Config{Addresses: addresses})
 }
 
-// configure waits for the instances, applies the documents and grants a key to each
-// team, as an operator would.
+// configure waits until all instances are members, applies the documents and grants a
+// key to each team.
 func (s *session) configure(ctx context.Context) error {
 	operator := s.operatorClient()
 	defer operator.Close()
 	if err := waitForMembers(ctx, operator, len(s.cluster.Entries)); err != nil {
 		return err
 	}
-	files, err := readDocuments()
+	documents, err := readDocuments()
 	if err != nil {
 		return err
 	}
-	for _, d := range files {
+	for _, d := range documents {
 		if d.service == "" {
 			if err := s.configureTeam(ctx, operator, d); err != nil {
 				return err
@@ -132,17 +132,17 @@
 		}
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	for _, d := range files {
+	for _, d := range documents {
 		if d.service != "" {
-			group.Go(func() error { return apply(ctx, operator, d) })
+			group.Go(func() error { return applyAndWait(ctx, operator, d) })
 		}
 	}
 	return group.Wait()
 }
 
 // configureTeam applies the document of a team and grants it a key. It does not wait
-// until they are in force: the wait for the service documents, which are applied
-// later, covers both.
+// until they are in force, because the service documents are applied later and the wait
+// for these covers both.
 func (s *session) configureTeam(ctx context.Context, operator *client.Client, d documentFile) error {
 	if _, err := operator.Apply(ctx, d.team, "", d.source, 0, 0); err != nil {
 		return eris.Wrapf(err, "apply the document of team %s", d.team)
@@ -155,7 +155,9 @@
 	return nil
 }
 
-func apply(ctx context.Context, operator *client.Client, d documentFile) error {
+// applyAndWait applies the document of a service and waits until it is in force on every
+// instance.
+func applyAndWait(ctx context.Context, operator *client.Client, d documentFile) error {
 	applied, err := operator.Apply(ctx, d.team, d.service, d.source, 0, applyTimeout)
 	if err != nil {
 		return eris.Wrapf(err, "apply the document of %s/%s", d.team, d.service)
--- a/demo/run_test.go
+++ b/demo/run_test.go
@@ -11,8 +11,8 @@
 	"github.com/mulberrydrum/mulberrydrum/oracle"
 )
 
-// TestRun guards against a promise to callers that is broken end to end, and against
-// the violation of an invariant.
+// TestRun guards against a request that does not have its promised outcome in a complete
+// deployment, and against the violation of an invariant.
 func TestRun(t *testing.T) {
 	report, err := Run(t.Context(), log.New(io.Discard))
 	if err != nil {
@@ -21,23 +21,23 @@
 	if !report.OK() || len(report.Rows) != len(mix) {
 		var text strings.Builder
 		_ = report.Write(&text)
-		t.Errorf("not every promise was kept:\n%s", text.String())
+		t.Errorf("the report is not OK or incomplete:\n%s", text.String())
 	}
 	if report.Took > totalTimeout {
 		t.Errorf("the demo took %s, more than %s", report.Took, totalTimeout)
 	}
 }
 
-// TestSuccessIsNotRefusal guards against a crash of the demo when a request with a
-// withdrawn key still succeeds, because the withdrawal is not yet in force.
+// TestSuccessIsNotRefusal guards against a nil dereference when a request with a
+// withdrawn key still succeeds because the withdrawal is not yet in force.
 func TestSuccessIsNotRefusal(t *testing.T) {
 	if isRefusal(nil, errkind.KeyWithdrawn) {
 		t.Error("a request that succeeded counts as refused")
 	}
 }
 
-// TestReportOK guards against a demo that reports success with a broken promise, a
-// violation, or nothing checked.
+// TestReportOK guards against a report that is OK although a request did not have its
+// promised outcome, an invariant was violated, or nothing was checked.
 func TestReportOK(t *testing.T) {
 	kept, broken := Row{Kept: true}, Row{}
 	for _, tc := range []struct {
--- a/demo/scenarios.go
+++ b/demo/scenarios.go
@@ -11,7 +11,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// submitTwice submits at-most-once work through two instances concurrently, like a
+// submitTwice submits the same at-most-once job to two instances concurrently, like a
 // caller that retries because it received no reply.
 func submitTwice(ctx context.Context, s *session) (string, bool) {
 	j := job{team: leuven, service: "piping", class: "stress-report", idempotencyKey: "report-1"}.withDefaults()
@@ -24,14 +24,14 @@
 		reply, err := s.submit(ctx, j, requestTimeout)
 		results <- result{reply, err}
 	}()
-	again := j
-	again.instance = 5
-	second, err := s.submit(ctx, again, requestTimeout)
+	retry := j
+	retry.instance = 5
+	second, err := s.submit(ctx, retry, requestTimeout)
 	first := <-results
 	if err != nil || first.err != nil {
 		return fmt.Sprintf("%v, %v", err, first.err), false
 	}
-	if !j.isFulfilledBy(second) || !j.isFulfilledBy(first.job) {
+	if !j.outcomeMatches(second) || !j.outcomeMatches(first.job) {
 		return describeJob(first.job) + "; " + describeJob(second), false
 	}
 	firstTask, secondTask := first.job.Tasks[0], second.Tasks[0]
@@ -46,9 +46,9 @@
 	return s.countRuns(func(otherID task.ID) bool { return otherID == id })
 }
 
-// countRuns counts the runs in the ledgers of all workers whose task matches
-// isCounted. It returns -1 if a ledger cannot be read.
-func (s *session) countRuns(isCounted func(task.ID) bool) int {
+// countRuns counts the runs in the ledgers of all workers for whose task matches returns
+// true. It returns -1 if a ledger cannot be read.
+func (s *session) countRuns(matches func(task.ID) bool) int {
 	runs := 0
 	for _, w := range s.cluster.Workers {
 		workerLedger, err := w.Ledger()
@@ -56,7 +56,7 @@
 			return -1
 		}
 		for _, r := range workerLedger.Runs {
-			if isCounted(r.Attempt.Task) {
+			if matches(r.Attempt.Task) {
 				runs++
 			}
 		}
@@ -78,7 +78,7 @@
 	return describeError(err), isRefusal(err, errkind.IdempotencyConflict)
 }
 
-// cancelService runs a long-lived service, cancels it and waits for its end.
+// cancelService starts a long-running service, cancels it and waits until it has ended.
 func cancelService(ctx context.Context, s *session) (string, bool) {
 	j := job{team: leuven, service: "piping", class: "span-tables"}.withDefaults()
 	started, err := s.submit(ctx, j, 0)
@@ -102,8 +102,8 @@
 	return fmt.Sprintf("%d run, %s, %s", runs, t.State, t.Reason), runs == 1 && t.State == task.Finished && t.Reason == string(errkind.Cancelled)
 }
 
-// exceedDeadline submits work that takes longer than its deadline. The reply may say
-// "not run" only if no worker started the work.
+// exceedDeadline submits a job that runs past its deadline. The reply may be "not run"
+// only if no worker started the job.
 func exceedDeadline(ctx context.Context, s *session) (string, bool) {
 	j := job{team: leuven, service: "piping", class: "slow-lookup"}.withDefaults()
 	caller := s.callerClient(j)
@@ -121,8 +121,8 @@
 	return fmt.Sprintf("%s; %d run", describeError(err), runs), asPromised
 }
 
-// withdrawKey uses a key, withdraws it as an operator, and submits to every instance
-// until all refuse the key.
+// withdrawKey grants a key, uses it, withdraws it, and submits jobs to each instance until
+// all of them refuse the key.
 func withdrawKey(ctx context.Context, s *session) (string, bool) {
 	operator := s.operatorClient()
 	defer operator.Close()
@@ -150,14 +150,14 @@
 	return fmt.Sprintf("%s by all after %.2f s", errkind.KeyWithdrawn, time.Since(withdrawnAt).Seconds()), time.Since(withdrawnAt) <= keyFreshness
 }
 
-// waitUntilAccepted repeats a submission until the instance accepts the key of j,
-// which has just been granted.
+// waitUntilAccepted repeats a submission until the instance accepts the key of j, which
+// has only just been granted.
 func (s *session) waitUntilAccepted(ctx context.Context, j job) error {
 	j.idempotencyKey = "withdrawn-key"
 	for {
 		reply, err := s.submit(ctx, j, requestTimeout)
 		switch {
-		case err == nil && j.isFulfilledBy(reply):
+		case err == nil && j.outcomeMatches(reply):
 			return nil
 		case err == nil:
 			return errkind.New(errkind.Internal, "%s", describeJob(reply))
