--- a/cmd/mulberryctl/main.go
+++ b/cmd/mulberryctl/main.go
@@ -29,7 +29,7 @@
 	Workers   workersCommand   `cmd:"" help:"List the workers."`
 	Shares    sharesCommand    `cmd:"" help:"List the shares, usage and limits of the teams."`
 	Members   membersCommand   `cmd:"" help:"List the live entry instances."`
-	Metrics   metricsCommand   `cmd:"" help:"Show the metrics of the entry instance that answers."`
+	Metrics   metricsCommand   `cmd:"" help:"Show the metrics of the entry instance that serves the request."`
 	Timeline  timelineCommand  `cmd:"" help:"Show the merged events of all entry instances."`
 	Ownership ownershipCommand `cmd:"" help:"Change the ownership of worker partitions and request shards."`
 	Config    configCommand    `cmd:"" help:"Work with configuration files."`
--- a/cmd/mulberryctl/submit.go
+++ b/cmd/mulberryctl/submit.go
@@ -21,9 +21,9 @@
 
 	IdempotencyKey string        `help:"Idempotency key: a repeated submission with the same key returns this job. By default, a random key is generated and printed."`
 	Payload        string        `help:"File with the input of the work, - for standard input." placeholder:"FILE"`
-	Count          int           `help:"Tasks in the job." default:"1"`
-	CPU            int64         `name:"cpu-milli" help:"Thousandths of a processor for each task."`
-	Memory         int64         `name:"memory-mb" help:"Megabytes of memory for each task."`
+	Count          int           `help:"Number of tasks in the job." default:"1"`
+	CPU            int64         `name:"cpu-milli" help:"CPU for each task, in thousandths of a core."`
+	Memory         int64         `name:"memory-mb" help:"Memory for each task, in MB."`
 	Accelerators   int64         `help:"Accelerators for each task."`
 	Slots          int64         `help:"Slots for each task."`
 	Connections    int64         `help:"Connections for each task."`
--- a/cmd/standin/list.go
+++ b/cmd/standin/list.go
@@ -13,7 +13,7 @@
 
 type listCommand struct {
 	Listen    string        `help:"Address to listen on." default:"127.0.0.1:2390" placeholder:"HOST:PORT"`
-	Lag       time.Duration `help:"How far the list lags behind changes." default:"0s"`
+	Lag       time.Duration `help:"Time after which a change becomes visible in the list." default:"0s"`
 	Instances string        `help:"JSON file with the initial list, in the form of the reply." type:"existingfile" optional:""`
 }
 
--- a/cmd/standin/store.go
+++ b/cmd/standin/store.go
@@ -7,7 +7,7 @@
 
 type storeCommand struct {
 	Listen           string `help:"Address to listen on." default:"127.0.0.1:2379" placeholder:"HOST:PORT"`
-	HistoryRevisions int    `help:"Revisions kept for watches." default:"10000"`
+	HistoryRevisions int    `help:"Number of revisions kept for watches." default:"10000"`
 }
 
 // Run serves the store until the process receives SIGINT or SIGTERM.
--- a/cmd/standin/worker.go
+++ b/cmd/standin/worker.go
@@ -24,11 +24,11 @@
 type WorkerCommand struct {
 	Count          int           `help:"Number of workers." default:"1"`
 	Listen         string        `help:"Address of the first worker. If its port is not 0, the other workers use the ports that follow." default:"127.0.0.1:0"`
-	Prefix         string        `help:"Names are the prefix and a number from 1." default:"worker-"`
+	Prefix         string        `help:"Prefix of the worker names, followed by a number from 1." default:"worker-"`
 	Region         string        `help:"Region of the workers." default:"region-1"`
 	FailureDomain  string        `help:"Failure domain of the workers." default:"domain-1"`
 	RackSize       int           `help:"Number of workers in a rack." default:"8"`
-	RackPrefix     string        `help:"Racks are the prefix and a number from 1." default:"rack-"`
+	RackPrefix     string        `help:"Prefix of the rack names, followed by a number from 1." default:"rack-"`
 	CPU            int64         `help:"Cores of each worker." default:"32"`
 	MemoryMB       int64         `help:"Memory of each worker in MB." name:"memory-mb" default:"131072"`
 	Accelerators   int64         `help:"Accelerators of each worker." default:"0"`
