--- a/standin/relay_test.go
+++ b/standin/relay_test.go
@@ -57,7 +57,7 @@
 	return err
 }
 
-// executedTxns returns the number of transactions that the store executedTxns.
+// executedTxns returns the number of transactions that the store has executed.
 func executedTxns(s *Store) int64 { return s.Faults().Counters().Executed[storetest.CallTxn] }
 
 // waitFor polls until reached returns true, and fails the test after 10 s. Another goroutine must
@@ -110,8 +110,8 @@
 	}
 }
 
-// TestRelayDelay guards against a delay that is not applied in both directions, and against one
-// that is applied to each chunk in turn, which would limit the throughput.
+// TestRelayDelay guards against a delay that is not applied in both directions. The delay must also
+// not be applied to each chunk in turn, which would limit the throughput.
 func TestRelayDelay(t *testing.T) {
 	t.Parallel()
 	// Encoding and decoding a value of 1 MiB takes longer than an ordinary call on a loaded
