--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -138,8 +138,8 @@
 	// reduces the run time of the demo by 2 s.
 	s.ListLag = 0
 	s.KeyFreshness, s.KeepaliveInterval, s.StoreCallTimeout = keyFreshness, time.Second, time.Second
-	// At this interval, instances in other regions receive the configuration revision
-	// of this instance, which an apply with a wait requires.
+	// Instances in other regions receive the configuration revision of this instance
+	// at this interval, which delays an apply that waits until they have it.
 	s.DigestIntervalCrossRegion = s.DigestInterval
 	return s
 }
