--- a/worker/client.go
+++ b/worker/client.go
@@ -32,7 +32,7 @@
 // Config limits the resources of a Client. Zero fields take their default.
 type Config struct {
 	Connections        int // per worker, for starts and results
-	ControlConnections int // per worker, for all other calls, so that waiting starts do not block them
+	ControlConnections int // per worker, for all other calls, so that starts that wait for an outcome do not block them
 	CallTimeout        time.Duration
 	DialTimeout        time.Duration
 	ResultTimeout      time.Duration
@@ -60,9 +60,9 @@
 	}
 }
 
-// Client implements the worker protocol over HTTP/1.1. It is safe for concurrent
-// use. It never retries a call that has side effects; net/http may retry a
-// lookup or the fetch of a result on a new connection.
+// Client implements API over HTTP/1.1. It is safe for concurrent use. It never
+// retries a call that has side effects; net/http may retry a lookup or the fetch
+// of a result on a new connection.
 type Client struct {
 	config           Config
 	taskTransport    *http.Transport
--- a/worker/client_test.go
+++ b/worker/client_test.go
@@ -173,7 +173,7 @@
 }
 
 // TestConnectionLimit guards against more connections to a worker than configured,
-// and against waiting starts blocking other calls.
+// and against starts that wait for an outcome blocking other calls.
 func TestConnectionLimit(t *testing.T) {
 	release := make(chan struct{})
 	var open, maxOpen atomic.Int32
--- a/worker/conn.go
+++ b/worker/conn.go
@@ -21,8 +21,8 @@
 	writesDisabled bool
 }
 
-// beginCall assigns the connection to a call. It does not enable writes again after
-// disableWrites.
+// beginCall prepares the connection for the next call. It does not enable writes
+// again after disableWrites.
 func (c *checkedConn) beginCall(check func() error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -71,7 +71,7 @@
 	return nil
 }
 
-// checkError wraps the error returned by the check of a start.
+// checkError wraps the error of a check that failed before a write.
 type checkError struct{ err error }
 
 func (e *checkError) Error() string { return "check before write: " + e.err.Error() }
--- a/worker/exchange.go
+++ b/worker/exchange.go
@@ -16,16 +16,16 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// workerCall describes one HTTP request to a worker and its reply.
+// workerCall describes one HTTP request to a worker and how its reply is decoded.
 type workerCall struct {
-	operation string
+	operation string // for error messages
 	method    string
 	address   Address
 	path      string
 	timeout   time.Duration
-	request   func() (Frame, error) // nil for no body
-	reply     func(body []byte) error
-	check     func() error
+	request   func() (Frame, error)   // encodes the request body; nil for no body
+	reply     func(body []byte) error // decodes the reply body
+	check     func() error            // called before each write; nil for no check
 }
 
 // exchange sends the request of one call and decodes the reply.
--- a/worker/frame.go
+++ b/worker/frame.go
@@ -57,8 +57,8 @@
 	return NewFrame(req, req.Payload)
 }
 
-// DecodeStart is the inverse of EncodeStart. It returns an error if the length of
-// the payload differs from PayloadBytes.
+// DecodeStart is the inverse of EncodeStart. It returns ErrIncomplete if the length
+// of the payload differs from PayloadBytes.
 func DecodeStart(body []byte) (StartRequest, error) {
 	var req StartRequest
 	tail, err := ParseFrame(body, &req)
--- a/worker/metrics.go
+++ b/worker/metrics.go
@@ -23,15 +23,15 @@
 	}
 }
 
-// Traffic returns the bytes sent to a worker and received from it since its
-// counters were created.
+// Traffic returns the number of bytes sent to a worker and received from it since
+// its counters were registered.
 func (c *Client) Traffic(address Address) (sent, received int64) {
 	counters := countersFor(c.config.Registry, address)
 	return counters.sent.Count(), counters.received.Count()
 }
 
-// UnregisterCounters unregisters the counters of a worker that no longer exists. Without it,
-// the registry grows with every replaced worker.
+// UnregisterCounters unregisters the counters of a worker that no longer exists.
+// Otherwise the registry would grow with every replaced worker.
 func (c *Client) UnregisterCounters(address Address) {
 	if c.config.Registry == nil {
 		return
--- a/worker/result.go
+++ b/worker/result.go
@@ -37,7 +37,7 @@
 		req.Bytes, req.Digest = resp.ContentLength, resp.Header.Get(DigestHeader)
 	}
 	if req.Bytes < 0 {
-		return WrapUnclear(call.operation, eris.Wrap(ErrIncomplete, "the reply has no length"))
+		return WrapUnclear(call.operation, eris.Wrap(ErrIncomplete, "the reply has no Content-Length header"))
 	}
 	if err := CopyResult(dst, resp.Body, req, c.config.MaxResultBytes); err != nil {
 		return WrapUnclear(call.operation, err)
--- a/worker/types.go
+++ b/worker/types.go
@@ -109,7 +109,7 @@
 	Attempt      task.Attempt   `json:"attempt"`
 	Team         task.Team      `json:"team"`
 	Class        string         `json:"class,omitempty"`
-	HomeInstance string         `json:"home,omitempty"` // home instance, which records the state of the task
+	HomeInstance string         `json:"home,omitempty"` // entry instance that records the state of the task
 	Owner        string         `json:"owner"`
 	Epoch        uint64         `json:"epoch"`
 	BootID       string         `json:"boot_id"`
@@ -129,7 +129,8 @@
 const InlineResultBytes = 256 << 10
 
 // StartReply confirms that the attempt was started. Outcome is set if the attempt
-// ended within Wait; a Result larger than InlineResultBytes is omitted.
+// ended within OutcomeWait of the request; a Result larger than InlineResultBytes
+// is omitted.
 type StartReply struct {
 	Started     bool          `json:"started"`
 	Clock       time.Duration `json:"clock_ns"`
@@ -138,7 +139,7 @@
 	ResultBytes int64         `json:"result_bytes,omitempty"`
 }
 
-// LookupReply is the state of one attempt on a worker. A reply with Known unset
+// LookupReply is the state of one attempt on a worker. If Known is false, the reply
 // proves that the attempt did not run and will not run, if BootID is the boot
 // of its start request and Clock is past its StartBy.
 type LookupReply struct {
