--- a/caller/backend.go
+++ b/caller/backend.go
@@ -28,15 +28,15 @@
 	return JobID{Team: task.Team(parts[0]), Service: task.Service(parts[1]), Key: parts[2]}, true
 }
 
-// JobStatus is the state of a job.
+// JobStatus is the state of a job and of its tasks.
 type JobStatus struct {
 	State    task.State // of the whole job
 	Repeated bool       // repeats an earlier submission with the same key and body
 	Tasks    []TaskStatus
 }
 
-// TaskStatus is the state of one task of a job. Outcome is nil until the task
-// has one; Status may omit Outcome.Result.
+// TaskStatus is the state of one task of a job. Outcome is nil until the task has
+// an outcome; Backend.Status may omit Outcome.Result.
 type TaskStatus struct {
 	Index   int
 	ID      task.ID
@@ -48,13 +48,13 @@
 // Backend executes the calls. Its errors are *errkind.Error values; any other
 // error is reported to the caller with an unknown outcome. Each call honours the
 // deadline of its context. A wait that expires before the job ends is not an
-// error: the reply has the state of the job at that time.
+// error: the returned status is that at the end of the wait.
 type Backend interface {
 	// Submit accepts the job that spec describes, authorized by the API key
-	// with this secret, and waits up to wait for it to finish. Fields that are
-	// set from the document (Kind, Urgency, Command, KeyID) are empty in spec.
-	// Deadline is that of the request body; without one, work of kind answer is
-	// due by the deadline of the context.
+	// with this secret, and waits up to wait for it to finish. The fields of
+	// spec that are set from the document (Kind, Urgency, Command) or the API
+	// key (KeyID) are empty. spec.Deadline is the deadline in the request body;
+	// without one, the deadline of the context applies to work of kind answer.
 	Submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (JobStatus, error)
 	// Status returns the state of a job.
 	Status(ctx context.Context, secret string, id JobID) (JobStatus, error)
--- a/caller/calls.go
+++ b/caller/calls.go
@@ -41,11 +41,11 @@
 	spec.SubmittedAt = s.now()
 	ctx, cancel, wait := s.withCallDeadline(r.Context(), deadline, wait)
 	defer cancel()
-	reply, err := s.backend.Submit(ctx, secret, spec, wait)
+	status, err := s.backend.Submit(ctx, secret, spec, wait)
 	if err != nil {
 		return httpjson.Response{}, err
 	}
-	return s.jobResponse(JobID{spec.Team, spec.Service, spec.IdempotencyKey}, reply)
+	return s.jobResponse(JobID{spec.Team, spec.Service, spec.IdempotencyKey}, status)
 }
 
 func (s *Server) status(r *http.Request) (httpjson.Response, error) {
@@ -72,11 +72,11 @@
 		return httpjson.Response{}, err
 	}
 	defer cancel()
-	reply, err := callBackend(call)
+	status, err := callBackend(call)
 	if err != nil {
 		return httpjson.Response{}, err
 	}
-	return s.jobResponse(call.id, reply)
+	return s.jobResponse(call.id, status)
 }
 
 // result returns the raw bytes of the result as the response body, so that they
@@ -103,20 +103,20 @@
 	return httpjson.Response{Status: http.StatusOK, Header: header, Body: outcome.Result}, nil
 }
 
-// jobResponse includes the result if the job has a single task, because callers of
-// interactive work wait only for the result.
-func (s *Server) jobResponse(id JobID, reply JobStatus) (httpjson.Response, error) {
-	job := api.Job{ID: id.String(), State: reply.State, Repeated: reply.Repeated, Tasks: []api.Task{}}
-	for _, taskState := range reply.Tasks {
-		apiTask := api.Task{Index: taskState.Index, ID: taskState.ID, State: taskState.State, Attempt: taskState.Attempt}
-		if outcome := taskState.Outcome; outcome != nil {
+// jobResponse includes the result if the job has a single task, so that callers of
+// interactive work, who wait only for the result, need no second call.
+func (s *Server) jobResponse(id JobID, status JobStatus) (httpjson.Response, error) {
+	job := api.Job{ID: id.String(), State: status.State, Repeated: status.Repeated, Tasks: []api.Task{}}
+	for _, taskStatus := range status.Tasks {
+		apiTask := api.Task{Index: taskStatus.Index, ID: taskStatus.ID, State: taskStatus.State, Attempt: taskStatus.Attempt}
+		if outcome := taskStatus.Outcome; outcome != nil {
 			if err := s.checkResult(*outcome); err != nil {
 				return httpjson.Response{}, err
 			}
 			apiTask.Attempt, apiTask.ExitCode, apiTask.Reason = outcome.Attempt.Number, outcome.ExitCode, outcome.Reason
 			apiTask.Worker, apiTask.RunTime, apiTask.Digest = outcome.Worker, api.Duration(outcome.RunTime), outcome.Digest
 			apiTask.ResultBytes = len(outcome.Result)
-			if len(reply.Tasks) == 1 {
+			if len(status.Tasks) == 1 {
 				apiTask.Result = outcome.Result
 			}
 		}
@@ -129,7 +129,7 @@
 // digest reported by the worker.
 func (s *Server) checkResult(outcome task.Outcome) error {
 	if int64(len(outcome.Result)) > s.cfg.MaxResultBytes {
-		return errkind.New(errkind.ResultTooLarge, "the result has %d bytes", len(outcome.Result)).
+		return errkind.New(errkind.ResultTooLarge, "the result of %d bytes is too large", len(outcome.Result)).
 			WithField("result", strconv.FormatInt(s.cfg.MaxResultBytes, 10)+" bytes")
 	}
 	if len(outcome.Result) == 0 || outcome.Digest == "" {
--- a/caller/decode.go
+++ b/caller/decode.go
@@ -62,7 +62,7 @@
 }
 
 // newSpec converts request to the specification of a job. Fields that are set from
-// the document are left empty.
+// the document or the API key are left empty.
 func newSpec(r *http.Request, request api.SubmitRequest) task.Spec {
 	spec := task.Spec{
 		Team:           task.Team(r.PathValue("team")),
--- a/caller/server.go
+++ b/caller/server.go
@@ -11,11 +11,11 @@
 	Limits         httpjson.Limits
 	MaxResultBytes int64         // result of one task
 	MaxWait        time.Duration // longest wait that a caller may request
-	CallTimeout    time.Duration // for a call without a wait, and on top of a wait
+	CallTimeout    time.Duration // of a call, in addition to its wait
 }
 
 // Server serves the HTTP interface for callers. Serve, BeginDrain and Shutdown are
-// inherited from httpjson.Server.
+// promoted from the embedded httpjson.Server.
 type Server struct {
 	*httpjson.Server
 	cfg     Config
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -23,14 +23,14 @@
 )
 
 // fakeBackend counts and records submissions. Every call returns the configured
-// reply or outcome, and err.
+// status or outcome, and err.
 type fakeBackend struct {
 	submitted int
 	spec      task.Spec
 	secret    string
 	deadline  time.Time // of the context
 	wait      time.Duration
-	reply     JobStatus
+	status    JobStatus
 	outcome   task.Outcome
 	err       error
 }
@@ -39,19 +39,19 @@
 	b.submitted++
 	b.spec, b.secret, b.wait = spec, secret, wait
 	b.deadline, _ = ctx.Deadline()
-	return b.reply, b.err
+	return b.status, b.err
 }
 
 func (b *fakeBackend) Status(context.Context, string, JobID) (JobStatus, error) {
-	return b.reply, b.err
+	return b.status, b.err
 }
 
 func (b *fakeBackend) Wait(context.Context, string, JobID, time.Duration) (JobStatus, error) {
-	return b.reply, b.err
+	return b.status, b.err
 }
 
 func (b *fakeBackend) Cancel(context.Context, string, JobID) (JobStatus, error) {
-	return b.reply, b.err
+	return b.status, b.err
 }
 
 func (b *fakeBackend) Result(context.Context, string, JobID, int) (task.Outcome, error) {
@@ -184,7 +184,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			backend := &fakeBackend{err: errors.New("reached")}
+			backend := &fakeBackend{err: errors.New("backend was called")}
 			cfg := testConfig()
 			if c.kind == string(errkind.RequestTimeout) {
 				cfg.Limits.ReadTimeout = 100 * time.Millisecond
@@ -216,7 +216,7 @@
 // TestSubmitForwardsRequest guards against a field that does not reach the
 // backend, and against the later of two deadlines being used.
 func TestSubmitForwardsRequest(t *testing.T) {
-	backend := &fakeBackend{reply: JobStatus{State: task.Accepted}}
+	backend := &fakeBackend{status: JobStatus{State: task.Accepted}}
 	_, address := serve(t, backend)
 	before := time.Now()
 	body := `{"idempotency_key":"k","class":"check","count":3,"size":{"slots":2},"declared_run":"90s","payload":"aGk=","deadline":"2999-01-01T00:00:00Z"}`
@@ -244,7 +244,7 @@
 // TestTruncatedRequestsAreRejected guards against a truncated request being
 // processed as a complete one, after whichever byte the connection ends.
 func TestTruncatedRequestsAreRejected(t *testing.T) {
-	backend := &fakeBackend{reply: JobStatus{State: task.Accepted}}
+	backend := &fakeBackend{status: JobStatus{State: task.Accepted}}
 	_, address := serve(t, backend)
 	complete := post(submitPath, validBody, "Authorization: Bearer s3")
 	for n := range len(complete) {
