--- a/httpjson/read.go
+++ b/httpjson/read.go
@@ -17,17 +17,17 @@
 func (s *Server) ReadBody(r *http.Request) ([]byte, error) {
 	limit := fmt.Sprintf("%d bytes", s.limits.MaxRequestBytes)
 	if r.ContentLength > s.limits.MaxRequestBytes {
-		return nil, errkind.New(errkind.RequestTooLarge, "the body has %d bytes", r.ContentLength).WithField("body", limit)
+		return nil, errkind.New(errkind.RequestTooLarge, "the body of %d bytes is too large", r.ContentLength).WithField("body", limit)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, s.limits.MaxRequestBytes))
 	var tooLarge *http.MaxBytesError
-	var network net.Error
+	var netErr net.Error
 	switch {
 	case err == nil:
 		return body, nil
 	case errors.As(err, &tooLarge):
 		return nil, errkind.New(errkind.RequestTooLarge, "the body is too large").WithField("body", limit)
-	case errors.As(err, &network) && network.Timeout():
+	case errors.As(err, &netErr) && netErr.Timeout():
 		return nil, errkind.New(errkind.RequestTimeout, "the body was not received within the read timeout").WithField("body", s.limits.ReadTimeout.String())
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return nil, errkind.New(errkind.InvalidRequest, "the body ends after %d bytes", len(body)).
@@ -64,8 +64,8 @@
 
 const bearerPrefix = "Bearer "
 
-// BearerSecret returns the API key secret in the Authorization header of r, or "" if r has
-// no such header.
+// BearerSecret returns the API key secret in the Authorization header of r, or "" if
+// r has no such header.
 func BearerSecret(r *http.Request) (string, error) {
 	value := r.Header.Get("Authorization")
 	if value == "" {
@@ -78,7 +78,8 @@
 	return secret, nil
 }
 
-// ParseWait returns the duration in the query parameter wait of r, or 0 if it is absent.
+// ParseWait returns the duration in the query parameter wait of r, or 0 if it is
+// absent. It rejects a duration above maxWait.
 func ParseWait(r *http.Request, maxWait time.Duration) (time.Duration, error) {
 	text := r.URL.Query().Get("wait")
 	if text == "" {
--- a/httpjson/response.go
+++ b/httpjson/response.go
@@ -34,39 +34,39 @@
 	}, nil
 }
 
-// DetailedError is an error that adds details to its error response, such as the faults
-// of a document.
+// DetailedError is an error that adds details to its error response, such as the
+// faults of a document.
 type DetailedError interface {
 	error
 	AddDetail(*api.Error)
 }
 
-// ErrorResponse returns the error response to a call that failed with err, as the table in
-// package errkind defines it.
+// ErrorResponse returns the error response to a call that failed with err, as
+// defined by the table in package errkind.
 func ErrorResponse(err error) Response {
-	e := withKind(err)
+	e := toKindError(err)
 	detail := api.ErrorFrom(e)
 	var detailed DetailedError
 	if errors.As(err, &detailed) {
 		detailed.AddDetail(&detail)
 	}
-	a, encodeErr := JSON(api.ErrorReply{Error: detail})
+	response, encodeErr := JSON(api.ErrorReply{Error: detail})
 	if encodeErr != nil {
 		return Response{Status: http.StatusInternalServerError}
 	}
-	a.Status = errkind.ResponseFor(e.Kind).Status
-	a.Header.Set(api.HeaderError, string(e.Kind))
+	response.Status = errkind.ResponseFor(e.Kind).Status
+	response.Header.Set(api.HeaderError, string(e.Kind))
 	if e.RetryAfter > 0 {
-		a.Header.Set("Retry-After", strconv.Itoa(ceilSeconds(e.RetryAfter)))
+		response.Header.Set("Retry-After", strconv.Itoa(ceilSeconds(e.RetryAfter)))
 	}
-	return a
+	return response
 }
 
-// withKind returns the *errkind.Error that err wraps. Any other error gets a kind that
-// leaves it open whether the work ran. If the deadline passed inside a backend, the
-// outcome is unknown, since the work may already have been forwarded. The text of
-// other errors may contain confidential data, so it is omitted.
-func withKind(err error) *errkind.Error {
+// toKindError returns the *errkind.Error that err wraps. Any other error gets a kind
+// whose fate is unknown. If the deadline passed inside a backend, the outcome is
+// unknown, since the work may already have been forwarded. The text of other errors
+// may contain confidential data, so it is omitted.
+func toKindError(err error) *errkind.Error {
 	var e *errkind.Error
 	if errors.As(err, &e) {
 		return e
@@ -77,27 +77,27 @@
 	return errkind.New(errkind.Internal, "internal error")
 }
 
-// ceilSeconds rounds up, since Retry-After has no smaller unit and a retry before
-// the hinted delay has passed is useless.
+// ceilSeconds rounds up to seconds, the unit of Retry-After, since a retry before the
+// hinted delay has passed is useless.
 func ceilSeconds(d time.Duration) int {
 	return int((d + time.Second - 1) / time.Second)
 }
 
-// write sends a with its length and digest, so that the peer can detect a truncated
-// response.
-func (s *Server) write(w http.ResponseWriter, a Response) {
-	// Fails only for response writers without deadlines, such as those of tests.
+// write sends the response with its length and digest, so that the client can detect
+// a truncated response.
+func (s *Server) write(w http.ResponseWriter, response Response) {
+	// Fails only for response writers without support for deadlines, such as those of tests.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.limits.WriteTimeout))
-	for name, values := range a.Header {
+	for name, values := range response.Header {
 		w.Header()[name] = values
 	}
-	sum := sha256.Sum256(a.Body)
+	sum := sha256.Sum256(response.Body)
 	w.Header().Set(api.HeaderDigest, "sha-256=:"+base64.StdEncoding.EncodeToString(sum[:])+":")
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.Header().Set("Content-Length", strconv.Itoa(len(response.Body)))
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	w.WriteHeader(a.Status)
-	// A failed write means that the peer has disconnected; the peer retries the call.
-	_, _ = w.Write(a.Body)
+	w.WriteHeader(response.Status)
+	// A failed write means that the client has disconnected; the client retries the call.
+	_, _ = w.Write(response.Body)
 }
--- a/httpjson/response_test.go
+++ b/httpjson/response_test.go
@@ -27,16 +27,16 @@
 		{errkind.New(errkind.StoreUnavailable, "lost").WithFate(errkind.FateUnknown), errkind.StoreUnavailable, errkind.FateUnknown},
 	}
 	for _, c := range cases {
-		a := ErrorResponse(c.err)
+		response := ErrorResponse(c.err)
 		var reply api.ErrorReply
-		if err := json.Unmarshal(a.Body, &reply); err != nil {
+		if err := json.Unmarshal(response.Body, &reply); err != nil {
 			t.Fatal(err)
 		}
-		if reply.Error.Kind != c.kind || reply.Error.Fate != c.fate || strings.Contains(string(a.Body), "password") {
-			t.Errorf("response to %v is %s", c.err, a.Body)
+		if reply.Error.Kind != c.kind || reply.Error.Fate != c.fate || strings.Contains(string(response.Body), "password") {
+			t.Errorf("response to %v is %s", c.err, response.Body)
 		}
-		if reply.Error.RetryAfter != 0 && a.Header.Get("Retry-After") != "2" {
-			t.Errorf("Retry-After = %q, want 2 (rounded up)", a.Header.Get("Retry-After"))
+		if reply.Error.RetryAfter != 0 && response.Header.Get("Retry-After") != "2" {
+			t.Errorf("Retry-After = %q, want 2 (rounded up)", response.Header.Get("Retry-After"))
 		}
 	}
 }
--- a/httpjson/server.go
+++ b/httpjson/server.go
@@ -41,7 +41,7 @@
 
 	mu          sync.Mutex
 	conns       int           // open connections
-	connsClosed chan struct{} // closed when conns reaches 0; nil without a waiter
+	connsClosed chan struct{} // closed when conns reaches 0; nil unless a call waits for it
 }
 
 // NewServer returns a server without paths; it rejects every request with an error
@@ -60,8 +60,9 @@
 	return s
 }
 
-// Handle registers a path. Other methods are rejected with a list of the allowed
-// ones, in the error format of this package, which http.ServeMux does not use.
+// Handle registers a path. Requests with other methods get an error response that
+// lists the allowed methods. http.ServeMux would reject them with a plain-text
+// response instead of the error format of this package.
 func (s *Server) Handle(path string, methods Methods) {
 	var allowed []string
 	for method, h := range methods {
@@ -92,11 +93,11 @@
 // handlerFunc adapts h to an http.HandlerFunc that writes a complete response.
 func (s *Server) handlerFunc(h Handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		a, err := h(r)
+		response, err := h(r)
 		if err != nil {
-			a = ErrorResponse(err)
+			response = ErrorResponse(err)
 		}
-		s.write(w, a)
+		s.write(w, response)
 	}
 }
 
@@ -127,8 +128,8 @@
 	}
 }
 
-// WaitConnectionsClosed waits until the peers have closed every connection or ctx is
-// done. The listener must be closed and BeginDrain called before. Closing an idle
+// WaitConnectionsClosed waits until the clients have closed every connection or ctx
+// is done. The listener must be closed and BeginDrain called before. Closing an idle
 // connection from this side could drop a request that is in transit.
 func (s *Server) WaitConnectionsClosed(ctx context.Context) {
 	s.mu.Lock()
@@ -147,8 +148,8 @@
 	}
 }
 
-// BeginDrain sets "Connection: close" on all further responses, which makes the peers
-// close their connections. Idle connections stay open: closing them could drop a
+// BeginDrain sets "Connection: close" on all further responses, which makes the
+// clients close their connections. Idle connections stay open: closing them could drop a
 // request that is in transit.
 func (s *Server) BeginDrain() { s.draining.Store(true) }
 
