--- a/operator/key.go
+++ b/operator/authenticate.go
@@ -16,12 +16,12 @@
 	Digest string // SHA-256 of the secret, in hex
 }
 
-// localOperator is the operator name that is recorded if the server requires no key.
+// localOperator is the operator name that is recorded if authentication is disabled.
 const localOperator = "local"
 
 // authenticate returns the name of the operator whose key was sent with r. It always
-// compares with every key, in constant time, so that the response time does not
-// reveal how close the secret is to any of them.
+// compares with every key, in constant time, so that the response time does
+// not reveal how close the secret is to any of them.
 func (s *Server) authenticate(r *http.Request) (string, error) {
 	if len(s.cfg.Keys) == 0 {
 		return localOperator, nil
--- a/operator/backend.go
+++ b/operator/backend.go
@@ -28,8 +28,8 @@
 	Ref              DocumentRef
 	Source           string // a valid document
 	Operator         string
-	ExpectedRevision int64         // revision that the operator has seen, 0 for none
-	Wait             time.Duration // limit on waiting for the change to be in force on every live member
+	ExpectedRevision int64         // revision that the change is based on, 0 for a new document
+	Wait             time.Duration // maximum wait until the change is in force on every live member
 }
 
 // Filter selects events of the timeline. Empty fields select all.
@@ -42,7 +42,8 @@
 
 // Backend executes the calls. Its errors are *errkind.Error or *Conflict values;
 // any other error is reported to the operator with an unknown outcome. Each call
-// honours the deadline of its context. The lists it returns are rows for display.
+// honours the deadline of its context. The api types that it returns are sent to the
+// operator unchanged, for display.
 type Backend interface {
 	// Apply replaces a document if its revision is the expected one, and
 	// returns a *Conflict otherwise. If Wait is set, it waits for the change to be
@@ -55,17 +56,17 @@
 	List(ctx context.Context) ([]StoredDocument, error)
 
 	// GrantKey creates a key and returns its secret, which is not stored.
-	GrantKey(ctx context.Context, by string, request api.GrantRequest) (api.GrantedKey, error)
+	GrantKey(ctx context.Context, operator string, request api.GrantRequest) (api.GrantedKey, error)
 	// WithdrawKey revokes a key. It is idempotent.
-	WithdrawKey(ctx context.Context, by string, team task.Team, id string) (api.Key, error)
+	WithdrawKey(ctx context.Context, operator string, team task.Team, id string) (api.Key, error)
 	// Keys lists the keys of a team, or of all teams.
 	Keys(ctx context.Context, team task.Team) ([]api.Key, error)
 
 	// Drain starts or ends the drain of one entry instance or worker.
-	Drain(ctx context.Context, by string, request api.DrainRequest) (api.DrainStatus, error)
+	Drain(ctx context.Context, operator string, request api.DrainRequest) (api.DrainStatus, error)
 	// ForceOwnership makes a member take over a unit whose owner and successors
 	// have failed.
-	ForceOwnership(ctx context.Context, by string, request api.ForceOwnershipRequest) (api.Ownership, error)
+	ForceOwnership(ctx context.Context, operator string, request api.ForceOwnershipRequest) (api.Ownership, error)
 
 	Workers(ctx context.Context) ([]api.Worker, error)
 	Shares(ctx context.Context) ([]api.Share, error)
@@ -75,7 +76,7 @@
 
 	// Healthy returns an error if this process should be restarted.
 	Healthy(ctx context.Context) error
-	// Ready returns an error if this instance should receive no calls, such as
-	// one of kind draining.
+	// Ready returns an error, such as one of kind draining, if this instance should
+	// receive no calls.
 	Ready(ctx context.Context) error
 }
--- a/operator/conflict.go
+++ b/operator/conflict.go
@@ -27,7 +27,7 @@
 		WithField("expect", fmt.Sprintf("%d, after a review of the other change", c.Current.Revision))
 }
 
-// AddDetail adds the last change, which led to the current revision.
+// AddDetail adds the change that led to the current revision.
 func (c *Conflict) AddDetail(detail *api.Error) {
 	detail.Conflict = &api.Conflict{
 		Expected:  c.Expected,
--- a/operator/documents.go
+++ b/operator/documents.go
@@ -36,7 +36,7 @@
 }
 
 func (s *Server) applyDocument(c call) (httpjson.Response, error) {
-	expected, err := parseExpected(c)
+	expected, err := parseExpectedRevision(c)
 	if err != nil {
 		return httpjson.Response{}, err
 	}
@@ -51,8 +51,8 @@
 	return httpjson.JSON(toAPIDocument(stored))
 }
 
-// diffDocument compares the document in the body with the one in force. A missing
-// document is treated as empty.
+// diffDocument compares the document in the body with the stored one. If none is
+// stored, it compares with an empty document.
 func (s *Server) diffDocument(c call) (httpjson.Response, error) {
 	ref, _, candidate, err := s.readDocument(c)
 	if err != nil {
@@ -108,9 +108,10 @@
 	return ref, nil
 }
 
-// parseExpected returns the expected revision for optimistic concurrency control. It
-// is required, so that no change replaces a revision that its operator has not seen.
-func parseExpected(c call) (int64, error) {
+// parseExpectedRevision returns the expected revision for optimistic concurrency
+// control. It is required, so that a change cannot overwrite a revision that its
+// operator has not read.
+func parseExpectedRevision(c call) (int64, error) {
 	text := c.URL.Query().Get("expect")
 	expected, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || expected < 0 {
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -19,11 +19,11 @@
 		return httpjson.Response{}, errkind.New(errkind.InvalidRequest, "the request must name exactly one entry instance or worker").
 			WithField("instance", "either instance or worker, "+document.NameRule)
 	}
-	drained, err := s.backend.Drain(c.ctx, c.operator, request)
+	status, err := s.backend.Drain(c.ctx, c.operator, request)
 	if err != nil {
 		return httpjson.Response{}, err
 	}
-	return httpjson.JSON(drained)
+	return httpjson.JSON(status)
 }
 
 var unitPattern = regexp.MustCompile(`^(w/[a-z][a-z0-9-]{0,62}|h)/(0|[1-9][0-9]{0,4})$`)
@@ -34,18 +34,18 @@
 		return httpjson.Response{}, err
 	}
 	if !unitPattern.MatchString(request.Unit) {
-		return httpjson.Response{}, errkind.New(errkind.InvalidRequest, "%.80q is not a unit", request.Unit).
+		return httpjson.Response{}, errkind.New(errkind.InvalidRequest, "%.80q is not a valid unit", request.Unit).
 			WithField("unit", "w/<region>/<n> for a worker partition, h/<n> for a request shard")
 	}
 	if request.Reason == "" || len(request.Reason) > maxNoteBytes {
-		return httpjson.Response{}, errkind.New(errkind.InvalidRequest, "a forced takeover needs a reason, which is recorded").
+		return httpjson.Response{}, errkind.New(errkind.InvalidRequest, "the reason for the forced takeover, which is recorded, is empty or too long").
 			WithField("reason", "1 to 200 bytes")
 	}
-	forced, err := s.backend.ForceOwnership(c.ctx, c.operator, request)
+	ownership, err := s.backend.ForceOwnership(c.ctx, c.operator, request)
 	if err != nil {
 		return httpjson.Response{}, err
 	}
-	return httpjson.JSON(forced)
+	return httpjson.JSON(ownership)
 }
 
 func (s *Server) workers(c call) (httpjson.Response, error) {
--- a/operator/keys.go
+++ b/operator/keys.go
@@ -10,6 +10,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
+// maxNoteBytes limits the note of a key and the reason of a forced takeover.
 const maxNoteBytes = 200
 
 func (s *Server) grantKey(c call) (httpjson.Response, error) {
@@ -30,11 +31,11 @@
 func checkGrant(request api.GrantRequest) error {
 	switch {
 	case !document.IsValidName(string(request.Team)):
-		return errkind.New(errkind.InvalidRequest, "%.80q is not a name", request.Team).WithField("team", document.NameRule)
+		return errkind.New(errkind.InvalidRequest, "%.80q is not a valid name", request.Team).WithField("team", document.NameRule)
 	case request.Role != "" && !document.IsValidName(request.Role):
-		return errkind.New(errkind.InvalidRequest, "%.80q is not a name", request.Role).WithField("role", document.NameRule)
+		return errkind.New(errkind.InvalidRequest, "%.80q is not a valid name", request.Role).WithField("role", document.NameRule)
 	case len(request.Note) > maxNoteBytes:
-		return errkind.New(errkind.InvalidRequest, "the note has %d bytes", len(request.Note)).
+		return errkind.New(errkind.InvalidRequest, "the note of %d bytes is too long", len(request.Note)).
 			WithField("note", "at most "+strconv.Itoa(maxNoteBytes)+" bytes")
 	}
 	return nil
--- a/operator/observe.go
+++ b/operator/observe.go
@@ -21,11 +21,11 @@
 	if err != nil {
 		return httpjson.Response{}, err
 	}
-	merged, err := s.backend.Timeline(c.ctx, filter)
+	timeline, err := s.backend.Timeline(c.ctx, filter)
 	if err != nil {
 		return httpjson.Response{}, err
 	}
-	return httpjson.JSON(merged)
+	return httpjson.JSON(timeline)
 }
 
 func (s *Server) parseFilter(c call) (Filter, error) {
--- a/operator/server.go
+++ b/operator/server.go
@@ -16,15 +16,15 @@
 type Config struct {
 	Limits      httpjson.Limits
 	MaxWait     time.Duration // longest wait that an operator may request
-	CallTimeout time.Duration // for a call without a wait, and on top of a wait
+	CallTimeout time.Duration // of a call, in addition to its wait
 	Regions     []string      // of the deployment; a document that names any other region is invalid
-	Keys        []Key         // empty: no authentication, for servers on loopback addresses
+	Keys        []Key         // empty disables authentication, for servers on loopback addresses
 	Metrics     metrics.Registry
 	Pprof       bool // profiles expose memory of the process, so they are off by default
 }
 
 // Server serves the HTTP interface for operators. Serve, BeginDrain and Shutdown are
-// inherited from httpjson.Server.
+// promoted from the embedded httpjson.Server.
 type Server struct {
 	*httpjson.Server
 	cfg     Config
@@ -104,20 +104,20 @@
 // handlePprof registers the pprof handlers explicitly: importing net/http/pprof
 // registers them only with http.DefaultServeMux, which this server does not use.
 func (s *Server) handlePprof() {
-	pages := map[string]http.HandlerFunc{
+	handlers := map[string]http.HandlerFunc{
 		"/debug/pprof/":        pprof.Index,
 		"/debug/pprof/cmdline": pprof.Cmdline,
 		"/debug/pprof/profile": pprof.Profile,
 		"/debug/pprof/symbol":  pprof.Symbol,
 		"/debug/pprof/trace":   pprof.Trace,
 	}
-	for path, page := range pages {
+	for path, handler := range handlers {
 		s.HandleRaw(path, func(w http.ResponseWriter, r *http.Request) {
 			if _, err := s.authenticate(r); err != nil {
 				http.Error(w, err.Error(), http.StatusForbidden)
 				return
 			}
-			page(w, r)
+			handler(w, r)
 		})
 	}
 }
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -22,7 +22,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// fakeBackend stores one document in memory and counts all changes of other kinds.
+// fakeBackend stores one document in memory and counts the calls that change
+// anything else.
 type fakeBackend struct {
 	stored  StoredDocument
 	changes int
@@ -51,9 +52,9 @@
 	return []StoredDocument{b.stored}, nil
 }
 
-func (b *fakeBackend) GrantKey(_ context.Context, by string, r api.GrantRequest) (api.GrantedKey, error) {
+func (b *fakeBackend) GrantKey(_ context.Context, operator string, r api.GrantRequest) (api.GrantedKey, error) {
 	b.changes++
-	return api.GrantedKey{Key: api.Key{ID: "k1", Team: r.Team, Role: r.Role, GrantedBy: by}, Secret: "s"}, nil
+	return api.GrantedKey{Key: api.Key{ID: "k1", Team: r.Team, Role: r.Role, GrantedBy: operator}, Secret: "s"}, nil
 }
 
 func (b *fakeBackend) WithdrawKey(context.Context, string, task.Team, string) (api.Key, error) {
