--- a/client/caller.go
+++ b/client/caller.go
@@ -13,7 +13,7 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// Result is the result of one task.
+// Result is the result of one task, as raw bytes.
 type Result struct {
 	Data    []byte
 	Attempt string // "<task>#<attempt>"
@@ -51,11 +51,11 @@
 	if err != nil {
 		return Result{}, err
 	}
-	got, err := c.do(ctx, apiCall{method: http.MethodGet, path: path + "/result?index=" + strconv.Itoa(index)})
+	response, err := c.do(ctx, apiCall{method: http.MethodGet, path: path + "/result?index=" + strconv.Itoa(index)})
 	if err != nil {
 		return Result{}, err
 	}
-	return Result{Data: got.body, Attempt: got.header.Get(api.HeaderTask)}, nil
+	return Result{Data: response.body, Attempt: response.header.Get(api.HeaderTask)}, nil
 }
 
 func (c *Client) callJob(ctx context.Context, method, job, suffix string) (api.Job, error) {
--- a/client/client.go
+++ b/client/client.go
@@ -11,7 +11,8 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 )
 
-// Config holds the addresses and the credentials for the calls.
+// Config holds the addresses of the entry instances, the API key and the limits of
+// a Client.
 type Config struct {
 	Addresses   []string      // host:port of entry instances; each of them serves every call
 	Secret      string        // of the API key; empty for services that accept submissions without a key
@@ -36,7 +37,7 @@
 	cfg          Config
 	http         *http.Client
 	budget       *retryBudget
-	addressIndex atomic.Uint64 // index of the address to call, modulo their number
+	addressIndex atomic.Uint64 // index of the address to call, modulo the number of addresses
 	jitter       func() float64
 	sleep        func(ctx context.Context, d time.Duration) error
 }
@@ -72,24 +73,24 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// apiCall is one call. Retries send it several times.
+// apiCall is one call of the API. Each retry sends it again.
 type apiCall struct {
 	method string
 	path   string // with the query
 	body   []byte
 }
 
-// do sends call until it receives a response or an error that is not retryable, or
-// until the attempts or the retry budget are used up.
+// do sends call until it receives a successful response or an error that is not
+// retryable, or until the attempts or the retry budget are exhausted.
 func (c *Client) do(ctx context.Context, call apiCall) (verifiedResponse, error) {
 	if len(c.cfg.Addresses) == 0 {
 		return verifiedResponse{}, errkind.New(errkind.InvalidRequest, "no entry instance address is configured").WithField("server", "host:port")
 	}
 	c.budget.addCall()
 	for attempt := 1; ; attempt++ {
-		got, err := c.sendOnce(ctx, c.currentAddress(), call)
+		response, err := c.sendOnce(ctx, c.currentAddress(), call)
 		if err == nil {
-			return got, nil
+			return response, nil
 		}
 		e := errkind.From(err)
 		if attempt == maxAttempts || !isRetryable(e) || !c.budget.takeRetry() {
@@ -113,9 +114,9 @@
 	maxDelay  = 2 * time.Second
 )
 
-// retryDelay returns the retry hint of the response, or exponential backoff without
-// one, plus jitter of up to 50% so that clients that were rejected at the same time
-// do not retry at the same time.
+// retryDelay returns the delay that the error response requests, or exponential
+// backoff if it requests none, plus jitter of up to 50% so that clients that were
+// rejected at the same time do not retry at the same time.
 func (c *Client) retryDelay(e *errkind.Error, attempt int) time.Duration {
 	d := e.RetryAfter
 	if d <= 0 {
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -23,12 +23,12 @@
 }
 
 // Error is an error response from an entry instance. It unwraps to an
-// *errkind.Error; Detail also has the faults or the conflict of a document.
+// *errkind.Error; Detail also holds the faults or the conflict of a document.
 type Error struct {
 	Detail api.Error
 }
 
-// Error returns the text of the kind, the field and the message.
+// Error returns the kind, the field and the message.
 func (e *Error) Error() string { return e.kindError().Error() }
 
 // Unwrap returns the error as an *errkind.Error.
@@ -61,7 +61,7 @@
 		return verifiedResponse{}, responseError(call, err)
 	}
 	if response.Header.Get(api.HeaderError) != "" || response.StatusCode != http.StatusOK {
-		return verifiedResponse{}, errorReply(call, response, body)
+		return verifiedResponse{}, parseErrorResponse(call, response, body)
 	}
 	return verifiedResponse{header: response.Header, body: body}, nil
 }
@@ -69,7 +69,7 @@
 func (c *Client) newRequest(ctx context.Context, address string, call apiCall) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, call.method, "http://"+address+call.path, bytes.NewReader(call.body))
 	if err != nil {
-		return nil, errkind.New(errkind.InvalidRequest, "the call cannot be sent: %v", err)
+		return nil, errkind.New(errkind.InvalidRequest, "cannot build the HTTP request: %v", err)
 	}
 	if c.cfg.Secret != "" {
 		request.Header.Set("Authorization", "Bearer "+c.cfg.Secret)
@@ -88,10 +88,10 @@
 
 var (
 	errTooLarge    = errors.New("the response exceeds the size limit of this client")
-	errWrongDigest = errors.New("the response does not match the digest in its header")
-	errNoDigest    = errors.New("the response has no digest")
-	errNoLength    = errors.New("the response has no length")
-	errTruncated   = errors.New("the response is shorter than the length in its header")
+	errWrongDigest = errors.New("the response body does not match its Content-Digest header")
+	errNoDigest    = errors.New("the response has no Content-Digest header")
+	errNoLength    = errors.New("the response has no Content-Length header")
+	errTruncated   = errors.New("the response body is shorter than its Content-Length header states")
 )
 
 // readResponse reads the whole body and checks its length and digest.
@@ -127,14 +127,14 @@
 // call. The fate is known only if no connection was established, or if the call is
 // read-only.
 func sendError(ctx context.Context, call apiCall, err error) error {
-	var network *net.OpError
-	notSent := errors.As(err, &network) && network.Op == "dial"
+	var opErr *net.OpError
+	notSent := errors.As(err, &opErr) && opErr.Op == "dial"
 	switch {
 	case notSent && ctx.Err() == nil:
 		return errkind.New(errkind.Unreachable, "cannot connect to the entry instance: %v", err)
-	case ctx.Err() != nil && (notSent || call.isRead()):
+	case ctx.Err() != nil && (notSent || call.isReadOnly()):
 		return errkind.New(errkind.DeadlineExceeded, "the deadline of the call has passed")
-	case call.isRead():
+	case call.isReadOnly():
 		return errkind.New(errkind.Unreachable, "no response from the entry instance: %v", err)
 	}
 	return errkind.New(errkind.OutcomeUnknown, "the call was sent, but no response was received: %v", err)
@@ -143,33 +143,33 @@
 // responseError returns the error of a call whose response is incomplete, with the
 // fate of the call.
 func responseError(call apiCall, err error) error {
-	if call.isRead() {
+	if call.isReadOnly() {
 		return errkind.New(errkind.ResultIncomplete, "%v", err)
 	}
 	return errkind.New(errkind.OutcomeUnknown, "%v", err)
 }
 
-func (c apiCall) isRead() bool { return c.method == http.MethodGet }
+func (c apiCall) isReadOnly() bool { return c.method == http.MethodGet }
 
-// errorReply decodes an error response. A response in another format comes from an
-// intermediary, such as a proxy, and does not indicate whether the work ran.
-func errorReply(call apiCall, response *http.Response, body []byte) error {
+// parseErrorResponse decodes an error response. A response in another format comes
+// from an intermediary, such as a proxy, and does not indicate whether the work ran.
+func parseErrorResponse(call apiCall, response *http.Response, body []byte) error {
 	var decoded api.ErrorReply
 	if err := json.Unmarshal(body, &decoded); err != nil || decoded.Error.Kind == "" {
-		if call.isRead() {
-			return errkind.New(errkind.Unreachable, "the response %s is not from an entry instance", response.Status)
+		if call.isReadOnly() {
+			return errkind.New(errkind.Unreachable, "the response with status %s is not from an entry instance", response.Status)
 		}
-		return errkind.New(errkind.OutcomeUnknown, "the response %s is not from an entry instance", response.Status)
+		return errkind.New(errkind.OutcomeUnknown, "the response with status %s is not from an entry instance", response.Status)
 	}
 	return &Error{Detail: decoded.Error}
 }
 
-func decode[T any](got verifiedResponse, err error) (T, error) {
+func decode[T any](response verifiedResponse, err error) (T, error) {
 	var out T
 	if err != nil {
 		return out, err
 	}
-	if err := json.Unmarshal(got.body, &out); err != nil {
+	if err := json.Unmarshal(response.body, &out); err != nil {
 		return out, errkind.New(errkind.ResultIncomplete, "the response cannot be decoded: %v", err)
 	}
 	return out, nil
--- a/client/operator.go
+++ b/client/operator.go
@@ -34,18 +34,18 @@
 	return decode[api.Document](c.do(ctx, apiCall{method: http.MethodPut, path: path, body: source}))
 }
 
-// Diff compares source with the document in force.
+// Diff compares source with the stored document.
 func (c *Client) Diff(ctx context.Context, team, service string, source []byte) (api.Diff, error) {
 	path := documentPath(team, service) + "/diff"
 	return decode[api.Diff](c.do(ctx, apiCall{method: http.MethodPost, path: path, body: source}))
 }
 
-// GrantKey creates a key.
+// GrantKey creates an API key.
 func (c *Client) GrantKey(ctx context.Context, request api.GrantRequest) (api.GrantedKey, error) {
 	return post[api.GrantedKey](ctx, c, "/v1/keys", request)
 }
 
-// WithdrawKey revokes a key.
+// WithdrawKey revokes an API key.
 func (c *Client) WithdrawKey(ctx context.Context, team, id string) (api.Key, error) {
 	path := "/v1/keys/" + url.PathEscape(team) + "/" + url.PathEscape(id)
 	return decode[api.Key](c.do(ctx, apiCall{method: http.MethodDelete, path: path}))
@@ -62,7 +62,8 @@
 	return post[api.DrainStatus](ctx, c, "/v1/drain", request)
 }
 
-// ForceOwnership makes a member take over a unit.
+// ForceOwnership makes a member take over a unit whose owner and successors have
+// failed.
 func (c *Client) ForceOwnership(ctx context.Context, request api.ForceOwnershipRequest) (api.Ownership, error) {
 	return post[api.Ownership](ctx, c, "/v1/ownership/force", request)
 }
@@ -77,7 +78,7 @@
 	return decode[api.Shares](c.do(ctx, apiCall{method: http.MethodGet, path: "/v1/shares"}))
 }
 
-// Members lists the entry instances.
+// Members lists the live entry instances.
 func (c *Client) Members(ctx context.Context) (api.Members, error) {
 	return decode[api.Members](c.do(ctx, apiCall{method: http.MethodGet, path: "/v1/members"}))
 }
@@ -89,7 +90,7 @@
 	Limit      int
 }
 
-// Timeline returns the merged timeline.
+// Timeline returns the merged timeline of all members.
 func (c *Client) Timeline(ctx context.Context, filter TimelineFilter) (api.Timeline, error) {
 	query := url.Values{}
 	for name, value := range map[string]string{"task": filter.Task, "team": filter.Team, "since": filter.Since} {
@@ -111,8 +112,8 @@
 func post[T any](ctx context.Context, c *Client, path string, request any) (T, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
-		var none T
-		return none, errkind.New(errkind.InvalidRequest, "the request cannot be encoded: %v", err)
+		var zero T
+		return zero, errkind.New(errkind.InvalidRequest, "the request cannot be encoded: %v", err)
 	}
 	return decode[T](c.do(ctx, apiCall{method: http.MethodPost, path: path, body: body}))
 }
