--- a/api/document.go
+++ b/api/document.go
@@ -6,8 +6,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Document is a document as stored on an entry instance. Service is empty for
-// the document of a whole team.
+// Document is a document with its revision, as stored on an entry instance. Service
+// is empty for the document of a whole team.
 type Document struct {
 	Team      task.Team    `json:"team"`
 	Service   task.Service `json:"service,omitempty"`
@@ -30,9 +30,9 @@
 	After  string `json:"after,omitempty"`  // JSON; empty when the field was removed
 }
 
-// Diff is the difference between the document in force and another one.
+// Diff is the difference between the stored document and another one.
 type Diff struct {
-	Revision int64    `json:"revision"` // of the document in force, 0 for none
+	Revision int64    `json:"revision"` // of the stored document, 0 for none
 	Changes  []Change `json:"changes"`
 }
 
@@ -40,7 +40,7 @@
 // response to a change that expected another revision.
 type Conflict struct {
 	Expected  int64     `json:"expected"` // revision that the rejected change was based on
-	Revision  int64     `json:"revision"` // revision in force
+	Revision  int64     `json:"revision"` // current revision
 	ChangedBy string    `json:"by,omitempty"`
 	ChangedAt time.Time `json:"at,omitzero"`
 	Changes   []Change  `json:"changes"` // made by the last change
--- a/api/error.go
+++ b/api/error.go
@@ -10,7 +10,7 @@
 	Error Error `json:"error"`
 }
 
-// Error is the JSON form of an error that is sent to a peer.
+// Error is the JSON form of an error that is sent to a caller or an operator.
 type Error struct {
 	Kind       errkind.Kind   `json:"kind"`
 	Message    string         `json:"message"`
--- a/api/operator.go
+++ b/api/operator.go
@@ -7,7 +7,7 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// Key is a key of a team, without its secret.
+// Key is an API key of a team, without its secret.
 type Key struct {
 	ID          string    `json:"id"`
 	Team        task.Team `json:"team"`
@@ -24,14 +24,14 @@
 	Keys []Key `json:"keys"`
 }
 
-// GrantRequest requests a new key.
+// GrantRequest requests a new API key for a team.
 type GrantRequest struct {
 	Team task.Team `json:"team"`
 	Role string    `json:"role,omitempty"`
 	Note string    `json:"note,omitempty"`
 }
 
-// GrantedKey is a new key. No other response contains the secret.
+// GrantedKey is a new API key. No other response contains its secret.
 type GrantedKey struct {
 	Key
 	Secret string `json:"secret"`
@@ -126,7 +126,7 @@
 	TakeoverDelay Duration `json:"after,omitempty"` // delay before the takeover
 }
 
-// Timeline is a merged timeline.
+// Timeline is the merged timeline of all members that responded.
 type Timeline struct {
 	Events  []timeline.Event `json:"events"`
 	Missing []string         `json:"missing,omitempty"` // members that did not respond
