--- a/instancelist/client.go
+++ b/instancelist/client.go
@@ -24,12 +24,12 @@
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
 	keepAliveProbes   = 3
-	maxConnections    = 2 // one call in flight, and the next call after it has timed out
+	maxConnections    = 2 // one for the call in flight, one for the next call after a timeout
 	// maxReplyBytes allows about 4 KB for each of 16,000 instances, twice the
 	// number that the system is designed for.
 	maxReplyBytes = 64 << 20
-	// headerInstance lets the stand-in distinguish its callers; the platform
-	// ignores it.
+	// headerInstance lets the simulated platform of package standin distinguish its
+	// callers; the real platform ignores it.
 	headerInstance = "X-Instance"
 )
 
@@ -63,7 +63,7 @@
 		},
 	}
 	return &Client{cfg: cfg, transport: &http.Transport{
-		Proxy:               nil, // peers are reached directly
+		Proxy:               nil, // the platform is reached without a proxy
 		DialContext:         dialer.DialContext,
 		MaxConnsPerHost:     maxConnections,
 		MaxIdleConns:        maxConnections,
@@ -101,7 +101,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("unexpected status %d", response.StatusCode)
+		return nil, fmt.Errorf("unexpected HTTP status %d", response.StatusCode)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
 	if err != nil {
--- a/instancelist/instancelist.go
+++ b/instancelist/instancelist.go
@@ -5,7 +5,7 @@
 	"errors"
 )
 
-// Role is the kind of process that runs on an instance.
+// Role is the kind of process that an instance runs.
 type Role string
 
 // The roles.
