--- a/document/class.go
+++ b/document/class.go
@@ -10,7 +10,7 @@
 // Limits of the fields of a class.
 const (
 	maxCrossRegionWait = time.Hour
-	maxAnswerRun       = 15 * time.Minute // the caller waits on an open connection
+	maxAnswerRun       = 15 * time.Minute // short, because the caller waits on an open connection
 	maxBatchRun        = 30 * 24 * time.Hour
 	maxTasksPerJob     = 10_000
 	maxClasses         = 200
--- a/document/complete.go
+++ b/document/complete.go
@@ -51,15 +51,15 @@
 			return invalidRequest("size."+a.name, fmt.Sprintf("a task of class %s cannot have %d", class.Name, a.value), fmt.Sprintf("0 to %d", limit))
 		}
 	}
-	for _, amount := range []struct{ requested, fallback *int64 }{
+	for _, resource := range []struct{ requested, classAmount *int64 }{
 		{&spec.Size.CPUMilli, &class.Size.CPUMilli},
 		{&spec.Size.MemoryMB, &class.Size.MemoryMB},
 		{&spec.Size.Accelerators, &class.Size.Accelerators},
 		{&spec.Size.Slots, &class.Size.Slots},
 		{&spec.Size.Connections, &class.Size.Connections},
 	} {
-		if *amount.requested == 0 {
-			*amount.requested = *amount.fallback
+		if *resource.requested == 0 {
+			*resource.requested = *resource.classAmount
 		}
 	}
 	return nil
--- a/document/diff.go
+++ b/document/diff.go
@@ -18,8 +18,8 @@
 	After  string
 }
 
-// Diff lists the fields that differ. It compares documents with defaults filled
-// in, so writing out a default is not a change. Classes are matched by name, so
+// Diff lists the fields that differ. It compares documents with defaults filled in,
+// so an explicit default value is not a change. Classes are matched by name, so
 // reordering them is not a change either.
 func Diff(before, after Document) []Change {
 	oldValues, oldPaths := flatten(before)
@@ -41,8 +41,8 @@
 	return changes
 }
 
-// indexOf returns the index of path in newPaths, or in oldPaths if the new document
-// does not have it.
+// indexOf returns the index of path in newPaths, or in oldPaths if newPaths does not
+// contain it.
 func indexOf(newPaths, oldPaths []string, path string) int {
 	if i := slices.Index(newPaths, path); i >= 0 {
 		return i
@@ -75,7 +75,7 @@
 			f.add(fmt.Sprintf("%s[%s]", path, class.Name), reflect.ValueOf(class))
 		}
 	default:
-		f.values[path] = jsonOf(v)
+		f.values[path] = encodeJSON(v)
 		f.paths = append(f.paths, path)
 	}
 }
@@ -90,7 +90,7 @@
 	}
 }
 
-func jsonOf(v reflect.Value) string {
+func encodeJSON(v reflect.Value) string {
 	value := v.Interface()
 	if d, ok := value.(time.Duration); ok {
 		value = d.String()
--- a/document/document.go
+++ b/document/document.go
@@ -17,9 +17,9 @@
 	Open             bool             `json:"open,omitempty"`              // the queue accepts work without a key
 	Classes          []Class          `json:"classes,omitempty"`           // kinds of work
 	Regions          []string         `json:"regions,omitempty"`           // allowed regions, nearest first; empty for all
-	SchedulingPolicy SchedulingPolicy `json:"weigh,omitempty"`             // policy of placement and fairness
+	SchedulingPolicy SchedulingPolicy `json:"weigh,omitempty"`             // policy of placement and fair sharing
 	CrossRegionWait  time.Duration    `json:"cross_region_wait,omitempty"` // expected wait above which work goes to another region
-	QueueLimit       int              `json:"queue_limit,omitempty"`       // most waiting tasks of the service at one owner; 0 for the limit in the settings
+	QueueLimit       int              `json:"queue_limit,omitempty"`       // maximum number of waiting tasks of the service at one owner; 0 for the limit in the settings
 }
 
 // Class is one kind of work of a service.
@@ -29,22 +29,23 @@
 	Urgency   task.Urgency   `json:"urgency"`
 	Size      task.Resources `json:"size"`                 // of one task, by default
 	MaxSize   task.Resources `json:"max_size"`             // largest size that a submission may request; Size if omitted
-	MaxCount  int            `json:"max_count"`            // most tasks in one job
-	MaxRun    time.Duration  `json:"max_run,omitempty"`    // longest run of one task; none for long-lived services
+	MaxCount  int            `json:"max_count"`            // maximum number of tasks in one job
+	MaxRun    time.Duration  `json:"max_run,omitempty"`    // maximum run time of one task; 0 for long-lived services
 	Command   string         `json:"command"`              // command that the worker runs
 	MaySubmit []string       `json:"may_submit,omitempty"` // roles whose keys may submit; empty for every key of the team
 }
 
-// SchedulingPolicy is a policy: what placement and fairness give most weight to for a service.
+// SchedulingPolicy selects the criteria to which placement and fair sharing give the
+// most weight for a service.
 type SchedulingPolicy string
 
-// The policies of placement and fairness.
+// The scheduling policies.
 const (
 	WaitingAndShare SchedulingPolicy = "waiting_and_share"
 	QuotesAndCost   SchedulingPolicy = "quotes_and_cost"
 )
 
-// SchedulingPolicies lists every policy.
+// SchedulingPolicies lists every scheduling policy.
 var SchedulingPolicies = []SchedulingPolicy{WaitingAndShare, QuotesAndCost}
 
 // Defaults of omitted fields.
@@ -73,7 +74,8 @@
 // NameRule describes the names that IsValidName accepts.
 const NameRule = "a name of 1 to 63 characters: a-z, 0-9 and -, starting with a letter, not ending with -"
 
-// IsValidName reports whether s is a valid name of a team, service, class, region or role.
+// IsValidName reports whether s is a valid name of a team, service, class, region,
+// role, instance, worker or operator.
 func IsValidName(s string) bool {
 	if s == "" || len(s) > maxNameBytes || s[len(s)-1] == '-' || s[0] < 'a' || s[0] > 'z' {
 		return false
--- a/document/document_test.go
+++ b/document/document_test.go
@@ -20,8 +20,8 @@
 	return `{"team": "pipes", "service": "nozzles", ` + fields + `}`
 }
 
-// TestFaults guards against accepting a document that cannot be carried out, and
-// against a fault that does not name its field.
+// TestFaults guards against accepting a document that cannot be applied, and against
+// a fault that does not name its field.
 func TestFaults(t *testing.T) {
 	class := func(old, replacement string) string {
 		return service(`"classes": [` + strings.Replace(validClass, old, replacement, 1) + `]`)
@@ -34,13 +34,13 @@
 		{"share of a service", service(`"share": 2, "classes": [` + validClass + `]`), "share"},
 		{"limit of a service", service(`"limit": {"slots": 1}, "classes": [` + validClass + `]`), "limit"},
 		{"classes of a team", team + `, "classes": []}`, "classes"},
-		{"share of zero", team + `, "share": 0}`, "share"},
+		{"zero share", team + `, "share": 0}`, "share"},
 		{"negative share", team + `, "share": -1}`, "share"},
 		{"no limit", `{"team": "pipes"}`, "limit"},
 		{"limit without connections", strings.Replace(team, `, "connections": 1`, "", 1) + `}`, "limit.connections"},
 		{"negative limit", strings.Replace(team, `"slots": 1`, `"slots": -1`, 1) + `}`, "limit.slots"},
 		{"no classes", service(`"classes": []`), "classes"},
-		{"class name twice", service(`"classes": [` + validClass + `, ` + validClass + `]`), "classes[1].name"},
+		{"duplicate class name", service(`"classes": [` + validClass + `, ` + validClass + `]`), "classes[1].name"},
 		{"unknown kind", class("durable", "eternal"), "classes[0].kind"},
 		{"no kind", class(`"kind": "durable",`, ""), "classes[0].kind"},
 		{"unknown urgency", class(`"size"`, `"urgency": "asap", "size"`), "classes[0].urgency"},
@@ -50,15 +50,15 @@
 		{"max_size below size", class(`"max_run"`, `"max_size": {"cpu_milli": 5}, "max_run"`), "classes[0].max_size.slots"},
 		{"no max_run", class(`"max_run": "5m",`, ""), "classes[0].max_run"},
 		{"max_run of a service", class("durable", "service"), "classes[0].max_run"},
-		{"answer that takes an hour", strings.Replace(class("durable", "answer"), "5m", "1h", 1), "classes[0].max_run"},
+		{"answer with max_run above the maximum", strings.Replace(class("durable", "answer"), "5m", "1h", 1), "classes[0].max_run"},
 		{"gang of one", class("durable", "gang"), "classes[0].max_count"},
 		{"no command", class(`"command": "check"`, `"command": ""`), "classes[0].command"},
-		{"role on an open queue", service(`"open": true, "classes": [` + strings.Replace(validClass, `"max_run"`, `"may_submit": ["ops"], "max_run"`, 1) + `]`), "classes[0].may_submit"},
-		{"region twice", service(`"regions": ["a", "a"], "classes": [` + validClass + `]`), "regions[1]"},
+		{"required role on an open queue", service(`"open": true, "classes": [` + strings.Replace(validClass, `"max_run"`, `"may_submit": ["ops"], "max_run"`, 1) + `]`), "classes[0].may_submit"},
+		{"duplicate region", service(`"regions": ["a", "a"], "classes": [` + validClass + `]`), "regions[1]"},
 		{"unknown weigh", service(`"weigh": "luck", "classes": [` + validClass + `]`), "weigh"},
 		{"negative wait", service(`"cross_region_wait": "-1s", "classes": [` + validClass + `]`), "cross_region_wait"},
-		{"queue limit of zero", service(`"queue_limit": 0, "classes": [` + validClass + `]`), "queue_limit"},
-		{"too long", strings.Repeat(" ", MaxBytes+1), ""},
+		{"zero queue limit", service(`"queue_limit": 0, "classes": [` + validClass + `]`), "queue_limit"},
+		{"document above the size limit", strings.Repeat(" ", MaxBytes+1), ""},
 	}
 	for _, c := range cases {
 		_, faults := Parse([]byte(c.src))
@@ -66,9 +66,9 @@
 			t.Errorf("%s: faults = %v, want one at %q", c.name, faults, c.path)
 		}
 	}
-	for _, good := range []string{team + `}`, service(`"classes": [` + validClass + `]`)} {
-		if _, faults := Parse([]byte(good)); len(faults) > 0 {
-			t.Errorf("%s: %v", good, faults)
+	for _, valid := range []string{team + `}`, service(`"classes": [` + validClass + `]`)} {
+		if _, faults := Parse([]byte(valid)); len(faults) > 0 {
+			t.Errorf("%s: %v", valid, faults)
 		}
 	}
 }
@@ -81,8 +81,8 @@
 	return d
 }
 
-// TestDiff guards against a change that is not listed, and against reordered
-// classes and written-out defaults being listed as changes.
+// TestDiff guards against a change that is not listed, and against reordered classes
+// and explicit default values being listed as changes.
 func TestDiff(t *testing.T) {
 	second := strings.Replace(validClass, `"check"`, `"span"`, 1)
 	before := mustParse(t, service(`"classes": [`+validClass+`, `+second+`]`))
@@ -104,8 +104,8 @@
 	}
 }
 
-// TestDiffAgreesWithMarshal compares Diff with a simple model: two documents differ
-// if and only if their JSON differs.
+// TestDiffAgreesWithMarshal checks that Diff reports a difference if and only if the
+// JSON of the two documents differs.
 func TestDiffAgreesWithMarshal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func(label string) Document {
@@ -116,10 +116,10 @@
 			return d
 		}
 		before, after := draw("before"), draw("after")
-		old, _ := jsonc.Marshal(before)
-		now, _ := jsonc.Marshal(after)
-		if differ := len(Diff(before, after)) > 0; differ != (string(old) != string(now)) {
-			t.Fatalf("Diff reports a difference: %v, for\n%s\n%s", differ, old, now)
+		beforeJSON, _ := jsonc.Marshal(before)
+		afterJSON, _ := jsonc.Marshal(after)
+		if differ := len(Diff(before, after)) > 0; differ != (string(beforeJSON) != string(afterJSON)) {
+			t.Fatalf("Diff reports a difference: %v, for\n%s\n%s", differ, beforeJSON, afterJSON)
 		}
 	})
 }
@@ -130,8 +130,8 @@
 	d := mustParse(t, service(`"regions": ["north", "south"], "classes": [{"name": "check", "kind": "durable",
 		"size": {"slots": 1, "memory_mb": 64}, "max_size": {"slots": 4, "memory_mb": 128}, "max_count": 3,
 		"max_run": "5m", "command": "check", "may_submit": ["engineer"]}]`))
-	good := task.Spec{Class: "check", Size: task.Resources{Slots: 4}, Count: 3, DeclaredRun: time.Minute, Regions: []string{"south"}}
-	spec, err := d.Complete(good, "engineer")
+	valid := task.Spec{Class: "check", Size: task.Resources{Slots: 4}, Count: 3, DeclaredRun: time.Minute, Regions: []string{"south"}}
+	spec, err := d.Complete(valid, "engineer")
 	if err != nil || spec.Kind != task.Durable || spec.Urgency != task.Normal || spec.Command != "check" ||
 		spec.Size != (task.Resources{Slots: 4, MemoryMB: 64}) {
 		t.Errorf("spec = %+v, error %v", spec, err)
@@ -151,20 +151,20 @@
 		{"region", func(s *task.Spec) { s.Regions = []string{"east"} }, errkind.InvalidRequest, "regions"},
 	}
 	for _, c := range cases {
-		bad := good
-		c.change(&bad)
-		_, err := d.Complete(bad, "engineer")
+		invalid := valid
+		c.change(&invalid)
+		_, err := d.Complete(invalid, "engineer")
 		if err == nil || err.Kind != c.kind || err.Field != c.field || err.Limit == "" {
 			t.Errorf("%s: error = %v", c.name, err)
 		}
 	}
-	if _, err := d.Complete(good, "clerk"); err == nil || err.Kind != errkind.KeyRefused {
+	if _, err := d.Complete(valid, "clerk"); err == nil || err.Kind != errkind.KeyRefused {
 		t.Errorf("wrong role: error = %v", err)
 	}
 }
 
-// TestLastChange guards against a conflict that shows other fields than those that
-// the other operator changed.
+// TestLastChange guards against a conflict that shows fields which the last change
+// did not modify.
 func TestLastChange(t *testing.T) {
 	r := Record{
 		Previous: service(`"classes": [` + validClass + `]`),
@@ -207,9 +207,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		again, faults := Parse(printed)
-		if len(faults) > 0 || len(Diff(d, again)) > 0 {
-			t.Errorf("marshaled document %s: faults %v, changes %v", printed, faults, Diff(d, again))
+		reparsed, faults := Parse(printed)
+		if len(faults) > 0 || len(Diff(d, reparsed)) > 0 {
+			t.Errorf("marshaled document %s: faults %v, changes %v", printed, faults, Diff(d, reparsed))
 		}
 	})
 }
--- a/document/parse.go
+++ b/document/parse.go
@@ -10,12 +10,12 @@
 )
 
 // MaxBytes limits the size of a document. The store holds two documents in one
-// value: the current one and the one that it replaced.
+// value: the current one and its predecessor.
 const MaxBytes = 64 << 10
 
-// Parse decodes and checks a document. It returns all faults in the order of the
-// source; the document is valid only if there are none. If the regions of the
-// deployment are given, the document may not name any other.
+// Parse decodes and checks a document. It returns all faults in the order of their
+// positions in src; the document is valid only if there are none. If the regions of
+// the deployment are given, the document may not name any other.
 func Parse(src []byte, regions ...string) (Document, []jsonc.Fault) {
 	if len(src) > MaxBytes {
 		return Document{}, []jsonc.Fault{{
@@ -55,7 +55,7 @@
 	case !c.Has(path):
 		c.AddFault(path, "the field is missing", NameRule)
 	case !IsValidName(value):
-		c.AddFault(path, fmt.Sprintf("%q is not a name", truncate(value)), NameRule)
+		c.AddFault(path, fmt.Sprintf("%q is not a valid name", truncate(value)), NameRule)
 	}
 }
 
@@ -77,7 +77,8 @@
 	c.limit(d.Limit)
 }
 
-// limit requires every amount, because an omitted one could mean zero or no limit.
+// limit checks a limit. Every amount is required, because an omitted one could mean
+// either zero or unlimited.
 func (c checker) limit(limit *task.Resources) {
 	const allowed = "an object with every one of cpu_milli, memory_mb, accelerators, slots, connections"
 	if limit == nil {
@@ -124,7 +125,7 @@
 	for i, name := range names {
 		namePath := fmt.Sprintf("%s[%d]", path, i)
 		if !IsValidName(name) {
-			c.AddFault(namePath, fmt.Sprintf("%q is not a name", truncate(name)), NameRule)
+			c.AddFault(namePath, fmt.Sprintf("%q is not a valid name", truncate(name)), NameRule)
 		}
 		if slices.Contains(names[:i], name) {
 			c.AddFault(namePath, fmt.Sprintf("duplicate name %q", truncate(name)), "each name once")
--- a/document/record.go
+++ b/document/record.go
@@ -3,11 +3,11 @@
 import "time"
 
 // Record is the stored form of a document. Previous makes it possible to show the
-// last change in a conflict. WriteID lets a writer that lost the reply of its
-// commit recognise its own write.
+// last change in a conflict. WriteID identifies the write, so that a writer that did
+// not receive the reply to its commit can detect whether it succeeded.
 type Record struct {
 	Source           string    `json:"source"`
-	Previous         string    `json:"previous,omitempty"`          // source that this one replaced
+	Previous         string    `json:"previous,omitempty"`          // source that this change replaced
 	PreviousRevision int64     `json:"previous_revision,omitempty"` // 0 if there was none
 	By               string    `json:"by,omitempty"`                // operator who made the change
 	At               time.Time `json:"at"`
