--- a/settings/check.go
+++ b/settings/check.go
@@ -18,8 +18,8 @@
 // checker checks decoded settings.
 type checker struct{ *jsonc.Checker }
 
-// fields checks each field on its own. The dependencies between fields are
-// checked by rules.
+// fields checks the value of each field. Constraints between fields are checked by
+// rules.
 func (c checker) fields(s Settings) {
 	v := reflect.ValueOf(s)
 	for i := range v.NumField() {
@@ -40,7 +40,7 @@
 func (c checker) operatorKeys(s Settings) {
 	for i, key := range s.OperatorKeys {
 		path := fmt.Sprintf("operator_keys[%d]", i)
-		c.Require(document.IsValidName(key.Name), path+".name", fmt.Sprintf("%q is not a name", key.Name), document.NameRule)
+		c.Require(document.IsValidName(key.Name), path+".name", fmt.Sprintf("%q is not a valid name", key.Name), document.NameRule)
 		c.Require(isDigest(key.Digest), path+".digest", "the value is not a SHA-256 digest", "64 hexadecimal digits, a-f in lower case")
 		duplicate := slices.ContainsFunc(s.OperatorKeys[:i], func(k OperatorKey) bool { return k.Digest == key.Digest })
 		c.Require(!duplicate, path+".digest", "duplicate digest", "a different secret for each operator")
@@ -79,7 +79,7 @@
 		{"instance", s.Instance}, {"region", s.Region}, {"failure_domain", s.FailureDomain},
 	} {
 		if c.Has(name.path) {
-			c.Require(document.IsValidName(name.value), name.path, fmt.Sprintf("%q is not a name", name.value), document.NameRule)
+			c.Require(document.IsValidName(name.value), name.path, fmt.Sprintf("%q is not a valid name", name.value), document.NameRule)
 		}
 	}
 	if !c.Has("regions") {
@@ -88,7 +88,7 @@
 	c.Require(len(s.Regions) > 0, "regions", "the list is empty", "at least one region")
 	for i, region := range s.Regions {
 		path := fmt.Sprintf("regions[%d]", i)
-		c.Require(document.IsValidName(region), path, fmt.Sprintf("%q is not a name", region), document.NameRule)
+		c.Require(document.IsValidName(region), path, fmt.Sprintf("%q is not a valid name", region), document.NameRule)
 		c.Require(!slices.Contains(s.Regions[:i], region), path, fmt.Sprintf("duplicate region %q", region), "each region once")
 	}
 	if c.Has("region") {
@@ -99,7 +99,7 @@
 const addressRule = `a numeric address with a port, such as "10.1.0.7:7070"`
 
 func (c checker) addresses(s Settings) {
-	settingOf := make(map[string]string)
+	pathByAddress := make(map[string]string)
 	for _, a := range []struct{ path, value string }{
 		{"caller_address", s.CallerAddress}, {"operator_address", s.OperatorAddress}, {"entry_address", s.EntryAddress},
 	} {
@@ -107,8 +107,8 @@
 			continue
 		}
 		c.address(a.path, a.value)
-		c.Require(settingOf[a.value] == "", a.path, fmt.Sprintf("the address is already used by %s", settingOf[a.value]), "a different address")
-		settingOf[a.value] = a.path
+		c.Require(pathByAddress[a.value] == "", a.path, fmt.Sprintf("the address is already used by %s", pathByAddress[a.value]), "a different address")
+		pathByAddress[a.value] = a.path
 	}
 	if entry, err := netip.ParseAddrPort(s.EntryAddress); err == nil {
 		c.Require(!entry.Addr().IsUnspecified(), "entry_address", "other instances cannot connect to an unspecified address", "an address of this instance")
@@ -133,5 +133,5 @@
 // fail or return different addresses on two instances.
 func (c checker) address(path, value string) {
 	parsed, err := netip.ParseAddrPort(value)
-	c.Require(err == nil && parsed.Port() != 0, path, fmt.Sprintf("%q is not an address", value), addressRule)
+	c.Require(err == nil && parsed.Port() != 0, path, fmt.Sprintf("%q is not a valid address", value), addressRule)
 }
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -25,9 +25,9 @@
 	return s
 }
 
-// setText sets a field from the text of a tag. It panics if the text does not fit
-// the type of the field, which is a bug in this package that the test of the
-// defaults detects.
+// setText sets a field from the text of a tag. It panics if the text is not valid for
+// the type of the field; such a bug in this package is detected by the test of the
+// defaults.
 func setText(field reflect.Value, text string) {
 	var err error
 	switch {
@@ -57,8 +57,8 @@
 	}
 }
 
-// Parse decodes and checks settings. It returns all faults in the order of the
-// source; the settings are valid only if there are none.
+// Parse decodes and checks settings. It returns all faults in the order of their
+// positions in src; the settings are valid only if there are none.
 func Parse(src []byte) (Settings, []jsonc.Fault) {
 	s := Default()
 	positions, faults := jsonc.Decode(src, &s, jsonc.WithComments)
@@ -70,8 +70,8 @@
 	return s, c.Faults()
 }
 
-// Load reads the settings file at path. The error has one line for each fault,
-// which starts with FILE:LINE:COLUMN.
+// Load reads the settings file at path. The error has one line for each fault; each
+// line starts with FILE:LINE:COLUMN.
 func Load(path string) (Settings, error) {
 	src, err := os.ReadFile(path)
 	if err != nil {
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -8,7 +8,7 @@
 	"github.com/mulberrydrum/mulberrydrum/jsonc"
 )
 
-// Reference returns the table of settings in docs/settings.md.
+// Reference returns the Markdown table of all settings for docs/settings.md.
 func Reference() string {
 	var b strings.Builder
 	b.WriteString("| setting | default | allowed | meaning |\n| --- | --- | --- | --- |\n")
--- a/settings/rules.go
+++ b/settings/rules.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// rules checks the dependencies between fields.
+// rules checks the constraints between fields.
 func (c checker) rules(s Settings) {
 	c.leaseRules(s)
 	c.workerRules(s)
@@ -25,7 +25,7 @@
 // the freshness of keys does not expire between two keepalives, which confirm it.
 func (c checker) leaseRules(s Settings) {
 	c.Require(s.KeepaliveInterval < s.StoreLeaseTTL/2, "keepalive_interval",
-		fmt.Sprintf("%s leaves no room for a second keepalive in store_lease_ttl", s.KeepaliveInterval),
+		fmt.Sprintf("%s does not allow a second keepalive within store_lease_ttl", s.KeepaliveInterval),
 		fmt.Sprintf("less than %s (half of store_lease_ttl)", s.StoreLeaseTTL/2))
 	c.Require(s.StoreCallTimeout <= s.KeepaliveInterval, "store_call_timeout",
 		fmt.Sprintf("a keepalive of %s would overlap the next one", s.StoreCallTimeout),
@@ -48,10 +48,10 @@
 	c.Require(s.StartValidity > s.WorkerSyncInterval, "start_validity",
 		fmt.Sprintf("%s expires before the next sync", s.StartValidity),
 		fmt.Sprintf("more than %s (worker_sync_interval)", s.WorkerSyncInterval))
-	const syncsInLease = 3
-	c.Require(s.TaskLease >= syncsInLease*s.WorkerSyncInterval, "worker_sync_interval",
-		fmt.Sprintf("%s allows fewer than %d syncs in task_lease", s.WorkerSyncInterval, syncsInLease),
-		fmt.Sprintf("at most %s (a third of task_lease)", s.TaskLease/syncsInLease))
+	const minSyncsPerLease = 3
+	c.Require(s.TaskLease >= minSyncsPerLease*s.WorkerSyncInterval, "worker_sync_interval",
+		fmt.Sprintf("%s allows fewer than %d syncs in task_lease", s.WorkerSyncInterval, minSyncsPerLease),
+		fmt.Sprintf("at most %s (a third of task_lease)", s.TaskLease/minSyncsPerLease))
 }
 
 // sizeRules ensures that an accepted value does not exceed a limit at a later stage.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -13,38 +13,38 @@
 "caller_address": "127.0.0.1:1", "operator_address": "127.0.0.1:2", "entry_address": "127.0.0.1:3",
 "store_endpoints": ["127.0.0.1:4"], "instance_list_endpoint": "127.0.0.1:5"`
 
-// TestFaults guards against accepting settings that contradict each other or that
-// no instance can run with.
+// TestFaults guards against accepting settings that contradict each other or with
+// which an instance cannot run.
 func TestFaults(t *testing.T) {
 	digest := strings.Repeat("0f", 32)
 	cases := []struct{ name, src, path string }{
 		{"no instance", strings.Replace(validFields, `"instance": "a", `, "", 1), "instance"},
-		{"region outside", strings.Replace(validFields, `"region": "north"`, `"region": "east"`, 1), "region"},
-		{"region twice", strings.Replace(validFields, `"south"`, `"north"`, 1), "regions[1]"},
+		{"region that is not in regions", strings.Replace(validFields, `"region": "north"`, `"region": "east"`, 1), "region"},
+		{"duplicate region", strings.Replace(validFields, `"south"`, `"north"`, 1), "regions[1]"},
 		{"host name", strings.Replace(validFields, "127.0.0.1:3", "localhost:3", 1), "entry_address"},
 		{"port 0", strings.Replace(validFields, "127.0.0.1:4", "127.0.0.1:0", 1), "store_endpoints[0]"},
-		{"address twice", strings.Replace(validFields, "127.0.0.1:3", "127.0.0.1:2", 1), "entry_address"},
-		{"entry address of no instance", strings.Replace(validFields, "127.0.0.1:3", "0.0.0.0:3", 1), "entry_address"},
+		{"duplicate address", strings.Replace(validFields, "127.0.0.1:3", "127.0.0.1:2", 1), "entry_address"},
+		{"unspecified entry address", strings.Replace(validFields, "127.0.0.1:3", "0.0.0.0:3", 1), "entry_address"},
 		{"operators without a key", strings.Replace(validFields, "127.0.0.1:2", "10.0.0.1:2", 1), "operator_address"},
 		{"short digest", validFields + `, "operator_keys": [{"name": "els", "digest": "0f"}]`, "operator_keys[0].digest"},
 		{"operator without a name", validFields + `, "operator_keys": [{"digest": "` + digest + `"}]`, "operator_keys[0].name"},
-		{"log level", validFields + `, "log_level": "loud"`, "log_level"},
+		{"unknown log level", validFields + `, "log_level": "loud"`, "log_level"},
 		{"unknown field", validFields + `, "store_ttl": "9s"`, "store_ttl"},
-		{"bound", validFields + `, "key_freshness": "11s"`, "key_freshness"},
-		{"negative", validFields + `, "clock_drift": -0.1`, "clock_drift"},
-		{"no unit", validFields + `, "task_lease": 30`, "task_lease"},
+		{"value above the maximum", validFields + `, "key_freshness": "11s"`, "key_freshness"},
+		{"negative value", validFields + `, "clock_drift": -0.1`, "clock_drift"},
+		{"duration without a unit", validFields + `, "task_lease": 30`, "task_lease"},
 		{"keepalive of half the lease", validFields + `, "store_lease_ttl": "6s"`, "keepalive_interval"},
-		{"slow store call", validFields + `, "store_call_timeout": "4s"`, "store_call_timeout"},
-		{"freshness below keepalive", validFields + `, "key_freshness": "3s"`, "key_freshness"},
-		{"lease below takeover", validFields + `, "task_lease": "14s"`, "task_lease"},
-		{"start refused before the next sync", validFields + `, "worker_sync_interval": "3s"`, "start_validity"},
-		{"margin takes the window", validFields + `, "clock_margin": "2500ms"`, "clock_margin"},
-		{"few syncs in a lease", validFields + `, "worker_sync_interval": "11s", "start_validity": "12s"`, "worker_sync_interval"},
-		{"durable above request", validFields + `, "max_request_bytes": 60000`, "max_durable_request_bytes"},
-		{"shard above transaction", validFields + `, "max_shard_bytes": 800000`, "ledger_txn_bytes"},
-		{"cross-region digests more often", validFields + `, "digest_interval": "6s"`, "digest_interval_cross_region"},
-		{"allowance", validFields + `, "allowance_interval": "31s"`, "allowance_idle"},
-		{"read timeout", validFields + `, "read_header_timeout": "11s"`, "read_timeout"},
+		{"store call timeout above the keepalive interval", validFields + `, "store_call_timeout": "4s"`, "store_call_timeout"},
+		{"key freshness not above the keepalive interval", validFields + `, "key_freshness": "3s"`, "key_freshness"},
+		{"task lease shorter than a takeover", validFields + `, "task_lease": "14s"`, "task_lease"},
+		{"start validity not above the sync interval", validFields + `, "worker_sync_interval": "3s"`, "start_validity"},
+		{"clock margin of half the promise window", validFields + `, "clock_margin": "2500ms"`, "clock_margin"},
+		{"fewer than three syncs per task lease", validFields + `, "worker_sync_interval": "11s", "start_validity": "12s"`, "worker_sync_interval"},
+		{"durable request limit above the request limit", validFields + `, "max_request_bytes": 60000`, "max_durable_request_bytes"},
+		{"shard limit above the transaction limit", validFields + `, "max_shard_bytes": 800000`, "ledger_txn_bytes"},
+		{"cross-region digest interval below the regional one", validFields + `, "digest_interval": "6s"`, "digest_interval_cross_region"},
+		{"allowance interval above the idle time", validFields + `, "allowance_interval": "31s"`, "allowance_idle"},
+		{"read timeout below the header timeout", validFields + `, "read_header_timeout": "11s"`, "read_timeout"},
 	}
 	for _, c := range cases {
 		_, faults := Parse([]byte(c.src + "}"))
@@ -53,7 +53,7 @@
 		}
 	}
 	if _, faults := Parse([]byte(validFields + `, "operator_keys": [{"name": "els", "digest": "` + digest + `"}]}`)); len(faults) > 0 {
-		t.Errorf("good settings: %v", faults)
+		t.Errorf("valid settings: %v", faults)
 	}
 }
 
@@ -75,8 +75,8 @@
 	}
 }
 
-// TestJSONIsParsed guards against settings that are printed in a form that the
-// daemon rejects.
+// TestJSONIsParsed guards against settings being printed in a form that the daemon
+// rejects.
 func TestJSONIsParsed(t *testing.T) {
 	s, faults := Parse([]byte(validFields + `, "store_lease_ttl": "7s"}`))
 	if len(faults) > 0 {
@@ -86,13 +86,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	again, faults := Parse(text)
-	if len(faults) > 0 || !reflect.DeepEqual(s, again) || !strings.Contains(string(text), `"store_lease_ttl": "7s"`) {
+	reparsed, faults := Parse(text)
+	if len(faults) > 0 || !reflect.DeepEqual(s, reparsed) || !strings.Contains(string(text), `"store_lease_ttl": "7s"`) {
 		t.Errorf("printed %s: %v", text, faults)
 	}
 }
 
-// TestLoadErrorNamesFile guards against a fault that does not name its file.
+// TestLoadErrorNamesFile guards against a line of the error without the file name
+// and the position of its fault.
 func TestLoadErrorNamesFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s.jsonc")
 	if err := os.WriteFile(path, []byte(validFields+",\n\"log_level\": 1, \"pprof\": 2}"), 0o600); err != nil {
@@ -116,8 +117,8 @@
 	}
 }
 
-// FuzzParse guards against a panic, and against accepted settings that are
-// rejected or changed after they were printed.
+// FuzzParse guards against a panic, and against accepted settings whose printed form
+// is rejected or parsed to other values.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(validFields + "}"))
 	f.Add([]byte(validFields + `, "operator_keys": [{"name": 1}, null], "clock_drift": 1e400}`))
@@ -131,7 +132,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if again, faults := Parse(text); len(faults) > 0 || !reflect.DeepEqual(s, again) {
+		if reparsed, faults := Parse(text); len(faults) > 0 || !reflect.DeepEqual(s, reparsed) {
 			t.Errorf("printed %s: %v", text, faults)
 		}
 	})
