--- a/document/parse.go
+++ b/document/parse.go
@@ -151,12 +151,12 @@
 	return texts
 }
 
-// maxShownBytes limits how much of an invalid value is quoted in a fault.
-const maxShownBytes = 80
+// maxQuotedBytes limits how much of an invalid value is quoted in a fault.
+const maxQuotedBytes = 80
 
 func truncate(s string) string {
-	if len(s) <= maxShownBytes {
+	if len(s) <= maxQuotedBytes {
 		return s
 	}
-	return strings.ToValidUTF8(s[:maxShownBytes], "") + "..."
+	return strings.ToValidUTF8(s[:maxQuotedBytes], "") + "..."
 }
