--- a/jsonc/decode.go
+++ b/jsonc/decode.go
@@ -16,7 +16,7 @@
 // Comments states whether a source text may contain comments and trailing commas.
 type Comments bool
 
-// The two values of Comments.
+// The values of Comments.
 const (
 	WithComments    Comments = true
 	WithoutComments Comments = false
@@ -75,40 +75,40 @@
 	bytesType    = reflect.TypeFor[[]byte]()
 )
 
-func (d *decoder) value(v hujson.Value, path string, to reflect.Value) {
+func (d *decoder) value(v hujson.Value, path string, target reflect.Value) {
 	d.positions.offsets[path] = v.StartOffset
 	if literal, ok := v.Value.(hujson.Literal); ok && literal.Kind() == 'n' {
-		d.addFault(v.StartOffset, path, "null is not allowed", "leave the field out, or "+describe(to.Type()))
+		d.addFault(v.StartOffset, path, "null is not allowed", "leave the field out, or "+describe(target.Type()))
 		return
 	}
-	if text, ok := to.Addr().Interface().(encoding.TextUnmarshaler); ok {
-		d.textValue(v, path, to.Type(), text)
+	if text, ok := target.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.textValue(v, path, target.Type(), text)
 		return
 	}
 	switch {
-	case to.Type() == durationType:
-		d.duration(v, path, to)
-	case to.Type() == bytesType:
-		d.bytes(v, path, to)
-	case to.Kind() == reflect.Pointer:
-		to.Set(reflect.New(to.Type().Elem()))
-		d.value(v, path, to.Elem())
-	case to.Kind() == reflect.Struct:
-		d.object(v, path, to)
-	case to.Kind() == reflect.Slice:
-		d.array(v, path, to)
+	case target.Type() == durationType:
+		d.duration(v, path, target)
+	case target.Type() == bytesType:
+		d.bytes(v, path, target)
+	case target.Kind() == reflect.Pointer:
+		target.Set(reflect.New(target.Type().Elem()))
+		d.value(v, path, target.Elem())
+	case target.Kind() == reflect.Struct:
+		d.object(v, path, target)
+	case target.Kind() == reflect.Slice:
+		d.array(v, path, target)
 	default:
-		d.scalar(v, path, to)
+		d.scalar(v, path, target)
 	}
 }
 
-func (d *decoder) object(v hujson.Value, path string, to reflect.Value) {
+func (d *decoder) object(v hujson.Value, path string, target reflect.Value) {
 	object, ok := v.Value.(*hujson.Object)
 	if !ok {
-		d.mismatch(v, path, to.Type())
+		d.mismatch(v, path, target.Type())
 		return
 	}
-	fields, names := fieldsOf(to.Type())
+	fields, names := fieldsOf(target.Type())
 	seen := make(map[string]int)
 	for _, member := range object.Members {
 		name := member.Name.Value.(hujson.Literal).String()
@@ -124,56 +124,56 @@
 			d.addFault(member.Name.StartOffset, memberPath, "unknown field", strings.Join(names, ", "))
 			continue
 		}
-		d.value(member.Value, memberPath, to.Field(index))
+		d.value(member.Value, memberPath, target.Field(index))
 	}
 }
 
-func (d *decoder) array(v hujson.Value, path string, to reflect.Value) {
+func (d *decoder) array(v hujson.Value, path string, target reflect.Value) {
 	array, ok := v.Value.(*hujson.Array)
 	if !ok {
-		d.mismatch(v, path, to.Type())
+		d.mismatch(v, path, target.Type())
 		return
 	}
-	to.Set(reflect.MakeSlice(to.Type(), len(array.Elements), len(array.Elements)))
+	target.Set(reflect.MakeSlice(target.Type(), len(array.Elements), len(array.Elements)))
 	for i, element := range array.Elements {
-		d.value(element, fmt.Sprintf("%s[%d]", path, i), to.Index(i))
+		d.value(element, fmt.Sprintf("%s[%d]", path, i), target.Index(i))
 	}
 }
 
-func (d *decoder) scalar(v hujson.Value, path string, to reflect.Value) {
+func (d *decoder) scalar(v hujson.Value, path string, target reflect.Value) {
 	literal, _ := v.Value.(hujson.Literal)
 	switch kind := literal.Kind(); {
-	case to.Kind() == reflect.String && kind == '"':
-		to.SetString(literal.String())
-	case to.Kind() == reflect.Bool && (kind == 't' || kind == 'f'):
-		to.SetBool(literal.Bool())
-	case to.CanInt() && kind == '0':
-		n, err := strconv.ParseInt(string(literal), 10, to.Type().Bits())
+	case target.Kind() == reflect.String && kind == '"':
+		target.SetString(literal.String())
+	case target.Kind() == reflect.Bool && (kind == 't' || kind == 'f'):
+		target.SetBool(literal.Bool())
+	case target.CanInt() && kind == '0':
+		n, err := strconv.ParseInt(string(literal), 10, target.Type().Bits())
 		if err != nil {
-			d.mismatch(v, path, to.Type())
+			d.mismatch(v, path, target.Type())
 			return
 		}
-		to.SetInt(n)
-	case to.CanFloat() && kind == '0':
+		target.SetInt(n)
+	case target.CanFloat() && kind == '0':
 		f, err := strconv.ParseFloat(string(literal), 64)
 		if err != nil {
-			d.mismatch(v, path, to.Type())
+			d.mismatch(v, path, target.Type())
 			return
 		}
-		to.SetFloat(f)
+		target.SetFloat(f)
 	default:
-		d.mismatch(v, path, to.Type())
+		d.mismatch(v, path, target.Type())
 	}
 }
 
-func (d *decoder) textValue(v hujson.Value, path string, t reflect.Type, to encoding.TextUnmarshaler) {
+func (d *decoder) textValue(v hujson.Value, path string, t reflect.Type, target encoding.TextUnmarshaler) {
 	literal, ok := v.Value.(hujson.Literal)
-	if !ok || literal.Kind() != '"' || to.UnmarshalText([]byte(literal.String())) != nil {
+	if !ok || literal.Kind() != '"' || target.UnmarshalText([]byte(literal.String())) != nil {
 		d.mismatch(v, path, t)
 	}
 }
 
-func (d *decoder) duration(v hujson.Value, path string, to reflect.Value) {
+func (d *decoder) duration(v hujson.Value, path string, target reflect.Value) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '"' {
 		d.mismatch(v, path, durationType)
@@ -184,13 +184,13 @@
 		d.mismatch(v, path, durationType)
 		return
 	}
-	to.SetInt(int64(parsed))
+	target.SetInt(int64(parsed))
 }
 
-// bytes decodes a literal without escapes directly from the source. Nearly every
-// payload has none, and unquoting it first took half of the time of a submission
-// of 1 MB.
-func (d *decoder) bytes(v hujson.Value, path string, to reflect.Value) {
+// bytes decodes a base64 string. A literal without escapes is decoded directly from
+// the source: nearly every payload has none, and unquoting it first took half of the
+// time of a submission of 1 MB.
+func (d *decoder) bytes(v hujson.Value, path string, target reflect.Value) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '"' {
 		d.mismatch(v, path, bytesType)
@@ -205,7 +205,7 @@
 		d.mismatch(v, path, bytesType)
 		return
 	}
-	to.SetBytes(decoded)
+	target.SetBytes(decoded)
 }
 
 func (d *decoder) mismatch(v hujson.Value, path string, want reflect.Type) {
--- a/jsonc/decode_test.go
+++ b/jsonc/decode_test.go
@@ -33,26 +33,26 @@
 func TestFaultsHavePositions(t *testing.T) {
 	cases := []struct{ name, src, want string }{
 		{"unknown field", "{\n  \"nam\": 1}", "2:3: nam: unknown field; allowed: name, wait, share, open, data, at, inner, maybe, many"},
-		{"other case", `{"Name": "a"}`, "1:2: Name: unknown field"},
+		{"name in another case", `{"Name": "a"}`, "1:2: Name: unknown field"},
 		{"field without a tag", `{"Plain": 1}`, "1:2: Plain: unknown field"},
 		{"duplicate name", "{\"name\":\"a\",\n\"name\":\"b\"}", "2:1: name: duplicate name, first on line 1; allowed: each name once"},
 		{"duplicate name by escape", `{"name":"a","n\u0061me":"b"}`, "1:13: name: duplicate name, first on line 1"},
 		{"null", `{"name": null}`, "1:10: name: null is not allowed; allowed: leave the field out, or a string"},
 		{"number for a string", `{"name": 7}`, "1:10: name: found 7; allowed: a string"},
 		{"fraction for a whole number", `{"inner": {"count": 1.5}}`, "1:21: inner.count: found 1.5; allowed: a whole number"},
-		{"beyond 64 bits", `{"inner": {"count": 9223372036854775808}}`, "1:21: inner.count: found 9223372036854775808"},
+		{"number beyond 64 bits", `{"inner": {"count": 9223372036854775808}}`, "1:21: inner.count: found 9223372036854775808"},
 		{"duration without a unit", `{"wait": "9"}`, `1:10: wait: found "9"; allowed: a duration such as "9s"`},
 		{"duration as a number", `{"wait": 9}`, "1:10: wait: found 9; allowed: a duration"},
 		{"second element", "{\"many\": [{},\n {\"count\": \"x\"}]}", "2:12: many[1].count: found \"x\""},
 		{"column in characters", `{"name": "é", "open": 1}`, "1:23: open: found 1; allowed: true or false"},
-		{"no object", `[]`, "1:1: found an array; allowed: an object with name"},
-		{"truncated", `{"name": "a"`, "1:13: unexpected end of input"},
-		{"empty", ``, "1:1: unexpected end of input"},
+		{"array instead of an object", `[]`, "1:1: found an array; allowed: an object with name"},
+		{"truncated input", `{"name": "a"`, "1:13: unexpected end of input"},
+		{"empty input", ``, "1:1: unexpected end of input"},
 		{"nested too deep", `{"many": ` + strings.Repeat("[", 40), "1:41: values are nested too deeply; allowed: at most 32 levels"},
 	}
 	for _, c := range cases {
-		var into outer
-		_, faults := Decode([]byte(c.src), &into, WithComments)
+		var got outer
+		_, faults := Decode([]byte(c.src), &got, WithComments)
 		if len(faults) != 1 || !strings.HasPrefix(faults[0].String(), c.want) {
 			t.Errorf("%s: faults = %v, want %s", c.name, faults, c.want)
 		}
@@ -63,10 +63,10 @@
 // invalid base64 being accepted.
 func TestBytes(t *testing.T) {
 	for src, want := range map[string]string{`"aGk="`: "hi", `"\u0061Gk\u003d"`: "hi", `""`: "", `"aGk"`: "fault", `"a*"`: "fault"} {
-		var into outer
-		_, faults := Decode([]byte(`{"data": `+src+`}`), &into, WithoutComments)
-		if got := string(into.Data); (len(faults) > 0) != (want == "fault") || len(faults) == 0 && got != want {
-			t.Errorf("%s: got %q, %v", src, got, faults)
+		var got outer
+		_, faults := Decode([]byte(`{"data": `+src+`}`), &got, WithoutComments)
+		if data := string(got.Data); (len(faults) > 0) != (want == "fault") || len(faults) == 0 && data != want {
+			t.Errorf("%s: got %q, %v", src, data, faults)
 		}
 	}
 }
@@ -79,8 +79,8 @@
 		`{"name": "\"` + brackets + `"}`,
 		"{ // \"" + brackets + "\n \"name\": \"a\" /* \" " + brackets + " */ }",
 	} {
-		var into outer
-		if _, faults := Decode([]byte(src), &into, WithComments); len(faults) > 0 {
+		var got outer
+		if _, faults := Decode([]byte(src), &got, WithComments); len(faults) > 0 {
 			t.Errorf("%s: %v", src, faults)
 		}
 	}
@@ -91,7 +91,7 @@
 }
 
 // TestReportsEveryFault guards against only the first fault of a file being
-// reported, so that it has to be corrected fault by fault.
+// reported, so that a user would have to correct one fault per attempt.
 func TestReportsEveryFault(t *testing.T) {
 	_, faults := Decode([]byte(`{"name": 1, "wait": 2, "inner": {"x": 3}}`), &outer{}, WithComments)
 	if len(faults) != 3 {
--- a/jsonc/describe.go
+++ b/jsonc/describe.go
@@ -10,13 +10,14 @@
 	"github.com/tailscale/hujson"
 )
 
-// Describer is implemented by types that describe the values they accept.
+// Describer is implemented by types that describe their valid values for fault
+// messages.
 type Describer interface{ Describe() string }
 
 // describe returns a description of the values that t accepts.
 func describe(t reflect.Type) string {
-	if described, ok := reflect.New(t).Interface().(Describer); ok {
-		return described.Describe()
+	if describer, ok := reflect.New(t).Interface().(Describer); ok {
+		return describer.Describe()
 	}
 	switch {
 	case t == durationType:
@@ -45,8 +46,8 @@
 	}
 }
 
-// maxShownBytes limits how much of an invalid value is quoted in a fault.
-const maxShownBytes = 40
+// maxQuotedBytes limits how much of an invalid value is quoted in a fault.
+const maxQuotedBytes = 40
 
 func describeValue(v hujson.Value) string {
 	switch value := v.Value.(type) {
@@ -61,10 +62,10 @@
 }
 
 func truncate(s string) string {
-	if len(s) <= maxShownBytes {
+	if len(s) <= maxQuotedBytes {
 		return s
 	}
-	end := maxShownBytes
+	end := maxQuotedBytes
 	for end > 0 && !utf8.RuneStart(s[end]) {
 		end--
 	}
--- a/jsonc/encode.go
+++ b/jsonc/encode.go
@@ -21,7 +21,7 @@
 	return append(encoded, '\n'), nil
 }
 
-// plainValue returns v in a form for encoding/json, with each duration as text.
+// plainValue converts v to a value for encoding/json, with each duration as a string.
 func plainValue(v reflect.Value) (any, error) {
 	switch {
 	case v.Type() == durationType:
@@ -53,7 +53,8 @@
 	return elements, nil
 }
 
-// plainStruct encodes the fields in declaration order, which a map would not keep.
+// plainStruct encodes the fields in declaration order, which a map would not
+// preserve.
 func plainStruct(v reflect.Value) (any, error) {
 	var encoded []byte
 	encoded = append(encoded, '{')
--- a/jsonc/fault.go
+++ b/jsonc/fault.go
@@ -41,7 +41,7 @@
 	return &Positions{src: src, offsets: map[string]int{"": 0}}
 }
 
-// IsObject reports whether the source text is an object, whose fields can be
+// IsObject reports whether the source text is an object. Only then can its fields be
 // checked.
 func (p *Positions) IsObject() bool { return p.isObject }
 
