--- a/timeline/event.go
+++ b/timeline/event.go
@@ -1,4 +1,4 @@
-// Package timeline records the actions of a process as typed events in a bounded
+// Package timeline records the actions of a process as typed events in a
 // ring buffer and merges the events of all processes into one sequence, ordered by
 // hybrid logical clocks. Operators read the result, and the oracle checks the
 // invariants on it.
@@ -78,26 +78,26 @@
 	Logical uint32    `json:"logical"`
 }
 
-// Before reports whether c is earlier than other.
-func (c Timestamp) Before(other Timestamp) bool {
-	if !c.Wall.Equal(other.Wall) {
-		return c.Wall.Before(other.Wall)
+// Before reports whether t is earlier than other.
+func (t Timestamp) Before(other Timestamp) bool {
+	if !t.Wall.Equal(other.Wall) {
+		return t.Wall.Before(other.Wall)
 	}
-	return c.Logical < other.Logical
+	return t.Logical < other.Logical
 }
 
-// Tick returns the reading that follows c at wall time now.
-func (c Timestamp) Tick(now time.Time) Timestamp {
-	if now.After(c.Wall) {
+// Tick returns the timestamp that follows t at wall time now.
+func (t Timestamp) Tick(now time.Time) Timestamp {
+	if now.After(t.Wall) {
 		return Timestamp{Wall: now}
 	}
-	return Timestamp{Wall: c.Wall, Logical: c.Logical + 1}
+	return Timestamp{Wall: t.Wall, Logical: t.Logical + 1}
 }
 
-// Receive returns the reading after the receipt of a message that carries the
-// reading remote.
-func (c Timestamp) Receive(now time.Time, remote Timestamp) Timestamp {
-	latest := c
+// Receive returns the timestamp that follows t when a message with the timestamp
+// remote is received at wall time now.
+func (t Timestamp) Receive(now time.Time, remote Timestamp) Timestamp {
+	latest := t
 	if latest.Before(remote) {
 		latest = remote
 	}
--- a/timeline/filter.go
+++ b/timeline/filter.go
@@ -7,7 +7,7 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// Filter selects events. Zero fields select everything.
+// Filter selects events. A field with the zero value does not restrict the selection.
 type Filter struct {
 	Team      task.Team `json:"team,omitempty"`
 	Task      task.ID   `json:"task,omitempty"`
@@ -16,7 +16,7 @@
 	Types     []Type    `json:"types,omitempty"`
 	From      time.Time `json:"from"`             // inclusive
 	Until     time.Time `json:"until"`            // exclusive
-	Limit     int       `json:"latest,omitempty"` // at most this many, the latest ones
+	Limit     int       `json:"latest,omitempty"` // maximum number of events, the latest ones; 0 for all
 }
 
 // Matches reports whether f selects e.
--- a/timeline/recorder.go
+++ b/timeline/recorder.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// MaxClockAhead is the maximum by which a received reading may be ahead of the local
-// wall clock. Readings beyond it are ignored: a peer with a wrong clock would
+// MaxClockAhead is the maximum by which a received timestamp may be ahead of the
+// local wall clock. Later timestamps are ignored: a peer with a wrong clock would
 // otherwise advance the clock of every process.
 const MaxClockAhead = time.Minute
 
@@ -19,9 +19,9 @@
 	incarnation string
 	ring        []atomic.Pointer[Event]
 
-	mu       sync.Mutex // serializes writers
-	clock    Timestamp
-	sequence atomic.Uint64 // of the latest event
+	mu       sync.Mutex    // serializes writers
+	clock    Timestamp     // latest timestamp of this process
+	sequence atomic.Uint64 // sequence number of the latest event
 }
 
 // NewRecorder returns a Recorder that keeps the latest capacity events.
@@ -32,8 +32,8 @@
 	}
 }
 
-// Record sets the instance, the incarnation, the next sequence number and the clock
-// reading of e, stores it in the ring and returns it.
+// Record sets the instance, the incarnation, the sequence number and the timestamp
+// of e, stores it in the ring and returns it.
 func (r *Recorder) Record(now time.Time, e Event) Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -50,8 +50,8 @@
 	return &r.ring[(sequence-1)%uint64(len(r.ring))]
 }
 
-// Receive advances the clock past the reading in a message from another process, so
-// that later events of this process are ordered after it.
+// Receive advances the clock past the timestamp in a message from another process,
+// so that later events of this process are ordered after the sending of the message.
 func (r *Recorder) Receive(now time.Time, remote Timestamp) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -61,7 +61,7 @@
 	r.clock = r.clock.Receive(now.Round(0), remote)
 }
 
-// Now returns a reading to send in a message.
+// Now advances the clock and returns a timestamp to send in a message.
 func (r *Recorder) Now(now time.Time) Timestamp {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -70,11 +70,12 @@
 		t.Errorf("merged %v, want %v", types, want)
 	}
 	if last := merged[len(merged)-1].Clock.Wall; last.After(startTime.Add(MaxClockAhead)) {
-		t.Errorf("a reading that is one hour ahead was adopted: %v", last)
+		t.Errorf("a timestamp that is one hour ahead advanced the clock: %v", last)
 	}
 }
 
-// TestFilter guards against a filter that selects events that do not match.
+// TestFilter guards against a filter that selects events that do not match, or omits
+// events that do.
 func TestFilter(t *testing.T) {
 	r := NewRecorder("i", "1", 100)
 	for i := range 4 {
