--- a/membership/membership.go
+++ b/membership/membership.go
@@ -35,7 +35,7 @@
 	return region
 }
 
-// Rank returns the members to which the unit may be assigned, best first.
+// Rank returns the members to which the unit may be assigned, most preferred first.
 // Draining members are excluded. Members in the region of a worker partition
 // precede all others. The order depends on instance names only, so a
 // restart of a process moves no unit.
@@ -114,7 +114,7 @@
 	return 0
 }
 
-type ranked struct {
+type rankedMember struct {
 	Member
 	class int
 	score uint64
@@ -122,13 +122,13 @@
 
 // rankByClass sorts the members that are not draining by class, then by score.
 func rankByClass(unit string, members []Member, class func(Member) int) []Member {
-	candidates := make([]ranked, 0, len(members))
+	candidates := make([]rankedMember, 0, len(members))
 	for _, m := range members {
 		if !m.Draining {
-			candidates = append(candidates, ranked{Member: m, class: class(m), score: score(unit, m.Instance)})
+			candidates = append(candidates, rankedMember{Member: m, class: class(m), score: score(unit, m.Instance)})
 		}
 	}
-	slices.SortFunc(candidates, func(a, b ranked) int {
+	slices.SortFunc(candidates, func(a, b rankedMember) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(b.score, a.score), cmp.Compare(a.Instance, b.Instance))
 	})
 	sorted := make([]Member, len(candidates))
