store/storetest: use the usual terms in names and comments

The parameters and comments on watch checks follow the type WatchCheck. The error of Compact for a revision above the current one now contains the current revision, and a test message names ChangesSince.

--- a/store/storetest/calls.go
+++ b/store/storetest/calls.go
@@ -10,7 +10,7 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// Kinds of calls. Faults and counters use these names.
+// Kinds of calls. Faults and counters refer to them by these names.
 const (
 	CallRange     = "range"
 	CallTxn       = "txn"
@@ -27,17 +27,17 @@
 // errStoreDown ends an open watch when a fault takes the store down.
 var errStoreDown = errors.New("store went down")
 
-// NewWatchCheck returns the Interrupt for a watch of an instance. silent reports whether the watch was
-// opened under a fault that makes it silent. The Interrupt ends the watch when the store is down, and
+// NewWatchCheck returns the WatchCheck for a watch of an instance. silent reports whether the watch was
+// opened under a fault that makes it silent. The check ends the watch when the store is down, and
 // blocks until ctx is done if the watch is silent or the store is unreachable. A silent stream stays
 // silent after the fault is cleared, just as a lost connection does not recover.
 func NewWatchCheck(ctx context.Context, faults *fault.Table, instance string, silent bool) WatchCheck {
 	return func() (<-chan struct{}, error) {
-		standing, changed := faults.EffectOnOpenCall(CallWatch, instance)
+		effect, changed := faults.EffectOnOpenCall(CallWatch, instance)
 		switch {
-		case standing.Down:
+		case effect.Down:
 			return nil, errStoreDown
-		case silent || standing.SilentWatch || standing.Unreachable:
+		case silent || effect.SilentWatch || effect.Unreachable:
 			<-ctx.Done()
 			return nil, fmt.Errorf("silent watch ended: %w", context.Cause(ctx))
 		}
--- a/store/storetest/engine.go
+++ b/store/storetest/engine.go
@@ -12,7 +12,7 @@
 // ProgressInterval is the time between two progress notices of an idle watch.
 const ProgressInterval = time.Second
 
-// batchesPerMessage bounds a message, for a watch that starts at an old revision.
+// batchesPerMessage bounds the size of a message when a watch starts at an old revision.
 const batchesPerMessage = 100
 
 // Engine runs a Machine for concurrent callers: it expires leases according to the clock of the
@@ -73,9 +73,9 @@
 }
 
 // Watch passes the changes in a range to send until ctx is done, send returns an error, or the
-// history no longer contains the next revision. interrupt is called before each message, and each
-// time that its channel is closed.
-func (e *Engine) Watch(ctx context.Context, start, end string, from int64, interrupt WatchCheck, send func(WatchMessage) error) error {
+// history no longer contains the next revision. check is called before each message, and each time
+// that its channel is closed.
+func (e *Engine) Watch(ctx context.Context, start, end string, from int64, check WatchCheck, send func(WatchMessage) error) error {
 	ticker := time.NewTicker(ProgressInterval)
 	defer ticker.Stop()
 	noticeDue := false
@@ -83,11 +83,11 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("watch ended: %w", context.Cause(ctx))
 		}
-		signal, err := interrupt()
+		checkChanged, err := check()
 		if err != nil {
 			return err
 		}
-		message, next, changed, err := e.since(start, end, from)
+		message, next, changed, err := e.changesSince(start, end, from)
 		if err != nil {
 			return err
 		}
@@ -99,12 +99,12 @@
 		noticeDue = false
 		from = next
 		if len(message.Batches) == batchesPerMessage {
-			continue // there may be more
+			continue // there may be more batches
 		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
-		case <-signal:
+		case <-checkChanged:
 		case <-ticker.C:
 			noticeDue = true
 		}
@@ -115,7 +115,7 @@
 // may have changed.
 type WatchCheck func() (<-chan struct{}, error)
 
-func (e *Engine) since(start, end string, from int64) (message WatchMessage, next int64, changed <-chan struct{}, err error) {
+func (e *Engine) changesSince(start, end string, from int64) (message WatchMessage, next int64, changed <-chan struct{}, err error) {
 	e.Do(func(_ time.Time, m *Machine) {
 		changed = e.changed // under the lock, so that no change is missed
 		message.Revision = m.Revision()
--- a/store/storetest/history.go
+++ b/store/storetest/history.go
@@ -44,7 +44,7 @@
 		return fmt.Errorf("%w: %d", store.ErrCompacted, revision)
 	}
 	if revision > m.revision {
-		return fmt.Errorf("%w: revision %d is in the future", store.ErrRejected, revision)
+		return fmt.Errorf("%w: revision %d is higher than the current revision %d", store.ErrRejected, revision, m.revision)
 	}
 	for len(m.history) > 0 && m.history[0].Revision <= revision {
 		m.dropOldest()
--- a/store/storetest/machine.go
+++ b/store/storetest/machine.go
@@ -104,11 +104,11 @@
 // Commit executes txn. All its changes have the same revision. A transaction that changes nothing does
 // not increase the revision.
 func (m *Machine) Commit(txn store.Txn) (store.TxnResult, error) {
-	if err := m.check(txn); err != nil {
+	if err := m.validate(txn); err != nil {
 		return store.TxnResult{}, err
 	}
 	if !m.comparesHold(txn.Compares) {
-		return store.TxnResult{Revision: m.revision, Current: m.current(txn.Compares)}, nil
+		return store.TxnResult{Revision: m.revision, Current: m.currentValues(txn.Compares)}, nil
 	}
 	for _, put := range txn.Puts {
 		if _, found := m.leases[put.Lease]; put.Lease != 0 && !found {
@@ -124,8 +124,8 @@
 	return store.TxnResult{Succeeded: true, Revision: m.revision}, nil
 }
 
-// check rejects the transactions that the real store rejects before it reads any key.
-func (m *Machine) check(txn store.Txn) error {
+// validate rejects the transactions that the real store rejects before it reads any key.
+func (m *Machine) validate(txn store.Txn) error {
 	total := 0
 	seen := map[string]struct{}{}
 	for _, compare := range txn.Compares {
@@ -172,7 +172,7 @@
 	return true
 }
 
-func (m *Machine) current(compares []store.Compare) []store.KeyValue {
+func (m *Machine) currentValues(compares []store.Compare) []store.KeyValue {
 	var kvs []store.KeyValue
 	for _, compare := range compares {
 		if kv, found := m.keys[compare.Key]; found {
@@ -184,7 +184,7 @@
 
 // put sets one key. Its revision is the next one, to which record then advances the store.
 func (m *Machine) put(put store.Put) store.Change {
-	m.detach(put.Key)
+	m.detachFromLease(put.Key)
 	kv := store.KeyValue{
 		Key:         put.Key,
 		Value:       slices.Clone(put.Value),
@@ -204,7 +204,7 @@
 		if _, found := m.keys[key]; !found {
 			continue
 		}
-		m.detach(key)
+		m.detachFromLease(key)
 		delete(m.keys, key)
 		changes = append(changes, store.Change{
 			KeyValue: store.KeyValue{Key: key, ModRevision: m.revision + 1},
@@ -214,7 +214,7 @@
 	return changes
 }
 
-func (m *Machine) detach(key string) {
+func (m *Machine) detachFromLease(key string) {
 	if l, found := m.leases[m.keys[key].Lease]; found {
 		delete(l.keys, key)
 	}
--- a/store/storetest/machine_test.go
+++ b/store/storetest/machine_test.go
@@ -13,23 +13,23 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// referenceStore is a reference model of the store: a complete copy of the keys for each revision.
-// A watch delivers the difference between two consecutive copies.
+// referenceStore is a reference model of the store: a complete snapshot of the keys for each revision.
+// A watch delivers the difference between two consecutive snapshots.
 type referenceStore struct {
-	copies   []map[string]store.KeyValue // index: revision
-	expiries map[int64]time.Time
-	ttls     map[int64]time.Duration
-	leases   int64
+	snapshots []map[string]store.KeyValue // index: revision
+	expiries  map[int64]time.Time
+	ttls      map[int64]time.Duration
+	lastLease int64
 }
 
 func newReferenceStore() *referenceStore {
-	return &referenceStore{copies: []map[string]store.KeyValue{nil, {}}, expiries: map[int64]time.Time{}, ttls: map[int64]time.Duration{}}
+	return &referenceStore{snapshots: []map[string]store.KeyValue{nil, {}}, expiries: map[int64]time.Time{}, ttls: map[int64]time.Duration{}}
 }
 
-func (r *referenceStore) revision() int64                   { return int64(len(r.copies) - 1) }
-func (r *referenceStore) latest() map[string]store.KeyValue { return r.copies[r.revision()] }
+func (r *referenceStore) revision() int64                   { return int64(len(r.snapshots) - 1) }
+func (r *referenceStore) latest() map[string]store.KeyValue { return r.snapshots[r.revision()] }
 
-// change appends the next copy, unless the puts and deletes change nothing.
+// change appends the next snapshot, unless the puts and deletes change nothing.
 func (r *referenceStore) change(puts []store.Put, deletes []string) {
 	next := map[string]store.KeyValue{}
 	for key, kv := range r.latest() {
@@ -43,10 +43,10 @@
 	for _, put := range puts {
 		next[put.Key] = store.KeyValue{Key: put.Key, Value: put.Value, ModRevision: r.revision() + 1, Lease: put.Lease}
 	}
-	r.copies = append(r.copies, next)
+	r.snapshots = append(r.snapshots, next)
 }
 
-// commit executes txn. It returns whether txn succeeded, or the class of the error.
+// commit executes txn. It returns whether txn succeeded, or the sentinel error of a rejection.
 func (r *referenceStore) commit(txn store.Txn) (bool, error) {
 	written := slices.Clone(txn.Deletes)
 	for _, put := range txn.Puts {
@@ -97,12 +97,12 @@
 	}
 }
 
-// since describes the changes in the range, one line for each revision.
-func (r *referenceStore) since(start, end string, from int64) []string {
+// changesSince describes the changes in the range, one line for each revision.
+func (r *referenceStore) changesSince(start, end string, from int64) []string {
 	var lines []string
 	for revision := max(from, 2); revision <= r.revision(); revision++ {
 		var changed []string
-		before, after := r.copies[revision-1], r.copies[revision]
+		before, after := r.snapshots[revision-1], r.snapshots[revision]
 		for key, kv := range after {
 			if kv.ModRevision == revision && key >= start && key < end {
 				changed = append(changed, fmt.Sprintf("%s=%s lease %d", key, kv.Value, kv.Lease))
@@ -157,8 +157,8 @@
 	}
 })
 
-// TestMachineAgainstReference guards against a stand-in for the store, on which many other tests rely,
-// that differs from the reference model in revisions, compares, leases or history.
+// TestMachineAgainstReference guards against a state machine, on which many other tests rely, that
+// differs from the reference model in revisions, compares, leases or history.
 func TestMachineAgainstReference(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m, reference := NewMachine(Limits{}), newReferenceStore()
@@ -187,10 +187,10 @@
 			},
 			"grant": func(t *rapid.T) {
 				ttl := time.Duration(rapid.IntRange(1, 3).Draw(t, "ttl")) * time.Second
-				reference.leases++
-				reference.expiries[reference.leases], reference.ttls[reference.leases] = now.Add(ttl), ttl
-				if id := m.Grant(now, ttl); id != reference.leases {
-					t.Fatalf("lease %d, want %d", id, reference.leases)
+				reference.lastLease++
+				reference.expiries[reference.lastLease], reference.ttls[reference.lastLease] = now.Add(ttl), ttl
+				if id := m.Grant(now, ttl); id != reference.lastLease {
+					t.Fatalf("lease %d, want %d", id, reference.lastLease)
 				}
 			},
 			"keepalive": func(t *rapid.T) {
@@ -220,15 +220,15 @@
 			},
 			"watch": func(t *rapid.T) {
 				from := rapid.Int64Range(1, m.Revision()+2).Draw(t, "from")
-				checkSince(t, m, reference, from)
+				checkChangesSince(t, m, reference, from)
 			},
 		})
 	})
 }
 
-// checkSince reads the history from revision from in calls of at most two batches.
-func checkSince(t *rapid.T, m *Machine, reference *referenceStore, from int64) {
-	want := reference.since("b/", "b0", from)
+// checkChangesSince reads the history from revision from in calls of at most two batches.
+func checkChangesSince(t *rapid.T, m *Machine, reference *referenceStore, from int64) {
+	want := reference.changesSince("b/", "b0", from)
 	var got []string
 	for {
 		batches, next, err := m.ChangesSince("b/", "b0", from, 2)
@@ -245,6 +245,6 @@
 		from = next
 	}
 	if !slices.Equal(got, want) {
-		t.Fatalf("Since = %v, want %v", got, want)
+		t.Fatalf("ChangesSince = %v, want %v", got, want)
 	}
 }
--- a/store/storetest/memory.go
+++ b/store/storetest/memory.go
@@ -36,7 +36,7 @@
 	return &Memory{engine: NewEngine(cfg.Limits), faults: fault.NewTable(Calls...), cfg: cfg}
 }
 
-// Client returns a client of the store for an instance, since faults may be limited to an instance.
+// Client returns a client of the store for one instance, since a fault may be limited to an instance.
 func (m *Memory) Client(instance string) store.Store { return &client{memory: m, instance: instance} }
 
 // Faults returns the table of injected faults.
--- a/store/storetest/memory_calls.go
+++ b/store/storetest/memory_calls.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// watch opens the watch under the active faults. Opening has no separate reply, so a lost reply
-// closes the stream immediately.
+// watch opens a stream under the active faults. Opening a stream has no reply of its own, so a
+// ReplyLost fault closes the stream immediately.
 func (c *client) watch(ctx context.Context, prefix string, from int64, send func(WatchMessage) error) error {
 	effect := c.memory.faults.Apply(CallWatch, c.instance)
 	switch {
@@ -154,9 +154,9 @@
 	if effect.ReplyLost {
 		return fmt.Errorf("%w: connection closed without a reply", store.ErrUnclear)
 	}
-	interrupt := NewWatchCheck(ctx, c.memory.faults, c.instance, effect.SilentWatch)
+	check := NewWatchCheck(ctx, c.memory.faults, c.instance, effect.SilentWatch)
 	start, end := string(wire.PrefixStart(prefix)), string(wire.PrefixEnd(prefix))
-	err := c.memory.engine.Watch(ctx, start, end, from, interrupt, send)
+	err := c.memory.engine.Watch(ctx, start, end, from, check, send)
 	return classifyWatch(ctx, err)
 }
 
--- a/store/storetest/memory_test.go
+++ b/store/storetest/memory_test.go
@@ -22,17 +22,18 @@
 	return result.Revision
 }
 
-// boundedContext returns a context that cancels a watch that blocks after an hour of virtual time.
+// boundedContext returns a context that ends after an hour of virtual time, so that a blocked watch
+// fails the test.
 func boundedContext(t *testing.T) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
 	t.Cleanup(cancel)
 	return ctx
 }
 
-// TestLeaseEndsOnTime guards against keys of a failed owner that remain, or that are deleted before
-// the time to live has passed since the last keepalive, and against an idle watch that is not
-// notified of the expiry until the next call.
-func TestLeaseEndsOnTime(t *testing.T) {
+// TestLeaseExpiresOnTime guards against the keys of a lease being deleted too late, or before the time
+// to live has passed since the last keepalive, and against an idle watch that is not notified of the
+// expiry until the next call.
+func TestLeaseExpiresOnTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		memory := NewMemory(Config{})
 		s := memory.Client("e1")
@@ -89,8 +90,8 @@
 				time.AfterFunc(time.Minute, cancel)
 				started := time.Now()
 				err := memory.Client("e1").Watch(ctx, "c/", 1, func(store.WatchBatch) {})
-				if took := time.Since(started); !errors.Is(err, test.want) || took != test.after {
-					t.Errorf("ended after %s with %v; want %s, %v", took, err, test.after, test.want)
+				if elapsed := time.Since(started); !errors.Is(err, test.want) || elapsed != test.after {
+					t.Errorf("ended after %s with %v; want %s, %v", elapsed, err, test.after, test.want)
 				}
 			})
 		})
@@ -130,7 +131,8 @@
 	})
 }
 
-// TestLimits guards against a stand-in that accepts transactions that the platform rejects.
+// TestLimits guards against a state machine that accepts transactions that the platform's store
+// rejects.
 func TestLimits(t *testing.T) {
 	m := NewMachine(Limits{})
 	value := func(n int) []byte { return make([]byte, n) }
