--- a/store/client.go
+++ b/store/client.go
@@ -21,8 +21,8 @@
 // Defaults of Config and bounds of the connections.
 const (
 	DefaultCallTimeout     = 2 * time.Second
-	DefaultProgressTimeout = 3 * time.Second // three intervals of the progress notices, which the store sends every second
-	DefaultMaxConnections  = 8               // limit on calls in flight; more calls would only queue in the store
+	DefaultProgressTimeout = 3 * time.Second // three times the interval of 1 s at which the store sends progress notices
+	DefaultMaxConnections  = 8               // bounds the calls in flight; additional calls would only queue in the store
 
 	dialTimeout = 1 * time.Second
 	// idleTimeout is shorter than the usual idle timeout of servers, since a call on a connection
@@ -82,7 +82,7 @@
 		},
 	}
 	return &http.Transport{
-		Proxy:               nil, // peers are reached directly
+		Proxy:               nil, // the store is reached directly
 		DialContext:         dialer.DialContext,
 		MaxConnsPerHost:     maxConnections,
 		MaxIdleConns:        maxIdle,
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -14,7 +14,7 @@
 	"time"
 )
 
-func clientOf(t *testing.T, handler http.HandlerFunc) *Client {
+func newTestClient(t *testing.T, handler http.HandlerFunc) *Client {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	client := NewClient(Config{Address: server.Listener.Addr().String(), Instance: "e1"})
@@ -46,9 +46,9 @@
 	}
 }
 
-// TestReplyClasses guards against classifying a call with an unclear outcome as having no effect, and
-// against classifying a definite rejection as unclear.
-func TestReplyClasses(t *testing.T) {
+// TestReplyClassification guards against classifying a call with an unclear outcome as having no
+// effect, and against classifying a definite rejection as unclear.
+func TestReplyClassification(t *testing.T) {
 	tests := []struct {
 		status int
 		body   string
@@ -76,7 +76,7 @@
 	}
 	for _, test := range tests {
 		t.Run(fmt.Sprintf("%d %s", test.status, test.body), func(t *testing.T) {
-			client := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
+			client := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
 				w.WriteHeader(test.status)
 				_, _ = io.WriteString(w, test.body)
 			})
@@ -88,11 +88,11 @@
 	}
 }
 
-// TestLostReplyIsNotSentAgain guards against automatic retries by the transport when a connection that
+// TestNoRetryAfterLostReply guards against automatic retries by the transport when a connection that
 // is in use breaks: a repeated transaction would find its own write and report a conflict.
-func TestLostReplyIsNotSentAgain(t *testing.T) {
+func TestNoRetryAfterLostReply(t *testing.T) {
 	var calls atomic.Int64
-	client := clientOf(t, func(w http.ResponseWriter, r *http.Request) {
+	client := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		if calls.Add(1) == 1 {
 			_, _ = io.WriteString(w, `{"header":{"revision":"2"}}`) // leaves an idle connection
@@ -110,11 +110,11 @@
 	}
 }
 
-// TestRequestsOnTheWire guards against a change of the encoding that the stand-in for the store accepts
+// TestRequestEncoding guards against a change of the encoding that the stand-in for the store accepts
 // but the platform's store does not.
-func TestRequestsOnTheWire(t *testing.T) {
+func TestRequestEncoding(t *testing.T) {
 	sent := make(chan string, 7)
-	client := clientOf(t, func(_ http.ResponseWriter, r *http.Request) {
+	client := newTestClient(t, func(_ http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		sent <- r.URL.Path + " " + string(body)
 		panic(http.ErrAbortHandler)
@@ -176,7 +176,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			client := clientOf(t, func(w http.ResponseWriter, _ *http.Request) {
+			client := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
 				_, _ = io.WriteString(w, strings.Join(test.lines, "\n"))
 			})
 			var got []int64
@@ -188,10 +188,10 @@
 	}
 }
 
-// TestSlowReceiverIsNotSilence guards against a watch that fails because the receiver of a batch
+// TestSlowReceiverCausesNoTimeout guards against a watch that fails because the receiver of a batch
 // takes longer than the progress timeout.
-func TestSlowReceiverIsNotSilence(t *testing.T) {
-	client := clientOf(t, func(w http.ResponseWriter, r *http.Request) {
+func TestSlowReceiverCausesNoTimeout(t *testing.T) {
+	client := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, `{"result":{"header":{"revision":"4"},"events":[{"kv":{"key":"YQ==","mod_revision":"4"}}]}}`+"\n")
 		_ = http.NewResponseController(w).Flush()
 		<-r.Context().Done()
--- a/store/codec.go
+++ b/store/codec.go
@@ -44,8 +44,8 @@
 	switch {
 	case strings.HasPrefix(entry.Key, documentPrefix):
 		change.Document, change.Err = decodeDocument(entry)
-	case strings.HasPrefix(entry.Key, keyPrefix):
-		change.Key, change.Err = decodeKey(entry)
+	case strings.HasPrefix(entry.Key, grantedKeyPrefix):
+		change.Key, change.Err = decodeKeyringKey(entry)
 	case strings.HasPrefix(entry.Key, memberPrefix):
 		change.Member, change.Err = decode[membership.Member](entry.Value)
 	case strings.HasPrefix(entry.Key, ownershipPrefix):
@@ -67,7 +67,7 @@
 	}
 	parsed, faults := document.Parse([]byte(record.Source))
 	if len(faults) > 0 {
-		return nil, eris.Errorf("document has %d faults, first: %v", len(faults), faults[0])
+		return nil, eris.Errorf("document under %s has %d faults, first: %v", entry.Key, len(faults), faults[0])
 	}
 	team, service := splitKey(entry.Key, documentPrefix)
 	if parsed.Team != task.Team(team) || parsed.Service != task.Service(service) {
@@ -76,7 +76,7 @@
 	return &parsed, nil
 }
 
-func decodeKey(entry control.ConfigEntry) (*keyring.Key, error) {
+func decodeKeyringKey(entry control.ConfigEntry) (*keyring.Key, error) {
 	granted, err := DecodeGrantedKey(entry.Key, entry.Value, entry.Revision)
 	if err != nil {
 		return nil, err
@@ -84,8 +84,8 @@
 	return &granted.Key, nil
 }
 
-// GrantedKey is the stored record of a key, with the data on its grant and its withdrawal that
-// operators see.
+// GrantedKey is the stored record of a key, with the data on its grant and its withdrawal that is
+// shown to operators.
 type GrantedKey struct {
 	keyring.Key
 	Note        string    `json:"note,omitempty"`
@@ -95,14 +95,14 @@
 	WithdrawnAt time.Time `json:"withdrawn_at,omitzero"`
 }
 
-// DecodeGrantedKey decodes a granted key. Team and ID are taken from the store's key, so that a value cannot
-// grant access to another team.
+// DecodeGrantedKey decodes a granted key. Team and ID are taken from the store's key, so that a value
+// cannot grant access to another team.
 func DecodeGrantedKey(storeKey string, value []byte, revision int64) (*GrantedKey, error) {
 	granted, err := decode[GrantedKey](value)
 	if err != nil {
 		return nil, err
 	}
-	team, id := splitKey(storeKey, keyPrefix)
+	team, id := splitKey(storeKey, grantedKeyPrefix)
 	granted.Team, granted.ID, granted.Revision = task.Team(team), id, revision
 	return granted, nil
 }
--- a/store/follow.go
+++ b/store/follow.go
@@ -11,7 +11,7 @@
 
 // Follower receives the results of Follow. All methods are called from one goroutine.
 type Follower interface {
-	// Listed receives all keys with the prefix as of a revision. It is called first, and again when
+	// Listed receives all keys with the prefix as of a revision. It is called first, and again after
 	// changes were missed.
 	Listed(kvs []KeyValue, revision int64)
 	// Changed receives the next changes, or a progress notice without changes.
@@ -21,7 +21,7 @@
 }
 
 // Follow lists the keys with a prefix and then watches them until ctx is done. It lists them again if
-// the changes since the last one delivered are no longer in the store's history.
+// the changes after the last delivered one are no longer in the store's history.
 func Follow(ctx context.Context, s Store, prefix string, f Follower) error {
 	next := int64(0) // revision from which to watch; 0 to list first
 	for ctx.Err() == nil {
--- a/store/hedge_test.go
+++ b/store/hedge_test.go
@@ -25,10 +25,10 @@
 	return TxnResult{}, ErrUnclear
 }
 
-func delayedReply(after time.Duration, r TxnResult, err error) func(context.Context) (TxnResult, error) {
+func delayedReply(delay time.Duration, r TxnResult, err error) func(context.Context) (TxnResult, error) {
 	return func(ctx context.Context) (TxnResult, error) {
 		select {
-		case <-time.After(after):
+		case <-time.After(delay):
 			return r, err
 		case <-ctx.Done():
 			return TxnResult{}, ErrUnclear
@@ -65,8 +65,8 @@
 				if !errors.Is(err, c.want) || (c.want == nil && r.Revision != done.Revision) {
 					t.Errorf("CommitHedged = %+v, %v; want error %v", r, err, c.want)
 				}
-				if took := time.Since(start); took != c.within || s.attempts.Load() != c.attempts {
-					t.Errorf("took %s and %d attempts, want %s and %d", took, s.attempts.Load(), c.within, c.attempts)
+				if elapsed := time.Since(start); elapsed != c.within || s.attempts.Load() != c.attempts {
+					t.Errorf("took %s and %d attempts, want %s and %d", elapsed, s.attempts.Load(), c.within, c.attempts)
 				}
 				synctest.Wait()
 			})
--- a/store/layout.go
+++ b/store/layout.go
@@ -5,21 +5,21 @@
 // Prefixes of the store's keys. One watch covers everything below ConfigPrefix; request records are
 // not watched.
 const (
-	ConfigPrefix    = "c/"
-	documentPrefix  = ConfigPrefix + "doc/"
-	keyPrefix       = ConfigPrefix + "key/"
-	memberPrefix    = ConfigPrefix + "member/"
-	ownershipPrefix = ConfigPrefix + "own/"
-	allowancePrefix = ConfigPrefix + "allow/"
-	drainPrefix     = ConfigPrefix + "drain/"
-	recordsPrefix   = "j/"
+	ConfigPrefix     = "c/"
+	documentPrefix   = ConfigPrefix + "doc/"
+	grantedKeyPrefix = ConfigPrefix + "key/"
+	memberPrefix     = ConfigPrefix + "member/"
+	ownershipPrefix  = ConfigPrefix + "own/"
+	allowancePrefix  = ConfigPrefix + "allow/"
+	drainPrefix      = ConfigPrefix + "drain/"
+	recordsPrefix    = "j/"
 )
 
 // DocumentKey returns the key of a document; service is empty for the document of the team.
 func DocumentKey(team, service string) string { return documentPrefix + team + "/" + service }
 
 // GrantedKeyKey returns the store's key of a team's granted key.
-func GrantedKeyKey(team, id string) string { return keyPrefix + team + "/" + id }
+func GrantedKeyKey(team, id string) string { return grantedKeyPrefix + team + "/" + id }
 
 // MemberKey returns the key of the member record of an instance.
 func MemberKey(instance string) string { return memberPrefix + instance }
@@ -37,9 +37,9 @@
 // GrantedKeysPrefix returns the prefix of the granted keys of a team, or of all teams if team is empty.
 func GrantedKeysPrefix(team string) string {
 	if team == "" {
-		return keyPrefix
+		return grantedKeyPrefix
 	}
-	return keyPrefix + team + "/"
+	return grantedKeyPrefix + team + "/"
 }
 
 // DocumentsPrefix returns the prefix of all documents.
--- a/store/store.go
+++ b/store/store.go
@@ -22,8 +22,8 @@
 	ErrCompacted = errors.New("revision compacted")
 	// ErrLeaseGone means that the lease has expired or was revoked.
 	ErrLeaseGone = errors.New("lease expired or revoked")
-	// ErrNoProgress means that a watch received no message within its timeout. The caller watches
-	// again from the revision after the last one delivered.
+	// ErrNoProgress means that a watch received no message within its timeout. The caller resumes
+	// from the revision after the last one delivered.
 	ErrNoProgress = errors.New("watch made no progress")
 )
 
@@ -38,7 +38,7 @@
 // Compare is a condition of a transaction on the last change of a key.
 type Compare struct {
 	Key         string
-	ModRevision int64 // 0: the key is absent
+	ModRevision int64 // expected revision of the last change; 0 if the key must be absent
 }
 
 // Put sets one key.
@@ -60,7 +60,7 @@
 type TxnResult struct {
 	Succeeded bool
 	Revision  int64      // of the store after the transaction
-	Current   []KeyValue // the compared keys that exist, when not succeeded
+	Current   []KeyValue // if not succeeded, the current state of the compared keys that exist
 }
 
 // Change is one change of a key. A deleted key has no value.
@@ -79,7 +79,7 @@
 // Store accesses the platform's key-value store. All methods are safe for concurrent use, and every
 // call except Watch has a deadline.
 type Store interface {
-	// Get reads one key; the read is linearizable. revision is that of the store.
+	// Get reads one key; the read is linearizable. revision is the current revision of the store.
 	Get(ctx context.Context, key string) (kv KeyValue, found bool, revision int64, err error)
 	// List reads the keys with a prefix in ascending order, all as of revision.
 	List(ctx context.Context, prefix string) (kvs []KeyValue, revision int64, err error)
--- a/store/watch.go
+++ b/store/watch.go
@@ -23,7 +23,7 @@
 	progressTimer := time.AfterFunc(c.cfg.ProgressTimeout, func() { cancel(ErrNoProgress) })
 	defer progressTimer.Stop()
 	err := c.watch(ctx, prefix, from, func(batches []WatchBatch) {
-		progressTimer.Stop() // a slow receiver must not cause a timeout
+		progressTimer.Stop() // the time that deliver takes does not count towards the timeout
 		for _, batch := range batches {
 			deliver(batch)
 		}
@@ -74,8 +74,9 @@
 	}
 }
 
-// revisionOrder checks that the revisions of a watch do not decrease.
-type revisionOrder struct{ last int64 } // every change up to the revision last was delivered
+// revisionOrder checks that the revisions of a watch do not decrease. Every change up to the revision
+// last was delivered.
+type revisionOrder struct{ last int64 }
 
 // batches divides a message into one batch for each revision. It takes the revision of a batch from
 // its events, since the revision in the header of a message may be higher than that of events in later
