--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -22,48 +22,49 @@
 type callerBackend struct{ *engine }
 
 const (
-	// homeRetryDelay is the delay before a request is sent to its home again, for example during a
+	// homeRetryDelay is the delay before a request to the home is retried, for example during a
 	// change of ownership.
 	homeRetryDelay = 100 * time.Millisecond
 	// maxHomeAttempts bounds the attempts, so that a permanent fault is reported to the caller
-	// without a long delay. The attempts last longer than a planned handover during which the watch
-	// of one instance is silent, which is detected after 3 s.
+	// without a long delay. All attempts together last longer than a planned handover during which
+	// the watch of one instance is silent, which is detected after 3 s.
 	maxHomeAttempts = 50
-	// homeCallMargin is the time that a call to the home may take in addition to the caller's wait.
+	// homeCallMargin is added to the caller's wait to obtain the timeout of a call to the home.
 	homeCallMargin = 2 * time.Second
 )
 
 // Submit admits a job and sends it to its home.
 func (b *callerBackend) Submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (caller.JobStatus, error) {
-	kind, reply, err := b.submit(ctx, secret, spec, wait)
+	kind, status, err := b.submit(ctx, secret, spec, wait)
 	b.meters.countRequest(kind, err)
-	return reply, err
+	return status, err
 }
 
-// submit returns the reply and the kind of the work, which the document of the service defines.
+// submit admits a job, sends it to its home and returns its status and the kind of its work, which
+// the document of the service defines.
 func (b *callerBackend) submit(ctx context.Context, secret string, spec task.Spec, wait time.Duration) (task.Kind, caller.JobStatus, error) {
-	complete, refusal := b.loop.Snapshot().Admit(time.Now(), secret, spec)
+	admitted, refusal := b.loop.Snapshot().Admit(time.Now(), secret, spec)
 	if refusal != nil {
 		return "", caller.JobStatus{}, refusal
 	}
-	if err := b.checkPayload(&complete); err != nil {
-		return complete.Kind, caller.JobStatus{}, err
+	if err := b.checkPayload(&admitted); err != nil {
+		return admitted.Kind, caller.JobStatus{}, err
 	}
-	if complete.Kind == task.Answer {
-		wait = b.answerWait(&complete, wait)
+	if admitted.Kind == task.Answer {
+		wait = b.answerWait(&admitted, wait)
 	}
-	complete.PayloadDigest = requestDigest(&complete)
-	record, err := b.callHomeWithRetry(ctx, ledger.KeyOf(&complete), control.SubmitRequest{Spec: complete, Wait: wait}, wait)
+	admitted.PayloadDigest = requestDigest(&admitted)
+	record, err := b.callHomeWithRetry(ctx, ledger.KeyOf(&admitted), control.SubmitRequest{Spec: admitted, Wait: wait}, wait)
 	if err != nil {
-		return complete.Kind, caller.JobStatus{}, err
+		return admitted.Kind, caller.JobStatus{}, err
 	}
 	if err := answerError(record); err != nil {
-		return complete.Kind, caller.JobStatus{}, err
+		return admitted.Kind, caller.JobStatus{}, err
 	}
-	reply := toReply(record)
+	status := toJobStatus(record)
 	// The record has the specification of the first submission.
-	reply.Repeated = !record.Spec.SubmittedAt.Equal(complete.SubmittedAt)
-	return complete.Kind, reply, nil
+	status.Repeated = !record.Spec.SubmittedAt.Equal(admitted.SubmittedAt)
+	return admitted.Kind, status, nil
 }
 
 // checkPayload rejects a durable payload that is too large for the record of a request shard.
@@ -76,7 +77,7 @@
 }
 
 // answerWait sets the deadline of work of kind answer if it has none, and returns how long its
-// caller waits: until the deadline plus twice the grace period.
+// caller waits: until the deadline, plus twice the grace period.
 func (b *callerBackend) answerWait(spec *task.Spec, wait time.Duration) time.Duration {
 	if spec.Deadline.IsZero() {
 		spec.Deadline = spec.SubmittedAt.Add(max(wait, b.cfg.AnswerTimeout))
@@ -117,16 +118,16 @@
 	return b.query(ctx, secret, id, control.QueryCancel, 0)
 }
 
-// Result returns the outcome of one task with its result.
+// Result returns the outcome of one task, which includes its result.
 func (b *callerBackend) Result(ctx context.Context, secret string, id caller.JobID, index int) (task.Outcome, error) {
-	reply, err := b.query(ctx, secret, id, control.QueryStatus, 0)
+	status, err := b.query(ctx, secret, id, control.QueryStatus, 0)
 	if err != nil {
 		return task.Outcome{}, err
 	}
-	if index < 0 || index >= len(reply.Tasks) {
+	if index < 0 || index >= len(status.Tasks) {
 		return task.Outcome{}, errkind.New(errkind.UnknownTask, "job %s has no task %d", id, index)
 	}
-	t := reply.Tasks[index]
+	t := status.Tasks[index]
 	if t.Outcome == nil {
 		return task.Outcome{}, errkind.New(errkind.ResultIncomplete, "task %s is %s", t.ID, t.State).WithFate(errkind.FateUnknown)
 	}
@@ -142,7 +143,7 @@
 	if err != nil {
 		return caller.JobStatus{}, err
 	}
-	return toReply(record), nil
+	return toJobStatus(record), nil
 }
 
 // callHomeWithRetry sends a request to the home of a job. It retries while the job has no home, and
@@ -166,9 +167,9 @@
 	return nil, lastErr
 }
 
-// isRetryable reports whether a request is sent to the new home of its job after a change of
-// ownership. That holds for requests that had no effect, and for those that may be repeated because
-// the new home takes over the record of the job.
+// isRetryable reports whether a failed request may be retried at the new home of its job after a
+// change of ownership. This holds for requests that had no effect, and for idempotent requests: the
+// new home takes over the record of the job.
 func isRetryable(request control.PeerRequest, err error) bool {
 	e := errkind.From(err)
 	if e.Kind != errkind.NoOwner {
@@ -184,9 +185,9 @@
 	reply, err := b.callMember(ctx, control.Send{To: route.Member, Request: request})
 	switch {
 	case errors.Is(err, entry.ErrNotSent):
-		return nil, errkind.New(errkind.NoOwner, "the owner of the request shard cannot be reached").WithRetryAfter(time.Second)
+		return nil, errkind.New(errkind.NoOwner, "the owner of the request shard, %s, cannot be reached", route.Member.Instance).WithRetryAfter(time.Second)
 	case err != nil:
-		return nil, errkind.New(errkind.OutcomeUnknown, "the owner of the request shard did not answer; query the job with the same idempotency key").WithRetryAfter(time.Second)
+		return nil, errkind.New(errkind.OutcomeUnknown, "the owner of the request shard, %s, did not respond; query the job with the same idempotency key", route.Member.Instance).WithRetryAfter(time.Second)
 	}
 	job := reply.(control.JobReply)
 	if job.Err != nil {
@@ -204,11 +205,11 @@
 		t := &record.Tasks[i]
 		switch {
 		case t.State == task.NotRun:
-			return errkind.New(failureKind(t), "the request was not run").WithFate(errkind.FateNotRun).WithRetryAfter(time.Second)
+			return errkind.New(failureKind(t), "task %s was not run", t.ID).WithFate(errkind.FateNotRun).WithRetryAfter(time.Second)
 		case t.State == task.Unknown:
-			return errkind.New(errkind.OutcomeUnknown, "it is not known whether the request was run").WithFate(errkind.FateUnknown)
+			return errkind.New(errkind.OutcomeUnknown, "it is not known whether task %s was run", t.ID).WithFate(errkind.FateUnknown)
 		case !t.State.IsFinal():
-			return errkind.New(errkind.OutcomeUnknown, "the request was not answered by its deadline").WithFate(errkind.FateUnknown)
+			return errkind.New(errkind.OutcomeUnknown, "no result of task %s arrived by its deadline", t.ID).WithFate(errkind.FateUnknown)
 		}
 	}
 	return nil
@@ -221,11 +222,11 @@
 	return errkind.Kind(t.Outcome.Reason)
 }
 
-func toReply(record *ledger.Record) caller.JobStatus {
-	reply := caller.JobStatus{State: record.State(), Tasks: make([]caller.TaskStatus, len(record.Tasks))}
+func toJobStatus(record *ledger.Record) caller.JobStatus {
+	status := caller.JobStatus{State: record.State(), Tasks: make([]caller.TaskStatus, len(record.Tasks))}
 	for i := range record.Tasks {
 		t := &record.Tasks[i]
-		reply.Tasks[i] = caller.TaskStatus{Index: i, ID: t.ID, State: t.State, Attempt: t.Attempt, Outcome: t.Outcome}
+		status.Tasks[i] = caller.TaskStatus{Index: i, ID: t.ID, State: t.State, Attempt: t.Attempt, Outcome: t.Outcome}
 	}
-	return reply
+	return status
 }
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -18,7 +18,7 @@
 	Self            membership.Member // New sets the incarnation and the address
 	CallerAddress   string
 	OperatorAddress string
-	EntryAddress    string // for the calls of the other entry instances
+	EntryAddress    string // address on which the other entry instances are served
 
 	Control  control.Config
 	Parts    control.ComponentConfigs
@@ -28,18 +28,18 @@
 	Worker   worker.Config
 
 	ListAddress            string
-	ListInterval           time.Duration // interval between reads of the instance list
+	ListInterval           time.Duration // interval at which the instance list is polled
 	ListTimeout            time.Duration // timeout of one read of the instance list
 	TickInterval           time.Duration // interval of the control loop's timer
 	AnswerTimeout          time.Duration // default time from the submission to the deadline of work of kind answer
-	DrainTimeout           time.Duration // limit on the duration of a graceful shutdown
-	ConnectionDrainTimeout time.Duration // limit on waiting for callers to close their connections after the handover
-	TimelineEvents         int           // capacity of the timeline
+	DrainTimeout           time.Duration // maximum duration of a graceful shutdown
+	ConnectionDrainTimeout time.Duration // maximum wait for callers to close their connections after the handover
+	TimelineEvents         int           // maximum number of events that the timeline keeps
 	// MaxDurableBytes bounds the payload of durable work. The payload is stored in the record of a
 	// request shard, and the store limits the size of its values.
 	MaxDurableBytes int64
 	Registry        metrics.Registry // metrics registry; nil creates a new one
-	Seed            uint64           // seed of random choices; 0 derives one from the clock
+	Seed            uint64           // seed of the random number generator; 0 derives one from the clock
 }
 
 // Defaults of Config.
--- a/daemon/deployment_test.go
+++ b/daemon/deployment_test.go
@@ -30,42 +30,42 @@
 // deployment is a small deployment with fakes at the interfaces to the peers. It runs in a
 // testing/synctest bubble, so that time is virtual.
 type deployment struct {
-	t            *testing.T
-	store        *storetest.Memory
-	workers      map[string]*standin.Worker
-	localWorkers *standin.LocalWorkers
-	listing      []instancelist.Instance
-
-	mu      sync.Mutex
-	nodes   []*node // every process, including those that have ended
-	fault   func(c call) faultAction
-	jobs    []*job // submitted by submitJob
-	clients func(*node, Clients) Clients
-	ended   bool
+	t             *testing.T
+	store         *storetest.Memory
+	workers       map[string]*standin.Worker
+	localWorkers  *standin.LocalWorkers
+	listedWorkers []instancelist.Instance
+
+	mu          sync.Mutex
+	nodes       []*node // every process, including killed ones
+	fault       func(c call) faultAction
+	jobs        []*job // submitted by submitJob
+	wrapClients func(*node, Clients) Clients
+	closed      bool
 }
 
-// node is one process of an entry instance.
+// node is one process of an entry instance, which a test can kill or freeze.
 type node struct {
 	*engine
-	deployment *deployment
-	index      int
-	dead       bool
-	frozen     time.Time // calls are delayed until then
+	deployment  *deployment
+	index       int
+	dead        bool
+	frozenUntil time.Time // calls are delayed until then
 }
 
-// call describes one call to a peer. Faults select the calls on which they act by it.
+// call describes one call to a peer. A fault uses it to select the calls on which it acts.
 type call struct {
 	step     string // peer, worker or store call, such as "peer.Place"
 	from     *node
 	to       *node  // for calls between entry instances
 	worker   string // address, for calls to workers
-	returned bool   // the call has taken effect
+	executed bool   // the call has taken effect; its reply is about to be returned
 }
 
-// faultAction is what a fault does to a call.
+// faultAction is the effect of a fault on a call.
 type faultAction struct {
-	drop  bool          // the call does not arrive, or its reply is lost
-	delay time.Duration // before the call proceeds
+	drop  bool          // lose the request, or the reply if the call has taken effect
+	delay time.Duration // delay before the call proceeds
 }
 
 var errDropped = errors.New("no reply")
@@ -77,22 +77,22 @@
 	return newDeploymentWith(t, instances, workers, func(_ *node, c Clients) Clients { return c })
 }
 
-// newDeploymentWith is newDeployment with a hook that changes the clients of every process.
-func newDeploymentWith(t *testing.T, instances, workers int, clients func(*node, Clients) Clients) *deployment {
-	w := &deployment{t: t, clients: clients, store: storetest.NewMemory(storetest.Config{}), workers: map[string]*standin.Worker{}, localWorkers: standin.NewLocalWorkers(nil)}
+// newDeploymentWith is newDeployment with a function that wraps the clients of every process.
+func newDeploymentWith(t *testing.T, instances, workers int, wrapClients func(*node, Clients) Clients) *deployment {
+	d := &deployment{t: t, wrapClients: wrapClients, store: storetest.NewMemory(storetest.Config{}), workers: map[string]*standin.Worker{}, localWorkers: standin.NewLocalWorkers(nil)}
 	for i := range workers {
 		name := fmt.Sprintf("worker-%d", i)
-		w.workers[name] = standin.NewWorker(standin.WorkerConfig{Name: name, UsageLag: 5 * time.Second,
+		d.workers[name] = standin.NewWorker(standin.WorkerConfig{Name: name, UsageLag: 5 * time.Second,
 			Capacity: task.Resources{CPUMilli: 4000, MemoryMB: 8192, Slots: 4, Connections: 16}})
-		w.localWorkers.Set(worker.Address(name), w.workers[name])
-		w.listing = append(w.listing, instancelist.Instance{Name: name, Address: name, Role: instancelist.RoleWorker, Region: testRegion,
+		d.localWorkers.Set(worker.Address(name), d.workers[name])
+		d.listedWorkers = append(d.listedWorkers, instancelist.Instance{Name: name, Address: name, Role: instancelist.RoleWorker, Region: testRegion,
 			FailureDomain: fmt.Sprintf("domain-%d", i), Rack: fmt.Sprintf("rack-%d", i), State: instancelist.StateLive})
 	}
-	w.configure()
+	d.configure()
 	for i := range instances {
-		w.startNode(i)
+		d.startNode(i)
 	}
-	return w
+	return d
 }
 
 const testDocument = `{"team": "leuven", "service": "piping", "classes": [
@@ -106,26 +106,26 @@
 
 const testSecret = "leuven-secret"
 
-func (w *deployment) configure() {
-	client := w.store.Client("test")
+func (d *deployment) configure() {
+	client := d.store.Client("test")
 	var txn store.Txn
 	for _, source := range []string{testDocument, testTeam} {
 		parsed, faults := document.Parse([]byte(source))
 		if len(faults) > 0 {
-			w.t.Fatalf("document: %v", faults)
+			d.t.Fatalf("document: %v", faults)
 		}
 		value, _ := store.Encode(document.Record{Source: source, WriteID: source})
 		txn.Puts = append(txn.Puts, store.Put{Key: store.DocumentKey(string(parsed.Team), string(parsed.Service)), Value: value})
 	}
 	value, _ := store.Encode(keyring.Key{ID: "k1", Team: "leuven", Digest: keyring.DigestOf(testSecret)})
 	txn.Puts = append(txn.Puts, store.Put{Key: store.GrantedKeyKey("leuven", "k1"), Value: value})
-	if _, err := client.Commit(w.t.Context(), txn); err != nil {
-		w.t.Fatal(err)
+	if _, err := client.Commit(d.t.Context(), txn); err != nil {
+		d.t.Fatal(err)
 	}
 }
 
-// startNode starts a process of entry instance i.
-func (w *deployment) startNode(i int) *node {
+// startNode starts a process of the entry instance with index i.
+func (d *deployment) startNode(i int) *node {
 	s := settings.Default()
 	s.Instance, s.Region, s.FailureDomain = fmt.Sprintf("entry-%d", i), testRegion, fmt.Sprintf("domain-%d", i)
 	s.Regions = []string{testRegion}
@@ -135,20 +135,20 @@
 	cfg.Seed = uint64(i + 1)
 	cfg.TickInterval = 50 * time.Millisecond
 	cfg.Self.Address = s.Instance
-	w.mu.Lock()
-	cfg.Self.Incarnation = fmt.Sprintf("%s-%d", s.Instance, len(w.nodes))
-	w.mu.Unlock()
-	n := &node{deployment: w, index: i}
-	n.engine = newEngine(cfg, log.New(io.Discard), w.clients(n, Clients{
-		Store: &storeFake{Store: w.store.Client(s.Instance), node: n}, InstanceList: &listFake{n}, Workers: &workerFake{API: w.localWorkers, node: n}, Entries: &entryFake{n},
+	d.mu.Lock()
+	cfg.Self.Incarnation = fmt.Sprintf("%s-%d", s.Instance, len(d.nodes))
+	d.mu.Unlock()
+	n := &node{deployment: d, index: i}
+	n.engine = newEngine(cfg, log.New(io.Discard), d.wrapClients(n, Clients{
+		Store: &storeFake{Store: d.store.Client(s.Instance), node: n}, InstanceList: &listFake{n}, Workers: &workerFake{API: d.localWorkers, node: n}, Entries: &entryFake{n},
 	}))
 	n.executor = func(e control.Effect) {
 		n.waitWhileFrozen()
 		n.execute(e)
 	}
-	w.mu.Lock()
-	w.nodes = append(w.nodes, n)
-	w.mu.Unlock()
+	d.mu.Lock()
+	d.nodes = append(d.nodes, n)
+	d.mu.Unlock()
 	go func() { _ = n.run(n.effectsCtx) }()
 	return n
 }
@@ -162,10 +162,10 @@
 }
 
 // freeze suspends a process for a duration, as if its machine had been paused.
-func (n *node) freeze(d time.Duration) {
+func (n *node) freeze(duration time.Duration) {
 	n.deployment.mu.Lock()
 	defer n.deployment.mu.Unlock()
-	n.frozen = time.Now().Add(d)
+	n.frozenUntil = time.Now().Add(duration)
 }
 
 func (n *node) isDead() bool {
@@ -178,13 +178,13 @@
 func (n *node) wasFrozen() bool {
 	n.deployment.mu.Lock()
 	defer n.deployment.mu.Unlock()
-	return !n.frozen.IsZero()
+	return !n.frozenUntil.IsZero()
 }
 
 // waitWhileFrozen blocks while the process is frozen.
 func (n *node) waitWhileFrozen() {
 	n.deployment.mu.Lock()
-	remaining := time.Until(n.frozen)
+	remaining := time.Until(n.frozenUntil)
 	n.deployment.mu.Unlock()
 	if remaining > 0 {
 		time.Sleep(remaining)
@@ -193,10 +193,10 @@
 
 // applyFault applies the fault of the deployment to a call: it delays the call or returns an error
 // if the call is lost. Calls of a process that was killed are lost.
-func (w *deployment) applyFault(ctx context.Context, c call) error {
-	w.mu.Lock()
-	hook := w.fault
-	w.mu.Unlock()
+func (d *deployment) applyFault(ctx context.Context, c call) error {
+	d.mu.Lock()
+	hook := d.fault
+	d.mu.Unlock()
 	if hook != nil {
 		action := hook(c)
 		if action.drop {
@@ -213,11 +213,11 @@
 }
 
 // live returns the running processes.
-func (w *deployment) live() []*node {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+func (d *deployment) live() []*node {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	var live []*node
-	for _, n := range w.nodes {
+	for _, n := range d.nodes {
 		if !n.dead {
 			live = append(live, n)
 		}
@@ -225,32 +225,32 @@
 	return live
 }
 
-// close stops all processes, workers and the store.
-func (w *deployment) close() {
-	w.mu.Lock()
-	w.ended = true
-	w.mu.Unlock()
-	for _, n := range w.live() {
+// close stops all processes, the workers and the store.
+func (d *deployment) close() {
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
+	for _, n := range d.live() {
 		n.kill()
 	}
-	for _, standInWorker := range w.workers {
+	for _, standInWorker := range d.workers {
 		standInWorker.Close()
 	}
-	w.store.Close()
-	time.Sleep(faultDuration + freezeDuration) // until the goroutines that faults delay have ended
+	d.store.Close()
+	time.Sleep(faultDuration + freezeDuration) // until all goroutines delayed by faults have returned
 }
 
-func (w *deployment) trace() oracle.Trace {
+func (d *deployment) trace() oracle.Trace {
 	trace := oracle.Trace{Bounds: oracle.DefaultBounds, KnownTasks: map[task.ID]bool{}}
 	var timelines [][]timeline.Event
-	for _, n := range w.nodes {
+	for _, n := range d.nodes {
 		timelines = append(timelines, n.Events())
 	}
 	trace.Events = timeline.Merge(timelines...)
-	for _, standInWorker := range w.workers {
+	for _, standInWorker := range d.workers {
 		ledger, err := standInWorker.Ledger()
 		if err != nil {
-			w.t.Fatal(err)
+			d.t.Fatal(err)
 		}
 		trace.Workers = append(trace.Workers, ledger)
 	}
@@ -259,30 +259,30 @@
 
 // checkOracle checks the invariants over the timelines of all processes and the ledgers of all
 // workers.
-func (w *deployment) checkOracle(l *load) {
-	trace := w.trace()
-	l.fillInProgress(&trace)
+func (d *deployment) checkOracle(l *load) {
+	trace := d.trace()
+	l.fillKnownTasks(&trace)
 	trace.Answers = l.answers()
 	report := oracle.Examine(trace)
-	w.countExamined(report)
+	d.countExamined(report)
 	violations := report.Violations
 	for i, v := range violations {
 		if i < 3 {
-			w.t.Errorf("%s", v)
+			d.t.Errorf("%s", v)
 		}
 	}
-	if w.t.Failed() && testing.Verbose() {
+	if d.t.Failed() && testing.Verbose() {
 		for _, e := range trace.Events {
 			if e.Task != "" || e.Type == timeline.OwnershipTaken || e.Type == timeline.OwnershipLost {
-				w.t.Log(e)
+				d.t.Log(e)
 			}
 		}
 	}
 }
 
-// fillInProgress records for every task whose state an instance returns whether it is still in
-// progress.
-func (l *load) fillInProgress(trace *oracle.Trace) {
+// fillKnownTasks records, for every task whose state an instance returns, whether the task is still
+// in progress.
+func (l *load) fillKnownTasks(trace *oracle.Trace) {
 	for _, j := range l.jobs {
 		if reply, err := l.status(j); err == nil {
 			for _, taskState := range reply.Tasks {
@@ -309,13 +309,14 @@
 	return answers
 }
 
-// examinedTotals counts the facts that the oracle examined in all cells, by invariant.
+// examinedTotals counts the facts that the oracle has examined in all cells of the matrix, by
+// invariant.
 var examinedTotals struct {
 	mu    sync.Mutex
 	facts map[oracle.Invariant]int
 }
 
-func (w *deployment) countExamined(r oracle.Report) {
+func (d *deployment) countExamined(r oracle.Report) {
 	examinedTotals.mu.Lock()
 	defer examinedTotals.mu.Unlock()
 	if examinedTotals.facts == nil {
--- a/daemon/doc.go
+++ b/daemon/doc.go
@@ -1,2 +1,3 @@
-// Package daemon connects the control loop to the packages of its peers and runs one entry instance.
+// Package daemon runs one entry instance: it connects the control loop to the clients and servers of
+// the packages for its peers.
 package daemon
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -48,9 +48,9 @@
 	return operator.StoredDocument{}, errkind.New(errkind.OutcomeUnknown, "the store did not confirm the document; compare the document with the one in force")
 }
 
-// checkTeam rejects a service of a team that has no document: owners start no work of a team without
-// a known limit, so the work would be accepted and wait forever. No call removes a document, so a
-// document that was read still exists when the service's document is written.
+// checkTeam rejects the document of a service whose team has no document: owners start no work of a
+// team without a known limit, so the work would be accepted and queued forever. No call removes a
+// document, so a document that was read still exists when the service's document is written.
 func (b *operatorBackend) checkTeam(ctx context.Context, ref operator.DocumentRef) error {
 	if ref.Service == "" {
 		return nil
@@ -62,12 +62,12 @@
 	return err
 }
 
-// awaitApplied returns a document that was written, after waiting at most change.Wait until it is in
-// force.
+// awaitApplied waits until a stored document is in force, for at most change.Wait, and returns the
+// document.
 func (b *operatorBackend) awaitApplied(ctx context.Context, change operator.DocumentChange, record document.Record, revision int64) (operator.StoredDocument, error) {
-	held := operator.StoredDocument{Ref: change.Ref, Record: record, Revision: revision}
-	held.InForce = b.awaitInForce(ctx, revision, change.Wait)
-	return held, nil
+	stored := operator.StoredDocument{Ref: change.Ref, Record: record, Revision: revision}
+	stored.InForce = b.awaitInForce(ctx, revision, change.Wait)
+	return stored, nil
 }
 
 // writeDocument writes a document. A team's document and its allowance record, which divides the
@@ -86,9 +86,9 @@
 	return b.commitConfig(ctx, txn)
 }
 
-// addLimit adds the new limit of a team to a transaction. The revision that the document will have
-// is not known before the commit, so the record gets a lower bound of it: the store's revision when
-// the allowance record was read.
+// addLimit adds the new limit of a team to a transaction. The revision of the new document is not
+// known before the commit, so the allowance record holds a lower bound: the store's revision at the
+// time the record was read.
 func (b *operatorBackend) addLimit(ctx context.Context, txn *store.Txn, d document.Document) error {
 	key := store.AllowanceKey(string(d.Team))
 	kv, found, revision, err := b.clients.Store.Get(ctx, key)
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -43,7 +43,7 @@
 	meters   meters
 	clients  Clients
 
-	storeDown atomic.Bool // availability of the store as last logged
+	storeDown atomic.Bool // whether the store was last logged as unavailable
 
 	// executor executes effects. It is the method execute, except in tests that delay effects.
 	executor func(control.Effect)
--- a/daemon/fakes_test.go
+++ b/daemon/fakes_test.go
@@ -16,7 +16,7 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// entryFake calls the control loops of other processes directly.
+// entryFake is an EntryCaller that calls the control loops of the other processes directly.
 type entryFake struct{ *node }
 
 // Call passes a request to the control loop of the other process.
@@ -35,7 +35,7 @@
 	}
 	target.waitWhileFrozen()
 	reply, err := target.loop.Call(ctx, f.cfg.Self.Instance, request)
-	c.returned = true
+	c.executed = true
 	if faultErr := f.deployment.applyFault(ctx, c); faultErr != nil {
 		return nil, faultErr
 	}
@@ -51,8 +51,8 @@
 func (f *entryFake) Close() {}
 
 // nodeAt returns the process that listens on an address.
-func (w *deployment) nodeAt(address string) *node {
-	for _, n := range w.live() {
+func (d *deployment) nodeAt(address string) *node {
+	for _, n := range d.live() {
 		if n.cfg.Self.Address == address {
 			return n
 		}
@@ -75,7 +75,7 @@
 		return zero, fmt.Errorf("%w: %w", worker.ErrUnclear, err)
 	}
 	reply, err := f()
-	c.returned = true
+	c.executed = true
 	if faultErr := n.deployment.applyFault(ctx, c); faultErr != nil {
 		return zero, fmt.Errorf("%w: %w", worker.ErrUnclear, faultErr)
 	}
@@ -120,7 +120,8 @@
 	return callWorkerWithFaults(ctx, f.node, "worker.Stop", to, func() (worker.LookupReply, error) { return f.API.Stop(ctx, to, req) })
 }
 
-// listFake is the instance list. It holds the listed workers and the processes that were not killed.
+// listFake is a fake of the instance list. It lists the workers of the deployment and the processes
+// that were not killed.
 type listFake struct{ *node }
 
 // List returns the instances. Every process is listed as live.
@@ -130,7 +131,7 @@
 	}
 	f.deployment.mu.Lock()
 	defer f.deployment.mu.Unlock()
-	list := append([]instancelist.Instance(nil), f.deployment.listing...)
+	list := append([]instancelist.Instance(nil), f.deployment.listedWorkers...)
 	for _, n := range f.deployment.nodes {
 		if !n.dead {
 			list = append(list, instancelist.Instance{Name: n.cfg.Self.Instance, Address: n.cfg.Self.Address, Role: instancelist.RoleEntry,
@@ -156,7 +157,7 @@
 		return zero, fmt.Errorf("%w: %w", store.ErrUnclear, err)
 	}
 	result, err := f()
-	if faultErr := n.deployment.applyFault(ctx, call{step: step, from: n, returned: true}); faultErr != nil {
+	if faultErr := n.deployment.applyFault(ctx, call{step: step, from: n, executed: true}); faultErr != nil {
 		return zero, fmt.Errorf("%w: %w", store.ErrUnclear, faultErr)
 	}
 	return result, err
@@ -204,7 +205,7 @@
 	return callStoreWithFaults(ctx, f.node, "store.LatestRevision", func() (int64, error) { return f.Store.LatestRevision(ctx, prefix) })
 }
 
-// Watch delivers changes, but none while the process is frozen.
+// Watch delivers changes, except while the process is frozen.
 func (f *storeFake) Watch(ctx context.Context, prefix string, from int64, deliver func(store.WatchBatch)) error {
 	return f.Store.Watch(ctx, prefix, from, func(b store.WatchBatch) {
 		f.node.waitWhileFrozen()
--- a/daemon/fromsettings.go
+++ b/daemon/fromsettings.go
@@ -25,7 +25,7 @@
 		TickInterval: DefaultTickInterval, AnswerTimeout: s.CallTimeout, DrainTimeout: s.DrainTimeout, ConnectionDrainTimeout: DefaultConnectionDrainTimeout,
 		TimelineEvents: s.TimelineEvents, MaxDurableBytes: s.MaxDurableRequestBytes,
 	}
-	cfg.Parts = parts(s, cfg.Control)
+	cfg.Parts = componentConfigs(s, cfg.Control)
 	return cfg
 }
 
@@ -42,19 +42,19 @@
 	return cfg
 }
 
-func parts(s settings.Settings, cfg control.Config) control.ComponentConfigs {
-	p := control.DefaultComponentConfigs(cfg)
-	p.Ownership.LeaseTTL, p.Ownership.KeepAliveInterval, p.Ownership.PromiseWindow = s.StoreLeaseTTL, s.KeepaliveInterval, s.PromiseWindow
-	p.Ownership.ClockDrift, p.Ownership.ClockMargin, p.Ownership.ListLag = s.ClockDrift, s.ClockMargin, s.ListLag
-	p.Keyring.Freshness, p.Keyring.ListLag = s.KeyFreshness, s.ListLag
-	p.Keyring.ClockDrift, p.Keyring.ClockMargin = s.ClockDrift, s.ClockMargin
-	p.Allowance.Idle, p.Allowance.Interval = s.AllowanceIdle, s.AllowanceInterval
-	p.Ledger.FlushInterval, p.Ledger.MaxTxnBytes, p.Ledger.MaxShardBytes = s.LedgerFlushInterval, int(s.LedgerTxnBytes), int(s.MaxShardBytes)
-	p.Ledger.ResultRetention = s.ResultRetention
-	p.Queue.MaxEntriesPerTeam = s.QueueLimitPerTeam
-	p.Fairshare.HalfLife = s.FairShareHalfLife
-	p.Quarantine.MaxFraction = s.QuarantineShare
-	return p
+func componentConfigs(s settings.Settings, cfg control.Config) control.ComponentConfigs {
+	components := control.DefaultComponentConfigs(cfg)
+	components.Ownership.LeaseTTL, components.Ownership.KeepAliveInterval, components.Ownership.PromiseWindow = s.StoreLeaseTTL, s.KeepaliveInterval, s.PromiseWindow
+	components.Ownership.ClockDrift, components.Ownership.ClockMargin, components.Ownership.ListLag = s.ClockDrift, s.ClockMargin, s.ListLag
+	components.Keyring.Freshness, components.Keyring.ListLag = s.KeyFreshness, s.ListLag
+	components.Keyring.ClockDrift, components.Keyring.ClockMargin = s.ClockDrift, s.ClockMargin
+	components.Allowance.Idle, components.Allowance.Interval = s.AllowanceIdle, s.AllowanceInterval
+	components.Ledger.FlushInterval, components.Ledger.MaxTxnBytes, components.Ledger.MaxShardBytes = s.LedgerFlushInterval, int(s.LedgerTxnBytes), int(s.MaxShardBytes)
+	components.Ledger.ResultRetention = s.ResultRetention
+	components.Queue.MaxEntriesPerTeam = s.QueueLimitPerTeam
+	components.Fairshare.HalfLife = s.FairShareHalfLife
+	components.Quarantine.MaxFraction = s.QuarantineShare
+	return components
 }
 
 func callerConfig(s settings.Settings) caller.Config {
--- a/daemon/keys.go
+++ b/daemon/keys.go
@@ -14,11 +14,11 @@
 )
 
 // GrantKey creates a key and returns its secret, of which only the digest is stored.
-func (b *operatorBackend) GrantKey(ctx context.Context, by string, request api.GrantRequest) (api.GrantedKey, error) {
+func (b *operatorBackend) GrantKey(ctx context.Context, operatorName string, request api.GrantRequest) (api.GrantedKey, error) {
 	secret := "mk_" + rand.Text() + rand.Text()
 	granted := store.GrantedKey{
 		Key:  keyring.Key{ID: strings.ToLower(rand.Text()[:12]), Team: request.Team, Role: keyring.Role(request.Role), Digest: keyring.DigestOf(secret)},
-		Note: request.Note, GrantedBy: by, GrantedAt: time.Now().UTC(),
+		Note: request.Note, GrantedBy: operatorName, GrantedAt: time.Now().UTC(),
 	}
 	value, err := store.Encode(granted)
 	if err != nil {
@@ -35,7 +35,7 @@
 }
 
 // WithdrawKey withdraws a key. The withdrawal is idempotent and is retried until it is confirmed.
-func (b *operatorBackend) WithdrawKey(ctx context.Context, by string, team task.Team, id string) (api.Key, error) {
+func (b *operatorBackend) WithdrawKey(ctx context.Context, operatorName string, team task.Team, id string) (api.Key, error) {
 	key := store.GrantedKeyKey(string(team), id)
 	for ctx.Err() == nil {
 		kv, found, _, err := b.clients.Store.Get(ctx, key)
@@ -52,16 +52,16 @@
 		if granted.Withdrawn {
 			return keyView(*granted), nil
 		}
-		if err := b.markWithdrawn(ctx, key, *granted, by); err != nil {
+		if err := b.markWithdrawn(ctx, key, *granted, operatorName); err != nil {
 			return api.Key{}, err
 		}
 	}
-	return api.Key{}, errkind.New(errkind.OutcomeUnknown, "the store did not confirm the withdrawal; withdraw the key again")
+	return api.Key{}, errkind.New(errkind.OutcomeUnknown, "the store did not confirm the withdrawal of key %s of team %s; withdraw the key again", id, team)
 }
 
-func (b *operatorBackend) markWithdrawn(ctx context.Context, key string, granted store.GrantedKey, by string) error {
+func (b *operatorBackend) markWithdrawn(ctx context.Context, key string, granted store.GrantedKey, operatorName string) error {
 	revision := granted.Revision
-	granted.Withdrawn, granted.WithdrawnBy, granted.WithdrawnAt = true, by, time.Now().UTC()
+	granted.Withdrawn, granted.WithdrawnBy, granted.WithdrawnAt = true, operatorName, time.Now().UTC()
 	value, err := store.Encode(granted)
 	if err != nil {
 		return err
--- a/daemon/matrix_test.go
+++ b/daemon/matrix_test.go
@@ -28,10 +28,10 @@
 // injection is one kind of fault. It acts on the first calls of its step, either before or after the
 // call takes effect.
 type injection struct {
-	name  string
-	after bool // act after the call has taken effect
-	times int  // number of calls of the step on which it acts
-	act   func(w *deployment, c call) faultAction
+	name        string
+	afterEffect bool // act after the call has taken effect instead of before
+	times       int  // number of calls of the step on which it acts
+	act         func(d *deployment, c call) faultAction
 }
 
 const (
@@ -44,24 +44,24 @@
 
 var injections = []injection{
 	{name: "drop request", times: 1, act: dropCall},
-	{name: "drop reply", after: true, times: 1, act: dropCall},
-	{name: "drop reply twice", after: true, times: 2, act: dropCall},
+	{name: "drop reply", afterEffect: true, times: 1, act: dropCall},
+	{name: "drop reply twice", afterEffect: true, times: 2, act: dropCall},
 	{name: "delay", times: 1, act: func(*deployment, call) faultAction { return faultAction{delay: 4 * time.Second} }},
-	{name: "kill sender", times: 1, act: func(w *deployment, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
-	{name: "kill sender after effect", after: true, times: 1, act: func(w *deployment, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
-	{name: "kill receiver after effect", after: true, times: 1, act: func(w *deployment, c call) faultAction { w.killAndRestart(c.to); return faultAction{} }},
-	{name: "kill both", after: true, times: 1, act: func(w *deployment, c call) faultAction {
-		w.killAndRestart(c.from)
-		w.killAndRestart(c.to)
+	{name: "kill sender", times: 1, act: func(d *deployment, c call) faultAction { d.killAndRestart(c.from); return faultAction{} }},
+	{name: "kill sender after effect", afterEffect: true, times: 1, act: func(d *deployment, c call) faultAction { d.killAndRestart(c.from); return faultAction{} }},
+	{name: "kill receiver after effect", afterEffect: true, times: 1, act: func(d *deployment, c call) faultAction { d.killAndRestart(c.to); return faultAction{} }},
+	{name: "kill both", afterEffect: true, times: 1, act: func(d *deployment, c call) faultAction {
+		d.killAndRestart(c.from)
+		d.killAndRestart(c.to)
 		return faultAction{}
 	}},
 	{name: "freeze sender", times: 1, act: func(_ *deployment, c call) faultAction { c.from.freeze(freezeDuration); return faultAction{} }},
-	{name: "freeze sender after effect", after: true, times: 1, act: func(_ *deployment, c call) faultAction { c.from.freeze(freezeDuration); return faultAction{} }},
-	{name: "store down", times: 1, act: func(w *deployment, _ call) faultAction { w.storeDown(fault.Down); return faultAction{} }},
-	{name: "store silent", times: 1, act: func(w *deployment, _ call) faultAction { w.storeDown(fault.Unreachable); return faultAction{} }},
-	{name: "store replies lost", times: 1, act: func(w *deployment, _ call) faultAction { w.storeDown(fault.ReplyLost); return faultAction{} }},
-	{name: "worker frozen", times: 1, act: func(w *deployment, c call) faultAction { w.freezeWorker(c.worker); return faultAction{} }},
-	{name: "worker rebooted", after: true, times: 1, act: func(w *deployment, c call) faultAction { w.rebootWorker(c.worker); return faultAction{} }},
+	{name: "freeze sender after effect", afterEffect: true, times: 1, act: func(_ *deployment, c call) faultAction { c.from.freeze(freezeDuration); return faultAction{} }},
+	{name: "store down", times: 1, act: func(d *deployment, _ call) faultAction { d.injectStoreOutage(fault.Down); return faultAction{} }},
+	{name: "store silent", times: 1, act: func(d *deployment, _ call) faultAction { d.injectStoreOutage(fault.Unreachable); return faultAction{} }},
+	{name: "store replies lost", times: 1, act: func(d *deployment, _ call) faultAction { d.injectStoreOutage(fault.ReplyLost); return faultAction{} }},
+	{name: "worker frozen", times: 1, act: func(d *deployment, c call) faultAction { d.freezeWorker(c.worker); return faultAction{} }},
+	{name: "worker rebooted", afterEffect: true, times: 1, act: func(d *deployment, c call) faultAction { d.rebootWorker(c.worker); return faultAction{} }},
 }
 
 // applies reports whether a fault can act on a step at all.
@@ -72,7 +72,7 @@
 	case strings.HasPrefix(s.name, "worker"):
 		return strings.HasPrefix(step, "worker.")
 	case step == "worker.StartChecked":
-		return !s.after // this step has no call after its effect
+		return !s.afterEffect // applyFault is called for this step only before its effect
 	}
 	return true
 }
@@ -83,16 +83,16 @@
 var setupFaults = map[string]injection{
 	"peer.LookupRequest":    {name: "peer.PlaceRequest", times: 3, act: dropCall},
 	"worker.Lookup":         {name: "worker.Start", times: 3, act: dropCall},
-	"peer.PromiseRequest":   {name: "worker.Start", times: 1, act: func(w *deployment, _ call) faultAction { w.storeDown(fault.Down); return faultAction{} }},
-	"store.Get":             {name: "worker.Start", after: true, times: 1, act: func(w *deployment, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
-	"store.CommitOwnership": {name: "worker.Start", after: true, times: 1, act: func(w *deployment, c call) faultAction { w.killAndRestart(c.from); return faultAction{} }},
+	"peer.PromiseRequest":   {name: "worker.Start", times: 1, act: func(d *deployment, _ call) faultAction { d.injectStoreOutage(fault.Down); return faultAction{} }},
+	"store.Get":             {name: "worker.Start", afterEffect: true, times: 1, act: func(d *deployment, c call) faultAction { d.killAndRestart(c.from); return faultAction{} }},
+	"store.CommitOwnership": {name: "worker.Start", afterEffect: true, times: 1, act: func(d *deployment, c call) faultAction { d.killAndRestart(c.from); return faultAction{} }},
 }
 
 func dropCall(*deployment, call) faultAction { return faultAction{drop: true} }
 
 // TestFaultMatrix guards against a request that is lost, executed twice or answered incorrectly
 // when one fault is injected at one step. It runs the control state and the daemon's calls in
-// virtual time and lists the cells whose step no call reached.
+// virtual time and logs the cells in which no call reached the step.
 func TestFaultMatrix(t *testing.T) {
 	var mu sync.Mutex
 	var missed []string
@@ -124,21 +124,21 @@
 // runCell runs the workload with one fault and checks every invariant. It reports whether the fault
 // was injected.
 func runCell(t *testing.T, step string, s injection) (injected bool) {
-	w := newDeployment(t, 3, 4)
-	defer w.close()
-	time.Sleep(10 * time.Second) // ownership is claimed
+	d := newDeployment(t, 3, 4)
+	defer d.close()
+	time.Sleep(10 * time.Second) // until every unit has an owner
 	faults := []*pendingInjection{{injection: s, step: step, remaining: s.times}}
 	if setup, ok := setupFaults[step]; ok {
 		faults = append(faults, &pendingInjection{injection: setup, step: setup.name, remaining: setup.times})
 	}
-	w.setFaults(faults)
-	load := w.submitLoad()
+	d.setFaults(faults)
+	load := d.submitLoad()
 	load.awaitEnd()
 	time.Sleep(quietPeriod)
 	load.check(t)
-	w.checkOracle(load)
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	d.checkOracle(load)
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	return faults[0].remaining < s.times
 }
 
@@ -149,55 +149,55 @@
 	remaining int
 }
 
-func (w *deployment) setFaults(faults []*pendingInjection) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.fault = func(c call) faultAction {
+func (d *deployment) setFaults(faults []*pendingInjection) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fault = func(c call) faultAction {
 		for _, f := range faults {
-			if w.takeInjection(f, c) {
-				return f.act(w, c)
+			if d.consumeInjection(f, c) {
+				return f.act(d, c)
 			}
 		}
 		return faultAction{}
 	}
 }
 
-// takeInjection reports whether a fault acts on a call, and counts it.
-func (w *deployment) takeInjection(f *pendingInjection, c call) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if f.remaining == 0 || c.step != f.step || c.returned != f.after || c.from.dead {
+// consumeInjection reports whether a fault acts on a call, and if so counts the call.
+func (d *deployment) consumeInjection(f *pendingInjection, c call) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if f.remaining == 0 || c.step != f.step || c.executed != f.afterEffect || c.from.dead {
 		return false
 	}
 	f.remaining--
 	return true
 }
 
-func (w *deployment) killAndRestart(n *node) {
+func (d *deployment) killAndRestart(n *node) {
 	n.kill()
 	time.AfterFunc(restartDelay, func() {
-		w.mu.Lock()
-		ended := w.ended
-		w.mu.Unlock()
-		if !ended {
-			w.startNode(n.index)
+		d.mu.Lock()
+		closed := d.closed
+		d.mu.Unlock()
+		if !closed {
+			d.startNode(n.index)
 		}
 	})
 }
 
-func (w *deployment) storeDown(kind fault.Kind) {
-	_ = w.store.Faults().Set(fault.Fault{Kind: kind})
-	time.AfterFunc(outageDuration, func() { _ = w.store.Faults().Set() })
+func (d *deployment) injectStoreOutage(kind fault.Kind) {
+	_ = d.store.Faults().Set(fault.Fault{Kind: kind})
+	time.AfterFunc(outageDuration, func() { _ = d.store.Faults().Set() })
 }
 
-func (w *deployment) freezeWorker(name string) {
+func (d *deployment) freezeWorker(name string) {
 	frozen, resumed := true, false
-	go func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Freeze: &frozen}) }()
-	time.AfterFunc(freezeDuration, func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Freeze: &resumed}) })
+	go func() { _ = d.workers[name].SetFaults(standin.WorkerFaults{Freeze: &frozen}) }()
+	time.AfterFunc(freezeDuration, func() { _ = d.workers[name].SetFaults(standin.WorkerFaults{Freeze: &resumed}) })
 }
 
-func (w *deployment) rebootWorker(name string) {
-	go func() { _ = w.workers[name].SetFaults(standin.WorkerFaults{Reboot: true}) }()
+func (d *deployment) rebootWorker(name string) {
+	go func() { _ = d.workers[name].SetFaults(standin.WorkerFaults{Reboot: true}) }()
 }
 
 // job is one job of the load with the last reply to its caller.
@@ -212,16 +212,16 @@
 	accepted bool // a submission was confirmed to its caller
 }
 
-// load is the work of one cell.
+// load is the work of one cell of the matrix.
 type load struct {
 	deployment *deployment
 	jobs       []*job
 	done       sync.WaitGroup
 }
 
-// submitLoad submits work of every kind through every instance.
-func (w *deployment) submitLoad() *load {
-	l := &load{deployment: w}
+// submitLoad submits work of every kind, distributed over the instances.
+func (d *deployment) submitLoad() *load {
+	l := &load{deployment: d}
 	classes := []string{"lookup", "check", "report", "hammer", "tables", "lookup", "report", "check"}
 	for i, class := range classes {
 		j := &job{class: class, key: fmt.Sprintf("k%d", i), count: 1, cancel: i == len(classes)-1}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -20,7 +20,7 @@
 	metricUnitsHeld        = "control.units_held_count"
 	metricRequestKind      = "request.kind_count."  // followed by the kind of work
 	metricRequestError     = "request.error_count." // followed by the error kind
-	metricWait             = "task.wait_ms."        // followed by the team
+	metricTaskWait         = "task.wait_ms."        // followed by the team
 	metricStartSent        = "task.start_sent_count"
 	metricStartNotRun      = "task.start_not_run_count"
 	metricStartUnclear     = "task.start_unclear_count"
@@ -74,7 +74,7 @@
 	case control.StartUnclear:
 		m.count(metricStartUnclear)
 	default:
-		m.observe(metricWait+string(done.Start.Team), done.Start.WaitTime.Milliseconds())
+		m.observe(metricTaskWait+string(done.Start.Team), done.Start.WaitTime.Milliseconds())
 	}
 }
 
--- a/daemon/operations_test.go
+++ b/daemon/operations_test.go
@@ -20,45 +20,45 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// condition is a fault during an operator's change. contacted is the instance that the operator
-// calls, other is another instance.
+// condition is a fault that is injected during an operation. contacted is the instance that the
+// operator calls; other is another instance.
 type condition struct {
 	name  string
-	apply func(w *deployment, contacted, other *node)
+	apply func(d *deployment, contacted, other *node)
 }
 
-const faultDuration = time.Minute // duration of a store fault under a condition
+const faultDuration = time.Minute // duration of a store fault that a condition injects
 
 var conditions = []condition{
 	{"none", func(*deployment, *node, *node) {}},
 	{"other frozen", func(_ *deployment, _, other *node) { other.freeze(freezeDuration) }},
 	{"other frozen briefly", func(_ *deployment, _, other *node) { other.freeze(4 * time.Second) }},
-	{"other cut off from the store", func(w *deployment, _, other *node) {
-		w.storeFault(faultDuration, fault.Fault{Kind: fault.Unreachable, Instance: other.cfg.Self.Instance})
+	{"other cut off from the store", func(d *deployment, _, other *node) {
+		d.injectStoreFault(faultDuration, fault.Fault{Kind: fault.Unreachable, Instance: other.cfg.Self.Instance})
 	}},
-	{"other's watch silent", func(w *deployment, _, other *node) {
-		w.storeFault(faultDuration, fault.Fault{Kind: fault.SilentWatch, Instance: other.cfg.Self.Instance})
+	{"other's watch silent", func(d *deployment, _, other *node) {
+		d.injectStoreFault(faultDuration, fault.Fault{Kind: fault.SilentWatch, Instance: other.cfg.Self.Instance})
 	}},
-	{"other killed", func(w *deployment, _, other *node) { w.killAndRestart(other) }},
-	{"store slow", func(w *deployment, _, _ *node) {
-		w.storeFault(faultDuration, fault.Fault{Kind: fault.Slow, DelayMS: 1500})
+	{"other killed", func(d *deployment, _, other *node) { d.killAndRestart(other) }},
+	{"store slow", func(d *deployment, _, _ *node) {
+		d.injectStoreFault(faultDuration, fault.Fault{Kind: fault.Slow, DelayMS: 1500})
 	}},
-	{"replies of commits lost", func(w *deployment, contacted, _ *node) {
-		w.storeFault(faultDuration, fault.Fault{Kind: fault.ReplyLost, Call: "txn", Instance: contacted.cfg.Self.Instance, Count: 2})
+	{"replies of commits lost", func(d *deployment, contacted, _ *node) {
+		d.injectStoreFault(faultDuration, fault.Fault{Kind: fault.ReplyLost, Call: "txn", Instance: contacted.cfg.Self.Instance, Count: 2})
 	}},
 }
 
-func (w *deployment) storeFault(d time.Duration, f fault.Fault) {
-	if err := w.store.Faults().Set(f); err != nil {
-		w.t.Fatal(err)
+func (d *deployment) injectStoreFault(duration time.Duration, f fault.Fault) {
+	if err := d.store.Faults().Set(f); err != nil {
+		d.t.Fatal(err)
 	}
-	time.AfterFunc(d, func() { _ = w.store.Faults().Set() })
+	time.AfterFunc(duration, func() { _ = d.store.Faults().Set() })
 }
 
 // operation is a change that an operator or the platform makes under load.
 type operation struct {
 	name string
-	run  func(t *testing.T, w *deployment, contacted, other *node, inject func())
+	run  func(t *testing.T, d *deployment, contacted, other *node, inject func())
 }
 
 var operations = []operation{
@@ -89,12 +89,12 @@
 			t.Run(op.name+"/"+c.name, func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
-					w := newDeployment(t, 3, 4)
-					defer w.close()
-					time.Sleep(15 * time.Second) // ownership is claimed and the list lag has passed
-					contacted, other := w.nodes[0], w.nodes[1]
-					op.run(t, w, contacted, other, func() { c.apply(w, contacted, other) })
-					w.checkOracle(&load{deployment: w, jobs: w.submitted()})
+					d := newDeployment(t, 3, 4)
+					defer d.close()
+					time.Sleep(15 * time.Second) // until every unit has an owner and the list lag has passed
+					contacted, other := d.nodes[0], d.nodes[1]
+					op.run(t, d, contacted, other, func() { c.apply(d, contacted, other) })
+					d.checkOracle(&load{deployment: d, jobs: d.submitted()})
 				})
 			})
 		}
@@ -102,10 +102,10 @@
 }
 
 // submitted returns the jobs that were submitted by submitJob.
-func (w *deployment) submitted() []*job {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return slices.Clone(w.jobs)
+func (d *deployment) submitted() []*job {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.jobs)
 }
 
 // submitJob submits a job of one task of a class and returns the reply.
@@ -147,9 +147,9 @@
 
 // withdrawKey checks that no instance accepts work under a key once the freshness interval has
 // passed since the confirmed withdrawal, and that running work under the key ends.
-func withdrawKey(t *testing.T, w *deployment, contacted, _ *node, inject func()) {
+func withdrawKey(t *testing.T, d *deployment, contacted, _ *node, inject func()) {
 	for i := range 20 {
-		if _, err := w.nodes[i%3].submitJob("check", fmt.Sprintf("w%d", i)); err != nil {
+		if _, err := d.nodes[i%3].submitJob("check", fmt.Sprintf("w%d", i)); err != nil {
 			t.Fatalf("submit before the withdrawal: %v", err)
 		}
 	}
@@ -160,11 +160,11 @@
 	confirmed := time.Now()
 	var accepted sync.Map
 	for round := 0; time.Since(confirmed) < faultDuration+freezeDuration; round++ {
-		for _, n := range w.live() {
+		for _, n := range d.live() {
 			go func() {
 				n.waitWhileFrozen()
 				elapsed := time.Since(confirmed)
-				if _, err := n.submitJob("check", fmt.Sprintf("after-%d-%s", round, n.cfg.Self.Instance)); err == nil && elapsed > w.nodes[0].cfg.Control.KeyFreshness {
+				if _, err := n.submitJob("check", fmt.Sprintf("after-%d-%s", round, n.cfg.Self.Instance)); err == nil && elapsed > d.nodes[0].cfg.Control.KeyFreshness {
 					accepted.Store(fmt.Sprintf("%s after %v", n.cfg.Self.Instance, elapsed), true)
 				}
 			}()
@@ -175,7 +175,7 @@
 		t.Errorf("a withdrawn key was accepted by %s", where)
 		return true
 	})
-	for name, standInWorker := range w.workers {
+	for name, standInWorker := range d.workers {
 		ledger, err := standInWorker.Ledger()
 		if err != nil {
 			t.Fatal(err)
@@ -192,24 +192,24 @@
 
 // lowerLimit checks that a limit below the current usage comes into force. The oracle checks that
 // the team's usage never exceeds the limit from then on.
-func lowerLimit(t *testing.T, w *deployment, contacted, _ *node, inject func()) {
+func lowerLimit(t *testing.T, d *deployment, contacted, _ *node, inject func()) {
 	for i := range 8 {
-		if _, err := w.nodes[i%3].submitJob("tables", fmt.Sprintf("s%d", i)); err != nil {
+		if _, err := d.nodes[i%3].submitJob("tables", fmt.Sprintf("s%d", i)); err != nil {
 			t.Fatalf("submit a service: %v", err)
 		}
 	}
 	time.Sleep(5 * time.Second)
-	if got := w.running(t); got != 8 {
+	if got := d.running(t); got != 8 {
 		t.Fatalf("%d services run before the change, want 8", got)
 	}
 	inject()
-	w.apply(t, contacted, operator.DocumentRef{Team: "leuven"}, lowLimit)
+	d.apply(t, contacted, operator.DocumentRef{Team: "leuven"}, lowLimit)
 	time.Sleep(3 * time.Minute)
-	if got := w.running(t); got != 3 {
+	if got := d.running(t); got != 3 {
 		t.Errorf("%d services run under a limit of 3", got)
 	}
 	inForce := 0
-	for _, e := range w.trace().Events {
+	for _, e := range d.trace().Events {
 		if e.Type == timeline.LimitInForce && e.Size.Slots == 3 {
 			inForce++
 		}
@@ -220,10 +220,10 @@
 }
 
 // running counts the running tasks of all workers.
-func (w *deployment) running(t *testing.T) int {
+func (d *deployment) running(t *testing.T) int {
 	t.Helper()
 	count := 0
-	for _, standInWorker := range w.workers {
+	for _, standInWorker := range d.workers {
 		ledger, err := standInWorker.Ledger()
 		if err != nil {
 			t.Fatal(err)
@@ -239,17 +239,17 @@
 
 // apply replaces a document. Each attempt reads the revision again, since an earlier attempt may
 // have succeeded.
-func (w *deployment) apply(t *testing.T, n *node, ref operator.DocumentRef, source string) operator.StoredDocument {
+func (d *deployment) apply(t *testing.T, n *node, ref operator.DocumentRef, source string) operator.StoredDocument {
 	t.Helper()
 	return retryUntilConfirmed(t, n, "apply a document", func(ctx context.Context) (operator.StoredDocument, error) {
-		held, err := n.operator().Get(ctx, ref)
+		stored, err := n.operator().Get(ctx, ref)
 		if err != nil {
 			return operator.StoredDocument{}, err
 		}
-		if held.Record.Source == source {
-			return held, nil
+		if stored.Record.Source == source {
+			return stored, nil
 		}
-		return n.operator().Apply(ctx, operator.DocumentChange{Ref: ref, Source: source, Operator: "test", ExpectedRevision: held.Revision})
+		return n.operator().Apply(ctx, operator.DocumentChange{Ref: ref, Source: source, Operator: "test", ExpectedRevision: stored.Revision})
 	})
 }
 
@@ -258,38 +258,38 @@
 const configBound = 11 * time.Second
 
 // applyDocument checks that a document is in force at every running instance within the bound.
-func applyDocument(t *testing.T, w *deployment, contacted, other *node, inject func()) {
+func applyDocument(t *testing.T, d *deployment, contacted, other *node, inject func()) {
 	inject()
 	source := strings.Replace(testDocument, "sleep:2s", "sleep:3s", 1)
-	held := w.apply(t, contacted, operator.DocumentRef{Team: "leuven", Service: "piping"}, source)
+	stored := d.apply(t, contacted, operator.DocumentRef{Team: "leuven", Service: "piping"}, source)
 	confirmed := time.Now()
 	for time.Since(confirmed) < configBound {
 		time.Sleep(100 * time.Millisecond)
 	}
 	other.waitWhileFrozen()
-	time.Sleep(configBound) // the bound applies to a frozen or restarted instance from the time it resumes
-	if n := w.nodeAt(other.cfg.Self.Address); n == nil {
+	time.Sleep(configBound) // for a frozen or restarted instance, the bound starts when it resumes
+	if n := d.nodeAt(other.cfg.Self.Address); n == nil {
 		time.Sleep(restartDelay + configBound)
 	}
-	for _, n := range w.live() {
-		if got := n.Snapshot().Documents; got == nil || !hasRevision(n, held.Revision) {
-			t.Errorf("%s does not have revision %d in force %v after it was confirmed", n.cfg.Self.Incarnation, held.Revision, time.Since(confirmed))
+	for _, n := range d.live() {
+		if got := n.Snapshot().Documents; got == nil || !hasRevision(n, stored.Revision) {
+			t.Errorf("%s does not have revision %d in force %v after it was confirmed", n.cfg.Self.Incarnation, stored.Revision, time.Since(confirmed))
 		}
 	}
 }
 
 func hasRevision(n *node, revision int64) bool {
-	for key, held := range n.Snapshot().Documents {
+	for key, stored := range n.Snapshot().Documents {
 		if key.Service == "piping" {
-			return held.Revision == revision
+			return stored.Revision == revision
 		}
 	}
 	return false
 }
 
-// raceOperators checks that at most one of two concurrent changes from the same revision succeeds,
-// and that the other one receives a conflict or an error of the store.
-func raceOperators(t *testing.T, w *deployment, contacted, other *node, inject func()) {
+// raceOperators checks that at most one of two concurrent changes based on the same revision
+// succeeds, and that the other one fails with a conflict or a store error.
+func raceOperators(t *testing.T, d *deployment, contacted, other *node, inject func()) {
 	ref := operator.DocumentRef{Team: "leuven", Service: "piping"}
 	first := retryUntilConfirmed(t, contacted, "read the document", func(ctx context.Context) (operator.StoredDocument, error) { return contacted.operator().Get(ctx, ref) })
 	inject()
@@ -317,9 +317,9 @@
 		}
 	}
 	if succeeded > 1 {
-		t.Error("both concurrent changes from the same revision were reported as succeeded")
+		t.Error("both concurrent changes based on the same revision were reported as succeeded")
 	}
-	now := retryUntilConfirmed(t, w.nodes[2], "read the document", func(ctx context.Context) (operator.StoredDocument, error) { return w.nodes[2].operator().Get(ctx, ref) })
+	now := retryUntilConfirmed(t, d.nodes[2], "read the document", func(ctx context.Context) (operator.StoredDocument, error) { return d.nodes[2].operator().Get(ctx, ref) })
 	if succeeded == 1 && now.Record.PreviousRevision != first.Revision {
 		t.Errorf("the document in force replaced revision %d, want %d", now.Record.PreviousRevision, first.Revision)
 	}
@@ -327,11 +327,11 @@
 
 // drainInstance checks that a planned stop under load completes in time, and that meanwhile no
 // request fails, whether sent to the draining instance or to another one.
-func drainInstance(t *testing.T, w *deployment, contacted, other *node, inject func()) {
+func drainInstance(t *testing.T, d *deployment, contacted, other *node, inject func()) {
 	var failures sync.Map
 	stop := make(chan struct{})
 	var group sync.WaitGroup
-	for i, n := range []*node{contacted, w.nodes[2]} {
+	for i, n := range []*node{contacted, d.nodes[2]} {
 		group.Go(func() {
 			for r := 0; ; r++ {
 				select {
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -13,17 +13,17 @@
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
-// operatorBackend implements operator.Backend. The instance that receives a change of the
-// configuration writes it to the store.
+// operatorBackend implements operator.Backend. The instance that receives a
+// configuration change writes it to the store.
 type operatorBackend struct{ *engine }
 
 // inForcePollInterval is the interval at which a waiting call checks whether its change is in force
 // at every member.
 const inForcePollInterval = 50 * time.Millisecond
 
-// commitConfig executes a transaction on the configuration. The control loop refuses it while this
-// instance has promised other instances to commit nothing, and shortly after the start, when other
-// instances may not yet list this one and so do not request its promise.
+// commitConfig executes a transaction on the configuration. The control loop rejects it while this
+// instance has promised other instances not to commit, and shortly after the start, when other
+// instances may not yet list this one and therefore do not request its promise.
 func (b *operatorBackend) commitConfig(ctx context.Context, txn store.Txn) (store.TxnResult, txnOutcome, error) {
 	reply, err := b.loop.Call(ctx, b.cfg.Self.Instance, control.BeginConfigCommit{})
 	if err != nil {
@@ -31,7 +31,7 @@
 	}
 	if !reply.(control.ConfigCommitReply).Allowed {
 		return store.TxnResult{}, txnNoEffect, errkind.New(errkind.StoreUnavailable,
-			"this instance may not change the configuration yet").WithRetryAfter(b.cfg.Control.KeyFreshness)
+			"this instance has promised not to commit configuration changes, or has just started").WithRetryAfter(b.cfg.Control.KeyFreshness)
 	}
 	result, outcome := b.commit(ctx, txn)
 	if outcome != txnUnclear {
@@ -44,7 +44,7 @@
 }
 
 // endCommit reports the outcome of a commit to the control loop. It is not called for a commit whose
-// outcome is unclear, since such a commit may still take effect at any later time.
+// outcome is unclear, since such a commit may still take effect at any time.
 func (b *operatorBackend) endCommit(ctx context.Context, result store.TxnResult, outcome txnOutcome) {
 	end := control.EndConfigCommit{}
 	if outcome == txnStored {
@@ -76,14 +76,14 @@
 }
 
 // Drain starts or ends the drain of an entry instance or a worker.
-func (b *operatorBackend) Drain(ctx context.Context, by string, request api.DrainRequest) (api.DrainStatus, error) {
+func (b *operatorBackend) Drain(ctx context.Context, operatorName string, request api.DrainRequest) (api.DrainStatus, error) {
 	name := request.Instance + request.Worker
 	if err := b.checkDrain(ctx, request); err != nil {
 		return api.DrainStatus{}, err
 	}
 	txn := store.Txn{Deletes: []string{store.DrainKey(name)}}
 	if !request.Undo {
-		value, err := store.Encode(map[string]string{"by": by})
+		value, err := store.Encode(map[string]string{"by": operatorName})
 		if err != nil {
 			return api.DrainStatus{}, err
 		}
@@ -92,12 +92,12 @@
 	if _, outcome, err := b.commitConfig(ctx, txn); err != nil || outcome != txnStored {
 		return api.DrainStatus{}, changeError(err)
 	}
-	return b.drainState(ctx, name, !request.Undo), nil
+	return b.drainStatus(ctx, name, !request.Undo), nil
 }
 
 // checkDrain rejects the name of an unknown instance or worker, whose drain would have no effect
-// and never complete. An unknown worker is accepted while a member does not answer, since it may be
-// one of that member's workers.
+// and never complete. An unknown worker is accepted while a member does not respond, since the worker
+// may belong to that member.
 func (b *operatorBackend) checkDrain(ctx context.Context, request api.DrainRequest) error {
 	if request.Undo {
 		return nil
@@ -129,25 +129,26 @@
 	return errkind.New(errkind.OutcomeUnknown, "the store did not confirm the change; check the current state and try again")
 }
 
-func (b *operatorBackend) drainState(ctx context.Context, name string, draining bool) api.DrainStatus {
-	state := api.DrainStatus{Name: name, Draining: draining}
+func (b *operatorBackend) drainStatus(ctx context.Context, name string, draining bool) api.DrainStatus {
+	status := api.DrainStatus{Name: name, Draining: draining}
 	overviews, _ := b.fetchOverviews(ctx)
 	for _, o := range overviews {
 		if o.Instance == name {
-			state.Units = len(o.Units)
+			status.Units = len(o.Units)
 		}
 		for _, w := range o.Workers {
 			if w.Name == name {
-				state.Tasks = w.Running
+				status.Tasks = w.Running
 			}
 		}
 	}
-	return state
+	return status
 }
 
-// ForceOwnership lets this instance take over a unit whose owner and successors are all gone.
-func (b *operatorBackend) ForceOwnership(ctx context.Context, by string, request api.ForceOwnershipRequest) (api.Ownership, error) {
-	b.log.Warn("ownership forced", "unit", request.Unit, "by", by, "reason", request.Reason)
+// ForceOwnership makes this instance take over a unit of which an operator declares the owner and all
+// successors lost.
+func (b *operatorBackend) ForceOwnership(ctx context.Context, operatorName string, request api.ForceOwnershipRequest) (api.Ownership, error) {
+	b.log.Warn("ownership forced", "unit", request.Unit, "by", operatorName, "reason", request.Reason)
 	if err := b.loop.Post(ctx, control.OwnershipForced{Unit: request.Unit}); err != nil {
 		return api.Ownership{}, err
 	}
@@ -157,7 +158,7 @@
 }
 
 // fetchOverviews requests the overview of every member and returns the names of the members that
-// did not answer.
+// did not respond.
 func (b *operatorBackend) fetchOverviews(ctx context.Context) (found []control.Overview, missing []string) {
 	members := b.loop.Snapshot().Members
 	replies := make([]control.PeerReply, len(members))
@@ -187,7 +188,7 @@
 	case s.Draining:
 		return errkind.New(errkind.Draining, "this instance is draining")
 	case !s.Ready:
-		return errkind.New(errkind.NoOwner, "this instance has not joined yet")
+		return errkind.New(errkind.NoOwner, "this instance has no store lease or has not read the configuration yet")
 	}
 	return nil
 }
--- a/daemon/outage_test.go
+++ b/daemon/outage_test.go
@@ -16,14 +16,14 @@
 func TestKeysInStoreOutage(t *testing.T) {
 	for _, instances := range []int{1, 3} {
 		synctest.Test(t, func(t *testing.T) {
-			w := newDeployment(t, instances, 2)
-			defer w.close()
+			d := newDeployment(t, instances, 2)
+			defer d.close()
 			time.Sleep(20 * time.Second) // until every unit has an owner
-			w.storeDown(fault.Down)
+			d.injectStoreOutage(fault.Down)
 			// The last read of the store suffices for one freshness interval; the loop runs for longer.
 			for range 10 {
 				time.Sleep(2 * time.Second)
-				for _, n := range w.live() {
+				for _, n := range d.live() {
 					if _, err := n.Snapshot().Keys.Authenticate(time.Now(), "leuven", keyring.DigestOf(testSecret)); err != nil {
 						t.Fatalf("%d instances: %s rejects the key: %v", instances, n.cfg.Self.Instance, err)
 					}
@@ -37,10 +37,10 @@
 // and against refusing a repeated submission whose first one is recorded.
 func TestDurableWorkInStoreOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newDeployment(t, 3, 2)
-		defer w.close()
+		d := newDeployment(t, 3, 2)
+		defer d.close()
 		time.Sleep(20 * time.Second)
-		callers := &callerBackend{w.live()[0].engine}
+		callers := &callerBackend{d.live()[0].engine}
 		submit := func(key string) error {
 			_, err := callers.Submit(t.Context(), testSecret, task.Spec{Team: "leuven", Service: "piping", Class: "check",
 				IdempotencyKey: key, SubmittedAt: time.Now()}, 10*time.Second)
@@ -49,7 +49,7 @@
 		if err := submit("before"); err != nil {
 			t.Fatal(err)
 		}
-		w.storeDown(fault.Down)
+		d.injectStoreOutage(fault.Down)
 		time.Sleep(10 * time.Second)
 		sentAt := time.Now()
 		err := submit("during")
--- a/daemon/rebalance_test.go
+++ b/daemon/rebalance_test.go
@@ -10,44 +10,44 @@
 	"github.com/mulberrydrum/mulberrydrum/standin"
 )
 
-// TestWaitingWorkMoves guards against work that waits at a full partition while another one has
-// free capacity: while one partition is out of service, all work is sent to the other one, and it
-// must move when the first partition returns.
+// TestWaitingWorkMoves guards against work that stays queued at a full partition while another one
+// has free capacity. While one partition is out of service, all work is sent to the other one; queued
+// work must be rebalanced when the first partition returns.
 func TestWaitingWorkMoves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newDeployment(t, 3, 4)
-		defer w.close()
+		d := newDeployment(t, 3, 4)
+		defer d.close()
 		time.Sleep(10 * time.Second)
-		w.setPartitionFrozen(t, "w/flanders/0", true)
+		d.setPartitionFrozen(t, "w/flanders/0", true)
 		time.Sleep(10 * time.Second)
 		const services = 12 // the team's limit, and more than the capacity of one partition
 		for i := range services {
-			if _, err := w.nodes[i%3].submitJob("tables", fmt.Sprintf("m%d", i)); err != nil {
+			if _, err := d.nodes[i%3].submitJob("tables", fmt.Sprintf("m%d", i)); err != nil {
 				t.Fatal(err)
 			}
 		}
 		time.Sleep(5 * time.Second)
-		if got := w.running(t); got >= services {
+		if got := d.running(t); got >= services {
 			t.Fatalf("%d services run while one partition is out of service", got)
 		}
-		w.setPartitionFrozen(t, "w/flanders/0", false)
+		d.setPartitionFrozen(t, "w/flanders/0", false)
 		const bound = 30 * time.Second // a few rebalancing rounds, 2 s apart, after the workers report again
 		time.Sleep(bound)
-		if got := w.running(t); got != services {
-			t.Errorf("%d of %d services run %v after both partitions have room", got, services, bound)
+		if got := d.running(t); got != services {
+			t.Errorf("%d of %d services run %v after both partitions have free capacity", got, services, bound)
 		}
-		w.checkOracle(&load{deployment: w, jobs: w.submitted()})
+		d.checkOracle(&load{deployment: d, jobs: d.submitted()})
 	})
 }
 
 // setPartitionFrozen freezes or resumes every worker of a partition.
-func (w *deployment) setPartitionFrozen(t *testing.T, partition string, frozen bool) {
+func (d *deployment) setPartitionFrozen(t *testing.T, partition string, frozen bool) {
 	t.Helper()
-	for _, listed := range w.listing {
+	for _, listed := range d.listedWorkers {
 		if control.PartitionOf(listed.Region, listed.Rack, 2) != partition {
 			continue
 		}
-		if err := w.workers[listed.Name].SetFaults(standin.WorkerFaults{Freeze: &frozen}); err != nil {
+		if err := d.workers[listed.Name].SetFaults(standin.WorkerFaults{Freeze: &frozen}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/daemon/seededfault_test.go
+++ b/daemon/seededfault_test.go
@@ -13,67 +13,67 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// seededFault disables one mechanism in every process by changing its clients.
+// seededFault disables one mechanism in every process by wrapping its clients.
 type seededFault struct {
-	name    string
-	expect  []oracle.Invariant // the oracle must find a violation of at least one
-	clients func(n *node, c Clients) Clients
-	run     func(w *deployment)
+	name        string
+	expect      []oracle.Invariant // the oracle must find a violation of at least one
+	wrapClients func(n *node, c Clients) Clients
+	run         func(d *deployment)
 }
 
 var seededFaults = []seededFault{
-	{"records are not stored", []oracle.Invariant{oracle.AtMostOnce, oracle.NoLostWork, oracle.NotRunClaims}, discardRecords, func(w *deployment) {
+	{"records are not stored", []oracle.Invariant{oracle.AtMostOnce, oracle.NoLostWork, oracle.NotRunClaims}, discardRecords, func(d *deployment) {
 		for i := range 6 {
-			_, _ = w.nodes[0].submitJob("report", fmt.Sprintf("r%d", i))
+			_, _ = d.nodes[0].submitJob("report", fmt.Sprintf("r%d", i))
 		}
 		time.Sleep(time.Second)
-		for _, n := range w.live() {
-			w.killAndRestart(n)
+		for _, n := range d.live() {
+			d.killAndRestart(n)
 		}
 		time.Sleep(restartDelay + 40*time.Second)
 		for i := range 6 {
-			_, _ = w.live()[0].submitJob("report", fmt.Sprintf("r%d", i))
+			_, _ = d.live()[0].submitJob("report", fmt.Sprintf("r%d", i))
 		}
 		time.Sleep(30 * time.Second)
 	}},
-	{"an unclear start counts as not run", []oracle.Invariant{oracle.NotRunClaims, oracle.NoOverlappingRuns, oracle.AtMostOnce}, denyTaskStarts, func(w *deployment) {
+	{"an unclear start counts as not run", []oracle.Invariant{oracle.NotRunClaims, oracle.NoOverlappingRuns, oracle.AtMostOnce}, denyTaskStarts, func(d *deployment) {
 		for i := range 6 {
-			_, _ = w.nodes[0].submitJob("report", fmt.Sprintf("r%d", i))
+			_, _ = d.nodes[0].submitJob("report", fmt.Sprintf("r%d", i))
 		}
 		time.Sleep(30 * time.Second)
 	}},
-	{"workers report no running task", []oracle.Invariant{oracle.NoOverlappingRuns}, hideTasks, func(w *deployment) {
+	{"workers report no running task", []oracle.Invariant{oracle.NoOverlappingRuns}, hideTasks, func(d *deployment) {
 		for i := range 4 {
-			_, _ = w.nodes[0].submitJob("tables", fmt.Sprintf("t%d", i))
+			_, _ = d.nodes[0].submitJob("tables", fmt.Sprintf("t%d", i))
 		}
 		time.Sleep(90 * time.Second)
 	}},
-	{"workers report twice their capacity", []oracle.Invariant{oracle.Capacity}, doubleCapacity, func(w *deployment) {
+	{"workers report twice their capacity", []oracle.Invariant{oracle.Capacity}, doubleCapacity, func(d *deployment) {
 		for i := range 12 {
-			_, _ = w.nodes[i%3].submitJob("check", fmt.Sprintf("c%d", i))
+			_, _ = d.nodes[i%3].submitJob("check", fmt.Sprintf("c%d", i))
 		}
 		time.Sleep(20 * time.Second)
 	}},
-	{"keys count as fresh without a read", []oracle.Invariant{oracle.WithdrawnKey}, assumeFresh, func(w *deployment) {
-		w.dropPeerConfigMessages()
-		_ = w.store.Faults().Set(fault.Fault{Kind: fault.SilentWatch, Instance: w.nodes[1].cfg.Self.Instance},
-			fault.Fault{Kind: fault.SilentWatch, Instance: w.nodes[2].cfg.Self.Instance})
+	{"keys count as fresh without a read", []oracle.Invariant{oracle.WithdrawnKey}, assumeFresh, func(d *deployment) {
+		d.dropPeerConfigMessages()
+		_ = d.store.Faults().Set(fault.Fault{Kind: fault.SilentWatch, Instance: d.nodes[1].cfg.Self.Instance},
+			fault.Fault{Kind: fault.SilentWatch, Instance: d.nodes[2].cfg.Self.Instance})
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		defer cancel()
-		_, _ = w.nodes[0].operator().WithdrawKey(ctx, "test", "leuven", "k1")
+		_, _ = d.nodes[0].operator().WithdrawKey(ctx, "test", "leuven", "k1")
 		for i := range 40 {
-			_, _ = w.nodes[1+i%2].submitJob("check", fmt.Sprintf("c%d", i))
+			_, _ = d.nodes[1+i%2].submitJob("check", fmt.Sprintf("c%d", i))
 			time.Sleep(time.Second)
 		}
 	}},
 }
 
-// dropPeerConfigMessages drops the messages by which instances exchange configuration changes. They
-// would otherwise deliver what an instance with a seeded fault does not read from the store.
-func (w *deployment) dropPeerConfigMessages() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.fault = func(c call) faultAction {
+// dropPeerConfigMessages drops the messages by which instances exchange configuration changes, since
+// these would deliver the changes that an instance with a seeded fault does not read from the store.
+func (d *deployment) dropPeerConfigMessages() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fault = func(c call) faultAction {
 		switch c.step {
 		case "peer.DigestMessage", "peer.FetchConfigRequest", "peer.HandoverNotice":
 			return faultAction{drop: true}
@@ -89,12 +89,12 @@
 		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				w := newDeploymentWith(t, 3, 4, s.clients)
-				defer w.close()
+				d := newDeploymentWith(t, 3, 4, s.wrapClients)
+				defer d.close()
 				time.Sleep(15 * time.Second)
-				s.run(w)
-				trace := w.trace()
-				(&load{deployment: w, jobs: w.submitted()}).fillInProgress(&trace)
+				s.run(d)
+				trace := d.trace()
+				(&load{deployment: d, jobs: d.submitted()}).fillKnownTasks(&trace)
 				found := map[oracle.Invariant]int{}
 				for _, v := range oracle.Check(trace) {
 					found[v.Invariant]++
@@ -166,7 +166,7 @@
 	return c
 }
 
-// staleStore does not forward reads of the latest revision to the store.
+// staleStore answers reads of the latest revision without reading the store.
 type staleStore struct{ store.Store }
 
 func assumeFresh(_ *node, c Clients) Clients {
--- a/daemon/storecalls.go
+++ b/daemon/storecalls.go
@@ -200,7 +200,7 @@
 func (d *engine) writeAllowances(ctx context.Context, e control.WriteAllowances) control.AllowanceDone {
 	done := control.AllowanceDone{Writes: e.Writes, Result: allowance.WriteResult{Outcome: allowance.NoEffect}}
 	var txn store.Txn
-	owners := map[string]int64{}
+	ownershipRevisions := map[string]int64{}
 	for _, w := range e.Writes {
 		value, err := store.Encode(w.Record)
 		if err != nil {
@@ -211,10 +211,10 @@
 		txn.Compares = append(txn.Compares, store.Compare{Key: key, ModRevision: w.ExpectedRevision})
 		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value})
 		for partition, revision := range w.OwnershipRevisions {
-			owners[partition] = revision
+			ownershipRevisions[partition] = revision
 		}
 	}
-	for partition, revision := range owners {
+	for partition, revision := range ownershipRevisions {
 		txn.Compares = append(txn.Compares, store.Compare{Key: store.OwnershipKey(partition), ModRevision: revision})
 	}
 	result, outcome := d.commit(ctx, txn)
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// configRetryDelay is the delay before the configuration is read again after a failure. All
+	// configRetryDelay is the delay before a failed read of the configuration is retried. All
 	// instances read it after an outage of the store; a shorter delay would add to that load.
 	configRetryDelay = 500 * time.Millisecond
 	// peerFetchThreshold is the number of consecutive failed reads after which the configuration is
@@ -21,7 +21,7 @@
 	peerFetchThreshold = 3
 )
 
-// requestResync makes followConfig return, so that the configuration is listed again.
+// requestResync makes followConfig return, so that watchConfig lists the configuration again.
 func (d *engine) requestResync() {
 	select {
 	case d.resync <- struct{}{}:
@@ -126,7 +126,7 @@
 
 // pollInstances reads the platform's instance list at intervals and posts it to the control loop.
 func (d *engine) pollInstances(ctx context.Context) error {
-	var known map[worker.Address]bool
+	var listedWorkers map[worker.Address]bool
 	for ctx.Err() == nil {
 		sentAt := time.Now()
 		instances, err := d.clients.InstanceList.List(ctx)
@@ -134,16 +134,16 @@
 			d.log.Debug("reading the instance list failed", "err", err)
 		} else {
 			d.post(ctx, toInstancesListed(sentAt, instances))
-			known = d.dropUnlistedWorkers(known, instances)
+			listedWorkers = d.unregisterUnlistedWorkers(listedWorkers, instances)
 		}
 		sleep(ctx, d.cfg.ListInterval)
 	}
 	return nil
 }
 
-// dropUnlistedWorkers deletes the metrics of the known workers that are no longer listed, and returns
-// the listed workers.
-func (d *engine) dropUnlistedWorkers(known map[worker.Address]bool, instances []instancelist.Instance) map[worker.Address]bool {
+// unregisterUnlistedWorkers unregisters the metrics of the workers that were listed at the previous
+// poll but no longer are, and returns the listed workers.
+func (d *engine) unregisterUnlistedWorkers(previous map[worker.Address]bool, instances []instancelist.Instance) map[worker.Address]bool {
 	client, ok := d.clients.Workers.(interface{ UnregisterCounters(worker.Address) })
 	if !ok {
 		return nil
@@ -154,7 +154,7 @@
 			listed[worker.Address(instance.Address)] = true
 		}
 	}
-	for address := range known {
+	for address := range previous {
 		if !listed[address] {
 			client.UnregisterCounters(address)
 		}
--- a/daemon/workercalls.go
+++ b/daemon/workercalls.go
@@ -16,7 +16,7 @@
 func (d *engine) startTask(ctx context.Context, e control.StartTask) {
 	check := func() error {
 		if !d.loop.Snapshot().Holds(time.Now(), e.Partition, e.Epoch) {
-			return errkind.New(errkind.NoOwner, "the term for %s has ended", e.Partition)
+			return errkind.New(errkind.NoOwner, "ownership term %d of %s has ended", e.Epoch, e.Partition)
 		}
 		return nil
 	}
@@ -69,8 +69,8 @@
 	d.post(ctx, control.ResultDone{Fetch: e, Err: err, Data: data.Bytes()})
 }
 
-// stopTask requests a stop or a checkpoint. The next report of the worker shows the effect; if it
-// does not, the control state repeats the request.
+// stopTask requests a stop or a checkpoint. The control state repeats the request if the next report
+// of the worker does not show the effect.
 func (d *engine) stopTask(ctx context.Context, e control.StopTask) {
 	var err error
 	if e.Checkpoint {
--- a/daemon/workerfault_test.go
+++ b/daemon/workerfault_test.go
@@ -12,19 +12,19 @@
 
 // workerLeaves checks that no task starts on a worker later than the bound after the worker was listed
 // as leaving.
-func workerLeaves(t *testing.T, w *deployment, contacted, _ *node, inject func()) {
+func workerLeaves(t *testing.T, d *deployment, contacted, _ *node, inject func()) {
 	inject()
-	w.mu.Lock()
-	w.listing[0].State = instancelist.StateLeaving
-	w.mu.Unlock()
+	d.mu.Lock()
+	d.listedWorkers[0].State = instancelist.StateLeaving
+	d.mu.Unlock()
 	const bound = 3 * time.Second
 	cutoff := time.Now().Add(bound)
 	for i := range 40 {
-		go func() { _, _ = w.nodes[2].submitJob("check", fmt.Sprintf("l%d", i)) }()
+		go func() { _, _ = d.nodes[2].submitJob("check", fmt.Sprintf("l%d", i)) }()
 		time.Sleep(500 * time.Millisecond)
 	}
 	time.Sleep(time.Minute)
-	ledger, err := w.workers["worker-0"].Ledger()
+	ledger, err := d.workers["worker-0"].Ledger()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -35,11 +35,11 @@
 	}
 }
 
-// workerFails checks that every job is accepted, and that none ends with an error, although one
-// worker fails every task immediately.
-func workerFails(t *testing.T, w *deployment, _, _ *node, inject func()) {
+// workerFails checks that every job is accepted and none ends with an error while one worker fails
+// every task immediately.
+func workerFails(t *testing.T, d *deployment, _, _ *node, inject func()) {
 	failing := true
-	if err := w.workers["worker-0"].SetFaults(standin.WorkerFaults{FailTasks: &failing}); err != nil {
+	if err := d.workers["worker-0"].SetFaults(standin.WorkerFaults{FailTasks: &failing}); err != nil {
 		t.Fatal(err)
 	}
 	inject()
@@ -48,7 +48,7 @@
 	for i := range jobs {
 		group.Go(func() {
 			for range 60 {
-				if _, err := w.nodes[2].submitJob([]string{"check", "tables"}[i%8/7], fmt.Sprintf("f%d", i)); err == nil {
+				if _, err := d.nodes[2].submitJob([]string{"check", "tables"}[i%8/7], fmt.Sprintf("f%d", i)); err == nil {
 					return
 				}
 				time.Sleep(time.Second)
@@ -59,7 +59,7 @@
 	}
 	group.Wait()
 	time.Sleep(2 * time.Minute)
-	l := &load{deployment: w}
+	l := &load{deployment: d}
 	for i := range jobs {
 		reply, err := l.status(&job{key: fmt.Sprintf("f%d", i)})
 		if err != nil {
