--- a/load/bench_test.go
+++ b/load/bench_test.go
@@ -8,7 +8,7 @@
 
 // BenchmarkPolicies compares the policies on the same loads, with one seed for
 // each iteration. It reports the worst share error, the waiting times of answer
-// requests without the flooding team, and the time per start.
+// requests of all teams except the flooding one, and the time per start.
 func BenchmarkPolicies(b *testing.B) {
 	for _, teams := range []int{6, 97} {
 		for _, policy := range Policies {
--- a/load/config.go
+++ b/load/config.go
@@ -9,7 +9,7 @@
 
 // The scheduling policies.
 const (
-	Fair     = "fair"     // weighted dominant resource fairness with decay, the policy of the scheduler
+	Fair     = "fair"     // weighted dominant resource fairness with decayed usage, the policy of the production scheduler
 	Deficit  = "deficit"  // deficit round robin, with share times expected run time as the cost
 	Priority = "priority" // strict priority by urgency, then by arrival
 	FIFO     = "fifo"     // first come, first served, with a linear search over the workers
@@ -25,11 +25,11 @@
 	Workers  int
 	Duration time.Duration // of virtual time
 	Policy   string
-	Load     float64 // offered load as a fraction of the capacity, without the flood; 0 means DefaultLoad
+	Load     float64 // offered load as a fraction of the capacity, excluding the flood; 0 means DefaultLoad
 }
 
-// DefaultLoad keeps the cluster busy with free capacity on average. Bursts and
-// the flood exceed it.
+// DefaultLoad keeps the cluster busy but leaves some capacity free on average.
+// The load is higher during bursts and during the flood.
 const DefaultLoad = 0.9
 
 // Validate reports the first field that is out of range.
--- a/load/doc.go
+++ b/load/doc.go
@@ -3,5 +3,7 @@
 // generated load and measures waiting times, shares, utilization and the
 // processor time of a decision under several policies. The load is open-loop
 // and depends on the seed only, so that every policy receives the same jobs.
-// It is used by "mulberryctl load" and by the benchmarks.
+// During the middle fifth of a run, the first team floods the cluster with
+// additional jobs, and during the second half, keys are withdrawn. The package
+// is used by "mulberryctl load" and by the benchmarks.
 package load
--- a/load/fifo.go
+++ b/load/fifo.go
@@ -10,8 +10,8 @@
 )
 
 // fifoScheduler is the baseline: one queue in order of arrival, without
-// backfilling, and a linear best-fit search over all workers. Admission applies
-// only the queue limit per team that the other policies have as well.
+// backfilling, and a linear best-fit search over all workers. Admission control
+// is limited to the queue limit per team, which the other policies also apply.
 type fifoScheduler struct {
 	waiting       []*job
 	waitingByTeam []int
@@ -67,7 +67,7 @@
 	return removed
 }
 
-func (f *fifoScheduler) runRound(_ time.Time, started func(*job)) (searches int) {
+func (f *fifoScheduler) runRound(_ time.Time, onStart func(*job)) (searches int) {
 	for len(f.waiting) > 0 {
 		j := f.waiting[0]
 		searches++
@@ -77,7 +77,7 @@
 		f.waiting[0] = nil
 		f.waiting = f.waiting[1:]
 		f.waitingByTeam[j.team]--
-		started(j)
+		onStart(j)
 	}
 	return searches
 }
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -82,9 +82,9 @@
 			t.Errorf("%s uses a fraction of %.3f of the cluster, want at most 1", policy, r.Packing.Bottleneck)
 		}
 		for _, k := range r.Kinds {
-			left := k.Arrived - k.Started - k.Refused - k.DeadlineRefused - k.Expired - k.Cancelled
-			if left < 0 || left > 6*1000 || k.Started == 0 {
-				t.Errorf("%s: %d %s jobs are in no outcome count, want 0 to 6000 and at least one start: %+v", policy, left, k.Kind, k)
+			unaccounted := k.Arrived - k.Started - k.Refused - k.DeadlineRefused - k.Expired - k.Cancelled
+			if unaccounted < 0 || unaccounted > 6*1000 || k.Started == 0 { // 6 teams with at most 1000 waiting jobs each
+				t.Errorf("%s: %d %s jobs have no outcome, want 0 to 6000 and at least one start: %+v", policy, unaccounted, k.Kind, k)
 			}
 		}
 	}
@@ -152,7 +152,7 @@
 		cfg := smallConfig(Fair)
 		change(&cfg)
 		if _, err := Run(cfg); err == nil || !strings.Contains(err.Error(), field) {
-			t.Errorf("%s: err = %v", field, err)
+			t.Errorf("%s out of range: error %v, want one that names the field", field, err)
 		}
 	}
 }
--- a/load/profile.go
+++ b/load/profile.go
@@ -17,12 +17,12 @@
 	reviewAfter  time.Duration
 	maxGangSize  int // 0 for jobs of a single task
 	sizes        []task.Resources
-	maxRunTime   time.Duration // drawn run times are capped at this
+	maxRunTime   time.Duration // upper limit of drawn run times
 	drawRunTime  func(*rand.Rand) time.Duration
 }
 
-// profiles mixes short requests with heavy-tailed run times. About a fifth of the
-// work that runs at any time is intended to be services.
+// profiles mixes short requests with jobs of heavy-tailed run times. The load
+// fractions are intended to make services about a fifth of the running work.
 var profiles = []profile{
 	{
 		kind: task.Answer, urgency: task.Urgent, loadFraction: 0.15, deadline: 10 * time.Second,
@@ -122,8 +122,7 @@
 	return mean
 }
 
-// utilization returns the fraction of the capacity that size takes of each
-// resource.
+// utilization returns, for each resource, size as a fraction of the capacity.
 func utilization(size, capacity task.Resources) [4]float64 {
 	return [4]float64{
 		fraction(size.CPUMilli, capacity.CPUMilli), fraction(size.MemoryMB, capacity.MemoryMB),
--- a/load/recorder.go
+++ b/load/recorder.go
@@ -33,7 +33,7 @@
 	waits           map[task.Kind][]time.Duration
 	windowShare     float64 // sums over the current window
 	windowFairShare float64
-	shortfall       float64 // sum over all windows of the fair share that was not reached
+	shortfall       float64 // sum over all windows of the amount by which the share was below the fair share
 	fairShareSum    float64 // sums over all samples
 	shareSum        float64
 }
--- a/load/report.go
+++ b/load/report.go
@@ -41,8 +41,8 @@
 	return e.Encode(results)
 }
 
-// WriteTable writes results as three tables: by policy, by kind of work with and
-// without the flooding team, and by team.
+// WriteTable writes results as three tables: by policy, by kind of work including
+// and excluding the flooding team, and by team.
 func WriteTable(w io.Writer, results []Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	writePolicies(t, results)
--- a/load/result.go
+++ b/load/result.go
@@ -20,7 +20,7 @@
 	Packing                Packing       `json:"packing"`
 	Cost                   Cost          `json:"cost"`
 	Kinds                  []KindResult  `json:"kinds"`
-	KindsOfOthers          []KindResult  `json:"kinds_of_others"` // without the flooding team
+	KindsOfOthers          []KindResult  `json:"kinds_of_others"` // excluding the flooding team
 	Teams                  []TeamResult  `json:"teams"`
 }
 
@@ -37,8 +37,8 @@
 type Cost struct {
 	Starts            int           `json:"starts"`
 	Searches          int           `json:"finds"`
-	PerStart          time.Duration `json:"per_start_ns"` // time of rounds, arrivals and ends divided by starts
-	PerSearch         time.Duration `json:"per_find_ns"`  // time of rounds divided by searches for a worker
+	PerStart          time.Duration `json:"per_start_ns"` // time of rounds, arrivals, expiries and job ends divided by starts
+	PerSearch         time.Duration `json:"per_find_ns"`  // time of rounds divided by placement searches
 	LongestRound      time.Duration `json:"longest_round_ns"`
 	WithdrawnEntries  int           `json:"wave_entries"`
 	PerWithdrawnEntry time.Duration `json:"per_wave_entry_ns"`
@@ -58,7 +58,7 @@
 	Team              task.Team     `json:"team"`
 	Weight            float64       `json:"weight"`
 	Share             float64       `json:"share"`                // mean dominant share
-	ShareError        float64       `json:"share_error"`          // fraction of the fair share that was not reached, per window of a minute
+	ShareError        float64       `json:"share_error"`          // shortfall as a fraction of the fair share, summed over windows of one minute
 	LongRunShareError float64       `json:"long_run_share_error"` // the same over the whole run
 	P50               time.Duration `json:"p50_ns"`
 	P99               time.Duration `json:"p99_ns"`
@@ -80,20 +80,20 @@
 		r.Teams = append(r.Teams, t)
 	}
 	for _, kind := range task.Kinds {
-		r.Kinds = append(r.Kinds, rec.kindWaits(kind, rec.stats))
-		r.KindsOfOthers = append(r.KindsOfOthers, rec.kindWaits(kind, rec.stats[1:]))
+		r.Kinds = append(r.Kinds, rec.kindResult(kind, rec.stats))
+		r.KindsOfOthers = append(r.KindsOfOthers, rec.kindResult(kind, rec.stats[1:]))
 	}
 	return r
 }
 
-func (rec *recorder) kindWaits(kind task.Kind, accounts []teamStats) KindResult {
+func (rec *recorder) kindResult(kind task.Kind, stats []teamStats) KindResult {
 	var all []time.Duration
 	var sum jobCounts
-	for i := range accounts {
-		all = append(all, accounts[i].waits[kind]...)
-		sum = sum.add(*accounts[i].counts[kind])
+	for i := range stats {
+		all = append(all, stats[i].waits[kind]...)
+		sum = sum.add(*stats[i].counts[kind])
 	}
-	return newWaits(kind, all, sum)
+	return newKindResult(kind, all, sum)
 }
 
 func (rec *recorder) teamResult(i int) TeamResult {
@@ -108,7 +108,7 @@
 	}
 	var all []time.Duration
 	for _, kind := range task.Kinds {
-		t.Kinds = append(t.Kinds, newWaits(kind, stats.waits[kind], *stats.counts[kind]))
+		t.Kinds = append(t.Kinds, newKindResult(kind, stats.waits[kind], *stats.counts[kind]))
 		all = append(all, stats.waits[kind]...)
 	}
 	t.P50, t.P99 = percentiles(all)
@@ -145,10 +145,10 @@
 	}
 }
 
-func newWaits(kind task.Kind, waits []time.Duration, c jobCounts) KindResult {
-	w := KindResult{Kind: kind, jobCounts: c}
-	w.P50, w.P99 = percentiles(waits)
-	return w
+func newKindResult(kind task.Kind, waits []time.Duration, counts jobCounts) KindResult {
+	r := KindResult{Kind: kind, jobCounts: counts}
+	r.P50, r.P99 = percentiles(waits)
+	return r
 }
 
 func percentiles(waits []time.Duration) (p50, p99 time.Duration) {
--- a/load/run.go
+++ b/load/run.go
@@ -7,14 +7,14 @@
 )
 
 const (
-	// roundInterval is the time between scheduling rounds. It stands for the
-	// batching of the control loop, which handles all pending events together.
+	// roundInterval is the time between scheduling rounds. It models the batching
+	// of the control loop, which handles all pending events together.
 	roundInterval = 10 * time.Millisecond
 	// expiryInterval is the time between checks for jobs past their deadline.
 	expiryInterval = 100 * time.Millisecond
 	sampleInterval = time.Second
-	// withdrawalCount is the number of key withdrawals in a run. Each cancels all
-	// jobs of a team under one key.
+	// withdrawalCount is the number of key withdrawals in a run. Each ends all
+	// waiting and running jobs of a team under one key.
 	withdrawalCount = 4
 )
 
--- a/load/scheduler.go
+++ b/load/scheduler.go
@@ -9,16 +9,16 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// scheduler decides which waiting job starts on which node.
+// scheduler decides which waiting job starts on which worker.
 type scheduler interface {
 	enqueue(now time.Time, j *job) *errkind.Error
 	// removeKey removes and returns the waiting jobs of a team under one key.
 	removeKey(now time.Time, team int, key string) []*job
 	// expire removes and returns the waiting jobs that are past their deadline.
 	expire(now time.Time) []*job
-	// runRound starts the jobs that can start, calls started for each, and
-	// returns the number of searches for a node.
-	runRound(now time.Time, started func(*job)) (searches int)
+	// runRound starts the jobs that can start, calls onStart for each, and
+	// returns the number of placement searches.
+	runRound(now time.Time, onStart func(*job)) (searches int)
 	// release frees the resources of a job.
 	release(now time.Time, j *job)
 	// observeRunTime updates the run time estimates with a completed job.
@@ -36,7 +36,8 @@
 type teamSelector interface {
 	// beginRound starts a scheduling round over the teams with waiting jobs.
 	beginRound(now time.Time, teams []task.Team)
-	// next returns the team to try, and false if no team is left in the round.
+	// next returns the team whose job is to be started next, and false if no team
+	// is left in the round.
 	next(now time.Time) (task.Team, bool)
 	// jobStarted records that the team returned by next started a job. hasMore
 	// reports whether the team has further waiting jobs.
@@ -132,7 +133,7 @@
 
 // runRound starts the jobs that fit, one at a time in the order of the team
 // selector.
-func (c *clusterScheduler) runRound(now time.Time, started func(*job)) (searches int) {
+func (c *clusterScheduler) runRound(now time.Time, onStart func(*job)) (searches int) {
 	c.rejected, c.rejectedCounts = c.rejected[:0], c.rejectedCounts[:0]
 	c.selector.beginRound(now, c.queues.Teams())
 	for {
@@ -145,7 +146,7 @@
 			c.selector.exclude()
 			continue
 		}
-		started(j)
+		onStart(j)
 		c.selector.jobStarted(now, j, c.queues.Len(name) > 0)
 	}
 }
@@ -188,7 +189,8 @@
 	return false
 }
 
-// place reserves a node for every task of a job, or for none of them.
+// place reserves capacity on a worker for every task of a job, or for none of
+// them.
 func (c *clusterScheduler) place(j *job) bool {
 	req := placement.Request{Size: j.size}
 	if j.profile.kind == task.LongLived {
--- a/load/selectors.go
+++ b/load/selectors.go
@@ -148,8 +148,8 @@
 	}
 }
 
-// next grants, in one step, as many rounds of credit as are needed until one team
-// can afford its first entry, and returns that team.
+// next grants, in one step, as many rounds of credit as are needed until the credit
+// of one team covers the cost of its first entry, and returns that team.
 func (s *deficitSelector) next(now time.Time) (task.Team, bool) {
 	fewestRounds := math.Inf(1)
 	for i, name := range s.teams {
@@ -170,8 +170,8 @@
 }
 
 func (s *deficitSelector) costOf(e *queue.Entry) float64 {
-	run, learned := s.queues.ExpectedRun(e.Team, e.Service, e.Class)
-	if !learned {
+	run, observed := s.queues.ExpectedRun(e.Team, e.Service, e.Class)
+	if !observed {
 		run = e.DeclaredRun
 	}
 	return e.Size.Scale(int64(max(e.Count, 1))).DominantShare(s.total) * run.Seconds()
