oracle: reword comments and use the usual terms

The messages of three violations and the names of four test cases are clearer; no test or tool matches them. The strings of the invariants are unchanged.

--- a/oracle/control.go
+++ b/oracle/control.go
@@ -55,22 +55,22 @@
 func (idx *traceIndex) lastingWithdrawals() map[keyRef]timeline.Event {
 	first := make(map[keyRef]timeline.Event)
 	for _, e := range idx.byType[timeline.KeyWithdrawn] {
-		name := keyRef{e.Team, e.KeyID}
-		if _, seen := first[name]; !seen {
-			first[name] = e
+		ref := keyRef{e.Team, e.KeyID}
+		if _, seen := first[ref]; !seen {
+			first[ref] = e
 		}
 	}
 	for _, e := range idx.byType[timeline.KeyGranted] {
-		name := keyRef{e.Team, e.KeyID}
-		if withdrawal, ok := first[name]; ok && e.Revision > withdrawal.Revision {
-			delete(first, name)
+		ref := keyRef{e.Team, e.KeyID}
+		if withdrawal, ok := first[ref]; ok && e.Revision > withdrawal.Revision {
+			delete(first, ref)
 		}
 	}
 	return first
 }
 
-// checkWithdrawnKeys reports acceptances and starts under a key later than the
-// allowed delay after its withdrawal.
+// checkWithdrawnKeys reports acceptances and starts under a withdrawn key after
+// Bounds.KeyWithdrawal has passed since its withdrawal.
 func checkWithdrawnKeys(idx *traceIndex, report *Report) {
 	withdrawn := idx.lastingWithdrawals()
 	bound := idx.Bounds.KeyWithdrawal + idx.Bounds.ClockSkew
@@ -102,19 +102,19 @@
 	return late
 }
 
-// checkLeavingWorkers reports starts on a worker later than the allowed delay
-// after it began to leave, according to its ledger or to the first WorkerLeaving
-// event.
+// checkLeavingWorkers reports starts on a leaving worker after Bounds.Leaving has
+// passed since it began to leave, according to its ledger or to the first
+// WorkerLeaving event.
 func checkLeavingWorkers(idx *traceIndex, report *Report) {
-	events := make(map[string]timeline.Event) // first event of each worker
+	firstEvent := make(map[string]timeline.Event) // by worker
 	for _, e := range idx.byType[timeline.WorkerLeaving] {
-		if _, seen := events[e.Worker]; !seen {
-			events[e.Worker] = e
+		if _, seen := firstEvent[e.Worker]; !seen {
+			firstEvent[e.Worker] = e
 		}
 	}
 	bound := idx.Bounds.Leaving + idx.Bounds.ClockSkew
 	for _, w := range idx.Workers {
-		for _, p := range leavingPeriods(w, events[w.Worker]) {
+		for _, p := range leavingPeriods(w, firstEvent[w.Worker]) {
 			report.countExamined(LeavingWorker)
 			for _, r := range startedAfter(w.Runs, p.Start.Add(bound)) {
 				if !p.End.IsZero() && r.Start.After(p.End) {
@@ -130,8 +130,8 @@
 	}
 }
 
-// leavingPeriods prefers the ledger, because no event records that a worker is no
-// longer leaving.
+// leavingPeriods returns the periods of the ledger if there are any, because no
+// event records that a worker is no longer leaving.
 func leavingPeriods(w WorkerLedger, event timeline.Event) []Period {
 	if len(w.Leaving) > 0 || event.Type == "" {
 		return w.Leaving
@@ -139,8 +139,8 @@
 	return []Period{{Start: event.Clock.Wall}}
 }
 
-// checkConfig reports a process in which the configuration went back to an
-// earlier revision.
+// checkConfig reports a process in which the configuration reverted to an earlier
+// revision.
 func checkConfig(idx *traceIndex, report *Report) {
 	type documentKey struct {
 		process  process
@@ -154,7 +154,7 @@
 		if previous, seen := last[key]; seen && e.Revision < previous.Revision {
 			report.add(Violation{
 				Invariant: ConfigRevisions,
-				Message: fmt.Sprintf("process %s/%s went back from configuration revision %d to %d", e.Instance, e.Incarnation,
+				Message: fmt.Sprintf("process %s/%s reverted from configuration revision %d to %d", e.Instance, e.Incarnation,
 					previous.Revision, e.Revision),
 				Events: []timeline.Event{previous, e},
 			})
--- a/oracle/ledger.go
+++ b/oracle/ledger.go
@@ -14,11 +14,12 @@
 	Capacity       task.Resources  `json:"capacity"`
 	Runs           []Run           `json:"runs"`
 	RejectedStarts []RejectedStart `json:"over_capacity,omitempty"` // starts rejected because they did not fit
-	Leaving        []Period        `json:"leaving,omitempty"`       // while it reported that it is leaving
+	Leaving        []Period        `json:"leaving,omitempty"`       // while the worker reported that it was leaving
 	Frozen         []Period        `json:"frozen,omitempty"`
 }
 
-// Run is one attempt that a worker ran, by the worker's wall clock.
+// Run is one attempt that a worker ran. Its times are those of the worker's wall
+// clock.
 type Run struct {
 	Worker        string         `json:"worker"`
 	BootID        string         `json:"boot_id"`
@@ -57,7 +58,8 @@
 	End   time.Time `json:"end"`
 }
 
-// formatTime formats a time, and the zero time of an open end as "now".
+// formatTime formats a time. The zero time, the end of a period that has not
+// ended, is formatted as "now".
 func formatTime(t time.Time) string {
 	if t.IsZero() {
 		return "now"
--- a/oracle/oracle_test.go
+++ b/oracle/oracle_test.go
@@ -61,8 +61,8 @@
 	return events
 }
 
-// slotRun returns a run of team "a" that takes one slot. A run with to 0 has not
-// ended.
+// slotRun returns a run of team "a" that takes one slot. If to is 0, the run has
+// not ended.
 func slotRun(id task.ID, attempt uint32, from, to float64) Run {
 	r := Run{
 		Worker: "w", Attempt: task.Attempt{Task: id, Number: attempt}, Team: "a", Size: task.Resources{Slots: 1},
@@ -154,7 +154,7 @@
 	{"start on a leaving worker", LeavingWorker,
 		Trace{Workers: ledgerOf(slotRun("t", 1, 3.1, 4))[0].withLeaving(Period{Start: at(0)})},
 		Trace{Workers: ledgerOf(slotRun("t", 1, 2.9, 4), slotRun("u", 1, 9, 10))[0].withLeaving(Period{Start: at(0), End: at(8)})}},
-	{"start on a worker that the list shows as leaving", LeavingWorker,
+	{"start on a worker that the instance list shows as leaving", LeavingWorker,
 		Trace{Events: numbered(event(0, timeline.WorkerLeaving, func(e *timeline.Event) { e.Worker = "w" })), Workers: ledgerOf(slotRun("t", 1, 3.1, 4))},
 		Trace{Events: numbered(event(0, timeline.WorkerLeaving, func(e *timeline.Event) { e.Worker = "x" })), Workers: ledgerOf(slotRun("t", 1, 3.1, 4))}},
 	{"answer with the result of another task", AnswerIntegrity,
@@ -163,7 +163,7 @@
 	{"answer of another attempt", AnswerIntegrity,
 		Trace{Events: numbered(event(3, timeline.RequestAnswered, func(e *timeline.Event) { e.Task, e.Attempt, e.Detail = "t", 2, "d-t" })), Workers: ledgerOf(slotRun("t", 1, 0, 1))},
 		Trace{Events: numbered(event(3, timeline.RequestAnswered, func(e *timeline.Event) { e.Task, e.Attempt, e.Detail = "t", 1, "d-t" })), Workers: ledgerOf(slotRun("t", 1, 0, 1))}},
-	{"configuration goes back", ConfigRevisions,
+	{"configuration reverted to an earlier revision", ConfigRevisions,
 		Trace{Events: numbered(configEvent("1", 5), configEvent("1", 4))},
 		Trace{Events: numbered(configEvent("1", 5), configEvent("2", 4), configEvent("2", 4))}},
 	{"epoch with two owners", OwnershipEpochs,
@@ -175,10 +175,10 @@
 	{"decision after a takeover", OwnershipEpochs,
 		Trace{Events: numbered(ownershipEvent(0, "i", timeline.OwnershipTaken, 1), ownershipEvent(5, "j", timeline.OwnershipTaken, 2), ownershipEvent(6, "i", timeline.TaskReserved, 1))},
 		Trace{Events: numbered(ownershipEvent(0, "i", timeline.OwnershipTaken, 1), ownershipEvent(5, "j", timeline.OwnershipTaken, 2), ownershipEvent(6, "j", timeline.TaskReserved, 2))}},
-	{"decision under the epoch of another", OwnershipEpochs,
+	{"decision under the epoch of another owner", OwnershipEpochs,
 		Trace{Events: numbered(ownershipEvent(0, "i", timeline.OwnershipTaken, 1), ownershipEvent(1, "j", timeline.TaskStartSent, 1))},
 		Trace{Events: numbered(ownershipEvent(0, "i", timeline.OwnershipTaken, 1), ownershipEvent(1, "i", timeline.TaskStartSent, 1))}},
-	{"worker accepts a start from an earlier owner", OwnershipEpochs,
+	{"worker accepts a start from a former owner", OwnershipEpochs,
 		Trace{Workers: ledgerOf(slotRun("t", 1, 0, 1).withEpoch(2), slotRun("u", 1, 2, 3).withEpoch(1))},
 		Trace{Workers: ledgerOf(slotRun("t", 1, 0, 1).withEpoch(1), slotRun("u", 1, 2, 3).withEpoch(2))}},
 }
@@ -212,7 +212,8 @@
 	}
 }
 
-// TestUnexamined guards against an empty trace counting as evidence.
+// TestUnexamined guards against an empty trace that counts as evidence for an
+// invariant.
 func TestUnexamined(t *testing.T) {
 	report := Examine(Trace{})
 	if got := report.Unexamined(); !slices.Equal(got, Invariants) {
--- a/oracle/owners.go
+++ b/oracle/owners.go
@@ -19,15 +19,15 @@
 	highest := make(map[string]timeline.Event)
 	for _, e := range idx.byType[timeline.OwnershipTaken] {
 		report.countExamined(OwnershipEpochs)
-		u := unitEpoch{e.Partition, e.Epoch}
-		if previous, seen := taken[u]; seen && processOf(previous) != processOf(e) {
+		unit := unitEpoch{e.Partition, e.Epoch}
+		if previous, seen := taken[unit]; seen && processOf(previous) != processOf(e) {
 			report.add(Violation{
 				Invariant: OwnershipEpochs,
 				Message:   fmt.Sprintf("epoch %d of %s has two owners", e.Epoch, e.Partition),
 				Events:    []timeline.Event{previous, e},
 			})
 		}
-		taken[u] = e
+		taken[unit] = e
 		current := highest[e.Partition]
 		if e.Epoch >= current.Epoch {
 			highest[e.Partition] = e
@@ -43,8 +43,8 @@
 	}
 }
 
-// checkOwnerDecisions reports decisions of an owner after a takeover by another
-// one, and decisions under an epoch that another process holds.
+// checkOwnerDecisions reports decisions of an owner after another owner has taken
+// over, and decisions under an epoch that another process holds.
 func checkOwnerDecisions(idx *traceIndex, report *Report) {
 	highest := make(map[string]timeline.Event)
 	holder := make(map[unitEpoch]timeline.Event)
@@ -72,16 +72,16 @@
 	}
 }
 
-func decisionViolation(decision, owner timeline.Event, why string) Violation {
+func decisionViolation(decision, owner timeline.Event, reason string) Violation {
 	return Violation{
 		Invariant: OwnershipEpochs,
-		Message:   fmt.Sprintf("epoch %d of %s, under which %s made a decision, %s", decision.Epoch, decision.Partition, decision.Instance, why),
+		Message:   fmt.Sprintf("epoch %d of %s, under which %s made a decision, %s", decision.Epoch, decision.Partition, decision.Instance, reason),
 		Events:    []timeline.Event{owner, decision},
 	}
 }
 
-// checkWorkerEpochs reports workers that started a task of an earlier epoch after
-// one of a later epoch: the worker did not fence off the former owner.
+// checkWorkerEpochs reports workers that started a task under a lower epoch after
+// one under a higher epoch: the worker did not fence off the former owner.
 func checkWorkerEpochs(idx *traceIndex, report *Report) {
 	for _, w := range idx.Workers {
 		var highest Run
--- a/oracle/requests.go
+++ b/oracle/requests.go
@@ -10,8 +10,9 @@
 )
 
 // checkDurableOutcomes reports durable work that was accepted, was not answered
-// and has no record at its home at the end of the trace. The end of an attempt at
-// its owner does not count, because the report to the home may have been lost.
+// and has no record at its home instance at the end of the trace. An attempt whose
+// end only its owner recorded does not count as an outcome, because the report to
+// the home instance may have been lost.
 func checkDurableOutcomes(idx *traceIndex, report *Report) {
 	answered := make(map[task.ID]bool)
 	for _, e := range idx.byType[timeline.RequestAnswered] {
@@ -27,7 +28,7 @@
 		}
 		report.add(Violation{
 			Invariant: NoLostWork,
-			Message:   fmt.Sprintf("task %s was accepted, was not answered and has no record at its home", e.Task),
+			Message:   fmt.Sprintf("task %s was accepted, was not answered and has no record at its home instance", e.Task),
 			Events:    idx.eventsOf(e.Task), Runs: idx.runsOf[e.Task],
 		})
 	}
--- a/oracle/runs.go
+++ b/oracle/runs.go
@@ -15,7 +15,7 @@
 type sweepPoint struct {
 	at   time.Time
 	kind pointKind
-	run  int
+	run  int // index of the run that starts or ends
 }
 
 // pointKind orders the points at one instant: ends release resources before
@@ -25,28 +25,29 @@
 const (
 	runEnds pointKind = iota
 	runStarts
-	sampled
+	sample
 )
 
-// sweep calls visit with the resources in use after each start and at each of the
-// given instants. A run with zero duration counts only at its start.
+// sweep calls visit with the resources in use and the active runs, after each start
+// and at each of the given instants. A run with zero duration counts only at its
+// start.
 func sweep(runs []Run, instants []time.Time, visit func(at time.Time, used task.Resources, active func() []Run)) {
 	running := make(map[int]bool)
 	var used task.Resources
-	for _, c := range sweepPoints(runs, instants) {
-		switch c.kind {
+	for _, p := range sweepPoints(runs, instants) {
+		switch p.kind {
 		case runEnds:
-			delete(running, c.run)
-			used = used.Sub(runs[c.run].Size)
+			delete(running, p.run)
+			used = used.Sub(runs[p.run].Size)
 			continue
 		case runStarts:
-			running[c.run] = true
-			used = used.Add(runs[c.run].Size)
+			running[p.run] = true
+			used = used.Add(runs[p.run].Size)
 		}
-		visit(c.at, used, func() []Run { return selectRuns(runs, running) })
-		if c.kind == runStarts && hasZeroDuration(runs[c.run]) {
-			delete(running, c.run)
-			used = used.Sub(runs[c.run].Size)
+		visit(p.at, used, func() []Run { return selectRuns(runs, running) })
+		if p.kind == runStarts && hasZeroDuration(runs[p.run]) {
+			delete(running, p.run)
+			used = used.Sub(runs[p.run].Size)
 		}
 	}
 }
@@ -60,7 +61,7 @@
 		}
 	}
 	for _, at := range instants {
-		points = append(points, sweepPoint{at: at, kind: sampled})
+		points = append(points, sweepPoint{at: at, kind: sample})
 	}
 	slices.SortFunc(points, func(a, b sweepPoint) int {
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.kind, b.kind), cmp.Compare(a.run, b.run))
@@ -71,17 +72,17 @@
 func hasZeroDuration(r Run) bool { return r.End.Equal(r.Start) }
 
 func selectRuns(runs []Run, indexes map[int]bool) []Run {
-	var picked []Run
+	var selected []Run
 	for i, r := range runs {
 		if indexes[i] {
-			picked = append(picked, r)
+			selected = append(selected, r)
 		}
 	}
-	return picked
+	return selected
 }
 
-// checkCapacity reports workers that ran more than their capacity, or received a
-// start that would have exceeded it.
+// checkCapacity reports workers whose running tasks exceeded their capacity, or that
+// received a start that would have exceeded it.
 func checkCapacity(idx *traceIndex, report *Report) {
 	for _, w := range idx.Workers {
 		sweep(w.Runs, nil, func(at time.Time, used task.Resources, active func() []Run) {
@@ -189,8 +190,8 @@
 		}
 		var instants []time.Time
 		for _, e := range limits[team] {
-			// Two skews after its event, a limit is in force at every clock, and a
-			// higher one that it replaced no longer counts.
+			// Twice the clock skew after its event, a limit is in force according to
+			// every clock, and a higher limit that it replaced no longer applies.
 			instants = append(instants, e.Clock.Wall.Add(2*idx.Bounds.ClockSkew))
 		}
 		sweep(runs, instants, func(at time.Time, used task.Resources, active func() []Run) {
@@ -215,25 +216,25 @@
 		limits[team] = []timeline.Event{{Type: timeline.LimitInForce, Team: team, Size: &size}}
 	}
 	for _, e := range idx.byType[timeline.LimitInForce] {
-		known := slices.ContainsFunc(limits[e.Team], func(o timeline.Event) bool { return o.Revision == e.Revision })
-		if e.Size != nil && !known {
+		recorded := slices.ContainsFunc(limits[e.Team], func(o timeline.Event) bool { return o.Revision == e.Revision })
+		if e.Size != nil && !recorded {
 			limits[e.Team] = append(limits[e.Team], e)
 		}
 	}
 	return limits
 }
 
-// limitsInForce returns the limits that were in force at some time within skew of
-// at. It returns none if the team may not have had a limit yet.
+// limitsInForce returns the limits that were in force at some time within skew
+// before or after at. It returns none if the team may not have had a limit yet.
 func limitsInForce(limits []timeline.Event, at time.Time, skew time.Duration) []timeline.Event {
 	if limits[0].Clock.Wall.After(at.Add(-skew)) {
 		return nil
 	}
 	var inForce []timeline.Event
 	for i, e := range limits {
-		startsByThen := !e.Clock.Wall.After(at.Add(skew))
-		lastsUntil := i+1 == len(limits) || limits[i+1].Clock.Wall.After(at.Add(-skew))
-		if startsByThen && lastsUntil {
+		startedByThen := !e.Clock.Wall.After(at.Add(skew))
+		notYetReplaced := i+1 == len(limits) || limits[i+1].Clock.Wall.After(at.Add(-skew))
+		if startedByThen && notYetReplaced {
 			inForce = append(inForce, e)
 		}
 	}
--- a/oracle/trace.go
+++ b/oracle/trace.go
@@ -15,8 +15,8 @@
 	Events  []timeline.Event // merged, see timeline.Merge
 	Workers []WorkerLedger
 	Answers []Answer // as the callers received them
-	// KnownTasks has an entry for each task of which its home has a record at the
-	// end of the trace. The value is true if the task has no outcome yet.
+	// KnownTasks has an entry for each task that its home instance has a record of
+	// at the end of the trace. The value is true if the task has no outcome yet.
 	KnownTasks map[task.ID]bool
 	// Limits are in force from the start of the trace until a LimitInForce event
 	// changes them.
@@ -36,7 +36,7 @@
 // Bounds are the maximum delays that docs/design.md allows.
 type Bounds struct {
 	KeyWithdrawal time.Duration // from a withdrawal to the last start under the key
-	Leaving       time.Duration // from leaving to the last start on the worker
+	Leaving       time.Duration // from the start of leaving to the last start on the worker
 	ClockSkew     time.Duration // between the wall clocks of any two processes
 }
 
@@ -102,19 +102,19 @@
 	Examined map[Invariant]int
 }
 
-func (r *Report) countExamined(i Invariant) { r.Examined[i]++ }
+func (r *Report) countExamined(invariant Invariant) { r.Examined[invariant]++ }
 
 func (r *Report) add(v Violation) { r.Violations = append(r.Violations, v) }
 
 // Unexamined returns the invariants for which the trace has no evidence.
 func (r *Report) Unexamined() []Invariant {
-	var missing []Invariant
-	for _, i := range Invariants {
-		if r.Examined[i] == 0 {
-			missing = append(missing, i)
+	var unexamined []Invariant
+	for _, invariant := range Invariants {
+		if r.Examined[invariant] == 0 {
+			unexamined = append(unexamined, invariant)
 		}
 	}
-	return missing
+	return unexamined
 }
 
 var checks = []func(*traceIndex, *Report){
@@ -172,8 +172,8 @@
 
 func processOf(e timeline.Event) process { return process{e.Instance, e.Incarnation} }
 
-// checkComplete reports events that are missing from the timeline, because without
-// them the other checks could miss a violation.
+// checkComplete reports gaps in the sequence numbers of a process. Without the
+// missing events, the other checks could miss a violation.
 func checkComplete(idx *traceIndex, report *Report) {
 	last := make(map[process]timeline.Event)
 	for _, e := range idx.Events {
@@ -182,7 +182,7 @@
 		if e.Sequence != previous.Sequence+1 {
 			report.add(Violation{
 				Invariant: TraceComplete,
-				Message: fmt.Sprintf("%s/%s: event %d follows event %d", e.Instance, e.Incarnation,
+				Message: fmt.Sprintf("%s/%s: event %d directly follows event %d", e.Instance, e.Incarnation,
 					e.Sequence, previous.Sequence),
 				Events: []timeline.Event{e},
 			})
