--- a/internal/apidoc/backend_test.go
+++ b/internal/apidoc/backend_test.go
@@ -76,7 +76,7 @@
 	previousSource = `{"team":"dijle-engineering","service":"reports","classes":[{"name":"stress-report","kind":"at_most_once","size":{"slots":1},"max_run":"10m","command":"stress-report --issue"}]}`
 )
 
-func heldDocument(revision int64) operator.StoredDocument {
+func storedDocument(revision int64) operator.StoredDocument {
 	return operator.StoredDocument{
 		Ref:      operator.DocumentRef{Team: "dijle-engineering", Service: "reports"},
 		Revision: revision,
@@ -87,16 +87,16 @@
 
 func (operatorBackend) Apply(_ context.Context, c operator.DocumentChange) (operator.StoredDocument, error) {
 	if c.ExpectedRevision != 41 {
-		return operator.StoredDocument{}, &operator.Conflict{Expected: c.ExpectedRevision, Current: heldDocument(42)}
+		return operator.StoredDocument{}, &operator.Conflict{Expected: c.ExpectedRevision, Current: storedDocument(42)}
 	}
-	return heldDocument(42), nil
+	return storedDocument(42), nil
 }
 
 func (operatorBackend) Get(context.Context, operator.DocumentRef) (operator.StoredDocument, error) {
-	return heldDocument(42), nil
+	return storedDocument(42), nil
 }
 func (operatorBackend) List(context.Context) ([]operator.StoredDocument, error) {
-	return []operator.StoredDocument{heldDocument(42)}, nil
+	return []operator.StoredDocument{storedDocument(42)}, nil
 }
 
 var exampleKey = api.Key{ID: "k-7f3a", Team: "dijle-engineering", Role: "responsible-engineer", GrantedBy: "els", GrantedAt: exampleTime}
--- a/internal/importrule/importrule_test.go
+++ b/internal/importrule/importrule_test.go
@@ -83,7 +83,7 @@
 }
 
 // clockReaders are the files of decision packages that may read a clock. They
-// contain the event loops, which pass the time of each event to the state.
+// contain the event loops, which pass the time of each event to the decision code.
 var clockReaders = []string{"control/loop.go", "cell/loop.go"}
 
 // TestDecisionPackagesReadNoClock guards against a decision that depends on the
