--- a/internal/processtest/check.go
+++ b/internal/processtest/check.go
@@ -14,11 +14,13 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// maxViolations limits the number of violations that are printed.
+// maxViolations limits the number of violations, and that of contradictions, that
+// are printed.
 const maxViolations = 10
 
-// Check checks the invariants against the timeline, the ledgers of the workers
-// and the responses to callers. It must be called after all work has ended.
+// Check checks the invariants against the timeline, the ledgers of the workers and
+// the responses to callers. The extra events are merged into the timeline. Check
+// must be called after all work has ended.
 func (c *Cluster) Check(t *testing.T, records []*RequestRecord, extra ...timeline.Event) oracle.Trace {
 	t.Helper()
 	trace := oracle.Trace{Events: timeline.Merge(c.CollectAll(), extra), Workers: c.Ledgers(), Answers: receivedAnswers(records),
@@ -36,8 +38,8 @@
 }
 
 // reportedTasks returns the tasks that were reported to callers, with true for
-// those that have ended. It stands in for the events of outcomes, which are lost
-// if a process is killed before they were fetched.
+// those that have ended. It replaces the events that record outcomes, because
+// these are lost if a process is killed before they were fetched.
 func reportedTasks(records []*RequestRecord) map[task.ID]bool {
 	reported := map[task.ID]bool{}
 	for _, r := range records {
@@ -94,9 +96,9 @@
 		case got.State == task.NotRun && r.Kind.IsDurable():
 			return fmt.Sprintf("task %s was accepted and not cancelled, but ended as not run with reason %q", got.ID, got.Reason)
 		case got.State == task.Unknown && r.Kind.MayRetry() && r.Kind.IsDurable():
-			return fmt.Sprintf("task %s may be repeated, but ended as unknown: %v", got.ID, runs)
+			return fmt.Sprintf("task %s may be retried, but ended as unknown: %v", got.ID, runs)
 		case got.State == task.Finished && got.ExitCode == 0 && got.Reason == "" && !r.hasExpectedResult(got.ResultBytes, got.Result):
-			return fmt.Sprintf("task %s has a result of %d bytes that is not that of its request", got.ID, got.ResultBytes)
+			return fmt.Sprintf("task %s has a result of %d bytes that does not match its request", got.ID, got.ResultBytes)
 		}
 	}
 	return ""
--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -1,6 +1,7 @@
 // Package processtest runs a small deployment as separate processes on the
-// loopback interface: entry instances, and stand-ins for the platform. Tests can
-// send real signals to the processes.
+// loopback interface: entry instances, and stand-ins for the store, the instance
+// list and the workers of the platform. Tests can send real signals to the
+// processes.
 package processtest
 
 import (
@@ -60,7 +61,7 @@
 	relayControl string // control address of the relay to the store
 }
 
-// commandDir is the directory of the commands that Main builds.
+// commandDir is the directory of the commands that RunTests builds.
 var commandDir string
 
 // RunTests builds the commands, runs the tests of a package and returns the exit
@@ -84,9 +85,9 @@
 // clusterCount is the number of clusters that this process has started.
 var clusterCount atomic.Uint32
 
-// nextHost returns a separate loopback address for each cluster. The kernel
-// assigns 127.0.0.1 to outgoing connections, so that none of them can occupy the
-// port of an instance that is down.
+// nextHost returns a separate loopback address for each cluster. The kernel uses
+// 127.0.0.1 as the source address of outgoing connections, so that none of them
+// can occupy the port of an instance that is down.
 func nextHost() string {
 	n := clusterCount.Add(1)
 	return fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, n/250, 1+n%250)
@@ -171,12 +172,12 @@
 
 // Eventually polls the condition and fails the test if it does not hold within the
 // bound.
-func (c *Cluster) Eventually(bound time.Duration, what string, condition func() bool) {
+func (c *Cluster) Eventually(bound time.Duration, description string, condition func() bool) {
 	c.t.Helper()
 	deadline := time.Now().Add(bound)
 	for !condition() {
 		if time.Now().After(deadline) {
-			c.t.Fatalf("condition not met within %v: %s", bound, what)
+			c.t.Fatalf("condition not met within %v: %s", bound, description)
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
@@ -289,8 +290,8 @@
 	return address, relayControl
 }
 
-// StallStoreConnections stalls the open connections of an instance to the store. New
-// connections work.
+// StallStoreConnections stalls the open connections of an instance to the store.
+// New connections are not affected.
 func (c *Cluster) StallStoreConnections(e *Entry) {
 	c.t.Helper()
 	c.Post("http://"+e.relayControl+standin.PathRelaySilence, "{}")
--- a/internal/processtest/load.go
+++ b/internal/processtest/load.go
@@ -24,7 +24,8 @@
 	Weight      int // number of requests in one cycle of the mix
 }
 
-// MixedRequests has work of every kind that ends by itself. One cycle is 20 requests.
+// MixedRequests contains every kind of work except long-lived services, which do
+// not end by themselves. One cycle is 20 requests.
 var MixedRequests = []RequestType{
 	{Class: "span-lookup", Kind: task.Answer, Count: 1, Weight: 11},
 	{Class: "big-lookup", Kind: task.Answer, Count: 1, ResultBytes: 3_000_000, Weight: 1},
@@ -35,7 +36,7 @@
 	{Class: "water-hammer", Kind: task.Gang, Count: 3, Weight: 1},
 }
 
-// AnswerRequests has only requests whose caller waits for the result.
+// AnswerRequests contains only requests whose caller waits for the result.
 var AnswerRequests = []RequestType{{Class: "span-lookup", Kind: task.Answer, Count: 1, Weight: 1}}
 
 // RequestRecord is one request and the response that its caller received.
@@ -57,7 +58,7 @@
 func (r *RequestRecord) Fate() errkind.Fate { return errkind.From(r.Err).Fate() }
 
 // LoadOptions describe an open-loop load: requests are sent at a constant rate,
-// regardless of outstanding ones.
+// regardless of how many are outstanding.
 type LoadOptions struct {
 	Mix     []RequestType
 	Rate    int // requests per second
@@ -69,7 +70,7 @@
 type Load struct {
 	options LoadOptions
 	clients []*client.Client
-	mix     []RequestType
+	mix     []RequestType // one cycle
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
 
@@ -88,9 +89,9 @@
 	for range c.Entries {
 		l.clients = append(l.clients, client.New(client.Config{Addresses: addresses, Secret: options.Secret}))
 	}
-	for _, w := range options.Mix {
-		for range w.Weight {
-			l.mix = append(l.mix, w)
+	for _, requestType := range options.Mix {
+		for range requestType.Weight {
+			l.mix = append(l.mix, requestType)
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -101,7 +102,7 @@
 }
 
 // sendRequests starts a call at each tick. It goes through the mix in steps that
-// are coprime with its length, so that kinds of work alternate.
+// are coprime with its length, so that request types alternate.
 func (l *Load) sendRequests(ctx context.Context, name string) {
 	const step = 7
 	ticker := time.NewTicker(time.Second / time.Duration(l.options.Rate))
@@ -112,9 +113,9 @@
 		case <-ctx.Done():
 			return
 		}
-		work := l.mix[n*step%len(l.mix)]
+		requestType := l.mix[n*step%len(l.mix)]
 		index := n % len(l.clients)
-		record := &RequestRecord{RequestType: work, Key: fmt.Sprintf("%s-%d", name, n)}
+		record := &RequestRecord{RequestType: requestType, Key: fmt.Sprintf("%s-%d", name, n)}
 		l.group.Go(func() { l.submit(l.clients[index], record) })
 	}
 }
@@ -135,22 +136,23 @@
 	l.records = append(l.records, record)
 }
 
-// Stop stops sending and returns when every call has returned.
+// Stop stops the load and returns when every call has returned.
 func (l *Load) Stop() {
 	l.cancel()
 	l.group.Wait()
 }
 
-// Records returns the requests that have been answered so far.
+// Records returns the requests whose call has returned, with a response or an
+// error.
 func (l *Load) Records() []*RequestRecord {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return append([]*RequestRecord{}, l.records...)
 }
 
-// AwaitOutcomes stops the load and returns when every job that may have been accepted
-// has ended. It fails the test if a job that was reported as accepted cannot be
-// found, or if a job does not end within the bound.
+// AwaitOutcomes stops the load and returns when every job that may have been
+// accepted has ended. It fails the test if a job that was reported as accepted
+// cannot be found, or if a job does not end within the bound.
 func (l *Load) AwaitOutcomes(t *testing.T, bound time.Duration) []*RequestRecord {
 	t.Helper()
 	l.Stop()
@@ -177,7 +179,7 @@
 
 // awaitOutcome waits until one job has ended.
 func awaitOutcome(ctx context.Context, caller *client.Client, r *RequestRecord) error {
-	const wait = 2 * time.Second // of one call, because the home of the job may change
+	const wait = 2 * time.Second // of one call; short, because the home instance of the job may change
 	for {
 		job, err := caller.Wait(ctx, r.JobID(), wait)
 		unknown := err != nil && errkind.From(err).Kind == errkind.UnknownTask
@@ -186,7 +188,7 @@
 			r.Job, r.Err = job, nil
 			return nil
 		case unknown && r.Err != nil:
-			return nil // never accepted; the failed submission left the outcome open
+			return nil // never accepted: the failed submission did not report whether it was
 		case unknown:
 			return errors.New("reported to its caller as accepted, but no instance has a record of it")
 		case ctx.Err() != nil:
@@ -201,8 +203,8 @@
 // Digest returns the SHA-256 digest of the payload of the request in hex.
 func (r *RequestRecord) Digest() string { return DigestOf(r.Key) }
 
-// receivedAnswers returns the results that callers received, as the oracle reads
-// them.
+// receivedAnswers returns the results that callers received, in the form that the
+// oracle checks.
 func receivedAnswers(records []*RequestRecord) []oracle.Answer {
 	var answers []oracle.Answer
 	for _, r := range records {
--- a/internal/processtest/process.go
+++ b/internal/processtest/process.go
@@ -25,7 +25,7 @@
 	<-p.ended
 }
 
-// Terminate requests a planned stop with SIGTERM.
+// Terminate requests a planned stop with SIGTERM and does not wait for it.
 func (p *Process) Terminate() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
 
 // Stop requests a planned stop and reports whether the process ended within the
@@ -80,6 +80,6 @@
 		n, _ := strconv.ParseInt(fields[i], 10, 64)
 		return n
 	}
-	const clockTick = 10 * time.Millisecond
+	const clockTick = 10 * time.Millisecond // unit of the processor times
 	return time.Duration(fieldValue(userTime)+fieldValue(systemTime)) * clockTick, fieldValue(residentPages) * int64(os.Getpagesize()), nil
 }
--- a/internal/processtest/trace.go
+++ b/internal/processtest/trace.go
@@ -89,7 +89,7 @@
 		c.events[eventID{event.Instance, event.Incarnation, event.Sequence}] = event
 	}
 	if len(fetched.Events) == collectLimit {
-		return fmt.Errorf("at least %d events since %v, so that the oldest may be missing", collectLimit, since)
+		return fmt.Errorf("response has the maximum of %d events since %v; the oldest may be missing", collectLimit, since)
 	}
 	c.since[e] = started.Add(-collectOverlap)
 	return nil
@@ -104,7 +104,7 @@
 	}
 }
 
-// Events returns the merged timeline as far as it has been fetched.
+// Events returns the merged timeline of the events that have been fetched.
 func (c *Cluster) Events() []timeline.Event {
 	c.collector.mu.Lock()
 	defer c.collector.mu.Unlock()
@@ -175,8 +175,8 @@
 	}
 }
 
-// RunningTasks returns the number of running tasks of a team according to the ledgers
-// of the workers.
+// RunningTasks returns the number of running tasks of a team according to the
+// ledgers of the workers.
 func (c *Cluster) RunningTasks(team task.Team) int {
 	c.t.Helper()
 	running := 0
