--- a/endtoend/capacity_test.go
+++ b/endtoend/capacity_test.go
@@ -21,8 +21,7 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// skipUnlessMeasuring skips a measurement unless it is requested by the
-// environment.
+// skipUnlessMeasuring skips a measurement unless MULBERRYDRUM_MEASURE is set.
 func skipUnlessMeasuring(t *testing.T) {
 	if os.Getenv("MULBERRYDRUM_MEASURE") == "" {
 		t.Skip("measurement; set MULBERRYDRUM_MEASURE=1 to run it")
@@ -33,13 +32,13 @@
 // docs/CAPACITY.md, with three numbers of instances and three of workers.
 func TestMeasureIdle(t *testing.T) {
 	skipUnlessMeasuring(t)
-	const settle, window = 25 * time.Second, 20 * time.Second
+	const warmUp, window = 25 * time.Second, 20 * time.Second
 	for _, size := range []struct{ entries, workers int }{{2, 12}, {4, 12}, {8, 12}, {4, 4}, {4, 48}} {
 		t.Run(fmt.Sprintf("entries=%d/workers=%d", size.entries, 3*size.workers), func(t *testing.T) {
 			c := processtest.Start(t, processtest.Options{Entries: size.entries, Workers: size.workers, Regions: []string{"flanders", "wallonia", "brussels"},
 				Adjust: func(_ int, s *settings.Settings) { s.WorkerPartitions = 4 }})
 			awaitService(t, c, newCaller(c, "leuven"))
-			time.Sleep(settle)
+			time.Sleep(warmUp)
 			before, storeBefore := readUsages(t, c), c.StoreCalls()
 			time.Sleep(window)
 			after, storeAfter := readUsages(t, c), c.StoreCalls()
@@ -129,7 +128,7 @@
 }
 
 // TestMeasureOverhead logs the latency of a lookup through the entry instances and
-// that of the same task started directly at a worker, measured alternately.
+// that of the same task started directly at a worker, in alternation.
 func TestMeasureOverhead(t *testing.T) {
 	skipUnlessMeasuring(t)
 	c := processtest.Start(t, processtest.Options{Entries: 8, Workers: 16, Regions: []string{"flanders", "wallonia", "brussels"}})
@@ -163,9 +162,9 @@
 type directStarter struct {
 	client  *worker.Client
 	address worker.Address
-	boot    string
-	clock   time.Duration
-	read    time.Time
+	bootID  string
+	clock   time.Duration // of the worker
+	readAt  time.Time     // when clock was read
 }
 
 func newDirectStarter(t *testing.T, address string) *directStarter {
@@ -175,17 +174,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.boot, s.clock, s.read = reply.BootID, reply.Clock, time.Now()
+	s.bootID, s.clock, s.readAt = reply.BootID, reply.Clock, time.Now()
 	return s
 }
 
 func (s *directStarter) start(t *testing.T, i int) time.Duration {
 	t.Helper()
-	now := s.clock + time.Since(s.read)
+	now := s.clock + time.Since(s.readAt)
 	started := time.Now()
 	_, err := s.client.Start(t.Context(), s.address, worker.StartRequest{
 		Attempt: task.Attempt{Task: task.ID(fmt.Sprintf("straight/s/%d/0", i)), Number: 1}, Team: "straight", Class: "span-lookup", Owner: "measure", Epoch: 1 << 40,
-		BootID: s.boot, StartBy: now + time.Second, LeaseUntil: now + 10*time.Second, OutcomeWait: time.Second,
+		BootID: s.bootID, StartBy: now + time.Second, LeaseUntil: now + 10*time.Second, OutcomeWait: time.Second,
 		Size: task.Resources{CPUMilli: 1, MemoryMB: 1}, Command: "echo", Payload: []byte("hello"),
 	}, func() error { return nil })
 	if err != nil {
@@ -195,19 +194,19 @@
 }
 
 // TestMeasureRate logs the rate of lookups through 8 entry instances and the
-// number of refused ones, by the number of callers.
+// number of those that failed, by the number of callers.
 func TestMeasureRate(t *testing.T) {
 	skipUnlessMeasuring(t)
 	c := processtest.Start(t, processtest.Options{Entries: 8, Workers: 16, Regions: []string{"flanders", "wallonia", "brussels"}})
 	awaitService(t, c, newCaller(c, "leuven"))
 	time.Sleep(10 * time.Second)
 	for _, callers := range []int{1, 4, 16, 64, 128} {
-		rate, refused := measureRate(t, c, callers)
-		t.Logf("%d callers: %.0f lookups per second, %d refused", callers, rate, refused)
+		rate, failed := measureRate(t, c, callers)
+		t.Logf("%d callers: %.0f lookups per second, %d failed", callers, rate, failed)
 	}
 }
 
-func measureRate(t *testing.T, c *processtest.Cluster, callers int) (perSecond float64, refused int64) {
+func measureRate(t *testing.T, c *processtest.Cluster, callers int) (perSecond float64, failures int64) {
 	const window = 5 * time.Second
 	var done, failed atomic.Int64
 	var group sync.WaitGroup
--- a/endtoend/config_test.go
+++ b/endtoend/config_test.go
@@ -121,10 +121,10 @@
 	for range jobs {
 		accepted = append(accepted, submitWithoutWait(t, c, demo.Secrets["leuven"], "limit-"+time.Now().Format("150405.000000000"), "flexibility-run"))
 	}
-	c.Eventually(serviceBound, "more jobs run than the lower limit allows", func() bool { return c.RunningTasks("leuven") > lower })
+	c.Eventually(serviceBound, "more tasks run than the lower limit allows", func() bool { return c.RunningTasks("leuven") > lower })
 	applied, began := replaceInDocument(t, c, c.Entries[0], "", `"slots": 200`, `"slots": 4`)
 	var inForce time.Time
-	c.Eventually(settleBound, "the lower limit is in force", func() bool {
+	c.Eventually(outcomeBound, "the lower limit is in force", func() bool {
 		shares, err := c.Entries[1].Operator.Shares(t.Context())
 		for _, s := range shares.Shares {
 			if err == nil && s.Team == "leuven" && s.Pending == nil && s.Limit.Slots == lower {
@@ -137,7 +137,7 @@
 	for range jobs {
 		accepted = append(accepted, submitWithoutWait(t, c, demo.Secrets["leuven"], "after-"+time.Now().Format("150405.000000000"), "nozzle-check"))
 	}
-	c.Eventually(settleBound, "all work ends", func() bool {
+	c.Eventually(outcomeBound, "all work ends", func() bool {
 		shares, err := c.Entries[1].Operator.Shares(t.Context())
 		for _, s := range shares.Shares {
 			if s.Team == "leuven" && (s.Waiting > 0 || s.Running.Slots > 0) {
@@ -146,11 +146,11 @@
 		}
 		return err == nil && c.RunningTasks("leuven") == 0
 	})
-	// An owner reports the end of a task before its home has recorded it. The home
-	// of every accepted job must have recorded its end.
+	// An owner reports the end of a task before the home instance has recorded it.
+	// The home instance of every accepted job must have recorded its end.
 	caller := newCaller(c, "leuven")
 	for _, id := range accepted {
-		c.Eventually(settleBound, id+" has a recorded end", func() bool {
+		c.Eventually(outcomeBound, id+" has a recorded end", func() bool {
 			job, err := caller.Status(t.Context(), id)
 			return err == nil && job.State.IsFinal()
 		})
--- a/endtoend/drain_test.go
+++ b/endtoend/drain_test.go
@@ -9,7 +9,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-// drainBound is the setting drain_timeout plus the time to exit.
+// drainBound is the default of the setting drain_timeout plus one second for the
+// exit.
 const drainBound = 30*time.Second + time.Second
 
 // TestRollingRestart guards against a planned stop that interrupts a request. It
@@ -33,7 +34,7 @@
 		c.StartEntry(e)
 		pause(2 * time.Second)
 	}
-	records := append(answerLoad.AwaitOutcomes(t, settleBound), mixedLoad.AwaitOutcomes(t, settleBound)...)
+	records := append(answerLoad.AwaitOutcomes(t, outcomeBound), mixedLoad.AwaitOutcomes(t, outcomeBound)...)
 	for _, r := range records {
 		switch {
 		case r.Err != nil:
--- a/endtoend/keys_test.go
+++ b/endtoend/keys_test.go
@@ -47,7 +47,7 @@
 
 // probeUntilDone sends requests under a key to one instance until the context is
 // done. It closes answered after the first answer, and returns the time at which
-// the last request that was answered had been sent.
+// the last answered request was sent.
 func probeUntilDone(ctx context.Context, e *processtest.Entry, secret string, answered chan<- struct{}) (last time.Time) {
 	for ctx.Err() == nil {
 		sent := time.Now()
--- a/endtoend/kill_test.go
+++ b/endtoend/kill_test.go
@@ -9,8 +9,8 @@
 	"github.com/mulberrydrum/mulberrydrum/timeline"
 )
 
-// takeoverBound is the maximum time from the end of an owner until its units have
-// new owners: the store lease TTL, the promise window, and 4 s for the keepalive
+// takeoverBound is the maximum time from the failure of an owner until its units
+// have new owners: the store lease TTL, the promise window, and 4 s for the keepalive
 // interval, the list lag and margins. The same sum with the default settings is
 // about 15 s, according to docs/design.md.
 const takeoverBound = storeLeaseTTL + promiseWindow + 4*time.Second
@@ -50,16 +50,16 @@
 	return last, missing
 }
 
-// awaitTakeover waits until all units have a new owner, and returns the time that
-// the last of them was without one.
+// awaitTakeover waits until all units have a new owner, and returns how long the
+// last of them was without one.
 func awaitTakeover(t *testing.T, c *processtest.Cluster, units []string, since time.Time, bound time.Duration) time.Duration {
 	t.Helper()
 	var last time.Time
 	var missing []string
-	deadline := since.Add(bound + 3*time.Second) // time to fetch the timeline
+	deadline := since.Add(bound + 3*time.Second) // 3 s to fetch the timeline
 	for last, missing = lastTakeover(c.Events(), units, since); len(missing) > 0; last, missing = lastTakeover(c.Events(), units, since) {
 		if time.Now().After(deadline) {
-			t.Fatalf("units %v of %d were not taken over within %v", missing, len(units), bound)
+			t.Fatalf("units %v of %d had no new owner within %v", missing, len(units), bound)
 		}
 		pause(100 * time.Millisecond)
 	}
@@ -90,22 +90,22 @@
 			c := startCluster(t, 4, 6)
 			load := startMixedLoad(t, c)
 			pause(3 * time.Second)
-			victims := c.Entries[:tc.count]
+			killed := c.Entries[:tc.count]
 			var units []string
-			for _, e := range victims {
+			for _, e := range killed {
 				c.Collect(e)
 			}
-			for _, e := range victims {
+			for _, e := range killed {
 				units = append(units, unitsHeldBy(c.Events(), e.Settings.Instance)...)
 			}
 			killedAt := time.Now()
-			for _, e := range victims {
+			for _, e := range killed {
 				e.Kill()
 			}
 			if tc.count < len(c.Entries) {
 				t.Logf("%d units without an owner for %v after the kill", len(units), awaitTakeover(t, c, units, killedAt, tc.bound))
 			}
-			for _, e := range victims {
+			for _, e := range killed {
 				c.StartEntry(e)
 			}
 			if tc.count == len(c.Entries) {
@@ -113,7 +113,7 @@
 			}
 			awaitService(t, c, newCaller(c, "leuven"))
 			pause(2 * time.Second)
-			t.Logf("first answer %v after the kill", timeToFirstAnswer(settleAndCheck(t, c, load), killedAt))
+			t.Logf("first answer %v after the kill", timeToFirstAnswer(awaitOutcomesAndCheck(t, c, load), killedAt))
 		})
 	}
 }
@@ -136,18 +136,18 @@
 			c := startCluster(t, 4, 6)
 			load := startMixedLoad(t, c)
 			pause(3 * time.Second)
-			victim := c.Entries[0]
-			c.Collect(victim)
-			units := unitsHeldBy(c.Events(), victim.Settings.Instance)
+			frozen := c.Entries[0]
+			c.Collect(frozen)
+			units := unitsHeldBy(c.Events(), frozen.Settings.Instance)
 			frozenAt := time.Now()
-			victim.Freeze()
+			frozen.Freeze()
 			if tc.duration > takeoverBound {
 				t.Logf("%d units without an owner for %v after the freeze", len(units), awaitTakeover(t, c, units, frozenAt, takeoverBound))
 			}
 			pause(time.Until(frozenAt.Add(tc.duration)))
-			victim.Resume()
+			frozen.Resume()
 			pause(4 * time.Second)
-			settleAndCheck(t, c, load)
+			awaitOutcomesAndCheck(t, c, load)
 		})
 	}
 }
--- a/endtoend/main_test.go
+++ b/endtoend/main_test.go
@@ -13,7 +13,8 @@
 
 func TestMain(m *testing.M) { os.Exit(processtest.RunTests(m)) }
 
-// Short settings for the tests that do not measure the default values.
+// Settings and bounds of the tests. The timeouts are shorter than the defaults,
+// so that the tests take less time; TestMeasure uses the defaults.
 const (
 	storeLeaseTTL = 3 * time.Second
 	promiseWindow = time.Second
@@ -21,7 +22,7 @@
 
 	loadRate     = 20 // requests per second
 	callTimeout  = 20 * time.Second
-	settleBound  = 60 * time.Second // for the work that is still open when a load stops
+	outcomeBound = 60 * time.Second // for the work that has not ended when a load stops
 	serviceBound = 30 * time.Second // from a start or a fault until requests are answered again
 )
 
@@ -44,11 +45,11 @@
 	return c.StartLoad(t, "mixed", processtest.LoadOptions{Mix: processtest.MixedRequests, Rate: loadRate, Secret: demo.Secrets["leuven"], Timeout: callTimeout})
 }
 
-// settleAndCheck stops the load, waits until its work has ended, checks the
+// awaitOutcomesAndCheck stops the load, waits until its work has ended, checks the
 // invariants and logs a summary of the responses.
-func settleAndCheck(t *testing.T, c *processtest.Cluster, load *processtest.Load) []*processtest.RequestRecord {
+func awaitOutcomesAndCheck(t *testing.T, c *processtest.Cluster, load *processtest.Load) []*processtest.RequestRecord {
 	t.Helper()
-	records := load.AwaitOutcomes(t, settleBound)
+	records := load.AwaitOutcomes(t, outcomeBound)
 	c.Check(t, records)
 	t.Log(processtest.Summary(records))
 	return records
@@ -65,8 +66,8 @@
 		if r.Kind != task.Answer || r.Err != nil || r.SentAt.Before(since) {
 			continue
 		}
-		if took := r.SentAt.Add(r.Latency).Sub(since); first < 0 || took < first {
-			first = took
+		if delay := r.SentAt.Add(r.Latency).Sub(since); first < 0 || delay < first {
+			first = delay
 		}
 	}
 	return first.Round(time.Millisecond)
--- a/endtoend/measure_test.go
+++ b/endtoend/measure_test.go
@@ -18,13 +18,14 @@
 const (
 	measuredRuns    = 5
 	callCountWindow = 10 * time.Second // over which store calls are counted
-	// rebalanceTime is the time after a start until units are no longer handed over:
-	// ten seconds until the first handover, then one every 250 ms from each owner.
+	// rebalanceTime is the time after a start until no more units are handed over:
+	// the first handover is after ten seconds, then each owner hands over one unit
+	// every 250 ms.
 	rebalanceTime        = 20 * time.Second
 	defaultTakeoverBound = 15 * time.Second // takeover with the default settings, from docs/design.md
 )
 
-// measurements collects the measured values of all runs by name.
+// measurements collects the measured values of all runs, by name.
 type measurements struct {
 	mu     sync.Mutex
 	values map[string][]float64
@@ -36,8 +37,8 @@
 	m.values[name] = append(m.values[name], value)
 }
 
-// print logs the median and the range of the values of each name.
-func (m *measurements) print(t *testing.T) {
+// log logs the median and the range of the values of each name.
+func (m *measurements) log(t *testing.T) {
 	var lines []string
 	for name, values := range m.values {
 		slices.Sort(values)
@@ -63,7 +64,7 @@
 			})
 		}
 	})
-	m.print(t)
+	m.log(t)
 }
 
 func measureRun(t *testing.T, m *measurements) {
@@ -86,12 +87,12 @@
 		}
 	}
 	m.add("seconds to a configuration in force everywhere", last.Clock.Wall.Sub(began).Seconds())
-	victim, frozen := c.Entries[0], c.Entries[1]
-	c.Collect(victim)
-	units, killedAt := unitsHeldBy(c.Events(), victim.Settings.Instance), time.Now()
-	victim.Kill()
+	killed, frozen := c.Entries[0], c.Entries[1]
+	c.Collect(killed)
+	units, killedAt := unitsHeldBy(c.Events(), killed.Settings.Instance), time.Now()
+	killed.Kill()
 	m.add("seconds without an owner after a kill", awaitTakeover(t, c, units, killedAt, defaultTakeoverBound).Seconds())
-	c.StartEntry(victim)
+	c.StartEntry(killed)
 	pause(rebalanceTime)
 	c.Collect(frozen)
 	units, frozenAt := unitsHeldBy(c.Events(), frozen.Settings.Instance), time.Now()
@@ -100,7 +101,7 @@
 	pause(time.Until(frozenAt.Add(defaultTakeoverBound)))
 	frozen.Resume()
 	pause(3 * time.Second)
-	settleAndCheck(t, c, load)
+	awaitOutcomesAndCheck(t, c, load)
 }
 
 func countCalls(c *processtest.Cluster, m *measurements, state string) {
@@ -136,6 +137,6 @@
 	latest := slices.MaxFunc(last, time.Time.Compare).Sub(began)
 	m.add("seconds from the call to the last request under a withdrawn key", latest.Seconds())
 	if latest > withdrawalBound {
-		t.Errorf("a withdrawn key worked for %v, want at most %v", latest, withdrawalBound)
+		t.Errorf("a key was accepted for %v after its withdrawal, want at most %v", latest, withdrawalBound)
 	}
 }
--- a/endtoend/path_test.go
+++ b/endtoend/path_test.go
@@ -15,7 +15,8 @@
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
-const answerBound = 10 * time.Second // for the answer to a request after a start
+// answerBound is the time within which a request must be answered.
+const answerBound = 10 * time.Second
 
 func newCaller(c *processtest.Cluster, team task.Team) *client.Client {
 	var addresses []string
@@ -32,19 +33,19 @@
 	caller := newCaller(c, "leuven")
 	awaitService(t, c, caller)
 	cases := []struct {
-		class  string
-		count  int
-		result int // bytes
-		exit   int
+		class       string
+		count       int
+		resultBytes int
+		exitCode    int
 	}{
-		{class: "span-lookup", count: 1, result: 5},
-		{class: "big-lookup", count: 1, result: 3000000},
-		{class: "nozzle-check", count: 1, result: 5},
-		{class: "nozzle-check", count: 6, result: 5},
-		{class: "stress-report", count: 1, result: 5},
-		{class: "failing-report", count: 1, exit: 3},
-		{class: "flexibility-run", count: 3, result: 5},
-		{class: "water-hammer", count: 3, result: 5},
+		{class: "span-lookup", count: 1, resultBytes: 5},
+		{class: "big-lookup", count: 1, resultBytes: 3000000},
+		{class: "nozzle-check", count: 1, resultBytes: 5},
+		{class: "nozzle-check", count: 6, resultBytes: 5},
+		{class: "stress-report", count: 1, resultBytes: 5},
+		{class: "failing-report", count: 1, exitCode: 3},
+		{class: "flexibility-run", count: 3, resultBytes: 5},
+		{class: "water-hammer", count: 3, resultBytes: 5},
 	}
 	for i, tc := range cases {
 		t.Run(fmt.Sprintf("%s-%d", tc.class, tc.count), func(t *testing.T) {
@@ -58,8 +59,8 @@
 				t.Fatalf("job is %s with %d tasks, want finished with %d", job.State, len(job.Tasks), tc.count)
 			}
 			for _, got := range job.Tasks {
-				if got.ExitCode != tc.exit || got.ResultBytes != tc.result && tc.exit == 0 {
-					t.Errorf("task %d: exit %d with %d bytes, want exit %d with %d", got.Index, got.ExitCode, got.ResultBytes, tc.exit, tc.result)
+				if got.ExitCode != tc.exitCode || got.ResultBytes != tc.resultBytes && tc.exitCode == 0 {
+					t.Errorf("task %d: exit code %d with a result of %d bytes, want exit code %d with %d bytes", got.Index, got.ExitCode, got.ResultBytes, tc.exitCode, tc.resultBytes)
 				}
 			}
 		})
--- a/endtoend/store_test.go
+++ b/endtoend/store_test.go
@@ -14,10 +14,10 @@
 
 // outage is a way in which the store stops answering.
 type outage struct {
-	name  string
-	lasts time.Duration
-	begin func(c *processtest.Cluster)
-	end   func(c *processtest.Cluster)
+	name     string
+	duration time.Duration
+	begin    func(c *processtest.Cluster)
+	end      func(c *processtest.Cluster)
 }
 
 // TestStoreOutage guards against a store outage that interrupts answers or running
@@ -39,43 +39,43 @@
 			pause(3 * time.Second)
 			began := time.Now()
 			o.begin(c)
-			pause(o.lasts)
+			pause(o.duration)
 			o.end(c)
 			ended := time.Now()
 			pause(5 * time.Second)
-			checkOutage(t, settleAndCheck(t, c, load), began, ended)
+			checkOutage(t, awaitOutcomesAndCheck(t, c, load), began, ended)
 		})
 	}
 }
 
-// checkOutage checks the responses to callers in an outage. Calls that began
+// checkOutage checks the responses to callers during an outage. Calls that began
 // before the outage or ended after it are not counted.
 func checkOutage(t *testing.T, records []*processtest.RequestRecord, began, ended time.Time) {
 	t.Helper()
 	// A store call that is in flight when the outage begins, or a lease that must
 	// be granted again after its end, can delay requests for this long.
 	const margin = storeLeaseTTL
-	answered, refused, accepted, unexpected := 0, 0, 0, 0
+	answered, rejected, accepted, unexpected := 0, 0, 0, 0
 	for _, r := range records {
 		if r.SentAt.Before(began.Add(margin)) || r.SentAt.Add(r.Latency).After(ended) {
 			continue
 		}
 		switch {
 		case r.Kind == task.Answer && r.SubmitErr != nil:
-			t.Errorf("%s %s was not answered in the outage: %v", r.Class, r.Key, r.SubmitErr)
+			t.Errorf("%s %s was not answered during the outage: %v", r.Class, r.Key, r.SubmitErr)
 		case r.Kind == task.Answer:
 			answered++
 		case r.SubmitErr == nil:
 			accepted++
 		case errkind.From(r.SubmitErr).Kind == errkind.StoreUnavailable && r.Fate() == errkind.FateNotRun:
-			refused++
+			rejected++
 		default:
 			unexpected++
 			t.Logf("%s %s: failed with %v after %v", r.Class, r.Key, r.SubmitErr, r.Latency)
 		}
 	}
-	t.Logf("in the outage of %v: %d requests answered; of durable work, %d rejected as not run, %d accepted, %d with another error",
-		ended.Sub(began).Round(time.Second), answered, refused, accepted, unexpected)
+	t.Logf("during the outage of %v: %d requests answered; of durable work, %d rejected as not run, %d accepted, %d with another error",
+		ended.Sub(began).Round(time.Second), answered, rejected, accepted, unexpected)
 	if answered == 0 || unexpected > 0 {
 		t.Errorf("%d requests answered, want at least 1; %d requests for durable work neither rejected as not run nor accepted, want 0", answered, unexpected)
 	}
@@ -94,5 +94,5 @@
 	}
 	c.SetStoreFaults()
 	pause(2 * time.Second)
-	settleAndCheck(t, c, load)
+	awaitOutcomesAndCheck(t, c, load)
 }
--- a/endtoend/worker_test.go
+++ b/endtoend/worker_test.go
@@ -25,7 +25,7 @@
 	c.PutInstance(leaving)
 	listedAt := time.Now()
 	pause(leavingBound + 3*time.Second)
-	records := settleAndCheck(t, c, load)
+	records := awaitOutcomesAndCheck(t, c, load)
 	before := 0
 	for _, ledger := range c.Ledgers() {
 		if ledger.Worker != leaving.Name {
@@ -47,11 +47,11 @@
 
 // busyWorker returns the first worker that has run several tasks.
 func busyWorker(c *processtest.Cluster) instancelist.Instance {
-	const several = 5
+	const minRuns = 5
 	var found instancelist.Instance
 	c.Eventually(serviceBound, "a worker has run several tasks", func() bool {
 		for i, ledger := range c.Ledgers() {
-			if len(ledger.Runs) >= several {
+			if len(ledger.Runs) >= minRuns {
 				found = c.Workers[i]
 				return true
 			}
@@ -61,7 +61,7 @@
 	return found
 }
 
-// TestWorkerKilled guards against repeatable work that is lost with a worker, or
+// TestWorkerKilled guards against retryable work that is lost with a worker, or
 // that is restarted before the lease of the lost attempt has expired.
 func TestWorkerKilled(t *testing.T) {
 	t.Parallel()
@@ -81,8 +81,8 @@
 		return false
 	})
 	pause(2 * time.Second)
-	victim := c.WorkerProcess(first.Worker)
-	victim.Kill()
+	workerProcess := c.WorkerProcess(first.Worker)
+	workerProcess.Kill()
 	killedAt := time.Now()
 	var second oracle.Run
 	c.Eventually(taskLease+serviceBound, "the service runs elsewhere", func() bool {
@@ -96,13 +96,13 @@
 		}
 		return false
 	})
-	// The last lease renewal is that of the last sync, which is at most one sync
-	// interval and the duration of a call before the kill.
-	const renewal = time.Second + 500*time.Millisecond
-	again := second.Start.Sub(killedAt)
-	t.Logf("restarted %v after the kill of %s, with a lease of %v", again.Round(time.Millisecond), first.Worker, taskLease)
-	if again < taskLease-renewal {
-		t.Errorf("restarted %v after the kill, before the lease of %v had expired", again, taskLease)
+	// The lease was last renewed by the last sync, at most one sync interval and the
+	// duration of a call before the kill.
+	const maxRenewalAge = time.Second + 500*time.Millisecond
+	restartDelay := second.Start.Sub(killedAt)
+	t.Logf("restarted %v after the kill of %s, with a lease of %v", restartDelay.Round(time.Millisecond), first.Worker, taskLease)
+	if restartDelay < taskLease-maxRenewalAge {
+		t.Errorf("restarted %v after the kill, before the lease of %v had expired", restartDelay, taskLease)
 	}
 	caller := newCaller(c, "leuven")
 	if _, err := caller.Cancel(t.Context(), job); err != nil {
