--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,12 +34,12 @@
 var regressions = []uint64{}
 
 const (
-	instances     = 4
-	workers       = 6
-	faultDuration = 12 * time.Second // period of fault injection
-	settleTimeout = 25 * time.Second // for all accepted jobs to end: the longest lease, a takeover and the work itself
-	host          = "shop.example"
-	key           = "k"
+	instances         = 4
+	workers           = 6
+	faultDuration     = 12 * time.Second // period of fault injection
+	completionTimeout = 25 * time.Second // for all accepted jobs to end: the longest lease, a takeover and the work itself
+	host              = "shop.example"
+	key               = "k"
 )
 
 // harness is the state of the soak test for one seed.
@@ -62,16 +62,16 @@
 	log   *bytes.Buffer
 }
 
-// jobRecord is the response that a caller received for a job.
+// jobRecord is the outcome of the submission of a job, as its caller received it.
 type jobRecord struct {
 	accepted bool
 	refused  bool // every attempt was refused
 }
 
 // TestSoak guards against accepted jobs that do not end, refused jobs that run and
-// overlapping runs under random combinations of faults: killed, stopped and
-// suspended instances, lost answers of workers, and a store that is slow, refuses
-// calls, does not answer or loses replies to writes.
+// overlapping runs under random combinations of faults: killed, terminated and
+// suspended instances, dropped responses of workers, and a store that is slow,
+// refuses calls, does not respond or drops responses to writes.
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "mulberryd")
 	if out, err := exec.Command("go", "build", "-o", program, "../cmd/mulberryd").CombinedOutput(); err != nil {
@@ -196,11 +196,11 @@
 	_ = p.cmd.Process.Signal(s) // the process may have ended already
 }
 
-// restart ends a process with a signal and starts a replacement.
-func (h *harness) restart(p *process, s syscall.Signal, pause time.Duration) {
+// restart ends a process with a signal and starts a replacement after a downtime.
+func (h *harness) restart(p *process, s syscall.Signal, downtime time.Duration) {
 	h.signal(p, s)
 	_ = p.cmd.Wait() // a non-zero exit status is expected
-	time.Sleep(pause)
+	time.Sleep(downtime)
 	next := h.start(p.index)
 	h.mu.Lock()
 	h.processes[p.index] = next
@@ -219,18 +219,18 @@
 		id := fmt.Sprintf("%016x", (caller+1)<<32+n)
 		body := fmt.Sprintf(`{"spec":"%dms","steps":[{"count":%d,"cpu":2000,"memMb":100,"estimateMs":300,"gang":%v},{"count":1,"cpu":500,"memMb":10,"after":[0]}]}`,
 			20+rng.IntN(1200), 1+rng.IntN(3), rng.IntN(4) == 0)
-		p := &jobRecord{refused: true}
+		record := &jobRecord{refused: true}
 		for range 6 {
 			status := h.call(rng.IntN(instances), "POST", id, body)
-			p.accepted = p.accepted || status == http.StatusOK
-			p.refused = p.refused && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
-			if p.accepted || status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+			record.accepted = record.accepted || status == http.StatusOK
+			record.refused = record.refused && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
+			if record.accepted || status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 				break
 			}
 			time.Sleep(150 * time.Millisecond)
 		}
 		h.mu.Lock()
-		h.jobs[id] = p
+		h.jobs[id] = record
 		h.mu.Unlock()
 	}
 }
@@ -271,11 +271,11 @@
 // check waits until every accepted job has ended, and compares the responses to
 // callers with the runs of the workers.
 func (h *harness) check(seed uint64) {
-	deadline := time.Now().Add(settleTimeout)
+	deadline := time.Now().Add(completionTimeout)
 	accepted, refused := 0, 0
-	for id, p := range h.jobs {
+	for id, record := range h.jobs {
 		switch {
-		case p.accepted:
+		case record.accepted:
 			accepted++
 			for status := 0; status != statusCompleted; time.Sleep(20 * time.Millisecond) {
 				if status = h.call(h.rng.IntN(instances), "GET", id, ""); time.Now().After(deadline) {
@@ -283,7 +283,7 @@
 					break
 				}
 			}
-		case p.refused:
+		case record.refused:
 			refused++
 		}
 	}
@@ -291,7 +291,7 @@
 	for _, w := range h.workers {
 		for _, r := range w.Runs() {
 			runs[r.Task] = append(runs[r.Task], r)
-			if p := h.jobs[r.Task[:16]]; p == nil || p.refused {
+			if record := h.jobs[r.Task[:16]]; record == nil || record.refused {
 				h.t.Errorf("seed %d: task %s ran, but its job is unknown or was refused", seed, r.Task)
 			}
 		}
