--- a/schedule/message.go
+++ b/schedule/message.go
@@ -164,7 +164,7 @@
 type EndReason string
 
 const (
-	EndedDone         EndReason = "done"
+	EndedSucceeded    EndReason = "done"
 	EndedFailed       EndReason = "failed"
 	EndedStopped      EndReason = "stopped"
 	EndedLeaseExpired EndReason = "lapsed" // its lease expired
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -289,15 +289,15 @@
 	if e.Checkpoint != "" {
 		s.setCheckpoint(e.Task.Index, e.Checkpoint)
 	}
-	if e.Reason != EndedDone {
+	if e.Reason != EndedSucceeded {
 		c.logDecision(s.key.Job, "run_ended", "task", e.Task.String(), "run", e.Run, "worker", w.ID, "how", string(e.Reason), "ordered", wasStopping)
 	}
 	switch {
 	case s.spec.LongLived:
-	case e.Reason == EndedDone && s.spec.Gang:
+	case e.Reason == EndedSucceeded && s.spec.Gang:
 		c.gangDone(s)
 		return
-	case e.Reason == EndedDone:
+	case e.Reason == EndedSucceeded:
 		if t.run != nil {
 			c.stop(t.run)
 		}
@@ -374,7 +374,7 @@
 // another worker does not count.
 func (c *Core) updateFailStreak(w *worker, s *stepState, reason EndReason) {
 	switch reason {
-	case EndedDone:
+	case EndedSucceeded:
 		w.failStreak = 0
 		w.backoffUntil = time.Time{}
 	case EndedFailed:
--- a/schedule/simworker_test.go
+++ b/schedule/simworker_test.go
@@ -50,7 +50,7 @@
 		}
 		s.logEvent(e.Task, "end %d of %s confirmed by owner %d", e.Number, w.ID, fence)
 		switch e.Reason {
-		case EndedDone:
+		case EndedSucceeded:
 			s.done[e.Task] = true
 		case EndedFailed:
 			s.failed[e.Task] = append(s.failed[e.Task], w.endedAt[e.Number-1])
@@ -108,7 +108,7 @@
 	w.runs[e.Task] = r
 	s.running[e.Task] = r
 	s.usage[r.team] = s.usage[r.team].Add(r.size)
-	reason := EndedDone
+	reason := EndedSucceeded
 	if w.failAll || strings.HasPrefix(j.Spec, "fail") {
 		reason = EndedFailed
 	}
@@ -116,7 +116,7 @@
 		s.after(3*time.Second, func() { s.checkGangTimeout(r, spec.Count) })
 	}
 	s.after(spec.Estimate+time.Duration(s.rng.IntN(300))*time.Millisecond, func() {
-		if spec.Gang && !s.isGangComplete(r, spec.Count) && reason == EndedDone {
+		if spec.Gang && !s.isGangComplete(r, spec.Count) && reason == EndedSucceeded {
 			return // the run ends when the gang is stopped or its members did not start in time
 		}
 		s.endRun(r, reason)
@@ -157,7 +157,7 @@
 	w.ended = append(w.ended, EndReport{Number: w.lastEndNumber, Task: r.key, Run: r.number, Reason: reason})
 	w.endedAt = append(w.endedAt, s.now)
 	s.logEvent(r.key, "run %d %s as end %d of %s", r.number, reason, w.lastEndNumber, w.ID)
-	if reason == EndedDone {
+	if reason == EndedSucceeded {
 		s.succeeded[r.key] = true
 	}
 	if w.answerPoll != nil {
@@ -169,8 +169,8 @@
 		return
 	}
 	memberReason := EndedGangBroken
-	if reason == EndedDone {
-		memberReason = EndedDone
+	if reason == EndedSucceeded {
+		memberReason = EndedSucceeded
 	}
 	for i := range spec.Count {
 		if other := s.running[job.TaskKey{StepKey: r.key.StepKey, Index: i}]; other != nil && other.number == r.number {
