cell: rename further exported names

Names in messages, stored records, settings, logs and metrics are unchanged.

cell.Scheduled -> ScheduleOutcome cell.CommitRecords.Owner -> OwnerRevision cell.Committed.Owner -> OwnerRevision cell.Scheduled.Owner -> OwnerRevision cell.Recover.Owner -> OwnerRevision cell.Resign.Owner -> OwnerRevision cell.CancelCalls.Owner -> OwnerRevision

--- a/cell/effect.go
+++ b/cell/effect.go
@@ -11,20 +11,20 @@
 	// Campaign tries to acquire the ownership of a partition that has no owner.
 	Campaign struct{}
 	// Recover reads the stored state that a new owner resumes from.
-	Recover struct{ Owner int64 }
+	Recover struct{ OwnerRevision int64 }
 	// Renew renews the lease of the ownership record.
 	Renew struct{ Lease int64 }
 	// Resign removes the ownership record.
-	Resign struct{ Owner, Lease int64 }
+	Resign struct{ OwnerRevision, Lease int64 }
 	// CancelCalls cancels all calls in flight that were made under an ownership that has
 	// ended.
-	CancelCalls struct{ Owner int64 }
+	CancelCalls struct{ OwnerRevision int64 }
 	// CommitRecords writes a commit in one transaction, on the condition that this
 	// instance is still the owner.
 	CommitRecords struct {
-		Commit   schedule.Commit
-		Owner    int64
-		Sequence int64 // revision of the sequence record of the commit stream
+		Commit        schedule.Commit
+		OwnerRevision int64
+		Sequence      int64 // revision of the sequence record of the commit stream
 	}
 	// RecordCores writes this instance's core count, the highest of all instances, to the
 	// store.
--- a/cell/event.go
+++ b/cell/event.go
@@ -18,7 +18,7 @@
 	Address     string `json:"address"`     // at which it accepts calls from other instances
 }
 
-// Events. The schedule events arrive wrapped in Scheduled.
+// Events. The schedule events arrive wrapped in ScheduleOutcome.
 type (
 	// Tick triggers the work that is due at the current time.
 	Tick struct{}
@@ -54,10 +54,10 @@
 	}
 	// Committed is the outcome of CommitRecords.
 	Committed struct {
-		Commit   schedule.Commit
-		Owner    int64 // revision of the ownership record
-		Sequence int64 // new revision of the sequence record of the commit stream
-		Lost     bool  // the commit was refused because another owner has taken over
+		Commit        schedule.Commit
+		OwnerRevision int64 // revision of the ownership record
+		Sequence      int64 // new revision of the sequence record of the commit stream
+		Lost          bool  // the commit was refused because another owner has taken over
 	}
 	// DirectoryRead delivers the list of existing workers.
 	DirectoryRead struct{ Workers []schedule.Worker }
@@ -66,11 +66,11 @@
 		Jobs      []Submission
 		Cancelled []job.ID
 	}
-	// Scheduled delivers the outcome of an effect of package schedule that was
+	// ScheduleOutcome delivers the outcome of an effect of package schedule that was
 	// issued under the ownership with revision Owner.
-	Scheduled struct {
-		Owner int64
-		Event any
+	ScheduleOutcome struct {
+		OwnerRevision int64
+		Event         any
 	}
 	// RequestReceived delivers a request. The reply is returned in an Answer with the
 	// same token.
@@ -94,7 +94,7 @@
 func (Committed) isEvent()         {}
 func (DirectoryRead) isEvent()     {}
 func (JobsObserved) isEvent()      {}
-func (Scheduled) isEvent()         {}
+func (ScheduleOutcome) isEvent()   {}
 func (RequestReceived) isEvent()   {}
 func (CallerGone) isEvent()        {}
 func (ShutdownRequested) isEvent() {}
--- a/cell/state.go
+++ b/cell/state.go
@@ -151,8 +151,8 @@
 		}
 	case JobsObserved:
 		s.observeJobs(e)
-	case Scheduled:
-		if s.core != nil && e.Owner == s.ownershipRevision {
+	case ScheduleOutcome:
+		if s.core != nil && e.OwnerRevision == s.ownershipRevision {
 			s.applyOutcome(e.Event)
 		}
 	case RequestReceived:
@@ -177,8 +177,8 @@
 	s.role = resigning
 	s.earlySubmissions = nil
 	s.log("ownership_declined", "fence", s.ownershipRevision, "why", "planned_stop")
-	s.emit(Resign{Owner: s.ownershipRevision, Lease: s.lease})
-	s.emit(CancelCalls{Owner: s.ownershipRevision})
+	s.emit(Resign{OwnerRevision: s.ownershipRevision, Lease: s.lease})
+	s.emit(CancelCalls{OwnerRevision: s.ownershipRevision})
 }
 
 // runDueWork performs the timed work of the current role that is due.
@@ -199,7 +199,7 @@
 	}
 	if s.stopping && s.role == owning && s.core.AllCommitted() {
 		s.role = resigning
-		s.emit(Resign{Owner: s.ownershipRevision, Lease: s.lease})
+		s.emit(Resign{OwnerRevision: s.ownershipRevision, Lease: s.lease})
 		s.endOwnership("planned_stop")
 	}
 }
@@ -293,7 +293,7 @@
 	s.renewAt = s.now
 	s.changed = true
 	s.log("ownership_won", "fence", e.Revision)
-	s.emit(Recover{Owner: e.Revision})
+	s.emit(Recover{OwnerRevision: e.Revision})
 }
 
 func (s *State) recovered(e Recovered) {
@@ -341,7 +341,7 @@
 }
 
 func (s *State) committed(e Committed) {
-	if s.core == nil || e.Owner != s.ownershipRevision {
+	if s.core == nil || e.OwnerRevision != s.ownershipRevision {
 		return
 	}
 	if e.Lost {
@@ -375,7 +375,7 @@
 
 // stepDown ends an ownership that another instance has taken over or may take over.
 func (s *State) stepDown(reason string) {
-	s.emit(Resign{Owner: s.ownershipRevision, Lease: s.lease})
+	s.emit(Resign{OwnerRevision: s.ownershipRevision, Lease: s.lease})
 	s.role = follower
 	s.campaignAt = s.now.Add(s.cfg.CampaignRetryDelay)
 	if s.ownerFound && s.owner == s.cfg.Self {
@@ -387,7 +387,7 @@
 
 func (s *State) endOwnership(reason string) {
 	s.log("ownership_ended", "fence", s.ownershipRevision, "why", reason)
-	s.emit(CancelCalls{Owner: s.ownershipRevision})
+	s.emit(CancelCalls{OwnerRevision: s.ownershipRevision})
 	s.core = nil
 	s.earlySubmissions = nil
 	s.changed = true
@@ -434,7 +434,7 @@
 		case schedule.CancelDone:
 			s.emit(Answer{Token: e.Token, Reply: Reply{Found: true, State: job.Cancelled}})
 		case schedule.Commit:
-			s.emit(CommitRecords{Commit: e, Owner: s.ownershipRevision, Sequence: s.sequences[e.Stream]})
+			s.emit(CommitRecords{Commit: e, OwnerRevision: s.ownershipRevision, Sequence: s.sequences[e.Stream]})
 		default:
 			s.emit(Order{Fence: s.ownershipRevision, Effect: e})
 		}
--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -49,7 +49,7 @@
 	if _, ok := findEffect[Campaign](h.apply(Tick{})); !ok {
 		h.t.Fatal("no Campaign effect although there is no owner")
 	}
-	if effect, ok := findEffect[Recover](h.apply(CampaignDone{Won: true, Revision: 10, Lease: 3})); !ok || effect.Owner != 10 {
+	if effect, ok := findEffect[Recover](h.apply(CampaignDone{Won: true, Revision: 10, Lease: 3})); !ok || effect.OwnerRevision != 10 {
 		h.t.Fatal("no Recover effect for revision 10 after a won campaign")
 	}
 	return h.apply(Recovered{Revision: 10, State: recovery})
@@ -162,11 +162,11 @@
 		event Event
 		ends  bool
 	}{
-		"fenced by a worker":              {Scheduled{Owner: 10, Event: schedule.PollDone{Poll: poll, Verdict: schedule.Fenced}}, true},
-		"fenced under a former ownership": {Scheduled{Owner: 9, Event: schedule.PollDone{Poll: poll, Verdict: schedule.Fenced}}, false},
+		"fenced by a worker":              {ScheduleOutcome{OwnerRevision: 10, Event: schedule.PollDone{Poll: poll, Verdict: schedule.Fenced}}, true},
+		"fenced under a former ownership": {ScheduleOutcome{OwnerRevision: 9, Event: schedule.PollDone{Poll: poll, Verdict: schedule.Fenced}}, false},
 		"lease gone":                      {RenewDone{Lease: 3, Gone: true}, true},
 		"former lease gone":               {RenewDone{Lease: 2, Gone: true}, false},
-		"commit refused":                  {Committed{Owner: 10, Lost: true}, true},
+		"commit refused":                  {Committed{OwnerRevision: 10, Lost: true}, true},
 		"another record":                  {OwnerObserved{Found: true, Owner: Owner{Instance: "e2"}, Revision: 12}, true},
 		"record removed":                  {OwnerObserved{Revision: 11}, true},
 		"stale read":                      {OwnerObserved{Revision: 9}, false},
@@ -178,8 +178,8 @@
 		if ended != c.ends || h.state.Snapshot().IsOwner == c.ends {
 			t.Errorf("%s: ownership ended: %v, want %v", name, ended, c.ends)
 		}
-		if ended && cancelCalls.Owner != 10 {
-			t.Errorf("%s: CancelCalls for ownership %d, want 10", name, cancelCalls.Owner)
+		if ended && cancelCalls.OwnerRevision != 10 {
+			t.Errorf("%s: CancelCalls for ownership %d, want 10", name, cancelCalls.OwnerRevision)
 		}
 	}
 }
@@ -231,7 +231,7 @@
 	if _, resigned := findEffect[Resign](h.apply(ShutdownRequested{})); resigned {
 		t.Error("Resign effect while a commit is in flight")
 	}
-	if resign, resigned := findEffect[Resign](h.apply(Committed{Commit: commit.Commit, Owner: 10, Sequence: 21})); !resigned || resign.Lease != 3 {
+	if resign, resigned := findEffect[Resign](h.apply(Committed{Commit: commit.Commit, OwnerRevision: 10, Sequence: 21})); !resigned || resign.Lease != 3 {
 		t.Error("no Resign effect for lease 3 after the last commit")
 	}
 	if h.state.Snapshot().IsOwner {
--- a/instance/execute.go
+++ b/instance/execute.go
@@ -19,7 +19,7 @@
 		go i.campaign(i.ctx)
 	case cell.Recover:
 		i.ownerCtx, i.cancelOwner = context.WithCancel(i.ctx)
-		go i.recover(i.ownerCtx, e.Owner)
+		go i.recover(i.ownerCtx, e.OwnerRevision)
 		go i.relays.run(i.ownerCtx)
 	case cell.Renew:
 		go i.renew(i.ownerCtx, e.Lease)
@@ -63,7 +63,7 @@
 	case schedule.AdviceCall:
 		outcome = i.requestAdvice(ctx, order)
 	}
-	i.loop.Post(ctx, cell.Scheduled{Owner: e.Fence, Event: outcome})
+	i.loop.Post(ctx, cell.ScheduleOutcome{OwnerRevision: e.Fence, Event: outcome})
 }
 
 // requestAdvice calls the advice service, directly or through another instance.
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -251,7 +251,7 @@
 		cancel()
 		switch {
 		case err == nil && result.Succeeded:
-			i.loop.Post(ctx, cell.Committed{Commit: e.Commit, Owner: e.Owner, Sequence: result.Revision})
+			i.loop.Post(ctx, cell.Committed{Commit: e.Commit, OwnerRevision: e.OwnerRevision, Sequence: result.Revision})
 			return
 		case err == nil:
 			i.loop.Post(ctx, i.classifyRefusedCommit(e, result.Current, value))
@@ -265,12 +265,12 @@
 // classifyRefusedCommit distinguishes a commit that an earlier attempt has already
 // written from one that was refused because there is a newer owner.
 func (i *Instance) classifyRefusedCommit(e cell.CommitRecords, current []store.KeyValue, value []byte) cell.Committed {
-	done := cell.Committed{Commit: e.Commit, Owner: e.Owner, Lost: true}
+	done := cell.Committed{Commit: e.Commit, OwnerRevision: e.OwnerRevision, Lost: true}
 	owned := false
 	for _, kv := range current {
 		switch kv.Key {
 		case keyOwner:
-			owned = kv.ModRevision == e.Owner
+			owned = kv.ModRevision == e.OwnerRevision
 		case sequenceKey(e.Commit.Stream):
 			if string(kv.Value) == string(value) {
 				done.Sequence = kv.ModRevision
--- a/instance/records.go
+++ b/instance/records.go
@@ -52,7 +52,7 @@
 // encodeCommit returns the transaction of a commit.
 func encodeCommit(e cell.CommitRecords, sequence []byte) (store.Txn, error) {
 	txn := store.Txn{
-		Compares: []store.Compare{{Key: keyOwner, ModRevision: e.Owner}, {Key: sequenceKey(e.Commit.Stream), ModRevision: e.Sequence}},
+		Compares: []store.Compare{{Key: keyOwner, ModRevision: e.OwnerRevision}, {Key: sequenceKey(e.Commit.Stream), ModRevision: e.Sequence}},
 		Puts:     []store.Put{{Key: sequenceKey(e.Commit.Stream), Value: sequence}},
 	}
 	put := func(key string, record any) error {
--- a/instance/records_test.go
+++ b/instance/records_test.go
@@ -67,7 +67,7 @@
 	s := storetest.NewMemory(storetest.Config{}).Client("e1")
 	i := newInstance(s)
 	ownership := mustPut(t, s, keyOwner, cell.Owner{Instance: "e1"})
-	e := cell.CommitRecords{Owner: ownership, Commit: schedule.Commit{Stream: 2, Changes: []schedule.Change{{Job: "a", Progress: &job.Progress{Started: true}}}}}
+	e := cell.CommitRecords{OwnerRevision: ownership, Commit: schedule.Commit{Stream: 2, Changes: []schedule.Change{{Job: "a", Progress: &job.Progress{Started: true}}}}}
 	sequenceValue := func(e cell.CommitRecords) []byte {
 		b, err := job.Encode(sequenceRecord{Incarnation: "p1", PreviousRevision: e.Sequence})
 		if err != nil {
