platform/platformtest: rename further exported names

Names in messages, stored records, settings, logs and metrics are unchanged.

platform/platformtest.StoreFaults.LoseWrites -> DropWriteResponses platform/platformtest.StoreFaults.LostWriteDelay -> UnconfirmedWriteDelay

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -181,7 +181,7 @@
 		time.Sleep(pause)
 		h.store.SetFaults(platformtest.StoreFaults{})
 	case 5:
-		h.store.SetFaults(platformtest.StoreFaults{LoseWrites: 1 + h.rng.IntN(5), LostWriteDelay: time.Duration(h.rng.IntN(3)) * time.Second})
+		h.store.SetFaults(platformtest.StoreFaults{DropWriteResponses: 1 + h.rng.IntN(5), UnconfirmedWriteDelay: time.Duration(h.rng.IntN(3)) * time.Second})
 	case 6:
 		h.store.SetFaults(platformtest.StoreFaults{Slow: time.Duration(h.rng.IntN(300)) * time.Millisecond})
 		time.Sleep(pause)
