ledger: rename further exported names

Names in messages, stored records, settings, logs and metrics are unchanged.

ledger.Ledger.Loaded -> ApplyLoaded ledger.Ledger.Committed -> ApplyCommit ledger.Ledger.Failed -> ApplyFailure ledger.Ledger.Conflicted -> ApplyConflict ledger.Ledger.Started -> MarkRunning

--- a/control/homereport.go
+++ b/control/homereport.go
@@ -44,7 +44,7 @@
 }
 
 func (h *home) attemptStarted(r AttemptReport) {
-	if !h.ledger.Started(h.shardOf(r.Job), r.Job, r.Index, r.Attempt, r.Worker) {
+	if !h.ledger.MarkRunning(h.shardOf(r.Job), r.Job, r.Index, r.Attempt, r.Worker) {
 		return
 	}
 	if o, ok := h.openAttempts[r.Attempt]; ok {
--- a/control/units.go
+++ b/control/units.go
@@ -127,7 +127,7 @@
 		s.membership.shardsToReread = append(s.membership.shardsToReread, e.Shard)
 		return
 	}
-	s.home.ledger.Loaded(e.Shard, e.Value, e.Revision)
+	s.home.ledger.ApplyLoaded(e.Shard, e.Value, e.Revision)
 }
 
 // flushLedger commits the pending changes of job records in one transaction.
@@ -149,11 +149,11 @@
 	var steps []ledger.PostCommitStep
 	switch e.Result {
 	case ledger.Stored:
-		steps = s.home.ledger.Committed(e.Writes, e.Revision)
+		steps = s.home.ledger.ApplyCommit(e.Writes, e.Revision)
 	case ledger.Conflict:
 		steps = s.ledgerConflicted(e)
 	default:
-		s.home.ledger.Failed(e.Writes, e.Result)
+		s.home.ledger.ApplyFailure(e.Writes, e.Result)
 	}
 	for _, w := range e.Writes {
 		if opening[w.Shard] && s.home.ledger.IsActive(w.Shard) {
@@ -169,7 +169,7 @@
 	var steps []ledger.PostCommitStep
 	for i, w := range e.Writes {
 		current := e.Current[i]
-		released, lost := s.home.ledger.Conflicted(w, current.Value, current.Revision)
+		released, lost := s.home.ledger.ApplyConflict(w, current.Value, current.Revision)
 		steps = append(steps, released...)
 		if lost {
 			s.reopenShard(w.Shard)
--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -60,9 +60,9 @@
 	return Write{Shard: s.name, Value: s.value(id), Revision: s.revision}
 }
 
-// Committed applies a commit that succeeded at revision and returns the steps that it
+// ApplyCommit applies a commit that succeeded at revision and returns the steps that it
 // releases.
-func (l *Ledger) Committed(writes []Write, revision int64) []PostCommitStep {
+func (l *Ledger) ApplyCommit(writes []Write, revision int64) []PostCommitStep {
 	var steps []PostCommitStep
 	for _, w := range writes {
 		s := l.shardInFlight(w)
@@ -88,9 +88,9 @@
 	return s.advance(sequence)
 }
 
-// Failed applies a commit that failed or is indeterminate. The next commit writes the
+// ApplyFailure applies a commit that failed or is indeterminate. The next commit writes the
 // changes again.
-func (l *Ledger) Failed(writes []Write, result CommitResult) {
+func (l *Ledger) ApplyFailure(writes []Write, result CommitResult) {
 	for _, w := range writes {
 		s := l.shardInFlight(w)
 		if s == nil {
@@ -111,11 +111,11 @@
 	l.dirty = true
 }
 
-// Conflicted applies a commit whose compare failed, given the stored value of one of
+// ApplyConflict applies a commit whose compare failed, given the stored value of one of
 // its shards. If an earlier indeterminate write of this process stored that value, the
 // write counts as committed. Any other new value means that another process is the home
 // now, and lost is true.
-func (l *Ledger) Conflicted(w Write, current ShardValue, revision int64) (steps []PostCommitStep, lost bool) {
+func (l *Ledger) ApplyConflict(w Write, current ShardValue, revision int64) (steps []PostCommitStep, lost bool) {
 	s := l.shardInFlight(w)
 	if s == nil {
 		return nil, false
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -80,10 +80,10 @@
 	return steps, records
 }
 
-// Loaded sets the stored value of a shard. The shard becomes active after its first
+// ApplyLoaded sets the stored value of a shard. The shard becomes active after its first
 // write, which fences the former home: every later write of the former home fails its
 // compare.
-func (l *Ledger) Loaded(name string, value ShardValue, revision int64) {
+func (l *Ledger) ApplyLoaded(name string, value ShardValue, revision int64) {
 	s, ok := l.shards[name]
 	if !ok || s.phase != loading {
 		return
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -35,7 +35,7 @@
 	cfg.FlushInterval = 0
 	l := New(cfg, incarnation)
 	l.Open(shardName, 1)
-	l.Loaded(shardName, m.value, m.revision)
+	l.ApplyLoaded(shardName, m.value, m.revision)
 	return l
 }
 
@@ -45,7 +45,7 @@
 	l := newHome(m, "e-1")
 	w := l.Plan(time.Unix(1, 0))[0]
 	m.commit(w)
-	l.Committed([]Write{w}, m.revision)
+	l.ApplyCommit([]Write{w}, m.revision)
 	return m, l
 }
 
@@ -80,22 +80,22 @@
 				switch rapid.SampledFrom([]string{"stored", "reply lost", "late", "no effect"}).Draw(t, "outcome") {
 				case "stored":
 					if m.commit(w) {
-						release(l.Committed([]Write{w}, m.revision))
+						release(l.ApplyCommit([]Write{w}, m.revision))
 						continue
 					}
-					steps, lost := l.Conflicted(w, m.value, m.revision)
+					steps, lost := l.ApplyConflict(w, m.value, m.revision)
 					release(steps)
 					if lost {
 						t.Fatal("Conflicted reported another writer, but the shard has only one home")
 					}
 				case "reply lost":
 					m.commit(w)
-					l.Failed([]Write{w}, Unclear)
+					l.ApplyFailure([]Write{w}, Unclear)
 				case "late":
 					m.delayed = append(m.delayed, w)
-					l.Failed([]Write{w}, Unclear)
+					l.ApplyFailure([]Write{w}, Unclear)
 				default:
-					l.Failed([]Write{w}, NoEffect)
+					l.ApplyFailure([]Write{w}, NoEffect)
 				}
 			}
 			if len(m.delayed) > 0 && rapid.Bool().Draw(t, "late write takes effect") {
@@ -127,11 +127,11 @@
 	if !m.commit(fence) {
 		t.Fatal("the first write of the next home failed")
 	}
-	next.Committed([]Write{fence}, m.revision)
+	next.ApplyCommit([]Write{fence}, m.revision)
 	if m.commit(delayed) {
 		t.Error("a delayed write of the former home took effect")
 	}
-	if _, lost := former.Conflicted(delayed, m.value, m.revision); !lost {
+	if _, lost := former.ApplyConflict(delayed, m.value, m.revision); !lost {
 		t.Error("the former home did not detect the write of the next home")
 	}
 }
--- a/ledger/transition.go
+++ b/ledger/transition.go
@@ -36,9 +36,9 @@
 	return l.registerChange(s, r, step)
 }
 
-// Started records that an attempt runs on a worker. This change is not stored: a new
+// MarkRunning records that an attempt runs on a worker. This change is not stored: a new
 // home receives it again from the owner.
-func (l *Ledger) Started(shardName string, key JobKey, index int, attempt task.Attempt, worker string) bool {
+func (l *Ledger) MarkRunning(shardName string, key JobKey, index int, attempt task.Attempt, worker string) bool {
 	_, r, t := l.findTask(shardName, key, index)
 	if t == nil || r.AttemptOf(index) != attempt || t.State != task.Dispatched {
 		return false
