allowance: rename further exported names

Names in messages, stored records, settings, logs and metrics are unchanged.

allowance.Config.Idle -> IdleTimeout allowance.Config.Interval -> MinWriteInterval

--- a/allowance/plan.go
+++ b/allowance/plan.go
@@ -32,7 +32,7 @@
 	}
 	if len(writes) > 0 {
 		t.inFlight = true
-		t.nextPlan = now.Add(t.cfg.Interval)
+		t.nextPlan = now.Add(t.cfg.MinWriteInterval)
 	}
 	return writes
 }
@@ -105,7 +105,7 @@
 // isOverdue reports whether a change that has been possible since the given time was left
 // to other processes for long enough, see fallbackIntervals.
 func (p *planner) isOverdue(at time.Time) bool {
-	return p.now.Sub(at) >= fallbackIntervals*p.table.cfg.Interval
+	return p.now.Sub(at) >= fallbackIntervals*p.table.cfg.MinWriteInterval
 }
 
 // applyLimit applies the limit of the newest document. A missing record is created at
@@ -133,7 +133,7 @@
 
 // returnIdle returns the allowance that owned partitions do not use: at once while a
 // lower limit is pending or another partition lacks allowance, and otherwise after it
-// has been idle for Config.Idle.
+// has been idle for Config.IdleTimeout.
 func (p *planner) returnIdle() {
 	t, team := p.table, p.team
 	for _, name := range t.owned {
@@ -168,7 +168,7 @@
 	if p.team.idleRequested {
 		return wanted
 	}
-	return wanted.Max(u.peak(p.now, t.cfg.Idle))
+	return wanted.Max(u.peak(p.now, t.cfg.IdleTimeout))
 }
 
 // grant grants allowance to the owned partitions that need more.
--- a/allowance/table.go
+++ b/allowance/table.go
@@ -9,14 +9,14 @@
 
 // Config configures a Table.
 type Config struct {
-	Idle     time.Duration // how long an allowance must be unused before it is returned
-	Interval time.Duration // minimum time between two transactions of one process
+	IdleTimeout      time.Duration // how long an allowance must be unused before it is returned
+	MinWriteInterval time.Duration // minimum time between two transactions of one process
 }
 
 // DefaultConfig returns the default configuration, as specified in the design
 // documentation.
 func DefaultConfig() Config {
-	return Config{Idle: 5 * time.Second, Interval: time.Second}
+	return Config{IdleTimeout: 5 * time.Second, MinWriteInterval: time.Second}
 }
 
 // Table holds the allowances of the worker partitions that one process owns. It is not
@@ -194,7 +194,7 @@
 		u.recordDemand(now, size)
 		return false
 	}
-	u.add(now, size, t.cfg.Idle)
+	u.add(now, size, t.cfg.IdleTimeout)
 	return true
 }
 
@@ -216,7 +216,7 @@
 	}
 	u := t.getOrCreateUsage(now, t.getOrCreateTeam(name), partition)
 	u.foundRunning = u.foundRunning.Add(size)
-	u.add(now, size, t.cfg.Idle)
+	u.add(now, size, t.cfg.IdleTimeout)
 }
 
 // Release releases the size that Acquire or AddRunning counted for a task that has ended.
@@ -224,7 +224,7 @@
 	if t.partitions[partition] == nil {
 		return
 	}
-	t.getOrCreateUsage(now, t.getOrCreateTeam(name), partition).add(now, size.Scale(-1), t.cfg.Idle)
+	t.getOrCreateUsage(now, t.getOrCreateTeam(name), partition).add(now, size.Scale(-1), t.cfg.IdleTimeout)
 }
 
 // RequestIdleReturn records that another owner lacks allowance of the team. The next Plan
--- a/allowance/table_test.go
+++ b/allowance/table_test.go
@@ -104,7 +104,7 @@
 				b.Run(fmt.Sprintf("teams=%d/partitions=%d/due=%v", teams, partitions, due), func(b *testing.B) {
 					now := time.Unix(1000, 0)
 					t := newFullTable(now, teams, partitions)
-					t.cfg.Interval = 0
+					t.cfg.MinWriteInterval = 0
 					if due {
 						t.demandAll(now)
 					}
@@ -119,7 +119,7 @@
 	}
 }
 
-// TestIdleOfSameOwner guards against a partition that waits for Config.Idle although
+// TestIdleOfSameOwner guards against a partition that waits for Config.IdleTimeout although
 // another partition of the same owner has idle allowance. The owner must return that
 // allowance as soon as the first partition lacks some.
 func TestIdleOfSameOwner(t *testing.T) {
--- a/allowance/usage.go
+++ b/allowance/usage.go
@@ -23,7 +23,7 @@
 }
 
 // peakCount is the number of periods whose peaks are kept. A period is half of
-// Config.Idle, so the two complete ones cover at least Config.Idle.
+// Config.IdleTimeout, so the two complete ones cover at least Config.IdleTimeout.
 const peakCount = 3
 
 // demandValidity is how long a demand that Acquire or SetDemand recorded remains valid
--- a/daemon/fromsettings.go
+++ b/daemon/fromsettings.go
@@ -48,7 +48,7 @@
 	components.Ownership.ClockDrift, components.Ownership.ClockMargin, components.Ownership.ListLag = s.ClockDrift, s.ClockMargin, s.ListLag
 	components.Keyring.Freshness, components.Keyring.ListLag = s.KeyFreshness, s.ListLag
 	components.Keyring.ClockDrift, components.Keyring.ClockMargin = s.ClockDrift, s.ClockMargin
-	components.Allowance.Idle, components.Allowance.Interval = s.AllowanceIdle, s.AllowanceInterval
+	components.Allowance.IdleTimeout, components.Allowance.MinWriteInterval = s.AllowanceIdle, s.AllowanceInterval
 	components.Ledger.FlushInterval, components.Ledger.MaxTxnBytes, components.Ledger.MaxShardBytes = s.LedgerFlushInterval, int(s.LedgerTxnBytes), int(s.MaxShardBytes)
 	components.Ledger.ResultRetention = s.ResultRetention
 	components.Queue.MaxEntriesPerTeam = s.QueueLimitPerTeam
