queue: rename further exported names

Names in messages, stored records, settings, logs and metrics are unchanged.

queue.Config.AgedStartInterval -> StartsPerAgedStart queue.DefaultAgedStartInterval -> DefaultStartsPerAgedStart

--- a/queue/model_test.go
+++ b/queue/model_test.go
@@ -60,7 +60,7 @@
 		tier, _ := m.tierAndSortTime(now, e)
 		return tier == 2
 	})
-	if first < 0 || m.startsSinceAged[team] < m.cfg.AgedStartInterval-1 || now.Sub(list[first].EnqueuedAt) < m.cfg.AgingThreshold {
+	if first < 0 || m.startsSinceAged[team] < m.cfg.StartsPerAgedStart-1 || now.Sub(list[first].EnqueuedAt) < m.cfg.AgingThreshold {
 		return list
 	}
 	aged := list[first]
@@ -83,7 +83,7 @@
 // after some sequence of calls.
 func TestQueuesEqualModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		cfg := Config{MaxEntriesPerTeam: 12, BackgroundDelay: 40 * time.Second, AgingThreshold: time.Minute, AgedStartInterval: 3, PromotionLead: 10 * time.Second}
+		cfg := Config{MaxEntriesPerTeam: 12, BackgroundDelay: 40 * time.Second, AgingThreshold: time.Minute, StartsPerAgedStart: 3, PromotionLead: 10 * time.Second}
 		q := New(cfg)
 		m := &model{cfg: q.cfg, startsSinceAged: map[task.Team]int{}}
 		now := start
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -10,27 +10,27 @@
 
 // Defaults of Config.
 const (
-	DefaultMaxEntriesPerTeam = 1000
-	DefaultBackgroundDelay   = 5 * time.Minute
-	DefaultAgingThreshold    = 10 * time.Minute
-	DefaultAgedStartInterval = 4
-	DefaultPromotionLead     = time.Minute
-	DefaultSafetyFactor      = 1.5
-	DefaultRunQuantile       = 0.9
-	DefaultMaxProfiles       = 4096
+	DefaultMaxEntriesPerTeam  = 1000
+	DefaultBackgroundDelay    = 5 * time.Minute
+	DefaultAgingThreshold     = 10 * time.Minute
+	DefaultStartsPerAgedStart = 4
+	DefaultPromotionLead      = time.Minute
+	DefaultSafetyFactor       = 1.5
+	DefaultRunQuantile        = 0.9
+	DefaultMaxProfiles        = 4096
 )
 
 // Config configures Queues. Zero values take the defaults.
 type Config struct {
-	MaxEntriesPerTeam int           // maximum number of entries per team
-	BackgroundDelay   time.Duration // added to the arrival time of background work for sorting
-	AgingThreshold    time.Duration // waiting time after which normal and background work is aged
-	AgedStartInterval int           // of this many starts, one may go to aged work ahead of urgent work
-	PromotionLead     time.Duration // an entry is promoted this long before its latest start
-	SafetyFactor      float64       // factor on the expected run time, see LatestStart
-	RunQuantile       float64       // quantile of past run times that is the expected run time
-	MaxProfiles       int           // maximum number of run time profiles (per team, service and class)
-	Rand              *rand.Rand    // source of the jitter of retry-after hints; nil for none
+	MaxEntriesPerTeam  int           // maximum number of entries per team
+	BackgroundDelay    time.Duration // added to the arrival time of background work for sorting
+	AgingThreshold     time.Duration // waiting time after which normal and background work is aged
+	StartsPerAgedStart int           // of this many starts, one may go to aged work ahead of urgent work
+	PromotionLead      time.Duration // an entry is promoted this long before its latest start
+	SafetyFactor       float64       // factor on the expected run time, see LatestStart
+	RunQuantile        float64       // quantile of past run times that is the expected run time
+	MaxProfiles        int           // maximum number of run time profiles (per team, service and class)
+	Rand               *rand.Rand    // source of the jitter of retry-after hints; nil for none
 }
 
 // Queues holds the pending work of one owner. It is not safe for concurrent use.
@@ -67,7 +67,7 @@
 	setDefault(&c.MaxEntriesPerTeam, DefaultMaxEntriesPerTeam)
 	setDefault(&c.BackgroundDelay, DefaultBackgroundDelay)
 	setDefault(&c.AgingThreshold, DefaultAgingThreshold)
-	setDefault(&c.AgedStartInterval, DefaultAgedStartInterval)
+	setDefault(&c.StartsPerAgedStart, DefaultStartsPerAgedStart)
 	setDefault(&c.PromotionLead, DefaultPromotionLead)
 	setDefault(&c.SafetyFactor, DefaultSafetyFactor)
 	setDefault(&c.RunQuantile, DefaultRunQuantile)
@@ -186,14 +186,14 @@
 }
 
 // agedItem returns the first normal or background entry if it has waited for at least AgingThreshold
-// and the next start may go to aged work. Only one in AgedStartInterval starts may; otherwise a long
+// and the next start may go to aged work. Only one in StartsPerAgedStart starts may; otherwise a long
 // backlog would overtake every urgent request of its team.
 func (q *Queues) agedItem(now time.Time, t *teamQueue) *item {
 	it := t.tiers[tierNormal].first()
 	if it == nil || now.Sub(it.EnqueuedAt) < q.cfg.AgingThreshold {
 		return nil
 	}
-	if t.drain.startsSinceAged < q.cfg.AgedStartInterval-1 {
+	if t.drain.startsSinceAged < q.cfg.StartsPerAgedStart-1 {
 		return nil
 	}
 	return it
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -70,7 +70,7 @@
 // TestAgedWorkGetsOneStartPerInterval guards against starvation of normal work by a stream of urgent
 // work, and against a long backlog of aged work delaying every urgent request.
 func TestAgedWorkGetsOneStartPerInterval(t *testing.T) {
-	q := New(Config{AgingThreshold: time.Minute, AgedStartInterval: 4})
+	q := New(Config{AgingThreshold: time.Minute, StartsPerAgedStart: 4})
 	mustPush(t, q, start, entry("old 1", task.Normal))
 	mustPush(t, q, start, entry("old 2", task.Normal))
 	now := start.Add(2 * time.Minute)
