--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -43,7 +43,7 @@
 	partitions, shards := unitsOf(&s.cfg)
 	snap := &Snapshot{
 		Self: s.self, Members: s.routing.memberList(), Homes: make(map[string]Route, len(shards)),
-		Terms: map[string]Term{}, Documents: s.config.documents, Keys: s.config.ring.Snapshot(s.freshness.Until()),
+		Terms: map[string]Term{}, Documents: s.config.documents, Keys: s.config.ring.Snapshot(s.freshness.FreshUntil()),
 		Revision: s.config.appliedRevision, InstanceRevisions: map[string]int64{}, StoreContact: s.hasStoreContact(), Draining: s.drain.started,
 		Ready: s.membership.leaseID != 0 && !s.drain.started && s.config.appliedRevision > 0, Shards: s.cfg.RequestShards,
 	}
--- a/keyring/freshness.go
+++ b/keyring/freshness.go
@@ -96,8 +96,8 @@
 	return &Freshness{cfg: cfg, startedAt: startedAt}
 }
 
-// Until returns the time until which the key data is guaranteed to be fresh.
-func (f *Freshness) Until() time.Time { return f.freshUntil }
+// FreshUntil returns the time until which the key data is guaranteed to be fresh.
+func (f *Freshness) FreshUntil() time.Time { return f.freshUntil }
 
 // Remaining returns the remaining freshness of the key data, for a reply to a peer.
 func (f *Freshness) Remaining(now time.Time) time.Duration {
--- a/keyring/model_test.go
+++ b/keyring/model_test.go
@@ -245,9 +245,9 @@
 
 // completeRound passes a round to Freshness, which ignores it if it is incomplete.
 func (n *node) completeRound(round *OutageRound) {
-	before := n.freshness.Until()
+	before := n.freshness.FreshUntil()
 	n.freshness.RecordOutageRound(n.clock(), round)
-	if n.freshness.Until().After(before) {
+	if n.freshness.FreshUntil().After(before) {
 		n.sim.coverage["outage confirmed"]++
 	}
 }
@@ -340,7 +340,7 @@
 // checkAuthentication presents the key to the node and describes a violation, or returns "".
 func (n *node) checkAuthentication() string {
 	sim := n.sim
-	_, err := n.ring.Snapshot(n.freshness.Until()).Authenticate(n.clock(), modelTeam, modelSecret)
+	_, err := n.ring.Snapshot(n.freshness.FreshUntil()).Authenticate(n.clock(), modelTeam, modelSecret)
 	if err == nil {
 		sim.coverage["accepted"]++
 		if sim.withdrawalAckedAt > 0 && sim.now > sim.withdrawalAckedAt+DefaultConfig().Freshness {
--- a/keyring/ring.go
+++ b/keyring/ring.go
@@ -131,8 +131,8 @@
 	until  time.Time           // end of the freshness period
 }
 
-// Until returns the time until which the snapshot accepts keys.
-func (s *Snapshot) Until() time.Time { return s.until }
+// ValidUntil returns the time until which the snapshot accepts keys.
+func (s *Snapshot) ValidUntil() time.Time { return s.until }
 
 // Authenticate authenticates a request of a team: it returns the team's key with the given digest, or
 // an error. now is a reading of the monotonic clock; an expired snapshot rejects every key. All keys
