--- a/control/attempts.go
+++ b/control/attempts.go
@@ -111,7 +111,7 @@
 		return
 	}
 	switch {
-	case e.Known:
+	case e.Found:
 		w.applyTaskReport(a, e.Report)
 	case e.BootID != a.bootID:
 		w.attemptLost(a)
--- a/control/configuration.go
+++ b/control/configuration.go
@@ -56,7 +56,7 @@
 // changesAfter returns the entries that changed after a revision, for a peer that cannot read the
 // store.
 func (c *configuration) changesAfter(after int64) FetchConfigReply {
-	reply := FetchConfigReply{After: after, Revision: c.appliedRevision}
+	reply := FetchConfigReply{AfterRevision: after, Revision: c.appliedRevision}
 	for _, change := range c.entries {
 		if change.Entry.Revision > after {
 			reply.Entries = append(reply.Entries, change.Entry)
--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -112,7 +112,7 @@
 	}
 	h.batches[t.Partition] = append(h.batches[t.Partition], Placement{
 		Attempt: a, Job: job, Index: index, Partition: t.Partition, Epoch: epoch,
-		Age: h.now.Sub(record.Spec.SubmittedAt), Gang: gang, Spec: record.Spec,
+		Age: h.now.Sub(record.Spec.SubmittedAt), GangSize: gang, Spec: record.Spec,
 	})
 	h.recordEvent(timeline.Event{Type: timeline.TaskPlaced, Team: job.Team, Task: a.Task, Attempt: a.Number, Partition: t.Partition, Epoch: epoch})
 }
--- a/control/effect.go
+++ b/control/effect.go
@@ -32,38 +32,38 @@
 // StartTask starts an attempt on a worker; StartDone delivers the result. The order must not be
 // written to the connection after the term of the partition has ended.
 type StartTask struct {
-	Worker     string
-	Address    string
-	Partition  string
-	Epoch      uint64
-	Attempt    task.Attempt
-	Job        ledger.JobKey
-	Index      int
-	Team       task.Team
-	Class      string
-	Size       task.Resources
-	Command    string
-	Payload    []byte
-	LongLived  bool
-	BootID     string        // of the worker; its clock starts at zero with each boot
-	StartBy    time.Duration // on the worker's clock; the worker refuses a later start
-	LeaseUntil time.Duration // on the worker's clock
-	Wait       time.Duration // how long the worker may hold the call open for the result
-	WaitTime   time.Duration // since the job was accepted, for the metric
+	Worker      string
+	Address     string
+	Partition   string
+	Epoch       uint64
+	Attempt     task.Attempt
+	Job         ledger.JobKey
+	Index       int
+	Team        task.Team
+	Class       string
+	Size        task.Resources
+	Command     string
+	Payload     []byte
+	LongLived   bool
+	BootID      string        // of the worker; its clock starts at zero with each boot
+	StartBy     time.Duration // on the worker's clock; the worker refuses a later start
+	LeaseUntil  time.Duration // on the worker's clock
+	OutcomeWait time.Duration // how long the worker may hold the call open for the result
+	WaitTime    time.Duration // since the job was accepted, for the metric
 }
 
 // SyncWorker renews the task leases on a worker and requests its report; SyncDone delivers the
 // result.
 type SyncWorker struct {
-	Worker      string
-	Address     string
-	Partition   string
-	Epoch       uint64
-	BootID      string        // of the worker
-	LeaseUntil  time.Duration // on the worker's clock; 0 does not renew the leases
-	Acknowledge []task.Attempt
-	After       uint64 // sequence number of the last report received
-	Full        bool   // requests a report of every attempt, not only of those changed since After
+	Worker        string
+	Address       string
+	Partition     string
+	Epoch         uint64
+	BootID        string        // of the worker
+	LeaseUntil    time.Duration // on the worker's clock; 0 does not renew the leases
+	Acknowledge   []task.Attempt
+	AfterSequence uint64 // sequence number of the last report received
+	Full          bool   // requests a report of every attempt, not only of those changed since After
 }
 
 // LookupTask requests the state of an attempt from its worker; LookupDone delivers the result.
--- a/control/event.go
+++ b/control/event.go
@@ -43,7 +43,7 @@
 	Result StartResult
 	Clock  time.Duration // of the worker, when it replied
 	BootID string
-	// Outcome is set if the task finished within StartTask.Wait. If its result is not ResultBytes
+	// Outcome is set if the task finished within StartTask.OutcomeWait. If its result is not ResultBytes
 	// long, it was left out and has to be fetched.
 	Outcome     *task.Outcome
 	ResultBytes int64
@@ -94,7 +94,7 @@
 type LookupDone struct {
 	Lookup LookupTask
 	Err    error
-	Known  bool          // the worker has a record of the attempt
+	Found  bool          // the worker has a record of the attempt
 	Clock  time.Duration // of the worker, when it replied
 	BootID string
 	Report TaskReport // valid if Known
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -165,7 +165,7 @@
 func (s *State) fetchConfig(d DigestMessage) {
 	if m, ok := s.routing.members[d.Incarnation]; ok && s.config.fetchedAt.Add(s.cfg.CallTimeout).Before(s.now) {
 		s.config.fetchedAt = s.now
-		s.emit(Send{To: m, Request: FetchConfigRequest{After: s.config.appliedRevision}, Timeout: s.cfg.CallTimeout, SentAt: s.now})
+		s.emit(Send{To: m, Request: FetchConfigRequest{AfterRevision: s.config.appliedRevision}, Timeout: s.cfg.CallTimeout, SentAt: s.now})
 	}
 }
 
@@ -178,7 +178,7 @@
 			continue
 		}
 		for _, u := range d.message.Usage {
-			remote[u.Team] = remote[u.Team].Add(u.Size)
+			remote[u.Team] = remote[u.Team].Add(u.Used)
 		}
 	}
 	for team := range s.owner.remoteUsage {
@@ -238,7 +238,7 @@
 	}
 	list := make([]TeamUsage, 0, len(sums))
 	for team, size := range sums {
-		list = append(list, TeamUsage{Team: team, Size: size})
+		list = append(list, TeamUsage{Team: team, Used: size})
 	}
 	slices.SortFunc(list, func(a, b TeamUsage) int { return cmp.Compare(a.Team, b.Team) })
 	return list
--- a/control/loop.go
+++ b/control/loop.go
@@ -45,8 +45,8 @@
 // QueuedEvents returns the number of events in the queue of the control goroutine.
 func (l *Loop) QueuedEvents() int { return len(l.events) }
 
-// AllowanceRefused returns how often a start was refused because its team lacked allowance.
-func (l *Loop) AllowanceRefused() uint64 { return l.allowanceRefusals.Load() }
+// AllowanceRefusals returns how often a start was refused because its team lacked allowance.
+func (l *Loop) AllowanceRefusals() uint64 { return l.allowanceRefusals.Load() }
 
 // Post sends an event to the control goroutine. It returns the error of ctx if ctx ends before the
 // event is queued.
--- a/control/overview.go
+++ b/control/overview.go
@@ -88,7 +88,7 @@
 func (s *State) teamViews() []TeamView {
 	running := map[task.Team]task.Resources{}
 	for _, u := range s.owner.usage() {
-		running[u.Team] = u.Size
+		running[u.Team] = u.Used
 	}
 	var views []TeamView
 	for key, doc := range s.config.documents {
--- a/control/owner.go
+++ b/control/owner.go
@@ -173,7 +173,7 @@
 	for _, id := range req.Attempts {
 		a, known := w.attempts[id]
 		switch {
-		case req.OnlyWaiting && (!known || a.stage != stageQueued):
+		case req.OnlyQueued && (!known || a.stage != stageQueued):
 		case !known:
 			w.tombstones[id] = w.now.Add(tombstoneLifetime)
 		case a.stage == stageQueued:
--- a/control/peer.go
+++ b/control/peer.go
@@ -54,7 +54,7 @@
 	Partition string
 	Epoch     uint64        // of the partition according to the home
 	Age       time.Duration // since the job was submitted
-	Gang      int           // number of tasks that start together; 1 if the task is not part of a gang
+	GangSize  int           // number of tasks that start together; 1 if the task is not part of a gang
 	Spec      task.Spec
 }
 
@@ -65,12 +65,12 @@
 // has; otherwise the attempt has not run and will not run.
 type PlaceReply struct{ Refusals []*errkind.Error }
 
-// WithdrawRequest requests that an owner dequeue or stop attempts. With OnlyWaiting an attempt that
+// WithdrawRequest requests that an owner dequeue or stop attempts. With OnlyQueued an attempt that
 // has left its queue continues.
 type WithdrawRequest struct {
-	Attempts    []task.Attempt
-	Reason      errkind.Kind
-	OnlyWaiting bool
+	Attempts   []task.Attempt
+	Reason     errkind.Kind
+	OnlyQueued bool
 }
 
 // WithdrawReply lists the attempts that were removed and provably have not run. The end of the
@@ -139,9 +139,9 @@
 
 // PromiseRequest requests a successor's promise not to take over units for the promise window.
 type PromiseRequest struct {
-	Owner    string              // incarnation
-	Promisee ownership.Successor // the successor that is to give the promise
-	Units    []PromiseUnit
+	Owner     string              // incarnation
+	Successor ownership.Successor // the successor that is to give the promise
+	Units     []PromiseUnit
 }
 
 // PromiseUnit is one partition or shard of a PromiseRequest.
@@ -195,18 +195,18 @@
 // TeamUsage states the resources that a team uses at one owner.
 type TeamUsage struct {
 	Team task.Team
-	Size task.Resources
+	Used task.Resources
 }
 
 // FetchConfigRequest requests the configuration entries that changed after a revision; 0 requests
 // all of them.
-type FetchConfigRequest struct{ After int64 }
+type FetchConfigRequest struct{ AfterRevision int64 }
 
 // FetchConfigReply is the configuration with the revision of each entry.
 type FetchConfigReply struct {
-	After    int64 // of the request
-	Revision int64
-	Entries  []ConfigEntry
+	AfterRevision int64 // of the request
+	Revision      int64
+	Entries       []ConfigEntry
 }
 
 // ConfigEntry is one key of the configuration below the watched prefix, as read from the store.
--- a/control/rebalance.go
+++ b/control/rebalance.go
@@ -44,7 +44,7 @@
 	}
 	for partition, attempts := range moves {
 		if owner, _, ok := h.routing.ownerOf(partition); ok {
-			h.send(owner, WithdrawRequest{Attempts: attempts, Reason: errkind.QueueFull, OnlyWaiting: true})
+			h.send(owner, WithdrawRequest{Attempts: attempts, Reason: errkind.QueueFull, OnlyQueued: true})
 		}
 	}
 }
--- a/control/schedule.go
+++ b/control/schedule.go
@@ -93,7 +93,7 @@
 			delete(w.blocked, team)
 			return true
 		}
-		if a.placement.Gang > 1 {
+		if a.placement.GangSize > 1 {
 			if w.startGang(a) {
 				delete(w.blocked, team)
 				return true
@@ -242,7 +242,7 @@
 		Worker: a.worker, Address: worker.listed.Address, Partition: a.partition, Epoch: w.epochOf(a.partition),
 		Attempt: a.id, Job: a.job, Index: a.index, Team: a.team, Class: a.class, Size: a.size,
 		Command: spec.Command, Payload: spec.Payload, LongLived: spec.Kind == task.LongLived,
-		BootID: worker.bootID, StartBy: a.startBy, LeaseUntil: worker.clock + w.cfg.TaskLease, Wait: wait,
+		BootID: worker.bootID, StartBy: a.startBy, LeaseUntil: worker.clock + w.cfg.TaskLease, OutcomeWait: wait,
 		WaitTime: a.placement.Age + w.now.Sub(a.queuedAt),
 	})
 	w.recordEvent(timeline.Event{Type: timeline.TaskStartSent, Team: a.team, Task: a.id.Task, Attempt: a.id.Number,
@@ -259,7 +259,7 @@
 // been placed here and all of them fit.
 func (w *owner) startGang(a *attempt) bool {
 	members := w.gangOf(a)
-	if len(members) < a.placement.Gang || !w.holdsPartition(a.partition) || !w.isKeyValid(a) {
+	if len(members) < a.placement.GangSize || !w.holdsPartition(a.partition) || !w.isKeyValid(a) {
 		return false
 	}
 	workers, ok := w.cluster.FindGang(w.placementRequest(a), len(members))
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -23,7 +23,7 @@
 	StoreContact      bool
 	Draining          bool
 	Ready             bool // has a lease, has read the configuration, and is not draining
-	Shards            int  // number of request shards
+	ShardCount        int  // number of request shards
 }
 
 // Route is the recorded owner of a unit.
@@ -45,7 +45,7 @@
 		Self: s.self, Members: s.routing.memberList(), Homes: make(map[string]Route, len(shards)),
 		Terms: map[string]Term{}, Documents: s.config.documents, Keys: s.config.ring.Snapshot(s.freshness.FreshUntil()),
 		Revision: s.config.appliedRevision, InstanceRevisions: map[string]int64{}, StoreContact: s.hasStoreContact(), Draining: s.drain.started,
-		Ready: s.membership.leaseID != 0 && !s.drain.started && s.config.appliedRevision > 0, Shards: s.cfg.RequestShards,
+		Ready: s.membership.leaseID != 0 && !s.drain.started && s.config.appliedRevision > 0, ShardCount: s.cfg.RequestShards,
 	}
 	for _, shard := range shards {
 		if m, epoch, ok := s.routing.ownerOf(shard); ok {
@@ -72,7 +72,7 @@
 
 // HomeOf returns the home of a job.
 func (s *Snapshot) HomeOf(job ledger.JobKey) (Route, bool) {
-	route, ok := s.Homes[shardOf(job, s.Shards)]
+	route, ok := s.Homes[shardOf(job, s.ShardCount)]
 	return route, ok
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -231,7 +231,7 @@
 		s.applyOwnershipRecord(r.Record)
 		s.reply(e.Token, HandoverReply{})
 	case FetchConfigRequest:
-		s.reply(e.Token, s.config.changesAfter(r.After))
+		s.reply(e.Token, s.config.changesAfter(r.AfterRevision))
 	case BeginConfigCommit:
 		s.reply(e.Token, ConfigCommitReply{Allowed: s.freshness.BeginCommit(s.now)})
 	case EndConfigCommit:
--- a/control/units.go
+++ b/control/units.go
@@ -44,7 +44,7 @@
 func addPromiseUnit(requests map[ownership.Successor]*PromiseRequest, successor ownership.Successor, a ownership.RequestPromises) {
 	request, ok := requests[successor]
 	if !ok {
-		request = &PromiseRequest{Owner: a.Owner, Promisee: successor}
+		request = &PromiseRequest{Owner: a.Owner, Successor: successor}
 		requests[successor] = request
 	}
 	request.Units = append(request.Units, PromiseUnit{Unit: a.Unit, Epoch: a.Epoch})
@@ -54,7 +54,7 @@
 func (s *State) promise(token uint64, r PromiseRequest) {
 	reply := PromiseReply{From: ownership.Successor{Instance: s.self.Instance, Incarnation: s.self.Incarnation}, Granted: make([]bool, len(r.Units))}
 	for i, u := range r.Units {
-		reply.Granted[i] = s.ownership.PromiseRequested(s.now, u.Unit, r.Owner, u.Epoch, r.Promisee.Incarnation)
+		reply.Granted[i] = s.ownership.PromiseRequested(s.now, u.Unit, r.Owner, u.Epoch, r.Successor.Incarnation)
 		if reply.Granted[i] {
 			s.recordEvent(timeline.Event{Type: timeline.PromiseGiven, Partition: u.Unit, Epoch: u.Epoch, Detail: r.Owner})
 		}
--- a/control/workers.go
+++ b/control/workers.go
@@ -142,7 +142,7 @@
 	worker.syncing = true
 	sync := SyncWorker{
 		Worker: worker.listed.Name, Address: worker.listed.Address, Partition: worker.partition, Epoch: part.epoch,
-		After: worker.sequence, Full: !worker.reconciled || worker.sequence == 0,
+		AfterSequence: worker.sequence, Full: !worker.reconciled || worker.sequence == 0,
 		Acknowledge: slices.Clone(worker.pendingAcks[:min(len(worker.pendingAcks), maxAcksPerSync)]),
 	}
 	if !worker.clockAt.IsZero() {
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -114,7 +114,7 @@
 		metrics.GetOrRegisterCounter(name, registry) // reported as 0 before the first event
 	}
 	gauge(metricControlQueue, func() int64 { return int64(loop.QueuedEvents()) })
-	gauge(metricAllowanceRefused, func() int64 { return int64(loop.AllowanceRefused()) })
+	gauge(metricAllowanceRefused, func() int64 { return int64(loop.AllowanceRefusals()) })
 	gauge(metricUnitsHeld, func() int64 { return unitsHeld(loop.Snapshot(), time.Now()) })
 	gauge(metricEventsDropped, func() int64 { return int64(recorder.Dropped()) })
 	if traffic, ok := entries.(byteCounter); ok {
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -121,7 +121,7 @@
 	for i, e := range r.Entries {
 		changes[i] = store.DecodeConfig(e)
 	}
-	return control.ConfigChanged{Revision: r.Revision, Complete: r.After == 0, Changes: changes}
+	return control.ConfigChanged{Revision: r.Revision, Complete: r.AfterRevision == 0, Changes: changes}
 }
 
 // pollInstances reads the platform's instance list at intervals and posts it to the control loop.
--- a/daemon/workercalls.go
+++ b/daemon/workercalls.go
@@ -22,7 +22,7 @@
 	}
 	reply, err := d.clients.Workers.Start(ctx, worker.Address(e.Address), worker.StartRequest{
 		Attempt: e.Attempt, Team: e.Team, Class: e.Class, Owner: d.cfg.Self.Incarnation, Epoch: e.Epoch, BootID: e.BootID,
-		StartBy: e.StartBy, LeaseUntil: e.LeaseUntil, OutcomeWait: e.Wait, Size: e.Size, Command: e.Command, Payload: e.Payload, LongLived: e.LongLived,
+		StartBy: e.StartBy, LeaseUntil: e.LeaseUntil, OutcomeWait: e.OutcomeWait, Size: e.Size, Command: e.Command, Payload: e.Payload, LongLived: e.LongLived,
 	}, check)
 	done := control.StartDone{Start: e, Clock: reply.Clock, BootID: reply.BootID}
 	switch {
@@ -41,7 +41,7 @@
 	done := control.SyncDone{Sync: e, SentAt: time.Now()}
 	reply, err := d.clients.Workers.Sync(ctx, worker.Address(e.Address), worker.SyncRequest{
 		Owner: d.cfg.Self.Incarnation, Epoch: e.Epoch, BootID: e.BootID, LeaseUntil: e.LeaseUntil,
-		Acknowledge: e.Acknowledge, AfterSequence: e.After, Full: e.Full,
+		Acknowledge: e.Acknowledge, AfterSequence: e.AfterSequence, Full: e.Full,
 	})
 	done.Err = err
 	if err == nil {
@@ -60,7 +60,7 @@
 
 func (d *engine) lookupTask(ctx context.Context, e control.LookupTask) {
 	reply, err := d.clients.Workers.Lookup(ctx, worker.Address(e.Address), e.Attempt)
-	d.post(ctx, control.LookupDone{Lookup: e, Err: err, Known: reply.Known, Clock: reply.Clock, BootID: reply.BootID, Report: taskReport(reply.Report)})
+	d.post(ctx, control.LookupDone{Lookup: e, Err: err, Found: reply.Known, Clock: reply.Clock, BootID: reply.BootID, Report: taskReport(reply.Report)})
 }
 
 func (d *engine) fetchResult(ctx context.Context, e control.FetchResult) {
--- a/entry/client.go
+++ b/entry/client.go
@@ -170,7 +170,7 @@
 		reply, err := client.Place(ctx, encodePlace(c.self, r))
 		return decodePlaceReply(reply), err
 	case control.WithdrawRequest:
-		reply, err := client.Withdraw(ctx, &entrypb.WithdrawRequest{From: c.self, Attempts: encodeAttempts(r.Attempts), Reason: string(r.Reason), OnlyWaiting: r.OnlyWaiting})
+		reply, err := client.Withdraw(ctx, &entrypb.WithdrawRequest{From: c.self, Attempts: encodeAttempts(r.Attempts), Reason: string(r.Reason), OnlyWaiting: r.OnlyQueued})
 		return control.WithdrawReply{NotRun: decodeAttempts(reply.GetNotRun())}, err
 	case control.LookupRequest:
 		reply, err := client.Lookup(ctx, encodeLookup(c.self, r))
@@ -193,7 +193,7 @@
 		c.counter.digestBytes.Add(int64(proto.Size(message) + proto.Size(reply)))
 		return decodeDigest(reply), err
 	case control.FetchConfigRequest:
-		reply, err := client.FetchConfig(ctx, &entrypb.FetchConfigRequest{From: c.self, After: r.After})
+		reply, err := client.FetchConfig(ctx, &entrypb.FetchConfigRequest{From: c.self, After: r.AfterRevision})
 		return decodeConfig(reply), err
 	case control.OverviewRequest:
 		reply, err := client.Overview(ctx, &entrypb.OverviewRequest{From: c.self})
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -42,7 +42,7 @@
 	for i := range r.Placements {
 		p := &r.Placements[i]
 		out[i] = &entrypb.Placement{Attempt: encodeAttempt(p.Attempt), Job: encodeJob(p.Job), Index: int32(p.Index), Partition: p.Partition,
-			Epoch: p.Epoch, Age: durationpb.New(p.Age), Gang: int32(p.Gang), Spec: encodeSpec(&p.Spec)}
+			Epoch: p.Epoch, Age: durationpb.New(p.Age), Gang: int32(p.GangSize), Spec: encodeSpec(&p.Spec)}
 	}
 	return &entrypb.PlaceRequest{From: from, Placements: out}
 }
@@ -51,7 +51,7 @@
 	out := make([]control.Placement, len(r.GetPlacements()))
 	for i, p := range r.GetPlacements() {
 		out[i] = control.Placement{Attempt: decodeAttempt(p.GetAttempt()), Job: decodeJob(p.GetJob()), Index: int(p.GetIndex()), Partition: p.GetPartition(),
-			Epoch: p.GetEpoch(), Age: p.GetAge().AsDuration(), Gang: int(p.GetGang()), Spec: decodeSpec(p.GetSpec())}
+			Epoch: p.GetEpoch(), Age: p.GetAge().AsDuration(), GangSize: int(p.GetGang()), Spec: decodeSpec(p.GetSpec())}
 	}
 	return control.PlaceRequest{Placements: out}
 }
@@ -125,7 +125,7 @@
 	for i, u := range r.Units {
 		units[i] = &entrypb.PromiseUnit{Unit: u.Unit, Epoch: u.Epoch}
 	}
-	return &entrypb.PromiseRequest{From: from, Owner: r.Owner, Promisee: encodeSuccessor(r.Promisee), Units: units}
+	return &entrypb.PromiseRequest{From: from, Owner: r.Owner, Promisee: encodeSuccessor(r.Successor), Units: units}
 }
 
 func decodePromise(r *entrypb.PromiseRequest) control.PromiseRequest {
@@ -133,7 +133,7 @@
 	for i, u := range r.GetUnits() {
 		units[i] = control.PromiseUnit{Unit: u.GetUnit(), Epoch: u.GetEpoch()}
 	}
-	return control.PromiseRequest{Owner: r.GetOwner(), Promisee: decodeSuccessor(r.GetPromisee()), Units: units}
+	return control.PromiseRequest{Owner: r.GetOwner(), Successor: decodeSuccessor(r.GetPromisee()), Units: units}
 }
 
 func encodeSuccessor(s ownership.Successor) *entrypb.Successor {
@@ -169,7 +169,7 @@
 			Capacity: encodeResources(p.Capacity), Queued: int32(p.Queued), Ready: p.Ready})
 	}
 	for _, u := range d.Usage {
-		out.Usage = append(out.Usage, &entrypb.TeamUsage{Team: string(u.Team), Size: encodeResources(u.Size)})
+		out.Usage = append(out.Usage, &entrypb.TeamUsage{Team: string(u.Team), Size: encodeResources(u.Used)})
 	}
 	for _, team := range d.StarvedTeams {
 		out.Wants = append(out.Wants, string(team))
@@ -186,7 +186,7 @@
 			Capacity: decodeResources(p.GetCapacity()), Queued: int(p.GetQueued()), Ready: p.GetReady()})
 	}
 	for _, u := range d.GetUsage() {
-		out.Usage = append(out.Usage, control.TeamUsage{Team: task.Team(u.GetTeam()), Size: decodeResources(u.GetSize())})
+		out.Usage = append(out.Usage, control.TeamUsage{Team: task.Team(u.GetTeam()), Used: decodeResources(u.GetSize())})
 	}
 	for _, team := range d.GetWants() {
 		out.StarvedTeams = append(out.StarvedTeams, task.Team(team))
@@ -195,7 +195,7 @@
 }
 
 func encodeConfig(r control.FetchConfigReply) *entrypb.FetchConfigReply {
-	out := &entrypb.FetchConfigReply{After: r.After, Revision: r.Revision}
+	out := &entrypb.FetchConfigReply{After: r.AfterRevision, Revision: r.Revision}
 	for _, e := range r.Entries {
 		out.Entries = append(out.Entries, &entrypb.ConfigEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 	}
@@ -203,7 +203,7 @@
 }
 
 func decodeConfig(r *entrypb.FetchConfigReply) control.FetchConfigReply {
-	out := control.FetchConfigReply{After: r.GetAfter(), Revision: r.GetRevision()}
+	out := control.FetchConfigReply{AfterRevision: r.GetAfter(), Revision: r.GetRevision()}
 	for _, e := range r.GetEntries() {
 		out.Entries = append(out.Entries, control.ConfigEntry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Deleted: e.GetDeleted()})
 	}
--- a/entry/roundtrip_test.go
+++ b/entry/roundtrip_test.go
@@ -33,18 +33,18 @@
 // encoding: every field of each sample is set, and a round trip must not change the sample.
 func TestMessageRoundTrip(t *testing.T) {
 	place := control.PlaceRequest{Placements: []control.Placement{{Attempt: sampleAttempt, Job: sampleJob, Index: 1, Partition: "w/r/0", Epoch: 2,
-		Age: time.Second, Gang: 3, Spec: sampleSpec}}}
+		Age: time.Second, GangSize: 3, Spec: sampleSpec}}}
 	placeReply := control.PlaceReply{Refusals: []*errkind.Error{sampleError}}
 	lookup := control.LookupRequest{Partition: "w/r/0", Attempts: []control.LookupItem{{Attempt: sampleAttempt, Job: sampleJob, Index: 1, AtMostOnce: true, Worker: "w", BootID: "b"}}}
 	lookupReply := control.LookupReply{States: []control.LookupState{control.LookupEnded}}
 	report := control.ReportRequest{Reports: []control.AttemptReport{{Attempt: sampleAttempt, Job: sampleJob, Index: 1, Worker: "w", Outcome: sampleOutcome}}}
-	promise := control.PromiseRequest{Owner: "e-1", Promisee: sampleSuccessor, Units: []control.PromiseUnit{{Unit: "h/1", Epoch: 4}}}
+	promise := control.PromiseRequest{Owner: "e-1", Successor: sampleSuccessor, Units: []control.PromiseUnit{{Unit: "h/1", Epoch: 4}}}
 	handover := control.HandoverNotice{Record: ownership.Record{Unit: "h/1", Owner: "e-1", OwnerInstance: "e", Epoch: 3, Successors: []ownership.Successor{sampleSuccessor}, Revision: 9}}
 	digest := control.DigestMessage{Instance: "e", Incarnation: "e-1", Revision: 5, StoreContact: true, StoreContactAge: time.Second, Freshness: time.Minute,
 		Partitions: []control.PartitionDigest{{Partition: "w/r/0", Epoch: 1, Free: sampleSize, Capacity: sampleSize, Queued: 2, Ready: true}},
-		Usage:      []control.TeamUsage{{Team: "t", Size: sampleSize}}, StarvedTeams: []task.Team{"t"},
+		Usage:      []control.TeamUsage{{Team: "t", Used: sampleSize}}, StarvedTeams: []task.Team{"t"},
 		Clock: timeline.Timestamp{Wall: time.Unix(0, 77), Logical: 3}, RequestNoCommit: true, NoCommitPromised: true, KnownRevision: 8}
-	config := control.FetchConfigReply{After: 1, Revision: 2, Entries: []control.ConfigEntry{{Key: "c/x", Value: []byte("v"), Revision: 2, Deleted: true}}}
+	config := control.FetchConfigReply{AfterRevision: 1, Revision: 2, Entries: []control.ConfigEntry{{Key: "c/x", Value: []byte("v"), Revision: 2, Deleted: true}}}
 	reply := control.JobReply{Record: sampleRecord, Err: sampleError}
 
 	for _, c := range []struct{ sample, decoded any }{
--- a/entry/server.go
+++ b/entry/server.go
@@ -81,7 +81,7 @@
 
 // Withdraw handles calls from the home instance of a job.
 func (s *service) Withdraw(ctx context.Context, r *entrypb.WithdrawRequest) (*entrypb.WithdrawReply, error) {
-	reply, err := handle[control.WithdrawReply](ctx, s, r.GetFrom(), control.WithdrawRequest{Attempts: decodeAttempts(r.GetAttempts()), Reason: errkind.Kind(r.GetReason()), OnlyWaiting: r.GetOnlyWaiting()})
+	reply, err := handle[control.WithdrawReply](ctx, s, r.GetFrom(), control.WithdrawRequest{Attempts: decodeAttempts(r.GetAttempts()), Reason: errkind.Kind(r.GetReason()), OnlyQueued: r.GetOnlyWaiting()})
 	return &entrypb.WithdrawReply{NotRun: encodeAttempts(reply.NotRun)}, err
 }
 
@@ -124,7 +124,7 @@
 
 // FetchConfig handles calls from an instance that started while the store is down.
 func (s *service) FetchConfig(ctx context.Context, r *entrypb.FetchConfigRequest) (*entrypb.FetchConfigReply, error) {
-	reply, err := handle[control.FetchConfigReply](ctx, s, r.GetFrom(), control.FetchConfigRequest{After: r.GetAfter()})
+	reply, err := handle[control.FetchConfigReply](ctx, s, r.GetFrom(), control.FetchConfigRequest{AfterRevision: r.GetAfter()})
 	return encodeConfig(reply), err
 }
 
