--- a/control/units.go
+++ b/control/units.go
@@ -27,7 +27,7 @@
 			for _, successor := range a.Successors {
 				addPromiseUnit(requests, successor, a)
 			}
-		case ownership.Renewed:
+		case ownership.RevisionChanged:
 			if isPartition(a.Unit) {
 				s.owner.allowances.AddPartition(a.Unit, a.Revision)
 			}
--- a/ownership/record.go
+++ b/ownership/record.go
@@ -49,10 +49,10 @@
 	Revision int64 // of the record, for compares in other transactions
 }
 
-// Renewed reports that the record of a held unit was replaced by a new revision with the
+// RevisionChanged reports that the record of a held unit was replaced by a new revision with the
 // same owner and epoch. Transactions that compare the record's revision must use the new
 // one from now on. It is unrelated to the renewal of the lease.
-type Renewed struct {
+type RevisionChanged struct {
 	Unit     string
 	Revision int64
 }
@@ -67,7 +67,7 @@
 func (Write) action()           {}
 func (RequestPromises) action() {}
 func (Gained) action()          {}
-func (Renewed) action()         {}
+func (RevisionChanged) action() {}
 func (Lost) action()            {}
 
 // Reason is why a record is written or a unit is lost.
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -157,7 +157,7 @@
 		u.releasing, u.forced = false, false
 	}
 	if u.held {
-		t.queuedActions = append(t.queuedActions, Renewed{Unit: u.name, Revision: r.Revision})
+		t.queuedActions = append(t.queuedActions, RevisionChanged{Unit: u.name, Revision: r.Revision})
 	}
 	u.record = r
 	if u.pending != nil && r.Revision > u.pending.expectedRevision {
