standin: rename further exported names

Names in messages, stored records, settings, logs and metrics are unchanged.

standin.CallList -> CallInstanceList standin.Relay.Silence -> StallConnections

--- a/standin/list.go
+++ b/standin/list.go
@@ -16,8 +16,8 @@
 	pathInstance = instancelist.PathInstances + "/{name}"
 )
 
-// CallList is the kind of call of the instance list, as used in faults and counters.
-const CallList = "list"
+// CallInstanceList is the kind of call of the instance list, as used in faults and counters.
+const CallInstanceList = "list"
 
 // Lag is the body of PathLag.
 type Lag struct {
@@ -47,11 +47,11 @@
 func NewList(lag time.Duration, instances ...instancelist.Instance) *List {
 	l := &List{
 		mux:      http.NewServeMux(),
-		faults:   fault.NewTable(CallList),
+		faults:   fault.NewTable(CallInstanceList),
 		lag:      lag,
 		versions: []version{{instances: append([]instancelist.Instance{}, instances...)}},
 	}
-	l.mux.HandleFunc("GET "+instancelist.PathInstances, withFaults(l.faults, CallList, refuseUnavailable, l.doList))
+	l.mux.HandleFunc("GET "+instancelist.PathInstances, withFaults(l.faults, CallInstanceList, refuseUnavailable, l.doList))
 	l.mux.HandleFunc("POST "+instancelist.PathInstances, l.doReplace)
 	l.mux.HandleFunc("PUT "+pathInstance, l.doPut)
 	l.mux.HandleFunc("DELETE "+pathInstance, l.doDelete)
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -135,9 +135,9 @@
 	return r.state, r.changed
 }
 
-// Silence makes the existing connections silent permanently: they stay open and discard all
+// StallConnections makes the existing connections silent permanently: they stay open and discard all
 // traffic. New connections are not affected. It returns the number of existing connections.
-func (r *Relay) Silence() int { return r.forEachLink((*relayLink).silence) }
+func (r *Relay) StallConnections() int { return r.forEachLink((*relayLink).silence) }
 
 // Reset closes the existing connections, discards the traffic held in them, and returns their
 // number.
--- a/standin/relay_control.go
+++ b/standin/relay_control.go
@@ -5,7 +5,7 @@
 // Paths of the control endpoints of a relay.
 const (
 	PathRelay        = "/relay"         // GET returns the RelayStatus, POST sets the RelayState
-	PathRelaySilence = "/relay/silence" // POST calls Relay.Silence
+	PathRelaySilence = "/relay/silence" // POST calls Relay.StallConnections
 	PathRelayReset   = "/relay/reset"   // POST calls Relay.Reset
 )
 
@@ -55,7 +55,7 @@
 		writeJSON(w, http.StatusOK, r.Status())
 	})
 	mux.HandleFunc("POST "+PathRelaySilence, func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, http.StatusOK, RelayAffected{Connections: r.Silence()})
+		writeJSON(w, http.StatusOK, RelayAffected{Connections: r.StallConnections()})
 	})
 	mux.HandleFunc("POST "+PathRelayReset, func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, RelayAffected{Connections: r.Reset()})
--- a/standin/relay_test.go
+++ b/standin/relay_test.go
@@ -146,7 +146,7 @@
 		watched <- client.Watch(t.Context(), "k/", 1, func(store.WatchBatch) { once() })
 	}()
 	<-opened
-	if n := relay.Silence(); n < 5 {
+	if n := relay.StallConnections(); n < 5 {
 		t.Fatalf("%d connections became silent, want at least 5", n)
 	}
 	if err := putKey(t.Context(), client, "silent"); !errors.Is(err, store.ErrUnclear) {
@@ -286,7 +286,7 @@
 	t.Parallel()
 	for _, linger := range []int{-1, 0} { // the client closes its side, or resets it
 		relay, client, server := startRawRelay(t)
-		relay.Silence()
+		relay.StallConnections()
 		if _, err := client.Write([]byte("swallowed")); err != nil {
 			t.Fatal(err)
 		}
