worker: rename further exported names

Names in messages, stored records, settings, logs and metrics are unchanged.

worker.InlineResultBytes -> MaxInlineResultBytes worker.LookupReply.Known -> Found

--- a/daemon/workercalls.go
+++ b/daemon/workercalls.go
@@ -60,7 +60,7 @@
 
 func (d *engine) lookupTask(ctx context.Context, e control.LookupTask) {
 	reply, err := d.clients.Workers.Lookup(ctx, worker.Address(e.Address), e.Attempt)
-	d.post(ctx, control.LookupDone{Lookup: e, Err: err, Found: reply.Known, Clock: reply.Clock, BootID: reply.BootID, Report: taskReport(reply.Report)})
+	d.post(ctx, control.LookupDone{Lookup: e, Err: err, Found: reply.Found, Clock: reply.Clock, BootID: reply.BootID, Report: taskReport(reply.Report)})
 }
 
 func (d *engine) fetchResult(ctx context.Context, e control.FetchResult) {
--- a/standin/worker_calls.go
+++ b/standin/worker_calls.go
@@ -123,7 +123,7 @@
 	}
 	outcome := *r.report.Outcome
 	reply.ResultBytes = r.report.ResultBytes
-	if reply.ResultBytes <= worker.InlineResultBytes {
+	if reply.ResultBytes <= worker.MaxInlineResultBytes {
 		outcome.Result = r.result
 	}
 	reply.Outcome = &outcome
@@ -189,7 +189,7 @@
 func (m *machine) lookup(now time.Time, a task.Attempt) worker.LookupReply {
 	reply := worker.LookupReply{Clock: m.clock(now), BootID: m.bootID}
 	if r := m.records[a]; r != nil {
-		reply.Known, reply.Report = true, r.report
+		reply.Found, reply.Report = true, r.report
 	}
 	return reply
 }
--- a/standin/worker_machine_test.go
+++ b/standin/worker_machine_test.go
@@ -289,7 +289,7 @@
 	}
 	for _, want := range model.tasks {
 		reply := m.lookup(now, task.Attempt{Task: want.id, Number: 1})
-		if !reply.Known || reply.Report.State != want.state || (reply.Report.Outcome != nil) != (want.state != worker.Running) {
+		if !reply.Found || reply.Report.State != want.state || (reply.Report.Outcome != nil) != (want.state != worker.Running) {
 			t.Fatalf("attempt %+v, want %+v", reply, want)
 		}
 	}
--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -81,7 +81,7 @@
 	if !errors.Is(err, worker.ErrNotRun) || !errors.Is(err, errTermEnded) {
 		t.Errorf("start after the end of the term: %v", err)
 	}
-	if reply, err := api.Lookup(ctx, at, echo.Attempt); err != nil || reply.Known {
+	if reply, err := api.Lookup(ctx, at, echo.Attempt); err != nil || reply.Found {
 		t.Errorf("lookup after the end of the term: %+v, %v", reply, err)
 	}
 	started, err := api.Start(ctx, at, echo, nil)
@@ -125,7 +125,7 @@
 		t.Fatalf("start of run: %+v, %v", reply, err)
 	}
 	throttle := worker.ThrottleRequest{Attempt: long.Attempt, Epoch: 1, Limit: task.Resources{CPUMilli: 10}}
-	if reply, err := api.Throttle(ctx, at, throttle); err != nil || !reply.Known {
+	if reply, err := api.Throttle(ctx, at, throttle); err != nil || !reply.Found {
 		t.Errorf("throttle: %+v, %v", reply, err)
 	}
 	report, err := api.Sync(ctx, at, worker.SyncRequest{Epoch: 1, BootID: long.BootID})
@@ -146,7 +146,7 @@
 	if err != nil || report.Full || len(report.Tasks) != 1 || report.Tasks[0].Attempt != long.Attempt {
 		t.Errorf("delta report: %+v, %v", report, err)
 	}
-	if reply, err := api.Lookup(ctx, at, echo.Attempt); err != nil || reply.Known {
+	if reply, err := api.Lookup(ctx, at, echo.Attempt); err != nil || reply.Found {
 		t.Errorf("lookup of an acknowledged attempt: %+v, %v", reply, err)
 	}
 }
@@ -170,7 +170,7 @@
 	if !errors.Is(err, worker.ErrNotRun) || !errors.Is(err, errTermEnded) {
 		t.Errorf("error = %v, want ErrNotRun", err)
 	}
-	if reply, err := api.Lookup(t.Context(), at, req.Attempt); err != nil || reply.Known {
+	if reply, err := api.Lookup(t.Context(), at, req.Attempt); err != nil || reply.Found {
 		t.Errorf("lookup of an attempt that was not started: %+v, %v", reply, err)
 	}
 }
--- a/worker/client.go
+++ b/worker/client.go
@@ -167,7 +167,7 @@
 	if err != nil {
 		return LookupReply{}, err
 	}
-	if reply.Known && reply.Report.Attempt != attempt {
+	if reply.Found && reply.Report.Attempt != attempt {
 		return LookupReply{}, WrapUnclear(operation, eris.Wrapf(ErrIncomplete, "the reply is for attempt %s, expected %s", reply.Report.Attempt, attempt))
 	}
 	return reply, nil
--- a/worker/exchange.go
+++ b/worker/exchange.go
@@ -155,7 +155,7 @@
 	if reply.Outcome.Attempt != req.Attempt {
 		return eris.Wrapf(ErrIncomplete, "the reply is for attempt %s, expected %s", reply.Outcome.Attempt, req.Attempt)
 	}
-	if reply.ResultBytes > InlineResultBytes {
+	if reply.ResultBytes > MaxInlineResultBytes {
 		return nil
 	}
 	return verifyResult(*reply.Outcome, reply.ResultBytes)
--- a/worker/types.go
+++ b/worker/types.go
@@ -124,12 +124,12 @@
 	PayloadBytes int64  `json:"payload_bytes,omitempty"` // set by EncodeStart
 }
 
-// InlineResultBytes is the maximum size of a result in a start reply. Larger
+// MaxInlineResultBytes is the maximum size of a result in a start reply. Larger
 // results are fetched with Result, so that replies need no large buffers.
-const InlineResultBytes = 256 << 10
+const MaxInlineResultBytes = 256 << 10
 
 // StartReply confirms that the attempt was started. Outcome is set if the attempt
-// ended within OutcomeWait of the request; a Result larger than InlineResultBytes
+// ended within OutcomeWait of the request; a Result larger than MaxInlineResultBytes
 // is omitted.
 type StartReply struct {
 	Started     bool          `json:"started"`
@@ -143,7 +143,7 @@
 // proves that the attempt did not run and will not run, if BootID is the boot
 // of its start request and Clock is past its StartBy.
 type LookupReply struct {
-	Known  bool          `json:"known"`
+	Found  bool          `json:"known"`
 	Clock  time.Duration `json:"clock_ns"`
 	BootID string        `json:"boot_id"`
 	Report TaskReport    `json:"report,omitzero"`
