--- a/client/client.go
+++ b/client/client.go
@@ -14,10 +14,10 @@
 // Config holds the addresses of the entry instances, the API key and the limits of
 // a Client.
 type Config struct {
-	Addresses   []string      // host:port of entry instances; each of them serves every call
-	Secret      string        // of the API key; empty for services that accept submissions without a key
-	DialTimeout time.Duration // 2 s when zero
-	MaxBytes    int64         // maximum size of a response body; 32 MiB when zero
+	Addresses        []string      // host:port of entry instances; each of them serves every call
+	Secret           string        // of the API key; empty for services that accept submissions without a key
+	DialTimeout      time.Duration // 2 s when zero
+	MaxResponseBytes int64         // maximum size of a response body; 32 MiB when zero
 }
 
 const (
@@ -47,8 +47,8 @@
 	if cfg.DialTimeout == 0 {
 		cfg.DialTimeout = defaultDialTimeout
 	}
-	if cfg.MaxBytes == 0 {
-		cfg.MaxBytes = defaultMaxBytes
+	if cfg.MaxResponseBytes == 0 {
+		cfg.MaxResponseBytes = defaultMaxBytes
 	}
 	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
 	c := &Client{
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -99,7 +99,7 @@
 	if response.ContentLength < 0 {
 		return nil, errNoLength
 	}
-	if response.ContentLength > c.cfg.MaxBytes {
+	if response.ContentLength > c.cfg.MaxResponseBytes {
 		return nil, errTooLarge
 	}
 	body, err := io.ReadAll(response.Body)
