document: rename further exported names

Names in messages, stored records, settings, logs and metrics are unchanged.

document.Record.By -> ChangedBy document.Record.At -> ChangedAt

--- a/cmd/mulberryctl/main_test.go
+++ b/cmd/mulberryctl/main_test.go
@@ -59,7 +59,7 @@
 		return operator.StoredDocument{}, &operator.Conflict{Expected: c.ExpectedRevision, Current: b.stored}
 	}
 	b.stored = operator.StoredDocument{Ref: c.Ref, Revision: b.stored.Revision + 1, Record: document.Record{
-		Source: c.Source, Previous: b.stored.Record.Source, By: c.Operator}}
+		Source: c.Source, Previous: b.stored.Record.Source, ChangedBy: c.Operator}}
 	return b.stored, nil
 }
 
--- a/daemon/documents.go
+++ b/daemon/documents.go
@@ -21,7 +21,7 @@
 // Apply replaces a document if its revision is the expected one.
 func (b *operatorBackend) Apply(ctx context.Context, change operator.DocumentChange) (operator.StoredDocument, error) {
 	key := store.DocumentKey(string(change.Ref.Team), string(change.Ref.Service))
-	record := document.Record{Source: change.Source, PreviousRevision: change.ExpectedRevision, By: change.Operator, At: time.Now().UTC(), WriteID: rand.Text()}
+	record := document.Record{Source: change.Source, PreviousRevision: change.ExpectedRevision, ChangedBy: change.Operator, ChangedAt: time.Now().UTC(), WriteID: rand.Text()}
 	if err := b.checkTeam(ctx, change.Ref); err != nil {
 		return operator.StoredDocument{}, err
 	}
--- a/demo/configuration.go
+++ b/demo/configuration.go
@@ -30,7 +30,7 @@
 		return err
 	}
 	for _, d := range documents {
-		value, err := store.Encode(document.Record{Source: string(d.source), By: "demo", At: time.Now(), WriteID: d.name})
+		value, err := store.Encode(document.Record{Source: string(d.source), ChangedBy: "demo", ChangedAt: time.Now(), WriteID: d.name})
 		if err != nil {
 			return err
 		}
--- a/document/record.go
+++ b/document/record.go
@@ -9,8 +9,8 @@
 	Source           string    `json:"source"`
 	Previous         string    `json:"previous,omitempty"`          // source that this change replaced
 	PreviousRevision int64     `json:"previous_revision,omitempty"` // 0 if there was none
-	By               string    `json:"by,omitempty"`                // operator who made the change
-	At               time.Time `json:"at"`
+	ChangedBy        string    `json:"by,omitempty"`                // operator who made the change
+	ChangedAt        time.Time `json:"at"`
 	WriteID          string    `json:"write_id"`
 }
 
--- a/internal/apidoc/backend_test.go
+++ b/internal/apidoc/backend_test.go
@@ -81,7 +81,7 @@
 		Ref:      operator.DocumentRef{Team: "dijle-engineering", Service: "reports"},
 		Revision: revision,
 		InForce:  true,
-		Record:   document.Record{Source: documentSource, Previous: previousSource, By: "els", At: exampleTime},
+		Record:   document.Record{Source: documentSource, Previous: previousSource, ChangedBy: "els", ChangedAt: exampleTime},
 	}
 }
 
--- a/operator/conflict.go
+++ b/operator/conflict.go
@@ -32,8 +32,8 @@
 	detail.Conflict = &api.Conflict{
 		Expected:  c.Expected,
 		Revision:  c.Current.Revision,
-		ChangedBy: c.Current.Record.By,
-		ChangedAt: c.Current.Record.At,
+		ChangedBy: c.Current.Record.ChangedBy,
+		ChangedAt: c.Current.Record.ChangedAt,
 		Changes:   toAPIChanges(c.Current.Record.LastChange()),
 	}
 }
--- a/operator/documents.go
+++ b/operator/documents.go
@@ -126,8 +126,8 @@
 		Team:      stored.Ref.Team,
 		Service:   stored.Ref.Service,
 		Revision:  stored.Revision,
-		ChangedBy: stored.Record.By,
-		ChangedAt: stored.Record.At,
+		ChangedBy: stored.Record.ChangedBy,
+		ChangedAt: stored.Record.ChangedAt,
 		Source:    stored.Record.Source,
 		InForce:   stored.InForce,
 	}
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -36,7 +36,7 @@
 		return StoredDocument{}, &Conflict{Expected: c.ExpectedRevision, Current: b.stored}
 	}
 	b.stored = StoredDocument{Ref: c.Ref, Revision: b.stored.Revision + 1, Record: document.Record{
-		Source: c.Source, Previous: b.stored.Record.Source, By: c.Operator,
+		Source: c.Source, Previous: b.stored.Record.Source, ChangedBy: c.Operator,
 	}}
 	return b.stored, nil
 }
