--- a/daemon/views.go
+++ b/daemon/views.go
@@ -104,7 +104,7 @@
 }
 
 // Timeline merges the timelines of all members.
-func (b *operatorBackend) Timeline(ctx context.Context, filter operator.Filter) (api.Timeline, error) {
+func (b *operatorBackend) Timeline(ctx context.Context, filter operator.TimelineFilter) (api.Timeline, error) {
 	members := b.loop.Snapshot().Members
 	timelines := make([][]timeline.Event, len(members))
 	failed := make([]bool, len(members))
--- a/internal/apidoc/backend_test.go
+++ b/internal/apidoc/backend_test.go
@@ -143,7 +143,7 @@
 		FailureDomain: "leuven-a", Revision: 42, Units: []string{"w/flanders/2", "h/9"}}}, nil
 }
 
-func (operatorBackend) Timeline(_ context.Context, f operator.Filter) (api.Timeline, error) {
+func (operatorBackend) Timeline(_ context.Context, f operator.TimelineFilter) (api.Timeline, error) {
 	return api.Timeline{Events: []timeline.Event{{Instance: "entry-flanders-1", Incarnation: "3f9c", Sequence: 118,
 		Clock: timeline.Timestamp{Wall: exampleTime}, Type: timeline.TaskStarted, Team: "dijle-engineering", Task: f.Task, Attempt: 1,
 		Worker: "worker-flanders-17", Partition: "w/flanders/2", Epoch: 6}}}, nil
--- a/operator/backend.go
+++ b/operator/backend.go
@@ -32,8 +32,8 @@
 	Wait             time.Duration // maximum wait until the change is in force on every live member
 }
 
-// Filter selects events of the timeline. Empty fields select all.
-type Filter struct {
+// TimelineFilter selects events of the timeline. Empty fields select all.
+type TimelineFilter struct {
 	Task  task.ID
 	Team  task.Team
 	Since time.Time
@@ -72,7 +72,7 @@
 	Shares(ctx context.Context) ([]api.Share, error)
 	Members(ctx context.Context) ([]api.Member, error)
 	// Timeline merges the timelines of all members.
-	Timeline(ctx context.Context, filter Filter) (api.Timeline, error)
+	Timeline(ctx context.Context, filter TimelineFilter) (api.Timeline, error)
 
 	// Healthy returns an error if this process should be restarted.
 	Healthy(ctx context.Context) error
--- a/operator/observe.go
+++ b/operator/observe.go
@@ -28,9 +28,9 @@
 	return httpjson.JSON(timeline)
 }
 
-func (s *Server) parseFilter(c call) (Filter, error) {
+func (s *Server) parseFilter(c call) (TimelineFilter, error) {
 	query := c.URL.Query()
-	filter := Filter{Task: task.ID(query.Get("task")), Team: task.Team(query.Get("team")), Limit: defaultEvents}
+	filter := TimelineFilter{Task: task.ID(query.Get("task")), Team: task.Team(query.Get("team")), Limit: defaultEvents}
 	if text := query.Get("limit"); text != "" {
 		limit, err := strconv.Atoi(text)
 		if err != nil || limit < 1 || limit > maxEvents {
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -27,7 +27,7 @@
 type fakeBackend struct {
 	stored  StoredDocument
 	changes int
-	filter  Filter
+	filter  TimelineFilter
 	ready   error
 }
 
@@ -80,7 +80,7 @@
 func (b *fakeBackend) Healthy(context.Context) error                 { return nil }
 func (b *fakeBackend) Ready(context.Context) error                   { return b.ready }
 
-func (b *fakeBackend) Timeline(_ context.Context, f Filter) (api.Timeline, error) {
+func (b *fakeBackend) Timeline(_ context.Context, f TimelineFilter) (api.Timeline, error) {
 	b.filter = f
 	return api.Timeline{}, nil
 }
