daemon: rename further exported names

Names in messages, stored records, settings, logs and metrics are unchanged.

daemon.EntryCaller -> EntryClient daemon.Config.Parts -> Components daemon.Config.MaxDurableBytes -> MaxDurablePayloadBytes daemon.Config.ListAddress -> InstanceListAddress daemon.Config.ListInterval -> InstanceListInterval daemon.Config.ListTimeout -> InstanceListTimeout

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -69,9 +69,9 @@
 
 // checkPayload rejects a durable payload that is too large for the record of a request shard.
 func (b *callerBackend) checkPayload(spec *task.Spec) error {
-	if n := int64(len(spec.Payload)); spec.Kind.IsDurable() && n > b.cfg.MaxDurableBytes {
+	if n := int64(len(spec.Payload)); spec.Kind.IsDurable() && n > b.cfg.MaxDurablePayloadBytes {
 		return errkind.New(errkind.RequestTooLarge, "the payload of %s work has %d bytes", spec.Kind, n).
-			WithField("payload", fmt.Sprintf("at most %d bytes", b.cfg.MaxDurableBytes))
+			WithField("payload", fmt.Sprintf("at most %d bytes", b.cfg.MaxDurablePayloadBytes))
 	}
 	return nil
 }
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -20,26 +20,26 @@
 	OperatorAddress string
 	EntryAddress    string // address on which the other entry instances are served
 
-	Control  control.Config
-	Parts    control.ComponentConfigs
-	Caller   caller.Config
-	Operator operator.Config
-	Store    store.Config
-	Worker   worker.Config
+	Control    control.Config
+	Components control.ComponentConfigs
+	Caller     caller.Config
+	Operator   operator.Config
+	Store      store.Config
+	Worker     worker.Config
 
-	ListAddress            string
-	ListInterval           time.Duration // interval at which the instance list is polled
-	ListTimeout            time.Duration // timeout of one read of the instance list
+	InstanceListAddress    string
+	InstanceListInterval   time.Duration // interval at which the instance list is polled
+	InstanceListTimeout    time.Duration // timeout of one read of the instance list
 	TickInterval           time.Duration // interval of the control loop's timer
 	AnswerTimeout          time.Duration // default time from the submission to the deadline of work of kind answer
 	DrainTimeout           time.Duration // maximum duration of a graceful shutdown
 	ConnectionDrainTimeout time.Duration // maximum wait for callers to close their connections after the handover
 	TimelineEvents         int           // maximum number of events that the timeline keeps
-	// MaxDurableBytes bounds the payload of durable work. The payload is stored in the record of a
+	// MaxDurablePayloadBytes bounds the payload of durable work. The payload is stored in the record of a
 	// request shard, and the store limits the size of its values.
-	MaxDurableBytes int64
-	Registry        metrics.Registry // metrics registry; nil creates a new one
-	Seed            uint64           // seed of the random number generator; 0 derives one from the clock
+	MaxDurablePayloadBytes int64
+	Registry               metrics.Registry // metrics registry; nil creates a new one
+	Seed                   uint64           // seed of the random number generator; 0 derives one from the clock
 }
 
 // Defaults of Config.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -48,7 +48,7 @@
 	cfg.Worker.Registry = cfg.Registry
 	d.engine = newEngine(cfg, logger, Clients{
 		Store:        store.NewClient(cfg.Store),
-		InstanceList: instancelist.NewClient(instancelist.Config{Address: cfg.ListAddress, Instance: cfg.Self.Instance, CallTimeout: cfg.ListTimeout}),
+		InstanceList: instancelist.NewClient(instancelist.Config{Address: cfg.InstanceListAddress, Instance: cfg.Self.Instance, CallTimeout: cfg.InstanceListTimeout}),
 		Workers:      worker.NewClient(cfg.Worker),
 		Entries:      entry.NewClient(cfg.Self),
 	})
--- a/daemon/engine.go
+++ b/daemon/engine.go
@@ -23,11 +23,11 @@
 	Store        store.Store
 	InstanceList instancelist.Lister
 	Workers      worker.API
-	Entries      EntryCaller
+	Entries      EntryClient
 }
 
-// EntryCaller calls the other entry instances.
-type EntryCaller interface {
+// EntryClient calls the other entry instances.
+type EntryClient interface {
 	Call(ctx context.Context, to membership.Member, request control.PeerRequest) (control.PeerReply, error)
 	Timeline(ctx context.Context, to membership.Member, task, team string, since time.Time) ([]byte, error)
 	Close()
@@ -68,7 +68,7 @@
 	d := &engine{cfg: cfg, log: logger, clients: clients, registry: registry, meters: meters{registry},
 		recorder: timeline.NewRecorder(cfg.Self.Instance, cfg.Self.Incarnation, cfg.TimelineEvents),
 		resync:   make(chan struct{}, 1), drained: make(chan struct{})}
-	state := control.New(now, cfg.Control, cfg.Parts, cfg.Self, d.recorder, rand.New(rand.NewPCG(seed, 0)))
+	state := control.New(now, cfg.Control, cfg.Components, cfg.Self, d.recorder, rand.New(rand.NewPCG(seed, 0)))
 	d.executor = d.execute
 	d.loop = control.NewLoop(state, cfg.TickInterval, d.registry, func(e control.Effect) { d.executor(e) })
 	registerGauges(registry, d.loop, d.recorder, clients.Entries)
--- a/daemon/fakes_test.go
+++ b/daemon/fakes_test.go
@@ -16,7 +16,7 @@
 	"github.com/mulberrydrum/mulberrydrum/worker"
 )
 
-// entryFake is an EntryCaller that calls the control loops of the other processes directly.
+// entryFake is an EntryClient that calls the control loops of the other processes directly.
 type entryFake struct{ *node }
 
 // Call passes a request to the control loop of the other process.
@@ -47,7 +47,7 @@
 	return nil, errDropped
 }
 
-// Close implements EntryCaller.
+// Close implements EntryClient.
 func (f *entryFake) Close() {}
 
 // nodeAt returns the process that listens on an address.
--- a/daemon/fromsettings.go
+++ b/daemon/fromsettings.go
@@ -16,16 +16,16 @@
 	cfg := Config{
 		Self:          membership.Member{Instance: s.Instance, Region: s.Region, FailureDomain: s.FailureDomain},
 		CallerAddress: s.CallerAddress, OperatorAddress: s.OperatorAddress, EntryAddress: s.EntryAddress,
-		Control:     controlConfig(s),
-		Caller:      callerConfig(s),
-		Operator:    operatorConfig(s),
-		Store:       store.Config{Address: s.StoreEndpoints[0], Instance: s.Instance, CallTimeout: s.StoreCallTimeout, ProgressTimeout: s.StreamProgress},
-		Worker:      worker.Config{CallTimeout: s.WorkerCallTimeout, MaxResultBytes: s.MaxResultBytes, Connections: s.WorkerConnections},
-		ListAddress: s.InstanceListEndpoint, ListInterval: s.ListInterval, ListTimeout: s.ListTimeout,
+		Control:             controlConfig(s),
+		Caller:              callerConfig(s),
+		Operator:            operatorConfig(s),
+		Store:               store.Config{Address: s.StoreEndpoints[0], Instance: s.Instance, CallTimeout: s.StoreCallTimeout, ProgressTimeout: s.StreamProgress},
+		Worker:              worker.Config{CallTimeout: s.WorkerCallTimeout, MaxResultBytes: s.MaxResultBytes, Connections: s.WorkerConnections},
+		InstanceListAddress: s.InstanceListEndpoint, InstanceListInterval: s.ListInterval, InstanceListTimeout: s.ListTimeout,
 		TickInterval: DefaultTickInterval, AnswerTimeout: s.CallTimeout, DrainTimeout: s.DrainTimeout, ConnectionDrainTimeout: DefaultConnectionDrainTimeout,
-		TimelineEvents: s.TimelineEvents, MaxDurableBytes: s.MaxDurableRequestBytes,
+		TimelineEvents: s.TimelineEvents, MaxDurablePayloadBytes: s.MaxDurableRequestBytes,
 	}
-	cfg.Parts = componentConfigs(s, cfg.Control)
+	cfg.Components = componentConfigs(s, cfg.Control)
 	return cfg
 }
 
--- a/daemon/fromsettings_test.go
+++ b/daemon/fromsettings_test.go
@@ -60,7 +60,7 @@
 // TestPayloadBound guards against a durable payload that fills its request shard, and against
 // applying the bound to answers, which are not stored.
 func TestPayloadBound(t *testing.T) {
-	b := &callerBackend{&engine{cfg: Config{MaxDurableBytes: 10}}}
+	b := &callerBackend{&engine{cfg: Config{MaxDurablePayloadBytes: 10}}}
 	for _, tc := range []struct {
 		kind    task.Kind
 		bytes   int
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -101,14 +101,14 @@
 	return "unclear"
 }
 
-// byteCounter is implemented by an EntryCaller that counts bytes.
+// byteCounter is implemented by an EntryClient that counts bytes.
 type byteCounter interface {
 	Bytes() (sameRegion, crossRegion int64)
 	DigestBytes() int64
 }
 
 // registerGauges registers the gauges that are evaluated when the metrics are read.
-func registerGauges(registry metrics.Registry, loop *control.Loop, recorder *timeline.Recorder, entries EntryCaller) {
+func registerGauges(registry metrics.Registry, loop *control.Loop, recorder *timeline.Recorder, entries EntryClient) {
 	gauge := func(name string, read func() int64) { _ = registry.Register(name, metrics.NewFunctionalGauge(read)) }
 	for _, name := range []string{metricStartSent, metricStartNotRun, metricStartUnclear, metricReportResent} {
 		metrics.GetOrRegisterCounter(name, registry) // reported as 0 before the first event
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -152,7 +152,7 @@
 	if err := b.loop.Post(ctx, control.OwnershipForced{Unit: request.Unit}); err != nil {
 		return api.Ownership{}, err
 	}
-	ownership := b.cfg.Parts.Ownership
+	ownership := b.cfg.Components.Ownership
 	return api.Ownership{Unit: request.Unit, Owner: b.cfg.Self.Instance,
 		TakeoverDelay: api.Duration(ownership.ListLag + ownership.PromiseWindow + ownership.LeaseTTL)}, nil
 }
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -136,7 +136,7 @@
 			d.post(ctx, toInstancesListed(sentAt, instances))
 			listedWorkers = d.unregisterUnlistedWorkers(listedWorkers, instances)
 		}
-		sleep(ctx, d.cfg.ListInterval)
+		sleep(ctx, d.cfg.InstanceListInterval)
 	}
 	return nil
 }
