timeline: rename further exported names

Names in messages, stored records, settings, logs and metrics are unchanged.

timeline.Recorder.Now -> NextTimestamp timeline.AnswerDropped -> ReplyDropped

--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -192,7 +192,7 @@
 	step := ledger.PostCommitStep{Kind: ledger.StepFinished, Job: job, Index: index, Token: reportID}
 	verdict, awaitsCommit := h.ledger.Finish(h.now, shard, job, index, outcome, step)
 	if verdict == ledger.Dropped {
-		h.recordEvent(timeline.Event{Type: timeline.AnswerDropped, Team: job.Team, Task: a.Task, Attempt: a.Number, Worker: outcome.Worker})
+		h.recordEvent(timeline.Event{Type: timeline.ReplyDropped, Team: job.Team, Task: a.Task, Attempt: a.Number, Worker: outcome.Worker})
 		return false
 	}
 	o := h.openAttempts[a]
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -105,7 +105,7 @@
 		Instance: s.self.Instance, Incarnation: s.self.Incarnation, Revision: s.config.appliedRevision,
 		StoreContact: s.hasStoreContact(), StoreContactAge: s.now.Sub(s.membership.lastContact), Freshness: s.freshness.Remaining(s.now),
 		Partitions: s.owner.partitionDigests(), Usage: s.owner.usage(), StarvedTeams: s.owner.allowances.StarvedTeams(),
-		Clock: s.recorder.Now(s.now),
+		Clock: s.recorder.NextTimestamp(s.now),
 	}
 	return d
 }
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -30,7 +30,7 @@
 	TaskStopped       Type = "task_stopped"
 	TaskCheckpointed  Type = "task_checkpointed"
 	TaskUnknown       Type = "task_unknown"
-	AnswerDropped     Type = "answer_dropped" // a reply that is late or out of order and matches no attempt
+	ReplyDropped      Type = "answer_dropped" // a reply that is late or out of order and matches no attempt
 	OwnershipTaken    Type = "ownership_taken"
 	OwnershipLost     Type = "ownership_lost"
 	OwnershipReleased Type = "ownership_released"
--- a/timeline/recorder.go
+++ b/timeline/recorder.go
@@ -61,8 +61,8 @@
 	r.clock = r.clock.Receive(now.Round(0), remote)
 }
 
-// Now advances the clock and returns a timestamp to send in a message.
-func (r *Recorder) Now(now time.Time) Timestamp {
+// NextTimestamp advances the clock and returns a timestamp to send in a message.
+func (r *Recorder) NextTimestamp(now time.Time) Timestamp {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.clock = r.clock.Tick(now.Round(0))
