--- a/cell/event.go
+++ b/cell/event.go
@@ -67,7 +67,7 @@
 		Cancelled []job.ID
 	}
 	// ScheduleOutcome delivers the outcome of an effect of package schedule that was
-	// issued under the ownership with revision Owner.
+	// issued under the ownership with revision OwnerRevision.
 	ScheduleOutcome struct {
 		OwnerRevision int64
 		Event         any
--- a/control/effect.go
+++ b/control/effect.go
@@ -63,7 +63,7 @@
 	LeaseUntil    time.Duration // on the worker's clock; 0 does not renew the leases
 	Acknowledge   []task.Attempt
 	AfterSequence uint64 // sequence number of the last report received
-	Full          bool   // requests a report of every attempt, not only of those changed since After
+	Full          bool   // requests a report of every attempt, not only of those changed since AfterSequence
 }
 
 // LookupTask requests the state of an attempt from its worker; LookupDone delivers the result.
--- a/control/event.go
+++ b/control/event.go
@@ -97,7 +97,7 @@
 	Found  bool          // the worker has a record of the attempt
 	Clock  time.Duration // of the worker, when it replied
 	BootID string
-	Report TaskReport // valid if Known
+	Report TaskReport // valid if Found
 }
 
 // ResultDone is the result of a FetchResult.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -53,7 +53,7 @@
 	return &Ledger{cfg: cfg, incarnation: incarnation, shards: map[string]*shard{}, memoryOnlyJobs: map[JobKey]*Record{}}
 }
 
-// Open adds a shard. The caller must read its value and pass it to Loaded.
+// Open adds a shard. The caller must read its value and pass it to ApplyLoaded.
 func (l *Ledger) Open(name string, epoch uint64) {
 	l.shards[name] = &shard{name: name, epoch: epoch, records: map[JobKey]*Record{}}
 }
--- a/worker/types.go
+++ b/worker/types.go
@@ -139,7 +139,7 @@
 	ResultBytes int64         `json:"result_bytes,omitempty"`
 }
 
-// LookupReply is the state of one attempt on a worker. If Known is false, the reply
+// LookupReply is the state of one attempt on a worker. If Found is false, the reply
 // proves that the attempt did not run and will not run, if BootID is the boot
 // of its start request and Clock is past its StartBy.
 type LookupReply struct {
