--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -53,7 +53,7 @@
 const (
 	FateNotRun  Fate = "not_run" // proven not to have run, and will not run for this request
 	FateRun     Fate = "run"     // ran, at least partially
-	FateUnknown Fate = "unknown" // may have run; will not be retried by the platform
+	FateUnknown Fate = "unknown" // may have run; will not be retried by this scheduler
 )
 
 // Advice states how a caller should react to an error.
