--- a/operator/backend.go
+++ b/operator/backend.go
@@ -56,17 +56,17 @@
 	List(ctx context.Context) ([]StoredDocument, error)
 
 	// GrantKey creates a key and returns its secret, which is not stored.
-	GrantKey(ctx context.Context, operator string, request api.GrantRequest) (api.GrantedKey, error)
+	GrantKey(ctx context.Context, operatorName string, request api.GrantRequest) (api.GrantedKey, error)
 	// WithdrawKey revokes a key. It is idempotent.
-	WithdrawKey(ctx context.Context, operator string, team task.Team, id string) (api.Key, error)
+	WithdrawKey(ctx context.Context, operatorName string, team task.Team, id string) (api.Key, error)
 	// Keys lists the keys of a team, or of all teams.
 	Keys(ctx context.Context, team task.Team) ([]api.Key, error)
 
 	// Drain starts or ends the drain of one entry instance or worker.
-	Drain(ctx context.Context, operator string, request api.DrainRequest) (api.DrainStatus, error)
+	Drain(ctx context.Context, operatorName string, request api.DrainRequest) (api.DrainStatus, error)
 	// ForceOwnership makes a member take over a unit whose owner and successors
 	// have failed.
-	ForceOwnership(ctx context.Context, operator string, request api.ForceOwnershipRequest) (api.Ownership, error)
+	ForceOwnership(ctx context.Context, operatorName string, request api.ForceOwnershipRequest) (api.Ownership, error)
 
 	Workers(ctx context.Context) ([]api.Worker, error)
 	Shares(ctx context.Context) ([]api.Share, error)
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -52,9 +52,9 @@
 	return []StoredDocument{b.stored}, nil
 }
 
-func (b *fakeBackend) GrantKey(_ context.Context, operator string, r api.GrantRequest) (api.GrantedKey, error) {
+func (b *fakeBackend) GrantKey(_ context.Context, operatorName string, r api.GrantRequest) (api.GrantedKey, error) {
 	b.changes++
-	return api.GrantedKey{Key: api.Key{ID: "k1", Team: r.Team, Role: r.Role, GrantedBy: operator}, Secret: "s"}, nil
+	return api.GrantedKey{Key: api.Key{ID: "k1", Team: r.Team, Role: r.Role, GrantedBy: operatorName}, Secret: "s"}, nil
 }
 
 func (b *fakeBackend) WithdrawKey(context.Context, string, task.Team, string) (api.Key, error) {
