--- a/schedule/core.go
+++ b/schedule/core.go
@@ -12,7 +12,7 @@
 	Lease             time.Duration // lease on a worker, which covers all of its runs
 	PollWait          time.Duration // long-poll timeout; a worker reports earlier if a run ends
 	StopRetryInterval time.Duration // interval between stop orders for the same run
-	UnclearTimeout    time.Duration // wait for a report of a run whose start order got no answer, before the run is stopped
+	UnclearTimeout    time.Duration // wait for a report that shows a run whose start order got no answer, before a stop order is sent
 	MinPassInterval   time.Duration // minimum interval between placement passes
 	MaxPassInterval   time.Duration // maximum interval between placement passes, since tickets and backoffs expire
 	CommitInterval    time.Duration // minimum interval between commits
@@ -27,11 +27,13 @@
 		Lease: 5 * time.Second,
 		// If a report is lost, the ends of runs on its worker go undetected for this long.
 		PollWait: 900 * time.Millisecond,
-		// The round trip of an order across regions takes 30 ms; after ten times that, it counts as lost.
+		// A stop order takes 30 ms to another region and back; after ten times that, it counts as lost.
 		StopRetryInterval: 300 * time.Millisecond,
-		UnclearTimeout:    150 * time.Millisecond,
-		// A tenth of the round trip of a start order, so that it adds little latency; a pass over a
-		// long queue takes 1 ms.
+		// Counted from the time at which the answer was lost. A report that shows the run within
+		// this time makes the stop order unnecessary.
+		UnclearTimeout: 150 * time.Millisecond,
+		// A tenth of the time from a start order to its answer, so that it adds little latency; a
+		// pass over a long queue takes 1 ms.
 		MinPassInterval: 8 * time.Millisecond,
 		MaxPassInterval: 40 * time.Millisecond,
 		// 40 commits per second are a tenth of the store's write capacity.
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -32,7 +32,7 @@
 	adopted        bool // ordered by a former owner
 	sizeUnknown    bool // its job is unknown; counted in worker.unsizedRuns
 	startedAt      time.Time
-	answeredAt     time.Time // when the answer to the start order arrived
+	answeredAt     time.Time // when the start order was answered, its answer was lost, or a report showed that it had been executed
 	stopSentAt     time.Time // when the last stop order was sent
 	stopAnsweredAt time.Time // when a stop order was last answered
 	percent        int
