--- a/daemon/doc.go
+++ b/daemon/doc.go
@@ -1,3 +1,3 @@
-// Package daemon runs one entry instance: it connects the control loop to the clients and servers of
-// the packages for its peers.
+// Package daemon runs one entry instance: it connects the control loop to the clients and servers in
+// the peer packages and executes the effects.
 package daemon
--- a/operator/doc.go
+++ b/operator/doc.go
@@ -1,3 +1,3 @@
 // Package operator serves the HTTP interface for operators: documents, keys,
-// drains, workers, shares and the timeline.
+// drains, forced ownership, workers, members, shares and the timeline.
 package operator
--- a/settings/doc.go
+++ b/settings/doc.go
@@ -1,3 +1,3 @@
-// Package settings parses and checks the settings of a daemon, which are written
-// in JSON with comments.
+// Package settings parses and checks the settings of an entry instance, which are
+// written in JSON with comments.
 package settings
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Settings are the settings of one daemon. The struct tags hold the description,
+// Settings are the settings of one entry instance. The struct tags hold the description,
 // default and bounds of each field; a field without a default must be set.
 type Settings struct {
 	Instance             string        `json:"instance" doc:"name of this instance, as in the instance list"`
