--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -12,8 +12,9 @@
 	"time"
 )
 
-// trouble is the value of the variable TROUBLE: "0" for a run without the disruption, and the name of
-// one of the disruptions of a case for a run with this one alone. Otherwise all of them occur.
+// trouble is the value of the variable TROUBLE, which the scripts check: "0" for a run without the
+// disruption, "1" for one with all disruptions of the case, or the name of one of them for a run with
+// this one alone.
 type trouble string
 
 func (t trouble) has(disruption string) bool { return t == "1" || string(t) == disruption }
