--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -269,3 +270,181 @@
 	time.Sleep(2 * time.Second)
 	return judgeTwice(readRecord(d.path))
 }
+
+// lastingProbe: the tasks of a job that last fail once, all at the same time. Then a client hands in a
+// short job.
+func lastingProbe(d *deployment, t trouble) []string { return lasting(d, t.has("fail"), false, false) }
+
+// lastingGrey: one worker of 12 fails all that it starts for 6.5 s, while a client hands in a job with
+// tasks that last. Then a client hands in a short job that needs this worker's kind.
+func lastingGrey(d *deployment, t trouble) []string { return lasting(d, false, true, t.has("grey")) }
+
+// lasting runs the cases with tasks that last. With oneOfAKind the first of 12 workers is the only one
+// of its kind, otherwise there are 6 workers.
+func lasting(d *deployment, fail, oneOfAKind, grey bool) []string {
+	const prefix = "/pufi791/"
+	d.configure(1, []queue{{Name: "r-ruddede", Prefix: prefix, Priority: 0, Target: 400, Stretch: 1.5}}, []tenant{{Name: "kaje80", Key: apiKey, Weight: 36, CPU: 150000}})
+	workers, width, perWorker := 6, 12, 2
+	if oneOfAKind {
+		workers, perWorker = 12, 1
+	}
+	small(d, 0)
+	zones := []string{"flanders-a", "wallonia-a", "brussels-a"}
+	for n := range workers {
+		w := d.addWorker(fmt.Sprintf("i-7f3a91%02d", n), zones[n%3], fmt.Sprintf("r1-%d", n%3), 32000)
+		if n == 0 && oneOfAKind {
+			w.cfg.Kind = "b"
+		}
+		d.startWorker(w)
+	}
+	d.waitReady()
+	warmUp(d, prefix)
+	failAt := now(d) + 5000
+	spec := "last"
+	if fail {
+		spec = fmt.Sprintf("last@%.0f", failAt)
+	}
+	if grey {
+		d.workers[0].process.signal(syscall.SIGUSR1)
+		time.Sleep(100 * time.Millisecond)
+	}
+	long := jobID(1)
+	d.submit(d.instances, prefix+long, apiKey, spec, []step{{Count: width, CPU: 2800, MemMB: 256, RunForever: true, AntiAff: perWorker}})
+	time.Sleep(6400 * time.Millisecond)
+	if grey {
+		d.workers[0].process.signal(syscall.SIGUSR1)
+	}
+	time.Sleep(4 * time.Second)
+	short := jobID(2)
+	task := step{Count: 2, CPU: 2800, MemMB: 256, EstimateMs: 640}
+	if oneOfAKind {
+		task.Needs = "b"
+	}
+	d.submit(d.instances, prefix+short, apiKey, "640", []step{task})
+	trafficEnd := now(d)
+	time.Sleep(22 * time.Second)
+	d.call(d.instances[0], http.MethodGet, prefix+short, apiKey, nil)
+	d.call(d.instances[0], http.MethodGet, prefix+long, apiKey, nil)
+	end := now(d)
+
+	var broken []string
+	events := readRecord(d.path)
+	idle := func(from, to float64) string {
+		return fmt.Sprintf("at most %d tasks of 2.8 cores run at the same time then on %d workers of 32 cores", peakUse(events, from, to), workers)
+	}
+	if from := trafficEnd + 14_000; doneTasks(events, short) < 2 && !runningBetween(events, short, from, end) {
+		broken = append(broken, fmt.Sprintf("job %s: %d of 2 tasks are done; from %.0f to %.0f ms, later than finish_s after the end of the traffic, nothing of it runs; %s",
+			short, doneTasks(events, short), from, end, idle(from, end)))
+	}
+	for task, runs := range runsByTask(events) {
+		if last := runs[len(runs)-1]; strings.HasPrefix(task, long) && end-last.end > 6000+3000 {
+			broken = append(broken, fmt.Sprintf("task %s lasts: its last run ended at %.0f ms, and it has not run until %.0f ms; %s", task, last.end, end, idle(last.end+6000, end)))
+		}
+	}
+	return broken
+}
+
+// lateAcceptance: clients hand in jobs on a route while the operator removes it. This is done with
+// three routes, one after the other.
+func lateAcceptance(d *deployment, t trouble) []string {
+	const (
+		kept     = "/pufi791/"
+		rounds   = 3
+		interval = 20 * time.Millisecond // between jobs
+	)
+	d.regionDelay = 12 * time.Millisecond
+	queues := []queue{{Name: "r-ruddede", Prefix: kept, Priority: 0, Target: 400, Stretch: 1.5}}
+	for n := range rounds {
+		queues = append(queues, queue{Name: fmt.Sprintf("r-cpihha%d", n), Prefix: fmt.Sprintf("/lohu93%d/", n), Priority: 0, Target: 400, Stretch: 1.5})
+	}
+	tenants := []tenant{{Name: "kaje80", Key: apiKey, Weight: 80, CPU: 150000}}
+	d.configure(1, queues, tenants)
+	small(d, 6)
+	d.waitReady()
+	warmUp(d, kept)
+	var mu sync.Mutex
+	var accepted []string
+	var waiting sync.WaitGroup
+	next := 1
+	for round := range rounds {
+		prefix := queues[1].Prefix
+		began := time.Now()
+		for n := range 100 {
+			if n == 70 && t.has("route") {
+				queues = append(queues[:1:1], queues[2:]...)
+				waiting.Go(func() { d.configure(2+round, queues, tenants) })
+			}
+			id, at := jobID(next), d.instances[next%len(d.instances)]
+			next++
+			waiting.Go(func() {
+				status, _ := d.call(at, http.MethodPost, prefix+id, apiKey, map[string]any{"spec": "640", "steps": []step{{Count: 1, CPU: 2800, MemMB: 256, EstimateMs: 640}}})
+				if status == http.StatusOK {
+					mu.Lock()
+					accepted = append(accepted, id)
+					mu.Unlock()
+				}
+			})
+			time.Sleep(time.Until(began.Add(time.Duration(n+1) * interval)))
+		}
+		if !t.has("route") {
+			queues = append(queues[:1:1], queues[2:]...) // the next round uses the next route
+		}
+	}
+	waiting.Wait()
+	trafficEnd := now(d)
+	time.Sleep(22 * time.Second)
+	end := now(d)
+	events := readRecord(d.path)
+	d.rec.write("accepted", "jobs", len(accepted))
+	var broken []string
+	from := trafficEnd + 14_000
+	for _, id := range accepted {
+		if doneTasks(events, id) < 1 && !runningBetween(events, id, from, end) {
+			broken = append(broken, fmt.Sprintf("job %s was accepted, and its only task is not done; from %.0f to %.0f ms, later than finish_s after the end of the traffic, nothing of it runs; at most %d tasks run at the same time then on 6 workers of 32 cores",
+				id, from, end, peakUse(events, from, end)))
+		}
+	}
+	return broken
+}
+
+// advisedRoute: the operator removes the route of a queue with advice, of which a job of two steps was
+// accepted. Its first step runs then.
+func advisedRoute(d *deployment, t trouble) []string {
+	const prefix, other = "/lohu930/", "/pufi791/"
+	queues := []queue{
+		{Name: "r-ruddede", Prefix: other, Priority: 2, Target: 3000, Stretch: 4, Advice: true},
+		{Name: "r-cpihhac", Prefix: prefix, Priority: 0, Target: 400, Stretch: 1.5, Advice: true},
+	}
+	tenants := []tenant{{Name: "kaje80", Key: apiKey, Weight: 36, CPU: 150000}}
+	d.adviceAddr = d.serveAdvice()
+	d.configure(1, queues, tenants)
+	small(d, 0)
+	zones := []string{"flanders-a", "wallonia-a", "brussels-a"}
+	for n := range 6 {
+		w := d.addWorker(fmt.Sprintf("i-7f3a91c%d", n), zones[n%3], fmt.Sprintf("r1-%d", n%3), 32000)
+		w.cfg.Tickets = true
+		d.startWorker(w)
+	}
+	d.waitReady()
+	warmUp(d, other)
+	id := jobID(1)
+	task := step{Count: 2, CPU: 2800, MemMB: 256, EstimateMs: 3000}
+	second := task
+	second.After = []int{0}
+	d.submit(d.instances, prefix+id, apiKey, "3000", []step{task, second})
+	trafficEnd := now(d)
+	d.waitFor("the first step runs", 5*time.Second, func() bool { return runningBetween(readRecord(d.path), id+".0.0.", 0, now(d)) })
+	if t.has("route") {
+		d.configure(2, queues[:1], tenants)
+	}
+	time.Sleep(22 * time.Second)
+	end := now(d)
+	var broken []string
+	events := readRecord(d.path)
+	from := trafficEnd + 14_000
+	if done := doneTasks(events, id); done < 4 && !runningBetween(events, id, from, end) {
+		broken = append(broken, fmt.Sprintf("job %s: %d of 4 tasks are done; from %.0f to %.0f ms, later than finish_s after the end of the traffic, nothing of it runs; at most %d tasks run at the same time then on 6 workers of 32 cores",
+			id, done, from, end, peakUse(events, from, end)))
+	}
+	return broken
+}
--- a/review/rig/deploy.go
+++ b/review/rig/deploy.go
@@ -24,6 +24,9 @@
 	callLimit = 3 * time.Second // Deadline-Ms of the calls
 )
 
+// storeRegion is the region of the platform's store.
+const storeRegion = "flanders"
+
 // errCannotRun marks a case that could not run.
 var errCannotRun = errors.New("the case could not run")
 
@@ -75,12 +78,17 @@
 	path      string // of the record
 	dir       string
 	storeAddr string
-	store     *store
-	instances []*entryInstance
-	workers   []*workerProcess
-	mu        sync.Mutex
-	started   []*process
-	client    *http.Client
+	// adviceAddr is the address of the advice service; empty if there is none.
+	adviceAddr string
+	// regionDelay is the time that bytes take one way between the store and instances outside its
+	// region; 0 for none.
+	regionDelay time.Duration
+	store       *store
+	instances   []*entryInstance
+	workers     []*workerProcess
+	mu          sync.Mutex
+	started     []*process
+	client      *http.Client
 }
 
 func newDeployment(record string) *deployment {
@@ -128,10 +136,12 @@
 var usedPorts = map[int]bool{}
 
 // freePair returns the first of two consecutive free ports below the range that the system gives to
-// outgoing connections.
+// outgoing connections. Scripts that run at the same time use different parts of the range.
 func freePair() int {
+	const parts, part = 40, 500
+	base := 10_000 + part*(os.Getpid()%parts)
 	for range 500 {
-		first := 10_000 + 2*rand.IntN(10_000)
+		first := base + 2*rand.IntN(part/2)
 		if !usedPorts[first] && isFree(first) && isFree(first+1) {
 			usedPorts[first] = true
 			return first
@@ -168,6 +178,7 @@
 heartbeatMs = 1500
 contracts = ["base","drain","config","cost","recover","sched","tenants","quota","platform"]
 orders = "call"
+advice = "%s"
 [listen]
 front = "%s"
 ready = "%s"
@@ -208,7 +219,11 @@
 	ports := freePair()
 	region, _, _ := strings.Cut(zone, "-")
 	i.boot = filepath.Join(d.dir, i.name+".toml")
-	text := fmt.Sprintf(settingsText, i.name, zone, region, ports, ports+1, i.front, i.ready, d.storeAddr)
+	storeAddr := d.storeAddr
+	if d.regionDelay > 0 && region != storeRegion {
+		storeAddr = delayProxy(d.storeAddr, d.regionDelay)
+	}
+	text := fmt.Sprintf(settingsText, i.name, zone, region, ports, ports+1, d.adviceAddr, i.front, i.ready, storeAddr)
 	if err := os.WriteFile(i.boot, []byte(text), 0o644); err != nil {
 		cannotRun("%v", err)
 	}
@@ -245,7 +260,7 @@
 func (d *deployment) addWorker(id, zone, rack string, cpu int64) *workerProcess {
 	w := &workerProcess{cfg: workerConfig{
 		ID: id, Zone: zone, Rack: rack, Listen: address(freePort()), Store: d.storeAddr, Record: d.path,
-		Began: d.began.UnixMilli(), CPU: cpu, Service: service,
+		Began: d.began.UnixMilli(), CPU: cpu, Service: service, Kind: "a",
 	}}
 	d.workers = append(d.workers, w)
 	return w
@@ -319,6 +334,7 @@
 	Priority     int
 	Target       int // targetDurationMs
 	Stretch      float64
+	Advice       bool
 }
 
 type tenant struct {
@@ -335,10 +351,14 @@
 	var names []string
 	for _, q := range queues {
 		names = append(names, q.Name)
-		routes = append(routes, map[string]any{
+		route := map[string]any{
 			"name": q.Name, "host": host, "prefix": q.Prefix, "kind": "non_idempotent", "timeoutMs": 3000,
 			"targetDurationMs": q.Target, "priority": q.Priority, "service": service, "maxAttempts": 3, "stretch": q.Stretch, "allowAnonymous": false,
-		})
+		}
+		if q.Advice {
+			route["advice"] = map[string]any{"decideMs": decideMs, "eachMs": eachMs, "validMs": validMs}
+		}
+		routes = append(routes, route)
 	}
 	for _, t := range tenants {
 		owners = append(owners, map[string]any{
@@ -355,12 +375,14 @@
 }
 
 type step struct {
-	Count      int   `json:"count"`
-	CPU        int64 `json:"cpu"`
-	MemMB      int64 `json:"memMb"`
-	EstimateMs int   `json:"estimateMs"`
-	After      []int `json:"after,omitempty"`
-	RunForever bool  `json:"runForever,omitempty"`
+	Count      int    `json:"count"`
+	CPU        int64  `json:"cpu"`
+	MemMB      int64  `json:"memMb"`
+	EstimateMs int    `json:"estimateMs"`
+	After      []int  `json:"after,omitempty"`
+	RunForever bool   `json:"runForever,omitempty"`
+	AntiAff    int    `json:"antiAffinity,omitempty"`
+	Needs      string `json:"needs,omitempty"`
 }
 
 // call makes one call of a client and returns the status (0 without an answer) and the body.
@@ -395,6 +417,18 @@
 	return status, text
 }
 
+// submitBody hands in any body.
+func (d *deployment) submitBody(at []*entryInstance, path, key string, body any, off int) {
+	for try := range 60 {
+		status, _ := d.call(at[(try+off)%len(at)], http.MethodPost, path, key, body)
+		if status == http.StatusOK {
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	cannotRun("job %s was not accepted", path)
+}
+
 // submit hands in a job and repeats the call at other instances until it is accepted.
 func (d *deployment) submit(at []*entryInstance, path, key, spec string, steps []step) {
 	for try := range 20 {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -21,11 +21,15 @@
 
 // scenarios are the cases by name. Each returns the violations of its rule.
 var scenarios = map[string]func(d *deployment, t trouble) []string{
-	"many-ends":     manyEnds,
-	"removed-route": removedRoute,
-	"stale-order":   staleOrder,
-	"full-queue":    fullQueue,
-	"same-id":       sameID,
+	"many-ends":       manyEnds,
+	"lasting-probe":   lastingProbe,
+	"lasting-grey":    lastingGrey,
+	"same-id":         sameID,
+	"late-acceptance": lateAcceptance,
+	"advised-route":   advisedRoute,
+	"removed-route":   removedRoute,
+	"full-queue":      fullQueue,
+	"stale-order":     staleOrder,
 }
 
 func main() {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -8,10 +8,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -34,6 +36,8 @@
 	Began   int64 // Unix milliseconds of the start of the script
 	CPU     int64 // millicores
 	Service string
+	Kind    string // of the machine; the first label
+	Tickets bool   // every start needs a ticket of the advice service
 }
 
 type endRow struct {
@@ -44,13 +48,16 @@
 }
 
 type activeRun struct {
-	run   int
-	timer *time.Timer
+	run     int
+	percent int
+	timer   *time.Timer
 }
 
 // workerState is a stand-in for one life of a worker. The spec of a job lists the run times of the
-// tasks of its steps in milliseconds, separated by commas; a task ends failed if an "f" follows. The
-// worker doesn't guard its capacity.
+// tasks of its steps in milliseconds, separated by commas; a task ends failed if an "f" follows. "last"
+// stands for tasks that last, and "last@N" for tasks that last and of which those that run N
+// milliseconds after the start of the script fail then. The worker doesn't guard its capacity. From one
+// SIGUSR1 to the next it fails all that it starts.
 type workerState struct {
 	cfg    workerConfig
 	rec    *recorder
@@ -65,6 +72,7 @@
 	last   int64 // number of the last end
 	acked  int64
 	wake   chan struct{}
+	grey   bool // it fails all that it starts
 }
 
 func runWorker(arg string) {
@@ -84,16 +92,31 @@
 	}
 	w.rec.write("worker_up", "worker", cfg.ID, "born", w.born.UnixMilli())
 	go w.register()
+	go w.followSignals()
 	_ = http.Serve(listener, w)
 }
 
+// greyFailure is the time after which a worker that fails all that it starts fails a task.
+const greyFailure = 50 * time.Millisecond
+
+func (w *workerState) followSignals() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	for range signals {
+		w.mu.Lock()
+		w.grey = !w.grey
+		w.rec.write("worker_fails_all", "worker", w.cfg.ID, "grey", w.grey)
+		w.mu.Unlock()
+	}
+}
+
 // register writes the entry of the worker to the store in every heartbeat interval.
 func (w *workerState) register() {
 	for sequence := 1; ; sequence++ {
 		entry, _ := json.Marshal(map[string]any{
 			"service": w.cfg.Service, "address": w.cfg.Listen, "zone": w.cfg.Zone, "version": "v1", "slots": 8,
 			"state": "ready", "coldLeftMs": 0, "capacity": map[string]int64{"cpu": w.cfg.CPU, "memMb": 131072, "gpu": 0},
-			"labels": []string{"a", w.cfg.Rack}, "born": w.born.UnixMilli(), "clockMs": w.clock(), "sequence": sequence,
+			"labels": []string{w.cfg.Kind, w.cfg.Rack}, "born": w.born.UnixMilli(), "clockMs": w.clock(), "sequence": sequence,
 		})
 		response, err := http.Post("http://"+w.cfg.Store+"/v1/heartbeat/"+w.cfg.ID, "application/json", bytes.NewReader(entry))
 		delay := heartbeat
@@ -118,6 +141,7 @@
 	Fence      int64  `json:"fence"`
 	AckedUpto  int64  `json:"ackedUpto"`
 	WaitMs     int64  `json:"waitMs"`
+	Ticket     string `json:"ticket"`
 }
 
 func (w *workerState) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
@@ -216,7 +240,7 @@
 	}
 	running, ended := [][]any{}, [][]any{}
 	for task, a := range w.active {
-		running = append(running, []any{task, a.run, "", 50, 0})
+		running = append(running, []any{task, a.run, "", a.percent, 0})
 	}
 	for _, e := range w.ends[:min(len(w.ends), endsPage)] {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
@@ -234,13 +258,19 @@
 		w.extend(o.DeadlineMs)
 		w.refuse(rw, o, "old")
 		return
+	case a == nil && w.cfg.Tickets && !validTicket(o, w.cfg.ID):
+		w.refuse(rw, o, "ticket")
+		return
 	}
 	w.extend(o.DeadlineMs)
 	if a == nil {
-		a = &activeRun{run: o.Run}
+		a = &activeRun{run: o.Run, percent: 50}
+		if strings.HasPrefix(o.Spec, "last") {
+			a.percent = 100 // at work
+		}
 		w.active[o.Task] = a
 		w.rec.write("start", "worker", w.cfg.ID, "born", w.born.UnixMilli(), "task", o.Task, "run", o.Run, "fence", o.Fence)
-		runTime, how := plan(o)
+		runTime, how := w.plan(o)
 		a.timer = time.AfterFunc(runTime, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -252,12 +282,26 @@
 	reply(rw, http.StatusOK, map[string]any{"clockMs": w.clock()})
 }
 
+// forever is the run time of a task that lasts.
+const forever = time.Hour
+
 // plan returns the run time of a task and how it ends.
-func plan(o order) (time.Duration, string) {
+func (w *workerState) plan(o order) (time.Duration, string) {
+	if w.grey {
+		return greyFailure, "failed"
+	}
 	times := strings.Split(o.Spec, ",")
 	parts := strings.Split(o.Task, ".")
 	step, _ := strconv.Atoi(parts[2])
 	text, fails := strings.CutSuffix(times[min(step, len(times)-1)], "f")
+	if at, lasts := strings.CutPrefix(text, "last"); lasts {
+		ms, err := strconv.Atoi(strings.TrimPrefix(at, "@"))
+		failsIn := time.Until(time.UnixMilli(w.cfg.Began + int64(ms)))
+		if err != nil || failsIn < 0 {
+			return forever, "failed"
+		}
+		return failsIn, "failed"
+	}
 	ms, _ := strconv.Atoi(text)
 	if fails {
 		return time.Duration(ms) * time.Millisecond, "failed"
