--- a/review/rig/advice.go
+++ b/review/rig/advice.go
@@ -17,8 +17,8 @@
 	validMs  = 2000
 )
 
-// serveAdvice starts a stand-in for the advice service, which allows every worker, and returns its
-// address.
+// serveAdvice starts a stand-in for the advice service and returns its address. The service allows the
+// workers of kind "b" where there are such, otherwise every worker.
 func (d *deployment) serveAdvice() string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -40,13 +40,30 @@
 	}
 	time.Sleep(time.Duration((decideMs + eachMs*float64(len(request.Workers))) * float64(time.Millisecond)))
 	good := [][]string{}
+	allowed := d.allowed()
 	for _, worker := range request.Workers {
+		if len(allowed) > 0 && !allowed[worker] {
+			continue
+		}
 		good = append(good, []string{worker, ticketOf(request.Step, worker, time.Now().UnixMilli()+validMs)})
 	}
-	d.rec.write("advised", "step", request.Step, "workers", len(request.Workers))
+	d.rec.write("advised", "step", request.Step, "workers", request.Workers, "good", len(good))
 	reply(w, http.StatusOK, map[string]any{"good": good, "validMs": validMs})
 }
 
+// allowed returns the ids of the workers of kind "b".
+func (d *deployment) allowed() map[string]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ids := map[string]bool{}
+	for _, w := range d.workers {
+		if w.cfg.Kind == "b" {
+			ids[w.cfg.ID] = true
+		}
+	}
+	return ids
+}
+
 func ticketOf(step, worker string, until int64) string {
 	return fmt.Sprintf("%s/%s/%d", step, worker, until)
 }
--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -448,3 +448,64 @@
 	}
 	return broken
 }
+
+// newWorkers: a queue's policy allows only some workers to run its steps. All of these are full with
+// tasks that last. A job waits, and then empty workers are added that it may run on.
+func newWorkers(d *deployment, t trouble) []string {
+	const prefix, other = "/lohu930/", "/pufi791/"
+	queues := []queue{
+		{Name: "r-ruddede", Prefix: other, Priority: 2, Target: 3000, Stretch: 4},
+		{Name: "r-cpihhac", Prefix: prefix, Priority: 0, Target: 400, Stretch: 1.5, Advice: true},
+	}
+	tenants := []tenant{{Name: "kaje80", Key: apiKey, Weight: 36, CPU: 400000}}
+	d.adviceAddr = d.serveAdvice()
+	d.configure(1, queues, tenants)
+	small(d, 0)
+	zones := []string{"flanders-a", "wallonia-a", "brussels-a"}
+	add := func(n int, kind string) {
+		w := d.addWorker(fmt.Sprintf("i-7f3a91%02d", n), zones[n%3], fmt.Sprintf("r1-%d", n/8), 32000)
+		w.cfg.Kind = kind
+		d.startWorker(w)
+	}
+	const oldWorkers, allowed, added = 14, 4, 3
+	for n := range oldWorkers {
+		if n < allowed {
+			add(n, "b")
+		} else {
+			add(n, "a")
+		}
+	}
+	scaleOut := func() {
+		for n := range added {
+			add(oldWorkers+n, "b")
+		}
+	}
+	d.waitReady()
+	warmUp(d, other)
+	long := jobID(1)
+	d.submit(d.instances, prefix+long, apiKey, "last", []step{{Count: allowed, CPU: 30000, MemMB: 256, RunForever: true, AntiAff: 1}})
+	d.waitFor("the tasks that last run", 10*time.Second, func() bool { return runningAt(readRecord(d.path), long, now(d)) == allowed })
+	if t == "early" {
+		scaleOut()
+	}
+	time.Sleep(4 * time.Second)
+	short := jobID(2)
+	d.submit(d.instances, prefix+short, apiKey, "640", []step{{Count: 2, CPU: 2800, MemMB: 256, EstimateMs: 640}})
+	time.Sleep(2 * time.Second)
+	if t.has("scale_out") {
+		scaleOut()
+	}
+	trafficEnd := now(d)
+	time.Sleep(22 * time.Second)
+	d.call(d.instances[0], http.MethodGet, prefix+short, apiKey, nil)
+	end := now(d)
+	var broken []string
+	events := readRecord(d.path)
+	from := trafficEnd + 14_000
+	room := len(d.workers) > oldWorkers // 3 x 32 cores for 2 x 2.8; otherwise there is no room for it
+	if done := doneTasks(events, short); room && done < 2 && !runningBetween(events, short, from, end) {
+		broken = append(broken, fmt.Sprintf("job %s: %d of 2 tasks are done; from %.0f to %.0f ms, later than finish_s after the end of the traffic, nothing of it runs; %d tasks of 30 cores run then on 17 workers of 32 cores, and 3 empty workers may run the job",
+			short, done, from, end, peakUse(events, from, end)))
+	}
+	return broken
+}
--- a/review/rig/deploy.go
+++ b/review/rig/deploy.go
@@ -262,7 +262,9 @@
 		ID: id, Zone: zone, Rack: rack, Listen: address(freePort()), Store: d.storeAddr, Record: d.path,
 		Began: d.began.UnixMilli(), CPU: cpu, Service: service, Kind: "a",
 	}}
+	d.mu.Lock()
 	d.workers = append(d.workers, w)
+	d.mu.Unlock()
 	return w
 }
 
--- a/review/rig/judge.go
+++ b/review/rig/judge.go
@@ -139,3 +139,16 @@
 	}
 	return peak
 }
+
+// runningAt returns how many tasks whose name begins with a prefix run at a given time.
+func runningAt(events []event, prefix string, at float64) int {
+	n := 0
+	for task, runs := range runsByTask(events) {
+		for _, r := range runs {
+			if strings.HasPrefix(task, prefix) && r.start <= at && (r.end > at || r.how == "running") {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,6 +29,7 @@
 	"advised-route":   advisedRoute,
 	"removed-route":   removedRoute,
 	"full-queue":      fullQueue,
+	"new-workers":     newWorkers,
 	"stale-order":     staleOrder,
 }
 
