schedule: log on which workers and with which run numbers a step is placed

Change: the line placed names the run number, which contains the fencing token of the owner, and the workers of up to 16 tasks. No logic is changed.

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 
 	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/task"
@@ -140,7 +142,7 @@
 // placeStep starts as many tasks of a step as possible and reports whether none is left to start.
 func (c *Core) placeStep(s *stepState, usable []*worker) bool {
 	candidates := c.candidates(s, usable, false)
-	before := s.runsOrdered
+	before, effectsBefore := s.runsOrdered, len(c.effects)
 	var allPlaced bool
 	if s.spec.Gang {
 		allPlaced = c.placeGang(s, candidates)
@@ -149,11 +151,37 @@
 	}
 	if n := s.runsOrdered - before; n > 0 {
 		c.logDecision(s.key.Job, "placed", "step", s.key.String(), "tasks", n, "of", len(s.tasks), "options", len(candidates),
-			"waited_ms", c.now.Sub(s.job.arrivedAt).Milliseconds(), "slack_ms", s.latestStart.Sub(c.now).Milliseconds(), "rank", c.rank(s))
+			"waited_ms", c.now.Sub(s.job.arrivedAt).Milliseconds(), "slack_ms", s.latestStart.Sub(c.now).Milliseconds(), "rank", c.rank(s),
+			"run", s.lastRun, "on", describeStarts(c.effects[effectsBefore:]))
 	}
 	return allPlaced
 }
 
+// maxDescribedStarts bounds the length of a log line: a step may have thousands of tasks.
+const maxDescribedStarts = 16
+
+// describeStarts lists the start orders among effects for the log, as the indexes of the tasks and their
+// workers.
+func describeStarts(effects []Effect) string {
+	var text strings.Builder
+	n := 0
+	for _, e := range effects {
+		order, ok := e.(Start)
+		if !ok {
+			continue
+		}
+		if n++; n > maxDescribedStarts {
+			text.WriteString(",...")
+			break
+		}
+		if n > 1 {
+			text.WriteByte(',')
+		}
+		text.WriteString(strconv.Itoa(order.Task.Index) + "@" + order.Worker)
+	}
+	return text.String()
+}
+
 // candidates returns the workers that have capacity for a task of a step and, if the queue requires
 // it, a valid ticket. With allowExpired, expired tickets count as valid.
 func (c *Core) candidates(s *stepState, usable []*worker, allowExpired bool) []candidate {
