soak: cut off a zone together with the owner

A worker in the zone of that owner runs tasks that run or have succeeded elsewhere.

Cause of the gap: the soak cut off single workers, and single instances from the store, but no group of machines that still reach each other, so no test covered the case under "Not covered" in docs/incidents/isolated-owner.md.

Change: instances and hosts have a separate address for each other zone, with a proxy that holds back bytes while a zone is cut off. The proxies also translate the addresses in messages and in values of the store, so that no connection between zones avoids them.

The cause is not fixed here.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -101,3 +101,33 @@
 		on.Heal()
 	}
 }
+
+// cutZone cuts a zone off from the other zones, the store, and the advice service, unless other
+// faults affect it.
+func (h *harness) cutZone(zone int, d time.Duration) {
+	for _, n := range h.nodes {
+		if n.zone() != zone {
+			continue
+		}
+		if !n.fault.TryLock() {
+			return
+		}
+		defer n.fault.Unlock()
+	}
+	for i, on := range h.hosts {
+		if i%zones != zone {
+			continue
+		}
+		if !on.Fault.TryLock() {
+			return
+		}
+		defer on.Fault.Unlock()
+		on.SetStoreCut(true)
+		defer on.SetStoreCut(false)
+	}
+	from := time.Now()
+	h.network.setCut(zone, true)
+	time.Sleep(d)
+	h.network.setCut(zone, false)
+	h.t.Logf("seed %d: z%d was cut off from %s to %s", h.seed, zone, from.Format(timeFormat), time.Now().Format(timeFormat))
+}
--- a/soak/nodes_test.go
+++ b/soak/nodes_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -34,6 +35,12 @@
 	if err != nil {
 		h.t.Fatal(err)
 	}
+	_, port, err := net.SplitHostPort(added.Address)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	added.Address = net.JoinHostPort(machineIP(firstHost+index), port)
+	h.network.addMachine(firstHost+index, port)
 	h.hosts = append(h.hosts, added)
 	h.startWorker(added, h.newWorkerID(index))
 	h.t.Cleanup(func() { added.Heal(); added.Crash() })
@@ -60,6 +67,7 @@
 	index       int
 	ip          string
 	storeAddr   string
+	advice      string      // address of the advice service
 	storeDenied atomic.Bool // the store refuses the calls of this node
 
 	fault sync.Mutex // held by the fault that affects the node
@@ -71,14 +79,17 @@
 // newNode starts an entry instance. Each one has a separate loopback address, so that all can use the
 // same ports, and its own way to the store, which can be cut.
 func (h *harness) newNode(index int) *node {
-	n := &node{h: h, index: index, ip: fmt.Sprintf("127.92.%d.%d", os.Getpid()%250+1, index+1)}
-	n.storeAddr = serve(h.t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	n := &node{h: h, index: index, ip: machineIP(firstNode + index)}
+	store := translateValues(h.store, n.zone())
+	n.storeAddr = h.network.forward("127.0.0.1:0", serve(h.t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.storeDenied.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		h.store.ServeHTTP(w, r)
-	}))
+		store.ServeHTTP(w, r)
+	})), n.zone(), outside)
+	n.advice = h.network.forward("127.0.0.1:0", h.advice, n.zone(), outside)
+	h.network.addMachine(firstNode+index, peerPort)
 	n.start()
 	h.t.Cleanup(func() {
 		n.kill()
@@ -91,13 +102,18 @@
 
 func (n *node) front() string { return n.ip + ":8183" }
 
+func (n *node) zone() int { return n.index % zones }
+
+// peerPort is the port for calls between instances, which is the first of the range in the settings.
+const peerPort = "7420"
+
 // start starts the process of the instance.
 func (n *node) start() {
 	path := filepath.Join(n.h.t.TempDir(), "settings.toml")
 	text := fmt.Sprintf(`nodeName = "e%d"
 ip = "%s"
 zone = "%s"
-portRange = [7420,7435]
+portRange = [%s,7435]
 advice = "%s"
 [listen]
 front = "%s:8183"
@@ -112,7 +128,7 @@
 [platform]
 address = "%s"
 form = "kv"
-`, n.index, n.ip, zone(n.index), n.h.advice, n.ip, n.ip, n.storeAddr)
+`, n.index, n.ip, zone(n.index), peerPort, n.advice, n.ip, n.ip, n.storeAddr)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		n.h.t.Error(err)
 		return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,6 +20,7 @@
 var (
 	seedFlag = flag.Uint64("soak.seed", 1, "first seed")
 	seeds    = flag.Int("soak.seeds", 2, "number of seeds")
+	tested   = flag.String("soak.program", "", "path of the program under test (default: a build of ../cmd/mulberryd)")
 )
 
 // regressions are seeds that have failed, each with the cause as a comment.
@@ -56,6 +57,7 @@
 	store   *platformtest.Store
 	hosts   []*platformtest.Host
 	nodes   []*node
+	network *network
 	advice  string // address of the advice service
 
 	mu     sync.Mutex
@@ -95,6 +97,9 @@
 // build returns the path of the program under test.
 func build(t *testing.T) string {
 	t.Helper()
+	if *tested != "" {
+		return *tested
+	}
 	program := filepath.Join(t.TempDir(), "mulberryd")
 	if out, err := exec.Command("go", "build", "-o", program, "../cmd/mulberryd").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
@@ -105,6 +110,7 @@
 // newHarness starts a deployment and waits until it serves callers.
 func newHarness(t *testing.T, program string, seed uint64, instances, hosts int) *harness {
 	h := &harness{t: t, seed: seed, program: program, store: platformtest.NewStore(), jobs: map[string]*jobRecord{}, hostOf: map[string]int{}}
+	h.network = newNetwork(h)
 	h.advice = serve(t, &platformtest.AdviceService{Valid: 2 * time.Second, Eligible: h.eligible})
 	h.store.Configure(1, service, []string{key},
 		platformtest.Queue{Name: "advised", Host: host, Prefix: "/advised/", Attempts: 3, Advised: true},
