cell: reproduce a thawed owner that renews leases

Cause: an owner that wakes up after a freeze takes the polls of other instances that have waited in the buffers of the kernel for recent contact, and is not isolated. It renews the leases of its workers once more before it learns of its successor. At a worker that the successor cannot reach, the renewed lease ends after the time from which the successor restarts the tasks.

Evidence: TestThawedOwnerRenewsLeases. A freeze of 3.6 s is enough, also if the store is reachable again: "12.525s two runs at once: run 100001 starts on w2, by e2, while run 60001 by e1 is on w1". Without a poll that has waited, no freeze from 1.5 to 5.9 s fails. The model takes polls and calls to the store that are in flight at the freeze to time out.

The test fails on the current code; there is no fix yet.

--- a/cell/takeover_test.go
+++ b/cell/takeover_test.go
@@ -215,10 +215,14 @@
 	return out
 }
 
-// deliver applies an event at an instance, or queues it while the instance is frozen.
+// deliver applies an event at an instance. While the instance is frozen, outcomes of orders and requests
+// wait, and calls to the store are taken to time out.
 func (m *takeoverModel) deliver(i *modelInstance, e Event) {
 	if m.now.Before(i.frozenUntil) {
-		i.waiting = append(i.waiting, e)
+		switch e.(type) {
+		case ScheduleOutcome, RequestReceived:
+			i.waiting = append(i.waiting, e)
+		}
 		return
 	}
 	i.state.SetContact(i.contact)
@@ -601,3 +605,37 @@
 		})
 	}
 }
+
+// TestThawedOwnerRenewsLeases guards against an owner that wakes up after a freeze, takes polls of other
+// instances that have waited meanwhile for recent contact, and renews a lease that its successor takes
+// for expired.
+func TestThawedOwnerRenewsLeases(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		store    storeAccess // after the freeze
+		isPolled bool        // a poll has waited during the freeze
+	}{
+		{"store reachable", storeReachable, true},
+		{"store refuses", storeRefused, true},
+		{"store silent", storeSilent, true},
+		{"no poll has waited", storeReachable, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for freeze := 1500 * time.Millisecond; freeze < 6*time.Second && !t.Failed(); freeze += 100 * time.Millisecond {
+				m := newTakeoverModel(t, "w1", "w2")
+				former := m.join("e1")
+				m.startOwner(former)
+				successor := m.join("e2")
+				former.isPolled = true
+				m.run(time.Second)
+				m.notify(former, m.record("00000000000000a1", 20*time.Second))
+				m.run(time.Second)
+				delete(successor.delays, "w1")
+				former.frozenUntil, former.store, former.isPolled = m.now.Add(freeze), c.store, c.isPolled
+				m.log("%s e1 is frozen for %s", m.at(), freeze)
+				m.run(15 * time.Second)
+				m.reportViolations()
+			}
+		})
+	}
+}
