cell: reproduce leases granted while an instance lags

Cause: as for the other cases of TestOwnerCutOffWithPeer, but no instance is cut off: one polls the former owner until it learns of the successor. The successor allows 1.8 s from its own start; the former owner grants leases for 1.5 s after the last poll.

Evidence: an instance that learns of the successor 1 s after its start is enough: "12.525s two runs at once: run 100001 starts on w2, by e2, while run 60001 by e1 is on w1". With 0.5 s the test passes.

The test fails on the current code; there is no fix yet.

--- a/cell/takeover_test.go
+++ b/cell/takeover_test.go
@@ -568,15 +568,20 @@
 	for _, c := range []struct {
 		name     string
 		store    storeAccess
-		isPolled bool // by an instance that is cut off as well
-		blocked  bool // the task waits for other tasks at the time of the cut
+		isPolled bool          // by an instance that is cut off as well
+		blocked  bool          // the task waits for other tasks at the time of the cut
+		peerLag  time.Duration // after which the instance learns of the successor; 0 if it does not
 	}{
-		{"running task, store refuses", storeRefused, true, false},
-		{"running task, store silent", storeSilent, true, false},
-		{"waiting task, store refuses", storeRefused, true, true},
-		{"waiting task, store silent", storeSilent, true, true},
-		{"running task, no peer", storeRefused, false, false},
-		{"waiting task, no peer", storeRefused, false, true},
+		{"running task, store refuses", storeRefused, true, false, 0},
+		{"running task, store silent", storeSilent, true, false, 0},
+		{"waiting task, store refuses", storeRefused, true, true, 0},
+		{"waiting task, store silent", storeSilent, true, true, 0},
+		{"running task, peer lags by 0.5 s", storeRefused, true, false, 500 * time.Millisecond},
+		{"running task, peer lags by 1 s", storeRefused, true, false, time.Second},
+		{"running task, peer lags by 1.5 s", storeRefused, true, false, 1500 * time.Millisecond},
+		{"running task, peer lags by 2 s", storeRefused, true, false, 2 * time.Second},
+		{"running task, no peer", storeRefused, false, false, 0},
+		{"waiting task, no peer", storeRefused, false, true, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m := newTakeoverModel(t, "w1", "w2")
@@ -600,6 +605,11 @@
 			former.store, former.isPolled = c.store, c.isPolled
 			delete(former.delays, "w2")
 			delete(successor.delays, "w1")
+			if c.peerLag > 0 {
+				m.startSuccessor(successor)
+				m.run(c.peerLag)
+				former.isPolled = false
+			}
 			m.run(25 * time.Second)
 			m.reportViolations()
 		})
