Grant leases only with authority

Cause: an owner stepped down when it heard from no other instance. An owner that is cut off from the store together with its zone still hears from the instances there, so that it went on starting tasks and renewing the leases of the workers of the zone. Its successor, which does not reach these workers, takes their leases for expired 7.2 s after its own start and starts their tasks elsewhere; the former owner starts tasks that the successor has already run. A request that had waited in a socket during a freeze counted as contact too, so that a frozen owner did not notice that it had been replaced. The class of the fault: an authority that is extended by evidence which does not exclude a successor.

Change: an owner starts tasks and renews leases only while the lease of its ownership record is certainly valid or, in an outage of the store, while every other instance that it knows still follows it. A poll returns the reading of the owner's clock of the last reply, so that it proves contact as of that time only. Without authority nothing starts, and leases run out; the line authority says so. The harness of the takeover tests now models the polls of the other instances.

Why it works: an instance that takes over, or has learned of a successor, no longer follows the former owner, which therefore grants leases for at most 1.5 s after the last request of its successor. The successor assumes 1.8 s.

Not covered: a successor that the former owner has never heard of, or not for 30 s.

--- /dev/null
+++ b/cell/authority.go
@@ -0,0 +1,62 @@
+package cell
+
+import (
+	"strings"
+	"time"
+)
+
+// maxClockDrift is the maximum relative rate by which the clock of the store may run faster than this
+// one.
+const maxClockDrift = 0.02
+
+// isLeaseValid reports whether the lease of the ownership record has certainly not expired, so that no
+// other instance can have taken over. renewedAt is when the last successful renewal was sent.
+func (s *State) isLeaseValid(now, renewedAt time.Time) bool {
+	if renewedAt.Before(s.leaseGrantedAt) {
+		renewedAt = s.leaseGrantedAt
+	}
+	return now.Sub(renewedAt) < time.Duration(float64(s.cfg.OwnershipTTL)*(1-maxClockDrift))
+}
+
+// updateAuthority determines whether this owner may start tasks and renew leases of workers, which a
+// successor takes for expired some time after its start. It may while its lease is valid. After that, as
+// in an outage of the store, it may only while every instance that could take over still follows it: an
+// owner that is cut off together with some instances and workers cannot distinguish this from an outage.
+func (s *State) updateAuthority() {
+	if s.core == nil {
+		return
+	}
+	isLeaseValid := s.isLeaseValid(s.now, s.contact.Renewal)
+	// An owner that has just taken over may not know all other instances yet.
+	knowsFollowers := s.contact.Renewal.Sub(s.ownedSince) >= s.cfg.FollowerTimeout
+	hasAuthority := isLeaseValid || (knowsFollowers && len(s.contact.SilentFollowers) == 0)
+	if hasAuthority == s.isSuspended {
+		s.isSuspended = !hasAuthority
+		s.log("authority", "suspended", s.isSuspended, "renewal_age_ms", milliseconds(s.now.Sub(s.contact.Renewal)),
+			"knows_followers", knowsFollowers, "silent_followers", describeNames(s.contact.SilentFollowers))
+	}
+	s.core.SuspendLeases(s.isSuspended)
+	if isLeaseValid {
+		s.acceptHeld()
+	}
+}
+
+// acceptHeld accepts the submissions that arrived during recovery or while the lease may have expired.
+func (s *State) acceptHeld() {
+	for _, submitted := range s.heldSubmissions {
+		s.acceptNew(submitted)
+	}
+	s.heldSubmissions = nil
+}
+
+// submit accepts a job.
+func (s *State) submit(submitted Submission) { s.acceptNew(submitted) }
+
+// describeNames returns names for a log line, at most eight of them.
+func describeNames(names []string) string {
+	const maxNames = 8
+	if len(names) > maxNames {
+		return strings.Join(names[:maxNames], ",") + ",..."
+	}
+	return strings.Join(names, ",")
+}
--- /dev/null
+++ b/cell/authority_test.go
@@ -0,0 +1,115 @@
+package cell
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/mulberrydrum/mulberrydrum/schedule"
+)
+
+// grants reports whether effects start a task, and whether they renew the lease of a worker.
+func grants(effects []Effect) (starts, renews bool) {
+	for _, e := range effects {
+		order, _ := e.(Order)
+		switch order := order.Effect.(type) {
+		case schedule.Start:
+			starts = true
+		case schedule.Poll:
+			renews = renews || order.LeaseEnd > 0
+		}
+	}
+	return starts, renews
+}
+
+// TestOwnerCutOffWithInstances guards against an owner that is cut off from the store and from some of the
+// other instances, and starts tasks or renews leases on workers that its successor cannot reach. In an
+// outage of the store, which nobody reaches, it must go on.
+func TestOwnerCutOffWithInstances(t *testing.T) {
+	const ownedFor = 10 * time.Second
+	for _, c := range []struct {
+		name       string
+		renewedAgo time.Duration // age of the last contact to the store
+		silent     []string      // instances that may follow another owner
+		wantGrants bool
+	}{
+		{"calm", 300 * time.Millisecond, nil, true},
+		{"calm, an instance lost", 300 * time.Millisecond, []string{"e2"}, true},
+		{"outage", 8 * time.Second, nil, true},
+		{"cut off with other instances", 1300 * time.Millisecond, []string{"e2"}, false},
+		{"outage, an instance lost", 8 * time.Second, []string{"e2"}, false},
+		{"outage just after the takeover", ownedFor - time.Second, nil, false},
+	} {
+		h := newHarness(t)
+		h.becomeReadyOwner()
+		h.renew()
+		order, ok := findEffect[Order](h.apply(RequestReceived{Token: 1, Request: Submit{submission("00000000000000a1", 30)}}))
+		if !ok {
+			t.Fatal("the task did not start at first")
+		}
+		h.apply(ScheduleOutcome{OwnerRevision: 10, Event: schedule.StartDone{Start: order.Effect.(schedule.Start)}})
+		h.now = h.state.ownedSince.Add(ownedFor)
+		h.state.SetContact(Contact{Renewal: h.now.Add(-c.renewedAgo), Request: h.now, SilentFollowers: c.silent})
+		h.apply(StoreUnavailable{})
+		// The worker has lost the run, so that its task can start again.
+		effects := h.apply(ScheduleOutcome{OwnerRevision: 10, Event: schedule.PollDone{
+			Poll: schedule.Poll{Target: schedule.Target{Worker: "w1", Incarnation: 1}}, SentAt: h.now, Clock: 2 * time.Hour, Incarnation: 1,
+		}})
+		h.now = h.now.Add(20 * time.Millisecond) // more than the interval between placement passes
+		effects = append(effects, h.apply(Tick{})...)
+		if starts, renews := grants(effects); starts != c.wantGrants || renews != c.wantGrants {
+			t.Errorf("%s: starts tasks %v, renews leases %v, want %v", c.name, starts, renews, c.wantGrants)
+		}
+	}
+}
+
+// TestRequestFromBeforeFreeze guards against an owner that wakes up after a freeze and takes a request that
+// has waited in its sockets for evidence that the sender still follows it.
+func TestRequestFromBeforeFreeze(t *testing.T) {
+	state := New(DefaultConfig(self, 1))
+	l := NewLoop(state, metrics.NewRegistry(), func(Effect) {})
+	now := time.Now()
+	state.core = schedule.New(now, state.cfg.Schedule, 10, catalog(1, 1), nil)
+	state.role, state.ownershipRevision, state.ownedSince = owning, 10, now.Add(-time.Minute)
+	l.snapshot.Store(state.Snapshot())
+	const frozenFor = 5 * time.Second
+	request := ViewRequest{Instance: "e2", Epoch: 10, OwnerTime: time.Minute - frozenFor}
+	l.RecordFollower(request, now)
+	if silent := l.contactAt(now).SilentFollowers; !slices.Equal(silent, []string{"e2"}) {
+		t.Errorf("silent instances %q after a request from before the freeze, want e2", silent)
+	}
+	request.OwnerTime = time.Minute
+	l.RecordFollower(request, now)
+	if silent := l.contactAt(now).SilentFollowers; len(silent) != 0 {
+		t.Errorf("silent instances %q after a current request, want none", silent)
+	}
+	request.Epoch, request.Instance = 9, "e3"
+	l.RecordFollower(request, now)
+	if silent := l.contactAt(now).SilentFollowers; !slices.Equal(silent, []string{"e3"}) {
+		t.Errorf("silent instances %q after a request with the view of a former owner, want e3", silent)
+	}
+}
+
+// TestFormerInstances guards against an owner that waits for an instance that was replaced long ago, and
+// stops in the next outage of the store.
+func TestFormerInstances(t *testing.T) {
+	var f followers
+	now := time.Now()
+	f.observe(10, "e2", now.Add(-followerMemory-time.Second), now.Add(-followerMemory-time.Second))
+	f.observe(10, "e3", now, now)
+	f.forget(now.Add(-followerMemory))
+	if silent := f.silent(10, now.Add(-time.Second)); len(silent) != 0 {
+		t.Errorf("silent instances %q, want none", silent)
+	}
+}
+
+// TestFollowerTimeout guards against a successor that takes the leases of workers for expired before a
+// former owner that counts on the requests of other instances has stopped granting them.
+func TestFollowerTimeout(t *testing.T) {
+	cfg := DefaultConfig(self, 1)
+	if granted, assumed := cfg.FollowerTimeout, 2*cfg.Schedule.PollWait; granted > assumed {
+		t.Errorf("a former owner grants leases until %s after the last request of its successor, which assumes %s", granted, assumed)
+	}
+}
--- a/cell/config.go
+++ b/cell/config.go
@@ -17,6 +17,8 @@
 	CampaignRetryDelay   time.Duration // backoff after a lost campaign
 	Cores                float64       // processor cores available to this instance; may be fractional
 	IsolationTimeout     time.Duration // time without contact to the store and to other instances after which an owner steps down
+	OwnershipTTL         time.Duration // of the lease of the ownership record
+	FollowerTimeout      time.Duration // time without a request after which another instance may follow another owner
 	SmallInstanceDelay   time.Duration // extra campaign delay of instances with fewer cores than others
 	MaxDirectoryAge      time.Duration // age of the list of workers from which on the owner starts no tasks
 	MaxInboxAge          time.Duration // the same for the cancellations in the store
@@ -38,10 +40,12 @@
 		// A slot covers one write to a store in another region, which takes 30 ms.
 		CampaignSlotLength: 40 * time.Millisecond,
 		CampaignSlots:      8,
+		OwnershipTTL:       1200 * time.Millisecond,
 		// A successor assumes that this owner grants leases to workers until two poll
 		// intervals of schedule.Config after its own start, which is at least the lease of the
-		// ownership record after the last renewal.
+		// ownership record after the last renewal, and later than its last request to this owner.
 		IsolationTimeout:   1500 * time.Millisecond,
+		FollowerTimeout:    1500 * time.Millisecond,
 		CampaignRetryDelay: 400 * time.Millisecond,
 		// Longer than the slots of all larger instances (CampaignSlots x CampaignSlotLength)
 		// and one write.
--- a/cell/event.go
+++ b/cell/event.go
@@ -38,9 +38,10 @@
 	}
 	// CampaignDone is the outcome of Campaign.
 	CampaignDone struct {
-		Won      bool
-		Revision int64 // of the ownership record
-		Lease    int64
+		Won       bool
+		Revision  int64 // of the ownership record
+		Lease     int64
+		GrantedAt time.Time // when the grant of the lease was sent
 	}
 	// Recovered is the outcome of Recover.
 	Recovered struct {
@@ -146,6 +147,7 @@
 		Epoch     int64
 		Since     uint64         // sequence number of the last change that the instance received
 		Submitted map[string]int // number of jobs submitted to the instance since its last poll, by team
+		OwnerTime time.Duration  // of the last view; 0 if none was received in this epoch
 	}
 )
 
--- a/cell/isolation.go
+++ b/cell/isolation.go
@@ -7,7 +7,9 @@
 // behind is not isolated.
 type Contact struct {
 	Renewal time.Time // when the last successful renewal of the ownership lease was sent
-	Request time.Time // when another instance last sent a request to this one as the owner
+	Request time.Time // when another instance last certainly followed this owner
+	// Instances that may have ceased to follow this owner; only determined if its lease may have expired.
+	SilentFollowers []string
 }
 
 // SetContact sets the last contact.
--- a/cell/loop.go
+++ b/cell/loop.go
@@ -21,14 +21,17 @@
 
 // Loop owns a State: only the goroutine in Run accesses it.
 type Loop struct {
-	state    *State
-	urgent   chan Event // events that restrict what the owner may do, which have priority
-	events   chan Event
-	requests chan Event // requests, which have lower priority than events
-	snapshot atomic.Pointer[Snapshot]
-	renewal  atomic.Pointer[time.Time] // see Contact
-	request  atomic.Pointer[time.Time] // see Contact
-	execute  func(Effect)
+	state     *State
+	urgent    chan Event // events that restrict what the owner may do, which have priority
+	events    chan Event
+	requests  chan Event // requests, which have lower priority than events
+	snapshot  atomic.Pointer[Snapshot]
+	renewal   atomic.Pointer[time.Time] // see Contact
+	request   atomic.Pointer[time.Time] // see Contact
+	followers followers
+	execute   func(Effect)
+
+	forgotAt time.Time // when former followers were last forgotten
 
 	lastToken      atomic.Uint64
 	waitingCallers sync.Map // chan Reply of each waiting caller, by token
@@ -87,8 +90,41 @@
 // RecordRenewal records when a successful renewal of the ownership lease was sent.
 func (l *Loop) RecordRenewal(sentAt time.Time) { l.renewal.Store(&sentAt) }
 
-// RecordPeerRequest records when another instance sent a request to this one as the owner.
-func (l *Loop) RecordPeerRequest(at time.Time) { l.request.Store(&at) }
+// RecordFollower records that another instance follows this one as the owner. The instance had received
+// a view of the owner when it sent the request, so it still followed the owner at the time of that
+// view. The time of arrival proves nothing: a request may have waited while this process was stopped.
+func (l *Loop) RecordFollower(r ViewRequest, now time.Time) {
+	s := l.Snapshot()
+	if !s.IsOwner {
+		return
+	}
+	at := time.Time{}
+	if r.Epoch == s.OwnershipRevision && r.OwnerTime > 0 && r.OwnerTime <= now.Sub(s.OwnedSince) {
+		at = s.OwnedSince.Add(r.OwnerTime)
+	}
+	l.followers.observe(s.OwnershipRevision, r.Instance, now, at)
+	if at.After(*l.request.Load()) {
+		l.request.Store(&at)
+	}
+}
+
+// contactAt returns the contact of this instance. The followers are compared only when the lease of the
+// ownership record may have expired.
+func (l *Loop) contactAt(now time.Time) Contact {
+	contact := Contact{Renewal: *l.renewal.Load(), Request: *l.request.Load()}
+	if l.state.core == nil {
+		return contact
+	}
+	if l.state.isLeaseValid(now, contact.Renewal) {
+		if now.Sub(l.forgotAt) >= time.Second {
+			l.forgotAt = now
+			l.followers.forget(now.Add(-followerMemory))
+		}
+		return contact
+	}
+	contact.SilentFollowers = l.followers.silent(l.state.ownershipRevision, now.Add(-l.state.cfg.FollowerTimeout))
+	return contact
+}
 
 // Call sends a request to the control goroutine and waits for the reply.
 func (l *Loop) Call(ctx context.Context, request any) (Reply, error) {
@@ -173,7 +209,7 @@
 
 func (l *Loop) apply(e Event) {
 	started := time.Now()
-	l.state.SetContact(Contact{Renewal: *l.renewal.Load(), Request: *l.request.Load()})
+	l.state.SetContact(l.contactAt(started))
 	effects := l.state.Apply(started, started, e)
 	l.state.RecordProcessingTime(time.Since(started))
 	// The snapshot is published first, so that no effect runs against an older
--- a/cell/loop_test.go
+++ b/cell/loop_test.go
@@ -26,12 +26,15 @@
 func TestContactOfSlowOwner(t *testing.T) {
 	l := NewLoop(New(DefaultConfig(self, 1)), metrics.NewRegistry(), func(Effect) {})
 	l.Post(t.Context(), StoreSynced{})
-	renewed, requested := time.Now(), time.Now().Add(time.Millisecond)
+	now := time.Now()
+	l.state.ownershipRevision, l.state.ownedSince = 10, now.Add(-time.Minute)
+	l.snapshot.Store(&Snapshot{IsOwner: true, OwnershipRevision: 10, OwnedSince: l.state.ownedSince})
+	renewed, requested := now, now.Add(-time.Millisecond)
 	l.RecordRenewal(renewed)
-	l.RecordPeerRequest(requested)
+	l.RecordFollower(ViewRequest{Instance: "e2", Epoch: 10, OwnerTime: requested.Sub(l.state.ownedSince)}, now)
 	l.apply(Tick{})
-	if want := (Contact{Renewal: renewed, Request: requested}); l.state.contact != want {
-		t.Errorf("the state knows of contact %v before the queued event is applied, want %v", l.state.contact, want)
+	if contact := l.state.contact; contact.Renewal != renewed || contact.Request != requested {
+		t.Errorf("the state knows of contact %v before the queued event is applied, want %v and %v", contact, renewed, requested)
 	}
 }
 
--- a/cell/outdated_test.go
+++ b/cell/outdated_test.go
@@ -53,6 +53,7 @@
 		h := newHarness(t)
 		h.becomeReadyOwner()
 		h.now = h.now.Add(10 * time.Second)
+		h.renew()
 		if c.unavailable {
 			h.apply(StoreUnavailable{})
 		}
--- a/cell/state.go
+++ b/cell/state.go
@@ -18,9 +18,12 @@
 	Owner          Owner        // zero if unknown
 	OwnerFound     bool
 	IsOwner        bool // this instance is the owner and has completed recovery
-	Stopping       bool
-	Capacity       task.Resources // of the workers that accept tasks; on the owner only
-	Used           task.Resources // part of Capacity that is in use; on the owner only
+	// Revision of the ownership record of this instance, and when it won the ownership; only if it is the owner.
+	OwnershipRevision int64
+	OwnedSince        time.Time
+	Stopping          bool
+	Capacity          task.Resources // of the workers that accept tasks; on the owner only
+	Used              task.Resources // part of Capacity that is in use; on the owner only
 }
 
 // role is the role of an instance in the ownership of the partition.
@@ -56,6 +59,7 @@
 	role              role
 	ownershipRevision int64 // revision of this instance's ownership record; the fencing token of its orders
 	lease             int64
+	leaseGrantedAt    time.Time                     // when the grant of the lease was sent
 	sequences         [schedule.CommitStreams]int64 // revisions of the sequence records
 	recoveryRevision  int64                         // store revision at which the recovery read the jobs
 	renewAt           time.Time
@@ -65,9 +69,10 @@
 	inboxAsOf         time.Time // see JobsObserved
 	storeUnavailable  bool      // the last read of the directory failed
 	isOutdated        bool      // see updateOutdated
+	isSuspended       bool      // see updateAuthority
 	tickAt            time.Time
 	core              *schedule.Core
-	earlySubmissions  []Submission // received during recovery
+	heldSubmissions   []Submission // received during recovery, or while the lease may have expired
 }
 
 // New returns the initial state of an instance.
@@ -82,6 +87,7 @@
 	if s.isIsolated() {
 		s.stepDown("isolated")
 	}
+	s.updateAuthority()
 	s.apply(e)
 	s.runDueWork()
 	if s.core != nil {
@@ -148,7 +154,7 @@
 // without an owner for a second.
 func (s *State) declineOwnership() {
 	s.role = resigning
-	s.earlySubmissions = nil
+	s.heldSubmissions = nil
 	s.log("ownership_declined", "fence", s.ownershipRevision, "why", "planned_stop")
 	s.emit(Resign{OwnerRevision: s.ownershipRevision, Lease: s.lease})
 	s.emit(CancelCalls{OwnerRevision: s.ownershipRevision})
@@ -257,7 +263,7 @@
 		s.campaignAt = s.now.Add(s.cfg.CampaignRetryDelay)
 		return
 	}
-	s.role, s.ownershipRevision, s.lease = recovering, e.Revision, e.Lease
+	s.role, s.ownershipRevision, s.lease, s.leaseGrantedAt = recovering, e.Revision, e.Lease, e.GrantedAt
 	s.ownedSince = s.now
 	if s.stopping {
 		s.declineOwnership()
@@ -285,10 +291,8 @@
 	for _, recorded := range recovery.Jobs {
 		s.core.RestoreJob(recorded)
 	}
-	for _, submitted := range s.earlySubmissions {
-		s.acceptNew(submitted)
-	}
-	s.earlySubmissions = nil
+	s.isSuspended = false
+	s.updateAuthority()
 	s.core.SetDirectory(recovery.Workers)
 	s.directoryAsOf, s.inboxAsOf, s.storeUnavailable, s.isOutdated = recovery.AsOf, recovery.AsOf, false, false
 	s.changed = true
@@ -309,7 +313,7 @@
 	}
 	s.inboxAsOf = e.AsOf
 	for _, submitted := range e.Jobs {
-		s.acceptNew(submitted)
+		s.submit(submitted)
 	}
 	for _, id := range e.Cancelled {
 		s.core.Cancel(id, 0)
@@ -362,17 +366,17 @@
 }
 
 func (s *State) endOwnership(reason string) {
-	s.log("ownership_ended", "fence", s.ownershipRevision, "why", reason)
+	s.log("ownership_ended", "fence", s.ownershipRevision, "why", reason, "renewal_age_ms", milliseconds(s.now.Sub(s.contact.Renewal)))
 	s.emit(CancelCalls{OwnerRevision: s.ownershipRevision})
 	s.core = nil
-	s.earlySubmissions = nil
+	s.heldSubmissions = nil
 	s.changed = true
 }
 
 func (s *State) handleRequest(e RequestReceived) {
 	if s.core == nil {
 		if submit, ok := e.Request.(Submit); ok && s.role == recovering {
-			s.earlySubmissions = append(s.earlySubmissions, submit.Submission)
+			s.heldSubmissions = append(s.heldSubmissions, submit.Submission)
 			s.emit(Answer{Token: e.Token, Reply: Reply{Found: true}})
 			return
 		}
@@ -381,7 +385,7 @@
 	}
 	switch request := e.Request.(type) {
 	case Submit:
-		s.acceptNew(request.Submission)
+		s.submit(request.Submission)
 		s.emit(Answer{Token: e.Token, Reply: Reply{Found: true}})
 	case JobStateQuery:
 		s.core.Subscribe(request.Job, request.Instance)
@@ -398,6 +402,7 @@
 			s.core.AddDemand(team, count)
 		}
 		view := s.core.ViewSince(request.Instance, request.Epoch, request.Since)
+		view.OwnerTime = s.now.Sub(s.ownedSince)
 		s.emit(Answer{Token: e.Token, Reply: Reply{Found: true, View: &view}})
 	}
 }
@@ -445,6 +450,9 @@
 		Catalog: s.catalog, SyncedAt: s.syncedAt, Owner: s.owner, OwnerFound: s.ownerFound,
 		IsOwner: s.core != nil, Stopping: s.stopping,
 	}
+	if s.core != nil {
+		snapshot.OwnershipRevision, snapshot.OwnedSince = s.ownershipRevision, s.ownedSince
+	}
 	if !s.syncedAt.IsZero() {
 		snapshot.KeysValidUntil = s.syncedAt.Add(s.cfg.KeyFreshness)
 		snapshot.ReadyUntil = s.syncedAt.Add(s.cfg.ReadinessTimeout)
--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -31,6 +31,9 @@
 	return h.state.Apply(h.now, h.now, e)
 }
 
+// renew makes the lease of the ownership record valid.
+func (h *harness) renew() { h.state.SetContact(Contact{Renewal: h.now, Request: h.now}) }
+
 func findEffect[E Effect](effects []Effect) (found E, ok bool) {
 	for _, e := range effects {
 		if match, isMatch := e.(E); isMatch {
@@ -49,7 +52,7 @@
 	if _, ok := findEffect[Campaign](h.apply(Tick{})); !ok {
 		h.t.Fatal("no Campaign effect although there is no owner")
 	}
-	if effect, ok := findEffect[Recover](h.apply(CampaignDone{Won: true, Revision: 10, Lease: 3})); !ok || effect.OwnerRevision != 10 {
+	if effect, ok := findEffect[Recover](h.apply(CampaignDone{Won: true, Revision: 10, Lease: 3, GrantedAt: h.now})); !ok || effect.OwnerRevision != 10 {
 		h.t.Fatal("no Recover effect for revision 10 after a won campaign")
 	}
 	return h.apply(Recovered{Revision: 10, State: recovery})
@@ -272,7 +275,7 @@
 	h.apply(OwnerObserved{Revision: 5})
 	h.now = h.now.Add(time.Second)
 	h.apply(Tick{})
-	h.apply(CampaignDone{Won: true, Revision: 10, Lease: 3})
+	h.apply(CampaignDone{Won: true, Revision: 10, Lease: 3, GrantedAt: h.now})
 	h.apply(RequestReceived{Token: 1, Request: Submit{submission("00000000000000a1", 25)}})
 	h.apply(Recovered{Revision: 10, State: Recovery{ReadRevision: 20}})
 	if answer, _ := findEffect[Answer](h.apply(RequestReceived{Token: 2, Request: JobStateQuery{Job: "00000000000000a1"}})); !answer.Reply.Found {
--- a/cell/takeover_test.go
+++ b/cell/takeover_test.go
@@ -54,9 +54,11 @@
 	name        string
 	state       *State
 	contact     Contact
+	followers   followers
+	steppedAt   time.Time // when the instance last ran
 	store       storeAccess
 	delays      map[string]time.Duration // of an order to each worker that the instance reaches
-	isPolled    bool                     // another instance polls it as the owner
+	isPolled    bool                     // an instance that is not modelled polls it as the owner
 	frozenUntil time.Time
 	waiting     []Event // arrived during the freeze
 	readAt      time.Time
@@ -170,9 +172,7 @@
 	if m.now.Before(i.frozenUntil) {
 		return
 	}
-	if i.isPolled {
-		i.contact.Request = m.now
-	}
+	m.pollOwner(i)
 	waiting := i.waiting
 	i.waiting = nil
 	m.deliver(i, Tick{})
@@ -186,6 +186,38 @@
 	m.readStore(i)
 }
 
+// pollOwner records the polls of an instance as the owner by those that take it for the owner. A poll
+// contains the owner's clock as of its last reply, which it has sent before a freeze.
+func (m *takeoverModel) pollOwner(i *modelInstance) {
+	lastReply := i.steppedAt
+	i.steppedAt = m.now
+	if i.state.core == nil {
+		return
+	}
+	var names []string
+	if i.isPolled {
+		names = append(names, "peer")
+	}
+	for _, other := range m.instances {
+		if s := other.state.Snapshot(); other != i && s.OwnerFound && s.Owner == i.state.cfg.Self && m.now.After(other.frozenUntil) {
+			names = append(names, other.name)
+		}
+	}
+	for _, name := range names {
+		i.followers.observe(i.state.ownershipRevision, name, m.now, lastReply)
+		i.contact.Request = lastReply
+	}
+}
+
+// contactOf returns the contact of an instance, as Loop determines it.
+func (m *takeoverModel) contactOf(i *modelInstance) Contact {
+	contact := i.contact
+	if i.state.core != nil && !i.state.isLeaseValid(m.now, contact.Renewal) {
+		contact.SilentFollowers = i.followers.silent(i.state.ownershipRevision, m.now.Add(-i.state.cfg.FollowerTimeout))
+	}
+	return contact
+}
+
 // readStore delivers what an instance reads from the store from time to time.
 func (m *takeoverModel) readStore(i *modelInstance) {
 	switch i.store {
@@ -225,7 +257,7 @@
 		}
 		return
 	}
-	i.state.SetContact(i.contact)
+	i.state.SetContact(m.contactOf(i))
 	for _, effect := range i.state.Apply(m.now, m.now, e) {
 		m.execute(i, effect)
 	}
@@ -281,7 +313,7 @@
 		m.lease = m.revision
 		m.leaseExpiry = m.now.Add(modelTTL)
 		m.owner = OwnerObserved{Found: true, Owner: i.state.cfg.Self, Revision: m.revision}
-		done = CampaignDone{Won: true, Revision: m.revision, Lease: m.lease}
+		done = CampaignDone{Won: true, Revision: m.revision, Lease: m.lease, GrantedAt: m.now.Add(-modelStoreTrip / 2)}
 		m.announceOwner()
 	}
 	m.after(modelStoreTrip/2, func() { m.deliver(i, done) })
--- a/cell/thaw_test.go
+++ b/cell/thaw_test.go
@@ -48,14 +48,15 @@
 				}
 			})
 			loop.RecordRenewal(frozenAt)
-			loop.RecordPeerRequest(frozenAt)
+			view := frozenAt.Sub(h.state.ownedSince) // the last view before the freeze
+			loop.RecordFollower(ViewRequest{Instance: "e2", Epoch: 10, OwnerTime: view}, frozenAt)
 			poll := schedule.Poll{Target: schedule.Target{Worker: "w1", Incarnation: 1}, Wait: time.Second}
 			loop.Post(ctx, ScheduleOutcome{OwnerRevision: 10, Event: schedule.PollDone{Poll: poll, Verdict: schedule.Unclear, SentAt: frozenAt}})
 			if c.storeUnavailable {
 				loop.Post(ctx, StoreUnavailable{})
 			}
 			if c.pollWaits {
-				loop.RecordPeerRequest(time.Now())
+				loop.RecordFollower(ViewRequest{Instance: "e2", Epoch: 10, OwnerTime: view}, time.Now())
 			}
 			go func() { _ = loop.Run(ctx) }()
 			callCtx, cancelCall := context.WithTimeout(ctx, time.Second)
--- a/entry/cell.go
+++ b/entry/cell.go
@@ -55,7 +55,7 @@
 // FollowOwner implements entrypb.CellServer.
 func (s *cellService) FollowOwner(ctx context.Context, r *entrypb.FollowRequest) (*entrypb.FollowReply, error) {
 	s.handler.ObserveInstance(Peer{Instance: r.GetInstance(), Address: r.GetAddress(), FailureDomain: r.GetFailureDomain()})
-	request := cell.ViewRequest{Instance: r.GetInstance(), Epoch: r.GetEpoch(), Since: r.GetSince(), Submitted: make(map[string]int)}
+	request := cell.ViewRequest{Instance: r.GetInstance(), Epoch: r.GetEpoch(), Since: r.GetSince(), Submitted: make(map[string]int), OwnerTime: milliseconds(r.GetOwnerTimeMs())}
 	for team, n := range r.GetSubmitted() {
 		request.Submitted[team] = int(n)
 	}
@@ -70,7 +70,7 @@
 }
 
 func encodeView(v *schedule.View) *entrypb.FollowReply {
-	out := &entrypb.FollowReply{Epoch: v.Epoch, Sequence: v.Sequence, Full: v.Full, Admit: v.AdmittedShare, PollAfterMs: v.PollAfter.Milliseconds(), Waiting: make(map[string]int64)}
+	out := &entrypb.FollowReply{Epoch: v.Epoch, Sequence: v.Sequence, Full: v.Full, Admit: v.AdmittedShare, PollAfterMs: v.PollAfter.Milliseconds(), OwnerTimeMs: v.OwnerTime.Milliseconds(), Waiting: make(map[string]int64)}
 	for _, c := range v.Changes {
 		out.Changes = append(out.Changes, &entrypb.JobStatus{Job: string(c.Job), State: string(c.State), Queue: c.Queue, Team: c.Team})
 	}
@@ -81,7 +81,7 @@
 }
 
 func decodeView(r *entrypb.FollowReply) *schedule.View {
-	v := &schedule.View{Epoch: r.GetEpoch(), Sequence: r.GetSequence(), Full: r.GetFull(), AdmittedShare: r.GetAdmit(), PollAfter: milliseconds(r.GetPollAfterMs()), PendingJobs: make(map[string]int)}
+	v := &schedule.View{Epoch: r.GetEpoch(), Sequence: r.GetSequence(), Full: r.GetFull(), AdmittedShare: r.GetAdmit(), PollAfter: milliseconds(r.GetPollAfterMs()), OwnerTime: milliseconds(r.GetOwnerTimeMs()), PendingJobs: make(map[string]int)}
 	for _, c := range r.GetChanges() {
 		v.Changes = append(v.Changes, schedule.Status{Job: job.ID(c.GetJob()), State: job.State(c.GetState()), Queue: c.GetQueue(), Team: c.GetTeam()})
 	}
@@ -154,7 +154,7 @@
 func (c *Client) FollowOwner(ctx context.Context, address string, self Peer, r cell.ViewRequest) (*schedule.View, error) {
 	request := &entrypb.FollowRequest{
 		Instance: r.Instance, Address: self.Address, FailureDomain: self.FailureDomain,
-		Epoch: r.Epoch, Since: r.Since, Submitted: make(map[string]int64),
+		Epoch: r.Epoch, Since: r.Since, Submitted: make(map[string]int64), OwnerTimeMs: r.OwnerTime.Milliseconds(),
 	}
 	for team, n := range r.Submitted {
 		request.Submitted[team] = int64(n)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -133,7 +133,9 @@
 		metrics:        newRequestMetrics(cfg.Metrics),
 	}
 	i.relays = newRelays(cfg.Name, cfg.Workers, i.peers, cfg.Journal.Event)
-	i.loop = cell.NewLoop(cell.New(cell.DefaultConfig(self, cfg.Cores)), cfg.Metrics, i.execute)
+	cellConfig := cell.DefaultConfig(self, cfg.Cores)
+	cellConfig.OwnershipTTL = cfg.Timing.OwnershipTTL
+	i.loop = cell.NewLoop(cell.New(cellConfig), cfg.Metrics, i.execute)
 	return i
 }
 
@@ -199,13 +201,14 @@
 
 // ObserveInstance implements entry.CellHandler.
 func (i *Instance) ObserveInstance(p entry.Peer) {
-	now := time.Now()
-	i.relays.observePeer(p, now)
-	i.loop.RecordPeerRequest(now)
+	i.relays.observePeer(p, time.Now())
 }
 
 // HandleRequest implements entry.CellHandler.
 func (i *Instance) HandleRequest(ctx context.Context, request any) (cell.Reply, error) {
+	if r, ok := request.(cell.ViewRequest); ok {
+		i.loop.RecordFollower(r, time.Now())
+	}
 	return i.loop.Call(ctx, request)
 }
 
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -150,6 +150,7 @@
 	defer func() { i.loop.Post(ctx, result) }()
 	callCtx, cancel := context.WithTimeout(ctx, campaignTimeout)
 	defer cancel()
+	grantedAt := time.Now()
 	lease, err := i.cfg.Store.Grant(callCtx, i.cfg.Timing.OwnershipTTL)
 	if err != nil {
 		i.logStoreFailure("grant a lease", err)
@@ -166,10 +167,10 @@
 	})
 	switch {
 	case err == nil && done.Succeeded:
-		result = cell.CampaignDone{Won: true, Revision: done.Revision, Lease: lease}
+		result = cell.CampaignDone{Won: true, Revision: done.Revision, Lease: lease, GrantedAt: grantedAt}
 	case errors.Is(err, store.ErrUnclear):
 		if kv, found, _, err := i.cfg.Store.Get(callCtx, keyOwner); err == nil && found && kv.Lease == lease {
-			result = cell.CampaignDone{Won: true, Revision: kv.ModRevision, Lease: lease}
+			result = cell.CampaignDone{Won: true, Revision: kv.ModRevision, Lease: lease, GrantedAt: grantedAt}
 			return
 		}
 		// The write may still take effect; the record is removed with its lease.
--- a/instance/view.go
+++ b/instance/view.go
@@ -35,6 +35,7 @@
 	admittedShare map[string]float64 // fraction of a team's submissions to admit
 	submitted     map[string]int     // number of jobs submitted since the last poll, by team
 	pollAfter     time.Duration      // delay that the owner has requested between polls
+	ownerTime     time.Duration      // see schedule.View
 	sweptAt       time.Time
 }
 
@@ -63,7 +64,7 @@
 		v.jobs[s.Job] = cachedStatus{Status: s, updatedAt: now, epoch: view.Epoch, accepted: v.jobs[s.Job].accepted}
 	}
 	v.epoch, v.sequence, v.updatedAt = view.Epoch, view.Sequence, now
-	v.pendingJobs, v.admittedShare, v.pollAfter = view.PendingJobs, view.AdmittedShare, view.PollAfter
+	v.pendingJobs, v.admittedShare, v.pollAfter, v.ownerTime = view.PendingJobs, view.AdmittedShare, view.PollAfter, view.OwnerTime
 	v.sweep(now)
 }
 
@@ -177,7 +178,7 @@
 func (v *ownerView) nextRequest(name string) cell.ViewRequest {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	request := cell.ViewRequest{Instance: name, Epoch: v.epoch, Since: v.sequence, Submitted: v.submitted}
+	request := cell.ViewRequest{Instance: name, Epoch: v.epoch, Since: v.sequence, Submitted: v.submitted, OwnerTime: v.ownerTime}
 	v.submitted = make(map[string]int)
 	return request
 }
--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -448,7 +448,7 @@
 		c.updateEligibleShare(s.job.Queue, len(e.Call.Workers), len(e.Tickets))
 	}
 	c.logDecision(s.key.Job, "advised", "step", s.key.String(), "named", len(e.Call.Workers), "good", len(e.Tickets), "through", e.Call.Instance, "valid_ms", e.Validity.Milliseconds())
-	if s.reservation != nil && s.hasUnplaced() && !c.placementDisabled {
+	if s.reservation != nil && s.hasUnplaced() && c.mayPlace() {
 		c.placeReserved(s)
 	}
 }
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -95,6 +95,7 @@
 	passDue           bool
 	placementDisabled bool
 	outdated          bool // see SuspendPlacement
+	leasesSuspended   bool // see SuspendLeases
 
 	changes         []publishedStatus // latest status changes that are visible to callers
 	sequence        uint64            // number of the last status change
@@ -128,8 +129,8 @@
 		heldBackTasks:      make(map[job.StepKey]int),
 		round:              1, roundStartedAt: now,
 	}
-	// A former owner renews leases until the first worker rejects its orders, which takes at most
-	// the duration of one poll.
+	// A former owner may grant leases until its authority has ended (see cell.Config), or until the
+	// first worker rejects its orders, which takes at most the duration of one poll.
 	leaseExpiry := now.Add(maxLocalDuration(cfg.Lease) + 2*cfg.PollWait + leaseMargin)
 	for _, r := range roster {
 		c.addUnresolved(r, leaseExpiry)
@@ -148,7 +149,7 @@
 
 // Finish runs a placement pass and a commit if they are due and returns the effects since Begin.
 func (c *Core) Finish() []Effect {
-	if c.passDue && c.now.Sub(c.lastPass) >= c.passInterval() && !c.placementDisabled && !c.outdated {
+	if c.passDue && c.now.Sub(c.lastPass) >= c.passInterval() && c.mayPlace() && !c.outdated {
 		c.placementPass()
 	}
 	c.commitIfDue()
@@ -187,6 +188,13 @@
 // SuspendPlacement suspends placement while the owner's knowledge is outdated, or resumes it.
 func (c *Core) SuspendPlacement(outdated bool) { c.outdated = outdated }
 
+// SuspendLeases suspends everything that grants leases to workers while another instance may have taken
+// over, or resumes it: no tasks start, and the leases of running tasks are not renewed.
+func (c *Core) SuspendLeases(suspended bool) { c.leasesSuspended = suspended }
+
+// mayPlace reports whether tasks may start.
+func (c *Core) mayPlace() bool { return !c.placementDisabled && !c.leasesSuspended }
+
 // AllCommitted reports whether there is nothing to commit and no commit in flight.
 func (c *Core) AllCommitted() bool {
 	return c.busyStreams == [CommitStreams]bool{} && len(c.dirty) == 0 && !c.rosterDirty
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -28,6 +28,7 @@
 	PendingJobs   map[string]int     // number of pending jobs, by queue
 	AdmittedShare map[string]float64 // share of a team's submissions to accept; 1 if missing
 	PollAfter     time.Duration      // delay before the instance's next request
+	OwnerTime     time.Duration      // reading of the owner's clock, which the next request returns
 }
 
 // subscribers holds the names of the instances that receive the changes of a job; nil if all do, since
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -177,7 +177,9 @@
 	// The lease of a worker that does not answer is not renewed: a renewal that may have arrived
 	// would delay the time from which its tasks can be restarted elsewhere.
 	if w.fenced && !w.silent {
-		order.LeaseEnd = c.leaseEnd(w)
+		if !c.leasesSuspended {
+			order.LeaseEnd = c.leaseEnd(w)
+		}
 		if len(w.pendingEnds) == 0 {
 			order.Wait = c.cfg.PollWait
 		}
