Hold submissions while the lease may have expired

Cause: a successor starts jobs that were recorded after its recovery at once, since the former owner cannot know them. It can: an instance whose view of the ownership lags notifies the former owner, which accepts the job until it learns that its lease is gone. Both start it.

Change: an owner accepts jobs only while its lease is certainly valid. Other submissions, and the cancellations of their jobs, wait until it is renewed.

Why it works: a job that arrives while the lease is valid was recorded before any successor took over, so the successor restores it and holds it back until the workers of the former owner have answered or their leases have expired. In an outage of the store no job is recorded, so nothing waits for long.

--- a/cell/authority.go
+++ b/cell/authority.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/job"
 )
 
 // maxClockDrift is the maximum relative rate by which the clock of the store may run faster than this
@@ -46,11 +48,28 @@
 	for _, submitted := range s.heldSubmissions {
 		s.acceptNew(submitted)
 	}
-	s.heldSubmissions = nil
+	for _, id := range s.heldCancellations {
+		s.core.Cancel(id, 0)
+	}
+	s.heldSubmissions, s.heldCancellations = nil, nil
+}
+
+// cancelRecorded cancels a job whose cancellation was read from the store.
+func (s *State) cancelRecorded(id job.ID) {
+	if !s.core.Cancel(id, 0) && len(s.heldSubmissions) > 0 {
+		s.heldCancellations = append(s.heldCancellations, id)
+	}
 }
 
-// submit accepts a job.
-func (s *State) submit(submitted Submission) { s.acceptNew(submitted) }
+// submit accepts a job once it is certain that it was recorded before another instance can have taken
+// over. A successor starts jobs that were recorded later at once, also if this owner has received them.
+func (s *State) submit(submitted Submission) {
+	if s.isLeaseValid(s.now, s.contact.Renewal) {
+		s.acceptNew(submitted)
+		return
+	}
+	s.heldSubmissions = append(s.heldSubmissions, submitted)
+}
 
 // describeNames returns names for a log line, at most eight of them.
 func describeNames(names []string) string {
--- a/cell/authority_test.go
+++ b/cell/authority_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
 
@@ -65,6 +66,62 @@
 	}
 }
 
+// TestSubmissionAfterLease guards against a job that two owners start: the former one, whose lease has
+// expired, and its successor, which starts jobs recorded after its recovery at once.
+func TestSubmissionAfterLease(t *testing.T) {
+	for name, deliver := range map[string]func(h *harness) []Effect{
+		"sent by an instance": func(h *harness) []Effect {
+			return h.apply(RequestReceived{Token: 1, Request: Submit{submission("00000000000000a1", 30)}})
+		},
+		"read from the store": func(h *harness) []Effect {
+			return h.apply(JobsObserved{Jobs: []Submission{submission("00000000000000a1", 30)}, AsOf: h.now})
+		},
+	} {
+		h := newHarness(t)
+		h.becomeReadyOwner()
+		h.now = h.state.ownedSince.Add(10 * time.Second)
+		h.state.SetContact(Contact{Renewal: h.now.Add(-h.state.cfg.OwnershipTTL), Request: h.now})
+		h.apply(StoreUnavailable{})
+		effects := deliver(h)
+		h.now = h.now.Add(20 * time.Millisecond)
+		effects = append(effects, h.apply(Tick{})...)
+		if starts, _ := grants(effects); starts {
+			t.Errorf("%s: the job starts although another instance may have taken over", name)
+		}
+		h.renew()
+		effects = h.apply(Tick{})
+		h.now = h.now.Add(20 * time.Millisecond)
+		h.renew()
+		effects = append(effects, h.apply(Tick{})...)
+		if starts, _ := grants(effects); !starts {
+			t.Errorf("%s: the job does not start once the lease is renewed", name)
+		}
+	}
+}
+
+// TestCancellationOfHeldSubmission guards against a job that runs although its cancellation was read from
+// the store before the lease was renewed.
+func TestCancellationOfHeldSubmission(t *testing.T) {
+	h := newHarness(t)
+	h.becomeReadyOwner()
+	h.now = h.state.ownedSince.Add(10 * time.Second)
+	h.state.SetContact(Contact{Renewal: h.now.Add(-h.state.cfg.OwnershipTTL), Request: h.now})
+	h.apply(RequestReceived{Token: 1, Request: Submit{submission("00000000000000a1", 30)}})
+	h.apply(JobsObserved{Cancelled: []job.ID{"00000000000000a1"}, AsOf: h.now})
+	var effects []Effect
+	for range 2 {
+		h.now = h.now.Add(20 * time.Millisecond)
+		h.renew()
+		effects = append(effects, h.apply(Tick{})...)
+	}
+	if starts, _ := grants(effects); starts {
+		t.Error("the cancelled job starts")
+	}
+	if commit, ok := findEffect[CommitRecords](effects); !ok || len(commit.Commit.Changes) != 1 || commit.Commit.Changes[0].Final == nil {
+		t.Errorf("the cancellation is not recorded: commit %+v", commit.Commit)
+	}
+}
+
 // TestRequestFromBeforeFreeze guards against an owner that wakes up after a freeze and takes a request that
 // has waited in its sockets for evidence that the sender still follows it.
 func TestRequestFromBeforeFreeze(t *testing.T) {
--- a/cell/state.go
+++ b/cell/state.go
@@ -73,6 +73,7 @@
 	tickAt            time.Time
 	core              *schedule.Core
 	heldSubmissions   []Submission // received during recovery, or while the lease may have expired
+	heldCancellations []job.ID     // read from the store meanwhile; their jobs may be among heldSubmissions
 }
 
 // New returns the initial state of an instance.
@@ -316,7 +317,7 @@
 		s.submit(submitted)
 	}
 	for _, id := range e.Cancelled {
-		s.core.Cancel(id, 0)
+		s.cancelRecorded(id)
 	}
 }
 
@@ -369,7 +370,7 @@
 	s.log("ownership_ended", "fence", s.ownershipRevision, "why", reason, "renewal_age_ms", milliseconds(s.now.Sub(s.contact.Renewal)))
 	s.emit(CancelCalls{OwnerRevision: s.ownershipRevision})
 	s.core = nil
-	s.heldSubmissions = nil
+	s.heldSubmissions, s.heldCancellations = nil, nil
 	s.changed = true
 }
 
