schedule: start no gang by outdated knowledge

What callers would see: a gang starts on a worker that leaves, or after its job was cancelled, although the owner has suspended placement.

Cause: the reply to an advice call starts a gang on its reserved workers at once, and checked only whether the instance is shutting down. Found while looking for ways around the authority of an owner.

Evidence: TestNoGangWhileSuspended, case 'knowledge outdated', fails without the change in 10 of 10 runs.

Change: both ways to start tasks check the same conditions.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -149,7 +149,7 @@
 
 // Finish runs a placement pass and a commit if they are due and returns the effects since Begin.
 func (c *Core) Finish() []Effect {
-	if c.passDue && c.now.Sub(c.lastPass) >= c.passInterval() && c.mayPlace() && !c.outdated {
+	if c.passDue && c.now.Sub(c.lastPass) >= c.passInterval() && c.mayPlace() {
 		c.placementPass()
 	}
 	c.commitIfDue()
@@ -193,7 +193,7 @@
 func (c *Core) SuspendLeases(suspended bool) { c.leasesSuspended = suspended }
 
 // mayPlace reports whether tasks may start.
-func (c *Core) mayPlace() bool { return !c.placementDisabled && !c.leasesSuspended }
+func (c *Core) mayPlace() bool { return !c.placementDisabled && !c.outdated && !c.leasesSuspended }
 
 // AllCommitted reports whether there is nothing to commit and no commit in flight.
 func (c *Core) AllCommitted() bool {
