Count suspensions of the machine in the age of leases and of what was read

What callers would see: overlapping runs, or calls with a withdrawn key that are accepted, for a second or more after the machine of an instance was suspended and woke up.

Cause: the clock of package time does not count suspensions on Linux. An owner that wakes up after one takes its ownership lease for valid, and an instance its configuration for current, for as long as they had left before.

Change: the ages of leases, configurations, lists and orders are measured with CLOCK_BOOTTIME, less its reading at the start of the process (package clock). The decision core gets this clock from its configuration.

Evidence: TestLeaseAfterSuspension fails if the loop reads the clock of package time.

--- a/cell/authority_test.go
+++ b/cell/authority_test.go
@@ -170,3 +170,25 @@
 		t.Errorf("a former owner grants leases until %s after the last request of its successor, which assumes %s", granted, assumed)
 	}
 }
+
+// TestLeaseAfterSuspension guards against an owner that takes its lease for valid after its machine was
+// suspended, since the clock of package time does not count the suspension.
+func TestLeaseAfterSuspension(t *testing.T) {
+	h := newHarness(t)
+	suspension := time.Duration(0)
+	h.state.cfg.Now = func() time.Time { return time.Now().Add(suspension) }
+	h.now = time.Now().Add(-time.Minute)
+	h.becomeReadyOwner()
+	l := NewLoop(h.state, metrics.NewRegistry(), func(Effect) {})
+	l.RecordRenewal(time.Now())
+	l.RecordFollower(ViewRequest{Instance: "e2", Epoch: 10, OwnerTime: time.Since(h.state.ownedSince)}, time.Now())
+	l.apply(Tick{})
+	if h.state.isSuspended {
+		t.Fatal("the owner has no authority just after a renewal")
+	}
+	suspension = 4 * time.Second
+	l.apply(Tick{})
+	if h.state.core != nil && !h.state.isSuspended {
+		t.Error("the owner has authority after a suspension of 4 s")
+	}
+}
--- a/cell/config.go
+++ b/cell/config.go
@@ -26,6 +26,7 @@
 	KeyFreshness         time.Duration // how long after the last store sync API keys are accepted
 	ReadinessTimeout     time.Duration // how long after the last store sync the instance is ready for new connections
 	Schedule             schedule.Config
+	Now                  func() time.Time // reads a monotonic clock, which counts suspensions of the machine; time.Now if nil
 }
 
 // DefaultConfig returns values that meet the platform's time limits.
--- a/cell/loop.go
+++ b/cell/loop.go
@@ -30,6 +30,7 @@
 	request   atomic.Pointer[time.Time] // see Contact
 	followers followers
 	execute   func(Effect)
+	now       func() time.Time
 
 	forgotAt time.Time // when former followers were last forgotten
 
@@ -50,6 +51,10 @@
 	)
 	l := &Loop{state: state, urgent: make(chan Event, urgentQueueLength), events: make(chan Event, eventQueueLength), requests: make(chan Event, requestQueueLength), execute: execute}
 	l.applyTime = metrics.NewRegisteredHistogram("control.apply_us", registry, metrics.NewExpDecaySample(sampleSize, sampleDecay))
+	l.now = state.cfg.Now
+	if l.now == nil {
+		l.now = time.Now
+	}
 	l.snapshot.Store(state.Snapshot())
 	l.renewal.Store(&time.Time{})
 	l.request.Store(&time.Time{})
@@ -208,10 +213,10 @@
 }
 
 func (l *Loop) apply(e Event) {
-	started := time.Now()
+	started := l.now()
 	l.state.SetContact(l.contactAt(started))
-	effects := l.state.Apply(started, started, e)
-	l.state.RecordProcessingTime(time.Since(started))
+	effects := l.state.Apply(started, time.Now(), e)
+	l.state.RecordProcessingTime(l.now().Sub(started))
 	// The snapshot is published first, so that no effect runs against an older
 	// snapshot than the state that produced it.
 	if l.state.ResetChanged() {
@@ -224,7 +229,7 @@
 		}
 		l.execute(effect)
 	}
-	l.applyTime.Update(time.Since(started).Microseconds())
+	l.applyTime.Update(l.now().Sub(started).Microseconds())
 }
 
 func (l *Loop) deliver(a Answer) {
--- a/instance/accept.go
+++ b/instance/accept.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/cell"
+	"github.com/mulberrydrum/mulberrydrum/clock"
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/store"
@@ -64,7 +65,7 @@
 	if err := j.Check(); err != nil {
 		return errkind.New(errkind.InvalidRequest, "%v", err)
 	}
-	if unresponsive := i.storeUnresponsiveFor(time.Now()); unresponsive > 0 && !i.allowProbe(time.Now()) {
+	if unresponsive := i.storeUnresponsiveFor(clock.Now()); unresponsive > 0 && !i.allowProbe(clock.Now()) {
 		i.cfg.Journal.Event("refused", "job", string(j.ID), "why", "store_silent", "silent_ms", unresponsive.Milliseconds())
 		return errkind.New(errkind.StoreUnavailable, "the store does not answer").WithRetryAfter(retryAfterStore)
 	}
@@ -148,7 +149,7 @@
 // the latest after the deadline of its caller.
 func (i *Instance) recordBatch(ctx context.Context, batch []*pendingSubmission) {
 	for len(batch) > 0 {
-		began := time.Now()
+		began := clock.Now()
 		i.unansweredSince.CompareAndSwap(0, began.UnixNano())
 		callCtx, cancel := context.WithTimeout(ctx, acceptTimeout)
 		result, err := store.CommitHedged(callCtx, i.cfg.Store, acceptTxn(batch), commitHedge)
--- a/instance/execute.go
+++ b/instance/execute.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mulberrydrum/mulberrydrum/cell"
+	"github.com/mulberrydrum/mulberrydrum/clock"
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
 
@@ -35,7 +36,7 @@
 	case cell.CommitRecords:
 		go i.commit(i.ownerCtx, e)
 	case cell.Order:
-		go i.executeOrder(i.ownerCtx, e, time.Now())
+		go i.executeOrder(i.ownerCtx, e, clock.Now())
 	}
 }
 
@@ -46,18 +47,18 @@
 	var outcome any
 	switch order := e.Effect.(type) {
 	case schedule.Poll:
-		callCtx, cancel := context.WithDeadline(ctx, issuedAt.Add(i.cfg.Timing.PollMargin+order.Wait))
+		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.PollMargin+order.Wait-clock.Since(issuedAt))
 		outcome = i.relays.Poll(callCtx, e.Fence, order)
 		cancel()
 	case schedule.Start:
 		i.metrics.taskWait.Update(order.WaitTime.Milliseconds())
-		callCtx, cancel := context.WithDeadline(ctx, issuedAt.Add(i.cfg.Timing.OrderTimeout))
+		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.OrderTimeout-clock.Since(issuedAt))
 		outcome = schedule.StartDone{Start: order, Verdict: sendOrder(callCtx,
 			func(ctx context.Context) schedule.Verdict { return i.relays.Start(ctx, e.Fence, order) },
 			func(ctx context.Context) schedule.Verdict { return i.cfg.Workers.Start(ctx, e.Fence, order) })}
 		cancel()
 	case schedule.Stop:
-		callCtx, cancel := context.WithDeadline(ctx, issuedAt.Add(i.cfg.Timing.OrderTimeout))
+		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.OrderTimeout-clock.Since(issuedAt))
 		outcome = schedule.StopDone{Stop: order, Verdict: sendOrder(callCtx,
 			func(ctx context.Context) schedule.Verdict { return i.relays.Stop(ctx, e.Fence, order) },
 			func(ctx context.Context) schedule.Verdict { return i.cfg.Workers.Stop(ctx, e.Fence, order) })}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mulberrydrum/mulberrydrum/cell"
+	"github.com/mulberrydrum/mulberrydrum/clock"
 	"github.com/mulberrydrum/mulberrydrum/entry"
 	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/membership"
@@ -134,7 +135,7 @@
 	}
 	i.relays = newRelays(cfg.Name, cfg.Workers, i.peers, cfg.Journal.Event)
 	cellConfig := cell.DefaultConfig(self, cfg.Cores)
-	cellConfig.OwnershipTTL = cfg.Timing.OwnershipTTL
+	cellConfig.OwnershipTTL, cellConfig.Now = cfg.Timing.OwnershipTTL, clock.Now
 	i.loop = cell.NewLoop(cell.New(cellConfig), cfg.Metrics, i.execute)
 	return i
 }
@@ -190,7 +191,7 @@
 // was recently in sync with the store and is not shutting down.
 func (i *Instance) Ready() bool {
 	s := i.loop.Snapshot()
-	return s.Catalog != nil && !s.Stopping && time.Now().Before(s.ReadyUntil)
+	return s.Catalog != nil && !s.Stopping && clock.Now().Before(s.ReadyUntil)
 }
 
 func (i *Instance) followCatalog(ctx context.Context) error {
@@ -207,7 +208,7 @@
 // HandleRequest implements entry.CellHandler.
 func (i *Instance) HandleRequest(ctx context.Context, request any) (cell.Reply, error) {
 	if r, ok := request.(cell.ViewRequest); ok {
-		i.loop.RecordFollower(r, time.Now())
+		i.loop.RecordFollower(r, clock.Now())
 	}
 	return i.loop.Call(ctx, request)
 }
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/cell"
+	"github.com/mulberrydrum/mulberrydrum/clock"
 	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
@@ -150,7 +151,7 @@
 	defer func() { i.loop.Post(ctx, result) }()
 	callCtx, cancel := context.WithTimeout(ctx, campaignTimeout)
 	defer cancel()
-	grantedAt := time.Now()
+	grantedAt := clock.Now()
 	lease, err := i.cfg.Store.Grant(callCtx, i.cfg.Timing.OwnershipTTL)
 	if err != nil {
 		i.logStoreFailure("grant a lease", err)
@@ -212,7 +213,7 @@
 func (i *Instance) renew(ctx context.Context, lease int64) {
 	callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.OwnershipTTL)
 	defer cancel()
-	sentAt := time.Now()
+	sentAt := clock.Now()
 	_, err := i.cfg.Store.KeepAlive(callCtx, lease)
 	switch {
 	case err == nil:
@@ -323,7 +324,7 @@
 func (i *Instance) readDirectory(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, i.cfg.Timing.DirectoryInterval)
-		sentAt := time.Now()
+		sentAt := clock.Now()
 		callCtx, cancel := context.WithTimeout(ctx, directoryTimeout)
 		workers, err := i.cfg.Directory.Workers(callCtx)
 		cancel()
@@ -332,7 +333,7 @@
 			continue
 		}
 		i.logStoreFailure("read the directory of workers", err)
-		if time.Since(sentAt) < directoryTimeout {
+		if clock.Since(sentAt) < directoryTimeout {
 			i.loop.Post(ctx, cell.StoreUnavailable{})
 		}
 	}
--- a/instance/records.go
+++ b/instance/records.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mulberrydrum/mulberrydrum/cell"
+	"github.com/mulberrydrum/mulberrydrum/clock"
 	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 	"github.com/mulberrydrum/mulberrydrum/store"
@@ -94,7 +94,7 @@
 // owner can succeed, since the ownership record in its condition has changed. The reads
 // run concurrently, since a slow store responds to only a few sequential reads per second.
 func (i *Instance) readRecovery(ctx context.Context) (cell.Recovery, error) {
-	recovery := cell.Recovery{AsOf: time.Now()}
+	recovery := cell.Recovery{AsOf: clock.Now()}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return i.readSequences(ctx, &recovery) })
 	group.Go(func() error { return i.readJobs(ctx, &recovery) })
--- a/instance/relay.go
+++ b/instance/relay.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/mulberrydrum/mulberrydrum/clock"
 	"github.com/mulberrydrum/mulberrydrum/entry"
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
@@ -198,7 +199,7 @@
 // Poll implements Workers. A poll whose relay was lost is sent directly, which is safe
 // because polls are idempotent.
 func (r *relays) Poll(ctx context.Context, fence int64, p schedule.Poll) schedule.PollDone {
-	sentAt := time.Now()
+	sentAt := clock.Now()
 	outcome, _ := r.send(ctx, p.Target, fence, p)
 	if outcome == nil {
 		if ctx.Err() != nil {
--- a/store/follow.go
+++ b/store/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/clock"
 )
 
 // followRetryDelay is the delay before Follow retries a failed call.
@@ -26,7 +28,7 @@
 	next := int64(0) // revision from which to watch; 0 to list first
 	for ctx.Err() == nil {
 		if next == 0 {
-			asOf := time.Now()
+			asOf := clock.Now()
 			kvs, revision, err := s.List(ctx, prefix)
 			if err != nil {
 				f.Failed(err)
