clock: read the suspensions only when the time of day has moved

Cause: each reading of the clock took three system calls, and the control goroutine reads it for each event.

Change: the suspensions are read only when the time of day has advanced by another amount than the monotonic clock, which both come with time.Now.

--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -14,15 +14,41 @@
 	}
 }
 
-// TestAddSuspension guards against a suspension that is not counted, and against steps of the clock by
-// inaccurate measurements.
-func TestAddSuspension(t *testing.T) {
-	now := time.Now()
-	for suspension, want := range map[time.Duration]time.Duration{
-		0: 0, -100 * time.Microsecond: 0, 100 * time.Microsecond: 0, 4 * time.Second: 4 * time.Second,
+// TestSuspension guards against a suspension that is not counted, and against a step of the time of day or
+// an inaccurate measurement that is taken for one.
+func TestSuspension(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		dayStep         time.Duration // of the time of day relative to the monotonic clock
+		suspension      time.Duration // as measured
+		wantSuspension  time.Duration
+		wantMeasurement bool
+	}{
+		{"no change", 0, 0, 0, false},
+		{"adjustment of the time of day", 100 * time.Microsecond, 0, 0, false},
+		{"suspension", 4 * time.Second, 4 * time.Second, 4 * time.Second, true},
+		{"step of the time of day", 2 * time.Second, 0, 0, true},
+		{"step back", -2 * time.Second, 0, 0, true},
+		{"inaccurate measurement", 2 * time.Second, 100 * time.Microsecond, 0, true},
 	} {
-		if got := add(now, suspension).Sub(now); got != want {
-			t.Errorf("suspended for %s: the clock advances by %s, want %s", suspension, got, want)
+		const beforeStart = time.Hour
+		measurements, suspension := 0, beforeStart
+		clock := newClock(time.Now(), func() time.Duration { measurements++; return suspension })
+		suspension += c.suspension
+		later := time.Now()
+		clock.last.Store(&measurement{dayOffset: -c.dayStep})
+		measurements = 0
+		if got := clock.now(later).Sub(later); got != c.wantSuspension {
+			t.Errorf("%s: the clock advances by %s, want %s", c.name, got, c.wantSuspension)
 		}
+		if (measurements > 0) != c.wantMeasurement {
+			t.Errorf("%s: %d readings of the suspensions, want any: %v", c.name, measurements, c.wantMeasurement)
+		}
+	}
+}
+
+func BenchmarkNow(b *testing.B) {
+	for b.Loop() {
+		_ = Now()
 	}
 }
