soak: cut off zones at random

No random run of the soak could find it, since it cut off no group of machines.

Change: one of nine random faults cuts off a zone for up to 13 s, unless another fault affects a machine of it. Successors start lost tasks from 8 s on, so shorter cuts alone would not show the fault.

Ruled out: more frequent cuts, which would keep other faults of the same machines from being injected at the same time.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -11,13 +11,15 @@
 // injectFault injects one random fault, waits until it ends, and then up to 700 ms.
 func (h *harness) injectFault(rng *rand.Rand) {
 	pause := time.Duration(200+rng.IntN(3000)) * time.Millisecond
-	switch rng.IntN(4) {
-	case 0, 1:
+	switch rng.IntN(9) {
+	case 0, 1, 2, 3:
 		h.injectNodeFault(rng, pause)
-	case 2:
+	case 4, 5:
 		h.injectStoreFault(rng, pause)
-	case 3:
+	case 6, 7:
 		h.injectWorkerFault(rng, pause)
+	case 8:
+		h.cutZone(rng.IntN(zones), 4*pause)
 	}
 	time.Sleep(time.Duration(rng.IntN(700)) * time.Millisecond)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -82,7 +82,7 @@
 
 // TestSoak guards against accepted jobs that do not end, refused jobs that run, overlapping runs, runs
 // after a success or long after a cancellation, and overloaded workers under random combinations of
-// faults of the instances, the store and the workers.
+// faults of the instances, the store, the workers and the network.
 func TestSoak(t *testing.T) {
 	program := build(t)
 	seedList := append([]uint64(nil), regressions...)
