--- a/soak/network_test.go
+++ b/soak/network_test.go
@@ -11,6 +11,7 @@
 	"regexp"
 	"strconv"
 	"sync"
+	"testing"
 )
 
 // network connects the zones and can cut them off. The machine with number M has the address
@@ -134,24 +135,51 @@
 // addressTranslator replaces addresses of machines in a stream of bytes by those that a zone uses.
 type addressTranslator struct {
 	zone int
-	last []byte // bytes before the current one
+	last []byte // the bytes before the current ones in which an address may begin
 }
 
 func (a *addressTranslator) translate(b []byte) {
-	length := len(addressPrefix) + len("120.9")
-	for i := range b {
-		if text, ok := bytes.CutPrefix(a.last, []byte(addressPrefix)); ok && len(a.last) == length && bytes.HasSuffix(text, []byte(".9")) {
-			number, err := strconv.Atoi(string(text[:len("120")]))
-			switch {
-			case err != nil: // not an address
-			case number%zones == a.zone:
-				b[i] = '0'
-			default:
-				b[i] = byte('1' + a.zone)
-			}
+	const number = len("120")
+	length := len(addressPrefix) + number + len(".9") // of an address before its last digit
+	text := append(a.last, b...)
+	for from := 0; ; {
+		found := bytes.Index(text[from:], []byte(addressPrefix))
+		if found < 0 || from+found+length >= len(text) {
+			break
+		}
+		begin := from + found + len(addressPrefix)
+		from = begin
+		end := begin + number + len(".9")
+		machine, err := strconv.Atoi(string(text[begin : begin+number]))
+		digit := end - len(a.last)
+		if err != nil || string(text[begin+number:end]) != ".9" || digit < 0 {
+			continue // not an address, or translated with the bytes before
+		}
+		if machine%zones == a.zone {
+			b[digit] = '0'
+		} else {
+			b[digit] = byte('1' + a.zone)
+		}
+	}
+	a.last = append([]byte(nil), text[max(0, len(text)-length):]...)
+}
+
+// TestAddressTranslator guards against an address that is not translated because it arrives in parts.
+func TestAddressTranslator(t *testing.T) {
+	text := "a" + addressPrefix + "121.90:80," + addressPrefix + "122.92:80," + addressPrefix + "12." + addressPrefix + "123.90"
+	want := "a" + addressPrefix + "121.93:80," + addressPrefix + "122.90:80," + addressPrefix + "12." + addressPrefix + "123.93"
+	for size := 1; size <= len(text); size++ {
+		addresses := addressTranslator{zone: 122 % zones}
+		var got []byte
+		for rest := []byte(text); len(rest) > 0; {
+			part := rest[:min(size, len(rest))]
+			rest = rest[len(part):]
+			addresses.translate(part)
+			got = append(got, part...)
+		}
+		if string(got) != want {
+			t.Fatalf("in parts of %d bytes: %q, want %q", size, got, want)
 		}
-		a.last = append(a.last, b[i])
-		a.last = a.last[max(0, len(a.last)-length):]
 	}
 }
 
