Know the followers only some time after the end of a recovery

What callers would see: overlapping runs, if an owner is cut off or frozen within tenths of a second after a recovery that took longer than 1.5 s.

Cause: the other instances are recorded as followers from the end of the recovery on, but the time after which the owner takes them for known counted from its election. After a slow recovery, an empty list counted as one of all instances.

Evidence: TestCutOffJustAfterSlowRecovery and TestSecondTakeoverAfterSlowRecovery fail without the change (the latter with two runs at once on live workers).

Change: the time counts from the end of the recovery.

--- a/cell/authority.go
+++ b/cell/authority.go
@@ -29,8 +29,9 @@
 		return
 	}
 	isLeaseValid := s.isLeaseValid(s.now, s.contact.Renewal)
-	// An owner that has just taken over may not know all other instances yet.
-	knowsFollowers := s.contact.Renewal.Sub(s.ownedSince) >= s.cfg.FollowerTimeout
+	// An owner answers the requests of the other instances from the end of its recovery on, and may not
+	// know all of them yet.
+	knowsFollowers := s.contact.Renewal.Sub(s.readySince) >= s.cfg.FollowerTimeout
 	hasAuthority := isLeaseValid || (knowsFollowers && len(s.contact.SilentFollowers) == 0)
 	if hasAuthority == s.isSuspended {
 		s.isSuspended = !hasAuthority
--- a/cell/state.go
+++ b/cell/state.go
@@ -64,6 +64,7 @@
 	recoveryRevision  int64                         // store revision at which the recovery read the jobs
 	renewAt           time.Time
 	ownedSince        time.Time
+	readySince        time.Time // end of the recovery
 	contact           Contact
 	directoryAsOf     time.Time // see DirectoryRead
 	inboxAsOf         time.Time // see JobsObserved
@@ -283,6 +284,7 @@
 	}
 	recovery := e.State
 	s.role, s.sequences, s.recoveryRevision = owning, recovery.Sequences, recovery.ReadRevision
+	s.readySince = s.now
 	s.core = schedule.New(s.now, s.cfg.Schedule, s.ownershipRevision, s.catalog, recovery.Roster)
 	s.core.Begin(s.now, s.wall)
 	if s.stopping {
--- a/cell/takeover_test.go
+++ b/cell/takeover_test.go
@@ -51,17 +51,23 @@
 }
 
 type modelInstance struct {
-	name        string
-	state       *State
-	contact     Contact
-	followers   followers
-	steppedAt   time.Time // when the instance last ran
-	store       storeAccess
-	delays      map[string]time.Duration // of an order to each worker that the instance reaches
-	isPolled    bool                     // an instance that is not modelled polls it as the owner
-	frozenUntil time.Time
-	waiting     []Event // arrived during the freeze
-	readAt      time.Time
+	name          string
+	state         *State
+	contact       Contact
+	followers     followers
+	steppedAt     time.Time // when the instance last ran
+	store         storeAccess
+	delays        map[string]time.Duration // of an order to each worker that the instance reaches
+	isPolled      bool                     // an instance that is not modelled polls it as the owner
+	frozenUntil   time.Time
+	recoveryDelay time.Duration        // additional time to read the records
+	replies       map[string]time.Time // sent to each instance
+	repliesOf     int64
+	pollInterval  time.Duration
+	cutFrom       map[string]bool // instances
+	pollsNobody   bool            // its polls do not reach the owner
+	waiting       []Event         // arrived during the freeze
+	readAt        time.Time
 }
 
 type modelWorker struct {
@@ -199,13 +205,26 @@
 		names = append(names, "peer")
 	}
 	for _, other := range m.instances {
-		if s := other.state.Snapshot(); other != i && s.OwnerFound && s.Owner == i.state.cfg.Self && m.now.After(other.frozenUntil) {
+		if s := other.state.Snapshot(); other != i && !other.pollsNobody && !i.cutFrom[other.name] && s.OwnerFound && s.Owner == i.state.cfg.Self && m.now.After(other.frozenUntil) {
 			names = append(names, other.name)
 		}
 	}
+	if i.replies == nil || i.repliesOf != i.state.ownershipRevision {
+		i.replies, i.repliesOf = map[string]time.Time{}, i.state.ownershipRevision
+	}
 	for _, name := range names {
-		i.followers.observe(i.state.ownershipRevision, name, m.now, lastReply)
-		i.contact.Request = lastReply
+		if i.pollInterval > 0 && m.now.Sub(i.replies[name]) < i.pollInterval {
+			continue
+		}
+		reply := lastReply
+		if i.pollInterval > 0 {
+			reply = i.replies[name]
+		}
+		i.replies[name] = m.now
+		i.followers.observe(i.state.ownershipRevision, name, m.now, reply)
+		if reply.After(i.contact.Request) {
+			i.contact.Request = reply
+		}
 	}
 }
 
@@ -326,7 +345,7 @@
 			recovery.Jobs = append(recovery.Jobs, schedule.RecordedJob{Job: s.Job})
 		}
 	}
-	m.after(modelStoreTrip/2, func() {
+	m.after(modelStoreTrip/2+i.recoveryDelay, func() {
 		m.deliver(i, StoreSynced{At: recovery.AsOf})
 		m.deliver(i, Recovered{Revision: e.OwnerRevision, State: recovery})
 	})
