Ignore records of jobs that have ended, however late they arrive

What callers would see: a job runs again more than 30 s after its success (TWICE).

Cause: an owner forgot ended jobs after 30 s of its time of day. Its watch of the store, if it was interrupted for longer, or a late notification then delivered the record of such a job, which counted as new.

Change: the watch states up to which revision it has delivered everything, and under which ownership. A submission recorded up to there is ignored, and an ended job is forgotten only once that revision covers its end.

Why it works: a job recorded up to that revision was delivered before, so one that is unknown has ended; a later one cannot have ended and been forgotten.

--- a/cell/authority.go
+++ b/cell/authority.go
@@ -47,7 +47,7 @@
 // acceptHeld accepts the submissions that arrived during recovery or while the lease may have expired.
 func (s *State) acceptHeld() {
 	for _, submitted := range s.heldSubmissions {
-		s.acceptNew(submitted)
+		s.core.Accept(submitted.Job)
 	}
 	for _, id := range s.heldCancellations {
 		s.core.Cancel(id, 0)
@@ -65,8 +65,11 @@
 // submit accepts a job once it is certain that it was recorded before another instance can have taken
 // over. A successor starts jobs that were recorded later at once, also if this owner has received them.
 func (s *State) submit(submitted Submission) {
+	if s.isDelivered(submitted) {
+		return
+	}
 	if s.isLeaseValid(s.now, s.contact.Renewal) {
-		s.acceptNew(submitted)
+		s.core.Accept(submitted.Job)
 		return
 	}
 	s.heldSubmissions = append(s.heldSubmissions, submitted)
--- a/cell/authority_test.go
+++ b/cell/authority_test.go
@@ -74,7 +74,7 @@
 			return h.apply(RequestReceived{Token: 1, Request: Submit{submission("00000000000000a1", 30)}})
 		},
 		"read from the store": func(h *harness) []Effect {
-			return h.apply(JobsObserved{Jobs: []Submission{submission("00000000000000a1", 30)}, AsOf: h.now})
+			return h.apply(JobsObserved{OwnerRevision: 10, Jobs: []Submission{submission("00000000000000a1", 30)}, AsOf: h.now})
 		},
 	} {
 		h := newHarness(t)
@@ -107,7 +107,7 @@
 	h.now = h.state.ownedSince.Add(10 * time.Second)
 	h.state.SetContact(Contact{Renewal: h.now.Add(-h.state.cfg.OwnershipTTL), Request: h.now})
 	h.apply(RequestReceived{Token: 1, Request: Submit{submission("00000000000000a1", 30)}})
-	h.apply(JobsObserved{Cancelled: []job.ID{"00000000000000a1"}, AsOf: h.now})
+	h.apply(JobsObserved{OwnerRevision: 10, Cancelled: []job.ID{"00000000000000a1"}, AsOf: h.now})
 	var effects []Effect
 	for range 2 {
 		h.now = h.now.Add(20 * time.Millisecond)
--- a/cell/event.go
+++ b/cell/event.go
@@ -69,9 +69,11 @@
 	StoreUnavailable struct{}
 	// JobsObserved delivers jobs and cancellations that were read from the store.
 	JobsObserved struct {
-		Jobs      []Submission
-		Cancelled []job.ID
-		AsOf      time.Time // every one acknowledged up to then was delivered
+		OwnerRevision int64 // of the ownership record under which they were read
+		Jobs          []Submission
+		Cancelled     []job.ID
+		Revision      int64     // of the store; every one recorded up to it was delivered
+		AsOf          time.Time // every one acknowledged up to then was delivered
 	}
 	// ScheduleOutcome delivers the outcome of an effect of package schedule that was
 	// issued under the ownership with revision OwnerRevision.
--- a/cell/outdated_test.go
+++ b/cell/outdated_test.go
@@ -59,7 +59,7 @@
 		}
 		if !c.unavailable || c.unavailableEnded {
 			h.apply(DirectoryRead{Workers: []schedule.Worker{worker("w1")}, AsOf: h.now.Add(-c.directory)})
-			h.apply(JobsObserved{AsOf: h.now.Add(-c.inbox)})
+			h.apply(JobsObserved{OwnerRevision: 10, AsOf: h.now.Add(-c.inbox)})
 			h.apply(StoreSynced{At: h.now.Add(-c.catalog)})
 		}
 		effects := h.apply(RequestReceived{Token: 1, Request: Submit{submission("00000000000000a1", 30)}})
--- a/cell/state.go
+++ b/cell/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/job"
@@ -61,7 +62,7 @@
 	lease             int64
 	leaseGrantedAt    time.Time                     // when the grant of the lease was sent
 	sequences         [schedule.CommitStreams]int64 // revisions of the sequence records
-	recoveryRevision  int64                         // store revision at which the recovery read the jobs
+	inboxRevision     int64                         // store revision up to which every recorded job was delivered
 	renewAt           time.Time
 	ownedSince        time.Time
 	readySince        time.Time // end of the recovery
@@ -283,7 +284,8 @@
 		return
 	}
 	recovery := e.State
-	s.role, s.sequences, s.recoveryRevision = owning, recovery.Sequences, recovery.ReadRevision
+	s.role, s.sequences, s.inboxRevision = owning, recovery.Sequences, recovery.ReadRevision
+	s.heldSubmissions = slices.DeleteFunc(s.heldSubmissions, s.isDelivered)
 	s.readySince = s.now
 	s.core = schedule.New(s.now, s.cfg.Schedule, s.ownershipRevision, s.catalog, recovery.Roster)
 	s.core.Begin(s.now, s.wall)
@@ -302,16 +304,12 @@
 	s.log("ownership_ready", "fence", s.ownershipRevision, "jobs", len(recovery.Jobs), "workers", len(recovery.Workers), "roster", len(recovery.Roster))
 }
 
-// acceptNew accepts a job that was recorded after the revision at which the recovery read
-// the jobs. A job recorded earlier was either recovered or has ended under a former owner.
-func (s *State) acceptNew(submitted Submission) {
-	if submitted.Revision > s.recoveryRevision {
-		s.core.Accept(submitted.Job)
-	}
-}
+// isDelivered reports whether the record of a job was delivered before, by the recovery or by the watch.
+// A job that was delivered and is unknown has ended.
+func (s *State) isDelivered(submitted Submission) bool { return submitted.Revision <= s.inboxRevision }
 
 func (s *State) observeJobs(e JobsObserved) {
-	if s.core == nil {
+	if s.core == nil || e.OwnerRevision != s.ownershipRevision {
 		return
 	}
 	s.inboxAsOf = e.AsOf
@@ -321,6 +319,8 @@
 	for _, id := range e.Cancelled {
 		s.cancelRecorded(id)
 	}
+	s.inboxRevision = max(s.inboxRevision, e.Revision)
+	s.core.ObserveInbox(s.inboxRevision)
 }
 
 func (s *State) committed(e Committed) {
@@ -332,7 +332,7 @@
 		return
 	}
 	s.sequences[e.Commit.Stream] = e.Sequence
-	s.core.CommitDone(schedule.CommitDone{Commit: e.Commit})
+	s.core.CommitDone(schedule.CommitDone{Commit: e.Commit, Revision: e.Sequence})
 }
 
 func (s *State) applyOutcome(e any) {
--- a/cell/takeover_test.go
+++ b/cell/takeover_test.go
@@ -243,7 +243,7 @@
 	case storeRefused:
 		m.deliver(i, StoreUnavailable{})
 	case storeReachable:
-		asOf, observed, submissions := m.now, m.owner, []Submission{}
+		asOf, observed, submissions, revision, ownership := m.now, m.owner, []Submission{}, m.revision, i.state.ownershipRevision
 		for id, s := range m.jobs {
 			if !m.finals[id] {
 				submissions = append(submissions, s)
@@ -253,7 +253,7 @@
 			m.deliver(i, observed)
 			m.deliver(i, StoreSynced{At: asOf})
 			m.deliver(i, DirectoryRead{Workers: m.directory(), AsOf: asOf})
-			m.deliver(i, JobsObserved{Jobs: submissions, AsOf: asOf})
+			m.deliver(i, JobsObserved{OwnerRevision: ownership, Jobs: submissions, Revision: revision, AsOf: asOf})
 		})
 	}
 }
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -198,7 +198,7 @@
 		cancel()
 		if err == nil {
 			i.loop.Post(ctx, cell.Recovered{Revision: ownership, State: recovery})
-			go i.followInbox(ctx)
+			go i.followInbox(ctx, ownership)
 			go i.readDirectory(ctx)
 			go i.sweepPeriodically(ctx, ownership)
 			return
@@ -287,12 +287,15 @@
 
 // inboxFollower posts new jobs and cancellations to the control goroutine.
 type inboxFollower struct {
-	ctx      context.Context
-	instance *Instance
+	ctx       context.Context
+	instance  *Instance
+	ownership int64 // revision of the ownership record
 }
 
 // Listed implements store.Follower.
-func (f *inboxFollower) Listed(kvs []store.KeyValue, _ int64, asOf time.Time) { f.post(kvs, asOf) }
+func (f *inboxFollower) Listed(kvs []store.KeyValue, revision int64, asOf time.Time) {
+	f.post(kvs, revision, asOf)
+}
 
 // Changed implements store.Follower.
 func (f *inboxFollower) Changed(b store.WatchBatch) {
@@ -302,13 +305,13 @@
 			kvs = append(kvs, change.KeyValue)
 		}
 	}
-	f.post(kvs, b.AsOf)
+	f.post(kvs, b.Revision, b.AsOf)
 }
 
 // post posts an observation also if it is empty, since it shows that the knowledge is current.
-func (f *inboxFollower) post(kvs []store.KeyValue, asOf time.Time) {
+func (f *inboxFollower) post(kvs []store.KeyValue, revision int64, asOf time.Time) {
 	jobs, cancelled := f.instance.decodeInbox(kvs)
-	f.instance.loop.Post(f.ctx, cell.JobsObserved{Jobs: jobs, Cancelled: cancelled, AsOf: asOf})
+	f.instance.loop.Post(f.ctx, cell.JobsObserved{OwnerRevision: f.ownership, Jobs: jobs, Cancelled: cancelled, Revision: revision, AsOf: asOf})
 }
 
 // Failed implements store.Follower.
@@ -316,8 +319,8 @@
 
 // followInbox watches for jobs and cancellations that other instances recorded but could
 // not send to the owner.
-func (i *Instance) followInbox(ctx context.Context) {
-	_ = store.Follow(ctx, i.cfg.Store, inboxPrefix, &inboxFollower{ctx: ctx, instance: i}) // returns only when ctx ends
+func (i *Instance) followInbox(ctx context.Context, ownership int64) {
+	_ = store.Follow(ctx, i.cfg.Store, inboxPrefix, &inboxFollower{ctx: ctx, instance: i, ownership: ownership}) // returns only when ctx ends
 }
 
 // readDirectory polls the directory of workers until ctx ends.
--- a/schedule/commit.go
+++ b/schedule/commit.go
@@ -124,7 +124,7 @@
 		j.recordedVersion = change.version
 		j.committing = false
 		if change.Final != nil {
-			c.finals[j.ID] = endedJob{*change.Final, j.subscribers}
+			c.finals[j.ID] = endedJob{*change.Final, j.subscribers, c.now, e.Revision}
 			c.publish(j)
 			delete(c.jobs, j.ID)
 			for _, token := range j.cancelTokens {
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -55,12 +55,13 @@
 	epoch   int64 // increases with every change of owner; run numbers are derived from it
 	catalog *job.Catalog
 
-	jobs        map[job.ID]*jobState
-	recurring   map[job.ID]*jobState       // jobs with occurrences that are not active yet
-	steps       map[job.StepKey]*stepState // active steps with unfinished tasks
-	finals      map[job.ID]endedJob        // jobs whose final state was recorded in this epoch
-	pendingJobs map[string]int             // number of pending jobs, by queue
-	usage       map[string]*teamUsage
+	jobs          map[job.ID]*jobState
+	recurring     map[job.ID]*jobState       // jobs with occurrences that are not active yet
+	steps         map[job.StepKey]*stepState // active steps with unfinished tasks
+	finals        map[job.ID]endedJob        // jobs whose final state was recorded in this epoch
+	inboxRevision int64                      // see ObserveInbox
+	pendingJobs   map[string]int             // number of pending jobs, by queue
+	usage         map[string]*teamUsage
 
 	workers              map[string]*worker
 	workerOrder          []*worker                   // sorted by ID; nil if it must be rebuilt
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -61,6 +61,8 @@
 type endedJob struct {
 	job.Final
 	subscribers subscribers
+	recordedAt  time.Time
+	revision    int64 // of the store with the final state
 }
 
 type taskState struct {
--- a/schedule/message.go
+++ b/schedule/message.go
@@ -207,5 +207,6 @@
 // CommitDone reports that a Commit is durable. There is none if the transaction was rejected because
 // the ownership has changed; the owner then steps down.
 type CommitDone struct {
-	Commit Commit
+	Revision int64 // of the store with the commit
+	Commit   Commit
 }
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -133,10 +133,14 @@
 	return v
 }
 
-// evictFinals removes final states older than finalRetention.
+// ObserveInbox records that every job recorded up to a revision of the store was accepted.
+func (c *Core) ObserveInbox(revision int64) { c.inboxRevision = revision }
+
+// evictFinals removes final states older than finalRetention, unless the record of the job may still be
+// delivered: a job of which nothing is known counts as new.
 func (c *Core) evictFinals() {
 	for id, f := range c.finals {
-		if c.wall.Sub(f.FinishedAt) > finalRetention {
+		if c.now.Sub(f.recordedAt) > finalRetention && f.revision <= c.inboxRevision {
 			delete(c.finals, id)
 		}
 	}
