--- a/cell/outdated_test.go
+++ b/cell/outdated_test.go
@@ -57,12 +57,16 @@
 		if c.unavailable {
 			h.apply(StoreUnavailable{})
 		}
+		if c.unavailable && !c.unavailableEnded {
+			h.state.SetContact(Contact{Renewal: h.now.Add(-old), Request: h.now}) // all other instances follow the owner
+		}
 		if !c.unavailable || c.unavailableEnded {
 			h.apply(DirectoryRead{Workers: []schedule.Worker{worker("w1")}, AsOf: h.now.Add(-c.directory)})
 			h.apply(JobsObserved{OwnerRevision: 10, AsOf: h.now.Add(-c.inbox)})
 			h.apply(StoreSynced{At: h.now.Add(-c.catalog)})
 		}
-		effects := h.apply(RequestReceived{Token: 1, Request: Submit{submission("00000000000000a1", 30)}})
+		h.state.core.Accept(submission("00000000000000a1", 30).Job)
+		effects := h.apply(Tick{})
 		h.now = h.now.Add(20 * time.Millisecond) // more than the interval between placement passes
 		effects = append(effects, h.apply(Tick{})...)
 		started := slices.ContainsFunc(effects, func(e Effect) bool {
@@ -75,3 +79,20 @@
 		}
 	}
 }
+// TestOutdatedWithValidLease guards against an owner that takes a failed read of the list of workers for an
+// outage of the store although its lease is being renewed: the store also acknowledges what restricts
+// placement. A read fails on its own when the limit of reads is reached (429), for example.
+func TestOutdatedWithValidLease(t *testing.T) {
+	h := newHarness(t)
+	h.becomeReadyOwner()
+	h.apply(StoreUnavailable{}) // one failed read; all later ones exceed directoryTimeout, so that nothing is posted
+	h.now = h.now.Add(10 * time.Second)
+	h.renew()
+	effects := h.apply(RequestReceived{Token: 1, Request: Submit{submission("00000000000000a1", 30)}})
+	h.now = h.now.Add(20 * time.Millisecond)
+	h.renew()
+	effects = append(effects, h.apply(Tick{})...)
+	if starts, _ := grants(effects); starts {
+		t.Error("starts a task with a list of workers, cancellations and a configuration that are 10 s old, while the store answers renewals")
+	}
+}
