Count the memory of followers only while the lease is valid

What callers would see: overlapping runs, after an outage of more than 30 s that is followed by a cut of the store, or in a race at a change of the owner.

Cause: the first renewal after a long outage made an owner forget the instances that it had not heard during the outage, any of which may take over. A request that was recorded just after a change of the owner, for the former ownership, emptied the list of the current one.

Change: an instance is forgotten only after 30 s in which the lease was valid without interruption; requests for a former ownership are ignored.

--- a/cell/followers.go
+++ b/cell/followers.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// followerMemory is how long an instance that sends no more requests counts as one that may take over.
+// followerMemory is how long an instance that sends no more requests counts as one that may take over,
+// not counting the time in which the lease may have expired.
 const followerMemory = 30 * time.Second
 
 // followerContact is the contact to another instance that follows this owner.
@@ -29,7 +30,10 @@
 func (f *followers) observe(ownership int64, instance string, now, followedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.ownership != ownership {
+	switch {
+	case ownership < f.ownership:
+		return // recorded late
+	case ownership > f.ownership:
 		f.ownership, f.byInstance = ownership, make(map[string]followerContact)
 	}
 	seen := f.byInstance[instance]
--- a/cell/loop.go
+++ b/cell/loop.go
@@ -32,7 +32,8 @@
 	execute   func(Effect)
 	now       func() time.Time
 
-	forgotAt time.Time // when former followers were last forgotten
+	forgotAt        time.Time // when former followers were last forgotten
+	leaseValidSince time.Time // since when the lease has been valid without interruption; zero if it may have expired
 
 	lastToken      atomic.Uint64
 	waitingCallers sync.Map // chan Reply of each waiting caller, by token
@@ -121,12 +122,16 @@
 		return contact
 	}
 	if l.state.isLeaseValid(now, contact.Renewal) {
-		if now.Sub(l.forgotAt) >= time.Second {
+		if l.leaseValidSince.IsZero() {
+			l.leaseValidSince = now
+		}
+		if now.Sub(l.forgotAt) >= time.Second && now.Sub(l.leaseValidSince) >= followerMemory {
 			l.forgotAt = now
 			l.followers.forget(now.Add(-followerMemory))
 		}
 		return contact
 	}
+	l.leaseValidSince = time.Time{}
 	contact.SilentFollowers = l.followers.silent(l.state.ownershipRevision, now.Add(-l.state.cfg.FollowerTimeout))
 	return contact
 }
--- a/cell/outdated_test.go
+++ b/cell/outdated_test.go
@@ -79,6 +79,7 @@
 		}
 	}
 }
+
 // TestOutdatedWithValidLease guards against an owner that takes a failed read of the list of workers for an
 // outage of the store although its lease is being renewed: the store also acknowledges what restricts
 // placement. A read fails on its own when the limit of reads is reached (429), for example.
