cell: let the check on the start of a cancelled job fail

Cause: since placement is suspended while knowledge is outdated although the lease is renewed, TestCancellationOfHeldSubmission could not see the cancelled job start, whatever happened to the cancellation. Only its second check, on the record of the cancellation, could fail.

Change: the owner reads the store first, as after an outage. Without the code that holds cancellations, both checks fail now; before, the second one alone.

--- a/cell/authority_test.go
+++ b/cell/authority_test.go
@@ -119,7 +119,8 @@
 	h.state.SetContact(Contact{Renewal: h.now.Add(-h.state.cfg.OwnershipTTL), Request: h.now})
 	h.apply(RequestReceived{Token: 1, Request: Submit{submission("00000000000000a1", 30)}})
 	h.apply(JobsObserved{OwnerRevision: 10, Cancelled: []job.ID{"00000000000000a1"}, AsOf: h.now})
-	var effects []Effect
+	h.renew()
+	effects := h.readStore() // otherwise placement is suspended, whatever happens to the job
 	for range 2 {
 		h.now = h.now.Add(20 * time.Millisecond)
 		h.renew()
