Review, case 6: two jobs of 10,000 small tasks keep the fleet without a working owner

Cause: one pass starts all tasks that fit, and the renewals of the ownership wait behind the orders. Ruled out: want of room, the limit of the tenant, too little processor for the ordinary traffic. The former cases 6, 7 and 8 are now 7, 8 and 9; the former case 9 (silent connections) gave way.

--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -15,7 +15,6 @@
 	"path/filepath"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,8 +28,8 @@
 
 var zones = []string{"flanders-a", "wallonia-a", "brussels-a"}
 
-// proxy passes bytes between an instance and a server. It can reset all connections and new ones (cut),
-// and let the open connections go silent while new ones work.
+// proxy passes bytes between an instance and a server. It can reset all connections and new ones (cut), or
+// hold back all bytes (held).
 type proxy struct {
 	address string
 	target  string
@@ -44,8 +43,6 @@
 // pair is a connection of an instance and the one to the server that belongs to it.
 type pair struct {
 	client, server net.Conn
-	silent         atomic.Bool // nothing passes any more
-	pending        atomic.Bool // the instance has sent something since
 }
 
 func startProxy(target string) (*proxy, error) {
@@ -83,16 +80,16 @@
 	p.pairs[c] = struct{}{}
 	p.mu.Unlock()
 	var group sync.WaitGroup
-	group.Go(func() { p.pass(c, client, server, &c.pending) })
-	group.Go(func() { p.pass(c, server, client, nil) })
+	group.Go(func() { p.pass(c, client, server) })
+	group.Go(func() { p.pass(c, server, client) })
 	group.Wait()
 	p.mu.Lock()
 	delete(p.pairs, c)
 	p.mu.Unlock()
 }
 
-// pass copies bytes until either connection ends. On a silent pair it discards them.
-func (p *proxy) pass(c *pair, from, to net.Conn, sent *atomic.Bool) {
+// pass copies bytes until either connection ends.
+func (p *proxy) pass(c *pair, from, to net.Conn) {
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -102,11 +99,7 @@
 		if held != nil {
 			<-held
 		}
-		if n > 0 && c.silent.Load() {
-			if sent != nil {
-				sent.Store(true)
-			}
-		} else if n > 0 {
+		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				break
 			}
@@ -152,22 +145,6 @@
 	}
 }
 
-// silence lets the open connections go silent for good. The keep-alive of the instances (2 s, then two
-// probes 1 s apart) would close after at most 4 s those on which nothing waits to be acknowledged; since
-// the proxy's kernel answers these probes, the proxy closes them instead.
-func (p *proxy) silence() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.pairs {
-		c.silent.Store(true)
-		time.AfterFunc(4*time.Second, func() {
-			if !c.pending.Load() {
-				reset(c.client)
-			}
-		})
-	}
-}
-
 // node is an entry instance, a process of the program of the deploy file.
 type node struct {
 	name   string
@@ -191,13 +168,15 @@
 	workers  []*worker
 	client   *http.Client
 	version  int
+	env      []string // of the instances, besides the path of the settings
 	routes   []map[string]any
 	tenants  []map[string]any
+	ports    map[int]bool // first ones of the ranges that were given out
 	services []map[string]any
 }
 
 func newFleet(rec *record, dir string) (*fleet, error) {
-	f := &fleet{rec: rec, w: newWorld(rec), dir: dir, store: platformtest.NewStore()}
+	f := &fleet{rec: rec, w: newWorld(rec), dir: dir, store: platformtest.NewStore(), ports: map[int]bool{}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -237,10 +216,10 @@
 
 // freePorts returns the first of n neighbouring free ports below those that the system hands out for
 // outgoing connections, so that no other process is given one of them before the instance listens.
-func freePorts(n int) (int, error) {
+func (f *fleet) freePorts(n int) (int, error) {
 	for range 200 {
-		first := 20000 + rand.IntN(12000)
-		free := true
+		first := 20000 + n*rand.IntN(12000/n)
+		free := !f.ports[first]
 		for port := first; port < first+n && free; port++ {
 			l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 			if err != nil {
@@ -252,6 +231,7 @@
 			}
 		}
 		if free {
+			f.ports[first] = true
 			return first, nil
 		}
 	}
@@ -266,7 +246,7 @@
 	if n.link, err = startProxy(f.address); err != nil {
 		return nil, err
 	}
-	ports, err := freePorts(4)
+	ports, err := f.freePorts(4)
 	if err != nil {
 		return nil, err
 	}
@@ -335,7 +315,7 @@
 	}
 	n.logs = logs
 	n.cmd = exec.Command("target/mulberryd", "--platform")
-	n.cmd.Env = []string{"MULBERRYDRUM_BOOT=" + n.boot}
+	n.cmd.Env = append([]string{"MULBERRYDRUM_BOOT=" + n.boot}, f.env...)
 	n.cmd.Stdout, n.cmd.Stderr = logs, logs
 	if err := n.cmd.Start(); err != nil {
 		return err
