--- a/review/rig2/large.go
+++ b/review/rig2/large.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -11,13 +13,14 @@
 
 func init() { cases["large"] = large }
 
-// cpuTime returns the processor time that a process has used.
+// cpuTime returns the processor time that a process has used, or 0 if the system doesn't tell. It is exact
+// where the system counts it by thread, and else rounded to ticks of 10 ms.
 func cpuTime(pid int) time.Duration {
 	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
 	if err != nil {
 		return 0
 	}
-	var sum int64
+	var sum time.Duration
 	for _, file := range files {
 		text, err := os.ReadFile(file)
 		if err != nil {
@@ -25,10 +28,26 @@
 		}
 		var ns int64
 		if _, err := fmt.Sscan(string(text), &ns); err == nil {
-			sum += ns
+			sum += time.Duration(ns)
 		}
 	}
-	return time.Duration(sum)
+	if sum > 0 {
+		return sum
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text)[strings.LastIndexByte(string(text), ')')+1:])
+	const user, system, tick = 11, 12, 10 * time.Millisecond
+	for _, i := range []int{user, system} {
+		if i < len(fields) {
+			if n, err := strconv.Atoi(fields[i]); err == nil {
+				sum += time.Duration(n) * tick
+			}
+		}
+	}
+	return sum
 }
 
 // limitProcessor gives an instance the processor of its machine: 0.4 of a core, as a quota of 40 ms in each
@@ -87,6 +106,10 @@
 		go f.limitProcessor(n, done)
 	}
 	time.Sleep(2 * time.Second)
+	if cpuTime(f.nodes[0].cmd.Process.Pid) == 0 {
+		f.rec.fail("the processor time of an instance can't be read")
+		return
+	}
 	var jobs []*jobInfo
 	owners, lastOwner := 0, ""
 	watchOwner := func() {
--- a/review/rig2/waiting.go
+++ b/review/rig2/waiting.go
@@ -59,6 +59,7 @@
 		return
 	}
 	time.Sleep(5200 * time.Millisecond)
+	f.rec.logf("job %s is shown as %s", jobs[0].id, f.state("/q2/", "key-blue", jobs[0].id))
 	for range 8 {
 		time.Sleep(time.Second)
 		for _, n := range f.nodes {
