Set down the interfaces for scheduling under heavy load

Cause: several parts are to be built side by side, and each needs the place where it plugs into the order of waiting work, the estimates and the settings.

Behaviour is unchanged: all flags are off. go test ./schedule ./cell ./platform ./instance passes.

--- a/cmd/mulberryd/main.go
+++ b/cmd/mulberryd/main.go
@@ -22,6 +22,8 @@
 	Settings    string `arg:"" optional:"" help:"Settings file, JSON with comments." type:"existingfile"`
 	Platform    bool   `help:"Run on the users' platform: an environment variable names the settings file."`
 	PrintConfig bool   `help:"Print the settings in force, with their defaults, and exit."`
+
+	platform.Options `group:"On the users' platform"`
 }
 
 const description = `Run one entry instance.
@@ -40,7 +42,7 @@
 
 func (c *commands) run() error {
 	if c.Platform {
-		return platform.Run(os.Stdout)
+		return platform.Run(os.Stdout, c.Options)
 	}
 	if c.Settings == "" {
 		return errors.New("either a settings file or --platform is required")
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -61,6 +61,7 @@
 	Metrics       metrics.Registry
 	Timing        Timing
 	MaxValueBytes int // largest value that the store accepts; 0 if unknown
+	Schedule      schedule.Config
 }
 
 // Timing holds the timeouts and intervals of an instance.
@@ -135,7 +136,7 @@
 	}
 	i.relays = newRelays(cfg.Name, cfg.Workers, i.peers, cfg.Journal.Event)
 	cellConfig := cell.DefaultConfig(self, cfg.Cores)
-	cellConfig.OwnershipTTL, cellConfig.Now = cfg.Timing.OwnershipTTL, clock.Now
+	cellConfig.OwnershipTTL, cellConfig.Now, cellConfig.Schedule = cfg.Timing.OwnershipTTL, clock.Now, cfg.Schedule
 	i.loop = cell.NewLoop(cell.New(cellConfig), cfg.Metrics, i.execute)
 	return i
 }
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -17,6 +17,10 @@
 	MaxPassInterval   time.Duration // maximum interval between placement passes, since tickets and backoffs expire
 	CommitInterval    time.Duration // minimum interval between commits
 	RunsPerEpoch      int           // number of run numbers that one owner may use for a task
+
+	PastUseHalfLife time.Duration // half-life of the past use of teams; 0 ignores past use
+	Forecast        bool          // reject jobs that cannot end while their result is of use
+	LearnSpeeds     bool          // learn the speeds of workers and the errors of estimates
 }
 
 // DefaultConfig returns the configuration for the limits of the platform.
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -125,7 +125,7 @@
 	}
 	c.publish(j)
 	c.refreshTerms(j)
-	j.objective = objectiveOf(j)
+	j.objective = c.objectiveOf(j)
 	if restored {
 		// The wall clocks of instances differ slightly; the age is negative if the clock of the
 		// accepting instance is ahead.
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -12,22 +12,22 @@
 
 // objectiveOf returns the target time from the arrival of a job to its completion: its critical path
 // times the stretch factor of its queue, plus the fixed allowance of the queue.
-func objectiveOf(j *jobState) time.Duration {
+func (c *Core) objectiveOf(j *jobState) time.Duration {
 	var longest time.Duration
-	for _, chain := range chainLengths(j.Steps) {
+	for _, chain := range c.chainLengths(j) {
 		longest = max(longest, chain)
 	}
 	return time.Duration(float64(longest)*max(1, j.terms.Stretch)) + j.terms.TargetAllowance
 }
 
 // chainLengths returns, for each step, the length of the longest dependency chain that ends with it.
-func chainLengths(steps []job.Step) []time.Duration {
-	out := make([]time.Duration, len(steps))
-	for i := range steps {
-		for _, dependency := range steps[i].After {
+func (c *Core) chainLengths(j *jobState) []time.Duration {
+	out := make([]time.Duration, len(j.Steps))
+	for i := range j.Steps {
+		for _, dependency := range j.Steps[i].After {
 			out[i] = max(out[i], out[dependency])
 		}
-		out[i] += steps[i].Estimate
+		out[i] += c.estimatedDuration(j, &j.Steps[i])
 	}
 	return out
 }
@@ -39,15 +39,15 @@
 		// The monotonic time at which the occurrence was due.
 		arrival = c.now.Add(-c.wall.Sub(s.job.DueAt(s.key.Occurrence)))
 	}
-	return arrival.Add(s.job.objective - remainingChain(s.job.Steps, s.key.Step))
+	return arrival.Add(s.job.objective - c.remainingChain(s.job, s.key.Step))
 }
 
 // remainingChain returns the length of the longest dependency chain that begins with a step.
-func remainingChain(steps []job.Step, from int) time.Duration {
-	lengths := make([]time.Duration, len(steps))
-	for i := len(steps) - 1; i >= from; i-- {
-		lengths[i] += steps[i].Estimate
-		for _, dependency := range steps[i].After {
+func (c *Core) remainingChain(j *jobState, from int) time.Duration {
+	lengths := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= from; i-- {
+		lengths[i] += c.estimatedDuration(j, &j.Steps[i])
+		for _, dependency := range j.Steps[i].After {
 			lengths[dependency] = max(lengths[dependency], lengths[i])
 		}
 	}
@@ -93,7 +93,8 @@
 	list := make([]rankedStep, 0, len(c.steps))
 	for _, s := range c.steps {
 		if s.ready && s.hasUnplaced() && !c.now.Before(s.notBefore) && !c.isHeldBack(s) {
-			list = append(list, rankedStep{s, c.rank(s), s.latestStart.Add(time.Duration(s.job.terms.Priority) * priorityPenalty).UnixNano()})
+			order := s.latestStart.Add(time.Duration(s.job.terms.Priority)*priorityPenalty + c.pastUseShift(s.job.Team))
+			list = append(list, rankedStep{s, c.rank(s), order.UnixNano()})
 		}
 	}
 	slices.SortFunc(list, compareRanked)
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -172,5 +172,5 @@
 	if worked := r.progressedAt.Sub(r.startedAt); r.percent >= minProgressPercent && !r.adopted {
 		return worked*100/time.Duration(r.percent) - elapsed
 	}
-	return max(r.step.spec.Estimate-elapsed, time.Duration(overrunShare*float64(elapsed)))
+	return max(c.durationOn(r.step, r.worker)-elapsed, time.Duration(overrunShare*float64(elapsed)))
 }
