Evacuate failure domains

Cause: the operators' request op/evacuate/DOMAIN was decoded nowhere, so that tasks went on starting in an evacuated domain.

Change: one watch of op/ delivers the set of evacuated domains ahead of the configuration; the control state keeps the newest one, and the scheduling core leaves out the workers of these domains wherever it chooses workers. Workers that are slow after their start (coldLeftMs) are used after others.

--- a/cell/event.go
+++ b/cell/event.go
@@ -24,6 +24,8 @@
 	Tick struct{}
 	// CatalogRead delivers a version of the configuration.
 	CatalogRead struct{ Catalog *job.Catalog }
+	// EvacuationsRead delivers the set of evacuated failure domains.
+	EvacuationsRead struct{ job.Evacuations }
 	// StoreSynced reports that every change which the store had acknowledged by At
 	// has been delivered to this instance.
 	StoreSynced struct{ At time.Time }
@@ -95,6 +97,7 @@
 
 func (Tick) isEvent()              {}
 func (CatalogRead) isEvent()       {}
+func (EvacuationsRead) isEvent()   {}
 func (StoreSynced) isEvent()       {}
 func (OwnerObserved) isEvent()     {}
 func (CampaignDone) isEvent()      {}
--- a/cell/loop.go
+++ b/cell/loop.go
@@ -86,7 +86,7 @@
 // precede its job.
 func isUrgent(e Event) bool {
 	switch e.(type) {
-	case CatalogRead, DirectoryRead, JobsObserved, OwnerObserved, RenewDone, ShutdownRequested, StoreUnavailable:
+	case CatalogRead, EvacuationsRead, DirectoryRead, JobsObserved, OwnerObserved, RenewDone, ShutdownRequested, StoreUnavailable:
 		return true
 	default:
 		return false
--- a/cell/state.go
+++ b/cell/state.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/job"
@@ -46,9 +47,10 @@
 	effects []Effect
 	changed bool
 
-	catalog  *job.Catalog
-	syncedAt time.Time
-	stopping bool
+	catalog     *job.Catalog
+	evacuations job.Evacuations
+	syncedAt    time.Time
+	stopping    bool
 
 	owner         Owner
 	ownerFound    bool
@@ -107,6 +109,8 @@
 	case Tick:
 	case CatalogRead:
 		s.setCatalog(e.Catalog)
+	case EvacuationsRead:
+		s.setEvacuations(e.Evacuations)
 	case StoreSynced:
 		if e.At.After(s.syncedAt) {
 			s.syncedAt = e.At
@@ -198,6 +202,20 @@
 	}
 }
 
+// setEvacuations applies a set of evacuations unless it is older than the one in force.
+func (s *State) setEvacuations(e job.Evacuations) {
+	if e.Revision < s.evacuations.Revision {
+		return
+	}
+	if !slices.Equal(e.Domains, s.evacuations.Domains) {
+		s.log("evacuations", "domains", strings.Join(e.Domains, ","), "former", strings.Join(s.evacuations.Domains, ","), "revision", e.Revision)
+	}
+	s.evacuations = e
+	if s.core != nil {
+		s.core.SetEvacuated(e.Domains)
+	}
+}
+
 // observeOwner processes the ownership record as read from the store. The revision
 // increases with every change of the record, so a stale read is detected by its lower
 // revision.
@@ -289,6 +307,7 @@
 	s.readySince = s.now
 	s.core = schedule.New(s.now, s.cfg.Schedule, s.ownershipRevision, s.catalog, recovery.Roster)
 	s.core.Begin(s.now, s.wall)
+	s.core.SetEvacuated(s.evacuations.Domains)
 	if s.stopping {
 		s.core.DisablePlacement()
 	}
--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -59,7 +59,7 @@
 }
 
 func worker(id string) schedule.Worker {
-	return schedule.Worker{ID: id, Incarnation: 1, Address: id, Service: "s", Capacity: task.Resources{CPUMilli: 1000, MemoryMB: 100}}
+	return schedule.Worker{ID: id, Incarnation: 1, Address: id, Service: "s", FailureDomain: "z", Capacity: task.Resources{CPUMilli: 1000, MemoryMB: 100}}
 }
 
 func submission(id job.ID, revision int64) Submission {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -38,11 +38,21 @@
 	Workers(ctx context.Context) ([]schedule.Worker, error)
 }
 
-// Configuration watches the operators' configuration until ctx ends. It calls changed
-// for each newer version, and synced with a time up to which every change acknowledged
-// by the store has been delivered.
+// Configuration watches the operators' configuration until ctx ends.
 type Configuration interface {
-	Follow(ctx context.Context, changed func(*job.Catalog), synced func(at time.Time)) error
+	Follow(ctx context.Context, handler ConfigurationHandler) error
+}
+
+// ConfigurationHandler receives what operators have configured. All methods are called from one
+// goroutine.
+type ConfigurationHandler interface {
+	// EvacuationsChanged receives the complete set of evacuations. It is called before the first
+	// configuration, even if there are none.
+	EvacuationsChanged(job.Evacuations)
+	// CatalogChanged receives a configuration.
+	CatalogChanged(*job.Catalog)
+	// Synced reports that every change acknowledged up to the given time was delivered.
+	Synced(at time.Time)
 }
 
 // Config configures an Instance.
@@ -196,11 +206,28 @@
 }
 
 func (i *Instance) followCatalog(ctx context.Context) error {
-	return i.cfg.Configuration.Follow(ctx,
-		func(c *job.Catalog) { i.loop.Post(ctx, cell.CatalogRead{Catalog: c}) },
-		func(at time.Time) { i.loop.Post(ctx, cell.StoreSynced{At: at}) })
+	return i.cfg.Configuration.Follow(ctx, &configurationPoster{ctx: ctx, loop: i.loop})
 }
 
+// configurationPoster posts the operators' configuration to the control goroutine.
+type configurationPoster struct {
+	ctx  context.Context
+	loop *cell.Loop
+}
+
+// EvacuationsChanged implements ConfigurationHandler.
+func (p *configurationPoster) EvacuationsChanged(e job.Evacuations) {
+	p.loop.Post(p.ctx, cell.EvacuationsRead{Evacuations: e})
+}
+
+// CatalogChanged implements ConfigurationHandler.
+func (p *configurationPoster) CatalogChanged(c *job.Catalog) {
+	p.loop.Post(p.ctx, cell.CatalogRead{Catalog: c})
+}
+
+// Synced implements ConfigurationHandler.
+func (p *configurationPoster) Synced(at time.Time) { p.loop.Post(p.ctx, cell.StoreSynced{At: at}) }
+
 // ObserveInstance implements entry.CellHandler.
 func (i *Instance) ObserveInstance(p entry.Peer) {
 	i.relays.observePeer(p, time.Now())
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -83,6 +83,7 @@
 	unresolvedUsageSum   task.Resources              // cached result of unresolvedUsage
 	unresolvedUsageValid bool                        // the cached sum is valid for the current event
 	gangsAdopted         bool                        // runs of gang members were adopted from a former owner; other members may be missing
+	evacuated            map[string]struct{}         // failure domains in which no tasks may start
 	unresolved           map[string]unresolvedWorker // workers on which runs of a former owner may exist
 	openUnresolved       int                         // number of unresolved workers that are not closed: any task may run there
 	heldBackTasks        map[job.StepKey]int         // number of tasks of each step that may run on closed unresolved workers
--- a/schedule/message.go
+++ b/schedule/message.go
@@ -20,6 +20,7 @@
 	Capacity      task.Resources
 	Draining      bool
 	Remaining     time.Duration // while draining, the minimum time for which the worker remains
+	ColdLeft      time.Duration // how much longer the worker is slow after its start
 }
 
 // Target identifies the worker and the incarnation that an order is for. No other incarnation executes
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -24,7 +24,7 @@
 // isUsable reports whether tasks may be placed on a worker.
 func (c *Core) isUsable(w *worker) bool {
 	return w.listed && w.recordedOpen && w.fenced && !w.silent && !w.Draining && w.unsizedRuns == 0 &&
-		!c.now.Before(w.backoffUntil) && !c.isProbing(w)
+		!c.now.Before(w.backoffUntil) && !c.isProbing(w) && !c.isEvacuated(w)
 }
 
 // freeCPU returns the unused millicores of a worker.
@@ -282,7 +282,7 @@
 
 // prefer reports whether a is better for a step than b. The criteria are, in this order: fewer
 // failures of the step on the worker, a worker that is not failing, capacity that is not reserved,
-// affinity, the fullest worker, and the worker's ID.
+// a worker that is not cold, affinity, the fullest worker, and the worker's ID.
 func (c *Core) prefer(s *stepState, a, b *candidate) bool {
 	if x, y := s.workerFailures[a.worker.ID], s.workerFailures[b.worker.ID]; x != y {
 		return x < y
@@ -293,6 +293,9 @@
 	if a.usesReserved != b.usesReserved {
 		return b.usesReserved
 	}
+	if x, y := a.worker.isCold(c.now), b.worker.isCold(c.now); x != y {
+		return y
+	}
 	if x, y := affinityScore(s.spec, a.worker), affinityScore(s.spec, b.worker); x != y {
 		return x > y
 	}
@@ -354,6 +357,7 @@
 		return cmp.Or(
 			cmp.Compare(s.workerFailures[a.worker.ID], s.workerFailures[b.worker.ID]),
 			boolToInt(a.usesReserved)-boolToInt(b.usesReserved),
+			boolToInt(a.worker.isCold(c.now))-boolToInt(b.worker.isCold(c.now)),
 			-cmp.Compare(affinityScore(s.spec, a.worker), affinityScore(s.spec, b.worker)),
 			-cmp.Compare(a.taskCount, b.taskCount),
 			cmp.Compare(a.worker.freeCPU(), b.worker.freeCPU()),
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -42,9 +42,12 @@
 	succeeded map[job.TaskKey]bool        // a run succeeded on its worker
 	failed    map[job.TaskKey][]time.Time // end times of the failed runs that an owner confirmed
 	starts    map[job.TaskKey][]time.Time
+	startedOn []simStart // every start, in order
 	history   map[job.TaskKey][]string // events, for failure messages
 	usage     map[string]task.Resources
 
+	stoppedRuns int // number of stop orders that met a run
+
 	formerCatalog      *job.Catalog // still in force until formerCatalogUntil
 	formerCatalogUntil time.Time
 
@@ -83,6 +86,12 @@
 	answerPoll     func() // answers a poll that waits for an end
 }
 
+// simStart is the start of a run on a worker.
+type simStart struct {
+	worker string
+	at     time.Time
+}
+
 type simRun struct {
 	key       job.TaskKey
 	number    int
--- a/schedule/simworker_test.go
+++ b/schedule/simworker_test.go
@@ -123,6 +123,7 @@
 	s.checkStart(r, j)
 	w.runs[e.Task] = r
 	s.running[e.Task] = r
+	s.startedOn = append(s.startedOn, simStart{worker: w.ID, at: s.now})
 	s.usage[r.team] = s.usage[r.team].Add(r.size)
 	reason := EndedSucceeded
 	if w.failAll || strings.HasPrefix(j.Spec, "fail") {
@@ -215,6 +216,7 @@
 	}
 	r := w.runs[e.Task]
 	if r != nil && r.number <= e.Run {
+		s.stoppedRuns++
 		s.after(time.Duration(s.rng.IntN(900))*time.Millisecond, func() { s.endRun(r, EndedStopped) })
 	}
 	w.stopped[e.Task] = max(w.stopped[e.Task], e.Run)
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -41,6 +41,7 @@
 	failedAt      time.Time    // when the last of these was reported
 	probe         *run         // only run on a failing worker, to test whether it has recovered
 	progressAt    time.Time    // when a run last made progress
+	coldUntil     time.Time    // until then the worker is slow after its start
 }
 
 // pendingEnd is the end of a run that may be confirmed once the given version of its job is durable.
@@ -63,13 +64,18 @@
 			c.workerOrder = nil
 			c.rosterDirty = true
 			w.Worker = entry
+			w.setColdUntil(c.now)
 		} else if entry.Revision >= w.Revision {
 			if entry.Incarnation != w.Incarnation {
 				c.endIncarnation(w, entry.Incarnation)
 				w.restarted = false
 				w.nextPoll = c.now
 			}
+			isNewer := entry.Revision > w.Revision
 			w.Worker = entry
+			if isNewer {
+				w.setColdUntil(c.now)
+			}
 		}
 		w.listed = true
 	}
