--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -42,7 +42,7 @@
 	succeeded map[job.TaskKey]bool        // a run succeeded on its worker
 	failed    map[job.TaskKey][]time.Time // end times of the failed runs that an owner confirmed
 	starts    map[job.TaskKey][]time.Time
-	startedOn []simStart // every start, in order
+	startedOn []simStart               // every start, in order
 	history   map[job.TaskKey][]string // events, for failure messages
 	usage     map[string]task.Resources
 
