schedule: bound the orders in flight, let waiting work use reserved capacity

Change: a window for start orders and one for stop orders, shared among steps and adjusted to the time of the answers; after 1 s long-lived steps, and jobs without a running task on a service that is mostly free, override reservations.

Ruled out: a window without adjustment, with which many orders expired on instances of 0.4 of a core.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -73,16 +73,17 @@
 	capacitySet          map[task.Resources]struct{} // different capacities of the workers; nil if it must be rebuilt
 	unsettled            map[*run]struct{}           // runs for which a stop order may have to be sent: unclear, or being stopped
 	proxies              map[string]*adviceProxy
-	proxyOrder           []*adviceProxy              // sorted by name; nil if it must be rebuilt
-	eligibleShares       map[string]float64          // estimated share of the queried workers that are eligible, by queue
-	serviceUsage         map[string]serviceCPU       // by service, as of the last pass
-	reservedCPU          map[string]int64            // millicores reserved for gangs, by service
-	oversizedGangWaits   map[string]bool             // services on which an oversized gang waits for a reservation in the current pass
-	reservedGangs        map[job.StepKey]*stepState  // gangs that have a reservation
-	plansMade            int                         // reservation plans made in the current pass
-	unresolvedUsageSum   task.Resources              // cached result of unresolvedUsage
-	unresolvedUsageValid bool                        // the cached sum is valid for the current event
-	gangsAdopted         bool                        // runs of gang members were adopted from a former owner; other members may be missing
+	proxyOrder           []*adviceProxy             // sorted by name; nil if it must be rebuilt
+	eligibleShares       map[string]float64         // estimated share of the queried workers that are eligible, by queue
+	serviceUsage         map[string]serviceCPU      // by service, as of the last pass
+	reservedCPU          map[string]int64           // millicores reserved for gangs, by service
+	oversizedGangWaits   map[string]bool            // services on which an oversized gang waits for a reservation in the current pass
+	reservedGangs        map[job.StepKey]*stepState // gangs that have a reservation
+	plansMade            int                        // reservation plans made in the current pass
+	unresolvedUsageSum   task.Resources             // cached result of unresolvedUsage
+	unresolvedUsageValid bool                       // the cached sum is valid for the current event
+	gangsAdopted         bool                       // runs of gang members were adopted from a former owner; other members may be missing
+	window               orderWindow
 	evacuated            map[string]struct{}         // failure domains in which no tasks may start
 	unresolved           map[string]unresolvedWorker // workers on which runs of a former owner may exist
 	openUnresolved       int                         // number of unresolved workers that are not closed: any task may run there
@@ -133,6 +134,7 @@
 		reservedGangs:      make(map[job.StepKey]*stepState),
 		unresolved:         make(map[string]unresolvedWorker),
 		heldBackTasks:      make(map[job.StepKey]int),
+		window:             orderWindow{size: maxOrderWindow, startsByStep: make(map[job.StepKey]int)},
 		round:              1, roundStartedAt: now,
 	}
 	// A former owner may grant leases until its authority has ended (see cell.Config), or until the
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/task"
@@ -105,7 +106,13 @@
 		case needsAdvice(s) && c.now.Add(ticketMargin).After(s.advice.expiresAt):
 			s.wait = waitsForTicket // fast path for a backlog that waits for advice
 		case c.placeStep(s, usable):
+			s.heldSince = time.Time{}
 			continue
+		case s.wait == waitsForOrders:
+			continue
+		}
+		if s.heldSince.IsZero() {
+			s.heldSince = c.now
 		}
 		if s.spec.Gang {
 			c.reserve(s, usable)
@@ -185,7 +192,7 @@
 // candidates returns the workers that have capacity for a task of a step and, if the queue requires
 // it, a valid ticket. With allowExpired, expired tickets count as valid.
 func (c *Core) candidates(s *stepState, usable []*worker, allowExpired bool) []candidate {
-	needsTicket := needsAdvice(s)
+	needsTicket, overrides := needsAdvice(s), c.overridesReservations(s)
 	size := taskSize(s.spec)
 	var out []candidate
 	for w := range c.possibleWorkers(s, usable) {
@@ -194,7 +201,11 @@
 		}
 		cand := candidate{worker: w, taskCount: fitCount(size, w.free(s, c.now), len(s.tasks))}
 		if cand.taskCount == 0 && len(w.claims) > 0 {
-			cand.taskCount = fitCount(size, w.freeIncludingLessUrgentClaims(s, c.now), len(s.tasks))
+			free := w.freeIncludingLessUrgentClaims(s, c.now)
+			if overrides {
+				free = w.Capacity.Sub(w.used)
+			}
+			cand.taskCount = fitCount(size, free, len(s.tasks))
 			cand.usesReserved = true
 		}
 		if s.spec.AntiAffinity > 0 {
@@ -250,12 +261,17 @@
 // workers stay free for gangs.
 func (c *Core) placeTasks(s *stepState, candidates []candidate) bool {
 	size := taskSize(s.spec)
-	allowed := c.allowance(s.job.Team, size, len(s.tasks))
+	allowed, starts := c.allowance(s.job.Team, size, len(s.tasks)), c.maxStarts(s)
 	placed := true
 	for i := range s.tasks {
 		if s.tasks[i].done || s.tasks[i].run != nil {
 			continue
 		}
+		if starts == 0 {
+			c.window.startsHeld = true
+			s.wait = waitsForOrders
+			return false
+		}
 		best := -1
 		for k := range candidates {
 			if candidates[k].taskCount > 0 && (best < 0 || c.prefer(s, &candidates[k], &candidates[best])) {
@@ -268,6 +284,7 @@
 		}
 		cand := &candidates[best]
 		allowed--
+		starts--
 		cand.taskCount--
 		c.start(s, i, cand.worker, c.nextRun(s.tasks[i].lastRun), cand.ticket)
 		if c.isProbing(cand.worker) {
@@ -318,6 +335,11 @@
 		s.wait = waitsForLimit
 		return false
 	}
+	if !c.mayStartGang() {
+		c.window.startsHeld = true
+		s.wait = waitsForOrders
+		return false
+	}
 	chosen := c.chooseGang(s, candidates)
 	if chosen == nil {
 		s.wait = placementWaitCause(len(candidates), 1)
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -80,6 +80,12 @@
 	// highProxyUsage is the share of busy proxies above which tickets are renewed only once the
 	// capacity is nearly free, without lead time for the duration of the call.
 	highProxyUsage = 0.7
+	// maxReservationDelay is the time after which a step overrides the reservations of gangs. An accepted
+	// job must not be without a running task for 3 s beside free capacity.
+	maxReservationDelay = time.Second
+	// overrideUtilization is the utilization of a service below which jobs without a running task override
+	// reservations. Above it, waiting for a gang is part of sharing the capacity.
+	overrideUtilization = 0.5
 	// renewalLead is the lead time of the renewal of a gang's tickets before its capacity is free, in
 	// addition to the duration of the call.
 	renewalLead = 150 * time.Millisecond
@@ -110,6 +116,18 @@
 	return free
 }
 
+// overridesReservations reports whether a step may use capacity that is reserved for gangs of any
+// priority, because it has waited for long: a long-lived step, for which no reservation ends soon enough,
+// or a step of a job without a running task while the service is mostly free. The gangs concerned plan
+// anew with the remaining capacity.
+func (c *Core) overridesReservations(s *stepState) bool {
+	if s.spec.Gang || s.heldSince.IsZero() || c.now.Sub(s.heldSince) < maxReservationDelay {
+		return false
+	}
+	u := c.serviceUsage[s.job.terms.Service]
+	return s.spec.LongLived || len(s.job.runs) == 0 && float64(u.used) < overrideUtilization*float64(u.capacity)
+}
+
 // endsBefore reports whether a task of the step that starts now can be expected to end by t.
 func (s *stepState) endsBefore(t, now time.Time) bool {
 	if s.spec.LongLived || s.spec.Estimate == 0 {
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -103,7 +103,7 @@
 	if s.spec.Gang {
 		checkpoint = s.tasks[0].checkpoint
 	}
-	c.emit(Start{
+	c.emitStart(Start{
 		Target: w.target(), Task: r.task, Run: number, Spec: s.job.Spec, Ticket: ticket,
 		Checkpoint: checkpoint, LeaseEnd: c.leaseEnd(w), WaitTime: c.now.Sub(s.job.arrivedAt),
 	})
@@ -111,6 +111,7 @@
 
 // StartDone handles the answer to a start order.
 func (c *Core) StartDone(e StartDone) {
+	c.startAnswered(e.Start)
 	w := c.workers[e.Start.Worker]
 	if w == nil {
 		return
@@ -124,6 +125,7 @@
 	}
 	switch e.Verdict {
 	case Accepted:
+		c.observeLatency(c.now.Sub(r.startedAt))
 		if r.state == runStarting {
 			c.runStarted(r)
 		}
@@ -240,9 +242,11 @@
 	}
 }
 
+// sendStop sends a stop order for a run unless too many are in flight; a later sendDueStops repeats it.
 func (c *Core) sendStop(r *run) {
-	r.stopSentAt = c.now
-	c.emit(Stop{Target: r.worker.target(), Task: r.task, Run: r.number})
+	if c.emitStop(Stop{Target: r.worker.target(), Task: r.task, Run: r.number}) {
+		r.stopSentAt = c.now
+	}
 }
 
 // stopDue reports whether a stop order must be sent or retried.
@@ -262,6 +266,7 @@
 // StopDone handles the answer to a stop order. A worker that has accepted it rejects the run if the
 // start order arrives later.
 func (c *Core) StopDone(e StopDone) {
+	c.stopAnswered()
 	w := c.workers[e.Stop.Worker]
 	if w == nil {
 		return
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -48,6 +48,9 @@
 
 	stoppedRuns int // number of stop orders that met a run
 
+	startsInFlight, stopsInFlight int    // orders of the current owner without an answer
+	onOrder                       func() // called after each event of the owner; may be nil
+
 	formerCatalog      *job.Catalog // still in force until formerCatalogUntil
 	formerCatalogUntil time.Time
 
@@ -189,6 +192,7 @@
 // takeOver replaces the owner by a new one, which loads the recorded state.
 func (s *simulation) takeOver() {
 	s.fence++
+	s.startsInFlight, s.stopsInFlight = 0, 0
 	s.core = New(s.now, DefaultConfig(), s.fence, s.catalog, s.roster)
 	s.dispatch(func(c *Core) {
 		c.ObserveInstance("i1")
@@ -257,6 +261,9 @@
 	for _, e := range core.Finish() {
 		s.execute(core, fence, e)
 	}
+	if s.onOrder != nil {
+		s.onOrder()
+	}
 }
 
 // tickFormer lets a former owner act on what it knows. It receives no replies.
@@ -289,9 +296,17 @@
 	case Poll:
 		s.after(s.delay(), func() { s.pollWorker(core, fence, e) })
 	case Start:
-		s.deliver(core, func() Verdict { return s.startRun(fence, e) }, func(c *Core, v Verdict) { c.StartDone(StartDone{Start: e, Verdict: v}) })
+		s.startsInFlight++
+		s.deliver(core, func() Verdict { return s.startRun(fence, e) }, func(c *Core, v Verdict) {
+			s.startsInFlight--
+			c.StartDone(StartDone{Start: e, Verdict: v})
+		})
 	case Stop:
-		s.deliver(core, func() Verdict { return s.stopRun(fence, e) }, func(c *Core, v Verdict) { c.StopDone(StopDone{Stop: e, Verdict: v}) })
+		s.stopsInFlight++
+		s.deliver(core, func() Verdict { return s.stopRun(fence, e) }, func(c *Core, v Verdict) {
+			s.stopsInFlight--
+			c.StopDone(StopDone{Stop: e, Verdict: v})
+		})
 	case AdviceCall:
 		if s.onAdviceCall != nil {
 			s.onAdviceCall(e)
--- a/schedule/wait.go
+++ b/schedule/wait.go
@@ -17,6 +17,7 @@
 	waitsForShare    waitCause = "reserved_share" // the maximum share is reserved for gangs
 	waitsForPlan     waitCause = "plans"          // plans for more urgent gangs have reached the limit of the pass
 	waitsForEligible waitCause = "few_workers"    // too few workers are eligible
+	waitsForOrders   waitCause = "orders"         // as many start orders as permitted are in flight
 	waitsForReserved waitCause = "reserved"       // capacity is reserved but not all of it is free yet
 )
 
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -322,7 +322,7 @@
 func (c *Core) adopt(w *worker, report RunReport) {
 	if _, known := w.runs[report.Task]; known {
 		// This owner has ordered another run of the task on this worker, so this one is obsolete.
-		c.emit(Stop{Target: w.target(), Task: report.Task, Run: report.Run})
+		c.emitStop(Stop{Target: w.target(), Task: report.Task, Run: report.Run})
 		return
 	}
 	r := &run{task: report.Task, number: report.Run, worker: w, state: runRunning, startedAt: c.now, answeredAt: c.now, adopted: true}
