--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -78,6 +78,10 @@
 		return // another fault affects it
 	}
 	defer on.Fault.Unlock()
+	from := time.Now()
+	defer func() {
+		h.t.Logf("seed %d: fault %d of host %d (%s) from %s to %s", h.seed, kind, index, on.Address, from.Format(timeFormat), time.Now().Format(timeFormat))
+	}()
 	switch kind {
 	case 0:
 		on.Worker().DropStartResponses(1 + rng.IntN(3))
