--- a/store/follow.go
+++ b/store/follow.go
@@ -23,9 +23,12 @@
 }
 
 // Follow lists the keys with a prefix and then watches them until ctx is done. It lists them again if
-// the changes after the last delivered one are no longer in the store's history.
+// the changes after the last delivered one are no longer in the store's history, or can't be read. A
+// batch that does not say as of when it is current is as current as the last one that does.
 func Follow(ctx context.Context, s Store, prefix string, f Follower) error {
 	next := int64(0) // revision from which to watch; 0 to list first
+	var current time.Time
+	var listed int64 // revision of the last list
 	for ctx.Err() == nil {
 		if next == 0 {
 			asOf := clock.Now()
@@ -36,10 +39,14 @@
 				continue
 			}
 			f.Listed(kvs, revision, asOf)
-			next = revision + 1
+			current, listed, next = asOf, revision, revision+1
 		}
 		err := s.Watch(ctx, prefix, next, func(b WatchBatch) {
 			next = max(next, b.Revision+1)
+			if b.AsOf.IsZero() {
+				b.AsOf = current
+			}
+			current = b.AsOf
 			f.Changed(b)
 		})
 		if ctx.Err() != nil {
@@ -47,8 +54,11 @@
 		}
 		f.Failed(err)
 		if errors.Is(err, ErrCompacted) {
+			madeProgress := next > listed+1
 			next = 0
-			continue
+			if madeProgress {
+				continue
+			}
 		}
 		sleep(ctx, followRetryDelay)
 	}
