Count a job as waiting until a worker shows that it has begun

Cause: a job counted as running once a start order was issued; a lost or refused order did not change that.

Change: the answer of a worker, or a report with a run or an end of the job, marks it as running. The record of a former owner still counts as a proof.

Evidence: go test ./schedule. TestLostStartOrders fails without the change ("shown as running and has not begun"), and so does TestFaults by the new check of the simulation, which compares the counts of pending jobs and the shown states with the starts on the workers every 100 ms. With it, all pass. TestBegunBeforeTakeover passed before.

--- /dev/null
+++ b/schedule/begun_test.go
@@ -0,0 +1,123 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/job"
+	"github.com/mulberrydrum/mulberrydrum/task"
+)
+
+// checkPending checks that the counts of pending jobs match their states, and that no job is shown as
+// running that has not begun on any worker.
+func (s *simulation) checkPending() {
+	pending, surplus := make(map[string]int), make(map[string]int)
+	for id, j := range s.core.jobs {
+		if j.state == job.Running && !s.begun[id] {
+			s.t.Errorf("at %s: job %s is shown as running and has not begun: %s", s.now.Format("05.000"), id, s.core.describe(id))
+		}
+		if j.state != job.Pending {
+			continue
+		}
+		for r := range j.runs {
+			if r.state == runRunning {
+				s.t.Errorf("at %s: job %s is shown as pending while %s runs", s.now.Format("05.000"), id, r.task)
+			}
+		}
+		pending[j.Queue]++
+		if j.surplus {
+			surplus[j.Team]++
+		}
+	}
+	for queue, n := range s.core.pendingJobs {
+		if n != pending[queue] {
+			s.t.Errorf("at %s: %d jobs of queue %s count as pending, want %d", s.now.Format("05.000"), n, queue, pending[queue])
+		}
+	}
+	for team, u := range s.core.usage {
+		if u.surplusPending != surplus[team] {
+			s.t.Errorf("at %s: %d surplus jobs of team %s count as pending, want %d", s.now.Format("05.000"), u.surplusPending, team, surplus[team])
+		}
+	}
+}
+
+// TestLostStartOrders guards against jobs that count as running although their start orders were lost or
+// refused (review/10).
+func TestLostStartOrders(t *testing.T) {
+	const jobs = 16
+	for _, c := range []struct {
+		name string
+		fail func(w *simWorker)
+	}{
+		{"worker is silent", func(w *simWorker) { w.partitioned = true }},
+		{"worker refuses", func(w *simWorker) { w.unhealthy = true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSimulation(t, 21, 12)
+			s.run(time.Second)
+			const full, last = "00000000000000c0", "w11"
+			s.workers[last].Service = "other" // so that the tasks fill the other workers
+			s.run(time.Second)
+			s.runTimes = map[job.ID]time.Duration{full: time.Hour}
+			s.submitLongLived(full, 11, 1, 31_000)
+			s.run(time.Second)
+			s.workers[last].Service = "calc"
+			s.run(time.Second)
+			c.fail(s.workers[last])
+			var ids []job.ID
+			for i := range jobs {
+				id := job.ID(fmt.Sprintf("%016x", 0xc100+i))
+				ids = append(ids, id)
+				s.submit(&job.Job{ID: id, Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{
+					{Count: 1, Size: task.Resources{CPUMilli: 2_000}, Estimate: time.Second},
+				}})
+			}
+			ordered := 0
+			for range 80 {
+				s.run(100 * time.Millisecond)
+				for _, id := range ids {
+					if s.core.steps[job.StepKey{Job: id}].runsOrdered > 0 {
+						ordered++
+					}
+					if state, _, _, _ := s.core.StateOf(id); state != job.Pending {
+						t.Fatalf("%s is shown as %s and has not begun", id, state)
+					}
+				}
+				if n := s.core.ViewSince("i1", 0, 0).PendingJobs["plain"]; n != jobs {
+					t.Fatalf("%d jobs count as pending, want %d", n, jobs)
+				}
+			}
+			if ordered == 0 {
+				t.Error("no start order was sent")
+			}
+			s.workers[last] = s.newWorker(Worker{ID: last, Incarnation: 2, Address: last, Service: "calc", Rack: "r2", Capacity: s.workers["w00"].Capacity})
+			s.run(4 * time.Second)
+			for _, id := range ids {
+				if s.finals[id].State != job.Completed {
+					t.Errorf("%s has not ended: %s", id, s.core.describe(id))
+				}
+			}
+			if n := s.core.ViewSince("i1", 0, 0).PendingJobs["plain"]; n != 0 {
+				t.Errorf("%d jobs count as pending at the end", n)
+			}
+		})
+	}
+}
+
+// TestBegunBeforeTakeover guards against a job that counts as pending after a takeover although its
+// record says that it has begun.
+func TestBegunBeforeTakeover(t *testing.T) {
+	s := newSimulation(t, 22, 2)
+	s.run(time.Second)
+	const id = job.ID("00000000000000c0")
+	s.submit(&job.Job{ID: id, Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{
+		{Count: 1, Size: task.Resources{CPUMilli: 2_000}, Estimate: 100 * time.Millisecond},
+		{Count: 1, Size: task.Resources{CPUMilli: 33_000}, Estimate: time.Second, After: []int{0}},
+	}})
+	s.run(time.Second)
+	s.takeOver()
+	if state, _, _, _ := s.core.StateOf(id); state != job.Running {
+		t.Errorf("the job is shown as %s", state)
+	}
+}
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -428,9 +428,10 @@
 	return j.state, j.Team, j.Queue, true
 }
 
-// markStarted marks a pending job as running.
-func (c *Core) markStarted(j *jobState) {
-	if j.state == job.Pending {
+// markBegun marks a pending job as running once the answer or a report of a worker shows that a task of
+// it has started. A start order alone does not: it may be lost or refused.
+func (c *Core) markBegun(id job.ID) {
+	if j := c.jobs[id]; j != nil && j.state == job.Pending {
 		c.removeFromPending(j)
 		j.state = job.Running
 		c.publish(j)
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -98,7 +98,6 @@
 	if c.isFailing(w) && !c.isProbing(w) {
 		w.probe = r
 	}
-	c.markStarted(s.job)
 	checkpoint := t.checkpoint
 	if s.spec.Gang {
 		checkpoint = s.tasks[0].checkpoint
@@ -127,6 +126,7 @@
 		if r.state == runStarting {
 			c.runStarted(r)
 		}
+		c.markBegun(r.task.Job) // also if it is being stopped
 		r.answeredAt = c.now
 	case Unclear:
 		w.markSilent(c.now)
@@ -161,6 +161,7 @@
 
 // runStarted handles a run that its worker has accepted or reports as running.
 func (c *Core) runStarted(r *run) {
+	c.markBegun(r.task.Job)
 	if r.state != runStopping {
 		r.state = runRunning
 		delete(c.unsettled, r)
@@ -299,6 +300,7 @@
 		wasStopping = r.state == runStopping
 		c.removeRun(r)
 	}
+	c.markBegun(e.Task.Job)
 	s := c.reportedStep(e.Task.StepKey)
 	c.updateFailStreak(w, s, r, e.Reason)
 	if s == nil || e.Task.Index >= len(s.tasks) {
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -42,6 +42,7 @@
 	succeeded map[job.TaskKey]bool        // a run succeeded on its worker
 	failed    map[job.TaskKey][]time.Time // end times of the failed runs that an owner confirmed
 	starts    map[job.TaskKey][]time.Time
+	begun     map[job.ID]bool          // a task of the job has started
 	startedOn []simStart               // every start, in order
 	history   map[job.TaskKey][]string // events, for failure messages
 	usage     map[string]task.Resources
@@ -83,6 +84,7 @@
 	leaseExpiredAt time.Time   // when it last had no valid lease
 	lastEndNumber  uint64
 	failAll        bool
+	unhealthy      bool   // refuses start orders
 	answerPoll     func() // answers a poll that waits for an end
 }
 
@@ -128,7 +130,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0), adviceLatency: 50 * time.Millisecond, isEligible: isEligible, endsPerReport: 500,
 		records: map[job.ID]*record{}, finals: map[job.ID]job.Final{}, workers: map[string]*simWorker{},
 		jobs: map[job.ID]*job.Job{}, cancels: map[job.ID]time.Time{}, running: map[job.TaskKey]*simRun{},
-		done: map[job.TaskKey]bool{}, succeeded: map[job.TaskKey]bool{}, failed: map[job.TaskKey][]time.Time{}, starts: map[job.TaskKey][]time.Time{}, history: map[job.TaskKey][]string{}, usage: map[string]task.Resources{},
+		done: map[job.TaskKey]bool{}, succeeded: map[job.TaskKey]bool{}, failed: map[job.TaskKey][]time.Time{}, starts: map[job.TaskKey][]time.Time{}, begun: map[job.ID]bool{}, history: map[job.TaskKey][]string{}, usage: map[string]task.Resources{},
 	}
 	policy := &job.AdvicePolicy{Base: 20 * time.Millisecond, PerWorker: time.Millisecond, Valid: adviceValidity}
 	s.catalog = job.NewCatalog(1, 1, []job.Queue{
@@ -144,6 +146,7 @@
 	}
 	s.every(10*time.Millisecond, func() { s.dispatch(func(c *Core) { c.Tick() }) })
 	s.every(100*time.Millisecond, s.expireLeases)
+	s.every(100*time.Millisecond, s.checkPending)
 	s.every(700*time.Millisecond, func() {
 		listed := s.listed()
 		s.dispatch(func(c *Core) { c.SetDirectory(listed) })
--- a/schedule/simcheck_test.go
+++ b/schedule/simcheck_test.go
@@ -41,6 +41,7 @@
 		violation("its job was cancelled %s ago", s.now.Sub(at))
 	}
 	s.starts[r.key] = append(s.starts[r.key], s.now)
+	s.begun[j.ID] = true
 	s.logEvent(r.key, "run %d starts on %s", r.number, r.worker.ID)
 }
 
--- a/schedule/simworker_test.go
+++ b/schedule/simworker_test.go
@@ -101,6 +101,9 @@
 	if v != Accepted {
 		return v
 	}
+	if w.unhealthy {
+		return Unhealthy
+	}
 	if e.Run <= w.stopped[e.Task] {
 		return Outdated
 	}
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -320,6 +320,7 @@
 // adopt takes over a reported run that this owner did not order, or stops it if its task is done,
 // unknown or has another run.
 func (c *Core) adopt(w *worker, report RunReport) {
+	c.markBegun(report.Task.Job)
 	if _, known := w.runs[report.Task]; known {
 		// This owner has ordered another run of the task on this worker, so this one is obsolete.
 		c.emit(Stop{Target: w.target(), Task: report.Task, Run: report.Run})
@@ -350,7 +351,6 @@
 	s.job.runs[r] = struct{}{}
 	c.addRun(r)
 	r.recordProgress(c.now, report)
-	c.markStarted(s.job)
 	c.logDecision(s.key.Job, "adopted", "task", report.Task.String(), "run", report.Run, "worker", w.ID)
 }
 
