Distinguish a failing worker from a failing job by different jobs

Cause: each failure of a long-lived task counted against its worker, since the rule that a step which also fails elsewhere does not count ignored such tasks.

Change: only failures of different jobs make a worker failing; failures of one job, or of one image that has not succeeded lately, count once on a worker. At most a third of the workers of a service count as failing at a time. Long-lived tasks that fail soon after their start are restarted after 0.25 s, doubling up to 2 s; until now only the failing state slowed them.

Evidence: go test ./schedule. With the former rules TestFaultyLongLivedJobs (three cases, "the gang has not started within 3s"; 17 starts of one task in the case of failures at once) and TestShareOfFailingWorkers ("9 of 9 workers count as failing") fail; with these, all tests pass. TestFailingWorkerIsDetected passed before.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -74,6 +74,8 @@
 	unsettled            map[*run]struct{}           // runs for which a stop order may have to be sent: unclear, or being stopped
 	proxies              map[string]*adviceProxy
 	proxyOrder           []*adviceProxy              // sorted by name; nil if it must be rebuilt
+	imageSucceededAt     map[string]time.Time        // when a run of an image last succeeded
+	failingCounts        map[string]failingCount     // by service
 	eligibleShares       map[string]float64          // estimated share of the queried workers that are eligible, by queue
 	serviceUsage         map[string]serviceCPU       // by service, as of the last pass
 	reservedCPU          map[string]int64            // millicores reserved for gangs, by service
@@ -126,6 +128,8 @@
 		workers:            make(map[string]*worker),
 		unsettled:          make(map[*run]struct{}),
 		proxies:            make(map[string]*adviceProxy),
+		imageSucceededAt:   make(map[string]time.Time),
+		failingCounts:      make(map[string]failingCount),
 		eligibleShares:     make(map[string]float64),
 		serviceUsage:       make(map[string]serviceCPU),
 		reservedCPU:        make(map[string]int64),
@@ -219,6 +223,7 @@
 	if c.now.Sub(c.finalsEvictedAt) > finalRetention/10 {
 		c.finalsEvictedAt = c.now
 		c.evictFinals()
+		c.evictImages()
 	}
 	if c.now.Sub(c.lastPass) >= c.cfg.MaxPassInterval {
 		c.passDue = true
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -53,6 +53,7 @@
 	waitLoggedAt    time.Time      // when it was logged
 	latestStart     time.Time      // latest start at which the job meets its objective
 	notBefore       time.Time      // no placement before this time
+	restartDelay    time.Duration  // last delay of the restart of long-lived tasks
 	consideredRound int            // round in which a pass last tried to start its tasks
 	workerFailures  map[string]int // number of runs that failed or timed out waiting for their gang, by worker
 }
--- a/schedule/probe_test.go
+++ b/schedule/probe_test.go
@@ -88,3 +88,123 @@
 		}
 	}
 }
+
+// TestFaultyLongLivedJobs guards against jobs whose long-lived tasks fail again and again and thereby make
+// all workers count as failing, so that no gang is placed (review/7), and against restarts of such tasks
+// without a pause.
+func TestFaultyLongLivedJobs(t *testing.T) {
+	const (
+		workers     = 6
+		gang        = job.ID("00000000000000f0")
+		maxGangWait = 3 * time.Second
+		maxStarts   = 12 // of one task in 11 s: the delay of restarts grows from 0.25 s to 2 s
+	)
+	for _, c := range []struct {
+		name    string
+		jobs    int
+		runTime time.Duration
+	}{
+		{"one job", 1, 800 * time.Millisecond},
+		{"three jobs", 3, 800 * time.Millisecond},
+		{"one job fails at once", 1, 10 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSimulation(t, 15, workers)
+			s.run(time.Second)
+			s.runTimes = map[job.ID]time.Duration{}
+			for i := range c.jobs {
+				id := job.ID(fmt.Sprintf("%016x", 0xe0+i))
+				s.runTimes[id] = c.runTime
+				s.submitLongLived(id, 2*workers, 2, 1_000)
+			}
+			s.run(8 * time.Second)
+			s.submit(&job.Job{ID: gang, Queue: "plain", Team: "red", Spec: "work", Steps: []job.Step{
+				{Count: 4, Gang: true, Size: task.Resources{CPUMilli: 2_000}, Estimate: time.Second},
+			}})
+			s.run(maxGangWait)
+			if !s.hasStarted(gang, 4) {
+				t.Errorf("the gang has not started within %s: %s", maxGangWait, s.core.describe(gang))
+			}
+			for key, starts := range s.starts {
+				if key.Job == gang {
+					continue
+				}
+				if len(starts) > maxStarts {
+					t.Errorf("%s has started %d times", key, len(starts))
+				}
+				for i := 1; i < len(starts); i++ {
+					if pause := starts[i].Sub(starts[i-1]); pause > c.runTime+maxRestartWait {
+						t.Errorf("%s was restarted after %s", key, pause)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestFailingWorkerIsDetected guards against a worker that fails everything it starts and goes on getting
+// gangs and several tasks at a time, and against healthy workers that count as failing beside it.
+func TestFailingWorkerIsDetected(t *testing.T) {
+	for name, image := range map[string]string{"no image": "", "jobs of one image that works elsewhere": "a"} {
+		t.Run(name, func(t *testing.T) {
+			const jobs, interval = 120, 50 * time.Millisecond
+			s := newSimulation(t, 16, 6)
+			s.run(time.Second)
+			s.workers["w03"].failAll = true
+			s.faults = []string{"failing worker"}
+			for i := range jobs {
+				s.after(time.Duration(i)*interval, func() {
+					s.submit(&job.Job{ID: job.ID(fmt.Sprintf("%016x", 0xd000+i)), Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{
+						{Count: 2, AntiAffinity: 1, Size: task.Resources{CPUMilli: 6_000}, Estimate: 600 * time.Millisecond, Image: image},
+					}})
+				})
+			}
+			s.run(2500 * time.Millisecond)
+			failing := 0
+			const checks = 30
+			for range checks {
+				s.run(100 * time.Millisecond)
+				for id, w := range s.core.workers {
+					switch {
+					case !s.core.isFailing(w):
+					case id == "w03":
+						failing++
+					default:
+						t.Fatalf("the healthy worker %s counts as failing", id)
+					}
+				}
+			}
+			if failing < checks {
+				t.Errorf("the worker counted as failing in %d of %d checks", failing, checks)
+			}
+		})
+	}
+}
+
+// TestShareOfFailingWorkers guards against a service without a worker for gangs because jobs fail on all
+// of its workers.
+func TestShareOfFailingWorkers(t *testing.T) {
+	const workers, jobs = 9, 200
+	s := newSimulation(t, 17, workers)
+	s.run(time.Second)
+	for _, w := range s.workers {
+		w.failAll = true
+	}
+	for i := range jobs {
+		s.submit(&job.Job{ID: job.ID(fmt.Sprintf("%016x", 0xd000+i)), Queue: "plain", Team: "blue", Spec: "fail", Steps: []job.Step{
+			{Count: 1, Size: task.Resources{CPUMilli: 6_000}, Estimate: 100 * time.Millisecond},
+		}})
+	}
+	most := 0
+	for range 60 {
+		s.run(50 * time.Millisecond)
+		failing := 0
+		for _, w := range s.core.workers {
+			failing += boolToInt(s.core.isFailing(w))
+		}
+		most = max(most, failing)
+	}
+	if most == 0 || most > workers/failingShareDivisor {
+		t.Errorf("%d of %d workers count as failing at a time", most, workers)
+	}
+}
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -302,7 +302,7 @@
 	}
 	c.markBegun(e.Task.Job)
 	s := c.reportedStep(e.Task.StepKey)
-	c.updateFailStreak(w, s, r, e.Reason)
+	c.recordEndOn(w, s, r, e)
 	if s == nil || e.Task.Index >= len(s.tasks) {
 		return
 	}
@@ -317,6 +317,7 @@
 	}
 	switch {
 	case s.spec.LongLived:
+		c.longLivedEnded(s, w, r, e.Reason)
 	case e.Reason == EndedSucceeded && s.spec.Gang:
 		c.gangDone(s)
 		return
@@ -374,57 +375,3 @@
 		s.setCheckpoint(r.task.Index, report.Checkpoint)
 	}
 }
-
-// failingThreshold is the number of consecutive failed runs, of any jobs, from which a worker gets
-// only one task at a time, its probe, until one succeeds or has run for probeDuration.
-const failingThreshold = 2
-
-// failingBackoff is the delay before a failing worker gets its next task.
-const failingBackoff = 1500 * time.Millisecond
-
-// failingExpiry is how long a worker counts as failing after its last failure. Gangs are not placed
-// on failing workers, so their runs cannot end this state by a success; without the expiry, a worker
-// that could only get gangs would stay excluded.
-const failingExpiry = 4 * time.Second
-
-// probeDuration is the time after which a probe that still runs counts as passed. A long-lived task
-// ends only by failing.
-const probeDuration = failingExpiry
-
-// isProbing reports whether the probe of a worker runs and has not passed yet.
-func (c *Core) isProbing(w *worker) bool {
-	return w.probe != nil && c.now.Sub(w.probe.startedAt) < probeDuration
-}
-
-// isFailing reports whether a worker has recently failed several runs in succession.
-func (c *Core) isFailing(w *worker) bool {
-	return w.failStreak >= failingThreshold && c.now.Sub(w.failedAt) < failingExpiry
-}
-
-// updateFailStreak counts consecutive failed runs of a worker. To distinguish a failing worker from
-// a failing job, a success or failingExpiry without a failure resets the count, and neither the
-// failure of a step that has also failed on another worker counts nor that of a long-lived task that
-// has run for probeDuration. r is nil if this owner does not know the run.
-func (c *Core) updateFailStreak(w *worker, s *stepState, r *run, reason EndReason) {
-	switch reason {
-	case EndedSucceeded:
-		w.failStreak = 0
-		w.backoffUntil = time.Time{}
-	case EndedFailed:
-		if s != nil && s.hasFailedOnOther(w.ID) {
-			return
-		}
-		if r != nil && s != nil && s.spec.LongLived && c.now.Sub(r.startedAt) >= probeDuration {
-			return
-		}
-		if c.now.Sub(w.failedAt) >= failingExpiry {
-			w.failStreak = 0
-		}
-		w.failStreak++
-		w.failedAt = c.now
-		if w.failStreak >= failingThreshold {
-			w.backoffUntil = c.now.Add(failingBackoff)
-			c.emit(Decision{Event: "worker_failing", Fields: []any{"worker", w.ID, "streak", w.failStreak}})
-		}
-	}
-}
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -33,15 +33,15 @@
 	maxLeaseEnd   time.Duration // latest lease end sent, on the worker's clock
 	polling       bool          // a poll is in flight
 	nextPoll      time.Time
-	lastProcessed uint64       // number of the last ended run that was processed
-	confirmed     uint64       // the effect of ends up to this number is durable; the worker may discard them
-	pendingEnds   []pendingEnd // sorted by number
-	backoffUntil  time.Time    // no placement before this time, after rejected orders and failed runs
-	failStreak    int          // consecutive failed runs
-	failedAt      time.Time    // when the last of these was reported
-	probe         *run         // only run on a failing worker, to test whether it has recovered
-	progressAt    time.Time    // when a run last made progress
-	coldUntil     time.Time    // until then the worker is slow after its start
+	lastProcessed uint64         // number of the last ended run that was processed
+	confirmed     uint64         // the effect of ends up to this number is durable; the worker may discard them
+	pendingEnds   []pendingEnd   // sorted by number
+	backoffUntil  time.Time      // no placement before this time, after rejected orders and failed runs
+	failureCauses []failureCause // of the recent failed runs since the last success
+	failingUntil  time.Time      // until then the worker counts as failing
+	probe         *run           // only run on a failing worker, to test whether it has recovered
+	progressAt    time.Time      // when a run last made progress
+	coldUntil     time.Time      // until then the worker is slow after its start
 }
 
 // pendingEnd is the end of a run that may be confirmed once the given version of its job is durable.
@@ -118,7 +118,7 @@
 	w.fenced, w.silent, w.missedReports, w.backoffUntil = false, false, 0, time.Time{}
 	w.clock, w.clockAt, w.maxLeaseEnd = 0, time.Time{}, 0
 	w.lastProcessed, w.confirmed, w.pendingEnds = 0, 0, nil
-	w.unsizedRuns, w.failStreak, w.probe = 0, 0, nil
+	w.unsizedRuns, w.failureCauses, w.failingUntil, w.probe = 0, nil, time.Time{}, nil
 	for _, r := range sortedRunsOf(w) {
 		c.runLost(r, "worker_restarted")
 	}
