Check the operators' configuration of the platform

TestConfigCheck expects the longer text for a file of no known kind.

Before, the command answered "neither settings nor a document" for such a file.

--- a/cmd/mulberryctl/main_test.go
+++ b/cmd/mulberryctl/main_test.go
@@ -217,7 +217,7 @@
 	for name, c := range map[string]struct{ text, want string }{
 		"document.jsonc": {"{\"team\": \"pipes\",\n \"limit\": 1}", ":2:11: limit: found 1; allowed: an object with cpu_milli"},
 		"settings.jsonc": {"{\"instance\": \"a\",\n \"task_lease\": \"x\"}", `:2:16: task_lease: found "x"; allowed: a duration`},
-		"other.jsonc":    {`{"colour": 1}`, ":1:1: the file is neither settings nor a document; allowed: "},
+		"other.jsonc":    {`{"colour": 1}`, ":1:1: the file is neither settings nor a document nor a configuration of the platform; allowed: "},
 		"broken.jsonc":   {"{\"team\":\n", ":2:1: unexpected end of input"},
 	} {
 		path := write(name, c.text)
@@ -230,6 +230,38 @@
 	}
 }
 
+// TestConfigCheckOfPlatform guards against a configuration of the platform that is not recognised, and
+// against differences that are not printed or count as faults.
+func TestConfigCheckOfPlatform(t *testing.T) {
+	const example = "../../examples/platform/configuration.json"
+	run := newCommand(t, &callerBackend{}, &operatorBackend{})
+	if code, out, _ := run("", "config", "check", example, "--against", example); code != 0 || out != "" {
+		t.Errorf("example: exit code %d, %s", code, out)
+	}
+	text, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := filepath.Join(t.TempDir(), "changed.json")
+	write := func(old, replacement string) {
+		next := strings.Replace(strings.Replace(string(text), `"version": 12`, `"version": 13`, 1), old, replacement, 1)
+		if err := os.WriteFile(changed, []byte(next), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(`"weight": 50`, `"weight": 60`)
+	if code, out, _ := run("", "config", "check", changed, "--against", example); code != 0 || !strings.Contains(out, `changes: tenants["archive"].weight: 50 -> 60`) {
+		t.Errorf("changed: exit code %d, %s", code, out)
+	}
+	write(`"service": "calc", "maxAttempts": 2`, `"service": "clac", "maxAttempts": 2`)
+	if code, out, _ := run("", "config", "check", changed); code != 1 || !strings.Contains(out, changed+":11:79: routes[1].service: there is no service \"clac\"") {
+		t.Errorf("with a fault: exit code %d, %s", code, out)
+	}
+	if code, _, _ := run("", "config", "check", example, "--against", filepath.Join(t.TempDir(), "none")); code != 1 {
+		t.Errorf("nothing to compare with: exit code %d", code)
+	}
+}
+
 // TestUsageErrors guards against an invalid command line being reported with the
 // exit code of another failure.
 func TestUsageErrors(t *testing.T) {
