List the keys after three watches without an answer

A watch response so large that it begins later than its time limit was asked for again and again.

Change: store.Follow lists the keys after three watches in succession that ended without a message and with an unclear outcome. Longer limits were ruled out: a watch lost in an outage would hold up the first one after it.

--- a/store/follow.go
+++ b/store/follow.go
@@ -11,6 +11,10 @@
 // followRetryDelay is the delay before Follow retries a failed call.
 const followRetryDelay = 150 * time.Millisecond
 
+// maxUnansweredWatches is the number of watches in succession without any message after which the keys
+// are listed: a response with very many changes may take longer than the call may, each time.
+const maxUnansweredWatches = 3
+
 // Follower receives the results of Follow. All methods are called from one goroutine.
 type Follower interface {
 	// Listed receives all keys with the prefix as of a revision, which includes every change
@@ -23,12 +27,14 @@
 }
 
 // Follow lists the keys with a prefix and then watches them until ctx is done. It lists them again if
-// the changes after the last delivered one are no longer in the store's history, or can't be read. A
+// the changes after the last delivered one are no longer in the store's history, or can't be read, or if
+// several watches in succession have brought no message. A
 // batch that does not say as of when it is current is as current as the last one that does.
 func Follow(ctx context.Context, s Store, prefix string, f Follower) error {
 	next := int64(0) // revision from which to watch; 0 to list first
 	var current time.Time
 	var listed int64 // revision of the last list
+	unanswered := 0  // watches without a message since the last one with
 	for ctx.Err() == nil {
 		if next == 0 {
 			asOf := clock.Now()
@@ -39,10 +45,11 @@
 				continue
 			}
 			f.Listed(kvs, revision, asOf)
+			unanswered = 0
 			current, listed, next = asOf, revision, revision+1
 		}
 		err := s.Watch(ctx, prefix, next, func(b WatchBatch) {
-			next = max(next, b.Revision+1)
+			next, unanswered = max(next, b.Revision+1), 0
 			if b.AsOf.IsZero() {
 				b.AsOf = current
 			}
@@ -53,6 +60,12 @@
 			break
 		}
 		f.Failed(err)
+		if errors.Is(err, ErrUnclear) {
+			unanswered++
+		}
+		if unanswered >= maxUnansweredWatches {
+			next = 0
+		}
 		if errors.Is(err, ErrCompacted) {
 			madeProgress := next > listed+1
 			next = 0
