--- a/schedule/core.go
+++ b/schedule/core.go
@@ -66,6 +66,7 @@
 	inboxRevision int64                      // see ObserveInbox
 	pendingJobs   map[string]int             // number of pending jobs, by queue
 	usage         map[string]*teamUsage
+	window        orderWindow
 
 	workers              map[string]*worker
 	workerOrder          []*worker                   // sorted by ID; nil if it must be rebuilt
@@ -73,17 +74,18 @@
 	capacitySet          map[task.Resources]struct{} // different capacities of the workers; nil if it must be rebuilt
 	unsettled            map[*run]struct{}           // runs for which a stop order may have to be sent: unclear, or being stopped
 	proxies              map[string]*adviceProxy
-	proxyOrder           []*adviceProxy             // sorted by name; nil if it must be rebuilt
-	eligibleShares       map[string]float64         // estimated share of the queried workers that are eligible, by queue
-	serviceUsage         map[string]serviceCPU      // by service, as of the last pass
-	reservedCPU          map[string]int64           // millicores reserved for gangs, by service
-	oversizedGangWaits   map[string]bool            // services on which an oversized gang waits for a reservation in the current pass
-	reservedGangs        map[job.StepKey]*stepState // gangs that have a reservation
-	plansMade            int                        // reservation plans made in the current pass
-	unresolvedUsageSum   task.Resources             // cached result of unresolvedUsage
-	unresolvedUsageValid bool                       // the cached sum is valid for the current event
-	gangsAdopted         bool                       // runs of gang members were adopted from a former owner; other members may be missing
-	window               orderWindow
+	proxyOrder           []*adviceProxy              // sorted by name; nil if it must be rebuilt
+	imageSucceededAt     map[string]time.Time        // when a run of an image last succeeded
+	failingCounts        map[string]failingCount     // by service
+	eligibleShares       map[string]float64          // estimated share of the queried workers that are eligible, by queue
+	serviceUsage         map[string]serviceCPU       // by service, as of the last pass
+	reservedCPU          map[string]int64            // millicores reserved for gangs, by service
+	oversizedGangWaits   map[string]bool             // services on which an oversized gang waits for a reservation in the current pass
+	reservedGangs        map[job.StepKey]*stepState  // gangs that have a reservation
+	plansMade            int                         // reservation plans made in the current pass
+	unresolvedUsageSum   task.Resources              // cached result of unresolvedUsage
+	unresolvedUsageValid bool                        // the cached sum is valid for the current event
+	gangsAdopted         bool                        // runs of gang members were adopted from a former owner; other members may be missing
 	evacuated            map[string]struct{}         // failure domains in which no tasks may start
 	unresolved           map[string]unresolvedWorker // workers on which runs of a former owner may exist
 	openUnresolved       int                         // number of unresolved workers that are not closed: any task may run there
@@ -127,6 +129,8 @@
 		workers:            make(map[string]*worker),
 		unsettled:          make(map[*run]struct{}),
 		proxies:            make(map[string]*adviceProxy),
+		imageSucceededAt:   make(map[string]time.Time),
+		failingCounts:      make(map[string]failingCount),
 		eligibleShares:     make(map[string]float64),
 		serviceUsage:       make(map[string]serviceCPU),
 		reservedCPU:        make(map[string]int64),
@@ -221,6 +225,7 @@
 	if c.now.Sub(c.finalsEvictedAt) > finalRetention/10 {
 		c.finalsEvictedAt = c.now
 		c.evictFinals()
+		c.evictImages()
 	}
 	if c.now.Sub(c.lastPass) >= c.cfg.MaxPassInterval {
 		c.passDue = true
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -54,6 +54,7 @@
 	latestStart     time.Time      // latest start at which the job meets its objective
 	notBefore       time.Time      // no placement before this time
 	heldSince       time.Time      // since when passes have not started all of its tasks; zero if they have
+	restartDelay    time.Duration  // last delay of the restart of long-lived tasks
 	consideredRound int            // round in which a pass last tried to start its tasks
 	workerFailures  map[string]int // number of runs that failed or timed out waiting for their gang, by worker
 }
@@ -429,9 +430,10 @@
 	return j.state, j.Team, j.Queue, true
 }
 
-// markStarted marks a pending job as running.
-func (c *Core) markStarted(j *jobState) {
-	if j.state == job.Pending {
+// markBegun marks a pending job as running once the answer or a report of a worker shows that a task of
+// it has started. A start order alone does not: it may be lost or refused.
+func (c *Core) markBegun(id job.ID) {
+	if j := c.jobs[id]; j != nil && j.state == job.Pending {
 		c.removeFromPending(j)
 		j.state = job.Running
 		c.publish(j)
