--- a/internal/processtest/process.go
+++ b/internal/processtest/process.go
@@ -62,6 +62,9 @@
 	}
 }
 
+// PID returns the ID of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // ExitCode returns the exit code of a process that has ended.
 func (p *Process) ExitCode() int { return p.cmd.ProcessState.ExitCode() }
 
