Bound the memory and the connections of clients

Cause: nothing bounded the number of connections, the size of headers (1 MB by default of the HTTP library), the bodies that are read at the same time, or the time for a body; a body of empty steps took a hundred times its size once decoded.

Change: package intake, which performs no I/O, holds a budget of memory and connections for each group of listeners, charged before bytes are read and shared among addresses. Package listen applies it to the listeners, the states of connections, headers and bodies of platform/front and httpjson. Limits of the configuration for headers and idle connections are decoded and apply at run time.

--- a/caller/calls.go
+++ b/caller/calls.go
@@ -10,6 +10,7 @@
 	"github.com/mulberrydrum/mulberrydrum/api"
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 	"github.com/mulberrydrum/mulberrydrum/httpjson"
+	"github.com/mulberrydrum/mulberrydrum/listen"
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
@@ -30,6 +31,7 @@
 	if err != nil {
 		return httpjson.Response{}, err
 	}
+	listen.Keep(r.Context(), int64(len(request.Payload)))
 	deadline, err := s.callDeadline(r, request.Deadline)
 	if err != nil {
 		return httpjson.Response{}, err
--- a/cmd/mulberryctl/deployment_test.go
+++ b/cmd/mulberryctl/deployment_test.go
@@ -258,6 +258,13 @@
 		return "worker.ADDRESS" + name[strings.LastIndexByte(name, '.'):]
 	case strings.HasPrefix(name, "store.call_count."):
 		return "store.call_count.CALL.OUTCOME"
+	case strings.HasPrefix(name, "intake."):
+		parts := strings.Split(name, ".")
+		parts[1] = "BUDGET"
+		if len(parts) == 4 {
+			parts[3] = "CAUSE"
+		}
+		return strings.Join(parts, ".")
 	}
 	for prefix, placeholder := range map[string]string{"request.kind_count.": "KIND", "request.error_count.": "ERROR", "task.wait_ms.": "TEAM", "store.call_us.": "CALL"} {
 		if strings.HasPrefix(name, prefix) {
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -23,6 +23,7 @@
 	Control    control.Config
 	Components control.ComponentConfigs
 	Caller     caller.Config
+	Intake     IntakeConfig
 	Operator   operator.Config
 	Store      store.Config
 	Worker     worker.Config
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -52,6 +52,7 @@
 		Workers:      worker.NewClient(cfg.Worker),
 		Entries:      entry.NewClient(cfg.Self),
 	})
+	d.gate(cfg, logger)
 	d.callers = caller.NewServer(cfg.Caller, &callerBackend{d.engine})
 	cfg.Operator.Metrics = d.registry
 	d.operators = operator.NewServer(cfg.Operator, &operatorBackend{d.engine})
--- a/daemon/fromsettings.go
+++ b/daemon/fromsettings.go
@@ -18,6 +18,7 @@
 		CallerAddress: s.CallerAddress, OperatorAddress: s.OperatorAddress, EntryAddress: s.EntryAddress,
 		Control:             controlConfig(s),
 		Caller:              callerConfig(s),
+		Intake:              IntakeConfig{Memory: s.ClientMemoryBytes, Connections: s.ClientConnections},
 		Operator:            operatorConfig(s),
 		Store:               store.Config{Address: s.StoreEndpoints[0], Instance: s.Instance, CallTimeout: s.StoreCallTimeout, ProgressTimeout: s.StreamProgress},
 		Worker:              worker.Config{CallTimeout: s.WorkerCallTimeout, MaxResultBytes: s.MaxResultBytes, Connections: s.WorkerConnections},
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -43,6 +43,7 @@
 	NotAllowed          Kind = "not_allowed"
 	UnknownPath         Kind = "unknown_path"
 	Unreachable         Kind = "unreachable"
+	Overloaded          Kind = "overloaded"
 	Internal            Kind = "internal"
 )
 
@@ -104,6 +105,7 @@
 	NotAllowed:          {405, 2, AdviceDoNotRetry, FateNotRun},
 	UnknownPath:         {404, 2, AdviceDoNotRetry, FateNotRun},
 	Unreachable:         {503, 3, AdviceRetry, FateNotRun},
+	Overloaded:          {503, 3, AdviceRetry, FateNotRun},
 	Internal:            {500, 9, AdviceQueryStatus, FateUnknown},
 }
 
--- a/httpjson/read.go
+++ b/httpjson/read.go
@@ -11,20 +11,55 @@
 
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 	"github.com/mulberrydrum/mulberrydrum/jsonc"
+	"github.com/mulberrydrum/mulberrydrum/listen"
 )
 
+const (
+	// decodeFactor is the memory in bytes that is charged for each byte of a body while it is decoded, which
+	// covers copies of its strings.
+	decodeFactor = 4
+	// valueBytes is the memory that the decoder uses for each value: a node of the syntax tree, in a list
+	// that grows, and its position.
+	valueBytes = 300
+	// MaxValues bounds the values of a body. A document of 1 MB with a value in every 20 bytes has as many;
+	// real ones have hundreds.
+	MaxValues = 50_000
+	// retryAfterOverload is the retry hint for a call that found the memory for bodies exhausted.
+	// Connections without progress are closed within about a second.
+	retryAfterOverload = time.Second
+)
+
+// countValues returns an upper bound for the number of values in a JSON text.
+func countValues(body []byte) int {
+	n := 1
+	for _, b := range body {
+		if b == ',' || b == '[' || b == '{' {
+			n++
+		}
+	}
+	return n
+}
+
 // ReadBody reads the complete body of r. Its error states the cause and the limit.
 func (s *Server) ReadBody(r *http.Request) ([]byte, error) {
 	limit := fmt.Sprintf("%d bytes", s.limits.MaxRequestBytes)
 	if r.ContentLength > s.limits.MaxRequestBytes {
 		return nil, errkind.New(errkind.RequestTooLarge, "the body of %d bytes is too large", r.ContentLength).WithField("body", limit)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, s.limits.MaxRequestBytes))
+	body, err := listen.ReadBody(nil, r, s.limits.MaxRequestBytes, decodeFactor)
+	values := countValues(body)
+	if err == nil && values <= MaxValues {
+		err = listen.Charge(r.Context(), int64(values)*valueBytes)
+	}
 	var tooLarge *http.MaxBytesError
 	var netErr net.Error
 	switch {
+	case err == nil && values > MaxValues:
+		return nil, errkind.New(errkind.InvalidRequest, "the body has too many values").WithField("body", fmt.Sprintf("%d values", MaxValues))
 	case err == nil:
 		return body, nil
+	case errors.Is(err, listen.ErrOverloaded):
+		return nil, errkind.New(errkind.Overloaded, "%v", err).WithRetryAfter(retryAfterOverload)
 	case errors.As(err, &tooLarge):
 		return nil, errkind.New(errkind.RequestTooLarge, "the body is too large").WithField("body", limit)
 	case errors.As(err, &netErr) && netErr.Timeout():
--- a/httpjson/server.go
+++ b/httpjson/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/listen"
 )
 
 // Limits apply to every request. Every field must be set. A connection that exceeds
@@ -56,6 +57,7 @@
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ConnState:         s.trackConnState,
 	}
+	listen.ConfigureStates(s.http)
 	s.mux.HandleFunc("/", s.handlerFunc(s.rejectUnknownPath))
 	return s
 }
@@ -97,6 +99,7 @@
 		if err != nil {
 			response = ErrorResponse(err)
 		}
+		listen.Finish(w, r)
 		s.write(w, response)
 	}
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -72,6 +72,7 @@
 	Timing        Timing
 	MaxValueBytes int // largest value that the store accepts; 0 if unknown
 	Schedule      schedule.Config
+	GatePeers     func(net.Listener) net.Listener // limits the connections of other instances; nil for no limit
 }
 
 // Timing holds the timeouts and intervals of an instance.
@@ -157,6 +158,9 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for other instances on %s", i.cfg.Listen)
 	}
+	if i.cfg.GatePeers != nil {
+		listener = i.cfg.GatePeers(listener)
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	i.ctx = ctx
 	server := entry.NewCellServer(i)
--- a/job/catalog.go
+++ b/job/catalog.go
@@ -73,6 +73,10 @@
 	Revision     int64 // of the store when it was read
 	MaxBodyBytes int64 // maximum size of the body of a caller's request
 
+	MaxHeaderBytes int           // maximum size of the request line and headers of a caller's request
+	HeaderTimeout  time.Duration // for receiving the headers
+	IdleTimeout    time.Duration // after which an idle connection of a caller is closed
+
 	queues   map[string]*Queue
 	byHost   map[string][]*Queue
 	services map[string]Service
--- a/settings/rules.go
+++ b/settings/rules.go
@@ -62,6 +62,12 @@
 	c.Require(s.MaxDurableRequestBytes <= s.MaxShardBytes/2, "max_durable_request_bytes",
 		fmt.Sprintf("%d could fill a request shard", s.MaxDurableRequestBytes),
 		fmt.Sprintf("at most %d (half of max_shard_bytes)", s.MaxShardBytes/2))
+	// A body, the copies of its strings, which take up to four times its size, and its values, which take up
+	// to 15 MB, fit beside connections that are being closed.
+	const minRequests, valueBytes = 10, 32 << 20
+	c.Require(s.ClientMemoryBytes >= valueBytes+minRequests*s.MaxRequestBytes, "client_memory_bytes",
+		fmt.Sprintf("%d does not suffice for a body of max_request_bytes", s.ClientMemoryBytes),
+		fmt.Sprintf("%d or more (%d and %d times max_request_bytes)", valueBytes+minRequests*s.MaxRequestBytes, valueBytes, minRequests))
 	c.Require(s.MaxShardBytes <= s.LedgerTxnBytes, "ledger_txn_bytes",
 		fmt.Sprintf("%d is less than max_shard_bytes, so a full shard could not be written", s.LedgerTxnBytes),
 		fmt.Sprintf("%d or more (max_shard_bytes)", s.MaxShardBytes))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -63,6 +63,8 @@
 	ReadTimeout            time.Duration `json:"read_timeout" default:"10s" min:"100ms" max:"5m" doc:"time within which a caller must send headers and body"`
 	WriteTimeout           time.Duration `json:"write_timeout" default:"10s" min:"100ms" max:"5m" doc:"time within which a caller must receive its response"`
 	IdleTimeout            time.Duration `json:"idle_timeout" default:"1m" min:"1s" max:"10m" doc:"a connection of a caller is closed when idle for this time"`
+	ClientMemoryBytes      int64         `json:"client_memory_bytes" default:"67108864" min:"33554432" max:"17179869184" doc:"memory for connections and requests of callers, in bytes; at least 32 MB and 10 times max_request_bytes; calls beyond it are refused"`
+	ClientConnections      int           `json:"client_connections" default:"1024" min:"16" max:"100000" doc:"maximum number of open connections of callers; idle ones are closed first, and operators have another sixteenth"`
 }
 
 // OperatorKey authenticates one operator. The settings hold only the digest of the
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -44,6 +44,7 @@
 		{"shard limit above the transaction limit", validFields + `, "max_shard_bytes": 800000`, "ledger_txn_bytes"},
 		{"cross-region digest interval below the regional one", validFields + `, "digest_interval": "6s"`, "digest_interval_cross_region"},
 		{"allowance interval above the idle time", validFields + `, "allowance_interval": "31s"`, "allowance_idle"},
+		{"client memory below ten bodies", validFields + `, "client_memory_bytes": 40000000`, "client_memory_bytes"},
 		{"read timeout below the header timeout", validFields + `, "read_header_timeout": "11s"`, "read_timeout"},
 	}
 	for _, c := range cases {
