intake, listen: let the tests fail without what they guard

Three changes that were made to the code on purpose were not found: a body that is not charged before it is read, the lightest source closed first, and connections closed while their request is handled. Each now fails: go test ./intake ./listen with the change put in.

--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -47,18 +47,21 @@
 // being served.
 func TestHeaviestSourceFirst(t *testing.T) {
 	o := newOpener(t, 100, 800) // 700 without connections that are being closed
+	middle := o.open(start.Add(-time.Second/4), "middle", Receiving)
+	o.charge(start, middle, 100)
 	var heavy []*Connection
-	for i := range 6 {
+	for i := range 5 {
 		c := o.open(start.Add(time.Duration(i)), "heavy", Receiving)
 		heavy = append(heavy, c)
 		o.charge(start, c, 100)
 	}
 	heavy[0].Progress(start.Add(time.Millisecond), progressBytes)
-	if more := o.open(start, "heavy", Receiving); o.charge(start, more, 100) {
+	if more := o.open(start.Add(time.Second/2), "heavy", Receiving); o.charge(start.Add(time.Second/2), more, 100) {
 		t.Error("the heaviest source was admitted although memory is short")
 	}
-	light := o.open(start, "light", Receiving)
-	if !o.charge(start, light, 90) {
+	later := start.Add(2 * DefaultStalled) // all are stalled
+	light := o.open(later, "light", Receiving)
+	if !o.charge(later, light, 90) {
 		t.Error("another source was refused")
 	}
 	if !o.shut[heavy[1]] || len(o.shut) != 1 {
@@ -94,7 +97,7 @@
 		t.Error("a connection that makes progress was closed")
 	}
 	for range 3 {
-		if o.open(start.Add(DefaultStalled), "c", Handling) == nil {
+		if o.open(start.Add(DefaultStalled), "a", Handling) == nil {
 			break // each stalled connection makes room once, until its share is returned
 		}
 	}
@@ -103,6 +106,18 @@
 	}
 }
 
+// TestHandlingIsNeverClosed guards against a connection that is closed while its request is handled, which
+// would leave the outcome unknown.
+func TestHandlingIsNeverClosed(t *testing.T) {
+	o := newOpener(t, 8, 1000)
+	for range 7 {
+		o.open(start, "a", Handling)
+	}
+	if o.open(start.Add(time.Hour), "b", Receiving) != nil || len(o.shut) != 0 {
+		t.Error("a connection was closed although all are being handled")
+	}
+}
+
 // TestCalmBudget guards against a budget that refuses a single request within its limits.
 func TestCalmBudget(t *testing.T) {
 	o := newOpener(t, 8, 800)
--- a/listen/listen_test.go
+++ b/listen/listen_test.go
@@ -39,7 +39,7 @@
 		t.Fatal(err)
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, err := ReadBody(w, r, bodyLimit, 1)
+		_, err := ReadBody(w, r, bodyLimit, 0)
 		Finish(w, r)
 		if err != nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
