Take past use into account in the order of waiting work

Shares of teams are kept over seconds, while some teams use far more over hours. Rank, priority, limits and the deadlines themselves do not change; a fourth of the jobs of each team and long-lived tasks are not shifted. The use is recorded under mulberrydrum/use every 5 s with the commits of the owner, and read by the next owner.

--- a/cell/effect.go
+++ b/cell/effect.go
@@ -35,6 +35,9 @@
 		Fence  int64
 		Effect schedule.Effect
 	}
+	// ShowPastUse shows the past use of the teams in the metrics; none if this instance is
+	// not the owner.
+	ShowPastUse struct{ schedule.PastUse }
 	// Log writes one log line about a decision.
 	Log struct{ schedule.Decision }
 	// Answer delivers the reply to the caller of a request.
@@ -52,5 +55,6 @@
 func (CommitRecords) isEffect() {}
 func (RecordCores) isEffect()   {}
 func (Order) isEffect()         {}
+func (ShowPastUse) isEffect()   {}
 func (Log) isEffect()           {}
 func (Answer) isEffect()        {}
--- a/cell/event.go
+++ b/cell/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/job"
+	"github.com/mulberrydrum/mulberrydrum/pastuse"
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
 
@@ -125,7 +126,8 @@
 	Jobs         []schedule.RecordedJob
 	Roster       []schedule.RosterEntry
 	Workers      []schedule.Worker
-	AsOf         time.Time // everything acknowledged up to then is included
+	PastUse      *pastuse.Record // nil if there is none that can be read
+	AsOf         time.Time       // everything acknowledged up to then is included
 }
 
 // Requests that RequestReceived delivers, and their replies.
--- a/cell/state.go
+++ b/cell/state.go
@@ -308,6 +308,7 @@
 	s.core = schedule.New(s.now, s.cfg.Schedule, s.ownershipRevision, s.catalog, recovery.Roster)
 	s.core.Begin(s.now, s.wall)
 	s.core.SetEvacuated(s.evacuations.Domains)
+	s.core.RestorePastUse(recovery.PastUse)
 	if s.stopping {
 		s.core.DisablePlacement()
 	}
@@ -390,6 +391,7 @@
 func (s *State) endOwnership(reason string) {
 	s.log("ownership_ended", "fence", s.ownershipRevision, "why", reason, "renewal_age_ms", milliseconds(s.now.Sub(s.contact.Renewal)))
 	s.emit(CancelCalls{OwnerRevision: s.ownershipRevision})
+	s.emit(ShowPastUse{})
 	s.core = nil
 	s.heldSubmissions, s.heldCancellations = nil, nil
 	s.changed = true
@@ -437,6 +439,8 @@
 			s.emit(Log{e})
 		case schedule.CancelDone:
 			s.emit(Answer{Token: e.Token, Reply: Reply{Found: true, State: job.Cancelled}})
+		case schedule.PastUse:
+			s.emit(ShowPastUse{e})
 		case schedule.Commit:
 			s.emit(CommitRecords{Commit: e, OwnerRevision: s.ownershipRevision, Sequence: s.sequences[e.Stream]})
 		default:
--- a/instance/execute.go
+++ b/instance/execute.go
@@ -17,6 +17,8 @@
 	switch e := effect.(type) {
 	case cell.Log:
 		i.cfg.Journal.Decision(e.Decision)
+	case cell.ShowPastUse:
+		i.metrics.showPastUse(e.PastUse)
 	case cell.Campaign:
 		go i.campaign(i.ctx)
 	case cell.Recover:
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
 
 // requestMetrics are the metrics of an instance's requests. docs/OPERATIONS.md describes
@@ -14,6 +15,8 @@
 	registry   metrics.Registry
 	acceptTime metrics.Histogram // duration of accepted submissions in microseconds
 	taskWait   metrics.Histogram // time from the arrival of a job to the start order of a task in milliseconds
+
+	pastUseNames map[string]struct{} // gauges of past use; accessed by the control goroutine only
 }
 
 func newRequestMetrics(registry metrics.Registry) requestMetrics {
@@ -26,7 +29,7 @@
 	histogram := func(name string) metrics.Histogram {
 		return metrics.GetOrRegisterHistogram(name, registry, metrics.NewExpDecaySample(sampleSize, sampleDecay))
 	}
-	return requestMetrics{registry: registry, acceptTime: histogram("request.accept_us"), taskWait: histogram("task.wait_ms")}
+	return requestMetrics{registry: registry, pastUseNames: make(map[string]struct{}), acceptTime: histogram("request.accept_us"), taskWait: histogram("task.wait_ms")}
 }
 
 // recordSubmission records the duration of an accepted submission, and counts each
@@ -39,3 +42,22 @@
 	}
 	metrics.GetOrRegisterCounter("request.error_count."+string(errkind.From(err).Kind), m.registry).Inc(1)
 }
+
+// showPastUse sets the gauges of past use and removes those of other teams. Only the owner has them.
+func (m *requestMetrics) showPastUse(p schedule.PastUse) {
+	shown := make(map[string]struct{}, 2*len(p.Teams))
+	set := func(name string, value float64) {
+		metrics.GetOrRegisterGaugeFloat64(name, m.registry).Update(value)
+		shown[name] = struct{}{}
+	}
+	for _, t := range p.Teams {
+		set("use.share."+t.Team, t.Use)
+		set("use.shift_ms."+t.Team, float64(t.Shift.Milliseconds()))
+	}
+	for name := range m.pastUseNames {
+		if _, found := shown[name]; !found {
+			m.registry.Unregister(name)
+		}
+	}
+	m.pastUseNames = shown
+}
--- a/instance/records.go
+++ b/instance/records.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strconv"
 	"strings"
 
@@ -12,6 +13,7 @@
 	"github.com/mulberrydrum/mulberrydrum/cell"
 	"github.com/mulberrydrum/mulberrydrum/clock"
 	"github.com/mulberrydrum/mulberrydrum/job"
+	"github.com/mulberrydrum/mulberrydrum/pastuse"
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 	"github.com/mulberrydrum/mulberrydrum/store"
 )
@@ -24,6 +26,7 @@
 	keyCores       = "mulberrydrum/owner-cores" // highest core count of any instance; watched together with the owner
 	sequencePrefix = "mulberrydrum/sequence/"   // one record for each commit stream; changes with every commit of the stream
 	keyRoster      = "mulberrydrum/roster"      // workers on which tasks may be running
+	keyPastUse     = "mulberrydrum/use"         // past use of the teams
 	inboxPrefix    = "mulberrydrum/in/"
 	jobPrefix      = inboxPrefix + "job/"    // accepted jobs that have not ended
 	cancelPrefix   = inboxPrefix + "cancel/" // cancellations that were recorded while no owner responded
@@ -69,6 +72,11 @@
 			return txn, err
 		}
 	}
+	if e.Commit.PastUse != nil {
+		if err := put(keyPastUse, e.Commit.PastUse); err != nil {
+			return txn, err
+		}
+	}
 	for _, change := range e.Commit.Changes {
 		if change.Final != nil {
 			if err := put(finalKey(change.Job), change.Final); err != nil {
@@ -99,6 +107,9 @@
 	group.Go(func() error { return i.readSequences(ctx, &recovery) })
 	group.Go(func() error { return i.readJobs(ctx, &recovery) })
 	group.Go(func() error { return i.readRoster(ctx, &recovery) })
+	if i.cfg.Schedule.PastUseHalfLife > 0 {
+		group.Go(func() error { return i.readPastUse(ctx, &recovery) })
+	}
 	group.Go(func() (err error) {
 		recovery.Workers, err = i.cfg.Directory.Workers(ctx)
 		return eris.Wrap(err, "read the directory of workers")
@@ -129,6 +140,26 @@
 	return eris.Wrap(json.Unmarshal(roster.Value, &recovery.Roster), "decode the roster")
 }
 
+// readPastUse reads the record of past use. A record that cannot be decoded is ignored: scheduling does
+// not depend on it, and the next commit replaces it.
+func (i *Instance) readPastUse(ctx context.Context, recovery *cell.Recovery) error {
+	kv, found, _, err := i.cfg.Store.Get(ctx, keyPastUse)
+	if err != nil || !found {
+		return eris.Wrap(err, "read the past use")
+	}
+	if len(kv.Value) > pastuse.MaxRecordBytes {
+		i.cfg.Journal.Event("use_ignored", "why", fmt.Sprintf("the record has %d bytes, at most %d are allowed", len(kv.Value), pastuse.MaxRecordBytes))
+		return nil
+	}
+	record, err := job.Decode[pastuse.Record](kv.Value)
+	if err != nil {
+		i.cfg.Journal.Event("use_ignored", "why", err)
+		return nil
+	}
+	recovery.PastUse = record
+	return nil
+}
+
 func (i *Instance) readJobs(ctx context.Context, recovery *cell.Recovery) error {
 	inbox, revision, err := i.cfg.Store.List(ctx, inboxPrefix)
 	if err != nil {
--- a/schedule/commit.go
+++ b/schedule/commit.go
@@ -10,6 +10,7 @@
 // conditions and one for the roster.
 const (
 	maxCommitEntries = 28
+	pastUseEntries   = 1 // writes the record of past use
 	progressEntries  = 1 // writes the progress record
 	finalEntries     = 2 // writes the final record and deletes the job record
 )
@@ -19,26 +20,33 @@
 // stream, jobs that end in a burst would queue up.
 const CommitStreams = 4
 
-// rosterStream is the only commit stream that writes the roster, so that an older roster never
-// overwrites a newer one.
+// rosterStream is the only commit stream that writes the roster and the record of past use, so that an
+// older one never overwrites a newer one.
 const rosterStream = 0
 
 // commitIfDue commits pending changes if a commit stream is free. Jobs that have ended go first,
 // since callers wait for them.
 func (c *Core) commitIfDue() {
-	if (len(c.dirty) == 0 && !c.rosterDirty) || c.now.Sub(c.lastCommit) < c.cfg.CommitInterval {
+	pastUseDue := c.isPastUseDue()
+	if (len(c.dirty) == 0 && !c.rosterDirty && !pastUseDue) || c.now.Sub(c.lastCommit) < c.cfg.CommitInterval {
 		return
 	}
 	stream := slices.Index(c.busyStreams[:], false)
 	if stream < 0 {
 		return
 	}
-	commit := Commit{Stream: stream, Changes: c.takeChanges()}
+	commit := Commit{Stream: stream}
+	maxEntries := maxCommitEntries
+	if pastUseDue && stream == rosterStream {
+		commit.PastUse = c.takePastUse()
+		maxEntries -= pastUseEntries
+	}
+	commit.Changes = c.takeChanges(maxEntries)
 	if c.rosterDirty && stream == rosterStream {
 		commit.Roster = c.roster()
 		c.rosterDirty = false
 	}
-	if len(commit.Changes) == 0 && commit.Roster == nil {
+	if len(commit.Changes) == 0 && commit.Roster == nil && commit.PastUse == nil {
 		return
 	}
 	c.busyStreams[stream] = true
@@ -46,9 +54,9 @@
 	c.emit(commit)
 }
 
-// takeChanges removes the changes of one commit from the dirty jobs. A job with a commit in flight on
+// takeChanges removes the changes of one commit from the dirty jobs, of at most maxEntries entries. A job with a commit in flight on
 // any stream stays dirty until that commit is durable.
-func (c *Core) takeChanges() []Change {
+func (c *Core) takeChanges(maxEntries int) []Change {
 	slices.SortStableFunc(c.dirty, func(a, b *jobState) int {
 		return boolToInt(b.state.IsFinal()) - boolToInt(a.state.IsFinal())
 	})
@@ -57,7 +65,7 @@
 	entries := 0
 	for _, j := range c.dirty {
 		need := j.commitEntries()
-		if j.committing || entries+need > maxCommitEntries {
+		if j.committing || entries+need > maxEntries {
 			deferred = append(deferred, j)
 			continue
 		}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -66,6 +66,7 @@
 	inboxRevision int64                      // see ObserveInbox
 	pendingJobs   map[string]int             // number of pending jobs, by queue
 	usage         map[string]*teamUsage
+	pastUse       pastUseState
 
 	workers              map[string]*worker
 	workerOrder          []*worker                   // sorted by ID; nil if it must be rebuilt
@@ -135,6 +136,7 @@
 		heldBackTasks:      make(map[job.StepKey]int),
 		round:              1, roundStartedAt: now,
 	}
+	c.initPastUse()
 	// A former owner may grant leases until its authority has ended (see cell.Config), or until the
 	// first worker rejects its orders, which takes at most the duration of one poll.
 	leaseExpiry := now.Add(maxLocalDuration(cfg.Lease) + 2*cfg.PollWait + leaseMargin)
@@ -188,8 +190,12 @@
 	c.passDue = true
 }
 
-// DisablePlacement disables placement before the owner hands over the partition.
-func (c *Core) DisablePlacement() { c.placementDisabled = true }
+// DisablePlacement disables placement before the owner hands over the partition. Past use is recorded at
+// once, so that the handover loses none.
+func (c *Core) DisablePlacement() {
+	c.placementDisabled = true
+	c.pastUse.recordedAt = time.Time{}
+}
 
 // SuspendPlacement suspends placement while the owner's knowledge is outdated, or resumes it.
 func (c *Core) SuspendPlacement(outdated bool) { c.outdated = outdated }
@@ -203,7 +209,7 @@
 
 // AllCommitted reports whether there is nothing to commit and no commit in flight.
 func (c *Core) AllCommitted() bool {
-	return c.busyStreams == [CommitStreams]bool{} && len(c.dirty) == 0 && !c.rosterDirty
+	return c.busyStreams == [CommitStreams]bool{} && len(c.dirty) == 0 && !c.rosterDirty && !c.isPastUseDue()
 }
 
 // Tick performs the actions that are due at the current time.
@@ -214,6 +220,7 @@
 		c.tickWorker(w)
 	}
 	c.sendDueStops()
+	c.tickPastUse()
 	c.activateDueOccurrences()
 	c.removeSilentProxies()
 	if c.now.Sub(c.finalsEvictedAt) > finalRetention/10 {
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -16,6 +16,8 @@
 	objective   time.Duration // target time from arrival to completion
 	arrivedAt   time.Time     // monotonic
 	surplus     bool          // exceeds the rate to which its team is entitled
+	usage       *teamUsage    // of its team
+	unshifted   bool          // not delayed by the past use of its team, see unshiftedInterval
 	restored    bool          // accepted before this owner took over
 	subscribers subscribers   // instances that receive the changes of its state
 
@@ -120,6 +122,7 @@
 		j.progress.Failed = make(map[string]job.Failures)
 	}
 	c.jobs[j.ID] = j
+	c.countPastUseJob(j)
 	if j.state == job.Pending {
 		c.pendingJobs[j.Queue]++
 	}
--- a/schedule/message.go
+++ b/schedule/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/job"
+	"github.com/mulberrydrum/mulberrydrum/pastuse"
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
@@ -80,7 +81,8 @@
 type Commit struct {
 	Stream  int // number of the commit stream, below CommitStreams
 	Changes []Change
-	Roster  []RosterEntry // workers on which runs may exist; nil if unchanged
+	Roster  []RosterEntry   // workers on which runs may exist; nil if unchanged
+	PastUse *pastuse.Record // nil if it is not due
 }
 
 // RosterEntry is the roster entry of a worker: the runs that a new owner must expect there.
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -93,10 +93,11 @@
 	list := make([]rankedStep, 0, len(c.steps))
 	for _, s := range c.steps {
 		if s.ready && s.hasUnplaced() && !c.now.Before(s.notBefore) && !c.isHeldBack(s) {
-			order := s.latestStart.Add(time.Duration(s.job.terms.Priority)*priorityPenalty + c.pastUseShift(s.job.Team))
+			order := s.latestStart.Add(time.Duration(s.job.terms.Priority) * priorityPenalty)
 			list = append(list, rankedStep{s, c.rank(s), order.UnixNano()})
 		}
 	}
+	c.addPastUseShifts(list)
 	slices.SortFunc(list, compareRanked)
 	out := make([]*stepState, len(list))
 	for i := range out {
@@ -165,7 +166,7 @@
 type rankedStep struct {
 	step        *stepState
 	rank        int
-	latestStart int64 // with the priority penalty, in Unix nanoseconds for fast comparison
+	latestStart int64 // with the priority penalty and the shift for past use, in Unix nanoseconds for fast comparison
 }
 
 // compareRanked orders steps by rank and latest start. It compares keys only as a tie-breaker, which
@@ -209,9 +210,9 @@
 	surplusPending  int     // pending jobs beyond the team's rate
 	demand          float64 // smoothed submission rate in jobs per second
 	demandUpdatedAt time.Time
-}
 
-func (u *teamUsage) add(size task.Resources) { u.running = u.running.Add(size) }
+	past teamPastUse
+}
 
 func (c *Core) teamUsage(team string) *teamUsage {
 	u, ok := c.usage[team]
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -49,7 +49,7 @@
 func (c *Core) addRun(r *run) {
 	r.worker.runs[r.task] = r
 	r.worker.used = r.worker.used.Add(r.size)
-	c.teamUsage(r.team).add(r.size)
+	c.changeRunning(r.team, r.size)
 }
 
 // removeRun removes a run and releases its resources.
@@ -61,7 +61,7 @@
 	delete(w.runs, r.task)
 	delete(c.unsettled, r)
 	w.used = w.used.Sub(r.size)
-	c.teamUsage(r.team).add(r.size.Scale(-1))
+	c.changeRunning(r.team, r.size.Scale(-1))
 	if r.sizeUnknown {
 		w.unsizedRuns = max(0, w.unsizedRuns-1)
 	}
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/job"
+	"github.com/mulberrydrum/mulberrydrum/pastuse"
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
@@ -51,6 +52,10 @@
 	formerCatalog      *job.Catalog // still in force until formerCatalogUntil
 	formerCatalogUntil time.Time
 
+	pastUseHalfLife time.Duration   // configuration of the owners
+	pastUse         *pastuse.Record // recorded past use
+	withoutOwner    bool            // no instance is the owner
+
 	wallOffset    time.Duration            // of the owner's time of day
 	endsPerReport int                      // maximum number of ends in a report
 	runTimes      map[job.ID]time.Duration // of the tasks of a job, if not about as long as estimated
@@ -189,8 +194,11 @@
 // takeOver replaces the owner by a new one, which loads the recorded state.
 func (s *simulation) takeOver() {
 	s.fence++
-	s.core = New(s.now, DefaultConfig(), s.fence, s.catalog, s.roster)
+	cfg := DefaultConfig()
+	cfg.PastUseHalfLife = s.pastUseHalfLife
+	s.core = New(s.now, cfg, s.fence, s.catalog, s.roster)
 	s.dispatch(func(c *Core) {
+		c.RestorePastUse(s.pastUse)
 		c.ObserveInstance("i1")
 		c.ObserveInstance("i2")
 		for _, id := range sortedIDs(s.records) {
@@ -250,6 +258,9 @@
 // dispatch passes an event to the current owner and executes its effects.
 func (s *simulation) dispatch(event func(*Core)) {
 	core, fence := s.core, s.fence
+	if s.withoutOwner {
+		return
+	}
 	core.Begin(s.now, s.now.Add(s.wallOffset))
 	core.ObserveInstance("i1")
 	core.ObserveInstance("i2")
@@ -322,7 +333,7 @@
 		return
 	}
 	s.after(20*time.Millisecond, func() {
-		if s.core != core {
+		if s.core != core || s.withoutOwner {
 			return // the transaction fails, since another owner has taken over
 		}
 		for _, change := range e.Changes {
@@ -337,6 +348,9 @@
 		if e.Roster != nil {
 			s.roster = e.Roster
 		}
+		if e.PastUse != nil {
+			s.pastUse = e.PastUse
+		}
 		s.reply(core, 5*time.Millisecond, func(c *Core) { c.CommitDone(CommitDone{Commit: e}) })
 	})
 }
