--- a/analysis/day.go
+++ b/analysis/day.go
@@ -19,9 +19,10 @@
 type Analyzer struct {
 	jobs       map[string]*jobTrace
 	order      []*jobTrace
-	counts     map[string]int // by event
-	runs       map[string]int // ends of runs other than success, by cause
-	refused    map[string]int // rejected submissions, by cause
+	counts     map[string]int     // by event
+	runs       map[string]int     // ends of runs other than success, by cause
+	refused    map[string]int     // rejected submissions, by cause
+	use        map[useKey]float64 // highest total of the hour in share of the capacity times seconds
 	samples    []Sample
 	takeovers  []Takeover
 	ownerSeen  bool          // an owner has written a line
@@ -80,7 +81,7 @@
 
 // NewAnalyzer returns an analyzer without lines.
 func NewAnalyzer() *Analyzer {
-	return &Analyzer{jobs: make(map[string]*jobTrace), counts: make(map[string]int), runs: make(map[string]int), refused: make(map[string]int)}
+	return &Analyzer{jobs: make(map[string]*jobTrace), counts: make(map[string]int), runs: make(map[string]int), refused: make(map[string]int), use: make(map[useKey]float64)}
 }
 
 // Read adds the lines of one file. An error names the file and the line; the lines before it are
@@ -137,6 +138,8 @@
 	switch r.event {
 	case "partition":
 		a.addSample(r)
+	case "use":
+		a.addUse(r)
 	case "ownership_ready":
 		t := Takeover{At: r.at.Seconds(), Instance: r.instance, Jobs: int(r.number("jobs")), ResolvedIn: -1}
 		if a.ownerSeen {
--- a/analysis/report.go
+++ b/analysis/report.go
@@ -22,6 +22,7 @@
 	Runs       map[string]int `json:"runs_without_success"`
 	Refused    map[string]int `json:"refused_submissions"`
 	Takeovers  []Takeover     `json:"takeovers"`
+	Use        []HourlyUse    `json:"use,omitempty"`
 	Samples    []Sample       `json:"samples"`
 	Missing    []string       `json:"missing"` // what the log should contain and does not
 	Skipped    int            `json:"skipped_lines"`
@@ -44,6 +45,7 @@
 		Runs:      a.runs,
 		Refused:   a.refused,
 		Takeovers: a.takeovers,
+		Use:       a.hourlyUse(),
 		Samples:   a.samples,
 		Skipped:   len(a.unreadable),
 	}
@@ -91,6 +93,7 @@
 		}
 		lines = append(lines, fmt.Sprintf("%.1f\t%s\t%d\t%.1f\t%s", t.At, t.Instance, t.Jobs, t.WithoutFor, resolved))
 	}
+	lines = append(lines, useLines(r.Use)...)
 	lines = append(lines, "", "cores", "at s\tcores\tused\treserved idle\tstranded\tfree\tjobs\tsteps\theld back\tunresolved\tproxies busy")
 	for _, s := range r.Samples {
 		lines = append(lines, fmt.Sprintf("%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%d\t%d\t%d\t%d\t%.2f",
--- a/cmd/mulberryctl/analyze.go
+++ b/cmd/mulberryctl/analyze.go
@@ -22,7 +22,8 @@
 
 Reports, for each queue and team, how many jobs ended in time and what the steps of
 the others waited for; runs that did not succeed; rejected submissions; takeovers;
-and the cores in use, reserved and idle, stranded and free over time. Lines that
+the share of the capacity that each team used by the hour, if the instances track
+past use; and the cores in use, reserved and idle, stranded and free over time. Lines that
 cannot be read are counted and named. The exit code is 1 if a file cannot be read
 to its end, if the files are of different days, or if they name no job.`
 }
