--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -43,6 +43,12 @@
 	metrics.GetOrRegisterCounter("request.error_count."+string(errkind.From(err).Kind), m.registry).Inc(1)
 }
 
+// Prefixes of the gauges of past use, which the names of teams follow.
+const (
+	PastUseSharePrefix = "use.share."    // average share of the capacity in the dominant resource
+	PastUseShiftPrefix = "use.shift_ms." // shift of the waiting work in the order of placement
+)
+
 // showPastUse sets the gauges of past use and removes those of other teams. Only the owner has them.
 func (m *requestMetrics) showPastUse(p schedule.PastUse) {
 	shown := make(map[string]struct{}, 2*len(p.Teams))
@@ -51,8 +57,8 @@
 		shown[name] = struct{}{}
 	}
 	for _, t := range p.Teams {
-		set("use.share."+t.Team, t.Use)
-		set("use.shift_ms."+t.Team, float64(t.Shift.Milliseconds()))
+		set(PastUseSharePrefix+t.Team, t.Use)
+		set(PastUseShiftPrefix+t.Team, float64(t.Shift.Milliseconds()))
 	}
 	for name := range m.pastUseNames {
 		if _, found := shown[name]; !found {
--- a/schedule/pastuse_test.go
+++ b/schedule/pastuse_test.go
@@ -279,11 +279,21 @@
 	if uses != 0 {
 		t.Errorf("%d commits of past use although nothing ran, want 0", uses)
 	}
-	c.changeRunning("t1", task.Resources{CPUMilli: 64_000})
+	size := task.Resources{CPUMilli: 64_000}
+	c.changeRunning("t1", size)
 	count(20 * time.Second)
 	if uses < 3 || uses > 5 {
 		t.Errorf("%d commits of past use in 20 s, want 4", uses)
 	}
+	c.changeRunning("t1", size.Scale(-1))
+	count(pastUseRecordInterval)
+	uses = 0
+	count(20 * time.Second)
+	if uses != 0 {
+		t.Errorf("%d commits of past use after the last run, want 0", uses)
+	}
+	c.changeRunning("t1", size)
+	count(pastUseRecordInterval + time.Second)
 	for i := range 60 {
 		c.markDirty(c.addJob(&job.Job{ID: job.ID(fmt.Sprintf("%016x", i)), Queue: "small", Team: "t1", Steps: []job.Step{{Count: 1, Size: task.Resources{CPUMilli: 1 << 40}}}}, nil, true))
 	}
@@ -337,25 +347,47 @@
 	}
 }
 
-// BenchmarkPastUse measures a pass over a backlog of 97 teams, with and without past use.
+// newPastUseBacklog returns a Core of 97 teams with the given number of waiting jobs, and its waiting
+// steps without the shifts.
+func newPastUseBacklog(jobs int) (*Core, []rankedStep) {
+	const teams = 97
+	c, _ := newBacklog(0)
+	c.cfg.PastUseHalfLife = time.Hour
+	c.initPastUse()
+	for i := range jobs {
+		c.Accept(&job.Job{ID: job.ID(fmt.Sprintf("%016x", i)), Queue: "small", Team: fmt.Sprint("t", i%teams), Steps: []job.Step{{Count: 2, Size: task.Resources{CPUMilli: 2800}, Estimate: 640 * time.Millisecond}}})
+	}
+	for i := range teams {
+		c.changeRunning(fmt.Sprint("t", i), task.Resources{CPUMilli: int64(1+i) * 1000})
+	}
+	var list []rankedStep
+	for _, s := range c.sortedSteps() {
+		list = append(list, rankedStep{step: s})
+	}
+	return c, list
+}
+
+// TestPastUseCost guards against a comparison for each waiting step instead of each team.
+func TestPastUseCost(t *testing.T) {
+	c, list := newPastUseBacklog(4000)
+	c.addPastUseShifts(list)
+	if len(list) != 4000 || len(c.pastUse.entries) != 97 {
+		t.Errorf("%d comparisons for %d steps of 97 teams, want 97", len(c.pastUse.entries), len(list))
+	}
+}
+
+// BenchmarkPastUse measures what past use adds to a pass over a backlog of 97 teams. A pass over 4,000
+// steps takes some milliseconds, most of it for sorting.
 func BenchmarkPastUse(b *testing.B) {
-	for _, halfLife := range []time.Duration{0, time.Hour} {
-		b.Run(fmt.Sprint(halfLife), func(b *testing.B) {
-			const teams, jobs = 97, 4000
-			c, now := newBacklog(0)
-			c.cfg.PastUseHalfLife = halfLife
-			c.initPastUse()
-			for i := range jobs {
-				c.Accept(&job.Job{ID: job.ID(fmt.Sprintf("%016x", i)), Queue: "small", Team: fmt.Sprint("t", i%teams), Steps: []job.Step{{Count: 2, Size: task.Resources{CPUMilli: 2800, MemoryMB: 8000}, Estimate: 640 * time.Millisecond}}})
-			}
-			for i := range teams {
-				c.changeRunning(fmt.Sprint("t", i), task.Resources{CPUMilli: int64(i) * 1000})
-			}
+	for _, jobs := range []int{97, 4000} {
+		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
+			c, list := newPastUseBacklog(jobs)
+			now := c.now
 			b.ReportAllocs()
 			for b.Loop() {
-				now = now.Add(c.passInterval())
+				now = now.Add(time.Millisecond)
 				c.Begin(now, now)
-				c.waitingSteps()
+				c.addPastUseShifts(list)
 			}
 		})
 	}
