Choose the jobs that are not shifted by a hash, describe past use

A caller could have sent three small jobs before each large one, so that the large ones are never shifted. The choice now depends on the job ID and the epoch of the owner.

--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -17,7 +17,7 @@
 	arrivedAt   time.Time     // monotonic
 	surplus     bool          // exceeds the rate to which its team is entitled
 	usage       *teamUsage    // of its team
-	unshifted   bool          // not delayed by the past use of its team, see unshiftedInterval
+	unshifted   bool          // not delayed by the past use of its team, see unshiftedJobs
 	restored    bool          // accepted before this owner took over
 	subscribers subscribers   // instances that receive the changes of its state
 
@@ -106,6 +106,7 @@
 	j := &jobState{
 		Job: submitted, arrivedAt: c.now, state: job.Pending, restored: restored, runs: make(map[*run]struct{}),
 		subscribers: subscribersOf(submitted.AcceptedBy),
+		usage:       c.teamUsage(submitted.Team), unshifted: c.isUnshifted(submitted.ID),
 	}
 	j.unfinishedSteps = len(j.Steps) * j.Occurrences()
 	if progress != nil {
@@ -122,7 +123,6 @@
 		j.progress.Failed = make(map[string]job.Failures)
 	}
 	c.jobs[j.ID] = j
-	c.countPastUseJob(j)
 	if j.state == job.Pending {
 		c.pendingJobs[j.Queue]++
 	}
--- a/schedule/pastuse.go
+++ b/schedule/pastuse.go
@@ -6,6 +6,9 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/pastuse"
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
@@ -19,11 +22,10 @@
 	// is late once half of its objective has passed after its latest start, see rank. Short jobs thereby
 	// stay ahead of those that can wait for longer.
 	maxShiftOfObjective = 0.5
-	// unshiftedInterval is the interval of the jobs of a team that are not shifted, counted in the order
-	// in which the owner accepts them. While the work of light teams alone exceeds the capacity, shifted
-	// steps would wait until they are late, and then behind all steps that are on time; so a fourth of
-	// the jobs of a heavy team compete as if it were a light one.
-	unshiftedInterval = 4
+	// One in unshiftedJobs jobs of a team is not shifted. While the work of light teams alone exceeds the
+	// capacity, shifted steps would wait until they are late, and then behind all steps that are on time;
+	// so a fourth of the jobs of a heavy team compete as if it were a light one.
+	unshiftedJobs = 4
 )
 
 const (
@@ -69,7 +71,6 @@
 
 // teamPastUse is the part of teamUsage that concerns past use.
 type teamPastUse struct {
-	jobs       int    // number of jobs of the team that this owner has accepted or restored
 	comparison uint64 // last comparison that included the team
 	shift      time.Duration
 }
@@ -101,11 +102,10 @@
 	}
 }
 
-// countPastUseJob counts a new job of its team and sets whether its steps are shifted.
-func (c *Core) countPastUseJob(j *jobState) {
-	j.usage = c.teamUsage(j.Team)
-	j.unshifted = j.usage.past.jobs%unshiftedInterval == unshiftedInterval-1
-	j.usage.past.jobs++
+// isUnshifted reports whether the steps of a job are not shifted. The choice depends on the epoch, which
+// callers do not know, so that they cannot choose such IDs.
+func (c *Core) isUnshifted(id job.ID) bool {
+	return xxhash.Sum64String(strconv.FormatInt(c.epoch, 10)+"/"+string(id))%unshiftedJobs == 0
 }
 
 // addPastUseShifts adds the shifts of their teams to the latest starts of the waiting steps. Each team is
--- a/schedule/pastuse_test.go
+++ b/schedule/pastuse_test.go
@@ -148,6 +148,7 @@
 			blue := submit("00000000000000b0", "plain", "blue", usual, c.blue)
 			red := submit("00000000000000c0", c.queue, "red", c.step, c.red)
 			blue.job.surplus = c.surplus
+			red.job.unshifted = false
 			core.Begin(now, now)
 			latestStart := red.latestStart
 			waiting := core.waitingSteps()
