Test past use on a deployment, and its log

TestPastUseLog now drives a core through two minutes.

go test ./platform -run TestPastUse -count 3 and go test ./schedule -run PastUseLog pass.

--- a/schedule/pastuse_test.go
+++ b/schedule/pastuse_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"strings"
 	"testing"
 	"time"
@@ -318,32 +317,43 @@
 
 // TestPastUseLog guards against use that is not shown, or a record that is ignored without a log line.
 func TestPastUseLog(t *testing.T) {
-	s := newPastUseSimulation(t, 5)
-	s.pastUse = s.core.takePastUse()
-	s.pastUse.Version++
-	s.takeOver()
-	s.useFor("blue", 2*time.Minute)
-	s.core.Begin(s.now, s.now)
-	s.core.pastUse.reportedAt, s.core.pastUse.loggedAt, s.core.pastUse.chargedAt = time.Time{}, time.Time{}, time.Time{}
-	s.core.pastUse.order = nil
-	s.core.RestorePastUse(s.pastUse)
-	s.pastUse.Version++
-	s.core.RestorePastUse(s.pastUse)
-	s.core.Tick()
-	text := ""
-	for _, e := range s.core.Finish() {
-		switch e := e.(type) {
-		case Decision:
-			text += e.Event + " " + fmt.Sprint(e.Fields...) + "\n"
-		case PastUse:
-			if len(e.Teams) != 1 || e.Teams[0].Team != "blue" || math.Abs(e.Teams[0].Use-0.03) > 0.01 {
-				t.Errorf("reported use %+v, want one of 0.03 for team blue", e.Teams)
+	c, list := newPastUseBacklog(97)
+	c.cfg.PastUseHalfLife = time.Minute
+	c.initPastUse()
+	for i := range 97 {
+		c.changeRunning(fmt.Sprint("t", i), task.Resources{CPUMilli: int64(1+i) * 20_000})
+	}
+	now, text, reported := c.now, "", 0
+	for range 2 + int(2*pastUseLogInterval/pastUseChargeInterval) {
+		now = now.Add(pastUseChargeInterval)
+		c.Begin(now, now)
+		c.Tick()
+		c.addPastUseShifts(list)
+		for _, e := range c.Finish() {
+			switch e := e.(type) {
+			case Decision:
+				text += e.Event + " " + fmt.Sprint(e.Fields...) + "\n"
+			case PastUse:
+				if last := e.Teams[len(e.Teams)-1]; len(e.Teams) == 97 && last.Team == "t96" && last.Use > 0 && last.Shift > time.Second {
+					reported++
+				}
 			}
 		}
 	}
-	for _, want := range []string{"use_ignored", "use team", "use_order"} {
-		if !strings.Contains(text, want) {
-			t.Errorf("no line %q in\n%s", want, text)
+	if want := int(pastUseLogInterval / pastUseRecordInterval); reported < want { // those of the second minute
+		t.Errorf("%d reports with the use and the shift of the heaviest team, want %d", reported, want)
+	}
+	record := c.takePastUse()
+	record.Version++
+	c.RestorePastUse(record)
+	for _, e := range c.Finish() {
+		if d, ok := e.(Decision); ok {
+			text += d.Event + "\n"
+		}
+	}
+	for want, count := range map[string]int{"use team": 2 * 97, "use_order": 1, "use_ignored": 1} {
+		if n := strings.Count(text, want); n != count {
+			t.Errorf("%d lines %q, want %d", n, want, count)
 		}
 	}
 }
