--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -16,6 +16,8 @@
 	objective   time.Duration // target time from arrival to completion
 	arrivedAt   time.Time     // monotonic
 	surplus     bool          // exceeds the rate to which its team is entitled
+	usage       *teamUsage    // of its team
+	unshifted   bool          // not delayed by the past use of its team, see unshiftedJobs
 	restored    bool          // accepted before this owner took over
 	subscribers subscribers   // instances that receive the changes of its state
 
@@ -106,6 +108,7 @@
 	j := &jobState{
 		Job: submitted, arrivedAt: c.now, state: job.Pending, restored: restored, runs: make(map[*run]struct{}),
 		subscribers: subscribersOf(submitted.AcceptedBy),
+		usage:       c.teamUsage(submitted.Team), unshifted: c.isUnshifted(submitted.ID),
 	}
 	j.unfinishedSteps = len(j.Steps) * j.Occurrences()
 	if progress != nil {
