--- a/internal/importrule/importrule_test.go
+++ b/internal/importrule/importrule_test.go
@@ -15,7 +15,7 @@
 var decisionPackages = []string{
 	"task", "errkind", "timeline", "oracle", "document", "keyring", "membership",
 	"ownership", "allowance", "ledger", "queue", "fairshare", "placement",
-	"quarantine", "control", "jsonc", "api", "job", "schedule", "cell",
+	"quarantine", "control", "jsonc", "api", "job", "speed", "schedule", "cell",
 }
 
 // peerPackages each contain the message encoding for one peer.
