schedule: learn the speeds of workers and the errors of estimates

Cause: plans, latest starts and the choice of workers took the callers' estimates and equal workers for granted. Gangs ended with a slow member, expected ends of resumed runs ignored where the runs had begun, and a worker that had suddenly become slow went on getting gang members.

Change: with Config.LearnSpeeds (off by default), the owner learns from the progress in reports and from ends, and uses it for expected ends, plans, backfill, latest starts and objectives. Gangs get the assignment whose slowest worker is fastest without using more workers, and no degraded worker for 1 s; steps that a task of three times the usual duration would make late prefer fast workers, those with much slack slow ones. Lines worker_speed and partition.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -84,6 +84,7 @@
 	unresolvedUsageValid bool                        // the cached sum is valid for the current event
 	gangsAdopted         bool                        // runs of gang members were adopted from a former owner; other members may be missing
 	evacuated            map[string]struct{}         // failure domains in which no tasks may start
+	learned              estimates                   // speeds of workers and corrections of estimates
 	unresolved           map[string]unresolvedWorker // workers on which runs of a former owner may exist
 	openUnresolved       int                         // number of unresolved workers that are not closed: any task may run there
 	heldBackTasks        map[job.StepKey]int         // number of tasks of each step that may run on closed unresolved workers
@@ -225,6 +226,7 @@
 	}
 	if c.now.Sub(c.summaryLoggedAt) >= summaryInterval {
 		c.summaryLoggedAt = c.now
+		c.updateFleetSpeed()
 		c.logSummary()
 	}
 }
@@ -241,12 +243,12 @@
 	for service, u := range c.serviceUsage {
 		capacity, used, reserved = capacity+u.capacity, used+u.used, reserved+c.reservedCPU[service]
 	}
-	c.emit(Decision{Event: "partition", Fields: []any{
+	c.emit(Decision{Event: "partition", Fields: append([]any{
 		"jobs", len(c.jobs), "steps", len(c.steps), "workers", len(c.workers), "unresolved", len(c.unresolved),
 		"held_back", c.heldBackSteps(),
 		"cores", capacity / 1000, "used", used / 1000, "kept", reserved / 1000, "kept_idle", c.reservedIdleCPU() / 1000, "stranded", c.strandedCPU() / 1000,
 		"lanes", len(c.proxies), "lanes_busy", c.busyProxyShare(), "pass_us", c.lastPassDuration.Microseconds(), "passes", c.passes,
-	}})
+	}, c.speedSummary()...)})
 	c.passes = 0
 }
 
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -55,6 +55,7 @@
 	notBefore       time.Time      // no placement before this time
 	consideredRound int            // round in which a pass last tried to start its tasks
 	workerFailures  map[string]int // number of runs that failed or timed out waiting for their gang, by worker
+	estimate        stepEstimate
 }
 
 // endedJob is a job whose final state is recorded.
@@ -275,6 +276,7 @@
 		}
 		if s.ready {
 			s.latestStart = c.latestStart(s)
+			c.refreshEstimate(s)
 			c.passDue = true
 		}
 	}
@@ -309,6 +311,7 @@
 func (c *Core) stepDone(s *stepState) {
 	j := s.job
 	c.releaseReservation(s)
+	s.estimate.runs.Evaluate(&c.learned.fleet)
 	delete(c.steps, s.key)
 	j.unfinishedSteps--
 	if j.unfinishedSteps == 0 {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -84,6 +84,7 @@
 			continue // a call is in flight; its reply may start the gang on its reserved workers
 		}
 		c.refreshTerms(s.job)
+		c.refreshEstimate(s)
 		if c.isAtLimit(s) {
 			// It is not taken from the budget, so that a team at its limit does not keep the steps of
 			// others from being considered. Tickets for it would expire before a task of its team ends.
@@ -282,7 +283,8 @@
 
 // prefer reports whether a is better for a step than b. The criteria are, in this order: fewer
 // failures of the step on the worker, a worker that is not failing, capacity that is not reserved,
-// a worker that is not cold, affinity, the fullest worker, and the worker's ID.
+// a worker that is not degraded, one that is not cold, affinity, the speed that suits the step, the
+// fullest worker, and the worker's ID.
 func (c *Core) prefer(s *stepState, a, b *candidate) bool {
 	if x, y := s.workerFailures[a.worker.ID], s.workerFailures[b.worker.ID]; x != y {
 		return x < y
@@ -293,12 +295,18 @@
 	if a.usesReserved != b.usesReserved {
 		return b.usesReserved
 	}
+	if x, y := c.isDegraded(a.worker), c.isDegraded(b.worker); x != y {
+		return y
+	}
 	if x, y := a.worker.isCold(c.now), b.worker.isCold(c.now); x != y {
 		return y
 	}
 	if x, y := affinityScore(s.spec, a.worker), affinityScore(s.spec, b.worker); x != y {
 		return x > y
 	}
+	if d := c.compareSpeed(s, a.worker, b.worker); d != 0 {
+		return d < 0
+	}
 	if x, y := a.worker.freeCPU(), b.worker.freeCPU(); x != y {
 		return x < y
 	}
@@ -318,7 +326,7 @@
 		s.wait = waitsForLimit
 		return false
 	}
-	chosen := c.chooseGang(s, candidates)
+	chosen := c.chooseHealthyGang(s, candidates)
 	if chosen == nil {
 		s.wait = placementWaitCause(len(candidates), 1)
 		return false
@@ -355,10 +363,7 @@
 func (c *Core) fillGang(s *stepState, candidates []candidate) []candidate {
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
-			cmp.Compare(s.workerFailures[a.worker.ID], s.workerFailures[b.worker.ID]),
-			boolToInt(a.usesReserved)-boolToInt(b.usesReserved),
-			boolToInt(a.worker.isCold(c.now))-boolToInt(b.worker.isCold(c.now)),
-			-cmp.Compare(affinityScore(s.spec, a.worker), affinityScore(s.spec, b.worker)),
+			c.compareSuitability(s, &a, &b),
 			-cmp.Compare(a.taskCount, b.taskCount),
 			cmp.Compare(a.worker.freeCPU(), b.worker.freeCPU()),
 			cmp.Compare(a.worker.ID, b.worker.ID),
@@ -366,15 +371,24 @@
 	})
 	var chosen []candidate
 	for _, cand := range candidates {
-		for range cand.taskCount {
-			if len(chosen) == len(s.tasks) {
-				return chosen
-			}
+		for range min(cand.taskCount, len(s.tasks)-len(chosen)) {
 			chosen = append(chosen, cand)
 		}
 	}
 	if len(chosen) < len(s.tasks) {
 		return nil
 	}
-	return chosen
+	return c.fastestGang(s, candidates, chosen)
+}
+
+// compareSuitability compares two candidates for members of a gang apart from the number that fits: it
+// is negative if a is better.
+func (c *Core) compareSuitability(s *stepState, a, b *candidate) int {
+	return cmp.Or(
+		cmp.Compare(s.workerFailures[a.worker.ID], s.workerFailures[b.worker.ID]),
+		boolToInt(a.usesReserved)-boolToInt(b.usesReserved),
+		boolToInt(c.isDegraded(a.worker))-boolToInt(c.isDegraded(b.worker)),
+		boolToInt(a.worker.isCold(c.now))-boolToInt(b.worker.isCold(c.now)),
+		-cmp.Compare(affinityScore(s.spec, a.worker), affinityScore(s.spec, b.worker)),
+	)
 }
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -168,6 +168,9 @@
 
 // remainingTime returns the expected remaining time of a run, regardless of its gang.
 func (c *Core) remainingTime(r *run) time.Duration {
+	if d, ok := c.learnedRemaining(r); ok {
+		return d
+	}
 	elapsed := c.now.Sub(r.startedAt)
 	if worked := r.progressedAt.Sub(r.startedAt); r.percent >= minProgressPercent && !r.adopted {
 		return worked*100/time.Duration(r.percent) - elapsed
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -103,19 +103,20 @@
 func (w *worker) freeExceptClaims(s *stepState, now time.Time, priority int) task.Resources {
 	free := w.Capacity.Sub(w.used)
 	for key, claimed := range w.claims {
-		if key != s.key && claimed.priority <= priority && !s.endsBefore(claimed.ready, now) {
+		if key != s.key && claimed.priority <= priority && !s.endsBefore(w, claimed.ready, now) {
 			free = free.Sub(claimed.size)
 		}
 	}
 	return free
 }
 
-// endsBefore reports whether a task of the step that starts now can be expected to end by t.
-func (s *stepState) endsBefore(t, now time.Time) bool {
-	if s.spec.LongLived || s.spec.Estimate == 0 {
+// endsBefore reports whether a task of the step that starts now on a worker can be expected to end by t.
+func (s *stepState) endsBefore(w *worker, t, now time.Time) bool {
+	expected := s.durationOn(w)
+	if s.spec.LongLived || expected == 0 {
 		return false
 	}
-	return !now.Add(time.Duration(float64(s.spec.Estimate) * backfillMargin)).After(t)
+	return !now.Add(time.Duration(float64(expected) * backfillMargin)).After(t)
 }
 
 // reserve plans on which workers and when a gang that does not fit now can start, and reserves the
@@ -149,6 +150,7 @@
 	}
 	s.resetPlanBackoff()
 	slices.SortFunc(slots, compareSlots)
+	slots = c.fasterSlots(s, slots)
 	r := &reservation{
 		members: chooseSlots(slots, len(s.tasks)), ready: slots[len(s.tasks)-1].at, plannedAt: c.now,
 		service: s.job.terms.Service, cpu: s.totalCPU(),
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/job"
+	"github.com/mulberrydrum/mulberrydrum/speed"
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
@@ -38,6 +39,8 @@
 	stopAnsweredAt time.Time // when a stop order was last answered
 	percent        int
 	progressedAt   time.Time // when percent last rose
+	resumed        bool      // started from a checkpoint
+	measured       speed.Progress
 }
 
 func compareTasks(a, b job.TaskKey) int {
@@ -103,6 +106,7 @@
 	if s.spec.Gang {
 		checkpoint = s.tasks[0].checkpoint
 	}
+	r.resumed = checkpoint != ""
 	c.emit(Start{
 		Target: w.target(), Task: r.task, Run: number, Spec: s.job.Spec, Ticket: ticket,
 		Checkpoint: checkpoint, LeaseEnd: c.leaseEnd(w), WaitTime: c.now.Sub(s.job.arrivedAt),
@@ -164,6 +168,7 @@
 	if r.state != runStopping {
 		r.state = runRunning
 		delete(c.unsettled, r)
+		c.beginMeasurement(r)
 	}
 	r.answeredAt = c.now
 }
@@ -297,6 +302,7 @@
 	var wasStopping bool
 	if r != nil {
 		wasStopping = r.state == runStopping
+		c.learnEnd(r, e.Reason)
 		c.removeRun(r)
 	}
 	s := c.reportedStep(e.Task.StepKey)
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -60,7 +60,10 @@
 	faults        []string
 	onAdviceCall  func(AdviceCall) // called for each advice call; may be nil
 
+	speeds simSpeeds // of the workers
+
 	adviceLatency time.Duration
+	adviceDelay   func(AdviceCall) time.Duration          // if latencies differ; may be nil
 	isEligible    func(k job.StepKey, worker string) bool // of the advice service
 }
 
@@ -83,13 +86,15 @@
 	leaseExpiredAt time.Time   // when it last had no valid lease
 	lastEndNumber  uint64
 	failAll        bool
-	answerPoll     func() // answers a poll that waits for an end
+	answerPoll     func()  // answers a poll that waits for an end
+	speed          float64 // 0 for the usual one
 }
 
 // simStart is the start of a run on a worker.
 type simStart struct {
 	worker string
 	at     time.Time
+	gang   bool
 }
 
 type simRun struct {
@@ -100,6 +105,7 @@
 	team      string
 	startedAt time.Time
 	ended     bool
+	simWork
 }
 
 type timer struct {
@@ -189,7 +195,9 @@
 // takeOver replaces the owner by a new one, which loads the recorded state.
 func (s *simulation) takeOver() {
 	s.fence++
-	s.core = New(s.now, DefaultConfig(), s.fence, s.catalog, s.roster)
+	cfg := DefaultConfig()
+	cfg.LearnSpeeds = s.speeds.learn
+	s.core = New(s.now, cfg, s.fence, s.catalog, s.roster)
 	s.dispatch(func(c *Core) {
 		c.ObserveInstance("i1")
 		c.ObserveInstance("i2")
@@ -296,7 +304,11 @@
 		if s.onAdviceCall != nil {
 			s.onAdviceCall(e)
 		}
-		s.reply(core, s.adviceLatency, func(c *Core) {
+		latency := s.adviceLatency
+		if s.adviceDelay != nil {
+			latency = s.adviceDelay(e)
+		}
+		s.reply(core, latency, func(c *Core) {
 			tickets := map[string]string{}
 			for _, w := range e.Workers {
 				if s.isEligible(e.Step, w) {
@@ -307,6 +319,8 @@
 		})
 	case Commit:
 		s.commit(core, e)
+	case Decision:
+		s.speeds.observe(s.now, e)
 	}
 }
 
--- a/schedule/simworker_test.go
+++ b/schedule/simworker_test.go
@@ -74,7 +74,7 @@
 		report := PollDone{Poll: order, SentAt: sent, Clock: s.now.Sub(w.clockOrigin), Incarnation: w.Incarnation,
 			Ended: slices.Clone(w.ended[:min(len(w.ended), s.endsPerReport)]), Partial: len(w.ended) >= s.endsPerReport}
 		for _, r := range w.sortedRuns() {
-			report.Running = append(report.Running, RunReport{Task: r.key, Run: r.number})
+			report.Running = append(report.Running, s.reportRun(r))
 		}
 		delay := s.delay()
 		if s.reportDelay > 0 {
@@ -123,7 +123,7 @@
 	s.checkStart(r, j)
 	w.runs[e.Task] = r
 	s.running[e.Task] = r
-	s.startedOn = append(s.startedOn, simStart{worker: w.ID, at: s.now})
+	s.startedOn = append(s.startedOn, simStart{worker: w.ID, at: s.now, gang: spec.Gang})
 	s.usage[r.team] = s.usage[r.team].Add(r.size)
 	reason := EndedSucceeded
 	if w.failAll || strings.HasPrefix(j.Spec, "fail") {
@@ -132,6 +132,10 @@
 	if spec.Gang {
 		s.after(3*time.Second, func() { s.checkGangTimeout(r, spec.Count) })
 	}
+	if s.speeds.progress {
+		s.beginWork(r, e, reason)
+		return Accepted
+	}
 	runTime, given := s.runTimes[j.ID]
 	if !given {
 		runTime = spec.Estimate + time.Duration(s.rng.IntN(300))*time.Millisecond
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/job"
+	"github.com/mulberrydrum/mulberrydrum/speed"
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
 
@@ -42,6 +43,12 @@
 	probe         *run         // only run on a failing worker, to test whether it has recovered
 	progressAt    time.Time    // when a run last made progress
 	coldUntil     time.Time    // until then the worker is slow after its start
+
+	learned       *speed.Worker // what is known of its speed; nil if nothing
+	speed         float64       // as of the last update; 0 if there was none
+	latestReport  time.Duration // on the worker's clock
+	formerReport  time.Duration // the one before it
+	endsAreRecent bool          // the latest report was sent as soon as a run ended
 }
 
 // pendingEnd is the end of a run that may be confirmed once the given version of its job is durable.
@@ -99,6 +106,7 @@
 	for id, w := range c.workers {
 		_, unresolved := c.unresolved[id]
 		if !w.listed && len(w.runs) == 0 && !unresolved && !w.polling && c.leaseExpired(w) {
+			c.forgetSpeed(w)
 			delete(c.workers, id)
 			c.workerOrder = nil
 			c.rosterDirty = true
@@ -119,6 +127,7 @@
 	w.clock, w.clockAt, w.maxLeaseEnd = 0, time.Time{}, 0
 	w.lastProcessed, w.confirmed, w.pendingEnds = 0, 0, nil
 	w.unsizedRuns, w.failStreak, w.probe = 0, 0, nil
+	c.forgetSpeed(w)
 	for _, r := range sortedRunsOf(w) {
 		c.runLost(r, "worker_restarted")
 	}
@@ -241,6 +250,7 @@
 	w.clock, w.clockAt = e.Clock, c.now
 	first := !w.fenced
 	w.fenced = true
+	c.learnProgress(w, e)
 	c.processEnds(w, e.Ended)
 	c.processRunning(w, e)
 	if !e.Partial {
