schedule: keep the advice calls of short steps short

Cause: the call of a step with a short fixed duration may name so many workers that it counts as long. It then waits for one of the proxies that may have long calls, behind those for gangs.

Change: with Config.LearnSpeeds, such a call names only so many workers, the preferred ones, that it stays short.

Measured: go test ./schedule -run TestShortStepsBehindLongCalls -v: with 5 ms per worker, a short step waits at most 0.23 s for the end of its first call; without the change 0.49 s (8 proxies) to 1.01 s (3 proxies). With calls that do not depend on the number of workers, it waits at most 34 ms with or without it.

--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -135,6 +135,7 @@
 			s.advice.retryAt = c.now.Add(adviceRecheckPasses * c.passInterval())
 			continue
 		}
+		workerIDs = c.keepShort(s, workerIDs)
 		callDuration := policy.Base + time.Duration(len(workerIDs))*policy.PerWorker
 		if proxy := c.selectProxy(callDuration); proxy != nil {
 			c.callAdvice(s, proxy, workerIDs, callDuration)
