--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -59,6 +59,7 @@
 	restartDelay    time.Duration  // last delay of the restart of long-lived tasks
 	consideredRound int            // round in which a pass last tried to start its tasks
 	workerFailures  map[string]int // number of runs that failed or timed out waiting for their gang, by worker
+	estimate        stepEstimate
 }
 
 // endedJob is a job whose final state is recorded.
@@ -280,6 +281,7 @@
 		}
 		if s.ready {
 			s.latestStart = c.latestStart(s)
+			c.refreshEstimate(s)
 			c.passDue = true
 		}
 	}
@@ -314,6 +316,7 @@
 func (c *Core) stepDone(s *stepState) {
 	j := s.job
 	c.releaseReservation(s)
+	s.estimate.runs.Evaluate(&c.learned.fleet)
 	delete(c.steps, s.key)
 	j.unfinishedSteps--
 	if j.unfinishedSteps == 0 {
--- a/schedule/pastuse_test.go
+++ b/schedule/pastuse_test.go
@@ -29,8 +29,8 @@
 	return s
 }
 
-// submitEvery submits jobs of one task at an interval until the given time has passed.
-func (s *simulation) submitEvery(interval, duration time.Duration, team string, firstID int, step job.Step) {
+// submitTeamEvery submits jobs of one task at an interval until the given time has passed.
+func (s *simulation) submitTeamEvery(interval, duration time.Duration, team string, firstID int, step job.Step) {
 	for i := range int(duration / interval) {
 		s.pendingJobs++
 		s.after(time.Duration(i)*interval, func() {
@@ -55,7 +55,7 @@
 // useFor runs tasks of a minute of a team on all cores for the given time.
 func (s *simulation) useFor(team string, duration time.Duration) {
 	step := job.Step{Count: 2, Size: task.Resources{CPUMilli: 32_000, MemoryMB: 100}, Estimate: time.Minute}
-	s.submitEvery(time.Minute, duration, team, 0xf0000, step)
+	s.submitTeamEvery(time.Minute, duration, team, 0xf0000, step)
 	s.run(duration)
 	s.run(30 * time.Second)
 }
@@ -87,9 +87,9 @@
 			}
 			const duration = 40 * time.Second
 			step := job.Step{Count: 1, Size: task.Resources{CPUMilli: 4_000, MemoryMB: 100}, Estimate: time.Second}
-			s.submitEvery(c.interval, duration, "red", 0xa0000, step)
+			s.submitTeamEvery(c.interval, duration, "red", 0xa0000, step)
 			s.run(c.interval / 2)
-			s.submitEvery(c.interval, duration, "blue", 0xb0000, step)
+			s.submitTeamEvery(c.interval, duration, "blue", 0xb0000, step)
 			s.run(duration / 4)
 			since := s.now
 			s.run(duration / 2)
@@ -217,8 +217,8 @@
 			s.faults = []string{"takeovers"}
 			observed := s.observeUse(64_000)
 			const duration = 10 * time.Minute
-			s.submitEvery(3*time.Second, duration, "red", 0xa0000, job.Step{Count: 2, Size: task.Resources{CPUMilli: 4_000, MemoryMB: 100}, Estimate: 15 * time.Second})
-			s.submitEvery(5*time.Second, duration, "blue", 0xb0000, job.Step{Count: 1, Size: task.Resources{CPUMilli: 8_000, MemoryMB: 100}, Estimate: 8 * time.Second})
+			s.submitTeamEvery(3*time.Second, duration, "red", 0xa0000, job.Step{Count: 2, Size: task.Resources{CPUMilli: 4_000, MemoryMB: 100}, Estimate: 15 * time.Second})
+			s.submitTeamEvery(5*time.Second, duration, "blue", 0xb0000, job.Step{Count: 1, Size: task.Resources{CPUMilli: 8_000, MemoryMB: 100}, Estimate: 8 * time.Second})
 			for range c.takeovers {
 				s.run(c.every - c.gap)
 				s.withoutOwner = true
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -69,7 +69,10 @@
 	faults        []string
 	onAdviceCall  func(AdviceCall) // called for each advice call; may be nil
 
+	speeds simSpeeds // of the workers
+
 	adviceLatency time.Duration
+	adviceDelay   func(AdviceCall) time.Duration          // if latencies differ; may be nil
 	isEligible    func(k job.StepKey, worker string) bool // of the advice service
 }
 
@@ -92,14 +95,16 @@
 	leaseExpiredAt time.Time   // when it last had no valid lease
 	lastEndNumber  uint64
 	failAll        bool
-	unhealthy      bool   // refuses start orders
-	answerPoll     func() // answers a poll that waits for an end
+	unhealthy      bool    // refuses start orders
+	answerPoll     func()  // answers a poll that waits for an end
+	speed          float64 // 0 for the usual one
 }
 
 // simStart is the start of a run on a worker.
 type simStart struct {
 	worker string
 	at     time.Time
+	gang   bool
 }
 
 type simRun struct {
@@ -110,6 +115,7 @@
 	team      string
 	startedAt time.Time
 	ended     bool
+	simWork
 }
 
 type timer struct {
@@ -203,6 +209,7 @@
 	s.startsInFlight, s.stopsInFlight = 0, 0
 	cfg := DefaultConfig()
 	cfg.PastUseHalfLife = s.pastUseHalfLife
+	cfg.LearnSpeeds = s.speeds.learn
 	s.core = New(s.now, cfg, s.fence, s.catalog, s.roster)
 	s.dispatch(func(c *Core) {
 		c.RestorePastUse(s.pastUse)
@@ -325,7 +332,11 @@
 		if s.onAdviceCall != nil {
 			s.onAdviceCall(e)
 		}
-		s.reply(core, s.adviceLatency, func(c *Core) {
+		latency := s.adviceLatency
+		if s.adviceDelay != nil {
+			latency = s.adviceDelay(e)
+		}
+		s.reply(core, latency, func(c *Core) {
 			tickets := map[string]string{}
 			for _, w := range e.Workers {
 				if s.isEligible(e.Step, w) {
@@ -336,6 +347,8 @@
 		})
 	case Commit:
 		s.commit(core, e)
+	case Decision:
+		s.speeds.observe(s.now, e)
 	}
 }
 
