schedule: reject jobs that cannot end while they are of use

Everything within the rate of its team was accepted however long it would have to wait, surplus was rejected at random, and Retry-After did not depend on the backlog. In an overload the latest accepted jobs ended too late to be of use.

With Config.Forecast the owner forecasts the start and end of a submission from the waiting work that precedes it, the expected ends of runs, the inflow of entitled work, the limit of the team and the rate of advice calls. A job that would end a tenth of its objective after it is of use is rejected, unless suitable workers are free. Return times are handed out at the rate of the team, and a caller that returns in its time precedes first-time callers of its team: it takes a token in advance and exchanges places with one of them. The view lists the pairs of queue and team for whose submissions the owner must be asked.

Without the flag nothing changes.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -88,6 +88,9 @@
 	openUnresolved       int                         // number of unresolved workers that are not closed: any task may run there
 	heldBackTasks        map[job.StepKey]int         // number of tasks of each step that may run on closed unresolved workers
 
+	admission admissionState
+	backlog   *backlog // for forecasts; nil until the first one
+
 	dirty             []*jobState         // changed since their last commit, oldest first
 	busyStreams       [CommitStreams]bool // streams with a commit in flight
 	rosterDirty       bool
@@ -133,6 +136,7 @@
 		reservedGangs:      make(map[job.StepKey]*stepState),
 		unresolved:         make(map[string]unresolvedWorker),
 		heldBackTasks:      make(map[job.StepKey]int),
+		admission:          newAdmissionState(now),
 		round:              1, roundStartedAt: now,
 	}
 	// A former owner may grant leases until its authority has ended (see cell.Config), or until the
@@ -157,6 +161,9 @@
 func (c *Core) Finish() []Effect {
 	if c.passDue && c.now.Sub(c.lastPass) >= c.passInterval() && c.mayPlace() {
 		c.placementPass()
+		if c.cfg.Forecast {
+			c.recordLeftCapacity()
+		}
 	}
 	c.commitIfDue()
 	out := c.effects
@@ -216,6 +223,7 @@
 	c.sendDueStops()
 	c.activateDueOccurrences()
 	c.removeSilentProxies()
+	c.expireAdmissions()
 	if c.now.Sub(c.finalsEvictedAt) > finalRetention/10 {
 		c.finalsEvictedAt = c.now
 		c.evictFinals()
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -17,6 +17,8 @@
 	arrivedAt   time.Time     // monotonic
 	surplus     bool          // exceeds the rate to which its team is entitled
 	restored    bool          // accepted before this owner took over
+	precedence  time.Duration // by which its steps are placed earlier; see exchangePlaces
+	expectedAt  time.Time     // forecast of its start; zero if there is none
 	subscribers subscribers   // instances that receive the changes of its state
 
 	state           job.State
@@ -131,7 +133,7 @@
 		// accepting instance is ahead.
 		j.arrivedAt = c.now.Add(-max(0, c.wall.Sub(j.AcceptedAt)))
 	} else {
-		j.surplus = c.takeToken(j.Team)
+		c.applyAdmission(j)
 	}
 	if j.surplus {
 		c.teamUsage(j.Team).surplusPending++
@@ -434,6 +436,7 @@
 		c.removeFromPending(j)
 		j.state = job.Running
 		c.publish(j)
+		c.checkForecast(j)
 	}
 }
 
--- a/schedule/message.go
+++ b/schedule/message.go
@@ -113,13 +113,17 @@
 // CancelDone reports to the caller that cancelled a job that the final state of the job is recorded.
 type CancelDone struct{ Token uint64 }
 
-func (Poll) isEffect()       {}
-func (Start) isEffect()      {}
-func (Stop) isEffect()       {}
-func (AdviceCall) isEffect() {}
-func (Commit) isEffect()     {}
-func (Decision) isEffect()   {}
-func (CancelDone) isEffect() {}
+// ForecastChecked reports by how much later a job has started than forecast when it was admitted.
+type ForecastChecked struct{ Error time.Duration }
+
+func (Poll) isEffect()            {}
+func (Start) isEffect()           {}
+func (Stop) isEffect()            {}
+func (AdviceCall) isEffect()      {}
+func (Commit) isEffect()          {}
+func (Decision) isEffect()        {}
+func (CancelDone) isEffect()      {}
+func (ForecastChecked) isEffect() {}
 
 // Verdict is the outcome of an order to a worker.
 type Verdict int
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -93,8 +93,7 @@
 	list := make([]rankedStep, 0, len(c.steps))
 	for _, s := range c.steps {
 		if s.ready && s.hasUnplaced() && !c.now.Before(s.notBefore) && !c.isHeldBack(s) {
-			order := s.latestStart.Add(time.Duration(s.job.terms.Priority)*priorityPenalty + c.pastUseShift(s.job.Team))
-			list = append(list, rankedStep{s, c.rank(s), order.UnixNano()})
+			list = append(list, rankedStep{s, c.rank(s), c.placementOrder(s).UnixNano()})
 		}
 	}
 	slices.SortFunc(list, compareRanked)
@@ -226,12 +225,24 @@
 const burstSeconds = 5.0
 
 // takeToken takes a token for a job from its team's bucket and reports whether the job exceeds the
-// team's rate because the bucket is empty. If a team exceeds its rate, its surplus jobs wait behind
-// the entitled jobs of all teams.
-func (c *Core) takeToken(team string) (surplus bool) {
+// team's rate because the bucket has no token apart from the reserved ones. If a team exceeds its rate,
+// its surplus jobs wait behind the entitled jobs of all teams.
+func (c *Core) takeToken(team string, reserved float64) (surplus bool) {
+	if !c.hasToken(team, reserved) {
+		return true
+	}
+	if t := c.catalog.Team(team); t != nil && t.Weight > 0 {
+		c.teamUsage(team).tokens--
+	}
+	return false
+}
+
+// hasToken refills the bucket of a team and reports whether it has a token for a job apart from the
+// reserved ones.
+func (c *Core) hasToken(team string, reserved float64) bool {
 	t := c.catalog.Team(team)
 	if t == nil || t.Weight <= 0 {
-		return false
+		return true
 	}
 	u := c.teamUsage(team)
 	burst := max(1, t.Weight*burstSeconds)
@@ -241,11 +252,7 @@
 		u.tokens = min(burst, u.tokens+t.Weight*c.now.Sub(u.refilledAt).Seconds())
 	}
 	u.refilledAt = c.now
-	if u.tokens < 1 {
-		return true
-	}
-	u.tokens--
-	return false
+	return u.tokens >= 1+reserved
 }
 
 // sumUnresolvedUsage returns the resources that tasks may use on workers that have not yet reported
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -59,6 +59,9 @@
 	reportDelay   time.Duration            // by which reports of workers are late at most
 	faults        []string
 	onAdviceCall  func(AdviceCall) // called for each advice call; may be nil
+	forecast      bool             // Config.Forecast of the next owner
+
+	forecastErrors []time.Duration // see ForecastChecked
 
 	adviceLatency time.Duration
 	isEligible    func(k job.StepKey, worker string) bool // of the advice service
@@ -189,7 +192,9 @@
 // takeOver replaces the owner by a new one, which loads the recorded state.
 func (s *simulation) takeOver() {
 	s.fence++
-	s.core = New(s.now, DefaultConfig(), s.fence, s.catalog, s.roster)
+	cfg := DefaultConfig()
+	cfg.Forecast = s.forecast
+	s.core = New(s.now, cfg, s.fence, s.catalog, s.roster)
 	s.dispatch(func(c *Core) {
 		c.ObserveInstance("i1")
 		c.ObserveInstance("i2")
@@ -307,6 +312,8 @@
 		})
 	case Commit:
 		s.commit(core, e)
+	case ForecastChecked:
+		s.forecastErrors = append(s.forecastErrors, e.Error)
 	}
 }
 
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -27,6 +27,7 @@
 	Changes       []Status
 	PendingJobs   map[string]int     // number of pending jobs, by queue
 	AdmittedShare map[string]float64 // share of a team's submissions to accept; 1 if missing
+	Restricted    []Pair             // for submissions of which the owner must be asked
 	PollAfter     time.Duration      // delay before the instance's next request
 	OwnerTime     time.Duration      // reading of the owner's clock, which the next request returns
 }
@@ -97,7 +98,12 @@
 func (c *Core) ViewSince(instance string, epoch int64, since uint64) View {
 	v := View{
 		Epoch: c.epoch, Sequence: c.sequence, PendingJobs: make(map[string]int),
-		AdmittedShare: c.admittedShares(), PollAfter: c.pollInterval(),
+		PollAfter: c.pollInterval(),
+	}
+	if c.cfg.Forecast {
+		v.Restricted = c.restrictedPairs()
+	} else {
+		v.AdmittedShare = c.admittedShares()
 	}
 	for queue, n := range c.pendingJobs {
 		if n > 0 {
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -23,6 +23,7 @@
 	missedReports int       // consecutive missed reports
 	runs          map[job.TaskKey]*run
 	used          task.Resources
+	leftFree      task.Resources        // free after the last pass; see recordLeftCapacity
 	claims        map[job.StepKey]claim // capacity reserved for gangs
 	ends          []expectedEnd         // expected ends of its runs, cached as of endsAt
 	endsAt        time.Time
