instance: ask the owner about submissions of restricted pairs

Instances decided on submissions from the published share of each team alone.

For a pair of queue and team that the owner's view restricts, an instance now asks the owner (AdmitJob of the Cell service) before anything is recorded, and rejects with 429, "not run" and the Retry-After of the owner.

--- a/cell/effect.go
+++ b/cell/effect.go
@@ -1,6 +1,10 @@
 package cell
 
-import "github.com/mulberrydrum/mulberrydrum/schedule"
+import (
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/schedule"
+)
 
 // Effect is an action that the executor carries out, except for Answer, which the Loop
 // delivers itself.
@@ -37,6 +41,8 @@
 	}
 	// Log writes one log line about a decision.
 	Log struct{ schedule.Decision }
+	// StartForecast records by how much later a job has started than was forecast.
+	StartForecast struct{ Error time.Duration }
 	// Answer delivers the reply to the caller of a request.
 	Answer struct {
 		Token uint64
@@ -53,4 +59,5 @@
 func (RecordCores) isEffect()   {}
 func (Order) isEffect()         {}
 func (Log) isEffect()           {}
+func (StartForecast) isEffect() {}
 func (Answer) isEffect()        {}
--- a/cell/event.go
+++ b/cell/event.go
@@ -132,6 +132,9 @@
 type (
 	// Submit passes a recorded job to the owner. The reply is Reply{Found: true}.
 	Submit struct{ Submission }
+	// AdmissionQuery asks whether a submission that is not recorded yet may be recorded. The spec of the
+	// job may be missing.
+	AdmissionQuery struct{ Job *job.Job }
 	// JobStateQuery requests the state of a job on behalf of an instance, which receives
 	// the changes of the job from then on.
 	JobStateQuery struct {
@@ -164,4 +167,6 @@
 	Team     string
 	Queue    string
 	View     *schedule.View // in replies to ViewRequest only
+
+	Admission schedule.Admission // in replies to AdmissionQuery only
 }
--- a/cell/state.go
+++ b/cell/state.go
@@ -409,6 +409,8 @@
 	case Submit:
 		s.submit(request.Submission)
 		s.emit(Answer{Token: e.Token, Reply: Reply{Found: true}})
+	case AdmissionQuery:
+		s.emit(Answer{Token: e.Token, Reply: Reply{Found: true, Admission: s.core.Admit(request.Job)}})
 	case JobStateQuery:
 		s.core.Subscribe(request.Job, request.Instance)
 		state, team, queue, found := s.core.StateOf(request.Job)
@@ -435,6 +437,8 @@
 		switch e := e.(type) {
 		case schedule.Decision:
 			s.emit(Log{e})
+		case schedule.ForecastChecked:
+			s.emit(StartForecast{Error: e.Error})
 		case schedule.CancelDone:
 			s.emit(Answer{Token: e.Token, Reply: Reply{Found: true, State: job.Cancelled}})
 		case schedule.Commit:
--- a/entry/cell.go
+++ b/entry/cell.go
@@ -77,6 +77,9 @@
 	for queue, n := range v.PendingJobs {
 		out.Waiting[queue] = int64(n)
 	}
+	for _, p := range v.Restricted {
+		out.Restricted = append(out.Restricted, &entrypb.RestrictedPair{Queue: p.Queue, Team: p.Team})
+	}
 	return out
 }
 
@@ -88,6 +91,9 @@
 	for queue, n := range r.GetWaiting() {
 		v.PendingJobs[queue] = int(n)
 	}
+	for _, p := range r.GetRestricted() {
+		v.Restricted = append(v.Restricted, schedule.Pair{Queue: p.GetQueue(), Team: p.GetTeam()})
+	}
 	return v
 }
 
@@ -100,6 +106,30 @@
 	return s.handleRequest(ctx, cell.Submit{Submission: cell.Submission{Job: record, Revision: r.GetRevision()}})
 }
 
+// AdmitJob implements entrypb.CellServer.
+func (s *cellService) AdmitJob(ctx context.Context, r *entrypb.AdmitJobRequest) (*entrypb.AdmitJobReply, error) {
+	record, err := job.Decode[job.Job](r.GetRecord())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	reply, err := s.handler.HandleRequest(ctx, cell.AdmissionQuery{Job: record})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return encodeAdmission(reply), nil
+}
+
+func encodeAdmission(reply cell.Reply) *entrypb.AdmitJobReply {
+	a := reply.Admission
+	return &entrypb.AdmitJobReply{NotOwner: reply.NotOwner, Rejected: a.Rejected, Returned: a.Returned, Cause: a.Cause, RetryAfterMs: a.RetryAfter.Milliseconds()}
+}
+
+func decodeAdmission(r *entrypb.AdmitJobReply) cell.Reply {
+	return cell.Reply{NotOwner: r.GetNotOwner(), Found: !r.GetNotOwner(), Admission: schedule.Admission{
+		Rejected: r.GetRejected(), Returned: r.GetReturned(), Cause: r.GetCause(), RetryAfter: milliseconds(r.GetRetryAfterMs()),
+	}}
+}
+
 // JobState implements entrypb.CellServer.
 func (s *cellService) JobState(ctx context.Context, r *entrypb.JobRequest) (*entrypb.CellReply, error) {
 	return s.handleRequest(ctx, cell.JobStateQuery{Job: job.ID(r.GetJob()), Instance: r.GetInstance()})
@@ -166,8 +196,8 @@
 	return decodeView(reply), nil
 }
 
-// SendJobRequest sends a cell.Submit, cell.JobStateQuery or cell.Cancel request to the instance at
-// the given address.
+// SendJobRequest sends a cell.Submit, cell.AdmissionQuery, cell.JobStateQuery or cell.Cancel request to
+// the instance at the given address.
 func (c *Client) SendJobRequest(ctx context.Context, address string, request any) (cell.Reply, error) {
 	var reply *entrypb.CellReply
 	var err error
@@ -178,6 +208,16 @@
 			return cell.Reply{}, err
 		}
 		reply, err = callCell(ctx, c, address, &entrypb.SubmitJobRequest{Record: record, Revision: r.Revision}, entrypb.CellClient.SubmitJob)
+	case cell.AdmissionQuery:
+		record, err := job.Encode(r.Job)
+		if err != nil {
+			return cell.Reply{}, err
+		}
+		reply, err := callCell(ctx, c, address, &entrypb.AdmitJobRequest{Record: record}, entrypb.CellClient.AdmitJob)
+		if err != nil {
+			return cell.Reply{}, err
+		}
+		return decodeAdmission(reply), nil
 	case cell.JobStateQuery:
 		reply, err = callCell(ctx, c, address, &entrypb.JobRequest{Job: string(r.Job), Instance: r.Instance}, entrypb.CellClient.JobState)
 	case cell.Cancel:
--- a/instance/accept.go
+++ b/instance/accept.go
@@ -73,6 +73,9 @@
 		i.cfg.Journal.Event("refused", "job", string(j.ID), "why", "team_rate", "team", j.Team)
 		return errkind.New(errkind.OverLimit, "team %s exceeds its share of submissions while its jobs are waiting", j.Team).WithRetryAfter(retryAfterOverLimit)
 	}
+	if err := i.askOwner(ctx, j); err != nil {
+		return err
+	}
 	j.AcceptedBy = i.cfg.Name
 	record, err := job.Encode(j)
 	if err != nil {
--- a/instance/execute.go
+++ b/instance/execute.go
@@ -17,6 +17,8 @@
 	switch e := effect.(type) {
 	case cell.Log:
 		i.cfg.Journal.Decision(e.Decision)
+	case cell.StartForecast:
+		i.metrics.forecastError.Update(e.Error.Milliseconds())
 	case cell.Campaign:
 		go i.campaign(i.ctx)
 	case cell.Recover:
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -118,14 +118,15 @@
 
 	view *ownerView
 
-	ctx             context.Context // of all effects
-	ownerCtx        context.Context // of effects of the current ownership; set by the control goroutine
-	cancelOwner     context.CancelFunc
-	resigned        chan struct{} // closed once the ownership record has been removed in a graceful shutdown
-	resignOnce      sync.Once
-	writeFailures   atomic.Int32 // consecutive failed writes of submissions
-	unansweredSince atomic.Int64 // send time of the first unanswered write of a job, Unix nanoseconds; 0 if none
-	probedAt        atomic.Int64 // time at which a submission was last let through to an unresponsive store, Unix nanoseconds
+	ctx              context.Context // of all effects
+	ownerCtx         context.Context // of effects of the current ownership; set by the control goroutine
+	cancelOwner      context.CancelFunc
+	resigned         chan struct{} // closed once the ownership record has been removed in a graceful shutdown
+	resignOnce       sync.Once
+	admissionQueries atomic.Int32 // in flight
+	writeFailures    atomic.Int32 // consecutive failed writes of submissions
+	unansweredSince  atomic.Int64 // send time of the first unanswered write of a job, Unix nanoseconds; 0 if none
+	probedAt         atomic.Int64 // time at which a submission was last let through to an unresponsive store, Unix nanoseconds
 
 	metrics        requestMetrics
 	failuresMu     sync.Mutex
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
 
 // requestMetrics are the metrics of an instance's requests. docs/OPERATIONS.md describes
@@ -14,6 +15,8 @@
 	registry   metrics.Registry
 	acceptTime metrics.Histogram // duration of accepted submissions in microseconds
 	taskWait   metrics.Histogram // time from the arrival of a job to the start order of a task in milliseconds
+
+	forecastError metrics.Histogram // by how much later than forecast jobs started, in milliseconds; on the owner
 }
 
 func newRequestMetrics(registry metrics.Registry) requestMetrics {
@@ -26,7 +29,8 @@
 	histogram := func(name string) metrics.Histogram {
 		return metrics.GetOrRegisterHistogram(name, registry, metrics.NewExpDecaySample(sampleSize, sampleDecay))
 	}
-	return requestMetrics{registry: registry, acceptTime: histogram("request.accept_us"), taskWait: histogram("task.wait_ms")}
+	return requestMetrics{registry: registry, acceptTime: histogram("request.accept_us"), taskWait: histogram("task.wait_ms"),
+		forecastError: histogram("admission.forecast_error_ms")}
 }
 
 // recordSubmission records the duration of an accepted submission, and counts each
@@ -39,3 +43,13 @@
 	}
 	metrics.GetOrRegisterCounter("request.error_count."+string(errkind.From(err).Kind), m.registry).Inc(1)
 }
+
+// recordAdmission counts an answer of the owner to an admission query.
+func (m *requestMetrics) recordAdmission(a schedule.Admission) {
+	if a.Rejected {
+		metrics.GetOrRegisterCounter("admission.rejected_count."+a.Cause, m.registry).Inc(1)
+	}
+	if a.Returned {
+		metrics.GetOrRegisterCounter("admission.returned_count", m.registry).Inc(1)
+	}
+}
--- a/instance/view.go
+++ b/instance/view.go
@@ -31,11 +31,12 @@
 	sequence      uint64 // of the last change received
 	updatedAt     time.Time
 	jobs          map[job.ID]cachedStatus
-	pendingJobs   map[string]int     // number of pending jobs, by queue
-	admittedShare map[string]float64 // fraction of a team's submissions to admit
-	submitted     map[string]int     // number of jobs submitted since the last poll, by team
-	pollAfter     time.Duration      // delay that the owner has requested between polls
-	ownerTime     time.Duration      // see schedule.View
+	pendingJobs   map[string]int             // number of pending jobs, by queue
+	admittedShare map[string]float64         // fraction of a team's submissions to admit
+	restricted    map[schedule.Pair]struct{} // of whose submissions the owner must be asked
+	submitted     map[string]int             // number of jobs submitted since the last poll, by team
+	pollAfter     time.Duration              // delay that the owner has requested between polls
+	ownerTime     time.Duration              // see schedule.View
 	sweptAt       time.Time
 }
 
@@ -65,6 +66,10 @@
 	}
 	v.epoch, v.sequence, v.updatedAt = view.Epoch, view.Sequence, now
 	v.pendingJobs, v.admittedShare, v.pollAfter, v.ownerTime = view.PendingJobs, view.AdmittedShare, view.PollAfter, view.OwnerTime
+	v.restricted = make(map[schedule.Pair]struct{}, len(view.Restricted))
+	for _, p := range view.Restricted {
+		v.restricted[p] = struct{}{}
+	}
 	v.sweep(now)
 }
 
@@ -174,6 +179,15 @@
 	return !limited || now.Sub(v.updatedAt) > maxViewAge || rand.Float64() < share
 }
 
+// isRestricted reports whether the owner must be asked before a submission is recorded. If the view is
+// outdated, the submission is recorded without asking.
+func (v *ownerView) isRestricted(p schedule.Pair, now time.Time) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	_, restricted := v.restricted[p]
+	return restricted && now.Sub(v.updatedAt) <= maxViewAge
+}
+
 // nextRequest returns the next request to the owner and resets the submission counts.
 func (v *ownerView) nextRequest(name string) cell.ViewRequest {
 	v.mu.Lock()
