--- a/cell/effect.go
+++ b/cell/effect.go
@@ -1,6 +1,10 @@
 package cell
 
-import "github.com/mulberrydrum/mulberrydrum/schedule"
+import (
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/schedule"
+)
 
 // Effect is an action that the executor carries out, except for Answer, which the Loop
 // delivers itself.
@@ -40,6 +44,8 @@
 	ShowPastUse struct{ schedule.PastUse }
 	// Log writes one log line about a decision.
 	Log struct{ schedule.Decision }
+	// StartForecast records by how much later a job has started than was forecast.
+	StartForecast struct{ Error time.Duration }
 	// Answer delivers the reply to the caller of a request.
 	Answer struct {
 		Token uint64
@@ -57,4 +63,5 @@
 func (Order) isEffect()         {}
 func (ShowPastUse) isEffect()   {}
 func (Log) isEffect()           {}
+func (StartForecast) isEffect() {}
 func (Answer) isEffect()        {}
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -16,7 +16,8 @@
 	acceptTime metrics.Histogram // duration of accepted submissions in microseconds
 	taskWait   metrics.Histogram // time from the arrival of a job to the start order of a task in milliseconds
 
-	pastUseNames map[string]struct{} // gauges of past use; accessed by the control goroutine only
+	pastUseNames  map[string]struct{} // gauges of past use; accessed by the control goroutine only
+	forecastError metrics.Histogram   // by how much later than forecast jobs started, in milliseconds; on the owner
 }
 
 func newRequestMetrics(registry metrics.Registry) requestMetrics {
@@ -29,7 +30,10 @@
 	histogram := func(name string) metrics.Histogram {
 		return metrics.GetOrRegisterHistogram(name, registry, metrics.NewExpDecaySample(sampleSize, sampleDecay))
 	}
-	return requestMetrics{registry: registry, pastUseNames: make(map[string]struct{}), acceptTime: histogram("request.accept_us"), taskWait: histogram("task.wait_ms")}
+	return requestMetrics{
+		registry: registry, pastUseNames: make(map[string]struct{}), acceptTime: histogram("request.accept_us"),
+		taskWait: histogram("task.wait_ms"), forecastError: histogram("admission.forecast_error_ms"),
+	}
 }
 
 // recordSubmission records the duration of an accepted submission, and counts each
@@ -67,3 +71,13 @@
 	}
 	m.pastUseNames = shown
 }
+
+// recordAdmission counts an answer of the owner to an admission query.
+func (m *requestMetrics) recordAdmission(a schedule.Admission) {
+	if a.Rejected {
+		metrics.GetOrRegisterCounter("admission.rejected_count."+a.Cause, m.registry).Inc(1)
+	}
+	if a.Returned {
+		metrics.GetOrRegisterCounter("admission.returned_count", m.registry).Inc(1)
+	}
+}
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -19,6 +19,8 @@
 	usage       *teamUsage    // of its team
 	unshifted   bool          // not delayed by the past use of its team, see unshiftedJobs
 	restored    bool          // accepted before this owner took over
+	precedence  time.Duration // by which its steps are placed earlier; see exchangePlaces
+	expectedAt  time.Time     // forecast of its start; zero if there is none
 	subscribers subscribers   // instances that receive the changes of its state
 
 	state           job.State
@@ -137,7 +139,7 @@
 		// accepting instance is ahead.
 		j.arrivedAt = c.now.Add(-max(0, c.wall.Sub(j.AcceptedAt)))
 	} else {
-		j.surplus = c.takeToken(j.Team)
+		c.applyAdmission(j)
 	}
 	if j.surplus {
 		c.teamUsage(j.Team).surplusPending++
@@ -443,6 +445,7 @@
 		c.removeFromPending(j)
 		j.state = job.Running
 		c.publish(j)
+		c.checkForecast(j)
 	}
 }
 
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -68,6 +68,9 @@
 	reportDelay   time.Duration            // by which reports of workers are late at most
 	faults        []string
 	onAdviceCall  func(AdviceCall) // called for each advice call; may be nil
+	forecast      bool             // Config.Forecast of the next owner
+
+	forecastErrors []time.Duration // see ForecastChecked
 
 	speeds simSpeeds // of the workers
 
@@ -210,6 +213,7 @@
 	cfg := DefaultConfig()
 	cfg.PastUseHalfLife = s.pastUseHalfLife
 	cfg.LearnSpeeds = s.speeds.learn
+	cfg.Forecast = s.forecast
 	s.core = New(s.now, cfg, s.fence, s.catalog, s.roster)
 	s.dispatch(func(c *Core) {
 		c.RestorePastUse(s.pastUse)
@@ -349,6 +353,8 @@
 		s.commit(core, e)
 	case Decision:
 		s.speeds.observe(s.now, e)
+	case ForecastChecked:
+		s.forecastErrors = append(s.forecastErrors, e.Error)
 	}
 }
 
