speed: test gangs that slow down or wait together

Cause: two rules had no test that fails without them: members of a gang are not compared with their own former rates, and a finished member that waits for the others shows no lack of speed.

Change: TestWaitingGangMembers, and a case of TestGangSiblings.

--- a/schedule/speeds_test.go
+++ b/schedule/speeds_test.go
@@ -290,4 +290,15 @@
 	if slow, steady := share(1), share(4); slow > 0.3 || steady < 0.9 {
 		t.Errorf("the slow member makes %.2f of the expected progress, a steadily slow one %.2f", slow, steady)
 	}
+	for i := range s.tasks {
+		s.tasks[i].run.measured = speed.StartedAt(11 * time.Second)
+	}
+	for n := range 12 { // all members slow down, since one of them does
+		for i, w := range c.sortedWorkers() {
+			c.learnProgress(w, PollDone{Clock: time.Duration(12+n) * time.Second, Running: []RunReport{{Task: s.tasks[i].run.task, Run: 1, Percent: min(40, 10*n) + 2*n}}})
+		}
+	}
+	if c.learned.degraded > 0 {
+		t.Errorf("%d workers count as degraded", c.learned.degraded)
+	}
 }
--- a/speed/speed_test.go
+++ b/speed/speed_test.go
@@ -189,3 +189,27 @@
 		}
 	}
 }
+
+// TestWaitingGangMembers guards against a worker that counts as degraded because members of a gang have
+// finished there and wait for the others.
+func TestWaitingGangMembers(t *testing.T) {
+	for rate, want := range map[int]Change{20: Unchanged, 4: Degraded} {
+		var w Worker
+		for range minSamples {
+			w.add(1)
+		}
+		members, last := []Progress{StartedAt(time.Second), StartedAt(time.Second)}, Unchanged
+		for n := 1; n < 20; n++ {
+			at := time.Duration(1+n) * time.Second
+			for i := range members {
+				w.Compare(&members[i], min(100, rate*n), at, 5*time.Second)
+			}
+			if change := w.CloseWindow(at); change > Suspected {
+				last = change
+			}
+		}
+		if last != want {
+			t.Errorf("at %d%% per second, the last change is %s, want %s", rate, last, want)
+		}
+	}
+}
