--- a/listen/conn.go
+++ b/listen/conn.go
@@ -128,7 +128,9 @@
 		verdict := c.held.Charge(now, charge)
 		c.gate.apply(verdict)
 		if !verdict.Admitted {
-			c.gate.Report.refusedConnection(verdict.Cause)
+			if verdict.Cause != intake.CauseClosing { // which was counted when the connection was chosen
+				c.gate.Report.refusedConnection(verdict.Cause)
+			}
 			return false
 		}
 	}
