listen: limit only the receive buffers of clients

Cause: the listeners for other instances also got receive buffers of 32 KB, although a message between instances may have 16 MB, and results of the own interface were sent through buffers of 32 KB. In one of four runs of go test ./endtoend, calls between instances had no response in time (TestStoreOutage/down, which is listed as red, and TestWorkerKilled); whether the buffers were the cause is not shown.

Change: only listeners for clients have a limit, and only for what is received.

go test ./untrusted -count=1 and go test -race ./listen pass.

--- a/listen/listener.go
+++ b/listen/listener.go
@@ -18,8 +18,7 @@
 	// maxAcceptDelay bounds the delay after an error of Accept, such as too many open files.
 	maxAcceptDelay = time.Second
 	minAcceptDelay = 5 * time.Millisecond
-	// SocketBuffer is the size in bytes of the receive and the send buffer of a connection of a
-	// client. The kernel uses up to twice as much. A body of the largest size takes eight round trips.
+	// SocketBuffer is the size in bytes of the receive buffer of a connection of a client. The kernel uses up to twice as much. A body of the largest size takes eight round trips.
 	SocketBuffer = 32 << 10
 	// backlog is the number of connections that may wait to be accepted. Together they hold up to 32 MB in
 	// the kernel; at 3,000 new connections a second they wait for 170 ms.
@@ -69,7 +68,8 @@
 
 // Listen returns a listener that accepts the connections of inner that the gate admits.
 func (g *Gate) Listen(inner net.Listener) net.Listener {
-	if tcp, ok := inner.(*net.TCPListener); ok {
+	// The messages of other instances have up to 16 MB; small buffers would slow them down.
+	if tcp, ok := inner.(*net.TCPListener); ok && g.Bounds != nil {
 		if err := limitKernel(tcp); err != nil {
 			g.Report.logEvent("buffers of the kernel are not limited", "address", tcp.Addr().String(), "error", err)
 		}
@@ -78,7 +78,7 @@
 }
 
 // limitKernel bounds what the kernel holds for connections that are not accepted yet. They inherit the
-// sizes of the buffers; later changes would not free what has been received.
+// size of the buffer; a later change would not free what has been received.
 func limitKernel(l *net.TCPListener) error {
 	raw, err := l.SyscallConn()
 	if err != nil {
@@ -88,7 +88,6 @@
 	err = raw.Control(func(fd uintptr) {
 		failed = errors.Join(
 			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, SocketBuffer),
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, SocketBuffer),
 			syscall.Listen(int(fd), backlog))
 	})
 	return eris.Wrap(errors.Join(err, failed), "set the options of the listener's socket")
