Send the stop orders that were never sent before repeated ones

Cause: sendDueStops went through the due runs by worker ID. While the window of stop orders is full, the orders to a worker that does not answer are due again when their time limit of 0.7 s ends, and took the free places each time. The runs on workers with higher IDs got no stop order until the lease of the silent worker had expired.

Change: due stop orders are sorted by the time at which they were last sent, so that those never sent go first.

Measured: go test ./schedule -run TestStopsBesideSilentWorker fails without the change (no order to the second worker within 3.5 s with a window of two and four runs on the silent worker) and passes with it.

--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -227,7 +227,8 @@
 	c.sendStop(r)
 }
 
-// sendDueStops sends or retries the stop orders that are due.
+// sendDueStops sends or retries the stop orders that are due, those that were sent last at the end:
+// otherwise, the repeated ones to workers that do not answer would fill the window.
 func (c *Core) sendDueStops() {
 	var due []*run
 	for r := range c.unsettled {
@@ -236,7 +237,7 @@
 		}
 	}
 	slices.SortFunc(due, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.worker.ID, b.worker.ID), compareTasks(a.task, b.task))
+		return cmp.Or(a.stopSentAt.Compare(b.stopSentAt), cmp.Compare(a.worker.ID, b.worker.ID), compareTasks(a.task, b.task))
 	})
 	for _, r := range due {
 		c.sendStop(r)
--- /dev/null
+++ b/schedule/stoporder_test.go
@@ -0,0 +1,64 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/job"
+)
+
+// newStopTest returns a Core with a window of two orders and running tasks on the given workers, one for
+// each name.
+func newStopTest(now time.Time, workers ...string) (*Core, []*run) {
+	c := New(now, DefaultConfig(), 1, &job.Catalog{}, nil)
+	c.Begin(now, now)
+	c.window.size = 2
+	var runs []*run
+	for i, id := range workers {
+		w := c.workers[id]
+		if w == nil {
+			w = &worker{Worker: Worker{ID: id}, runs: make(map[job.TaskKey]*run)}
+			c.workers[id] = w
+		}
+		key := job.TaskKey{StepKey: job.StepKey{Job: job.ID(fmt.Sprintf("%016x", i))}}
+		r := &run{task: key, number: 1, worker: w, state: runRunning}
+		c.addRun(r)
+		runs = append(runs, r)
+	}
+	return c, runs
+}
+
+// takeStops returns the stop orders among the effects since the last call.
+func takeStops(c *Core) (stops []Stop) {
+	for _, e := range c.effects {
+		if s, ok := e.(Stop); ok {
+			stops = append(stops, s)
+		}
+	}
+	c.effects = nil
+	return stops
+}
+
+// TestStopsBesideSilentWorker guards against stop orders that are not sent because the repeated ones to a
+// worker that does not answer fill the window.
+func TestStopsBesideSilentWorker(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	c, runs := newStopTest(now, "w0", "w0", "w0", "w0", "w1")
+	for _, r := range runs {
+		c.stop(r)
+	}
+	for range 5 {
+		inFlight := takeStops(c)
+		now = now.Add(700 * time.Millisecond)
+		c.Begin(now, now)
+		for _, s := range inFlight {
+			if s.Worker == "w1" {
+				return
+			}
+			c.StopDone(StopDone{Stop: s, Verdict: Unclear})
+		}
+		c.sendDueStops()
+	}
+	t.Error("no stop order was sent to w1 within 3.5 s")
+}
