Record the answer to a stop order before further ones are sent

Cause: StopDone freed the place in the window first, which sends the due stop orders. An order that was answered later than StopRetryInterval was still due at that time and was sent again, to a worker that had just accepted it.

Change: the place is freed after the answer is recorded.

Measured: go test ./schedule -run TestAnsweredStopIsNotRepeated fails without the change (the answered order is repeated) and passes with it.

--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -268,7 +268,7 @@
 // StopDone handles the answer to a stop order. A worker that has accepted it rejects the run if the
 // start order arrives later.
 func (c *Core) StopDone(e StopDone) {
-	c.stopAnswered()
+	defer c.stopAnswered() // it may send the orders that are due, of which this one no longer is
 	w := c.workers[e.Stop.Worker]
 	if w == nil {
 		return
--- a/schedule/stoporder_test.go
+++ b/schedule/stoporder_test.go
@@ -62,3 +62,23 @@
 	}
 	t.Error("no stop order was sent to w1 within 3.5 s")
 }
+
+// TestAnsweredStopIsNotRepeated guards against a stop order that is repeated because of its own late
+// answer.
+func TestAnsweredStopIsNotRepeated(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	c, runs := newStopTest(now, "w0", "w0", "w0")
+	for _, r := range runs {
+		c.stop(r)
+	}
+	inFlight := takeStops(c)
+	now = now.Add(c.cfg.StopRetryInterval)
+	c.Begin(now, now)
+	c.removeRun(runs[2]) // it has ended, so that only the orders in flight are due
+	c.StopDone(StopDone{Stop: inFlight[0], Verdict: Accepted})
+	for _, s := range takeStops(c) {
+		if s.Task == inFlight[0].Task {
+			t.Errorf("the stop order for %s was repeated after its answer", s.Task)
+		}
+	}
+}
