Don't collect the due stop orders while the window is full

Cause: every Tick, of which there are a hundred per second, collected and sorted all due stop orders although none could be sent. With 10,000 orders held back, as after the cancellation of a job of that size, this takes 15.5 ms per Tick of 10 ms, on the control goroutine that also renews the ownership.

Change: sendDueStops returns while stop orders are held back; stopAnswered calls it again once a quarter of the window is free. The state ends with the last answer at the latest.

--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -230,6 +230,9 @@
 // sendDueStops sends or retries the stop orders that are due, those that were sent last at the end:
 // otherwise, the repeated ones to workers that do not answer would fill the window.
 func (c *Core) sendDueStops() {
+	if c.window.stopsHeld {
+		return // stopAnswered calls it again once a part of the window is free
+	}
 	var due []*run
 	for r := range c.unsettled {
 		if r.stopDue(c.now, c.cfg) {
--- a/schedule/stoporder_test.go
+++ b/schedule/stoporder_test.go
@@ -82,3 +82,31 @@
 		}
 	}
 }
+
+// TestHeldStopsAreNotSorted guards against a Tick, of which there are a hundred per second, that collects
+// and sorts thousands of stop orders while the window is full. It counts allocations, which do not depend
+// on the speed of the machine.
+func TestHeldStopsAreNotSorted(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	workers := make([]string, 1_000)
+	for i := range workers {
+		workers[i] = fmt.Sprintf("w%03d", i%100)
+	}
+	c, runs := newStopTest(now, workers...)
+	for _, r := range runs {
+		c.stop(r)
+	}
+	if n := testing.AllocsPerRun(10, c.sendDueStops); n > 0 {
+		t.Errorf("%v allocations while the window is full", n)
+	}
+	sent := 0
+	for inFlight := takeStops(c); len(inFlight) > 0; inFlight = takeStops(c) {
+		for _, s := range inFlight {
+			sent++
+			c.StopDone(StopDone{Stop: s, Verdict: Accepted})
+		}
+	}
+	if sent != len(runs) {
+		t.Errorf("%d stop orders were sent, want %d", sent, len(runs))
+	}
+}
