Log the ends of evacuations in the order of their domains

Cause: SetEvacuated went through a map, so that the order of its effects differed between two runs with the same events when several evacuations ended together.

Change: the domains are sorted.

Measured: go test ./schedule -run TestEvacuationEndsInOrder fails without the change and passes with it.

--- a/schedule/evacuation.go
+++ b/schedule/evacuation.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -16,7 +17,7 @@
 			c.logEvacuation(domain, true)
 		}
 	}
-	for domain := range former {
+	for _, domain := range slices.Sorted(maps.Keys(former)) {
 		if !slices.Contains(domains, domain) {
 			c.logEvacuation(domain, false)
 		}
--- a/schedule/evacuation_test.go
+++ b/schedule/evacuation_test.go
@@ -105,3 +105,20 @@
 		}
 	}
 }
+
+// TestEvacuationEndsInOrder guards against effects whose order depends on that of a map.
+func TestEvacuationEndsInOrder(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	domains := []string{"z1", "z2", "z3", "z4", "z5", "z6", "z7", "z8"}
+	for range 5 {
+		c := New(now, DefaultConfig(), 1, &job.Catalog{}, nil)
+		c.SetEvacuated(domains)
+		c.effects = nil
+		c.SetEvacuated(nil)
+		for i, e := range c.effects {
+			if got := e.(Decision).Fields[1]; got != domains[i] {
+				t.Fatalf("the end for %v is logged in place of %s", got, domains[i])
+			}
+		}
+	}
+}
