Correct the comments about the reported shifts of past use

Cause: they said that the shift is 0 for a team without waiting work since the last report. lastShift compares with the last pass only.

Change: comments only. go vet ./schedule passes.

--- a/schedule/pastuse.go
+++ b/schedule/pastuse.go
@@ -46,8 +46,8 @@
 // PastUse reports the past use of the teams for the metrics.
 type PastUse struct{ Teams []TeamPastUse }
 
-// TeamPastUse is the past use of a team and the shift that it had in its last comparison; 0 if it had no
-// waiting work since the last report.
+// TeamPastUse is the past use of a team and the shift that it had in the last pass; 0 if it had no
+// waiting work then.
 type TeamPastUse struct {
 	Team  string
 	Use   float64 // average share of the dominant resource, from 0 to 1
@@ -196,8 +196,7 @@
 	}
 }
 
-// lastShift returns the shift of a team in its last comparison, or 0 if it had no waiting work in the
-// current one.
+// lastShift returns the shift of a team in the last comparison, or 0 if it had no waiting work then.
 func (c *Core) lastShift(team string) time.Duration {
 	u := c.usage[team]
 	if u == nil || u.past.comparison != c.pastUse.comparison {
