Don't count tickets for evacuated workers as enough

Cause: hasEnoughTickets left out draining workers but not evacuated ones. A step all of whose eligible workers are in an evacuated domain got no advice about workers of other domains until furtherAdviceDelay (1 s) after its last reply, and then only about workers with room at that moment.

Change: evacuated workers are left out as well.

Measured: go test ./schedule -run TestAdviceBesideEvacuation fails without the change and passes with it. The delay was read from the code, not measured.

--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -270,7 +270,7 @@
 	size, capacity, eligible := taskSize(s.spec), 0, 0
 	for id := range s.advice.tickets {
 		w := c.workers[id]
-		if w == nil || !w.listed || w.Draining {
+		if w == nil || !w.listed || w.Draining || c.isEvacuated(w) {
 			continue
 		}
 		if _, ok := s.advice.ticket(w, c.now, true); !ok {
--- a/schedule/evacuation_test.go
+++ b/schedule/evacuation_test.go
@@ -122,3 +122,33 @@
 		}
 	}
 }
+
+// TestAdviceBesideEvacuation guards against a step that asks for no advice about other workers because
+// those for which it has tickets are enough, although they are evacuated.
+func TestAdviceBesideEvacuation(t *testing.T) {
+	s := newSimulation(t, 13, 12)
+	for id, w := range s.workers {
+		if w.FailureDomain = "z0"; id < "w06" {
+			w.FailureDomain = "z1"
+		}
+		w.Revision++
+	}
+	s.isEligible = func(job.StepKey, string) bool { return true }
+	s.run(time.Second)
+	step := &stepState{spec: &job.Step{Count: 1, Size: task.Resources{CPUMilli: 1_000}}, tasks: make([]taskState, 1)}
+	step.job = &jobState{Job: &job.Job{Queue: "advised"}}
+	step.job.terms.Service = "calc"
+	step.advice.tickets = make(map[string]ticket)
+	for id, w := range s.core.workers {
+		if w.FailureDomain == "z1" {
+			step.advice.tickets[id] = ticket{incarnation: w.Incarnation}
+		}
+	}
+	if !s.core.hasEnoughTickets(step) {
+		t.Fatal("the tickets are not enough before the evacuation")
+	}
+	s.evacuate("z1")
+	if s.core.hasEnoughTickets(step) {
+		t.Error("tickets for evacuated workers count as enough")
+	}
+}
