Keep a share of the window of start orders for jobs without a run

Cause: each step may have reservedStepWindow orders in flight while more than half of the window is in use.

Change: an eighth of the window is kept for jobs without a run, for one order each. Such a job thereby makes progress; its further tasks wait in the order of placement as before.

--- a/schedule/orderwindow.go
+++ b/schedule/orderwindow.go
@@ -28,6 +28,9 @@
 	// reservedStepWindow is the number of orders that each step may have in flight while more than half
 	// of the window is in use. Otherwise, a few large jobs would keep the tasks of all others waiting.
 	reservedStepWindow = 8
+	// idleJobShare is the share of the window that only jobs without a run may use, for one order each. In
+	// the order of placement, many large jobs before them would take every place that becomes free.
+	idleJobShare = 0.125
 )
 
 // orderWindow counts the orders in flight.
@@ -61,7 +64,12 @@
 	if 2*c.window.starts < size {
 		limit = int(stepWindowShare * float64(size))
 	}
-	return max(0, min(limit-inFlight, size-c.window.starts))
+	free := size - c.window.starts
+	starts := min(limit-inFlight, free-int(idleJobShare*float64(size)))
+	if len(s.job.runs) == 0 {
+		starts = max(starts, min(1, free))
+	}
+	return max(0, starts)
 }
 
 // mayStartGang reports whether a gang may start now. Its members must all start within a few seconds, so
