--- a/schedule/evacuation_test.go
+++ b/schedule/evacuation_test.go
@@ -105,3 +105,50 @@
 		}
 	}
 }
+
+// TestEvacuationEndsInOrder guards against effects whose order depends on that of a map.
+func TestEvacuationEndsInOrder(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	domains := []string{"z1", "z2", "z3", "z4", "z5", "z6", "z7", "z8"}
+	for range 5 {
+		c := New(now, DefaultConfig(), 1, &job.Catalog{}, nil)
+		c.SetEvacuated(domains)
+		c.effects = nil
+		c.SetEvacuated(nil)
+		for i, e := range c.effects {
+			if got := e.(Decision).Fields[1]; got != domains[i] {
+				t.Fatalf("the end for %v is logged in place of %s", got, domains[i])
+			}
+		}
+	}
+}
+
+// TestAdviceBesideEvacuation guards against a step that asks for no advice about other workers because
+// those for which it has tickets are enough, although they are evacuated.
+func TestAdviceBesideEvacuation(t *testing.T) {
+	s := newSimulation(t, 13, 12)
+	for id, w := range s.workers {
+		if w.FailureDomain = "z0"; id < "w06" {
+			w.FailureDomain = "z1"
+		}
+		w.Revision++
+	}
+	s.isEligible = func(job.StepKey, string) bool { return true }
+	s.run(time.Second)
+	step := &stepState{spec: &job.Step{Count: 1, Size: task.Resources{CPUMilli: 1_000}}, tasks: make([]taskState, 1)}
+	step.job = &jobState{Job: &job.Job{Queue: "advised"}}
+	step.job.terms.Service = "calc"
+	step.advice.tickets = make(map[string]ticket)
+	for id, w := range s.core.workers {
+		if w.FailureDomain == "z1" {
+			step.advice.tickets[id] = ticket{incarnation: w.Incarnation}
+		}
+	}
+	if !s.core.hasEnoughTickets(step) {
+		t.Fatal("the tickets are not enough before the evacuation")
+	}
+	s.evacuate("z1")
+	if s.core.hasEnoughTickets(step) {
+		t.Error("tickets for evacuated workers count as enough")
+	}
+}
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -232,8 +232,12 @@
 	c.sendStop(r)
 }
 
-// sendDueStops sends or retries the stop orders that are due.
+// sendDueStops sends or retries the stop orders that are due, those that were sent last at the end:
+// otherwise, the repeated ones to workers that do not answer would fill the window.
 func (c *Core) sendDueStops() {
+	if c.window.stopsHeld {
+		return // stopAnswered calls it again once a part of the window is free
+	}
 	var due []*run
 	for r := range c.unsettled {
 		if r.stopDue(c.now, c.cfg) {
@@ -241,7 +245,7 @@
 		}
 	}
 	slices.SortFunc(due, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.worker.ID, b.worker.ID), compareTasks(a.task, b.task))
+		return cmp.Or(a.stopSentAt.Compare(b.stopSentAt), cmp.Compare(a.worker.ID, b.worker.ID), compareTasks(a.task, b.task))
 	})
 	for _, r := range due {
 		c.sendStop(r)
@@ -272,7 +276,7 @@
 // StopDone handles the answer to a stop order. A worker that has accepted it rejects the run if the
 // start order arrives later.
 func (c *Core) StopDone(e StopDone) {
-	c.stopAnswered()
+	defer c.stopAnswered() // it may send the orders that are due, of which this one no longer is
 	w := c.workers[e.Stop.Worker]
 	if w == nil {
 		return
