schedule: a step at its team's limit does not count as held by reservations

Cause: heldSince kept its value while a step waited for its team's limit, so that the step overrode reservations as soon as the limit allowed a task.

Change: it is reset in that case.

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -90,7 +90,7 @@
 			// It is not taken from the budget, so that a team at its limit does not keep the steps of
 			// others from being considered. Tickets for it would expire before a task of its team ends.
 			c.releaseReservation(s)
-			s.wait = waitsForLimit
+			s.wait, s.heldSince = waitsForLimit, time.Time{}
 			if budget.logged > 0 {
 				budget.logged--
 				c.recordWait(s, waitsForLimit)
