Bound the time to send what the HTTP library sends itself

Cause: status 100, 400 and 417 are sent by the HTTP library, without the time limit that the handler sets for its responses. A client that fills the buffer of its connection with responses which it does not read, and then causes one of these, kept the connection in the phase in which it is not closed for another one, until it ended the connection itself.

Change: the listeners of the platform set a time limit of 5 s for sending, which handlers replace by their own.

--- a/listen/listener.go
+++ b/listen/listener.go
@@ -29,6 +29,9 @@
 	ConnectionBytes = 16 << 10
 	// sourceBits is the length of the prefix that identifies a client with an IPv6 address.
 	sourceBits = 64
+	// libraryWriteTimeout bounds the time to send what the HTTP library sends on its own, such as status
+	// 100 or 400. Handlers set a time limit for their responses.
+	libraryWriteTimeout = 5 * time.Second
 )
 
 // Bounds are the limits of the headers and of idle connections. They may change at run time.
@@ -169,6 +172,9 @@
 	bounds := Bounds{}.OrDefault()
 	s.ReadHeaderTimeout, s.IdleTimeout = bounds.HeaderTimeout, bounds.IdleTimeout // replaced by conn
 	s.MaxHeaderBytes = maxHeaderBytes
+	if s.WriteTimeout == 0 {
+		s.WriteTimeout = libraryWriteTimeout
+	}
 	ConfigureStates(s)
 }
 
