Bound the sending of the HTTP library on the own interface too

Cause: the servers of package httpjson set a time limit only for responses of their handlers, so that status 100, 400 and 417 waited for a client without end, as on the platform.

Change: the time limit is set when the headers of a request are complete, for each server behind a gate that has no WriteTimeout. Handlers that write their own responses (profiles) remove it.

--- a/httpjson/server.go
+++ b/httpjson/server.go
@@ -85,8 +85,14 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
-// HandleRaw registers a path whose handler writes its own responses.
-func (s *Server) HandleRaw(path string, h http.HandlerFunc) { s.mux.HandleFunc(path, h) }
+// HandleRaw registers a path whose handler writes its own responses, without a time limit.
+func (s *Server) HandleRaw(path string, h http.HandlerFunc) {
+	s.mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		// Fails only for response writers without support for deadlines, such as those of tests.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+		h(w, r)
+	})
+}
 
 func (s *Server) rejectUnknownPath(*http.Request) (Response, error) {
 	return Response{}, errkind.New(errkind.UnknownPath, "unknown path").WithField("path", strings.Join(s.paths, ", "))
--- a/listen/listener.go
+++ b/listen/listener.go
@@ -172,9 +172,6 @@
 	bounds := Bounds{}.OrDefault()
 	s.ReadHeaderTimeout, s.IdleTimeout = bounds.HeaderTimeout, bounds.IdleTimeout // replaced by conn
 	s.MaxHeaderBytes = maxHeaderBytes
-	if s.WriteTimeout == 0 {
-		s.WriteTimeout = libraryWriteTimeout
-	}
 	ConfigureStates(s)
 }
 
@@ -182,12 +179,16 @@
 // the gate applies first.
 const maxHeaderBytes = http.DefaultMaxHeaderBytes
 
-// ConfigureStates sets only the functions that connect a server with its connections.
+// ConfigureStates sets only the functions that connect a server with its connections. Without a WriteTimeout
+// of the server, a handler has to set or remove the time limit for its response.
 func ConfigureStates(s *http.Server) {
 	next := s.ConnState
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if own, ok := c.(*conn); ok {
 			own.stateChanged(state)
+			if state == http.StateActive && s.WriteTimeout == 0 {
+				_ = c.SetWriteDeadline(time.Now().Add(libraryWriteTimeout)) // fails only on a closed connection
+			}
 		}
 		if next != nil {
 			next(c, state)
