--- a/listen/listener.go
+++ b/listen/listener.go
@@ -28,6 +28,9 @@
 	ConnectionBytes = 16 << 10
 	// sourceBits is the length of the prefix that identifies a client with an IPv6 address.
 	sourceBits = 64
+	// libraryWriteTimeout bounds the time to send what the HTTP library sends on its own, such as status
+	// 100 or 400. Handlers set a time limit for their responses.
+	libraryWriteTimeout = 5 * time.Second
 )
 
 // Bounds are the limits of the headers and of idle connections. They may change at run time.
@@ -175,12 +178,16 @@
 // the gate applies first.
 const maxHeaderBytes = http.DefaultMaxHeaderBytes
 
-// ConfigureStates sets only the functions that connect a server with its connections.
+// ConfigureStates sets only the functions that connect a server with its connections. Without a WriteTimeout
+// of the server, a handler has to set or remove the time limit for its response.
 func ConfigureStates(s *http.Server) {
 	next := s.ConnState
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if own, ok := c.(*conn); ok {
 			own.stateChanged(state)
+			if state == http.StateActive && s.WriteTimeout == 0 {
+				_ = c.SetWriteDeadline(time.Now().Add(libraryWriteTimeout)) // fails only on a closed connection
+			}
 		}
 		if next != nil {
 			next(c, state)
