daemon: leave the listener for other instances as it was

Cause: the listener for other instances of the own interface was wrapped to bound its connections, which is not required there. The wrapper hides the TCP connection from the gRPC library, which then sets no TCP_USER_TIMEOUT.

Change: only the listeners for callers and operators of the own interface are bounded.

--- a/daemon/gates.go
+++ b/daemon/gates.go
@@ -27,11 +27,9 @@
 	operatorValueBytes     = 32 << 20 // twice what the most values of a body take
 	operatorFraction       = 16       // of the connections of callers
 	minOperatorConnections = 16
-	// Other entry instances use one connection each, and another one while they reconnect.
-	entryConnections = 1024
 )
 
-// gate limits the connections of the listeners.
+// gate limits the connections of the listeners for callers and operators.
 func (d *Daemon) gate(cfg Config, logger *log.Logger) {
 	if cfg.Intake.Memory == 0 {
 		cfg.Intake.Memory = DefaultClientMemory
@@ -52,5 +50,4 @@
 	operatorMemory := operatorValueBytes + operatorRequests*cfg.Operator.Limits.MaxRequestBytes + int64(operatorConnections)*listen.ConnectionBytes
 	d.listeners.caller = newGate("client", cfg.Intake.Memory, cfg.Intake.Connections, boundsOf(cfg.Caller.Limits)).Listen(d.listeners.caller)
 	d.listeners.operator = newGate("operator", operatorMemory, operatorConnections, boundsOf(cfg.Operator.Limits)).Listen(d.listeners.operator)
-	d.listeners.entry = newGate("peer", 2*entryConnections*listen.ConnectionBytes, entryConnections, nil).Listen(d.listeners.entry)
 }
--- a/listen/listener.go
+++ b/listen/listener.go
@@ -18,7 +18,8 @@
 	// maxAcceptDelay bounds the delay after an error of Accept, such as too many open files.
 	maxAcceptDelay = time.Second
 	minAcceptDelay = 5 * time.Millisecond
-	// SocketBuffer is the size in bytes of the receive buffer of a connection of a client. The kernel uses up to twice as much. A body of the largest size takes eight round trips.
+	// SocketBuffer is the size in bytes of the receive buffer of a connection of a client. The kernel uses
+	// up to twice as much. A body of the largest size takes eight round trips.
 	SocketBuffer = 32 << 10
 	// backlog is the number of connections that may wait to be accepted. Together they hold up to 32 MB in
 	// the kernel; at 3,000 new connections a second they wait for 170 ms.
