--- a/schedule/admissionload_test.go
+++ b/schedule/admissionload_test.go
@@ -219,6 +219,7 @@
 // TestAdmissionLoads guards against jobs that are accepted although they end too late to be of use, and
 // against a team that takes the work of others, under the loads that early rejection addresses.
 func TestAdmissionLoads(t *testing.T) {
+	t.Parallel()
 	constant := func(factor float64) func(string, time.Duration) float64 {
 		return func(string, time.Duration) float64 { return factor * loadRate }
 	}
@@ -245,6 +246,7 @@
 		{name: "old views", demand: constant(2), set: func(l *admissionLoad) { l.oldViews = true }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			var results [2]loadResult
 			for i, forecast := range []bool{false, true} {
 				l := newAdmissionLoad(t, 7, forecast)
--- a/schedule/degraded_test.go
+++ b/schedule/degraded_test.go
@@ -43,6 +43,7 @@
 // TestDegradedWorker guards against gangs on a worker that has suddenly become five times slower, against
 // a worker that is avoided after it has recovered, and against a steadily slow one that is avoided.
 func TestDegradedWorker(t *testing.T) {
+	t.Parallel()
 	const (
 		slow       = "w03" // suddenly
 		steady     = "w05" // always
@@ -117,6 +118,7 @@
 // TestSpeedOfResumedRuns guards against wrong speeds and expected ends because of runs that resume from a
 // checkpoint after a pause: their progress begins above 0%.
 func TestSpeedOfResumedRuns(t *testing.T) {
+	t.Parallel()
 	const maxError = 250 * time.Millisecond // half of the pause; extrapolated from 0%, ends are off by more
 	off, on := resumedEndError(t, false), resumedEndError(t, true)
 	if on > maxError || off < maxError {
@@ -154,6 +156,7 @@
 // TestGarbageInProgressReports guards against reports that stop the owner or make speeds, expected ends
 // or the condition of workers absurd.
 func TestGarbageInProgressReports(t *testing.T) {
+	t.Parallel()
 	t.Run("garbage", func(t *testing.T) {
 		s := newSpeedSimulation(newSimulation(t, 24, 8), true)
 		s.speeds.report = s.garbage
--- a/schedule/evacuation_test.go
+++ b/schedule/evacuation_test.go
@@ -29,6 +29,7 @@
 // placement, a reservation, an advice call in flight or a new owner. Running tasks must go on, work must
 // go to the other domains, and the domain must be used again after the evacuation.
 func TestEvacuation(t *testing.T) {
+	t.Parallel()
 	s := newSimulation(t, 11, 9)
 	i := 0
 	for _, w := range s.sortedWorkers() {
@@ -108,6 +109,7 @@
 
 // TestEvacuationEndsInOrder guards against effects whose order depends on that of a map.
 func TestEvacuationEndsInOrder(t *testing.T) {
+	t.Parallel()
 	now := time.Unix(1_000, 0)
 	domains := []string{"z1", "z2", "z3", "z4", "z5", "z6", "z7", "z8"}
 	for range 5 {
--- a/schedule/largejob_test.go
+++ b/schedule/largejob_test.go
@@ -23,6 +23,7 @@
 // keeps the owner from renewing its leases, and against tasks of other jobs that wait behind them. It
 // covers the start of the tasks and their end by a cancellation.
 func TestLargeJob(t *testing.T) {
+	t.Parallel()
 	const (
 		tasks   = 5000
 		maxWait = time.Second // of a small job; a job must not be without a running task for 3 s
--- a/schedule/orderwindow_test.go
+++ b/schedule/orderwindow_test.go
@@ -13,6 +13,7 @@
 // before it in the order of placement take every place in the window that becomes free. The window is kept
 // at its minimum, as if the answers were slow.
 func TestJobBehindLargeJobs(t *testing.T) {
+	t.Parallel()
 	const (
 		largeJobs = 20
 		maxWait   = 3 * time.Second // longest time for which an accepted job may wait beside free capacity
--- a/schedule/recordsize_test.go
+++ b/schedule/recordsize_test.go
@@ -57,6 +57,7 @@
 // TestProgressSize guards against a progress record that grows with the number of occurrences until the
 // store rejects it, and against an owner that activates all occurrences of the past at once.
 func TestProgressSize(t *testing.T) {
+	t.Parallel()
 	const (
 		occurrences, tasks = 64, 250
 		maxBytes           = 50 << 10 // of the unfinished occurrences that may be active
--- a/schedule/reserve_test.go
+++ b/schedule/reserve_test.go
@@ -37,6 +37,7 @@
 // capacity as it becomes free. It runs with and without advice, since tickets expire while the gang
 // waits.
 func TestGangAmongSmallTasks(t *testing.T) {
+	t.Parallel()
 	for _, queue := range []string{"plain", "advised"} {
 		t.Run(queue, func(t *testing.T) {
 			const (
@@ -154,6 +155,7 @@
 // TestGangBeyondShare guards against starvation of a gang that needs more than the maximum reserved
 // share: less urgent gangs would hold reservations in turn.
 func TestGangBeyondShare(t *testing.T) {
+	t.Parallel()
 	const (
 		streamDuration = 30 * time.Second
 		interval       = 40 * time.Millisecond
--- a/schedule/shortadvice_test.go
+++ b/schedule/shortadvice_test.go
@@ -14,6 +14,7 @@
 // they are long themselves. The service processes one call of an instance
 // at a time. The gangs alone would keep all instances busy.
 func TestShortStepsBehindLongCalls(t *testing.T) {
+	t.Parallel()
 	for _, proxies := range []int{2, 3, 8} {
 		for _, perWorker := range []time.Duration{0, 5 * time.Millisecond} {
 			t.Run(fmt.Sprint(proxies, " proxies, ", perWorker, " per worker"), func(t *testing.T) {
--- a/schedule/speeds_test.go
+++ b/schedule/speeds_test.go
@@ -112,6 +112,7 @@
 // of the speeds of their workers, plans with wrong ends, wrong speeds, and healthy workers that count as
 // degraded, on a nearly full fleet of workers with different speeds and with estimates that are off by half.
 func TestLearnSpeeds(t *testing.T) {
+	t.Parallel()
 	var off, on speedResult
 	for _, seed := range []uint64{1, 2, 3} {
 		off.add(runSpeedLoad(t, seed, false))
