--- a/schedule/commit.go
+++ b/schedule/commit.go
@@ -54,8 +54,8 @@
 	c.emit(commit)
 }
 
-// takeChanges removes the changes of one commit from the dirty jobs, of at most maxEntries entries. A job with a commit in flight on
-// any stream stays dirty until that commit is durable.
+// takeChanges removes the changes of one commit from the dirty jobs, of at most maxEntries entries. A job
+// with a commit in flight on any stream stays dirty until that commit is durable.
 func (c *Core) takeChanges(maxEntries int) []Change {
 	slices.SortStableFunc(c.dirty, func(a, b *jobState) int {
 		return boolToInt(b.state.IsFinal()) - boolToInt(a.state.IsFinal())
