schedule: allow as many orders in flight as there are workers

The window still limited the starts.

Change: the window is never smaller than the number of workers.

Measured: the tests of the order window, of gangs and of evacuation pass.

--- a/schedule/orderwindow.go
+++ b/schedule/orderwindow.go
@@ -13,9 +13,10 @@
 	// maxOrderWindow is the maximum number of orders of a kind in flight, or the number of workers if
 	// that is more.
 	maxOrderWindow = 512
-	// minWindowDivisor is the part of the maximum to which the window shrinks. On a fleet of 3,000 workers
-	// answers may take long because of the reports, and the window must not limit the starts further.
-	minWindowDivisor = 4
+	// minOrderWindow is the number of orders of a kind in flight to which the window shrinks, or the number
+	// of workers if that is more: with 3,000 workers answers take long because of their reports, and a
+	// small window would keep workers idle.
+	minOrderWindow = 128
 	// slowOrder is the time from an order to its answer from which on the window shrinks: an order
 	// expires after 0.7 s. Below fastOrder it grows; an answer from another region takes 50 ms.
 	slowOrder = 300 * time.Millisecond
@@ -44,7 +45,7 @@
 }
 
 // orderWindowSize returns the maximum number of orders of each kind in flight.
-func (c *Core) orderWindowSize() int { return int(c.window.size) }
+func (c *Core) orderWindowSize() int { return max(int(c.window.size), len(c.workers)) }
 
 func (c *Core) maxOrderWindow() int { return max(maxOrderWindow, len(c.workers)) }
 
@@ -52,7 +53,7 @@
 func (c *Core) observeLatency(d time.Duration) {
 	switch {
 	case d > slowOrder:
-		c.window.size = max(float64(c.maxOrderWindow())/minWindowDivisor, c.window.size*windowShrinkFactor)
+		c.window.size = max(minOrderWindow, c.window.size*windowShrinkFactor)
 	case d < fastOrder:
 		c.window.size = min(float64(c.maxOrderWindow()), c.window.size+windowGrowth)
 	}
--- a/schedule/orderwindow_test.go
+++ b/schedule/orderwindow_test.go
@@ -20,7 +20,7 @@
 	)
 	s := newSimulation(t, 21, 48)
 	s.run(time.Second)
-	s.onOrder = func() { s.core.window.size = maxOrderWindow / minWindowDivisor }
+	s.onOrder = func() { s.core.window.size = minOrderWindow }
 	for i := range largeJobs {
 		s.submit(&job.Job{ID: job.ID(fmt.Sprintf("%016x", 0xc000+i)), Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{{
 			Count: 2000, Size: task.Resources{CPUMilli: 5, MemoryMB: 1}, Estimate: 20 * time.Second,
