Log what shows that a job has begun and where a queue length comes from

The logs could not tell the hypotheses apart: an order counted as a begin, a record or a report that proved too much, an instance with the view of a former owner, jobs that the owner had not received.

Change: the line begun names the evidence (answer, report, end) and the worker; queue_length names the fencing token, the sequence and the age of the view from which a caller was answered, at most twice a second; partition counts the jobs that have not begun and those of them with an unanswered order.

Measured: go test ./schedule ./instance ./cell ./analysis ./platform/... passes.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -129,6 +129,8 @@
 	unansweredSince  atomic.Int64 // send time of the first unanswered write of a job, Unix nanoseconds; 0 if none
 	probedAt         atomic.Int64 // time at which a submission was last let through to an unresponsive store, Unix nanoseconds
 
+	queueLengthLoggedAt atomic.Int64 // Unix nanoseconds
+
 	metrics        requestMetrics
 	failuresMu     sync.Mutex
 	failuresByCall map[string]storeFailures // by call, to rate-limit log lines
--- a/instance/query.go
+++ b/instance/query.go
@@ -126,9 +126,17 @@
 	return true, nil
 }
 
+// queueLengthLogInterval is the minimum time between log lines on answers about queue lengths.
+const queueLengthLogInterval = 500 * time.Millisecond
+
 // QueueLength returns how many accepted jobs of a queue have not started.
 func (i *Instance) QueueLength(queue string) (int, error) {
-	n, current := i.view.queueLength(queue, time.Now())
+	now := time.Now()
+	n, current := i.view.queueLength(queue, now)
+	if last := i.queueLengthLoggedAt.Load(); now.UnixNano()-last >= int64(queueLengthLogInterval) && i.queueLengthLoggedAt.CompareAndSwap(last, now.UnixNano()) {
+		epoch, sequence, age := i.view.origin(now)
+		i.cfg.Journal.Event("queue_length", "queue", queue, "pending", n, "current", current, "fence", epoch, "sequence", sequence, "age_ms", age.Milliseconds())
+	}
 	if !current {
 		return 0, errkind.New(errkind.NoOwner, "no queue lengths were received from the owner within %s", maxViewAge).WithRetryAfter(retryAfterStore)
 	}
--- a/instance/view.go
+++ b/instance/view.go
@@ -170,6 +170,14 @@
 	return v.pendingJobs[queue], now.Sub(v.updatedAt) <= maxViewAge
 }
 
+// origin returns the epoch of the owner that sent the view, the sequence number of its last change, and its
+// age, for a log line.
+func (v *ownerView) origin(now time.Time) (epoch int64, sequence uint64, age time.Duration) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.epoch, v.sequence, min(time.Hour, now.Sub(v.updatedAt))
+}
+
 // admit counts a submission and reports whether it should be admitted.
 func (v *ownerView) admit(team string, now time.Time) bool {
 	v.mu.Lock()
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -265,8 +265,9 @@
 	for service, u := range c.serviceUsage {
 		capacity, used, reserved = capacity+u.capacity, used+u.used, reserved+c.reservedCPU[service]
 	}
+	pending, unanswered := c.countWaitingJobs()
 	c.emit(Decision{Event: "partition", Fields: append([]any{
-		"jobs", len(c.jobs), "steps", len(c.steps), "workers", len(c.workers), "unresolved", len(c.unresolved),
+		"jobs", len(c.jobs), "pending", pending, "unanswered", unanswered, "steps", len(c.steps), "workers", len(c.workers), "unresolved", len(c.unresolved),
 		"held_back", c.heldBackSteps(),
 		"cores", capacity / 1000, "used", used / 1000, "kept", reserved / 1000, "kept_idle", c.reservedIdleCPU() / 1000, "stranded", c.strandedCPU() / 1000,
 		"lanes", len(c.proxies), "lanes_busy", c.busyProxyShare(), "pass_us", c.lastPassDuration.Microseconds(), "passes", c.passes,
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -437,25 +437,3 @@
 	}
 	return j.state, j.Team, j.Queue, true
 }
-
-// markBegun marks a pending job as running once the answer or a report of a worker shows that a task of
-// it has started. A start order alone does not: it may be lost or refused.
-func (c *Core) markBegun(id job.ID) {
-	if j := c.jobs[id]; j != nil && j.state == job.Pending {
-		c.removeFromPending(j)
-		j.state = job.Running
-		c.publish(j)
-		c.checkForecast(j)
-	}
-}
-
-// removeFromPending removes a job from the counts of pending jobs before its state changes.
-func (c *Core) removeFromPending(j *jobState) {
-	if j.state != job.Pending {
-		return
-	}
-	c.pendingJobs[j.Queue]--
-	if j.surplus {
-		c.teamUsage(j.Team).surplusPending--
-	}
-}
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -132,7 +132,7 @@
 		if r.state == runStarting {
 			c.runStarted(r)
 		}
-		c.markBegun(r.task.Job) // also if it is being stopped
+		c.markBegun(r.task.Job, begunByAnswer, w.ID) // also if it is being stopped
 		r.answeredAt = c.now
 	case Unclear:
 		w.markSilent(c.now)
@@ -167,7 +167,6 @@
 
 // runStarted handles a run that its worker has accepted or reports as running.
 func (c *Core) runStarted(r *run) {
-	c.markBegun(r.task.Job)
 	if r.state != runStopping {
 		r.state = runRunning
 		delete(c.unsettled, r)
@@ -315,7 +314,7 @@
 		c.learnEnd(r, e.Reason)
 		c.removeRun(r)
 	}
-	c.markBegun(e.Task.Job)
+	c.markBegun(e.Task.Job, begunByEnd, w.ID)
 	s := c.reportedStep(e.Task.StepKey)
 	c.recordEndOn(w, s, r, e)
 	if s == nil || e.Task.Index >= len(s.tasks) {
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -299,6 +299,9 @@
 			continue
 		}
 		r.recordProgress(c.now, report)
+		if r.state != runRunning {
+			c.markBegun(report.Task.Job, begunByReport, w.ID)
+		}
 		if r.state == runStarting || r.state == runUnclear {
 			c.runStarted(r)
 		}
@@ -331,7 +334,7 @@
 // adopt takes over a reported run that this owner did not order, or stops it if its task is done,
 // unknown or has another run.
 func (c *Core) adopt(w *worker, report RunReport) {
-	c.markBegun(report.Task.Job)
+	c.markBegun(report.Task.Job, begunByReport, w.ID)
 	if _, known := w.runs[report.Task]; known {
 		// This owner has ordered another run of the task on this worker, so this one is obsolete.
 		c.emitStop(Stop{Target: w.target(), Task: report.Task, Run: report.Run})
