schedule: show a cancelled job as running only if it has begun

What callers saw: a waiting job was shown as running from the request of its cancellation until that was recorded, by the owner and by instances that asked for the first time; others showed it as pending meanwhile.

Cause: callers are not shown a final state before it is recorded. The owner showed running instead, also for jobs of which no task has started.

Change: whether a job has begun is a fact of its own, apart from its state.

Evidence: without the change TestCancelledBeforeBegin fails ("shown as running and has not begun"), and so does TestFaults by the check of the simulation, which now follows the owner as an instance does and compares what callers are shown. go test ./schedule passes with it.

--- a/schedule/begun.go
+++ b/schedule/begun.go
@@ -11,20 +11,32 @@
 	begunByEnd    beginEvidence = "end"    // a worker reports the end of a run
 )
 
-// markBegun marks a pending job as running once a worker has shown that a task of it has started. A start
-// order alone does not: it may be lost or refused.
+// markBegun marks a job as begun once a worker has shown that a task of it has started. A start order
+// alone does not: it may be lost or refused.
 func (c *Core) markBegun(id job.ID, evidence beginEvidence, worker string) {
 	j := c.jobs[id]
-	if j == nil || j.state != job.Pending {
+	if j == nil || j.begun {
 		return
 	}
 	c.logDecision(id, "begun", "by", evidence, "worker", worker, "after_ms", c.now.Sub(j.arrivedAt).Milliseconds())
-	c.removeFromPending(j)
-	j.state = job.Running
-	c.publish(j)
+	j.begun = true
+	if !j.state.IsFinal() {
+		c.removeFromPending(j)
+		j.state = job.Running
+	}
+	c.publish(j, j.shownState())
 	c.checkForecast(j)
 }
 
+// shownState returns the state of a job that callers are shown until its final state is recorded: a new
+// owner would still run the job until then.
+func (j *jobState) shownState() job.State {
+	if j.begun {
+		return job.Running
+	}
+	return job.Pending
+}
+
 // removeFromPending removes a job from the counts of pending jobs before its state changes.
 func (c *Core) removeFromPending(j *jobState) {
 	if j.state != job.Pending {
--- a/schedule/commit.go
+++ b/schedule/commit.go
@@ -110,7 +110,7 @@
 		final := job.Final{State: j.state, Queue: j.Queue, Team: j.Team, FinishedAt: c.wall}
 		return Change{Job: j.ID, Final: &final, HadProgress: j.hasProgress, MayBeCancelled: j.mayHaveCancelRecord(), version: j.version}
 	}
-	progress := job.Progress{Started: j.state == job.Running, Complete: slices.Clone(j.progress.Complete), Done: make(map[string][]int), Failed: make(map[string]job.Failures)}
+	progress := job.Progress{Started: j.begun, Complete: slices.Clone(j.progress.Complete), Done: make(map[string][]int), Failed: make(map[string]job.Failures)}
 	for k, v := range j.progress.Done {
 		progress.Done[k] = slices.Clone(v)
 	}
@@ -133,7 +133,7 @@
 		j.committing = false
 		if change.Final != nil {
 			c.finals[j.ID] = endedJob{*change.Final, j.subscribers, c.now, e.Revision}
-			c.publish(j)
+			c.publish(j, j.state)
 			delete(c.jobs, j.ID)
 			for _, token := range j.cancelTokens {
 				c.emit(CancelDone{Token: token})
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -24,7 +24,8 @@
 	subscribers subscribers   // instances that receive the changes of its state
 
 	state           job.State
-	unfinishedSteps int // of all occurrences
+	begun           bool // a worker, or the record of a former owner, has shown that a task of it has started
+	unfinishedSteps int  // of all occurrences
 	runs            map[*run]struct{}
 	progress        job.Progress
 	version         uint64   // increases with every change that must be recorded
@@ -118,7 +119,7 @@
 		j.progress = *progress
 		j.hasProgress = true
 		if progress.Started {
-			j.state = job.Running
+			j.state, j.begun = job.Running, true
 		}
 	}
 	if j.progress.Done == nil {
@@ -131,7 +132,7 @@
 	if j.state == job.Pending {
 		c.pendingJobs[j.Queue]++
 	}
-	c.publish(j)
+	c.publish(j, j.shownState())
 	c.refreshTerms(j)
 	j.objective = c.objectiveOf(j)
 	if restored {
@@ -422,7 +423,7 @@
 	}
 }
 
-// StateOf returns the recorded state of a job.
+// StateOf returns the state of a job that callers are shown.
 func (c *Core) StateOf(id job.ID) (state job.State, team, queue string, found bool) {
 	if f, ok := c.finals[id]; ok {
 		return f.State, f.Team, f.Queue, true
@@ -431,9 +432,5 @@
 	if !ok {
 		return "", "", "", false
 	}
-	if j.state.IsFinal() {
-		// The final state is not recorded yet, so a new owner would still run the job.
-		return job.Running, j.Team, j.Queue, true
-	}
-	return j.state, j.Team, j.Queue, true
+	return j.shownState(), j.Team, j.Queue, true
 }
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -85,8 +85,8 @@
 const finalRetention = 30 * time.Second
 
 // publish makes a new state of a job visible to callers.
-func (c *Core) publish(j *jobState) {
-	c.changes = append(c.changes, publishedStatus{Status{Job: j.ID, State: j.state, Queue: j.Queue, Team: j.Team}, j.subscribers})
+func (c *Core) publish(j *jobState, state job.State) {
+	c.changes = append(c.changes, publishedStatus{Status{Job: j.ID, State: state, Queue: j.Queue, Team: j.Team}, j.subscribers})
 	c.sequence++
 	if len(c.changes) > 2*maxChanges {
 		c.changes = slices.Clone(c.changes[len(c.changes)-maxChanges:])
@@ -124,11 +124,7 @@
 		if !j.subscribers.includes(instance) {
 			continue
 		}
-		state := j.state
-		if state.IsFinal() {
-			state = job.Running // the final state is not recorded yet
-		}
-		v.Changes = append(v.Changes, Status{Job: id, State: state, Queue: j.Queue, Team: j.Team})
+		v.Changes = append(v.Changes, Status{Job: id, State: j.shownState(), Queue: j.Queue, Team: j.Team})
 	}
 	for id, f := range c.finals {
 		if f.subscribers.includes(instance) {
