schedule: record the begin of a job after a second

What callers saw: a job that was shown as running was shown as pending after a takeover and counted as waiting again, until a worker reported a run of it; if the worker was lost, until the job was started again.

Cause: the begin was recorded only together with a task that had ended.

Change: it is recorded 1 s after a worker has shown it, unless other progress or the end of the job was recorded by then.

Evidence: without the change TestBegunOnLostWorker fails ("1 jobs count as pending"), and so do TestFaults and TestRandomRuns by a new check of the simulation ("shown as pending again"). go test ./schedule passes with it.

--- a/schedule/begun.go
+++ b/schedule/begun.go
@@ -1,6 +1,11 @@
 package schedule
 
-import "github.com/mulberrydrum/mulberrydrum/job"
+import (
+	"slices"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/job"
+)
 
 // beginEvidence is what shows that a job has begun.
 type beginEvidence string
@@ -11,6 +16,10 @@
 	begunByEnd    beginEvidence = "end"    // a worker reports the end of a run
 )
 
+// beginRecordDelay is the time after which the begin of a job is recorded if nothing else of the job is. Most
+// jobs end or record their progress earlier.
+const beginRecordDelay = time.Second
+
 // markBegun marks a job as begun once a worker has shown that a task of it has started. A start order
 // alone does not: it may be lost or refused.
 func (c *Core) markBegun(id job.ID, evidence beginEvidence, worker string) {
@@ -19,7 +28,8 @@
 		return
 	}
 	c.logDecision(id, "begun", "by", evidence, "worker", worker, "after_ms", c.now.Sub(j.arrivedAt).Milliseconds())
-	j.begun = true
+	j.begun, j.begunAt = true, c.now
+	c.unrecordedBegins = append(c.unrecordedBegins, j)
 	if !j.state.IsFinal() {
 		c.removeFromPending(j)
 		j.state = job.Running
@@ -28,6 +38,22 @@
 	c.checkForecast(j)
 }
 
+// recordBegins records the jobs whose begin is not recorded after beginRecordDelay, so that a new owner knows
+// of it also if the worker is lost.
+func (c *Core) recordBegins() {
+	due := 0
+	for _, j := range c.unrecordedBegins {
+		if c.now.Sub(j.begunAt) < beginRecordDelay {
+			break
+		}
+		due++
+		if !j.beginRecorded && !j.state.IsFinal() {
+			c.markDirty(j)
+		}
+	}
+	c.unrecordedBegins = slices.Delete(c.unrecordedBegins, 0, due)
+}
+
 // shownState returns the state of a job that callers are shown until its final state is recorded: a new
 // owner would still run the job until then.
 func (j *jobState) shownState() job.State {
--- a/schedule/begun_test.go
+++ b/schedule/begun_test.go
@@ -14,8 +14,13 @@
 	core     *Core // that the states are of
 	sequence uint64
 	states   map[job.ID]job.State
+	since    map[job.ID]time.Time // since when a job is shown as running by this owner while the store answers
+	recorded map[job.ID]bool      // the begin must be recorded
 }
 
+// beginRecordTime is the time after which the begin of a job is recorded if the store answers.
+const beginRecordTime = 1500 * time.Millisecond
+
 // follow requests the changes of the states, as an instance does.
 func (s *simulation) follow() {
 	f := &s.shown
@@ -27,12 +32,36 @@
 	if v.Full {
 		f.states = make(map[job.ID]job.State)
 	}
+	if v.Full || s.storeDown {
+		f.since = make(map[job.ID]time.Time)
+	}
+	if f.recorded == nil {
+		f.recorded = make(map[job.ID]bool)
+	}
 	for _, change := range v.Changes {
 		f.states[change.Job] = change.State
 	}
 	f.core, f.sequence = s.core, v.Sequence
 }
 
+// checkBegin checks that a job which was shown as running for beginRecordTime is never shown as pending
+// again.
+func (s *simulation) checkBegin(id job.ID, state job.State) {
+	f := &s.shown
+	if state == job.Pending && f.recorded[id] {
+		s.t.Errorf("at %s: job %s is shown as pending again: %s", s.now.Format("05.000"), id, s.core.describe(id))
+	}
+	if state != job.Running || s.storeDown {
+		return
+	}
+	if _, known := f.since[id]; !known {
+		f.since[id] = s.now
+	}
+	if s.now.Sub(f.since[id]) > beginRecordTime {
+		f.recorded[id] = true
+	}
+}
+
 // checkPending checks that the counts of pending jobs match their states, and that callers are shown a job
 // as running if and only if workers have shown that it has begun.
 func (s *simulation) checkPending() {
@@ -46,6 +75,7 @@
 		if followed := s.shown.states[id]; followed != state {
 			s.t.Errorf("at %s: job %s is shown as %s by an instance and as %s by the owner", s.now.Format("05.000"), id, followed, state)
 		}
+		s.checkBegin(id, state)
 		if state == job.Running && !s.begun[id] {
 			s.t.Errorf("at %s: job %s is shown as running and has not begun: %s", s.now.Format("05.000"), id, s.core.describe(id))
 		}
@@ -160,6 +190,30 @@
 	}
 }
 
+// TestBegunOnLostWorker guards against a job that is shown as pending again after a takeover because the
+// only worker that has shown its begin is lost.
+func TestBegunOnLostWorker(t *testing.T) {
+	s := newSimulation(t, 24, 2)
+	s.run(time.Second)
+	const id = job.ID("00000000000000c0")
+	s.runTimes = map[job.ID]time.Duration{id: time.Hour}
+	s.submit(&job.Job{ID: id, Queue: "plain", Team: "blue", Spec: "work", Steps: []job.Step{
+		{Count: 1, Size: task.Resources{CPUMilli: 20_000}, Estimate: time.Minute},
+	}})
+	s.run(2 * time.Second)
+	for _, w := range s.sortedWorkers() {
+		w.dead = true
+	}
+	s.takeOver()
+	s.run(time.Second)
+	if state, _, _, _ := s.core.StateOf(id); state != job.Running {
+		t.Errorf("the job is shown as %s", state)
+	}
+	if n := s.core.ViewSince("i1", 0, 0).PendingJobs["plain"]; n != 0 {
+		t.Errorf("%d jobs count as pending", n)
+	}
+}
+
 // TestBegunBeforeTakeover guards against a job that counts as pending after a takeover although its
 // record says that it has begun.
 func TestBegunBeforeTakeover(t *testing.T) {
--- a/schedule/commit.go
+++ b/schedule/commit.go
@@ -110,6 +110,7 @@
 		final := job.Final{State: j.state, Queue: j.Queue, Team: j.Team, FinishedAt: c.wall}
 		return Change{Job: j.ID, Final: &final, HadProgress: j.hasProgress, MayBeCancelled: j.mayHaveCancelRecord(), version: j.version}
 	}
+	j.beginRecorded = j.begun
 	progress := job.Progress{Started: j.begun, Complete: slices.Clone(j.progress.Complete), Done: make(map[string][]int), Failed: make(map[string]job.Failures)}
 	for k, v := range j.progress.Done {
 		progress.Done[k] = slices.Clone(v)
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -97,6 +97,7 @@
 	backlog   *backlog // for forecasts; nil until the first one
 
 	dirty             []*jobState         // changed since their last commit, oldest first
+	unrecordedBegins  []*jobState         // in the order of their begin; see recordBegins
 	busyStreams       [CommitStreams]bool // streams with a commit in flight
 	rosterDirty       bool
 	lastCommit        time.Time
@@ -236,6 +237,7 @@
 	c.sendDueStops()
 	c.tickPastUse()
 	c.activateDueOccurrences()
+	c.recordBegins()
 	c.removeSilentProxies()
 	c.expireAdmissions()
 	if c.now.Sub(c.finalsEvictedAt) > finalRetention/10 {
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -24,8 +24,10 @@
 	subscribers subscribers   // instances that receive the changes of its state
 
 	state           job.State
-	begun           bool // a worker, or the record of a former owner, has shown that a task of it has started
-	unfinishedSteps int  // of all occurrences
+	begun           bool      // a worker, or the record of a former owner, has shown that a task of it has started
+	begunAt         time.Time // when this owner was shown it
+	beginRecorded   bool      // in a commit that is durable or in flight
+	unfinishedSteps int       // of all occurrences
 	runs            map[*run]struct{}
 	progress        job.Progress
 	version         uint64   // increases with every change that must be recorded
@@ -119,7 +121,7 @@
 		j.progress = *progress
 		j.hasProgress = true
 		if progress.Started {
-			j.state, j.begun = job.Running, true
+			j.state, j.begun, j.beginRecorded = job.Running, true, true
 		}
 	}
 	if j.progress.Done == nil {
