instance: show a begun job as running while there is no owner to ask

What callers saw: during a takeover that takes longer than 1.5 s, a job that had begun was shown as pending, also by an instance that had shown it as running; a repeated submission at a restarted instance had the same effect for 1.5 s.

Cause: a recorded job without a final record was taken for one that has not begun, and a repeated submission for a new job.

Change: the last state reported by an owner and the record of progress decide; a repeated submission is not cached.

Evidence: TestStateWithoutOwner (three of five cases: got pending, want running) and TestStateAfterRepeatedSubmission fail without the change and pass with it, as does go test ./instance.

--- a/instance/accept.go
+++ b/instance/accept.go
@@ -164,6 +164,7 @@
 		case err == nil && result.Succeeded:
 			i.writeFailures.Store(0)
 			for _, submission := range batch {
+				i.view.addAccepted(submission.job, time.Now())
 				i.confirmAccepted(submission, result.Revision)
 			}
 			return
@@ -190,9 +191,6 @@
 // confirmAccepted notifies the caller and the owner that a job is durable. An owner that
 // cannot be reached reads the job from the store.
 func (i *Instance) confirmAccepted(submission *pendingSubmission, revision int64) {
-	if submission.job.AcceptedBy == i.cfg.Name {
-		i.view.addAccepted(submission.job, time.Now())
-	}
 	submission.done <- nil
 	i.cfg.Journal.Event("accepted", "job", string(submission.job.ID), "queue", submission.job.Queue, "team", submission.job.Team, "revision", revision)
 	go func() {
@@ -236,7 +234,8 @@
 		submission.done <- errkind.New(errkind.IdempotencyConflict, "a job with ID %s and a different body was accepted before", submission.job.ID)
 		return
 	}
-	// The owner reports the changes of the job to the instance that accepted it first.
+	// The owner reports the changes of the job to the instance that accepted it first. Nothing is known of
+	// its state here, since it may have begun.
 	submission.job = first
 	i.confirmAccepted(submission, kv.ModRevision)
 }
--- a/instance/query.go
+++ b/instance/query.go
@@ -37,11 +37,29 @@
 	case final != nil:
 		i.view.addFinal(schedule.Status{Job: id, State: final.State, Queue: final.Queue, Team: final.Team}, time.Now())
 		return checkVisible(final.State, final.Queue, final.Team, queue, team, id)
-	case record != nil:
-		return checkVisible(job.Pending, record.Job.Queue, record.Job.Team, queue, team, id)
-	default:
+	case record == nil:
 		return "", unknownJob(id)
+	case known && last.State == job.Running:
+		return checkVisible(job.Running, record.Job.Queue, record.Job.Team, queue, team, id)
+	}
+	state, err := i.recordedState(ctx, id)
+	if err != nil {
+		return "", errkind.New(errkind.StoreUnavailable, "the progress of job %s could not be read from the store", id).WithRetryAfter(retryAfterStore)
+	}
+	return checkVisible(state, record.Job.Queue, record.Job.Team, queue, team, id)
+}
+
+// recordedState returns the state of an unfinished job according to its record of progress.
+func (i *Instance) recordedState(ctx context.Context, id job.ID) (job.State, error) {
+	kv, found, _, err := i.cfg.Store.Get(ctx, progressKey(id))
+	if err != nil || !found {
+		return job.Pending, err
+	}
+	progress, err := job.Decode[job.Progress](kv.Value)
+	if err != nil || !progress.Started {
+		return job.Pending, err
 	}
+	return job.Running, nil
 }
 
 func unknownJob(id job.ID) error {
