schedule: count tasks without a confirmed start as waiting in forecasts

Cause: the backlog contained tasks without a run only; an unanswered order has a run until the lease of its worker has expired.

Change: tasks with an unconfirmed run, or one that is being stopped, count as waiting, and on a silent worker their resources are expected back when its lease expires.

Evidence: TestUnansweredOrdersAhead fails without the change (expected to wait for 0s, want at least 20s), and so does TestFaults by a new check of the simulation ("the backlog has 21680 millicore-seconds of team blue, but 39680 have not started"). go test ./schedule passes with it.

--- a/schedule/admit_test.go
+++ b/schedule/admit_test.go
@@ -268,3 +268,48 @@
 		t.Errorf("the job started %s later than forecast, reported are %s", off, s.forecastErrors[0])
 	}
 }
+
+// TestUnansweredOrdersAhead guards against forecasts, and thus return times, that do not count tasks whose start orders got no
+// answer: they have to start again before the jobs that arrive later.
+func TestUnansweredOrdersAhead(t *testing.T) {
+	s := newSimulation(t, 3, 2)
+	s.forecast = true
+	s.takeOver()
+	s.run(newOwnerPeriod)
+	const silent = "w01"
+	s.workers[silent].Service = "other" // so that the first job fills the other worker
+	s.run(time.Second)
+	occupying := shortJob(1, "plain", "red")
+	occupying.Steps[0].Count, occupying.Steps[0].Estimate = 8, 10*time.Second
+	s.submit(occupying)
+	s.run(time.Second)
+	s.workers[silent].Service = "calc"
+	s.run(time.Second)
+	s.workers[silent].partitioned = true
+	unanswered := shortJob(2, "plain", "blue")
+	unanswered.Steps[0].Count, unanswered.Steps[0].Estimate = 8, 20*time.Second
+	s.submit(unanswered)
+	for range 30 {
+		s.run(100 * time.Millisecond)
+		if s.core.steps[job.StepKey{Job: unanswered.ID}].runsOrdered < 8 {
+			continue
+		}
+		if s.core.workers[silent].silent {
+			break
+		}
+	}
+	if len(s.core.jobs[unanswered.ID].runs) != 8 || s.begun[unanswered.ID] {
+		t.Fatalf("the orders are not unanswered: %s", s.core.describe(unanswered.ID))
+	}
+	s.run(200 * time.Millisecond)
+	const minWait = 20 * time.Second // the work of the unanswered tasks on the other worker
+	if wait := s.core.expectedWait(s.catalog.Queue("plain"), "blue"); wait < minWait {
+		t.Errorf("a new job is expected to wait for %s, want at least %s", wait, minWait)
+	}
+	next := shortJob(3, "plain", "blue")
+	next.Steps = unanswered.Steps
+	s.admit(next)
+	if start := s.core.admission.admitted[next.ID].startsAt.Sub(s.now); start < minWait {
+		t.Errorf("a job behind the unanswered tasks is expected to start after %s, want at least %s", start, minWait)
+	}
+}
--- a/schedule/backlog.go
+++ b/schedule/backlog.go
@@ -76,7 +76,7 @@
 	}
 	tasks := 0
 	for i := range s.tasks {
-		if !s.tasks[i].done && s.tasks[i].run == nil {
+		if s.tasks[i].mustStart() {
 			tasks++
 		}
 	}
@@ -96,6 +96,12 @@
 	b.waiting[s.job.terms.Service] = append(b.waiting[s.job.terms.Service], item)
 }
 
+// mustStart reports whether a task has to start, now or again: it has no run, or one that is being stopped or
+// that no worker has confirmed in time.
+func (t *taskState) mustStart() bool {
+	return !t.done && (t.run == nil || t.run.state == runUnclear || t.run.state == runStopping)
+}
+
 // expiryOf returns the time from which the result of a job is of no use.
 func expiryOf(j *jobState) time.Time { return j.arrivedAt.Add(ExpiryFactor * j.objective) }
 
--- a/schedule/begun_test.go
+++ b/schedule/begun_test.go
@@ -69,6 +69,7 @@
 		return
 	}
 	s.follow()
+	s.checkBacklog()
 	pending, surplus := make(map[string]int), make(map[string]int)
 	for id, j := range s.core.jobs {
 		state, _, _, _ := s.core.StateOf(id)
@@ -104,6 +105,38 @@
 	}
 }
 
+// checkBacklog checks that the backlog, on which forecasts and return times are based, contains the tasks that
+// have not started on any worker, except for those whose start order may still be answered.
+func (s *simulation) checkBacklog() {
+	const answerTime = time.Second
+	want, got := make(map[string]float64), make(map[string]float64)
+	for _, step := range s.core.steps {
+		if step.spec.LongLived || s.now.Before(step.notBefore) {
+			continue
+		}
+		for i := range step.tasks {
+			t := &step.tasks[i]
+			isOrdered := t.run != nil && s.now.Sub(t.run.startedAt) <= answerTime
+			if !t.done && !isOrdered && len(s.starts[job.TaskKey{StepKey: step.key, Index: i}]) == 0 {
+				want[step.job.Team] += s.core.workOf(step.job, step.spec, 1)[0]
+			}
+		}
+	}
+	s.core.backlog = nil
+	for _, waiting := range s.core.currentBacklog().waiting {
+		for _, w := range waiting {
+			got[w.team] += w.work[0]
+		}
+	}
+	s.core.backlog = nil
+	const rounding = 1 // millicore-second
+	for team, work := range want {
+		if got[team] < work-rounding {
+			s.t.Errorf("at %s: the backlog has %.0f millicore-seconds of team %s, but %.0f have not started", s.now.Format("05.000"), got[team], team, work)
+		}
+	}
+}
+
 // TestCancelledBeforeBegin guards against a waiting job that is shown as running from its cancellation until
 // that is recorded, which takes as long as an outage of the store.
 func TestCancelledBeforeBegin(t *testing.T) {
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -144,6 +144,9 @@
 // estimateEnd returns the expected end of a run, extrapolated from its progress or else based on the
 // caller's estimate. It returns false for a long-lived run.
 func (c *Core) estimateEnd(r *run) (time.Time, bool) {
+	if isUnconfirmed := r.state == runStopping || r.state == runUnclear; isUnconfirmed && r.worker.silent {
+		return c.leaseExpiry(r.worker), true
+	}
 	if r.state == runStopping {
 		return c.now.Add(stopDuration), true
 	}
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -43,7 +43,7 @@
 	succeeded map[job.TaskKey]bool        // a run succeeded on its worker
 	failed    map[job.TaskKey][]time.Time // end times of the failed runs that an owner confirmed
 	starts    map[job.TaskKey][]time.Time
-	begun     map[job.ID]bool          // a task of the job has started
+	begun     map[job.ID]bool // a task of the job has started
 	shown     shownToCallers
 	startedOn []simStart               // every start, in order
 	history   map[job.TaskKey][]string // events, for failure messages
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -151,10 +151,16 @@
 // leaseExpired reports whether every lease that this owner may have granted to the worker has
 // expired.
 func (c *Core) leaseExpired(w *worker) bool {
+	return w.maxLeaseEnd == 0 || c.now.After(c.leaseExpiry(w))
+}
+
+// leaseExpiry returns the time by which every lease that this owner may have granted to the worker has
+// expired.
+func (c *Core) leaseExpiry(w *worker) time.Time {
 	if w.maxLeaseEnd == 0 {
-		return true
+		return c.now
 	}
-	return c.now.After(w.clockAt.Add(maxLocalDuration(w.maxLeaseEnd-w.clock) + leaseMargin))
+	return w.clockAt.Add(maxLocalDuration(w.maxLeaseEnd-w.clock) + leaseMargin)
 }
 
 // workerClock estimates the current time on the worker's clock from its last reading.
