soak: check what instances show against what the workers have started

Cause: the soak compared the outcomes only.

Change: while faults are injected, an observer asks all instances for the number of waiting jobs and for states. An instance in touch must count half of the jobs that were accepted over 5 s before and have not begun; no instance may show a job as running of which no task has started; a job that one owner has shown as running for 7 s must not be shown as pending again. Half of the seeds fill the fleet and lose workers with orders on the way, and a new fault loses the answers of the store to one instance. Workers report their starts, since a cut worker holds its lock.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -84,6 +84,7 @@
 		record.accepted = record.accepted || status == http.StatusOK
 		record.refused = record.refused && refused
 		if record.accepted || refused {
+			record.acceptedAt = time.Now()
 			break
 		}
 		time.Sleep(150 * time.Millisecond)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -34,7 +34,8 @@
 		return // another fault affects it
 	}
 	defer n.fault.Unlock()
-	switch rng.IntN(6) {
+	defer n.disruption.begin()()
+	switch rng.IntN(7) {
 	case 0:
 		n.restart(syscall.SIGKILL, pause/2)
 	case 1:
@@ -49,10 +50,15 @@
 		n.storeDenied.Store(false)
 	case 5:
 		n.slowDown(2 * pause)
+	case 6:
+		n.storeMuted.Store(true)
+		time.Sleep(3 * pause)
+		n.storeMuted.Store(false)
 	}
 }
 
 func (h *harness) injectStoreFault(rng *rand.Rand, pause time.Duration) {
+	defer h.storeDisruption.begin()()
 	switch rng.IntN(4) {
 	case 0:
 		h.store.SetFaults(platformtest.StoreFaults{Refuse: true})
@@ -119,6 +125,7 @@
 			return
 		}
 		defer n.fault.Unlock()
+		defer n.disruption.begin()()
 	}
 	for i, on := range h.hosts {
 		if i%zones != zone {
--- a/soak/nodes_test.go
+++ b/soak/nodes_test.go
@@ -39,6 +39,7 @@
 	if err != nil {
 		h.t.Fatal(err)
 	}
+	added.OnStart = h.recordBegin
 	added.Address = net.JoinHostPort(machineIP(firstHost+index), port)
 	h.network.addMachine(firstHost+index, port)
 	h.hosts = append(h.hosts, added)
@@ -69,6 +70,9 @@
 	storeAddr   string
 	advice      string      // address of the advice service
 	storeDenied atomic.Bool // the store refuses the calls of this node
+	storeMuted  atomic.Bool // the store carries out the calls of this node, and the answers are lost
+
+	disruption disruption
 
 	fault sync.Mutex // held by the fault that affects the node
 	mu    sync.Mutex
@@ -86,6 +90,10 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if n.storeMuted.Load() {
+			store.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler) // closes the connection without a response
+		}
 		store.ServeHTTP(w, r)
 	})), n.zone(), outside)
 	n.advice = h.network.forward("127.0.0.1:0", h.advice, n.zone(), outside)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -62,8 +62,11 @@
 
 	mu     sync.Mutex
 	jobs   map[string]*jobRecord
-	hostOf map[string]int // index of the host of each worker that was started
-	frozen []period       // in which an instance was frozen
+	hostOf map[string]int  // index of the host of each worker that was started
+	frozen []period        // in which an instance was frozen
+	begun  map[string]bool // jobs of which a task has started on any worker
+
+	storeDisruption disruption
 }
 
 // jobRecord is a job and the outcome of its submission, as its caller received it.
@@ -73,6 +76,8 @@
 	accepted bool
 	refused  bool // every attempt was refused
 
+	acceptedAt time.Time
+
 	cancelled   bool      // its cancellation was requested
 	cancelledAt time.Time // when that was acknowledged; zero if it was not
 }
@@ -81,8 +86,9 @@
 type period struct{ from, to time.Time }
 
 // TestSoak guards against accepted jobs that do not end, refused jobs that run, overlapping runs, runs
-// after a success or long after a cancellation, and overloaded workers under random combinations of
-// faults of the instances, the store, the workers and the network.
+// after a success or long after a cancellation, overloaded workers, and states and queue lengths that do not
+// follow from what workers have shown, under random combinations of faults of the instances, the store, the
+// workers and the network.
 func TestSoak(t *testing.T) {
 	program := build(t)
 	seedList := append([]uint64(nil), regressions...)
@@ -109,7 +115,7 @@
 
 // newHarness starts a deployment and waits until it serves callers.
 func newHarness(t *testing.T, program string, seed uint64, instances, hosts int) *harness {
-	h := &harness{t: t, seed: seed, program: program, store: platformtest.NewStore(), jobs: map[string]*jobRecord{}, hostOf: map[string]int{}}
+	h := &harness{t: t, seed: seed, program: program, store: platformtest.NewStore(), jobs: map[string]*jobRecord{}, hostOf: map[string]int{}, begun: map[string]bool{}}
 	h.network = newNetwork(h)
 	h.advice = serve(t, &platformtest.AdviceService{Valid: 2 * time.Second, Eligible: h.eligible})
 	h.store.Configure(1, service, []string{key},
@@ -134,6 +140,9 @@
 		rng := rand.New(rand.NewPCG(seed, uint64(n)+10))
 		submitting.Go(func() { h.submitJobs(n, rng, chosen.jobInterval, stop) })
 	}
+	observing := make(chan struct{})
+	var observers sync.WaitGroup
+	observers.Go(func() { newObserver(h, seed).run(observing) })
 	end := time.Now().Add(faultDuration)
 	for n := range chosen.faultSources {
 		rng := rand.New(rand.NewPCG(seed, uint64(n)+100))
@@ -143,9 +152,15 @@
 			}
 		})
 	}
+	if rng := rand.New(rand.NewPCG(seed, 60)); rng.IntN(2) == 0 {
+		faulting.Go(func() { h.fillFleet(rng) })
+	}
 	faulting.Wait()
 	close(stop)
 	submitting.Wait()
+	time.Sleep(stableTime) // what the instances show in calm is judged, too
+	close(observing)
+	observers.Wait()
 	if accepted := h.check(); accepted < minAccepted {
 		t.Errorf("seed %d: only %d jobs were accepted, want at least %d", seed, accepted, minAccepted)
 	}
