schedule: record the begin of a job after 5 s instead of 1 s

Cause: with tasks of 1 to 4 s, most jobs of the deployments would cost an additional write. The workers report their runs to a new owner within 0.3 s, so that the record matters for jobs whose worker is lost, and most for long ones.

--- a/schedule/begun.go
+++ b/schedule/begun.go
@@ -18,7 +18,7 @@
 
 // beginRecordDelay is the time after which the begin of a job is recorded if nothing else of the job is. Most
 // jobs end or record their progress earlier.
-const beginRecordDelay = time.Second
+const beginRecordDelay = 5 * time.Second
 
 // markBegun marks a job as begun once a worker has shown that a task of it has started. A start order
 // alone does not: it may be lost or refused.
