instance: limit the further copies of orders to 5%

Cause: an order without an answer for 140 ms is sent again, twice, over direct connections. An owner whose answers are all late triples its work.

Change: further copies take from a budget that grows by 0.05 with each order and holds 128.

Evidence: TestLateAnswersAreNotMultiplied fails without the limit (11,708 copies of 4,000 orders).

--- a/instance/execute.go
+++ b/instance/execute.go
@@ -57,13 +57,13 @@
 	case schedule.Start:
 		i.metrics.taskWait.Update(order.WaitTime.Milliseconds())
 		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.OrderTimeout-clock.Since(issuedAt))
-		outcome = schedule.StartDone{Start: order, Verdict: sendOrder(callCtx,
+		outcome = schedule.StartDone{Start: order, Verdict: sendOrder(callCtx, i.resends,
 			func(ctx context.Context) schedule.Verdict { return i.relays.Start(ctx, e.Fence, order) },
 			func(ctx context.Context) schedule.Verdict { return i.cfg.Workers.Start(ctx, e.Fence, order) })}
 		cancel()
 	case schedule.Stop:
 		callCtx, cancel := context.WithTimeout(ctx, i.cfg.Timing.OrderTimeout-clock.Since(issuedAt))
-		outcome = schedule.StopDone{Stop: order, Verdict: sendOrder(callCtx,
+		outcome = schedule.StopDone{Stop: order, Verdict: sendOrder(callCtx, i.resends,
 			func(ctx context.Context) schedule.Verdict { return i.relays.Stop(ctx, e.Fence, order) },
 			func(ctx context.Context) schedule.Verdict { return i.cfg.Workers.Stop(ctx, e.Fence, order) })}
 		cancel()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -116,6 +116,7 @@
 	peers       *entry.Client
 	submissions chan *pendingSubmission
 	relays      *relays
+	resends     *resendBudget
 
 	view *ownerView
 
@@ -147,6 +148,7 @@
 		view:           newOwnerView(),
 		failuresByCall: make(map[string]storeFailures),
 		metrics:        newRequestMetrics(cfg.Metrics),
+		resends:        newResendBudget(cfg.Metrics),
 	}
 	i.relays = newRelays(cfg.Name, cfg.Workers, i.peers, cfg.Journal.Event)
 	cellConfig := cell.DefaultConfig(self, cfg.Cores)
--- a/instance/resend_test.go
+++ b/instance/resend_test.go
@@ -72,7 +72,7 @@
 				var started atomic.Int32
 				began := time.Now()
 				next := func(ctx context.Context) schedule.Verdict { return c.attempts[started.Add(1)-1](ctx) }
-				v := sendOrder(ctx, next, next)
+				v := sendOrder(ctx, newResendBudget(metrics.NewRegistry()), next, next)
 				if took := time.Since(began); v != c.want || took != c.wantTook {
 					t.Errorf("%s after %s, want %s after %s", v, took, c.want, c.wantTook)
 				}
@@ -81,3 +81,35 @@
 		})
 	}
 }
+
+// TestLateAnswersAreNotMultiplied guards against an owner that sends two or three copies of every order, over
+// new connections, because all answers are late, which makes them later still.
+func TestLateAnswersAreNotMultiplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const orders, answerTime = 4000, 3 * resendAfter
+		registry := metrics.NewRegistry()
+		budget := newResendBudget(registry)
+		var sent, accepted atomic.Int32
+		attempt := func(context.Context) schedule.Verdict {
+			sent.Add(1)
+			time.Sleep(answerTime)
+			return schedule.Accepted
+		}
+		for range orders {
+			go func() {
+				if sendOrder(t.Context(), budget, attempt, attempt) == schedule.Accepted {
+					accepted.Add(1)
+				}
+			}()
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(2 * answerTime)
+		synctest.Wait()
+		if n := accepted.Load(); n != orders {
+			t.Errorf("%d of %d orders were accepted", n, orders)
+		}
+		if n, most := sent.Load(), int32(orders*(1+resendShare)+resendBurst); n > most {
+			t.Errorf("%d copies of %d orders were sent, want at most %d", n, orders, most)
+		}
+	})
+}
