schedule: limit the workers that a new owner polls for the first time at once

What callers saw: after a takeover on 3,000 workers few tasks started for seconds.

Cause: the first polls go to all workers at once, each over a new connection, and the renewals of the ownership wait behind them.

Change: at most 256 workers without any result are polled at a time.

Evidence: TestFirstPollsOfNewOwner fails without the limit (3,000 at once).

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -70,6 +70,7 @@
 	pastUse       pastUseState
 
 	workers              map[string]*worker
+	firstPolls           int                         // workers that are being polled for the first time
 	workerOrder          []*worker                   // sorted by ID; nil if it must be rebuilt
 	byFreeCPU            []*worker                   // usable workers with the most free CPU first; nil until needed in the current pass
 	capacitySet          map[task.Resources]struct{} // different capacities of the workers; nil if it must be rebuilt
--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -34,6 +34,7 @@
 	clockAt       time.Time     // when that reading arrived
 	maxLeaseEnd   time.Duration // latest lease end sent, on the worker's clock
 	polling       bool          // a poll is in flight
+	firstPoll     bool          // the poll in flight counts in Core.firstPolls
 	nextPoll      time.Time
 	lastProcessed uint64         // number of the last ended run that was processed
 	confirmed     uint64         // the effect of ends up to this number is durable; the worker may discard them
@@ -180,7 +181,7 @@
 // tickWorker sends the next poll and marks the runs of a silent worker as lost once its lease has
 // expired.
 func (c *Core) tickWorker(w *worker) {
-	if !w.polling && !w.restarted && !c.now.Before(w.nextPoll) {
+	if !w.polling && !w.restarted && !c.now.Before(w.nextPoll) && (!w.isUnknown() || c.firstPolls < maxFirstPolls) {
 		c.poll(w)
 	}
 	c.updateClosed(w)
@@ -207,9 +208,21 @@
 		}
 	}
 	w.polling = true
+	if w.isUnknown() {
+		w.firstPoll = true
+		c.firstPolls++
+	}
 	c.emit(order)
 }
 
+// maxFirstPolls is the maximum number of workers that are polled for the first time at once. Until other
+// instances relay the orders of a new owner, each poll opens a connection, which takes about 0.5 ms of a
+// processor. An owner that polled thousands of workers at once could not renew its ownership meanwhile.
+const maxFirstPolls = 256
+
+// isUnknown reports whether this owner has no result of any poll of the worker.
+func (w *worker) isUnknown() bool { return !w.fenced && w.missedReports == 0 }
+
 func minTime(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -232,6 +245,7 @@
 		return
 	}
 	w.polling = false
+	c.endFirstPoll(w)
 	switch {
 	case e.Poll.Incarnation != w.Incarnation:
 		w.nextPoll = c.now
@@ -274,6 +288,14 @@
 	c.passDue = true
 }
 
+// endFirstPoll removes the poll of a worker from the first polls in flight.
+func (c *Core) endFirstPoll(w *worker) {
+	if w.firstPoll {
+		w.firstPoll = false
+		c.firstPolls--
+	}
+}
+
 // processEnds handles those ends that were not processed before, in the order of their numbers: an end
 // is confirmed together with all lower numbers.
 func (c *Core) processEnds(w *worker, ends []EndReport) {
