analyze: report what workers have confirmed and what callers were shown

Cause: the new log lines were read by hand only. Whether start orders got lost, or a caller was answered from an old view, is the first question when states or queue lengths look wrong.

Change: the report has the jobs by what has shown that they began, the time from the first start order to that, the jobs whose orders no worker has confirmed with their last failure, and the queue lengths that callers were shown.

Measured: go test ./analysis ./cmd/mulberryctl passes with the golden report.

--- a/analysis/day.go
+++ b/analysis/day.go
@@ -17,21 +17,23 @@
 
 // Analyzer collects the log lines of one period.
 type Analyzer struct {
-	jobs       map[string]*jobTrace
-	order      []*jobTrace
-	counts     map[string]int     // by event
-	runs       map[string]int     // ends of runs other than success, by cause
-	refused    map[string]int     // rejected submissions, by cause
-	use        map[useKey]float64 // highest total of the hour in share of the capacity times seconds
-	samples    []Sample
-	takeovers  []Takeover
-	ownerSeen  bool          // an owner has written a line
-	ownerEnd   time.Duration // when the last ownership ended, or its last summary was written
-	unreadable []Unreadable
-	clockBase  *time.Duration // difference between the clock of the instances and the collector's
-	first      time.Duration
-	last       time.Duration
-	lines      int
+	jobs    map[string]*jobTrace
+	order   []*jobTrace
+	counts  map[string]int     // by event
+	runs    map[string]int     // ends of runs other than success, by cause
+	refused map[string]int     // rejected submissions, by cause
+	use     map[useKey]float64 // highest total of the hour in share of the capacity times seconds
+	samples []Sample
+
+	queueLengths map[string]*QueueLengths // by queue
+	takeovers    []Takeover
+	ownerSeen    bool          // an owner has written a line
+	ownerEnd     time.Duration // when the last ownership ended, or its last summary was written
+	unreadable   []Unreadable
+	clockBase    *time.Duration // difference between the clock of the instances and the collector's
+	first        time.Duration
+	last         time.Duration
+	lines        int
 }
 
 // jobTrace is what the log says about one job.
@@ -44,6 +46,7 @@
 	steps       map[string]*stepTrace
 	order       []*stepTrace
 	restarts    int
+	begin       beginTrace
 }
 
 // stepTrace is the waiting of one step until all its tasks were first started.
@@ -81,7 +84,7 @@
 
 // NewAnalyzer returns an analyzer without lines.
 func NewAnalyzer() *Analyzer {
-	return &Analyzer{jobs: make(map[string]*jobTrace), counts: make(map[string]int), runs: make(map[string]int), refused: make(map[string]int), use: make(map[useKey]float64)}
+	return &Analyzer{jobs: make(map[string]*jobTrace), counts: make(map[string]int), runs: make(map[string]int), refused: make(map[string]int), queueLengths: make(map[string]*QueueLengths), use: make(map[useKey]float64)}
 }
 
 // Read adds the lines of one file. An error names the file and the line; the lines before it are
@@ -140,6 +143,8 @@
 		a.addSample(r)
 	case "use":
 		a.addUse(r)
+	case "queue_length":
+		a.addQueueLength(r)
 	case "ownership_ready":
 		t := Takeover{At: r.at.Seconds(), Instance: r.instance, Jobs: int(r.number("jobs")), ResolvedIn: -1}
 		if a.ownerSeen {
@@ -190,6 +195,7 @@
 	if queue := r.fields["queue"]; queue != "" {
 		j.queue, j.team = queue, r.fields["team"]
 	}
+	j.begin.addBeginEvent(r)
 	switch r.event {
 	case "queued":
 		j.queuedAt = r.at
--- a/analysis/report.go
+++ b/analysis/report.go
@@ -14,19 +14,23 @@
 
 // Report is the result of an analysis.
 type Report struct {
-	Lines      int            `json:"lines"`
-	From       float64        `json:"from_s"`
-	To         float64        `json:"to_s"`
-	Queues     []*Outcome     `json:"queues"`
-	Teams      []*Outcome     `json:"teams"`
-	Runs       map[string]int `json:"runs_without_success"`
-	Refused    map[string]int `json:"refused_submissions"`
-	Takeovers  []Takeover     `json:"takeovers"`
-	Use        []HourlyUse    `json:"use,omitempty"`
-	Samples    []Sample       `json:"samples"`
-	Missing    []string       `json:"missing"` // what the log should contain and does not
-	Skipped    int            `json:"skipped_lines"`
-	Unreadable []Unreadable   `json:"unreadable"` // the first skipped lines
+	Lines     int            `json:"lines"`
+	From      float64        `json:"from_s"`
+	To        float64        `json:"to_s"`
+	Queues    []*Outcome     `json:"queues"`
+	Teams     []*Outcome     `json:"teams"`
+	Runs      map[string]int `json:"runs_without_success"`
+	Refused   map[string]int `json:"refused_submissions"`
+	Begins    Begins         `json:"begins"`
+	Takeovers []Takeover     `json:"takeovers"`
+	Use       []HourlyUse    `json:"use,omitempty"`
+
+	QueueLengths []*QueueLengths `json:"queue_lengths,omitempty"`
+
+	Samples    []Sample     `json:"samples"`
+	Missing    []string     `json:"missing"` // what the log should contain and does not
+	Skipped    int          `json:"skipped_lines"`
+	Unreadable []Unreadable `json:"unreadable"` // the first skipped lines
 }
 
 // ErrNoJobs means that no line names a job.
@@ -44,16 +48,21 @@
 		Teams:     a.outcomes(func(j *jobTrace) string { return j.team }),
 		Runs:      a.runs,
 		Refused:   a.refused,
+		Begins:    a.begins(),
 		Takeovers: a.takeovers,
 		Use:       a.hourlyUse(),
 		Samples:   a.samples,
-		Skipped:   len(a.unreadable),
+
+		QueueLengths: a.sortedQueueLengths(),
+
+		Skipped: len(a.unreadable),
 	}
 	r.Unreadable = a.unreadable[:min(len(a.unreadable), maxNamedLines)]
 	for _, expected := range []struct{ event, why string }{
 		{"queued", "the log of an owner is missing: waits and placements are not known"},
 		{"accepted", "the logs of the instances that accept jobs are missing: queues and teams of restored jobs are not known"},
 		{"partition", "the summary lines of the owner are missing: the use of the cores is not known"},
+		{"begun", "the log of an owner is missing or of an older version: what workers have confirmed is not known"},
 		{"instance started", "the log begins after the start of the instances, or is cut: jobs accepted before are incomplete"},
 	} {
 		if a.counts[expected.event] == 0 {
@@ -85,6 +94,8 @@
 	}
 	lines = append(lines, countLines("runs that did not succeed", r.Runs)...)
 	lines = append(lines, countLines("submissions refused", r.Refused)...)
+	lines = append(lines, r.Begins.lines()...)
+	lines = append(lines, queueLengthLines(r.QueueLengths)...)
 	lines = append(lines, "", "takeovers", "at s\tinstance\tjobs\twithout owner s\tworkers known after s")
 	for _, t := range r.Takeovers {
 		resolved := "not logged"
