instance: allow copies of a quarter of the orders

Change: a quarter of the orders and a burst of 256; without the owner, a state that cannot be read from the record of progress is the one that was last known.

Measured: go test ./instance passes; 11,708 copies of 4,000 orders without a limit, at most 5,256 with it.

--- a/instance/query.go
+++ b/instance/query.go
@@ -43,7 +43,10 @@
 		return checkVisible(job.Running, record.Job.Queue, record.Job.Team, queue, team, id)
 	}
 	state, err := i.recordedState(ctx, id)
-	if err != nil {
+	switch {
+	case err != nil && known:
+		state = last.State
+	case err != nil:
 		return "", errkind.New(errkind.StoreUnavailable, "the progress of job %s could not be read from the store", id).WithRetryAfter(retryAfterStore)
 	}
 	return checkVisible(state, record.Job.Queue, record.Job.Team, queue, team, id)
--- a/instance/resend.go
+++ b/instance/resend.go
@@ -19,8 +19,8 @@
 	// resendShare is the number of further copies that each order allows in the long run, and resendBurst that
 	// of copies which may be sent at once, as when a relay is lost. When all answers are late because this
 	// instance is short of processor time, further copies of all orders would make them later still.
-	resendShare = 0.05
-	resendBurst = 128
+	resendShare = 0.25
+	resendBurst = 256
 )
 
 // resendBudget bounds the further copies of orders, in proportion to the orders.
