State as suspected what no run has shown

Cause: reading the change again.

Change: the figure is gone, the rest says suspected. One comment in Go, no code.

Measured: gofmt, go vet, staticcheck and the tests of first polls and begins in ./schedule pass.

--- a/schedule/workers.go
+++ b/schedule/workers.go
@@ -216,8 +216,8 @@
 }
 
 // maxFirstPolls is the maximum number of workers that are polled for the first time at once. Until other
-// instances relay the orders of a new owner, each poll opens a connection, which takes about 0.5 ms of a
-// processor. An owner that polled thousands of workers at once could not renew its ownership meanwhile.
+// instances relay the orders of a new owner, each poll opens a connection. An owner that
+// polled thousands of workers at once could be too busy to renew its ownership.
 const maxFirstPolls = 256
 
 // isUnknown reports whether this owner has no result of any poll of the worker.
