--- a/untrusted/crowd_test.go
+++ b/untrusted/crowd_test.go
@@ -14,10 +14,13 @@
 // stop just short of the end of their request and leave the connection open.
 type crowd struct {
 	clients int
-	head    string                                          // request line and headers up to those of the body
+	head    string                                          // request line and headers up to those of the body; idPlaceholder stands for a new job ID
 	send    func(w io.Writer, head string, ends bool) error // sends one request, whole if ends is set
 }
 
+// idPlaceholder stands for the ID of a job in the head of a request.
+const idPlaceholder = "{id}"
+
 const (
 	wholeOf = 8 // one of this many clients sends its request to the end
 	// attempts is the number of connections that a client opens if they are closed.
@@ -53,7 +56,8 @@
 					return
 				}
 				_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection
-				if c.send(conn, c.head, i%wholeOf == 0) == nil {
+				head := strings.ReplaceAll(c.head, idPlaceholder, fmt.Sprintf("%016x", sentJobs.Add(1)))
+				if c.send(conn, head, i%wholeOf == 0) == nil {
 					once()
 					_, _ = io.Copy(io.Discard, conn) // until either side closes the connection
 				}
@@ -139,7 +143,13 @@
 // sendBody returns a function that sends a body of the given size in pieces, with a pause between two.
 func sendBody(size, piece int, pause time.Duration) func(io.Writer, string, bool) error {
 	text := body(size)
+	return sendText(func() string { return text }, piece, pause)
+}
+
+// sendText returns a function that sends the next body in pieces, with a pause between two.
+func sendText(next func() string, piece int, pause time.Duration) func(io.Writer, string, bool) error {
 	return func(w io.Writer, head string, ends bool) error {
+		text := next()
 		rest := text
 		if !ends {
 			rest = rest[:len(rest)-1]
@@ -161,15 +171,28 @@
 
 // sendChunks returns a function that sends a body of the given size in chunks.
 func sendChunks(size, chunk int) func(io.Writer, string, bool) error {
+	text := encodeChunks(body(size), chunk)
+	return sendEncoded(func() string { return text })
+}
+
+// sendTextChunks returns a function that sends the next body in chunks.
+func sendTextChunks(next func() string, chunk int) func(io.Writer, string, bool) error {
+	return sendEncoded(func() string { return encodeChunks(next(), chunk) })
+}
+
+func encodeChunks(text string, chunk int) string {
 	var encoded strings.Builder
-	for rest := body(size); len(rest) > 0; {
+	for rest := text; len(rest) > 0; {
 		n := min(chunk, len(rest))
 		fmt.Fprintf(&encoded, "%x\r\n%s\r\n", n, rest[:n])
 		rest = rest[n:]
 	}
-	text := encoded.String()
+	return encoded.String()
+}
+
+func sendEncoded(next func() string) func(io.Writer, string, bool) error {
 	return func(w io.Writer, head string, ends bool) error {
-		if _, err := io.WriteString(w, head+"Transfer-Encoding: chunked\r\n\r\n"+text); err != nil || !ends {
+		if _, err := io.WriteString(w, head+"Transfer-Encoding: chunked\r\n\r\n"+next()); err != nil || !ends {
 			return err
 		}
 		_, err := io.WriteString(w, "0\r\n\r\n")
--- a/untrusted/own_test.go
+++ b/untrusted/own_test.go
@@ -1,10 +1,12 @@
 package untrusted
 
 import (
-	"bytes"
+	"encoding/base64"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -43,18 +45,70 @@
 	client := &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	p := &target{pid: entry.PID(), ip: ip, address: entry.Settings.CallerAddress, maxMemory: ownMemoryMB << 20, maxDescriptors: ownDescriptors, running: entry.IsRunning}
 	p.request = func() (answered, refused bool) {
-		text := fmt.Appendf(nil, `{"idempotency_key":"r-%d","class":"span-lookup","payload":"eA=="}`, sentJobs.Add(1))
-		request, err := http.NewRequest("POST", "http://"+p.address+ownPath+"?wait=2s", bytes.NewReader(text))
+		request, err := ownRequest(p.address, fmt.Sprintf(`{"idempotency_key":"r-%d","class":"span-lookup","payload":"eA=="}`, sentJobs.Add(1)))
 		if err != nil {
 			return false, false
 		}
-		request.Header.Set("Authorization", "Bearer "+demo.Secrets["leuven"])
 		return outcome(client.Do(request))
 	}
 	c.Eventually(startTimeout, "answer a request", func() bool { answered, _ := p.request(); return answered })
 	return p
 }
 
+// ownRequest returns a submission with the given body that waits for the result.
+func ownRequest(address, body string) (*http.Request, error) {
+	request, err := http.NewRequest("POST", "http://"+address+ownPath+"?wait=2s", strings.NewReader(body))
+	if err == nil {
+		request.Header.Set("Authorization", "Bearer "+demo.Secrets["leuven"])
+	}
+	return request, err
+}
+
+// checkOwnAccepted sends valid jobs with payloads of a size to an instance, and checks its bounds.
+func checkOwnAccepted(t *testing.T, class string, clients, jobs, payloadBytes int) {
+	t.Helper()
+	payload := base64.StdEncoding.EncodeToString(make([]byte, payloadBytes))
+	submit := func(client *http.Client, address, id, _ string) int {
+		request, err := ownRequest(address, fmt.Sprintf(`{"idempotency_key":"c-%s","class":%q,"payload":%q}`, id, class, payload))
+		if err != nil {
+			return 0
+		}
+		response, err := client.Do(request)
+		if err != nil {
+			return 0
+		}
+		defer response.Body.Close()
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return 0
+		}
+		return response.StatusCode
+	}
+	p := startOwnInstance(t)
+	d := deployment{instances: []*target{p}}
+	watched := d.watch()
+	done, stop := submitters{clients: clients, jobs: jobs, body: func() string { return "" }, submit: submit}.start(p)
+	p.awaitAnswer(t, "with the crowd connected")
+	<-done
+	sent := stop()
+	p.awaitAnswer(t, "after the crowd has left")
+	watched.check(t)
+	t.Log(sent)
+	if len(sent.accepted) == 0 {
+		t.Error("none of the valid jobs was accepted")
+	}
+}
+
+// TestOwnAcceptedLargePayloads plays large bodies of legal size, whole: an instance must not keep the payloads
+// of work that has ended, nor accept more than it can hold.
+func TestOwnAcceptedLargePayloads(t *testing.T) {
+	checkOwnAccepted(t, "span-lookup", 10, 60, 700_000)
+}
+
+// TestOwnAcceptedDurable plays large bodies of durable work, whole.
+func TestOwnAcceptedDurable(t *testing.T) {
+	checkOwnAccepted(t, "nozzle-check", 10, 60, 60_000)
+}
+
 // TestOwnHeadersOverLimit guards against a server that keeps headers of any size.
 func TestOwnHeadersOverLimit(t *testing.T) {
 	startOwnInstance(t).check(t, crowd{ownClients, ownHead, sendLongHeaders})
--- a/untrusted/platform_test.go
+++ b/untrusted/platform_test.go
@@ -28,7 +28,8 @@
 	descriptors = 700
 	bodyBytes   = 256 << 10 // limits.maxBodyBytes without a configured limit
 	host        = "shop.example"
-	key         = "k"
+	key         = "k" // of ordinary requests
+	crowdKey    = "c" // of valid jobs of a crowd
 	jobBody     = `{"spec":"10ms","steps":[{"count":1,"cpu":100,"memMb":1,"estimateMs":10}]}`
 
 	headerClients = 300
@@ -44,17 +45,36 @@
 	sentJobs         atomic.Int32
 )
 
-// startInstance starts an entry instance on the users' platform, with stand-ins for the store and for a
-// worker, and waits until it answers.
-func startInstance(t *testing.T) *target {
+// deployment is a set of entry instances on the users' platform, with stand-ins for the store and for a
+// worker.
+type deployment struct {
+	store     string // address
+	worker    *platformtest.Worker
+	instances []*target
+}
+
+func newDeployment(t *testing.T) *deployment {
 	t.Helper()
 	store := platformtest.NewStore()
 	worker := platformtest.NewWorker("i-0")
-	store.Configure(1, "calc", []string{key}, platformtest.Queue{Name: "plain", Host: host, Prefix: "/plain/", Attempts: 2})
+	store.ConfigureTeams(1, "calc", map[string][]string{"red": {key}, "blue": {crowdKey}},
+		platformtest.Queue{Name: "plain", Host: host, Prefix: "/plain/", Attempts: 2}, platformtest.Queue{Name: "shop", Host: host, Prefix: "/shop/", Attempts: 2, Urgent: true})
 	store.Register(worker, "calc", serve(t, worker), "r1")
+	return &deployment{store: serve(t, store), worker: worker}
+}
+
+// startInstance starts a deployment of one instance.
+func startInstance(t *testing.T) *target {
+	t.Helper()
+	return newDeployment(t).start(t)
+}
+
+// start starts an entry instance and waits until it answers.
+func (d *deployment) start(t *testing.T) *target {
+	t.Helper()
 	ip := fmt.Sprintf("127.78.%d.%d", os.Getpid()%250+1, startedInstances.Add(1))
 	path := filepath.Join(t.TempDir(), "settings.toml")
-	text := fmt.Sprintf(`nodeName = "e0"
+	text := fmt.Sprintf(`nodeName = "e%d"
 ip = %q
 zone = "z"
 portRange = [7420,7435]
@@ -72,7 +92,7 @@
 [platform]
 address = %q
 form = "kv"
-`, ip, ip, ip, memoryMB, descriptors, serve(t, store))
+`, len(d.instances), ip, ip, ip, memoryMB, descriptors, d.store)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -85,15 +105,18 @@
 	}
 	ended := make(chan struct{})
 	go func() { _ = cmd.Wait(); close(ended) }() // killed below
-	t.Cleanup(func() {
+	p := &target{pid: cmd.Process.Pid, ip: ip, address: ip + ":8183", maxMemory: memoryMB << 20, maxDescriptors: descriptors}
+	p.kill = func() {
 		_ = cmd.Process.Kill() // fails if the process has ended
 		<-ended
+	}
+	t.Cleanup(func() {
+		p.kill()
 		if t.Failed() {
 			text := log.Bytes()
 			t.Logf("end of the log:\n%s", text[max(0, len(text)-3000):])
 		}
 	})
-	p := &target{pid: cmd.Process.Pid, ip: ip, address: ip + ":8183", maxMemory: memoryMB << 20, maxDescriptors: descriptors}
 	p.running = func() bool {
 		select {
 		case <-ended:
@@ -104,6 +127,7 @@
 	}
 	client := &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	p.request = func() (answered, refused bool) { return submit(client, p.address) }
+	d.instances = append(d.instances, p)
 	for deadline := time.Now().Add(startTimeout); ; time.Sleep(requestPause) {
 		if answered, _ := p.request(); answered {
 			return p
@@ -122,7 +146,7 @@
 
 // submit submits a small job with a new ID.
 func submit(client *http.Client, address string) (answered, refused bool) {
-	request, err := http.NewRequest("POST", fmt.Sprintf("http://%s/plain/%016x", address, sentJobs.Add(1)), strings.NewReader(jobBody))
+	request, err := http.NewRequest("POST", fmt.Sprintf("http://%s/shop/%016x", address, sentJobs.Add(1)), strings.NewReader(jobBody))
 	if err != nil {
 		return false, false
 	}
--- a/untrusted/process_test.go
+++ b/untrusted/process_test.go
@@ -49,6 +49,7 @@
 	maxMemory      int64  // bytes, resident and received by the kernel
 	maxDescriptors int
 	running        func() bool
+	kill           func()
 	request        func() (answered, refused bool) // sends an ordinary request
 }
 
@@ -176,14 +177,45 @@
 		p.awaitAnswer(t, "after the crowd has left")
 	}
 	stopWatch()
+	highest.check(t, p)
+}
+
+// check checks that the process lives and has kept its bounds.
+func (u *usage) check(t *testing.T, p *target) {
+	t.Helper()
 	if !p.running() {
 		t.Error("the process has ended")
 	}
-	t.Logf("%d MB, of which received %d kB; %d descriptors", highest.memory>>20, highest.received>>10, highest.descriptors)
-	if highest.memory > p.maxMemory {
-		t.Errorf("memory %d MB, want at most %d", highest.memory>>20, p.maxMemory>>20)
+	t.Logf("%d MB, of which received %d kB; %d descriptors", u.memory>>20, u.received>>10, u.descriptors)
+	if u.memory > p.maxMemory {
+		t.Errorf("memory %d MB, want at most %d", u.memory>>20, p.maxMemory>>20)
+	}
+	if u.descriptors > p.maxDescriptors {
+		t.Errorf("%d open descriptors, want at most %d", u.descriptors, p.maxDescriptors)
+	}
+}
+
+// watchedInstances are the instances of a deployment while their use is measured.
+type watchedInstances struct {
+	instances []*target
+	highest   []*usage
+	stop      []func()
+}
+
+func (d *deployment) watch() *watchedInstances {
+	w := &watchedInstances{instances: d.instances}
+	for _, p := range d.instances {
+		u := &usage{}
+		w.highest, w.stop = append(w.highest, u), append(w.stop, u.watch(p))
 	}
-	if highest.descriptors > p.maxDescriptors {
-		t.Errorf("%d open descriptors, want at most %d", highest.descriptors, p.maxDescriptors)
+	return w
+}
+
+// check ends the measurement and checks that the instances live and have kept their bounds.
+func (w *watchedInstances) check(t *testing.T) {
+	t.Helper()
+	for i, p := range w.instances {
+		w.stop[i]()
+		w.highest[i].check(t, p)
 	}
 }
