--- a/entry/cell.go
+++ b/entry/cell.go
@@ -99,7 +99,7 @@
 
 // SubmitJob implements entrypb.CellServer.
 func (s *cellService) SubmitJob(ctx context.Context, r *entrypb.SubmitJobRequest) (*entrypb.CellReply, error) {
-	record, err := job.Decode[job.Job](r.GetRecord())
+	record, err := job.DecodeJob(r.GetRecord())
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
@@ -108,7 +108,7 @@
 
 // AdmitJob implements entrypb.CellServer.
 func (s *cellService) AdmitJob(ctx context.Context, r *entrypb.AdmitJobRequest) (*entrypb.AdmitJobReply, error) {
-	record, err := job.Decode[job.Job](r.GetRecord())
+	record, err := job.DecodeJob(r.GetRecord())
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
--- a/instance/accept.go
+++ b/instance/accept.go
@@ -224,7 +224,7 @@
 // resolveDuplicate replies to a submission whose job is already recorded. The record may
 // come from an earlier attempt of the same submission whose response was lost.
 func (i *Instance) resolveDuplicate(submission *pendingSubmission, kv store.KeyValue) {
-	first, err := job.Decode[job.Job](kv.Value)
+	first, err := job.DecodeJob(kv.Value)
 	if err != nil {
 		submission.done <- errkind.New(errkind.Internal, "the stored record of job %s cannot be decoded", submission.job.ID)
 		return
--- a/instance/query.go
+++ b/instance/query.go
@@ -85,7 +85,7 @@
 		return nil, nil, err
 	}
 	if found {
-		record, err := job.Decode[job.Job](kv.Value)
+		record, err := job.DecodeJob(kv.Value)
 		if err != nil {
 			return nil, nil, err
 		}
--- a/instance/records.go
+++ b/instance/records.go
@@ -198,7 +198,7 @@
 			cancelled = append(cancelled, job.ID(id))
 			continue
 		}
-		record, err := job.Decode[job.Job](kv.Value)
+		record, err := job.DecodeJob(kv.Value)
 		if err != nil {
 			i.cfg.Journal.Event("job record cannot be decoded", "key", kv.Key, "error", err)
 			continue
