--- a/cell/event.go
+++ b/cell/event.go
@@ -76,7 +76,7 @@
 		Jobs          []Submission
 		Cancelled     []job.ID
 		Revision      int64     // of the store; every one recorded up to it was delivered
-		AsOf          time.Time // every one acknowledged up to then was delivered
+		AsOf          time.Time // every one acknowledged up to then was delivered; zero for a part of a list
 	}
 	// ScheduleOutcome delivers the outcome of an effect of package schedule that was
 	// issued under the ownership with revision OwnerRevision.
--- a/cell/loop.go
+++ b/cell/loop.go
@@ -80,12 +80,30 @@
 	}
 }
 
+// processed is an event whose sender waits until it has been applied.
+type processed struct {
+	Event
+	done chan struct{}
+}
+
+// PostAndWait sends an event to the control goroutine and returns when that has applied it, or when ctx is done.
+func (l *Loop) PostAndWait(ctx context.Context, e Event) {
+	waiting := processed{Event: e, done: make(chan struct{})}
+	l.Post(ctx, waiting)
+	select {
+	case <-waiting.done:
+	case <-ctx.Done():
+	}
+}
+
 // isUrgent reports whether an event precedes all others: it may restrict where and what the owner
 // starts, or end its ownership. An owner that falls behind must not act on what was true seconds ago.
 // JobsObserved delivers cancellations; jobs are in the same event, since a cancellation must not
 // precede its job.
 func isUrgent(e Event) bool {
-	switch e.(type) {
+	switch e := e.(type) {
+	case processed:
+		return isUrgent(e.Event)
 	case CatalogRead, EvacuationsRead, DirectoryRead, JobsObserved, OwnerObserved, RenewDone, ShutdownRequested, StoreUnavailable:
 		return true
 	default:
@@ -218,6 +236,10 @@
 }
 
 func (l *Loop) apply(e Event) {
+	if waiting, ok := e.(processed); ok {
+		defer close(waiting.done)
+		e = waiting.Event
+	}
 	started := l.now()
 	l.state.SetContact(l.contactAt(started))
 	effects := l.state.Apply(started, time.Now(), e)
--- a/cell/state.go
+++ b/cell/state.go
@@ -332,7 +332,9 @@
 	if s.core == nil || e.OwnerRevision != s.ownershipRevision {
 		return
 	}
-	s.inboxAsOf = e.AsOf
+	if !e.AsOf.IsZero() {
+		s.inboxAsOf = e.AsOf
+	}
 	for _, submitted := range e.Jobs {
 		s.submit(submitted)
 	}
--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -198,7 +198,7 @@
 		cancel()
 		if err == nil {
 			i.loop.Post(ctx, cell.Recovered{Revision: ownership, State: recovery})
-			go i.followInbox(ctx, ownership)
+			go i.followInbox(ctx, ownership, recovery.ReadRevision+1)
 			go i.readDirectory(ctx)
 			go i.sweepPeriodically(ctx, ownership)
 			return
@@ -297,6 +297,9 @@
 	f.post(kvs, revision, asOf)
 }
 
+// ListedPart implements store.PartFollower.
+func (f *inboxFollower) ListedPart(kvs []store.KeyValue) { f.post(kvs, 0, time.Time{}) }
+
 // Changed implements store.Follower.
 func (f *inboxFollower) Changed(b store.WatchBatch) {
 	kvs := make([]store.KeyValue, 0, len(b.Changes))
@@ -308,19 +311,20 @@
 	f.post(kvs, b.Revision, b.AsOf)
 }
 
-// post posts an observation also if it is empty, since it shows that the knowledge is current.
+// post posts an observation also if it is empty, since it shows that the knowledge is current. It returns when
+// the control goroutine has processed it, so that no further records are decoded in the meantime.
 func (f *inboxFollower) post(kvs []store.KeyValue, revision int64, asOf time.Time) {
 	jobs, cancelled := f.instance.decodeInbox(kvs)
-	f.instance.loop.Post(f.ctx, cell.JobsObserved{OwnerRevision: f.ownership, Jobs: jobs, Cancelled: cancelled, Revision: revision, AsOf: asOf})
+	f.instance.loop.PostAndWait(f.ctx, cell.JobsObserved{OwnerRevision: f.ownership, Jobs: jobs, Cancelled: cancelled, Revision: revision, AsOf: asOf})
 }
 
 // Failed implements store.Follower.
 func (f *inboxFollower) Failed(err error) { f.instance.logStoreFailure("watch jobs", err) }
 
 // followInbox watches for jobs and cancellations that other instances recorded but could
-// not send to the owner.
-func (i *Instance) followInbox(ctx context.Context, ownership int64) {
-	_ = store.Follow(ctx, i.cfg.Store, inboxPrefix, &inboxFollower{ctx: ctx, instance: i, ownership: ownership}) // returns only when ctx ends
+// not send to the owner, from a revision of the store on.
+func (i *Instance) followInbox(ctx context.Context, ownership, from int64) {
+	_ = store.FollowFrom(ctx, i.cfg.Store, inboxPrefix, from, &inboxFollower{ctx: ctx, instance: i, ownership: ownership}) // returns only when ctx ends
 }
 
 // readDirectory polls the directory of workers until ctx ends.
--- a/instance/records.go
+++ b/instance/records.go
@@ -161,28 +161,29 @@
 }
 
 func (i *Instance) readJobs(ctx context.Context, recovery *cell.Recovery) error {
-	inbox, revision, err := i.cfg.Store.List(ctx, inboxPrefix)
+	var submissions []cell.Submission
+	isCancelled := make(map[job.ID]bool)
+	revision, err := store.Scan(ctx, i.cfg.Store, inboxPrefix, func(kv store.KeyValue) error {
+		jobs, cancelled := i.decodeInbox([]store.KeyValue{kv})
+		submissions = append(submissions, jobs...)
+		for _, id := range cancelled {
+			isCancelled[id] = true
+		}
+		return nil
+	})
 	if err != nil {
 		return eris.Wrap(err, "list the jobs")
 	}
 	recovery.ReadRevision = revision
 	// Progress is read after the jobs, so that none is missed for a job in the list.
-	progress, _, err := i.cfg.Store.List(ctx, progressPrefix)
-	if err != nil {
-		return eris.Wrap(err, "list the progress of jobs")
-	}
-	submissions, cancelled := i.decodeInbox(inbox)
-	progressByJob := make(map[job.ID]*job.Progress, len(progress))
-	for _, kv := range progress {
+	progressByJob := make(map[job.ID]*job.Progress)
+	_, err = store.Scan(ctx, i.cfg.Store, progressPrefix, func(kv store.KeyValue) error {
 		record, err := job.Decode[job.Progress](kv.Value)
-		if err != nil {
-			return eris.Wrapf(err, "decode the progress record under key %s", kv.Key)
-		}
 		progressByJob[job.ID(strings.TrimPrefix(kv.Key, progressPrefix))] = record
-	}
-	isCancelled := make(map[job.ID]bool, len(cancelled))
-	for _, id := range cancelled {
-		isCancelled[id] = true
+		return eris.Wrapf(err, "decode the progress record under key %s", kv.Key)
+	})
+	if err != nil {
+		return eris.Wrap(err, "list the progress of jobs")
 	}
 	for _, submission := range submissions {
 		recovery.Jobs = append(recovery.Jobs, schedule.RecordedJob{Job: submission.Job, Progress: progressByJob[submission.Job.ID], Cancelled: isCancelled[submission.Job.ID]})
--- a/instance/sweep.go
+++ b/instance/sweep.go
@@ -58,27 +58,32 @@
 
 func expiredRecords(ctx context.Context, s store.Store, now time.Time) ([]string, error) {
 	var expired []string
-	finals, _, err := s.List(ctx, finalPrefix)
-	if err != nil {
-		return nil, err
-	}
-	for _, kv := range finals {
+	_, err := store.Scan(ctx, s, finalPrefix, func(kv store.KeyValue) error {
 		final, err := job.Decode[job.Final](kv.Value)
 		if err != nil || now.Sub(final.FinishedAt) > finalRetention {
 			expired = append(expired, kv.Key) // a record that cannot be decoded cannot be shown to callers
 		}
-	}
-	inbox, _, err := s.List(ctx, inboxPrefix)
+		return nil
+	})
 	if err != nil {
 		return nil, err
 	}
-	open := make(map[string]bool, len(inbox))
-	for _, kv := range inbox {
-		open[kv.Key] = true
+	open := make(map[string]bool)
+	var cancelled []string
+	_, err = store.Scan(ctx, s, inboxPrefix, func(kv store.KeyValue) error {
+		if id, ok := strings.CutPrefix(kv.Key, cancelPrefix); ok {
+			cancelled = append(cancelled, id)
+		} else {
+			open[kv.Key] = true
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
 	}
-	for _, kv := range inbox {
-		if id, ok := strings.CutPrefix(kv.Key, cancelPrefix); ok && !open[jobPrefix+id] {
-			expired = append(expired, kv.Key)
+	for _, id := range cancelled {
+		if !open[jobPrefix+id] {
+			expired = append(expired, cancelPrefix+id)
 		}
 	}
 	return expired, nil
--- a/store/follow.go
+++ b/store/follow.go
@@ -26,25 +26,57 @@
 	Failed(error)
 }
 
-// Follow lists the keys with a prefix and then watches them until ctx is done. It lists them again if
-// the changes after the last delivered one are no longer in the store's history, or can't be read, or if
-// several watches in succession have brought no message. A
-// batch that does not say as of when it is current is as current as the last one that does.
+// PartFollower is a Follower that receives a list in parts, so that it need not hold all keys at a time.
+type PartFollower interface {
+	Follower
+	// ListedPart receives some of the keys of a list. The call of Listed that follows has the rest.
+	ListedPart(kvs []KeyValue)
+}
+
+// listPartBytes is the size of the values of one part of a list.
+const listPartBytes = 1 << 20
+
+// list passes the keys with a prefix to the follower and returns the revision of the list.
+func list(ctx context.Context, s Store, prefix string, f Follower, asOf time.Time) (int64, error) {
+	var part []KeyValue
+	bytes := 0
+	partial, takesParts := f.(PartFollower)
+	revision, err := Scan(ctx, s, prefix, func(kv KeyValue) error {
+		if takesParts && bytes >= listPartBytes {
+			partial.ListedPart(part)
+			part, bytes = nil, 0
+		}
+		part = append(part, kv)
+		bytes += len(kv.Value)
+		return nil
+	})
+	if err == nil {
+		f.Listed(part, revision, asOf)
+	}
+	return revision, err
+}
+
+// Follow lists the keys with a prefix and then watches them until ctx is done, as FollowFrom does.
 func Follow(ctx context.Context, s Store, prefix string, f Follower) error {
-	next := int64(0) // revision from which to watch; 0 to list first
+	return FollowFrom(ctx, s, prefix, 0, f)
+}
+
+// FollowFrom watches the keys with a prefix from a revision on until ctx is done, or lists them first if the
+// revision is 0. It lists them again if the changes after the last delivered one are no longer in the store's
+// history, or can't be read, or if several watches in succession have brought no message. A batch that does not say as of when it is current is as current as the last one that does.
+func FollowFrom(ctx context.Context, s Store, prefix string, next int64, f Follower) error {
 	var current time.Time
-	var listed int64 // revision of the last list
-	unanswered := 0  // watches without a message since the last one with
+	listed := next - 1 // revision of the last list
+	unanswered := 0    // watches without a message since the last one with
 	for ctx.Err() == nil {
 		if next == 0 {
 			asOf := clock.Now()
-			kvs, revision, err := s.List(ctx, prefix)
+			revision, err := list(ctx, s, prefix, f, asOf)
 			if err != nil {
 				f.Failed(err)
 				sleep(ctx, followRetryDelay)
 				continue
 			}
-			f.Listed(kvs, revision, asOf)
 			unanswered = 0
 			current, listed, next = asOf, revision, revision+1
 		}
--- a/store/store.go
+++ b/store/store.go
@@ -77,6 +77,31 @@
 	AsOf     time.Time // every change acknowledged up to then has been delivered; zero if unknown
 }
 
+// Scanner is implemented by stores that read the keys with a prefix one after another, so that the caller
+// need not hold all of them.
+type Scanner interface {
+	// Scan passes the keys in ascending order to visit, until that returns an error. Every change up to the
+	// returned revision is included; later ones may be.
+	Scan(ctx context.Context, prefix string, visit func(KeyValue) error) (revision int64, err error)
+}
+
+// Scan passes the keys with a prefix in ascending order to visit, as Scanner does.
+func Scan(ctx context.Context, s Store, prefix string, visit func(KeyValue) error) (revision int64, err error) {
+	if scanner, ok := s.(Scanner); ok {
+		return scanner.Scan(ctx, prefix, visit)
+	}
+	kvs, revision, err := s.List(ctx, prefix)
+	if err != nil {
+		return 0, err
+	}
+	for _, kv := range kvs {
+		if err := visit(kv); err != nil {
+			return 0, err
+		}
+	}
+	return revision, nil
+}
+
 // Store accesses the platform's key-value store. All methods are safe for concurrent use, and every
 // call except Watch has a deadline.
 type Store interface {
