--- a/cell/authority.go
+++ b/cell/authority.go
@@ -74,6 +74,7 @@
 		return
 	}
 	s.heldSubmissions = append(s.heldSubmissions, submitted)
+	s.core.HoldMemory(submitted.Job)
 }
 
 // countHeld adds the held submissions to the numbers of pending jobs by queue: the jobs are accepted and
--- a/cell/effect.go
+++ b/cell/effect.go
@@ -42,6 +42,9 @@
 	// ShowPastUse shows the past use of the teams in the metrics; none if this instance is
 	// not the owner.
 	ShowPastUse struct{ schedule.PastUse }
+	// ShowHeldMemory shows the memory that accepted jobs take in the metrics; none if this instance is not the
+	// owner.
+	ShowHeldMemory struct{ schedule.HeldMemory }
 	// Log writes one log line about a decision.
 	Log struct{ schedule.Decision }
 	// StartForecast records by how much later a job has started than was forecast.
@@ -53,15 +56,16 @@
 	}
 )
 
-func (Campaign) isEffect()      {}
-func (Recover) isEffect()       {}
-func (Renew) isEffect()         {}
-func (Resign) isEffect()        {}
-func (CancelCalls) isEffect()   {}
-func (CommitRecords) isEffect() {}
-func (RecordCores) isEffect()   {}
-func (Order) isEffect()         {}
-func (ShowPastUse) isEffect()   {}
-func (Log) isEffect()           {}
-func (StartForecast) isEffect() {}
-func (Answer) isEffect()        {}
+func (Campaign) isEffect()       {}
+func (Recover) isEffect()        {}
+func (Renew) isEffect()          {}
+func (Resign) isEffect()         {}
+func (CancelCalls) isEffect()    {}
+func (CommitRecords) isEffect()  {}
+func (RecordCores) isEffect()    {}
+func (Order) isEffect()          {}
+func (ShowPastUse) isEffect()    {}
+func (ShowHeldMemory) isEffect() {}
+func (Log) isEffect()            {}
+func (StartForecast) isEffect()  {}
+func (Answer) isEffect()         {}
--- a/cell/event.go
+++ b/cell/event.go
@@ -136,7 +136,10 @@
 	Submit struct{ Submission }
 	// AdmissionQuery asks whether a submission that is not recorded yet may be recorded. The spec of the
 	// job may be missing.
-	AdmissionQuery struct{ Job *job.Job }
+	AdmissionQuery struct {
+		Job       *job.Job
+		SpecBytes int // length of the spec
+	}
 	// JobStateQuery requests the state of a job on behalf of an instance, which receives
 	// the changes of the job from then on.
 	JobStateQuery struct {
@@ -158,6 +161,7 @@
 		Since     uint64         // sequence number of the last change that the instance received
 		Submitted map[string]int // number of jobs submitted to the instance since its last poll, by team
 		OwnerTime time.Duration  // of the last view; 0 if none was received in this epoch
+		JobMemory int64          // that accepted jobs may take if the instance becomes the owner; 0 if unknown
 	}
 )
 
--- a/cell/state.go
+++ b/cell/state.go
@@ -316,6 +316,9 @@
 	for _, recorded := range recovery.Jobs {
 		s.core.RestoreJob(recorded)
 	}
+	for _, submitted := range s.heldSubmissions {
+		s.core.HoldMemory(submitted.Job)
+	}
 	s.isSuspended = false
 	s.updateAuthority()
 	s.core.SetDirectory(recovery.Workers)
@@ -394,6 +397,7 @@
 	s.log("ownership_ended", "fence", s.ownershipRevision, "why", reason, "renewal_age_ms", milliseconds(s.now.Sub(s.contact.Renewal)))
 	s.emit(CancelCalls{OwnerRevision: s.ownershipRevision})
 	s.emit(ShowPastUse{})
+	s.emit(ShowHeldMemory{})
 	s.core = nil
 	s.heldSubmissions, s.heldCancellations = nil, nil
 	s.changed = true
@@ -414,7 +418,7 @@
 		s.submit(request.Submission)
 		s.emit(Answer{Token: e.Token, Reply: Reply{Found: true}})
 	case AdmissionQuery:
-		s.emit(Answer{Token: e.Token, Reply: Reply{Found: true, Admission: s.core.Admit(request.Job)}})
+		s.emit(Answer{Token: e.Token, Reply: Reply{Found: true, Admission: s.core.Admit(request.Job, request.SpecBytes)}})
 	case JobStateQuery:
 		s.core.Subscribe(request.Job, request.Instance)
 		state, team, queue, found := s.core.StateOf(request.Job)
@@ -426,6 +430,7 @@
 		}
 	case ViewRequest:
 		s.core.ObserveInstance(request.Instance)
+		s.core.ObserveMemoryLimit(request.JobMemory)
 		for team, count := range request.Submitted {
 			s.core.AddDemand(team, count)
 		}
@@ -446,6 +451,8 @@
 			s.emit(StartForecast{Error: e.Error})
 		case schedule.CancelDone:
 			s.emit(Answer{Token: e.Token, Reply: Reply{Found: true, State: job.Cancelled}})
+		case schedule.HeldMemory:
+			s.emit(ShowHeldMemory{e})
 		case schedule.PastUse:
 			s.emit(ShowPastUse{e})
 		case schedule.Commit:
--- a/entry/cell.go
+++ b/entry/cell.go
@@ -11,6 +11,7 @@
 
 	"github.com/mulberrydrum/mulberrydrum/cell"
 	"github.com/mulberrydrum/mulberrydrum/entry/entrypb"
+	"github.com/mulberrydrum/mulberrydrum/holding"
 	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/membership"
 	"github.com/mulberrydrum/mulberrydrum/schedule"
@@ -55,7 +56,7 @@
 // FollowOwner implements entrypb.CellServer.
 func (s *cellService) FollowOwner(ctx context.Context, r *entrypb.FollowRequest) (*entrypb.FollowReply, error) {
 	s.handler.ObserveInstance(Peer{Instance: r.GetInstance(), Address: r.GetAddress(), FailureDomain: r.GetFailureDomain()})
-	request := cell.ViewRequest{Instance: r.GetInstance(), Epoch: r.GetEpoch(), Since: r.GetSince(), Submitted: make(map[string]int), OwnerTime: milliseconds(r.GetOwnerTimeMs())}
+	request := cell.ViewRequest{Instance: r.GetInstance(), Epoch: r.GetEpoch(), Since: r.GetSince(), Submitted: make(map[string]int), OwnerTime: milliseconds(r.GetOwnerTimeMs()), JobMemory: r.GetJobMemoryBytes()}
 	for team, n := range r.GetSubmitted() {
 		request.Submitted[team] = int(n)
 	}
@@ -80,6 +81,9 @@
 	for _, p := range v.Restricted {
 		out.Restricted = append(out.Restricted, &entrypb.RestrictedPair{Queue: p.Queue, Team: p.Team})
 	}
+	if a := v.Allowance; a.Limited {
+		out.Allowance = &entrypb.Allowance{Bytes: a.Bytes, Teams: a.Teams, Queues: a.Queues}
+	}
 	return out
 }
 
@@ -94,6 +98,9 @@
 	for _, p := range r.GetRestricted() {
 		v.Restricted = append(v.Restricted, schedule.Pair{Queue: p.GetQueue(), Team: p.GetTeam()})
 	}
+	if a := r.GetAllowance(); a != nil {
+		v.Allowance = holding.Allowance{Limited: true, Bytes: a.GetBytes(), Teams: a.GetTeams(), Queues: a.GetQueues()}
+	}
 	return v
 }
 
@@ -112,7 +119,7 @@
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	reply, err := s.handler.HandleRequest(ctx, cell.AdmissionQuery{Job: record})
+	reply, err := s.handler.HandleRequest(ctx, cell.AdmissionQuery{Job: record, SpecBytes: int(r.GetSpecBytes())})
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
@@ -121,12 +128,12 @@
 
 func encodeAdmission(reply cell.Reply) *entrypb.AdmitJobReply {
 	a := reply.Admission
-	return &entrypb.AdmitJobReply{NotOwner: reply.NotOwner, Rejected: a.Rejected, Returned: a.Returned, Cause: a.Cause, RetryAfterMs: a.RetryAfter.Milliseconds()}
+	return &entrypb.AdmitJobReply{NotOwner: reply.NotOwner, Rejected: a.Rejected, Returned: a.Returned, Cause: a.Cause, RetryAfterMs: a.RetryAfter.Milliseconds(), KnowsEnded: a.KnowsEnded}
 }
 
 func decodeAdmission(r *entrypb.AdmitJobReply) cell.Reply {
 	return cell.Reply{NotOwner: r.GetNotOwner(), Found: !r.GetNotOwner(), Admission: schedule.Admission{
-		Rejected: r.GetRejected(), Returned: r.GetReturned(), Cause: r.GetCause(), RetryAfter: milliseconds(r.GetRetryAfterMs()),
+		Rejected: r.GetRejected(), Returned: r.GetReturned(), Cause: r.GetCause(), RetryAfter: milliseconds(r.GetRetryAfterMs()), KnowsEnded: r.GetKnowsEnded(),
 	}}
 }
 
@@ -184,7 +191,7 @@
 func (c *Client) FollowOwner(ctx context.Context, address string, self Peer, r cell.ViewRequest) (*schedule.View, error) {
 	request := &entrypb.FollowRequest{
 		Instance: r.Instance, Address: self.Address, FailureDomain: self.FailureDomain,
-		Epoch: r.Epoch, Since: r.Since, Submitted: make(map[string]int64), OwnerTimeMs: r.OwnerTime.Milliseconds(),
+		Epoch: r.Epoch, Since: r.Since, Submitted: make(map[string]int64), OwnerTimeMs: r.OwnerTime.Milliseconds(), JobMemoryBytes: r.JobMemory,
 	}
 	for team, n := range r.Submitted {
 		request.Submitted[team] = int64(n)
@@ -213,7 +220,7 @@
 		if err != nil {
 			return cell.Reply{}, err
 		}
-		reply, err := callCell(ctx, c, address, &entrypb.AdmitJobRequest{Record: record}, entrypb.CellClient.AdmitJob)
+		reply, err := callCell(ctx, c, address, &entrypb.AdmitJobRequest{Record: record, SpecBytes: int64(r.SpecBytes)}, entrypb.CellClient.AdmitJob)
 		if err != nil {
 			return cell.Reply{}, err
 		}
--- /dev/null
+++ b/holding/budget.go
@@ -0,0 +1,268 @@
+package holding
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/mulberrydrum/mulberrydrum/job"
+)
+
+const (
+	// allowanceFraction of the limit is left for jobs that other instances accept without asking the owner.
+	allowanceFraction = 4
+	// queueFactor is the ratio of what one queue may hold to what it must leave free. That of a team is 1, so
+	// that a single team holds at most half. A deployment has few queues.
+	queueFactor = 2
+	// reservationTimeout is the time after which a job that was admitted and not recorded is no longer charged.
+	// Callers wait 3 s, and a record that is written late is charged when it arrives.
+	reservationTimeout = 5 * time.Second
+	// releaseHalfLife is the half-life of the moving average of what is released.
+	releaseHalfLife = 5 * time.Second
+	// maxRetryDelay is the longest time after which a rejected caller is asked to return.
+	maxRetryDelay = 30 * time.Second
+)
+
+// Source is where a job comes from.
+type Source struct{ Queue, Team string }
+
+// Cause names the limit that rejects a job.
+type Cause string
+
+// The causes.
+const (
+	CauseTotal Cause = "memory"       // all jobs together
+	CauseTeam  Cause = "memory_team"  // the jobs of its team
+	CauseQueue Cause = "memory_queue" // the jobs of its queue
+)
+
+// Verdict is the decision about a job that is not recorded yet.
+type Verdict struct {
+	Admitted   bool
+	Cause      Cause         // if not admitted
+	RetryAfter time.Duration // if not admitted; in whole seconds
+}
+
+// Budget is the memory that accepted jobs may take. It is not safe for concurrent use.
+type Budget struct {
+	limit    int64 // 0 for no limit
+	charges  map[job.ID]*charge
+	teams    map[string]int64
+	queues   map[string]int64
+	total    int64
+	reserved int64 // part of total
+
+	releaseRate   float64 // moving average in bytes per second, as of releaseUpdate
+	releaseUpdate time.Time
+}
+
+type charge struct {
+	Source
+	bytes      int64
+	reservedAt time.Time // zero once the job has been recorded
+}
+
+// New returns a budget that nothing is charged to. A limit of 0 admits everything.
+func New(limit int64) *Budget {
+	return &Budget{limit: limit, charges: make(map[job.ID]*charge), teams: make(map[string]int64), queues: make(map[string]int64)}
+}
+
+// SetLimit changes the limit. Jobs that are charged already are kept if they exceed it.
+func (b *Budget) SetLimit(limit int64) { b.limit = limit }
+
+// Limit returns the limit.
+func (b *Budget) Limit() int64 { return b.limit }
+
+// usable returns the part of the limit that the owner hands out itself.
+func (b *Budget) usable() int64 { return b.limit - b.limit/allowanceFraction }
+
+// Admit decides whether a job may be recorded, and charges it for reservationTimeout if so. A job that is
+// charged already is admitted.
+func (b *Budget) Admit(now time.Time, id job.ID, from Source, bytes int64) Verdict {
+	if _, known := b.charges[id]; known {
+		return Verdict{Admitted: true}
+	}
+	if cause, excess := b.exceeded(from, bytes); excess > 0 {
+		return Verdict{Cause: cause, RetryAfter: b.retryDelay(now, excess)}
+	}
+	c := &charge{Source: from, reservedAt: now}
+	b.charges[id] = c
+	b.add(c, bytes)
+	return Verdict{Admitted: true}
+}
+
+// exceeded returns the first limit that a further charge exceeds, and by how much. A team or a queue may hold as
+// much as it leaves free, or a multiple of that: the more of them have work, the less each of them may hold, and
+// one that has none yet always finds room.
+func (b *Budget) exceeded(from Source, bytes int64) (Cause, int64) {
+	if b.limit <= 0 {
+		return "", 0
+	}
+	free := b.usable() - b.total - bytes
+	if free < 0 {
+		return CauseTotal, -free
+	}
+	if excess := b.teams[from.Team] + bytes - free; excess > 0 {
+		return CauseTeam, excess
+	}
+	if excess := b.queues[from.Queue] + bytes - queueFactor*free; excess > 0 {
+		return CauseQueue, excess
+	}
+	return "", 0
+}
+
+// retryDelay returns the time after which an excess will have been released at the present rate.
+func (b *Budget) retryDelay(now time.Time, excess int64) time.Duration {
+	rate := b.currentReleaseRate(now)
+	if rate*maxRetryDelay.Seconds() <= float64(excess) {
+		return maxRetryDelay
+	}
+	return time.Duration(math.Ceil(float64(excess)/rate)) * time.Second
+}
+
+// Hold charges a job that has been recorded, whether it fits or not. It replaces an earlier charge of the job.
+func (b *Budget) Hold(now time.Time, id job.ID, from Source, bytes int64) {
+	b.remove(now, id, false)
+	c := &charge{Source: from}
+	b.charges[id] = c
+	b.add(c, bytes)
+}
+
+// Resize changes the charge of a job, whether it fits or not.
+func (b *Budget) Resize(now time.Time, id job.ID, bytes int64) {
+	c := b.charges[id]
+	if c == nil {
+		return
+	}
+	if bytes < c.bytes {
+		b.countRelease(now, c.bytes-bytes)
+	}
+	b.add(c, bytes-c.bytes)
+}
+
+// Fits reports whether the charge of a job may grow.
+func (b *Budget) Fits(id job.ID, growth int64) bool {
+	c := b.charges[id]
+	if c == nil {
+		return false
+	}
+	_, excess := b.exceeded(c.Source, growth)
+	return excess <= 0
+}
+
+// Release returns the charge of a job.
+func (b *Budget) Release(now time.Time, id job.ID) { b.remove(now, id, true) }
+
+// Withdraw returns the charge of a job that was admitted and will not be recorded.
+func (b *Budget) Withdraw(id job.ID) {
+	if c := b.charges[id]; c != nil && !c.reservedAt.IsZero() {
+		b.remove(c.reservedAt, id, false)
+	}
+}
+
+// Expire returns the charges of jobs that were admitted a while ago and have not been recorded.
+func (b *Budget) Expire(now time.Time) {
+	if b.reserved == 0 {
+		return
+	}
+	for id, c := range b.charges {
+		if !c.reservedAt.IsZero() && now.Sub(c.reservedAt) > reservationTimeout {
+			b.remove(now, id, false)
+		}
+	}
+}
+
+// remove removes a charge. A release counts for the rate at which memory becomes free.
+func (b *Budget) remove(now time.Time, id job.ID, isRelease bool) {
+	c := b.charges[id]
+	if c == nil {
+		return
+	}
+	if isRelease {
+		b.countRelease(now, c.bytes)
+	}
+	b.add(c, -c.bytes)
+	delete(b.charges, id)
+}
+
+// add changes a charge, by which it also changes the sums.
+func (b *Budget) add(c *charge, bytes int64) {
+	c.bytes += bytes
+	b.total += bytes
+	if !c.reservedAt.IsZero() {
+		b.reserved += bytes
+	}
+	addTo(b.teams, c.Team, bytes)
+	addTo(b.queues, c.Queue, bytes)
+}
+
+func addTo(sums map[string]int64, name string, bytes int64) {
+	if sums[name] += bytes; sums[name] == 0 {
+		delete(sums, name)
+	}
+}
+
+func (b *Budget) countRelease(now time.Time, bytes int64) {
+	b.releaseRate = b.currentReleaseRate(now) + float64(bytes)*math.Ln2/releaseHalfLife.Seconds()
+	b.releaseUpdate = now
+}
+
+func (b *Budget) currentReleaseRate(now time.Time) float64 {
+	if b.releaseUpdate.IsZero() {
+		return 0
+	}
+	return b.releaseRate * math.Exp2(-now.Sub(b.releaseUpdate).Seconds()/releaseHalfLife.Seconds())
+}
+
+// Allowance is what an instance may accept without asking the owner, until it receives another one.
+type Allowance struct {
+	Limited bool  // otherwise there is no limit
+	Bytes   int64 // of jobs that the owner does not know yet
+	Teams   []string
+	Queues  []string // jobs of these teams and queues are not covered while the owner can be asked
+}
+
+// AllowanceOf returns the allowance of one of a number of instances.
+func (b *Budget) AllowanceOf(instances int) Allowance {
+	if b.limit <= 0 {
+		return Allowance{}
+	}
+	free := b.usable() - b.total
+	a := Allowance{Limited: true, Bytes: max(0, min(free, b.limit/allowanceFraction/int64(max(1, instances))))}
+	// Beyond half of what they may hold, since the jobs that instances accept meanwhile are not charged yet.
+	const margin = 2
+	for team, bytes := range b.teams {
+		if margin*bytes > free {
+			a.Teams = append(a.Teams, team)
+		}
+	}
+	for queue, bytes := range b.queues {
+		if margin*bytes > queueFactor*free {
+			a.Queues = append(a.Queues, queue)
+		}
+	}
+	slices.Sort(a.Teams)
+	slices.Sort(a.Queues)
+	return a
+}
+
+// InitialAllowance returns the allowance of an instance that has not received one. It assumes a number of
+// instances, which it cannot know.
+func InitialAllowance(limit int64) Allowance {
+	const assumedInstances = 32
+	if limit <= 0 {
+		return Allowance{}
+	}
+	return Allowance{Limited: true, Bytes: limit / allowanceFraction / assumedInstances}
+}
+
+// Stats are the current values of a Budget.
+type Stats struct {
+	Limit, Bytes, Reserved int64
+	Jobs                   int
+}
+
+// Stats returns the current values.
+func (b *Budget) Stats() Stats {
+	return Stats{Limit: b.limit, Bytes: b.total, Reserved: b.reserved, Jobs: len(b.charges)}
+}
--- a/instance/accept.go
+++ b/instance/accept.go
@@ -48,6 +48,7 @@
 	ctx    context.Context
 	job    *job.Job
 	record []byte
+	taken  int64 // see admission
 	done   chan error
 }
 
@@ -73,9 +74,23 @@
 		i.cfg.Journal.Event("refused", "job", string(j.ID), "why", "team_rate", "team", j.Team)
 		return errkind.New(errkind.OverLimit, "team %s exceeds its share of submissions while its jobs are waiting", j.Team).WithRetryAfter(retryAfterOverLimit)
 	}
-	if err := i.askOwner(ctx, j); err != nil {
+	admitted, err := i.admit(ctx, j)
+	if err != nil {
 		return err
 	}
+	err = i.record(ctx, j, admitted)
+	switch {
+	case err == nil:
+	case errkind.From(err).Fate() == errkind.FateNotRun:
+		i.allowance.giveBack(admitted.taken)
+	default:
+		i.allowance.linger(admitted.taken, time.Now())
+	}
+	return err
+}
+
+// record writes an admitted job and returns once it is durable, or if it already is.
+func (i *Instance) record(ctx context.Context, j *job.Job, admitted admission) error {
 	j.AcceptedBy = i.cfg.Name
 	record, err := job.Encode(j)
 	if err != nil {
@@ -85,7 +100,7 @@
 		i.cfg.Journal.Event("refused", "job", string(j.ID), "why", "record_too_large", "bytes", len(record), "limit", limit)
 		return errkind.New(errkind.RequestTooLarge, "the record of job %s has %d bytes, the store accepts %d", j.ID, len(record), limit)
 	}
-	pending := &pendingSubmission{ctx: ctx, job: j, record: record, done: make(chan error, 1)}
+	pending := &pendingSubmission{ctx: ctx, job: j, record: record, taken: admitted.taken, done: make(chan error, 1)}
 	select {
 	case i.submissions <- pending:
 	default:
@@ -195,9 +210,13 @@
 	i.cfg.Journal.Event("accepted", "job", string(submission.job.ID), "queue", submission.job.Queue, "team", submission.job.Team, "revision", revision)
 	go func() {
 		request := cell.Submit{Submission: cell.Submission{Job: submission.job, Revision: revision}}
-		if reply, err := i.callOwner(i.ctx, i.cfg.Timing.OwnerRequestTimeout, request); err != nil || reply.NotOwner {
-			i.cfg.Journal.Event("owner was not notified of the job", "job", string(submission.job.ID), "not_owner", reply.NotOwner, "error", err)
+		reply, err := i.callOwner(i.ctx, i.cfg.Timing.OwnerRequestTimeout, request)
+		if err == nil && !reply.NotOwner {
+			i.allowance.confirm(submission.taken)
+			return
 		}
+		i.allowance.linger(submission.taken, time.Now())
+		i.cfg.Journal.Event("owner was not notified of the job", "job", string(submission.job.ID), "not_owner", reply.NotOwner, "error", err)
 	}()
 }
 
@@ -213,6 +232,7 @@
 		if kv, open := recorded[jobKey(submission.job.ID)]; open {
 			i.resolveDuplicate(submission, kv)
 		} else if _, ended := recorded[finalKey(submission.job.ID)]; ended {
+			i.allowance.giveBack(submission.taken)
 			submission.done <- nil
 		} else {
 			rest = append(rest, submission)
--- a/instance/admit.go
+++ b/instance/admit.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/cell"
 	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/holding"
 	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
@@ -18,44 +20,133 @@
 	maxAdmissionQueries = 64
 	// recordedTimeout bounds the check whether a rejected submission is already recorded.
 	recordedTimeout = 500 * time.Millisecond
+	// recordLookupRate limits these checks, which are one or two reads of the store each: clients that are refused
+	// may return at once, and the store's calls are limited for all instances together.
+	recordLookupRate  = 100 // per second
+	recordLookupBurst = 10
+	// causeNoOwner is the cause of a rejection without an answer of the owner.
+	causeNoOwner = "memory_without_owner"
+	// retryAfterNoOwner is the retry hint for it. A takeover takes two to three seconds.
+	retryAfterNoOwner = 2 * time.Second
 )
 
-// askOwner asks the owner whether a submission may be recorded if its queue and team are restricted. It
-// returns the rejection, or nil. Without an answer the submission is accepted.
-func (i *Instance) askOwner(ctx context.Context, j *job.Job) error {
-	if !i.view.isRestricted(schedule.Pair{Queue: j.Queue, Team: j.Team}, time.Now()) {
-		return nil
+// memoryCauses are the causes of rejections for want of memory.
+var memoryCauses = []string{string(holding.CauseTotal), string(holding.CauseTeam), string(holding.CauseQueue), causeNoOwner}
+
+func isMemoryCause(cause string) bool { return slices.Contains(memoryCauses, cause) }
+
+// admission is the permission to record a job.
+type admission struct {
+	// taken is the memory of the job that is charged to the allowance of this instance, 0 if the owner has
+	// charged it.
+	taken int64
+}
+
+// admit decides whether a submission may be recorded. The owner is asked if the queue and team are restricted, or
+// if the allowance of this instance does not cover the memory of the job. Without an answer the submission is
+// admitted if the allowance covers it.
+func (i *Instance) admit(ctx context.Context, j *job.Job) (admission, error) {
+	from, bytes := holding.Source{Queue: j.Queue, Team: j.Team}, schedule.MemoryOf(j)
+	isRestricted := i.view.isRestricted(schedule.Pair{Queue: j.Queue, Team: j.Team}, time.Now())
+	if !isRestricted && i.allowance.take(from, bytes, true) {
+		return admission{taken: bytes}, nil
+	}
+	decided, err := i.askOwner(ctx, j)
+	switch {
+	case err != nil:
+		return admission{}, err
+	case decided:
+		return admission{}, nil
+	case i.allowance.take(from, bytes, false):
+		return admission{taken: bytes}, nil
 	}
+	return admission{}, i.refuse(ctx, j, schedule.Admission{Rejected: true, Cause: causeNoOwner, RetryAfter: retryAfterNoOwner})
+}
+
+// askOwner asks the owner whether a submission may be recorded, and returns its refusal. decided is false without
+// an answer.
+func (i *Instance) askOwner(ctx context.Context, j *job.Job) (decided bool, err error) {
 	if i.admissionQueries.Add(1) > maxAdmissionQueries {
 		i.admissionQueries.Add(-1)
-		return nil
+		return false, nil
 	}
 	// A copy, since the control goroutine may still read it after a timeout. The decision does not depend on
-	// the spec, which may be long.
+	// the text of the spec.
 	query := *j
 	query.Spec = ""
-	reply, err := i.callOwner(ctx, admissionTimeout, cell.AdmissionQuery{Job: &query})
+	reply, err := i.callOwner(ctx, admissionTimeout, cell.AdmissionQuery{Job: &query, SpecBytes: len(j.Spec)})
 	i.admissionQueries.Add(-1)
 	if err != nil || reply.NotOwner {
-		i.cfg.Journal.Event("admitted without the owner", "job", string(j.ID), "queue", j.Queue, "team", j.Team, "not_owner", reply.NotOwner, "error", err)
-		return nil
+		i.cfg.Journal.Event("owner did not decide", "job", string(j.ID), "queue", j.Queue, "team", j.Team, "not_owner", reply.NotOwner, "error", err)
+		return false, nil
 	}
-	if reply.Admission.Rejected && i.mayBeRecorded(ctx, j.ID) {
-		return nil // its state is reported to the caller as for any repeated submission
-	}
-	i.metrics.recordAdmission(reply.Admission)
 	if !reply.Admission.Rejected {
+		i.metrics.recordAdmission(reply.Admission)
+		return true, nil
+	}
+	return true, i.refuse(ctx, j, reply.Admission)
+}
+
+// refuse returns the refusal of a submission, or nil if the job is already recorded: its state is then reported
+// to the caller as for any repeated submission.
+func (i *Instance) refuse(ctx context.Context, j *job.Job, a schedule.Admission) error {
+	if !isMemoryCause(a.Cause) {
+		if i.lookUpRecord(ctx, j.ID, false) != recordMissing {
+			return nil
+		}
+		i.metrics.recordAdmission(a)
+		i.cfg.Journal.Event("refused", "job", string(j.ID), "why", a.Cause, "queue", j.Queue, "team", j.Team, "retry_after_s", a.RetryAfter.Seconds())
+		return errkind.New(errkind.QueueFull, "the queue %s is too long for job %s to end while it is of use", j.Queue, j.ID).WithRetryAfter(a.RetryAfter)
+	}
+	state := recordUnknown
+	if i.awaitLookup(ctx) {
+		state = i.lookUpRecord(ctx, j.ID, a.KnowsEnded)
+	}
+	switch state {
+	case recordExists:
 		return nil
+	case recordUnknown:
+		return errkind.New(errkind.OutcomeUnknown, "job %s is not admitted (%s), and it is not known whether it was accepted before", j.ID, a.Cause)
 	}
-	i.cfg.Journal.Event("refused", "job", string(j.ID), "why", reply.Admission.Cause, "queue", j.Queue, "team", j.Team, "retry_after_s", reply.Admission.RetryAfter.Seconds())
-	return errkind.New(errkind.QueueFull, "the queue %s is too long for job %s to end while it is of use", j.Queue, j.ID).WithRetryAfter(reply.Admission.RetryAfter)
+	i.metrics.recordAdmission(a)
+	i.memoryRefusals.add(time.Now(), a.Cause)
+	return errkind.New(errkind.Overloaded, "the memory for accepted jobs is exhausted (%s)", a.Cause).WithRetryAfter(a.RetryAfter)
 }
 
-// mayBeRecorded reports whether a job is recorded, or cannot be shown not to be. The owner forgets jobs
-// that ended a while ago and may not yet know one that was just recorded.
-func (i *Instance) mayBeRecorded(ctx context.Context, id job.ID) bool {
+// awaitLookup waits until the record of a refused submission may be looked up, at most for recordedTimeout. It
+// returns false at once if that would take longer.
+func (i *Instance) awaitLookup(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, recordedTimeout)
 	defer cancel()
-	record, final, err := i.readJob(ctx, id)
-	return err != nil || record != nil || final != nil
+	return i.recordLookups.Wait(ctx) == nil
+}
+
+// recordState is what is known about the record of a job.
+type recordState int
+
+const (
+	recordMissing recordState = iota
+	recordExists
+	recordUnknown // it could not be read
+)
+
+// lookUpRecord reports whether a job is recorded. The owner forgets jobs that ended a while ago and may not yet
+// know one that was just recorded. Records of jobs that have ended are not read if the owner knows them.
+func (i *Instance) lookUpRecord(ctx context.Context, id job.ID, knowsEnded bool) recordState {
+	ctx, cancel := context.WithTimeout(ctx, recordedTimeout)
+	defer cancel()
+	keys := []string{jobKey(id), finalKey(id)} // a job that ends between the two reads is found by the second one
+	if knowsEnded {
+		keys = keys[:1]
+	}
+	for _, key := range keys {
+		_, found, _, err := i.cfg.Store.Get(ctx, key)
+		if err != nil {
+			return recordUnknown
+		}
+		if found {
+			return recordExists
+		}
+	}
+	return recordMissing
 }
--- a/instance/execute.go
+++ b/instance/execute.go
@@ -19,6 +19,8 @@
 		i.cfg.Journal.Decision(e.Decision)
 	case cell.ShowPastUse:
 		i.metrics.showPastUse(e.PastUse)
+	case cell.ShowHeldMemory:
+		i.metrics.showHeldMemory(e)
 	case cell.StartForecast:
 		i.metrics.forecastError.Update(e.Error.Milliseconds())
 	case cell.Campaign:
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/mulberrydrum/mulberrydrum/cell"
 	"github.com/mulberrydrum/mulberrydrum/clock"
@@ -118,7 +119,10 @@
 	relays      *relays
 	resends     *resendBudget
 
-	view *ownerView
+	view           *ownerView
+	allowance      *memoryAllowance
+	memoryRefusals memoryRefusals
+	recordLookups  *rate.Limiter // of refused submissions
 
 	ctx              context.Context // of all effects
 	ownerCtx         context.Context // of effects of the current ownership; set by the control goroutine
@@ -146,6 +150,9 @@
 		submissions:    make(chan *pendingSubmission, acceptQueueLength),
 		resigned:       make(chan struct{}),
 		view:           newOwnerView(),
+		allowance:      newMemoryAllowance(cfg.Schedule.JobMemory),
+		memoryRefusals: memoryRefusals{logEvent: cfg.Journal.Event},
+		recordLookups:  rate.NewLimiter(recordLookupRate, recordLookupBurst),
 		failuresByCall: make(map[string]storeFailures),
 		metrics:        newRequestMetrics(cfg.Metrics),
 		resends:        newResendBudget(cfg.Metrics),
--- a/instance/view.go
+++ b/instance/view.go
@@ -208,8 +208,11 @@
 // followView polls the current owner and updates the view until ctx ends.
 func (i *Instance) followView(ctx context.Context) error {
 	for ctx.Err() == nil {
+		confirmed := i.allowance.requested()
 		if view := i.requestView(ctx); view != nil {
 			i.view.merge(view, time.Now())
+			i.allowance.receive(view.Allowance, confirmed, time.Now())
+			i.metrics.showAllowance(i.allowance.unusedBytes())
 		}
 		sleep(ctx, i.view.pollDelay(i.cfg.Timing.ViewPollInterval))
 	}
@@ -224,6 +227,7 @@
 	ctx, cancel := context.WithTimeout(ctx, i.cfg.Timing.OwnerRequestTimeout)
 	defer cancel()
 	request := i.view.nextRequest(i.cfg.Name)
+	request.JobMemory = i.cfg.Schedule.JobMemory
 	if s.Owner.Instance == i.cfg.Name {
 		reply, err := i.loop.Call(ctx, request)
 		if err != nil {
--- a/schedule/admissionload_test.go
+++ b/schedule/admissionload_test.go
@@ -129,7 +129,7 @@
 	}
 	l.after(l.delay(), func() {
 		var decision Admission
-		l.dispatch(func(c *Core) { decision = c.Admit(j) })
+		l.dispatch(func(c *Core) { decision = c.Admit(j, len(j.Spec)) })
 		switch {
 		case !decision.Rejected:
 			l.accept(j)
--- a/schedule/admit_test.go
+++ b/schedule/admit_test.go
@@ -31,7 +31,7 @@
 }
 
 func (s *simulation) admit(j *job.Job) (decision Admission) {
-	s.dispatch(func(c *Core) { decision = c.Admit(j) })
+	s.dispatch(func(c *Core) { decision = c.Admit(j, len(j.Spec)) })
 	return decision
 }
 
--- a/schedule/advice.go
+++ b/schedule/advice.go
@@ -42,6 +42,9 @@
 	return t.text, true
 }
 
+// entries returns the number of entries by worker, which determine the memory that the state takes.
+func (a *adviceState) entries() int { return len(a.tickets) + len(a.queried) }
+
 // expireTicket invalidates the ticket of a worker but keeps the worker eligible for the step.
 func (a *adviceState) expireTicket(worker string) {
 	if t, ok := a.tickets[worker]; ok {
@@ -431,6 +434,7 @@
 		return
 	}
 	firstReply := len(s.advice.queried) == 0
+	s.job.adviceEntries -= s.advice.entries()
 	for _, id := range e.Call.Workers {
 		w := c.workers[id]
 		if w == nil || w.Incarnation != s.advice.named[id] {
@@ -442,6 +446,8 @@
 			s.advice.tickets[id] = ticket{text: text, incarnation: w.Incarnation, expiresAt: c.now.Add(e.Validity)}
 		}
 	}
+	s.job.adviceEntries += s.advice.entries()
+	c.chargeMemory(s.job)
 	s.advice.named = nil
 	s.advice.answered = c.now
 	s.resetPlanBackoff()
--- a/schedule/bench_admit_test.go
+++ b/schedule/bench_admit_test.go
@@ -22,7 +22,7 @@
 					c.Begin(now, now)
 					n++
 					j := shortJob(1_000_000+n, "gangs", fmt.Sprint("t", n%20))
-					c.Admit(j)
+					c.Admit(j, len(j.Spec))
 					if interval > 0 {
 						c.restrictedPairs()
 					}
--- a/schedule/commit.go
+++ b/schedule/commit.go
@@ -136,6 +136,7 @@
 			c.finals[j.ID] = endedJob{*change.Final, j.subscribers, c.now, e.Revision}
 			c.publish(j, j.state)
 			delete(c.jobs, j.ID)
+			c.held.Resize(c.now, j.ID, endedMemory)
 			for _, token := range j.cancelTokens {
 				c.emit(CancelDone{Token: token})
 			}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mulberrydrum/mulberrydrum/holding"
 	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/task"
 )
@@ -19,6 +20,7 @@
 	RunsPerEpoch      int           // number of run numbers that one owner may use for a task
 
 	PastUseHalfLife time.Duration // half-life of the past use of teams; 0 ignores past use
+	JobMemory       int64         // bytes that accepted jobs may take; 0 for no limit
 	Forecast        bool          // reject jobs that cannot end while their result is of use
 	LearnSpeeds     bool          // learn the speeds of workers and the errors of estimates
 }
@@ -68,6 +70,8 @@
 	usage         map[string]*teamUsage
 	window        orderWindow
 	pastUse       pastUseState
+	held          *holding.Budget // memory of the jobs and of submissions that may be recorded
+	memoryLimit   memoryLimit
 
 	workers              map[string]*worker
 	firstPolls           int                         // workers that are being polled for the first time
@@ -127,6 +131,8 @@
 func New(now time.Time, cfg Config, epoch int64, catalog *job.Catalog, roster []RosterEntry) *Core {
 	c := &Core{
 		cfg: cfg, epoch: epoch, catalog: catalog, now: now,
+		held:               holding.New(cfg.JobMemory),
+		memoryLimit:        memoryLimit{cfg.JobMemory, now},
 		jobs:               make(map[job.ID]*jobState),
 		recurring:          make(map[job.ID]*jobState),
 		steps:              make(map[job.StepKey]*stepState),
@@ -241,6 +247,7 @@
 	c.recordBegins()
 	c.removeSilentProxies()
 	c.expireAdmissions()
+	c.held.Expire(c.now)
 	if c.now.Sub(c.finalsEvictedAt) > finalRetention/10 {
 		c.finalsEvictedAt = c.now
 		c.evictFinals()
@@ -252,6 +259,7 @@
 	if c.now.Sub(c.summaryLoggedAt) >= summaryInterval {
 		c.summaryLoggedAt = c.now
 		c.updateFleetSpeed()
+		c.emit(HeldMemory{c.held.Stats()})
 		c.logSummary()
 	}
 }
@@ -269,9 +277,10 @@
 		capacity, used, reserved = capacity+u.capacity, used+u.used, reserved+c.reservedCPU[service]
 	}
 	pending, unanswered := c.countWaitingJobs()
+	held := c.held.Stats()
 	c.emit(Decision{Event: "partition", Fields: append([]any{
 		"jobs", len(c.jobs), "pending", pending, "unanswered", unanswered, "steps", len(c.steps), "workers", len(c.workers), "unresolved", len(c.unresolved),
-		"held_back", c.heldBackSteps(),
+		"held_back", c.heldBackSteps(), "memory_kb", held.Bytes >> 10, "memory_limit_kb", held.Limit >> 10,
 		"cores", capacity / 1000, "used", used / 1000, "kept", reserved / 1000, "kept_idle", c.reservedIdleCPU() / 1000, "stranded", c.strandedCPU() / 1000,
 		"lanes", len(c.proxies), "lanes_busy", c.busyProxyShare(), "pass_us", c.lastPassDuration.Microseconds(), "passes", c.passes,
 	}, c.speedSummary()...)})
--- a/schedule/decide.go
+++ b/schedule/decide.go
@@ -44,6 +44,9 @@
 	Returned   bool          // the caller was rejected before and has returned in its time
 	Cause      string        // of a rejection
 	RetryAfter time.Duration // when the caller of a rejected submission should return, in whole seconds
+	// KnowsEnded means that the owner knows all jobs that have ended within finalRetention, so that a job that it
+	// does not know is not one of these.
+	KnowsEnded bool
 }
 
 // Causes of rejections.
@@ -104,12 +107,29 @@
 	r.rate, r.updatedAt = r.current(now).plus(work, math.Ln2/inflowHalfLife.Seconds()), now
 }
 
-// Admit decides whether a submission that is not recorded yet is accepted. A job that is already known
-// is admitted, since its repeated submission must not be rejected.
-func (c *Core) Admit(submitted *job.Job) Admission {
+// Admit decides whether a submission that is not recorded yet is accepted, and charges the memory that it
+// takes if so. Its spec may be missing. A job that is already known is admitted, since its repeated submission
+// must not be rejected.
+func (c *Core) Admit(submitted *job.Job, specBytes int) Admission {
+	if c.isKnown(submitted.ID) || submitted.Check() != nil {
+		return Admission{}
+	}
+	if a := c.admitMemory(submitted, specBytes); a.Rejected {
+		a.KnowsEnded = c.now.Sub(c.admission.since) > finalRetention
+		return a
+	}
+	decision := c.admitByForecast(submitted)
+	if decision.Rejected {
+		c.held.Withdraw(submitted.ID)
+	}
+	return decision
+}
+
+// admitByForecast decides whether a submission that is not recorded yet can end while its result is of use.
+func (c *Core) admitByForecast(submitted *job.Job) Admission {
 	a := &c.admission
 	q := c.catalog.Queue(submitted.Queue)
-	if !c.cfg.Forecast || q == nil || c.isKnown(submitted.ID) || submitted.Check() != nil {
+	if !c.cfg.Forecast || q == nil {
 		return Admission{}
 	}
 	c.recordPair(Pair{submitted.Queue, submitted.Team})
--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -38,6 +38,9 @@
 	cancelTokens    []uint64 // tokens of callers that wait until the cancellation is recorded
 	nextOccurrence  int      // first occurrence that is not active yet
 	activeTasks     int      // unfinished tasks of the active occurrences
+
+	activeOccurrences int // with unfinished tasks
+	adviceEntries     int // of its active steps, see adviceState.entries
 }
 
 // stepState is an unfinished step of one occurrence of a job.
@@ -131,6 +134,7 @@
 		j.progress.Failed = make(map[string]job.Failures)
 	}
 	c.jobs[j.ID] = j
+	c.held.Hold(c.now, j.ID, j.source(), j.memory())
 	if j.state == job.Pending {
 		c.pendingJobs[j.Queue]++
 	}
@@ -199,8 +203,8 @@
 		if !due.IsZero() && c.wall.Before(due) {
 			return
 		}
-		if j.activeTasks > 0 && j.activeTasks+j.TaskCount() > job.MaxTasks {
-			return // bounds the memory and the progress record of the job
+		if !c.canActivate(j) {
+			return
 		}
 		c.activateNext(j)
 	}
@@ -232,6 +236,7 @@
 		j.unfinishedSteps -= len(j.Steps)
 		return
 	}
+	activeTasks := j.activeTasks
 	for i := range j.Steps {
 		s := &stepState{
 			key: job.StepKey{Job: j.ID, Occurrence: occurrence, Step: i}, job: j, spec: &j.Steps[i],
@@ -248,6 +253,10 @@
 		j.activeTasks += s.unfinishedTasks
 		c.steps[s.key] = s
 	}
+	if j.activeTasks > activeTasks {
+		j.activeOccurrences++
+		c.chargeMemory(j)
+	}
 	c.markReadySteps(j, occurrence)
 	c.passDue = true
 }
@@ -323,6 +332,7 @@
 	c.releaseReservation(s)
 	s.estimate.runs.Evaluate(&c.learned.fleet)
 	delete(c.steps, s.key)
+	j.adviceEntries -= s.advice.entries()
 	j.unfinishedSteps--
 	if j.unfinishedSteps == 0 {
 		c.finishJob(j, job.Completed)
@@ -353,6 +363,7 @@
 			delete(j.progress.Failed, name+"."+strconv.Itoa(i))
 		}
 	}
+	c.occurrenceEnded(j)
 }
 
 // countFailure counts a failed run and reports whether the job has thereby failed. Long-lived tasks
@@ -371,6 +382,7 @@
 	}
 	*failures = append(slices.Clone(*failures), run)
 	s.job.progress.Failed[name] = *failures
+	c.chargeMemory(s.job)
 	c.markDirty(s.job)
 	if s.job.terms.MaxAttempts > 0 && len(*failures) >= s.job.terms.MaxAttempts {
 		c.finishJob(s.job, job.Failed)
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -70,6 +70,7 @@
 	faults        []string
 	onAdviceCall  func(AdviceCall) // called for each advice call; may be nil
 	forecast      bool             // Config.Forecast of the next owner
+	jobMemory     int64            // Config.JobMemory of the next owner
 
 	forecastErrors []time.Duration // see ForecastChecked
 
@@ -215,6 +216,7 @@
 	cfg.PastUseHalfLife = s.pastUseHalfLife
 	cfg.LearnSpeeds = s.speeds.learn
 	cfg.Forecast = s.forecast
+	cfg.JobMemory = s.jobMemory
 	s.core = New(s.now, cfg, s.fence, s.catalog, s.roster)
 	s.dispatch(func(c *Core) {
 		c.RestorePastUse(s.pastUse)
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/mulberrydrum/mulberrydrum/holding"
 	"github.com/mulberrydrum/mulberrydrum/job"
 )
 
@@ -28,6 +29,7 @@
 	PendingJobs   map[string]int     // number of pending jobs, by queue
 	AdmittedShare map[string]float64 // share of a team's submissions to accept; 1 if missing
 	Restricted    []Pair             // for submissions of which the owner must be asked
+	Allowance     holding.Allowance  // of the memory for accepted jobs
 	PollAfter     time.Duration      // delay before the instance's next request
 	OwnerTime     time.Duration      // reading of the owner's clock, which the next request returns
 }
@@ -98,7 +100,7 @@
 func (c *Core) ViewSince(instance string, epoch int64, since uint64) View {
 	v := View{
 		Epoch: c.epoch, Sequence: c.sequence, PendingJobs: make(map[string]int),
-		PollAfter: c.pollInterval(),
+		PollAfter: c.pollInterval(), Allowance: c.held.AllowanceOf(len(c.proxies)),
 	}
 	if c.cfg.Forecast {
 		v.Restricted = c.restrictedPairs()
@@ -144,6 +146,7 @@
 	for id, f := range c.finals {
 		if c.now.Sub(f.recordedAt) > finalRetention && f.revision <= c.inboxRevision {
 			delete(c.finals, id)
+			c.held.Release(c.now, id)
 		}
 	}
 }
