--- a/cmd/mulberryd/main.go
+++ b/cmd/mulberryd/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -58,7 +59,10 @@
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(daemon.FromSettings(s), logger)
+	cfg := daemon.FromSettings(s)
+	const softLimitFraction = 0.75 // the rest is for stacks, buffers of the kernel and the program itself
+	debug.SetMemoryLimit(int64(softLimitFraction * float64(cfg.MemoryBytes)))
+	d, err := daemon.New(cfg, logger)
 	if err != nil {
 		return err
 	}
--- a/control/attempts.go
+++ b/control/attempts.go
@@ -227,7 +227,7 @@
 	if !ok {
 		return
 	}
-	delete(w.attempts, id)
+	w.forget(a)
 	w.tombstones[id] = w.now.Add(tombstoneLifetime)
 	if worker, found := w.workers[a.worker]; found && !slices.Contains(worker.pendingAcks, id) {
 		worker.pendingAcks = append(worker.pendingAcks, id)
--- a/control/home.go
+++ b/control/home.go
@@ -112,7 +112,7 @@
 		return
 	}
 	step := ledger.PostCommitStep{Kind: ledger.StepAccepted, Job: job, Token: token}
-	record, isNew, err := h.ledger.Submit(h.shardOf(job), req.Spec, step)
+	record, isNew, err := h.ledger.Submit(h.now, h.shardOf(job), req.Spec, step)
 	if err != nil {
 		h.replyRefusal(token, job, err)
 		return
@@ -285,7 +285,7 @@
 		h.recordEvent(timeline.Event{Type: timeline.RequestAnswered, Team: job.Team, Task: t.ID, Kind: string(t.State)})
 	}
 	if !view.Spec.Kind.IsDurable() && view.State() == task.NotRun {
-		h.ledger.DeleteMemoryOnly(job)
+		h.ledger.DeleteMemoryOnly(h.now, job)
 	}
 }
 
--- a/control/loop.go
+++ b/control/loop.go
@@ -28,6 +28,8 @@
 
 	applyTime         metrics.Histogram
 	allowanceRefusals atomic.Uint64
+	shortWorkBytes    atomic.Int64
+	placedWorkBytes   atomic.Int64
 }
 
 // NewLoop returns a loop for a state that receives a Tick at the given interval. Effects other than
@@ -48,6 +50,12 @@
 // AllowanceRefusals returns how often a start was refused because its team lacked allowance.
 func (l *Loop) AllowanceRefusals() uint64 { return l.allowanceRefusals.Load() }
 
+// WorkMemory returns the memory that short work takes at its home, and that placed work takes at its owner, in
+// bytes.
+func (l *Loop) WorkMemory() (short, placed int64) {
+	return l.shortWorkBytes.Load(), l.placedWorkBytes.Load()
+}
+
 // Post sends an event to the control goroutine. It returns the error of ctx if ctx ends before the
 // event is queued.
 func (l *Loop) Post(ctx context.Context, e Event) error {
@@ -118,6 +126,8 @@
 		l.execute(effect)
 	}
 	l.allowanceRefusals.Store(l.state.owner.allowanceRefusals)
+	l.shortWorkBytes.Store(l.state.home.ledger.MemoryOnlyStats().Bytes)
+	l.placedWorkBytes.Store(l.state.owner.memory.Stats().Bytes)
 	l.applyTime.Update(int64(time.Since(started)))
 }
 
--- a/control/owner.go
+++ b/control/owner.go
@@ -6,6 +6,7 @@
 	"github.com/mulberrydrum/mulberrydrum/allowance"
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 	"github.com/mulberrydrum/mulberrydrum/fairshare"
+	"github.com/mulberrydrum/mulberrydrum/holding"
 	"github.com/mulberrydrum/mulberrydrum/ledger"
 	"github.com/mulberrydrum/mulberrydrum/placement"
 	"github.com/mulberrydrum/mulberrydrum/quarantine"
@@ -33,6 +34,8 @@
 	partitions map[string]*partition
 	workers    map[string]*workerState
 	attempts   map[task.Attempt]*attempt
+	// memory limits the payloads of the attempts.
+	memory *holding.Budget[task.Attempt]
 	// blocked contains the teams of which none of the first queued tasks could be started. They are
 	// skipped until the missing resource may be available again, so that they are not retried on
 	// every event.
@@ -160,12 +163,38 @@
 	if err := w.queues.Push(w.now, w.entryOf(a)); err != nil {
 		return err
 	}
+	if err := w.chargeMemory(a); err != nil {
+		w.queues.Remove(a.id)
+		return err
+	}
 	w.attempts[p.Attempt] = a
 	delete(w.blocked, a.team)
 	w.recordEvent(timeline.Event{Type: timeline.TaskQueued, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Partition: a.partition, Epoch: epoch})
 	return nil
 }
 
+// attemptMemory is an upper bound of the memory of an attempt without its payload, in bytes.
+const attemptMemory = 2000
+
+// chargeMemory charges the memory of a new attempt, or refuses the attempt if there is none. Its home tries
+// another partition, or tells the caller that it was not run.
+func (w *owner) chargeMemory(a *attempt) *errkind.Error {
+	spec := &a.placement.Spec
+	from, bytes := holding.Source{Queue: string(spec.Service), Team: string(spec.Team)}, attemptMemory+int64(len(spec.Payload))
+	verdict := w.memory.Admit(w.now, a.id, from, bytes)
+	if !verdict.Admitted {
+		return errkind.New(errkind.Overloaded, "the memory for queued work is exhausted (%s)", verdict.Cause).WithRetryAfter(verdict.RetryAfter)
+	}
+	w.memory.Hold(w.now, a.id, from, bytes)
+	return nil
+}
+
+// forget deletes an attempt and returns its memory.
+func (w *owner) forget(a *attempt) {
+	delete(w.attempts, a.id)
+	w.memory.Release(w.now, a.id)
+}
+
 // withdraw removes the attempts that are queued or await a permit, and confirms that they have not
 // run. Attempts that may be running are stopped, and their outcome is reported later.
 func (w *owner) withdraw(token uint64, req WithdrawRequest) {
@@ -195,7 +224,7 @@
 // discard deletes an attempt that provably has not run. From now on its placement is refused.
 func (w *owner) discard(a *attempt) {
 	w.failProbe(a)
-	delete(w.attempts, a.id)
+	w.forget(a)
 	w.tombstones[a.id] = w.now.Add(tombstoneLifetime)
 	w.recordEvent(timeline.Event{Type: timeline.TaskNotRun, Team: a.team, Task: a.id.Task, Attempt: a.id.Number, Partition: a.partition})
 }
@@ -309,6 +338,8 @@
 	w.release(a)
 	w.failProbe(a)
 	a.stage = stageEnded
+	a.placement.Spec.Payload = nil
+	w.memory.Resize(w.now, a.id, attemptMemory)
 	outcome.Attempt = a.id
 	outcome.Worker = a.worker
 	w.reportsDue = true
--- a/control/state.go
+++ b/control/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/mulberrydrum/mulberrydrum/allowance"
 	"github.com/mulberrydrum/mulberrydrum/fairshare"
+	"github.com/mulberrydrum/mulberrydrum/holding"
 	"github.com/mulberrydrum/mulberrydrum/keyring"
 	"github.com/mulberrydrum/mulberrydrum/ledger"
 	"github.com/mulberrydrum/mulberrydrum/membership"
@@ -27,6 +28,8 @@
 	Queue      queue.Config
 	Fairshare  fairshare.Config
 	Quarantine quarantine.Config
+	// PlacementMemory limits the memory of the attempts that this instance has as an owner; 0 for no limit.
+	PlacementMemory int64
 }
 
 // DefaultComponentConfigs returns the default configurations of the packages for cfg.
@@ -85,6 +88,7 @@
 		termEnd:    func(unit string) time.Time { return s.ownership.TermEnd(unit) },
 		keys:       keys,
 		partitions: map[string]*partition{}, workers: map[string]*workerState{}, attempts: map[task.Attempt]*attempt{},
+		memory:         holding.New[task.Attempt](holding.Limits{Bytes: components.PlacementMemory}),
 		drainedWorkers: map[string]bool{}, blocked: map[task.Team]blockReason{}, tombstones: map[task.Attempt]time.Time{}, pendingReports: map[task.Attempt]*pendingReport{},
 	}
 	s.recordEvent(timeline.Event{Type: timeline.ProcessStarted})
--- a/control/workers.go
+++ b/control/workers.go
@@ -47,7 +47,7 @@
 		if _, size, ok := w.cluster.Release(id); ok {
 			w.shares.SubtractUsage(w.now, a.team, size)
 		}
-		delete(w.attempts, id)
+		w.forget(a)
 		delete(w.pendingReports, id)
 	}
 	w.allowances.RemovePartition(name)
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -35,6 +35,7 @@
 	AnswerTimeout          time.Duration // default time from the submission to the deadline of work of kind answer
 	DrainTimeout           time.Duration // maximum duration of a graceful shutdown
 	ConnectionDrainTimeout time.Duration // maximum wait for callers to close their connections after the handover
+	MemoryBytes            int64         // memory of the process; the program sets the limit of the Go runtime by it
 	TimelineEvents         int           // maximum number of events that the timeline keeps
 	// MaxDurablePayloadBytes bounds the payload of durable work. The payload is stored in the record of a
 	// request shard, and the store limits the size of its values.
--- a/daemon/fromsettings.go
+++ b/daemon/fromsettings.go
@@ -24,7 +24,7 @@
 		Worker:              worker.Config{CallTimeout: s.WorkerCallTimeout, MaxResultBytes: s.MaxResultBytes, Connections: s.WorkerConnections},
 		InstanceListAddress: s.InstanceListEndpoint, InstanceListInterval: s.ListInterval, InstanceListTimeout: s.ListTimeout,
 		TickInterval: DefaultTickInterval, AnswerTimeout: s.CallTimeout, DrainTimeout: s.DrainTimeout, ConnectionDrainTimeout: DefaultConnectionDrainTimeout,
-		TimelineEvents: s.TimelineEvents, MaxDurablePayloadBytes: s.MaxDurableRequestBytes,
+		MemoryBytes: s.MemoryBytes, TimelineEvents: s.TimelineEvents, MaxDurablePayloadBytes: s.MaxDurableRequestBytes,
 	}
 	cfg.Components = componentConfigs(s, cfg.Control)
 	return cfg
@@ -52,6 +52,7 @@
 	components.Allowance.IdleTimeout, components.Allowance.MinWriteInterval = s.AllowanceIdle, s.AllowanceInterval
 	components.Ledger.FlushInterval, components.Ledger.MaxTxnBytes, components.Ledger.MaxShardBytes = s.LedgerFlushInterval, int(s.LedgerTxnBytes), int(s.MaxShardBytes)
 	components.Ledger.ResultRetention = s.ResultRetention
+	components.Ledger.MemoryOnlyBytes, components.PlacementMemory = s.WorkMemoryBytes, s.WorkMemoryBytes
 	components.Queue.MaxEntriesPerTeam = s.QueueLimitPerTeam
 	components.Fairshare.HalfLife = s.FairShareHalfLife
 	components.Quarantine.MaxFraction = s.QuarantineShare
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -18,6 +18,8 @@
 	metricControlQueue     = "control.queue_events"
 	metricAllowanceRefused = "control.allowance_refused_count"
 	metricUnitsHeld        = "control.units_held_count"
+	metricShortWorkBytes   = "control.short_work_bytes"
+	metricPlacedWorkBytes  = "control.placed_work_bytes"
 	metricRequestKind      = "request.kind_count."  // followed by the kind of work
 	metricRequestError     = "request.error_count." // followed by the error kind
 	metricTaskWait         = "task.wait_ms."        // followed by the team
@@ -115,6 +117,8 @@
 	}
 	gauge(metricControlQueue, func() int64 { return int64(loop.QueuedEvents()) })
 	gauge(metricAllowanceRefused, func() int64 { return int64(loop.AllowanceRefusals()) })
+	gauge(metricShortWorkBytes, func() int64 { short, _ := loop.WorkMemory(); return short })
+	gauge(metricPlacedWorkBytes, func() int64 { _, placed := loop.WorkMemory(); return placed })
 	gauge(metricUnitsHeld, func() int64 { return unitsHeld(loop.Snapshot(), time.Now()) })
 	gauge(metricEventsDropped, func() int64 { return int64(recorder.Dropped()) })
 	if traffic, ok := entries.(byteCounter); ok {
--- a/holding/budget.go
+++ b/holding/budget.go
@@ -4,12 +4,11 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/mulberrydrum/mulberrydrum/job"
 )
 
 const (
-	// allowanceFraction of the limit is left for jobs that other instances accept without asking the owner.
+	// allowanceFraction of the limit is left for jobs that other instances accept without asking the owner, if
+	// they do.
 	allowanceFraction = 4
 	// queueFactor is the ratio of what one queue may hold to what it must leave free. That of a team is 1, so
 	// that a single team holds at most half. A deployment has few queues.
@@ -43,10 +42,17 @@
 	RetryAfter time.Duration // if not admitted; in whole seconds
 }
 
-// Budget is the memory that accepted jobs may take. It is not safe for concurrent use.
-type Budget struct {
-	limit    int64 // 0 for no limit
-	charges  map[job.ID]*charge
+// Limits are the limits of a Budget.
+type Limits struct {
+	Bytes      int64 // 0 for no limit
+	Allowances bool  // a part is left for allowances, see Budget.AllowanceOf
+}
+
+// Budget is the memory that accepted jobs may take, which have keys of type K. It is not safe for concurrent
+// use.
+type Budget[K comparable] struct {
+	limits   Limits
+	charges  map[K]*charge
 	teams    map[string]int64
 	queues   map[string]int64
 	total    int64
@@ -62,23 +68,28 @@
 	reservedAt time.Time // zero once the job has been recorded
 }
 
-// New returns a budget that nothing is charged to. A limit of 0 admits everything.
-func New(limit int64) *Budget {
-	return &Budget{limit: limit, charges: make(map[job.ID]*charge), teams: make(map[string]int64), queues: make(map[string]int64)}
+// New returns a budget that nothing is charged to.
+func New[K comparable](limits Limits) *Budget[K] {
+	return &Budget[K]{limits: limits, charges: make(map[K]*charge), teams: make(map[string]int64), queues: make(map[string]int64)}
 }
 
 // SetLimit changes the limit. Jobs that are charged already are kept if they exceed it.
-func (b *Budget) SetLimit(limit int64) { b.limit = limit }
+func (b *Budget[K]) SetLimit(bytes int64) { b.limits.Bytes = bytes }
 
 // Limit returns the limit.
-func (b *Budget) Limit() int64 { return b.limit }
+func (b *Budget[K]) Limit() int64 { return b.limits.Bytes }
 
-// usable returns the part of the limit that the owner hands out itself.
-func (b *Budget) usable() int64 { return b.limit - b.limit/allowanceFraction }
+// usable returns the part of the limit that is not left for allowances.
+func (b *Budget[K]) usable() int64 {
+	if !b.limits.Allowances {
+		return b.limits.Bytes
+	}
+	return b.limits.Bytes - b.limits.Bytes/allowanceFraction
+}
 
 // Admit decides whether a job may be recorded, and charges it for reservationTimeout if so. A job that is
 // charged already is admitted.
-func (b *Budget) Admit(now time.Time, id job.ID, from Source, bytes int64) Verdict {
+func (b *Budget[K]) Admit(now time.Time, id K, from Source, bytes int64) Verdict {
 	if _, known := b.charges[id]; known {
 		return Verdict{Admitted: true}
 	}
@@ -94,8 +105,8 @@
 // exceeded returns the first limit that a further charge exceeds, and by how much. A team or a queue may hold as
 // much as it leaves free, or a multiple of that: the more of them have work, the less each of them may hold, and
 // one that has none yet always finds room.
-func (b *Budget) exceeded(from Source, bytes int64) (Cause, int64) {
-	if b.limit <= 0 {
+func (b *Budget[K]) exceeded(from Source, bytes int64) (Cause, int64) {
+	if b.limits.Bytes <= 0 {
 		return "", 0
 	}
 	free := b.usable() - b.total - bytes
@@ -112,7 +123,7 @@
 }
 
 // retryDelay returns the time after which an excess will have been released at the present rate.
-func (b *Budget) retryDelay(now time.Time, excess int64) time.Duration {
+func (b *Budget[K]) retryDelay(now time.Time, excess int64) time.Duration {
 	rate := b.currentReleaseRate(now)
 	if rate*maxRetryDelay.Seconds() <= float64(excess) {
 		return maxRetryDelay
@@ -121,7 +132,7 @@
 }
 
 // Hold charges a job that has been recorded, whether it fits or not. It replaces an earlier charge of the job.
-func (b *Budget) Hold(now time.Time, id job.ID, from Source, bytes int64) {
+func (b *Budget[K]) Hold(now time.Time, id K, from Source, bytes int64) {
 	b.remove(now, id, false)
 	c := &charge{Source: from}
 	b.charges[id] = c
@@ -129,7 +140,7 @@
 }
 
 // Resize changes the charge of a job, whether it fits or not.
-func (b *Budget) Resize(now time.Time, id job.ID, bytes int64) {
+func (b *Budget[K]) Resize(now time.Time, id K, bytes int64) {
 	c := b.charges[id]
 	if c == nil {
 		return
@@ -141,7 +152,7 @@
 }
 
 // Fits reports whether the charge of a job may grow.
-func (b *Budget) Fits(id job.ID, growth int64) bool {
+func (b *Budget[K]) Fits(id K, growth int64) bool {
 	c := b.charges[id]
 	if c == nil {
 		return false
@@ -151,17 +162,17 @@
 }
 
 // Release returns the charge of a job.
-func (b *Budget) Release(now time.Time, id job.ID) { b.remove(now, id, true) }
+func (b *Budget[K]) Release(now time.Time, id K) { b.remove(now, id, true) }
 
 // Withdraw returns the charge of a job that was admitted and will not be recorded.
-func (b *Budget) Withdraw(id job.ID) {
+func (b *Budget[K]) Withdraw(id K) {
 	if c := b.charges[id]; c != nil && !c.reservedAt.IsZero() {
 		b.remove(c.reservedAt, id, false)
 	}
 }
 
 // Expire returns the charges of jobs that were admitted a while ago and have not been recorded.
-func (b *Budget) Expire(now time.Time) {
+func (b *Budget[K]) Expire(now time.Time) {
 	if b.reserved == 0 {
 		return
 	}
@@ -173,7 +184,7 @@
 }
 
 // remove removes a charge. A release counts for the rate at which memory becomes free.
-func (b *Budget) remove(now time.Time, id job.ID, isRelease bool) {
+func (b *Budget[K]) remove(now time.Time, id K, isRelease bool) {
 	c := b.charges[id]
 	if c == nil {
 		return
@@ -186,7 +197,7 @@
 }
 
 // add changes a charge, by which it also changes the sums.
-func (b *Budget) add(c *charge, bytes int64) {
+func (b *Budget[K]) add(c *charge, bytes int64) {
 	c.bytes += bytes
 	b.total += bytes
 	if !c.reservedAt.IsZero() {
@@ -202,12 +213,12 @@
 	}
 }
 
-func (b *Budget) countRelease(now time.Time, bytes int64) {
+func (b *Budget[K]) countRelease(now time.Time, bytes int64) {
 	b.releaseRate = b.currentReleaseRate(now) + float64(bytes)*math.Ln2/releaseHalfLife.Seconds()
 	b.releaseUpdate = now
 }
 
-func (b *Budget) currentReleaseRate(now time.Time) float64 {
+func (b *Budget[K]) currentReleaseRate(now time.Time) float64 {
 	if b.releaseUpdate.IsZero() {
 		return 0
 	}
@@ -223,12 +234,12 @@
 }
 
 // AllowanceOf returns the allowance of one of a number of instances.
-func (b *Budget) AllowanceOf(instances int) Allowance {
-	if b.limit <= 0 {
+func (b *Budget[K]) AllowanceOf(instances int) Allowance {
+	if b.limits.Bytes <= 0 {
 		return Allowance{}
 	}
 	free := b.usable() - b.total
-	a := Allowance{Limited: true, Bytes: max(0, min(free, b.limit/allowanceFraction/int64(max(1, instances))))}
+	a := Allowance{Limited: true, Bytes: max(0, min(free, b.limits.Bytes/allowanceFraction/int64(max(1, instances))))}
 	// Beyond half of what they may hold, since the jobs that instances accept meanwhile are not charged yet.
 	const margin = 2
 	for team, bytes := range b.teams {
@@ -263,6 +274,6 @@
 }
 
 // Stats returns the current values.
-func (b *Budget) Stats() Stats {
-	return Stats{Limit: b.limit, Bytes: b.total, Reserved: b.reserved, Jobs: len(b.charges)}
+func (b *Budget[K]) Stats() Stats {
+	return Stats{Limit: b.limits.Bytes, Bytes: b.total, Reserved: b.reserved, Jobs: len(b.charges)}
 }
--- a/holding/budget_test.go
+++ b/holding/budget_test.go
@@ -6,18 +6,16 @@
 	"time"
 
 	"pgregory.net/rapid"
-
-	"github.com/mulberrydrum/mulberrydrum/job"
 )
 
 var start = time.Unix(1_800_000_000, 0)
 
 // TestTeamShares guards against a team or a queue that takes everything: others still find room.
 func TestTeamShares(t *testing.T) {
-	b := New(8000)
+	b := New[string](Limits{Bytes: 8000, Allowances: true})
 	n := 0
 	fill := func(from Source) (admitted int) {
-		for b.Admit(start, job.ID(fmt.Sprint(n)), from, 10).Admitted {
+		for b.Admit(start, fmt.Sprint(n), from, 10).Admitted {
 			n++
 			admitted++
 		}
@@ -36,15 +34,15 @@
 
 // TestRetryDelay guards against a time of return at which there is still no room.
 func TestRetryDelay(t *testing.T) {
-	b := New(8000)
+	b := New[string](Limits{Bytes: 8000, Allowances: true})
 	for n := range 300 {
-		b.Hold(start, job.ID(fmt.Sprint(n)), Source{"q", "red"}, 10)
+		b.Hold(start, fmt.Sprint(n), Source{"q", "red"}, 10)
 	}
 	now := start
 	for n := range 100 { // 100 bytes a second
 		now = now.Add(100 * time.Millisecond)
-		b.Release(now, job.ID(fmt.Sprint(n)))
-		b.Hold(now, job.ID(fmt.Sprint("new", n)), Source{"q", "red"}, 10)
+		b.Release(now, fmt.Sprint(n))
+		b.Hold(now, fmt.Sprint("new", n), Source{"q", "red"}, 10)
 	}
 	if v := b.Admit(now, "x", Source{"q", "red"}, 200); v.Admitted || v.RetryAfter < 3*time.Second || v.RetryAfter > 8*time.Second {
 		t.Errorf("decided %+v, 400 bytes are missing and 75 to 100 are released a second", v)
@@ -55,9 +53,9 @@
 // admissions beyond the limit.
 func TestRandomUse(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := New(2000)
+		b := New[string](Limits{Bytes: 2000, Allowances: rapid.Bool().Draw(t, "allowances")})
 		now := start
-		ids := []job.ID{"a", "b", "c", "d", "e", "f"}
+		ids := []string{"a", "b", "c", "d", "e", "f"}
 		for range rapid.IntRange(1, 150).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 			id := rapid.SampledFrom(ids).Draw(t, "job")
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -17,6 +17,7 @@
 	MaxTxnBytes          int           // maximum total size of the values of one commit
 	RecordOverhead       int           // size of a record without its payload and its tasks
 	MaxInlineResultBytes int           // maximum size of a result that is stored with the record
+	MemoryOnlyBytes      int64         // memory of the jobs that are not stored; 0 for no limit
 	MaxTasks             int           // maximum number of tasks of one job
 }
 
@@ -40,7 +41,7 @@
 	cfg            Config
 	incarnation    string // incarnation ID of this process
 	shards         map[string]*shard
-	memoryOnlyJobs map[JobKey]*Record // kept when their shard moves to another home
+	memoryOnly     *memoryOnly
 	lastFlush      time.Time
 	idCounter      uint64 // source of unique write IDs and task ID salts
 	shardsInFlight int    // number of shards whose value is being written
@@ -50,7 +51,7 @@
 // New returns a ledger without shards. The incarnation of this process makes the IDs of
 // its writes and of its memory-only tasks unique.
 func New(cfg Config, incarnation string) *Ledger {
-	return &Ledger{cfg: cfg, incarnation: incarnation, shards: map[string]*shard{}, memoryOnlyJobs: map[JobKey]*Record{}}
+	return &Ledger{cfg: cfg, incarnation: incarnation, shards: map[string]*shard{}, memoryOnly: newMemoryOnly(cfg.MemoryOnlyBytes)}
 }
 
 // Open adds a shard. The caller must read its value and pass it to ApplyLoaded.
@@ -136,7 +137,7 @@
 
 // Find returns the current record of a job, including changes that are not stored yet.
 func (l *Ledger) Find(shardName string, key JobKey) (*Record, bool) {
-	if r, ok := l.memoryOnlyJobs[key]; ok {
+	if r, ok := l.memoryOnly.records[key]; ok {
 		return r, true
 	}
 	s, ok := l.shards[shardName]
@@ -152,7 +153,7 @@
 // at once, because it is not stored. A durable job that is not in the store yet has no
 // view.
 func (l *Ledger) View(shardName string, key JobKey) (Record, bool) {
-	if r, ok := l.memoryOnlyJobs[key]; ok {
+	if r, ok := l.memoryOnly.records[key]; ok {
 		return r.Clone(), true
 	}
 	s, ok := l.shards[shardName]
@@ -173,7 +174,7 @@
 // OpenMemoryOnlyJobs returns the number of memory-only jobs that are not final.
 func (l *Ledger) OpenMemoryOnlyJobs() int {
 	open := 0
-	for _, r := range l.memoryOnlyJobs {
+	for _, r := range l.memoryOnly.records {
 		if !r.IsFinal() {
 			open++
 		}
@@ -184,7 +185,7 @@
 // Submit records a job, or returns the record of an earlier submission with the same
 // idempotency key. The caller must not dispatch a durable job before the given step is
 // released.
-func (l *Ledger) Submit(shardName string, spec task.Spec, step PostCommitStep) (r *Record, isNew bool, err *errkind.Error) {
+func (l *Ledger) Submit(now time.Time, shardName string, spec task.Spec, step PostCommitStep) (r *Record, isNew bool, err *errkind.Error) {
 	s, ok := l.shards[shardName]
 	if !ok || s.phase != active {
 		return nil, false, errkind.New(errkind.NoOwner, "shard %s has no active home here", shardName)
@@ -204,7 +205,9 @@
 	r = newRecord(spec, fmt.Sprintf("%s.%d", l.incarnation, l.idCounter))
 	l.idCounter++
 	if !spec.Kind.IsDurable() {
-		l.memoryOnlyJobs[key] = r
+		if err := l.memoryOnly.add(now, r); err != nil {
+			return nil, false, err
+		}
 		return r, true, nil
 	}
 	s.records[key] = r
@@ -258,9 +261,9 @@
 // Expire deletes the records of jobs that finished longer ago than ResultRetention. The
 // deletion does not cause a commit; it is stored with the next commit of the shard.
 func (l *Ledger) Expire(now time.Time) {
-	for key, r := range l.memoryOnlyJobs {
+	for key, r := range l.memoryOnly.records {
 		if l.isExpired(now, r) {
-			delete(l.memoryOnlyJobs, key)
+			l.memoryOnly.delete(now, key)
 		}
 	}
 	for _, s := range l.shards {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -72,7 +72,7 @@
 			if rapid.Bool().Draw(t, "submit") && l.IsActive(shardName) {
 				spec := durableSpec(fmt.Sprint(jobs))
 				jobs++
-				if _, _, err := l.Submit(shardName, spec, PostCommitStep{Job: KeyOf(&spec)}); err != nil {
+				if _, _, err := l.Submit(now, shardName, spec, PostCommitStep{Job: KeyOf(&spec)}); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -117,7 +117,7 @@
 func TestFormerHomeIsFenced(t *testing.T) {
 	m, former := newActiveHome()
 	spec := durableSpec("k")
-	if _, _, err := former.Submit(shardName, spec, PostCommitStep{Job: KeyOf(&spec)}); err != nil {
+	if _, _, err := former.Submit(time.Unix(0, 0), shardName, spec, PostCommitStep{Job: KeyOf(&spec)}); err != nil {
 		t.Fatal(err)
 	}
 	delayed := former.Plan(time.Unix(2, 0))[0]
@@ -143,7 +143,7 @@
 	_, l := newActiveHome()
 	spec := durableSpec("k")
 	key := KeyOf(&spec)
-	if _, _, err := l.Submit(shardName, spec, PostCommitStep{Job: key}); err != nil {
+	if _, _, err := l.Submit(time.Unix(0, 0), shardName, spec, PostCommitStep{Job: key}); err != nil {
 		t.Fatal(err)
 	}
 	a, _, ok := l.Dispatch(shardName, key, 0, "w/r/0", PostCommitStep{Job: key})
@@ -171,7 +171,7 @@
 	spec := durableSpec("k")
 	spec.Kind = task.Durable
 	key := KeyOf(&spec)
-	if _, _, err := l.Submit(shardName, spec, PostCommitStep{Job: key}); err != nil {
+	if _, _, err := l.Submit(time.Unix(0, 0), shardName, spec, PostCommitStep{Job: key}); err != nil {
 		t.Fatal(err)
 	}
 	a, _, _ := l.Dispatch(shardName, key, 0, "w/r/0", PostCommitStep{Job: key})
--- a/ledger/transition.go
+++ b/ledger/transition.go
@@ -85,6 +85,7 @@
 	if r.IsFinal() {
 		r.FinishedAt = now
 	}
+	l.tasksChanged(now, r)
 	return Final, l.registerChange(s, r, step)
 }
 
@@ -175,13 +176,14 @@
 	if r.IsFinal() {
 		r.FinishedAt = now
 	}
+	l.tasksChanged(now, r)
 	return open, l.registerChange(s, r, step), true
 }
 
 // Refuse makes a task of a memory-only job final without a further attempt. It has no
 // effect on a task with an open attempt.
 func (l *Ledger) Refuse(now time.Time, key JobKey, index int, reason errkind.Kind) {
-	r, ok := l.memoryOnlyJobs[key]
+	r, ok := l.memoryOnly.records[key]
 	if !ok || r.Tasks[index].State != task.Accepted {
 		return
 	}
@@ -191,6 +193,14 @@
 	if r.IsFinal() {
 		r.FinishedAt = now
 	}
+	l.tasksChanged(now, r)
+}
+
+// tasksChanged updates the memory of a job that is not stored.
+func (l *Ledger) tasksChanged(now time.Time, r *Record) {
+	if !r.Spec.Kind.IsDurable() {
+		l.memoryOnly.changed(now, r)
+	}
 }
 
 // QueueAfterCommit queues step until every change made so far is in the store.
@@ -202,13 +212,13 @@
 
 // DeleteMemoryOnly deletes the record of a memory-only job that was not run, so that a
 // repeated submission is handled as a new job.
-func (l *Ledger) DeleteMemoryOnly(key JobKey) { delete(l.memoryOnlyJobs, key) }
+func (l *Ledger) DeleteMemoryOnly(now time.Time, key JobKey) { l.memoryOnly.delete(now, key) }
 
 // findTask returns a task with its job and shard. It returns nil values if there is no
 // such task or the shard of a durable job is not active. The shard of a memory-only job is
 // nil if this process no longer holds it.
 func (l *Ledger) findTask(shardName string, key JobKey, index int) (*shard, *Record, *TaskRecord) {
-	s, r := l.shards[shardName], l.memoryOnlyJobs[key]
+	s, r := l.shards[shardName], l.memoryOnly.records[key]
 	if r == nil {
 		if s == nil || s.phase != active {
 			return nil, nil, nil
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -70,7 +70,7 @@
 	usage         map[string]*teamUsage
 	window        orderWindow
 	pastUse       pastUseState
-	held          *holding.Budget // memory of the jobs and of submissions that may be recorded
+	held          *holding.Budget[job.ID] // memory of the jobs and of submissions that may be recorded
 	memoryLimit   memoryLimit
 
 	workers              map[string]*worker
@@ -131,7 +131,7 @@
 func New(now time.Time, cfg Config, epoch int64, catalog *job.Catalog, roster []RosterEntry) *Core {
 	c := &Core{
 		cfg: cfg, epoch: epoch, catalog: catalog, now: now,
-		held:               holding.New(cfg.JobMemory),
+		held:               holding.New[job.ID](holding.Limits{Bytes: cfg.JobMemory, Allowances: true}),
 		memoryLimit:        memoryLimit{cfg.JobMemory, now},
 		jobs:               make(map[job.ID]*jobState),
 		recurring:          make(map[job.ID]*jobState),
--- a/settings/rules.go
+++ b/settings/rules.go
@@ -68,6 +68,13 @@
 	c.Require(s.ClientMemoryBytes >= valueBytes+minRequests*s.MaxRequestBytes, "client_memory_bytes",
 		fmt.Sprintf("%d does not suffice for a body of max_request_bytes", s.ClientMemoryBytes),
 		fmt.Sprintf("%d or more (%d and %d times max_request_bytes)", valueBytes+minRequests*s.MaxRequestBytes, valueBytes, minRequests))
+	const minPayloads = 16 // a team may use half, a payload and its result twice the size of a body
+	c.Require(s.WorkMemoryBytes >= minPayloads*s.MaxRequestBytes, "work_memory_bytes",
+		fmt.Sprintf("%d does not suffice for work with a body of max_request_bytes", s.WorkMemoryBytes),
+		fmt.Sprintf("%d or more (%d times max_request_bytes)", minPayloads*s.MaxRequestBytes, minPayloads))
+	c.Require(s.MemoryBytes >= s.ClientMemoryBytes+2*s.WorkMemoryBytes, "memory_bytes",
+		fmt.Sprintf("%d is less than client_memory_bytes and twice work_memory_bytes", s.MemoryBytes),
+		fmt.Sprintf("%d or more", s.ClientMemoryBytes+2*s.WorkMemoryBytes))
 	c.Require(s.MaxShardBytes <= s.LedgerTxnBytes, "ledger_txn_bytes",
 		fmt.Sprintf("%d is less than max_shard_bytes, so a full shard could not be written", s.LedgerTxnBytes),
 		fmt.Sprintf("%d or more (max_shard_bytes)", s.MaxShardBytes))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -64,6 +64,8 @@
 	WriteTimeout           time.Duration `json:"write_timeout" default:"10s" min:"100ms" max:"5m" doc:"time within which a caller must receive its response"`
 	IdleTimeout            time.Duration `json:"idle_timeout" default:"1m" min:"1s" max:"10m" doc:"a connection of a caller is closed when idle for this time"`
 	ClientMemoryBytes      int64         `json:"client_memory_bytes" default:"67108864" min:"33554432" max:"17179869184" doc:"memory for connections and requests of callers, in bytes; at least 32 MB and 10 times max_request_bytes; calls beyond it are refused"`
+	WorkMemoryBytes        int64         `json:"work_memory_bytes" default:"33554432" min:"1048576" max:"17179869184" doc:"memory for short work of callers and its results, in bytes, and as much again for work that is placed on this instance; at least 16 times max_request_bytes; work beyond it is refused, and results of short work are kept for less than result_retention"`
+	MemoryBytes            int64         `json:"memory_bytes" default:"268435456" min:"67108864" max:"1099511627776" doc:"memory of the process, in bytes; from three quarters of it on, memory is reclaimed more often"`
 	ClientConnections      int           `json:"client_connections" default:"1024" min:"16" max:"100000" doc:"maximum number of open connections of callers; idle ones are closed first, and operators have another sixteenth"`
 }
 
