--- a/schedule/jobs.go
+++ b/schedule/jobs.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strconv"
@@ -39,8 +40,9 @@
 	nextOccurrence  int      // first occurrence that is not active yet
 	activeTasks     int      // unfinished tasks of the active occurrences
 
-	activeOccurrences int // with unfinished tasks
-	adviceEntries     int // of its active steps, see adviceState.entries
+	activeOccurrences int       // with unfinished tasks
+	activationRetryAt time.Time // no further occurrence before this time
+	adviceEntries     int       // of its active steps, see adviceState.entries
 }
 
 // stepState is an unfinished step of one occurrence of a job.
@@ -158,10 +160,7 @@
 	if c.hasFailed(j) {
 		c.finishJob(j, job.Failed)
 	}
-	if j.unfinishedSteps == 0 {
-		// The former owner recorded the last task but not the final state.
-		c.finishJob(j, job.Completed)
-	}
+	c.completeIfDone(j) // the former owner may have recorded the last task but not the final state
 	return j
 }
 
@@ -186,14 +185,34 @@
 	}
 }
 
-// activateDueOccurrences activates the occurrences that are due.
+// activationRetryDelay is the delay before an occurrence for which there is no room is considered again.
+const activationRetryDelay = 100 * time.Millisecond
+
+// activateDueOccurrences activates the occurrences that are due, in the order of their due times, since there may
+// not be memory for all of them.
 func (c *Core) activateDueOccurrences() {
+	var due []*jobState
 	for id, j := range c.recurring {
-		if j.nextOccurrence >= j.Occurrences() || j.state.IsFinal() {
+		switch {
+		case j.nextOccurrence >= j.Occurrences() || j.state.IsFinal():
 			delete(c.recurring, id)
-			continue
+		case !c.wall.Before(j.DueAt(j.nextOccurrence)) && !c.now.Before(j.activationRetryAt):
+			due = append(due, j)
 		}
+	}
+	slices.SortFunc(due, func(a, b *jobState) int {
+		return cmp.Or(a.DueAt(a.nextOccurrence).Compare(b.DueAt(b.nextOccurrence)), cmp.Compare(a.ID, b.ID))
+	})
+	for _, j := range due {
 		c.activateDue(j)
+		c.completeIfDone(j)
+	}
+}
+
+// completeIfDone completes a job whose remaining occurrences were recorded as complete by a former owner.
+func (c *Core) completeIfDone(j *jobState) {
+	if j.unfinishedSteps == 0 {
+		c.finishJob(j, job.Completed)
 	}
 }
 
@@ -203,7 +222,8 @@
 		if !due.IsZero() && c.wall.Before(due) {
 			return
 		}
-		if !c.canActivate(j) {
+		if !j.progress.Complete.Contains(j.nextOccurrence) && !c.canActivate(j) {
+			j.activationRetryAt = c.now.Add(activationRetryDelay)
 			return
 		}
 		c.activateNext(j)
@@ -221,6 +241,7 @@
 	for j.nextOccurrence <= key.Occurrence {
 		c.activateNext(j)
 	}
+	c.completeIfDone(j)
 	return c.steps[key]
 }
 
@@ -333,6 +354,7 @@
 	s.estimate.runs.Evaluate(&c.learned.fleet)
 	delete(c.steps, s.key)
 	j.adviceEntries -= s.advice.entries()
+	c.chargeMemory(j)
 	j.unfinishedSteps--
 	if j.unfinishedSteps == 0 {
 		c.finishJob(j, job.Completed)
--- a/schedule/occurrence_test.go
+++ b/schedule/occurrence_test.go
@@ -47,3 +47,20 @@
 		})
 	}
 }
+
+// TestLastOccurrencesAreRecorded guards against a recurring job that never ends: a former owner has recorded that its
+// last occurrences are complete, and they are not considered until the first one, which leaves no room for others, has
+// ended.
+func TestLastOccurrencesAreRecorded(t *testing.T) {
+	s := newSimulation(t, 3, 8)
+	j := &job.Job{ID: "00000000000000a1", Queue: "plain", Team: "blue", Spec: "work", Repeats: 3, FirstAt: s.now, Interval: time.Second,
+		Steps: []job.Step{{Count: job.MaxTasks, Size: task.Resources{CPUMilli: 10}, Estimate: 100 * time.Millisecond}}}
+	s.jobs[j.ID] = j
+	s.records[j.ID] = &record{job: j, progress: &job.Progress{Started: true, Complete: job.Ranges{{1, 3}}}}
+	s.run(5 * time.Second)
+	s.takeOver()
+	s.runUntilEnded(60 * time.Second)
+	if final, ended := s.finals[j.ID]; !ended || final.State != job.Completed {
+		t.Errorf("the job is %q: %s", final.State, s.core.describe(j.ID))
+	}
+}
