--- a/control/owner.go
+++ b/control/owner.go
@@ -186,6 +186,7 @@
 		return errkind.New(errkind.Overloaded, "the memory for queued work is exhausted (%s)", verdict.Cause).WithRetryAfter(verdict.RetryAfter)
 	}
 	w.memory.Hold(w.now, a.id, from, bytes)
+	w.memory.Expire(w.now)
 	return nil
 }
 
--- a/holding/budget.go
+++ b/holding/budget.go
@@ -10,9 +10,10 @@
 	// allowanceFraction of the limit is left for jobs that other instances accept without asking the owner, if
 	// they do.
 	allowanceFraction = 4
-	// queueFactor is the ratio of what one queue may hold to what it must leave free. That of a team is 1, so
-	// that a single team holds at most half. A deployment has few queues.
-	queueFactor = 2
+	// teamFactor and queueFactor are the ratios of what one team, or one queue, may hold to what it must leave free,
+	// so that a single team holds at most two thirds. A deployment has few queues.
+	teamFactor  = 2
+	queueFactor = 4
 	// reservationTimeout is the time after which a job that was admitted and not recorded is no longer charged.
 	// Callers wait 3 s, and a record that is written late is charged when it arrives.
 	reservationTimeout = 5 * time.Second
@@ -56,7 +57,8 @@
 	teams    map[string]int64
 	queues   map[string]int64
 	total    int64
-	reserved int64 // part of total
+	reserved int64         // part of total
+	admitted []admitted[K] // charges that may still be reservations, the oldest first
 
 	releaseRate   float64 // moving average in bytes per second, as of releaseUpdate
 	releaseUpdate time.Time
@@ -68,6 +70,12 @@
 	reservedAt time.Time // zero once the job has been recorded
 }
 
+// admitted is a charge that was made by Admit.
+type admitted[K comparable] struct {
+	id K
+	at time.Time
+}
+
 // New returns a budget that nothing is charged to.
 func New[K comparable](limits Limits) *Budget[K] {
 	return &Budget[K]{limits: limits, charges: make(map[K]*charge), teams: make(map[string]int64), queues: make(map[string]int64)}
@@ -98,13 +106,14 @@
 	}
 	c := &charge{Source: from, reservedAt: now}
 	b.charges[id] = c
+	b.admitted = append(b.admitted, admitted[K]{id, now})
 	b.add(c, bytes)
 	return Verdict{Admitted: true}
 }
 
-// exceeded returns the first limit that a further charge exceeds, and by how much. A team or a queue may hold as
-// much as it leaves free, or a multiple of that: the more of them have work, the less each of them may hold, and
-// one that has none yet always finds room.
+// exceeded returns the first limit that a further charge exceeds, and how much must be released for it. A team or
+// a queue may hold a multiple of what it leaves free: the more of them have work, the less each of them may hold,
+// and one that has none yet always finds room.
 func (b *Budget[K]) exceeded(from Source, bytes int64) (Cause, int64) {
 	if b.limits.Bytes <= 0 {
 		return "", 0
@@ -113,11 +122,12 @@
 	if free < 0 {
 		return CauseTotal, -free
 	}
-	if excess := b.teams[from.Team] + bytes - free; excess > 0 {
-		return CauseTeam, excess
+	// What is released of a share reduces the share and is free as well.
+	if excess := b.teams[from.Team] + bytes - teamFactor*free; excess > 0 {
+		return CauseTeam, (excess + teamFactor) / (teamFactor + 1)
 	}
 	if excess := b.queues[from.Queue] + bytes - queueFactor*free; excess > 0 {
-		return CauseQueue, excess
+		return CauseQueue, (excess + queueFactor) / (queueFactor + 1)
 	}
 	return "", 0
 }
@@ -173,14 +183,15 @@
 
 // Expire returns the charges of jobs that were admitted a while ago and have not been recorded.
 func (b *Budget[K]) Expire(now time.Time) {
-	if b.reserved == 0 {
-		return
-	}
-	for id, c := range b.charges {
-		if !c.reservedAt.IsZero() && now.Sub(c.reservedAt) > reservationTimeout {
-			b.remove(now, id, false)
+	n := 0
+	for n < len(b.admitted) && now.Sub(b.admitted[n].at) > reservationTimeout {
+		a := b.admitted[n]
+		if c := b.charges[a.id]; c != nil && c.reservedAt.Equal(a.at) {
+			b.remove(now, a.id, false)
 		}
+		n++
 	}
+	b.admitted = slices.Delete(b.admitted, 0, n)
 }
 
 // remove removes a charge. A release counts for the rate at which memory becomes free.
@@ -243,7 +254,7 @@
 	// Beyond half of what they may hold, since the jobs that instances accept meanwhile are not charged yet.
 	const margin = 2
 	for team, bytes := range b.teams {
-		if margin*bytes > free {
+		if margin*bytes > teamFactor*free {
 			a.Teams = append(a.Teams, team)
 		}
 	}
--- a/instance/admit.go
+++ b/instance/admit.go
@@ -22,8 +22,9 @@
 	recordedTimeout = 500 * time.Millisecond
 	// recordLookupRate limits these checks, which are one or two reads of the store each: clients that are refused
 	// may return at once, and the store's calls are limited for all instances together.
-	recordLookupRate  = 100 // per second
-	recordLookupBurst = 10
+	recordLookupRate     = 100 // per second
+	recordLookupBurst    = 10
+	undecidedLogInterval = 100 * time.Millisecond
 	// causeNoOwner is the cause of a rejection without an answer of the owner.
 	causeNoOwner = "memory_without_owner"
 	// retryAfterNoOwner is the retry hint for it. A takeover takes two to three seconds.
@@ -77,7 +78,9 @@
 	reply, err := i.callOwner(ctx, admissionTimeout, cell.AdmissionQuery{Job: &query, SpecBytes: len(j.Spec)})
 	i.admissionQueries.Add(-1)
 	if err != nil || reply.NotOwner {
-		i.cfg.Journal.Event("owner did not decide", "job", string(j.ID), "queue", j.Queue, "team", j.Team, "not_owner", reply.NotOwner, "error", err)
+		i.undecided.Do(func() {
+			i.cfg.Journal.Event("owner did not decide", "job", string(j.ID), "queue", j.Queue, "team", j.Team, "not_owner", reply.NotOwner, "error", err)
+		})
 		return false, nil
 	}
 	if !reply.Admission.Rejected {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -122,7 +122,8 @@
 	view           *ownerView
 	allowance      *memoryAllowance
 	memoryRefusals memoryRefusals
-	recordLookups  *rate.Limiter // of refused submissions
+	recordLookups  *rate.Limiter  // of refused submissions
+	undecided      rate.Sometimes // limits the log lines about submissions that the owner did not decide
 
 	ctx              context.Context // of all effects
 	ownerCtx         context.Context // of effects of the current ownership; set by the control goroutine
@@ -152,6 +153,7 @@
 		view:           newOwnerView(),
 		allowance:      newMemoryAllowance(cfg.Schedule.JobMemory),
 		memoryRefusals: memoryRefusals{logEvent: cfg.Journal.Event},
+		undecided:      rate.Sometimes{Interval: undecidedLogInterval},
 		recordLookups:  rate.NewLimiter(recordLookupRate, recordLookupBurst),
 		failuresByCall: make(map[string]storeFailures),
 		metrics:        newRequestMetrics(cfg.Metrics),
--- a/ledger/memoryonly.go
+++ b/ledger/memoryonly.go
@@ -55,6 +55,7 @@
 		}
 	}
 	m.memory.Hold(now, key, from, m.size(r))
+	m.memory.Expire(now)
 	m.records[key] = r
 	return nil
 }
--- a/schedule/memory.go
+++ b/schedule/memory.go
@@ -10,10 +10,10 @@
 // Upper bounds of what parts of a job take in the memory of the owner, in bytes, with their entries in maps.
 // TestMemoryOfJobs compares them with the heap.
 const (
-	jobMemory     = 2200 // without its texts and steps
+	jobMemory     = 1400 // without its texts and steps
 	specMemory    = 200  // of each step, without its texts
 	stepMemory    = 900  // of each step of an active occurrence, without its tasks
-	taskMemory    = 680  // of each task, while it runs or after it has succeeded
+	taskMemory    = 600  // of each task, while it runs or after it has succeeded
 	failureMemory = 320  // of the failed runs of a task or gang
 	adviceMemory  = 180  // of what is known about a step on one worker
 	endedMemory   = 400  // of the final state
--- a/schedule/random_test.go
+++ b/schedule/random_test.go
@@ -74,6 +74,7 @@
 			r.inject(name, injectionTime, randomParts[name])
 		}
 	}
+	r.submitHeavy(seed)
 	faults := slices.Sorted(maps.Keys(simFaults))
 	for range s.rng.IntN(4) {
 		name := faults[s.rng.IntN(len(faults))]
--- a/schedule/sim_test.go
+++ b/schedule/sim_test.go
@@ -166,6 +166,7 @@
 	s.every(10*time.Millisecond, func() { s.dispatch(func(c *Core) { c.Tick() }) })
 	s.every(100*time.Millisecond, s.expireLeases)
 	s.every(100*time.Millisecond, s.checkPending)
+	s.every(100*time.Millisecond, s.checkMemory)
 	s.every(700*time.Millisecond, func() {
 		listed := s.listed()
 		s.dispatch(func(c *Core) { c.SetDirectory(listed) })
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -18,6 +18,9 @@
 	EstimateMs int   `json:"estimateMs"`
 	Gang       bool  `json:"gang,omitempty"`
 	After      []int `json:"after,omitempty"`
+
+	Affinity string `json:"affinity,omitempty"`
+	Image    string `json:"image,omitempty"`
 }
 
 // randomJob returns the run time and the steps of a job: a short lookup, a job of two steps with many
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -12,6 +12,7 @@
 // check waits until every accepted job has ended, and compares the responses to callers with the runs
 // of the workers. It returns the number of accepted jobs.
 func (h *harness) check() int {
+	defer h.checkMemory()
 	deadline := time.Now().Add(completionTimeout)
 	accepted, refused := 0, 0
 	for id, record := range h.jobs {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -140,6 +140,9 @@
 		rng := rand.New(rand.NewPCG(seed, uint64(n)+10))
 		submitting.Go(func() { h.submitJobs(n, rng, chosen.jobInterval, stop) })
 	}
+	if rng := rand.New(rand.NewPCG(seed, 70)); rng.IntN(2) == 0 {
+		submitting.Go(func() { h.submitHeavyJobs(rng, stop) })
+	}
 	observing := make(chan struct{})
 	var observers sync.WaitGroup
 	observers.Go(func() { newObserver(h, seed).run(observing) })
