--- a/instance/accept.go
+++ b/instance/accept.go
@@ -48,7 +48,7 @@
 	ctx    context.Context
 	job    *job.Job
 	record []byte
-	taken  int64 // see admission
+	taken  int64 // see admit
 	done   chan error
 }
 
@@ -74,23 +74,23 @@
 		i.cfg.Journal.Event("refused", "job", string(j.ID), "why", "team_rate", "team", j.Team)
 		return errkind.New(errkind.OverLimit, "team %s exceeds its share of submissions while its jobs are waiting", j.Team).WithRetryAfter(retryAfterOverLimit)
 	}
-	admitted, err := i.admit(ctx, j)
+	taken, err := i.admit(ctx, j)
 	if err != nil {
 		return err
 	}
-	err = i.record(ctx, j, admitted)
+	err = i.record(ctx, j, taken)
 	switch {
 	case err == nil:
 	case errkind.From(err).Fate() == errkind.FateNotRun:
-		i.allowance.giveBack(admitted.taken)
+		i.allowance.giveBack(taken)
 	default:
-		i.allowance.linger(admitted.taken, time.Now())
+		i.allowance.linger(taken, time.Now())
 	}
 	return err
 }
 
 // record writes an admitted job and returns once it is durable, or if it already is.
-func (i *Instance) record(ctx context.Context, j *job.Job, admitted admission) error {
+func (i *Instance) record(ctx context.Context, j *job.Job, taken int64) error {
 	j.AcceptedBy = i.cfg.Name
 	record, err := job.Encode(j)
 	if err != nil {
@@ -100,7 +100,7 @@
 		i.cfg.Journal.Event("refused", "job", string(j.ID), "why", "record_too_large", "bytes", len(record), "limit", limit)
 		return errkind.New(errkind.RequestTooLarge, "the record of job %s has %d bytes, the store accepts %d", j.ID, len(record), limit)
 	}
-	pending := &pendingSubmission{ctx: ctx, job: j, record: record, taken: admitted.taken, done: make(chan error, 1)}
+	pending := &pendingSubmission{ctx: ctx, job: j, record: record, taken: taken, done: make(chan error, 1)}
 	select {
 	case i.submissions <- pending:
 	default:
--- a/instance/admit.go
+++ b/instance/admit.go
@@ -14,9 +14,9 @@
 
 const (
 	// admissionTimeout bounds the query to the owner about a submission. A call to another region and back
-	// takes 30 ms; an owner that takes longer is overloaded, and the submission is accepted.
+	// takes 30 ms; an owner that takes longer is overloaded, and the allowance of the instance decides.
 	admissionTimeout = 100 * time.Millisecond
-	// maxAdmissionQueries bounds the concurrent queries of an instance; further submissions are accepted.
+	// maxAdmissionQueries bounds the concurrent queries of an instance; the allowance decides about further ones.
 	maxAdmissionQueries = 64
 	// recordedTimeout bounds the check whether a rejected submission is already recorded.
 	recordedTimeout = 500 * time.Millisecond
@@ -36,32 +36,24 @@
 
 func isMemoryCause(cause string) bool { return slices.Contains(memoryCauses, cause) }
 
-// admission is the permission to record a job.
-type admission struct {
-	// taken is the memory of the job that is charged to the allowance of this instance, 0 if the owner has
-	// charged it.
-	taken int64
-}
-
 // admit decides whether a submission may be recorded. The owner is asked if the queue and team are restricted, or
 // if the allowance of this instance does not cover the memory of the job. Without an answer the submission is
-// admitted if the allowance covers it.
-func (i *Instance) admit(ctx context.Context, j *job.Job) (admission, error) {
+// admitted if the allowance covers it. taken is the memory that is charged to the allowance, 0 if the owner has
+// charged the job.
+func (i *Instance) admit(ctx context.Context, j *job.Job) (taken int64, err error) {
 	from, bytes := holding.Source{Queue: j.Queue, Team: j.Team}, schedule.MemoryOf(j)
 	isRestricted := i.view.isRestricted(schedule.Pair{Queue: j.Queue, Team: j.Team}, time.Now())
 	if !isRestricted && i.allowance.take(from, bytes, true) {
-		return admission{taken: bytes}, nil
+		return bytes, nil
 	}
 	decided, err := i.askOwner(ctx, j)
 	switch {
-	case err != nil:
-		return admission{}, err
-	case decided:
-		return admission{}, nil
+	case err != nil || decided:
+		return 0, err
 	case i.allowance.take(from, bytes, false):
-		return admission{taken: bytes}, nil
+		return bytes, nil
 	}
-	return admission{}, i.refuse(ctx, j, schedule.Admission{Rejected: true, Cause: causeNoOwner, RetryAfter: retryAfterNoOwner})
+	return 0, i.refuse(ctx, j, schedule.Admission{Rejected: true, Cause: causeNoOwner, RetryAfter: retryAfterNoOwner})
 }
 
 // askOwner asks the owner whether a submission may be recorded, and returns its refusal. decided is false without
@@ -93,14 +85,20 @@
 // refuse returns the refusal of a submission, or nil if the job is already recorded: its state is then reported
 // to the caller as for any repeated submission.
 func (i *Instance) refuse(ctx context.Context, j *job.Job, a schedule.Admission) error {
-	if !isMemoryCause(a.Cause) {
-		if i.lookUpRecord(ctx, j.ID, false) != recordMissing {
-			return nil
-		}
-		i.metrics.recordAdmission(a)
-		i.cfg.Journal.Event("refused", "job", string(j.ID), "why", a.Cause, "queue", j.Queue, "team", j.Team, "retry_after_s", a.RetryAfter.Seconds())
-		return errkind.New(errkind.QueueFull, "the queue %s is too long for job %s to end while it is of use", j.Queue, j.ID).WithRetryAfter(a.RetryAfter)
+	if isMemoryCause(a.Cause) {
+		return i.refuseForMemory(ctx, j, a)
+	}
+	if i.lookUpRecord(ctx, j.ID, false) != recordMissing {
+		return nil
 	}
+	i.metrics.recordAdmission(a)
+	i.cfg.Journal.Event("refused", "job", string(j.ID), "why", a.Cause, "queue", j.Queue, "team", j.Team, "retry_after_s", a.RetryAfter.Seconds())
+	return errkind.New(errkind.QueueFull, "the queue %s is too long for job %s to end while it is of use", j.Queue, j.ID).WithRetryAfter(a.RetryAfter)
+}
+
+// refuseForMemory is refuse for want of memory. There may be thousands of such refusals a second: the lookups are
+// limited, there is no log line for each, and without a lookup it remains open whether the job was accepted before.
+func (i *Instance) refuseForMemory(ctx context.Context, j *job.Job, a schedule.Admission) error {
 	state := recordUnknown
 	if i.awaitLookup(ctx) {
 		state = i.lookUpRecord(ctx, j.ID, a.KnowsEnded)
--- a/instance/admit_test.go
+++ b/instance/admit_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -14,6 +15,7 @@
 	"github.com/mulberrydrum/mulberrydrum/clock"
 	"github.com/mulberrydrum/mulberrydrum/entry"
 	"github.com/mulberrydrum/mulberrydrum/errkind"
+	"github.com/mulberrydrum/mulberrydrum/holding"
 	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 	"github.com/mulberrydrum/mulberrydrum/store/storetest"
@@ -44,6 +46,9 @@
 func TestAskOwner(t *testing.T) {
 	const id = job.ID("00000000000000a0")
 	reject := cell.Reply{Found: true, Admission: schedule.Admission{Rejected: true, Cause: "hopeless", RetryAfter: 7 * time.Second}}
+	exhausted := cell.Reply{Found: true, Admission: schedule.Admission{Rejected: true, Cause: string(holding.CauseTotal), RetryAfter: 7 * time.Second}}
+	none, enough := holding.Allowance{Limited: true}, holding.Allowance{Limited: true, Bytes: 1 << 20}
+	excluded := holding.Allowance{Limited: true, Bytes: 1 << 20, Teams: []string{"t"}}
 	for _, c := range []struct {
 		name         string
 		reply        cell.Reply
@@ -52,7 +57,9 @@
 		unrestricted bool
 		viewAge      time.Duration
 		inFlight     int32
+		allowance    holding.Allowance
 		wantRejected bool
+		wantKind     errkind.Kind // QueueFull if empty
 		wantQueries  int32
 	}{
 		{name: "rejected", reply: reject, wantRejected: true, wantQueries: 1},
@@ -64,6 +71,13 @@
 		{name: "owner does not answer", reply: reject, silent: true, wantQueries: 1},
 		{name: "owner is gone", reply: reject, gone: true},
 		{name: "too many queries", reply: reject, inFlight: maxAdmissionQueries},
+		{name: "no memory", reply: exhausted, unrestricted: true, allowance: none, wantRejected: true, wantKind: errkind.Overloaded, wantQueries: 1},
+		{name: "no memory, recorded before", reply: exhausted, unrestricted: true, allowance: none, recorded: true, wantQueries: 1},
+		{name: "admitted beyond the allowance", reply: cell.Reply{Found: true}, unrestricted: true, allowance: none, wantQueries: 1},
+		{name: "within the allowance", reply: exhausted, unrestricted: true, allowance: enough},
+		{name: "excluded team", reply: exhausted, unrestricted: true, allowance: excluded, wantRejected: true, wantKind: errkind.Overloaded, wantQueries: 1},
+		{name: "excluded team, no answer", reply: exhausted, silent: true, unrestricted: true, allowance: excluded, wantQueries: 1},
+		{name: "no allowance, no answer", reply: exhausted, silent: true, unrestricted: true, allowance: none, wantRejected: true, wantKind: errkind.Overloaded, wantQueries: 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			memory := storetest.NewMemory(storetest.Config{}).Client("e1")
@@ -99,14 +113,19 @@
 			}
 			i.view.merge(&schedule.View{Epoch: 1, Restricted: []schedule.Pair{pair}}, time.Now().Add(-c.viewAge))
 			i.admissionQueries.Store(c.inFlight)
+			i.allowance.receive(c.allowance, 0, time.Now())
 
 			err = i.Submit(ctx, submitted)
 			var refusal *errkind.Error
 			if rejected := errors.As(err, &refusal); rejected != c.wantRejected {
 				t.Fatalf("got %v, want rejected %v", err, c.wantRejected)
 			}
-			if c.wantRejected && (refusal.Kind != errkind.QueueFull || refusal.RetryAfter != 7*time.Second) {
-				t.Errorf("got %+v, want %s after 7 s", refusal, errkind.QueueFull)
+			wantKind, wantDelay := cmp.Or(c.wantKind, errkind.QueueFull), 7*time.Second
+			if c.silent {
+				wantDelay = retryAfterNoOwner
+			}
+			if c.wantRejected && (refusal.Kind != wantKind || refusal.RetryAfter != wantDelay) {
+				t.Errorf("got %+v, want %s after %s", refusal, wantKind, wantDelay)
 			}
 			if _, found, _, err := memory.Get(ctx, jobKey(id)); err != nil || found == c.wantRejected {
 				t.Errorf("recorded is %v (%v), want %v", found, err, !c.wantRejected)
@@ -117,7 +136,11 @@
 			if n := i.admissionQueries.Load(); n != c.inFlight {
 				t.Errorf("%d queries are in flight afterwards, want %d", n, c.inFlight)
 			}
-			counter, _ := i.cfg.Metrics.Get("admission.rejected_count.hopeless").(metrics.Counter)
+			cause := cmp.Or(c.reply.Admission.Cause, "hopeless")
+			if c.silent {
+				cause = causeNoOwner
+			}
+			counter, _ := i.cfg.Metrics.Get("admission.rejected_count." + cause).(metrics.Counter)
 			if counted := counter != nil && counter.Count() == 1; counted != c.wantRejected {
 				t.Errorf("the rejection is counted: %v, want %v", counted, c.wantRejected)
 			}
--- a/job/label.go
+++ b/job/label.go
@@ -5,13 +5,13 @@
 	"encoding/hex"
 )
 
-// maxTextBytes is the longest label or name of an image that is kept as it is.
-const maxTextBytes = 80
+// MaxTextBytes is the length of the longest label or name of an image that is kept as it is.
+const MaxTextBytes = 80
 
 // ShortText returns a text by which labels and images are compared: the text itself, or its digest if it is
 // long. The scheduler only compares these texts, and callers may submit a job with megabytes of them.
 func ShortText(text string) string {
-	if len(text) <= maxTextBytes {
+	if len(text) <= MaxTextBytes {
 		return text
 	}
 	sum := sha256.Sum256([]byte(text))
--- a/job/label_test.go
+++ b/job/label_test.go
@@ -8,12 +8,12 @@
 // TestShortText guards against long texts that are kept, and against texts that are compared wrongly because
 // they were shortened twice or not at all.
 func TestShortText(t *testing.T) {
-	if text := strings.Repeat("r", maxTextBytes); ShortText(text) != text {
+	if text := strings.Repeat("r", MaxTextBytes); ShortText(text) != text {
 		t.Error("a text of the longest length was changed")
 	}
 	long := strings.Repeat("r", 100_000)
 	short := ShortText(long)
-	if len(short) > maxTextBytes || ShortText(short) != short {
+	if len(short) > MaxTextBytes || ShortText(short) != short {
 		t.Errorf("shortened to %q, and that to %q", short, ShortText(short))
 	}
 	if ShortText(long+"x") == short {
--- a/schedule/memory.go
+++ b/schedule/memory.go
@@ -19,12 +19,18 @@
 	endedMemory   = 400  // of the final state
 )
 
+// MaxJobMemory is the most that MemoryOf returns.
+const MaxJobMemory = jobMemory + job.MaxSpecBytes + job.MaxTasks*taskMemory +
+	job.MaxSteps*(specMemory+stepMemory+3*job.MaxTextBytes+job.MaxSteps*numberBytes)
+
+// numberBytes is the size of an entry of a step's list of earlier steps.
+const numberBytes = 8
+
 // MemoryOf returns the memory that a new job takes on the owner, at most, until further occurrences of it are
 // active, runs of it have failed or the advice service was called for it.
 func MemoryOf(j *job.Job) int64 { return memoryWithoutSpec(j) + int64(len(j.Spec)) }
 
 func memoryWithoutSpec(j *job.Job) int64 {
-	const numberBytes = 8
 	bytes := int64(jobMemory)
 	for i := range j.Steps {
 		s := &j.Steps[i]
