--- a/instance/ownership.go
+++ b/instance/ownership.go
@@ -197,7 +197,7 @@
 		recovery, err := i.readRecovery(callCtx)
 		cancel()
 		if err == nil {
-			i.loop.Post(ctx, cell.Recovered{Revision: ownership, State: recovery})
+			i.loop.PostAndWait(ctx, cell.Recovered{Revision: ownership, State: recovery})
 			go i.followInbox(ctx, ownership, recovery.ReadRevision+1)
 			go i.readDirectory(ctx)
 			go i.sweepPeriodically(ctx, ownership)
--- a/store/follow.go
+++ b/store/follow.go
@@ -63,7 +63,8 @@
 
 // FollowFrom watches the keys with a prefix from a revision on until ctx is done, or lists them first if the
 // revision is 0. It lists them again if the changes after the last delivered one are no longer in the store's
-// history, or can't be read, or if several watches in succession have brought no message. A batch that does not say as of when it is current is as current as the last one that does.
+// history, or can't be read, or if several watches in succession have brought no message. A batch that does not
+// say as of when it is current is as current as the last one that does.
 func FollowFrom(ctx context.Context, s Store, prefix string, next int64, f Follower) error {
 	var current time.Time
 	listed := next - 1 // revision of the last list
--- a/untrusted/accepted_test.go
+++ b/untrusted/accepted_test.go
@@ -369,7 +369,23 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
-			d.start(t).check(t, crowd{bodyClients, validHead, send})
+			d.start(t).check(t, crowd{clients: bodyClients, head: validHead, send: send})
+		})
+	}
+}
+
+// TestSharedAddress plays large bodies of legal size in pieces and in very small chunks, of which most stop just short
+// of their end, from the address of the ordinary callers, as behind a load balancer: the source that holds most is then
+// everybody.
+func TestSharedAddress(t *testing.T) {
+	for name, send := range map[string]func(io.Writer, string, bool) error{
+		"pieces":       sendText(largeBody, pieceBytes, 10*time.Millisecond),
+		"small chunks": sendTextChunks(largeBody, smallChunk),
+		"nothing":      sendNothing,
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.start(t).check(t, crowd{clients: silentClients, head: validHead, send: send, shared: true})
 		})
 	}
 }
--- a/untrusted/crowd_test.go
+++ b/untrusted/crowd_test.go
@@ -16,6 +16,7 @@
 	clients int
 	head    string                                          // request line and headers up to those of the body; idPlaceholder stands for a new job ID
 	send    func(w io.Writer, head string, ends bool) error // sends one request, whole if ends is set
+	shared  bool                                            // the crowd connects from the address of the ordinary callers
 }
 
 // idPlaceholder stands for the ID of a job in the head of a request.
@@ -43,6 +44,9 @@
 			defer once()
 			for range attempts {
 				dialer := net.Dialer{Timeout: writeTimeout, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 77, 0, byte(1+i%sources))}}
+				if c.shared {
+					dialer.LocalAddr = nil
+				}
 				conn, err := dialer.Dial("tcp", address)
 				if err != nil {
 					continue
--- a/untrusted/own_test.go
+++ b/untrusted/own_test.go
@@ -111,41 +111,41 @@
 
 // TestOwnHeadersOverLimit guards against a server that keeps headers of any size.
 func TestOwnHeadersOverLimit(t *testing.T) {
-	startOwnInstance(t).check(t, crowd{ownClients, ownHead, sendLongHeaders})
+	startOwnInstance(t).check(t, crowd{clients: ownClients, head: ownHead, send: sendLongHeaders})
 }
 
 // TestOwnEndlessHeaders guards against a server that keeps header lines until they end.
 func TestOwnEndlessHeaders(t *testing.T) {
-	startOwnInstance(t).check(t, crowd{ownClients, ownHead, sendEndlessHeaders})
+	startOwnInstance(t).check(t, crowd{clients: ownClients, head: ownHead, send: sendEndlessHeaders})
 }
 
 // TestOwnEmptyLines guards against a server that reads empty lines without end.
 func TestOwnEmptyLines(t *testing.T) {
-	startOwnInstance(t).check(t, crowd{ownClients, ownHead, sendEmptyLines})
+	startOwnInstance(t).check(t, crowd{clients: ownClients, head: ownHead, send: sendEmptyLines})
 }
 
 // TestOwnLargeBodies guards against a server that reads any number of bodies at the same time.
 func TestOwnLargeBodies(t *testing.T) {
-	startOwnInstance(t).check(t, crowd{ownClients, ownHead, sendBody(ownBodyBytes, ownBodyBytes, 0)})
+	startOwnInstance(t).check(t, crowd{clients: ownClients, head: ownHead, send: sendBody(ownBodyBytes, ownBodyBytes, 0)})
 }
 
 // TestOwnLargeBodiesInPieces guards against a server that counts only the bodies that it has read.
 func TestOwnLargeBodiesInPieces(t *testing.T) {
-	startOwnInstance(t).check(t, crowd{ownClients, ownHead, sendBody(ownBodyBytes, pieceBytes, 10*time.Millisecond)})
+	startOwnInstance(t).check(t, crowd{clients: ownClients, head: ownHead, send: sendBody(ownBodyBytes, pieceBytes, 10*time.Millisecond)})
 }
 
 // TestOwnLargeChunks guards against a server that reads any number of bodies of unknown length.
 func TestOwnLargeChunks(t *testing.T) {
-	startOwnInstance(t).check(t, crowd{ownClients, ownHead, sendChunks(ownBodyBytes, largeChunk)})
+	startOwnInstance(t).check(t, crowd{clients: ownClients, head: ownHead, send: sendChunks(ownBodyBytes, largeChunk)})
 }
 
 // TestOwnSmallChunks guards against a server that takes each chunk for progress, however small.
 func TestOwnSmallChunks(t *testing.T) {
-	startOwnInstance(t).check(t, crowd{ownClients, ownHead, sendChunks(ownBodyBytes, smallChunk)})
+	startOwnInstance(t).check(t, crowd{clients: ownClients, head: ownHead, send: sendChunks(ownBodyBytes, smallChunk)})
 }
 
 // TestOwnSilentConnections guards against a server that accepts connections until the process has no
 // descriptor left for its own calls.
 func TestOwnSilentConnections(t *testing.T) {
-	startOwnInstance(t).check(t, crowd{ownSilentClients, ownHead, sendNothing})
+	startOwnInstance(t).check(t, crowd{clients: ownSilentClients, head: ownHead, send: sendNothing})
 }
--- a/untrusted/platform_test.go
+++ b/untrusted/platform_test.go
@@ -174,41 +174,41 @@
 
 // TestHeadersOverLimit guards against an instance that keeps headers of any size.
 func TestHeadersOverLimit(t *testing.T) {
-	startInstance(t).check(t, crowd{headerClients, submitHead, sendLongHeaders})
+	startInstance(t).check(t, crowd{clients: headerClients, head: submitHead, send: sendLongHeaders})
 }
 
 // TestEndlessHeaders guards against an instance that keeps header lines until they end.
 func TestEndlessHeaders(t *testing.T) {
-	startInstance(t).check(t, crowd{headerClients, submitHead, sendEndlessHeaders})
+	startInstance(t).check(t, crowd{clients: headerClients, head: submitHead, send: sendEndlessHeaders})
 }
 
 // TestEmptyLines guards against an instance that reads empty lines without end.
 func TestEmptyLines(t *testing.T) {
-	startInstance(t).check(t, crowd{headerClients, submitHead, sendEmptyLines})
+	startInstance(t).check(t, crowd{clients: headerClients, head: submitHead, send: sendEmptyLines})
 }
 
 // TestLargeBodies guards against an instance that reads any number of bodies at the same time.
 func TestLargeBodies(t *testing.T) {
-	startInstance(t).check(t, crowd{bodyClients, submitHead, sendBody(bodyBytes, bodyBytes, 0)})
+	startInstance(t).check(t, crowd{clients: bodyClients, head: submitHead, send: sendBody(bodyBytes, bodyBytes, 0)})
 }
 
 // TestLargeBodiesInPieces guards against an instance that counts only the bodies that it has read.
 func TestLargeBodiesInPieces(t *testing.T) {
-	startInstance(t).check(t, crowd{bodyClients, submitHead, sendBody(bodyBytes, pieceBytes, 10*time.Millisecond)})
+	startInstance(t).check(t, crowd{clients: bodyClients, head: submitHead, send: sendBody(bodyBytes, pieceBytes, 10*time.Millisecond)})
 }
 
 // TestLargeChunks guards against an instance that reads any number of bodies of unknown length.
 func TestLargeChunks(t *testing.T) {
-	startInstance(t).check(t, crowd{bodyClients, submitHead, sendChunks(bodyBytes, largeChunk)})
+	startInstance(t).check(t, crowd{clients: bodyClients, head: submitHead, send: sendChunks(bodyBytes, largeChunk)})
 }
 
 // TestSmallChunks guards against an instance that takes each chunk for progress, however small.
 func TestSmallChunks(t *testing.T) {
-	startInstance(t).check(t, crowd{bodyClients, submitHead, sendChunks(bodyBytes, smallChunk)})
+	startInstance(t).check(t, crowd{clients: bodyClients, head: submitHead, send: sendChunks(bodyBytes, smallChunk)})
 }
 
 // TestSilentConnections guards against an instance that accepts connections until it has no descriptor
 // left for its own calls.
 func TestSilentConnections(t *testing.T) {
-	startInstance(t).check(t, crowd{silentClients, submitHead, sendNothing})
+	startInstance(t).check(t, crowd{clients: silentClients, head: submitHead, send: sendNothing})
 }
