--- a/untrusted/own_test.go
+++ b/untrusted/own_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -149,3 +150,37 @@
 func TestOwnSilentConnections(t *testing.T) {
 	startOwnInstance(t).check(t, crowd{clients: ownSilentClients, head: ownHead, send: sendNothing})
 }
+
+const (
+	unreadClients  = 300
+	unreadRequests = 6 // of each client, on a connection each
+	unreadTime     = 4 * time.Second
+)
+
+// TestOwnUnreadResults plays short work whose results have 3 MB, from clients that do not read the response: an instance
+// must not hold more results than it can.
+func TestOwnUnreadResults(t *testing.T) {
+	p := startOwnInstance(t)
+	d := deployment{instances: []*target{p}}
+	watched := d.watch()
+	var clients sync.WaitGroup
+	for range unreadClients {
+		clients.Go(func() {
+			for range unreadRequests {
+				conn, err := net.DialTimeout("tcp", p.address, writeTimeout)
+				if err != nil {
+					continue
+				}
+				body := fmt.Sprintf(`{"idempotency_key":"u-%d","class":"big-lookup","payload":"eA=="}`, sentJobs.Add(1))
+				_, err = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", ownHead, len(body), body)
+				if err == nil {
+					time.Sleep(unreadTime)
+				}
+				_ = conn.Close()
+			}
+		})
+	}
+	clients.Wait()
+	p.awaitAnswer(t, "after the crowd has left")
+	watched.check(t)
+}
