--- a/cell/effect.go
+++ b/cell/effect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 )
 
@@ -69,3 +70,25 @@
 func (Log) isEffect()            {}
 func (StartForecast) isEffect()  {}
 func (Answer) isEffect()         {}
+
+// collectCoreEffects converts the effects of the core to effects of this package.
+func (s *State) collectCoreEffects() {
+	for _, e := range s.core.Finish() {
+		switch e := e.(type) {
+		case schedule.Decision:
+			s.emit(Log{e})
+		case schedule.ForecastChecked:
+			s.emit(StartForecast{Error: e.Error})
+		case schedule.CancelDone:
+			s.emit(Answer{Token: e.Token, Reply: Reply{Found: true, State: job.Cancelled}})
+		case schedule.HeldMemory:
+			s.emit(ShowHeldMemory{e})
+		case schedule.PastUse:
+			s.emit(ShowPastUse{e})
+		case schedule.Commit:
+			s.emit(CommitRecords{Commit: e, OwnerRevision: s.ownershipRevision, Sequence: s.sequences[e.Stream]})
+		default:
+			s.emit(Order{Fence: s.ownershipRevision, Effect: e})
+		}
+	}
+}
