--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -6,7 +6,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -54,6 +56,13 @@
 		return exitFailed
 	}
 	defer r.stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		r.stop()
+		os.Exit(exitFailed)
+	}()
 	violations, err := play(r, trouble)
 	if err != nil {
 		rec.log("the case could not run: %v", err)
--- a/review/rig3/wedge.go
+++ b/review/rig3/wedge.go
@@ -16,7 +16,7 @@
 	wedgeFailures    = 1                 // failed runs of each task
 	wedgeAttempts    = 4                 // maxAttempts
 	wedgeTime        = 30 * time.Second  // from the submission to the jobs of others
-	otherJobs        = 600
+	otherJobs        = 1000
 	idleTime         = 3 * time.Second  // for which a job may have nothing running
 	finishTime       = 14 * time.Second // finish_s
 )
@@ -30,14 +30,14 @@
 	if err := r.start(6, 3); err != nil {
 		return nil, err
 	}
-	spec := fmt.Sprintf("20ms %s", wedgeTail)
+	spec := fmt.Sprintf("100ms %s", wedgeTail)
 	if trouble {
-		spec = fmt.Sprintf("20ms(%d) %s", wedgeFailures, wedgeTail)
+		spec = fmt.Sprintf("100ms(%d) %s", wedgeFailures, wedgeTail)
 	}
 	recurring := submission{
 		Spec: spec, RepeatCount: wedgeOccurrences, FirstMs: time.Now().UnixMilli(), IntervalMs: wedgeInterval.Milliseconds(),
 		Steps: []step{
-			{Count: wedgeTasks, CPU: 10, MemMB: 1, EstimateMs: 20},
+			{Count: wedgeTasks, CPU: 200, MemMB: 16, EstimateMs: 100},
 			{Count: 1, CPU: 1000, MemMB: 64, EstimateMs: int(wedgeTail.Milliseconds()), After: []int{0}},
 		},
 	}
@@ -47,38 +47,43 @@
 	for begun := time.Now(); time.Since(begun) < wedgeTime; time.Sleep(5 * time.Second) {
 		r.logProgress(jobID(0))
 	}
-	accepted := 0
+	accepted := map[string]time.Time{}
 	small := submission{Spec: "100ms 100ms", Steps: []step{{Count: 2, CPU: 1000, MemMB: 64, EstimateMs: 100}, {Count: 2, CPU: 1000, MemMB: 64, EstimateMs: 100, After: []int{0}}}}
 	for n := 1; n <= otherJobs; n++ {
 		status, _, _ := r.call(r.instances[n%len(r.instances)], http.MethodPost, jobID(n), small, 3*time.Second)
 		if status/100 == 2 {
-			accepted++
+			accepted[jobID(n)] = time.Now()
 			continue
 		}
 		r.rec.log("POST %s: %d", jobID(n), status)
 	}
-	r.rec.log("%d small jobs are accepted", accepted)
+	r.rec.log("%d small jobs are accepted", len(accepted))
 	time.Sleep(finishTime)
 	r.logProgress(jobID(0))
 	r.logMemory()
-	idle := 0
+	idle, states := 0, map[string]int{}
 	for n := 1; n <= otherJobs; n++ {
-		since, isIdle := r.idleSince(jobID(n))
-		if !isIdle || time.Since(since) < idleTime {
+		id := jobID(n)
+		at, isAccepted := accepted[id]
+		since, isIdle := r.idleSince(id, at)
+		if !isAccepted || !isIdle || time.Since(since) < idleTime {
 			continue
 		}
 		idle++
-		_, state, _ := r.call(r.instances[n%len(r.instances)], http.MethodGet, jobID(n), nil, 3*time.Second)
-		r.rec.log("%s: the tasks of its first step ended done at %.3f, none of the second has begun; GET %s", jobID(n), since.Sub(r.rec.start).Seconds(), state)
+		_, state, _ := r.call(r.instances[n%len(r.instances)], http.MethodGet, id, nil, 3*time.Second)
+		states[state]++
+		r.rec.log("%s, accepted at %.3f, has had nothing running since %.3f; GET %s", id, at.Sub(r.rec.start).Seconds(), since.Sub(r.rec.start).Seconds(), state)
 	}
-	if idle > 0 {
-		return []string{fmt.Sprintf("LOST: %d of %d small jobs have had nothing running for %s or more while the turn of their second step has come, with most of the capacity free", idle, accepted, idleTime)}, nil
+	if idle == 0 {
+		return nil, nil
 	}
-	return nil, nil
+	return []string{fmt.Sprintf("LOST: %d of %d small jobs have had nothing running for %s or more while the turn of a step has come, with most of the capacity free; they are shown as %v", idle, len(accepted), idleTime, states)}, nil
 }
 
-// idleSince returns since when a job of two steps has had nothing running although its second step has not ended.
-func (r *rig) idleSince(id string) (since time.Time, isIdle bool) {
+// idleSince returns since when an accepted job of two steps has had nothing running, although no task of its second
+// step has begun.
+func (r *rig) idleSince(id string, accepted time.Time) (since time.Time, isIdle bool) {
+	since = accepted
 	for _, run := range r.ledger.ofJob(id) {
 		if run.endedAt.IsZero() || strings.HasPrefix(run.task, id+".0.1.") {
 			return time.Time{}, false
@@ -87,7 +92,7 @@
 			since = run.endedAt
 		}
 	}
-	return since, !since.IsZero()
+	return since, true
 }
 
 // logProgress records how far a job is.
