--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -63,7 +63,6 @@
 	EstimateMs int   `json:"estimateMs,omitempty"`
 	After      []int `json:"after,omitempty"`
 	RunForever bool  `json:"runForever,omitempty"`
-	Gang       bool  `json:"gang,omitempty"`
 }
 
 // submission is the body of a submission.
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -25,7 +25,6 @@
 var scenarios = map[string]scenario{
 	"cancel": playCancel,
 	"wedge":  playWedge,
-	"gang":   playGang,
 	"stall":  playStall,
 }
 
--- a/review/rig3/stall.go
+++ b/review/rig3/stall.go
@@ -60,7 +60,7 @@
 		if !found {
 			continue
 		}
-		from, to := r.longestIdle(jobID(n), at)
+		from, to := r.longestIdle(jobID(n), at, r.isOpen(jobID(n)))
 		if trouble && from.Before(calmSince.Add(calmTime)) {
 			from = calmSince.Add(calmTime) // the time before counts only if it is calm
 		}
@@ -72,22 +72,18 @@
 	return violations, nil
 }
 
-// longestIdle returns the longest time for which a job of two steps had nothing running between its acceptance and
-// the end of its second step.
-func (r *rig) longestIdle(id string, accepted time.Time) (from, to time.Time) {
+// longestIdle returns the longest time for which a job had nothing running after its acceptance, until now if it is
+// open and otherwise until its last run.
+func (r *rig) longestIdle(id string, accepted time.Time, isOpen bool) (from, to time.Time) {
 	now := time.Now()
-	runs := r.ledger.ofJob(id)
 	idleFrom := accepted
 	note := func(until time.Time) {
 		if until.Sub(idleFrom) > to.Sub(from) {
 			from, to = idleFrom, until
 		}
 	}
-	done := 0
-	for _, run := range runs { // in the order of their starts
-		if run.startedAt.After(idleFrom) {
-			note(run.startedAt)
-		}
+	for _, run := range r.ledger.ofJob(id) { // in the order of their starts
+		note(run.startedAt)
 		end := run.endedAt
 		if end.IsZero() {
 			end = now
@@ -95,12 +91,20 @@
 		if end.After(idleFrom) {
 			idleFrom = end
 		}
-		if strings.HasPrefix(run.task, id+".0.1.") && run.how == "done" {
-			done++
-		}
 	}
-	if done < 2 {
+	if isOpen {
 		note(now)
 	}
 	return from, to
 }
+
+// isOpen reports whether a task of the second step of a job of two tasks a step has not ended done.
+func (r *rig) isOpen(id string) bool {
+	done := 0
+	for _, run := range r.ledger.ofJob(id) {
+		if strings.HasPrefix(run.task, id+".0.1.") && run.how == "done" {
+			done++
+		}
+	}
+	return done < 2
+}
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -24,61 +24,6 @@
 type plan struct {
 	duration time.Duration
 	how      string // done or failed
-	gang     *gang  // nil if the task works alone
-}
-
-// gang is one run of a gang. Its members work once all of them are present, and end done together.
-type gang struct {
-	mu       sync.Mutex
-	size     int
-	present  int
-	complete chan struct{} // closed when all members are present
-	broken   chan struct{} // closed when a member has ended before the gang
-	done     bool
-	isBroken bool
-}
-
-// gangTimeout is how long a member waits for the others (gangTimeoutMs).
-const gangTimeout = 3 * time.Second
-
-func (g *gang) join() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.present++; g.present == g.size {
-		close(g.complete)
-	}
-}
-
-// leave records the end of a member.
-func (g *gang) leave(how string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if how == "done" {
-		g.done = true
-	}
-	if !g.done && !g.isBroken {
-		g.isBroken = true
-		close(g.broken)
-	}
-}
-
-// work returns how the run of a member ends.
-func (g *gang) work(duration time.Duration) string {
-	timeout := time.NewTimer(gangTimeout)
-	defer timeout.Stop()
-	select {
-	case <-g.complete:
-	case <-g.broken:
-		return "broken"
-	case <-timeout.C:
-		return "alone"
-	}
-	select {
-	case <-time.After(duration):
-		return "done"
-	case <-g.broken:
-		return "broken"
-	}
 }
 
 // ledger has the runs of all workers and decides what each of them does.
@@ -86,24 +31,12 @@
 	mu       sync.Mutex
 	runs     []*runRecord
 	attempts map[string]int // by task
-	gangs    map[string]*gang
-}
-
-// gang returns the run of a gang to which a task belongs.
-func (l *ledger) gang(task string, run, size int) *gang {
-	name := fmt.Sprintf("%s/%d", task[:strings.LastIndex(task, ".")], run)
-	g := l.gangs[name]
-	if g == nil {
-		g = &gang{size: size, complete: make(chan struct{}), broken: make(chan struct{})}
-		l.gangs[name] = g
-	}
-	return g
 }
 
 // plan decides what a run of a task does. The spec lists the durations of the tasks of each step. After a
 // number in parentheses, the first runs of each task of the step end failed: "20ms(2) 80s". The duration
-// "forever" stands for tasks that last. A number after a star is the size of a gang: "5s*20".
-func (l *ledger) plan(spec, task string, run int) plan {
+// "forever" stands for tasks that last.
+func (l *ledger) plan(spec, task string) plan {
 	l.attempts[task]++
 	steps := strings.Fields(spec)
 	index, err := strconv.Atoi(strings.Split(task, ".")[2])
@@ -114,16 +47,11 @@
 	if n, err := strconv.Atoi(strings.TrimSuffix(failures, ")")); err == nil && l.attempts[task] <= n {
 		return plan{duration: time.Millisecond, how: "failed"}
 	}
-	text, size, isGang := strings.Cut(text, "*")
 	d, err := time.ParseDuration(text)
 	if err != nil {
 		return plan{}
 	}
-	p := plan{duration: d, how: "done"}
-	if n, err := strconv.Atoi(size); isGang && err == nil {
-		p.gang = l.gang(task, run, n)
-	}
-	return p
+	return plan{duration: d, how: "done"}
 }
 
 // ofJob returns copies of the records of a job.
@@ -160,7 +88,6 @@
 type activeRun struct {
 	*runRecord
 	timer *time.Timer
-	gang  *gang // nil if the task works alone
 }
 
 const (
@@ -216,9 +143,6 @@
 	for _, a := range w.running {
 		a.timer.Stop()
 		a.endedAt, a.how = time.Now(), "lost"
-		if a.gang != nil {
-			a.gang.leave("lost")
-		}
 	}
 	clear(w.running)
 }
@@ -354,27 +278,23 @@
 func (w *worker) startRun(o order) {
 	record := &runRecord{worker: w.id, task: o.Task, run: o.Run, startedAt: time.Now()}
 	w.ledger.mu.Lock()
-	p := w.ledger.plan(o.Spec, o.Task, o.Run)
+	p := w.ledger.plan(o.Spec, o.Task)
 	w.ledger.runs = append(w.ledger.runs, record)
 	w.ledger.mu.Unlock()
-	a := &activeRun{runRecord: record, timer: time.NewTimer(time.Hour), gang: p.gang}
+	a := &activeRun{runRecord: record, timer: time.NewTimer(time.Hour)}
 	a.timer.Stop()
 	w.running[o.Task] = a
-	finish := func(how string) {
+	if p.duration == 0 {
+		return
+	}
+	a.timer = time.AfterFunc(p.duration, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.expire()
 		if w.running[o.Task] == a {
-			w.end(a, how, time.Now())
+			w.end(a, p.how, time.Now())
 		}
-	}
-	switch {
-	case p.gang != nil:
-		p.gang.join()
-		go func() { finish(p.gang.work(p.duration)) }()
-	case p.duration > 0:
-		a.timer = time.AfterFunc(p.duration, func() { finish(p.how) })
-	}
+	})
 }
 
 func (w *worker) end(a *activeRun, how string, at time.Time) {
@@ -382,9 +302,6 @@
 	w.ledger.mu.Lock()
 	a.endedAt, a.how = at, how
 	w.ledger.mu.Unlock()
-	if a.gang != nil {
-		a.gang.leave(how)
-	}
 	delete(w.running, a.task)
 	w.floor[a.task] = max(w.floor[a.task], a.run)
 	w.lastEnd++
