instance: record the cancellation of a job that is not recorded

Cause: a cancellation of a job without records was acknowledged at once and left nothing in the store. The condition of the submission, that there is neither a job record nor a final record, still held when its write arrived.

Ruled out: a retry by the instance that was cut off (it drops a submission with its 504, and logs no acceptance), a cancellation that the owner lost, the owner's watch.

Change: such a cancellation writes a tombstone in place of the final record and is acknowledged after that. The condition of submissions is the one that they had: three entries for each job, ten jobs in a transaction, as before. A repeated submission of the same customer in the same queue is refused while the tombstone exists, 2 to 3 minutes. Such cancellations are limited for each customer and instance, before the store is read.

--- a/instance/accept.go
+++ b/instance/accept.go
@@ -11,6 +11,7 @@
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/tombstone"
 )
 
 const (
@@ -50,8 +51,13 @@
 	record []byte
 	taken  int64 // see admit
 	done   chan error
+	// finalRevision is the expected revision of the final record of the ID: 0 unless there is a tombstone that
+	// does not concern the submission.
+	finalRevision int64
 }
 
+func (p *pendingSubmission) jobID() job.ID { return p.job.ID }
+
 // Submit records a job and returns once it is durable, or if it already is. After an
 // error with the fate "not run", nothing of the job is recorded and no write of it is
 // in flight.
@@ -145,22 +151,23 @@
 	}
 }
 
-// collectBatch returns the waiting submissions for one transaction, which may contain each key only
-// once. next is a submission of a job that is already in the batch; it is nil if there is none.
-func collectBatch(first *pendingSubmission, waiting <-chan *pendingSubmission) (batch []*pendingSubmission, next *pendingSubmission) {
-	batch = []*pendingSubmission{first}
+// collectBatch returns the waiting writes for one transaction, which may contain each key only once. next is a
+// write for a job that is already in the batch; it is the zero value if there is none.
+func collectBatch[T interface{ jobID() job.ID }](first T, waiting <-chan T) (batch []T, next T) {
+	batch = []T{first}
+	var none T
 	for len(batch) < maxBatch {
 		select {
-		case submission := <-waiting:
-			if slices.ContainsFunc(batch, func(s *pendingSubmission) bool { return s.job.ID == submission.job.ID }) {
-				return batch, submission
+		case write := <-waiting:
+			if slices.ContainsFunc(batch, func(w T) bool { return w.jobID() == write.jobID() }) {
+				return batch, write
 			}
-			batch = append(batch, submission)
+			batch = append(batch, write)
 		default:
-			return batch, nil
+			return batch, none
 		}
 	}
-	return batch, nil
+	return batch, none
 }
 
 // recordBatch writes a batch and retries until every submission has been replied to, at
@@ -197,7 +204,7 @@
 	txn := store.Txn{}
 	for _, submission := range batch {
 		key := jobKey(submission.job.ID)
-		txn.Compares = append(txn.Compares, store.Compare{Key: key}, store.Compare{Key: finalKey(submission.job.ID)})
+		txn.Compares = append(txn.Compares, store.Compare{Key: key}, store.Compare{Key: finalKey(submission.job.ID), ModRevision: submission.finalRevision})
 		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: submission.record})
 	}
 	return txn
@@ -231,16 +238,37 @@
 	for _, submission := range batch {
 		if kv, open := recorded[jobKey(submission.job.ID)]; open {
 			i.resolveDuplicate(submission, kv)
-		} else if _, ended := recorded[finalKey(submission.job.ID)]; ended {
-			i.allowance.giveBack(submission.taken)
-			submission.done <- nil
-		} else {
+			continue
+		}
+		kv, ended := recorded[finalKey(submission.job.ID)] // the zero value if there is none
+		if !ended || !i.resolveEnded(submission, kv) {
+			submission.finalRevision = kv.ModRevision
 			rest = append(rest, submission)
 		}
 	}
 	return rest
 }
 
+// resolveEnded replies to a submission whose job has ended or was cancelled before it was recorded. It returns
+// false if the final record is a tombstone that does not concern the submission.
+func (i *Instance) resolveEnded(submission *pendingSubmission, kv store.KeyValue) bool {
+	id := submission.job.ID
+	final, err := job.Decode[job.Final](kv.Value)
+	switch {
+	case err != nil:
+		submission.done <- errkind.New(errkind.Internal, "the stored final record of job %s cannot be decoded", id)
+	case tombstone.Covers(final, submission.job.Origin()):
+		i.cfg.Journal.Event("refused", "job", string(id), "why", "cancelled_before")
+		submission.done <- errkind.New(errkind.Cancelled, "job %s was cancelled before it was recorded", id)
+	case final.IsTombstone():
+		return false
+	default:
+		i.allowance.giveBack(submission.taken)
+		submission.done <- nil
+	}
+	return true
+}
+
 // resolveDuplicate replies to a submission whose job is already recorded. The record may
 // come from an earlier attempt of the same submission whose response was lost.
 func (i *Instance) resolveDuplicate(submission *pendingSubmission, kv store.KeyValue) {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,6 +19,7 @@
 	"github.com/mulberrydrum/mulberrydrum/membership"
 	"github.com/mulberrydrum/mulberrydrum/schedule"
 	"github.com/mulberrydrum/mulberrydrum/store"
+	"github.com/mulberrydrum/mulberrydrum/tombstone"
 )
 
 // Workers sends orders to workers. Each call returns when ctx ends, at the latest.
@@ -122,7 +123,9 @@
 	view           *ownerView
 	allowance      *memoryAllowance
 	memoryRefusals memoryRefusals
-	recordLookups  *rate.Limiter  // of refused submissions
+	recordLookups  *rate.Limiter // of refused submissions
+	cancelBudget   *tombstone.Budget
+	tombstones     chan *pendingTombstone
 	undecided      rate.Sometimes // limits the log lines about submissions that the owner did not decide
 
 	ctx              context.Context // of all effects
@@ -155,6 +158,8 @@
 		memoryRefusals: memoryRefusals{logEvent: cfg.Journal.Event},
 		undecided:      rate.Sometimes{Interval: undecidedLogInterval},
 		recordLookups:  rate.NewLimiter(recordLookupRate, recordLookupBurst),
+		cancelBudget:   tombstone.NewBudget(tombstone.DefaultLimits()),
+		tombstones:     make(chan *pendingTombstone, tombstoneQueueLength),
 		failuresByCall: make(map[string]storeFailures),
 		metrics:        newRequestMetrics(cfg.Metrics),
 		resends:        newResendBudget(cfg.Metrics),
@@ -192,6 +197,7 @@
 	for range submissionWriters {
 		group.Go(func() error { return i.recordSubmissions(ctx) })
 	}
+	group.Go(func() error { return i.recordTombstones(ctx) })
 	i.cfg.Journal.Event("instance started", "instance", i.cfg.Name, "incarnation", i.cfg.Incarnation)
 	if err := group.Wait(); err != nil && ctx.Err() == nil {
 		return err
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -47,6 +47,15 @@
 	metrics.GetOrRegisterCounter("request.error_count."+string(errkind.From(err).Kind), m.registry).Inc(1)
 }
 
+// Metrics of the cancellations of jobs that the owner does not know.
+const (
+	tombstonesMetric     = "cancel.tombstone_count"
+	limitedCancelsMetric = "cancel.limited_count"
+)
+
+// count adds one to a counter.
+func (m *requestMetrics) count(name string) { metrics.GetOrRegisterCounter(name, m.registry).Inc(1) }
+
 // Prefixes of the gauges of past use, which the names of teams follow.
 const (
 	PastUseSharePrefix = "use.share."    // average share of the capacity in the dominant resource
--- a/instance/query.go
+++ b/instance/query.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/mulberrydrum/mulberrydrum/cell"
 	"github.com/mulberrydrum/mulberrydrum/errkind"
 	"github.com/mulberrydrum/mulberrydrum/job"
 	"github.com/mulberrydrum/mulberrydrum/schedule"
-	"github.com/mulberrydrum/mulberrydrum/store"
 )
 
 // State returns the state of a job of a queue. team is the team to which the API key
@@ -27,13 +25,16 @@
 		i.view.addQueried(schedule.Status{Job: id, State: reply.State, Queue: reply.Queue, Team: reply.Team}, epoch, time.Now())
 		return checkVisible(reply.State, reply.Queue, reply.Team, queue, team, id)
 	}
-	record, final, err := i.readJob(ctx, id)
+	records, err := i.readJob(ctx, id)
+	record, final := records.job, records.final
 	last, known := i.view.lastStatus(id)
 	switch {
 	case err != nil && known:
 		return checkVisible(last.State, last.Queue, last.Team, queue, team, id)
 	case err != nil:
 		return "", errkind.New(errkind.StoreUnavailable, "the state of job %s could be read neither from the owner nor from the store", id).WithRetryAfter(retryAfterStore)
+	case final != nil && final.IsTombstone():
+		return "", unknownJob(id)
 	case final != nil:
 		i.view.addFinal(schedule.Status{Job: id, State: final.State, Queue: final.Queue, Team: final.Team}, time.Now())
 		return checkVisible(final.State, final.Queue, final.Team, queue, team, id)
@@ -71,80 +72,39 @@
 
 // checkVisible reports jobs of other queues and teams as unknown.
 func checkVisible(state job.State, jobQueue, jobTeam, queue, team string, id job.ID) (job.State, error) {
-	if jobQueue != queue || (team != "" && jobTeam != "" && jobTeam != team) {
+	if from := (job.Origin{Queue: queue, Team: team}); !from.MayAccess(job.Origin{Queue: jobQueue, Team: jobTeam}) {
 		return "", unknownJob(id)
 	}
 	return state, nil
 }
 
+// jobRecords are the records of a job: of the accepted job, of its end or a tombstone, or none.
+type jobRecords struct {
+	job           *cell.Submission
+	final         *job.Final // of an ended job, or a tombstone; read only if job is nil
+	finalRevision int64      // 0 if there is none
+}
+
 // readJob reads the records of a job. The record of the accepted job is read first: if
 // the job ends between the two reads, the second one finds its final record.
-func (i *Instance) readJob(ctx context.Context, id job.ID) (*cell.Submission, *job.Final, error) {
+func (i *Instance) readJob(ctx context.Context, id job.ID) (jobRecords, error) {
 	kv, found, _, err := i.cfg.Store.Get(ctx, jobKey(id))
 	if err != nil {
-		return nil, nil, err
+		return jobRecords{}, err
 	}
 	if found {
 		record, err := job.DecodeJob(kv.Value)
 		if err != nil {
-			return nil, nil, err
+			return jobRecords{}, err
 		}
-		return &cell.Submission{Job: record, Revision: kv.ModRevision}, nil, nil
+		return jobRecords{job: &cell.Submission{Job: record, Revision: kv.ModRevision}}, nil
 	}
 	kv, found, _, err = i.cfg.Store.Get(ctx, finalKey(id))
 	if err != nil || !found {
-		return nil, nil, err
+		return jobRecords{}, err
 	}
 	final, err := job.Decode[job.Final](kv.Value)
-	return nil, final, err
-}
-
-// Cancel cancels a job and returns once the cancellation, or another final state, is
-// recorded.
-func (i *Instance) Cancel(ctx context.Context, queue, team string, id job.ID) error {
-	reply, err := i.callOwner(ctx, i.cfg.Timing.CancelTimeout, cell.Cancel{Job: id, Queue: queue, Team: team})
-	if err == nil && reply.Found {
-		i.cfg.Journal.Event("cancelled", "job", string(id), "by", "owner")
-		return nil
-	}
-	for ctx.Err() == nil {
-		settled, err := i.recordCancel(ctx, queue, team, id)
-		if settled {
-			return err
-		}
-		sleep(ctx, acceptRetryDelay)
-	}
-	return errkind.New(errkind.OutcomeUnknown, "the cancellation of job %s was not confirmed in time", id)
-}
-
-// recordCancel writes a cancellation that the owner, or its successor, reads from the
-// store. settled is false if the caller must retry.
-func (i *Instance) recordCancel(ctx context.Context, queue, team string, id job.ID) (settled bool, err error) {
-	record, final, err := i.readJob(ctx, id)
-	switch {
-	case err != nil:
-		return false, nil // Cancel retries until its deadline
-	case final != nil:
-		_, err := checkVisible(final.State, final.Queue, final.Team, queue, team, id)
-		return true, err
-	case record == nil:
-		return true, unknownJob(id)
-	}
-	if _, err := checkVisible(job.Pending, record.Job.Queue, record.Job.Team, queue, team, id); err != nil {
-		return true, err
-	}
-	result, err := i.cfg.Store.Commit(ctx, store.Txn{
-		Compares: []store.Compare{{Key: jobKey(id), ModRevision: record.Revision}},
-		Puts:     []store.Put{{Key: cancelKey(id), Value: []byte("{}")}},
-	})
-	if err != nil || !result.Succeeded {
-		if err != nil && !errors.Is(err, store.ErrUnavailable) {
-			i.logStoreFailure("record a cancellation", err)
-		}
-		return false, nil
-	}
-	i.cfg.Journal.Event("cancelled", "job", string(id), "by", "record")
-	return true, nil
+	return jobRecords{final: final, finalRevision: kv.ModRevision}, err
 }
 
 // queueLengthLogInterval is the minimum time between log lines on answers about queue lengths.
--- a/internal/importrule/importrule_test.go
+++ b/internal/importrule/importrule_test.go
@@ -16,7 +16,7 @@
 	"task", "errkind", "timeline", "oracle", "document", "keyring", "membership",
 	"ownership", "allowance", "ledger", "queue", "fairshare", "placement",
 	"quarantine", "control", "jsonc", "api", "job", "schedule", "cell", "catalogcheck",
-	"intake", "pastuse", "speed", "holding",
+	"intake", "pastuse", "speed", "holding", "tombstone",
 }
 
 // peerPackages each contain the message encoding for one peer.
--- a/job/job.go
+++ b/job/job.go
@@ -49,6 +49,18 @@
 	MaxUnavailable  int            `json:"mu,omitempty"` // maximum number of tasks that the scheduler may preempt at a time
 }
 
+// Origin is the queue of a request about a job, and the team to which its API key belongs.
+type Origin struct {
+	Queue string `json:"q"`
+	Team  string `json:"t,omitempty"` // empty for a request without a key, which open queues accept
+}
+
+// MayAccess reports whether a request may concern a job that was submitted by the given origin. Jobs of other queues
+// and teams are reported as unknown.
+func (o Origin) MayAccess(submission Origin) bool {
+	return o.Queue == submission.Queue && (o.Team == "" || submission.Team == "" || o.Team == submission.Team)
+}
+
 // Job is an accepted job. It is immutable.
 type Job struct {
 	ID         ID            `json:"id"`
@@ -73,6 +85,9 @@
 	MaxOccurrences = 10_000
 )
 
+// Origin returns who has submitted the job.
+func (j *Job) Origin() Origin { return Origin{Queue: j.Queue, Team: j.Team} }
+
 // Occurrences returns how many times the steps run.
 func (j *Job) Occurrences() int { return max(1, j.Repeats) }
 
--- a/job/record.go
+++ b/job/record.go
@@ -65,8 +65,14 @@
 	Queue      string    `json:"q"`
 	Team       string    `json:"t"`
 	FinishedAt time.Time `json:"at"` // wall clock of the owner
+	// Tombstone lists who has cancelled the job before any submission of it was recorded. If it is not empty,
+	// there was no such job, and FinishedAt is when the last of them did.
+	Tombstone []Origin `json:"ts,omitempty"`
 }
 
+// IsTombstone reports whether there was no job, see Tombstone.
+func (f *Final) IsTombstone() bool { return len(f.Tombstone) > 0 }
+
 // Encode returns the stored form of a record.
 func Encode(record any) ([]byte, error) {
 	b, err := json.Marshal(record)
