instance: refuse other work with the ID of a job that has ended

Callers got 200 for a submission with another body, or by another team, if its ID was that of a job that had ended. It never ran.

Cause: the final record does not tell whose work it was, so every submission that found one counted as a repeated one. Ruled out: unfinished jobs, whose records are compared.

Change: the records of a job and of its end contain a digest of the work. Other work gets 409, as while the job is unfinished. Final records of earlier versions match any work of their queue and team.

--- a/instance/accept.go
+++ b/instance/accept.go
@@ -97,7 +97,7 @@
 
 // record writes an admitted job and returns once it is durable, or if it already is.
 func (i *Instance) record(ctx context.Context, j *job.Job, taken int64) error {
-	j.AcceptedBy = i.cfg.Name
+	j.AcceptedBy, j.Work = i.cfg.Name, j.WorkDigest()
 	record, err := job.Encode(j)
 	if err != nil {
 		return err
@@ -262,6 +262,8 @@
 		submission.done <- errkind.New(errkind.Cancelled, "job %s was cancelled before it was recorded", id)
 	case final.IsTombstone():
 		return false
+	case !final.IsOf(submission.job):
+		i.replyConflict(submission)
 	default:
 		i.allowance.giveBack(submission.taken)
 		submission.done <- nil
@@ -278,8 +280,7 @@
 		return
 	}
 	if !first.SameWork(submission.job) {
-		i.cfg.Journal.Event("refused", "job", string(submission.job.ID), "why", "other_body")
-		submission.done <- errkind.New(errkind.IdempotencyConflict, "a job with ID %s and a different body was accepted before", submission.job.ID)
+		i.replyConflict(submission)
 		return
 	}
 	// The owner reports the changes of the job to the instance that accepted it first. Nothing is known of
@@ -288,6 +289,12 @@
 	i.confirmAccepted(submission, kv.ModRevision)
 }
 
+// replyConflict refuses a submission whose ID belongs to other work.
+func (i *Instance) replyConflict(submission *pendingSubmission) {
+	i.cfg.Journal.Event("refused", "job", string(submission.job.ID), "why", "other_body")
+	submission.done <- errkind.New(errkind.IdempotencyConflict, "a job with ID %s and a different body was accepted before", submission.job.ID)
+}
+
 // handleWriteFailure replies to submissions after a failed write and returns those that
 // should be retried. If the write may still take effect, an unknown outcome is reported
 // immediately: the caller should retry at another instance, which is safe because
--- a/instance/cancel_test.go
+++ b/instance/cancel_test.go
@@ -189,6 +189,29 @@
 	}
 }
 
+// TestSubmissionAfterEnd guards against a submission that is answered like a repeated one and never runs, although
+// the job that has ended was other work or that of another team.
+func TestSubmissionAfterEnd(t *testing.T) {
+	t.Parallel()
+	memory := storetest.NewMemory(storetest.Config{}).Client("e1")
+	i, ctx := startInstance(t, memory), t.Context()
+	ended, otherBody := submissionOf(cancelledID, "a"), submissionOf(cancelledID, "a")
+	otherBody.Steps = []job.Step{{Count: 2, Estimate: time.Second}}
+	mustPut(t, memory, finalKey(cancelledID), job.Final{State: job.Completed, Queue: "q", Team: "a", Work: ended.WorkDigest(), FinishedAt: time.Now()})
+	for name, c := range map[string]struct {
+		submit *job.Job
+		want   errkind.Kind
+	}{
+		"repeated":   {ended, ""},
+		"other body": {otherBody, errkind.IdempotencyConflict},
+		"other team": {submissionOf(cancelledID, "b"), errkind.IdempotencyConflict},
+	} {
+		if err := i.Submit(ctx, c.submit); kindOf(err) != c.want {
+			t.Errorf("%s: %v, want kind %q", name, err, c.want)
+		}
+	}
+}
+
 // TestCancellationsAreLimited guards against callers that fill the store with tombstones, against a refusal
 // without the time after which it is worth to return, and against an acknowledgement while the store is down.
 func TestCancellationsAreLimited(t *testing.T) {
--- a/job/job.go
+++ b/job/job.go
@@ -1,7 +1,11 @@
 package job
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -74,6 +78,7 @@
 	AcceptedAt time.Time     `json:"at"`           // wall clock of the accepting instance
 	Terms      *Terms        `json:"qt,omitempty"` // of the queue when the job was accepted
 	AcceptedBy string        `json:"by,omitempty"` // name of the accepting instance, which receives the changes of the job's state
+	Work       string        `json:"w,omitempty"`  // see WorkDigest; empty in records of earlier versions
 }
 
 // Limits of a job. They keep its record far below the store's limit on values and bound
@@ -123,6 +128,31 @@
 	return j.Repeats == other.Repeats && j.FirstAt.Equal(other.FirstAt) && j.Interval == other.Interval
 }
 
+// WorkDigest returns a digest of what SameWork compares. The record of the job's end contains it.
+func (j *Job) WorkDigest() string {
+	hash := sha256.New()
+	number := func(n int64) { _, _ = hash.Write(binary.BigEndian.AppendUint64(nil, uint64(n))) } // a hash never fails
+	for _, text := range []string{j.Queue, j.Team, j.Spec} {
+		number(int64(len(text)))
+		_, _ = io.WriteString(hash, text)
+	}
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		for _, n := range []int64{int64(s.Count), s.Size.CPUMilli, s.Size.MemoryMB, s.Size.Accelerators, s.Size.Slots, s.Size.Connections, int64(s.Estimate)} {
+			number(n)
+		}
+	}
+	number(int64(j.Repeats))
+	number(j.FirstAt.Unix())
+	number(int64(j.FirstAt.Nanosecond()))
+	number(int64(j.Interval))
+	return hex.EncodeToString(hash.Sum(nil)[:digestBytes])
+}
+
+// digestBytes is the length of a digest of work. It need not withstand an attack: a caller could only mistake its
+// own work.
+const digestBytes = 8
+
 // Check validates the job. It returns the first violation, or nil.
 func (j *Job) Check() error {
 	if !j.ID.Valid() {
--- a/job/record.go
+++ b/job/record.go
@@ -64,7 +64,8 @@
 	State      State     `json:"st"`
 	Queue      string    `json:"q"`
 	Team       string    `json:"t"`
-	FinishedAt time.Time `json:"at"` // wall clock of the owner
+	FinishedAt time.Time `json:"at"`          // wall clock of the owner
+	Work       string    `json:"w,omitempty"` // see Job.WorkDigest
 	// Tombstone lists who has cancelled the job before any submission of it was recorded. If it is not empty,
 	// there was no such job, and FinishedAt is when the last of them did.
 	Tombstone []Origin `json:"ts,omitempty"`
@@ -73,6 +74,12 @@
 // IsTombstone reports whether there was no job, see Tombstone.
 func (f *Final) IsTombstone() bool { return len(f.Tombstone) > 0 }
 
+// IsOf reports whether the record is of the end of a submitted job, whose Work is set. Records of earlier versions
+// have no digest and match any work of the same queue and team.
+func (f *Final) IsOf(j *Job) bool {
+	return f.Queue == j.Queue && f.Team == j.Team && (f.Work == "" || f.Work == j.Work)
+}
+
 // Encode returns the stored form of a record.
 func Encode(record any) ([]byte, error) {
 	b, err := json.Marshal(record)
--- a/schedule/commit.go
+++ b/schedule/commit.go
@@ -107,7 +107,7 @@
 // later, outside the control goroutine.
 func (c *Core) changeOf(j *jobState) Change {
 	if j.state.IsFinal() {
-		final := job.Final{State: j.state, Queue: j.Queue, Team: j.Team, FinishedAt: c.wall}
+		final := job.Final{State: j.state, Queue: j.Queue, Team: j.Team, Work: j.Work, FinishedAt: c.wall}
 		return Change{Job: j.ID, Final: &final, HadProgress: j.hasProgress, MayBeCancelled: j.mayHaveCancelRecord(), version: j.version}
 	}
 	j.beginRecorded = j.begun
