--- a/untrusted/platform_test.go
+++ b/untrusted/platform_test.go
@@ -48,7 +48,8 @@
 // deployment is a set of entry instances on the users' platform, with stand-ins for the store and for a
 // worker.
 type deployment struct {
-	store     string // address
+	records   *platformtest.Store
+	store     string // address of records
 	worker    *platformtest.Worker
 	instances []*target
 }
@@ -60,7 +61,7 @@
 	store.ConfigureTeams(1, "calc", map[string][]string{"red": {key}, "blue": {crowdKey}},
 		platformtest.Queue{Name: "plain", Host: host, Prefix: "/plain/", Attempts: 2}, platformtest.Queue{Name: "shop", Host: host, Prefix: "/shop/", Attempts: 2, Urgent: true})
 	store.Register(worker, "calc", serve(t, worker), "r1")
-	return &deployment{store: serve(t, store), worker: worker}
+	return &deployment{records: store, store: serve(t, store), worker: worker}
 }
 
 // startInstance starts a deployment of one instance.
