soak: hold up submissions beside cancellations

Cause: the soak counted a cancellation as acknowledged only for an accepted job and with 200, and no fault delivered the writes of an instance late. An acknowledgement is 200 or 410, whatever became of the submission.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -60,17 +60,20 @@
 	}
 }
 
-// cancel cancels a job and records when that was acknowledged.
-func (h *harness) cancel(id string, at *node) {
+// cancel cancels a job, records when that was acknowledged, and reports whether it was.
+func (h *harness) cancel(id string, at *node) bool {
 	h.mu.Lock()
 	record := h.jobs[id]
 	record.cancelled = true
 	h.mu.Unlock()
-	if status := h.call(at, "DELETE", "/"+record.queue+"/"+id, ""); status == http.StatusOK && record.accepted {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		record.cancelledAt = time.Now()
+	status := h.call(at, "DELETE", "/"+record.queue+"/"+id, "")
+	if status != http.StatusOK && status != http.StatusGone {
+		return false
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	record.cancelledAt = time.Now()
+	return true
 }
 
 // submit submits a job and records the outcome.
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -35,7 +35,7 @@
 	}
 	defer n.fault.Unlock()
 	defer n.disruption.begin()()
-	switch rng.IntN(7) {
+	switch rng.IntN(8) {
 	case 0:
 		n.restart(syscall.SIGKILL, pause/2)
 	case 1:
@@ -54,6 +54,8 @@
 		n.storeMuted.Store(true)
 		time.Sleep(3 * pause)
 		n.storeMuted.Store(false)
+	case 7:
+		n.holdUpStore(2 * pause)
 	}
 }
 
--- a/soak/nodes_test.go
+++ b/soak/nodes_test.go
@@ -70,6 +70,7 @@
 	h           *harness
 	index       int
 	ip          string
+	store       *platformtest.Path // to the store
 	storeAddr   string
 	advice      string      // address of the advice service
 	storeDenied atomic.Bool // the store refuses the calls of this node
@@ -88,7 +89,7 @@
 func (h *harness) newNode(index int) *node {
 	n := &node{h: h, index: index, ip: machineIP(firstNode + index)}
 	store := translateValues(h.store, n.zone())
-	n.storeAddr = h.network.forward("127.0.0.1:0", serve(h.t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	n.store = platformtest.NewPath(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.storeDenied.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -98,7 +99,9 @@
 			panic(http.ErrAbortHandler) // closes the connection without a response
 		}
 		store.ServeHTTP(w, r)
-	})), n.zone(), outside)
+	}))
+	h.t.Cleanup(n.store.Close)
+	n.storeAddr = h.network.forward("127.0.0.1:0", n.store.Address, n.zone(), outside)
 	n.advice = h.network.forward("127.0.0.1:0", h.advice, n.zone(), outside)
 	h.network.addMachine(firstNode+index, peerPort)
 	n.start()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -158,6 +158,7 @@
 	if rng := rand.New(rand.NewPCG(seed, 60)); rng.IntN(2) == 0 {
 		faulting.Go(func() { h.fillFleet(rng) })
 	}
+	faulting.Go(func() { h.holdUpSubmissions(rand.New(rand.NewPCG(seed, 80)), end) })
 	faulting.Wait()
 	close(stop)
 	submitting.Wait()
