control: refuse late submissions of cancelled jobs without a record

Cause: the home of a job on the own interface answered a cancellation of a job that it does not know and kept nothing of it, so that a submission that was held up between two instances was accepted afterwards. Cancelled short work lost its record at once, so that a repeated submission was a new job. Found by reading, not seen with real processes.

Ruled out: writes of the home to the store, which only the home makes, each on the condition of the revision before; placements that arrive after their withdrawal, for which the owner keeps tombstones.

--- a/control/home.go
+++ b/control/home.go
@@ -26,6 +26,7 @@
 	undispatched map[taskRef]*undispatchedTask // tasks without an open attempt, to be dispatched later
 	batches      map[string][]Placement        // to be sent at the end of this Apply, by partition
 	reportCalls  map[uint64]*reportCall        // report requests that wait for a commit
+	cancelled    *cancelledJobs
 	nextReportID uint64
 	lastExpiryAt time.Time // last scan for records past their retention
 	rebalancedAt time.Time // last scan for attempts to move to another partition
@@ -111,6 +112,10 @@
 		h.replyRefusal(token, job, err)
 		return
 	}
+	if _, known := h.ledger.Find(h.shardOf(job), job); !known && h.cancelled.contains(h.now, job) {
+		h.replyRefusal(token, job, errkind.New(errkind.Cancelled, "job %s was cancelled before this submission arrived", job))
+		return
+	}
 	step := ledger.PostCommitStep{Kind: ledger.StepAccepted, Job: job, Token: token}
 	record, isNew, err := h.ledger.Submit(h.now, h.shardOf(job), req.Spec, step)
 	if err != nil {
@@ -168,7 +173,13 @@
 		return
 	}
 	if !ok {
-		h.reply(token, JobReply{Err: errkind.New(errkind.UnknownTask, "no job %s is recorded", req.Job)})
+		err := errkind.New(errkind.UnknownTask, "no job %s is recorded", req.Job)
+		if req.Op == QueryCancel {
+			if limited := h.cancelled.add(h.now, req.Job); limited != nil {
+				err = limited
+			}
+		}
+		h.reply(token, JobReply{Err: err})
 		return
 	}
 	h.waitingCalls[token] = &jobCall{job: req.Job}
@@ -211,6 +222,11 @@
 func (h *home) cancel(token uint64, job ledger.JobKey) {
 	shard := h.shardOf(job)
 	record, _ := h.ledger.Find(shard, job)
+	if !record.Spec.Kind.IsDurable() {
+		// The record may be deleted before a repeated submission arrives. Beyond the limit, the cancellation of a
+		// recorded job still takes effect.
+		_ = h.cancelled.add(h.now, job)
+	}
 	h.terminate(record, errkind.Cancelled)
 	if !h.ledger.HasPending(shard) {
 		h.replyOrWait(token, job)
--- a/control/homereport.go
+++ b/control/homereport.go
@@ -97,6 +97,7 @@
 	if h.now.Sub(h.lastExpiryAt) >= expireInterval {
 		h.lastExpiryAt = h.now
 		h.ledger.Expire(h.now)
+		h.cancelled.expire(h.now)
 	}
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -80,6 +80,7 @@
 		selector:     &partitionSelector{routing: s.routing, rng: rng, digestLifetime: cfg.DigestLifetime, region: self.Region},
 		waitingCalls: map[uint64]*jobCall{}, waiters: map[ledger.JobKey][]uint64{}, openAttempts: map[task.Attempt]*openAttempt{},
 		undispatched: map[taskRef]*undispatchedTask{}, batches: map[string][]Placement{}, reportCalls: map[uint64]*reportCall{},
+		cancelled: newCancelledJobs(),
 	}
 	s.owner = &owner{
 		outbox: &s.outbox, cfg: &s.cfg, routing: s.routing, cluster: placement.NewCluster(), shares: fairshare.New(components.Fairshare),
