--- a/analysis/analysis_test.go
+++ b/analysis/analysis_test.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"errors"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -124,3 +125,20 @@
 		t.Errorf("missing: %q, want three remarks", report.Missing)
 	}
 }
+
+// TestTombstone guards against a job that was cancelled before it was recorded and counts as one that was accepted.
+func TestTombstone(t *testing.T) {
+	day := readDay(t)
+	want, err := analyze(t, day)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := regexp.MustCompile(` at=\S+`).FindString(day)
+	report, err := analyze(t, day+"level=info msg=cancelled"+at+" job=00000000000000ff by=tombstone queue=unrecorded team=t\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(report.Queues) != len(want.Queues) {
+		t.Errorf("%d queues, want %d", len(report.Queues), len(want.Queues))
+	}
+}
--- a/analysis/day.go
+++ b/analysis/day.go
@@ -157,6 +157,10 @@
 	case "refused":
 		a.refused[r.fields["why"]]++
 		return // the job does not exist
+	case "cancelled":
+		if r.fields["by"] == "tombstone" {
+			return // likewise
+		}
 	case "run_ended":
 		a.runs[r.fields["how"]]++
 	case "run_lost":
