--- a/instance/cancel.go
+++ b/instance/cancel.go
@@ -40,7 +40,6 @@
 // job is not recorded. settled is false if the caller must retry.
 func (i *Instance) recordCancel(ctx context.Context, from job.Origin, id job.ID) (settled bool, err error) {
 	records, err := i.readJob(ctx, id)
-	now := time.Now()
 	switch {
 	case err != nil:
 		return false, nil // Cancel retries until its deadline
@@ -49,14 +48,14 @@
 		return true, unknownJob(id)
 	case records.job != nil:
 		return i.recordCancelOfJob(ctx, from, records.job), nil
-	case records.final == nil || records.final.IsTombstone():
-		if tombstone.IsCurrent(records.final, from, now) {
-			return true, unknownJob(id)
-		}
+	case records.final != nil && !records.final.IsTombstone():
+		_, err := checkVisible(records.final.State, records.final.Queue, records.final.Team, from.Queue, from.Team, id)
+		return true, err
+	case tombstone.IsCurrent(records.final, from, time.Now()):
+		return true, unknownJob(id)
+	default:
 		return i.requestTombstone(ctx, from, id, records)
 	}
-	_, err = checkVisible(records.final.State, records.final.Queue, records.final.Team, from.Queue, from.Team, id)
-	return true, err
 }
 
 // recordCancelOfJob writes the cancellation of a recorded job and reports whether it is durable.
--- a/tombstone/budget.go
+++ b/tombstone/budget.go
@@ -74,9 +74,9 @@
 func (b *Budget) GiveBack(now time.Time, from job.Origin) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, u := range []*bucket{&b.total, b.customers[customerOf(from)]} {
-		if u != nil {
-			u.used = max(0, u.used-1)
+	for _, charged := range []*bucket{&b.total, b.customers[customerOf(from)]} {
+		if charged != nil {
+			charged.used = max(0, charged.used-1)
 		}
 	}
 }
@@ -86,9 +86,9 @@
 	if len(b.customers) < maxCustomers {
 		return
 	}
-	for customer, u := range b.customers {
-		if u.refill(now, b.limits.Customer); u.used == 0 {
-			delete(b.customers, customer)
+	for origin, customer := range b.customers {
+		if customer.refill(now, b.limits.Customer); customer.used == 0 {
+			delete(b.customers, origin)
 		}
 	}
 }
@@ -99,18 +99,18 @@
 	at   time.Time // of the last refill
 }
 
-func (u *bucket) refill(now time.Time, r Rate) {
-	if elapsed := now.Sub(u.at); elapsed > 0 {
-		u.used = max(0, u.used-elapsed.Seconds()*r.PerSecond)
-		u.at = now
+func (b *bucket) refill(now time.Time, r Rate) {
+	if elapsed := now.Sub(b.at); elapsed > 0 {
+		b.used = max(0, b.used-elapsed.Seconds()*r.PerSecond)
+		b.at = now
 	}
 }
 
 // wait returns the time until one more fits, 0 if it does now.
-func (u *bucket) wait(now time.Time, r Rate) time.Duration {
-	u.refill(now, r)
+func (b *bucket) wait(now time.Time, r Rate) time.Duration {
+	b.refill(now, r)
 	const roundingError = 1e-6
-	over := u.used + 1 - r.Burst
+	over := b.used + 1 - r.Burst
 	if over <= roundingError {
 		return 0
 	}
